Add design, build, linters and base library

The project starts with docs/design.md, which fixes the modules, the state and its owner, the messages and the behaviour under failure. lib/base holds what every layer uses: the closed error list with its answer table, settings, logger, counters, hybrid logical clock, time line and seeded generator. regress/support/sim.c is the virtual clock for logic tests.

Ruled out: libserf, whose Debian download is refused; libcurl takes its place.

Before: empty repository.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,74 @@
+# berylshunt: top-level targets.  `make help` lists them.
+TOP = .
+include mk/common.mk
+PROGS = $(patsubst %/Makefile,%,$(wildcard bsh*/Makefile))
+BENCHES = $(patsubst bench/%/Makefile,bench/%,$(wildcard bench/*/Makefile))
+C_FILES = $(wildcard lib/*/*.[ch] bsh*/*.[ch] bench/*/*.[ch] regress/*.[ch] \
+		     regress/*/*.[ch])
+TIDY_FILES = $(filter %.c,$(C_FILES))
+MAN_PAGES = $(wildcard bsh*/*.[1-8] bench/*/*.[1-8] docs/man/*.[1-8])
+
+all: progs
+
+help:
+	@echo 'all      build the programs'
+	@echo 'check    build and run all tests'
+	@echo 'prove    differential proofs of the nine promises'
+	@echo 'demo     one cold request and one deposit, end to end'
+	@echo 'lint     formatter, linters and manual pages'
+	@echo 'deps     install the Debian packages of packages.txt'
+
+lib:
+	@$(MAKE) --no-print-directory -C lib
+
+progs: lib
+	@set -e; for p in $(PROGS) $(BENCHES); do \
+		$(MAKE) --no-print-directory -C $$p; done
+
+regress: lib
+	@$(MAKE) --no-print-directory -C regress all
+
+check: deps-check progs regress
+	@sh regress/run_tests.sh $(BUILD)
+
+prove: lib
+	@$(MAKE) --no-print-directory -C regress proofs
+	@sh regress/run_proofs.sh $(BUILD)
+
+demo: deps-check progs regress
+	@sh demo/demo.sh $(BUILD)
+
+deps:
+	apt-get update
+	apt-get install -y --no-install-recommends $$(cat packages.txt)
+
+# A fresh machine needs one command: missing packages are installed first.
+deps-check:
+	@pkg-config --exists $(PKGS) 2>/dev/null || $(MAKE) deps
+
+format:
+	clang-format -i $(C_FILES)
+
+lint: lint-format lint-tidy lint-cppcheck lint-man
+
+lint-format:
+	clang-format --dry-run -Werror $(C_FILES)
+
+lint-tidy:
+	@printf '%s\n' $(TIDY_FILES) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS_ALL) \
+		2>/dev/null' sh
+
+lint-cppcheck:
+	cppcheck --quiet --library=gtk --error-exitcode=1 --inline-suppr -j 4 \
+		--enable=warning,performance,portability \
+		--suppress=normalCheckLevelMaxBranches -Ilib $(TIDY_FILES)
+
+lint-man:
+	@for m in $(MAN_PAGES); do mandoc -Tlint -Wwarning $$m || exit 1; done
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all help lib progs regress check prove demo deps deps-check format \
+	lint lint-format lint-tidy lint-cppcheck lint-man clean
--- /dev/null
+++ b/lib/base/log.h
@@ -0,0 +1,30 @@
+#ifndef BSH_BASE_LOG_H
+#define BSH_BASE_LOG_H
+
+/*
+ * NAME
+ *	log - one structured line on stderr per change of state
+ *
+ * DESCRIPTION
+ *	A line holds the time (RFC 3339, UTC), the level, the program name
+ *	and a message of the form "event key=value ...".  Logging is safe
+ *	from any thread; each line is written by one write(2).
+ */
+
+typedef enum {
+	BSH_LOG_ERROR,
+	BSH_LOG_WARNING,
+	BSH_LOG_INFO,
+	BSH_LOG_DEBUG
+} bsh_log_level_t;
+
+/* bsh_log_init - program name and the most detailed level written. */
+void bsh_log_init(const char *program, bsh_log_level_t level);
+
+/* bsh_log_level_parse - "error".."debug"; -1 when the name is unknown. */
+int bsh_log_level_parse(const char *name);
+
+void bsh_log(bsh_log_level_t level, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#endif
--- /dev/null
+++ b/regress/test_base.c
@@ -0,0 +1,193 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/error.h"
+#include "base/hlc.h"
+#include "base/settings.h"
+#include "base/timeline.h"
+
+#define KEY "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+
+static const char valid[] = "[instance]\nname=entry-1\nzone=ishikari-a\n"
+			    "[security]\nkey=" KEY "\n"
+			    "[store]\naddress=127.0.0.1:7000\n"
+			    "[router]\nlisten=127.0.0.1:7001\n"
+			    "admin=127.0.0.1:7002\n"
+			    "[control]\nlisten=127.0.0.1:7003\n"
+			    "link=127.0.0.1:7004\ngossip=127.0.0.1:7005\n";
+
+static bsh_error_t load_text(const char *text, bsh_settings_t *settings,
+			     GString *problems)
+{
+	g_autofree char *path = NULL;
+	int fd = g_file_open_tmp("bsh-settings-XXXXXX", &path, NULL);
+	bsh_error_t err;
+
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	err = bsh_settings_load(settings, path, problems);
+	close(fd);
+	g_unlink(path);
+	return err;
+}
+
+static void test_settings_valid(void)
+{
+	bsh_settings_t settings;
+	g_autoptr(GString) problems = g_string_new(NULL);
+
+	g_assert_cmpint(load_text(valid, &settings, problems), ==, BSH_OK);
+	g_assert_cmpstr(settings.instance, ==, "entry-1");
+	g_assert_cmpuint(settings.fresh_ms, ==, 8000);
+	g_assert_cmpuint(settings.key[31], ==, 0x1f);
+}
+
+/* Guards against a mistyped key that silently leaves the default in force. */
+static void test_settings_every_problem(void)
+{
+	g_autofree char *text =
+		g_strconcat(valid,
+			    "listne=127.0.0.1:1\n[timing]\nfresh_ms=99999\n"
+			    "lease_ms=soon\n[colour]\na=b\n",
+			    NULL);
+	bsh_settings_t settings;
+	g_autoptr(GString) problems = g_string_new(NULL);
+
+	g_assert_cmpint(load_text(text, &settings, problems), ==,
+			BSH_ERR_INVALID);
+	g_assert_nonnull(
+		strstr(problems->str, ":15: control.listne: unknown key\n"));
+	g_assert_nonnull(strstr(problems->str,
+				":17: timing.fresh_ms: 99999 is out of "
+				"range, allowed: 500 to 11000\n"));
+	g_assert_nonnull(
+		strstr(problems->str,
+		       ":18: timing.lease_ms: 'soon' is not a whole number\n"));
+	g_assert_nonnull(
+		strstr(problems->str, ":19: unknown group [colour]\n"));
+}
+
+/* Guards against a daemon that starts without an address it needs. */
+static void test_settings_missing(void)
+{
+	bsh_settings_t settings;
+	g_autoptr(GString) problems = g_string_new(NULL);
+
+	g_assert_cmpint(load_text("[instance]\nname=a\n", &settings, problems),
+			==, BSH_ERR_INVALID);
+	g_assert_nonnull(strstr(problems->str,
+				"store.address: required key is missing"));
+	g_string_truncate(problems, 0);
+	g_assert_cmpint(load_text("not an ini file", &settings, problems), ==,
+			BSH_ERR_INVALID);
+	g_assert_cmpuint(problems->len, >, 0);
+}
+
+static void test_address(void)
+{
+	char host[BSH_ADDRESS_SIZE];
+	uint16_t port;
+
+	g_assert_cmpint(
+		bsh_address_split("[::1]:80", host, sizeof(host), &port), ==,
+		BSH_OK);
+	g_assert_cmpstr(host, ==, "::1");
+	g_assert_cmpuint(port, ==, 80);
+	g_assert_cmpint(
+		bsh_address_split("localhost:80", host, sizeof(host), &port),
+		==, BSH_ERR_INVALID);
+	g_assert_cmpint(
+		bsh_address_split("127.0.0.1:70000", host, sizeof(host), &port),
+		==, BSH_ERR_INVALID);
+	g_assert_cmpint(
+		bsh_address_split("127.0.0.1", host, sizeof(host), &port), ==,
+		BSH_ERR_INVALID);
+}
+
+/* Guards against an effect that is ordered before its cause. */
+static void test_hlc(void)
+{
+	bsh_hlc_t sender;
+	bsh_hlc_t receiver;
+	bsh_hlc_stamp_t sent;
+	bsh_hlc_stamp_t far = {.physical_us = INT64_MAX / 2};
+
+	bsh_hlc_init(&sender);
+	bsh_hlc_init(&receiver);
+	sent = bsh_hlc_tick(&sender, 1000);
+	g_assert_true(bsh_hlc_receive(&receiver, 500, sent));
+	g_assert_cmpint(bsh_hlc_compare(receiver.last, sent), >, 0);
+	/* The wall clock steps back; stamps still rise. */
+	g_assert_cmpint(bsh_hlc_compare(bsh_hlc_tick(&receiver, 10), sent), >,
+			0);
+	g_assert_false(bsh_hlc_receive(&receiver, 600, far));
+	g_assert_cmpint(receiver.last.physical_us, <, 2000);
+}
+
+/* Guards against a full ring that repeats or reorders events. */
+static void test_timeline_ring(void)
+{
+	bsh_timeline_t tl;
+	bsh_hlc_t hlc;
+	g_autoptr(GString) out = g_string_new(NULL);
+	uint64_t last;
+
+	bsh_hlc_init(&hlc);
+	bsh_timeline_init(&tl, &hlc, "entry-1", "test", 7, 4);
+	for (int i = 0; i < 10; i++)
+		bsh_timeline_add(&tl, "step", "{s:i}", "i", i);
+	last = bsh_timeline_print(&tl, 0, out);
+	g_assert_cmpuint(last, ==, 10);
+	g_assert_nonnull(strstr(out->str, "{\"i\":6}"));
+	g_assert_null(strstr(out->str, "{\"i\":5}"));
+	g_string_truncate(out, 0);
+	g_assert_cmpuint(bsh_timeline_print(&tl, last, out), ==, 10);
+	g_assert_cmpuint(out->len, ==, 0);
+	bsh_timeline_finish(&tl);
+}
+
+static void test_error_table(void)
+{
+	for (int i = 0; i < BSH_ERR_COUNT; i++) {
+		const bsh_answer_t *answer = bsh_error_answer((bsh_error_t)i);
+
+		g_assert_nonnull(answer->name);
+		g_assert_cmpuint(answer->http_status, >=, 200);
+	}
+	g_assert_cmpstr(bsh_error_name((bsh_error_t)9999), ==, "internal");
+}
+
+static void test_counter_print(void)
+{
+	static bsh_counter_t a = BSH_COUNTER("bsh_test_total", "Test.");
+	static bsh_counter_t b = BSH_COUNTER_LABELS("bsh_test_labels_total",
+						    "Test.", "kind=\"x\"");
+	g_autoptr(GString) out = g_string_new(NULL);
+
+	bsh_counter_register(&a);
+	bsh_counter_register(&a);
+	bsh_counter_register(&b);
+	bsh_counter_add(&a, 3);
+	bsh_counter_print(out);
+	g_assert_nonnull(strstr(out->str, "bsh_test_total 3\n"));
+	g_assert_nonnull(
+		strstr(out->str, "bsh_test_labels_total{kind=\"x\"} 0\n"));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/base/settings/valid", test_settings_valid);
+	g_test_add_func("/base/settings/every-problem",
+			test_settings_every_problem);
+	g_test_add_func("/base/settings/missing", test_settings_missing);
+	g_test_add_func("/base/address", test_address);
+	g_test_add_func("/base/hlc", test_hlc);
+	g_test_add_func("/base/timeline/ring", test_timeline_ring);
+	g_test_add_func("/base/error/table", test_error_table);
+	g_test_add_func("/base/counter/print", test_counter_print);
+	return g_test_run();
+}
