Add the HTTP server and client of the loop

Server: libmicrohttpd's epoll descriptor is nested in the loop and run once per round. It does not look at sockets of suspended connections, so a watch of our own reports callers that go away.

Client: libcurl calls a hook between connecting and sending; the 'sent' flag is set there, so 'not run' is proved and not guessed from error codes. libcurl repeats a request by itself when a reused connection was closed; the hook stops the second send.

Ruled out: removal by searching APR's list (NOCOPY entries), entering libcurl from its own callbacks (deferred to a task), and waiting for the end of a truncated upload: libmicrohttpd drops it at the idle timeout.

--- /dev/null
+++ b/lib/transport/http_client.c
@@ -0,0 +1,607 @@
+#include "transport/http_client.h"
+
+#include <curl/curl.h>
+#include <string.h>
+#include <strings.h>
+
+/* Receive buffer per call: a few events of a stream; open streams are many. */
+#define RECEIVE_BUFFER_BYTES 8192L
+#define DEFAULT_BODY_MAX     (1U << 20)
+/* Idle connections older than this are not reused: the peer may have dropped
+ * them unnoticed. */
+#define REUSE_MAX_AGE_S 20L
+/* Finished libcurl handles kept for the next calls. */
+#define SPARE_HANDLES 256
+
+struct bsh_http_client {
+	bsh_loop_t *loop;
+	CURLM *multi;
+	bsh_loop_timer_t timer;
+	bsh_loop_task_t start_task;
+	bsh_loop_task_t cancel_task;
+	GQueue starting; /* calls added from within libcurl's callbacks */
+	GPtrArray *spare;
+	bsh_http_call_t *calls; /* all running calls */
+	int depth;		/* > 0 while libcurl is on the stack */
+};
+
+struct bsh_http_call {
+	bsh_http_client_t *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	bsh_http_handler_t handler;
+	void *ctx;
+	bsh_loop_timer_t timer; /* idle timeout and deadline */
+	int64_t deadline_us;
+	int64_t idle_us;
+	int64_t active_us; /* last time a byte arrived */
+	GString *body;
+	size_t body_max_bytes;
+	int64_t body_bytes;
+	int status;
+	bsh_error_t err; /* reason found in a callback */
+	bool sent;
+	bool has_length;
+	bool head_done;
+	bool added;
+	bool cancelled;
+	bool paused;
+	char detail[CURL_ERROR_SIZE];
+	bsh_http_call_t *next;
+	bsh_http_call_t *previous;
+};
+
+static void free_call(bsh_http_call_t *call)
+{
+	bsh_http_client_t *client = call->client;
+
+	if (call->added)
+		curl_multi_remove_handle(client->multi, call->easy);
+	else
+		g_queue_remove(&client->starting, call);
+	bsh_loop_timer_stop(&call->timer);
+	if (call->previous != NULL)
+		call->previous->next = call->next;
+	else
+		client->calls = call->next;
+	if (call->next != NULL)
+		call->next->previous = call->previous;
+	if (client->spare->len < SPARE_HANDLES) {
+		curl_easy_reset(call->easy);
+		g_ptr_array_add(client->spare, call->easy);
+	} else {
+		curl_easy_cleanup(call->easy);
+	}
+	curl_slist_free_all(call->headers);
+	if (call->body != NULL)
+		g_string_free(call->body, TRUE);
+	g_free(call);
+}
+
+/* libcurl must not be on the stack. */
+static void finish(bsh_http_call_t *call, bsh_error_t err)
+{
+	bsh_http_result_t result = {
+		.err = err,
+		.sent = call->sent,
+		.complete = err == BSH_OK,
+		.status = call->status,
+		.body_bytes = call->body_bytes,
+		.body = call->body != NULL ? call->body->str : "",
+		.detail = call->detail,
+	};
+	bsh_http_handler_t handler = call->handler;
+	void *ctx = call->ctx;
+	GString *body = call->body;
+
+	call->body = NULL;
+	g_autofree char *detail = g_strdup(call->detail);
+	result.detail = detail;
+	/* Released first, so that on_end can start the next call on the same
+	 * connection. */
+	free_call(call);
+	handler.on_end(ctx, &result);
+	if (body != NULL)
+		g_string_free(body, TRUE);
+}
+
+static bsh_error_t classify(const bsh_http_call_t *call, CURLcode code)
+{
+	if (call->err != BSH_OK)
+		return call->err;
+	if (code == CURLE_OK)
+		/* Without a length only the close of the connection marked
+		 * the end, and a broken connection looks the same. */
+		return call->has_length ? BSH_OK : BSH_ERR_BROKEN;
+	if (!call->sent)
+		return code == CURLE_OUT_OF_MEMORY ? BSH_ERR_SYSTEM
+						   : BSH_ERR_CONNECT;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return BSH_ERR_TIMEOUT;
+	return BSH_ERR_BROKEN;
+}
+
+static void check_done(bsh_http_client_t *client)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(client->multi, &left)) != NULL) {
+		bsh_http_call_t *call = NULL;
+		CURLcode code = msg->data.result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&call);
+		if (call->cancelled)
+			free_call(call);
+		else
+			finish(call, classify(call, code));
+	}
+}
+
+static void act(bsh_http_client_t *client, curl_socket_t fd, int flags)
+{
+	int running;
+
+	client->depth++;
+	curl_multi_socket_action(client->multi, fd, flags, &running);
+	client->depth--;
+	check_done(client);
+}
+
+static void on_socket_ready(void *ctx, int fd, unsigned int events)
+{
+	int flags = 0;
+
+	if (events & BSH_LOOP_READ)
+		flags |= CURL_CSELECT_IN;
+	if (events & BSH_LOOP_WRITE)
+		flags |= CURL_CSELECT_OUT;
+	if (events & BSH_LOOP_ERROR)
+		flags |= CURL_CSELECT_ERR;
+	act(ctx, fd, flags);
+}
+
+static int on_curl_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+			  void *socket_ctx)
+{
+	bsh_http_client_t *client = ctx;
+	bsh_loop_watch_t *watch = socket_ctx;
+	unsigned int events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (watch != NULL)
+			bsh_loop_unwatch(watch);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= BSH_LOOP_READ;
+	if (what & CURL_POLL_OUT)
+		events |= BSH_LOOP_WRITE;
+	if (watch != NULL)
+		return bsh_loop_watch_set(watch, events) == BSH_OK ? 0 : -1;
+	watch = bsh_loop_watch(client->loop, fd, events, on_socket_ready,
+			       client);
+	if (watch == NULL)
+		return -1;
+	curl_multi_assign(client->multi, fd, watch);
+	return 0;
+}
+
+static int on_curl_timer(CURLM *multi, long timeout_ms, void *ctx)
+{
+	bsh_http_client_t *client = ctx;
+
+	(void)multi;
+	if (timeout_ms < 0)
+		bsh_loop_timer_stop(&client->timer);
+	else
+		bsh_loop_timer_after(&client->timer, timeout_ms * 1000);
+	return 0;
+}
+
+static void on_timer(void *ctx)
+{
+	act(ctx, CURL_SOCKET_TIMEOUT, 0);
+}
+
+/* Called when the connection stands, before the request is handed to it. */
+/* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's prototype */
+static int on_before_request(void *ctx, char *primary_ip, char *local_ip,
+			     int primary_port, int local_port)
+{
+	bsh_http_call_t *call = ctx;
+
+	(void)primary_ip;
+	(void)local_ip;
+	(void)primary_port;
+	(void)local_port;
+	if (call->cancelled)
+		return CURL_PREREQFUNC_ABORT;
+	/* libcurl would send a second time after a reused connection was
+	 * found closed; sends are counted and decided above this layer. */
+	if (call->sent) {
+		call->err = BSH_ERR_BROKEN;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	call->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void parse_header(bsh_http_call_t *call, const char *line, size_t size)
+{
+	const char *colon = memchr(line, ':', size);
+	const char *value;
+	size_t name_size;
+	size_t value_size;
+
+	if (colon == NULL)
+		return;
+	name_size = (size_t)(colon - line);
+	value = colon + 1;
+	value_size = size - name_size - 1;
+	while (value_size > 0 && (*value == ' ' || *value == '\t')) {
+		value++;
+		value_size--;
+	}
+	while (value_size > 0 && g_ascii_isspace(value[value_size - 1]))
+		value_size--;
+	if ((name_size == 14 &&
+	     g_ascii_strncasecmp(line, "content-length", 14) == 0) ||
+	    (name_size == 17 &&
+	     g_ascii_strncasecmp(line, "transfer-encoding", 17) == 0))
+		call->has_length = true;
+	if (call->handler.on_header != NULL)
+		call->handler.on_header(call->ctx, line, name_size, value,
+					value_size);
+}
+
+static void end_of_head(bsh_http_call_t *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status >= 100 && status < 200)
+		return;
+	call->head_done = true;
+	call->status = (int)status;
+	if (status == 204 || status == 304)
+		call->has_length = true;
+	if (call->handler.on_head != NULL)
+		call->handler.on_head(call->ctx, call->status);
+}
+
+static size_t on_curl_header(char *data, size_t unit, size_t count, void *ctx)
+{
+	bsh_http_call_t *call = ctx;
+	size_t size = unit * count;
+
+	call->active_us = call->client->loop->now_us;
+	if (call->cancelled)
+		return 0;
+	/* Trailers come after the body and are of no use here. */
+	if (call->head_done)
+		return size;
+	if (size <= 2)
+		end_of_head(call);
+	else
+		parse_header(call, data, size);
+	return call->cancelled ? 0 : size;
+}
+
+static size_t on_curl_data(char *data, size_t unit, size_t count, void *ctx)
+{
+	bsh_http_call_t *call = ctx;
+	size_t size = unit * count;
+
+	if (call->cancelled)
+		return 0;
+	/* libcurl delivers the same data again after the pause. */
+	if (call->paused)
+		return CURL_WRITEFUNC_PAUSE;
+	call->active_us = call->client->loop->now_us;
+	call->body_bytes += (int64_t)size;
+	if (call->handler.on_data != NULL) {
+		call->handler.on_data(call->ctx, data, size);
+		return call->cancelled ? 0 : size;
+	}
+	if (call->body->len + size > call->body_max_bytes) {
+		call->err = BSH_ERR_TOO_LARGE;
+		return 0;
+	}
+	g_string_append_len(call->body, data, (gssize)size);
+	return size;
+}
+
+static void on_call_timer(void *ctx)
+{
+	bsh_http_call_t *call = ctx;
+	int64_t now_us = bsh_loop_clock_us();
+	int64_t at_us = call->active_us + call->idle_us;
+
+	if (call->paused)
+		at_us = now_us + call->idle_us;
+	if (call->deadline_us > 0)
+		at_us = MIN(at_us, call->deadline_us);
+	/* Started lazily: each byte moves active_us and not the timer. */
+	if (at_us > now_us) {
+		bsh_loop_timer_start(&call->timer, at_us);
+		return;
+	}
+	g_strlcpy(call->detail, "no answer in time", sizeof(call->detail));
+	finish(call, call->sent ? BSH_ERR_TIMEOUT : BSH_ERR_CONNECT);
+}
+
+static void add_call(bsh_http_call_t *call)
+{
+	bsh_http_client_t *client = call->client;
+
+	call->added = true;
+	call->active_us = bsh_loop_clock_us();
+	bsh_loop_timer_start(&call->timer,
+			     call->deadline_us > 0
+				     ? MIN(call->deadline_us,
+					   call->active_us + call->idle_us)
+				     : call->active_us + call->idle_us);
+	client->depth++;
+	curl_multi_add_handle(client->multi, call->easy);
+	client->depth--;
+}
+
+static void start_waiting(void *ctx)
+{
+	bsh_http_client_t *client = ctx;
+	bsh_http_call_t *call;
+
+	while ((call = g_queue_pop_head(&client->starting)) != NULL)
+		add_call(call);
+}
+
+static void free_cancelled(void *ctx)
+{
+	bsh_http_client_t *client = ctx;
+	bsh_http_call_t *call = client->calls;
+
+	while (call != NULL) {
+		bsh_http_call_t *next = call->next;
+
+		if (call->cancelled)
+			free_call(call);
+		call = next;
+	}
+}
+
+bsh_http_client_t *bsh_http_client_new(bsh_loop_t *loop, uint32_t max_idle)
+{
+	bsh_http_client_t *client;
+	CURLM *multi;
+
+	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
+		return NULL;
+	multi = curl_multi_init();
+	if (multi == NULL)
+		return NULL;
+	client = g_new0(bsh_http_client_t, 1);
+	client->loop = loop;
+	client->multi = multi;
+	client->spare = g_ptr_array_new();
+	g_queue_init(&client->starting);
+	bsh_loop_timer_init(&client->timer, loop, on_timer, client);
+	bsh_loop_task_init(&client->start_task, loop, start_waiting, client);
+	bsh_loop_task_init(&client->cancel_task, loop, free_cancelled, client);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+	curl_multi_setopt(multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
+	curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	return client;
+}
+
+void bsh_http_client_free(bsh_http_client_t *client)
+{
+	while (client->calls != NULL)
+		free_call(client->calls);
+	for (guint i = 0; i < client->spare->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(client->spare, i));
+	g_ptr_array_free(client->spare, TRUE);
+	client->depth++;
+	curl_multi_cleanup(client->multi);
+	bsh_loop_timer_stop(&client->timer);
+	bsh_loop_task_cancel(&client->start_task);
+	bsh_loop_task_cancel(&client->cancel_task);
+	g_queue_clear(&client->starting);
+	g_free(client);
+}
+
+static CURL *take_handle(bsh_http_client_t *client)
+{
+	if (client->spare->len == 0)
+		return curl_easy_init();
+	return g_ptr_array_steal_index_fast(client->spare,
+					    client->spare->len - 1);
+}
+
+static bool set_headers(bsh_http_call_t *call, const bsh_http_spec_t *spec)
+{
+	bool has_type = false;
+
+	/* An empty Expect stops the pause of one round trip that libcurl
+	 * inserts before larger bodies. */
+	call->headers = curl_slist_append(NULL, "Expect:");
+	for (size_t i = 0; spec->headers != NULL && spec->headers[i] != NULL;
+	     i++) {
+		if (strpbrk(spec->headers[i], "\r\n") != NULL)
+			return false;
+		if (g_ascii_strncasecmp(spec->headers[i],
+					"content-type:", 13) == 0)
+			has_type = true;
+		call->headers =
+			curl_slist_append(call->headers, spec->headers[i]);
+	}
+	/* libcurl would add the type of a web form. */
+	if (!has_type)
+		call->headers =
+			curl_slist_append(call->headers, "Content-Type:");
+	return true;
+}
+
+static bool has_body(const char *method)
+{
+	return strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0 ||
+	       strcmp(method, "PATCH") == 0;
+}
+
+static bool set_body(bsh_http_call_t *call, const bsh_http_spec_t *spec)
+{
+	CURLoption option = spec->body_is_static ? CURLOPT_POSTFIELDS
+						 : CURLOPT_COPYPOSTFIELDS;
+	const char *body = spec->body;
+
+	if (strcmp(spec->method, "HEAD") == 0) {
+		call->has_length = true;
+		curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
+		return true;
+	}
+	/* These methods carry a length even when the body is empty. */
+	if (body == NULL && has_body(spec->method))
+		body = "";
+	if (body == NULL)
+		return true;
+	return curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				(curl_off_t)spec->body_size) == CURLE_OK &&
+	       curl_easy_setopt(call->easy, option, body) == CURLE_OK;
+}
+
+static void set_callbacks(bsh_http_call_t *call)
+{
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, call->detail);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_curl_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_curl_data);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+}
+
+static bool set_options(bsh_http_call_t *call, const bsh_http_spec_t *spec)
+{
+	CURL *easy = call->easy;
+
+	set_callbacks(call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER_BYTES);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, REUSE_MAX_AGE_S);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)(spec->connect_timeout_ms != 0
+					? spec->connect_timeout_ms
+					: BSH_HTTP_CONNECT_TIMEOUT_MS));
+	if (spec->fresh_connection) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	return curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http") ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_URL, spec->url) == CURLE_OK &&
+	       set_headers(call, spec) &&
+	       curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers) ==
+		       CURLE_OK &&
+	       set_body(call, spec) &&
+	       curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, spec->method) ==
+		       CURLE_OK;
+}
+
+bsh_error_t bsh_http_client_start(bsh_http_client_t *client,
+				  const bsh_http_spec_t *spec,
+				  const bsh_http_handler_t *handler, void *ctx,
+				  bsh_http_call_t **out)
+{
+	bsh_http_call_t *call;
+	CURL *easy;
+
+	if (!g_str_has_prefix(spec->url, "http://") ||
+	    strpbrk(spec->method, " \r\n") != NULL)
+		return BSH_ERR_INVALID;
+	easy = take_handle(client);
+	if (easy == NULL)
+		return BSH_ERR_SYSTEM;
+	call = g_new0(bsh_http_call_t, 1);
+	call->client = client;
+	call->easy = easy;
+	call->handler = *handler;
+	call->ctx = ctx;
+	call->deadline_us = spec->deadline_us;
+	call->idle_us = INT64_C(1000) * (spec->idle_timeout_ms != 0
+						 ? spec->idle_timeout_ms
+						 : BSH_HTTP_IDLE_TIMEOUT_MS);
+	call->body_max_bytes = spec->body_max_bytes != 0 ? spec->body_max_bytes
+							 : DEFAULT_BODY_MAX;
+	if (handler->on_data == NULL)
+		call->body = g_string_new(NULL);
+	bsh_loop_timer_init(&call->timer, client->loop, on_call_timer, call);
+	call->next = client->calls;
+	if (client->calls != NULL)
+		client->calls->previous = call;
+	client->calls = call;
+	if (!set_options(call, spec)) {
+		free_call(call);
+		return BSH_ERR_INVALID;
+	}
+	*out = call;
+	/* libcurl must not be entered from its own callbacks. */
+	if (client->depth > 0) {
+		g_queue_push_tail(&client->starting, call);
+		bsh_loop_task_schedule(&client->start_task);
+	} else {
+		add_call(call);
+	}
+	return BSH_OK;
+}
+
+void bsh_http_call_cancel(bsh_http_call_t *call)
+{
+	bsh_http_client_t *client = call->client;
+
+	call->cancelled = true;
+	bsh_loop_timer_stop(&call->timer);
+	/* libcurl must not be entered from its own callbacks. */
+	if (client->depth == 0 || !call->added)
+		free_call(call);
+	else
+		bsh_loop_task_schedule(&client->cancel_task);
+}
+
+void bsh_http_call_pause(bsh_http_call_t *call)
+{
+	call->paused = true;
+}
+
+void bsh_http_call_resume(bsh_http_call_t *call)
+{
+	bsh_http_client_t *client = call->client;
+
+	if (!call->paused)
+		return;
+	call->paused = false;
+	call->active_us = bsh_loop_clock_us();
+	if (call->added) {
+		client->depth++;
+		curl_easy_pause(call->easy, CURLPAUSE_CONT);
+		client->depth--;
+	}
+}
+
+bool bsh_http_call_sent(const bsh_http_call_t *call)
+{
+	return call->sent;
+}
--- /dev/null
+++ b/lib/transport/http_server.c
@@ -0,0 +1,654 @@
+#include "transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/settings.h"
+
+/* Memory of one connection: bounds the headers and the pieces of an answer
+ * handed to the kernel. */
+#define CONNECTION_MEMORY_BYTES 16384
+#define LISTEN_BACKLOG		1024U
+#define ANSWER_BLOCK_BYTES	8192
+/* A longer body is not read to its end before it is refused. */
+#define DISCARD_MAX_BYTES (UINT64_C(64) << 20)
+/* Answer buffers above this size are given back when they run empty. */
+#define KEEP_BUFFER_BYTES 16384
+
+typedef struct connection {
+	int fd;
+	bsh_http_request_t *request; /* begun to arrive or in progress */
+	struct connection *next;
+	struct connection *previous;
+} connection_t;
+
+struct bsh_http_server {
+	bsh_loop_t *loop;
+	bsh_http_server_config_t config;
+	struct MHD_Daemon *daemon;
+	bsh_loop_watch_t *watch;
+	bsh_loop_timer_t timer;
+	bsh_loop_task_t run_task;
+	connection_t *connections;
+	uint32_t connection_count;
+	uint32_t request_count;
+	bool stopping;
+};
+
+struct bsh_http_request {
+	bsh_http_server_t *server;
+	struct MHD_Connection *mhd;
+	connection_t *connection;
+	char *target;
+	char *path;
+	char method[16];
+	GString *body;
+	uint64_t received_bytes;
+	GPtrArray *headers; /* of the answer: name, value, name, ... */
+	struct MHD_Response *response;
+	int status;
+	GString *out; /* written and not yet taken by libmicrohttpd */
+	size_t out_start;
+	bsh_loop_watch_t *gone_watch;
+	bsh_loop_task_t drained_task;
+	bsh_http_request_handler_t handler;
+	void *handler_ctx;
+	bool head_seen;
+	bool too_large;
+	bool refuse_early; /* before the body is read */
+	bool given;	   /* on_request was called */
+	bool suspended;
+	bool queued; /* the response was given to libmicrohttpd */
+	bool ended;
+	bool aborted;
+	bool want_drained;
+};
+
+static void run(void *ctx)
+{
+	bsh_http_server_t *server = ctx;
+	MHD_UNSIGNED_LONG_LONG wait_ms;
+
+	MHD_run(server->daemon);
+	/* Edge-triggered events that libmicrohttpd has not worked off yet do
+	 * not make its descriptor readable again; a timeout of 0 tells. */
+	if (MHD_get_timeout(server->daemon, &wait_ms) == MHD_YES)
+		bsh_loop_timer_after(&server->timer, (int64_t)wait_ms * 1000);
+	else
+		bsh_loop_timer_stop(&server->timer);
+}
+
+static void on_daemon_ready(void *ctx, int fd, unsigned int events)
+{
+	bsh_http_server_t *server = ctx;
+
+	(void)fd;
+	(void)events;
+	/* One run at the end of the round serves all answers of the round. */
+	bsh_loop_task_schedule(&server->run_task);
+}
+
+static void suspend(bsh_http_request_t *request)
+{
+	request->suspended = true;
+	MHD_suspend_connection(request->mhd);
+}
+
+static void resume(bsh_http_request_t *request)
+{
+	if (!request->suspended)
+		return;
+	request->suspended = false;
+	MHD_resume_connection(request->mhd);
+	bsh_loop_task_schedule(&request->server->run_task);
+}
+
+static void stop_watching(bsh_http_request_t *request)
+{
+	if (request->gone_watch != NULL)
+		bsh_loop_unwatch(request->gone_watch);
+	request->gone_watch = NULL;
+}
+
+/* libmicrohttpd does not look at the socket of a suspended connection. */
+static void on_caller_event(void *ctx, int fd, unsigned int events)
+{
+	bsh_http_request_t *request = ctx;
+	ssize_t n;
+	char byte;
+
+	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n > 0 && !(events & BSH_LOOP_ERROR)) {
+		/* The next request came early; its bytes stay where they are,
+		 * and the close behind them is seen when it is read. */
+		stop_watching(request);
+		return;
+	}
+	if (n < 0 && !(events & BSH_LOOP_ERROR))
+		return;
+	stop_watching(request);
+	request->aborted = true;
+	resume(request);
+}
+
+static void on_drained_task(void *ctx)
+{
+	bsh_http_request_t *request = ctx;
+
+	if (request->handler.on_drained != NULL)
+		request->handler.on_drained(request->handler_ctx);
+}
+
+static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *mhd)
+{
+	const union MHD_ConnectionInfo *info;
+	bsh_http_request_t *request = g_new0(bsh_http_request_t, 1);
+
+	request->server = ctx;
+	request->mhd = mhd;
+	request->target = g_strdup(uri);
+	request->path = g_strndup(uri, strcspn(uri, "?"));
+	request->body = g_string_new(NULL);
+	request->headers = g_ptr_array_new_with_free_func(g_free);
+	bsh_loop_task_init(&request->drained_task, request->server->loop,
+			   on_drained_task, request);
+	info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	if (info != NULL && info->socket_context != NULL) {
+		request->connection = info->socket_context;
+		request->connection->request = request;
+	}
+	return request;
+}
+
+static void free_request(bsh_http_request_t *request)
+{
+	stop_watching(request);
+	bsh_loop_task_cancel(&request->drained_task);
+	if (request->connection != NULL)
+		request->connection->request = NULL;
+	if (request->response != NULL)
+		MHD_destroy_response(request->response);
+	g_ptr_array_free(request->headers, TRUE);
+	if (request->body != NULL)
+		g_string_free(request->body, TRUE);
+	if (request->out != NULL)
+		g_string_free(request->out, TRUE);
+	g_free(request->target);
+	g_free(request->path);
+	g_free(request);
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *mhd, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	bsh_http_request_t *request = *state;
+
+	(void)ctx;
+	(void)mhd;
+	if (request == NULL)
+		return;
+	*state = NULL;
+	request->suspended = false;
+	request->mhd = NULL;
+	if (request->given) {
+		request->server->request_count--;
+		if (request->handler.on_done != NULL)
+			request->handler.on_done(
+				request->handler_ctx,
+				code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+					!request->aborted);
+	}
+	free_request(request);
+}
+
+static void on_connection(void *ctx, struct MHD_Connection *mhd, void **state,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	bsh_http_server_t *server = ctx;
+	connection_t *connection = *state;
+	const union MHD_ConnectionInfo *info;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		connection = g_new0(connection_t, 1);
+		info = MHD_get_connection_info(
+			mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+		connection->fd = info != NULL ? info->connect_fd : -1;
+		connection->next = server->connections;
+		if (server->connections != NULL)
+			server->connections->previous = connection;
+		server->connections = connection;
+		server->connection_count++;
+		*state = connection;
+		return;
+	}
+	if (connection == NULL)
+		return;
+	if (connection->previous != NULL)
+		connection->previous->next = connection->next;
+	else
+		server->connections = connection->next;
+	if (connection->next != NULL)
+		connection->next->previous = connection->previous;
+	server->connection_count--;
+	g_free(connection);
+	*state = NULL;
+}
+
+static void see_head(bsh_http_request_t *request, const char *method)
+{
+	const char *length = MHD_lookup_connection_value(
+		request->mhd, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+	uint64_t declared = 0;
+
+	request->head_seen = true;
+	g_strlcpy(request->method, method, sizeof(request->method));
+	if (length != NULL)
+		declared = g_ascii_strtoull(length, NULL, 10);
+	request->too_large = declared > request->server->config.body_max_bytes;
+	request->refuse_early = declared > DISCARD_MAX_BYTES;
+}
+
+static enum MHD_Result take_body(bsh_http_request_t *request, const char *data,
+				 size_t size)
+{
+	request->received_bytes += size;
+	if (request->received_bytes > DISCARD_MAX_BYTES)
+		return MHD_NO;
+	if (request->received_bytes > request->server->config.body_max_bytes) {
+		request->too_large = true;
+		g_string_truncate(request->body, 0);
+	}
+	if (!request->too_large)
+		g_string_append_len(request->body, data, (gssize)size);
+	return MHD_YES;
+}
+
+static void give(bsh_http_request_t *request)
+{
+	bsh_http_server_t *server = request->server;
+
+	request->given = true;
+	server->request_count++;
+	if (!request->too_large)
+		server->config.on_request(server->config.ctx, request);
+	else if (server->config.on_too_large != NULL)
+		server->config.on_too_large(server->config.ctx, request);
+	else
+		bsh_http_answer(request, 413, "", 0);
+}
+
+static enum MHD_Result wait_for_answer(bsh_http_request_t *request)
+{
+	/* Without a descriptor the end of the caller is seen on writing. */
+	if (request->gone_watch == NULL && request->connection != NULL &&
+	    request->connection->fd >= 0)
+		request->gone_watch = bsh_loop_watch(
+			request->server->loop, request->connection->fd,
+			BSH_LOOP_READ, on_caller_event, request);
+	suspend(request);
+	return MHD_YES;
+}
+
+static enum MHD_Result on_access(void *ctx, struct MHD_Connection *mhd,
+				 const char *url, const char *method,
+				 const char *version, const char *data,
+				 size_t *size, void **state)
+{
+	bsh_http_request_t *request = *state;
+	enum MHD_Result result;
+
+	(void)ctx;
+	(void)url;
+	(void)version;
+	if (request == NULL)
+		return MHD_NO;
+	if (!request->head_seen) {
+		see_head(request, method);
+		if (!request->refuse_early)
+			return MHD_YES;
+	} else if (*size > 0) {
+		result = take_body(request, data, *size);
+		*size = 0;
+		return result;
+	}
+	if (!request->given)
+		give(request);
+	/* A begun answer is sent as far as it was written. */
+	if (request->aborted && request->response == NULL)
+		return MHD_NO;
+	if (request->response == NULL)
+		return wait_for_answer(request);
+	if (request->queued)
+		return MHD_YES;
+	request->queued = true;
+	return MHD_queue_response(mhd, (unsigned int)request->status,
+				  request->response);
+}
+
+static struct MHD_Daemon *start_daemon(bsh_http_server_t *server,
+				       const struct sockaddr *address)
+{
+	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+
+	if (address->sa_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	return MHD_start_daemon(
+		flags, 0, NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR,
+		address, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_LIMIT,
+		server->config.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+		server->config.idle_timeout_s, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+		LISTEN_BACKLOG, MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
+		MHD_OPTION_END);
+}
+
+static bool fill_address(struct sockaddr_storage *out, const char *text)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+	char host[BSH_ADDRESS_SIZE];
+	uint16_t port;
+
+	memset(out, 0, sizeof(*out));
+	if (bsh_address_split(text, host, sizeof(host), &port) != BSH_OK)
+		return false;
+	if (inet_pton(AF_INET, host, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(port);
+		return true;
+	}
+	v6->sin6_family = AF_INET6;
+	v6->sin6_port = htons(port);
+	return inet_pton(AF_INET6, host, &v6->sin6_addr) == 1;
+}
+
+bsh_error_t bsh_http_server_new(bsh_http_server_t **out, bsh_loop_t *loop,
+				const bsh_http_server_config_t *config)
+{
+	const union MHD_DaemonInfo *info;
+	struct sockaddr_storage address;
+	bsh_http_server_t *server;
+
+	if (!fill_address(&address, config->address))
+		return BSH_ERR_INVALID;
+	server = g_new0(bsh_http_server_t, 1);
+	server->loop = loop;
+	server->config = *config;
+	bsh_loop_timer_init(&server->timer, loop, run, server);
+	bsh_loop_task_init(&server->run_task, loop, run, server);
+	server->daemon =
+		start_daemon(server, (const struct sockaddr *)&address);
+	if (server->daemon == NULL)
+		goto fail;
+	info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	if (info == NULL)
+		goto fail;
+	server->watch = bsh_loop_watch(loop, info->epoll_fd, BSH_LOOP_READ,
+				       on_daemon_ready, server);
+	if (server->watch == NULL)
+		goto fail;
+	*out = server;
+	return BSH_OK;
+fail:
+	if (server->daemon != NULL)
+		MHD_stop_daemon(server->daemon);
+	g_free(server);
+	return BSH_ERR_SYSTEM;
+}
+
+void bsh_http_server_free(bsh_http_server_t *server)
+{
+	bsh_loop_unwatch(server->watch);
+	/* libmicrohttpd must not stop while connections are suspended. */
+	for (connection_t *c = server->connections; c != NULL; c = c->next)
+		if (c->request != NULL)
+			bsh_http_answer_abort(c->request);
+	MHD_run(server->daemon);
+	MHD_stop_daemon(server->daemon);
+	bsh_loop_timer_stop(&server->timer);
+	bsh_loop_task_cancel(&server->run_task);
+	g_free(server);
+}
+
+uint16_t bsh_http_server_port(const bsh_http_server_t *server)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+	return info != NULL ? info->port : 0;
+}
+
+static bool has_unread(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void bsh_http_server_stop(bsh_http_server_t *server)
+{
+	MHD_socket listener;
+
+	if (server->stopping)
+		return;
+	server->stopping = true;
+	listener = MHD_quiesce_daemon(server->daemon);
+	if (listener != MHD_INVALID_SOCKET)
+		close(listener);
+	/* libmicrohttpd sees the end and closes. */
+	for (connection_t *c = server->connections; c != NULL; c = c->next)
+		if (c->request == NULL && !has_unread(c->fd))
+			shutdown(c->fd, SHUT_RDWR);
+	bsh_loop_task_schedule(&server->run_task);
+}
+
+uint32_t bsh_http_server_connections(const bsh_http_server_t *server)
+{
+	return server->connection_count;
+}
+
+uint32_t bsh_http_server_requests(const bsh_http_server_t *server)
+{
+	return server->request_count;
+}
+
+const char *bsh_http_request_method(const bsh_http_request_t *request)
+{
+	return request->method;
+}
+
+const char *bsh_http_request_target(const bsh_http_request_t *request)
+{
+	return request->target;
+}
+
+const char *bsh_http_request_path(const bsh_http_request_t *request)
+{
+	return request->path;
+}
+
+const char *bsh_http_request_argument(const bsh_http_request_t *request,
+				      const char *name)
+{
+	return MHD_lookup_connection_value(request->mhd, MHD_GET_ARGUMENT_KIND,
+					   name);
+}
+
+const char *bsh_http_request_header(const bsh_http_request_t *request,
+				    const char *name)
+{
+	return MHD_lookup_connection_value(request->mhd, MHD_HEADER_KIND, name);
+}
+
+typedef struct {
+	void (*fn)(void *ctx, const char *name, const char *value);
+	void *ctx;
+} header_visit_t;
+
+static enum MHD_Result visit_header(void *ctx, enum MHD_ValueKind kind,
+				    const char *name, const char *value)
+{
+	const header_visit_t *visit = ctx;
+
+	(void)kind;
+	visit->fn(visit->ctx, name, value != NULL ? value : "");
+	return MHD_YES;
+}
+
+void bsh_http_request_headers(const bsh_http_request_t *request,
+			      void (*fn)(void *ctx, const char *name,
+					 const char *value),
+			      void *ctx)
+{
+	header_visit_t visit = {fn, ctx};
+
+	MHD_get_connection_values(request->mhd, MHD_HEADER_KIND, visit_header,
+				  &visit);
+}
+
+const char *bsh_http_request_body(const bsh_http_request_t *request,
+				  size_t *size)
+{
+	if (size != NULL)
+		*size = request->body != NULL ? request->body->len : 0;
+	return request->body != NULL ? request->body->str : "";
+}
+
+char *bsh_http_request_take_body(bsh_http_request_t *request, size_t *size)
+{
+	GString *body = request->body;
+
+	request->body = NULL;
+	*size = body != NULL ? body->len : 0;
+	return body != NULL ? g_string_free(body, FALSE) : g_strdup("");
+}
+
+void bsh_http_request_set_handler(bsh_http_request_t *request,
+				  const bsh_http_request_handler_t *handler,
+				  void *ctx)
+{
+	request->handler = *handler;
+	request->handler_ctx = ctx;
+}
+
+void bsh_http_answer_header(bsh_http_request_t *request, const char *name,
+			    const char *value)
+{
+	g_ptr_array_add(request->headers, g_strdup(name));
+	g_ptr_array_add(request->headers, g_strdup(value));
+}
+
+static void begin(bsh_http_request_t *request, int status,
+		  struct MHD_Response *response)
+{
+	GPtrArray *headers = request->headers;
+
+	request->status = status;
+	request->response = response;
+	/* A header that libmicrohttpd does not accept (a control character
+	 * in the value) is left out. */
+	for (guint i = 0; i + 1 < headers->len; i += 2)
+		MHD_add_response_header(response, g_ptr_array_index(headers, i),
+					g_ptr_array_index(headers, i + 1));
+	if (request->server->stopping)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
+					"close");
+	resume(request);
+}
+
+void bsh_http_answer(bsh_http_request_t *request, int status, const char *body,
+		     size_t size)
+{
+	request->ended = true;
+	begin(request, status,
+	      MHD_create_response_from_buffer(size, (void *)(uintptr_t)body,
+					      MHD_RESPMEM_MUST_COPY));
+}
+
+static size_t waiting(const bsh_http_request_t *request)
+{
+	return request->out->len - request->out_start;
+}
+
+static void empty_out(bsh_http_request_t *request)
+{
+	request->out_start = 0;
+	if (request->out->allocated_len > KEEP_BUFFER_BYTES) {
+		g_string_free(request->out, TRUE);
+		request->out = g_string_new(NULL);
+	} else {
+		g_string_truncate(request->out, 0);
+	}
+	if (request->want_drained) {
+		request->want_drained = false;
+		bsh_loop_task_schedule(&request->drained_task);
+	}
+}
+
+static ssize_t read_answer(void *ctx, uint64_t position, char *buffer,
+			   size_t max)
+{
+	bsh_http_request_t *request = ctx;
+	size_t n = MIN(max, waiting(request));
+
+	(void)position;
+	if (n > 0) {
+		memcpy(buffer, request->out->str + request->out_start, n);
+		request->out_start += n;
+		if (waiting(request) == 0)
+			empty_out(request);
+		return (ssize_t)n;
+	}
+	if (request->aborted)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (request->ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	suspend(request);
+	return 0;
+}
+
+void bsh_http_answer_begin(bsh_http_request_t *request, int status,
+			   int64_t content_length)
+{
+	request->out = g_string_new(NULL);
+	begin(request, status,
+	      MHD_create_response_from_callback(
+		      content_length < 0 ? MHD_SIZE_UNKNOWN
+					 : (uint64_t)content_length,
+		      ANSWER_BLOCK_BYTES, read_answer, request, NULL));
+}
+
+size_t bsh_http_answer_write(bsh_http_request_t *request, const char *data,
+			     size_t size)
+{
+	if (request->out_start > 0 &&
+	    request->out_start >= request->out->len / 2) {
+		g_string_erase(request->out, 0, (gssize)request->out_start);
+		request->out_start = 0;
+	}
+	g_string_append_len(request->out, data, (gssize)size);
+	if (waiting(request) > BSH_HTTP_WRITE_HIGH_BYTES)
+		request->want_drained = true;
+	resume(request);
+	return waiting(request);
+}
+
+void bsh_http_answer_end(bsh_http_request_t *request)
+{
+	request->ended = true;
+	resume(request);
+}
+
+void bsh_http_answer_abort(bsh_http_request_t *request)
+{
+	request->aborted = true;
+	resume(request);
+}
