--- /dev/null
+++ b/lib/protocol/problem.h
@@ -0,0 +1,46 @@
+#ifndef BSH_PROTOCOL_PROBLEM_H
+#define BSH_PROTOCOL_PROBLEM_H
+
+/*
+ * NAME
+ *	problem - what a caller is told when a request ends with an error
+ *
+ * DESCRIPTION
+ *	One JSON object in the form of RFC 9457, with the members outcome
+ *	(always), retry_after_ms, request_id and entry (when known).  Status,
+ *	type and title come from the table of base/error.h.
+ */
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error.h"
+
+#define BSH_PROBLEM_MEDIA_TYPE	"application/problem+json"
+#define BSH_PROBLEM_TYPE_PREFIX "urn:berylshunt:problem:"
+
+typedef struct {
+	bsh_error_t err;
+	bsh_outcome_t outcome;
+	const char *detail;	/* what exactly was wrong; may be NULL */
+	int64_t retry_after_ms; /* -1: none */
+	const char *request_id; /* may be NULL */
+	const char *entry;	/* address of another instance; may be NULL */
+} bsh_problem_t;
+
+/* bsh_problem_init - outcome of the table, no other member. */
+void bsh_problem_init(bsh_problem_t *problem, bsh_error_t err);
+
+/* bsh_problem_body - the JSON text, to be freed with free(). */
+char *bsh_problem_body(const bsh_problem_t *problem);
+
+/* bsh_problem_retry_after_s - value of Retry-After, rounded up; -1: no
+ * header. */
+int64_t bsh_problem_retry_after_s(const bsh_problem_t *problem);
+
+/* bsh_problem_event - append a server-sent event "error" that ends a broken
+ * stream. */
+void bsh_problem_event(const bsh_problem_t *problem, GString *out);
+
+#endif
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -228,7 +228,9 @@
 		return CURL_PREREQFUNC_ABORT;
 	}
 	call->sent = true;
-	return CURL_PREREQFUNC_OK;
+	if (call->handler.on_sent != NULL)
+		call->handler.on_sent(call->ctx);
+	return call->cancelled ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 static void parse_header(bsh_http_call_t *call, const char *line, size_t size)
--- a/lib/transport/http_client.h
+++ b/lib/transport/http_client.h
@@ -62,7 +62,9 @@
 				     size_t value_size);
 
 typedef struct {
-	/* Each may be NULL but on_end. on_head: all headers have arrived. */
+	/* Each may be NULL but on_end.  on_sent: connected, the first byte of
+	 * the request is about to leave.  on_head: all headers arrived. */
+	void (*on_sent)(void *ctx);
 	bsh_http_header_fn_t on_header;
 	void (*on_head)(void *ctx, int status);
 	void (*on_data)(void *ctx, const char *data, size_t size);
