--- /dev/null
+++ b/lib/protocol/message.h
@@ -0,0 +1,310 @@
+#ifndef BSH_PROTOCOL_MESSAGE_H
+#define BSH_PROTOCOL_MESSAGE_H
+
+/*
+ * NAME
+ *	message - typed messages between routers and controllers
+ *
+ * DESCRIPTION
+ *	One struct for each message type of the design, section 5.1, and the
+ *	conversion to and from the msgpack array
+ *	[type, hlc_us, hlc_logical, sender, incarnation, fields...].
+ *
+ *	Strings and arrays are borrowed.  On encoding they belong to the
+ *	caller.  After decoding they belong to the bsh_message_t and are valid
+ *	until bsh_message_finish().  A decoded string is never NULL and is
+ *	terminated by a zero byte; an embedded zero byte makes the frame
+ *	malformed.  Durations are relative, because clocks differ.
+ *
+ * LIMITS
+ *	An encoded message has at most BSH_FRAME_MAX_BYTES bytes with its
+ *	header, arrays have at most BSH_MESSAGE_LIST_MAX elements.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "base/hlc.h"
+
+#define BSH_MESSAGE_LIST_MAX   65536
+#define BSH_NONCE_SIZE_BYTES   16
+#define BSH_ATTEMPT_SIZE_BYTES 16
+#define BSH_DIGEST_SIZE_BYTES  16
+#define BSH_INTENT_BODY_MAX    8192
+
+typedef enum {
+	BSH_MSG_HELLO = 1,
+	BSH_MSG_PING,
+	BSH_MSG_PING_REQ,
+	BSH_MSG_ACK,
+	BSH_MSG_CONFIG,
+	BSH_MSG_CONFIG_FETCH,
+	BSH_MSG_PREPARE,
+	BSH_MSG_PREPARED,
+	BSH_MSG_ROUTES,
+	BSH_MSG_NEED,
+	BSH_MSG_NEED_ANSWER,
+	BSH_MSG_REPORT,
+	BSH_MSG_INTENT,
+	BSH_MSG_INTENT_ANSWER,
+	BSH_MSG_INTENT_DONE,
+	BSH_MSG_FRESH,
+	BSH_MSG_DRAIN,
+	BSH_MSG_HANDOVER,
+	BSH_MSG_TYPE_END
+} bsh_message_type_t;
+
+typedef enum {
+	BSH_ROLE_CONTROLLER = 1,
+	BSH_ROLE_ROUTER
+} bsh_role_t;
+
+/* First frame of each side of a connection. */
+typedef struct {
+	uint8_t nonce[BSH_NONCE_SIZE_BYTES];
+	uint32_t role;	     /* bsh_role_t */
+	const char *address; /* of a router: where callers reach it */
+} bsh_msg_hello_t;
+
+typedef enum {
+	BSH_GOSSIP_ALIVE = 1,
+	BSH_GOSSIP_SUSPECT,
+	BSH_GOSSIP_DEAD,
+	BSH_GOSSIP_LEFT,
+	BSH_GOSSIP_LEAVING,	   /* instance is draining */
+	BSH_GOSSIP_TARGET_LEAVING, /* target takes no new work */
+	BSH_GOSSIP_END
+} bsh_gossip_state_t;
+
+/* One piggybacked update. */
+typedef struct {
+	uint32_t state; /* bsh_gossip_state_t */
+	const char *name;
+	uint64_t incarnation;
+	const char *zone;
+	const char *gossip; /* UDP address, may be empty */
+	const char *link;   /* TCP address for frames, may be empty */
+	const char *entry;  /* address for callers, may be empty */
+} bsh_gossip_t;
+
+/* PING, PING_REQ and ACK.  All three carry updates. */
+typedef struct {
+	uint64_t probe;	     /* repeated by the ACK */
+	const char *subject; /* the member probed */
+	const char *address; /* PING_REQ: gossip address of the subject */
+	uint64_t generation; /* highest generation with proof */
+	const bsh_gossip_t *updates;
+	uint32_t update_count;
+} bsh_msg_probe_t;
+
+/* CONFIG: a full document or a delta. */
+typedef struct {
+	uint64_t generation;
+	uint64_t from_generation; /* 0: text is the full document */
+	uint64_t version;	  /* of the stored object */
+	uint64_t hash;		  /* of the resulting document */
+	const char *text;	  /* JSON */
+} bsh_msg_config_t;
+
+typedef struct {
+	uint64_t have_generation; /* 0: none */
+} bsh_msg_config_fetch_t;
+
+typedef struct {
+	uint64_t generation;   /* proposed */
+	uint64_t base_version; /* of the object that the proposal replaces */
+	uint64_t proposal;     /* random, repeated by PREPARED */
+} bsh_msg_prepare_t;
+
+typedef struct {
+	uint64_t generation;
+	uint64_t proposal;
+	bool accepted;
+	uint64_t have_generation;
+} bsh_msg_prepared_t;
+
+/* One ready target of a model, or one live target of a service. */
+typedef struct {
+	const char *name; /* model or service */
+	bool is_service;
+	const char *target;
+	uint64_t target_incarnation;
+	const char *address;
+	const char *zone;
+	bool leaving;
+	uint32_t max_running; /* 0: no limit declared */
+} bsh_route_entry_t;
+
+/* ROUTES: replaces all entries of the cell if (epoch, sequence) is newer. */
+typedef struct {
+	const char *cell;
+	uint64_t epoch;
+	uint64_t sequence;
+	const bsh_route_entry_t *entries;
+	uint32_t entry_count;
+} bsh_msg_routes_t;
+
+/* NEED: requests wait for a model. */
+typedef struct {
+	uint64_t id; /* chosen by the asking side, repeated by the answer */
+	const char *model;
+	uint64_t deadline_ms; /* time left of the most patient request */
+	uint32_t priority;    /* 0 (highest) to 9 */
+	uint32_t waiting;
+} bsh_msg_need_t;
+
+typedef enum {
+	BSH_NEED_READY = 1, /* routes have been sent */
+	BSH_NEED_LOADING,   /* estimate_ms until ready */
+	BSH_NEED_REFUSED,   /* error and retry_after_ms */
+	BSH_NEED_END
+} bsh_need_verdict_t;
+
+/* NEED_ANSWER: sent once at first, and again when the verdict changes. */
+typedef struct {
+	uint64_t id;
+	const char *model;
+	uint32_t verdict; /* bsh_need_verdict_t */
+	uint64_t estimate_ms;
+	uint64_t retry_after_ms;
+	uint32_t error; /* bsh_error_t; BSH_OK unless refused */
+} bsh_msg_need_answer_t;
+
+typedef struct {
+	const char *model; /* or service */
+	const char *target;
+	uint64_t target_incarnation;
+	uint32_t running;
+	uint32_t waiting;
+} bsh_report_entry_t;
+
+typedef struct {
+	const bsh_report_entry_t *entries;
+	uint32_t entry_count;
+} bsh_msg_report_t;
+
+typedef struct {
+	uint64_t id;
+	const char *service;
+	const char *key;
+	uint8_t digest[BSH_DIGEST_SIZE_BYTES]; /* of the request */
+	uint8_t attempt[BSH_ATTEMPT_SIZE_BYTES];
+} bsh_msg_intent_t;
+
+typedef enum {
+	BSH_INTENT_RUN = 1,	/* committed, the call may be sent */
+	BSH_INTENT_ANSWERED,	/* status, content_type and body follow */
+	BSH_INTENT_IN_PROGRESS, /* retry_after_ms */
+	BSH_INTENT_UNKNOWN,	/* not run again */
+	BSH_INTENT_MISMATCH,	/* key of another request */
+	BSH_INTENT_UNAVAILABLE, /* store down, nothing recorded */
+	BSH_INTENT_NOT_KEPT,	/* answered, body too large to keep */
+	BSH_INTENT_END
+} bsh_intent_verdict_t;
+
+typedef struct {
+	uint64_t id;
+	uint32_t verdict; /* bsh_intent_verdict_t */
+	uint64_t retry_after_ms;
+	uint32_t status;
+	const char *content_type;
+	const uint8_t *body;
+	uint32_t body_bytes;
+} bsh_msg_intent_answer_t;
+
+typedef struct {
+	const char *service;
+	const char *key;
+	uint8_t attempt[BSH_ATTEMPT_SIZE_BYTES];
+	uint32_t outcome; /* bsh_outcome_t */
+	uint32_t status;
+	const char *content_type;
+	const uint8_t *body; /* at most BSH_INTENT_BODY_MAX bytes */
+	uint32_t body_bytes;
+	bool body_too_large; /* answered, but the body is not attached */
+} bsh_msg_intent_done_t;
+
+/*
+ * FRESH: with ask set, a question between controllers; the answer repeats id.
+ * A controller also sends it to its router without a question.
+ */
+typedef struct {
+	uint64_t id;
+	bool ask;
+	bool confirmed;	     /* age_ms is valid */
+	uint64_t generation; /* confirmed, or asked for */
+	uint64_t age_ms;     /* of the confirmation */
+	bool witness;	     /* as witness: nothing newer is prepared */
+} bsh_msg_fresh_t;
+
+typedef enum {
+	BSH_DRAIN_BEGIN = 1, /* controller to router, or router to controller */
+	BSH_DRAIN_ENDED,     /* router: the last request has ended */
+	BSH_DRAIN_END
+} bsh_drain_phase_t;
+
+typedef struct {
+	uint32_t phase;		 /* bsh_drain_phase_t */
+	const char *alternative; /* entry address for refused callers */
+	uint32_t running;	 /* requests in progress */
+} bsh_msg_drain_t;
+
+/* HANDOVER: the sender has released the cell; the receiver may own it. */
+typedef struct {
+	const char *cell;
+	uint64_t epoch;
+} bsh_msg_handover_t;
+
+typedef struct {
+	bsh_message_type_t type;
+	bsh_hlc_stamp_t stamp;
+	const char *sender; /* instance */
+	uint64_t incarnation;
+	union {
+		bsh_msg_hello_t hello;
+		bsh_msg_probe_t probe; /* PING, PING_REQ, ACK */
+		bsh_msg_config_t config;
+		bsh_msg_config_fetch_t config_fetch;
+		bsh_msg_prepare_t prepare;
+		bsh_msg_prepared_t prepared;
+		bsh_msg_routes_t routes;
+		bsh_msg_need_t need;
+		bsh_msg_need_answer_t need_answer;
+		bsh_msg_report_t report;
+		bsh_msg_intent_t intent;
+		bsh_msg_intent_answer_t intent_answer;
+		bsh_msg_intent_done_t intent_done;
+		bsh_msg_fresh_t fresh;
+		bsh_msg_drain_t drain;
+		bsh_msg_handover_t handover;
+	};
+	void *memory; /* owner of decoded strings and arrays */
+} bsh_message_t;
+
+/*
+ * bsh_message_encode - append the msgpack form.
+ *
+ * RETURN VALUE
+ *	BSH_OK with *data (free with free()) and *size_bytes, or
+ *	BSH_ERR_TOO_LARGE over the limit of a frame.
+ */
+bsh_error_t bsh_message_encode(const bsh_message_t *message, char **data,
+			       size_t *size_bytes);
+
+/*
+ * bsh_message_decode - read one message that fills data exactly.
+ *
+ * RETURN VALUE
+ *	BSH_OK; the message needs bsh_message_finish().  BSH_ERR_INVALID for
+ *	truncated, surplus or malformed data; the message needs no finish.
+ */
+bsh_error_t bsh_message_decode(bsh_message_t *message, const char *data,
+			       size_t size_bytes);
+void bsh_message_finish(bsh_message_t *message);
+
+/* bsh_message_name - "HELLO", "PING", ...; "?" outside the list. */
+const char *bsh_message_name(bsh_message_type_t type);
+
+#endif
