Add frames, authentication, messages and datagrams

A session proves the key before any message is delivered: HELLO alone can be a replay, so a channel is up only after the first frame under both nonces. MACs are checked before msgpack is parsed, because the library reserves memory for announced lengths.

Membership and adoption encode their own bodies, so MEMBER and ADOPTION carry them as one binary field; CONFIG and FRESH remain typed for the router.

--- a/lib/protocol/auth.h
+++ b/lib/protocol/auth.h
@@ -12,8 +12,8 @@
  *	In a TCP session it covers the nonce of the sender, the nonce of the
  *	receiver, the sequence and the body, so a frame is valid in one
  *	session and one direction only.  The sequence must rise by one with
- *	each frame.  HELLO is sealed with sequence 0 over the sender's own
- *	nonce alone.
+ *	each frame.  HELLO has sequence 0 and is sealed over its body alone,
+ *	which carries the sender's nonce.
  *
  *	A datagram's body holds sender and incarnation, and its sequence rises
  *	per incarnation.  A window of BSH_WINDOW_SIZE accepts reordering;
@@ -50,15 +50,20 @@
 		      size_t body_bytes);
 
 /*
- * bsh_session_open - check a received frame.  The first one must be HELLO and
- * sets the peer's nonce.  hello is the decoded nonce of a first frame.
+ * bsh_session_open_hello - check the first frame received.  Its body carries
+ * the peer's nonce and is checked before it is decoded; the nonce is then set
+ * by bsh_session_set_peer(), which refuses the own nonce (a reflected frame).
+ *
+ * bsh_session_open - check a frame after HELLO.  The peer has proved that it
+ * holds the key when the first one is accepted: a HELLO alone can be a replay.
  *
  * RETURN VALUE
  *	BSH_OK, BSH_ERR_INVALID if shorter than a seal, BSH_ERR_AUTH for a
  *	wrong key, session or sequence.  On error the session is unchanged.
  */
-bsh_error_t bsh_session_open_hello(bsh_session_t *session, const uint8_t *frame,
-				   size_t frame_bytes, const uint8_t *nonce);
+bsh_error_t bsh_session_open_hello(const bsh_session_t *session,
+				   const uint8_t *frame, size_t frame_bytes);
+bsh_error_t bsh_session_set_peer(bsh_session_t *session, const uint8_t *nonce);
 bsh_error_t bsh_session_open(bsh_session_t *session, const uint8_t *frame,
 			     size_t frame_bytes);
 
--- a/lib/protocol/frame.h
+++ b/lib/protocol/frame.h
@@ -15,7 +15,7 @@
  *	A channel made by bsh_channel_connect() connects again after a loss,
  *	after BSH_CHANNEL_RETRY_MIN_US, doubled up to
  *	BSH_CHANNEL_RETRY_MAX_US.  An accepted channel ends with its
- *	connection and frees itself after on_down.
+ *	connection and is freed after on_down has returned.
  */
 
 #include "base/timeline.h"
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -36,13 +36,9 @@
 
 typedef enum {
 	BSH_MSG_HELLO = 1,
-	BSH_MSG_PING,
-	BSH_MSG_PING_REQ,
-	BSH_MSG_ACK,
+	BSH_MSG_MEMBER,	  /* body: protocol/member_message.h */
+	BSH_MSG_ADOPTION, /* body: protocol/adoption_message.h */
 	BSH_MSG_CONFIG,
-	BSH_MSG_CONFIG_FETCH,
-	BSH_MSG_PREPARE,
-	BSH_MSG_PREPARED,
 	BSH_MSG_ROUTES,
 	BSH_MSG_NEED,
 	BSH_MSG_NEED_ANSWER,
@@ -68,63 +64,19 @@
 	const char *address; /* of a router: where callers reach it */
 } bsh_msg_hello_t;
 
-typedef enum {
-	BSH_GOSSIP_ALIVE = 1,
-	BSH_GOSSIP_SUSPECT,
-	BSH_GOSSIP_DEAD,
-	BSH_GOSSIP_LEFT,
-	BSH_GOSSIP_LEAVING,	   /* instance is draining */
-	BSH_GOSSIP_TARGET_LEAVING, /* target takes no new work */
-	BSH_GOSSIP_END
-} bsh_gossip_state_t;
-
-/* One piggybacked update. */
-typedef struct {
-	uint32_t state; /* bsh_gossip_state_t */
-	const char *name;
-	uint64_t incarnation;
-	const char *zone;
-	const char *gossip; /* UDP address, may be empty */
-	const char *link;   /* TCP address for frames, may be empty */
-	const char *entry;  /* address for callers, may be empty */
-} bsh_gossip_t;
-
-/* PING, PING_REQ and ACK.  All three carry updates. */
+/* MEMBER and ADOPTION: a body that the module of that name encodes. */
 typedef struct {
-	uint64_t probe;	     /* repeated by the ACK */
-	const char *subject; /* the member probed */
-	const char *address; /* PING_REQ: gossip address of the subject */
-	uint64_t generation; /* highest generation with proof */
-	const bsh_gossip_t *updates;
-	uint32_t update_count;
-} bsh_msg_probe_t;
+	const uint8_t *body;
+	uint32_t body_bytes;
+} bsh_msg_body_t;
 
-/* CONFIG: a full document or a delta. */
+/* CONFIG: the accepted document, from a controller to its router. */
 typedef struct {
 	uint64_t generation;
-	uint64_t from_generation; /* 0: text is the full document */
-	uint64_t version;	  /* of the stored object */
-	uint64_t hash;		  /* of the resulting document */
-	const char *text;	  /* JSON */
+	uint64_t hash;
+	const char *text; /* JSON, the whole document */
 } bsh_msg_config_t;
 
-typedef struct {
-	uint64_t have_generation; /* 0: none */
-} bsh_msg_config_fetch_t;
-
-typedef struct {
-	uint64_t generation;   /* proposed */
-	uint64_t base_version; /* of the object that the proposal replaces */
-	uint64_t proposal;     /* random, repeated by PREPARED */
-} bsh_msg_prepare_t;
-
-typedef struct {
-	uint64_t generation;
-	uint64_t proposal;
-	bool accepted;
-	uint64_t have_generation;
-} bsh_msg_prepared_t;
-
 /* One ready target of a model, or one live target of a service. */
 typedef struct {
 	const char *name; /* model or service */
@@ -176,6 +128,7 @@
 	const char *model; /* or service */
 	const char *target;
 	uint64_t target_incarnation;
+	uint32_t started; /* since the last report */
 	uint32_t running;
 	uint32_t waiting;
 } bsh_report_entry_t;
@@ -194,19 +147,19 @@
 } bsh_msg_intent_t;
 
 typedef enum {
-	BSH_INTENT_RUN = 1,	/* committed, the call may be sent */
-	BSH_INTENT_ANSWERED,	/* status, content_type and body follow */
-	BSH_INTENT_IN_PROGRESS, /* retry_after_ms */
-	BSH_INTENT_UNKNOWN,	/* not run again */
-	BSH_INTENT_MISMATCH,	/* key of another request */
-	BSH_INTENT_UNAVAILABLE, /* store down, nothing recorded */
-	BSH_INTENT_NOT_KEPT,	/* answered, body too large to keep */
-	BSH_INTENT_END
-} bsh_intent_verdict_t;
+	BSH_VERDICT_RUN = 1,	 /* committed, the call may be sent */
+	BSH_VERDICT_ANSWERED,	 /* status, content_type and body follow */
+	BSH_VERDICT_IN_PROGRESS, /* retry_after_ms */
+	BSH_VERDICT_UNKNOWN,	 /* not run again */
+	BSH_VERDICT_MISMATCH,	 /* key of another request */
+	BSH_VERDICT_UNAVAILABLE, /* store down, nothing recorded */
+	BSH_VERDICT_NOT_KEPT,	 /* answered, body too large to keep */
+	BSH_VERDICT_END
+} bsh_msg_verdict_t;
 
 typedef struct {
 	uint64_t id;
-	uint32_t verdict; /* bsh_intent_verdict_t */
+	uint32_t verdict; /* bsh_msg_verdict_t */
 	uint64_t retry_after_ms;
 	uint32_t status;
 	const char *content_type;
@@ -226,17 +179,11 @@
 	bool body_too_large; /* answered, but the body is not attached */
 } bsh_msg_intent_done_t;
 
-/*
- * FRESH: with ask set, a question between controllers; the answer repeats id.
- * A controller also sends it to its router without a question.
- */
+/* FRESH: the confirmation of a generation, from a controller to its router. */
 typedef struct {
-	uint64_t id;
-	bool ask;
-	bool confirmed;	     /* age_ms is valid */
-	uint64_t generation; /* confirmed, or asked for */
-	uint64_t age_ms;     /* of the confirmation */
-	bool witness;	     /* as witness: nothing newer is prepared */
+	uint64_t generation;
+	bool confirmed;	       /* false: no new work */
+	uint64_t remaining_ms; /* until the confirmation is too old */
 } bsh_msg_fresh_t;
 
 typedef enum {
@@ -264,11 +211,8 @@
 	uint64_t incarnation;
 	union {
 		bsh_msg_hello_t hello;
-		bsh_msg_probe_t probe; /* PING, PING_REQ, ACK */
+		bsh_msg_body_t body; /* MEMBER, ADOPTION */
 		bsh_msg_config_t config;
-		bsh_msg_config_fetch_t config_fetch;
-		bsh_msg_prepare_t prepare;
-		bsh_msg_prepared_t prepared;
 		bsh_msg_routes_t routes;
 		bsh_msg_need_t need;
 		bsh_msg_need_answer_t need_answer;
@@ -304,7 +248,7 @@
 			       size_t size_bytes);
 void bsh_message_finish(bsh_message_t *message);
 
-/* bsh_message_name - "HELLO", "PING", ...; "?" outside the list. */
+/* bsh_message_name - "HELLO", "CONFIG", ...; "?" outside the list. */
 const char *bsh_message_name(bsh_message_type_t type);
 
 #endif
--- /dev/null
+++ b/regress/test_frame.c
@@ -0,0 +1,576 @@
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/counter.h"
+#include "base/rng.h"
+#include "protocol/frame.h"
+#include "transport/udp.h"
+
+#define WAIT_US INT64_C(5000000)
+
+static const uint8_t key[BSH_KEY_SIZE_BYTES] = {1, 2, 3};
+static const uint8_t other_key[BSH_KEY_SIZE_BYTES] = {1, 2, 4};
+
+static const bsh_route_entry_t routes[] = {
+	{"chat-a", false, "engine-1", 3, "127.0.0.1:9", "a", true, 4}};
+static const bsh_report_entry_t reports[] = {
+	{"chat-a", "engine-1", 3, 4, 1, 2}};
+
+/* One message of each type, every field set. */
+static bsh_message_t sample(bsh_message_type_t type)
+{
+	bsh_message_t m = {.type = type,
+			   .stamp = {1700000000000000, 3},
+			   .sender = "entry-1",
+			   .incarnation = UINT64_MAX};
+
+	switch (type) {
+	case BSH_MSG_HELLO:
+		m.hello = (bsh_msg_hello_t){{1}, BSH_ROLE_ROUTER, "1.1.1.1:1"};
+		break;
+	case BSH_MSG_MEMBER:
+	case BSH_MSG_ADOPTION:
+		m.body = (bsh_msg_body_t){(const uint8_t *)"a\0b", 3};
+		break;
+	case BSH_MSG_CONFIG:
+		m.config = (bsh_msg_config_t){5, 7, "{\"a\":1}"};
+		break;
+	case BSH_MSG_ROUTES:
+		m.routes = (bsh_msg_routes_t){"gpu", 2, 3, routes, 1};
+		break;
+	case BSH_MSG_NEED:
+		m.need = (bsh_msg_need_t){1, "chat-a", 30000, 9, 2};
+		break;
+	case BSH_MSG_NEED_ANSWER:
+		m.need_answer = (bsh_msg_need_answer_t){
+			1, "chat-a", BSH_NEED_REFUSED, 2, 3, BSH_ERR_CAPACITY};
+		break;
+	case BSH_MSG_REPORT:
+		m.report = (bsh_msg_report_t){reports, 1};
+		break;
+	case BSH_MSG_INTENT:
+		m.intent = (bsh_msg_intent_t){1, "dock", "k", {3}, {4}};
+		break;
+	case BSH_MSG_INTENT_ANSWER:
+		m.intent_answer = (bsh_msg_intent_answer_t){
+			1,   BSH_VERDICT_ANSWERED, 2,
+			201, "text/plain",	   (const uint8_t *)"a\0b",
+			3};
+		break;
+	case BSH_MSG_INTENT_DONE:
+		m.intent_done = (bsh_msg_intent_done_t){"dock",
+							"k",
+							{4},
+							BSH_OUTCOME_ANSWERED,
+							200,
+							"t/p",
+							(const uint8_t *)"ok",
+							2,
+							true};
+		break;
+	case BSH_MSG_FRESH:
+		m.fresh = (bsh_msg_fresh_t){5, true, 200};
+		break;
+	case BSH_MSG_DRAIN:
+		m.drain = (bsh_msg_drain_t){BSH_DRAIN_BEGIN, "1.1.1.1:1", 2};
+		break;
+	case BSH_MSG_HANDOVER:
+		m.handover = (bsh_msg_handover_t){"gpu", 8};
+		break;
+	case BSH_MSG_TYPE_END:
+		break;
+	}
+	return m;
+}
+
+/* Guards against a field that is lost or swapped on the wire. */
+static void test_message_round_trip(void)
+{
+	for (int type = BSH_MSG_HELLO; type < BSH_MSG_TYPE_END; type++) {
+		bsh_message_t in = sample((bsh_message_type_t)type);
+		bsh_message_t out;
+		char *first;
+		char *second;
+		size_t first_size;
+		size_t second_size;
+
+		g_assert_cmpint(bsh_message_encode(&in, &first, &first_size),
+				==, BSH_OK);
+		g_assert_cmpint(bsh_message_decode(&out, first, first_size), ==,
+				BSH_OK);
+		g_assert_cmpstr(out.sender, ==, "entry-1");
+		g_assert_cmpint(bsh_message_encode(&out, &second, &second_size),
+				==, BSH_OK);
+		g_assert_cmpmem(first, first_size, second, second_size);
+		bsh_message_finish(&out);
+		free(first);
+		free(second);
+	}
+}
+
+/* Guards against a reader that trusts lengths, types or ranges. */
+static void test_message_malformed(void)
+{
+	bsh_rng_t rng;
+
+	bsh_rng_init(&rng, 1);
+	for (int type = BSH_MSG_HELLO; type < BSH_MSG_TYPE_END; type++) {
+		bsh_message_t in = sample((bsh_message_type_t)type);
+		g_autoptr(GString) longer = g_string_new(NULL);
+		bsh_message_t out;
+		char *data = NULL;
+		size_t size = 0;
+
+		g_assert_cmpint(bsh_message_encode(&in, &data, &size), ==,
+				BSH_OK);
+		for (size_t cut = 0; cut < size; cut++)
+			g_assert_cmpint(bsh_message_decode(&out, data, cut), ==,
+					BSH_ERR_INVALID);
+		for (int i = 0; i < 2000; i++) {
+			uint32_t at = bsh_rng_below(&rng, (uint32_t)size);
+			char kept = data[at];
+
+			/* Array and map lengths of 32 bits make the library
+			 * reserve memory first; frames are authenticated
+			 * before they get that far. */
+			data[at] = (char)bsh_rng_below(&rng, 0xdc);
+			if (bsh_message_decode(&out, data, size) == BSH_OK)
+				bsh_message_finish(&out);
+			data[at] = kept;
+		}
+		g_string_append_len(longer, data, (gssize)size);
+		g_string_append_c(longer, '\0');
+		g_assert_cmpint(
+			bsh_message_decode(&out, longer->str, longer->len), ==,
+			BSH_ERR_INVALID);
+		free(data);
+	}
+	bsh_rng_finish(&rng);
+}
+
+static void test_message_limits(void)
+{
+	g_autofree char *text = g_strnfill(BSH_FRAME_MAX_BYTES, 'x');
+	bsh_message_t config = sample(BSH_MSG_CONFIG);
+	bsh_message_t need = sample(BSH_MSG_NEED);
+	bsh_message_t done = sample(BSH_MSG_INTENT_DONE);
+	bsh_message_t out;
+	char *data;
+	char *high;
+	size_t size;
+
+	config.config.text = text;
+	g_assert_cmpint(bsh_message_encode(&config, &data, &size), ==,
+			BSH_ERR_TOO_LARGE);
+	done.intent_done.body_bytes = BSH_INTENT_BODY_MAX + 1;
+	g_assert_cmpint(bsh_message_encode(&done, &data, &size), ==,
+			BSH_ERR_TOO_LARGE);
+	/* A document of the largest stored size fits. */
+	text[1000000] = '\0';
+	g_assert_cmpint(bsh_message_encode(&config, &data, &size), ==, BSH_OK);
+	free(data);
+	need.need.priority = 10;
+	g_assert_cmpint(bsh_message_encode(&need, &high, &size), ==, BSH_OK);
+	g_assert_cmpint(bsh_message_decode(&out, high, size), ==,
+			BSH_ERR_INVALID);
+	free(high);
+}
+
+static void seal_frame(bsh_session_t *from, uint8_t *frame, uint8_t content)
+{
+	frame[BSH_SEAL_SIZE_BYTES] = content;
+	bsh_session_seal(from, frame, &content, 1);
+}
+
+/* Guards against frames of another key, session, direction or position. */
+static void test_session(void)
+{
+	uint8_t hello[BSH_SEAL_SIZE_BYTES + 1];
+	uint8_t one[BSH_SEAL_SIZE_BYTES + 1];
+	uint8_t two[BSH_SEAL_SIZE_BYTES + 1];
+	bsh_session_t a;
+	bsh_session_t b;
+	bsh_session_t stranger;
+	size_t size = sizeof(hello);
+
+	bsh_session_init(&a, key);
+	bsh_session_init(&b, key);
+	bsh_session_init(&stranger, other_key);
+	seal_frame(&a, hello, 'h');
+	g_assert_cmpint(bsh_session_open_hello(&stranger, hello, size), ==,
+			BSH_ERR_AUTH);
+	g_assert_cmpint(bsh_session_open_hello(&b, hello, 7), ==,
+			BSH_ERR_INVALID);
+	g_assert_cmpint(bsh_session_open_hello(&b, hello, size), ==, BSH_OK);
+	g_assert_cmpint(bsh_session_set_peer(&b, b.own_nonce), ==,
+			BSH_ERR_AUTH);
+	g_assert_cmpint(bsh_session_open(&b, hello, size), ==, BSH_ERR_AUTH);
+	g_assert_cmpint(bsh_session_set_peer(&b, a.own_nonce), ==, BSH_OK);
+	bsh_session_set_peer(&a, b.own_nonce);
+	seal_frame(&a, one, '1');
+	seal_frame(&a, two, '2');
+	/* The second frame first: a gap. */
+	g_assert_cmpint(bsh_session_open(&b, two, size), ==, BSH_ERR_AUTH);
+	g_assert_cmpint(bsh_session_open(&b, one, size), ==, BSH_OK);
+	g_assert_cmpint(bsh_session_open(&b, one, size), ==, BSH_ERR_AUTH);
+	/* The own frame, reflected. */
+	g_assert_cmpint(bsh_session_open(&a, one, size), ==, BSH_ERR_AUTH);
+	two[size - 1] ^= 1;
+	g_assert_cmpint(bsh_session_open(&b, two, size), ==, BSH_ERR_AUTH);
+	two[size - 1] ^= 1;
+	g_assert_cmpint(bsh_session_open(&b, two, size), ==, BSH_OK);
+}
+
+/* Guards against a repeated datagram, and against an old incarnation. */
+static void test_window(void)
+{
+	uint8_t datagram[BSH_SEAL_SIZE_BYTES + 1] = "";
+	bsh_window_t w = {0};
+	uint64_t sequence;
+
+	g_assert_true(bsh_window_accept(&w, 5, 1));
+	g_assert_true(bsh_window_accept(&w, 5, 4));
+	g_assert_true(bsh_window_accept(&w, 5, 2));
+	g_assert_false(bsh_window_accept(&w, 5, 2));
+	g_assert_false(bsh_window_accept(&w, 5, 4));
+	g_assert_true(bsh_window_accept(&w, 5, 4 + BSH_WINDOW_SIZE));
+	g_assert_false(bsh_window_accept(&w, 5, 4));
+	g_assert_true(bsh_window_accept(&w, 5, 5));
+	g_assert_true(bsh_window_accept(&w, 6, 1));
+	g_assert_false(bsh_window_accept(&w, 5, 1000));
+
+	datagram[BSH_SEAL_SIZE_BYTES] = 'a';
+	bsh_datagram_seal(key, 77, datagram, "a", 1);
+	g_assert_cmpint(
+		bsh_datagram_check(key, datagram, sizeof(datagram), &sequence),
+		==, BSH_OK);
+	g_assert_cmpuint(sequence, ==, 77);
+	g_assert_cmpint(bsh_datagram_check(other_key, datagram,
+					   sizeof(datagram), &sequence),
+			==, BSH_ERR_AUTH);
+	datagram[BSH_MAC_SIZE_BYTES + 7] ^= 1;
+	g_assert_cmpint(
+		bsh_datagram_check(key, datagram, sizeof(datagram), &sequence),
+		==, BSH_ERR_AUTH);
+}
+
+typedef struct {
+	bsh_loop_t loop;
+	bsh_hlc_t clock;
+	bsh_timeline_t timeline;
+	bsh_identity_t server;
+	bsh_identity_t client;
+	bsh_channel_listener_t *listener;
+	char address[32];
+	int ups;
+	int downs;
+	int messages;
+	int datagrams;
+	int raw_closes;
+	bsh_channel_t *accepted;
+	GString *text;
+} net_t;
+
+static void on_up(void *ctx, bsh_channel_t *channel)
+{
+	net_t *net = ctx;
+
+	net->ups++;
+	if (bsh_channel_peer_role(channel) == BSH_ROLE_ROUTER)
+		net->accepted = channel;
+}
+
+static void on_message(void *ctx, bsh_channel_t *channel,
+		       const bsh_message_t *message)
+{
+	net_t *net = ctx;
+
+	net->messages++;
+	if (message->type == BSH_MSG_CONFIG)
+		g_string_assign(net->text, message->config.text);
+	if (message->type == BSH_MSG_HANDOVER)
+		bsh_channel_close(channel);
+}
+
+static void on_down(void *ctx, bsh_channel_t *channel)
+{
+	net_t *net = ctx;
+
+	net->downs++;
+	if (net->accepted == channel)
+		net->accepted = NULL;
+}
+
+static const bsh_channel_ops_t channel_ops = {on_up, on_message, on_down};
+
+static void net_init(net_t *net)
+{
+	memset(net, 0, sizeof(*net));
+	g_assert_cmpint(bsh_loop_init(&net->loop), ==, BSH_OK);
+	bsh_hlc_init(&net->clock);
+	bsh_timeline_init(&net->timeline, &net->clock, "entry-1", "test", 1,
+			  16);
+	net->text = g_string_new(NULL);
+	net->server = (bsh_identity_t){
+		key, "entry-1", 11, BSH_ROLE_CONTROLLER, "", &net->timeline};
+	net->client = (bsh_identity_t){
+		key,	       "entry-2", 12, BSH_ROLE_ROUTER, "127.0.0.1:80",
+		&net->timeline};
+	net->listener = bsh_channel_listen(&net->loop, &net->server,
+					   "127.0.0.1:0", &channel_ops, net);
+	g_assert_nonnull(net->listener);
+	g_snprintf(net->address, sizeof(net->address), "127.0.0.1:%u",
+		   bsh_channel_listener_port(net->listener));
+}
+
+static void net_finish(net_t *net)
+{
+	bsh_channel_listener_close(net->listener);
+	bsh_timeline_finish(&net->timeline);
+	g_string_free(net->text, TRUE);
+	bsh_loop_step(&net->loop, 0); /* frees closed channels */
+	bsh_loop_finish(&net->loop);
+}
+
+/* Steps the loop until *counter reaches at_least; fails after WAIT_US. */
+static void wait_for(net_t *net, const int *counter, int at_least)
+{
+	int64_t end_us = bsh_loop_clock_us() + WAIT_US;
+
+	while (*counter < at_least) {
+		g_assert_cmpint(bsh_loop_clock_us(), <, end_us);
+		bsh_loop_step(&net->loop, 10000);
+	}
+}
+
+/* Guards against loss of a large frame, and of the link after a cut. */
+static void test_channel(void)
+{
+	g_autofree char *text = g_strnfill(1000000, 'x');
+	bsh_message_t config = sample(BSH_MSG_CONFIG);
+	bsh_message_t handover = sample(BSH_MSG_HANDOVER);
+	bsh_channel_t *client;
+	net_t net;
+
+	net_init(&net);
+	client = bsh_channel_connect(&net.loop, &net.client, net.address,
+				     &channel_ops, &net);
+	g_assert_cmpint(bsh_channel_send(client, &config), ==, BSH_ERR_CONNECT);
+	wait_for(&net, &net.ups, 2);
+	g_assert_cmpstr(bsh_channel_peer_name(client), ==, "entry-1");
+	g_assert_cmpuint(bsh_channel_peer_incarnation(client), ==, 11);
+	g_assert_cmpstr(bsh_channel_peer_address(net.accepted), ==,
+			"127.0.0.1:80");
+	config.config.text = text;
+	g_assert_cmpint(bsh_channel_send(client, &config), ==, BSH_OK);
+	wait_for(&net, &net.messages, 1);
+	g_assert_cmpstr(net.text->str, ==, text);
+	/* The server closes from its callback; the client connects again. */
+	g_assert_cmpint(bsh_channel_send(client, &handover), ==, BSH_OK);
+	wait_for(&net, &net.ups, 4);
+	g_assert_cmpint(net.downs, ==, 1);
+	bsh_channel_close(client);
+	wait_for(&net, &net.downs, 2);
+	net_finish(&net);
+}
+
+/* Frames rejected so far, from the exported counters. */
+static int rejected(const char *reason)
+{
+	g_autofree char *line = g_strdup_printf(
+		"bsh_frames_rejected_total{reason=\"%s\"} ", reason);
+	g_autoptr(GString) text = g_string_new(NULL);
+	const char *at;
+
+	bsh_counter_print(text);
+	at = strstr(text->str, line);
+	g_assert_nonnull(at);
+	return atoi(at + strlen(line));
+}
+
+static void wait_rejected(net_t *net, const char *reason, int at_least)
+{
+	int64_t end_us = bsh_loop_clock_us() + WAIT_US;
+
+	while (rejected(reason) < at_least) {
+		g_assert_cmpint(bsh_loop_clock_us(), <, end_us);
+		bsh_loop_step(&net->loop, 10000);
+	}
+}
+
+/* Guards against a session opened without the key. */
+static void test_channel_wrong_key(void)
+{
+	int before = rejected("auth");
+	bsh_channel_t *client;
+	net_t net;
+
+	net_init(&net);
+	net.client.key = other_key;
+	client = bsh_channel_connect(&net.loop, &net.client, net.address,
+				     &channel_ops, &net);
+	/* Both sides reject; the second attempt follows the retry delay. */
+	wait_rejected(&net, "auth", before + 3);
+	g_assert_cmpint(net.ups, ==, 0);
+	bsh_channel_close(client);
+	net_finish(&net);
+}
+
+typedef struct {
+	net_t *net;
+	GByteArray *seen; /* first frame that the server sent */
+} raw_t;
+
+static void raw_frame(void *ctx, bsh_frame_link_t *link, const uint8_t *data,
+		      size_t size)
+{
+	raw_t *raw = ctx;
+
+	if (raw->seen->len > 0)
+		return;
+	g_byte_array_append(raw->seen, data, (guint)size);
+	/* Reflection: the server gets its own HELLO back. */
+	bsh_frame_link_send(link, data, size, "", 0);
+}
+
+static void raw_close(void *ctx, bsh_frame_link_t *link, bsh_error_t reason)
+{
+	raw_t *raw = ctx;
+
+	(void)link;
+	(void)reason;
+	raw->net->raw_closes++;
+}
+
+static const bsh_frame_link_ops_t raw_ops = {NULL, raw_frame, raw_close};
+
+/* Guards against a replayed HELLO that passes for a peer with the key. */
+static void test_channel_replay(void)
+{
+	raw_t raw = {.seen = g_byte_array_new()};
+	int before = rejected("auth");
+	bsh_session_t old;
+	uint8_t seal[BSH_SEAL_SIZE_BYTES];
+	bsh_message_t hello = sample(BSH_MSG_HELLO);
+	bsh_frame_link_t *link;
+	char *body;
+	size_t size;
+	net_t net;
+
+	net_init(&net);
+	raw.net = &net;
+	g_assert_nonnull(
+		bsh_frame_link_connect(&net.loop, net.address, &raw_ops, &raw));
+	wait_for(&net, &net.raw_closes, 1);
+	g_assert_cmpuint(raw.seen->len, >, BSH_SEAL_SIZE_BYTES);
+	/* A valid HELLO of an earlier session, then its old next frame. */
+	bsh_session_init(&old, key);
+	memcpy(hello.hello.nonce, old.own_nonce, sizeof(old.own_nonce));
+	g_assert_cmpint(bsh_message_encode(&hello, &body, &size), ==, BSH_OK);
+	bsh_session_seal(&old, seal, body, size);
+	link = bsh_frame_link_connect(&net.loop, net.address, &raw_ops, &raw);
+	bsh_frame_link_send(link, seal, sizeof(seal), body, size);
+	bsh_session_seal(&old, seal, body, size);
+	bsh_frame_link_send(link, seal, sizeof(seal), body, size);
+	wait_for(&net, &net.raw_closes, 2);
+	g_assert_cmpint(net.ups, ==, 0);
+	g_assert_cmpint(rejected("auth"), ==, before + 2);
+	free(body);
+	g_byte_array_free(raw.seen, TRUE);
+	net_finish(&net);
+}
+
+/* Guards against an unbounded buffer: the announced length ends the link. */
+static void test_oversized(void)
+{
+	static const uint8_t length[] = {0x00, 0x10, 0x00, 0x01, 'x'};
+	static const char body[BSH_FRAME_MAX_BYTES];
+	raw_t raw = {.seen = g_byte_array_new()};
+	int before = rejected("too-large");
+	bsh_frame_link_t *link;
+	struct sockaddr_in to = {.sin_family = AF_INET};
+	uint8_t end[256];
+	net_t net;
+	int fd;
+
+	net_init(&net);
+	raw.net = &net;
+	link = bsh_frame_link_connect(&net.loop, net.address, &raw_ops, &raw);
+	g_assert_cmpint(
+		bsh_frame_link_send(link, "x", 1, body, BSH_FRAME_MAX_BYTES),
+		==, BSH_ERR_TOO_LARGE);
+	bsh_frame_link_close(link);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	to.sin_port = htons(bsh_channel_listener_port(net.listener));
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&to, sizeof(to)), ==, 0);
+	g_assert_cmpint(write(fd, length, sizeof(length)), ==, sizeof(length));
+	for (ssize_t n = 1; n > 0;) {
+		bsh_loop_step(&net.loop, 10000);
+		n = recv(fd, end, sizeof(end), MSG_DONTWAIT);
+		if (n < 0 && errno == EAGAIN)
+			n = 1;
+	}
+	close(fd);
+	g_assert_cmpint(net.ups, ==, 0);
+	g_assert_cmpint(rejected("too-large"), ==, before + 1);
+	g_byte_array_free(raw.seen, TRUE);
+	net_finish(&net);
+}
+
+static void on_datagram(void *ctx, const uint8_t *data, size_t size)
+{
+	net_t *net = ctx;
+
+	g_string_append_len(net->text, (const char *)data, (gssize)size);
+	net->datagrams++;
+}
+
+static void test_udp(void)
+{
+	char big[BSH_UDP_MAX_BYTES + 1] = "";
+	char address[32];
+	bsh_udp_t *udp;
+	net_t net;
+
+	net_init(&net);
+	udp = bsh_udp_open(&net.loop, "127.0.0.1:0", on_datagram, &net);
+	g_assert_nonnull(udp);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", bsh_udp_port(udp));
+	g_assert_cmpint(bsh_udp_send(udp, address, big, sizeof(big)), ==,
+			BSH_ERR_TOO_LARGE);
+	g_assert_cmpint(bsh_udp_send(udp, "nowhere", "a", 1), ==,
+			BSH_ERR_INVALID);
+	g_assert_cmpint(bsh_udp_send(udp, address, "ab", 2), ==, BSH_OK);
+	wait_for(&net, &net.datagrams, 1);
+	g_assert_cmpstr(net.text->str, ==, "ab");
+	bsh_udp_close(udp);
+	net_finish(&net);
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	if (sodium_init() < 0)
+		return 1;
+	bsh_frame_register_counters();
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/message/round-trip", test_message_round_trip);
+	g_test_add_func("/message/malformed", test_message_malformed);
+	g_test_add_func("/message/limits", test_message_limits);
+	g_test_add_func("/auth/session", test_session);
+	g_test_add_func("/auth/window", test_window);
+	g_test_add_func("/channel/reconnect", test_channel);
+	g_test_add_func("/channel/wrong-key", test_channel_wrong_key);
+	g_test_add_func("/channel/replay", test_channel_replay);
+	g_test_add_func("/channel/oversized", test_oversized);
+	g_test_add_func("/udp", test_udp);
+	return g_test_run();
+}
