--- a/lib/coordination/admission.h
+++ b/lib/coordination/admission.h
@@ -22,8 +22,9 @@
  *	the latest start of each request.  As soon as it lies after the
  *	deadline, the request is refused with BSH_ERR_DEADLINE.
  *
- *	Until NEED is answered, load_us of the model is the estimate, so an
- *	absent controller cannot hold requests up to their deadlines.
+ *	A NEED without an answer for BSH_ADMISSION_NEED_US counts as a load
+ *	that has not begun: readiness is then estimated as now + load_us, so
+ *	an absent controller does not hold requests up to their deadlines.
  *
  *	Fair shares: models with waiting requests get starts in proportion
  *	to their weight (10 - priority) by start-time fair queueing, so no
@@ -55,6 +56,7 @@
 #define BSH_ADMISSION_KEY_SIZE	   160
 #define BSH_ADMISSION_MAX_RETRY_MS 60000
 #define BSH_ADMISSION_NEED_US	   INT64_C(500000) /* repeat interval */
+#define BSH_ADMISSION_TICK_US	   INT64_C(50000)  /* while any waits */
 
 typedef struct {
 	uint32_t max_waiting;	    /* over all models */
@@ -71,6 +73,9 @@
 	uint64_t caller;     /* hash that identifies the caller, 0: none */
 	int64_t deadline_us; /* absolute */
 	uint8_t priority;    /* 0 (highest) to 9 */
+	/* Set by the order start with BSH_START_FULL when it is known that
+	 * no target can take it earlier; 0: not known. */
+	int64_t not_before_us;
 
 	struct bsh_admission_model *model; /* not NULL while waiting */
 	GSequenceIter *by_order;
@@ -117,15 +122,18 @@
 	GHashTable *callers; /* caller -> waiting, when any waits */
 	uint32_t slots;	     /* 0: cold */
 	uint32_t running;
-	int64_t need_us;    /* last NEED; 0: none is outstanding */
-	int64_t ready_us;   /* estimated time of readiness; 0: unknown */
-	double first_us;    /* moving average */
-	double service_us;  /* moving average */
-	double interval_us; /* between starts while requests wait */
+	int64_t need_us;	  /* last NEED without an answer, or 0 */
+	int64_t need_first_us;	  /* first NEED without an answer, or 0 */
+	int64_t ready_us;	  /* estimate of NEED_ANSWER, or 0 */
+	int64_t refused_until_us; /* NEED was refused: no new one before */
+	double first_us;	  /* moving average */
+	double service_us;	  /* moving average */
+	double interval_us;	  /* between starts while requests wait */
+	int64_t sampled_us;	  /* last measured time to the first byte */
 	int64_t last_start_us;
 	int64_t next_return_us; /* next free return time of a refusal */
 	double finish_tag;	/* fair queueing */
-	int64_t used_us;
+	bool blocked;		/* in this round of starts */
 	bool listed; /* in the list of models with waiting requests */
 } bsh_admission_model_t;
 
@@ -139,6 +147,7 @@
 	uint32_t waiting;
 	uint64_t next_arrival;
 	double virtual_time;
+	int64_t ticked_us;
 	bool pumping;
 	bsh_rng_t rng;
 } bsh_admission_t;
@@ -203,9 +212,11 @@
 
 /* bsh_admission_first_byte - measured from the send. */
 void bsh_admission_first_byte(bsh_admission_t *adm, const char *key,
-			      int64_t elapsed_us);
+			      int64_t elapsed_us, int64_t now_us);
 
-/* bsh_admission_ended - a started request ended; room may have come free. */
+/* bsh_admission_ended - a started request ended; room may have come free.
+ * elapsed_us is measured from the send, negative when it was not served.  A
+ * request that is to be requeued has to be ended first. */
 void bsh_admission_ended(bsh_admission_t *adm, const char *key,
 			 int64_t elapsed_us, int64_t now_us);
 
--- /dev/null
+++ b/lib/coordination/attempt.c
@@ -0,0 +1,675 @@
+#include "coordination/attempt.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/* A silent attempt is replaced after this many expected times to the first
+ * byte, but not before silent_min_us. */
+#define SILENT_FACTOR 8
+
+void bsh_request_id_print(const bsh_request_id_t *id,
+			  char out[BSH_ATTEMPT_ID_SIZE])
+{
+	snprintf(out, BSH_ATTEMPT_ID_SIZE,
+		 "%016" PRIx64 "-%016" PRIx64 "-%" PRIu32, id->incarnation,
+		 id->sequence, id->attempt);
+}
+
+bsh_error_t bsh_request_id_parse(const char *text, bsh_request_id_t *id)
+{
+	char canonical[BSH_ATTEMPT_ID_SIZE];
+	char *end;
+
+	if (text == NULL || strlen(text) < 35 || text[16] != '-' ||
+	    text[33] != '-')
+		return BSH_ERR_INVALID;
+	id->incarnation = g_ascii_strtoull(text, &end, 16);
+	id->sequence = g_ascii_strtoull(text + 17, &end, 16);
+	id->attempt = (uint32_t)g_ascii_strtoull(text + 34, &end, 10);
+	/* Only the exact printed form is an id. */
+	bsh_request_id_print(id, canonical);
+	return strcmp(canonical, text) == 0 ? BSH_OK : BSH_ERR_INVALID;
+}
+
+void bsh_attempts_config_default(bsh_attempts_config_t *config)
+{
+	config->connect_us = 1000000;
+	config->idle_us = 15000000;
+	config->silent_min_us = 2000000;
+	config->hold_bytes = 65536;
+	config->max_open = 16384;
+}
+
+void bsh_attempts_init(bsh_attempts_t *set, const bsh_attempts_config_t *config,
+		       uint64_t incarnation, const bsh_attempt_orders_t *orders,
+		       void *ctx)
+{
+	memset(set, 0, sizeof(*set));
+	set->config = *config;
+	set->orders = *orders;
+	set->ctx = ctx;
+	set->incarnation = incarnation;
+	set->next_sequence = 1;
+	set->open = g_hash_table_new(g_int64_hash, g_int64_equal);
+	set->timers = g_sequence_new(NULL);
+}
+
+void bsh_attempts_finish(bsh_attempts_t *set)
+{
+	g_hash_table_destroy(set->open);
+	g_sequence_free(set->timers);
+}
+
+/* Timers. */
+
+static bool is_running(const bsh_attempt_t *a)
+{
+	return a->state == BSH_ATTEMPT_OPEN || a->state == BSH_ATTEMPT_SENT ||
+	       a->state == BSH_ATTEMPT_ANSWERING;
+}
+
+static int64_t silent_us(const bsh_attempts_t *set, const bsh_attempt_t *a)
+{
+	return MAX(set->config.silent_min_us, SILENT_FACTOR * a->spec.first_us);
+}
+
+/* Time at which the state of the request has to be looked at. */
+static int64_t due_us(const bsh_attempts_t *set, const bsh_attempt_t *a)
+{
+	int64_t deadline_us = a->spec.deadline_us;
+
+	/* Nobody waits for the first byte any more. */
+	if (a->caller_gone || a->forwarded)
+		deadline_us = INT64_MAX;
+	switch (a->state) {
+	case BSH_ATTEMPT_OPEN:
+		return MIN(deadline_us, a->started_us + set->config.connect_us);
+	case BSH_ATTEMPT_SENT:
+		if (a->caller_gone)
+			return a->heard_us + set->config.idle_us;
+		if (a->spec.repeatable && a->id.attempt <= BSH_ATTEMPT_RETRIES)
+			return MIN(deadline_us,
+				   a->heard_us + silent_us(set, a));
+		return deadline_us;
+	case BSH_ATTEMPT_ANSWERING:
+		return MIN(MIN(deadline_us, a->heard_us + set->config.idle_us),
+			   a->begun_us + BSH_ATTEMPT_MAX_US);
+	case BSH_ATTEMPT_NEW:
+	case BSH_ATTEMPT_INTENT:
+	case BSH_ATTEMPT_QUEUED:
+	case BSH_ATTEMPT_ENDED:
+		break;
+	}
+	return deadline_us;
+}
+
+static int compare_timer(const void *a, const void *b, void *data)
+{
+	const bsh_attempt_t *x = a;
+	const bsh_attempt_t *y = b;
+
+	(void)data;
+	if (x->timer_us != y->timer_us)
+		return x->timer_us < y->timer_us ? -1 : 1;
+	return x->id.sequence < y->id.sequence
+		       ? -1
+		       : x->id.sequence > y->id.sequence;
+}
+
+static void set_timer(bsh_attempts_t *set, bsh_attempt_t *a, int64_t at_us)
+{
+	a->timer_us = at_us;
+	if (a->timer == NULL)
+		a->timer = g_sequence_insert_sorted(set->timers, a,
+						    compare_timer, NULL);
+	else
+		g_sequence_sort_changed(a->timer, compare_timer, NULL);
+}
+
+/* A timer that is too early only costs one look, so it is not moved later
+ * with each byte of a stream. */
+static void advance_timer(bsh_attempts_t *set, bsh_attempt_t *a)
+{
+	int64_t at_us = due_us(set, a);
+
+	if (a->timer == NULL || at_us < a->timer_us)
+		set_timer(set, a, at_us);
+}
+
+/* End of a request. */
+
+static void finish_as(bsh_attempts_t *set, bsh_attempt_t *a, bsh_error_t err,
+		      bsh_outcome_t outcome, uint32_t retry_after_ms)
+{
+	bool withdraw = a->state == BSH_ATTEMPT_INTENT &&
+			outcome == BSH_OUTCOME_NOT_RUN;
+
+	a->state = BSH_ATTEMPT_ENDED;
+	if (a->timer != NULL)
+		g_sequence_remove(a->timer);
+	a->timer = NULL;
+	g_hash_table_remove(set->open, &a->id.sequence);
+	if (a->committed || withdraw)
+		set->orders.record(set->ctx, a, outcome);
+	set->orders.finish(set->ctx, a, err, outcome, retry_after_ms);
+}
+
+/* The outcome follows from what was sent, whatever the error is. */
+static void finish(bsh_attempts_t *set, bsh_attempt_t *a, bsh_error_t err,
+		   uint32_t retry_after_ms)
+{
+	bsh_outcome_t outcome = BSH_OUTCOME_ANSWERED;
+
+	if (err != BSH_OK)
+		outcome = a->may_have_run ? BSH_OUTCOME_UNKNOWN
+					  : BSH_OUTCOME_NOT_RUN;
+	/* An error that says not-run must not hide an earlier attempt. */
+	if (outcome == BSH_OUTCOME_UNKNOWN &&
+	    bsh_error_answer(err)->outcome == BSH_OUTCOME_NOT_RUN)
+		err = a->last_err != BSH_OK ? a->last_err : BSH_ERR_BROKEN;
+	finish_as(set, a, err, outcome, retry_after_ms);
+}
+
+/* Retries. */
+
+static bool take_retry(bsh_attempts_t *set, const bsh_attempt_t *a, bool ran,
+		       int64_t now_us)
+{
+	if (a->caller_gone || a->forwarded ||
+	    a->id.attempt > BSH_ATTEMPT_RETRIES ||
+	    now_us >= a->spec.deadline_us)
+		return false;
+	if (ran && !a->spec.repeatable)
+		return false;
+	if (set->budget.tokens < 1.0)
+		return false;
+	set->budget.tokens -= 1.0;
+	set->budget.retries++;
+	return true;
+}
+
+static void note_tried(bsh_attempt_t *a)
+{
+	if (a->tried_count < BSH_ROUTE_MAX_EXCLUDED)
+		a->tried[a->tried_count++] = a->target.target;
+}
+
+static void enqueue(bsh_attempts_t *set, bsh_attempt_t *a, bool retry)
+{
+	a->state = BSH_ATTEMPT_QUEUED;
+	advance_timer(set, a);
+	/* May start, refuse and even finish the request. */
+	set->orders.enqueue(set->ctx, a, retry);
+}
+
+static void leave_attempt(bsh_attempts_t *set, bsh_attempt_t *a, bool ran,
+			  bsh_error_t err, bsh_route_result_t result)
+{
+	set->orders.cancel(set->ctx, a);
+	set->orders.target_result(set->ctx, a, result);
+	a->may_have_run |= ran;
+	/* A later failure that proves nothing ran is not kept over one that
+	 * leaves the outcome open. */
+	if (ran || !a->may_have_run)
+		a->last_err = err;
+	a->holding = false;
+	note_tried(a);
+}
+
+/* The running attempt ended without an answer: retry or finish. */
+static void fail_attempt(bsh_attempts_t *set, bsh_attempt_t *a, bool ran,
+			 bsh_error_t err, bsh_route_result_t result,
+			 int64_t now_us)
+{
+	leave_attempt(set, a, ran, err, result);
+	if (take_retry(set, a, ran, now_us))
+		enqueue(set, a, true);
+	else
+		finish(set, a, err, 0);
+}
+
+/* Beginning. */
+
+bsh_error_t bsh_attempt_begin(bsh_attempts_t *set, bsh_attempt_t *a,
+			      const bsh_attempt_spec_t *spec, int64_t now_us)
+{
+	if (now_us >= spec->deadline_us)
+		return BSH_ERR_DEADLINE;
+	if (g_hash_table_size(set->open) >= set->config.max_open)
+		return BSH_ERR_CAPACITY;
+	memset(a, 0, sizeof(*a));
+	a->spec = *spec;
+	a->id.incarnation = set->incarnation;
+	a->id.sequence = set->next_sequence++;
+	a->target.target = BSH_ROUTE_NONE;
+	a->length = -1;
+	a->begun_us = now_us;
+	g_hash_table_insert(set->open, &a->id.sequence, a);
+	if (!spec->repeatable && spec->has_key) {
+		a->state = BSH_ATTEMPT_INTENT;
+		advance_timer(set, a);
+		set->orders.intent(set->ctx, a);
+	} else {
+		enqueue(set, a, false);
+	}
+	return BSH_OK;
+}
+
+static bsh_attempt_t *find_open(const bsh_attempts_t *set,
+				const bsh_request_id_t *id)
+{
+	if (id->incarnation != set->incarnation)
+		return NULL;
+	return g_hash_table_lookup(set->open, &id->sequence);
+}
+
+bool bsh_attempt_intent(bsh_attempts_t *set, const bsh_request_id_t *id,
+			bsh_intent_verdict_t verdict, uint32_t retry_after_ms,
+			int64_t now_us)
+{
+	bsh_attempt_t *a = find_open(set, id);
+
+	if (a == NULL || a->state != BSH_ATTEMPT_INTENT)
+		return false;
+	if (now_us >= a->spec.deadline_us && verdict == BSH_INTENT_RUN) {
+		finish(set, a, BSH_ERR_DEADLINE, 0);
+		return true;
+	}
+	/* What follows does not withdraw an intent of this request. */
+	a->state = BSH_ATTEMPT_NEW;
+	switch (verdict) {
+	case BSH_INTENT_RUN:
+		a->committed = true;
+		enqueue(set, a, false);
+		break;
+	case BSH_INTENT_ANSWERED:
+		finish_as(set, a, BSH_OK, BSH_OUTCOME_ANSWERED, 0);
+		break;
+	case BSH_INTENT_NOT_KEPT:
+		finish_as(set, a, BSH_ERR_ANSWER_NOT_KEPT, BSH_OUTCOME_ANSWERED,
+			  0);
+		break;
+	case BSH_INTENT_IN_PROGRESS:
+		finish_as(set, a, BSH_ERR_IN_PROGRESS, BSH_OUTCOME_UNKNOWN,
+			  retry_after_ms);
+		break;
+	case BSH_INTENT_UNKNOWN:
+		finish_as(set, a, BSH_ERR_OUTCOME_UNKNOWN, BSH_OUTCOME_UNKNOWN,
+			  0);
+		break;
+	case BSH_INTENT_MISMATCH:
+		finish_as(set, a, BSH_ERR_KEY_REUSED, BSH_OUTCOME_NOT_RUN, 0);
+		break;
+	case BSH_INTENT_UNAVAILABLE:
+		finish_as(set, a, BSH_ERR_STORE, BSH_OUTCOME_NOT_RUN,
+			  retry_after_ms);
+		break;
+	}
+	return true;
+}
+
+bool bsh_attempt_start(bsh_attempts_t *set, bsh_attempt_t *a,
+		       const bsh_route_choice_t *target, int64_t now_us)
+{
+	if (a->state != BSH_ATTEMPT_QUEUED || now_us >= a->spec.deadline_us)
+		return false;
+	a->id.attempt++;
+	if (a->id.attempt == 1) {
+		set->budget.requests++;
+		set->budget.tokens =
+			MIN(set->budget.tokens + BSH_ATTEMPT_BUDGET_RATIO,
+			    BSH_ATTEMPT_BUDGET_MAX);
+	}
+	a->state = BSH_ATTEMPT_OPEN;
+	a->target = *target;
+	a->started_us = now_us;
+	a->heard_us = now_us;
+	a->holding = false;
+	a->framed = false;
+	a->done_seen = false;
+	a->event_stream = false;
+	a->status = 0;
+	a->length = -1;
+	a->received = 0;
+	advance_timer(set, a);
+	return true;
+}
+
+void bsh_attempt_refused(bsh_attempts_t *set, bsh_attempt_t *a, bsh_error_t err,
+			 uint32_t retry_after_ms, int64_t now_us)
+{
+	(void)now_us;
+	if (a->state == BSH_ATTEMPT_QUEUED)
+		finish(set, a, err, retry_after_ms);
+}
+
+/* Transport events. */
+
+static bsh_attempt_t *find_running(bsh_attempts_t *set,
+				   const bsh_request_id_t *id)
+{
+	bsh_attempt_t *a = find_open(set, id);
+
+	if (a == NULL || !is_running(a) || a->id.attempt != id->attempt) {
+		set->late++;
+		return NULL;
+	}
+	return a;
+}
+
+void bsh_attempt_sent(bsh_attempts_t *set, const bsh_request_id_t *id,
+		      int64_t now_us)
+{
+	bsh_attempt_t *a = find_running(set, id);
+
+	if (a == NULL || a->state != BSH_ATTEMPT_OPEN)
+		return;
+	a->state = BSH_ATTEMPT_SENT;
+	a->heard_us = now_us;
+	advance_timer(set, a);
+}
+
+static bool is_same_id(const bsh_request_id_t *a, const bsh_request_id_t *b)
+{
+	return a->incarnation == b->incarnation && a->sequence == b->sequence &&
+	       a->attempt == b->attempt;
+}
+
+/* Does the answer name this attempt? */
+static bool names_attempt(const bsh_attempt_t *a, const bsh_answer_head_t *head)
+{
+	bsh_request_id_t id;
+
+	return head->request_id != NULL &&
+	       bsh_request_id_parse(head->request_id, &id) == BSH_OK &&
+	       is_same_id(&id, &a->id);
+}
+
+/*
+ * A refusal is proved only by an answer that names this attempt: an engine's
+ * status for "no room" or "not loaded", or the target's own outcome header.
+ */
+static bool is_refusal(const bsh_attempt_t *a, const bsh_answer_head_t *head)
+{
+	if (!names_attempt(a, head))
+		return false;
+	if (head->not_run)
+		return true;
+	return a->spec.engine && (head->status == 404 || head->status == 429 ||
+				  head->status == 503 || head->status == 507);
+}
+
+static bool is_foreign(const bsh_attempt_t *a, const bsh_answer_head_t *head)
+{
+	if (a->spec.engine || head->request_id != NULL)
+		return !names_attempt(a, head);
+	return false;
+}
+
+/* True if the deadline passed before the answer, which was then dropped. */
+static bool expire(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us);
+
+bsh_answer_verdict_t bsh_attempt_head(bsh_attempts_t *set,
+				      const bsh_request_id_t *id,
+				      const bsh_answer_head_t *head,
+				      int64_t now_us)
+{
+	bsh_attempt_t *a = find_running(set, id);
+
+	if (a == NULL || expire(set, a, now_us))
+		return BSH_ANSWER_DROP;
+	/* A second head belongs to another request. */
+	if (a->state == BSH_ATTEMPT_ANSWERING || is_foreign(a, head)) {
+		set->mismatched++;
+		fail_attempt(set, a, true, BSH_ERR_MISMATCH, BSH_ROUTE_FAILURE,
+			     now_us);
+		return BSH_ANSWER_DROP;
+	}
+	if (is_refusal(a, head)) {
+		fail_attempt(set, a, false, BSH_ERR_REFUSED, BSH_ROUTE_NEUTRAL,
+			     now_us);
+		return BSH_ANSWER_DROP;
+	}
+	a->state = BSH_ATTEMPT_ANSWERING;
+	a->heard_us = now_us;
+	a->status = head->status;
+	a->length = head->length;
+	a->framed = head->length >= 0 || head->chunked;
+	a->event_stream = head->event_stream;
+	a->holding = true;
+	advance_timer(set, a);
+	return BSH_ANSWER_HOLD;
+}
+
+static bool needs_done(const bsh_attempt_t *a)
+{
+	return a->spec.engine && a->event_stream;
+}
+
+bsh_answer_verdict_t bsh_attempt_body(bsh_attempts_t *set,
+				      const bsh_request_id_t *id, size_t size,
+				      bool done_event, int64_t now_us)
+{
+	bsh_attempt_t *a = find_running(set, id);
+
+	if (a == NULL || a->state != BSH_ATTEMPT_ANSWERING)
+		return BSH_ANSWER_DROP;
+	a->heard_us = now_us;
+	a->received += (int64_t)size;
+	a->done_seen |= done_event;
+	if (a->length >= 0 && a->received > a->length) {
+		set->mismatched++;
+		fail_attempt(set, a, true, BSH_ERR_MISMATCH, BSH_ROUTE_FAILURE,
+			     now_us);
+		return BSH_ANSWER_DROP;
+	}
+	if (a->caller_gone)
+		return BSH_ANSWER_HOLD;
+	if (a->holding && !a->event_stream && now_us < a->spec.deadline_us &&
+	    a->received <= (int64_t)set->config.hold_bytes)
+		return BSH_ANSWER_HOLD;
+	a->holding = false;
+	a->forwarded = true;
+	return BSH_ANSWER_FORWARD;
+}
+
+static bool is_whole(const bsh_attempt_t *a)
+{
+	if (a->state != BSH_ATTEMPT_ANSWERING)
+		return false;
+	if (needs_done(a))
+		return a->done_seen;
+	return a->framed && (a->length < 0 || a->received == a->length);
+}
+
+static void succeed(bsh_attempts_t *set, bsh_attempt_t *a)
+{
+	set->orders.target_result(set->ctx, a, BSH_ROUTE_SUCCESS);
+	a->may_have_run = true;
+	finish(set, a, BSH_OK, 0);
+}
+
+void bsh_attempt_end(bsh_attempts_t *set, const bsh_request_id_t *id,
+		     int64_t now_us)
+{
+	bsh_attempt_t *a = find_running(set, id);
+
+	if (a == NULL)
+		return;
+	if (is_whole(a))
+		succeed(set, a);
+	else
+		fail_attempt(set, a, a->state != BSH_ATTEMPT_OPEN,
+			     BSH_ERR_BROKEN, BSH_ROUTE_FAILURE, now_us);
+}
+
+void bsh_attempt_failed(bsh_attempts_t *set, const bsh_request_id_t *id,
+			int64_t now_us)
+{
+	bsh_attempt_t *a = find_running(set, id);
+
+	if (a == NULL)
+		return;
+	if (a->state == BSH_ATTEMPT_OPEN)
+		fail_attempt(set, a, false, BSH_ERR_CONNECT, BSH_ROUTE_FAILURE,
+			     now_us);
+	else if (is_whole(a) && (needs_done(a) || a->length >= 0))
+		/* The proof had arrived before the connection broke. */
+		succeed(set, a);
+	else
+		fail_attempt(set, a, true, BSH_ERR_BROKEN, BSH_ROUTE_FAILURE,
+			     now_us);
+}
+
+void bsh_attempt_caller_gone(bsh_attempts_t *set, bsh_attempt_t *a,
+			     int64_t now_us)
+{
+	bool ran = a->state == BSH_ATTEMPT_SENT ||
+		   a->state == BSH_ATTEMPT_ANSWERING;
+
+	(void)now_us;
+	if (a->state == BSH_ATTEMPT_NEW || a->state == BSH_ATTEMPT_ENDED ||
+	    a->caller_gone)
+		return;
+	a->caller_gone = true;
+	if (a->committed && ran) {
+		advance_timer(set, a);
+		return;
+	}
+	if (a->state == BSH_ATTEMPT_QUEUED)
+		set->orders.dequeue(set->ctx, a);
+	else if (is_running(a))
+		leave_attempt(set, a, ran, BSH_ERR_CANCELLED,
+			      BSH_ROUTE_NEUTRAL);
+	finish(set, a, BSH_ERR_CANCELLED, 0);
+}
+
+/* Time. */
+
+/* The deadline has come before the first byte was heard. */
+static void expire_sent(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us)
+{
+	bool silent = now_us - a->started_us >= silent_us(set, a);
+
+	if (a->committed) {
+		a->caller_gone = true;
+		set->orders.detach(set->ctx, a, BSH_ERR_TIMEOUT,
+				   BSH_OUTCOME_UNKNOWN);
+		set_timer(set, a, due_us(set, a));
+		return;
+	}
+	/* A short deadline says nothing about the target. */
+	leave_attempt(set, a, true, BSH_ERR_TIMEOUT,
+		      silent ? BSH_ROUTE_FAILURE : BSH_ROUTE_NEUTRAL);
+	finish(set, a, BSH_ERR_TIMEOUT, 0);
+}
+
+static bool expire(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us)
+{
+	if (a->state != BSH_ATTEMPT_SENT || a->caller_gone ||
+	    now_us < a->spec.deadline_us)
+		return false;
+	expire_sent(set, a, now_us);
+	/* A detached call takes the answer for its record. */
+	return !a->committed;
+}
+
+static void look_open(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us)
+{
+	if (now_us >= a->spec.deadline_us) {
+		leave_attempt(set, a, false, BSH_ERR_DEADLINE,
+			      BSH_ROUTE_NEUTRAL);
+		finish(set, a, BSH_ERR_DEADLINE, 0);
+		return;
+	}
+	fail_attempt(set, a, false, BSH_ERR_CONNECT, BSH_ROUTE_FAILURE, now_us);
+}
+
+static void look_sent(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us)
+{
+	if (a->caller_gone) {
+		leave_attempt(set, a, true, BSH_ERR_TIMEOUT, BSH_ROUTE_FAILURE);
+		finish(set, a, BSH_ERR_TIMEOUT, 0);
+		return;
+	}
+	if (now_us >= a->spec.deadline_us) {
+		expire_sent(set, a, now_us);
+		return;
+	}
+	if (take_retry(set, a, true, now_us)) {
+		leave_attempt(set, a, true, BSH_ERR_TIMEOUT, BSH_ROUTE_FAILURE);
+		enqueue(set, a, true);
+		return;
+	}
+	/* No retry is possible: this attempt may still answer. */
+	set_timer(set, a, MIN(a->spec.deadline_us, now_us + silent_us(set, a)));
+}
+
+static void look_answering(bsh_attempts_t *set, bsh_attempt_t *a,
+			   int64_t now_us)
+{
+	bool idle = now_us - a->heard_us >= set->config.idle_us ||
+		    now_us - a->begun_us >= BSH_ATTEMPT_MAX_US;
+
+	if (idle) {
+		fail_attempt(set, a, true, BSH_ERR_TIMEOUT, BSH_ROUTE_FAILURE,
+			     now_us);
+		return;
+	}
+	a->forwarded = true;
+	a->holding = false;
+	set->orders.release(set->ctx, a);
+	set_timer(set, a, due_us(set, a));
+}
+
+static void look(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us)
+{
+	switch (a->state) {
+	case BSH_ATTEMPT_OPEN:
+		look_open(set, a, now_us);
+		break;
+	case BSH_ATTEMPT_SENT:
+		look_sent(set, a, now_us);
+		break;
+	case BSH_ATTEMPT_ANSWERING:
+		look_answering(set, a, now_us);
+		break;
+	case BSH_ATTEMPT_QUEUED:
+		set->orders.dequeue(set->ctx, a);
+		finish(set, a, BSH_ERR_DEADLINE, 0);
+		break;
+	case BSH_ATTEMPT_INTENT:
+		finish(set, a, BSH_ERR_DEADLINE, 0);
+		break;
+	case BSH_ATTEMPT_NEW:
+	case BSH_ATTEMPT_ENDED:
+		break;
+	}
+}
+
+void bsh_attempts_tick(bsh_attempts_t *set, int64_t now_us)
+{
+	while (g_sequence_get_length(set->timers) > 0) {
+		bsh_attempt_t *a =
+			g_sequence_get(g_sequence_get_begin_iter(set->timers));
+
+		if (a->timer_us > now_us)
+			return;
+		if (due_us(set, a) > now_us) {
+			set_timer(set, a, due_us(set, a));
+			continue;
+		}
+		look(set, a, now_us);
+	}
+}
+
+int64_t bsh_attempts_next_us(const bsh_attempts_t *set)
+{
+	const bsh_attempt_t *a;
+
+	if (g_sequence_get_length(set->timers) == 0)
+		return INT64_MAX;
+	a = g_sequence_get(g_sequence_get_begin_iter(set->timers));
+	return a->timer_us;
+}
--- a/lib/coordination/attempt.h
+++ b/lib/coordination/attempt.h
@@ -48,9 +48,13 @@
  *	with a committed intent is not cancelled; it runs to its end, so
  *	that its result is recorded for the caller's next try.
  *
- *	Callbacks must not call into this module for the same request.
- *	The order finish is the last one of a request; its memory may be
- *	reused from then on.
+  *	A call with a committed intent whose deadline passes is answered
+ *	(order detach) and also runs to its end for the record.
+ *
+ *	Callbacks must not call into this module for the same request, except
+ *	that enqueue may call bsh_attempt_start() or bsh_attempt_refused()
+ *	before it returns.  The order finish is the last one of a request; its
+ *	memory may be reused from then on.
  *
  *	Not thread-safe.  Pure: no I/O and no clock.
  */
@@ -138,8 +142,9 @@
 	bool holding;	   /* body bytes are held */
 	bool caller_gone;
 	bool framed; /* content length or chunked */
+	bool event_stream;
 	bool done_seen;
-	bool passed; /* the current head may be forwarded */
+
 	uint16_t status;
 	int64_t length;	    /* content length, -1 unknown */
 	int64_t received;   /* body bytes */
@@ -174,14 +179,19 @@
 	void (*enqueue)(void *ctx, bsh_attempt_t *a, bool retry);
 	/* dequeue - no longer wait in admission. */
 	void (*dequeue)(void *ctx, bsh_attempt_t *a);
-	/* cancel - close the running attempt at the target, drop what is
-	 * held.  No event with its id has an effect afterwards. */
+	/* cancel - close the running attempt at the target (it may have
+	 * failed already) and drop what is held.  No event with its id has
+	 * an effect afterwards. */
 	void (*cancel)(void *ctx, bsh_attempt_t *a);
 	/* release - send what is held to the caller now. */
 	void (*release)(void *ctx, bsh_attempt_t *a);
 	/* target_result - for bsh_route_end(); once per started attempt. */
 	void (*target_result)(void *ctx, bsh_attempt_t *a,
 			      bsh_route_result_t result);
+	/* detach - answer the caller with the error now; the request runs
+	 * on and only its record and finish follow. */
+	void (*detach)(void *ctx, bsh_attempt_t *a, bsh_error_t err,
+		       bsh_outcome_t outcome);
 	/* record - tell the journal the result of a committed intent; held
 	 * bytes are the body when outcome is answered. */
 	void (*record)(void *ctx, bsh_attempt_t *a, bsh_outcome_t outcome);
@@ -240,9 +250,9 @@
 /*
  * bsh_attempt_intent - INTENT_ANSWER for the request with this id.  On
  * BSH_INTENT_ANSWERED the request finishes with BSH_OK and the caller of
- * this function supplies the recorded answer as what is held.  A RUN that
- * comes after the request ended is answered by the order record (not-run) if
- * a is still known, and has to be answered by the router otherwise.
+  * this function supplies the recorded answer as what is held.  A RUN that
+ * comes after the request ended needs no reply: the order record (not-run)
+ * was given when it ended.
  *
  * RETURN VALUE
  *	False if no request waits for this answer.
@@ -276,8 +286,8 @@
 				      const bsh_answer_head_t *head,
 				      int64_t now_us);
 
-/* bsh_attempt_body - size bytes of the body have arrived; last is true when
- * they hold the [DONE] event. */
+/* bsh_attempt_body - size bytes of the body have arrived; done_event is true
+ * when they hold the [DONE] event. */
 bsh_answer_verdict_t bsh_attempt_body(bsh_attempts_t *set,
 				      const bsh_request_id_t *id, size_t size,
 				      bool done_event, int64_t now_us);
--- a/lib/coordination/breaker.h
+++ b/lib/coordination/breaker.h
@@ -54,6 +54,9 @@
 bool bsh_breaker_result(bsh_breaker_t *breaker, bool success, double jitter,
 			int64_t now_us);
 
+/* bsh_breaker_release - a request ended without telling about the target. */
+void bsh_breaker_release(bsh_breaker_t *breaker);
+
 /* bsh_breaker_retry_us - earliest time of the next pass; 0 when closed. */
 int64_t bsh_breaker_retry_us(const bsh_breaker_t *breaker);
 
--- a/lib/coordination/journal.h
+++ b/lib/coordination/journal.h
@@ -32,6 +32,8 @@
  *	recorded bodies are dropped first (the key then answers NOT_KEPT);
  *	records are never dropped early, so the bucket refuses new keys.
  *
+ *	Callbacks must not call into this module.
+ *
  *	Not thread-safe.  Pure: no I/O and no clock.
  */
 
--- /dev/null
+++ b/lib/coordination/route.c
@@ -0,0 +1,767 @@
+#include "coordination/route.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PREFIX_WAYS 4
+/* An eviction event younger than this may be older than our own use. */
+#define EVENT_LATE_MS 2000
+/* A use this long ago tells nothing about the cache. */
+#define PREFIX_KEEP_MS 600000
+/* Weight of what was learnt before a gap in a target's cache events. */
+#define GAP_CONFIDENCE 0.5
+/* Requests of this and lower priority leave 1/8 of a target free. */
+#define LOW_PRIORITY   5
+#define RESERVE_SHARE  8
+#define SAMPLE_TARGETS 8
+
+/* The ready targets of a key in one cell. */
+typedef struct part {
+	struct part *next;
+	char *cell;
+	uint64_t epoch;
+	uint64_t sequence;
+	uint32_t count;
+	uint32_t *targets;
+} part_t;
+
+typedef struct {
+	part_t *parts;
+	uint32_t count;
+	uint32_t *ready; /* union of the parts, ascending */
+} ready_set_t;
+
+typedef struct {
+	uint32_t target;
+	uint32_t match;	   /* leading blocks in its cache */
+	double confidence; /* of the match */
+} candidate_t;
+
+typedef struct {
+	candidate_t list[BSH_ROUTE_SCAN];
+	uint32_t count;
+	bool any_known; /* a target that is ready and not leaving exists */
+	bool any_room;	/* ... and below its limit */
+	int64_t retry_us;
+} candidates_t;
+
+static void free_ready_set(void *data)
+{
+	ready_set_t *set = data;
+	part_t *next;
+
+	for (part_t *p = set->parts; p != NULL; p = next) {
+		next = p->next;
+		g_free(p->cell);
+		g_free(p->targets);
+		g_free(p);
+	}
+	g_free(set->ready);
+	g_free(set);
+}
+
+void bsh_route_config_default(bsh_route_config_t *config)
+{
+	memset(config, 0, sizeof(*config));
+	config->max_running = 32;
+	config->max_targets = 8192;
+	config->prefix_entries = 65536;
+	/* One more request in a batch delays each token a little; a first
+	 * token waits for the prefills ahead of it. */
+	config->first_us = 20000;
+	config->block_us = 8000;
+	config->zone_penalty_us = 2000;
+	config->seed = 1;
+}
+
+void bsh_route_init(bsh_route_t *route, const bsh_route_config_t *config)
+{
+	uint32_t entries = PREFIX_WAYS;
+
+	memset(route, 0, sizeof(*route));
+	route->config = *config;
+	route->targets = g_ptr_array_new_with_free_func(g_free);
+	route->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	route->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    free_ready_set);
+	while (entries < config->prefix_entries)
+		entries *= 2;
+	route->prefix_mask = entries - 1;
+	route->prefixes = g_new0(bsh_route_prefix_entry_t, entries);
+	bsh_rng_init(&route->rng, config->seed);
+}
+
+void bsh_route_finish(bsh_route_t *route)
+{
+	g_hash_table_destroy(route->keys);
+	g_hash_table_destroy(route->by_name);
+	g_ptr_array_free(route->targets, TRUE);
+	g_free(route->prefixes);
+	bsh_rng_finish(&route->rng);
+}
+
+static bsh_route_target_t *at(const bsh_route_t *route, uint32_t index)
+{
+	return g_ptr_array_index(route->targets, index);
+}
+
+const bsh_route_target_t *bsh_route_target(const bsh_route_t *route,
+					   uint32_t index)
+{
+	return index < route->targets->len ? at(route, index) : NULL;
+}
+
+static bool find(const bsh_route_t *route, const char *name, uint32_t *index)
+{
+	void *value = g_hash_table_lookup(route->by_name, name);
+
+	if (value == NULL)
+		return false;
+	*index = GPOINTER_TO_UINT(value) - 1;
+	return true;
+}
+
+static bool has_left(const bsh_route_target_t *t)
+{
+	return t->has_left && t->leaving_incarnation >= t->incarnation;
+}
+
+static void forget_prefixes(bsh_route_t *route, uint32_t target)
+{
+	for (uint32_t i = 0; i <= route->prefix_mask; i++) {
+		if (route->prefixes[i].target == target)
+			route->prefixes[i].hash = 0;
+	}
+}
+
+/* A record that nothing refers to any more is used again. */
+static bool reclaim(bsh_route_t *route, uint32_t *index)
+{
+	for (uint32_t i = 0; i < route->targets->len; i++) {
+		bsh_route_target_t *t;
+
+		route->sweep = (route->sweep + 1) % route->targets->len;
+		t = at(route, route->sweep);
+		if (t->known || t->keys > 0 || t->open > 0)
+			continue;
+		g_hash_table_remove(route->by_name, t->name);
+		forget_prefixes(route, route->sweep);
+		memset(t, 0, sizeof(*t));
+		*index = route->sweep;
+		return true;
+	}
+	return false;
+}
+
+/* Find or make the record of a name. */
+static bool obtain(bsh_route_t *route, const char *name, uint32_t *index)
+{
+	bsh_route_target_t *t;
+
+	if (find(route, name, index))
+		return true;
+	if (route->targets->len < route->config.max_targets) {
+		t = g_new0(bsh_route_target_t, 1);
+		*index = route->targets->len;
+		g_ptr_array_add(route->targets, t);
+	} else if (!reclaim(route, index)) {
+		return false;
+	}
+	t = at(route, *index);
+	g_strlcpy(t->name, name, sizeof(t->name));
+	g_hash_table_insert(route->by_name, t->name,
+			    GUINT_TO_POINTER(*index + 1));
+	return true;
+}
+
+static bool is_name(const char *name)
+{
+	size_t length = name == NULL ? 0 : strlen(name);
+
+	return length > 0 && length < BSH_ROUTE_NAME_SIZE;
+}
+
+static void reset_incarnation(bsh_route_t *route, uint32_t index,
+			      uint64_t incarnation)
+{
+	bsh_route_target_t *t = at(route, index);
+
+	if (t->incarnation != 0)
+		forget_prefixes(route, index);
+	t->incarnation = incarnation;
+	t->open = 0;
+	t->reported = 0;
+	t->open_at_report = 0;
+	t->reported_us = 0;
+	t->cache_gap_us = 0;
+	memset(t->samples, 0, sizeof(t->samples));
+	t->breaker = (bsh_breaker_t){0};
+}
+
+bsh_error_t bsh_route_set_target(bsh_route_t *route, const char *name,
+				 uint64_t incarnation, const char *address,
+				 const char *zone, uint32_t max_running)
+{
+	bsh_route_target_t *t;
+	uint32_t index;
+
+	if (!is_name(name) || address == NULL ||
+	    strlen(address) >= BSH_ROUTE_ADDRESS_SIZE)
+		return BSH_ERR_INVALID;
+	if (!obtain(route, name, &index))
+		return BSH_ERR_CAPACITY;
+	t = at(route, index);
+	if (incarnation < t->incarnation)
+		return BSH_ERR_CONFLICT;
+	if (incarnation > t->incarnation || !t->known)
+		reset_incarnation(route, index, incarnation);
+	t->known = true;
+	g_strlcpy(t->address, address, sizeof(t->address));
+	t->same_zone = zone == NULL || strcmp(zone, route->config.zone) == 0;
+	t->max_running =
+		max_running > 0 ? max_running : route->config.max_running;
+	return BSH_OK;
+}
+
+void bsh_route_forget(bsh_route_t *route, const char *name,
+		      uint64_t incarnation)
+{
+	uint32_t index;
+
+	/* A lagging list may name this incarnation again: a gone target
+	 * counts as leaving for ever. */
+	bsh_route_leaving(route, name, incarnation);
+	if (find(route, name, &index) &&
+	    at(route, index)->incarnation <= incarnation)
+		at(route, index)->known = false;
+}
+
+bool bsh_route_leaving(bsh_route_t *route, const char *name,
+		       uint64_t incarnation)
+{
+	bsh_route_target_t *t;
+	uint32_t index;
+
+	if (!is_name(name) || !obtain(route, name, &index))
+		return false;
+	t = at(route, index);
+	if (t->has_left && t->leaving_incarnation >= incarnation)
+		return false;
+	t->has_left = true;
+	t->leaving_incarnation = incarnation;
+	return true;
+}
+
+bool bsh_route_is_leaving(const bsh_route_t *route, const char *name,
+			  uint64_t incarnation)
+{
+	uint32_t index;
+
+	return find(route, name, &index) && at(route, index)->has_left &&
+	       at(route, index)->leaving_incarnation >= incarnation;
+}
+
+static void drop_targets(bsh_route_t *route, part_t *part)
+{
+	for (uint32_t i = 0; i < part->count; i++)
+		at(route, part->targets[i])->keys--;
+	g_free(part->targets);
+	part->targets = NULL;
+	part->count = 0;
+}
+
+static int compare_index(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void merge_parts(ready_set_t *set)
+{
+	uint32_t count = 0;
+	uint32_t kept = 0;
+
+	for (const part_t *p = set->parts; p != NULL; p = p->next)
+		count += p->count;
+	g_free(set->ready);
+	set->ready = g_new(uint32_t, MAX(count, 1));
+	count = 0;
+	for (const part_t *p = set->parts; p != NULL; p = p->next) {
+		for (uint32_t i = 0; i < p->count; i++)
+			set->ready[count++] = p->targets[i];
+	}
+	qsort(set->ready, count, sizeof(*set->ready), compare_index);
+	for (uint32_t i = 0; i < count; i++) {
+		if (kept == 0 || set->ready[i] != set->ready[kept - 1])
+			set->ready[kept++] = set->ready[i];
+	}
+	set->count = kept;
+}
+
+static part_t *obtain_part(ready_set_t *set, const char *cell, bool *is_new)
+{
+	part_t *p = set->parts;
+
+	while (p != NULL && strcmp(p->cell, cell) != 0)
+		p = p->next;
+	*is_new = p == NULL;
+	if (p == NULL) {
+		p = g_new0(part_t, 1);
+		p->cell = g_strdup(cell);
+		p->next = set->parts;
+		set->parts = p;
+	}
+	return p;
+}
+
+bool bsh_route_set_ready(bsh_route_t *route, const char *key, const char *cell,
+			 uint64_t epoch, uint64_t sequence,
+			 const char *const *names, size_t count)
+{
+	ready_set_t *set = g_hash_table_lookup(route->keys, key);
+	uint32_t *targets;
+	uint32_t kept = 0;
+	bool is_new;
+	part_t *part;
+
+	if (set == NULL) {
+		set = g_new0(ready_set_t, 1);
+		g_hash_table_insert(route->keys, g_strdup(key), set);
+	}
+	part = obtain_part(set, cell, &is_new);
+	if (!is_new && (epoch < part->epoch ||
+			(epoch == part->epoch && sequence <= part->sequence)))
+		return false;
+	drop_targets(route, part);
+	targets = g_new(uint32_t, MAX(count, 1));
+	for (size_t i = 0; i < count; i++) {
+		if (is_name(names[i]) &&
+		    obtain(route, names[i], &targets[kept]))
+			at(route, targets[kept++])->keys++;
+	}
+	part->targets = targets;
+	part->count = kept;
+	part->epoch = epoch;
+	part->sequence = sequence;
+	merge_parts(set);
+	return true;
+}
+
+void bsh_route_remove_key(bsh_route_t *route, const char *key)
+{
+	ready_set_t *set = g_hash_table_lookup(route->keys, key);
+
+	if (set == NULL)
+		return;
+	for (part_t *p = set->parts; p != NULL; p = p->next)
+		drop_targets(route, p);
+	g_hash_table_remove(route->keys, key);
+}
+
+/* Number of this router's open requests at a past time. */
+static uint32_t open_at(const bsh_route_target_t *t, int64_t at_us)
+{
+	uint32_t at_ms = (uint32_t)(at_us / 1000);
+	uint32_t best_ms = 0;
+	uint32_t open = t->open;
+
+	for (int i = 0; i < BSH_ROUTE_SAMPLES; i++) {
+		const bsh_route_sample_t *s = &t->samples[i];
+
+		if (s->at_ms != 0 && s->at_ms <= at_ms && s->at_ms >= best_ms) {
+			best_ms = s->at_ms;
+			open = s->open;
+		}
+	}
+	return open;
+}
+
+static void sample_open(bsh_route_target_t *t, int64_t now_us)
+{
+	uint32_t now_ms = (uint32_t)(now_us / 1000);
+	uint32_t last =
+		(t->sample_next + BSH_ROUTE_SAMPLES - 1) % BSH_ROUTE_SAMPLES;
+
+	if (t->samples[last].at_ms != 0 &&
+	    now_ms - t->samples[last].at_ms < BSH_ROUTE_SAMPLE_MS) {
+		t->samples[last].open = t->open;
+		return;
+	}
+	t->samples[t->sample_next].at_ms = MAX(now_ms, 1);
+	t->samples[t->sample_next].open = t->open;
+	t->sample_next = (t->sample_next + 1) % BSH_ROUTE_SAMPLES;
+}
+
+void bsh_route_report(bsh_route_t *route, const char *name,
+		      uint64_t incarnation, uint32_t running, uint32_t waiting,
+		      int64_t measured_us)
+{
+	bsh_route_target_t *t;
+	uint32_t index;
+
+	if (!find(route, name, &index))
+		return;
+	t = at(route, index);
+	if (t->incarnation != incarnation || measured_us <= t->reported_us)
+		return;
+	t->reported = running + waiting;
+	t->open_at_report = MIN(open_at(t, measured_us), t->reported);
+	t->reported_us = measured_us;
+}
+
+static bsh_route_prefix_entry_t *prefix_set(const bsh_route_t *route,
+					    uint64_t hash)
+{
+	return &route->prefixes[hash & route->prefix_mask &
+				~(uint64_t)(PREFIX_WAYS - 1)];
+}
+
+static void learn(bsh_route_t *route, uint64_t hash, uint32_t target,
+		  uint32_t now_ms)
+{
+	bsh_route_prefix_entry_t *set = prefix_set(route, hash);
+	bsh_route_prefix_entry_t *slot = &set[0];
+
+	for (int i = 0; i < PREFIX_WAYS; i++) {
+		if (set[i].hash == hash && set[i].target == target) {
+			slot = &set[i];
+			break;
+		}
+		if (set[i].hash == 0 ||
+		    (slot->hash != 0 && set[i].seen_ms < slot->seen_ms))
+			slot = &set[i];
+	}
+	slot->hash = hash;
+	slot->target = target;
+	slot->seen_ms = now_ms;
+}
+
+void bsh_route_cache_event(bsh_route_t *route, const char *name, uint64_t hash,
+			   bool stored, int64_t now_us)
+{
+	uint32_t now_ms = (uint32_t)(now_us / 1000);
+	bsh_route_prefix_entry_t *set;
+	uint32_t index;
+
+	if (hash == 0 || !find(route, name, &index))
+		return;
+	if (stored) {
+		learn(route, hash, index, now_ms);
+		return;
+	}
+	set = prefix_set(route, hash);
+	for (int i = 0; i < PREFIX_WAYS; i++) {
+		if (set[i].hash == hash && set[i].target == index &&
+		    now_ms - set[i].seen_ms > EVENT_LATE_MS)
+			set[i].hash = 0;
+	}
+}
+
+void bsh_route_cache_gap(bsh_route_t *route, const char *name, int64_t now_us)
+{
+	uint32_t index;
+
+	if (find(route, name, &index))
+		at(route, index)->cache_gap_us = now_us;
+}
+
+static bool is_ready_index(const ready_set_t *set, uint32_t target)
+{
+	return bsearch(&target, set->ready, set->count, sizeof(target),
+		       compare_index) != NULL;
+}
+
+static bool is_listed(const candidates_t *found, uint32_t target)
+{
+	for (uint32_t i = 0; i < found->count; i++) {
+		if (found->list[i].target == target)
+			return true;
+	}
+	return false;
+}
+
+static bool is_excluded(const bsh_route_request_t *request, uint32_t target)
+{
+	for (uint32_t i = 0; i < request->excluded_count; i++) {
+		if (request->excluded[i] == target)
+			return true;
+	}
+	return false;
+}
+
+/* Weight of a report: 1 when new, falling to 0 with its age. */
+static double report_weight(const bsh_route_target_t *t, int64_t now_us)
+{
+	if (t->reported_us == 0)
+		return 0.0;
+	return (double)BSH_ROUTE_REPORT_TAU_US /
+	       (double)(BSH_ROUTE_REPORT_TAU_US +
+			MAX(now_us - t->reported_us, 0));
+}
+
+static double others(const bsh_route_target_t *t)
+{
+	return (double)(t->reported - t->open_at_report);
+}
+
+static bool is_full(const bsh_route_target_t *t, uint8_t priority,
+		    int64_t now_us)
+{
+	uint32_t limit = t->max_running;
+
+	if (priority >= LOW_PRIORITY)
+		limit -= limit / RESERVE_SHARE;
+	if (t->open >= limit)
+		return true;
+	/* Others may fill it, but their load is known late: only a report
+	 * far above the limit counts. */
+	return t->open + others(t) * report_weight(t, now_us) >=
+	       2.0 * t->max_running;
+}
+
+/* Add a target if it can take the request now. */
+static void consider(const bsh_route_t *route,
+		     const bsh_route_request_t *request, candidates_t *found,
+		     candidate_t candidate, int64_t now_us)
+{
+	const bsh_route_target_t *t = at(route, candidate.target);
+	int64_t retry_us;
+
+	if (!t->known || has_left(t))
+		return;
+	found->any_known = true;
+	if (is_excluded(request, candidate.target))
+		return;
+	if (!bsh_breaker_allows(&t->breaker, now_us)) {
+		retry_us = bsh_breaker_retry_us(&t->breaker);
+		if (found->retry_us == 0 || retry_us < found->retry_us)
+			found->retry_us = retry_us;
+		return;
+	}
+	if (is_full(t, request->priority, now_us)) {
+		found->any_room = true;
+		return;
+	}
+	if (found->count < BSH_ROUTE_SCAN &&
+	    !is_listed(found, candidate.target))
+		found->list[found->count++] = candidate;
+}
+
+/* Targets that hold the longest part of the prefix. */
+static void consider_prefix(const bsh_route_t *route, const ready_set_t *set,
+			    const bsh_route_request_t *request,
+			    candidates_t *found, int64_t now_us)
+{
+	uint32_t now_ms = (uint32_t)(now_us / 1000);
+
+	for (uint32_t b = MIN(request->prefix_count, BSH_ROUTE_MAX_PREFIX);
+	     b > 0 && found->count < PREFIX_WAYS; b--) {
+		uint64_t hash = request->prefix[b - 1];
+		const bsh_route_prefix_entry_t *entry = prefix_set(route, hash);
+
+		for (int i = 0; i < PREFIX_WAYS; i++, entry++) {
+			candidate_t c = {entry->target, b, 1.0};
+
+			if (entry->hash != hash || hash == 0 ||
+			    now_ms - entry->seen_ms > PREFIX_KEEP_MS ||
+			    !is_ready_index(set, entry->target))
+				continue;
+			if (entry->seen_ms <
+			    at(route, entry->target)->cache_gap_us / 1000)
+				c.confidence = GAP_CONFIDENCE;
+			consider(route, request, found, c, now_us);
+		}
+	}
+}
+
+static void collect(bsh_route_t *route, const ready_set_t *set,
+		    const bsh_route_request_t *request, candidates_t *found,
+		    int64_t now_us)
+{
+	bool all = set->count <= BSH_ROUTE_SCAN;
+	uint32_t tries = all ? set->count : SAMPLE_TARGETS;
+	uint32_t start = bsh_rng_below(&route->rng, set->count);
+
+	if (request->prefix != NULL)
+		consider_prefix(route, set, request, found, now_us);
+	for (uint32_t i = 0; i < tries; i++) {
+		uint32_t n = all ? (start + i) % set->count
+				 : bsh_rng_below(&route->rng, set->count);
+		candidate_t c = {set->ready[n], 0, 1.0};
+
+		consider(route, request, found, c, now_us);
+	}
+	/* An unlucky sample says nothing about the others. */
+	for (uint32_t i = 0;
+	     !all && i < set->count && found->count < SAMPLE_TARGETS / 2; i++) {
+		candidate_t c = {set->ready[(start + i) % set->count], 0, 1.0};
+
+		consider(route, request, found, c, now_us);
+	}
+}
+
+static double average_others(const bsh_route_t *route,
+			     const candidates_t *found)
+{
+	double sum = 0.0;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < found->count; i++) {
+		const bsh_route_target_t *t = at(route, found->list[i].target);
+
+		if (t->reported_us != 0) {
+			sum += others(t);
+			count++;
+		}
+	}
+	return count > 0 ? sum / count : 0.0;
+}
+
+static double score(const bsh_route_t *route, const candidate_t *candidate,
+		    double average, int64_t now_us)
+{
+	const bsh_route_target_t *t = at(route, candidate->target);
+	const bsh_route_config_t *config = &route->config;
+	double weight = report_weight(t, now_us);
+	double load = t->open + weight * others(t) + (1.0 - weight) * average;
+
+	return load * config->first_us +
+	       (t->same_zone ? 0.0 : config->zone_penalty_us) -
+	       candidate->match * candidate->confidence * config->block_us;
+}
+
+static const candidate_t *best(const bsh_route_t *route,
+			       const candidates_t *found, bool probes,
+			       int64_t now_us)
+{
+	double average = average_others(route, found);
+	const candidate_t *chosen = NULL;
+	double lowest = INFINITY;
+
+	for (uint32_t i = 0; i < found->count; i++) {
+		const candidate_t *c = &found->list[i];
+		double s;
+
+		if (!probes &&
+		    at(route, c->target)->breaker.state != BSH_BREAKER_CLOSED)
+			continue;
+		s = score(route, c, average, now_us);
+		if (s < lowest) {
+			lowest = s;
+			chosen = c;
+		}
+	}
+	return chosen;
+}
+
+bsh_error_t bsh_route_choose(bsh_route_t *route,
+			     const bsh_route_request_t *request,
+			     bsh_route_choice_t *choice, int64_t now_us)
+{
+	const ready_set_t *set = g_hash_table_lookup(route->keys, request->key);
+	candidates_t found = {.count = 0};
+	const candidate_t *chosen;
+
+	memset(choice, 0, sizeof(*choice));
+	choice->target = BSH_ROUTE_NONE;
+	if (set == NULL || set->count == 0)
+		return BSH_ERR_NOT_FOUND;
+	collect(route, set, request, &found, now_us);
+	if (!found.any_known)
+		return BSH_ERR_NOT_FOUND;
+	if (found.count == 0 && found.any_room)
+		return BSH_ERR_CAPACITY;
+	if (found.count == 0) {
+		choice->retry_us = found.retry_us;
+		return BSH_ERR_CONNECT;
+	}
+	/* A call that may not be repeated is no probe while others exist. */
+	chosen = best(route, &found, request->repeatable, now_us);
+	if (chosen == NULL)
+		chosen = best(route, &found, true, now_us);
+	choice->target = chosen->target;
+	choice->incarnation = at(route, chosen->target)->incarnation;
+	choice->prefix_match = chosen->match;
+	return BSH_OK;
+}
+
+bool bsh_route_may_send(const bsh_route_t *route,
+			const bsh_route_choice_t *choice)
+{
+	const bsh_route_target_t *t = bsh_route_target(route, choice->target);
+
+	return t != NULL && t->known && !has_left(t) &&
+	       t->incarnation == choice->incarnation &&
+	       t->open < t->max_running;
+}
+
+void bsh_route_start(bsh_route_t *route, const bsh_route_request_t *request,
+		     const bsh_route_choice_t *choice, int64_t now_us)
+{
+	bsh_route_target_t *t = at(route, choice->target);
+
+	if (t->incarnation != choice->incarnation)
+		return;
+	t->open++;
+	sample_open(t, now_us);
+	bsh_breaker_start(&t->breaker, now_us);
+	for (uint32_t b = 0;
+	     request->prefix != NULL &&
+	     b < MIN(request->prefix_count, BSH_ROUTE_MAX_PREFIX);
+	     b++)
+		learn(route, request->prefix[b], choice->target,
+		      (uint32_t)(now_us / 1000));
+}
+
+void bsh_route_end(bsh_route_t *route, const bsh_route_choice_t *choice,
+		   bsh_route_result_t result, int64_t now_us)
+{
+	bsh_route_target_t *t;
+
+	if (choice->target >= route->targets->len)
+		return;
+	t = at(route, choice->target);
+	if (t->incarnation != choice->incarnation)
+		return;
+	if (t->open > 0)
+		t->open--;
+	sample_open(t, now_us);
+	if (result == BSH_ROUTE_NEUTRAL)
+		bsh_breaker_release(&t->breaker);
+	else
+		bsh_breaker_result(&t->breaker, result == BSH_ROUTE_SUCCESS,
+				   bsh_rng_unit(&route->rng), now_us);
+}
+
+uint32_t bsh_route_slots(const bsh_route_t *route, const char *key)
+{
+	const ready_set_t *set = g_hash_table_lookup(route->keys, key);
+	uint32_t slots = 0;
+
+	for (uint32_t i = 0; set != NULL && i < set->count; i++) {
+		const bsh_route_target_t *t = at(route, set->ready[i]);
+
+		if (t->known && !has_left(t))
+			slots += t->max_running;
+	}
+	return slots;
+}
+
+uint32_t bsh_route_hash_prefix(const char *key, const char *text, size_t size,
+			       uint64_t out[BSH_ROUTE_MAX_PREFIX])
+{
+	uint64_t seed = XXH3_64bits(key, strlen(key));
+	uint32_t count = 0;
+
+	while (count < BSH_ROUTE_MAX_PREFIX &&
+	       size >= (count + 1) * (size_t)BSH_ROUTE_BLOCK_BYTES) {
+		seed = XXH3_64bits_withSeed(
+			text + (size_t)count * BSH_ROUTE_BLOCK_BYTES,
+			BSH_ROUTE_BLOCK_BYTES, seed);
+		out[count++] = seed;
+	}
+	return count;
+}
--- a/lib/coordination/route.h
+++ b/lib/coordination/route.h
@@ -54,6 +54,8 @@
 #define BSH_ROUTE_MAX_EXCLUDED	4
 #define BSH_ROUTE_BLOCK_BYTES	1024
 #define BSH_ROUTE_REPORT_TAU_US INT64_C(1500000)
+#define BSH_ROUTE_SAMPLES	8
+#define BSH_ROUTE_SAMPLE_MS	250 /* least distance of two samples */
 #define BSH_ROUTE_NONE		UINT32_MAX
 
 typedef struct {
@@ -67,6 +69,12 @@
 	uint32_t seed;
 } bsh_route_config_t;
 
+/* Number of this router's open requests from a time on. */
+typedef struct {
+	uint32_t at_ms;
+	uint32_t open;
+} bsh_route_sample_t;
+
 /* One target.  Read-only for users of the module. */
 typedef struct {
 	char name[BSH_ROUTE_NAME_SIZE];
@@ -83,6 +91,8 @@
 	int64_t reported_us;	 /* when it was measured; 0: never */
 	int64_t cache_gap_us;	 /* last gap in the cache events */
 	uint32_t keys;		 /* number of keys it is ready for */
+	bsh_route_sample_t samples[BSH_ROUTE_SAMPLES];
+	uint32_t sample_next;
 	bsh_breaker_t breaker;
 } bsh_route_target_t;
 
@@ -94,13 +104,12 @@
 
 typedef struct {
 	bsh_route_config_t config;
-	GArray *targets;     /* bsh_route_target_t; an index never changes */
+	GPtrArray *targets;  /* bsh_route_target_t; an index never changes */
 	GHashTable *by_name; /* name -> index + 1 */
 	GHashTable *keys;    /* model or service -> ready set */
 	bsh_route_prefix_entry_t *prefixes;
 	uint32_t prefix_mask;
-	double load_sum; /* reported load of others, for the average */
-	uint32_t load_count;
+	uint32_t sweep; /* next record looked at for reuse */
 	bsh_rng_t rng;
 } bsh_route_t;
 
@@ -158,17 +167,18 @@
 			  uint64_t incarnation);
 
 /*
- * bsh_route_set_ready - the complete set of targets that are ready for key,
- * with the stamp (epoch, sequence) of its cell's owner.  An older stamp is
- * ignored.  Unknown targets are skipped and take part once they are known.
- * An empty set makes the key cold.
+ * bsh_route_set_ready - the complete set of targets of one cell that are
+ * ready for key, with the stamp (epoch, sequence) of the cell's owner.  An
+ * older stamp of the same cell is ignored.  The ready set of a key is the
+ * union over its cells.  Targets that are not known yet take part once they
+ * are.  A key without any ready target is cold.
  *
  * RETURN VALUE
  *	True if the set was taken.
  */
-bool bsh_route_set_ready(bsh_route_t *route, const char *key, uint64_t epoch,
-			 uint64_t sequence, const char *const *names,
-			 size_t count);
+bool bsh_route_set_ready(bsh_route_t *route, const char *key, const char *cell,
+			 uint64_t epoch, uint64_t sequence,
+			 const char *const *names, size_t count);
 
 /* bsh_route_remove_key - the model or service is no longer declared. */
 void bsh_route_remove_key(bsh_route_t *route, const char *key);
