--- /dev/null
+++ b/lib/coordination/loader.h
@@ -0,0 +1,368 @@
+#ifndef BSH_COORDINATION_LOADER_H
+#define BSH_COORDINATION_LOADER_H
+
+/*
+ * NAME
+ *	loader - ownership of cells, slot binding, load and unload orders
+ *
+ * DESCRIPTION
+ *	One loader per controller process serves all cells.  It is a state
+ *	machine: inputs are the functions below, orders leave through
+ *	bsh_loader_ops_t.  The caller passes its own monotonic clock as
+ *	now_us; wall_us of the configuration is added for the time of day.
+ *
+ *	The caller (bshcontrold) must:
+ *
+ *	- answer each read and update exactly once, also after a timeout
+ *	  (BSH_STORE_LOST), and in any order;
+ *	- answer each order exactly once with bsh_loader_order_result(), only
+ *	  when the call has ended for good: once it reports NOT_SENT the order
+ *	  must never be sent;
+ *	- poll the status of each target about once a second while the loader
+ *	  owns a cell (at once after ops->poll) and pass each status with the
+ *	  time at which the poll began.  Never pass a status answered by a
+ *	  target name other than the one asked;
+ *	- call bsh_loader_tick() at bsh_loader_next_us() or sooner;
+ *	- call bsh_loader_use() from routers' reports;
+ *	- after a restart use a new incarnation.
+ *
+ *	ops functions may not call back into the loader.  Pointers given to
+ *	them are valid during the call only.
+ *
+ * ORDERS
+ *	An order for a slot is issued only if the slot is in the value last
+ *	seen in the store with this process as its sender.  Load orders are
+ *	repeated with the same attempt id and fence until the status shows
+ *	the model.
+ *
+ * ERRORS
+ *	Input that does not fit (unknown cell, malformed value) changes
+ *	nothing, is counted in bsh_loader_t and reported as event "rejected".
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "state/cell.h"
+#include "state/placement.h"
+
+#define BSH_LOADER_LEASE_MS_DEFAULT  6000
+#define BSH_LOADER_SETTLE_MS_DEFAULT 30000
+#define BSH_LOADER_ABSENT_MS_DEFAULT 600000
+
+typedef struct {
+	bsh_sender_t self;
+	char zone[BSH_CELL_NAME_MAX];
+	uint32_t lease_ms;
+	uint32_t settle_ms;
+	/* An instance missing from the platform's list for this long counts
+	 * as gone.  An explicit "gone" or a higher incarnation counts at
+	 * once. */
+	uint32_t absent_ms;
+	int64_t wall_offset_us; /* wall clock minus monotonic clock */
+	uint64_t seed[2];	/* from libsodium in the daemon; attempt ids */
+} bsh_loader_config_t;
+
+/* Accepted document.  Strings are copied. */
+typedef struct {
+	const char *name;
+	bool fencing;	     /* targets refuse an old fence */
+	uint32_t memory_mib; /* per target, when the list has none */
+	uint32_t max_running;
+	uint32_t cells; /* at least 1; equal on all instances; fixed while
+			 * the pool has slots (the stored value wins) */
+} bsh_loader_pool_t;
+
+typedef struct {
+	const char *name;
+	const char *version;
+	const char *pool;
+	const char *base; /* NULL unless an adapter */
+	uint32_t memory_mib;
+	uint32_t max_replicas;
+	uint8_t priority;
+	uint32_t load_ms;
+} bsh_loader_model_t;
+
+typedef struct {
+	uint64_t generation;
+	double weight;
+	double loads_per_s;
+	uint32_t concurrent;
+	const bsh_loader_pool_t *pools; /* engine pools only */
+	size_t pool_count;
+	const bsh_loader_model_t *models;
+	size_t model_count;
+} bsh_loader_document_t;
+
+/* One line of the platform's list. */
+typedef enum {
+	BSH_INSTANCE_LIVE = 0,
+	BSH_INSTANCE_LEAVING,
+	BSH_INSTANCE_GONE
+} bsh_instance_state_t;
+
+typedef struct {
+	const char *name;
+	uint64_t incarnation;
+	bool is_target; /* kind "engine"; false for "entry" */
+	const char *pool;
+	const char *zone;
+	uint32_t memory_mib;
+	bsh_instance_state_t state;
+} bsh_loader_instance_t;
+
+typedef enum {
+	BSH_STORE_OK = 0,
+	BSH_STORE_NOT_FOUND,   /* read: no such object */
+	BSH_STORE_CONFLICT,    /* update: version is out of date */
+	BSH_STORE_LOST,	       /* update: no answer, effect unknown */
+	BSH_STORE_UNAVAILABLE, /* no effect: outage, rate limit, not sent */
+	BSH_STORE_TOO_LARGE    /* update: no effect */
+} bsh_store_result_t;
+
+typedef enum {
+	BSH_ORDER_LOAD = 0,
+	BSH_ORDER_UNLOAD
+} bsh_order_kind_t;
+
+typedef struct {
+	uint64_t id; /* for bsh_loader_order_result() */
+	bsh_order_kind_t kind;
+	const char *target;
+	uint64_t target_incarnation;
+	const char *model;
+	const char *version;
+	const char *base; /* "" unless an adapter */
+	bsh_attempt_id_t attempt;
+	uint64_t fence;
+	uint32_t memory_mib;
+} bsh_loader_order_t;
+
+typedef enum {
+	BSH_ORDER_ACCEPTED = 0, /* 202 */
+	BSH_ORDER_STALE_FENCE,	/* 409 stale-fence; fence of the target given */
+	BSH_ORDER_NO_MEMORY,	/* 507 */
+	BSH_ORDER_REFUSED,	/* any other refusal, no effect */
+	BSH_ORDER_NOT_SENT,	/* nothing left this process, nor ever will */
+	BSH_ORDER_UNKNOWN	/* sent, no answer */
+} bsh_order_result_t;
+
+typedef struct {
+	const char *model;
+	const char *version;
+	bsh_slot_state_t state; /* LOADING, READY or UNLOADING */
+	bool has_attempt;
+	bsh_attempt_id_t attempt;
+	uint32_t memory_mib; /* 0 if the target does not tell */
+} bsh_target_model_t;
+
+typedef struct {
+	const char *target;
+	uint64_t incarnation;
+	bool leaving;
+	uint32_t memory_total_mib;
+	uint32_t memory_used_mib;
+	uint32_t running;
+	uint32_t waiting;
+	const bsh_target_model_t *models;
+	size_t model_count;
+	int64_t began_us; /* when the poll was sent, on the now_us clock */
+} bsh_target_status_t;
+
+/* Requests of a router that wait for a cold model. */
+typedef struct {
+	uint64_t id; /* chosen by the caller; returned in answers */
+	const char *model;
+	const char *zone; /* of the router, or NULL */
+	int64_t deadline_us;
+	uint8_t priority;
+	uint32_t count; /* at least 1 */
+} bsh_demand_t;
+
+typedef enum {
+	BSH_DEMAND_READY = 0,
+	BSH_DEMAND_LOADING, /* estimate given; READY or REFUSED follows */
+	BSH_DEMAND_REFUSED  /* not run; retry_after_ms given */
+} bsh_demand_result_t;
+
+typedef struct {
+	uint64_t id;
+	const char *model;
+	bsh_demand_result_t result;
+	int64_t ready_us; /* LOADING: estimated time of readiness */
+	uint32_t retry_after_ms;
+	bsh_error_t error; /* REFUSED: CAPACITY, DEADLINE, STORE, ... */
+	const char *reason;
+} bsh_demand_answer_t;
+
+/* Complete set of ready targets of a model; replaces the earlier one if
+ * (epoch, sequence) is higher. */
+typedef struct {
+	const char *cell;
+	const char *model;
+	uint64_t epoch;
+	uint64_t sequence;
+	const char *const *targets;
+	const uint64_t *incarnations; /* of the targets */
+	size_t count;
+} bsh_loader_route_t;
+
+/* For the time line.  Unused fields are NULL or 0. */
+typedef struct {
+	const char *kind; /* "bind", "load", "unload", "ready", "free", ... */
+	const char *cell;
+	const char *model;
+	uint32_t index;
+	const char *target;
+	bsh_attempt_id_t attempt;
+	uint64_t fence;
+	uint64_t epoch;
+	const char *reason;
+} bsh_loader_event_t;
+
+typedef struct {
+	/* Read cell/<cell>; answer with bsh_loader_read_result(). */
+	void (*read)(void *ctx, const char *cell);
+	/* Update cell/<cell> if its version is base_version (0: must not
+	 * exist); answer with bsh_loader_update_result(). */
+	void (*update)(void *ctx, const char *cell, uint64_t base_version,
+		       const char *value);
+	/* Send an order; answer with bsh_loader_order_result(). */
+	void (*order)(void *ctx, const bsh_loader_order_t *order);
+	/* Poll the target's status soon. */
+	void (*poll)(void *ctx, const char *target);
+	void (*route)(void *ctx, const bsh_loader_route_t *route);
+	void (*answer)(void *ctx, const bsh_demand_answer_t *answer);
+	void (*event)(void *ctx, const bsh_loader_event_t *event);
+} bsh_loader_ops_t;
+
+typedef struct {
+	uint64_t reads, updates, conflicts, lost, unavailable;
+	uint64_t loads, unloads, stale_fences, load_failures;
+	uint64_t takeovers, handovers, quarantines, evictions, prefetches;
+	uint64_t demands, refused, rejected;
+	uint64_t loads_memory, loads_disk, loads_remote;
+} bsh_loader_counts_t;
+
+typedef struct {
+	bsh_loader_config_t config;
+	const bsh_loader_ops_t *ops;
+	void *ctx;
+	bsh_placement_t placement;
+	bsh_loader_counts_t counts;
+	uint64_t generation;
+	bool is_fresh, is_draining;
+	int64_t now_us;
+	GHashTable *pools, *models, *cells, *instances, *targets;
+	GHashTable *orders;  /* id to order in flight */
+	GHashTable *demands; /* id to waiting demand */
+	GArray *members;     /* bsh_sender_t, live */
+	uint64_t next_order, next_attempt;
+	int64_t list_us; /* time of the latest platform list, -1 if none */
+} bsh_loader_t;
+
+void bsh_loader_init(bsh_loader_t *loader, const bsh_loader_config_t *config,
+		     const bsh_loader_ops_t *ops, void *ctx);
+void bsh_loader_finish(bsh_loader_t *loader);
+
+/* bsh_loader_document - a document with a lower generation is ignored. */
+void bsh_loader_document(bsh_loader_t *loader,
+			 const bsh_loader_document_t *document, int64_t now_us);
+
+/* bsh_loader_fresh - whether the configuration is confirmed.  While it is
+ * not, nothing new is bound.  Initially true. */
+void bsh_loader_fresh(bsh_loader_t *loader, bool is_fresh, int64_t now_us);
+
+/* bsh_loader_platform - a complete list, read at now_us. */
+void bsh_loader_platform(bsh_loader_t *loader,
+			 const bsh_loader_instance_t *items, size_t count,
+			 int64_t now_us);
+
+/*
+ * bsh_loader_members - the complete set of live controllers in membership's
+ * view, without leaving ones, with this process itself.  It serves only the
+ * choice of the owner, not safety.
+ */
+void bsh_loader_members(bsh_loader_t *loader, const bsh_sender_t *live,
+			size_t count, int64_t now_us);
+
+void bsh_loader_read_result(bsh_loader_t *loader, const char *cell,
+			    bsh_store_result_t result, uint64_t version,
+			    const char *value, size_t length, int64_t now_us);
+
+/* bsh_loader_update_result - version is that of the new value (OK). */
+void bsh_loader_update_result(bsh_loader_t *loader, const char *cell,
+			      bsh_store_result_t result, uint64_t version,
+			      int64_t now_us);
+
+/* bsh_loader_order_result - fence: the target's, for STALE_FENCE. */
+void bsh_loader_order_result(bsh_loader_t *loader, uint64_t id,
+			     bsh_order_result_t result, uint64_t fence,
+			     int64_t now_us);
+
+void bsh_loader_status(bsh_loader_t *loader, const bsh_target_status_t *status,
+		       int64_t now_us);
+
+/* bsh_loader_leaving - a target is leaving, from any source.  No new slot is
+ * bound there, and it is dropped from the routes. */
+void bsh_loader_leaving(bsh_loader_t *loader, const char *target,
+			uint64_t incarnation, int64_t now_us);
+
+/*
+ * bsh_loader_copies - where a target has a copy of a model.  Without it,
+ * the loader assumes a disk copy where it loaded the model before in the
+ * target's present incarnation.
+ */
+void bsh_loader_copy(bsh_loader_t *loader, const char *target,
+		     const char *model, bsh_copy_t copy);
+
+/*
+ * bsh_loader_demand - answered at once through ops->answer (READY, LOADING or
+ * REFUSED); after LOADING a final READY or REFUSED follows by the deadline.
+ * A demand for a cell of another owner is refused with BSH_ERR_REFUSED; ask
+ * bsh_loader_owner() first.
+ */
+void bsh_loader_demand(bsh_loader_t *loader, const bsh_demand_t *demand,
+		       int64_t now_us);
+
+/* bsh_loader_cancel - the requests of a demand no longer wait. */
+void bsh_loader_cancel(bsh_loader_t *loader, uint64_t id, int64_t now_us);
+
+/*
+ * bsh_loader_use - from a router's report: requests of the model began since
+ * the last report (started) or are running or waiting now.
+ */
+void bsh_loader_use(bsh_loader_t *loader, const char *model, uint32_t started,
+		    uint32_t running, int64_t now_us);
+
+void bsh_loader_tick(bsh_loader_t *loader, int64_t now_us);
+
+/* bsh_loader_next_us - when the next tick is due. */
+int64_t bsh_loader_next_us(const bsh_loader_t *loader);
+
+/* bsh_loader_wake - read a cell soon (a HANDOVER message came). */
+void bsh_loader_wake(bsh_loader_t *loader, const char *cell, int64_t now_us);
+
+/* bsh_loader_drain - hand over all cells; no cell is taken any more. */
+void bsh_loader_drain(bsh_loader_t *loader, int64_t now_us);
+
+/* bsh_loader_drained - whether no cell is owned and no order is in flight. */
+bool bsh_loader_drained(const bsh_loader_t *loader);
+
+/*
+ * bsh_loader_owner - the owner of the cell that serves the model's index 0,
+ * as last seen; false if unknown.  owner may be this process.
+ */
+bool bsh_loader_owner(const bsh_loader_t *loader, const char *model,
+		      bsh_sender_t *owner);
+
+/* bsh_loader_owns - whether this process owns the cell and its lease runs. */
+bool bsh_loader_owns(const bsh_loader_t *loader, const char *cell);
+
+/* bsh_loader_routes - issue ops->route for every model again. */
+void bsh_loader_routes(bsh_loader_t *loader);
+
+#endif
--- /dev/null
+++ b/lib/state/cell.h
@@ -0,0 +1,218 @@
+#ifndef BSH_STATE_CELL_H
+#define BSH_STATE_CELL_H
+
+/*
+ * NAME
+ *	cell - placement object: slot records, memory ledger, owner, lease
+ *
+ * DESCRIPTION
+ *	One cell is one store object.  It holds the slots of a pool's models
+ *	that belong to the cell and the memory reserved on each of its
+ *	targets, so one conditional update checks and changes both limits.
+ *
+ *	A slot exists from its binding until its unload is confirmed.  Its
+ *	memory is reserved for the whole of that time, whatever its state.
+ *	A target holds a model at most once.
+ *
+ *	Every change goes through bsh_cell_bind(), bsh_cell_change() or
+ *	bsh_cell_remove(), which refuse a change that would break an
+ *	invariant.  bsh_cell_decode() applies the same checks to a stored
+ *	value and rejects it as a whole.
+ *
+ * UNITS
+ *	memory_mib in MiB, times in milliseconds.
+ *
+ * ERRORS
+ *	BSH_ERR_INVALID: malformed value or broken invariant.
+ *	BSH_ERR_TOO_LARGE: the encoded value is above BSH_CELL_VALUE_MAX.
+ *	BSH_ERR_CAPACITY: no memory left on the target.
+ *	BSH_ERR_CONFLICT: the slot is bound already, or the target already
+ *	holds the model.
+ *	BSH_ERR_NOT_FOUND: no such target or slot.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error.h"
+
+#define BSH_CELL_NAME_MAX    64	       /* bytes, with the terminating zero */
+#define BSH_CELL_VALUE_MAX   1000000   /* bytes; the store's limit is 1 MB */
+#define BSH_CELL_HOLDERS_MAX 16	       /* senders of one binding */
+#define BSH_CELL_TARGETS_MAX 1024      /* per cell; about 64 are usual */
+#define BSH_CELL_MEMORY_MAX  (1 << 30) /* MiB per target or slot */
+
+/* A process that may send orders: an instance and its incarnation. */
+typedef struct {
+	char instance[BSH_CELL_NAME_MAX];
+	uint64_t incarnation;
+} bsh_sender_t;
+
+/* 128 random bits that name one attempt (a binding or a store update). */
+typedef struct {
+	uint64_t high;
+	uint64_t low;
+} bsh_attempt_id_t;
+
+typedef enum {
+	BSH_SLOT_BOUND = 0,  /* memory reserved; may be loaded by the sender */
+	BSH_SLOT_LOADING,    /* a load order has been sent */
+	BSH_SLOT_READY,	     /* the target reported the model as ready */
+	BSH_SLOT_UNLOADING,  /* the unload is ordered, not yet confirmed */
+	BSH_SLOT_QUARANTINED /* unloaded, but an old order may still arrive */
+} bsh_slot_state_t;
+
+typedef struct {
+	char model[BSH_CELL_NAME_MAX];
+	uint32_t index; /* 0 to max replicas - 1 */
+	char target[BSH_CELL_NAME_MAX];
+	uint64_t target_incarnation;
+	bsh_slot_state_t state;
+	bsh_attempt_id_t attempt; /* of the binding; kept until removal */
+	uint64_t fence;		  /* rises with each change of the slot */
+	bsh_sender_t sender;	  /* may send orders for the slot */
+	uint32_t memory_mib;
+	/* Senders that may still hold an unsent or undelivered order. */
+	uint32_t holder_count;
+	bsh_sender_t holders[BSH_CELL_HOLDERS_MAX];
+} bsh_slot_t;
+
+/* One line of the memory ledger. */
+typedef struct {
+	char name[BSH_CELL_NAME_MAX];
+	uint64_t incarnation;
+	uint32_t memory_mib;   /* total of the target */
+	uint32_t reserved_mib; /* sum over its slots */
+} bsh_cell_target_t;
+
+typedef struct {
+	char name[BSH_CELL_NAME_MAX];
+	uint32_t cells;		 /* number of cells of the pool, at least 1 */
+	uint64_t generation;	 /* highest document generation applied */
+	bsh_sender_t owner;	 /* instance "" when never owned or released */
+	uint64_t epoch;		 /* rises with each change of the owner */
+	uint64_t renewal;	 /* rises with each update by the owner */
+	uint64_t fence;		 /* highest fence given to a slot */
+	bsh_attempt_id_t writer; /* attempt id of the latest update */
+	GArray *slots;		 /* bsh_slot_t, by model and index */
+	GArray *targets;	 /* bsh_cell_target_t, by name */
+} bsh_cell_t;
+
+/* bsh_cell_init - an empty cell.  name is copied; cells is at least 1. */
+void bsh_cell_init(bsh_cell_t *cell, const char *name, uint32_t cells);
+void bsh_cell_finish(bsh_cell_t *cell);
+
+/* bsh_cell_copy - to is an initialised cell; its content is replaced. */
+void bsh_cell_copy(bsh_cell_t *to, const bsh_cell_t *from);
+
+/*
+ * bsh_cell_encode - the stored value, compact JSON.
+ *
+ * RETURN VALUE
+ *	BSH_OK with *text to be released with g_free(); otherwise *text is
+ *	NULL.
+ */
+bsh_error_t bsh_cell_encode(const bsh_cell_t *cell, char **text);
+
+/*
+ * bsh_cell_decode - replace the content of cell by a stored value.  On any
+ * error the cell is unchanged and *reason (may be NULL) names the first
+ * fault; it is released with g_free().
+ */
+bsh_error_t bsh_cell_decode(bsh_cell_t *cell, const char *text, size_t length,
+			    char **reason);
+
+/*
+ * bsh_cell_check - verify all invariants: names present and within limits,
+ * slots unique, one slot per model and target, targets known, ledger equal
+ * to the sum of the slots and within the target's memory, fences within the
+ * cell's fence.  *reason as for bsh_cell_decode().
+ */
+bsh_error_t bsh_cell_check(const bsh_cell_t *cell, char **reason);
+
+/*
+ * bsh_cell_set_target - add a target or change its incarnation and memory.
+ * A total below what is reserved is kept at the reserved amount.
+ */
+bsh_error_t bsh_cell_set_target(bsh_cell_t *cell, const char *name,
+				uint64_t incarnation, uint32_t memory_mib);
+
+/* bsh_cell_remove_target - BSH_ERR_CONFLICT while it has slots. */
+bsh_error_t bsh_cell_remove_target(bsh_cell_t *cell, const char *name);
+
+/* bsh_cell_target, bsh_cell_slot, bsh_cell_slot_on - NULL when absent; the
+ * pointer is valid until the next change. */
+bsh_cell_target_t *bsh_cell_target(const bsh_cell_t *cell, const char *name);
+bsh_slot_t *bsh_cell_slot(const bsh_cell_t *cell, const char *model,
+			  uint32_t index);
+bsh_slot_t *bsh_cell_slot_on(const bsh_cell_t *cell, const char *model,
+			     const char *target);
+
+/* bsh_cell_free_mib - memory of the target that is not reserved. */
+uint32_t bsh_cell_free_mib(const bsh_cell_t *cell, const char *target);
+
+/*
+ * bsh_cell_bind - add a slot in state BSH_SLOT_BOUND with a new fence; the
+ * sender is also its first holder.
+ */
+bsh_error_t bsh_cell_bind(bsh_cell_t *cell, const char *model, uint32_t index,
+			  const char *target, uint32_t memory_mib,
+			  const bsh_sender_t *sender,
+			  const bsh_attempt_id_t *attempt);
+
+/*
+ * bsh_cell_change - set the slot's state; raise its fence if new_fence.  The
+ * record of states LOADING and READY needs no new fence: a repeated order is
+ * the same order.
+ */
+bsh_error_t bsh_cell_change(bsh_cell_t *cell, bsh_slot_t *slot,
+			    bsh_slot_state_t state, bool new_fence);
+
+/*
+ * bsh_cell_set_sender - make sender the sender of the slot and one of its
+ * holders.  BSH_ERR_CAPACITY when the holder list is full.
+ */
+bsh_error_t bsh_cell_set_sender(bsh_slot_t *slot, const bsh_sender_t *sender);
+
+/* bsh_slot_release - remove a holder; true if it was one. */
+bool bsh_slot_release(bsh_slot_t *slot, const bsh_sender_t *holder);
+bool bsh_slot_has_holder(const bsh_slot_t *slot, const bsh_sender_t *holder);
+
+/* bsh_cell_remove - remove the slot and free its memory. */
+bsh_error_t bsh_cell_remove(bsh_cell_t *cell, const char *model,
+			    uint32_t index);
+
+/* bsh_sender_equal, bsh_attempt_equal - comparison by value. */
+bool bsh_sender_equal(const bsh_sender_t *a, const bsh_sender_t *b);
+bool bsh_attempt_equal(const bsh_attempt_id_t *a, const bsh_attempt_id_t *b);
+
+/* bsh_attempt_text - 32 hexadecimal digits. */
+#define BSH_ATTEMPT_TEXT_SIZE 33
+void bsh_attempt_text(const bsh_attempt_id_t *attempt,
+		      char text[BSH_ATTEMPT_TEXT_SIZE]);
+bool bsh_attempt_parse(const char *text, bsh_attempt_id_t *attempt);
+
+const char *bsh_slot_state_name(bsh_slot_state_t state);
+
+/*
+ * bsh_cell_of_slot - number (0 to cells - 1) of the only cell that may bind
+ * slot (model, index), by rendezvous hash.
+ */
+uint32_t bsh_cell_of_slot(const char *model, uint32_t index, uint32_t cells);
+
+/* bsh_cell_of_target - number of the cell that a target belongs to. */
+uint32_t bsh_cell_of_target(const char *target, uint32_t cells);
+
+/* bsh_cell_name - "<pool>" for a pool of one cell, else "<pool>.<n>". */
+void bsh_cell_name(const char *pool, uint32_t number, uint32_t cells,
+		   char name[BSH_CELL_NAME_MAX]);
+
+/*
+ * bsh_cell_affinity - rendezvous weight of an instance for a cell; the live
+ * instance with the highest value is the preferred owner.
+ */
+uint64_t bsh_cell_affinity(const char *cell, const char *instance);
+
+#endif
