--- a/lib/state/cell.h
+++ b/lib/state/cell.h
@@ -72,11 +72,12 @@
 	bsh_slot_state_t state;
 	bsh_attempt_id_t attempt; /* of the binding; kept until removal */
 	uint64_t fence;		  /* rises with each change of the slot */
-	bsh_sender_t sender;	  /* may send orders for the slot */
 	uint32_t memory_mib;
+	/* Positions in the cell's table of senders. */
+	uint16_t sender; /* may send orders for the slot */
 	/* Senders that may still hold an unsent or undelivered order. */
-	uint32_t holder_count;
-	bsh_sender_t holders[BSH_CELL_HOLDERS_MAX];
+	uint16_t holder_count;
+	uint16_t holders[BSH_CELL_HOLDERS_MAX];
 } bsh_slot_t;
 
 /* One line of the memory ledger. */
@@ -96,8 +97,9 @@
 	uint64_t renewal;	 /* rises with each update by the owner */
 	uint64_t fence;		 /* highest fence given to a slot */
 	bsh_attempt_id_t writer; /* attempt id of the latest update */
-	GArray *slots;		 /* bsh_slot_t, by model and index */
-	GArray *targets;	 /* bsh_cell_target_t, by name */
+	GArray *senders; /* bsh_sender_t; the unused ones are not encoded */
+	GArray *slots;	 /* bsh_slot_t, by model and index */
+	GArray *targets; /* bsh_cell_target_t, by name */
 } bsh_cell_t;
 
 /* bsh_cell_init - an empty cell.  name is copied; cells is at least 1. */
@@ -170,15 +172,23 @@
 bsh_error_t bsh_cell_change(bsh_cell_t *cell, bsh_slot_t *slot,
 			    bsh_slot_state_t state, bool new_fence);
 
+/* bsh_cell_sender - the sender at a position of the table. */
+const bsh_sender_t *bsh_cell_sender(const bsh_cell_t *cell, uint16_t position);
+
 /*
  * bsh_cell_set_sender - make sender the sender of the slot and one of its
  * holders.  BSH_ERR_CAPACITY when the holder list is full.
  */
-bsh_error_t bsh_cell_set_sender(bsh_slot_t *slot, const bsh_sender_t *sender);
-
-/* bsh_slot_release - remove a holder; true if it was one. */
-bool bsh_slot_release(bsh_slot_t *slot, const bsh_sender_t *holder);
-bool bsh_slot_has_holder(const bsh_slot_t *slot, const bsh_sender_t *holder);
+bsh_error_t bsh_cell_set_sender(bsh_cell_t *cell, bsh_slot_t *slot,
+				const bsh_sender_t *sender);
+
+/* bsh_cell_release - remove a holder; true if it was one. */
+bool bsh_cell_release(const bsh_cell_t *cell, bsh_slot_t *slot,
+		      const bsh_sender_t *holder);
+bool bsh_cell_is_sender(const bsh_cell_t *cell, const bsh_slot_t *slot,
+			const bsh_sender_t *sender);
+bool bsh_cell_is_holder(const bsh_cell_t *cell, const bsh_slot_t *slot,
+			const bsh_sender_t *holder);
 
 /* bsh_cell_remove - remove the slot and free its memory. */
 bsh_error_t bsh_cell_remove(bsh_cell_t *cell, const char *model,
