--- a/lib/state/placement.h
+++ b/lib/state/placement.h
@@ -59,20 +59,24 @@
 	uint32_t load_ms; /* from the weight store, at full speed */
 	uint8_t priority; /* 0 (highest) to 9 */
 	/* History. */
-	int64_t first_us; /* first arrival seen, -1 if none */
-	int64_t last_us;  /* end of the latest use, -1 if none */
-	double gaps[BSH_PLACEMENT_GAP_BINS]; /* decayed counts */
-	double day[BSH_PLACEMENT_DAY_BINS];  /* decayed wakes per half hour */
-	double day_sum;
-	double gap_sum;
-	double decayed_wall_us;
+	int64_t last_us; /* latest use, -1 if none */
+	int64_t last_wall_us;
+	float gaps[BSH_PLACEMENT_GAP_BINS]; /* decayed counts */
+	float gap_sum;
 } bsh_placement_model_t;
 
 typedef struct {
 	bsh_placement_limits_t limits;
 	GHashTable *models; /* name to bsh_placement_model_t */
-	double tokens;	    /* weight store bucket */
+	double tokens;	    /* of the weight store's rate */
 	int64_t tokens_us;
+	/* Pooled over all models: prior of a model without own history. */
+	float gaps[BSH_PLACEMENT_GAP_BINS];
+	float gap_sum;
+	double day[BSH_PLACEMENT_DAY_BINS];  /* decayed wakes */
+	double rate[BSH_PLACEMENT_DAY_BINS]; /* of wakes, mean 1 */
+	int64_t day_wall_us;
+	double slowdown[BSH_COPY_REMOTE + 1]; /* measured over nominal */
 } bsh_placement_t;
 
 /* A target as a candidate for one load. */
@@ -133,17 +137,29 @@
 			     uint32_t load_ms, uint8_t priority);
 void bsh_placement_remove_model(bsh_placement_t *p, const char *name);
 
-/* bsh_placement_use - requests of the model began or were running now. */
+/*
+ * bsh_placement_use - requests of the model began or were running now.  Gaps
+ * are recorded in time weighted by the wakes of that time of day, so that a
+ * night counts for little.
+ */
 void bsh_placement_use(bsh_placement_t *p, const char *model, int64_t now_us,
 		       int64_t wall_us);
 
+/* bsh_placement_loaded - a load took load_us; corrects later estimates. */
+void bsh_placement_loaded(bsh_placement_t *p, const char *model,
+			  bsh_copy_t copy, int64_t load_us);
+
 /*
- * bsh_placement_keep_us - how long the model is kept after its latest use.
- * It minimises weight * idle time + (1 - weight) * expected cold-start time
- * over the model's own gaps; load_us is what a reload would take.
+ * bsh_placement_keep_us - how much longer an idle model is worth its memory:
+ * the time h that maximises
+ *	P(wake within h) * cold cost - idle price * E[idle time within h]
+ * from the distribution of the model's own gaps, or 0 if none gains.  share
+ * is the part of an accelerator that it occupies, load_us what a reload
+ * would take.
  */
 int64_t bsh_placement_keep_us(const bsh_placement_t *p, const char *model,
-			      int64_t load_us, int64_t now_us, int64_t wall_us,
+			      double share, int64_t load_us, int64_t now_us,
+			      int64_t wall_us,
 			      char reason[BSH_PLACEMENT_REASON_SIZE]);
 
 /*
@@ -156,7 +172,8 @@
 
 /* bsh_placement_prefetch - whether loading an idle model now pays. */
 bool bsh_placement_prefetch(const bsh_placement_t *p, const char *model,
-			    int64_t load_us, int64_t now_us, int64_t wall_us,
+			    double share, int64_t load_us, int64_t now_us,
+			    int64_t wall_us,
 			    char reason[BSH_PLACEMENT_REASON_SIZE]);
 
 /* bsh_placement_load_us - load time of a model from a copy. */
