--- a/lib/state/document.c
+++ b/lib/state/document.c
@@ -539,14 +539,14 @@
 	for (size_t s = 0; s < G_N_ELEMENTS(sections); s++) {
 		json_t *list = json_object_get(top, sections[s]);
 		json_t *sorted = json_array();
-		size_t count = json_array_size(list);
-		g_autofree json_t **order = g_new(json_t *, count + 1);
-
-		for (size_t i = 0; i < count; i++)
-			order[i] = json_array_get(list, i);
-		qsort(order, count, sizeof(order[0]), compare_json_names);
-		for (size_t i = 0; i < count; i++)
-			json_array_append_new(sorted, json_deep_copy(order[i]));
+		g_autoptr(GPtrArray) order = g_ptr_array_new();
+
+		for (size_t i = 0; i < json_array_size(list); i++)
+			g_ptr_array_add(order, json_array_get(list, i));
+		g_ptr_array_sort(order, compare_json_names);
+		for (guint i = 0; i < order->len; i++)
+			json_array_append_new(sorted,
+					      json_deep_copy(order->pdata[i]));
 		json_object_set_new(copy, sections[s], sorted);
 	}
 	return copy;
