Add bshctl, the operator's command line

Operators need to check, compare and apply a document, see the instances and read one time line, from any shell and against any controller.

A lost answer to a change is resolved by asking the next controller: a conflict with an equal document means that the change was accepted. Reading the configuration back instead was ruled out, because the first change may still be on its way when it is read.

--- /dev/null
+++ b/bshctl/bshctl.c
@@ -0,0 +1,340 @@
+#include "bshctl.h"
+
+#include <err.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VERSION		   "0.1"
+#define TIMEOUT_DEFAULT_MS 5000
+#define TIMEOUT_MAX_MS	   600000
+
+typedef struct {
+	const char *name;
+	const char *arguments;
+	const char *summary;
+	int min_args;
+	int max_args;
+	const char *options; /* short names of the options it accepts */
+	int (*run)(ctl_t *ctl);
+} command_t;
+
+static const command_t commands[] = {
+	{"check", "FILE", "validate a document without a controller", 1, 1, "",
+	 ctl_check},
+	{"diff", "[OLD] NEW",
+	 "compare with the document in force, or two files", 1, 2, "s",
+	 ctl_diff},
+	{"apply", "FILE", "put a document in force", 1, 1, "sgw", ctl_apply},
+	{"status", "", "instances and the generation in force", 0, 0, "sH",
+	 ctl_status},
+	{"drain", "INSTANCE", "let an instance finish its work and leave", 1, 1,
+	 "sw", ctl_drain},
+	{"timeline", "", "merged time line of all instances", 0, 0, "sHgft",
+	 ctl_timeline},
+	{"counters", "", "counters of the controllers", 0, 0, "sHa",
+	 ctl_counters},
+	{"entry", "", "ask for an entry address", 0, 0, "sHz", ctl_entry},
+};
+
+static void print_commands(FILE *out)
+{
+	fprintf(out, "usage: bshctl COMMAND [OPTION...] [ARGUMENT...]\n\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		fprintf(out, "  %-9s %-10s %s\n", commands[i].name,
+			commands[i].arguments, commands[i].summary);
+	fprintf(out, "\nbshctl COMMAND --help lists the command's options.\n");
+}
+
+static ctl_status_t usage(void)
+{
+	print_commands(stderr);
+	return CTL_USAGE;
+}
+
+const char *ctl_text(const json_t *object, const char *key,
+		     const char *fallback)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text != NULL ? text : fallback;
+}
+
+void ctl_print_json(json_t *value)
+{
+	char *text = json_dumps(value, JSON_INDENT(2));
+
+	if (text != NULL)
+		puts(text);
+	free(text);
+	json_decref(value);
+}
+
+void ctl_print_field(const char *text, bool last)
+{
+	for (; *text != '\0'; text++) {
+		/* Control characters of an answer must not reach the
+		 * operator's terminal. */
+		unsigned char c = (unsigned char)*text;
+
+		putchar(c < ' ' || c == 0x7f ? ' ' : c);
+	}
+	putchar(last ? '\n' : '\t');
+}
+
+ctl_status_t ctl_connect(ctl_t *ctl)
+{
+	const char *environment = getenv("BERYLSHUNT_SERVER");
+	g_autofree char *list = NULL;
+	bsh_error_t err;
+
+	if (ctl->options.servers != NULL)
+		list = g_strjoinv(",", ctl->options.servers);
+	else
+		list = g_strdup(environment != NULL ? environment : "");
+	err = bsh_control_client_init(&ctl->client, list,
+				      ctl->options.timeout_ms);
+	if (err != BSH_OK) {
+		warnx("%s; use -s IP:port or BERYLSHUNT_SERVER",
+		      ctl->client.failure);
+		return CTL_USAGE;
+	}
+	ctl->connected = true;
+	return CTL_OK;
+}
+
+ctl_status_t ctl_request(ctl_t *ctl, const char *method, const char *path,
+			 const char *body, bsh_control_answer_t *answer)
+{
+	bsh_error_t err = bsh_control_request(&ctl->client, method, path, body,
+					      -1, answer);
+
+	if (err == BSH_OK)
+		return CTL_OK;
+	warnx("no controller answered: %s (%s)", ctl->client.failure,
+	      bsh_error_name(err));
+	return CTL_UNREACHABLE;
+}
+
+ctl_status_t ctl_unexpected(const bsh_control_answer_t *answer,
+			    const char *what)
+{
+	const char *title = ctl_text(answer->json, "title", "");
+	const char *detail = ctl_text(answer->json, "detail", "");
+
+	if (answer->status == 200)
+		warnx("%s: %s: the answer is malformed", answer->address, what);
+	else
+		warnx("%s: %s: status %ld%s%s%s%s", answer->address, what,
+		      answer->status, title[0] != '\0' ? ": " : "", title,
+		      detail[0] != '\0' ? " " : "", detail);
+	return CTL_REFUSED;
+}
+
+ctl_status_t ctl_get_json(ctl_t *ctl, const char *path,
+			  bsh_control_answer_t *answer)
+{
+	ctl_status_t status = ctl_request(ctl, "GET", path, NULL, answer);
+
+	if (status != CTL_OK)
+		return status;
+	if (answer->status == 200 && json_is_object(answer->json))
+		return CTL_OK;
+	status = ctl_unexpected(answer, path);
+	bsh_control_answer_finish(answer);
+	return status;
+}
+
+static void add_entry(GArray *entries, const char *accepted, char group,
+		      const GOptionEntry *entry)
+{
+	if (group == '\0' || strchr(accepted, group) != NULL)
+		g_array_append_val(entries, *entry);
+}
+
+static GArray *make_entries(ctl_options_t *o, const char *accepted)
+{
+	GArray *entries = g_array_new(TRUE, TRUE, sizeof(GOptionEntry));
+	const struct {
+		char group;
+		GOptionEntry entry;
+	} all[] = {
+		{'\0',
+		 {"help", 'h', 0, G_OPTION_ARG_NONE, &o->help,
+		  "Show the options of this command", NULL}},
+		{'\0',
+		 {"json", 'j', 0, G_OPTION_ARG_NONE, &o->json, "Print JSON",
+		  NULL}},
+		{'s',
+		 {"server", 's', 0, G_OPTION_ARG_STRING_ARRAY, &o->servers,
+		  "Controller; may be repeated", "IP:PORT"}},
+		{'s',
+		 {"timeout-ms", 0, 0, G_OPTION_ARG_INT, &o->timeout_ms,
+		  "Wait for one controller (5000)", "MS"}},
+		{'H',
+		 {"no-header", 'H', 0, G_OPTION_ARG_NONE, &o->no_header,
+		  "Omit the line of column names", NULL}},
+		{'g',
+		 {"generation", 'g', 0, G_OPTION_ARG_INT64, &o->generation,
+		  "Only on or of this generation", "N"}},
+		{'w',
+		 {"wait", 'w', 0, G_OPTION_ARG_INT, &o->wait_s,
+		  "Wait until it is done everywhere", "SECONDS"}},
+		{'f',
+		 {"file", 'f', 0, G_OPTION_ARG_FILENAME_ARRAY, &o->files,
+		  "Read events from a file; may be repeated", "FILE"}},
+		{'f',
+		 {"store", 0, 0, G_OPTION_ARG_STRING, &o->store,
+		  "Also read the events flushed to the store", "IP:PORT"}},
+		{'t',
+		 {"request", 'r', 0, G_OPTION_ARG_STRING, &o->request,
+		  "Only events of this request", "ID"}},
+		{'t',
+		 {"model", 'm', 0, G_OPTION_ARG_STRING, &o->model,
+		  "Only events of this model", "NAME"}},
+		{'t',
+		 {"key", 'k', 0, G_OPTION_ARG_STRING, &o->key,
+		  "Only events of this idempotency key", "KEY"}},
+		{'t',
+		 {"since-us", 0, 0, G_OPTION_ARG_INT64, &o->since_us,
+		  "Only events at or after this time", "US"}},
+		{'t',
+		 {"until-us", 0, 0, G_OPTION_ARG_INT64, &o->until_us,
+		  "Only events before this time", "US"}},
+		{'t',
+		 {"verdict", 0, 0, G_OPTION_ARG_NONE, &o->verdict,
+		  "Say whether it was run, by whom, under which document",
+		  NULL}},
+		{'z',
+		 {"zone", 'z', 0, G_OPTION_ARG_STRING, &o->zone,
+		  "Prefer this availability zone", "NAME"}},
+		{'a',
+		 {"all", 'a', 0, G_OPTION_ARG_NONE, &o->all,
+		  "Ask every live instance", NULL}},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
+		add_entry(entries, accepted, all[i].group, &all[i].entry);
+	return entries;
+}
+
+static ctl_status_t check_options(const command_t *command, ctl_t *ctl)
+{
+	const ctl_options_t *o = &ctl->options;
+
+	if (ctl->argc < command->min_args || ctl->argc > command->max_args) {
+		fprintf(stderr, "usage: bshctl %s [OPTION...] %s\n",
+			command->name, command->arguments);
+		return CTL_USAGE;
+	}
+	if (o->timeout_ms < 1 || o->timeout_ms > TIMEOUT_MAX_MS) {
+		warnx("--timeout-ms must be 1 to %d", TIMEOUT_MAX_MS);
+		return CTL_USAGE;
+	}
+	if (o->generation < -1 || o->wait_s < 0) {
+		warnx("--generation and --wait must not be negative");
+		return CTL_USAGE;
+	}
+	return CTL_OK;
+}
+
+/* GLib writes an ellipsis that not every locale can show. */
+static void print_help(GOptionContext *context)
+{
+	g_autofree char *text = g_option_context_get_help(context, TRUE, NULL);
+	char **parts = g_strsplit(text, "\xe2\x80\xa6", -1);
+	g_autofree char *plain = g_strjoinv("...", parts);
+
+	fputs(plain, stdout);
+	g_strfreev(parts);
+}
+
+static int run_command(const command_t *command, ctl_t *ctl, int argc,
+		       char **argv)
+{
+	g_autofree char *name = g_strdup_printf("bshctl %s", command->name);
+	g_autofree char *text = g_strdup_printf("%s - %s", command->arguments,
+						command->summary);
+	GOptionContext *context = g_option_context_new(text);
+	GArray *entries = make_entries(&ctl->options, command->options);
+	GError *error = NULL;
+	int status = CTL_USAGE;
+
+	g_set_prgname(name);
+	g_option_context_set_help_enabled(context, FALSE);
+	g_option_context_add_main_entries(
+		context, (GOptionEntry *)(void *)entries->data, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		warnx("%s: %s", command->name, error->message);
+		goto out;
+	}
+	if (ctl->options.help) {
+		print_help(context);
+		status = CTL_OK;
+		goto out;
+	}
+	/* A file name that begins with a dash follows "--". */
+	if (argc > 1 && strcmp(argv[1], "--") == 0) {
+		argc--;
+		argv++;
+	}
+	ctl->argc = argc - 1;
+	ctl->argv = argv + 1;
+	status = check_options(command, ctl);
+	if (status == CTL_OK)
+		status = command->run(ctl);
+out:
+	g_clear_error(&error);
+	g_array_free(entries, TRUE);
+	g_option_context_free(context);
+	return status;
+}
+
+static void finish_options(ctl_options_t *o)
+{
+	g_strfreev(o->servers);
+	g_strfreev(o->files);
+	g_free(o->store);
+	g_free(o->request);
+	g_free(o->model);
+	g_free(o->key);
+	g_free(o->zone);
+}
+
+int main(int argc, char **argv)
+{
+	ctl_t ctl = {.options = {.timeout_ms = TIMEOUT_DEFAULT_MS,
+				 .generation = -1}};
+	const command_t *command = NULL;
+	int status;
+
+	if (argc < 2)
+		return usage();
+	if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-h") == 0) {
+		print_commands(stdout);
+		return CTL_OK;
+	}
+	if (strcmp(argv[1], "--version") == 0) {
+		puts("bshctl " VERSION);
+		return CTL_OK;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(argv[1], commands[i].name) == 0)
+			command = &commands[i];
+	}
+	if (command == NULL) {
+		warnx("unknown command '%s'", argv[1]);
+		return usage();
+	}
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	status = run_command(command, &ctl, argc - 1, argv + 1);
+	if (ctl.connected)
+		bsh_control_client_finish(&ctl.client);
+	finish_options(&ctl.options);
+	curl_global_cleanup();
+	if (fflush(stdout) != 0 && status == CTL_OK) {
+		warn("standard output");
+		status = CTL_USAGE;
+	}
+	return status;
+}
--- /dev/null
+++ b/bshctl/instance.c
@@ -0,0 +1,334 @@
+/* Commands on instances: status, drain, counters, entry. */
+#include "bshctl.h"
+
+#include <err.h>
+#include <stdio.h>
+#include <string.h>
+
+#define POLL_INTERVAL_US (200 * 1000)
+#define HTTP_OK		 200
+#define HTTP_ACCEPTED	 202
+
+static void print_number(const json_t *object, const char *key, bool last)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (json_is_integer(value))
+		printf("%" JSON_INTEGER_FORMAT "%c", json_integer_value(value),
+		       last ? '\n' : '\t');
+	else
+		ctl_print_field("-", last);
+}
+
+static void print_status(const ctl_t *ctl, const json_t *json)
+{
+	const json_t *members = json_object_get(json, "members");
+	size_t index;
+	json_t *member;
+
+	if (!ctl->options.no_header)
+		puts("INSTANCE\tZONE\tSTATE\tGENERATION\tIN-FORCE\tINCARNATION"
+		     "\tCONTROL");
+	json_array_foreach((json_t *)members, index, member)
+	{
+		ctl_print_field(ctl_text(member, "name", "-"), false);
+		ctl_print_field(ctl_text(member, "zone", "-"), false);
+		ctl_print_field(ctl_text(member, "state", "-"), false);
+		print_number(member, "generation", false);
+		print_number(json, "in_force", false);
+		print_number(member, "incarnation", false);
+		ctl_print_field(ctl_text(member, "control", "-"), true);
+	}
+}
+
+static ctl_status_t get_status(ctl_t *ctl, bsh_control_answer_t *answer)
+{
+	ctl_status_t status = ctl_get_json(ctl, "/v1/status", answer);
+
+	if (status != CTL_OK)
+		return status;
+	if (json_is_array(json_object_get(answer->json, "members")) &&
+	    json_is_integer(json_object_get(answer->json, "generation")))
+		return CTL_OK;
+	status = ctl_unexpected(answer, "/v1/status");
+	bsh_control_answer_finish(answer);
+	return status;
+}
+
+int ctl_status(ctl_t *ctl)
+{
+	bsh_control_answer_t answer;
+	ctl_status_t status = ctl_connect(ctl);
+
+	if (status == CTL_OK)
+		status = get_status(ctl, &answer);
+	if (status != CTL_OK)
+		return status;
+	if (ctl->options.json)
+		ctl_print_json(json_incref(answer.json));
+	else
+		print_status(ctl, answer.json);
+	bsh_control_answer_finish(&answer);
+	return CTL_OK;
+}
+
+static json_t *find_member(const json_t *status, const char *name)
+{
+	size_t index;
+	json_t *member;
+
+	json_array_foreach(json_object_get(status, "members"), index, member)
+	{
+		if (strcmp(ctl_text(member, "name", ""), name) == 0)
+			return member;
+	}
+	return NULL;
+}
+
+static bool has_left(const json_t *status, const char *name)
+{
+	const json_t *member = find_member(status, name);
+
+	return member == NULL ||
+	       strcmp(ctl_text(member, "state", ""), "live") != 0;
+}
+
+static ctl_status_t wait_left(ctl_t *ctl, const char *name)
+{
+	int64_t end_us = g_get_monotonic_time() +
+			 (int64_t)ctl->options.wait_s * G_USEC_PER_SEC;
+	bsh_control_answer_t answer;
+	ctl_status_t status;
+
+	do {
+		bool left;
+
+		status = get_status(ctl, &answer);
+		if (status != CTL_OK)
+			return status;
+		left = has_left(answer.json, name);
+		bsh_control_answer_finish(&answer);
+		if (left)
+			return CTL_OK;
+		g_usleep(POLL_INTERVAL_US);
+	} while (g_get_monotonic_time() < end_us);
+	warnx("%s is still live after %d s", name, ctl->options.wait_s);
+	return CTL_NOT_YET;
+}
+
+/* The order goes to the instance itself, because the others cannot drain it;
+ * any controller can say where it is. */
+static ctl_status_t order_drain(ctl_t *ctl, const char *name,
+				const char *address)
+{
+	json_t *json = json_pack("{s:s}", "instance", name);
+	char *body = json_dumps(json, JSON_COMPACT);
+	bsh_control_client_t client;
+	bsh_control_answer_t answer;
+	ctl_status_t status = CTL_OK;
+
+	json_decref(json);
+	if (bsh_control_client_init(&client, address,
+				    ctl->options.timeout_ms) != BSH_OK) {
+		warnx("%s: the status holds no usable address: %s", name,
+		      client.failure);
+		free(body);
+		return CTL_REFUSED;
+	}
+	if (bsh_control_request(&client, "POST", "/v1/drain", body, -1,
+				&answer) != BSH_OK) {
+		warnx("%s does not answer: %s", name, client.failure);
+		status = CTL_UNREACHABLE;
+	} else {
+		if (answer.status != HTTP_OK && answer.status != HTTP_ACCEPTED)
+			status = ctl_unexpected(&answer, "/v1/drain");
+		bsh_control_answer_finish(&answer);
+	}
+	bsh_control_client_finish(&client);
+	free(body);
+	return status;
+}
+
+int ctl_drain(ctl_t *ctl)
+{
+	const char *name = ctl->argv[0];
+	bsh_control_answer_t answer;
+	const json_t *member;
+	ctl_status_t status = ctl_connect(ctl);
+
+	if (status == CTL_OK)
+		status = get_status(ctl, &answer);
+	if (status != CTL_OK)
+		return status;
+	member = find_member(answer.json, name);
+	if (member == NULL) {
+		warnx("%s: no such instance in the status of %s", name,
+		      answer.address);
+		status = CTL_REFUSED;
+	} else {
+		status =
+			order_drain(ctl, name, ctl_text(member, "control", ""));
+	}
+	bsh_control_answer_finish(&answer);
+	if (status == CTL_OK && ctl->options.wait_s > 0)
+		status = wait_left(ctl, name);
+	if (status != CTL_OK)
+		return status;
+	if (ctl->options.json)
+		ctl_print_json(json_pack("{s:s, s:s}", "result", "draining",
+					 "instance", name));
+	else
+		printf("draining\t%s\n", name);
+	return CTL_OK;
+}
+
+typedef struct {
+	bool json;
+	json_t *list;
+} counter_output_t;
+
+static void add_counter(const counter_output_t *out, const char *address,
+			const char *name, const char *value)
+{
+	if (out->json) {
+		json_array_append_new(out->list,
+				      json_pack("{s:s, s:s, s:s}", "instance",
+						address, "counter", name,
+						"value", value));
+		return;
+	}
+	ctl_print_field(address, false);
+	ctl_print_field(name, false);
+	ctl_print_field(value, true);
+}
+
+/* Prometheus text: "NAME{LABELS} VALUE", where labels may hold blanks. */
+static ctl_status_t read_counters(const counter_output_t *out,
+				  const bsh_control_answer_t *answer)
+{
+	char **lines = g_strsplit(answer->body->str, "\n", -1);
+	ctl_status_t status = CTL_OK;
+
+	for (int i = 0; lines[i] != NULL; i++) {
+		char *space = strrchr(lines[i], ' ');
+
+		if (lines[i][0] == '#' || lines[i][0] == '\0')
+			continue;
+		if (space == NULL || space == lines[i]) {
+			status = CTL_REFUSED;
+			break;
+		}
+		*space = '\0';
+		add_counter(out, answer->address, lines[i], space + 1);
+	}
+	g_strfreev(lines);
+	if (answer->status != HTTP_OK || status != CTL_OK)
+		return ctl_unexpected(answer, "/metrics");
+	return CTL_OK;
+}
+
+static ctl_status_t counters_of(const ctl_t *ctl, const counter_output_t *out,
+				const char *address)
+{
+	bsh_control_client_t client;
+	bsh_control_answer_t answer;
+	ctl_status_t status = CTL_UNREACHABLE;
+
+	if (bsh_control_client_init(&client, address,
+				    ctl->options.timeout_ms) != BSH_OK) {
+		warnx("%s", client.failure);
+		return CTL_REFUSED;
+	}
+	if (bsh_control_request(&client, "GET", "/metrics", NULL, -1,
+				&answer) == BSH_OK) {
+		status = read_counters(out, &answer);
+		bsh_control_answer_finish(&answer);
+	} else {
+		warnx("no answer: %s", client.failure);
+	}
+	bsh_control_client_finish(&client);
+	return status;
+}
+
+static ctl_status_t counters_of_all(ctl_t *ctl, const counter_output_t *out)
+{
+	bsh_control_answer_t answer;
+	ctl_status_t worst = get_status(ctl, &answer);
+	size_t index;
+	json_t *member;
+
+	if (worst != CTL_OK)
+		return worst;
+	json_array_foreach(json_object_get(answer.json, "members"), index,
+			   member)
+	{
+		ctl_status_t status;
+
+		if (strcmp(ctl_text(member, "state", ""), "gone") == 0)
+			continue;
+		status = counters_of(ctl, out, ctl_text(member, "control", ""));
+		if (status != CTL_OK)
+			worst = status;
+	}
+	bsh_control_answer_finish(&answer);
+	return worst;
+}
+
+int ctl_counters(ctl_t *ctl)
+{
+	counter_output_t out = {.json = ctl->options.json};
+	bsh_control_answer_t answer;
+	ctl_status_t status = ctl_connect(ctl);
+
+	if (status != CTL_OK)
+		return status;
+	out.list = json_array();
+	if (!out.json && !ctl->options.no_header)
+		puts("INSTANCE\tCOUNTER\tVALUE");
+	if (ctl->options.all) {
+		status = counters_of_all(ctl, &out);
+	} else {
+		status = ctl_request(ctl, "GET", "/metrics", NULL, &answer);
+		if (status == CTL_OK) {
+			status = read_counters(&out, &answer);
+			bsh_control_answer_finish(&answer);
+		}
+	}
+	if (out.json)
+		ctl_print_json(out.list);
+	else
+		json_decref(out.list);
+	return status;
+}
+
+int ctl_entry(ctl_t *ctl)
+{
+	bsh_control_answer_t answer;
+	g_autofree char *path = g_strdup("/v1/entry");
+	ctl_status_t status = ctl_connect(ctl);
+
+	if (ctl->options.zone != NULL) {
+		g_autofree char *zone =
+			g_uri_escape_string(ctl->options.zone, NULL, FALSE);
+
+		g_free(path);
+		path = g_strdup_printf("/v1/entry?zone=%s", zone);
+	}
+	if (status == CTL_OK)
+		status = ctl_get_json(ctl, path, &answer);
+	if (status != CTL_OK)
+		return status;
+	if (!json_is_string(json_object_get(answer.json, "address"))) {
+		status = ctl_unexpected(&answer, path);
+	} else if (ctl->options.json) {
+		ctl_print_json(json_incref(answer.json));
+	} else {
+		if (!ctl->options.no_header)
+			puts("ADDRESS\tZONE\tKEEP-S");
+		ctl_print_field(ctl_text(answer.json, "address", "-"), false);
+		ctl_print_field(ctl_text(answer.json, "zone", "-"), false);
+		print_number(answer.json, "keep_s", true);
+	}
+	bsh_control_answer_finish(&answer);
+	return status;
+}
--- /dev/null
+++ b/regress/test_bshctl.c
@@ -0,0 +1,428 @@
+/* The command line against a fake controller: exit statuses, conflicts, lost
+ * answers, malformed answers, and the merged time line. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support/fake_control.h"
+
+#define DOC_HEAD                                                               \
+	"{\"deployment\":\"fahrstart\",\"weight\":0.8,"                        \
+	"\"weight_store\":{\"loads_per_s\":6,\"concurrent\":4},"               \
+	"\"pools\":[{\"name\":\"review\",\"kind\":\"engine\","                 \
+	"\"fencing\":true,\"memory_mib\":80000}],"                             \
+	"\"models\":[{\"name\":\"contract\",\"pool\":\"review\","              \
+	"\"memory_mib\":16000,\"max_replicas\":"
+
+static const char doc_1[] = DOC_HEAD "1}]}";
+static const char doc_2[] = DOC_HEAD "2}]}";
+static const char doc_3[] = DOC_HEAD "3}]}";
+/* Two reasons: a value out of range and a missing key. */
+static const char doc_bad[] = "{\"deployment\":\"x\",\"weight\":7,"
+			      "\"weight_store\":{\"loads_per_s\":6}}";
+
+typedef struct {
+	fake_control_t fake;
+	char *directory;
+	char *out;
+	char *err;
+} fixture_t;
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	fake_control_init(&f->fake);
+	f->directory = g_dir_make_tmp("bshctl-XXXXXX", NULL);
+	g_assert_nonnull(f->directory);
+}
+
+static void clear_output(fixture_t *f)
+{
+	g_clear_pointer(&f->out, g_free);
+	g_clear_pointer(&f->err, g_free);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+	GDir *dir = g_dir_open(f->directory, 0, NULL);
+	const char *name;
+
+	(void)data;
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		g_autofree char *path =
+			g_build_filename(f->directory, name, NULL);
+
+		g_unlink(path);
+	}
+	g_dir_close(dir);
+	g_rmdir(f->directory);
+	g_free(f->directory);
+	clear_output(f);
+	fake_control_finish(&f->fake);
+}
+
+static char *save(const fixture_t *f, const char *name, const char *text)
+{
+	char *path = g_build_filename(f->directory, name, NULL);
+
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	return path;
+}
+
+/* Runs bshctl and compares the exit status. */
+static void run(fixture_t *f, int expected, const char *const *arguments)
+{
+	int status;
+
+	clear_output(f);
+	status = run_program(&f->out, &f->err, "bshctl", arguments);
+	if (status != expected)
+		g_test_message("%s: %s%s", arguments[0], f->out, f->err);
+	g_assert_cmpint(status, ==, expected);
+}
+
+#define RUN(f, expected, ...)                                                  \
+	run(f, expected, (const char *const[]){__VA_ARGS__, NULL})
+
+#define CONTAINS(text, part) g_assert_nonnull(strstr((text), (part)))
+
+/* Guards against a check that needs a controller or stops at one reason. */
+static void test_check(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *good = save(f, "good", doc_1);
+	g_autofree char *bad = save(f, "bad", doc_bad);
+	g_autofree char *text = save(f, "text", "{\"deployment\":");
+	g_autofree char *blanks = g_strnfill(1000001, ' ');
+	g_autofree char *large = save(f, "large", blanks);
+
+	(void)data;
+	RUN(f, 0, "check", good);
+	CONTAINS(f->out, "valid\t");
+	RUN(f, 3, "check", bad);
+	CONTAINS(f->out, "weight\t7\ta number from 0 to 1\n");
+	CONTAINS(f->out, "weight_store.concurrent\t\t");
+	RUN(f, 3, "check", "--json", bad);
+	CONTAINS(f->out, "\"allowed\": \"a number from 0 to 1\"");
+	RUN(f, 3, "check", text);
+	CONTAINS(f->out, "line 1");
+	RUN(f, 3, "check", large);
+	CONTAINS(f->out, "at most 1000000 bytes");
+	RUN(f, 2, "check", "/nonexistent/document.json");
+	RUN(f, 2, "check");
+	RUN(f, 2, "check", "--generation", "1", good);
+	RUN(f, 2, "no-such-command");
+	RUN(f, 2, "status", "-s", "localhost");
+	RUN(f, 0, "--version");
+	RUN(f, 0, "apply", "--help");
+	g_assert_cmpstr(f->err, ==, "");
+}
+
+static void test_diff(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *one = save(f, "1", doc_1);
+	g_autofree char *two = save(f, "2", doc_2);
+
+	(void)data;
+	RUN(f, 1, "diff", one, two);
+	g_assert_cmpstr(f->out, ==, "~ models/contract.max_replicas: 1 -> 2\n");
+	RUN(f, 0, "diff", one, one);
+	fake_control_accept(&f->fake, doc_1);
+	RUN(f, 1, "diff", "-s", f->fake.address, two);
+	CONTAINS(f->out, "1 -> 2");
+	RUN(f, 0, "diff", "-s", f->fake.address, one);
+	RUN(f, 1, "diff", "--json", "-s", f->fake.address, two);
+	CONTAINS(f->out, "\"generation\": 1");
+}
+
+/* Guards against a second apply that raises the generation, and against one
+ * that ignores the generation it was edited from. */
+static void test_apply(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *one = save(f, "1", doc_1);
+	g_autofree char *two = save(f, "2", doc_2);
+
+	(void)data;
+	RUN(f, 0, "apply", "-s", f->fake.address, one);
+	g_assert_cmpstr(f->out, ==, "accepted\tgeneration 1\n");
+	RUN(f, 0, "apply", "-s", f->fake.address, one);
+	g_assert_cmpstr(f->out, ==, "unchanged\tgeneration 1\n");
+	g_assert_cmpuint(f->fake.puts, ==, 1);
+	RUN(f, 0, "apply", "-s", f->fake.address, "-g", "1", two);
+	RUN(f, 0, "apply", "-s", f->fake.address, "-g", "1", two);
+	CONTAINS(f->out, "unchanged\tgeneration 2");
+	RUN(f, 4, "apply", "-s", f->fake.address, "-g", "1", one);
+	CONTAINS(f->err, "generation 2");
+	CONTAINS(f->out, "2 -> 1");
+	g_assert_cmpuint(f->fake.puts, ==, 2);
+	g_assert_cmpint(f->fake.generation, ==, 2);
+}
+
+/* Guards against a silent merge when two operators race. */
+static void test_conflict(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *two = save(f, "2", doc_2);
+
+	(void)data;
+	fake_control_accept(&f->fake, doc_1);
+	f->fake.racing = g_strdup(doc_3);
+	RUN(f, 4, "apply", "-s", f->fake.address, two);
+	CONTAINS(f->out, "other operator\n~ models/contract.max_replicas: "
+			 "1 -> 3\n");
+	CONTAINS(f->out, "generation 2\n~ models/contract.max_replicas: "
+			 "3 -> 2\n");
+	g_assert_cmpstr(f->fake.document, ==, doc_3);
+	f->fake.racing = g_strdup(doc_1);
+	RUN(f, 4, "apply", "--json", "-s", f->fake.address, two);
+	CONTAINS(f->out, "\"result\": \"conflict\"");
+}
+
+/* Guards against reporting a failure, or applying twice, when the answer to
+ * an accepted change is lost. */
+static void test_lost_answer(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *two = save(f, "2", doc_2);
+
+	(void)data;
+	fake_control_accept(&f->fake, doc_1);
+	f->fake.lose_put_answer = true;
+	RUN(f, 0, "apply", "-s", f->fake.address, "-s", f->fake.address, two);
+	CONTAINS(f->out, "accepted\tgeneration 2");
+	g_assert_cmpint(f->fake.generation, ==, 2);
+	g_assert_cmpuint(f->fake.puts, ==, 2);
+	fake_control_accept(&f->fake, doc_1);
+	f->fake.lose_put_answer = true;
+	RUN(f, 5, "apply", "-s", f->fake.address, two);
+	CONTAINS(f->err, "may have been accepted");
+	RUN(f, 0, "apply", "-s", f->fake.address, two);
+	CONTAINS(f->out, "unchanged\tgeneration 4");
+}
+
+static void test_in_force(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *one = save(f, "1", doc_1);
+
+	(void)data;
+	RUN(f, 0, "apply", "-w", "60", "-s", f->fake.address, one);
+	g_assert_cmpstr(f->out, ==,
+			"accepted\tgeneration 1\nin force\tgeneration 1\n");
+	f->fake.generation = 1000;
+	RUN(f, 6, "apply", "-w", "1", "-s", f->fake.address, one);
+	CONTAINS(f->err, "not in force after 1 s");
+}
+
+/* Guards against a rejection that shows only the first reason. */
+static void test_rejection(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *one = save(f, "1", doc_1);
+	g_autofree char *bad = save(f, "bad", doc_bad);
+
+	(void)data;
+	RUN(f, 3, "apply", "-s", f->fake.address, bad);
+	g_assert_cmpuint(f->fake.puts, ==, 0);
+	fake_control_accept(&f->fake, doc_2);
+	f->fake.canned_path = "/v1/config";
+	f->fake.canned_method = "PUT";
+	f->fake.canned_status = 422;
+	f->fake.canned_body =
+		"{\"problems\":[{\"path\":\"a\",\"value\":\"1\\t\\u001b\","
+		"\"allowed\":\"b\"},{\"path\":\"c\",\"value\":\"2\","
+		"\"allowed\":\"d\"}]}";
+	RUN(f, 3, "apply", "-s", f->fake.address, one);
+	g_assert_cmpstr(f->out, ==, "a\t1  \tb\nc\t2\td\n");
+	f->fake.canned_body = "{\"problems\":7}";
+	RUN(f, 7, "apply", "-s", f->fake.address, one);
+	f->fake.canned_status = 200;
+	f->fake.canned_body = "{\"generation\":\"3\"}";
+	RUN(f, 7, "apply", "-s", f->fake.address, one);
+}
+
+static void test_malformed(fixture_t *f, gconstpointer data)
+{
+	static const char *const bodies[] = {
+		"",
+		"[]",
+		"not json",
+		"{\"generation\":\"1\",\"document\":{}}",
+		"{\"generation\":-1,\"document\":{}}",
+		"{\"generation\":1}",
+		"{\"generation\":1,\"document\":{\"weight\":2}}",
+		"{\"generation\":1,\"in_force\":1,\"members\":{}}",
+	};
+	g_autofree char *one = save(f, "1", doc_1);
+	char *server = f->fake.address;
+
+	(void)data;
+	f->fake.canned_path = "/v1/";
+	f->fake.canned_status = 200;
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		f->fake.canned_body = bodies[i];
+		RUN(f, 7, "apply", "-s", server, one);
+		RUN(f, 7, "diff", "-s", server, one);
+		RUN(f, 7, "status", "-s", server);
+		RUN(f, 7, "entry", "-s", server);
+		RUN(f, 7, "drain", "-s", server, "entry-1");
+		CONTAINS(f->err, "malformed");
+	}
+	f->fake.canned_status = 503;
+	RUN(f, 7, "apply", "-s", server, one);
+	CONTAINS(f->err, "status 503");
+	f->fake.canned_path = "/metrics";
+	f->fake.canned_status = 200;
+	f->fake.canned_body = "bsh_requests_total\n";
+	RUN(f, 7, "counters", "-s", server);
+}
+
+/* Guards against a command that fails because its first controller is down. */
+static void test_next_controller(fixture_t *f, gconstpointer data)
+{
+	fake_control_t gone;
+
+	(void)data;
+	fake_control_init(&gone);
+	fake_control_finish(&gone);
+	fake_control_accept(&f->fake, doc_1);
+	RUN(f, 0, "status", "-s", gone.address, "-s", f->fake.address);
+	CONTAINS(f->out, "entry-1\ta\tlive\t1\t0\t3\t127.0.0.1:");
+	RUN(f, 5, "status", "-s", gone.address);
+	CONTAINS(f->err, gone.address);
+	g_setenv("BERYLSHUNT_SERVER", f->fake.address, TRUE);
+	RUN(f, 0, "status", "--json");
+	CONTAINS(f->out, "\"members\"");
+	g_unsetenv("BERYLSHUNT_SERVER");
+	RUN(f, 2, "status");
+}
+
+static void test_instances(fixture_t *f, gconstpointer data)
+{
+	char *server = f->fake.address;
+
+	(void)data;
+	f->fake.metrics = "# HELP bsh_x X.\n# TYPE bsh_x counter\n"
+			  "bsh_x{kind=\"a b\"} 7\n";
+	RUN(f, 0, "counters", "-H", "--all", "-s", server);
+	g_assert_true(g_str_has_suffix(f->out, "\tbsh_x{kind=\"a b\"}\t7\n"));
+	RUN(f, 0, "entry", "-H", "-s", server, "-z", "a&b=c");
+	g_assert_cmpstr(f->out, ==, "127.0.0.9:1\ta&b=c\t30\n");
+	RUN(f, 7, "drain", "-s", server, "entry-9");
+	g_assert_cmpuint(f->fake.drains, ==, 0);
+	RUN(f, 0, "drain", "-w", "60", "-s", server, "entry-1");
+	g_assert_cmpuint(f->fake.drains, ==, 1);
+	g_assert_cmpstr(f->fake.drain_body, ==, "{\"instance\":\"entry-1\"}");
+}
+
+#define EVENT(us, logical, process, sequence, kind, details)                   \
+	"{\"hlc_us\":" us ",\"hlc_logical\":" logical                          \
+	",\"process\":\"" process                                              \
+	"\",\"incarnation\":1,\"sequence\":" sequence ",\"event\":\"" kind     \
+	"\",\"details\":" details "}"
+
+#define ADOPT EVENT("1000000", "0", "e1/r", "1", "adopt", "{\"generation\":42}")
+#define QUEUE                                                                  \
+	EVENT("3000000", "1", "e1/r", "2", "queue", "{\"request\":\"q1\"}")
+#define SEND                                                                   \
+	EVENT("3000000", "2", "e1/r", "3", "send",                             \
+	      "{\"request\":\"q1\",\"attempt\":\"a1\",\"target\":\"t7\"}")
+#define DONE                                                                   \
+	EVENT("5000000", "0", "e1/r", "4", "done",                             \
+	      "{\"attempt\":\"a1\",\"outcome\":\"answered\"}")
+#define REFUSE                                                                 \
+	EVENT("6000000", "0", "e1/r", "5", "refuse",                           \
+	      "{\"request\":\"q2\",\"outcome\":\"not-run\"}")
+#define OPEN                                                                   \
+	EVENT("7000000", "0", "e1/r", "6", "send",                             \
+	      "{\"request\":\"q3\",\"attempt\":\"a3\",\"target\":\"t8\"}")
+#define LOAD                                                                   \
+	EVENT("2000000", "0", "e2/c", "1", "load", "{\"model\":\"contract\"}")
+
+/* Guards against an order by arrival, double events and unreported gaps. */
+static void test_timeline(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *events =
+		save(f, "events",
+		     OPEN "\n" SEND "\n" ADOPT "\n" LOAD "\n" QUEUE "\n" DONE
+			  "\n" REFUSE "\n");
+	const char *order[] = {"adopt", "load", "queue",
+			       "send",	"done", "refuse"};
+	char *server = f->fake.address;
+	const char *at;
+
+	(void)data;
+	RUN(f, 0, "timeline", "-H", "-f", events);
+	at = f->out;
+	for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
+		at = strstr(at, order[i]);
+		g_assert_nonnull(at);
+	}
+	RUN(f, 0, "timeline", "-H", "-f", events, "-m", "contract");
+	g_assert_cmpstr(f->out, ==,
+			"1970-01-01T00:00:02.000000Z\t0\te2/c\tload\t"
+			"{\"model\":\"contract\"}\n");
+	RUN(f, 1, "timeline", "-H", "-f", events, "-g", "43");
+	f->fake.store_items = "[{\"name\":\"e1-1\",\"version\":1,\"value\":"
+			      "{\"events\":[" ADOPT "," QUEUE "]}}]";
+	f->fake.timeline = QUEUE "\n" SEND "\n" DONE "\n";
+	RUN(f, 0, "timeline", "-j", "-s", server, "--store", server);
+	g_assert_cmpuint(strlen(f->out), ==, strlen(ADOPT QUEUE SEND DONE) + 4);
+	f->fake.timeline = DONE "\n";
+	RUN(f, 5, "timeline", "-s", server, "--store", server);
+	CONTAINS(f->err, "1 events are missing");
+	f->fake.timeline = DONE "\n{\"event\":1}\n";
+	RUN(f, 7, "timeline", "-s", server);
+	CONTAINS(f->err, "1 malformed");
+	CONTAINS(f->out, "done");
+	f->fake.timeline = DONE "\n";
+	f->fake.more_members = ",{\"name\":\"e3\",\"state\":\"live\","
+			       "\"control\":\"127.0.0.1:1\"}";
+	RUN(f, 5, "timeline", "-s", server);
+	CONTAINS(f->err, "1 source could not be read");
+}
+
+/* Guards against a verdict that claims more than the events show. */
+static void test_verdict(fixture_t *f, gconstpointer data)
+{
+	g_autofree char *events = save(f, "events",
+				       ADOPT "\n" QUEUE "\n" SEND "\n" DONE
+					     "\n" REFUSE "\n" OPEN "\n");
+	g_autofree char *tail = save(f, "tail", DONE "\n" REFUSE "\n");
+
+	(void)data;
+	RUN(f, 0, "timeline", "-f", events, "-r", "q1", "--verdict");
+	CONTAINS(f->out, "verdict\tanswered\n");
+	CONTAINS(f->out, "targets\tt7\n");
+	CONTAINS(f->out, "generations\t42\n");
+	CONTAINS(f->out, "complete\tyes\n");
+	RUN(f, 0, "timeline", "-f", events, "-r", "q2", "--verdict");
+	CONTAINS(f->out, "verdict\tnot-run\n");
+	CONTAINS(f->out, "targets\t\n");
+	RUN(f, 0, "timeline", "-f", events, "-r", "q3", "--verdict");
+	CONTAINS(f->out, "verdict\tunknown\n");
+	RUN(f, 1, "timeline", "-f", events, "-r", "q4", "--verdict");
+	CONTAINS(f->out, "verdict\tno-record\n");
+	RUN(f, 0, "timeline", "-f", tail, "-r", "q2", "--verdict");
+	CONTAINS(f->out, "complete\tno\n");
+	RUN(f, 2, "timeline", "-f", events, "--verdict");
+}
+
+#define ADD(path, function)                                                    \
+	g_test_add(path, fixture_t, NULL, set_up, function, tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/bshctl/check", test_check);
+	ADD("/bshctl/diff", test_diff);
+	ADD("/bshctl/apply", test_apply);
+	ADD("/bshctl/conflict", test_conflict);
+	ADD("/bshctl/lost-answer", test_lost_answer);
+	ADD("/bshctl/in-force", test_in_force);
+	ADD("/bshctl/rejection", test_rejection);
+	ADD("/bshctl/malformed", test_malformed);
+	ADD("/bshctl/next-controller", test_next_controller);
+	ADD("/bshctl/instances", test_instances);
+	ADD("/bshctl/timeline", test_timeline);
+	ADD("/bshctl/verdict", test_verdict);
+	return g_test_run();
+}
