--- /dev/null
+++ b/bshrouterd/forward.c
@@ -0,0 +1,382 @@
+#include <string.h>
+
+#include "coordination/journal.h"
+#include "traffic.h"
+
+static int64_t now_us(const traffic_request_t *r)
+{
+	return bsh_loop_now_us(r->traffic->loop);
+}
+
+/* The answer to the caller. */
+
+static void add_headers(traffic_request_t *r, bool whole)
+{
+	for (guint i = 0; i + 1 < r->answer_headers->len; i += 2)
+		bsh_http_answer_header(
+			r->http, g_ptr_array_index(r->answer_headers, i),
+			g_ptr_array_index(r->answer_headers, i + 1));
+	if (r->content_type[0] != '\0')
+		bsh_http_answer_header(r->http, "Content-Type",
+				       r->content_type);
+	bsh_http_answer_header(r->http, "X-Request-Id", r->id_text);
+	/* The outcome of an answer that is still arriving is not known. */
+	if (whole)
+		bsh_http_answer_header(r->http, "Berylshunt-Outcome",
+				       bsh_outcome_name(BSH_OUTCOME_ANSWERED));
+}
+
+static void begin_answer(traffic_request_t *r)
+{
+	if (r->answering)
+		return;
+	r->answering = true;
+	add_headers(r, false);
+	bsh_http_answer_begin(r->http, r->status, r->length);
+}
+
+static void write_answer(traffic_request_t *r, const char *data, size_t size)
+{
+	if (size == 0 || r->http == NULL)
+		return;
+	if (bsh_http_answer_write(r->http, data, size) >
+		    BSH_HTTP_WRITE_HIGH_BYTES &&
+	    r->call != NULL) {
+		r->paused = true;
+		bsh_http_call_pause(r->call);
+	}
+}
+
+void traffic_resume(traffic_request_t *r)
+{
+	if (!r->paused)
+		return;
+	r->paused = false;
+	if (r->call != NULL)
+		bsh_http_call_resume(r->call);
+}
+
+/* Whole events only, so that a broken stream can end with an error event. */
+static void forward(traffic_request_t *r, const char *data, size_t size,
+		    size_t complete)
+{
+	if (r->http == NULL || r->detached) {
+		g_string_truncate(r->held, 0);
+		return;
+	}
+	begin_answer(r);
+	if (complete > 0) {
+		write_answer(r, r->held->str, r->held->len);
+		g_string_truncate(r->held, 0);
+		write_answer(r, data, complete);
+	}
+	if (complete < size)
+		g_string_append_len(r->held, data + complete,
+				    (gssize)(size - complete));
+}
+
+void traffic_release(traffic_request_t *r)
+{
+	if (r->event_stream)
+		return;
+	forward(r, "", 0, 0);
+	write_answer(r, r->held->str, r->held->len);
+	g_string_truncate(r->held, 0);
+}
+
+void traffic_set_answer(traffic_request_t *r, const router_result_t *result)
+{
+	r->status = (int)result->status;
+	g_strlcpy(r->content_type, result->content_type,
+		  sizeof(r->content_type));
+	g_string_truncate(r->held, 0);
+	g_string_append_len(r->held, (const char *)result->body,
+			    (gssize)result->body_bytes);
+}
+
+void traffic_finish_answer(traffic_request_t *r)
+{
+	if (r->http == NULL || r->detached)
+		return;
+	if (r->answering) {
+		/* A stream's rest is no whole event. */
+		if (!r->event_stream)
+			write_answer(r, r->held->str, r->held->len);
+		bsh_http_answer_end(r->http);
+		return;
+	}
+	r->answering = true;
+	add_headers(r, true);
+	bsh_http_answer(r->http, r->status, r->held->str, r->held->len);
+}
+
+void traffic_finish_error(traffic_request_t *r, bsh_error_t err,
+			  bsh_outcome_t outcome, int64_t retry_after_ms)
+{
+	g_autoptr(GString) event = NULL;
+	bsh_problem_t problem;
+
+	if (r->http == NULL || r->detached)
+		return;
+	bsh_problem_init(&problem, err);
+	problem.outcome = outcome;
+	problem.request_id = r->id_text[0] != '\0' ? r->id_text : NULL;
+	if (bsh_error_answer(err)->retry_after)
+		problem.retry_after_ms = retry_after_ms;
+	if (!r->answering) {
+		traffic_problem(r->http, &problem);
+		return;
+	}
+	if (!r->event_stream) {
+		bsh_http_answer_abort(r->http);
+		return;
+	}
+	event = g_string_new(NULL);
+	bsh_problem_event(&problem, event);
+	write_answer(r, event->str, event->len);
+	bsh_http_answer_end(r->http);
+}
+
+/* The call to the target. */
+
+static void on_sent(void *ctx)
+{
+	traffic_request_t *r = ctx;
+
+	bsh_attempt_sent(&r->traffic->attempts, &r->id, now_us(r));
+	traffic_note_sent(r);
+	traffic_touch(r->traffic);
+}
+
+static bool is_name(const char *name, size_t size, const char *expected)
+{
+	return strlen(expected) == size &&
+	       g_ascii_strncasecmp(name, expected, size) == 0;
+}
+
+static void copy_value(char *out, size_t out_size, const char *value,
+		       size_t size)
+{
+	g_strlcpy(out, value, MIN(out_size, size + 1));
+}
+
+/* True for headers that are not passed on as they are. */
+static bool take_header(traffic_request_t *r, const char *name, size_t size,
+			const char *value, size_t value_size)
+{
+	char number[24] = "";
+
+	if (is_name(name, size, "Content-Length")) {
+		copy_value(number, sizeof(number), value, value_size);
+		r->length = g_ascii_strtoll(number, NULL, 10);
+	} else if (is_name(name, size, "Transfer-Encoding")) {
+		r->chunked = true;
+	} else if (is_name(name, size, "Content-Type")) {
+		copy_value(r->content_type, sizeof(r->content_type), value,
+			   value_size);
+		r->event_stream =
+			g_ascii_strncasecmp(r->content_type,
+					    "text/event-stream", 17) == 0;
+	} else if (is_name(name, size, "X-Request-Id")) {
+		/* A cut value matches no id, which is what is wanted. */
+		copy_value(r->answer_id, sizeof(r->answer_id), value,
+			   value_size);
+	} else if (is_name(name, size, "Berylshunt-Outcome")) {
+		r->not_run =
+			value_size == 7 && strncmp(value, "not-run", 7) == 0;
+	} else {
+		return is_name(name, size, "Connection") ||
+		       is_name(name, size, "Keep-Alive") ||
+		       is_name(name, size, "Trailer") ||
+		       is_name(name, size, "Upgrade") ||
+		       is_name(name, size, "Proxy-Authenticate") ||
+		       is_name(name, size, "Date");
+	}
+	return true;
+}
+
+static void on_header(void *ctx, const char *name, size_t name_size,
+		      const char *value, size_t value_size)
+{
+	traffic_request_t *r = ctx;
+
+	if (take_header(r, name, name_size, value, value_size))
+		return;
+	g_ptr_array_add(r->answer_headers, g_strndup(name, name_size));
+	g_ptr_array_add(r->answer_headers, g_strndup(value, value_size));
+}
+
+static void on_head(void *ctx, int status)
+{
+	traffic_request_t *r = ctx;
+	bsh_answer_head_t head = {
+		.status = (uint16_t)status,
+		.request_id = r->answer_id[0] != '\0' ? r->answer_id : NULL,
+		.length = r->length,
+		.chunked = r->chunked,
+		.event_stream = r->event_stream,
+		.not_run = r->not_run,
+	};
+
+	r->status = status;
+	/* These have no body, whatever length they state. */
+	if (status == 204 || status == 304 || strcmp(r->method, "HEAD") == 0)
+		head.length = 0;
+	bsh_attempt_head(&r->traffic->attempts, &r->id, &head, now_us(r));
+	traffic_touch(r->traffic);
+}
+
+static void note_first_byte(traffic_request_t *r)
+{
+	router_traffic_t *t = r->traffic;
+
+	if (r->heard)
+		return;
+	r->heard = true;
+	bsh_admission_first_byte(&t->admission, r->key, now_us(r) - r->sent_us,
+				 now_us(r));
+}
+
+/* Bytes up to the end of the last whole event, or -1 for a malformed one. */
+static ssize_t scan_events(traffic_request_t *r, const char *data, size_t size,
+			   bool *done)
+{
+	bsh_sse_result_t result;
+
+	if (!r->event_stream)
+		return (ssize_t)size;
+	if (bsh_sse_feed(&r->sse, data, size, &result) != BSH_OK)
+		return -1;
+	bsh_counter_add(&router_counters.events, result.events);
+	*done = result.done;
+	return (ssize_t)result.complete_bytes;
+}
+
+static void keep_for_journal(traffic_request_t *r, const char *data,
+			     size_t size)
+{
+	if (r->idempotency_key == NULL)
+		return;
+	if (r->kept == NULL)
+		r->kept = g_string_new(NULL);
+	if (r->kept->len <= BSH_JOURNAL_BODY_MAX)
+		g_string_append_len(r->kept, data, (gssize)size);
+}
+
+static void on_data(void *ctx, const char *data, size_t size)
+{
+	traffic_request_t *r = ctx;
+	bsh_attempts_t *attempts = &r->traffic->attempts;
+	bool done = false;
+	ssize_t complete;
+
+	note_first_byte(r);
+	bsh_counter_add(&router_counters.body_bytes, (int64_t)size);
+	complete = scan_events(r, data, size, &done);
+	if (complete < 0) {
+		bsh_request_id_t id = r->id;
+
+		traffic_cancel_call(r);
+		bsh_attempt_failed(attempts, &id, now_us(r));
+		traffic_touch(r->traffic);
+		return;
+	}
+	switch (bsh_attempt_body(attempts, &r->id, size, done, now_us(r))) {
+	case BSH_ANSWER_DROP:
+		traffic_touch(r->traffic);
+		return;
+	case BSH_ANSWER_HOLD:
+		/* Without a caller only the journal's copy is needed. */
+		if (r->http != NULL && !r->detached)
+			g_string_append_len(r->held, data, (gssize)size);
+		break;
+	case BSH_ANSWER_FORWARD:
+		forward(r, data, size, (size_t)complete);
+		break;
+	}
+	keep_for_journal(r, data, size);
+}
+
+static void on_end(void *ctx, const bsh_http_result_t *result)
+{
+	traffic_request_t *r = ctx;
+	bsh_attempts_t *attempts = &r->traffic->attempts;
+	bsh_request_id_t id = r->id;
+
+	r->call = NULL;
+	r->paused = false;
+	if (result->err == BSH_OK)
+		bsh_attempt_end(attempts, &id, now_us(r));
+	else
+		bsh_attempt_failed(attempts, &id, now_us(r));
+	traffic_touch(r->traffic);
+}
+
+static const bsh_http_handler_t call_handler = {
+	.on_sent = on_sent,
+	.on_header = on_header,
+	.on_head = on_head,
+	.on_data = on_data,
+	.on_end = on_end,
+};
+
+static void reset_answer(traffic_request_t *r)
+{
+	r->heard = false;
+	r->paused = false;
+	r->status = 0;
+	r->length = -1;
+	r->chunked = false;
+	r->event_stream = false;
+	r->not_run = false;
+	r->answer_id[0] = '\0';
+	r->content_type[0] = '\0';
+	g_ptr_array_set_size(r->answer_headers, 0);
+	g_string_truncate(r->held, 0);
+	if (r->kept != NULL)
+		g_string_truncate(r->kept, 0);
+	bsh_sse_finish(&r->sse);
+	bsh_sse_init(&r->sse, NULL, NULL);
+}
+
+void traffic_cancel_call(traffic_request_t *r)
+{
+	if (r->call != NULL)
+		bsh_http_call_cancel(r->call);
+	r->call = NULL;
+	r->paused = false;
+	g_string_truncate(r->held, 0);
+}
+
+bsh_error_t traffic_forward(traffic_request_t *r, const char *address)
+{
+	const bsh_attempts_config_t *config = &r->traffic->attempts.config;
+	g_autofree char *url = g_strconcat("http://", address, r->path, NULL);
+	guint count = r->headers->len;
+	bsh_http_spec_t spec = {
+		.method = r->method,
+		.url = url,
+		.body = r->body_size > 0 ? r->body : NULL,
+		.body_size = r->body_size,
+		.connect_timeout_ms = (uint32_t)(config->connect_us / 1000),
+		/* The attempt module watches the silence. */
+		.idle_timeout_ms = (uint32_t)(BSH_ATTEMPT_MAX_US / 1000),
+		.fresh_connection = !r->attempt.spec.repeatable,
+		.body_is_static = true,
+	};
+	bsh_error_t err;
+
+	reset_answer(r);
+	r->id = r->attempt.id;
+	bsh_request_id_print(&r->id, r->id_text);
+	r->sent_us = now_us(r);
+	g_ptr_array_add(r->headers,
+			g_strdup_printf("X-Request-Id: %s", r->id_text));
+	g_ptr_array_add(r->headers, NULL);
+	spec.headers = (const char *const *)r->headers->pdata;
+	err = bsh_http_client_start(r->traffic->client, &spec, &call_handler, r,
+				    &r->call);
+	/* The id is that of this attempt only. */
+	g_ptr_array_set_size(r->headers, (gint)count);
+	return err;
+}
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -38,7 +38,8 @@
 	connection_t *connections;
 	uint32_t connection_count;
 	uint32_t request_count;
-	bool stopping;
+	bool closing; /* each answer closes its connection */
+	bool stopped; /* no longer listens */
 };
 
 struct bsh_http_request {
@@ -433,16 +434,9 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void bsh_http_server_stop(bsh_http_server_t *server)
+void bsh_http_server_close_idle(bsh_http_server_t *server)
 {
-	MHD_socket listener;
-
-	if (server->stopping)
-		return;
-	server->stopping = true;
-	listener = MHD_quiesce_daemon(server->daemon);
-	if (listener != MHD_INVALID_SOCKET)
-		close(listener);
+	server->closing = true;
 	/* libmicrohttpd sees the end and closes. */
 	for (connection_t *c = server->connections; c != NULL; c = c->next)
 		if (c->request == NULL && !has_unread(c->fd))
@@ -450,6 +444,19 @@
 	bsh_loop_task_schedule(&server->run_task);
 }
 
+void bsh_http_server_stop(bsh_http_server_t *server)
+{
+	MHD_socket listener;
+
+	if (!server->stopped) {
+		server->stopped = true;
+		listener = MHD_quiesce_daemon(server->daemon);
+		if (listener != MHD_INVALID_SOCKET)
+			close(listener);
+	}
+	bsh_http_server_close_idle(server);
+}
+
 uint32_t bsh_http_server_connections(const bsh_http_server_t *server)
 {
 	return server->connection_count;
@@ -558,7 +565,7 @@
 	for (guint i = 0; i + 1 < headers->len; i += 2)
 		MHD_add_response_header(response, g_ptr_array_index(headers, i),
 					g_ptr_array_index(headers, i + 1));
-	if (request->server->stopping)
+	if (request->server->closing)
 		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
 					"close");
 	resume(request);
--- a/lib/transport/http_server.h
+++ b/lib/transport/http_server.h
@@ -72,10 +72,13 @@
 uint16_t bsh_http_server_port(const bsh_http_server_t *server);
 
 /*
- * bsh_http_server_stop - graceful stop: closes the listening socket and idle
- * connections.  Requests in progress finish; each further answer closes its
- * connection.
+ * bsh_http_server_close_idle - begin of a graceful stop: closes connections
+ * without a request.  Requests in progress finish; from now on each answer
+ * closes its connection.  May be repeated.
  */
+void bsh_http_server_close_idle(bsh_http_server_t *server);
+
+/* bsh_http_server_stop - the same, and no longer listens. */
 void bsh_http_server_stop(bsh_http_server_t *server);
 
 /* bsh_http_server_connections - open connections. */
