--- a/lib/state/document.c
+++ b/lib/state/document.c
@@ -147,14 +147,17 @@
 static void add_problem(GArray *problems, const json_t *value,
 			const char *allowed, const char *fmt, ...)
 {
-	bsh_doc_problem_t problem = {.value = show(value),
-				     .allowed = g_strdup(allowed)};
+	bsh_doc_problem_t *problem;
 	va_list ap;
 
+	g_array_set_size(problems, problems->len + 1);
+	problem =
+		&g_array_index(problems, bsh_doc_problem_t, problems->len - 1);
 	va_start(ap, fmt);
-	problem.path = g_strdup_vprintf(fmt, ap);
+	problem->path = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
-	g_array_append_val(problems, problem);
+	problem->value = show(value);
+	problem->allowed = g_strdup(allowed);
 }
 
 static bool is_name(const char *text, bool allow_slash)
