--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -146,6 +146,7 @@
 static const field_t intent_done_fields[] = {
 	STRING(bsh_msg_intent_done_t, service),
 	STRING(bsh_msg_intent_done_t, key),
+	BYTES(bsh_msg_intent_done_t, digest),
 	BYTES(bsh_msg_intent_done_t, attempt),
 	ENUM(bsh_msg_intent_done_t, outcome, BSH_OUTCOME_NOT_RUN,
 	     BSH_OUTCOME_UNKNOWN),
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -89,9 +89,13 @@
 	uint32_t max_running; /* 0: no limit declared */
 } bsh_route_entry_t;
 
-/* ROUTES: replaces all entries of the cell if (epoch, sequence) is newer. */
+/*
+ * ROUTES: replaces all entries of the scope if (epoch, sequence) is newer.  A
+ * scope is "<cell>/<model>", so that a change of one model costs one short
+ * message, or "service/<name>".  Without entries the scope is empty (cold).
+ */
 typedef struct {
-	const char *cell;
+	const char *cell; /* scope */
 	uint64_t epoch;
 	uint64_t sequence;
 	const bsh_route_entry_t *entries;
@@ -133,6 +137,10 @@
 	uint32_t waiting;
 } bsh_report_entry_t;
 
+/*
+ * REPORT: from a router, the use of models; from a controller, with an empty
+ * model, the load that targets reported.
+ */
 typedef struct {
 	const bsh_report_entry_t *entries;
 	uint32_t entry_count;
@@ -170,6 +178,7 @@
 typedef struct {
 	const char *service;
 	const char *key;
+	uint8_t digest[BSH_DIGEST_SIZE_BYTES];
 	uint8_t attempt[BSH_ATTEMPT_SIZE_BYTES];
 	uint32_t outcome; /* bsh_outcome_t */
 	uint32_t status;
