--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -65,15 +65,17 @@
 			3};
 		break;
 	case BSH_MSG_INTENT_DONE:
-		m.intent_done = (bsh_msg_intent_done_t){"dock",
-							"k",
-							{4},
-							BSH_OUTCOME_ANSWERED,
-							200,
-							"t/p",
-							(const uint8_t *)"ok",
-							2,
-							true};
+		m.intent_done =
+			(bsh_msg_intent_done_t){.service = "dock",
+						.key = "k",
+						.digest = {3},
+						.attempt = {4},
+						.outcome = BSH_OUTCOME_ANSWERED,
+						.status = 200,
+						.content_type = "t/p",
+						.body = (const uint8_t *)"ok",
+						.body_bytes = 2,
+						.body_too_large = true};
 		break;
 	case BSH_MSG_FRESH:
 		m.fresh = (bsh_msg_fresh_t){5, true, 200};
