--- a/bshrouterd/link.c
+++ b/bshrouterd/link.c
@@ -94,6 +94,22 @@
 			 msg->entry_count);
 }
 
+static void target_reports(router_t *router, const bsh_msg_report_t *msg)
+{
+	for (uint32_t i = 0; i < msg->entry_count; i++) {
+		const bsh_report_entry_t *e = &msg->entries[i];
+		router_report_t report = {
+			.name = e->model,
+			.target = e->target,
+			.target_incarnation = e->target_incarnation,
+			.running = e->running,
+			.waiting = e->waiting,
+		};
+
+		router_on_report(router, &report);
+	}
+}
+
 static void need_answer(router_t *router, const bsh_msg_need_answer_t *msg)
 {
 	if (msg->verdict == BSH_NEED_LOADING)
@@ -149,6 +165,9 @@
 	case BSH_MSG_ROUTES:
 		route_entries(router, &message->routes);
 		break;
+	case BSH_MSG_REPORT:
+		target_reports(router, &message->report);
+		break;
 	case BSH_MSG_FRESH:
 		router_on_fresh(router, message->fresh.generation, until_us);
 		break;
@@ -622,6 +641,7 @@
 
 	done->service = intent->service;
 	done->key = intent->key;
+	memcpy(done->digest, intent->digest, BSH_DIGEST_SIZE_BYTES);
 	memcpy(done->attempt, intent->attempt, BSH_ATTEMPT_SIZE_BYTES);
 	done->outcome = (uint32_t)result->outcome;
 	done->status = result->status;
--- a/bshrouterd/router.h
+++ b/bshrouterd/router.h
@@ -159,9 +159,10 @@
 } router_route_t;
 
 void router_on_config(router_t *router, router_config_t *config); /* taken */
-void router_on_routes(router_t *router, const char *cell, uint64_t epoch,
+void router_on_routes(router_t *router, const char *scope, uint64_t epoch,
 		      uint64_t sequence, const router_route_t *routes,
 		      uint32_t count);
+void router_on_report(router_t *router, const router_report_t *report);
 /* until_us: monotonic time at which the confirmation ends. */
 void router_on_fresh(router_t *router, uint64_t generation, int64_t until_us);
 void router_on_need_loading(router_t *router, const char *model,
--- a/bshrouterd/routes.c
+++ b/bshrouterd/routes.c
@@ -4,9 +4,8 @@
 #include "base/log.h"
 #include "traffic.h"
 
-#define MODEL_PREFIX	 "model:"
-#define SERVICE_PREFIX	 "service:"
-#define KEY_PREFIX_BYTES 8 /* both are shorter; see traffic_key_name() */
+#define MODEL_PREFIX   "model:"
+#define SERVICE_PREFIX "service:"
 
 /* Expected times before anything was measured.  A model's first byte is the
  * goal of the design, section 1.4. */
@@ -15,14 +14,14 @@
 #define SERVICE_FIRST_US   INT64_C(50000)
 #define SERVICE_SERVICE_US INT64_C(100000)
 
-#define MAX_CELLS 65536
+#define MAX_SCOPES 65536
 
-/* The last ROUTES of one cell. */
+/* The last ROUTES of one scope. */
 typedef struct {
 	uint64_t epoch;
 	uint64_t sequence;
 	GHashTable *ready; /* key -> GPtrArray of target names */
-} cell_t;
+} scope_t;
 
 void traffic_key(char key[TRAFFIC_KEY_SIZE], const char *name, bool is_service)
 {
@@ -38,12 +37,12 @@
 	return colon != NULL ? colon + 1 : key;
 }
 
-static void free_cell(void *data)
+static void free_scope(void *data)
 {
-	cell_t *cell = data;
+	scope_t *scope = data;
 
-	g_hash_table_destroy(cell->ready);
-	g_free(cell);
+	g_hash_table_destroy(scope->ready);
+	g_free(scope);
 }
 
 static GHashTable *new_ready(void)
@@ -54,50 +53,26 @@
 
 void traffic_routes_init(router_traffic_t *t)
 {
-	t->cells = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 free_cell);
+	t->scopes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  free_scope);
 	t->models_body = g_string_new("{\"object\":\"list\",\"data\":[]}");
 }
 
 void traffic_routes_finish(router_traffic_t *t)
 {
-	g_hash_table_destroy(t->cells);
+	g_hash_table_destroy(t->scopes);
 	g_string_free(t->models_body, TRUE);
 	router_config_unref(t->config);
 }
 
 /* Routes. */
 
-/* A model can have replicas in several cells of its pool. */
-static void apply_key(router_traffic_t *t, const char *key)
+static void tell_slots(router_traffic_t *t, const char *key)
 {
-	g_autoptr(GPtrArray) names = g_ptr_array_new();
-	GHashTableIter it;
-	cell_t *cell;
-
-	g_hash_table_iter_init(&it, t->cells);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&cell)) {
-		GPtrArray *part = g_hash_table_lookup(cell->ready, key);
-
-		for (guint i = 0; part != NULL && i < part->len; i++)
-			g_ptr_array_add(names, g_ptr_array_index(part, i));
-	}
-	bsh_route_set_ready(&t->route, key, 1, ++t->route_sequence,
-			    (const char *const *)names->pdata, names->len);
 	bsh_admission_slots(&t->admission, key, bsh_route_slots(&t->route, key),
 			    bsh_loop_now_us(t->loop));
 }
 
-static void apply_keys(router_traffic_t *t, GHashTable *keys)
-{
-	GHashTableIter it;
-	const char *key;
-
-	g_hash_table_iter_init(&it, keys);
-	while (g_hash_table_iter_next(&it, (void **)&key, NULL))
-		apply_key(t, key);
-}
-
 /* True if the target may get new work. */
 static bool note_target(router_traffic_t *t, const router_route_t *route)
 {
@@ -137,11 +112,43 @@
 	return ready;
 }
 
-static bool is_newer(const cell_t *cell, uint64_t epoch, uint64_t sequence)
+/* Sets the targets of each key of keys, in one scope, to those of ready. */
+static void set_ready(router_traffic_t *t, const char *name,
+		      const scope_t *scope, GHashTable *keys)
+{
+	GHashTableIter it;
+	const char *key;
+
+	g_hash_table_iter_init(&it, keys);
+	while (g_hash_table_iter_next(&it, (void **)&key, NULL)) {
+		const GPtrArray *names = g_hash_table_lookup(scope->ready, key);
+
+		bsh_route_set_ready(
+			&t->route, key, name, scope->epoch, scope->sequence,
+			names != NULL ? (const char *const *)names->pdata
+				      : NULL,
+			names != NULL ? names->len : 0);
+		tell_slots(t, key);
+	}
+}
+
+static scope_t *find_scope(router_traffic_t *t, const char *name)
+{
+	scope_t *scope = g_hash_table_lookup(t->scopes, name);
+
+	if (scope != NULL || g_hash_table_size(t->scopes) >= MAX_SCOPES)
+		return scope;
+	scope = g_new0(scope_t, 1);
+	scope->ready = new_ready();
+	g_hash_table_insert(t->scopes, g_strdup(name), scope);
+	return scope;
+}
+
+static bool is_newer(const scope_t *scope, uint64_t epoch, uint64_t sequence)
 {
-	if (epoch != cell->epoch)
-		return epoch > cell->epoch;
-	return sequence > cell->sequence;
+	if (epoch != scope->epoch)
+		return epoch > scope->epoch;
+	return sequence > scope->sequence;
 }
 
 void router_on_routes(router_t *router, const char *name, uint64_t epoch,
@@ -149,29 +156,33 @@
 		      uint32_t count)
 {
 	router_traffic_t *t = router->traffic;
-	cell_t *cell = g_hash_table_lookup(t->cells, name);
+	scope_t *scope = find_scope(t, name);
 	GHashTable *before;
 
-	if (cell != NULL && !is_newer(cell, epoch, sequence))
+	if (scope == NULL || !is_newer(scope, epoch, sequence))
 		return;
-	if (cell == NULL) {
-		if (g_hash_table_size(t->cells) >= MAX_CELLS)
-			return;
-		cell = g_new0(cell_t, 1);
-		cell->ready = new_ready();
-		g_hash_table_insert(t->cells, g_strdup(name), cell);
-	}
-	cell->epoch = epoch;
-	cell->sequence = sequence;
-	before = cell->ready;
-	cell->ready = read_routes(t, routes, count);
-	/* Keys that have lost all their targets, then those that have some. */
-	apply_keys(t, before);
-	apply_keys(t, cell->ready);
+	scope->epoch = epoch;
+	scope->sequence = sequence;
+	before = scope->ready;
+	scope->ready = read_routes(t, routes, count);
+	/* Keys that may have lost all their targets come first; the route
+	 * module takes a stamp once per key, so the second call adds only the
+	 * others. */
+	set_ready(t, name, scope, before);
+	set_ready(t, name, scope, scope->ready);
 	g_hash_table_destroy(before);
 	traffic_touch(t);
 }
 
+void router_on_report(router_t *router, const router_report_t *report)
+{
+	router_traffic_t *t = router->traffic;
+
+	bsh_route_report(&t->route, report->target, report->target_incarnation,
+			 report->running, report->waiting,
+			 bsh_loop_now_us(t->loop));
+}
+
 /* Freshness. */
 
 bool traffic_is_fresh(router_traffic_t *t, int64_t now_us)
@@ -222,7 +233,7 @@
 
 	traffic_key(key, model->name, false);
 	bsh_admission_declare(&t->admission, key, &config);
-	apply_key(t, key);
+	tell_slots(t, key);
 }
 
 static void declare_service(router_traffic_t *t, const bsh_document_t *doc,
@@ -239,7 +250,7 @@
 
 	traffic_key(key, service->name, true);
 	bsh_admission_declare(&t->admission, key, &config);
-	apply_key(t, key);
+	tell_slots(t, key);
 }
 
 static void declare_all(router_traffic_t *t, const bsh_document_t *doc)
--- a/bshrouterd/traffic.h
+++ b/bshrouterd/traffic.h
@@ -67,7 +67,7 @@
 	uint64_t fresh_generation;
 	int64_t fresh_until_us;
 	bool was_fresh;
-	GHashTable *cells;    /* name -> cell_t */
+	GHashTable *scopes;   /* of ROUTES -> keys with their targets */
 	GHashTable *intents;  /* sequence -> traffic_request_t */
 	GHashTable *loads;    /* "name target" -> traffic_load_t */
 	GQueue jobs;	      /* traffic_job_t */
@@ -77,7 +77,6 @@
 	bool reported; /* the last REPORT had entries */
 	GPtrArray *dead;
 	uint64_t next_need;
-	uint64_t route_sequence;
 	uint32_t journal_left;
 	char alternative[BSH_ADDRESS_SIZE];
 	bool ended;
