--- /dev/null
+++ b/lib/coordination/member.c
@@ -0,0 +1,1043 @@
+#include "coordination/member.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "coordination/member_view.h"
+
+/* Share of a period after which a direct probe is repeated through others. */
+#define DIRECT_NUM 3
+#define DIRECT_DEN 10
+#define HELPERS	   3
+
+/* One probe in FAR_EVERY goes to another zone, the others stay in the own. */
+#define FAR_EVERY 4
+
+/*
+ * Members told at once of fresh news, and rounds of it.  After one round of 3
+ * about 6 % of the members have not heard, after two about 0.3 %; probes reach
+ * the rest.
+ */
+#define URGENT_FANOUT	   3
+#define URGENT_ROUNDS	   1
+#define URGENT_ROUNDS_MAX  2
+#define URGENT_COALESCE_US INT64_C(10000)
+#define URGENT_AGAIN_US	   INT64_C(200000)
+
+/*
+ * Byte budget of news sent ahead of probes.  Together with four datagrams a
+ * second of probes and answers it stays below half of 13 KB/s each way.
+ */
+#define URGENT_BYTES_PER_S 1500
+#define URGENT_BYTES_BURST 12000
+
+/* Seconds are periods at the default period. */
+#define SYNC_PERIODS	  10
+#define SYNC_DATAGRAMS	  4
+#define SYNC_EAGER_ADDED  8 /* a reply with more: more is missing */
+#define DEAD_TRY_PERIODS  10
+#define HEAL_PERIODS	  30 /* after a dead member came back */
+#define SEED_TRY_PERIODS  30
+#define HEALTH_MAX	  8
+#define HEALTH_LATE	  2
+#define SYNC_HEAL_PINGS	  3
+#define HINT_TRIES	  3
+#define RELAY_KEEP_PERIOD 2
+
+/* Upper bound of everything in a body but the updates and digests. */
+#define HEAD_BYTES   (1 + 9 + 9 + 2 + BSH_NAME_SIZE + 9 + 9 + 5 + 3 + 3)
+#define DIGEST_BYTES (5 * BSH_MEMBER_SYNC_BUCKETS)
+
+typedef struct {
+	char name[BSH_NAME_SIZE]; /* "" when none is under way */
+	uint64_t sequence;
+	int64_t sent_us;
+	bool is_indirect;
+	bool acked;
+} probe_t;
+
+/* A probe made for another member. */
+typedef struct {
+	char requester[BSH_NAME_SIZE];
+	uint64_t requester_sequence;
+	uint64_t sequence;
+	int64_t until_us;
+} relay_t;
+
+struct bsh_members {
+	bsh_view_t view;
+	bsh_rng_t rng;
+	int64_t period_us;
+	uint64_t next_sequence;
+	uint64_t generation;
+	uint64_t hash;
+	uint32_t confirm_age_ms;
+	uint32_t health;
+	probe_t probe;
+	GArray *relays;
+	GPtrArray *seeds;
+	/* Shuffled indices into by_rank are useless after a change of it, so
+	 * the order of probes is kept as names. */
+	GPtrArray *near;
+	GPtrArray *far;
+	guint near_next;
+	guint far_next;
+	uint64_t probes_started;
+	int64_t wake_us; /* what the last tick returned */
+	int64_t period_at_us;
+	int64_t direct_at_us; /* 0: none */
+	int64_t sync_at_us;
+	int64_t dead_at_us;
+	int64_t seed_at_us;
+	int64_t heal_until_us;
+	int64_t urgent_at_us; /* 0: none */
+	uint32_t urgent_rounds;
+	double urgent_bytes;
+	int64_t urgent_filled_us;
+	bsh_member_message_t out;
+};
+
+static void reset_message(bsh_members_t *m, bsh_member_kind_t kind,
+			  uint64_t sequence, const char *target)
+{
+	m->out.kind = kind;
+	m->out.sequence = sequence;
+	g_strlcpy(m->out.target, target, sizeof(m->out.target));
+	m->out.generation = m->generation;
+	m->out.hash = m->hash;
+	m->out.confirm_age_ms = m->confirm_age_ms;
+	m->out.n_updates = 0;
+}
+
+static size_t body_room(const bsh_member_message_t *msg)
+{
+	size_t used = HEAD_BYTES;
+
+	if (msg->kind == BSH_MEMBER_SYNC_ASK)
+		used += DIGEST_BYTES;
+	for (uint32_t i = 0; i < msg->n_updates; i++)
+		used += bsh_member_update_bytes(&msg->updates[i]);
+	return used < BSH_MEMBER_BODY_BYTES ? BSH_MEMBER_BODY_BYTES - used : 0;
+}
+
+static bool add_record(bsh_members_t *m, int64_t now_us,
+		       const bsh_record_t *record, bool with_place,
+		       size_t *room)
+{
+	bsh_member_update_t *u;
+	size_t bytes;
+
+	if (m->out.n_updates >= BSH_MEMBER_UPDATES_MAX)
+		return false;
+	u = &m->out.updates[m->out.n_updates];
+	bsh_view_update(record, now_us, with_place, u);
+	bytes = bsh_member_update_bytes(u);
+	if (bytes > *room)
+		return false;
+	*room -= bytes;
+	m->out.n_updates++;
+	return true;
+}
+
+/* Each update is sent to about log(n) members: enough to reach all of them. */
+static int news_limit(const bsh_members_t *m)
+{
+	return 3 * (int)ceil(log10((double)m->view.live + 1.0)) + 1;
+}
+
+static void add_news(bsh_members_t *m, int64_t now_us, size_t *room)
+{
+	bsh_news_item_t *items[BSH_MEMBER_UPDATES_MAX];
+	guint n = bsh_news_take(&m->view.news, items, G_N_ELEMENTS(items));
+	int limit = news_limit(m);
+
+	for (guint i = 0; i < n; i++) {
+		if (!add_record(m, now_us, items[i]->link.data, false, room))
+			break;
+		bsh_news_sent(&m->view.news, items[i], limit);
+	}
+}
+
+static void emit(bsh_members_t *m, const char *name, const char *address)
+{
+	m->view.stats.sent++;
+	m->view.ops->send(m->view.ctx, name, address, &m->out);
+}
+
+/*
+ * A suspected member is told first of all what is said about it, so that it
+ * can refute.  The own record lets the receiver answer a stranger.
+ */
+static void finish_and_send(bsh_members_t *m, int64_t now_us,
+			    const bsh_member_record_t *to, const char *address)
+{
+	size_t room = body_room(&m->out);
+
+	if (to != NULL && !to->pub.is_hint &&
+	    (to->pub.state == BSH_MEMBER_SUSPECT ||
+	     to->pub.state == BSH_MEMBER_DEAD))
+		add_record(m, now_us, &to->record, false, &room);
+	if (m->out.kind != BSH_MEMBER_ACK && m->out.kind != BSH_MEMBER_SYNC)
+		add_record(m, now_us, &m->view.self->record, true, &room);
+	if (m->out.kind != BSH_MEMBER_SYNC)
+		add_news(m, now_us, &room);
+	emit(m, to != NULL ? to->pub.name : "", address);
+}
+
+static void send_to(bsh_members_t *m, int64_t now_us,
+		    const bsh_member_record_t *to)
+{
+	if (to->pub.has_place)
+		finish_and_send(m, now_us, to, to->pub.place.gossip);
+}
+
+static uint64_t ping(bsh_members_t *m, int64_t now_us,
+		     const bsh_member_record_t *to)
+{
+	reset_message(m, BSH_MEMBER_PING, ++m->next_sequence, to->pub.name);
+	send_to(m, now_us, to);
+	return m->next_sequence;
+}
+
+/* ---- choice of members ---- */
+
+static bool is_peer(const bsh_members_t *m, const bsh_member_record_t *r)
+{
+	return r != m->view.self && bsh_member_is_live(&r->pub) &&
+	       r->pub.has_place;
+}
+
+/*
+ * Up to max different live members, `not` excluded.  Starting at a random rank
+ * and stepping by a random stride gives a sample without extra memory; ranks
+ * are hashes, so neighbours are unrelated.
+ */
+static guint sample(bsh_members_t *m, const bsh_member_record_t * not,
+		    bsh_member_record_t **out, guint max)
+{
+	guint total = m->view.by_rank->len;
+	guint n = 0;
+
+	for (guint tries = 0; tries < 8 * max && n < max; tries++) {
+		bsh_member_record_t *r =
+			bsh_view_at(&m->view, bsh_rng_below(&m->rng, total));
+		bool used = r == not || !is_peer(m, r);
+
+		for (guint i = 0; i < n && !used; i++)
+			used = out[i] == r;
+		if (!used)
+			out[n++] = r;
+	}
+	/* With many dead records random draws may all miss. */
+	for (guint i = 0; i < total && n == 0; i++) {
+		bsh_member_record_t *r = bsh_view_at(&m->view, i);
+
+		if (r != not &&is_peer(m, r))
+			out[n++] = r;
+	}
+	return n;
+}
+
+static void shuffle(bsh_members_t *m, GPtrArray *names)
+{
+	for (guint i = names->len; i > 1; i--) {
+		guint j = bsh_rng_below(&m->rng, i);
+		gpointer copy = names->pdata[i - 1];
+
+		names->pdata[i - 1] = names->pdata[j];
+		names->pdata[j] = copy;
+	}
+}
+
+static void refill(bsh_members_t *m, GPtrArray *names, bool near)
+{
+	const char *zone = m->view.self->pub.place.zone;
+
+	g_ptr_array_set_size(names, 0);
+	for (guint i = 0; i < m->view.by_rank->len; i++) {
+		const bsh_member_record_t *r = bsh_view_at(&m->view, i);
+
+		if (is_peer(m, r) &&
+		    (strcmp(r->pub.place.zone, zone) == 0) == near)
+			g_ptr_array_add(names, g_strdup(r->pub.name));
+	}
+	shuffle(m, names);
+}
+
+static bsh_member_record_t *next_of(bsh_members_t *m, GPtrArray *names,
+				    guint *next, bool near)
+{
+	for (int pass = 0; pass < 2; pass++) {
+		while (*next < names->len) {
+			const char *name = g_ptr_array_index(names, (*next)++);
+			bsh_member_record_t *r = bsh_view_find(&m->view, name);
+
+			if (r != NULL && is_peer(m, r))
+				return r;
+		}
+		refill(m, names, near);
+		*next = 0;
+	}
+	return NULL;
+}
+
+/*
+ * Each list is walked to its end before it is shuffled again, which bounds the
+ * time until a member is probed.
+ */
+static bsh_member_record_t *next_target(bsh_members_t *m)
+{
+	bool far = ++m->probes_started % FAR_EVERY == 0;
+	bsh_member_record_t *r = NULL;
+
+	if (!far)
+		r = next_of(m, m->near, &m->near_next, true);
+	if (r == NULL)
+		r = next_of(m, m->far, &m->far_next, false);
+	if (r == NULL && far)
+		r = next_of(m, m->near, &m->near_next, true);
+	return r;
+}
+
+/* A new member waits for a random part of a round, as all others do. */
+static void enter_round(bsh_members_t *m, const bsh_member_record_t *r)
+{
+	bool near =
+		strcmp(r->pub.place.zone, m->view.self->pub.place.zone) == 0;
+	GPtrArray *names = near ? m->near : m->far;
+	guint next = near ? m->near_next : m->far_next;
+	gpointer copy;
+	guint i;
+
+	g_ptr_array_add(names, g_strdup(r->pub.name));
+	i = next + bsh_rng_below(&m->rng, names->len - next);
+	copy = names->pdata[i];
+	names->pdata[i] = names->pdata[names->len - 1];
+	names->pdata[names->len - 1] = copy;
+}
+
+/* ---- urgent news ---- */
+
+static void want_urgent(bsh_members_t *m, int64_t now_us, uint32_t rounds)
+{
+	m->urgent_rounds = MAX(m->urgent_rounds, rounds);
+	if (m->urgent_at_us == 0)
+		m->urgent_at_us = now_us + URGENT_COALESCE_US;
+}
+
+static void absorb(bsh_members_t *m, int64_t now_us)
+{
+	if (m->view.has_news)
+		want_urgent(m, now_us,
+			    m->view.has_leaving_news ? URGENT_ROUNDS_MAX
+						     : URGENT_ROUNDS);
+	if (m->view.did_return)
+		m->heal_until_us = now_us + HEAL_PERIODS * m->period_us;
+	if (m->view.was_refuted)
+		m->health = MIN(m->health + 1, HEALTH_MAX);
+	for (guint i = 0; i < m->view.joined->len; i++)
+		enter_round(m, g_ptr_array_index(m->view.joined, i));
+	g_ptr_array_set_size(m->view.joined, 0);
+	m->view.has_news = false;
+	m->view.has_leaving_news = false;
+	m->view.did_return = false;
+	m->view.was_refuted = false;
+}
+
+static void fill_budget(bsh_members_t *m, int64_t now_us)
+{
+	m->urgent_bytes += (double)(now_us - m->urgent_filled_us) *
+			   URGENT_BYTES_PER_S / 1e6;
+	m->urgent_bytes = MIN(m->urgent_bytes, URGENT_BYTES_BURST);
+	m->urgent_filled_us = now_us;
+}
+
+static void send_urgent(bsh_members_t *m, int64_t now_us)
+{
+	bsh_member_record_t *to[URGENT_FANOUT];
+	guint n;
+
+	fill_budget(m, now_us);
+	if (m->urgent_bytes < 0) {
+		m->view.stats.urgent_deferred++;
+		m->urgent_at_us = now_us + URGENT_AGAIN_US;
+		return;
+	}
+	n = sample(m, NULL, to, URGENT_FANOUT);
+	for (guint i = 0; i < n; i++) {
+		reset_message(m, BSH_MEMBER_GOSSIP, 0, to[i]->pub.name);
+		send_to(m, now_us, to[i]);
+		m->view.stats.urgent++;
+		m->urgent_bytes -= (double)(BSH_MEMBER_DATAGRAM_BYTES -
+					    body_room(&m->out));
+	}
+	m->urgent_rounds--;
+	m->urgent_at_us = m->urgent_rounds > 0 ? now_us + URGENT_AGAIN_US : 0;
+}
+
+/* ---- probes ---- */
+
+static void send_indirect(bsh_members_t *m, int64_t now_us)
+{
+	bsh_member_record_t *target = bsh_view_find(&m->view, m->probe.name);
+	bsh_member_record_t *helpers[HELPERS];
+	guint n;
+
+	m->direct_at_us = 0;
+	if (m->probe.acked || target == NULL)
+		return;
+	m->probe.is_indirect = true;
+	n = sample(m, target, helpers, HELPERS);
+	for (guint i = 0; i < n; i++) {
+		reset_message(m, BSH_MEMBER_PING_REQ, m->probe.sequence,
+			      target->pub.name);
+		send_to(m, now_us, helpers[i]);
+	}
+}
+
+static void judge_probe(bsh_members_t *m, int64_t now_us)
+{
+	bsh_member_record_t *r = bsh_view_find(&m->view, m->probe.name);
+
+	if (m->probe.name[0] == '\0')
+		return;
+	if (m->probe.acked) {
+		if (m->health > 0)
+			m->health--;
+	} else if (r != NULL && bsh_member_is_live(&r->pub)) {
+		m->view.stats.probes_failed++;
+		/* A process that was late lately doubts itself first. */
+		if (m->health > 0)
+			m->health--;
+		else
+			bsh_view_suspect(&m->view, now_us, r);
+	}
+	m->probe.name[0] = '\0';
+}
+
+static void start_probe(bsh_members_t *m, int64_t now_us)
+{
+	bsh_member_record_t *r = next_target(m);
+
+	if (r == NULL)
+		return;
+	m->view.stats.probes++;
+	g_strlcpy(m->probe.name, r->pub.name, sizeof(m->probe.name));
+	m->probe.sent_us = now_us;
+	m->probe.acked = false;
+	m->probe.is_indirect = false;
+	m->probe.sequence = ping(m, now_us, r);
+	m->direct_at_us = now_us + m->period_us * DIRECT_NUM / DIRECT_DEN;
+}
+
+static void try_one_dead(bsh_members_t *m, int64_t now_us)
+{
+	guint total = m->view.by_rank->len;
+	guint start = bsh_rng_below(&m->rng, total);
+	bsh_member_record_t *oldest = NULL;
+
+	for (guint i = 0; i < total; i++) {
+		bsh_member_record_t *r =
+			bsh_view_at(&m->view, (start + i) % total);
+
+		if (r->pub.is_hint || r->pub.state != BSH_MEMBER_DEAD ||
+		    !r->pub.has_place)
+			continue;
+		if (oldest == NULL || r->pub.tried_us < oldest->pub.tried_us)
+			oldest = r;
+	}
+	if (oldest == NULL)
+		return;
+	oldest->pub.tried_us = now_us;
+	ping(m, now_us, oldest);
+}
+
+static void try_dead(bsh_members_t *m, int64_t now_us)
+{
+	bool healing = now_us < m->heal_until_us;
+
+	if (!healing && now_us < m->dead_at_us)
+		return;
+	m->dead_at_us = now_us + DEAD_TRY_PERIODS * m->period_us;
+	try_one_dead(m, now_us);
+	if (healing)
+		try_one_dead(m, now_us);
+}
+
+/* Hints are tried in turn, fast while this instance knows nobody. */
+static void try_hints(bsh_members_t *m, int64_t now_us)
+{
+	guint tries = m->view.live == 1 ? HINT_TRIES : 1;
+	guint total = m->view.by_rank->len;
+	guint start = bsh_rng_below(&m->rng, total);
+
+	for (guint i = 0; i < total && tries > 0; i++) {
+		bsh_member_record_t *r =
+			bsh_view_at(&m->view, (start + i) % total);
+
+		if (!r->pub.is_hint || !r->pub.has_place ||
+		    r->pub.state != BSH_MEMBER_ALIVE ||
+		    now_us - r->pub.tried_us < 3 * m->period_us)
+			continue;
+		r->pub.tried_us = now_us;
+		ping(m, now_us, r);
+		tries--;
+	}
+}
+
+static void try_seeds(bsh_members_t *m, int64_t now_us)
+{
+	guint n = m->seeds->len;
+	guint start;
+
+	if (n == 0 || (m->view.live > 1 && now_us < m->seed_at_us))
+		return;
+	m->seed_at_us = now_us + SEED_TRY_PERIODS * m->period_us;
+	start = bsh_rng_below(&m->rng, n);
+	for (guint i = 0; i < MIN(n, m->view.live > 1 ? 1 : HINT_TRIES); i++) {
+		reset_message(m, BSH_MEMBER_PING, ++m->next_sequence, "");
+		finish_and_send(m, now_us, NULL,
+				g_ptr_array_index(m->seeds, (start + i) % n));
+	}
+}
+
+static void forget_relays(bsh_members_t *m, int64_t now_us)
+{
+	for (guint i = m->relays->len; i > 0; i--) {
+		if (now_us >= g_array_index(m->relays, relay_t, i - 1).until_us)
+			g_array_remove_index_fast(m->relays, i - 1);
+	}
+}
+
+static void run_period(bsh_members_t *m, int64_t now_us)
+{
+	judge_probe(m, now_us);
+	forget_relays(m, now_us);
+	bsh_view_expire(&m->view, now_us);
+	start_probe(m, now_us);
+	try_dead(m, now_us);
+	try_hints(m, now_us);
+	try_seeds(m, now_us);
+	m->period_at_us += m->period_us;
+	if (m->period_at_us <= now_us)
+		m->period_at_us = now_us + m->period_us;
+}
+
+/* ---- exchange of digests ---- */
+
+static void ask_sync(bsh_members_t *m, int64_t now_us)
+{
+	bsh_member_record_t *to;
+	guint n = sample(m, NULL, &to, 1);
+
+	m->sync_at_us = now_us + SYNC_PERIODS * m->period_us * 3 / 4 +
+			bsh_rng_below(&m->rng, (uint32_t)(SYNC_PERIODS *
+							  m->period_us / 2));
+	if (n == 0)
+		return;
+	reset_message(m, BSH_MEMBER_SYNC_ASK, ++m->next_sequence, to->pub.name);
+	bsh_view_digests(&m->view, m->out.digests);
+	m->view.added = 0;
+	send_to(m, now_us, to);
+}
+
+typedef struct {
+	bsh_members_t *m;
+	int64_t now_us;
+	const bsh_member_record_t *to;
+	const bool *differs;
+	size_t room;
+	guint left; /* datagrams */
+} sync_answer_t;
+
+static void flush_answer(sync_answer_t *answer)
+{
+	bsh_members_t *m = answer->m;
+
+	finish_and_send(m, answer->now_us, answer->to,
+			answer->to->pub.place.gossip);
+	answer->left--;
+	reset_message(m, BSH_MEMBER_SYNC, m->out.sequence,
+		      answer->to->pub.name);
+	answer->room = body_room(&m->out);
+}
+
+static void answer_record(sync_answer_t *answer, const bsh_record_t *record)
+{
+	bsh_members_t *m = answer->m;
+
+	if (answer->left == 0 || !answer->differs[bsh_view_bucket(record)])
+		return;
+	if (!add_record(m, answer->now_us, record, true, &answer->room)) {
+		flush_answer(answer);
+		if (answer->left > 0)
+			add_record(m, answer->now_us, record, true,
+				   &answer->room);
+	}
+}
+
+static void answer_small(sync_answer_t *answer, GHashTable *table)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		answer_record(answer, value);
+}
+
+/*
+ * Leaving targets and cell owners come first, as they are few; then members
+ * from a random rank on, so that several questions bring different answers.
+ */
+static void answer_sync(bsh_members_t *m, int64_t now_us,
+			const bsh_member_record_t *to,
+			const bsh_member_message_t *ask)
+{
+	uint32_t own[BSH_MEMBER_SYNC_BUCKETS];
+	bool differs[BSH_MEMBER_SYNC_BUCKETS];
+	bool any = false;
+	sync_answer_t answer = {.m = m,
+				.now_us = now_us,
+				.to = to,
+				.differs = differs,
+				.left = SYNC_DATAGRAMS};
+	guint total = m->view.by_rank->len;
+	guint start = bsh_rng_below(&m->rng, total);
+
+	bsh_view_digests(&m->view, own);
+	for (guint i = 0; i < BSH_MEMBER_SYNC_BUCKETS; i++) {
+		differs[i] = own[i] != ask->digests[i];
+		any |= differs[i];
+	}
+	if (!any)
+		return;
+	reset_message(m, BSH_MEMBER_SYNC, ask->sequence, to->pub.name);
+	answer.room = body_room(&m->out);
+	answer_small(&answer, m->view.targets);
+	answer_small(&answer, m->view.cells);
+	for (guint i = 0; i < total; i++) {
+		const bsh_member_record_t *r =
+			bsh_view_at(&m->view, (start + i) % total);
+
+		if (bsh_member_is_live(&r->pub))
+			answer_record(&answer, &r->record);
+	}
+	if (answer.left > 0 && m->out.n_updates > 0)
+		flush_answer(&answer);
+}
+
+/*
+ * A live record of a member that is dead here means that this instance and
+ * the sender disagree, as after a partition.  Its own answer settles it.
+ */
+static void ping_disputed(bsh_members_t *m, int64_t now_us,
+			  const bsh_member_message_t *msg)
+{
+	guint pings = SYNC_HEAL_PINGS;
+
+	for (uint32_t i = 0; i < msg->n_updates && pings > 0; i++) {
+		const bsh_member_update_t *u = &msg->updates[i];
+		bsh_member_record_t *r = bsh_view_find(&m->view, u->name);
+
+		if (u->type != BSH_UPDATE_MEMBER || r == NULL ||
+		    r->pub.state != BSH_MEMBER_DEAD ||
+		    u->state != BSH_MEMBER_ALIVE ||
+		    now_us - r->pub.tried_us < m->period_us)
+			continue;
+		r->pub.tried_us = now_us;
+		ping(m, now_us, r);
+		pings--;
+	}
+}
+
+/* ---- receiving ---- */
+
+static void answer_ping(bsh_members_t *m, int64_t now_us,
+			const bsh_member_record_t *from,
+			const bsh_member_message_t *msg)
+{
+	reset_message(m, BSH_MEMBER_ACK, msg->sequence, m->view.self->pub.name);
+	send_to(m, now_us, from);
+}
+
+static void relay_ping(bsh_members_t *m, int64_t now_us,
+		       const bsh_member_record_t *from,
+		       const bsh_member_message_t *msg)
+{
+	bsh_member_record_t *target = bsh_view_find(&m->view, msg->target);
+	relay_t relay = {.requester_sequence = msg->sequence,
+			 .until_us = now_us + RELAY_KEEP_PERIOD * m->period_us};
+
+	if (target == NULL || target == m->view.self) {
+		m->view.stats.ignored++;
+		return;
+	}
+	g_strlcpy(relay.requester, from->pub.name, sizeof(relay.requester));
+	relay.sequence = ping(m, now_us, target);
+	g_array_append_val(m->relays, relay);
+}
+
+static void receive_ack(bsh_members_t *m, int64_t now_us,
+			const bsh_member_message_t *msg)
+{
+	if (m->probe.name[0] != '\0' && msg->sequence == m->probe.sequence &&
+	    strcmp(msg->target, m->probe.name) == 0)
+		m->probe.acked = true;
+	for (guint i = 0; i < m->relays->len; i++) {
+		relay_t relay = g_array_index(m->relays, relay_t, i);
+		bsh_member_record_t *to;
+
+		if (relay.sequence != msg->sequence)
+			continue;
+		g_array_remove_index_fast(m->relays, i);
+		to = bsh_view_find(&m->view, relay.requester);
+		if (to == NULL)
+			return;
+		reset_message(m, BSH_MEMBER_ACK, relay.requester_sequence,
+			      msg->target);
+		send_to(m, now_us, to);
+		return;
+	}
+}
+
+static void dispatch(bsh_members_t *m, int64_t now_us,
+		     const bsh_member_record_t *from,
+		     const bsh_member_message_t *msg)
+{
+	switch (msg->kind) {
+	case BSH_MEMBER_PING:
+		answer_ping(m, now_us, from, msg);
+		break;
+	case BSH_MEMBER_PING_REQ:
+		relay_ping(m, now_us, from, msg);
+		break;
+	case BSH_MEMBER_ACK:
+		receive_ack(m, now_us, msg);
+		break;
+	case BSH_MEMBER_SYNC_ASK:
+		if (from->pub.has_place)
+			answer_sync(m, now_us, from, msg);
+		break;
+	case BSH_MEMBER_SYNC:
+		ping_disputed(m, now_us, msg);
+		/* Much was missing: ask for the rest soon. */
+		if (m->view.added >= SYNC_EAGER_ADDED)
+			m->sync_at_us =
+				MIN(m->sync_at_us, now_us + m->period_us / 2);
+		break;
+	default:
+		break;
+	}
+}
+
+static void note_sender(bsh_members_t *m, int64_t now_us,
+			bsh_member_record_t *from,
+			const bsh_member_message_t *msg)
+{
+	from->pub.heard_us = now_us;
+	from->pub.generation = msg->generation;
+	from->pub.confirm_age_ms = msg->confirm_age_ms;
+	if (msg->generation > m->generation ||
+	    (msg->generation == m->generation && msg->hash != m->hash))
+		m->view.ops->generation(m->view.ctx, from->pub.name,
+					msg->generation, msg->hash);
+}
+
+/*
+ * When the own timer fired late, silence of others in the meantime says
+ * nothing about them.
+ */
+static void check_lateness(bsh_members_t *m, int64_t now_us)
+{
+	int64_t late_us = now_us - m->wake_us;
+
+	if (late_us < m->period_us / 2)
+		return;
+	m->view.stats.late_wakeups++;
+	m->health = MIN(m->health + HEALTH_LATE, HEALTH_MAX);
+	m->probe.name[0] = '\0';
+	m->direct_at_us = 0;
+	g_array_set_size(m->relays, 0);
+	bsh_view_forgive(&m->view, late_us);
+	if (late_us >= 2 * m->period_us) {
+		bsh_view_announce(&m->view, now_us, 0);
+		m->sync_at_us = now_us;
+	}
+	m->period_at_us = now_us + m->period_us;
+	m->wake_us = now_us;
+	absorb(m, now_us);
+}
+
+void bsh_members_receive(bsh_members_t *m, int64_t now_us, const char *name,
+			 uint64_t incarnation, const bsh_member_message_t *msg)
+{
+	const char *self = m->view.self->pub.name;
+	bool spread = msg->kind != BSH_MEMBER_SYNC;
+	bsh_member_record_t *from;
+	guint live = m->view.live;
+
+	check_lateness(m, now_us);
+	m->view.stats.received++;
+	/* An address may have been reused by another instance. */
+	if (strcmp(name, self) == 0 ||
+	    (msg->kind == BSH_MEMBER_PING && msg->target[0] != '\0' &&
+	     strcmp(msg->target, self) != 0)) {
+		m->view.stats.ignored++;
+		return;
+	}
+	from = bsh_view_find(&m->view, name);
+	if (from != NULL && !from->pub.is_hint &&
+	    incarnation < from->pub.incarnation) {
+		m->view.stats.ignored++;
+		return;
+	}
+	for (uint32_t i = 0; i < msg->n_updates; i++)
+		bsh_view_merge(&m->view, now_us, from, &msg->updates[i],
+			       spread);
+	from = bsh_view_find(&m->view, name);
+	/* A stranger without a place cannot be answered; its ping has one. */
+	if (from == NULL || from->pub.incarnation != incarnation) {
+		m->view.stats.ignored++;
+		absorb(m, now_us);
+		return;
+	}
+	note_sender(m, now_us, from, msg);
+	if (live == 1 && m->view.live > 1)
+		m->sync_at_us = now_us + m->period_us / 10;
+	dispatch(m, now_us, from, msg);
+	absorb(m, now_us);
+}
+
+/* ---- calls ---- */
+
+int64_t bsh_members_tick(bsh_members_t *m, int64_t now_us)
+{
+	int64_t wake_us;
+
+	check_lateness(m, now_us);
+	if (m->direct_at_us != 0 && now_us >= m->direct_at_us)
+		send_indirect(m, now_us);
+	if (now_us >= m->period_at_us)
+		run_period(m, now_us);
+	if (now_us >= m->sync_at_us)
+		ask_sync(m, now_us);
+	absorb(m, now_us);
+	if (m->urgent_at_us != 0 && now_us >= m->urgent_at_us)
+		send_urgent(m, now_us);
+	wake_us = MIN(m->period_at_us, m->sync_at_us);
+	if (m->direct_at_us != 0)
+		wake_us = MIN(wake_us, m->direct_at_us);
+	if (m->urgent_at_us != 0)
+		wake_us = MIN(wake_us, m->urgent_at_us);
+	m->wake_us = wake_us;
+	return wake_us;
+}
+
+void bsh_members_add_seed(bsh_members_t *m, int64_t now_us, const char *address)
+{
+	if (strcmp(address, m->view.self->pub.place.gossip) == 0)
+		return;
+	g_ptr_array_add(m->seeds, g_strdup(address));
+	m->seed_at_us = now_us;
+}
+
+void bsh_members_list_item(bsh_members_t *m, int64_t now_us, const char *name,
+			   uint64_t incarnation,
+			   const bsh_member_place_t *place,
+			   bsh_list_state_t state)
+{
+	bsh_member_record_t *r = bsh_view_find(&m->view, name);
+	bsh_member_update_t u = {.type = BSH_UPDATE_MEMBER,
+				 .incarnation = incarnation};
+
+	if (r == NULL && state == BSH_LIST_GONE)
+		return;
+	if (r == NULL || r != m->view.self)
+		r = bsh_view_hint(&m->view, now_us, name, incarnation, place);
+	if (incarnation != r->pub.incarnation)
+		return;
+	g_strlcpy(u.name, name, sizeof(u.name));
+	u.revision = r->pub.revision;
+	u.leaving = state == BSH_LIST_LEAVING;
+	u.state = state == BSH_LIST_GONE ? BSH_MEMBER_GONE : BSH_MEMBER_ALIVE;
+	if (r->pub.is_hint) {
+		/* Never heard of: the flags wait until it is. */
+		r->pub.leaving |= u.leaving;
+		r->pub.state = u.state;
+	} else if (u.leaving || state == BSH_LIST_GONE) {
+		bsh_view_merge(&m->view, now_us, NULL, &u, true);
+	}
+	absorb(m, now_us);
+}
+
+void bsh_members_leave(bsh_members_t *m, int64_t now_us)
+{
+	bsh_member_update_t u = {.type = BSH_UPDATE_MEMBER, .leaving = true};
+
+	g_strlcpy(u.name, m->view.self->pub.name, sizeof(u.name));
+	u.incarnation = m->view.self->pub.incarnation;
+	bsh_view_merge(&m->view, now_us, NULL, &u, true);
+	absorb(m, now_us);
+}
+
+static void tell_small(bsh_members_t *m, int64_t now_us, bsh_update_type_t type,
+		       const char *name, const char *owner,
+		       uint64_t incarnation)
+{
+	bsh_member_update_t u = {.type = type, .incarnation = incarnation};
+
+	g_strlcpy(u.name, name, sizeof(u.name));
+	g_strlcpy(u.owner, owner, sizeof(u.owner));
+	bsh_view_merge(&m->view, now_us, NULL, &u, true);
+	absorb(m, now_us);
+}
+
+void bsh_members_target_leaving(bsh_members_t *m, int64_t now_us,
+				const char *target, uint64_t incarnation)
+{
+	tell_small(m, now_us, BSH_UPDATE_TARGET, target, "", incarnation);
+}
+
+bool bsh_members_is_target_leaving(const bsh_members_t *m, const char *target,
+				   uint64_t incarnation)
+{
+	const bsh_small_record_t *r =
+		g_hash_table_lookup(m->view.targets, target);
+
+	return r != NULL && incarnation <= r->incarnation;
+}
+
+void bsh_members_target_forget(bsh_members_t *m, const char *target)
+{
+	bsh_small_record_t *r = g_hash_table_lookup(m->view.targets, target);
+
+	if (r == NULL)
+		return;
+	bsh_news_remove(&m->view.news, &r->record.news);
+	g_hash_table_remove(m->view.targets, target);
+}
+
+void bsh_members_set_cell_owner(bsh_members_t *m, int64_t now_us,
+				const char *cell, const char *owner,
+				uint64_t epoch)
+{
+	tell_small(m, now_us, BSH_UPDATE_CELL, cell, owner, epoch);
+}
+
+const char *bsh_members_cell_owner(const bsh_members_t *m, const char *cell,
+				   uint64_t *epoch)
+{
+	const bsh_small_record_t *r = g_hash_table_lookup(m->view.cells, cell);
+
+	if (epoch != NULL)
+		*epoch = r != NULL ? r->incarnation : 0;
+	return r != NULL ? r->owner : NULL;
+}
+
+void bsh_members_set_generation(bsh_members_t *m, int64_t now_us,
+				uint64_t generation, uint64_t hash,
+				uint32_t confirm_age_ms)
+{
+	m->confirm_age_ms = confirm_age_ms;
+	if (generation <= m->generation)
+		return;
+	m->generation = generation;
+	m->hash = hash;
+	m->view.self->pub.generation = generation;
+	want_urgent(m, now_us, URGENT_ROUNDS_MAX);
+}
+
+const bsh_member_t *bsh_members_find(const bsh_members_t *m, const char *name)
+{
+	const bsh_member_record_t *r = bsh_view_find(&m->view, name);
+
+	return r != NULL ? &r->pub : NULL;
+}
+
+void bsh_members_foreach(const bsh_members_t *m, bsh_member_fn_t fn, void *ctx)
+{
+	for (guint i = 0; i < m->view.by_rank->len; i++) {
+		const bsh_member_record_t *r = bsh_view_at(&m->view, i);
+
+		if (!r->pub.is_hint)
+			fn(ctx, &r->pub);
+	}
+}
+
+const bsh_member_t *bsh_members_self(const bsh_members_t *m)
+{
+	return &m->view.self->pub;
+}
+
+guint bsh_members_live(const bsh_members_t *m)
+{
+	return m->view.live;
+}
+
+uint64_t bsh_members_version(const bsh_members_t *m)
+{
+	return m->view.version;
+}
+
+uint32_t bsh_members_health(const bsh_members_t *m)
+{
+	return m->health;
+}
+
+const bsh_members_stats_t *bsh_members_stats(const bsh_members_t *m)
+{
+	return &m->view.stats;
+}
+
+size_t bsh_members_bytes(const bsh_members_t *m)
+{
+	size_t small = g_hash_table_size(m->view.targets) +
+		       g_hash_table_size(m->view.cells);
+	size_t names = m->near->len + m->far->len;
+
+	/* A hash table entry takes three words and is at most half empty. */
+	return sizeof(*m) +
+	       m->view.by_rank->len *
+		       (sizeof(bsh_member_record_t) + 7 * sizeof(void *)) +
+	       small * (sizeof(bsh_small_record_t) + 6 * sizeof(void *)) +
+	       names * (BSH_NAME_SIZE + sizeof(void *)) +
+	       m->relays->len * sizeof(relay_t);
+}
+
+bsh_members_t *bsh_members_new(const bsh_members_config_t *config,
+			       const bsh_members_ops_t *ops, void *ctx,
+			       int64_t now_us)
+{
+	bsh_members_t *m = g_new0(bsh_members_t, 1);
+
+	bsh_rng_init(&m->rng, config->seed);
+	bsh_view_init(&m->view, config, ops, ctx, now_us);
+	m->period_us = (int64_t)config->period_ms * 1000;
+	m->confirm_age_ms = BSH_MEMBER_AGE_NONE_MS;
+	m->relays = g_array_new(FALSE, FALSE, sizeof(relay_t));
+	m->seeds = g_ptr_array_new_with_free_func(g_free);
+	m->near = g_ptr_array_new_with_free_func(g_free);
+	m->far = g_ptr_array_new_with_free_func(g_free);
+	/* Instances that start together do not probe in step. */
+	m->period_at_us =
+		now_us + bsh_rng_below(&m->rng, (uint32_t)m->period_us);
+	m->sync_at_us = now_us + m->period_us;
+	m->wake_us = now_us + m->period_us;
+	m->urgent_bytes = URGENT_BYTES_BURST;
+	m->urgent_filled_us = now_us;
+	return m;
+}
+
+void bsh_members_free(bsh_members_t *m)
+{
+	if (m == NULL)
+		return;
+	bsh_view_finish(&m->view);
+	g_array_free(m->relays, TRUE);
+	g_ptr_array_free(m->seeds, TRUE);
+	g_ptr_array_free(m->near, TRUE);
+	g_ptr_array_free(m->far, TRUE);
+	bsh_rng_finish(&m->rng);
+	g_free(m);
+}
--- a/lib/coordination/member.h
+++ b/lib/coordination/member.h
@@ -24,7 +24,8 @@
  *	incarnation appears.
  *
  *	The module is a state machine: no I/O, no clock, no thread.  Calls
- *	with now_us must not go back in time.  Orders are given through
+ *	with now_us must not go back in time; each of them but the tick is
+ *	followed by bsh_members_tick() to learn when it is due next.  Orders are given through
  *	bsh_members_ops_t and must not call back into the module, except for
  *	the query functions.
  *
@@ -64,7 +65,6 @@
 	uint32_t suspect_votes;
 	uint64_t suspect_from[3]; /* ranks of those who suspected it first */
 	int64_t tried_us;
-	guint shuffle_index;
 } bsh_member_t;
 
 typedef struct {
@@ -185,8 +185,8 @@
 
 /*
  * bsh_members_set_generation - what this instance adopted.  A higher
- * generation is news and is sent ahead of the next probe.  Call it also to
- * refresh the confirmation age before datagrams are sent; that is cheap.
+ * generation is news and is sent ahead of the next probe.  The adoption module
+ * calls this for its members; a daemon need not.
  */
 void bsh_members_set_generation(bsh_members_t *m, int64_t now_us,
 				uint64_t generation, uint64_t hash,
--- a/lib/protocol/adoption_message.h
+++ b/lib/protocol/adoption_message.h
@@ -52,7 +52,8 @@
 	uint64_t settled;    /* FRESH*: lowest generation that may still be run
 			   * by the sender or by those it confirmed */
 	uint32_t confirm_age_ms; /* FRESH: BSH_MEMBER_AGE_NONE_MS for none */
-	bool vote;		 /* FRESH_ASK: asked; FRESH: granted */
+	bool vote;		 /* FRESH_ASK: asked for; FRESH: granted */
+	bool confirm;		 /* FRESH_ASK: a confirmation is asked for */
 	bool accepted;		 /* PREPARED: granted */
 	uint64_t version; /* PREPARE: store version the proposal is based on;
 			   * PREPARED: version known; CONFIG: of generation */
@@ -63,6 +64,12 @@
 	GBytes *body; /* CONFIG: document or delta, may be NULL otherwise */
 } bsh_adoption_message_t;
 
+static inline void bsh_bytes_clear(GBytes **bytes)
+{
+	g_bytes_unref(*bytes);
+	*bytes = NULL;
+}
+
 /* bsh_adoption_message_encode - body as new bytes; NULL if too large. */
 GBytes *bsh_adoption_message_encode(const bsh_adoption_message_t *msg);
 
--- /dev/null
+++ b/lib/protocol/body.c
@@ -0,0 +1,143 @@
+#include "protocol/body.h"
+
+#include <string.h>
+
+static int append(void *ctx, const char *data, size_t size)
+{
+	bsh_body_writer_t *w = ctx;
+
+	if (w->overflow || size > w->size - w->used) {
+		w->overflow = true;
+		return -1;
+	}
+	memcpy(w->data + w->used, data, size);
+	w->used += size;
+	return 0;
+}
+
+void bsh_body_writer_init(bsh_body_writer_t *w, uint8_t *data, size_t size)
+{
+	w->data = data;
+	w->size = size;
+	w->used = 0;
+	w->overflow = false;
+	msgpack_packer_init(&w->packer, w, append);
+}
+
+void bsh_body_put_uint(bsh_body_writer_t *w, uint64_t value)
+{
+	msgpack_pack_uint64(&w->packer, value);
+}
+
+void bsh_body_put_string(bsh_body_writer_t *w, const char *text)
+{
+	size_t length = strlen(text);
+
+	msgpack_pack_str(&w->packer, length);
+	msgpack_pack_str_body(&w->packer, text, length);
+}
+
+void bsh_body_put_bytes(bsh_body_writer_t *w, const void *data, size_t size)
+{
+	msgpack_pack_bin(&w->packer, size);
+	msgpack_pack_bin_body(&w->packer, data, size);
+}
+
+void bsh_body_put_array(bsh_body_writer_t *w, size_t n)
+{
+	msgpack_pack_array(&w->packer, n);
+}
+
+bool bsh_body_open(bsh_body_reader_t *r, msgpack_zone *zone,
+		   const uint8_t *data, size_t size)
+{
+	msgpack_object object;
+	size_t offset = 0;
+
+	memset(r, 0, sizeof(*r));
+	r->bad = true;
+	if (msgpack_unpack((const char *)data, size, &offset, zone, &object) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    offset != size || object.type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	r->items = object.via.array.ptr;
+	r->n = object.via.array.size;
+	r->bad = false;
+	return true;
+}
+
+static const msgpack_object *next(bsh_body_reader_t *r,
+				  msgpack_object_type type)
+{
+	const msgpack_object *object;
+
+	if (r->bad || r->next >= r->n) {
+		r->bad = true;
+		return NULL;
+	}
+	object = &r->items[r->next++];
+	if (object->type != type) {
+		r->bad = true;
+		return NULL;
+	}
+	return object;
+}
+
+uint64_t bsh_body_uint(bsh_body_reader_t *r, uint64_t max)
+{
+	const msgpack_object *object = next(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	if (object == NULL)
+		return 0;
+	if (object->via.u64 > max) {
+		r->bad = true;
+		return 0;
+	}
+	return object->via.u64;
+}
+
+void bsh_body_string(bsh_body_reader_t *r, char *out, size_t size)
+{
+	const msgpack_object *object = next(r, MSGPACK_OBJECT_STR);
+
+	out[0] = '\0';
+	if (object == NULL)
+		return;
+	if (object->via.str.size >= size ||
+	    memchr(object->via.str.ptr, '\0', object->via.str.size) != NULL) {
+		r->bad = true;
+		return;
+	}
+	memcpy(out, object->via.str.ptr, object->via.str.size);
+	out[object->via.str.size] = '\0';
+}
+
+const void *bsh_body_bytes(bsh_body_reader_t *r, size_t *size)
+{
+	const msgpack_object *object = next(r, MSGPACK_OBJECT_BIN);
+
+	*size = object != NULL ? object->via.bin.size : 0;
+	return object != NULL ? object->via.bin.ptr : NULL;
+}
+
+bsh_body_reader_t bsh_body_array(bsh_body_reader_t *r, uint32_t max)
+{
+	const msgpack_object *object = next(r, MSGPACK_OBJECT_ARRAY);
+	bsh_body_reader_t inner = {.bad = true};
+
+	if (object == NULL)
+		return inner;
+	if (object->via.array.size > max) {
+		r->bad = true;
+		return inner;
+	}
+	inner.items = object->via.array.ptr;
+	inner.n = object->via.array.size;
+	inner.bad = false;
+	return inner;
+}
+
+bool bsh_body_end(const bsh_body_reader_t *r)
+{
+	return !r->bad && r->next == r->n;
+}
--- a/lib/protocol/member_message.h
+++ b/lib/protocol/member_message.h
@@ -72,7 +72,8 @@
 	bsh_update_type_t type;
 	char name[BSH_NAME_SIZE]; /* instance, target or cell */
 	uint64_t incarnation;	  /* of the process; epoch of a cell */
-	uint32_t revision;	  /* raised to refute, per incarnation */
+	uint32_t revision; /* raised to refute, per incarnation; of a target:
+			    * minutes since it was found leaving */
 	bsh_member_state_t state;
 	bool leaving;
 	bool has_place; /* BSH_UPDATE_MEMBER: place is filled in */
