--- a/lib/coordination/loader.h
+++ b/lib/coordination/loader.h
@@ -14,7 +14,9 @@
  *	The caller (bshcontrold) must:
  *
  *	- answer each read and update exactly once, also after a timeout
- *	  (BSH_STORE_LOST), and in any order;
+ *	  (BSH_STORE_LOST for an update, BSH_STORE_UNAVAILABLE for a read);
+ *	  BSH_STORE_UNAVAILABLE for an update means that it certainly had
+ *	  no effect and never will;
  *	- answer each order exactly once with bsh_loader_order_result(), only
  *	  when the call has ended for good: once it reports NOT_SENT the order
  *	  must never be sent;
@@ -71,8 +73,9 @@
 	bool fencing;	     /* targets refuse an old fence */
 	uint32_t memory_mib; /* per target, when the list has none */
 	uint32_t max_running;
-	uint32_t cells; /* at least 1; equal on all instances; fixed while
-			 * the pool has slots (the stored value wins) */
+	/* At least 1; equal on all instances; may not change while the pool
+	 * has slots.  A cell stored with another number binds nothing. */
+	uint32_t cells;
 } bsh_loader_pool_t;
 
 typedef struct {
@@ -257,11 +260,17 @@
 	bool is_fresh, is_draining;
 	int64_t now_us;
 	GHashTable *pools, *models, *cells, *instances, *targets;
-	GHashTable *orders;  /* id to order in flight */
-	GHashTable *demands; /* id to waiting demand */
-	GArray *members;     /* bsh_sender_t, live */
-	uint64_t next_order, next_attempt;
-	int64_t list_us; /* time of the latest platform list, -1 if none */
+	GHashTable *wanted;   /* names of models that wait or are prefetched */
+	GHashTable *bindings; /* attempt id to what is known of the binding */
+	GHashTable *orders;   /* id to order in flight */
+	GHashTable *demands;  /* id to waiting demand */
+	GArray *members;      /* live controllers, with since when */
+	uint64_t next_order, next_random;
+	uint64_t lists;		/* platform lists taken */
+	uint64_t members_stamp; /* rises when ranks of candidates may change */
+	int64_t clean_us;
+	double loads_per_s; /* of the document, for all owners */
+	uint32_t concurrent;
 } bsh_loader_t;
 
 void bsh_loader_init(bsh_loader_t *loader, const bsh_loader_config_t *config,
@@ -312,7 +321,7 @@
 			uint64_t incarnation, int64_t now_us);
 
 /*
- * bsh_loader_copies - where a target has a copy of a model.  Without it,
+ * bsh_loader_copy - where a target has a copy of a model.  Without it,
  * the loader assumes a disk copy where it loaded the model before in the
  * target's present incarnation.
  */
@@ -333,7 +342,8 @@
 
 /*
  * bsh_loader_use - from a router's report: requests of the model began since
- * the last report (started) or are running or waiting now.
+ * the last report (started) or are running or waiting now.  A model reported
+ * as running counts as in use for 5 s, so routers repeat it sooner.
  */
 void bsh_loader_use(bsh_loader_t *loader, const char *model, uint32_t started,
 		    uint32_t running, int64_t now_us);
@@ -359,7 +369,11 @@
 bool bsh_loader_owner(const bsh_loader_t *loader, const char *model,
 		      bsh_sender_t *owner);
 
-/* bsh_loader_owns - whether this process owns the cell and its lease runs. */
+/* bsh_loader_owner_at - same for another slot index of the model. */
+bool bsh_loader_owner_at(const bsh_loader_t *loader, const char *model,
+			 uint32_t index, bsh_sender_t *owner);
+
+/* bsh_loader_owns - whether this process owns the cell, as last seen. */
 bool bsh_loader_owns(const bsh_loader_t *loader, const char *cell);
 
 /* bsh_loader_routes - issue ops->route for every model again. */
--- a/lib/state/cell.c
+++ b/lib/state/cell.c
@@ -144,6 +144,14 @@
 	return NULL;
 }
 
+bool bsh_cell_has_model(const bsh_cell_t *cell, const char *model)
+{
+	guint i = slot_position(cell, model, 0);
+
+	return i < cell->slots->len &&
+	       strcmp(slot_at(cell, i)->model, model) == 0;
+}
+
 uint32_t bsh_cell_free_mib(const bsh_cell_t *cell, const char *target)
 {
 	const bsh_cell_target_t *t = bsh_cell_target(cell, target);
@@ -376,38 +384,45 @@
 	return BSH_OK;
 }
 
+static bsh_error_t check_target(const bsh_cell_t *cell, guint i, uint64_t sum,
+				char **reason)
+{
+	const bsh_cell_target_t *target = target_at(cell, i);
+
+	if (!is_name(target->name) || target->memory_mib > BSH_CELL_MEMORY_MAX)
+		return fault(reason, "target %u: out of range", i);
+	if (i > 0 && strcmp(target_at(cell, i - 1)->name, target->name) >= 0)
+		return fault(reason, "target %u: not in order", i);
+	if (sum != target->reserved_mib)
+		return fault(reason,
+			     "target %s: reserved memory differs from its "
+			     "slots",
+			     target->name);
+	if (sum > target->memory_mib)
+		return fault(reason, "target %s: memory overcommitted",
+			     target->name);
+	return BSH_OK;
+}
+
 static bsh_error_t check_ledger(const bsh_cell_t *cell, char **reason)
 {
-	g_autofree uint64_t *sums = g_new0(uint64_t, cell->targets->len + 1);
+	uint64_t *sums = g_new0(uint64_t, cell->targets->len + 1);
+	bsh_error_t err = BSH_OK;
 
-	for (guint i = 0; i < cell->slots->len; i++) {
+	for (guint i = 0; i < cell->slots->len && err == BSH_OK; i++) {
 		const bsh_slot_t *slot = slot_at(cell, i);
 		const bsh_cell_target_t *on =
 			bsh_cell_target(cell, slot->target);
 
 		if (on == NULL)
-			return fault(reason, "slot %u: unknown target", i);
-		sums[on - target_at(cell, 0)] += slot->memory_mib;
-	}
-	for (guint i = 0; i < cell->targets->len; i++) {
-		const bsh_cell_target_t *target = target_at(cell, i);
-
-		if (!is_name(target->name) ||
-		    target->memory_mib > BSH_CELL_MEMORY_MAX)
-			return fault(reason, "target %u: out of range", i);
-		if (i > 0 &&
-		    strcmp(target_at(cell, i - 1)->name, target->name) >= 0)
-			return fault(reason, "target %u: not in order", i);
-		if (sums[i] != target->reserved_mib)
-			return fault(reason,
-				     "target %s: reserved memory differs from "
-				     "its slots",
-				     target->name);
-		if (sums[i] > target->memory_mib)
-			return fault(reason, "target %s: memory overcommitted",
-				     target->name);
+			err = fault(reason, "slot %u: unknown target", i);
+		else
+			sums[on - target_at(cell, 0)] += slot->memory_mib;
 	}
-	return BSH_OK;
+	for (guint i = 0; i < cell->targets->len && err == BSH_OK; i++)
+		err = check_target(cell, i, sums[i], reason);
+	g_free(sums);
+	return err;
 }
 
 bsh_error_t bsh_cell_check(const bsh_cell_t *cell, char **reason)
@@ -506,7 +521,7 @@
 
 bsh_error_t bsh_cell_encode(const bsh_cell_t *cell, char **text)
 {
-	g_autofree int *numbers = g_new(int, cell->senders->len + 1);
+	int *numbers = g_new(int, cell->senders->len + 1);
 	char writer[BSH_ATTEMPT_TEXT_SIZE];
 	json_t *models = json_array();
 	json_t *targets = json_array();
@@ -519,6 +534,7 @@
 	*text = NULL;
 	senders = pack_senders(cell, numbers, &owner);
 	slots = pack_slots(cell, numbers, models);
+	g_free(numbers);
 	for (guint i = 0; i < cell->targets->len; i++) {
 		const bsh_cell_target_t *t = target_at(cell, i);
 
--- a/lib/state/cell.h
+++ b/lib/state/cell.h
@@ -152,6 +152,9 @@
 bsh_slot_t *bsh_cell_slot_on(const bsh_cell_t *cell, const char *model,
 			     const char *target);
 
+/* bsh_cell_has_model - whether any slot of the model exists. */
+bool bsh_cell_has_model(const bsh_cell_t *cell, const char *model);
+
 /* bsh_cell_free_mib - memory of the target that is not reserved. */
 uint32_t bsh_cell_free_mib(const bsh_cell_t *cell, const char *target);
 
--- a/lib/state/placement.c
+++ b/lib/state/placement.c
@@ -506,22 +506,13 @@
 	       !v->is_waiting && !v->is_base_in_use && v->memory_mib > 0;
 }
 
-size_t bsh_placement_evict(const bsh_placement_t *p, const char *target,
-			   uint32_t need_mib, uint8_t priority,
-			   const bsh_victim_t *victims, size_t count,
-			   int64_t now_us, int64_t wall_us, bool *chosen,
-			   char reason[BSH_PLACEMENT_REASON_SIZE])
+/* Marks the cheapest victims until need_mib is freed; 0 if it cannot be. */
+static size_t mark_victims(const double *costs, const bsh_victim_t *victims,
+			   size_t count, uint32_t need_mib, bool *chosen)
 {
-	g_autofree double *costs = g_new(double, count + 1);
 	uint64_t freed = 0;
 	size_t marked = 0;
 
-	memset(chosen, 0, count * sizeof(*chosen));
-	for (size_t i = 0; i < count; i++)
-		costs[i] =
-			may_evict(&victims[i], target)
-				? victim_cost(p, &victims[i], now_us, wall_us)
-				: INFINITY;
 	while (freed < need_mib) {
 		size_t best = SIZE_MAX;
 
@@ -546,6 +537,26 @@
 			marked--;
 		}
 	}
+	return marked;
+}
+
+size_t bsh_placement_evict(const bsh_placement_t *p, const char *target,
+			   uint32_t need_mib, uint8_t priority,
+			   const bsh_victim_t *victims, size_t count,
+			   int64_t now_us, int64_t wall_us, bool *chosen,
+			   char reason[BSH_PLACEMENT_REASON_SIZE])
+{
+	double *costs = g_new(double, count + 1);
+	size_t marked;
+
+	memset(chosen, 0, count * sizeof(*chosen));
+	for (size_t i = 0; i < count; i++)
+		costs[i] =
+			may_evict(&victims[i], target)
+				? victim_cost(p, &victims[i], now_us, wall_us)
+				: INFINITY;
+	marked = mark_victims(costs, victims, count, need_mib, chosen);
+	g_free(costs);
 	snprintf(reason, BSH_PLACEMENT_REASON_SIZE,
 		 "evicted for a waiting model of priority %u (%u MiB)",
 		 priority, need_mib);
