--- /dev/null
+++ b/bshcontrold/cells.c
@@ -0,0 +1,809 @@
+/* The loader: cells in the store, demands, routes of models. */
+#include "cells.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "coordination/member.h"
+
+#define KIND "cell"
+/* With more controllers than this, routes go only to those that asked. */
+#define BROADCAST_MAX	16
+#define RETRY_AFTER_MS	1000
+#define DEADLINE_MAX_MS 3600000
+
+/* The last ROUTES message of a scope, encoded. */
+typedef struct {
+	uint64_t epoch;
+	uint64_t sequence;
+	char *model;
+	GBytes *message;
+} scope_t;
+
+/* A demand that has no final answer yet. */
+typedef struct {
+	uint64_t id;	    /* here */
+	uint64_t remote_id; /* at the asking side */
+	char *asker;	    /* instance; NULL: the router of this instance */
+	char *owner;	    /* forwarded to; NULL: the loader here */
+	char *model;
+} demand_t;
+
+struct cells {
+	bsh_loader_t loader;
+	bsh_loop_timer_t timer;
+	GHashTable *scopes;  /* name to scope_t */
+	GHashTable *demands; /* &demand->id to demand_t */
+	GHashTable *askers;  /* instances that asked for a model */
+	uint64_t next_id;
+};
+
+typedef struct {
+	control_t *control;
+	char *cell;
+} store_call_t;
+
+static bsh_counter_t demand_gauge =
+	BSH_GAUGE("bsh_control_demands", "Demands without a final answer.");
+static bsh_counter_t loads_counter =
+	BSH_COUNTER("bsh_control_loads_total", "Load orders.");
+
+static void run(control_t *control);
+
+static store_call_t *make_call(control_t *control, const char *cell)
+{
+	store_call_t *call = g_new0(store_call_t, 1);
+
+	call->control = control;
+	call->cell = g_strdup(cell);
+	return call;
+}
+
+static void free_call(store_call_t *call)
+{
+	g_free(call->cell);
+	g_free(call);
+}
+
+static bsh_store_result_t store_result(const bsh_store_answer_t *answer)
+{
+	switch (answer->result) {
+	case BSH_CALL_DONE:
+		return BSH_STORE_OK;
+	case BSH_CALL_NOT_FOUND:
+		return BSH_STORE_NOT_FOUND;
+	case BSH_CALL_CONFLICT:
+		return BSH_STORE_CONFLICT;
+	case BSH_CALL_REFUSED:
+		return answer->status == 413 ? BSH_STORE_TOO_LARGE
+					     : BSH_STORE_UNAVAILABLE;
+	case BSH_CALL_UNAVAILABLE:
+		return BSH_STORE_UNAVAILABLE;
+	default:
+		return BSH_STORE_LOST;
+	}
+}
+
+static void on_read(void *ctx, const bsh_store_answer_t *answer)
+{
+	store_call_t *call = ctx;
+	control_t *control = call->control;
+	bsh_store_result_t result = store_result(answer);
+	char *text = result == BSH_STORE_OK
+			     ? json_dumps(answer->value,
+					  JSON_COMPACT | JSON_ENCODE_ANY)
+			     : NULL;
+
+	bsh_loader_read_result(
+		&control->cells->loader, call->cell, result, answer->version,
+		text, text != NULL ? strlen(text) : 0, control_now_us());
+	free(text);
+	free_call(call);
+	run(control);
+}
+
+static void on_update(void *ctx, const bsh_store_answer_t *answer)
+{
+	store_call_t *call = ctx;
+	control_t *control = call->control;
+
+	bsh_loader_update_result(&control->cells->loader, call->cell,
+				 store_result(answer), answer->version,
+				 control_now_us());
+	free_call(call);
+	run(control);
+}
+
+static void read_cell(void *ctx, const char *cell)
+{
+	control_t *control = ctx;
+
+	bsh_store_get(&control->store, KIND, cell, on_read,
+		      make_call(control, cell));
+}
+
+static void update_cell(void *ctx, const char *cell, uint64_t base_version,
+			const char *value)
+{
+	control_t *control = ctx;
+
+	bsh_store_put(&control->store, KIND, cell, base_version, value,
+		      strlen(value), on_update, make_call(control, cell));
+}
+
+static void order(void *ctx, const bsh_loader_order_t *loader_order)
+{
+	if (loader_order->kind == BSH_ORDER_LOAD)
+		bsh_counter_add(&loads_counter, 1);
+	targets_order(ctx, loader_order);
+}
+
+static void poll(void *ctx, const char *target)
+{
+	targets_poll(ctx, target);
+}
+
+static void free_scope(void *data)
+{
+	scope_t *scope = data;
+
+	g_free(scope->model);
+	g_bytes_unref(scope->message);
+	g_free(scope);
+}
+
+/* Remember a ROUTES message if it is newer; false if it is not. */
+static bool keep_routes(control_t *control, const bsh_message_t *message)
+{
+	const bsh_msg_routes_t *routes = &message->routes;
+	scope_t *scope =
+		g_hash_table_lookup(control->cells->scopes, routes->cell);
+	const char *slash = strchr(routes->cell, '/');
+	char *data;
+	size_t size;
+
+	if (scope != NULL && (routes->epoch < scope->epoch ||
+			      (routes->epoch == scope->epoch &&
+			       routes->sequence <= scope->sequence)))
+		return false;
+	if (slash == NULL ||
+	    bsh_message_encode(message, &data, &size) != BSH_OK)
+		return false;
+	scope = g_new0(scope_t, 1);
+	scope->epoch = routes->epoch;
+	scope->sequence = routes->sequence;
+	scope->model = g_strdup(slash + 1);
+	scope->message = g_bytes_new_with_free_func(data, size, free, data);
+	g_hash_table_replace(control->cells->scopes, g_strdup(routes->cell),
+			     scope);
+	return true;
+}
+
+/* instance NULL: to the router of this instance. */
+static void send_scope(control_t *control, const scope_t *scope,
+		       const char *instance)
+{
+	bsh_message_t message;
+	gsize size;
+	const char *data = g_bytes_get_data(scope->message, &size);
+
+	if (bsh_message_decode(&message, data, size) != BSH_OK)
+		return;
+	if (instance != NULL)
+		peers_send(control, instance, &message);
+	else
+		routers_send(control, &message);
+	bsh_message_finish(&message);
+}
+
+static void send_model(control_t *control, const char *model,
+		       const char *instance)
+{
+	GHashTableIter it;
+	gpointer scope;
+
+	g_hash_table_iter_init(&it, control->cells->scopes);
+	while (g_hash_table_iter_next(&it, NULL, &scope)) {
+		if (strcmp(((scope_t *)scope)->model, model) == 0)
+			send_scope(control, scope, instance);
+	}
+}
+
+static void distribute(control_t *control, const scope_t *scope,
+		       const bsh_message_t *message)
+{
+	GHashTableIter it;
+	gpointer instance;
+
+	send_scope(control, scope, NULL);
+	if (bsh_members_live(peers_members(control)) <= BROADCAST_MAX) {
+		peers_broadcast(control, message);
+		return;
+	}
+	g_hash_table_iter_init(&it, control->cells->askers);
+	while (g_hash_table_iter_next(&it, &instance, NULL))
+		send_scope(control, scope, instance);
+}
+
+static void route(void *ctx, const bsh_loader_route_t *loader_route)
+{
+	control_t *control = ctx;
+	g_autofree char *name = g_strdup_printf("%s/%s", loader_route->cell,
+						loader_route->model);
+	bsh_route_entry_t *entries =
+		g_new0(bsh_route_entry_t, loader_route->count + 1);
+	bsh_message_t message = {.type = BSH_MSG_ROUTES};
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < loader_route->count; i++) {
+		entries[n].name = loader_route->model;
+		if (targets_describe(control, loader_route->targets[i],
+				     loader_route->incarnations[i],
+				     &entries[n]))
+			n++;
+	}
+	message.routes = (bsh_msg_routes_t){name, loader_route->epoch,
+					    loader_route->sequence, entries, n};
+	if (keep_routes(control, &message))
+		distribute(control,
+			   g_hash_table_lookup(control->cells->scopes, name),
+			   &message);
+	g_free(entries);
+}
+
+static void free_demand(void *data)
+{
+	demand_t *demand = data;
+
+	g_free(demand->asker);
+	g_free(demand->owner);
+	g_free(demand->model);
+	g_free(demand);
+}
+
+static void forget_demand(control_t *control, const demand_t *demand)
+{
+	g_hash_table_remove(control->cells->demands, &demand->id);
+	bsh_counter_set(&demand_gauge,
+			g_hash_table_size(control->cells->demands));
+}
+
+static void send_answer(control_t *control, const demand_t *demand,
+			const bsh_msg_need_answer_t *answer)
+{
+	bsh_message_t message = {.type = BSH_MSG_NEED_ANSWER,
+				 .need_answer = *answer};
+
+	message.need_answer.id = demand->remote_id;
+	message.need_answer.model = demand->model;
+	/* The routes come first, so that a ready model can be used. */
+	if (answer->verdict == BSH_NEED_READY)
+		send_model(control, demand->model, demand->asker);
+	if (demand->asker != NULL)
+		peers_send(control, demand->asker, &message);
+	else
+		routers_send(control, &message);
+}
+
+static void answer_demand(control_t *control, const demand_t *demand,
+			  const bsh_msg_need_answer_t *answer)
+{
+	send_answer(control, demand, answer);
+	if (answer->verdict != BSH_NEED_LOADING)
+		forget_demand(control, demand);
+}
+
+static void refuse(control_t *control, const demand_t *demand,
+		   bsh_error_t error, uint64_t retry_after_ms)
+{
+	bsh_msg_need_answer_t answer = {.verdict = BSH_NEED_REFUSED,
+					.error = error,
+					.retry_after_ms = retry_after_ms};
+
+	answer_demand(control, demand, &answer);
+}
+
+static void answer(void *ctx, const bsh_demand_answer_t *loader_answer)
+{
+	control_t *control = ctx;
+	const demand_t *demand = g_hash_table_lookup(control->cells->demands,
+						     &loader_answer->id);
+	bsh_msg_need_answer_t out = {.error = loader_answer->error,
+				     .retry_after_ms =
+					     loader_answer->retry_after_ms};
+
+	if (demand == NULL)
+		return;
+	bsh_timeline_add(&control->timeline, "demand-answer", "{s:s, s:i, s:s}",
+			 "model", loader_answer->model, "result",
+			 (int)loader_answer->result, "reason",
+			 loader_answer->reason != NULL ? loader_answer->reason
+						       : "");
+	switch (loader_answer->result) {
+	case BSH_DEMAND_READY:
+		out.verdict = BSH_NEED_READY;
+		break;
+	case BSH_DEMAND_LOADING:
+		out.verdict = BSH_NEED_LOADING;
+		out.estimate_ms = (uint64_t)MAX(
+			0, (loader_answer->ready_us - control_now_us()) / 1000);
+		break;
+	case BSH_DEMAND_REFUSED:
+		out.verdict = BSH_NEED_REFUSED;
+		break;
+	}
+	answer_demand(control, demand, &out);
+}
+
+static void event(void *ctx, const bsh_loader_event_t *e)
+{
+	control_t *control = ctx;
+	char attempt[BSH_ATTEMPT_TEXT_SIZE];
+
+	bsh_attempt_text(&e->attempt, attempt);
+	bsh_timeline_add(&control->timeline, e->kind,
+			 "{s:s, s:s, s:i, s:s, s:s, s:I, s:I, s:s}", "cell",
+			 e->cell != NULL ? e->cell : "", "model",
+			 e->model != NULL ? e->model : "", "index",
+			 (int)e->index, "target",
+			 e->target != NULL ? e->target : "", "attempt", attempt,
+			 "fence", (json_int_t)e->fence, "epoch",
+			 (json_int_t)e->epoch, "reason",
+			 e->reason != NULL ? e->reason : "");
+	bsh_log(BSH_LOG_DEBUG, "%s cell=%s model=%s target=%s reason=%s",
+		e->kind, e->cell != NULL ? e->cell : "-",
+		e->model != NULL ? e->model : "-",
+		e->target != NULL ? e->target : "-",
+		e->reason != NULL ? e->reason : "-");
+}
+
+static const bsh_loader_ops_t ops = {
+	.read = read_cell,
+	.update = update_cell,
+	.order = order,
+	.poll = poll,
+	.route = route,
+	.answer = answer,
+	.event = event,
+};
+
+static void run(control_t *control)
+{
+	bsh_loader_t *loader = &control->cells->loader;
+
+	bsh_loader_tick(loader, control_now_us());
+	control_timer_at(&control->cells->timer, bsh_loader_next_us(loader));
+}
+
+static void on_timer(void *ctx)
+{
+	run(ctx);
+}
+
+void cells_start(control_t *control)
+{
+	struct cells *cells = g_new0(struct cells, 1);
+	bsh_loader_config_t config = {
+		.self.incarnation = control->incarnation,
+		.lease_ms = control->settings.lease_ms,
+		.settle_ms = control->settings.settle_ms,
+		.absent_ms = BSH_LOADER_ABSENT_MS_DEFAULT,
+		.wall_offset_us = g_get_real_time() - control_now_us(),
+		.seed = {(uint64_t)control_seed() << 32 | control_seed(),
+			 (uint64_t)control_seed() << 32 | control_seed()}};
+
+	bsh_counter_register(&demand_gauge);
+	bsh_counter_register(&loads_counter);
+	g_strlcpy(config.self.instance, control->settings.instance,
+		  sizeof(config.self.instance));
+	g_strlcpy(config.zone, control->settings.zone, sizeof(config.zone));
+	control->cells = cells;
+	cells->scopes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      free_scope);
+	cells->demands = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, free_demand);
+	cells->askers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bsh_loader_init(&cells->loader, &config, &ops, control);
+	bsh_loader_fresh(&cells->loader, false, control_now_us());
+	bsh_loop_timer_init(&cells->timer, &control->loop, on_timer, control);
+	cells_members(control);
+}
+
+void cells_stop(control_t *control)
+{
+	struct cells *cells = control->cells;
+
+	bsh_loop_timer_stop(&cells->timer);
+	bsh_loader_finish(&cells->loader);
+	g_hash_table_destroy(cells->scopes);
+	g_hash_table_destroy(cells->demands);
+	g_hash_table_destroy(cells->askers);
+	g_free(cells);
+}
+
+static void fill_pools(const bsh_document_t *doc, GArray *pools)
+{
+	for (guint i = 0; i < doc->pools->len; i++) {
+		const bsh_doc_pool_t *pool = bsh_document_pool_at(doc, i);
+		bsh_loader_pool_t out = {.name = pool->name,
+					 .fencing = pool->fencing,
+					 .memory_mib = pool->memory_mib,
+					 .max_running = pool->max_running,
+					 .cells = pool->cells};
+
+		if (pool->kind == BSH_DOC_ENGINE)
+			g_array_append_val(pools, out);
+	}
+}
+
+static void fill_models(const bsh_document_t *doc, GArray *models)
+{
+	for (guint i = 0; i < doc->models->len; i++) {
+		const bsh_doc_model_t *model =
+			&g_array_index(doc->models, bsh_doc_model_t, i);
+		bsh_loader_model_t out = {
+			.name = model->name,
+			.version = model->version,
+			.pool = bsh_document_pool_at(doc, model->pool)->name,
+			.base = model->base[0] != '\0' ? model->base : NULL,
+			.memory_mib = model->memory_mib,
+			.max_replicas = model->max_replicas,
+			.priority = (uint8_t)model->priority,
+			.load_ms = model->load_ms};
+
+		g_array_append_val(models, out);
+	}
+}
+
+void cells_document(control_t *control)
+{
+	const bsh_document_t *doc = config_document(control);
+	GArray *pools = g_array_new(FALSE, FALSE, sizeof(bsh_loader_pool_t));
+	GArray *models = g_array_new(FALSE, FALSE, sizeof(bsh_loader_model_t));
+	bsh_loader_document_t out = {.generation = config_generation(control)};
+
+	if (doc != NULL) {
+		fill_pools(doc, pools);
+		fill_models(doc, models);
+		out.weight = doc->weight;
+		out.loads_per_s = doc->loads_per_s;
+		out.concurrent = doc->load_concurrent;
+		out.pools = (const bsh_loader_pool_t *)(void *)pools->data;
+		out.pool_count = pools->len;
+		out.models = (const bsh_loader_model_t *)(void *)models->data;
+		out.model_count = models->len;
+		bsh_loader_document(&control->cells->loader, &out,
+				    control_now_us());
+		run(control);
+	}
+	g_array_free(pools, TRUE);
+	g_array_free(models, TRUE);
+}
+
+void cells_fresh(control_t *control, bool is_fresh)
+{
+	bsh_loader_fresh(&control->cells->loader, is_fresh, control_now_us());
+	run(control);
+}
+
+static void add_member(void *ctx, const bsh_member_t *member)
+{
+	GArray *live = ctx;
+	bsh_sender_t sender = {.incarnation = member->incarnation};
+
+	if (member->leaving || (member->state != BSH_MEMBER_ALIVE &&
+				member->state != BSH_MEMBER_SUSPECT))
+		return;
+	g_strlcpy(sender.instance, member->name, sizeof(sender.instance));
+	g_array_append_val(live, sender);
+}
+
+void cells_members(control_t *control)
+{
+	GArray *live = g_array_new(FALSE, TRUE, sizeof(bsh_sender_t));
+
+	if (control->cells != NULL) {
+		bsh_members_foreach(peers_members(control), add_member, live);
+		bsh_loader_members(&control->cells->loader,
+				   (const bsh_sender_t *)(void *)live->data,
+				   live->len, control_now_us());
+		run(control);
+	}
+	g_array_free(live, TRUE);
+}
+
+void cells_platform(control_t *control, const bsh_loader_instance_t *items,
+		    size_t count)
+{
+	bsh_loader_platform(&control->cells->loader, items, count,
+			    control_now_us());
+	run(control);
+}
+
+void cells_target_status(control_t *control, const bsh_target_status_t *status)
+{
+	bsh_loader_status(&control->cells->loader, status, control_now_us());
+	run(control);
+}
+
+void cells_order_result(control_t *control, uint64_t id,
+			bsh_order_result_t result, uint64_t fence)
+{
+	bsh_loader_order_result(&control->cells->loader, id, result, fence,
+				control_now_us());
+	run(control);
+}
+
+void cells_leaving(control_t *control, const char *target, uint64_t incarnation)
+{
+	bsh_loader_leaving(&control->cells->loader, target, incarnation,
+			   control_now_us());
+	run(control);
+}
+
+bool cells_owns_target(const control_t *control, const char *pool,
+		       const char *target)
+{
+	const bsh_document_t *doc = config_document(control);
+	const bsh_doc_pool_t *p =
+		doc != NULL ? bsh_document_pool(doc, pool) : NULL;
+	char cell[BSH_CELL_NAME_MAX];
+
+	if (p == NULL || p->kind != BSH_DOC_ENGINE)
+		return false;
+	bsh_cell_name(pool, bsh_cell_of_target(target, p->cells), p->cells,
+		      cell);
+	return bsh_loader_owns(&control->cells->loader, cell);
+}
+
+static bool is_self(const control_t *control, const bsh_sender_t *owner)
+{
+	return strcmp(owner->instance, control->settings.instance) == 0 &&
+	       owner->incarnation == control->incarnation;
+}
+
+static demand_t *add_demand(control_t *control, const char *asker,
+			    const bsh_msg_need_t *need)
+{
+	demand_t *demand = g_new0(demand_t, 1);
+
+	demand->id = ++control->cells->next_id;
+	demand->remote_id = need->id;
+	demand->asker = g_strdup(asker);
+	demand->model = g_strdup(need->model);
+	g_hash_table_insert(control->cells->demands, &demand->id, demand);
+	bsh_counter_set(&demand_gauge,
+			g_hash_table_size(control->cells->demands));
+	return demand;
+}
+
+static void ask_loader(control_t *control, const demand_t *demand,
+		       const bsh_msg_need_t *need)
+{
+	int64_t now_us = control_now_us();
+	bsh_demand_t out = {
+		.id = demand->id,
+		.model = demand->model,
+		.zone = control->settings.zone,
+		.deadline_us =
+			now_us +
+			(int64_t)MIN(need->deadline_ms, DEADLINE_MAX_MS) * 1000,
+		.priority = (uint8_t)need->priority,
+		.count = MAX(need->waiting, 1)};
+
+	bsh_loader_demand(&control->cells->loader, &out, now_us);
+	run(control);
+}
+
+static void forward(control_t *control, demand_t *demand,
+		    const bsh_msg_need_t *need, const char *owner)
+{
+	bsh_message_t message = {.type = BSH_MSG_NEED, .need = *need};
+
+	message.need.id = demand->id;
+	demand->owner = g_strdup(owner);
+	peers_send(control, owner, &message);
+}
+
+/* asker NULL: the router of this instance. */
+static void take_need(control_t *control, const char *asker,
+		      const bsh_msg_need_t *need)
+{
+	demand_t *demand = add_demand(control, asker, need);
+	bsh_sender_t owner;
+
+	if (shutdown_is_draining(control) && asker == NULL)
+		refuse(control, demand, BSH_ERR_DRAINING, 0);
+	else if (!bsh_loader_owner(&control->cells->loader, need->model,
+				   &owner))
+		refuse(control, demand, BSH_ERR_CAPACITY, RETRY_AFTER_MS);
+	else if (is_self(control, &owner))
+		ask_loader(control, demand, need);
+	else if (asker == NULL)
+		forward(control, demand, need, owner.instance);
+	else
+		/* The asker's view of the owner is old. */
+		refuse(control, demand, BSH_ERR_CAPACITY, RETRY_AFTER_MS);
+}
+
+void cells_need(control_t *control, bsh_channel_t *router,
+		const bsh_message_t *message)
+{
+	(void)router;
+	bsh_timeline_add(&control->timeline, "need", "{s:s, s:I, s:I}", "model",
+			 message->need.model, "deadline_ms",
+			 (json_int_t)message->need.deadline_ms, "waiting",
+			 (json_int_t)message->need.waiting);
+	take_need(control, NULL, &message->need);
+}
+
+static void take_routes(control_t *control, const bsh_message_t *message)
+{
+	if (keep_routes(control, message))
+		send_scope(control,
+			   g_hash_table_lookup(control->cells->scopes,
+					       message->routes.cell),
+			   NULL);
+}
+
+static void take_answer(control_t *control, const bsh_message_t *message)
+{
+	const demand_t *demand = g_hash_table_lookup(control->cells->demands,
+						     &message->need_answer.id);
+
+	if (demand != NULL && demand->owner != NULL &&
+	    strcmp(demand->owner, message->sender) == 0 &&
+	    strcmp(demand->model, message->need_answer.model) == 0)
+		answer_demand(control, demand, &message->need_answer);
+}
+
+void cells_receive(control_t *control, const bsh_message_t *message)
+{
+	switch (message->type) {
+	case BSH_MSG_NEED:
+		g_hash_table_add(control->cells->askers,
+				 g_strdup(message->sender));
+		take_need(control, message->sender, &message->need);
+		break;
+	case BSH_MSG_NEED_ANSWER:
+		take_answer(control, message);
+		break;
+	case BSH_MSG_ROUTES:
+		take_routes(control, message);
+		break;
+	case BSH_MSG_HANDOVER:
+		bsh_loader_wake(&control->cells->loader, message->handover.cell,
+				control_now_us());
+		run(control);
+		break;
+	default:
+		break;
+	}
+}
+
+static void forward_report(control_t *control, const char *owner,
+			   const bsh_report_entry_t *entry)
+{
+	bsh_message_t message = {.type = BSH_MSG_REPORT};
+
+	message.report = (bsh_msg_report_t){entry, 1};
+	peers_send(control, owner, &message);
+}
+
+/* From the router of this instance, or passed on by another controller. */
+void cells_report(control_t *control, const bsh_message_t *message)
+{
+	const bsh_document_t *doc = config_document(control);
+	bool is_local =
+		strcmp(message->sender, control->settings.instance) == 0;
+	bsh_sender_t owner;
+
+	for (uint32_t i = 0; i < message->report.entry_count; i++) {
+		const bsh_report_entry_t *e = &message->report.entries[i];
+
+		if (doc == NULL || bsh_document_model(doc, e->model) == NULL ||
+		    !bsh_loader_owner(&control->cells->loader, e->model,
+				      &owner))
+			continue;
+		if (is_self(control, &owner))
+			bsh_loader_use(&control->cells->loader, e->model,
+				       e->started, e->running + e->waiting,
+				       control_now_us());
+		else if (is_local)
+			forward_report(control, owner.instance, e);
+	}
+}
+
+/* Demands that match are refused (peer) or cancelled (router). */
+static GPtrArray *collect(const control_t *control, const char *owner)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, control->cells->demands);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const demand_t *demand = value;
+
+		if (owner != NULL ? g_strcmp0(demand->owner, owner) == 0
+				  : demand->asker == NULL)
+			g_ptr_array_add(list, value);
+	}
+	return list;
+}
+
+void cells_router_down(control_t *control)
+{
+	GPtrArray *list = collect(control, NULL);
+
+	for (guint i = 0; i < list->len; i++) {
+		const demand_t *demand = g_ptr_array_index(list, i);
+
+		if (demand->owner == NULL)
+			bsh_loader_cancel(&control->cells->loader, demand->id,
+					  control_now_us());
+		forget_demand(control, demand);
+	}
+	g_ptr_array_free(list, TRUE);
+}
+
+void cells_peer_down(control_t *control, const char *instance)
+{
+	GPtrArray *list;
+
+	if (control->cells == NULL)
+		return;
+	list = collect(control, instance);
+	for (guint i = 0; i < list->len; i++)
+		refuse(control, g_ptr_array_index(list, i), BSH_ERR_CAPACITY,
+		       RETRY_AFTER_MS);
+	g_ptr_array_free(list, TRUE);
+}
+
+void cells_greet_router(control_t *control)
+{
+	GHashTableIter it;
+	gpointer scope;
+
+	g_hash_table_iter_init(&it, control->cells->scopes);
+	while (g_hash_table_iter_next(&it, NULL, &scope))
+		send_scope(control, scope, NULL);
+}
+
+void cells_drain(control_t *control)
+{
+	bsh_loader_drain(&control->cells->loader, control_now_us());
+	run(control);
+}
+
+bool cells_drained(const control_t *control)
+{
+	return bsh_loader_drained(&control->cells->loader);
+}
+
+json_t *cells_status(const control_t *control)
+{
+	const bsh_document_t *doc = config_document(control);
+	json_t *list = json_array();
+	char name[BSH_CELL_NAME_MAX];
+
+	for (guint i = 0; doc != NULL && i < doc->pools->len; i++) {
+		const bsh_doc_pool_t *pool = bsh_document_pool_at(doc, i);
+
+		if (pool->kind != BSH_DOC_ENGINE)
+			continue;
+		for (uint32_t n = 0; n < pool->cells; n++) {
+			bsh_cell_name(pool->name, n, pool->cells, name);
+			json_array_append_new(
+				list,
+				json_pack(
+					"{s:s, s:b}", "name", name, "owned",
+					bsh_loader_owns(&control->cells->loader,
+							name)));
+		}
+	}
+	return list;
+}
--- /dev/null
+++ b/bshcontrold/peers.c
@@ -0,0 +1,468 @@
+/* Membership datagrams, and frames to and from other controllers. */
+#include "control.h"
+
+#include <err.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "coordination/member.h"
+#include "transport/udp.h"
+
+/* Frames that wait for a connection; the peers' protocols repeat what is
+ * lost. */
+#define QUEUE_MAX 64
+
+typedef struct {
+	control_t *control;
+	char *name;
+	char *address;
+	bsh_channel_t *channel;
+	GQueue queue; /* GBytes: encoded messages */
+} peer_t;
+
+struct peers {
+	bsh_members_t *members;
+	bsh_udp_t *udp;
+	uint64_t sequence;   /* of the last datagram sent */
+	GHashTable *windows; /* sender to bsh_window_t */
+	GHashTable *table;   /* instance to peer_t: outgoing channels */
+	bsh_channel_listener_t *listener;
+	bsh_loop_timer_t timer;
+};
+
+enum {
+	DROP_AUTH,
+	DROP_MALFORMED,
+	DROP_REPLAY,
+	DROP_COUNT
+};
+
+static bsh_counter_t dropped[DROP_COUNT] = {
+	BSH_COUNTER_LABELS("bsh_datagrams_rejected_total",
+			   "Datagrams that failed a check.", "reason=\"auth\""),
+	BSH_COUNTER_LABELS("bsh_datagrams_rejected_total",
+			   "Datagrams that failed a check.",
+			   "reason=\"malformed\""),
+	BSH_COUNTER_LABELS("bsh_datagrams_rejected_total",
+			   "Datagrams that failed a check.",
+			   "reason=\"replay\""),
+};
+static bsh_counter_t datagrams =
+	BSH_COUNTER("bsh_datagrams_sent_total", "Datagrams sent.");
+static bsh_counter_t datagram_bytes = BSH_COUNTER(
+	"bsh_datagrams_sent_bytes_total", "Bytes of datagrams sent.");
+
+void peers_send_datagram(control_t *control, const char *address,
+			 bsh_message_t *message)
+{
+	struct peers *peers = control->peers;
+	uint8_t data[BSH_UDP_MAX_BYTES];
+	char *body;
+	size_t size;
+
+	message->stamp = bsh_timeline_stamp(&control->timeline);
+	message->sender = control->settings.instance;
+	message->incarnation = control->incarnation;
+	if (bsh_message_encode(message, &body, &size) != BSH_OK)
+		return;
+	if (size + BSH_SEAL_SIZE_BYTES <= sizeof(data)) {
+		memcpy(data + BSH_SEAL_SIZE_BYTES, body, size);
+		bsh_datagram_seal(control->settings.key, ++peers->sequence,
+				  data, body, size);
+		bsh_udp_send(peers->udp, address, data,
+			     size + BSH_SEAL_SIZE_BYTES);
+		bsh_counter_add(&datagrams, 1);
+		bsh_counter_add(&datagram_bytes,
+				(int64_t)(size + BSH_SEAL_SIZE_BYTES));
+	}
+	free(body);
+}
+
+static void send_member(void *ctx, const char *name, const char *address,
+			const bsh_member_message_t *msg)
+{
+	uint8_t body[BSH_MEMBER_BODY_BYTES];
+	bsh_message_t message = {.type = BSH_MSG_MEMBER};
+
+	(void)name;
+	message.body.body = body;
+	message.body.body_bytes = (uint32_t)bsh_member_message_encode(
+		msg, body, sizeof(body), NULL);
+	if (message.body.body_bytes > 0)
+		peers_send_datagram(ctx, address, &message);
+}
+
+static void free_peer(void *data)
+{
+	peer_t *peer = data;
+
+	if (peer->channel != NULL)
+		bsh_channel_close(peer->channel);
+	g_queue_clear_full(&peer->queue, (GDestroyNotify)g_bytes_unref);
+	g_free(peer->name);
+	g_free(peer->address);
+	g_free(peer);
+}
+
+static const char *state_name(const bsh_member_t *member)
+{
+	static const char *const names[] = {"alive", "suspect", "dead", "gone"};
+
+	return member->leaving ? "leaving" : names[member->state];
+}
+
+static void changed(void *ctx, const bsh_member_t *member)
+{
+	control_t *control = ctx;
+
+	bsh_log(BSH_LOG_INFO, "member name=%s state=%s", member->name,
+		state_name(member));
+	bsh_timeline_add(&control->timeline, "member", "{s:s, s:s, s:I}",
+			 "name", member->name, "state", state_name(member),
+			 "incarnation", (json_int_t)member->incarnation);
+	if (member->state == BSH_MEMBER_DEAD ||
+	    member->state == BSH_MEMBER_GONE) {
+		g_hash_table_remove(control->peers->table, member->name);
+		cells_peer_down(control, member->name);
+	}
+	cells_members(control);
+}
+
+static void target_leaving(void *ctx, const char *target, uint64_t incarnation)
+{
+	targets_leaving(ctx, target, incarnation);
+}
+
+static void cell_owner(void *ctx, const char *cell, const char *owner,
+		       uint64_t epoch)
+{
+	/* The cell object itself says who owns it. */
+	(void)ctx;
+	(void)cell;
+	(void)owner;
+	(void)epoch;
+}
+
+static void generation(void *ctx, const char *from, uint64_t number,
+		       uint64_t hash)
+{
+	config_heard(ctx, from, number, hash);
+}
+
+static const bsh_members_ops_t members_ops = {
+	.send = send_member,
+	.changed = changed,
+	.target_leaving = target_leaving,
+	.cell_owner = cell_owner,
+	.generation = generation,
+};
+
+static void run(control_t *control)
+{
+	struct peers *peers = control->peers;
+
+	control_timer_at(&peers->timer,
+			 bsh_members_tick(peers->members, control_now_us()));
+}
+
+static void on_timer(void *ctx)
+{
+	run(ctx);
+}
+
+static bool is_new(struct peers *peers, const bsh_message_t *message,
+		   uint64_t sequence)
+{
+	bsh_window_t *window =
+		g_hash_table_lookup(peers->windows, message->sender);
+
+	if (window == NULL) {
+		window = g_new0(bsh_window_t, 1);
+		g_hash_table_insert(peers->windows, g_strdup(message->sender),
+				    window);
+	}
+	return bsh_window_accept(window, message->incarnation, sequence);
+}
+
+static void receive_member(control_t *control, const bsh_message_t *message)
+{
+	bsh_member_message_t msg;
+
+	if (bsh_member_message_decode(&msg, message->body.body,
+				      message->body.body_bytes) != BSH_OK)
+		return;
+	bsh_members_receive(control->peers->members, control_now_us(),
+			    message->sender, message->incarnation, &msg);
+	run(control);
+}
+
+static void on_datagram(void *ctx, const uint8_t *data, size_t size)
+{
+	control_t *control = ctx;
+	bsh_message_t message;
+	uint64_t sequence;
+
+	if (bsh_datagram_check(control->settings.key, data, size, &sequence) !=
+	    BSH_OK) {
+		bsh_counter_add(&dropped[DROP_AUTH], 1);
+		return;
+	}
+	if (bsh_message_decode(&message,
+			       (const char *)data + BSH_SEAL_SIZE_BYTES,
+			       size - BSH_SEAL_SIZE_BYTES) != BSH_OK) {
+		bsh_counter_add(&dropped[DROP_MALFORMED], 1);
+		return;
+	}
+	if (!is_new(control->peers, &message, sequence)) {
+		bsh_counter_add(&dropped[DROP_REPLAY], 1);
+	} else {
+		bsh_timeline_receive(&control->timeline, message.stamp);
+		if (message.type == BSH_MSG_MEMBER)
+			receive_member(control, &message);
+		else if (message.type == BSH_MSG_ADOPTION)
+			config_receive(control, &message);
+	}
+	bsh_message_finish(&message);
+}
+
+static void on_peer_message(control_t *control, const bsh_message_t *message)
+{
+	switch (message->type) {
+	case BSH_MSG_ADOPTION:
+		config_receive(control, message);
+		break;
+	case BSH_MSG_NEED:
+	case BSH_MSG_NEED_ANSWER:
+	case BSH_MSG_ROUTES:
+	case BSH_MSG_HANDOVER:
+		cells_receive(control, message);
+		break;
+	case BSH_MSG_REPORT:
+		cells_report(control, message);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_accepted_up(void *ctx, bsh_channel_t *channel)
+{
+	if (bsh_channel_peer_role(channel) == BSH_ROLE_ROUTER)
+		routers_up(ctx, channel);
+}
+
+static void on_accepted_down(void *ctx, bsh_channel_t *channel)
+{
+	if (bsh_channel_peer_role(channel) == BSH_ROLE_ROUTER)
+		routers_down(ctx, channel);
+}
+
+static void on_accepted_message(void *ctx, bsh_channel_t *channel,
+				const bsh_message_t *message)
+{
+	if (bsh_channel_peer_role(channel) == BSH_ROLE_ROUTER)
+		routers_message(ctx, channel, message);
+	else
+		on_peer_message(ctx, message);
+}
+
+static const bsh_channel_ops_t accepted_ops = {
+	on_accepted_up, on_accepted_message, on_accepted_down};
+
+static void on_peer_up(void *ctx, bsh_channel_t *channel)
+{
+	peer_t *peer = ctx;
+	GBytes *bytes;
+
+	while ((bytes = g_queue_pop_head(&peer->queue)) != NULL) {
+		bsh_message_t message;
+		gsize size;
+		const char *data = g_bytes_get_data(bytes, &size);
+
+		if (bsh_message_decode(&message, data, size) == BSH_OK) {
+			bsh_channel_send(channel, &message);
+			bsh_message_finish(&message);
+		}
+		g_bytes_unref(bytes);
+	}
+}
+
+static void on_peer_down(void *ctx, bsh_channel_t *channel)
+{
+	peer_t *peer = ctx;
+
+	(void)channel;
+	cells_peer_down(peer->control, peer->name);
+}
+
+static void on_peer_frame(void *ctx, bsh_channel_t *channel,
+			  const bsh_message_t *message)
+{
+	peer_t *peer = ctx;
+
+	(void)channel;
+	on_peer_message(peer->control, message);
+}
+
+static const bsh_channel_ops_t peer_ops = {on_peer_up, on_peer_frame,
+					   on_peer_down};
+
+/* The outgoing channel of an instance; NULL if its address is not known. */
+static peer_t *find_peer(control_t *control, const char *name)
+{
+	struct peers *peers = control->peers;
+	const bsh_member_t *member = bsh_members_find(peers->members, name);
+	peer_t *peer = g_hash_table_lookup(peers->table, name);
+
+	if (member == NULL || !member->has_place ||
+	    strcmp(name, control->settings.instance) == 0)
+		return NULL;
+	if (peer != NULL && strcmp(peer->address, member->place.link) == 0)
+		return peer;
+	peer = g_new0(peer_t, 1);
+	peer->control = control;
+	peer->name = g_strdup(name);
+	peer->address = g_strdup(member->place.link);
+	g_queue_init(&peer->queue);
+	g_hash_table_replace(peers->table, g_strdup(name), peer);
+	peer->channel = bsh_channel_connect(&control->loop, &control->identity,
+					    peer->address, &peer_ops, peer);
+	return peer;
+}
+
+static void enqueue(peer_t *peer, const bsh_message_t *message)
+{
+	bsh_message_t copy = *message;
+	char *data;
+	size_t size;
+
+	copy.sender = peer->control->settings.instance;
+	if (bsh_message_encode(&copy, &data, &size) != BSH_OK)
+		return;
+	if (g_queue_get_length(&peer->queue) >= QUEUE_MAX)
+		g_bytes_unref(g_queue_pop_head(&peer->queue));
+	g_queue_push_tail(&peer->queue,
+			  g_bytes_new_with_free_func(data, size, free, data));
+}
+
+void peers_send(control_t *control, const char *instance,
+		bsh_message_t *message)
+{
+	peer_t *peer = find_peer(control, instance);
+
+	if (peer == NULL)
+		return;
+	if (bsh_channel_is_up(peer->channel))
+		bsh_channel_send(peer->channel, message);
+	else
+		enqueue(peer, message);
+}
+
+typedef struct {
+	control_t *control;
+	const bsh_message_t *message;
+} broadcast_t;
+
+static void send_one(void *ctx, const bsh_member_t *member)
+{
+	broadcast_t *broadcast = ctx;
+	bsh_message_t copy = *broadcast->message;
+
+	if (member->state == BSH_MEMBER_ALIVE ||
+	    member->state == BSH_MEMBER_SUSPECT)
+		peers_send(broadcast->control, member->name, &copy);
+}
+
+void peers_broadcast(control_t *control, const bsh_message_t *message)
+{
+	broadcast_t broadcast = {control, message};
+
+	bsh_members_foreach(control->peers->members, send_one, &broadcast);
+}
+
+void peers_leave(control_t *control)
+{
+	bsh_members_leave(control->peers->members, control_now_us());
+	run(control);
+}
+
+struct bsh_members *peers_members(const control_t *control)
+{
+	return control->peers->members;
+}
+
+static void add_seeds(control_t *control)
+{
+	char **seeds =
+		g_strsplit_set(control->settings.control_seeds, ", ", -1);
+
+	for (int i = 0; seeds[i] != NULL; i++) {
+		if (seeds[i][0] != '\0')
+			bsh_members_add_seed(control->peers->members,
+					     control_now_us(), seeds[i]);
+	}
+	g_strfreev(seeds);
+}
+
+static void make_members(control_t *control)
+{
+	const bsh_settings_t *s = &control->settings;
+	bsh_members_config_t config = {.name = s->instance,
+				       .incarnation = control->incarnation,
+				       .period_ms = s->probe_period_ms,
+				       .seed = control_seed()};
+
+	g_strlcpy(config.place.zone, s->zone, sizeof(config.place.zone));
+	g_strlcpy(config.place.gossip, s->control_gossip,
+		  sizeof(config.place.gossip));
+	g_strlcpy(config.place.link, s->control_link,
+		  sizeof(config.place.link));
+	g_strlcpy(config.place.entry, s->router_listen,
+		  sizeof(config.place.entry));
+	control->peers->members = bsh_members_new(&config, &members_ops,
+						  control, control_now_us());
+}
+
+void peers_start(control_t *control)
+{
+	struct peers *peers = g_new0(struct peers, 1);
+
+	for (int i = 0; i < DROP_COUNT; i++)
+		bsh_counter_register(&dropped[i]);
+	bsh_counter_register(&datagrams);
+	bsh_counter_register(&datagram_bytes);
+	control->peers = peers;
+	peers->windows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	peers->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     free_peer);
+	make_members(control);
+	peers->udp =
+		bsh_udp_open(&control->loop, control->settings.control_gossip,
+			     on_datagram, control);
+	if (peers->udp == NULL)
+		errx(1, "cannot bind %s", control->settings.control_gossip);
+	peers->listener = bsh_channel_listen(&control->loop, &control->identity,
+					     control->settings.control_link,
+					     &accepted_ops, control);
+	if (peers->listener == NULL)
+		errx(1, "cannot listen on %s", control->settings.control_link);
+	bsh_loop_timer_init(&peers->timer, &control->loop, on_timer, control);
+	add_seeds(control);
+	bsh_loop_timer_after(&peers->timer, 0);
+}
+
+void peers_stop(control_t *control)
+{
+	struct peers *peers = control->peers;
+
+	bsh_loop_timer_stop(&peers->timer);
+	bsh_channel_listener_close(peers->listener);
+	g_hash_table_destroy(peers->table);
+	g_hash_table_destroy(peers->windows);
+	bsh_udp_close(peers->udp);
+	bsh_members_free(peers->members);
+	g_free(peers);
+}
--- /dev/null
+++ b/bshcontrold/shutdown.c
@@ -0,0 +1,120 @@
+/* Drain of the instance: design, section 4.5. */
+#include "control.h"
+
+#include "base/log.h"
+#include "coordination/drain.h"
+#include "coordination/member.h"
+
+#define CHECK_US INT64_C(50000)
+/* Periods in which the news of leaving reaches several peers. */
+#define MEMBERSHIP_PERIODS 2
+
+struct shutdown {
+	bsh_drain_t drain;
+	bsh_loop_timer_t timer;
+	int64_t told_us; /* membership knows by then */
+};
+
+static void tell_membership(void *ctx)
+{
+	control_t *control = ctx;
+
+	control->shutdown->told_us =
+		control_now_us() + (int64_t)control->settings.probe_period_ms *
+					   1000 * MEMBERSHIP_PERIODS;
+	peers_leave(control);
+}
+
+static void hand_over_cells(void *ctx)
+{
+	cells_drain(ctx);
+}
+
+static void stop_entry(void *ctx)
+{
+	control_t *control = ctx;
+	api_entry_t entry = {.address = ""};
+
+	/* Entry answers leave out an instance that is leaving. */
+	api_entry(control, control->settings.zone, &entry);
+	routers_drain(control, entry.address);
+}
+
+static void on_exit_order(void *ctx, bool clean)
+{
+	control_t *control = ctx;
+
+	bsh_log(BSH_LOG_INFO, "drain-ended clean=%d", clean);
+	bsh_loop_stop(&control->loop);
+}
+
+static const bsh_drain_orders_t orders = {
+	.tell_membership = tell_membership,
+	.hand_over_cells = hand_over_cells,
+	.stop_entry = stop_entry,
+	.exit = on_exit_order,
+};
+
+static void check(control_t *control)
+{
+	struct shutdown *shutdown = control->shutdown;
+	int64_t now_us = control_now_us();
+	bool has_told = now_us >= shutdown->told_us ||
+			bsh_members_live(peers_members(control)) <= 1;
+
+	bsh_drain_set(&shutdown->drain, BSH_DRAIN_REQUESTS,
+		      routers_busy(control), now_us);
+	bsh_drain_set(&shutdown->drain, BSH_DRAIN_JOURNAL,
+		      intents_pending(control), now_us);
+	bsh_drain_set(&shutdown->drain, BSH_DRAIN_CELLS,
+		      !cells_drained(control), now_us);
+	bsh_drain_set(&shutdown->drain, BSH_DRAIN_MEMBERSHIP, !has_told,
+		      now_us);
+	bsh_drain_tick(&shutdown->drain, now_us);
+}
+
+static void on_timer(void *ctx)
+{
+	control_t *control = ctx;
+
+	check(control);
+	bsh_loop_timer_after(&control->shutdown->timer, CHECK_US);
+}
+
+void shutdown_begin(control_t *control)
+{
+	struct shutdown *shutdown = control->shutdown;
+
+	if (shutdown_is_draining(control))
+		return;
+	bsh_log(BSH_LOG_INFO, "drain-begin");
+	bsh_timeline_add(&control->timeline, "drain-begin", NULL);
+	/* What is left is set first, so that the drain does not end at once. */
+	bsh_drain_set(&shutdown->drain, BSH_DRAIN_MEMBERSHIP, 1,
+		      control_now_us());
+	bsh_drain_begin(&shutdown->drain, control_now_us());
+	bsh_loop_timer_after(&shutdown->timer, 0);
+}
+
+bool shutdown_is_draining(const control_t *control)
+{
+	return control->shutdown != NULL &&
+	       !bsh_drain_accepts(&control->shutdown->drain);
+}
+
+void shutdown_start(control_t *control)
+{
+	struct shutdown *shutdown = g_new0(struct shutdown, 1);
+
+	control->shutdown = shutdown;
+	bsh_drain_init(&shutdown->drain, control->settings.drain_ms, &orders,
+		       control);
+	bsh_loop_timer_init(&shutdown->timer, &control->loop, on_timer,
+			    control);
+}
+
+void shutdown_stop(control_t *control)
+{
+	bsh_loop_timer_stop(&control->shutdown->timer);
+	g_free(control->shutdown);
+}
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -161,7 +161,7 @@
 				       U64(bsh_msg_fresh_t, remaining_ms), END};
 
 static const field_t drain_fields[] = {
-	ENUM(bsh_msg_drain_t, phase, BSH_DRAIN_BEGIN, BSH_DRAIN_END - 1),
+	ENUM(bsh_msg_drain_t, phase, BSH_PHASE_BEGIN, BSH_PHASE_END - 1),
 	STRING(bsh_msg_drain_t, alternative), U32(bsh_msg_drain_t, running),
 	END};
 
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -196,9 +196,9 @@
 } bsh_msg_fresh_t;
 
 typedef enum {
-	BSH_DRAIN_BEGIN = 1, /* controller to router, or router to controller */
-	BSH_DRAIN_ENDED,     /* router: the last request has ended */
-	BSH_DRAIN_END
+	BSH_PHASE_BEGIN = 1, /* controller to router, or router to controller */
+	BSH_PHASE_ENDED,     /* router: the last request has ended */
+	BSH_PHASE_END
 } bsh_drain_phase_t;
 
 typedef struct {
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -81,7 +81,7 @@
 		m.fresh = (bsh_msg_fresh_t){5, true, 200};
 		break;
 	case BSH_MSG_DRAIN:
-		m.drain = (bsh_msg_drain_t){BSH_DRAIN_BEGIN, "1.1.1.1:1", 2};
+		m.drain = (bsh_msg_drain_t){BSH_PHASE_BEGIN, "1.1.1.1:1", 2};
 		break;
 	case BSH_MSG_HANDOVER:
 		m.handover = (bsh_msg_handover_t){"gpu", 8};
