--- a/bshcontrold/api.c
+++ b/bshcontrold/api.c
@@ -227,6 +227,7 @@
 typedef struct {
 	const control_t *control;
 	json_t *list;
+	uint64_t lowest; /* generation of a live member */
 } member_list_t;
 
 static const char *member_state(const bsh_member_t *member)
@@ -247,6 +248,9 @@
 	uint64_t generation =
 		is_self ? config_generation(out->control) : member->generation;
 
+	if (member->state == BSH_MEMBER_ALIVE ||
+	    member->state == BSH_MEMBER_SUSPECT)
+		out->lowest = MIN(out->lowest, generation);
 	json_array_append_new(
 		out->list,
 		json_pack("{s:s, s:s, s:s, s:I, s:I, s:s, s:s}", "name",
@@ -261,9 +265,13 @@
 static void get_status(control_t *control, bsh_http_request_t *request)
 {
 	const bsh_settings_t *s = &control->settings;
-	member_list_t members = {control, json_array()};
+	member_list_t members = {control, json_array(), UINT64_MAX};
+	uint64_t in_force = config_in_force(control);
 
+	/* Either the adoption has seen it in force, or every live member has
+	 * told this instance that it holds it. */
 	bsh_members_foreach(peers_members(control), add_member, &members);
+	in_force = MAX(in_force, members.lowest);
 	answer_json(
 		request, 200,
 		json_pack("{s:s, s:I, s:s, s:s, s:s, s:s, s:I, s:I, s:b, s:b, "
@@ -273,7 +281,7 @@
 			  "gossip", s->control_gossip, "link", s->control_link,
 			  "entry", s->router_listen, "generation",
 			  (json_int_t)config_generation(control), "in_force",
-			  (json_int_t)config_in_force(control), "fresh",
+			  (json_int_t)in_force, "fresh",
 			  config_is_fresh(control), "witness",
 			  config_is_witness(control), "draining",
 			  shutdown_is_draining(control), "members",
--- a/bshcontrold/cells.c
+++ b/bshcontrold/cells.c
@@ -618,15 +618,14 @@
 	if (shutdown_is_draining(control) && asker == NULL)
 		refuse(control, demand, BSH_ERR_DRAINING, 0);
 	else if (!bsh_loader_owner(&control->cells->loader, need->model,
-				   &owner))
+				   &owner) ||
+		 (!is_self(control, &owner) && asker != NULL))
+		/* No owner, or the asker's view of it is old. */
 		refuse(control, demand, BSH_ERR_CAPACITY, RETRY_AFTER_MS);
 	else if (is_self(control, &owner))
 		ask_loader(control, demand, need);
-	else if (asker == NULL)
-		forward(control, demand, need, owner.instance);
 	else
-		/* The asker's view of the owner is old. */
-		refuse(control, demand, BSH_ERR_CAPACITY, RETRY_AFTER_MS);
+		forward(control, demand, need, owner.instance);
 }
 
 void cells_need(control_t *control, bsh_channel_t *router,
