--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -3,6 +3,8 @@
 # been set.  Every process is ended by its id when the shell exits.
 
 cluster_pids=
+cluster_ports=
+cluster_seeds=
 cluster_dir=$(mktemp -d "${TMPDIR:-/tmp}/bsh-XXXXXX") || exit 1
 cluster_key=000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
 
@@ -109,7 +111,7 @@
 
 # add_engine NAME ZONE POOL MEMORY_MIB [fencing]
 add_engine() {
-	standin "$1" standin_engine "$1" 0 "$4" "127.0.0.1:$port_weights" $5
+	standin "$1" standin_engine "$1" 0 "$4" "127.0.0.1:$port_weights" ${5:-}
 	local port incarnation
 	eval "port=\$port_$1"
 	incarnation=$(curl -sf "127.0.0.1:$port/v1/status" |
@@ -155,7 +157,7 @@
 		[log]
 		level=debug
 		[timing]
-		$3
+		${3:-}
 	END
 	add_item "{\"name\":\"$1\",\"incarnation\":1,\"kind\":\"entry\",\"pool\":\"\",\"zone\":\"$2\",\"address\":\"127.0.0.1:$listen\",\"control\":\"127.0.0.1:$api\",\"memory_mib\":0,\"state\":\"live\"}"
 }
