Poll loading engines often and drop superseded demands

The end of a load was found by the one-second status poll, and the router's repeated questions each stayed open until the load ended.

--- a/bshcontrold/cells.c
+++ b/bshcontrold/cells.c
@@ -580,6 +580,30 @@
 	return demand;
 }
 
+/* A router asks again while its requests wait; the newer NEED counts all of
+ * them, so the earlier one is dropped. */
+static void supersede(control_t *control, const char *asker, const char *model,
+		      uint64_t newest)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, control->cells->demands);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const demand_t *demand = value;
+
+		if (demand->id >= newest || strcmp(demand->model, model) != 0 ||
+		    g_strcmp0(demand->asker, asker) != 0)
+			continue;
+		if (demand->owner == NULL)
+			bsh_loader_cancel(&control->cells->loader, demand->id,
+					  control_now_us());
+		g_hash_table_iter_remove(&it);
+	}
+	bsh_counter_set(&demand_gauge,
+			g_hash_table_size(control->cells->demands));
+}
+
 static void ask_loader(control_t *control, const demand_t *demand,
 		       const bsh_msg_need_t *need)
 {
@@ -613,6 +637,7 @@
 		      const bsh_msg_need_t *need)
 {
 	demand_t *demand = add_demand(control, asker, need);
+	uint64_t newest = demand->id; /* an answer may free the demand */
 	bsh_sender_t owner;
 
 	if (shutdown_is_draining(control) && asker == NULL)
@@ -626,6 +651,7 @@
 		ask_loader(control, demand, need);
 	else
 		forward(control, demand, need, owner.instance);
+	supersede(control, asker, need->model, newest);
 }
 
 void cells_need(control_t *control, bsh_channel_t *router,
--- a/bshcontrold/targets.c
+++ b/bshcontrold/targets.c
@@ -13,6 +13,9 @@
  * the number of instances. */
 #define LIST_SLOW_US	 INT64_C(10000000)
 #define STATUS_PERIOD_US INT64_C(1000000)
+/* While a model loads or unloads: its end is found by polling, and waiting
+ * requests pay for the delay. */
+#define STATUS_BUSY_US INT64_C(100000)
 /* Unknown entry instances that are asked for their addresses per list. */
 #define GREET_MAX 3
 /* Scope of the notice that a target is leaving. */
@@ -30,8 +33,8 @@
 	uint32_t memory_mib;
 	bool leaving;
 	bool is_polling;
-	int64_t poll_began_us;
-	uint64_t seen; /* number of the list that showed it last */
+	int64_t poll_at_us; /* next poll while this instance owns the cell */
+	uint64_t seen;	    /* number of the list that showed it last */
 } target_t;
 
 typedef struct {
@@ -414,6 +417,15 @@
 	routers_send(control, &message);
 }
 
+static int64_t status_period(const bsh_engine_status_t *status)
+{
+	for (size_t i = 0; i < status->model_count; i++) {
+		if (status->models[i].state != BSH_ENGINE_READY)
+			return STATUS_BUSY_US;
+	}
+	return STATUS_PERIOD_US;
+}
+
 static void take_status(control_t *control, target_t *t, const poll_t *poll,
 			const bsh_engine_status_t *status)
 {
@@ -442,6 +454,7 @@
 		models[i].has_attempt =
 			bsh_attempt_parse(m->attempt, &models[i].attempt);
 	}
+	t->poll_at_us = control_now_us() + status_period(status);
 	if (status->incarnation > t->incarnation) {
 		t->incarnation = status->incarnation;
 		t->leaving = false;
@@ -459,8 +472,10 @@
 	control_t *control = poll->control;
 	target_t *t = g_hash_table_lookup(control->targets->table, poll->name);
 
-	if (t != NULL)
+	if (t != NULL) {
 		t->is_polling = false;
+		t->poll_at_us = control_now_us() + STATUS_PERIOD_US;
+	}
 	/* A reused address may be answered by another engine. */
 	if (t != NULL && status != NULL && strcmp(status->name, t->name) == 0)
 		take_status(control, t, poll, status);
@@ -494,15 +509,16 @@
 static void on_status_timer(void *ctx)
 {
 	control_t *control = ctx;
+	int64_t now_us = control_now_us();
 	GHashTableIter it;
 	gpointer value;
 
-	bsh_loop_timer_after(&control->targets->status_timer, STATUS_PERIOD_US);
+	bsh_loop_timer_after(&control->targets->status_timer, STATUS_BUSY_US);
 	g_hash_table_iter_init(&it, control->targets->table);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		target_t *t = value;
 
-		if (t->is_engine &&
+		if (t->is_engine && now_us >= t->poll_at_us &&
 		    cells_owns_target(control, t->pool, t->name))
 			poll_target(t);
 	}
