Prove configuration and leaving flags against naive versions

Seeded faults run against both versions: store down and slow, lost answers, racing operators, frozen, restarted and cut instances, a paused proposer, a lagging list and late messages, alone, combined and twice.

The first run of the leaving proof failed in every row: known after 9 s and more, because an update sent a bounded number of times can miss a member and the periodic exchange runs only every 10 s. More transmissions alone were ruled out, as they lower the chance but bound nothing. Each datagram now carries a digest of the leaving flags, and a difference starts an exchange.

--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -35,17 +35,19 @@
 #define SYNC_PERIODS	  10
 #define SYNC_DATAGRAMS	  4
 #define SYNC_EAGER_ADDED  8 /* a reply with more: more is missing */
-#define DEAD_TRY_PERIODS  10
+#define DEAD_TRY_PERIODS  2
 #define HEAL_PERIODS	  30 /* after a dead member came back */
 #define SEED_TRY_PERIODS  30
 #define HEALTH_MAX	  8
 #define HEALTH_LATE	  2
 #define SYNC_HEAL_PINGS	  3
+#define SYNC_HEAL_PERIODS 1
+#define DISPUTE_DIV	  5 /* of a period: the shortest wait */
 #define HINT_TRIES	  3
 #define RELAY_KEEP_PERIOD 2
 
 /* Upper bound of everything in a body but the updates and digests. */
-#define HEAD_BYTES   (1 + 9 + 9 + 2 + BSH_NAME_SIZE + 9 + 9 + 5 + 3 + 3)
+#define HEAD_BYTES   (1 + 9 + 9 + 2 + BSH_NAME_SIZE + 9 + 9 + 5 + 5 + 3 + 3)
 #define DIGEST_BYTES (5 * BSH_MEMBER_SYNC_BUCKETS)
 
 typedef struct {
@@ -87,6 +89,8 @@
 	int64_t period_at_us;
 	int64_t direct_at_us; /* 0: none */
 	int64_t sync_at_us;
+	int64_t synced_us;
+	int64_t dispute_us; /* wait between exchanges over leaving flags */
 	int64_t dead_at_us;
 	int64_t seed_at_us;
 	int64_t heal_until_us;
@@ -106,6 +110,7 @@
 	m->out.generation = m->generation;
 	m->out.hash = m->hash;
 	m->out.confirm_age_ms = m->confirm_age_ms;
+	m->out.leaving_digest = bsh_view_leaving_digest(&m->view);
 	m->out.n_updates = 0;
 }
 
@@ -142,7 +147,7 @@
 /* Each update is sent to about log(n) members: enough to reach all of them. */
 static int news_limit(const bsh_members_t *m)
 {
-	return 3 * (int)ceil(log10((double)m->view.live + 1.0)) + 1;
+	return 4 * (int)ceil(log10((double)m->view.live + 1.0)) + 4;
 }
 
 static void add_news(bsh_members_t *m, int64_t now_us, size_t *room)
@@ -525,20 +530,25 @@
 
 /* ---- exchange of digests ---- */
 
+static void ask_sync_of(bsh_members_t *m, int64_t now_us,
+			const bsh_member_record_t *to)
+{
+	reset_message(m, BSH_MEMBER_SYNC_ASK, ++m->next_sequence, to->pub.name);
+	bsh_view_digests(&m->view, m->out.digests);
+	m->view.added = 0;
+	m->synced_us = now_us;
+	send_to(m, now_us, to);
+}
+
 static void ask_sync(bsh_members_t *m, int64_t now_us)
 {
 	bsh_member_record_t *to;
-	guint n = sample(m, NULL, &to, 1);
 
 	m->sync_at_us = now_us + SYNC_PERIODS * m->period_us * 3 / 4 +
 			bsh_rng_below(&m->rng, (uint32_t)(SYNC_PERIODS *
 							  m->period_us / 2));
-	if (n == 0)
-		return;
-	reset_message(m, BSH_MEMBER_SYNC_ASK, ++m->next_sequence, to->pub.name);
-	bsh_view_digests(&m->view, m->out.digests);
-	m->view.added = 0;
-	send_to(m, now_us, to);
+	if (sample(m, NULL, &to, 1) > 0)
+		ask_sync_of(m, now_us, to);
 }
 
 typedef struct {
@@ -653,6 +663,29 @@
 
 /* ---- receiving ---- */
 
+/*
+ * Flags of leaving targets must arrive within seconds, so each datagram tells
+ * whether the sender has the same ones.  When asking brings nothing new, the
+ * sender is behind, or views differ for longer, and asking becomes rare.
+ */
+static void check_leaving(bsh_members_t *m, int64_t now_us,
+			  const bsh_member_record_t *from,
+			  const bsh_member_message_t *msg)
+{
+	if (msg->kind == BSH_MEMBER_SYNC || !from->pub.has_place)
+		return;
+	if (msg->leaving_digest == bsh_view_leaving_digest(&m->view)) {
+		m->dispute_us = 0;
+		return;
+	}
+	if (now_us - m->synced_us <
+	    MAX(m->dispute_us, m->period_us / DISPUTE_DIV))
+		return;
+	m->dispute_us = MIN(MAX(2 * m->dispute_us, m->period_us),
+			    SYNC_PERIODS * m->period_us);
+	ask_sync_of(m, now_us, from);
+}
+
 static void answer_ping(bsh_members_t *m, int64_t now_us,
 			const bsh_member_record_t *from,
 			const bsh_member_message_t *msg)
@@ -720,6 +753,8 @@
 			answer_sync(m, now_us, from, msg);
 		break;
 	case BSH_MEMBER_SYNC:
+		if (m->view.added > 0)
+			m->dispute_us = 0;
 		ping_disputed(m, now_us, msg);
 		/* Much was missing: ask for the rest soon. */
 		if (m->view.added >= SYNC_EAGER_ADDED)
@@ -776,6 +811,7 @@
 	bool spread = msg->kind != BSH_MEMBER_SYNC;
 	bsh_member_record_t *from;
 	guint live = m->view.live;
+	bool was_dead;
 
 	check_lateness(m, now_us);
 	m->view.stats.received++;
@@ -792,6 +828,7 @@
 		m->view.stats.ignored++;
 		return;
 	}
+	was_dead = from != NULL && from->pub.state == BSH_MEMBER_DEAD;
 	for (uint32_t i = 0; i < msg->n_updates; i++)
 		bsh_view_merge(&m->view, now_us, from, &msg->updates[i],
 			       spread);
@@ -805,6 +842,11 @@
 	note_sender(m, now_us, from, msg);
 	if (live == 1 && m->view.live > 1)
 		m->sync_at_us = now_us + m->period_us / 10;
+	check_leaving(m, now_us, from, msg);
+	/* It may know what the other half of a partition has learned. */
+	if (was_dead && bsh_member_is_live(&from->pub) &&
+	    now_us - m->synced_us > SYNC_HEAL_PERIODS * m->period_us)
+		ask_sync_of(m, now_us, from);
 	dispatch(m, now_us, from, msg);
 	absorb(m, now_us);
 }
@@ -914,6 +956,7 @@
 
 	if (r == NULL)
 		return;
+	m->view.is_digest_old = true;
 	bsh_news_remove(&m->view.news, &r->record.news);
 	g_hash_table_remove(m->view.targets, target);
 }
--- a/lib/coordination/member_view.c
+++ b/lib/coordination/member_view.c
@@ -122,6 +122,8 @@
 
 	if (changed)
 		r->pub.changed_us = now_us;
+	if (leaving || (changed && (r->pub.leaving || before->copy.leaving)))
+		v->is_digest_old = true;
 	if (live != before->live) {
 		v->live += live ? 1 : -1;
 		v->version++;
@@ -365,6 +367,7 @@
 static void remove_small(bsh_view_t *v, GHashTable *table,
 			 bsh_small_record_t *r)
 {
+	v->is_digest_old = true;
 	bsh_news_remove(&v->news, &r->record.news);
 	g_hash_table_remove(table, r->name);
 }
@@ -394,6 +397,7 @@
 	g_strlcpy(r->owner, u->owner, sizeof(r->owner));
 	publish(v, &r->record, spread);
 	if (is_target) {
+		v->is_digest_old = true;
 		v->has_leaving_news = true;
 		v->ops->target_leaving(v->ctx, r->name, r->incarnation);
 	} else {
@@ -478,7 +482,8 @@
 			i--;
 		}
 	}
-	g_hash_table_foreach_remove(v->targets, is_old_target, &now_us);
+	if (g_hash_table_foreach_remove(v->targets, is_old_target, &now_us) > 0)
+		v->is_digest_old = true;
 }
 
 void bsh_view_forgive(bsh_view_t *v, int64_t lost_us)
@@ -581,6 +586,27 @@
 	add_small_digests(digests, v->cells);
 }
 
+uint32_t bsh_view_leaving_digest(bsh_view_t *v)
+{
+	uint32_t digests[BSH_MEMBER_SYNC_BUCKETS] = {0};
+
+	if (!v->is_digest_old)
+		return v->leaving_digest;
+	add_small_digests(digests, v->targets);
+	for (guint i = 0; i < v->by_rank->len; i++) {
+		const bsh_member_record_t *r = bsh_view_at(v, i);
+
+		if (r->pub.leaving && bsh_member_is_live(&r->pub))
+			add_digest(digests, &r->record, r->pub.rank,
+				   r->pub.incarnation, 0);
+	}
+	v->leaving_digest = 0;
+	for (guint i = 0; i < BSH_MEMBER_SYNC_BUCKETS; i++)
+		v->leaving_digest ^= digests[i];
+	v->is_digest_old = false;
+	return v->leaving_digest;
+}
+
 void bsh_view_init(bsh_view_t *v, const bsh_members_config_t *config,
 		   const bsh_members_ops_t *ops, void *ctx, int64_t now_us)
 {
--- a/lib/coordination/member_view.h
+++ b/lib/coordination/member_view.h
@@ -51,6 +51,8 @@
 	bsh_member_record_t *self;
 	guint live;
 	uint64_t version;
+	uint32_t leaving_digest;
+	bool is_digest_old;
 	uint32_t period_us;
 	const bsh_members_ops_t *ops;
 	void *ctx;
@@ -117,4 +119,7 @@
 		      uint32_t digests[BSH_MEMBER_SYNC_BUCKETS]);
 guint bsh_view_bucket(const bsh_record_t *record);
 
+/* bsh_view_leaving_digest - of the leaving targets and live instances. */
+uint32_t bsh_view_leaving_digest(bsh_view_t *v);
+
 #endif
--- a/regress/support/fleet.c
+++ b/regress/support/fleet.c
@@ -241,6 +241,24 @@
 		       f->store_down ? BSH_ERR_STORE : BSH_ERR_TIMEOUT);
 }
 
+/*
+ * A document tells the generation that its operator edited.  A change of the
+ * witnesses keeps the document.
+ */
+static void check_base(fleet_t *f)
+{
+	gsize size;
+	const char *text = g_bytes_get_data(f->object.document, &size);
+	uint64_t base = g_ascii_strtoull(text, NULL, 10);
+	guint n = f->accepted->len;
+
+	if (base + 1 != f->object.generation &&
+	    (n == 0 ||
+	     g_array_index(f->accepted, fleet_accepted_t, n - 1).hash !=
+		     f->object.hash))
+		f->bad.overwrite++;
+}
+
 /* The record of what was accepted, and when. */
 static void record(fleet_t *f)
 {
@@ -250,6 +268,7 @@
 			      .last_old_us = f->sim.now_us};
 
 	if (f->object.generation == f->accepted->len + 1) {
+		check_base(f);
 		g_array_append_val(f->accepted, a);
 	} else if (f->object.generation != f->accepted->len ||
 		   g_array_index(f->accepted, fleet_accepted_t,
@@ -296,14 +315,17 @@
 
 static void call_store(fleet_t *f, call_t *c)
 {
-	c->incarnation = f->nodes[c->node].incarnation;
+	const fleet_node_t *n = &f->nodes[c->node];
+	int64_t delay_us = sim_delay(&f->sim, f->store_min_us, f->store_max_us);
+
+	c->incarnation = n->incarnation;
 	f->store_calls++;
+	if (c->is_update && n->side == 1)
+		delay_us += f->update_delay_us;
 	if (f->store_cut[f->nodes[c->node].side])
 		answer(f, c, BSH_ERR_BROKEN);
 	else
-		sim_after(&f->sim,
-			  sim_delay(&f->sim, f->store_min_us, f->store_max_us),
-			  on_call, f, c);
+		sim_after(&f->sim, delay_us, on_call, f, c);
 }
 
 void fleet_store_read(fleet_t *f, guint node, uint64_t tag, uint64_t version,
@@ -394,12 +416,22 @@
 
 /* ---- instances ---- */
 
+bool fleet_is_listed(const fleet_t *f, guint node)
+{
+	const fleet_node_t *n = &f->nodes[node];
+
+	return n->listed_us == 0 ||
+	       f->sim.now_us - n->listed_us >= f->list_lag_us;
+}
+
 void fleet_start(fleet_t *f, guint node)
 {
 	fleet_node_t *n = &f->nodes[node];
 
 	n->incarnation = (uint64_t)f->sim.now_us + 1;
 	n->started_us = f->sim.now_us;
+	if (n->listed_us < 0)
+		n->listed_us = f->sim.now_us;
 	n->wake_us = INT64_MAX;
 	n->highest = 0;
 	n->app = f->app->start(f, node);
@@ -414,8 +446,16 @@
 	f->nodes[node].frozen_until_us = 0;
 }
 
+static void on_resume(void *ctx, void *data)
+{
+	fleet_t *f = ctx;
+
+	check_node(f, &f->nodes[GPOINTER_TO_UINT(data)]);
+}
+
 void fleet_freeze(fleet_t *f, guint node, int64_t duration_us)
 {
+	sim_after(&f->sim, duration_us, on_resume, f, GUINT_TO_POINTER(node));
 	f->nodes[node].frozen_until_us = f->sim.now_us + duration_us;
 }
 
@@ -427,8 +467,8 @@
 
 	if (n->app == NULL || f->sim.now_us < n->frozen_until_us)
 		return;
-	snprintf(text, sizeof(text), "document of %s at %" PRId64, n->name,
-		 f->sim.now_us);
+	snprintf(text, sizeof(text), "%" PRIu64 " edited at %s at %" PRId64,
+		 f->app->generation(n->app), n->name, f->sim.now_us);
 	document = g_bytes_new(text, strlen(text));
 	f->app->apply(n->app, f->sim.now_us, (uint64_t)f->sim.now_us + 1,
 		      document);
--- a/regress/support/fleet.h
+++ b/regress/support/fleet.h
@@ -45,6 +45,7 @@
 	void *app; /* NULL: down */
 	uint64_t incarnation;
 	int64_t started_us;
+	int64_t listed_us; /* first start */
 	int64_t frozen_until_us;
 	int64_t wake_us;
 	guint side;
@@ -63,11 +64,12 @@
 } fleet_accepted_t;
 
 typedef struct {
-	uint64_t old;	 /* ran an older generation after the bound */
-	uint64_t revert; /* took work with a lower one than before */
-	uint64_t fork;	 /* two documents of one generation */
-	uint64_t untrue; /* "in force" although someone ran an older one */
-	uint64_t idle;	 /* took no work though it should */
+	uint64_t old;	    /* ran an older generation after the bound */
+	uint64_t revert;    /* took work with a lower one than before */
+	uint64_t fork;	    /* two documents of one generation */
+	uint64_t overwrite; /* accepted, but based on another generation */
+	uint64_t untrue;    /* "in force" although someone ran an older one */
+	uint64_t idle;	    /* took no work though it should */
 } fleet_violations_t;
 
 struct fleet {
@@ -83,6 +85,7 @@
 	int64_t delay_min_us, delay_max_us;
 	double loss, late; /* of datagrams; late: share repeated later */
 	bool cut[FLEET_SIDES][FLEET_SIDES];
+	int64_t list_lag_us;
 
 	/* Store. */
 	bsh_adoption_object_t object;
@@ -90,6 +93,7 @@
 	bool store_cut[FLEET_SIDES];
 	int64_t store_min_us, store_max_us;
 	double lose_answer;
+	int64_t update_delay_us; /* updates from side 1 are under way longer */
 	uint64_t store_calls;
 	GPtrArray *watches;
 
@@ -117,6 +121,9 @@
 
 /* ---- for implementations ---- */
 
+/* fleet_is_listed - the platform's list, which lags, shows the instance. */
+bool fleet_is_listed(const fleet_t *f, guint node);
+
 void fleet_send(fleet_t *f, guint from, guint to, const uint8_t *data,
 		size_t size, bool is_datagram);
 gint fleet_find(const fleet_t *f, const char *address);
--- a/regress/support/fleet_berylshunt.c
+++ b/regress/support/fleet_berylshunt.c
@@ -198,7 +198,7 @@
 	return place;
 }
 
-/* The list lags: it shows everyone as live under its first incarnation. */
+/* The list lags: it shows instances as live under their first incarnation. */
 static void *start(fleet_t *f, guint node)
 {
 	fleet_node_t *n = &f->nodes[node];
@@ -222,7 +222,7 @@
 	for (guint i = 0; i < f->n; i++) {
 		bsh_member_place_t place = place_of(&f->nodes[i]);
 
-		if (i != node)
+		if (i != node && fleet_is_listed(f, i))
 			bsh_members_list_item(app->members, f->sim.now_us,
 					      f->nodes[i].name, 1, &place,
 					      BSH_LIST_LIVE);
