Give watches of the simulated store an id

A watch that was answered early left its timer behind; when the memory was used again for another watch, the timer ended that one. Verdicts were not affected, but the figures of a row differed between a run of it alone and a run of all.

--- a/regress/support/fleet.c
+++ b/regress/support/fleet.c
@@ -176,6 +176,7 @@
 	guint node;
 	uint64_t incarnation;
 	uint64_t tag;
+	gsize id; /* of a watch; its address may be used again */
 	bool is_update;
 	uint64_t version; /* watched, or of the answer */
 	int64_t until_us; /* of a watch */
@@ -236,9 +237,15 @@
 {
 	fleet_t *f = ctx;
 
-	if (g_ptr_array_remove(f->watches, data))
-		answer(f, data,
-		       f->store_down ? BSH_ERR_STORE : BSH_ERR_TIMEOUT);
+	for (guint i = 0; i < f->watches->len; i++) {
+		call_t *c = g_ptr_array_index(f->watches, i);
+
+		if (c->id != GPOINTER_TO_SIZE(data))
+			continue;
+		g_ptr_array_remove_index(f->watches, i);
+		answer(f, c, f->store_down ? BSH_ERR_STORE : BSH_ERR_TIMEOUT);
+		return;
+	}
 }
 
 /*
@@ -308,8 +315,10 @@
 	} else if (f->object.version > c->version) {
 		answer(f, c, BSH_OK);
 	} else {
+		c->id = ++f->last_watch;
 		g_ptr_array_add(f->watches, c);
-		sim_after(&f->sim, c->until_us, on_watch_end, f, c);
+		sim_after(&f->sim, c->until_us, on_watch_end, f,
+			  GSIZE_TO_POINTER(c->id));
 	}
 }
 
--- a/regress/support/fleet.h
+++ b/regress/support/fleet.h
@@ -96,6 +96,7 @@
 	int64_t update_delay_us; /* updates from side 1 are under way longer */
 	uint64_t store_calls;
 	GPtrArray *watches;
+	gsize last_watch;
 
 	/* Records. */
 	GArray *accepted; /* fleet_accepted_t, by generation from 1 */
