Place reasons in the console's form by a table

A review of a draft that removes a pool used by 5,270 models and adapters took 12.80 s, because each reason was compared with the name of each entry and each open form built the document again. One console thread serves all operators, so others waited as long.

The longest known name wins, so a name with a dot is not taken for the field of another entry; a test covers this. The page is wider, because the last button of the models table was cut off in a browser window of 1300 pixels.

--- a/bshconsoled/assets.c
+++ b/bshconsoled/assets.c
@@ -3,7 +3,7 @@
 
 const char console_css[] =
 	"body { font: 15px/1.45 system-ui, sans-serif; color: #1c2430; margin: "
-	"0 auto; max-width: 76rem; padding: 0 1rem 3rem; }\n"
+	"0 auto; max-width: 86rem; padding: 0 1rem 3rem; }\n"
 	"header { display: flex; gap: 1.5rem; align-items: baseline; "
 	"border-bottom: 2px solid #2f6f73; padding: .8rem 0; margin-bottom: "
 	"1rem; }\n"
@@ -12,7 +12,7 @@
 	"h2 { font-size: 1.05rem; margin: 1.6rem 0 .4rem; }\n"
 	".scroll { overflow-x: auto; }\n"
 	"table { border-collapse: collapse; width: 100%; }\n"
-	"th, td { text-align: left; padding: .3rem .6rem; border-bottom: 1px "
+	"th, td { text-align: left; padding: .3rem .5rem; border-bottom: 1px "
 	"solid #d9dee4; white-space: nowrap; }\n"
 	"th { background: #f1f4f6; font-weight: 600; }\n"
 	"tr.changed td { background: #fff7dd; }\n"
@@ -32,7 +32,7 @@
 	"padding: .5rem 1rem; margin: 1rem 0; }\n"
 	".notice.error { border-color: #b3261e; background: #fcefee; }\n"
 	".notice.conflict { border-color: #b26a00; background: #fff5e3; }\n"
-	"button { font: inherit; padding: .15rem .7rem; }\n"
+	"button { font: inherit; padding: .15rem .7rem; margin: .2rem 0; }\n"
 	"button.main { background: #2f6f73; color: #fff; border: 1px solid "
 	"#1f5357; border-radius: 3px; padding: .3rem 1rem; }\n"
 	"pre { background: #f5f7f9; border: 1px solid #d9dee4; padding: .6rem "
--- a/bshconsoled/draft.c
+++ b/bshconsoled/draft.c
@@ -429,49 +429,96 @@
 	g_free(problem->allowed);
 }
 
-/* Length of prefix when path is prefix, or prefix and a field; otherwise 0. */
-static size_t match_prefix(const char *path, const char *prefix)
+typedef struct {
+	const char *section;
+	GPtrArray *ids;
+	GHashTable *by_name; /* position + 1 in ids */
+} index_t;
+
+/* Of two entries with one name it is the later one, which was added last. */
+static void init_index(index_t *index, const draft_t *draft,
+		       const json_t *document, const json_t *built,
+		       const char *section)
 {
-	size_t length = strlen(prefix);
+	size_t position;
+	json_t *entry;
 
-	if (strncmp(path, prefix, length) != 0 ||
-	    (path[length] != '\0' && path[length] != '.'))
-		return 0;
-	return length;
+	index->section = section;
+	index->ids = draft_ids(draft, document, section);
+	index->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	json_array_foreach(json_object_get(built, section), position, entry)
+	{
+		g_hash_table_insert(index->by_name,
+				    (gpointer)text_of(entry, "name"),
+				    GSIZE_TO_POINTER(position + 1));
+	}
 }
 
-/* A name may hold dots, so the longest match is the entry.  Of two entries
- * with one name it is the later one, which was added last. */
-static void place_in_section(draft_problem_t *problem, const char *section,
-			     const GPtrArray *ids, const json_t *built)
+static void finish_index(index_t *index)
 {
-	const json_t *list = json_object_get(built, section);
-	const char *path = problem->path;
-	size_t longest = 0;
-	guint found = 0;
+	g_ptr_array_free(index->ids, TRUE);
+	g_hash_table_destroy(index->by_name);
+}
 
-	if (!g_str_has_prefix(path, section))
+static void set_place(draft_problem_t *problem, const index_t *index,
+		      size_t position, const char *field)
+{
+	if (position >= index->ids->len)
 		return;
-	for (guint i = 0; i < ids->len; i++) {
-		const char *name = text_of(json_array_get(list, i), "name");
-		g_autofree char *by_name =
-			g_strdup_printf("%s/%s", section, name);
-		g_autofree char *by_index =
-			g_strdup_printf("%s[%u]", section, i);
-		size_t length = MAX(match_prefix(path, by_name),
-				    match_prefix(path, by_index));
-
-		if (length > 0 && length >= longest) {
-			longest = length;
-			found = i;
+	problem->section = index->section;
+	problem->id = g_strdup(g_ptr_array_index(index->ids, position));
+	problem->field = g_strdup(field);
+}
+
+/* "NAME" or "NAME.FIELD": a name may hold dots, so the longest name that is
+ * known is the entry. */
+static void place_by_name(draft_problem_t *problem, const index_t *index,
+			  const char *text)
+{
+	g_autofree char *name = g_strdup(text);
+	size_t length = strlen(name);
+
+	for (;;) {
+		size_t position = GPOINTER_TO_SIZE(
+			g_hash_table_lookup(index->by_name, name));
+		char *dot = strrchr(name, '.');
+
+		if (position != 0) {
+			set_place(problem, index, position - 1,
+				  strlen(name) < length
+					  ? text + strlen(name) + 1
+					  : "");
+			return;
 		}
+		if (dot == NULL)
+			return;
+		*dot = '\0';
 	}
-	if (longest == 0)
+}
+
+/* "[POSITION]" or "[POSITION].FIELD" */
+static void place_by_position(draft_problem_t *problem, const index_t *index,
+			      const char *text)
+{
+	char *end;
+	guint64 position = g_ascii_strtoull(text + 1, &end, 10);
+
+	if (*end == ']')
+		set_place(problem, index, position,
+			  end[1] == '.' ? end + 2 : "");
+}
+
+static void place_in_section(draft_problem_t *problem, const index_t *index)
+{
+	size_t length = strlen(index->section);
+	const char *rest = problem->path + length;
+
+	if (!g_str_has_prefix(problem->path, index->section))
 		return;
-	problem->section = section;
-	problem->id = g_strdup(g_ptr_array_index(ids, found));
-	problem->field =
-		g_strdup(path[longest] == '.' ? path + longest + 1 : "");
+	if (rest[0] == '/')
+		place_by_name(problem, index, rest + 1);
+	else if (rest[0] == '[')
+		place_by_position(problem, index, rest);
 }
 
 static void place_in_settings(draft_problem_t *problem)
@@ -494,13 +541,14 @@
 {
 	GArray *placed = g_array_new(FALSE, TRUE, sizeof(draft_problem_t));
 	json_t *built = draft_build(draft, document);
-	GPtrArray *ids[G_N_ELEMENTS(sections)];
+	index_t indexes[G_N_ELEMENTS(sections)];
 	size_t index;
 	json_t *json;
 
 	g_array_set_clear_func(placed, clear_problem);
 	for (size_t i = 0; i < G_N_ELEMENTS(sections); i++)
-		ids[i] = draft_ids(draft, document, sections[i].name);
+		init_index(&indexes[i], draft, document, built,
+			   sections[i].name);
 	json_array_foreach((json_t *)problems, index, json)
 	{
 		draft_problem_t problem = {0};
@@ -511,13 +559,12 @@
 		place_in_settings(&problem);
 		for (size_t i = 0; i < G_N_ELEMENTS(sections); i++) {
 			if (problem.section == NULL)
-				place_in_section(&problem, sections[i].name,
-						 ids[i], built);
+				place_in_section(&problem, &indexes[i]);
 		}
 		g_array_append_val(placed, problem);
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(sections); i++)
-		g_ptr_array_free(ids[i], TRUE);
+		finish_index(&indexes[i]);
 	json_decref(built);
 	return placed;
 }
--- a/bshconsoled/page.c
+++ b/bshconsoled/page.c
@@ -263,7 +263,7 @@
 	put_in(out, ">%s</option>", label);
 }
 
-static void put_select(GString *out, const page_t *page,
+static void put_select(GString *out, const json_t *built,
 		       const draft_field_t *field, const char *name,
 		       const char *value)
 {
@@ -279,7 +279,6 @@
 		put_option(out, "engine", "engine", value, &found);
 		put_option(out, "service", "service", value, &found);
 	} else {
-		json_t *built = draft_build(page->draft, page->document);
 		size_t index;
 		json_t *pool;
 
@@ -288,7 +287,6 @@
 			put_option(out, text_of(pool, "name"),
 				   text_of(pool, "name"), value, &found);
 		}
-		json_decref(built);
 	}
 	/* A value that is not allowed is shown as it is. */
 	if (!found)
@@ -296,9 +294,10 @@
 	g_string_append(out, "</select>");
 }
 
-static void put_field(GString *out, const page_t *page, guint number,
-		      const draft_section_t *section, const char *id,
-		      const draft_field_t *field, const json_t *entry)
+static void put_field(GString *out, const page_t *page, const json_t *built,
+		      guint number, const draft_section_t *section,
+		      const char *id, const draft_field_t *field,
+		      const json_t *entry)
 {
 	g_autofree char *name = g_strdup_printf("f.%u.%s", number, field->key);
 	g_autofree char *value = draft_show_field(entry, field);
@@ -315,7 +314,7 @@
 		put_in(out, " name=\"%s\"", name);
 		put_in(out, " autocomplete=\"off\" value=\"%s\">", value);
 	} else {
-		put_select(out, page, field, name, value);
+		put_select(out, built, field, name, value);
 	}
 	put_in(out, "</span><span><span class=\"hint\">%s</span>\n",
 	       field->hint);
@@ -332,7 +331,8 @@
 	json_decref(base);
 }
 
-static void put_entry_form(GString *out, const page_t *page, guint number)
+static void put_entry_form(GString *out, const page_t *page,
+			   const json_t *built, guint number)
 {
 	const char *open = g_ptr_array_index(page->open, number);
 	char **parts = g_strsplit(open, " ", 2);
@@ -355,8 +355,8 @@
 			   "values in force are shown beside yours.");
 	put_reasons(out, page, section->name, id, "");
 	for (size_t i = 0; i < section->field_count; i++)
-		put_field(out, page, number, section, id, &section->fields[i],
-			  entry);
+		put_field(out, page, built, number, section, id,
+			  &section->fields[i], entry);
 	put_button(out, "", "close", section->name, id, "Keep and close");
 	put_button(out, "", "revert", section->name, id, "Undo changes");
 	g_string_append(out, "</fieldset>\n");
@@ -525,7 +525,7 @@
 	put_button(out, "main", "review", "", "", "Check and review");
 	put_differences(out, page);
 	for (guint i = 0; i < page->open->len; i++)
-		put_entry_form(out, page, i);
+		put_entry_form(out, page, built, i);
 	section = draft_sections(&count);
 	for (size_t i = 0; i < count; i++)
 		put_edit_section(out, page, &section[i], built);
--- a/regress/test_bshconsoled.c
+++ b/regress/test_bshconsoled.c
@@ -303,6 +303,14 @@
 			       "whole number from 0 to 9");
 	CONTAINS(f->body->str, "<code>models[1].name</code>");
 	CONTAINS(f->body->str, "id=\"f.1.name\"");
+	/* A name with a dot is not taken for another entry's field. */
+	g_assert_cmpint(post(f, "submit",
+			     "&open.0=models+%2B1&f.0.name=contract.x&"
+			     "f.0.priority=99"),
+			==, 422);
+	CONTAINS(f->body->str, "value=\"99\"></span><span><span "
+			       "class=\"hint\">0 is the highest, 9 the lowest"
+			       "</span>\n<span class=\"reason\">");
 	g_assert_cmpuint(f->fake.puts, ==, 0);
 	f->fake.canned_path = "/v1/config";
 	f->fake.canned_method = "PUT";
