Match bshctl timeline to the events of the daemons

The router numbers requests within its process, names a model or service in "name", and puts the id that the caller sees in "attempt"; only the intent carries the key. The filters expected one text id in each event, so a verdict by key would have found the intent and nothing else.

Events are now related over the request's number (of one router process) and the attempt's id, in two rounds.

A controller does not tell its router's admin address yet.

Suspected members are not taken as having left, and dead ones are not asked. bshconsoled takes its settings by -c, as the other daemons do.

--- a/bshconsoled/bshconsoled.c
+++ b/bshconsoled/bshconsoled.c
@@ -37,14 +37,15 @@
 
 static void usage(void)
 {
-	fprintf(stderr, "usage: bshconsoled [--check-config] [-f file]\n");
+	fprintf(stderr, "usage: bshconsoled [-c file] [--check-config]\n");
 }
 
 static int parse_options(options_t *options, int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		{"file", 'f', 0, G_OPTION_ARG_FILENAME, &options->settings_path,
-		 "Settings (" SETTINGS_FILE ")", "FILE"},
+		{"config", 'c', 0, G_OPTION_ARG_FILENAME,
+		 &options->settings_path, "Settings (" SETTINGS_FILE ")",
+		 "FILE"},
 		{"check-config", 0, 0, G_OPTION_ARG_NONE,
 		 &options->check_config, "Check the settings and exit", NULL},
 		{"version", 0, 0, G_OPTION_ARG_NONE, &options->version,
--- a/bshctl/bshctl.c
+++ b/bshctl/bshctl.c
@@ -183,6 +183,10 @@
 		{'f',
 		 {"file", 'f', 0, G_OPTION_ARG_FILENAME_ARRAY, &o->files,
 		  "Read events from a file; may be repeated", "FILE"}},
+		{'f',
+		 {"process", 'p', 0, G_OPTION_ARG_STRING_ARRAY, &o->processes,
+		  "Also read this router or console; may be repeated",
+		  "IP:PORT"}},
 		{'f',
 		 {"store", 0, 0, G_OPTION_ARG_STRING, &o->store,
 		  "Also read the events flushed to the store", "IP:PORT"}},
@@ -294,6 +298,7 @@
 {
 	g_strfreev(o->servers);
 	g_strfreev(o->files);
+	g_strfreev(o->processes);
 	g_free(o->store);
 	g_free(o->request);
 	g_free(o->model);
--- a/bshctl/bshctl.h
+++ b/bshctl/bshctl.h
@@ -36,6 +36,7 @@
 	int wait_s;
 	/* timeline */
 	char **files;
+	char **processes;
 	char *store;
 	char *request;
 	char *model;
@@ -84,6 +85,9 @@
 const char *ctl_text(const json_t *object, const char *key,
 		     const char *fallback);
 
+/* ctl_is_present - an instance of the status that can be asked. */
+bool ctl_is_present(const json_t *member);
+
 /* The commands. */
 int ctl_check(ctl_t *ctl);
 int ctl_diff(ctl_t *ctl);
--- a/bshctl/instance.c
+++ b/bshctl/instance.c
@@ -85,12 +85,23 @@
 	return NULL;
 }
 
+static bool is_state(const json_t *member, const char *state)
+{
+	return strcmp(ctl_text(member, "state", ""), state) == 0;
+}
+
+bool ctl_is_present(const json_t *member)
+{
+	return !is_state(member, "dead") && !is_state(member, "gone");
+}
+
+/* A suspected instance may be live. */
 static bool has_left(const json_t *status, const char *name)
 {
 	const json_t *member = find_member(status, name);
 
-	return member == NULL ||
-	       strcmp(ctl_text(member, "state", ""), "live") != 0;
+	return member == NULL || is_state(member, "leaving") ||
+	       !ctl_is_present(member);
 }
 
 static ctl_status_t wait_left(ctl_t *ctl, const char *name)
--- a/bshctl/timeline.c
+++ b/bshctl/timeline.c
@@ -24,9 +24,10 @@
 typedef struct {
 	GPtrArray *events; /* event_t */
 	uint32_t malformed;
-	uint32_t unread; /* sources that could not be read */
-	uint64_t lost;	 /* events missing between two that were read */
-	uint32_t begun;	 /* processes whose first events were not read */
+	uint32_t unread;  /* sources that could not be read */
+	uint64_t lost;	  /* events missing between two that were read */
+	uint32_t routers; /* whose address is not known */
+	uint32_t begun;	  /* processes whose first events were not read */
 } merged_t;
 
 static void free_event(gpointer data)
@@ -203,15 +204,16 @@
 	return done;
 }
 
-static void read_process(const ctl_t *ctl, merged_t *merged,
+static bool read_process(const ctl_t *ctl, merged_t *merged,
 			 const char *address)
 {
 	bsh_control_answer_t answer;
 
 	if (!get_from(ctl, merged, address, "/timeline", &answer))
-		return;
+		return false;
 	add_lines(merged, answer.body->str);
 	bsh_control_answer_finish(&answer);
+	return true;
 }
 
 static void read_store(const ctl_t *ctl, merged_t *merged)
@@ -232,6 +234,23 @@
 	bsh_control_answer_finish(&answer);
 }
 
+/* The admin address of a router is in its settings; the controller of the
+ * same instance tells it. */
+static void read_router(const ctl_t *ctl, merged_t *merged, const char *control)
+{
+	bsh_control_answer_t answer;
+	const char *address;
+
+	if (!get_from(ctl, merged, control, "/v1/status", &answer))
+		return;
+	address = ctl_text(answer.json, "router_admin", "");
+	if (address[0] != '\0')
+		read_process(ctl, merged, address);
+	else
+		merged->routers++;
+	bsh_control_answer_finish(&answer);
+}
+
 static ctl_status_t read_instances(ctl_t *ctl, merged_t *merged)
 {
 	bsh_control_answer_t answer;
@@ -246,13 +265,18 @@
 	json_array_foreach(json_object_get(answer.json, "members"), index,
 			   member)
 	{
-		const char *router = ctl_text(member, "router_admin", "");
+		const char *control = ctl_text(member, "control", "");
 
-		if (strcmp(ctl_text(member, "state", ""), "gone") == 0)
+		if (!ctl_is_present(member))
+			continue;
+		if (control[0] == '\0') {
+			warnx("%s: the status holds no address",
+			      ctl_text(member, "name", "?"));
+			merged->unread++;
 			continue;
-		read_process(ctl, merged, ctl_text(member, "control", ""));
-		if (router[0] != '\0')
-			read_process(ctl, merged, router);
+		}
+		if (read_process(ctl, merged, control))
+			read_router(ctl, merged, control);
 	}
 	if (json_array_size(json_object_get(answer.json, "members")) == 0)
 		read_process(ctl, merged, answer.address);
@@ -267,15 +291,35 @@
 	       strcmp(ctl_text(details, key, ""), wanted) == 0;
 }
 
+/* A request is named by the X-Request-Id of its answer, or by the number that
+ * its router gave it. */
+static bool request_matches(const json_t *details, const char *wanted)
+{
+	const json_t *number = json_object_get(details, "request");
+	g_autofree char *text = NULL;
+
+	if (wanted == NULL || text_matches(details, "attempt", wanted) ||
+	    text_matches(details, "request", wanted))
+		return true;
+	if (!json_is_integer(number))
+		return false;
+	text = g_strdup_printf("%" JSON_INTEGER_FORMAT,
+			       json_integer_value(number));
+	return strcmp(text, wanted) == 0;
+}
+
 static bool matches(const ctl_options_t *o, const event_t *event)
 {
 	const json_t *details = json_object_get(event->json, "details");
 	const json_t *generation = json_object_get(details, "generation");
 
-	if (!text_matches(details, "request", o->request) ||
-	    !text_matches(details, "model", o->model) ||
+	if (!request_matches(details, o->request) ||
 	    !text_matches(details, "key", o->key))
 		return false;
+	/* Routers name a model or service, controllers a model. */
+	if (!text_matches(details, "model", o->model) &&
+	    !text_matches(details, "name", o->model))
+		return false;
 	if (o->generation >= 0 &&
 	    (!json_is_integer(generation) ||
 	     json_integer_value(generation) != o->generation))
@@ -285,33 +329,78 @@
 	return o->until_us <= 0 || event->hlc_us < o->until_us;
 }
 
-/* Events that match, and those of the same attempts: the order to a target
- * carries the attempt and not the caller's request id. */
+/* The number of a request is unique within one router process.  NULL when
+ * the event is not about a request. */
+static char *request_of(const event_t *event)
+{
+	const json_t *details = json_object_get(event->json, "details");
+	const json_t *number = json_object_get(details, "request");
+	const char *text = ctl_text(details, "request", NULL);
+
+	if (text == NULL)
+		text = ctl_text(details, "attempt", NULL);
+	if (json_is_integer(number))
+		return g_strdup_printf(
+			"%s %" G_GINT64_FORMAT " %" JSON_INTEGER_FORMAT,
+			event->process, (gint64)event->incarnation,
+			json_integer_value(number));
+	return g_strdup(text);
+}
+
+/* Adds what identifies the request and its attempt to set. */
+static void add_identities(GHashTable *set, const event_t *event)
+{
+	const json_t *details = json_object_get(event->json, "details");
+	const char *attempt = ctl_text(details, "attempt", NULL);
+	char *request = request_of(event);
+
+	if (request != NULL)
+		g_hash_table_add(set, request);
+	if (attempt != NULL)
+		g_hash_table_add(set, g_strdup(attempt));
+}
+
+static bool is_identified(GHashTable *set, const event_t *event)
+{
+	const json_t *details = json_object_get(event->json, "details");
+	const char *attempt = ctl_text(details, "attempt", NULL);
+	g_autofree char *request = request_of(event);
+
+	return (request != NULL && g_hash_table_contains(set, request)) ||
+	       (attempt != NULL && g_hash_table_contains(set, attempt));
+}
+
+static GHashTable *new_set(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/*
+ * Events that match, and the others of the same requests: the event that
+ * names the key has no attempt, and that of the target has no key.  Two
+ * rounds lead from the key over the request's number to its attempts.
+ */
 static GPtrArray *select_events(const ctl_options_t *o, const merged_t *merged)
 {
-	GHashTable *attempts = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *related = new_set();
 	GPtrArray *selected = g_ptr_array_new();
 	bool by_request = o->request != NULL || o->key != NULL;
 
-	for (guint i = 0; by_request && i < merged->events->len; i++) {
-		event_t *event = g_ptr_array_index(merged->events, i);
-		json_t *details = json_object_get(event->json, "details");
-		const char *attempt = ctl_text(details, "attempt", NULL);
+	for (int round = 0; by_request && round < 2; round++) {
+		for (guint i = 0; i < merged->events->len; i++) {
+			event_t *event = g_ptr_array_index(merged->events, i);
 
-		if (attempt != NULL && matches(o, event))
-			g_hash_table_add(attempts, (gpointer)attempt);
+			if (matches(o, event) || is_identified(related, event))
+				add_identities(related, event);
+		}
 	}
 	for (guint i = 0; i < merged->events->len; i++) {
 		event_t *event = g_ptr_array_index(merged->events, i);
-		json_t *details = json_object_get(event->json, "details");
-		const char *attempt = ctl_text(details, "attempt", NULL);
 
-		if (matches(o, event) ||
-		    (attempt != NULL &&
-		     g_hash_table_contains(attempts, attempt)))
+		if (matches(o, event) || is_identified(related, event))
 			g_ptr_array_add(selected, event);
 	}
-	g_hash_table_destroy(attempts);
+	g_hash_table_destroy(related);
 	return selected;
 }
 
@@ -353,28 +442,24 @@
 }
 
 typedef struct {
-	GHashTable *answered; /* attempts by outcome */
+	GHashTable *answered; /* requests by outcome */
 	GHashTable *unknown;
 	GHashTable *not_run;
-	GHashTable *open; /* sent to a target, without an outcome */
+	GHashTable *open; /* sent to a target */
 	GHashTable *targets;
 	GHashTable *processes;
 	GHashTable *generations;
+	uint32_t sent;
+	bool is_recorded; /* the journal holds the answer */
 } verdict_t;
 
-static GHashTable *new_set(void)
-{
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-}
-
 static void note_event(verdict_t *v, const event_t *event)
 {
 	const json_t *details = json_object_get(event->json, "details");
 	const json_t *generation = json_object_get(details, "generation");
 	const char *outcome = ctl_text(details, "outcome", "");
 	const char *target = ctl_text(details, "target", "");
-	const char *attempt =
-		ctl_text(details, "attempt", ctl_text(details, "request", "-"));
+	char *request = request_of(event);
 	GHashTable *set = NULL;
 
 	g_hash_table_add(v->processes, g_strdup(event->process));
@@ -391,11 +476,16 @@
 		set = v->not_run;
 	else if (target[0] != '\0')
 		set = v->open;
-	/* A target that provably refused the request did not run it. */
-	if (target[0] != '\0' && set != v->not_run)
+	if (target[0] != '\0') {
 		g_hash_table_add(v->targets, g_strdup(target));
-	if (set != NULL)
-		g_hash_table_add(set, g_strdup(attempt));
+		v->sent++;
+	}
+	if (request == NULL)
+		v->is_recorded = v->is_recorded || set == v->answered;
+	if (request != NULL && set != NULL)
+		g_hash_table_add(set, request);
+	else
+		g_free(request);
 }
 
 /* The generation that a process had adopted when it handled the request. */
@@ -422,7 +512,7 @@
 						 json_integer_value(found)));
 }
 
-/* Attempts that were sent and whose outcome no event tells. */
+/* Requests that were sent and whose outcome no event tells. */
 static uint32_t count_open(const verdict_t *v)
 {
 	GHashTableIter iter;
@@ -441,7 +531,7 @@
 
 static const char *judge(const verdict_t *v, uint32_t unknown)
 {
-	if (g_hash_table_size(v->answered) > 0)
+	if (g_hash_table_size(v->answered) > 0 || v->is_recorded)
 		return "answered";
 	if (unknown > 0)
 		return "unknown";
@@ -472,12 +562,12 @@
 	g_autofree char *generations = join_set(v->generations);
 	const char *subject = o->request != NULL ? o->request : o->key;
 	json_t *json = json_pack(
-		"{s:s, s:s, s:i, s:i, s:i, s:s, s:s, s:s, s:b}", "subject",
+		"{s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:s, s:s, s:b}", "subject",
 		subject, "verdict", judge(v, unknown), "answered",
 		(int)g_hash_table_size(v->answered), "unknown", (int)unknown,
-		"not-run", (int)g_hash_table_size(v->not_run), "targets",
-		targets, "processes", processes, "generations", generations,
-		"complete", complete);
+		"not-run", (int)g_hash_table_size(v->not_run), "sent",
+		(int)v->sent, "targets", targets, "processes", processes,
+		"generations", generations, "complete", complete);
 	const char *key;
 	json_t *value;
 
@@ -502,10 +592,16 @@
 static void give_verdict(const ctl_options_t *o, const merged_t *merged,
 			 const GPtrArray *events)
 {
-	verdict_t v = {new_set(), new_set(), new_set(), new_set(),
-		       new_set(), new_set(), new_set()};
+	verdict_t v = {.answered = new_set(),
+		       .unknown = new_set(),
+		       .not_run = new_set(),
+		       .open = new_set(),
+		       .targets = new_set(),
+		       .processes = new_set(),
+		       .generations = new_set()};
 	bool complete = merged->lost == 0 && merged->begun == 0 &&
-			merged->unread == 0 && merged->malformed == 0;
+			merged->unread == 0 && merged->routers == 0 &&
+			merged->malformed == 0;
 
 	for (guint i = 0; i < events->len; i++)
 		note_event(&v, g_ptr_array_index(events, i));
@@ -530,6 +626,10 @@
 		warnx("%" G_GUINT64_FORMAT
 		      " events are missing between those that were read",
 		      (guint64)merged->lost);
+	if (merged->routers > 0)
+		warnx("%u routers were not read: name their admin addresses "
+		      "with --process",
+		      merged->routers);
 	if (merged->begun > 0)
 		warnx("the first events of %u processes were not read",
 		      merged->begun);
@@ -537,11 +637,16 @@
 		warnx("%u malformed events were left out", merged->malformed);
 	if (merged->malformed > 0)
 		return CTL_REFUSED;
-	if (merged->unread > 0 || merged->lost > 0)
+	if (merged->unread > 0 || merged->routers > 0 || merged->lost > 0)
 		return CTL_UNREACHABLE;
 	return found > 0 ? CTL_OK : CTL_DIFFERS;
 }
 
+static uint32_t count_strings(char **list)
+{
+	return list != NULL ? g_strv_length(list) : 0;
+}
+
 int ctl_timeline(ctl_t *ctl)
 {
 	const ctl_options_t *o = &ctl->options;
@@ -558,11 +663,14 @@
 		read_event_file(&merged, o->files[i]);
 	if (o->store != NULL)
 		read_store(ctl, &merged);
+	for (int i = 0; o->processes != NULL && o->processes[i] != NULL; i++)
+		read_process(ctl, &merged, o->processes[i]);
 	/* A saved time line can be read where no controller is. */
 	if (o->servers != NULL || (o->files == NULL && o->store == NULL))
 		status = read_instances(ctl, &merged);
 	if (status != CTL_OK)
 		goto out;
+	merged.routers -= MIN(merged.routers, count_strings(o->processes));
 	order_events(&merged);
 	selected = select_events(o, &merged);
 	if (o->verdict)
--- a/regress/test_bshconsoled.c
+++ b/regress/test_bshconsoled.c
@@ -82,7 +82,7 @@
 static void set_up(fixture_t *f, gconstpointer data)
 {
 	g_autofree char *path = program_path("bshconsoled");
-	char *argv[] = {path, (char *)"-f", NULL, NULL};
+	char *argv[] = {path, (char *)"-c", NULL, NULL};
 	GError *error = NULL;
 	int fd = g_file_open_tmp("bshconsoled-XXXXXX", &f->settings, NULL);
 
@@ -451,7 +451,7 @@
 {
 	g_autofree char *out = NULL;
 	g_autofree char *err = NULL;
-	const char *const arguments[] = {"--check-config", "-f", f->settings,
+	const char *const arguments[] = {"--check-config", "-c", f->settings,
 					 NULL};
 
 	g_assert_cmpint(run_program(&out, &err, "bshconsoled", arguments), ==,
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -319,21 +319,29 @@
 	"\",\"incarnation\":1,\"sequence\":" sequence ",\"event\":\"" kind     \
 	"\",\"details\":" details "}"
 
-#define ADOPT EVENT("1000000", "0", "e1/r", "1", "adopt", "{\"generation\":42}")
+/* As the router writes them: a request has a number, an attempt has the id
+ * that the caller sees. */
+#define ADOPT                                                                  \
+	EVENT("1000000", "0", "e1/r", "1", "adopted", "{\"generation\":42}")
 #define QUEUE                                                                  \
-	EVENT("3000000", "1", "e1/r", "2", "queue", "{\"request\":\"q1\"}")
+	EVENT("3000000", "1", "e1/r", "2", "intent",                           \
+	      "{\"request\":1,\"key\":\"k1\"}")
 #define SEND                                                                   \
-	EVENT("3000000", "2", "e1/r", "3", "send",                             \
-	      "{\"request\":\"q1\",\"attempt\":\"a1\",\"target\":\"t7\"}")
+	EVENT("3000000", "2", "e1/r", "3", "sent",                             \
+	      "{\"request\":1,\"attempt\":\"a1\",\"target\":\"t7\"}")
 #define DONE                                                                   \
 	EVENT("5000000", "0", "e1/r", "4", "done",                             \
-	      "{\"attempt\":\"a1\",\"outcome\":\"answered\"}")
+	      "{\"request\":1,\"attempt\":\"a1\",\"outcome\":\"answered\"}")
 #define REFUSE                                                                 \
-	EVENT("6000000", "0", "e1/r", "5", "refuse",                           \
-	      "{\"request\":\"q2\",\"outcome\":\"not-run\"}")
+	EVENT("6000000", "0", "e1/r", "5", "refused",                          \
+	      "{\"request\":2,\"attempt\":\"a2\",\"outcome\":\"not-run\"}")
 #define OPEN                                                                   \
-	EVENT("7000000", "0", "e1/r", "6", "send",                             \
-	      "{\"request\":\"q3\",\"attempt\":\"a3\",\"target\":\"t8\"}")
+	EVENT("7000000", "0", "e1/r", "6", "sent",                             \
+	      "{\"request\":3,\"attempt\":\"a3\",\"target\":\"t8\"}")
+/* The same number at another router is another request. */
+#define OTHER                                                                  \
+	EVENT("8000000", "0", "e9/r", "1", "sent",                             \
+	      "{\"request\":1,\"attempt\":\"b1\",\"target\":\"t9\"}")
 #define LOAD                                                                   \
 	EVENT("2000000", "0", "e2/c", "1", "load", "{\"model\":\"contract\"}")
 
@@ -344,8 +352,8 @@
 		save(f, "events",
 		     OPEN "\n" SEND "\n" ADOPT "\n" LOAD "\n" QUEUE "\n" DONE
 			  "\n" REFUSE "\n");
-	const char *order[] = {"adopt", "load", "queue",
-			       "send",	"done", "refuse"};
+	const char *order[] = {"adopted", "load", "intent",
+			       "sent",	  "done", "refused"};
 	char *server = f->fake.address;
 	const char *at;
 
@@ -363,6 +371,7 @@
 	RUN(f, 1, "timeline", "-H", "-f", events, "-g", "43");
 	f->fake.store_items = "[{\"name\":\"e1-1\",\"version\":1,\"value\":"
 			      "{\"events\":[" ADOPT "," QUEUE "]}}]";
+	f->fake.router_admin = server;
 	f->fake.timeline = QUEUE "\n" SEND "\n" DONE "\n";
 	RUN(f, 0, "timeline", "-j", "-s", server, "--store", server);
 	g_assert_cmpuint(strlen(f->out), ==, strlen(ADOPT QUEUE SEND DONE) + 4);
@@ -371,7 +380,7 @@
 	CONTAINS(f->err, "1 events are missing");
 	f->fake.timeline = DONE "\n{\"event\":1}\n";
 	RUN(f, 7, "timeline", "-s", server);
-	CONTAINS(f->err, "1 malformed");
+	CONTAINS(f->err, "2 malformed");
 	CONTAINS(f->out, "done");
 	f->fake.timeline = DONE "\n";
 	f->fake.more_members = ",{\"name\":\"e3\",\"state\":\"live\","
@@ -383,27 +392,38 @@
 /* Guards against a verdict that claims more than the events show. */
 static void test_verdict(fixture_t *f, gconstpointer data)
 {
-	g_autofree char *events = save(f, "events",
-				       ADOPT "\n" QUEUE "\n" SEND "\n" DONE
-					     "\n" REFUSE "\n" OPEN "\n");
+	g_autofree char *events =
+		save(f, "events",
+		     ADOPT "\n" QUEUE "\n" SEND "\n" DONE "\n" REFUSE "\n" OPEN
+			   "\n" OTHER "\n");
 	g_autofree char *tail = save(f, "tail", DONE "\n" REFUSE "\n");
+	const char *const names[][2] = {{"-r", "a1"}, {"-k", "k1"}};
 
 	(void)data;
-	RUN(f, 0, "timeline", "-f", events, "-r", "q1", "--verdict");
-	CONTAINS(f->out, "verdict\tanswered\n");
-	CONTAINS(f->out, "targets\tt7\n");
-	CONTAINS(f->out, "generations\t42\n");
-	CONTAINS(f->out, "complete\tyes\n");
-	RUN(f, 0, "timeline", "-f", events, "-r", "q2", "--verdict");
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		RUN(f, 0, "timeline", "-f", events, names[i][0], names[i][1],
+		    "--verdict");
+		CONTAINS(f->out, "verdict\tanswered\n");
+		CONTAINS(f->out, "sent\t1\ntargets\tt7\n");
+		CONTAINS(f->out, "generations\t42\n");
+		CONTAINS(f->out, "complete\tyes\n");
+	}
+	RUN(f, 0, "timeline", "-f", events, "-r", "a2", "--verdict");
 	CONTAINS(f->out, "verdict\tnot-run\n");
-	CONTAINS(f->out, "targets\t\n");
-	RUN(f, 0, "timeline", "-f", events, "-r", "q3", "--verdict");
+	CONTAINS(f->out, "sent\t0\ntargets\t\n");
+	RUN(f, 0, "timeline", "-f", events, "-r", "a3", "--verdict");
 	CONTAINS(f->out, "verdict\tunknown\n");
-	RUN(f, 1, "timeline", "-f", events, "-r", "q4", "--verdict");
+	RUN(f, 1, "timeline", "-f", events, "-r", "a4", "--verdict");
 	CONTAINS(f->out, "verdict\tno-record\n");
-	RUN(f, 0, "timeline", "-f", tail, "-r", "q2", "--verdict");
+	RUN(f, 0, "timeline", "-f", tail, "-r", "a2", "--verdict");
 	CONTAINS(f->out, "complete\tno\n");
 	RUN(f, 2, "timeline", "-f", events, "--verdict");
+	/* A router that no controller tells is missing, unless it is named. */
+	f->fake.timeline = DONE "\n";
+	RUN(f, 5, "timeline", "-s", f->fake.address, "-r", "a1", "--verdict");
+	CONTAINS(f->err, "1 routers were not read");
+	CONTAINS(f->out, "complete\tno\n");
+	RUN(f, 0, "timeline", "-s", f->fake.address, "-p", f->fake.address);
 }
 
 #define ADD(path, function)                                                    \
