--- a/lib/coordination/loader_cell.c
+++ b/lib/coordination/loader_cell.c
@@ -314,7 +314,8 @@
 {
 	const bsh_sender_t *to = successor(l, c);
 
-	if (!l->is_draining && (to == NULL || l->now_us < c->keep_us))
+	if (!l->is_draining &&
+	    (to == NULL || c->failing_us >= 0 || l->now_us < c->keep_us))
 		return false;
 	memset(&next->owner, 0, sizeof(next->owner));
 	if (to != NULL)
--- a/lib/coordination/loader_demand.c
+++ b/lib/coordination/loader_demand.c
@@ -7,6 +7,7 @@
 #define RETRY_MIN_MS  1000
 #define RETRY_MAX_MS  600000
 /* Rooms found full at one plan may be free at the next. */
+#define RETURN_US  (30 * US_PER_S) /* after the time named by Retry-After */
 #define NO_ROOM_US (2 * US_PER_S)
 
 void demand_free(void *demand)
@@ -85,6 +86,21 @@
 	return s;
 }
 
+/*
+ * Retry-After is a promise that a later request has a chance: the load goes
+ * on behind those that can still meet a deadline.
+ */
+static void refuse_late(bsh_loader_t *l, const demand_t *d, model_t *m,
+			int64_t ready_us, const char *reason)
+{
+	answer(l, d, BSH_DEMAND_REFUSED, BSH_ERR_DEADLINE, ready_us, reason);
+	m->return_us = MAX(ready_us, l->now_us) + RETURN_US;
+	m->is_prefetch = true;
+	g_strlcpy(m->prefetch_reason, "refused requests may return",
+		  sizeof(m->prefetch_reason));
+	place_want(l, m);
+}
+
 /* The final answer that is certain by now, if any. */
 static bool decide(bsh_loader_t *l, const demand_t *d)
 {
@@ -107,8 +123,8 @@
 		return true;
 	}
 	if (d->deadline_us <= l->now_us) {
-		answer(l, d, BSH_DEMAND_REFUSED, BSH_ERR_DEADLINE,
-		       m->estimate_us, "deadline passed before the load ended");
+		refuse_late(l, d, m, m->estimate_us,
+			    "deadline passed before the load ended");
 		return true;
 	}
 	if (!s.is_bound && s.is_store_down) {
@@ -123,13 +139,12 @@
 		return true;
 	}
 	if (m->retry_us >= d->deadline_us) {
-		answer(l, d, BSH_DEMAND_REFUSED, BSH_ERR_DEADLINE, m->retry_us,
-		       "loads of the model fail");
+		refuse_late(l, d, m, m->retry_us, "loads of the model fail");
 		return true;
 	}
 	if (m->estimate_us > d->deadline_us) {
-		answer(l, d, BSH_DEMAND_REFUSED, BSH_ERR_DEADLINE,
-		       m->estimate_us, "load would end after the deadline");
+		refuse_late(l, d, m, m->estimate_us,
+			    "load would end after the deadline");
 		return true;
 	}
 	return false;
--- a/lib/coordination/loader_place.c
+++ b/lib/coordination/loader_place.c
@@ -487,7 +487,7 @@
 
 		if (slot == NULL || m == NULL || v->running > 0 ||
 		    v->is_waiting || v->is_base_in_use || m->is_prefetch ||
-		    !slot_is_ready(l, slot))
+		    l->now_us < m->return_us || !slot_is_ready(l, slot))
 			continue;
 		b = loader_binding(l, &slot->attempt);
 		if (l->now_us < b->keep_until_us)
@@ -545,7 +545,7 @@
 		if (m->pool != c->pool)
 			continue;
 		/* What found no room is reviewed anew. */
-		if (m->waiting == 0 && active == 0)
+		if (m->waiting == 0 && active == 0 && l->now_us >= m->return_us)
 			m->is_prefetch = false;
 		if (m->waiting == 0 && !m->is_prefetch)
 			g_hash_table_remove(l->wanted, m->name);
--- a/lib/coordination/loader_private.h
+++ b/lib/coordination/loader_private.h
@@ -44,9 +44,10 @@
 	uint32_t waiting; /* demands */
 	bool is_prefetch; /* wanted although nobody waits */
 	char prefetch_reason[BSH_PLACEMENT_REASON_SIZE];
-	uint32_t replicas;	      /* wanted for the load, at least 1 */
-	int64_t estimate_us;	      /* of readiness, -1 if unknown */
-	bool has_no_room;	      /* at the latest plan */
+	int64_t return_us;   /* refused requests may return until then */
+	uint32_t replicas;   /* wanted for the load, at least 1 */
+	int64_t estimate_us; /* of readiness, -1 if unknown */
+	bool has_no_room;    /* at the latest plan */
 	char zone[BSH_CELL_NAME_MAX]; /* of the latest demand */
 } model_t;
 
--- a/lib/state/placement.c
+++ b/lib/state/placement.c
@@ -20,6 +20,7 @@
 #define DAY_RATE_MIN	 0.05
 #define SLOWDOWN_GAIN	 0.3
 #define SLOWDOWN_MIN	 0.25
+#define SLOWDOWN_STEP	 4.0
 #define SLOWDOWN_MAX	 50.0
 #define EVICT_HORIZON_US (INT64_C(600) * 1000000)
 #define EVICT_CHANCE_MIN 1e-4
@@ -400,6 +401,9 @@
 	if (nominal <= 0)
 		return;
 	ratio = CLAMP((double)load_us / nominal, SLOWDOWN_MIN, SLOWDOWN_MAX);
+	/* One load timed across a pause of this process must not make every
+	 * later deadline look hopeless. */
+	ratio = MIN(ratio, SLOWDOWN_STEP * p->slowdown[copy]);
 	p->slowdown[copy] += SLOWDOWN_GAIN * (ratio - p->slowdown[copy]);
 }
 
