--- a/lib/coordination/attempt.c
+++ b/lib/coordination/attempt.c
@@ -370,6 +370,21 @@
 	advance_timer(set, a);
 }
 
+void bsh_attempt_recalled(bsh_attempts_t *set, const bsh_request_id_t *id,
+			  int64_t now_us)
+{
+	bsh_attempt_t *a = find_running(set, id);
+
+	if (a == NULL || a->state != BSH_ATTEMPT_OPEN)
+		return;
+	leave_attempt(set, a, false, BSH_ERR_CONNECT, BSH_ROUTE_NEUTRAL);
+	if (a->caller_gone || now_us >= a->spec.deadline_us ||
+	    a->id.attempt > BSH_ATTEMPT_RETRIES)
+		finish(set, a, BSH_ERR_CONNECT, 0);
+	else
+		enqueue(set, a, true);
+}
+
 static bool is_same_id(const bsh_request_id_t *a, const bsh_request_id_t *b)
 {
 	return a->incarnation == b->incarnation && a->sequence == b->sequence &&
@@ -567,12 +582,14 @@
 
 static bool expire(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us)
 {
+	bool committed = a->committed;
+
 	if (a->state != BSH_ATTEMPT_SENT || a->caller_gone ||
 	    now_us < a->spec.deadline_us)
 		return false;
 	expire_sent(set, a, now_us);
 	/* A detached call takes the answer for its record. */
-	return !a->committed;
+	return !committed;
 }
 
 static void look_open(bsh_attempts_t *set, bsh_attempt_t *a, int64_t now_us)
--- a/lib/coordination/attempt.h
+++ b/lib/coordination/attempt.h
@@ -279,6 +279,15 @@
 void bsh_attempt_sent(bsh_attempts_t *set, const bsh_request_id_t *id,
 		      int64_t now_us);
 
+/*
+ * bsh_attempt_recalled - the target became leaving after it was chosen and
+ * before anything was sent (bsh_route_may_send() is false when the connection
+ * is made).  The request waits again; this costs no retry budget, because no
+ * target got anything.
+ */
+void bsh_attempt_recalled(bsh_attempts_t *set, const bsh_request_id_t *id,
+			  int64_t now_us);
+
 /* bsh_attempt_head - status line and headers of an answer have arrived on
  * the connection of id. */
 bsh_answer_verdict_t bsh_attempt_head(bsh_attempts_t *set,
--- a/lib/coordination/journal.c
+++ b/lib/coordination/journal.c
@@ -1288,13 +1288,18 @@
 
 int64_t bsh_journal_next_us(const bsh_journal_t *j)
 {
-	int64_t next_us = is_down(j) ? j->down_until_us : INT64_MAX;
+	int64_t next_us = INT64_MAX;
+	bool calling = false;
 
 	for (int i = 0; i < BSH_JOURNAL_BUCKETS; i++) {
-		if (j->buckets[i] != NULL)
-			next_us =
-				MIN(next_us, bucket_next_us(j, j->buckets[i]));
+		if (j->buckets[i] == NULL)
+			continue;
+		next_us = MIN(next_us, bucket_next_us(j, j->buckets[i]));
+		calling |= j->buckets[i]->call != 0;
 	}
+	/* The next probe waits for the calls under way. */
+	if (is_down(j) && !calling)
+		next_us = MIN(next_us, j->down_until_us);
 	return next_us;
 }
 
--- a/lib/coordination/route.c
+++ b/lib/coordination/route.c
@@ -694,8 +694,7 @@
 	const bsh_route_target_t *t = bsh_route_target(route, choice->target);
 
 	return t != NULL && t->known && !has_left(t) &&
-	       t->incarnation == choice->incarnation &&
-	       t->open < t->max_running;
+	       t->incarnation == choice->incarnation;
 }
 
 void bsh_route_start(bsh_route_t *route, const bsh_route_request_t *request,
--- a/lib/coordination/route.h
+++ b/lib/coordination/route.h
@@ -207,8 +207,8 @@
 			     bsh_route_choice_t *choice, int64_t now_us);
 
 /*
- * bsh_route_may_send - last check at the moment of the send: false when the
- * target became leaving, was replaced or reached its limit since the choice.
+ * bsh_route_may_send - last check when the connection is made: false when the
+ * target became leaving or was replaced since the choice.
  */
 bool bsh_route_may_send(const bsh_route_t *route,
 			const bsh_route_choice_t *choice);
--- /dev/null
+++ b/regress/support/prove.c
@@ -0,0 +1,99 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "support/world.h"
+
+typedef struct {
+	int violations;
+	int requests;
+	int served;
+} tally_t;
+
+static int run(const world_proof_t *proof, const world_case_t *c,
+	       const adapter_t *adapter, uint32_t seed, bool verbose,
+	       tally_t *tally)
+{
+	world_t w;
+	int violations;
+
+	world_init(&w, adapter, seed, c->faults, c->rounds);
+	w.verbose = verbose;
+	proof->prepare(&w);
+	world_run(&w);
+	violations = proof->violations(&w);
+	tally->violations += violations;
+	for (guint i = 0; i < w.subs->len; i++) {
+		const sub_t *sub = g_ptr_array_index(w.subs, i);
+
+		tally->requests++;
+		tally->served += sub->ok;
+	}
+	world_finish(&w);
+	return violations;
+}
+
+static void run_case(const world_proof_t *proof, const world_case_t *c,
+		     int seeds, bool verbose)
+{
+	tally_t naive = {0};
+	tally_t ours = {0};
+	int first_seed = -1;
+
+	for (int seed = 1; seed <= seeds; seed++) {
+		run(proof, c, &naive_adapter, (uint32_t)seed, false, &naive);
+		if (run(proof, c, &shunt_adapter, (uint32_t)seed, false,
+			&ours) > 0 &&
+		    first_seed < 0)
+			first_seed = seed;
+	}
+	printf("%s\t%s\t%d\t%d\t%d\n", proof->promise, c->name, seeds,
+	       naive.violations, ours.violations);
+	if (first_seed > 0)
+		fprintf(stderr,
+			"%s/%s: first failing seed %d; replay with --case %s "
+			"--seed %d --verbose\n",
+			proof->promise, c->name, first_seed, c->name,
+			first_seed);
+	if (verbose)
+		fprintf(stderr, "%s/%s: served naive %d of %d, ours %d of %d\n",
+			proof->promise, c->name, naive.served, naive.requests,
+			ours.served, ours.requests);
+}
+
+int world_prove(const world_proof_t *proof, int argc, char **argv)
+{
+	g_autofree char *only = NULL;
+	int seeds = proof->seeds;
+	int seed = 0;
+	gboolean verbose = FALSE;
+	GOptionEntry entries[] = {
+		{"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "seeds per case",
+		 "N"},
+		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "one seed only", "N"},
+		{"case", 0, 0, G_OPTION_ARG_STRING, &only, "one case only",
+		 "NAME"},
+		{"verbose", 0, 0, G_OPTION_ARG_NONE, &verbose,
+		 "print the events of --seed", NULL},
+		G_OPTION_ENTRY_NULL};
+	g_autoptr(GOptionContext) context = g_option_context_new(NULL);
+	g_autoptr(GError) error = NULL;
+	tally_t tally = {0};
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		return 2;
+	}
+	for (const world_case_t *c = proof->cases; c->name != NULL; c++) {
+		if (only != NULL && strcmp(only, c->name) != 0)
+			continue;
+		if (seed == 0)
+			run_case(proof, c, seeds, verbose);
+		else
+			printf("%s\t%s\tseed %d\t%d\n", proof->promise, c->name,
+			       seed,
+			       run(proof, c, &shunt_adapter, (uint32_t)seed,
+				   verbose, &tally));
+	}
+	return 0;
+}
