Bring the router's path to the final modules and test it as a process

regress/test_router runs bshrouterd between a scripted controller and scripted targets. It found three faults: - the tick that tells a stall of the control thread was never started, so every confirmation counted as stale and no request was admitted; - an answer begun at once had no watch on its caller, so a disconnect was not seen while the stream was silent; - a rejected document was logged without its reason.

--- a/bshrouterd/link.c
+++ b/bshrouterd/link.c
@@ -73,8 +73,7 @@
 
 static void route_entries(router_t *router, const bsh_msg_routes_t *msg)
 {
-	g_autofree router_route_t *routes =
-		g_new0(router_route_t, msg->entry_count + 1);
+	router_route_t *routes = g_new0(router_route_t, msg->entry_count + 1);
 
 	for (uint32_t i = 0; i < msg->entry_count; i++) {
 		const bsh_route_entry_t *e = &msg->entries[i];
@@ -92,6 +91,7 @@
 	}
 	router_on_routes(router, msg->cell, msg->epoch, msg->sequence, routes,
 			 msg->entry_count);
+	g_free(routes);
 }
 
 static void target_reports(router_t *router, const bsh_msg_report_t *msg)
@@ -287,15 +287,20 @@
 	problems = bsh_doc_problems_new();
 	err = bsh_document_init(&config->doc, msg->text, strlen(msg->text),
 				problems);
-	g_array_free(problems, TRUE);
 	if (err == BSH_OK) {
 		adopt(link, config);
-		return;
+	} else {
+		g_free(config);
+		bsh_log(BSH_LOG_ERROR,
+			"config-rejected generation=%" G_GUINT64_FORMAT
+			" error=%s path=%s",
+			msg->generation, bsh_error_name(err),
+			problems->len > 0
+				? g_array_index(problems, bsh_doc_problem_t, 0)
+					  .path
+				: "");
 	}
-	g_free(config);
-	bsh_log(BSH_LOG_ERROR,
-		"config-rejected generation=%" G_GUINT64_FORMAT " error=%s",
-		msg->generation, bsh_error_name(err));
+	g_array_free(problems, TRUE);
 }
 
 /* The record of a dropped result stays open, and its key answers "unknown"
@@ -377,7 +382,7 @@
 {
 	bsh_message_t message = {.type = BSH_MSG_DRAIN};
 
-	message.drain.phase = ended ? BSH_DRAIN_ENDED : BSH_DRAIN_BEGIN;
+	message.drain.phase = ended ? BSH_PHASE_ENDED : BSH_PHASE_BEGIN;
 	message.drain.alternative = "";
 	message.drain.running = running;
 	bsh_channel_send(link->channel, &message);
@@ -427,7 +432,7 @@
 	if (message->type == BSH_MSG_FRESH)
 		until_us = fresh_until(link, message);
 	if (message->type == BSH_MSG_DRAIN &&
-	    message->drain.phase != BSH_DRAIN_BEGIN)
+	    message->drain.phase != BSH_PHASE_BEGIN)
 		return;
 	pass(link, message, until_us);
 }
@@ -457,6 +462,7 @@
 	link->channel = bsh_channel_connect(
 		&router->control_loop, &link->identity,
 		router->settings.control_link, &channel_ops, link);
+	on_tick(link);
 }
 
 void router_link_stop(router_t *router)
@@ -557,7 +563,7 @@
 		break;
 	case BSH_MSG_DRAIN:
 		link->draining = true;
-		link->drain_ended = message.drain.phase == BSH_DRAIN_ENDED;
+		link->drain_ended = message.drain.phase == BSH_PHASE_ENDED;
 		send_drain(link, link->drain_ended, message.drain.running);
 		break;
 	default:
@@ -657,7 +663,7 @@
 {
 	bsh_message_t message = {.type = BSH_MSG_DRAIN};
 
-	message.drain.phase = ended ? BSH_DRAIN_ENDED : BSH_DRAIN_BEGIN;
+	message.drain.phase = ended ? BSH_PHASE_ENDED : BSH_PHASE_BEGIN;
 	message.drain.alternative = "";
 	message.drain.running = running;
 	post(router, &message);
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -57,6 +57,7 @@
 	GString *out; /* written and not yet taken by libmicrohttpd */
 	size_t out_start;
 	bsh_loop_watch_t *gone_watch;
+	bool unwatched;
 	bsh_loop_task_t drained_task;
 	bsh_http_request_handler_t handler;
 	void *handler_ctx;
@@ -95,12 +96,6 @@
 	bsh_loop_task_schedule(&server->run_task);
 }
 
-static void suspend(bsh_http_request_t *request)
-{
-	request->suspended = true;
-	MHD_suspend_connection(request->mhd);
-}
-
 static void resume(bsh_http_request_t *request)
 {
 	if (!request->suspended)
@@ -128,6 +123,7 @@
 	if (n > 0 && !(events & BSH_LOOP_ERROR)) {
 		/* The next request came early; its bytes stay where they are,
 		 * and the close behind them is seen when it is read. */
+		request->unwatched = true;
 		stop_watching(request);
 		return;
 	}
@@ -138,6 +134,18 @@
 	resume(request);
 }
 
+static void suspend(bsh_http_request_t *request)
+{
+	/* Without a watch the end of the caller is seen on writing. */
+	if (request->gone_watch == NULL && !request->unwatched &&
+	    request->connection != NULL && request->connection->fd >= 0)
+		request->gone_watch = bsh_loop_watch(
+			request->server->loop, request->connection->fd,
+			BSH_LOOP_READ, on_caller_event, request);
+	request->suspended = true;
+	MHD_suspend_connection(request->mhd);
+}
+
 static void on_drained_task(void *ctx)
 {
 	bsh_http_request_t *request = ctx;
@@ -284,18 +292,6 @@
 		bsh_http_answer(request, 413, "", 0);
 }
 
-static enum MHD_Result wait_for_answer(bsh_http_request_t *request)
-{
-	/* Without a descriptor the end of the caller is seen on writing. */
-	if (request->gone_watch == NULL && request->connection != NULL &&
-	    request->connection->fd >= 0)
-		request->gone_watch = bsh_loop_watch(
-			request->server->loop, request->connection->fd,
-			BSH_LOOP_READ, on_caller_event, request);
-	suspend(request);
-	return MHD_YES;
-}
-
 static enum MHD_Result on_access(void *ctx, struct MHD_Connection *mhd,
 				 const char *url, const char *method,
 				 const char *version, const char *data,
@@ -323,8 +319,10 @@
 	/* A begun answer is sent as far as it was written. */
 	if (request->aborted && request->response == NULL)
 		return MHD_NO;
-	if (request->response == NULL)
-		return wait_for_answer(request);
+	if (request->response == NULL) {
+		suspend(request);
+		return MHD_YES;
+	}
 	if (request->queued)
 		return MHD_YES;
 	request->queued = true;
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -15,7 +15,7 @@
 	"{\"name\":\"e\",\"kind\":\"engine\",\"fencing\":true,"                \
 	"\"memory_mib\":1000,\"max_running\":64},"                             \
 	"{\"name\":\"s\",\"kind\":\"service\",\"fencing\":false,"              \
-	"\"memory_mib\":0,\"max_running\":64}],\"models\":["                   \
+	"\"memory_mib\":1,\"max_running\":64}],\"models\":["                   \
 	"{\"name\":\"m\",\"version\":\"1\",\"pool\":\"e\","                    \
 	"\"memory_mib\":100,\"max_replicas\":2,\"priority\":5,"                \
 	"\"load_ms\":200,\"deadline_ms\":20000,\"repeatable\":true}],"         \
@@ -675,7 +675,7 @@
 	w.a.deed = DO_HOLD;
 	call(&w, &stream, CHAT_PATH, STREAM, NULL);
 	rig_wait(&w.rig, &stream.bytes, 1);
-	message.drain.phase = BSH_DRAIN_BEGIN;
+	message.drain.phase = BSH_PHASE_BEGIN;
 	message.drain.alternative = "127.0.0.9:80";
 	rig_send(&w.rig, &message);
 	kill(w.rig.pid, SIGTERM);
