--- /dev/null
+++ b/bench/path/path.c
@@ -0,0 +1,346 @@
+/*
+ * Measures the path of a request through one router, in one run: added latency
+ * at 200 requests/s, tokens/s for 400 streams, and memory per open stream.
+ * The same load goes to the engine stand-in directly, through a bare forwarder
+ * and through bshrouterd.
+ */
+#include <err.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "forwarder.h"
+#include "support/rig.h"
+
+#define RATE	       "200"
+#define LATENCY_S      "10"
+#define LATENCY_ROUNDS 3
+#define STREAMS	       400
+#define STREAM_S       "8"
+#define TOKEN_MS       30
+#define PACED_TOKENS   "100"
+#define FAST_TOKENS    "400"
+#define MODEL	       "m"
+#define LINE_BYTES     65536
+
+static const char document[] =
+	"{\"deployment\":\"bench\",\"weight\":0.5,\"weight_store\":"
+	"{\"loads_per_s\":3,\"concurrent\":4},\"pools\":[{\"name\":\"e\","
+	"\"kind\":\"engine\",\"fencing\":true,\"memory_mib\":1000,"
+	"\"max_running\":1000}],\"models\":[{\"name\":\"" MODEL "\","
+	"\"version\":\"1\",\"pool\":\"e\",\"memory_mib\":100,"
+	"\"max_replicas\":1,\"priority\":5,\"load_ms\":200,"
+	"\"deadline_ms\":60000,\"repeatable\":true}],\"services\":[]}";
+
+typedef struct {
+	GPid pid;
+	uint16_t port;
+} process_t;
+
+typedef struct {
+	double events_per_s;
+	double cpu_share; /* of one core */
+	double per_core;  /* events per CPU second */
+	double gap_p99;
+	int64_t broken;
+} stream_row_t;
+
+static rig_t rig;
+static char *build;
+
+static void die_with_parent(void *ctx)
+{
+	(void)ctx;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+static GPid spawn(const char *program, char **args, int *out_fd)
+{
+	g_autofree char *path = g_build_filename(build, program, NULL);
+	GPtrArray *argv = g_ptr_array_new();
+	GError *error = NULL;
+	GPid pid;
+
+	g_ptr_array_add(argv, path);
+	for (; *args != NULL; args++)
+		g_ptr_array_add(argv, *args);
+	g_ptr_array_add(argv, NULL);
+	if (!g_spawn_async_with_pipes(
+		    NULL, (char **)argv->pdata, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+		    die_with_parent, NULL, &pid, NULL, out_fd, NULL, &error))
+		errx(1, "%s", error->message);
+	g_ptr_array_free(argv, TRUE);
+	return pid;
+}
+
+static process_t start_standin(const char *program, char **args)
+{
+	process_t process;
+	char line[64] = "";
+	unsigned int port;
+	ssize_t n;
+	int fd;
+
+	process.pid = spawn(program, args, &fd);
+	n = read(fd, line, sizeof(line) - 1);
+	if (n <= 0 || sscanf(line, "ready %u", &port) != 1)
+		errx(1, "%s did not start", program);
+	process.port = (uint16_t)port;
+	return process;
+}
+
+/* Output of a program; the rig keeps the router's configuration fresh. */
+static char *run(const char *program, char **args)
+{
+	GString *out = g_string_new(NULL);
+	char buffer[LINE_BYTES];
+	ssize_t n;
+	int status;
+	int fd;
+	GPid pid = spawn(program, args, &fd);
+
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	while ((n = read(fd, buffer, sizeof(buffer))) != 0) {
+		if (n > 0)
+			g_string_append_len(out, buffer, n);
+		else
+			rig_step(&rig);
+	}
+	close(fd);
+	if (waitpid(pid, &status, 0) != pid || status != 0)
+		errx(1, "%s failed", program);
+	return g_string_free(out, FALSE);
+}
+
+static json_t *load(uint16_t port, const char *mode, const char *amount,
+		    const char *duration, const char *tokens, bool streaming)
+{
+	g_autofree char *url = g_strdup_printf(
+		"http://127.0.0.1:%u/v1/chat/completions", port);
+	char *args[] = {(char *)"--json",
+			(char *)"-u",
+			url,
+			(char *)"-m",
+			(char *)MODEL,
+			(char *)mode,
+			(char *)amount,
+			(char *)"-t",
+			(char *)duration,
+			(char *)"-k",
+			(char *)tokens,
+			(char *)"-j",
+			(char *)(streaming ? "3" : "1"),
+			(char *)(streaming ? "-s" : NULL),
+			NULL};
+	g_autofree char *text = run("bshload", args);
+	json_t *json = json_loads(text, 0, NULL);
+
+	if (json == NULL)
+		errx(1, "bshload printed no JSON");
+	return json;
+}
+
+static double number(const json_t *json, const char *group, const char *key)
+{
+	if (group != NULL)
+		json = json_object_get(json, group);
+	return json_number_value(json_object_get(json, key));
+}
+
+static void post(uint16_t port, const char *path, const char *body)
+{
+	g_autofree char *url =
+		g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+	g_autofree char *command = g_strdup_printf(
+		"curl -sS -o /dev/null -H 'Content-Type: application/json' "
+		"-d '%s' %s",
+		body, url);
+
+	if (system(command) != 0)
+		errx(1, "POST %s failed", url);
+}
+
+static void load_model(uint16_t engine)
+{
+	g_autofree char *status = g_strdup_printf(
+		"until curl -sS http://127.0.0.1:%u/v1/status | grep -q "
+		"'\"ready\"'; do :; done",
+		engine);
+
+	post(engine, "/v1/models/load",
+	     "{\"model\":\"" MODEL "\",\"version\":\"1\",\"base\":\"\","
+	     "\"attempt\":\"a\",\"fence\":1,\"memory_mib\":100}");
+	if (system(status) != 0)
+		errx(1, "the model was not loaded");
+}
+
+static void set_token_ms(uint16_t engine, int ms)
+{
+	g_autofree char *body = g_strdup_printf("{\"token_ms\":%d}", ms);
+
+	post(engine, "/control", body);
+}
+
+/* CPU time of a process with its threads, seconds. */
+static double cpu_s(GPid pid)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/stat", pid);
+	g_autofree char *text = NULL;
+	unsigned long user;
+	unsigned long kernel;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL) ||
+	    sscanf(strrchr(text, ')') + 2,
+		   "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+		   &kernel) != 2)
+		errx(1, "cannot read %s", path);
+	return (double)(user + kernel) / (double)sysconf(_SC_CLK_TCK);
+}
+
+static double status_kib(GPid pid, const char *field)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/status", pid);
+	g_autofree char *text = NULL;
+	const char *at;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		errx(1, "cannot read %s", path);
+	at = strstr(text, field);
+	return at != NULL ? g_ascii_strtod(at + strlen(field), NULL) : 0.0;
+}
+
+static uint16_t port_of(const char *address)
+{
+	return (uint16_t)atoi(strchr(address, ':') + 1);
+}
+
+static void measure_latency(uint16_t engine, uint16_t router)
+{
+	double sum[2][2] = {{0.0}};
+
+	printf("\n## Latency of a warm request at " RATE " requests/s\n\n"
+	       "| round | path | answered | p50 ms | p99 ms |\n"
+	       "|---|---|---|---|---|\n");
+	for (int round = 0; round < 2 * LATENCY_ROUNDS; round++) {
+		bool is_routed = round % 2 == 1;
+		json_t *json = load(is_routed ? router : engine, "-r", RATE,
+				    LATENCY_S, "1", false);
+
+		printf("| %d | %s | %.0f of %.0f | %.3f | %.3f |\n",
+		       round / 2 + 1, is_routed ? "router" : "direct",
+		       number(json, NULL, "answered"),
+		       number(json, NULL, "started"),
+		       number(json, "whole_ms", "p50"),
+		       number(json, "whole_ms", "p99"));
+		fflush(stdout);
+		sum[is_routed][0] += number(json, "whole_ms", "p50");
+		sum[is_routed][1] += number(json, "whole_ms", "p99");
+		json_decref(json);
+	}
+	printf("\nAdded, mean of the rounds: p50 %.3f ms, p99 %.3f ms.\n",
+	       (sum[1][0] - sum[0][0]) / LATENCY_ROUNDS,
+	       (sum[1][1] - sum[0][1]) / LATENCY_ROUNDS);
+}
+
+static stream_row_t measure_streams(uint16_t port, GPid pid, const char *tokens)
+{
+	g_autofree char *streams = g_strdup_printf("%d", STREAMS);
+	double before_s = cpu_s(pid);
+	json_t *json = load(port, "-c", streams, STREAM_S, tokens, true);
+	double used_s = cpu_s(pid) - before_s;
+	stream_row_t row = {
+		.events_per_s = number(json, NULL, "events_per_s"),
+		.cpu_share = used_s / number(json, NULL, "elapsed_s"),
+		.per_core = number(json, NULL, "events") / used_s,
+		.gap_p99 = number(json, "gap_ms", "p99"),
+		.broken = (int64_t)(number(json, NULL, "broken") +
+				    number(json, NULL, "refused")),
+	};
+
+	json_decref(json);
+	return row;
+}
+
+static void print_stream_row(const char *speed, const char *path,
+			     const stream_row_t *row)
+{
+	printf("| %s | %s | %.0f | %.2f | %.0f | %.1f | %d |\n", speed, path,
+	       row->events_per_s, row->cpu_share, row->per_core, row->gap_p99,
+	       (int)row->broken);
+	fflush(stdout);
+}
+
+static void measure_speed(const char *speed, const char *tokens, GPid forwarder,
+			  uint16_t forwarder_port)
+{
+	stream_row_t bare = measure_streams(forwarder_port, forwarder, tokens);
+	stream_row_t routed;
+
+	print_stream_row(speed, "bare forwarder", &bare);
+	routed = measure_streams(port_of(rig.listen), rig.pid, tokens);
+	print_stream_row(speed, "router", &routed);
+	printf("| %s | router/forwarder | %.2f | | %.2f | | |\n", speed,
+	       routed.events_per_s / bare.events_per_s,
+	       routed.per_core / bare.per_core);
+	fflush(stdout);
+}
+
+int main(int argc, char **argv)
+{
+	char *weights_args[] = {(char *)"0", NULL};
+	char *engine_args[] = {(char *)"e1", (char *)"0",	(char *)"1000",
+			       NULL,	     (char *)"fencing", NULL};
+	process_t weights;
+	process_t engine;
+	uint16_t forwarder_port;
+	pid_t forwarder;
+	double idle_kib;
+
+	if (argc != 2)
+		errx(1, "usage: bench_path BUILD");
+	build = argv[1];
+	g_setenv("BSH_BUILD", build, TRUE);
+	weights =
+		start_standin("regress/standin/standin_weights", weights_args);
+	engine_args[3] = g_strdup_printf("127.0.0.1:%u", weights.port);
+	engine = start_standin("regress/standin/standin_engine", engine_args);
+	load_model(engine.port);
+	forwarder = forwarder_start(engine.port, &forwarder_port);
+	rig_init(&rig, "[log]\nlevel=error");
+	{
+		g_autofree char *address =
+			g_strdup_printf("127.0.0.1:%u", engine.port);
+		const char *const targets[] = {"e1", address, NULL};
+
+		rig_config(&rig, document);
+		rig_route(&rig, MODEL, false, targets);
+		rig_ready(&rig);
+	}
+	set_token_ms(engine.port, 0);
+	measure_latency(engine.port, port_of(rig.listen));
+	idle_kib = status_kib(rig.pid, "VmHWM:");
+	printf("\n## %d streams\n\n"
+	       "| speed | path | tokens/s | cores used | tokens/s per core | "
+	       "p99 gap ms | not whole |\n|---|---|---|---|---|---|---|\n",
+	       STREAMS);
+	set_token_ms(engine.port, TOKEN_MS);
+	measure_speed("30 ms between tokens", PACED_TOKENS, forwarder,
+		      forwarder_port);
+	printf("\nMemory of the router: %.0f KiB before, %.0f KiB peak with "
+	       "%d streams: %.1f KiB per stream.\n\n",
+	       idle_kib, status_kib(rig.pid, "VmHWM:"), STREAMS,
+	       (status_kib(rig.pid, "VmHWM:") - idle_kib) / STREAMS);
+	set_token_ms(engine.port, 0);
+	measure_speed("full", FAST_TOKENS, forwarder, forwarder_port);
+	kill(forwarder, SIGTERM);
+	kill(engine.pid, SIGTERM);
+	kill(weights.pid, SIGTERM);
+	rig_finish(&rig);
+	return 0;
+}
--- a/bshrouterd/router.h
+++ b/bshrouterd/router.h
@@ -76,6 +76,7 @@
 	bsh_counter_t waiting;
 	bsh_counter_t connections;
 	bsh_counter_t generation;
+	bsh_counter_t routes;
 	bsh_counter_t link_up;
 	bsh_counter_t refused[BSH_ERR_COUNT]; /* by error kind */
 } router_counters_t;
--- a/bshrouterd/routes.c
+++ b/bshrouterd/routes.c
@@ -171,6 +171,7 @@
 	set_ready(t, name, scope, before);
 	set_ready(t, name, scope, scope->ready);
 	g_hash_table_destroy(before);
+	bsh_counter_add(&router_counters.routes, 1);
 	traffic_touch(t);
 }
 
--- a/bshrouterd/shared.c
+++ b/bshrouterd/shared.c
@@ -33,6 +33,8 @@
 		BSH_GAUGE("bsh_router_connections", "Callers' connections."),
 	.generation = BSH_GAUGE("bsh_router_configuration_generation",
 				"Generation of the document in force."),
+	.routes = BSH_COUNTER("bsh_router_routes_total",
+			      "Changes of ready targets taken."),
 	.link_up = BSH_GAUGE("bsh_router_link_up",
 			     "1 while the controller is connected."),
 };
@@ -44,7 +46,8 @@
 		&c->requests,	 &c->answered,	  &c->not_run,	  &c->unknown,
 		&c->caller_gone, &c->attempts,	  &c->retries,	  &c->late,
 		&c->mismatched,	 &c->events,	  &c->body_bytes, &c->open,
-		&c->waiting,	 &c->connections, &c->generation, &c->link_up,
+		&c->waiting,	 &c->connections, &c->generation, &c->routes,
+		&c->link_up,
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
--- a/regress/support/rig.c
+++ b/regress/support/rig.c
@@ -211,6 +211,10 @@
 	message.routes.entries = entries;
 	message.routes.entry_count = count;
 	rig_send(rig, &message);
+	/* Requests come by another way and could overtake the frame. */
+	while (rig_counter(rig, "bsh_router_routes_total") <
+	       (int64_t)rig->sequence)
+		rig_step(rig);
 }
 
 typedef struct {
--- a/regress/support/rig.h
+++ b/regress/support/rig.h
@@ -58,7 +58,7 @@
 void rig_fresh(rig_t *rig);
 
 /* rig_route - the targets of a model or service: pairs of name and address,
- * ended by NULL. */
+ * ended by NULL.  Returns when the router has taken them. */
 void rig_route(rig_t *rig, const char *name, bool is_service,
 	       const char *const *targets);
 void rig_send(rig_t *rig, bsh_message_t *message);
