--- a/lib/coordination/admission.c
+++ b/lib/coordination/admission.c
@@ -182,8 +182,9 @@
 					      bsh_rng_unit(&adm->rng));
 	} else {
 		m->next_return_us = now_us + wait_us + (int64_t)interval;
-		wait_us += (int64_t)(0.5 * (double)wait_us *
-				     bsh_rng_unit(&adm->rng));
+		wait_us +=
+			(int64_t)((double)MIN(wait_us / 2, max_us - wait_us) *
+				  bsh_rng_unit(&adm->rng));
 	}
 	return (uint32_t)(MIN(wait_us, max_us) / 1000);
 }
--- a/lib/coordination/attempt.c
+++ b/lib/coordination/attempt.c
@@ -468,8 +468,16 @@
 {
 	bsh_attempt_t *a = find_running(set, id);
 
-	if (a == NULL || a->state != BSH_ATTEMPT_ANSWERING)
+	if (a == NULL)
+		return BSH_ANSWER_DROP;
+	if (a->state != BSH_ATTEMPT_ANSWERING) {
+		/* A body without a head is the rest of another answer, and
+		 * what follows on this connection cannot be trusted. */
+		set->mismatched++;
+		fail_attempt(set, a, true, BSH_ERR_MISMATCH, BSH_ROUTE_FAILURE,
+			     now_us);
 		return BSH_ANSWER_DROP;
+	}
 	a->heard_us = now_us;
 	a->received += (int64_t)size;
 	a->done_seen |= done_event;
--- a/regress/prove/prove_not_run.c
+++ b/regress/prove/prove_not_run.c
@@ -9,11 +9,12 @@
 	{"silent", FAULT_SILENT, 1},
 	{"break", FAULT_BREAK, 1},
 	{"late", FAULT_LATE, 1},
-	{"crossed", FAULT_CROSSED, 1},
+	{"crossed-and-late", FAULT_CROSSED | FAULT_LATE, 1},
 	{"target-killed", FAULT_KILL | FAULT_BREAK, 2},
 	{"cut", FAULT_CUT, 1},
 	{"refused", FAULT_REFUSE | FAULT_LATE, 1},
-	{"store", FAULT_STORE_DOWN | FAULT_STORE_LOST | FAULT_SILENT, 1},
+	{"store-down", FAULT_STORE_DOWN | FAULT_SILENT, 1},
+	{"store-lost", FAULT_STORE_LOST | FAULT_STORE_SLOW | FAULT_BREAK, 1},
 	{"overload", FAULT_OVERLOAD | FAULT_BREAK, 1},
 	{"caller-gone", FAULT_CALLER_GONE | FAULT_SILENT, 1},
 	{"all", 0x1fffff, 1},
@@ -22,6 +23,8 @@
 
 static void prepare(world_t *w)
 {
+	/* A client that retries has to fail several times to give up. */
+	w->window_us = 2 * w->span_us;
 	w->weights[KIND_STREAM] = 2;
 	w->weights[KIND_PLAIN] = 2;
 	w->weights[KIND_COLD] = 1;
--- a/regress/support/world.c
+++ b/regress/support/world.c
@@ -465,6 +465,9 @@
 	int stages = STAGE_CHUNK + c->sub->expected;
 	conn_t *other;
 
+	if ((w->dead_targets >> c->target & 1) != 0)
+		c->break_at = STAGE_HEAD;
+
 	if (hit(w, FAULT_SILENT, 0.3) || hit(w, FAULT_CUT, 0.3))
 		c->stop_at =
 			STAGE_HEAD +
@@ -1008,6 +1011,7 @@
 	w->rounds = rounds;
 	w->requests = 40;
 	w->span_us = 12 * SIM_S;
+	w->window_us = 4 * SIM_S;
 	w->stream_us = 60 * SIM_MS;
 	w->subs = g_ptr_array_new_with_free_func(g_free);
 	w->executions = g_array_new(FALSE, TRUE, sizeof(int));
@@ -1028,10 +1032,10 @@
 
 			sim_after(&w->sim, at_us, begin_fault, w,
 				  GUINT_TO_POINTER(fault));
-			sim_after(&w->sim,
-				  at_us + sim_delay(&w->sim, SIM_S,
-						    w->span_us / 3),
-				  end_fault, w, GUINT_TO_POINTER(fault));
+			sim_after(
+				&w->sim,
+				at_us + sim_delay(&w->sim, SIM_S, w->window_us),
+				end_fault, w, GUINT_TO_POINTER(fault));
 		}
 	}
 }
--- a/regress/support/world.h
+++ b/regress/support/world.h
@@ -178,9 +178,11 @@
 	int weights[4]; /* of the kinds */
 	int requests;	/* first tries */
 	int64_t span_us;
-	int64_t stream_us; /* longest stream */
+	int64_t window_us; /* longest time of a fault */
+	int64_t stream_us; /* longest pause of a stream */
 	bool verbose;
-	uint32_t active; /* faults now */
+	uint32_t active;       /* faults now */
+	uint32_t dead_targets; /* bit mask: each answer breaks */
 	GPtrArray *subs;
 	GArray *executions; /* per call */
 	conn_t *conns;
--- /dev/null
+++ b/regress/test_attempt.c
@@ -0,0 +1,415 @@
+#include <string.h>
+
+#include "coordination/attempt.h"
+#include "support/sim.h"
+#include "support/world.h"
+
+static struct {
+	bsh_attempts_t set;
+	bsh_attempt_t a;
+	int enqueued;
+	int retries;
+	int cancelled;
+	int released;
+	int detached;
+	int finished;
+	int results[3];
+	bsh_error_t err;
+	bsh_outcome_t outcome;
+	int records;
+	bsh_outcome_t recorded;
+	char text[BSH_ATTEMPT_ID_SIZE];
+} t;
+
+static void on_intent(void *ctx, bsh_attempt_t *a)
+{
+	(void)ctx;
+	(void)a;
+}
+
+static void on_enqueue(void *ctx, bsh_attempt_t *a, bool retry)
+{
+	(void)ctx;
+	(void)a;
+	t.enqueued++;
+	t.retries += retry;
+}
+
+static void on_dequeue(void *ctx, bsh_attempt_t *a)
+{
+	(void)ctx;
+	(void)a;
+}
+
+static void on_cancel(void *ctx, bsh_attempt_t *a)
+{
+	(void)ctx;
+	(void)a;
+	t.cancelled++;
+}
+
+static void on_release(void *ctx, bsh_attempt_t *a)
+{
+	(void)ctx;
+	(void)a;
+	t.released++;
+}
+
+static void on_result(void *ctx, bsh_attempt_t *a, bsh_route_result_t result)
+{
+	(void)ctx;
+	(void)a;
+	t.results[result]++;
+}
+
+static void on_detach(void *ctx, bsh_attempt_t *a, bsh_error_t err,
+		      bsh_outcome_t outcome)
+{
+	(void)ctx;
+	(void)a;
+	t.detached++;
+	t.err = err;
+	t.outcome = outcome;
+}
+
+static void on_record(void *ctx, bsh_attempt_t *a, bsh_outcome_t outcome)
+{
+	(void)ctx;
+	(void)a;
+	t.records++;
+	t.recorded = outcome;
+}
+
+static void on_finish(void *ctx, bsh_attempt_t *a, bsh_error_t err,
+		      bsh_outcome_t outcome, uint32_t retry_ms)
+{
+	(void)ctx;
+	(void)a;
+	(void)retry_ms;
+	t.finished++;
+	t.err = err;
+	t.outcome = outcome;
+}
+
+static void setup(bool repeatable, bool has_key, bool stream)
+{
+	static const bsh_attempt_orders_t orders = {
+		on_intent, on_enqueue, on_dequeue, on_cancel, on_release,
+		on_result, on_detach,  on_record,  on_finish};
+	bsh_attempt_spec_t spec = {.deadline_us = 10 * SIM_S,
+				   .first_us = 100 * SIM_MS,
+				   .repeatable = repeatable,
+				   .has_key = has_key,
+				   .stream = stream,
+				   .engine = repeatable};
+	bsh_attempts_config_t config;
+
+	memset(&t, 0, sizeof(t));
+	bsh_attempts_config_default(&config);
+	bsh_attempts_init(&t.set, &config, 9, &orders, NULL);
+	t.set.budget.tokens = 5;
+	g_assert_cmpint(bsh_attempt_begin(&t.set, &t.a, &spec, 0), ==, BSH_OK);
+}
+
+static void start(bool sent, int64_t now_us)
+{
+	bsh_route_choice_t target = {.target = 1, .incarnation = 1};
+
+	g_assert_true(bsh_attempt_start(&t.set, &t.a, &target, now_us));
+	if (sent)
+		bsh_attempt_sent(&t.set, &t.a.id, now_us);
+	bsh_request_id_print(&t.a.id, t.text);
+}
+
+static bsh_answer_verdict_t head(int status, int64_t length, bool stream,
+				 int64_t now_us)
+{
+	bsh_answer_head_t h = {.status = (uint16_t)status,
+			       .request_id = t.text,
+			       .length = length,
+			       .chunked = length < 0,
+			       .event_stream = stream};
+
+	return bsh_attempt_head(&t.set, &t.a.id, &h, now_us);
+}
+
+static void test_request_id(void)
+{
+	bsh_request_id_t id = {UINT64_MAX, 77, 3};
+	bsh_request_id_t copy;
+	char text[BSH_ATTEMPT_ID_SIZE];
+
+	bsh_request_id_print(&id, text);
+	g_assert_cmpint(bsh_request_id_parse(text, &copy), ==, BSH_OK);
+	g_assert_cmpmem(&id.incarnation, 16, &copy.incarnation, 16);
+	g_assert_cmpuint(copy.attempt, ==, 3);
+	text[16] = '+';
+	g_assert_cmpint(bsh_request_id_parse(text, &copy), ==, BSH_ERR_INVALID);
+	g_assert_cmpint(bsh_request_id_parse("7", &copy), ==, BSH_ERR_INVALID);
+	g_assert_cmpint(bsh_request_id_parse(NULL, &copy), ==, BSH_ERR_INVALID);
+}
+
+/* Guards against a repeat of a call that may have run. */
+static void test_non_repeatable(void)
+{
+	setup(false, false, false);
+	start(false, 0);
+	bsh_attempt_failed(&t.set, &t.a.id, 10);
+	g_assert_cmpint(t.retries, ==, 1);
+	start(true, 20);
+	bsh_attempt_failed(&t.set, &t.a.id, 30);
+	g_assert_cmpint(t.retries, ==, 1);
+	g_assert_cmpint(t.err, ==, BSH_ERR_BROKEN);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+	/* A silent one is unknown at its deadline. */
+	setup(false, false, false);
+	start(true, 0);
+	bsh_attempts_tick(&t.set, 9 * SIM_S);
+	g_assert_cmpint(t.finished, ==, 0);
+	bsh_attempts_tick(&t.set, bsh_attempts_next_us(&t.set));
+	g_assert_cmpint(t.err, ==, BSH_ERR_TIMEOUT);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+	g_assert_cmpint(t.retries, ==, 0);
+}
+
+/* Guards against "not run" for a request whose first attempt may have run. */
+static void test_earlier_attempt_counts(void)
+{
+	setup(true, false, false);
+	start(true, 0);
+	bsh_attempt_failed(&t.set, &t.a.id, 10);
+	g_assert_cmpint(t.retries, ==, 1);
+	bsh_attempt_refused(&t.set, &t.a, BSH_ERR_DEADLINE, 100, 20);
+	g_assert_cmpint(t.err, ==, BSH_ERR_BROKEN);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+}
+
+/* Guards against a refusal that is taken from an answer of another request. */
+static void test_refusal_is_proved(void)
+{
+	setup(true, false, false);
+	start(true, 0);
+	g_assert_cmpint(head(429, 0, false, 10), ==, BSH_ANSWER_DROP);
+	g_assert_cmpint(t.retries, ==, 1);
+	g_assert_false(t.a.may_have_run);
+	start(true, 20);
+	t.text[0] ^= 1;
+	g_assert_cmpint(head(429, 0, false, 30), ==, BSH_ANSWER_DROP);
+	g_assert_true(t.a.may_have_run);
+	g_assert_cmpint(t.set.mismatched, ==, 1);
+	/* A plain service's 503 proves nothing. */
+	setup(false, false, false);
+	start(true, 0);
+	g_assert_cmpint(head(503, 0, false, 10), ==, BSH_ANSWER_HOLD);
+}
+
+/* Guards against an answer that counts as whole without its proof. */
+static void test_completeness(void)
+{
+	setup(true, false, true);
+	start(true, 0);
+	g_assert_cmpint(head(200, -1, true, 10), ==, BSH_ANSWER_HOLD);
+	g_assert_cmpint(bsh_attempt_body(&t.set, &t.a.id, 9, false, 20), ==,
+			BSH_ANSWER_FORWARD);
+	bsh_attempt_end(&t.set, &t.a.id, 30);
+	g_assert_cmpint(t.err, ==, BSH_ERR_BROKEN);
+	g_assert_cmpint(t.retries, ==, 0);
+	setup(true, false, true);
+	start(true, 0);
+	head(200, -1, true, 10);
+	bsh_attempt_body(&t.set, &t.a.id, 9, true, 20);
+	bsh_attempt_failed(&t.set, &t.a.id, 30);
+	g_assert_cmpint(t.err, ==, BSH_OK);
+	/* A shorter body, and one that ends with the connection. */
+	for (int length = 100; length >= -1; length -= 101) {
+		bsh_answer_head_t h = {.status = 200, .length = length};
+
+		setup(false, false, false);
+		start(true, 0);
+		bsh_attempt_head(&t.set, &t.a.id, &h, 10);
+		bsh_attempt_body(&t.set, &t.a.id, 99, false, 20);
+		bsh_attempt_end(&t.set, &t.a.id, 30);
+		g_assert_cmpint(t.err, ==, BSH_ERR_BROKEN);
+		g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+	}
+}
+
+/* Guards against a silent connection that takes the whole deadline, and
+ * against a late answer of the replaced attempt. */
+static void test_silent_is_replaced(void)
+{
+	bsh_request_id_t old;
+
+	setup(true, false, false);
+	start(true, 0);
+	old = t.a.id;
+	bsh_attempts_tick(&t.set, 2 * SIM_S);
+	g_assert_cmpint(t.retries, ==, 1);
+	g_assert_cmpint(t.cancelled, ==, 1);
+	start(true, 2 * SIM_S);
+	g_assert_cmpint(bsh_attempt_body(&t.set, &old, 1, false, 3 * SIM_S), ==,
+			BSH_ANSWER_DROP);
+	g_assert_cmpuint(t.set.late, ==, 1);
+	g_assert_cmpint(head(200, 5, false, 3 * SIM_S), ==, BSH_ANSWER_HOLD);
+	/* At the deadline what is held goes to the caller. */
+	bsh_attempt_body(&t.set, &t.a.id, 3, false, 4 * SIM_S);
+	bsh_attempts_tick(&t.set, 10 * SIM_S);
+	g_assert_cmpint(t.released, ==, 1);
+	bsh_attempt_body(&t.set, &t.a.id, 2, false, 11 * SIM_S);
+	bsh_attempt_end(&t.set, &t.a.id, 11 * SIM_S);
+	g_assert_cmpint(t.err, ==, BSH_OK);
+}
+
+/* Guards against a retry without budget. */
+static void test_budget(void)
+{
+	setup(true, false, false);
+	t.set.budget.tokens = 0;
+	start(false, 0);
+	bsh_attempt_failed(&t.set, &t.a.id, 10);
+	g_assert_cmpint(t.err, ==, BSH_ERR_CONNECT);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_NOT_RUN);
+	g_assert_cmpint(t.retries, ==, 0);
+}
+
+/* Guards against a keyed call whose result is lost because the caller went
+ * away or its deadline passed. */
+static void test_keyed_runs_to_end(void)
+{
+	for (int gone = 0; gone < 2; gone++) {
+		setup(false, true, false);
+		g_assert_cmpint(t.enqueued, ==, 0);
+		g_assert_true(bsh_attempt_intent(&t.set, &t.a.id,
+						 BSH_INTENT_RUN, 0, 5));
+		start(true, 10);
+		if (gone == 1)
+			bsh_attempt_caller_gone(&t.set, &t.a, 20);
+		bsh_attempts_tick(&t.set, 10 * SIM_S);
+		g_assert_cmpint(t.detached, ==, 1 - gone);
+		g_assert_cmpint(t.finished, ==, 0);
+		head(200, 2, false, 11 * SIM_S);
+		bsh_attempt_body(&t.set, &t.a.id, 2, false, 11 * SIM_S);
+		bsh_attempt_end(&t.set, &t.a.id, 11 * SIM_S);
+		g_assert_cmpint(t.records, ==, 1);
+		g_assert_cmpint(t.recorded, ==, BSH_OUTCOME_ANSWERED);
+		g_assert_cmpint(t.finished, ==, 1);
+	}
+}
+
+/* Guards against an intent that stays open after its request was refused. */
+static void test_intent_is_withdrawn(void)
+{
+	setup(false, true, false);
+	bsh_attempts_tick(&t.set, 10 * SIM_S);
+	g_assert_cmpint(t.err, ==, BSH_ERR_DEADLINE);
+	g_assert_cmpint(t.records, ==, 1);
+	g_assert_cmpint(t.recorded, ==, BSH_OUTCOME_NOT_RUN);
+	g_assert_false(bsh_attempt_intent(&t.set, &t.a.id, BSH_INTENT_RUN, 0,
+					  11 * SIM_S));
+	g_assert_cmpint(t.enqueued, ==, 0);
+	setup(false, true, false);
+	bsh_attempt_intent(&t.set, &t.a.id, BSH_INTENT_RUN, 0, 5);
+	bsh_attempt_refused(&t.set, &t.a, BSH_ERR_CAPACITY, 100, 10);
+	g_assert_cmpint(t.recorded, ==, BSH_OUTCOME_NOT_RUN);
+	/* Another request's record must not be touched. */
+	setup(false, true, false);
+	bsh_attempt_intent(&t.set, &t.a.id, BSH_INTENT_IN_PROGRESS, 100, 5);
+	g_assert_cmpint(t.records, ==, 0);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+}
+
+static void test_caller_cancels(void)
+{
+	setup(true, false, true);
+	start(true, 0);
+	bsh_attempt_caller_gone(&t.set, &t.a, 10);
+	g_assert_cmpint(t.cancelled, ==, 1);
+	g_assert_cmpint(t.results[BSH_ROUTE_NEUTRAL], ==, 1);
+	g_assert_cmpint(t.err, ==, BSH_ERR_CANCELLED);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+}
+
+/* Guards against a target that became leaving while connecting, and against
+ * taking that from the retry budget. */
+static void test_recalled(void)
+{
+	setup(true, false, true);
+	t.set.budget.tokens = 0;
+	start(false, 0);
+	bsh_attempt_recalled(&t.set, &t.a.id, 10);
+	g_assert_cmpint(t.retries, ==, 1);
+	g_assert_cmpint(t.results[BSH_ROUTE_FAILURE], ==, 0);
+}
+
+/* Schedules of whole instances. */
+
+static void run_world(world_t *w, uint32_t seed, uint32_t faults, int requests)
+{
+	world_init(w, &shunt_adapter, seed, faults, 1);
+	w->requests = requests;
+	w->span_us = requests * 50 * SIM_MS;
+	w->window_us = w->span_us;
+	w->weights[KIND_STREAM] = 2;
+	w->weights[KIND_PLAIN] = 1;
+}
+
+/* Guards against proofs that hold only because requests are refused. */
+static void test_no_faults(void)
+{
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		world_t w;
+
+		run_world(&w, seed, 0, 100);
+		w.weights[KIND_DEPOSIT] = 1;
+		world_run(&w);
+		for (guint i = 0; i < w.subs->len; i++) {
+			const sub_t *sub = g_ptr_array_index(w.subs, i);
+
+			g_assert_true(sub->ok);
+			g_assert_cmpint(sub->executions, ==, 1);
+		}
+		world_finish(&w);
+	}
+}
+
+/* Guards against retries that add to an outage: with half of the targets
+ * failing, the connections opened stay within 1.1 per request. */
+static void test_amplification(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		world_t w;
+		int first_tries = 0;
+
+		run_world(&w, seed, 0, 1000);
+		w.dead_targets = 1 << 0 | 1 << 2;
+		world_run(&w);
+		for (guint i = 0; i < w.subs->len; i++) {
+			const sub_t *sub = g_ptr_array_index(w.subs, i);
+
+			first_tries += sub->submitted_us > 0;
+		}
+		g_assert_cmpint(w.opened * 10, <=, first_tries * 11);
+		g_assert_cmpint(w.opened, >, first_tries / 2);
+		world_finish(&w);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/attempt/request-id", test_request_id);
+	g_test_add_func("/attempt/non-repeatable", test_non_repeatable);
+	g_test_add_func("/attempt/earlier-attempt",
+			test_earlier_attempt_counts);
+	g_test_add_func("/attempt/refusal", test_refusal_is_proved);
+	g_test_add_func("/attempt/completeness", test_completeness);
+	g_test_add_func("/attempt/silent", test_silent_is_replaced);
+	g_test_add_func("/attempt/budget", test_budget);
+	g_test_add_func("/attempt/keyed", test_keyed_runs_to_end);
+	g_test_add_func("/attempt/withdrawn", test_intent_is_withdrawn);
+	g_test_add_func("/attempt/cancel", test_caller_cancels);
+	g_test_add_func("/attempt/recalled", test_recalled);
+	g_test_add_func("/requests/no-faults", test_no_faults);
+	g_test_add_func("/requests/amplification", test_amplification);
+	return g_test_run();
+}
