Keep demands waiting while a cell has no live owner

A demand that met a dead or silent owner was refused although the takeover ends before most deadlines. It now waits for the takeover, is asked again when the owner changes, and the router gets an estimate of the takeover at once. Demands are a part of their own. A handover is announced to the peers.

--- a/bshcontrold/bshcontrold.c
+++ b/bshcontrold/bshcontrold.c
@@ -159,6 +159,7 @@
 	peers_start(control);
 	config_start(control);
 	targets_start(control);
+	demands_start(control);
 	cells_start(control);
 	intents_start(control);
 	shutdown_start(control);
@@ -175,6 +176,7 @@
 	shutdown_stop(control);
 	intents_stop(control);
 	cells_stop(control);
+	demands_stop(control);
 	targets_stop(control);
 	config_stop(control);
 	routers_stop(control);
--- a/bshcontrold/cells.c
+++ b/bshcontrold/cells.c
@@ -10,9 +10,7 @@
 
 #define KIND "cell"
 /* With more controllers than this, routes go only to those that asked. */
-#define BROADCAST_MAX	16
-#define RETRY_AFTER_MS	1000
-#define DEADLINE_MAX_MS 3600000
+#define BROADCAST_MAX 16
 
 /* The last ROUTES message of a scope, encoded. */
 typedef struct {
@@ -22,22 +20,11 @@
 	GBytes *message;
 } scope_t;
 
-/* A demand that has no final answer yet. */
-typedef struct {
-	uint64_t id;	    /* here */
-	uint64_t remote_id; /* at the asking side */
-	char *asker;	    /* instance; NULL: the router of this instance */
-	char *owner;	    /* forwarded to; NULL: the loader here */
-	char *model;
-} demand_t;
-
 struct cells {
 	bsh_loader_t loader;
 	bsh_loop_timer_t timer;
-	GHashTable *scopes;  /* name to scope_t */
-	GHashTable *demands; /* &demand->id to demand_t */
-	GHashTable *askers;  /* instances that asked for a model */
-	uint64_t next_id;
+	GHashTable *scopes; /* name to scope_t */
+	GHashTable *askers; /* instances that asked for a model */
 };
 
 typedef struct {
@@ -45,8 +32,6 @@
 	char *cell;
 } store_call_t;
 
-static bsh_counter_t demand_gauge =
-	BSH_GAUGE("bsh_control_demands", "Demands without a final answer.");
 static bsh_counter_t loads_counter =
 	BSH_COUNTER("bsh_control_loads_total", "Load orders.");
 
@@ -198,8 +183,8 @@
 	bsh_message_finish(&message);
 }
 
-static void send_model(control_t *control, const char *model,
-		       const char *instance)
+void cells_send_model(control_t *control, const char *model,
+		      const char *instance)
 {
 	GHashTableIter it;
 	gpointer scope;
@@ -253,88 +238,18 @@
 	g_free(entries);
 }
 
-static void free_demand(void *data)
-{
-	demand_t *demand = data;
-
-	g_free(demand->asker);
-	g_free(demand->owner);
-	g_free(demand->model);
-	g_free(demand);
-}
-
-static void forget_demand(control_t *control, const demand_t *demand)
-{
-	g_hash_table_remove(control->cells->demands, &demand->id);
-	bsh_counter_set(&demand_gauge,
-			g_hash_table_size(control->cells->demands));
-}
-
-static void send_answer(control_t *control, const demand_t *demand,
-			const bsh_msg_need_answer_t *answer)
-{
-	bsh_message_t message = {.type = BSH_MSG_NEED_ANSWER,
-				 .need_answer = *answer};
-
-	message.need_answer.id = demand->remote_id;
-	message.need_answer.model = demand->model;
-	/* The routes come first, so that a ready model can be used. */
-	if (answer->verdict == BSH_NEED_READY)
-		send_model(control, demand->model, demand->asker);
-	if (demand->asker != NULL)
-		peers_send(control, demand->asker, &message);
-	else
-		routers_send(control, &message);
-}
-
-static void answer_demand(control_t *control, const demand_t *demand,
-			  const bsh_msg_need_answer_t *answer)
-{
-	send_answer(control, demand, answer);
-	if (answer->verdict != BSH_NEED_LOADING)
-		forget_demand(control, demand);
-}
-
-static void refuse(control_t *control, const demand_t *demand,
-		   bsh_error_t error, uint64_t retry_after_ms)
+static void answer(void *ctx, const bsh_demand_answer_t *loader_answer)
 {
-	bsh_msg_need_answer_t answer = {.verdict = BSH_NEED_REFUSED,
-					.error = error,
-					.retry_after_ms = retry_after_ms};
-
-	answer_demand(control, demand, &answer);
+	demands_loader_answer(ctx, loader_answer);
 }
 
-static void answer(void *ctx, const bsh_demand_answer_t *loader_answer)
+static void announce_handover(control_t *control, const bsh_loader_event_t *e)
 {
-	control_t *control = ctx;
-	const demand_t *demand = g_hash_table_lookup(control->cells->demands,
-						     &loader_answer->id);
-	bsh_msg_need_answer_t out = {.error = loader_answer->error,
-				     .retry_after_ms =
-					     loader_answer->retry_after_ms};
+	bsh_message_t message = {.type = BSH_MSG_HANDOVER};
 
-	if (demand == NULL)
-		return;
-	bsh_timeline_add(&control->timeline, "demand-answer", "{s:s, s:i, s:s}",
-			 "model", loader_answer->model, "result",
-			 (int)loader_answer->result, "reason",
-			 loader_answer->reason != NULL ? loader_answer->reason
-						       : "");
-	switch (loader_answer->result) {
-	case BSH_DEMAND_READY:
-		out.verdict = BSH_NEED_READY;
-		break;
-	case BSH_DEMAND_LOADING:
-		out.verdict = BSH_NEED_LOADING;
-		out.estimate_ms = (uint64_t)MAX(
-			0, (loader_answer->ready_us - control_now_us()) / 1000);
-		break;
-	case BSH_DEMAND_REFUSED:
-		out.verdict = BSH_NEED_REFUSED;
-		break;
-	}
-	answer_demand(control, demand, &out);
+	message.handover.cell = e->cell;
+	message.handover.epoch = e->epoch;
+	peers_broadcast(control, &message);
 }
 
 static void event(void *ctx, const bsh_loader_event_t *e)
@@ -352,6 +267,8 @@
 			 "fence", (json_int_t)e->fence, "epoch",
 			 (json_int_t)e->epoch, "reason",
 			 e->reason != NULL ? e->reason : "");
+	if (strcmp(e->kind, "handover") == 0)
+		announce_handover(control, e);
 	bsh_log(BSH_LOG_DEBUG, "%s cell=%s model=%s target=%s reason=%s",
 		e->kind, e->cell != NULL ? e->cell : "-",
 		e->model != NULL ? e->model : "-",
@@ -394,7 +311,6 @@
 		.seed = {(uint64_t)control_seed() << 32 | control_seed(),
 			 (uint64_t)control_seed() << 32 | control_seed()}};
 
-	bsh_counter_register(&demand_gauge);
 	bsh_counter_register(&loads_counter);
 	g_strlcpy(config.self.instance, control->settings.instance,
 		  sizeof(config.self.instance));
@@ -402,8 +318,6 @@
 	control->cells = cells;
 	cells->scopes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_scope);
-	cells->demands = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       NULL, free_demand);
 	cells->askers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	bsh_loader_init(&cells->loader, &config, &ops, control);
@@ -419,7 +333,6 @@
 	bsh_loop_timer_stop(&cells->timer);
 	bsh_loader_finish(&cells->loader);
 	g_hash_table_destroy(cells->scopes);
-	g_hash_table_destroy(cells->demands);
 	g_hash_table_destroy(cells->askers);
 	g_free(cells);
 }
@@ -559,110 +472,32 @@
 	return bsh_loader_owns(&control->cells->loader, cell);
 }
 
-static bool is_self(const control_t *control, const bsh_sender_t *owner)
+bool cells_is_self(const control_t *control, const bsh_sender_t *owner)
 {
 	return strcmp(owner->instance, control->settings.instance) == 0 &&
 	       owner->incarnation == control->incarnation;
 }
 
-static demand_t *add_demand(control_t *control, const char *asker,
-			    const bsh_msg_need_t *need)
+bool cells_owner(const control_t *control, const char *model,
+		 bsh_sender_t *owner)
 {
-	demand_t *demand = g_new0(demand_t, 1);
-
-	demand->id = ++control->cells->next_id;
-	demand->remote_id = need->id;
-	demand->asker = g_strdup(asker);
-	demand->model = g_strdup(need->model);
-	g_hash_table_insert(control->cells->demands, &demand->id, demand);
-	bsh_counter_set(&demand_gauge,
-			g_hash_table_size(control->cells->demands));
-	return demand;
-}
-
-/* A router asks again while its requests wait; the newer NEED counts all of
- * them, so the earlier one is dropped. */
-static void supersede(control_t *control, const char *asker, const char *model,
-		      uint64_t newest)
-{
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, control->cells->demands);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const demand_t *demand = value;
-
-		if (demand->id >= newest || strcmp(demand->model, model) != 0 ||
-		    g_strcmp0(demand->asker, asker) != 0)
-			continue;
-		if (demand->owner == NULL)
-			bsh_loader_cancel(&control->cells->loader, demand->id,
-					  control_now_us());
-		g_hash_table_iter_remove(&it);
-	}
-	bsh_counter_set(&demand_gauge,
-			g_hash_table_size(control->cells->demands));
+	return bsh_loader_owner(&control->cells->loader, model, owner);
 }
 
-static void ask_loader(control_t *control, const demand_t *demand,
-		       const bsh_msg_need_t *need)
+void cells_ask(control_t *control, const bsh_demand_t *demand)
 {
-	int64_t now_us = control_now_us();
-	bsh_demand_t out = {
-		.id = demand->id,
-		.model = demand->model,
-		.zone = control->settings.zone,
-		.deadline_us =
-			now_us +
-			(int64_t)MIN(need->deadline_ms, DEADLINE_MAX_MS) * 1000,
-		.priority = (uint8_t)need->priority,
-		.count = MAX(need->waiting, 1)};
-
-	bsh_loader_demand(&control->cells->loader, &out, now_us);
+	bsh_loader_demand(&control->cells->loader, demand, control_now_us());
 	run(control);
 }
 
-static void forward(control_t *control, demand_t *demand,
-		    const bsh_msg_need_t *need, const char *owner)
+void cells_cancel(control_t *control, uint64_t id)
 {
-	bsh_message_t message = {.type = BSH_MSG_NEED, .need = *need};
-
-	message.need.id = demand->id;
-	demand->owner = g_strdup(owner);
-	peers_send(control, owner, &message);
-}
-
-/* asker NULL: the router of this instance. */
-static void take_need(control_t *control, const char *asker,
-		      const bsh_msg_need_t *need)
-{
-	demand_t *demand = add_demand(control, asker, need);
-	uint64_t newest = demand->id; /* an answer may free the demand */
-	bsh_sender_t owner;
-
-	if (shutdown_is_draining(control) && asker == NULL)
-		refuse(control, demand, BSH_ERR_DRAINING, 0);
-	else if (!bsh_loader_owner(&control->cells->loader, need->model,
-				   &owner) ||
-		 (!is_self(control, &owner) && asker != NULL))
-		/* No owner, or the asker's view of it is old. */
-		refuse(control, demand, BSH_ERR_CAPACITY, RETRY_AFTER_MS);
-	else if (is_self(control, &owner))
-		ask_loader(control, demand, need);
-	else
-		forward(control, demand, need, owner.instance);
-	supersede(control, asker, need->model, newest);
+	bsh_loader_cancel(&control->cells->loader, id, control_now_us());
 }
 
-void cells_need(control_t *control, bsh_channel_t *router,
-		const bsh_message_t *message)
+void cells_add_asker(control_t *control, const char *instance)
 {
-	(void)router;
-	bsh_timeline_add(&control->timeline, "need", "{s:s, s:I, s:I}", "model",
-			 message->need.model, "deadline_ms",
-			 (json_int_t)message->need.deadline_ms, "waiting",
-			 (json_int_t)message->need.waiting);
-	take_need(control, NULL, &message->need);
+	g_hash_table_add(control->cells->askers, g_strdup(instance));
 }
 
 static void take_routes(control_t *control, const bsh_message_t *message)
@@ -674,28 +509,9 @@
 			   NULL);
 }
 
-static void take_answer(control_t *control, const bsh_message_t *message)
-{
-	const demand_t *demand = g_hash_table_lookup(control->cells->demands,
-						     &message->need_answer.id);
-
-	if (demand != NULL && demand->owner != NULL &&
-	    strcmp(demand->owner, message->sender) == 0 &&
-	    strcmp(demand->model, message->need_answer.model) == 0)
-		answer_demand(control, demand, &message->need_answer);
-}
-
 void cells_receive(control_t *control, const bsh_message_t *message)
 {
 	switch (message->type) {
-	case BSH_MSG_NEED:
-		g_hash_table_add(control->cells->askers,
-				 g_strdup(message->sender));
-		take_need(control, message->sender, &message->need);
-		break;
-	case BSH_MSG_NEED_ANSWER:
-		take_answer(control, message);
-		break;
 	case BSH_MSG_ROUTES:
 		take_routes(control, message);
 		break;
@@ -733,7 +549,7 @@
 		    !bsh_loader_owner(&control->cells->loader, e->model,
 				      &owner))
 			continue;
-		if (is_self(control, &owner))
+		if (cells_is_self(control, &owner))
 			bsh_loader_use(&control->cells->loader, e->model,
 				       e->started, e->running + e->waiting,
 				       control_now_us());
@@ -742,52 +558,6 @@
 	}
 }
 
-/* Demands that match are refused (peer) or cancelled (router). */
-static GPtrArray *collect(const control_t *control, const char *owner)
-{
-	GPtrArray *list = g_ptr_array_new();
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, control->cells->demands);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const demand_t *demand = value;
-
-		if (owner != NULL ? g_strcmp0(demand->owner, owner) == 0
-				  : demand->asker == NULL)
-			g_ptr_array_add(list, value);
-	}
-	return list;
-}
-
-void cells_router_down(control_t *control)
-{
-	GPtrArray *list = collect(control, NULL);
-
-	for (guint i = 0; i < list->len; i++) {
-		const demand_t *demand = g_ptr_array_index(list, i);
-
-		if (demand->owner == NULL)
-			bsh_loader_cancel(&control->cells->loader, demand->id,
-					  control_now_us());
-		forget_demand(control, demand);
-	}
-	g_ptr_array_free(list, TRUE);
-}
-
-void cells_peer_down(control_t *control, const char *instance)
-{
-	GPtrArray *list;
-
-	if (control->cells == NULL)
-		return;
-	list = collect(control, instance);
-	for (guint i = 0; i < list->len; i++)
-		refuse(control, g_ptr_array_index(list, i), BSH_ERR_CAPACITY,
-		       RETRY_AFTER_MS);
-	g_ptr_array_free(list, TRUE);
-}
-
 void cells_greet_router(control_t *control)
 {
 	GHashTableIter it;
--- a/bshcontrold/cells.h
+++ b/bshcontrold/cells.h
@@ -3,7 +3,7 @@
 
 /*
  * NAME
- *	cells - what the parts cells and targets exchange for the loader
+ *	cells - what the parts cells, demands and targets exchange
  */
 
 #include "control.h"
@@ -16,6 +16,21 @@
 void cells_order_result(control_t *control, uint64_t id,
 			bsh_order_result_t result, uint64_t fence);
 
+/* Owner as last seen, or the preferred one. */
+bool cells_owner(const control_t *control, const char *model,
+		 bsh_sender_t *owner);
+bool cells_is_self(const control_t *control, const bsh_sender_t *owner);
+void cells_ask(control_t *control, const bsh_demand_t *demand);
+void cells_cancel(control_t *control, uint64_t id);
+void cells_add_asker(control_t *control, const char *instance);
+/* Routes of a model to an instance; NULL: to the router of this one. */
+void cells_send_model(control_t *control, const char *model,
+		      const char *instance);
+
+/* demands */
+void demands_loader_answer(control_t *control,
+			   const bsh_demand_answer_t *answer);
+
 /* targets */
 void targets_order(control_t *control, const bsh_loader_order_t *order);
 
--- a/bshcontrold/control.h
+++ b/bshcontrold/control.h
@@ -11,7 +11,8 @@
  *
  *	config	 adoption, the accepted document, freshness
  *	peers	 membership datagrams, frames to and from other controllers
- *	cells	 loader, demands, routes of models
+ *	cells	 loader, routes of models
+ *	demands	 questions of routers for cold models, to the cell's owner
  *	targets	 the platform's list, status polls, orders to engines
  *	intents	 idempotency journal
  *	routers	 the router of this instance
@@ -54,6 +55,7 @@
 	struct config *config;
 	struct peers *peers;
 	struct cells *cells;
+	struct demands *demands;
 	struct targets *targets;
 	struct intents *intents;
 	struct routers *routers;
@@ -115,17 +117,24 @@
 		   uint64_t incarnation);
 bool cells_owns_target(const control_t *control, const char *pool,
 		       const char *target);
-void cells_need(control_t *control, bsh_channel_t *router,
-		const bsh_message_t *message);
+/* ROUTES and HANDOVER of another controller. */
 void cells_receive(control_t *control, const bsh_message_t *message);
 void cells_report(control_t *control, const bsh_message_t *message);
-void cells_router_down(control_t *control);
-void cells_peer_down(control_t *control, const char *instance);
 void cells_greet_router(control_t *control);
 void cells_drain(control_t *control);
 bool cells_drained(const control_t *control);
 json_t *cells_status(const control_t *control);
 
+/* demands */
+void demands_start(control_t *control);
+void demands_stop(control_t *control);
+/* NEED of the router of this instance. */
+void demands_need(control_t *control, const bsh_message_t *message);
+/* NEED and NEED_ANSWER of another controller. */
+void demands_receive(control_t *control, const bsh_message_t *message);
+void demands_router_down(control_t *control);
+void demands_peer_down(control_t *control, const char *instance);
+
 /* targets */
 void targets_start(control_t *control);
 void targets_stop(control_t *control);
--- a/bshcontrold/peers.c
+++ b/bshcontrold/peers.c
@@ -125,7 +125,7 @@
 	if (member->state == BSH_MEMBER_DEAD ||
 	    member->state == BSH_MEMBER_GONE) {
 		g_hash_table_remove(control->peers->table, member->name);
-		cells_peer_down(control, member->name);
+		demands_peer_down(control, member->name);
 	}
 	cells_members(control);
 }
@@ -235,6 +235,8 @@
 		break;
 	case BSH_MSG_NEED:
 	case BSH_MSG_NEED_ANSWER:
+		demands_receive(control, message);
+		break;
 	case BSH_MSG_ROUTES:
 	case BSH_MSG_HANDOVER:
 		cells_receive(control, message);
@@ -294,7 +296,7 @@
 	peer_t *peer = ctx;
 
 	(void)channel;
-	cells_peer_down(peer->control, peer->name);
+	demands_peer_down(peer->control, peer->name);
 }
 
 static void on_peer_frame(void *ctx, bsh_channel_t *channel,
--- a/bshcontrold/routers.c
+++ b/bshcontrold/routers.c
@@ -48,7 +48,7 @@
 	routers->channel = NULL;
 	bsh_counter_set(&up_gauge, 0);
 	bsh_log(BSH_LOG_INFO, "router-down");
-	cells_router_down(control);
+	demands_router_down(control);
 }
 
 void routers_message(control_t *control, bsh_channel_t *channel,
@@ -58,7 +58,7 @@
 		return;
 	switch (message->type) {
 	case BSH_MSG_NEED:
-		cells_need(control, channel, message);
+		demands_need(control, message);
 		break;
 	case BSH_MSG_REPORT:
 		cells_report(control, message);
--- a/regress/test_processes.sh
+++ b/regress/test_processes.sh
@@ -203,6 +203,21 @@
 	[ "$(most_replicas two)" = 1 ] || fail "replicas of the second model"
 }
 
+# Guards against a request that is refused because the owner has just died,
+# although the takeover ends long before the deadline.
+in_time_takeover() {
+	local other
+	deploy true 100 '' entry_1 entry_2
+	other=entry_1
+	[ "$owner" = entry_1 ] && other=entry_2
+	eval "kill -$1 \$pid_control_$owner"
+	began=$(cluster_now_ms)
+	code=$(chat "$other" one 9000)
+	echo "# owner got $1: $code after $(($(cluster_now_ms) - began)) ms"
+	[ "$code" = 200 ] || fail "the waiting request was not served"
+	[ "$(most_replicas one)" = 1 ] || fail "$(most_replicas one) replicas"
+}
+
 # Guards against a frozen owner that loads again after it was replaced.
 replicas_frozen_owner() {
 	local other
@@ -370,7 +385,7 @@
 	fi
 }
 
-echo "1..11"
+echo "1..13"
 run at-most-once/killed-router at_most_once_killed_router
 run at-most-once/lost-answer at_most_once_lost_answer
 run at-most-once/silent-service at_most_once_silent
@@ -379,6 +394,8 @@
 run replicas/frozen-owner replicas_frozen_owner
 run replicas/cut-owner replicas_cut_owner
 run in-time/slow-and-frozen in_time
+run in-time/killed-owner in_time_takeover KILL
+run in-time/frozen-owner in_time_takeover STOP
 run configuration/frozen-controller configuration_frozen
 run configuration/store-down configuration_store_down
 run shutdown/under-load shutdown_under_load
