--- a/regress/test_processes.sh
+++ b/regress/test_processes.sh
@@ -332,6 +332,54 @@
 	[ "$(executions down app_1)" = 1 ] || fail "not exactly one execution"
 }
 
+uptime_ms() {
+	awk '{ print int($1 * 1000) }' /proc/uptime
+}
+
+# last_use PORT FIELD: milliseconds of the last record, on the same clock.
+last_use() {
+	local us
+	us=$(records "$1" | grep -o "\"$2\":[0-9]*" | sort -t : -k 2 -n |
+		tail -n 1 | sed 's/.*://')
+	echo $((${us:-0} / 1000))
+}
+
+# Guards against new work on a target that leaves: a service by the platform's
+# list, an engine by its own status.  The bound is 3 s.
+leaving_targets() {
+	local began end late
+	deploy true 100 '' entry_1 entry_2
+	add_service app_2 a app
+	publish_list
+	wait_until 10 served entry_1 one || fail "not served before"
+	wait_until 5 sh -c "curl -s -o /dev/null -X POST \
+		127.0.0.1:$entry_entry_1/services/pay/x; [ \$(curl -s \
+		127.0.0.1:$port_app_2/records | grep -c at_us) -gt 0 ]" ||
+		fail "the second service gets no work"
+	engine=$port_engine_1
+	records "$engine" | grep -q '"ready_us"' || engine=$port_engine_2
+	began=$(uptime_ms)
+	post "$port_store" '{"instance":{"name":"app_1","state":"leaving"}}'
+	post "$engine" '{"leaving":1}'
+	end=$((began + 4000))
+	while [ "$(uptime_ms)" -lt $end ]; do
+		pay entry_1 "a$(uptime_ms)" >/dev/null
+		pay entry_2 "b$(uptime_ms)" >/dev/null
+		chat entry_1 one 1000 >/dev/null
+		chat entry_2 one 1000 >/dev/null
+	done
+	late=$(($(last_use "$port_app_1" at_us) - began))
+	echo "# last use of the leaving service: $late ms"
+	[ $late -le 3000 ] || fail "the service was used for too long"
+	late=$(($(records "$engine" | grep -o '"requests":.*"orders"' |
+		grep -o '"began_us":[0-9]*' | tail -n 1 | sed 's/.*://') / 1000 -
+		began))
+	echo "# last use of the leaving engine: $late ms"
+	[ $late -le 3000 ] || fail "the engine was used for too long"
+	[ $(($(last_use "$port_app_2" at_us) - began)) -gt 3000 ] ||
+		fail "the other service was not used"
+}
+
 # Guards against a shutdown that cuts a stream or leaves the cell to its lease.
 shutdown_under_load() {
 	local other began
@@ -385,7 +433,7 @@
 	fi
 }
 
-echo "1..13"
+echo "1..14"
 run at-most-once/killed-router at_most_once_killed_router
 run at-most-once/lost-answer at_most_once_lost_answer
 run at-most-once/silent-service at_most_once_silent
@@ -398,5 +446,6 @@
 run in-time/frozen-owner in_time_takeover STOP
 run configuration/frozen-controller configuration_frozen
 run configuration/store-down configuration_store_down
+run leaving/service-and-engine leaving_targets
 run shutdown/under-load shutdown_under_load
 [ $failures -eq 0 ]
