--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -29,18 +29,39 @@
  * second of probes and answers it stays below half of 13 KB/s each way.
  */
 #define URGENT_BYTES_PER_S 1500
-#define URGENT_BYTES_BURST 12000
+#define URGENT_BYTES_BURST 6000
+
+/*
+ * Budget of news carried by probes and answers.  In quiet times there are four
+ * of them a second; while a partition heals there are many more.
+ */
+#define CARRIED_BYTES_PER_S 2500
+#define CARRIED_BYTES_BURST 5000
 
 /* Seconds are periods at the default period. */
-#define SYNC_PERIODS	  10
-#define SYNC_DATAGRAMS	  4
-#define SYNC_EAGER_ADDED  8 /* a reply with more: more is missing */
-#define DEAD_TRY_PERIODS  2
-#define HEAL_PERIODS	  30 /* after a dead member came back */
+#define SYNC_PERIODS	 10
+#define SYNC_DATAGRAMS	 4
+#define SYNC_EAGER_ADDED 8  /* a reply with more: more is missing */
+#define HEAL_PERIODS	 30 /* after a dead member came back */
+
+/*
+ * Dead members are tried so often that each of them gets about this many
+ * probes in a period from all live ones together, but at most one from each
+ * live one in two periods.  In a large fleet a fixed rate per live member would
+ * flood the few that come back.
+ */
+#define DEAD_PROBES	2.0
+#define DEAD_SHARE_MAX	0.5
+#define DEAD_HEAL_SPEED 2.0
+
+/* Budget of answers to digests, for the same reason. */
+#define SYNC_BYTES_PER_S  3000
+#define SYNC_BYTES_BURST  12000
 #define SEED_TRY_PERIODS  30
 #define HEALTH_MAX	  8
 #define HEALTH_LATE	  2
 #define SYNC_HEAL_PINGS	  3
+#define SYNC_DISPUTE	  2 /* periods until the next exchange */
 #define SYNC_HEAL_PERIODS 1
 #define DISPUTE_DIV	  5 /* of a period: the shortest wait */
 #define HINT_TRIES	  3
@@ -66,6 +87,14 @@
 	int64_t until_us;
 } relay_t;
 
+/* A token bucket of bytes; it may go below zero by one message. */
+typedef struct {
+	double bytes;
+	double per_s;
+	double burst;
+	int64_t filled_us;
+} bucket_t;
+
 struct bsh_members {
 	bsh_view_t view;
 	bsh_rng_t rng;
@@ -91,13 +120,13 @@
 	int64_t sync_at_us;
 	int64_t synced_us;
 	int64_t dispute_us; /* wait between exchanges over leaving flags */
-	int64_t dead_at_us;
 	int64_t seed_at_us;
 	int64_t heal_until_us;
 	int64_t urgent_at_us; /* 0: none */
 	uint32_t urgent_rounds;
-	double urgent_bytes;
-	int64_t urgent_filled_us;
+	bucket_t urgent;
+	bucket_t sync;
+	bucket_t carried;
 	bsh_member_message_t out;
 };
 
@@ -147,7 +176,7 @@
 /* Each update is sent to about log(n) members: enough to reach all of them. */
 static int news_limit(const bsh_members_t *m)
 {
-	return 4 * (int)ceil(log10((double)m->view.live + 1.0)) + 4;
+	return 2 * (int)ceil(log10((double)m->view.live + 1.0)) + 2;
 }
 
 static void add_news(bsh_members_t *m, int64_t now_us, size_t *room)
@@ -169,6 +198,21 @@
 	m->view.ops->send(m->view.ctx, name, address, &m->out);
 }
 
+static bool has_budget(bucket_t *bucket, int64_t now_us)
+{
+	bucket->bytes +=
+		(double)(now_us - bucket->filled_us) * bucket->per_s / 1e6;
+	if (bucket->bytes > bucket->burst)
+		bucket->bytes = bucket->burst;
+	bucket->filled_us = now_us;
+	return bucket->bytes >= 0;
+}
+
+static void spend(bucket_t *bucket, const bsh_member_message_t *msg)
+{
+	bucket->bytes -= (double)(BSH_MEMBER_DATAGRAM_BYTES - body_room(msg));
+}
+
 /*
  * A suspected member is told first of all what is said about it, so that it
  * can refute.  The own record lets the receiver answer a stranger.
@@ -184,8 +228,14 @@
 		add_record(m, now_us, &to->record, false, &room);
 	if (m->out.kind != BSH_MEMBER_ACK && m->out.kind != BSH_MEMBER_SYNC)
 		add_record(m, now_us, &m->view.self->record, true, &room);
-	if (m->out.kind != BSH_MEMBER_SYNC)
+	if (m->out.kind == BSH_MEMBER_GOSSIP) {
+		add_news(m, now_us, &room);
+	} else if (m->out.kind != BSH_MEMBER_SYNC &&
+		   has_budget(&m->carried, now_us)) {
+		m->carried.bytes -= (double)room;
 		add_news(m, now_us, &room);
+		m->carried.bytes += (double)room;
+	}
 	emit(m, to != NULL ? to->pub.name : "", address);
 }
 
@@ -349,21 +399,12 @@
 	m->view.was_refuted = false;
 }
 
-static void fill_budget(bsh_members_t *m, int64_t now_us)
-{
-	m->urgent_bytes += (double)(now_us - m->urgent_filled_us) *
-			   URGENT_BYTES_PER_S / 1e6;
-	m->urgent_bytes = MIN(m->urgent_bytes, URGENT_BYTES_BURST);
-	m->urgent_filled_us = now_us;
-}
-
 static void send_urgent(bsh_members_t *m, int64_t now_us)
 {
 	bsh_member_record_t *to[URGENT_FANOUT];
 	guint n;
 
-	fill_budget(m, now_us);
-	if (m->urgent_bytes < 0) {
+	if (!has_budget(&m->urgent, now_us)) {
 		m->view.stats.urgent_deferred++;
 		m->urgent_at_us = now_us + URGENT_AGAIN_US;
 		return;
@@ -373,8 +414,7 @@
 		reset_message(m, BSH_MEMBER_GOSSIP, 0, to[i]->pub.name);
 		send_to(m, now_us, to[i]);
 		m->view.stats.urgent++;
-		m->urgent_bytes -= (double)(BSH_MEMBER_DATAGRAM_BYTES -
-					    body_room(&m->out));
+		spend(&m->urgent, &m->out);
 	}
 	m->urgent_rounds--;
 	m->urgent_at_us = m->urgent_rounds > 0 ? now_us + URGENT_AGAIN_US : 0;
@@ -435,6 +475,19 @@
 	m->direct_at_us = now_us + m->period_us * DIRECT_NUM / DIRECT_DEN;
 }
 
+static guint count_dead(const bsh_members_t *m)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < m->view.by_rank->len; i++) {
+		const bsh_member_t *member = &bsh_view_at(&m->view, i)->pub;
+
+		n += !member->is_hint && member->state == BSH_MEMBER_DEAD;
+	}
+	return n;
+}
+
+/* The one that was tried least lately; of equals a random one. */
 static void try_one_dead(bsh_members_t *m, int64_t now_us)
 {
 	guint total = m->view.by_rank->len;
@@ -459,14 +512,16 @@
 
 static void try_dead(bsh_members_t *m, int64_t now_us)
 {
-	bool healing = now_us < m->heal_until_us;
+	double share = DEAD_PROBES * count_dead(m) / m->view.live;
 
-	if (!healing && now_us < m->dead_at_us)
-		return;
-	m->dead_at_us = now_us + DEAD_TRY_PERIODS * m->period_us;
-	try_one_dead(m, now_us);
-	if (healing)
-		try_one_dead(m, now_us);
+	if (share > DEAD_SHARE_MAX)
+		share = DEAD_SHARE_MAX;
+	if (now_us < m->heal_until_us)
+		share *= DEAD_HEAL_SPEED;
+	for (; share > 0; share--) {
+		if (bsh_rng_unit(&m->rng) < share)
+			try_one_dead(m, now_us);
+	}
 }
 
 /* Hints are tried in turn, fast while this instance knows nobody. */
@@ -566,6 +621,7 @@
 
 	finish_and_send(m, answer->now_us, answer->to,
 			answer->to->pub.place.gossip);
+	spend(&m->sync, &m->out);
 	answer->left--;
 	reset_message(m, BSH_MEMBER_SYNC, m->out.sequence,
 		      answer->to->pub.name);
@@ -620,7 +676,7 @@
 		differs[i] = own[i] != ask->digests[i];
 		any |= differs[i];
 	}
-	if (!any)
+	if (!any || !has_budget(&m->sync, now_us))
 		return;
 	reset_message(m, BSH_MEMBER_SYNC, ask->sequence, to->pub.name);
 	answer.room = body_room(&m->out);
@@ -658,6 +714,8 @@
 		r->pub.tried_us = now_us;
 		ping(m, now_us, r);
 		pings--;
+		m->sync_at_us = MIN(m->sync_at_us,
+				    now_us + SYNC_DISPUTE * m->period_us);
 	}
 }
 
@@ -1067,8 +1125,12 @@
 		now_us + bsh_rng_below(&m->rng, (uint32_t)m->period_us);
 	m->sync_at_us = now_us + m->period_us;
 	m->wake_us = now_us + m->period_us;
-	m->urgent_bytes = URGENT_BYTES_BURST;
-	m->urgent_filled_us = now_us;
+	m->urgent = (bucket_t){URGENT_BYTES_BURST, URGENT_BYTES_PER_S,
+			       URGENT_BYTES_BURST, now_us};
+	m->carried = (bucket_t){CARRIED_BYTES_BURST, CARRIED_BYTES_PER_S,
+				CARRIED_BYTES_BURST, now_us};
+	m->sync = (bucket_t){SYNC_BYTES_BURST, SYNC_BYTES_PER_S,
+			     SYNC_BYTES_BURST, now_us};
 	return m;
 }
 
--- a/lib/coordination/member_view.c
+++ b/lib/coordination/member_view.c
@@ -141,8 +141,13 @@
 	if (changed || leaving) {
 		publish(v, &r->record, spread && !r->pub.is_hint);
 		v->ops->changed(v->ctx, &r->pub);
-	} else if (before->copy.revision != r->pub.revision) {
-		publish(v, &r->record, spread && !r->pub.is_hint);
+	} else if (r == v->self && before->copy.revision != r->pub.revision) {
+		/*
+		 * Others pass a higher revision on only where it changes
+		 * something.  After a partition every member refutes, and
+		 * most of the others never doubted it.
+		 */
+		publish(v, &r->record, spread);
 	}
 }
 
@@ -276,10 +281,22 @@
 	r->pub.revision = u->revision;
 }
 
+/* An accusation that was refuted: the refutation has not got everywhere. */
+static void correct(bsh_view_t *v, bsh_member_record_t *r, bool spread)
+{
+	if (r->pub.state == BSH_MEMBER_ALIVE && r->record.news.level < 0)
+		publish(v, &r->record, spread);
+}
+
 static void merge_state(bsh_view_t *v, int64_t now_us, bsh_member_record_t *r,
 			const bsh_member_update_t *u, guint64 from_rank,
 			bool spread)
 {
+	if (u->revision < r->pub.revision && u->state != BSH_MEMBER_GONE) {
+		if (u->state != BSH_MEMBER_ALIVE)
+			correct(v, r, spread);
+		return;
+	}
 	switch (u->state) {
 	case BSH_MEMBER_ALIVE:
 		if (u->revision > r->pub.revision) {
@@ -300,8 +317,7 @@
 		}
 		break;
 	case BSH_MEMBER_DEAD:
-		if (u->revision >= r->pub.revision)
-			merge_death(v, now_us, r, u, from_rank);
+		merge_death(v, now_us, r, u, from_rank);
 		break;
 	default:
 		r->pub.state = BSH_MEMBER_GONE;
@@ -524,9 +540,9 @@
 	u->revision = member->pub.revision;
 	u->state = member->pub.state;
 	u->leaving = member->pub.leaving;
-	if (member->pub.has_place &&
-	    (member->pub.state == BSH_MEMBER_ALIVE ||
-	     (with_place && bsh_member_is_live(&member->pub)))) {
+	if (member->pub.has_place && bsh_member_is_live(&member->pub) &&
+	    (with_place || (member->pub.state == BSH_MEMBER_ALIVE &&
+			    member->pub.revision == 0))) {
 		u->has_place = true;
 		u->place = member->pub.place;
 	}
@@ -578,9 +594,7 @@
 
 		if (bsh_member_is_live(&r->pub))
 			add_digest(digests, &r->record, r->pub.rank,
-				   r->pub.incarnation,
-				   ((guint64)r->pub.revision << 1) |
-					   (r->pub.leaving ? 1 : 0));
+				   r->pub.incarnation, r->pub.leaving);
 	}
 	add_small_digests(digests, v->targets);
 	add_small_digests(digests, v->cells);
--- a/lib/coordination/member_view.h
+++ b/lib/coordination/member_view.h
@@ -108,8 +108,8 @@
 void bsh_view_forgive(bsh_view_t *v, int64_t lost_us);
 
 /*
- * bsh_view_update - what is known of a record, as an update.  The place of a
- * suspected member is only needed by those that may not know it (with_place).
+ * bsh_view_update - what is known of a record, as an update.  The place is only
+ * needed by those that may not know the member: with_place, or a first news.
  */
 void bsh_view_update(const bsh_record_t *record, int64_t now_us,
 		     bool with_place, bsh_member_update_t *update);
