--- a/bshctl/document.c
+++ b/bshctl/document.c
@@ -187,7 +187,9 @@
 			"{s:I, s:i, s:o}", "generation", (json_int_t)generation,
 			"count", (int)count, "differences", lines_json(lines)));
 	else
-		fputs(lines->str, stdout);
+		printf("%s%s",
+		       generation == 0 ? "# no document is accepted yet\n" : "",
+		       lines->str);
 	status = count == 0 ? CTL_OK : CTL_DIFFERS;
 	bsh_document_finish(&from);
 finish_to:
--- a/bshctl/instance.c
+++ b/bshctl/instance.c
@@ -198,23 +198,24 @@
 	json_t *list;
 } counter_output_t;
 
-static void add_counter(const counter_output_t *out, const char *address,
+static void add_counter(const counter_output_t *out, const char *instance,
 			const char *name, const char *value)
 {
 	if (out->json) {
 		json_array_append_new(out->list,
 				      json_pack("{s:s, s:s, s:s}", "instance",
-						address, "counter", name,
+						instance, "counter", name,
 						"value", value));
 		return;
 	}
-	ctl_print_field(address, false);
+	ctl_print_field(instance, false);
 	ctl_print_field(name, false);
 	ctl_print_field(value, true);
 }
 
 /* Prometheus text: "NAME{LABELS} VALUE", where labels may hold blanks. */
 static ctl_status_t read_counters(const counter_output_t *out,
+				  const char *instance,
 				  const bsh_control_answer_t *answer)
 {
 	char **lines = g_strsplit(answer->body->str, "\n", -1);
@@ -230,7 +231,7 @@
 			break;
 		}
 		*space = '\0';
-		add_counter(out, answer->address, lines[i], space + 1);
+		add_counter(out, instance, lines[i], space + 1);
 	}
 	g_strfreev(lines);
 	if (answer->status != HTTP_OK || status != CTL_OK)
@@ -239,7 +240,7 @@
 }
 
 static ctl_status_t counters_of(const ctl_t *ctl, const counter_output_t *out,
-				const char *address)
+				const char *instance, const char *address)
 {
 	bsh_control_client_t client;
 	bsh_control_answer_t answer;
@@ -247,12 +248,12 @@
 
 	if (bsh_control_client_init(&client, address,
 				    ctl->options.timeout_ms) != BSH_OK) {
-		warnx("%s", client.failure);
+		warnx("%s: %s", instance, client.failure);
 		return CTL_REFUSED;
 	}
 	if (bsh_control_request(&client, "GET", "/metrics", NULL, -1,
 				&answer) == BSH_OK) {
-		status = read_counters(out, &answer);
+		status = read_counters(out, instance, &answer);
 		bsh_control_answer_finish(&answer);
 	} else {
 		warnx("no answer: %s", client.failure);
@@ -275,9 +276,10 @@
 	{
 		ctl_status_t status;
 
-		if (strcmp(ctl_text(member, "state", ""), "gone") == 0)
+		if (!ctl_is_present(member))
 			continue;
-		status = counters_of(ctl, out, ctl_text(member, "control", ""));
+		status = counters_of(ctl, out, ctl_text(member, "name", "?"),
+				     ctl_text(member, "control", ""));
 		if (status != CTL_OK)
 			worst = status;
 	}
@@ -301,7 +303,7 @@
 	} else {
 		status = ctl_request(ctl, "GET", "/metrics", NULL, &answer);
 		if (status == CTL_OK) {
-			status = read_counters(&out, &answer);
+			status = read_counters(&out, answer.address, &answer);
 			bsh_control_answer_finish(&answer);
 		}
 	}
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -129,6 +129,8 @@
 	RUN(f, 1, "diff", one, two);
 	g_assert_cmpstr(f->out, ==, "~ models/contract.max_replicas: 1 -> 2\n");
 	RUN(f, 0, "diff", one, one);
+	RUN(f, 1, "diff", "-s", f->fake.address, one);
+	CONTAINS(f->out, "# no document is accepted yet\n");
 	fake_control_accept(&f->fake, doc_1);
 	RUN(f, 1, "diff", "-s", f->fake.address, two);
 	CONTAINS(f->out, "1 -> 2");
@@ -303,7 +305,16 @@
 	f->fake.metrics = "# HELP bsh_x X.\n# TYPE bsh_x counter\n"
 			  "bsh_x{kind=\"a b\"} 7\n";
 	RUN(f, 0, "counters", "-H", "--all", "-s", server);
-	g_assert_true(g_str_has_suffix(f->out, "\tbsh_x{kind=\"a b\"}\t7\n"));
+	g_assert_cmpstr(f->out, ==, "entry-1\tbsh_x{kind=\"a b\"}\t7\n");
+	/* A dead instance is not asked; a live one that does not answer is
+	 * reported. */
+	f->fake.more_members = ",{\"name\":\"e3\",\"state\":\"dead\","
+			       "\"control\":\"127.0.0.1:1\"}";
+	RUN(f, 0, "counters", "--all", "-s", server);
+	f->fake.more_members = ",{\"name\":\"e3\",\"state\":\"live\","
+			       "\"control\":\"127.0.0.1:1\"}";
+	RUN(f, 5, "counters", "--all", "-s", server);
+	CONTAINS(f->out, "entry-1\t");
 	RUN(f, 0, "entry", "-H", "-s", server, "-z", "a&b=c");
 	g_assert_cmpstr(f->out, ==, "127.0.0.9:1\ta&b=c\t30\n");
 	RUN(f, 7, "drain", "-s", server, "entry-9");
