--- a/lib/protocol/member_message.h
+++ b/lib/protocol/member_message.h
@@ -72,7 +72,8 @@
 	bsh_update_type_t type;
 	char name[BSH_NAME_SIZE]; /* instance, target or cell */
 	uint64_t incarnation;	  /* of the process; epoch of a cell */
-	uint32_t revision;	  /* raised to refute, per incarnation */
+	uint32_t revision; /* raised to refute, per incarnation; of a target:
+			    * minutes since it was found leaving */
 	bsh_member_state_t state;
 	bool leaving;
 	bool has_place; /* BSH_UPDATE_MEMBER: place is filled in */
@@ -89,6 +90,7 @@
 	uint64_t generation;	    /* adopted by the sender, 0: none */
 	uint64_t hash;		    /* of that document */
 	uint32_t confirm_age_ms;    /* informative; see adoption.h */
+	uint32_t leaving_digest;    /* of the leaving flags the sender has */
 	uint32_t digests[BSH_MEMBER_SYNC_BUCKETS]; /* SYNC_ASK only */
 	uint32_t n_updates;
 	bsh_member_update_t updates[BSH_MEMBER_UPDATES_MAX];
