Check that counters named on the pages exist

The operating pages name counters as symptoms; a renamed counter would leave a page that sends an operator looking for nothing.

--- a/regress/test_pages.sh
+++ b/regress/test_pages.sh
@@ -180,6 +180,18 @@
 [ "$kinds" -ge 20 ] && [ "$kinds" -eq "$(wc -l <"$work/errors")" ] || status=1
 report $status /pages/errors
 
+# Counters that the pages name exist in the programs.
+status=0
+named=$(cat "$top"/docs/operating/*.md | grep -o 'bsh_[a-z_]*' | sort -u)
+for counter in $named; do
+	grep -rq "\"$counter\"" "$top"/lib "$top"/bsh*/ || {
+		echo "# no counter $counter" >&2
+		status=1
+	}
+done
+[ -n "$named" ] || status=1
+report $status /pages/counters
+
 # Every promise and every row of section 7 of the design has its place.
 status=0
 for part in 'Router killed' 'Controller killed' 'Owner frozen and resumed' \
