Keep control characters of answers off the operator's terminal

Tables were cleaned, but titles of problems and lines of a difference were printed as they came, and characters U+0080 to U+009F passed as UTF-8. The test sends a title with an escape sequence and one of those.

--- a/bshctl/bshctl.c
+++ b/bshctl/bshctl.c
@@ -70,16 +70,39 @@
 	json_decref(value);
 }
 
+/* Control characters of an answer, also those that UTF-8 encodes in two bytes
+ * (U+0080 to U+009F), must not reach the operator's terminal. */
+char *ctl_clean(const char *text)
+{
+	char *clean = g_utf8_make_valid(text, -1);
+
+	for (unsigned char *at = (unsigned char *)clean; *at != '\0'; at++) {
+		if (at[0] < ' ' || at[0] == 0x7f) {
+			at[0] = ' ';
+		} else if (at[0] == 0xc2 && at[1] >= 0x80 && at[1] < 0xa0) {
+			at[0] = ' ';
+			at[1] = ' ';
+		}
+	}
+	return clean;
+}
+
 void ctl_print_field(const char *text, bool last)
 {
-	for (; *text != '\0'; text++) {
-		/* Control characters of an answer must not reach the
-		 * operator's terminal. */
-		unsigned char c = (unsigned char)*text;
+	g_autofree char *clean = ctl_clean(text);
+
+	printf("%s%c", clean, last ? '\n' : '\t');
+}
+
+void ctl_print_lines(const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
 
-		putchar(c < ' ' || c == 0x7f ? ' ' : c);
+	for (int i = 0; lines[i] != NULL; i++) {
+		if (lines[i][0] != '\0')
+			ctl_print_field(lines[i], true);
 	}
-	putchar(last ? '\n' : '\t');
+	g_strfreev(lines);
 }
 
 ctl_status_t ctl_connect(ctl_t *ctl)
@@ -119,8 +142,9 @@
 ctl_status_t ctl_unexpected(const bsh_control_answer_t *answer,
 			    const char *what)
 {
-	const char *title = ctl_text(answer->json, "title", "");
-	const char *detail = ctl_text(answer->json, "detail", "");
+	g_autofree char *title = ctl_clean(ctl_text(answer->json, "title", ""));
+	g_autofree char *detail =
+		ctl_clean(ctl_text(answer->json, "detail", ""));
 
 	if (answer->status == 200)
 		warnx("%s: %s: the answer is malformed", answer->address, what);
--- a/bshctl/bshctl.h
+++ b/bshctl/bshctl.h
@@ -81,6 +81,12 @@
 /* ctl_print_field - one table cell: tabs and line ends become blanks. */
 void ctl_print_field(const char *text, bool last);
 
+/* ctl_print_lines - text of several lines, cleaned in the same way. */
+void ctl_print_lines(const char *text);
+
+/* ctl_clean - copy without control characters, to be freed with g_free(). */
+char *ctl_clean(const char *text);
+
 /* ctl_text - string member of an object, or fallback. */
 const char *ctl_text(const json_t *object, const char *key,
 		     const char *fallback);
--- a/bshctl/document.c
+++ b/bshctl/document.c
@@ -186,10 +186,10 @@
 		ctl_print_json(json_pack(
 			"{s:I, s:i, s:o}", "generation", (json_int_t)generation,
 			"count", (int)count, "differences", lines_json(lines)));
-	else
-		printf("%s%s",
-		       generation == 0 ? "# no document is accepted yet\n" : "",
-		       lines->str);
+	else if (generation == 0)
+		puts("# no document is accepted yet");
+	if (!ctl->options.json)
+		ctl_print_lines(lines->str);
 	status = count == 0 ? CTL_OK : CTL_DIFFERS;
 	bsh_document_finish(&from);
 finish_to:
@@ -282,11 +282,12 @@
 			lines_json(theirs), "yours", lines_json(ours)));
 	} else {
 		if (read != NULL)
-			printf("# changed by the other operator\n%s",
-			       theirs->str);
+			puts("# changed by the other operator");
+		ctl_print_lines(theirs->str);
 		printf("# your document against generation %" G_GINT64_FORMAT
-		       "\n%s",
-		       (gint64)generation, ours->str);
+		       "\n",
+		       (gint64)generation);
+		ctl_print_lines(ours->str);
 	}
 	g_string_free(theirs, TRUE);
 	g_string_free(ours, TRUE);
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -269,8 +269,9 @@
 		CONTAINS(f->err, "malformed");
 	}
 	f->fake.canned_status = 503;
+	f->fake.canned_body = "{\"title\":\"a\\u001b[2Jb\\u009bc\"}";
 	RUN(f, 7, "apply", "-s", server, one);
-	CONTAINS(f->err, "status 503");
+	CONTAINS(f->err, "status 503: a [2Jb  c\n");
 	f->fake.canned_path = "/metrics";
 	f->fake.canned_status = 200;
 	f->fake.canned_body = "bsh_requests_total\n";
