--- a/regress/support/shunt.c
+++ b/regress/support/shunt.c
@@ -404,7 +404,8 @@
 			  s);
 	bsh_journal_init(&s->journal, &journal, &journal_orders, s);
 	bsh_route_init(&s->route, &route);
-	bsh_drain_init(&s->drain, 60000, &drain_orders, s);
+	/* Shorter than the streams, which it must not cut. */
+	bsh_drain_init(&s->drain, 8000, &drain_orders, s);
 	declare(s);
 	return s;
 }
--- a/regress/support/world.c
+++ b/regress/support/world.c
@@ -437,7 +437,11 @@
 	c->break_at = -1;
 	if (hit(w, FAULT_CUT, 0.3)) /* no connection is made */
 		return c;
-	sim_after(&w->sim, sim_delay(&w->sim, 300, 3000), step, w, c);
+	sim_after(&w->sim,
+		  hit(w, FAULT_CUT, 0.4)
+			  ? sim_delay(&w->sim, 500 * SIM_MS, 990 * SIM_MS)
+			  : sim_delay(&w->sim, 300, 3000),
+		  step, w, c);
 	return c;
 }
 
