--- a/lib/coordination/member_view.h
+++ b/lib/coordination/member_view.h
@@ -73,6 +73,9 @@
 bsh_member_record_t *bsh_view_find(const bsh_view_t *v, const char *name);
 bsh_member_record_t *bsh_view_at(const bsh_view_t *v, guint index);
 
+/* bsh_view_position - index of the first record of this rank or above. */
+guint bsh_view_position(const bsh_view_t *v, uint64_t rank);
+
 static inline bool bsh_member_is_live(const bsh_member_t *member)
 {
 	return !member->is_hint && member->state <= BSH_MEMBER_SUSPECT;
@@ -108,8 +111,8 @@
 void bsh_view_forgive(bsh_view_t *v, int64_t lost_us);
 
 /*
- * bsh_view_update - what is known of a record, as an update.  The place of a
- * suspected member is only needed by those that may not know it (with_place).
+ * bsh_view_update - what is known of a record, as an update.  The place is only
+ * needed by those that may not know the member: with_place, or a first news.
  */
 void bsh_view_update(const bsh_record_t *record, int64_t now_us,
 		     bool with_place, bsh_member_update_t *update);
