--- a/lib/state/placement.c
+++ b/lib/state/placement.c
@@ -20,6 +20,7 @@
 #define DAY_RATE_MIN	 0.05
 #define SLOWDOWN_GAIN	 0.3
 #define SLOWDOWN_MIN	 0.25
+#define SLOWDOWN_STEP	 4.0
 #define SLOWDOWN_MAX	 50.0
 #define EVICT_HORIZON_US (INT64_C(600) * 1000000)
 #define EVICT_CHANCE_MIN 1e-4
@@ -400,6 +401,9 @@
 	if (nominal <= 0)
 		return;
 	ratio = CLAMP((double)load_us / nominal, SLOWDOWN_MIN, SLOWDOWN_MAX);
+	/* One load timed across a pause of this process must not make every
+	 * later deadline look hopeless. */
+	ratio = MIN(ratio, SLOWDOWN_STEP * p->slowdown[copy]);
 	p->slowdown[copy] += SLOWDOWN_GAIN * (ratio - p->slowdown[copy]);
 }
 
@@ -506,22 +510,13 @@
 	       !v->is_waiting && !v->is_base_in_use && v->memory_mib > 0;
 }
 
-size_t bsh_placement_evict(const bsh_placement_t *p, const char *target,
-			   uint32_t need_mib, uint8_t priority,
-			   const bsh_victim_t *victims, size_t count,
-			   int64_t now_us, int64_t wall_us, bool *chosen,
-			   char reason[BSH_PLACEMENT_REASON_SIZE])
+/* Marks the cheapest victims until need_mib is freed; 0 if it cannot be. */
+static size_t mark_victims(const double *costs, const bsh_victim_t *victims,
+			   size_t count, uint32_t need_mib, bool *chosen)
 {
-	g_autofree double *costs = g_new(double, count + 1);
 	uint64_t freed = 0;
 	size_t marked = 0;
 
-	memset(chosen, 0, count * sizeof(*chosen));
-	for (size_t i = 0; i < count; i++)
-		costs[i] =
-			may_evict(&victims[i], target)
-				? victim_cost(p, &victims[i], now_us, wall_us)
-				: INFINITY;
 	while (freed < need_mib) {
 		size_t best = SIZE_MAX;
 
@@ -546,6 +541,26 @@
 			marked--;
 		}
 	}
+	return marked;
+}
+
+size_t bsh_placement_evict(const bsh_placement_t *p, const char *target,
+			   uint32_t need_mib, uint8_t priority,
+			   const bsh_victim_t *victims, size_t count,
+			   int64_t now_us, int64_t wall_us, bool *chosen,
+			   char reason[BSH_PLACEMENT_REASON_SIZE])
+{
+	double *costs = g_new(double, count + 1);
+	size_t marked;
+
+	memset(chosen, 0, count * sizeof(*chosen));
+	for (size_t i = 0; i < count; i++)
+		costs[i] =
+			may_evict(&victims[i], target)
+				? victim_cost(p, &victims[i], now_us, wall_us)
+				: INFINITY;
+	marked = mark_victims(costs, victims, count, need_mib, chosen);
+	g_free(costs);
 	snprintf(reason, BSH_PLACEMENT_REASON_SIZE,
 		 "evicted for a waiting model of priority %u (%u MiB)",
 		 priority, need_mib);
