--- a/bench/capacity/members.c
+++ b/bench/capacity/members.c
@@ -226,6 +226,7 @@
 	double spread = 0;
 	double first_max = 0;
 	double all_max = 0;
+	double join_max = 0;
 
 	for (guint v = 0; v < VICTIMS; v++) {
 		guint victim = (v * 7 + 3) % b->n;
@@ -247,9 +248,16 @@
 		spread += (double)(f->sim.now_us - first_us) / 1e6;
 		all_max =
 			MAX(all_max, (double)(f->sim.now_us - killed_us) / 1e6);
+		killed_us = f->sim.now_us;
 		fleet_start(f, victim);
+		while (bsh_members_live(members_at(b, victim)) < b->n &&
+		       f->sim.now_us < killed_us + 120 * SIM_S)
+			sim_run(&f->sim, f->sim.now_us + 100 * SIM_MS);
+		join_max = MAX(join_max,
+			       (double)(f->sim.now_us - killed_us) / 1e6);
 		sim_run(&f->sim, f->sim.now_us + 10 * SIM_S);
 	}
+	capacity_row("restart", "view-complete-max", b->n, join_max, "s", 0);
 	capacity_row("failure", "first-detects-mean", b->n, first / VICTIMS,
 		     "s", 0);
 	capacity_row("failure", "first-detects-max", b->n, first_max, "s", 0);
--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -39,10 +39,10 @@
 #define CARRIED_BYTES_BURST 5000
 
 /* Seconds are periods at the default period. */
-#define SYNC_PERIODS	 10
-#define SYNC_DATAGRAMS	 4
-#define SYNC_EAGER_ADDED 8  /* a reply with more: more is missing */
-#define HEAL_PERIODS	 30 /* after a dead member came back */
+#define SYNC_PERIODS   10
+#define SYNC_DATAGRAMS 4
+#define SYNC_MANY      8  /* records new in one answer */
+#define HEAL_PERIODS   30 /* after a dead member came back */
 
 /*
  * Dead members are tried so often that each of them gets about this many
@@ -829,10 +829,12 @@
 		if (m->view.added > 0)
 			m->dispute_us = 0;
 		ping_disputed(m, now_us, msg);
-		/* Much was missing: ask for the rest soon. */
-		if (m->view.added >= SYNC_EAGER_ADDED)
-			m->sync_at_us =
-				MIN(m->sync_at_us, now_us + m->period_us / 2);
+		/* Records were missing: ask for the rest soon. */
+		if (m->view.added > 0)
+			m->sync_at_us = MIN(m->sync_at_us,
+					    now_us + (m->view.added >= SYNC_MANY
+							      ? m->period_us / 2
+							      : m->period_us));
 		break;
 	default:
 		break;
--- a/regress/prove/prove_configuration.c
+++ b/regress/prove/prove_configuration.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/member.h"
 #include "naive/naive_config.h"
 #include "support/fleet.h"
 
@@ -35,12 +36,14 @@
 	STORE_HOUR = 1 << 11,
 	TWICE = 1 << 12,
 	LOSS = 1 << 13,
-	PAUSED = 1 << 14
+	PAUSED = 1 << 14,
+	WITNESS_LEAVES = 1 << 15
 };
 
 #define ALL_SHORT                                                              \
 	(STORE_DOWN | STORE_SLOW | ANSWER_LOST | OPERATORS | FROZEN | CUT |    \
-	 CUT_ONE_WAY | RESTARTED | LAGGING_LIST | LATE | LOSS | PAUSED)
+	 CUT_ONE_WAY | RESTARTED | LAGGING_LIST | LATE | LOSS | PAUSED |       \
+	 WITNESS_LEAVES)
 
 typedef struct {
 	const char *name;
@@ -60,6 +63,7 @@
 	{"lagging-list+cut", LAGGING_LIST | CUT, 18},
 	{"proposer-paused", PAUSED, 18},
 	{"proposer-paused-twice", PAUSED | TWICE, 18},
+	{"witness-leaves", WITNESS_LEAVES, 18},
 	{"late-messages", LATE, 18},
 	{"frozen-twice", FROZEN | TWICE, 18},
 	{"cut-twice", CUT | TWICE, 18},
@@ -186,6 +190,47 @@
 	sim_after(sim, 45 * SIM_S, end_cut, run, NULL);
 }
 
+static void change_elsewhere(void *ctx, void *data)
+{
+	run_t *run = ctx;
+	guint node = any_node(run);
+
+	(void)data;
+	if (run->fleet.nodes[node].side == 0)
+		fleet_apply(&run->fleet, node);
+}
+
+static void isolate(void *ctx, void *data)
+{
+	run_t *run = ctx;
+	fleet_t *f = &run->fleet;
+
+	for (guint i = 0; i < INSTANCES; i++)
+		f->nodes[i].side = i == GPOINTER_TO_UINT(data);
+	f->cut[0][1] = f->cut[1][0] = f->store_cut[1] = true;
+	for (int i = 1; i <= 10; i++)
+		sim_after(&f->sim, i * 700 * SIM_MS, change_elsewhere, run,
+			  NULL);
+	sim_after(&f->sim, 12 * SIM_S, end_cut, run, NULL);
+}
+
+/*
+ * A witness is cut off from everything while the others replace it, and keeps
+ * its confirmation; changes follow at once.
+ */
+static void lose_witness(run_t *run, guint node)
+{
+	fleet_t *f = &run->fleet;
+
+	if (f->app == &fleet_berylshunt && f->nodes[node].app != NULL) {
+		bsh_members_leave(fleet_members(f->nodes[node].app),
+				  f->sim.now_us);
+		fleet_wake(f, node);
+	}
+	sim_after(&f->sim, sim_delay(&f->sim, 9 * SIM_S, 15 * SIM_S), isolate,
+		  run, GUINT_TO_POINTER(node));
+}
+
 static void on_fault(void *ctx, void *data)
 {
 	run_t *run = ctx;
@@ -218,6 +263,9 @@
 		sim_after(&f->sim, last_us / 5, start_again, run,
 			  GUINT_TO_POINTER(node));
 		return;
+	case WITNESS_LEAVES:
+		lose_witness(run, node);
+		return;
 	case PAUSED:
 		pause_proposer(run, node);
 		return;
@@ -246,7 +294,7 @@
 	fleet_t *f = &run->fleet;
 	int times = run->faults & TWICE ? 2 : 1;
 
-	for (uint32_t bit = 1; bit <= PAUSED; bit <<= 1) {
+	for (uint32_t bit = 1; bit <= WITNESS_LEAVES; bit <<= 1) {
 		for (int i = 0; i < times && (run->faults & bit); i++)
 			sim_after(&f->sim,
 				  sim_delay(&f->sim, 0, WINDOW_US / 2) +
