Poll only busy engines often and read the platform's list by role

Looking at every target ten times a second would cost most of the budget of 1 % of a core at 3,900 targets; a busy engine now has its own timer. Owners of cells read the list every 5 s, other instances every 30 s.

--- a/bshcontrold/targets.c
+++ b/bshcontrold/targets.c
@@ -8,10 +8,15 @@
 #include "coordination/member.h"
 #include "protocol/engine_client.h"
 
-#define LIST_PERIOD_US INT64_C(1000000)
-/* Only witnesses read the list often; its load on the store must not grow with
- * the number of instances. */
-#define LIST_SLOW_US	 INT64_C(10000000)
+/*
+ * Witnesses read the platform's list often and pass on what is leaving; owners
+ * of cells need new and gone targets; the others only learn the addresses of
+ * services from it.  The load on the store must not grow with the number of
+ * instances.
+ */
+#define LIST_PERIOD_US	 INT64_C(1000000)
+#define LIST_OWNER_US	 INT64_C(5000000)
+#define LIST_SLOW_US	 INT64_C(30000000)
 #define STATUS_PERIOD_US INT64_C(1000000)
 /* While a model loads or unloads: its end is found by polling, and waiting
  * requests pay for the delay. */
@@ -33,8 +38,8 @@
 	uint32_t memory_mib;
 	bool leaving;
 	bool is_polling;
-	int64_t poll_at_us; /* next poll while this instance owns the cell */
-	uint64_t seen;	    /* number of the list that showed it last */
+	bsh_loop_timer_t busy_timer; /* runs while a model loads or unloads */
+	uint64_t seen; /* number of the list that showed it last */
 } target_t;
 
 typedef struct {
@@ -56,6 +61,7 @@
 {
 	target_t *t = data;
 
+	bsh_loop_timer_stop(&t->busy_timer);
 	g_free(t->name);
 	g_free(t->pool);
 	g_free(t->zone);
@@ -219,6 +225,8 @@
 		send_services(control);
 }
 
+static void poll_busy(void *ctx);
+
 /* Entry instances: membership places come from the instance itself. */
 
 static void on_greeting(void *ctx, const bsh_call_answer_t *answer)
@@ -303,6 +311,8 @@
 		t = g_new0(target_t, 1);
 		t->control = control;
 		t->name = g_strdup(item->name);
+		bsh_loop_timer_init(&t->busy_timer, &control->loop, poll_busy,
+				    t);
 		g_hash_table_insert(targets->table, t->name, t);
 	}
 	t->seen = targets->lists;
@@ -382,15 +392,31 @@
 		take_list(control, items, count);
 }
 
+static int64_t list_period(const control_t *control)
+{
+	const struct targets *targets = control->targets;
+	GHashTableIter it;
+	gpointer value;
+
+	if (config_is_witness(control) || config_document(control) == NULL ||
+	    targets->lists == 0)
+		return LIST_PERIOD_US;
+	g_hash_table_iter_init(&it, targets->table);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const target_t *t = value;
+
+		if (cells_owns_target(control, t->pool, t->name))
+			return LIST_OWNER_US;
+	}
+	return LIST_SLOW_US;
+}
+
 static void on_list_timer(void *ctx)
 {
 	control_t *control = ctx;
 	struct targets *targets = control->targets;
-	bool is_often = config_is_witness(control) ||
-			config_document(control) == NULL || targets->lists == 0;
 
-	bsh_loop_timer_after(&targets->list_timer,
-			     is_often ? LIST_PERIOD_US : LIST_SLOW_US);
+	bsh_loop_timer_after(&targets->list_timer, list_period(control));
 	if (targets->is_listing)
 		return;
 	targets->is_listing = true;
@@ -417,13 +443,13 @@
 	routers_send(control, &message);
 }
 
-static int64_t status_period(const bsh_engine_status_t *status)
+static bool is_busy(const bsh_engine_status_t *status)
 {
 	for (size_t i = 0; i < status->model_count; i++) {
 		if (status->models[i].state != BSH_ENGINE_READY)
-			return STATUS_BUSY_US;
+			return true;
 	}
-	return STATUS_PERIOD_US;
+	return false;
 }
 
 static void take_status(control_t *control, target_t *t, const poll_t *poll,
@@ -454,7 +480,8 @@
 		models[i].has_attempt =
 			bsh_attempt_parse(m->attempt, &models[i].attempt);
 	}
-	t->poll_at_us = control_now_us() + status_period(status);
+	if (is_busy(status))
+		bsh_loop_timer_after(&t->busy_timer, STATUS_BUSY_US);
 	if (status->incarnation > t->incarnation) {
 		t->incarnation = status->incarnation;
 		t->leaving = false;
@@ -472,10 +499,8 @@
 	control_t *control = poll->control;
 	target_t *t = g_hash_table_lookup(control->targets->table, poll->name);
 
-	if (t != NULL) {
+	if (t != NULL)
 		t->is_polling = false;
-		t->poll_at_us = control_now_us() + STATUS_PERIOD_US;
-	}
 	/* A reused address may be answered by another engine. */
 	if (t != NULL && status != NULL && strcmp(status->name, t->name) == 0)
 		take_status(control, t, poll, status);
@@ -498,6 +523,11 @@
 			  poll);
 }
 
+static void poll_busy(void *ctx)
+{
+	poll_target(ctx);
+}
+
 void targets_poll(control_t *control, const char *name)
 {
 	target_t *t = g_hash_table_lookup(control->targets->table, name);
@@ -509,16 +539,15 @@
 static void on_status_timer(void *ctx)
 {
 	control_t *control = ctx;
-	int64_t now_us = control_now_us();
 	GHashTableIter it;
 	gpointer value;
 
-	bsh_loop_timer_after(&control->targets->status_timer, STATUS_BUSY_US);
+	bsh_loop_timer_after(&control->targets->status_timer, STATUS_PERIOD_US);
 	g_hash_table_iter_init(&it, control->targets->table);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		target_t *t = value;
 
-		if (t->is_engine && now_us >= t->poll_at_us &&
+		if (t->is_engine &&
 		    cells_owns_target(control, t->pool, t->name))
 			poll_target(t);
 	}
--- a/regress/test_processes.sh
+++ b/regress/test_processes.sh
@@ -433,7 +433,15 @@
 	fi
 }
 
-echo "1..14"
+# Guards against sample documents that are no longer accepted.
+examples() {
+	local file
+	for file in "$here"/../examples/*.json; do
+		"$BUILD/bshctl" check "$file" >/dev/null || fail "$file"
+	done
+}
+
+echo "1..15"
 run at-most-once/killed-router at_most_once_killed_router
 run at-most-once/lost-answer at_most_once_lost_answer
 run at-most-once/silent-service at_most_once_silent
@@ -448,4 +456,5 @@
 run configuration/store-down configuration_store_down
 run leaving/service-and-engine leaving_targets
 run shutdown/under-load shutdown_under_load
+run examples/valid examples
 [ $failures -eq 0 ]
