--- a/lib/coordination/member_view.c
+++ b/lib/coordination/member_view.c
@@ -67,6 +67,13 @@
 	return low;
 }
 
+guint bsh_view_position(const bsh_view_t *v, uint64_t rank)
+{
+	bsh_member_t key = {.rank = rank};
+
+	return position_of(v, &key);
+}
+
 static bsh_member_record_t *add_member(bsh_view_t *v, int64_t now_us,
 				       const char *name, uint64_t incarnation)
 {
@@ -119,6 +126,12 @@
 		       before->copy.incarnation != r->pub.incarnation ||
 		       before->copy.is_hint != r->pub.is_hint;
 	bool leaving = before->copy.leaving != r->pub.leaving;
+	/*
+	 * Others have the platform's list too.  If each confirmed entry were
+	 * news, a fleet that starts would pass on its square.
+	 */
+	bool confirms_hint = before->copy.is_hint && !leaving &&
+			     before->copy.incarnation == r->pub.incarnation;
 
 	if (changed)
 		r->pub.changed_us = now_us;
@@ -139,10 +152,16 @@
 	if (leaving && r->pub.leaving)
 		v->has_leaving_news = true;
 	if (changed || leaving) {
-		publish(v, &r->record, spread && !r->pub.is_hint);
+		publish(v, &r->record,
+			spread && !r->pub.is_hint && !confirms_hint);
 		v->ops->changed(v->ctx, &r->pub);
-	} else if (before->copy.revision != r->pub.revision) {
-		publish(v, &r->record, spread && !r->pub.is_hint);
+	} else if (r == v->self && before->copy.revision != r->pub.revision) {
+		/*
+		 * Others pass a higher revision on only where it changes
+		 * something.  After a partition every member refutes, and
+		 * most of the others never doubted it.
+		 */
+		publish(v, &r->record, spread);
 	}
 }
 
@@ -276,10 +295,22 @@
 	r->pub.revision = u->revision;
 }
 
+/* An accusation that was refuted: the refutation has not got everywhere. */
+static void correct(bsh_view_t *v, bsh_member_record_t *r, bool spread)
+{
+	if (r->pub.state == BSH_MEMBER_ALIVE && r->record.news.level < 0)
+		publish(v, &r->record, spread);
+}
+
 static void merge_state(bsh_view_t *v, int64_t now_us, bsh_member_record_t *r,
 			const bsh_member_update_t *u, guint64 from_rank,
 			bool spread)
 {
+	if (u->revision < r->pub.revision && u->state != BSH_MEMBER_GONE) {
+		if (u->state != BSH_MEMBER_ALIVE)
+			correct(v, r, spread);
+		return;
+	}
 	switch (u->state) {
 	case BSH_MEMBER_ALIVE:
 		if (u->revision > r->pub.revision) {
@@ -300,8 +331,7 @@
 		}
 		break;
 	case BSH_MEMBER_DEAD:
-		if (u->revision >= r->pub.revision)
-			merge_death(v, now_us, r, u, from_rank);
+		merge_death(v, now_us, r, u, from_rank);
 		break;
 	default:
 		r->pub.state = BSH_MEMBER_GONE;
@@ -325,7 +355,7 @@
 		/* Nothing can be done with the end of an unknown member. */
 		if (u->state > BSH_MEMBER_SUSPECT || !u->has_place)
 			return;
-		r = add_member(v, now_us, u->name, u->incarnation);
+		r = add_member(v, now_us, u->name, 0);
 	}
 	if (u->incarnation < r->pub.incarnation) {
 		v->stats.ignored++;
@@ -524,9 +554,9 @@
 	u->revision = member->pub.revision;
 	u->state = member->pub.state;
 	u->leaving = member->pub.leaving;
-	if (member->pub.has_place &&
-	    (member->pub.state == BSH_MEMBER_ALIVE ||
-	     (with_place && bsh_member_is_live(&member->pub)))) {
+	if (member->pub.has_place && bsh_member_is_live(&member->pub) &&
+	    (with_place || (member->pub.state == BSH_MEMBER_ALIVE &&
+			    member->pub.revision == 0))) {
 		u->has_place = true;
 		u->place = member->pub.place;
 	}
@@ -578,9 +608,7 @@
 
 		if (bsh_member_is_live(&r->pub))
 			add_digest(digests, &r->record, r->pub.rank,
-				   r->pub.incarnation,
-				   ((guint64)r->pub.revision << 1) |
-					   (r->pub.leaving ? 1 : 0));
+				   r->pub.incarnation, r->pub.leaving);
 	}
 	add_small_digests(digests, v->targets);
 	add_small_digests(digests, v->cells);
