--- a/bshctl/bshctl.h
+++ b/bshctl/bshctl.h
@@ -44,9 +44,10 @@
 	gint64 since_us;
 	gint64 until_us;
 	gboolean verdict;
-	/* entry, counters */
+	/* entry, counters, status */
 	char *zone;
 	gboolean all;
+	gboolean targets;
 } ctl_options_t;
 
 typedef struct {
--- a/bshctl/instance.c
+++ b/bshctl/instance.c
@@ -41,6 +41,24 @@
 	}
 }
 
+static void print_targets(const ctl_t *ctl, const json_t *json)
+{
+	size_t index;
+	json_t *target;
+
+	if (!ctl->options.no_header)
+		puts("TARGET\tPOOL\tZONE\tSTATE\tINCARNATION\tADDRESS");
+	json_array_foreach(json_object_get(json, "targets"), index, target)
+	{
+		ctl_print_field(ctl_text(target, "name", "-"), false);
+		ctl_print_field(ctl_text(target, "pool", "-"), false);
+		ctl_print_field(ctl_text(target, "zone", "-"), false);
+		ctl_print_field(ctl_text(target, "state", "-"), false);
+		print_number(target, "incarnation", false);
+		ctl_print_field(ctl_text(target, "address", "-"), true);
+	}
+}
+
 static ctl_status_t get_status(ctl_t *ctl, bsh_control_answer_t *answer)
 {
 	ctl_status_t status = ctl_get_json(ctl, "/v1/status", answer);
@@ -66,6 +84,8 @@
 		return status;
 	if (ctl->options.json)
 		ctl_print_json(json_incref(answer.json));
+	else if (ctl->options.targets)
+		print_targets(ctl, answer.json);
 	else
 		print_status(ctl, answer.json);
 	bsh_control_answer_finish(&answer);
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -289,6 +289,8 @@
 	fake_control_accept(&f->fake, doc_1);
 	RUN(f, 0, "status", "-s", gone.address, "-s", f->fake.address);
 	CONTAINS(f->out, "entry-1\ta\tlive\t1\t0\t3\t127.0.0.1:");
+	RUN(f, 0, "status", "-HT", "-s", f->fake.address);
+	g_assert_cmpstr(f->out, ==, "t1\tgpu\ta\tlive\t4\t127.0.0.8:1\n");
 	RUN(f, 5, "status", "-s", gone.address);
 	CONTAINS(f->err, gone.address);
 	g_setenv("BERYLSHUNT_SERVER", f->fake.address, TRUE);
