Keep file lists out of the linters' output

Cause: make printed the list of all files for each linter, and a real report was hard to find among them. Ruled out: hiding the linters' own output. Before: two lines of several kilobytes for each make lint, after: none.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 lint: lint-format lint-tidy lint-cppcheck lint-man
 
 lint-format:
-	clang-format --dry-run -Werror $(C_FILES)
+	@clang-format --dry-run -Werror $(C_FILES)
 
 lint-tidy:
 	@printf '%s\n' $(TIDY_FILES) | xargs -P 8 -n 4 sh -c \
@@ -65,7 +65,7 @@
 		2>/dev/null' sh
 
 lint-cppcheck:
-	cppcheck --quiet --library=gtk --error-exitcode=1 --inline-suppr -j 4 \
+	@cppcheck --quiet --library=gtk --error-exitcode=1 --inline-suppr -j 4 \
 		--enable=warning,performance,portability \
 		--suppress=normalCheckLevelMaxBranches -Ilib $(TIDY_FILES)
 
