Send the router's time line to its controller

Cause: bshctl timeline showed no event of a router unless its admin address was named, and a router that died took the record of its requests with it; only the controller's events reached the store. Ruled out: publishing the admin address in the platform's list, since the ring would still be lost with the process. Ruled out: store writes by the router, since each instance should make one batch. The router sends its new events every 250 ms in EVENTS frames and the whole ring after a reconnect.

--- a/bshrouterd/link.c
+++ b/bshrouterd/link.c
@@ -15,8 +15,11 @@
 #define LINK_RETRY_MS 1000
 /* A round of the loop that took longer than this was not the loop's doing:
  * the process was stopped, and what it reads now may be as old. */
-#define STALL_US      INT64_C(500000)
-#define STALL_TICK_US INT64_C(100000)
+#define STALL_US	INT64_C(500000)
+#define STALL_TICK_US	INT64_C(100000)
+#define EVENTS_EVERY_US INT64_C(250000)
+/* Of one message; a frame has at most 1 MiB. */
+#define EVENTS_MAX_BYTES 262144
 
 /* One encoded message on its way between the threads. */
 typedef struct {
@@ -46,6 +49,8 @@
 	int64_t ticked_us;
 	int64_t stalled_until_us;
 	int64_t down_since_us;
+	bsh_loop_timer_t events_timer;
+	uint64_t events_sent; /* sequence of the last event sent */
 };
 
 static void free_kept(void *data)
@@ -378,13 +383,69 @@
 		tell_left(link, sent);
 }
 
-static void send_drain(const router_link_t *link, bool ended, uint32_t running)
+/* Sends events up to the end of line that is nearest below the size limit. */
+static size_t send_some_events(const router_link_t *link, char *text)
+{
+	bsh_message_t message = {.type = BSH_MSG_EVENTS};
+	size_t length = strlen(text);
+	char *end;
+
+	if (length > EVENTS_MAX_BYTES) {
+		end = memrchr(text, '\n', EVENTS_MAX_BYTES);
+		length = end != NULL ? (size_t)(end - text) + 1 : length;
+	}
+	end = text + length;
+	/* The rest of the text begins after the zero byte of this part. */
+	if (*end != '\0')
+		end[-1] = '\0';
+	message.events.lines = text;
+	if (bsh_channel_send(link->channel, &message) != BSH_OK)
+		return 0;
+	return length;
+}
+
+/*
+ * The controller writes the events of both daemons to the store, because a
+ * router that dies takes its ring with it.
+ */
+static void send_events(router_link_t *link)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	uint64_t last;
+	size_t sent = 0;
+
+	if (!bsh_channel_is_up(link->channel))
+		return;
+	last = bsh_timeline_print(&link->router->timeline, link->events_sent,
+				  text);
+	while (sent < text->len) {
+		size_t n = send_some_events(link, text->str + sent);
+
+		if (n == 0)
+			return; /* sent again from the same event */
+		sent += n;
+	}
+	link->events_sent = last;
+}
+
+static void on_events_timer(void *ctx)
+{
+	router_link_t *link = ctx;
+
+	send_events(link);
+	bsh_loop_timer_after(&link->events_timer, EVENTS_EVERY_US);
+}
+
+static void send_drain(router_link_t *link, bool ended, uint32_t running)
 {
 	bsh_message_t message = {.type = BSH_MSG_DRAIN};
 
 	message.drain.phase = ended ? BSH_PHASE_ENDED : BSH_PHASE_BEGIN;
 	message.drain.alternative = "";
 	message.drain.running = running;
+	/* The controller may end as soon as it knows of the end. */
+	if (ended)
+		send_events(link);
 	bsh_channel_send(link->channel, &message);
 }
 
@@ -397,6 +458,7 @@
 	bsh_counter_set(&router_counters.link_up, 1);
 	bsh_log(BSH_LOG_INFO, "link-up controller=%s",
 		bsh_channel_peer_name(channel));
+	link->events_sent = 0;
 	/* The same attempt id gets the same verdict. */
 	g_hash_table_iter_init(&it, link->intents);
 	while (g_hash_table_iter_next(&it, NULL, &kept))
@@ -456,6 +518,8 @@
 					      free_kept);
 	g_queue_init(&link->results);
 	bsh_loop_timer_init(&link->tick, &router->control_loop, on_tick, link);
+	bsh_loop_timer_init(&link->events_timer, &router->control_loop,
+			    on_events_timer, link);
 	bsh_frame_register_counters();
 	router->link = link;
 	link->down_since_us = bsh_loop_clock_us();
@@ -463,6 +527,7 @@
 		&router->control_loop, &link->identity,
 		router->settings.control_link, &channel_ops, link);
 	on_tick(link);
+	on_events_timer(link);
 }
 
 void router_link_stop(router_t *router)
@@ -470,6 +535,7 @@
 	router_link_t *link = router->link;
 
 	bsh_loop_timer_stop(&link->tick);
+	bsh_loop_timer_stop(&link->events_timer);
 	bsh_channel_close(link->channel);
 	g_hash_table_destroy(link->intents);
 	g_queue_clear_full(&link->results, free_kept);
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -168,6 +168,8 @@
 static const field_t handover_fields[] = {STRING(bsh_msg_handover_t, cell),
 					  U64(bsh_msg_handover_t, epoch), END};
 
+static const field_t events_fields[] = {STRING(bsh_msg_events_t, lines), END};
+
 static const struct {
 	const char *name;
 	const field_t *fields;
@@ -186,6 +188,7 @@
 	[BSH_MSG_FRESH] = {"FRESH", fresh_fields},
 	[BSH_MSG_DRAIN] = {"DRAIN", drain_fields},
 	[BSH_MSG_HANDOVER] = {"HANDOVER", handover_fields},
+	[BSH_MSG_EVENTS] = {"EVENTS", events_fields},
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -49,6 +49,7 @@
 	BSH_MSG_FRESH,
 	BSH_MSG_DRAIN,
 	BSH_MSG_HANDOVER,
+	BSH_MSG_EVENTS,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -213,6 +214,14 @@
 	uint64_t epoch;
 } bsh_msg_handover_t;
 
+/*
+ * EVENTS: time line of a router, for the store.  After a new connection the
+ * whole ring is sent again; the receiver drops what it has by sequence.
+ */
+typedef struct {
+	const char *lines; /* one JSON object a line */
+} bsh_msg_events_t;
+
 typedef struct {
 	bsh_message_type_t type;
 	bsh_hlc_stamp_t stamp;
@@ -232,6 +241,7 @@
 		bsh_msg_fresh_t fresh;
 		bsh_msg_drain_t drain;
 		bsh_msg_handover_t handover;
+		bsh_msg_events_t events;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
