--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	@echo 'prove    differential proofs of the nine promises'
 	@echo 'demo     one cold request and one deposit, end to end'
 	@echo 'bench-capacity  control overhead by number of instances'
+	@echo 'bench-path  latency and tokens/s through one router'
 	@echo 'lint     formatter, linters and manual pages'
 	@echo 'deps     install the Debian packages of packages.txt'
 
@@ -43,6 +44,10 @@
 	@$(MAKE) --no-print-directory -C bench/capacity
 	@$(BUILD)/capacity
 
+bench-path: progs
+	@$(MAKE) --no-print-directory -C regress standins
+	@$(BUILD)/bench_path $(BUILD)
+
 deps:
 	apt-get update
 	apt-get install -y --no-install-recommends $$(cat packages.txt)
@@ -75,5 +80,5 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help lib progs regress check prove demo bench-capacity deps deps-check format \
+.PHONY: all help lib progs regress check prove demo bench-capacity deps deps-check format bench-path \
 	lint lint-format lint-tidy lint-cppcheck lint-man clean
