--- a/lib/coordination/attempt.c
+++ b/lib/coordination/attempt.c
@@ -479,6 +479,8 @@
 		return BSH_ANSWER_DROP;
 	}
 	a->heard_us = now_us;
+	if (a->received == 0 && set->orders.first_byte != NULL)
+		set->orders.first_byte(set->ctx, a);
 	a->received += (int64_t)size;
 	a->done_seen |= done_event;
 	if (a->length >= 0 && a->received > a->length) {
--- a/lib/coordination/attempt.h
+++ b/lib/coordination/attempt.h
@@ -185,6 +185,9 @@
 	void (*cancel)(void *ctx, bsh_attempt_t *a);
 	/* release - send what is held to the caller now. */
 	void (*release)(void *ctx, bsh_attempt_t *a);
+	/* first_byte - the first byte of a matching answer's body came; for
+	 * bsh_route_first().  May be NULL. */
+	void (*first_byte)(void *ctx, bsh_attempt_t *a);
 	/* target_result - for bsh_route_end(); once per started attempt. */
 	void (*target_result)(void *ctx, bsh_attempt_t *a,
 			      bsh_route_result_t result);
--- a/lib/coordination/route.c
+++ b/lib/coordination/route.c
@@ -46,6 +46,12 @@
 	int64_t retry_us;
 } candidates_t;
 
+/* Load by requests of others. */
+typedef struct {
+	double open;
+	double waiting;
+} load_t;
+
 static void free_ready_set(void *data)
 {
 	ready_set_t *set = data;
@@ -67,10 +73,10 @@
 	config->max_running = 32;
 	config->max_targets = 8192;
 	config->prefix_entries = 65536;
-	/* One more request in a batch delays each token a little; a first
-	 * token waits for the prefills ahead of it. */
-	config->first_us = 20000;
+	config->base_us = 10000;
 	config->block_us = 8000;
+	config->running_us = 500;
+	config->wait_us = 50000;
 	config->zone_penalty_us = 2000;
 	config->seed = 1;
 }
@@ -191,8 +197,12 @@
 		forget_prefixes(route, index);
 	t->incarnation = incarnation;
 	t->open = 0;
+	t->pending = 0;
+	t->pending_us = 0;
 	t->reported = 0;
+	t->waiting = 0;
 	t->open_at_report = 0;
+	t->pending_at_report = 0;
 	t->reported_us = 0;
 	t->cache_gap_us = 0;
 	memset(t->samples, 0, sizeof(t->samples));
@@ -361,37 +371,45 @@
 	g_hash_table_remove(route->keys, key);
 }
 
-/* Number of this router's open requests at a past time. */
-static uint32_t open_at(const bsh_route_target_t *t, int64_t at_us)
+static bsh_route_sample_t sample_now(const bsh_route_target_t *t)
+{
+	return (bsh_route_sample_t){
+		.open = (uint16_t)MIN(t->open, UINT16_MAX),
+		.pending = (uint16_t)MIN(t->pending, UINT16_MAX)};
+}
+
+/* This router's requests at the target at a past time. */
+static bsh_route_sample_t sample_at(const bsh_route_target_t *t, int64_t at_us)
 {
 	uint32_t at_ms = (uint32_t)(at_us / 1000);
-	uint32_t best_ms = 0;
-	uint32_t open = t->open;
+	bsh_route_sample_t best = sample_now(t);
 
 	for (int i = 0; i < BSH_ROUTE_SAMPLES; i++) {
 		const bsh_route_sample_t *s = &t->samples[i];
 
-		if (s->at_ms != 0 && s->at_ms <= at_ms && s->at_ms >= best_ms) {
-			best_ms = s->at_ms;
-			open = s->open;
-		}
+		if (s->at_ms != 0 && s->at_ms <= at_ms &&
+		    s->at_ms >= best.at_ms)
+			best = *s;
 	}
-	return open;
+	return best;
 }
 
-static void sample_open(bsh_route_target_t *t, int64_t now_us)
+static void take_sample(bsh_route_target_t *t, int64_t now_us)
 {
 	uint32_t now_ms = (uint32_t)(now_us / 1000);
 	uint32_t last =
 		(t->sample_next + BSH_ROUTE_SAMPLES - 1) % BSH_ROUTE_SAMPLES;
 
+	bsh_route_sample_t sample = sample_now(t);
+
+	sample.at_ms = MAX(now_ms, 1);
 	if (t->samples[last].at_ms != 0 &&
 	    now_ms - t->samples[last].at_ms < BSH_ROUTE_SAMPLE_MS) {
-		t->samples[last].open = t->open;
+		sample.at_ms = t->samples[last].at_ms;
+		t->samples[last] = sample;
 		return;
 	}
-	t->samples[t->sample_next].at_ms = MAX(now_ms, 1);
-	t->samples[t->sample_next].open = t->open;
+	t->samples[t->sample_next] = sample;
 	t->sample_next = (t->sample_next + 1) % BSH_ROUTE_SAMPLES;
 }
 
@@ -399,6 +417,7 @@
 		      uint64_t incarnation, uint32_t running, uint32_t waiting,
 		      int64_t measured_us)
 {
+	bsh_route_sample_t own;
 	bsh_route_target_t *t;
 	uint32_t index;
 
@@ -407,8 +426,11 @@
 	t = at(route, index);
 	if (t->incarnation != incarnation || measured_us <= t->reported_us)
 		return;
+	own = sample_at(t, measured_us);
 	t->reported = running + waiting;
-	t->open_at_report = MIN(open_at(t, measured_us), t->reported);
+	t->waiting = waiting;
+	t->open_at_report = MIN(own.open, t->reported);
+	t->pending_at_report = MIN(own.pending, waiting);
 	t->reported_us = measured_us;
 }
 
@@ -493,13 +515,14 @@
 }
 
 /* Weight of a report: 1 when new, falling to 0 with its age. */
-static double report_weight(const bsh_route_target_t *t, int64_t now_us)
+static double report_weight(const bsh_route_target_t *t, int64_t tau_us,
+			    int64_t now_us)
 {
+	int64_t age_us = MAX(now_us - t->reported_us, 0);
+
 	if (t->reported_us == 0)
 		return 0.0;
-	return (double)BSH_ROUTE_REPORT_TAU_US /
-	       (double)(BSH_ROUTE_REPORT_TAU_US +
-			MAX(now_us - t->reported_us, 0));
+	return (double)tau_us / (double)(tau_us + age_us);
 }
 
 static double others(const bsh_route_target_t *t)
@@ -518,7 +541,8 @@
 		return true;
 	/* Others may fill it, but their load is known late: only a report
 	 * far above the limit counts. */
-	return t->open + others(t) * report_weight(t, now_us) >=
+	return t->open + others(t) * report_weight(t, BSH_ROUTE_REPORT_TAU_US,
+						   now_us) >=
 	       2.0 * t->max_running;
 }
 
@@ -603,44 +627,78 @@
 	}
 }
 
-static double average_others(const bsh_route_t *route,
-			     const candidates_t *found)
+static double waiting_others(const bsh_route_target_t *t)
+{
+	return (double)(t->waiting - t->pending_at_report);
+}
+
+/* Averages over the candidates that reported. */
+static void average(const bsh_route_t *route, const candidates_t *found,
+		    load_t *load)
 {
-	double sum = 0.0;
 	uint32_t count = 0;
 
+	*load = (load_t){0};
+
 	for (uint32_t i = 0; i < found->count; i++) {
 		const bsh_route_target_t *t = at(route, found->list[i].target);
 
-		if (t->reported_us != 0) {
-			sum += others(t);
-			count++;
-		}
+		if (t->reported_us == 0)
+			continue;
+		load->open += others(t);
+		load->waiting += waiting_others(t);
+		count++;
 	}
-	return count > 0 ? sum / count : 0.0;
+	if (count == 0)
+		return;
+	load->open /= count;
+	load->waiting /= count;
+}
+
+static int64_t prefill_us(const bsh_route_t *route, uint32_t blocks,
+			  const candidate_t *candidate)
+{
+	double missing =
+		blocks - MIN(candidate->match * candidate->confidence, blocks);
+
+	return route->config.base_us +
+	       (int64_t)(missing * route->config.block_us);
 }
 
-static double score(const bsh_route_t *route, const candidate_t *candidate,
-		    double average, int64_t now_us)
+/* Estimated time to the first token in microseconds. */
+static double score(const bsh_route_t *route, uint32_t blocks,
+		    const candidate_t *candidate, const load_t *mean,
+		    int64_t now_us)
 {
 	const bsh_route_target_t *t = at(route, candidate->target);
 	const bsh_route_config_t *config = &route->config;
-	double weight = report_weight(t, now_us);
-	double load = t->open + weight * others(t) + (1.0 - weight) * average;
-
-	return load * config->first_us +
-	       (t->same_zone ? 0.0 : config->zone_penalty_us) -
-	       candidate->match * candidate->confidence * config->block_us;
+	double weight = report_weight(t, BSH_ROUTE_REPORT_TAU_US, now_us);
+	double queue = report_weight(t, BSH_ROUTE_WAITING_TAU_US, now_us);
+	double open =
+		t->open + weight * others(t) + (1.0 - weight) * mean->open;
+	double waiting =
+		queue * waiting_others(t) + (1.0 - queue) * mean->waiting;
+	double own_us = (double)prefill_us(route, blocks, candidate);
+	/* Others' requests are taken to be like this one without a cache. */
+	double other_us = config->base_us + 0.5 * blocks * config->block_us;
+	double us = (double)t->pending_us + waiting * other_us + own_us +
+		    open * config->running_us;
+
+	if (open >= t->max_running)
+		us += (open - t->max_running + 1.0) * config->wait_us;
+	return us + (t->same_zone ? 0.0 : config->zone_penalty_us);
 }
 
 static const candidate_t *best(const bsh_route_t *route,
-			       const candidates_t *found, bool probes,
-			       int64_t now_us)
+			       const candidates_t *found, uint32_t blocks,
+			       bool probes, int64_t now_us)
 {
-	double average = average_others(route, found);
+	load_t mean;
 	const candidate_t *chosen = NULL;
 	double lowest = INFINITY;
 
+	average(route, found, &mean);
+
 	for (uint32_t i = 0; i < found->count; i++) {
 		const candidate_t *c = &found->list[i];
 		double s;
@@ -648,7 +706,7 @@
 		if (!probes &&
 		    at(route, c->target)->breaker.state != BSH_BREAKER_CLOSED)
 			continue;
-		s = score(route, c, average, now_us);
+		s = score(route, blocks, c, &mean, now_us);
 		if (s < lowest) {
 			lowest = s;
 			chosen = c;
@@ -664,6 +722,7 @@
 	const ready_set_t *set = g_hash_table_lookup(route->keys, request->key);
 	candidates_t found = {.count = 0};
 	const candidate_t *chosen;
+	uint32_t blocks = 0;
 
 	memset(choice, 0, sizeof(*choice));
 	choice->target = BSH_ROUTE_NONE;
@@ -678,13 +737,16 @@
 		choice->retry_us = found.retry_us;
 		return BSH_ERR_CONNECT;
 	}
+	if (request->prefix != NULL)
+		blocks = MIN(request->prefix_count, BSH_ROUTE_MAX_PREFIX);
 	/* A call that may not be repeated is no probe while others exist. */
-	chosen = best(route, &found, request->repeatable, now_us);
+	chosen = best(route, &found, blocks, request->repeatable, now_us);
 	if (chosen == NULL)
-		chosen = best(route, &found, true, now_us);
+		chosen = best(route, &found, blocks, true, now_us);
 	choice->target = chosen->target;
 	choice->incarnation = at(route, chosen->target)->incarnation;
 	choice->prefix_match = chosen->match;
+	choice->cost_us = prefill_us(route, blocks, chosen);
 	return BSH_OK;
 }
 
@@ -705,7 +767,9 @@
 	if (t->incarnation != choice->incarnation)
 		return;
 	t->open++;
-	sample_open(t, now_us);
+	t->pending++;
+	t->pending_us += choice->cost_us;
+	take_sample(t, now_us);
 	bsh_breaker_start(&t->breaker, now_us);
 	for (uint32_t b = 0;
 	     request->prefix != NULL &&
@@ -715,6 +779,30 @@
 		      (uint32_t)(now_us / 1000));
 }
 
+static void end_prefill(bsh_route_target_t *t, const bsh_route_choice_t *choice)
+{
+	if (choice->cost_us <= 0)
+		return;
+	if (t->pending > 0)
+		t->pending--;
+	t->pending_us -= MIN(t->pending_us, choice->cost_us);
+}
+
+void bsh_route_first(bsh_route_t *route, bsh_route_choice_t *choice,
+		     int64_t now_us)
+{
+	bsh_route_target_t *t;
+
+	if (choice->target >= route->targets->len)
+		return;
+	t = at(route, choice->target);
+	if (t->incarnation == choice->incarnation) {
+		end_prefill(t, choice);
+		take_sample(t, now_us);
+	}
+	choice->cost_us = 0;
+}
+
 void bsh_route_end(bsh_route_t *route, const bsh_route_choice_t *choice,
 		   bsh_route_result_t result, int64_t now_us)
 {
@@ -727,7 +815,8 @@
 		return;
 	if (t->open > 0)
 		t->open--;
-	sample_open(t, now_us);
+	end_prefill(t, choice);
+	take_sample(t, now_us);
 	if (result == BSH_ROUTE_NEUTRAL)
 		bsh_breaker_release(&t->breaker);
 	else
--- a/lib/coordination/route.h
+++ b/lib/coordination/route.h
@@ -10,9 +10,16 @@
  *	service ("key"), what is known of their load and prefix caches, and
  *	chooses a target per request.
  *
- *	Load: the requests of this router that are open at the target, plus
- *	the load of others from the last report.  The part of others is
- *	moved towards the average of all targets as the report ages (time
+  *	The score is the estimated time to the first token: the prefills
+ *	ahead at the target, the prefill of this request without the blocks
+ *	that are cached there, a little per running request, and a wait for
+ *	a slot when the target is full.  Running requests count little: a
+ *	decode batch hardly delays a first token, and moving requests away
+ *	from their cached prefix because of it costs more than it saves.
+ *
+ *	Load: what this router has open at the target is known exactly; the
+ *	load of others comes from the last report.  The part of others is
+ *	moved towards the average of the candidates as the report ages (time
  *	constant BSH_ROUTE_REPORT_TAU_US), so that an old report neither
  *	attracts a herd nor excludes a target for long.  Up to
  *	BSH_ROUTE_SCAN ready targets are all compared; of more, a random
@@ -54,25 +61,30 @@
 #define BSH_ROUTE_MAX_EXCLUDED	4
 #define BSH_ROUTE_BLOCK_BYTES	1024
 #define BSH_ROUTE_REPORT_TAU_US INT64_C(1500000)
-#define BSH_ROUTE_SAMPLES	8
-#define BSH_ROUTE_SAMPLE_MS	250 /* least distance of two samples */
-#define BSH_ROUTE_NONE		UINT32_MAX
+/* A queue of prefills is worked off within a few of them. */
+#define BSH_ROUTE_WAITING_TAU_US INT64_C(100000)
+#define BSH_ROUTE_SAMPLES	 8
+#define BSH_ROUTE_SAMPLE_MS	 250 /* least distance of two samples */
+#define BSH_ROUTE_NONE		 UINT32_MAX
 
 typedef struct {
 	uint32_t max_running;	  /* per target, when it gives none */
 	uint32_t max_targets;	  /* records kept, live or leaving */
 	uint32_t prefix_entries;  /* rounded up to a power of two */
-	uint32_t first_us;	  /* added to the score per open request */
-	uint32_t block_us;	  /* prefill time saved per cached block */
+	uint32_t base_us;	  /* prefill time of a request without blocks */
+	uint32_t block_us;	  /* prefill time per block not cached */
+	uint32_t running_us;	  /* delay of a first token per running one */
+	uint32_t wait_us;	  /* wait for a slot, per request too many */
 	uint32_t zone_penalty_us; /* score of a target in another zone */
 	char zone[32];		  /* of this instance */
 	uint32_t seed;
 } bsh_route_config_t;
 
-/* Number of this router's open requests from a time on. */
+/* Number of this router's requests at a target from a time on. */
 typedef struct {
 	uint32_t at_ms;
-	uint32_t open;
+	uint16_t open;
+	uint16_t pending; /* of these, without a first byte */
 } bsh_route_sample_t;
 
 /* One target.  Read-only for users of the module. */
@@ -85,12 +97,16 @@
 	bool has_left;
 	bool same_zone;
 	uint32_t max_running;
-	uint32_t open;		 /* this router's open requests */
-	uint32_t reported;	 /* running + waiting, last report */
-	uint32_t open_at_report; /* this router's part of it */
-	int64_t reported_us;	 /* when it was measured; 0: never */
-	int64_t cache_gap_us;	 /* last gap in the cache events */
-	uint32_t keys;		 /* number of keys it is ready for */
+	uint32_t open;		    /* this router's open requests */
+	uint32_t pending;	    /* of these, without a first byte */
+	int64_t pending_us;	    /* their estimated prefill time */
+	uint32_t reported;	    /* running + waiting, last report */
+	uint32_t waiting;	    /* last report */
+	uint32_t open_at_report;    /* this router's part of reported */
+	uint32_t pending_at_report; /* this router's part of waiting */
+	int64_t reported_us;	    /* when it was measured; 0: never */
+	int64_t cache_gap_us;	    /* last gap in the cache events */
+	uint32_t keys;		    /* number of keys it is ready for */
 	bsh_route_sample_t samples[BSH_ROUTE_SAMPLES];
 	uint32_t sample_next;
 	bsh_breaker_t breaker;
@@ -127,6 +143,7 @@
 	uint32_t target;       /* index, see bsh_route_target() */
 	uint64_t incarnation;  /* the target's, at the time of the choice */
 	uint32_t prefix_match; /* leading blocks expected in its cache */
+	int64_t cost_us;       /* estimated prefill time; 0 after first byte */
 	int64_t retry_us;      /* on BSH_ERR_CONNECT: next probe, or 0 */
 } bsh_route_choice_t;
 
@@ -217,6 +234,10 @@
 void bsh_route_start(bsh_route_t *route, const bsh_route_request_t *request,
 		     const bsh_route_choice_t *choice, int64_t now_us);
 
+/* bsh_route_first - the first byte of the answer came; sets cost_us to 0. */
+void bsh_route_first(bsh_route_t *route, bsh_route_choice_t *choice,
+		     int64_t now_us);
+
 typedef enum {
 	BSH_ROUTE_SUCCESS, /* answered */
 	BSH_ROUTE_FAILURE, /* not reached, broken, silent or mismatched */
--- a/regress/prove/prove_at_most_once.c
+++ b/regress/prove/prove_at_most_once.c
@@ -16,7 +16,7 @@
 	{"crossed", FAULT_CROSSED | FAULT_LATE, 1},
 	{"target-killed", FAULT_KILL | FAULT_LATE, 2},
 	{"router-killed", FAULT_ROUTER_KILL, 2},
-	{"frozen", FAULT_FREEZE, 2},
+	{"frozen", FAULT_FREEZE | FAULT_SILENT, 2},
 	{"key-race", FAULT_RACE, 1},
 	{"caller-gone", FAULT_CALLER_GONE | FAULT_BREAK, 1},
 	{"shutdown", FAULT_SHUTDOWN | FAULT_SILENT, 1},
--- a/regress/support/shunt.c
+++ b/regress/support/shunt.c
@@ -286,6 +286,13 @@
 			    now(s));
 }
 
+static void on_first_byte(void *ctx, bsh_attempt_t *a)
+{
+	shunt_t *s = ctx;
+
+	bsh_route_first(&s->route, &a->target, now(s));
+}
+
 static void on_detach(void *ctx, bsh_attempt_t *a, bsh_error_t err,
 		      bsh_outcome_t outcome)
 {
@@ -370,6 +377,7 @@
 		.dequeue = on_dequeue,
 		.cancel = on_cancel,
 		.release = on_release,
+		.first_byte = on_first_byte,
 		.target_result = on_target_result,
 		.detach = on_detach,
 		.record = on_record,
