--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 	@echo 'check    build and run all tests'
 	@echo 'prove    differential proofs of the nine promises'
 	@echo 'demo     one cold request and one deposit, end to end'
+	@echo 'bench-capacity  control overhead by number of instances'
 	@echo 'lint     formatter, linters and manual pages'
 	@echo 'bench-route, bench-requests  measurements of docs/measurements'
 	@echo 'deps     install the Debian packages of packages.txt'
@@ -40,6 +41,10 @@
 	@sh demo/demo.sh $(BUILD)
 
 # Results are in docs/measurements/.
+bench-capacity: lib
+	@$(MAKE) --no-print-directory -C bench/capacity
+	@$(BUILD)/capacity
+
 bench-route: lib
 	@$(MAKE) --no-print-directory -C bench/route
 	@$(BUILD)/bench-route
@@ -81,5 +86,5 @@
 	rm -rf $(BUILD)
 
 .PHONY: all help lib progs regress check prove demo deps deps-check format \
-	bench-route bench-requests lint lint-format lint-tidy lint-cppcheck \
-	lint-man clean
+	bench-capacity bench-route bench-requests lint lint-format lint-tidy \
+	lint-cppcheck lint-man clean
