--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	@echo 'bench-capacity  control overhead by number of instances'
 	@echo 'bench-path  latency and tokens/s through one router'
 	@echo 'lint     formatter, linters and manual pages'
+	@echo 'bench-route, bench-requests  measurements of docs/measurements'
 	@echo 'deps     install the Debian packages of packages.txt'
 
 lib:
@@ -40,6 +41,7 @@
 demo: deps-check progs regress
 	@sh demo/demo.sh $(BUILD)
 
+# Results are in docs/measurements/.
 bench-capacity: lib
 	@$(MAKE) --no-print-directory -C bench/capacity
 	@$(BUILD)/capacity
@@ -48,6 +50,14 @@
 	@$(MAKE) --no-print-directory -C regress standins
 	@$(BUILD)/bench_path $(BUILD)
 
+bench-route: lib
+	@$(MAKE) --no-print-directory -C bench/route
+	@$(BUILD)/bench-route
+
+bench-requests: lib
+	@$(MAKE) --no-print-directory -C bench/requests
+	@$(BUILD)/bench-requests
+
 deps:
 	apt-get update
 	apt-get install -y --no-install-recommends $$(cat packages.txt)
@@ -81,4 +91,4 @@
 	rm -rf $(BUILD)
 
 .PHONY: all help lib progs regress check prove demo bench-capacity deps deps-check format bench-path \
-	lint lint-format lint-tidy lint-cppcheck lint-man clean
+	lint lint-format lint-tidy lint-cppcheck lint-man clean bench-route bench-requests
