Write the router's events to the store with the controller's

Cause: the record of a request was lost with its instance, so that a regulator's question could not be answered after a kill. A second fault was found on the way: after an answer of the store was lost, the retried batch held more events than the one that had taken effect, and the conflict marked all of them as written; events in between were lost. Now a conflict writes all of them again under the next number, and readers drop duplicates by sequence. Ruled out: an acknowledgement from the controller to the router; sending the ring again after a reconnect needs none, as the receiver knows the sequence.

--- a/bshcontrold/api.c
+++ b/bshcontrold/api.c
@@ -347,6 +347,9 @@
 	bsh_timeline_print(
 		&control->timeline,
 		since != NULL ? g_ascii_strtoull(since, NULL, 10) : 0, out);
+	/* The numbers of since are the controller's own. */
+	if (since == NULL)
+		events_print(control, out);
 	bsh_http_answer_header(request, "Content-Type", "application/jsonl");
 	bsh_http_answer(request, 200, out->str, out->len);
 }
--- a/bshcontrold/bshcontrold.c
+++ b/bshcontrold/bshcontrold.c
@@ -155,6 +155,7 @@
 
 static void start_parts(control_t *control)
 {
+	events_start(control);
 	routers_start(control);
 	peers_start(control);
 	config_start(control);
@@ -180,6 +181,7 @@
 	targets_stop(control);
 	config_stop(control);
 	routers_stop(control);
+	events_stop(control);
 }
 
 int main(int argc, char **argv)
--- a/bshcontrold/control.h
+++ b/bshcontrold/control.h
@@ -16,6 +16,7 @@
  *	targets	 the platform's list, status polls, orders to engines
  *	intents	 idempotency journal
  *	routers	 the router of this instance
+ *	events	 time line of that router
  *	api	 HTTP interface
  *	flush	 time line to the store
  *	shutdown drain of the instance
@@ -59,6 +60,7 @@
 	struct targets *targets;
 	struct intents *intents;
 	struct routers *routers;
+	struct events *events;
 	struct api *api;
 	struct flush *flush;
 	struct shutdown *shutdown;
@@ -177,6 +179,21 @@
 /* A router is connected and has not ended its drain. */
 bool routers_busy(const control_t *control);
 
+/* events */
+void events_start(control_t *control);
+void events_stop(control_t *control);
+/* EVENTS of the router of this instance. */
+void events_receive(control_t *control, const bsh_message_t *message);
+/*
+ * events_append - add kept events that arrived after since to list, until
+ * they have limit_bytes; *overwritten is the number that were lost before.
+ * Returns the arrival of the last one added, or since.
+ */
+uint64_t events_append(const control_t *control, json_t *list, uint64_t since,
+		       size_t limit_bytes, uint64_t *overwritten);
+/* Append all kept events as lines of JSON. */
+void events_print(const control_t *control, GString *out);
+
 /* api */
 void api_start(control_t *control);
 void api_stop(control_t *control);
--- a/bshcontrold/events.c
+++ b/bshcontrold/events.c
@@ -35,9 +35,8 @@
 /* A router sends its whole ring again after a new connection. */
 static bool is_new(struct events *events, const json_t *json)
 {
-	uint64_t incarnation =
-		(uint64_t)json_integer_value(json_object_get(json,
-							     "incarnation"));
+	uint64_t incarnation = (uint64_t)json_integer_value(
+		json_object_get(json, "incarnation"));
 	uint64_t sequence =
 		(uint64_t)json_integer_value(json_object_get(json, "sequence"));
 
--- a/bshcontrold/flush.c
+++ b/bshcontrold/flush.c
@@ -12,9 +12,12 @@
 
 struct flush {
 	bsh_loop_timer_t timer;
-	uint64_t written; /* sequence of the last event in the store */
-	uint64_t writing; /* of the batch under way; 0: none */
-	uint64_t number;  /* of the next batch */
+	uint64_t written;	 /* sequence of the last event in the store */
+	uint64_t writing;	 /* of the batch under way */
+	uint64_t router_written; /* the same for the router's events */
+	uint64_t router_writing;
+	bool is_writing;
+	uint64_t number; /* of the next batch */
 };
 
 static bsh_counter_t batches = BSH_COUNTER("bsh_timeline_batches_total",
@@ -28,14 +31,20 @@
 	control_t *control = ctx;
 	struct flush *flush = control->flush;
 
-	/* A conflict means that an earlier try of this batch took effect. */
-	if (answer->result == BSH_CALL_DONE ||
-	    answer->result == BSH_CALL_CONFLICT) {
+	/*
+	 * On a conflict an earlier try took effect, perhaps with fewer events:
+	 * all are written again under the next number, and readers drop what
+	 * they have twice.
+	 */
+	if (answer->result == BSH_CALL_CONFLICT)
+		flush->number++;
+	if (answer->result == BSH_CALL_DONE) {
 		flush->written = flush->writing;
+		flush->router_written = flush->router_writing;
 		flush->number++;
 		bsh_counter_add(&batches, 1);
 	}
-	flush->writing = 0;
+	flush->is_writing = false;
 }
 
 /* Lines up to the size limit; returns the sequence of the last one. */
@@ -68,19 +77,25 @@
 	json_t *list = json_array();
 	json_t *value;
 	uint64_t first;
+	uint64_t overwritten;
 	char *body;
 
 	bsh_timeline_print(&control->timeline, flush->written, text);
 	flush->writing = add_lines(list, text->str, flush->written);
 	first = (uint64_t)json_integer_value(
 		json_object_get(json_array_get(list, 0), "sequence"));
+	if (first > flush->written + 1)
+		bsh_counter_add(&lost, (int64_t)(first - flush->written - 1));
+	flush->router_writing =
+		events_append(control, list, flush->router_written,
+			      BATCH_MAX_BYTES - MIN(BATCH_MAX_BYTES, text->len),
+			      &overwritten);
+	bsh_counter_add(&lost, (int64_t)overwritten);
 	if (json_array_size(list) == 0) {
-		flush->writing = 0;
 		json_decref(list);
 		return;
 	}
-	if (first > flush->written + 1)
-		bsh_counter_add(&lost, (int64_t)(first - flush->written - 1));
+	flush->is_writing = true;
 	/* Numbers of a later process are higher: they begin at its start. */
 	name = g_strdup_printf("%s-%" G_GUINT64_FORMAT,
 			       control->settings.instance,
@@ -101,7 +116,7 @@
 	bsh_loop_timer_after(&flush->timer,
 			     (int64_t)control->settings.timeline_flush_ms *
 				     1000);
-	if (flush->writing == 0)
+	if (!flush->is_writing)
 		write_batch(control);
 }
 
--- a/bshcontrold/routers.c
+++ b/bshcontrold/routers.c
@@ -67,6 +67,9 @@
 	case BSH_MSG_INTENT_DONE:
 		intents_receive(control, channel, message);
 		break;
+	case BSH_MSG_EVENTS:
+		events_receive(control, message);
+		break;
 	case BSH_MSG_DRAIN:
 		control->routers->has_ended =
 			message->drain.phase == BSH_PHASE_ENDED;
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -55,6 +55,9 @@
 	case BSH_MSG_REPORT:
 		m.report = (bsh_msg_report_t){reports, 1};
 		break;
+	case BSH_MSG_EVENTS:
+		m.events.lines = "{\"sequence\":1}\n{}";
+		break;
 	case BSH_MSG_INTENT:
 		m.intent = (bsh_msg_intent_t){1, "dock", "k", {3}, {4}};
 		break;
