Do not pass on verdicts of the other side when a partition heals

At 1,100 members a rack of 22 that came back after 60 s still had its deaths queued as news. The queued deaths are now dropped when a member refutes its death; real ones are found again by probes.

In a zone that is cut off with its store, instances asked for confirmations every 400 ms that nobody there can give: 18,870 B/s for the worst node. An instance that is no longer fresh now asks at the normal interval.

The 1,100 members have not been measured again yet.

--- a/bench/capacity/members.c
+++ b/bench/capacity/members.c
@@ -371,6 +371,41 @@
 	}
 }
 
+/* ---- leaving targets ---- */
+
+#define TARGETS 5
+
+static void leaving(bench_t *b, double loss)
+{
+	fleet_t *f = &b->fleet;
+	double worst = 0;
+
+	f->loss = loss;
+	for (guint t = 0; t < TARGETS; t++) {
+		int64_t told_us = f->sim.now_us;
+		guint teller = (t * 17 + 1) % b->n;
+		char name[32];
+		guint know = 0;
+
+		g_snprintf(name, sizeof(name), "engine-%u-%.0f", t, loss * 100);
+		bsh_members_target_leaving(members_at(b, teller), told_us, name,
+					   1);
+		fleet_wake(f, teller);
+		while (know < b->n && f->sim.now_us < told_us + 60 * SIM_S) {
+			sim_run(&f->sim, f->sim.now_us + 20 * SIM_MS);
+			know = 0;
+			for (guint i = 0; i < b->n; i++)
+				know += bsh_members_is_target_leaving(
+					members_at(b, i), name, 1);
+		}
+		worst = MAX(worst, (double)(f->sim.now_us - told_us) / 1e6);
+		run_seconds(b, 3);
+	}
+	f->loss = 0;
+	capacity_row(loss > 0 ? "leaving-loss-5%" : "leaving",
+		     "known-to-all-max", b->n, worst, "s", 3);
+}
+
 /* ---- cuts ---- */
 
 static void cut(bench_t *b, const char *name, guint share)
@@ -473,6 +508,8 @@
 	detect(&b);
 	churn(&b, quiet.sent + quiet.received);
 	changes(&b);
+	leaving(&b, 0);
+	leaving(&b, 0.05);
 	false_positives(&b);
 	if (n >= 50)
 		cut(&b, "rack", 0);
--- a/lib/coordination/adoption_fresh.c
+++ b/lib/coordination/adoption_fresh.c
@@ -30,7 +30,7 @@
 
 /* Shares of fresh_ms after which other ways to confirm are tried. */
 #define VOTE_AFTER(a)  ((a)->fresh_us / 3)
-#define ALONE_AFTER(a) ((a)->fresh_us * 2 / 5)
+#define ALONE_AFTER(a) ((a)->fresh_us / 2)
 #define VOTE_EVERY_US  (500 * MS_US)
 #define ALONE_EVERY_US (500 * MS_US)
 
@@ -271,7 +271,8 @@
 		a->parent++;
 		a->ask_until_us = 0;
 		a->ask_at_us = now_us;
-		if (a->parent % a->n_parents == 0)
+		if (a->parent % a->n_parents == 0 ||
+		    !bsh_adoption_is_fresh(a, now_us))
 			a->ask_at_us += ask_interval(a);
 	}
 	if (now_us < a->ask_at_us)
@@ -559,7 +560,9 @@
 	a->ask_until_us = 0;
 	a->ask_at_us = now_us + ask_interval(a);
 	if (!usable) {
-		a->ask_at_us = now_us + ASK_AGAIN_US;
+		/* When all are cut off from the store, asking more is idle. */
+		if (bsh_adoption_is_fresh(a, now_us))
+			a->ask_at_us = now_us + ASK_AGAIN_US;
 		if (msg->generation <= a->current.generation)
 			a->parent++;
 		return;
--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -388,8 +388,10 @@
 		want_urgent(m, now_us,
 			    m->view.has_leaving_news ? URGENT_ROUNDS_MAX
 						     : URGENT_ROUNDS);
-	if (m->view.did_return)
+	if (m->view.did_return) {
 		m->heal_until_us = now_us + HEAL_PERIODS * m->period_us;
+		bsh_view_drop_deaths(&m->view);
+	}
 	if (m->view.was_refuted)
 		m->health = MIN(m->health + 1, HEALTH_MAX);
 	for (guint i = 0; i < m->view.joined->len; i++)
--- a/lib/coordination/member_view.c
+++ b/lib/coordination/member_view.c
@@ -142,7 +142,8 @@
 		v->version++;
 		if (live)
 			g_ptr_array_add(v->joined, r);
-		if (live && before->dead)
+		if (live && before->dead &&
+		    before->copy.incarnation == r->pub.incarnation)
 			v->did_return = true;
 	} else if (before->copy.incarnation != r->pub.incarnation) {
 		v->version++;
@@ -516,6 +517,16 @@
 		v->is_digest_old = true;
 }
 
+void bsh_view_drop_deaths(bsh_view_t *v)
+{
+	for (guint i = 0; i < v->by_rank->len; i++) {
+		bsh_member_record_t *r = bsh_view_at(v, i);
+
+		if (r->pub.state == BSH_MEMBER_DEAD)
+			bsh_news_remove(&v->news, &r->record.news);
+	}
+}
+
 void bsh_view_forgive(bsh_view_t *v, int64_t lost_us)
 {
 	for (guint i = 0; i < v->by_rank->len; i++) {
--- a/lib/coordination/member_view.h
+++ b/lib/coordination/member_view.h
@@ -62,7 +62,7 @@
 	bool has_news;
 	bool has_leaving_news;
 	bool was_refuted; /* this instance had to refute a suspicion */
-	bool did_return;  /* a dead member came back */
+	bool did_return;  /* a dead member refuted: a partition heals */
 	guint added;	  /* records that were new since the last look */
 } bsh_view_t;
 
@@ -107,6 +107,13 @@
 /* bsh_view_expire - suspicions that timed out, records to forget. */
 void bsh_view_expire(bsh_view_t *v, int64_t now_us);
 
+/*
+ * bsh_view_drop_deaths - do not pass on deaths that are queued as news.  When a
+ * partition heals these are verdicts on the other side, and each of them
+ * would make the whole fleet suspect a live member.
+ */
+void bsh_view_drop_deaths(bsh_view_t *v);
+
 /* bsh_view_forgive - time lost by this process counts for the suspected. */
 void bsh_view_forgive(bsh_view_t *v, int64_t lost_us);
 
