--- a/bshcontrold/api.c
+++ b/bshcontrold/api.c
@@ -91,7 +91,7 @@
 static void get_entry(control_t *control, bsh_http_request_t *request)
 {
 	const char *zone = bsh_http_request_argument(request, "zone");
-	api_entry_t entry;
+	api_entry_t entry = {.address = ""};
 
 	bsh_counter_add(&entries, 1);
 	if (!api_entry(control, zone != NULL ? zone : control->settings.zone,
@@ -347,6 +347,9 @@
 	bsh_timeline_print(
 		&control->timeline,
 		since != NULL ? g_ascii_strtoull(since, NULL, 10) : 0, out);
+	/* The numbers of since are the controller's own. */
+	if (since == NULL)
+		events_print(control, out);
 	bsh_http_answer_header(request, "Content-Type", "application/jsonl");
 	bsh_http_answer(request, 200, out->str, out->len);
 }
--- a/bshcontrold/bshcontrold.c
+++ b/bshcontrold/bshcontrold.c
@@ -155,10 +155,12 @@
 
 static void start_parts(control_t *control)
 {
+	events_start(control);
 	routers_start(control);
 	peers_start(control);
 	config_start(control);
 	targets_start(control);
+	demands_start(control);
 	cells_start(control);
 	intents_start(control);
 	shutdown_start(control);
@@ -175,9 +177,11 @@
 	shutdown_stop(control);
 	intents_stop(control);
 	cells_stop(control);
+	demands_stop(control);
 	targets_stop(control);
 	config_stop(control);
 	routers_stop(control);
+	events_stop(control);
 }
 
 int main(int argc, char **argv)
--- a/lib/coordination/member_view.h
+++ b/lib/coordination/member_view.h
@@ -62,7 +62,7 @@
 	bool has_news;
 	bool has_leaving_news;
 	bool was_refuted; /* this instance had to refute a suspicion */
-	bool did_return;  /* a dead member came back */
+	bool did_return;  /* a dead member refuted: a partition heals */
 	guint added;	  /* records that were new since the last look */
 } bsh_view_t;
 
@@ -73,6 +73,9 @@
 bsh_member_record_t *bsh_view_find(const bsh_view_t *v, const char *name);
 bsh_member_record_t *bsh_view_at(const bsh_view_t *v, guint index);
 
+/* bsh_view_position - index of the first record of this rank or above. */
+guint bsh_view_position(const bsh_view_t *v, uint64_t rank);
+
 static inline bool bsh_member_is_live(const bsh_member_t *member)
 {
 	return !member->is_hint && member->state <= BSH_MEMBER_SUSPECT;
@@ -104,12 +107,19 @@
 /* bsh_view_expire - suspicions that timed out, records to forget. */
 void bsh_view_expire(bsh_view_t *v, int64_t now_us);
 
+/*
+ * bsh_view_drop_deaths - do not pass on deaths that are queued as news.  When a
+ * partition heals these are verdicts on the other side, and each of them
+ * would make the whole fleet suspect a live member.
+ */
+void bsh_view_drop_deaths(bsh_view_t *v);
+
 /* bsh_view_forgive - time lost by this process counts for the suspected. */
 void bsh_view_forgive(bsh_view_t *v, int64_t lost_us);
 
 /*
- * bsh_view_update - what is known of a record, as an update.  The place of a
- * suspected member is only needed by those that may not know it (with_place).
+ * bsh_view_update - what is known of a record, as an update.  The place is only
+ * needed by those that may not know the member: with_place, or a first news.
  */
 void bsh_view_update(const bsh_record_t *record, int64_t now_us,
 		     bool with_place, bsh_member_update_t *update);
--- a/regress/support/world.c
+++ b/regress/support/world.c
@@ -437,7 +437,11 @@
 	c->break_at = -1;
 	if (hit(w, FAULT_CUT, 0.3)) /* no connection is made */
 		return c;
-	sim_after(&w->sim, sim_delay(&w->sim, 300, 3000), step, w, c);
+	sim_after(&w->sim,
+		  hit(w, FAULT_CUT, 0.4)
+			  ? sim_delay(&w->sim, 500 * SIM_MS, 990 * SIM_MS)
+			  : sim_delay(&w->sim, 300, 3000),
+		  step, w, c);
 	return c;
 }
 
@@ -465,6 +469,9 @@
 	int stages = STAGE_CHUNK + c->sub->expected;
 	conn_t *other;
 
+	if ((w->dead_targets >> c->target & 1) != 0)
+		c->break_at = STAGE_HEAD;
+
 	if (hit(w, FAULT_SILENT, 0.3) || hit(w, FAULT_CUT, 0.3))
 		c->stop_at =
 			STAGE_HEAD +
@@ -1008,6 +1015,7 @@
 	w->rounds = rounds;
 	w->requests = 40;
 	w->span_us = 12 * SIM_S;
+	w->window_us = 4 * SIM_S;
 	w->stream_us = 60 * SIM_MS;
 	w->subs = g_ptr_array_new_with_free_func(g_free);
 	w->executions = g_array_new(FALSE, TRUE, sizeof(int));
@@ -1028,10 +1036,10 @@
 
 			sim_after(&w->sim, at_us, begin_fault, w,
 				  GUINT_TO_POINTER(fault));
-			sim_after(&w->sim,
-				  at_us + sim_delay(&w->sim, SIM_S,
-						    w->span_us / 3),
-				  end_fault, w, GUINT_TO_POINTER(fault));
+			sim_after(
+				&w->sim,
+				at_us + sim_delay(&w->sim, SIM_S, w->window_us),
+				end_fault, w, GUINT_TO_POINTER(fault));
 		}
 	}
 }
