--- a/bench/path/path.c
+++ b/bench/path/path.c
@@ -221,6 +221,55 @@
 	return (uint16_t)atoi(strchr(address, ':') + 1);
 }
 
+static int compare_times(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* The router's own part: from the admission of a request to its send. */
+static void print_own_part(void)
+{
+	g_autofree char *text = rig_get(&rig, "/timeline", NULL);
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	int64_t admitted_us = 0;
+	char *save = NULL;
+
+	/* At this rate one request seldom overlaps the next; the events of
+	 * those that do are left out. */
+	for (char *line = strtok_r(text, "\n", &save); line != NULL;
+	     line = strtok_r(NULL, "\n", &save)) {
+		json_t *event = json_loads(line, 0, NULL);
+		const char *kind =
+			json_string_value(json_object_get(event, "event"));
+		int64_t at_us =
+			json_integer_value(json_object_get(event, "hlc_us"));
+
+		if (g_strcmp0(kind, "sent") == 0 && admitted_us > 0) {
+			at_us -= admitted_us;
+			g_array_append_val(times, at_us);
+			admitted_us = 0;
+		} else {
+			admitted_us =
+				g_strcmp0(kind, "admitted") == 0 ? at_us : 0;
+		}
+		json_decref(event);
+	}
+	g_array_sort(times, compare_times);
+	if (times->len > 0)
+		printf("- router, from admission to send (%u requests of the "
+		       "last round): p50 %.3f ms, p99 %.3f ms\n",
+		       times->len,
+		       (double)g_array_index(times, int64_t, times->len / 2) /
+			       1000.0,
+		       (double)g_array_index(times, int64_t,
+					     times->len * 99 / 100) /
+			       1000.0);
+	g_array_free(times, TRUE);
+}
+
 static void measure_latency(const uint16_t ports[LATENCY_PATHS])
 {
 	static const char *const names[] = {"direct", "bare forwarder",
@@ -252,6 +301,16 @@
 	for (int path = 1; path < LATENCY_PATHS; path++)
 		printf("- %s: p50 %.3f ms, p99 %.3f ms\n", names[path],
 		       p50[path] - p50[0], p99[path] - p99[0]);
+	print_own_part();
+}
+
+static void print_load(const char *when)
+{
+	double load[1];
+
+	if (getloadavg(load, 1) == 1)
+		printf("Machine %s: %ld processors, load average %.1f.\n", when,
+		       sysconf(_SC_NPROCESSORS_ONLN), load[0]);
 }
 
 static stream_row_t measure_streams(uint16_t port, GPid pid, const char *tokens)
@@ -329,6 +388,8 @@
 		rig_route(&rig, MODEL, false, targets);
 		rig_ready(&rig);
 	}
+	print_load("before");
+	printf("\n");
 	set_token_ms(engine.port, 0);
 	measure_latency((const uint16_t[]){engine.port, forwarder_port,
 					   port_of(rig.listen)});
@@ -346,6 +407,7 @@
 	printf("\nMemory of the router: %.0f KiB before, %.0f KiB peak with "
 	       "%d paced streams: %.1f KiB per stream.\n",
 	       idle_kib, peak_kib, STREAMS, (peak_kib - idle_kib) / STREAMS);
+	print_load("after");
 	kill(forwarder, SIGTERM);
 	kill(engine.pid, SIGTERM);
 	kill(weights.pid, SIGTERM);
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -228,6 +228,8 @@
 
 static void world_finish(world_t *w)
 {
+	bsh_http_server_free(w->a.server);
+	bsh_http_server_free(w->b.server);
 	rig_finish(&w->rig);
 	g_free(w->a.key);
 	g_free(w->a.path);
