--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 
 bench-requests: lib
 	@$(MAKE) --no-print-directory -C bench/requests
-	@$(BUILD)/bench-requests
+	@G_SLICE=always-malloc $(BUILD)/bench-requests
 
 deps:
 	apt-get update
--- a/lib/coordination/admission.c
+++ b/lib/coordination/admission.c
@@ -529,12 +529,11 @@
 	enqueue(adm, m, request, now_us);
 	if (is_cold(m))
 		ask_for_load(adm, m, now_us);
-	/* A new first may be startable although the old first was not, and
-	 * it delays those behind it. */
+	/* A new first may be startable although the old first was not.  It
+	 * also delays those behind it; they are looked at with the next tick,
+	 * since looking at all for each insertion is quadratic. */
 	if (place == 0)
 		pump(adm, now_us);
-	if (place + 1 < queue_length(m))
-		reevaluate(adm, m, now_us);
 	return BSH_OK;
 }
 
--- a/lib/coordination/journal.c
+++ b/lib/coordination/journal.c
@@ -32,6 +32,7 @@
 	uint16_t status;
 	uint8_t state; /* record_state_t */
 	bool removed;  /* in a change only: remove the record */
+	char *text;    /* JSON, made when it is first written */
 } record_t;
 
 typedef enum {
@@ -91,6 +92,7 @@
 		g_ref_string_release(r->instance);
 	g_free(r->content_type);
 	g_free(r->body);
+	free(r->text);
 	g_free(r);
 }
 
@@ -99,6 +101,7 @@
 	record_t *r = g_new(record_t, 1);
 
 	*r = *from;
+	r->text = NULL;
 	r->instance = g_ref_string_acquire(from->instance);
 	r->content_type = g_strdup(from->content_type);
 	if (from->body != NULL)
@@ -374,8 +377,9 @@
 	j->cached_bytes -= b->bytes;
 	b->bytes = 0;
 	g_hash_table_iter_init(&iter, b->records);
+	/* A record holds its body and its text. */
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		b->bytes += record_bytes(value);
+		b->bytes += 2 * record_bytes(value);
 	j->cached_bytes += b->bytes;
 }
 
@@ -695,25 +699,33 @@
 
 		bytes -= record_bytes(r) - RECORD_BYTES;
 		g_clear_pointer(&r->body, g_free);
+		g_clear_pointer(&r->text, free);
 		r->body_size = 0;
 	}
 	return bytes <= BSH_JOURNAL_OBJECT_MAX;
 }
 
-static char *print_records(const GPtrArray *list, size_t *size)
+/* Most records are unchanged since the last write of their bucket, so their
+ * texts are kept: printing all of a full bucket takes several milliseconds. */
+static GString *print_records(const GPtrArray *list, size_t bytes)
 {
-	json_t *array = json_array();
-	json_t *root = json_object();
-	char *text;
+	GString *text = g_string_sized_new(bytes);
 
-	for (guint i = 0; i < list->len; i++)
-		json_array_append_new(array,
-				      print_record(g_ptr_array_index(list, i)));
-	json_object_set_new(root, "records", array);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	*size = strlen(text);
-	return text;
+	g_string_append(text, "{\"records\":[");
+	for (guint i = 0; i < list->len; i++) {
+		record_t *r = g_ptr_array_index(list, i);
+
+		if (r->text == NULL) {
+			json_t *object = print_record(r);
+
+			r->text = json_dumps(object, JSON_COMPACT);
+			json_decref(object);
+		}
+		if (i > 0)
+			g_string_append_c(text, ',');
+		g_string_append(text, r->text);
+	}
+	return g_string_append(text, "]}");
 }
 
 static void forget_op_write(bsh_journal_t *j, bucket_t *b, op_t *op,
@@ -747,8 +759,7 @@
 {
 	GPtrArray *list;
 	size_t bytes;
-	size_t size;
-	char *text;
+	GString *text;
 
 	collect_changes(j, b, now_us);
 	if (g_hash_table_size(b->changes) == 0) {
@@ -763,15 +774,16 @@
 		b->not_before_us = now_us + RETRY_MS * 1000;
 		return;
 	}
-	text = print_records(list, &size);
+	text = print_records(list, bytes);
 	g_ptr_array_free(list, TRUE);
 	j->write_tokens -= 1.0;
 	j->writes++;
 	for (GList *l = b->ops.head; l != NULL; l = l->next)
 		((op_t *)l->data)->tried |= ((op_t *)l->data)->written;
 	begin_call(j, b, true, now_us);
-	j->orders.write(j->ctx, b->call, b->name, b->version, text, size);
-	free(text);
+	j->orders.write(j->ctx, b->call, b->name, b->version, text->str,
+			text->len);
+	g_string_free(text, TRUE);
 }
 
 /* Answer what the cached bucket decides; true if an operation needs more. */
