--- /dev/null
+++ b/bench/policy/size.c
@@ -0,0 +1,4 @@
+#include "policy.h"
+void measure_size(void)
+{
+}
--- a/lib/coordination/loader.c
+++ b/lib/coordination/loader.c
@@ -6,7 +6,7 @@
 
 #include "coordination/loader_private.h"
 
-#define TICK_WAITING_US (50 * US_PER_MS)
+#define TICK_WAITING_US (100 * US_PER_MS)
 #define TICK_IDLE_US	(1 * US_PER_S)
 /* Statuses of many targets are taken together. */
 #define RUN_PERIOD_US (250 * US_PER_MS)
@@ -215,6 +215,9 @@
 static void run_cell(bsh_loader_t *l, cell_t *c)
 {
 	c->run_us = l->now_us;
+	/* Stays due until the plan was made; a store call may be open. */
+	c->is_due |= c->is_dirty || l->now_us >= c->house_us ||
+		     g_hash_table_size(l->wanted) > 0;
 	c->is_dirty = false;
 	cell_run(l, c);
 }
@@ -225,11 +228,14 @@
 	gpointer value;
 
 	if (c != NULL) {
+		c->is_dirty = true;
 		run_cell(l, c);
 	} else {
 		g_hash_table_iter_init(&iter, l->cells);
-		while (g_hash_table_iter_next(&iter, NULL, &value))
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			((cell_t *)value)->is_dirty = true;
 			run_cell(l, value);
+		}
 	}
 	place_queue(l);
 	demand_run(l);
@@ -459,6 +465,9 @@
 		if (t != NULL && t->incarnation == i->incarnation)
 			t->is_gone = true;
 	}
+	g_hash_table_iter_init(&iter, l->cells);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((cell_t *)value)->is_route_dirty = true;
 	loader_run(l, NULL);
 }
 
@@ -505,11 +514,17 @@
 		loader_run(l, c);
 }
 
-static void take_loaded(target_t *t, const bsh_target_status_t *status)
+/* True if the target's models differ from the status before. */
+static bool take_loaded(target_t *t, const bsh_target_status_t *status)
 {
-	g_hash_table_remove_all(t->loaded);
+	bool changed = g_hash_table_size(t->loaded) != status->model_count;
+	GHashTable *before = t->loaded;
+
+	t->loaded =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (size_t i = 0; i < status->model_count; i++) {
 		const bsh_target_model_t *from = &status->models[i];
+		const loaded_t *was = g_hash_table_lookup(before, from->model);
 		loaded_t *to = g_new0(loaded_t, 1);
 
 		to->state = from->state;
@@ -519,8 +534,12 @@
 		g_strlcpy(to->version,
 			  from->version == NULL ? "" : from->version,
 			  sizeof(to->version));
+		changed |= was == NULL || was->state != to->state ||
+			   strcmp(was->version, to->version) != 0;
 		g_hash_table_insert(t->loaded, g_strdup(from->model), to);
 	}
+	g_hash_table_destroy(before);
+	return changed;
 }
 
 static cell_t *cell_of_target(const bsh_loader_t *l, const target_t *t)
@@ -540,6 +559,7 @@
 {
 	target_t *t;
 	cell_t *c;
+	bool changed;
 
 	l->now_us = now_us;
 	if (status->target == NULL || status->target[0] == '\0' ||
@@ -552,6 +572,8 @@
 	if (status->incarnation < t->incarnation ||
 	    status->began_us < t->status_us)
 		return;
+	changed = status->incarnation != t->status_incarnation ||
+		  (status->leaving && !target_is_leaving(t));
 	raise_incarnation(t, status->incarnation);
 	t->status_incarnation = status->incarnation;
 	t->status_us = status->began_us;
@@ -559,11 +581,14 @@
 	t->running = status->running;
 	if (status->leaving)
 		t->leaving = MAX(t->leaving, status->incarnation);
-	take_loaded(t, status);
+	changed |= take_loaded(t, status);
 	c = cell_of_target(l, t);
 	if (c == NULL || !loader_owns(l, c))
 		return;
-	slots_observe(l, c);
+	c->is_route_dirty |= changed;
+	/* A newer status without a change may confirm an unload. */
+	if (!slots_observe(l, c) && !changed)
+		return;
 	if (g_hash_table_size(l->demands) > 0 ||
 	    now_us - c->run_us >= RUN_PERIOD_US)
 		loader_run(l, c);
@@ -583,8 +608,10 @@
 		return;
 	t->leaving = incarnation;
 	c = cell_of_target(l, t);
-	if (c != NULL)
-		loader_run(l, c);
+	if (c == NULL)
+		return;
+	c->is_route_dirty = true;
+	loader_run(l, c);
 }
 
 void bsh_loader_copy(bsh_loader_t *l, const char *target, const char *model,
@@ -671,8 +698,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		cell_t *c = value;
 
-		if (g_hash_table_size(l->wanted) > 0 || c->is_dirty ||
-		    now_us - c->run_us >= RUN_PERIOD_US)
+		if (c->is_dirty || now_us - c->run_us >= TICK_IDLE_US ||
+		    (g_hash_table_size(l->wanted) > 0 &&
+		     now_us - c->run_us >= RUN_PERIOD_US))
 			run_cell(l, c);
 	}
 	place_queue(l);
--- a/lib/coordination/loader_cell.c
+++ b/lib/coordination/loader_cell.c
@@ -106,6 +106,7 @@
 	c->is_seen = true;
 	c->list_seen = 0;
 	c->rank_stamp = 0;
+	c->is_route_dirty = true;
 	note_holders(l, c);
 	observe(l, c);
 	if (loader_owns(l, c)) {
@@ -391,8 +392,13 @@
 static bool plan(bsh_loader_t *l, cell_t *c)
 {
 	bsh_cell_t *next = &c->next;
+	bool is_renewal =
+		l->now_us - c->renewed_us >= ms_us(l->config.lease_ms) / 2;
 	bool changed = false;
 
+	if (loader_owns(l, c) && !c->is_due && !is_renewal)
+		return false;
+	c->is_due = false;
 	bsh_cell_copy(next, &c->seen);
 	if (!loader_owns(l, c)) {
 		if (!may_claim(l, c, rank(l, c)))
@@ -418,8 +424,7 @@
 	changed |= take_targets(l, c, next);
 	changed |= slots_plan(l, c, next);
 	changed |= place_plan(l, c, next);
-	if (l->now_us - c->renewed_us >= ms_us(l->config.lease_ms) / 2)
-		changed = true;
+	changed |= is_renewal;
 	if (!changed)
 		c->list_seen = l->lists;
 	return changed;
--- a/lib/coordination/loader_demand.c
+++ b/lib/coordination/loader_demand.c
@@ -289,8 +289,10 @@
 {
 	ready_t ready;
 
-	if (l->ops->route == NULL || !loader_owns(l, c))
+	if (l->ops->route == NULL || !loader_owns(l, c) ||
+	    (!force && !c->is_route_dirty))
 		return;
+	c->is_route_dirty = false;
 	ready.targets = g_ptr_array_new();
 	ready.incarnations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	ready.text = g_string_new(NULL);
--- a/lib/coordination/loader_place.c
+++ b/lib/coordination/loader_place.c
@@ -4,6 +4,7 @@
 #include "coordination/loader_private.h"
 
 #define HOUSE_US	(5 * US_PER_S)
+#define REVIEW_US	(15 * US_PER_S)
 #define STANDBY_US	(60 * US_PER_S)
 #define STANDBY_MAX	64 /* new standby bindings per round */
 #define STANDBY_WAKE_US (3600 * US_PER_S)
@@ -627,6 +628,9 @@
 	if (l->now_us >= c->house_us) {
 		c->house_us = l->now_us + HOUSE_US;
 		changed |= unload_idle(l, c, next);
+	}
+	if (l->now_us >= c->review_us) {
+		c->review_us = l->now_us + REVIEW_US;
 		review_models(l, c);
 	}
 	if (!may_bind)
--- a/lib/coordination/loader_private.h
+++ b/lib/coordination/loader_private.h
@@ -148,6 +148,7 @@
 	int64_t proven_us;   /* begin of the latest read that showed it */
 	int64_t renewed_us;  /* begin of the latest own update; -1 if none */
 	int64_t house_us;    /* next keep-alive and prefetch round */
+	int64_t review_us;
 	int64_t standby_us;
 	int64_t stray_us;
 	bool is_held; /* this process is a holder of some slot */
@@ -155,7 +156,9 @@
 	GHashTable *routes; /* model to joined names last issued */
 	uint64_t list_seen; /* list that the targets were taken from */
 	bool is_dirty;	    /* input since the latest run */
-	int64_t run_us;	    /* latest run */
+	bool is_due;	    /* the plan is to be made anew */
+	bool is_route_dirty;
+	int64_t run_us; /* latest run */
 } cell_t;
 
 typedef struct {
@@ -229,7 +232,8 @@
 		       bsh_slot_t *slot, const char *reason);
 /* Applies confirmations and the document to all slots of next. */
 bool slots_plan(bsh_loader_t *l, cell_t *c, bsh_cell_t *next);
-void slots_observe(bsh_loader_t *l, cell_t *c);
+/* True if a slot is unloading or a binding has failed. */
+bool slots_observe(bsh_loader_t *l, cell_t *c);
 void slots_order(bsh_loader_t *l, cell_t *c);
 void slot_send_load(bsh_loader_t *l, cell_t *c, const bsh_slot_t *slot,
 		    bsh_copy_t copy, const char *reason);
--- a/lib/coordination/loader_slot.c
+++ b/lib/coordination/loader_slot.c
@@ -189,14 +189,23 @@
 		note_failure(l, c, slot, "load takes too long");
 }
 
-void slots_observe(bsh_loader_t *l, cell_t *c)
+bool slots_observe(bsh_loader_t *l, cell_t *c)
 {
+	bool is_waiting = false;
+
 	for (guint i = 0; i < c->seen.slots->len; i++) {
 		const bsh_slot_t *slot = slot_of(c, i);
+		const binding_t *b;
 
-		if (slot_is_active(slot))
-			observe_active(l, c, slot);
+		if (!slot_is_active(slot)) {
+			is_waiting = true;
+			continue;
+		}
+		observe_active(l, c, slot);
+		b = loader_find_binding(l, &slot->attempt);
+		is_waiting |= b != NULL && b->is_failed;
 	}
+	return is_waiting;
 }
 
 /*
--- a/regress/prove/prove_loads.c
+++ b/regress/prove/prove_loads.c
@@ -91,7 +91,8 @@
 	uint64_t incarnation;
 	bool is_up;
 	bool is_frozen;
-	bool is_armed; /* freezes at its next order */
+	bool is_armed;	/* freezes at its next load order */
+	bool is_doomed; /* killed after its next load order */
 	bool is_listed_gone;
 	uint64_t listed_incarnation;
 	bool no_store_out, no_store_in, no_target_out, no_target_in;
@@ -275,6 +276,8 @@
 	emit(p, m);
 }
 
+static void kill_proc(void *ctx, void *data);
+
 static int find_name(const char *name, bool is_model)
 {
 	for (int i = 0; i < (is_model ? MODELS : TARGETS); i++) {
@@ -312,6 +315,10 @@
 	}
 	arm_timeout(p, m, ORDER_ANSWER, BSH_ORDER_UNKNOWN, ORDER_WAIT);
 	emit(p, m);
+	if (p->is_doomed && order->kind == BSH_ORDER_LOAD) {
+		p->is_doomed = false;
+		sim_after(&p->w->sim, 0, kill_proc, p->w, p);
+	}
 }
 
 static void poll_target(proc_t *p, int target)
@@ -440,7 +447,7 @@
 	p->incarnation++;
 	p->is_up = true;
 	p->is_frozen = false;
-	p->is_armed = false;
+	p->is_armed = p->is_doomed = false;
 	p->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 NULL);
 	p->drift = 0.998 + 0.004 * bsh_rng_unit(&w->sim.rng);
@@ -800,6 +807,19 @@
 	sim_after(&w->sim, w->lag_us, list_proc, w, p);
 }
 
+static void kill_proc(void *ctx, void *data)
+{
+	world_t *w = ctx;
+	proc_t *p = data;
+
+	if (!p->is_up)
+		return;
+	TRACE(w, "%s killed", p->name);
+	p->is_doomed = false;
+	proc_stop(p);
+	sim_after(&w->sim, w->lag_us, list_proc, w, p);
+}
+
 static void end_freeze(void *ctx, void *data)
 {
 	(void)ctx;
@@ -857,8 +877,9 @@
 	TRACE(w, "FAULT %d (%s, %s)", f->kind, p->name, e->name);
 	switch (f->kind) {
 	case KILL:
-		proc_stop(p);
-		sim_after(&w->sim, w->lag_us, list_proc, w, p);
+		p->is_doomed = true;
+		if (sim_chance(&w->sim, 0.3))
+			kill_proc(w, p);
 		sim_after(&w->sim, for_us, restart_proc, w, p);
 		break;
 	case CUT:
@@ -1217,7 +1238,8 @@
 	{FREEZE | STORE_DOWN, 1, 10, false},
 	{FREEZE | RESTART, 1, 10, false},
 	{FREEZE | KILL, 1, 10, false},
-	{LATE | KILL, 1, 10, false},
+	{LATE | KILL, 2, 20, false},
+	{LATE | KILL | SLOW_LOADS | RACE, 2, 20, false},
 	{LATE | RESTART | FREEZE, 2, 10, false},
 	{LOST | KILL, 1, 10, false},
 	{STORE_SLOW | RACE, 1, 10, false},
