Charge an adapter for its base, unload at the end of use

It is now judged with the base's memory and reload. A report of running 0 ends the use at once, a bound but not loaded adapter no longer holds its base, and the reload is priced from the copy on the target.

--- a/bench/policy/bench_policy.c
+++ b/bench/policy/bench_policy.c
@@ -241,7 +241,9 @@
 	       MEAN(s->ours, s->seeds, p99_s) / MEAN(naive, s->seeds, p99_s),
 	       MEAN(s->ours, s->seeds, idle_hours) /
 		       MEAN(naive, s->seeds, idle_hours),
-	       late > 0 ? MEAN(s->ours, s->seeds, late_part) / late : NAN);
+	       late > 0 ? MEAN(s->ours, s->seeds, late_part) / late
+	       : MEAN(s->ours, s->seeds, late_part) > 0 ? INFINITY
+							: 1.0);
 	fflush(stdout);
 }
 
--- a/bench/policy/ours.c
+++ b/bench/policy/ours.c
@@ -325,7 +325,7 @@
 	const held_t *h = &w->targets[target].held[model];
 
 	if (h->is_used && h->is_ready)
-		report(o, model, 0, MAX(h->running, 1));
+		report(o, model, 0, h->running);
 }
 
 static void copied(world_t *w, int target, int model)
--- a/lib/coordination/loader.c
+++ b/lib/coordination/loader.c
@@ -9,9 +9,10 @@
 #define TICK_WAITING_US (100 * US_PER_MS)
 #define TICK_IDLE_US	(1 * US_PER_S)
 /* Statuses of many targets are taken together. */
-#define RUN_PERIOD_US (250 * US_PER_MS)
-#define CLEAN_US      (60 * US_PER_S)
-#define IN_USE_US     (5 * US_PER_S)
+#define RUN_PERIOD_US  (250 * US_PER_MS)
+#define CLEAN_US       (60 * US_PER_S)
+#define IN_USE_US      (5 * US_PER_S)
+#define IDLE_REVIEW_US (200 * US_PER_MS)
 
 static guint attempt_hash(gconstpointer key)
 {
@@ -628,20 +629,40 @@
 				    GINT_TO_POINTER((int)copy));
 }
 
+static void set_in_use(bsh_loader_t *l, model_t *m, bool is_running)
+{
+	cell_t *c;
+	char name[BSH_CELL_NAME_MAX];
+
+	m->in_use_until_us = l->now_us + (is_running ? IN_USE_US : 0);
+	if (is_running)
+		return;
+	/* Idle from now: its worth is judged soon. */
+	for (uint32_t i = 0; i < m->pool->cells; i++) {
+		bsh_cell_name(m->pool->name, i, m->pool->cells, name);
+		c = loader_cell(l, name);
+		if (c != NULL)
+			c->house_us =
+				MIN(c->house_us, l->now_us + IDLE_REVIEW_US);
+	}
+}
+
 void bsh_loader_use(bsh_loader_t *l, const char *model, uint32_t started,
 		    uint32_t running, int64_t now_us)
 {
 	model_t *m = loader_model(l, model);
+	model_t *base;
+	bool is_running = started > 0 || running > 0;
 
 	l->now_us = now_us;
-	if (m == NULL || (started == 0 && running == 0))
+	if (m == NULL || (!is_running && now_us >= m->in_use_until_us))
 		return;
 	bsh_placement_use(&l->placement, model, now_us, loader_wall_us(l));
-	m->in_use_until_us = now_us + IN_USE_US;
+	set_in_use(l, m, is_running);
 	/* An adapter's use is also one of its base. */
-	m = loader_model(l, m->base);
-	if (m != NULL)
-		m->in_use_until_us = now_us + IN_USE_US;
+	base = loader_model(l, m->base);
+	if (base != NULL && is_running)
+		set_in_use(l, base, true);
 }
 
 static gboolean is_old_binding(gpointer key, gpointer value, gpointer ctx)
@@ -699,6 +720,7 @@
 		cell_t *c = value;
 
 		if (c->is_dirty || now_us - c->run_us >= TICK_IDLE_US ||
+		    now_us >= c->house_us ||
 		    (g_hash_table_size(l->wanted) > 0 &&
 		     now_us - c->run_us >= RUN_PERIOD_US))
 			run_cell(l, c);
@@ -720,6 +742,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const cell_t *c = value;
 
+		next_us = MIN(next_us, c->house_us);
 		if (c->is_dirty)
 			next_us = MIN(next_us, c->run_us + RUN_PERIOD_US);
 		if (c->next_io_us > l->now_us)
--- a/lib/coordination/loader.h
+++ b/lib/coordination/loader.h
@@ -341,9 +341,10 @@
 void bsh_loader_cancel(bsh_loader_t *loader, uint64_t id, int64_t now_us);
 
 /*
- * bsh_loader_use - from a router's report: requests of the model began since
- * the last report (started) or are running or waiting now.  A model reported
- * as running counts as in use for 5 s, so routers repeat it sooner.
+ * bsh_loader_use - requests of the model began since the last call (started);
+ * running is the number that run or wait now, over all routers that report
+ * to this process.  Above 0, the model counts as in use for 5 s, so the call
+ * is repeated sooner; 0 ends the use at once.
  */
 void bsh_loader_use(bsh_loader_t *loader, const char *model, uint32_t started,
 		    uint32_t running, int64_t now_us);
--- a/lib/coordination/loader_place.c
+++ b/lib/coordination/loader_place.c
@@ -127,6 +127,15 @@
 	return victim;
 }
 
+static bool is_loading(const bsh_loader_t *l, const bsh_slot_t *slot)
+{
+	const binding_t *b = loader_find_binding(l, &slot->attempt);
+
+	return slot_is_active(slot) &&
+	       ((b != NULL && !b->is_failed && b->load_us >= 0) ||
+		slot_loaded(l, slot) != NULL);
+}
+
 /* Targets and possible victims of the cell as the new value has them. */
 static void room_init(const bsh_loader_t *l, const bsh_cell_t *from,
 		      room_t *room)
@@ -470,6 +479,31 @@
 	return changed;
 }
 
+/*
+ * What an idle slot occupies and what its reload would take.  A loaded
+ * adapter holds its base as well, unless the base has uses of its own.
+ */
+static void hold_terms(const bsh_loader_t *l, const bsh_cell_t *next,
+		       const bsh_slot_t *slot, const model_t *m, double *share,
+		       int64_t *load_us)
+{
+	const model_t *base = loader_model(l, m->base);
+	const target_t *t = loader_target(l, slot->target);
+	const bsh_slot_t *below;
+
+	*share = share_of(next, slot);
+	*load_us = bsh_placement_load_us(&l->placement, m->name,
+					 target_copy(t, m->name));
+	if (base == NULL || is_in_use(l, base))
+		return;
+	below = bsh_cell_slot_on(next, base->name, slot->target);
+	if (below == NULL)
+		return;
+	*share += share_of(next, below);
+	*load_us += bsh_placement_load_us(&l->placement, base->name,
+					  target_copy(t, base->name));
+}
+
 /* Idle loaded slots that are not worth their memory are unloaded. */
 static bool unload_idle(bsh_loader_t *l, cell_t *c, bsh_cell_t *next)
 {
@@ -485,6 +519,8 @@
 		char reason[BSH_PLACEMENT_REASON_SIZE];
 		binding_t *b;
 		int64_t keep_us;
+		int64_t load_us;
+		double share;
 
 		if (slot == NULL || m == NULL || v->running > 0 ||
 		    v->is_waiting || v->is_base_in_use || m->is_prefetch ||
@@ -493,11 +529,10 @@
 		b = loader_binding(l, &slot->attempt);
 		if (l->now_us < b->keep_until_us)
 			continue;
-		keep_us = bsh_placement_keep_us(
-			&l->placement, m->name, share_of(next, slot),
-			bsh_placement_load_us(&l->placement, m->name,
-					      BSH_COPY_DISK),
-			l->now_us, loader_wall_us(l), reason);
+		hold_terms(l, next, slot, m, &share, &load_us);
+		keep_us = bsh_placement_keep_us(&l->placement, m->name, share,
+						load_us, l->now_us,
+						loader_wall_us(l), reason);
 		if (keep_us > 0 && count_active(next, m) <= m->replicas) {
 			b->keep_until_us =
 				l->now_us + MIN(keep_us, KEEP_CHECK_US);
@@ -659,15 +694,6 @@
 			     b->load_us < 0 && l->now_us >= b->retry_us);
 }
 
-static bool is_loading(const bsh_loader_t *l, const bsh_slot_t *slot)
-{
-	const binding_t *b = loader_find_binding(l, &slot->attempt);
-
-	return slot_is_active(slot) &&
-	       ((b != NULL && !b->is_failed && b->load_us >= 0) ||
-		slot_loaded(l, slot) != NULL);
-}
-
 /* Loads started from the weight store that have not ended. */
 uint32_t place_running(const bsh_loader_t *l)
 {
--- a/lib/coordination/loader_slot.c
+++ b/lib/coordination/loader_slot.c
@@ -301,9 +301,10 @@
 }
 
 /* Reason to unload an active slot at once, or NULL. */
-static const char *unload_reason(const bsh_loader_t *l, const bsh_slot_t *slot,
-				 const target_t *t)
+static const char *unload_reason(const bsh_loader_t *l, const bsh_cell_t *next,
+				 const bsh_slot_t *slot, const target_t *t)
 {
+	const bsh_slot_t *base;
 	const model_t *m = loader_model(l, slot->model);
 	const binding_t *b = loader_find_binding(l, &slot->attempt);
 	const loaded_t *loaded = slot_loaded(l, slot);
@@ -316,6 +317,11 @@
 		return "load failed";
 	if (loaded != NULL && strcmp(loaded->version, m->version) != 0)
 		return "another version is loaded";
+	if (m->base[0] != '\0') {
+		base = bsh_cell_slot_on(next, m->base, slot->target);
+		if (base == NULL || !slot_is_active(base))
+			return "base is not on the target";
+	}
 	if (t != NULL && target_is_leaving(t) &&
 	    (t->running == 0 || l->now_us >= m->in_use_until_us))
 		return "target is leaving";
@@ -326,7 +332,7 @@
 			bsh_slot_t *slot, const target_t *t)
 {
 	binding_t *b = loader_find_binding(l, &slot->attempt);
-	const char *reason = unload_reason(l, slot, t);
+	const char *reason = unload_reason(l, next, slot, t);
 
 	if (reason != NULL) {
 		slot_start_unload(l, c, next, slot, reason);
