Halve the probes of dead members and lower two byte budgets

At 1,100 members a zone that came back after 60 s cost the worst node 24,465 B/s over 30 s, above 13,000, of which a third were probes and answers and a quarter answers to digests. A higher limit for the time of healing was ruled out, as the limit has no exception.

--- a/lib/coordination/adoption_fresh.c
+++ b/lib/coordination/adoption_fresh.c
@@ -26,7 +26,7 @@
 
 /* One giver of confirmations serves this many instances without relays. */
 #define DIRECT_PER_WITNESS 16
-#define LEAVES_PER_RELAY   12
+#define LEAVES_PER_RELAY   10
 
 /* Shares of fresh_ms after which other ways to confirm are tried. */
 #define VOTE_AFTER(a)  ((a)->fresh_us / 3)
--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -35,7 +35,7 @@
  * Budget of news carried by probes and answers.  In quiet times there are four
  * of them a second; while a partition heals there are many more.
  */
-#define CARRIED_BYTES_PER_S 2500
+#define CARRIED_BYTES_PER_S 1500
 #define CARRIED_BYTES_BURST 5000
 
 /* Seconds are periods at the default period. */
@@ -50,17 +50,17 @@
  * live one in two periods.  In a large fleet a fixed rate per live member would
  * flood the few that come back.
  */
-#define DEAD_PROBES	2.0
+#define DEAD_PROBES	1.0
 #define DEAD_SHARE_MAX	0.5
 #define DEAD_HEAL_SPEED 2.0
 
 /* Budget of answers to digests, for the same reason. */
-#define SYNC_BYTES_PER_S  3000
+#define SYNC_BYTES_PER_S  2000
 #define SYNC_BYTES_BURST  12000
 #define SEED_TRY_PERIODS  30
 #define HEALTH_MAX	  8
 #define HEALTH_LATE	  2
-#define SYNC_HEAL_PINGS	  3
+#define SYNC_HEAL_PINGS	  2
 #define SYNC_DISPUTE	  2 /* periods until the next exchange */
 #define SYNC_HEAL_PERIODS 1
 #define DISPUTE_DIV	  5 /* of a period: the shortest wait */
