--- a/bench/capacity/members.c
+++ b/bench/capacity/members.c
@@ -326,7 +326,7 @@
 static void changes(bench_t *b)
 {
 	fleet_t *f = &b->fleet;
-	double times[64];
+	double times[64] = {0};
 	guint from = f->accepted->len;
 	guint n;
 	load_t load;
