Queue proposals, show the newer document in conflicts, flush before exit

A second change at the same controller got a conflict without a document while the first one ran; it now waits and conflicts with what was accepted. A conflict waits up to 2 s for the newer document to reach this instance. Entry answers leave out this instance while its router is down. The last events of the time line are written before the exit. The loader's counts and the store calls are exported.

--- a/bshcontrold/api.c
+++ b/bshcontrold/api.c
@@ -16,6 +16,9 @@
 /* One more than a document may have, so that its own check reports it. */
 #define BODY_MAX_BYTES (BSH_DOC_TEXT_MAX_BYTES + 1)
 
+#define CONFLICT_CHECK_US INT64_C(20000)
+#define CONFLICT_WAIT_US  INT64_C(2000000)
+
 struct api {
 	bsh_http_server_t *server;
 	bsh_rng_t rng;
@@ -67,6 +70,10 @@
 	bsh_rng_t *rng = &choice->control->api->rng;
 	bool is_same = strcmp(member->place.zone, choice->zone) == 0;
 
+	/* Only the instance itself knows that its router is down. */
+	if (strcmp(member->name, choice->control->settings.instance) == 0 &&
+	    !routers_is_up(choice->control))
+		return;
 	if (!member->has_place || member->leaving ||
 	    member->state != BSH_MEMBER_ALIVE ||
 	    member->place.entry[0] == '\0' || (!is_same && choice->same > 0))
@@ -135,12 +142,17 @@
 	control_t *control;
 	bsh_http_request_t *request; /* NULL: the caller has gone */
 	bool is_applied;
+	uint64_t newer; /* conflict: generation that the answer shows */
+	bsh_loop_timer_t timer;
+	int64_t give_up_us;
 } apply_t;
 
 static void free_apply(apply_t *apply)
 {
-	if (apply->request == NULL && apply->is_applied)
-		g_free(apply);
+	if (apply->request != NULL || !apply->is_applied)
+		return;
+	bsh_loop_timer_stop(&apply->timer);
+	g_free(apply);
 }
 
 static void on_apply_answered(void *ctx, bool delivered)
@@ -152,6 +164,18 @@
 	free_apply(apply);
 }
 
+/* The newer document may still be on its way to this instance. */
+static void answer_conflict(void *ctx)
+{
+	apply_t *apply = ctx;
+
+	if (config_generation(apply->control) < apply->newer &&
+	    control_now_us() < apply->give_up_us)
+		bsh_loop_timer_after(&apply->timer, CONFLICT_CHECK_US);
+	else
+		answer_json(apply->request, 409, config_json(apply->control));
+}
+
 static void on_applied(void *ctx, bsh_error_t result, uint64_t generation)
 {
 	apply_t *apply = ctx;
@@ -160,17 +184,18 @@
 	apply->is_applied = true;
 	if (request == NULL) {
 		free_apply(apply);
-		return;
-	}
-	if (result == BSH_OK)
+	} else if (result == BSH_OK) {
 		answer_json(request, 200,
 			    json_pack("{s:I, s:s}", "generation",
 				      (json_int_t)generation, "state",
 				      "accepted"));
-	else if (result == BSH_ERR_CONFLICT)
-		answer_json(request, 409, config_json(apply->control));
-	else
+	} else if (result == BSH_ERR_CONFLICT) {
+		apply->newer = generation;
+		apply->give_up_us = control_now_us() + CONFLICT_WAIT_US;
+		answer_conflict(apply);
+	} else {
 		answer_problem(request, result, "the change was not applied");
+	}
 }
 
 static void start_apply(control_t *control, bsh_http_request_t *request,
@@ -182,6 +207,8 @@
 
 	apply->control = control;
 	apply->request = request;
+	bsh_loop_timer_init(&apply->timer, &control->loop, answer_conflict,
+			    apply);
 	bsh_http_request_set_handler(request, &handler, apply);
 	config_apply(control, base, doc, on_applied, apply);
 }
@@ -332,7 +359,7 @@
 {
 	g_autoptr(GString) out = g_string_new(NULL);
 
-	(void)control;
+	cells_count(control);
 	bsh_counter_print(out);
 	bsh_http_answer_header(request, "Content-Type",
 			       "text/plain; version=0.0.4");
--- a/bshcontrold/cells.c
+++ b/bshcontrold/cells.c
@@ -32,8 +32,41 @@
 	char *cell;
 } store_call_t;
 
-static bsh_counter_t loads_counter =
-	BSH_COUNTER("bsh_control_loads_total", "Load orders.");
+#define COUNT(field, name, help)                                               \
+	{                                                                      \
+		BSH_COUNTER(name, help), offsetof(bsh_loader_counts_t, field)  \
+	}
+
+/* The loader's own counts, exported. */
+static struct {
+	bsh_counter_t counter;
+	size_t offset;
+} counts[] = {
+	COUNT(loads, "bsh_loader_loads_total", "Load orders."),
+	COUNT(unloads, "bsh_loader_unloads_total", "Unload orders."),
+	COUNT(stale_fences, "bsh_loader_stale_fences_total",
+	      "Orders refused for an old fence."),
+	COUNT(load_failures, "bsh_loader_load_failures_total", "Failed loads."),
+	COUNT(updates, "bsh_loader_updates_total", "Updates of cells."),
+	COUNT(conflicts, "bsh_loader_conflicts_total",
+	      "Updates that lost to another one."),
+	COUNT(lost, "bsh_loader_updates_lost_total",
+	      "Updates without an answer."),
+	COUNT(takeovers, "bsh_loader_takeovers_total", "Cells taken over."),
+	COUNT(handovers, "bsh_loader_handovers_total", "Cells handed over."),
+	COUNT(quarantines, "bsh_loader_quarantines_total",
+	      "Slots put into quarantine."),
+	COUNT(evictions, "bsh_loader_evictions_total",
+	      "Models unloaded for others."),
+	COUNT(demands, "bsh_loader_demands_total", "Demands."),
+	COUNT(refused, "bsh_loader_demands_refused_total", "Refused demands."),
+	COUNT(rejected, "bsh_loader_rejected_total",
+	      "Inputs that did not fit and changed nothing."),
+};
+static bsh_counter_t store_reads =
+	BSH_COUNTER("bsh_store_reads_total", "Read calls to the store.");
+static bsh_counter_t store_writes =
+	BSH_COUNTER("bsh_store_writes_total", "Write calls to the store.");
 
 static void run(control_t *control);
 
@@ -89,14 +122,27 @@
 	run(control);
 }
 
+/* After the update that released it, so that a reader sees the release. */
+static void announce_handover(control_t *control, const char *cell)
+{
+	bsh_message_t message = {.type = BSH_MSG_HANDOVER};
+
+	message.handover.cell = cell;
+	peers_broadcast(control, &message);
+}
+
 static void on_update(void *ctx, const bsh_store_answer_t *answer)
 {
 	store_call_t *call = ctx;
 	control_t *control = call->control;
+	bsh_loader_t *loader = &control->cells->loader;
+	bool was_owner = bsh_loader_owns(loader, call->cell);
 
-	bsh_loader_update_result(&control->cells->loader, call->cell,
-				 store_result(answer), answer->version,
-				 control_now_us());
+	bsh_loader_update_result(loader, call->cell, store_result(answer),
+				 answer->version, control_now_us());
+	if (was_owner && answer->result == BSH_CALL_DONE &&
+	    !bsh_loader_owns(loader, call->cell))
+		announce_handover(control, call->cell);
 	free_call(call);
 	run(control);
 }
@@ -120,8 +166,6 @@
 
 static void order(void *ctx, const bsh_loader_order_t *loader_order)
 {
-	if (loader_order->kind == BSH_ORDER_LOAD)
-		bsh_counter_add(&loads_counter, 1);
 	targets_order(ctx, loader_order);
 }
 
@@ -243,15 +287,6 @@
 	demands_loader_answer(ctx, loader_answer);
 }
 
-static void announce_handover(control_t *control, const bsh_loader_event_t *e)
-{
-	bsh_message_t message = {.type = BSH_MSG_HANDOVER};
-
-	message.handover.cell = e->cell;
-	message.handover.epoch = e->epoch;
-	peers_broadcast(control, &message);
-}
-
 static void event(void *ctx, const bsh_loader_event_t *e)
 {
 	control_t *control = ctx;
@@ -267,8 +302,6 @@
 			 "fence", (json_int_t)e->fence, "epoch",
 			 (json_int_t)e->epoch, "reason",
 			 e->reason != NULL ? e->reason : "");
-	if (strcmp(e->kind, "handover") == 0)
-		announce_handover(control, e);
 	bsh_log(BSH_LOG_DEBUG, "%s cell=%s model=%s target=%s reason=%s",
 		e->kind, e->cell != NULL ? e->cell : "-",
 		e->model != NULL ? e->model : "-",
@@ -311,7 +344,10 @@
 		.seed = {(uint64_t)control_seed() << 32 | control_seed(),
 			 (uint64_t)control_seed() << 32 | control_seed()}};
 
-	bsh_counter_register(&loads_counter);
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
+		bsh_counter_register(&counts[i].counter);
+	bsh_counter_register(&store_reads);
+	bsh_counter_register(&store_writes);
 	g_strlcpy(config.self.instance, control->settings.instance,
 		  sizeof(config.self.instance));
 	g_strlcpy(config.zone, control->settings.zone, sizeof(config.zone));
@@ -579,6 +615,20 @@
 	return bsh_loader_drained(&control->cells->loader);
 }
 
+void cells_count(control_t *control)
+{
+	const char *base = (const char *)&control->cells->loader.counts;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+		uint64_t value;
+
+		memcpy(&value, base + counts[i].offset, sizeof(value));
+		bsh_counter_set(&counts[i].counter, (int64_t)value);
+	}
+	bsh_counter_set(&store_reads, (int64_t)control->store.reads);
+	bsh_counter_set(&store_writes, (int64_t)control->store.writes);
+}
+
 json_t *cells_status(const control_t *control)
 {
 	const bsh_document_t *doc = config_document(control);
--- a/bshcontrold/config.c
+++ b/bshcontrold/config.c
@@ -12,6 +12,8 @@
 
 #define KIND "config"
 #define NAME "document"
+/* Proposals that wait for the one that runs; more are refused. */
+#define APPLIES_MAX 16
 
 typedef struct {
 	control_t *control;
@@ -21,6 +23,8 @@
 
 typedef struct {
 	uint64_t request;
+	uint64_t base_generation;
+	GBytes *document;
 	config_apply_fn_t fn;
 	void *ctx;
 } apply_t;
@@ -34,7 +38,7 @@
 	int64_t told_until_us; /* freshness last told to the router */
 	uint64_t in_force;
 	uint64_t next_request;
-	apply_t apply; /* at most one runs */
+	GQueue applies; /* apply_t; the first one runs */
 	bool is_applying;
 };
 
@@ -262,27 +266,32 @@
 	send_config(control);
 }
 
-static void finish_apply(struct config *config, bsh_error_t result,
+/* The next one starts with the following step: this may run within an order
+ * of the adoption module. */
+static void finish_apply(control_t *control, bsh_error_t result,
 			 uint64_t generation)
 {
-	apply_t apply = config->apply;
+	struct config *config = control->config;
+	apply_t *apply = g_queue_pop_head(&config->applies);
 
 	config->is_applying = false;
-	if (apply.fn != NULL)
-		apply.fn(apply.ctx, result, generation);
+	bsh_timeline_add(&control->timeline, "config-apply", "{s:s, s:I}",
+			 "result", bsh_error_name(result), "generation",
+			 (json_int_t)generation);
+	apply->fn(apply->ctx, result, generation);
+	g_bytes_unref(apply->document);
+	g_free(apply);
+	bsh_loop_timer_after(&config->timer, 0);
 }
 
 static void apply_done(void *ctx, uint64_t request, bsh_error_t result,
 		       uint64_t generation)
 {
 	control_t *control = ctx;
-	struct config *config = control->config;
+	const apply_t *apply = g_queue_peek_head(&control->config->applies);
 
-	bsh_timeline_add(&control->timeline, "config-apply", "{s:s, s:I}",
-			 "result", bsh_error_name(result), "generation",
-			 (json_int_t)generation);
-	if (config->is_applying && config->apply.request == request)
-		finish_apply(config, result, generation);
+	if (apply != NULL && apply->request == request)
+		finish_apply(control, result, generation);
 }
 
 static void in_force(void *ctx, uint64_t request, uint64_t generation)
@@ -415,13 +424,37 @@
 	cells_fresh(control, is_fresh);
 }
 
+static void start_apply(control_t *control)
+{
+	struct config *config = control->config;
+	const apply_t *apply = g_queue_peek_head(&config->applies);
+	uint64_t request;
+	bsh_error_t err;
+
+	if (apply == NULL || config->is_applying)
+		return;
+	config->is_applying = true;
+	request = apply->request;
+	err = bsh_adoption_apply(config->adoption, control_now_us(), request,
+				 apply->base_generation, apply->document);
+	if (err != BSH_OK)
+		apply_done(control, request, err,
+			   bsh_adoption_known_generation(config->adoption));
+}
+
 static void run(control_t *control)
 {
 	struct config *config = control->config;
-	int64_t next_us = bsh_adoption_tick(config->adoption, control_now_us());
+	int64_t next_us;
 
+	start_apply(control);
+	next_us = bsh_adoption_tick(config->adoption, control_now_us());
 	publish(control);
-	control_timer_at(&config->timer, next_us);
+	/* The end of one proposal lets the next one start. */
+	if (config->is_applying || g_queue_is_empty(&config->applies))
+		control_timer_at(&config->timer, next_us);
+	else
+		bsh_loop_timer_after(&config->timer, 0);
 }
 
 static void on_timer(void *ctx)
@@ -438,6 +471,7 @@
 	bsh_counter_register(&generation_gauge);
 	bsh_counter_register(&fresh_gauge);
 	control->config = config;
+	g_queue_init(&config->applies);
 	bsh_loop_timer_init(&config->timer, &control->loop, on_timer, control);
 	config->adoption = bsh_adoption_new(&settings, peers_members(control),
 					    &ops, control, control_now_us());
@@ -513,24 +547,19 @@
 		  void *ctx)
 {
 	struct config *config = control->config;
-	GBytes *bytes = take_text(bsh_document_text(document));
-	apply_t apply = {config->next_request + 1, fn, ctx};
-	bsh_error_t err;
+	apply_t *apply;
 
-	if (config->is_applying) {
-		g_bytes_unref(bytes);
-		fn(ctx, BSH_ERR_IN_PROGRESS, 0);
+	if (g_queue_get_length(&config->applies) >= APPLIES_MAX) {
+		fn(ctx, BSH_ERR_RATE, 0);
 		return;
 	}
-	config->next_request++;
-	config->apply = apply;
-	config->is_applying = true;
-	err = bsh_adoption_apply(config->adoption, control_now_us(),
-				 apply.request, base_generation, bytes);
-	g_bytes_unref(bytes);
-	if (err != BSH_OK && config->is_applying)
-		finish_apply(config, err,
-			     bsh_adoption_known_generation(config->adoption));
+	apply = g_new0(apply_t, 1);
+	apply->request = ++config->next_request;
+	apply->base_generation = base_generation;
+	apply->document = take_text(bsh_document_text(document));
+	apply->fn = fn;
+	apply->ctx = ctx;
+	g_queue_push_tail(&config->applies, apply);
 	run(control);
 }
 
--- a/bshcontrold/control.h
+++ b/bshcontrold/control.h
@@ -123,6 +123,8 @@
 void cells_greet_router(control_t *control);
 void cells_drain(control_t *control);
 bool cells_drained(const control_t *control);
+/* Bring the exported counters up to date. */
+void cells_count(control_t *control);
 json_t *cells_status(const control_t *control);
 
 /* demands */
@@ -174,6 +176,7 @@
 void routers_send(control_t *control, bsh_message_t *message);
 uint64_t routers_incarnation(const control_t *control);
 void routers_drain(control_t *control, const char *alternative);
+bool routers_is_up(const control_t *control);
 /* A router is connected and has not ended its drain. */
 bool routers_busy(const control_t *control);
 
@@ -190,6 +193,8 @@
 /* flush */
 void flush_start(control_t *control);
 void flush_stop(control_t *control);
+/* Write what is left once; true when that has ended, well or not. */
+bool flush_finish(control_t *control);
 
 /* shutdown */
 void shutdown_start(control_t *control);
--- a/bshcontrold/flush.c
+++ b/bshcontrold/flush.c
@@ -15,6 +15,7 @@
 	uint64_t written; /* sequence of the last event in the store */
 	uint64_t writing; /* of the batch under way; 0: none */
 	uint64_t number;  /* of the next batch */
+	bool is_final;	  /* the last batch has been started */
 };
 
 static bsh_counter_t batches = BSH_COUNTER("bsh_timeline_batches_total",
@@ -117,6 +118,19 @@
 				     1000);
 }
 
+bool flush_finish(control_t *control)
+{
+	struct flush *flush = control->flush;
+
+	if (flush->writing != 0)
+		return false;
+	if (flush->is_final)
+		return true;
+	flush->is_final = true;
+	write_batch(control);
+	return flush->writing == 0;
+}
+
 void flush_stop(control_t *control)
 {
 	bsh_loop_timer_stop(&control->flush->timer);
--- a/bshcontrold/routers.c
+++ b/bshcontrold/routers.c
@@ -97,6 +97,11 @@
 	routers_send(control, &message);
 }
 
+bool routers_is_up(const control_t *control)
+{
+	return control->routers->channel != NULL;
+}
+
 bool routers_busy(const control_t *control)
 {
 	return control->routers->channel != NULL &&
--- a/bshcontrold/shutdown.c
+++ b/bshcontrold/shutdown.c
@@ -55,6 +55,16 @@
 	.exit = on_exit_order,
 };
 
+/* The time line is written last, so that it tells of the handover. */
+static uint32_t journal_left(control_t *control)
+{
+	uint32_t pending = intents_pending(control);
+
+	if (pending > 0 || !cells_drained(control) || routers_busy(control))
+		return pending;
+	return flush_finish(control) ? 0 : 1;
+}
+
 static void check(control_t *control)
 {
 	struct shutdown *shutdown = control->shutdown;
@@ -62,10 +72,11 @@
 	bool has_told = now_us >= shutdown->told_us ||
 			bsh_members_live(peers_members(control)) <= 1;
 
+	/* The journal first: the drain ends as soon as nothing is left. */
+	bsh_drain_set(&shutdown->drain, BSH_DRAIN_JOURNAL,
+		      journal_left(control), now_us);
 	bsh_drain_set(&shutdown->drain, BSH_DRAIN_REQUESTS,
 		      routers_busy(control), now_us);
-	bsh_drain_set(&shutdown->drain, BSH_DRAIN_JOURNAL,
-		      intents_pending(control), now_us);
 	bsh_drain_set(&shutdown->drain, BSH_DRAIN_CELLS,
 		      !cells_drained(control), now_us);
 	bsh_drain_set(&shutdown->drain, BSH_DRAIN_MEMBERSHIP, !has_told,
--- a/regress/test_processes.sh
+++ b/regress/test_processes.sh
@@ -310,6 +310,54 @@
 		grep -qv '\"old\"'" || fail "not adopted after the resume"
 }
 
+# put_document NAME GENERATION FILE: prints the status code, keeps the body.
+put_document() {
+	local port
+	eval "port=\$api_$1"
+	curl -s -m 20 -o "$cluster_dir/body_$4" -w '%{http_code}' -X PUT \
+		-H "If-Match: \"$2\"" --data-binary "@$3" \
+		"127.0.0.1:$port/v1/config" >"$cluster_dir/code_$4"
+}
+
+# race NAME NAME: two different documents on the same base at the same time.
+race() {
+	local base next
+	base=$(curl -sf "127.0.0.1:$api_entry_1/v1/config" |
+		json_field generation)
+	document true 100 ',{"name":"left","pool":"app","repeatable":true}' \
+		>"$cluster_dir/left"
+	document true 100 ',{"name":"right","pool":"app","repeatable":true}' \
+		>"$cluster_dir/right"
+	put_document "$1" "$base" "$cluster_dir/left" 1 &
+	first=$!
+	put_document "$2" "$base" "$cluster_dir/right" 2 &
+	wait "$first" "$!"
+	set -- $(cat "$cluster_dir/code_1") $(cat "$cluster_dir/code_2")
+	[ "$*" = '200 409' ] || [ "$*" = '409 200' ] || fail "answers: $*"
+	next=$((base + 1))
+	[ "$(records "$port_store" | grep -o "\"generation\":$next}" |
+		wc -l)" = 1 ] || fail "generation $next was written twice"
+	loser=1
+	[ "$1" = 200 ] && loser=2
+	[ "$(json_field generation <"$cluster_dir/body_$loser")" -ge $next ] ||
+		fail "the conflict does not show the newer document"
+}
+
+# Guards against two operators whose changes are both accepted on one base, or
+# whose conflict shows an old document.
+configuration_race() {
+	deploy true 100 '' entry_1 entry_2 entry_3
+	race entry_1 entry_1
+	wait_until 10 same_generation || fail "generations differ"
+	race entry_1 entry_2
+}
+
+same_generation() {
+	[ "$(for port in $api_entry_1 $api_entry_2 $api_entry_3; do
+		curl -sf -m 2 "127.0.0.1:$port/v1/config" | json_field generation
+	done | sort -u | wc -l)" = 1 ]
+}
+
 # Guards against an outage of the store that stops warm service: the witnesses
 # confirm the configuration, and bound slots can still be loaded.
 configuration_store_down() {
@@ -410,6 +458,8 @@
 	eval "wait_until 10 has_ended \$pid_router_$first" ||
 		fail "the router did not exit"
 	served "$other" two || fail "the other instance does not serve"
+	records "$port_store" | grep -q "\"timeline/$first-" ||
+		fail "the time line was not written before the exit"
 	[ "$(most_replicas one)" = 1 ] || fail "$(most_replicas one) replicas"
 }
 
@@ -441,7 +491,7 @@
 	done
 }
 
-echo "1..15"
+echo "1..16"
 run at-most-once/killed-router at_most_once_killed_router
 run at-most-once/lost-answer at_most_once_lost_answer
 run at-most-once/silent-service at_most_once_silent
@@ -453,6 +503,7 @@
 run in-time/killed-owner in_time_takeover KILL
 run in-time/frozen-owner in_time_takeover STOP
 run configuration/frozen-controller configuration_frozen
+run configuration/two-operators configuration_race
 run configuration/store-down configuration_store_down
 run leaving/service-and-engine leaving_targets
 run shutdown/under-load shutdown_under_load
