--- a/bshcontrold/flush.c
+++ b/bshcontrold/flush.c
@@ -18,6 +18,7 @@
 	uint64_t router_writing;
 	bool is_writing;
 	uint64_t number; /* of the next batch */
+	bool is_final;	 /* the last batch has been started */
 };
 
 static bsh_counter_t batches = BSH_COUNTER("bsh_timeline_batches_total",
@@ -132,6 +133,19 @@
 				     1000);
 }
 
+bool flush_finish(control_t *control)
+{
+	struct flush *flush = control->flush;
+
+	if (flush->is_writing)
+		return false;
+	if (flush->is_final)
+		return true;
+	flush->is_final = true;
+	write_batch(control);
+	return !flush->is_writing;
+}
+
 void flush_stop(control_t *control)
 {
 	bsh_loop_timer_stop(&control->flush->timer);
