--- a/bshctl/timeline.c
+++ b/bshctl/timeline.c
@@ -339,6 +339,8 @@
 
 	if (text == NULL)
 		text = ctl_text(details, "attempt", NULL);
+	if (text != NULL && text[0] == '\0')
+		text = NULL;
 	if (json_is_integer(number))
 		return g_strdup_printf(
 			"%s %" G_GINT64_FORMAT " %" JSON_INTEGER_FORMAT,
@@ -351,12 +353,13 @@
 static void add_identities(GHashTable *set, const event_t *event)
 {
 	const json_t *details = json_object_get(event->json, "details");
-	const char *attempt = ctl_text(details, "attempt", NULL);
+	const char *attempt = ctl_text(details, "attempt", "");
 	char *request = request_of(event);
 
 	if (request != NULL)
 		g_hash_table_add(set, request);
-	if (attempt != NULL)
+	/* A request that was never sent has no attempt. */
+	if (attempt[0] != '\0')
 		g_hash_table_add(set, g_strdup(attempt));
 }
 
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -352,6 +352,16 @@
 #define OPEN                                                                   \
 	EVENT("7000000", "0", "e1/r", "6", "sent",                             \
 	      "{\"request\":3,\"attempt\":\"a3\",\"target\":\"t8\"}")
+/* Answered from the journal: not sent, so without an attempt. */
+#define AGAIN                                                                  \
+	EVENT("7100000", "0", "e1/r", "7", "intent",                           \
+	      "{\"request\":4,\"key\":\"k1\"}")
+#define AGAIN_DONE                                                             \
+	EVENT("7200000", "0", "e1/r", "8", "answered",                         \
+	      "{\"request\":4,\"attempt\":\"\",\"outcome\":\"answered\"}")
+#define OTHER_KEY                                                              \
+	EVENT("7300000", "0", "e1/r", "9", "answered",                         \
+	      "{\"request\":5,\"attempt\":\"\",\"outcome\":\"answered\"}")
 /* The same number at another router is another request. */
 #define OTHER                                                                  \
 	EVENT("8000000", "0", "e9/r", "1", "sent",                             \
@@ -409,7 +419,8 @@
 	g_autofree char *events =
 		save(f, "events",
 		     ADOPT "\n" QUEUE "\n" SEND "\n" DONE "\n" REFUSE "\n" OPEN
-			   "\n" OTHER "\n");
+			   "\n" OTHER "\n" AGAIN "\n" AGAIN_DONE "\n" OTHER_KEY
+			   "\n");
 	g_autofree char *tail = save(f, "tail", DONE "\n" REFUSE "\n");
 	const char *const names[][2] = {{"-r", "a1"}, {"-k", "k1"}};
 
@@ -418,6 +429,7 @@
 		RUN(f, 0, "timeline", "-f", events, names[i][0], names[i][1],
 		    "--verdict");
 		CONTAINS(f->out, "verdict\tanswered\n");
+		CONTAINS(f->out, i == 0 ? "answered\t1\n" : "answered\t2\n");
 		CONTAINS(f->out, "sent\t1\ntargets\tt7\n");
 		CONTAINS(f->out, "generations\t42\n");
 		CONTAINS(f->out, "complete\tyes\n");
