--- a/lib/coordination/loader_slot.c
+++ b/lib/coordination/loader_slot.c
@@ -189,14 +189,23 @@
 		note_failure(l, c, slot, "load takes too long");
 }
 
-void slots_observe(bsh_loader_t *l, cell_t *c)
+bool slots_observe(bsh_loader_t *l, cell_t *c)
 {
+	bool is_waiting = false;
+
 	for (guint i = 0; i < c->seen.slots->len; i++) {
 		const bsh_slot_t *slot = slot_of(c, i);
+		const binding_t *b;
 
-		if (slot_is_active(slot))
-			observe_active(l, c, slot);
+		if (!slot_is_active(slot)) {
+			is_waiting = true;
+			continue;
+		}
+		observe_active(l, c, slot);
+		b = loader_find_binding(l, &slot->attempt);
+		is_waiting |= b != NULL && b->is_failed;
 	}
+	return is_waiting;
 }
 
 /*
@@ -292,9 +301,10 @@
 }
 
 /* Reason to unload an active slot at once, or NULL. */
-static const char *unload_reason(const bsh_loader_t *l, const bsh_slot_t *slot,
-				 const target_t *t)
+static const char *unload_reason(const bsh_loader_t *l, const bsh_cell_t *next,
+				 const bsh_slot_t *slot, const target_t *t)
 {
+	const bsh_slot_t *base;
 	const model_t *m = loader_model(l, slot->model);
 	const binding_t *b = loader_find_binding(l, &slot->attempt);
 	const loaded_t *loaded = slot_loaded(l, slot);
@@ -307,6 +317,11 @@
 		return "load failed";
 	if (loaded != NULL && strcmp(loaded->version, m->version) != 0)
 		return "another version is loaded";
+	if (m->base[0] != '\0') {
+		base = bsh_cell_slot_on(next, m->base, slot->target);
+		if (base == NULL || !slot_is_active(base))
+			return "base is not on the target";
+	}
 	if (t != NULL && target_is_leaving(t) &&
 	    (t->running == 0 || l->now_us >= m->in_use_until_us))
 		return "target is leaving";
@@ -317,7 +332,7 @@
 			bsh_slot_t *slot, const target_t *t)
 {
 	binding_t *b = loader_find_binding(l, &slot->attempt);
-	const char *reason = unload_reason(l, slot, t);
+	const char *reason = unload_reason(l, next, slot, t);
 
 	if (reason != NULL) {
 		slot_start_unload(l, c, next, slot, reason);
