Keep routers from moving to the same target; mend the fake membership

All routers saw the same report and sent each request without a cached prefix to the target with the fewest running requests. Scores within 10 ms count as equal now, and a reported prefill queue loses weight within 10 ms.

The fake told a restarted router of a leaving target before any router knew, and that router did not pass it on.

--- a/bench/route/bench_route.c
+++ b/bench/route/bench_route.c
@@ -176,11 +176,11 @@
 	e->cached += r->blocks[group];
 	publish(r, target, group, true);
 	while (e->cached > CACHE_BLOCKS) {
-		int oldest = -1;
+		int oldest = group;
 
 		for (int g = 0; g < GROUPS; g++) {
 			if (e->used_us[g] != 0 &&
-			    (oldest < 0 || e->used_us[g] < e->used_us[oldest]))
+			    e->used_us[g] < e->used_us[oldest])
 				oldest = g;
 		}
 		e->used_us[oldest] = 0;
--- a/lib/coordination/route.c
+++ b/lib/coordination/route.c
@@ -76,6 +76,7 @@
 	config->base_us = 10000;
 	config->block_us = 8000;
 	config->running_us = 500;
+	config->spread_us = 10000;
 	config->wait_us = 50000;
 	config->zone_penalty_us = 2000;
 	config->seed = 1;
@@ -689,9 +690,8 @@
 	return us + (t->same_zone ? 0.0 : config->zone_penalty_us);
 }
 
-static const candidate_t *best(const bsh_route_t *route,
-			       const candidates_t *found, uint32_t blocks,
-			       bool probes, int64_t now_us)
+static const candidate_t *best(bsh_route_t *route, const candidates_t *found,
+			       uint32_t blocks, bool probes, int64_t now_us)
 {
 	load_t mean;
 	const candidate_t *chosen = NULL;
@@ -706,7 +706,8 @@
 		if (!probes &&
 		    at(route, c->target)->breaker.state != BSH_BREAKER_CLOSED)
 			continue;
-		s = score(route, blocks, c, &mean, now_us);
+		s = score(route, blocks, c, &mean, now_us) +
+		    bsh_rng_unit(&route->rng) * route->config.spread_us;
 		if (s < lowest) {
 			lowest = s;
 			chosen = c;
--- a/lib/coordination/route.h
+++ b/lib/coordination/route.h
@@ -61,8 +61,9 @@
 #define BSH_ROUTE_MAX_EXCLUDED	4
 #define BSH_ROUTE_BLOCK_BYTES	1024
 #define BSH_ROUTE_REPORT_TAU_US INT64_C(1500000)
-/* A queue of prefills is worked off within a few of them. */
-#define BSH_ROUTE_WAITING_TAU_US INT64_C(100000)
+/* A queue of prefills changes within one of them, and all routers that believe
+ * the same old report move to the same target. */
+#define BSH_ROUTE_WAITING_TAU_US INT64_C(10000)
 #define BSH_ROUTE_SAMPLES	 8
 #define BSH_ROUTE_SAMPLE_MS	 250 /* least distance of two samples */
 #define BSH_ROUTE_NONE		 UINT32_MAX
@@ -73,6 +74,7 @@
 	uint32_t prefix_entries;  /* rounded up to a power of two */
 	uint32_t base_us;	  /* prefill time of a request without blocks */
 	uint32_t block_us;	  /* prefill time per block not cached */
+	uint32_t spread_us;	  /* scores this close count as equal */
 	uint32_t running_us;	  /* delay of a first token per running one */
 	uint32_t wait_us;	  /* wait for a slot, per request too many */
 	uint32_t zone_penalty_us; /* score of a target in another zone */
--- a/regress/prove/prove_leaving.c
+++ b/regress/prove/prove_leaving.c
@@ -38,7 +38,7 @@
 
 int main(int argc, char **argv)
 {
-	static const world_proof_t proof = {"leaving", cases, 200, prepare,
+	static const world_proof_t proof = {"leaving", cases, 300, prepare,
 					    violations};
 
 	return world_prove(&proof, argc, argv);
--- a/regress/support/world.c
+++ b/regress/support/world.c
@@ -141,9 +141,6 @@
 		  GINT_TO_POINTER(router));
 }
 
-static void post_target(world_t *w, int router, int kind, int target,
-			bool leaving, int64_t delay_us);
-
 static void start_router(world_t *w, int router)
 {
 	router_t *r = &w->routers[router];
@@ -152,6 +149,7 @@
 	r->alive = true;
 	r->armed_us = INT64_MAX;
 	r->self = w->adapter->create(w, router);
+	/* A new instance gets the view of its peers before it takes work. */
 	for (int t = 0; t < WORLD_TARGETS; t++)
 		w->adapter->list(r->self, t, w->targets[t].incarnation,
 				 w->targets[t].leaving &&
@@ -160,12 +158,6 @@
 		if (m != 1 || w->loaded)
 			w->adapter->ready(r->self, m);
 	}
-	/* A new instance gets the view of its peers. */
-	for (int t = 0; t < WORLD_TARGETS; t++) {
-		if (w->targets[t].leaving)
-			post_target(w, router, MSG_TOLD, t, true,
-				    sim_delay(&w->sim, 0, 2 * SIM_S));
-	}
 }
 
 /* The router's process ends: what is open at it is cut. */
@@ -214,12 +206,22 @@
 	g_free(m);
 }
 
+static void post_target(world_t *w, int router, int kind, int target,
+			bool leaving, int64_t delay_us);
+
 static void note_knowable(world_t *w, int target, uint64_t incarnation)
 {
 	target_t *t = &w->targets[target];
 
-	if (t->leaving && t->incarnation == incarnation && t->knowable_us == 0)
-		t->knowable_us = w->sim.now_us;
+	if (!t->leaving || t->incarnation != incarnation || t->knowable_us != 0)
+		return;
+	t->knowable_us = w->sim.now_us;
+	/* Whoever learns it first passes it on; membership takes 2 s. */
+	for (int r = 0; r < WORLD_ROUTERS; r++) {
+		if (w->routers[r].alive)
+			post_target(w, r, MSG_TOLD, target, true,
+				    sim_delay(&w->sim, 0, 2 * SIM_S));
+	}
 }
 
 /* The fakes' record of a refusal that is certain. */
@@ -869,15 +871,14 @@
 }
 
 /*
- * One router learns it from the target's status or the list and passes it on;
- * the membership takes at most 2 s.  The platform's list lags for all, and
- * repeats the old state.
+ * One router learns it from the target's status.  The platform's list lags
+ * for all, and repeats the old state.
  */
 static void leave(world_t *w, int target)
 {
 	target_t *t = &w->targets[target];
 	bool lag = (w->faults & FAULT_LAG) != 0;
-	int64_t first_us = sim_delay(&w->sim, 10 * SIM_MS, 2 * SIM_S);
+	int first = (int)bsh_rng_below(&w->sim.rng, WORLD_ROUTERS);
 
 	if (!t->up || t->leaving)
 		return;
@@ -887,8 +888,9 @@
 	for (int r = 0; r < WORLD_ROUTERS; r++) {
 		if (!w->routers[r].alive)
 			continue;
-		post_target(w, r, MSG_TOLD, target, true,
-			    first_us + sim_delay(&w->sim, 0, 2 * SIM_S));
+		if (r == first)
+			post_target(w, r, MSG_TOLD, target, true,
+				    sim_delay(&w->sim, 10 * SIM_MS, 2 * SIM_S));
 		post_target(w, r, MSG_LIST, target, true,
 			    sim_delay(&w->sim, lag ? 6 * SIM_S : 4 * SIM_S,
 				      12 * SIM_S));
--- a/regress/test_route.c
+++ b/regress/test_route.c
@@ -178,6 +178,26 @@
 	bsh_route_finish(&route);
 }
 
+/* Guards against routers that all move to the target with the lowest report:
+ * a small difference must not decide. */
+static void test_no_herd(void)
+{
+	bsh_route_t route;
+	bsh_route_choice_t choice;
+	int chosen[2] = {0};
+
+	setup(&route, 2);
+	bsh_route_report(&route, "t0", 1, 1, 0, SIM_S);
+	bsh_route_report(&route, "t1", 1, 3, 0, SIM_S);
+	for (int i = 0; i < 100; i++) {
+		choose(&route, &choice, SIM_S);
+		chosen[choice.target]++;
+	}
+	g_assert_cmpint(chosen[0], >, 20);
+	g_assert_cmpint(chosen[1], >, 20);
+	bsh_route_finish(&route);
+}
+
 /* Guards against a prompt that is computed again next to a target that has it
  * cached, and against trust in a cache whose events were lost. */
 static void test_prefix(void)
@@ -249,6 +269,7 @@
 	g_test_add_func("/route/breaker", test_breaker);
 	g_test_add_func("/route/probe", test_probe_is_repeatable);
 	g_test_add_func("/route/reports", test_reports_age);
+	g_test_add_func("/route/herd", test_no_herd);
 	g_test_add_func("/route/prefix", test_prefix);
 	g_test_add_func("/route/bounded", test_records_bounded);
 	return g_test_run();
