--- a/lib/coordination/journal.c
+++ b/lib/coordination/journal.c
@@ -484,7 +484,9 @@
 	op->record->removed = true;
 	op->withdrawn = true;
 	op->written = false;
-	op->deadline_us = INT64_MAX;
+	/* Given up like a result: the record then stays open, which answers
+	 * "unknown" once this process is gone. */
+	op->deadline_us = op->asked_us + j->config.result_keep_us;
 }
 
 /*
@@ -1214,11 +1216,13 @@
 static void check_deadline(bsh_journal_t *j, bucket_t *b, op_t *op,
 			   int64_t now_us)
 {
-	if (now_us < op->deadline_us || op->withdrawn)
+	if (now_us < op->deadline_us)
 		return;
-	if (op->kind == OP_INTENT && !op->written)
+	if (op->kind == OP_INTENT && op->withdrawn)
+		return;
+	if (op->kind == OP_INTENT && !op->written) {
 		give_up(j, b, op, RETRY_MS);
-	else if (op->kind == OP_INTENT) {
+	} else if (op->kind == OP_INTENT) {
 		/* Its write is under way: answer now, remove it afterwards. */
 		op->withdrawn = true;
 		j->orders.answer(j->ctx, op->token, BSH_INTENT_UNAVAILABLE,
@@ -1288,7 +1292,7 @@
 	for (GList *l = b->ops.head; l != NULL; l = l->next) {
 		const op_t *op = l->data;
 
-		if (!op->withdrawn && (op->kind == OP_INTENT || !op->written))
+		if (op->kind == OP_INTENT ? !op->withdrawn : !op->written)
 			next_us = MIN(next_us, op->deadline_us);
 	}
 	if (b->call != 0)
--- a/regress/test_journal.c
+++ b/regress/test_journal.c
@@ -381,6 +381,31 @@
 	teardown();
 }
 
+/* Guards against a shutdown that waits for ever for a store that is down. */
+static void test_gives_up(void)
+{
+	setup();
+	ask(&a, "k", 'a');
+	settle(&a);
+	done(&a, "k", 'a', BSH_OUTCOME_ANSWERED, "x", 1);
+	ask(&a, "k2", 'b');
+	while (bsh_journal_pending(&a.j) > 0 && now_us < 100 * SIM_S) {
+		if (a.read_call != 0)
+			bsh_journal_read_done(&a.j, a.read_call, BSH_STORE_DOWN,
+					      0, NULL, 0, 0, now_us);
+		if (a.write_call != 0)
+			bsh_journal_write_done(&a.j, a.write_call,
+					       BSH_STORE_LOST, 0, 0, now_us);
+		a.read_call = a.write_call = 0;
+		now_us = MAX(now_us, bsh_journal_next_us(&a.j));
+		bsh_journal_tick(&a.j, now_us);
+	}
+	g_assert_cmpint(now_us, <, 70 * SIM_S);
+	g_assert_cmpint(a.recorded, ==, 0);
+	g_assert_cmpint(a.verdict, ==, BSH_INTENT_UNAVAILABLE);
+	teardown();
+}
+
 /* Guards against a lost answer that is taken for a lost update. */
 static void test_lost_answer(void)
 {
@@ -492,6 +517,7 @@
 	g_test_add_func("/journal/group-commit", test_group_commit);
 	g_test_add_func("/journal/rates", test_rates);
 	g_test_add_func("/journal/late-update", test_lost_update_arrives_late);
+	g_test_add_func("/journal/gives-up", test_gives_up);
 	g_test_add_func("/journal/lost-answer", test_lost_answer);
 	g_test_add_func("/journal/spoilt", test_spoilt_bucket);
 	g_test_add_func("/journal/expiry", test_expiry);
