--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	@echo 'prove    differential proofs of the nine promises'
 	@echo 'demo     one cold request and one deposit, end to end'
 	@echo 'bench-capacity  control overhead by number of instances'
+	@echo 'bench-path  latency and tokens/s through one router'
 	@echo 'lint     formatter, linters and manual pages'
 	@echo 'bench-route, bench-requests  measurements of docs/measurements'
 	@echo 'deps     install the Debian packages of packages.txt'
@@ -45,6 +46,10 @@
 	@$(MAKE) --no-print-directory -C bench/capacity
 	@$(BUILD)/capacity
 
+bench-path: progs
+	@$(MAKE) --no-print-directory -C regress standins
+	@$(BUILD)/bench_path $(BUILD)
+
 bench-route: lib
 	@$(MAKE) --no-print-directory -C bench/route
 	@$(BUILD)/bench-route
@@ -67,7 +72,7 @@
 lint: lint-format lint-tidy lint-cppcheck lint-man
 
 lint-format:
-	clang-format --dry-run -Werror $(C_FILES)
+	@clang-format --dry-run -Werror $(C_FILES)
 
 lint-tidy:
 	@printf '%s\n' $(TIDY_FILES) | xargs -P 8 -n 4 sh -c \
@@ -75,7 +80,7 @@
 		2>/dev/null' sh
 
 lint-cppcheck:
-	cppcheck --quiet --library=gtk --error-exitcode=1 --inline-suppr -j 4 \
+	@cppcheck --quiet --library=gtk --error-exitcode=1 --inline-suppr -j 4 \
 		--enable=warning,performance,portability \
 		--suppress=normalCheckLevelMaxBranches -Ilib $(TIDY_FILES)
 
@@ -85,6 +90,5 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help lib progs regress check prove demo deps deps-check format \
-	bench-capacity bench-route bench-requests lint lint-format lint-tidy \
-	lint-cppcheck lint-man clean
+.PHONY: all help lib progs regress check prove demo bench-capacity deps deps-check format bench-path \
+	lint lint-format lint-tidy lint-cppcheck lint-man clean bench-route bench-requests
--- a/bshcontrold/routers.c
+++ b/bshcontrold/routers.c
@@ -67,6 +67,9 @@
 	case BSH_MSG_INTENT_DONE:
 		intents_receive(control, channel, message);
 		break;
+	case BSH_MSG_EVENTS:
+		events_receive(control, message);
+		break;
 	case BSH_MSG_DRAIN:
 		control->routers->has_ended =
 			message->drain.phase == BSH_PHASE_ENDED;
@@ -97,6 +100,11 @@
 	routers_send(control, &message);
 }
 
+bool routers_is_up(const control_t *control)
+{
+	return control->routers->channel != NULL;
+}
+
 bool routers_busy(const control_t *control)
 {
 	return control->routers->channel != NULL &&
--- a/regress/support/rig.c
+++ b/regress/support/rig.c
@@ -204,6 +204,7 @@
 			.target_incarnation = 1,
 			.address = targets[2 * count + 1],
 			.zone = "a",
+			.max_running = 1000,
 		};
 	message.routes.cell = scope;
 	message.routes.epoch = 1;
@@ -211,6 +212,10 @@
 	message.routes.entries = entries;
 	message.routes.entry_count = count;
 	rig_send(rig, &message);
+	/* Requests come by another way and could overtake the frame. */
+	while (rig_counter(rig, "bsh_router_routes_total") <
+	       (int64_t)rig->sequence)
+		rig_step(rig);
 }
 
 typedef struct {
