Void suspicions when a partition heals

A rack of 22 among 1,100 needs about 50 s to find all others dead, so after a cut of 60 s hundreds of suspicions were under way and spread to the whole fleet: 6,501 B/s for every node and 14,595 for the worst over 30 s. They are now void, once in 30 periods, when a member refutes its death. Voiding them at each return was ruled out: a member that dies and returns often would hide real failures.

--- a/bench/capacity/members.c
+++ b/bench/capacity/members.c
@@ -329,7 +329,7 @@
 	double times[64] = {0};
 	guint from = f->accepted->len;
 	guint n;
-	load_t load;
+	load_t load = {0};
 
 	for (int i = 0; i < 10; i++) {
 		fleet_apply(f, (guint)(i * 5 + 2) % b->n);
--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -389,8 +389,10 @@
 			    m->view.has_leaving_news ? URGENT_ROUNDS_MAX
 						     : URGENT_ROUNDS);
 	if (m->view.did_return) {
+		/* Once in a while only: a member may die and return often. */
+		if (now_us >= m->heal_until_us)
+			bsh_view_drop_verdicts(&m->view, now_us);
 		m->heal_until_us = now_us + HEAL_PERIODS * m->period_us;
-		bsh_view_drop_deaths(&m->view);
 	}
 	if (m->view.was_refuted)
 		m->health = MIN(m->health + 1, HEALTH_MAX);
--- a/lib/coordination/member_view.c
+++ b/lib/coordination/member_view.c
@@ -517,13 +517,20 @@
 		v->is_digest_old = true;
 }
 
-void bsh_view_drop_deaths(bsh_view_t *v)
+void bsh_view_drop_verdicts(bsh_view_t *v, int64_t now_us)
 {
 	for (guint i = 0; i < v->by_rank->len; i++) {
 		bsh_member_record_t *r = bsh_view_at(v, i);
+		before_t before = note(r);
 
-		if (r->pub.state == BSH_MEMBER_DEAD)
-			bsh_news_remove(&v->news, &r->record.news);
+		if (r->pub.is_hint || (r->pub.state != BSH_MEMBER_DEAD &&
+				       r->pub.state != BSH_MEMBER_SUSPECT))
+			continue;
+		bsh_news_remove(&v->news, &r->record.news);
+		if (r->pub.state == BSH_MEMBER_SUSPECT) {
+			r->pub.state = BSH_MEMBER_ALIVE;
+			conclude(v, now_us, r, &before, false);
+		}
 	}
 }
 
--- a/lib/coordination/member_view.h
+++ b/lib/coordination/member_view.h
@@ -108,11 +108,11 @@
 void bsh_view_expire(bsh_view_t *v, int64_t now_us);
 
 /*
- * bsh_view_drop_deaths - do not pass on deaths that are queued as news.  When a
- * partition heals these are verdicts on the other side, and each of them
- * would make the whole fleet suspect a live member.
+ * bsh_view_drop_verdicts - void the suspicions and do not pass on deaths that
+ * are queued as news.  When a partition heals these are about the other side,
+ * and each of them would make the whole fleet suspect a live member.
  */
-void bsh_view_drop_deaths(bsh_view_t *v);
+void bsh_view_drop_verdicts(bsh_view_t *v, int64_t now_us);
 
 /* bsh_view_forgive - time lost by this process counts for the suspected. */
 void bsh_view_forgive(bsh_view_t *v, int64_t lost_us);
