Void the own verdicts when told to be dead

An instance that was cut off keeps its verdicts on the other side until one of the accused answers it; meanwhile its answers to probes spread them. Being told of the own death is the earlier sign of a healed partition, so the verdicts are now void before the first answer. The byte budget of urgent news falls from 1,500 to 1,200 B/s.

--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -28,7 +28,7 @@
  * Byte budget of news sent ahead of probes.  Together with four datagrams a
  * second of probes and answers it stays below half of 13 KB/s each way.
  */
-#define URGENT_BYTES_PER_S 1500
+#define URGENT_BYTES_PER_S 1200
 #define URGENT_BYTES_BURST 6000
 
 /*
@@ -921,6 +921,8 @@
 	note_sender(m, now_us, from, msg);
 	if (live == 1 && m->view.live > 1)
 		m->sync_at_us = now_us + m->period_us / 10;
+	/* Verdicts that are void must not go out with the answer. */
+	absorb(m, now_us);
 	check_leaving(m, now_us, from, msg);
 	/* It may know what the other half of a partition has learned. */
 	if (was_dead && bsh_member_is_live(&from->pub) &&
--- a/lib/coordination/member_view.c
+++ b/lib/coordination/member_view.c
@@ -251,6 +251,9 @@
 	    u->revision >= v->self->pub.revision) {
 		v->stats.refutations++;
 		v->was_refuted = true;
+		/* Cut off from the accuser, this instance misjudged as well. */
+		if (u->state == BSH_MEMBER_DEAD)
+			v->did_return = true;
 		bsh_view_announce(v, now_us, u->revision + 1);
 	}
 }
