--- a/regress/test_processes.sh
+++ b/regress/test_processes.sh
@@ -358,6 +358,32 @@
 	done | sort -u | wc -l)" = 1 ]
 }
 
+# Guards against a change that is repeated, or reported as failed, because the
+# store's answer was lost after it took effect.
+lost_store_answers() {
+	local base next
+	deploy true 100 '' entry_1 entry_2
+	base=$(curl -sf "127.0.0.1:$api_entry_1/v1/config" |
+		json_field generation)
+	next=$((base + 1))
+	document true 150 '' >"$cluster_dir/document2"
+	post "$port_store" '{"lose_answers":1}'
+	put_document entry_1 "$base" "$cluster_dir/document2" 1
+	code=$(cat "$cluster_dir/code_1")
+	[ "$code" = 200 ] || fail "the change was answered with $code"
+	[ "$(records "$port_store" | grep -o "\"generation\":$next}" |
+		wc -l)" -ge 1 ] || fail "the change is not in the store"
+	post "$port_store" '{"lose_answers":2}'
+	wait_until 12 served entry_2 one || fail "the model is not served"
+	[ "$(most_replicas one)" = 1 ] || fail "$(most_replicas one) replicas"
+	post "$port_store" '{"lose_answers":1}'
+	wait_until 12 sh -c "[ \$(curl -s -m 9 -o /dev/null -w '%{http_code}' \
+		-X POST -H 'Idempotency-Key: once' -d x \
+		127.0.0.1:$entry_entry_1/services/pay/x) = 201 ]" ||
+		fail "the deposit was not answered"
+	[ "$(executions once app_1)" = 1 ] || fail "not exactly one execution"
+}
+
 # Guards against an outage of the store that stops warm service: the witnesses
 # confirm the configuration, and bound slots can still be loaded.
 configuration_store_down() {
@@ -491,7 +517,7 @@
 	done
 }
 
-echo "1..16"
+echo "1..17"
 run at-most-once/killed-router at_most_once_killed_router
 run at-most-once/lost-answer at_most_once_lost_answer
 run at-most-once/silent-service at_most_once_silent
@@ -504,6 +530,7 @@
 run in-time/frozen-owner in_time_takeover STOP
 run configuration/frozen-controller configuration_frozen
 run configuration/two-operators configuration_race
+run configuration/lost-store-answers lost_store_answers
 run configuration/store-down configuration_store_down
 run leaving/service-and-engine leaving_targets
 run shutdown/under-load shutdown_under_load
