Do not call a time line complete whose last events are on their way

Controllers now give out and store the events of their routers, so bshctl reads those instead of asking for a router's address. In a trial with the real daemons a deposit that had just been answered was then "no-record, complete yes": the router's events reach its controller with a delay. A regulator would have been told that nothing ran.

A router's record counts as whole only if the router itself was asked (-p) or its last event is drain-end. Others are listed with the time of their last event, "complete" is no, and a request without events is "not-known" instead of "no-record". Ruled out: waiting for the delay, which says nothing about a router that was killed.

--- a/bshctl/timeline.c
+++ b/bshctl/timeline.c
@@ -24,10 +24,12 @@
 typedef struct {
 	GPtrArray *events; /* event_t */
 	uint32_t malformed;
-	uint32_t unread;  /* sources that could not be read */
-	uint64_t lost;	  /* events missing between two that were read */
-	uint32_t routers; /* whose address is not known */
-	uint32_t begun;	  /* processes whose first events were not read */
+	uint32_t unread;      /* sources that could not be read */
+	uint64_t lost;	      /* events missing between two that were read */
+	GHashTable *direct;   /* processes that were asked themselves */
+	GPtrArray *instances; /* names of those whose controller was read */
+	uint32_t routers;     /* of these, without an event of the router */
+	uint32_t begun;	      /* processes whose first events were not read */
 } merged_t;
 
 static void free_event(gpointer data)
@@ -124,6 +126,23 @@
 	return 0;
 }
 
+static GHashTable *new_set(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/* One life of a process, as a key of tables. */
+static char *life_of(const event_t *event)
+{
+	return g_strdup_printf("%s %" G_GINT64_FORMAT, event->process,
+			       (gint64)event->incarnation);
+}
+
+static bool is_router(const event_t *event)
+{
+	return g_str_has_suffix(event->process, "/bshrouterd");
+}
+
 /* Sorts, removes events that came from two sources, and counts the gaps in
  * the sequence of each process. */
 static void order_events(merged_t *merged)
@@ -216,6 +235,28 @@
 	return true;
 }
 
+/* Asks a router or console itself: its record is whole up to now.  That of a
+ * router that came through its controller can lack the last events. */
+static void read_directly(const ctl_t *ctl, merged_t *merged,
+			  const char *address)
+{
+	guint before = merged->events->len;
+	bool is_controller = false;
+
+	if (!read_process(ctl, merged, address))
+		return;
+	for (guint i = before; i < merged->events->len; i++) {
+		const event_t *event = g_ptr_array_index(merged->events, i);
+
+		is_controller =
+			is_controller ||
+			g_str_has_suffix(event->process, "/bshcontrold");
+	}
+	for (guint i = before; i < merged->events->len && !is_controller; i++)
+		g_hash_table_add(merged->direct,
+				 life_of(g_ptr_array_index(merged->events, i)));
+}
+
 static void read_store(const ctl_t *ctl, merged_t *merged)
 {
 	bsh_control_answer_t answer;
@@ -234,23 +275,6 @@
 	bsh_control_answer_finish(&answer);
 }
 
-/* The admin address of a router is in its settings; the controller of the
- * same instance tells it. */
-static void read_router(const ctl_t *ctl, merged_t *merged, const char *control)
-{
-	bsh_control_answer_t answer;
-	const char *address;
-
-	if (!get_from(ctl, merged, control, "/v1/status", &answer))
-		return;
-	address = ctl_text(answer.json, "router_admin", "");
-	if (address[0] != '\0')
-		read_process(ctl, merged, address);
-	else
-		merged->routers++;
-	bsh_control_answer_finish(&answer);
-}
-
 static ctl_status_t read_instances(ctl_t *ctl, merged_t *merged)
 {
 	bsh_control_answer_t answer;
@@ -276,7 +300,8 @@
 			continue;
 		}
 		if (read_process(ctl, merged, control))
-			read_router(ctl, merged, control);
+			g_ptr_array_add(merged->instances,
+					g_strdup(ctl_text(member, "name", "")));
 	}
 	if (json_array_size(json_object_get(answer.json, "members")) == 0)
 		read_process(ctl, merged, answer.address);
@@ -373,11 +398,6 @@
 	       (attempt != NULL && g_hash_table_contains(set, attempt));
 }
 
-static GHashTable *new_set(void)
-{
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-}
-
 /*
  * Events that match, and the others of the same requests: the event that
  * names the key has no attempt, and that of the target has no key.  Two
@@ -532,7 +552,37 @@
 	return count;
 }
 
-static const char *judge(const verdict_t *v, uint32_t unknown)
+/*
+ * Routers whose record may lack its end: they were not asked themselves, and
+ * their last event is not that of a graceful end.
+ */
+static char *list_open_ended(const merged_t *merged)
+{
+	GHashTable *seen = new_set();
+	GString *text = g_string_new(NULL);
+
+	for (guint i = merged->events->len; i-- > 0;) {
+		const event_t *event = g_ptr_array_index(merged->events, i);
+		char *life;
+
+		if (!is_router(event))
+			continue;
+		life = life_of(event);
+		if (!g_hash_table_contains(seen, life) &&
+		    !g_hash_table_contains(merged->direct, life) &&
+		    strcmp(ctl_text(event->json, "event", ""), "drain-end") !=
+			    0)
+			g_string_append_printf(text, "%s%s@%" G_GINT64_FORMAT,
+					       text->len > 0 ? " " : "",
+					       event->process,
+					       (gint64)event->hlc_us);
+		g_hash_table_add(seen, life);
+	}
+	g_hash_table_destroy(seen);
+	return g_string_free(text, FALSE);
+}
+
+static const char *judge(const verdict_t *v, uint32_t unknown, bool complete)
 {
 	if (g_hash_table_size(v->answered) > 0 || v->is_recorded)
 		return "answered";
@@ -540,7 +590,8 @@
 		return "unknown";
 	if (g_hash_table_size(v->not_run) > 0)
 		return "not-run";
-	return "no-record";
+	/* What was not read cannot be excluded. */
+	return complete ? "no-record" : "not-known";
 }
 
 static char *join_set(GHashTable *set)
@@ -557,7 +608,7 @@
 }
 
 static void print_verdict(const ctl_options_t *o, const verdict_t *v,
-			  bool complete)
+			  bool complete, const char *open_ended)
 {
 	uint32_t unknown = g_hash_table_size(v->unknown) + count_open(v);
 	g_autofree char *targets = join_set(v->targets);
@@ -565,12 +616,13 @@
 	g_autofree char *generations = join_set(v->generations);
 	const char *subject = o->request != NULL ? o->request : o->key;
 	json_t *json = json_pack(
-		"{s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:s, s:s, s:b}", "subject",
-		subject, "verdict", judge(v, unknown), "answered",
-		(int)g_hash_table_size(v->answered), "unknown", (int)unknown,
-		"not-run", (int)g_hash_table_size(v->not_run), "sent",
-		(int)v->sent, "targets", targets, "processes", processes,
-		"generations", generations, "complete", complete);
+		"{s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:s, s:s, s:s, s:b}",
+		"subject", subject, "verdict", judge(v, unknown, complete),
+		"answered", (int)g_hash_table_size(v->answered), "unknown",
+		(int)unknown, "not-run", (int)g_hash_table_size(v->not_run),
+		"sent", (int)v->sent, "targets", targets, "processes",
+		processes, "generations", generations, "open-ended", open_ended,
+		"complete", complete);
 	const char *key;
 	json_t *value;
 
@@ -602,15 +654,16 @@
 		       .targets = new_set(),
 		       .processes = new_set(),
 		       .generations = new_set()};
-	bool complete = merged->lost == 0 && merged->begun == 0 &&
-			merged->unread == 0 && merged->routers == 0 &&
-			merged->malformed == 0;
+	g_autofree char *open_ended = list_open_ended(merged);
+	bool complete = open_ended[0] == '\0' && merged->lost == 0 &&
+			merged->begun == 0 && merged->unread == 0 &&
+			merged->routers == 0 && merged->malformed == 0;
 
 	for (guint i = 0; i < events->len; i++)
 		note_event(&v, g_ptr_array_index(events, i));
 	if (events->len > 0 && g_hash_table_size(v.generations) == 0)
 		note_adopted(&v, merged, g_ptr_array_index(events, 0));
-	print_verdict(o, &v, complete);
+	print_verdict(o, &v, complete, open_ended);
 	g_hash_table_destroy(v.answered);
 	g_hash_table_destroy(v.unknown);
 	g_hash_table_destroy(v.not_run);
@@ -620,6 +673,28 @@
 	g_hash_table_destroy(v.generations);
 }
 
+/* A controller has the events of its router until they are in the store.  A
+ * router that runs has at least the event of its start. */
+static void find_routers(merged_t *merged)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < merged->events->len; i++) {
+		const event_t *event = g_ptr_array_index(merged->events, i);
+
+		g_hash_table_add(seen, (gpointer)event->process);
+	}
+	for (guint i = 0; i < merged->instances->len; i++) {
+		g_autofree char *process = g_strdup_printf(
+			"%s/bshrouterd",
+			(const char *)g_ptr_array_index(merged->instances, i));
+
+		if (!g_hash_table_contains(seen, process))
+			merged->routers++;
+	}
+	g_hash_table_destroy(seen);
+}
+
 static ctl_status_t conclude(const merged_t *merged, guint found)
 {
 	if (merged->unread > 0)
@@ -630,8 +705,8 @@
 		      " events are missing between those that were read",
 		      (guint64)merged->lost);
 	if (merged->routers > 0)
-		warnx("%u routers were not read: name their admin addresses "
-		      "with --process",
+		warnx("no event of the routers of %u instances was read: add "
+		      "--store, or their admin addresses with --process",
 		      merged->routers);
 	if (merged->begun > 0)
 		warnx("the first events of %u processes were not read",
@@ -645,11 +720,6 @@
 	return found > 0 ? CTL_OK : CTL_DIFFERS;
 }
 
-static uint32_t count_strings(char **list)
-{
-	return list != NULL ? g_strv_length(list) : 0;
-}
-
 int ctl_timeline(ctl_t *ctl)
 {
 	const ctl_options_t *o = &ctl->options;
@@ -662,18 +732,21 @@
 		return CTL_USAGE;
 	}
 	merged.events = g_ptr_array_new_with_free_func(free_event);
+	merged.direct = new_set();
+	merged.instances = g_ptr_array_new_with_free_func(g_free);
 	for (int i = 0; o->files != NULL && o->files[i] != NULL; i++)
 		read_event_file(&merged, o->files[i]);
 	if (o->store != NULL)
 		read_store(ctl, &merged);
 	for (int i = 0; o->processes != NULL && o->processes[i] != NULL; i++)
-		read_process(ctl, &merged, o->processes[i]);
+		read_directly(ctl, &merged, o->processes[i]);
 	/* A saved time line can be read where no controller is. */
-	if (o->servers != NULL || (o->files == NULL && o->store == NULL))
+	if (o->servers != NULL ||
+	    (o->files == NULL && o->store == NULL && o->processes == NULL))
 		status = read_instances(ctl, &merged);
 	if (status != CTL_OK)
 		goto out;
-	merged.routers -= MIN(merged.routers, count_strings(o->processes));
+	find_routers(&merged);
 	order_events(&merged);
 	selected = select_events(o, &merged);
 	if (o->verdict)
@@ -684,5 +757,7 @@
 	g_ptr_array_free(selected, TRUE);
 out:
 	g_ptr_array_free(merged.events, TRUE);
+	g_ptr_array_free(merged.instances, TRUE);
+	g_hash_table_destroy(merged.direct);
 	return status;
 }
--- a/regress/support/fake_control.c
+++ b/regress/support/fake_control.c
@@ -87,15 +87,15 @@
 	const char *more = fake->more_members;
 	char *text = g_strdup_printf(
 		"{\"generation\":%" G_GINT64_FORMAT
-		",\"in_force\":%" G_GINT64_FORMAT ",\"router_admin\":\"%s\","
-		"\"targets\":[{\"name\":\"t1\",\"pool\":\"gpu\",\"zone\":\"a\","
+		",\"in_force\":%" G_GINT64_FORMAT
+		",\"targets\":[{\"name\":\"t1\",\"pool\":\"gpu\",\"zone\":"
+		"\"a\","
 		"\"state\":\"live\",\"incarnation\":4,"
 		"\"address\":\"127.0.0.8:1\"}],\"members\":["
 		"{\"name\":\"entry-1\",\"zone\":\"a\",\"state\":\"%s\","
 		"\"generation\":%" G_GINT64_FORMAT
 		",\"incarnation\":3,\"control\":\"%s\"}%s]}",
 		(gint64)fake->generation, (gint64)fake->in_force,
-		fake->router_admin != NULL ? fake->router_admin : "",
 		fake->drains > 0 ? "leaving" : "live", (gint64)fake->generation,
 		fake->address, more != NULL ? more : "");
 
--- a/regress/support/fake_control.h
+++ b/regress/support/fake_control.h
@@ -37,7 +37,6 @@
 	const char *metrics;
 	const char *store_items; /* value of "items" */
 	const char *more_members;
-	const char *router_admin; /* NULL: not told */
 } fake_control_t;
 
 void fake_control_init(fake_control_t *fake);
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -333,6 +333,9 @@
 	"\",\"incarnation\":1,\"sequence\":" sequence ",\"event\":\"" kind     \
 	"\",\"details\":" details "}"
 
+#define START	EVENT("500000", "0", "entry-1/bshrouterd", "1", "start", "{}")
+#define END	EVENT("600000", "0", "entry-1/bshrouterd", "2", "drain-end", "{}")
+#define CONTROL EVENT("400000", "0", "entry-1/bshcontrold", "1", "start", "{}")
 /* As the router writes them: a request has a number, an attempt has the id
  * that the caller sees. */
 #define ADOPT                                                                  \
@@ -395,16 +398,16 @@
 	RUN(f, 1, "timeline", "-H", "-f", events, "-g", "43");
 	f->fake.store_items = "[{\"name\":\"e1-1\",\"version\":1,\"value\":"
 			      "{\"events\":[" ADOPT "," QUEUE "]}}]";
-	f->fake.router_admin = server;
-	f->fake.timeline = QUEUE "\n" SEND "\n" DONE "\n";
+	f->fake.timeline = START "\n" QUEUE "\n" SEND "\n" DONE "\n";
 	RUN(f, 0, "timeline", "-j", "-s", server, "--store", server);
-	g_assert_cmpuint(strlen(f->out), ==, strlen(ADOPT QUEUE SEND DONE) + 4);
+	g_assert_cmpuint(strlen(f->out), ==,
+			 strlen(START ADOPT QUEUE SEND DONE) + 5);
 	f->fake.timeline = DONE "\n";
 	RUN(f, 5, "timeline", "-s", server, "--store", server);
 	CONTAINS(f->err, "1 events are missing");
 	f->fake.timeline = DONE "\n{\"event\":1}\n";
 	RUN(f, 7, "timeline", "-s", server);
-	CONTAINS(f->err, "2 malformed");
+	CONTAINS(f->err, "1 malformed");
 	CONTAINS(f->out, "done");
 	f->fake.timeline = DONE "\n";
 	f->fake.more_members = ",{\"name\":\"e3\",\"state\":\"live\","
@@ -444,12 +447,26 @@
 	RUN(f, 0, "timeline", "-f", tail, "-r", "a2", "--verdict");
 	CONTAINS(f->out, "complete\tno\n");
 	RUN(f, 2, "timeline", "-f", events, "--verdict");
-	/* A router that no controller tells is missing, unless it is named. */
-	f->fake.timeline = DONE "\n";
-	RUN(f, 5, "timeline", "-s", f->fake.address, "-r", "a1", "--verdict");
-	CONTAINS(f->err, "1 routers were not read");
+	/* A time line without the router of a live instance is incomplete. */
+	f->fake.timeline = LOAD "\n" OTHER "\n";
+	RUN(f, 5, "timeline", "-s", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->err, "routers of 1 instances");
 	CONTAINS(f->out, "complete\tno\n");
-	RUN(f, 0, "timeline", "-s", f->fake.address, "-p", f->fake.address);
+	/* Nor is one whose router was read through its controller only: its
+	 * last events may be on their way. */
+	f->fake.timeline = START "\n" LOAD "\n";
+	RUN(f, 1, "timeline", "-s", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tnot-known\n");
+	CONTAINS(f->out, "open-ended\tentry-1/bshrouterd@500000\n");
+	RUN(f, 1, "timeline", "-p", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tno-record\n");
+	CONTAINS(f->out, "complete\tyes\n");
+	f->fake.timeline = START "\n" CONTROL "\n";
+	RUN(f, 1, "timeline", "-p", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tnot-known\n");
+	f->fake.timeline = START "\n" END "\n" CONTROL "\n";
+	RUN(f, 1, "timeline", "-s", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tno-record\n");
 }
 
 #define ADD(path, function)                                                    \
