Read only the changes of the platform's list

Cause: each witness reads the platform's list every second and each owner of a cell every five. At 5,000 instances the list is about 1 MB (computed from about 200 bytes an item), far above the 13 KB/s that a node may spend on control. Ruled out: reading it less often, because a leaving target must be known within 3 s; reading it by pool, because the service has no such query and one pool may hold most targets. The list now has a version, and a reader asks for what changed since; an unchanged list is worked through again only after 5 s. A malformed change is refused whole.

--- a/bshcontrold/bshcontrold.c
+++ b/bshcontrold/bshcontrold.c
@@ -171,6 +171,7 @@
 static void stop_parts(control_t *control)
 {
 	bsh_caller_finish(&control->caller);
+	bsh_store_client_finish(&control->store);
 	api_stop(control);
 	flush_stop(control);
 	peers_stop(control);
--- a/lib/protocol/store_client.c
+++ b/lib/protocol/store_client.c
@@ -7,6 +7,7 @@
 	bsh_store_list_fn_t list_fn;
 	void *ctx;
 	bool is_read;
+	bsh_store_client_t *store;
 } pending_t;
 
 void bsh_store_client_init(bsh_store_client_t *store, bsh_caller_t *caller,
@@ -15,9 +16,18 @@
 	store->caller = caller;
 	store->reads = 0;
 	store->writes = 0;
+	store->list = json_object();
+	store->list_version = 0;
+	store->list_given_us = 0;
 	g_strlcpy(store->address, address, sizeof(store->address));
 }
 
+void bsh_store_client_finish(bsh_store_client_t *store)
+{
+	json_decref(store->list);
+	store->list = NULL;
+}
+
 static bool read_version(const json_t *json, uint64_t *version)
 {
 	const json_t *v = json_object_get(json, "version");
@@ -149,37 +159,104 @@
 	return true;
 }
 
+/* Checks all changes before any is made. */
+static bool is_valid_change(const json_t *changes)
+{
+	const json_t *items = json_object_get(changes, "items");
+	const json_t *removed = json_object_get(changes, "removed");
+	bsh_store_instance_t item;
+
+	if (!json_is_array(items) ||
+	    (removed != NULL && !json_is_array(removed)))
+		return false;
+	for (size_t i = 0; i < json_array_size(items); i++) {
+		if (!read_instance(json_array_get(items, i), &item))
+			return false;
+	}
+	for (size_t i = 0; i < json_array_size(removed); i++) {
+		if (!json_is_string(json_array_get(removed, i)))
+			return false;
+	}
+	return true;
+}
+
+/* Returns whether the list is another one now. */
+static bool apply_change(bsh_store_client_t *store, const json_t *changes)
+{
+	bool is_whole = !json_is_true(json_object_get(changes, "partial"));
+	const json_t *items = json_object_get(changes, "items");
+	const json_t *removed = json_object_get(changes, "removed");
+
+	if (is_whole)
+		json_object_clear(store->list);
+	for (size_t i = 0; i < json_array_size(items); i++) {
+		json_t *item = json_array_get(items, i);
+
+		json_object_set(
+			store->list,
+			json_string_value(json_object_get(item, "name")), item);
+	}
+	for (size_t i = 0; i < json_array_size(removed); i++)
+		json_object_del(store->list,
+				json_string_value(json_array_get(removed, i)));
+	return is_whole || json_array_size(items) > 0 ||
+	       json_array_size(removed) > 0;
+}
+
+static void report_list(const pending_t *pending, int64_t began_us)
+{
+	json_t *list = pending->store->list;
+	g_autofree bsh_store_instance_t *items =
+		g_new0(bsh_store_instance_t, json_object_size(list) + 1);
+	size_t count = 0;
+	const char *name;
+	json_t *item;
+
+	json_object_foreach(list, name, item)
+	{
+		if (read_instance(item, &items[count]))
+			count++;
+	}
+	pending->store->list_given_us = began_us;
+	pending->list_fn(pending->ctx, BSH_CALL_DONE, items, count, began_us);
+}
+
 static void on_list(void *ctx, const bsh_call_answer_t *call)
 {
 	pending_t *pending = ctx;
+	bsh_store_client_t *store = pending->store;
 	bsh_call_result_t result = call->result;
-	const json_t *json = json_object_get(call->json, "items");
-	size_t count = json_array_size(json);
-	bsh_store_instance_t *items = g_new0(bsh_store_instance_t, count + 1);
+	bool is_due =
+		call->began_us - store->list_given_us > BSH_STORE_LIST_AGAIN_US;
 
-	if (result == BSH_CALL_DONE && !json_is_array(json))
+	if (result == BSH_CALL_DONE && !is_valid_change(call->json))
 		result = BSH_CALL_UNKNOWN;
-	for (size_t i = 0; i < count && result == BSH_CALL_DONE; i++) {
-		if (!read_instance(json_array_get(json, i), &items[i]))
-			result = BSH_CALL_UNKNOWN;
-	}
-	pending->list_fn(pending->ctx, result,
-			 result == BSH_CALL_DONE ? items : NULL,
-			 result == BSH_CALL_DONE ? count : 0, call->began_us);
-	g_free(items);
+	if (result == BSH_CALL_DONE && !apply_change(store, call->json) &&
+	    !is_due)
+		result = BSH_CALL_UNCHANGED;
+	if ((result == BSH_CALL_DONE || result == BSH_CALL_UNCHANGED) &&
+	    !read_version(call->json, &store->list_version))
+		store->list_version = 0;
+	if (result == BSH_CALL_DONE)
+		report_list(pending, call->began_us);
+	else
+		pending->list_fn(pending->ctx, result, NULL, 0, call->began_us);
 	g_free(pending);
 }
 
 void bsh_store_instances(bsh_store_client_t *store, bsh_store_list_fn_t fn,
 			 void *ctx)
 {
+	g_autofree char *path = g_strdup_printf(
+		"/v1/instances?since=%" G_GUINT64_FORMAT, store->list_version);
 	bsh_call_spec_t spec = {.method = "GET",
 				.address = store->address,
-				.path = "/v1/instances",
+				.path = path,
 				.timeout_ms = BSH_STORE_CALL_MS};
 	pending_t *pending = make_pending(NULL, ctx, true);
 
 	pending->list_fn = fn;
+	pending->store = store;
 	store->reads++;
 	bsh_call_start(store->caller, &spec, on_list, pending);
 }
--- a/lib/protocol/store_client.h
+++ b/lib/protocol/store_client.h
@@ -19,6 +19,8 @@
 #include "protocol/call.h"
 
 #define BSH_STORE_CALL_MS 3000
+/* An unchanged list is reported again after this time. */
+#define BSH_STORE_LIST_AGAIN_US INT64_C(5000000)
 
 typedef struct {
 	bsh_call_result_t result;
@@ -43,7 +45,8 @@
 	const char *state; /* "live", "leaving" or "gone" */
 } bsh_store_instance_t;
 
-/* items is NULL unless result is BSH_CALL_DONE; valid during the call. */
+/* items is NULL unless result is BSH_CALL_DONE; valid during the call.
+ * BSH_CALL_UNCHANGED: as reported last, which was lately. */
 typedef void (*bsh_store_list_fn_t)(void *ctx, bsh_call_result_t result,
 				    const bsh_store_instance_t *items,
 				    size_t count, int64_t began_us);
@@ -53,11 +56,15 @@
 	char address[BSH_ADDRESS_SIZE];
 	uint64_t reads;
 	uint64_t writes;
+	json_t *list; /* instances by name, as last read */
+	uint64_t list_version;
+	int64_t list_given_us;
 } bsh_store_client_t;
 
 /* bsh_store_client_init - caller must outlive the client. */
 void bsh_store_client_init(bsh_store_client_t *store, bsh_caller_t *caller,
 			   const char *address);
+void bsh_store_client_finish(bsh_store_client_t *store);
 
 void bsh_store_get(bsh_store_client_t *store, const char *kind,
 		   const char *name, bsh_store_fn_t fn, void *ctx);
@@ -78,7 +85,12 @@
 		      const char *name, uint64_t version, bsh_store_fn_t fn,
 		      void *ctx);
 
-/* bsh_store_instances - a list with a malformed item is UNKNOWN as a whole. */
+/*
+ * bsh_store_instances - the platform's list.  Only what changed since the last
+ * call is transferred: the whole list of a large fleet, read each second, would
+ * cost a node far more than its share of traffic.  A list with a malformed item
+ * is UNKNOWN as a whole and changes nothing.
+ */
 void bsh_store_instances(bsh_store_client_t *store, bsh_store_list_fn_t fn,
 			 void *ctx);
 
--- a/lib/state/document.c
+++ b/lib/state/document.c
@@ -128,7 +128,7 @@
 	if (value == NULL)
 		return g_strdup("");
 	text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT |
-				  JSON_REAL_PRECISION(15));
+					 JSON_REAL_PRECISION(15));
 	if (text == NULL)
 		return g_strdup("");
 	if (strlen(text) <= VALUE_SHOWN_BYTES) {
--- a/regress/standin/standin_store.c
+++ b/regress/standin/standin_store.c
@@ -191,18 +191,62 @@
 	answer_version(answer, 200, last_version);
 }
 
-static json_t *visible_instances(void)
+/* Number of the newest view that the list's lag lets through; 0: none. */
+static guint visible_view(void)
 {
-	int64_t now_us = standin_now_us();
-	json_t *list = NULL;
+	guint newest = 0;
 
 	for (guint i = 0; i < views->len; i++) {
-		const view_t *view = &g_array_index(views, view_t, i);
+		if (g_array_index(views, view_t, i).visible_us <=
+		    standin_now_us())
+			newest = i + 1;
+	}
+	return newest;
+}
+
+static const json_t *find_instance(const json_t *list, const char *name)
+{
+	size_t i;
+	json_t *item;
+
+	json_array_foreach((json_t *)list, i, item)
+	{
+		if (strcmp(standin_text(item, "name"), name) == 0)
+			return item;
+	}
+	return NULL;
+}
+
+/* What changed after the view number since; the whole list if it is 0. */
+static json_t *instances(guint since)
+{
+	guint newest = visible_view();
+	json_t *items = json_array();
+	json_t *removed = json_array();
+	const json_t *old = NULL;
+	json_t *list = NULL;
+	json_t *item;
+	size_t i;
 
-		if (view->visible_us <= now_us)
-			list = view->list;
+	if (newest > 0)
+		list = g_array_index(views, view_t, newest - 1).list;
+	if (since > 0 && since <= newest)
+		old = g_array_index(views, view_t, since - 1).list;
+	json_array_foreach(list, i, item)
+	{
+		if (!json_equal(item,
+				find_instance(old, standin_text(item, "name"))))
+			json_array_append(items, item);
 	}
-	return list != NULL ? json_incref(list) : json_array();
+	json_array_foreach((json_t *)old, i, item)
+	{
+		if (find_instance(list, standin_text(item, "name")) == NULL)
+			json_array_append(removed,
+					  json_object_get(item, "name"));
+	}
+	return json_pack("{s:I, s:b, s:o, s:o}", "version", (json_int_t)newest,
+			 "partial", old != NULL, "items", items, "removed",
+			 removed);
 }
 
 static void handle(const standin_request_t *request, standin_answer_t *answer)
@@ -215,9 +259,11 @@
 	if (!is_write)
 		count("reads");
 	if (strcmp(request->path, "/v1/instances") == 0) {
+		const char *since = standin_query(request, "since");
+
 		standin_answer(
 			answer, 200,
-			json_pack("{s:o}", "items", visible_instances()));
+			instances(since != NULL ? (guint)atoll(since) : 0));
 		return;
 	}
 	if (!g_str_has_prefix(request->path, "/v1/objects/")) {
--- a/regress/test_clients.c
+++ b/regress/test_clients.c
@@ -32,10 +32,6 @@
 	{"/v1/objects/k/cut", -1, ""},
 	{"/v1/objects/k/quiet", 204, ""},
 	{"/v1/objects/k/silent", 0, ""},
-	{"/v1/instances", 200,
-	 "{\"items\":[{\"name\":\"e1\",\"incarnation\":7,\"kind\":\"engine\","
-	 "\"pool\":\"p\",\"zone\":\"a\",\"address\":\"1.1.1.1:1\",\"control\":"
-	 "\"1.1.1.1:2\",\"memory_mib\":100,\"state\":\"live\"}]}"},
 };
 
 typedef struct {
@@ -56,6 +52,7 @@
 	size_t models;
 	bsh_engine_model_state_t state;
 	size_t instances;
+	size_t leaving;
 } net_t;
 
 static void reply(bsh_http_request_t *request, int status, const char *body)
@@ -111,6 +108,7 @@
 static void net_finish(net_t *net)
 {
 	bsh_caller_finish(&net->caller);
+	bsh_store_client_finish(&net->store);
 	bsh_http_client_free(net->http);
 	bsh_http_server_free(net->server);
 	bsh_loop_finish(&net->loop);
@@ -236,28 +234,63 @@
 	g_assert_cmpint(net.calls, ==, 1);
 }
 
+#define ITEM(name, state)                                                      \
+	"{\"name\":\"" name "\",\"incarnation\":7,\"kind\":\"engine\","        \
+	"\"pool\":\"p\",\"zone\":\"a\",\"address\":\"1.1.1.1:1\",\"control\":" \
+	"\"1.1.1.1:2\",\"memory_mib\":100,\"state\":\"" state "\"}"
+
 static void on_instances(void *ctx, bsh_call_result_t result,
 			 const bsh_store_instance_t *items, size_t count,
 			 int64_t began_us)
 {
 	net_t *net = ctx;
 
-	g_assert_cmpint(result, ==, BSH_CALL_DONE);
 	g_assert_cmpint(began_us, >, 0);
-	g_assert_cmpstr(items[0].kind, ==, "engine");
-	g_assert_cmpuint(items[0].memory_mib, ==, 100);
+	net->answer.result = result;
 	net->instances = count;
+	net->leaving = 0;
+	for (size_t i = 0; i < count; i++) {
+		g_assert_cmpstr(items[i].kind, ==, "engine");
+		g_assert_cmpuint(items[i].memory_mib, ==, 100);
+		net->leaving += strcmp(items[i].state, "leaving") == 0;
+	}
 	net->calls++;
 }
 
+static void list(net_t *net, const char *body)
+{
+	net->engine_status = 200;
+	net->engine_body = body;
+	bsh_store_instances(&net->store, on_instances, net);
+	wait_call(net);
+}
+
+/* Guards against a partial list that is taken for the whole one, which would
+ * make all other targets look gone, and against a damaged one that is used. */
 static void test_store_instances(void)
 {
 	net_t net;
 
 	net_init(&net);
-	bsh_store_instances(&net.store, on_instances, &net);
-	wait_call(&net);
-	g_assert_cmpuint(net.instances, ==, 1);
+	list(&net, "{\"version\":4,\"items\":[" ITEM("e1", "live") "," ITEM(
+			   "e2", "live") "," ITEM("e3", "live") "]}");
+	g_assert_cmpint(net.answer.result, ==, BSH_CALL_DONE);
+	g_assert_cmpuint(net.instances, ==, 3);
+	g_assert_cmpuint(net.store.list_version, ==, 4);
+	list(&net, "{\"version\":4,\"partial\":true,\"items\":[]}");
+	g_assert_cmpint(net.answer.result, ==, BSH_CALL_UNCHANGED);
+	list(&net, "{\"version\":6,\"partial\":true,\"items\":[" ITEM(
+			   "e2", "leaving") "],\"removed\":[\"e3\"]}");
+	g_assert_cmpuint(net.instances, ==, 2);
+	g_assert_cmpuint(net.leaving, ==, 1);
+	list(&net, "{\"version\":7,\"partial\":true,\"items\":["
+		   "{\"name\":\"e1\"}],\"removed\":[\"e2\"]}");
+	g_assert_cmpint(net.answer.result, ==, BSH_CALL_UNKNOWN);
+	list(&net, "{\"version\":7,\"partial\":true,\"items\":[],"
+		   "\"removed\":[3]}");
+	g_assert_cmpint(net.answer.result, ==, BSH_CALL_UNKNOWN);
+	g_assert_cmpuint(json_object_size(net.store.list), ==, 2);
+	g_assert_cmpuint(net.store.list_version, ==, 6);
 	net_finish(&net);
 }
 
