--- a/bench/path/path.c
+++ b/bench/path/path.c
@@ -288,15 +288,17 @@
 		json_decref(event);
 	}
 	g_array_sort(times, compare_times);
-	if (times->len > 0)
+	if (times->len > 0) {
+		guint middle = times->len / 2;
+		guint high = times->len * 99 / 100;
+		int64_t p50_us = g_array_index(times, int64_t, middle);
+		int64_t p99_us = g_array_index(times, int64_t, high);
+
 		printf("- router, from admission to send (%u requests of the "
 		       "last round): p50 %.3f ms, p99 %.3f ms\n",
-		       times->len,
-		       (double)g_array_index(times, int64_t, times->len / 2) /
-			       1000.0,
-		       (double)g_array_index(times, int64_t,
-					     times->len * 99 / 100) /
-			       1000.0);
+		       times->len, (double)p50_us / 1000.0,
+		       (double)p99_us / 1000.0);
+	}
 	g_array_free(times, TRUE);
 }
 
--- a/bshrouterd/bshrouterd.c
+++ b/bshrouterd/bshrouterd.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -120,11 +121,25 @@
 		errx(1, "cannot create an event loop");
 }
 
+/* Each request uses one descriptor to its caller and one to its target. */
+static void check_descriptors(const bsh_settings_t *settings)
+{
+	rlim_t needed = (rlim_t)settings->router_max_requests * 2;
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < needed)
+		bsh_log(BSH_LOG_WARNING,
+			"descriptor-limit have=%lu needed=%lu "
+			"setting=router.max_requests",
+			(unsigned long)limit.rlim_cur, (unsigned long)needed);
+}
+
 static void run(router_t *router, int signal_fd)
 {
 	bsh_loop_watch_t *watch;
 	pthread_t thread;
 
+	check_descriptors(&router->settings);
 	watch = bsh_loop_watch(&router->control_loop, signal_fd, BSH_LOOP_READ,
 			       on_signal, router);
 	if (watch == NULL)
