--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -30,6 +30,8 @@
 	"{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\","   \
 	"\"content\":\"x\"}]}"
 
+#define BIG_BYTES 3000000
+
 /* What a target does with the next request. */
 typedef enum {
 	DO_ANSWER, /* whole, at once */
@@ -37,6 +39,7 @@
 	DO_CUT,	   /* one event, half an event, then close */
 	DO_CROSS,  /* answer with the id of another request */
 	DO_REFUSE, /* 503 that names the request */
+	DO_BIG,	   /* a body of BIG_BYTES at once */
 	DO_SILENT  /* nothing */
 } deed_t;
 
@@ -151,6 +154,14 @@
 	case DO_REFUSE:
 		bsh_http_answer(request, 503, "", 0);
 		break;
+	case DO_BIG: {
+		g_autofree char *text = g_malloc(BIG_BYTES);
+
+		for (int i = 0; i < BIG_BYTES; i++)
+			text[i] = (char)('a' + i % 23);
+		bsh_http_answer(request, 200, text, BIG_BYTES);
+		break;
+	}
 	case DO_SILENT:
 		break;
 	}
@@ -533,6 +544,29 @@
 	world_finish(&w);
 }
 
+/* Guards against bytes lost or a length that is not kept when an answer is
+ * larger than all buffers, so that its source has to be paused. */
+static void test_big_answer(void)
+{
+	reply_t reply;
+	world_t w;
+	int wrong = 0;
+
+	world_init(&w, NULL);
+	rig_route(&w.rig, "ping", true,
+		  (const char *const[]){"a", w.a.address, NULL});
+	w.a.deed = DO_BIG;
+	call(&w, &reply, "/services/ping/x", NULL, NULL);
+	rig_wait(&w.rig, &reply.done, 1);
+	g_assert_cmpint(reply.err, ==, BSH_OK);
+	g_assert_cmpuint(reply.body->len, ==, BIG_BYTES);
+	for (int i = 0; i < BIG_BYTES; i++)
+		wrong += reply.body->str[i] != (char)('a' + i % 23);
+	g_assert_cmpint(wrong, ==, 0);
+	reply_free(&reply);
+	world_finish(&w);
+}
+
 /* Guards against a stream that runs on at the target for nobody. */
 static void test_caller_gone(void)
 {
@@ -736,6 +770,7 @@
 	g_test_add_func("/router/outcomes", test_outcomes);
 	g_test_add_func("/router/cold", test_cold);
 	g_test_add_func("/router/retry", test_retry);
+	g_test_add_func("/router/big-answer", test_big_answer);
 	g_test_add_func("/router/caller-gone", test_caller_gone);
 	g_test_add_func("/router/stale", test_stale);
 	g_test_add_func("/router/intent", test_intent);
