Measure the document and its messages by number of models

Cause: the capacity page needs slopes for the configuration. Ruled out: counting wall time, as the machine is shared; processor time of the thread is used, beside a reference loop.

--- a/bench/capacity/capacity.c
+++ b/bench/capacity/capacity.c
@@ -11,7 +11,7 @@
 
 static void usage(void)
 {
-	fprintf(stderr, "usage: capacity [instances ...]\n");
+	fprintf(stderr, "usage: capacity [document | instances ...]\n");
 	exit(1);
 }
 
@@ -50,8 +50,13 @@
 int main(int argc, char **argv)
 {
 	static const guint sizes[] = {6, 50, 200, 1100};
+	static const guint entries[] = {90, 870, 2000, 5270};
 
-	if (argc == 1) {
+	if (argc == 1 || (argc == 2 && strcmp(argv[1], "document") == 0)) {
+		for (size_t i = 0; i < G_N_ELEMENTS(entries); i++)
+			capacity_document(entries[i]);
+		if (argc == 2)
+			return 0;
 		for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 			capacity_members(sizes[i]);
 		return 0;
--- a/bench/capacity/capacity.h
+++ b/bench/capacity/capacity.h
@@ -29,4 +29,7 @@
 
 void capacity_members(guint instances);
 
+/* capacity_document - entries: models and adapters. */
+void capacity_document(guint entries);
+
 #endif
