--- a/lib/coordination/loader.c
+++ b/lib/coordination/loader.c
@@ -76,6 +76,7 @@
 					   demand_free);
 	l->members = g_array_new(FALSE, FALSE, sizeof(member_t));
 	l->next_order = 1;
+	l->started_us = -1;
 }
 
 void bsh_loader_finish(bsh_loader_t *l)
@@ -189,8 +190,9 @@
 		g_hash_table_lookup(l->instances, sender->instance);
 
 	if (strcmp(sender->instance, l->config.self.instance) == 0)
-		return sender->incarnation < l->config.self.incarnation ? 0
-									: -1;
+		return sender->incarnation < l->config.self.incarnation
+			       ? l->started_us
+			       : -1;
 	if (i == NULL)
 		return -1;
 	if (i->incarnation > sender->incarnation)
@@ -207,8 +209,8 @@
 {
 	int64_t since_us = gone_since_us(l, sender);
 
-	/* The earlier incarnation of this very instance ended before this
-	 * process began, which was at now_us 0 or later. */
+	/* An earlier incarnation of this very instance ended at the latest
+	 * when this process began. */
 	return since_us >= 0 &&
 	       l->now_us - since_us >= ms_us(l->config.settle_ms);
 }
@@ -228,6 +230,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (l->started_us < 0)
+		l->started_us = l->now_us;
 	if (c != NULL) {
 		c->is_dirty = true;
 		run_cell(l, c);
--- a/lib/coordination/loader.h
+++ b/lib/coordination/loader.h
@@ -269,6 +269,7 @@
 	uint64_t lists;		/* platform lists taken */
 	uint64_t members_stamp; /* rises when ranks of candidates may change */
 	int64_t clean_us;
+	int64_t started_us; /* first run of this process */
 	double loads_per_s; /* of the document, for all owners */
 	uint32_t concurrent;
 } bsh_loader_t;
--- a/lib/coordination/loader_demand.c
+++ b/lib/coordination/loader_demand.c
@@ -7,8 +7,9 @@
 #define RETRY_MIN_MS  1000
 #define RETRY_MAX_MS  600000
 /* Rooms found full at one plan may be free at the next. */
-#define RETURN_US  (30 * US_PER_S) /* after the time named by Retry-After */
-#define NO_ROOM_US (2 * US_PER_S)
+#define MARGIN_PART 10		    /* of the time left */
+#define RETURN_US   (30 * US_PER_S) /* after the time named by Retry-After */
+#define NO_ROOM_US  (2 * US_PER_S)
 
 void demand_free(void *demand)
 {
@@ -101,6 +102,15 @@
 	place_want(l, m);
 }
 
+/* An estimate a little above the deadline is not certain: it is tried. */
+static bool is_hopeless(const bsh_loader_t *l, const demand_t *d,
+			const model_t *m)
+{
+	int64_t left_us = d->deadline_us - l->now_us;
+
+	return m->estimate_us - l->now_us > left_us + left_us / MARGIN_PART;
+}
+
 /* The final answer that is certain by now, if any. */
 static bool decide(bsh_loader_t *l, const demand_t *d)
 {
@@ -142,7 +152,7 @@
 		refuse_late(l, d, m, m->retry_us, "loads of the model fail");
 		return true;
 	}
-	if (m->estimate_us > d->deadline_us) {
+	if (is_hopeless(l, d, m)) {
 		refuse_late(l, d, m, m->estimate_us,
 			    "load would end after the deadline");
 		return true;
--- a/lib/coordination/loader_place.c
+++ b/lib/coordination/loader_place.c
@@ -208,6 +208,12 @@
 static bool free_index(const cell_t *c, const bsh_cell_t *next,
 		       const model_t *m, uint32_t *index)
 {
+	guint records;
+
+	/* Slots above a lowered maximum count until they are confirmed gone. */
+	bsh_cell_slots(next, m->name, &records);
+	if (records >= m->max_replicas)
+		return false;
 	for (uint32_t i = 0; i < m->max_replicas; i++) {
 		if (bsh_cell_of_slot(m->name, i, c->pool->cells) == c->number &&
 		    bsh_cell_slot(next, m->name, i) == NULL) {
@@ -679,6 +685,24 @@
 	return changed;
 }
 
+/* Whether the model's other slots leave room for one more loaded replica:
+ * slots above a lowered maximum may still be loaded. */
+static bool is_within_replicas(const bsh_loader_t *l, const cell_t *c,
+			       const bsh_slot_t *slot)
+{
+	const model_t *m = loader_model(l, slot->model);
+	uint32_t others = 0;
+	guint count;
+	const bsh_slot_t *first = bsh_cell_slots(&c->seen, slot->model, &count);
+
+	for (guint i = 0; i < count; i++) {
+		if (&first[i] != slot &&
+		    !slot_is_idle_binding(l, &c->seen, &first[i]))
+			others++;
+	}
+	return m != NULL && others + 1 <= m->max_replicas;
+}
+
 static bool may_send(const bsh_loader_t *l, const cell_t *c,
 		     const bsh_slot_t *slot)
 {
@@ -688,7 +712,8 @@
 	if (!slot_is_active(slot) ||
 	    !bsh_cell_is_sender(&c->seen, slot, &l->config.self) || t == NULL ||
 	    t->is_gone || t->incarnation != slot->target_incarnation ||
-	    target_is_leaving(t) || slot_loaded(l, slot) != NULL)
+	    target_is_leaving(t) || slot_loaded(l, slot) != NULL ||
+	    !is_within_replicas(l, c, slot))
 		return false;
 	return b == NULL || (!b->is_failed && b->pending == 0 &&
 			     b->load_us < 0 && l->now_us >= b->retry_us);
--- a/lib/state/cell.c
+++ b/lib/state/cell.c
@@ -152,6 +152,18 @@
 	       strcmp(slot_at(cell, i)->model, model) == 0;
 }
 
+const bsh_slot_t *bsh_cell_slots(const bsh_cell_t *cell, const char *model,
+				 guint *count)
+{
+	guint first = slot_position(cell, model, 0);
+
+	*count = 0;
+	while (first + *count < cell->slots->len &&
+	       strcmp(slot_at(cell, first + *count)->model, model) == 0)
+		(*count)++;
+	return *count > 0 ? slot_at(cell, first) : NULL;
+}
+
 uint32_t bsh_cell_free_mib(const bsh_cell_t *cell, const char *target)
 {
 	const bsh_cell_target_t *t = bsh_cell_target(cell, target);
--- a/lib/state/cell.h
+++ b/lib/state/cell.h
@@ -155,6 +155,10 @@
 /* bsh_cell_has_model - whether any slot of the model exists. */
 bool bsh_cell_has_model(const bsh_cell_t *cell, const char *model);
 
+/* bsh_cell_slots - the slots of a model, by index; *count may be 0. */
+const bsh_slot_t *bsh_cell_slots(const bsh_cell_t *cell, const char *model,
+				 guint *count);
+
 /* bsh_cell_free_mib - memory of the target that is not reserved. */
 uint32_t bsh_cell_free_mib(const bsh_cell_t *cell, const char *target);
 
--- a/lib/state/placement.c
+++ b/lib/state/placement.c
@@ -33,7 +33,7 @@
  * At weight 0.5, one second of cold start is worth this many idle
  * accelerator seconds.
  */
-#define COLD_PRICE 0.3
+#define COLD_PRICE 0.08
 /* A prefetch may be wrong twice: it takes the store's rate, too. */
 #define PREFETCH_MARGIN 1.5
 
--- a/regress/prove/prove_loads.c
+++ b/regress/prove/prove_loads.c
@@ -1241,6 +1241,8 @@
 	{LATE | KILL, 2, 20, false},
 	{LATE | KILL | SLOW_LOADS | RACE, 2, 20, false},
 	{LATE | RESTART | FREEZE, 2, 10, false},
+	{LATE | KILL | FEWER, 2, 60, false},
+	{LATE | KILL | FREEZE | RESTART, 3, 60, false},
 	{LOST | KILL, 1, 10, false},
 	{STORE_SLOW | RACE, 1, 10, false},
 	{LATE | FEWER, 1, 10, false},
