Free a slot after a restart only by the new incarnation's status

An order names no incarnation, so a target that restarted unnoticed took the load; the slot was freed as 'target restarted' while the model was loaded there.

--- a/lib/coordination/loader_slot.c
+++ b/lib/coordination/loader_slot.c
@@ -195,9 +195,11 @@
 
 	for (guint i = 0; i < c->seen.slots->len; i++) {
 		const bsh_slot_t *slot = slot_of(c, i);
+		const target_t *t = loader_target(l, slot->target);
 		const binding_t *b;
 
-		if (!slot_is_active(slot)) {
+		if (!slot_is_active(slot) ||
+		    (t != NULL && t->incarnation > slot->target_incarnation)) {
 			is_waiting = true;
 			continue;
 		}
@@ -215,15 +217,36 @@
 static bool plan_ended(bsh_loader_t *l, cell_t *c, bsh_cell_t *next,
 		       bsh_slot_t *slot, const target_t *t)
 {
-	binding_t *b = loader_find_binding(l, &slot->attempt);
+	binding_t *b = loader_binding(l, &slot->attempt);
+	bool is_restarted =
+		t->incarnation > slot->target_incarnation && !t->is_gone;
+	bool is_present = is_restarted &&
+			  t->status_incarnation == t->incarnation &&
+			  g_hash_table_contains(t->loaded, slot->model);
 
-	if (b != NULL)
-		b->is_counted = false;
-	if (!slot_has_others(l, next, slot) && !slot_is_busy(l, slot)) {
+	b->is_counted = false;
+	if (slot_has_others(l, next, slot) || slot_is_busy(l, slot))
+		b->clear_us = -1;
+	else if (b->clear_us < 0)
+		b->clear_us = l->now_us;
+	/*
+	 * The order names no incarnation, so the new one may have taken it
+	 * before its restart was known here.  Only its own later status, or
+	 * the lag of the list for a target that is gone, rules that out.
+	 */
+	if (b->clear_us >= 0 && !is_present) {
+		bool is_known =
+			is_restarted
+				? t->status_incarnation == t->incarnation &&
+					  t->status_us >= b->clear_us
+				: b->load_ok_us < 0 ||
+					  l->now_us - b->load_ok_us >=
+						  ms_us(l->config.settle_ms);
+
+		if (!is_known)
+			return false;
 		loader_event(l, "free", c, slot,
-			     t->incarnation > slot->target_incarnation
-				     ? "target restarted"
-				     : "target gone");
+			     is_restarted ? "target restarted" : "target gone");
 		bsh_cell_remove(next, slot->model, slot->index);
 		return true;
 	}
