--- a/bench/policy/bench_policy.c
+++ b/bench/policy/bench_policy.c
@@ -270,7 +270,7 @@
 	GOptionContext *context = g_option_context_new(NULL);
 	size_t count;
 	const deployment_t *d = deployments(&count);
-	g_autofree set_t *s = g_new0(set_t, 1);
+	set_t *s;
 	FILE *csv = NULL;
 
 	g_option_context_add_main_entries(context, entries, NULL);
@@ -282,6 +282,7 @@
 		measure_size();
 		return 0;
 	}
+	s = g_new0(set_t, 1);
 	if (out != NULL) {
 		g_autofree char *path =
 			g_build_filename(out, "policy.csv", NULL);
@@ -314,5 +315,6 @@
 	if (csv != NULL && fclose(csv) != 0)
 		err(1, "policy.csv");
 	g_free(out);
+	g_free(s);
 	return 0;
 }
--- a/bench/policy/ours.c
+++ b/bench/policy/ours.c
@@ -137,14 +137,12 @@
 	ours_t *o = c->o;
 	int target = c->target;
 	const bench_target_t *t = &w->targets[target];
-	g_autofree bsh_target_model_t *models =
-		g_new0(bsh_target_model_t, w->load->model_count);
+	bsh_target_model_t *models;
 	char name[BSH_CELL_NAME_MAX];
 	bsh_target_status_t s = {.target = name,
 				 .incarnation = t->incarnation,
 				 .memory_total_mib = target_mib(),
 				 .memory_used_mib = t->used_mib,
-				 .models = models,
 				 .began_us = w->sim.now_us};
 	bool is_moving = false;
 
@@ -152,6 +150,8 @@
 	if (o->poll_at[target] != w->sim.now_us)
 		return; /* a sooner poll took its place */
 	o->poll_at[target] = 0;
+	models = g_new0(bsh_target_model_t, w->load->model_count);
+	s.models = models;
 	g_snprintf(name, sizeof(name), "target-%d", target);
 	for (int i = 0; i < w->load->model_count; i++) {
 		const held_t *h = &t->held[i];
@@ -170,6 +170,7 @@
 	}
 	if (t->is_up)
 		bsh_loader_status(&o->loader, &s, w->sim.now_us);
+	g_free(models);
 	poll_in(o, target, is_moving ? POLL_US : IDLE_POLL_US);
 }
 
--- a/lib/coordination/loader.c
+++ b/lib/coordination/loader.c
@@ -724,7 +724,8 @@
 		cell_t *c = value;
 
 		if (c->is_dirty || now_us - c->run_us >= TICK_IDLE_US ||
-		    now_us >= c->house_us ||
+		    (loader_owns(l, c) && c->io == IO_IDLE &&
+		     now_us >= c->house_us) ||
 		    (g_hash_table_size(l->wanted) > 0 &&
 		     now_us - c->run_us >= RUN_PERIOD_US))
 			run_cell(l, c);
@@ -746,7 +747,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const cell_t *c = value;
 
-		next_us = MIN(next_us, c->house_us);
+		/* What is overdue waits for a store answer, not for a tick. */
+		if (c->house_us > l->now_us)
+			next_us = MIN(next_us, c->house_us);
 		if (c->is_dirty)
 			next_us = MIN(next_us, c->run_us + RUN_PERIOD_US);
 		if (c->next_io_us > l->now_us)
