--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,8 @@
 	@echo 'demo     one cold request and one deposit, end to end'
 	@echo 'bench-capacity  control overhead by number of instances'
 	@echo 'bench-path  latency and tokens/s through one router'
+
+	@echo 'bench-policy  decisions against fixed keep-alives, virtual clock'
 	@echo 'lint     formatter, linters and manual pages'
 	@echo 'bench-route, bench-requests  measurements of docs/measurements'
 	@echo 'deps     install the Debian packages of packages.txt'
@@ -38,6 +40,11 @@
 	@$(MAKE) --no-print-directory -C regress proofs
 	@sh regress/run_proofs.sh $(BUILD)
 
+bench-policy: lib
+	@$(MAKE) --no-print-directory -C bench/policy
+	@$(BUILD)/bench_policy --out docs/measurements
+	@$(BUILD)/bench_policy --size
+
 demo: deps-check progs regress
 	@sh demo/demo.sh $(BUILD)
 
@@ -91,4 +98,4 @@
 	rm -rf $(BUILD)
 
 .PHONY: all help lib progs regress check prove demo bench-capacity deps deps-check format bench-path \
-	lint lint-format lint-tidy lint-cppcheck lint-man clean bench-route bench-requests
+	lint lint-format lint-tidy lint-cppcheck lint-man clean bench-route bench-requests bench-policy
