Check the structure of a body before it is unpacked

The malformed-input test under the address sanitizer stopped at an allocation of 256 GiB: msgpack-c allocates the elements that an array header announces before it has seen them. Without the sanitizer that allocation fails and the input is rejected, but a smaller lie would be granted. The body is now walked first; each announced element must have a byte of input. Limiting the size of the input was ruled out as a cure: it is at most 1,072 bytes already.

--- a/lib/protocol/body.c
+++ b/lib/protocol/body.c
@@ -48,6 +48,76 @@
 	msgpack_pack_array(&w->packer, n);
 }
 
+static size_t big_endian(const uint8_t *data, size_t size)
+{
+	size_t value = 0;
+
+	for (size_t i = 0; i < size; i++)
+		value = value << 8 | data[i];
+	return value;
+}
+
+/*
+ * Length of the token at the start of data, and the elements that follow if it
+ * is an array.  Only the types that the writer uses have one.
+ */
+static size_t token_size(const uint8_t *data, size_t size, size_t *elements)
+{
+	size_t width;
+
+	*elements = 0;
+	if (data[0] <= 0x7f) /* positive fixint */
+		return 1;
+	if (data[0] >= 0xcc && data[0] <= 0xcf) /* uint 8 to 64 */
+		return 1 + ((size_t)1 << (data[0] - 0xcc));
+	if ((data[0] & 0xf0) == 0x90) { /* fixarray */
+		*elements = data[0] & 0x0f;
+		return 1;
+	}
+	if ((data[0] & 0xe0) == 0xa0) /* fixstr */
+		return 1 + (size_t)(data[0] & 0x1f);
+	if (data[0] >= 0xc4 && data[0] <= 0xc6) /* bin 8 to 32 */
+		width = (size_t)1 << (data[0] - 0xc4);
+	else if (data[0] >= 0xd9 && data[0] <= 0xdb) /* str 8 to 32 */
+		width = (size_t)1 << (data[0] - 0xd9);
+	else if (data[0] == 0xdc || data[0] == 0xdd) /* array 16, 32 */
+		width = data[0] == 0xdc ? 2 : 4;
+	else
+		return 0;
+	if (size < 1 + width)
+		return 0;
+	if (data[0] >= 0xdc) {
+		*elements = big_endian(data + 1, width);
+		return 1 + width;
+	}
+	return 1 + width + big_endian(data + 1, width);
+}
+
+/*
+ * msgpack-c allocates the elements of an array before it has seen them, so a
+ * few malformed bytes could ask for gigabytes.  Each element takes at least
+ * one byte of the input.
+ */
+static bool is_bounded(const uint8_t *data, size_t size)
+{
+	size_t expected = 1;
+
+	while (expected > 0) {
+		size_t elements;
+		size_t token;
+
+		if (expected > size)
+			return false;
+		token = token_size(data, size, &elements);
+		if (token == 0 || token > size)
+			return false;
+		data += token;
+		size -= token;
+		expected += elements - 1;
+	}
+	return size == 0;
+}
+
 bool bsh_body_open(bsh_body_reader_t *r, msgpack_zone *zone,
 		   const uint8_t *data, size_t size)
 {
@@ -56,6 +126,8 @@
 
 	memset(r, 0, sizeof(*r));
 	r->bad = true;
+	if (!is_bounded(data, size))
+		return false;
 	if (msgpack_unpack((const char *)data, size, &offset, zone, &object) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    offset != size || object.type != MSGPACK_OBJECT_ARRAY)
