--- a/lib/state/placement.c
+++ b/lib/state/placement.c
@@ -358,6 +358,12 @@
 			  BSH_PLACEMENT_REASON_SIZE);
 		return 0;
 	}
+	/* Loaded only as a base: without a use of its own it has no age. */
+	if (m->last_us < 0) {
+		g_strlcpy(reason, "no use of its own",
+			  BSH_PLACEMENT_REASON_SIZE);
+		return 0;
+	}
 	worth = hold_worth(p, m, share, (double)load_us / US_PER_S, 0, wall_us);
 	if (worth.gain > 0)
 		snprintf(reason, BSH_PLACEMENT_REASON_SIZE,
