--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,12 @@
 	@echo 'check    build and run all tests'
 	@echo 'prove    differential proofs of the nine promises'
 	@echo 'demo     one cold request and one deposit, end to end'
+	@echo 'bench-capacity  control overhead by number of instances'
+	@echo 'bench-path  latency and tokens/s through one router'
+
 	@echo 'bench-policy  decisions against fixed keep-alives, virtual clock'
 	@echo 'lint     formatter, linters and manual pages'
+	@echo 'bench-route, bench-requests  measurements of docs/measurements'
 	@echo 'deps     install the Debian packages of packages.txt'
 
 lib:
@@ -44,6 +48,23 @@
 demo: deps-check progs regress
 	@sh demo/demo.sh $(BUILD)
 
+# Results are in docs/measurements/.
+bench-capacity: lib
+	@$(MAKE) --no-print-directory -C bench/capacity
+	@$(BUILD)/capacity
+
+bench-path: progs
+	@$(MAKE) --no-print-directory -C regress standins
+	@$(BUILD)/bench_path $(BUILD)
+
+bench-route: lib
+	@$(MAKE) --no-print-directory -C bench/route
+	@$(BUILD)/bench-route
+
+bench-requests: lib
+	@$(MAKE) --no-print-directory -C bench/requests
+	@G_SLICE=always-malloc $(BUILD)/bench-requests
+
 deps:
 	apt-get update
 	apt-get install -y --no-install-recommends $$(cat packages.txt)
@@ -58,7 +79,7 @@
 lint: lint-format lint-tidy lint-cppcheck lint-man
 
 lint-format:
-	clang-format --dry-run -Werror $(C_FILES)
+	@clang-format --dry-run -Werror $(C_FILES)
 
 lint-tidy:
 	@printf '%s\n' $(TIDY_FILES) | xargs -P 8 -n 4 sh -c \
@@ -66,7 +87,7 @@
 		2>/dev/null' sh
 
 lint-cppcheck:
-	cppcheck --quiet --library=gtk --error-exitcode=1 --inline-suppr -j 4 \
+	@cppcheck --quiet --library=gtk --error-exitcode=1 --inline-suppr -j 4 \
 		--enable=warning,performance,portability \
 		--suppress=normalCheckLevelMaxBranches -Ilib $(TIDY_FILES)
 
@@ -76,5 +97,5 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help bench-policy lib progs regress check prove demo deps deps-check format \
-	lint lint-format lint-tidy lint-cppcheck lint-man clean
+.PHONY: all help lib progs regress check prove demo bench-capacity deps deps-check format bench-path \
+	lint lint-format lint-tidy lint-cppcheck lint-man clean bench-route bench-requests bench-policy
--- a/bshctl/bshctl.h
+++ b/bshctl/bshctl.h
@@ -36,6 +36,7 @@
 	int wait_s;
 	/* timeline */
 	char **files;
+	char **processes;
 	char *store;
 	char *request;
 	char *model;
@@ -43,9 +44,10 @@
 	gint64 since_us;
 	gint64 until_us;
 	gboolean verdict;
-	/* entry, counters */
+	/* entry, counters, status */
 	char *zone;
 	gboolean all;
+	gboolean targets;
 } ctl_options_t;
 
 typedef struct {
@@ -80,10 +82,19 @@
 /* ctl_print_field - one table cell: tabs and line ends become blanks. */
 void ctl_print_field(const char *text, bool last);
 
+/* ctl_print_lines - text of several lines, cleaned in the same way. */
+void ctl_print_lines(const char *text);
+
+/* ctl_clean - copy without control characters, to be freed with g_free(). */
+char *ctl_clean(const char *text);
+
 /* ctl_text - string member of an object, or fallback. */
 const char *ctl_text(const json_t *object, const char *key,
 		     const char *fallback);
 
+/* ctl_is_present - an instance of the status that can be asked. */
+bool ctl_is_present(const json_t *member);
+
 /* The commands. */
 int ctl_check(ctl_t *ctl);
 int ctl_diff(ctl_t *ctl);
--- a/bshctl/instance.c
+++ b/bshctl/instance.c
@@ -41,6 +41,24 @@
 	}
 }
 
+static void print_targets(const ctl_t *ctl, const json_t *json)
+{
+	size_t index;
+	json_t *target;
+
+	if (!ctl->options.no_header)
+		puts("TARGET\tPOOL\tZONE\tSTATE\tINCARNATION\tADDRESS");
+	json_array_foreach(json_object_get(json, "targets"), index, target)
+	{
+		ctl_print_field(ctl_text(target, "name", "-"), false);
+		ctl_print_field(ctl_text(target, "pool", "-"), false);
+		ctl_print_field(ctl_text(target, "zone", "-"), false);
+		ctl_print_field(ctl_text(target, "state", "-"), false);
+		print_number(target, "incarnation", false);
+		ctl_print_field(ctl_text(target, "address", "-"), true);
+	}
+}
+
 static ctl_status_t get_status(ctl_t *ctl, bsh_control_answer_t *answer)
 {
 	ctl_status_t status = ctl_get_json(ctl, "/v1/status", answer);
@@ -66,6 +84,8 @@
 		return status;
 	if (ctl->options.json)
 		ctl_print_json(json_incref(answer.json));
+	else if (ctl->options.targets)
+		print_targets(ctl, answer.json);
 	else
 		print_status(ctl, answer.json);
 	bsh_control_answer_finish(&answer);
@@ -85,12 +105,23 @@
 	return NULL;
 }
 
+static bool is_state(const json_t *member, const char *state)
+{
+	return strcmp(ctl_text(member, "state", ""), state) == 0;
+}
+
+bool ctl_is_present(const json_t *member)
+{
+	return !is_state(member, "dead") && !is_state(member, "gone");
+}
+
+/* A suspected instance may be live. */
 static bool has_left(const json_t *status, const char *name)
 {
 	const json_t *member = find_member(status, name);
 
-	return member == NULL ||
-	       strcmp(ctl_text(member, "state", ""), "live") != 0;
+	return member == NULL || is_state(member, "leaving") ||
+	       !ctl_is_present(member);
 }
 
 static ctl_status_t wait_left(ctl_t *ctl, const char *name)
@@ -187,23 +218,24 @@
 	json_t *list;
 } counter_output_t;
 
-static void add_counter(const counter_output_t *out, const char *address,
+static void add_counter(const counter_output_t *out, const char *instance,
 			const char *name, const char *value)
 {
 	if (out->json) {
 		json_array_append_new(out->list,
 				      json_pack("{s:s, s:s, s:s}", "instance",
-						address, "counter", name,
+						instance, "counter", name,
 						"value", value));
 		return;
 	}
-	ctl_print_field(address, false);
+	ctl_print_field(instance, false);
 	ctl_print_field(name, false);
 	ctl_print_field(value, true);
 }
 
 /* Prometheus text: "NAME{LABELS} VALUE", where labels may hold blanks. */
 static ctl_status_t read_counters(const counter_output_t *out,
+				  const char *instance,
 				  const bsh_control_answer_t *answer)
 {
 	char **lines = g_strsplit(answer->body->str, "\n", -1);
@@ -219,7 +251,7 @@
 			break;
 		}
 		*space = '\0';
-		add_counter(out, answer->address, lines[i], space + 1);
+		add_counter(out, instance, lines[i], space + 1);
 	}
 	g_strfreev(lines);
 	if (answer->status != HTTP_OK || status != CTL_OK)
@@ -228,7 +260,7 @@
 }
 
 static ctl_status_t counters_of(const ctl_t *ctl, const counter_output_t *out,
-				const char *address)
+				const char *instance, const char *address)
 {
 	bsh_control_client_t client;
 	bsh_control_answer_t answer;
@@ -236,12 +268,12 @@
 
 	if (bsh_control_client_init(&client, address,
 				    ctl->options.timeout_ms) != BSH_OK) {
-		warnx("%s", client.failure);
+		warnx("%s: %s", instance, client.failure);
 		return CTL_REFUSED;
 	}
 	if (bsh_control_request(&client, "GET", "/metrics", NULL, -1,
 				&answer) == BSH_OK) {
-		status = read_counters(out, &answer);
+		status = read_counters(out, instance, &answer);
 		bsh_control_answer_finish(&answer);
 	} else {
 		warnx("no answer: %s", client.failure);
@@ -264,9 +296,10 @@
 	{
 		ctl_status_t status;
 
-		if (strcmp(ctl_text(member, "state", ""), "gone") == 0)
+		if (!ctl_is_present(member))
 			continue;
-		status = counters_of(ctl, out, ctl_text(member, "control", ""));
+		status = counters_of(ctl, out, ctl_text(member, "name", "?"),
+				     ctl_text(member, "control", ""));
 		if (status != CTL_OK)
 			worst = status;
 	}
@@ -290,7 +323,7 @@
 	} else {
 		status = ctl_request(ctl, "GET", "/metrics", NULL, &answer);
 		if (status == CTL_OK) {
-			status = read_counters(&out, &answer);
+			status = read_counters(&out, answer.address, &answer);
 			bsh_control_answer_finish(&answer);
 		}
 	}
--- a/bshctl/timeline.c
+++ b/bshctl/timeline.c
@@ -24,9 +24,12 @@
 typedef struct {
 	GPtrArray *events; /* event_t */
 	uint32_t malformed;
-	uint32_t unread; /* sources that could not be read */
-	uint64_t lost;	 /* events missing between two that were read */
-	uint32_t begun;	 /* processes whose first events were not read */
+	uint32_t unread;      /* sources that could not be read */
+	uint64_t lost;	      /* events missing between two that were read */
+	GHashTable *direct;   /* processes that were asked themselves */
+	GPtrArray *instances; /* names of those whose controller was read */
+	uint32_t routers;     /* of these, without an event of the router */
+	uint32_t begun;	      /* processes whose first events were not read */
 } merged_t;
 
 static void free_event(gpointer data)
@@ -123,6 +126,23 @@
 	return 0;
 }
 
+static GHashTable *new_set(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/* One life of a process, as a key of tables. */
+static char *life_of(const event_t *event)
+{
+	return g_strdup_printf("%s %" G_GINT64_FORMAT, event->process,
+			       (gint64)event->incarnation);
+}
+
+static bool is_router(const event_t *event)
+{
+	return g_str_has_suffix(event->process, "/bshrouterd");
+}
+
 /* Sorts, removes events that came from two sources, and counts the gaps in
  * the sequence of each process. */
 static void order_events(merged_t *merged)
@@ -203,15 +223,38 @@
 	return done;
 }
 
-static void read_process(const ctl_t *ctl, merged_t *merged,
+static bool read_process(const ctl_t *ctl, merged_t *merged,
 			 const char *address)
 {
 	bsh_control_answer_t answer;
 
 	if (!get_from(ctl, merged, address, "/timeline", &answer))
-		return;
+		return false;
 	add_lines(merged, answer.body->str);
 	bsh_control_answer_finish(&answer);
+	return true;
+}
+
+/* Asks a router or console itself: its record is whole up to now.  That of a
+ * router that came through its controller can lack the last events. */
+static void read_directly(const ctl_t *ctl, merged_t *merged,
+			  const char *address)
+{
+	guint before = merged->events->len;
+	bool is_controller = false;
+
+	if (!read_process(ctl, merged, address))
+		return;
+	for (guint i = before; i < merged->events->len; i++) {
+		const event_t *event = g_ptr_array_index(merged->events, i);
+
+		is_controller =
+			is_controller ||
+			g_str_has_suffix(event->process, "/bshcontrold");
+	}
+	for (guint i = before; i < merged->events->len && !is_controller; i++)
+		g_hash_table_add(merged->direct,
+				 life_of(g_ptr_array_index(merged->events, i)));
 }
 
 static void read_store(const ctl_t *ctl, merged_t *merged)
@@ -246,13 +289,19 @@
 	json_array_foreach(json_object_get(answer.json, "members"), index,
 			   member)
 	{
-		const char *router = ctl_text(member, "router_admin", "");
+		const char *control = ctl_text(member, "control", "");
 
-		if (strcmp(ctl_text(member, "state", ""), "gone") == 0)
+		if (!ctl_is_present(member))
 			continue;
-		read_process(ctl, merged, ctl_text(member, "control", ""));
-		if (router[0] != '\0')
-			read_process(ctl, merged, router);
+		if (control[0] == '\0') {
+			warnx("%s: the status holds no address",
+			      ctl_text(member, "name", "?"));
+			merged->unread++;
+			continue;
+		}
+		if (read_process(ctl, merged, control))
+			g_ptr_array_add(merged->instances,
+					g_strdup(ctl_text(member, "name", "")));
 	}
 	if (json_array_size(json_object_get(answer.json, "members")) == 0)
 		read_process(ctl, merged, answer.address);
@@ -267,15 +316,35 @@
 	       strcmp(ctl_text(details, key, ""), wanted) == 0;
 }
 
+/* A request is named by the X-Request-Id of its answer, or by the number that
+ * its router gave it. */
+static bool request_matches(const json_t *details, const char *wanted)
+{
+	const json_t *number = json_object_get(details, "request");
+	g_autofree char *text = NULL;
+
+	if (wanted == NULL || text_matches(details, "attempt", wanted) ||
+	    text_matches(details, "request", wanted))
+		return true;
+	if (!json_is_integer(number))
+		return false;
+	text = g_strdup_printf("%" JSON_INTEGER_FORMAT,
+			       json_integer_value(number));
+	return strcmp(text, wanted) == 0;
+}
+
 static bool matches(const ctl_options_t *o, const event_t *event)
 {
 	const json_t *details = json_object_get(event->json, "details");
 	const json_t *generation = json_object_get(details, "generation");
 
-	if (!text_matches(details, "request", o->request) ||
-	    !text_matches(details, "model", o->model) ||
+	if (!request_matches(details, o->request) ||
 	    !text_matches(details, "key", o->key))
 		return false;
+	/* Routers name a model or service, controllers a model. */
+	if (!text_matches(details, "model", o->model) &&
+	    !text_matches(details, "name", o->model))
+		return false;
 	if (o->generation >= 0 &&
 	    (!json_is_integer(generation) ||
 	     json_integer_value(generation) != o->generation))
@@ -285,33 +354,76 @@
 	return o->until_us <= 0 || event->hlc_us < o->until_us;
 }
 
-/* Events that match, and those of the same attempts: the order to a target
- * carries the attempt and not the caller's request id. */
+/* The number of a request is unique within one router process.  NULL when
+ * the event is not about a request. */
+static char *request_of(const event_t *event)
+{
+	const json_t *details = json_object_get(event->json, "details");
+	const json_t *number = json_object_get(details, "request");
+	const char *text = ctl_text(details, "request", NULL);
+
+	if (text == NULL)
+		text = ctl_text(details, "attempt", NULL);
+	if (text != NULL && text[0] == '\0')
+		text = NULL;
+	if (json_is_integer(number))
+		return g_strdup_printf(
+			"%s %" G_GINT64_FORMAT " %" JSON_INTEGER_FORMAT,
+			event->process, (gint64)event->incarnation,
+			json_integer_value(number));
+	return g_strdup(text);
+}
+
+/* Adds what identifies the request and its attempt to set. */
+static void add_identities(GHashTable *set, const event_t *event)
+{
+	const json_t *details = json_object_get(event->json, "details");
+	const char *attempt = ctl_text(details, "attempt", "");
+	char *request = request_of(event);
+
+	if (request != NULL)
+		g_hash_table_add(set, request);
+	/* A request that was never sent has no attempt. */
+	if (attempt[0] != '\0')
+		g_hash_table_add(set, g_strdup(attempt));
+}
+
+static bool is_identified(GHashTable *set, const event_t *event)
+{
+	const json_t *details = json_object_get(event->json, "details");
+	const char *attempt = ctl_text(details, "attempt", NULL);
+	g_autofree char *request = request_of(event);
+
+	return (request != NULL && g_hash_table_contains(set, request)) ||
+	       (attempt != NULL && g_hash_table_contains(set, attempt));
+}
+
+/*
+ * Events that match, and the others of the same requests: the event that
+ * names the key has no attempt, and that of the target has no key.  Two
+ * rounds lead from the key over the request's number to its attempts.
+ */
 static GPtrArray *select_events(const ctl_options_t *o, const merged_t *merged)
 {
-	GHashTable *attempts = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *related = new_set();
 	GPtrArray *selected = g_ptr_array_new();
 	bool by_request = o->request != NULL || o->key != NULL;
 
-	for (guint i = 0; by_request && i < merged->events->len; i++) {
-		event_t *event = g_ptr_array_index(merged->events, i);
-		json_t *details = json_object_get(event->json, "details");
-		const char *attempt = ctl_text(details, "attempt", NULL);
+	for (int round = 0; by_request && round < 2; round++) {
+		for (guint i = 0; i < merged->events->len; i++) {
+			event_t *event = g_ptr_array_index(merged->events, i);
 
-		if (attempt != NULL && matches(o, event))
-			g_hash_table_add(attempts, (gpointer)attempt);
+			if (matches(o, event) || is_identified(related, event))
+				add_identities(related, event);
+		}
 	}
 	for (guint i = 0; i < merged->events->len; i++) {
 		event_t *event = g_ptr_array_index(merged->events, i);
-		json_t *details = json_object_get(event->json, "details");
-		const char *attempt = ctl_text(details, "attempt", NULL);
 
-		if (matches(o, event) ||
-		    (attempt != NULL &&
-		     g_hash_table_contains(attempts, attempt)))
+		if (matches(o, event) || is_identified(related, event))
 			g_ptr_array_add(selected, event);
 	}
-	g_hash_table_destroy(attempts);
+	g_hash_table_destroy(related);
 	return selected;
 }
 
@@ -353,28 +465,24 @@
 }
 
 typedef struct {
-	GHashTable *answered; /* attempts by outcome */
+	GHashTable *answered; /* requests by outcome */
 	GHashTable *unknown;
 	GHashTable *not_run;
-	GHashTable *open; /* sent to a target, without an outcome */
+	GHashTable *open; /* sent to a target */
 	GHashTable *targets;
 	GHashTable *processes;
 	GHashTable *generations;
+	uint32_t sent;
+	bool is_recorded; /* the journal holds the answer */
 } verdict_t;
 
-static GHashTable *new_set(void)
-{
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-}
-
 static void note_event(verdict_t *v, const event_t *event)
 {
 	const json_t *details = json_object_get(event->json, "details");
 	const json_t *generation = json_object_get(details, "generation");
 	const char *outcome = ctl_text(details, "outcome", "");
 	const char *target = ctl_text(details, "target", "");
-	const char *attempt =
-		ctl_text(details, "attempt", ctl_text(details, "request", "-"));
+	char *request = request_of(event);
 	GHashTable *set = NULL;
 
 	g_hash_table_add(v->processes, g_strdup(event->process));
@@ -391,11 +499,16 @@
 		set = v->not_run;
 	else if (target[0] != '\0')
 		set = v->open;
-	/* A target that provably refused the request did not run it. */
-	if (target[0] != '\0' && set != v->not_run)
+	if (target[0] != '\0') {
 		g_hash_table_add(v->targets, g_strdup(target));
-	if (set != NULL)
-		g_hash_table_add(set, g_strdup(attempt));
+		v->sent++;
+	}
+	if (request == NULL)
+		v->is_recorded = v->is_recorded || set == v->answered;
+	if (request != NULL && set != NULL)
+		g_hash_table_add(set, request);
+	else
+		g_free(request);
 }
 
 /* The generation that a process had adopted when it handled the request. */
@@ -422,7 +535,7 @@
 						 json_integer_value(found)));
 }
 
-/* Attempts that were sent and whose outcome no event tells. */
+/* Requests that were sent and whose outcome no event tells. */
 static uint32_t count_open(const verdict_t *v)
 {
 	GHashTableIter iter;
@@ -439,15 +552,46 @@
 	return count;
 }
 
-static const char *judge(const verdict_t *v, uint32_t unknown)
+/*
+ * Routers whose record may lack its end: they were not asked themselves, and
+ * their last event is not that of a graceful end.
+ */
+static char *list_open_ended(const merged_t *merged)
+{
+	GHashTable *seen = new_set();
+	GString *text = g_string_new(NULL);
+
+	for (guint i = merged->events->len; i-- > 0;) {
+		const event_t *event = g_ptr_array_index(merged->events, i);
+		char *life;
+
+		if (!is_router(event))
+			continue;
+		life = life_of(event);
+		if (!g_hash_table_contains(seen, life) &&
+		    !g_hash_table_contains(merged->direct, life) &&
+		    strcmp(ctl_text(event->json, "event", ""), "drain-end") !=
+			    0)
+			g_string_append_printf(text, "%s%s@%" G_GINT64_FORMAT,
+					       text->len > 0 ? " " : "",
+					       event->process,
+					       (gint64)event->hlc_us);
+		g_hash_table_add(seen, life);
+	}
+	g_hash_table_destroy(seen);
+	return g_string_free(text, FALSE);
+}
+
+static const char *judge(const verdict_t *v, uint32_t unknown, bool complete)
 {
-	if (g_hash_table_size(v->answered) > 0)
+	if (g_hash_table_size(v->answered) > 0 || v->is_recorded)
 		return "answered";
 	if (unknown > 0)
 		return "unknown";
 	if (g_hash_table_size(v->not_run) > 0)
 		return "not-run";
-	return "no-record";
+	/* What was not read cannot be excluded. */
+	return complete ? "no-record" : "not-known";
 }
 
 static char *join_set(GHashTable *set)
@@ -464,7 +608,7 @@
 }
 
 static void print_verdict(const ctl_options_t *o, const verdict_t *v,
-			  bool complete)
+			  bool complete, const char *open_ended)
 {
 	uint32_t unknown = g_hash_table_size(v->unknown) + count_open(v);
 	g_autofree char *targets = join_set(v->targets);
@@ -472,11 +616,12 @@
 	g_autofree char *generations = join_set(v->generations);
 	const char *subject = o->request != NULL ? o->request : o->key;
 	json_t *json = json_pack(
-		"{s:s, s:s, s:i, s:i, s:i, s:s, s:s, s:s, s:b}", "subject",
-		subject, "verdict", judge(v, unknown), "answered",
-		(int)g_hash_table_size(v->answered), "unknown", (int)unknown,
-		"not-run", (int)g_hash_table_size(v->not_run), "targets",
-		targets, "processes", processes, "generations", generations,
+		"{s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:s, s:s, s:s, s:b}",
+		"subject", subject, "verdict", judge(v, unknown, complete),
+		"answered", (int)g_hash_table_size(v->answered), "unknown",
+		(int)unknown, "not-run", (int)g_hash_table_size(v->not_run),
+		"sent", (int)v->sent, "targets", targets, "processes",
+		processes, "generations", generations, "open-ended", open_ended,
 		"complete", complete);
 	const char *key;
 	json_t *value;
@@ -502,16 +647,23 @@
 static void give_verdict(const ctl_options_t *o, const merged_t *merged,
 			 const GPtrArray *events)
 {
-	verdict_t v = {new_set(), new_set(), new_set(), new_set(),
-		       new_set(), new_set(), new_set()};
-	bool complete = merged->lost == 0 && merged->begun == 0 &&
-			merged->unread == 0 && merged->malformed == 0;
+	verdict_t v = {.answered = new_set(),
+		       .unknown = new_set(),
+		       .not_run = new_set(),
+		       .open = new_set(),
+		       .targets = new_set(),
+		       .processes = new_set(),
+		       .generations = new_set()};
+	g_autofree char *open_ended = list_open_ended(merged);
+	bool complete = open_ended[0] == '\0' && merged->lost == 0 &&
+			merged->begun == 0 && merged->unread == 0 &&
+			merged->routers == 0 && merged->malformed == 0;
 
 	for (guint i = 0; i < events->len; i++)
 		note_event(&v, g_ptr_array_index(events, i));
 	if (events->len > 0 && g_hash_table_size(v.generations) == 0)
 		note_adopted(&v, merged, g_ptr_array_index(events, 0));
-	print_verdict(o, &v, complete);
+	print_verdict(o, &v, complete, open_ended);
 	g_hash_table_destroy(v.answered);
 	g_hash_table_destroy(v.unknown);
 	g_hash_table_destroy(v.not_run);
@@ -521,6 +673,28 @@
 	g_hash_table_destroy(v.generations);
 }
 
+/* A controller has the events of its router until they are in the store.  A
+ * router that runs has at least the event of its start. */
+static void find_routers(merged_t *merged)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < merged->events->len; i++) {
+		const event_t *event = g_ptr_array_index(merged->events, i);
+
+		g_hash_table_add(seen, (gpointer)event->process);
+	}
+	for (guint i = 0; i < merged->instances->len; i++) {
+		g_autofree char *process = g_strdup_printf(
+			"%s/bshrouterd",
+			(const char *)g_ptr_array_index(merged->instances, i));
+
+		if (!g_hash_table_contains(seen, process))
+			merged->routers++;
+	}
+	g_hash_table_destroy(seen);
+}
+
 static ctl_status_t conclude(const merged_t *merged, guint found)
 {
 	if (merged->unread > 0)
@@ -530,6 +704,10 @@
 		warnx("%" G_GUINT64_FORMAT
 		      " events are missing between those that were read",
 		      (guint64)merged->lost);
+	if (merged->routers > 0)
+		warnx("no event of the routers of %u instances was read: add "
+		      "--store, or their admin addresses with --process",
+		      merged->routers);
 	if (merged->begun > 0)
 		warnx("the first events of %u processes were not read",
 		      merged->begun);
@@ -537,7 +715,7 @@
 		warnx("%u malformed events were left out", merged->malformed);
 	if (merged->malformed > 0)
 		return CTL_REFUSED;
-	if (merged->unread > 0 || merged->lost > 0)
+	if (merged->unread > 0 || merged->routers > 0 || merged->lost > 0)
 		return CTL_UNREACHABLE;
 	return found > 0 ? CTL_OK : CTL_DIFFERS;
 }
@@ -554,15 +732,21 @@
 		return CTL_USAGE;
 	}
 	merged.events = g_ptr_array_new_with_free_func(free_event);
+	merged.direct = new_set();
+	merged.instances = g_ptr_array_new_with_free_func(g_free);
 	for (int i = 0; o->files != NULL && o->files[i] != NULL; i++)
 		read_event_file(&merged, o->files[i]);
 	if (o->store != NULL)
 		read_store(ctl, &merged);
+	for (int i = 0; o->processes != NULL && o->processes[i] != NULL; i++)
+		read_directly(ctl, &merged, o->processes[i]);
 	/* A saved time line can be read where no controller is. */
-	if (o->servers != NULL || (o->files == NULL && o->store == NULL))
+	if (o->servers != NULL ||
+	    (o->files == NULL && o->store == NULL && o->processes == NULL))
 		status = read_instances(ctl, &merged);
 	if (status != CTL_OK)
 		goto out;
+	find_routers(&merged);
 	order_events(&merged);
 	selected = select_events(o, &merged);
 	if (o->verdict)
@@ -573,5 +757,7 @@
 	g_ptr_array_free(selected, TRUE);
 out:
 	g_ptr_array_free(merged.events, TRUE);
+	g_ptr_array_free(merged.instances, TRUE);
+	g_hash_table_destroy(merged.direct);
 	return status;
 }
--- a/lib/coordination/admission.c
+++ b/lib/coordination/admission.c
@@ -182,8 +182,9 @@
 					      bsh_rng_unit(&adm->rng));
 	} else {
 		m->next_return_us = now_us + wait_us + (int64_t)interval;
-		wait_us += (int64_t)(0.5 * (double)wait_us *
-				     bsh_rng_unit(&adm->rng));
+		wait_us +=
+			(int64_t)((double)MIN(wait_us / 2, max_us - wait_us) *
+				  bsh_rng_unit(&adm->rng));
 	}
 	return (uint32_t)(MIN(wait_us, max_us) / 1000);
 }
@@ -528,12 +529,11 @@
 	enqueue(adm, m, request, now_us);
 	if (is_cold(m))
 		ask_for_load(adm, m, now_us);
-	/* A new first may be startable although the old first was not, and
-	 * it delays those behind it. */
+	/* A new first may be startable although the old first was not.  It
+	 * also delays those behind it; they are looked at with the next tick,
+	 * since looking at all for each insertion is quadratic. */
 	if (place == 0)
 		pump(adm, now_us);
-	if (place + 1 < queue_length(m))
-		reevaluate(adm, m, now_us);
 	return BSH_OK;
 }
 
--- a/lib/coordination/attempt.h
+++ b/lib/coordination/attempt.h
@@ -185,6 +185,9 @@
 	void (*cancel)(void *ctx, bsh_attempt_t *a);
 	/* release - send what is held to the caller now. */
 	void (*release)(void *ctx, bsh_attempt_t *a);
+	/* first_byte - the first byte of a matching answer's body came; for
+	 * bsh_route_first().  May be NULL. */
+	void (*first_byte)(void *ctx, bsh_attempt_t *a);
 	/* target_result - for bsh_route_end(); once per started attempt. */
 	void (*target_result)(void *ctx, bsh_attempt_t *a,
 			      bsh_route_result_t result);
@@ -279,6 +282,15 @@
 void bsh_attempt_sent(bsh_attempts_t *set, const bsh_request_id_t *id,
 		      int64_t now_us);
 
+/*
+ * bsh_attempt_recalled - the target became leaving after it was chosen and
+ * before anything was sent (bsh_route_may_send() is false when the connection
+ * is made).  The request waits again; this costs no retry budget, because no
+ * target got anything.
+ */
+void bsh_attempt_recalled(bsh_attempts_t *set, const bsh_request_id_t *id,
+			  int64_t now_us);
+
 /* bsh_attempt_head - status line and headers of an answer have arrived on
  * the connection of id. */
 bsh_answer_verdict_t bsh_attempt_head(bsh_attempts_t *set,
--- a/lib/protocol/adoption_message.h
+++ b/lib/protocol/adoption_message.h
@@ -21,8 +21,10 @@
 #include "base/error.h"
 #include "base/settings.h"
 
-#define BSH_WITNESSES_MAX	    9
-#define BSH_ADOPTION_DOCUMENT_BYTES (1 << 20)
+#define BSH_WITNESSES_MAX 9
+
+/* A stored value, and so a document, has at most 1 MB; a frame 1 MiB. */
+#define BSH_ADOPTION_DOCUMENT_BYTES 1000000
 
 typedef enum {
 	BSH_ADOPTION_FRESH_ASK = 0, /* asks for a confirmation or a vote */
@@ -40,7 +42,7 @@
 	uint64_t generation;
 	uint32_t n_witnesses;
 	char witnesses[BSH_WITNESSES_MAX][BSH_NAME_SIZE];
-	uint64_t hash;	  /* of the document */
+	uint64_t hash;	  /* of the document, as by ops->hash() */
 	GBytes *document; /* opaque */
 } bsh_adoption_object_t;
 
@@ -52,7 +54,8 @@
 	uint64_t settled;    /* FRESH*: lowest generation that may still be run
 			   * by the sender or by those it confirmed */
 	uint32_t confirm_age_ms; /* FRESH: BSH_MEMBER_AGE_NONE_MS for none */
-	bool vote;		 /* FRESH_ASK: asked; FRESH: granted */
+	bool vote;		 /* FRESH_ASK: asked for; FRESH: granted */
+	bool confirm;		 /* FRESH_ASK: a confirmation is asked for */
 	bool accepted;		 /* PREPARED: granted */
 	uint64_t version; /* PREPARE: store version the proposal is based on;
 			   * PREPARED: version known; CONFIG: of generation */
@@ -63,6 +66,12 @@
 	GBytes *body; /* CONFIG: document or delta, may be NULL otherwise */
 } bsh_adoption_message_t;
 
+static inline void bsh_bytes_clear(GBytes **bytes)
+{
+	g_bytes_unref(*bytes);
+	*bytes = NULL;
+}
+
 /* bsh_adoption_message_encode - body as new bytes; NULL if too large. */
 GBytes *bsh_adoption_message_encode(const bsh_adoption_message_t *msg);
 
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -146,6 +146,7 @@
 static const field_t intent_done_fields[] = {
 	STRING(bsh_msg_intent_done_t, service),
 	STRING(bsh_msg_intent_done_t, key),
+	BYTES(bsh_msg_intent_done_t, digest),
 	BYTES(bsh_msg_intent_done_t, attempt),
 	ENUM(bsh_msg_intent_done_t, outcome, BSH_OUTCOME_NOT_RUN,
 	     BSH_OUTCOME_UNKNOWN),
@@ -160,13 +161,15 @@
 				       U64(bsh_msg_fresh_t, remaining_ms), END};
 
 static const field_t drain_fields[] = {
-	ENUM(bsh_msg_drain_t, phase, BSH_DRAIN_BEGIN, BSH_DRAIN_END - 1),
+	ENUM(bsh_msg_drain_t, phase, BSH_PHASE_BEGIN, BSH_PHASE_END - 1),
 	STRING(bsh_msg_drain_t, alternative), U32(bsh_msg_drain_t, running),
 	END};
 
 static const field_t handover_fields[] = {STRING(bsh_msg_handover_t, cell),
 					  U64(bsh_msg_handover_t, epoch), END};
 
+static const field_t events_fields[] = {STRING(bsh_msg_events_t, lines), END};
+
 static const struct {
 	const char *name;
 	const field_t *fields;
@@ -185,6 +188,7 @@
 	[BSH_MSG_FRESH] = {"FRESH", fresh_fields},
 	[BSH_MSG_DRAIN] = {"DRAIN", drain_fields},
 	[BSH_MSG_HANDOVER] = {"HANDOVER", handover_fields},
+	[BSH_MSG_EVENTS] = {"EVENTS", events_fields},
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -49,6 +49,7 @@
 	BSH_MSG_FRESH,
 	BSH_MSG_DRAIN,
 	BSH_MSG_HANDOVER,
+	BSH_MSG_EVENTS,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -89,9 +90,13 @@
 	uint32_t max_running; /* 0: no limit declared */
 } bsh_route_entry_t;
 
-/* ROUTES: replaces all entries of the cell if (epoch, sequence) is newer. */
+/*
+ * ROUTES: replaces all entries of the scope if (epoch, sequence) is newer.  A
+ * scope is "<cell>/<model>", so that a change of one model costs one short
+ * message, or "service/<name>".  Without entries the scope is empty (cold).
+ */
 typedef struct {
-	const char *cell;
+	const char *cell; /* scope */
 	uint64_t epoch;
 	uint64_t sequence;
 	const bsh_route_entry_t *entries;
@@ -133,6 +138,10 @@
 	uint32_t waiting;
 } bsh_report_entry_t;
 
+/*
+ * REPORT: from a router, the use of models; from a controller, with an empty
+ * model, the load that targets reported.
+ */
 typedef struct {
 	const bsh_report_entry_t *entries;
 	uint32_t entry_count;
@@ -170,6 +179,7 @@
 typedef struct {
 	const char *service;
 	const char *key;
+	uint8_t digest[BSH_DIGEST_SIZE_BYTES];
 	uint8_t attempt[BSH_ATTEMPT_SIZE_BYTES];
 	uint32_t outcome; /* bsh_outcome_t */
 	uint32_t status;
@@ -187,9 +197,9 @@
 } bsh_msg_fresh_t;
 
 typedef enum {
-	BSH_DRAIN_BEGIN = 1, /* controller to router, or router to controller */
-	BSH_DRAIN_ENDED,     /* router: the last request has ended */
-	BSH_DRAIN_END
+	BSH_PHASE_BEGIN = 1, /* controller to router, or router to controller */
+	BSH_PHASE_ENDED,     /* router: the last request has ended */
+	BSH_PHASE_END
 } bsh_drain_phase_t;
 
 typedef struct {
@@ -204,6 +214,14 @@
 	uint64_t epoch;
 } bsh_msg_handover_t;
 
+/*
+ * EVENTS: time line of a router, for the store.  After a new connection the
+ * whole ring is sent again; the receiver drops what it has by sequence.
+ */
+typedef struct {
+	const char *lines; /* one JSON object a line */
+} bsh_msg_events_t;
+
 typedef struct {
 	bsh_message_type_t type;
 	bsh_hlc_stamp_t stamp;
@@ -223,6 +241,7 @@
 		bsh_msg_fresh_t fresh;
 		bsh_msg_drain_t drain;
 		bsh_msg_handover_t handover;
+		bsh_msg_events_t events;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -38,7 +38,8 @@
 	connection_t *connections;
 	uint32_t connection_count;
 	uint32_t request_count;
-	bool stopping;
+	bool closing; /* each answer closes its connection */
+	bool stopped; /* no longer listens */
 };
 
 struct bsh_http_request {
@@ -56,6 +57,7 @@
 	GString *out; /* written and not yet taken by libmicrohttpd */
 	size_t out_start;
 	bsh_loop_watch_t *gone_watch;
+	bool unwatched;
 	bsh_loop_task_t drained_task;
 	bsh_http_request_handler_t handler;
 	void *handler_ctx;
@@ -94,12 +96,6 @@
 	bsh_loop_task_schedule(&server->run_task);
 }
 
-static void suspend(bsh_http_request_t *request)
-{
-	request->suspended = true;
-	MHD_suspend_connection(request->mhd);
-}
-
 static void resume(bsh_http_request_t *request)
 {
 	if (!request->suspended)
@@ -127,6 +123,7 @@
 	if (n > 0 && !(events & BSH_LOOP_ERROR)) {
 		/* The next request came early; its bytes stay where they are,
 		 * and the close behind them is seen when it is read. */
+		request->unwatched = true;
 		stop_watching(request);
 		return;
 	}
@@ -137,6 +134,18 @@
 	resume(request);
 }
 
+static void suspend(bsh_http_request_t *request)
+{
+	/* Without a watch the end of the caller is seen on writing. */
+	if (request->gone_watch == NULL && !request->unwatched &&
+	    request->connection != NULL && request->connection->fd >= 0)
+		request->gone_watch = bsh_loop_watch(
+			request->server->loop, request->connection->fd,
+			BSH_LOOP_READ, on_caller_event, request);
+	request->suspended = true;
+	MHD_suspend_connection(request->mhd);
+}
+
 static void on_drained_task(void *ctx)
 {
 	bsh_http_request_t *request = ctx;
@@ -283,18 +292,6 @@
 		bsh_http_answer(request, 413, "", 0);
 }
 
-static enum MHD_Result wait_for_answer(bsh_http_request_t *request)
-{
-	/* Without a descriptor the end of the caller is seen on writing. */
-	if (request->gone_watch == NULL && request->connection != NULL &&
-	    request->connection->fd >= 0)
-		request->gone_watch = bsh_loop_watch(
-			request->server->loop, request->connection->fd,
-			BSH_LOOP_READ, on_caller_event, request);
-	suspend(request);
-	return MHD_YES;
-}
-
 static enum MHD_Result on_access(void *ctx, struct MHD_Connection *mhd,
 				 const char *url, const char *method,
 				 const char *version, const char *data,
@@ -322,8 +319,10 @@
 	/* A begun answer is sent as far as it was written. */
 	if (request->aborted && request->response == NULL)
 		return MHD_NO;
-	if (request->response == NULL)
-		return wait_for_answer(request);
+	if (request->response == NULL) {
+		suspend(request);
+		return MHD_YES;
+	}
 	if (request->queued)
 		return MHD_YES;
 	request->queued = true;
@@ -433,16 +432,9 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void bsh_http_server_stop(bsh_http_server_t *server)
+void bsh_http_server_close_idle(bsh_http_server_t *server)
 {
-	MHD_socket listener;
-
-	if (server->stopping)
-		return;
-	server->stopping = true;
-	listener = MHD_quiesce_daemon(server->daemon);
-	if (listener != MHD_INVALID_SOCKET)
-		close(listener);
+	server->closing = true;
 	/* libmicrohttpd sees the end and closes. */
 	for (connection_t *c = server->connections; c != NULL; c = c->next)
 		if (c->request == NULL && !has_unread(c->fd))
@@ -450,6 +442,19 @@
 	bsh_loop_task_schedule(&server->run_task);
 }
 
+void bsh_http_server_stop(bsh_http_server_t *server)
+{
+	MHD_socket listener;
+
+	if (!server->stopped) {
+		server->stopped = true;
+		listener = MHD_quiesce_daemon(server->daemon);
+		if (listener != MHD_INVALID_SOCKET)
+			close(listener);
+	}
+	bsh_http_server_close_idle(server);
+}
+
 uint32_t bsh_http_server_connections(const bsh_http_server_t *server)
 {
 	return server->connection_count;
@@ -558,7 +563,7 @@
 	for (guint i = 0; i + 1 < headers->len; i += 2)
 		MHD_add_response_header(response, g_ptr_array_index(headers, i),
 					g_ptr_array_index(headers, i + 1));
-	if (request->server->stopping)
+	if (request->server->closing)
 		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
 					"close");
 	resume(request);
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -129,6 +129,8 @@
 	RUN(f, 1, "diff", one, two);
 	g_assert_cmpstr(f->out, ==, "~ models/contract.max_replicas: 1 -> 2\n");
 	RUN(f, 0, "diff", one, one);
+	RUN(f, 1, "diff", "-s", f->fake.address, one);
+	CONTAINS(f->out, "# no document is accepted yet\n");
 	fake_control_accept(&f->fake, doc_1);
 	RUN(f, 1, "diff", "-s", f->fake.address, two);
 	CONTAINS(f->out, "1 -> 2");
@@ -267,8 +269,9 @@
 		CONTAINS(f->err, "malformed");
 	}
 	f->fake.canned_status = 503;
+	f->fake.canned_body = "{\"title\":\"a\\u001b[2Jb\\u009bc\"}";
 	RUN(f, 7, "apply", "-s", server, one);
-	CONTAINS(f->err, "status 503");
+	CONTAINS(f->err, "status 503: a [2Jb  c\n");
 	f->fake.canned_path = "/metrics";
 	f->fake.canned_status = 200;
 	f->fake.canned_body = "bsh_requests_total\n";
@@ -286,6 +289,8 @@
 	fake_control_accept(&f->fake, doc_1);
 	RUN(f, 0, "status", "-s", gone.address, "-s", f->fake.address);
 	CONTAINS(f->out, "entry-1\ta\tlive\t1\t0\t3\t127.0.0.1:");
+	RUN(f, 0, "status", "-HT", "-s", f->fake.address);
+	g_assert_cmpstr(f->out, ==, "t1\tgpu\ta\tlive\t4\t127.0.0.8:1\n");
 	RUN(f, 5, "status", "-s", gone.address);
 	CONTAINS(f->err, gone.address);
 	g_setenv("BERYLSHUNT_SERVER", f->fake.address, TRUE);
@@ -303,7 +308,16 @@
 	f->fake.metrics = "# HELP bsh_x X.\n# TYPE bsh_x counter\n"
 			  "bsh_x{kind=\"a b\"} 7\n";
 	RUN(f, 0, "counters", "-H", "--all", "-s", server);
-	g_assert_true(g_str_has_suffix(f->out, "\tbsh_x{kind=\"a b\"}\t7\n"));
+	g_assert_cmpstr(f->out, ==, "entry-1\tbsh_x{kind=\"a b\"}\t7\n");
+	/* A dead instance is not asked; a live one that does not answer is
+	 * reported. */
+	f->fake.more_members = ",{\"name\":\"e3\",\"state\":\"dead\","
+			       "\"control\":\"127.0.0.1:1\"}";
+	RUN(f, 0, "counters", "--all", "-s", server);
+	f->fake.more_members = ",{\"name\":\"e3\",\"state\":\"live\","
+			       "\"control\":\"127.0.0.1:1\"}";
+	RUN(f, 5, "counters", "--all", "-s", server);
+	CONTAINS(f->out, "entry-1\t");
 	RUN(f, 0, "entry", "-H", "-s", server, "-z", "a&b=c");
 	g_assert_cmpstr(f->out, ==, "127.0.0.9:1\ta&b=c\t30\n");
 	RUN(f, 7, "drain", "-s", server, "entry-9");
@@ -319,21 +333,42 @@
 	"\",\"incarnation\":1,\"sequence\":" sequence ",\"event\":\"" kind     \
 	"\",\"details\":" details "}"
 
-#define ADOPT EVENT("1000000", "0", "e1/r", "1", "adopt", "{\"generation\":42}")
+#define START	EVENT("500000", "0", "entry-1/bshrouterd", "1", "start", "{}")
+#define END	EVENT("600000", "0", "entry-1/bshrouterd", "2", "drain-end", "{}")
+#define CONTROL EVENT("400000", "0", "entry-1/bshcontrold", "1", "start", "{}")
+/* As the router writes them: a request has a number, an attempt has the id
+ * that the caller sees. */
+#define ADOPT                                                                  \
+	EVENT("1000000", "0", "e1/r", "1", "adopted", "{\"generation\":42}")
 #define QUEUE                                                                  \
-	EVENT("3000000", "1", "e1/r", "2", "queue", "{\"request\":\"q1\"}")
+	EVENT("3000000", "1", "e1/r", "2", "intent",                           \
+	      "{\"request\":1,\"key\":\"k1\"}")
 #define SEND                                                                   \
-	EVENT("3000000", "2", "e1/r", "3", "send",                             \
-	      "{\"request\":\"q1\",\"attempt\":\"a1\",\"target\":\"t7\"}")
+	EVENT("3000000", "2", "e1/r", "3", "sent",                             \
+	      "{\"request\":1,\"attempt\":\"a1\",\"target\":\"t7\"}")
 #define DONE                                                                   \
 	EVENT("5000000", "0", "e1/r", "4", "done",                             \
-	      "{\"attempt\":\"a1\",\"outcome\":\"answered\"}")
+	      "{\"request\":1,\"attempt\":\"a1\",\"outcome\":\"answered\"}")
 #define REFUSE                                                                 \
-	EVENT("6000000", "0", "e1/r", "5", "refuse",                           \
-	      "{\"request\":\"q2\",\"outcome\":\"not-run\"}")
+	EVENT("6000000", "0", "e1/r", "5", "refused",                          \
+	      "{\"request\":2,\"attempt\":\"a2\",\"outcome\":\"not-run\"}")
 #define OPEN                                                                   \
-	EVENT("7000000", "0", "e1/r", "6", "send",                             \
-	      "{\"request\":\"q3\",\"attempt\":\"a3\",\"target\":\"t8\"}")
+	EVENT("7000000", "0", "e1/r", "6", "sent",                             \
+	      "{\"request\":3,\"attempt\":\"a3\",\"target\":\"t8\"}")
+/* Answered from the journal: not sent, so without an attempt. */
+#define AGAIN                                                                  \
+	EVENT("7100000", "0", "e1/r", "7", "intent",                           \
+	      "{\"request\":4,\"key\":\"k1\"}")
+#define AGAIN_DONE                                                             \
+	EVENT("7200000", "0", "e1/r", "8", "answered",                         \
+	      "{\"request\":4,\"attempt\":\"\",\"outcome\":\"answered\"}")
+#define OTHER_KEY                                                              \
+	EVENT("7300000", "0", "e1/r", "9", "answered",                         \
+	      "{\"request\":5,\"attempt\":\"\",\"outcome\":\"answered\"}")
+/* The same number at another router is another request. */
+#define OTHER                                                                  \
+	EVENT("8000000", "0", "e9/r", "1", "sent",                             \
+	      "{\"request\":1,\"attempt\":\"b1\",\"target\":\"t9\"}")
 #define LOAD                                                                   \
 	EVENT("2000000", "0", "e2/c", "1", "load", "{\"model\":\"contract\"}")
 
@@ -344,8 +379,8 @@
 		save(f, "events",
 		     OPEN "\n" SEND "\n" ADOPT "\n" LOAD "\n" QUEUE "\n" DONE
 			  "\n" REFUSE "\n");
-	const char *order[] = {"adopt", "load", "queue",
-			       "send",	"done", "refuse"};
+	const char *order[] = {"adopted", "load", "intent",
+			       "sent",	  "done", "refused"};
 	char *server = f->fake.address;
 	const char *at;
 
@@ -363,9 +398,10 @@
 	RUN(f, 1, "timeline", "-H", "-f", events, "-g", "43");
 	f->fake.store_items = "[{\"name\":\"e1-1\",\"version\":1,\"value\":"
 			      "{\"events\":[" ADOPT "," QUEUE "]}}]";
-	f->fake.timeline = QUEUE "\n" SEND "\n" DONE "\n";
+	f->fake.timeline = START "\n" QUEUE "\n" SEND "\n" DONE "\n";
 	RUN(f, 0, "timeline", "-j", "-s", server, "--store", server);
-	g_assert_cmpuint(strlen(f->out), ==, strlen(ADOPT QUEUE SEND DONE) + 4);
+	g_assert_cmpuint(strlen(f->out), ==,
+			 strlen(START ADOPT QUEUE SEND DONE) + 5);
 	f->fake.timeline = DONE "\n";
 	RUN(f, 5, "timeline", "-s", server, "--store", server);
 	CONTAINS(f->err, "1 events are missing");
@@ -383,27 +419,54 @@
 /* Guards against a verdict that claims more than the events show. */
 static void test_verdict(fixture_t *f, gconstpointer data)
 {
-	g_autofree char *events = save(f, "events",
-				       ADOPT "\n" QUEUE "\n" SEND "\n" DONE
-					     "\n" REFUSE "\n" OPEN "\n");
+	g_autofree char *events =
+		save(f, "events",
+		     ADOPT "\n" QUEUE "\n" SEND "\n" DONE "\n" REFUSE "\n" OPEN
+			   "\n" OTHER "\n" AGAIN "\n" AGAIN_DONE "\n" OTHER_KEY
+			   "\n");
 	g_autofree char *tail = save(f, "tail", DONE "\n" REFUSE "\n");
+	const char *const names[][2] = {{"-r", "a1"}, {"-k", "k1"}};
 
 	(void)data;
-	RUN(f, 0, "timeline", "-f", events, "-r", "q1", "--verdict");
-	CONTAINS(f->out, "verdict\tanswered\n");
-	CONTAINS(f->out, "targets\tt7\n");
-	CONTAINS(f->out, "generations\t42\n");
-	CONTAINS(f->out, "complete\tyes\n");
-	RUN(f, 0, "timeline", "-f", events, "-r", "q2", "--verdict");
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		RUN(f, 0, "timeline", "-f", events, names[i][0], names[i][1],
+		    "--verdict");
+		CONTAINS(f->out, "verdict\tanswered\n");
+		CONTAINS(f->out, i == 0 ? "answered\t1\n" : "answered\t2\n");
+		CONTAINS(f->out, "sent\t1\ntargets\tt7\n");
+		CONTAINS(f->out, "generations\t42\n");
+		CONTAINS(f->out, "complete\tyes\n");
+	}
+	RUN(f, 0, "timeline", "-f", events, "-r", "a2", "--verdict");
 	CONTAINS(f->out, "verdict\tnot-run\n");
-	CONTAINS(f->out, "targets\t\n");
-	RUN(f, 0, "timeline", "-f", events, "-r", "q3", "--verdict");
+	CONTAINS(f->out, "sent\t0\ntargets\t\n");
+	RUN(f, 0, "timeline", "-f", events, "-r", "a3", "--verdict");
 	CONTAINS(f->out, "verdict\tunknown\n");
-	RUN(f, 1, "timeline", "-f", events, "-r", "q4", "--verdict");
+	RUN(f, 1, "timeline", "-f", events, "-r", "a4", "--verdict");
 	CONTAINS(f->out, "verdict\tno-record\n");
-	RUN(f, 0, "timeline", "-f", tail, "-r", "q2", "--verdict");
+	RUN(f, 0, "timeline", "-f", tail, "-r", "a2", "--verdict");
 	CONTAINS(f->out, "complete\tno\n");
 	RUN(f, 2, "timeline", "-f", events, "--verdict");
+	/* A time line without the router of a live instance is incomplete. */
+	f->fake.timeline = LOAD "\n" OTHER "\n";
+	RUN(f, 5, "timeline", "-s", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->err, "routers of 1 instances");
+	CONTAINS(f->out, "complete\tno\n");
+	/* Nor is one whose router was read through its controller only: its
+	 * last events may be on their way. */
+	f->fake.timeline = START "\n" LOAD "\n";
+	RUN(f, 1, "timeline", "-s", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tnot-known\n");
+	CONTAINS(f->out, "open-ended\tentry-1/bshrouterd@500000\n");
+	RUN(f, 1, "timeline", "-p", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tno-record\n");
+	CONTAINS(f->out, "complete\tyes\n");
+	f->fake.timeline = START "\n" CONTROL "\n";
+	RUN(f, 1, "timeline", "-p", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tnot-known\n");
+	f->fake.timeline = START "\n" END "\n" CONTROL "\n";
+	RUN(f, 1, "timeline", "-s", f->fake.address, "-r", "b1", "--verdict");
+	CONTAINS(f->out, "verdict\tno-record\n");
 }
 
 #define ADD(path, function)                                                    \
