Count the use of a model over all routers

Cause: a router's report was passed to the loader as the model's whole use, and the loader ends the use at once when it is told 0. A router whose short request had just ended could so end the use of a model on which another router had streams. Found by reading the loader's header against bshcontrold. Ruled out: leaving the sum to the loader, since it knows no instances.

--- a/bshcontrold/cells.c
+++ b/bshcontrold/cells.c
@@ -7,6 +7,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "coordination/member.h"
+#include "coordination/use.h"
 
 #define KIND "cell"
 /* With more controllers than this, routes go only to those that asked. */
@@ -25,6 +26,7 @@
 	bsh_loop_timer_t timer;
 	GHashTable *scopes; /* name to scope_t */
 	GHashTable *askers; /* instances that asked for a model */
+	bsh_use_t use;
 };
 
 typedef struct {
@@ -109,10 +111,15 @@
 	store_call_t *call = ctx;
 	control_t *control = call->control;
 	bsh_store_result_t result = store_result(answer);
-	char *text = result == BSH_STORE_OK
-			     ? json_dumps(answer->value,
-					  JSON_COMPACT | JSON_ENCODE_ANY)
-			     : NULL;
+	char *text;
+
+	/* Reading has no effect that could be in doubt. */
+	if (result == BSH_STORE_LOST)
+		result = BSH_STORE_UNAVAILABLE;
+	text = result == BSH_STORE_OK
+		       ? json_dumps(answer->value,
+				    JSON_COMPACT | JSON_ENCODE_ANY)
+		       : NULL;
 
 	bsh_loader_read_result(
 		&control->cells->loader, call->cell, result, answer->version,
@@ -352,6 +359,7 @@
 		  sizeof(config.self.instance));
 	g_strlcpy(config.zone, control->settings.zone, sizeof(config.zone));
 	control->cells = cells;
+	bsh_use_init(&cells->use);
 	cells->scopes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_scope);
 	cells->askers =
@@ -370,6 +378,7 @@
 	bsh_loader_finish(&cells->loader);
 	g_hash_table_destroy(cells->scopes);
 	g_hash_table_destroy(cells->askers);
+	bsh_use_finish(&cells->use);
 	g_free(cells);
 }
 
@@ -570,6 +579,18 @@
 	peers_send(control, owner, &message);
 }
 
+static void take_use(control_t *control, const char *instance,
+		     const bsh_report_entry_t *e)
+{
+	struct cells *cells = control->cells;
+	int64_t now_us = control_now_us();
+	uint32_t total =
+		bsh_use_report(&cells->use, e->model, instance, e->target,
+			       e->running + e->waiting, now_us);
+
+	bsh_loader_use(&cells->loader, e->model, e->started, total, now_us);
+}
+
 /* From the router of this instance, or passed on by another controller. */
 void cells_report(control_t *control, const bsh_message_t *message)
 {
@@ -586,9 +607,7 @@
 				      &owner))
 			continue;
 		if (cells_is_self(control, &owner))
-			bsh_loader_use(&control->cells->loader, e->model,
-				       e->started, e->running + e->waiting,
-				       control_now_us());
+			take_use(control, message->sender, e);
 		else if (is_local)
 			forward_report(control, owner.instance, e);
 	}
--- a/bshcontrold/config.c
+++ b/bshcontrold/config.c
@@ -264,6 +264,7 @@
 	cells_document(control);
 	targets_document(control);
 	send_config(control);
+	peers_soon(control);
 }
 
 /* The next one starts with the following step: this may run within an order
--- a/bshcontrold/control.h
+++ b/bshcontrold/control.h
@@ -108,6 +108,8 @@
 /* Frame to every live controller but this one. */
 void peers_broadcast(control_t *control, const bsh_message_t *message);
 void peers_leave(control_t *control);
+/* Membership has news that must not wait for its next period. */
+void peers_soon(control_t *control);
 
 /* cells */
 void cells_start(control_t *control);
--- a/bshcontrold/peers.c
+++ b/bshcontrold/peers.c
@@ -172,6 +172,12 @@
 	run(ctx);
 }
 
+/* By the timer, because this may run within an order of the module. */
+void peers_soon(control_t *control)
+{
+	bsh_loop_timer_after(&control->peers->timer, 0);
+}
+
 static bool is_new(struct peers *peers, const bsh_message_t *message,
 		   uint64_t sequence)
 {
--- /dev/null
+++ b/regress/test_use.c
@@ -0,0 +1,46 @@
+#include <glib.h>
+
+#include "coordination/use.h"
+
+#define SECOND INT64_C(1000000)
+
+/* Guards against a router without requests that ends the use of a model while
+ * another router has streams on it. */
+static void test_total(void)
+{
+	bsh_use_t use;
+
+	bsh_use_init(&use);
+	g_assert_cmpuint(bsh_use_report(&use, "m", "a", "t1", 2, 0), ==, 2);
+	g_assert_cmpuint(bsh_use_report(&use, "m", "b", "t1", 3, 0), ==, 5);
+	g_assert_cmpuint(bsh_use_report(&use, "m", "b", "t2", 1, 0), ==, 6);
+	g_assert_cmpuint(bsh_use_report(&use, "n", "b", "t2", 0, 0), ==, 0);
+	g_assert_cmpuint(bsh_use_report(&use, "m", "a", "t1", 0, SECOND), ==,
+			 4);
+	bsh_use_finish(&use);
+}
+
+/* Guards against a killed router that keeps a model loaded for good. */
+static void test_router_gone(void)
+{
+	bsh_use_t use;
+
+	bsh_use_init(&use);
+	bsh_use_report(&use, "m", "gone", "t1", 7, 0);
+	g_assert_cmpuint(bsh_use_report(&use, "m", "a", "t1", 1, 3 * SECOND),
+			 ==, 8);
+	g_assert_cmpuint(bsh_use_report(&use, "m", "a", "t1", 1, 4 * SECOND),
+			 ==, 1);
+	g_assert_cmpuint(bsh_use_report(&use, "m", "a", "t1", 0, 5 * SECOND),
+			 ==, 0);
+	g_assert_cmpuint(g_hash_table_size(use.models), ==, 0);
+	bsh_use_finish(&use);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/use/total", test_total);
+	g_test_add_func("/use/router-gone", test_router_gone);
+	return g_test_run();
+}
