--- a/bench/bshload/bshload.c
+++ b/bench/bshload/bshload.c
@@ -31,25 +31,26 @@
 static gboolean show_version;
 
 static const GOptionEntry options[] = {
-	{"url", 'u', 0, G_OPTION_ARG_STRING, &url, "Address and path", "URL"},
-	{"model", 'm', 0, G_OPTION_ARG_STRING, &model, "Model asked for",
-	 "NAME"},
-	{"rate", 'r', 0, G_OPTION_ARG_DOUBLE, &rate,
-	 "Open loop: requests per second, whatever the answers do", "N"},
-	{"clients", 'c', 0, G_OPTION_ARG_INT, &clients,
-	 "Closed loop: clients that send one request after the other", "N"},
-	{"seconds", 't', 0, G_OPTION_ARG_DOUBLE, &seconds,
-	 "Time in which requests are started (10)", "S"},
-	{"requests", 'n', 0, G_OPTION_ARG_INT, &total,
-	 "Stop after this many requests", "N"},
-	{"stream", 's', 0, G_OPTION_ARG_NONE, &stream, "Ask for streams", NULL},
-	{"tokens", 'k', 0, G_OPTION_ARG_INT, &tokens, "Tokens per answer (16)",
-	 "N"},
-	{"threads", 'j', 0, G_OPTION_ARG_INT, &threads, "Threads (1)", "N"},
-	{"json", 0, 0, G_OPTION_ARG_NONE, &as_json, "Print JSON", NULL},
-	{"version", 0, 0, G_OPTION_ARG_NONE, &show_version,
-	 "Print the version and exit", NULL},
-	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+	{ "url", 'u', 0, G_OPTION_ARG_STRING, &url, "Address and path", "URL" },
+	{ "model", 'm', 0, G_OPTION_ARG_STRING, &model, "Model asked for",
+	  "NAME" },
+	{ "rate", 'r', 0, G_OPTION_ARG_DOUBLE, &rate,
+	  "Open loop: requests per second, whatever the answers do", "N" },
+	{ "clients", 'c', 0, G_OPTION_ARG_INT, &clients,
+	  "Closed loop: clients that send one request after the other", "N" },
+	{ "seconds", 't', 0, G_OPTION_ARG_DOUBLE, &seconds,
+	  "Time in which requests are started (10)", "S" },
+	{ "requests", 'n', 0, G_OPTION_ARG_INT, &total,
+	  "Stop after this many requests", "N" },
+	{ "stream", 's', 0, G_OPTION_ARG_NONE, &stream, "Ask for streams",
+	  NULL },
+	{ "tokens", 'k', 0, G_OPTION_ARG_INT, &tokens, "Tokens per answer (16)",
+	  "N" },
+	{ "threads", 'j', 0, G_OPTION_ARG_INT, &threads, "Threads (1)", "N" },
+	{ "json", 0, 0, G_OPTION_ARG_NONE, &as_json, "Print JSON", NULL },
+	{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
+	  "Print the version and exit", NULL },
+	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 };
 
 /* Samples are microseconds. */
@@ -156,10 +157,10 @@
 
 static void start_request(worker_t *w, int64_t scheduled_us)
 {
-	static const char *const headers[] = {"Content-Type: application/json",
-					      NULL};
-	static const bsh_http_handler_t handler = {.on_data = on_data,
-						   .on_end = on_end};
+	static const char *const headers[] = { "Content-Type: application/json",
+					       NULL };
+	static const bsh_http_handler_t handler = { .on_data = on_data,
+						    .on_end = on_end };
 	bsh_http_spec_t spec = {
 		.method = "POST",
 		.url = url,
--- a/bench/capacity/capacity.c
+++ b/bench/capacity/capacity.c
@@ -49,8 +49,8 @@
 
 int main(int argc, char **argv)
 {
-	static const guint sizes[] = {6, 50, 200, 1100};
-	static const guint entries[] = {90, 870, 2000, 5270};
+	static const guint sizes[] = { 6, 50, 200, 1100 };
+	static const guint entries[] = { 90, 870, 2000, 5270 };
 
 	if (argc == 1 || (argc == 2 && strcmp(argv[1], "document") == 0)) {
 		for (size_t i = 0; i < G_N_ELEMENTS(entries); i++)
--- a/bench/capacity/document.c
+++ b/bench/capacity/document.c
@@ -132,25 +132,27 @@
 static void measure_messages(void)
 {
 	static const bsh_route_entry_t entries[] = {
-		{"model-00001", false, "worker-0001", 1700000000000000,
-		 "10.1.2.3:8000", "region-1-a", false, 64},
-		{"model-00001", false, "worker-0002", 1700000000000000,
-		 "10.1.2.4:8000", "region-1-b", false, 64}};
-	bsh_message_t message = {.type = BSH_MSG_ROUTES,
-				 .stamp = {1700000000000000, 1},
-				 .sender = "entry-0001",
-				 .incarnation = 1700000000000000};
-
-	message.routes = (bsh_msg_routes_t){"gpu.12/model-00001", 17, 123456,
-					    entries, 2};
+		{ "model-00001", false, "worker-0001", 1700000000000000,
+		  "10.1.2.3:8000", "region-1-a", false, 64 },
+		{ "model-00001", false, "worker-0002", 1700000000000000,
+		  "10.1.2.4:8000", "region-1-b", false, 64 }
+	};
+	bsh_message_t message = { .type = BSH_MSG_ROUTES,
+				  .stamp = { 1700000000000000, 1 },
+				  .sender = "entry-0001",
+				  .incarnation = 1700000000000000 };
+
+	message.routes = (bsh_msg_routes_t){ "gpu.12/model-00001", 17, 123456,
+					     entries, 2 };
 	capacity_row("message", "routes-2-replicas", 1,
 		     (double)encoded(&message), "B", 0);
 	message.type = BSH_MSG_NEED;
-	message.need = (bsh_msg_need_t){123456, "model-00001", 30000, 5, 12};
+	message.need = (bsh_msg_need_t){ 123456, "model-00001", 30000, 5, 12 };
 	capacity_row("message", "need", 1, (double)encoded(&message), "B", 0);
 	message.type = BSH_MSG_NEED_ANSWER;
 	message.need_answer = (bsh_msg_need_answer_t){
-		123456, "model-00001", BSH_NEED_LOADING, 12000, 0, BSH_OK};
+		123456, "model-00001", BSH_NEED_LOADING, 12000, 0, BSH_OK
+	};
 	capacity_row("message", "need-answer", 1, (double)encoded(&message),
 		     "B", 0);
 }
--- a/bench/capacity/members.c
+++ b/bench/capacity/members.c
@@ -63,7 +63,7 @@
 	fleet_t *f = &b->fleet;
 	fleet_node_t *before = g_memdup2(f->nodes, b->n * sizeof(*before));
 	uint64_t store = f->store_calls;
-	load_t load = {0};
+	load_t load = { 0 };
 
 	b->worst = 0;
 	run_seconds(b, seconds);
@@ -326,10 +326,10 @@
 static void changes(bench_t *b)
 {
 	fleet_t *f = &b->fleet;
-	double times[64] = {0};
+	double times[64] = { 0 };
 	guint from = f->accepted->len;
 	guint n;
-	load_t load = {0};
+	load_t load = { 0 };
 
 	for (int i = 0; i < 10; i++) {
 		fleet_apply(f, (guint)(i * 5 + 2) % b->n);
@@ -447,7 +447,7 @@
 
 static verdicts_t verdicts(bench_t *b)
 {
-	verdicts_t v = {0};
+	verdicts_t v = { 0 };
 
 	for (guint i = 0; i < b->n; i++) {
 		v.suspicions += stats_at(b, i)->suspicions;
--- a/bench/path/forwarder.c
+++ b/bench/path/forwarder.c
@@ -30,7 +30,7 @@
 
 static void watch(side_t *side, int op, uint32_t events)
 {
-	struct epoll_event event = {.events = events, .data.ptr = side};
+	struct epoll_event event = { .events = events, .data.ptr = side };
 
 	if (epoll_ctl(epoll_fd, op, side->fd, &event) != 0)
 		err(1, "epoll_ctl");
@@ -38,7 +38,7 @@
 
 static void close_pair(side_t *side)
 {
-	side_t *pair[] = {side, side->other};
+	side_t *pair[] = { side, side->other };
 
 	for (int i = 0; i < 2; i++) {
 		if (pair[i]->closed)
@@ -143,7 +143,7 @@
 static void run(int listener)
 {
 	struct epoll_event events[EVENTS];
-	struct epoll_event own = {.events = EPOLLIN, .data.ptr = NULL};
+	struct epoll_event own = { .events = EPOLLIN, .data.ptr = NULL };
 
 	closed_sides = g_ptr_array_new();
 	epoll_fd = epoll_create1(0);
--- a/bench/path/path.c
+++ b/bench/path/path.c
@@ -124,21 +124,21 @@
 {
 	g_autofree char *url = g_strdup_printf(
 		"http://127.0.0.1:%u/v1/chat/completions", port);
-	char *args[] = {(char *)"--json",
-			(char *)"-u",
-			url,
-			(char *)"-m",
-			(char *)MODEL,
-			(char *)mode,
-			(char *)amount,
-			(char *)"-t",
-			(char *)duration,
-			(char *)"-k",
-			(char *)tokens,
-			(char *)"-j",
-			(char *)(streaming ? "3" : "1"),
-			(char *)(streaming ? "-s" : NULL),
-			NULL};
+	char *args[] = { (char *)"--json",
+			 (char *)"-u",
+			 url,
+			 (char *)"-m",
+			 (char *)MODEL,
+			 (char *)mode,
+			 (char *)amount,
+			 (char *)"-t",
+			 (char *)duration,
+			 (char *)"-k",
+			 (char *)tokens,
+			 (char *)"-j",
+			 (char *)(streaming ? "3" : "1"),
+			 (char *)(streaming ? "-s" : NULL),
+			 NULL };
 	g_autofree char *text = run("bshload", args);
 	json_t *json = json_loads(text, 0, NULL);
 
@@ -213,7 +213,7 @@
 {
 	g_autofree char *dir_path = g_strdup_printf("/proc/%d/task", pid);
 	GDir *dir = g_dir_open(dir_path, 0, NULL);
-	schedule_t sum = {0.0, 0.0};
+	schedule_t sum = { 0.0, 0.0 };
 	const char *task;
 
 	while (dir != NULL && (task = g_dir_read_name(dir)) != NULL) {
@@ -305,10 +305,10 @@
 static void measure_latency(const uint16_t ports[LATENCY_PATHS],
 			    const GPid pids[LATENCY_PATHS])
 {
-	static const char *const names[] = {"direct", "bare forwarder",
-					    "router"};
-	double p50[LATENCY_PATHS] = {0.0};
-	double p99[LATENCY_PATHS] = {0.0};
+	static const char *const names[] = { "direct", "bare forwarder",
+					     "router" };
+	double p50[LATENCY_PATHS] = { 0.0 };
+	double p99[LATENCY_PATHS] = { 0.0 };
 
 	printf("## Latency of a warm request at " RATE " requests/s\n\n"
 	       "| round | path | answered | p50 ms | p95 ms | p99 ms | "
@@ -402,9 +402,9 @@
 
 int main(int argc, char **argv)
 {
-	char *weights_args[] = {(char *)"0", NULL};
-	char *engine_args[] = {(char *)"e1", (char *)"0",	(char *)"1000",
-			       NULL,	     (char *)"fencing", NULL};
+	char *weights_args[] = { (char *)"0", NULL };
+	char *engine_args[] = { (char *)"e1", (char *)"0",	 (char *)"1000",
+				NULL,	      (char *)"fencing", NULL };
 	process_t weights;
 	process_t engine;
 	uint16_t forwarder_port;
@@ -426,7 +426,7 @@
 	{
 		g_autofree char *address =
 			g_strdup_printf("127.0.0.1:%u", engine.port);
-		const char *const targets[] = {"e1", address, NULL};
+		const char *const targets[] = { "e1", address, NULL };
 
 		rig_config(&rig, document);
 		rig_route(&rig, MODEL, false, targets);
@@ -435,9 +435,9 @@
 	print_load("before");
 	printf("\n");
 	set_token_ms(engine.port, 0);
-	measure_latency((const uint16_t[]){engine.port, forwarder_port,
-					   port_of(rig.listen)},
-			(const GPid[]){engine.pid, forwarder, rig.pid});
+	measure_latency((const uint16_t[]){ engine.port, forwarder_port,
+					    port_of(rig.listen) },
+			(const GPid[]){ engine.pid, forwarder, rig.pid });
 	idle_kib = status_kib(rig.pid, "VmHWM:");
 	printf("\n## %d streams\n\n"
 	       "| speed | path | tokens/s | cores used | tokens/s per core | "
--- a/bench/policy/bench_policy.c
+++ b/bench/policy/bench_policy.c
@@ -14,10 +14,11 @@
 #define SEEDS_MAX    64
 #define REFERENCE    6 /* point of the curve whose figures scale the cost */
 
-static const double keep_s[CURVE_POINTS] = {
-	0, 10, 30, 60, 180, 300, 600, 1200, 2400, 3600, 10800, 43200, INFINITY};
-static const char *const scene_names[SCENES] = {"plain", "slow-weights",
-						"reclaimed", "store-down"};
+static const double keep_s[CURVE_POINTS] = { 0,	    10,	   30,	    60,	  180,
+					     300,   600,   1200,    2400, 3600,
+					     10800, 43200, INFINITY };
+static const char *const scene_names[SCENES] = { "plain", "slow-weights",
+						 "reclaimed", "store-down" };
 
 typedef struct {
 	const deployment_t *d;
@@ -87,7 +88,7 @@
 
 static spread_t spread(const outcome_t *o, int n, size_t offset)
 {
-	spread_t s = {.low = INFINITY, .high = -INFINITY};
+	spread_t s = { .low = INFINITY, .high = -INFINITY };
 
 	for (int i = 0; i < n; i++) {
 		double value;
@@ -256,17 +257,18 @@
 	gboolean is_size = FALSE;
 	char *out = NULL;
 	GOptionEntry entries[] = {
-		{"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "seeds", "N"},
-		{"threads", 0, 0, G_OPTION_ARG_INT, &threads, "threads", "N"},
-		{"weight", 0, 0, G_OPTION_ARG_DOUBLE, &weight,
-		 "weight given to the decisions only", "W"},
-		{"plain", 0, 0, G_OPTION_ARG_NONE, &is_plain,
-		 "without the scenes of failures", NULL},
-		{"size", 0, 0, G_OPTION_ARG_NONE, &is_size,
-		 "only bytes, CPU and memory by number of models", NULL},
-		{"out", 0, 0, G_OPTION_ARG_FILENAME, &out,
-		 "directory for the CSV and SVG files", "DIR"},
-		{NULL}};
+		{ "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "seeds", "N" },
+		{ "threads", 0, 0, G_OPTION_ARG_INT, &threads, "threads", "N" },
+		{ "weight", 0, 0, G_OPTION_ARG_DOUBLE, &weight,
+		  "weight given to the decisions only", "W" },
+		{ "plain", 0, 0, G_OPTION_ARG_NONE, &is_plain,
+		  "without the scenes of failures", NULL },
+		{ "size", 0, 0, G_OPTION_ARG_NONE, &is_size,
+		  "only bytes, CPU and memory by number of models", NULL },
+		{ "out", 0, 0, G_OPTION_ARG_FILENAME, &out,
+		  "directory for the CSV and SVG files", "DIR" },
+		{ NULL }
+	};
 	GOptionContext *context = g_option_context_new(NULL);
 	size_t count;
 	const deployment_t *d = deployments(&count);
--- a/bench/policy/engines.c
+++ b/bench/policy/engines.c
@@ -208,9 +208,9 @@
 		return false;
 	}
 	t->used_mib += m->memory_mib;
-	*h = (held_t){.is_used = true,
-		      .serial = ++w->next_serial,
-		      .since_us = w->sim.now_us};
+	*h = (held_t){ .is_used = true,
+		       .serial = ++w->next_serial,
+		       .since_us = w->sim.now_us };
 	if (world_measures(w, w->sim.now_us)) {
 		w->m.loads++;
 		w->m.loads_cached += copy != BSH_COPY_REMOTE ? 1 : 0;
@@ -324,7 +324,7 @@
 
 	for (int i = 0; i < w->load->model_count; i++) {
 		book(w, target, i);
-		t->held[i] = (held_t){0};
+		t->held[i] = (held_t){ 0 };
 		t->memory_stamp[i] = 0;
 		t->disk_stamp[i] = 0;
 	}
@@ -436,9 +436,9 @@
 
 outcome_t outcome_of(const measure_t *m)
 {
-	outcome_t o = {.idle_hours = m->idle_hours,
-		       .loads = (double)m->loads,
-		       .overcommits = m->overcommits};
+	outcome_t o = { .idle_hours = m->idle_hours,
+			.loads = (double)m->loads,
+			.overcommits = m->overcommits };
 
 	g_array_sort(m->waits_us, by_value);
 	o.p50_s = quantile_s(m->waits_us, 0.5);
--- a/bench/policy/naive.c
+++ b/bench/policy/naive.c
@@ -251,12 +251,12 @@
 	try_all(n);
 }
 
-static const policy_ops_t policy_ops = {changed, copied, begin, list};
+static const policy_ops_t policy_ops = { changed, copied, begin, list };
 
 outcome_t run_naive(const workload_t *load, scene_t scene, uint32_t seed,
 		    int64_t keep_us)
 {
-	naive_t n = {.keep_us = keep_us};
+	naive_t n = { .keep_us = keep_us };
 	world_t *w = g_new0(world_t, 1);
 	outcome_t outcome;
 
@@ -287,7 +287,7 @@
 outcome_t run_planner(const workload_t *load)
 {
 	int64_t *end_us = g_new(int64_t, load->model_count);
-	outcome_t o = {0};
+	outcome_t o = { 0 };
 
 	for (int i = 0; i < load->model_count; i++)
 		end_us[i] = -1;
--- a/bench/policy/ours.c
+++ b/bench/policy/ours.c
@@ -139,11 +139,11 @@
 	const bench_target_t *t = &w->targets[target];
 	bsh_target_model_t *models;
 	char name[BSH_CELL_NAME_MAX];
-	bsh_target_status_t s = {.target = name,
-				 .incarnation = t->incarnation,
-				 .memory_total_mib = target_mib(),
-				 .memory_used_mib = t->used_mib,
-				 .began_us = w->sim.now_us};
+	bsh_target_status_t s = { .target = name,
+				  .incarnation = t->incarnation,
+				  .memory_total_mib = target_mib(),
+				  .memory_used_mib = t->used_mib,
+				  .began_us = w->sim.now_us };
 	bool is_moving = false;
 
 	call_free(c);
@@ -166,7 +166,8 @@
 			.state = h->is_ready	   ? BSH_SLOT_READY
 				 : h->is_unloading ? BSH_SLOT_UNLOADING
 						   : BSH_SLOT_LOADING,
-			.memory_mib = w->load->models[i].memory_mib};
+			.memory_mib = w->load->models[i].memory_mib
+		};
 	}
 	if (t->is_up)
 		bsh_loader_status(&o->loader, &s, w->sim.now_us);
@@ -248,11 +249,11 @@
 static void demand(ours_t *o, const request_t *r)
 {
 	const bench_model_t *m = &o->w->load->models[r->model];
-	bsh_demand_t d = {.id = ++o->next_demand,
-			  .model = m->name,
-			  .deadline_us = r->at_us + m->deadline_us,
-			  .priority = m->priority,
-			  .count = 1};
+	bsh_demand_t d = { .id = ++o->next_demand,
+			   .model = m->name,
+			   .deadline_us = r->at_us + m->deadline_us,
+			   .priority = m->priority,
+			   .count = 1 };
 
 	g_hash_table_insert(o->waiting, g_memdup2(&d.id, sizeof(d.id)),
 			    g_memdup2(r, sizeof(*r)));
@@ -298,12 +299,12 @@
 	sim_after(&o->w->sim, HOP_US, answered, o->w, c);
 }
 
-static const bsh_loader_ops_t loader_ops = {.read = op_read,
-					    .update = op_update,
-					    .order = op_order,
-					    .poll = op_poll,
-					    .route = op_route,
-					    .answer = op_answer};
+static const bsh_loader_ops_t loader_ops = { .read = op_read,
+					     .update = op_update,
+					     .order = op_order,
+					     .poll = op_poll,
+					     .route = op_route,
+					     .answer = op_answer };
 
 static void begin(world_t *w, const request_t *r)
 {
@@ -356,12 +357,13 @@
 			.zone = "a",
 			.memory_mib = target_mib(),
 			.state = w->targets[i].is_up ? BSH_INSTANCE_LIVE
-						     : BSH_INSTANCE_GONE};
+						     : BSH_INSTANCE_GONE
+		};
 	}
 	bsh_loader_platform(&o->loader, items, (size_t)count, w->sim.now_us);
 }
 
-static const policy_ops_t policy_ops = {changed, copied, begin, list};
+static const policy_ops_t policy_ops = { changed, copied, begin, list };
 
 static void tick(void *ctx, void *data)
 {
@@ -376,17 +378,17 @@
 static void give_document(ours_t *o, double weight)
 {
 	const workload_t *load = o->w->load;
-	bsh_loader_pool_t pool = {POOL, true, target_mib(), 8, 1};
+	bsh_loader_pool_t pool = { POOL, true, target_mib(), 8, 1 };
 	g_autofree bsh_loader_model_t *models =
 		g_new0(bsh_loader_model_t, load->model_count);
-	bsh_loader_document_t d = {.generation = 1,
-				   .weight = weight,
-				   .loads_per_s = load->d->loads_per_s,
-				   .concurrent = load->d->concurrent,
-				   .pools = &pool,
-				   .pool_count = 1,
-				   .models = models,
-				   .model_count = (size_t)load->model_count};
+	bsh_loader_document_t d = { .generation = 1,
+				    .weight = weight,
+				    .loads_per_s = load->d->loads_per_s,
+				    .concurrent = load->d->concurrent,
+				    .pools = &pool,
+				    .pool_count = 1,
+				    .models = models,
+				    .model_count = (size_t)load->model_count };
 
 	for (int i = 0; i < load->model_count; i++) {
 		const bench_model_t *m = &load->models[i];
@@ -399,7 +401,8 @@
 			.memory_mib = m->memory_mib,
 			.max_replicas = 1,
 			.priority = m->priority,
-			.load_ms = m->load_ms};
+			.load_ms = m->load_ms
+		};
 		g_hash_table_insert(o->numbers, (gpointer)m->name,
 				    GINT_TO_POINTER(i + 1));
 	}
@@ -410,11 +413,12 @@
 		   double weight)
 {
 	bsh_loader_config_t config = {
-		.self = {"entry-1", 1},
-		.seed = {seed, 1},
+		.self = { "entry-1", 1 },
+		.seed = { seed, 1 },
 		/* One owner: renewals would only take the time
 		 * of the run. */
-		.lease_ms = 60000};
+		.lease_ms = 60000
+	};
 	ours_t *o = g_new0(ours_t, 1);
 	world_t *w = g_new0(world_t, 1);
 	outcome_t outcome;
--- a/bench/policy/size.c
+++ b/bench/policy/size.c
@@ -54,10 +54,10 @@
 	(void)answer;
 }
 
-static const bsh_loader_ops_t ops = {.read = op_read,
-				     .update = op_update,
-				     .order = op_order,
-				     .answer = op_answer};
+static const bsh_loader_ops_t ops = { .read = op_read,
+				      .update = op_update,
+				      .order = op_order,
+				      .answer = op_answer };
 
 static int64_t cpu_ns(void)
 {
@@ -92,12 +92,12 @@
 
 	for (int i = 0; i < count; i++) {
 		g_ptr_array_add(names, g_strdup_printf("target-%d", i));
-		items[i] = (bsh_loader_instance_t){
-			.name = g_ptr_array_index(names, i),
-			.incarnation = 1,
-			.is_target = true,
-			.pool = POOL,
-			.memory_mib = MEMORY_MIB};
+		items[i] = (bsh_loader_instance_t){ .name = g_ptr_array_index(
+							    names, i),
+						    .incarnation = 1,
+						    .is_target = true,
+						    .pool = POOL,
+						    .memory_mib = MEMORY_MIB };
 	}
 	bsh_loader_platform(&p->loader, items, (size_t)count, 0);
 	g_ptr_array_free(names, TRUE);
@@ -105,29 +105,29 @@
 
 static void give_models(probe_t *p, int count)
 {
-	const bsh_loader_pool_t pool = {POOL, true, MEMORY_MIB, 8, 1};
+	const bsh_loader_pool_t pool = { POOL, true, MEMORY_MIB, 8, 1 };
 	g_autofree bsh_loader_model_t *models =
 		g_new0(bsh_loader_model_t, count);
 	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
-	bsh_loader_document_t d = {.generation = 1,
-				   .weight = 0.5,
-				   .loads_per_s = 1000,
-				   .concurrent = 1000,
-				   .pools = &pool,
-				   .pool_count = 1,
-				   .models = models,
-				   .model_count = (size_t)count};
+	bsh_loader_document_t d = { .generation = 1,
+				    .weight = 0.5,
+				    .loads_per_s = 1000,
+				    .concurrent = 1000,
+				    .pools = &pool,
+				    .pool_count = 1,
+				    .models = models,
+				    .model_count = (size_t)count };
 
 	for (int i = 0; i < count; i++) {
 		g_ptr_array_add(names, g_strdup_printf("model-%d", i));
-		models[i] = (bsh_loader_model_t){
-			.name = g_ptr_array_index(names, i),
-			.version = "1",
-			.pool = POOL,
-			.memory_mib = 900,
-			.max_replicas = 2,
-			.priority = 5,
-			.load_ms = 3000};
+		models[i] = (bsh_loader_model_t){ .name = g_ptr_array_index(
+							  names, i),
+						  .version = "1",
+						  .pool = POOL,
+						  .memory_mib = 900,
+						  .max_replicas = 2,
+						  .priority = 5,
+						  .load_ms = 3000 };
 	}
 	bsh_loader_document(&p->loader, &d, 0);
 	g_ptr_array_free(names, TRUE);
@@ -135,7 +135,8 @@
 
 static void measure(int models)
 {
-	bsh_loader_config_t config = {.self = {"entry-1", 1}, .seed = {1, 1}};
+	bsh_loader_config_t config = { .self = { "entry-1", 1 },
+				       .seed = { 1, 1 } };
 	probe_t *p = g_new0(probe_t, 1);
 	size_t before = mallinfo2().uordblks;
 	int64_t now_us = 0;
@@ -160,10 +161,10 @@
 	bound = MIN(models, 2000);
 	for (int i = 0; i < bound; i++) {
 		char name[BSH_CELL_NAME_MAX];
-		bsh_demand_t d = {.id = (uint64_t)i + 1,
-				  .model = name,
-				  .deadline_us = now_us + 600 * SIM_S,
-				  .count = 1};
+		bsh_demand_t d = { .id = (uint64_t)i + 1,
+				   .model = name,
+				   .deadline_us = now_us + 600 * SIM_S,
+				   .count = 1 };
 		int64_t from_ns;
 
 		g_snprintf(name, sizeof(name), "model-%d", i);
@@ -206,7 +207,7 @@
 
 void measure_size(void)
 {
-	static const int sizes[] = {90, 870, 2000, 5270};
+	static const int sizes[] = { 90, 870, 2000, 5270 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		measure(sizes[i]);
--- a/bench/policy/workload.c
+++ b/bench/policy/workload.c
@@ -23,8 +23,8 @@
  * per model and hour, 1.2 a day.
  */
 static const deployment_t list[] = {
-	{"shikotsu", 0.3, 50, 40, 9, 3, 4, 8, 19, 0.05, 1.2, 0.1, 2, 1},
-	{"fahrstart", 0.7, 50, 60, 9, 6, 4, 6, 21, 0.1, 1.2, 0.4, 2, 1},
+	{ "shikotsu", 0.3, 50, 40, 9, 3, 4, 8, 19, 0.05, 1.2, 0.1, 2, 1 },
+	{ "fahrstart", 0.7, 50, 60, 9, 6, 4, 6, 21, 0.1, 1.2, 0.4, 2, 1 },
 };
 
 const deployment_t *deployments(size_t *count)
@@ -90,7 +90,8 @@
 		.model = model,
 		.run_us = (int64_t)((RUN_MIN_S +
 				     bsh_rng_exponential(rng, RUN_MEAN_S)) *
-				    1e6)};
+				    1e6)
+	};
 
 	if (at_us < load->end_us)
 		g_array_append_val(load->requests, r);
--- a/bench/requests/bench_requests.c
+++ b/bench/requests/bench_requests.c
@@ -79,8 +79,8 @@
 
 static void declare(bsh_admission_t *adm)
 {
-	bsh_admission_model_config_t config = {.load_us = 5 * S,
-					       .load_slots = 32};
+	bsh_admission_model_config_t config = { .load_us = 5 * S,
+						.load_slots = 32 };
 
 	for (int i = 0; i < MODELS; i++) {
 		g_autofree char *key = g_strdup_printf("model-%d@1", i);
@@ -92,9 +92,9 @@
 /* Queue and start WAITING requests, spread over some models. */
 static cost_t measure_queue(int models, cost_t *model)
 {
-	static const bsh_admission_orders_t orders = {on_start, on_refuse,
-						      on_need};
-	cost_t cost = {.ns = 1e18};
+	static const bsh_admission_orders_t orders = { on_start, on_refuse,
+						       on_need };
+	cost_t cost = { .ns = 1e18 };
 	bsh_waiting_t *waiting = g_new0(bsh_waiting_t, WAITING);
 
 	for (int round = 0; round < ROUNDS; round++) {
@@ -125,7 +125,8 @@
 			waiting[i] = (bsh_waiting_t){
 				.deadline_us = 60 * S + i * 7919 % 1000,
 				.priority = (uint8_t)(i % 3),
-				.caller = (uint64_t)(i % 100)};
+				.caller = (uint64_t)(i % 100)
+			};
 			bsh_admission_submit(&adm, key, &waiting[i], 0);
 		}
 		/* GLib keeps freed nodes for the next round. */
@@ -203,11 +204,11 @@
 {
 	char text[BSH_ATTEMPT_ID_SIZE];
 	bsh_request_id_t id = a->id;
-	bsh_answer_head_t head = {.status = 200,
-				  .request_id = text,
-				  .length = -1,
-				  .chunked = true,
-				  .event_stream = true};
+	bsh_answer_head_t head = { .status = 200,
+				   .request_id = text,
+				   .length = -1,
+				   .chunked = true,
+				   .event_stream = true };
 
 	bsh_request_id_print(&id, text);
 	bsh_attempt_head(set, &id, &head, now_us);
@@ -219,23 +220,23 @@
 /* Begin, start and answer OPEN streams; all are open at once. */
 static cost_t measure_attempts(int chunks)
 {
-	static const bsh_attempt_orders_t orders = {.intent = on_attempt,
-						    .enqueue = on_enqueue,
-						    .dequeue = on_attempt,
-						    .cancel = on_attempt,
-						    .release = on_attempt,
-						    .target_result = on_result,
-						    .detach = on_detach,
-						    .record = on_record,
-						    .finish = on_finish};
-	bsh_attempt_spec_t spec = {.deadline_us = 30 * S,
-				   .first_us = 200000,
-				   .repeatable = true,
-				   .stream = true,
-				   .engine = true};
-	bsh_route_choice_t target = {.target = 1, .incarnation = 1};
+	static const bsh_attempt_orders_t orders = { .intent = on_attempt,
+						     .enqueue = on_enqueue,
+						     .dequeue = on_attempt,
+						     .cancel = on_attempt,
+						     .release = on_attempt,
+						     .target_result = on_result,
+						     .detach = on_detach,
+						     .record = on_record,
+						     .finish = on_finish };
+	bsh_attempt_spec_t spec = { .deadline_us = 30 * S,
+				    .first_us = 200000,
+				    .repeatable = true,
+				    .stream = true,
+				    .engine = true };
+	bsh_route_choice_t target = { .target = 1, .incarnation = 1 };
 	bsh_attempt_t *open = g_new0(bsh_attempt_t, OPEN);
-	cost_t cost = {.ns = 1e18};
+	cost_t cost = { .ns = 1e18 };
 
 	for (int round = 0; round < ROUNDS; round++) {
 		bsh_attempts_config_t config;
@@ -367,16 +368,17 @@
 		     int64_t *now_us)
 {
 	static const uint8_t body[200];
-	bsh_journal_result_t result = {BSH_OUTCOME_ANSWERED, 200,
-				       "application/json", body, sizeof(body)};
+	bsh_journal_result_t result = { BSH_OUTCOME_ANSWERED, 200,
+					"application/json", body,
+					sizeof(body) };
 
 	for (int i = from; i < from + count; i++) {
 		char key[32];
-		bsh_intent_t intent = {.service = "deposits",
-				       .key = key,
-				       .instance = "entry-1",
-				       .incarnation = 1,
-				       .deadline_us = *now_us + 30 * S};
+		bsh_intent_t intent = { .service = "deposits",
+					.key = key,
+					.instance = "entry-1",
+					.incarnation = 1,
+					.deadline_us = *now_us + 30 * S };
 
 		g_snprintf(key, sizeof(key), "key-%d", i);
 		memcpy(intent.attempt, &i, sizeof(i));
@@ -391,8 +393,9 @@
 /* keys in all, in groups; an answer of 200 bytes each. */
 static void measure_journal(int keys, int group)
 {
-	static const bsh_journal_orders_t orders = {
-		on_read, on_write, on_intent_answer, on_recorded, on_is_gone};
+	static const bsh_journal_orders_t orders = { on_read, on_write,
+						     on_intent_answer,
+						     on_recorded, on_is_gone };
 	bsh_journal_config_t config;
 	bsh_journal_t j;
 	size_t before = used_bytes();
@@ -428,7 +431,7 @@
 
 int main(void)
 {
-	cost_t model = {0};
+	cost_t model = { 0 };
 	cost_t one = measure_queue(1, &model);
 	cost_t many = measure_queue(100, &model);
 
--- a/bench/route/bench_route.c
+++ b/bench/route/bench_route.c
@@ -43,8 +43,9 @@
 	POLICIES
 } policy_t;
 
-static const char *const policy_names[POLICIES] = {
-	"round robin", "least reported load", "berylshunt"};
+static const char *const policy_names[POLICIES] = { "round robin",
+						    "least reported load",
+						    "berylshunt" };
 
 typedef enum {
 	ARRIVAL,
@@ -151,11 +152,11 @@
 static void publish(run_t *r, int target, int group, bool stored)
 {
 	for (int i = 0; r->policy == BERYLSHUNT && i < ROUTERS; i++) {
-		event_t event = {.kind = CACHE_IN,
-				 .router = i,
-				 .target = target,
-				 .group = group,
-				 .value = stored};
+		event_t event = { .kind = CACHE_IN,
+				  .router = i,
+				  .target = target,
+				  .group = group,
+				  .value = stored };
 
 		if (bsh_rng_unit(&r->rng) < EVENT_LOSS)
 			event.group = -1;
@@ -241,7 +242,8 @@
 		.key = "m",
 		.repeatable = true,
 		.prefix = r->hashes[event.group],
-		.prefix_count = (uint32_t)r->blocks[event.group]};
+		.prefix_count = (uint32_t)r->blocks[event.group]
+	};
 	bsh_route_t *route = &r->routes[event.router];
 
 	switch (r->policy) {
@@ -276,7 +278,8 @@
 			.value = (uint32_t)r->engines[event.target].running,
 			.waiting = (uint32_t)r->engines[event.target].waiting,
 			.sent_us = r->now_us,
-			.at_us = r->now_us + r->lag_us};
+			.at_us = r->now_us + r->lag_us
+		};
 
 		push(r, report);
 	}
@@ -376,12 +379,12 @@
 					  g_random_int();
 	}
 	for (int t = 0; t < TARGETS; t++)
-		push(r, (event_t){.kind = REPORT,
-				  .target = t,
-				  .at_us = t * REPORT_US / TARGETS});
+		push(r, (event_t){ .kind = REPORT,
+				   .target = t,
+				   .at_us = t * REPORT_US / TARGETS });
 	while (at_us < RUN_US) {
 		double u = bsh_rng_unit(&r->rng);
-		event_t event = {.kind = ARRIVAL};
+		event_t event = { .kind = ARRIVAL };
 
 		at_us +=
 			(int64_t)bsh_rng_exponential(&r->rng, 1e6 / RATE_PER_S);
@@ -444,7 +447,7 @@
 
 static void compare_policies(int seeds)
 {
-	static const int64_t lags_ms[] = {100, 500, 1000, 2000, 5000};
+	static const int64_t lags_ms[] = { 100, 500, 1000, 2000, 5000 };
 	g_autofree double *p99 = g_new(double, (gsize)seeds);
 	g_autofree double *avg = g_new(double, (gsize)seeds);
 	g_autofree double *hit = g_new(double, (gsize)seeds);
@@ -502,7 +505,7 @@
 	bsh_route_t route;
 	bsh_route_choice_t choice;
 	uint64_t hashes[BSH_ROUTE_MAX_PREFIX];
-	bsh_route_request_t request = {.key = "m", .repeatable = true};
+	bsh_route_request_t request = { .key = "m", .repeatable = true };
 	int64_t best_ns = INT64_MAX;
 
 	fill(&route, targets);
--- a/bshconsoled/bshconsoled.c
+++ b/bshconsoled/bshconsoled.c
@@ -43,14 +43,14 @@
 static int parse_options(options_t *options, int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		{"config", 'c', 0, G_OPTION_ARG_FILENAME,
-		 &options->settings_path, "Settings (" SETTINGS_FILE ")",
-		 "FILE"},
-		{"check-config", 0, 0, G_OPTION_ARG_NONE,
-		 &options->check_config, "Check the settings and exit", NULL},
-		{"version", 0, 0, G_OPTION_ARG_NONE, &options->version,
-		 "Print the version and exit", NULL},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ "config", 'c', 0, G_OPTION_ARG_FILENAME,
+		  &options->settings_path, "Settings (" SETTINGS_FILE ")",
+		  "FILE" },
+		{ "check-config", 0, 0, G_OPTION_ARG_NONE,
+		  &options->check_config, "Check the settings and exit", NULL },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &options->version,
+		  "Print the version and exit", NULL },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	GOptionContext *context =
 		g_option_context_new("- console of berylshunt");
@@ -235,8 +235,8 @@
 
 int main(int argc, char **argv)
 {
-	options_t options = {0};
-	daemon_t daemon = {.signal_fd = -1};
+	options_t options = { 0 };
+	daemon_t daemon = { .signal_fd = -1 };
 	int status = parse_options(&options, argc, argv);
 
 	if (status == 0 && options.version) {
--- a/bshconsoled/console.c
+++ b/bshconsoled/console.c
@@ -683,7 +683,7 @@
 		       const json_t *document, int64_t generation)
 {
 	const char *action = g_hash_table_lookup(parameters, "action");
-	bsh_control_answer_t reply = {0};
+	bsh_control_answer_t reply = { 0 };
 	GString *out = NULL;
 	bool conflict = draft->generation != generation;
 	bool same;
--- a/bshconsoled/draft.c
+++ b/bshconsoled/draft.c
@@ -7,57 +7,57 @@
 #define NUMBER_MAX_BYTES 64
 
 static const draft_field_t settings_fields[] = {
-	{"deployment", "Deployment", DRAFT_TEXT, "name of this deployment"},
-	{"weight", "Weight", DRAFT_NUMBER,
-	 "0: only cold-start time counts, 1: only idle accelerator hours"},
-	{"loads_per_s", "Loads per second", DRAFT_NUMBER,
-	 "that the weight store allows"},
-	{"concurrent", "Concurrent loads", DRAFT_NUMBER,
-	 "at full speed of the weight store"},
+	{ "deployment", "Deployment", DRAFT_TEXT, "name of this deployment" },
+	{ "weight", "Weight", DRAFT_NUMBER,
+	  "0: only cold-start time counts, 1: only idle accelerator hours" },
+	{ "loads_per_s", "Loads per second", DRAFT_NUMBER,
+	  "that the weight store allows" },
+	{ "concurrent", "Concurrent loads", DRAFT_NUMBER,
+	  "at full speed of the weight store" },
 };
 
 static const draft_field_t pool_fields[] = {
-	{"name", "Name", DRAFT_TEXT, ""},
-	{"kind", "Kind", DRAFT_KIND, "of its targets"},
-	{"fencing", "Fencing", DRAFT_BOOL,
-	 "targets refuse orders with an old fencing number"},
-	{"memory_mib", "Memory (MiB)", DRAFT_NUMBER,
-	 "accelerator memory of each target"},
-	{"max_running", "Max running", DRAFT_NUMBER,
-	 "requests that one target runs at most"},
-	{"cells", "Cells", DRAFT_NUMBER, "placement objects of the pool"},
+	{ "name", "Name", DRAFT_TEXT, "" },
+	{ "kind", "Kind", DRAFT_KIND, "of its targets" },
+	{ "fencing", "Fencing", DRAFT_BOOL,
+	  "targets refuse orders with an old fencing number" },
+	{ "memory_mib", "Memory (MiB)", DRAFT_NUMBER,
+	  "accelerator memory of each target" },
+	{ "max_running", "Max running", DRAFT_NUMBER,
+	  "requests that one target runs at most" },
+	{ "cells", "Cells", DRAFT_NUMBER, "placement objects of the pool" },
 };
 
 static const draft_field_t model_fields[] = {
-	{"name", "Name", DRAFT_TEXT, ""},
-	{"version", "Version", DRAFT_TEXT, ""},
-	{"pool", "Pool", DRAFT_POOL, "of kind engine"},
-	{"base", "Base", DRAFT_TEXT, "makes it an adapter of this model"},
-	{"memory_mib", "Memory (MiB)", DRAFT_NUMBER, "of one replica"},
-	{"max_replicas", "Max replicas", DRAFT_NUMBER, ""},
-	{"priority", "Priority", DRAFT_NUMBER,
-	 "0 is the highest, 9 the lowest"},
-	{"load_ms", "Load (ms)", DRAFT_NUMBER, "expected load time"},
-	{"deadline_ms", "Deadline (ms)", DRAFT_NUMBER, ""},
-	{"repeatable", "Repeatable", DRAFT_BOOL, ""},
+	{ "name", "Name", DRAFT_TEXT, "" },
+	{ "version", "Version", DRAFT_TEXT, "" },
+	{ "pool", "Pool", DRAFT_POOL, "of kind engine" },
+	{ "base", "Base", DRAFT_TEXT, "makes it an adapter of this model" },
+	{ "memory_mib", "Memory (MiB)", DRAFT_NUMBER, "of one replica" },
+	{ "max_replicas", "Max replicas", DRAFT_NUMBER, "" },
+	{ "priority", "Priority", DRAFT_NUMBER,
+	  "0 is the highest, 9 the lowest" },
+	{ "load_ms", "Load (ms)", DRAFT_NUMBER, "expected load time" },
+	{ "deadline_ms", "Deadline (ms)", DRAFT_NUMBER, "" },
+	{ "repeatable", "Repeatable", DRAFT_BOOL, "" },
 };
 
 static const draft_field_t service_fields[] = {
-	{"name", "Name", DRAFT_TEXT, "part of the URL"},
-	{"pool", "Pool", DRAFT_POOL, "of kind service"},
-	{"repeatable", "Repeatable", DRAFT_BOOL,
-	 "false: a call runs at most once"},
-	{"deadline_ms", "Deadline (ms)", DRAFT_NUMBER, ""},
+	{ "name", "Name", DRAFT_TEXT, "part of the URL" },
+	{ "pool", "Pool", DRAFT_POOL, "of kind service" },
+	{ "repeatable", "Repeatable", DRAFT_BOOL,
+	  "false: a call runs at most once" },
+	{ "deadline_ms", "Deadline (ms)", DRAFT_NUMBER, "" },
 };
 
 static const draft_section_t sections[] = {
-	{DRAFT_SETTINGS, "Settings", "settings", settings_fields,
-	 G_N_ELEMENTS(settings_fields)},
-	{"pools", "Pools", "pool", pool_fields, G_N_ELEMENTS(pool_fields)},
-	{"models", "Models and adapters", "model or adapter", model_fields,
-	 G_N_ELEMENTS(model_fields)},
-	{"services", "Services", "service", service_fields,
-	 G_N_ELEMENTS(service_fields)},
+	{ DRAFT_SETTINGS, "Settings", "settings", settings_fields,
+	  G_N_ELEMENTS(settings_fields) },
+	{ "pools", "Pools", "pool", pool_fields, G_N_ELEMENTS(pool_fields) },
+	{ "models", "Models and adapters", "model or adapter", model_fields,
+	  G_N_ELEMENTS(model_fields) },
+	{ "services", "Services", "service", service_fields,
+	  G_N_ELEMENTS(service_fields) },
 };
 
 const draft_section_t *draft_sections(size_t *count)
@@ -551,7 +551,7 @@
 			   sections[i].name);
 	json_array_foreach((json_t *)problems, index, json)
 	{
-		draft_problem_t problem = {0};
+		draft_problem_t problem = { 0 };
 
 		problem.path = g_strdup(text_of(json, "path"));
 		problem.value = g_strdup(text_of(json, "value"));
--- a/bshcontrold/api.c
+++ b/bshcontrold/api.c
@@ -89,7 +89,7 @@
 
 bool api_entry(control_t *control, const char *zone, api_entry_t *entry)
 {
-	choice_t choice = {control, zone, entry, 0, 0};
+	choice_t choice = { control, zone, entry, 0, 0 };
 
 	bsh_members_foreach(peers_members(control), consider, &choice);
 	return choice.same + choice.other > 0;
@@ -98,7 +98,7 @@
 static void get_entry(control_t *control, bsh_http_request_t *request)
 {
 	const char *zone = bsh_http_request_argument(request, "zone");
-	api_entry_t entry = {.address = ""};
+	api_entry_t entry = { .address = "" };
 
 	bsh_counter_add(&entries, 1);
 	if (!api_entry(control, zone != NULL ? zone : control->settings.zone,
@@ -202,7 +202,8 @@
 			uint64_t base, const bsh_document_t *doc)
 {
 	static const bsh_http_request_handler_t handler = {
-		.on_done = on_apply_answered};
+		.on_done = on_apply_answered
+	};
 	apply_t *apply = g_new0(apply_t, 1);
 
 	apply->control = control;
@@ -259,7 +260,8 @@
 
 static const char *member_state(const bsh_member_t *member)
 {
-	static const char *const names[] = {"live", "suspect", "dead", "gone"};
+	static const char *const names[] = { "live", "suspect", "dead",
+					     "gone" };
 
 	if (member->leaving && member->state < BSH_MEMBER_DEAD)
 		return "leaving";
@@ -292,7 +294,7 @@
 static void get_status(control_t *control, bsh_http_request_t *request)
 {
 	const bsh_settings_t *s = &control->settings;
-	member_list_t members = {control, json_array(), UINT64_MAX};
+	member_list_t members = { control, json_array(), UINT64_MAX };
 	uint64_t in_force = config_in_force(control);
 
 	/* Either the adoption has seen it in force, or every live member has
@@ -386,11 +388,15 @@
 	const char *path;
 	void (*fn)(control_t *control, bsh_http_request_t *request);
 } routes[] = {
-	{"GET", "/v1/entry", get_entry},    {"GET", "/v1/config", get_config},
-	{"PUT", "/v1/config", put_config},  {"GET", "/v1/status", get_status},
-	{"POST", "/v1/drain", post_drain},  {"GET", "/healthz", get_health},
-	{"GET", "/readyz", get_ready},	    {"GET", "/metrics", get_metrics},
-	{"GET", "/timeline", get_timeline},
+	{ "GET", "/v1/entry", get_entry },
+	{ "GET", "/v1/config", get_config },
+	{ "PUT", "/v1/config", put_config },
+	{ "GET", "/v1/status", get_status },
+	{ "POST", "/v1/drain", post_drain },
+	{ "GET", "/healthz", get_health },
+	{ "GET", "/readyz", get_ready },
+	{ "GET", "/metrics", get_metrics },
+	{ "GET", "/timeline", get_timeline },
 };
 
 static void on_request(void *ctx, bsh_http_request_t *request)
@@ -421,7 +427,8 @@
 		.idle_timeout_s = IDLE_TIMEOUT_S,
 		.body_max_bytes = BODY_MAX_BYTES,
 		.on_request = on_request,
-		.ctx = control};
+		.ctx = control
+	};
 
 	bsh_counter_register(&entries);
 	control->api = g_new0(struct api, 1);
--- a/bshcontrold/bshcontrold.c
+++ b/bshcontrold/bshcontrold.c
@@ -20,13 +20,13 @@
 static gboolean show_version;
 
 static const GOptionEntry options[] = {
-	{"config", 'c', 0, G_OPTION_ARG_FILENAME, &settings_path,
-	 "Settings file", "FILE"},
-	{"check-config", 0, 0, G_OPTION_ARG_NONE, &check_only,
-	 "Check the settings file and exit", NULL},
-	{"version", 0, 0, G_OPTION_ARG_NONE, &show_version,
-	 "Print the version and exit", NULL},
-	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+	{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &settings_path,
+	  "Settings file", "FILE" },
+	{ "check-config", 0, 0, G_OPTION_ARG_NONE, &check_only,
+	  "Check the settings file and exit", NULL },
+	{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
+	  "Print the version and exit", NULL },
+	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 };
 
 int64_t control_now_us(void)
@@ -139,12 +139,12 @@
 	bsh_frame_register_counters();
 	if (bsh_loop_init(&control->loop) != BSH_OK)
 		errx(1, "cannot create the event loop");
-	control->identity = (bsh_identity_t){s->key,
-					     s->instance,
-					     control->incarnation,
-					     BSH_ROLE_CONTROLLER,
-					     s->router_listen,
-					     &control->timeline};
+	control->identity = (bsh_identity_t){ s->key,
+					      s->instance,
+					      control->incarnation,
+					      BSH_ROLE_CONTROLLER,
+					      s->router_listen,
+					      &control->timeline };
 	control->http = bsh_http_client_new(&control->loop, IDLE_CONNECTIONS);
 	if (control->http == NULL)
 		errx(1, "cannot set up the HTTP client");
--- a/bshcontrold/cells.c
+++ b/bshcontrold/cells.c
@@ -132,7 +132,7 @@
 /* After the update that released it, so that a reader sees the release. */
 static void announce_handover(control_t *control, const char *cell)
 {
-	bsh_message_t message = {.type = BSH_MSG_HANDOVER};
+	bsh_message_t message = { .type = BSH_MSG_HANDOVER };
 
 	message.handover.cell = cell;
 	peers_broadcast(control, &message);
@@ -270,7 +270,7 @@
 						loader_route->model);
 	bsh_route_entry_t *entries =
 		g_new0(bsh_route_entry_t, loader_route->count + 1);
-	bsh_message_t message = {.type = BSH_MSG_ROUTES};
+	bsh_message_t message = { .type = BSH_MSG_ROUTES };
 	uint32_t n = 0;
 
 	for (size_t i = 0; i < loader_route->count; i++) {
@@ -280,8 +280,9 @@
 				     &entries[n]))
 			n++;
 	}
-	message.routes = (bsh_msg_routes_t){name, loader_route->epoch,
-					    loader_route->sequence, entries, n};
+	message.routes =
+		(bsh_msg_routes_t){ name, loader_route->epoch,
+				    loader_route->sequence, entries, n };
 	if (keep_routes(control, &message))
 		distribute(control,
 			   g_hash_table_lookup(control->cells->scopes, name),
@@ -348,8 +349,9 @@
 		.settle_ms = control->settings.settle_ms,
 		.absent_ms = BSH_LOADER_ABSENT_MS_DEFAULT,
 		.wall_offset_us = g_get_real_time() - control_now_us(),
-		.seed = {(uint64_t)control_seed() << 32 | control_seed(),
-			 (uint64_t)control_seed() << 32 | control_seed()}};
+		.seed = { (uint64_t)control_seed() << 32 | control_seed(),
+			  (uint64_t)control_seed() << 32 | control_seed() }
+	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
 		bsh_counter_register(&counts[i].counter);
@@ -386,11 +388,11 @@
 {
 	for (guint i = 0; i < doc->pools->len; i++) {
 		const bsh_doc_pool_t *pool = bsh_document_pool_at(doc, i);
-		bsh_loader_pool_t out = {.name = pool->name,
-					 .fencing = pool->fencing,
-					 .memory_mib = pool->memory_mib,
-					 .max_running = pool->max_running,
-					 .cells = pool->cells};
+		bsh_loader_pool_t out = { .name = pool->name,
+					  .fencing = pool->fencing,
+					  .memory_mib = pool->memory_mib,
+					  .max_running = pool->max_running,
+					  .cells = pool->cells };
 
 		if (pool->kind == BSH_DOC_ENGINE)
 			g_array_append_val(pools, out);
@@ -410,7 +412,8 @@
 			.memory_mib = model->memory_mib,
 			.max_replicas = model->max_replicas,
 			.priority = (uint8_t)model->priority,
-			.load_ms = model->load_ms};
+			.load_ms = model->load_ms
+		};
 
 		g_array_append_val(models, out);
 	}
@@ -421,7 +424,8 @@
 	const bsh_document_t *doc = config_document(control);
 	GArray *pools = g_array_new(FALSE, FALSE, sizeof(bsh_loader_pool_t));
 	GArray *models = g_array_new(FALSE, FALSE, sizeof(bsh_loader_model_t));
-	bsh_loader_document_t out = {.generation = config_generation(control)};
+	bsh_loader_document_t out = { .generation =
+					      config_generation(control) };
 
 	if (doc != NULL) {
 		fill_pools(doc, pools);
@@ -450,7 +454,7 @@
 static void add_member(void *ctx, const bsh_member_t *member)
 {
 	GArray *live = ctx;
-	bsh_sender_t sender = {.incarnation = member->incarnation};
+	bsh_sender_t sender = { .incarnation = member->incarnation };
 
 	if (member->leaving || (member->state != BSH_MEMBER_ALIVE &&
 				member->state != BSH_MEMBER_SUSPECT))
@@ -573,9 +577,9 @@
 static void forward_report(control_t *control, const char *owner,
 			   const bsh_report_entry_t *entry)
 {
-	bsh_message_t message = {.type = BSH_MSG_REPORT};
+	bsh_message_t message = { .type = BSH_MSG_REPORT };
 
-	message.report = (bsh_msg_report_t){entry, 1};
+	message.report = (bsh_msg_report_t){ entry, 1 };
 	peers_send(control, owner, &message);
 }
 
--- a/bshcontrold/config.c
+++ b/bshcontrold/config.c
@@ -52,7 +52,7 @@
 {
 	control_t *control = ctx;
 	GBytes *body = bsh_adoption_message_encode(msg);
-	bsh_message_t message = {.type = BSH_MSG_ADOPTION};
+	bsh_message_t message = { .type = BSH_MSG_ADOPTION };
 	const bsh_member_t *member =
 		bsh_members_find(peers_members(control), peer);
 	gsize size;
@@ -124,7 +124,7 @@
 {
 	store_call_t *call = ctx;
 	control_t *control = call->control;
-	bsh_adoption_object_t object = {0};
+	bsh_adoption_object_t object = { 0 };
 	bsh_error_t err = read_error(answer);
 
 	if (err == BSH_OK &&
@@ -220,7 +220,7 @@
 {
 	const bsh_adoption_object_t *current =
 		bsh_adoption_current(control->config->adoption);
-	bsh_message_t message = {.type = BSH_MSG_CONFIG};
+	bsh_message_t message = { .type = BSH_MSG_CONFIG };
 	g_autofree char *text = NULL;
 	gsize size;
 	const char *data;
@@ -389,7 +389,7 @@
 	struct config *config = control->config;
 	int64_t now_us = control_now_us();
 	int64_t until_us = bsh_adoption_fresh_until_us(config->adoption);
-	bsh_message_t message = {.type = BSH_MSG_FRESH};
+	bsh_message_t message = { .type = BSH_MSG_FRESH };
 
 	message.fresh.generation = config_generation(control);
 	message.fresh.confirmed =
@@ -466,8 +466,9 @@
 void config_start(control_t *control)
 {
 	struct config *config = g_new0(struct config, 1);
-	bsh_adoption_config_t settings = {
-		.fresh_ms = control->settings.fresh_ms, .seed = control_seed()};
+	bsh_adoption_config_t settings = { .fresh_ms =
+						   control->settings.fresh_ms,
+					   .seed = control_seed() };
 
 	bsh_counter_register(&generation_gauge);
 	bsh_counter_register(&fresh_gauge);
--- a/bshcontrold/demands.c
+++ b/bshcontrold/demands.c
@@ -68,8 +68,8 @@
 static void send_answer(control_t *control, demand_t *demand,
 			const bsh_msg_need_answer_t *answer)
 {
-	bsh_message_t message = {.type = BSH_MSG_NEED_ANSWER,
-				 .need_answer = *answer};
+	bsh_message_t message = { .type = BSH_MSG_NEED_ANSWER,
+				  .need_answer = *answer };
 
 	message.need_answer.id = demand->remote_id;
 	message.need_answer.model = demand->model;
@@ -96,9 +96,9 @@
 static void refuse(control_t *control, demand_t *demand, bsh_error_t error,
 		   uint64_t retry_after_ms)
 {
-	bsh_msg_need_answer_t out = {.verdict = BSH_NEED_REFUSED,
-				     .error = error,
-				     .retry_after_ms = retry_after_ms};
+	bsh_msg_need_answer_t out = { .verdict = BSH_NEED_REFUSED,
+				      .error = error,
+				      .retry_after_ms = retry_after_ms };
 
 	answer(control, demand, &out);
 }
@@ -112,7 +112,8 @@
 	bsh_msg_need_answer_t out = {
 		.verdict = BSH_NEED_LOADING,
 		.estimate_ms = (uint64_t)control->settings.lease_ms * 5 / 4 +
-			       (model != NULL ? model->load_ms : 0)};
+			       (model != NULL ? model->load_ms : 0)
+	};
 
 	if (!demand->is_answered)
 		answer(control, demand, &out);
@@ -140,12 +141,12 @@
 
 static void ask_loader(control_t *control, demand_t *demand)
 {
-	bsh_demand_t out = {.id = demand->id,
-			    .model = demand->model,
-			    .zone = control->settings.zone,
-			    .deadline_us = demand->deadline_us,
-			    .priority = (uint8_t)demand->priority,
-			    .count = MAX(demand->waiting, 1)};
+	bsh_demand_t out = { .id = demand->id,
+			     .model = demand->model,
+			     .zone = control->settings.zone,
+			     .deadline_us = demand->deadline_us,
+			     .priority = (uint8_t)demand->priority,
+			     .count = MAX(demand->waiting, 1) };
 
 	set_state(demand, DEMAND_LOADER);
 	cells_ask(control, &out);
@@ -154,7 +155,7 @@
 static void forward(control_t *control, demand_t *demand, const char *owner)
 {
 	int64_t left_us = demand->deadline_us - control_now_us();
-	bsh_message_t message = {.type = BSH_MSG_NEED};
+	bsh_message_t message = { .type = BSH_MSG_NEED };
 
 	message.need.id = demand->id;
 	message.need.model = demand->model;
@@ -180,7 +181,7 @@
 static void dispatch(control_t *control, demand_t *demand)
 {
 	const bsh_document_t *doc = config_document(control);
-	bsh_sender_t owner = {.instance = ""};
+	bsh_sender_t owner = { .instance = "" };
 
 	if (shutdown_is_draining(control) && demand->asker == NULL)
 		refuse(control, demand, BSH_ERR_DRAINING, 0);
@@ -201,10 +202,10 @@
 {
 	demand_t *demand = g_hash_table_lookup(control->demands->table,
 					       &loader_answer->id);
-	bsh_msg_need_answer_t out = {.verdict = BSH_NEED_READY,
-				     .error = loader_answer->error,
-				     .retry_after_ms =
-					     loader_answer->retry_after_ms};
+	bsh_msg_need_answer_t out = { .verdict = BSH_NEED_READY,
+				      .error = loader_answer->error,
+				      .retry_after_ms =
+					      loader_answer->retry_after_ms };
 
 	if (demand == NULL)
 		return;
--- a/bshcontrold/intents.c
+++ b/bshcontrold/intents.c
@@ -140,7 +140,7 @@
 	control_t *control = ctx;
 	const intent_t *intent =
 		g_hash_table_lookup(control->intents->open, &token);
-	bsh_message_t message = {.type = BSH_MSG_INTENT_ANSWER};
+	bsh_message_t message = { .type = BSH_MSG_INTENT_ANSWER };
 
 	bsh_timeline_add(&control->timeline, "intent", "{s:I, s:s}", "token",
 			 (json_int_t)token, "verdict",
@@ -207,12 +207,12 @@
 			const bsh_message_t *message)
 {
 	intent_t *intent = g_new0(intent_t, 1);
-	bsh_intent_t in = {.service = message->intent.service,
-			   .key = message->intent.key,
-			   .instance = message->sender,
-			   .incarnation = message->incarnation,
-			   .deadline_us = control_now_us() + INTENT_LIMIT_US,
-			   .token = ++control->intents->next_token};
+	bsh_intent_t in = { .service = message->intent.service,
+			    .key = message->intent.key,
+			    .instance = message->sender,
+			    .incarnation = message->incarnation,
+			    .deadline_us = control_now_us() + INTENT_LIMIT_US,
+			    .token = ++control->intents->next_token };
 
 	intent->token = in.token;
 	intent->id = message->intent.id;
@@ -228,17 +228,18 @@
 static void take_done(control_t *control, const bsh_message_t *message)
 {
 	const bsh_msg_intent_done_t *done = &message->intent_done;
-	bsh_intent_t in = {.service = done->service,
-			   .key = done->key,
-			   .instance = message->sender,
-			   .incarnation = message->incarnation,
-			   .token = ++control->intents->next_token};
+	bsh_intent_t in = { .service = done->service,
+			    .key = done->key,
+			    .instance = message->sender,
+			    .incarnation = message->incarnation,
+			    .token = ++control->intents->next_token };
 	bsh_journal_result_t result = {
 		.outcome = (bsh_outcome_t)done->outcome,
 		.status = (uint16_t)done->status,
 		.content_type = done->content_type,
 		.body = done->body_too_large ? NULL : done->body,
-		.body_size = done->body_too_large ? 0 : done->body_bytes};
+		.body_size = done->body_too_large ? 0 : done->body_bytes
+	};
 
 	memcpy(in.digest, done->digest, sizeof(in.digest));
 	memcpy(in.attempt, done->attempt, sizeof(in.attempt));
--- a/bshcontrold/peers.c
+++ b/bshcontrold/peers.c
@@ -84,7 +84,7 @@
 			const bsh_member_message_t *msg)
 {
 	uint8_t body[BSH_MEMBER_BODY_BYTES];
-	bsh_message_t message = {.type = BSH_MSG_MEMBER};
+	bsh_message_t message = { .type = BSH_MSG_MEMBER };
 
 	(void)name;
 	message.body.body = body;
@@ -108,7 +108,8 @@
 
 static const char *state_name(const bsh_member_t *member)
 {
-	static const char *const names[] = {"alive", "suspect", "dead", "gone"};
+	static const char *const names[] = { "alive", "suspect", "dead",
+					     "gone" };
 
 	return member->leaving ? "leaving" : names[member->state];
 }
@@ -276,8 +277,9 @@
 		on_peer_message(ctx, message);
 }
 
-static const bsh_channel_ops_t accepted_ops = {
-	on_accepted_up, on_accepted_message, on_accepted_down};
+static const bsh_channel_ops_t accepted_ops = { on_accepted_up,
+						on_accepted_message,
+						on_accepted_down };
 
 static void on_peer_up(void *ctx, bsh_channel_t *channel)
 {
@@ -314,8 +316,8 @@
 	on_peer_message(peer->control, message);
 }
 
-static const bsh_channel_ops_t peer_ops = {on_peer_up, on_peer_frame,
-					   on_peer_down};
+static const bsh_channel_ops_t peer_ops = { on_peer_up, on_peer_frame,
+					    on_peer_down };
 
 /* The outgoing channel of an instance; NULL if its address is not known. */
 static peer_t *find_peer(control_t *control, const char *name)
@@ -385,7 +387,7 @@
 
 void peers_broadcast(control_t *control, const bsh_message_t *message)
 {
-	broadcast_t broadcast = {control, message};
+	broadcast_t broadcast = { control, message };
 
 	bsh_members_foreach(control->peers->members, send_one, &broadcast);
 }
@@ -417,10 +419,10 @@
 static void make_members(control_t *control)
 {
 	const bsh_settings_t *s = &control->settings;
-	bsh_members_config_t config = {.name = s->instance,
-				       .incarnation = control->incarnation,
-				       .period_ms = s->probe_period_ms,
-				       .seed = control_seed()};
+	bsh_members_config_t config = { .name = s->instance,
+					.incarnation = control->incarnation,
+					.period_ms = s->probe_period_ms,
+					.seed = control_seed() };
 
 	g_strlcpy(config.place.zone, s->zone, sizeof(config.place.zone));
 	g_strlcpy(config.place.gossip, s->control_gossip,
--- a/bshcontrold/routers.c
+++ b/bshcontrold/routers.c
@@ -93,7 +93,7 @@
 
 void routers_drain(control_t *control, const char *alternative)
 {
-	bsh_message_t message = {.type = BSH_MSG_DRAIN};
+	bsh_message_t message = { .type = BSH_MSG_DRAIN };
 
 	message.drain.phase = BSH_PHASE_BEGIN;
 	message.drain.alternative = alternative;
--- a/bshcontrold/shutdown.c
+++ b/bshcontrold/shutdown.c
@@ -33,7 +33,7 @@
 static void stop_entry(void *ctx)
 {
 	control_t *control = ctx;
-	api_entry_t entry = {.address = ""};
+	api_entry_t entry = { .address = "" };
 
 	/* Entry answers leave out an instance that is leaving. */
 	api_entry(control, control->settings.zone, &entry);
--- a/bshcontrold/targets.c
+++ b/bshcontrold/targets.c
@@ -125,12 +125,12 @@
 static void send_leaving(control_t *control, const target_t *t)
 {
 	g_autofree char *scope = g_strconcat(LEAVING_SCOPE, t->name, NULL);
-	bsh_route_entry_t entry = {.name = ""};
-	bsh_message_t message = {.type = BSH_MSG_ROUTES};
+	bsh_route_entry_t entry = { .name = "" };
+	bsh_message_t message = { .type = BSH_MSG_ROUTES };
 
 	describe(control, t, &entry);
 	message.routes =
-		(bsh_msg_routes_t){scope, t->incarnation, 1, &entry, 1};
+		(bsh_msg_routes_t){ scope, t->incarnation, 1, &entry, 1 };
 	routers_send(control, &message);
 }
 
@@ -171,15 +171,15 @@
 {
 	g_autofree char *scope = g_strconcat("service/", service->name, NULL);
 	GArray *entries = g_array_new(FALSE, TRUE, sizeof(bsh_route_entry_t));
-	bsh_message_t message = {.type = BSH_MSG_ROUTES};
+	bsh_message_t message = { .type = BSH_MSG_ROUTES };
 	GHashTableIter it;
 	gpointer value;
 
 	g_hash_table_iter_init(&it, control->targets->table);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const target_t *t = value;
-		bsh_route_entry_t entry = {.name = service->name,
-					   .is_service = true};
+		bsh_route_entry_t entry = { .name = service->name,
+					    .is_service = true };
 
 		if (t->is_engine || strcmp(t->pool, pool) != 0)
 			continue;
@@ -188,7 +188,8 @@
 	}
 	message.routes = (bsh_msg_routes_t){
 		scope, control->incarnation, (uint64_t)control_now_us(),
-		(const bsh_route_entry_t *)(void *)entries->data, entries->len};
+		(const bsh_route_entry_t *)(void *)entries->data, entries->len
+	};
 	routers_send(control, &message);
 	g_array_free(entries, TRUE);
 }
@@ -232,7 +233,7 @@
 static void on_greeting(void *ctx, const bsh_call_answer_t *answer)
 {
 	control_t *control = ctx;
-	bsh_member_place_t place = {0};
+	bsh_member_place_t place = { 0 };
 	json_int_t incarnation;
 	const char *name;
 	const char *zone;
@@ -256,10 +257,10 @@
 
 static void greet(control_t *control, const bsh_store_instance_t *item)
 {
-	bsh_call_spec_t spec = {.method = "GET",
-				.address = item->control,
-				.path = "/v1/status",
-				.timeout_ms = 1000};
+	bsh_call_spec_t spec = { .method = "GET",
+				 .address = item->control,
+				 .path = "/v1/status",
+				 .timeout_ms = 1000 };
 
 	if (item->control[0] != '\0')
 		bsh_call_start(&control->caller, &spec, on_greeting, control);
@@ -367,7 +368,8 @@
 			.pool = item->pool,
 			.zone = item->zone,
 			.memory_mib = item->memory_mib,
-			.state = list_state(item->state)};
+			.state = list_state(item->state)
+		};
 		if (strcmp(item->kind, "entry") == 0)
 			take_entry(control, item, &list[i], &greetings);
 		else if (list[i].state != BSH_INSTANCE_GONE)
@@ -432,14 +434,14 @@
 
 static void report_load(control_t *control, const bsh_engine_status_t *status)
 {
-	bsh_report_entry_t entry = {.model = "",
-				    .target = status->name,
-				    .target_incarnation = status->incarnation,
-				    .running = status->running,
-				    .waiting = status->waiting};
-	bsh_message_t message = {.type = BSH_MSG_REPORT};
+	bsh_report_entry_t entry = { .model = "",
+				     .target = status->name,
+				     .target_incarnation = status->incarnation,
+				     .running = status->running,
+				     .waiting = status->waiting };
+	bsh_message_t message = { .type = BSH_MSG_REPORT };
 
-	message.report = (bsh_msg_report_t){&entry, 1};
+	message.report = (bsh_msg_report_t){ &entry, 1 };
 	routers_send(control, &message);
 }
 
@@ -457,18 +459,20 @@
 {
 	bsh_target_model_t *models =
 		g_new0(bsh_target_model_t, status->model_count + 1);
-	static const bsh_slot_state_t states[] = {
-		BSH_SLOT_LOADING, BSH_SLOT_READY, BSH_SLOT_UNLOADING};
-	bsh_target_status_t out = {.target = t->name,
-				   .incarnation = status->incarnation,
-				   .leaving = status->leaving,
-				   .memory_total_mib = status->memory_total_mib,
-				   .memory_used_mib = status->memory_used_mib,
-				   .running = status->running,
-				   .waiting = status->waiting,
-				   .models = models,
-				   .model_count = status->model_count,
-				   .began_us = poll->began_us};
+	static const bsh_slot_state_t states[] = { BSH_SLOT_LOADING,
+						   BSH_SLOT_READY,
+						   BSH_SLOT_UNLOADING };
+	bsh_target_status_t out = { .target = t->name,
+				    .incarnation = status->incarnation,
+				    .leaving = status->leaving,
+				    .memory_total_mib =
+					    status->memory_total_mib,
+				    .memory_used_mib = status->memory_used_mib,
+				    .running = status->running,
+				    .waiting = status->waiting,
+				    .models = models,
+				    .model_count = status->model_count,
+				    .began_us = poll->began_us };
 
 	for (size_t i = 0; i < status->model_count; i++) {
 		const bsh_engine_model_t *m = &status->models[i];
@@ -585,7 +589,7 @@
 /* The loader may not be called back from within its own order. */
 static void on_unknown_target(void *ctx)
 {
-	bsh_engine_answer_t answer = {.sent = false};
+	bsh_engine_answer_t answer = { .sent = false };
 
 	on_order(ctx, &answer);
 }
@@ -595,12 +599,12 @@
 	const target_t *t = g_hash_table_lookup(control->targets->table,
 						loader_order->target);
 	char attempt[BSH_ATTEMPT_TEXT_SIZE];
-	bsh_engine_order_t out = {.model = loader_order->model,
-				  .version = loader_order->version,
-				  .base = loader_order->base,
-				  .attempt = attempt,
-				  .fence = loader_order->fence,
-				  .memory_mib = loader_order->memory_mib};
+	bsh_engine_order_t out = { .model = loader_order->model,
+				   .version = loader_order->version,
+				   .base = loader_order->base,
+				   .attempt = attempt,
+				   .fence = loader_order->fence,
+				   .memory_mib = loader_order->memory_mib };
 	order_t *order = g_new0(order_t, 1);
 
 	order->control = control;
--- a/bshctl/instance.c
+++ b/bshctl/instance.c
@@ -309,7 +309,7 @@
 
 int ctl_counters(ctl_t *ctl)
 {
-	counter_output_t out = {.json = ctl->options.json};
+	counter_output_t out = { .json = ctl->options.json };
 	bsh_control_answer_t answer;
 	ctl_status_t status = ctl_connect(ctl);
 
--- a/bshctl/timeline.c
+++ b/bshctl/timeline.c
@@ -50,7 +50,7 @@
 
 static void add_event(merged_t *merged, json_t *json)
 {
-	event_t event = {.json = json};
+	event_t event = { .json = json };
 
 	event.process = ctl_text(json, "process", NULL);
 	if (event.process == NULL || ctl_text(json, "event", NULL) == NULL ||
@@ -647,13 +647,13 @@
 static void give_verdict(const ctl_options_t *o, const merged_t *merged,
 			 const GPtrArray *events)
 {
-	verdict_t v = {.answered = new_set(),
-		       .unknown = new_set(),
-		       .not_run = new_set(),
-		       .open = new_set(),
-		       .targets = new_set(),
-		       .processes = new_set(),
-		       .generations = new_set()};
+	verdict_t v = { .answered = new_set(),
+			.unknown = new_set(),
+			.not_run = new_set(),
+			.open = new_set(),
+			.targets = new_set(),
+			.processes = new_set(),
+			.generations = new_set() };
 	g_autofree char *open_ended = list_open_ended(merged);
 	bool complete = open_ended[0] == '\0' && merged->lost == 0 &&
 			merged->begun == 0 && merged->unread == 0 &&
@@ -723,7 +723,7 @@
 int ctl_timeline(ctl_t *ctl)
 {
 	const ctl_options_t *o = &ctl->options;
-	merged_t merged = {0};
+	merged_t merged = { 0 };
 	GPtrArray *selected;
 	ctl_status_t status = CTL_OK;
 
--- a/bshrouterd/accept.c
+++ b/bshrouterd/accept.c
@@ -73,7 +73,7 @@
 	traffic_resume(ctx);
 }
 
-static const bsh_http_request_handler_t http_handler = {on_done, on_drained};
+static const bsh_http_request_handler_t http_handler = { on_done, on_drained };
 
 static traffic_request_t *new_request(router_traffic_t *t,
 				      bsh_http_request_t *http)
@@ -235,7 +235,7 @@
 	bsh_http_request_set_handler(r->http, &http_handler, r);
 	err = traffic_begin(r, deadline_us, terms->repeatable, terms->stream);
 	if (err != BSH_OK) {
-		static const bsh_http_request_handler_t none = {NULL, NULL};
+		static const bsh_http_request_handler_t none = { NULL, NULL };
 
 		bsh_http_request_set_handler(r->http, &none, NULL);
 		drop(r, err, "too many requests in progress",
@@ -268,8 +268,8 @@
 		drop(r, BSH_ERR_NOT_FOUND, detail, 0);
 		return;
 	}
-	terms = (terms_t){model->deadline_ms, model->priority,
-			  model->repeatable, request.stream};
+	terms = (terms_t){ model->deadline_ms, model->priority,
+			   model->repeatable, request.stream };
 	g_strlcpy(r->name, model->name, sizeof(r->name));
 	traffic_key(r->key, model->name, false);
 	r->path =
@@ -299,7 +299,8 @@
 		drop(r, BSH_ERR_NOT_FOUND, detail, 0);
 		return;
 	}
-	terms = (terms_t){service->deadline_ms, 0, service->repeatable, false};
+	terms = (terms_t){ service->deadline_ms, 0, service->repeatable,
+			   false };
 	g_strlcpy(r->name, service->name, sizeof(r->name));
 	traffic_key(r->key, service->name, true);
 	r->is_service = true;
--- a/bshrouterd/bshrouterd.c
+++ b/bshrouterd/bshrouterd.c
@@ -21,13 +21,13 @@
 static gboolean show_version;
 
 static const GOptionEntry options[] = {
-	{"config", 'c', 0, G_OPTION_ARG_FILENAME, &settings_path,
-	 "Settings file", "FILE"},
-	{"check-config", 0, 0, G_OPTION_ARG_NONE, &check_only,
-	 "Check the settings file and exit", NULL},
-	{"version", 0, 0, G_OPTION_ARG_NONE, &show_version,
-	 "Print the version and exit", NULL},
-	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+	{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &settings_path,
+	  "Settings file", "FILE" },
+	{ "check-config", 0, 0, G_OPTION_ARG_NONE, &check_only,
+	  "Check the settings file and exit", NULL },
+	{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
+	  "Print the version and exit", NULL },
+	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 };
 
 static void usage(void)
--- a/bshrouterd/glue.c
+++ b/bshrouterd/glue.c
@@ -59,8 +59,8 @@
 
 static void make_intent(const traffic_request_t *r, router_intent_t *intent)
 {
-	uint64_t id[2] = {GUINT64_TO_BE(r->attempt.id.incarnation),
-			  GUINT64_TO_BE(r->attempt.id.sequence)};
+	uint64_t id[2] = { GUINT64_TO_BE(r->attempt.id.incarnation),
+			   GUINT64_TO_BE(r->attempt.id.sequence) };
 
 	intent->id = r->attempt.id.sequence;
 	intent->service = r->name;
@@ -87,7 +87,7 @@
 {
 	traffic_request_t *r = of_attempt(a);
 	router_traffic_t *t = ctx;
-	router_result_t result = {.outcome = outcome};
+	router_result_t result = { .outcome = outcome };
 	router_intent_t intent;
 
 	make_intent(r, &intent);
@@ -340,8 +340,8 @@
 			 waiting);
 }
 
-static const bsh_admission_orders_t admission_orders = {on_start, on_refuse,
-							on_need};
+static const bsh_admission_orders_t admission_orders = { on_start, on_refuse,
+							 on_need };
 
 /* Drain. */
 
--- a/bshrouterd/link.c
+++ b/bshrouterd/link.c
@@ -386,7 +386,7 @@
 /* Sends events up to the end of line that is nearest below the size limit. */
 static size_t send_some_events(const router_link_t *link, char *text)
 {
-	bsh_message_t message = {.type = BSH_MSG_EVENTS};
+	bsh_message_t message = { .type = BSH_MSG_EVENTS };
 	size_t length = strlen(text);
 	char *end;
 
@@ -438,7 +438,7 @@
 
 static void send_drain(router_link_t *link, bool ended, uint32_t running)
 {
-	bsh_message_t message = {.type = BSH_MSG_DRAIN};
+	bsh_message_t message = { .type = BSH_MSG_DRAIN };
 
 	message.drain.phase = ended ? BSH_PHASE_ENDED : BSH_PHASE_BEGIN;
 	message.drain.alternative = "";
@@ -499,7 +499,7 @@
 	pass(link, message, until_us);
 }
 
-static const bsh_channel_ops_t channel_ops = {on_up, on_message, on_down};
+static const bsh_channel_ops_t channel_ops = { on_up, on_message, on_down };
 
 void router_link_start(router_t *router)
 {
@@ -548,7 +548,7 @@
 
 static void refuse_intent(router_link_t *link, uint64_t id)
 {
-	bsh_message_t message = {.type = BSH_MSG_INTENT_ANSWER};
+	bsh_message_t message = { .type = BSH_MSG_INTENT_ANSWER };
 
 	message.sender = "";
 	message.intent_answer.id = id;
@@ -660,7 +660,7 @@
 void router_send_need(router_t *router, uint64_t id, const char *model,
 		      uint64_t deadline_ms, uint32_t priority, uint32_t waiting)
 {
-	bsh_message_t message = {.type = BSH_MSG_NEED};
+	bsh_message_t message = { .type = BSH_MSG_NEED };
 
 	message.need = (bsh_msg_need_t){
 		.id = id,
@@ -677,7 +677,7 @@
 {
 	g_autofree bsh_report_entry_t *out_entries =
 		g_new0(bsh_report_entry_t, count + 1);
-	bsh_message_t message = {.type = BSH_MSG_REPORT};
+	bsh_message_t message = { .type = BSH_MSG_REPORT };
 
 	for (uint32_t i = 0; i < count; i++)
 		out_entries[i] = (bsh_report_entry_t){
@@ -695,7 +695,7 @@
 
 void router_send_intent(router_t *router, const router_intent_t *intent)
 {
-	bsh_message_t message = {.type = BSH_MSG_INTENT};
+	bsh_message_t message = { .type = BSH_MSG_INTENT };
 
 	message.intent.id = intent->id;
 	message.intent.service = intent->service;
@@ -708,7 +708,7 @@
 void router_send_intent_done(router_t *router, const router_intent_t *intent,
 			     const router_result_t *result)
 {
-	bsh_message_t message = {.type = BSH_MSG_INTENT_DONE};
+	bsh_message_t message = { .type = BSH_MSG_INTENT_DONE };
 	bsh_msg_intent_done_t *done = &message.intent_done;
 
 	done->service = intent->service;
@@ -727,7 +727,7 @@
 
 void router_send_drain(router_t *router, bool ended, uint32_t running)
 {
-	bsh_message_t message = {.type = BSH_MSG_DRAIN};
+	bsh_message_t message = { .type = BSH_MSG_DRAIN };
 
 	message.drain.phase = ended ? BSH_PHASE_ENDED : BSH_PHASE_BEGIN;
 	message.drain.alternative = "";
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -10,7 +10,8 @@
 
 #define LINE_MAX_BYTES 1024
 
-static const char *const level_names[] = {"error", "warning", "info", "debug"};
+static const char *const level_names[] = { "error", "warning", "info",
+					   "debug" };
 static char program_name[64] = "berylshunt";
 static bsh_log_level_t max_level = BSH_LOG_INFO;
 
--- a/lib/coordination/adoption.c
+++ b/lib/coordination/adoption.c
@@ -140,7 +140,7 @@
 
 static void fetch(bsh_adoption_t *a, int64_t now_us)
 {
-	bsh_adoption_message_t msg = {.kind = BSH_ADOPTION_CONFIG_FETCH};
+	bsh_adoption_message_t msg = { .kind = BSH_ADOPTION_CONFIG_FETCH };
 
 	a->fetch_sequence = ++a->next_sequence;
 	a->fetch_until_us = now_us + FETCH_TIMEOUT_US;
@@ -192,8 +192,8 @@
 static void answer_fetch(bsh_adoption_t *a, const char *from,
 			 const bsh_adoption_message_t *ask)
 {
-	bsh_adoption_message_t msg = {.kind = BSH_ADOPTION_CONFIG,
-				      .sequence = ask->sequence};
+	bsh_adoption_message_t msg = { .kind = BSH_ADOPTION_CONFIG,
+				       .sequence = ask->sequence };
 	GBytes *base = past_document(a, ask->generation);
 
 	if (ask->generation >= a->current.generation) {
@@ -235,10 +235,10 @@
 static void receive_config(bsh_adoption_t *a, int64_t now_us, const char *from,
 			   const bsh_adoption_message_t *msg)
 {
-	bsh_adoption_object_t object = {.version = msg->version,
-					.generation = msg->generation,
-					.n_witnesses = msg->n_witnesses,
-					.hash = msg->hash};
+	bsh_adoption_object_t object = { .version = msg->version,
+					 .generation = msg->generation,
+					 .n_witnesses = msg->n_witnesses,
+					 .hash = msg->hash };
 
 	if (msg->generation <= a->current.generation) {
 		a->stats.obsolete++;
--- a/lib/coordination/adoption_fresh.c
+++ b/lib/coordination/adoption_fresh.c
@@ -128,9 +128,9 @@
 static void add_candidate(choice_t *choice, const bsh_member_t *m)
 {
 	const bsh_member_t *self = bsh_members_self(choice->a->members);
-	guint64 key[2] = {self->rank, m->rank};
-	candidate_t candidate = {.name = m->name,
-				 .score = XXH3_64bits(key, sizeof(key))};
+	guint64 key[2] = { self->rank, m->rank };
+	candidate_t candidate = { .name = m->name,
+				  .score = XXH3_64bits(key, sizeof(key)) };
 
 	if (m == self)
 		return;
@@ -185,7 +185,7 @@
  */
 static void choose_parents(bsh_adoption_t *a, int64_t now_us)
 {
-	choice_t choice = {.a = a};
+	choice_t choice = { .a = a };
 
 	if (a->parents_version == bsh_members_version(a->members) &&
 	    a->parents_generation == a->current.generation)
@@ -218,12 +218,13 @@
 static void send_ask(bsh_adoption_t *a, int64_t now_us, const char *to,
 		     uint64_t sequence, bool vote, bool confirm)
 {
-	bsh_adoption_message_t msg = {.kind = BSH_ADOPTION_FRESH_ASK,
-				      .sequence = sequence,
-				      .generation = a->current.generation,
-				      .vote = vote,
-				      .confirm = confirm,
-				      .confirm_age_ms = BSH_MEMBER_AGE_NONE_MS};
+	bsh_adoption_message_t msg = { .kind = BSH_ADOPTION_FRESH_ASK,
+				       .sequence = sequence,
+				       .generation = a->current.generation,
+				       .vote = vote,
+				       .confirm = confirm,
+				       .confirm_age_ms =
+					       BSH_MEMBER_AGE_NONE_MS };
 
 	msg.settled = bsh_fresh_settled(a, now_us);
 	if (confirm)
@@ -379,9 +380,9 @@
 			       const char *from,
 			       const bsh_adoption_message_t *msg)
 {
-	bsh_adoption_message_t answer = {.kind = BSH_ADOPTION_PREPARED,
-					 .sequence = msg->sequence,
-					 .generation = msg->generation};
+	bsh_adoption_message_t answer = { .kind = BSH_ADOPTION_PREPARED,
+					  .sequence = msg->sequence,
+					  .generation = msg->generation };
 
 	answer.accepted =
 		bsh_fresh_prepare(a, now_us, msg->generation, msg->version);
@@ -530,9 +531,9 @@
 			   uint64_t incarnation,
 			   const bsh_adoption_message_t *msg)
 {
-	bsh_adoption_message_t answer = {.kind = BSH_ADOPTION_FRESH,
-					 .sequence = msg->sequence,
-					 .generation = a->current.generation};
+	bsh_adoption_message_t answer = { .kind = BSH_ADOPTION_FRESH,
+					  .sequence = msg->sequence,
+					  .generation = a->current.generation };
 	bool is_peer = bsh_adoption_is_witness(a) &&
 		       bsh_adoption_has_witness(&a->current, from);
 
--- a/lib/coordination/adoption_propose.c
+++ b/lib/coordination/adoption_propose.c
@@ -96,7 +96,7 @@
 				  a->current.witnesses[i], BSH_NAME_SIZE);
 	}
 	while (set->n_witnesses < BSH_WITNESSES_MAX) {
-		spread_t s = {.a = a, .set = set};
+		spread_t s = { .a = a, .set = set };
 
 		bsh_members_foreach(a->members, offer, &s);
 		if (s.best == NULL)
@@ -185,10 +185,10 @@
 static void accepted(bsh_adoption_t *a, int64_t now_us, uint64_t version)
 {
 	bsh_proposal_t *p = &a->proposal;
-	bsh_pending_t pending = {.request = p->request,
-				 .generation = p->object.generation,
-				 .accepted_us = now_us,
-				 .is_slow = p->sets_changed};
+	bsh_pending_t pending = { .request = p->request,
+				  .generation = p->object.generation,
+				  .accepted_us = now_us,
+				  .is_slow = p->sets_changed };
 
 	p->object.version = version;
 	bsh_adoption_saw_version(a, version);
@@ -250,10 +250,10 @@
 static void send_prepares(bsh_adoption_t *a, int64_t now_us)
 {
 	bsh_proposal_t *p = &a->proposal;
-	bsh_adoption_message_t msg = {.kind = BSH_ADOPTION_PREPARE,
-				      .sequence = p->sequence,
-				      .generation = p->object.generation,
-				      .version = p->object.version};
+	bsh_adoption_message_t msg = { .kind = BSH_ADOPTION_PREPARE,
+				       .sequence = p->sequence,
+				       .generation = p->object.generation,
+				       .version = p->object.version };
 
 	p->retry_at_us = now_us + PREPARE_RETRY_US;
 	for (uint32_t i = 0; i < a->current.n_witnesses; i++) {
--- a/lib/coordination/breaker.c
+++ b/lib/coordination/breaker.c
@@ -57,7 +57,7 @@
 			open_breaker(breaker, jitter, now_us);
 			return true;
 		}
-		*breaker = (bsh_breaker_t){0};
+		*breaker = (bsh_breaker_t){ 0 };
 		return true;
 	case BSH_BREAKER_OPEN:
 		/* A result of a request sent before the breaker opened. */
--- a/lib/coordination/journal.c
+++ b/lib/coordination/journal.c
@@ -437,7 +437,7 @@
 		   bsh_intent_verdict_t verdict, const record_t *r,
 		   uint32_t retry_ms)
 {
-	bsh_journal_result_t result = {.outcome = BSH_OUTCOME_ANSWERED};
+	bsh_journal_result_t result = { .outcome = BSH_OUTCOME_ANSWERED };
 	bool withdrawn = op->withdrawn;
 	uint64_t token = op->token;
 
--- a/lib/coordination/loader.c
+++ b/lib/coordination/loader.c
@@ -39,11 +39,11 @@
 void bsh_loader_init(bsh_loader_t *l, const bsh_loader_config_t *config,
 		     const bsh_loader_ops_t *ops, void *ctx)
 {
-	bsh_placement_limits_t limits = {.weight = 0.5,
-					 .loads_per_s = 1,
-					 .concurrent = 1,
-					 .memory_permille = 150,
-					 .disk_permille = 400};
+	bsh_placement_limits_t limits = { .weight = 0.5,
+					  .loads_per_s = 1,
+					  .concurrent = 1,
+					  .memory_permille = 150,
+					  .disk_permille = 400 };
 
 	memset(l, 0, sizeof(*l));
 	l->config = *config;
@@ -101,15 +101,15 @@
 
 uint64_t loader_random(bsh_loader_t *l)
 {
-	uint64_t input[2] = {l->config.seed[1], l->next_random++};
+	uint64_t input[2] = { l->config.seed[1], l->next_random++ };
 
 	return XXH64(input, sizeof(input), l->config.seed[0]);
 }
 
 bsh_attempt_id_t loader_attempt(bsh_loader_t *l)
 {
-	bsh_attempt_id_t attempt = {.high = loader_random(l),
-				    .low = loader_random(l)};
+	bsh_attempt_id_t attempt = { .high = loader_random(l),
+				     .low = loader_random(l) };
 
 	return attempt;
 }
@@ -160,7 +160,7 @@
 void loader_event(bsh_loader_t *l, const char *kind, const cell_t *c,
 		  const bsh_slot_t *slot, const char *reason)
 {
-	bsh_loader_event_t event = {.kind = kind, .reason = reason};
+	bsh_loader_event_t event = { .kind = kind, .reason = reason };
 
 	if (l->ops->event == NULL)
 		return;
@@ -485,7 +485,7 @@
 	l->members_stamp++;
 	l->members = g_array_new(FALSE, FALSE, sizeof(member_t));
 	for (size_t i = 0; i < count; i++) {
-		member_t member = {.sender = live[i], .since_us = now_us};
+		member_t member = { .sender = live[i], .since_us = now_us };
 
 		for (guint j = 0; j < old->len; j++) {
 			const member_t *was = &g_array_index(old, member_t, j);
--- a/lib/coordination/loader_demand.c
+++ b/lib/coordination/loader_demand.c
@@ -31,12 +31,12 @@
 		   bsh_demand_result_t result, bsh_error_t error,
 		   int64_t ready_us, const char *reason)
 {
-	bsh_demand_answer_t out = {.id = d->id,
-				   .model = d->model,
-				   .result = result,
-				   .ready_us = ready_us,
-				   .error = error,
-				   .reason = reason};
+	bsh_demand_answer_t out = { .id = d->id,
+				    .model = d->model,
+				    .result = result,
+				    .ready_us = ready_us,
+				    .error = error,
+				    .reason = reason };
 
 	if (result == BSH_DEMAND_REFUSED) {
 		l->counts.refused++;
@@ -56,7 +56,7 @@
 
 static standing_t standing(const bsh_loader_t *l, const model_t *m)
 {
-	standing_t s = {.is_store_down = true};
+	standing_t s = { .is_store_down = true };
 
 	for (uint32_t i = 0; i < m->max_replicas; i++) {
 		char name[BSH_CELL_NAME_MAX];
@@ -275,7 +275,8 @@
 		.sequence = ++c->route_sequence,
 		.targets = (const char *const *)ready->targets->pdata,
 		.incarnations = (const uint64_t *)ready->incarnations->data,
-		.count = ready->targets->len};
+		.count = ready->targets->len
+	};
 
 	l->ops->route(l->ctx, &route);
 }
--- a/lib/coordination/loader_place.c
+++ b/lib/coordination/loader_place.c
@@ -89,7 +89,7 @@
 {
 	const target_t *t = loader_target(l, on->name);
 	uint32_t free_mib = on->memory_mib - on->reserved_mib;
-	bsh_candidate_t candidate = {.name = on->name, .zone = ""};
+	bsh_candidate_t candidate = { .name = on->name, .zone = "" };
 	uint32_t none = 0;
 
 	if (t != NULL) {
@@ -112,10 +112,10 @@
 {
 	const model_t *m = loader_model(l, slot->model);
 	const binding_t *b = loader_find_binding(l, &slot->attempt);
-	bsh_victim_t victim = {.model = slot->model,
-			       .index = slot->index,
-			       .target = slot->target,
-			       .memory_mib = slot->memory_mib};
+	bsh_victim_t victim = { .model = slot->model,
+				.index = slot->index,
+				.target = slot->target,
+				.memory_mib = slot->memory_mib };
 
 	victim.is_standby = slot_is_idle_binding(l, next, slot);
 	if (m == NULL)
@@ -452,7 +452,7 @@
 	g_hash_table_iter_init(&iter, l->wanted);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		const model_t *m = loader_model(l, key);
-		bsh_waiting_t waiting = {.model = key};
+		bsh_waiting_t waiting = { .model = key };
 
 		if (m == NULL || (pool != NULL && m->pool != pool))
 			continue;
@@ -641,7 +641,7 @@
 
 	g_hash_table_iter_init(&iter, l->models);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		standby_t s = {.model = value};
+		standby_t s = { .model = value };
 
 		if (s.model->pool != c->pool || count_active(next, s.model) > 0)
 			continue;
@@ -742,7 +742,7 @@
 
 static progress_t progress(const bsh_loader_t *l, const model_t *m)
 {
-	progress_t p = {.expected_us = -1};
+	progress_t p = { .expected_us = -1 };
 
 	for (uint32_t i = 0; i < m->max_replicas; i++) {
 		char name[BSH_CELL_NAME_MAX];
@@ -872,7 +872,7 @@
 
 void place_queue(bsh_loader_t *l)
 {
-	load_queue_t queue = {0};
+	load_queue_t queue = { 0 };
 	GArray *list;
 
 	if (g_hash_table_size(l->wanted) == 0)
--- a/lib/coordination/loader_slot.c
+++ b/lib/coordination/loader_slot.c
@@ -130,7 +130,7 @@
 			      MIN(MODEL_RETRY_US << n, MODEL_RETRY_MAX_US);
 	g_hash_table_insert(
 		t->failed, g_strdup(slot->model),
-		g_memdup2(&(int64_t){l->now_us + (FAILED_TARGET_US << n)},
+		g_memdup2(&(int64_t){ l->now_us + (FAILED_TARGET_US << n) },
 			  sizeof(int64_t)));
 }
 
@@ -447,14 +447,14 @@
 {
 	binding_t *b = loader_binding(l, &slot->attempt);
 	const model_t *m = loader_model(l, slot->model);
-	bsh_loader_order_t order = {.kind = BSH_ORDER_LOAD,
-				    .target = slot->target,
-				    .target_incarnation =
-					    slot->target_incarnation,
-				    .model = slot->model,
-				    .attempt = slot->attempt,
-				    .fence = slot->fence,
-				    .memory_mib = slot->memory_mib};
+	bsh_loader_order_t order = { .kind = BSH_ORDER_LOAD,
+				     .target = slot->target,
+				     .target_incarnation =
+					     slot->target_incarnation,
+				     .model = slot->model,
+				     .attempt = slot->attempt,
+				     .fence = slot->fence,
+				     .memory_mib = slot->memory_mib };
 
 	if (m == NULL || !is_stable(l, c, slot))
 		return;
@@ -480,16 +480,16 @@
 static void send_unload(bsh_loader_t *l, cell_t *c, const bsh_slot_t *slot)
 {
 	binding_t *b = loader_binding(l, &slot->attempt);
-	bsh_loader_order_t order = {.kind = BSH_ORDER_UNLOAD,
-				    .target = slot->target,
-				    .target_incarnation =
-					    slot->target_incarnation,
-				    .model = slot->model,
-				    .version = "",
-				    .base = "",
-				    .attempt = slot->attempt,
-				    .fence = slot->fence,
-				    .memory_mib = slot->memory_mib};
+	bsh_loader_order_t order = { .kind = BSH_ORDER_UNLOAD,
+				     .target = slot->target,
+				     .target_incarnation =
+					     slot->target_incarnation,
+				     .model = slot->model,
+				     .version = "",
+				     .base = "",
+				     .attempt = slot->attempt,
+				     .fence = slot->fence,
+				     .memory_mib = slot->memory_mib };
 
 	b->pending_unloads++;
 	b->sent_fence = slot->fence;
@@ -533,15 +533,15 @@
 	g_hash_table_iter_init(&iter, t->loaded);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const loaded_t *loaded = value;
-		bsh_loader_order_t order = {.kind = BSH_ORDER_UNLOAD,
-					    .target = t->name,
-					    .target_incarnation =
-						    t->status_incarnation,
-					    .model = key,
-					    .version = "",
-					    .base = "",
-					    .attempt = loaded->attempt,
-					    .fence = c->seen.fence};
+		bsh_loader_order_t order = { .kind = BSH_ORDER_UNLOAD,
+					     .target = t->name,
+					     .target_incarnation =
+						     t->status_incarnation,
+					     .model = key,
+					     .version = "",
+					     .base = "",
+					     .attempt = loaded->attempt,
+					     .fence = c->seen.fence };
 
 		if (loaded->state == BSH_SLOT_UNLOADING ||
 		    bsh_cell_slot_on(&c->seen, key, t->name) != NULL ||
--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -670,11 +670,11 @@
 	uint32_t own[BSH_MEMBER_SYNC_BUCKETS];
 	bool differs[BSH_MEMBER_SYNC_BUCKETS];
 	bool any = false;
-	sync_answer_t answer = {.m = m,
-				.now_us = now_us,
-				.to = to,
-				.differs = differs,
-				.left = SYNC_DATAGRAMS};
+	sync_answer_t answer = { .m = m,
+				 .now_us = now_us,
+				 .to = to,
+				 .differs = differs,
+				 .left = SYNC_DATAGRAMS };
 	guint total = m->view.by_rank->len;
 	guint start = bsh_view_position(&m->view, ask->cursor);
 
@@ -764,8 +764,9 @@
 		       const bsh_member_message_t *msg)
 {
 	bsh_member_record_t *target = bsh_view_find(&m->view, msg->target);
-	relay_t relay = {.requester_sequence = msg->sequence,
-			 .until_us = now_us + RELAY_KEEP_PERIOD * m->period_us};
+	relay_t relay = { .requester_sequence = msg->sequence,
+			  .until_us =
+				  now_us + RELAY_KEEP_PERIOD * m->period_us };
 
 	if (target == NULL || target == m->view.self) {
 		m->view.stats.ignored++;
@@ -971,8 +972,8 @@
 			   bsh_list_state_t state)
 {
 	bsh_member_record_t *r = bsh_view_find(&m->view, name);
-	bsh_member_update_t u = {.type = BSH_UPDATE_MEMBER,
-				 .incarnation = incarnation};
+	bsh_member_update_t u = { .type = BSH_UPDATE_MEMBER,
+				  .incarnation = incarnation };
 
 	if (r == NULL && state == BSH_LIST_GONE)
 		return;
@@ -996,7 +997,7 @@
 
 void bsh_members_leave(bsh_members_t *m, int64_t now_us)
 {
-	bsh_member_update_t u = {.type = BSH_UPDATE_MEMBER, .leaving = true};
+	bsh_member_update_t u = { .type = BSH_UPDATE_MEMBER, .leaving = true };
 
 	g_strlcpy(u.name, m->view.self->pub.name, sizeof(u.name));
 	u.incarnation = m->view.self->pub.incarnation;
@@ -1008,7 +1009,7 @@
 		       const char *name, const char *owner,
 		       uint64_t incarnation)
 {
-	bsh_member_update_t u = {.type = type, .incarnation = incarnation};
+	bsh_member_update_t u = { .type = type, .incarnation = incarnation };
 
 	g_strlcpy(u.name, name, sizeof(u.name));
 	g_strlcpy(u.owner, owner, sizeof(u.owner));
@@ -1154,12 +1155,12 @@
 	m->sync_at_us = now_us + m->period_us;
 	m->wake_us = now_us + m->period_us;
 	m->cursor = m->view.self->pub.rank;
-	m->urgent = (bucket_t){URGENT_BYTES_BURST, URGENT_BYTES_PER_S,
-			       URGENT_BYTES_BURST, now_us};
-	m->carried = (bucket_t){CARRIED_BYTES_BURST, CARRIED_BYTES_PER_S,
-				CARRIED_BYTES_BURST, now_us};
-	m->sync = (bucket_t){SYNC_BYTES_BURST, SYNC_BYTES_PER_S,
-			     SYNC_BYTES_BURST, now_us};
+	m->urgent = (bucket_t){ URGENT_BYTES_BURST, URGENT_BYTES_PER_S,
+				URGENT_BYTES_BURST, now_us };
+	m->carried = (bucket_t){ CARRIED_BYTES_BURST, CARRIED_BYTES_PER_S,
+				 CARRIED_BYTES_BURST, now_us };
+	m->sync = (bucket_t){ SYNC_BYTES_BURST, SYNC_BYTES_PER_S,
+			      SYNC_BYTES_BURST, now_us };
 	return m;
 }
 
--- a/lib/coordination/member_view.c
+++ b/lib/coordination/member_view.c
@@ -69,7 +69,7 @@
 
 guint bsh_view_position(const bsh_view_t *v, uint64_t rank)
 {
-	bsh_member_t key = {.rank = rank};
+	bsh_member_t key = { .rank = rank };
 
 	return position_of(v, &key);
 }
@@ -110,10 +110,10 @@
 
 static before_t note(const bsh_member_record_t *r)
 {
-	before_t before = {.live = bsh_member_is_live(&r->pub),
-			   .dead = !r->pub.is_hint &&
-				   r->pub.state == BSH_MEMBER_DEAD,
-			   .copy = r->pub};
+	before_t before = { .live = bsh_member_is_live(&r->pub),
+			    .dead = !r->pub.is_hint &&
+				    r->pub.state == BSH_MEMBER_DEAD,
+			    .copy = r->pub };
 
 	return before;
 }
@@ -596,7 +596,7 @@
 static void add_digest(uint32_t *digests, const bsh_record_t *record, guint64 a,
 		       guint64 b, guint64 c)
 {
-	guint64 key[3] = {a, b, c};
+	guint64 key[3] = { a, b, c };
 
 	digests[bsh_view_bucket(record)] ^=
 		(uint32_t)XXH3_64bits_withSeed(key, sizeof(key), record->type);
@@ -637,7 +637,7 @@
 
 uint32_t bsh_view_leaving_digest(bsh_view_t *v)
 {
-	uint32_t digests[BSH_MEMBER_SYNC_BUCKETS] = {0};
+	uint32_t digests[BSH_MEMBER_SYNC_BUCKETS] = { 0 };
 
 	if (!v->is_digest_old)
 		return v->leaving_digest;
--- a/lib/coordination/news.c
+++ b/lib/coordination/news.c
@@ -9,7 +9,7 @@
 
 void bsh_news_item_init(bsh_news_item_t *item, gpointer record)
 {
-	item->link = (GList){.data = record};
+	item->link = (GList){ .data = record };
 	item->level = -1;
 }
 
--- a/lib/coordination/route.c
+++ b/lib/coordination/route.c
@@ -207,7 +207,7 @@
 	t->reported_us = 0;
 	t->cache_gap_us = 0;
 	memset(t->samples, 0, sizeof(t->samples));
-	t->breaker = (bsh_breaker_t){0};
+	t->breaker = (bsh_breaker_t){ 0 };
 }
 
 bsh_error_t bsh_route_set_target(bsh_route_t *route, const char *name,
@@ -374,9 +374,9 @@
 
 static bsh_route_sample_t sample_now(const bsh_route_target_t *t)
 {
-	return (bsh_route_sample_t){
-		.open = (uint16_t)MIN(t->open, UINT16_MAX),
-		.pending = (uint16_t)MIN(t->pending, UINT16_MAX)};
+	return (bsh_route_sample_t){ .open = (uint16_t)MIN(t->open, UINT16_MAX),
+				     .pending = (uint16_t)MIN(t->pending,
+							      UINT16_MAX) };
 }
 
 /* This router's requests at the target at a past time. */
@@ -588,7 +588,7 @@
 		const bsh_route_prefix_entry_t *entry = prefix_set(route, hash);
 
 		for (int i = 0; i < PREFIX_WAYS; i++, entry++) {
-			candidate_t c = {entry->target, b, 1.0};
+			candidate_t c = { entry->target, b, 1.0 };
 
 			if (entry->hash != hash || hash == 0 ||
 			    now_ms - entry->seen_ms > PREFIX_KEEP_MS ||
@@ -615,14 +615,15 @@
 	for (uint32_t i = 0; i < tries; i++) {
 		uint32_t n = all ? (start + i) % set->count
 				 : bsh_rng_below(&route->rng, set->count);
-		candidate_t c = {set->ready[n], 0, 1.0};
+		candidate_t c = { set->ready[n], 0, 1.0 };
 
 		consider(route, request, found, c, now_us);
 	}
 	/* An unlucky sample says nothing about the others. */
 	for (uint32_t i = 0;
 	     !all && i < set->count && found->count < SAMPLE_TARGETS / 2; i++) {
-		candidate_t c = {set->ready[(start + i) % set->count], 0, 1.0};
+		candidate_t c = { set->ready[(start + i) % set->count], 0,
+				  1.0 };
 
 		consider(route, request, found, c, now_us);
 	}
@@ -639,7 +640,7 @@
 {
 	uint32_t count = 0;
 
-	*load = (load_t){0};
+	*load = (load_t){ 0 };
 
 	for (uint32_t i = 0; i < found->count; i++) {
 		const bsh_route_target_t *t = at(route, found->list[i].target);
@@ -721,7 +722,7 @@
 			     bsh_route_choice_t *choice, int64_t now_us)
 {
 	const ready_set_t *set = g_hash_table_lookup(route->keys, request->key);
-	candidates_t found = {.count = 0};
+	candidates_t found = { .count = 0 };
 	const candidate_t *chosen;
 	uint32_t blocks = 0;
 
--- a/lib/operator/control_client.c
+++ b/lib/operator/control_client.c
@@ -181,7 +181,7 @@
 				const char *body, int64_t generation,
 				bsh_control_answer_t *answer)
 {
-	bsh_control_answer_t refusal = {0};
+	bsh_control_answer_t refusal = { 0 };
 	bsh_error_t worst = BSH_ERR_CONNECT;
 
 	for (guint i = 0; i < client->addresses->len; i++) {
--- a/lib/protocol/body.c
+++ b/lib/protocol/body.c
@@ -195,7 +195,7 @@
 bsh_body_reader_t bsh_body_array(bsh_body_reader_t *r, uint32_t max)
 {
 	const msgpack_object *object = next(r, MSGPACK_OBJECT_ARRAY);
-	bsh_body_reader_t inner = {.bad = true};
+	bsh_body_reader_t inner = { .bad = true };
 
 	if (object == NULL)
 		return inner;
--- a/lib/protocol/call.c
+++ b/lib/protocol/call.c
@@ -18,9 +18,10 @@
 
 const char *bsh_call_result_name(bsh_call_result_t result)
 {
-	static const char *const names[] = {
-		"done",	   "unchanged",	  "not-found", "conflict",
-		"refused", "unavailable", "unknown"};
+	static const char *const names[] = { "done",	  "unchanged",
+					     "not-found", "conflict",
+					     "refused",	  "unavailable",
+					     "unknown" };
 
 	return (size_t)result < G_N_ELEMENTS(names) ? names[result] : "?";
 }
@@ -103,11 +104,11 @@
 static void on_end(void *ctx, const bsh_http_result_t *result)
 {
 	open_call_t *open = ctx;
-	bsh_call_answer_t answer = {.result = classify(result),
-				    .status = result->status,
-				    .sent = result->sent,
-				    .retry_after_ms = open->retry_after_ms,
-				    .began_us = open->began_us};
+	bsh_call_answer_t answer = { .result = classify(result),
+				     .status = result->status,
+				     .sent = result->sent,
+				     .retry_after_ms = open->retry_after_ms,
+				     .began_us = open->began_us };
 	json_t *json = NULL;
 
 	open->call = NULL;
@@ -139,8 +140,8 @@
 static void on_failed(void *ctx)
 {
 	open_call_t *open = ctx;
-	bsh_call_answer_t answer = {.result = BSH_CALL_UNAVAILABLE,
-				    .began_us = open->began_us};
+	bsh_call_answer_t answer = { .result = BSH_CALL_UNAVAILABLE,
+				     .began_us = open->began_us };
 
 	report(open, &answer);
 }
@@ -148,22 +149,24 @@
 void bsh_call_start(bsh_caller_t *caller, const bsh_call_spec_t *spec,
 		    bsh_call_fn_t fn, void *ctx)
 {
-	static const bsh_http_handler_t handler = {.on_header = on_header,
-						   .on_end = on_end};
+	static const bsh_http_handler_t handler = { .on_header = on_header,
+						    .on_end = on_end };
 	g_autofree char *url =
 		g_strdup_printf("http://%s%s", spec->address, spec->path);
 	const char *headers[HEADERS_MAX + 1] = {
-		"Content-Type: application/json", spec->header, NULL};
+		"Content-Type: application/json", spec->header, NULL
+	};
 	open_call_t *open = g_new0(open_call_t, 1);
 	int64_t now_us = bsh_loop_clock_us();
-	bsh_http_spec_t http = {.method = spec->method,
-				.url = url,
-				.headers = headers,
-				.body = spec->body,
-				.body_size = spec->body_size,
-				.deadline_us = now_us +
-					       (int64_t)spec->timeout_ms * 1000,
-				.body_max_bytes = ANSWER_MAX_BYTES};
+	bsh_http_spec_t http = {
+		.method = spec->method,
+		.url = url,
+		.headers = headers,
+		.body = spec->body,
+		.body_size = spec->body_size,
+		.deadline_us = now_us + (int64_t)spec->timeout_ms * 1000,
+		.body_max_bytes = ANSWER_MAX_BYTES
+	};
 
 	open->caller = caller;
 	open->fn = fn;
--- a/lib/protocol/engine_client.c
+++ b/lib/protocol/engine_client.c
@@ -25,9 +25,9 @@
 		json_string_value(json_object_get(call->json, "error"));
 	json_int_t fence =
 		json_integer_value(json_object_get(call->json, "fence"));
-	bsh_engine_answer_t answer = {.result = call->result,
-				      .sent = call->sent,
-				      .no_memory = call->status == 507};
+	bsh_engine_answer_t answer = { .result = call->result,
+				       .sent = call->sent,
+				       .no_memory = call->status == 507 };
 
 	if (call->result == BSH_CALL_CONFLICT && error != NULL &&
 	    strcmp(error, "stale-fence") == 0 && fence >= 0) {
@@ -42,12 +42,12 @@
 		       const char *path, const json_t *body, pending_t *pending)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
-	bsh_call_spec_t spec = {.method = "POST",
-				.address = address,
-				.path = path,
-				.body = text,
-				.body_size = strlen(text),
-				.timeout_ms = BSH_ENGINE_CALL_MS};
+	bsh_call_spec_t spec = { .method = "POST",
+				 .address = address,
+				 .path = path,
+				 .body = text,
+				 .body_size = strlen(text),
+				 .timeout_ms = BSH_ENGINE_CALL_MS };
 
 	bsh_call_start(caller, &spec, on_order, pending);
 	free(text);
@@ -98,7 +98,7 @@
 
 static bool read_state(const char *name, bsh_engine_model_state_t *state)
 {
-	static const char *const names[] = {"loading", "ready", "unloading"};
+	static const char *const names[] = { "loading", "ready", "unloading" };
 
 	for (size_t i = 0; name != NULL && i < G_N_ELEMENTS(names); i++) {
 		if (strcmp(name, names[i]) == 0) {
@@ -170,7 +170,7 @@
 	pending_t *pending = ctx;
 	size_t count = json_array_size(json_object_get(call->json, "models"));
 	bsh_engine_model_t *models = g_new0(bsh_engine_model_t, count + 1);
-	bsh_engine_status_t status = {0};
+	bsh_engine_status_t status = { 0 };
 	bool ok = read_status(call, &status, models);
 
 	pending->status_fn(pending->ctx, ok ? &status : NULL);
@@ -181,10 +181,10 @@
 void bsh_engine_status(bsh_caller_t *caller, const char *address,
 		       bsh_engine_status_fn_t fn, void *ctx)
 {
-	bsh_call_spec_t spec = {.method = "GET",
-				.address = address,
-				.path = "/v1/status",
-				.timeout_ms = BSH_ENGINE_STATUS_MS};
+	bsh_call_spec_t spec = { .method = "GET",
+				 .address = address,
+				 .path = "/v1/status",
+				 .timeout_ms = BSH_ENGINE_STATUS_MS };
 	pending_t *pending = make_pending(NULL, ctx);
 
 	pending->status_fn = fn;
--- a/lib/protocol/frame.c
+++ b/lib/protocol/frame.c
@@ -151,7 +151,7 @@
 
 static void send_hello(bsh_channel_t *channel)
 {
-	bsh_message_t hello = {.type = BSH_MSG_HELLO};
+	bsh_message_t hello = { .type = BSH_MSG_HELLO };
 
 	memcpy(hello.hello.nonce, channel->session.own_nonce,
 	       sizeof(hello.hello.nonce));
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -73,37 +73,41 @@
 static const field_t hello_fields[] = {
 	BYTES(bsh_msg_hello_t, nonce),
 	ENUM(bsh_msg_hello_t, role, BSH_ROLE_CONTROLLER, BSH_ROLE_ROUTER),
-	STRING(bsh_msg_hello_t, address), END};
+	STRING(bsh_msg_hello_t, address), END
+};
 
 static const field_t body_fields[] = {
-	BLOB(bsh_msg_body_t, body, body_bytes, BSH_FRAME_MAX_BYTES), END};
-
-static const field_t config_fields[] = {U64(bsh_msg_config_t, generation),
-					U64(bsh_msg_config_t, hash),
-					STRING(bsh_msg_config_t, text), END};
-
-static const field_t route_fields[] = {
-	STRING(bsh_route_entry_t, name),
-	BOOL(bsh_route_entry_t, is_service),
-	STRING(bsh_route_entry_t, target),
-	U64(bsh_route_entry_t, target_incarnation),
-	STRING(bsh_route_entry_t, address),
-	STRING(bsh_route_entry_t, zone),
-	BOOL(bsh_route_entry_t, leaving),
-	U32(bsh_route_entry_t, max_running),
-	END};
-
-static const field_t routes_fields[] = {
-	STRING(bsh_msg_routes_t, cell), U64(bsh_msg_routes_t, epoch),
-	U64(bsh_msg_routes_t, sequence),
-	LIST(bsh_msg_routes_t, entries, entry_count, route_fields,
-	     bsh_route_entry_t),
-	END};
+	BLOB(bsh_msg_body_t, body, body_bytes, BSH_FRAME_MAX_BYTES), END
+};
+
+static const field_t config_fields[] = { U64(bsh_msg_config_t, generation),
+					 U64(bsh_msg_config_t, hash),
+					 STRING(bsh_msg_config_t, text), END };
+
+static const field_t route_fields[] = { STRING(bsh_route_entry_t, name),
+					BOOL(bsh_route_entry_t, is_service),
+					STRING(bsh_route_entry_t, target),
+					U64(bsh_route_entry_t,
+					    target_incarnation),
+					STRING(bsh_route_entry_t, address),
+					STRING(bsh_route_entry_t, zone),
+					BOOL(bsh_route_entry_t, leaving),
+					U32(bsh_route_entry_t, max_running),
+					END };
+
+static const field_t routes_fields[] = { STRING(bsh_msg_routes_t, cell),
+					 U64(bsh_msg_routes_t, epoch),
+					 U64(bsh_msg_routes_t, sequence),
+					 LIST(bsh_msg_routes_t, entries,
+					      entry_count, route_fields,
+					      bsh_route_entry_t),
+					 END };
 
 static const field_t need_fields[] = {
 	U64(bsh_msg_need_t, id),	  STRING(bsh_msg_need_t, model),
 	U64(bsh_msg_need_t, deadline_ms), ENUM(bsh_msg_need_t, priority, 0, 9),
-	U32(bsh_msg_need_t, waiting),	  END};
+	U32(bsh_msg_need_t, waiting),	  END
+};
 
 static const field_t need_answer_fields[] = {
 	U64(bsh_msg_need_answer_t, id),
@@ -112,7 +116,8 @@
 	U64(bsh_msg_need_answer_t, estimate_ms),
 	U64(bsh_msg_need_answer_t, retry_after_ms),
 	ENUM(bsh_msg_need_answer_t, error, BSH_OK, BSH_ERR_COUNT - 1),
-	END};
+	END
+};
 
 static const field_t report_entry_fields[] = {
 	STRING(bsh_report_entry_t, model),
@@ -121,17 +126,19 @@
 	U32(bsh_report_entry_t, started),
 	U32(bsh_report_entry_t, running),
 	U32(bsh_report_entry_t, waiting),
-	END};
+	END
+};
 
-static const field_t report_fields[] = {LIST(bsh_msg_report_t, entries,
-					     entry_count, report_entry_fields,
-					     bsh_report_entry_t),
-					END};
+static const field_t report_fields[] = { LIST(bsh_msg_report_t, entries,
+					      entry_count, report_entry_fields,
+					      bsh_report_entry_t),
+					 END };
 
 static const field_t intent_fields[] = {
 	U64(bsh_msg_intent_t, id),	  STRING(bsh_msg_intent_t, service),
 	STRING(bsh_msg_intent_t, key),	  BYTES(bsh_msg_intent_t, digest),
-	BYTES(bsh_msg_intent_t, attempt), END};
+	BYTES(bsh_msg_intent_t, attempt), END
+};
 
 static const field_t intent_answer_fields[] = {
 	U64(bsh_msg_intent_answer_t, id),
@@ -141,7 +148,8 @@
 	U32(bsh_msg_intent_answer_t, status),
 	STRING(bsh_msg_intent_answer_t, content_type),
 	BLOB(bsh_msg_intent_answer_t, body, body_bytes, BSH_INTENT_BODY_MAX),
-	END};
+	END
+};
 
 static const field_t intent_done_fields[] = {
 	STRING(bsh_msg_intent_done_t, service),
@@ -154,41 +162,44 @@
 	STRING(bsh_msg_intent_done_t, content_type),
 	BLOB(bsh_msg_intent_done_t, body, body_bytes, BSH_INTENT_BODY_MAX),
 	BOOL(bsh_msg_intent_done_t, body_too_large),
-	END};
+	END
+};
 
-static const field_t fresh_fields[] = {U64(bsh_msg_fresh_t, generation),
-				       BOOL(bsh_msg_fresh_t, confirmed),
-				       U64(bsh_msg_fresh_t, remaining_ms), END};
+static const field_t fresh_fields[] = { U64(bsh_msg_fresh_t, generation),
+					BOOL(bsh_msg_fresh_t, confirmed),
+					U64(bsh_msg_fresh_t, remaining_ms),
+					END };
 
 static const field_t drain_fields[] = {
 	ENUM(bsh_msg_drain_t, phase, BSH_PHASE_BEGIN, BSH_PHASE_END - 1),
-	STRING(bsh_msg_drain_t, alternative), U32(bsh_msg_drain_t, running),
-	END};
+	STRING(bsh_msg_drain_t, alternative), U32(bsh_msg_drain_t, running), END
+};
 
-static const field_t handover_fields[] = {STRING(bsh_msg_handover_t, cell),
-					  U64(bsh_msg_handover_t, epoch), END};
+static const field_t handover_fields[] = { STRING(bsh_msg_handover_t, cell),
+					   U64(bsh_msg_handover_t, epoch),
+					   END };
 
-static const field_t events_fields[] = {STRING(bsh_msg_events_t, lines), END};
+static const field_t events_fields[] = { STRING(bsh_msg_events_t, lines), END };
 
 static const struct {
 	const char *name;
 	const field_t *fields;
 } types[BSH_MSG_TYPE_END] = {
-	[BSH_MSG_HELLO] = {"HELLO", hello_fields},
-	[BSH_MSG_MEMBER] = {"MEMBER", body_fields},
-	[BSH_MSG_ADOPTION] = {"ADOPTION", body_fields},
-	[BSH_MSG_CONFIG] = {"CONFIG", config_fields},
-	[BSH_MSG_ROUTES] = {"ROUTES", routes_fields},
-	[BSH_MSG_NEED] = {"NEED", need_fields},
-	[BSH_MSG_NEED_ANSWER] = {"NEED_ANSWER", need_answer_fields},
-	[BSH_MSG_REPORT] = {"REPORT", report_fields},
-	[BSH_MSG_INTENT] = {"INTENT", intent_fields},
-	[BSH_MSG_INTENT_ANSWER] = {"INTENT_ANSWER", intent_answer_fields},
-	[BSH_MSG_INTENT_DONE] = {"INTENT_DONE", intent_done_fields},
-	[BSH_MSG_FRESH] = {"FRESH", fresh_fields},
-	[BSH_MSG_DRAIN] = {"DRAIN", drain_fields},
-	[BSH_MSG_HANDOVER] = {"HANDOVER", handover_fields},
-	[BSH_MSG_EVENTS] = {"EVENTS", events_fields},
+	[BSH_MSG_HELLO] = { "HELLO", hello_fields },
+	[BSH_MSG_MEMBER] = { "MEMBER", body_fields },
+	[BSH_MSG_ADOPTION] = { "ADOPTION", body_fields },
+	[BSH_MSG_CONFIG] = { "CONFIG", config_fields },
+	[BSH_MSG_ROUTES] = { "ROUTES", routes_fields },
+	[BSH_MSG_NEED] = { "NEED", need_fields },
+	[BSH_MSG_NEED_ANSWER] = { "NEED_ANSWER", need_answer_fields },
+	[BSH_MSG_REPORT] = { "REPORT", report_fields },
+	[BSH_MSG_INTENT] = { "INTENT", intent_fields },
+	[BSH_MSG_INTENT_ANSWER] = { "INTENT_ANSWER", intent_answer_fields },
+	[BSH_MSG_INTENT_DONE] = { "INTENT_DONE", intent_done_fields },
+	[BSH_MSG_FRESH] = { "FRESH", fresh_fields },
+	[BSH_MSG_DRAIN] = { "DRAIN", drain_fields },
+	[BSH_MSG_HANDOVER] = { "HANDOVER", handover_fields },
+	[BSH_MSG_EVENTS] = { "EVENTS", events_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/store_client.c
+++ b/lib/protocol/store_client.c
@@ -41,10 +41,10 @@
 static void on_answer(void *ctx, const bsh_call_answer_t *call)
 {
 	pending_t *pending = ctx;
-	bsh_store_answer_t answer = {.result = call->result,
-				     .status = call->status,
-				     .retry_after_ms = call->retry_after_ms,
-				     .began_us = call->began_us};
+	bsh_store_answer_t answer = { .result = call->result,
+				      .status = call->status,
+				      .retry_after_ms = call->retry_after_ms,
+				      .began_us = call->began_us };
 	bool has_version = read_version(call->json, &answer.version);
 
 	if (call->result == BSH_CALL_DONE) {
@@ -77,10 +77,10 @@
 		   const char *name, bsh_store_fn_t fn, void *ctx)
 {
 	g_autofree char *path = object_path(kind, name);
-	bsh_call_spec_t spec = {.method = "GET",
-				.address = store->address,
-				.path = path,
-				.timeout_ms = BSH_STORE_CALL_MS};
+	bsh_call_spec_t spec = { .method = "GET",
+				 .address = store->address,
+				 .path = path,
+				 .timeout_ms = BSH_STORE_CALL_MS };
 
 	store->reads++;
 	bsh_call_start(store->caller, &spec, on_answer,
@@ -95,10 +95,10 @@
 	g_autofree char *path =
 		g_strdup_printf("%s?watch=%" G_GUINT64_FORMAT "&timeout_ms=%u",
 				object, version, timeout_ms);
-	bsh_call_spec_t spec = {.method = "GET",
-				.address = store->address,
-				.path = path,
-				.timeout_ms = timeout_ms + BSH_STORE_CALL_MS};
+	bsh_call_spec_t spec = { .method = "GET",
+				 .address = store->address,
+				 .path = path,
+				 .timeout_ms = timeout_ms + BSH_STORE_CALL_MS };
 
 	store->reads++;
 	bsh_call_start(store->caller, &spec, on_answer,
@@ -112,13 +112,13 @@
 	g_autofree char *path = object_path(kind, name);
 	g_autofree char *match =
 		g_strdup_printf("If-Match: \"%" G_GUINT64_FORMAT "\"", version);
-	bsh_call_spec_t spec = {.method = method,
-				.address = store->address,
-				.path = path,
-				.header = match,
-				.body = value,
-				.body_size = size,
-				.timeout_ms = BSH_STORE_CALL_MS};
+	bsh_call_spec_t spec = { .method = method,
+				 .address = store->address,
+				 .path = path,
+				 .header = match,
+				 .body = value,
+				 .body_size = size,
+				 .timeout_ms = BSH_STORE_CALL_MS };
 
 	store->writes++;
 	bsh_call_start(store->caller, &spec, on_answer, pending);
@@ -249,10 +249,10 @@
 {
 	g_autofree char *path = g_strdup_printf(
 		"/v1/instances?since=%" G_GUINT64_FORMAT, store->list_version);
-	bsh_call_spec_t spec = {.method = "GET",
-				.address = store->address,
-				.path = path,
-				.timeout_ms = BSH_STORE_CALL_MS};
+	bsh_call_spec_t spec = { .method = "GET",
+				 .address = store->address,
+				 .path = path,
+				 .timeout_ms = BSH_STORE_CALL_MS };
 	pending_t *pending = make_pending(NULL, ctx, true);
 
 	pending->list_fn = fn;
--- a/lib/state/cell.c
+++ b/lib/state/cell.c
@@ -185,8 +185,8 @@
 	    incarnation > INT64_MAX)
 		return BSH_ERR_INVALID;
 	if (found == NULL) {
-		bsh_cell_target_t target = {.incarnation = incarnation,
-					    .memory_mib = memory_mib};
+		bsh_cell_target_t target = { .incarnation = incarnation,
+					     .memory_mib = memory_mib };
 
 		if (cell->targets->len >= BSH_CELL_TARGETS_MAX)
 			return BSH_ERR_CAPACITY;
@@ -297,10 +297,10 @@
 			  const bsh_attempt_id_t *attempt)
 {
 	bsh_cell_target_t *on = bsh_cell_target(cell, target);
-	bsh_slot_t slot = {.index = index,
-			   .state = BSH_SLOT_BOUND,
-			   .attempt = *attempt,
-			   .memory_mib = memory_mib};
+	bsh_slot_t slot = { .index = index,
+			    .state = BSH_SLOT_BOUND,
+			    .attempt = *attempt,
+			    .memory_mib = memory_mib };
 	bsh_error_t err;
 
 	if (!is_name(model) || index > SLOT_INDEX_MAX)
@@ -610,7 +610,7 @@
 		return false;
 	for (size_t i = 0; i < json_array_size(list); i++) {
 		const json_t *item = json_array_get(list, i);
-		bsh_sender_t sender = {0};
+		bsh_sender_t sender = { 0 };
 
 		if (!is_list(item, SENDER_FIELDS) ||
 		    !get_name(json_array_get(item, 0), sender.instance) ||
@@ -629,7 +629,7 @@
 		return false;
 	for (size_t i = 0; i < json_array_size(list); i++) {
 		const json_t *item = json_array_get(list, i);
-		bsh_cell_target_t target = {0};
+		bsh_cell_target_t target = { 0 };
 		uint64_t memory;
 		uint64_t reserved;
 
@@ -670,8 +670,8 @@
 static bool read_slot(bsh_cell_t *cell, const json_t *item,
 		      const json_t *models)
 {
-	uint64_t n[SLOT_FIELDS] = {0};
-	bsh_slot_t slot = {0};
+	uint64_t n[SLOT_FIELDS] = { 0 };
+	bsh_slot_t slot = { 0 };
 
 	if (!is_list(item, SLOT_FIELDS))
 		return false;
@@ -814,8 +814,8 @@
 
 const char *bsh_slot_state_name(bsh_slot_state_t state)
 {
-	static const char *const names[] = {"bound", "loading", "ready",
-					    "unloading", "quarantined"};
+	static const char *const names[] = { "bound", "loading", "ready",
+					     "unloading", "quarantined" };
 
 	return (unsigned int)state < G_N_ELEMENTS(names) ? names[state]
 							 : "unknown";
--- a/lib/state/document.c
+++ b/lib/state/document.c
@@ -43,48 +43,48 @@
 #define AT(type, member) offsetof(type, member)
 
 static const field_t pool_fields[] = {
-	{"name", FIELD_NAME, true, AT(bsh_doc_pool_t, name), 0, 0},
-	{"kind", FIELD_KIND, true, AT(bsh_doc_pool_t, kind), 0, 0},
-	{"fencing", FIELD_BOOL, false, AT(bsh_doc_pool_t, fencing), 0, 0},
-	{"memory_mib", FIELD_UINT, false, AT(bsh_doc_pool_t, memory_mib), 1,
-	 MEMORY_MAX_MIB},
-	{"max_running", FIELD_UINT, false, AT(bsh_doc_pool_t, max_running), 1,
-	 RUNNING_MAX},
-	{"cells", FIELD_UINT, false, AT(bsh_doc_pool_t, cells), 1, CELLS_MAX},
+	{ "name", FIELD_NAME, true, AT(bsh_doc_pool_t, name), 0, 0 },
+	{ "kind", FIELD_KIND, true, AT(bsh_doc_pool_t, kind), 0, 0 },
+	{ "fencing", FIELD_BOOL, false, AT(bsh_doc_pool_t, fencing), 0, 0 },
+	{ "memory_mib", FIELD_UINT, false, AT(bsh_doc_pool_t, memory_mib), 1,
+	  MEMORY_MAX_MIB },
+	{ "max_running", FIELD_UINT, false, AT(bsh_doc_pool_t, max_running), 1,
+	  RUNNING_MAX },
+	{ "cells", FIELD_UINT, false, AT(bsh_doc_pool_t, cells), 1, CELLS_MAX },
 };
 
 /* "pool" is resolved to an index after all pools are known. */
 static const field_t model_fields[] = {
-	{"name", FIELD_NAME, true, AT(bsh_doc_model_t, name), 0, 0},
-	{"version", FIELD_TEXT, false, AT(bsh_doc_model_t, version), 0, 0},
-	{"base", FIELD_NAME, false, AT(bsh_doc_model_t, base), 0, 0},
-	{"memory_mib", FIELD_UINT, true, AT(bsh_doc_model_t, memory_mib), 1,
-	 MEMORY_MAX_MIB},
-	{"max_replicas", FIELD_UINT, true, AT(bsh_doc_model_t, max_replicas), 0,
-	 REPLICAS_MAX},
-	{"load_ms", FIELD_UINT, false, AT(bsh_doc_model_t, load_ms), 1,
-	 LOAD_MAX_MS},
-	{"deadline_ms", FIELD_UINT, false, AT(bsh_doc_model_t, deadline_ms), 1,
-	 DEADLINE_MAX_MS},
-	{"priority", FIELD_UINT, false, AT(bsh_doc_model_t, priority), 0,
-	 PRIORITY_MAX},
-	{"repeatable", FIELD_BOOL, false, AT(bsh_doc_model_t, repeatable), 0,
-	 0},
+	{ "name", FIELD_NAME, true, AT(bsh_doc_model_t, name), 0, 0 },
+	{ "version", FIELD_TEXT, false, AT(bsh_doc_model_t, version), 0, 0 },
+	{ "base", FIELD_NAME, false, AT(bsh_doc_model_t, base), 0, 0 },
+	{ "memory_mib", FIELD_UINT, true, AT(bsh_doc_model_t, memory_mib), 1,
+	  MEMORY_MAX_MIB },
+	{ "max_replicas", FIELD_UINT, true, AT(bsh_doc_model_t, max_replicas),
+	  0, REPLICAS_MAX },
+	{ "load_ms", FIELD_UINT, false, AT(bsh_doc_model_t, load_ms), 1,
+	  LOAD_MAX_MS },
+	{ "deadline_ms", FIELD_UINT, false, AT(bsh_doc_model_t, deadline_ms), 1,
+	  DEADLINE_MAX_MS },
+	{ "priority", FIELD_UINT, false, AT(bsh_doc_model_t, priority), 0,
+	  PRIORITY_MAX },
+	{ "repeatable", FIELD_BOOL, false, AT(bsh_doc_model_t, repeatable), 0,
+	  0 },
 };
 
 /* A service says whether its calls may be repeated: a wrong default would
  * repeat a deposit. */
 static const field_t service_fields[] = {
-	{"name", FIELD_SEGMENT, true, AT(bsh_doc_service_t, name), 0, 0},
-	{"deadline_ms", FIELD_UINT, false, AT(bsh_doc_service_t, deadline_ms),
-	 1, DEADLINE_MAX_MS},
-	{"repeatable", FIELD_BOOL, true, AT(bsh_doc_service_t, repeatable), 0,
-	 0},
+	{ "name", FIELD_SEGMENT, true, AT(bsh_doc_service_t, name), 0, 0 },
+	{ "deadline_ms", FIELD_UINT, false, AT(bsh_doc_service_t, deadline_ms),
+	  1, DEADLINE_MAX_MS },
+	{ "repeatable", FIELD_BOOL, true, AT(bsh_doc_service_t, repeatable), 0,
+	  0 },
 };
 
-static const char *const top_keys[] = {"deployment", "weight", "weight_store",
-				       "pools",	     "models", "services"};
-static const char *const sections[] = {"pools", "models", "services"};
+static const char *const top_keys[] = { "deployment", "weight", "weight_store",
+					"pools",      "models", "services" };
+static const char *const sections[] = { "pools", "models", "services" };
 
 static void clear_problem(gpointer data)
 {
@@ -354,7 +354,7 @@
 static void read_pool(bsh_document_t *doc, const json_t *entry,
 		      const char *path, GArray *problems)
 {
-	bsh_doc_pool_t pool = {.max_running = RUNNING_DEFAULT, .cells = 1};
+	bsh_doc_pool_t pool = { .max_running = RUNNING_DEFAULT, .cells = 1 };
 
 	read_fields(entry, path, pool_fields, G_N_ELEMENTS(pool_fields), NULL,
 		    (char *)&pool, problems);
@@ -394,10 +394,10 @@
 static void read_model(bsh_document_t *doc, const json_t *entry,
 		       const char *path, GArray *problems)
 {
-	bsh_doc_model_t model = {.load_ms = LOAD_DEFAULT_MS,
-				 .deadline_ms = DEADLINE_DEFAULT_MS,
-				 .priority = PRIORITY_DEFAULT,
-				 .repeatable = true};
+	bsh_doc_model_t model = { .load_ms = LOAD_DEFAULT_MS,
+				  .deadline_ms = DEADLINE_DEFAULT_MS,
+				  .priority = PRIORITY_DEFAULT,
+				  .repeatable = true };
 
 	read_fields(entry, path, model_fields, G_N_ELEMENTS(model_fields),
 		    "pool", (char *)&model, problems);
@@ -408,7 +408,7 @@
 static void read_service(bsh_document_t *doc, const json_t *entry,
 			 const char *path, GArray *problems)
 {
-	bsh_doc_service_t service = {.deadline_ms = DEADLINE_DEFAULT_MS};
+	bsh_doc_service_t service = { .deadline_ms = DEADLINE_DEFAULT_MS };
 
 	read_fields(entry, path, service_fields, G_N_ELEMENTS(service_fields),
 		    "pool", (char *)&service, problems);
@@ -477,10 +477,10 @@
 			      GArray *problems)
 {
 	static const field_t fields[] = {
-		{"loads_per_s", FIELD_NUMBER, true,
-		 AT(bsh_document_t, loads_per_s), 0.001, LOADS_PER_S_MAX},
-		{"concurrent", FIELD_UINT, true,
-		 AT(bsh_document_t, load_concurrent), 1, LOAD_CONCURRENT_MAX},
+		{ "loads_per_s", FIELD_NUMBER, true,
+		  AT(bsh_document_t, loads_per_s), 0.001, LOADS_PER_S_MAX },
+		{ "concurrent", FIELD_UINT, true,
+		  AT(bsh_document_t, load_concurrent), 1, LOAD_CONCURRENT_MAX },
 	};
 	const json_t *value = json_object_get(top, "weight_store");
 
@@ -497,10 +497,10 @@
 static void read_top(bsh_document_t *doc, const json_t *top, GArray *problems)
 {
 	static const field_t fields[] = {
-		{"deployment", FIELD_NAME, true, AT(bsh_document_t, deployment),
-		 0, 0},
-		{"weight", FIELD_NUMBER, true, AT(bsh_document_t, weight), 0,
-		 1},
+		{ "deployment", FIELD_NAME, true,
+		  AT(bsh_document_t, deployment), 0, 0 },
+		{ "weight", FIELD_NUMBER, true, AT(bsh_document_t, weight), 0,
+		  1 },
 	};
 	const char *key;
 	json_t *value;
@@ -750,7 +750,7 @@
 uint32_t bsh_document_diff(const bsh_document_t *from, const bsh_document_t *to,
 			   GString *out)
 {
-	diff_t diff = {.out = out};
+	diff_t diff = { .out = out };
 
 	compare_documents(from, to, print_entry_change, &diff);
 	return diff.count;
--- a/lib/state/placement.c
+++ b/lib/state/placement.c
@@ -310,7 +310,7 @@
 	double blind =
 		age +
 		weighted_s(p, wall_us, wall_us + (int64_t)(blind_s * US_PER_S));
-	worth_t best = {0};
+	worth_t best = { 0 };
 	double now;
 	double before;
 	double skipped;
@@ -430,7 +430,7 @@
 
 static const char *copy_name(bsh_copy_t copy)
 {
-	static const char *const names[] = {"in memory", "on disk", "remote"};
+	static const char *const names[] = { "in memory", "on disk", "remote" };
 
 	return names[copy];
 }
--- a/lib/transport/frame_link.c
+++ b/lib/transport/frame_link.c
@@ -201,9 +201,10 @@
 				size_t body_bytes)
 {
 	size_t length = head_bytes + body_bytes;
-	uint8_t prefix[LENGTH_BYTES] = {
-		(uint8_t)(length >> 24), (uint8_t)(length >> 16),
-		(uint8_t)(length >> 8), (uint8_t)length};
+	uint8_t prefix[LENGTH_BYTES] = { (uint8_t)(length >> 24),
+					 (uint8_t)(length >> 16),
+					 (uint8_t)(length >> 8),
+					 (uint8_t)length };
 
 	if (length > BSH_FRAME_MAX_BYTES)
 		return BSH_ERR_TOO_LARGE;
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -513,7 +513,7 @@
 					 const char *value),
 			      void *ctx)
 {
-	header_visit_t visit = {fn, ctx};
+	header_visit_t visit = { fn, ctx };
 
 	MHD_get_connection_values(request->mhd, MHD_HEADER_KIND, visit_header,
 				  &visit);
--- a/lib/transport/loop.c
+++ b/lib/transport/loop.c
@@ -335,7 +335,7 @@
 
 void bsh_loop_post(bsh_loop_t *loop, bsh_loop_fn_t fn, void *ctx)
 {
-	posted_t p = {fn, ctx};
+	posted_t p = { fn, ctx };
 	bool was_empty;
 
 	pthread_mutex_lock(&loop->posted_lock);
--- a/regress/naive/naive_config.c
+++ b/regress/naive/naive_config.c
@@ -33,10 +33,10 @@
 
 static void tell(naive_t *a, guint to, bsh_adoption_kind_t kind)
 {
-	bsh_adoption_message_t msg = {.kind = kind,
-				      .generation = a->object.generation,
-				      .version = a->object.version,
-				      .hash = a->object.hash};
+	bsh_adoption_message_t msg = { .kind = kind,
+				       .generation = a->object.generation,
+				       .version = a->object.version,
+				       .hash = a->object.hash };
 	GBytes *body;
 	gsize size;
 	const uint8_t *data;
@@ -128,10 +128,10 @@
 	a->heard_us[from] = now_us;
 	a->reported[from] = msg.generation;
 	if (msg.kind == BSH_ADOPTION_CONFIG) {
-		bsh_adoption_object_t object = {.version = msg.version,
-						.generation = msg.generation,
-						.hash = msg.hash,
-						.document = msg.body};
+		bsh_adoption_object_t object = { .version = msg.version,
+						 .generation = msg.generation,
+						 .hash = msg.hash,
+						 .document = msg.body };
 
 		set(&a->object, &object);
 		tell(a, from, BSH_ADOPTION_PREPARED);
@@ -178,8 +178,8 @@
 static void apply(void *ctx, int64_t now_us, uint64_t request, GBytes *document)
 {
 	naive_t *a = ctx;
-	bsh_adoption_object_t object = {.hash = fleet_hash(document),
-					.document = document};
+	bsh_adoption_object_t object = { .hash = fleet_hash(document),
+					 .document = document };
 
 	(void)now_us;
 	(void)request;
@@ -199,12 +199,12 @@
 	return generation(ctx) > 0;
 }
 
-const fleet_app_t fleet_naive = {.start = start,
-				 .stop = stop,
-				 .tick = tick,
-				 .receive = receive,
-				 .read_done = read_done,
-				 .update_done = update_done,
-				 .apply = apply,
-				 .generation = generation,
-				 .takes_work = takes_work};
+const fleet_app_t fleet_naive = { .start = start,
+				  .stop = stop,
+				  .tick = tick,
+				  .receive = receive,
+				  .read_done = read_done,
+				  .update_done = update_done,
+				  .apply = apply,
+				  .generation = generation,
+				  .takes_work = takes_work };
--- a/regress/naive/naive_leaving.c
+++ b/regress/naive/naive_leaving.c
@@ -82,12 +82,12 @@
 	return false;
 }
 
-const fleet_app_t fleet_naive_leaving = {.start = start,
-					 .stop = stop,
-					 .tick = tick,
-					 .receive = receive,
-					 .generation = generation,
-					 .takes_work = takes_work};
+const fleet_app_t fleet_naive_leaving = { .start = start,
+					  .stop = stop,
+					  .tick = tick,
+					  .receive = receive,
+					  .generation = generation,
+					  .takes_work = takes_work };
 
 void naive_leaving_tell(void *ctx, guint target)
 {
--- a/regress/naive/naive_loads.c
+++ b/regress/naive/naive_loads.c
@@ -61,10 +61,10 @@
 	(void)now_us;
 	g_array_set_size(n->targets, 0);
 	for (size_t i = 0; i < count; i++) {
-		naive_target_t t = {.incarnation = items[i].incarnation,
-				    .memory_mib = items[i].memory_mib,
-				    .is_live = items[i].state ==
-					       BSH_INSTANCE_LIVE};
+		naive_target_t t = { .incarnation = items[i].incarnation,
+				     .memory_mib = items[i].memory_mib,
+				     .is_live = items[i].state ==
+						BSH_INSTANCE_LIVE };
 
 		if (!items[i].is_target)
 			continue;
@@ -82,14 +82,14 @@
 static void send_order(naive_loads_t *n, bsh_order_kind_t kind,
 		       const naive_model_t *m, const char *target)
 {
-	bsh_loader_order_t order = {.id = n->next_order++,
-				    .kind = kind,
-				    .target = target,
-				    .model = m->name,
-				    .version = m->version,
-				    .base = "",
-				    .fence = n->version,
-				    .memory_mib = m->memory_mib};
+	bsh_loader_order_t order = { .id = n->next_order++,
+				     .kind = kind,
+				     .target = target,
+				     .model = m->name,
+				     .version = m->version,
+				     .base = "",
+				     .fence = n->version,
+				     .memory_mib = m->memory_mib };
 
 	n->ops->order(n->ctx, &order);
 }
--- a/regress/naive/naive_router.c
+++ b/regress/naive/naive_router.c
@@ -124,7 +124,7 @@
 static void submit(void *self, sub_t *sub)
 {
 	naive_t *n = self;
-	chunk_t chunk = {.call = sub->call};
+	chunk_t chunk = { .call = sub->call };
 	request_t *r;
 
 	if (n->draining) {
@@ -281,20 +281,20 @@
 	arm(n);
 }
 
-const adapter_t naive_adapter = {.name = "naive",
-				 .create = create,
-				 .destroy = destroy,
-				 .submit = submit,
-				 .caller_gone = caller_gone,
-				 .connected = connected,
-				 .head = head,
-				 .body = body,
-				 .end = end,
-				 .failed = failed,
-				 .need_answer = need_answer,
-				 .ready = ready,
-				 .list = list,
-				 .told_leaving = told_leaving,
-				 .store_done = store_done,
-				 .terminate = terminate,
-				 .tick = tick};
+const adapter_t naive_adapter = { .name = "naive",
+				  .create = create,
+				  .destroy = destroy,
+				  .submit = submit,
+				  .caller_gone = caller_gone,
+				  .connected = connected,
+				  .head = head,
+				  .body = body,
+				  .end = end,
+				  .failed = failed,
+				  .need_answer = need_answer,
+				  .ready = ready,
+				  .list = list,
+				  .told_leaving = told_leaving,
+				  .store_done = store_done,
+				  .terminate = terminate,
+				  .tick = tick };
--- a/regress/prove/prove_at_most_once.c
+++ b/regress/prove/prove_at_most_once.c
@@ -6,23 +6,24 @@
  */
 
 static const world_case_t cases[] = {
-	{"store-lost", FAULT_STORE_LOST | FAULT_BREAK, 1},
-	{"store-down", FAULT_STORE_DOWN | FAULT_BREAK, 1},
-	{"store-slow", FAULT_STORE_SLOW | FAULT_SILENT, 1},
-	{"silent", FAULT_SILENT, 1},
-	{"cut", FAULT_CUT, 1},
-	{"break", FAULT_BREAK, 1},
-	{"late", FAULT_LATE, 1},
-	{"crossed", FAULT_CROSSED | FAULT_LATE, 1},
-	{"target-killed", FAULT_KILL | FAULT_LATE, 2},
-	{"router-killed", FAULT_ROUTER_KILL, 2},
-	{"frozen", FAULT_FREEZE | FAULT_SILENT, 2},
-	{"key-race", FAULT_RACE, 1},
-	{"caller-gone", FAULT_CALLER_GONE | FAULT_BREAK, 1},
-	{"shutdown", FAULT_SHUTDOWN | FAULT_SILENT, 1},
-	{"all", 0x1fffff, 1},
-	{"all-twice", 0x1fffff, 2},
-	{NULL, 0, 0}};
+	{ "store-lost", FAULT_STORE_LOST | FAULT_BREAK, 1 },
+	{ "store-down", FAULT_STORE_DOWN | FAULT_BREAK, 1 },
+	{ "store-slow", FAULT_STORE_SLOW | FAULT_SILENT, 1 },
+	{ "silent", FAULT_SILENT, 1 },
+	{ "cut", FAULT_CUT, 1 },
+	{ "break", FAULT_BREAK, 1 },
+	{ "late", FAULT_LATE, 1 },
+	{ "crossed", FAULT_CROSSED | FAULT_LATE, 1 },
+	{ "target-killed", FAULT_KILL | FAULT_LATE, 2 },
+	{ "router-killed", FAULT_ROUTER_KILL, 2 },
+	{ "frozen", FAULT_FREEZE | FAULT_SILENT, 2 },
+	{ "key-race", FAULT_RACE, 1 },
+	{ "caller-gone", FAULT_CALLER_GONE | FAULT_BREAK, 1 },
+	{ "shutdown", FAULT_SHUTDOWN | FAULT_SILENT, 1 },
+	{ "all", 0x1fffff, 1 },
+	{ "all-twice", 0x1fffff, 2 },
+	{ NULL, 0, 0 }
+};
 
 static void prepare(world_t *w)
 {
@@ -47,8 +48,8 @@
 
 int main(int argc, char **argv)
 {
-	static const world_proof_t proof = {"at-most-once", cases, 300, prepare,
-					    violations};
+	static const world_proof_t proof = { "at-most-once", cases, 300,
+					     prepare, violations };
 
 	return world_prove(&proof, argc, argv);
 }
--- a/regress/prove/prove_configuration.c
+++ b/regress/prove/prove_configuration.c
@@ -52,27 +52,27 @@
 } row_t;
 
 static const row_t rows[] = {
-	{"store-slow", STORE_SLOW, 18},
-	{"answer-lost", ANSWER_LOST, 18},
-	{"two-operators", OPERATORS, 18},
-	{"frozen", FROZEN, 18},
-	{"cut", CUT, 18},
-	{"cut-one-way", CUT_ONE_WAY, 18},
-	{"restarted+store-slow", RESTARTED | STORE_SLOW, 18},
-	{"lagging-list", LAGGING_LIST, 18},
-	{"lagging-list+cut", LAGGING_LIST | CUT, 18},
-	{"proposer-paused", PAUSED, 18},
-	{"proposer-paused-twice", PAUSED | TWICE, 18},
-	{"witness-leaves", WITNESS_LEAVES, 18},
-	{"late-messages", LATE, 18},
-	{"frozen-twice", FROZEN | TWICE, 18},
-	{"cut-twice", CUT | TWICE, 18},
-	{"store-down+cut", STORE_DOWN | CUT, 18},
-	{"frozen+answer-lost", FROZEN | ANSWER_LOST, 18},
-	{"restarted+cut+operators", RESTARTED | CUT | OPERATORS, 18},
-	{"all", ALL_SHORT, 25},
-	{"all-twice", ALL_SHORT | TWICE, 25},
-	{"region-hour", REGION_HOUR, 3},
+	{ "store-slow", STORE_SLOW, 18 },
+	{ "answer-lost", ANSWER_LOST, 18 },
+	{ "two-operators", OPERATORS, 18 },
+	{ "frozen", FROZEN, 18 },
+	{ "cut", CUT, 18 },
+	{ "cut-one-way", CUT_ONE_WAY, 18 },
+	{ "restarted+store-slow", RESTARTED | STORE_SLOW, 18 },
+	{ "lagging-list", LAGGING_LIST, 18 },
+	{ "lagging-list+cut", LAGGING_LIST | CUT, 18 },
+	{ "proposer-paused", PAUSED, 18 },
+	{ "proposer-paused-twice", PAUSED | TWICE, 18 },
+	{ "witness-leaves", WITNESS_LEAVES, 18 },
+	{ "late-messages", LATE, 18 },
+	{ "frozen-twice", FROZEN | TWICE, 18 },
+	{ "cut-twice", CUT | TWICE, 18 },
+	{ "store-down+cut", STORE_DOWN | CUT, 18 },
+	{ "frozen+answer-lost", FROZEN | ANSWER_LOST, 18 },
+	{ "restarted+cut+operators", RESTARTED | CUT | OPERATORS, 18 },
+	{ "all", ALL_SHORT, 25 },
+	{ "all-twice", ALL_SHORT | TWICE, 25 },
+	{ "region-hour", REGION_HOUR, 3 },
 };
 
 /*
@@ -80,10 +80,10 @@
  * has nothing to break.  They are no rows of the proof, but must hold.
  */
 static const row_t also[] = {
-	{"store-down", STORE_DOWN, 18},
-	{"loss", LOSS, 18},
-	{"store-hour", STORE_HOUR, 2},
-	{"region+store-hour", REGION_HOUR | STORE_HOUR, 2},
+	{ "store-down", STORE_DOWN, 18 },
+	{ "loss", LOSS, 18 },
+	{ "store-hour", STORE_HOUR, 2 },
+	{ "region+store-hour", REGION_HOUR | STORE_HOUR, 2 },
 };
 
 typedef struct {
@@ -375,7 +375,7 @@
 static result_t run_seed(const fleet_app_t *app, uint32_t faults, uint32_t seed,
 			 bool verbose)
 {
-	run_t run = {.faults = faults};
+	run_t run = { .faults = faults };
 	fleet_t *f = &run.fleet;
 	result_t result;
 
@@ -409,7 +409,7 @@
 	fleet_run(f, f->sim.now_us + TAIL_US);
 	if (app == &fleet_berylshunt)
 		collect(f);
-	result = (result_t){f->bad, f->store_calls};
+	result = (result_t){ f->bad, f->store_calls };
 	if (verbose)
 		fprintf(stderr,
 			"old %" PRIu64 " revert %" PRIu64 " fork %" PRIu64
@@ -511,7 +511,7 @@
 
 int main(int argc, char **argv)
 {
-	options_t o = {0};
+	options_t o = { 0 };
 
 	for (int i = 1; i < argc; i++) {
 		if (strcmp(argv[i], "--seed") == 0 && i + 1 < argc)
--- a/regress/prove/prove_in_time.c
+++ b/regress/prove/prove_in_time.c
@@ -9,21 +9,22 @@
 #define AT_ONCE_US (100 * SIM_MS)
 
 static const world_case_t cases[] = {
-	{"slow-load", FAULT_SLOW_LOAD, 1},
-	{"no-load", FAULT_NO_LOAD, 1},
-	{"no-control", FAULT_NO_CONTROL, 1},
-	{"overload", FAULT_OVERLOAD | FAULT_SLOW_LOAD, 1},
-	{"silent", FAULT_SILENT, 1},
-	{"late", FAULT_LATE, 1},
-	{"cut", FAULT_CUT, 1},
-	{"break", FAULT_BREAK | FAULT_CUT, 1},
-	{"target-killed", FAULT_KILL | FAULT_SILENT, 2},
-	{"refused", FAULT_REFUSE | FAULT_LATE, 1},
-	{"store", FAULT_STORE_DOWN | FAULT_STORE_SLOW | FAULT_SILENT, 1},
-	{"leaving", FAULT_LEAVING | FAULT_LAG | FAULT_SILENT, 1},
-	{"all", 0x1fffff & ~(FAULT_ROUTER_KILL | FAULT_FREEZE), 1},
-	{"all-twice", 0x1fffff & ~(FAULT_ROUTER_KILL | FAULT_FREEZE), 2},
-	{NULL, 0, 0}};
+	{ "slow-load", FAULT_SLOW_LOAD, 1 },
+	{ "no-load", FAULT_NO_LOAD, 1 },
+	{ "no-control", FAULT_NO_CONTROL, 1 },
+	{ "overload", FAULT_OVERLOAD | FAULT_SLOW_LOAD, 1 },
+	{ "silent", FAULT_SILENT, 1 },
+	{ "late", FAULT_LATE, 1 },
+	{ "cut", FAULT_CUT, 1 },
+	{ "break", FAULT_BREAK | FAULT_CUT, 1 },
+	{ "target-killed", FAULT_KILL | FAULT_SILENT, 2 },
+	{ "refused", FAULT_REFUSE | FAULT_LATE, 1 },
+	{ "store", FAULT_STORE_DOWN | FAULT_STORE_SLOW | FAULT_SILENT, 1 },
+	{ "leaving", FAULT_LEAVING | FAULT_LAG | FAULT_SILENT, 1 },
+	{ "all", 0x1fffff & ~(FAULT_ROUTER_KILL | FAULT_FREEZE), 1 },
+	{ "all-twice", 0x1fffff & ~(FAULT_ROUTER_KILL | FAULT_FREEZE), 2 },
+	{ NULL, 0, 0 }
+};
 
 static void prepare(world_t *w)
 {
@@ -57,8 +58,8 @@
 
 int main(int argc, char **argv)
 {
-	static const world_proof_t proof = {"in-time", cases, 300, prepare,
-					    violations};
+	static const world_proof_t proof = { "in-time", cases, 300, prepare,
+					     violations };
 
 	return world_prove(&proof, argc, argv);
 }
--- a/regress/prove/prove_leaving.c
+++ b/regress/prove/prove_leaving.c
@@ -7,16 +7,17 @@
  */
 
 static const world_case_t cases[] = {
-	{"leaving", FAULT_LEAVING, 1},
-	{"lagging-list", FAULT_LEAVING | FAULT_LAG, 1},
-	{"silent", FAULT_LEAVING | FAULT_SILENT, 1},
-	{"cut", FAULT_LEAVING | FAULT_CUT, 1},
-	{"refused", FAULT_LEAVING | FAULT_LAG | FAULT_REFUSE, 1},
-	{"overload", FAULT_LEAVING | FAULT_LAG | FAULT_OVERLOAD, 1},
-	{"target-killed", FAULT_LEAVING | FAULT_LAG | FAULT_KILL, 2},
-	{"all", 0x1fffff & ~FAULT_FREEZE, 1},
-	{"all-twice", 0x1fffff & ~FAULT_FREEZE, 2},
-	{NULL, 0, 0}};
+	{ "leaving", FAULT_LEAVING, 1 },
+	{ "lagging-list", FAULT_LEAVING | FAULT_LAG, 1 },
+	{ "silent", FAULT_LEAVING | FAULT_SILENT, 1 },
+	{ "cut", FAULT_LEAVING | FAULT_CUT, 1 },
+	{ "refused", FAULT_LEAVING | FAULT_LAG | FAULT_REFUSE, 1 },
+	{ "overload", FAULT_LEAVING | FAULT_LAG | FAULT_OVERLOAD, 1 },
+	{ "target-killed", FAULT_LEAVING | FAULT_LAG | FAULT_KILL, 2 },
+	{ "all", 0x1fffff & ~FAULT_FREEZE, 1 },
+	{ "all-twice", 0x1fffff & ~FAULT_FREEZE, 2 },
+	{ NULL, 0, 0 }
+};
 
 static void prepare(world_t *w)
 {
@@ -38,8 +39,8 @@
 
 int main(int argc, char **argv)
 {
-	static const world_proof_t proof = {"leaving", cases, 300, prepare,
-					    violations};
+	static const world_proof_t proof = { "leaving", cases, 300, prepare,
+					     violations };
 
 	return world_prove(&proof, argc, argv);
 }
--- a/regress/prove/prove_leaving_members.c
+++ b/regress/prove/prove_leaving_members.c
@@ -39,16 +39,17 @@
 } row_t;
 
 static const row_t rows[] = {
-	{"late-messages", LATE, 30},
-	{"frozen", FROZEN, 30},
-	{"restarted", RESTARTED, 30},
-	{"cut-one-way", CUT_PAIR, 30},
-	{"cut", CUT, 30},
-	{"loss+restarted", LOSS | RESTARTED, 30},
-	{"frozen-twice", FROZEN | TWICE, 30},
-	{"restarted-twice", RESTARTED | TWICE, 30},
-	{"all", LOSS | LATE | FROZEN | RESTARTED | CUT_PAIR, 30},
-	{"all-twice", LOSS | LATE | FROZEN | RESTARTED | CUT_PAIR | TWICE, 30},
+	{ "late-messages", LATE, 30 },
+	{ "frozen", FROZEN, 30 },
+	{ "restarted", RESTARTED, 30 },
+	{ "cut-one-way", CUT_PAIR, 30 },
+	{ "cut", CUT, 30 },
+	{ "loss+restarted", LOSS | RESTARTED, 30 },
+	{ "frozen-twice", FROZEN | TWICE, 30 },
+	{ "restarted-twice", RESTARTED | TWICE, 30 },
+	{ "all", LOSS | LATE | FROZEN | RESTARTED | CUT_PAIR, 30 },
+	{ "all-twice", LOSS | LATE | FROZEN | RESTARTED | CUT_PAIR | TWICE,
+	  30 },
 };
 
 typedef struct {
@@ -257,7 +258,7 @@
 static uint64_t run_seed(bool naive, uint32_t faults, uint32_t seed,
 			 bool verbose, int64_t *max_us)
 {
-	run_t run = {.naive = naive, .verbose = verbose};
+	run_t run = { .naive = naive, .verbose = verbose };
 	fleet_t *f = &run.fleet;
 
 	fleet_init(f, naive ? &fleet_naive_leaving : &fleet_berylshunt,
--- a/regress/prove/prove_loads.c
+++ b/regress/prove/prove_loads.c
@@ -49,21 +49,21 @@
 	KINDS = 14
 };
 
-static const char *const kind_names[] = {"kill",
-					 "cut",
-					 "cut-one-way",
-					 "freeze",
-					 "late-order",
-					 "store-down",
-					 "store-lost",
-					 "store-slow",
-					 "slow-loads",
-					 "restart",
-					 "target-reclaimed",
-					 "two-owners",
-					 "list-lag",
-					 "fewer-replicas",
-					 "store-down-hour"};
+static const char *const kind_names[] = { "kill",
+					  "cut",
+					  "cut-one-way",
+					  "freeze",
+					  "late-order",
+					  "store-down",
+					  "store-lost",
+					  "store-slow",
+					  "slow-loads",
+					  "restart",
+					  "target-reclaimed",
+					  "two-owners",
+					  "list-lag",
+					  "fewer-replicas",
+					  "store-down-hour" };
 
 typedef struct {
 	bool is_used;
@@ -161,12 +161,13 @@
 	uint64_t next_demand;
 } world_t;
 
-static const char *const model_names[MODELS] = {"m0", "m1", "m2", "m3", "m4",
-						"m5", "m6", "m7", "a8", "a9"};
-static const uint32_t model_mib[MODELS] = {400, 300, 450, 350, 300,
-					   250, 500, 200, 40,  60};
-static const uint32_t replicas[2][MODELS] = {{2, 2, 1, 1, 2, 1, 1, 2, 2, 1},
-					     {1, 1, 1, 1, 1, 1, 1, 1, 1, 1}};
+static const char *const model_names[MODELS] = { "m0", "m1", "m2", "m3", "m4",
+						 "m5", "m6", "m7", "a8", "a9" };
+static const uint32_t model_mib[MODELS] = { 400, 300, 450, 350, 300,
+					    250, 500, 200, 40,	60 };
+static const uint32_t replicas[2][MODELS] = {
+	{ 2, 2, 1, 1, 2, 1, 1, 2, 2, 1 }, { 1, 1, 1, 1, 1, 1, 1, 1, 1, 1 }
+};
 
 #define TRACE(w, ...)                                                          \
 	do {                                                                   \
@@ -356,26 +357,27 @@
 	      event->reason);
 }
 
-static const bsh_loader_ops_t ops = {.read = op_read,
-				     .update = op_update,
-				     .order = op_order,
-				     .poll = op_poll,
-				     .answer = op_answer,
-				     .event = op_event};
+static const bsh_loader_ops_t ops = { .read = op_read,
+				      .update = op_update,
+				      .order = op_order,
+				      .poll = op_poll,
+				      .answer = op_answer,
+				      .event = op_event };
 
 static void give_document(proc_t *p, uint64_t generation)
 {
 	const uint32_t *max = replicas[generation - 1];
-	const bsh_loader_pool_t pool = {POOL, p->w->fencing, TARGET_MIB, 8, 1};
+	const bsh_loader_pool_t pool = { POOL, p->w->fencing, TARGET_MIB, 8,
+					 1 };
 	bsh_loader_model_t models[MODELS];
-	bsh_loader_document_t d = {.generation = generation,
-				   .weight = 0.5,
-				   .loads_per_s = 4,
-				   .concurrent = 4,
-				   .pools = &pool,
-				   .pool_count = 1,
-				   .models = models,
-				   .model_count = MODELS};
+	bsh_loader_document_t d = { .generation = generation,
+				    .weight = 0.5,
+				    .loads_per_s = 4,
+				    .concurrent = 4,
+				    .pools = &pool,
+				    .pool_count = 1,
+				    .models = models,
+				    .model_count = MODELS };
 
 	p->generation = generation;
 	for (int i = 0; i < MODELS; i++) {
@@ -387,7 +389,8 @@
 			.memory_mib = model_mib[i],
 			.max_replicas = max[i],
 			.priority = 5,
-			.load_ms = 3000};
+			.load_ms = 3000
+		};
 	}
 	if (p->w->is_naive)
 		naive_loads_document(&p->naive, &d, clock_of(p));
@@ -405,7 +408,8 @@
 			.name = w->procs[i].name,
 			.incarnation = w->procs[i].listed_incarnation,
 			.state = w->procs[i].is_listed_gone ? BSH_INSTANCE_GONE
-							    : 0};
+							    : 0
+		};
 	for (int i = 0; i < TARGETS; i++)
 		items[PROCS + i] = (bsh_loader_instance_t){
 			.name = w->engines[i].name,
@@ -413,7 +417,8 @@
 			.is_target = true,
 			.pool = POOL,
 			.memory_mib = TARGET_MIB,
-			.state = w->engines[i].listed};
+			.state = w->engines[i].listed
+		};
 	if (w->is_naive)
 		naive_loads_platform(&p->naive, items, PROCS + TARGETS,
 				     clock_of(p));
@@ -442,7 +447,7 @@
 static void proc_start(proc_t *p)
 {
 	world_t *w = p->w;
-	bsh_loader_config_t config = {.settle_ms = 30000};
+	bsh_loader_config_t config = { .settle_ms = 30000 };
 
 	p->incarnation++;
 	p->is_up = true;
@@ -651,7 +656,8 @@
 				.version = "1",
 				.state = e->loads[i].state,
 				.has_attempt = true,
-				.attempt = e->loads[i].attempt};
+				.attempt = e->loads[i].attempt
+			};
 		}
 	}
 	if (!p->no_target_in)
@@ -716,11 +722,11 @@
 		}
 		return;
 	case DEMAND: {
-		bsh_demand_t d = {.id = m->call,
-				  .model = model_names[m->model],
-				  .deadline_us = now_us + 20 * SIM_S,
-				  .priority = 5,
-				  .count = 1};
+		bsh_demand_t d = { .id = m->call,
+				   .model = model_names[m->model],
+				   .deadline_us = now_us + 20 * SIM_S,
+				   .priority = 5,
+				   .count = 1 };
 
 		if (w->is_naive)
 			naive_loads_demand(&p->naive, &d, now_us);
@@ -1108,8 +1114,8 @@
 		run_live(w, healed_us);
 		check_capacity(w);
 	}
-	result = (result_t){w->replica_violations, w->memory_violations,
-			    w->live_failures};
+	result = (result_t){ w->replica_violations, w->memory_violations,
+			     w->live_failures };
 	for (int i = 0; i < PROCS; i++)
 		proc_stop(&w->procs[i]);
 	g_ptr_array_free(w->all, TRUE);
@@ -1187,13 +1193,13 @@
 {
 	g_autofree char *text = fault_text(row->faults, row->times);
 	g_autofree result_t *results = g_new0(result_t, 2 * row->seeds);
-	batch_t b = {.row = row,
-		     .first = first,
-		     .is_verbose = is_verbose,
-		     .naive = results,
-		     .ours = results + row->seeds};
-	result_t naive = {0};
-	result_t ours = {0};
+	batch_t b = { .row = row,
+		      .first = first,
+		      .is_verbose = is_verbose,
+		      .naive = results,
+		      .ours = results + row->seeds };
+	result_t naive = { 0 };
+	result_t ours = { 0 };
 
 	run_batch(&b);
 	for (uint32_t i = 0; i < row->seeds; i++) {
@@ -1220,55 +1226,56 @@
 }
 
 static const row_t rows[] = {
-	{KILL, 2, 10, false},
-	{CUT, 2, 10, false},
-	{CUT_ONE, 2, 10, false},
-	{FREEZE, 2, 10, false},
-	{LATE, 2, 10, false},
-	{STORE_DOWN, 2, 10, true},
-	{LOST, 2, 10, false},
-	{STORE_SLOW, 2, 10, false},
-	{SLOW_LOADS, 2, 10, false},
-	{RESTART, 2, 10, false},
-	{RECLAIM, 2, 10, false},
-	{RACE, 2, 10, false},
-	{LAG, 1, 10, false},
-	{FEWER, 1, 10, false},
-	{FREEZE | CUT, 1, 10, false},
-	{FREEZE | STORE_DOWN, 1, 10, false},
-	{FREEZE | RESTART, 1, 10, false},
-	{FREEZE | KILL, 1, 10, false},
-	{LATE | KILL, 2, 20, false},
-	{LATE | KILL | SLOW_LOADS | RACE, 2, 20, false},
-	{LATE | RESTART | FREEZE, 2, 10, false},
-	{LATE | KILL | FEWER, 2, 60, false},
-	{LATE | KILL | FREEZE | RESTART, 3, 60, false},
-	{LOST | KILL, 1, 10, false},
-	{STORE_SLOW | RACE, 1, 10, false},
-	{LATE | FEWER, 1, 10, false},
-	{FREEZE | FEWER, 1, 10, false},
-	{SLOW_LOADS | RECLAIM, 1, 10, false},
-	{LAG | KILL | FREEZE, 2, 10, false},
-	{LAG | RECLAIM | LATE, 1, 10, false},
-	{HOUR | LATE | FREEZE | SLOW_LOADS, 1, 4, false},
-	{HOUR - 1, 1, 16, false},
-	{HOUR - 1, 2, 16, false},
+	{ KILL, 2, 10, false },
+	{ CUT, 2, 10, false },
+	{ CUT_ONE, 2, 10, false },
+	{ FREEZE, 2, 10, false },
+	{ LATE, 2, 10, false },
+	{ STORE_DOWN, 2, 10, true },
+	{ LOST, 2, 10, false },
+	{ STORE_SLOW, 2, 10, false },
+	{ SLOW_LOADS, 2, 10, false },
+	{ RESTART, 2, 10, false },
+	{ RECLAIM, 2, 10, false },
+	{ RACE, 2, 10, false },
+	{ LAG, 1, 10, false },
+	{ FEWER, 1, 10, false },
+	{ FREEZE | CUT, 1, 10, false },
+	{ FREEZE | STORE_DOWN, 1, 10, false },
+	{ FREEZE | RESTART, 1, 10, false },
+	{ FREEZE | KILL, 1, 10, false },
+	{ LATE | KILL, 2, 20, false },
+	{ LATE | KILL | SLOW_LOADS | RACE, 2, 20, false },
+	{ LATE | RESTART | FREEZE, 2, 10, false },
+	{ LATE | KILL | FEWER, 2, 60, false },
+	{ LATE | KILL | FREEZE | RESTART, 3, 60, false },
+	{ LOST | KILL, 1, 10, false },
+	{ STORE_SLOW | RACE, 1, 10, false },
+	{ LATE | FEWER, 1, 10, false },
+	{ FREEZE | FEWER, 1, 10, false },
+	{ SLOW_LOADS | RECLAIM, 1, 10, false },
+	{ LAG | KILL | FREEZE, 2, 10, false },
+	{ LAG | RECLAIM | LATE, 1, 10, false },
+	{ HOUR | LATE | FREEZE | SLOW_LOADS, 1, 4, false },
+	{ HOUR - 1, 1, 16, false },
+	{ HOUR - 1, 2, 16, false },
 };
 
 int main(int argc, char **argv)
 {
 	gboolean is_verbose = FALSE;
 	int seed = 1;
-	row_t row = {.times = 1, .seeds = 1};
+	row_t row = { .times = 1, .seeds = 1 };
 	int seeds = 1;
 	GOptionEntry entries[] = {
-		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N"},
-		{"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "seeds", "N"},
-		{"faults", 0, 0, G_OPTION_ARG_INT, &row.faults, "mask", "N"},
-		{"times", 0, 0, G_OPTION_ARG_INT, &row.times, "each", "N"},
-		{"verbose", 0, 0, G_OPTION_ARG_NONE, &is_verbose, "trace",
-		 NULL},
-		{NULL}};
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
+		{ "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "seeds", "N" },
+		{ "faults", 0, 0, G_OPTION_ARG_INT, &row.faults, "mask", "N" },
+		{ "times", 0, 0, G_OPTION_ARG_INT, &row.times, "each", "N" },
+		{ "verbose", 0, 0, G_OPTION_ARG_NONE, &is_verbose, "trace",
+		  NULL },
+		{ NULL }
+	};
 	GOptionContext *context = g_option_context_new(NULL);
 	bool ok = true;
 
--- a/regress/prove/prove_not_run.c
+++ b/regress/prove/prove_not_run.c
@@ -6,20 +6,21 @@
  */
 
 static const world_case_t cases[] = {
-	{"silent", FAULT_SILENT, 1},
-	{"break", FAULT_BREAK, 1},
-	{"late", FAULT_LATE, 1},
-	{"crossed-and-late", FAULT_CROSSED | FAULT_LATE, 1},
-	{"target-killed", FAULT_KILL | FAULT_BREAK, 2},
-	{"cut", FAULT_CUT, 1},
-	{"refused", FAULT_REFUSE | FAULT_LATE, 1},
-	{"store-down", FAULT_STORE_DOWN | FAULT_SILENT, 1},
-	{"store-lost", FAULT_STORE_LOST | FAULT_STORE_SLOW | FAULT_BREAK, 1},
-	{"overload", FAULT_OVERLOAD | FAULT_BREAK, 1},
-	{"caller-gone", FAULT_CALLER_GONE | FAULT_SILENT, 1},
-	{"all", 0x1fffff, 1},
-	{"all-twice", 0x1fffff, 2},
-	{NULL, 0, 0}};
+	{ "silent", FAULT_SILENT, 1 },
+	{ "break", FAULT_BREAK, 1 },
+	{ "late", FAULT_LATE, 1 },
+	{ "crossed-and-late", FAULT_CROSSED | FAULT_LATE, 1 },
+	{ "target-killed", FAULT_KILL | FAULT_BREAK, 2 },
+	{ "cut", FAULT_CUT, 1 },
+	{ "refused", FAULT_REFUSE | FAULT_LATE, 1 },
+	{ "store-down", FAULT_STORE_DOWN | FAULT_SILENT, 1 },
+	{ "store-lost", FAULT_STORE_LOST | FAULT_STORE_SLOW | FAULT_BREAK, 1 },
+	{ "overload", FAULT_OVERLOAD | FAULT_BREAK, 1 },
+	{ "caller-gone", FAULT_CALLER_GONE | FAULT_SILENT, 1 },
+	{ "all", 0x1fffff, 1 },
+	{ "all-twice", 0x1fffff, 2 },
+	{ NULL, 0, 0 }
+};
 
 static void prepare(world_t *w)
 {
@@ -47,8 +48,8 @@
 
 int main(int argc, char **argv)
 {
-	static const world_proof_t proof = {"not-run", cases, 300, prepare,
-					    violations};
+	static const world_proof_t proof = { "not-run", cases, 300, prepare,
+					     violations };
 
 	return world_prove(&proof, argc, argv);
 }
--- a/regress/prove/prove_shutdown.c
+++ b/regress/prove/prove_shutdown.c
@@ -8,17 +8,18 @@
 #define ALL (0x1fffff & ~FAULT_ROUTER_KILL)
 
 static const world_case_t cases[] = {
-	{"shutdown", FAULT_SHUTDOWN, 1},
-	{"overload", FAULT_SHUTDOWN | FAULT_OVERLOAD, 1},
-	{"silent", FAULT_SHUTDOWN | FAULT_SILENT, 1},
-	{"late", FAULT_SHUTDOWN | FAULT_LATE, 1},
-	{"slow-load", FAULT_SHUTDOWN | FAULT_SLOW_LOAD, 1},
-	{"store", FAULT_SHUTDOWN | FAULT_STORE_DOWN | FAULT_STORE_LOST, 1},
-	{"caller-gone", FAULT_SHUTDOWN | FAULT_CALLER_GONE, 1},
-	{"twice", FAULT_SHUTDOWN, 2},
-	{"all", ALL, 1},
-	{"all-twice", ALL, 2},
-	{NULL, 0, 0}};
+	{ "shutdown", FAULT_SHUTDOWN, 1 },
+	{ "overload", FAULT_SHUTDOWN | FAULT_OVERLOAD, 1 },
+	{ "silent", FAULT_SHUTDOWN | FAULT_SILENT, 1 },
+	{ "late", FAULT_SHUTDOWN | FAULT_LATE, 1 },
+	{ "slow-load", FAULT_SHUTDOWN | FAULT_SLOW_LOAD, 1 },
+	{ "store", FAULT_SHUTDOWN | FAULT_STORE_DOWN | FAULT_STORE_LOST, 1 },
+	{ "caller-gone", FAULT_SHUTDOWN | FAULT_CALLER_GONE, 1 },
+	{ "twice", FAULT_SHUTDOWN, 2 },
+	{ "all", ALL, 1 },
+	{ "all-twice", ALL, 2 },
+	{ NULL, 0, 0 }
+};
 
 static void prepare(world_t *w)
 {
@@ -47,8 +48,8 @@
 
 int main(int argc, char **argv)
 {
-	static const world_proof_t proof = {"shutdown", cases, 300, prepare,
-					    violations};
+	static const world_proof_t proof = { "shutdown", cases, 300, prepare,
+					     violations };
 
 	return world_prove(&proof, argc, argv);
 }
--- a/regress/prove/prove_whole_answer.c
+++ b/regress/prove/prove_whole_answer.c
@@ -6,17 +6,18 @@
  */
 
 static const world_case_t cases[] = {
-	{"silent", FAULT_SILENT, 1},
-	{"break", FAULT_BREAK, 1},
-	{"late", FAULT_LATE, 1},
-	{"crossed", FAULT_CROSSED, 1},
-	{"late-and-crossed", FAULT_CROSSED | FAULT_LATE, 2},
-	{"target-killed", FAULT_KILL | FAULT_LATE, 2},
-	{"cut", FAULT_CUT, 1},
-	{"store", FAULT_STORE_LOST | FAULT_STORE_SLOW | FAULT_BREAK, 1},
-	{"all", 0x1fffff, 1},
-	{"all-twice", 0x1fffff, 2},
-	{NULL, 0, 0}};
+	{ "silent", FAULT_SILENT, 1 },
+	{ "break", FAULT_BREAK, 1 },
+	{ "late", FAULT_LATE, 1 },
+	{ "crossed", FAULT_CROSSED, 1 },
+	{ "late-and-crossed", FAULT_CROSSED | FAULT_LATE, 2 },
+	{ "target-killed", FAULT_KILL | FAULT_LATE, 2 },
+	{ "cut", FAULT_CUT, 1 },
+	{ "store", FAULT_STORE_LOST | FAULT_STORE_SLOW | FAULT_BREAK, 1 },
+	{ "all", 0x1fffff, 1 },
+	{ "all-twice", 0x1fffff, 2 },
+	{ NULL, 0, 0 }
+};
 
 static void prepare(world_t *w)
 {
@@ -42,8 +43,8 @@
 
 int main(int argc, char **argv)
 {
-	static const world_proof_t proof = {"whole-answer", cases, 300, prepare,
-					    violations};
+	static const world_proof_t proof = { "whole-answer", cases, 300,
+					     prepare, violations };
 
 	return world_prove(&proof, argc, argv);
 }
--- a/regress/standin/standin_engine.c
+++ b/regress/standin/standin_engine.c
@@ -623,8 +623,8 @@
 
 int main(int argc, char **argv)
 {
-	static const standin_t engine = {"standin_engine", handle, control,
-					 records};
+	static const standin_t engine = { "standin_engine", handle, control,
+					  records };
 
 	if (argc < 5) {
 		fprintf(stderr, "usage: standin_engine name port memory_mib "
--- a/regress/standin/standin_relay.c
+++ b/regress/standin/standin_relay.c
@@ -27,10 +27,10 @@
 
 static struct sockaddr_in loopback(uint16_t port)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET,
-				      .sin_port = htons(port),
-				      .sin_addr.s_addr =
-					      htonl(INADDR_LOOPBACK)};
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port),
+				       .sin_addr.s_addr =
+					       htonl(INADDR_LOOPBACK) };
 
 	return address;
 }
--- a/regress/standin/standin_service.c
+++ b/regress/standin/standin_service.c
@@ -48,8 +48,8 @@
 
 int main(int argc, char **argv)
 {
-	static const standin_t service = {"standin_service", handle, NULL,
-					  records};
+	static const standin_t service = { "standin_service", handle, NULL,
+					   records };
 
 	executions = json_object();
 	answers = json_array();
--- a/regress/standin/standin_store.c
+++ b/regress/standin/standin_store.c
@@ -299,8 +299,8 @@
 
 static void control(const char *name, const json_t *value)
 {
-	view_t view = {.visible_us = standin_now_us() +
-				     standin_fault("lag_ms") * 1000};
+	view_t view = { .visible_us = standin_now_us() +
+				      standin_fault("lag_ms") * 1000 };
 
 	if (strcmp(name, "instances") == 0) {
 		view.list = json_deep_copy(value);
@@ -326,8 +326,8 @@
 
 int main(int argc, char **argv)
 {
-	static const standin_t store = {"standin_store", handle, control,
-					records};
+	static const standin_t store = { "standin_store", handle, control,
+					 records };
 
 	objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					free_object);
--- a/regress/standin/standin_weights.c
+++ b/regress/standin/standin_weights.c
@@ -86,8 +86,8 @@
 
 int main(int argc, char **argv)
 {
-	static const standin_t weights = {"standin_weights", handle, NULL,
-					  records};
+	static const standin_t weights = { "standin_weights", handle, NULL,
+					   records };
 
 	fetches = json_array();
 	return standin_run(&weights, argc > 1 ? atoi(argv[1]) : 0);
--- a/regress/support/fake_control.c
+++ b/regress/support/fake_control.c
@@ -186,7 +186,7 @@
 
 void fake_control_init(fake_control_t *fake)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct sockaddr_in address = { .sin_family = AF_INET };
 	const union MHD_DaemonInfo *info;
 
 	memset(fake, 0, sizeof(*fake));
--- a/regress/support/fleet.c
+++ b/regress/support/fleet.c
@@ -82,7 +82,7 @@
 		return;
 	n->wake_us = MAX(next_us, f->sim.now_us + 1);
 	w = g_new(wake_t, 1);
-	*w = (wake_t){node, n->incarnation, n->wake_us};
+	*w = (wake_t){ node, n->incarnation, n->wake_us };
 	sim_after(&f->sim, n->wake_us - f->sim.now_us, on_wake, f, w);
 }
 
@@ -147,12 +147,12 @@
 	    (is_datagram && sim_chance(&f->sim, f->loss)))
 		return;
 	p = g_malloc(whole);
-	*p = (packet_t){.from = from,
-			.to = to,
-			.from_incarnation = n->incarnation,
-			.to_incarnation = f->nodes[to].incarnation,
-			.is_datagram = is_datagram,
-			.size = size};
+	*p = (packet_t){ .from = from,
+			 .to = to,
+			 .from_incarnation = n->incarnation,
+			 .to_incarnation = f->nodes[to].incarnation,
+			 .is_datagram = is_datagram,
+			 .size = size };
 	memcpy(p->data, data, size);
 	deliver(f, p, 0);
 	if (sim_chance(&f->sim, f->late))
@@ -269,10 +269,10 @@
 /* The record of what was accepted, and when. */
 static void record(fleet_t *f)
 {
-	fleet_accepted_t a = {.generation = f->object.generation,
-			      .hash = f->object.hash,
-			      .accepted_us = f->sim.now_us,
-			      .last_old_us = f->sim.now_us};
+	fleet_accepted_t a = { .generation = f->object.generation,
+			       .hash = f->object.hash,
+			       .accepted_us = f->sim.now_us,
+			       .last_old_us = f->sim.now_us };
 
 	if (f->object.generation == f->accepted->len + 1) {
 		check_base(f);
--- a/regress/support/fleet_berylshunt.c
+++ b/regress/support/fleet_berylshunt.c
@@ -21,7 +21,7 @@
 			const bsh_member_message_t *msg)
 {
 	app_t *app = ctx;
-	uint8_t buf[1 + BSH_MEMBER_BODY_BYTES] = {BODY_MEMBER};
+	uint8_t buf[1 + BSH_MEMBER_BODY_BYTES] = { BODY_MEMBER };
 	size_t size = bsh_member_message_encode(msg, buf + 1,
 						BSH_MEMBER_BODY_BYTES, NULL);
 	gint to = fleet_find(app->fleet, address);
@@ -63,11 +63,11 @@
 			   generation, hash);
 }
 
-static const bsh_members_ops_t member_ops = {.send = send_member,
-					     .changed = ignore_change,
-					     .target_leaving = ignore_target,
-					     .cell_owner = ignore_cell,
-					     .generation = heard};
+static const bsh_members_ops_t member_ops = { .send = send_member,
+					      .changed = ignore_change,
+					      .target_leaving = ignore_target,
+					      .cell_owner = ignore_cell,
+					      .generation = heard };
 
 static void send_adoption(void *ctx, const char *peer,
 			  const bsh_adoption_message_t *msg)
@@ -174,19 +174,19 @@
 	return fleet_hash(document);
 }
 
-static const bsh_adoption_ops_t adoption_ops = {.send = send_adoption,
-						.store_read = read_store,
-						.store_update = update_store,
-						.adopted = adopted,
-						.apply_done = apply_done,
-						.in_force = in_force,
-						.make_delta = make_delta,
-						.apply_delta = apply_delta,
-						.hash = hash};
+static const bsh_adoption_ops_t adoption_ops = { .send = send_adoption,
+						 .store_read = read_store,
+						 .store_update = update_store,
+						 .adopted = adopted,
+						 .apply_done = apply_done,
+						 .in_force = in_force,
+						 .make_delta = make_delta,
+						 .apply_delta = apply_delta,
+						 .hash = hash };
 
 static bsh_member_place_t place_of(const fleet_node_t *n)
 {
-	bsh_member_place_t place = {0};
+	bsh_member_place_t place = { 0 };
 	size_t host = strcspn(n->address, ":");
 
 	g_strlcpy(place.zone, n->zone, sizeof(place.zone));
@@ -203,15 +203,15 @@
 {
 	fleet_node_t *n = &f->nodes[node];
 	app_t *app = g_new0(app_t, 1);
-	bsh_members_config_t members = {
-		.name = n->name,
-		.place = place_of(n),
-		.incarnation = n->incarnation,
-		.period_ms = 1000,
-		.seed = bsh_rng_below(&f->sim.rng, UINT32_MAX)};
+	bsh_members_config_t members = { .name = n->name,
+					 .place = place_of(n),
+					 .incarnation = n->incarnation,
+					 .period_ms = 1000,
+					 .seed = bsh_rng_below(&f->sim.rng,
+							       UINT32_MAX) };
 	bsh_adoption_config_t adoption = {
-		.fresh_ms = 8000,
-		.seed = bsh_rng_below(&f->sim.rng, UINT32_MAX)};
+		.fresh_ms = 8000, .seed = bsh_rng_below(&f->sim.rng, UINT32_MAX)
+	};
 
 	app->fleet = f;
 	app->node = node;
@@ -314,12 +314,12 @@
 	return ((app_t *)app)->adoption;
 }
 
-const fleet_app_t fleet_berylshunt = {.start = start,
-				      .stop = stop,
-				      .tick = tick,
-				      .receive = receive,
-				      .read_done = read_done,
-				      .update_done = update_done,
-				      .apply = apply,
-				      .generation = generation,
-				      .takes_work = takes_work};
+const fleet_app_t fleet_berylshunt = { .start = start,
+				       .stop = stop,
+				       .tick = tick,
+				       .receive = receive,
+				       .read_done = read_done,
+				       .update_done = update_done,
+				       .apply = apply,
+				       .generation = generation,
+				       .takes_work = takes_work };
--- a/regress/support/prove.c
+++ b/regress/support/prove.c
@@ -35,8 +35,8 @@
 static void run_case(const world_proof_t *proof, const world_case_t *c,
 		     int seeds, bool verbose)
 {
-	tally_t naive = {0};
-	tally_t ours = {0};
+	tally_t naive = { 0 };
+	tally_t ours = { 0 };
 	int first_seed = -1;
 
 	for (int seed = 1; seed <= seeds; seed++) {
@@ -67,17 +67,18 @@
 	int seed = 0;
 	gboolean verbose = FALSE;
 	GOptionEntry entries[] = {
-		{"seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "seeds per case",
-		 "N"},
-		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "one seed only", "N"},
-		{"case", 0, 0, G_OPTION_ARG_STRING, &only, "one case only",
-		 "NAME"},
-		{"verbose", 0, 0, G_OPTION_ARG_NONE, &verbose,
-		 "print the events of --seed", NULL},
-		G_OPTION_ENTRY_NULL};
+		{ "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "seeds per case",
+		  "N" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "one seed only", "N" },
+		{ "case", 0, 0, G_OPTION_ARG_STRING, &only, "one case only",
+		  "NAME" },
+		{ "verbose", 0, 0, G_OPTION_ARG_NONE, &verbose,
+		  "print the events of --seed", NULL },
+		G_OPTION_ENTRY_NULL
+	};
 	g_autoptr(GOptionContext) context = g_option_context_new(NULL);
 	g_autoptr(GError) error = NULL;
-	tally_t tally = {0};
+	tally_t tally = { 0 };
 
 	g_option_context_add_main_entries(context, entries, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
--- a/regress/support/rig.c
+++ b/regress/support/rig.c
@@ -45,7 +45,7 @@
 
 void rig_fresh(rig_t *rig)
 {
-	bsh_message_t message = {.type = BSH_MSG_FRESH};
+	bsh_message_t message = { .type = BSH_MSG_FRESH };
 
 	message.fresh.generation = rig->generation;
 	message.fresh.confirmed = rig->fresh_ms > 0;
@@ -87,7 +87,7 @@
 		rig->on_message(rig->ctx, message);
 }
 
-static const bsh_channel_ops_t channel_ops = {on_up, on_message, on_down};
+static const bsh_channel_ops_t channel_ops = { on_up, on_message, on_down };
 
 static void write_settings(rig_t *rig, const char *extra)
 {
@@ -117,7 +117,7 @@
 	const char *build = g_getenv("BSH_BUILD");
 	g_autofree char *program = g_build_filename(
 		build != NULL ? build : "build", "bshrouterd", NULL);
-	char *argv[] = {program, (char *)"-c", rig->settings_path, NULL};
+	char *argv[] = { program, (char *)"-c", rig->settings_path, NULL };
 	GError *error = NULL;
 
 	if (!g_spawn_async(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
@@ -179,7 +179,7 @@
 
 void rig_config(rig_t *rig, const char *document)
 {
-	bsh_message_t message = {.type = BSH_MSG_CONFIG};
+	bsh_message_t message = { .type = BSH_MSG_CONFIG };
 
 	message.config.generation = ++rig->generation;
 	message.config.text = document;
@@ -192,8 +192,8 @@
 {
 	g_autofree char *scope =
 		g_strconcat(is_service ? "service/" : "cell/", name, NULL);
-	bsh_route_entry_t entries[16] = {0};
-	bsh_message_t message = {.type = BSH_MSG_ROUTES};
+	bsh_route_entry_t entries[16] = { 0 };
+	bsh_message_t message = { .type = BSH_MSG_ROUTES };
 	uint32_t count = 0;
 
 	for (; targets[2 * count] != NULL; count++)
@@ -235,12 +235,13 @@
 
 char *rig_get(rig_t *rig, const char *path, int *status)
 {
-	static const bsh_http_handler_t handler = {.on_end = on_got};
+	static const bsh_http_handler_t handler = { .on_end = on_got };
 	g_autofree char *url = g_strconcat("http://", rig->admin, path, NULL);
-	bsh_http_spec_t spec = {
-		.method = "GET", .url = url, .body_max_bytes = 16 << 20};
+	bsh_http_spec_t spec = { .method = "GET",
+				 .url = url,
+				 .body_max_bytes = 16 << 20 };
 	bsh_http_call_t *call;
-	got_t got = {0};
+	got_t got = { 0 };
 
 	if (bsh_http_client_start(rig->client, &spec, &handler, &got, &call) !=
 	    BSH_OK)
--- a/regress/support/shunt.c
+++ b/regress/support/shunt.c
@@ -71,11 +71,12 @@
 
 static bsh_route_request_t route_request(const request_t *r)
 {
-	bsh_route_request_t request = {.key = key_of(r),
-				       .priority = r->waiting.priority,
-				       .repeatable = r->attempt.spec.repeatable,
-				       .excluded_count =
-					       r->attempt.tried_count};
+	bsh_route_request_t request = { .key = key_of(r),
+					.priority = r->waiting.priority,
+					.repeatable =
+						r->attempt.spec.repeatable,
+					.excluded_count =
+						r->attempt.tried_count };
 
 	memcpy(request.excluded, r->attempt.tried, sizeof(request.excluded));
 	return request;
@@ -142,7 +143,8 @@
 		.incarnation =
 			r->shunt->w->routers[r->shunt->router].incarnation,
 		.deadline_us = r->attempt.spec.deadline_us,
-		.token = r->attempt.id.sequence};
+		.token = r->attempt.id.sequence
+	};
 
 	g_snprintf(text, sizeof(text), "call-%d", r->call);
 	bsh_journal_digest("POST", "/services/deposits", text, strlen(text),
@@ -308,7 +310,8 @@
 	shunt_t *s = ctx;
 	request_t *r = a->spec.user;
 	bsh_intent_t intent = intent_of(r);
-	bsh_journal_result_t result = {.outcome = outcome, .status = a->status};
+	bsh_journal_result_t result = { .outcome = outcome,
+					.status = a->status };
 
 	if (outcome == BSH_OUTCOME_ANSWERED && r->held->len > 0) {
 		result.body = (const uint8_t *)r->held->data;
@@ -360,7 +363,8 @@
 			.load_us = 2 * SIM_S,
 			.first_us = 150 * SIM_MS,
 			.service_us = 400 * SIM_MS,
-			.load_slots = 8};
+			.load_slots = 8
+		};
 
 		bsh_admission_declare(&s->admission, world_model_name(m),
 				      &config);
@@ -370,7 +374,8 @@
 static void *create(world_t *w, int router)
 {
 	static const bsh_admission_orders_t admission_orders = {
-		.start = on_start, .refuse = on_refuse, .need = on_need};
+		.start = on_start, .refuse = on_refuse, .need = on_need
+	};
 	static const bsh_attempt_orders_t attempt_orders = {
 		.intent = on_intent,
 		.enqueue = on_enqueue,
@@ -381,14 +386,16 @@
 		.target_result = on_target_result,
 		.detach = on_detach,
 		.record = on_record,
-		.finish = on_finish};
+		.finish = on_finish
+	};
 	static const bsh_journal_orders_t journal_orders = {
 		.read = on_store_read,
 		.write = on_store_write,
 		.answer = on_intent_answer,
 		.recorded = on_recorded,
-		.is_gone = on_is_gone};
-	static const bsh_drain_orders_t drain_orders = {.exit = on_drained};
+		.is_gone = on_is_gone
+	};
+	static const bsh_drain_orders_t drain_orders = { .exit = on_drained };
 	uint32_t seed = bsh_rng_below(&w->sim.rng, 1U << 31);
 	uint64_t incarnation = w->routers[router].incarnation;
 	bsh_admission_config_t admission;
@@ -445,12 +452,12 @@
 {
 	shunt_t *s = self;
 	request_t *r;
-	bsh_attempt_spec_t spec = {.deadline_us = sub->deadline_us,
-				   .repeatable = sub->kind != KIND_DEPOSIT,
-				   .has_key = sub->keyed,
-				   .stream = sub->kind == KIND_STREAM,
-				   .engine = sub->kind != KIND_DEPOSIT,
-				   .first_us = 150 * SIM_MS};
+	bsh_attempt_spec_t spec = { .deadline_us = sub->deadline_us,
+				    .repeatable = sub->kind != KIND_DEPOSIT,
+				    .has_key = sub->keyed,
+				    .stream = sub->kind == KIND_STREAM,
+				    .engine = sub->kind != KIND_DEPOSIT,
+				    .first_us = 150 * SIM_MS };
 	bsh_error_t err;
 
 	if (!bsh_drain_admit(&s->drain)) {
@@ -593,7 +600,7 @@
 {
 	shunt_t *s = self;
 	const char *name = world_target_name(target);
-	char address[2] = {(char)('0' + target), '\0'};
+	char address[2] = { (char)('0' + target), '\0' };
 
 	bsh_route_set_target(&s->route, name, incarnation, address, NULL, 0);
 	if (leaving)
@@ -644,20 +651,20 @@
 	arm(s);
 }
 
-const adapter_t shunt_adapter = {.name = "berylshunt",
-				 .create = create,
-				 .destroy = destroy,
-				 .submit = submit,
-				 .caller_gone = caller_gone,
-				 .connected = connected,
-				 .head = head,
-				 .body = body,
-				 .end = end,
-				 .failed = failed,
-				 .need_answer = need_answer,
-				 .ready = ready,
-				 .list = list,
-				 .told_leaving = told_leaving,
-				 .store_done = store_done,
-				 .terminate = terminate,
-				 .tick = tick};
+const adapter_t shunt_adapter = { .name = "berylshunt",
+				  .create = create,
+				  .destroy = destroy,
+				  .submit = submit,
+				  .caller_gone = caller_gone,
+				  .connected = connected,
+				  .head = head,
+				  .body = body,
+				  .end = end,
+				  .failed = failed,
+				  .need_answer = need_answer,
+				  .ready = ready,
+				  .list = list,
+				  .told_leaving = told_leaving,
+				  .store_done = store_done,
+				  .terminate = terminate,
+				  .tick = tick };
--- a/regress/support/sim.c
+++ b/regress/support/sim.c
@@ -45,11 +45,11 @@
 void sim_after(sim_t *sim, int64_t delay_us, sim_event_fn_t fn, void *ctx,
 	       void *data)
 {
-	event_t event = {.at_us = sim->now_us + MAX(delay_us, 0),
-			 .order = sim->next_order++,
-			 .fn = fn,
-			 .ctx = ctx,
-			 .data = data};
+	event_t event = { .at_us = sim->now_us + MAX(delay_us, 0),
+			  .order = sim->next_order++,
+			  .fn = fn,
+			  .ctx = ctx,
+			  .data = data };
 	guint i = sim->heap->len;
 
 	g_array_append_val(sim->heap, event);
--- a/regress/support/standin.c
+++ b/regress/support/standin.c
@@ -212,8 +212,8 @@
 				 size_t *size, void **con_cls)
 {
 	GString *body = *con_cls;
-	standin_answer_t answer = {.status = 404};
-	standin_request_t request = {connection, method, url, NULL, NULL};
+	standin_answer_t answer = { .status = 404 };
+	standin_request_t request = { connection, method, url, NULL, NULL };
 
 	(void)cls;
 	(void)version;
@@ -249,10 +249,10 @@
 int standin_run(const standin_t *standin, int port)
 {
 	pthread_condattr_t attr;
-	struct sockaddr_in address = {.sin_family = AF_INET,
-				      .sin_port = htons((uint16_t)port),
-				      .sin_addr.s_addr =
-					      htonl(INADDR_LOOPBACK)};
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons((uint16_t)port),
+				       .sin_addr.s_addr =
+					       htonl(INADDR_LOOPBACK) };
 	struct MHD_Daemon *daemon;
 	sigset_t signals;
 	int signal;
--- a/regress/support/world.c
+++ b/regress/support/world.c
@@ -49,13 +49,14 @@
 static const struct {
 	int first;
 	int count;
-} model_targets[WORLD_MODELS] = {{0, 4}, {4, 2}, {6, 3}};
+} model_targets[WORLD_MODELS] = { { 0, 4 }, { 4, 2 }, { 6, 3 } };
 
-static const char *const target_names[WORLD_TARGETS] = {
-	"e0", "e1", "e2", "e3", "c0", "c1", "s0", "s1", "s2"};
-static const char *const router_names[WORLD_ROUTERS] = {"r0", "r1", "r2"};
-static const char *const model_names[WORLD_MODELS] = {"chat", "cold",
-						      "deposits"};
+static const char *const target_names[WORLD_TARGETS] = { "e0", "e1", "e2",
+							 "e3", "c0", "c1",
+							 "s0", "s1", "s2" };
+static const char *const router_names[WORLD_ROUTERS] = { "r0", "r1", "r2" };
+static const char *const model_names[WORLD_MODELS] = { "chat", "cold",
+						       "deposits" };
 
 const char *world_target_name(int target)
 {
@@ -528,9 +529,9 @@
 		t->late_work++;
 	if (c->target < 6 &&
 	    (t->running >= MAX_RUNNING || hit(w, FAULT_REFUSE, 0.6))) {
-		bsh_answer_head_t head = {.status = 429,
-					  .request_id = c->request_id,
-					  .length = 0};
+		bsh_answer_head_t head = { .status = 429,
+					   .request_id = c->request_id,
+					   .length = 0 };
 
 		log_event(w, "target refuses", c->sub->number, c->target);
 		to = receiver(w, c);
@@ -553,11 +554,11 @@
 static void send_head(world_t *w, conn_t *c)
 {
 	bool plain = c->sub->kind != KIND_STREAM;
-	bsh_answer_head_t head = {.status = 200,
-				  .request_id = c->request_id,
-				  .length = plain ? c->sub->expected : -1,
-				  .chunked = !plain,
-				  .event_stream = !plain};
+	bsh_answer_head_t head = { .status = 200,
+				   .request_id = c->request_id,
+				   .length = plain ? c->sub->expected : -1,
+				   .chunked = !plain,
+				   .event_stream = !plain };
 	conn_t *to = receiver(w, c);
 
 	if (to == NULL)
@@ -570,9 +571,9 @@
 {
 	int index = c->stage - STAGE_CHUNK;
 	bool last = index == c->sub->expected - 1;
-	chunk_t chunk = {.call = c->sub->call,
-			 .index = index,
-			 .done = last && c->sub->kind == KIND_STREAM};
+	chunk_t chunk = { .call = c->sub->call,
+			  .index = index,
+			  .done = last && c->sub->kind == KIND_STREAM };
 	conn_t *to = receiver(w, c);
 
 	if (to == NULL)
--- a/regress/test_admission.c
+++ b/regress/test_admission.c
@@ -50,11 +50,11 @@
 
 static void declare(const char *key, uint8_t priority)
 {
-	bsh_admission_model_config_t config = {.priority = priority,
-					       .load_us = 5 * SIM_S,
-					       .first_us = 100 * SIM_MS,
-					       .service_us = SIM_S,
-					       .load_slots = 4};
+	bsh_admission_model_config_t config = { .priority = priority,
+						.load_us = 5 * SIM_S,
+						.first_us = 100 * SIM_MS,
+						.service_us = SIM_S,
+						.load_slots = 4 };
 
 	g_assert_cmpint(bsh_admission_declare(&t.adm, key, &config), ==,
 			BSH_OK);
@@ -62,8 +62,8 @@
 
 static void setup(void)
 {
-	static const bsh_admission_orders_t orders = {on_start, on_refuse,
-						      on_need};
+	static const bsh_admission_orders_t orders = { on_start, on_refuse,
+						       on_need };
 	bsh_admission_config_t config;
 
 	memset(&t, 0, sizeof(t));
@@ -242,7 +242,7 @@
 static void test_retry_after_spreads(void)
 {
 	static bsh_waiting_t w[400];
-	int in_second[61] = {0};
+	int in_second[61] = { 0 };
 
 	setup();
 	t.cold = true;
@@ -265,7 +265,7 @@
  * because all requests are refused. */
 static void test_estimate_recovers(void)
 {
-	bsh_waiting_t w = {.deadline_us = 21 * SIM_S};
+	bsh_waiting_t w = { .deadline_us = 21 * SIM_S };
 
 	setup();
 	t.room = 1;
@@ -301,8 +301,9 @@
  * connection. */
 static void test_drain(void)
 {
-	static const bsh_drain_orders_t orders = {
-		on_order, on_order, on_order, on_order, on_order, on_drained};
+	static const bsh_drain_orders_t orders = { on_order, on_order,
+						   on_order, on_order,
+						   on_order, on_drained };
 	bsh_drain_t drain;
 
 	bsh_drain_init(&drain, 60000, &orders, NULL);
--- a/regress/test_attempt.c
+++ b/regress/test_attempt.c
@@ -93,21 +93,21 @@
 
 static void setup(bool repeatable, bool has_key, bool stream)
 {
-	static const bsh_attempt_orders_t orders = {.intent = on_intent,
-						    .enqueue = on_enqueue,
-						    .dequeue = on_dequeue,
-						    .cancel = on_cancel,
-						    .release = on_release,
-						    .target_result = on_result,
-						    .detach = on_detach,
-						    .record = on_record,
-						    .finish = on_finish};
-	bsh_attempt_spec_t spec = {.deadline_us = 10 * SIM_S,
-				   .first_us = 100 * SIM_MS,
-				   .repeatable = repeatable,
-				   .has_key = has_key,
-				   .stream = stream,
-				   .engine = repeatable};
+	static const bsh_attempt_orders_t orders = { .intent = on_intent,
+						     .enqueue = on_enqueue,
+						     .dequeue = on_dequeue,
+						     .cancel = on_cancel,
+						     .release = on_release,
+						     .target_result = on_result,
+						     .detach = on_detach,
+						     .record = on_record,
+						     .finish = on_finish };
+	bsh_attempt_spec_t spec = { .deadline_us = 10 * SIM_S,
+				    .first_us = 100 * SIM_MS,
+				    .repeatable = repeatable,
+				    .has_key = has_key,
+				    .stream = stream,
+				    .engine = repeatable };
 	bsh_attempts_config_t config;
 
 	memset(&t, 0, sizeof(t));
@@ -119,7 +119,7 @@
 
 static void start(bool sent, int64_t now_us)
 {
-	bsh_route_choice_t target = {.target = 1, .incarnation = 1};
+	bsh_route_choice_t target = { .target = 1, .incarnation = 1 };
 
 	g_assert_true(bsh_attempt_start(&t.set, &t.a, &target, now_us));
 	if (sent)
@@ -130,18 +130,18 @@
 static bsh_answer_verdict_t head(int status, int64_t length, bool stream,
 				 int64_t now_us)
 {
-	bsh_answer_head_t h = {.status = (uint16_t)status,
-			       .request_id = t.text,
-			       .length = length,
-			       .chunked = length < 0,
-			       .event_stream = stream};
+	bsh_answer_head_t h = { .status = (uint16_t)status,
+				.request_id = t.text,
+				.length = length,
+				.chunked = length < 0,
+				.event_stream = stream };
 
 	return bsh_attempt_head(&t.set, &t.a.id, &h, now_us);
 }
 
 static void test_request_id(void)
 {
-	bsh_request_id_t id = {UINT64_MAX, 77, 3};
+	bsh_request_id_t id = { UINT64_MAX, 77, 3 };
 	bsh_request_id_t copy;
 	char text[BSH_ATTEMPT_ID_SIZE];
 
@@ -228,7 +228,7 @@
 	g_assert_cmpint(t.err, ==, BSH_OK);
 	/* A shorter body, and one that ends with the connection. */
 	for (int length = 100; length >= -1; length -= 101) {
-		bsh_answer_head_t h = {.status = 200, .length = length};
+		bsh_answer_head_t h = { .status = 200, .length = length };
 
 		setup(false, false, false);
 		start(true, 0);
--- a/regress/test_base.c
+++ b/regress/test_base.c
@@ -113,7 +113,7 @@
 	bsh_hlc_t sender;
 	bsh_hlc_t receiver;
 	bsh_hlc_stamp_t sent;
-	bsh_hlc_stamp_t far = {.physical_us = INT64_MAX / 2};
+	bsh_hlc_stamp_t far = { .physical_us = INT64_MAX / 2 };
 
 	bsh_hlc_init(&sender);
 	bsh_hlc_init(&receiver);
--- a/regress/test_bshconsoled.c
+++ b/regress/test_bshconsoled.c
@@ -82,7 +82,7 @@
 static void set_up(fixture_t *f, gconstpointer data)
 {
 	g_autofree char *path = program_path("bshconsoled");
-	char *argv[] = {path, (char *)"-c", NULL, NULL};
+	char *argv[] = { path, (char *)"-c", NULL, NULL };
 	GError *error = NULL;
 	int fd = g_file_open_tmp("bshconsoled-XXXXXX", &f->settings, NULL);
 
@@ -179,11 +179,11 @@
 
 static void take_hidden(const fixture_t *f, const char *name, char **value)
 {
-	static const char *const entities[][2] = {{"&quot;", "\""},
-						  {"&lt;", "<"},
-						  {"&gt;", ">"},
-						  {"&#39;", "'"},
-						  {"&amp;", "&"}};
+	static const char *const entities[][2] = { { "&quot;", "\"" },
+						   { "&lt;", "<" },
+						   { "&gt;", ">" },
+						   { "&#39;", "'" },
+						   { "&amp;", "&" } };
 	g_autofree char *head = g_strdup_printf("name=\"%s\" value=\"", name);
 	const char *at = strstr(f->body->str, head);
 	GString *text;
@@ -451,8 +451,8 @@
 {
 	g_autofree char *out = NULL;
 	g_autofree char *err = NULL;
-	const char *const arguments[] = {"--check-config", "-c", f->settings,
-					 NULL};
+	const char *const arguments[] = { "--check-config", "-c", f->settings,
+					  NULL };
 
 	g_assert_cmpint(run_program(&out, &err, "bshconsoled", arguments), ==,
 			expected);
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -85,7 +85,7 @@
 }
 
 #define RUN(f, expected, ...)                                                  \
-	run(f, expected, (const char *const[]){__VA_ARGS__, NULL})
+	run(f, expected, (const char *const[]){ __VA_ARGS__, NULL })
 
 #define CONTAINS(text, part) g_assert_nonnull(strstr((text), (part)))
 
@@ -379,8 +379,8 @@
 		save(f, "events",
 		     OPEN "\n" SEND "\n" ADOPT "\n" LOAD "\n" QUEUE "\n" DONE
 			  "\n" REFUSE "\n");
-	const char *order[] = {"adopted", "load", "intent",
-			       "sent",	  "done", "refused"};
+	const char *order[] = { "adopted", "load", "intent",
+				"sent",	   "done", "refused" };
 	char *server = f->fake.address;
 	const char *at;
 
@@ -425,7 +425,7 @@
 			   "\n" OTHER "\n" AGAIN "\n" AGAIN_DONE "\n" OTHER_KEY
 			   "\n");
 	g_autofree char *tail = save(f, "tail", DONE "\n" REFUSE "\n");
-	const char *const names[][2] = {{"-r", "a1"}, {"-k", "k1"}};
+	const char *const names[][2] = { { "-r", "a1" }, { "-k", "k1" } };
 
 	(void)data;
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
--- a/regress/test_clients.c
+++ b/regress/test_clients.c
@@ -19,19 +19,19 @@
 } script_t;
 
 static const script_t scripts[] = {
-	{"/v1/objects/k/done", 200, "{\"version\":3,\"value\":{\"a\":1}}"},
-	{"/v1/objects/k/conflict", 409, "{\"version\":9}"},
-	{"/v1/objects/k/missing", 404, ""},
-	{"/v1/objects/k/rate", 429, ""},
-	{"/v1/objects/k/large", 413, ""},
-	{"/v1/objects/k/outage", 503, ""},
-	{"/v1/objects/k/fault", 500, ""},
-	{"/v1/objects/k/broken", 200, "{\"version\":"},
-	{"/v1/objects/k/bare", 200, "{}"},
-	{"/v1/objects/k/negative", 200, "{\"version\":-1}"},
-	{"/v1/objects/k/cut", -1, ""},
-	{"/v1/objects/k/quiet", 204, ""},
-	{"/v1/objects/k/silent", 0, ""},
+	{ "/v1/objects/k/done", 200, "{\"version\":3,\"value\":{\"a\":1}}" },
+	{ "/v1/objects/k/conflict", 409, "{\"version\":9}" },
+	{ "/v1/objects/k/missing", 404, "" },
+	{ "/v1/objects/k/rate", 429, "" },
+	{ "/v1/objects/k/large", 413, "" },
+	{ "/v1/objects/k/outage", 503, "" },
+	{ "/v1/objects/k/fault", 500, "" },
+	{ "/v1/objects/k/broken", 200, "{\"version\":" },
+	{ "/v1/objects/k/bare", 200, "{}" },
+	{ "/v1/objects/k/negative", 200, "{\"version\":-1}" },
+	{ "/v1/objects/k/cut", -1, "" },
+	{ "/v1/objects/k/quiet", 204, "" },
+	{ "/v1/objects/k/silent", 0, "" },
 };
 
 typedef struct {
@@ -86,12 +86,12 @@
 
 static void net_init(net_t *net)
 {
-	bsh_http_server_config_t config = {.address = "127.0.0.1:0",
-					   .max_connections = 32,
-					   .idle_timeout_s = 10,
-					   .body_max_bytes = 1 << 20,
-					   .on_request = on_request,
-					   .ctx = net};
+	bsh_http_server_config_t config = { .address = "127.0.0.1:0",
+					    .max_connections = 32,
+					    .idle_timeout_s = 10,
+					    .body_max_bytes = 1 << 20,
+					    .on_request = on_request,
+					    .ctx = net };
 
 	memset(net, 0, sizeof(*net));
 	g_assert_cmpint(bsh_loop_init(&net->loop), ==, BSH_OK);
@@ -216,11 +216,11 @@
 /* Guards against a silent connection that holds its call for ever. */
 static void test_call_silent(void)
 {
-	bsh_call_spec_t spec = {.method = "PUT",
-				.path = "/v1/objects/k/silent",
-				.body = "{}",
-				.body_size = 2,
-				.timeout_ms = 100};
+	bsh_call_spec_t spec = { .method = "PUT",
+				 .path = "/v1/objects/k/silent",
+				 .body = "{}",
+				 .body_size = 2,
+				 .timeout_ms = 100 };
 	net_t net;
 
 	net_init(&net);
@@ -304,7 +304,7 @@
 
 static void load(net_t *net, int status, const char *body)
 {
-	bsh_engine_order_t order = {"m", "1", "", "ab", 4, 100};
+	bsh_engine_order_t order = { "m", "1", "", "ab", 4, 100 };
 
 	net->engine_status = status;
 	net->engine_body = body;
@@ -369,7 +369,8 @@
 		HEAD "{}}", HEAD "[{\"model\":\"m\"}]}",
 		HEAD "[{\"model\":\"m\",\"version\":\"1\","
 		     "\"state\":\"odd\"}]}",
-		"{\"models\":[]}", "[]"};
+		"{\"models\":[]}", "[]"
+	};
 	net_t net;
 
 	net_init(&net);
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -15,79 +15,84 @@
 
 #define WAIT_US INT64_C(5000000)
 
-static const uint8_t key[BSH_KEY_SIZE_BYTES] = {1, 2, 3};
-static const uint8_t other_key[BSH_KEY_SIZE_BYTES] = {1, 2, 4};
+static const uint8_t key[BSH_KEY_SIZE_BYTES] = { 1, 2, 3 };
+static const uint8_t other_key[BSH_KEY_SIZE_BYTES] = { 1, 2, 4 };
 
-static const bsh_route_entry_t routes[] = {
-	{"chat-a", false, "engine-1", 3, "127.0.0.1:9", "a", true, 4}};
-static const bsh_report_entry_t reports[] = {
-	{"chat-a", "engine-1", 3, 4, 1, 2}};
+static const bsh_route_entry_t routes[] = { { "chat-a", false, "engine-1", 3,
+					      "127.0.0.1:9", "a", true, 4 } };
+static const bsh_report_entry_t reports[] = { { "chat-a", "engine-1", 3, 4, 1,
+						2 } };
 
 /* One message of each type, every field set. */
 static bsh_message_t sample(bsh_message_type_t type)
 {
-	bsh_message_t m = {.type = type,
-			   .stamp = {1700000000000000, 3},
-			   .sender = "entry-1",
-			   .incarnation = UINT64_MAX};
+	bsh_message_t m = { .type = type,
+			    .stamp = { 1700000000000000, 3 },
+			    .sender = "entry-1",
+			    .incarnation = UINT64_MAX };
 
 	switch (type) {
 	case BSH_MSG_HELLO:
-		m.hello = (bsh_msg_hello_t){{1}, BSH_ROLE_ROUTER, "1.1.1.1:1"};
+		m.hello = (bsh_msg_hello_t){ { 1 },
+					     BSH_ROLE_ROUTER,
+					     "1.1.1.1:1" };
 		break;
 	case BSH_MSG_MEMBER:
 	case BSH_MSG_ADOPTION:
-		m.body = (bsh_msg_body_t){(const uint8_t *)"a\0b", 3};
+		m.body = (bsh_msg_body_t){ (const uint8_t *)"a\0b", 3 };
 		break;
 	case BSH_MSG_CONFIG:
-		m.config = (bsh_msg_config_t){5, 7, "{\"a\":1}"};
+		m.config = (bsh_msg_config_t){ 5, 7, "{\"a\":1}" };
 		break;
 	case BSH_MSG_ROUTES:
-		m.routes = (bsh_msg_routes_t){"gpu", 2, 3, routes, 1};
+		m.routes = (bsh_msg_routes_t){ "gpu", 2, 3, routes, 1 };
 		break;
 	case BSH_MSG_NEED:
-		m.need = (bsh_msg_need_t){1, "chat-a", 30000, 9, 2};
+		m.need = (bsh_msg_need_t){ 1, "chat-a", 30000, 9, 2 };
 		break;
 	case BSH_MSG_NEED_ANSWER:
 		m.need_answer = (bsh_msg_need_answer_t){
-			1, "chat-a", BSH_NEED_REFUSED, 2, 3, BSH_ERR_CAPACITY};
+			1, "chat-a", BSH_NEED_REFUSED, 2, 3, BSH_ERR_CAPACITY
+		};
 		break;
 	case BSH_MSG_REPORT:
-		m.report = (bsh_msg_report_t){reports, 1};
+		m.report = (bsh_msg_report_t){ reports, 1 };
 		break;
 	case BSH_MSG_EVENTS:
 		m.events.lines = "{\"sequence\":1}\n{}";
 		break;
 	case BSH_MSG_INTENT:
-		m.intent = (bsh_msg_intent_t){1, "dock", "k", {3}, {4}};
+		m.intent = (bsh_msg_intent_t){ 1, "dock", "k", { 3 }, { 4 } };
 		break;
 	case BSH_MSG_INTENT_ANSWER:
 		m.intent_answer = (bsh_msg_intent_answer_t){
 			1,   BSH_VERDICT_ANSWERED, 2,
 			201, "text/plain",	   (const uint8_t *)"a\0b",
-			3};
+			3
+		};
 		break;
 	case BSH_MSG_INTENT_DONE:
 		m.intent_done =
-			(bsh_msg_intent_done_t){.service = "dock",
-						.key = "k",
-						.digest = {3},
-						.attempt = {4},
-						.outcome = BSH_OUTCOME_ANSWERED,
-						.status = 200,
-						.content_type = "t/p",
-						.body = (const uint8_t *)"ok",
-						.body_bytes = 2,
-						.body_too_large = true};
+			(bsh_msg_intent_done_t){ .service = "dock",
+						 .key = "k",
+						 .digest = { 3 },
+						 .attempt = { 4 },
+						 .outcome =
+							 BSH_OUTCOME_ANSWERED,
+						 .status = 200,
+						 .content_type = "t/p",
+						 .body = (const uint8_t *)"ok",
+						 .body_bytes = 2,
+						 .body_too_large = true };
 		break;
 	case BSH_MSG_FRESH:
-		m.fresh = (bsh_msg_fresh_t){5, true, 200};
+		m.fresh = (bsh_msg_fresh_t){ 5, true, 200 };
 		break;
 	case BSH_MSG_DRAIN:
-		m.drain = (bsh_msg_drain_t){BSH_PHASE_BEGIN, "1.1.1.1:1", 2};
+		m.drain = (bsh_msg_drain_t){ BSH_PHASE_BEGIN, "1.1.1.1:1", 2 };
 		break;
 	case BSH_MSG_HANDOVER:
-		m.handover = (bsh_msg_handover_t){"gpu", 8};
+		m.handover = (bsh_msg_handover_t){ "gpu", 8 };
 		break;
 	case BSH_MSG_TYPE_END:
 		break;
@@ -237,7 +242,7 @@
 static void test_window(void)
 {
 	uint8_t datagram[BSH_SEAL_SIZE_BYTES + 1] = "";
-	bsh_window_t w = {0};
+	bsh_window_t w = { 0 };
 	uint64_t sequence;
 
 	g_assert_true(bsh_window_accept(&w, 5, 1));
@@ -313,7 +318,7 @@
 		net->accepted = NULL;
 }
 
-static const bsh_channel_ops_t channel_ops = {on_up, on_message, on_down};
+static const bsh_channel_ops_t channel_ops = { on_up, on_message, on_down };
 
 static void net_init(net_t *net)
 {
@@ -323,11 +328,13 @@
 	bsh_timeline_init(&net->timeline, &net->clock, "entry-1", "test", 1,
 			  16);
 	net->text = g_string_new(NULL);
-	net->server = (bsh_identity_t){
-		key, "entry-1", 11, BSH_ROLE_CONTROLLER, "", &net->timeline};
+	net->server =
+		(bsh_identity_t){ key, "entry-1",     11, BSH_ROLE_CONTROLLER,
+				  "",  &net->timeline };
 	net->client = (bsh_identity_t){
 		key,	       "entry-2", 12, BSH_ROLE_ROUTER, "127.0.0.1:80",
-		&net->timeline};
+		&net->timeline
+	};
 	net->listener = bsh_channel_listen(&net->loop, &net->server,
 					   "127.0.0.1:0", &channel_ops, net);
 	g_assert_nonnull(net->listener);
@@ -454,12 +461,12 @@
 	raw->net->raw_closes++;
 }
 
-static const bsh_frame_link_ops_t raw_ops = {NULL, raw_frame, raw_close};
+static const bsh_frame_link_ops_t raw_ops = { NULL, raw_frame, raw_close };
 
 /* Guards against a replayed HELLO that passes for a peer with the key. */
 static void test_channel_replay(void)
 {
-	raw_t raw = {.seen = g_byte_array_new()};
+	raw_t raw = { .seen = g_byte_array_new() };
 	int before = rejected("auth");
 	bsh_session_t old;
 	uint8_t seal[BSH_SEAL_SIZE_BYTES];
@@ -495,12 +502,12 @@
 /* Guards against an unbounded buffer: the announced length ends the link. */
 static void test_oversized(void)
 {
-	static const uint8_t length[] = {0x00, 0x10, 0x00, 0x01, 'x'};
+	static const uint8_t length[] = { 0x00, 0x10, 0x00, 0x01, 'x' };
 	static const char body[BSH_FRAME_MAX_BYTES];
-	raw_t raw = {.seen = g_byte_array_new()};
+	raw_t raw = { .seen = g_byte_array_new() };
 	int before = rejected("too-large");
 	bsh_frame_link_t *link;
-	struct sockaddr_in to = {.sin_family = AF_INET};
+	struct sockaddr_in to = { .sin_family = AF_INET };
 	uint8_t end[256];
 	net_t net;
 	int fd;
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -64,7 +64,8 @@
 
 static void on_request(void *ctx, bsh_http_request_t *request)
 {
-	static const bsh_http_request_handler_t handler = {on_done, on_drained};
+	static const bsh_http_request_handler_t handler = { on_done,
+							    on_drained };
 	net_t *net = ctx;
 	const char *path = bsh_http_request_path(request);
 	size_t size;
@@ -173,7 +174,7 @@
 	int ends = net->ends;
 
 	g_string_truncate(net->body, 0);
-	start(net, path, body, (bsh_http_spec_t){0}, BSH_OK);
+	start(net, path, body, (bsh_http_spec_t){ 0 }, BSH_OK);
 	step_until(net, &net->ends, ends + 1);
 }
 
@@ -227,7 +228,7 @@
  * run" when no connection stood. */
 static void test_sent(void)
 {
-	bsh_http_spec_t spec = {.idle_timeout_ms = 50};
+	bsh_http_spec_t spec = { .idle_timeout_ms = 50 };
 	net_t net;
 
 	net_init(&net);
@@ -253,7 +254,7 @@
 	net_t net;
 
 	net_init(&net);
-	start(&net, "/hold", "x", (bsh_http_spec_t){0}, BSH_OK);
+	start(&net, "/hold", "x", (bsh_http_spec_t){ 0 }, BSH_OK);
 	step_until(&net, &net.requests, 1);
 	bsh_http_call_cancel(net.call);
 	step_until(&net, &net.done, 1);
@@ -265,8 +266,8 @@
 /* Guards against header injection through a call's headers. */
 static void test_header_injection(void)
 {
-	static const char *const headers[] = {"X-A: b\r\nX-C: d", NULL};
-	bsh_http_spec_t spec = {.headers = headers};
+	static const char *const headers[] = { "X-A: b\r\nX-C: d", NULL };
+	bsh_http_spec_t spec = { .headers = headers };
 	net_t net;
 
 	net_init(&net);
@@ -282,7 +283,7 @@
 
 	net_init(&net);
 	get(&net, "/echo", "idle connection");
-	start(&net, "/hold", "x", (bsh_http_spec_t){0}, BSH_OK);
+	start(&net, "/hold", "x", (bsh_http_spec_t){ 0 }, BSH_OK);
 	step_until(&net, &net.requests, 2);
 	bsh_http_server_stop(net.server);
 	bsh_http_answer_begin(net.held, 200, -1);
@@ -325,7 +326,7 @@
 		.sin_port = htons(bsh_http_server_port(net->server)),
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	};
-	raw_t raw = {.got = g_string_new(NULL)};
+	raw_t raw = { .got = g_string_new(NULL) };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	bsh_loop_watch_t *watch;
 
@@ -352,18 +353,18 @@
 		const char *status; /* NULL: closed without an answer */
 		bool half;
 	} cases[] = {
-		{"GARBAGE\r\n\r\n", NULL, false},
-		{"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n"
-		 "\r\ncut",
-		 NULL, true},
-		{"POST /echo HTTP/1.1\r\nHost: a\r\n"
-		 "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
-		 "HTTP/1.1 400", false},
-		{"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
-		 "HTTP/1.1 400", false},
-		{"POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-		 "Content-Length: 99999999999\r\n\r\n",
-		 "HTTP/1.1 413", false},
+		{ "GARBAGE\r\n\r\n", NULL, false },
+		{ "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n"
+		  "\r\ncut",
+		  NULL, true },
+		{ "POST /echo HTTP/1.1\r\nHost: a\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		  "HTTP/1.1 400", false },
+		{ "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+		  "HTTP/1.1 400", false },
+		{ "POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+		  "Content-Length: 99999999999\r\n\r\n",
+		  "HTTP/1.1 413", false },
 	};
 	g_autofree char *big =
 		g_strdup_printf("POST /echo HTTP/1.1\r\nHost: a\r\n"
@@ -374,7 +375,7 @@
 	net_t net;
 
 	net_init(&net);
-	start(&net, "/hold", "x", (bsh_http_spec_t){0}, BSH_OK);
+	start(&net, "/hold", "x", (bsh_http_spec_t){ 0 }, BSH_OK);
 	step_until(&net, &net.requests, 1);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		got = raw_exchange(&net, cases[i].text, cases[i].half);
@@ -443,7 +444,7 @@
 {
 	bsh_loop_t loop;
 	int runs = 0;
-	void *args[] = {&loop, &runs};
+	void *args[] = { &loop, &runs };
 	pthread_t thread;
 
 	g_assert_cmpint(bsh_loop_init(&loop), ==, BSH_OK);
--- a/regress/test_http_protocol.c
+++ b/regress/test_http_protocol.c
@@ -146,23 +146,23 @@
 		const char *body;
 		const char *detail;
 	} cases[] = {
-		{"", "body: is empty"},
-		{"{\"model\":", "body: not JSON"},
-		{"{\"model\":\"m\"} trailing", "body: not JSON"},
-		{"[]", "body: must be a JSON object"},
-		{"{\"messages\":[]}", "model: is missing"},
-		{"{\"model\":1}", "model: must be"},
-		{"{\"model\":\"a\\u0000b\"}", "model: must not hold"},
-		{"{\"model\":\"m\",\"model\":\"n\"}", "body: not JSON"},
-		{"{\"model\":\"m\",\"stream\":1}", "stream: must be"},
-		{"{\"model\":\"m\"}", "messages: is missing"},
-		{"{\"model\":\"m\",\"messages\":[]}", "messages: must be"},
-		{"{\"model\":\"m\",\"messages\":[3]}", "messages[0]: must"},
-		{"{\"model\":\"m\",\"messages\":[{}]}", "messages[0].role:"},
-		{"{\"model\":\"m\",\"messages\":[{\"role\":\"u\","
-		 "\"content\":1}]}",
-		 "messages[0].content:"},
-		{"{\"model\":\"m\xff\"}", "body: not JSON"},
+		{ "", "body: is empty" },
+		{ "{\"model\":", "body: not JSON" },
+		{ "{\"model\":\"m\"} trailing", "body: not JSON" },
+		{ "[]", "body: must be a JSON object" },
+		{ "{\"messages\":[]}", "model: is missing" },
+		{ "{\"model\":1}", "model: must be" },
+		{ "{\"model\":\"a\\u0000b\"}", "model: must not hold" },
+		{ "{\"model\":\"m\",\"model\":\"n\"}", "body: not JSON" },
+		{ "{\"model\":\"m\",\"stream\":1}", "stream: must be" },
+		{ "{\"model\":\"m\"}", "messages: is missing" },
+		{ "{\"model\":\"m\",\"messages\":[]}", "messages: must be" },
+		{ "{\"model\":\"m\",\"messages\":[3]}", "messages[0]: must" },
+		{ "{\"model\":\"m\",\"messages\":[{}]}", "messages[0].role:" },
+		{ "{\"model\":\"m\",\"messages\":[{\"role\":\"u\","
+		  "\"content\":1}]}",
+		  "messages[0].content:" },
+		{ "{\"model\":\"m\xff\"}", "body: not JSON" },
 	};
 	g_autofree char *deep = g_strnfill(100000, '[');
 	g_autofree char *name = g_strnfill(200, 'n');
--- a/regress/test_journal.c
+++ b/regress/test_journal.c
@@ -94,8 +94,9 @@
 
 static void open_side(side_t *s)
 {
-	static const bsh_journal_orders_t orders = {
-		on_read, on_write, on_answer, on_recorded, on_gone};
+	static const bsh_journal_orders_t orders = { on_read, on_write,
+						     on_answer, on_recorded,
+						     on_gone };
 	bsh_journal_config_t config;
 
 	memset(s, 0, sizeof(*s));
@@ -167,12 +168,12 @@
 
 static bsh_intent_t intent(const char *key, char attempt)
 {
-	bsh_intent_t i = {.service = "deposits",
-			  .key = key,
-			  .instance = attempt < 'm' ? "i1" : "i2",
-			  .incarnation = 1,
-			  .deadline_us = now_us + 2 * SIM_S,
-			  .token = 7};
+	bsh_intent_t i = { .service = "deposits",
+			   .key = key,
+			   .instance = attempt < 'm' ? "i1" : "i2",
+			   .incarnation = 1,
+			   .deadline_us = now_us + 2 * SIM_S,
+			   .token = 7 };
 
 	bsh_journal_digest("POST", "/x", "body", 4, i.digest);
 	memset(i.attempt, attempt, sizeof(i.attempt));
@@ -190,8 +191,8 @@
 		 bsh_outcome_t outcome, const char *body, size_t size)
 {
 	bsh_intent_t i = intent(key, attempt);
-	bsh_journal_result_t result = {outcome, 200, "text/plain",
-				       (const uint8_t *)body, size};
+	bsh_journal_result_t result = { outcome, 200, "text/plain",
+					(const uint8_t *)body, size };
 
 	g_assert_cmpint(bsh_journal_done(&s->j, &i, &result, now_us), ==,
 			BSH_OK);
@@ -246,10 +247,11 @@
 /* Guards against a truncated recorded answer and a lost empty one. */
 static void test_bodies(void)
 {
-	static const size_t sizes[] = {0, BSH_JOURNAL_BODY_MAX,
-				       BSH_JOURNAL_BODY_MAX + 1};
-	static const bsh_intent_verdict_t expected[] = {
-		BSH_INTENT_ANSWERED, BSH_INTENT_ANSWERED, BSH_INTENT_NOT_KEPT};
+	static const size_t sizes[] = { 0, BSH_JOURNAL_BODY_MAX,
+					BSH_JOURNAL_BODY_MAX + 1 };
+	static const bsh_intent_verdict_t expected[] = { BSH_INTENT_ANSWERED,
+							 BSH_INTENT_ANSWERED,
+							 BSH_INTENT_NOT_KEPT };
 	g_autofree char *body = g_strnfill(BSH_JOURNAL_BODY_MAX + 1, 'x');
 
 	for (int i = 0; i < 3; i++) {
--- a/regress/test_loads.c
+++ b/regress/test_loads.c
@@ -7,9 +7,9 @@
 
 #define S INT64_C(1000000)
 
-static const bsh_sender_t a = {"entry-a", 1};
-static const bsh_sender_t b = {"entry-b", 7};
-static const bsh_attempt_id_t id = {1, 2};
+static const bsh_sender_t a = { "entry-a", 1 };
+static const bsh_sender_t b = { "entry-b", 7 };
+static const bsh_attempt_id_t id = { 1, 2 };
 
 static void make_cell(bsh_cell_t *cell)
 {
@@ -118,7 +118,7 @@
 /* Guards against two cells that both claim a slot. */
 static void test_slot_hash(void)
 {
-	uint32_t counts[4] = {0};
+	uint32_t counts[4] = { 0 };
 
 	for (uint32_t i = 0; i < 4000; i++) {
 		uint32_t cell = bsh_cell_of_slot("model", i, 4);
@@ -134,46 +134,46 @@
 /* Guards against placement that ignores copies, room or the load order. */
 static void test_placement(void)
 {
-	const bsh_placement_limits_t limits = {0.5, 2, 2, 150, 400};
+	const bsh_placement_limits_t limits = { 0.5, 2, 2, 150, 400 };
 	const bsh_candidate_t candidates[] = {
-		{.name = "x",
-		 .zone = "",
-		 .free_mib = 900,
-		 .copy = BSH_COPY_REMOTE},
-		{.name = "y",
-		 .zone = "",
-		 .free_mib = 900,
-		 .copy = BSH_COPY_DISK},
-		{.name = "z",
-		 .zone = "",
-		 .free_mib = 100,
-		 .copy = BSH_COPY_MEMORY},
+		{ .name = "x",
+		  .zone = "",
+		  .free_mib = 900,
+		  .copy = BSH_COPY_REMOTE },
+		{ .name = "y",
+		  .zone = "",
+		  .free_mib = 900,
+		  .copy = BSH_COPY_DISK },
+		{ .name = "z",
+		  .zone = "",
+		  .free_mib = 100,
+		  .copy = BSH_COPY_MEMORY },
 	};
 	const bsh_victim_t victims[] = {
-		{.model = "often", .target = "x", .memory_mib = 500},
-		{.model = "seldom", .target = "x", .memory_mib = 500},
-		{.model = "seldom",
-		 .target = "x",
-		 .memory_mib = 500,
-		 .running = 1},
+		{ .model = "often", .target = "x", .memory_mib = 500 },
+		{ .model = "seldom", .target = "x", .memory_mib = 500 },
+		{ .model = "seldom",
+		  .target = "x",
+		  .memory_mib = 500,
+		  .running = 1 },
 	};
 	bsh_waiting_t waiting[] = {
-		{.model = "late",
-		 .deadline_us = S,
-		 .load_us = 9 * S,
-		 .priority = 0,
-		 .waiting = 1},
-		{.model = "prefetch", .deadline_us = INT64_MAX},
-		{.model = "tight",
-		 .deadline_us = 20 * S,
-		 .load_us = 9 * S,
-		 .priority = 5,
-		 .waiting = 1},
-		{.model = "first",
-		 .deadline_us = 90 * S,
-		 .load_us = 9 * S,
-		 .priority = 1,
-		 .waiting = 1},
+		{ .model = "late",
+		  .deadline_us = S,
+		  .load_us = 9 * S,
+		  .priority = 0,
+		  .waiting = 1 },
+		{ .model = "prefetch", .deadline_us = INT64_MAX },
+		{ .model = "tight",
+		  .deadline_us = 20 * S,
+		  .load_us = 9 * S,
+		  .priority = 5,
+		  .waiting = 1 },
+		{ .model = "first",
+		  .deadline_us = 90 * S,
+		  .load_us = 9 * S,
+		  .priority = 1,
+		  .waiting = 1 },
 	};
 	char reason[BSH_PLACEMENT_REASON_SIZE];
 	bool chosen[3];
@@ -254,11 +254,11 @@
 	((rig_t *)ctx)->routed = route->count;
 }
 
-static const bsh_loader_ops_t ops = {.read = op_read,
-				     .update = op_update,
-				     .order = op_order,
-				     .answer = op_answer,
-				     .route = op_route};
+static const bsh_loader_ops_t ops = { .read = op_read,
+				      .update = op_update,
+				      .order = op_order,
+				      .answer = op_answer,
+				      .route = op_route };
 
 static void settle(rig_t *r)
 {
@@ -294,24 +294,25 @@
 
 static void rig_init(rig_t *r, uint32_t memory_mib)
 {
-	const bsh_loader_config_t config = {.self = {"entry-a", 1}};
-	const bsh_loader_pool_t pool = {"pool", true, memory_mib, 4, 1};
+	const bsh_loader_config_t config = { .self = { "entry-a", 1 } };
+	const bsh_loader_pool_t pool = { "pool", true, memory_mib, 4, 1 };
 	const bsh_loader_model_t models[] = {
-		{"m", "1", "pool", NULL, 800, 1, 5, 10000},
-		{"huge", "1", "pool", NULL, 5000, 1, 5, 10000}};
-	const bsh_loader_document_t d = {.generation = 1,
-					 .weight = 0.5,
-					 .loads_per_s = 1,
-					 .concurrent = 1,
-					 .pools = &pool,
-					 .pool_count = 1,
-					 .models = models,
-					 .model_count = 2};
-	const bsh_loader_instance_t target = {.name = "t",
-					      .incarnation = 1,
-					      .is_target = true,
-					      .pool = "pool",
-					      .memory_mib = memory_mib};
+		{ "m", "1", "pool", NULL, 800, 1, 5, 10000 },
+		{ "huge", "1", "pool", NULL, 5000, 1, 5, 10000 }
+	};
+	const bsh_loader_document_t d = { .generation = 1,
+					  .weight = 0.5,
+					  .loads_per_s = 1,
+					  .concurrent = 1,
+					  .pools = &pool,
+					  .pool_count = 1,
+					  .models = models,
+					  .model_count = 2 };
+	const bsh_loader_instance_t target = { .name = "t",
+					       .incarnation = 1,
+					       .is_target = true,
+					       .pool = "pool",
+					       .memory_mib = memory_mib };
 
 	memset(r, 0, sizeof(*r));
 	bsh_loader_init(&r->loader, &config, &ops, r);
@@ -322,10 +323,10 @@
 
 static void ask(rig_t *r, const char *model, int64_t in_us)
 {
-	const bsh_demand_t d = {.id = (uint64_t)r->now_us + 1,
-				.model = model,
-				.deadline_us = r->now_us + in_us,
-				.count = 1};
+	const bsh_demand_t d = { .id = (uint64_t)r->now_us + 1,
+				 .model = model,
+				 .deadline_us = r->now_us + in_us,
+				 .count = 1 };
 
 	bsh_loader_demand(&r->loader, &d, r->now_us);
 	settle(r);
@@ -335,12 +336,13 @@
  * refusal that is certain but held back. */
 static void test_loader_demand(void)
 {
-	const bsh_target_model_t loaded = {
-		.model = "m", .version = "1", .state = BSH_SLOT_READY};
-	bsh_target_status_t status = {.target = "t",
-				      .incarnation = 1,
-				      .models = &loaded,
-				      .model_count = 1};
+	const bsh_target_model_t loaded = { .model = "m",
+					    .version = "1",
+					    .state = BSH_SLOT_READY };
+	bsh_target_status_t status = { .target = "t",
+				       .incarnation = 1,
+				       .models = &loaded,
+				       .model_count = 1 };
 	rig_t r;
 
 	rig_init(&r, 1000);
--- a/regress/test_members.c
+++ b/regress/test_members.c
@@ -44,15 +44,15 @@
 
 static bsh_member_message_t sample_message(bsh_member_kind_t kind)
 {
-	bsh_member_message_t msg = {.kind = kind,
-				    .sequence = UINT64_MAX,
-				    .target = "entry-1",
-				    .generation = 7,
-				    .hash = 8,
-				    .confirm_age_ms = 9,
-				    .leaving_digest = 10,
-				    .cursor = UINT64_MAX,
-				    .n_updates = 3};
+	bsh_member_message_t msg = { .kind = kind,
+				     .sequence = UINT64_MAX,
+				     .target = "entry-1",
+				     .generation = 7,
+				     .hash = 8,
+				     .confirm_age_ms = 9,
+				     .leaving_digest = 10,
+				     .cursor = UINT64_MAX,
+				     .n_updates = 3 };
 
 	for (int i = 0; i < BSH_MEMBER_SYNC_BUCKETS; i++)
 		msg.digests[i] = kind == BSH_MEMBER_SYNC_ASK ? UINT32_MAX : 0;
@@ -64,15 +64,16 @@
 		.state = BSH_MEMBER_SUSPECT,
 		.leaving = true,
 		.has_place = true,
-		.place = {"zone-a", "10.0.0.2:1", "10.0.0.2:2", "10.0.0.3:3"}};
-	msg.updates[1] = (bsh_member_update_t){.type = BSH_UPDATE_TARGET,
-					       .name = "engine-1",
-					       .incarnation = 2,
-					       .revision = 3};
-	msg.updates[2] = (bsh_member_update_t){.type = BSH_UPDATE_CELL,
-					       .name = "cell-1",
-					       .owner = "entry-3",
-					       .incarnation = 4};
+		.place = { "zone-a", "10.0.0.2:1", "10.0.0.2:2", "10.0.0.3:3" }
+	};
+	msg.updates[1] = (bsh_member_update_t){ .type = BSH_UPDATE_TARGET,
+						.name = "engine-1",
+						.incarnation = 2,
+						.revision = 3 };
+	msg.updates[2] = (bsh_member_update_t){ .type = BSH_UPDATE_CELL,
+						.name = "cell-1",
+						.owner = "entry-3",
+						.incarnation = 4 };
 	return msg;
 }
 
@@ -82,7 +83,7 @@
 	for (int kind = 0; kind < BSH_MEMBER_KINDS; kind++) {
 		bsh_member_message_t in =
 			sample_message((bsh_member_kind_t)kind);
-		bsh_member_message_t out = {0};
+		bsh_member_message_t out = { 0 };
 		uint8_t buf[BSH_MEMBER_BODY_BYTES];
 		uint8_t again[BSH_MEMBER_BODY_BYTES];
 		uint32_t n;
@@ -140,7 +141,7 @@
 static void test_codec_malformed(void)
 {
 	bsh_member_message_t in = sample_message(BSH_MEMBER_PING);
-	static const uint8_t huge[] = {0xdd, 0x0f, 0xff, 0xff, 0xff, 0};
+	static const uint8_t huge[] = { 0xdd, 0x0f, 0xff, 0xff, 0xff, 0 };
 	uint8_t *buf = g_malloc(BSH_MEMBER_BODY_BYTES + 1);
 	size_t size = bsh_member_message_encode(&in, buf, BSH_MEMBER_BODY_BYTES,
 						NULL);
@@ -177,13 +178,13 @@
 /* Guards against a document that is changed or cut on its way. */
 static void test_codec_adoption(void)
 {
-	bsh_adoption_message_t in = {.kind = BSH_ADOPTION_CONFIG,
-				     .generation = 3,
-				     .hash = 4,
-				     .from = 2,
-				     .version = 9,
-				     .n_witnesses = 2,
-				     .witnesses = {"a", "b"}};
+	bsh_adoption_message_t in = { .kind = BSH_ADOPTION_CONFIG,
+				      .generation = 3,
+				      .hash = 4,
+				      .from = 2,
+				      .version = 9,
+				      .n_witnesses = 2,
+				      .witnesses = { "a", "b" } };
 	bsh_adoption_message_t out;
 	GBytes *bytes;
 	gsize size;
--- a/regress/test_route.c
+++ b/regress/test_route.c
@@ -3,7 +3,7 @@
 #include "coordination/route.h"
 #include "support/sim.h"
 
-static const char *const names[] = {"t0", "t1", "t2", "t3"};
+static const char *const names[] = { "t0", "t1", "t2", "t3" };
 
 static void setup(bsh_route_t *route, int targets)
 {
@@ -22,7 +22,7 @@
 static bsh_error_t choose(bsh_route_t *route, bsh_route_choice_t *choice,
 			  int64_t now_us)
 {
-	bsh_route_request_t request = {.key = "m", .repeatable = true};
+	bsh_route_request_t request = { .key = "m", .repeatable = true };
 
 	return bsh_route_choose(route, &request, choice, now_us);
 }
@@ -80,7 +80,7 @@
 {
 	bsh_route_t route;
 	bsh_route_choice_t choice;
-	bsh_route_request_t request = {.key = "m", .repeatable = true};
+	bsh_route_request_t request = { .key = "m", .repeatable = true };
 	int started = 0;
 
 	setup(&route, 2);
@@ -109,7 +109,7 @@
 {
 	bsh_route_t route;
 	bsh_route_choice_t choice;
-	bsh_route_request_t request = {.key = "m", .repeatable = true};
+	bsh_route_request_t request = { .key = "m", .repeatable = true };
 	int64_t retry_us;
 
 	setup(&route, 1);
@@ -139,8 +139,8 @@
 static void test_probe_is_repeatable(void)
 {
 	bsh_route_t route;
-	bsh_route_choice_t choice = {.target = 0, .incarnation = 1};
-	bsh_route_request_t request = {.key = "m"};
+	bsh_route_choice_t choice = { .target = 0, .incarnation = 1 };
+	bsh_route_request_t request = { .key = "m" };
 
 	setup(&route, 2);
 	for (int i = 0; i < BSH_BREAKER_FAILURES; i++)
@@ -184,7 +184,7 @@
 {
 	bsh_route_t route;
 	bsh_route_choice_t choice;
-	int chosen[2] = {0};
+	int chosen[2] = { 0 };
 
 	setup(&route, 2);
 	bsh_route_report(&route, "t0", 1, 1, 0, SIM_S);
@@ -206,8 +206,9 @@
 	bsh_route_choice_t choice;
 	char text[4 * BSH_ROUTE_BLOCK_BYTES];
 	uint64_t hashes[BSH_ROUTE_MAX_PREFIX];
-	bsh_route_request_t request = {
-		.key = "m", .repeatable = true, .prefix = hashes};
+	bsh_route_request_t request = { .key = "m",
+					.repeatable = true,
+					.prefix = hashes };
 
 	memset(text, 'x', sizeof(text));
 	request.prefix_count =
