--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -122,8 +122,8 @@
 
 static void on_target_request(void *ctx, bsh_http_request_t *request)
 {
-	static const bsh_http_request_handler_t handler = {on_target_done,
-							   NULL};
+	static const bsh_http_request_handler_t handler = { on_target_done,
+							    NULL };
 	target_t *target = ctx;
 	const char *id = bsh_http_request_header(request, "X-Request-Id");
 
@@ -220,7 +220,7 @@
 
 static void set_warm(world_t *w)
 {
-	const char *const models[] = {"a", w->a.address, NULL};
+	const char *const models[] = { "a", w->a.address, NULL };
 
 	rig_route(&w->rig, "m", false, models);
 }
@@ -291,7 +291,7 @@
 		.on_data = on_reply_data,
 		.on_end = on_reply_end,
 	};
-	const char *headers[] = {header, NULL};
+	const char *headers[] = { header, NULL };
 	g_autofree char *url =
 		g_strconcat("http://", w->rig.listen, path, NULL);
 	bsh_http_spec_t spec = {
@@ -362,19 +362,20 @@
 		int status;
 		const char *part;
 	} cases[] = {
-		{CHAT_PATH, "{\"model\":", NULL, 400, "not JSON"},
-		{CHAT_PATH, "{\"model\":\"m\"}", NULL, 400, "messages"},
-		{CHAT_PATH, "[1]", NULL, 400, "JSON object"},
-		{"/v1/completions", CHAT, NULL, 400, "prompt: is missing"},
-		{CHAT_PATH, "{\"model\":\"x\",\"messages\":[{\"role\":\"u\"}]}",
-		 NULL, 404, "no model 'x'"},
-		{CHAT_PATH, CHAT, "Berylshunt-Deadline-Ms: 0", 400,
-		 "Berylshunt-Deadline-Ms"},
-		{CHAT_PATH, CHAT, "Berylshunt-Priority: 10", 400,
-		 "Berylshunt-Priority"},
-		{"/services/none/x", "x", NULL, 404, "no service 'none'"},
-		{"/nothing", NULL, NULL, 404, "no such path"},
-		{CHAT_PATH, NULL, NULL, 405, "unsupported"},
+		{ CHAT_PATH, "{\"model\":", NULL, 400, "not JSON" },
+		{ CHAT_PATH, "{\"model\":\"m\"}", NULL, 400, "messages" },
+		{ CHAT_PATH, "[1]", NULL, 400, "JSON object" },
+		{ "/v1/completions", CHAT, NULL, 400, "prompt: is missing" },
+		{ CHAT_PATH,
+		  "{\"model\":\"x\",\"messages\":[{\"role\":\"u\"}]}", NULL,
+		  404, "no model 'x'" },
+		{ CHAT_PATH, CHAT, "Berylshunt-Deadline-Ms: 0", 400,
+		  "Berylshunt-Deadline-Ms" },
+		{ CHAT_PATH, CHAT, "Berylshunt-Priority: 10", 400,
+		  "Berylshunt-Priority" },
+		{ "/services/none/x", "x", NULL, 404, "no service 'none'" },
+		{ "/nothing", NULL, NULL, 404, "no such path" },
+		{ CHAT_PATH, NULL, NULL, 405, "unsupported" },
 	};
 	g_autofree char *big = g_strnfill(3000, ' ');
 	reply_t stream;
@@ -438,7 +439,7 @@
 /* Guards against a "not run" for a call that was sent, and the reverse. */
 static void test_outcomes(void)
 {
-	const char *const dead[] = {"dead", "127.0.0.1:1", NULL};
+	const char *const dead[] = { "dead", "127.0.0.1:1", NULL };
 	reply_t reply;
 	world_t w;
 
@@ -453,7 +454,7 @@
 
 	w.a.deed = DO_SILENT;
 	rig_route(&w.rig, "pay", true,
-		  (const char *const[]){"a", w.a.address, NULL});
+		  (const char *const[]){ "a", w.a.address, NULL });
 	call(&w, &reply, "/services/pay/deposit?x=1", "{}",
 	     "Berylshunt-Deadline-Ms: 600");
 	rig_wait(&w.rig, &reply.done, 1);
@@ -467,7 +468,7 @@
 
 static void answer_need(world_t *w, uint32_t verdict, uint64_t ms)
 {
-	bsh_message_t message = {.type = BSH_MSG_NEED_ANSWER};
+	bsh_message_t message = { .type = BSH_MSG_NEED_ANSWER };
 
 	message.need_answer.id = w->need_id;
 	message.need_answer.model = "m";
@@ -500,7 +501,7 @@
 	reply_free(&first);
 	reply_free(&second);
 
-	rig_route(&w.rig, "m", false, (const char *const[]){NULL});
+	rig_route(&w.rig, "m", false, (const char *const[]){ NULL });
 	call(&w, &first, CHAT_PATH, CHAT, "Berylshunt-Deadline-Ms: 3600000");
 	rig_wait(&w.rig, &w.needs, 2);
 	answer_need(&w, BSH_NEED_LOADING, 4000000);
@@ -528,8 +529,8 @@
 	from_a = w.a.requests;
 	w.a.deed = DO_REFUSE;
 	rig_route(&w.rig, "m", false,
-		  (const char *const[]){"a", w.a.address, "b", w.b.address,
-					NULL});
+		  (const char *const[]){ "a", w.a.address, "b", w.b.address,
+					 NULL });
 	for (int i = 0; i < 20 && w.a.requests == from_a; i++)
 		expect(&w, CHAT_PATH, CHAT, NULL, 200, "ok");
 	g_assert_cmpint(w.a.requests, ==, from_a + 1);
@@ -554,7 +555,7 @@
 
 	world_init(&w, NULL);
 	rig_route(&w.rig, "ping", true,
-		  (const char *const[]){"a", w.a.address, NULL});
+		  (const char *const[]){ "a", w.a.address, NULL });
 	w.a.deed = DO_BIG;
 	call(&w, &reply, "/services/ping/x", NULL, NULL);
 	rig_wait(&w.rig, &reply.done, 1);
@@ -616,7 +617,7 @@
 
 static void answer_intent(world_t *w, uint32_t verdict, const char *body)
 {
-	bsh_message_t message = {.type = BSH_MSG_INTENT_ANSWER};
+	bsh_message_t message = { .type = BSH_MSG_INTENT_ANSWER };
 
 	message.intent_answer.id = w->intent_id;
 	message.intent_answer.verdict = verdict;
@@ -637,19 +638,19 @@
 		int status;
 		const char *part;
 	} cases[] = {
-		{BSH_VERDICT_ANSWERED, 201, "recorded"},
-		{BSH_VERDICT_IN_PROGRESS, 409, "in-progress"},
-		{BSH_VERDICT_UNKNOWN, 409, "outcome-unknown"},
-		{BSH_VERDICT_MISMATCH, 422, "key-reused"},
-		{BSH_VERDICT_UNAVAILABLE, 503, "store-unavailable"},
-		{BSH_VERDICT_NOT_KEPT, 409, "answer-not-kept"},
+		{ BSH_VERDICT_ANSWERED, 201, "recorded" },
+		{ BSH_VERDICT_IN_PROGRESS, 409, "in-progress" },
+		{ BSH_VERDICT_UNKNOWN, 409, "outcome-unknown" },
+		{ BSH_VERDICT_MISMATCH, 422, "key-reused" },
+		{ BSH_VERDICT_UNAVAILABLE, 503, "store-unavailable" },
+		{ BSH_VERDICT_NOT_KEPT, 409, "answer-not-kept" },
 	};
 	reply_t reply;
 	world_t w;
 
 	world_init(&w, NULL);
 	rig_route(&w.rig, "pay", true,
-		  (const char *const[]){"a", w.a.address, NULL});
+		  (const char *const[]){ "a", w.a.address, NULL });
 	call(&w, &reply, "/services/pay/deposit", "{}", "Idempotency-Key: k1");
 	rig_wait(&w.rig, &w.intents, 1);
 	g_assert_cmpint(w.a.requests, ==, 0);
@@ -684,7 +685,7 @@
 
 	world_init(&w, NULL);
 	rig_route(&w.rig, "pay", true,
-		  (const char *const[]){"a", w.a.address, NULL});
+		  (const char *const[]){ "a", w.a.address, NULL });
 	call(&w, &reply, "/services/pay/deposit", "{}", "Idempotency-Key: k1");
 	rig_wait(&w.rig, &w.intents, 1);
 	bsh_http_call_cancel(reply.call);
@@ -700,7 +701,7 @@
 /* Guards against a shutdown that cuts a stream, or takes new work. */
 static void test_drain(void)
 {
-	bsh_message_t message = {.type = BSH_MSG_DRAIN};
+	bsh_message_t message = { .type = BSH_MSG_DRAIN };
 	reply_t stream;
 	reply_t late;
 	world_t w;
@@ -751,7 +752,8 @@
 		static const char *const events[] = {
 			"\"event\":\"config-adopted\"",
 			"\"event\":\"admitted\"", "\"event\":\"sent\"",
-			"\"event\":\"answered\""};
+			"\"event\":\"answered\""
+		};
 
 		last = strstr(last, events[i]);
 		g_assert_nonnull(last);
