--- a/regress/test_pages.sh
+++ b/regress/test_pages.sh
@@ -136,7 +136,7 @@
 }
 
 settings=$top/lib/base/settings.c
-sed -n 's/^	{"\([a-z]*\)", "\([a-z_]*\)", TYPE_.*/\1 \2/p' "$settings" >"$work/settings"
+sed -n 's/^	{ *"\([a-z]*\)", "\([a-z_]*\)", TYPE_.*/\1 \2/p' "$settings" >"$work/settings"
 cut -d ' ' -f 2 "$work/settings" | sort -u >"$work/settings-keys"
 has_all "$top/docs/man/berylshunt.conf.5" "$work/settings-keys"
 report $? /pages/keys/settings
@@ -155,7 +155,7 @@
 
 document=$top/lib/state/document.c
 {
-	sed -n 's/^	*{"\([a-z_]*\)", FIELD_.*/\1/p' "$document"
+	sed -n 's/^	*{ *"\([a-z_]*\)", FIELD_.*/\1/p' "$document"
 	tr '\n\t' '  ' <"$document" |
 		sed -n 's/.*top_keys\[\] = {\([^}]*\)}.*/\1/p' | tr -d '" ' | tr ',' '\n'
 	echo
@@ -167,7 +167,7 @@
 # Each error kind has a row with its status, outcome and Retry-After.
 { tr '\n\t' '  ' <"$top/lib/base/error.c"; echo; } |
 	sed 's/\[BSH_/\n[BSH_/g' |
-	sed -n 's/^\[BSH_[A-Z_]*\] = {"\([a-z-]*\)",.*, *\([0-9]*\), *\([A-Z_]*\), *\(true\|false\)}.*/\1 \2 \3 \4/p' |
+	sed -n 's/^\[BSH_[A-Z_]*\] = { *"\([a-z-]*\)",.*, *\([0-9]*\), *\([A-Z_]*\), *\(true\|false\) *}.*/\1 \2 \3 \4/p' |
 	sed 's/BSH_OUTCOME_//; s/NOT_RUN/not-run/; s/UNKNOWN/unknown/; s/ANSWERED/answered/; s/true/yes/; s/false/no/' >"$work/errors"
 status=0
 while read -r kind code outcome retry; do
