Share the daemons' command line, settings and signals

A mistyped console address was found by one daemon only, without its line. Ruled out: one main for all daemons; their start and end differ. lib/base/daemon has the shared part, lib/base/settings checks both keys with file and line.

--- a/bench/bshload/bshload.c
+++ b/bench/bshload/bshload.c
@@ -7,10 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/daemon.h"
 #include "protocol/sse.h"
 #include "transport/http_client.h"
 
-#define VERSION	       "0.1"
 #define MAX_THREADS    64
 #define MAX_CLIENTS    100000
 #define IDLE_MS	       120000
@@ -376,7 +376,7 @@
 	}
 	g_option_context_free(context);
 	if (show_version) {
-		printf("bshload %s\n", VERSION);
+		printf("bshload %s\n", BSH_VERSION);
 		exit(0);
 	}
 	if (argc > 1 || url == NULL || model == NULL ||
--- a/bshconsoled/bshconsoled.c
+++ b/bshconsoled/bshconsoled.c
@@ -5,15 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/signalfd.h>
-#include <signal.h>
 #include <unistd.h>
 
+#include "base/daemon.h"
 #include "base/log.h"
 #include "console.h"
 #include "transport/loop.h"
 
-#define VERSION		"0.1"
 #define SETTINGS_FILE	"/etc/berylshunt/berylshunt.conf"
 #define MAX_CONNECTIONS 64
 #define IDLE_TIMEOUT_S	10
@@ -75,26 +73,12 @@
 {
 	GString *problems = g_string_new(NULL);
 	bsh_error_t err = bsh_settings_load(&daemon->settings, path, problems);
-	char host[BSH_ADDRESS_SIZE];
-	uint16_t port;
-	int level = bsh_log_level_parse(daemon->settings.log_level);
-
-	if (err == BSH_OK && daemon->settings.console_listen[0] != '\0' &&
-	    bsh_address_split(daemon->settings.console_listen, host,
-			      sizeof(host), &port) != BSH_OK)
-		g_string_append_printf(problems,
-				       "%s: console.listen: '%s' is not "
-				       "IP:port\n",
-				       path, daemon->settings.console_listen);
-	if (err == BSH_OK && level < 0)
-		g_string_append_printf(problems,
-				       "%s: log.level: '%s' is not error, "
-				       "warning, info or debug\n",
-				       path, daemon->settings.log_level);
+
 	fputs(problems->str, stderr);
-	if (problems->len == 0)
-		bsh_log_init("bshconsoled", (bsh_log_level_t)level);
-	err = problems->len == 0 ? BSH_OK : BSH_ERR_INVALID;
+	if (err == BSH_OK)
+		bsh_log_init("bshconsoled",
+			     (bsh_log_level_t)bsh_log_level_parse(
+				     daemon->settings.log_level));
 	g_string_free(problems, TRUE);
 	return err == BSH_OK ? 0 : 1;
 }
@@ -115,13 +99,12 @@
 static void on_signal(void *ctx, int fd, unsigned int events)
 {
 	daemon_t *daemon = ctx;
-	struct signalfd_siginfo info;
+	uint32_t number = bsh_daemon_signal(fd);
 
 	(void)events;
-	if (read(fd, &info, sizeof(info)) != sizeof(info) ||
-	    daemon->console.draining)
+	if (number == 0 || daemon->console.draining)
 		return;
-	bsh_log(BSH_LOG_INFO, "drain signal=%u", info.ssi_signo);
+	bsh_log(BSH_LOG_INFO, "drain signal=%u", number);
 	bsh_timeline_add(&daemon->console.timeline, "drain", NULL);
 	daemon->console.draining = true;
 	daemon->drain_end_us = bsh_loop_now_us(&daemon->loop) +
@@ -132,17 +115,8 @@
 
 static bsh_error_t watch_signals(daemon_t *daemon)
 {
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	if (sigprocmask(SIG_BLOCK, &set, NULL) != 0)
-		return BSH_ERR_SYSTEM;
-	signal(SIGPIPE, SIG_IGN);
-	daemon->signal_fd = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
-	if (daemon->signal_fd < 0 ||
-	    bsh_loop_watch(&daemon->loop, daemon->signal_fd, BSH_LOOP_READ,
+	daemon->signal_fd = bsh_daemon_signals();
+	if (bsh_loop_watch(&daemon->loop, daemon->signal_fd, BSH_LOOP_READ,
 			   on_signal, daemon) == NULL)
 		return BSH_ERR_SYSTEM;
 	return BSH_OK;
@@ -240,7 +214,7 @@
 	int status = parse_options(&options, argc, argv);
 
 	if (status == 0 && options.version) {
-		puts("bshconsoled " VERSION);
+		puts("bshconsoled " BSH_VERSION);
 	} else if (status == 0) {
 		apr_initialize();
 		curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/bshcontrold/bshcontrold.c
+++ b/bshcontrold/bshcontrold.c
@@ -1,34 +1,16 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 #include <err.h>
-#include <signal.h>
 #include <sodium.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <sys/signalfd.h>
 #include <time.h>
 #include <unistd.h>
 
+#include "base/daemon.h"
 #include "base/log.h"
 #include "control.h"
 
-#define VERSION		 "0.1"
 #define IDLE_CONNECTIONS 256
 
-static char *settings_path;
-static gboolean check_only;
-static gboolean show_version;
-
-static const GOptionEntry options[] = {
-	{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &settings_path,
-	  "Settings file", "FILE" },
-	{ "check-config", 0, 0, G_OPTION_ARG_NONE, &check_only,
-	  "Check the settings file and exit", NULL },
-	{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
-	  "Print the version and exit", NULL },
-	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
-};
-
 int64_t control_now_us(void)
 {
 	struct timespec ts;
@@ -54,71 +36,10 @@
 	return randombytes_random();
 }
 
-static void usage(void)
-{
-	fprintf(stderr, "usage: bshcontrold -c file [--check-config]\n");
-	exit(1);
-}
-
-static void parse_options(int argc, char **argv)
-{
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
-
-	g_option_context_add_main_entries(context, options, NULL);
-	g_option_context_set_summary(
-		context, "Controls membership, placement, loads and "
-			 "configuration of one instance.");
-	if (!g_option_context_parse(context, &argc, &argv, &error)) {
-		warnx("%s", error->message);
-		usage();
-	}
-	g_option_context_free(context);
-	if (show_version) {
-		printf("bshcontrold %s\n", VERSION);
-		exit(0);
-	}
-	if (settings_path == NULL || argc > 1)
-		usage();
-}
-
-static void load_settings(bsh_settings_t *settings)
-{
-	GString *problems = g_string_new(NULL);
-
-	if (bsh_settings_load(settings, settings_path, problems) != BSH_OK) {
-		fputs(problems->str, stderr);
-		exit(1);
-	}
-	if (bsh_log_level_parse(settings->log_level) < 0)
-		errx(1, "%s: log.level: '%s' is not a level", settings_path,
-		     settings->log_level);
-	g_string_free(problems, TRUE);
-}
-
-static int open_signals(void)
-{
-	sigset_t set;
-	int fd;
-
-	signal(SIGPIPE, SIG_IGN);
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	if (sigprocmask(SIG_BLOCK, &set, NULL) != 0)
-		err(1, "sigprocmask");
-	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-	if (fd < 0)
-		err(1, "signalfd");
-	return fd;
-}
-
 static void on_signal(void *ctx, int fd, unsigned int events)
 {
-	struct signalfd_siginfo info;
-
 	(void)events;
-	while (read(fd, &info, sizeof(info)) == (ssize_t)sizeof(info))
+	while (bsh_daemon_signal(fd) != 0)
 		shutdown_begin(ctx);
 }
 
@@ -129,8 +50,6 @@
 	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0 ||
 	    curl_global_init(CURL_GLOBAL_ALL) != 0)
 		errx(1, "cannot initialise the libraries");
-	bsh_log_init("bshcontrold",
-		     (bsh_log_level_t)bsh_log_level_parse(s->log_level));
 	control->incarnation = (uint64_t)g_get_real_time();
 	bsh_hlc_init(&control->clock);
 	bsh_timeline_init(&control->timeline, &control->clock, s->instance,
@@ -191,11 +110,11 @@
 	bsh_loop_watch_t *watch;
 	int signal_fd;
 
-	parse_options(argc, argv);
-	load_settings(&control.settings);
-	if (check_only)
-		return 0;
-	signal_fd = open_signals();
+	bsh_daemon_start(&control.settings, "bshcontrold",
+			 "Controls membership, placement, loads and "
+			 "configuration of one instance.",
+			 argc, argv);
+	signal_fd = bsh_daemon_signals();
 	init(&control);
 	watch = bsh_loop_watch(&control.loop, signal_fd, BSH_LOOP_READ,
 			       on_signal, &control);
--- a/bshctl/bshctl.c
+++ b/bshctl/bshctl.c
@@ -1,3 +1,4 @@
+#include "base/daemon.h"
 #include "bshctl.h"
 
 #include <err.h>
@@ -5,7 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define VERSION		   "0.1"
 #define TIMEOUT_DEFAULT_MS 5000
 #define TIMEOUT_MAX_MS	   600000
 
@@ -347,7 +347,7 @@
 		return CTL_OK;
 	}
 	if (strcmp(argv[1], "--version") == 0) {
-		puts("bshctl " VERSION);
+		puts("bshctl " BSH_VERSION);
 		return CTL_OK;
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -6,11 +6,14 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/log.h"
+
 typedef enum {
 	TYPE_STRING,
-	TYPE_ADDRESS,
+	TYPE_ADDRESS, /* empty only if that is the default */
 	TYPE_UINT,
-	TYPE_KEY
+	TYPE_KEY,
+	TYPE_LEVEL
 } setting_type_t;
 
 typedef struct {
@@ -43,7 +46,7 @@
 	{ "control", "gossip", TYPE_ADDRESS, FIELD(control_gossip), 0, 0,
 	  NULL },
 	{ "control", "seeds", TYPE_STRING, FIELD(control_seeds), 0, 0, "" },
-	{ "console", "listen", TYPE_STRING, FIELD(console_listen), 0, 0, "" },
+	{ "console", "listen", TYPE_ADDRESS, FIELD(console_listen), 0, 0, "" },
 	{ "timing", "probe_period_ms", TYPE_UINT, FIELD(probe_period_ms), 50,
 	  60000, "1000" },
 	{ "timing", "fresh_ms", TYPE_UINT, FIELD(fresh_ms), 500, 11000,
@@ -62,7 +65,7 @@
 	  "4096" },
 	{ "timeline", "flush_ms", TYPE_UINT, FIELD(timeline_flush_ms), 100,
 	  600000, "10000" },
-	{ "log", "level", TYPE_STRING, FIELD(log_level), 1, 0, "info" },
+	{ "log", "level", TYPE_LEVEL, FIELD(log_level), 1, 0, "info" },
 };
 
 typedef struct {
@@ -195,6 +198,8 @@
 		set_key(report, s, (uint8_t *)field, value);
 		return;
 	case TYPE_ADDRESS:
+		if (value[0] == '\0' && s->fallback != NULL)
+			break;
 		if (bsh_address_split(value, host, sizeof(host), &port) !=
 		    BSH_OK) {
 			problem(report, s->group, s->key, "'%s' is not IP:port",
@@ -202,6 +207,14 @@
 			return;
 		}
 		break;
+	case TYPE_LEVEL:
+		if (bsh_log_level_parse(value) < 0) {
+			problem(report, s->group, s->key,
+				"'%s' is not error, warning, info or debug",
+				value);
+			return;
+		}
+		break;
 	case TYPE_STRING:
 		if ((int64_t)strlen(value) < s->min) {
 			problem(report, s->group, s->key, "must not be empty");
--- a/regress/test_base.c
+++ b/regress/test_base.c
@@ -51,7 +51,9 @@
 	g_autofree char *text =
 		g_strconcat(valid,
 			    "listne=127.0.0.1:1\n[timing]\nfresh_ms=99999\n"
-			    "lease_ms=soon\n[colour]\na=b\n",
+			    "lease_ms=soon\n[colour]\na=b\n"
+			    "[console]\nlisten=localhost:1\n"
+			    "[log]\nlevel=loud\n",
 			    NULL);
 	bsh_settings_t settings;
 	g_autoptr(GString) problems = g_string_new(NULL);
@@ -68,6 +70,12 @@
 		       ":18: timing.lease_ms: 'soon' is not a whole number\n"));
 	g_assert_nonnull(
 		strstr(problems->str, ":19: unknown group [colour]\n"));
+	g_assert_nonnull(strstr(problems->str, ":22: console.listen: "
+					       "'localhost:1' is not "
+					       "IP:port\n"));
+	g_assert_nonnull(strstr(problems->str, ":24: log.level: 'loud' is not "
+					       "error, warning, info or "
+					       "debug\n"));
 }
 
 /* Guards against a daemon that starts without an address it needs. */
