--- a/regress/test_attempt.c
+++ b/regress/test_attempt.c
@@ -394,6 +394,8 @@
 
 			first_tries += sub->submitted_us > 0;
 		}
+		g_test_message("seed %u: %d connections for %d requests", seed,
+			       w.opened, first_tries);
 		g_assert_cmpint(w.opened * 10, <=, first_tries * 11);
 		g_assert_cmpint(w.opened, >, first_tries / 2);
 		world_finish(&w);
