--- a/regress/test_loads.c
+++ b/regress/test_loads.c
@@ -390,6 +390,38 @@
 	bsh_loader_finish(&r.loader);
 }
 
+/* Ticks at the times that the loader asks for, as the daemon does. */
+static int count_ticks(rig_t *r, int64_t for_us, bool answers)
+{
+	int64_t end_us = r->now_us + for_us;
+	int ticks = 0;
+
+	while (r->now_us < end_us) {
+		r->now_us = bsh_loader_next_us(&r->loader);
+		bsh_loader_tick(&r->loader, r->now_us);
+		if (answers)
+			settle(r);
+		ticks++;
+	}
+	return ticks;
+}
+
+/* Guards against a loader that asks to run each millisecond while nothing is
+ * due, or while an overdue cell waits for the store: idle daemons took more
+ * than 1 % of a core that way. */
+static void test_loader_ticks(void)
+{
+	rig_t r;
+
+	rig_init(&r, 1000);
+	pass(&r, 5 * S);
+	g_assert_cmpint(count_ticks(&r, 10 * S, true), <=, 200);
+	r.is_down = true;
+	g_assert_cmpint(count_ticks(&r, 10 * S, true), <=, 200);
+	g_assert_cmpint(count_ticks(&r, 10 * S, false), <=, 200);
+	bsh_loader_finish(&r.loader);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -400,5 +432,6 @@
 	g_test_add_func("/placement/decisions", test_placement);
 	g_test_add_func("/loader/demand", test_loader_demand);
 	g_test_add_func("/loader/outage", test_loader_outage);
+	g_test_add_func("/loader/ticks", test_loader_ticks);
 	return g_test_run();
 }
