--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -27,8 +27,8 @@
 
 static void adopt(catalogs_t *catalogs, bsh_catalog_t *catalog)
 {
-	uint64_t old = catalogs->current != NULL ? catalogs->current->version
-						 : 0;
+	uint64_t old =
+		catalogs->current != NULL ? catalogs->current->version : 0;
 
 	bsh_log(BSH_LOG_INFO,
 		"configuration-adopted version=%" G_GUINT64_FORMAT
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -106,8 +106,7 @@
 
 	if (stat(control->entry->settings_path, &info) != 0)
 		return 0;
-	return info.st_mtim.tv_sec * INT64_C(1000000000) +
-	       info.st_mtim.tv_nsec;
+	return info.st_mtim.tv_sec * INT64_C(1000000000) + info.st_mtim.tv_nsec;
 }
 
 /* Values that take effect without a restart. */
@@ -118,8 +117,8 @@
 	now->entry_leaving_ms = settings->entry_leaving_ms;
 	g_strlcpy(now->log_level, settings->log_level, sizeof(now->log_level));
 	now->log_lines_per_s = settings->log_lines_per_s;
-	bsh_log_init("bshentryd", (bsh_log_level_t)bsh_log_level_parse(
-					  settings->log_level));
+	bsh_log_init("bshentryd",
+		     (bsh_log_level_t)bsh_log_level_parse(settings->log_level));
 	bsh_log_limit(settings->log_lines_per_s);
 }
 
@@ -143,8 +142,9 @@
 	if (bsh_settings_load(&settings, control->entry->settings_path,
 			      problems) != BSH_OK) {
 		g_strdelimit(problems->str, "\n", ' ');
-		bsh_log(BSH_LOG_ERROR, "reload-refused reason=%s problems=\"%s\"",
-			reason, problems->str);
+		bsh_log(BSH_LOG_ERROR,
+			"reload-refused reason=%s problems=\"%s\"", reason,
+			problems->str);
 		return;
 	}
 	bsh_log(BSH_LOG_INFO, "reload reason=%s needs_restart=%d", reason,
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -6,6 +6,7 @@
  *	control - parts of the control thread
  */
 
+#include "coordination/entry_choice.h"
 #include "coordination/lease.h"
 #include "coordination/member.h"
 #include "coordination/planner.h"
@@ -85,9 +86,7 @@
 		const bsh_message_t *message);
 void peers_broadcast(peers_t *peers, const bsh_message_t *message);
 /* Addresses for callers, of instances that take requests. */
-typedef void (*peers_address_fn_t)(void *ctx, const char *address,
-				   const char *zone);
-void peers_addresses(const peers_t *peers, peers_address_fn_t fn, void *ctx);
+void peers_choose_entries(const peers_t *peers, bsh_entry_choice_t *choice);
 
 /* orders.c */
 orders_t *orders_new(control_t *control);
--- a/bshentryd/directory.c
+++ b/bshentryd/directory.c
@@ -8,9 +8,7 @@
 #include "base/log.h"
 #include "platform/ingress.h"
 
-/* Addresses in one answer; callers use no more. */
-#define ADDRESSES_MAX 64U
-#define CONNECTIONS   512U
+#define CONNECTIONS 512U
 /* A caller asks again within seconds; a probe comes each second. */
 #define IDLE_S 10U
 
@@ -49,27 +47,12 @@
 	bsh_http_answer(request, ready ? 200 : 503, "", 0);
 }
 
-typedef struct {
-	const char *list[ADDRESSES_MAX];
-	uint32_t n;
-} addresses_t;
-
-static void add_address(void *ctx, const char *address, const char *zone)
-{
-	addresses_t *addresses = ctx;
-
-	(void)zone;
-	if (addresses->n < ADDRESSES_MAX)
-		addresses->list[addresses->n++] = address;
-}
-
 static void on_resolve_request(void *ctx, bsh_http_request_t *request)
 {
 	directory_t *directory = ctx;
-	const bsh_settings_t *settings =
-		&directory->control->entry->settings;
+	const bsh_settings_t *settings = &directory->control->entry->settings;
 	platform_resolve_t question;
-	addresses_t addresses = { .n = 0 };
+	bsh_entry_choice_t entries = { .n = 0 };
 
 	if (!platform_is_resolve(request, &question)) {
 		bsh_http_answer(request, 404, "", 0);
@@ -81,13 +64,13 @@
 		bsh_http_answer(request, 503, "", 0);
 		return;
 	}
-	peers_addresses(directory->control->peers, add_address, &addresses);
-	if (addresses.n == 0) {
+	peers_choose_entries(directory->control->peers, &entries);
+	if (entries.n == 0) {
 		bsh_http_answer(request, 503, "", 0);
 		return;
 	}
 	bsh_counter_add(&resolved, 1);
-	platform_answer_resolve(request, addresses.list, addresses.n,
+	platform_answer_resolve(request, entries.addresses, entries.n,
 				settings->entry_resolve_keep_s);
 }
 
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -131,8 +131,9 @@
 	if (feed == NULL)
 		return;
 	if (answer->result == PLATFORM_HISTORY_GONE) {
-		bsh_log(BSH_LOG_INFO, "store-history-gone kind=%s revision=%"
-			G_GUINT64_FORMAT,
+		bsh_log(BSH_LOG_INFO,
+			"store-history-gone kind=%s "
+			"revision=%" G_GUINT64_FORMAT,
 			platform_kind_name(feed->kind), feed->revision);
 		begin_list(feed);
 		next(feed, 0);
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -40,10 +40,10 @@
 	platform_kind_t kind;
 	feed_ops_t ops;
 	bsh_loop_timer_t timer;
-	uint64_t serial;    /* of the last call */
-	uint64_t revision;  /* up to which changes are known */
-	uint64_t list;	    /* number of the current list */
-	char *after;	    /* name at which the list goes on */
+	uint64_t serial;	/* of the last call */
+	uint64_t revision;	/* up to which changes are known */
+	uint64_t list;		/* number of the current list */
+	char *after;		/* name at which the list goes on */
 	uint64_t list_revision; /* of the first page */
 	bool listing;
 	bool running; /* a call is out */
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -251,8 +251,7 @@
 		.deadline_ms = forward_time_left_ms(r),
 		.priority = r->route->priority,
 		.has_priority = r->service->has_engine,
-		.last_event_id =
-			continue_after(r, event_id, sizeof(event_id)),
+		.last_event_id = continue_after(r, event_id, sizeof(event_id)),
 	};
 	GPtrArray *headers = platform_forward_headers(&r->info, &forward);
 	g_autofree char *url =
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -34,7 +34,7 @@
 	GArray *ready;	     /* view_ready_t, own or as told by the holder */
 	int64_t beacon_us;
 	int64_t estimate_us;
-	uint32_t beacon_next; /* target that the next beacon repeats */
+	uint32_t beacon_next;	    /* target that the next beacon repeats */
 	char holder[BSH_NAME_SIZE]; /* as last heard */
 	int64_t heard_us;
 };
@@ -177,10 +177,9 @@
 	if (adapter[0] != '\0')
 		call_order.adapter = adapter;
 	call->expected = order->expected;
-	call->what = g_strdup_printf("op=%s model=%s%s%s",
-				     order->load ? "load" : "unload",
-				     model->name, adapter[0] != '\0' ? "/" : "",
-				     adapter);
+	call->what = g_strdup_printf(
+		"op=%s model=%s%s%s", order->load ? "load" : "unload",
+		model->name, adapter[0] != '\0' ? "/" : "", adapter);
 	platform_worker_order(orders->control->client, &call_order, on_ordered,
 			      call);
 }
@@ -227,18 +226,18 @@
 	int64_t now = now_us(orders);
 	uint32_t n_ready = 0;
 
-	for (guint i = 0; with_ready && i < orders->ready->len &&
-			  n_ready < READY_MAX;
-	     i++) {
+	for (guint i = 0;
+	     with_ready && i < orders->ready->len && n_ready < READY_MAX; i++) {
 		const view_ready_t *item =
 			&g_array_index(orders->ready, view_ready_t, i);
 
 		ready[n_ready].model = item->model;
 		ready[n_ready].adapter = item->adapter;
 		ready[n_ready].ready_in_ms =
-			item->ready_us == INT64_MAX ?
-				UINT32_MAX :
-				(uint32_t)(MAX(item->ready_us - now, 0) / 1000);
+			item->ready_us == INT64_MAX
+				? UINT32_MAX
+				: (uint32_t)(MAX(item->ready_us - now, 0) /
+					     1000);
 		n_ready++;
 	}
 	message.placement.term = orders->lease.term;
@@ -314,9 +313,9 @@
 
 		bsh_planner_foreach(service->planner, add_to_beacon, &beacon);
 	}
-	orders->beacon_next = beacon.from + BEACON_TARGETS < beacon.seen ?
-				      beacon.from + BEACON_TARGETS :
-				      0;
+	orders->beacon_next = beacon.from + BEACON_TARGETS < beacon.seen
+				      ? beacon.from + BEACON_TARGETS
+				      : 0;
 	send_placement(orders, beacon.entries, beacon.n, true);
 }
 
@@ -325,8 +324,7 @@
 {
 	int64_t now = now_us(orders);
 
-	if (orders->lease.known &&
-	    placement->revision < orders->lease.revision)
+	if (orders->lease.known && placement->revision < orders->lease.revision)
 		return;
 	bsh_lease_heard(&orders->lease, placement->released ? "" : sender,
 			placement->revision, now);
@@ -382,28 +380,33 @@
 	orders_t *orders = ctx;
 	const char *holder = NULL;
 	uint64_t revision = answer->revision;
+	bool active = false;
 
 	if (answer->n > 0) {
-		holder = json_string_value(json_object_get(
-			answer->objects[0].spec, "holder"));
+		const json_t *spec = answer->objects[0].spec;
+
+		holder = json_string_value(json_object_get(spec, "holder"));
+		active = json_is_true(json_object_get(spec, "active"));
 		revision = answer->objects[0].revision;
 	}
 	if (answer->result != PLATFORM_DONE)
 		bsh_log(BSH_LOG_INFO,
-			"lease-call result=%s status=%d holder=%s revision=%"
-			G_GUINT64_FORMAT " took_ms=%d",
+			"lease-call result=%s status=%d holder=%s "
+			"revision=%" G_GUINT64_FORMAT " took_ms=%d",
 			platform_result_name(answer->result), answer->status,
 			holder != NULL ? holder : "-", revision,
 			(int)(answer->took_us / 1000));
 	bsh_lease_done(&orders->lease, lease_result(answer->result), holder,
-		       revision, now_us(orders));
+		       active, revision, now_us(orders));
 }
 
 static json_t *lease_spec(const orders_t *orders)
 {
 	/* The time makes each renewal a change, which raises the revision. */
-	return json_pack("{s:s, s:I}", "holder",
+	return json_pack("{s:s, s:b, s:I}", "holder",
 			 orders->lease.releasing ? "" : orders->lease.self,
+			 "active",
+			 bsh_lease_may_order(&orders->lease, now_us(orders)),
 			 "renewed_us", (json_int_t)g_get_real_time());
 }
 
@@ -468,8 +471,7 @@
 			       .told_us = now_us(orders) };
 
 	if (entry->ready_in_ms != UINT32_MAX)
-		ready.ready_us =
-			now_us(orders) + entry->ready_in_ms * 1000LL;
+		ready.ready_us = now_us(orders) + entry->ready_in_ms * 1000LL;
 	g_array_append_val(orders->ready, ready);
 }
 
@@ -531,9 +533,9 @@
 	orders_t *orders = g_new0(orders_t, 1);
 	/* The one whose name hashes lowest tries first, the others a little
 	 * later, when they have heard of it. */
-	uint32_t spread_us = XXH32(settings->instance,
-				   strlen(settings->instance), 0) %
-			     400000U;
+	uint32_t spread_us =
+		XXH32(settings->instance, strlen(settings->instance), 0) %
+		400000U;
 
 	bsh_counter_register(&holding);
 	for (size_t i = 0; i < G_N_ELEMENTS(results); i++)
@@ -632,8 +634,7 @@
 	g_array_append_vals(view->ready, orders->ready->data,
 			    orders->ready->len);
 	view->has_holder = orders->heard_us > 0 &&
-			   now_us(orders) - orders->heard_us <
-				   HOLDER_SILENT_US;
+			   now_us(orders) - orders->heard_us < HOLDER_SILENT_US;
 }
 
 void orders_release(orders_t *orders)
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -327,8 +327,7 @@
 void peers_send(peers_t *peers, const char *instance,
 		const bsh_message_t *message)
 {
-	const bsh_member_t *member =
-		bsh_members_find(peers->members, instance);
+	const bsh_member_t *member = bsh_members_find(peers->members, instance);
 
 	if (member != NULL && member->has_place)
 		bsh_datagrams_send(&peers->datagrams, member->place.gossip,
@@ -359,24 +358,12 @@
 	bsh_members_foreach(peers->members, send_one, &broadcast);
 }
 
-typedef struct {
-	peers_address_fn_t fn;
-	void *ctx;
-} visit_t;
-
-static void visit_address(void *ctx, const bsh_member_t *member)
+static void choose_member(void *ctx, const bsh_member_t *member)
 {
-	visit_t *visit = ctx;
-
-	if (!member->leaving && member->has_place &&
-	    (member->state == BSH_MEMBER_ALIVE ||
-	     member->state == BSH_MEMBER_SUSPECT))
-		visit->fn(visit->ctx, member->place.entry, member->place.zone);
+	bsh_entry_choice_add(ctx, member);
 }
 
-void peers_addresses(const peers_t *peers, peers_address_fn_t fn, void *ctx)
+void peers_choose_entries(const peers_t *peers, bsh_entry_choice_t *choice)
 {
-	visit_t visit = { fn, ctx };
-
-	bsh_members_foreach(peers->members, visit_address, &visit);
+	bsh_members_foreach(peers->members, choose_member, choice);
 }
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -83,8 +83,7 @@
 static bool is_same(const bsh_target_t *a, const bsh_target_t *b)
 {
 	return a->leaving == b->leaving && a->started_ms == b->started_ms &&
-	       a->slots == b->slots &&
-	       strcmp(a->address, b->address) == 0 &&
+	       a->slots == b->slots && strcmp(a->address, b->address) == 0 &&
 	       strcmp(a->service, b->service) == 0 &&
 	       bsh_holdings_equal(&a->holdings, &b->holdings);
 }
@@ -225,15 +224,14 @@
 	bsh_holdings_t holdings;
 	bool same;
 
-	if (listed == NULL ||
-	    entry->started_ms != listed->target.started_ms ||
+	if (listed == NULL || entry->started_ms != listed->target.started_ms ||
 	    (listed->placed && term < listed->placed_term) ||
 	    (listed->placed && term == listed->placed_term &&
 	     entry->version < listed->placed_version))
 		return;
 	decode_pairs(entry, &holdings);
-	same = listed->placed && bsh_holdings_equal(&holdings,
-						    &listed->holdings);
+	same = listed->placed &&
+	       bsh_holdings_equal(&holdings, &listed->holdings);
 	listed->placed = true;
 	listed->placed_us = control_now_us(targets->control);
 	listed->placed_started_ms = entry->started_ms;
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -311,31 +311,32 @@
 /* The target for the request, or NULL. */
 static const view_target_t *choose(request_t *r)
 {
-	const GArray *targets = r->traffic->view->targets;
-	g_autofree bsh_candidate_t *candidates =
-		g_new0(bsh_candidate_t, targets->len + 1);
-	g_autofree const view_target_t **items =
-		g_new0(const view_target_t *, targets->len + 1);
-	uint32_t n = 0;
+	traffic_t *t = r->traffic;
+	const GArray *targets = t->view->targets;
 	int32_t best;
 
+	g_array_set_size(t->candidates, 0);
+	g_ptr_array_set_size(t->candidate_targets, 0);
 	for (guint i = 0; i < targets->len; i++) {
-		const view_target_t *target =
+		view_target_t *target =
 			&g_array_index(targets, view_target_t, i);
+		bsh_candidate_t candidate = {
+			.slots = target->slots,
+			.target_hash = target->hash,
+			.same_zone = target->same_zone,
+			.doubtful = target->doubtful,
+		};
 
 		if (!can_serve(r, target) || was_tried(r, target->hash))
 			continue;
-		candidates[n].record =
-			&get_target(r->traffic, target->id)->record;
-		candidates[n].slots = target->slots;
-		candidates[n].target_hash = target->hash;
-		candidates[n].same_zone = target->same_zone;
-		candidates[n].doubtful = target->doubtful;
-		items[n++] = target;
+		candidate.record = &get_target(t, target->id)->record;
+		g_array_append_val(t->candidates, candidate);
+		g_ptr_array_add(t->candidate_targets, target);
 	}
-	best = bsh_target_choose(candidates, n, affinity_of(r),
-				 traffic_now_us(r->traffic));
-	return best >= 0 ? items[best] : NULL;
+	best = bsh_target_choose(
+		(const bsh_candidate_t *)(void *)t->candidates->data,
+		t->candidates->len, affinity_of(r), traffic_now_us(t));
+	return best >= 0 ? g_ptr_array_index(t->candidate_targets, best) : NULL;
 }
 
 static bsh_retry_budget_t *budget_of(request_t *r)
@@ -446,8 +447,7 @@
 	if (r->answering &&
 	    !(r->is_stream && r->route->resumable && r->relay.passed > 0))
 		return false;
-	return bsh_retry_budget_take(budget_of(r),
-				     traffic_now_us(r->traffic));
+	return bsh_retry_budget_take(budget_of(r), traffic_now_us(r->traffic));
 }
 
 static void note_target(request_t *r, attempt_end_t end)
@@ -538,8 +538,8 @@
 	request_t *r = ctx;
 
 	if (r->state == REQUEST_RUNNING) {
-		note_target(r, r->head_seen ? ATTEMPT_ANSWERED
-					    : ATTEMPT_BROKEN);
+		note_target(r,
+			    r->head_seen ? ATTEMPT_ANSWERED : ATTEMPT_BROKEN);
 		r->may_have_run = r->may_have_run || r->call_sent;
 	}
 	give_up(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
@@ -615,8 +615,7 @@
 {
 	const bsh_route_rule_t *route = r->route;
 
-	r->service =
-		bsh_catalog_service_at(r->catalog, pick_split(route));
+	r->service = bsh_catalog_service_at(r->catalog, pick_split(route));
 	r->is_stream = route->kind == BSH_KIND_STREAM;
 	r->repeatable = route->kind == BSH_KIND_REPEATABLE ||
 			(r->is_stream && route->resumable);
@@ -708,8 +707,8 @@
 static void note_targets(traffic_t *t)
 {
 	for (guint i = 0; i < t->view->targets->len; i++)
-		get_target(t, g_array_index(t->view->targets, view_target_t, i)
-				      .id)
+		get_target(t,
+			   g_array_index(t->view->targets, view_target_t, i).id)
 			->seen = t->view_number;
 	g_hash_table_foreach_remove(t->targets, is_forgotten, t);
 }
@@ -721,7 +720,8 @@
 
 	if (x->route->priority != y->route->priority)
 		return x->route->priority < y->route->priority ? -1 : 1;
-	return x->arrived_us < y->arrived_us ? -1 : x->arrived_us > y->arrived_us;
+	return x->arrived_us < y->arrived_us ? -1
+					     : x->arrived_us > y->arrived_us;
 }
 
 static void retry_waiting(traffic_t *t)
@@ -804,12 +804,14 @@
 	entry->traffic = t;
 	t->entry = entry;
 	t->loop = &entry->traffic_loop;
-	t->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   g_free);
+	t->targets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	t->use = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				       g_free);
-	t->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
+	t->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	t->candidates = g_array_new(FALSE, FALSE, sizeof(bsh_candidate_t));
+	t->candidate_targets = g_ptr_array_new();
 	g_queue_init(&t->waiting);
 	bsh_loop_timer_init(&t->demand_timer, t->loop, send_demand, t);
 	bsh_loop_timer_init(&t->quit_timer, t->loop, check_quit, t);
@@ -832,5 +834,7 @@
 	g_hash_table_destroy(t->targets);
 	g_hash_table_destroy(t->use);
 	g_hash_table_destroy(t->budgets);
+	g_array_free(t->candidates, TRUE);
+	g_ptr_array_free(t->candidate_targets, TRUE);
 	g_free(t);
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -47,7 +47,9 @@
 	GHashTable *targets; /* id to target_state_t */
 	GHashTable *use;     /* model and adapter to model_use_t */
 	GHashTable *budgets; /* service to bsh_retry_budget_t */
-	GQueue waiting;	     /* request_t, in order of arrival */
+	GArray *candidates;  /* bsh_candidate_t, of the request at hand */
+	GPtrArray *candidate_targets; /* view_target_t, the same ones */
+	GQueue waiting;		      /* request_t, in order of arrival */
 	bsh_loop_timer_t demand_timer;
 	bsh_loop_timer_t quit_timer;
 	bool demand_urgent;
@@ -99,7 +101,7 @@
 	bool head_seen;
 	bool answering; /* the head has gone to the caller */
 	bool paused;
-	GString *held; /* body that is kept back */
+	GString *held;	 /* body that is kept back */
 	GString *events; /* whole events to be written */
 	bsh_event_relay_t relay;
 	int64_t first_byte_us;
--- a/lib/base/histogram.c
+++ b/lib/base/histogram.c
@@ -67,10 +67,10 @@
 			   (double)total);
 		bound_us *= 2;
 	}
-	print_line(out, histogram, "_sum", NULL,
-		   (double)__atomic_load_n(&histogram->sum_us,
-					   __ATOMIC_RELAXED) /
-			   1e6);
+	print_line(
+		out, histogram, "_sum", NULL,
+		(double)__atomic_load_n(&histogram->sum_us, __ATOMIC_RELAXED) /
+			1e6);
 	print_line(out, histogram, "_count", NULL, (double)total);
 }
 
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -23,13 +23,14 @@
 	return lease->lease_us * BSH_LEASE_VALID_PERCENT / 100;
 }
 
-static void set_known(bsh_lease_t *lease, const char *holder,
+static void set_known(bsh_lease_t *lease, const char *holder, bool active,
 		      uint64_t revision, int64_t now_us)
 {
 	if (lease->known && revision <= lease->revision)
 		return;
 	lease->known = true;
 	lease->revision = revision;
+	lease->active = active;
 	lease->since_us = now_us;
 	g_strlcpy(lease->holder, holder, sizeof(lease->holder));
 	if (lease->holding && strcmp(holder, lease->self) != 0)
@@ -47,9 +48,34 @@
 	       now_us >= lease->first_order_us;
 }
 
+/* When the last order of the former holder is a lease time old.  Noted before
+ * the update is sent: its answer may be lost, and a later read shows only that
+ * this instance holds the lease. */
+static void note_former_holder(bsh_lease_t *lease, int64_t now_us)
+{
+	int64_t until_us = now_us;
+
+	if (!lease->known)
+		return;
+	if (lease->holder[0] == '\0')
+		until_us += lease->lease_us + BSH_LEASE_MARGIN_US;
+	else if (strcmp(lease->holder, lease->self) != 0)
+		/* It was renewed at the latest when this revision became
+		 * known. */
+		until_us = lease->since_us + valid_us(lease) + lease->lease_us +
+			   BSH_LEASE_MARGIN_US;
+	else if (!lease->active && lease->others_until_us == 0)
+		/* The process before this one took it, and did not say that
+		 * it had waited. */
+		until_us += lease->lease_us + BSH_LEASE_MARGIN_US;
+	lease->others_until_us = MAX(lease->others_until_us, until_us);
+}
+
 static bsh_lease_call_t begin(bsh_lease_t *lease, bsh_lease_call_t call,
 			      int64_t now_us)
 {
+	if (call == BSH_LEASE_REPLACE && !lease->holding)
+		note_former_holder(lease, now_us);
 	lease->running = call;
 	lease->call_began_us = now_us;
 	return call;
@@ -88,22 +114,10 @@
 	return BSH_LEASE_NOTHING;
 }
 
-/* When the last order of the former holder is a lease time old. */
-static int64_t first_order(const bsh_lease_t *lease, int64_t now_us)
-{
-	if (!lease->known || strcmp(lease->holder, lease->self) == 0)
-		return now_us;
-	if (lease->holder[0] == '\0')
-		return now_us + lease->lease_us + BSH_LEASE_MARGIN_US;
-	/* It was renewed at the latest when this revision became known. */
-	return lease->since_us + valid_us(lease) + lease->lease_us +
-	       BSH_LEASE_MARGIN_US;
-}
-
 static void take(bsh_lease_t *lease, uint64_t revision, int64_t now_us)
 {
 	if (!lease->holding) {
-		lease->first_order_us = first_order(lease, now_us);
+		lease->first_order_us = MAX(lease->others_until_us, now_us);
 		lease->term = revision;
 	}
 	lease->holding = true;
@@ -126,7 +140,8 @@
 }
 
 void bsh_lease_done(bsh_lease_t *lease, bsh_lease_result_t result,
-		    const char *holder, uint64_t revision, int64_t now_us)
+		    const char *holder, bool active, uint64_t revision,
+		    int64_t now_us)
 {
 	bsh_lease_call_t call = lease->running;
 
@@ -137,12 +152,12 @@
 		if (call != BSH_LEASE_READ)
 			updated(lease, revision, now_us);
 		else if (holder != NULL)
-			set_known(lease, holder, revision, now_us);
+			set_known(lease, holder, active, revision, now_us);
 		return;
 	case BSH_LEASE_CONFLICT:
 		lease->holding = false;
 		if (holder != NULL)
-			set_known(lease, holder, revision, now_us);
+			set_known(lease, holder, active, revision, now_us);
 		else
 			lease->check = true;
 		break;
@@ -164,7 +179,7 @@
 void bsh_lease_heard(bsh_lease_t *lease, const char *holder, uint64_t revision,
 		     int64_t now_us)
 {
-	set_known(lease, holder, revision, now_us);
+	set_known(lease, holder, true, revision, now_us);
 }
 
 void bsh_lease_release(bsh_lease_t *lease)
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -63,13 +63,16 @@
 	bool known;
 	uint64_t revision;
 	char holder[BSH_NAME_SIZE]; /* empty: released */
+	bool active;	  /* its holder has waited for the one before it */
 	int64_t since_us; /* this revision is known since then */
 
 	/* The own term. */
 	bool holding;
 	uint64_t term;
-	int64_t renewed_us;	/* start of the last successful update */
-	int64_t first_order_us; /* no order before */
+	int64_t renewed_us;	 /* start of the last successful update */
+	int64_t first_order_us;	 /* no order before */
+	int64_t others_until_us; /* until when another holder's last order is
+				  * too young */
 
 	bsh_lease_call_t running;
 	int64_t call_began_us;
@@ -85,16 +88,18 @@
 
 /*
  * bsh_lease_next - the call to make now.  For CREATE and REPLACE the object
- * names lease->self as its holder, or nobody while lease->releasing.
+ * names lease->self as its holder, or nobody while lease->releasing, and is
+ * active if bsh_lease_may_order() is true.
  */
 bsh_lease_call_t bsh_lease_next(bsh_lease_t *lease, int64_t now_us);
 
 /*
- * bsh_lease_done - the result of that call.  holder and revision are those of
- * the object that the answer shows; holder is NULL when it shows none.
+ * bsh_lease_done - the result of that call.  holder, active and revision are
+ * those of the object that the answer shows; holder is NULL when it shows none.
  */
 void bsh_lease_done(bsh_lease_t *lease, bsh_lease_result_t result,
-		    const char *holder, uint64_t revision, int64_t now_us);
+		    const char *holder, bool active, uint64_t revision,
+		    int64_t now_us);
 
 /* bsh_lease_heard - a holder told of its lease; an empty one has released. */
 void bsh_lease_heard(bsh_lease_t *lease, const char *holder, uint64_t revision,
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -108,8 +108,7 @@
 	planner->ops.placed(planner->ctx, &t->target, &t->usable, t->version);
 }
 
-static uint32_t order_mb(const bsh_planner_t *planner,
-			 const bsh_order_t *order)
+static uint32_t order_mb(const bsh_planner_t *planner, const bsh_order_t *order)
 {
 	const bsh_model_rule_t *model =
 		bsh_service_model(planner->service, order->model);
@@ -335,9 +334,8 @@
 	t->orders = t->order.expected + 1;
 	set_state(t, PLANNER_WORKING, now_us);
 	t->ask_us = now_us + t->order_ms * 1000LL + REPORT_LAG_US;
-	if (!t->order.load) {
-		bsh_holdings_remove(&t->held, t->order.model,
-				    t->order.adapter);
+	if (!t->order.load && t->order.adapter == 0) {
+		bsh_holdings_remove(&t->held, t->order.model, 0);
 		publish(planner, t);
 	}
 }
@@ -347,8 +345,7 @@
 	if (t->order.load) {
 		bsh_holdings_add(&t->held, t->order.model, t->order.adapter);
 	} else {
-		bsh_holdings_remove(&t->held, t->order.model,
-				    t->order.adapter);
+		bsh_holdings_remove(&t->held, t->order.model, t->order.adapter);
 		/* An unused adapter is dropped at once, which counts. */
 		if (t->order.adapter != 0)
 			t->orders = t->order.expected + 1;
@@ -435,7 +432,10 @@
 	if (report->has_copies)
 		t->target.copies = report->copies;
 	if (t->state == PLANNER_WORKING) {
-		if (!report->busy)
+		if (!report->busy &&
+		    (t->order.load ||
+		     !bsh_holdings_has(&t->held, t->order.model,
+				       t->order.adapter)))
 			finish_order(t, now_us);
 	} else if (t->state == PLANNER_UNCERTAIN && t->has_order) {
 		resolve_unknown(planner, t, report, now_us);
@@ -453,9 +453,11 @@
 		return;
 	}
 	/* Short orders are taken as done without asking: a target that is not
-	 * done refuses the next order, and then it is asked. */
+	 * done refuses the next order, and then it is asked.  The unloading of
+	 * an adapter is asked for: it keeps no other order back, and its place
+	 * is taken until it has ended. */
 	if (t->state == PLANNER_WORKING &&
-	    (t->order.adapter != 0 || !t->order.load) &&
+	    t->order.load == (t->order.adapter != 0) &&
 	    planner_order_left_ms(t, now_us) == 0) {
 		if (t->order.load)
 			bsh_holdings_add(&t->held, t->order.model,
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -78,7 +78,7 @@
 
 typedef struct {
 	uint32_t concurrent_loads; /* from the weight store */
-	uint32_t seed_loads; /* of them without a waiting request */
+	uint32_t seed_loads;	   /* of them without a waiting request */
 } bsh_planner_config_t;
 
 typedef struct {
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -52,9 +52,8 @@
 
 static model_need_t *need_of(const round_t *round, uint32_t model)
 {
-	guint index = GPOINTER_TO_UINT(
-		g_hash_table_lookup(round->planner->service->by_hash,
-				    GUINT_TO_POINTER(model)));
+	guint index = GPOINTER_TO_UINT(g_hash_table_lookup(
+		round->planner->service->by_hash, GUINT_TO_POINTER(model)));
 
 	return index > 0 ? &round->models[index - 1] : NULL;
 }
@@ -67,16 +66,14 @@
 		model_need_t *need = &round->models[i];
 		uint32_t model = need->rule->hash;
 		bool loading = t->has_order && t->order.load &&
-			       t->order.adapter == 0 &&
-			       t->order.model == model;
+			       t->order.adapter == 0 && t->order.model == model;
 
 		need->serving += planner_serves(t, model, 0);
 		need->coming += loading || t->intent == model;
-		need->copies += loading ||
-				bsh_holdings_has(&t->held, model, 0) ||
-				bsh_copies_in_memory(&t->target.copies,
-						     model) ||
-				bsh_copies_on_disk(&t->target.copies, model);
+		need->copies +=
+			loading || bsh_holdings_has(&t->held, model, 0) ||
+			bsh_copies_in_memory(&t->target.copies, model) ||
+			bsh_copies_on_disk(&t->target.copies, model);
 	}
 }
 
@@ -356,8 +353,8 @@
 			g_ptr_array_index(round->planner->targets, i);
 
 		if (planner_serves(t, model, adapter) ||
-		    (t->has_order && t->order.load &&
-		     t->order.model == model && t->order.adapter == adapter))
+		    (t->has_order && t->order.load && t->order.model == model &&
+		     t->order.adapter == adapter))
 			return true;
 	}
 	return false;
@@ -491,11 +488,11 @@
 
 		if (t->has_order && t->order.load && t->order.adapter == 0 &&
 		    t->order.model == model)
-			shortest = MIN(shortest,
-				       planner_order_left_ms(t, now_us));
+			shortest =
+				MIN(shortest, planner_order_left_ms(t, now_us));
 		else if (t->intent == model && rule != NULL)
-			shortest = MIN(shortest, copy_ms(t, rule) +
-							 (uint32_t)VICTIM_MS);
+			shortest = MIN(shortest,
+				       copy_ms(t, rule) + (uint32_t)VICTIM_MS);
 	}
 	return shortest;
 }
@@ -543,10 +540,10 @@
 		if (has_copy(t, model))
 			shortest = MIN(shortest,
 				       copy_ms(t, rule) +
-					       (t->has_order ?
-							planner_order_left_ms(
-								t, now_us) :
-							0));
+					       (t->has_order
+							? planner_order_left_ms(
+								  t, now_us)
+							: 0));
 	}
 	if (shortest != NEVER_MS)
 		return shortest + (uint32_t)VICTIM_MS + ESTIMATE_MARGIN_MS;
--- a/lib/coordination/planner_demand.c
+++ b/lib/coordination/planner_demand.c
@@ -87,17 +87,16 @@
 static void add_arrivals(planner_demand_t *demand, uint32_t arrived,
 			 int64_t now_us)
 {
-	demand->rate = planner_rate(demand, now_us) +
-		       arrived * (1e6 / RATE_TAU_US);
+	demand->rate =
+		planner_rate(demand, now_us) + arrived * (1e6 / RATE_TAU_US);
 	demand->at_us = now_us;
 }
 
 static void withdraw(bsh_planner_t *planner, const planner_instance_t *instance)
 {
 	for (guint i = 0; i < instance->entries->len; i++) {
-		const bsh_demand_entry_t *entry =
-			&g_array_index(instance->entries, bsh_demand_entry_t,
-				       i);
+		const bsh_demand_entry_t *entry = &g_array_index(
+			instance->entries, bsh_demand_entry_t, i);
 		planner_demand_t *demand = get_demand(
 			planner, entry->model, entry->adapter, instance->at_us);
 
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -27,19 +27,19 @@
 	bsh_holdings_t held;   /* as of that many orders */
 	bsh_holdings_t usable; /* as the instances see it */
 	uint64_t version;      /* rises with each change of usable */
-	bool reported; /* during this term: held is known */
+	bool reported;	       /* during this term: held is known */
 	planner_state_t state;
 	int64_t state_us; /* since when */
 	bool has_order;	  /* order is set: sent, or to be sent */
 	bsh_order_t order;
 	uint32_t order_ms; /* how long it is expected to take */
 	bool from_store;
-	bool asking;	 /* a report is on its way */
-	int64_t ask_us;	 /* no report before */
-	int64_t pause_us; /* no order before */
-	uint32_t intent; /* model that is to be loaded after evictions */
+	bool asking;	   /* a report is on its way */
+	int64_t ask_us;	   /* no report before */
+	int64_t pause_us;  /* no order before */
+	uint32_t intent;   /* model that is to be loaded after evictions */
 	int64_t loaded_us; /* end of the last load */
-	uint32_t late_mb; /* what orders to an earlier incarnation may bring */
+	uint32_t late_mb;  /* what orders to an earlier incarnation may bring */
 	uint32_t late_adapters;
 	int64_t late_until_us;
 } planner_target_t;
@@ -62,9 +62,9 @@
 	void *ctx;
 	bsh_catalog_t *catalog;
 	const bsh_service_rule_t *service;
-	GPtrArray *targets;	/* planner_target_t */
-	GHashTable *demand;	/* key to planner_demand_t */
-	GHashTable *instances;	/* name to planner_instance_t */
+	GPtrArray *targets;    /* planner_target_t */
+	GHashTable *demand;    /* key to planner_demand_t */
+	GHashTable *instances; /* name to planner_instance_t */
 	bsh_planner_stats_t stats;
 };
 
--- a/lib/coordination/retry_budget.c
+++ b/lib/coordination/retry_budget.c
@@ -23,8 +23,8 @@
 static void refill(bsh_retry_budget_t *budget, int64_t now_us)
 {
 	if (now_us > budget->at_us)
-		budget->tokens += budget->per_us *
-				  (double)(now_us - budget->at_us);
+		budget->tokens +=
+			budget->per_us * (double)(now_us - budget->at_us);
 	budget->at_us = MAX(budget->at_us, now_us);
 	budget->tokens = MIN(budget->tokens, budget->capacity);
 }
--- a/lib/coordination/target_choice.c
+++ b/lib/coordination/target_choice.c
@@ -12,13 +12,13 @@
 /* About the round trip between zones. */
 #define OTHER_ZONE_US 2000.0
 /* Delays within this factor of the lowest one count as the same. */
-#define SAME_DELAY 1.3
+#define SAME_DELAY     1.3
 #define FAILURE_WEIGHT 0.2
 /* A target with half of its requests failing is avoided as if it were ten
  * times slower. */
 #define FAILURE_PENALTY 20.0
-#define PAUSE_MIN_US INT64_C(500000)
-#define PAUSE_MAX_US INT64_C(4000000)
+#define PAUSE_MIN_US	INT64_C(500000)
+#define PAUSE_MAX_US	INT64_C(4000000)
 /* Failures in a row after which a target is left out; one failure alone can
  * be the request's own. */
 #define FAILURES_TO_PAUSE 3
@@ -110,8 +110,8 @@
 	if (record->first_at_us == 0)
 		record->first_us = (double)took_us;
 	else
-		record->first_us += FIRST_WEIGHT *
-				    ((double)took_us - record->first_us);
+		record->first_us +=
+			FIRST_WEIGHT * ((double)took_us - record->first_us);
 	record->first_at_us = now_us;
 }
 
--- a/lib/protocol/call_info.h
+++ b/lib/protocol/call_info.h
@@ -34,7 +34,7 @@
 	uint32_t model;	      /* hash; 0: names no model */
 	uint32_t adapter;     /* hash; 0: the base model */
 	uint32_t prompt_tokens;
-	uint32_t answer_tokens; /* at most */
+	uint32_t answer_tokens;	  /* at most */
 	uint32_t expected_tokens; /* the caller's estimate; 0: none */
 	uint32_t n_parts;
 	bsh_prompt_part_t parts[BSH_PROMPT_PARTS_MAX]; /* in order */
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -181,12 +181,14 @@
 
 static const field_t events_fields[] = { STRING(bsh_msg_events_t, lines), END };
 
-static const field_t demand_entry_fields[] = {
-	U32(bsh_demand_entry_t, model),	      U32(bsh_demand_entry_t, adapter),
-	U32(bsh_demand_entry_t, arrived),     U32(bsh_demand_entry_t, running),
-	U32(bsh_demand_entry_t, waiting),     U32(bsh_demand_entry_t, patience_ms),
-	END
-};
+static const field_t demand_entry_fields[] = { U32(bsh_demand_entry_t, model),
+					       U32(bsh_demand_entry_t, adapter),
+					       U32(bsh_demand_entry_t, arrived),
+					       U32(bsh_demand_entry_t, running),
+					       U32(bsh_demand_entry_t, waiting),
+					       U32(bsh_demand_entry_t,
+						   patience_ms),
+					       END };
 
 static const field_t demand_fields[] = { LIST(bsh_msg_demand_t, entries,
 					      entry_count, demand_entry_fields,
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -227,10 +227,10 @@
 /* Use of one model or adapter at one instance; names are hashes. */
 typedef struct {
 	uint32_t model;
-	uint32_t adapter; /* 0: the base model */
-	uint32_t arrived; /* requests since the last message */
-	uint32_t running; /* requests at targets now */
-	uint32_t waiting; /* requests that no target can take now */
+	uint32_t adapter;     /* 0: the base model */
+	uint32_t arrived;     /* requests since the last message */
+	uint32_t running;     /* requests at targets now */
+	uint32_t waiting;     /* requests that no target can take now */
 	uint32_t patience_ms; /* time left of the most patient of them */
 } bsh_demand_entry_t;
 
@@ -244,7 +244,7 @@
 typedef struct {
 	const char *target;
 	uint64_t started_ms;
-	uint64_t version; /* rises with each change during a term */
+	uint64_t version;	 /* rises with each change during a term */
 	const uint8_t *holdings; /* pairs of model and adapter, 4 bytes each */
 	uint32_t holdings_bytes;
 } bsh_placement_entry_t;
--- a/lib/state/catalog.c
+++ b/lib/state/catalog.c
@@ -120,8 +120,7 @@
 	void *list;
 
 	for (guint i = 0; i < catalog->routes->len; i++) {
-		bsh_route_rule_t *route =
-			g_ptr_array_index(catalog->routes, i);
+		bsh_route_rule_t *route = g_ptr_array_index(catalog->routes, i);
 
 		list = g_hash_table_lookup(catalog->hosts, route->host);
 		if (list == NULL) {
@@ -156,8 +155,8 @@
 const bsh_model_rule_t *bsh_service_model(const bsh_service_rule_t *service,
 					  uint32_t hash)
 {
-	guint index = GPOINTER_TO_UINT(g_hash_table_lookup(
-		service->by_hash, GUINT_TO_POINTER(hash)));
+	guint index = GPOINTER_TO_UINT(
+		g_hash_table_lookup(service->by_hash, GUINT_TO_POINTER(hash)));
 
 	if (index == 0)
 		return NULL;
--- a/lib/state/target.h
+++ b/lib/state/target.h
@@ -53,7 +53,7 @@
 
 /* What a target says when it is asked directly. */
 typedef struct {
-	bool busy; /* an order is under way */
+	bool busy;	 /* an order is under way */
 	uint64_t orders; /* number of orders that it has accepted */
 	uint64_t started_ms;
 	uint32_t queued;
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -17,10 +17,10 @@
 #define REUSE_MAX_AGE_S 20L
 /* A connection whose other end has vanished, or that a middlebox has forgotten,
  * is found dead after 1 s + 2 * 1 s without any answer of the peer's kernel. */
-#define KEEPALIVE_IDLE_S  1
-#define KEEPALIVE_GAP_S	  1
-#define KEEPALIVE_PROBES  2
-#define UNACKED_MAX_MS	  3000
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_GAP_S	 1
+#define KEEPALIVE_PROBES 2
+#define UNACKED_MAX_MS	 3000
 /* Finished libcurl handles kept for the next calls. */
 #define SPARE_HANDLES 256
 
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -23,6 +23,12 @@
 static const bsh_report_entry_t reports[] = { { "chat-a", "engine-1", 3, 4, 1,
 						2 } };
 
+static const bsh_demand_entry_t demands[] = { { 7, 8, 1, 2, 3, 4 } };
+static const bsh_placement_entry_t placements[] = {
+	{ "engine-1", 5, 6, (const uint8_t *)"a\0b", 3 }
+};
+static const bsh_ready_entry_t ready[] = { { 7, 8, 900 } };
+
 /* One message of each type, every field set. */
 static bsh_message_t sample(bsh_message_type_t type)
 {
@@ -94,6 +100,13 @@
 	case BSH_MSG_HANDOVER:
 		m.handover = (bsh_msg_handover_t){ "gpu", 8 };
 		break;
+	case BSH_MSG_DEMAND:
+		m.demand = (bsh_msg_demand_t){ demands, 1 };
+		break;
+	case BSH_MSG_PLACEMENT:
+		m.placement = (bsh_msg_placement_t){ 9, 12,    true, placements,
+						     1, ready, 1 };
+		break;
 	case BSH_MSG_TYPE_END:
 		break;
 	}
--- /dev/null
+++ b/regress/test_planner.c
@@ -0,0 +1,389 @@
+#include <glib.h>
+#include <string.h>
+
+#include "coordination/planner.h"
+
+/* Orders and reports of one planner, answered by the tests. */
+typedef struct {
+	bsh_planner_t *planner;
+	bsh_catalog_t *catalog;
+	int64_t now_us;
+	uint32_t n_orders;
+	char order_target[64][BSH_NAME_SIZE];
+	bsh_order_t orders[64];
+	uint32_t n_reports;
+	char report_target[64][BSH_NAME_SIZE];
+} rig_t;
+
+#define MB_MODEL   70000U
+#define MB_ADAPTER 60U
+
+static void on_order(void *ctx, const bsh_target_t *target,
+		     const bsh_order_t *order)
+{
+	rig_t *rig = ctx;
+
+	g_assert_cmpuint(rig->n_orders, <, 64);
+	g_strlcpy(rig->order_target[rig->n_orders], target->id, BSH_NAME_SIZE);
+	rig->orders[rig->n_orders++] = *order;
+}
+
+static void on_report(void *ctx, const bsh_target_t *target)
+{
+	rig_t *rig = ctx;
+
+	g_assert_cmpuint(rig->n_reports, <, 64);
+	g_strlcpy(rig->report_target[rig->n_reports++], target->id,
+		  BSH_NAME_SIZE);
+}
+
+static void on_placed(void *ctx, const bsh_target_t *target,
+		      const bsh_holdings_t *usable, uint64_t version)
+{
+	(void)ctx;
+	(void)target;
+	(void)usable;
+	(void)version;
+}
+
+static uint32_t hash(const char *name)
+{
+	return bsh_catalog_hash(name, strlen(name));
+}
+
+/* A service whose targets hold two models and two adapters each. */
+static void rig_init(rig_t *rig, const char *const *models, uint32_t adapters)
+{
+	static const bsh_planner_ops_t ops = { on_order, on_report, on_placed };
+	static const bsh_planner_config_t config = { .concurrent_loads = 2 };
+	bsh_service_rule_t *service;
+
+	memset(rig, 0, sizeof(*rig));
+	rig->now_us = 1000000;
+	rig->catalog = bsh_catalog_new();
+	service = bsh_catalog_add_service(rig->catalog, "engine");
+	service->has_engine = true;
+	service->slots = 10;
+	service->weights_mb = 2 * MB_MODEL + 4 * MB_ADAPTER;
+	service->adapter_slots = 2;
+	for (uint32_t i = 0; models[i] != NULL; i++) {
+		bsh_model_rule_t model = { .weights_mb = MB_MODEL,
+					   .adapters = adapters,
+					   .adapter_mb = MB_ADAPTER,
+					   .load_ms = 6000,
+					   .disk_ms = 800,
+					   .warm_ms = 600 };
+
+		bsh_service_add_model(service, models[i], &model);
+	}
+	bsh_catalog_seal(rig->catalog);
+	rig->planner = bsh_planner_new(&config, &ops, rig);
+	bsh_planner_set_service(rig->planner, rig->catalog, service);
+}
+
+static void rig_finish(rig_t *rig)
+{
+	bsh_planner_free(rig->planner);
+	bsh_catalog_unref(rig->catalog);
+}
+
+static bsh_target_t make_target(const char *id, const char *const *holds)
+{
+	bsh_target_t target = { .slots = 10, .started_ms = 5 };
+
+	g_strlcpy(target.id, id, sizeof(target.id));
+	g_strlcpy(target.service, "engine", sizeof(target.service));
+	g_strlcpy(target.address, "127.0.0.1:9", sizeof(target.address));
+	for (uint32_t i = 0; holds[i] != NULL; i++)
+		bsh_holdings_add(&target.holdings, hash(holds[i]), 0);
+	return target;
+}
+
+static void report(rig_t *rig, const char *id, uint64_t orders, bool busy,
+		   const bsh_holdings_t *holds)
+{
+	bsh_target_report_t r = { .busy = busy,
+				  .orders = orders,
+				  .started_ms = 5,
+				  .holdings = *holds };
+
+	bsh_planner_reported(rig->planner, id, &r, rig->now_us);
+}
+
+static void add_target(rig_t *rig, const bsh_target_t *target, uint64_t orders)
+{
+	bsh_planner_target(rig->planner, target, rig->now_us);
+	report(rig, target->id, orders, false, &target->holdings);
+}
+
+static void demand(rig_t *rig, const char *model, const char *adapter,
+		   uint32_t arrived, uint32_t waiting)
+{
+	bsh_demand_entry_t entry = { .model = hash(model),
+				     .adapter = adapter != NULL ? hash(adapter)
+								: 0,
+				     .arrived = arrived,
+				     .waiting = waiting,
+				     .patience_ms = 9000 };
+
+	bsh_planner_demand(rig->planner, "entry-1", &entry, 1, rig->now_us);
+}
+
+static void tick(rig_t *rig, int64_t after_us)
+{
+	rig->now_us += after_us;
+	bsh_planner_tick(rig->planner, rig->now_us);
+}
+
+/* Guards against an order that is given before the target's count is known:
+ * after a takeover the former holder's orders may still be carried out. */
+static void test_asks_before_first_order(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	bsh_planner_begin(rig.planner);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 0);
+	g_assert_cmpuint(rig.n_reports, ==, 1);
+	report(&rig, "t1", 7, false, &target.holdings);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_true(rig.orders[0].load);
+	g_assert_cmpuint(rig.orders[0].model, ==, hash("b"));
+	g_assert_cmpuint(rig.orders[0].expected, ==, 7);
+	rig_finish(&rig);
+}
+
+/* Guards against a load on top of models that fill the target, which crashes
+ * it: room is made first, with the model that nobody asks for. */
+static void test_evicts_before_load(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const holds[] = { "a", "b", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 0);
+	demand(&rig, "a", NULL, 5, 0);
+	tick(&rig, 1000);
+	demand(&rig, "c", NULL, 1, 1);
+	tick(&rig, 1000);
+	/* Withdrawn from the instances first. */
+	g_assert_cmpuint(rig.n_orders, ==, 0);
+	g_assert_false(bsh_holdings_has(bsh_planner_usable(rig.planner, "t1"),
+					hash("b"), 0));
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_false(rig.orders[0].load);
+	g_assert_cmpuint(rig.orders[0].model, ==, hash("b"));
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_ACCEPTED, rig.now_us);
+	tick(&rig, 100000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_true(rig.orders[1].load);
+	g_assert_cmpuint(rig.orders[1].model, ==, hash("c"));
+	g_assert_cmpuint(rig.orders[1].expected, ==, 1);
+	rig_finish(&rig);
+}
+
+/* Guards against a second load on the strength of a lost answer: the order is
+ * repeated with the same count until the count moves. */
+static void test_unknown_order_is_repeated_as_it_was(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 3);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_UNKNOWN, rig.now_us);
+	demand(&rig, "c", NULL, 9, 9);
+	tick(&rig, 200000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	report(&rig, "t1", 3, false, &target.holdings);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_cmpmem(&rig.orders[0], sizeof(rig.orders[0]), &rig.orders[1],
+			sizeof(rig.orders[1]));
+	/* The late copy was carried out: the count has moved. */
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_BUSY, rig.now_us);
+	report(&rig, "t1", 4, true, &target.holdings);
+	tick(&rig, 200000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	rig_finish(&rig);
+}
+
+/* Guards against more adapters than a target has places for: the unloading of
+ * one that is in use takes a while, during which other orders are accepted. */
+static void test_adapter_place_is_kept_until_unloaded(void)
+{
+	static const char *const models[] = { "a", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	bsh_holdings_t full;
+	rig_t rig;
+
+	bsh_holdings_add(&target.holdings, hash("a"), hash("a1"));
+	bsh_holdings_add(&target.holdings, hash("a"), hash("a2"));
+	full = target.holdings;
+	rig_init(&rig, models, 3);
+	add_target(&rig, &target, 0);
+	demand(&rig, "a", "a3", 1, 1);
+	tick(&rig, 1000);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_false(rig.orders[0].load);
+	g_assert_cmpuint(rig.orders[0].adapter, !=, 0);
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_ACCEPTED, rig.now_us);
+	tick(&rig, 400000);
+	report(&rig, "t1", 1, false, &full);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	bsh_holdings_remove(&full, hash("a"), rig.orders[0].adapter);
+	tick(&rig, 400000);
+	report(&rig, "t1", 1, false, &full);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_true(rig.orders[1].load);
+	g_assert_cmpuint(rig.orders[1].adapter, ==, hash("a3"));
+	rig_finish(&rig);
+}
+
+/* Guards against memory being given away that a late order to the incarnation
+ * before a restart may still fill. */
+static void test_late_order_after_restart_keeps_its_memory(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const none[] = { NULL };
+	bsh_target_t target = make_target("t1", none);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 0);
+	demand(&rig, "a", NULL, 1, 1);
+	tick(&rig, 1000);
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_UNKNOWN, rig.now_us);
+	target.started_ms = 6;
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	for (uint64_t orders = 0; orders < 2; orders++) {
+		bsh_target_report_t r = { .orders = orders, .started_ms = 6 };
+
+		if (orders == 1)
+			bsh_holdings_add(&r.holdings, hash("b"), 0);
+		demand(&rig, orders == 0 ? "b" : "c", NULL, 1, 1);
+		bsh_planner_reported(rig.planner, "t1", &r, rig.now_us);
+		tick(&rig, 1000);
+		if (orders == 0) {
+			g_assert_cmpuint(rig.n_orders, ==, 2);
+			bsh_planner_ordered(rig.planner, "t1",
+					    BSH_ORDER_ACCEPTED, rig.now_us);
+		}
+	}
+	tick(&rig, 1000);
+	/* "b" and what "a" may still bring fill it: "b" would have to go. */
+	for (uint32_t i = 2; i < rig.n_orders; i++)
+		g_assert_false(rig.orders[i].load);
+	rig_finish(&rig);
+}
+
+/* Guards against the store being asked for a model of which a free target has
+ * a copy on its disk. */
+static void test_copy_on_disk_is_preferred(void)
+{
+	static const char *const models[] = { "a", "b", NULL };
+	static const char *const none[] = { NULL };
+	bsh_target_t first = make_target("t1", none);
+	bsh_target_t second = make_target("t2", none);
+	rig_t rig;
+
+	second.copies.n_disk = 1;
+	second.copies.disk[0] = hash("a");
+	rig_init(&rig, models, 0);
+	add_target(&rig, &first, 0);
+	add_target(&rig, &second, 0);
+	demand(&rig, "a", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_cmpstr(rig.order_target[0], ==, "t2");
+	rig_finish(&rig);
+}
+
+/* Guards against a weight store that is asked for everything at once, which
+ * makes each load take longer: many rare models are asked for together. */
+static void test_rare_models_at_once_share_the_store(void)
+{
+	static const char *const models[] = { "a", "b", "c", "d", NULL };
+	static const char *const none[] = { NULL };
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf("t%d", i);
+		bsh_target_t target = make_target(id, none);
+		bsh_demand_entry_t entries[4];
+
+		add_target(&rig, &target, 0);
+		for (int m = 0; m < 4; m++)
+			entries[m] =
+				(bsh_demand_entry_t){ .model = hash(models[m]),
+						      .waiting = 1 };
+		bsh_planner_demand(rig.planner, "entry-1", entries, 4,
+				   rig.now_us);
+	}
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_cmpuint(rig.orders[0].model, !=, rig.orders[1].model);
+	rig_finish(&rig);
+}
+
+/* Guards against a new holder that tells the instances what it heard long ago:
+ * what a target holds is taken from its entry until it has been asked. */
+static void test_new_term_forgets_what_was_held(void)
+{
+	static const char *const models[] = { "a", "b", NULL };
+	static const char *const first[] = { "a", NULL };
+	static const char *const later[] = { "b", NULL };
+	bsh_target_t target = make_target("t1", first);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	target = make_target("t1", later);
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	bsh_planner_begin(rig.planner);
+	g_assert_false(bsh_holdings_has(bsh_planner_usable(rig.planner, "t1"),
+					hash("a"), 0));
+	g_assert_true(bsh_holdings_has(bsh_planner_usable(rig.planner, "t1"),
+				       hash("b"), 0));
+	rig_finish(&rig);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/planner/asks-before-first-order",
+			test_asks_before_first_order);
+	g_test_add_func("/planner/evicts-before-load", test_evicts_before_load);
+	g_test_add_func("/planner/unknown-order-is-repeated",
+			test_unknown_order_is_repeated_as_it_was);
+	g_test_add_func("/planner/adapter-place-kept",
+			test_adapter_place_is_kept_until_unloaded);
+	g_test_add_func("/planner/late-order-after-restart",
+			test_late_order_after_restart_keeps_its_memory);
+	g_test_add_func("/planner/copy-on-disk",
+			test_copy_on_disk_is_preferred);
+	g_test_add_func("/planner/rare-models-at-once",
+			test_rare_models_at_once_share_the_store);
+	g_test_add_func("/planner/new-term",
+			test_new_term_forgets_what_was_held);
+	return g_test_run();
+}
