Drain: answer what waits; take grace, drain and retry bounds from the platform

Requests now wait during a drain only for a model that comes early enough, the others are refused at once, and what is left is answered half a second before the kill. Reports now count only while a target's state is in question. Copies of unanswered orders are remembered past their repetition, for the case that a restart sets the count back (found by reading, test fails without it).

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -15,8 +15,8 @@
 #define IDLE_CONNECTIONS 32U
 /* Callers keep an address for up to three times as long as they are told. */
 #define RESOLVE_KEEP_FACTOR 3
-/* Left of the grace time when the last connections are closed. */
-#define DRAIN_MARGIN_US INT64_C(700000)
+/* Left of the grace time when idle connections are closed at the latest. */
+#define DRAIN_MARGIN_US INT64_C(1000000)
 
 /* Continues while the machine is suspended, so that a lease ends then too. */
 int64_t control_now_us(const control_t *control)
@@ -113,8 +113,8 @@
 static void apply(bsh_settings_t *now, const bsh_settings_t *settings)
 {
 	now->entry_resolve_keep_s = settings->entry_resolve_keep_s;
-	now->entry_grace_ms = settings->entry_grace_ms;
-	now->entry_leaving_ms = settings->entry_leaving_ms;
+	now->entry_grace_s = settings->entry_grace_s;
+	now->entry_drain_ms = settings->entry_drain_ms;
 	g_strlcpy(now->log_level, settings->log_level, sizeof(now->log_level));
 	now->log_lines_per_s = settings->log_lines_per_s;
 	bsh_log_init("bshentryd",
@@ -186,7 +186,7 @@
 	const bsh_settings_t *s = &control->entry->settings;
 	int64_t keep_us = (RESOLVE_KEEP_FACTOR * s->entry_resolve_keep_s + 1) *
 			  INT64_C(1000000);
-	int64_t grace_us = s->entry_grace_ms * INT64_C(1000) - DRAIN_MARGIN_US;
+	int64_t grace_us = (int64_t)(s->entry_grace_s * 1e6) - DRAIN_MARGIN_US;
 
 	if (control->draining)
 		return;
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -67,7 +67,8 @@
 	view_t *view;
 } traffic_view_t;
 void traffic_set_view(void *view);
-/* traffic_drain - answers close their connections from now on. */
+/* traffic_drain - answers close their connections from now on, and requests
+ * wait only for what comes within the grace time. */
 void traffic_drain(void *traffic);
 /* traffic_quit - close what is idle; the loop ends with the last request. */
 void traffic_quit(void *traffic);
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -14,6 +14,9 @@
 /* What the holder of the lease said is newer than the target's entry for this
  * long; after that the holder is away, and the entry has caught up. */
 #define PLACED_FRESH_US INT64_C(5000000)
+/* Share of the drain time for which a target without an entry is kept, in case
+ * the entry comes back; the rest is for the requests on their way. */
+#define MISSING_PERCENT 60
 /* A failure of the store counts as its absence for this long. */
 #define STORE_TROUBLE_US INT64_C(3000000)
 
@@ -51,7 +54,7 @@
 	if (targets->feed.failed_us > 0 &&
 	    now_us - targets->feed.failed_us < STORE_TROUBLE_US)
 		return LAPSE_GRACE_US;
-	return settings->entry_leaving_ms * INT64_C(1000);
+	return settings->entry_drain_ms * INT64_C(1000) * MISSING_PERCENT / 100;
 }
 
 static void drop(targets_t *targets, listed_t *listed, const char *reason)
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -30,6 +30,13 @@
 #define NO_HOLDER_WAIT_US INT64_C(3000000)
 /* When nothing better is known of when to come back. */
 #define RETRY_DEFAULT_MS 300
+/* At another instance the caller is served at once. */
+#define RETRY_ELSEWHERE_MS 20
+/* What a request that waits during the drain is given to run. */
+#define DRAIN_RUN_US INT64_C(2500000)
+/* The end of the grace time minus this is when what is left is cut: the last
+ * answers have to leave before the process is killed. */
+#define CUT_MARGIN_US INT64_C(500000)
 /* Pause before idle connections are closed when the process ends. */
 #define QUIT_POLL_US INT64_C(50000)
 
@@ -349,9 +356,9 @@
 	if (budget != NULL)
 		return budget;
 	budget = g_new0(bsh_retry_budget_t, 1);
-	bsh_retry_budget_init(budget, s->retry_ratio, s->retry_slack,
-			      t->view->instances, s->retry_window_ms,
-			      traffic_now_us(t));
+	bsh_retry_budget_init(
+		budget, s->retry_ratio, s->retry_slack, t->view->instances,
+		(uint32_t)(s->retry_window_s * 1000), traffic_now_us(t));
 	g_hash_table_insert(t->budgets, g_strdup(r->service->name), budget);
 	return budget;
 }
@@ -364,6 +371,16 @@
 	       traffic_now_us(r->traffic);
 }
 
+/* Whether a model is there early enough for the request to end before what is
+ * left of this process is cut. */
+static bool is_ready_before_cut(const request_t *r, const view_ready_t *ready)
+{
+	int64_t left_us = r->traffic->cut_us - traffic_now_us(r->traffic);
+
+	return ready != NULL && ready->ready_us != INT64_MAX &&
+	       ready->ready_us - ready->told_us + DRAIN_RUN_US < left_us;
+}
+
 /* A request that cannot be served in time is refused at once. */
 static void wait_or_refuse(request_t *r)
 {
@@ -390,6 +407,10 @@
 			return;
 		}
 	}
+	if (r->traffic->draining && !is_ready_before_cut(r, ready)) {
+		give_up(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
+		return;
+	}
 	if (!view->has_holder && now_us - r->arrived_us > NO_HOLDER_WAIT_US) {
 		give_up(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
 		return;
@@ -579,7 +600,7 @@
 		bsh_log(BSH_LOG_INFO, "answer-not-delivered id=%s",
 			r->info.attempt_id);
 	}
-	t->requests--;
+	g_queue_unlink(&t->requests, &r->link);
 	free_request(r);
 }
 
@@ -647,7 +668,8 @@
 	bsh_loop_timer_init(&r->timer, t->loop, on_time_over, r);
 	bsh_loop_timer_init(&r->silence_timer, t->loop, on_silence, r);
 	bsh_http_request_set_handler(http, &request_handler, r);
-	t->requests++;
+	r->link.data = r;
+	g_queue_push_tail_link(&t->requests, &r->link);
 	return r;
 }
 
@@ -757,14 +779,37 @@
 	traffic_t *t = data;
 
 	t->draining = true;
+	t->cut_us = traffic_now_us(t) +
+		    (int64_t)(t->entry->settings.entry_grace_s * 1e6) -
+		    CUT_MARGIN_US;
 	bsh_http_server_close_after_answers(t->server);
+	bsh_loop_timer_start(&t->cut_timer, t->cut_us);
+	retry_waiting(t);
+}
+
+/* Ends what the process cannot finish: a request that was not sent is refused,
+ * and of the others the outcome is not known. */
+static void cut(void *data)
+{
+	traffic_t *t = data;
+	GList *next;
+
+	for (GList *l = t->requests.head; l != NULL; l = next) {
+		request_t *r = l->data;
+
+		next = l->next;
+		if (r->state == REQUEST_ENDED)
+			continue;
+		r->may_have_run = r->may_have_run || r->call_sent;
+		give_up(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
+	}
 }
 
 static void check_quit(void *data)
 {
 	traffic_t *t = data;
 
-	if (t->requests == 0) {
+	if (t->requests.length == 0) {
 		bsh_loop_stop(t->loop);
 		return;
 	}
@@ -776,7 +821,6 @@
 {
 	traffic_t *t = data;
 
-	t->quitting = true;
 	bsh_http_server_stop(t->server);
 	bsh_loop_timer_after(&t->quit_timer, QUIT_POLL_US);
 }
@@ -813,8 +857,10 @@
 	t->candidates = g_array_new(FALSE, FALSE, sizeof(bsh_candidate_t));
 	t->candidate_targets = g_ptr_array_new();
 	g_queue_init(&t->waiting);
+	g_queue_init(&t->requests);
 	bsh_loop_timer_init(&t->demand_timer, t->loop, send_demand, t);
 	bsh_loop_timer_init(&t->quit_timer, t->loop, check_quit, t);
+	bsh_loop_timer_init(&t->cut_timer, t->loop, cut, t);
 	t->client = bsh_http_client_new(t->loop, IDLE_TARGETS);
 	if (t->client == NULL)
 		return BSH_ERR_SYSTEM;
@@ -830,6 +876,7 @@
 	bsh_http_server_free(t->server);
 	bsh_loop_timer_stop(&t->demand_timer);
 	bsh_loop_timer_stop(&t->quit_timer);
+	bsh_loop_timer_stop(&t->cut_timer);
 	view_unref(t->view);
 	g_hash_table_destroy(t->targets);
 	g_hash_table_destroy(t->use);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -53,9 +53,10 @@
 	bsh_loop_timer_t demand_timer;
 	bsh_loop_timer_t quit_timer;
 	bool demand_urgent;
+	bsh_loop_timer_t cut_timer; /* the end of the grace time */
 	bool draining;
-	bool quitting;
-	uint32_t requests; /* being handled */
+	int64_t cut_us;	 /* while draining: when what is left is cut */
+	GQueue requests; /* request_t, all */
 };
 
 typedef enum {
@@ -82,6 +83,7 @@
 	int64_t timeout_us;	    /* of the route */
 	bsh_loop_timer_t timer;	    /* end of the time that it has */
 	request_state_t state;
+	GList link; /* in traffic.requests */
 	GList wait_link;
 
 	/* Attempts. */
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -56,17 +56,17 @@
 	char entry_ready[BSH_ADDRESS_SIZE]; /* readiness probes; empty: none */
 	char entry_region[BSH_NAME_SIZE];
 	uint32_t entry_resolve_keep_s; /* how long callers keep an address */
-	uint32_t entry_grace_ms;       /* from SIGTERM to the kill */
+	double entry_grace_s;	       /* from SIGTERM to the kill */
 	uint32_t entry_order_lease_ms; /* one holder's orders end this long
 					 * before those of the next begin */
 	uint32_t entry_order_start_ms; /* first try to take the lease */
 	uint32_t entry_store_loads;    /* at once, from the weight store */
 	uint32_t entry_seed_loads;     /* of them ahead of requests */
-	uint32_t entry_leaving_ms;     /* no new work for a vanished target
-					 * after this time */
-	double retry_ratio;   /* repeats for each request, whole fleet */
-	uint32_t retry_slack; /* repeats besides, in any window */
-	uint32_t retry_window_ms;
+	uint32_t entry_drain_ms; /* no new work for a target this long after it
+				  * was seen to leave */
+	double retry_ratio;	 /* repeats for each request, whole fleet */
+	uint32_t retry_slack;	 /* repeats besides, in any window */
+	double retry_window_s;
 
 	char log_level[16];
 	uint32_t log_lines_per_s; /* of level info and debug; 0: no bound */
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -54,19 +54,18 @@
 static void note_former_holder(bsh_lease_t *lease, int64_t now_us)
 {
 	int64_t until_us = now_us;
+	bool own = strcmp(lease->holder, lease->self) == 0;
 
 	if (!lease->known)
 		return;
-	if (lease->holder[0] == '\0')
-		until_us += lease->lease_us + BSH_LEASE_MARGIN_US;
-	else if (strcmp(lease->holder, lease->self) != 0)
+	if (lease->holder[0] != '\0' && !own)
 		/* It was renewed at the latest when this revision became
 		 * known. */
 		until_us = lease->since_us + valid_us(lease) + lease->lease_us +
 			   BSH_LEASE_MARGIN_US;
-	else if (!lease->active && lease->others_until_us == 0)
-		/* The process before this one took it, and did not say that
-		 * it had waited. */
+	else if (!own || (!lease->active && lease->others_until_us == 0))
+		/* Released a moment ago, or taken by the process before this
+		 * one, which did not say that it had waited. */
 		until_us += lease->lease_us + BSH_LEASE_MARGIN_US;
 	lease->others_until_us = MAX(lease->others_until_us, until_us);
 }
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -188,19 +188,30 @@
 	set_state(t, PLANNER_IDLE, now_us);
 }
 
-/* What an unanswered order to the last incarnation may still bring. */
+/* A copy of the order may arrive at any time until it is too old. */
+static void note_loose_order(const bsh_planner_t *planner, planner_target_t *t,
+			     int64_t now_us)
+{
+	if (now_us >= t->loose_until_us) {
+		t->loose_mb = 0;
+		t->loose_adapters = 0;
+	}
+	t->loose_mb += order_mb(planner, &t->order);
+	t->loose_adapters += t->order.load && t->order.adapter != 0;
+	t->loose_until_us = now_us + BSH_PLANNER_LATE_US;
+}
+
+/* The count of orders begins anew: loose copies may be carried out. */
 static void reserve_late(const bsh_planner_t *planner, planner_target_t *t,
 			 int64_t now_us)
 {
-	if (!t->has_order || !t->order.load || planner->service == NULL)
+	if (t->state == PLANNER_SENT && planner->service != NULL)
+		note_loose_order(planner, t, now_us);
+	if (now_us >= t->loose_until_us)
 		return;
-	if (now_us >= t->late_until_us) {
-		t->late_mb = 0;
-		t->late_adapters = 0;
-	}
-	t->late_mb += order_mb(planner, &t->order);
-	t->late_adapters += t->order.adapter != 0;
-	t->late_until_us = now_us + BSH_PLANNER_LATE_US;
+	t->late_mb = t->loose_mb;
+	t->late_adapters = t->loose_adapters;
+	t->late_until_us = t->loose_until_us;
 }
 
 static void restarted(bsh_planner_t *planner, planner_target_t *t,
@@ -377,6 +388,7 @@
 		break;
 	case BSH_ORDER_UNKNOWN:
 		/* The order stays: it may be carried out. */
+		note_loose_order(planner, t, now_us);
 		set_state(t, PLANNER_UNCERTAIN, now_us);
 		t->ask_us = now_us + REPORT_LAG_US;
 		break;
@@ -417,8 +429,10 @@
 		return;
 	t->asking = false;
 	t->ask_us = now_us + POLL_US;
-	if (report == NULL || t->state == PLANNER_SENT ||
-	    t->state == PLANNER_WITHDRAWN)
+	/* In the other states more is known than a report, which shows the
+	 * past, can tell. */
+	if (report == NULL ||
+	    (t->state != PLANNER_UNCERTAIN && t->state != PLANNER_WORKING))
 		return;
 	if (report->started_ms != 0 && t->target.started_ms != 0 &&
 	    report->started_ms != t->target.started_ms)
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -39,7 +39,13 @@
 	int64_t pause_us;  /* no order before */
 	uint32_t intent;   /* model that is to be loaded after evictions */
 	int64_t loaded_us; /* end of the last load */
-	uint32_t late_mb;  /* what orders to an earlier incarnation may bring */
+	/* Copies of orders without an answer that may still arrive; the count
+	 * makes them harmless until a restart sets it back. */
+	uint32_t loose_mb;
+	uint32_t loose_adapters;
+	int64_t loose_until_us;
+	/* The same, of an earlier incarnation: they may be carried out. */
+	uint32_t late_mb;
 	uint32_t late_adapters;
 	int64_t late_until_us;
 } planner_target_t;
--- a/regress/test_bshconsoled.c
+++ b/regress/test_bshconsoled.c
@@ -93,11 +93,11 @@
 	fake_control_accept(&f->fake, DOC("v<b>&amp;", "1"));
 	write_settings(f, "127.0.0.1:0");
 	argv[2] = f->settings;
-	/* The daemon's log goes to a pipe that is closed after the first
-	 * lines; SIGPIPE is ignored there. */
+	/* The daemon's log, on its standard output, goes to a pipe that is
+	 * closed after the first lines; SIGPIPE is ignored there. */
 	g_spawn_async_with_pipes(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-				 end_with_parent, NULL, &f->pid, NULL, NULL,
-				 &fd, &error);
+				 end_with_parent, NULL, &f->pid, NULL, &fd,
+				 NULL, &error);
 	g_assert_no_error(error);
 	wait_listening(f, fd);
 	f->body = g_string_new(NULL);
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -295,6 +295,43 @@
 	rig_finish(&rig);
 }
 
+/* Guards against the same for an order whose repetition was carried out: the
+ * first copy is still on its way when the target restarts. */
+static void test_loose_copy_counts_after_restart(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const none[] = { NULL };
+	bsh_target_t target = make_target("t1", none);
+	bsh_target_report_t empty = { .started_ms = 6 };
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 0);
+	demand(&rig, "a", NULL, 1, 1);
+	tick(&rig, 1000);
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_UNKNOWN, rig.now_us);
+	report(&rig, "t1", 0, false, &target.holdings);
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_ACCEPTED, rig.now_us);
+	bsh_holdings_add(&target.holdings, hash("a"), 0);
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	target = make_target("t1", none);
+	target.started_ms = 6;
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	bsh_planner_reported(rig.planner, "t1", &empty, rig.now_us);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 3);
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_ACCEPTED, rig.now_us);
+	bsh_holdings_add(&target.holdings, hash("b"), 0);
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	demand(&rig, "c", NULL, 1, 1);
+	tick(&rig, 1000);
+	tick(&rig, 100000);
+	for (uint32_t i = 3; i < rig.n_orders; i++)
+		g_assert_false(rig.orders[i].load);
+	rig_finish(&rig);
+}
+
 /* Guards against the store being asked for a model of which a free target has
  * a copy on its disk. */
 static void test_copy_on_disk_is_preferred(void)
@@ -367,6 +404,35 @@
 	rig_finish(&rig);
 }
 
+/* Guards against a report of before the end of a load, which arrives after the
+ * entry that shows the end, making room appear where there is none. */
+static void test_late_report_does_not_undo_entry(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	bsh_holdings_t before = target.holdings;
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 0);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	bsh_planner_ordered(rig.planner, "t1", BSH_ORDER_ACCEPTED, rig.now_us);
+	demand(&rig, "b", NULL, 9, 0);
+	tick(&rig, 6500000);
+	g_assert_cmpuint(rig.n_reports, ==, 1);
+	bsh_holdings_add(&target.holdings, hash("b"), 0);
+	bsh_planner_target(rig.planner, &target, rig.now_us);
+	report(&rig, "t1", 1, false, &before);
+	demand(&rig, "c", NULL, 1, 1);
+	tick(&rig, 1000);
+	tick(&rig, 100000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_false(rig.orders[1].load);
+	rig_finish(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -379,10 +445,14 @@
 			test_adapter_place_is_kept_until_unloaded);
 	g_test_add_func("/planner/late-order-after-restart",
 			test_late_order_after_restart_keeps_its_memory);
+	g_test_add_func("/planner/loose-copy-after-restart",
+			test_loose_copy_counts_after_restart);
 	g_test_add_func("/planner/copy-on-disk",
 			test_copy_on_disk_is_preferred);
 	g_test_add_func("/planner/rare-models-at-once",
 			test_rare_models_at_once_share_the_store);
+	g_test_add_func("/planner/late-report",
+			test_late_report_does_not_undo_entry);
 	g_test_add_func("/planner/new-term",
 			test_new_term_forgets_what_was_held);
 	return g_test_run();
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -73,8 +73,8 @@
 		"{\"routes\":[]}",
 		"{\"version\":\"7\"}",
 		"{\"version\":7,\"routes\":[{\"host\":\"h\"}]}",
-		"{\"version\":7,\"routes\":[{\"host\":\"h\",\"pathPrefix\":"
-		"\"/a/\",\"kind\":\"stream\",\"service\":\"none\"}]}",
+		("{\"version\":7,\"routes\":[{\"host\":\"h\",\"pathPrefix\":"
+		 "\"/a/\",\"kind\":\"stream\",\"service\":\"none\"}]}"),
 		"{\"version\":7,\"services\":[{}]}",
 	};
 
@@ -96,18 +96,18 @@
 		"{}",
 		"[]",
 		"null",
-		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		"\"slots\":6,\"state\":\"resting\",\"seq\":1}",
-		"{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		"\"slots\":6,\"state\":\"ready\",\"seq\":1}",
-		"{\"service\":\"s\",\"address\":\"host:5\",\"zone\":\"z\","
-		"\"slots\":6,\"state\":\"ready\",\"seq\":1}",
-		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		"\"slots\":\"6\",\"state\":\"ready\",\"seq\":1}",
-		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		"\"slots\":6,\"state\":\"ready\"}",
-		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		"\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":\"x\"}",
+		("{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		 "\"slots\":6,\"state\":\"resting\",\"seq\":1}"),
+		("{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		 "\"slots\":6,\"state\":\"ready\",\"seq\":1}"),
+		("{\"service\":\"s\",\"address\":\"host:5\",\"zone\":\"z\","
+		 "\"slots\":6,\"state\":\"ready\",\"seq\":1}"),
+		("{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		 "\"slots\":\"6\",\"state\":\"ready\",\"seq\":1}"),
+		("{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		 "\"slots\":6,\"state\":\"ready\"}"),
+		("{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		 "\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":\"x\"}"),
 	};
 	bsh_target_t target;
 	json_t *spec;
