Test bshentryd as a process before a stand-in platform

platform_rig serves the store and workers in the test's loop and starts the entry daemon as a process. Ten cases: requests, directory, lost answers, refusals, broken streams, loads on demand, stop, leaving callers, configuration without a store or at all.

--- /dev/null
+++ b/regress/support/platform_rig.c
@@ -0,0 +1,812 @@
+#include "support/platform_rig.h"
+
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define GIVE_UP_MS   15000
+#define MODEL_MB     100
+#define LOAD_MS	     120
+#define EVENTS	     6
+#define ENGINE_SLOTS 8
+#define MAX_IDLE     64
+#define STEP_US	     INT64_C(5000)
+#define SERVER_LIMITS                                                          \
+	.max_connections = 2000, .idle_timeout_s = 60, .body_max_bytes = 1 << 20
+
+typedef struct {
+	int64_t revision;
+	char *kind;
+	json_t *object;
+	bool deleted;
+} event_t;
+
+typedef struct {
+	bsh_http_request_t *request;
+	char *kind;
+	int64_t after;
+	int64_t until_us;
+	platform_rig_t *rig;
+} watch_t;
+
+/* A run at a worker whose answer is to come. */
+typedef struct {
+	worker_t *worker;
+	bsh_http_request_t *request;
+	bsh_loop_timer_t timer;
+	char attempt[80];
+	bool stream;
+	uint32_t next_event;
+	bool begun;
+} run_t;
+
+static uint16_t free_port(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &size), ==,
+			0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void answer_json(bsh_http_request_t *request, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	bsh_http_answer_header(request, "Content-Type", "application/json");
+	bsh_http_answer(request, status, text, strlen(text));
+	free(text);
+	json_decref(body);
+}
+
+/* The store. */
+
+static void free_event(void *data)
+{
+	event_t *event = data;
+
+	g_free(event->kind);
+	json_decref(event->object);
+}
+
+static json_t *events_after(const platform_rig_t *rig, const char *kind,
+			    int64_t after)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < rig->events->len; i++) {
+		const event_t *event = &g_array_index(rig->events, event_t, i);
+
+		if (event->revision > after && strcmp(event->kind, kind) == 0)
+			json_array_append_new(
+				list,
+				json_pack("{s:O, s:b}", "object", event->object,
+					  "deleted", event->deleted));
+	}
+	return list;
+}
+
+static void answer_watch(watch_t *watch, json_t *events)
+{
+	answer_json(watch->request, 200,
+		    json_pack("{s:o, s:I}", "events", events, "currentRev",
+			      (json_int_t)watch->rig->revision));
+	g_ptr_array_remove_fast(watch->rig->watches, watch);
+}
+
+static void serve_watches(platform_rig_t *rig)
+{
+	int64_t now_us = bsh_loop_clock_us();
+
+	for (guint i = rig->watches->len; i > 0; i--) {
+		watch_t *watch = g_ptr_array_index(rig->watches, i - 1);
+		json_t *events = events_after(rig, watch->kind, watch->after);
+
+		if (json_array_size(events) > 0 || now_us >= watch->until_us)
+			answer_watch(watch, events);
+		else
+			json_decref(events);
+	}
+}
+
+static void on_watch_done(void *ctx, bool delivered)
+{
+	watch_t *watch = ctx;
+
+	(void)delivered;
+	g_ptr_array_remove_fast(watch->rig->watches, watch);
+	g_free(watch->kind);
+	g_free(watch);
+}
+
+static void change(platform_rig_t *rig, const char *kind, const char *name,
+		   json_t *spec)
+{
+	g_autofree char *key = g_strdup_printf("%s/%s", kind, name);
+	event_t event = { .revision = ++rig->revision,
+			  .kind = g_strdup(kind),
+			  .deleted = spec == NULL };
+	json_t *old = g_hash_table_lookup(rig->objects, key);
+
+	event.object =
+		json_pack("{s:{s:s, s:I}, s:O}", "metadata", "name", name,
+			  "revision", (json_int_t)rig->revision, "spec",
+			  spec != NULL ? spec : json_object_get(old, "spec"));
+	if (spec != NULL)
+		g_hash_table_replace(rig->objects, g_strdup(key),
+				     json_incref(event.object));
+	else
+		g_hash_table_remove(rig->objects, key);
+	g_array_append_val(rig->events, event);
+	serve_watches(rig);
+}
+
+static void list_kind(platform_rig_t *rig, bsh_http_request_t *request,
+		      const char *kind)
+{
+	g_autofree char *prefix = g_strdup_printf("%s/", kind);
+	json_t *items = json_array();
+	GHashTableIter iter;
+	void *key;
+	void *object;
+
+	g_hash_table_iter_init(&iter, rig->objects);
+	while (g_hash_table_iter_next(&iter, &key, &object))
+		if (g_str_has_prefix(key, prefix))
+			json_array_append(items, object);
+	answer_json(request, 200,
+		    json_pack("{s:o, s:b, s:I}", "items", items, "truncated", 0,
+			      "currentRev", (json_int_t)rig->revision));
+}
+
+static void watch_kind(platform_rig_t *rig, bsh_http_request_t *request,
+		       const char *kind, const char *after)
+{
+	static const bsh_http_request_handler_t handler = { on_watch_done,
+							    NULL };
+	const char *wait = bsh_http_request_argument(request, "waitMs");
+	watch_t *watch = g_new0(watch_t, 1);
+
+	watch->request = request;
+	watch->kind = g_strdup(kind);
+	watch->after = g_ascii_strtoll(after, NULL, 10);
+	watch->until_us =
+		bsh_loop_clock_us() +
+		(wait != NULL ? g_ascii_strtoll(wait, NULL, 10) : 0) * 1000;
+	watch->rig = rig;
+	bsh_http_request_set_handler(request, &handler, watch);
+	g_ptr_array_add(rig->watches, watch);
+	serve_watches(rig);
+}
+
+static int64_t given_revision(bsh_http_request_t *request, const json_t *body)
+{
+	const char *query = bsh_http_request_argument(request, "revision");
+
+	if (query != NULL)
+		return g_ascii_strtoll(query, NULL, 10);
+	return json_integer_value(
+		json_object_get(json_object_get(body, "metadata"), "revision"));
+}
+
+static void change_object(platform_rig_t *rig, bsh_http_request_t *request,
+			  const char *kind, const char *name)
+{
+	const char *method = bsh_http_request_method(request);
+	g_autofree char *key = g_strdup_printf("%s/%s", kind, name);
+	json_t *old = g_hash_table_lookup(rig->objects, key);
+	size_t size;
+	const char *text = bsh_http_request_body(request, &size);
+	json_t *body = json_loadb(text, size, 0, NULL);
+	int64_t revision = given_revision(request, body);
+	bool is_new = strcmp(method, "POST") == 0;
+
+	if (old == NULL && !is_new) {
+		answer_json(request, 404, json_object());
+	} else if (old != NULL &&
+		   (is_new ||
+		    (revision > 0 &&
+		     revision != json_integer_value(json_object_get(
+					 json_object_get(old, "metadata"),
+					 "revision"))))) {
+		answer_json(request, 409, json_incref(old));
+	} else if (strcmp(method, "DELETE") == 0) {
+		change(rig, kind, name, NULL);
+		answer_json(request, 200, json_object());
+	} else {
+		change(rig, kind, name, json_object_get(body, "spec"));
+		answer_json(
+			request, 200,
+			json_incref(g_hash_table_lookup(rig->objects, key)));
+	}
+	json_decref(body);
+}
+
+static void on_store_request(void *ctx, bsh_http_request_t *request)
+{
+	platform_rig_t *rig = ctx;
+	const char *path = bsh_http_request_path(request);
+	const char *watch = bsh_http_request_argument(request, "watch");
+	g_auto(GStrv) parts = g_strsplit(path, "/", 6);
+	json_t *object;
+	g_autofree char *key = NULL;
+
+	if (rig->store_mute)
+		return;
+	if (rig->store_down) {
+		bsh_http_answer(request, 503, "", 0);
+		return;
+	}
+	/* "", "api", "objects", KIND, NAME */
+	if (g_strv_length(parts) == 4 && watch != NULL) {
+		watch_kind(rig, request, parts[3], watch);
+	} else if (g_strv_length(parts) == 4) {
+		list_kind(rig, request, parts[3]);
+	} else if (strcmp(bsh_http_request_method(request), "GET") == 0) {
+		key = g_strdup_printf("%s/%s", parts[3], parts[4]);
+		object = g_hash_table_lookup(rig->objects, key);
+		if (object != NULL)
+			answer_json(request, 200, json_incref(object));
+		else
+			answer_json(request, 404, json_object());
+	} else {
+		change_object(rig, request, parts[3], parts[4]);
+	}
+}
+
+void platform_rig_configure(platform_rig_t *rig, const char *extra)
+{
+	static const char *const routes[][5] = {
+		{ "stream", "stream", "llm", "2", "true" },
+		{ "once", "stream", "llm", "1", "false" },
+		{ "book", "non_idempotent", "desk", "1", "false" },
+		{ "look", "idempotent", "desk", "2", "false" },
+	};
+	GString *text = g_string_new(NULL);
+	json_t *spec;
+
+	g_string_printf(text, "{\"version\":%u,\"routes\":[", ++rig->version);
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"%s\",\"host\":\"" RIG_HOST
+			"\",\"pathPrefix\":\"/%s/\",\"kind\":\"%s\","
+			"\"service\":\"%s\",\"maxAttempts\":%s,"
+			"\"resumable\":%s,\"timeoutMs\":10000,"
+			"\"targetLatencyMs\":500,\"priority\":0}",
+			i > 0 ? "," : "", routes[i][0], routes[i][0],
+			routes[i][1], routes[i][2], routes[i][3], routes[i][4]);
+	if (extra != NULL)
+		g_string_append_printf(text, ",%s", extra);
+	g_string_append_printf(
+		text,
+		"],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":%d,"
+		"\"weightsMb\":%u,\"adapterSlots\":2,\"loadsPerS\":4,"
+		"\"models\":[",
+		ENGINE_SLOTS, rig->weights_mb);
+	for (int i = 0; i < 6; i++)
+		g_string_append_printf(text,
+				       "%s{\"name\":\"m%d\",\"weightsMb\":%d,"
+				       "\"loadS\":0.12,\"adapters\":0,"
+				       "\"adapterMb\":1}",
+				       i > 0 ? "," : "", i, MODEL_MB);
+	g_string_append(text, "]}},{\"name\":\"desk\"}],\"limits\":{}}");
+	spec = json_loads(text->str, 0, NULL);
+	g_assert_nonnull(spec);
+	change(rig, "config", "main", spec);
+	json_decref(spec);
+	g_string_free(text, TRUE);
+}
+
+/* Workers. */
+
+static json_t *worker_models(const worker_t *worker)
+{
+	json_t *list = json_array();
+	const char *name;
+	json_t *adapters;
+
+	json_object_foreach(worker->models, name, adapters)
+	{
+		json_array_append_new(list, json_pack("{s:s, s:i, s:O}", "name",
+						      name, "version", 1,
+						      "adapters", adapters));
+	}
+	return list;
+}
+
+void platform_rig_beat(worker_t *worker, const char *state)
+{
+	json_t *spec = json_pack(
+		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:o, s:I, s:i}", "service",
+		worker->service, "address", worker->address, "zone", "z1",
+		"version", "v1", "slots", ENGINE_SLOTS, "state", state,
+		"coldRemainingMs", 0, "models", worker_models(worker), "born",
+		(json_int_t)worker->started_ms, "seq", 1);
+
+	change(worker->rig, "servers", worker->id, spec);
+	json_decref(spec);
+}
+
+void platform_rig_lapse(worker_t *worker)
+{
+	change(worker->rig, "servers", worker->id, NULL);
+}
+
+static void end_run(run_t *run)
+{
+	bsh_loop_timer_stop(&run->timer);
+	g_ptr_array_remove_fast(run->worker->rig->timers, run);
+	g_free(run);
+}
+
+static void on_run_done(void *ctx, bool delivered)
+{
+	run_t *run = ctx;
+
+	if (!delivered)
+		run->worker->aborted++;
+	end_run(run);
+}
+
+static void add_seal(const run_t *run)
+{
+	bsh_http_answer_header(run->request, "Berylshunt-Server-Seal",
+			       run->worker->id);
+	bsh_http_answer_header(run->request, "Berylshunt-Request-Try-Id",
+			       run->attempt);
+}
+
+static void write_event(run_t *run)
+{
+	char event[64];
+	int size;
+
+	if (!run->begun) {
+		add_seal(run);
+		bsh_http_answer_header(run->request, "Content-Type",
+				       "text/event-stream");
+		bsh_http_answer_begin(run->request, 200, -1);
+		run->begun = true;
+	}
+	run->next_event++;
+	size = g_snprintf(event, sizeof(event), "id: %u\ndata: e%u\n\n",
+			  run->next_event, run->next_event);
+	bsh_http_answer_write(run->request, event, (size_t)size);
+}
+
+static void on_run_timer(void *ctx)
+{
+	run_t *run = ctx;
+	const worker_t *worker = run->worker;
+
+	if (worker->mode == WORKER_IS_SILENT)
+		return;
+	if (worker->mode == WORKER_LOSES_ANSWER) {
+		bsh_http_answer_abort(run->request);
+		return;
+	}
+	if (!run->stream) {
+		add_seal(run);
+		bsh_http_answer(run->request, 200, "done", 4);
+		return;
+	}
+	if (worker->mode == WORKER_BREAKS_STREAM && run->next_event >= 2) {
+		bsh_http_answer_abort(run->request);
+		return;
+	}
+	if (run->next_event >= EVENTS) {
+		bsh_http_answer_end(run->request);
+		return;
+	}
+	write_event(run);
+	bsh_loop_timer_after(&run->timer, 10000);
+}
+
+static void refuse(bsh_http_request_t *request, int status)
+{
+	bsh_http_answer_header(request, "Berylshunt-Not-Executed", "1");
+	bsh_http_answer(request, status, "", 0);
+}
+
+static void start_run(worker_t *worker, bsh_http_request_t *request)
+{
+	static const bsh_http_request_handler_t handler = { on_run_done, NULL };
+	platform_rig_t *rig = worker->rig;
+	const char *id =
+		bsh_http_request_header(request, "Berylshunt-Request-Try-Id");
+	const char *model =
+		bsh_http_request_header(request, "Berylshunt-Model");
+	const char *after = bsh_http_request_header(request, "Last-Event-Id");
+	run_t *run;
+	guint runs;
+
+	if (worker->mode == WORKER_IS_FULL) {
+		refuse(request, 503);
+		return;
+	}
+	if (model != NULL && json_object_get(worker->models, model) == NULL) {
+		bsh_http_answer(request, 421, "", 0);
+		return;
+	}
+	run = g_new0(run_t, 1);
+	run->worker = worker;
+	run->request = request;
+	run->stream = model != NULL;
+	run->next_event =
+		after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) : 0;
+	g_strlcpy(run->attempt, id != NULL ? id : "", sizeof(run->attempt));
+	worker->runs++;
+	runs = GPOINTER_TO_UINT(g_hash_table_lookup(rig->runs, run->attempt));
+	g_hash_table_replace(rig->runs, g_strdup(run->attempt),
+			     GUINT_TO_POINTER(runs + 1));
+	bsh_loop_timer_init(&run->timer, &rig->loop, on_run_timer, run);
+	g_ptr_array_add(rig->timers, run);
+	bsh_http_request_set_handler(request, &handler, run);
+	bsh_loop_timer_after(&run->timer, 1000LL * worker->work_ms);
+}
+
+/* Two holders whose orders are closer than the lease time. */
+static void note_holder(worker_t *worker, const char *holder)
+{
+	int64_t now_us = bsh_loop_clock_us();
+
+	if (worker->holder[0] != '\0' && strcmp(worker->holder, holder) != 0 &&
+	    now_us - worker->order_us < worker->rig->lease_ms * INT64_C(1000))
+		worker->turns++;
+	g_strlcpy(worker->holder, holder, sizeof(worker->holder));
+	worker->order_us = now_us;
+}
+
+static void take_order(worker_t *worker, bsh_http_request_t *request)
+{
+	size_t size;
+	const char *text = bsh_http_request_body(request, &size);
+	json_t *order = json_loadb(text, size, 0, NULL);
+	const char *model = json_string_value(json_object_get(order, "model"));
+	const char *op = json_string_value(json_object_get(order, "op"));
+	bool load = g_strcmp0(op, "load") == 0;
+
+	note_holder(worker,
+		    json_string_value(json_object_get(order, "holder")));
+	if (json_integer_value(json_object_get(order, "expected")) !=
+	    (json_int_t)worker->orders) {
+		bsh_http_answer(request, 409, "", 0);
+	} else if ((json_object_get(worker->models, model) != NULL) == load) {
+		bsh_http_answer(request, 200, "", 0);
+	} else {
+		worker->orders++;
+		if (load) {
+			worker->loads++;
+			json_object_set_new(worker->models, model,
+					    json_array());
+		} else {
+			json_object_del(worker->models, model);
+		}
+		if (json_object_size(worker->models) * MODEL_MB >
+		    worker->rig->weights_mb)
+			worker->overloads++;
+		bsh_http_answer(request, 202, "", 0);
+		platform_rig_beat(worker, "ready");
+	}
+	json_decref(order);
+}
+
+static void on_worker_request(void *ctx, bsh_http_request_t *request)
+{
+	worker_t *worker = ctx;
+	const char *path = bsh_http_request_path(request);
+	const char *expect =
+		bsh_http_request_header(request, "Berylshunt-Expect-Instance");
+
+	if (expect != NULL && strcmp(expect, worker->id) != 0)
+		bsh_http_answer(request, 421, "", 0);
+	else if (strcmp(path, "/api/order") == 0)
+		take_order(worker, request);
+	else if (strcmp(path, "/api/report") == 0)
+		answer_json(request, 200,
+			    json_pack("{s:o, s:b, s:I, s:I}", "models",
+				      worker_models(worker), "busy", 0, "seq",
+				      (json_int_t)worker->orders, "born",
+				      (json_int_t)worker->started_ms));
+	else
+		start_run(worker, request);
+}
+
+worker_t *platform_rig_worker(platform_rig_t *rig, const char *service,
+			      const char *model)
+{
+	worker_t *worker = &rig->workers[rig->n_workers++];
+	bsh_http_server_config_t config = { .address = "127.0.0.1:0",
+					    SERVER_LIMITS,
+					    .on_request = on_worker_request,
+					    .ctx = worker };
+
+	g_assert_cmpuint(rig->n_workers, <=, RIG_WORKERS_MAX);
+	worker->rig = rig;
+	worker->work_ms = 10;
+	worker->started_ms = 1700000000000ULL + rig->n_workers;
+	worker->models = json_object();
+	if (model != NULL)
+		json_object_set_new(worker->models, model, json_array());
+	g_snprintf(worker->id, sizeof(worker->id), "i-%u", rig->n_workers);
+	g_strlcpy(worker->service, service, sizeof(worker->service));
+	g_assert_cmpint(
+		bsh_http_server_new(&worker->server, &rig->loop, &config), ==,
+		BSH_OK);
+	g_snprintf(worker->address, sizeof(worker->address), "127.0.0.1:%u",
+		   bsh_http_server_port(worker->server));
+	platform_rig_beat(worker, "ready");
+	return worker;
+}
+
+void platform_rig_restart_worker(worker_t *worker)
+{
+	for (guint i = worker->rig->timers->len; i > 0; i--) {
+		run_t *run = g_ptr_array_index(worker->rig->timers, i - 1);
+
+		if (run->worker == worker)
+			bsh_http_answer_abort(run->request);
+	}
+	json_object_clear(worker->models);
+	worker->orders = 0;
+	worker->started_ms++;
+	platform_rig_beat(worker, "ready");
+}
+
+/* Entry daemons. */
+
+static void die_with_parent(void *ctx)
+{
+	(void)ctx;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+void platform_rig_spawn(platform_rig_t *rig, rig_entry_t *entry)
+{
+	const char *build = g_getenv("BSH_BUILD");
+	const char *show = g_getenv("BSH_RIG_LOG");
+	g_autofree char *program = g_build_filename(
+		build != NULL ? build : "build", "bshentryd", NULL);
+	char *argv[] = { program, (char *)"-c", entry->settings_path, NULL };
+	GSpawnFlags flags = G_SPAWN_DO_NOT_REAP_CHILD;
+	GError *error = NULL;
+
+	(void)rig;
+	if (show == NULL)
+		flags |= G_SPAWN_STDOUT_TO_DEV_NULL;
+	g_spawn_async(NULL, argv, NULL, flags, die_with_parent, NULL,
+		      &entry->pid, &error);
+	g_assert_no_error(error);
+	entry->alive = true;
+	entry->stopped = false;
+}
+
+static void write_settings(const platform_rig_t *rig, rig_entry_t *entry)
+{
+	g_autofree char *text = g_strdup_printf(
+		"[instance]\nname=%s\nzone=z1\n[security]\nkey=%064d\n"
+		"[store]\naddress=%s\n[router]\nlisten=%s\nadmin=%s\n"
+		"[control]\nlisten=%s\nlink=%s\ngossip=127.0.0.1:%u\n"
+		"[entry]\nready=%s\ngrace_s=3\norder_lease_ms=%u\n"
+		"order_start_ms=0\nseed_loads=0\n"
+		"[timing]\nprobe_period_ms=200\n",
+		entry->name, 7, rig->store_address, entry->front,
+		entry->metrics, entry->directory, entry->directory, free_port(),
+		entry->ready, rig->lease_ms);
+	int fd = g_file_open_tmp("bsh-entry-XXXXXX", &entry->settings_path,
+				 NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	close(fd);
+	g_assert_true(
+		g_file_set_contents(entry->settings_path, text, -1, NULL));
+}
+
+rig_entry_t *platform_rig_entry(platform_rig_t *rig)
+{
+	rig_entry_t *entry = &rig->entries[rig->n_entries++];
+	char *const addresses[] = { entry->front, entry->ready,
+				    entry->directory, entry->metrics };
+
+	g_assert_cmpuint(rig->n_entries, <=, RIG_ENTRIES_MAX);
+	g_snprintf(entry->name, sizeof(entry->name), "entry-%u",
+		   rig->n_entries);
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		g_snprintf(addresses[i], sizeof(entry->front), "127.0.0.1:%u",
+			   free_port());
+	write_settings(rig, entry);
+	platform_rig_spawn(rig, entry);
+	return entry;
+}
+
+void platform_rig_reap(platform_rig_t *rig)
+{
+	for (uint32_t i = 0; i < rig->n_entries; i++) {
+		rig_entry_t *entry = &rig->entries[i];
+
+		if (entry->pid != 0 && waitpid(entry->pid, &entry->status,
+					       WNOHANG) == entry->pid) {
+			entry->pid = 0;
+			entry->alive = false;
+		}
+	}
+}
+
+/* Callers. */
+
+static void on_reply_header(void *ctx, const char *name, size_t name_size,
+			    const char *value, size_t value_size)
+{
+	rig_reply_t *reply = ctx;
+
+	if (name_size == 11 &&
+	    g_ascii_strncasecmp(name, "Retry-After", 11) == 0)
+		reply->retry_after = g_strndup(value, value_size);
+}
+
+static void on_reply_end(void *ctx, const bsh_http_result_t *result)
+{
+	rig_reply_t *reply = ctx;
+
+	reply->call = NULL;
+	reply->done = true;
+	reply->status = result->status;
+	reply->complete = result->err == BSH_OK;
+	reply->body = g_strdup(result->body);
+	reply->took_us = bsh_loop_clock_us() - reply->took_us;
+}
+
+void platform_rig_send(platform_rig_t *rig, const char *address,
+		       const char *path, const char *id, const char *model,
+		       uint32_t deadline_ms, rig_reply_t *reply)
+{
+	static const bsh_http_handler_t handler = { .on_header =
+							    on_reply_header,
+						    .on_end = on_reply_end };
+	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
+	g_autofree char *attempt =
+		g_strdup_printf("Berylshunt-Request-Try-Id: %s", id);
+	g_autofree char *deadline =
+		g_strdup_printf("Berylshunt-Deadline-Ms: %u", deadline_ms);
+	g_autofree char *named = g_strdup_printf("Berylshunt-Model: %s", model);
+	const char *headers[] = { "Host: " RIG_HOST, attempt, deadline,
+				  model != NULL ? named : NULL, NULL };
+	bool has_body = !g_str_has_prefix(path, "/api/") &&
+			!g_str_has_prefix(path, "/look/");
+	bsh_http_spec_t spec = { .method = has_body ? "POST" : "GET",
+				 .url = url,
+				 .headers = headers,
+				 .body = has_body ? "x" : NULL,
+				 .body_size = has_body ? 1 : 0,
+				 .idle_timeout_ms = 20000,
+				 .fresh_connection = true };
+
+	memset(reply, 0, sizeof(*reply));
+	reply->took_us = bsh_loop_clock_us();
+	g_assert_cmpint(bsh_http_client_start(rig->client, &spec, &handler,
+					      reply, &reply->call),
+			==, BSH_OK);
+}
+
+void platform_rig_reply_clear(rig_reply_t *reply)
+{
+	if (reply->call != NULL)
+		bsh_http_call_cancel(reply->call);
+	g_free(reply->body);
+	g_free(reply->retry_after);
+	memset(reply, 0, sizeof(*reply));
+}
+
+static void step(platform_rig_t *rig)
+{
+	bsh_loop_step(&rig->loop, STEP_US);
+	serve_watches(rig);
+	platform_rig_reap(rig);
+}
+
+void platform_rig_run(platform_rig_t *rig, int64_t ms)
+{
+	int64_t until_us = bsh_loop_clock_us() + ms * 1000;
+
+	while (bsh_loop_clock_us() < until_us)
+		step(rig);
+}
+
+void platform_rig_wait(platform_rig_t *rig, const bool *flag)
+{
+	int64_t until_us = bsh_loop_clock_us() + GIVE_UP_MS * INT64_C(1000);
+
+	while (!*flag) {
+		g_assert_cmpint(bsh_loop_clock_us(), <, until_us);
+		step(rig);
+	}
+}
+
+void platform_rig_wait_ready(platform_rig_t *rig, rig_entry_t *entry)
+{
+	int64_t until_us = bsh_loop_clock_us() + GIVE_UP_MS * INT64_C(1000);
+	int status = 0;
+
+	while (status != 200) {
+		rig_reply_t reply;
+
+		g_assert_cmpint(bsh_loop_clock_us(), <, until_us);
+		platform_rig_send(rig, entry->ready, "/api/ready", "r", NULL,
+				  1000, &reply);
+		platform_rig_wait(rig, &reply.done);
+		status = reply.status;
+		platform_rig_reply_clear(&reply);
+		if (status != 200)
+			platform_rig_run(rig, 20);
+	}
+}
+
+uint32_t platform_rig_runs(const platform_rig_t *rig, const char *id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(rig->runs, id));
+}
+
+void platform_rig_init(platform_rig_t *rig)
+{
+	bsh_http_server_config_t config = { .address = "127.0.0.1:0",
+					    SERVER_LIMITS,
+					    .on_request = on_store_request,
+					    .ctx = rig };
+
+	memset(rig, 0, sizeof(*rig));
+	apr_initialize();
+	signal(SIGPIPE, SIG_IGN);
+	g_assert_cmpint(bsh_loop_init(&rig->loop), ==, BSH_OK);
+	rig->client = bsh_http_client_new(&rig->loop, MAX_IDLE);
+	rig->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     (GDestroyNotify)json_decref);
+	rig->events = g_array_new(FALSE, TRUE, sizeof(event_t));
+	g_array_set_clear_func(rig->events, free_event);
+	rig->watches = g_ptr_array_new();
+	rig->timers = g_ptr_array_new();
+	rig->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	rig->lease_ms = 1000;
+	rig->weights_mb = 2 * MODEL_MB;
+	g_assert_cmpint(bsh_http_server_new(&rig->store, &rig->loop, &config),
+			==, BSH_OK);
+	g_snprintf(rig->store_address, sizeof(rig->store_address),
+		   "127.0.0.1:%u", bsh_http_server_port(rig->store));
+}
+
+void platform_rig_finish(platform_rig_t *rig)
+{
+	for (uint32_t i = 0; i < rig->n_entries; i++) {
+		rig_entry_t *entry = &rig->entries[i];
+
+		if (entry->pid != 0) {
+			kill(entry->pid, SIGKILL);
+			waitpid(entry->pid, &entry->status, 0);
+		}
+		unlink(entry->settings_path);
+		g_free(entry->settings_path);
+	}
+	bsh_http_server_free(rig->store);
+	for (uint32_t i = 0; i < rig->n_workers; i++) {
+		bsh_http_server_free(rig->workers[i].server);
+		json_decref(rig->workers[i].models);
+	}
+	bsh_http_client_free(rig->client);
+	g_array_free(rig->events, TRUE);
+	g_ptr_array_free(rig->watches, TRUE);
+	g_ptr_array_free(rig->timers, TRUE);
+	g_hash_table_destroy(rig->objects);
+	g_hash_table_destroy(rig->runs);
+	bsh_loop_finish(&rig->loop);
+}
--- /dev/null
+++ b/regress/test_entry.c
@@ -0,0 +1,273 @@
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "support/platform_rig.h"
+
+typedef struct {
+	platform_rig_t rig;
+	rig_entry_t *entry;
+	worker_t *engine;
+	worker_t *desk;
+	rig_reply_t reply;
+} fixture_t;
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_init(&f->rig);
+	platform_rig_configure(&f->rig, NULL);
+	f->engine = platform_rig_worker(&f->rig, "llm", "m0");
+	f->desk = platform_rig_worker(&f->rig, "desk", NULL);
+	f->entry = platform_rig_entry(&f->rig);
+	platform_rig_wait_ready(&f->rig, f->entry);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_finish(&f->rig);
+}
+
+static void call(fixture_t *f, const char *path, const char *id,
+		 const char *model)
+{
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_send(&f->rig, f->entry->front, path, id, model, 8000,
+			  &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+}
+
+/* Guards against a break anywhere on the path of an ordinary request. */
+static void test_serves(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	call(f, "/book/1", "a1", NULL);
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_cmpstr(f->reply.body, ==, "done");
+	call(f, "/once/1", "a2", "m0");
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	g_assert_true(g_str_has_prefix(f->reply.body, "id: 1\n"));
+	g_assert_nonnull(strstr(f->reply.body, "data: e6\n\n"));
+	call(f, "/none/1", "a3", NULL);
+	g_assert_cmpint(f->reply.status, ==, 404);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "a1"), ==, 1);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "a2"), ==, 1);
+}
+
+/* Guards against a directory that names an instance that is stopping. */
+static void test_directory(fixture_t *f, gconstpointer data)
+{
+	static const char path[] = "/api/resolve?name=x&zone=z1";
+	rig_reply_t *reply = &f->reply;
+	int64_t until_us = bsh_loop_clock_us() + 5000000;
+	rig_entry_t *second = platform_rig_entry(&f->rig);
+	bool both = false;
+
+	(void)data;
+	platform_rig_wait_ready(&f->rig, second);
+	while (!both) {
+		g_assert_cmpint(bsh_loop_clock_us(), <, until_us);
+		platform_rig_reply_clear(reply);
+		platform_rig_send(&f->rig, f->entry->directory, path, "d", NULL,
+				  1000, reply);
+		platform_rig_wait(&f->rig, &reply->done);
+		both = reply->body != NULL &&
+		       strstr(reply->body, second->front) != NULL &&
+		       strstr(reply->body, f->entry->front) != NULL;
+	}
+	kill(second->pid, SIGTERM);
+	platform_rig_run(&f->rig, 700);
+	platform_rig_reply_clear(reply);
+	platform_rig_send(&f->rig, f->entry->directory, path, "d", NULL, 1000,
+			  reply);
+	platform_rig_wait(&f->rig, &reply->done);
+	g_assert_nonnull(strstr(reply->body, f->entry->front));
+	g_assert_null(strstr(reply->body, second->front));
+}
+
+/* Guards against a call that may run once being sent again after its answer
+ * was lost, or being answered as if it had not run. */
+static void test_lost_answer(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->desk->mode = WORKER_LOSES_ANSWER;
+	call(f, "/book/1", "b1", NULL);
+	g_assert_cmpint(f->reply.status, ==, 502);
+	g_assert_null(f->reply.retry_after);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "b1"), ==, 1);
+	platform_rig_worker(&f->rig, "desk", NULL);
+	platform_rig_run(&f->rig, 200);
+	call(f, "/look/1", "b2", NULL);
+	/* One that may be repeated reaches the other worker. */
+	g_assert_cmpint(f->reply.status, ==, 200);
+}
+
+/* Guards against a refusal without a time to come back, or one that is held
+ * back, when a worker proves that it did not run the request. */
+static void test_refusal(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->desk->mode = WORKER_IS_FULL;
+	call(f, "/book/1", "c1", NULL);
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_nonnull(f->reply.retry_after);
+	g_assert_cmpint(f->reply.took_us, <, 1000000);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "c1"), ==, 0);
+}
+
+/* Guards against a gap, a torn event or an early end when a worker breaks a
+ * resumable stream, and against a stream that is not resumable being joined
+ * from two runs. */
+static void test_broken_stream(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->engine->mode = WORKER_BREAKS_STREAM;
+	platform_rig_worker(&f->rig, "llm", "m0");
+	platform_rig_run(&f->rig, 200);
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("d%d", i);
+
+		call(f, "/stream/1", id, "m0");
+		g_assert_cmpint(f->reply.status, ==, 200);
+		g_assert_true(f->reply.complete);
+		g_assert_cmpstr(f->reply.body, ==,
+				"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+				"id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+				"id: 5\ndata: e5\n\nid: 6\ndata: e6\n\n");
+	}
+	for (uint32_t i = 0; i < f->rig.n_workers; i++)
+		f->rig.workers[i].mode = WORKER_BREAKS_STREAM;
+	call(f, "/once/1", "d9", "m0");
+	g_assert_false(f->reply.complete);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "d9"), ==, 1);
+}
+
+/* Guards against a model that nobody loads, and against a load on top of what
+ * fills a worker. */
+static void test_loads_on_demand(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	for (int i = 1; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("e%d", i);
+		g_autofree char *model = g_strdup_printf("m%d", i);
+
+		call(f, "/once/1", id, model);
+		g_assert_cmpint(f->reply.status, ==, 200);
+		g_assert_cmpuint(platform_rig_runs(&f->rig, id), ==, 1);
+	}
+	g_assert_cmpuint(f->engine->loads, >=, 5);
+	g_assert_cmpuint(f->engine->overloads, ==, 0);
+}
+
+/* Guards against requests that are cut, or vanish, when an instance stops: what
+ * runs ends, what waits is refused and told where to go. */
+static void test_stop(fixture_t *f, gconstpointer data)
+{
+	rig_reply_t waiting;
+
+	(void)data;
+	f->engine->work_ms = 800;
+	/* The only engine is silent to orders: the model never comes. */
+	platform_rig_send(&f->rig, f->entry->front, "/once/1", "f1", "m0", 8000,
+			  &f->reply);
+	platform_rig_run(&f->rig, 100);
+	f->rig.store_down = true;
+	platform_rig_run(&f->rig, 1100);
+	platform_rig_send(&f->rig, f->entry->front, "/once/1", "f2", "m5", 8000,
+			  &waiting);
+	platform_rig_run(&f->rig, 50);
+	kill(f->entry->pid, SIGTERM);
+	platform_rig_wait(&f->rig, &waiting.done);
+	g_assert_cmpint(waiting.status, ==, 503);
+	g_assert_nonnull(waiting.retry_after);
+	g_assert_cmpint(waiting.took_us, <, 1000000);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	while (f->entry->alive)
+		platform_rig_run(&f->rig, 50);
+	g_assert_true(WIFEXITED(f->entry->status));
+	g_assert_cmpint(WEXITSTATUS(f->entry->status), ==, 0);
+	platform_rig_reply_clear(&waiting);
+}
+
+/* Guards against work that goes on for a caller who has left. */
+static void test_caller_leaves(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->desk->mode = WORKER_IS_SILENT;
+	platform_rig_send(&f->rig, f->entry->front, "/look/1", "g1", NULL, 8000,
+			  &f->reply);
+	platform_rig_run(&f->rig, 200);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "g1"), ==, 1);
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_run(&f->rig, 300);
+	g_assert_cmpuint(f->desk->aborted, ==, 1);
+}
+
+/* Guards against a configuration that goes back, or is lost, while the store is
+ * away, and one that is not taken over when it returns. */
+static void test_configuration_without_store(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->rig.store_down = true;
+	platform_rig_run(&f->rig, 500);
+	call(f, "/book/1", "h1", NULL);
+	g_assert_cmpint(f->reply.status, ==, 200);
+	platform_rig_configure(&f->rig,
+			       "{\"name\":\"late\",\"host\":\"" RIG_HOST
+			       "\",\"pathPrefix\":\"/late/\",\"kind\":"
+			       "\"idempotent\",\"service\":\"desk\"}");
+	f->rig.store_down = false;
+	platform_rig_run(&f->rig, 1500);
+	call(f, "/late/1", "h2", NULL);
+	g_assert_cmpint(f->reply.status, ==, 200);
+}
+
+/* Guards against a 404 from an instance that never had a configuration. */
+static void test_without_configuration(void)
+{
+	platform_rig_t rig;
+	rig_entry_t *entry;
+	rig_reply_t reply;
+
+	platform_rig_init(&rig);
+	entry = platform_rig_entry(&rig);
+	platform_rig_run(&rig, 500);
+	platform_rig_send(&rig, entry->front, "/book/1", "i1", NULL, 1000,
+			  &reply);
+	platform_rig_wait(&rig, &reply.done);
+	g_assert_cmpint(reply.status, ==, 503);
+	g_assert_nonnull(reply.retry_after);
+	platform_rig_reply_clear(&reply);
+	platform_rig_send(&rig, entry->ready, "/api/ready", "i2", NULL, 1000,
+			  &reply);
+	platform_rig_wait(&rig, &reply.done);
+	g_assert_cmpint(reply.status, ==, 503);
+	platform_rig_reply_clear(&reply);
+	platform_rig_finish(&rig);
+}
+
+#define ADD(path, fn) g_test_add(path, fixture_t, NULL, set_up, fn, tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/entry/serves", test_serves);
+	ADD("/entry/directory", test_directory);
+	ADD("/entry/lost-answer", test_lost_answer);
+	ADD("/entry/refusal", test_refusal);
+	ADD("/entry/broken-stream", test_broken_stream);
+	ADD("/entry/loads-on-demand", test_loads_on_demand);
+	ADD("/entry/stop", test_stop);
+	ADD("/entry/caller-leaves", test_caller_leaves);
+	ADD("/entry/configuration-without-store",
+	    test_configuration_without_store);
+	g_test_add_func("/entry/without-configuration",
+			test_without_configuration);
+	return g_test_run();
+}
