List anew after a lost watch, and all kinds after one lost history

A watch that failed now begins with a list, and history that is gone for one kind is a reason to list all. Ruled out: a configuration that could not be read (none was), the gossip of versions (no instance had the new one). Test: /entry/configuration-after-lost-history.

--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -73,10 +73,11 @@
 	(void)list;
 }
 
-static void on_state(void *ctx, bool reached)
+static void on_doubt(void *ctx)
 {
-	(void)ctx;
-	(void)reached;
+	const catalogs_t *catalogs = ctx;
+
+	control_store_doubtful(catalogs->control);
 }
 
 static bool is_behind(const catalogs_t *catalogs)
@@ -108,7 +109,7 @@
 	catalogs_t *catalogs = g_new0(catalogs_t, 1);
 	feed_ops_t ops = { .on_object = on_object,
 			   .on_listed = on_listed,
-			   .on_state = on_state,
+			   .on_doubt = on_doubt,
 			   .ctx = catalogs };
 
 	bsh_counter_register(&adopted);
@@ -127,6 +128,11 @@
 	feed_start(&catalogs->feed);
 }
 
+void catalogs_list_again(catalogs_t *catalogs)
+{
+	feed_again(&catalogs->feed);
+}
+
 void catalogs_free(catalogs_t *catalogs)
 {
 	feed_stop(&catalogs->feed);
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -9,6 +9,8 @@
 
 /* The lease and the planner act at this pace. */
 #define TICK_US INT64_C(50000)
+/* Lists after trouble of the store: one round for the trouble of all watches. */
+#define LIST_AGAIN_US INT64_C(500000)
 /* A changed settings file is noticed after this time without a signal. */
 #define SETTINGS_CHECK_US INT64_C(1000000)
 /* Idle connections to the store, peers and targets of this thread. */
@@ -69,6 +71,18 @@
 	control_changed(control);
 }
 
+void control_store_doubtful(control_t *control)
+{
+	int64_t now_us = control_now_us(control);
+
+	if (now_us - control->listed_again_us < LIST_AGAIN_US)
+		return;
+	control->listed_again_us = now_us;
+	catalogs_list_again(control->catalogs);
+	targets_list_again(control->targets);
+	peers_list_again(control->peers);
+}
+
 void control_peer_message(control_t *control, const bsh_message_t *message)
 {
 	if (message->type == BSH_MSG_DEMAND)
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -36,6 +36,7 @@
 	bsh_loop_task_t view_task;
 	bool draining;
 	int64_t drain_began_us;
+	int64_t listed_again_us;
 	int64_t settings_changed_ns; /* time stamp of the settings file */
 };
 
@@ -48,6 +49,8 @@
 /* control_target_changed - an entry of the list is new or has changed. */
 void control_target_changed(control_t *control, const bsh_target_t *target);
 void control_target_gone(control_t *control, const char *id);
+/* control_store_doubtful - watches may have missed changes. */
+void control_store_doubtful(control_t *control);
 /* control_peer_message - a message of another instance that is not about
  * membership. */
 void control_peer_message(control_t *control, const bsh_message_t *message);
@@ -55,6 +58,7 @@
 /* catalogs.c */
 catalogs_t *catalogs_new(control_t *control);
 void catalogs_start(catalogs_t *catalogs);
+void catalogs_list_again(catalogs_t *catalogs);
 void catalogs_free(catalogs_t *catalogs);
 /* NULL while there is none. */
 bsh_catalog_t *catalogs_current(const catalogs_t *catalogs);
@@ -64,6 +68,7 @@
 /* targets.c */
 targets_t *targets_new(control_t *control);
 void targets_start(targets_t *targets);
+void targets_list_again(targets_t *targets);
 void targets_free(targets_t *targets);
 bool targets_listed(const targets_t *targets);
 /* What the holder of the lease says about a target. */
@@ -78,6 +83,7 @@
 /* peers.c */
 peers_t *peers_new(control_t *control);
 bsh_error_t peers_start(peers_t *peers);
+void peers_list_again(peers_t *peers);
 void peers_free(peers_t *peers);
 void peers_leave(peers_t *peers);
 void peers_set_version(peers_t *peers, uint64_t version);
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -72,7 +72,8 @@
 		platform_result_name(answer->result), answer->status,
 		(int)(answer->took_us / 1000),
 		answer->detail != NULL ? answer->detail : "");
-	feed->ops.on_state(feed->ops.ctx, reached);
+	if (reached && feed->failed_us > 0)
+		feed->ops.on_doubt(feed->ops.ctx);
 }
 
 static void failed(feed_t *feed, const platform_answer_t *answer)
@@ -137,9 +138,13 @@
 			platform_kind_name(feed->kind), feed->revision);
 		begin_list(feed);
 		next(feed, 0);
+		feed->ops.on_doubt(feed->ops.ctx);
 		return;
 	}
 	if (answer->result != PLATFORM_DONE) {
+		/* Whether a change was in the lost answer is not known, and
+		 * the history may be gone: only a list shows what is. */
+		begin_list(feed);
 		failed(feed, answer);
 		return;
 	}
@@ -179,7 +184,7 @@
 
 void feed_again(feed_t *feed)
 {
-	if (feed->listing)
+	if (feed->listing || feed->stopped)
 		return;
 	begin_list(feed);
 	/* The watch that is out ends by itself, and its answer is dropped. */
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -29,8 +29,9 @@
 			  uint64_t list);
 	/* All objects of this list have been told. */
 	void (*on_listed)(void *ctx, uint64_t list);
-	/* The store answers again after a failure, or fails. */
-	void (*on_state)(void *ctx, bool reached);
+	/* The store answers again after a failure, or has dropped its history:
+	 * watches of other kinds may have missed changes too. */
+	void (*on_doubt)(void *ctx);
 	void *ctx;
 } feed_ops_t;
 
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -232,10 +232,11 @@
 	(void)list;
 }
 
-static void on_state(void *ctx, bool reached)
+static void on_doubt(void *ctx)
 {
-	(void)ctx;
-	(void)reached;
+	const peers_t *peers = ctx;
+
+	control_store_doubtful(peers->control);
 }
 
 peers_t *peers_new(control_t *control)
@@ -249,7 +250,7 @@
 					.seed = g_random_int() };
 	feed_ops_t ops = { .on_object = on_object,
 			   .on_listed = on_listed,
-			   .on_state = on_state,
+			   .on_doubt = on_doubt,
 			   .ctx = peers };
 
 	bsh_counter_register(&live);
@@ -288,6 +289,11 @@
 	return BSH_OK;
 }
 
+void peers_list_again(peers_t *peers)
+{
+	feed_again(&peers->feed);
+}
+
 void peers_free(peers_t *peers)
 {
 	feed_stop(&peers->feed);
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -165,10 +165,11 @@
 	control_changed(targets->control);
 }
 
-static void on_state(void *ctx, bool reached)
+static void on_doubt(void *ctx)
 {
-	(void)ctx;
-	(void)reached;
+	const targets_t *targets = ctx;
+
+	control_store_doubtful(targets->control);
 }
 
 targets_t *targets_new(control_t *control)
@@ -176,7 +177,7 @@
 	targets_t *targets = g_new0(targets_t, 1);
 	feed_ops_t ops = { .on_object = on_object,
 			   .on_listed = on_listed,
-			   .on_state = on_state,
+			   .on_doubt = on_doubt,
 			   .ctx = targets };
 
 	bsh_counter_register(&malformed);
@@ -194,6 +195,11 @@
 	feed_start(&targets->feed);
 }
 
+void targets_list_again(targets_t *targets)
+{
+	feed_again(&targets->feed);
+}
+
 void targets_free(targets_t *targets)
 {
 	feed_stop(&targets->feed);
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -9,13 +9,14 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define GIVE_UP_MS   15000
-#define MODEL_MB     100
-#define LOAD_MS	     120
-#define EVENTS	     6
-#define ENGINE_SLOTS 8
-#define MAX_IDLE     64
-#define STEP_US	     INT64_C(5000)
+#define RIG_HOST_HEADER "Host: " RIG_HOST
+#define GIVE_UP_MS	15000
+#define MODEL_MB	100
+#define LOAD_MS		120
+#define EVENTS		6
+#define ENGINE_SLOTS	8
+#define MAX_IDLE	64
+#define STEP_US		INT64_C(5000)
 #define SERVER_LIMITS                                                          \
 	.max_connections = 2000, .idle_timeout_s = 60, .body_max_bytes = 1 << 20
 
@@ -108,6 +109,8 @@
 {
 	int64_t now_us = bsh_loop_clock_us();
 
+	if (rig->store_deaf)
+		return;
 	for (guint i = rig->watches->len; i > 0; i--) {
 		watch_t *watch = g_ptr_array_index(rig->watches, i - 1);
 		json_t *events = events_after(rig, watch->kind, watch->after);
@@ -169,6 +172,17 @@
 			      "currentRev", (json_int_t)rig->revision));
 }
 
+void platform_rig_compact(platform_rig_t *rig, const char *spared_kind)
+{
+	rig->oldest = rig->revision;
+	for (guint i = rig->watches->len; i > 0; i--) {
+		const watch_t *watch = g_ptr_array_index(rig->watches, i - 1);
+
+		if (strcmp(watch->kind, spared_kind) != 0)
+			bsh_http_answer_abort(watch->request);
+	}
+}
+
 static void watch_kind(platform_rig_t *rig, bsh_http_request_t *request,
 		       const char *kind, const char *after)
 {
@@ -248,7 +262,10 @@
 		return;
 	}
 	/* "", "api", "objects", KIND, NAME */
-	if (g_strv_length(parts) == 4 && watch != NULL) {
+	if (g_strv_length(parts) == 4 && watch != NULL && !rig->store_deaf &&
+	    g_ascii_strtoll(watch, NULL, 10) < rig->oldest) {
+		answer_json(request, 410, json_object());
+	} else if (g_strv_length(parts) == 4 && watch != NULL) {
 		watch_kind(rig, request, parts[3], watch);
 	} else if (g_strv_length(parts) == 4) {
 		list_kind(rig, request, parts[3]);
@@ -680,7 +697,7 @@
 	g_autofree char *deadline =
 		g_strdup_printf("Berylshunt-Deadline-Ms: %u", deadline_ms);
 	g_autofree char *named = g_strdup_printf("Berylshunt-Model: %s", model);
-	const char *headers[] = { "Host: " RIG_HOST, attempt, deadline,
+	const char *headers[] = { RIG_HOST_HEADER, attempt, deadline,
 				  model != NULL ? named : NULL, NULL };
 	bool has_body = !g_str_has_prefix(path, "/api/") &&
 			!g_str_has_prefix(path, "/look/");
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -88,6 +88,8 @@
 	int64_t revision;
 	bool store_down; /* 503 to everything */
 	bool store_mute; /* never answers */
+	bool store_deaf; /* watches hear of no change */
+	int64_t oldest;	 /* changes up to this revision are forgotten */
 	uint32_t lease_ms;
 	worker_t workers[RIG_WORKERS_MAX];
 	uint32_t n_workers;
@@ -117,6 +119,10 @@
 /* platform_rig_restart_worker - empty, with its count of orders set back. */
 void platform_rig_restart_worker(worker_t *worker);
 
+/* platform_rig_compact - forget the history and cut all watches but those of
+ * this kind, which go on waiting. */
+void platform_rig_compact(platform_rig_t *rig, const char *spared_kind);
+
 rig_entry_t *platform_rig_entry(platform_rig_t *rig);
 /* platform_rig_spawn - start the entry's process (again). */
 void platform_rig_spawn(platform_rig_t *rig, rig_entry_t *entry);
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -5,6 +5,10 @@
 
 #include "support/platform_rig.h"
 
+static const char late_route[] = "{\"name\":\"late\",\"host\":\"" RIG_HOST
+				 "\",\"pathPrefix\":\"/late/\",\"kind\":"
+				 "\"idempotent\",\"service\":\"desk\"}";
+
 typedef struct {
 	platform_rig_t rig;
 	rig_entry_t *entry;
@@ -218,16 +222,29 @@
 	platform_rig_run(&f->rig, 500);
 	call(f, "/book/1", "h1", NULL);
 	g_assert_cmpint(f->reply.status, ==, 200);
-	platform_rig_configure(&f->rig,
-			       "{\"name\":\"late\",\"host\":\"" RIG_HOST
-			       "\",\"pathPrefix\":\"/late/\",\"kind\":"
-			       "\"idempotent\",\"service\":\"desk\"}");
+	platform_rig_configure(&f->rig, late_route);
 	f->rig.store_down = false;
 	platform_rig_run(&f->rig, 1500);
 	call(f, "/late/1", "h2", NULL);
 	g_assert_cmpint(f->reply.status, ==, 200);
 }
 
+/* Guards against a change that a watch does not hear of and that the store has
+ * forgotten when the watch is renewed: the watches of other kinds are cut, and
+ * that is reason enough to read anew. */
+static void test_configuration_after_lost_history(fixture_t *f,
+						  gconstpointer data)
+{
+	(void)data;
+	f->rig.store_deaf = true;
+	platform_rig_configure(&f->rig, late_route);
+	platform_rig_run(&f->rig, 300);
+	platform_rig_compact(&f->rig, "config");
+	platform_rig_run(&f->rig, 1500);
+	call(f, "/late/1", "j1", NULL);
+	g_assert_cmpint(f->reply.status, ==, 200);
+}
+
 /* Guards against a 404 from an instance that never had a configuration. */
 static void test_without_configuration(void)
 {
@@ -267,6 +284,8 @@
 	ADD("/entry/caller-leaves", test_caller_leaves);
 	ADD("/entry/configuration-without-store",
 	    test_configuration_without_store);
+	ADD("/entry/configuration-after-lost-history",
+	    test_configuration_after_lost_history);
 	g_test_add_func("/entry/without-configuration",
 			test_without_configuration);
 	return g_test_run();
