Use the whole retry budget, and refuse streams whose callers will have left

The budget is now a sliding window of the instance's share, 85 % of it used; a stream waits no longer than its caller, and a silent target is looked at again until the request has an answer.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -41,7 +41,7 @@
 	message = g_new0(traffic_view_t, 1);
 	message->traffic = control->entry->traffic;
 	message->view = view_new(catalog);
-	message->view->instances = MAX(peers_live(control->peers), 1);
+	message->view->instances = peers_known(control->peers);
 	targets_fill(control->targets, message->view);
 	orders_fill(control->orders, message->view);
 	bsh_loop_post(&control->entry->traffic_loop, traffic_set_view, message);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -87,7 +87,8 @@
 void peers_free(peers_t *peers);
 void peers_leave(peers_t *peers);
 void peers_set_version(peers_t *peers, uint64_t version);
-uint32_t peers_live(const peers_t *peers);
+/* Instances that may be at work: alive, or registered and not seen dead yet. */
+uint32_t peers_known(const peers_t *peers);
 void peers_send(peers_t *peers, const char *instance,
 		const bsh_message_t *message);
 void peers_broadcast(peers_t *peers, const bsh_message_t *message);
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -14,11 +14,15 @@
 	bsh_loop_timer_t timer;
 	bsh_loop_timer_t register_timer;
 	uint64_t entry_revision; /* of the own object in the store; 0: none */
+	GHashTable *registered_names; /* of all instances, from the store */
 	bool registering;
 	bool registered;
 	bool leaving;
 };
 
+/* Until the others are known, the slack of the repeats is shared as by so many:
+ * fewer are not run where an instance may be lost. */
+#define KNOWN_MIN 3U
 /* Pause before the own object is written again after a failure. */
 #define REGISTER_AGAIN_US INT64_C(500000)
 
@@ -214,6 +218,11 @@
 	uint64_t incarnation;
 
 	(void)list;
+	if (object->deleted)
+		g_hash_table_remove(peers->registered_names, object->name);
+	else
+		g_hash_table_add(peers->registered_names,
+				 g_strdup(object->name));
 	if (strcmp(object->name, peers->control->entry->settings.instance) == 0)
 		return;
 	/* An instance deletes its object when it stops; whether it is alive is
@@ -264,6 +273,8 @@
 	peers->control = control;
 	peers->members =
 		bsh_members_new(&config, &members_ops, peers, now_us(peers));
+	peers->registered_names =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	bsh_loop_timer_init(&peers->timer, control->loop, on_timer, peers);
 	bsh_loop_timer_init(&peers->register_timer, control->loop, on_register,
 			    peers);
@@ -301,6 +312,7 @@
 	bsh_loop_timer_stop(&peers->register_timer);
 	bsh_datagrams_finish(&peers->datagrams);
 	bsh_members_free(peers->members);
+	g_hash_table_destroy(peers->registered_names);
 	g_free(peers);
 }
 
@@ -325,9 +337,11 @@
 	run(peers);
 }
 
-uint32_t peers_live(const peers_t *peers)
+uint32_t peers_known(const peers_t *peers)
 {
-	return bsh_members_live(peers->members);
+	return MAX(MAX(bsh_members_live(peers->members),
+		       g_hash_table_size(peers->registered_names)),
+		   KNOWN_MIN);
 }
 
 void peers_send(peers_t *peers, const char *instance,
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -24,7 +24,7 @@
 /* What a request needs at a target at least, besides the wait. */
 #define RUN_MIN_US INT64_C(60000)
 /* A repeatable request is sent elsewhere when its target has been silent to
- * everyone for this share of the objective, or this time. */
+ * everyone for its latency objective, but at least for this time. */
 #define SILENCE_MIN_US INT64_C(300000)
 /* Without an instance that gives orders, a model comes to no target. */
 #define NO_HOLDER_WAIT_US INT64_C(3000000)
@@ -354,12 +354,13 @@
 		g_hash_table_lookup(t->budgets, r->service->name);
 
 	if (budget != NULL)
-		return budget;
+		goto share;
 	budget = g_new0(bsh_retry_budget_t, 1);
-	bsh_retry_budget_init(
-		budget, s->retry_ratio, s->retry_slack, t->view->instances,
-		(uint32_t)(s->retry_window_s * 1000), traffic_now_us(t));
+	bsh_retry_budget_init(budget, s->retry_ratio,
+			      (uint32_t)(s->retry_window_s * 1000));
 	g_hash_table_insert(t->budgets, g_strdup(r->service->name), budget);
+share:
+	bsh_retry_budget_share(budget, s->retry_slack, t->view->instances);
 	return budget;
 }
 
@@ -367,7 +368,7 @@
 
 static int64_t time_left_us(const request_t *r)
 {
-	return MIN(r->client_deadline_us, r->timeout_us) -
+	return MIN(MIN(r->client_deadline_us, r->timeout_us), r->patience_us) -
 	       traffic_now_us(r->traffic);
 }
 
@@ -431,7 +432,7 @@
 		r->tried[r->n_tried++] = target->hash;
 	set_state(r, REQUEST_RUNNING);
 	bsh_target_started(&r->target->record, now_us);
-	if (r->repeatable && r->route->max_attempts > r->sends + 1)
+	if (r->repeatable)
 		bsh_loop_timer_after(&r->silence_timer, silence_us);
 	if (forward_start(r, target) != BSH_OK)
 		traffic_attempt_ended(r, ATTEMPT_NOT_REACHED, BSH_ERR_SYSTEM);
@@ -458,7 +459,8 @@
 
 static bool may_send_again(request_t *r)
 {
-	if (r->sends >= r->route->max_attempts ||
+	if (r->sends + (r->state == REQUEST_RUNNING && r->call != NULL) >=
+		    r->route->max_attempts ||
 	    forward_time_left_ms(r) < REPEAT_MIN_MS)
 		return false;
 	if (r->may_have_run && !r->repeatable)
@@ -539,12 +541,15 @@
 {
 	request_t *r = ctx;
 
-	/* The target answers others: it only needs longer for this one. */
-	if (r->state != REQUEST_RUNNING || r->head_seen ||
-	    r->target->record.first_at_us > r->call_began_us)
+	if (r->state != REQUEST_RUNNING || r->head_seen)
 		return;
-	if (!bsh_retry_budget_take(budget_of(r), traffic_now_us(r->traffic)))
+	/* While the target answers others, it only needs longer for this one.
+	 */
+	if (r->target->record.first_at_us > r->call_began_us ||
+	    !may_send_again(r)) {
+		bsh_loop_timer_after(&r->silence_timer, SILENCE_MIN_US);
 		return;
+	}
 	forward_cancel(r);
 	note_target(r, ATTEMPT_BROKEN);
 	r->sends++;
@@ -641,6 +646,12 @@
 	r->repeatable = route->kind == BSH_KIND_REPEATABLE ||
 			(r->is_stream && route->resumable);
 	r->timeout_us = r->arrived_us + route->timeout_ms * INT64_C(1000);
+	r->patience_us = INT64_MAX;
+	if (r->is_stream)
+		r->patience_us = r->arrived_us +
+				 INT64_C(1000) * platform_caller_patience_ms(
+							 route->target_ms,
+							 route->gap_ms);
 	bsh_event_relay_init(&r->relay,
 			     g_ascii_strtoull(r->info.last_event_id, NULL, 10));
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -81,6 +81,8 @@
 	int64_t arrived_us;
 	int64_t client_deadline_us; /* INT64_MAX: none */
 	int64_t timeout_us;	    /* of the route */
+	int64_t patience_us;	    /* when the caller of a stream leaves if no
+				     * event has come; INT64_MAX: never */
 	bsh_loop_timer_t timer;	    /* end of the time that it has */
 	request_state_t state;
 	GList link; /* in traffic.requests */
--- a/lib/coordination/retry_budget.c
+++ b/lib/coordination/retry_budget.c
@@ -1,45 +1,62 @@
 #include "coordination/retry_budget.h"
 
 #include <glib.h>
+#include <string.h>
 
-/* See DESCRIPTION: the part of the allowance that is used. */
-#define USED_SHARE 0.5
-/* Repeats saved up from requests at most, in parts of the slack. */
-#define SAVED_SHARE 1.0
+/* Part of the allowance that is used: instances disagree for a while on how
+ * many share the slack, and a target may see a repeat later than it was sent. */
+#define USED_SHARE 0.85
 
 void bsh_retry_budget_init(bsh_retry_budget_t *budget, double ratio,
-			   double slack, uint32_t instances, uint32_t window_ms,
-			   int64_t now_us)
+			   uint32_t window_ms)
 {
-	double share = USED_SHARE * slack / MAX(instances, 1);
+	memset(budget, 0, sizeof(*budget));
+	budget->ratio = ratio;
+	budget->step_us = INT64_C(1000) * MAX(window_ms, BSH_RETRY_STEPS) /
+			  BSH_RETRY_STEPS;
+}
 
-	budget->ratio = USED_SHARE * ratio;
-	budget->per_us = share / (1000.0 * MAX(window_ms, 1));
-	budget->capacity = MAX(share * SAVED_SHARE, 1.0);
-	budget->tokens = budget->capacity;
-	budget->at_us = now_us;
+void bsh_retry_budget_share(bsh_retry_budget_t *budget, double slack,
+			    uint32_t instances)
+{
+	budget->slack = slack / MAX(instances, 1);
 }
 
-static void refill(bsh_retry_budget_t *budget, int64_t now_us)
+/* Empties the steps that have begun since the last call. */
+static uint32_t current(bsh_retry_budget_t *budget, int64_t now_us)
 {
-	if (now_us > budget->at_us)
-		budget->tokens +=
-			budget->per_us * (double)(now_us - budget->at_us);
-	budget->at_us = MAX(budget->at_us, now_us);
-	budget->tokens = MIN(budget->tokens, budget->capacity);
+	const int64_t n = BSH_RETRY_STEPS + 1;
+	int64_t step = now_us / budget->step_us;
+	int64_t passed = MIN(step - budget->step, n);
+
+	for (int64_t i = 0; i < passed; i++) {
+		budget->requests[(step - i) % n] = 0;
+		budget->repeats[(step - i) % n] = 0;
+	}
+	budget->step = MAX(step, budget->step);
+	return (uint32_t)(budget->step % n);
 }
 
 void bsh_retry_budget_request(bsh_retry_budget_t *budget, int64_t now_us)
 {
-	refill(budget, now_us);
-	budget->tokens = MIN(budget->tokens + budget->ratio, budget->capacity);
+	budget->requests[current(budget, now_us)]++;
 }
 
 bool bsh_retry_budget_take(bsh_retry_budget_t *budget, int64_t now_us)
 {
-	refill(budget, now_us);
-	if (budget->tokens < 1.0)
+	uint32_t at = current(budget, now_us);
+	uint32_t oldest = (at + 1) % (BSH_RETRY_STEPS + 1);
+	uint32_t requests = 0;
+	uint32_t repeats = 0;
+
+	for (uint32_t i = 0; i <= BSH_RETRY_STEPS; i++) {
+		repeats += budget->repeats[i];
+		if (i != oldest)
+			requests += budget->requests[i];
+	}
+	if (repeats + 1 >
+	    USED_SHARE * (budget->ratio * requests + budget->slack))
 		return false;
-	budget->tokens -= 1.0;
+	budget->repeats[at]++;
 	return true;
 }
--- a/lib/coordination/retry_budget.h
+++ b/lib/coordination/retry_budget.h
@@ -6,32 +6,37 @@
  *	retry_budget - one instance's share of the fleet's repeated sends
  *
  * DESCRIPTION
- *	The fleet may send `ratio` repeats for each request, and `slack` more
- *	in any window.  Each instance earns its repeats from its own requests
+ *	In any window the fleet may send `ratio` repeats for each request and
+ *	`slack` more.  Each instance earns its repeats from its own requests
  *	and takes an equal part of the slack, so the sum holds with no
- *	exchange of messages, also while instances are cut off.  One bucket
+ *	exchange of messages, also while instances are cut off.  One budget
  *	belongs to one service.
  *
- *	The bucket refills in the time of a window; half of each allowance is
- *	left unused, because a sliding window can hold the end of one refill
- *	and the beginning of the next.
+ *	The window slides in steps of a tenth of its length.  The step that
+ *	only partly belongs to it is counted in full among the repeats and
+ *	left out among the requests.
  */
 
 #include <stdbool.h>
 #include <stdint.h>
 
+#define BSH_RETRY_STEPS 10
+
 typedef struct {
-	double tokens;
-	double ratio;	 /* earned by one request */
-	double per_us;	 /* part of the slack, refilled evenly */
-	double capacity; /* tokens at most */
-	int64_t at_us;
+	double ratio;
+	double slack; /* of this instance */
+	int64_t step_us;
+	int64_t step; /* number of the current one */
+	uint32_t requests[BSH_RETRY_STEPS + 1];
+	uint32_t repeats[BSH_RETRY_STEPS + 1];
 } bsh_retry_budget_t;
 
-/* bsh_retry_budget_init - instances: number that share the slack. */
+/* bsh_retry_budget_init - for a window of this length. */
 void bsh_retry_budget_init(bsh_retry_budget_t *budget, double ratio,
-			   double slack, uint32_t instances, uint32_t window_ms,
-			   int64_t now_us);
+			   uint32_t window_ms);
+/* bsh_retry_budget_share - instances: number that share the slack. */
+void bsh_retry_budget_share(bsh_retry_budget_t *budget, double slack,
+			    uint32_t instances);
 /* bsh_retry_budget_request - a caller's request for the service came. */
 void bsh_retry_budget_request(bsh_retry_budget_t *budget, int64_t now_us);
 /* bsh_retry_budget_take - true if one repeat may be sent now. */
--- a/regress/test_requests.c
+++ b/regress/test_requests.c
@@ -43,9 +43,10 @@
 	uint32_t repeats[60] = { 0 };
 	uint32_t worst = 0;
 
-	for (int i = 0; i < INSTANCES; i++)
-		bsh_retry_budget_init(&budgets[i], 0.2, 54, INSTANCES,
-				      WINDOW_S * 1000, 0);
+	for (int i = 0; i < INSTANCES; i++) {
+		bsh_retry_budget_init(&budgets[i], 0.2, WINDOW_S * 1000);
+		bsh_retry_budget_share(&budgets[i], 54, INSTANCES);
+	}
 	for (int s = 0; s < 60; s++) {
 		for (int r = 0; r < INSTANCES * REQUESTS_PER_S; r++) {
 			bsh_retry_budget_t *b = &budgets[r % INSTANCES];
@@ -68,6 +69,29 @@
 	g_assert_cmpuint(worst, >, 0);
 }
 
+/* Guards against an instance that leaves most of what it may repeat unused when
+ * a third of the targets are gone at once. */
+static void test_budget_bears_a_burst_of_failures(void)
+{
+	bsh_retry_budget_t budget;
+	uint32_t repeats = 0;
+
+	bsh_retry_budget_init(&budget, 0.2, 10000);
+	bsh_retry_budget_share(&budget, 54, 7);
+	for (int s = 0; s < 10; s++)
+		for (int r = 0; r < 14; r++)
+			bsh_retry_budget_request(&budget, s * SECOND);
+	for (int r = 0; r < 100; r++)
+		repeats += bsh_retry_budget_take(&budget, 9 * SECOND);
+	/* 0.2 * 140 + 54 / 7 = 35.7 are allowed. */
+	g_assert_cmpuint(repeats, <=, 35);
+	g_assert_cmpuint(repeats, >=, 28);
+	g_assert_false(bsh_retry_budget_take(&budget, 12 * SECOND));
+	for (int r = 0; r < 14; r++)
+		bsh_retry_budget_request(&budget, 21 * SECOND);
+	g_assert_true(bsh_retry_budget_take(&budget, 21 * SECOND));
+}
+
 static bsh_candidate_t candidate(const bsh_target_record_t *record,
 				 uint64_t hash)
 {
@@ -211,6 +235,8 @@
 			test_entries_leave_out_doubtful_instances);
 	g_test_add_func("/retries/fleet-budget",
 			test_budget_holds_over_all_instances);
+	g_test_add_func("/retries/burst-of-failures",
+			test_budget_bears_a_burst_of_failures);
 	g_test_add_func("/targets/unreachable",
 			test_unreachable_target_is_left_out);
 	g_test_add_func("/targets/slow", test_slow_target_gets_less);
