Let the holder of the lease tell the targets to the other instances

The holder, which follows the list anyway, now announces each change with a number; an instance says which number it has, and is told again what it missed. An instance goes back to the store when it does not hear of a holder that reaches the store, or misses an announcement for long.

--- /dev/null
+++ b/bshentryd/announce.c
@@ -0,0 +1,224 @@
+/* What the holder of the lease tells the other instances: the targets and what
+ * they hold, so that not every instance has to follow them in the store. */
+#include "control.h"
+
+#include <string.h>
+
+/* Announcements that an instance can make up for one by one; one that is
+ * further behind is told all targets. */
+#define LOG_SIZE 512U
+/* Targets in one datagram; see BSH_DATAGRAM_MESSAGE_BYTES. */
+#define TARGETS_PER_MESSAGE 4U
+#define READY_MAX	    40U
+/* A datagram on its way is not taken for lost before this time. */
+#define SETTLE_US INT64_C(80000)
+/* An instance that is still behind is told again after this time. */
+#define AGAIN_US INT64_C(200000)
+
+struct announcer {
+	control_t *control;
+	uint64_t last; /* number of the last announcement of this term */
+	char log[LOG_SIZE][BSH_NAME_SIZE]; /* targets, by number */
+	int64_t last_us;
+	GHashTable *told_us; /* instance to when it was last told again */
+};
+
+typedef struct {
+	bsh_placement_entry_t entries[TARGETS_PER_MESSAGE];
+	uint32_t pairs[TARGETS_PER_MESSAGE][2 * BSH_TARGET_HOLDINGS_MAX];
+	char gone[TARGETS_PER_MESSAGE][BSH_NAME_SIZE];
+	uint32_t n;
+} batch_t;
+
+announcer_t *announcer_new(control_t *control)
+{
+	announcer_t *announcer = g_new0(announcer_t, 1);
+
+	announcer->control = control;
+	announcer->told_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return announcer;
+}
+
+void announcer_free(announcer_t *announcer)
+{
+	g_hash_table_destroy(announcer->told_us);
+	g_free(announcer);
+}
+
+void announcer_begin(announcer_t *announcer)
+{
+	announcer->last = 0;
+	g_hash_table_remove_all(announcer->told_us);
+}
+
+static void encode_pairs(const bsh_holdings_t *holdings, uint32_t *pairs)
+{
+	for (uint32_t i = 0; i < holdings->n; i++) {
+		pairs[2 * i] = GUINT32_TO_BE(holdings->items[i].model);
+		pairs[2 * i + 1] = GUINT32_TO_BE(holdings->items[i].adapter);
+	}
+}
+
+static void add_target(const announcer_t *announcer, batch_t *batch,
+		       const char *id)
+{
+	const control_t *control = announcer->control;
+	const bsh_target_t *target = targets_find(control->targets, id);
+	bsh_placement_entry_t *entry = &batch->entries[batch->n];
+	uint32_t *pairs = batch->pairs[batch->n];
+	const bsh_holdings_t *holdings;
+
+	memset(entry, 0, sizeof(*entry));
+	g_strlcpy(batch->gone[batch->n], id, BSH_NAME_SIZE);
+	entry->target = batch->gone[batch->n];
+	entry->state = BSH_TARGET_GONE;
+	batch->n++;
+	if (target == NULL)
+		return;
+	holdings = orders_usable(control->orders, target, &entry->version);
+	if (holdings == NULL)
+		holdings = &target->holdings;
+	encode_pairs(holdings, pairs);
+	entry->service = target->service;
+	entry->address = target->address;
+	entry->zone = target->zone;
+	entry->slots = target->slots;
+	entry->state = target->leaving ? BSH_TARGET_LEAVING : BSH_TARGET_LIVE;
+	entry->started_ms = target->started_ms;
+	entry->holdings = (const uint8_t *)pairs;
+	entry->holdings_bytes = holdings->n * 2 * (uint32_t)sizeof(uint32_t);
+}
+
+/* To one instance, or to all when instance is NULL. */
+static void send_batch(const announcer_t *announcer, const char *instance,
+		       batch_t *batch, uint64_t from, uint64_t to,
+		       const bsh_ready_entry_t *ready, uint32_t n_ready)
+{
+	control_t *control = announcer->control;
+	const bsh_lease_t *lease = orders_lease(control->orders);
+	bsh_message_t message = { .type = BSH_MSG_PLACEMENT };
+	bsh_msg_placement_t *placement = &message.placement;
+	int64_t age_us = bsh_loop_clock_us() - control->store.answered_us;
+
+	placement->term = lease->term;
+	placement->revision = lease->revision;
+	placement->released = lease->holder[0] == '\0';
+	placement->contact_age_ms =
+		(uint32_t)CLAMP(age_us / 1000, 0, UINT32_MAX);
+	placement->from = from;
+	placement->to = to;
+	placement->entries = batch->entries;
+	placement->entry_count = batch->n;
+	placement->ready = ready;
+	placement->ready_count = n_ready;
+	if (instance == NULL)
+		peers_broadcast(control->peers, &message);
+	else
+		peers_send(control->peers, instance, &message);
+	batch->n = 0;
+}
+
+void announcer_changed(announcer_t *announcer, const char *target)
+{
+	batch_t batch = { .n = 0 };
+
+	if (!orders_is_holder(announcer->control->orders))
+		return;
+	announcer->last++;
+	announcer->last_us = bsh_loop_clock_us();
+	g_strlcpy(announcer->log[announcer->last % LOG_SIZE], target,
+		  BSH_NAME_SIZE);
+	add_target(announcer, &batch, target);
+	send_batch(announcer, NULL, &batch, announcer->last - 1,
+		   announcer->last, NULL, 0);
+}
+
+typedef struct {
+	const announcer_t *announcer;
+	const char *instance;
+	batch_t batch;
+} all_t;
+
+static void add_any(void *ctx, const bsh_target_t *target)
+{
+	all_t *all = ctx;
+
+	add_target(all->announcer, &all->batch, target->id);
+	if (all->batch.n == TARGETS_PER_MESSAGE)
+		send_batch(all->announcer, all->instance, &all->batch,
+			   UINT64_MAX, 0, NULL, 0);
+}
+
+static void tell_all(const announcer_t *announcer, const char *instance)
+{
+	all_t all = { .announcer = announcer, .instance = instance };
+
+	targets_foreach(announcer->control->targets, add_any, &all);
+	send_batch(announcer, instance, &all.batch, 0, announcer->last, NULL,
+		   0);
+}
+
+static void tell_since(const announcer_t *announcer, const char *instance,
+		       uint64_t have)
+{
+	batch_t batch = { .n = 0 };
+	uint64_t from = have;
+
+	for (uint64_t i = have + 1; i <= announcer->last; i++) {
+		add_target(announcer, &batch, announcer->log[i % LOG_SIZE]);
+		if (batch.n < TARGETS_PER_MESSAGE && i < announcer->last)
+			continue;
+		send_batch(announcer, instance, &batch, from, i, NULL, 0);
+		from = i;
+	}
+}
+
+void announcer_catch_up(announcer_t *announcer, const char *instance,
+			uint64_t term, uint64_t have)
+{
+	const bsh_lease_t *lease = orders_lease(announcer->control->orders);
+	int64_t now_us = bsh_loop_clock_us();
+	int64_t *told_us = g_hash_table_lookup(announcer->told_us, instance);
+
+	if (!orders_is_holder(announcer->control->orders) ||
+	    term != lease->term || have >= announcer->last ||
+	    now_us - announcer->last_us < SETTLE_US)
+		return;
+	if (told_us == NULL) {
+		told_us = g_new0(int64_t, 1);
+		g_hash_table_insert(announcer->told_us, g_strdup(instance),
+				    told_us);
+	}
+	if (now_us - *told_us < AGAIN_US)
+		return;
+	*told_us = now_us;
+	if (have == 0 || announcer->last - have >= LOG_SIZE)
+		tell_all(announcer, instance);
+	else
+		tell_since(announcer, instance, have);
+}
+
+void announcer_beacon(announcer_t *announcer)
+{
+	const GArray *estimates = orders_ready(announcer->control->orders);
+	int64_t now_us = control_now_us(announcer->control);
+	bsh_ready_entry_t ready[READY_MAX];
+	batch_t batch = { .n = 0 };
+	uint32_t n = 0;
+
+	for (; n < estimates->len && n < READY_MAX; n++) {
+		const view_ready_t *item =
+			&g_array_index(estimates, view_ready_t, n);
+
+		ready[n].model = item->model;
+		ready[n].adapter = item->adapter;
+		ready[n].ready_in_ms = UINT32_MAX;
+		if (item->ready_us != INT64_MAX)
+			ready[n].ready_in_ms =
+				(uint32_t)(MAX(item->ready_us - now_us, 0) /
+					   1000);
+	}
+	send_batch(announcer, NULL, &batch, announcer->last, announcer->last,
+		   ready, n);
+}
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -5,6 +5,8 @@
 #include "base/log.h"
 #include "platform/decode.h"
 
+/* A change that the own watch misses is told by a peer. */
+#define WATCH_MS 20000U
 /* After a peer told of a newer version, the own watch has this time to bring
  * it before the store is asked again. */
 #define PEER_AHEAD_US INT64_C(250000)
@@ -110,7 +112,8 @@
 	feed_ops_t ops = { .on_object = on_object,
 			   .on_listed = on_listed,
 			   .on_doubt = on_doubt,
-			   .ctx = catalogs };
+			   .ctx = catalogs,
+			   .wait_ms = WATCH_MS };
 
 	bsh_counter_register(&adopted);
 	bsh_counter_register(&rejected);
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -62,12 +62,14 @@
 void control_target_changed(control_t *control, const bsh_target_t *target)
 {
 	orders_target(control->orders, target);
+	announcer_changed(control->announcer, target->id);
 	control_changed(control);
 }
 
 void control_target_gone(control_t *control, const char *id)
 {
 	orders_target_gone(control->orders, id);
+	announcer_changed(control->announcer, id);
 	control_changed(control);
 }
 
@@ -85,31 +87,23 @@
 
 void control_peer_message(control_t *control, const bsh_message_t *message)
 {
-	if (message->type == BSH_MSG_DEMAND)
+	if (message->type == BSH_MSG_DEMAND) {
 		orders_demand(control->orders, message->sender,
 			      message->demand.entries,
 			      message->demand.entry_count);
-	else if (message->type == BSH_MSG_PLACEMENT)
+		announcer_catch_up(control->announcer, message->sender,
+				   message->demand.term, message->demand.have);
+	} else if (message->type == BSH_MSG_PLACEMENT) {
 		orders_placement(control->orders, message->sender,
 				 &message->placement);
+	}
 }
 
 void control_demand(void *data)
 {
 	control_demand_t *demand = data;
-	control_t *control = demand->control;
-	const char *self = control->entry->settings.instance;
-	const char *holder = orders_holder(control->orders);
-	bsh_message_t message = { .type = BSH_MSG_DEMAND };
-
-	message.demand.entries =
-		(const bsh_demand_entry_t *)(void *)demand->entries->data;
-	message.demand.entry_count = demand->entries->len;
-	if (strcmp(holder, self) == 0)
-		orders_demand(control->orders, self, message.demand.entries,
-			      message.demand.entry_count);
-	else if (holder[0] != '\0')
-		peers_send(control->peers, holder, &message);
+
+	orders_send_demand(demand->control->orders, demand->entries);
 	g_array_free(demand->entries, TRUE);
 	g_free(demand);
 }
@@ -242,6 +236,7 @@
 	control->catalogs = catalogs_new(control);
 	control->targets = targets_new(control);
 	control->peers = peers_new(control);
+	control->announcer = announcer_new(control);
 	control->orders = orders_new(control);
 	control->directory = directory_new(control);
 	err = directory_start(control->directory);
@@ -262,6 +257,7 @@
 	bsh_loop_task_cancel(&control->view_task);
 	directory_free(control->directory);
 	orders_free(control->orders);
+	announcer_free(control->announcer);
 	targets_free(control->targets);
 	catalogs_free(control->catalogs);
 	peers_free(control->peers);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -19,6 +19,7 @@
 typedef struct targets targets_t;
 typedef struct peers peers_t;
 typedef struct orders orders_t;
+typedef struct announcer announcer_t;
 typedef struct directory directory_t;
 
 struct control {
@@ -30,6 +31,7 @@
 	targets_t *targets;
 	peers_t *peers;
 	orders_t *orders;
+	announcer_t *announcer;
 	directory_t *directory;
 	bsh_loop_timer_t tick_timer;
 	bsh_loop_timer_t drain_timer;
@@ -72,8 +74,14 @@
 void targets_free(targets_t *targets);
 bool targets_listed(const targets_t *targets);
 /* What the holder of the lease says about a target. */
-void targets_placed(targets_t *targets, const bsh_placement_entry_t *entry,
-		    uint64_t term);
+void targets_told(targets_t *targets, const bsh_placement_entry_t *entry,
+		  uint64_t term);
+/* Whether to follow the store, or what the holder of the lease tells. */
+void targets_follow(targets_t *targets, bool own);
+/* The list is known from the store and up to date. */
+bool targets_reached(const targets_t *targets);
+/* NULL: not listed. */
+const bsh_target_t *targets_find(const targets_t *targets, const char *id);
 void targets_fill(targets_t *targets, view_t *view);
 void targets_tick(targets_t *targets);
 void targets_foreach(const targets_t *targets,
@@ -103,15 +111,35 @@
 void orders_target_gone(orders_t *orders, const char *id);
 void orders_demand(orders_t *orders, const char *instance,
 		   const bsh_demand_entry_t *entries, uint32_t n);
+/* Sends the own demand to the holder, with what is known of its targets. */
+void orders_send_demand(orders_t *orders, const GArray *entries);
 void orders_placement(orders_t *orders, const char *sender,
 		      const bsh_msg_placement_t *placement);
 void orders_fill(const orders_t *orders, view_t *view);
 void orders_tick(orders_t *orders);
-/* The instance that gives orders, as last heard; empty: none. */
-const char *orders_holder(const orders_t *orders);
 /* Give no more orders and let another instance take over. */
 void orders_release(orders_t *orders);
 
+bool orders_is_holder(const orders_t *orders);
+const bsh_lease_t *orders_lease(const orders_t *orders);
+/* Estimates of when models are ready; view_ready_t. */
+const GArray *orders_ready(const orders_t *orders);
+/* What requests may use at a target; NULL: as listed. */
+const bsh_holdings_t *orders_usable(const orders_t *orders,
+				    const bsh_target_t *target,
+				    uint64_t *version);
+
+/* announce.c: what the holder of the lease tells the other instances. */
+announcer_t *announcer_new(control_t *control);
+void announcer_free(announcer_t *announcer);
+/* A term of this instance begins. */
+void announcer_begin(announcer_t *announcer);
+void announcer_changed(announcer_t *announcer, const char *target);
+/* An instance knows all up to `have`. */
+void announcer_catch_up(announcer_t *announcer, const char *instance,
+			uint64_t term, uint64_t have);
+void announcer_beacon(announcer_t *announcer);
+
 /* directory.c */
 directory_t *directory_new(control_t *control);
 bsh_error_t directory_start(directory_t *directory);
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -50,7 +50,7 @@
 
 static void next(feed_t *feed, int64_t delay_us)
 {
-	if (!feed->stopped)
+	if (!feed->stopped && !feed->paused)
 		bsh_loop_timer_after(&feed->timer, delay_us);
 }
 
@@ -122,7 +122,12 @@
 	feed->revision = feed->list_revision;
 	feed->listing = false;
 	feed->ops.on_listed(feed->ops.ctx, feed->list);
-	next(feed, 0);
+	if (feed->ops.wait_ms > 0) {
+		next(feed, 0);
+		return;
+	}
+	begin_list(feed);
+	next(feed, feed->ops.relist_us);
 }
 
 static void on_watch(void *ctx, const platform_answer_t *answer)
@@ -159,7 +164,7 @@
 {
 	feed_t *feed = ctx;
 
-	if (feed->running || feed->stopped)
+	if (feed->running || feed->stopped || feed->paused)
 		return;
 	feed->running = true;
 	if (feed->listing)
@@ -167,7 +172,8 @@
 				    on_list, new_call(feed));
 	else
 		platform_store_watch(feed->store, feed->kind, feed->revision,
-				     FEED_WAIT_MS, on_watch, new_call(feed));
+				     feed->ops.wait_ms, on_watch,
+				     new_call(feed));
 }
 
 void feed_start(feed_t *feed)
@@ -182,9 +188,29 @@
 	g_clear_pointer(&feed->after, g_free);
 }
 
+void feed_pause(feed_t *feed)
+{
+	if (feed->paused)
+		return;
+	feed->paused = true;
+	/* The answer to the call that is out is dropped. */
+	feed->serial++;
+	feed->running = false;
+	bsh_loop_timer_stop(&feed->timer);
+}
+
+void feed_resume(feed_t *feed)
+{
+	if (!feed->paused)
+		return;
+	feed->paused = false;
+	begin_list(feed);
+	next(feed, 0);
+}
+
 void feed_again(feed_t *feed)
 {
-	if (feed->listing || feed->stopped)
+	if ((feed->listing && feed->running) || feed->stopped || feed->paused)
 		return;
 	begin_list(feed);
 	/* The watch that is out ends by itself, and its answer is dropped. */
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -17,9 +17,6 @@
 
 #include "platform/store.h"
 
-/* A watch that hears nothing is asked again after this time: an answer that
- * the store lost is missed for no longer. */
-#define FEED_WAIT_MS	  5000U
 #define FEED_PAUSE_MIN_US INT64_C(100000)
 #define FEED_PAUSE_MAX_US INT64_C(800000)
 
@@ -33,6 +30,11 @@
 	 * watches of other kinds may have missed changes too. */
 	void (*on_doubt)(void *ctx);
 	void *ctx;
+	/* A watch that hears nothing is asked again after this time: an answer
+	 * that the store lost is missed for no longer.  0: no watch, the kind
+	 * is listed again every relist_us. */
+	uint32_t wait_ms;
+	int64_t relist_us;
 } feed_ops_t;
 
 typedef struct {
@@ -49,6 +51,7 @@
 	bool listing;
 	bool running; /* a call is out */
 	bool stopped;
+	bool paused;
 	bool reached;
 	int64_t pause_us;
 	int64_t answered_us; /* last answer of the store */
@@ -60,6 +63,10 @@
 void feed_start(feed_t *feed);
 void feed_stop(feed_t *feed);
 
+/* feed_pause - stop following; feed_resume - list anew and follow. */
+void feed_pause(feed_t *feed);
+void feed_resume(feed_t *feed);
+
 /* feed_again - list the kind anew, without waiting for the current watch. */
 void feed_again(feed_t *feed);
 
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -14,9 +14,13 @@
 #define ESTIMATE_US INT64_C(100000)
 /* Without a message of the holder for this long, no orders are expected. */
 #define HOLDER_SILENT_US INT64_C(4000000)
-/* What a beacon repeats of the placement, so that lost messages are made up. */
-#define BEACON_TARGETS 4U
-#define READY_MAX      40U
+/* Without a message of the holder, or with one that says that the holder has
+ * not heard of the store, for this long, the list is followed in the store: a
+ * target that leaves has to be known within its drain time. */
+#define TOLD_MAX_AGE_US	   INT64_C(1000000)
+#define CONTACT_MAX_AGE_US INT64_C(1200000)
+/* A lost announcement is made up for in this time, or the store is asked. */
+#define GAP_MAX_US INT64_C(900000)
 
 #define LEASE_OBJECT "orders"
 
@@ -37,6 +41,11 @@
 	uint32_t beacon_next;	    /* target that the next beacon repeats */
 	char holder[BSH_NAME_SIZE]; /* as last heard */
 	int64_t heard_us;
+	int64_t contact_us; /* when the store last answered that holder */
+	uint64_t have_term; /* of the announcements that are counted */
+	uint64_t have;	    /* known without a gap up to this one */
+	uint64_t last_told;
+	int64_t gap_us; /* since when announcements are missing; 0: none are */
 };
 
 /* An order or a question that is out. */
@@ -207,74 +216,19 @@
 			       new_call(service, target));
 }
 
-/* Messages to the other instances. */
-
-static void encode_pairs(const bsh_holdings_t *holdings, uint32_t *pairs)
-{
-	for (uint32_t i = 0; i < holdings->n; i++) {
-		pairs[2 * i] = GUINT32_TO_BE(holdings->items[i].model);
-		pairs[2 * i + 1] = GUINT32_TO_BE(holdings->items[i].adapter);
-	}
-}
-
-static void send_placement(orders_t *orders,
-			   const bsh_placement_entry_t *entries, uint32_t n,
-			   bool with_ready)
-{
-	bsh_message_t message = { .type = BSH_MSG_PLACEMENT };
-	bsh_ready_entry_t ready[READY_MAX];
-	int64_t now = now_us(orders);
-	uint32_t n_ready = 0;
-
-	for (guint i = 0;
-	     with_ready && i < orders->ready->len && n_ready < READY_MAX; i++) {
-		const view_ready_t *item =
-			&g_array_index(orders->ready, view_ready_t, i);
-
-		ready[n_ready].model = item->model;
-		ready[n_ready].adapter = item->adapter;
-		ready[n_ready].ready_in_ms =
-			item->ready_us == INT64_MAX
-				? UINT32_MAX
-				: (uint32_t)(MAX(item->ready_us - now, 0) /
-					     1000);
-		n_ready++;
-	}
-	message.placement.term = orders->lease.term;
-	message.placement.revision = orders->lease.revision;
-	message.placement.released = orders->lease.holder[0] == '\0';
-	message.placement.entries = entries;
-	message.placement.entry_count = n;
-	message.placement.ready = ready;
-	message.placement.ready_count = n_ready;
-	peers_broadcast(orders->control->peers, &message);
-}
-
-static void fill_entry(bsh_placement_entry_t *entry, const bsh_target_t *target,
-		       const bsh_holdings_t *usable, uint64_t version,
-		       uint32_t *pairs)
-{
-	encode_pairs(usable, pairs);
-	entry->target = target->id;
-	entry->started_ms = target->started_ms;
-	entry->version = version;
-	entry->holdings = (const uint8_t *)pairs;
-	entry->holdings_bytes = usable->n * 2 * (uint32_t)sizeof(uint32_t);
-}
-
 static void on_placed(void *ctx, const bsh_target_t *target,
 		      const bsh_holdings_t *usable, uint64_t version)
 {
 	service_t *service = ctx;
-	orders_t *orders = service->orders;
-	uint32_t pairs[2 * BSH_TARGET_HOLDINGS_MAX];
-	bsh_placement_entry_t entry;
+	control_t *control = service->orders->control;
 
-	if (!bsh_lease_is_holder(&orders->lease, now_us(orders)))
+	(void)usable;
+	(void)version;
+	if (!orders_is_holder(service->orders))
 		return;
-	fill_entry(&entry, target, usable, version, pairs);
-	targets_placed(orders->control->targets, &entry, orders->lease.term);
-	send_placement(orders, &entry, 1, false);
+	/* The own view changes like that of the others. */
+	control_changed(control);
+	announcer_changed(control->announcer, target->id);
 }
 
 static const bsh_planner_ops_t planner_ops = {
@@ -283,40 +237,46 @@
 	.placed = on_placed,
 };
 
-typedef struct {
-	bsh_placement_entry_t entries[BEACON_TARGETS];
-	uint32_t pairs[BEACON_TARGETS][2 * BSH_TARGET_HOLDINGS_MAX];
-	uint32_t n;
-	uint32_t seen;
-	uint32_t from;
-} beacon_t;
+/* What the holder tells. */
 
-static void add_to_beacon(void *ctx, const bsh_target_t *target,
-			  const bsh_holdings_t *usable, uint64_t version)
+static void take_ready(orders_t *orders, const bsh_msg_placement_t *placement)
 {
-	beacon_t *beacon = ctx;
+	int64_t now = now_us(orders);
 
-	if (beacon->seen++ < beacon->from || beacon->n == BEACON_TARGETS)
+	if (placement->ready_count == 0)
 		return;
-	fill_entry(&beacon->entries[beacon->n], target, usable, version,
-		   beacon->pairs[beacon->n]);
-	beacon->n++;
+	g_array_set_size(orders->ready, 0);
+	for (uint32_t i = 0; i < placement->ready_count; i++) {
+		const bsh_ready_entry_t *entry = &placement->ready[i];
+		view_ready_t ready = { .model = entry->model,
+				       .adapter = entry->adapter,
+				       .ready_us = INT64_MAX,
+				       .told_us = now };
+
+		if (entry->ready_in_ms != UINT32_MAX)
+			ready.ready_us = now + entry->ready_in_ms * 1000LL;
+		g_array_append_val(orders->ready, ready);
+	}
+	control_changed(orders->control);
 }
 
-static void send_beacon(orders_t *orders)
+/* Counts the announcements that are known without a gap. */
+static void count_announcements(orders_t *orders,
+				const bsh_msg_placement_t *placement)
 {
-	beacon_t beacon = { .from = orders->beacon_next };
-
-	for (guint i = 0; i < orders->services->len; i++) {
-		const service_t *service =
-			g_ptr_array_index(orders->services, i);
-
-		bsh_planner_foreach(service->planner, add_to_beacon, &beacon);
+	/* One part of the answer to an instance that knew nothing. */
+	if (placement->from == UINT64_MAX)
+		return;
+	if (orders->have_term != placement->term) {
+		orders->have_term = placement->term;
+		/* Who has just read the list himself needs only what follows. */
+		orders->have = targets_reached(orders->control->targets)
+				       ? placement->from
+				       : 0;
 	}
-	orders->beacon_next = beacon.from + BEACON_TARGETS < beacon.seen
-				      ? beacon.from + BEACON_TARGETS
-				      : 0;
-	send_placement(orders, beacon.entries, beacon.n, true);
+	if (placement->from <= orders->have)
+		orders->have = MAX(orders->have, placement->to);
+	orders->last_told = MAX(placement->to, orders->have);
 }
 
 void orders_placement(orders_t *orders, const char *sender,
@@ -335,24 +295,58 @@
 		g_strlcpy(orders->holder, sender, sizeof(orders->holder));
 	}
 	orders->heard_us = now;
+	orders->contact_us = now - placement->contact_age_ms * 1000LL;
+	if (placement->released)
+		orders->contact_us = 0;
 	for (uint32_t i = 0; i < placement->entry_count; i++)
-		targets_placed(orders->control->targets, &placement->entries[i],
-			       placement->term);
-	if (placement->ready_count == 0)
-		return;
-	g_array_set_size(orders->ready, 0);
-	for (uint32_t i = 0; i < placement->ready_count; i++) {
-		const bsh_ready_entry_t *entry = &placement->ready[i];
-		view_ready_t ready = { .model = entry->model,
-				       .adapter = entry->adapter,
-				       .ready_us = INT64_MAX,
-				       .told_us = now };
+		targets_told(orders->control->targets, &placement->entries[i],
+			     placement->term);
+	count_announcements(orders, placement);
+	take_ready(orders, placement);
+}
 
-		if (entry->ready_in_ms != UINT32_MAX)
-			ready.ready_us = now + entry->ready_in_ms * 1000LL;
-		g_array_append_val(orders->ready, ready);
+/* The list is followed in the store by the holder, and by every instance that
+ * does not hear of a holder that reaches the store. */
+static void choose_source(orders_t *orders)
+{
+	int64_t now = now_us(orders);
+	bool told = orders->have > 0 || orders->have_term > 0;
+	bool own = orders_is_holder(orders) || !told ||
+		   now - orders->heard_us > TOLD_MAX_AGE_US ||
+		   now - orders->contact_us > CONTACT_MAX_AGE_US ||
+		   orders->have < orders->last_told;
+
+	/* A gap that is made up for within a moment changes nothing. */
+	if (own && told && !orders_is_holder(orders) &&
+	    now - orders->heard_us <= TOLD_MAX_AGE_US &&
+	    now - orders->contact_us <= CONTACT_MAX_AGE_US) {
+		if (orders->gap_us == 0)
+			orders->gap_us = now;
+		own = now - orders->gap_us > GAP_MAX_US;
+	} else {
+		orders->gap_us = 0;
 	}
-	control_changed(orders->control);
+	if (own)
+		targets_follow(orders->control->targets, true);
+	else if (targets_listed(orders->control->targets))
+		targets_follow(orders->control->targets, false);
+}
+
+void orders_send_demand(orders_t *orders, const GArray *entries)
+{
+	const char *self = orders->control->entry->settings.instance;
+	bsh_message_t message = { .type = BSH_MSG_DEMAND };
+	bsh_msg_demand_t *demand = &message.demand;
+
+	demand->term = orders->have_term;
+	demand->have = orders->have;
+	demand->entries = (const bsh_demand_entry_t *)(void *)entries->data;
+	demand->entry_count = entries->len;
+	if (strcmp(orders->holder, self) == 0)
+		orders_demand(orders, self, demand->entries,
+			      demand->entry_count);
+	else if (orders->holder[0] != '\0')
+		peers_send(orders->control->peers, orders->holder, &message);
 }
 
 /* The lease. */
@@ -450,10 +444,11 @@
 		(int)((orders->lease.first_order_us - now_us(orders)) / 1000));
 	if (!holder) {
 		if (orders->lease.holder[0] == '\0')
-			send_beacon(orders);
+			announcer_beacon(orders->control->announcer);
 		return;
 	}
 	g_strlcpy(orders->holder, orders->lease.self, sizeof(orders->holder));
+	announcer_begin(orders->control->announcer);
 	for (guint i = 0; i < orders->services->len; i++) {
 		const service_t *service =
 			g_ptr_array_index(orders->services, i);
@@ -500,6 +495,7 @@
 
 	call_lease(orders);
 	note_term(orders);
+	choose_source(orders);
 	if (!bsh_lease_is_holder(&orders->lease, now))
 		return;
 	orders->heard_us = now;
@@ -514,7 +510,7 @@
 	}
 	if (now - orders->beacon_us >= BEACON_US) {
 		orders->beacon_us = now;
-		send_beacon(orders);
+		announcer_beacon(orders->control->announcer);
 	}
 }
 
@@ -643,7 +639,29 @@
 	orders_tick(orders);
 }
 
-const char *orders_holder(const orders_t *orders)
+bool orders_is_holder(const orders_t *orders)
+{
+	return bsh_lease_is_holder(&orders->lease, now_us(orders));
+}
+
+const bsh_lease_t *orders_lease(const orders_t *orders)
 {
-	return orders->holder;
+	return &orders->lease;
+}
+
+const GArray *orders_ready(const orders_t *orders)
+{
+	return orders->ready;
+}
+
+const bsh_holdings_t *orders_usable(const orders_t *orders,
+				    const bsh_target_t *target,
+				    uint64_t *version)
+{
+	const service_t *service = find_service(orders, target->service);
+
+	*version = 0;
+	if (service == NULL || !orders_is_holder(orders))
+		return NULL;
+	return bsh_planner_usable(service->planner, target->id, version);
 }
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -20,6 +20,9 @@
 	bool leaving;
 };
 
+/* Instances find each other by gossip; the list is for those that have lost
+ * all others. */
+#define RELIST_US INT64_C(30000000)
 /* Until the others are known, the slack of the repeats is shared as by so many:
  * fewer are not run where an instance may be lost. */
 #define KNOWN_MIN 3U
@@ -260,7 +263,8 @@
 	feed_ops_t ops = { .on_object = on_object,
 			   .on_listed = on_listed,
 			   .on_doubt = on_doubt,
-			   .ctx = peers };
+			   .ctx = peers,
+			   .relist_us = RELIST_US };
 
 	bsh_counter_register(&live);
 	g_strlcpy(config.place.zone, s->zone, sizeof(config.place.zone));
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -17,6 +17,8 @@
 /* Share of the drain time for which a target without an entry is kept, in case
  * the entry comes back; the rest is for the requests on their way. */
 #define MISSING_PERCENT 60
+/* Also bounds how long an answer that the store lost is missed. */
+#define WATCH_MS 5000U
 /* A failure of the store counts as its absence for this long. */
 #define STORE_TROUBLE_US INT64_C(3000000)
 
@@ -88,7 +90,8 @@
 	return a->leaving == b->leaving && a->started_ms == b->started_ms &&
 	       a->slots == b->slots && strcmp(a->address, b->address) == 0 &&
 	       strcmp(a->service, b->service) == 0 &&
-	       bsh_holdings_equal(&a->holdings, &b->holdings);
+	       bsh_holdings_equal(&a->holdings, &b->holdings) &&
+	       memcmp(&a->copies, &b->copies, sizeof(a->copies)) == 0;
 }
 
 static void update(targets_t *targets, const bsh_target_t *target,
@@ -178,7 +181,8 @@
 	feed_ops_t ops = { .on_object = on_object,
 			   .on_listed = on_listed,
 			   .on_doubt = on_doubt,
-			   .ctx = targets };
+			   .ctx = targets,
+			   .wait_ms = WATCH_MS };
 
 	bsh_counter_register(&malformed);
 	bsh_counter_register(&known);
@@ -226,11 +230,10 @@
 	}
 }
 
-void targets_placed(targets_t *targets, const bsh_placement_entry_t *entry,
-		    uint64_t term)
+static void set_placed(targets_t *targets, const bsh_placement_entry_t *entry,
+		       const bsh_holdings_t *holdings, uint64_t term)
 {
 	listed_t *listed = g_hash_table_lookup(targets->table, entry->target);
-	bsh_holdings_t holdings;
 	bool same;
 
 	if (listed == NULL || entry->started_ms != listed->target.started_ms ||
@@ -238,19 +241,82 @@
 	    (listed->placed && term == listed->placed_term &&
 	     entry->version < listed->placed_version))
 		return;
-	decode_pairs(entry, &holdings);
 	same = listed->placed &&
-	       bsh_holdings_equal(&holdings, &listed->holdings);
+	       bsh_holdings_equal(holdings, &listed->holdings);
 	listed->placed = true;
 	listed->placed_us = control_now_us(targets->control);
 	listed->placed_started_ms = entry->started_ms;
 	listed->placed_term = term;
 	listed->placed_version = entry->version;
-	listed->holdings = holdings;
+	listed->holdings = *holdings;
 	if (!same)
 		control_changed(targets->control);
 }
 
+/* Takes the place of the own feed while that is paused. */
+static void relay(targets_t *targets, const bsh_placement_entry_t *entry,
+		  const bsh_holdings_t *holdings)
+{
+	listed_t *listed = g_hash_table_lookup(targets->table, entry->target);
+	bsh_target_t target;
+
+	if (entry->state == BSH_TARGET_GONE) {
+		if (listed != NULL)
+			drop(targets, listed, "told");
+		return;
+	}
+	memset(&target, 0, sizeof(target));
+	/* What is not announced stays as it was listed. */
+	if (listed != NULL)
+		target = listed->target;
+	g_strlcpy(target.id, entry->target, sizeof(target.id));
+	g_strlcpy(target.service, entry->service, sizeof(target.service));
+	g_strlcpy(target.address, entry->address, sizeof(target.address));
+	g_strlcpy(target.zone, entry->zone, sizeof(target.zone));
+	target.slots = entry->slots;
+	target.leaving = entry->state == BSH_TARGET_LEAVING;
+	target.started_ms = entry->started_ms;
+	target.holdings = *holdings;
+	update(targets, &target, 0);
+}
+
+void targets_told(targets_t *targets, const bsh_placement_entry_t *entry,
+		  uint64_t term)
+{
+	bsh_holdings_t holdings;
+
+	decode_pairs(entry, &holdings);
+	if (targets->feed.paused)
+		relay(targets, entry, &holdings);
+	if (entry->state != BSH_TARGET_GONE && entry->version > 0)
+		set_placed(targets, entry, &holdings, term);
+}
+
+void targets_follow(targets_t *targets, bool own)
+{
+	if (own == !targets->feed.paused)
+		return;
+	bsh_log(BSH_LOG_INFO, "targets-source source=%s",
+		own ? "store" : "holder");
+	if (own)
+		feed_resume(&targets->feed);
+	else
+		feed_pause(&targets->feed);
+}
+
+bool targets_reached(const targets_t *targets)
+{
+	return targets->listed && targets->feed.reached &&
+	       !targets->feed.paused;
+}
+
+const bsh_target_t *targets_find(const targets_t *targets, const char *id)
+{
+	const listed_t *listed = g_hash_table_lookup(targets->table, id);
+
+	return listed != NULL ? &listed->target : NULL;
+}
+
 void targets_fill(targets_t *targets, view_t *view)
 {
 	const bsh_settings_t *settings = &targets->control->entry->settings;
@@ -261,17 +327,23 @@
 	while (g_hash_table_iter_next(&iter, NULL, &data)) {
 		const listed_t *listed = data;
 		const bsh_target_t *target = &listed->target;
+		const bsh_holdings_t *held;
+		uint64_t version;
 		view_target_t item = {
 			.hash = XXH64(target->id, strlen(target->id), 0),
 			.slots = target->slots,
 			.same_zone = strcmp(target->zone, settings->zone) == 0,
 			.doubtful = listed->missing_us != 0,
-			.holdings = listed->placed ? listed->holdings
-						   : target->holdings,
 		};
 
 		if (target->leaving)
 			continue;
+		held = orders_usable(targets->control->orders, target,
+				     &version);
+		if (held == NULL)
+			held = listed->placed ? &listed->holdings
+					      : &target->holdings;
+		item.holdings = *held;
 		g_strlcpy(item.id, target->id, sizeof(item.id));
 		g_strlcpy(item.address, target->address, sizeof(item.address));
 		g_strlcpy(item.service, target->service, sizeof(item.service));
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -2,8 +2,9 @@
 
 #include <string.h>
 
-/* Renewals in one lease time: two may fail before the term ends. */
-#define RENEWALS_PER_LEASE 3
+/* Renewals in one lease time: some may fail before the term ends, and each one
+ * shows that the holder reaches the store. */
+#define RENEWALS_PER_LEASE 6
 /* Pause after a call that failed. */
 #define RETRY_US INT64_C(250000)
 
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -522,26 +522,15 @@
 }
 
 const bsh_holdings_t *bsh_planner_usable(const bsh_planner_t *planner,
-					 const char *id)
+					 const char *id, uint64_t *version)
 {
 	const planner_target_t *t = find(planner, id);
 
-	return t != NULL ? &t->usable : NULL;
-}
-
-void bsh_planner_foreach(const bsh_planner_t *planner,
-			 void (*fn)(void *ctx, const bsh_target_t *target,
-				    const bsh_holdings_t *usable,
-				    uint64_t version),
-			 void *ctx)
-{
-	for (guint i = 0; i < planner->targets->len; i++) {
-		const planner_target_t *t =
-			g_ptr_array_index(planner->targets, i);
-
-		if (t->reported)
-			fn(ctx, &t->target, &t->usable, t->version);
-	}
+	if (t == NULL || !t->reported)
+		return NULL;
+	if (version != NULL)
+		*version = t->version + 1;
+	return &t->usable;
 }
 
 const bsh_planner_stats_t *bsh_planner_stats(const bsh_planner_t *planner)
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -131,14 +131,10 @@
 		       void (*fn)(void *ctx, const bsh_ready_entry_t *entry),
 		       void *ctx);
 
-/* bsh_planner_usable - what requests may use at a target; NULL: unknown id. */
+/* bsh_planner_usable - what requests may use at a target and how often that has
+ * changed (version may be NULL); NULL: not known during this term. */
 const bsh_holdings_t *bsh_planner_usable(const bsh_planner_t *planner,
-					 const char *id);
-void bsh_planner_foreach(const bsh_planner_t *planner,
-			 void (*fn)(void *ctx, const bsh_target_t *target,
-				    const bsh_holdings_t *usable,
-				    uint64_t version),
-			 void *ctx);
+					 const char *id, uint64_t *version);
 
 const bsh_planner_stats_t *bsh_planner_stats(const bsh_planner_t *planner);
 
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -190,13 +190,21 @@
 						   patience_ms),
 					       END };
 
-static const field_t demand_fields[] = { LIST(bsh_msg_demand_t, entries,
+static const field_t demand_fields[] = { U64(bsh_msg_demand_t, term),
+					 U64(bsh_msg_demand_t, have),
+					 LIST(bsh_msg_demand_t, entries,
 					      entry_count, demand_entry_fields,
 					      bsh_demand_entry_t),
 					 END };
 
 static const field_t placement_entry_fields[] = {
 	STRING(bsh_placement_entry_t, target),
+	STRING(bsh_placement_entry_t, service),
+	STRING(bsh_placement_entry_t, address),
+	STRING(bsh_placement_entry_t, zone),
+	U32(bsh_placement_entry_t, slots),
+	ENUM(bsh_placement_entry_t, state, BSH_TARGET_LIVE,
+	     BSH_TARGET_STATE_END - 1),
 	U64(bsh_placement_entry_t, started_ms),
 	U64(bsh_placement_entry_t, version),
 	BLOB(bsh_placement_entry_t, holdings, holdings_bytes,
@@ -213,6 +221,9 @@
 	U64(bsh_msg_placement_t, term),
 	U64(bsh_msg_placement_t, revision),
 	BOOL(bsh_msg_placement_t, released),
+	U32(bsh_msg_placement_t, contact_age_ms),
+	U64(bsh_msg_placement_t, from),
+	U64(bsh_msg_placement_t, to),
 	LIST(bsh_msg_placement_t, entries, entry_count, placement_entry_fields,
 	     bsh_placement_entry_t),
 	LIST(bsh_msg_placement_t, ready, ready_count, ready_entry_fields,
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -234,17 +234,35 @@
 	uint32_t patience_ms; /* time left of the most patient of them */
 } bsh_demand_entry_t;
 
-/* DEMAND: from each instance to the one that gives orders. */
+/*
+ * DEMAND: from each instance to the one that gives orders.  have is the number
+ * of the announcement up to which it knows the targets; 0: it knows none.
+ */
 typedef struct {
+	uint64_t term;
+	uint64_t have;
 	const bsh_demand_entry_t *entries;
 	uint32_t entry_count;
 } bsh_msg_demand_t;
 
-/* What one target holds, as known to the instance that gives it orders. */
+typedef enum {
+	BSH_TARGET_LIVE = 1,
+	BSH_TARGET_LEAVING,
+	BSH_TARGET_GONE,
+	BSH_TARGET_STATE_END
+} bsh_target_state_t;
+
+/* One target, as known to the instance that gives orders. */
 typedef struct {
 	const char *target;
+	const char *service;
+	const char *address;
+	const char *zone;
+	uint32_t slots;
+	uint32_t state; /* bsh_target_state_t */
 	uint64_t started_ms;
-	uint64_t version;	 /* rises with each change during a term */
+	uint64_t version; /* of the holdings, rises during a term; 0: they are
+			   * as listed */
 	const uint8_t *holdings; /* pairs of model and adapter, 4 bytes each */
 	uint32_t holdings_bytes;
 } bsh_placement_entry_t;
@@ -258,12 +276,17 @@
 
 /*
  * PLACEMENT: from the instance that gives orders to all others; without
- * entries it only says that this instance is alive and holds the lease.
+ * entries it only says that this instance is alive and holds the lease.  The
+ * announcements of a term are numbered: who knows all up to `from` knows, with
+ * this message, all up to `to`.
  */
 typedef struct {
-	uint64_t term;	   /* fencing number of the lease */
-	uint64_t revision; /* of the lease after its last renewal */
-	bool released;	   /* the sender gives no more orders */
+	uint64_t term;		 /* fencing number of the lease */
+	uint64_t revision;	 /* of the lease after its last renewal */
+	bool released;		 /* the sender gives no more orders */
+	uint32_t contact_age_ms; /* since the store last answered the sender */
+	uint64_t from;
+	uint64_t to;
 	const bsh_placement_entry_t *entries;
 	uint32_t entry_count;
 	const bsh_ready_entry_t *ready;
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -25,7 +25,8 @@
 
 static const bsh_demand_entry_t demands[] = { { 7, 8, 1, 2, 3, 4 } };
 static const bsh_placement_entry_t placements[] = {
-	{ "engine-1", 5, 6, (const uint8_t *)"a\0b", 3 }
+	{ "engine-1", "llm", "127.0.0.1:9", "a", 4, BSH_TARGET_LEAVING, 5, 6,
+	  (const uint8_t *)"a\0b", 3 }
 };
 static const bsh_ready_entry_t ready[] = { { 7, 8, 900 } };
 
@@ -101,11 +102,12 @@
 		m.handover = (bsh_msg_handover_t){ "gpu", 8 };
 		break;
 	case BSH_MSG_DEMAND:
-		m.demand = (bsh_msg_demand_t){ demands, 1 };
+		m.demand = (bsh_msg_demand_t){ 3, 4, demands, 1 };
 		break;
 	case BSH_MSG_PLACEMENT:
-		m.placement = (bsh_msg_placement_t){ 9, 12,    true, placements,
-						     1, ready, 1 };
+		m.placement =
+			(bsh_msg_placement_t){ 9, 12,	      true, 7,	   3,
+					       4, placements, 1,    ready, 1 };
 		break;
 	case BSH_MSG_TYPE_END:
 		break;
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -177,8 +177,8 @@
 	tick(&rig, 1000);
 	/* Withdrawn from the instances first. */
 	g_assert_cmpuint(rig.n_orders, ==, 0);
-	g_assert_false(bsh_holdings_has(bsh_planner_usable(rig.planner, "t1"),
-					hash("b"), 0));
+	g_assert_false(bsh_holdings_has(
+		bsh_planner_usable(rig.planner, "t1", NULL), hash("b"), 0));
 	tick(&rig, 50000);
 	g_assert_cmpuint(rig.n_orders, ==, 1);
 	g_assert_false(rig.orders[0].load);
@@ -397,10 +397,10 @@
 	target = make_target("t1", later);
 	bsh_planner_target(rig.planner, &target, rig.now_us);
 	bsh_planner_begin(rig.planner);
-	g_assert_false(bsh_holdings_has(bsh_planner_usable(rig.planner, "t1"),
-					hash("a"), 0));
-	g_assert_true(bsh_holdings_has(bsh_planner_usable(rig.planner, "t1"),
-				       hash("b"), 0));
+	g_assert_false(bsh_holdings_has(
+		bsh_planner_usable(rig.planner, "t1", NULL), hash("a"), 0));
+	g_assert_true(bsh_holdings_has(
+		bsh_planner_usable(rig.planner, "t1", NULL), hash("b"), 0));
 	rig_finish(&rig);
 }
 
