--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -7,8 +7,9 @@
 /* Announcements that an instance can make up for one by one; one that is
  * further behind is told all targets. */
 #define LOG_SIZE 512U
-/* Targets in one datagram; see BSH_DATAGRAM_MESSAGE_BYTES. */
-#define TARGETS_PER_MESSAGE 4U
+/* Targets in one datagram, so that it holds them with the most holdings that
+ * one target can have; see BSH_DATAGRAM_MESSAGE_BYTES. */
+#define TARGETS_PER_MESSAGE 2U
 #define READY_MAX	    40U
 /* A datagram on its way is not taken for lost before this time. */
 #define SETTLE_US INT64_C(80000)
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -22,6 +22,10 @@
 /* A lost announcement is made up for in this time, or the store is asked. */
 #define GAP_MAX_US INT64_C(900000)
 
+/* Entries of demand in one datagram; those with most waiting requests come
+ * first, and what is left out is told when it waits too. */
+#define DEMAND_MAX 45U
+
 #define LEASE_OBJECT "orders"
 
 typedef struct {
@@ -341,7 +345,7 @@
 	demand->term = orders->have_term;
 	demand->have = orders->have;
 	demand->entries = (const bsh_demand_entry_t *)(void *)entries->data;
-	demand->entry_count = entries->len;
+	demand->entry_count = MIN(entries->len, DEMAND_MAX);
 	if (strcmp(orders->holder, self) == 0)
 		orders_demand(orders, self, demand->entries,
 			      demand->entry_count);
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -348,14 +348,26 @@
 		   KNOWN_MIN);
 }
 
+/* A datagram that the network loses is made up for by its protocol; one that is
+ * too large never arrives. */
+static void send_to(peers_t *peers, const bsh_member_t *member,
+		    const bsh_message_t *message)
+{
+	bsh_error_t err = bsh_datagrams_send(&peers->datagrams,
+					     member->place.gossip, message);
+
+	if (err == BSH_ERR_TOO_LARGE)
+		bsh_log(BSH_LOG_ERROR, "message-too-large type=%s to=%s",
+			bsh_message_name(message->type), member->name);
+}
+
 void peers_send(peers_t *peers, const char *instance,
 		const bsh_message_t *message)
 {
 	const bsh_member_t *member = bsh_members_find(peers->members, instance);
 
 	if (member != NULL && member->has_place)
-		bsh_datagrams_send(&peers->datagrams, member->place.gossip,
-				   message);
+		send_to(peers, member, message);
 }
 
 typedef struct {
@@ -371,8 +383,7 @@
 	if (strcmp(member->name, self) != 0 && member->has_place &&
 	    (member->state == BSH_MEMBER_ALIVE ||
 	     member->state == BSH_MEMBER_SUSPECT))
-		bsh_datagrams_send(&broadcast->peers->datagrams,
-				   member->place.gossip, broadcast->message);
+		send_to(broadcast->peers, member, broadcast->message);
 }
 
 void peers_broadcast(peers_t *peers, const bsh_message_t *message)
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -12,8 +12,8 @@
  * seconds of its return; one that is missing longer is gone. */
 #define LAPSE_GRACE_US INT64_C(2500000)
 /* What the holder of the lease said is newer than the target's entry for this
- * long; after that the holder is away, and the entry has caught up. */
-#define PLACED_FRESH_US INT64_C(5000000)
+ * long; after that the entry has caught up. */
+#define PLACED_FRESH_US INT64_C(2500000)
 /* Share of the drain time for which a target without an entry is kept, in case
  * the entry comes back; the rest is for the requests on their way. */
 #define MISSING_PERCENT 60
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -110,6 +110,18 @@
 	       r->info.model != 0;
 }
 
+static gint more_waiting_first(gconstpointer a, gconstpointer b)
+{
+	const bsh_demand_entry_t *x = a;
+	const bsh_demand_entry_t *y = b;
+
+	if (x->waiting != y->waiting)
+		return x->waiting > y->waiting ? -1 : 1;
+	if (x->arrived != y->arrived)
+		return x->arrived > y->arrived ? -1 : 1;
+	return 0;
+}
+
 static void send_demand(void *ctx)
 {
 	traffic_t *t = ctx;
@@ -141,6 +153,7 @@
 		g_array_append_val(demand->entries, entry);
 	}
 	t->demand_urgent = false;
+	g_array_sort(demand->entries, more_waiting_first);
 	bsh_loop_post(&t->entry->control_loop, control_demand, demand);
 	bsh_loop_timer_after(&t->demand_timer, DEMAND_US);
 }
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -9,17 +9,18 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define RIG_HOST_HEADER "Host: " RIG_HOST
-#define GIVE_UP_MS	15000
-#define MODEL_MB	100
-#define LOAD_MS		120
-#define EVENTS		6
-#define ENGINE_SLOTS	8
-#define MAX_IDLE	64
-#define STEP_US		INT64_C(5000)
+#define GIVE_UP_MS   15000
+#define MODEL_MB     100
+#define LOAD_MS	     120
+#define EVENTS	     6
+#define ENGINE_SLOTS 8
+#define MAX_IDLE     64
+#define STEP_US	     INT64_C(5000)
 #define SERVER_LIMITS                                                          \
 	.max_connections = 2000, .idle_timeout_s = 60, .body_max_bytes = 1 << 20
 
+static const char host_header[] = "Host: " RIG_HOST;
+
 typedef struct {
 	int64_t revision;
 	char *kind;
@@ -46,13 +47,27 @@
 	bool begun;
 } run_t;
 
+/* Rigs that run side by side have addresses of their own, so that none takes a
+ * port that another has just found free. */
+static const char *rig_ip(void)
+{
+	static char ip[20];
+	unsigned int pid = (unsigned int)getpid();
+
+	if (ip[0] == '\0')
+		g_snprintf(ip, sizeof(ip), "127.%u.%u.%u",
+			   1 + pid / 62500 % 250, 1 + pid / 250 % 250,
+			   1 + pid % 250);
+	return ip;
+}
+
 static uint16_t free_port(void)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t size = sizeof(address);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	inet_pton(AF_INET, rig_ip(), &address.sin_addr);
 	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
 	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &size), ==,
 			0);
@@ -614,13 +629,13 @@
 	g_autofree char *text = g_strdup_printf(
 		"[instance]\nname=%s\nzone=z1\n[security]\nkey=%064d\n"
 		"[store]\naddress=%s\n[router]\nlisten=%s\nadmin=%s\n"
-		"[control]\nlisten=%s\nlink=%s\ngossip=127.0.0.1:%u\n"
+		"[control]\nlisten=%s\nlink=%s\ngossip=%s:%u\n"
 		"[entry]\nready=%s\ngrace_s=3\norder_lease_ms=%u\n"
 		"order_start_ms=0\nseed_loads=0\n"
 		"[timing]\nprobe_period_ms=200\n",
 		entry->name, 7, rig->store_address, entry->front,
-		entry->metrics, entry->directory, entry->directory, free_port(),
-		entry->ready, rig->lease_ms);
+		entry->metrics, entry->directory, entry->directory, rig_ip(),
+		free_port(), entry->ready, rig->lease_ms);
 	int fd = g_file_open_tmp("bsh-entry-XXXXXX", &entry->settings_path,
 				 NULL);
 
@@ -640,8 +655,8 @@
 	g_snprintf(entry->name, sizeof(entry->name), "entry-%u",
 		   rig->n_entries);
 	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
-		g_snprintf(addresses[i], sizeof(entry->front), "127.0.0.1:%u",
-			   free_port());
+		g_snprintf(addresses[i], sizeof(entry->front), "%s:%u",
+			   rig_ip(), free_port());
 	write_settings(rig, entry);
 	platform_rig_spawn(rig, entry);
 	return entry;
@@ -697,7 +712,7 @@
 	g_autofree char *deadline =
 		g_strdup_printf("Berylshunt-Deadline-Ms: %u", deadline_ms);
 	g_autofree char *named = g_strdup_printf("Berylshunt-Model: %s", model);
-	const char *headers[] = { RIG_HOST_HEADER, attempt, deadline,
+	const char *headers[] = { host_header, attempt, deadline,
 				  model != NULL ? named : NULL, NULL };
 	bool has_body = !g_str_has_prefix(path, "/api/") &&
 			!g_str_has_prefix(path, "/look/");
--- /dev/null
+++ b/regress/support/relay.c
@@ -0,0 +1,211 @@
+#include "support/relay.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define PIECE_BYTES 16384
+
+typedef struct link link_t;
+
+/* One direction of a connection. */
+typedef struct {
+	link_t *link;
+	int from;
+	int to;
+	GString *pending;
+	bsh_loop_timer_t timer; /* end of the delay */
+	bool ended;
+	bool answers; /* from the server to the client */
+} pipe_t;
+
+struct link {
+	relay_t *relay;
+	int fds[2]; /* client, server */
+	bsh_loop_watch_t *watches[2];
+	pipe_t pipes[2];
+	bool forgotten; /* silent for good */
+};
+
+static void close_link(link_t *link, bool reset)
+{
+	struct linger hard = { .l_onoff = 1 };
+
+	for (int i = 0; i < 2; i++) {
+		bsh_loop_timer_stop(&link->pipes[i].timer);
+		bsh_loop_unwatch(link->watches[i]);
+		if (reset)
+			setsockopt(link->fds[i], SOL_SOCKET, SO_LINGER, &hard,
+				   sizeof(hard));
+		close(link->fds[i]);
+		g_string_free(link->pipes[i].pending, TRUE);
+	}
+	g_ptr_array_remove_fast(link->relay->links, link);
+	g_free(link);
+}
+
+static bool is_held(const pipe_t *pipe)
+{
+	relay_mode_t mode = pipe->link->relay->mode;
+
+	return pipe->link->forgotten || mode == RELAY_SILENT ||
+	       (mode == RELAY_ONE_WAY && pipe->answers);
+}
+
+/* False when the link was closed. */
+static bool flush(pipe_t *pipe)
+{
+	while (pipe->pending->len > 0 && !is_held(pipe)) {
+		ssize_t n = send(pipe->to, pipe->pending->str,
+				 pipe->pending->len, MSG_NOSIGNAL);
+
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+			bsh_loop_timer_after(&pipe->timer, 5000);
+			return true;
+		}
+		if (n < 0) {
+			close_link(pipe->link, true);
+			return false;
+		}
+		g_string_erase(pipe->pending, 0, n);
+	}
+	if (pipe->pending->len == 0 && pipe->ended) {
+		close_link(pipe->link, false);
+		return false;
+	}
+	return true;
+}
+
+static void on_timer(void *ctx)
+{
+	flush(ctx);
+}
+
+static void on_readable(void *ctx, int fd, unsigned int events)
+{
+	link_t *link = ctx;
+	pipe_t *pipe = &link->pipes[fd == link->fds[0] ? 0 : 1];
+	char piece[PIECE_BYTES];
+	ssize_t n = recv(fd, piece, sizeof(piece), MSG_DONTWAIT);
+
+	(void)events;
+	if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+		return;
+	if (n < 0) {
+		close_link(link, true);
+		return;
+	}
+	if (n == 0) {
+		pipe->ended = true;
+		bsh_loop_watch_set(link->watches[fd == link->fds[0] ? 0 : 1],
+				   0);
+	}
+	g_string_append_len(pipe->pending, piece, n);
+	if (link->relay->mode == RELAY_DELAYS)
+		bsh_loop_timer_after(&pipe->timer, RELAY_DELAY_MS * 1000);
+	else
+		flush(pipe);
+}
+
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+		close(fd);
+		return -1;
+	}
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+static void on_connection(void *ctx, int fd, unsigned int events)
+{
+	relay_t *relay = ctx;
+	int client = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	int server;
+	link_t *link;
+
+	(void)events;
+	if (client < 0)
+		return;
+	server = connect_to(relay->to_port);
+	if (server < 0) {
+		close(client);
+		return;
+	}
+	link = g_new0(link_t, 1);
+	link->relay = relay;
+	link->fds[0] = client;
+	link->fds[1] = server;
+	for (int i = 0; i < 2; i++) {
+		link->pipes[i].link = link;
+		link->pipes[i].from = link->fds[i];
+		link->pipes[i].to = link->fds[1 - i];
+		link->pipes[i].answers = i == 1;
+		link->pipes[i].pending = g_string_new(NULL);
+		bsh_loop_timer_init(&link->pipes[i].timer, relay->loop,
+				    on_timer, &link->pipes[i]);
+		link->watches[i] =
+			bsh_loop_watch(relay->loop, link->fds[i], BSH_LOOP_READ,
+				       on_readable, link);
+	}
+	g_ptr_array_add(relay->links, link);
+}
+
+void relay_init(relay_t *relay, bsh_loop_t *loop, uint16_t to_port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+
+	memset(relay, 0, sizeof(*relay));
+	relay->loop = loop;
+	relay->to_port = to_port;
+	relay->links = g_ptr_array_new();
+	relay->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(
+		bind(relay->listener, (struct sockaddr *)&address, size), ==,
+		0);
+	g_assert_cmpint(listen(relay->listener, 128), ==, 0);
+	g_assert_cmpint(getsockname(relay->listener,
+				    (struct sockaddr *)&address, &size),
+			==, 0);
+	g_snprintf(relay->address, sizeof(relay->address), "127.0.0.1:%u",
+		   ntohs(address.sin_port));
+	relay->watch = bsh_loop_watch(loop, relay->listener, BSH_LOOP_READ,
+				      on_connection, relay);
+}
+
+void relay_set(relay_t *relay, relay_mode_t mode)
+{
+	relay->mode = mode == RELAY_FORGETS ? RELAY_PASSES : mode;
+	for (guint i = relay->links->len; i > 0; i--) {
+		link_t *link = g_ptr_array_index(relay->links, i - 1);
+
+		if (mode == RELAY_FORGETS)
+			link->forgotten = true;
+		else if (flush(&link->pipes[0]))
+			flush(&link->pipes[1]);
+	}
+}
+
+void relay_reset_all(relay_t *relay)
+{
+	while (relay->links->len > 0)
+		close_link(g_ptr_array_index(relay->links, 0), true);
+}
+
+void relay_finish(relay_t *relay)
+{
+	relay_reset_all(relay);
+	bsh_loop_unwatch(relay->watch);
+	close(relay->listener);
+	g_ptr_array_free(relay->links, TRUE);
+}
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -10,6 +10,7 @@
 
 #include "base/counter.h"
 #include "base/rng.h"
+#include "protocol/datagram.h"
 #include "protocol/frame.h"
 #include "transport/udp.h"
 
@@ -582,6 +583,47 @@
 	net_finish(&net);
 }
 
+/* Guards against demand and announcements that fit no datagram and so never
+ * arrive, on deployments with hundreds of models. */
+static void test_message_fits_datagram(void)
+{
+	bsh_demand_entry_t entries[45];
+	bsh_placement_entry_t targets[2];
+	uint8_t pairs[320];
+	bsh_message_t m = { .type = BSH_MSG_DEMAND,
+			    .stamp = { INT64_MAX, UINT32_MAX },
+			    .sender = "front-chitose-a-10",
+			    .incarnation = UINT64_MAX };
+	char *data;
+	size_t size;
+
+	memset(entries, 0xff, sizeof(entries));
+	memset(pairs, 0xff, sizeof(pairs));
+	m.demand = (bsh_msg_demand_t){ UINT64_MAX, UINT64_MAX, entries, 45 };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_BYTES);
+	free(data);
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
+		targets[i] = (bsh_placement_entry_t){ "i-0123456789ab",
+						      "service-name-01",
+						      "10.200.100.100:65535",
+						      "zone-name-0001",
+						      UINT32_MAX,
+						      BSH_TARGET_LIVE,
+						      UINT64_MAX,
+						      UINT64_MAX,
+						      pairs,
+						      sizeof(pairs) };
+	m.type = BSH_MSG_PLACEMENT;
+	m.placement = (bsh_msg_placement_t){ UINT64_MAX, UINT64_MAX, true,
+					     UINT32_MAX, UINT64_MAX, UINT64_MAX,
+					     targets,	 2,	     NULL,
+					     0 };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_BYTES);
+	free(data);
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
@@ -591,6 +633,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/message/round-trip", test_message_round_trip);
 	g_test_add_func("/message/malformed", test_message_malformed);
+	g_test_add_func("/message/fits-datagram", test_message_fits_datagram);
 	g_test_add_func("/message/limits", test_message_limits);
 	g_test_add_func("/auth/session", test_session);
 	g_test_add_func("/auth/window", test_window);
