--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -20,7 +20,7 @@
 	control_t *control;
 	uint64_t last; /* number of the last announcement of this term */
 	char log[LOG_SIZE][BSH_NAME_SIZE]; /* targets, by number */
-	int64_t last_us;
+	int64_t log_us[LOG_SIZE];	   /* when they were sent */
 	GHashTable *told_us; /* instance to when it was last told again */
 };
 
@@ -74,6 +74,8 @@
 	g_strlcpy(batch->gone[batch->n], id, BSH_NAME_SIZE);
 	entry->target = batch->gone[batch->n];
 	entry->state = BSH_TARGET_GONE;
+	entry->number = announcer->last;
+	entry->service = entry->address = entry->zone = "";
 	batch->n++;
 	if (target == NULL)
 		return;
@@ -127,7 +129,7 @@
 	if (!orders_is_holder(announcer->control->orders))
 		return;
 	announcer->last++;
-	announcer->last_us = bsh_loop_clock_us();
+	announcer->log_us[announcer->last % LOG_SIZE] = bsh_loop_clock_us();
 	g_strlcpy(announcer->log[announcer->last % LOG_SIZE], target,
 		  BSH_NAME_SIZE);
 	add_target(announcer, &batch, target);
@@ -181,10 +183,14 @@
 	const bsh_lease_t *lease = orders_lease(announcer->control->orders);
 	int64_t now_us = bsh_loop_clock_us();
 	int64_t *told_us = g_hash_table_lookup(announcer->told_us, instance);
+	bool is_old;
 
 	if (!orders_is_holder(announcer->control->orders) ||
-	    term != lease->term || have >= announcer->last ||
-	    now_us - announcer->last_us < SETTLE_US)
+	    term != lease->term || have >= announcer->last)
+		return;
+	is_old = announcer->last - have >= LOG_SIZE;
+	if (!is_old &&
+	    now_us - announcer->log_us[(have + 1) % LOG_SIZE] < SETTLE_US)
 		return;
 	if (told_us == NULL) {
 		told_us = g_new0(int64_t, 1);
@@ -194,7 +200,7 @@
 	if (now_us - *told_us < AGAIN_US)
 		return;
 	*told_us = now_us;
-	if (have == 0 || announcer->last - have >= LOG_SIZE)
+	if (have == 0 || is_old)
 		tell_all(announcer, instance);
 	else
 		tell_since(announcer, instance, have);
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -33,12 +33,22 @@
 	uint64_t placed_version;
 	int64_t placed_us; /* when that was last told */
 	bsh_holdings_t holdings;
+	uint64_t told_term; /* of the last announcement that was taken */
+	uint64_t told_number;
 } listed_t;
 
+/* A target that was told to be gone; a datagram that was sent before and comes
+ * later must not bring it back. */
+typedef struct {
+	uint64_t term;
+	uint64_t number;
+} tombstone_t;
+
 struct targets {
 	control_t *control;
 	feed_t feed;
-	GHashTable *table; /* id to listed_t */
+	GHashTable *table;	/* id to listed_t */
+	GHashTable *tombstones; /* id to tombstone_t */
 	bool listed;
 };
 
@@ -99,6 +109,7 @@
 {
 	listed_t *listed = g_hash_table_lookup(targets->table, target->id);
 	bool was_there = listed != NULL && listed->missing_us == 0;
+	bool was_leaving;
 	bool same;
 
 	if (listed == NULL) {
@@ -110,7 +121,11 @@
 	same = was_there && is_same(&listed->target, target);
 	if (target->started_ms != listed->placed_started_ms)
 		listed->placed = false;
+	/* What leaves never comes back under the same start. */
+	was_leaving = was_there && listed->target.leaving &&
+		      listed->target.started_ms == target->started_ms;
 	listed->target = *target;
+	listed->target.leaving = target->leaving || was_leaving;
 	listed->missing_us = 0;
 	if (list != 0)
 		listed->list = list;
@@ -121,7 +136,7 @@
 		"leaving=%d holdings=%u",
 		target->id, target->service, target->address, target->zone,
 		target->leaving, target->holdings.n);
-	control_target_changed(targets->control, target);
+	control_target_changed(targets->control, &listed->target);
 }
 
 static void on_object(void *ctx, const platform_object_t *object, uint64_t list)
@@ -189,6 +204,8 @@
 	targets->control = control;
 	targets->table =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	targets->tombstones =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	feed_init(&targets->feed, &control->store, control->loop,
 		  PLATFORM_KIND_TARGETS, &ops);
 	return targets;
@@ -208,6 +225,7 @@
 {
 	feed_stop(&targets->feed);
 	g_hash_table_destroy(targets->table);
+	g_hash_table_destroy(targets->tombstones);
 	g_free(targets);
 }
 
@@ -253,6 +271,35 @@
 		control_changed(targets->control);
 }
 
+/* False for an announcement that was overtaken by a later one. */
+static bool take_number(targets_t *targets, const bsh_placement_entry_t *entry,
+			uint64_t term)
+{
+	listed_t *listed = g_hash_table_lookup(targets->table, entry->target);
+	tombstone_t *stone =
+		g_hash_table_lookup(targets->tombstones, entry->target);
+
+	if (stone != NULL &&
+	    (term < stone->term ||
+	     (term == stone->term && entry->number <= stone->number)))
+		return false;
+	if (entry->state == BSH_TARGET_GONE) {
+		stone = g_new0(tombstone_t, 1);
+		stone->term = term;
+		stone->number = entry->number;
+		g_hash_table_replace(targets->tombstones,
+				     g_strdup(entry->target), stone);
+	}
+	if (listed == NULL)
+		return true;
+	if (term < listed->told_term ||
+	    (term == listed->told_term && entry->number < listed->told_number))
+		return false;
+	listed->told_term = term;
+	listed->told_number = entry->number;
+	return true;
+}
+
 /* Takes the place of the own feed while that is paused. */
 static void relay(targets_t *targets, const bsh_placement_entry_t *entry,
 		  const bsh_holdings_t *holdings)
@@ -285,6 +332,8 @@
 {
 	bsh_holdings_t holdings;
 
+	if (!take_number(targets, entry, term))
+		return;
 	decode_pairs(entry, &holdings);
 	if (targets->feed.paused)
 		relay(targets, entry, &holdings);
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -205,6 +205,7 @@
 	U32(bsh_placement_entry_t, slots),
 	ENUM(bsh_placement_entry_t, state, BSH_TARGET_LIVE,
 	     BSH_TARGET_STATE_END - 1),
+	U64(bsh_placement_entry_t, number),
 	U64(bsh_placement_entry_t, started_ms),
 	U64(bsh_placement_entry_t, version),
 	BLOB(bsh_placement_entry_t, holdings, holdings_bytes,
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -259,7 +259,8 @@
 	const char *address;
 	const char *zone;
 	uint32_t slots;
-	uint32_t state; /* bsh_target_state_t */
+	uint32_t state;	 /* bsh_target_state_t */
+	uint64_t number; /* of the last announcement when this was so */
 	uint64_t started_ms;
 	uint64_t version; /* of the holdings, rises during a term; 0: they are
 			   * as listed */
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -26,7 +26,7 @@
 
 static const bsh_demand_entry_t demands[] = { { 7, 8, 1, 2, 3, 4 } };
 static const bsh_placement_entry_t placements[] = {
-	{ "engine-1", "llm", "127.0.0.1:9", "a", 4, BSH_TARGET_LEAVING, 5, 6,
+	{ "engine-1", "llm", "127.0.0.1:9", "a", 4, BSH_TARGET_LEAVING, 9, 5, 6,
 	  (const uint8_t *)"a\0b", 3 }
 };
 static const bsh_ready_entry_t ready[] = { { 7, 8, 900 } };
@@ -612,6 +612,7 @@
 						      BSH_TARGET_LIVE,
 						      UINT64_MAX,
 						      UINT64_MAX,
+						      UINT64_MAX,
 						      pairs,
 						      sizeof(pairs) };
 	m.type = BSH_MSG_PLACEMENT;
