--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -7,35 +7,55 @@
 /* Announcements that an instance can make up for one by one; one that is
  * further behind is told all targets. */
 #define LOG_SIZE 512U
-/* Targets in one datagram, so that it holds them with the most holdings that
- * one target can have; see BSH_DATAGRAM_MESSAGE_BYTES. */
-#define TARGETS_PER_MESSAGE 2U
-#define READY_MAX	    40U
+/* Targets in one announcement at most. */
+#define BATCH_TARGETS 6U
+/* Room for the fields of an entry besides its strings and holdings, and for
+ * those of the message. */
+#define ENTRY_BYTES   64U
+#define MESSAGE_BYTES 160U
+#define READY_MAX     40U
+/* Changes within this time make one announcement: each costs the holder a
+ * datagram to every instance. */
+#define COALESCE_US INT64_C(15000)
 /* A datagram on its way is not taken for lost before this time. */
 #define SETTLE_US INT64_C(80000)
 /* An instance that is still behind is told again after this time. */
 #define AGAIN_US INT64_C(200000)
 
+/* What one announcement was about, and when it was sent. */
+typedef struct {
+	char targets[BATCH_TARGETS][BSH_NAME_SIZE];
+	uint32_t n;
+	int64_t sent_us;
+} record_t;
+
 struct announcer {
 	control_t *control;
 	uint64_t last; /* number of the last announcement of this term */
-	char log[LOG_SIZE][BSH_NAME_SIZE]; /* targets, by number */
-	int64_t log_us[LOG_SIZE];	   /* when they were sent */
+	record_t log[LOG_SIZE];
+	GPtrArray *changed; /* ids of targets to be announced */
+	bsh_loop_timer_t timer;
 	GHashTable *told_us; /* instance to when it was last told again */
 };
 
 typedef struct {
-	bsh_placement_entry_t entries[TARGETS_PER_MESSAGE];
-	uint32_t pairs[TARGETS_PER_MESSAGE][2 * BSH_TARGET_HOLDINGS_MAX];
-	char gone[TARGETS_PER_MESSAGE][BSH_NAME_SIZE];
+	bsh_placement_entry_t entries[BATCH_TARGETS];
+	uint32_t pairs[BATCH_TARGETS][2 * BSH_TARGET_HOLDINGS_MAX];
+	char ids[BATCH_TARGETS][BSH_NAME_SIZE];
 	uint32_t n;
+	size_t bytes;
 } batch_t;
 
+static void announce(void *ctx);
+
 announcer_t *announcer_new(control_t *control)
 {
 	announcer_t *announcer = g_new0(announcer_t, 1);
 
 	announcer->control = control;
+	announcer->changed = g_ptr_array_new_with_free_func(g_free);
+	bsh_loop_timer_init(&announcer->timer, control->loop, announce,
+			    announcer);
 	announcer->told_us =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return announcer;
@@ -43,6 +63,8 @@
 
 void announcer_free(announcer_t *announcer)
 {
+	bsh_loop_timer_stop(&announcer->timer);
+	g_ptr_array_free(announcer->changed, TRUE);
 	g_hash_table_destroy(announcer->told_us);
 	g_free(announcer);
 }
@@ -61,36 +83,49 @@
 	}
 }
 
-static void add_target(const announcer_t *announcer, batch_t *batch,
+/* False if the batch has no room for the target. */
+static bool add_target(const announcer_t *announcer, batch_t *batch,
 		       const char *id)
 {
 	const control_t *control = announcer->control;
 	const bsh_target_t *target = targets_find(control->targets, id);
-	bsh_placement_entry_t *entry = &batch->entries[batch->n];
-	uint32_t *pairs = batch->pairs[batch->n];
-	const bsh_holdings_t *holdings;
-
-	memset(entry, 0, sizeof(*entry));
-	g_strlcpy(batch->gone[batch->n], id, BSH_NAME_SIZE);
-	entry->target = batch->gone[batch->n];
-	entry->state = BSH_TARGET_GONE;
-	entry->number = announcer->last;
-	entry->service = entry->address = entry->zone = "";
-	batch->n++;
-	if (target == NULL)
-		return;
-	holdings = orders_usable(control->orders, target, &entry->version);
-	if (holdings == NULL)
-		holdings = &target->holdings;
-	encode_pairs(holdings, pairs);
-	entry->service = target->service;
-	entry->address = target->address;
-	entry->zone = target->zone;
-	entry->slots = target->slots;
-	entry->state = target->leaving ? BSH_TARGET_LEAVING : BSH_TARGET_LIVE;
-	entry->started_ms = target->started_ms;
-	entry->holdings = (const uint8_t *)pairs;
-	entry->holdings_bytes = holdings->n * 2 * (uint32_t)sizeof(uint32_t);
+	bsh_placement_entry_t entry = { .state = BSH_TARGET_GONE,
+					.number = announcer->last,
+					.service = "",
+					.address = "",
+					.zone = "" };
+	const bsh_holdings_t *holdings = NULL;
+	size_t bytes = ENTRY_BYTES + strlen(id);
+
+	if (target != NULL) {
+		holdings =
+			orders_usable(control->orders, target, &entry.version);
+		if (holdings == NULL)
+			holdings = &target->holdings;
+		entry.service = target->service;
+		entry.address = target->address;
+		entry.zone = target->zone;
+		entry.slots = target->slots;
+		entry.state =
+			target->leaving ? BSH_TARGET_LEAVING : BSH_TARGET_LIVE;
+		entry.started_ms = target->started_ms;
+		entry.holdings_bytes =
+			holdings->n * 2 * (uint32_t)sizeof(uint32_t);
+		bytes += strlen(entry.service) + strlen(entry.address) +
+			 strlen(entry.zone) + entry.holdings_bytes;
+	}
+	if (batch->n == BATCH_TARGETS ||
+	    (batch->n > 0 &&
+	     batch->bytes + bytes + MESSAGE_BYTES > BSH_DATAGRAM_MESSAGE_BYTES))
+		return false;
+	g_strlcpy(batch->ids[batch->n], id, BSH_NAME_SIZE);
+	entry.target = batch->ids[batch->n];
+	if (holdings != NULL)
+		encode_pairs(holdings, batch->pairs[batch->n]);
+	entry.holdings = (const uint8_t *)batch->pairs[batch->n];
+	batch->entries[batch->n++] = entry;
+	batch->bytes += bytes;
+	return true;
 }
 
 /* To one instance, or to all when instance is NULL. */
@@ -120,37 +155,73 @@
 	else
 		peers_send(control->peers, instance, &message);
 	batch->n = 0;
+	batch->bytes = 0;
 }
 
 void announcer_changed(announcer_t *announcer, const char *target)
 {
-	batch_t batch = { .n = 0 };
-
 	if (!orders_is_holder(announcer->control->orders))
 		return;
-	announcer->last++;
-	announcer->log_us[announcer->last % LOG_SIZE] = bsh_loop_clock_us();
-	g_strlcpy(announcer->log[announcer->last % LOG_SIZE], target,
-		  BSH_NAME_SIZE);
-	add_target(announcer, &batch, target);
+	for (guint i = 0; i < announcer->changed->len; i++)
+		if (strcmp(g_ptr_array_index(announcer->changed, i), target) ==
+		    0)
+			return;
+	g_ptr_array_add(announcer->changed, g_strdup(target));
+	if (!bsh_loop_timer_is_running(&announcer->timer))
+		bsh_loop_timer_after(&announcer->timer, COALESCE_US);
+}
+
+/* The next announcement to all: as many of the changed targets as fit. */
+static void announce_some(announcer_t *announcer)
+{
+	record_t *record = &announcer->log[++announcer->last % LOG_SIZE];
+	batch_t batch = { .n = 0 };
+
+	record->n = 0;
+	record->sent_us = bsh_loop_clock_us();
+	while (announcer->changed->len > 0 &&
+	       add_target(announcer, &batch,
+			  g_ptr_array_index(announcer->changed, 0))) {
+		g_strlcpy(record->targets[record->n++],
+			  g_ptr_array_index(announcer->changed, 0),
+			  BSH_NAME_SIZE);
+		g_ptr_array_remove_index(announcer->changed, 0);
+	}
 	send_batch(announcer, NULL, &batch, announcer->last - 1,
 		   announcer->last, NULL, 0);
 }
 
+static void announce(void *ctx)
+{
+	announcer_t *announcer = ctx;
+
+	if (!orders_is_holder(announcer->control->orders))
+		g_ptr_array_set_size(announcer->changed, 0);
+	while (announcer->changed->len > 0)
+		announce_some(announcer);
+}
+
 typedef struct {
 	const announcer_t *announcer;
 	const char *instance;
 	batch_t batch;
 } all_t;
 
+/* Parts of a whole say nothing of what else is known. */
+static void send_part(const announcer_t *announcer, const char *instance,
+		      batch_t *batch)
+{
+	send_batch(announcer, instance, batch, UINT64_MAX, 0, NULL, 0);
+}
+
 static void add_any(void *ctx, const bsh_target_t *target)
 {
 	all_t *all = ctx;
 
+	if (add_target(all->announcer, &all->batch, target->id))
+		return;
+	send_part(all->announcer, all->instance, &all->batch);
 	add_target(all->announcer, &all->batch, target->id);
-	if (all->batch.n == TARGETS_PER_MESSAGE)
-		send_batch(all->announcer, all->instance, &all->batch,
-			   UINT64_MAX, 0, NULL, 0);
 }
 
 static void tell_all(const announcer_t *announcer, const char *instance)
@@ -166,14 +237,17 @@
 		       uint64_t have)
 {
 	batch_t batch = { .n = 0 };
-	uint64_t from = have;
 
 	for (uint64_t i = have + 1; i <= announcer->last; i++) {
-		add_target(announcer, &batch, announcer->log[i % LOG_SIZE]);
-		if (batch.n < TARGETS_PER_MESSAGE && i < announcer->last)
-			continue;
-		send_batch(announcer, instance, &batch, from, i, NULL, 0);
-		from = i;
+		const record_t *record = &announcer->log[i % LOG_SIZE];
+
+		for (uint32_t j = 0; j < record->n; j++) {
+			if (add_target(announcer, &batch, record->targets[j]))
+				continue;
+			send_part(announcer, instance, &batch);
+			add_target(announcer, &batch, record->targets[j]);
+		}
+		send_batch(announcer, instance, &batch, i - 1, i, NULL, 0);
 	}
 }
 
@@ -190,7 +264,7 @@
 		return;
 	is_old = announcer->last - have >= LOG_SIZE;
 	if (!is_old &&
-	    now_us - announcer->log_us[(have + 1) % LOG_SIZE] < SETTLE_US)
+	    now_us - announcer->log[(have + 1) % LOG_SIZE].sent_us < SETTLE_US)
 		return;
 	if (told_us == NULL) {
 		told_us = g_new0(int64_t, 1);
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -26,6 +26,11 @@
  * first, and what is left out is told when it waits too. */
 #define DEMAND_MAX 40U
 
+/* Delay before an instance tries to take the lease: a part by its name and one
+ * by its share of a core, in which a whole core is the unit. */
+#define SPREAD_US      400000U
+#define SHARE_DELAY_US 60000.0
+
 #define LEASE_OBJECT "orders"
 
 typedef struct {
@@ -531,11 +536,13 @@
 {
 	const bsh_settings_t *settings = &control->entry->settings;
 	orders_t *orders = g_new0(orders_t, 1);
-	/* The one whose name hashes lowest tries first, the others a little
-	 * later, when they have heard of it. */
+	/* Larger instances try first, and each has its own moment, so that
+	 * the others hear of the first one before they try. */
 	uint32_t spread_us =
 		XXH32(settings->instance, strlen(settings->instance), 0) %
-		400000U;
+			SPREAD_US +
+		(uint32_t)(SHARE_DELAY_US /
+			   MAX(settings->entry_cpu_share, 0.05));
 
 	bsh_counter_register(&holding);
 	for (size_t i = 0; i < G_N_ELEMENTS(results); i++)
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -45,6 +45,7 @@
 	peers_t *peers = ctx;
 	uint8_t body[BSH_MEMBER_BODY_BYTES];
 	bsh_message_t message = { .type = BSH_MSG_MEMBER };
+	bsh_datagram_t datagram;
 
 	(void)name;
 	message.body.body = body;
@@ -52,8 +53,10 @@
 		msg, body, sizeof(body), NULL);
 	/* A datagram that is not sent is like one that is lost: the protocol
 	 * repeats it, and the socket counts it. */
-	if (message.body.body_bytes > 0)
-		bsh_datagrams_send(&peers->datagrams, address, &message);
+	if (message.body.body_bytes > 0 &&
+	    bsh_datagrams_seal(&peers->datagrams, &message, &datagram) ==
+		    BSH_OK)
+		bsh_datagrams_send(&peers->datagrams, address, &datagram);
 }
 
 static void changed(void *ctx, const bsh_member_t *member)
@@ -348,31 +351,34 @@
 		   KNOWN_MIN);
 }
 
-/* A datagram that the network loses is made up for by its protocol; one that is
- * too large never arrives. */
-static void send_to(peers_t *peers, const bsh_member_t *member,
-		    const bsh_message_t *message)
+static bool seal(peers_t *peers, const bsh_message_t *message,
+		 bsh_datagram_t *datagram)
 {
-	bsh_error_t err = bsh_datagrams_send(&peers->datagrams,
-					     member->place.gossip, message);
+	bsh_error_t err =
+		bsh_datagrams_seal(&peers->datagrams, message, datagram);
 
-	if (err == BSH_ERR_TOO_LARGE)
-		bsh_log(BSH_LOG_ERROR, "message-too-large type=%s to=%s",
-			bsh_message_name(message->type), member->name);
+	if (err != BSH_OK)
+		bsh_log(BSH_LOG_ERROR, "message-not-sent type=%s error=%s",
+			bsh_message_name(message->type), bsh_error_name(err));
+	return err == BSH_OK;
 }
 
+/* A datagram that the network loses is made up for by its protocol. */
 void peers_send(peers_t *peers, const char *instance,
 		const bsh_message_t *message)
 {
 	const bsh_member_t *member = bsh_members_find(peers->members, instance);
+	bsh_datagram_t datagram;
 
-	if (member != NULL && member->has_place)
-		send_to(peers, member, message);
+	if (member != NULL && member->has_place &&
+	    seal(peers, message, &datagram))
+		bsh_datagrams_send(&peers->datagrams, member->place.gossip,
+				   &datagram);
 }
 
 typedef struct {
 	peers_t *peers;
-	const bsh_message_t *message;
+	const bsh_datagram_t *datagram;
 } broadcast_t;
 
 static void send_one(void *ctx, const bsh_member_t *member)
@@ -383,14 +389,17 @@
 	if (strcmp(member->name, self) != 0 && member->has_place &&
 	    (member->state == BSH_MEMBER_ALIVE ||
 	     member->state == BSH_MEMBER_SUSPECT))
-		send_to(broadcast->peers, member, broadcast->message);
+		bsh_datagrams_send(&broadcast->peers->datagrams,
+				   member->place.gossip, broadcast->datagram);
 }
 
 void peers_broadcast(peers_t *peers, const bsh_message_t *message)
 {
-	broadcast_t broadcast = { peers, message };
+	bsh_datagram_t datagram;
+	broadcast_t broadcast = { peers, &datagram };
 
-	bsh_members_foreach(peers->members, send_one, &broadcast);
+	if (seal(peers, message, &datagram))
+		bsh_members_foreach(peers->members, send_one, &broadcast);
 }
 
 static void choose_member(void *ctx, const bsh_member_t *member)
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -73,6 +73,7 @@
 	{ "entry", "grace_s", TYPE_REAL, FIELD(entry_grace_s), 0, 0, "8" },
 	{ "entry", "order_lease_ms", TYPE_UINT, FIELD(entry_order_lease_ms),
 	  500, 600000, "3000" },
+	{ "entry", "cpu_share", TYPE_REAL, FIELD(entry_cpu_share), 0, 0, "1" },
 	{ "entry", "order_start_ms", TYPE_UINT, FIELD(entry_order_start_ms), 0,
 	  600000, "300" },
 	{ "entry", "store_loads", TYPE_UINT, FIELD(entry_store_loads), 1, 1000,
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -59,6 +59,7 @@
 	double entry_grace_s;	       /* from SIGTERM to the kill */
 	uint32_t entry_order_lease_ms; /* one holder's orders end this long
 					 * before those of the next begin */
+	double entry_cpu_share; /* of a core; more makes a better lease holder */
 	uint32_t entry_order_start_ms; /* first try to take the lease */
 	uint32_t entry_store_loads;    /* at once, from the weight store */
 	uint32_t entry_seed_loads;     /* of them ahead of requests */
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -6,7 +6,7 @@
 
 /* Between the withdrawal of a model and the order to unload it: the message to
  * the instances and a request that was just sent both arrive in this time. */
-#define WITHDRAW_US INT64_C(30000)
+#define WITHDRAW_US INT64_C(40000)
 /* A target's report shows its state of about 100 ms ago. */
 #define REPORT_LAG_US INT64_C(150000)
 /* Between reports while an order is overdue. */
--- a/lib/protocol/datagram.c
+++ b/lib/protocol/datagram.c
@@ -97,10 +97,10 @@
 	datagrams->udp = NULL;
 }
 
-bsh_error_t bsh_datagrams_send(bsh_datagrams_t *datagrams, const char *address,
-			       const bsh_message_t *message)
+bsh_error_t bsh_datagrams_seal(bsh_datagrams_t *datagrams,
+			       const bsh_message_t *message,
+			       bsh_datagram_t *datagram)
 {
-	uint8_t data[BSH_UDP_MAX_BYTES];
 	bsh_message_t copy = *message;
 	bsh_error_t err;
 	char *body;
@@ -115,14 +115,20 @@
 		err = BSH_ERR_TOO_LARGE;
 		goto out;
 	}
-	memcpy(data + BSH_SEAL_SIZE_BYTES, body, size);
-	bsh_datagram_seal(datagrams->key, ++datagrams->sequence, data, body,
-			  size);
-	size += BSH_SEAL_SIZE_BYTES;
-	err = bsh_udp_send(datagrams->udp, address, data, size);
-	bsh_counter_add(&sent, 1);
-	bsh_counter_add(&sent_bytes, (int64_t)size);
+	memcpy(datagram->data + BSH_SEAL_SIZE_BYTES, body, size);
+	bsh_datagram_seal(datagrams->key, ++datagrams->sequence, datagram->data,
+			  body, size);
+	datagram->size_bytes = size + BSH_SEAL_SIZE_BYTES;
 out:
 	free(body);
 	return err;
 }
+
+bsh_error_t bsh_datagrams_send(bsh_datagrams_t *datagrams, const char *address,
+			       const bsh_datagram_t *datagram)
+{
+	bsh_counter_add(&sent, 1);
+	bsh_counter_add(&sent_bytes, (int64_t)datagram->size_bytes);
+	return bsh_udp_send(datagrams->udp, address, datagram->data,
+			    datagram->size_bytes);
+}
--- a/lib/protocol/datagram.h
+++ b/lib/protocol/datagram.h
@@ -46,13 +46,24 @@
 			       bsh_datagram_fn_t on_message, void *ctx);
 void bsh_datagrams_finish(bsh_datagrams_t *datagrams);
 
+/* A message that is ready to be sent to any number of receivers. */
+typedef struct {
+	uint8_t data[BSH_UDP_MAX_BYTES];
+	size_t size_bytes;
+} bsh_datagram_t;
+
 /*
- * bsh_datagrams_send - the sender, its incarnation and the seal are added.
+ * bsh_datagrams_seal - add the sender, its incarnation and the seal.
  *
  * RETURN VALUE
- *	BSH_OK, BSH_ERR_TOO_LARGE, or the error of bsh_udp_send().
+ *	BSH_OK, or BSH_ERR_TOO_LARGE.
  */
+bsh_error_t bsh_datagrams_seal(bsh_datagrams_t *datagrams,
+			       const bsh_message_t *message,
+			       bsh_datagram_t *datagram);
+
+/* bsh_datagrams_send - to one receiver; errors of bsh_udp_send(). */
 bsh_error_t bsh_datagrams_send(bsh_datagrams_t *datagrams, const char *address,
-			       const bsh_message_t *message);
+			       const bsh_datagram_t *datagram);
 
 #endif
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -61,17 +61,27 @@
 	return ip;
 }
 
+/* A port that is free now and that this process has not given out before. */
 static uint16_t free_port(void)
 {
+	static GHashTable *given;
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	inet_pton(AF_INET, rig_ip(), &address.sin_addr);
-	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
-	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &size), ==,
+	int fd;
+
+	if (given == NULL)
+		given = g_hash_table_new(NULL, NULL);
+	do {
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		address.sin_port = 0;
+		inet_pton(AF_INET, rig_ip(), &address.sin_addr);
+		g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==,
+				0);
+		g_assert_cmpint(
+			getsockname(fd, (struct sockaddr *)&address, &size), ==,
 			0);
-	close(fd);
+		close(fd);
+	} while (!g_hash_table_add(given, GUINT_TO_POINTER(address.sin_port)));
 	return ntohs(address.sin_port);
 }
 
