Let a stopping holder of the lease give orders until it ends

The logs show a rolling restart that stopped one holder of the lease after the other; each gave its lease up at once, its successor had to wait 3.4 s before its first order, and was stopped before that: no orders from 1.1 s to 15.3 s. Ruled out: the store (no store-lost line before 24 s), the weight store.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -185,6 +185,9 @@
 {
 	control_t *control = ctx;
 
+	/* Until now the holder has gone on: its successor has to wait for a
+	 * lease time, and may be the next one to be stopped. */
+	orders_release(control->orders);
 	bsh_loop_post(&control->entry->traffic_loop, traffic_quit,
 		      control->entry->traffic);
 }
@@ -201,7 +204,6 @@
 	control->draining = true;
 	bsh_log(BSH_LOG_INFO, "drain-begin signal=%u", signal_number);
 	peers_leave(control->peers);
-	orders_release(control->orders);
 	bsh_loop_post(&control->entry->traffic_loop, traffic_drain,
 		      control->entry->traffic);
 	bsh_loop_timer_after(&control->drain_timer,
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -199,6 +199,32 @@
 	platform_rig_reply_clear(&waiting);
 }
 
+/* Guards against targets without orders while a rolling restart stops one holder
+ * of the lease after the other: each goes on until it really ends. */
+static void test_stopping_holder_gives_orders(fixture_t *f, gconstpointer data)
+{
+	rig_entry_t *second = platform_rig_entry(&f->rig);
+	rig_entry_t *first = f->entry;
+
+	(void)data;
+	platform_rig_wait_ready(&f->rig, second);
+	platform_rig_run(&f->rig, 500);
+	kill(first->pid, SIGTERM);
+	platform_rig_run(&f->rig, 50);
+	f->entry = second;
+	call(f, "/once/1", "k1", "m3");
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_cmpint(f->reply.took_us, <, 900000);
+	/* The next holder takes over when the first one has ended. */
+	while (first->alive)
+		platform_rig_run(&f->rig, 50);
+	/* It waits a lease time and its own delay before its first order. */
+	platform_rig_run(&f->rig, 2 * f->rig.lease_ms);
+	call(f, "/once/1", "k2", "m4");
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_cmpuint(f->engine->turns, ==, 0);
+}
+
 /* Guards against work that goes on for a caller who has left. */
 static void test_caller_leaves(fixture_t *f, gconstpointer data)
 {
@@ -281,6 +307,7 @@
 	ADD("/entry/broken-stream", test_broken_stream);
 	ADD("/entry/loads-on-demand", test_loads_on_demand);
 	ADD("/entry/stop", test_stop);
+	ADD("/entry/stopping-holder", test_stopping_holder_gives_orders);
 	ADD("/entry/caller-leaves", test_caller_leaves);
 	ADD("/entry/configuration-without-store",
 	    test_configuration_without_store);
