Wait for the release of the lease at the end; write up platform rounds

The process ended with its last request, often before the store had taken the release of the lease, so that the successor waited for its expiry. It now waits for that answer, 0.2 s at most.

--- a/bshentryd/bshentryd.c
+++ b/bshentryd/bshentryd.c
@@ -29,8 +29,7 @@
 	entry_t *entry = ctx;
 
 	bsh_loop_run(&entry->traffic_loop);
-	/* The traffic thread ends last; the process follows it. */
-	bsh_loop_stop(&entry->control_loop);
+	bsh_loop_post(&entry->control_loop, control_end, entry->control);
 	return NULL;
 }
 
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -17,6 +17,10 @@
 #define IDLE_CONNECTIONS 32U
 /* Callers keep an address for up to three times as long as they are told. */
 #define RESOLVE_KEEP_FACTOR 3
+/* How long the end waits for the store to take the release of the lease: without
+ * it the successor only waits longer. */
+#define RELEASE_MAX_US INT64_C(200000)
+#define END_POLL_US    INT64_C(5000)
 /* Left of the grace time when idle connections are closed at the latest. */
 #define DRAIN_MARGIN_US INT64_C(1000000)
 
@@ -181,6 +185,26 @@
 	bsh_loop_timer_after(&control->tick_timer, TICK_US);
 }
 
+static void check_end(void *ctx)
+{
+	control_t *control = ctx;
+
+	if (!orders_is_holder(control->orders) ||
+	    control_now_us(control) >= control->end_us)
+		bsh_loop_stop(control->loop);
+	else
+		bsh_loop_timer_after(&control->end_timer, END_POLL_US);
+}
+
+void control_end(void *data)
+{
+	control_t *control = data;
+
+	orders_release(control->orders);
+	control->end_us = control_now_us(control) + RELEASE_MAX_US;
+	check_end(control);
+}
+
 static void on_drain_timer(void *ctx)
 {
 	control_t *control = ctx;
@@ -230,6 +254,8 @@
 			    control);
 	bsh_loop_timer_init(&control->drain_timer, control->loop,
 			    on_drain_timer, control);
+	bsh_loop_timer_init(&control->end_timer, control->loop, check_end,
+			    control);
 	bsh_loop_task_init(&control->view_task, control->loop, send_view,
 			   control);
 	init_client(control);
@@ -256,6 +282,7 @@
 {
 	bsh_loop_timer_stop(&control->tick_timer);
 	bsh_loop_timer_stop(&control->drain_timer);
+	bsh_loop_timer_stop(&control->end_timer);
 	bsh_loop_task_cancel(&control->view_task);
 	directory_free(control->directory);
 	orders_free(control->orders);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -35,6 +35,8 @@
 	directory_t *directory;
 	bsh_loop_timer_t tick_timer;
 	bsh_loop_timer_t drain_timer;
+	bsh_loop_timer_t end_timer;
+	int64_t end_us; /* when the process ends at the latest */
 	bsh_loop_task_t view_task;
 	bool draining;
 	int64_t drain_began_us;
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -49,6 +49,9 @@
 bsh_error_t control_start(entry_t *entry);
 void control_stop(control_t *control);
 void control_drain(control_t *control, uint32_t signal_number);
+/* control_end - the last request has ended; by bsh_loop_post().  The loop ends
+ * when the lease is given up. */
+void control_end(void *control);
 /* control_reload - read the settings file again. */
 void control_reload(control_t *control, const char *reason);
 /* From the traffic thread, by bsh_loop_post(). */
--- a/regress/support/relay.c
+++ b/regress/support/relay.c
@@ -30,7 +30,7 @@
 	bool forgotten; /* silent for good */
 };
 
-static void close_link(link_t *link, bool reset)
+static void destroy_link(link_t *link, bool reset)
 {
 	struct linger hard = { .l_onoff = 1 };
 
@@ -43,10 +43,15 @@
 		close(link->fds[i]);
 		g_string_free(link->pipes[i].pending, TRUE);
 	}
-	g_ptr_array_remove_fast(link->relay->links, link);
 	g_free(link);
 }
 
+static void close_link(link_t *link, bool reset)
+{
+	g_ptr_array_remove_fast(link->relay->links, link);
+	destroy_link(link, reset);
+}
+
 static bool is_held(const pipe_t *pipe)
 {
 	relay_mode_t mode = pipe->link->relay->mode;
@@ -199,7 +204,8 @@
 void relay_reset_all(relay_t *relay)
 {
 	while (relay->links->len > 0)
-		close_link(g_ptr_array_index(relay->links, 0), true);
+		destroy_link(g_ptr_array_steal_index_fast(relay->links, 0),
+			     true);
 }
 
 void relay_finish(relay_t *relay)
