Learn from the time of loads how many the weight store serves at once

How many loads run at full speed is not told to the system; four, the setting, holds on two deployments, one on the grown ones, where four loads at once took 53 s each and requests were told to wait for models that came far too late. Overdue loads now lower the number, and loads in their time raise it again up to the setting; estimates use it. Test: /planner/slow-store, fails without the change.

--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -18,6 +18,12 @@
 #define UNREACHED_US INT64_C(700000)
 /* An adapter is fetched in some ten milliseconds; its target then serves it. */
 #define ADAPTER_MS 25U
+/* A load is slow when it takes this much longer than it should. */
+#define SLOW_FACTOR 1.25
+/* Loads at once that a load in its time adds. */
+#define SPEED_STEP 0.5
+/* An overdue load is expected to take this part of its time more. */
+#define OVERDUE_PART 4U
 /* Unloading waits for the runs that use the model. */
 #define UNLOAD_MS 40U
 
@@ -37,6 +43,7 @@
 	planner->ops = *ops;
 	planner->ctx = ctx;
 	planner->targets = g_ptr_array_new_with_free_func(g_free);
+	planner->full_speed = config->concurrent_loads;
 	planner_demand_init(planner);
 	return planner;
 }
@@ -169,16 +176,78 @@
 	return n;
 }
 
-uint32_t planner_order_left_ms(const planner_target_t *t, int64_t now_us)
+uint32_t planner_store_load_ms(const bsh_planner_t *planner, uint32_t load_ms,
+			       uint32_t n)
 {
-	int64_t left_us = t->state_us + t->order_ms * 1000LL - now_us;
+	return (uint32_t)(load_ms * MAX(n / planner->full_speed, 1.0));
+}
 
-	return left_us > 0 ? (uint32_t)(left_us / 1000) : 0;
+uint32_t planner_store_limit(const bsh_planner_t *planner)
+{
+	return (uint32_t)MAX(planner->full_speed, 1.0);
+}
+
+static uint32_t elapsed_ms(const planner_target_t *t, int64_t now_us)
+{
+	return (uint32_t)(MAX(now_us - t->state_us, 0) / 1000);
+}
+
+uint32_t planner_order_left_ms(const bsh_planner_t *planner,
+			       const planner_target_t *t, int64_t now_us)
+{
+	uint32_t total_ms = t->order_ms;
+	uint32_t spent_ms = elapsed_ms(t, now_us);
+
+	if (t->from_store) {
+		const bsh_model_rule_t *model =
+			bsh_service_model(planner->service, t->order.model);
+
+		if (model != NULL)
+			total_ms = planner_store_load_ms(
+				planner, model->load_ms,
+				planner_store_loads(planner));
+		/* One that is overdue has at least a part of its time left. */
+		total_ms = MAX(total_ms, spent_ms + spent_ms / OVERDUE_PART);
+	}
+	return total_ms > spent_ms ? total_ms - spent_ms : 0;
+}
+
+/* A load that takes longer than its share of the store explains shows that the
+ * store serves fewer at full speed. */
+static void learn_slow_store(bsh_planner_t *planner, const planner_target_t *t,
+			     int64_t now_us)
+{
+	const bsh_model_rule_t *model =
+		bsh_service_model(planner->service, t->order.model);
+	uint32_t n = planner_store_loads(planner);
+	uint32_t spent_ms = elapsed_ms(t, now_us);
+
+	if (model == NULL || n < 2 ||
+	    spent_ms < SLOW_FACTOR * planner_store_load_ms(planner,
+							   model->load_ms, n))
+		return;
+	planner->full_speed = MAX((double)n * model->load_ms / spent_ms, 1.0);
+}
+
+/* One that ends in its time lets the next ones try a little more. */
+static void learn_fast_store(bsh_planner_t *planner, const planner_target_t *t,
+			     int64_t now_us)
+{
+	const bsh_model_rule_t *model =
+		bsh_service_model(planner->service, t->order.model);
+
+	if (model != NULL &&
+	    elapsed_ms(t, now_us) < SLOW_FACTOR * model->load_ms)
+		planner->full_speed = MIN(planner->full_speed + SPEED_STEP,
+					  planner->config.concurrent_loads);
 }
 
 /* The order is over, or given up: the target may take the next one. */
-static void finish_order(planner_target_t *t, int64_t now_us)
+static void finish_order(bsh_planner_t *planner, planner_target_t *t,
+			 int64_t now_us)
 {
+	if (t->order.load && t->from_store)
+		learn_fast_store(planner, t, now_us);
 	if (t->order.load && t->order.adapter == 0) {
 		t->loaded_us = now_us;
 		if (t->intent == t->order.model)
@@ -258,7 +327,7 @@
 	    bsh_holdings_has(&target->holdings, t->order.model,
 			     t->order.adapter)) {
 		bsh_holdings_add(&t->held, t->order.model, t->order.adapter);
-		finish_order(t, now_us);
+		finish_order(planner, t, now_us);
 	} else if (t->state == PLANNER_IDLE &&
 		   now_us - t->state_us > ENTRY_LAG_US &&
 		   !bsh_holdings_equal(&t->held, &target->holdings)) {
@@ -292,10 +361,7 @@
 		return model->warm_ms;
 	if (bsh_copies_on_disk(&t->target.copies, order->model))
 		return model->disk_ms;
-	if (others > planner->config.concurrent_loads)
-		return model->load_ms * others /
-		       planner->config.concurrent_loads;
-	return model->load_ms;
+	return planner_store_load_ms(planner, model->load_ms, others);
 }
 
 static void send_order(bsh_planner_t *planner, planner_target_t *t,
@@ -361,7 +427,7 @@
 		if (t->order.adapter != 0)
 			t->orders = t->order.expected + 1;
 	}
-	finish_order(t, now_us);
+	finish_order(planner, t, now_us);
 	publish(planner, t);
 }
 
@@ -411,7 +477,7 @@
 	if (report->orders > t->order.expected) {
 		set_state(t, PLANNER_WORKING, now_us);
 		if (!report->busy) {
-			finish_order(t, now_us);
+			finish_order(planner, t, now_us);
 			publish(planner, t);
 		}
 		return;
@@ -450,7 +516,7 @@
 		    (t->order.load ||
 		     !bsh_holdings_has(&t->held, t->order.model,
 				       t->order.adapter)))
-			finish_order(t, now_us);
+			finish_order(planner, t, now_us);
 	} else if (t->state == PLANNER_UNCERTAIN && t->has_order) {
 		resolve_unknown(planner, t, report, now_us);
 	} else if (t->state == PLANNER_UNCERTAIN && !report->busy) {
@@ -472,14 +538,16 @@
 	 * is taken until it has ended. */
 	if (t->state == PLANNER_WORKING &&
 	    t->order.load == (t->order.adapter != 0) &&
-	    planner_order_left_ms(t, now_us) == 0) {
+	    elapsed_ms(t, now_us) >= t->order_ms) {
 		if (t->order.load)
 			bsh_holdings_add(&t->held, t->order.model,
 					 t->order.adapter);
-		finish_order(t, now_us);
+		finish_order(planner, t, now_us);
 		publish(planner, t);
 		return;
 	}
+	if (t->state == PLANNER_WORKING && t->order.load && t->from_store)
+		learn_slow_store(planner, t, now_us);
 	if ((t->state == PLANNER_UNCERTAIN || t->state == PLANNER_WORKING) &&
 	    !t->asking && now_us >= t->ask_us) {
 		t->asking = true;
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -303,7 +303,7 @@
 
 	while ((need = most_wanted(round)) != NULL) {
 		bool store_allowed = planner_store_loads(planner) <
-				     planner->config.concurrent_loads;
+				     planner_store_limit(planner);
 		victims_t victims;
 		planner_target_t *t = best_target(round, need->rule, need->gain,
 						  store_allowed, &victims);
@@ -326,7 +326,9 @@
 		planner_target_t *t;
 		victims_t victims;
 
-		if (planner_store_loads(planner) >= planner->config.seed_loads)
+		if (planner_store_loads(planner) >=
+		    MIN(planner->config.seed_loads,
+			planner_store_limit(planner)))
 			return;
 		if (need->copies > 0 || need->coming > 0)
 			continue;
@@ -489,7 +491,8 @@
 		if (t->has_order && t->order.load && t->order.adapter == 0 &&
 		    t->order.model == model)
 			shortest =
-				MIN(shortest, planner_order_left_ms(t, now_us));
+				MIN(shortest,
+				    planner_order_left_ms(planner, t, now_us));
 		else if (t->intent == model && rule != NULL)
 			shortest = MIN(shortest,
 				       copy_ms(t, rule) + (uint32_t)VICTIM_MS);
@@ -538,18 +541,20 @@
 		if (planner_serves(t, model, 0))
 			return ESTIMATE_MARGIN_MS;
 		if (has_copy(t, model))
-			shortest = MIN(shortest,
-				       copy_ms(t, rule) +
-					       (t->has_order
-							? planner_order_left_ms(
-								  t, now_us)
-							: 0));
+			shortest = MIN(
+				shortest,
+				copy_ms(t, rule) +
+					(t->has_order
+						 ? planner_order_left_ms(
+							   planner, t, now_us)
+						 : 0));
 	}
 	if (shortest != NEVER_MS)
 		return shortest + (uint32_t)VICTIM_MS + ESTIMATE_MARGIN_MS;
 	if (planner->targets->len == 0)
 		return NEVER_MS;
-	return rule->load_ms *
-	       (1 + store_queue(planner, demand) /
-			    MAX(planner->config.concurrent_loads, 1));
+	return planner_store_load_ms(planner, rule->load_ms, 1) *
+	       (1 +
+		(planner_store_loads(planner) + store_queue(planner, demand)) /
+			planner_store_limit(planner));
 }
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -71,6 +71,9 @@
 	GPtrArray *targets;    /* planner_target_t */
 	GHashTable *demand;    /* key to planner_demand_t */
 	GHashTable *instances; /* name to planner_instance_t */
+	/* Loads that the weight store serves at full speed, as learnt from how
+	 * long they take; config.concurrent_loads at most. */
+	double full_speed;
 	bsh_planner_stats_t stats;
 };
 
@@ -85,7 +88,13 @@
 bool planner_serves(const planner_target_t *t, uint32_t model,
 		    uint32_t adapter);
 /* Time until a load that runs on the target ends. */
-uint32_t planner_order_left_ms(const planner_target_t *t, int64_t now_us);
+uint32_t planner_order_left_ms(const bsh_planner_t *planner,
+			       const planner_target_t *t, int64_t now_us);
+/* How long a load from the weight store takes beside n - 1 others. */
+uint32_t planner_store_load_ms(const bsh_planner_t *planner, uint32_t load_ms,
+			       uint32_t n);
+/* Loads from the weight store that may run at once. */
+uint32_t planner_store_limit(const bsh_planner_t *planner);
 
 /* planner_demand.c */
 void planner_demand_init(bsh_planner_t *planner);
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -382,6 +382,42 @@
 	rig_finish(&rig);
 }
 
+/* Guards against a store that serves fewer loads at full speed than was thought:
+ * callers would be told to wait for models that come far too late. */
+static void test_slow_store_is_noticed(void)
+{
+	static const char *const models[] = { "a", "b", "c", "d", NULL };
+	static const char *const none[] = { NULL };
+	static const char *const first[] = { "a", NULL };
+	bsh_target_t done;
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("t%d", i);
+		bsh_target_t target = make_target(id, none);
+
+		add_target(&rig, &target, 0);
+	}
+	demand(&rig, "a", NULL, 1, 1);
+	tick(&rig, 1000);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	for (int i = 0; i < 2; i++)
+		bsh_planner_ordered(rig.planner, rig.order_target[i],
+				    BSH_ORDER_ACCEPTED, rig.now_us);
+	/* Both should be ready by now. */
+	tick(&rig, 9000000);
+	done = make_target(rig.order_target[0], first);
+	bsh_planner_target(rig.planner, &done, rig.now_us);
+	/* One runs on: the next waits for it. */
+	demand(&rig, "c", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	rig_finish(&rig);
+}
+
 /* Guards against a new holder that tells the instances what it heard long ago:
  * what a target holds is taken from its entry until it has been asked. */
 static void test_new_term_forgets_what_was_held(void)
@@ -453,6 +489,7 @@
 			test_rare_models_at_once_share_the_store);
 	g_test_add_func("/planner/late-report",
 			test_late_report_does_not_undo_entry);
+	g_test_add_func("/planner/slow-store", test_slow_store_is_noticed);
 	g_test_add_func("/planner/new-term",
 			test_new_term_forgets_what_was_held);
 	return g_test_run();
