Let the linters pass over the soak and the rig

cppcheck found the option context of the soak not freed on a wrong command line, and a format of a model that may be missing. Behaviour is unchanged.

--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -373,16 +373,17 @@
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
+	gboolean parsed;
 
 	g_option_context_add_main_entries(context, options, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
-	    entries < 1 || entries > RIG_ENTRIES_MAX || workers < 3 ||
-	    workers > RIG_WORKERS_MAX) {
+	parsed = g_option_context_parse(context, &argc, &argv, NULL);
+	g_option_context_free(context);
+	if (!parsed || entries < 1 || entries > RIG_ENTRIES_MAX ||
+	    workers < 3 || workers > RIG_WORKERS_MAX) {
 		fprintf(stderr, "usage: soak_entry [--seed N] [--seconds N] "
 				"[--entries N] [--workers N]\n");
 		return 101;
 	}
-	g_option_context_free(context);
 	bsh_rng_init(&soak.rng, (uint32_t)seed);
 	start(&soak, entries, workers);
 	run(&soak, seconds * 1000LL, true, true);
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -721,7 +721,8 @@
 		g_strdup_printf("Berylshunt-Request-Try-Id: %s", id);
 	g_autofree char *deadline =
 		g_strdup_printf("Berylshunt-Deadline-Ms: %u", deadline_ms);
-	g_autofree char *named = g_strdup_printf("Berylshunt-Model: %s", model);
+	g_autofree char *named = g_strdup_printf("Berylshunt-Model: %s",
+						 model != NULL ? model : "");
 	const char *headers[] = { host_header, attempt, deadline,
 				  model != NULL ? named : NULL, NULL };
 	bool has_body = !g_str_has_prefix(path, "/api/") &&
