Share the sealing of datagrams and give demand a file of its own

bshcontrold had its own copy of what protocol/datagram now does; traffic.c had grown past 900 lines.

--- a/bshcontrold/peers.c
+++ b/bshcontrold/peers.c
@@ -5,10 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/counter.h"
 #include "base/log.h"
 #include "coordination/member.h"
-#include "transport/udp.h"
+#include "protocol/datagram.h"
 
 /* Frames that wait for a connection; the peers' protocols repeat what is
  * lost. */
@@ -24,60 +23,23 @@
 
 struct peers {
 	bsh_members_t *members;
-	bsh_udp_t *udp;
-	uint64_t sequence;   /* of the last datagram sent */
-	GHashTable *windows; /* sender to bsh_window_t */
-	GHashTable *table;   /* instance to peer_t: outgoing channels */
+	bsh_datagrams_t datagrams;
+	GHashTable *table; /* instance to peer_t: outgoing channels */
 	bsh_channel_listener_t *listener;
 	bsh_loop_timer_t timer;
 };
 
-enum {
-	DROP_AUTH,
-	DROP_MALFORMED,
-	DROP_REPLAY,
-	DROP_COUNT
-};
-
-static bsh_counter_t dropped[DROP_COUNT] = {
-	BSH_COUNTER_LABELS("bsh_datagrams_rejected_total",
-			   "Datagrams that failed a check.", "reason=\"auth\""),
-	BSH_COUNTER_LABELS("bsh_datagrams_rejected_total",
-			   "Datagrams that failed a check.",
-			   "reason=\"malformed\""),
-	BSH_COUNTER_LABELS("bsh_datagrams_rejected_total",
-			   "Datagrams that failed a check.",
-			   "reason=\"replay\""),
-};
-static bsh_counter_t datagrams =
-	BSH_COUNTER("bsh_datagrams_sent_total", "Datagrams sent.");
-static bsh_counter_t datagram_bytes = BSH_COUNTER(
-	"bsh_datagrams_sent_bytes_total", "Bytes of datagrams sent.");
-
 void peers_send_datagram(control_t *control, const char *address,
 			 bsh_message_t *message)
 {
-	struct peers *peers = control->peers;
-	uint8_t data[BSH_UDP_MAX_BYTES];
-	char *body;
-	size_t size;
+	bsh_datagram_t datagram;
 
 	message->stamp = bsh_timeline_stamp(&control->timeline);
-	message->sender = control->settings.instance;
-	message->incarnation = control->incarnation;
-	if (bsh_message_encode(message, &body, &size) != BSH_OK)
-		return;
-	if (size + BSH_SEAL_SIZE_BYTES <= sizeof(data)) {
-		memcpy(data + BSH_SEAL_SIZE_BYTES, body, size);
-		bsh_datagram_seal(control->settings.key, ++peers->sequence,
-				  data, body, size);
-		bsh_udp_send(peers->udp, address, data,
-			     size + BSH_SEAL_SIZE_BYTES);
-		bsh_counter_add(&datagrams, 1);
-		bsh_counter_add(&datagram_bytes,
-				(int64_t)(size + BSH_SEAL_SIZE_BYTES));
-	}
-	free(body);
+	/* A lost datagram is made up for by the protocol that sends it. */
+	if (bsh_datagrams_seal(&control->peers->datagrams, message,
+			       &datagram) == BSH_OK)
+		bsh_datagrams_send(&control->peers->datagrams, address,
+				   &datagram);
 }
 
 static void send_member(void *ctx, const char *name, const char *address,
@@ -179,20 +141,6 @@
 	bsh_loop_timer_after(&control->peers->timer, 0);
 }
 
-static bool is_new(struct peers *peers, const bsh_message_t *message,
-		   uint64_t sequence)
-{
-	bsh_window_t *window =
-		g_hash_table_lookup(peers->windows, message->sender);
-
-	if (window == NULL) {
-		window = g_new0(bsh_window_t, 1);
-		g_hash_table_insert(peers->windows, g_strdup(message->sender),
-				    window);
-	}
-	return bsh_window_accept(window, message->incarnation, sequence);
-}
-
 static void receive_member(control_t *control, const bsh_message_t *message)
 {
 	bsh_member_message_t msg;
@@ -205,33 +153,15 @@
 	run(control);
 }
 
-static void on_datagram(void *ctx, const uint8_t *data, size_t size)
+static void on_datagram(void *ctx, const bsh_message_t *message)
 {
 	control_t *control = ctx;
-	bsh_message_t message;
-	uint64_t sequence;
 
-	if (bsh_datagram_check(control->settings.key, data, size, &sequence) !=
-	    BSH_OK) {
-		bsh_counter_add(&dropped[DROP_AUTH], 1);
-		return;
-	}
-	if (bsh_message_decode(&message,
-			       (const char *)data + BSH_SEAL_SIZE_BYTES,
-			       size - BSH_SEAL_SIZE_BYTES) != BSH_OK) {
-		bsh_counter_add(&dropped[DROP_MALFORMED], 1);
-		return;
-	}
-	if (!is_new(control->peers, &message, sequence)) {
-		bsh_counter_add(&dropped[DROP_REPLAY], 1);
-	} else {
-		bsh_timeline_receive(&control->timeline, message.stamp);
-		if (message.type == BSH_MSG_MEMBER)
-			receive_member(control, &message);
-		else if (message.type == BSH_MSG_ADOPTION)
-			config_receive(control, &message);
-	}
-	bsh_message_finish(&message);
+	bsh_timeline_receive(&control->timeline, message->stamp);
+	if (message->type == BSH_MSG_MEMBER)
+		receive_member(control, message);
+	else if (message->type == BSH_MSG_ADOPTION)
+		config_receive(control, message);
 }
 
 static void on_peer_message(control_t *control, const bsh_message_t *message)
@@ -439,20 +369,15 @@
 {
 	struct peers *peers = g_new0(struct peers, 1);
 
-	for (int i = 0; i < DROP_COUNT; i++)
-		bsh_counter_register(&dropped[i]);
-	bsh_counter_register(&datagrams);
-	bsh_counter_register(&datagram_bytes);
 	control->peers = peers;
-	peers->windows =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	peers->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     free_peer);
 	make_members(control);
-	peers->udp =
-		bsh_udp_open(&control->loop, control->settings.control_gossip,
-			     on_datagram, control);
-	if (peers->udp == NULL)
+	if (bsh_datagrams_init(&peers->datagrams, &control->loop,
+			       control->settings.control_gossip,
+			       control->settings.key,
+			       control->settings.instance, control->incarnation,
+			       on_datagram, control) != BSH_OK)
 		errx(1, "cannot bind %s", control->settings.control_gossip);
 	peers->listener = bsh_channel_listen(&control->loop, &control->identity,
 					     control->settings.control_link,
@@ -471,8 +396,7 @@
 	bsh_loop_timer_stop(&peers->timer);
 	bsh_channel_listener_close(peers->listener);
 	g_hash_table_destroy(peers->table);
-	g_hash_table_destroy(peers->windows);
-	bsh_udp_close(peers->udp);
+	bsh_datagrams_finish(&peers->datagrams);
 	bsh_members_free(peers->members);
 	g_free(peers);
 }
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -11,12 +11,14 @@
  *	targets.c	the list of targets and what they hold
  *	peers.c		membership, and messages between instances
  *	orders.c	the lease and the orders of its holder
+ *	announce.c	what the holder tells the other instances
  *	directory.c	readiness, addresses for callers, metrics
  *	control.c	owns the parts above, builds views, reloads, drains
  *
  *	Traffic thread:
  *	traffic.c	requests as they come, and which wait
  *	forward.c	one request at a target
+ *	demand.c	what requests ask of models
  *
  *	A part reports changes to control.c through the functions named
  *	control_*; control.c calls the parts.  The threads talk only by
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -16,9 +16,6 @@
 #define IDLE_TIMEOUT_S 75U
 #define BODY_MAX_BYTES (8U << 20)
 #define IDLE_TARGETS   256U
-/* Between reports of demand; a request that begins to wait is told at once. */
-#define DEMAND_US	 INT64_C(250000)
-#define DEMAND_URGENT_US INT64_C(5000)
 /* A repeat that could not be answered in this time is not sent. */
 #define REPEAT_MIN_MS 40U
 /* What a request needs at a target at least, besides the wait. */
@@ -82,96 +79,12 @@
 	return bsh_loop_now_us(traffic->loop);
 }
 
-/* Demand for models. */
-
-static gint64 use_key(uint32_t model, uint32_t adapter)
-{
-	return (gint64)(((uint64_t)model << 32) | adapter);
-}
-
-static model_use_t *get_use(traffic_t *t, const request_t *r)
-{
-	gint64 key = use_key(r->info.model, r->info.adapter);
-	model_use_t *use = g_hash_table_lookup(t->use, &key);
-
-	if (use == NULL) {
-		gint64 *copy = g_new(gint64, 1);
-
-		*copy = key;
-		use = g_new0(model_use_t, 1);
-		g_hash_table_insert(t->use, copy, use);
-	}
-	return use;
-}
-
-static bool counts_use(const request_t *r)
-{
-	return r->service != NULL && r->service->has_engine &&
-	       r->info.model != 0;
-}
-
-static gint more_waiting_first(gconstpointer a, gconstpointer b)
-{
-	const bsh_demand_entry_t *x = a;
-	const bsh_demand_entry_t *y = b;
-
-	if (x->waiting != y->waiting)
-		return x->waiting > y->waiting ? -1 : 1;
-	if (x->arrived != y->arrived)
-		return x->arrived > y->arrived ? -1 : 1;
-	return 0;
-}
-
-static void send_demand(void *ctx)
-{
-	traffic_t *t = ctx;
-	control_demand_t *demand = g_new0(control_demand_t, 1);
-	GHashTableIter iter;
-	void *key;
-	void *data;
-
-	demand->control = t->entry->control;
-	demand->entries = g_array_new(FALSE, TRUE, sizeof(bsh_demand_entry_t));
-	g_hash_table_iter_init(&iter, t->use);
-	while (g_hash_table_iter_next(&iter, &key, &data)) {
-		model_use_t *use = data;
-		uint64_t number = (uint64_t) * (const gint64 *)key;
-		bsh_demand_entry_t entry = {
-			.model = (uint32_t)(number >> 32),
-			.adapter = (uint32_t)number,
-			.arrived = use->arrived,
-			.running = use->running,
-			.waiting = use->waiting,
-		};
-
-		if (use->arrived == 0 && use->running == 0 &&
-		    use->waiting == 0) {
-			g_hash_table_iter_remove(&iter);
-			continue;
-		}
-		use->arrived = 0;
-		g_array_append_val(demand->entries, entry);
-	}
-	t->demand_urgent = false;
-	g_array_sort(demand->entries, more_waiting_first);
-	bsh_loop_post(&t->entry->control_loop, control_demand, demand);
-	bsh_loop_timer_after(&t->demand_timer, DEMAND_US);
-}
-
-static void demand_soon(traffic_t *t)
-{
-	if (t->demand_urgent)
-		return;
-	t->demand_urgent = true;
-	bsh_loop_timer_after(&t->demand_timer, DEMAND_URGENT_US);
-}
-
 /* State of a request. */
 
 static void set_state(request_t *r, request_state_t state)
 {
 	traffic_t *t = r->traffic;
-	model_use_t *use = counts_use(r) ? get_use(t, r) : NULL;
+	model_use_t *use = demand_counts(r) ? demand_of(t, r) : NULL;
 
 	if (r->state == state)
 		return;
@@ -307,7 +220,7 @@
 {
 	if (strcmp(target->service, r->service->name) != 0)
 		return false;
-	if (!counts_use(r))
+	if (!demand_counts(r))
 		return true;
 	return bsh_holdings_has(&target->holdings, r->info.model, 0) &&
 	       bsh_holdings_has(&target->holdings, r->info.model,
@@ -404,7 +317,7 @@
 	int64_t left_us = time_left_us(r);
 	int64_t wait_us;
 
-	if (!counts_use(r)) {
+	if (!demand_counts(r)) {
 		give_up(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
 		return;
 	}
@@ -462,7 +375,7 @@
 	target = choose(r);
 	if (target != NULL)
 		send_to(r, target);
-	else if (r->n_tried > 0 && !counts_use(r))
+	else if (r->n_tried > 0 && !demand_counts(r))
 		give_up(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 	else
 		wait_or_refuse(r);
@@ -726,8 +639,8 @@
 		return;
 	}
 	set_route(r);
-	if (counts_use(r))
-		get_use(t, r)->arrived++;
+	if (demand_counts(r))
+		demand_of(t, r)->arrived++;
 	bsh_retry_budget_request(budget_of(r), r->arrived_us);
 	bsh_loop_timer_start(&r->timer,
 			     MIN(r->client_deadline_us, r->timeout_us));
@@ -882,7 +795,7 @@
 	t->candidate_targets = g_ptr_array_new();
 	g_queue_init(&t->waiting);
 	g_queue_init(&t->requests);
-	bsh_loop_timer_init(&t->demand_timer, t->loop, send_demand, t);
+	bsh_loop_timer_init(&t->demand_timer, t->loop, demand_send, t);
 	bsh_loop_timer_init(&t->quit_timer, t->loop, check_quit, t);
 	bsh_loop_timer_init(&t->cut_timer, t->loop, cut, t);
 	t->client = bsh_http_client_new(t->loop, IDLE_TARGETS);
@@ -890,7 +803,7 @@
 		return BSH_ERR_SYSTEM;
 	err = bsh_http_server_new(&t->server, t->loop, &config);
 	if (err == BSH_OK)
-		bsh_loop_timer_after(&t->demand_timer, DEMAND_US);
+		bsh_loop_timer_after(&t->demand_timer, 0);
 	return err;
 }
 
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -125,6 +125,15 @@
 void traffic_attempt_ended(request_t *r, attempt_end_t end, bsh_error_t err);
 int64_t traffic_now_us(const traffic_t *traffic);
 
+/* demand.c */
+/* True if the request is for a model of an engine. */
+bool demand_counts(const request_t *r);
+model_use_t *demand_of(traffic_t *t, const request_t *r);
+/* Timer: tells the control thread, and starts itself again. */
+void demand_send(void *traffic);
+/* A request has begun to wait: it is told at once. */
+void demand_soon(traffic_t *t);
+
 /* forward.c */
 bsh_error_t forward_start(request_t *r, const view_target_t *target);
 /* forward_cancel - close the connection to the target. */
