Keep to the only target with a model, and try it again after a failure

A silent target is now given up only for another one, and a request that waits may go back to a target that it has tried, within its attempts and the budget. Tests: /entry/only-target-fails-once and /entry/only-target-is-slow, both ended with 504 before.

--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -342,6 +342,9 @@
 		give_up(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
 		return;
 	}
+	/* When it is looked at again, a target that it has tried may be the
+	 * only one, and may have recovered. */
+	r->n_tried = 0;
 	set_state(r, REQUEST_WAITING);
 }
 
@@ -469,10 +472,10 @@
 
 	if (r->state != REQUEST_RUNNING || r->head_seen)
 		return;
-	/* While the target answers others, it only needs longer for this one.
-	 */
+	/* While the target answers others, it only needs longer for this one;
+	 * and without another target a late answer is the only one. */
 	if (r->target->record.first_at_us > r->call_began_us ||
-	    !may_send_again(r)) {
+	    choose(r) == NULL || !may_send_again(r)) {
 		bsh_loop_timer_after(&r->silence_timer, SILENCE_MIN_US);
 		return;
 	}
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -123,6 +123,34 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "c1"), ==, 0);
 }
 
+/* Guards against a resumable stream being given up because the only target with
+ * its model failed once. */
+static void test_only_target_fails_once(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->engine->mode = WORKER_LOSES_ANSWER;
+	platform_rig_send(&f->rig, f->entry->front, "/stream/1", "l1", "m0",
+			  8000, &f->reply);
+	platform_rig_run(&f->rig, 40);
+	f->engine->mode = WORKER_ANSWERS;
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "l1"), ==, 2);
+}
+
+/* Guards against a slow answer being thrown away for nothing: the only target
+ * with the model is silent for longer than the latency objective. */
+static void test_only_target_is_slow(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->engine->work_ms = 1500;
+	call(f, "/stream/1", "l2", "m0");
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "l2"), ==, 1);
+}
+
 /* Guards against a gap, a torn event or an early end when a worker breaks a
  * resumable stream, and against a stream that is not resumable being joined
  * from two runs. */
@@ -304,6 +332,8 @@
 	ADD("/entry/directory", test_directory);
 	ADD("/entry/lost-answer", test_lost_answer);
 	ADD("/entry/refusal", test_refusal);
+	ADD("/entry/only-target-fails-once", test_only_target_fails_once);
+	ADD("/entry/only-target-is-slow", test_only_target_is_slow);
 	ADD("/entry/broken-stream", test_broken_stream);
 	ADD("/entry/loads-on-demand", test_loads_on_demand);
 	ADD("/entry/stop", test_stop);
