--- a/lib/base/daemon.h
+++ b/lib/base/daemon.h
@@ -23,7 +23,8 @@
 
 /*
  * bsh_daemon_signals - ignore SIGPIPE, block SIGTERM, SIGINT and, with_hangup,
- * SIGHUP in all threads started later, and return a descriptor that reports them.  Exits on failure.
+ * SIGHUP in all threads started later, and return a descriptor that reports
+ * them.  Exits on failure.
  */
 int bsh_daemon_signals(bool with_hangup);
 
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -419,24 +419,27 @@
 }
 
 /* Guards against a new holder that tells the instances what it heard long ago:
- * what a target holds is taken from its entry until it has been asked. */
+ * it tells nothing of a target before that has been asked. */
 static void test_new_term_forgets_what_was_held(void)
 {
 	static const char *const models[] = { "a", "b", NULL };
 	static const char *const first[] = { "a", NULL };
 	static const char *const later[] = { "b", NULL };
 	bsh_target_t target = make_target("t1", first);
+	const bsh_holdings_t *usable;
 	rig_t rig;
 
 	rig_init(&rig, models, 0);
-	bsh_planner_target(rig.planner, &target, rig.now_us);
-	target = make_target("t1", later);
-	bsh_planner_target(rig.planner, &target, rig.now_us);
+	add_target(&rig, &target, 0);
+	g_assert_nonnull(bsh_planner_usable(rig.planner, "t1", NULL));
 	bsh_planner_begin(rig.planner);
-	g_assert_false(bsh_holdings_has(
-		bsh_planner_usable(rig.planner, "t1", NULL), hash("a"), 0));
-	g_assert_true(bsh_holdings_has(
-		bsh_planner_usable(rig.planner, "t1", NULL), hash("b"), 0));
+	g_assert_null(bsh_planner_usable(rig.planner, "t1", NULL));
+	target = make_target("t1", later);
+	report(&rig, "t1", 4, false, &target.holdings);
+	usable = bsh_planner_usable(rig.planner, "t1", NULL);
+	g_assert_nonnull(usable);
+	g_assert_false(bsh_holdings_has(usable, hash("a"), 0));
+	g_assert_true(bsh_holdings_has(usable, hash("b"), 0));
 	rig_finish(&rig);
 }
 
