Write the headers of an answer in one place, and the choice of source plainly

From the closing read: forward.c copied the headers of an answer twice, choose_source() computed its condition twice, and a field of the control thread was never read.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -39,7 +39,6 @@
 	int64_t end_us; /* when the process ends at the latest */
 	bsh_loop_task_t view_task;
 	bool draining;
-	int64_t drain_began_us;
 	int64_t listed_again_us;
 	int64_t settings_changed_ns; /* time stamp of the settings file */
 };
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -21,15 +21,20 @@
 					: 1;
 }
 
-static void begin_answer(request_t *r, int64_t length)
+static void add_headers(const request_t *r)
 {
-	if (r->answering)
-		return;
-	r->answering = true;
 	for (guint i = 0; i + 1 < r->head.headers->len; i += 2)
 		bsh_http_answer_header(
 			r->http, g_ptr_array_index(r->head.headers, i),
 			g_ptr_array_index(r->head.headers, i + 1));
+}
+
+static void begin_answer(request_t *r, int64_t length)
+{
+	if (r->answering)
+		return;
+	r->answering = true;
+	add_headers(r);
 	bsh_http_answer_begin(r->http, r->status, length);
 }
 
@@ -56,10 +61,7 @@
 
 static void answer_held(request_t *r)
 {
-	for (guint i = 0; i + 1 < r->head.headers->len; i += 2)
-		bsh_http_answer_header(
-			r->http, g_ptr_array_index(r->head.headers, i),
-			g_ptr_array_index(r->head.headers, i + 1));
+	add_headers(r);
 	r->answering = true;
 	bsh_http_answer(r->http, r->status, r->held->str, r->held->len);
 }
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -278,7 +278,7 @@
 		return;
 	if (orders->have_term != placement->term) {
 		orders->have_term = placement->term;
-		/* Who has just read the list himself needs only what follows. */
+		/* An instance that has just read the list needs only what follows. */
 		orders->have = targets_reached(orders->control->targets)
 				       ? placement->from
 				       : 0;
@@ -319,21 +319,18 @@
 static void choose_source(orders_t *orders)
 {
 	int64_t now = now_us(orders);
-	bool told = orders->have > 0 || orders->have_term > 0;
-	bool own = orders_is_holder(orders) || !told ||
-		   now - orders->heard_us > TOLD_MAX_AGE_US ||
-		   now - orders->contact_us > CONTACT_MAX_AGE_US ||
-		   orders->have < orders->last_told;
-
-	/* A gap that is made up for within a moment changes nothing. */
-	if (own && told && !orders_is_holder(orders) &&
-	    now - orders->heard_us <= TOLD_MAX_AGE_US &&
-	    now - orders->contact_us <= CONTACT_MAX_AGE_US) {
+	bool hears = !orders_is_holder(orders) && orders->have_term > 0 &&
+		     now - orders->heard_us <= TOLD_MAX_AGE_US &&
+		     now - orders->contact_us <= CONTACT_MAX_AGE_US;
+	bool own = !hears;
+
+	if (!hears || orders->have >= orders->last_told) {
+		orders->gap_us = 0;
+	} else {
+		/* A gap that is made up for within a moment changes nothing. */
 		if (orders->gap_us == 0)
 			orders->gap_us = now;
 		own = now - orders->gap_us > GAP_MAX_US;
-	} else {
-		orders->gap_us = 0;
 	}
 	if (own)
 		targets_follow(orders->control->targets, true);
