Hold the lease through outages with a majority, and hand it over with a list

Cause: targets were without orders for 3.4 s after each release of the lease, for 5.7 s when its holder was cut off, and for the whole of an outage of the store.

- A majority of the instances extends a renewal by up to 10 s (coordination/quorum): each echoes the holder's clock with its demand and promises to support no other term for 1.5 s.
A successor that has a majority knows that the former holder has none; without one it waits for the longest extension.
- A holder that stops, or that the store has not answered for 1.2 s while it answers others, gives up its term with the list of targets that it ordered within the last 3.4 s.
Its successor begins at once with the others.
- A silent holder's lease is taken after 2 s instead of 3 s; that of one that lives only when the store has answered the taker for a second.
- What a holder told of placements holds while the store is away and no entry can catch up.
- The RELEASE message replaces the flag in PLACEMENT.

--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -141,7 +141,8 @@
 
 	placement->term = lease->term;
 	placement->revision = lease->revision;
-	placement->released = lease->holder[0] == '\0';
+	placement->active = lease->active;
+	placement->sent_us = (uint64_t)control_now_us(control);
 	placement->contact_age_ms =
 		(uint32_t)CLAMP(age_us / 1000, 0, UINT32_MAX);
 	placement->from = from;
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -93,13 +93,14 @@
 {
 	if (message->type == BSH_MSG_DEMAND) {
 		orders_demand(control->orders, message->sender,
-			      message->demand.entries,
-			      message->demand.entry_count);
+			      &message->demand);
 		announcer_catch_up(control->announcer, message->sender,
 				   message->demand.term, message->demand.have);
 	} else if (message->type == BSH_MSG_PLACEMENT) {
 		orders_placement(control->orders, message->sender,
 				 &message->placement);
+	} else if (message->type == BSH_MSG_RELEASE) {
+		orders_released(control->orders, &message->release);
 	}
 }
 
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -116,11 +116,13 @@
 void orders_target(orders_t *orders, const bsh_target_t *target);
 void orders_target_gone(orders_t *orders, const char *id);
 void orders_demand(orders_t *orders, const char *instance,
-		   const bsh_demand_entry_t *entries, uint32_t n);
+		   const bsh_msg_demand_t *demand);
 /* Sends the own demand to the holder, with what is known of its targets. */
 void orders_send_demand(orders_t *orders, const GArray *entries);
 void orders_placement(orders_t *orders, const char *sender,
 		      const bsh_msg_placement_t *placement);
+/* The holder of the lease gives no more orders. */
+void orders_released(orders_t *orders, const bsh_msg_release_t *release);
 void orders_fill(const orders_t *orders, view_t *view);
 void orders_tick(orders_t *orders);
 /* Age of what the holder last told, as the store confirmed it to the holder;
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -7,6 +7,7 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "coordination/quorum.h"
 #include "platform/worker.h"
 
 /* Between messages of the holder, by which the others know that it lives. */
@@ -32,6 +33,16 @@
 #define SPREAD_US      400000U
 #define SHARE_DELAY_US 60000.0
 
+/* A holder that the store has not answered for this time hands its lease over
+ * to an instance that the store answers; renewals come six times as often. */
+#define CUT_OFF_US INT64_C(1200000)
+/* What instances say of the store is new for this time. */
+#define REACHED_US INT64_C(1000000)
+/* A release is told so often, in case datagrams are lost. */
+#define RELEASE_TIMES 3U
+/* Targets in a release: as many as fit into a datagram. */
+#define ORDERED_MAX 40U
+
 #define LEASE_OBJECT "orders"
 
 typedef struct {
@@ -52,8 +63,17 @@
 	char holder[BSH_NAME_SIZE]; /* as last heard */
 	int64_t heard_us;
 	int64_t contact_us; /* when the store last answered that holder */
-	uint64_t have_term; /* of the announcements that are counted */
-	uint64_t have;	    /* known without a gap up to this one */
+	bsh_promise_t promise;
+	bsh_quorum_t quorum;
+	uint64_t quorum_term;
+	uint64_t echo_term; /* of the holder's last message */
+	uint64_t echo_us;   /* its sent_us */
+	int64_t echo_heard_us;
+	int64_t peer_reached_us; /* last time that one said so */
+	uint32_t tell_release;	 /* times that a release is still told */
+	GHashTable *ordered;	 /* target to when it was last ordered */
+	uint64_t have_term;	 /* of the announcements that are counted */
+	uint64_t have;		 /* known without a gap up to this one */
 	uint64_t last_told;
 	int64_t gap_us; /* since when announcements are missing; 0: none are */
 };
@@ -242,6 +262,19 @@
 			       adapter[0] != '\0' ? "/" : "", adapter);
 }
 
+static void note_ordered(const orders_t *orders, const char *target,
+			 int64_t ordered_us)
+{
+	int64_t *known_us = g_hash_table_lookup(orders->ordered, target);
+
+	if (known_us == NULL) {
+		known_us = g_new0(int64_t, 1);
+		g_hash_table_insert(orders->ordered, g_strdup(target),
+				    known_us);
+	}
+	*known_us = MAX(*known_us, ordered_us);
+}
+
 static void send_order(void *ctx, const bsh_target_t *target,
 		       const bsh_order_t *order)
 {
@@ -265,6 +298,7 @@
 		call_order.adapter = adapter;
 	call->expected = order->expected;
 	call->what = describe(order, model, adapter);
+	note_ordered(orders, target->id, now_us(orders));
 	platform_worker_order(orders->control->client, &call_order, on_ordered,
 			      call);
 }
@@ -376,6 +410,17 @@
 	orders->last_told = MAX(placement->to, orders->have);
 }
 
+/* The newest message of the holder, by which this instance supports it. */
+static void note_echo(orders_t *orders, const bsh_msg_placement_t *placement)
+{
+	if (placement->term == orders->echo_term &&
+	    placement->sent_us <= orders->echo_us)
+		return;
+	orders->echo_term = placement->term;
+	orders->echo_us = placement->sent_us;
+	orders->echo_heard_us = now_us(orders);
+}
+
 void orders_placement(orders_t *orders, const char *sender,
 		      const bsh_msg_placement_t *placement)
 {
@@ -383,8 +428,9 @@
 
 	if (orders->lease.known && placement->revision < orders->lease.revision)
 		return;
-	bsh_lease_heard(&orders->lease, placement->released ? "" : sender,
+	bsh_lease_heard(&orders->lease, sender, placement->active,
 			placement->revision, now);
+	note_echo(orders, placement);
 	if (strcmp(orders->holder, sender) != 0) {
 		bsh_log(BSH_LOG_INFO,
 			"order-holder name=%s term=%" G_GUINT64_FORMAT, sender,
@@ -393,8 +439,6 @@
 	}
 	orders->heard_us = now;
 	orders->contact_us = now - placement->contact_age_ms * 1000LL;
-	if (placement->released)
-		orders->contact_us = 0;
 	for (uint32_t i = 0; i < placement->entry_count; i++)
 		targets_told(orders->control->targets, &placement->entries[i],
 			     placement->term);
@@ -436,9 +480,18 @@
 	demand->have = orders->have;
 	demand->entries = (const bsh_demand_entry_t *)(void *)entries->data;
 	demand->entry_count = MIN(entries->len, DEMAND_MAX);
+	if (bsh_promise_give(&orders->promise, orders->echo_term,
+			     orders->echo_heard_us, now_us(orders))) {
+		demand->supports = orders->echo_term;
+		demand->echo_us = orders->echo_us;
+	}
+	demand->reaches_store =
+		targets_reached(orders->control->targets) &&
+		bsh_loop_clock_us() -
+				targets_confirmed_us(orders->control->targets) <
+			REACHED_US;
 	if (strcmp(orders->holder, self) == 0)
-		orders_demand(orders, self, demand->entries,
-			      demand->entry_count);
+		orders_demand(orders, self, demand);
 	else if (orders->holder[0] != '\0')
 		peers_send(orders->control->peers, orders->holder, &message);
 }
@@ -463,6 +516,79 @@
 	return BSH_LEASE_UNKNOWN;
 }
 
+/* Time after an order in which no other holder may order its target. */
+static int64_t order_gap_us(const orders_t *orders)
+{
+	return orders->lease.lease_us + BSH_LEASE_MARGIN_US;
+}
+
+/* The list of a former holder is passed on with the own one. */
+static void hold_target(const orders_t *orders, const char *target,
+			int64_t age_us)
+{
+	int64_t ordered_us = now_us(orders) - age_us;
+
+	note_ordered(orders, target, ordered_us);
+	for (guint i = 0; i < orders->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(orders->services, i);
+
+		bsh_planner_hold(service->planner, target,
+				 ordered_us + order_gap_us(orders),
+				 now_us(orders));
+	}
+}
+
+typedef void (*ordered_fn_t)(void *ctx, const char *target, uint32_t age_ms);
+
+/* Targets that were ordered lately, and how long ago. */
+static void foreach_ordered(const orders_t *orders, ordered_fn_t fn, void *ctx)
+{
+	GHashTableIter iter;
+	void *target;
+	void *at_us;
+
+	g_hash_table_iter_init(&iter, orders->ordered);
+	while (g_hash_table_iter_next(&iter, &target, &at_us)) {
+		int64_t age_us = now_us(orders) - *(const int64_t *)at_us;
+
+		if (age_us < order_gap_us(orders))
+			fn(ctx, target, (uint32_t)(age_us / 1000));
+	}
+}
+
+static void add_to_object(void *ctx, const char *target, uint32_t age_ms)
+{
+	json_object_set_new(ctx, target, json_integer(age_ms));
+}
+
+static void add_to_array(void *ctx, const char *target, uint32_t age_ms)
+{
+	bsh_ordered_entry_t entry = { target, age_ms };
+
+	g_array_append_val((GArray *)ctx, entry);
+}
+
+/* The former holder has stopped; what it ordered lately has to wait.  False if
+ * it left no list. */
+static bool take_ordered(orders_t *orders, const json_t *spec)
+{
+	const json_t *list = json_object_get(spec, "ordered_ms");
+	const char *target;
+	const json_t *age;
+	void *iter;
+
+	if (!json_is_object(list))
+		return false;
+	for (iter = json_object_iter((json_t *)list); iter != NULL;
+	     iter = json_object_iter_next((json_t *)list, iter)) {
+		target = json_object_iter_key(iter);
+		age = json_object_iter_value(iter);
+		hold_target(orders, target, 1000 * json_integer_value(age));
+	}
+	return true;
+}
+
 static void on_lease_answer(void *ctx, const platform_answer_t *answer)
 {
 	orders_t *orders = ctx;
@@ -486,16 +612,28 @@
 			(int)(answer->took_us / 1000));
 	bsh_lease_done(&orders->lease, lease_result(answer->result), holder,
 		       active, revision, now_us(orders));
+	if (holder != NULL && holder[0] == '\0' &&
+	    take_ordered(orders, answer->objects[0].spec))
+		bsh_lease_set_clean(&orders->lease, revision);
 }
 
 static json_t *lease_spec(const orders_t *orders)
 {
 	/* The time makes each renewal a change, which raises the revision. */
-	return json_pack("{s:s, s:b, s:I}", "holder",
-			 orders->lease.releasing ? "" : orders->lease.self,
-			 "active",
-			 bsh_lease_may_order(&orders->lease, now_us(orders)),
-			 "renewed_us", (json_int_t)g_get_real_time());
+	json_t *spec =
+		json_pack("{s:s, s:b, s:I}", "holder",
+			  orders->lease.releasing ? "" : orders->lease.self,
+			  "active", orders->lease.began_active, "renewed_us",
+			  (json_int_t)g_get_real_time());
+
+	if (orders->lease.releasing &&
+	    bsh_lease_is_list_whole(&orders->lease, now_us(orders))) {
+		json_t *list = json_object();
+
+		foreach_ordered(orders, add_to_object, list);
+		json_object_set_new(spec, "ordered_ms", list);
+	}
+	return spec;
 }
 
 static void call_lease(orders_t *orders)
@@ -523,6 +661,58 @@
 	}
 }
 
+static GArray *list_ordered(const orders_t *orders)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(bsh_ordered_entry_t));
+
+	foreach_ordered(orders, add_to_array, list);
+	return list;
+}
+
+static void tell_release(orders_t *orders)
+{
+	g_autoptr(GArray) list = list_ordered(orders);
+	bsh_message_t message = { .type = BSH_MSG_RELEASE };
+	bsh_msg_release_t *release = &message.release;
+
+	release->term = orders->lease.term;
+	release->revision = orders->lease.revision;
+	release->active = orders->lease.active;
+	release->listed =
+		list->len <= ORDERED_MAX &&
+		bsh_lease_is_list_whole(&orders->lease, now_us(orders));
+	if (release->listed) {
+		release->ordered =
+			(const bsh_ordered_entry_t *)(void *)list->data;
+		release->ordered_count = list->len;
+	}
+	peers_broadcast(orders->control->peers, &message);
+	orders->tell_release--;
+}
+
+/* The store answers others, but not this instance: one of them can go on at
+ * once.  While it answers nobody, this one goes on with a majority. */
+static void consider_handover(orders_t *orders)
+{
+	int64_t contact_us =
+		bsh_loop_clock_us() - orders->control->store.answered_us;
+	g_autoptr(GArray) list = NULL;
+
+	if (contact_us < CUT_OFF_US ||
+	    now_us(orders) - orders->peer_reached_us > REACHED_US ||
+	    !orders_is_holder(orders))
+		return;
+	list = list_ordered(orders);
+	if (list->len > ORDERED_MAX ||
+	    !bsh_lease_hand_over(&orders->lease, now_us(orders)))
+		return;
+	bsh_log(BSH_LOG_WARNING,
+		"lease-handed-over term=%" G_GUINT64_FORMAT
+		" revision=%" G_GUINT64_FORMAT " store_age_ms=%d",
+		orders->lease.term, orders->lease.revision,
+		(int)(contact_us / 1000));
+}
+
 static void note_term(orders_t *orders)
 {
 	bool holder = bsh_lease_is_holder(&orders->lease, now_us(orders));
@@ -538,9 +728,10 @@
 		(int)((orders->lease.first_order_us - now_us(orders)) / 1000));
 	if (!holder) {
 		if (orders->lease.holder[0] == '\0')
-			announcer_beacon(orders->control->announcer);
+			orders->tell_release = RELEASE_TIMES;
 		return;
 	}
+	orders->tell_release = 0;
 	g_strlcpy(orders->holder, orders->lease.self, sizeof(orders->holder));
 	announcer_begin(orders->control->announcer);
 	for (guint i = 0; i < orders->services->len; i++) {
@@ -551,6 +742,19 @@
 	}
 }
 
+void orders_released(orders_t *orders, const bsh_msg_release_t *release)
+{
+	if (orders->lease.known && release->revision < orders->lease.revision)
+		return;
+	for (uint32_t i = 0; i < release->ordered_count; i++)
+		hold_target(orders, release->ordered[i].target,
+			    1000 * (int64_t)release->ordered[i].age_ms);
+	bsh_lease_released(&orders->lease, release->active, release->listed,
+			   release->revision, now_us(orders));
+	bsh_promise_end(&orders->promise, release->term, now_us(orders));
+	orders->contact_us = 0;
+}
+
 static void add_ready(void *ctx, const bsh_ready_entry_t *entry)
 {
 	orders_t *orders = ctx;
@@ -603,12 +807,37 @@
 		bsh_counter_set(&given[i], sums[i]);
 }
 
+/* Counts who supports the own term; the holder is one of them. */
+static void count_support(orders_t *orders)
+{
+	bsh_lease_t *lease = &orders->lease;
+	int64_t now = now_us(orders);
+
+	if (!bsh_lease_is_holder(lease, now))
+		return;
+	if (orders->quorum_term != lease->term) {
+		orders->quorum_term = lease->term;
+		bsh_quorum_begin(&orders->quorum);
+	}
+	if (bsh_promise_give(&orders->promise, lease->term, now, now))
+		bsh_quorum_add(&orders->quorum, lease->self, now);
+	bsh_quorum_known(&orders->quorum, peers_known(orders->control->peers),
+			 now);
+	bsh_lease_supported(lease, bsh_quorum_until(&orders->quorum), now);
+}
+
 void orders_tick(orders_t *orders)
 {
 	int64_t now = now_us(orders);
 
+	bsh_lease_reached(&orders->lease,
+			  targets_reached(orders->control->targets), now);
 	call_lease(orders);
+	count_support(orders);
+	consider_handover(orders);
 	note_term(orders);
+	if (orders->tell_release > 0)
+		tell_release(orders);
 	choose_source(orders);
 	if (!bsh_lease_is_holder(&orders->lease, now))
 		return;
@@ -661,6 +890,10 @@
 	orders->control = control;
 	orders->services = g_ptr_array_new_with_free_func(free_service);
 	orders->ready = g_array_new(FALSE, TRUE, sizeof(view_ready_t));
+	orders->ordered =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	bsh_quorum_init(&orders->quorum);
+	bsh_promise_init(&orders->promise, now_us(orders));
 	bsh_lease_init(&orders->lease, settings->instance,
 		       settings->entry_order_lease_ms,
 		       settings->entry_order_start_ms * 1000U + spread_us,
@@ -672,6 +905,8 @@
 {
 	g_ptr_array_free(orders->services, TRUE);
 	g_array_free(orders->ready, TRUE);
+	g_hash_table_destroy(orders->ordered);
+	bsh_quorum_finish(&orders->quorum);
 	g_free(orders);
 }
 
@@ -733,17 +968,23 @@
 
 		bsh_planner_target_gone(service->planner, id);
 	}
+	g_hash_table_remove(orders->ordered, id);
 }
 
 void orders_demand(orders_t *orders, const char *instance,
-		   const bsh_demand_entry_t *entries, uint32_t n)
+		   const bsh_msg_demand_t *demand)
 {
+	if (demand->supports != 0 && demand->supports == orders->quorum_term)
+		bsh_quorum_add(&orders->quorum, instance,
+			       (int64_t)demand->echo_us);
+	if (demand->reaches_store && strcmp(instance, orders->lease.self) != 0)
+		orders->peer_reached_us = now_us(orders);
 	for (guint i = 0; i < orders->services->len; i++) {
 		const service_t *service =
 			g_ptr_array_index(orders->services, i);
 
-		bsh_planner_demand(service->planner, instance, entries, n,
-				   now_us(orders));
+		bsh_planner_demand(service->planner, instance, demand->entries,
+				   demand->entry_count, now_us(orders));
 	}
 }
 
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -414,6 +414,8 @@
 {
 	int64_t now_us = control_now_us(targets->control);
 	int64_t grace = grace_us(targets);
+	/* While the store is away no entry can catch up. */
+	bool is_current = targets->feed.paused || targets->feed.reached;
 	bool outdated = false;
 	GPtrArray *gone = g_ptr_array_new();
 	GHashTableIter iter;
@@ -426,7 +428,7 @@
 		if (listed->missing_us != 0 &&
 		    now_us - listed->missing_us >= grace)
 			g_ptr_array_add(gone, listed);
-		if (listed->placed &&
+		if (listed->placed && is_current &&
 		    now_us - listed->placed_us >= PLACED_FRESH_US) {
 			listed->placed = false;
 			outdated = true;
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -5,6 +5,20 @@
 /* Renewals in one lease time: some may fail before the term ends, and each one
  * shows that the holder reaches the store. */
 #define RENEWALS_PER_LEASE 6
+/* A holder tells of itself several times a second; one that has not for this
+ * time is down, cut off or slow. */
+#define SILENT_US INT64_C(1200000)
+/* Share of the lease time after which a silent holder's lease is taken: short
+ * pauses end before, and the wait for the last order goes on anyway. */
+#define TAKEOVER_PERCENT 66
+/* The store answers again for this time before a holder that lives is taken for
+ * one that is cut off from it. */
+#define REACHED_MIN_US INT64_C(1000000)
+/* After a handover the others try first. */
+#define HANDED_OVER_US INT64_C(1500000)
+/* A released lease is taken in this part of the usual spread: its former holder
+ * has told all others at once. */
+#define RELEASED_SPREAD 4
 /* Pause after a call that failed. */
 #define RETRY_US INT64_C(250000)
 
@@ -32,15 +46,34 @@
 	lease->known = true;
 	lease->revision = revision;
 	lease->active = active;
+	lease->was_read = false;
+	lease->clean = false;
 	lease->since_us = now_us;
 	g_strlcpy(lease->holder, holder, sizeof(lease->holder));
 	if (lease->holding && strcmp(holder, lease->self) != 0)
 		lease->holding = false;
 }
 
+static void set_read(bsh_lease_t *lease, const char *holder, bool active,
+		     uint64_t revision, int64_t now_us)
+{
+	set_known(lease, holder, active, revision, now_us);
+	if (lease->revision == revision) {
+		lease->active = active;
+		lease->was_read = true;
+	}
+}
+
+static int64_t until_us(const bsh_lease_t *lease)
+{
+	return MAX(lease->renewed_us + valid_us(lease),
+		   MIN(lease->extended_us,
+		       lease->renewed_us + BSH_LEASE_EXTENSION_US));
+}
+
 bool bsh_lease_is_holder(const bsh_lease_t *lease, int64_t now_us)
 {
-	return lease->holding && now_us < lease->renewed_us + valid_us(lease);
+	return lease->holding && now_us < until_us(lease);
 }
 
 bool bsh_lease_may_order(const bsh_lease_t *lease, int64_t now_us)
@@ -54,21 +87,50 @@
  * this instance holds the lease. */
 static void note_former_holder(bsh_lease_t *lease, int64_t now_us)
 {
-	int64_t until_us = now_us;
+	int64_t wait_us = lease->lease_us + BSH_LEASE_MARGIN_US;
 	bool own = strcmp(lease->holder, lease->self) == 0;
+	bool released = lease->holder[0] == '\0';
+	int64_t ordered_until_us = now_us;
+	/* Of a holder that had not waited, the one before it may still be
+	 * extended. */
+	int64_t extended_until_us =
+		lease->active ? 0 : lease->since_us + BSH_LEASE_EXTENSION_US;
 
 	if (!lease->known)
 		return;
-	if (lease->holder[0] != '\0' && !own)
+	if (own && lease->term == 0)
+		lease->restarted_us = now_us + wait_us;
+	if (!released && !own) {
 		/* It was renewed at the latest when this revision became
 		 * known. */
-		until_us = lease->since_us + valid_us(lease) + lease->lease_us +
-			   BSH_LEASE_MARGIN_US;
-	else if (!own || (!lease->active && lease->others_until_us == 0))
-		/* Released a moment ago, or taken by the process before this
-		 * one, which did not say that it had waited. */
-		until_us += lease->lease_us + BSH_LEASE_MARGIN_US;
-	lease->others_until_us = MAX(lease->others_until_us, until_us);
+		ordered_until_us = lease->since_us + valid_us(lease);
+		extended_until_us = lease->since_us + BSH_LEASE_EXTENSION_US;
+	} else if (own ? lease->active || lease->others_until_us > 0
+		       : lease->clean && lease->active) {
+		/* Only the process before this one, which did not say that it
+		 * had waited, and a release without the list have to be waited
+		 * for. */
+		ordered_until_us -= wait_us;
+		extended_until_us = 0;
+	}
+	lease->others_until_us =
+		MAX(lease->others_until_us, ordered_until_us + wait_us);
+	if (extended_until_us > 0)
+		lease->others_extended_us = MAX(lease->others_extended_us,
+						extended_until_us + wait_us);
+}
+
+/* A majority for the own term means that the former holder has none. */
+static void set_first_order(bsh_lease_t *lease)
+{
+	int64_t extended_us = lease->others_extended_us;
+
+	if (lease->majority_us > 0)
+		extended_us =
+			MIN(extended_us, lease->majority_us + lease->lease_us +
+						 BSH_LEASE_MARGIN_US);
+	lease->first_order_us =
+		MAX(MAX(lease->others_until_us, extended_us), lease->taken_us);
 }
 
 static bsh_lease_call_t begin(bsh_lease_t *lease, bsh_lease_call_t call,
@@ -78,16 +140,29 @@
 		note_former_holder(lease, now_us);
 	lease->running = call;
 	lease->call_began_us = now_us;
+	/* The process after this one knows nothing of the list that it was
+	 * left; a release passes it on. */
+	lease->began_active =
+		lease->holding && now_us >= lease->first_order_us &&
+		(lease->releasing || now_us >= lease->inherited_until_us);
 	return call;
 }
 
 static bool may_take_over(const bsh_lease_t *lease, int64_t now_us)
 {
-	int64_t age_us = now_us - lease->since_us;
+	int64_t age_us = now_us - lease->since_us - lease->jitter_us;
+	bool is_silent = now_us - lease->heard_us >= SILENT_US;
+	bool is_reached = lease->reached_us > 0 &&
+			  now_us - lease->reached_us >= REACHED_MIN_US;
 
-	if (lease->holder[0] == '\0' || strcmp(lease->holder, lease->self) == 0)
-		return age_us >= lease->jitter_us;
-	return age_us >= lease->lease_us + lease->jitter_us;
+	if (lease->holder[0] == '\0')
+		return now_us - lease->since_us >=
+		       lease->jitter_us / RELEASED_SPREAD;
+	if (strcmp(lease->holder, lease->self) == 0)
+		return age_us >= 0;
+	if (is_silent)
+		return age_us >= lease->lease_us * TAKEOVER_PERCENT / 100;
+	return is_reached && age_us >= lease->lease_us;
 }
 
 bsh_lease_call_t bsh_lease_next(bsh_lease_t *lease, int64_t now_us)
@@ -96,7 +171,7 @@
 		return BSH_LEASE_NOTHING;
 	if (lease->check)
 		return begin(lease, BSH_LEASE_READ, now_us);
-	if (lease->holding && now_us >= lease->renewed_us + valid_us(lease))
+	if (lease->holding && now_us >= until_us(lease))
 		lease->holding = false;
 	if (lease->holding) {
 		if (lease->releasing ||
@@ -109,20 +184,29 @@
 		return BSH_LEASE_NOTHING;
 	if (!lease->known)
 		return begin(lease, BSH_LEASE_CREATE, now_us);
-	if (may_take_over(lease, now_us))
-		return begin(lease, BSH_LEASE_REPLACE, now_us);
-	return BSH_LEASE_NOTHING;
+	if (!may_take_over(lease, now_us))
+		return BSH_LEASE_NOTHING;
+	/* What a former holder left is not told by datagrams. */
+	if (lease->holder[0] == '\0' && !lease->was_read)
+		return begin(lease, BSH_LEASE_READ, now_us);
+	return begin(lease, BSH_LEASE_REPLACE, now_us);
 }
 
 static void take(bsh_lease_t *lease, uint64_t revision, int64_t now_us)
 {
 	if (!lease->holding) {
-		lease->first_order_us = MAX(lease->others_until_us, now_us);
+		lease->taken_us = now_us;
+		lease->majority_us = 0;
+		lease->extended_us = 0;
+		lease->inherited_until_us =
+			now_us + lease->lease_us + BSH_LEASE_MARGIN_US;
+		set_first_order(lease);
 		lease->term = revision;
 	}
 	lease->holding = true;
 	lease->renewed_us = lease->call_began_us;
 	lease->known = true;
+	lease->active = lease->began_active;
 	lease->revision = revision;
 	lease->since_us = now_us;
 	g_strlcpy(lease->holder, lease->self, sizeof(lease->holder));
@@ -133,6 +217,7 @@
 	if (lease->releasing) {
 		lease->holding = false;
 		lease->revision = revision;
+		lease->active = lease->began_active;
 		lease->holder[0] = '\0';
 		return;
 	}
@@ -152,12 +237,12 @@
 		if (call != BSH_LEASE_READ)
 			updated(lease, revision, now_us);
 		else if (holder != NULL)
-			set_known(lease, holder, active, revision, now_us);
+			set_read(lease, holder, active, revision, now_us);
 		return;
 	case BSH_LEASE_CONFLICT:
 		lease->holding = false;
 		if (holder != NULL)
-			set_known(lease, holder, active, revision, now_us);
+			set_read(lease, holder, active, revision, now_us);
 		else
 			lease->check = true;
 		break;
@@ -176,10 +261,75 @@
 	lease->retry_us = now_us + RETRY_US;
 }
 
-void bsh_lease_heard(bsh_lease_t *lease, const char *holder, uint64_t revision,
-		     int64_t now_us)
+void bsh_lease_heard(bsh_lease_t *lease, const char *holder, bool active,
+		     uint64_t revision, int64_t now_us)
+{
+	set_known(lease, holder, active, revision, now_us);
+	if (strcmp(lease->holder, holder) == 0)
+		lease->heard_us = now_us;
+}
+
+bool bsh_lease_is_list_whole(const bsh_lease_t *lease, int64_t now_us)
+{
+	return now_us >= lease->restarted_us;
+}
+
+static void set_released(bsh_lease_t *lease, bool active, bool listed,
+			 int64_t now_us)
+{
+	lease->holding = false;
+	lease->holder[0] = '\0';
+	lease->active = active;
+	lease->was_read = listed;
+	lease->clean = listed;
+	lease->since_us = now_us;
+}
+
+void bsh_lease_released(bsh_lease_t *lease, bool active, bool listed,
+			uint64_t revision, int64_t now_us)
 {
-	set_known(lease, holder, true, revision, now_us);
+	if (lease->holding || (lease->known && revision < lease->revision))
+		return;
+	lease->known = true;
+	lease->revision = revision;
+	set_released(lease, active, listed, now_us);
+}
+
+bool bsh_lease_hand_over(bsh_lease_t *lease, int64_t now_us)
+{
+	/* An update that may still be carried out would change the revision. */
+	if (!bsh_lease_may_order(lease, now_us) ||
+	    !bsh_lease_is_list_whole(lease, now_us) ||
+	    lease->running != BSH_LEASE_NOTHING || lease->check)
+		return false;
+	set_released(lease, true, true, now_us);
+	lease->retry_us = now_us + HANDED_OVER_US;
+	return true;
+}
+
+void bsh_lease_set_clean(bsh_lease_t *lease, uint64_t revision)
+{
+	lease->clean = lease->was_read && lease->revision == revision &&
+		       lease->holder[0] == '\0';
+}
+
+void bsh_lease_reached(bsh_lease_t *lease, bool reached, int64_t now_us)
+{
+	if (!reached)
+		lease->reached_us = 0;
+	else if (lease->reached_us == 0)
+		lease->reached_us = now_us;
+}
+
+void bsh_lease_supported(bsh_lease_t *lease, int64_t until_us, int64_t now_us)
+{
+	if (!lease->holding || now_us >= until_us)
+		return;
+	lease->extended_us = until_us;
+	if (lease->majority_us > 0)
+		return;
+	lease->majority_us = now_us;
+	set_first_order(lease);
 }
 
 void bsh_lease_release(bsh_lease_t *lease)
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -9,13 +9,22 @@
  *	The lease is one object of the platform's store.  It is taken and
  *	renewed by conditional updates, each of which raises its revision.
  *
- *	A holder gives orders only for BSH_LEASE_VALID_PERCENT of the lease
- *	time after the start of its last successful renewal.  Another instance
- *	takes the lease over when it has known one revision for the whole
- *	lease time, and then waits until the last order that the former
- *	holder can have given is a lease time old.  So two holders never give
- *	orders within one lease time, however long either of them was paused
- *	or cut off; no clocks are compared.
+ *	A holder gives orders for BSH_LEASE_VALID_PERCENT of the lease time
+ *	after the start of its last successful renewal, and for
+ *	BSH_LEASE_EXTENSION_US while a majority of the instances supports it
+ *	(coordination/quorum.h), as it cannot renew while the store is away.
+ *	Another instance takes the lease over when it has known one revision
+ *	for most of the lease time and hears nothing of the holder, and then
+ *	waits until the last order that the former holder can have given is a
+ *	lease time old: it counts from the validity of the last renewal, and
+ *	from when a majority supports its own term or, without one, from the
+ *	longest extension.  So two holders never give orders within one lease
+ *	time, however long either of them was paused or cut off; no clocks
+ *	are compared.
+ *
+ *	A holder that stops releases the lease and leaves a list of the
+ *	targets that it has ordered lately, so that its successor waits only
+ *	for those.
  *
  *	The revision at which the lease was taken is the fencing number of
  *	all orders of that term.
@@ -37,6 +46,9 @@
 
 /* Share of the lease time in which the holder trusts its last renewal. */
 #define BSH_LEASE_VALID_PERCENT 75
+/* Longest time for which a majority extends a renewal: outages of the store
+ * mostly end before, and a successor without a majority has to wait for it. */
+#define BSH_LEASE_EXTENSION_US INT64_C(10000000)
 /* Covers the delay of an order on its way and the error of timers. */
 #define BSH_LEASE_MARGIN_US INT64_C(400000)
 
@@ -64,20 +76,32 @@
 	uint64_t revision;
 	char holder[BSH_NAME_SIZE]; /* empty: released */
 	bool active;	  /* its holder has waited for the one before it */
+	bool was_read;	  /* in this revision, not only heard of */
+	bool clean;	  /* released with the list of targets ordered lately */
 	int64_t since_us; /* this revision is known since then */
+	int64_t heard_us; /* last message of its holder */
+	int64_t reached_us; /* the store answers since then; 0: it does not */
 
 	/* The own term. */
 	bool holding;
 	uint64_t term;
-	int64_t renewed_us;	 /* start of the last successful update */
-	int64_t first_order_us;	 /* no order before */
-	int64_t others_until_us; /* until when another holder's last order is
+	int64_t taken_us;
+	int64_t inherited_until_us; /* the list that it was left matters */
+	int64_t restarted_us; /* until when the process before this one may have
+				 ordered lately; 0: there was none */
+	int64_t renewed_us;   /* start of the last successful update */
+	int64_t first_order_us;	    /* no order before */
+	int64_t others_until_us;    /* until when another holder's last order is
 				  * too young */
+	int64_t others_extended_us; /* the same if it was extended */
+	int64_t extended_us; /* a majority supports the term until then */
+	int64_t majority_us; /* since when it has had that; 0: never */
 
 	bsh_lease_call_t running;
 	int64_t call_began_us;
-	int64_t retry_us; /* no call before */
-	bool check;	  /* the outcome of an update is not known */
+	int64_t retry_us;  /* no call before */
+	bool began_active; /* what the running update says of `active` */
+	bool check;	   /* the outcome of an update is not known */
 	bool releasing;
 	uint32_t jitter_us; /* spreads the takeover attempts */
 } bsh_lease_t;
@@ -89,7 +113,7 @@
 /*
  * bsh_lease_next - the call to make now.  For CREATE and REPLACE the object
  * names lease->self as its holder, or nobody while lease->releasing, and is
- * active if bsh_lease_may_order() is true.
+ * active if lease->began_active is true.
  */
 bsh_lease_call_t bsh_lease_next(bsh_lease_t *lease, int64_t now_us);
 
@@ -101,9 +125,40 @@
 		    const char *holder, bool active, uint64_t revision,
 		    int64_t now_us);
 
-/* bsh_lease_heard - a holder told of its lease; an empty one has released. */
-void bsh_lease_heard(bsh_lease_t *lease, const char *holder, uint64_t revision,
-		     int64_t now_us);
+/* bsh_lease_heard - a holder told of its lease. */
+void bsh_lease_heard(bsh_lease_t *lease, const char *holder, bool active,
+		     uint64_t revision, int64_t now_us);
+
+/*
+ * bsh_lease_released - the holder of this revision tells that it gives no more
+ * orders; listed: with all targets that it has ordered lately.
+ */
+void bsh_lease_released(bsh_lease_t *lease, bool active, bool listed,
+			uint64_t revision, int64_t now_us);
+
+/*
+ * bsh_lease_hand_over - a holder that cannot reach the store gives no more
+ * orders, so that another one can take the lease.  Its list of targets ordered
+ * lately must then be told with this revision.
+ *
+ * RETURN VALUE
+ *	False if it cannot be handed over now, and nothing has changed.
+ */
+bool bsh_lease_hand_over(bsh_lease_t *lease, int64_t now_us);
+
+/* bsh_lease_is_list_whole - this process knows all targets that were ordered
+ * lately: they may be listed when it releases the lease. */
+bool bsh_lease_is_list_whole(const bsh_lease_t *lease, int64_t now_us);
+
+/* bsh_lease_set_clean - the object of this revision, which was read, lists the
+ * targets that its former holder has ordered lately. */
+void bsh_lease_set_clean(bsh_lease_t *lease, uint64_t revision);
+
+/* bsh_lease_reached - whether the store answers this instance. */
+void bsh_lease_reached(bsh_lease_t *lease, bool reached, int64_t now_us);
+
+/* bsh_lease_supported - a majority supports the own term until then. */
+void bsh_lease_supported(bsh_lease_t *lease, int64_t until_us, int64_t now_us);
 
 /* bsh_lease_may_order - true while orders may be given. */
 bool bsh_lease_may_order(const bsh_lease_t *lease, int64_t now_us);
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -43,6 +43,8 @@
 	planner->ops = *ops;
 	planner->ctx = ctx;
 	planner->targets = g_ptr_array_new_with_free_func(g_free);
+	planner->holds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	planner->full_speed = config->concurrent_loads;
 	planner_demand_init(planner);
 	return planner;
@@ -51,6 +53,7 @@
 void bsh_planner_free(bsh_planner_t *planner)
 {
 	planner_demand_finish(planner);
+	g_hash_table_destroy(planner->holds);
 	g_ptr_array_free(planner->targets, TRUE);
 	bsh_catalog_unref(planner->catalog);
 	g_free(planner);
@@ -301,14 +304,37 @@
 	set_state(t, PLANNER_UNCERTAIN, now_us);
 }
 
+static gboolean has_passed(gpointer id, gpointer until_us, gpointer now_us)
+{
+	(void)id;
+	return *(const int64_t *)until_us <= *(const int64_t *)now_us;
+}
+
+void bsh_planner_hold(bsh_planner_t *planner, const char *id, int64_t until_us,
+		      int64_t now_us)
+{
+	planner_target_t *t = find(planner, id);
+	int64_t *hold_us = g_new0(int64_t, 1);
+
+	*hold_us = until_us;
+	g_hash_table_foreach_remove(planner->holds, has_passed, &now_us);
+	g_hash_table_replace(planner->holds, g_strdup(id), hold_us);
+	if (t != NULL)
+		t->pause_us = MAX(t->pause_us, until_us);
+}
+
 void bsh_planner_target(bsh_planner_t *planner, const bsh_target_t *target,
 			int64_t now_us)
 {
 	planner_target_t *t = find(planner, target->id);
+	const int64_t *hold_us;
 
 	if (t == NULL) {
 		t = g_new0(planner_target_t, 1);
 		t->target = *target;
+		hold_us = g_hash_table_lookup(planner->holds, target->id);
+		if (hold_us != NULL)
+			t->pause_us = *hold_us;
 		t->held = target->holdings;
 		t->usable = target->holdings;
 		set_state(t, PLANNER_UNCERTAIN, now_us);
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -113,6 +113,11 @@
 			int64_t now_us);
 void bsh_planner_target_gone(bsh_planner_t *planner, const char *id);
 
+/* bsh_planner_hold - give this target no order before; it need not be known
+ * yet. */
+void bsh_planner_hold(bsh_planner_t *planner, const char *id, int64_t until_us,
+		      int64_t now_us);
+
 /* bsh_planner_demand - what an instance reports; replaces its last report. */
 void bsh_planner_demand(bsh_planner_t *planner, const char *instance,
 			const bsh_demand_entry_t *entries, uint32_t n,
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -69,6 +69,7 @@
 	bsh_catalog_t *catalog;
 	const bsh_service_rule_t *service;
 	GPtrArray *targets;    /* planner_target_t */
+	GHashTable *holds;     /* id to the time before which it has no order */
 	GHashTable *demand;    /* key to planner_demand_t */
 	GHashTable *instances; /* name to planner_instance_t */
 	/* Loads that the weight store serves at full speed, as learnt from how
--- /dev/null
+++ b/lib/coordination/quorum.c
@@ -0,0 +1,95 @@
+#include "coordination/quorum.h"
+
+/* The number of instances that was known counts for this time: one that is
+ * restarted is not registered for some seconds and may support another term. */
+#define KNOWN_US INT64_C(60000000)
+
+void bsh_promise_init(bsh_promise_t *promise, int64_t now_us)
+{
+	promise->term = 0;
+	promise->until_us = now_us + BSH_QUORUM_PROMISE_US;
+}
+
+bool bsh_promise_give(bsh_promise_t *promise, uint64_t term, int64_t heard_us,
+		      int64_t now_us)
+{
+	int64_t until_us = heard_us + BSH_QUORUM_PROMISE_US;
+
+	if (term < promise->term || now_us >= until_us)
+		return false;
+	if (term > promise->term && now_us < promise->until_us)
+		return false;
+	promise->term = term;
+	promise->until_us = MAX(promise->until_us, until_us);
+	return true;
+}
+
+void bsh_promise_end(bsh_promise_t *promise, uint64_t term, int64_t now_us)
+{
+	if (promise->term == term)
+		promise->until_us = MIN(promise->until_us, now_us);
+}
+
+void bsh_quorum_init(bsh_quorum_t *quorum)
+{
+	quorum->echoes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	quorum->instances = 0;
+	quorum->most_us = 0;
+}
+
+void bsh_quorum_finish(bsh_quorum_t *quorum)
+{
+	g_hash_table_destroy(quorum->echoes);
+}
+
+void bsh_quorum_begin(bsh_quorum_t *quorum)
+{
+	g_hash_table_remove_all(quorum->echoes);
+}
+
+void bsh_quorum_known(bsh_quorum_t *quorum, uint32_t instances, int64_t now_us)
+{
+	if (instances < quorum->instances &&
+	    now_us - quorum->most_us < KNOWN_US)
+		return;
+	quorum->instances = instances;
+	quorum->most_us = now_us;
+}
+
+void bsh_quorum_add(bsh_quorum_t *quorum, const char *instance, int64_t echo_us)
+{
+	int64_t *known = g_hash_table_lookup(quorum->echoes, instance);
+
+	if (known == NULL) {
+		known = g_new0(int64_t, 1);
+		g_hash_table_insert(quorum->echoes, g_strdup(instance), known);
+	}
+	*known = MAX(*known, echo_us);
+}
+
+static gint newest_first(gconstpointer a, gconstpointer b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return x > y ? -1 : x < y;
+}
+
+int64_t bsh_quorum_until(const bsh_quorum_t *quorum)
+{
+	uint32_t majority = quorum->instances / 2 + 1;
+	g_autoptr(GArray) echoes = NULL;
+	GHashTableIter iter;
+	gpointer echo;
+
+	if (g_hash_table_size(quorum->echoes) < majority)
+		return 0;
+	echoes = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	g_hash_table_iter_init(&iter, quorum->echoes);
+	while (g_hash_table_iter_next(&iter, NULL, &echo))
+		g_array_append_val(echoes, *(int64_t *)echo);
+	g_array_sort(echoes, newest_first);
+	return g_array_index(echoes, int64_t, majority - 1) +
+	       BSH_QUORUM_PROMISE_US;
+}
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -192,6 +192,9 @@
 
 static const field_t demand_fields[] = { U64(bsh_msg_demand_t, term),
 					 U64(bsh_msg_demand_t, have),
+					 U64(bsh_msg_demand_t, supports),
+					 U64(bsh_msg_demand_t, echo_us),
+					 BOOL(bsh_msg_demand_t, reaches_store),
 					 LIST(bsh_msg_demand_t, entries,
 					      entry_count, demand_entry_fields,
 					      bsh_demand_entry_t),
@@ -221,7 +224,8 @@
 static const field_t placement_fields[] = {
 	U64(bsh_msg_placement_t, term),
 	U64(bsh_msg_placement_t, revision),
-	BOOL(bsh_msg_placement_t, released),
+	BOOL(bsh_msg_placement_t, active),
+	U64(bsh_msg_placement_t, sent_us),
 	U32(bsh_msg_placement_t, contact_age_ms),
 	U64(bsh_msg_placement_t, from),
 	U64(bsh_msg_placement_t, to),
@@ -232,6 +236,21 @@
 	END
 };
 
+static const field_t ordered_entry_fields[] = {
+	STRING(bsh_ordered_entry_t, target), U32(bsh_ordered_entry_t, age_ms),
+	END
+};
+
+static const field_t release_fields[] = {
+	U64(bsh_msg_release_t, term),
+	U64(bsh_msg_release_t, revision),
+	BOOL(bsh_msg_release_t, active),
+	BOOL(bsh_msg_release_t, listed),
+	LIST(bsh_msg_release_t, ordered, ordered_count, ordered_entry_fields,
+	     bsh_ordered_entry_t),
+	END
+};
+
 static const struct {
 	const char *name;
 	const field_t *fields;
@@ -253,6 +272,7 @@
 	[BSH_MSG_EVENTS] = { "EVENTS", events_fields },
 	[BSH_MSG_DEMAND] = { "DEMAND", demand_fields },
 	[BSH_MSG_PLACEMENT] = { "PLACEMENT", placement_fields },
+	[BSH_MSG_RELEASE] = { "RELEASE", release_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -52,6 +52,7 @@
 	BSH_MSG_EVENTS,
 	BSH_MSG_DEMAND,
 	BSH_MSG_PLACEMENT,
+	BSH_MSG_RELEASE,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -237,10 +238,15 @@
 /*
  * DEMAND: from each instance to the one that gives orders.  have is the number
  * of the announcement up to which it knows the targets; 0: it knows none.
+ * supports is the term that it supports (coordination/quorum.h), 0 for none, and
+ * echo_us the newest sent_us of that term's holder.
  */
 typedef struct {
 	uint64_t term;
 	uint64_t have;
+	uint64_t supports;
+	uint64_t echo_us;
+	bool reaches_store; /* the store has answered it a moment ago */
 	const bsh_demand_entry_t *entries;
 	uint32_t entry_count;
 } bsh_msg_demand_t;
@@ -284,7 +290,8 @@
 typedef struct {
 	uint64_t term;		 /* fencing number of the lease */
 	uint64_t revision;	 /* of the lease after its last renewal */
-	bool released;		 /* the sender gives no more orders */
+	bool active;		 /* it has waited for the former holder */
+	uint64_t sent_us;	 /* by the sender's clock, to be echoed */
 	uint32_t contact_age_ms; /* since the store last answered the sender */
 	uint64_t from;
 	uint64_t to;
@@ -294,6 +301,25 @@
 	uint32_t ready_count;
 } bsh_msg_placement_t;
 
+/* A target that was ordered so long ago. */
+typedef struct {
+	const char *target;
+	uint32_t age_ms;
+} bsh_ordered_entry_t;
+
+/*
+ * RELEASE: from the holder to all others: it gives no more orders in this term.
+ * The list has all targets that it ordered lately, unless listed is false.
+ */
+typedef struct {
+	uint64_t term;
+	uint64_t revision; /* of the lease, which another one may take */
+	bool active;	   /* as in PLACEMENT */
+	bool listed;
+	const bsh_ordered_entry_t *ordered;
+	uint32_t ordered_count;
+} bsh_msg_release_t;
+
 typedef struct {
 	bsh_message_type_t type;
 	bsh_hlc_stamp_t stamp;
@@ -316,6 +342,7 @@
 		bsh_msg_events_t events;
 		bsh_msg_demand_t demand;
 		bsh_msg_placement_t placement;
+		bsh_msg_release_t release;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -29,6 +29,7 @@
 	{ "engine-1", "llm", "127.0.0.1:9", "a", 4, BSH_TARGET_LEAVING, 9, 5, 6,
 	  (const uint8_t *)"a\0b", 3 }
 };
+static const bsh_ordered_entry_t ordered[] = { { "i-7", 850 } };
 static const bsh_ready_entry_t ready[] = { { 7, 8, 900 } };
 
 /* One message of each type, every field set. */
@@ -103,13 +104,17 @@
 		m.handover = (bsh_msg_handover_t){ "gpu", 8 };
 		break;
 	case BSH_MSG_DEMAND:
-		m.demand = (bsh_msg_demand_t){ 3, 4, demands, 1 };
+		m.demand = (bsh_msg_demand_t){ 3, 4, 5, 6, true, demands, 1 };
 		break;
 	case BSH_MSG_PLACEMENT:
 		m.placement =
-			(bsh_msg_placement_t){ 9, 12,	      true, 7,	   3,
+			(bsh_msg_placement_t){ 9, 12,	      true, 11,	   7, 3,
 					       4, placements, 1,    ready, 1 };
 		break;
+	case BSH_MSG_RELEASE:
+		m.release =
+			(bsh_msg_release_t){ 9, 12, true, true, ordered, 1 };
+		break;
 	case BSH_MSG_TYPE_END:
 		break;
 	}
@@ -590,6 +595,7 @@
 	bsh_demand_entry_t entries[40];
 	bsh_placement_entry_t targets[2];
 	uint8_t pairs[320];
+	bsh_ordered_entry_t lately[40];
 	bsh_message_t m = { .type = BSH_MSG_DEMAND,
 			    .stamp = { INT64_MAX, UINT32_MAX },
 			    .sender = "front-chitose-a-10",
@@ -599,7 +605,9 @@
 
 	memset(entries, 0xff, sizeof(entries));
 	memset(pairs, 0xff, sizeof(pairs));
-	m.demand = (bsh_msg_demand_t){ UINT64_MAX, UINT64_MAX, entries, 40 };
+	m.demand = (bsh_msg_demand_t){ UINT64_MAX, UINT64_MAX, UINT64_MAX,
+				       UINT64_MAX, true,       entries,
+				       40 };
 	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
 	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_BYTES);
 	free(data);
@@ -617,9 +625,19 @@
 						      sizeof(pairs) };
 	m.type = BSH_MSG_PLACEMENT;
 	m.placement = (bsh_msg_placement_t){ UINT64_MAX, UINT64_MAX, true,
-					     UINT32_MAX, UINT64_MAX, UINT64_MAX,
-					     targets,	 2,	     NULL,
-					     0 };
+					     UINT64_MAX, UINT32_MAX, UINT64_MAX,
+					     UINT64_MAX, targets,    2,
+					     NULL,	 0 };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_BYTES);
+	free(data);
+	for (size_t i = 0; i < G_N_ELEMENTS(lately); i++)
+		lately[i] =
+			(bsh_ordered_entry_t){ "i-0123456789ab", UINT32_MAX };
+	m.type = BSH_MSG_RELEASE;
+	m.release = (bsh_msg_release_t){ UINT64_MAX, UINT64_MAX,
+					 true,	     true,
+					 lately,     G_N_ELEMENTS(lately) };
 	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
 	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_BYTES);
 	free(data);
