Go on elsewhere with a stream that stands still; hand over past an open update

- The timer of silence runs on for streams that may be resumed, from the last event, with the route's longest pause; the target must have been silent to all others too, and another one must hold the model.
- A request that the target left without a byte counts as its failure when the caller leaves or its time is over.
- A holder whose last update has no answer hands its lease over too: a late update only keeps others from taking that revision.

Ruled out: a lost worker (its connections stay open and its entry is listed).

--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -123,7 +123,9 @@
 
 	r->status = status;
 	r->head_seen = true;
-	bsh_loop_timer_stop(&r->silence_timer);
+	/* An event stream may stand still at any time. */
+	if (!r->head.event_stream || status != 200)
+		bsh_loop_timer_stop(&r->silence_timer);
 	if (is_foreign(r)) {
 		end_attempt(r, ATTEMPT_BROKEN, BSH_ERR_MISMATCH);
 		return;
@@ -143,6 +145,7 @@
 	g_string_truncate(r->events, 0);
 	err = bsh_event_relay_feed(&r->relay, data, size, r->events);
 	if (r->events->len > 0) {
+		r->active_us = traffic_now_us(r->traffic);
 		if (!r->answering)
 			note_first_byte(r);
 		begin_answer(r, -1);
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -21,7 +21,8 @@
 /* What a request needs at a target at least, besides the wait. */
 #define RUN_MIN_US INT64_C(60000)
 /* A repeatable request is sent elsewhere when its target has been silent to
- * everyone for its latency objective, but at least for this time. */
+ * everyone for its latency objective, and a stream that has begun when it has
+ * stood still for the longest pause of its route, but at least for this time. */
 #define SILENCE_MIN_US INT64_C(300000)
 /* Without an instance that gives orders, a model comes to no target. */
 #define NO_HOLDER_WAIT_US INT64_C(3000000)
@@ -441,19 +442,29 @@
 
 static void on_silence(void *ctx);
 
+/* How long the target may say nothing. */
+static int64_t silence_us(const request_t *r)
+{
+	const bsh_route_rule_t *route = r->route;
+	bool has_begun = r->is_stream && r->relay.passed > 0;
+	uint32_t ms = has_begun && route->gap_ms > 0 ? route->gap_ms
+						     : route->target_ms;
+
+	return MAX(ms * INT64_C(1000), SILENCE_MIN_US);
+}
+
 static void send_to(request_t *r, const view_target_t *target)
 {
 	int64_t now_us = traffic_now_us(r->traffic);
-	int64_t silence_us =
-		MAX(r->route->target_ms * INT64_C(1000), SILENCE_MIN_US);
 
 	r->target = get_target(r->traffic, target->id);
 	if (r->n_tried < TRIED_MAX)
 		r->tried[r->n_tried++] = target->hash;
 	set_state(r, REQUEST_RUNNING);
 	bsh_target_started(&r->target->record, now_us);
+	r->active_us = now_us;
 	if (r->repeatable)
-		bsh_loop_timer_after(&r->silence_timer, silence_us);
+		bsh_loop_timer_after(&r->silence_timer, silence_us(r));
 	if (forward_start(r, target) != BSH_OK)
 		traffic_attempt_ended(r, ATTEMPT_NOT_REACHED, BSH_ERR_SYSTEM);
 }
@@ -587,13 +598,20 @@
 static void on_silence(void *ctx)
 {
 	request_t *r = ctx;
+	int64_t left_us =
+		r->active_us + silence_us(r) - traffic_now_us(r->traffic);
 
-	if (r->state != REQUEST_RUNNING || r->head_seen)
+	if (r->state != REQUEST_RUNNING ||
+	    (r->head_seen && !r->head.event_stream))
 		return;
+	if (left_us > 0) {
+		bsh_loop_timer_after(&r->silence_timer, left_us);
+		return;
+	}
 	/* While the target answers others, it only needs longer for this one;
 	 * and without another target a late answer is the only one. */
-	if (r->target->record.first_at_us > r->call_began_us ||
-	    choose(r) == NULL || !may_send_again(r, r->sends + 1)) {
+	if (r->target->record.first_at_us > r->active_us || choose(r) == NULL ||
+	    !may_send_again(r, r->sends + 1)) {
 		bsh_loop_timer_after(&r->silence_timer, SILENCE_MIN_US);
 		return;
 	}
@@ -603,13 +621,21 @@
 	send_again(r);
 }
 
+/* The target has answered neither this request in time nor any other since. */
+static bool is_mute(const request_t *r)
+{
+	return r->first_byte_us == 0 &&
+	       r->target->record.first_at_us <= r->call_began_us &&
+	       traffic_now_us(r->traffic) - r->call_began_us >= silence_us(r);
+}
+
 static void on_time_over(void *ctx)
 {
 	request_t *r = ctx;
 
 	if (r->state == REQUEST_RUNNING) {
-		note_target(r,
-			    r->head_seen ? ATTEMPT_ANSWERED : ATTEMPT_BROKEN);
+		note_target(r, r->head_seen && !is_mute(r) ? ATTEMPT_ANSWERED
+							   : ATTEMPT_BROKEN);
 		r->may_have_run = r->may_have_run || r->call_sent;
 	}
 	give_up(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
@@ -642,7 +668,7 @@
 	if (r->state != REQUEST_ENDED) {
 		forward_cancel(r);
 		if (r->state == REQUEST_RUNNING)
-			bsh_target_ended(&r->target->record, false,
+			bsh_target_ended(&r->target->record, is_mute(r),
 					 traffic_now_us(t));
 		finish(r, COUNT_GONE, 0, "caller-left");
 	} else if (!delivered) {
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -103,6 +103,7 @@
 	bool call_sent;
 	int64_t call_began_us;
 	bsh_loop_timer_t silence_timer;
+	int64_t active_us; /* the target was sent the request, or gave an event */
 
 	/* The answer. */
 	platform_head_t head;
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -297,10 +297,11 @@
 
 bool bsh_lease_hand_over(bsh_lease_t *lease, int64_t now_us)
 {
-	/* An update that may still be carried out would change the revision. */
+	/* The answer to a running update would begin the term anew.  One that is
+	 * carried out late only keeps the others from taking this revision. */
 	if (!bsh_lease_may_order(lease, now_us) ||
 	    !bsh_lease_is_list_whole(lease, now_us) ||
-	    lease->running != BSH_LEASE_NOTHING || lease->check)
+	    lease->running != BSH_LEASE_NOTHING)
 		return false;
 	set_released(lease, true, true, now_us);
 	lease->retry_us = now_us + HANDED_OVER_US;
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -409,18 +409,23 @@
 			       run->attempt);
 }
 
+static void begin_stream(run_t *run)
+{
+	if (run->begun)
+		return;
+	add_seal(run);
+	bsh_http_answer_header(run->request, "Content-Type",
+			       "text/event-stream");
+	bsh_http_answer_begin(run->request, 200, -1);
+	run->begun = true;
+}
+
 static void write_event(run_t *run)
 {
 	char event[64];
 	int size;
 
-	if (!run->begun) {
-		add_seal(run);
-		bsh_http_answer_header(run->request, "Content-Type",
-				       "text/event-stream");
-		bsh_http_answer_begin(run->request, 200, -1);
-		run->begun = true;
-	}
+	begin_stream(run);
 	run->next_event++;
 	size = g_snprintf(event, sizeof(event), "id: %u\ndata: e%u\n\n",
 			  run->next_event, run->next_event);
@@ -443,6 +448,12 @@
 		bsh_http_answer(run->request, 200, "done", 4);
 		return;
 	}
+	if (worker->mode == WORKER_IS_MUTE) {
+		begin_stream(run);
+		return;
+	}
+	if (worker->mode == WORKER_STALLS && run->next_event >= 2)
+		return;
 	if (worker->mode == WORKER_BREAKS_STREAM && run->next_event >= 2) {
 		bsh_http_answer_abort(run->request);
 		return;
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -29,7 +29,9 @@
 	WORKER_IS_FULL,	      /* 503 that says "not run" */
 	WORKER_LOSES_ANSWER,  /* runs, then closes the connection */
 	WORKER_BREAKS_STREAM, /* closes after two events */
-	WORKER_IS_SILENT      /* runs and never answers */
+	WORKER_IS_SILENT,     /* runs and never answers */
+	WORKER_IS_MUTE,	      /* runs, and sends the head of its answer only */
+	WORKER_STALLS	      /* sends nothing more after two events */
 } worker_mode_t;
 
 typedef struct platform_rig platform_rig_t;
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #include "support/platform_rig.h"
+#include "support/relay.h"
 
 static const char late_route[] = "{\"name\":\"late\",\"host\":\"" RIG_HOST
 				 "\",\"pathPrefix\":\"/late/\",\"kind\":"
@@ -178,6 +179,38 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "d9"), ==, 1);
 }
 
+/* Of two workers with the model, the one that requests go to answers as the
+ * mode says; they have to end at the other. */
+static void stream_past(fixture_t *f, worker_mode_t mode)
+{
+	worker_t *other = platform_rig_worker(&f->rig, "llm", "m0");
+
+	platform_rig_run(&f->rig, 200);
+	call(f, "/stream/1", "s0", "m0");
+	(f->engine->runs > 0 ? f->engine : other)->mode = mode;
+	call(f, "/stream/1", "s1", "m0");
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	g_assert_cmpint(f->reply.took_us, <, 1500000);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "s1"), ==, 2);
+}
+
+/* Guards against callers who wait at a worker that sends heads and no events
+ * until they give up. */
+static void test_mute_worker(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	stream_past(f, WORKER_IS_MUTE);
+}
+
+/* Guards against a stream that stands still at a worker without a broken
+ * connection. */
+static void test_stalled_stream(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	stream_past(f, WORKER_STALLS);
+}
+
 /* Guards against a model that nobody loads, and against a load on top of what
  * fills a worker. */
 static void test_loads_on_demand(fixture_t *f, gconstpointer data)
@@ -253,6 +286,65 @@
 	g_assert_cmpuint(f->engine->turns, ==, 0);
 }
 
+/* Guards against targets without orders while the store is away for all: the
+ * holder goes on with a majority of the instances. */
+static void test_orders_without_store(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	for (int i = 0; i < 2; i++)
+		platform_rig_wait_ready(&f->rig, platform_rig_entry(&f->rig));
+	platform_rig_run(&f->rig, 2000);
+	f->rig.store_down = true;
+	platform_rig_run(&f->rig, 2 * f->rig.lease_ms);
+	call(f, "/once/1", "w1", "m3");
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_cmpint(f->reply.took_us, <, 1000000);
+}
+
+/* Guards against targets without orders while the store answers all but the
+ * holder: it hands its lease over. */
+static void test_handover(void)
+{
+	fixture_t f = { 0 };
+	rig_entry_t *others[2];
+	relay_t relay;
+	char *port;
+
+	platform_rig_init(&f.rig);
+	f.rig.lease_ms = 3000;
+	platform_rig_configure(&f.rig, NULL);
+	f.engine = platform_rig_worker(&f.rig, "llm", "m0");
+	port = strrchr(f.rig.store_address, ':');
+	relay_init(&relay, &f.rig.loop,
+		   (uint16_t)g_ascii_strtoull(port + 1, NULL, 10));
+	g_strlcpy(f.rig.store_address, relay.address,
+		  sizeof(f.rig.store_address));
+	f.entry = platform_rig_entry(&f.rig);
+	platform_rig_wait_ready(&f.rig, f.entry);
+	platform_rig_run(&f.rig, 1000);
+	g_snprintf(f.rig.store_address, sizeof(f.rig.store_address),
+		   "127.0.0.1:%u", relay.to_port);
+	for (int i = 0; i < 2; i++) {
+		others[i] = platform_rig_entry(&f.rig);
+		platform_rig_wait_ready(&f.rig, others[i]);
+	}
+	platform_rig_run(&f.rig, 1000);
+	g_assert_cmpstr(f.engine->holder, ==, "");
+	f.entry = others[0];
+	call(&f, "/once/1", "v1", "m3");
+	g_assert_cmpstr(f.engine->holder, ==, f.rig.entries[0].name);
+	relay_set(&relay, RELAY_SILENT);
+	/* Longer than the handover takes, shorter than a takeover. */
+	platform_rig_run(&f.rig, 3000);
+	call(&f, "/once/1", "v2", "m4");
+	g_assert_cmpint(f.reply.status, ==, 200);
+	g_assert_cmpint(f.reply.took_us, <, 1000000);
+	g_assert_cmpstr(f.engine->holder, !=, f.rig.entries[0].name);
+	g_assert_cmpuint(f.engine->turns, ==, 0);
+	relay_finish(&relay);
+	tear_down(&f, NULL);
+}
+
 /* Guards against work that goes on for a caller who has left. */
 static void test_caller_leaves(fixture_t *f, gconstpointer data)
 {
@@ -335,9 +427,13 @@
 	ADD("/entry/only-target-fails-once", test_only_target_fails_once);
 	ADD("/entry/only-target-is-slow", test_only_target_is_slow);
 	ADD("/entry/broken-stream", test_broken_stream);
+	ADD("/entry/mute-worker", test_mute_worker);
+	ADD("/entry/stalled-stream", test_stalled_stream);
 	ADD("/entry/loads-on-demand", test_loads_on_demand);
 	ADD("/entry/stop", test_stop);
 	ADD("/entry/stopping-holder", test_stopping_holder_gives_orders);
+	ADD("/entry/orders-without-store", test_orders_without_store);
+	g_test_add_func("/entry/handover", test_handover);
 	ADD("/entry/caller-leaves", test_caller_leaves);
 	ADD("/entry/configuration-without-store",
 	    test_configuration_without_store);
