Refuse a waiting request when its model has been late for a moment

Estimates change as loads begin and end.

A request that waits is refused when the estimate has been too late for 250 ms; one that comes is refused at once as before.

Tried and reverted: instances told the holder of targets at which their requests fail, and those counted as not serving.

--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -24,6 +24,9 @@
  * everyone for its latency objective, and a stream that has begun when it has
  * stood still for the longest pause of its route, but at least for this time. */
 #define SILENCE_MIN_US INT64_C(300000)
+/* Estimates change as loads begin and end; one that is too late counts for a
+ * request that waits when it has been so for this time. */
+#define LATE_CONFIRM_US INT64_C(250000)
 /* Without an instance that gives orders, a model comes to no target. */
 #define NO_HOLDER_WAIT_US INT64_C(3000000)
 /* When nothing better is known of when to come back. */
@@ -399,13 +402,27 @@
 		r->traffic->view_number);
 }
 
+/* Whether the model comes too late, by an estimate that is not of a moment. */
+static bool is_too_late(request_t *r, int64_t wait_us)
+{
+	int64_t now_us = traffic_now_us(r->traffic);
+
+	if (wait_us + RUN_MIN_US <= time_left_us(r)) {
+		r->late_since_us = 0;
+		return false;
+	}
+	if (r->late_since_us == 0)
+		r->late_since_us = now_us;
+	return r->state != REQUEST_WAITING ||
+	       now_us - r->late_since_us >= LATE_CONFIRM_US;
+}
+
 /* A request that cannot be served in time is refused at once. */
 static void wait_or_refuse(request_t *r)
 {
 	const view_t *view = r->traffic->view;
 	const view_ready_t *ready;
 	int64_t now_us = traffic_now_us(r->traffic);
-	int64_t left_us = time_left_us(r);
 	int64_t wait_us;
 
 	if (!demand_counts(r)) {
@@ -420,7 +437,7 @@
 	if (ready != NULL && ready->ready_us != INT64_MAX) {
 		/* On the control thread's clock, as an offset. */
 		wait_us = ready->ready_us - ready->told_us;
-		if (wait_us + RUN_MIN_US > left_us) {
+		if (is_too_late(r, wait_us)) {
 			give_up(r, BSH_ERR_DEADLINE, wait_us / 1000);
 			return;
 		}
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -89,8 +89,9 @@
 	int64_t wait_began_us; /* while it waits */
 	int64_t waited_us;
 	bool wait_logged;
-	uint32_t candidates; /* targets to choose from, when last looked at */
-	const char *repeat;  /* why it was not sent again; "-": was not due */
+	int64_t late_since_us; /* its model is expected too late; 0: it is not */
+	uint32_t candidates;   /* targets to choose from, when last looked at */
+	const char *repeat;    /* why it was not sent again; "-": was not due */
 	GList wait_link;
 
 	/* Attempts. */
