Tell a release of the own term only, and let larger instances hold the lease

Cause: a release is told three times in 100 ms, in case datagrams are lost. When the successor had taken the lease in between, the last ones named the successor's revision, and the others took the lease from it at once: two holders would have ordered the same targets within milliseconds.

A release counts only from the holder of that revision, and is not told any more once another revision is known.

Besides: an instance with twice the share of a core now always tries before one with the smaller share (its name decided up to 0.4 s before, its share 0.4 s).

Tests: /lease/handover, /lease/random-faults, /lease/larger-first.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -106,7 +106,8 @@
 		orders_placement(control->orders, message->sender,
 				 &message->placement);
 	} else if (message->type == BSH_MSG_RELEASE) {
-		orders_released(control->orders, &message->release);
+		orders_released(control->orders, message->sender,
+				&message->release);
 	}
 }
 
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -127,7 +127,8 @@
 void orders_placement(orders_t *orders, const char *sender,
 		      const bsh_msg_placement_t *placement);
 /* The holder of the lease gives no more orders. */
-void orders_released(orders_t *orders, const bsh_msg_release_t *release);
+void orders_released(orders_t *orders, const char *sender,
+		     const bsh_msg_release_t *release);
 void orders_fill(const orders_t *orders, view_t *view);
 void orders_tick(orders_t *orders);
 /* Age of what the holder last told, as the store confirmed it to the holder;
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -2,7 +2,6 @@
 #include "control.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/counter.h"
 #include "base/histogram.h"
@@ -28,11 +27,6 @@
  * first, and what is left out is told when it waits too. */
 #define DEMAND_MAX 40U
 
-/* Delay before an instance tries to take the lease: a part by its name and one
- * by its share of a core, in which a whole core is the unit. */
-#define SPREAD_US      400000U
-#define SHARE_DELAY_US 60000.0
-
 /* A holder that the store has not answered for this time hands its lease over
  * to an instance that the store answers; renewals come six times as often. */
 #define CUT_OFF_US INT64_C(1200000)
@@ -71,10 +65,11 @@
 	int64_t echo_heard_us;
 	int64_t peer_reached_us; /* last time that one said so */
 	int64_t first_order_us;	 /* as it was logged */
-	uint32_t tell_release;	 /* times that a release is still told */
-	GHashTable *ordered;	 /* target to when it was last ordered */
-	uint64_t have_term;	 /* of the announcements that are counted */
-	uint64_t have;		 /* known without a gap up to this one */
+	uint64_t released_revision;
+	uint32_t tell_release; /* times that a release is still told */
+	GHashTable *ordered;   /* target to when it was last ordered */
+	uint64_t have_term;    /* of the announcements that are counted */
+	uint64_t have;	       /* known without a gap up to this one */
 	uint64_t last_told;
 	int64_t gap_us; /* since when announcements are missing; 0: none are */
 };
@@ -676,8 +671,14 @@
 	bsh_message_t message = { .type = BSH_MSG_RELEASE };
 	bsh_msg_release_t *release = &message.release;
 
+	/* Another instance has taken the lease: what is told now would be
+	 * about its term. */
+	if (orders->lease.revision != orders->released_revision) {
+		orders->tell_release = 0;
+		return;
+	}
 	release->term = orders->lease.term;
-	release->revision = orders->lease.revision;
+	release->revision = orders->released_revision;
 	release->active = orders->lease.active;
 	release->listed =
 		list->len <= ORDERED_MAX &&
@@ -739,8 +740,10 @@
 	bsh_counter_set(&holding, holder);
 	log_term(orders, holder);
 	if (!holder) {
-		if (orders->lease.holder[0] == '\0')
+		if (orders->lease.holder[0] == '\0') {
+			orders->released_revision = orders->lease.revision;
 			orders->tell_release = RELEASE_TIMES;
+		}
 		return;
 	}
 	orders->tell_release = 0;
@@ -754,15 +757,16 @@
 	}
 }
 
-void orders_released(orders_t *orders, const bsh_msg_release_t *release)
+void orders_released(orders_t *orders, const char *sender,
+		     const bsh_msg_release_t *release)
 {
-	if (orders->lease.known && release->revision < orders->lease.revision)
+	if (!bsh_lease_released(&orders->lease, sender, release->active,
+				release->listed, release->revision,
+				now_us(orders)))
 		return;
 	for (uint32_t i = 0; i < release->ordered_count; i++)
 		hold_target(orders, release->ordered[i].target,
 			    1000 * (int64_t)release->ordered[i].age_ms);
-	bsh_lease_released(&orders->lease, release->active, release->listed,
-			   release->revision, now_us(orders));
 	bsh_promise_end(&orders->promise, release->term, now_us(orders));
 	orders->contact_us = 0;
 }
@@ -883,14 +887,6 @@
 {
 	const bsh_settings_t *settings = &control->entry->settings;
 	orders_t *orders = g_new0(orders_t, 1);
-	/* Larger instances try first, and each has its own moment, so that
-	 * the others hear of the first one before they try. */
-	uint32_t spread_us =
-		XXH32(settings->instance, strlen(settings->instance), 0) %
-			SPREAD_US +
-		(uint32_t)(SHARE_DELAY_US /
-			   MAX(settings->entry_cpu_share, 0.05));
-
 	bsh_counter_register(&holding);
 	for (size_t i = 0; i < G_N_ELEMENTS(results); i++) {
 		bsh_counter_register(&results[i]);
@@ -908,7 +904,9 @@
 	bsh_promise_init(&orders->promise, now_us(orders));
 	bsh_lease_init(&orders->lease, settings->instance,
 		       settings->entry_order_lease_ms,
-		       settings->entry_order_start_ms * 1000U + spread_us,
+		       settings->entry_order_start_ms * 1000U +
+			       bsh_lease_delay_us(settings->instance,
+						  settings->entry_cpu_share),
 		       now_us(orders));
 	return orders;
 }
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -1,6 +1,7 @@
 #include "coordination/lease.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Renewals in one lease time: some may fail before the term ends, and each one
  * shows that the holder reaches the store. */
@@ -19,9 +20,22 @@
 /* A released lease is taken in this part of the usual spread: its former holder
  * has told all others at once. */
 #define RELEASED_SPREAD 4
+/* Delay of an instance with a whole core, and the part that its name decides:
+ * less than what half of a share adds. */
+#define SHARE_DELAY_US 60000.0
+#define SHARE_MIN      0.05
+#define SPREAD_US      60000U
 /* Pause after a call that failed. */
 #define RETRY_US INT64_C(250000)
 
+uint32_t bsh_lease_delay_us(const char *instance, double cpu_share)
+{
+	double share = CLAMP(cpu_share, SHARE_MIN, 1.0);
+
+	return XXH32(instance, strlen(instance), 0) % SPREAD_US +
+	       (uint32_t)(SHARE_DELAY_US / share);
+}
+
 void bsh_lease_init(bsh_lease_t *lease, const char *self, uint32_t lease_ms,
 		    uint32_t jitter_us, int64_t now_us)
 {
@@ -285,14 +299,24 @@
 	lease->since_us = now_us;
 }
 
-void bsh_lease_released(bsh_lease_t *lease, bool active, bool listed,
-			uint64_t revision, int64_t now_us)
+static bool is_outdated(const bsh_lease_t *lease, const char *holder,
+			uint64_t revision)
 {
-	if (lease->holding || (lease->known && revision < lease->revision))
-		return;
+	if (!lease->known || revision > lease->revision)
+		return false;
+	return revision < lease->revision ||
+	       (lease->holder[0] != '\0' && strcmp(lease->holder, holder) != 0);
+}
+
+bool bsh_lease_released(bsh_lease_t *lease, const char *holder, bool active,
+			bool listed, uint64_t revision, int64_t now_us)
+{
+	if (lease->holding || is_outdated(lease, holder, revision))
+		return false;
 	lease->known = true;
 	lease->revision = revision;
 	set_released(lease, active, listed, now_us);
+	return true;
 }
 
 bool bsh_lease_hand_over(bsh_lease_t *lease, int64_t now_us)
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -106,6 +106,14 @@
 	uint32_t jitter_us; /* spreads the takeover attempts */
 } bsh_lease_t;
 
+/*
+ * bsh_lease_delay_us - how long an instance waits before it tries to take the
+ * lease: one with a larger share of a core always less than one with half of
+ * it, as the holder's work grows with the fleet, and each its own time, so that
+ * the others hear of the first one before they try.
+ */
+uint32_t bsh_lease_delay_us(const char *instance, double cpu_share);
+
 /* bsh_lease_init - jitter_us: delay of this instance before it takes over. */
 void bsh_lease_init(bsh_lease_t *lease, const char *self, uint32_t lease_ms,
 		    uint32_t jitter_us, int64_t now_us);
@@ -132,9 +140,12 @@
 /*
  * bsh_lease_released - the holder of this revision tells that it gives no more
  * orders; listed: with all targets that it has ordered lately.
+ *
+ * RETURN VALUE
+ *	False if it is not, or no longer, the holder.
  */
-void bsh_lease_released(bsh_lease_t *lease, bool active, bool listed,
-			uint64_t revision, int64_t now_us);
+bool bsh_lease_released(bsh_lease_t *lease, const char *holder, bool active,
+			bool listed, uint64_t revision, int64_t now_us);
 
 /*
  * bsh_lease_hand_over - a holder that cannot reach the store gives no more
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -167,7 +167,7 @@
 	g_assert_false(bsh_lease_may_order(&first, 3000));
 	g_assert_cmpint(bsh_lease_next(&first, 3000), ==, BSH_LEASE_REPLACE);
 	bsh_lease_done(&first, BSH_LEASE_DONE, "", true, 11, 4000);
-	bsh_lease_released(&second, true, false, 11, 5000);
+	bsh_lease_released(&second, "entry-1", true, false, 11, 5000);
 	g_assert_cmpint(bsh_lease_next(&second, 6000), ==, BSH_LEASE_READ);
 	bsh_lease_done(&second, BSH_LEASE_DONE, "", true, 11, 6500);
 	g_assert_cmpint(bsh_lease_next(&second, 6600), ==, BSH_LEASE_REPLACE);
@@ -177,6 +177,29 @@
 	g_assert_cmpint(second.first_order_us, <, 4 * SECOND);
 }
 
+/* Guards against a holder that is too small for the work of a large fleet while
+ * larger instances live: it tells all others too late of what changes. */
+static void test_larger_instances_first(void)
+{
+	static const double shares[] = { 0.06, 0.12, 0.25, 0.5, 1.0 };
+
+	for (size_t s = 1; s < G_N_ELEMENTS(shares); s++) {
+		uint32_t slowest_us = 0;
+		uint32_t fastest_us = UINT32_MAX;
+
+		for (int i = 0; i < 200; i++) {
+			g_autofree char *name = g_strdup_printf("front-%d", i);
+
+			slowest_us = MAX(slowest_us,
+					 bsh_lease_delay_us(name, shares[s]));
+			fastest_us =
+				MIN(fastest_us,
+				    bsh_lease_delay_us(name, shares[s - 1]));
+		}
+		g_assert_cmpuint(slowest_us, <, fastest_us);
+	}
+}
+
 /* A holder that renewed at 1 ms and waits for nobody. */
 static void hold(bsh_lease_t *lease)
 {
@@ -252,7 +275,7 @@
 	bsh_lease_t lease;
 
 	bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
-	bsh_lease_released(&lease, true, false, 11, 5000);
+	bsh_lease_released(&lease, "entry-1", true, false, 11, 5000);
 	g_assert_cmpint(bsh_lease_next(&lease, 6000), ==, BSH_LEASE_READ);
 	bsh_lease_done(&lease, BSH_LEASE_DONE, "", true, 11, 7000);
 	bsh_lease_set_clean(&lease, 11);
@@ -262,7 +285,7 @@
 
 	/* One that had not waited itself leaves nothing that counts. */
 	bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
-	bsh_lease_released(&lease, false, false, 11, 5000);
+	bsh_lease_released(&lease, "entry-1", false, false, 11, 5000);
 	bsh_lease_next(&lease, 6000);
 	bsh_lease_done(&lease, BSH_LEASE_DONE, "", false, 11, 7000);
 	bsh_lease_set_clean(&lease, 11);
@@ -287,7 +310,7 @@
 	bsh_lease_done(&first, BSH_LEASE_FAILED, NULL, false, 0, SECOND + 1000);
 	g_assert_true(bsh_lease_hand_over(&first, SECOND + 2000));
 	g_assert_false(bsh_lease_may_order(&first, SECOND + 2000));
-	bsh_lease_released(&second, true, true, 10, SECOND + 3000);
+	bsh_lease_released(&second, "entry-1", true, true, 10, SECOND + 3000);
 	g_assert_cmpint(bsh_lease_next(&second, SECOND + 4000), ==,
 			BSH_LEASE_REPLACE);
 	bsh_lease_done(&second, BSH_LEASE_DONE, "entry-2", true, 11,
@@ -298,8 +321,12 @@
 	bsh_lease_done(&first, BSH_LEASE_CONFLICT, "entry-2", true, 11,
 		       3 * SECOND + 1000);
 	g_assert_false(bsh_lease_may_order(&first, 3 * SECOND + 2000));
-	/* What is told late of an older revision changes nothing. */
-	bsh_lease_released(&first, true, true, 10, 4 * SECOND);
+	/* What is told late of an older revision changes nothing, nor what the
+	 * former holder tells of the new one. */
+	g_assert_false(bsh_lease_released(&first, "entry-1", true, true, 10,
+					  4 * SECOND));
+	g_assert_false(bsh_lease_released(&first, "entry-1", true, true, 11,
+					  4 * SECOND));
 	g_assert_cmpstr(first.holder, ==, "entry-2");
 }
 
@@ -344,7 +371,7 @@
 #define SIM_US	  (120 * SECOND)
 #define SIM_SEEDS 500
 #define MAIL_MAX  4096
-#define DELAY_MAX 150
+#define DELAY_MAX 60
 
 typedef struct {
 	char name[16];
@@ -363,6 +390,7 @@
 	int64_t peer_reached_us;
 	int64_t answered_us; /* last answer of the store */
 	uint32_t tell_release;
+	uint64_t released_revision;
 	bool was_holder;
 	int64_t frozen_until_us;
 	int64_t down_until_us;
@@ -511,12 +539,12 @@
 	node_t *node = &sim->nodes[mail->to];
 
 	if (mail->release) {
-		if (node->lease.known && mail->revision < node->lease.revision)
+		if (!bsh_lease_released(
+			    &node->lease, sim->nodes[mail->from].name,
+			    mail->active, mail->listed, mail->revision, now_us))
 			return;
 		if (mail->listed)
 			hold_targets(node, mail->age_us, now_us);
-		bsh_lease_released(&node->lease, mail->active, mail->listed,
-				   mail->revision, now_us);
 		bsh_promise_end(&node->promise, mail->term, now_us);
 		return;
 	}
@@ -700,11 +728,17 @@
 	if (bsh_lease_is_holder(lease, now_us))
 		run_holder(sim, n, now_us);
 	holds = bsh_lease_is_holder(lease, now_us);
-	if (node->was_holder && !holds && lease->holder[0] == '\0')
-		node->tell_release = 3;
+	if (holds && !node->was_holder)
+		beacon(sim, n, now_us);
+	if (node->was_holder && !holds && lease->holder[0] == '\0') {
+		node->released_revision = lease->revision;
+		node->tell_release = 6; /* for 100 ms, as the program */
+	}
 	if (holds)
 		node->tell_release = 0;
 	node->was_holder = holds;
+	if (lease->revision != node->released_revision)
+		node->tell_release = 0;
 	if (node->tell_release > 0)
 		tell_release(sim, n, now_us);
 	report(sim, n, now_us);
@@ -848,6 +882,7 @@
 	g_test_add_func("/lease/lost-takeover", test_lost_takeover_still_waits);
 	g_test_add_func("/lease/restart-during-wait", test_restart_during_wait);
 	g_test_add_func("/lease/release", test_release_hands_over);
+	g_test_add_func("/lease/larger-first", test_larger_instances_first);
 	g_test_add_func("/lease/majority-extends", test_majority_extends);
 	g_test_add_func("/lease/successor-of-extended",
 			test_successor_of_extended);
