Keep who may give orders in a file of its own

Now order_lease.c has the lease, its store object, the support of a majority, release and handover; orders.c the planners, orders, demand and placements; orders_private.h what both use.

--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -10,7 +10,8 @@
  *	catalogs.c	the configuration in force
  *	targets.c	the list of targets and what they hold
  *	peers.c		membership, and messages between instances
- *	orders.c	the lease and the orders of its holder
+ *	orders.c	the orders of the holder of the lease
+ *	order_lease.c	who holds the lease
  *	announce.c	what the holder tells the other instances
  *	directory.c	readiness, addresses for callers, metrics
  *	control.c	owns the parts above, builds views, reloads, drains
--- /dev/null
+++ b/bshentryd/order_lease.c
@@ -0,0 +1,350 @@
+/* Who may give orders to targets. */
+#include "orders_private.h"
+
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+
+/* A holder that the store has not answered for this time hands its lease over
+ * to an instance that the store answers; renewals come six times as often. */
+#define CUT_OFF_US INT64_C(1200000)
+/* A release is told so often, in case datagrams are lost. */
+#define RELEASE_TIMES 3U
+/* Targets in a release: as many as fit into a datagram. */
+#define ORDERED_MAX 40U
+
+#define LEASE_OBJECT "orders"
+
+static bsh_counter_t holding =
+	BSH_GAUGE("bsh_order_lease_held", "1 while this instance may order.");
+
+/* For the list that a release leaves. */
+static void note_ordered(const orders_t *orders, const char *target,
+			 int64_t ordered_us)
+{
+	int64_t *known_us = g_hash_table_lookup(orders->ordered, target);
+
+	if (known_us == NULL) {
+		known_us = g_new0(int64_t, 1);
+		g_hash_table_insert(orders->ordered, g_strdup(target),
+				    known_us);
+	}
+	*known_us = MAX(*known_us, ordered_us);
+}
+
+static bsh_lease_result_t lease_result(platform_result_t result)
+{
+	switch (result) {
+	case PLATFORM_DONE:
+		return BSH_LEASE_DONE;
+	case PLATFORM_CONFLICT:
+		return BSH_LEASE_CONFLICT;
+	case PLATFORM_ABSENT:
+		return BSH_LEASE_ABSENT;
+	case PLATFORM_REFUSED:
+	case PLATFORM_HISTORY_GONE:
+		return BSH_LEASE_FAILED;
+	case PLATFORM_UNKNOWN:
+		break;
+	}
+	return BSH_LEASE_UNKNOWN;
+}
+
+/* Time after an order in which no other holder may order its target. */
+static int64_t order_gap_us(const orders_t *orders)
+{
+	return orders->lease.lease_us + BSH_LEASE_MARGIN_US;
+}
+
+/* The list of a former holder is passed on with the own one. */
+static void hold_target(const orders_t *orders, const char *target,
+			int64_t age_us)
+{
+	int64_t ordered_us = now_us(orders) - age_us;
+
+	note_ordered(orders, target, ordered_us);
+	for (guint i = 0; i < orders->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(orders->services, i);
+
+		bsh_planner_hold(service->planner, target,
+				 ordered_us + order_gap_us(orders),
+				 now_us(orders));
+	}
+}
+
+typedef void (*ordered_fn_t)(void *ctx, const char *target, uint32_t age_ms);
+
+/* Targets that were ordered lately, and how long ago. */
+static void foreach_ordered(const orders_t *orders, ordered_fn_t fn, void *ctx)
+{
+	GHashTableIter iter;
+	void *target;
+	void *at_us;
+
+	g_hash_table_iter_init(&iter, orders->ordered);
+	while (g_hash_table_iter_next(&iter, &target, &at_us)) {
+		int64_t age_us = now_us(orders) - *(const int64_t *)at_us;
+
+		if (age_us < order_gap_us(orders))
+			fn(ctx, target, (uint32_t)(age_us / 1000));
+	}
+}
+
+static void add_to_object(void *ctx, const char *target, uint32_t age_ms)
+{
+	json_object_set_new(ctx, target, json_integer(age_ms));
+}
+
+static void add_to_array(void *ctx, const char *target, uint32_t age_ms)
+{
+	bsh_ordered_entry_t entry = { target, age_ms };
+
+	g_array_append_val((GArray *)ctx, entry);
+}
+
+/* The former holder has stopped; what it ordered lately has to wait.  False if
+ * it left no list. */
+static bool take_ordered(orders_t *orders, const json_t *spec)
+{
+	const json_t *list = json_object_get(spec, "ordered_ms");
+	const char *target;
+	const json_t *age;
+	void *iter;
+
+	if (!json_is_object(list))
+		return false;
+	for (iter = json_object_iter((json_t *)list); iter != NULL;
+	     iter = json_object_iter_next((json_t *)list, iter)) {
+		target = json_object_iter_key(iter);
+		age = json_object_iter_value(iter);
+		hold_target(orders, target, 1000 * json_integer_value(age));
+	}
+	return true;
+}
+
+static void on_lease_answer(void *ctx, const platform_answer_t *answer)
+{
+	orders_t *orders = ctx;
+	const char *holder = NULL;
+	uint64_t revision = answer->revision;
+	bool active = false;
+
+	if (answer->n > 0) {
+		const json_t *spec = answer->objects[0].spec;
+
+		holder = json_string_value(json_object_get(spec, "holder"));
+		active = json_is_true(json_object_get(spec, "active"));
+		revision = answer->objects[0].revision;
+	}
+	if (answer->result != PLATFORM_DONE)
+		bsh_log(BSH_LOG_INFO,
+			"lease-call result=%s status=%d holder=%s "
+			"revision=%" G_GUINT64_FORMAT " took_ms=%d",
+			platform_result_name(answer->result), answer->status,
+			holder != NULL ? holder : "-", revision,
+			(int)(answer->took_us / 1000));
+	bsh_lease_done(&orders->lease, lease_result(answer->result), holder,
+		       active, revision, now_us(orders));
+	if (holder != NULL && holder[0] == '\0' &&
+	    take_ordered(orders, answer->objects[0].spec))
+		bsh_lease_set_clean(&orders->lease, revision);
+}
+
+static json_t *lease_spec(const orders_t *orders)
+{
+	/* The time makes each renewal a change, which raises the revision. */
+	json_t *spec =
+		json_pack("{s:s, s:b, s:I}", "holder",
+			  orders->lease.releasing ? "" : orders->lease.self,
+			  "active", orders->lease.began_active, "renewed_us",
+			  (json_int_t)g_get_real_time());
+
+	if (orders->lease.releasing &&
+	    bsh_lease_is_list_whole(&orders->lease, now_us(orders))) {
+		json_t *list = json_object();
+
+		foreach_ordered(orders, add_to_object, list);
+		json_object_set_new(spec, "ordered_ms", list);
+	}
+	return spec;
+}
+
+static void call_lease(orders_t *orders)
+{
+	platform_store_t *store = &orders->control->store;
+
+	switch (bsh_lease_next(&orders->lease, now_us(orders))) {
+	case BSH_LEASE_NOTHING:
+		break;
+	case BSH_LEASE_CREATE:
+		platform_store_create(store, PLATFORM_KIND_LEASES, LEASE_OBJECT,
+				      lease_spec(orders), on_lease_answer,
+				      orders);
+		break;
+	case BSH_LEASE_REPLACE:
+		platform_store_replace(store, PLATFORM_KIND_LEASES,
+				       LEASE_OBJECT, orders->lease.revision,
+				       lease_spec(orders), on_lease_answer,
+				       orders);
+		break;
+	case BSH_LEASE_READ:
+		platform_store_get(store, PLATFORM_KIND_LEASES, LEASE_OBJECT,
+				   on_lease_answer, orders);
+		break;
+	}
+}
+
+static GArray *list_ordered(const orders_t *orders)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(bsh_ordered_entry_t));
+
+	foreach_ordered(orders, add_to_array, list);
+	return list;
+}
+
+static void tell_release(orders_t *orders)
+{
+	g_autoptr(GArray) list = list_ordered(orders);
+	bsh_message_t message = { .type = BSH_MSG_RELEASE };
+	bsh_msg_release_t *release = &message.release;
+
+	/* Another instance has taken the lease: what is told now would be
+	 * about its term. */
+	if (orders->lease.revision != orders->released_revision) {
+		orders->tell_release = 0;
+		return;
+	}
+	release->term = orders->lease.term;
+	release->revision = orders->released_revision;
+	release->active = orders->lease.active;
+	release->listed =
+		list->len <= ORDERED_MAX &&
+		bsh_lease_is_list_whole(&orders->lease, now_us(orders));
+	if (release->listed) {
+		release->ordered =
+			(const bsh_ordered_entry_t *)(void *)list->data;
+		release->ordered_count = list->len;
+	}
+	peers_broadcast(orders->control->peers, &message);
+	orders->tell_release--;
+}
+
+/* The store answers others, but not this instance: one of them can go on at
+ * once.  While it answers nobody, this one goes on with a majority. */
+static void consider_handover(orders_t *orders)
+{
+	int64_t contact_us =
+		bsh_loop_clock_us() - orders->control->store.answered_us;
+	g_autoptr(GArray) list = NULL;
+
+	if (contact_us < CUT_OFF_US ||
+	    now_us(orders) - orders->peer_reached_us > REACHED_US ||
+	    !orders_is_holder(orders))
+		return;
+	list = list_ordered(orders);
+	if (list->len > ORDERED_MAX ||
+	    !bsh_lease_hand_over(&orders->lease, now_us(orders)))
+		return;
+	bsh_log(BSH_LOG_WARNING,
+		"lease-handed-over term=%" G_GUINT64_FORMAT
+		" revision=%" G_GUINT64_FORMAT " store_age_ms=%d",
+		orders->lease.term, orders->lease.revision,
+		(int)(contact_us / 1000));
+}
+
+static void log_term(orders_t *orders, bool holder)
+{
+	orders->first_order_us = orders->lease.first_order_us;
+	bsh_log(BSH_LOG_INFO,
+		"order-lease held=%d term=%" G_GUINT64_FORMAT
+		" revision=%" G_GUINT64_FORMAT " first_order_in_ms=%d",
+		holder, orders->lease.term, orders->lease.revision,
+		(int)((orders->first_order_us - now_us(orders)) / 1000));
+}
+
+static void note_term(orders_t *orders)
+{
+	bool holder = bsh_lease_is_holder(&orders->lease, now_us(orders));
+
+	if (holder == orders->was_holder) {
+		/* A majority makes the wait of a new holder shorter. */
+		if (holder &&
+		    orders->first_order_us != orders->lease.first_order_us)
+			log_term(orders, holder);
+		return;
+	}
+	orders->was_holder = holder;
+	bsh_counter_set(&holding, holder);
+	log_term(orders, holder);
+	if (!holder) {
+		if (orders->lease.holder[0] == '\0') {
+			orders->released_revision = orders->lease.revision;
+			orders->tell_release = RELEASE_TIMES;
+		}
+		return;
+	}
+	orders->tell_release = 0;
+	g_strlcpy(orders->holder, orders->lease.self, sizeof(orders->holder));
+	announcer_begin(orders->control->announcer);
+	for (guint i = 0; i < orders->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(orders->services, i);
+
+		bsh_planner_begin(service->planner);
+	}
+}
+
+void orders_released(orders_t *orders, const char *sender,
+		     const bsh_msg_release_t *release)
+{
+	if (!bsh_lease_released(&orders->lease, sender, release->active,
+				release->listed, release->revision,
+				now_us(orders)))
+		return;
+	for (uint32_t i = 0; i < release->ordered_count; i++)
+		hold_target(orders, release->ordered[i].target,
+			    1000 * (int64_t)release->ordered[i].age_ms);
+	bsh_promise_end(&orders->promise, release->term, now_us(orders));
+	orders->contact_us = 0;
+}
+
+/* Counts who supports the own term; the holder is one of them. */
+static void count_support(orders_t *orders)
+{
+	bsh_lease_t *lease = &orders->lease;
+	int64_t now = now_us(orders);
+
+	if (!bsh_lease_is_holder(lease, now))
+		return;
+	if (orders->quorum_term != lease->term) {
+		orders->quorum_term = lease->term;
+		bsh_quorum_begin(&orders->quorum);
+	}
+	if (bsh_promise_give(&orders->promise, lease->term, now, now))
+		bsh_quorum_add(&orders->quorum, lease->self, now);
+	bsh_quorum_known(&orders->quorum, peers_known(orders->control->peers),
+			 now);
+	bsh_lease_supported(lease, bsh_quorum_until(&orders->quorum), now);
+}
+
+void order_lease_register(void)
+{
+	bsh_counter_register(&holding);
+}
+
+void order_lease_note(const orders_t *orders, const char *target)
+{
+	note_ordered(orders, target, now_us(orders));
+}
+
+void order_lease_tick(orders_t *orders)
+{
+	call_lease(orders);
+	count_support(orders);
+	consider_handover(orders);
+	note_term(orders);
+	if (orders->tell_release > 0)
+		tell_release(orders);
+}
