Notice a lost watch of the holder within the drain time, and tell its age

When only its watch on targets is lost, renewals of the lease still answer; the watch was given up 1 s after its wait, and the list had to be read then.

- The age of contact that the holder tells counts from when its watch on targets was due, if that is earlier than the last answer: the others follow the store themselves 1.2 s after that.

Ruled out by computing the delays: a small instance that took the lease.

--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -130,6 +130,16 @@
 	return true;
 }
 
+/* Since the store last answered, or since its watch on the targets should have:
+ * the others rely on that one too. */
+static int64_t contact_age_us(const control_t *control)
+{
+	int64_t now_us = bsh_loop_clock_us();
+
+	return MAX(now_us - control->store.answered_us,
+		   now_us - targets_due_us(control->targets));
+}
+
 /* To one instance, or to all when instance is NULL. */
 static void send_batch(const announcer_t *announcer, const char *instance,
 		       batch_t *batch, uint64_t from, uint64_t to,
@@ -139,7 +149,7 @@
 	const bsh_lease_t *lease = orders_lease(control->orders);
 	bsh_message_t message = { .type = BSH_MSG_PLACEMENT };
 	bsh_msg_placement_t *placement = &message.placement;
-	int64_t age_us = bsh_loop_clock_us() - control->store.answered_us;
+	int64_t age_us = contact_age_us(control);
 
 	placement->term = lease->term;
 	placement->revision = lease->revision;
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -85,6 +85,9 @@
 void targets_follow(targets_t *targets, bool own);
 /* The list is known from the store and up to date. */
 bool targets_reached(const targets_t *targets);
+/* When the own watch on the list was due at the latest, by the clock of the
+ * loops. */
+int64_t targets_due_us(const targets_t *targets);
 /* When the store last confirmed the list to this instance, by the clock of the
  * loops. */
 int64_t targets_confirmed_us(const targets_t *targets);
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -377,6 +377,11 @@
 	       !targets->feed.paused;
 }
 
+int64_t targets_due_us(const targets_t *targets)
+{
+	return targets->feed.answered_us + targets->feed.ops.wait_ms * 1000LL;
+}
+
 int64_t targets_confirmed_us(const targets_t *targets)
 {
 	int64_t told_age_us = orders_told_age_us(targets->control->orders);
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -383,6 +383,9 @@
 	platform_rig_run(&f->rig, 300);
 	call(f, "/stream/1", "p1", "m0");
 	leaving = other->runs > 0 ? other : f->engine;
+	/* The watch has just been renewed. */
+	platform_rig_beat(leaving, "ready");
+	platform_rig_run(&f->rig, 20);
 	f->rig.store_deaf = true;
 	platform_rig_beat(leaving, "draining");
 	/* The drain time of the settings, which the rig leaves as they are. */
