Bound the grace time of a missing target by the age of the list

A target whose entry had vanished was kept for 60 % of the drain time from the moment at which an instance found it missing. Ruled out: a late view in the traffic thread; the log shows the target in use within its grace time.

The grace time now also ends at 80 % of the drain time since the list was last known to be complete, through the own watch or the announcements of the holder (coordination/missing_target.h). /entry/vanished-during-handover fails with the old program (5 runs after the drain time) and passes now.

Also, a request is checked again for its caller's deadline and disconnect at each choice of a target and immediately before its first byte is sent (GONE: a request sent on 3 s after the deadline by an instance that had been held up). /entry/paused-instance passes with the old program too: it guards the path but does not show the fault; /http/withheld tests the last check.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -104,6 +104,9 @@
 /* Selects the source of updates: this instance's own watch on the store, or the
  * announcements of the lease holder. */
 void targets_set_source(targets_t *targets, bool from_store);
+/* Notes that all announcements of a lease holder have been applied, and the age
+ * of the holder's contact with the store by its message. */
+void targets_note_announced(targets_t *targets, int64_t contact_age_us);
 /* True while the list is read from the store directly and the store answers. */
 bool targets_is_synced(const targets_t *targets);
 /* Time by which the store should have answered the current watch on the list,
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -128,6 +128,7 @@
 	feed->revision = feed->first_page_revision;
 	feed->listing = false;
 	feed->ops.on_listed(feed->ops.ctx, feed->list);
+	feed->complete_us = feed->list_began_us;
 	if (feed->ops.wait_ms > 0) {
 		schedule_call(feed, 0);
 		return;
@@ -163,6 +164,7 @@
 	set_store_reached(feed, true, answer);
 	feed->backoff_us = FEED_BACKOFF_MIN_US;
 	deliver_objects(feed, answer, 0);
+	feed->complete_us = feed->answered_us;
 	feed->revision = MAX(feed->revision, answer->revision);
 	schedule_call(feed, 0);
 }
@@ -174,6 +176,8 @@
 	if (feed->call_pending || feed->stopped || feed->paused)
 		return;
 	feed->call_pending = true;
+	if (feed->listing && feed->next_after == NULL)
+		feed->list_began_us = bsh_loop_clock_us();
 	if (feed->listing)
 		platform_store_list(feed->store, feed->kind, feed->next_after,
 				    on_list, new_call(feed));
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -57,11 +57,15 @@
 	bool call_pending;	      /* a call awaits its response */
 	bool stopped;
 	bool paused;
-	bool reached;	      /* the last call succeeded */
-	int64_t backoff_us;   /* delay of the next retry */
-	int64_t answered_us;  /* time of the last successful call */
-	int64_t failed_us;    /* time of the last failed call; 0: none */
-	int64_t recovered_us; /* first success after the last failure */
+	bool reached;	     /* the last call succeeded */
+	int64_t backoff_us;  /* delay of the next retry */
+	int64_t answered_us; /* time of the last successful call */
+	/* The delivered objects include all changes made before this time; 0:
+	 * no list was completed. */
+	int64_t complete_us;
+	int64_t list_began_us; /* first call of the current list */
+	int64_t failed_us;     /* time of the last failed call; 0: none */
+	int64_t recovered_us;  /* first success after the last failure */
 } feed_t;
 
 void feed_init(feed_t *feed, platform_store_t *store, bsh_loop_t *loop,
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -21,6 +21,13 @@
 					: 1;
 }
 
+bool forward_is_abandoned(const request_t *r)
+{
+	return bsh_loop_clock_us() >=
+		       MIN(r->client_deadline_us, r->timeout_us) ||
+	       !bsh_http_request_is_connected(r->http);
+}
+
 static void add_headers(const request_t *r)
 {
 	for (guint i = 0; i + 1 < r->head.headers->len; i += 2)
@@ -80,6 +87,16 @@
 	traffic_attempt_ended(r, end, err);
 }
 
+/* The last check before the request leaves: it may have taken long to connect,
+ * or the process may have been paused meanwhile. */
+static bool may_send(void *ctx)
+{
+	request_t *r = ctx;
+
+	r->withheld = forward_is_abandoned(r);
+	return !r->withheld;
+}
+
 static void on_sent(void *ctx)
 {
 	request_t *r = ctx;
@@ -209,12 +226,15 @@
 	if (result->err == BSH_OK)
 		finish_complete(r);
 	else if (!result->sent)
-		end_attempt(r, ATTEMPT_NOT_REACHED, BSH_ERR_CONNECT);
+		end_attempt(
+			r, r->withheld ? ATTEMPT_WITHHELD : ATTEMPT_NOT_REACHED,
+			BSH_ERR_CONNECT);
 	else
 		end_attempt(r, ATTEMPT_BROKEN, result->err);
 }
 
 static const bsh_http_handler_t call_handler = {
+	.may_send = may_send,
 	.on_sent = on_sent,
 	.on_header = on_header,
 	.on_head = on_head,
@@ -236,6 +256,7 @@
 	r->status = 0;
 	r->head_received = false;
 	r->call_sent = false;
+	r->withheld = false;
 	r->paused = false;
 	g_string_truncate(r->held_body, 0);
 	bsh_event_relay_restart(&r->relay);
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -385,6 +385,9 @@
 					   &placement->entries[i],
 					   placement->term);
 	record_announcements(orders, placement);
+	if (orders->received_through >= orders->last_announced)
+		targets_note_announced(orders->control->targets,
+				       placement->contact_age_ms * 1000LL);
 	set_announced_ready(orders, placement);
 }
 
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -7,6 +7,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/missing_target.h"
 #include "platform/decode.h"
 
 /* Target objects that expired during an outage of the store are back within
@@ -15,9 +16,6 @@
 /* An announced placement is used instead of the holdings of the target's object
  * for this long; by then the target has updated its object. */
 #define PLACEMENT_TTL_US INT64_C(2500000)
-/* Share of the drain time for which a target without an object is kept, in case
- * the object comes back; the rest is left for requests in flight. */
-#define MISSING_GRACE_PERCENT 60
 /* Timeout of one watch, as a share of the drain time and within these limits.
  * A watch that the store has lost reports no change until it is renewed, and a
  * leaving target must be detected within this share of the drain time. */
@@ -55,6 +53,9 @@
 	GHashTable *table;	/* id to listed_t */
 	GHashTable *tombstones; /* id to tombstone_t */
 	bool listed;
+	/* Lower bound of the last time at which the list that the lease holder
+	 * announces was complete. */
+	int64_t announced_complete_us;
 };
 
 static bsh_counter_t malformed_objects =
@@ -63,19 +64,32 @@
 static bsh_counter_t target_count =
 	BSH_GAUGE("bsh_targets", "Targets on the platform's list.");
 
+/* Last time at which the list was known to be complete. */
+static int64_t complete_us(const targets_t *targets)
+{
+	int64_t now_us = control_now_us(targets->control);
+	int64_t own_age_us = bsh_loop_clock_us() - targets->feed.complete_us;
+
+	return MAX(targets->announced_complete_us, now_us - own_age_us);
+}
+
+/* Time for which a target is kept after its object was found missing. */
 static int64_t removal_grace_us(const targets_t *targets)
 {
 	const bsh_settings_t *settings = &targets->control->entry->settings;
-	int64_t drain_us = settings->entry_drain_ms * INT64_C(1000) *
-			   MISSING_GRACE_PERCENT / 100;
-	int64_t outage_us = targets->feed.recovered_us + OUTAGE_GRACE_US -
-			    bsh_loop_clock_us();
-
-	/* The store has not failed since the start: no object can have expired
-	 * in an outage. */
-	if (targets->feed.failed_us == 0)
-		return drain_us;
-	return MAX(drain_us, outage_us);
+	int64_t now_us = control_now_us(targets->control);
+	int64_t outage_until_us = 0;
+
+	/* If the store has not failed since the start, no object can have
+	 * expired in an outage. */
+	if (targets->feed.failed_us > 0)
+		outage_until_us = now_us + targets->feed.recovered_us +
+				  OUTAGE_GRACE_US - bsh_loop_clock_us();
+	return bsh_missing_target_until_us(now_us, complete_us(targets),
+					   settings->entry_drain_ms *
+						   INT64_C(1000),
+					   outage_until_us) -
+	       now_us;
 }
 
 static void remove_target(targets_t *targets, listed_t *listed,
@@ -392,6 +406,19 @@
 	       !targets->feed.paused;
 }
 
+void targets_note_announced(targets_t *targets, int64_t contact_age_us)
+{
+	/* The holder's age counts from the time at which its watch should have
+	 * been answered, so the last answer may be one watch older. */
+	int64_t age_us = contact_age_us + targets->feed.ops.wait_ms * 1000LL;
+
+	if (!targets->feed.paused)
+		return;
+	targets->announced_complete_us =
+		MAX(targets->announced_complete_us,
+		    control_now_us(targets->control) - age_us);
+}
+
 int64_t targets_watch_due_us(const targets_t *targets)
 {
 	return targets->feed.answered_us + targets->feed.ops.wait_ms * 1000LL;
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -502,10 +502,28 @@
 		traffic_attempt_ended(r, ATTEMPT_NOT_REACHED, BSH_ERR_SYSTEM);
 }
 
+/* Ends a request whose caller no longer waits for it.  After a pause of the
+ * process, or when it is short of processor time, the deadline and the
+ * disconnect may not have been handled yet. */
+static void end_abandoned(request_t *r)
+{
+	if (bsh_http_request_is_connected(r->http)) {
+		fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
+		return;
+	}
+	forward_cancel(r);
+	bsh_http_response_abort(r->http);
+	finish(r, COUNT_GONE, 0, "caller-left");
+}
+
 static void dispatch(request_t *r)
 {
 	const view_target_t *target;
 
+	if (forward_is_abandoned(r)) {
+		end_abandoned(r);
+		return;
+	}
 	if (r->n_tried >= TRIED_MAX) {
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 		return;
@@ -557,6 +575,7 @@
 	switch (end) {
 	case ATTEMPT_ANSWERED:
 	case ATTEMPT_REFUSED:
+	case ATTEMPT_WITHHELD:
 		/* A refusal means that the target is full or does not hold the
 		 * model, not that it has failed. */
 		bsh_target_ended(record, false, now_us);
@@ -574,8 +593,10 @@
 static void log_attempt(const request_t *r, attempt_end_t end, bsh_error_t err,
 			bool again)
 {
-	static const char *const names[] = { "answered", "not-reached",
-					     "refused", "failed", "broken" };
+	static const char *const names[] = {
+		"answered", "not-reached", "withheld",
+		"refused",  "failed",	   "broken",
+	};
 
 	bsh_log(BSH_LOG_INFO,
 		"attempt-ended id=%s target=%s end=%s error=%s status=%d "
@@ -592,7 +613,7 @@
 {
 	bsh_loop_timer_stop(&r->inactivity_timer);
 	record_target_outcome(r, end);
-	if (end != ATTEMPT_NOT_REACHED)
+	if (end != ATTEMPT_NOT_REACHED && end != ATTEMPT_WITHHELD)
 		r->sends++;
 	if (end == ATTEMPT_FAILED || end == ATTEMPT_BROKEN)
 		r->may_have_run = true;
@@ -614,6 +635,11 @@
 		       r->status, "-");
 		return;
 	}
+	if (end == ATTEMPT_WITHHELD) {
+		log_attempt(r, end, err, false);
+		end_abandoned(r);
+		return;
+	}
 	again = end == ATTEMPT_NOT_REACHED || may_send_again(r, r->sends);
 	log_attempt(r, end, err, again);
 	if (end == ATTEMPT_NOT_REACHED) {
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -110,6 +110,7 @@
 	target_state_t *target; /* of the last attempt; NULL: none yet */
 	bsh_http_call_t *call;	/* NULL: no call is running */
 	bool call_sent;		/* a byte may have reached the target */
+	bool withheld;		/* not sent, as the caller no longer waits */
 	int64_t call_began_us;
 	bsh_loop_timer_t inactivity_timer;
 	int64_t last_active_us; /* last send, or last events from the target */
@@ -131,6 +132,7 @@
 typedef enum {
 	ATTEMPT_ANSWERED,    /* the complete response was passed on */
 	ATTEMPT_NOT_REACHED, /* nothing was sent */
+	ATTEMPT_WITHHELD,    /* not sent, as the caller no longer waits */
 	ATTEMPT_REFUSED,     /* the target confirmed that it did not run */
 	ATTEMPT_FAILED,	     /* complete 5xx response; passed on if final */
 	ATTEMPT_BROKEN	     /* no complete or no valid response */
@@ -163,6 +165,9 @@
 void forward_answer_failure(request_t *r);
 /* forward_resume - read from the target again after the caller caught up. */
 void forward_resume(request_t *r);
+/* forward_is_abandoned - the caller has disconnected or its deadline has passed:
+ * nothing may be sent for the request. */
+bool forward_is_abandoned(const request_t *r);
 /* forward_time_left_ms - time until the deadline or timeout, at least 1. */
 uint32_t forward_time_left_ms(const request_t *r);
 
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -246,6 +246,11 @@
 		call->err = BSH_ERR_CONNECTION_LOST;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	if (call->handler.may_send != NULL &&
+	    !call->handler.may_send(call->ctx)) {
+		call->err = BSH_ERR_CONNECT;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	call->sent = true;
 	if (call->handler.on_sent != NULL)
 		call->handler.on_sent(call->ctx);
--- a/lib/transport/http_client.h
+++ b/lib/transport/http_client.h
@@ -71,6 +71,9 @@
 
 typedef struct {
 	/* All but on_end may be NULL. */
+	/* Connected; false ends the call with BSH_ERR_CONNECT before anything
+	 * is sent. */
+	bool (*may_send)(void *ctx);
 	/* Connected; the first byte of the request is about to be sent. */
 	void (*on_sent)(void *ctx);
 	bsh_http_header_fn_t on_header;
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -1,6 +1,7 @@
 #include "transport/http_server.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <stdlib.h>
@@ -547,6 +548,19 @@
 	return body != NULL ? g_string_free(body, FALSE) : g_strdup("");
 }
 
+bool bsh_http_request_is_connected(const bsh_http_request_t *request)
+{
+	ssize_t n;
+	char byte;
+
+	if (request->aborted || request->mhd == NULL)
+		return false;
+	if (request->connection == NULL || request->connection->fd < 0)
+		return true;
+	n = recv(request->connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
+}
+
 void bsh_http_request_set_handler(bsh_http_request_t *request,
 				  const bsh_http_request_handler_t *handler,
 				  void *ctx)
--- a/lib/transport/http_server.h
+++ b/lib/transport/http_server.h
@@ -123,6 +123,11 @@
  * who frees it by g_free(). */
 char *bsh_http_request_take_body(bsh_http_request_t *request, size_t *size);
 
+/* bsh_http_request_is_connected - ask the socket whether the client has
+ * disconnected, which on_done reports only in a later turn of the loop.  True
+ * if the client has sent a further request before its disconnect. */
+bool bsh_http_request_is_connected(const bsh_http_request_t *request);
+
 /* bsh_http_request_set_handler - set the callbacks of a request. */
 void bsh_http_request_set_handler(bsh_http_request_t *request,
 				  const bsh_http_request_handler_t *handler,
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -373,6 +373,58 @@
 	g_assert_cmpuint(vanished->runs, ==, runs);
 }
 
+/* Guards against requests to a target later than the drain time after its entry
+ * was removed, because the lease holder had lost the store just before and the
+ * other instances began a new grace time when they read the list themselves. */
+static void test_vanished_during_handover(void)
+{
+	/* The default, which the rig does not change. */
+	const int64_t drain_us = 2000000;
+	fixture_t f = { 0 };
+	rig_entry_t *others[2];
+	int64_t removed_us;
+	relay_t relay;
+	char *port;
+
+	platform_rig_init(&f.rig);
+	f.rig.lease_ms = 3000;
+	platform_rig_configure(&f.rig, NULL);
+	f.engine = platform_rig_add_worker(&f.rig, "llm", "m0");
+	port = strrchr(f.rig.store_address, ':');
+	relay_init(&relay, &f.rig.loop,
+		   (uint16_t)g_ascii_strtoull(port + 1, NULL, 10));
+	g_strlcpy(f.rig.store_address, relay.address,
+		  sizeof(f.rig.store_address));
+	f.entry = platform_rig_add_entry(&f.rig);
+	platform_rig_wait_ready(&f.rig, f.entry);
+	platform_rig_run(&f.rig, 1000);
+	g_snprintf(f.rig.store_address, sizeof(f.rig.store_address),
+		   "127.0.0.1:%u", relay.to_port);
+	for (int i = 0; i < 2; i++) {
+		others[i] = platform_rig_add_entry(&f.rig);
+		platform_rig_wait_ready(&f.rig, others[i]);
+	}
+	platform_rig_run(&f.rig, 1000);
+	f.entry = others[0];
+	call(&f, "/stream/1", "x1", "m0");
+	g_assert_cmpint(f.reply.status, ==, 200);
+	relay_set_mode(&relay, RELAY_HOLDS_ALL);
+	platform_rig_run(&f.rig, 50);
+	platform_rig_remove_worker(f.engine);
+	removed_us = bsh_loop_clock_us();
+	platform_rig_run(&f.rig, drain_us / 1000);
+	f.engine->runs = 0;
+	while (bsh_loop_clock_us() < removed_us + drain_us + 1000000) {
+		platform_rig_reply_clear(&f.reply);
+		platform_rig_send(&f.rig, f.entry->front, "/stream/1", "x2",
+				  "m0", 100, &f.reply);
+		platform_rig_run(&f.rig, 50);
+	}
+	g_assert_cmpuint(f.engine->runs, ==, 0);
+	relay_finish(&relay);
+	tear_down(&f, NULL);
+}
+
 /* Guards against requests to a draining target after its drain time, because
  * the store has lost the watch that would have reported the change. */
 static void test_lost_watch(fixture_t *f, gconstpointer data)
@@ -416,6 +468,25 @@
 	g_assert_cmpuint(f->desk->aborted, ==, 1);
 }
 
+/* Guards against a request that is sent on after its caller has given up and
+ * disconnected, by an instance that was paused or slow to read it. */
+static void test_paused_instance(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	call(f, "/look/1", "q1", NULL);
+	kill(f->entry->pid, SIGSTOP);
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_send(&f->rig, f->entry->front, "/look/1", "q2", NULL, 300,
+			  &f->reply);
+	platform_rig_run(&f->rig, 400);
+	platform_rig_reply_clear(&f->reply);
+	kill(f->entry->pid, SIGCONT);
+	platform_rig_run(&f->rig, 400);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "q2"), ==, 0);
+	call(f, "/look/1", "q3", NULL);
+	g_assert_cmpint(f->reply.status, ==, 200);
+}
+
 /* Guards against an older or missing configuration during a store outage, and
  * against a new one that is not adopted after it. */
 static void test_configuration_without_store(fixture_t *f, gconstpointer data)
@@ -493,8 +564,11 @@
 	ADD("/entry/orders-without-store", test_orders_without_store);
 	g_test_add_func("/entry/handover", test_handover);
 	ADD("/entry/vanished-target", test_vanished_target);
+	g_test_add_func("/entry/vanished-during-handover",
+			test_vanished_during_handover);
 	ADD("/entry/lost-watch", test_lost_watch);
 	ADD("/entry/caller-leaves", test_caller_leaves);
+	ADD("/entry/paused-instance", test_paused_instance);
 	ADD("/entry/configuration-without-store",
 	    test_configuration_without_store);
 	ADD("/entry/configuration-after-lost-history",
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -34,6 +34,7 @@
 	bsh_http_result_t result;
 	size_t filled_bytes; /* bytes that the response to /fill has so far */
 	bsh_http_call_t *call;
+	bool withhold; /* the client's last check forbids to send */
 } fixture_t;
 
 static void on_done(void *ctx, bool delivered)
@@ -150,7 +151,15 @@
 	f->call = NULL;
 }
 
+static bool may_send(void *ctx)
+{
+	const fixture_t *f = ctx;
+
+	return !f->withhold;
+}
+
 static const bsh_http_handler_t client_handler = {
+	.may_send = may_send,
 	.on_head = on_head,
 	.on_data = on_data,
 	.on_end = on_end,
@@ -249,6 +258,24 @@
 	fixture_finish(&f);
 }
 
+/* Guards against a request that leaves although its caller has given up while
+ * the connection was being made, and against its being reported as sent. */
+static void test_withheld(void)
+{
+	fixture_t f;
+
+	fixture_init(&f);
+	fetch(&f, "/echo", "x");
+	g_assert_cmpint(f.requests, ==, 1);
+	f.withhold = true;
+	f.ends = 0;
+	fetch(&f, "/echo", "x");
+	g_assert_cmpint(f.result.err, ==, BSH_ERR_CONNECT);
+	g_assert_false(f.result.sent);
+	g_assert_cmpint(f.requests, ==, 1);
+	fixture_finish(&f);
+}
+
 /* Guards against a cancelled call that the server keeps processing, and against
  * a callback after the cancellation. */
 static void test_cancel(void)
@@ -468,6 +495,7 @@
 	g_test_add_func("/http/backpressure", test_backpressure);
 	g_test_add_func("/http/broken-answer", test_truncated_response);
 	g_test_add_func("/http/sent", test_sent);
+	g_test_add_func("/http/withheld", test_withheld);
 	g_test_add_func("/http/cancel", test_cancel);
 	g_test_add_func("/http/header-injection", test_header_injection);
 	g_test_add_func("/http/stop", test_stop);
