Forget failures of the store when a feed is paused

Their next answer from the store, seconds later, counted as the end of that outage, so they allowed entries to come back for 2.5 s.

A feed that is paused is followed through the holder's announcements, so an earlier failure hides no change: it is forgotten at the pause. /entry/vanished-after-failure fails before (20 runs after the drain time) and passes after.

--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -204,6 +204,9 @@
 	if (feed->paused)
 		return;
 	feed->paused = true;
+	/* The changes are received from elsewhere from now on, so an earlier
+	 * failure of the store hides none of them. */
+	feed->failed_us = 0;
 	/* Drops the response to the pending call. */
 	feed->serial++;
 	feed->call_pending = false;
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -373,33 +373,47 @@
 	g_assert_cmpuint(vanished->runs, ==, runs);
 }
 
+/* Resets all connections through the relay again and again. */
+static void reset_connections(fixture_t *f, relay_t *relay, int64_t ms)
+{
+	int64_t until_us = bsh_loop_clock_us() + ms * 1000;
+
+	relay_set_mode(relay, RELAY_HOLDS_ALL);
+	while (bsh_loop_clock_us() < until_us) {
+		relay_reset_all(relay);
+		platform_rig_run(&f->rig, 20);
+	}
+}
+
 /* Guards against requests to a target later than the drain time after its entry
  * was removed, because the lease holder had lost the store just before and the
  * other instances began a new grace time when they read the list themselves. */
-static void test_vanished_during_handover(void)
+static void check_vanished_during_handover(bool after_failure)
 {
 	/* The default, which the rig does not change. */
 	const int64_t drain_us = 2000000;
 	fixture_t f = { 0 };
 	rig_entry_t *others[2];
 	int64_t removed_us;
+	relay_t holder_relay;
 	relay_t relay;
-	char *port;
+	uint16_t port;
 
 	platform_rig_init(&f.rig);
 	f.rig.lease_ms = 3000;
 	platform_rig_configure(&f.rig, NULL);
 	f.engine = platform_rig_add_worker(&f.rig, "llm", "m0");
-	port = strrchr(f.rig.store_address, ':');
-	relay_init(&relay, &f.rig.loop,
-		   (uint16_t)g_ascii_strtoull(port + 1, NULL, 10));
-	g_strlcpy(f.rig.store_address, relay.address,
+	port = (uint16_t)g_ascii_strtoull(strrchr(f.rig.store_address, ':') + 1,
+					  NULL, 10);
+	relay_init(&holder_relay, &f.rig.loop, port);
+	relay_init(&relay, &f.rig.loop, port);
+	g_strlcpy(f.rig.store_address, holder_relay.address,
 		  sizeof(f.rig.store_address));
 	f.entry = platform_rig_add_entry(&f.rig);
 	platform_rig_wait_ready(&f.rig, f.entry);
 	platform_rig_run(&f.rig, 1000);
-	g_snprintf(f.rig.store_address, sizeof(f.rig.store_address),
-		   "127.0.0.1:%u", relay.to_port);
+	g_strlcpy(f.rig.store_address, relay.address,
+		  sizeof(f.rig.store_address));
 	for (int i = 0; i < 2; i++) {
 		others[i] = platform_rig_add_entry(&f.rig);
 		platform_rig_wait_ready(&f.rig, others[i]);
@@ -408,7 +422,16 @@
 	f.entry = others[0];
 	call(&f, "/stream/1", "x1", "m0");
 	g_assert_cmpint(f.reply.status, ==, 200);
-	relay_set_mode(&relay, RELAY_HOLDS_ALL);
+	if (after_failure) {
+		/* The others miss the holder and do not reach the store; they
+		 * follow the holder again before the store answers them. */
+		kill(f.rig.entries[0].pid, SIGSTOP);
+		reset_connections(&f, &relay, 1500);
+		kill(f.rig.entries[0].pid, SIGCONT);
+		reset_connections(&f, &relay, 1000);
+		relay_set_mode(&relay, RELAY_PASSES);
+	}
+	relay_set_mode(&holder_relay, RELAY_HOLDS_ALL);
 	platform_rig_run(&f.rig, 50);
 	platform_rig_remove_worker(f.engine);
 	removed_us = bsh_loop_clock_us();
@@ -422,9 +445,22 @@
 	}
 	g_assert_cmpuint(f.engine->runs, ==, 0);
 	relay_finish(&relay);
+	relay_finish(&holder_relay);
 	tear_down(&f, NULL);
 }
 
+static void test_vanished_during_handover(void)
+{
+	check_vanished_during_handover(false);
+}
+
+/* The same with instances that have not reached the store since it failed: they
+ * took the change of source for the end of that outage. */
+static void test_vanished_after_failure(void)
+{
+	check_vanished_during_handover(true);
+}
+
 /* Guards against requests to a draining target after its drain time, because
  * the store has lost the watch that would have reported the change. */
 static void test_lost_watch(fixture_t *f, gconstpointer data)
@@ -566,6 +602,8 @@
 	ADD("/entry/vanished-target", test_vanished_target);
 	g_test_add_func("/entry/vanished-during-handover",
 			test_vanished_during_handover);
+	g_test_add_func("/entry/vanished-after-failure",
+			test_vanished_after_failure);
 	ADD("/entry/lost-watch", test_lost_watch);
 	ADD("/entry/caller-leaves", test_caller_leaves);
 	ADD("/entry/paused-instance", test_paused_instance);
