--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -74,7 +74,9 @@
 
 void announcer_begin_term(announcer_t *announcer)
 {
-	announcer->last = 0;
+	announcer->last = ANNOUNCEMENTS_BEGIN;
+	announcer->log[ANNOUNCEMENTS_BEGIN].n = 0;
+	announcer->log[ANNOUNCEMENTS_BEGIN].sent_us = bsh_loop_clock_us();
 	g_hash_table_remove_all(announcer->retransmitted_us);
 }
 
@@ -226,8 +228,7 @@
 	batch_t batch;
 } full_list_t;
 
-/* Sends one of several datagrams, of which only the last one carries the
- * numbers of the announcements. */
+/* Sends a datagram that does not show which announcements it includes. */
 static void send_unnumbered(const announcer_t *announcer, const char *instance,
 			    batch_t *batch)
 {
@@ -244,13 +245,46 @@
 	add_target(full->announcer, &full->batch, target->id);
 }
 
+static void add_key(void *ctx, const bsh_target_t *target)
+{
+	GArray *keys = ctx;
+	uint32_t key = GUINT32_TO_BE(bsh_target_key(target->id));
+
+	g_array_append_val(keys, key);
+}
+
+/* Sends the keys of all targets: the instance drops the others, and compares
+ * them with the states that it has received. */
+static void send_inventory(const announcer_t *announcer, const char *instance)
+{
+	g_autoptr(GArray) keys = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	bsh_message_t message = { .type = BSH_MSG_INVENTORY };
+	bsh_msg_inventory_t *inventory = &message.inventory;
+
+	targets_foreach(announcer->control->targets, add_key, keys);
+	inventory->term = orders_lease(announcer->control->orders)->term;
+	inventory->number = announcer->last;
+	inventory->parts = MAX((keys->len + BSH_INVENTORY_KEYS_MAX - 1) /
+				       BSH_INVENTORY_KEYS_MAX,
+			       1);
+	for (; inventory->part < inventory->parts; inventory->part++) {
+		guint first = inventory->part * BSH_INVENTORY_KEYS_MAX;
+		guint n = MIN(keys->len - first, BSH_INVENTORY_KEYS_MAX);
+
+		inventory->keys =
+			(const uint8_t *)keys->data + first * sizeof(uint32_t);
+		inventory->keys_bytes = n * (uint32_t)sizeof(uint32_t);
+		peers_send(announcer->control->peers, instance, &message);
+	}
+}
+
 static void send_all_targets(const announcer_t *announcer, const char *instance)
 {
 	full_list_t full = { .announcer = announcer, .instance = instance };
 
 	targets_foreach(announcer->control->targets, add_to_full_list, &full);
-	send_batch(announcer, instance, &full.batch, 0, announcer->last, NULL,
-		   0);
+	send_unnumbered(announcer, instance, &full.batch);
+	send_inventory(announcer, instance);
 }
 
 static void retransmit_since(const announcer_t *announcer, const char *instance,
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -113,6 +113,13 @@
 	} else if (message->type == BSH_MSG_RELEASE) {
 		orders_receive_release(control->orders, message->sender,
 				       &message->release);
+	} else if (message->type == BSH_MSG_LOAD) {
+		loads_receive(control->loads, message->sender, &message->load);
+	} else if (message->type == BSH_MSG_INVENTORY) {
+		if (strcmp(message->sender, orders_holder(control->orders)) ==
+		    0)
+			inventory_receive(control->inventory,
+					  &message->inventory);
 	}
 }
 
@@ -121,7 +128,10 @@
 	control_demand_msg_t *demand = data;
 
 	orders_send_demand(demand->control->orders, demand->entries);
+	loads_report(demand->control->loads, demand->loads, demand->offers);
 	g_array_free(demand->entries, TRUE);
+	g_array_free(demand->loads, TRUE);
+	g_array_free(demand->offers, TRUE);
 	g_free(demand);
 }
 
@@ -207,6 +217,7 @@
 
 	targets_tick(control->targets);
 	orders_tick(control->orders);
+	loads_tick(control->loads);
 	publish_freshness(control);
 	if (++ticks % (SETTINGS_CHECK_INTERVAL_US / TICK_INTERVAL_US) == 0)
 		reload_changed_settings(control);
@@ -296,6 +307,8 @@
 	control->peers = peers_new(control);
 	control->announcer = announcer_new(control);
 	control->orders = orders_new(control);
+	control->loads = loads_new(control);
+	control->inventory = inventory_new(control);
 	control->directory = directory_new(control);
 	err = directory_start(control->directory);
 	if (err == BSH_OK)
@@ -315,6 +328,8 @@
 	bsh_loop_timer_stop(&control->stop_timer);
 	bsh_loop_task_cancel(&control->view_task);
 	directory_free(control->directory);
+	inventory_free(control->inventory);
+	loads_free(control->loads);
 	orders_free(control->orders);
 	announcer_free(control->announcer);
 	targets_free(control->targets);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -31,6 +31,8 @@
 typedef struct targets targets_t;
 typedef struct peers peers_t;
 typedef struct orders orders_t;
+typedef struct loads loads_t;
+typedef struct inventory inventory_t;
 typedef struct announcer announcer_t;
 typedef struct directory directory_t;
 
@@ -43,6 +45,8 @@
 	targets_t *targets;
 	peers_t *peers;
 	orders_t *orders;
+	loads_t *loads;
+	inventory_t *inventory;
 	announcer_t *announcer;
 	directory_t *directory;
 	bsh_loop_timer_t tick_timer;
@@ -101,6 +105,15 @@
 void targets_apply_announcement(targets_t *targets,
 				const bsh_placement_entry_t *entry,
 				uint64_t term);
+/* True if the announcements of the lease holder are the source of the list: the
+ * own watch is paused, or the store does not answer it. */
+bool targets_follow_holder(const targets_t *targets);
+/* Compares the targets with a complete list of their keys by the lease holder,
+ * and drops those that it does not name.  False if it names a target that is
+ * not known here. */
+bool targets_apply_inventory(targets_t *targets, GHashTable *keys);
+/* True if the list has been read from the store just now. */
+bool targets_are_current(const targets_t *targets);
 /* Selects the source of updates: this instance's own watch on the store, or the
  * announcements of the lease holder. */
 void targets_set_source(targets_t *targets, bool from_store);
@@ -162,6 +175,9 @@
 /* Handles DEMAND, also that of this instance itself. */
 void orders_receive_demand(orders_t *orders, const char *instance,
 			   const bsh_msg_demand_t *demand);
+/* Adds prefill work that requests have brought, by model. */
+void orders_add_work(orders_t *orders, const bsh_load_offer_t *offers,
+		     uint32_t n);
 /* Reports this instance's demand to the lease holder, acknowledges its
  * announcements and supports its term. */
 void orders_send_demand(orders_t *orders, const GArray *entries);
@@ -182,6 +198,8 @@
 void orders_release_lease(orders_t *orders);
 
 bool orders_is_holder(const orders_t *orders);
+/* Name of the last known lease holder; empty: none. */
+const char *orders_holder(const orders_t *orders);
 const bsh_lease_t *orders_lease(const orders_t *orders);
 /* Estimates of when models are ready; view_ready_t. */
 const GArray *orders_ready(const orders_t *orders);
@@ -191,6 +209,33 @@
 				    const bsh_target_t *target,
 				    uint64_t *version);
 
+/* Notes that the list of targets includes all announcements of the term up to
+ * this number. */
+void orders_note_inventory(orders_t *orders, uint64_t term, uint64_t number);
+
+/* inventory.c: complete lists of targets from the lease holder. */
+inventory_t *inventory_new(control_t *control);
+void inventory_free(inventory_t *inventory);
+/* Handles INVENTORY, of the current lease holder. */
+void inventory_receive(inventory_t *inventory,
+		       const bsh_msg_inventory_t *message);
+
+/* loads.c: load of the targets, by this instance's requests and by all. */
+loads_t *loads_new(control_t *control);
+void loads_free(loads_t *loads);
+/* Reports this instance's load, bsh_load_entry_t, and the work that its requests
+ * have brought since the last report, bsh_load_offer_t, to the lease holder. */
+void loads_report(loads_t *loads, const GArray *entries, const GArray *offers);
+/* Handles LOAD. */
+void loads_receive(loads_t *loads, const char *sender,
+		   const bsh_msg_load_t *load);
+/* Sends the sums to all instances if this one holds the lease. */
+void loads_tick(loads_t *loads);
+
+/* Number of the list at the begin of a term, which no announcement repeats: an
+ * instance that has neither received it nor read the store is behind. */
+#define ANNOUNCEMENTS_BEGIN 1U
+
 /* announce.c: announcements of the lease holder to the other instances. */
 announcer_t *announcer_new(control_t *control);
 void announcer_free(announcer_t *announcer);
--- /dev/null
+++ b/bshentryd/engine_load.c
@@ -0,0 +1,201 @@
+/* Load of the engines: estimates of the prefill work of requests, and what is
+ * open at each target by this instance and by the others. */
+#include "traffic.h"
+
+/* Estimated time to the first byte apart from prefill work. */
+#define FIRST_BYTE_FIXED_US 10000.0
+/* Prompt length that is assumed if the caller names none. */
+#define PROMPT_DEFAULT_TOKENS 500U
+
+/* Tokens of the prompt parts that other requests share: all but the last part,
+ * which belongs to the request or its session. */
+static uint32_t shared_tokens(const bsh_request_info_t *info)
+{
+	uint64_t tokens = 0;
+
+	for (uint32_t i = 0; i + 1 < info->n_parts; i++)
+		tokens += info->parts[i].tokens;
+	return (uint32_t)MIN(tokens, info->prompt_tokens);
+}
+
+/* A prompt of an absurd length counts as one that fills the KV cache. */
+static uint32_t prompt_tokens(const request_t *r)
+{
+	uint32_t tokens = r->info.prompt_tokens;
+
+	if (tokens == 0)
+		tokens = PROMPT_DEFAULT_TOKENS;
+	if (r->service->kv_capacity_tokens > 0)
+		tokens = MIN(tokens, r->service->kv_capacity_tokens);
+	return tokens;
+}
+
+void engine_load_work(const request_t *r, bsh_target_work_t *work)
+{
+	uint32_t tokens;
+	double token_us;
+
+	work->prefill_us = 0.0;
+	work->shared_us = 0.0;
+	if (!demand_is_counted(r))
+		return;
+	tokens = prompt_tokens(r);
+	token_us = bsh_prefill_token_us(&r->traffic->prefill, r->info.model);
+	work->prefill_us = token_us * tokens;
+	work->shared_us = token_us * MIN(shared_tokens(&r->info), tokens);
+}
+
+void engine_load_began(request_t *r, int64_t took_us)
+{
+	traffic_t *t = r->traffic;
+
+	bsh_target_first_byte(&r->target->record, took_us, r->expected_us,
+			      traffic_now_us(t));
+	if (r->expected_us > 0.0)
+		bsh_prefill_observe(
+			&t->prefill, r->info.model, r->uncached_tokens, took_us,
+			r->expected_us - FIRST_BYTE_FIXED_US - r->work_us);
+	engine_load_ended(r);
+}
+
+void engine_load_ended(request_t *r)
+{
+	bsh_target_work_done(&r->target->record, r->work_us);
+	r->work_us = 0.0;
+	r->expected_us = 0.0;
+}
+
+void engine_load_started(request_t *r, const bsh_target_candidate_t *candidate)
+{
+	int64_t now_us = traffic_now_us(r->traffic);
+	bsh_target_work_t work;
+
+	engine_load_work(r, &work);
+	r->work_us = 0.0;
+	r->expected_us = 0.0;
+	if (work.prefill_us > 0.0) {
+		r->work_us = bsh_target_own_us(candidate, &work);
+		r->expected_us =
+			FIRST_BYTE_FIXED_US + r->work_us +
+			bsh_target_ahead_us(&r->target->record, now_us);
+		r->uncached_tokens = (uint32_t)(prompt_tokens(r) * r->work_us /
+						work.prefill_us);
+	}
+	bsh_target_started(&r->target->record, r->work_us, now_us);
+}
+
+static bsh_load_entry_t *find_entry(GArray *entries, uint32_t model,
+				    uint32_t target)
+{
+	bsh_load_entry_t entry = { .model = model, .target = target };
+
+	for (guint i = 0; i < entries->len; i++) {
+		bsh_load_entry_t *known =
+			&g_array_index(entries, bsh_load_entry_t, i);
+
+		if (known->model == model && known->target == target)
+			return known;
+	}
+	g_array_append_val(entries, entry);
+	return &g_array_index(entries, bsh_load_entry_t, entries->len - 1);
+}
+
+static void note_reported(traffic_t *t)
+{
+	GHashTableIter iter;
+	void *data;
+
+	g_hash_table_iter_init(&iter, t->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		target_state_t *target = data;
+
+		target->record.reported_us = target->record.work_us;
+		target->record.reported_running = target->record.running;
+	}
+}
+
+GArray *engine_load_collect(traffic_t *t)
+{
+	GArray *entries = g_array_new(FALSE, FALSE, sizeof(bsh_load_entry_t));
+
+	for (GList *l = t->requests.head; l != NULL; l = l->next) {
+		const request_t *r = l->data;
+		bsh_load_entry_t *entry;
+
+		if (r->state != REQUEST_RUNNING || !demand_is_counted(r))
+			continue;
+		entry = find_entry(entries, r->info.model, r->target->key);
+		entry->work_ms += (uint32_t)(r->work_us / 1000.0);
+		entry->running++;
+	}
+	note_reported(t);
+	bsh_load_sort(entries);
+	return entries;
+}
+
+void engine_load_offer(const request_t *r)
+{
+	GHashTable *offered = r->traffic->offered;
+	void *key = GUINT_TO_POINTER(r->info.model);
+	double *sum = g_hash_table_lookup(offered, key);
+	bsh_target_work_t work;
+
+	engine_load_work(r, &work);
+	if (sum == NULL) {
+		sum = g_new0(double, 1);
+		g_hash_table_insert(offered, key, sum);
+	}
+	*sum += work.prefill_us - work.shared_us;
+}
+
+GArray *engine_load_take_offers(traffic_t *t)
+{
+	GArray *offers = g_array_new(FALSE, FALSE, sizeof(bsh_load_offer_t));
+	GHashTableIter iter;
+	void *key;
+	void *data;
+
+	g_hash_table_iter_init(&iter, t->offered);
+	while (offers->len < BSH_LOAD_OFFERS_MAX &&
+	       g_hash_table_iter_next(&iter, &key, &data)) {
+		bsh_load_offer_t offer = { .model = GPOINTER_TO_UINT(key) };
+
+		offer.work_ms = (uint32_t)MIN(*(double *)data / 1000.0,
+					      BSH_LOAD_VALUE_MAX);
+		g_hash_table_iter_remove(&iter);
+		if (offer.work_ms > 0)
+			g_array_append_val(offers, offer);
+	}
+	return offers;
+}
+
+void traffic_set_loads(void *data)
+{
+	traffic_loads_msg_t *message = data;
+	traffic_t *t = message->traffic;
+	g_autoptr(GHashTable) sums =
+		g_hash_table_new(g_direct_hash, g_direct_equal);
+	int64_t now_us = traffic_now_us(t);
+	GHashTableIter iter;
+	void *item;
+
+	for (guint i = 0; i < message->entries->len; i++) {
+		bsh_load_entry_t *entry =
+			&g_array_index(message->entries, bsh_load_entry_t, i);
+
+		g_hash_table_insert(sums, GUINT_TO_POINTER(entry->target),
+				    entry);
+	}
+	g_hash_table_iter_init(&iter, t->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		target_state_t *target = item;
+		const bsh_load_entry_t *sum = g_hash_table_lookup(
+			sums, GUINT_TO_POINTER(target->key));
+
+		bsh_target_set_others(&target->record,
+				      sum != NULL ? sum->work_ms * 1e3 : 0.0,
+				      sum != NULL ? sum->running : 0, now_us);
+	}
+	g_array_free(message->entries, TRUE);
+	g_free(message);
+}
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -10,6 +10,8 @@
  *	catalogs.c	configuration in force
  *	targets.c	list of targets and the models that they hold
  *	peers.c		membership, and messages between instances
+ *	inventory.c	complete lists of targets from the lease holder
+ *	loads.c		load of the targets, by this instance and by all
  *	orders.c	load and unload orders of the lease holder
  *	order_lease.c	acquisition and release of the lease
  *	announce.c	announcements of the lease holder to other instances
@@ -75,6 +77,8 @@
 typedef struct {
 	control_t *control;
 	GArray *entries; /* bsh_demand_entry_t */
+	GArray *loads;	 /* bsh_load_entry_t */
+	GArray *offers;	 /* bsh_load_offer_t */
 } control_demand_msg_t;
 /* control_demand - called by bsh_loop_post() with a control_demand_msg_t. */
 void control_demand(void *demand);
@@ -90,6 +94,13 @@
 } traffic_view_msg_t;
 /* traffic_set_view - called by bsh_loop_post() with a traffic_view_msg_t. */
 void traffic_set_view(void *view);
+/* Message from the control thread to traffic_set_loads(), which frees it. */
+typedef struct {
+	traffic_t *traffic;
+	GArray *entries; /* bsh_load_entry_t, sums of all instances */
+} traffic_loads_msg_t;
+/* traffic_set_loads - called by bsh_loop_post() with a traffic_loads_msg_t. */
+void traffic_set_loads(void *loads);
 /* traffic_drain - from now on each response closes its connection, and requests
  * wait only for models that are expected within the grace time. */
 void traffic_drain(void *traffic);
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -118,8 +118,7 @@
 
 	if (r->first_byte_us == 0)
 		r->first_byte_us = now_us;
-	bsh_target_first_byte(&r->target->record, now_us - r->call_began_us,
-			      now_us);
+	engine_load_began(r, now_us - r->call_began_us);
 }
 
 /* True if the response must not reach the caller: it belongs to another attempt
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -337,10 +337,12 @@
 		return;
 	if (orders->announced_term != placement->term) {
 		orders->announced_term = placement->term;
-		/* A list that was read from the store just now includes the
-		 * earlier announcements. */
+		/* At the begin of the term, a list that was read from the store
+		 * just now needs nothing more. */
 		orders->received_through =
-			targets_is_synced(orders->control->targets)
+			placement->from <= ANNOUNCEMENTS_BEGIN &&
+					targets_are_current(
+						orders->control->targets)
 				? placement->from
 				: 0;
 	}
@@ -385,12 +387,21 @@
 					   &placement->entries[i],
 					   placement->term);
 	record_announcements(orders, placement);
-	if (orders->received_through >= orders->last_announced)
+	if (targets_follow_holder(orders->control->targets) &&
+	    orders->received_through >= orders->last_announced)
 		targets_note_announced(orders->control->targets,
 				       placement->contact_age_ms * 1000LL);
 	set_announced_ready(orders, placement);
 }
 
+void orders_note_inventory(orders_t *orders, uint64_t term, uint64_t number)
+{
+	if (term == orders->announced_term &&
+	    targets_follow_holder(orders->control->targets))
+		orders->received_through =
+			MAX(orders->received_through, number);
+}
+
 /* The target list is watched in the store by the holder, and by each instance
  * that receives no recent messages of a holder that reaches the store. */
 static void choose_targets_source(orders_t *orders)
@@ -652,6 +663,19 @@
 	}
 }
 
+void orders_add_work(orders_t *orders, const bsh_load_offer_t *offers,
+		     uint32_t n)
+{
+	for (guint i = 0; i < orders->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(orders->services, i);
+
+		for (uint32_t j = 0; j < n; j++)
+			bsh_planner_add_work(service->planner, offers[j].model,
+					     offers[j].work_ms, now_us(orders));
+	}
+}
+
 void orders_fill(const orders_t *orders, view_t *view)
 {
 	g_array_append_vals(view->ready, orders->ready->data,
@@ -679,6 +703,11 @@
 	return bsh_lease_is_holder(&orders->lease, now_us(orders));
 }
 
+const char *orders_holder(const orders_t *orders)
+{
+	return orders->holder;
+}
+
 const bsh_lease_t *orders_lease(const orders_t *orders)
 {
 	return &orders->lease;
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -23,6 +23,9 @@
 #define WATCH_TIMEOUT_MIN_MS  500U
 #define WATCH_TIMEOUT_PERCENT 50
 
+/* Age up to which a list from the store is taken for current. */
+#define CURRENT_MAX_AGE_US INT64_C(300000)
+
 typedef struct {
 	bsh_target_t target; /* last known state */
 	uint64_t list;	     /* number of the last list that contained it */
@@ -338,8 +341,7 @@
 	return true;
 }
 
-/* Applies the announced state of a target, while the watch on the store is
- * paused. */
+/* Applies the announced state of a target. */
 static void apply_announced_state(targets_t *targets,
 				  const bsh_placement_entry_t *entry,
 				  const bsh_holdings_t *holdings)
@@ -382,12 +384,51 @@
 	if (!accept_announcement(targets, entry, term))
 		return;
 	decode_pairs(entry, &holdings);
-	if (targets->feed.paused)
+	if (targets_follow_holder(targets))
 		apply_announced_state(targets, entry, &holdings);
 	if (entry->state != BSH_TARGET_GONE && entry->version > 0)
 		set_placement(targets, entry, &holdings, term);
 }
 
+bool targets_follow_holder(const targets_t *targets)
+{
+	return targets->feed.paused || !targets->feed.reached;
+}
+
+bool targets_apply_inventory(targets_t *targets, GHashTable *keys)
+{
+	g_autoptr(GPtrArray) gone = g_ptr_array_new();
+	guint known = 0;
+	GHashTableIter iter;
+	void *data;
+
+	g_hash_table_iter_init(&iter, targets->table);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		listed_t *listed = data;
+		uint32_t key = bsh_target_key(listed->target.id);
+
+		if (g_hash_table_contains(keys, GUINT_TO_POINTER(key)))
+			known++;
+		else
+			g_ptr_array_add(gone, listed);
+	}
+	if (known < g_hash_table_size(keys))
+		return false;
+	/* A target on the own list may be newer than the holder's. */
+	if (!targets_follow_holder(targets))
+		return true;
+	for (guint i = 0; i < gone->len; i++)
+		remove_target(targets, g_ptr_array_index(gone, i), "told");
+	return true;
+}
+
+bool targets_are_current(const targets_t *targets)
+{
+	return targets_is_synced(targets) &&
+	       bsh_loop_clock_us() - targets->feed.complete_us <
+		       CURRENT_MAX_AGE_US;
+}
+
 void targets_set_source(targets_t *targets, bool from_store)
 {
 	if (from_store == !targets->feed.paused)
@@ -412,8 +453,6 @@
 	 * been answered, so the last answer may be one watch older. */
 	int64_t age_us = contact_age_us + targets->feed.ops.wait_ms * 1000LL;
 
-	if (!targets->feed.paused)
-		return;
 	targets->announced_complete_us =
 		MAX(targets->announced_complete_us,
 		    control_now_us(targets->control) - age_us);
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -275,6 +275,7 @@
 		return state;
 	state = g_new0(target_state_t, 1);
 	g_strlcpy(state->id, id, sizeof(state->id));
+	state->key = bsh_target_key(id);
 	g_hash_table_insert(t->targets, state->id, state);
 	return state;
 }
@@ -313,11 +314,14 @@
 	return part ^ info->model;
 }
 
-/* The best target that can serve the request and was not tried, or NULL. */
-static const view_target_t *choose_target(request_t *r)
+/* The best target that can serve the request and was not tried, or NULL;
+ * *chosen, unless NULL, is what was known of it. */
+static const view_target_t *choose_target(request_t *r,
+					  bsh_target_candidate_t *chosen)
 {
 	traffic_t *t = r->traffic;
 	const GArray *targets = t->view->targets;
+	bsh_target_work_t work;
 	int32_t best;
 
 	g_array_set_size(t->candidates, 0);
@@ -339,10 +343,16 @@
 		g_ptr_array_add(t->candidate_targets, target);
 	}
 	r->candidates = t->candidates->len;
+	engine_load_work(r, &work);
 	best = bsh_target_choose(
-		(const bsh_target_candidate_t *)(void *)t->candidates->data,
-		t->candidates->len, affinity_of(r), traffic_now_us(t));
-	return best >= 0 ? g_ptr_array_index(t->candidate_targets, best) : NULL;
+		(bsh_target_candidate_t *)(void *)t->candidates->data,
+		t->candidates->len, &work, affinity_of(r), traffic_now_us(t));
+	if (best < 0)
+		return NULL;
+	if (chosen != NULL)
+		*chosen = g_array_index(t->candidates, bsh_target_candidate_t,
+					best);
+	return g_ptr_array_index(t->candidate_targets, best);
 }
 
 void traffic_update_budget_gauge(traffic_t *t)
@@ -485,7 +495,8 @@
 	return MAX(ms * INT64_C(1000), INACTIVITY_MIN_US);
 }
 
-static void send_to(request_t *r, const view_target_t *target)
+static void send_to(request_t *r, const view_target_t *target,
+		    const bsh_target_candidate_t *candidate)
 {
 	int64_t now_us = traffic_now_us(r->traffic);
 
@@ -493,7 +504,7 @@
 	if (r->n_tried < TRIED_MAX)
 		r->tried[r->n_tried++] = target->hash;
 	set_state(r, REQUEST_RUNNING);
-	bsh_target_started(&r->target->record, now_us);
+	engine_load_started(r, candidate);
 	r->last_active_us = now_us;
 	if (r->repeatable)
 		bsh_loop_timer_after(&r->inactivity_timer,
@@ -518,6 +529,7 @@
 
 static void dispatch(request_t *r)
 {
+	bsh_target_candidate_t candidate;
 	const view_target_t *target;
 
 	if (forward_is_abandoned(r)) {
@@ -528,9 +540,9 @@
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 		return;
 	}
-	target = choose_target(r);
+	target = choose_target(r, &candidate);
 	if (target != NULL)
-		send_to(r, target);
+		send_to(r, target, &candidate);
 	else if (r->n_tried > 0 && !demand_is_counted(r))
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 	else
@@ -572,6 +584,7 @@
 	bsh_target_record_t *record = &r->target->record;
 	int64_t now_us = traffic_now_us(r->traffic);
 
+	engine_load_ended(r);
 	switch (end) {
 	case ATTEMPT_ANSWERED:
 	case ATTEMPT_REFUSED:
@@ -672,7 +685,8 @@
 	/* Keep waiting while the target answers other requests, as this one
 	 * then only takes longer, and when there is no other target. */
 	if (r->target->record.last_first_byte_at_us > r->last_active_us ||
-	    choose_target(r) == NULL || !may_send_again(r, r->sends + 1)) {
+	    choose_target(r, NULL) == NULL ||
+	    !may_send_again(r, r->sends + 1)) {
 		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
 		return;
 	}
@@ -731,9 +745,11 @@
 	r->detached = true;
 	if (r->state != REQUEST_ENDED) {
 		forward_cancel(r);
-		if (r->state == REQUEST_RUNNING)
+		if (r->state == REQUEST_RUNNING) {
+			engine_load_ended(r);
 			bsh_target_ended(&r->target->record, is_unresponsive(r),
 					 traffic_now_us(t));
+		}
 		finish(r, COUNT_GONE, 0, "caller-left");
 	} else if (!delivered) {
 		bsh_log(BSH_LOG_INFO, "answer-not-delivered id=%s",
@@ -849,8 +865,10 @@
 		return;
 	}
 	set_route(r);
-	if (demand_is_counted(r))
+	if (demand_is_counted(r)) {
 		demand_counters(t, r)->arrived++;
+		engine_load_offer(r);
+	}
 	bsh_retry_budget_add_request(retry_budget_of(r), r->arrived_us);
 	bsh_loop_timer_start(&r->timer,
 			     MIN(r->client_deadline_us, r->timeout_us));
@@ -1017,6 +1035,9 @@
 	t->candidates =
 		g_array_new(FALSE, FALSE, sizeof(bsh_target_candidate_t));
 	t->candidate_targets = g_ptr_array_new();
+	bsh_prefill_init(&t->prefill);
+	t->offered = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+					   g_free);
 	g_queue_init(&t->waiting);
 	g_queue_init(&t->requests);
 	bsh_loop_timer_init(&t->demand_timer, t->loop, demand_send, t);
@@ -1044,5 +1065,7 @@
 	g_hash_table_destroy(t->budgets);
 	g_array_free(t->candidates, TRUE);
 	g_ptr_array_free(t->candidate_targets, TRUE);
+	g_hash_table_destroy(t->offered);
+	bsh_prefill_finish(&t->prefill);
 	g_free(t);
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -16,6 +16,8 @@
  *	Times named *_us are microseconds on the clock of the traffic loop.
  */
 
+#include "coordination/load_table.h"
+#include "coordination/prefill.h"
 #include "coordination/retry_budget.h"
 #include "coordination/target_choice.h"
 #include "entry.h"
@@ -33,6 +35,7 @@
 typedef struct {
 	bsh_target_record_t record;
 	char id[BSH_NAME_SIZE];
+	uint32_t key;	    /* low bits of the hash of the id, in LOAD */
 	uint64_t last_view; /* number of the last view with the target */
 } target_state_t;
 
@@ -51,6 +54,8 @@
 	view_t *view; /* NULL until the first configuration */
 	uint64_t view_number;
 	GHashTable *targets; /* id to target_state_t */
+	bsh_prefill_t prefill;
+	GHashTable *offered; /* model to double, prefill us since the report */
 	GHashTable *demand;  /* model and adapter to model_demand_t */
 	GHashTable *budgets; /* service to bsh_retry_budget_t */
 	/* bsh_target_candidate_t, scratch of choose_target(). */
@@ -108,9 +113,12 @@
 	uint32_t sends;	   /* attempts that reached a target */
 	bool may_have_run; /* some attempt has no proof that it did not run */
 	target_state_t *target; /* of the last attempt; NULL: none yet */
-	bsh_http_call_t *call;	/* NULL: no call is running */
-	bool call_sent;		/* a byte may have reached the target */
-	bool withheld;		/* not sent, as the caller no longer waits */
+	double work_us;		/* estimated prefill, until the answer begins */
+	double expected_us;	/* estimated time to the first byte; 0: none */
+	uint32_t uncached_tokens; /* of the prompt, by the estimate */
+	bsh_http_call_t *call;	  /* NULL: no call is running */
+	bool call_sent;		  /* a byte may have reached the target */
+	bool withheld;		  /* not sent, as the caller no longer waits */
 	int64_t call_began_us;
 	bsh_loop_timer_t inactivity_timer;
 	int64_t last_active_us; /* last send, or last events from the target */
@@ -156,6 +164,26 @@
  * begun to wait. */
 void demand_send_soon(traffic_t *t);
 
+/* engine_load.c */
+/* engine_load_work - estimate what the request takes of an engine; all 0 for a
+ * plain service. */
+void engine_load_work(const request_t *r, bsh_target_work_t *work);
+/* engine_load_started - an attempt at the target of the candidate begins. */
+void engine_load_started(request_t *r, const bsh_target_candidate_t *candidate);
+/* engine_load_began - the answer has begun: its work is done, and its time is a
+ * sample of the target's speed. */
+void engine_load_began(request_t *r, int64_t took_us);
+/* engine_load_ended - the attempt has ended, perhaps before its answer. */
+void engine_load_ended(request_t *r);
+/* engine_load_collect - what this instance has open at the engines, as
+ * bsh_load_entry_t; notes it as reported. */
+GArray *engine_load_collect(traffic_t *t);
+/* engine_load_offer - a request has arrived: count its work for its model. */
+void engine_load_offer(const request_t *r);
+/* engine_load_take_offers - the work by model that arrived since the last call,
+ * bsh_load_offer_t, as many as one report holds; the others are kept. */
+GArray *engine_load_take_offers(traffic_t *t);
+
 /* forward.c */
 /* forward_start - start an attempt; on an error none of its callbacks runs. */
 bsh_error_t forward_start(request_t *r, const view_target_t *target);
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -129,6 +129,11 @@
 			       const bsh_demand_entry_t *entries, uint32_t n,
 			       int64_t now_us);
 
+/* bsh_planner_add_work - requests for a model have brought this much prefill
+ * work, in milliseconds of one target. */
+void bsh_planner_add_work(bsh_planner_t *planner, uint32_t model,
+			  uint32_t work_ms, int64_t now_us);
+
 /* bsh_planner_order_result - pass the result of the order op. */
 void bsh_planner_order_result(bsh_planner_t *planner, const char *id,
 			      bsh_order_result_t result, int64_t now_us);
--- a/lib/coordination/target_choice.c
+++ b/lib/coordination/target_choice.c
@@ -10,6 +10,21 @@
 /* Age at which the smoothed value has half of its weight and the default the
  * other half, so that a slow target is used again after it has been idle. */
 #define FIRST_BYTE_HALF_LIFE_US 3e6
+/* Half-life of the known work of others: without news it counts as done. */
+#define OTHERS_HALF_LIFE_US 400000.0
+/* How a target's answers compare with the estimates: weight of a new one, half
+ * of the weight is lost in this time, and bounds. */
+#define SLOWNESS_WEIGHT	      0.25
+#define SLOWNESS_HALF_LIFE_US 5e6
+#define SLOWNESS_MIN	      0.5
+#define SLOWNESS_MAX	      8.0
+/* Delay of a first token by one running request, which only adds to the batch,
+ * and by a batch that is full. */
+#define RUNNING_DELAY_US 300.0
+#define FULL_DELAY_US	 2e6
+/* Ranks that are compared, and how much better another one has to be. */
+#define COMPARED_RANKS	    2U
+#define OTHER_RANK_DELAY_US 150000.0
 /* Roughly the round-trip time between availability zones. */
 #define OTHER_ZONE_PENALTY_US 2000.0
 /* Delays within this factor of the lowest one count as equal. */
@@ -23,24 +38,62 @@
  * caused by the request itself. */
 #define FAILURES_TO_PAUSE 3
 
-static double delay_us(const bsh_target_candidate_t *c, int64_t now_us)
+static double aged(double value, double neutral, int64_t age_us,
+		   double half_life_us)
+{
+	double weight = exp2(-(double)MAX(age_us, 0) / half_life_us);
+
+	return weight * value + (1.0 - weight) * neutral;
+}
+
+static double service_delay_us(const bsh_target_candidate_t *c, int64_t now_us)
 {
 	const bsh_target_record_t *r = c->record;
 	double expected_us = FIRST_BYTE_DEFAULT_US;
 	double load = (double)r->running / MAX(c->slots, 1);
 
-	if (r->last_first_byte_at_us > 0) {
-		double age = (double)(now_us - r->last_first_byte_at_us);
-		double weight = exp2(-age / FIRST_BYTE_HALF_LIFE_US);
-
-		expected_us = weight * r->first_byte_us +
-			      (1.0 - weight) * FIRST_BYTE_DEFAULT_US;
-	}
+	if (r->last_first_byte_at_us > 0)
+		expected_us = aged(r->first_byte_us, FIRST_BYTE_DEFAULT_US,
+				   now_us - r->last_first_byte_at_us,
+				   FIRST_BYTE_HALF_LIFE_US);
 	expected_us *= 1.0 + 4.0 * load + (load >= 1.0 ? 8.0 * load : 0.0);
 	expected_us *= 1.0 + FAILURE_PENALTY * r->failure_share;
 	return expected_us + (c->same_zone ? 0.0 : OTHER_ZONE_PENALTY_US);
 }
 
+double bsh_target_ahead_us(const bsh_target_record_t *r, int64_t now_us)
+{
+	if (r->others_at_us == 0)
+		return r->work_us;
+	return r->work_us + aged(r->others_us, 0.0, now_us - r->others_at_us,
+				 OTHERS_HALF_LIFE_US);
+}
+
+double bsh_target_own_us(const bsh_target_candidate_t *c,
+			 const bsh_target_work_t *work)
+{
+	return work->prefill_us -
+	       work->shared_us * exp2(-(double)MIN(c->rank, 32U));
+}
+
+static double engine_delay_us(const bsh_target_candidate_t *c,
+			      const bsh_target_work_t *work, int64_t now_us)
+{
+	const bsh_target_record_t *r = c->record;
+	double delay_us =
+		bsh_target_ahead_us(r, now_us) + bsh_target_own_us(c, work);
+	uint32_t running = r->running + r->others_running;
+
+	if (r->slowness > 0.0)
+		delay_us *= aged(r->slowness, 1.0, now_us - r->slowness_at_us,
+				 SLOWNESS_HALF_LIFE_US);
+	delay_us *= 1.0 + FAILURE_PENALTY * r->failure_share;
+	delay_us += RUNNING_DELAY_US * running;
+	if (running >= c->slots)
+		delay_us += FULL_DELAY_US;
+	return delay_us + (c->same_zone ? 0.0 : OTHER_ZONE_PENALTY_US);
+}
+
 bool bsh_target_usable(const bsh_target_record_t *record, int64_t now_us)
 {
 	if (record->failures < FAILURES_TO_PAUSE)
@@ -59,23 +112,30 @@
 	return x;
 }
 
-static int32_t choose(const bsh_target_candidate_t *candidates, uint32_t n,
-		      uint64_t affinity, bool entry_removed, int64_t now_us)
+static bool is_eligible(const bsh_target_candidate_t *c, bool entry_removed,
+			int64_t now_us)
+{
+	return c->entry_removed == entry_removed &&
+	       bsh_target_usable(c->record, now_us);
+}
+
+static int32_t choose_service(const bsh_target_candidate_t *candidates,
+			      uint32_t n, uint64_t affinity, bool entry_removed,
+			      int64_t now_us)
 {
 	double lowest = INFINITY;
 	uint64_t best_score = 0;
 	int32_t best = -1;
 
 	for (uint32_t i = 0; i < n; i++)
-		if (candidates[i].entry_removed == entry_removed &&
-		    bsh_target_usable(candidates[i].record, now_us))
-			lowest = MIN(lowest, delay_us(&candidates[i], now_us));
+		if (is_eligible(&candidates[i], entry_removed, now_us))
+			lowest = MIN(lowest,
+				     service_delay_us(&candidates[i], now_us));
 	for (uint32_t i = 0; i < n; i++) {
 		uint64_t value;
 
-		if (candidates[i].entry_removed != entry_removed ||
-		    !bsh_target_usable(candidates[i].record, now_us) ||
-		    delay_us(&candidates[i], now_us) >
+		if (!is_eligible(&candidates[i], entry_removed, now_us) ||
+		    service_delay_us(&candidates[i], now_us) >
 			    lowest * SAME_DELAY_FACTOR)
 			continue;
 		value = rendezvous_score(affinity, candidates[i].target_hash);
@@ -87,27 +147,108 @@
 	return best;
 }
 
-int32_t bsh_target_choose(const bsh_target_candidate_t *candidates, uint32_t n,
-			  uint64_t affinity, int64_t now_us)
+static void set_ranks(bsh_target_candidate_t *candidates, uint32_t n,
+		      uint64_t affinity, bool entry_removed, int64_t now_us)
 {
-	int32_t best = choose(candidates, n, affinity, false, now_us);
+	for (uint32_t i = 0; i < n; i++) {
+		uint64_t score =
+			rendezvous_score(affinity, candidates[i].target_hash);
+
+		candidates[i].rank = 0;
+		for (uint32_t j = 0; j < n; j++)
+			candidates[i].rank +=
+				j != i &&
+				is_eligible(&candidates[j], entry_removed,
+					    now_us) &&
+				rendezvous_score(affinity,
+						 candidates[j].target_hash) >
+					score;
+	}
+}
 
-	if (best < 0)
-		best = choose(candidates, n, affinity, true, now_us);
+static int32_t choose_engine(bsh_target_candidate_t *candidates, uint32_t n,
+			     const bsh_target_work_t *work, uint64_t affinity,
+			     bool entry_removed, int64_t now_us)
+{
+	double lowest = INFINITY;
+	int32_t best = -1;
+
+	set_ranks(candidates, n, affinity, entry_removed, now_us);
+	for (uint32_t i = 0; i < n; i++) {
+		const bsh_target_candidate_t *c = &candidates[i];
+		double delay_us;
+
+		if (!is_eligible(c, entry_removed, now_us))
+			continue;
+		delay_us = engine_delay_us(c, work, now_us);
+		if (c->rank >= COMPARED_RANKS)
+			delay_us += OTHER_RANK_DELAY_US;
+		if (delay_us >= lowest)
+			continue;
+		lowest = delay_us;
+		best = (int32_t)i;
+	}
 	return best;
 }
 
-void bsh_target_started(bsh_target_record_t *record, int64_t now_us)
+int32_t bsh_target_choose(bsh_target_candidate_t *candidates, uint32_t n,
+			  const bsh_target_work_t *work, uint64_t affinity,
+			  int64_t now_us)
+{
+	bool is_engine = work != NULL && work->prefill_us > 0.0;
+	int32_t best = -1;
+
+	for (int removed = 0; removed < 2 && best < 0; removed++)
+		best = is_engine ? choose_engine(candidates, n, work, affinity,
+						 removed, now_us)
+				 : choose_service(candidates, n, affinity,
+						  removed, now_us);
+	return best;
+}
+
+void bsh_target_set_others(bsh_target_record_t *record, double sum_us,
+			   uint32_t sum_running, int64_t now_us)
+{
+	record->others_us = MAX(sum_us - record->reported_us, 0.0);
+	record->others_running =
+		sum_running - MIN(sum_running, record->reported_running);
+	record->others_at_us = now_us;
+}
+
+void bsh_target_started(bsh_target_record_t *record, double work_us,
+			int64_t now_us)
 {
 	record->running++;
+	record->work_us += work_us;
 	if (record->failures >= FAILURES_TO_PAUSE &&
 	    now_us >= record->paused_until_us)
 		record->probing = true;
 }
 
+void bsh_target_work_done(bsh_target_record_t *record, double work_us)
+{
+	record->work_us = MAX(record->work_us - work_us, 0.0);
+}
+
+static void note_slowness(bsh_target_record_t *record, double sample,
+			  int64_t now_us)
+{
+	double before = 1.0;
+
+	if (record->slowness > 0.0)
+		before = aged(record->slowness, 1.0,
+			      now_us - record->slowness_at_us,
+			      SLOWNESS_HALF_LIFE_US);
+	sample = CLAMP(sample, SLOWNESS_MIN, SLOWNESS_MAX);
+	record->slowness = before + SLOWNESS_WEIGHT * (sample - before);
+	record->slowness_at_us = now_us;
+}
+
 void bsh_target_first_byte(bsh_target_record_t *record, int64_t took_us,
-			   int64_t now_us)
+			   double expected_us, int64_t now_us)
 {
+	if (expected_us > 0.0)
+		note_slowness(record, (double)took_us / expected_us, now_us);
 	if (record->last_first_byte_at_us == 0)
 		record->first_byte_us = (double)took_us;
 	else
--- a/lib/coordination/target_choice.h
+++ b/lib/coordination/target_choice.h
@@ -6,13 +6,26 @@
  *	target_choice - load balancer that chooses the target of a request
  *
  * DESCRIPTION
- *	The target with the lowest expected delay is chosen.  The delay is the
- *	smoothed time to the first byte of recent answers, scaled by the share
- *	of the target's slots that are in use and by its share of failures,
- *	plus a penalty for another availability zone.  Among targets of nearly
- *	equal delay, rendezvous hashing of the request's shared prompt prefix
- *	decides, so that requests with one prefix use the target that has
- *	already processed it.
+ *	The target with the lowest expected delay is chosen.
+ *
+ *	Plain services.  The delay is the smoothed time to the first byte of
+ *	recent answers, scaled by the share of the target's slots that are in
+ *	use and by its share of failures, plus a penalty for another
+ *	availability zone.  Among targets of nearly equal delay, rendezvous
+ *	hashing decides.
+ *
+ *	Engines.  The delay is the estimated time to the first token: the
+ *	prefill work that is open at the target, by this instance's requests
+ *	and by those of the others (bsh_target_set_others()), and the prefill
+ *	of this request, scaled by how the target's answers have compared with
+ *	the estimates.  The parts of a prompt that other requests share are
+ *	expected to be cached at the target that rendezvous hashing of them
+ *	ranks first, and less so at the next ranks.
+ *
+ *	The work of others is known with a delay.  If all instances chose the
+ *	least loaded of all targets, they would send to the same one until
+ *	they know better, so only the first two ranks are compared, unless
+ *	both are much worse than another target.
  *
  *	After several failures in a row, or if no connection can be made, a
  *	target is paused for a time that doubles with each further failure.
@@ -24,6 +37,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* What a request takes of an engine; all 0: the target is a plain service. */
+typedef struct {
+	double prefill_us; /* estimated prefill time of the whole prompt */
+	double shared_us;  /* of it, of parts shared with other requests */
+} bsh_target_work_t;
+
 /* Results of this instance's requests to one target. */
 typedef struct {
 	uint32_t running;     /* requests of this instance in progress */
@@ -33,6 +52,17 @@
 	double failure_share;	       /* smoothed share of failed requests */
 	int64_t paused_until_us;       /* end of the pause after failures */
 	bool probing; /* a probe request is in progress after a pause */
+	/* Engines only. */
+	double work_us; /* own open prefill work, estimated */
+	/* Of the others, when last received. */
+	double others_us;
+	uint32_t others_running;
+	int64_t others_at_us;
+	/* Own values in the last report, which the sums contain. */
+	double reported_us;
+	uint32_t reported_running;
+	double slowness; /* smoothed observed / expected time; 0: no sample */
+	int64_t slowness_at_us;
 } bsh_target_record_t;
 
 typedef struct {
@@ -43,26 +73,47 @@
 	/* Its entry was removed from the platform's list, the grace time still
 	 * runs: chosen only if no other target is usable. */
 	bool entry_removed;
+	/* Set by bsh_target_choose(). */
+	uint32_t rank; /* usable candidates preferred by rendezvous hashing */
 } bsh_target_candidate_t;
 
 /*
  * bsh_target_choose - choose the target of a request; affinity is the hash of
- * the request's shared prompt prefix.
+ * the request's shared prompt prefix, work may be NULL for a plain service.
  *
  * RETURN VALUE
  *	Index of the candidate, or -1 if none is usable.
  */
-int32_t bsh_target_choose(const bsh_target_candidate_t *candidates, uint32_t n,
-			  uint64_t affinity, int64_t now_us);
+int32_t bsh_target_choose(bsh_target_candidate_t *candidates, uint32_t n,
+			  const bsh_target_work_t *work, uint64_t affinity,
+			  int64_t now_us);
+
+/* bsh_target_own_us - estimated prefill time of the request at a candidate of
+ * the last choice, without the parts that are expected to be cached there. */
+double bsh_target_own_us(const bsh_target_candidate_t *candidate,
+			 const bsh_target_work_t *work);
+/* bsh_target_ahead_us - estimated work that is open at the target. */
+double bsh_target_ahead_us(const bsh_target_record_t *record, int64_t now_us);
+
+/* bsh_target_set_others - set what all instances together have open at the
+ * target; the part of this instance, by its last report, is taken off. */
+void bsh_target_set_others(bsh_target_record_t *record, double sum_us,
+			   uint32_t sum_running, int64_t now_us);
 
 /* bsh_target_usable - false while a target is paused or being probed. */
 bool bsh_target_usable(const bsh_target_record_t *record, int64_t now_us);
 
-/* bsh_target_started - a request was sent to the target. */
-void bsh_target_started(bsh_target_record_t *record, int64_t now_us);
-/* bsh_target_first_byte - the answer began took_us after the request. */
+/* bsh_target_started - a request with this prefill work was sent to the target;
+ * 0 for a plain service. */
+void bsh_target_started(bsh_target_record_t *record, double work_us,
+			int64_t now_us);
+/* bsh_target_work_done - the answer has begun, or the request has ended before
+ * that: its work is no longer open. */
+void bsh_target_work_done(bsh_target_record_t *record, double work_us);
+/* bsh_target_first_byte - the answer began took_us after the request; expected:
+ * the estimate of that time, 0 for a plain service. */
 void bsh_target_first_byte(bsh_target_record_t *record, int64_t took_us,
-			   int64_t now_us);
+			   double expected_us, int64_t now_us);
 /* bsh_target_ended - a request ended; failed: with a failure of the target. */
 void bsh_target_ended(bsh_target_record_t *record, bool failed, int64_t now_us);
 /* bsh_target_unreachable - the request ended without a connection. */
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -257,6 +257,33 @@
 	END
 };
 
+static const field_t load_entry_fields[] = {
+	U32(bsh_load_entry_t, model), U32(bsh_load_entry_t, target),
+	U32(bsh_load_entry_t, work_ms), U32(bsh_load_entry_t, running), END
+};
+
+static const field_t load_offer_fields[] = { U32(bsh_load_offer_t, model),
+					     U32(bsh_load_offer_t, work_ms),
+					     END };
+
+static const field_t load_fields[] = {
+	U64(bsh_msg_load_t, term),
+	LIST(bsh_msg_load_t, entries, entry_count, load_entry_fields,
+	     bsh_load_entry_t),
+	LIST(bsh_msg_load_t, offers, offer_count, load_offer_fields,
+	     bsh_load_offer_t),
+	END
+};
+
+static const field_t inventory_fields[] = {
+	U64(bsh_msg_inventory_t, term),
+	U64(bsh_msg_inventory_t, number),
+	U32(bsh_msg_inventory_t, part),
+	ENUM(bsh_msg_inventory_t, parts, 1, BSH_MESSAGE_LIST_MAX),
+	BLOB(bsh_msg_inventory_t, keys, keys_bytes, 4 * BSH_INVENTORY_KEYS_MAX),
+	END
+};
+
 static const struct {
 	const char *name;
 	const field_t *fields;
@@ -279,6 +306,8 @@
 	[BSH_MSG_DEMAND] = { "DEMAND", demand_fields },
 	[BSH_MSG_PLACEMENT] = { "PLACEMENT", placement_fields },
 	[BSH_MSG_RELEASE] = { "RELEASE", release_fields },
+	[BSH_MSG_LOAD] = { "LOAD", load_fields },
+	[BSH_MSG_INVENTORY] = { "INVENTORY", inventory_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/state/target.c
+++ b/lib/state/target.c
@@ -1,5 +1,13 @@
 #include "state/target.h"
 
+#include <string.h>
+#include <xxhash.h>
+
+uint32_t bsh_target_key(const char *id)
+{
+	return (uint32_t)XXH64(id, strlen(id), 0);
+}
+
 bool bsh_holdings_has(const bsh_holdings_t *holdings, uint32_t model,
 		      uint32_t adapter)
 {
--- a/lib/state/target.h
+++ b/lib/state/target.h
@@ -67,6 +67,10 @@
 	bsh_copies_t copies;
 } bsh_target_report_t;
 
+/* bsh_target_key - low 32 bits of the hash of a target's id, which stand for it
+ * in messages that name many targets. */
+uint32_t bsh_target_key(const char *id);
+
 bool bsh_holdings_has(const bsh_holdings_t *holdings, uint32_t model,
 		      uint32_t adapter);
 /* bsh_holdings_add - false if full; true if added or already present. */
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -449,6 +449,55 @@
 	tear_down(&f, NULL);
 }
 
+/* Guards against a target that is kept for good, because its instance was cut
+ * off when the target left and then received the states of the other targets
+ * from a new lease holder, which did not name it. */
+static void test_vanished_while_cut_off(void)
+{
+	fixture_t f = { 0 };
+	worker_t *vanished;
+	const char *holder;
+	relay_t relay;
+	char *port;
+
+	platform_rig_init(&f.rig);
+	platform_rig_configure(&f.rig, NULL);
+	f.engine = platform_rig_add_worker(&f.rig, "llm", "m0");
+	vanished = platform_rig_add_worker(&f.rig, "llm", "m1");
+	for (int i = 0; i < 2; i++)
+		platform_rig_wait_ready(&f.rig, platform_rig_add_entry(&f.rig));
+	port = strrchr(f.rig.store_address, ':');
+	relay_init(&relay, &f.rig.loop,
+		   (uint16_t)g_ascii_strtoull(port + 1, NULL, 10));
+	g_strlcpy(f.rig.store_address, relay.address,
+		  sizeof(f.rig.store_address));
+	f.entry = platform_rig_add_entry(&f.rig);
+	platform_rig_wait_ready(&f.rig, f.entry);
+	platform_rig_run(&f.rig, 1500);
+	/* The load shows which of the first two instances holds the lease. */
+	call(&f, "/stream/1", "y1", "m3");
+	g_assert_cmpint(f.reply.status, ==, 200);
+	holder = f.engine->holder[0] != '\0' ? f.engine->holder
+					     : vanished->holder;
+	relay_set_mode(&relay, RELAY_HOLDS_ALL);
+	kill(f.rig.entries[strcmp(holder, f.rig.entries[0].name) != 0].pid,
+	     SIGKILL);
+	platform_rig_run(&f.rig, 100);
+	platform_rig_remove_worker(vanished);
+	/* The second instance takes the lease over and drops the target. */
+	platform_rig_run(&f.rig, 9000);
+	vanished->runs = 0;
+	for (int i = 0; i < 5; i++) {
+		platform_rig_reply_clear(&f.reply);
+		platform_rig_send(&f.rig, f.entry->front, "/stream/1", "y2",
+				  "m1", 100, &f.reply);
+		platform_rig_run(&f.rig, 50);
+	}
+	g_assert_cmpuint(vanished->runs, ==, 0);
+	relay_finish(&relay);
+	tear_down(&f, NULL);
+}
+
 static void test_vanished_during_handover(void)
 {
 	check_vanished_during_handover(false);
@@ -602,6 +651,8 @@
 	ADD("/entry/vanished-target", test_vanished_target);
 	g_test_add_func("/entry/vanished-during-handover",
 			test_vanished_during_handover);
+	g_test_add_func("/entry/vanished-while-cut-off",
+			test_vanished_while_cut_off);
 	g_test_add_func("/entry/vanished-after-failure",
 			test_vanished_after_failure);
 	ADD("/entry/lost-watch", test_lost_watch);
--- a/regress/test_requests.c
+++ b/regress/test_requests.c
@@ -113,14 +113,14 @@
 	bsh_target_candidate_t list[] = { candidate(&down, 1),
 					  candidate(&up, 2) };
 
-	bsh_target_started(&down, SECOND);
+	bsh_target_started(&down, 0, SECOND);
 	bsh_target_unreachable(&down, SECOND);
 	for (uint64_t affinity = 0; affinity < 32; affinity++)
-		g_assert_cmpint(
-			bsh_target_choose(list, 2, affinity, SECOND + 1000), ==,
-			1);
+		g_assert_cmpint(bsh_target_choose(list, 2, NULL, affinity,
+						  SECOND + 1000),
+				==, 1);
 	g_assert_true(bsh_target_usable(&down, 10 * SECOND));
-	bsh_target_started(&down, 10 * SECOND);
+	bsh_target_started(&down, 0, 10 * SECOND);
 	/* One request probes it; the others avoid it until that has ended. */
 	g_assert_false(bsh_target_usable(&down, 10 * SECOND));
 	bsh_target_ended(&down, false, 10 * SECOND + 1000);
@@ -138,11 +138,12 @@
 	int to_slow = 0;
 
 	for (int i = 0; i < 10; i++) {
-		bsh_target_first_byte(&slow, 200000, SECOND);
-		bsh_target_first_byte(&fast, 20000, SECOND);
+		bsh_target_first_byte(&slow, 200000, 0, SECOND);
+		bsh_target_first_byte(&fast, 20000, 0, SECOND);
 	}
 	for (uint64_t affinity = 0; affinity < 64; affinity++)
-		to_slow += bsh_target_choose(list, 2, affinity, SECOND) == 0;
+		to_slow +=
+			bsh_target_choose(list, 2, NULL, affinity, SECOND) == 0;
 	g_assert_cmpint(to_slow, ==, 0);
 }
 
@@ -157,15 +158,16 @@
 	int to_failing = 0;
 
 	for (int i = 0; i < 20; i++) {
-		bsh_target_started(&failing, SECOND);
-		bsh_target_first_byte(&failing, 5000, SECOND);
+		bsh_target_started(&failing, 0, SECOND);
+		bsh_target_first_byte(&failing, 5000, 0, SECOND);
 		bsh_target_ended(&failing, i % 2 == 0, SECOND);
-		bsh_target_started(&good, SECOND);
-		bsh_target_first_byte(&good, 20000, SECOND);
+		bsh_target_started(&good, 0, SECOND);
+		bsh_target_first_byte(&good, 20000, 0, SECOND);
 		bsh_target_ended(&good, false, SECOND);
 	}
 	for (uint64_t affinity = 0; affinity < 64; affinity++)
-		to_failing += bsh_target_choose(list, 2, affinity, SECOND) == 0;
+		to_failing +=
+			bsh_target_choose(list, 2, NULL, affinity, SECOND) == 0;
 	g_assert_cmpint(to_failing, ==, 0);
 }
 
@@ -179,12 +181,14 @@
 
 	for (int i = 0; i < 4; i++)
 		list[i] = candidate(&records[i], (uint64_t)i + 1);
-	first = bsh_target_choose(list, 4, 77, SECOND);
+	first = bsh_target_choose(list, 4, NULL, 77, SECOND);
 	records[(first + 1) % 4].running = 0;
-	g_assert_cmpint(bsh_target_choose(list, 4, 77, SECOND), ==, first);
+	g_assert_cmpint(bsh_target_choose(list, 4, NULL, 77, SECOND), ==,
+			first);
 	/* Load takes precedence over prompt affinity. */
 	records[first].running = 10;
-	g_assert_cmpint(bsh_target_choose(list, 4, 77, SECOND), !=, first);
+	g_assert_cmpint(bsh_target_choose(list, 4, NULL, 77, SECOND), !=,
+			first);
 }
 
 static void feed(bsh_event_relay_t *relay, const char *text, GString *out)
