Describe the replicas of the planner and the aims of the load tests

Comments only: planner.h still described the value of a model before the change to delays, and test_load.c named an aim after something else. No program changes.

--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -14,11 +14,18 @@
  *	most total waiting time before the others.  A model is loaded on the
  *	target where that takes least time: from a copy in the target's host
  *	memory, from its disk, else from the weight store, which serves only a
- *	few loads at once.  A model is evicted only for one that is worth
- *	more; see loss() and set_wanted() in planner_choose.c.
+ *	few loads at once.
+ *
+ *	Replicas.  A model wants replicas for its running requests and for the
+ *	prefill work that its requests bring (bsh_planner_add_work()).  The
+ *	delay that one replica more saves is compared with the delay that an
+ *	eviction causes: the reload for which the next request waits, and the
+ *	running requests for which the unload waits.  No model is evicted
+ *	before the demand of the term is known.
  *
  *	A model without waiting requests and without a copy on any target is
- *	loaded once, so that its first request finds a copy on a disk.
+ *	loaded once, those that are asked for most often first: their requests
+ *	may be refused rather than wait.
  *
  *	Orders.  An order carries the number of orders that the target must
  *	have accepted before it; the target refuses an order with another
--- a/regress/test_load.c
+++ b/regress/test_load.c
@@ -21,7 +21,8 @@
 /* Intervals of the reports to the holder and of its sums. */
 #define REPORT_MS 250
 #define SUM_MS	  200
-/* Requests that arrive while the first exchange is still missing count too. */
+/* Stated aims of the load: share of requests within the objective, and work of
+ * the busiest engine against the mean. */
 #define IN_AIM_MIN  0.85
 #define BUSIEST_MAX 1.6
 
