Return to the former replicas and evictions of the planner

With 601 models on 119 targets most models are held without another copy, and each request within ten seconds made such a model as dear to evict as a 13 s load, so that requests for the others waited to their end.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -175,9 +175,6 @@
 /* Handles DEMAND, also that of this instance itself. */
 void orders_receive_demand(orders_t *orders, const char *instance,
 			   const bsh_msg_demand_t *demand);
-/* Adds prefill work that requests have brought, by model. */
-void orders_add_work(orders_t *orders, const bsh_load_offer_t *offers,
-		     uint32_t n);
 /* Reports this instance's demand to the lease holder, acknowledges its
  * announcements and supports its term. */
 void orders_send_demand(orders_t *orders, const GArray *entries);
@@ -223,9 +220,8 @@
 /* loads.c: load of the targets, by this instance's requests and by all. */
 loads_t *loads_new(control_t *control);
 void loads_free(loads_t *loads);
-/* Reports this instance's load, bsh_load_entry_t, and the work that its requests
- * have brought since the last report, bsh_load_offer_t, to the lease holder. */
-void loads_report(loads_t *loads, const GArray *entries, const GArray *offers);
+/* Reports this instance's load, bsh_load_entry_t, to the lease holder. */
+void loads_report(loads_t *loads, const GArray *entries);
 /* Handles LOAD. */
 void loads_receive(loads_t *loads, const char *sender,
 		   const bsh_msg_load_t *load);
--- a/bshentryd/demand.c
+++ b/bshentryd/demand.c
@@ -80,7 +80,6 @@
 	t->demand_urgent = false;
 	g_array_sort(demand->entries, compare_demand);
 	demand->loads = engine_load_collect(t);
-	demand->offers = engine_load_take_offers(t);
 	bsh_loop_post(&t->entry->control_loop, control_demand, demand);
 	bsh_loop_timer_after(&t->demand_timer, DEMAND_INTERVAL_US);
 }
--- a/bshentryd/engine_load.c
+++ b/bshentryd/engine_load.c
@@ -84,16 +84,15 @@
 	bsh_target_started(&r->target->record, r->work_us, now_us);
 }
 
-static bsh_load_entry_t *find_entry(GArray *entries, uint32_t model,
-				    uint32_t target)
+static bsh_load_entry_t *find_entry(GArray *entries, uint32_t target)
 {
-	bsh_load_entry_t entry = { .model = model, .target = target };
+	bsh_load_entry_t entry = { .target = target };
 
 	for (guint i = 0; i < entries->len; i++) {
 		bsh_load_entry_t *known =
 			&g_array_index(entries, bsh_load_entry_t, i);
 
-		if (known->model == model && known->target == target)
+		if (known->target == target)
 			return known;
 	}
 	g_array_append_val(entries, entry);
@@ -124,7 +123,7 @@
 
 		if (r->state != REQUEST_RUNNING || !demand_is_counted(r))
 			continue;
-		entry = find_entry(entries, r->info.model, r->target->key);
+		entry = find_entry(entries, r->target->key);
 		entry->work_ms += (uint32_t)(r->work_us / 1000.0);
 		entry->running++;
 	}
@@ -133,42 +132,6 @@
 	return entries;
 }
 
-void engine_load_offer(const request_t *r)
-{
-	GHashTable *offered = r->traffic->offered;
-	void *key = GUINT_TO_POINTER(r->info.model);
-	double *sum = g_hash_table_lookup(offered, key);
-	bsh_target_work_t work;
-
-	engine_load_work(r, &work);
-	if (sum == NULL) {
-		sum = g_new0(double, 1);
-		g_hash_table_insert(offered, key, sum);
-	}
-	*sum += work.prefill_us - work.shared_us;
-}
-
-GArray *engine_load_take_offers(traffic_t *t)
-{
-	GArray *offers = g_array_new(FALSE, FALSE, sizeof(bsh_load_offer_t));
-	GHashTableIter iter;
-	void *key;
-	void *data;
-
-	g_hash_table_iter_init(&iter, t->offered);
-	while (offers->len < BSH_LOAD_OFFERS_MAX &&
-	       g_hash_table_iter_next(&iter, &key, &data)) {
-		bsh_load_offer_t offer = { .model = GPOINTER_TO_UINT(key) };
-
-		offer.work_ms = (uint32_t)MIN(*(double *)data / 1000.0,
-					      BSH_LOAD_VALUE_MAX);
-		g_hash_table_iter_remove(&iter);
-		if (offer.work_ms > 0)
-			g_array_append_val(offers, offer);
-	}
-	return offers;
-}
-
 void traffic_set_loads(void *data)
 {
 	traffic_loads_msg_t *message = data;
--- a/bshentryd/loads.c
+++ b/bshentryd/loads.c
@@ -43,21 +43,16 @@
 {
 	bsh_load_table_set(&loads->table, instance, load->entries,
 			   load->entry_count, control_now_us(loads->control));
-	orders_add_work(loads->control->orders, load->offers,
-			load->offer_count);
 }
 
-void loads_report(loads_t *loads, const GArray *entries, const GArray *offers)
+void loads_report(loads_t *loads, const GArray *entries)
 {
 	const char *self = loads->control->entry->settings.instance;
 	const char *holder = orders_holder(loads->control->orders);
 	bsh_message_t message = { .type = BSH_MSG_LOAD };
 
 	message.load.entries = (const bsh_load_entry_t *)(void *)entries->data;
-	message.load.entry_count =
-		MIN(entries->len, BSH_LOAD_REPORT_ENTRIES_MAX);
-	message.load.offers = (const bsh_load_offer_t *)(void *)offers->data;
-	message.load.offer_count = MIN(offers->len, BSH_LOAD_OFFERS_MAX);
+	message.load.entry_count = MIN(entries->len, BSH_LOAD_ENTRIES_MAX);
 	if (orders_is_holder(loads->control->orders))
 		receive_report(loads, self, &message.load);
 	else if (holder[0] != '\0')
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -663,19 +663,6 @@
 	}
 }
 
-void orders_add_work(orders_t *orders, const bsh_load_offer_t *offers,
-		     uint32_t n)
-{
-	for (guint i = 0; i < orders->services->len; i++) {
-		const service_t *service =
-			g_ptr_array_index(orders->services, i);
-
-		for (uint32_t j = 0; j < n; j++)
-			bsh_planner_add_work(service->planner, offers[j].model,
-					     offers[j].work_ms, now_us(orders));
-	}
-}
-
 void orders_fill(const orders_t *orders, view_t *view)
 {
 	g_array_append_vals(view->ready, orders->ready->data,
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -865,10 +865,8 @@
 		return;
 	}
 	set_route(r);
-	if (demand_is_counted(r)) {
+	if (demand_is_counted(r))
 		demand_counters(t, r)->arrived++;
-		engine_load_offer(r);
-	}
 	bsh_retry_budget_add_request(retry_budget_of(r), r->arrived_us);
 	bsh_loop_timer_start(&r->timer,
 			     MIN(r->client_deadline_us, r->timeout_us));
@@ -1036,8 +1034,6 @@
 		g_array_new(FALSE, FALSE, sizeof(bsh_target_candidate_t));
 	t->candidate_targets = g_ptr_array_new();
 	bsh_prefill_init(&t->prefill);
-	t->offered = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
-					   g_free);
 	g_queue_init(&t->waiting);
 	g_queue_init(&t->requests);
 	bsh_loop_timer_init(&t->demand_timer, t->loop, demand_send, t);
@@ -1065,7 +1061,6 @@
 	g_hash_table_destroy(t->budgets);
 	g_array_free(t->candidates, TRUE);
 	g_ptr_array_free(t->candidate_targets, TRUE);
-	g_hash_table_destroy(t->offered);
 	bsh_prefill_finish(&t->prefill);
 	g_free(t);
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -55,7 +55,6 @@
 	uint64_t view_number;
 	GHashTable *targets; /* id to target_state_t */
 	bsh_prefill_t prefill;
-	GHashTable *offered; /* model to double, prefill us since the report */
 	GHashTable *demand;  /* model and adapter to model_demand_t */
 	GHashTable *budgets; /* service to bsh_retry_budget_t */
 	/* bsh_target_candidate_t, scratch of choose_target(). */
@@ -178,11 +177,6 @@
 /* engine_load_collect - what this instance has open at the engines, as
  * bsh_load_entry_t; notes it as reported. */
 GArray *engine_load_collect(traffic_t *t);
-/* engine_load_offer - a request has arrived: count its work for its model. */
-void engine_load_offer(const request_t *r);
-/* engine_load_take_offers - the work by model that arrived since the last call,
- * bsh_load_offer_t, as many as one report holds; the others are kept. */
-GArray *engine_load_take_offers(traffic_t *t);
 
 /* forward.c */
 /* forward_start - start an attempt; on an error none of its callbacks runs. */
--- a/lib/coordination/load_table.h
+++ b/lib/coordination/load_table.h
@@ -6,12 +6,11 @@
  *	load_table - load of the targets, summed over the instances
  *
  * DESCRIPTION
- *	Each instance reports what it has open at the targets, by model.  The
- *	lease holder keeps the last report of each instance in a load table
- *	and sends the sums by target to all instances, which choose targets
- *	by them (coordination/target_choice.h); its planner uses the sums by
- *	model.  A report replaces the former one of the same instance and
- *	counts for BSH_LOAD_REPORT_TTL_US.
+ *	Each instance reports what it has open at the targets.  The lease
+ *	holder keeps the last report of each instance in a load table and
+ *	sends the sums to all instances, which choose targets by them
+ *	(coordination/target_choice.h).  A report replaces the former one of
+ *	the same instance and counts for BSH_LOAD_REPORT_TTL_US.
  *
  *	Targets are named by the low 32 bits of the hash of their id.
  *
@@ -44,8 +43,8 @@
 			int64_t now_us);
 
 /*
- * bsh_load_table_sum - the sums by target in order of falling work; `model` of
- * an entry is 0.  Drops the reports that are too old.
+ * bsh_load_table_sum - the sums by target in order of falling work.  Drops the
+ * reports that are too old.
  *
  * RETURN VALUE
  *	Array of bsh_load_entry_t, to be freed by the caller.
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -14,18 +14,11 @@
  *	most total waiting time before the others.  A model is loaded on the
  *	target where that takes least time: from a copy in the target's host
  *	memory, from its disk, else from the weight store, which serves only a
- *	few loads at once.
- *
- *	Replicas.  A model wants replicas for its running requests and for the
- *	prefill work that its requests bring (bsh_planner_add_work()).  The
- *	delay that one replica more saves is compared with the delay that an
- *	eviction causes: the reload for which the next request waits, and the
- *	running requests for which the unload waits.  No model is evicted
- *	before the demand of the term is known.
+ *	few loads at once.  A model is evicted only for one that is worth
+ *	more; see loss() and set_wanted() in planner_choose.c.
  *
  *	A model without waiting requests and without a copy on any target is
- *	loaded once, those that are asked for most often first: their requests
- *	may be refused rather than wait.
+ *	loaded once, so that its first request finds a copy on a disk.
  *
  *	Orders.  An order carries the number of orders that the target must
  *	have accepted before it; the target refuses an order with another
@@ -136,11 +129,6 @@
 			       const bsh_demand_entry_t *entries, uint32_t n,
 			       int64_t now_us);
 
-/* bsh_planner_add_work - requests for a model have brought this much prefill
- * work, in milliseconds of one target. */
-void bsh_planner_add_work(bsh_planner_t *planner, uint32_t model,
-			  uint32_t work_ms, int64_t now_us);
-
 /* bsh_planner_order_result - pass the result of the order op. */
 void bsh_planner_order_result(bsh_planner_t *planner, const char *id,
 			      bsh_order_result_t result, int64_t now_us);
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -6,24 +6,12 @@
 /* Share of a target's request slots that a model's requests may use on average
  * before another replica is wanted. */
 #define REPLICA_UTILIZATION 0.4
-/* Share of its time that a target may prefill prompts of one model on average
- * before another replica is wanted: prompts differ much in length and queue
- * behind each other long before the target is busy all the time. */
-#define PREFILL_UTILIZATION 0.2
 /* Requests a second from which a model gets a second replica, which serves if
  * the first one fails. */
 #define SECOND_REPLICA_RATE 1.0
 /* Value of a model without known demand, so that ties are resolved in favour of
  * the models already loaded. */
 #define MODEL_BASE_VALUE 0.02
-/* Horizons over which the delay that a replica saves is compared with the one-off
- * delay that an eviction causes: demand changes within tens of seconds. */
-#define REPLICA_HORIZON_S  30.0
-#define EVICTION_HORIZON_S 10.0
-/* Share of its reload time that evicting a model without requests costs. */
-#define EVICTION_MIN_DEMAND 0.05
-/* Bound of the utilisation in the estimate of waits. */
-#define UTILIZATION_MAX 0.95
 /* A recently loaded model has an added value for this time, as the requests
  * that waited for it are still in transit. */
 #define RECENT_LOAD_US	  INT64_C(1000000)
@@ -31,12 +19,6 @@
 /* Cost of one eviction, and of one unit of lost value, in load time. */
 #define EVICTION_COST_MS 150.0
 #define LOSS_COST_MS	 1000.0
-/* A new holder knows the demand only after this time: until then any model may
- * be the one that is used most, and none is evicted. */
-#define DEMAND_SETTLE_US INT64_C(2500000)
-/* Delay by an unload that has to wait for a running request: the target carries
- * out no other order meanwhile. */
-#define RUNNING_EVICTION_S 3.0
 /* Greatest loss for which a load without waiting requests evicts models. */
 #define SEED_MAX_LOSS 0.3
 #define VICTIMS_MAX   8U
@@ -50,12 +32,8 @@
 	uint32_t serving; /* targets that requests can use */
 	uint32_t coming;  /* loads that run or are planned */
 	uint32_t copies;  /* targets that hold the model or have a copy */
-	uint32_t backups; /* targets with a copy in host memory or on disk */
-	uint32_t wanted;  /* replicas */
-	uint32_t reserve; /* of them, for slots and for a failure of one */
-	uint32_t running; /* requests at targets */
+	uint32_t wanted;  /* replicas; running requests until set_wanted() */
 	double rate;	  /* requests a second */
-	double work;	  /* prefill work, in seconds of one target a second */
 	uint32_t waiting; /* requests */
 	double gain;	  /* value of one more replica */
 } model_need_t;
@@ -75,12 +53,6 @@
 	double loss;
 } victims_t;
 
-static bool has_copy(const planner_target_t *t, uint32_t model)
-{
-	return bsh_copies_in_memory(&t->target.copies, model) ||
-	       bsh_copies_on_disk(&t->target.copies, model);
-}
-
 static model_need_t *find_need(const round_t *round, uint32_t model)
 {
 	guint index = GPOINTER_TO_UINT(g_hash_table_lookup(
@@ -101,9 +73,10 @@
 
 		need->serving += planner_serves(t, model, 0);
 		need->coming += loading || t->planned_load == model;
-		need->backups += has_copy(t, model);
-		need->copies += loading || has_copy(t, model) ||
-				bsh_holdings_has(&t->held, model, 0);
+		need->copies +=
+			loading || bsh_holdings_has(&t->held, model, 0) ||
+			bsh_copies_in_memory(&t->target.copies, model) ||
+			bsh_copies_on_disk(&t->target.copies, model);
 	}
 }
 
@@ -122,8 +95,7 @@
 		if (need == NULL)
 			continue;
 		need->rate += planner_demand_rate(demand, round->now_us);
-		need->work += planner_demand_work(demand, round->now_us);
-		need->running += (uint32_t)lround(demand->running);
+		need->wanted += (uint32_t)lround(demand->running);
 		if (demand->waiting == 0)
 			continue;
 		age_s = (double)(round->now_us - demand->waiting_since_us) /
@@ -133,44 +105,18 @@
 	}
 }
 
-/* Mean wait of a request for the prompts before it, in units of one prefill, if
- * so many replicas share the work (a queue with random arrivals). */
-static double mean_wait(double work, uint32_t replicas)
-{
-	double utilization = MIN(work / MAX(replicas, 1), UTILIZATION_MAX);
-
-	return utilization / (1.0 - utilization);
-}
-
-/* Delay that one replica more saves the model's requests within the horizon, in
- * seconds: of prefill waits, of full batches and of a failure. */
-static double replica_gain(const model_need_t *need, uint32_t replicas)
-{
-	double saved = mean_wait(need->work, replicas) -
-		       mean_wait(need->work, replicas + 1);
-	double gain = need->work * saved * REPLICA_HORIZON_S;
-
-	if (replicas < need->reserve)
-		gain += need->rate / (replicas + 1);
-	return gain;
-}
-
 static void set_wanted(const round_t *round, model_need_t *need)
 {
 	double slots_per_replica =
 		REPLICA_UTILIZATION * round->planner->service->slots;
 	uint32_t replicas =
-		(uint32_t)ceil(need->running / MAX(slots_per_replica, 1.0));
+		(uint32_t)ceil(need->wanted / MAX(slots_per_replica, 1.0));
 
+	need->wanted = replicas;
 	if (need->rate >= SECOND_REPLICA_RATE)
-		replicas = MAX(replicas, 2);
+		need->wanted = MAX(need->wanted, 2);
 	else if (need->rate > 0 || need->waiting > 0)
-		replicas = MAX(replicas, 1);
-	need->reserve = replicas;
-	replicas =
-		MAX(replicas, (uint32_t)ceil(need->work / PREFILL_UTILIZATION));
-	need->wanted =
-		MIN(replicas, MAX(round->planner->targets->len, need->reserve));
+		need->wanted = MAX(need->wanted, 1);
 	/* Requests that wait although the model is served or being loaded wait
 	 * for something other than a replica. */
 	if (need->serving > 0 || need->coming > 0)
@@ -178,7 +124,7 @@
 	if (need->waiting > 0 && need->serving == 0)
 		need->gain += need->rate;
 	else if (need->serving + need->coming < need->wanted)
-		need->gain = replica_gain(need, need->serving + need->coming);
+		need->gain = need->rate / (need->serving + need->coming + 1);
 }
 
 static void begin_round(round_t *round, bsh_planner_t *planner, int64_t now_us)
@@ -199,25 +145,7 @@
 		set_wanted(round, &round->models[i]);
 }
 
-/* Time until an evicted model could serve again, in seconds. */
-static double reload_s(const model_need_t *need)
-{
-	uint32_t ms = need->backups > 0 ? need->rule->disk_load_ms
-					: need->rule->load_ms;
-
-	return ms / 1000.0;
-}
-
-/* Delay that a request is expected to suffer because no target holds the model,
- * in seconds. */
-static double absence_s(const model_need_t *need)
-{
-	return reload_s(need) *
-	       CLAMP(need->rate * EVICTION_HORIZON_S, EVICTION_MIN_DEMAND, 1.0);
-}
-
-/* Delay that its requests would suffer in all if the model is evicted from this
- * target, in seconds. */
+/* Value lost if the model is evicted from this target. */
 static double loss(const round_t *round, const planner_target_t *t,
 		   uint32_t model)
 {
@@ -226,25 +154,18 @@
 
 	if (need == NULL)
 		return 0;
-	if (need->serving > 1)
-		value = replica_gain(need, need->serving - 1);
+	if (need->serving > need->wanted)
+		value = 0.1 * need->rate / need->serving;
 	else
-		value = absence_s(need) + need->waiting;
+		value = need->rate / MAX(need->serving, 1) + need->waiting;
+	if (need->serving <= 1 && need->copies <= 1)
+		value += MODEL_BASE_VALUE;
 	if (t->loaded_us > 0 && round->now_us - t->loaded_us < RECENT_LOAD_US &&
 	    need->rate > 0)
 		value += RECENT_LOAD_VALUE;
-	value += RUNNING_EVICTION_S *
-		 MIN((double)need->running / MAX(need->serving, 1), 1.0);
 	return value + MODEL_BASE_VALUE;
 }
 
-static bool is_demand_known(const round_t *round)
-{
-	int64_t since_us = round->planner->demand_since_us;
-
-	return since_us > 0 && round->now_us - since_us >= DEMAND_SETTLE_US;
-}
-
 /* Chooses the models with the least loss to evict for a new one.  Returns false
  * if it cannot fit. */
 static bool choose_victims(const round_t *round, const planner_target_t *t,
@@ -254,8 +175,7 @@
 	uint64_t used = planner_used_mb(round->planner, t, round->now_us);
 
 	memset(victims, 0, sizeof(*victims));
-	if (used == UINT32_MAX ||
-	    (used + rule->weights_mb > capacity && !is_demand_known(round)))
+	if (used == UINT32_MAX)
 		return false;
 	while (used + rule->weights_mb > capacity) {
 		const bsh_model_rule_t *cheapest = NULL;
@@ -298,6 +218,12 @@
 	return rule->load_ms;
 }
 
+static bool has_copy(const planner_target_t *t, uint32_t model)
+{
+	return bsh_copies_in_memory(&t->target.copies, model) ||
+	       bsh_copies_on_disk(&t->target.copies, model);
+}
+
 /* Evicts the first victim, or loads the model if there is none. */
 static void evict_or_load(const round_t *round, planner_target_t *t,
 			  const bsh_model_rule_t *rule,
@@ -402,40 +328,25 @@
 	}
 }
 
-/* The model without a copy on any target that is asked for most often, or NULL.
- * Its requests may be refused rather than wait, as no load can end in time for
- * them. */
-static model_need_t *most_missed(const round_t *round)
-{
-	model_need_t *best = NULL;
-
-	for (uint32_t i = 0; i < round->n_models; i++) {
-		model_need_t *need = &round->models[i];
-
-		if (need->copies == 0 && need->coming == 0 &&
-		    (best == NULL || need->rate > best->rate))
-			best = need;
-	}
-	return best;
-}
-
 /* Loads models without a copy on any target while the store has spare capacity,
- * so that their requests can be served, and a later load can use the copy. */
+ * so that a later load can use the copy. */
 static void seed_copies(const round_t *round)
 {
 	bsh_planner_t *planner = round->planner;
-	uint32_t limit =
-		MIN(planner->config.seed_loads, planner_store_limit(planner));
-	model_need_t *need;
 
-	while (planner_store_loads(planner) < limit &&
-	       (need = most_missed(round)) != NULL) {
+	for (uint32_t i = 0; i < round->n_models; i++) {
+		const model_need_t *need = &round->models[i];
+		planner_target_t *t;
 		victims_t victims;
-		double max_loss = MAX(SEED_MAX_LOSS, absence_s(need));
-		planner_target_t *t = best_target(round, need->rule, max_loss,
-						  true, &victims);
 
-		need->coming++;
+		if (planner_store_loads(planner) >=
+		    MIN(planner->config.seed_loads,
+			planner_store_limit(planner)))
+			return;
+		if (need->copies > 0 || need->coming > 0)
+			continue;
+		t = best_target(round, need->rule, SEED_MAX_LOSS, true,
+				&victims);
 		if (t != NULL)
 			evict_or_load(round, t, need->rule, &victims);
 	}
--- a/lib/coordination/planner_demand.c
+++ b/lib/coordination/planner_demand.c
@@ -73,7 +73,6 @@
 	demand->model = model;
 	demand->adapter = adapter;
 	demand->updated_us = now_us;
-	demand->worked_us = now_us;
 	g_hash_table_add(planner->demand, demand);
 	return demand;
 }
@@ -86,24 +85,6 @@
 	       exp(-(double)(now_us - demand->updated_us) / RATE_TAU_US);
 }
 
-double planner_demand_work(const planner_demand_t *demand, int64_t now_us)
-{
-	if (demand == NULL)
-		return 0;
-	return demand->work *
-	       exp(-(double)(now_us - demand->worked_us) / RATE_TAU_US);
-}
-
-void bsh_planner_add_work(bsh_planner_t *planner, uint32_t model,
-			  uint32_t work_ms, int64_t now_us)
-{
-	planner_demand_t *demand = get_demand(planner, model, 0, now_us);
-
-	demand->work = planner_demand_work(demand, now_us) +
-		       work_ms * (1e3 / RATE_TAU_US);
-	demand->worked_us = now_us;
-}
-
 static void add_arrivals(planner_demand_t *demand, uint32_t arrived,
 			 int64_t now_us)
 {
@@ -171,8 +152,6 @@
 		g_hash_table_insert(planner->instances, g_strdup(name),
 				    instance);
 	}
-	if (planner->demand_since_us == 0)
-		planner->demand_since_us = now_us;
 	subtract_report(planner, instance);
 	g_array_set_size(instance->entries, 0);
 	if (n > 0)
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -58,11 +58,7 @@
 typedef struct {
 	uint32_t model;
 	uint32_t adapter;
-	double rate; /* requests a second, smoothed */
-	/* Prefill work, in seconds of one target a second, smoothed; of the
-	 * base model only, for all its adapters. */
-	double work;
-	int64_t worked_us;  /* time to which work has decayed */
+	double rate;	    /* requests a second, smoothed */
 	double running;	    /* requests in progress at targets */
 	int64_t updated_us; /* time to which rate has decayed */
 	uint32_t waiting;   /* requests that no target can serve yet */
@@ -77,11 +73,10 @@
 	void *ctx;
 	bsh_catalog_t *catalog;
 	const bsh_service_rule_t *service;
-	GPtrArray *targets;	 /* planner_target_t */
-	GHashTable *deferred;	 /* target id to its earliest order time */
-	GHashTable *demand;	 /* key to planner_demand_t */
-	GHashTable *instances;	 /* name to planner_instance_t */
-	int64_t demand_since_us; /* first demand of the term; 0: none yet */
+	GPtrArray *targets;    /* planner_target_t */
+	GHashTable *deferred;  /* target id to its earliest order time */
+	GHashTable *demand;    /* key to planner_demand_t */
+	GHashTable *instances; /* name to planner_instance_t */
 	/* Number of concurrent loads that the weight store serves at full
 	 * speed, estimated from the duration of loads; from 1 to
 	 * config.concurrent_loads. */
@@ -120,8 +115,6 @@
 void planner_demand_expire(bsh_planner_t *planner, int64_t now_us);
 const planner_demand_t *planner_demand_of(const bsh_planner_t *planner,
 					  uint32_t model, uint32_t adapter);
-/* Offered prefill work, decayed to now_us; 0 for NULL. */
-double planner_demand_work(const planner_demand_t *demand, int64_t now_us);
 /* Request rate, decayed to now_us; 0 for NULL. */
 double planner_demand_rate(const planner_demand_t *demand, int64_t now_us);
 
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -257,23 +257,16 @@
 	END
 };
 
-static const field_t load_entry_fields[] = {
-	U32(bsh_load_entry_t, model), U32(bsh_load_entry_t, target),
-	U32(bsh_load_entry_t, work_ms), U32(bsh_load_entry_t, running), END
-};
-
-static const field_t load_offer_fields[] = { U32(bsh_load_offer_t, model),
-					     U32(bsh_load_offer_t, work_ms),
+static const field_t load_entry_fields[] = { U32(bsh_load_entry_t, target),
+					     U32(bsh_load_entry_t, work_ms),
+					     U32(bsh_load_entry_t, running),
 					     END };
 
-static const field_t load_fields[] = {
-	U64(bsh_msg_load_t, term),
-	LIST(bsh_msg_load_t, entries, entry_count, load_entry_fields,
-	     bsh_load_entry_t),
-	LIST(bsh_msg_load_t, offers, offer_count, load_offer_fields,
-	     bsh_load_offer_t),
-	END
-};
+static const field_t load_fields[] = { U64(bsh_msg_load_t, term),
+				       LIST(bsh_msg_load_t, entries,
+					    entry_count, load_entry_fields,
+					    bsh_load_entry_t),
+				       END };
 
 static const field_t inventory_fields[] = {
 	U64(bsh_msg_inventory_t, term),
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -354,38 +354,26 @@
 	uint32_t keys_bytes;
 } bsh_msg_inventory_t;
 
-/* Most entries of a LOAD that fit a datagram if no value exceeds the bound: of
- * sums alone, and of a report with offers. */
-#define BSH_LOAD_ENTRIES_MAX	    72
-#define BSH_LOAD_REPORT_ENTRIES_MAX 40
-#define BSH_LOAD_OFFERS_MAX	    32
-#define BSH_LOAD_VALUE_MAX	    65535U
+/* Most entries of a LOAD that fit a datagram if no value exceeds the bound. */
+#define BSH_LOAD_ENTRIES_MAX 72
+#define BSH_LOAD_VALUE_MAX   65535U
 
 /* What one instance, or all of them, have open at a target. */
 typedef struct {
-	uint32_t model;	  /* hash of the name; 0 in sums by target */
 	uint32_t target;  /* low 32 bits of the hash of its id */
 	uint32_t work_ms; /* estimated prefill time of the requests whose
 			   * answer has not begun */
 	uint32_t running; /* requests at the target */
 } bsh_load_entry_t;
 
-/* Prefill work that requests for a model have brought since the last report. */
-typedef struct {
-	uint32_t model; /* hash of the name */
-	uint32_t work_ms;
-} bsh_load_offer_t;
-
 /*
  * LOAD: from each instance to the holder of the order lease, with its own
- * requests by model; from the holder to all instances, with the sums by target.
+ * requests; from the holder to all instances, with the sums by target.
  */
 typedef struct {
 	uint64_t term; /* of the lease, 0: from an instance to the holder */
 	const bsh_load_entry_t *entries;
 	uint32_t entry_count;
-	const bsh_load_offer_t *offers; /* to the holder only */
-	uint32_t offer_count;
 } bsh_msg_load_t;
 
 typedef struct {
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -560,6 +560,8 @@
 	(void)data;
 	call(f, "/look/1", "q1", NULL);
 	kill(f->entry->pid, SIGSTOP);
+	/* A thread that runs at the time of the signal stops a little later. */
+	waitpid(f->entry->pid, NULL, WUNTRACED);
 	platform_rig_reply_clear(&f->reply);
 	platform_rig_send(&f->rig, f->entry->front, "/look/1", "q2", NULL, 300,
 			  &f->reply);
