Do not end a stream as complete when its resume fails

The first target ends a resumable stream early, the second answers the resume with 500: the body of the 500 was appended to the answer that had begun, and its end ended the answer.

A response that is no event stream cannot continue a stream of which a part was passed on: the attempt counts as broken, so the stream is resumed elsewhere or its connection is aborted. /entry/failed-resume fails before and passes after.

--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -152,6 +152,11 @@
 		end_attempt(r, ATTEMPT_REFUSED, BSH_ERR_REFUSED);
 		return;
 	}
+	/* Only events can continue a stream of which a part was passed on. */
+	if (r->answer_begun && (!r->head.event_stream || status != 200)) {
+		end_attempt(r, ATTEMPT_BROKEN, BSH_ERR_CONNECTION_LOST);
+		return;
+	}
 	if (!r->head.event_stream || status != 200)
 		record_first_byte(r);
 }
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -447,6 +447,10 @@
 
 	if (worker->mode == WORKER_NEVER_ANSWERS)
 		return;
+	if (worker->mode == WORKER_FAILS) {
+		bsh_http_response_send(run->request, 500, "failed", 6);
+		return;
+	}
 	if (worker->mode == WORKER_CLOSES_AFTER_RUN) {
 		bsh_http_response_abort(run->request);
 		return;
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -33,6 +33,7 @@
 typedef enum {
 	WORKER_ANSWERS,		 /* runs and answers each request */
 	WORKER_IS_FULL,		 /* answers 503 with Berylshunt-Not-Executed */
+	WORKER_FAILS,		 /* runs and answers 500 */
 	WORKER_CLOSES_AFTER_RUN, /* runs, then closes without an answer */
 	WORKER_BREAKS_STREAM,	 /* closes a stream after two events */
 	WORKER_NEVER_ANSWERS,	 /* runs and never answers */
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -179,6 +179,27 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "d9"), ==, 1);
 }
 
+/* Guards against a stream that looks complete although only its first part was
+ * passed on: the worker that was to resume it answered with an error. */
+static void test_failed_resume(fixture_t *f, gconstpointer data)
+{
+	worker_t *other = platform_rig_add_worker(&f->rig, "llm", "m0");
+
+	(void)data;
+	platform_rig_run(&f->rig, 200);
+	f->engine->mode = WORKER_BREAKS_STREAM;
+	other->mode = WORKER_FAILS;
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("r%d", i);
+
+		call(f, "/stream/1", id, "m0");
+		if (f->reply.status == 200 && f->reply.complete)
+			g_assert_nonnull(strstr(f->reply.body, "data: e6\n\n"));
+	}
+	g_assert_cmpuint(f->engine->runs, >, 0);
+	g_assert_cmpuint(other->runs, >, 0);
+}
+
 /* Sets the mode of the one of two workers that gets the requests; the next
  * stream must be retried on the other one and complete. */
 static void check_retried_stream(fixture_t *f, worker_mode_t mode)
@@ -643,6 +664,7 @@
 	ADD("/entry/only-target-fails-once", test_only_target_fails_once);
 	ADD("/entry/only-target-is-slow", test_only_target_is_slow);
 	ADD("/entry/broken-stream", test_broken_stream);
+	ADD("/entry/failed-resume", test_failed_resume);
 	ADD("/entry/mute-worker", test_mute_worker);
 	ADD("/entry/stalled-stream", test_stalled_stream);
 	ADD("/entry/loads-on-demand", test_loads_on_demand);
