Send the full list of targets only to instances that need it

An instance that has read the list from the store since it became its source continues from that list, as before; one that has not, or lacks announcements, is sent the full list.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -112,7 +112,8 @@
  * and drops those that it does not name.  False if it names a target that is
  * not known here. */
 bool targets_apply_inventory(targets_t *targets, GHashTable *keys);
-/* True if the list has been read from the store just now. */
+/* True if the list has been read from the store since it became the source, and
+ * the store answers. */
 bool targets_are_current(const targets_t *targets);
 /* Selects the source of updates: this instance's own watch on the store, or the
  * announcements of the lease holder. */
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -218,6 +218,7 @@
 	if (!feed->paused)
 		return;
 	feed->paused = false;
+	feed->resumed_us = bsh_loop_clock_us();
 	begin_list(feed);
 	schedule_call(feed, 0);
 }
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -64,6 +64,7 @@
 	 * no list was completed. */
 	int64_t complete_us;
 	int64_t list_began_us; /* first call of the current list */
+	int64_t resumed_us;    /* last feed_resume(); 0: none */
 	int64_t failed_us;     /* time of the last failed call; 0: none */
 	int64_t recovered_us;  /* first success after the last failure */
 } feed_t;
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -337,12 +337,10 @@
 		return;
 	if (orders->announced_term != placement->term) {
 		orders->announced_term = placement->term;
-		/* At the begin of the term, a list that was read from the store
-		 * just now needs nothing more. */
+		/* A list that was read from the store just now includes the
+		 * earlier announcements. */
 		orders->received_through =
-			placement->from <= ANNOUNCEMENTS_BEGIN &&
-					targets_are_current(
-						orders->control->targets)
+			targets_are_current(orders->control->targets)
 				? placement->from
 				: 0;
 	}
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -23,9 +23,6 @@
 #define WATCH_TIMEOUT_MIN_MS  500U
 #define WATCH_TIMEOUT_PERCENT 50
 
-/* Age up to which a list from the store is taken for current. */
-#define CURRENT_MAX_AGE_US INT64_C(300000)
-
 typedef struct {
 	bsh_target_t target; /* last known state */
 	uint64_t list;	     /* number of the last list that contained it */
@@ -425,8 +422,7 @@
 bool targets_are_current(const targets_t *targets)
 {
 	return targets_is_synced(targets) &&
-	       bsh_loop_clock_us() - targets->feed.complete_us <
-		       CURRENT_MAX_AGE_US;
+	       targets->feed.complete_us > targets->feed.resumed_us;
 }
 
 void targets_set_source(targets_t *targets, bool from_store)
