Report the load of targets five times a second at most

An instance reports its demand again 5 ms after a request begins to wait, and each of these reports brought a LOAD along; with 80 instances and hundreds of cold models the holder received several hundred more datagrams a second. LOAD now goes with a report only 200 ms after the last one.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -128,9 +128,11 @@
 	control_demand_msg_t *demand = data;
 
 	orders_send_demand(demand->control->orders, demand->entries);
-	loads_report(demand->control->loads, demand->loads);
+	if (demand->loads != NULL) {
+		loads_report(demand->control->loads, demand->loads);
+		g_array_free(demand->loads, TRUE);
+	}
 	g_array_free(demand->entries, TRUE);
-	g_array_free(demand->loads, TRUE);
 	g_free(demand);
 }
 
--- a/bshentryd/demand.c
+++ b/bshentryd/demand.c
@@ -6,6 +6,9 @@
  * wait. */
 #define DEMAND_INTERVAL_US     INT64_C(250000)
 #define DEMAND_URGENT_DELAY_US INT64_C(5000)
+/* Shortest time between two reports of the load: it does not go with each urgent
+ * report of the demand, of which there are many while requests wait. */
+#define LOAD_INTERVAL_US INT64_C(200000)
 
 static gint64 model_key(uint32_t model, uint32_t adapter)
 {
@@ -79,7 +82,10 @@
 	traffic_update_budget_gauge(t);
 	t->demand_urgent = false;
 	g_array_sort(demand->entries, compare_demand);
-	demand->loads = engine_load_collect(t);
+	if (traffic_now_us(t) - t->load_reported_us >= LOAD_INTERVAL_US) {
+		t->load_reported_us = traffic_now_us(t);
+		demand->loads = engine_load_collect(t);
+	}
 	bsh_loop_post(&t->entry->control_loop, control_demand, demand);
 	bsh_loop_timer_after(&t->demand_timer, DEMAND_INTERVAL_US);
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -64,6 +64,7 @@
 	bsh_loop_timer_t demand_timer;
 	bsh_loop_timer_t quit_timer;
 	bool demand_urgent;	      /* a report is due without delay */
+	int64_t load_reported_us;     /* last report of the load */
 	bsh_loop_timer_t abort_timer; /* at abort_at_us */
 	bool draining;
 	int64_t abort_at_us; /* when the drain aborts the remaining requests */
