Abort a begun response that a second one would end as complete

The stand-in worker switched to the mode that answers 500 while a stream was running and sent the 500 as a second response; the server queued it, and libmicrohttpd ended the first one with it.

Change: the server aborts a response that has begun when another one is sent, with a log line, so that no program can truncate a response as complete this way. The worker breaks off a stream in that mode. The soak prints the body of a violation.

--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/log.h"
 #include "base/settings.h"
 
 /* Memory pool of a connection; bounds the request headers and the parts of a
@@ -597,6 +598,14 @@
 void bsh_http_response_send(bsh_http_request_t *request, int status,
 			    const char *body, size_t size)
 {
+	/* Queueing a second response would end the first as if complete. */
+	if (request->response != NULL) {
+		bsh_log(BSH_LOG_ERROR,
+			"response-aborted begun_status=%d second_status=%d",
+			request->status, status);
+		bsh_http_response_abort(request);
+		return;
+	}
 	request->ended = true;
 	begin_response(request, status,
 		       MHD_create_response_from_buffer(size,
--- a/lib/transport/http_server.h
+++ b/lib/transport/http_server.h
@@ -138,7 +138,8 @@
 void bsh_http_response_add_header(bsh_http_request_t *request, const char *name,
 				  const char *value);
 
-/* bsh_http_response_send - send a complete response; the body is copied. */
+/* bsh_http_response_send - send a complete response; the body is copied.  A
+ * response that has begun is aborted instead, with a log line. */
 void bsh_http_response_send(bsh_http_request_t *request, int status,
 			    const char *body, size_t size);
 
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -65,12 +65,15 @@
 static void report_violation(soak_t *soak, const caller_t *caller,
 			     const char *violation)
 {
+	g_autofree char *body = g_strescape(
+		caller->reply.body != NULL ? caller->reply.body : "", NULL);
+
 	soak->broken++;
 	printf("BROKEN %s id=%s path=%s instance=%s status=%d runs=%u "
-	       "took_ms=%d\n",
+	       "took_ms=%d body=%s\n",
 	       violation, caller->id, caller->path, caller->entry->name,
 	       caller->reply.status, platform_rig_runs(&soak->rig, caller->id),
-	       (int)(caller->reply.took_us / 1000));
+	       (int)(caller->reply.took_us / 1000), body);
 }
 
 /* Returns true if the instance is down or has had a fault recently. */
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -447,6 +447,12 @@
 
 	if (worker->mode == WORKER_NEVER_ANSWERS)
 		return;
+	/* A begun stream can no longer answer 500: sending one would end it as
+	 * if it were complete. */
+	if (worker->mode == WORKER_FAILS && run->header_sent) {
+		bsh_http_response_abort(run->request);
+		return;
+	}
 	if (worker->mode == WORKER_FAILS) {
 		bsh_http_response_send(run->request, 500, "failed", 6);
 		return;
@@ -818,7 +824,7 @@
 		status = reply.status;
 		platform_rig_reply_clear(&reply);
 		if (status != 200)
-			platform_rig_run(rig, 20);
+			platform_rig_run(rig, 1);
 	}
 }
 
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -235,6 +235,26 @@
 	fixture_finish(&f);
 }
 
+/* Guards against a begun response that a second one ends as if it were
+ * complete. */
+static void test_second_response(void)
+{
+	bsh_http_call_spec_t spec = { .idle_timeout_ms = 5000 };
+	fixture_t f;
+
+	fixture_init(&f);
+	start_call(&f, "/hold", "x", spec, BSH_OK);
+	step_until(&f, &f.requests, 1);
+	bsh_http_response_begin(f.held, 200, -1);
+	bsh_http_response_write(f.held, "part", 4);
+	bsh_http_response_send(f.held, 500, "failed", 6);
+	step_until(&f, &f.ends, 1);
+	g_assert_cmpint(f.status, ==, 200);
+	g_assert_false(f.result.complete);
+	g_assert_cmpint(f.result.err, ==, BSH_ERR_CONNECTION_LOST);
+	fixture_finish(&f);
+}
+
 /* Guards against a sent request that is reported as not sent, and against the
  * reverse when no connection was established. */
 static void test_sent(void)
@@ -494,6 +514,7 @@
 	g_test_add_func("/http/echo", test_echo);
 	g_test_add_func("/http/backpressure", test_backpressure);
 	g_test_add_func("/http/broken-answer", test_truncated_response);
+	g_test_add_func("/http/second-response", test_second_response);
 	g_test_add_func("/http/sent", test_sent);
 	g_test_add_func("/http/withheld", test_withheld);
 	g_test_add_func("/http/cancel", test_cancel);
