--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -50,6 +50,7 @@
 	message->traffic = control->entry->traffic;
 	message->view = view_new(catalog);
 	message->view->instances = peers_instance_count(control->peers);
+	message->view->listed = targets_listed(control->targets);
 	targets_fill(control->targets, message->view);
 	orders_fill(control->orders, message->view);
 	bsh_loop_post(&control->entry->traffic_loop, traffic_set_view, message);
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -58,6 +58,9 @@
 	char settings_path[512];
 	uint64_t incarnation; /* start time in us; rises with each start */
 	freshness_t freshness;
+	/* The traffic thread has a view with targets.  Written by it and read by
+	 * the control thread, by atomic store and load. */
+	bool serving;
 	bsh_loop_t control_loop;
 	bsh_loop_t traffic_loop;
 	control_t *control;
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -934,6 +934,8 @@
 	t->view_number++;
 	g_free(message);
 	update_targets(t);
+	if (t->view->listed)
+		__atomic_store_n(&t->entry->serving, true, __ATOMIC_RELEASE);
 	retry_waiting(t);
 }
 
--- a/bshentryd/view.h
+++ b/bshentryd/view.h
@@ -38,6 +38,7 @@
 	bsh_catalog_t *catalog;
 	GArray *targets;    /* view_target_t, without those leaving */
 	GArray *ready;	    /* view_ready_t, of models with waiting requests */
+	bool listed;	    /* the list of targets has been read */
 	bool has_holder;    /* a lease holder was active recently */
 	uint32_t instances; /* that may be running, including this one */
 } view_t;
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <sched.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -152,6 +153,54 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "l2"), ==, 1);
 }
 
+static gpointer spin(gpointer stop)
+{
+	while (!g_atomic_int_get((gint *)stop))
+		;
+	return NULL;
+}
+
+/* Guards against an instance that reports that it is ready before its traffic
+ * thread knows the configuration and the targets.  The threads compete for one
+ * busy processor, so that the traffic thread runs late. */
+static void test_ready_instance_serves(void)
+{
+	GThread *busy[4];
+	gint stop = 0;
+	cpu_set_t all;
+	cpu_set_t one;
+	platform_rig_t rig;
+	rig_reply_t reply;
+
+	g_assert_cmpint(sched_getaffinity(0, sizeof(all), &all), ==, 0);
+	CPU_ZERO(&one);
+	for (size_t i = 0; i < CPU_SETSIZE && CPU_COUNT(&one) == 0; i++)
+		if (CPU_ISSET(i, &all))
+			CPU_SET(i, &one);
+	g_assert_cmpint(sched_setaffinity(0, sizeof(one), &one), ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(busy); i++)
+		busy[i] = g_thread_new("busy", spin, &stop);
+	platform_rig_init(&rig);
+	platform_rig_add_worker(&rig, "desk", NULL);
+	platform_rig_configure(&rig, NULL);
+	for (int i = 0; i < 12; i++) {
+		rig_entry_t *entry = platform_rig_add_entry(&rig);
+
+		platform_rig_wait_ready(&rig, entry);
+		platform_rig_send(&rig, entry->front, "/look/1", "rs", NULL,
+				  2000, &reply);
+		platform_rig_wait(&rig, &reply.done);
+		g_assert_cmpint(reply.status, ==, 200);
+		platform_rig_reply_clear(&reply);
+		kill(entry->pid, SIGKILL);
+	}
+	platform_rig_finish(&rig);
+	g_atomic_int_set(&stop, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(busy); i++)
+		g_thread_join(busy[i]);
+	g_assert_cmpint(sched_setaffinity(0, sizeof(all), &all), ==, 0);
+}
+
 /* Guards against a gap, a partial event or an early end when a worker breaks
  * off a resumable stream, and against a stream that is not resumable being
  * continued on another worker. */
@@ -663,6 +712,8 @@
 	ADD("/entry/refusal", test_refusal);
 	ADD("/entry/only-target-fails-once", test_only_target_fails_once);
 	ADD("/entry/only-target-is-slow", test_only_target_is_slow);
+	g_test_add_func("/entry/ready-instance-serves",
+			test_ready_instance_serves);
 	ADD("/entry/broken-stream", test_broken_stream);
 	ADD("/entry/failed-resume", test_failed_resume);
 	ADD("/entry/mute-worker", test_mute_worker);
