Seed models that were asked for before others

Cause: on deployments with more models than places, the weight store's one lane was busy with models in the order of the list that nobody asks for. Requests for others without a copy are refused at once, as a load of 13 s does not fit, so they do not wait, their smoothed rate decays, and the load that it justifies is then below the loss of any eviction. A seed is allowed a greater loss (0.3) than they are.

Change: the model to seed is the one with the highest rate, at most eight are tried in one run.

Kept for the models that are never served; /planner/asked-models-are-seeded-first fails without the change.

--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -21,7 +21,9 @@
 #define LOSS_COST_MS	 1000.0
 /* Greatest loss for which a load without waiting requests evicts models. */
 #define SEED_MAX_LOSS 0.3
-#define VICTIMS_MAX   8U
+/* Models tried for such a load in one run; bounds its processor time. */
+#define SEED_TRIES_MAX 8U
+#define VICTIMS_MAX    8U
 /* Time from the order to the first request, added to an estimate. */
 #define ESTIMATE_MARGIN_MS 150U
 #define NEVER_MS	   UINT32_MAX
@@ -33,6 +35,7 @@
 	uint32_t coming;  /* loads that run or are planned */
 	uint32_t copies;  /* targets that hold the model or have a copy */
 	uint32_t copy_at; /* number of the last target counted in copies */
+	bool seed_tried;  /* in seed_copies() */
 	bool has_room;	  /* some serving target may have room for an adapter */
 	uint32_t wanted;  /* replicas; running requests until set_wanted() */
 	double rate;	  /* requests a second */
@@ -458,23 +461,43 @@
 	}
 }
 
+/* The model without a copy that was asked for most, lately if at all; marks it
+ * as tried. */
+static model_need_t *next_to_seed(const round_t *round)
+{
+	model_need_t *best = NULL;
+
+	for (uint32_t i = 0; i < round->n_models; i++) {
+		model_need_t *need = &round->models[i];
+
+		if (need->copies == 0 && need->coming == 0 &&
+		    !need->seed_tried &&
+		    (best == NULL || need->rate > best->rate))
+			best = need;
+	}
+	if (best != NULL)
+		best->seed_tried = true;
+	return best;
+}
+
 /* Loads models without a copy on any target while the store has spare capacity,
- * so that a later load can use the copy. */
+ * so that a later load can use the copy.  Those that were asked for come first:
+ * their requests may have been refused, as the load would take too long, and so
+ * do not wait for it. */
 static void seed_copies(const round_t *round)
 {
 	bsh_planner_t *planner = round->planner;
+	uint32_t limit =
+		MIN(planner->config.seed_loads, planner_store_limit(planner));
 
-	for (uint32_t i = 0; i < round->n_models; i++) {
-		const model_need_t *need = &round->models[i];
+	for (uint32_t i = 0;
+	     i < SEED_TRIES_MAX && planner_store_loads(planner) < limit; i++) {
+		const model_need_t *need = next_to_seed(round);
 		planner_target_t *t;
 		victims_t victims;
 
-		if (planner_store_loads(planner) >=
-		    MIN(planner->config.seed_loads,
-			planner_store_limit(planner)))
+		if (need == NULL)
 			return;
-		if (need->copies > 0 || need->coming > 0)
-			continue;
 		t = best_target(round, need->rule, SEED_MAX_LOSS, true,
 				&victims);
 		if (t != NULL)
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -57,11 +57,13 @@
 }
 
 /* A service whose targets have room for two models and two adapters each. */
-static void rig_init(rig_t *rig, const char *const *models, uint32_t adapters)
+static void rig_init_seeding(rig_t *rig, const char *const *models,
+			     uint32_t adapters, uint32_t seed_loads)
 {
 	static const bsh_planner_ops_t ops = { on_order, on_report, on_placed,
 					       NULL };
-	static const bsh_planner_config_t config = { .concurrent_loads = 2 };
+	const bsh_planner_config_t config = { .concurrent_loads = 2,
+					      .seed_loads = seed_loads };
 	bsh_service_rule_t *service;
 
 	memset(rig, 0, sizeof(*rig));
@@ -87,6 +89,11 @@
 	bsh_planner_set_service(rig->planner, rig->catalog, service);
 }
 
+static void rig_init(rig_t *rig, const char *const *models, uint32_t adapters)
+{
+	rig_init_seeding(rig, models, adapters, 0);
+}
+
 static void rig_finish(rig_t *rig)
 {
 	bsh_planner_free(rig->planner);
@@ -568,6 +575,33 @@
 	rig_finish(&rig);
 }
 
+/* Guards against models that are never loaded although they are asked for: the
+ * store's time goes to models that nobody asks for, which come earlier in the
+ * list, while requests are refused because a load would take too long. */
+static void test_asked_models_are_seeded_first(void)
+{
+	static const char *const models[] = { "m0", "m1", "m2", "m3", NULL };
+	static const char *const full[] = { "m0", "m1", NULL };
+	bsh_target_t a = make_target("a", full);
+	rig_t rig;
+
+	rig_init_seeding(&rig, models, 0, 1);
+	add_target(&rig, &a, 0);
+	demand(&rig, "m3", NULL, 1, 0);
+	/* The rate is by now too low for an eviction on its account. */
+	tick(&rig, 60000000);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_false(rig.orders[0].load);
+	bsh_planner_order_result(rig.planner, "a", BSH_ORDER_ACCEPTED,
+				 rig.now_us);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_true(rig.orders[1].load);
+	g_assert_cmpuint(rig.orders[1].model, ==, hash("m3"));
+	rig_finish(&rig);
+}
+
 #define MANY_MODELS  600U
 #define MANY_TARGETS 120U
 #define MANY_COPIES  100U /* on the disk of each target */
@@ -663,6 +697,8 @@
 	g_test_add_func("/planner/new-term", test_new_term_discards_holdings);
 	g_test_add_func("/planner/unloading",
 			test_unloading_model_stays_withdrawn);
+	g_test_add_func("/planner/asked-models-are-seeded-first",
+			test_asked_models_are_seeded_first);
 	g_test_add_func("/planner/many-models-on-small-instance",
 			test_many_models_on_small_instance);
 	g_test_add_func("/planner/estimate-near-the-end",
