Take a list of targets as complete only with the state of each

The inventory names the targets only: if a datagram with states was lost, the instance knew all names and took its old states for current, until the next announcement of the target. Its own watch is paused meanwhile.

Also found by reading, same effect: announcements that arrive while the own watch is the source are not applied, but counted as received; and a retransmission in two datagrams, of which the first may be lost.

Change: an inventory counts only if a state of this term, as recent as the inventory, was applied for each target; announcements that are not applied count only if the own list is current; what does not fit one datagram is sent as a full list.

/target-inventory/lost-state guards the comparison.

--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -287,7 +287,9 @@
 	send_inventory(announcer, instance);
 }
 
-static void retransmit_since(const announcer_t *announcer, const char *instance,
+/* Returns false if the states of an announcement no longer fit one datagram: of
+ * several the receiver would not know that one was lost. */
+static bool retransmit_since(const announcer_t *announcer, const char *instance,
 			     uint64_t received_through)
 {
 	batch_t batch = { .n = 0 };
@@ -296,15 +298,13 @@
 		const announcement_t *announcement =
 			&announcer->log[i % LOG_ENTRIES];
 
-		for (uint32_t j = 0; j < announcement->n; j++) {
-			if (add_target(announcer, &batch,
-				       announcement->targets[j]))
-				continue;
-			send_unnumbered(announcer, instance, &batch);
-			add_target(announcer, &batch, announcement->targets[j]);
-		}
+		for (uint32_t j = 0; j < announcement->n; j++)
+			if (!add_target(announcer, &batch,
+					announcement->targets[j]))
+				return false;
 		send_batch(announcer, instance, &batch, i - 1, i, NULL, 0);
 	}
+	return true;
 }
 
 void announcer_catch_up(announcer_t *announcer, const char *instance,
@@ -333,10 +333,9 @@
 	if (now_us - *retransmitted_us < RETRANSMIT_INTERVAL_US)
 		return;
 	*retransmitted_us = now_us;
-	if (received_through == 0 || exceeds_log)
+	if (received_through == 0 || exceeds_log ||
+	    !retransmit_since(announcer, instance, received_through))
 		send_all_targets(announcer, instance);
-	else
-		retransmit_since(announcer, instance, received_through);
 }
 
 void announcer_send_heartbeat(announcer_t *announcer)
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -109,9 +109,10 @@
  * own watch is paused, or the store does not answer it. */
 bool targets_follow_holder(const targets_t *targets);
 /* Compares the targets with a complete list of their keys by the lease holder,
- * and drops those that it does not name.  False if it names a target that is
- * not known here. */
-bool targets_apply_inventory(targets_t *targets, GHashTable *keys);
+ * as of an announcement of its term, and drops those that it does not name.
+ * False if the holder's state of a named target was not received. */
+bool targets_apply_inventory(targets_t *targets, GHashTable *keys,
+			     uint64_t term, uint64_t number);
 /* True if the list has been read from the store since it became the source, and
  * the store answers. */
 bool targets_are_current(const targets_t *targets);
--- a/bshentryd/inventory.c
+++ b/bshentryd/inventory.c
@@ -66,7 +66,8 @@
 	/* The states of some targets may have been lost: the holder sends all
 	 * of them again. */
 	if (!targets_apply_inventory(inventory->control->targets,
-				     inventory->keys))
+				     inventory->keys, message->term,
+				     message->number))
 		return;
 	bsh_log(BSH_LOG_INFO,
 		"targets-inventory term=%" G_GUINT64_FORMAT
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -344,10 +344,15 @@
 				? placement->from
 				: 0;
 	}
+	orders->last_announced = MAX(placement->to, orders->received_through);
+	/* While the own watch is the source, announced states are not applied:
+	 * they count as received only if that list includes them. */
+	if (!targets_follow_holder(orders->control->targets) &&
+	    !targets_are_current(orders->control->targets))
+		return;
 	if (placement->from <= orders->received_through)
 		orders->received_through =
 			MAX(orders->received_through, placement->to);
-	orders->last_announced = MAX(placement->to, orders->received_through);
 }
 
 /* Records the newest message of the holder: the next demand echoes its time as
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "coordination/missing_target.h"
+#include "coordination/target_inventory.h"
 #include "platform/decode.h"
 
 /* Target objects that expired during an outage of the store are back within
@@ -306,8 +307,7 @@
 		control_schedule_view(targets->control);
 }
 
-/* Records the number of an announcement.  Returns false if a later one has been
- * applied to the target. */
+/* Returns false if a later announcement has been applied to the target. */
 static bool accept_announcement(targets_t *targets,
 				const bsh_placement_entry_t *entry,
 				uint64_t term)
@@ -327,15 +327,9 @@
 		g_hash_table_replace(targets->tombstones,
 				     g_strdup(entry->target), tombstone);
 	}
-	if (listed == NULL)
-		return true;
-	if (term < listed->announcement_term ||
-	    (term == listed->announcement_term &&
-	     entry->number < listed->announcement_number))
-		return false;
-	listed->announcement_term = term;
-	listed->announcement_number = entry->number;
-	return true;
+	return listed == NULL || term > listed->announcement_term ||
+	       (term == listed->announcement_term &&
+		entry->number >= listed->announcement_number);
 }
 
 /* Applies the announced state of a target. */
@@ -377,12 +371,19 @@
 				uint64_t term)
 {
 	bsh_holdings_t holdings;
+	listed_t *listed;
 
 	if (!accept_announcement(targets, entry, term))
 		return;
 	decode_pairs(entry, &holdings);
-	if (targets_follow_holder(targets))
+	if (targets_follow_holder(targets)) {
 		apply_announced_state(targets, entry, &holdings);
+		listed = g_hash_table_lookup(targets->table, entry->target);
+		if (listed != NULL) {
+			listed->announcement_term = term;
+			listed->announcement_number = entry->number;
+		}
+	}
 	if (entry->state != BSH_TARGET_GONE && entry->version > 0)
 		set_placement(targets, entry, &holdings, term);
 }
@@ -392,24 +393,29 @@
 	return targets->feed.paused || !targets->feed.reached;
 }
 
-bool targets_apply_inventory(targets_t *targets, GHashTable *keys)
+bool targets_apply_inventory(targets_t *targets, GHashTable *keys,
+			     uint64_t term, uint64_t number)
 {
 	g_autoptr(GPtrArray) gone = g_ptr_array_new();
-	guint known = 0;
+	g_autoptr(GArray) marks =
+		g_array_new(FALSE, FALSE, sizeof(bsh_target_mark_t));
 	GHashTableIter iter;
 	void *data;
 
 	g_hash_table_iter_init(&iter, targets->table);
 	while (g_hash_table_iter_next(&iter, NULL, &data)) {
 		listed_t *listed = data;
-		uint32_t key = bsh_target_key(listed->target.id);
+		bsh_target_mark_t mark = { bsh_target_key(listed->target.id),
+					   listed->announcement_term,
+					   listed->announcement_number };
 
-		if (g_hash_table_contains(keys, GUINT_TO_POINTER(key)))
-			known++;
-		else
+		g_array_append_val(marks, mark);
+		if (!g_hash_table_contains(keys, GUINT_TO_POINTER(mark.key)))
 			g_ptr_array_add(gone, listed);
 	}
-	if (known < g_hash_table_size(keys))
+	if (!bsh_target_inventory_covered(
+		    keys, term, number,
+		    (const bsh_target_mark_t *)(void *)marks->data, marks->len))
 		return false;
 	/* A target on the own list may be newer than the holder's. */
 	if (!targets_follow_holder(targets))
--- a/regress/test_targets.c
+++ b/regress/test_targets.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "coordination/missing_target.h"
+#include "coordination/target_inventory.h"
 
 #define MS INT64_C(1000)
 
@@ -40,6 +41,27 @@
 			==, 10000 * MS);
 }
 
+/* Guards against requests to a target that is leaving: its instance was cut off
+ * when the target began to leave, and of the states that the lease holder sent
+ * afterwards that of this target was lost. */
+static void test_inventory_with_lost_state(void)
+{
+	bsh_target_mark_t marks[] = { { 1, 7, 900 }, { 2, 7, 120 } };
+	g_autoptr(GHashTable) keys = g_hash_table_new(NULL, NULL);
+
+	g_hash_table_add(keys, GUINT_TO_POINTER(1));
+	g_hash_table_add(keys, GUINT_TO_POINTER(2));
+	g_assert_false(bsh_target_inventory_covered(keys, 7, 900, marks, 2));
+	marks[1].number = 901;
+	g_assert_true(bsh_target_inventory_covered(keys, 7, 900, marks, 2));
+	/* A state of an earlier term says nothing, whatever its number. */
+	marks[1].term = 6;
+	g_assert_false(bsh_target_inventory_covered(keys, 7, 900, marks, 2));
+	/* Nor does a state of a target that the inventory does not name. */
+	marks[1] = (bsh_target_mark_t){ 3, 7, 901 };
+	g_assert_false(bsh_target_inventory_covered(keys, 7, 900, marks, 2));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -47,5 +69,7 @@
 	g_test_add_func("/missing-target/fresh-list",
 			test_grace_with_fresh_list);
 	g_test_add_func("/missing-target/old-list", test_grace_with_old_list);
+	g_test_add_func("/target-inventory/lost-state",
+			test_inventory_with_lost_state);
 	return g_test_run();
 }
