Release the planned load of a target that is busy

Ruled out: the weight store (all three have copies) and an unanswered order (each was refused with 409 at once).

Change: when a target refuses an order as busy, its planned load is dropped, so that the model goes where a target is free.

--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -488,8 +488,11 @@
 		order_redundant(planner, t, now_us);
 		break;
 	case BSH_ORDER_BUSY:
-		/* The count differs, or another order is still running. */
+		/* The count differs, or another order is still running: an
+		 * unload waits for requests of up to their whole deadline.  The
+		 * planned load is free to go elsewhere. */
 		t->has_order = false;
+		t->planned_load = 0;
 		set_state(t, PLANNER_UNCERTAIN, now_us);
 		t->next_report_us = now_us + REPORT_LAG_US;
 		publish(planner, t);
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -602,6 +602,50 @@
 	rig_finish(&rig);
 }
 
+static void add_disk_copy(bsh_target_t *target, const char *model)
+{
+	target->copies.disk[target->copies.n_disk++] = hash(model);
+}
+
+/* Guards against a model that nobody serves for many seconds: the target that
+ * was to load it is busy with an unload that waits for running requests, while
+ * another target could load it. */
+static void test_busy_target_does_not_hold_a_load(void)
+{
+	static const char *const models[] = {
+		"m0", "m1", "m2", "m3", "n", NULL
+	};
+	static const char *const first[] = { "m0", "m1", NULL };
+	static const char *const second[] = { "m2", "m3", NULL };
+	bsh_target_t a = make_target("a", first);
+	bsh_target_t b = make_target("b", second);
+	const char *busy;
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_disk_copy(&a, "n");
+	add_disk_copy(&b, "n");
+	add_target(&rig, &a, 0);
+	add_target(&rig, &b, 0);
+	demand(&rig, "n", NULL, 0, 1);
+	tick(&rig, 1000);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	busy = rig.order_target[0];
+	bsh_planner_order_result(rig.planner, busy, BSH_ORDER_ACCEPTED,
+				 rig.now_us);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_true(rig.orders[1].load);
+	bsh_planner_order_result(rig.planner, busy, BSH_ORDER_BUSY, rig.now_us);
+	demand(&rig, "n", NULL, 0, 1);
+	tick(&rig, 50000);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 3);
+	g_assert_cmpstr(rig.order_target[2], !=, busy);
+	rig_finish(&rig);
+}
+
 #define MANY_MODELS  600U
 #define MANY_TARGETS 120U
 #define MANY_COPIES  100U /* on the disk of each target */
@@ -699,6 +743,8 @@
 			test_unloading_model_stays_withdrawn);
 	g_test_add_func("/planner/asked-models-are-seeded-first",
 			test_asked_models_are_seeded_first);
+	g_test_add_func("/planner/busy-target-does-not-hold-a-load",
+			test_busy_target_does_not_hold_a_load);
 	g_test_add_func("/planner/many-models-on-small-instance",
 			test_many_models_on_small_instance);
 	g_test_add_func("/planner/estimate-near-the-end",
