Count the wait for running requests against an eviction

Cause: an unload waits for the model's running requests, and the target refuses other orders meanwhile. The planner chose where to load by load time, number of evictions and lost value, not by that wait.

Change: the expected wait at the target is part of the cost; the number of running requests there comes from the load sums that the holder has.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -186,6 +186,8 @@
 /* Handles RELEASE: the lease holder gives no more orders. */
 void orders_receive_release(orders_t *orders, const char *sender,
 			    const bsh_msg_release_t *release);
+/* orders_note_loads - the work open at the targets, as bsh_load_entry_t. */
+void orders_note_loads(orders_t *orders, const GArray *sums);
 /* Adds the estimates of readiness, and whether there is a lease holder, to a
  * view. */
 void orders_fill(const orders_t *orders, view_t *view);
--- a/bshentryd/loads.c
+++ b/bshentryd/loads.c
@@ -105,6 +105,7 @@
 	loads->summed_us = now_us;
 	sums = bsh_load_table_sum(&loads->table, now_us);
 	limit_values(sums);
+	orders_note_loads(loads->control->orders, sums);
 	message.load.term = orders_lease(loads->control->orders)->term;
 	message.load.entries = (const bsh_load_entry_t *)(void *)sums->data;
 	message.load.entry_count = MIN(sums->len, BSH_LOAD_ENTRIES_MAX);
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -666,6 +666,19 @@
 	}
 }
 
+void orders_note_loads(orders_t *orders, const GArray *sums)
+{
+	for (guint i = 0; i < orders->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(orders->services, i);
+
+		bsh_planner_update_loads(
+			service->planner,
+			(const bsh_load_entry_t *)(void *)sums->data,
+			sums->len);
+	}
+}
+
 void orders_fill(const orders_t *orders, view_t *view)
 {
 	g_array_append_vals(view->ready, orders->ready->data,
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -339,6 +339,7 @@
 	if (t == NULL) {
 		t = g_new0(planner_target_t, 1);
 		t->target = *target;
+		t->load_key = bsh_target_key(target->id);
 		deferred_until_us =
 			g_hash_table_lookup(planner->deferred, target->id);
 		if (deferred_until_us != NULL)
@@ -383,6 +384,24 @@
 		g_ptr_array_remove_fast(planner->targets, t);
 }
 
+void bsh_planner_update_loads(bsh_planner_t *planner,
+			      const bsh_load_entry_t *entries, uint32_t n)
+{
+	g_autoptr(GHashTable) running =
+		g_hash_table_new(g_direct_hash, g_direct_equal);
+
+	for (uint32_t i = 0; i < n; i++)
+		g_hash_table_insert(running,
+				    GUINT_TO_POINTER(entries[i].target),
+				    GUINT_TO_POINTER(entries[i].running));
+	for (guint i = 0; i < planner->targets->len; i++) {
+		planner_target_t *t = g_ptr_array_index(planner->targets, i);
+
+		t->running = GPOINTER_TO_UINT(g_hash_table_lookup(
+			running, GUINT_TO_POINTER(t->load_key)));
+	}
+}
+
 static uint32_t expected_order_ms(const bsh_planner_t *planner,
 				  const planner_target_t *t,
 				  const bsh_order_t *order)
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -129,6 +129,11 @@
 			       const bsh_demand_entry_t *entries, uint32_t n,
 			       int64_t now_us);
 
+/* bsh_planner_update_loads - set the requests that run at the targets, summed
+ * over the instances; a target without an entry has none. */
+void bsh_planner_update_loads(bsh_planner_t *planner,
+			      const bsh_load_entry_t *entries, uint32_t n);
+
 /* bsh_planner_order_result - pass the result of the order op. */
 void bsh_planner_order_result(bsh_planner_t *planner, const char *id,
 			      bsh_order_result_t result, int64_t now_us);
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -19,9 +19,12 @@
 /* Cost of one eviction, and of one unit of lost value, in load time. */
 #define EVICTION_COST_MS 150.0
 #define LOSS_COST_MS	 1000.0
+/* An unload waits for the model's running requests, of which a typical one takes
+ * this long. */
+#define RUN_WAIT_MS 1000.0
 /* Greatest loss for which a load without waiting requests evicts models. */
 #define SEED_MAX_LOSS 0.3
-/* Models tried for such a load in one run; bounds its processor time. */
+/* Models tried for a load without waiting requests in one run; bounds its processor time. */
 #define SEED_TRIES_MAX 8U
 #define VICTIMS_MAX    8U
 /* Time from the order to the first request, added to an estimate. */
@@ -39,6 +42,7 @@
 	bool has_room;	  /* some serving target may have room for an adapter */
 	uint32_t wanted;  /* replicas; running requests until set_wanted() */
 	double rate;	  /* requests a second */
+	double running;	  /* requests in progress */
 	uint32_t waiting; /* requests */
 	double gain;	  /* value of one more replica */
 } model_need_t;
@@ -48,6 +52,7 @@
 	uint32_t model;
 	uint32_t mb;
 	double loss;
+	double wait_ms; /* expected, for its running requests */
 } resident_t;
 
 /* What a target holds.  Remains valid for one round: a target that is given an
@@ -73,6 +78,7 @@
 	uint32_t models[VICTIMS_MAX];
 	uint32_t n;
 	double loss;
+	double wait_ms; /* expected, for their running requests */
 } victims_t;
 
 static model_need_t *find_need(const round_t *round, uint32_t model)
@@ -194,6 +200,7 @@
 			continue;
 		need->rate += planner_demand_rate(demand, round->now_us);
 		need->wanted += (uint32_t)lround(demand->running);
+		need->running += demand->running;
 		if (demand->waiting == 0)
 			continue;
 		age_s = (double)(round->now_us - demand->waiting_since_us) /
@@ -277,6 +284,19 @@
 	return value + MODEL_BASE_VALUE;
 }
 
+/* Expected wait for the model's requests at the target, until the last one ends.
+ * Of a model on several targets only the total number is known. */
+static double run_wait_ms(const round_t *round, const planner_target_t *t,
+			  uint32_t model)
+{
+	const model_need_t *need = find_need(round, model);
+
+	if (need == NULL)
+		return 0;
+	return RUN_WAIT_MS *
+	       log1p(MIN(need->running / MAX(need->serving, 1), t->running));
+}
+
 static int compare_loss(const void *a, const void *b)
 {
 	const resident_t *x = a;
@@ -309,6 +329,7 @@
 			bsh_service_model(round->planner->service, item->model)
 				->weights_mb;
 		resident->loss = loss(round, t, item->model);
+		resident->wait_ms = run_wait_ms(round, t, item->model);
 		contents->n++;
 	}
 	qsort(contents->residents, contents->n, sizeof(resident_t),
@@ -327,6 +348,7 @@
 
 	victims->n = 0;
 	victims->loss = 0;
+	victims->wait_ms = 0;
 	if (used == UINT32_MAX)
 		return false;
 	while (used + rule->weights_mb > capacity) {
@@ -336,6 +358,7 @@
 			return false;
 		victims->models[victims->n++] = resident->model;
 		victims->loss += resident->loss;
+		victims->wait_ms = MAX(victims->wait_ms, resident->wait_ms);
 		used -= MIN(used, resident->mb);
 	}
 	return true;
@@ -394,7 +417,7 @@
 		    victims.loss > max_loss)
 			continue;
 		cost = expected_load_ms(t, rule) +
-		       EVICTION_COST_MS * victims.n +
+		       EVICTION_COST_MS * victims.n + victims.wait_ms +
 		       LOSS_COST_MS * victims.loss;
 		if (cost < lowest) {
 			lowest = cost;
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -39,6 +39,8 @@
 	int64_t next_order_us;	/* earliest time of the next order */
 	uint32_t planned_load;	/* model to load after evictions; 0: none */
 	int64_t loaded_us;	/* end of the last load */
+	uint32_t load_key;	/* names the target in a bsh_load_entry_t */
+	uint32_t running;	/* requests, by the last loads */
 	uint32_t unloading;	/* model of the last accepted unload order */
 	uint64_t unloading_orders; /* value of orders after that one */
 	/* Memory and adapters of unanswered load orders of which copies may
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -607,6 +607,40 @@
 	target->copies.disk[target->copies.n_disk++] = hash(model);
 }
 
+/* Guards against a waiting request that an unload delays, because the evicted
+ * model's requests still run, while another target has idle models. */
+static void test_idle_models_are_evicted_first(void)
+{
+	static const char *const models[] = {
+		"m0", "m1", "m2", "m3", "n", NULL
+	};
+	static const char *const busy[] = { "m0", "m1", NULL };
+	static const char *const idle[] = { "m2", "m3", NULL };
+	bsh_demand_entry_t entries[] = {
+		{ .model = hash("m0"), .running = 3 },
+		{ .model = hash("m1"), .running = 3 },
+		{ .model = hash("n"), .waiting = 1, .max_wait_left_ms = 9000 },
+	};
+	const bsh_load_entry_t load = { bsh_target_key("a"), .running = 6 };
+	bsh_target_t a = make_target("a", busy);
+	bsh_target_t b = make_target("b", idle);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_disk_copy(&a, "n");
+	add_disk_copy(&b, "n");
+	add_target(&rig, &a, 0);
+	add_target(&rig, &b, 0);
+	bsh_planner_update_demand(rig.planner, "entry-1", entries,
+				  G_N_ELEMENTS(entries), rig.now_us);
+	bsh_planner_update_loads(rig.planner, &load, 1);
+	tick(&rig, 1000);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_cmpstr(rig.order_target[0], ==, "b");
+	rig_finish(&rig);
+}
+
 /* Guards against a model that nobody serves for many seconds: the target that
  * was to load it is busy with an unload that waits for running requests, while
  * another target could load it. */
@@ -743,6 +777,8 @@
 			test_unloading_model_stays_withdrawn);
 	g_test_add_func("/planner/asked-models-are-seeded-first",
 			test_asked_models_are_seeded_first);
+	g_test_add_func("/planner/idle-models-are-evicted-first",
+			test_idle_models_are_evicted_first);
 	g_test_add_func("/planner/busy-target-does-not-hold-a-load",
 			test_busy_target_does_not_hold_a_load);
 	g_test_add_func("/planner/many-models-on-small-instance",
