Withdraw what a target holds when its process has ended

Cause: the platform's list shows a crashed target for some seconds with all its models. Each instance found out alone that it cannot connect; the planner counted the models as served and did not load them elsewhere; and when the target was back, empty, each instance had requests refused there (421).

Ruled out: sending such requests to another target; the configuration limits the number of targets, not of runs.

Change: an instance whose connection is refused does not use that process for models any more, until the list shows another one, for 5 s at most, and reports it to the lease holder (UNREACHABLE). The holder asks the target for a report; if that fails too, it announces that the target holds nothing, and plans accordingly. A target that only one instance cannot reach answers the holder and is not touched.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -116,6 +116,8 @@
 				       &message->release);
 	} else if (message->type == BSH_MSG_LOAD) {
 		loads_receive(control->loads, message->sender, &message->load);
+	} else if (message->type == BSH_MSG_UNREACHABLE) {
+		loads_receive_refused(control->loads, &message->unreachable);
 	} else if (message->type == BSH_MSG_INVENTORY) {
 		if (strcmp(message->sender, orders_holder(control->orders)) ==
 		    0)
@@ -133,6 +135,10 @@
 		loads_report(demand->control->loads, demand->loads);
 		g_array_free(demand->loads, TRUE);
 	}
+	if (demand->refused != NULL) {
+		loads_report_refused(demand->control->loads, demand->refused);
+		g_array_free(demand->refused, TRUE);
+	}
 	g_array_free(demand->entries, TRUE);
 	g_free(demand);
 }
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -186,6 +186,9 @@
 /* Handles RELEASE: the lease holder gives no more orders. */
 void orders_receive_release(orders_t *orders, const char *sender,
 			    const bsh_msg_release_t *release);
+/* orders_check_target - ask a target for a report, as an instance could not
+ * connect to it. */
+void orders_check_target(orders_t *orders, uint32_t key);
 /* orders_note_loads - the work open at the targets, as bsh_load_entry_t. */
 void orders_note_loads(orders_t *orders, const GArray *sums);
 /* Adds the estimates of readiness, and whether there is a lease holder, to a
@@ -231,6 +234,11 @@
 		   const bsh_msg_load_t *load);
 /* Sends the sums to all instances if this one holds the lease. */
 void loads_tick(loads_t *loads);
+/* Reports targets that have refused a connection, by their keys. */
+void loads_report_refused(loads_t *loads, const GArray *keys);
+/* Handles UNREACHABLE. */
+void loads_receive_refused(loads_t *loads,
+			   const bsh_msg_unreachable_t *message);
 
 /* Number of the list at the begin of a term, which no announcement repeats: an
  * instance that has neither received it nor read the store is behind. */
--- a/bshentryd/demand.c
+++ b/bshentryd/demand.c
@@ -86,6 +86,7 @@
 		t->load_reported_us = traffic_now_us(t);
 		demand->loads = engine_load_collect(t);
 	}
+	demand->refused = engine_load_refused(t);
 	bsh_loop_post(&t->entry->control_loop, control_demand, demand);
 	bsh_loop_timer_after(&t->demand_timer, DEMAND_INTERVAL_US);
 }
--- a/bshentryd/engine_load.c
+++ b/bshentryd/engine_load.c
@@ -4,6 +4,11 @@
 
 /* Estimated time to the first byte apart from prefill work. */
 #define FIRST_BYTE_FIXED_US 10000.0
+/* A refused connection counts until the list shows another process, at most for
+ * this time: the list may be a few seconds old. */
+#define REFUSED_MAX_US INT64_C(5000000)
+/* It is reported to the lease holder for this time, as a report may be lost. */
+#define REFUSED_REPORT_US INT64_C(600000)
 /* Prompt length that is assumed if the caller names none. */
 #define PROMPT_DEFAULT_TOKENS 500U
 
@@ -132,6 +137,36 @@
 	return entries;
 }
 
+bool engine_load_has_ended(const target_state_t *state, uint64_t started_ms,
+			   int64_t now_us)
+{
+	return state->refused_us > 0 &&
+	       state->refused_started_ms == started_ms &&
+	       now_us - state->refused_us < REFUSED_MAX_US;
+}
+
+GArray *engine_load_refused(traffic_t *t)
+{
+	int64_t now_us = traffic_now_us(t);
+	GArray *keys = NULL;
+	GHashTableIter iter;
+	void *data;
+
+	g_hash_table_iter_init(&iter, t->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const target_state_t *state = data;
+		uint32_t key = GUINT32_TO_BE(state->key);
+
+		if (state->refused_us == 0 ||
+		    now_us - state->refused_us > REFUSED_REPORT_US)
+			continue;
+		if (keys == NULL)
+			keys = g_array_new(FALSE, FALSE, sizeof(key));
+		g_array_append_val(keys, key);
+	}
+	return keys;
+}
+
 void traffic_set_loads(void *data)
 {
 	traffic_loads_msg_t *message = data;
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -81,6 +81,7 @@
 	control_t *control;
 	GArray *entries; /* bsh_demand_entry_t */
 	GArray *loads;	 /* bsh_load_entry_t; NULL: not due */
+	GArray *refused; /* keys of targets, big-endian; NULL: none */
 } control_demand_msg_t;
 /* control_demand - called by bsh_loop_post() with a control_demand_msg_t. */
 void control_demand(void *demand);
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -227,6 +227,7 @@
 
 	r->call = NULL;
 	r->paused = false;
+	r->refused = result->refused;
 	if (result->err == BSH_OK)
 		finish_complete(r);
 	else if (!result->sent)
@@ -261,6 +262,7 @@
 	r->head_received = false;
 	r->call_sent = false;
 	r->withheld = false;
+	r->refused = false;
 	r->paused = false;
 	g_string_truncate(r->held_body, 0);
 	bsh_event_relay_restart(&r->relay);
--- a/bshentryd/loads.c
+++ b/bshentryd/loads.c
@@ -59,6 +59,34 @@
 		peers_send(loads->control->peers, holder, &message);
 }
 
+void loads_receive_refused(loads_t *loads, const bsh_msg_unreachable_t *message)
+{
+	uint32_t key;
+
+	if (!orders_is_holder(loads->control->orders))
+		return;
+	for (uint32_t at = 0; at + sizeof(key) <= message->keys_bytes;
+	     at += sizeof(key)) {
+		memcpy(&key, message->keys + at, sizeof(key));
+		orders_check_target(loads->control->orders,
+				    GUINT32_FROM_BE(key));
+	}
+}
+
+void loads_report_refused(loads_t *loads, const GArray *keys)
+{
+	const char *holder = orders_holder(loads->control->orders);
+	bsh_message_t message = { .type = BSH_MSG_UNREACHABLE };
+	guint n = MIN(keys->len, BSH_INVENTORY_KEYS_MAX);
+
+	message.unreachable.keys = (const uint8_t *)keys->data;
+	message.unreachable.keys_bytes = n * (uint32_t)sizeof(uint32_t);
+	if (orders_is_holder(loads->control->orders))
+		loads_receive_refused(loads, &message.unreachable);
+	else if (holder[0] != '\0')
+		peers_send(loads->control->peers, holder, &message);
+}
+
 static void publish_sums(const loads_t *loads, const bsh_load_entry_t *entries,
 			 uint32_t n)
 {
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -666,6 +666,16 @@
 	}
 }
 
+void orders_check_target(orders_t *orders, uint32_t key)
+{
+	for (guint i = 0; i < orders->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(orders->services, i);
+
+		bsh_planner_check_target(service->planner, key, now_us(orders));
+	}
+}
+
 void orders_note_loads(orders_t *orders, const GArray *sums)
 {
 	for (guint i = 0; i < orders->services->len; i++) {
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -511,6 +511,7 @@
 		view_target_t item = {
 			.hash = XXH64(target->id, strlen(target->id), 0),
 			.slots = target->slots,
+			.started_ms = target->started_ms,
 			.same_zone = strcmp(target->zone, settings->zone) == 0,
 			.entry_removed = listed->removal_us != 0,
 		};
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -321,6 +321,8 @@
 {
 	traffic_t *t = r->traffic;
 	const GArray *targets = t->view->targets;
+	int64_t now_us = traffic_now_us(t);
+	target_state_t *state;
 	bsh_target_work_t work;
 	int32_t best;
 
@@ -338,7 +340,11 @@
 
 		if (!can_serve(r, target) || was_tried(r, target->hash))
 			continue;
-		candidate.record = &get_target(t, target->id)->record;
+		state = get_target(t, target->id);
+		if (demand_is_counted(r) &&
+		    engine_load_has_ended(state, target->started_ms, now_us))
+			continue;
+		candidate.record = &state->record;
 		g_array_append_val(t->candidates, candidate);
 		g_ptr_array_add(t->candidate_targets, target);
 	}
@@ -346,7 +352,7 @@
 	engine_load_work(r, &work);
 	best = bsh_target_choose(
 		(bsh_target_candidate_t *)(void *)t->candidates->data,
-		t->candidates->len, &work, affinity_of(r), traffic_now_us(t));
+		t->candidates->len, &work, affinity_of(r), now_us);
 	if (best < 0)
 		return NULL;
 	if (chosen != NULL)
@@ -501,6 +507,7 @@
 	int64_t now_us = traffic_now_us(r->traffic);
 
 	r->target = get_target(r->traffic, target->id);
+	r->target_started_ms = target->started_ms;
 	if (r->n_tried < TRIED_MAX)
 		r->tried[r->n_tried++] = target->hash;
 	set_state(r, REQUEST_RUNNING);
@@ -595,6 +602,11 @@
 		break;
 	case ATTEMPT_NOT_REACHED:
 		bsh_target_unreachable(record, now_us);
+		if (r->refused && demand_is_counted(r)) {
+			r->target->refused_started_ms = r->target_started_ms;
+			r->target->refused_us = now_us;
+			demand_send_soon(r->traffic);
+		}
 		break;
 	case ATTEMPT_FAILED:
 	case ATTEMPT_BROKEN:
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -37,6 +37,10 @@
 	char id[BSH_NAME_SIZE];
 	uint32_t key;	    /* low bits of the hash of the id, in LOAD */
 	uint64_t last_view; /* number of the last view with the target */
+	/* The process with this start time refused a connection at refused_us:
+	 * it has ended, and with it what it held.  0: none. */
+	uint64_t refused_started_ms;
+	int64_t refused_us;
 } target_state_t;
 
 /* Demand for one model or adapter, in requests. */
@@ -113,12 +117,14 @@
 	uint32_t sends;	   /* attempts that reached a target */
 	bool may_have_run; /* some attempt has no proof that it did not run */
 	target_state_t *target; /* of the last attempt; NULL: none yet */
-	double work_us;		/* estimated prefill, until the answer begins */
-	double expected_us;	/* estimated time to the first byte; 0: none */
+	uint64_t target_started_ms;
+	double work_us;	    /* estimated prefill, until the answer begins */
+	double expected_us; /* estimated time to the first byte; 0: none */
 	uint32_t uncached_tokens; /* of the prompt, by the estimate */
 	bsh_http_call_t *call;	  /* NULL: no call is running */
 	bool call_sent;		  /* a byte may have reached the target */
 	bool withheld;		  /* not sent, as the caller no longer waits */
+	bool refused;		  /* the connection was refused */
 	int64_t call_began_us;
 	bsh_loop_timer_t inactivity_timer;
 	int64_t last_active_us; /* last send, or last events from the target */
@@ -179,6 +185,14 @@
  * bsh_load_entry_t; notes it as reported. */
 GArray *engine_load_collect(traffic_t *t);
 
+/* engine_load_refused - keys of the engines whose processes have ended, to be
+ * reported now; NULL: none. */
+GArray *engine_load_refused(traffic_t *t);
+/* engine_load_has_ended - the target's process has refused a connection, and
+ * the list still shows that process. */
+bool engine_load_has_ended(const target_state_t *state, uint64_t started_ms,
+			   int64_t now_us);
+
 /* forward.c */
 /* forward_start - start an attempt; on an error none of its callbacks runs. */
 bsh_error_t forward_start(request_t *r, const view_target_t *target);
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -90,6 +90,8 @@
 		t->report_pending = false;
 		t->next_report_us = 0;
 		t->reported = false;
+		t->suspected = false;
+		t->down = false;
 		t->held = t->target.holdings;
 		t->usable = t->held;
 		set_state(t, PLANNER_UNCERTAIN, 0);
@@ -109,6 +111,8 @@
 
 	if (!t->reported)
 		return;
+	if (t->down)
+		usable.n = 0;
 	if (t->has_order && !t->order.load)
 		bsh_holdings_remove(&usable, t->order.model, t->order.adapter);
 	if (bsh_holdings_equal(&usable, &t->usable))
@@ -302,6 +306,8 @@
 	t->held = target->holdings;
 	t->unloading = 0;
 	t->orders = 0;
+	t->suspected = false;
+	t->down = false;
 	t->has_order = false;
 	t->planned_load = 0;
 	t->next_report_us = 0;
@@ -384,6 +390,21 @@
 		g_ptr_array_remove_fast(planner->targets, t);
 }
 
+void bsh_planner_check_target(bsh_planner_t *planner, uint32_t key,
+			      int64_t now_us)
+{
+	for (guint i = 0; i < planner->targets->len; i++) {
+		planner_target_t *t = g_ptr_array_index(planner->targets, i);
+
+		if (t->load_key != key || t->suspected)
+			continue;
+		t->suspected = true;
+		if (t->state == PLANNER_IDLE)
+			set_state(t, PLANNER_UNCERTAIN, now_us);
+		t->next_report_us = now_us;
+	}
+}
+
 void bsh_planner_update_loads(bsh_planner_t *planner,
 			      const bsh_load_entry_t *entries, uint32_t n)
 {
@@ -560,6 +581,11 @@
 		return;
 	t->report_pending = false;
 	t->next_report_us = now_us + REPORT_POLL_US;
+	if (report == NULL && t->suspected && !t->down) {
+		t->down = true;
+		t->planned_load = 0;
+		publish(planner, t);
+	}
 	/* In the other states the planner's own data is newer than a report. */
 	if (report == NULL ||
 	    (t->state != PLANNER_UNCERTAIN && t->state != PLANNER_WORKING))
@@ -567,6 +593,8 @@
 	if (report->started_ms != 0 && t->target.started_ms != 0 &&
 	    report->started_ms != t->target.started_ms)
 		return;
+	t->suspected = false;
+	t->down = false;
 	/* The report precedes the last accepted order. */
 	if (report->orders < t->orders)
 		return;
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -129,6 +129,12 @@
 			       const bsh_demand_entry_t *entries, uint32_t n,
 			       int64_t now_us);
 
+/* bsh_planner_check_target - an instance could not connect to the target with
+ * this key: it is asked for a report and, if it does not answer, its holdings
+ * are withdrawn until it reports or is started again. */
+void bsh_planner_check_target(bsh_planner_t *planner, uint32_t key,
+			      int64_t now_us);
+
 /* bsh_planner_update_loads - set the requests that run at the targets, summed
  * over the instances; a target without an entry has none. */
 void bsh_planner_update_loads(bsh_planner_t *planner,
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -28,6 +28,8 @@
 	bsh_holdings_t usable; /* holdings that requests may use */
 	uint64_t version;      /* rises with each change of usable */
 	bool reported;	       /* the target has reported in this term */
+	bool suspected; /* an instance could not connect; a report is due */
+	bool down;	/* nor did it report: nothing is usable */
 	planner_state_t state;
 	int64_t state_us; /* start of the state */
 	bool has_order;	  /* order is set: sent, or to be sent */
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -268,6 +268,11 @@
 					    bsh_load_entry_t),
 				       END };
 
+static const field_t unreachable_fields[] = { BLOB(bsh_msg_unreachable_t, keys,
+						   keys_bytes,
+						   4 * BSH_INVENTORY_KEYS_MAX),
+					      END };
+
 static const field_t inventory_fields[] = {
 	U64(bsh_msg_inventory_t, term),
 	U64(bsh_msg_inventory_t, number),
@@ -301,6 +306,7 @@
 	[BSH_MSG_RELEASE] = { "RELEASE", release_fields },
 	[BSH_MSG_LOAD] = { "LOAD", load_fields },
 	[BSH_MSG_INVENTORY] = { "INVENTORY", inventory_fields },
+	[BSH_MSG_UNREACHABLE] = { "UNREACHABLE", unreachable_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -56,6 +56,7 @@
 	BSH_MSG_RELEASE,
 	BSH_MSG_LOAD,
 	BSH_MSG_INVENTORY,
+	BSH_MSG_UNREACHABLE,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -354,6 +355,15 @@
 	uint32_t keys_bytes;
 } bsh_msg_inventory_t;
 
+/*
+ * UNREACHABLE: from an instance to the holder of the order lease: targets that
+ * have refused a connection, so that the holder asks them for a report.
+ */
+typedef struct {
+	const uint8_t *keys; /* as in INVENTORY */
+	uint32_t keys_bytes;
+} bsh_msg_unreachable_t;
+
 /* Most entries of a LOAD that fit a datagram if no value exceeds the bound. */
 #define BSH_LOAD_ENTRIES_MAX 72
 #define BSH_LOAD_VALUE_MAX   65535U
@@ -401,6 +411,7 @@
 		bsh_msg_release_t release;
 		bsh_msg_load_t load;
 		bsh_msg_inventory_t inventory;
+		bsh_msg_unreachable_t unreachable;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -94,12 +94,23 @@
 	g_free(call);
 }
 
+static bool is_refused(const bsh_http_call_t *call)
+{
+	long os_error = 0;
+
+	return !call->sent &&
+	       curl_easy_getinfo(call->easy, CURLINFO_OS_ERRNO, &os_error) ==
+		       CURLE_OK &&
+	       os_error == ECONNREFUSED;
+}
+
 /* End a call with err.  Must not be called from within a libcurl callback. */
 static void complete_call(bsh_http_call_t *call, bsh_error_t err)
 {
 	bsh_http_result_t result = {
 		.err = err,
 		.sent = call->sent,
+		.refused = is_refused(call),
 		.complete = err == BSH_OK,
 		.status = call->status,
 		.body_bytes = call->body_bytes,
--- a/lib/transport/http_client.h
+++ b/lib/transport/http_client.h
@@ -41,6 +41,7 @@
 typedef struct {
 	bsh_error_t err;
 	bool sent;     /* a byte of the request may have been sent */
+	bool refused;  /* the peer's machine has refused the connection */
 	bool complete; /* the whole response was received; err is BSH_OK */
 	int status;    /* 0: no final response header was received */
 	int64_t body_bytes;
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -119,6 +119,10 @@
 	case BSH_MSG_LOAD:
 		m.load = (bsh_msg_load_t){ 9, loads, 2 };
 		break;
+	case BSH_MSG_UNREACHABLE:
+		m.unreachable =
+			(bsh_msg_unreachable_t){ (const uint8_t *)"abcd", 4 };
+		break;
 	case BSH_MSG_INVENTORY:
 		m.inventory = (bsh_msg_inventory_t){
 			9, 12, 1, 2, (const uint8_t *)"a\0bc", 4
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -680,6 +680,42 @@
 	rig_finish(&rig);
 }
 
+/* Guards against requests for a model that all instances keep sending to a
+ * target whose process has ended, and that no other target loads, until the
+ * platform's list shows it some seconds later. */
+static void test_unreachable_target_is_withdrawn(void)
+{
+	static const char *const models[] = { "n", "m1", NULL };
+	static const char *const first[] = { "n", NULL };
+	static const char *const second[] = { "m1", NULL };
+	bsh_target_t a = make_target("a", first);
+	bsh_target_t b = make_target("b", second);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_disk_copy(&b, "n");
+	add_target(&rig, &a, 0);
+	add_target(&rig, &b, 0);
+	rig.n_reports = 0;
+	bsh_planner_check_target(rig.planner, bsh_target_key("a"), rig.now_us);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_reports, ==, 1);
+	/* It answers: the one instance that could not connect is cut off. */
+	report(&rig, "a", 0, false, &a.holdings);
+	g_assert_cmpuint(bsh_planner_usable(rig.planner, "a", NULL)->n, ==, 1);
+
+	bsh_planner_check_target(rig.planner, bsh_target_key("a"), rig.now_us);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_reports, ==, 2);
+	bsh_planner_report_result(rig.planner, "a", NULL, rig.now_us);
+	g_assert_cmpuint(bsh_planner_usable(rig.planner, "a", NULL)->n, ==, 0);
+	demand(&rig, "n", NULL, 0, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_cmpstr(rig.order_target[0], ==, "b");
+	rig_finish(&rig);
+}
+
 #define MANY_MODELS  600U
 #define MANY_TARGETS 120U
 #define MANY_COPIES  100U /* on the disk of each target */
@@ -781,6 +817,8 @@
 			test_idle_models_are_evicted_first);
 	g_test_add_func("/planner/busy-target-does-not-hold-a-load",
 			test_busy_target_does_not_hold_a_load);
+	g_test_add_func("/planner/unreachable-target-is-withdrawn",
+			test_unreachable_target_is_withdrawn);
 	g_test_add_func("/planner/many-models-on-small-instance",
 			test_many_models_on_small_instance);
 	g_test_add_func("/planner/estimate-near-the-end",
