Let an inventory build on the states that have arrived

Cause: with the check that the state of each target has arrived, one lost datagram of a full list made the instance wait for a whole new one, in which again none may be lost; announcements in between raised the number that all states had to reach.

Change: the inventory carries the announcement of each target's last change, and a state from then or later is enough, whichever burst brought it.

--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -37,6 +37,8 @@
 	bsh_loop_timer_t timer;
 	/* Instance to time of its last retransmission, loop clock. */
 	GHashTable *retransmitted_us;
+	/* Id of a target to the last announcement of it in this term. */
+	GHashTable *changes;
 };
 
 /* Targets of a message that is being built; the entries point into ids and
@@ -61,6 +63,8 @@
 			    announcer);
 	announcer->retransmitted_us =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	announcer->changes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return announcer;
 }
 
@@ -69,6 +73,7 @@
 	bsh_loop_timer_stop(&announcer->timer);
 	g_ptr_array_free(announcer->pending, TRUE);
 	g_hash_table_destroy(announcer->retransmitted_us);
+	g_hash_table_destroy(announcer->changes);
 	g_free(announcer);
 }
 
@@ -78,6 +83,17 @@
 	announcer->log[ANNOUNCEMENTS_BEGIN].n = 0;
 	announcer->log[ANNOUNCEMENTS_BEGIN].sent_us = bsh_loop_clock_us();
 	g_hash_table_remove_all(announcer->retransmitted_us);
+	g_hash_table_remove_all(announcer->changes);
+}
+
+/* Notes the last announcement as that of the target's last change. */
+static void note_change(const announcer_t *announcer, const char *target)
+{
+	if (targets_find(announcer->control->targets, target) == NULL)
+		g_hash_table_remove(announcer->changes, target);
+	else
+		g_hash_table_replace(announcer->changes, g_strdup(target),
+				     GUINT_TO_POINTER((guint)announcer->last));
 }
 
 static void encode_pairs(const bsh_holdings_t *holdings, uint32_t *pairs)
@@ -206,6 +222,8 @@
 		g_strlcpy(announcement->targets[announcement->n++],
 			  g_ptr_array_index(announcer->pending, 0),
 			  BSH_NAME_SIZE);
+		note_change(announcer,
+			    g_ptr_array_index(announcer->pending, 0));
 		g_ptr_array_remove_index(announcer->pending, 0);
 	}
 	send_batch(announcer, NULL, &batch, announcer->last - 1,
@@ -245,35 +263,49 @@
 	add_target(full->announcer, &full->batch, target->id);
 }
 
-static void add_key(void *ctx, const bsh_target_t *target)
+typedef struct {
+	const announcer_t *announcer;
+	GArray *keys;
+	GArray *changes;
+} inventory_list_t;
+
+static void add_to_inventory(void *ctx, const bsh_target_t *target)
 {
-	GArray *keys = ctx;
+	inventory_list_t *list = ctx;
 	uint32_t key = GUINT32_TO_BE(bsh_target_key(target->id));
+	uint32_t change = GUINT32_TO_BE(GPOINTER_TO_UINT(
+		g_hash_table_lookup(list->announcer->changes, target->id)));
 
-	g_array_append_val(keys, key);
+	g_array_append_val(list->keys, key);
+	g_array_append_val(list->changes, change);
 }
 
-/* Sends the keys of all targets: the instance drops the others, and compares
- * them with the states that it has received. */
+/* Sends the keys of all targets and when they last changed: the instance drops
+ * the others, and checks that it has received a state since then. */
 static void send_inventory(const announcer_t *announcer, const char *instance)
 {
 	g_autoptr(GArray) keys = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	inventory_list_t list = { announcer, keys, changes };
 	bsh_message_t message = { .type = BSH_MSG_INVENTORY };
 	bsh_msg_inventory_t *inventory = &message.inventory;
 
-	targets_foreach(announcer->control->targets, add_key, keys);
+	targets_foreach(announcer->control->targets, add_to_inventory, &list);
 	inventory->term = orders_lease(announcer->control->orders)->term;
 	inventory->number = announcer->last;
-	inventory->parts = MAX((keys->len + BSH_INVENTORY_KEYS_MAX - 1) /
-				       BSH_INVENTORY_KEYS_MAX,
+	inventory->parts = MAX((keys->len + BSH_INVENTORY_TARGETS_MAX - 1) /
+				       BSH_INVENTORY_TARGETS_MAX,
 			       1);
 	for (; inventory->part < inventory->parts; inventory->part++) {
-		guint first = inventory->part * BSH_INVENTORY_KEYS_MAX;
-		guint n = MIN(keys->len - first, BSH_INVENTORY_KEYS_MAX);
+		guint first = inventory->part * BSH_INVENTORY_TARGETS_MAX;
+		guint n = MIN(keys->len - first, BSH_INVENTORY_TARGETS_MAX);
 
 		inventory->keys =
 			(const uint8_t *)keys->data + first * sizeof(uint32_t);
 		inventory->keys_bytes = n * (uint32_t)sizeof(uint32_t);
+		inventory->changes = (const uint8_t *)changes->data +
+				     first * sizeof(uint32_t);
+		inventory->changes_bytes = inventory->keys_bytes;
 		peers_send(announcer->control->peers, instance, &message);
 	}
 }
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -108,11 +108,11 @@
 /* True if the announcements of the lease holder are the source of the list: the
  * own watch is paused, or the store does not answer it. */
 bool targets_follow_holder(const targets_t *targets);
-/* Compares the targets with a complete list of their keys by the lease holder,
- * as of an announcement of its term, and drops those that it does not name.
- * False if the holder's state of a named target was not received. */
-bool targets_apply_inventory(targets_t *targets, GHashTable *keys,
-			     uint64_t term, uint64_t number);
+/* Compares the targets with a complete list by the lease holder, of their keys
+ * and last changes in its term, and drops those that it does not name.  False if
+ * the state of a named target since its last change was not received. */
+bool targets_apply_inventory(targets_t *targets, GHashTable *changes,
+			     uint64_t term);
 /* True if the list has been read from the store since it became the source, and
  * the store answers. */
 bool targets_are_current(const targets_t *targets);
--- a/bshentryd/loads.c
+++ b/bshentryd/loads.c
@@ -77,7 +77,7 @@
 {
 	const char *holder = orders_holder(loads->control->orders);
 	bsh_message_t message = { .type = BSH_MSG_UNREACHABLE };
-	guint n = MIN(keys->len, BSH_INVENTORY_KEYS_MAX);
+	guint n = MIN(keys->len, BSH_INVENTORY_TARGETS_MAX);
 
 	message.unreachable.keys = (const uint8_t *)keys->data;
 	message.unreachable.keys_bytes = n * (uint32_t)sizeof(uint32_t);
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -393,8 +393,8 @@
 	return targets->feed.paused || !targets->feed.reached;
 }
 
-bool targets_apply_inventory(targets_t *targets, GHashTable *keys,
-			     uint64_t term, uint64_t number)
+bool targets_apply_inventory(targets_t *targets, GHashTable *changes,
+			     uint64_t term)
 {
 	g_autoptr(GPtrArray) gone = g_ptr_array_new();
 	g_autoptr(GArray) marks =
@@ -410,11 +410,11 @@
 					   listed->announcement_number };
 
 		g_array_append_val(marks, mark);
-		if (!g_hash_table_contains(keys, GUINT_TO_POINTER(mark.key)))
+		if (!g_hash_table_contains(changes, GUINT_TO_POINTER(mark.key)))
 			g_ptr_array_add(gone, listed);
 	}
 	if (!bsh_target_inventory_covered(
-		    keys, term, number,
+		    changes, term,
 		    (const bsh_target_mark_t *)(void *)marks->data, marks->len))
 		return false;
 	/* A target on the own list may be newer than the holder's. */
--- a/lib/coordination/target_inventory.h
+++ b/lib/coordination/target_inventory.h
@@ -8,10 +8,11 @@
  * DESCRIPTION
  *	The lease holder sends an instance that has missed announcements the
  *	state of each target, in datagrams that may be lost, and then the keys
- *	of all targets (bsh_msg_inventory_t).  The instance is up to date only
- *	if it has received the state of each of them: that it knows the target
- *	is not enough, as its own state may be from before the announcements
- *	that it missed.
+ *	of all targets with the announcements of their last changes
+ *	(bsh_msg_inventory_t).  The instance is up to date only if it has
+ *	received the state of each target since its last change: that it knows
+ *	the target is not enough, as its own state may be from before the
+ *	announcements that it missed.
  *
  *	Pure: no I/O and no clock.
  */
@@ -27,10 +28,10 @@
 	uint64_t number; /* last announcement at the time of the state */
 } bsh_target_mark_t;
 
-/* bsh_target_inventory_covered - true if each key of the inventory has a state
- * of this term that is as recent as the inventory. */
-bool bsh_target_inventory_covered(GHashTable *keys, uint64_t term,
-				  uint64_t number,
+/* bsh_target_inventory_covered - true if each target of the inventory, a table
+ * of keys and announcements of the last change, has a state of this term from
+ * then or later. */
+bool bsh_target_inventory_covered(GHashTable *changes, uint64_t term,
 				  const bsh_target_mark_t *marks, uint32_t n);
 
 #endif
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -268,17 +268,21 @@
 					    bsh_load_entry_t),
 				       END };
 
-static const field_t unreachable_fields[] = { BLOB(bsh_msg_unreachable_t, keys,
-						   keys_bytes,
-						   4 * BSH_INVENTORY_KEYS_MAX),
-					      END };
+static const field_t unreachable_fields[] = {
+	BLOB(bsh_msg_unreachable_t, keys, keys_bytes,
+	     4 * BSH_INVENTORY_TARGETS_MAX),
+	END
+};
 
 static const field_t inventory_fields[] = {
 	U64(bsh_msg_inventory_t, term),
 	U64(bsh_msg_inventory_t, number),
 	U32(bsh_msg_inventory_t, part),
 	ENUM(bsh_msg_inventory_t, parts, 1, BSH_MESSAGE_LIST_MAX),
-	BLOB(bsh_msg_inventory_t, keys, keys_bytes, 4 * BSH_INVENTORY_KEYS_MAX),
+	BLOB(bsh_msg_inventory_t, keys, keys_bytes,
+	     4 * BSH_INVENTORY_TARGETS_MAX),
+	BLOB(bsh_msg_inventory_t, changes, changes_bytes,
+	     4 * BSH_INVENTORY_TARGETS_MAX),
 	END
 };
 
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -338,7 +338,7 @@
 } bsh_msg_release_t;
 
 /* Targets in one INVENTORY, so that it fits a datagram. */
-#define BSH_INVENTORY_KEYS_MAX 250
+#define BSH_INVENTORY_TARGETS_MAX 125
 
 /*
  * INVENTORY: from the holder of the order lease to an instance that has missed
@@ -353,6 +353,10 @@
 	const uint8_t *keys; /* low 32 bits of the hashes of the targets' ids,
 			      * big-endian, 4 bytes each */
 	uint32_t keys_bytes;
+	/* In the same order the announcement of each target's last change, or
+	 * 0, likewise. */
+	const uint8_t *changes;
+	uint32_t changes_bytes;
 } bsh_msg_inventory_t;
 
 /*
@@ -360,7 +364,7 @@
  * have refused a connection, so that the holder asks them for a report.
  */
 typedef struct {
-	const uint8_t *keys; /* as in INVENTORY */
+	const uint8_t *keys; /* as in INVENTORY, so many at most */
 	uint32_t keys_bytes;
 } bsh_msg_unreachable_t;
 
