--- a/bshentryd/demand.c
+++ b/bshentryd/demand.c
@@ -79,7 +79,7 @@
 		counters->arrived = 0;
 		g_array_append_val(demand->entries, entry);
 	}
-	traffic_update_budget_gauge(t);
+	retry_update_gauge(t);
 	t->demand_urgent = false;
 	g_array_sort(demand->entries, compare_demand);
 	if (traffic_now_us(t) - t->load_reported_us >= LOAD_INTERVAL_US) {
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -19,9 +19,13 @@
  *	control.c	owns the parts above, builds views, reloads, drains
  *
  *	Traffic thread:
- *	traffic.c	request queue, routing and retries
+ *	traffic.c	requests from their arrival to their end
+ *	target_pick.c	choice of the target of an attempt
+ *	retry.c		whether a request may be sent again
  *	forward.c	one attempt of a request at a target
  *	demand.c	demand for models, by the requests of this instance
+ *	engine_load.c	open work of the requests of this instance at engines
+ *	request_log.c	log lines, counters and times of requests
  *
  *	The parts of the control thread report changes to control.c through
  *	the functions named control_*; control.c calls the parts.
--- /dev/null
+++ b/bshentryd/request_log.c
@@ -0,0 +1,168 @@
+/* How requests end and how long they take: log lines, counters, histograms. */
+#include "traffic.h"
+
+#include "base/counter.h"
+#include "base/histogram.h"
+#include "base/log.h"
+
+#define REQUESTS_HELP "Requests by how they ended."
+static bsh_counter_t end_counters[ENDS] = {
+	BSH_COUNTER_LABELS("bsh_requests_total", REQUESTS_HELP,
+			   "end=\"answered\""),
+	BSH_COUNTER_LABELS("bsh_requests_total", REQUESTS_HELP,
+			   "end=\"failed\""),
+	BSH_COUNTER_LABELS("bsh_requests_total", REQUESTS_HELP,
+			   "end=\"refused\""),
+	BSH_COUNTER_LABELS("bsh_requests_total", REQUESTS_HELP,
+			   "end=\"unknown\""),
+	BSH_COUNTER_LABELS("bsh_requests_total", REQUESTS_HELP, "end=\"gone\""),
+	BSH_COUNTER_LABELS("bsh_requests_total", REQUESTS_HELP,
+			   "end=\"no-route\""),
+};
+
+static const char *const kind_names[] = {
+	[BSH_KIND_REPEATABLE] = "repeatable",
+	[BSH_KIND_AT_MOST_ONCE] = "once",
+	[BSH_KIND_STREAM] = "stream",
+};
+#define BY_KIND(name, help)                                                    \
+	{                                                                      \
+		BSH_HISTOGRAM(name, help, "kind=\"repeatable\""),              \
+			BSH_HISTOGRAM(name, help, "kind=\"once\""),            \
+			BSH_HISTOGRAM(name, help, "kind=\"stream\""),          \
+	}
+static bsh_histogram_t total_time[] = BY_KIND(
+	"bsh_request_seconds", "Time from a request to the end of its answer.");
+static bsh_histogram_t first_time[] =
+	BY_KIND("bsh_request_first_byte_seconds",
+		"Time from a request to the first byte of its answer.");
+static bsh_histogram_t wait_time[] =
+	BY_KIND("bsh_request_wait_seconds",
+		"Time that a request waited for a model or a target.");
+static bsh_histogram_t config_age = BSH_HISTOGRAM(
+	"bsh_request_config_age_seconds",
+	"Time since the store confirmed the configuration, by request.", NULL);
+static bsh_histogram_t targets_age = BSH_HISTOGRAM(
+	"bsh_request_targets_age_seconds",
+	"Time since the store confirmed the list of targets, by request.",
+	NULL);
+
+/* Age of a confirmation; -1: the store has not confirmed the state yet. */
+static int64_t age_us(const request_t *r, const int64_t *confirmed_us)
+{
+	int64_t at_us = __atomic_load_n(confirmed_us, __ATOMIC_RELAXED);
+
+	return at_us > 0 ? MAX(traffic_now_us(r->traffic) - at_us, 0) : -1;
+}
+
+static int to_ms(int64_t us)
+{
+	return us >= 0 ? (int)(us / 1000) : -1;
+}
+
+static void log_end(const request_t *r, const char *end, int status,
+		    const char *reason)
+{
+	const freshness_t *freshness = &r->traffic->entry->freshness;
+	int64_t now_us = traffic_now_us(r->traffic);
+
+	bsh_log(BSH_LOG_INFO,
+		"request id=%s route=%s kind=%s model=%s end=%s status=%d "
+		"reason=%s target=%s sends=%u tried=%u repeat=%s waited_ms=%d "
+		"first_ms=%d total_ms=%d left_ms=%d config=%" G_GUINT64_FORMAT
+		" config_age_ms=%d targets_age_ms=%d view=%" G_GUINT64_FORMAT,
+		r->info.attempt_id, r->route != NULL ? r->route->name : "-",
+		r->route != NULL ? kind_names[r->route->kind] : "-",
+		r->info.model_name != NULL ? r->info.model_name : "-", end,
+		status, reason, r->target != NULL ? r->target->id : "-",
+		r->sends, r->n_tried, r->retry_denial, to_ms(r->waited_us),
+		r->first_byte_us > 0 ? to_ms(r->first_byte_us - r->arrived_us)
+				     : -1,
+		to_ms(now_us - r->arrived_us), (int)forward_time_left_ms(r),
+		r->catalog != NULL ? r->catalog->version : 0,
+		to_ms(age_us(r, &freshness->config_us)),
+		to_ms(age_us(r, &freshness->targets_us)),
+		r->traffic->view_number);
+}
+
+static void count_times(const request_t *r)
+{
+	const freshness_t *freshness = &r->traffic->entry->freshness;
+	bsh_route_kind_t kind = r->route->kind;
+
+	bsh_histogram_observe(&total_time[kind],
+			      traffic_now_us(r->traffic) - r->arrived_us);
+	bsh_histogram_observe(&wait_time[kind], r->waited_us);
+	if (r->first_byte_us > 0)
+		bsh_histogram_observe(&first_time[kind],
+				      r->first_byte_us - r->arrived_us);
+	bsh_histogram_observe(&config_age, age_us(r, &freshness->config_us));
+	bsh_histogram_observe(&targets_age, age_us(r, &freshness->targets_us));
+}
+
+void request_log_end(const request_t *r, request_end_t end, int status,
+		     const char *reason)
+{
+	static const char *const names[] = { "answered", "failed", "refused",
+					     "unknown",	 "gone",   "no-route" };
+
+	bsh_counter_add(&end_counters[end], 1);
+	if (r->route != NULL)
+		count_times(r);
+	log_end(r, names[end], status, reason);
+}
+
+void request_log_wait(request_t *r, const view_ready_t *ready)
+{
+	int ready_in_ms = -1;
+
+	if (r->wait_logged)
+		return;
+	r->wait_logged = true;
+	if (ready != NULL && ready->ready_us != INT64_MAX)
+		ready_in_ms = to_ms(ready->ready_us - ready->estimated_us);
+	bsh_log(BSH_LOG_INFO,
+		"request-waiting id=%s model=%s tried=%u ready_in_ms=%d "
+		"left_ms=%d holder=%d view=%" G_GUINT64_FORMAT,
+		r->info.attempt_id, r->info.model_name, r->n_tried, ready_in_ms,
+		to_ms(traffic_time_left_us(r)), r->traffic->view->has_holder,
+		r->traffic->view_number);
+}
+
+void request_log_attempt(const request_t *r, attempt_end_t end, bsh_error_t err,
+			 bool again)
+{
+	static const char *const names[] = {
+		"answered", "not-reached", "withheld",
+		"refused",  "failed",	   "broken",
+	};
+
+	bsh_log(BSH_LOG_INFO,
+		"attempt-ended id=%s target=%s end=%s error=%s status=%d "
+		"sends=%u again=%d repeat=%s candidates=%u took_ms=%d "
+		"passed_events=%" G_GUINT64_FORMAT,
+		r->info.attempt_id, r->target->id, names[end],
+		end == ATTEMPT_FAILED ? "target-failed" : bsh_error_name(err),
+		r->status, r->sends, again, r->retry_denial, r->candidates,
+		to_ms(traffic_now_us(r->traffic) - r->call_began_us),
+		r->relay.passed);
+}
+
+static void register_histograms(void)
+{
+	bsh_histogram_t *const by_kind[] = { total_time, first_time,
+					     wait_time };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(by_kind); i++)
+		for (size_t kind = 0; kind < G_N_ELEMENTS(kind_names); kind++)
+			bsh_histogram_register(&by_kind[i][kind]);
+	bsh_histogram_register(&config_age);
+	bsh_histogram_register(&targets_age);
+}
+
+void request_log_register(void)
+{
+	for (int i = 0; i < ENDS; i++)
+		bsh_counter_register(&end_counters[i]);
+	register_histograms();
+}
--- /dev/null
+++ b/bshentryd/target_pick.c
@@ -0,0 +1,111 @@
+/* The target of an attempt: candidates among the targets of the view. */
+#include "traffic.h"
+
+target_state_t *target_pick_state(traffic_t *t, const char *id)
+{
+	target_state_t *state = g_hash_table_lookup(t->targets, id);
+
+	if (state != NULL)
+		return state;
+	state = g_new0(target_state_t, 1);
+	g_strlcpy(state->id, id, sizeof(state->id));
+	state->key = bsh_target_key(id);
+	g_hash_table_insert(t->targets, state->id, state);
+	return state;
+}
+
+static bool was_tried(const request_t *r, uint64_t hash)
+{
+	for (uint32_t i = 0; i < r->n_tried; i++)
+		if (r->tried[i] == hash)
+			return true;
+	return false;
+}
+
+static bool can_serve(const request_t *r, const view_target_t *target)
+{
+	if (strcmp(target->service, r->service->name) != 0)
+		return false;
+	if (!demand_is_counted(r))
+		return true;
+	return bsh_holdings_has(&target->holdings, r->info.model, 0) &&
+	       bsh_holdings_has(&target->holdings, r->info.model,
+				r->info.adapter);
+}
+
+/* Hash by which requests with a common prompt prefix prefer the same target and
+ * its KV cache.  The last of several parts is left out: it belongs to the
+ * request or its session alone. */
+static uint64_t affinity_of(const request_t *r)
+{
+	const bsh_request_info_t *info = &r->info;
+	uint64_t part = 0;
+
+	if (info->n_parts >= 2)
+		part = info->parts[info->n_parts - 2].id;
+	else if (info->n_parts == 1)
+		part = info->parts[0].id;
+	return part ^ info->model;
+}
+
+const view_target_t *target_pick(request_t *r, bsh_target_candidate_t *chosen)
+{
+	traffic_t *t = r->traffic;
+	const GArray *targets = t->view->targets;
+	int64_t now_us = traffic_now_us(t);
+	target_state_t *state;
+	bsh_target_work_t work;
+	int32_t best;
+
+	g_array_set_size(t->candidates, 0);
+	g_ptr_array_set_size(t->candidate_targets, 0);
+	for (guint i = 0; i < targets->len; i++) {
+		view_target_t *target =
+			&g_array_index(targets, view_target_t, i);
+		bsh_target_candidate_t candidate = {
+			.slots = target->slots,
+			.target_hash = target->hash,
+			.same_zone = target->same_zone,
+			.entry_removed = target->entry_removed,
+		};
+
+		if (!can_serve(r, target) || was_tried(r, target->hash))
+			continue;
+		state = target_pick_state(t, target->id);
+		if (demand_is_counted(r) &&
+		    engine_load_has_ended(state, target->started_ms, now_us))
+			continue;
+		candidate.record = &state->record;
+		g_array_append_val(t->candidates, candidate);
+		g_ptr_array_add(t->candidate_targets, target);
+	}
+	r->candidates = t->candidates->len;
+	engine_load_work(r, &work);
+	best = bsh_target_choose(
+		(bsh_target_candidate_t *)(void *)t->candidates->data,
+		t->candidates->len, &work, affinity_of(r), now_us);
+	if (best < 0)
+		return NULL;
+	if (chosen != NULL)
+		*chosen = g_array_index(t->candidates, bsh_target_candidate_t,
+					best);
+	return g_ptr_array_index(t->candidate_targets, best);
+}
+
+static gboolean is_stale_target(void *key, void *value, void *ctx)
+{
+	const target_state_t *state = value;
+	const traffic_t *t = ctx;
+
+	(void)key;
+	return state->last_view != t->view_number && state->record.running == 0;
+}
+
+void target_pick_view_changed(traffic_t *t)
+{
+	for (guint i = 0; i < t->view->targets->len; i++)
+		target_pick_state(
+			t, g_array_index(t->view->targets, view_target_t, i).id)
+			->last_view = t->view_number;
+	g_hash_table_foreach_remove(t->targets, is_stale_target, t);
+}
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -8,9 +8,10 @@
  * DESCRIPTION
  *	A request is matched to a route, and is sent to a target or queued
  *	until a target holds its model.  traffic.c owns the requests and
- *	chooses targets; forward.c runs one attempt and reports its outcome
- *	through traffic_attempt_ended(); demand.c counts the demand for
- *	models.
+ *	drives them; target_pick.c chooses targets and retry.c decides on
+ *	retries; forward.c runs one attempt and reports its outcome through
+ *	traffic_attempt_ended(); demand.c counts the demand for models,
+ *	engine_load.c the load of engines; request_log.c logs and counts.
  *
  * UNITS
  *	Times named *_us are microseconds on the clock of the traffic loop.
@@ -152,12 +153,56 @@
 	ATTEMPT_BROKEN	     /* no complete or no valid response */
 } attempt_end_t;
 
+typedef enum {
+	END_ANSWERED,
+	END_FAILED,
+	END_REFUSED,
+	END_UNKNOWN,
+	END_GONE,
+	END_NO_ROUTE,
+	ENDS
+} request_end_t;
+
 /* traffic.c */
 /* traffic_attempt_ended - finish, retry or fail a request after an attempt. */
 void traffic_attempt_ended(request_t *r, attempt_end_t end, bsh_error_t err);
 int64_t traffic_now_us(const traffic_t *traffic);
-/* traffic_update_budget_gauge - set bsh_retry_budget_left. */
-void traffic_update_budget_gauge(traffic_t *t);
+/* traffic_time_left_us - time until the caller no longer waits. */
+int64_t traffic_time_left_us(const request_t *r);
+
+/* request_log.c */
+void request_log_register(void);
+/* request_log_end - log and count the end of a request. */
+void request_log_end(const request_t *r, request_end_t end, int status,
+		     const char *reason);
+/* request_log_wait - log that a request waits, once for each request; ready is
+ * NULL without an estimate. */
+void request_log_wait(request_t *r, const view_ready_t *ready);
+/* request_log_attempt - log an attempt that did not answer the request. */
+void request_log_attempt(const request_t *r, attempt_end_t end, bsh_error_t err,
+			 bool again);
+
+/* target_pick.c */
+/* target_pick - the best target that can serve the request and was not tried,
+ * or NULL; *chosen, unless NULL, is what was known of it. */
+const view_target_t *target_pick(request_t *r, bsh_target_candidate_t *chosen);
+/* target_pick_state - the state of a target, created if needed. */
+target_state_t *target_pick_state(traffic_t *t, const char *id);
+/* target_pick_view_changed - drop the states of targets that are not in the new
+ * view and have no request. */
+void target_pick_view_changed(traffic_t *t);
+
+/* retry.c */
+void retry_register(void);
+/* retry_is_allowed - true if a request with this many sends may be sent again;
+ * takes a token from the retry budget then.  Sets r->retry_denial. */
+bool retry_is_allowed(request_t *r, uint32_t sends);
+/* retry_count_request - a new request raises the retry budget. */
+void retry_count_request(request_t *r);
+/* retry_count - the request is sent again. */
+void retry_count(void);
+/* retry_update_gauge - set bsh_retry_budget_left. */
+void retry_update_gauge(traffic_t *t);
 
 /* demand.c */
 /* demand_is_counted - true if the request names a model of an engine. */
