--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -106,7 +106,7 @@
 	int64_t *key = g_new(int64_t, 1);
 
 	*key = adapter_key(model, adapter);
-	g_hash_table_add(round->adapters, key);
+	g_hash_table_insert(round->adapters, key, key);
 }
 
 /* Counts the target once, also if it holds the model and has copies of it. */
