Take the answer of another process as the end of the listed one

A target that has crashed and is back answers the holder's report with a later start time than the list shows. The holder ignored that report, so the holdings of the ended process stayed announced until the list changed. They are now withdrawn as after a failed report; /planner/unreachable-target-is-withdrawn has the case.

An inventory with parts of different lengths is logged.

--- a/bshentryd/inventory.c
+++ b/bshentryd/inventory.c
@@ -60,8 +60,13 @@
 void inventory_receive(inventory_t *inventory,
 		       const bsh_msg_inventory_t *message)
 {
-	if (message->changes_bytes != message->keys_bytes)
+	if (message->changes_bytes != message->keys_bytes) {
+		bsh_log(BSH_LOG_WARNING,
+			"targets-inventory-unusable number=%" G_GUINT64_FORMAT
+			" detail=different-lengths",
+			message->number);
 		return;
+	}
 	if (message->term != inventory->term ||
 	    message->number != inventory->number ||
 	    message->parts != inventory->parts)
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -571,6 +571,14 @@
 	send_order(planner, t, now_us);
 }
 
+/* True if the process that the list shows has ended. */
+static bool is_other_process(const planner_target_t *t,
+			     const bsh_target_report_t *report)
+{
+	return report->started_ms != 0 && t->target.started_ms != 0 &&
+	       report->started_ms != t->target.started_ms;
+}
+
 void bsh_planner_report_result(bsh_planner_t *planner, const char *id,
 			       const bsh_target_report_t *report,
 			       int64_t now_us)
@@ -581,7 +589,8 @@
 		return;
 	t->report_pending = false;
 	t->next_report_us = now_us + REPORT_POLL_US;
-	if (report == NULL && t->suspected && !t->down) {
+	if (!t->down &&
+	    (report == NULL ? t->suspected : is_other_process(t, report))) {
 		t->down = true;
 		t->planned_load = 0;
 		publish(planner, t);
@@ -590,8 +599,7 @@
 	if (report == NULL ||
 	    (t->state != PLANNER_UNCERTAIN && t->state != PLANNER_WORKING))
 		return;
-	if (report->started_ms != 0 && t->target.started_ms != 0 &&
-	    report->started_ms != t->target.started_ms)
+	if (is_other_process(t, report))
 		return;
 	t->suspected = false;
 	t->down = false;
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -24,7 +24,8 @@
 #define RUN_WAIT_MS 1000.0
 /* Greatest loss for which a load without waiting requests evicts models. */
 #define SEED_MAX_LOSS 0.3
-/* Models tried for a load without waiting requests in one run; bounds its processor time. */
+/* Models tried for a load without waiting requests in one run, which bounds its
+ * processor time. */
 #define SEED_TRIES_MAX 8U
 #define VICTIMS_MAX    8U
 /* Time from the order to the first request, added to an estimate. */
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -688,6 +688,7 @@
 	static const char *const models[] = { "n", "m1", NULL };
 	static const char *const first[] = { "n", NULL };
 	static const char *const second[] = { "m1", NULL };
+	const bsh_target_report_t other = { .started_ms = 6 };
 	bsh_target_t a = make_target("a", first);
 	bsh_target_t b = make_target("b", second);
 	rig_t rig;
@@ -703,6 +704,15 @@
 	/* It answers: the one instance that could not connect is cut off. */
 	report(&rig, "a", 0, false, &a.holdings);
 	g_assert_cmpuint(bsh_planner_usable(rig.planner, "a", NULL)->n, ==, 1);
+	/* Another process answers, which the list does not show yet. */
+	bsh_planner_check_target(rig.planner, bsh_target_key("a"), rig.now_us);
+	tick(&rig, 1000);
+	bsh_planner_report_result(rig.planner, "a", &other, rig.now_us);
+	g_assert_cmpuint(bsh_planner_usable(rig.planner, "a", NULL)->n, ==, 0);
+	tick(&rig, 400000);
+	report(&rig, "a", 0, false, &a.holdings);
+	g_assert_cmpuint(bsh_planner_usable(rig.planner, "a", NULL)->n, ==, 1);
+	rig.n_reports = 1;
 
 	bsh_planner_check_target(rig.planner, bsh_target_key("a"), rig.now_us);
 	tick(&rig, 1000);
