Log silent targets and cut responses, count open requests

Requests ended without an answer beside silent targets, and the logs could not tell whether an attempt was given up during a silence, whether a response was cut on purpose, or whether a request was dropped with no end at all.

target-silent and response-cut name the request, the target and what decided; bsh_requests_begun_total and bsh_requests_open show a request that has not ended, which must be 0 at rest.

--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -20,6 +20,16 @@
 			   "end=\"no-route\""),
 };
 
+static bsh_counter_t begun =
+	BSH_COUNTER("bsh_requests_begun_total", "Requests that were read.");
+static bsh_counter_t open_gauge =
+	BSH_GAUGE("bsh_requests_open",
+		  "Requests that were read and have not ended: begun less the "
+		  "sum of bsh_requests_total.");
+static bsh_counter_t unanswered =
+	BSH_COUNTER("bsh_requests_unanswered_total",
+		    "Requests whose response was cut off by this instance.");
+
 static const char *const kind_names[] = {
 	[BSH_KIND_REPEATABLE] = "repeatable",
 	[BSH_KIND_AT_MOST_ONCE] = "once",
@@ -100,6 +110,21 @@
 	bsh_histogram_observe(&targets_age, age_us(r, &freshness->targets_us));
 }
 
+static void update_open_gauge(void)
+{
+	int64_t ended = 0;
+
+	for (int i = 0; i < ENDS; i++)
+		ended += bsh_counter_get(&end_counters[i]);
+	bsh_counter_set(&open_gauge, bsh_counter_get(&begun) - ended);
+}
+
+void request_log_begin(void)
+{
+	bsh_counter_add(&begun, 1);
+	update_open_gauge();
+}
+
 void request_log_end(const request_t *r, request_end_t end, int status,
 		     const char *reason)
 {
@@ -107,6 +132,7 @@
 					     "unknown",	 "gone",   "no-route" };
 
 	bsh_counter_add(&end_counters[end], 1);
+	update_open_gauge();
 	if (r->route != NULL)
 		count_times(r);
 	log_end(r, names[end], status, reason);
@@ -148,6 +174,32 @@
 		r->relay.passed);
 }
 
+void request_log_cut(const request_t *r, bsh_error_t err)
+{
+	bsh_counter_add(&unanswered, 1);
+	bsh_log(BSH_LOG_WARNING,
+		"response-cut id=%s target=%s error=%s sends=%u repeat=%s "
+		"passed_events=%" G_GUINT64_FORMAT
+		" left_ms=%d config=%" G_GUINT64_FORMAT,
+		r->info.attempt_id, r->target != NULL ? r->target->id : "-",
+		bsh_error_name(err), r->sends, r->retry_denial, r->relay.passed,
+		to_ms(traffic_time_left_us(r)), r->catalog->version);
+}
+
+void request_log_silence(const request_t *r, const char *action)
+{
+	bsh_log(BSH_LOG_INFO,
+		"target-silent id=%s target=%s silent_ms=%d action=%s "
+		"repeat=%s candidates=%u passed_events=%" G_GUINT64_FORMAT
+		" left_ms=%d config=%" G_GUINT64_FORMAT
+		" view=%" G_GUINT64_FORMAT,
+		r->info.attempt_id, r->target->id,
+		to_ms(traffic_now_us(r->traffic) - r->last_active_us), action,
+		r->retry_denial, r->candidates, r->relay.passed,
+		to_ms(traffic_time_left_us(r)), r->catalog->version,
+		r->traffic->view_number);
+}
+
 static void register_histograms(void)
 {
 	bsh_histogram_t *const by_kind[] = { total_time, first_time,
@@ -164,5 +216,8 @@
 {
 	for (int i = 0; i < ENDS; i++)
 		bsh_counter_register(&end_counters[i]);
+	bsh_counter_register(&begun);
+	bsh_counter_register(&open_gauge);
+	bsh_counter_register(&unanswered);
 	register_histograms();
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -132,6 +132,7 @@
 					      : BSH_ERR_CONNECTION_LOST;
 	answer = bsh_error_info(err);
 	if (r->answer_begun) {
+		request_log_cut(r, err);
 		bsh_http_response_abort(r->http);
 		finish(r, END_UNKNOWN, r->status, bsh_error_name(err));
 		return;
@@ -385,9 +386,11 @@
 	if (r->target->record.last_first_byte_at_us > r->last_active_us ||
 	    target_pick(r, NULL) == NULL ||
 	    !retry_is_allowed(r, r->sends + 1)) {
+		request_log_silence(r, "wait");
 		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
 		return;
 	}
+	request_log_silence(r, "send-again");
 	forward_cancel(r);
 	record_attempt_end(r, ATTEMPT_BROKEN);
 	request_log_attempt(r, ATTEMPT_BROKEN, BSH_ERR_TIMEOUT, true);
@@ -531,6 +534,7 @@
 	bsh_http_request_set_handler(http, &request_handler, r);
 	r->link.data = r;
 	g_queue_push_tail_link(&t->requests, &r->link);
+	request_log_begin();
 	return r;
 }
 
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -172,12 +172,19 @@
 
 /* request_log.c */
 void request_log_register(void);
+/* request_log_begin - count a request that was read. */
+void request_log_begin(void);
 /* request_log_end - log and count the end of a request. */
 void request_log_end(const request_t *r, request_end_t end, int status,
 		     const char *reason);
 /* request_log_wait - log that a request waits, once for each request; ready is
  * NULL without an estimate. */
 void request_log_wait(request_t *r, const view_ready_t *ready);
+/* request_log_cut - log that a response that has begun is cut off: the caller
+ * gets neither a complete answer nor a refusal. */
+void request_log_cut(const request_t *r, bsh_error_t err);
+/* request_log_silence - log what is done about a target that sends nothing. */
+void request_log_silence(const request_t *r, const char *action);
 /* request_log_attempt - log an attempt that did not answer the request. */
 void request_log_attempt(const request_t *r, attempt_end_t end, bsh_error_t err,
 			 bool again);
