Let rig workers fall silent and have software versions

A test could not let a target pause and go on, nor run two software versions of one service. The stand-in records the versions that wrote the events of each stream, over the attempts of its caller.

--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -20,8 +20,6 @@
 #define SERVER_LIMITS                                                          \
 	.max_connections = 2000, .idle_timeout_s = 60, .body_max_bytes = 1 << 20
 
-static const char host_header[] = "Host: " RIG_HOST;
-
 /* A change of an object in the store. */
 typedef struct {
 	int64_t revision;
@@ -45,6 +43,7 @@
 	bsh_http_request_t *request;
 	bsh_loop_timer_t timer;
 	char attempt[80];
+	char began_by[80]; /* attempt that began the stream */
 	bool stream;
 	uint32_t next_event;
 	bool header_sent;
@@ -380,9 +379,9 @@
 	json_t *spec = json_pack(
 		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:o, s:I, s:i}", "service",
 		worker->service, "address", worker->address, "zone", "z1",
-		"version", "v1", "slots", ENGINE_SLOTS, "state", state,
-		"coldRemainingMs", 0, "models", worker_models(worker), "born",
-		(json_int_t)worker->started_ms, "seq", 1);
+		"version", worker->version, "slots", ENGINE_SLOTS, "state",
+		state, "coldRemainingMs", 0, "models", worker_models(worker),
+		"born", (json_int_t)worker->started_ms, "seq", 1);
 
 	record_change(worker->rig, "servers", worker->id, spec);
 	json_decref(spec);
@@ -428,12 +427,35 @@
 	run->header_sent = true;
 }
 
+/* Counts the stream once if another version has written events of it. */
+static void record_version(const run_t *run)
+{
+	static const char mixed[] = "mixed";
+	platform_rig_t *rig = run->worker->rig;
+	const char *version =
+		g_hash_table_lookup(rig->stream_versions, run->began_by);
+
+	if (version == NULL) {
+		version = run->worker->version;
+	} else if (strcmp(version, run->worker->version) != 0 &&
+		   strcmp(version, mixed) != 0) {
+		rig->mixed_streams++;
+		version = mixed;
+	} else {
+		return;
+	}
+	g_hash_table_replace(rig->stream_versions, g_strdup(run->began_by),
+			     g_strdup(version));
+}
+
 static void write_event(run_t *run)
 {
 	char event[64];
 	int size;
 
 	send_stream_header(run);
+	record_version(run);
+	run->worker->events++;
 	run->next_event++;
 	size = g_snprintf(event, sizeof(event), "id: %u\ndata: e%u\n\n",
 			  run->next_event, run->next_event);
@@ -447,6 +469,10 @@
 
 	if (worker->mode == WORKER_NEVER_ANSWERS)
 		return;
+	if (bsh_loop_clock_us() < worker->silent_until_us) {
+		bsh_loop_timer_start(&run->timer, worker->silent_until_us);
+		return;
+	}
 	/* A begun stream can no longer answer 500: sending one would end it as
 	 * if it were complete. */
 	if (worker->mode == WORKER_FAILS && run->header_sent) {
@@ -499,6 +525,7 @@
 	const char *model =
 		bsh_http_request_header(request, "Berylshunt-Model");
 	const char *after = bsh_http_request_header(request, "Last-Event-Id");
+	const char *resumes = bsh_http_request_header(request, "Resumes");
 	run_t *run;
 	guint runs;
 
@@ -517,6 +544,8 @@
 	run->next_event =
 		after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) : 0;
 	g_strlcpy(run->attempt, id != NULL ? id : "", sizeof(run->attempt));
+	g_strlcpy(run->began_by, resumes != NULL ? resumes : run->attempt,
+		  sizeof(run->began_by));
 	worker->runs++;
 	runs = GPOINTER_TO_UINT(g_hash_table_lookup(rig->runs, run->attempt));
 	g_hash_table_replace(rig->runs, g_strdup(run->attempt),
@@ -612,6 +641,7 @@
 		json_object_set_new(worker->models, model, json_array());
 	g_snprintf(worker->id, sizeof(worker->id), "i-%u", rig->n_workers);
 	g_strlcpy(worker->service, service, sizeof(worker->service));
+	g_strlcpy(worker->version, "v1", sizeof(worker->version));
 	g_assert_cmpint(
 		bsh_http_server_new(&worker->server, &rig->loop, &config), ==,
 		BSH_OK);
@@ -621,6 +651,11 @@
 	return worker;
 }
 
+void platform_rig_silence_worker(worker_t *worker, uint32_t ms)
+{
+	worker->silent_until_us = bsh_loop_clock_us() + 1000LL * ms;
+}
+
 void platform_rig_restart_worker(worker_t *worker)
 {
 	for (guint i = worker->rig->pending_runs->len; i > 0; i--) {
@@ -740,32 +775,44 @@
 	reply->took_us = bsh_loop_clock_us() - reply->took_us;
 }
 
-void platform_rig_send(platform_rig_t *rig, const char *address,
-		       const char *path, const char *id, const char *model,
-		       uint32_t deadline_ms, rig_reply_t *reply)
+/* Adds the header unless value is NULL. */
+static void add_header(GPtrArray *headers, const char *name, const char *value)
+{
+	if (value != NULL)
+		g_ptr_array_add(headers,
+				g_strdup_printf("%s: %s", name, value));
+}
+
+void platform_rig_resume(platform_rig_t *rig, const char *address,
+			 const char *path, const char *id, const char *model,
+			 uint32_t deadline_ms, uint32_t last_event_id,
+			 const char *began_by, rig_reply_t *reply)
 {
 	static const bsh_http_handler_t handler = { .on_header =
 							    on_reply_header,
 						    .on_end = on_reply_end };
 	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
-	g_autofree char *attempt_header =
-		g_strdup_printf("Berylshunt-Request-Try-Id: %s", id);
-	g_autofree char *deadline_header =
-		g_strdup_printf("Berylshunt-Deadline-Ms: %u", deadline_ms);
-	g_autofree char *model_header = g_strdup_printf(
-		"Berylshunt-Model: %s", model != NULL ? model : "");
-	const char *headers[] = { host_header, attempt_header, deadline_header,
-				  model != NULL ? model_header : NULL, NULL };
+	g_autofree char *deadline = g_strdup_printf("%u", deadline_ms);
+	g_autofree char *after =
+		last_event_id > 0 ? g_strdup_printf("%u", last_event_id) : NULL;
+	g_autoptr(GPtrArray) headers = g_ptr_array_new_with_free_func(g_free);
 	bool has_body = !g_str_has_prefix(path, "/api/") &&
 			!g_str_has_prefix(path, "/look/");
 	bsh_http_call_spec_t spec = { .method = has_body ? "POST" : "GET",
 				      .url = url,
-				      .headers = headers,
 				      .body = has_body ? "x" : NULL,
 				      .body_size = has_body ? 1 : 0,
 				      .idle_timeout_ms = 20000,
 				      .fresh_connection = true };
 
+	add_header(headers, "Host", RIG_HOST);
+	add_header(headers, "Berylshunt-Request-Try-Id", id);
+	add_header(headers, "Berylshunt-Deadline-Ms", deadline);
+	add_header(headers, "Berylshunt-Model", model);
+	add_header(headers, "Last-Event-Id", after);
+	add_header(headers, "Resumes", began_by);
+	g_ptr_array_add(headers, NULL);
+	spec.headers = (const char *const *)headers->pdata;
 	memset(reply, 0, sizeof(*reply));
 	reply->took_us = bsh_loop_clock_us();
 	g_assert_cmpint(bsh_http_client_start(rig->client, &spec, &handler,
@@ -773,6 +820,14 @@
 			==, BSH_OK);
 }
 
+void platform_rig_send(platform_rig_t *rig, const char *address,
+		       const char *path, const char *id, const char *model,
+		       uint32_t deadline_ms, rig_reply_t *reply)
+{
+	platform_rig_resume(rig, address, path, id, model, deadline_ms, 0, NULL,
+			    reply);
+}
+
 void platform_rig_reply_clear(rig_reply_t *reply)
 {
 	if (reply->call != NULL)
@@ -853,6 +908,8 @@
 	rig->pending_runs = g_ptr_array_new();
 	rig->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	rig->stream_versions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rig->lease_ms = 1000;
 	rig->weights_mb = 2 * MODEL_MB;
 	g_assert_cmpint(bsh_http_server_new(&rig->store, &rig->loop, &config),
@@ -884,5 +941,6 @@
 	g_ptr_array_free(rig->pending_runs, TRUE);
 	g_hash_table_destroy(rig->objects);
 	g_hash_table_destroy(rig->runs);
+	g_hash_table_destroy(rig->stream_versions);
 	bsh_loop_finish(&rig->loop);
 }
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -54,7 +54,10 @@
 	uint64_t orders;     /* orders executed since its start */
 	uint64_t started_ms; /* start time reported as "born" */
 	worker_mode_t mode;
+	char version[16];	 /* of its software */
+	int64_t silent_until_us; /* sends nothing before; loop clock */
 	uint32_t work_ms;   /* from the request to its answer or first event */
+	uint32_t events;    /* of streams, sent */
 	uint32_t runs;	    /* requests executed */
 	uint32_t aborted;   /* runs whose caller closed before the end */
 	uint32_t loads;	    /* load orders executed */
@@ -107,7 +110,11 @@
 	uint32_t n_workers;
 	rig_entry_t entries[RIG_ENTRIES_MAX];
 	uint32_t n_entries;
-	GHashTable *runs;	 /* attempt id to number of executions */
+	GHashTable *runs; /* attempt id to number of executions */
+	/* Id of the attempt that began a stream to the software version of the
+	 * workers that wrote its events. */
+	GHashTable *stream_versions;
+	uint32_t mixed_streams;	 /* with events of several versions */
 	GPtrArray *pending_runs; /* executions without a complete answer */
 	uint32_t version;	 /* of the configuration; 0: none */
 	uint32_t weights_mb;	 /* memory of a worker; a model takes 100 */
@@ -133,6 +140,9 @@
 /* platform_rig_remove_worker - delete the worker's record, as when its
  * registration expires; its server keeps running. */
 void platform_rig_remove_worker(worker_t *worker);
+/* platform_rig_silence_worker - the worker sends nothing for this time, keeps its
+ * connections, and then goes on where it was. */
+void platform_rig_silence_worker(worker_t *worker, uint32_t ms);
 /* platform_rig_restart_worker - restart a worker: its runs are aborted, its
  * models unloaded and its count of orders is 0. */
 void platform_rig_restart_worker(worker_t *worker);
@@ -154,6 +164,13 @@
 void platform_rig_send(platform_rig_t *rig, const char *address,
 		       const char *path, const char *id, const char *model,
 		       uint32_t deadline_ms, rig_reply_t *reply);
+/* platform_rig_resume - like platform_rig_send() for a stream that goes on after
+ * the event last_event_id; began_by is the id of the attempt that brought its
+ * first event, or NULL. */
+void platform_rig_resume(platform_rig_t *rig, const char *address,
+			 const char *path, const char *id, const char *model,
+			 uint32_t deadline_ms, uint32_t last_event_id,
+			 const char *began_by, rig_reply_t *reply);
 /* platform_rig_reply_clear - cancel a pending request and free the reply. */
 void platform_rig_reply_clear(rig_reply_t *reply);
 
