--- /dev/null
+++ b/bshentryd/attempts.c
@@ -0,0 +1,286 @@
+/* The attempts of a request: at one target, or at two while it is handed over
+ * from a target that sends nothing. */
+#include "traffic.h"
+
+/* Lower bound of the inactivity timeout.  The timeout is the latency objective
+ * of the route, or the longest pause between events once a stream has begun. */
+#define INACTIVITY_MIN_US INT64_C(300000)
+/* A target that has not refused the request within this time has accepted it,
+ * and the first attempt is cancelled: two targets must not work on a request
+ * for longer than 400 ms. */
+#define HANDOVER_MAX_US INT64_C(300000)
+
+/* Time after which a target that sends nothing counts as inactive. */
+static int64_t inactivity_timeout_us(const request_t *r)
+{
+	const bsh_route_rule_t *route = r->route;
+	bool has_begun = r->is_stream && r->relay.passed > 0;
+	uint32_t ms = has_begun && route->event_gap_ms > 0
+			      ? route->event_gap_ms
+			      : route->latency_objective_ms;
+
+	return MAX(ms * INT64_C(1000), INACTIVITY_MIN_US);
+}
+
+/* True if the target has answered neither this request within the inactivity
+ * timeout nor any other request since it was sent. */
+static bool is_unresponsive(const attempt_t *a)
+{
+	const request_t *r = a->request;
+
+	return r->first_byte_us == 0 &&
+	       a->target->record.last_first_byte_at_us <= a->began_us &&
+	       traffic_now_us(r->traffic) - a->began_us >=
+		       inactivity_timeout_us(r);
+}
+
+static void record_unreachable(attempt_t *a)
+{
+	request_t *r = a->request;
+	int64_t now_us = traffic_now_us(r->traffic);
+
+	bsh_target_unreachable(&a->target->record, now_us);
+	if (a->refused && demand_is_counted(r)) {
+		a->target->refused_started_ms = a->target_started_ms;
+		a->target->refused_us = now_us;
+		demand_send_soon(r->traffic);
+	}
+}
+
+/* Ends the attempt in the accounts of its target and of the request. */
+static void close_attempt(attempt_t *a, attempt_end_t end)
+{
+	request_t *r = a->request;
+	bool failed = end == ATTEMPT_FAILED || end == ATTEMPT_BROKEN;
+
+	forward_cancel(a);
+	engine_load_ended(a);
+	/* A refusal means that the target is full or does not hold the model,
+	 * not that it has failed. */
+	if (end == ATTEMPT_NOT_REACHED)
+		record_unreachable(a);
+	else
+		bsh_target_ended(&a->target->record, failed,
+				 traffic_now_us(r->traffic));
+	a->active = false;
+	a->target = NULL;
+	if (!a->sent)
+		return;
+	r->sends++;
+	if (end != ATTEMPT_REFUSED)
+		r->runs++;
+	r->may_have_run = r->may_have_run || failed;
+}
+
+/* Cancels an attempt that is no longer needed.  Its target may have run the
+ * request. */
+static void cancel_attempt(attempt_t *a, bool failed)
+{
+	a->request->may_have_run = a->request->may_have_run || a->sent;
+	close_attempt(a, failed ? ATTEMPT_BROKEN : ATTEMPT_ANSWERED);
+}
+
+static void cancel_handover(request_t *r)
+{
+	if (r->handover == NULL)
+		return;
+	bsh_loop_timer_stop(&r->handover_timer);
+	cancel_attempt(r->handover, false);
+	r->handover = NULL;
+}
+
+/* The second attempt continues the response; the first one is closed. */
+static void promote_handover(request_t *r)
+{
+	bsh_loop_timer_stop(&r->handover_timer);
+	r->attempt = r->handover;
+	r->handover = NULL;
+	r->paused = false;
+	r->last_active_us = traffic_now_us(r->traffic);
+	bsh_event_relay_restart(&r->relay);
+	bsh_loop_timer_after(&r->inactivity_timer, inactivity_timeout_us(r));
+}
+
+/* Gives up the first attempt for the second one. */
+static void complete_handover(request_t *r)
+{
+	attempt_t *first = r->attempt;
+
+	request_log_silence(r, "handed-over");
+	close_attempt(first, ATTEMPT_BROKEN);
+	request_log_attempt(first, ATTEMPT_BROKEN, BSH_ERR_TIMEOUT, true);
+	promote_handover(r);
+}
+
+static void on_handover_timer(void *ctx)
+{
+	complete_handover(ctx);
+}
+
+void attempts_spoke(attempt_t *a)
+{
+	request_t *r = a->request;
+
+	if (r->handover == NULL)
+		return;
+	if (a == r->handover) {
+		complete_handover(r);
+		return;
+	}
+	request_log_silence(r, "goes-on");
+	cancel_handover(r);
+	r->last_active_us = traffic_now_us(r->traffic);
+	bsh_loop_timer_after(&r->inactivity_timer, inactivity_timeout_us(r));
+}
+
+/* Starts an attempt.  Returns false, and records the attempt as one that has
+ * reached no target, if it cannot be started. */
+static bool start_attempt(attempt_t *a, const view_target_t *target,
+			  const bsh_target_candidate_t *candidate)
+{
+	request_t *r = a->request;
+
+	a->active = true;
+	a->target = target_pick_state(r->traffic, target->id);
+	g_strlcpy(a->target_id, target->id, sizeof(a->target_id));
+	a->target_started_ms = target->started_ms;
+	if (r->n_tried < TRIED_MAX)
+		r->tried[r->n_tried++] = target->hash;
+	engine_load_started(a, candidate);
+	if (forward_start(a, target) == BSH_OK)
+		return true;
+	close_attempt(a, ATTEMPT_NOT_REACHED);
+	request_log_attempt(a, ATTEMPT_NOT_REACHED, BSH_ERR_SYSTEM, false);
+	return false;
+}
+
+void attempts_send(request_t *r, const view_target_t *target,
+		   const bsh_target_candidate_t *candidate)
+{
+	r->last_active_us = traffic_now_us(r->traffic);
+	bsh_event_relay_restart(&r->relay);
+	if (r->repeatable)
+		bsh_loop_timer_after(&r->inactivity_timer,
+				     inactivity_timeout_us(r));
+	if (!start_attempt(r->attempt, target, candidate))
+		traffic_attempt_ended(r, ATTEMPT_NOT_REACHED, BSH_ERR_SYSTEM);
+}
+
+static void begin_handover(request_t *r, const view_target_t *target,
+			   const bsh_target_candidate_t *candidate)
+{
+	attempt_t *second = r->attempt == &r->attempts[0] ? &r->attempts[1]
+							  : &r->attempts[0];
+
+	request_log_silence(r, "ask-another");
+	retry_count();
+	if (!start_attempt(second, target, candidate)) {
+		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
+		return;
+	}
+	r->handover = second;
+	bsh_loop_timer_after(&r->handover_timer, HANDOVER_MAX_US);
+}
+
+static void on_inactivity(void *ctx)
+{
+	request_t *r = ctx;
+	const attempt_t *a = r->attempt;
+	int64_t left_us = r->last_active_us + inactivity_timeout_us(r) -
+			  traffic_now_us(r->traffic);
+	bsh_target_candidate_t candidate;
+	const view_target_t *target;
+
+	if (r->state == REQUEST_WAITING) {
+		traffic_resume_is_due(r);
+		return;
+	}
+	if (r->state != REQUEST_RUNNING || r->handover != NULL ||
+	    (a->head_received && !a->head.event_stream))
+		return;
+	/* A paused call is idle because the caller reads slowly. */
+	if (left_us > 0 || r->paused) {
+		bsh_loop_timer_after(&r->inactivity_timer,
+				     left_us > 0 ? left_us : INACTIVITY_MIN_US);
+		return;
+	}
+	/* Keep waiting while the target answers other requests, as this one
+	 * then only takes longer, and when there is no other target. */
+	if (a->target->record.last_first_byte_at_us > r->last_active_us ||
+	    (target = target_pick(r, &candidate)) == NULL ||
+	    !retry_is_allowed(r, r->sends + 1)) {
+		request_log_silence(r, "wait");
+		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
+		return;
+	}
+	begin_handover(r, target, &candidate);
+}
+
+static void handover_ended(request_t *r, attempt_end_t end, bsh_error_t err)
+{
+	attempt_t *second = r->handover;
+
+	bsh_loop_timer_stop(&r->handover_timer);
+	r->handover = NULL;
+	close_attempt(second, end);
+	request_log_attempt(second, end, err, false);
+	bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
+}
+
+void attempts_ended(attempt_t *a, attempt_end_t end, bsh_error_t err)
+{
+	request_t *r = a->request;
+
+	if (a == r->handover) {
+		handover_ended(r, end, err);
+		return;
+	}
+	if (end == ATTEMPT_ANSWERED || end == ATTEMPT_WITHHELD)
+		cancel_handover(r);
+	if (r->handover != NULL) {
+		close_attempt(a, end);
+		request_log_attempt(a, end, err, true);
+		promote_handover(r);
+		return;
+	}
+	bsh_loop_timer_stop(&r->inactivity_timer);
+	close_attempt(a, end);
+	traffic_attempt_ended(r, end, err);
+}
+
+void attempts_cancel_all(request_t *r, bool timed_out)
+{
+	attempt_t *a = r->attempt;
+
+	bsh_loop_timer_stop(&r->inactivity_timer);
+	cancel_handover(r);
+	if (a->active)
+		cancel_attempt(a, is_unresponsive(a) ||
+					  (timed_out && !a->head_received));
+}
+
+void attempts_init(request_t *r)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
+		attempt_t *a = &r->attempts[i];
+
+		a->request = r;
+		a->held_body = g_string_new(NULL);
+		platform_head_init(&a->head);
+	}
+	r->attempt = &r->attempts[0];
+	bsh_loop_timer_init(&r->inactivity_timer, r->traffic->loop,
+			    on_inactivity, r);
+	bsh_loop_timer_init(&r->handover_timer, r->traffic->loop,
+			    on_handover_timer, r);
+}
+
+void attempts_finish(request_t *r)
+{
+	bsh_loop_timer_stop(&r->inactivity_timer);
+	bsh_loop_timer_stop(&r->handover_timer);
+	for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
+		platform_head_finish(&r->attempts[i].head);
+		g_string_free(r->attempts[i].held_body, TRUE);
+	}
+}
--- a/bshentryd/engine_load.c
+++ b/bshentryd/engine_load.c
@@ -50,43 +50,45 @@
 	work->shared_us = token_us * MIN(shared_tokens(&r->info), tokens);
 }
 
-void engine_load_began(request_t *r, int64_t took_us)
+void engine_load_began(attempt_t *a, int64_t took_us)
 {
+	const request_t *r = a->request;
 	traffic_t *t = r->traffic;
 
-	bsh_target_first_byte(&r->target->record, took_us, r->expected_us,
+	bsh_target_first_byte(&a->target->record, took_us, a->expected_us,
 			      traffic_now_us(t));
-	if (r->expected_us > 0.0)
+	if (a->expected_us > 0.0)
 		bsh_prefill_observe(
-			&t->prefill, r->info.model, r->uncached_tokens, took_us,
-			r->expected_us - FIRST_BYTE_FIXED_US - r->work_us);
-	engine_load_ended(r);
+			&t->prefill, r->info.model, a->uncached_tokens, took_us,
+			a->expected_us - FIRST_BYTE_FIXED_US - a->work_us);
+	engine_load_ended(a);
 }
 
-void engine_load_ended(request_t *r)
+void engine_load_ended(attempt_t *a)
 {
-	bsh_target_work_done(&r->target->record, r->work_us);
-	r->work_us = 0.0;
-	r->expected_us = 0.0;
+	bsh_target_work_done(&a->target->record, a->work_us);
+	a->work_us = 0.0;
+	a->expected_us = 0.0;
 }
 
-void engine_load_started(request_t *r, const bsh_target_candidate_t *candidate)
+void engine_load_started(attempt_t *a, const bsh_target_candidate_t *candidate)
 {
+	const request_t *r = a->request;
 	int64_t now_us = traffic_now_us(r->traffic);
 	bsh_target_work_t work;
 
 	engine_load_work(r, &work);
-	r->work_us = 0.0;
-	r->expected_us = 0.0;
+	a->work_us = 0.0;
+	a->expected_us = 0.0;
 	if (work.prefill_us > 0.0) {
-		r->work_us = bsh_target_own_us(candidate, &work);
-		r->expected_us =
-			FIRST_BYTE_FIXED_US + r->work_us +
-			bsh_target_ahead_us(&r->target->record, now_us);
-		r->uncached_tokens = (uint32_t)(prompt_tokens(r) * r->work_us /
+		a->work_us = bsh_target_own_us(candidate, &work);
+		a->expected_us =
+			FIRST_BYTE_FIXED_US + a->work_us +
+			bsh_target_ahead_us(&a->target->record, now_us);
+		a->uncached_tokens = (uint32_t)(prompt_tokens(r) * a->work_us /
 						work.prefill_us);
 	}
-	bsh_target_started(&r->target->record, r->work_us, now_us);
+	bsh_target_started(&a->target->record, a->work_us, now_us);
 }
 
 static bsh_load_entry_t *find_entry(GArray *entries, uint32_t target)
@@ -118,19 +120,28 @@
 	}
 }
 
+static void add_attempt(GArray *entries, const attempt_t *a)
+{
+	bsh_load_entry_t *entry;
+
+	if (!a->active)
+		return;
+	entry = find_entry(entries, a->target->key);
+	entry->work_ms += (uint32_t)(a->work_us / 1000.0);
+	entry->running++;
+}
+
 GArray *engine_load_collect(traffic_t *t)
 {
 	GArray *entries = g_array_new(FALSE, FALSE, sizeof(bsh_load_entry_t));
 
 	for (GList *l = t->requests.head; l != NULL; l = l->next) {
 		const request_t *r = l->data;
-		bsh_load_entry_t *entry;
 
-		if (r->state != REQUEST_RUNNING || !demand_is_counted(r))
+		if (!demand_is_counted(r))
 			continue;
-		entry = find_entry(entries, r->target->key);
-		entry->work_ms += (uint32_t)(r->work_us / 1000.0);
-		entry->running++;
+		for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++)
+			add_attempt(entries, &r->attempts[i]);
 	}
 	note_reported(t);
 	bsh_load_sort(entries);
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -28,21 +28,26 @@
 	       !bsh_http_request_is_connected(r->http);
 }
 
-static void add_headers(const request_t *r)
+static void add_headers(const attempt_t *a)
 {
-	for (guint i = 0; i + 1 < r->head.headers->len; i += 2)
-		bsh_http_response_add_header(
-			r->http, g_ptr_array_index(r->head.headers, i),
-			g_ptr_array_index(r->head.headers, i + 1));
+	const GPtrArray *headers = a->head.headers;
+
+	for (guint i = 0; i + 1 < headers->len; i += 2)
+		bsh_http_response_add_header(a->request->http,
+					     g_ptr_array_index(headers, i),
+					     g_ptr_array_index(headers, i + 1));
 }
 
-static void begin_answer(request_t *r, int64_t length)
+static void begin_answer(attempt_t *a, int64_t length)
 {
+	request_t *r = a->request;
+
 	if (r->answer_begun)
 		return;
 	r->answer_begun = true;
-	add_headers(r);
-	bsh_http_response_begin(r->http, r->status, length);
+	r->status = a->status;
+	add_headers(a);
+	bsh_http_response_begin(r->http, a->status, length);
 }
 
 static void write_answer(request_t *r, const char *data, size_t size)
@@ -51,9 +56,9 @@
 		return;
 	if (bsh_http_response_write(r->http, data, size) >
 		    BSH_HTTP_HIGH_WATERMARK_BYTES &&
-	    r->call != NULL) {
+	    r->attempt->call != NULL) {
 		r->paused = true;
-		bsh_http_call_pause(r->call);
+		bsh_http_call_pause(r->attempt->call);
 	}
 }
 
@@ -62,180 +67,196 @@
 	if (!r->paused)
 		return;
 	r->paused = false;
-	if (r->call != NULL)
-		bsh_http_call_resume(r->call);
+	if (r->attempt->call != NULL)
+		bsh_http_call_resume(r->attempt->call);
 }
 
-static void answer_held(request_t *r)
+static void answer_held(attempt_t *a)
 {
-	add_headers(r);
+	request_t *r = a->request;
+
+	add_headers(a);
 	r->answer_begun = true;
-	bsh_http_response_send(r->http, r->status, r->held_body->str,
-			       r->held_body->len);
+	r->status = a->status;
+	bsh_http_response_send(r->http, a->status, a->held_body->str,
+			       a->held_body->len);
 }
 
-void forward_answer_failure(request_t *r)
+void forward_answer_failure(attempt_t *a)
 {
-	answer_held(r);
+	answer_held(a);
 }
 
 /* Ends the attempt, and cancels its call if it is still running. */
-static void end_attempt(request_t *r, attempt_end_t end, bsh_error_t err)
+static void end_attempt(attempt_t *a, attempt_end_t end, bsh_error_t err)
 {
-	bsh_loop_timer_stop(&r->inactivity_timer);
-	forward_cancel(r);
-	traffic_attempt_ended(r, end, err);
+	forward_cancel(a);
+	attempts_ended(a, end, err);
 }
 
 /* The last check before the request leaves: it may have taken long to connect,
  * or the process may have been paused meanwhile. */
 static bool may_send(void *ctx)
 {
-	request_t *r = ctx;
+	attempt_t *a = ctx;
 
-	r->withheld = forward_is_abandoned(r);
-	return !r->withheld;
+	a->withheld = forward_is_abandoned(a->request);
+	return !a->withheld;
 }
 
 static void on_sent(void *ctx)
 {
-	request_t *r = ctx;
+	attempt_t *a = ctx;
 
-	r->call_sent = true;
+	a->sent = true;
 }
 
 static void on_header(void *ctx, const char *name, size_t name_size,
 		      const char *value, size_t value_size)
 {
-	request_t *r = ctx;
+	attempt_t *a = ctx;
 
-	platform_head_add(&r->head, name, name_size, value, value_size);
+	platform_head_add(&a->head, name, name_size, value, value_size);
 }
 
-static void record_first_byte(request_t *r)
+static void record_first_byte(attempt_t *a)
 {
+	request_t *r = a->request;
 	int64_t now_us = traffic_now_us(r->traffic);
 
 	if (r->first_byte_us == 0)
 		r->first_byte_us = now_us;
-	engine_load_began(r, now_us - r->call_began_us);
+	engine_load_began(a, now_us - a->began_us);
+}
+
+static bool is_event_stream(const attempt_t *a)
+{
+	return a->head.event_stream && a->status == 200;
 }
 
 /* True if the response must not reach the caller: it belongs to another attempt
  * or is a success that lacks the target's seal or was re-encoded on its way. */
-static bool is_mismatched(const request_t *r)
+static bool is_mismatched(const attempt_t *a)
 {
-	const platform_head_t *head = &r->head;
+	const platform_head_t *head = &a->head;
 
 	if (head->attempt_id[0] != '\0' &&
-	    strcmp(head->attempt_id, r->info.attempt_id) != 0)
+	    strcmp(head->attempt_id, a->request->info.attempt_id) != 0)
 		return true;
-	return r->status >= 200 && r->status < 300 &&
+	return a->status >= 200 && a->status < 300 &&
 	       (!head->sealed || head->encoded);
 }
 
 static void on_head(void *ctx, int status)
 {
-	request_t *r = ctx;
-
-	r->status = status;
-	r->head_received = true;
-	/* Only an event stream is watched for inactivity after its head: it may
-	 * stall at any time. */
-	if (!r->head.event_stream || status != 200)
-		bsh_loop_timer_stop(&r->inactivity_timer);
-	if (is_mismatched(r)) {
-		end_attempt(r, ATTEMPT_BROKEN, BSH_ERR_MISMATCH);
+	attempt_t *a = ctx;
+	request_t *r = a->request;
+
+	a->status = status;
+	a->head_received = true;
+	if (is_mismatched(a)) {
+		end_attempt(a, ATTEMPT_BROKEN, BSH_ERR_MISMATCH);
 		return;
 	}
-	if (platform_head_is_refusal(&r->head, status)) {
-		end_attempt(r, ATTEMPT_REFUSED, BSH_ERR_REFUSED);
+	if (platform_head_is_refusal(&a->head, status)) {
+		end_attempt(a, ATTEMPT_REFUSED, BSH_ERR_REFUSED);
 		return;
 	}
 	/* Only events can continue a stream of which a part was passed on. */
-	if (r->answer_begun && (!r->head.event_stream || status != 200)) {
-		end_attempt(r, ATTEMPT_BROKEN, BSH_ERR_CONNECTION_LOST);
+	if (r->answer_begun && !is_event_stream(a)) {
+		end_attempt(a, ATTEMPT_BROKEN, BSH_ERR_CONNECTION_LOST);
 		return;
 	}
-	if (!r->head.event_stream || status != 200)
-		record_first_byte(r);
+	/* A failure does not replace an attempt that may still answer, and the
+	 * head of a stream says nothing about its events. */
+	if (is_event_stream(a) || status >= 500)
+		return;
+	attempts_spoke(a);
+	record_first_byte(a);
 }
 
-static void on_event_data(request_t *r, const char *data, size_t size)
+static void on_event_data(attempt_t *a, const char *data, size_t size)
 {
+	request_t *r = a->request;
 	bsh_error_t err;
 
+	attempts_spoke(a);
 	g_string_truncate(r->events, 0);
 	err = bsh_event_relay_feed(&r->relay, data, size, r->events);
 	if (r->events->len > 0) {
 		r->last_active_us = traffic_now_us(r->traffic);
+		r->stream_deadline_us = r->last_active_us + r->patience_us;
 		if (!r->answer_begun)
-			record_first_byte(r);
-		begin_answer(r, -1);
+			record_first_byte(a);
+		begin_answer(a, -1);
 		write_answer(r, r->events->str, r->events->len);
 	}
 	if (err != BSH_OK)
-		end_attempt(r, ATTEMPT_BROKEN, err);
+		end_attempt(a, ATTEMPT_BROKEN, err);
 }
 
 static void on_data(void *ctx, const char *data, size_t size)
 {
-	request_t *r = ctx;
+	attempt_t *a = ctx;
+	request_t *r = a->request;
 
-	if (r->head.event_stream && r->status == 200) {
-		on_event_data(r, data, size);
+	if (is_event_stream(a)) {
+		on_event_data(a, data, size);
 		return;
 	}
 	if (!r->answer_begun) {
-		g_string_append_len(r->held_body, data, (gssize)size);
-		if (r->held_body->len <= HELD_BODY_MAX_BYTES)
+		g_string_append_len(a->held_body, data, (gssize)size);
+		if (a->held_body->len <= HELD_BODY_MAX_BYTES)
 			return;
-		begin_answer(r, r->head.length);
-		write_answer(r, r->held_body->str, r->held_body->len);
-		g_string_truncate(r->held_body, 0);
+		attempts_spoke(a);
+		begin_answer(a, a->head.length);
+		write_answer(r, a->held_body->str, a->held_body->len);
+		g_string_truncate(a->held_body, 0);
 		return;
 	}
 	write_answer(r, data, size);
 }
 
-static void finish_complete(request_t *r)
+static void finish_complete(attempt_t *a)
 {
-	if (r->head.event_stream && r->status == 200) {
+	request_t *r = a->request;
+
+	if (is_event_stream(a)) {
+		attempts_spoke(a);
 		if (!bsh_event_relay_is_between_events(&r->relay)) {
-			end_attempt(r, ATTEMPT_BROKEN, BSH_ERR_CONNECTION_LOST);
+			end_attempt(a, ATTEMPT_BROKEN, BSH_ERR_CONNECTION_LOST);
 			return;
 		}
-		begin_answer(r, -1);
+		begin_answer(a, -1);
 		bsh_http_response_end(r->http);
-		end_attempt(r, ATTEMPT_ANSWERED, BSH_OK);
-		return;
-	}
-	if (r->answer_begun) {
+		end_attempt(a, ATTEMPT_ANSWERED, BSH_OK);
+	} else if (r->answer_begun) {
 		bsh_http_response_end(r->http);
-		end_attempt(r, ATTEMPT_ANSWERED, BSH_OK);
-	} else if (r->status >= 500) {
-		end_attempt(r, ATTEMPT_FAILED, BSH_ERR_CONNECTION_LOST);
+		end_attempt(a, ATTEMPT_ANSWERED, BSH_OK);
+	} else if (a->status >= 500) {
+		end_attempt(a, ATTEMPT_FAILED, BSH_ERR_CONNECTION_LOST);
 	} else {
-		answer_held(r);
-		end_attempt(r, ATTEMPT_ANSWERED, BSH_OK);
+		answer_held(a);
+		end_attempt(a, ATTEMPT_ANSWERED, BSH_OK);
 	}
 }
 
 static void on_end(void *ctx, const bsh_http_result_t *result)
 {
-	request_t *r = ctx;
+	attempt_t *a = ctx;
 
-	r->call = NULL;
-	r->paused = false;
-	r->refused = result->refused;
+	a->call = NULL;
+	a->refused = result->refused;
+	if (a == a->request->attempt)
+		a->request->paused = false;
 	if (result->err == BSH_OK)
-		finish_complete(r);
+		finish_complete(a);
 	else if (!result->sent)
 		end_attempt(
-			r, r->withheld ? ATTEMPT_WITHHELD : ATTEMPT_NOT_REACHED,
+			a, a->withheld ? ATTEMPT_WITHHELD : ATTEMPT_NOT_REACHED,
 			BSH_ERR_CONNECT);
 	else
-		end_attempt(r, ATTEMPT_BROKEN, result->err);
+		end_attempt(a, ATTEMPT_BROKEN, result->err);
 }
 
 static const bsh_http_handler_t call_handler = {
@@ -247,25 +268,24 @@
 	.on_end = on_end,
 };
 
-void forward_cancel(request_t *r)
+void forward_cancel(attempt_t *a)
 {
-	if (r->call != NULL)
-		bsh_http_call_cancel(r->call);
-	r->call = NULL;
-	r->paused = false;
+	if (a->call != NULL)
+		bsh_http_call_cancel(a->call);
+	a->call = NULL;
+	if (a == a->request->attempt)
+		a->request->paused = false;
 }
 
-static void reset_attempt(request_t *r)
+static void reset_attempt(attempt_t *a)
 {
-	platform_head_reset(&r->head);
-	r->status = 0;
-	r->head_received = false;
-	r->call_sent = false;
-	r->withheld = false;
-	r->refused = false;
-	r->paused = false;
-	g_string_truncate(r->held_body, 0);
-	bsh_event_relay_restart(&r->relay);
+	platform_head_reset(&a->head);
+	a->status = 0;
+	a->head_received = false;
+	a->sent = false;
+	a->withheld = false;
+	a->refused = false;
+	g_string_truncate(a->held_body, 0);
 }
 
 /* Value of Last-Event-Id that resumes the stream after the last event that was
@@ -278,8 +298,9 @@
 	return text;
 }
 
-bsh_error_t forward_start(request_t *r, const view_target_t *target)
+bsh_error_t forward_start(attempt_t *a, const view_target_t *target)
 {
+	request_t *r = a->request;
 	char event_id[BSH_EVENT_ID_SIZE];
 	platform_forward_t forward = {
 		.target = target->id,
@@ -307,10 +328,10 @@
 	};
 	bsh_error_t err;
 
-	reset_attempt(r);
-	r->call_began_us = traffic_now_us(r->traffic);
-	err = bsh_http_client_start(r->traffic->client, &spec, &call_handler, r,
-				    &r->call);
+	reset_attempt(a);
+	a->began_us = traffic_now_us(r->traffic);
+	err = bsh_http_client_start(r->traffic->client, &spec, &call_handler, a,
+				    &a->call);
 	g_ptr_array_free(headers, TRUE);
 	return err;
 }
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -70,6 +70,13 @@
 	return us >= 0 ? (int)(us / 1000) : -1;
 }
 
+static const char *last_target(const request_t *r)
+{
+	const char *id = r->attempt->target_id;
+
+	return id[0] != '\0' ? id : "-";
+}
+
 static void log_end(const request_t *r, const char *end, int status,
 		    const char *reason)
 {
@@ -84,8 +91,8 @@
 		r->info.attempt_id, r->route != NULL ? r->route->name : "-",
 		r->route != NULL ? kind_names[r->route->kind] : "-",
 		r->info.model_name != NULL ? r->info.model_name : "-", end,
-		status, reason, r->target != NULL ? r->target->id : "-",
-		r->sends, r->n_tried, r->retry_denial, to_ms(r->waited_us),
+		status, reason, last_target(r), r->sends, r->n_tried,
+		r->retry_denial, to_ms(r->waited_us),
 		r->first_byte_us > 0 ? to_ms(r->first_byte_us - r->arrived_us)
 				     : -1,
 		to_ms(now_us - r->arrived_us), (int)forward_time_left_ms(r),
@@ -155,9 +162,10 @@
 		r->traffic->view_number);
 }
 
-void request_log_attempt(const request_t *r, attempt_end_t end, bsh_error_t err,
+void request_log_attempt(const attempt_t *a, attempt_end_t end, bsh_error_t err,
 			 bool again)
 {
+	const request_t *r = a->request;
 	static const char *const names[] = {
 		"answered", "not-reached", "withheld",
 		"refused",  "failed",	   "broken",
@@ -167,10 +175,10 @@
 		"attempt-ended id=%s target=%s end=%s error=%s status=%d "
 		"sends=%u again=%d repeat=%s candidates=%u took_ms=%d "
 		"passed_events=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->target->id, names[end],
+		r->info.attempt_id, a->target_id, names[end],
 		end == ATTEMPT_FAILED ? "target-failed" : bsh_error_name(err),
-		r->status, r->sends, again, r->retry_denial, r->candidates,
-		to_ms(traffic_now_us(r->traffic) - r->call_began_us),
+		a->status, r->sends, again, r->retry_denial, r->candidates,
+		to_ms(traffic_now_us(r->traffic) - a->began_us),
 		r->relay.passed);
 }
 
@@ -181,8 +189,8 @@
 		"response-cut id=%s target=%s error=%s sends=%u repeat=%s "
 		"passed_events=%" G_GUINT64_FORMAT
 		" left_ms=%d config=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->target != NULL ? r->target->id : "-",
-		bsh_error_name(err), r->sends, r->retry_denial, r->relay.passed,
+		r->info.attempt_id, last_target(r), bsh_error_name(err),
+		r->sends, r->retry_denial, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), r->catalog->version);
 }
 
@@ -193,7 +201,7 @@
 		"repeat=%s candidates=%u passed_events=%" G_GUINT64_FORMAT
 		" left_ms=%d config=%" G_GUINT64_FORMAT
 		" view=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->target->id,
+		r->info.attempt_id, last_target(r),
 		to_ms(traffic_now_us(r->traffic) - r->last_active_us), action,
 		r->retry_denial, r->candidates, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), r->catalog->version,
--- a/bshentryd/retry.c
+++ b/bshentryd/retry.c
@@ -53,10 +53,12 @@
 
 bool retry_is_allowed(request_t *r, uint32_t sends)
 {
-	bool is_committed =
-		r->answer_begun &&
-		!(r->is_stream && r->route->resumable && r->relay.passed > 0);
+	bool is_committed = r->answer_begun && !traffic_is_begun_stream(r);
 
+	/* An attempt that was refused does not count for a stream that would
+	 * otherwise be cut off. */
+	if (traffic_is_begun_stream(r))
+		sends -= r->sends - r->runs;
 	if (sends >= r->route->max_attempts)
 		r->retry_denial = "attempts-used";
 	else if (forward_time_left_ms(r) < RETRY_MIN_MS)
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -18,11 +18,9 @@
 #define IDLE_CONNECTIONS_MAX 256U
 /* Least time that a request needs at a target, apart from the wait. */
 #define RUN_MIN_US INT64_C(60000)
-/* Lower bound of the inactivity timeout.  The timeout is the latency objective
- * of the route, or the longest pause between events once a stream has begun.
- * When it expires and the target has answered no other request meanwhile, a
- * repeatable request is retried on another target. */
-#define INACTIVITY_MIN_US INT64_C(300000)
+/* Interval at which a stream of which the caller has a part, and which no target
+ * can continue at present, looks for one. */
+#define RESUME_INTERVAL_US INT64_C(250000)
 /* Estimates vary as loads begin and end: a waiting request is refused only when
  * the estimate has exceeded its deadline for this time. */
 #define LATE_CONFIRM_US INT64_C(250000)
@@ -89,6 +87,7 @@
 {
 	bsh_loop_timer_stop(&r->timer);
 	bsh_loop_timer_stop(&r->inactivity_timer);
+	bsh_loop_timer_stop(&r->handover_timer);
 	set_state(r, REQUEST_ENDED);
 	request_log_end(r, end, status, reason);
 }
@@ -123,7 +122,7 @@
 {
 	const bsh_error_info_t *answer;
 
-	forward_cancel(r);
+	attempts_cancel_all(r, false);
 	/* After an attempt with an unknown outcome the response must not claim
 	 * that the request has not run. */
 	if (r->may_have_run &&
@@ -221,37 +220,24 @@
 	set_state(r, REQUEST_WAITING);
 }
 
-static void on_inactivity(void *ctx);
-
-/* Time after which a target that sends nothing counts as inactive. */
-static int64_t inactivity_timeout_us(const request_t *r)
+bool traffic_is_begun_stream(const request_t *r)
 {
-	const bsh_route_rule_t *route = r->route;
-	bool has_begun = r->is_stream && r->relay.passed > 0;
-	uint32_t ms = has_begun && route->event_gap_ms > 0
-			      ? route->event_gap_ms
-			      : route->latency_objective_ms;
-
-	return MAX(ms * INT64_C(1000), INACTIVITY_MIN_US);
+	return r->answer_begun && r->is_stream && r->route->resumable &&
+	       r->relay.passed > 0;
 }
 
-static void send_to(request_t *r, const view_target_t *target,
-		    const bsh_target_candidate_t *candidate)
+/* A stream of which the caller has a part can only be continued or cut off: it
+ * waits for a target as long as its caller waits for an event. */
+static void wait_to_resume(request_t *r)
 {
-	int64_t now_us = traffic_now_us(r->traffic);
-
-	r->target = target_pick_state(r->traffic, target->id);
-	r->target_started_ms = target->started_ms;
-	if (r->n_tried < TRIED_MAX)
-		r->tried[r->n_tried++] = target->hash;
-	set_state(r, REQUEST_RUNNING);
-	engine_load_started(r, candidate);
-	r->last_active_us = now_us;
-	if (r->repeatable)
-		bsh_loop_timer_after(&r->inactivity_timer,
-				     inactivity_timeout_us(r));
-	if (forward_start(r, target) != BSH_OK)
-		traffic_attempt_ended(r, ATTEMPT_NOT_REACHED, BSH_ERR_SYSTEM);
+	if (traffic_time_left_us(r) < RUN_MIN_US) {
+		fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
+		return;
+	}
+	r->n_tried = 0;
+	request_log_wait(r, NULL);
+	set_state(r, REQUEST_WAITING);
+	bsh_loop_timer_after(&r->inactivity_timer, RESUME_INTERVAL_US);
 }
 
 /* Ends a request whose caller no longer waits for it.  After a pause of the
@@ -263,7 +249,7 @@
 		fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 		return;
 	}
-	forward_cancel(r);
+	attempts_cancel_all(r, false);
 	bsh_http_response_abort(r->http);
 	finish(r, END_GONE, 0, "caller-left");
 }
@@ -277,60 +263,37 @@
 		end_abandoned(r);
 		return;
 	}
-	if (r->n_tried >= TRIED_MAX) {
+	if (r->awaits_budget) {
+		if (!retry_is_allowed(r, r->sends)) {
+			wait_to_resume(r);
+			return;
+		}
+		r->awaits_budget = false;
+	}
+	if (r->n_tried >= TRIED_MAX && !traffic_is_begun_stream(r)) {
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 		return;
 	}
 	target = target_pick(r, &candidate);
-	if (target != NULL)
-		send_to(r, target, &candidate);
-	else if (r->n_tried > 0 && !demand_is_counted(r))
+	if (target != NULL) {
+		set_state(r, REQUEST_RUNNING);
+		attempts_send(r, target, &candidate);
+	} else if (traffic_is_begun_stream(r)) {
+		wait_to_resume(r);
+	} else if (r->n_tried > 0 && !demand_is_counted(r)) {
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
-	else
+	} else {
 		wait_or_refuse(r);
-}
-
-/* The end of an attempt. */
-
-static void record_target_outcome(request_t *r, attempt_end_t end)
-{
-	bsh_target_record_t *record = &r->target->record;
-	int64_t now_us = traffic_now_us(r->traffic);
-
-	engine_load_ended(r);
-	switch (end) {
-	case ATTEMPT_ANSWERED:
-	case ATTEMPT_REFUSED:
-	case ATTEMPT_WITHHELD:
-		/* A refusal means that the target is full or does not hold the
-		 * model, not that it has failed. */
-		bsh_target_ended(record, false, now_us);
-		break;
-	case ATTEMPT_NOT_REACHED:
-		bsh_target_unreachable(record, now_us);
-		if (r->refused && demand_is_counted(r)) {
-			r->target->refused_started_ms = r->target_started_ms;
-			r->target->refused_us = now_us;
-			demand_send_soon(r->traffic);
-		}
-		break;
-	case ATTEMPT_FAILED:
-	case ATTEMPT_BROKEN:
-		bsh_target_ended(record, true, now_us);
-		break;
 	}
 }
 
-static void record_attempt_end(request_t *r, attempt_end_t end)
+void traffic_resume_is_due(request_t *r)
 {
-	bsh_loop_timer_stop(&r->inactivity_timer);
-	record_target_outcome(r, end);
-	if (end != ATTEMPT_NOT_REACHED && end != ATTEMPT_WITHHELD)
-		r->sends++;
-	if (end == ATTEMPT_FAILED || end == ATTEMPT_BROKEN)
-		r->may_have_run = true;
+	dispatch(r);
 }
 
+/* The end of an attempt. */
+
 static void send_again(request_t *r)
 {
 	retry_count();
@@ -341,82 +304,39 @@
 {
 	bool again;
 
-	record_attempt_end(r, end);
 	if (end == ATTEMPT_ANSWERED) {
 		finish(r, r->status < 400 ? END_ANSWERED : END_FAILED,
 		       r->status, "-");
 		return;
 	}
 	if (end == ATTEMPT_WITHHELD) {
-		request_log_attempt(r, end, err, false);
+		request_log_attempt(r->attempt, end, err, false);
 		end_abandoned(r);
 		return;
 	}
 	again = end == ATTEMPT_NOT_REACHED || retry_is_allowed(r, r->sends);
-	request_log_attempt(r, end, err, again);
+	r->awaits_budget = !again && traffic_is_begun_stream(r) &&
+			   strcmp(r->retry_denial, "budget-empty") == 0;
+	request_log_attempt(r->attempt, end, err, again);
 	if (end == ATTEMPT_NOT_REACHED) {
 		dispatch(r);
 	} else if (again) {
 		send_again(r);
-	} else if (end == ATTEMPT_FAILED) {
-		forward_answer_failure(r);
+	} else if (r->awaits_budget) {
+		wait_to_resume(r);
+	} else if (end == ATTEMPT_FAILED && !r->answer_begun) {
+		forward_answer_failure(r->attempt);
 		finish(r, END_FAILED, r->status, "target-failed");
 	} else {
 		fail_request(r, err, RETRY_DEFAULT_MS);
 	}
 }
 
-static void on_inactivity(void *ctx)
-{
-	request_t *r = ctx;
-	int64_t left_us = r->last_active_us + inactivity_timeout_us(r) -
-			  traffic_now_us(r->traffic);
-
-	if (r->state != REQUEST_RUNNING ||
-	    (r->head_received && !r->head.event_stream))
-		return;
-	/* A paused call is idle because the caller reads slowly. */
-	if (left_us > 0 || r->paused) {
-		bsh_loop_timer_after(&r->inactivity_timer,
-				     left_us > 0 ? left_us : INACTIVITY_MIN_US);
-		return;
-	}
-	/* Keep waiting while the target answers other requests, as this one
-	 * then only takes longer, and when there is no other target. */
-	if (r->target->record.last_first_byte_at_us > r->last_active_us ||
-	    target_pick(r, NULL) == NULL ||
-	    !retry_is_allowed(r, r->sends + 1)) {
-		request_log_silence(r, "wait");
-		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
-		return;
-	}
-	request_log_silence(r, "send-again");
-	forward_cancel(r);
-	record_attempt_end(r, ATTEMPT_BROKEN);
-	request_log_attempt(r, ATTEMPT_BROKEN, BSH_ERR_TIMEOUT, true);
-	send_again(r);
-}
-
-/* True if the target has answered neither this request within the inactivity
- * timeout nor any other request since it was sent. */
-static bool is_unresponsive(const request_t *r)
-{
-	return r->first_byte_us == 0 &&
-	       r->target->record.last_first_byte_at_us <= r->call_began_us &&
-	       traffic_now_us(r->traffic) - r->call_began_us >=
-		       inactivity_timeout_us(r);
-}
-
 static void on_deadline(void *ctx)
 {
 	request_t *r = ctx;
 
-	if (r->state == REQUEST_RUNNING) {
-		record_target_outcome(r, r->head_received && !is_unresponsive(r)
-						 ? ATTEMPT_ANSWERED
-						 : ATTEMPT_BROKEN);
-		r->may_have_run = r->may_have_run || r->call_sent;
-	}
+	attempts_cancel_all(r, true);
 	fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 }
 
@@ -425,12 +345,10 @@
 static void free_request(request_t *r)
 {
 	bsh_loop_timer_stop(&r->timer);
-	bsh_loop_timer_stop(&r->inactivity_timer);
+	attempts_finish(r);
 	platform_request_info_finish(&r->info);
-	platform_head_finish(&r->head);
 	bsh_event_relay_finish(&r->relay);
 	bsh_catalog_unref(r->catalog);
-	g_string_free(r->held_body, TRUE);
 	g_string_free(r->events, TRUE);
 	g_free(r->method);
 	g_free(r->path);
@@ -445,12 +363,7 @@
 
 	r->detached = true;
 	if (r->state != REQUEST_ENDED) {
-		forward_cancel(r);
-		if (r->state == REQUEST_RUNNING) {
-			engine_load_ended(r);
-			bsh_target_ended(&r->target->record, is_unresponsive(r),
-					 traffic_now_us(t));
-		}
+		attempts_cancel_all(r, false);
 		finish(r, END_GONE, 0, "caller-left");
 	} else if (!delivered) {
 		bsh_log(BSH_LOG_INFO, "answer-not-delivered id=%s",
@@ -498,12 +411,13 @@
 			(r->is_stream && route->resumable);
 	r->timeout_us = r->arrived_us + route->timeout_ms * INT64_C(1000);
 	r->stream_deadline_us = INT64_MAX;
-	if (r->is_stream)
-		r->stream_deadline_us =
-			r->arrived_us +
+	if (r->is_stream) {
+		r->patience_us =
 			INT64_C(1000) * platform_caller_event_timeout_ms(
 						route->latency_objective_ms,
 						route->event_gap_ms);
+		r->stream_deadline_us = r->arrived_us + r->patience_us;
+	}
 	bsh_event_relay_init(&r->relay,
 			     g_ascii_strtoull(r->info.last_event_id, NULL, 10));
 }
@@ -518,9 +432,8 @@
 	r->wait_link.data = r;
 	r->retry_denial = "-";
 	r->arrived_us = traffic_now_us(t);
-	r->held_body = g_string_new(NULL);
 	r->events = g_string_new(NULL);
-	platform_head_init(&r->head);
+	attempts_init(r);
 	platform_request_info_init(&r->info, http);
 	r->client_deadline_us = INT64_MAX;
 	if (r->info.deadline_ms != BSH_CALL_DEADLINE_NONE)
@@ -530,7 +443,6 @@
 	r->path = g_strdup(bsh_http_request_target(http));
 	r->body = bsh_http_request_take_body(http, &r->body_bytes);
 	bsh_loop_timer_init(&r->timer, t->loop, on_deadline, r);
-	bsh_loop_timer_init(&r->inactivity_timer, t->loop, on_inactivity, r);
 	bsh_http_request_set_handler(http, &request_handler, r);
 	r->link.data = r;
 	g_queue_push_tail_link(&t->requests, &r->link);
@@ -648,7 +560,7 @@
 		next = l->next;
 		if (r->state == REQUEST_ENDED)
 			continue;
-		r->may_have_run = r->may_have_run || r->call_sent;
+		attempts_cancel_all(r, false);
 		fail_request(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
 	}
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -9,9 +9,16 @@
  *	A request is matched to a route, and is sent to a target or queued
  *	until a target holds its model.  traffic.c owns the requests and
  *	drives them; target_pick.c chooses targets and retry.c decides on
- *	retries; forward.c runs one attempt and reports its outcome through
- *	traffic_attempt_ended(); demand.c counts the demand for models,
- *	engine_load.c the load of engines; request_log.c logs and counts.
+ *	retries; attempts.c has the one or two attempts of a request that run
+ *	at a time, forward.c runs one of them and reports its outcome through
+ *	attempts_ended(); demand.c counts the demand for models, engine_load.c
+ *	the load of engines; request_log.c logs and counts.
+ *
+ *	A target that sends nothing may be down, or may pause and go on.  A
+ *	repeatable request is then handed over: it is sent to a second target
+ *	while the first attempt goes on, and the attempt that sends something
+ *	first continues the response.  The first attempt is given up only when
+ *	the second target has accepted the request.
  *
  * UNITS
  *	Times named *_us are microseconds on the clock of the traffic loop.
@@ -82,6 +89,37 @@
 	REQUEST_ENDED	 /* also before the first dispatch */
 } request_state_t;
 
+/* Outcome of an attempt. */
+typedef enum {
+	ATTEMPT_ANSWERED,    /* the complete response was passed on */
+	ATTEMPT_NOT_REACHED, /* nothing was sent */
+	ATTEMPT_WITHHELD,    /* not sent, as the caller no longer waits */
+	ATTEMPT_REFUSED,     /* the target confirmed that it did not run */
+	ATTEMPT_FAILED,	     /* complete 5xx response; passed on if final */
+	ATTEMPT_BROKEN	     /* no complete or no valid response */
+} attempt_end_t;
+
+/* An attempt of a request at a target. */
+typedef struct {
+	request_t *request;
+	bool active;		       /* started and not ended */
+	target_state_t *target;	       /* NULL unless active */
+	char target_id[BSH_NAME_SIZE]; /* "": never started */
+	uint64_t target_started_ms;
+	double work_us;	    /* estimated prefill, until the answer begins */
+	double expected_us; /* estimated time to the first byte; 0: none */
+	uint32_t uncached_tokens; /* of the prompt, by the estimate */
+	bsh_http_call_t *call;	  /* NULL: no call is running */
+	bool sent;		  /* a byte may have reached the target */
+	bool withheld;		  /* not sent, as the caller no longer waits */
+	bool refused;		  /* the connection was refused */
+	int64_t began_us;
+	platform_head_t head;
+	int status;
+	bool head_received;
+	GString *held_body; /* buffered until the response is complete */
+} attempt_t;
+
 struct request {
 	traffic_t *traffic;
 	bsh_http_request_t *http;
@@ -98,9 +136,10 @@
 	int64_t arrived_us;
 	int64_t client_deadline_us; /* INT64_MAX: none */
 	int64_t timeout_us;	    /* when the route's timeout ends */
-	/* When the caller of a stream disconnects if no event has arrived;
-	 * INT64_MAX: never. */
+	/* When the caller of a stream disconnects if no further event has
+	 * arrived; INT64_MAX: never. */
 	int64_t stream_deadline_us;
+	int64_t patience_us; /* longest time without an event for its caller */
 	bsh_loop_timer_t timer; /* client deadline or timeout_us, the earlier */
 	request_state_t state;
 	GList link;	       /* in traffic.requests */
@@ -115,44 +154,29 @@
 	/* Attempts. */
 	uint64_t tried[TRIED_MAX]; /* hashes of target ids */
 	uint32_t n_tried;
-	uint32_t sends;	   /* attempts that reached a target */
+	uint32_t sends;	   /* attempts that reached a target and have ended */
+	uint32_t runs;	   /* of these, those that may have run */
 	bool may_have_run; /* some attempt has no proof that it did not run */
-	target_state_t *target; /* of the last attempt; NULL: none yet */
-	uint64_t target_started_ms;
-	double work_us;	    /* estimated prefill, until the answer begins */
-	double expected_us; /* estimated time to the first byte; 0: none */
-	uint32_t uncached_tokens; /* of the prompt, by the estimate */
-	bsh_http_call_t *call;	  /* NULL: no call is running */
-	bool call_sent;		  /* a byte may have reached the target */
-	bool withheld;		  /* not sent, as the caller no longer waits */
-	bool refused;		  /* the connection was refused */
-	int64_t call_began_us;
+	attempt_t attempts[2];
+	attempt_t *attempt;  /* whose response is passed on; the last one */
+	attempt_t *handover; /* at a second target; NULL: none */
+	bsh_loop_timer_t handover_timer;
 	bsh_loop_timer_t inactivity_timer;
 	int64_t last_active_us; /* last send, or last events from the target */
+	/* A stream of which the caller has a part waits for the retry budget,
+	 * too, before it is sent again. */
+	bool awaits_budget;
 
 	/* Response. */
-	platform_head_t head;
-	int status;
-	bool head_received;
-	bool answer_begun;  /* the head was passed to the caller */
-	bool paused;	    /* reading from the target waits for the caller */
-	GString *held_body; /* buffered until the response is complete */
-	GString *events;    /* complete events, scratch of one read */
+	int status;	   /* passed to the caller */
+	bool answer_begun; /* the head was passed to the caller */
+	bool paused;	   /* reading from the target waits for the caller */
+	GString *events;   /* complete events, scratch of one read */
 	bsh_event_relay_t relay;
 	int64_t first_byte_us;
 	bool detached; /* on_done was called: http must not be used */
 };
 
-/* Outcome of an attempt. */
-typedef enum {
-	ATTEMPT_ANSWERED,    /* the complete response was passed on */
-	ATTEMPT_NOT_REACHED, /* nothing was sent */
-	ATTEMPT_WITHHELD,    /* not sent, as the caller no longer waits */
-	ATTEMPT_REFUSED,     /* the target confirmed that it did not run */
-	ATTEMPT_FAILED,	     /* complete 5xx response; passed on if final */
-	ATTEMPT_BROKEN	     /* no complete or no valid response */
-} attempt_end_t;
-
 typedef enum {
 	END_ANSWERED,
 	END_FAILED,
@@ -164,8 +188,14 @@
 } request_end_t;
 
 /* traffic.c */
-/* traffic_attempt_ended - finish, retry or fail a request after an attempt. */
+/* traffic_attempt_ended - finish, retry or fail a request after its last
+ * attempt; the attempt is closed. */
 void traffic_attempt_ended(request_t *r, attempt_end_t end, bsh_error_t err);
+/* traffic_resume_is_due - timer: try again to continue a stream that waits. */
+void traffic_resume_is_due(request_t *r);
+/* traffic_is_begun_stream - the caller has a part of a stream that another
+ * target can continue. */
+bool traffic_is_begun_stream(const request_t *r);
 int64_t traffic_now_us(const traffic_t *traffic);
 /* traffic_time_left_us - time until the caller no longer waits. */
 int64_t traffic_time_left_us(const request_t *r);
@@ -186,7 +216,7 @@
 /* request_log_silence - log what is done about a target that sends nothing. */
 void request_log_silence(const request_t *r, const char *action);
 /* request_log_attempt - log an attempt that did not answer the request. */
-void request_log_attempt(const request_t *r, attempt_end_t end, bsh_error_t err,
+void request_log_attempt(const attempt_t *a, attempt_end_t end, bsh_error_t err,
 			 bool again);
 
 /* target_pick.c */
@@ -227,12 +257,12 @@
  * plain service. */
 void engine_load_work(const request_t *r, bsh_target_work_t *work);
 /* engine_load_started - an attempt at the target of the candidate begins. */
-void engine_load_started(request_t *r, const bsh_target_candidate_t *candidate);
+void engine_load_started(attempt_t *a, const bsh_target_candidate_t *candidate);
 /* engine_load_began - the answer has begun: its work is done, and its time is a
  * sample of the target's speed. */
-void engine_load_began(request_t *r, int64_t took_us);
+void engine_load_began(attempt_t *a, int64_t took_us);
 /* engine_load_ended - the attempt has ended, perhaps before its answer. */
-void engine_load_ended(request_t *r);
+void engine_load_ended(attempt_t *a);
 /* engine_load_collect - what this instance has open at the engines, as
  * bsh_load_entry_t; notes it as reported. */
 GArray *engine_load_collect(traffic_t *t);
@@ -245,13 +275,29 @@
 bool engine_load_has_ended(const target_state_t *state, uint64_t started_ms,
 			   int64_t now_us);
 
+/* attempts.c */
+void attempts_init(request_t *r);
+void attempts_finish(request_t *r);
+/* attempts_send - send the request to a target; no attempt is active. */
+void attempts_send(request_t *r, const view_target_t *target,
+		   const bsh_target_candidate_t *candidate);
+/* attempts_ended - an attempt has ended by itself; its call has, too. */
+void attempts_ended(attempt_t *a, attempt_end_t end, bsh_error_t err);
+/* attempts_spoke - the attempt has sent a part of its response: it becomes the
+ * one that continues the response, and a second one is cancelled. */
+void attempts_spoke(attempt_t *a);
+/* attempts_cancel_all - cancel what runs.  A target that has answered nothing
+ * within the inactivity timeout counts as failed, and so does one without a
+ * response head if the request has timed out. */
+void attempts_cancel_all(request_t *r, bool timed_out);
+
 /* forward.c */
 /* forward_start - start an attempt; on an error none of its callbacks runs. */
-bsh_error_t forward_start(request_t *r, const view_target_t *target);
+bsh_error_t forward_start(attempt_t *a, const view_target_t *target);
 /* forward_cancel - close the connection to the target. */
-void forward_cancel(request_t *r);
+void forward_cancel(attempt_t *a);
 /* forward_answer_failure - pass on the 5xx response of the target. */
-void forward_answer_failure(request_t *r);
+void forward_answer_failure(attempt_t *a);
 /* forward_resume - read from the target again after the caller caught up. */
 void forward_resume(request_t *r);
 /* forward_is_abandoned - the caller has disconnected or its deadline has passed:
--- a/regress/test_silent_target.c
+++ b/regress/test_silent_target.c
@@ -194,6 +194,30 @@
 	g_assert_cmpuint(f->rig.pending_runs->len, ==, 0);
 }
 
+/* Guards against a begun stream that is cut off because the only other target
+ * refuses for a moment. */
+static void test_stream_waits_for_target(fixture_t *f, gconstpointer service)
+{
+	worker_t *broken;
+
+	(void)service;
+	send_request(f, "/stream/1", "a6");
+	broken = wait_for_run(f);
+	other(f, broken)->mode = WORKER_IS_FULL;
+	wait_for_events(f, broken, 2);
+	broken->mode = WORKER_BREAKS_STREAM;
+	platform_rig_run(&f->rig, 50);
+	broken->mode = WORKER_IS_FULL;
+	platform_rig_run(&f->rig, 500);
+	g_assert_false(f->reply.done);
+	other(f, broken)->mode = WORKER_ANSWERS;
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	g_assert_cmpstr(f->reply.body, ==, whole_stream);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "a6"), ==, 2);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -209,5 +233,7 @@
 		   set_up, test_stream_goes_on_elsewhere, tear_down);
 	g_test_add("/silent-target/silent-target-goes-on-first", fixture_t,
 		   "llm", set_up, test_silent_target_goes_on_first, tear_down);
+	g_test_add("/silent-target/stream-waits-for-target", fixture_t, "llm",
+		   set_up, test_stream_waits_for_target, tear_down);
 	return g_test_run();
 }
