Route waiting requests by the configuration in force

A request that waited for a model stayed with the service that its route named when it arrived. After a change of the configuration that moved or dropped the route nothing loaded the model for it any more, and its caller got a 503 at the end of the wait, or had left before.

--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -418,6 +418,7 @@
 						route->event_gap_ms);
 		r->stream_deadline_us = r->arrived_us + r->patience_us;
 	}
+	bsh_event_relay_finish(&r->relay);
 	bsh_event_relay_init(&r->relay,
 			     g_ascii_strtoull(r->info.last_event_id, NULL, 10));
 }
@@ -456,6 +457,19 @@
 	finish(r, end, bsh_error_info(err)->http_status, bsh_error_name(err));
 }
 
+static void match_route(request_t *r)
+{
+	r->route = bsh_catalog_match(r->catalog,
+				     bsh_http_request_header(r->http, "Host"),
+				     bsh_http_request_path(r->http));
+}
+
+static void start_timer(request_t *r)
+{
+	bsh_loop_timer_start(&r->timer,
+			     MIN(r->client_deadline_us, r->timeout_us));
+}
+
 static void on_request(void *ctx, bsh_http_request_t *http)
 {
 	traffic_t *t = ctx;
@@ -470,9 +484,7 @@
 		refuse_early(r, BSH_ERR_TOO_LARGE, END_REFUSED);
 		return;
 	}
-	r->route = bsh_catalog_match(r->catalog,
-				     bsh_http_request_header(http, "Host"),
-				     bsh_http_request_path(http));
+	match_route(r);
 	if (r->route == NULL) {
 		refuse_early(r, BSH_ERR_NOT_FOUND, END_NO_ROUTE);
 		return;
@@ -481,8 +493,7 @@
 	if (demand_is_counted(r))
 		demand_counters(t, r)->arrived++;
 	retry_count_request(r);
-	bsh_loop_timer_start(&r->timer,
-			     MIN(r->client_deadline_us, r->timeout_us));
+	start_timer(r);
 	dispatch(r);
 }
 
@@ -504,6 +515,29 @@
 					     : x->arrived_us > y->arrived_us;
 }
 
+/* Routes a waiting request by the configuration in force.  No target gets its
+ * model any more if its route was moved to another service or dropped, and it
+ * would wait in vain.  A request that may have run stays with the service that
+ * it was sent to. */
+static void follow_configuration(request_t *r)
+{
+	bsh_catalog_t *catalog = r->traffic->view->catalog;
+
+	if (r->catalog == catalog || r->may_have_run)
+		return;
+	set_state(r, REQUEST_ENDED);
+	bsh_catalog_unref(r->catalog);
+	r->catalog = bsh_catalog_ref(catalog);
+	match_route(r);
+	if (r->route == NULL) {
+		refuse_early(r, BSH_ERR_NOT_FOUND, END_NO_ROUTE);
+		return;
+	}
+	set_route(r);
+	start_timer(r);
+	set_state(r, REQUEST_WAITING);
+}
+
 static void retry_waiting(traffic_t *t)
 {
 	g_autoptr(GPtrArray) waiting = g_ptr_array_new();
@@ -514,6 +548,7 @@
 	for (guint i = 0; i < waiting->len; i++) {
 		request_t *r = g_ptr_array_index(waiting, i);
 
+		follow_configuration(r);
 		if (r->state == REQUEST_WAITING)
 			dispatch(r);
 	}
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -313,6 +313,23 @@
 	}
 }
 
+static void append_engine(GString *text, const char *name, uint32_t weights_mb)
+{
+	g_string_append_printf(
+		text,
+		"{\"name\":\"%s\",\"engine\":{\"slots\":%d,"
+		"\"weightsMb\":%u,\"adapterSlots\":2,\"loadsPerS\":4,"
+		"\"models\":[",
+		name, ENGINE_SLOTS, weights_mb);
+	for (int i = 0; i < 6; i++)
+		g_string_append_printf(text,
+				       "%s{\"name\":\"m%d\",\"weightsMb\":%d,"
+				       "\"loadS\":0.12,\"adapters\":0,"
+				       "\"adapterMb\":1}",
+				       i > 0 ? "," : "", i, MODEL_MB);
+	g_string_append(text, "]}},");
+}
+
 void platform_rig_configure(platform_rig_t *rig, const char *extra)
 {
 	static const char *const routes[][5] = {
@@ -337,19 +354,11 @@
 			routes[i][1], routes[i][2], routes[i][3], routes[i][4]);
 	if (extra != NULL)
 		g_string_append_printf(text, ",%s", extra);
-	g_string_append_printf(
-		text,
-		"],\"services\":[{\"name\":\"llm\",\"engine\":{\"slots\":%d,"
-		"\"weightsMb\":%u,\"adapterSlots\":2,\"loadsPerS\":4,"
-		"\"models\":[",
-		ENGINE_SLOTS, rig->weights_mb);
-	for (int i = 0; i < 6; i++)
-		g_string_append_printf(text,
-				       "%s{\"name\":\"m%d\",\"weightsMb\":%d,"
-				       "\"loadS\":0.12,\"adapters\":0,"
-				       "\"adapterMb\":1}",
-				       i > 0 ? "," : "", i, MODEL_MB);
-	g_string_append(text, "]}},{\"name\":\"desk\"}],\"limits\":{}}");
+	g_string_append(text, "],\"services\":[");
+	append_engine(text, "llm", rig->weights_mb);
+	if (rig->has_second_engine)
+		append_engine(text, "llm2", rig->weights_mb);
+	g_string_append(text, "{\"name\":\"desk\"}],\"limits\":{}}");
 	spec = json_loads(text->str, 0, NULL);
 	g_assert_nonnull(spec);
 	record_change(rig, "config", "main", spec);
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -118,6 +118,7 @@
 	GPtrArray *pending_runs; /* executions without a complete answer */
 	uint32_t version;	 /* of the configuration; 0: none */
 	uint32_t weights_mb;	 /* memory of a worker; a model takes 100 */
+	bool has_second_engine;	 /* the configuration has a service "llm2" */
 };
 
 void platform_rig_init(platform_rig_t *rig);
