Learn and log the software version of each target

Streams went on at another software version than the one that began them, and no log line showed a version, nor the attempt that a caller's stream goes back to.

The version of a target's entry is decoded, announced by the lease holder and kept in the view; target-listed, attempt-ended and request name it, and request names what the caller resumes.

--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -114,7 +114,8 @@
 					.number = announcer->last,
 					.service = "",
 					.address = "",
-					.zone = "" };
+					.zone = "",
+					.software = "" };
 	const bsh_holdings_t *holdings = NULL;
 	size_t bytes = ENTRY_OVERHEAD_BYTES + strlen(id);
 
@@ -132,10 +133,12 @@
 		if (targets_is_missing(control->targets, id, &entry.grace_ms))
 			entry.state = BSH_TARGET_MISSING;
 		entry.started_ms = target->started_ms;
+		entry.software = target->software;
 		entry.holdings_bytes =
 			holdings->n * 2 * (uint32_t)sizeof(uint32_t);
 		bytes += strlen(entry.service) + strlen(entry.address) +
-			 strlen(entry.zone) + entry.holdings_bytes;
+			 strlen(entry.zone) + strlen(entry.software) +
+			 entry.holdings_bytes;
 	}
 	if (batch->n == BATCH_TARGETS_MAX ||
 	    (batch->n > 0 && batch->bytes + bytes + MESSAGE_OVERHEAD_BYTES >
--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -144,6 +144,7 @@
 	a->target = target_pick_state(r->traffic, target->id);
 	g_strlcpy(a->target_id, target->id, sizeof(a->target_id));
 	a->target_started_ms = target->started_ms;
+	g_strlcpy(a->software, target->software, sizeof(a->software));
 	if (r->n_tried < TRIED_MAX)
 		r->tried[r->n_tried++] = target->hash;
 	engine_load_started(a, candidate);
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -70,11 +70,14 @@
 	return us >= 0 ? (int)(us / 1000) : -1;
 }
 
-static const char *last_target(const request_t *r)
+static const char *text_or_dash(const char *text)
 {
-	const char *id = r->attempt->target_id;
+	return text[0] != '\0' ? text : "-";
+}
 
-	return id[0] != '\0' ? id : "-";
+static const char *last_target(const request_t *r)
+{
+	return text_or_dash(r->attempt->target_id);
 }
 
 static void log_end(const request_t *r, const char *end, int status,
@@ -85,13 +88,17 @@
 
 	bsh_log(BSH_LOG_INFO,
 		"request id=%s route=%s kind=%s model=%s end=%s status=%d "
-		"reason=%s target=%s sends=%u tried=%u repeat=%s waited_ms=%d "
+		"reason=%s target=%s software=%s began_by=%s after_event=%s "
+		"sends=%u tried=%u repeat=%s waited_ms=%d "
 		"first_ms=%d total_ms=%d left_ms=%d config=%" G_GUINT64_FORMAT
 		" config_age_ms=%d targets_age_ms=%d view=%" G_GUINT64_FORMAT,
 		r->info.attempt_id, r->route != NULL ? r->route->name : "-",
 		r->route != NULL ? kind_names[r->route->kind] : "-",
 		r->info.model_name != NULL ? r->info.model_name : "-", end,
-		status, reason, last_target(r), r->sends, r->n_tried,
+		status, reason, last_target(r),
+		text_or_dash(r->attempt->software),
+		text_or_dash(r->info.began_by),
+		text_or_dash(r->info.last_event_id), r->sends, r->n_tried,
 		r->retry_denial, to_ms(r->waited_us),
 		r->first_byte_us > 0 ? to_ms(r->first_byte_us - r->arrived_us)
 				     : -1,
@@ -172,10 +179,11 @@
 	};
 
 	bsh_log(BSH_LOG_INFO,
-		"attempt-ended id=%s target=%s end=%s error=%s status=%d "
+		"attempt-ended id=%s target=%s software=%s end=%s error=%s "
+		"status=%d "
 		"sends=%u again=%d repeat=%s candidates=%u took_ms=%d "
 		"passed_events=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, a->target_id, names[end],
+		r->info.attempt_id, a->target_id, a->software, names[end],
 		end == ATTEMPT_FAILED ? "target-failed" : bsh_error_name(err),
 		a->status, r->sends, again, r->retry_denial, r->candidates,
 		to_ms(traffic_now_us(r->traffic) - a->began_us),
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -125,6 +125,7 @@
 	return a->leaving == b->leaving && a->started_ms == b->started_ms &&
 	       a->slots == b->slots && strcmp(a->address, b->address) == 0 &&
 	       strcmp(a->service, b->service) == 0 &&
+	       strcmp(a->software, b->software) == 0 &&
 	       bsh_holdings_equal(&a->holdings, &b->holdings) &&
 	       memcmp(&a->copies, &b->copies, sizeof(a->copies)) == 0;
 }
@@ -159,9 +160,9 @@
 		return;
 	bsh_log(BSH_LOG_INFO,
 		"target-listed target=%s service=%s address=%s zone=%s "
-		"leaving=%d holdings=%u",
+		"software=%s leaving=%d holdings=%u",
 		target->id, target->service, target->address, target->zone,
-		target->leaving, target->holdings.n);
+		target->software, target->leaving, target->holdings.n);
 	control_target_changed(targets->control, &listed->target);
 }
 
@@ -362,6 +363,7 @@
 	target.slots = entry->slots;
 	target.leaving = entry->state == BSH_TARGET_LEAVING;
 	target.started_ms = entry->started_ms;
+	g_strlcpy(target.software, entry->software, sizeof(target.software));
 	target.holdings = *holdings;
 	update_target(targets, &target, 0);
 }
@@ -527,6 +529,8 @@
 		g_strlcpy(item.id, target->id, sizeof(item.id));
 		g_strlcpy(item.address, target->address, sizeof(item.address));
 		g_strlcpy(item.service, target->service, sizeof(item.service));
+		g_strlcpy(item.software, target->software,
+			  sizeof(item.software));
 		g_array_append_val(view->targets, item);
 	}
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -106,6 +106,7 @@
 	target_state_t *target;	       /* NULL unless active */
 	char target_id[BSH_NAME_SIZE]; /* "": never started */
 	uint64_t target_started_ms;
+	char software[BSH_SOFTWARE_SIZE]; /* version of the target's */
 	double work_us;	    /* estimated prefill, until the answer begins */
 	double expected_us; /* estimated time to the first byte; 0: none */
 	uint32_t uncached_tokens; /* of the prompt, by the estimate */
--- a/bshentryd/view.h
+++ b/bshentryd/view.h
@@ -17,9 +17,10 @@
 	char id[BSH_NAME_SIZE];
 	char address[BSH_ADDRESS_SIZE];
 	char service[BSH_NAME_SIZE];
-	uint64_t hash;	     /* of the id */
-	uint64_t started_ms; /* of its process; 0: unknown */
-	uint32_t slots;	     /* concurrent requests, at least 1 */
+	char software[BSH_SOFTWARE_SIZE]; /* version; "": unknown */
+	uint64_t hash;			  /* of the id */
+	uint64_t started_ms;		  /* of its process; 0: unknown */
+	uint32_t slots;			  /* concurrent requests, at least 1 */
 	bool same_zone;
 	bool entry_removed; /* from the platform's list; its grace time runs */
 	bsh_holdings_t holdings;
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -217,6 +217,7 @@
 	U32(bsh_placement_entry_t, grace_ms),
 	U64(bsh_placement_entry_t, number),
 	U64(bsh_placement_entry_t, started_ms),
+	STRING(bsh_placement_entry_t, software),
 	U64(bsh_placement_entry_t, version),
 	BLOB(bsh_placement_entry_t, holdings, holdings_bytes,
 	     BSH_FRAME_MAX_BYTES),
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -279,12 +279,13 @@
 	const char *service;
 	const char *address;
 	const char *zone;
-	uint32_t slots;	     /* concurrent requests */
-	uint32_t state;	     /* bsh_target_state_t */
-	uint32_t grace_ms;   /* MISSING: time left */
-	uint64_t number;     /* last announcement at the time of this state */
-	uint64_t started_ms; /* start of its process, wall clock, 0: unknown */
-	uint64_t version;    /* of the holdings, increases within a term; 0: as
+	uint32_t slots;	      /* concurrent requests */
+	uint32_t state;	      /* bsh_target_state_t */
+	uint32_t grace_ms;    /* MISSING: time left */
+	uint64_t number;      /* last announcement at the time of this state */
+	uint64_t started_ms;  /* start of its process, wall clock, 0: unknown */
+	const char *software; /* version of its software, "": unknown */
+	uint64_t version;     /* of the holdings, increases within a term; 0: as
 			      * in the platform's list */
 	const uint8_t *holdings; /* loaded models: pairs of model and adapter
 				  * hashes, big-endian, 4 bytes each */
--- a/lib/protocol/request_info.h
+++ b/lib/protocol/request_info.h
@@ -39,6 +39,9 @@
 	uint32_t n_parts;
 	bsh_prompt_part_t parts[BSH_PROMPT_PARTS_MAX]; /* in prompt order */
 	char last_event_id[BSH_EVENT_ID_SIZE];	       /* resume after, or "" */
+	/* Attempt that brought the first event of the stream that is resumed,
+	 * or "". */
+	char began_by[BSH_ATTEMPT_ID_SIZE];
 	GPtrArray *headers; /* "Name: value" strings to forward */
 } bsh_request_info_t;
 
--- a/lib/state/target.c
+++ b/lib/state/target.c
@@ -3,6 +3,13 @@
 #include <string.h>
 #include <xxhash.h>
 
+uint64_t bsh_software_key(const char *software)
+{
+	if (software[0] == '\0')
+		return 0;
+	return MAX(XXH64(software, strlen(software), 0), 1);
+}
+
 uint32_t bsh_target_key(const char *id)
 {
 	return (uint32_t)XXH64(id, strlen(id), 0);
--- a/lib/state/target.h
+++ b/lib/state/target.h
@@ -23,6 +23,7 @@
 
 #define BSH_TARGET_HOLDINGS_MAX 40
 #define BSH_TARGET_COPIES_MAX	256
+#define BSH_SOFTWARE_SIZE	32
 
 /* Model or adapter loaded on a target. */
 typedef struct {
@@ -51,6 +52,9 @@
 	uint32_t slots;		  /* concurrent requests, at least 1 */
 	bool leaving;		  /* draining */
 	uint64_t started_ms;	  /* wall clock; 0: not reported */
+	/* Version of its software; "": not reported.  What two versions write
+	 * in one stream does not fit together. */
+	char software[BSH_SOFTWARE_SIZE];
 	bsh_holdings_t holdings;
 	bsh_copies_t copies;
 } bsh_target_t;
@@ -67,6 +71,10 @@
 	bsh_copies_t copies;
 } bsh_target_report_t;
 
+/* bsh_software_key - hash of a software version that stands for it in messages
+ * and comparisons; 0 for "". */
+uint64_t bsh_software_key(const char *software);
+
 /* bsh_target_key - low 32 bits of the hash of a target's id, which stand for it
  * in messages that name many targets. */
 uint32_t bsh_target_key(const char *id);
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -27,7 +27,7 @@
 static const bsh_demand_entry_t demands[] = { { 7, 8, 1, 2, 3, 4 } };
 static const bsh_placement_entry_t placements[] = {
 	{ "engine-1", "llm", "127.0.0.1:9", "a", 4, BSH_TARGET_LEAVING, 700, 9,
-	  5, 6, (const uint8_t *)"a\0b", 3 }
+	  5, "v1", 6, (const uint8_t *)"a\0b", 3 }
 };
 static const bsh_recent_order_t ordered[] = { { "i-7", 850 } };
 static const bsh_load_entry_t loads[] = { { 8, 900, 3 }, { 9, 1, 2 } };
@@ -665,6 +665,7 @@
 						      UINT32_MAX,
 						      UINT64_MAX,
 						      UINT64_MAX,
+						      "v1.20.300-rc4",
 						      UINT64_MAX,
 						      pairs,
 						      sizeof(pairs) };
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -121,7 +121,8 @@
 	}
 	spec = parse("{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
 		     "\"zone\":\"z\",\"slots\":6,\"state\":\"draining\","
-		     "\"seq\":9,\"born\":1700000000000,\"models\":[{\"name\":"
+		     "\"seq\":9,\"version\":\"v1.2\",\"born\":1700000000000,"
+		     "\"models\":[{\"name\":"
 		     "\"m1\",\"version\":1,\"adapters\":[\"a2\"]}],"
 		     "\"atHand\":{\"inMemory\":[\"m1\"],\"onDisk\":[\"m1\","
 		     "\"m2\"]}}");
@@ -129,6 +130,7 @@
 			BSH_OK);
 	g_assert_true(target.leaving);
 	g_assert_cmpuint(target.started_ms, ==, 1700000000000);
+	g_assert_cmpstr(target.software, ==, "v1.2");
 	g_assert_true(bsh_holdings_has(&target.holdings,
 				       bsh_catalog_hash("m1", 2),
 				       bsh_catalog_hash("a2", 2)));
