Reproduce streams with events of two software versions

Two versions of a service serve side by side. A stream that its target breaks off goes on at the other version within the attempt; so does the caller's new attempt at the same instance, at another one, after a restart of all, and when its version has left.

--- /dev/null
+++ b/regress/test_stream_version.c
@@ -0,0 +1,304 @@
+/* Streams that are resumed while targets of several software versions serve: the
+ * events of one stream come from one version. */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "support/platform_rig.h"
+
+#define STREAMS 8
+/* Few enough that no target counts as failing. */
+#define FEW_STREAMS 2
+
+static const char whole_stream[] =
+	"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+	"id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n";
+static const char rest_of_stream[] = "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+				     "id: 5\ndata: e5\n\nid: 6\ndata: e6\n\n";
+
+typedef struct {
+	platform_rig_t rig;
+	rig_entry_t *entries[3];
+	worker_t *old; /* version v1 */
+	worker_t *new; /* version v2 */
+	rig_reply_t reply;
+} fixture_t;
+
+static worker_t *add_engine(fixture_t *f, const char *version)
+{
+	worker_t *engine = platform_rig_add_worker(&f->rig, "llm", "m0");
+
+	g_strlcpy(engine->version, version, sizeof(engine->version));
+	platform_rig_publish_worker(engine, "ready");
+	return engine;
+}
+
+static void set_up(fixture_t *f, gconstpointer new_version)
+{
+	platform_rig_init(&f->rig);
+	platform_rig_configure(&f->rig, NULL);
+	f->old = add_engine(f, "v1");
+	f->new = add_engine(f, new_version);
+	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++) {
+		f->entries[i] = platform_rig_add_entry(&f->rig);
+		platform_rig_wait_ready(&f->rig, f->entries[i]);
+	}
+	/* Until the instances know each other. */
+	platform_rig_run(&f->rig, 1500);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_finish(&f->rig);
+}
+
+static void set_mode(fixture_t *f, worker_mode_t mode)
+{
+	f->old->mode = mode;
+	f->new->mode = mode;
+}
+
+/* Begins a stream at an instance; its target breaks it off after two events, and
+ * none of its version continues it. */
+static void begin_broken(fixture_t *f, rig_entry_t *entry, const char *id)
+{
+	set_mode(f, WORKER_BREAKS_STREAM);
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_send(&f->rig, entry->front, "/stream/1", id, "m0", 4000,
+			  &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_false(f->reply.complete);
+	set_mode(f, WORKER_ANSWERS);
+}
+
+static void resume(fixture_t *f, rig_entry_t *entry, const char *id,
+		   const char *began_by)
+{
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_resume(&f->rig, entry->front, "/stream/1", id, "m0", 4000,
+			    2, began_by, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+}
+
+static void check_went_on(const fixture_t *f)
+{
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	g_assert_cmpstr(f->reply.body, ==, rest_of_stream);
+	g_assert_cmpint(f->reply.took_us, <, 1000000);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against a stream that goes on at another version within one attempt,
+ * after its target has broken it off. */
+static void test_within_attempt(fixture_t *f, gconstpointer data)
+{
+	worker_t *third = add_engine(f, "v1");
+
+	(void)data;
+	platform_rig_run(&f->rig, 300);
+	f->old->mode = WORKER_BREAKS_STREAM;
+	third->mode = WORKER_BREAKS_STREAM;
+	f->new->work_ms = 100;
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("a%d", i);
+
+		platform_rig_reply_clear(&f->reply);
+		platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1",
+				  id, "m0", 4000, &f->reply);
+		platform_rig_wait(&f->rig, &f->reply.done);
+		g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+	}
+	g_assert_cmpuint(f->old->runs + third->runs, >, 0);
+}
+
+/* Guards against a stream that is cut off although another target of its version
+ * can continue it. */
+static void test_same_version_continues(fixture_t *f, gconstpointer data)
+{
+	worker_t *third = add_engine(f, "v1");
+
+	(void)data;
+	platform_rig_run(&f->rig, 300);
+	f->old->mode = WORKER_BREAKS_STREAM;
+	f->new->mode = WORKER_IS_FULL;
+	third->work_ms = 100;
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("b%d", i);
+
+		platform_rig_reply_clear(&f->reply);
+		platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1",
+				  id, "m0", 4000, &f->reply);
+		platform_rig_wait(&f->rig, &f->reply.done);
+		g_assert_cmpint(f->reply.status, ==, 200);
+		g_assert_true(f->reply.complete);
+		g_assert_cmpstr(f->reply.body, ==, whole_stream);
+	}
+	g_assert_cmpuint(f->old->runs, >, 0);
+}
+
+/* Guards against a target that is taken for the same version because it was
+ * started again under its id. */
+static void test_restarted_with_other_version(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "c1",
+			  "m0", 4000, &f->reply);
+	while (f->old->events < 2)
+		platform_rig_run(&f->rig, 1);
+	platform_rig_restart_worker(f->old);
+	g_strlcpy(f->old->version, "v3", sizeof(f->old->version));
+	json_object_set_new(f->old->models, "m0", json_array());
+	platform_rig_publish_worker(f->old, "ready");
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_false(f->reply.complete);
+	platform_rig_run(&f->rig, 300);
+	resume(f, f->entries[0], "c2", "c1");
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against a caller's new attempt going on at another version, at the
+ * instance that it used before. */
+static void test_at_same_instance(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("d%d", i);
+		g_autofree char *again = g_strdup_printf("d%d-2", i);
+
+		begin_broken(f, f->entries[0], id);
+		resume(f, f->entries[0], again, id);
+		check_went_on(f);
+	}
+}
+
+/* Guards against the same at another instance, which never saw the stream. */
+static void test_at_other_instance(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("e%d", i);
+		g_autofree char *again = g_strdup_printf("e%d-2", i);
+
+		begin_broken(f, f->entries[i % 2], id);
+		resume(f, f->entries[2 - i % 2], again, id);
+		check_went_on(f);
+	}
+}
+
+/* Guards against the same when the instance that began the stream is gone: the
+ * others know the version without it. */
+static void test_after_instance_is_gone(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	for (int i = 0; i < FEW_STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("f%d", i);
+
+		begin_broken(f, f->entries[0], id);
+	}
+	kill(f->entries[0]->pid, SIGKILL);
+	for (int i = 0; i < FEW_STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("f%d", i);
+		g_autofree char *again = g_strdup_printf("f%d-2", i);
+
+		resume(f, f->entries[1 + i % 2], again, id);
+		check_went_on(f);
+	}
+}
+
+/* Guards against a stream of an unknown version going on by chance, and against
+ * it being held: all instances have been started since. */
+static void test_after_restart_of_all(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin_broken(f, f->entries[0], "g1");
+	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++)
+		kill(f->entries[i]->pid, SIGKILL);
+	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++) {
+		while (f->entries[i]->alive)
+			platform_rig_run(&f->rig, 5);
+		platform_rig_spawn(&f->rig, f->entries[i]);
+		platform_rig_wait_ready(&f->rig, f->entries[i]);
+	}
+	platform_rig_run(&f->rig, 500);
+	resume(f, f->entries[1], "g2", "g1");
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_nonnull(f->reply.retry_after);
+	g_assert_cmpint(f->reply.took_us, <, 500000);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "g2"), ==, 0);
+}
+
+/* Guards against a refusal where all targets have one version: the stream can go
+ * on at any instance, also after a restart of all. */
+static void test_one_version_alone(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin_broken(f, f->entries[0], "h1");
+	kill(f->entries[0]->pid, SIGKILL);
+	kill(f->entries[1]->pid, SIGKILL);
+	while (f->entries[1]->alive)
+		platform_rig_run(&f->rig, 5);
+	platform_rig_spawn(&f->rig, f->entries[1]);
+	platform_rig_wait_ready(&f->rig, f->entries[1]);
+	resume(f, f->entries[1], "h2", "h1");
+	check_went_on(f);
+}
+
+/* Guards against a stream that is forgotten because it began while one version
+ * alone served, and its instance ended after a second version had come. */
+static void test_second_version_comes(fixture_t *f, gconstpointer data)
+{
+	worker_t *third;
+
+	(void)data;
+	begin_broken(f, f->entries[0], "i1");
+	third = add_engine(f, "v2");
+	platform_rig_run(&f->rig, 500);
+	kill(f->entries[0]->pid, SIGKILL);
+	resume(f, f->entries[1], "i2", "i1");
+	check_went_on(f);
+	g_assert_cmpuint(third->runs, ==, 0);
+}
+
+/* Guards against a stream that waits although its version no longer serves. */
+static void test_version_has_left(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	f->old->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "j1",
+			  "m0", 4000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->new->mode = WORKER_ANSWERS;
+	platform_rig_publish_worker(f->old, "draining");
+	platform_rig_run(&f->rig, 300);
+	resume(f, f->entries[1], "j2", "j1");
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_cmpint(f->reply.took_us, <, 500000);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "j2"), ==, 0);
+}
+
+#define ADD(name, version, test)                                               \
+	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
+		   tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("within-attempt", "v2", test_within_attempt);
+	ADD("same-version-continues", "v2", test_same_version_continues);
+	ADD("restarted-with-other-version", "v2",
+	    test_restarted_with_other_version);
+	ADD("at-same-instance", "v2", test_at_same_instance);
+	ADD("at-other-instance", "v2", test_at_other_instance);
+	ADD("after-instance-is-gone", "v2", test_after_instance_is_gone);
+	ADD("after-restart-of-all", "v2", test_after_restart_of_all);
+	ADD("one-version-alone", "v1", test_one_version_alone);
+	ADD("second-version-comes", "v1", test_second_version_comes);
+	ADD("version-has-left", "v2", test_version_has_left);
+	return g_test_run();
+}
