--- a/regress/test_waiting_request.c
+++ b/regress/test_waiting_request.c
@@ -5,8 +5,7 @@
 #include "support/platform_rig.h"
 
 #define LATE_ROUTE(service)                                                    \
-	"{\"name\":\"late\",\"host\":\"" RIG_HOST                              \
-	"\",\"pathPrefix\":\"/late/"                                           \
+	"{\"name\":\"late\",\"host\":\"" RIG_HOST "\",\"pathPrefix\":\"/late/" \
 	"\",\"kind\":\"stream\",\"service\":\"" service                        \
 	"\",\"maxAttempts\":2,\"resumable\":true,\"timeoutMs\":6000,"          \
 	"\"targetLatencyMs\":500,\"priority\":0}"
