Bind a stream to the software version that began it

Callers got streams whose events came from two software versions of a service. A stream that its target broke off went on at any target with the model, and nothing read the header by which a caller names the attempt that began the stream it takes up. The class of fault is a missing constraint: targets of one service were taken for interchangeable.

A stream is bound to the version of the target that wrote its first event. target_pick() offers targets of that version only, so it holds for an attempt that breaks off, for a handover from a silent target and for a caller's new attempt. The instance that forwards a stream records its version for 30 s. While several versions serve, three other instances, chosen by rendezvous hashing of the attempt's id, record it too; when a second version comes, the records made so far are sent. An instance that does not know the version asks them. It goes on without asking if one version alone has served for 30 s by a list of targets that is at most 3 s old. A stream whose version is not known or serves no longer is refused at once with not-resumable. A target that is listed with another version under its id makes the streams running there uncertain: it may have been started again before the list showed it.

The age of the list is published with each view; it was published by a timer only, up to 50 ms later.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -38,6 +38,18 @@
 	return now.tv_sec * INT64_C(1000000) + now.tv_nsec / 1000;
 }
 
+static void publish_freshness(control_t *control)
+{
+	freshness_t *freshness = &control->entry->freshness;
+
+	__atomic_store_n(&freshness->config_us,
+			 catalogs_confirmed_us(control->catalogs),
+			 __ATOMIC_RELAXED);
+	__atomic_store_n(&freshness->targets_us,
+			 targets_confirmed_us(control->targets),
+			 __ATOMIC_RELAXED);
+}
+
 static void publish_view(void *ctx)
 {
 	control_t *control = ctx;
@@ -46,6 +58,8 @@
 
 	if (catalog == NULL)
 		return;
+	/* The traffic thread judges the view by its age. */
+	publish_freshness(control);
 	message = g_new0(traffic_view_msg_t, 1);
 	message->traffic = control->entry->traffic;
 	message->view = view_new(catalog);
@@ -118,6 +132,14 @@
 		loads_receive(control->loads, message->sender, &message->load);
 	} else if (message->type == BSH_MSG_UNREACHABLE) {
 		loads_receive_refused(control->loads, &message->unreachable);
+	} else if (message->type == BSH_MSG_STREAM_RECORDS) {
+		streams_receive_records(control->streams,
+					&message->stream_records);
+	} else if (message->type == BSH_MSG_STREAM_QUERY) {
+		streams_receive_query(control->streams, message->sender,
+				      &message->stream);
+	} else if (message->type == BSH_MSG_STREAM_ANSWER) {
+		streams_receive_answer(control->streams, &message->stream);
 	} else if (message->type == BSH_MSG_INVENTORY) {
 		if (strcmp(message->sender, orders_holder(control->orders)) ==
 		    0)
@@ -143,6 +165,23 @@
 	g_free(demand);
 }
 
+void control_stream_records(void *data)
+{
+	control_stream_records_msg_t *message = data;
+
+	streams_record(message->control->streams, message->records);
+	g_array_free(message->records, TRUE);
+	g_free(message);
+}
+
+void control_stream_query(void *data)
+{
+	control_stream_query_msg_t *message = data;
+
+	streams_query(message->control->streams, message->stream);
+	g_free(message);
+}
+
 static int64_t read_settings_mtime_ns(const control_t *control)
 {
 	struct stat info;
@@ -206,18 +245,6 @@
 		control_reload(control, "file-changed");
 }
 
-static void publish_freshness(control_t *control)
-{
-	freshness_t *freshness = &control->entry->freshness;
-
-	__atomic_store_n(&freshness->config_us,
-			 catalogs_confirmed_us(control->catalogs),
-			 __ATOMIC_RELAXED);
-	__atomic_store_n(&freshness->targets_us,
-			 targets_confirmed_us(control->targets),
-			 __ATOMIC_RELAXED);
-}
-
 static void on_tick(void *ctx)
 {
 	control_t *control = ctx;
@@ -317,6 +344,7 @@
 	control->orders = orders_new(control);
 	control->loads = loads_new(control);
 	control->inventory = inventory_new(control);
+	control->streams = streams_new(control);
 	control->directory = directory_new(control);
 	err = directory_start(control->directory);
 	if (err == BSH_OK)
@@ -336,6 +364,7 @@
 	bsh_loop_timer_stop(&control->stop_timer);
 	bsh_loop_task_cancel(&control->view_task);
 	directory_free(control->directory);
+	streams_free(control->streams);
 	inventory_free(control->inventory);
 	loads_free(control->loads);
 	orders_free(control->orders);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -35,6 +35,7 @@
 typedef struct inventory inventory_t;
 typedef struct announcer announcer_t;
 typedef struct directory directory_t;
+typedef struct streams streams_t;
 
 struct control {
 	entry_t *entry;
@@ -49,6 +50,7 @@
 	inventory_t *inventory;
 	announcer_t *announcer;
 	directory_t *directory;
+	streams_t *streams;
 	bsh_loop_timer_t tick_timer;
 	bsh_loop_timer_t drain_timer;
 	bsh_loop_timer_t stop_timer;
@@ -163,6 +165,12 @@
 		const bsh_message_t *message);
 /* Sends to all other instances that are alive or suspected. */
 void peers_broadcast(peers_t *peers, const bsh_message_t *message);
+/* Instances that keep the record of a stream, beside the one that forwards it. */
+#define PEERS_KEEPERS 3U
+/* Chooses the other instances that keep the record of a stream, the same at all
+ * instances as far as they know the same ones; returns their number. */
+uint32_t peers_choose_keepers(const peers_t *peers, uint64_t stream,
+			      char names[PEERS_KEEPERS][BSH_NAME_SIZE]);
 /* Collects the addresses of instances that accept requests, for callers. */
 void peers_choose_entries(const peers_t *peers, bsh_entry_choice_t *choice);
 
@@ -260,6 +268,20 @@
  * the estimates of readiness. */
 void announcer_send_heartbeat(announcer_t *announcer);
 
+/* streams.c: software versions that began streams. */
+streams_t *streams_new(control_t *control);
+void streams_free(streams_t *streams);
+/* Sends records of this instance, bsh_stream_record_t, to their keepers. */
+void streams_record(streams_t *streams, const GArray *records);
+/* Asks for the version of a stream; traffic_set_stream_version() gets it. */
+void streams_query(streams_t *streams, uint64_t stream);
+/* Handle STREAM_RECORDS, STREAM_QUERY and STREAM_ANSWER. */
+void streams_receive_records(streams_t *streams,
+			     const bsh_msg_stream_records_t *message);
+void streams_receive_query(streams_t *streams, const char *sender,
+			   const bsh_msg_stream_t *query);
+void streams_receive_answer(streams_t *streams, const bsh_msg_stream_t *answer);
+
 /* directory.c: HTTP endpoints for readiness probes, callers that look up
  * instances, and metrics. */
 directory_t *directory_new(control_t *control);
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -15,6 +15,7 @@
  *	orders.c	load and unload orders of the lease holder
  *	order_lease.c	acquisition and release of the lease
  *	announce.c	announcements of the lease holder to other instances
+ *	streams.c	software versions that began streams, kept for others
  *	directory.c	readiness, addresses for callers, metrics
  *	control.c	owns the parts above, builds views, reloads, drains
  *
@@ -22,6 +23,8 @@
  *	traffic.c	requests from their arrival to their end
  *	target_pick.c	choice of the target of an attempt
  *	retry.c		whether a request may be sent again
+ *	attempts.c	the attempts of a request that run at a time
+ *	stream_origin.c	the software version to which a stream is bound
  *	forward.c	one attempt of a request at a target
  *	demand.c	demand for models, by the requests of this instance
  *	engine_load.c	open work of the requests of this instance at engines
@@ -87,6 +90,22 @@
 	GArray *loads;	 /* bsh_load_entry_t; NULL: not due */
 	GArray *refused; /* keys of targets, big-endian; NULL: none */
 } control_demand_msg_t;
+/* Message from the traffic thread to control_stream_records(), which frees it. */
+typedef struct {
+	control_t *control;
+	GArray *records; /* bsh_stream_record_t */
+} control_stream_records_msg_t;
+/* control_stream_records - called by bsh_loop_post(): streams that this instance
+ * forwards, to be recorded at other instances. */
+void control_stream_records(void *records);
+/* Message from the traffic thread to control_stream_query(), which frees it. */
+typedef struct {
+	control_t *control;
+	uint64_t stream;
+} control_stream_query_msg_t;
+/* control_stream_query - called by bsh_loop_post(): ask for the software version
+ * that began a stream. */
+void control_stream_query(void *query);
 /* control_demand - called by bsh_loop_post() with a control_demand_msg_t. */
 void control_demand(void *demand);
 
@@ -108,6 +127,16 @@
 } traffic_loads_msg_t;
 /* traffic_set_loads - called by bsh_loop_post() with a traffic_loads_msg_t. */
 void traffic_set_loads(void *loads);
+/* Message from the control thread to traffic_set_stream_version(), which frees
+ * it. */
+typedef struct {
+	traffic_t *traffic;
+	uint64_t stream;
+	uint64_t software; /* 0: unknown */
+} traffic_stream_msg_t;
+/* traffic_set_stream_version - called by bsh_loop_post(): answer to
+ * control_stream_query(). */
+void traffic_set_stream_version(void *answer);
 /* traffic_drain - from now on each response closes its connection, and requests
  * wait only for models that are expected within the grace time. */
 void traffic_drain(void *traffic);
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -186,6 +186,7 @@
 	if (r->events->len > 0) {
 		r->last_active_us = traffic_now_us(r->traffic);
 		r->stream_deadline_us = r->last_active_us + r->patience_us;
+		stream_origin_bind(r, a);
 		if (!r->answer_begun)
 			record_first_byte(a);
 		begin_answer(a, -1);
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -3,9 +3,11 @@
 #include "control.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/rendezvous.h"
 
 struct peers {
 	control_t *control;
@@ -431,6 +433,52 @@
 		bsh_members_foreach(peers->members, send_to_member, &broadcast);
 }
 
+typedef struct {
+	const char *self;
+	uint64_t stream;
+	uint32_t n;
+	uint64_t scores[PEERS_KEEPERS]; /* the highest first */
+	const char *names[PEERS_KEEPERS];
+} keepers_t;
+
+static void rank_keeper(void *ctx, const bsh_member_t *member)
+{
+	keepers_t *keepers = ctx;
+	uint64_t score;
+	uint32_t at;
+
+	if (strcmp(member->name, keepers->self) == 0 || !member->has_place ||
+	    (member->state != BSH_MEMBER_ALIVE &&
+	     member->state != BSH_MEMBER_SUSPECT))
+		return;
+	score = bsh_rendezvous_score(
+		keepers->stream, XXH64(member->name, strlen(member->name), 0));
+	for (at = keepers->n; at > 0 && keepers->scores[at - 1] < score; at--)
+		if (at < PEERS_KEEPERS) {
+			keepers->scores[at] = keepers->scores[at - 1];
+			keepers->names[at] = keepers->names[at - 1];
+		}
+	if (at == PEERS_KEEPERS)
+		return;
+	keepers->scores[at] = score;
+	keepers->names[at] = member->name;
+	keepers->n = MIN(keepers->n + 1, PEERS_KEEPERS);
+}
+
+uint32_t peers_choose_keepers(const peers_t *peers, uint64_t stream,
+			      char names[PEERS_KEEPERS][BSH_NAME_SIZE])
+{
+	keepers_t keepers = {
+		.self = peers->control->entry->settings.instance,
+		.stream = stream,
+	};
+
+	bsh_members_foreach(peers->members, rank_keeper, &keepers);
+	for (uint32_t i = 0; i < keepers.n; i++)
+		g_strlcpy(names[i], keepers.names[i], BSH_NAME_SIZE);
+	return keepers.n;
+}
+
 static void choose_member(void *ctx, const bsh_member_t *member)
 {
 	bsh_entry_choice_add(ctx, member);
--- a/bshentryd/target_pick.c
+++ b/bshentryd/target_pick.c
@@ -26,6 +26,8 @@
 {
 	if (strcmp(target->service, r->service->name) != 0)
 		return false;
+	if (r->software != 0 && target->software_key != r->software)
+		return false;
 	if (!demand_is_counted(r))
 		return true;
 	return bsh_holdings_has(&target->holdings, r->info.model, 0) &&
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -531,6 +531,7 @@
 		g_strlcpy(item.service, target->service, sizeof(item.service));
 		g_strlcpy(item.software, target->software,
 			  sizeof(item.software));
+		item.software_key = bsh_software_key(target->software);
 		g_array_append_val(view->targets, item);
 	}
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -263,6 +263,12 @@
 		end_abandoned(r);
 		return;
 	}
+	if (r->awaits_software)
+		return;
+	if (!stream_origin_serves(r)) {
+		fail_request(r, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
+		return;
+	}
 	if (r->awaits_budget) {
 		if (!retry_is_allowed(r, r->sends)) {
 			wait_to_resume(r);
@@ -494,6 +500,8 @@
 		demand_counters(t, r)->arrived++;
 	retry_count_request(r);
 	start_timer(r);
+	if (!stream_origin_find(r))
+		set_state(r, REQUEST_WAITING);
 	dispatch(r);
 }
 
@@ -523,7 +531,7 @@
 {
 	bsh_catalog_t *catalog = r->traffic->view->catalog;
 
-	if (r->catalog == catalog || r->may_have_run)
+	if (r->catalog == catalog || r->may_have_run || r->awaits_software)
 		return;
 	set_state(r, REQUEST_ENDED);
 	bsh_catalog_unref(r->catalog);
@@ -564,11 +572,28 @@
 	t->view_number++;
 	g_free(message);
 	target_pick_view_changed(t);
+	stream_origin_view_changed(t);
 	if (t->view->listed)
 		__atomic_store_n(&t->entry->serving, true, __ATOMIC_RELEASE);
 	retry_waiting(t);
 }
 
+void traffic_set_stream_version(void *data)
+{
+	traffic_stream_msg_t *answer = data;
+	traffic_t *t = answer->traffic;
+	GList *next;
+
+	for (GList *l = t->waiting.head; l != NULL; l = next) {
+		request_t *r = l->data;
+
+		next = l->next;
+		if (stream_origin_answer(r, answer))
+			dispatch(r);
+	}
+	g_free(answer);
+}
+
 void traffic_drain(void *data)
 {
 	traffic_t *t = data;
@@ -650,6 +675,8 @@
 		g_array_new(FALSE, FALSE, sizeof(bsh_target_candidate_t));
 	t->candidate_targets = g_ptr_array_new();
 	bsh_prefill_init(&t->prefill);
+	stream_origin_init(t);
+	bsh_loop_task_init(&t->streams_task, t->loop, stream_origin_send, t);
 	g_queue_init(&t->waiting);
 	g_queue_init(&t->requests);
 	bsh_loop_timer_init(&t->demand_timer, t->loop, demand_send, t);
@@ -671,6 +698,8 @@
 	bsh_loop_timer_stop(&t->demand_timer);
 	bsh_loop_timer_stop(&t->quit_timer);
 	bsh_loop_timer_stop(&t->abort_timer);
+	bsh_loop_task_cancel(&t->streams_task);
+	stream_origin_finish(t);
 	view_unref(t->view);
 	g_hash_table_destroy(t->targets);
 	g_hash_table_destroy(t->demand);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -27,6 +27,7 @@
 #include "coordination/load_table.h"
 #include "coordination/prefill.h"
 #include "coordination/retry_budget.h"
+#include "coordination/stream_table.h"
 #include "coordination/target_choice.h"
 #include "entry.h"
 #include "platform/target_client.h"
@@ -43,8 +44,9 @@
 typedef struct {
 	bsh_target_record_t record;
 	char id[BSH_NAME_SIZE];
-	uint32_t key;	    /* low bits of the hash of the id, in LOAD */
-	uint64_t last_view; /* number of the last view with the target */
+	uint32_t key;	       /* low bits of the hash of the id, in LOAD */
+	uint64_t last_view;    /* number of the last view with the target */
+	uint64_t software_key; /* version in that view */
 	/* The process with this start time refused a connection at refused_us:
 	 * it has ended, and with it what it held.  0: none. */
 	uint64_t refused_started_ms;
@@ -67,8 +69,12 @@
 	uint64_t view_number;
 	GHashTable *targets; /* id to target_state_t */
 	bsh_prefill_t prefill;
-	GHashTable *demand;  /* model and adapter to model_demand_t */
-	GHashTable *budgets; /* service to bsh_retry_budget_t */
+	GHashTable *demand;	    /* model and adapter to model_demand_t */
+	GHashTable *budgets;	    /* service to bsh_retry_budget_t */
+	bsh_stream_table_t streams; /* that this instance forwards */
+	GHashTable *software;	    /* service to bsh_software_history_t */
+	GArray *new_streams; /* bsh_stream_record_t, not yet sent to others */
+	bsh_loop_task_t streams_task;
 	/* bsh_target_candidate_t, scratch of choose_target(). */
 	GArray *candidates;
 	GPtrArray *candidate_targets; /* view_target_t, same order */
@@ -148,7 +154,11 @@
 	int64_t waited_us;     /* sum of the earlier waits */
 	bool wait_logged;
 	int64_t late_since_us; /* estimate over the deadline since; 0: is not */
-	uint32_t candidates;   /* number of targets at the last choice */
+	/* Stream: key, and version to which it is bound; 0: no event yet. */
+	uint64_t stream;
+	uint64_t software;
+	bool awaits_software; /* other instances are asked for the version */
+	uint32_t candidates;  /* number of targets at the last choice */
 	const char *retry_denial; /* logged reason for no retry; "-": none */
 	GList wait_link;	  /* in traffic.waiting */
 
@@ -276,6 +286,25 @@
 bool engine_load_has_ended(const target_state_t *state, uint64_t started_ms,
 			   int64_t now_us);
 
+/* stream_origin.c */
+void stream_origin_init(traffic_t *t);
+void stream_origin_finish(traffic_t *t);
+/* stream_origin_bind - an event of the attempt is about to be passed on: the
+ * stream is bound to the version of its target unless it is bound already. */
+void stream_origin_bind(request_t *r, const attempt_t *a);
+/* stream_origin_find - bind a stream that a caller resumes to the version that
+ * began it.  False: other instances are asked for it, and the request waits for
+ * stream_origin_answer(). */
+bool stream_origin_find(request_t *r);
+/* stream_origin_answer - true if the request has waited for this answer. */
+bool stream_origin_answer(request_t *r, const traffic_stream_msg_t *answer);
+/* stream_origin_serves - false if the request is bound to a version of which no
+ * target of its service serves. */
+bool stream_origin_serves(const request_t *r);
+void stream_origin_view_changed(traffic_t *t);
+/* stream_origin_send - task: send new records to other instances. */
+void stream_origin_send(void *traffic);
+
 /* attempts.c */
 void attempts_init(request_t *r);
 void attempts_finish(request_t *r);
--- a/bshentryd/view.h
+++ b/bshentryd/view.h
@@ -18,6 +18,7 @@
 	char address[BSH_ADDRESS_SIZE];
 	char service[BSH_NAME_SIZE];
 	char software[BSH_SOFTWARE_SIZE]; /* version; "": unknown */
+	uint64_t software_key;		  /* bsh_software_key() of it */
 	uint64_t hash;			  /* of the id */
 	uint64_t started_ms;		  /* of its process; 0: unknown */
 	uint32_t slots;			  /* concurrent requests, at least 1 */
--- a/lib/base/error.c
+++ b/lib/base/error.c
@@ -73,6 +73,9 @@
 			     false },
 	[BSH_ERR_INTERNAL] = { "internal", "An invariant was violated.", 500,
 			       UNKNOWN, false },
+	[BSH_ERR_NOT_RESUMABLE] = { "not-resumable",
+				    "No target can continue the stream.", 503,
+				    NOT_RUN, true },
 };
 
 const bsh_error_info_t *bsh_error_info(bsh_error_t err)
--- a/lib/base/error.h
+++ b/lib/base/error.h
@@ -43,11 +43,12 @@
 	BSH_ERR_ANSWER_NOT_KEPT, /* answered earlier, body too large to keep */
 	BSH_ERR_OUTCOME_UNKNOWN, /* earlier attempt has an unknown outcome */
 	BSH_ERR_CANCELLED,	 /* client disconnected */
-	BSH_ERR_AUTH,	     /* MAC mismatch (wrong key) or replayed frame */
-	BSH_ERR_STALE_FENCE, /* fencing token of an order is out of date */
-	BSH_ERR_UNSUPPORTED, /* method or feature not supported */
-	BSH_ERR_SYSTEM,	     /* operating system or library failure */
-	BSH_ERR_INTERNAL,    /* invariant violated */
+	BSH_ERR_AUTH,	       /* MAC mismatch (wrong key) or replayed frame */
+	BSH_ERR_STALE_FENCE,   /* fencing token of an order is out of date */
+	BSH_ERR_UNSUPPORTED,   /* method or feature not supported */
+	BSH_ERR_SYSTEM,	       /* operating system or library failure */
+	BSH_ERR_INTERNAL,      /* invariant violated */
+	BSH_ERR_NOT_RESUMABLE, /* no target can continue the stream, not run */
 	BSH_ERR_COUNT
 } bsh_error_t;
 
--- a/lib/coordination/target_choice.c
+++ b/lib/coordination/target_choice.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <math.h>
 
+#include "coordination/rendezvous.h"
+
 /* Weight of a new answer in the smoothed time to the first byte. */
 #define FIRST_BYTE_WEIGHT 0.25
 /* Expected time to the first byte of a target without recent answers. */
@@ -101,17 +103,6 @@
 	return now_us >= record->paused_until_us && !record->probing;
 }
 
-/* Rendezvous hashing: the target with the highest score is preferred. */
-static uint64_t rendezvous_score(uint64_t a, uint64_t b)
-{
-	uint64_t x = a ^ (b * UINT64_C(0x9e3779b97f4a7c15));
-
-	x ^= x >> 33;
-	x *= UINT64_C(0xff51afd7ed558ccd);
-	x ^= x >> 33;
-	return x;
-}
-
 static bool is_eligible(const bsh_target_candidate_t *c, bool entry_removed,
 			int64_t now_us)
 {
@@ -138,7 +129,8 @@
 		    service_delay_us(&candidates[i], now_us) >
 			    lowest * SAME_DELAY_FACTOR)
 			continue;
-		value = rendezvous_score(affinity, candidates[i].target_hash);
+		value = bsh_rendezvous_score(affinity,
+					     candidates[i].target_hash);
 		if (best < 0 || value > best_score) {
 			best = (int32_t)i;
 			best_score = value;
@@ -151,8 +143,8 @@
 		      uint64_t affinity, bool entry_removed, int64_t now_us)
 {
 	for (uint32_t i = 0; i < n; i++) {
-		uint64_t score =
-			rendezvous_score(affinity, candidates[i].target_hash);
+		uint64_t score = bsh_rendezvous_score(
+			affinity, candidates[i].target_hash);
 
 		candidates[i].rank = 0;
 		for (uint32_t j = 0; j < n; j++)
@@ -160,8 +152,8 @@
 				j != i &&
 				is_eligible(&candidates[j], entry_removed,
 					    now_us) &&
-				rendezvous_score(affinity,
-						 candidates[j].target_hash) >
+				bsh_rendezvous_score(
+					affinity, candidates[j].target_hash) >
 					score;
 	}
 }
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -275,6 +275,16 @@
 	END
 };
 
+static const field_t stream_fields[] = { U64(bsh_stream_record_t, stream),
+					 U64(bsh_stream_record_t, software),
+					 END };
+
+static const field_t stream_records_fields[] = {
+	LIST(bsh_msg_stream_records_t, records, record_count, stream_fields,
+	     bsh_stream_record_t),
+	END
+};
+
 static const field_t inventory_fields[] = {
 	U64(bsh_msg_inventory_t, term),
 	U64(bsh_msg_inventory_t, number),
@@ -312,6 +322,9 @@
 	[BSH_MSG_LOAD] = { "LOAD", load_fields },
 	[BSH_MSG_INVENTORY] = { "INVENTORY", inventory_fields },
 	[BSH_MSG_UNREACHABLE] = { "UNREACHABLE", unreachable_fields },
+	[BSH_MSG_STREAM_RECORDS] = { "STREAM_RECORDS", stream_records_fields },
+	[BSH_MSG_STREAM_QUERY] = { "STREAM_QUERY", stream_fields },
+	[BSH_MSG_STREAM_ANSWER] = { "STREAM_ANSWER", stream_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -57,6 +57,9 @@
 	BSH_MSG_LOAD,
 	BSH_MSG_INVENTORY,
 	BSH_MSG_UNREACHABLE,
+	BSH_MSG_STREAM_RECORDS,
+	BSH_MSG_STREAM_QUERY,
+	BSH_MSG_STREAM_ANSWER,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -369,6 +372,28 @@
 	uint32_t keys_bytes;
 } bsh_msg_unreachable_t;
 
+/* Software version that began a stream; see coordination/stream_table.h. */
+typedef struct {
+	uint64_t stream; /* hash of the attempt that brought its first event */
+	uint64_t software; /* hash of the version */
+} bsh_stream_record_t;
+
+/* Most entries of a STREAM_RECORDS that fit a datagram. */
+#define BSH_STREAM_RECORDS_MAX 50
+
+/*
+ * STREAM_RECORDS: the software versions that began streams, from the instance
+ * that forwards them to those that keep the records for the others.
+ */
+typedef struct {
+	const bsh_stream_record_t *records;
+	uint32_t record_count;
+} bsh_msg_stream_records_t;
+
+/* STREAM_QUERY: asks for the version of a stream that a caller resumes.
+ * STREAM_ANSWER: the reply; software is 0 if it is not known. */
+typedef bsh_stream_record_t bsh_msg_stream_t;
+
 /* Most entries of a LOAD that fit a datagram if no value exceeds the bound. */
 #define BSH_LOAD_ENTRIES_MAX 72
 #define BSH_LOAD_VALUE_MAX   65535U
@@ -417,6 +442,8 @@
 		bsh_msg_load_t load;
 		bsh_msg_inventory_t inventory;
 		bsh_msg_unreachable_t unreachable;
+		bsh_msg_stream_records_t stream_records;
+		bsh_msg_stream_t stream; /* STREAM_QUERY, STREAM_ANSWER */
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -31,6 +31,7 @@
 };
 static const bsh_recent_order_t ordered[] = { { "i-7", 850 } };
 static const bsh_load_entry_t loads[] = { { 8, 900, 3 }, { 9, 1, 2 } };
+static const bsh_stream_record_t streams[] = { { 5, 6 }, { UINT64_MAX, 7 } };
 static const bsh_ready_entry_t ready[] = { { 7, 8, 900 } };
 
 /* Returns a message of the type with every field set. */
@@ -123,6 +124,13 @@
 		m.unreachable =
 			(bsh_msg_unreachable_t){ (const uint8_t *)"abcd", 4 };
 		break;
+	case BSH_MSG_STREAM_RECORDS:
+		m.stream_records = (bsh_msg_stream_records_t){ streams, 2 };
+		break;
+	case BSH_MSG_STREAM_QUERY:
+	case BSH_MSG_STREAM_ANSWER:
+		m.stream = streams[1];
+		break;
 	case BSH_MSG_INVENTORY:
 		m.inventory =
 			(bsh_msg_inventory_t){ 9,
@@ -628,9 +636,8 @@
 	net_finish(&net);
 }
 
-/* Guards against DEMAND, PLACEMENT, RELEASE, LOAD and INVENTORY messages that
- * exceed a
- * datagram and so are never delivered, as in deployments with hundreds of models. */
+/* Guards against DEMAND, PLACEMENT, STREAM_RECORDS, RELEASE, LOAD and INVENTORY
+ * messages that exceed a datagram and so are never delivered, as in deployments with hundreds of models. */
 static void test_message_fits_datagram(void)
 {
 	bsh_demand_entry_t entries[40];
@@ -639,6 +646,7 @@
 	uint8_t keys[4 * BSH_INVENTORY_TARGETS_MAX];
 	bsh_recent_order_t recent_orders[40];
 	bsh_load_entry_t load_entries[BSH_LOAD_ENTRIES_MAX];
+	bsh_stream_record_t records[BSH_STREAM_RECORDS_MAX];
 	bsh_message_t m = { .type = BSH_MSG_DEMAND,
 			    .stamp = { INT64_MAX, UINT32_MAX },
 			    .sender = "front-chitose-a-10",
@@ -680,6 +688,13 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(recent_orders); i++)
 		recent_orders[i] =
 			(bsh_recent_order_t){ "i-0123456789ab", UINT32_MAX };
+	memset(records, 0xff, sizeof(records));
+	m.type = BSH_MSG_STREAM_RECORDS;
+	m.stream_records =
+		(bsh_msg_stream_records_t){ records, G_N_ELEMENTS(records) };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
 	m.type = BSH_MSG_RELEASE;
 	m.release = (bsh_msg_release_t){
 		UINT64_MAX, UINT64_MAX,	   true,
