Refuse a resumed stream soon if its version lacks the model

A stream that its caller resumed, and whose version has no target with the model, was held until the caller had left; the planner, which knows no versions, counted it as demand and could load the model at targets that cannot continue it. It waits for at most 1 s, in which a target that was started again loads the model from its disk, and is not counted as demand unless its version is the only one.

--- a/bshentryd/stream_origin.c
+++ b/bshentryd/stream_origin.c
@@ -68,6 +68,11 @@
 	return bsh_software_history_only(history, now_us);
 }
 
+bool stream_origin_is_constrained(const request_t *r)
+{
+	return r->software != 0 && only_version(r) != r->software;
+}
+
 /* Records the version of a stream here and, if others serve beside it, at other
  * instances. */
 static void record(request_t *r)
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -27,6 +27,9 @@
 /* Longest time after its arrival that a request waits without a lease holder:
  * no instance orders targets to load models then. */
 #define NO_HOLDER_WAIT_US INT64_C(3000000)
+/* Longest wait of a stream that its caller resumes for a target of its version
+ * with its model. */
+#define VERSION_WAIT_MAX_US INT64_C(1000000)
 /* Retry-After without an estimate. */
 #define RETRY_DEFAULT_MS 300
 /* Retry-After while draining: another instance can serve the caller at once. */
@@ -62,8 +65,9 @@
 	if (r->state == REQUEST_WAITING) {
 		r->waited_us += traffic_now_us(t) - r->wait_began_us;
 		g_queue_unlink(&t->waiting, &r->wait_link);
-		if (counters != NULL && counters->waiting > 0)
+		if (r->wait_counted && counters->waiting > 0)
 			counters->waiting--;
+		r->wait_counted = false;
 	} else if (r->state == REQUEST_RUNNING && counters != NULL &&
 		   counters->running > 0) {
 		counters->running--;
@@ -72,9 +76,14 @@
 	if (state == REQUEST_WAITING) {
 		r->wait_began_us = traffic_now_us(t);
 		g_queue_push_tail_link(&t->waiting, &r->wait_link);
-		if (counters != NULL)
+		/* The planner does not know versions: for a request that only
+		 * one of several can serve it would load the model anywhere. */
+		r->wait_counted = counters != NULL && !r->awaits_software &&
+				  !stream_origin_is_constrained(r);
+		if (r->wait_counted) {
 			counters->waiting++;
-		demand_send_soon(t);
+			demand_send_soon(t);
+		}
 	} else if (state == REQUEST_RUNNING && counters != NULL) {
 		counters->running++;
 	}
@@ -254,6 +263,23 @@
 	finish(r, END_GONE, 0, "caller-left");
 }
 
+/* No target of the version that began the stream holds its model.  One that was
+ * started again soon loads it from its disk; a load from the weight store takes
+ * longer than a caller waits for an event. */
+static void wait_for_version(request_t *r)
+{
+	int64_t waited_us = traffic_now_us(r->traffic) - r->arrived_us;
+
+	if (waited_us >= VERSION_WAIT_MAX_US) {
+		fail_request(r, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
+		return;
+	}
+	request_log_wait(r, NULL);
+	r->n_tried = 0;
+	set_state(r, REQUEST_WAITING);
+	bsh_loop_timer_after(&r->inactivity_timer, RESUME_INTERVAL_US);
+}
+
 static void dispatch(request_t *r)
 {
 	bsh_target_candidate_t candidate;
@@ -286,6 +312,8 @@
 		attempts_send(r, target, &candidate);
 	} else if (traffic_is_begun_stream(r)) {
 		wait_to_resume(r);
+	} else if (stream_origin_is_constrained(r)) {
+		wait_for_version(r);
 	} else if (r->n_tried > 0 && !demand_is_counted(r)) {
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 	} else {
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -153,6 +153,7 @@
 	int64_t wait_began_us; /* of the current wait */
 	int64_t waited_us;     /* sum of the earlier waits */
 	bool wait_logged;
+	bool wait_counted;     /* as demand for its model */
 	int64_t late_since_us; /* estimate over the deadline since; 0: is not */
 	/* Stream: key, and version to which it is bound; 0: no event yet. */
 	uint64_t stream;
@@ -301,6 +302,9 @@
 /* stream_origin_serves - false if the request is bound to a version of which no
  * target of its service serves. */
 bool stream_origin_serves(const request_t *r);
+/* stream_origin_is_constrained - the request is bound to a version, and other
+ * versions serve beside it. */
+bool stream_origin_is_constrained(const request_t *r);
 void stream_origin_view_changed(traffic_t *t);
 /* stream_origin_send - task: send new records to other instances. */
 void stream_origin_send(void *traffic);
--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -282,6 +282,30 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "j2"), ==, 0);
 }
 
+/* Guards against a resumed stream that is held until its deadline, and against
+ * loads for it at targets that cannot continue it: no target of its version has
+ * the model. */
+static void test_model_not_held(fixture_t *f, gconstpointer data)
+{
+	uint32_t loads;
+
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	f->old->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "k1",
+			  "m0", 4000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->new->mode = WORKER_ANSWERS;
+	platform_rig_restart_worker(f->old);
+	platform_rig_run(&f->rig, 300);
+	loads = f->new->loads;
+	resume(f, f->entries[1], "k2", "k1");
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_cmpint(f->reply.took_us, <, 2000000);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "k2"), ==, 0);
+	g_assert_cmpuint(f->new->loads, ==, loads);
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -300,5 +324,6 @@
 	ADD("one-version-alone", "v1", test_one_version_alone);
 	ADD("second-version-comes", "v1", test_second_version_comes);
 	ADD("version-has-left", "v2", test_version_has_left);
+	ADD("model-not-held", "v2", test_model_not_held);
 	return g_test_run();
 }
