--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -539,6 +539,7 @@
 	guint runs;
 
 	if (worker->mode == WORKER_IS_FULL) {
+		worker->refused++;
 		refuse(request, 503);
 		return;
 	}
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -60,6 +60,7 @@
 	uint32_t events;    /* of streams, sent */
 	uint32_t runs;	    /* requests executed */
 	uint32_t aborted;   /* runs whose caller closed before the end */
+	uint32_t refused;   /* requests refused because it was full */
 	uint32_t loads;	    /* load orders executed */
 	uint32_t overloads; /* orders that led to more than weights_mb */
 	char holder[64];    /* lease holder that sent the last order */
--- a/regress/test_attempt.c
+++ b/regress/test_attempt.c
@@ -272,6 +272,27 @@
 	g_assert_cmpint(t.err, ==, BSH_OK);
 }
 
+/* Guards against a call that is lost because its silent target was given up and
+ * no other target takes it. */
+static void test_silent_attempt_is_kept(void)
+{
+	bsh_request_id_t old;
+
+	setup(true, false, false);
+	start(true, 0);
+	old = t.a.id;
+	bsh_attempts_tick(&t.set, 2 * SIM_S);
+	/* No other target is usable. */
+	bsh_attempt_refused(&t.set, &t.a, BSH_ERR_CAPACITY, 0, 2 * SIM_S);
+	/* The first one goes on. */
+	t.a.id = old;
+	head(200, 5, false, 3 * SIM_S);
+	bsh_attempt_body(&t.set, &old, 5, false, 3 * SIM_S);
+	bsh_attempt_end(&t.set, &old, 3 * SIM_S);
+	g_assert_cmpint(t.finished, ==, 1);
+	g_assert_cmpint(t.err, ==, BSH_OK);
+}
+
 /* Guards against a retry when the retry budget is empty. */
 static void test_no_retry_without_budget(void)
 {
@@ -425,6 +446,7 @@
 	g_test_add_func("/attempt/refusal", test_refusal_needs_matching_id);
 	g_test_add_func("/attempt/completeness", test_incomplete_answer);
 	g_test_add_func("/attempt/silent", test_silent_attempt_is_replaced);
+	g_test_add_func("/attempt/silent-is-kept", test_silent_attempt_is_kept);
 	g_test_add_func("/attempt/budget", test_no_retry_without_budget);
 	g_test_add_func("/attempt/keyed", test_keyed_call_runs_to_end);
 	g_test_add_func("/attempt/withdrawn", test_intent_is_withdrawn);
