Do not read a route's service after its catalog is freed

A waiting request whose route was dropped from the configuration gave up its catalog, maybe the last reference, while r->service still pointed into it, and the end of the request read the service.

--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -562,6 +562,7 @@
 	if (r->catalog == catalog || r->may_have_run || r->awaits_software)
 		return;
 	set_state(r, REQUEST_ENDED);
+	r->service = NULL; /* a part of the old catalog */
 	bsh_catalog_unref(r->catalog);
 	r->catalog = bsh_catalog_ref(catalog);
 	match_route(r);
