Keep a silent attempt until the second target has spoken

The first attempt was given up 300 ms after the second target had been asked, even if that one had not been reached, and a target that only queued the request counted as one that had accepted it.

Both attempts go on until one sends something. The first is given up without that only after 1.5 s of silence, or 75 % of its caller's patience, and only if the second target has the request. A target at which an attempt runs is never chosen for another one, also beyond the tried targets that are remembered.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -5,10 +5,16 @@
 /* Lower bound of the inactivity timeout.  The timeout is the latency objective
  * of the route, or the longest pause between events once a stream has begun. */
 #define INACTIVITY_MIN_US INT64_C(300000)
-/* A target that has not refused the request within this time has accepted it,
- * and the first attempt is cancelled: two targets must not work on a request
- * for longer than 400 ms. */
-#define HANDOVER_MAX_US INT64_C(300000)
+/* Silence after which the first attempt is given up although the second target
+ * has sent nothing yet: a target may pause for about a second and go on.  It is
+ * less if the caller waits for a shorter time, of which a part is left for the
+ * second target. */
+#define GIVE_UP_MAX_US	INT64_C(1500000)
+#define GIVE_UP_PERCENT 75
+/* Least time for the second target to refuse the request. */
+#define HANDOVER_MIN_US INT64_C(300000)
+/* The second target is being connected to. */
+#define HANDOVER_RETRY_US INT64_C(50000)
 
 /* Time after which a target that sends nothing counts as inactive. */
 static int64_t inactivity_timeout_us(const request_t *r)
@@ -112,9 +118,26 @@
 	promote_handover(r);
 }
 
+/* Silence after which the first attempt is given up. */
+static int64_t give_up_us(const request_t *r)
+{
+	int64_t patience_us = r->patience_us;
+
+	if (!r->is_stream)
+		patience_us = MIN(r->client_deadline_us, r->timeout_us) -
+			      r->last_active_us;
+	return MIN(GIVE_UP_MAX_US, patience_us / 100 * GIVE_UP_PERCENT);
+}
+
 static void on_handover_timer(void *ctx)
 {
-	complete_handover(ctx);
+	request_t *r = ctx;
+
+	/* A target that was not reached cannot have accepted anything. */
+	if (r->handover->sent)
+		complete_handover(r);
+	else
+		bsh_loop_timer_after(&r->handover_timer, HANDOVER_RETRY_US);
 }
 
 void attempts_spoke(attempt_t *a)
@@ -173,6 +196,8 @@
 	attempt_t *second = r->attempt == &r->attempts[0] ? &r->attempts[1]
 							  : &r->attempts[0];
 
+	int64_t now_us = traffic_now_us(r->traffic);
+
 	request_log_silence(r, "ask-another");
 	retry_count();
 	if (!start_attempt(second, target, candidate)) {
@@ -180,7 +205,9 @@
 		return;
 	}
 	r->handover = second;
-	bsh_loop_timer_after(&r->handover_timer, HANDOVER_MAX_US);
+	bsh_loop_timer_start(&r->handover_timer,
+			     MAX(r->last_active_us + give_up_us(r),
+				 now_us + HANDOVER_MIN_US));
 }
 
 static void on_inactivity(void *ctx)
--- a/bshentryd/target_pick.c
+++ b/bshentryd/target_pick.c
@@ -22,6 +22,15 @@
 	return false;
 }
 
+/* True if an attempt of the request runs at the target. */
+static bool is_in_use(const request_t *r, const target_state_t *state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++)
+		if (r->attempts[i].target == state)
+			return true;
+	return false;
+}
+
 static bool can_serve(const request_t *r, const view_target_t *target)
 {
 	if (strcmp(target->service, r->service->name) != 0)
@@ -74,6 +83,8 @@
 		if (!can_serve(r, target) || was_tried(r, target->hash))
 			continue;
 		state = target_pick_state(t, target->id);
+		if (is_in_use(r, state))
+			continue;
 		if (demand_is_counted(r) &&
 		    engine_load_has_ended(state, target->started_ms, now_us))
 			continue;
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -17,8 +17,9 @@
  *	A target that sends nothing may be down, or may pause and go on.  A
  *	repeatable request is then handed over: it is sent to a second target
  *	while the first attempt goes on, and the attempt that sends something
- *	first continues the response.  The first attempt is given up only when
- *	the second target has accepted the request.
+ *	first continues the response.  The first attempt is given up earlier
+ *	only if it stays silent for much longer than a target may pause, and
+ *	the second target has the request and has not refused it.
  *
  * UNITS
  *	Times named *_us are microseconds on the clock of the traffic loop.
