Pace a begun stream among targets that refuse it

A stream whose target broke off asked one full target after the other without a pause and, beyond the six that are remembered as tried, the same one again and again: 14 attempts within a few milliseconds emptied the retry budget of the service, for all requests, while other targets were never asked. The stream was then cut off although one of them had room.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -168,7 +168,7 @@
 	g_strlcpy(a->target_id, target->id, sizeof(a->target_id));
 	a->target_started_ms = target->started_ms;
 	g_strlcpy(a->software, target->software, sizeof(a->software));
-	if (r->n_tried < TRIED_MAX)
+	if (r->n_tried < G_N_ELEMENTS(r->tried))
 		r->tried[r->n_tried++] = target->hash;
 	engine_load_started(a, candidate);
 	if (forward_start(a, target) == BSH_OK)
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -18,9 +18,14 @@
 #define IDLE_CONNECTIONS_MAX 256U
 /* Least time that a request needs at a target, apart from the wait. */
 #define RUN_MIN_US INT64_C(60000)
-/* Interval at which a stream of which the caller has a part, and which no target
- * can continue at present, looks for one. */
+/* Interval at which a stream that no target can continue at present looks for
+ * one. */
 #define RESUME_INTERVAL_US INT64_C(250000)
+/* Pause of a stream of which the caller has a part after a target has refused to
+ * continue it; doubles with each further refusal.  Each attempt takes a token of
+ * the retry budget, which belongs to all requests of the service. */
+#define REFUSED_PAUSE_US     INT64_C(50000)
+#define REFUSED_PAUSE_MAX_US INT64_C(800000)
 /* Estimates vary as loads begin and end: a waiting request is refused only when
  * the estimate has exceeded its deadline for this time. */
 #define LATE_CONFIRM_US INT64_C(250000)
@@ -237,16 +242,33 @@
 
 /* A stream of which the caller has a part can only be continued or cut off: it
  * waits for a target as long as its caller waits for an event. */
-static void wait_to_resume(request_t *r)
+static void wait_to_resume(request_t *r, int64_t pause_us)
 {
 	if (traffic_time_left_us(r) < RUN_MIN_US) {
 		fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 		return;
 	}
-	r->n_tried = 0;
 	request_log_wait(r, NULL);
 	set_state(r, REQUEST_WAITING);
-	bsh_loop_timer_after(&r->inactivity_timer, RESUME_INTERVAL_US);
+	r->resume_us = traffic_now_us(r->traffic) + pause_us;
+	bsh_loop_timer_start(&r->inactivity_timer, r->resume_us);
+}
+
+/* A target has refused to continue the stream: others are asked one at a time,
+ * and those that have refused again after the others. */
+static void pause_resume(request_t *r)
+{
+	int64_t pause_us = REFUSED_PAUSE_US << MIN(r->refusals, 4U);
+
+	r->refusals++;
+	wait_to_resume(r, MIN(pause_us, REFUSED_PAUSE_MAX_US));
+}
+
+/* No target is left to ask: those that were tried are asked again later. */
+static void wait_for_target(request_t *r)
+{
+	r->n_tried = 0;
+	wait_to_resume(r, RESUME_INTERVAL_US);
 }
 
 /* Ends a request whose caller no longer waits for it.  After a pause of the
@@ -289,20 +311,25 @@
 		end_abandoned(r);
 		return;
 	}
-	if (r->awaits_software)
+	if (r->awaits_software || (r->state == REQUEST_WAITING &&
+				   traffic_now_us(r->traffic) < r->resume_us))
 		return;
+	r->resume_us = 0;
 	if (!stream_origin_serves(r)) {
 		fail_request(r, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
 		return;
 	}
 	if (r->awaits_budget) {
 		if (!retry_is_allowed(r, r->sends)) {
-			wait_to_resume(r);
+			wait_to_resume(r, RESUME_INTERVAL_US);
 			return;
 		}
 		r->awaits_budget = false;
 	}
-	if (r->n_tried >= TRIED_MAX && !traffic_is_begun_stream(r)) {
+	if (traffic_is_begun_stream(r)) {
+		if (r->n_tried >= TRIED_BEGUN_MAX)
+			r->n_tried = 0;
+	} else if (r->n_tried >= TRIED_MAX) {
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 		return;
 	}
@@ -311,7 +338,7 @@
 		set_state(r, REQUEST_RUNNING);
 		attempts_send(r, target, &candidate);
 	} else if (traffic_is_begun_stream(r)) {
-		wait_to_resume(r);
+		wait_for_target(r);
 	} else if (stream_origin_is_constrained(r)) {
 		wait_for_version(r);
 	} else if (r->n_tried > 0 && !demand_is_counted(r)) {
@@ -354,10 +381,13 @@
 	request_log_attempt(r->attempt, end, err, again);
 	if (end == ATTEMPT_NOT_REACHED) {
 		dispatch(r);
+	} else if (again && end == ATTEMPT_REFUSED &&
+		   traffic_is_begun_stream(r)) {
+		pause_resume(r);
 	} else if (again) {
 		send_again(r);
 	} else if (r->awaits_budget) {
-		wait_to_resume(r);
+		wait_to_resume(r, RESUME_INTERVAL_US);
 	} else if (end == ATTEMPT_FAILED && !r->answer_begun) {
 		forward_answer_failure(r->attempt);
 		finish(r, END_FAILED, r->status, "target-failed");
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -39,6 +39,8 @@
 /* Targets that one request may try between two waits for a model.  Until the
  * next wait it is not sent again to a target that it has tried. */
 #define TRIED_MAX 6
+/* A stream of which the caller has a part asks so many targets at most. */
+#define TRIED_BEGUN_MAX 32
 
 typedef struct request request_t;
 
@@ -165,7 +167,7 @@
 	GList wait_link;	  /* in traffic.waiting */
 
 	/* Attempts. */
-	uint64_t tried[TRIED_MAX]; /* hashes of target ids */
+	uint64_t tried[TRIED_BEGUN_MAX]; /* hashes of target ids */
 	uint32_t n_tried;
 	uint32_t sends;	   /* attempts that reached a target and have ended */
 	uint32_t runs;	   /* of these, those that may have run */
@@ -179,6 +181,8 @@
 	/* A stream of which the caller has a part waits for the retry budget,
 	 * too, before it is sent again. */
 	bool awaits_budget;
+	int64_t resume_us; /* while it waits: not sent again before */
+	uint32_t refusals; /* by targets that were to continue it */
 
 	/* Response. */
 	int status;	   /* passed to the caller */
