Route waiting requests again also after an attempt that may have run

A repeatable request whose attempt had broken off stayed with a service that its route no longer named, and was held until 2.2 s although the new service had a free target. It follows the configuration like others that wait; one that may not run twice under its new route ends at once with an unknown outcome. /handover/route-moves-after-a-run failed before.

--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -583,24 +583,28 @@
 
 /* Routes a waiting request by the configuration in force.  No target gets its
  * model any more if its route was moved to another service or dropped, and it
- * would wait in vain.  A request that may have run stays with the service that
- * it was sent to. */
+ * would wait in vain.  A response that has begun stays with its service. */
 static void follow_configuration(request_t *r)
 {
 	bsh_catalog_t *catalog = r->traffic->view->catalog;
 
-	if (r->catalog == catalog || r->may_have_run || r->awaits_software)
+	if (r->catalog == catalog || r->answer_begun || r->awaits_software)
 		return;
 	set_state(r, REQUEST_ENDED);
 	r->service = NULL; /* a part of the old catalog */
 	bsh_catalog_unref(r->catalog);
 	r->catalog = bsh_catalog_ref(catalog);
 	match_route(r);
-	if (r->route == NULL) {
+	if (r->route == NULL && !r->may_have_run) {
 		refuse_early(r, BSH_ERR_NOT_FOUND, END_NO_ROUTE);
 		return;
 	}
-	set_route(r);
+	if (r->route != NULL)
+		set_route(r);
+	if (r->route == NULL || (r->may_have_run && !r->repeatable)) {
+		fail_request(r, BSH_ERR_CONNECTION_LOST, -1);
+		return;
+	}
 	start_timer(r);
 	set_state(r, REQUEST_WAITING);
 }
