Take a cancelled attempt for no answer of its target

An attempt that was cancelled because the other one had continued the response was recorded as a success: a hung target that had said nothing lost its pause. And the first event of a resumed attempt was not recorded at all, so its prefill estimate stayed open until the end of the stream and the target seemed to answer nothing. Both were found in a review.

/load/cancelled-attempt tests the record, which had no such call before.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -65,6 +65,8 @@
 	 * not that it has failed. */
 	if (end == ATTEMPT_NOT_REACHED)
 		record_unreachable(a);
+	else if (end == ATTEMPT_CANCELLED)
+		bsh_target_cancelled(&a->target->record);
 	else
 		bsh_target_ended(&a->target->record, failed,
 				 traffic_now_us(r->traffic));
@@ -83,7 +85,7 @@
 static void cancel_attempt(attempt_t *a, bool failed)
 {
 	a->request->may_have_run = a->request->may_have_run || a->sent;
-	close_attempt(a, failed ? ATTEMPT_BROKEN : ATTEMPT_ANSWERED);
+	close_attempt(a, failed ? ATTEMPT_BROKEN : ATTEMPT_CANCELLED);
 }
 
 static void cancel_handover(request_t *r)
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -124,6 +124,9 @@
 	request_t *r = a->request;
 	int64_t now_us = traffic_now_us(r->traffic);
 
+	if (a->has_spoken)
+		return;
+	a->has_spoken = true;
 	if (r->first_byte_us == 0)
 		r->first_byte_us = now_us;
 	engine_load_began(a, now_us - a->began_us);
@@ -187,8 +190,7 @@
 		r->last_active_us = traffic_now_us(r->traffic);
 		r->stream_deadline_us = r->last_active_us + r->patience_us;
 		stream_origin_bind(r, a);
-		if (!r->answer_begun)
-			record_first_byte(a);
+		record_first_byte(a);
 		begin_answer(a, -1);
 		write_answer(r, r->events->str, r->events->len);
 	}
@@ -283,6 +285,7 @@
 	platform_head_reset(&a->head);
 	a->status = 0;
 	a->head_received = false;
+	a->has_spoken = false;
 	a->sent = false;
 	a->withheld = false;
 	a->refused = false;
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -164,9 +164,10 @@
 	bsh_log(BSH_LOG_INFO,
 		"request-waiting id=%s model=%s tried=%u ready_in_ms=%d "
 		"left_ms=%d holder=%d view=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->info.model_name, r->n_tried, ready_in_ms,
-		to_ms(traffic_time_left_us(r)), r->traffic->view->has_holder,
-		r->traffic->view_number);
+		r->info.attempt_id,
+		r->info.model_name != NULL ? r->info.model_name : "-",
+		r->n_tried, ready_in_ms, to_ms(traffic_time_left_us(r)),
+		r->traffic->view->has_holder, r->traffic->view_number);
 }
 
 void request_log_attempt(const attempt_t *a, attempt_end_t end, bsh_error_t err,
@@ -174,8 +175,8 @@
 {
 	const request_t *r = a->request;
 	static const char *const names[] = {
-		"answered", "not-reached", "withheld",
-		"refused",  "failed",	   "broken",
+		"answered", "not-reached", "withheld",	"refused",
+		"failed",   "broken",	   "cancelled",
 	};
 
 	bsh_log(BSH_LOG_INFO,
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -105,7 +105,8 @@
 	ATTEMPT_WITHHELD,    /* not sent, as the caller no longer waits */
 	ATTEMPT_REFUSED,     /* the target confirmed that it did not run */
 	ATTEMPT_FAILED,	     /* complete 5xx response; passed on if final */
-	ATTEMPT_BROKEN	     /* no complete or no valid response */
+	ATTEMPT_BROKEN,	     /* no complete or no valid response */
+	ATTEMPT_CANCELLED    /* by this instance, the target is not at fault */
 } attempt_end_t;
 
 /* An attempt of a request at a target. */
@@ -127,6 +128,7 @@
 	platform_head_t head;
 	int status;
 	bool head_received;
+	bool has_spoken;    /* its time to the first byte is recorded */
 	GString *held_body; /* buffered until the response is complete */
 } attempt_t;
 
--- a/lib/coordination/target_choice.c
+++ b/lib/coordination/target_choice.c
@@ -274,6 +274,13 @@
 		pause_target(record, now_us);
 }
 
+void bsh_target_cancelled(bsh_target_record_t *record)
+{
+	if (record->running > 0)
+		record->running--;
+	record->probing = false;
+}
+
 void bsh_target_unreachable(bsh_target_record_t *record, int64_t now_us)
 {
 	if (record->running > 0)
--- a/regress/test_load.c
+++ b/regress/test_load.c
@@ -283,6 +283,24 @@
 	bsh_load_table_finish(&table);
 }
 
+/* Guards against a target that hangs and counts as sound again because an
+ * attempt at it was cancelled for another one. */
+static void test_cancelled_attempt(void)
+{
+	bsh_target_record_t record = { .running = 0 };
+
+	for (int i = 0; i < 3; i++) {
+		bsh_target_started(&record, 0.0, 1000);
+		bsh_target_ended(&record, true, 1000);
+	}
+	g_assert_false(bsh_target_usable(&record, 2000));
+	bsh_target_started(&record, 0.0, 2000);
+	bsh_target_cancelled(&record);
+	g_assert_cmpuint(record.running, ==, 0);
+	g_assert_false(bsh_target_usable(&record, 2000));
+	g_assert_cmpuint(record.failures, ==, 3);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -292,5 +310,6 @@
 			test_engines_of_unequal_speed);
 	g_test_add_func("/load/prefill-rate", test_prefill_rate);
 	g_test_add_func("/load/sums", test_load_sums);
+	g_test_add_func("/load/cancelled-attempt", test_cancelled_attempt);
 	return g_test_run();
 }
