Reject a request head that leaves no memory for a response

A request with nearly 48 KiB of headers was read and passed on, and its connection then ended without an answer: libmicrohttpd takes the head of the response from the same memory.

--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -16,8 +16,11 @@
 /* Memory pool of a connection; bounds the request headers and the parts of a
  * response passed to the kernel. */
 #define CONNECTION_MEMORY_BYTES 49152
-#define LISTEN_BACKLOG		1024U
-#define RESPONSE_BLOCK_BYTES	8192
+/* A longer request head is rejected: what is left of the memory holds the head
+ * of the response and one of its parts. */
+#define HEAD_MAX_BYTES	     32768U
+#define LISTEN_BACKLOG	     1024U
+#define RESPONSE_BLOCK_BYTES 8192
 /* A request whose body exceeds this size is rejected without reading the rest
  * of the body. */
 #define DISCARD_MAX_BYTES (UINT64_C(64) << 20)
@@ -67,6 +70,7 @@
 	bsh_http_request_handler_t handler;
 	void *handler_ctx;
 	bool head_received;
+	bool head_too_large;
 	bool too_large;
 	bool reject_early; /* respond before the body is read */
 	bool dispatched;   /* on_request or on_too_large was called */
@@ -201,6 +205,22 @@
 	g_free(request);
 }
 
+/* Rejects a head that leaves no memory even for the head of a response:
+ * libmicrohttpd would close the connection without one. */
+static void send_head_too_large(const bsh_http_request_t *request)
+{
+	static const char answer[] =
+		"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+		"Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+	if (request->connection == NULL || request->connection->fd < 0)
+		return;
+	if (send(request->connection->fd, answer, sizeof(answer) - 1,
+		 MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+		bsh_log(BSH_LOG_INFO, "head-too-large-not-answered errno=%d",
+			errno);
+}
+
 static void on_completed(void *ctx, struct MHD_Connection *mhd, void **state,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -213,6 +233,9 @@
 	*state = NULL;
 	request->suspended = false;
 	request->mhd = NULL;
+	if (request->head_too_large &&
+	    code == MHD_REQUEST_TERMINATED_WITH_ERROR)
+		send_head_too_large(request);
 	if (request->dispatched) {
 		request->server->request_count--;
 		if (request->handler.on_done != NULL)
@@ -257,6 +280,26 @@
 	*state = NULL;
 }
 
+static enum MHD_Result add_header_bytes(void *ctx, enum MHD_ValueKind kind,
+					const char *name, const char *value)
+{
+	size_t *bytes = ctx;
+
+	(void)kind;
+	*bytes += strlen(name) + (value != NULL ? strlen(value) : 0) +
+		  strlen(": \r\n");
+	return MHD_YES;
+}
+
+static bool is_head_too_large(const bsh_http_request_t *request)
+{
+	size_t bytes = strlen(request->target);
+
+	MHD_get_connection_values(request->mhd, MHD_HEADER_KIND,
+				  add_header_bytes, &bytes);
+	return bytes > HEAD_MAX_BYTES;
+}
+
 static void receive_head(bsh_http_request_t *request, const char *method)
 {
 	const char *length = MHD_lookup_connection_value(
@@ -268,7 +311,9 @@
 	if (length != NULL)
 		declared = g_ascii_strtoull(length, NULL, 10);
 	request->too_large = declared > request->server->config.body_max_bytes;
-	request->reject_early = declared > DISCARD_MAX_BYTES;
+	request->head_too_large = is_head_too_large(request);
+	request->reject_early =
+		declared > DISCARD_MAX_BYTES || request->head_too_large;
 }
 
 static enum MHD_Result receive_body(bsh_http_request_t *request,
@@ -322,7 +367,9 @@
 		*size = 0;
 		return result;
 	}
-	if (!request->dispatched)
+	if (request->head_too_large && request->response == NULL)
+		bsh_http_response_send(request, 431, "", 0);
+	else if (!request->dispatched && !request->head_too_large)
 		dispatch_request(request);
 	/* If the response has begun, send what was written of it. */
 	if (request->aborted && request->response == NULL)
