Let rig callers keep connections and read streams as they arrive

A soak of kept connections and of callers that break a stream off had no way to do either: each request of the rig opened a connection of its own and showed its body only at the end. A request may now name a client that keeps its connections, and the body so far is in the reply. The rig also records which workers ran an attempt, and its configuration names a second plain service, so that a route can move.

--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -349,7 +349,9 @@
 				       "\"loadS\":0.12,\"adapters\":0,"
 				       "\"adapterMb\":1}",
 				       i > 0 ? "," : "", i, MODEL_MB);
-	g_string_append(text, "]}},{\"name\":\"desk\"}],\"limits\":{}}");
+	g_string_append(
+		text,
+		"]}},{\"name\":\"desk\"},{\"name\":\"shop\"}],\"limits\":{}}");
 	spec = json_loads(text->str, 0, NULL);
 	g_assert_nonnull(spec);
 	record_change(rig, "config", "main", spec);
@@ -516,6 +518,21 @@
 	bsh_http_response_send(request, status, "", 0);
 }
 
+/* Counts an execution of the attempt at the worker. */
+static void record_run(const run_t *run)
+{
+	const worker_t *worker = run->worker;
+	platform_rig_t *rig = worker->rig;
+	uint32_t bit = 1U << (worker - rig->workers);
+	guint runs = platform_rig_runs(rig, run->attempt) + 1;
+	guint workers = platform_rig_run_workers(rig, run->attempt) | bit;
+
+	g_hash_table_replace(rig->runs, g_strdup(run->attempt),
+			     GUINT_TO_POINTER(runs));
+	g_hash_table_replace(rig->run_workers, g_strdup(run->attempt),
+			     GUINT_TO_POINTER(workers));
+}
+
 static void start_run(worker_t *worker, bsh_http_request_t *request)
 {
 	static const bsh_http_request_handler_t handler = { on_run_done, NULL };
@@ -527,7 +544,6 @@
 	const char *after = bsh_http_request_header(request, "Last-Event-Id");
 	const char *resumes = bsh_http_request_header(request, "Resumes");
 	run_t *run;
-	guint runs;
 
 	if (worker->mode == WORKER_IS_FULL) {
 		refuse(request, 503);
@@ -547,9 +563,7 @@
 	g_strlcpy(run->began_by, resumes != NULL ? resumes : run->attempt,
 		  sizeof(run->began_by));
 	worker->runs++;
-	runs = GPOINTER_TO_UINT(g_hash_table_lookup(rig->runs, run->attempt));
-	g_hash_table_replace(rig->runs, g_strdup(run->attempt),
-			     GUINT_TO_POINTER(runs + 1));
+	record_run(run);
 	bsh_loop_timer_init(&run->timer, &rig->loop, on_run_timer, run);
 	g_ptr_array_add(rig->pending_runs, run);
 	bsh_http_request_set_handler(request, &handler, run);
@@ -763,6 +777,13 @@
 		reply->retry_after = g_strndup(value, value_size);
 }
 
+static void on_reply_data(void *ctx, const char *data, size_t size)
+{
+	rig_reply_t *reply = ctx;
+
+	g_string_append_len(reply->received, data, (gssize)size);
+}
+
 static void on_reply_end(void *ctx, const bsh_http_result_t *result)
 {
 	rig_reply_t *reply = ctx;
@@ -770,8 +791,10 @@
 	reply->call = NULL;
 	reply->done = true;
 	reply->status = result->status;
+	reply->sent = result->sent;
 	reply->complete = result->err == BSH_OK;
-	reply->body = g_strdup(result->body);
+	reply->body = g_string_free(reply->received, FALSE);
+	reply->received = NULL;
 	reply->took_us = bsh_loop_clock_us() - reply->took_us;
 }
 
@@ -783,43 +806,65 @@
 				g_strdup_printf("%s: %s", name, value));
 }
 
-void platform_rig_resume(platform_rig_t *rig, const char *address,
-			 const char *path, const char *id, const char *model,
-			 uint32_t deadline_ms, uint32_t last_event_id,
-			 const char *began_by, rig_reply_t *reply)
+void platform_rig_start(platform_rig_t *rig, const rig_request_t *request,
+			rig_reply_t *reply)
 {
 	static const bsh_http_handler_t handler = { .on_header =
 							    on_reply_header,
+						    .on_data = on_reply_data,
 						    .on_end = on_reply_end };
-	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
-	g_autofree char *deadline = g_strdup_printf("%u", deadline_ms);
+	bsh_http_client_t *client =
+		request->client != NULL ? request->client : rig->client;
+	g_autofree char *url =
+		g_strdup_printf("http://%s%s", request->address, request->path);
+	g_autofree char *deadline = g_strdup_printf("%u", request->deadline_ms);
 	g_autofree char *after =
-		last_event_id > 0 ? g_strdup_printf("%u", last_event_id) : NULL;
+		request->last_event_id > 0
+			? g_strdup_printf("%u", request->last_event_id)
+			: NULL;
 	g_autoptr(GPtrArray) headers = g_ptr_array_new_with_free_func(g_free);
-	bool has_body = !g_str_has_prefix(path, "/api/") &&
-			!g_str_has_prefix(path, "/look/");
+	bool has_body = !g_str_has_prefix(request->path, "/api/") &&
+			!g_str_has_prefix(request->path, "/look/");
 	bsh_http_call_spec_t spec = { .method = has_body ? "POST" : "GET",
 				      .url = url,
 				      .body = has_body ? "x" : NULL,
 				      .body_size = has_body ? 1 : 0,
 				      .idle_timeout_ms = 20000,
-				      .fresh_connection = true };
+				      .fresh_connection =
+					      request->client == NULL };
 
 	add_header(headers, "Host", RIG_HOST);
-	add_header(headers, "Berylshunt-Request-Try-Id", id);
+	add_header(headers, "Berylshunt-Request-Try-Id", request->id);
 	add_header(headers, "Berylshunt-Deadline-Ms", deadline);
-	add_header(headers, "Berylshunt-Model", model);
+	add_header(headers, "Berylshunt-Model", request->model);
 	add_header(headers, "Last-Event-Id", after);
-	add_header(headers, "Resumes", began_by);
+	add_header(headers, "Resumes", request->began_by);
 	g_ptr_array_add(headers, NULL);
 	spec.headers = (const char *const *)headers->pdata;
 	memset(reply, 0, sizeof(*reply));
 	reply->took_us = bsh_loop_clock_us();
-	g_assert_cmpint(bsh_http_client_start(rig->client, &spec, &handler,
-					      reply, &reply->call),
+	reply->received = g_string_new(NULL);
+	g_assert_cmpint(bsh_http_client_start(client, &spec, &handler, reply,
+					      &reply->call),
 			==, BSH_OK);
 }
 
+void platform_rig_resume(platform_rig_t *rig, const char *address,
+			 const char *path, const char *id, const char *model,
+			 uint32_t deadline_ms, uint32_t last_event_id,
+			 const char *began_by, rig_reply_t *reply)
+{
+	rig_request_t request = { .address = address,
+				  .path = path,
+				  .id = id,
+				  .model = model,
+				  .deadline_ms = deadline_ms,
+				  .last_event_id = last_event_id,
+				  .began_by = began_by };
+
+	platform_rig_start(rig, &request, reply);
+}
+
 void platform_rig_send(platform_rig_t *rig, const char *address,
 		       const char *path, const char *id, const char *model,
 		       uint32_t deadline_ms, rig_reply_t *reply)
@@ -832,6 +877,8 @@
 {
 	if (reply->call != NULL)
 		bsh_http_call_cancel(reply->call);
+	if (reply->received != NULL)
+		g_string_free(reply->received, TRUE);
 	g_free(reply->body);
 	g_free(reply->retry_after);
 	memset(reply, 0, sizeof(*reply));
@@ -888,6 +935,11 @@
 	return GPOINTER_TO_UINT(g_hash_table_lookup(rig->runs, id));
 }
 
+uint32_t platform_rig_run_workers(const platform_rig_t *rig, const char *id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(rig->run_workers, id));
+}
+
 void platform_rig_init(platform_rig_t *rig)
 {
 	bsh_http_server_config_t config = { .address = "127.0.0.1:0",
@@ -908,6 +960,8 @@
 	rig->pending_runs = g_ptr_array_new();
 	rig->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	rig->run_workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	rig->stream_versions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rig->lease_ms = 1000;
@@ -941,6 +995,7 @@
 	g_ptr_array_free(rig->pending_runs, TRUE);
 	g_hash_table_destroy(rig->objects);
 	g_hash_table_destroy(rig->runs);
+	g_hash_table_destroy(rig->run_workers);
 	g_hash_table_destroy(rig->stream_versions);
 	bsh_loop_finish(&rig->loop);
 }
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -86,12 +86,28 @@
 	int status; /* 0: the connection ended without an answer */
 	char *body;
 	char *retry_after;     /* value of Retry-After, or NULL */
+	GString *received;     /* body so far; NULL after the end */
+	bool sent;	       /* a byte may have reached the instance */
 	bool complete;	       /* the whole answer was received */
 	bool done;	       /* the request has ended */
 	int64_t took_us;       /* duration; before the end: start time */
 	bsh_http_call_t *call; /* NULL after the end */
 } rig_reply_t;
 
+/* A request of a caller. */
+typedef struct {
+	const char *address; /* "host:port" */
+	const char *path;
+	const char *id;	   /* of the attempt */
+	const char *model; /* or NULL */
+	uint32_t deadline_ms;
+	uint32_t last_event_id; /* the stream goes on after it; 0: none */
+	/* Id of the attempt that brought the stream's first event, or NULL. */
+	const char *began_by;
+	/* Client that keeps its connections open; NULL: a new connection. */
+	bsh_http_client_t *client;
+} rig_request_t;
+
 struct platform_rig {
 	bsh_loop_t loop;
 	bsh_http_client_t *client;
@@ -111,6 +127,8 @@
 	rig_entry_t entries[RIG_ENTRIES_MAX];
 	uint32_t n_entries;
 	GHashTable *runs; /* attempt id to number of executions */
+	/* Attempt id to the workers that executed it: bit N for workers[N]. */
+	GHashTable *run_workers;
 	/* Id of the attempt that began a stream to the software version of the
 	 * workers that wrote its events. */
 	GHashTable *stream_versions;
@@ -164,6 +182,9 @@
 void platform_rig_send(platform_rig_t *rig, const char *address,
 		       const char *path, const char *id, const char *model,
 		       uint32_t deadline_ms, rig_reply_t *reply);
+/* platform_rig_start - start a request, like platform_rig_send(). */
+void platform_rig_start(platform_rig_t *rig, const rig_request_t *request,
+			rig_reply_t *reply);
 /* platform_rig_resume - like platform_rig_send() for a stream that goes on after
  * the event last_event_id; began_by is the id of the attempt that brought its
  * first event, or NULL. */
@@ -184,5 +205,8 @@
 
 /* platform_rig_runs - number of executions of an attempt id at all workers. */
 uint32_t platform_rig_runs(const platform_rig_t *rig, const char *id);
+/* platform_rig_run_workers - workers that have executed an attempt id: bit N
+ * for workers[N]. */
+uint32_t platform_rig_run_workers(const platform_rig_t *rig, const char *id);
 
 #endif
