Overlap faults in the soak, resume streams and keep connections

Faults now come in series and overlap: signals, restarts, silences of 0.3 s to 2 s beside series of configurations that move, add and drop a route, workers that drain, leave and join with another software version, and outages of the store or of one instance's connection to it. A third of the callers keep one connection until their instance is gone. Callers break streams off and take them up at the same instance, another one, one that has started since, or one without its store.

New checks, by what callers and workers see: events without gap or repeat over all attempts; one software version per stream; no response lost or cut beside silences, configurations and store trouble alone; an answer or a refusal for what was read during a drain; the service that ran a request; at least half as many streams go on as begin. At rest, bsh_requests_open is 0.

--- /dev/null
+++ b/regress/soak/soak.h
@@ -0,0 +1,128 @@
+#ifndef SOAK_SOAK_H
+#define SOAK_SOAK_H
+
+/*
+ * NAME
+ *	soak - state of the fault soak, shared by its callers and its faults
+ *
+ * DESCRIPTION
+ *	The callers (callers.c) send requests and check what they get.  The
+ *	faults (soak_entry.c) record when they disturb an instance or a worker,
+ *	so that the callers can tell which answers a fault excuses.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/rng.h"
+#include "support/platform_rig.h"
+#include "support/relay.h"
+
+#define SOAK_CALLERS 24
+/* Callers that keep one connection, the first of all. */
+#define SOAK_KEPT_CALLERS 8
+#define SOAK_DEADLINE_MS  3000
+#define SOAK_LATE_MS	  600 /* tolerated after the deadline */
+#define SOAK_MODELS	  6
+
+/* What a route promises; none of it changes with the configuration but the
+ * service of the route that moves and the presence of the added route. */
+typedef struct {
+	const char *path;
+	const char *service; /* NULL: one of the two plain services */
+	bool once;	     /* runs at most once */
+	bool stream;	     /* the answer is a stream of events */
+	bool resumable;
+	bool added; /* some configurations do not have it */
+} soak_route_t;
+
+/* A caller sends one request after the other.  A resumable stream that ends
+ * early is taken up again by further attempts. */
+typedef struct {
+	rig_reply_t reply;
+	rig_entry_t *entry;	   /* instance of the request; may be kept */
+	bsh_http_client_t *client; /* keeps the connection; NULL: none kept */
+	const soak_route_t *route;
+	char id[32]; /* attempt id */
+	char model[8];
+	bool busy;	      /* a request is pending */
+	bool keeps;	      /* the next request goes to the same instance */
+	bool comparable;      /* counts for the shares of streams */
+	int64_t started_us;   /* of the attempt */
+	uint32_t leave_after; /* leaves after so many events; 0: stays */
+	/* The stream, over all its attempts. */
+	char began_by[32]; /* attempt that brought its first event, or "" */
+	uint32_t events;   /* received */
+	uint32_t attempts; /* to go on */
+	int64_t resume_us; /* time of the next one; 0: none */
+	int64_t begun_us;  /* first attempt */
+} soak_caller_t;
+
+/* Times are of the loop clock; 0: never. */
+typedef struct {
+	relay_t store;	   /* its connections to the store */
+	int64_t fault_us;  /* last fault of any kind, or start */
+	int64_t crash_us;  /* last SIGKILL, SIGSTOP or SIGCONT */
+	int64_t term_us;   /* last SIGTERM */
+	int64_t spawn_us;  /* last start of the process */
+	int64_t resume_us; /* of a stopped process */
+	int64_t follow_us; /* next signal of a series; 0: none */
+} soak_entry_t;
+
+typedef enum {
+	PHASE_SERVES,
+	PHASE_LAPSED, /* registration expired, the process goes on */
+	PHASE_DRAINS, /* reports that it leaves */
+	PHASE_GONE    /* has left; a new incarnation follows */
+} soak_phase_t;
+
+typedef struct {
+	soak_phase_t phase;
+	int64_t phase_us;     /* end of the phase, unless it serves */
+	int64_t harm_us;      /* last time that it broke requests off */
+	uint32_t incarnation; /* number of its starts */
+} soak_worker_t;
+
+typedef struct {
+	platform_rig_t rig;
+	soak_entry_t entries[RIG_ENTRIES_MAX];
+	soak_worker_t workers[RIG_WORKERS_MAX];
+	soak_caller_t callers[SOAK_CALLERS];
+	bsh_rng_t rng;
+	uint64_t sequence;
+	int64_t clear_us;     /* next time to clear the faults */
+	int64_t configure_us; /* next configuration of a series */
+	uint32_t configurations_left;
+	const char *moved_to; /* service of the moved route in force */
+	bool has_added;	      /* the added route is in force */
+	bool settled;	      /* no fault or configuration is recent */
+	uint32_t sent;
+	uint32_t answered; /* whole answers 200 */
+	uint32_t refused;  /* answers 429 and 503 */
+	uint32_t unknown;  /* other or incomplete answers: may have run */
+	uint32_t closed;   /* no answer */
+	uint32_t left;	   /* by their callers, midway in a stream */
+	uint32_t dropped;  /* answers 404 of the added route */
+	/* Attempts to begin a stream and to go on, while two workers of a
+	 * software version serve with its model, and those that brought an
+	 * event. */
+	uint32_t begins;
+	uint32_t begun;
+	uint32_t resumes;
+	uint32_t resumed;
+	uint32_t faults; /* injected */
+	uint32_t broken; /* violated invariants */
+} soak_t;
+
+/* soak_callers_init, soak_callers_finish - start and free the callers. */
+void soak_callers_init(soak_t *soak);
+void soak_callers_finish(soak_t *soak);
+/* soak_callers_step - check the answers that are complete; send: start further
+ * requests. */
+void soak_callers_step(soak_t *soak, bool send);
+
+/* soak_worker_breaks - true if the worker breaks off or holds what it runs, for
+ * longer than a silence. */
+bool soak_worker_breaks(const worker_t *worker);
+
+#endif
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -1,8 +1,9 @@
 /*
  * Randomized fault injection test: bshentryd processes on a simulated platform,
  * with faults of the processes, the workers, the store and its connections.
- * Invariants are checked against what callers and workers observe, not against
- * what the daemons report about themselves.
+ * Faults come in series and overlap.  Invariants are checked against what
+ * callers and workers observe, not against what the daemons report about
+ * themselves, except for the number of open requests at rest.
  *
  *	soak_entry [--seed N] [--seconds N] [--entries N] [--workers N]
  *
@@ -14,191 +15,277 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/rng.h"
-#include "support/platform_rig.h"
-#include "support/relay.h"
-
-#define CALLERS		  24
-#define DEADLINE_MS	  3000
-#define STEP_MS		  10
-#define LATE_TOLERANCE_MS 600  /* of an answer after the deadline */
-#define SETTLE_MS	  4000 /* without faults, before the recovery check */
-#define FAULT_GAP_MS	  350  /* mean time between faults */
-#define CLEAR_MAX_MS	  2500 /* longest time until all faults are cleared */
-#define EXIT_STATUS_MAX	  100
-/* A request may be late or unanswered for this time after a fault of its
- * instance. */
-#define FAULT_GRACE_US INT64_C(4000000)
-
-typedef struct {
-	rig_reply_t reply;
-	rig_entry_t *entry; /* instance that receives the request */
-	char id[32];	    /* attempt id */
-	const char *path;
-	bool once;   /* runs at most once */
-	bool stream; /* the answer is a stream of events */
-	bool busy;   /* a request is pending */
-} caller_t;
-
-typedef struct {
-	platform_rig_t rig;
-	relay_t store_relay; /* between the instances and the store */
-	caller_t callers[CALLERS];
-	bsh_rng_t rng;
-	uint64_t sequence;
-	int64_t last_fault_us[RIG_ENTRIES_MAX]; /* of each instance */
-	int64_t clear_us;			/* time to clear all faults */
-	uint32_t sent;
-	uint32_t answered; /* whole answers 200 */
-	uint32_t refused;  /* answers 429 and 503 */
-	uint32_t unknown;  /* other or incomplete answers: may have run */
-	uint32_t closed;   /* no answer */
-	uint32_t faults;   /* injected */
-	uint32_t broken;   /* violated invariants */
-	bool loud;
-} soak_t;
-
-static const char whole_stream[] =
-	"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
-	"id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n";
-
-static void report_violation(soak_t *soak, const caller_t *caller,
-			     const char *violation)
+#include "soak/soak.h"
+
+#define STEP_MS		   10
+#define SETTLE_MS	   4000 /* without faults, before the recovery check */
+#define FAULT_GAP_MS	   280	/* mean time between faults */
+#define BURST_MAX	   3	/* faults at the same time */
+#define CLEAR_MAX_MS	   2500 /* longest time until all faults are cleared */
+#define STOP_MAX_MS	   2500 /* of a process */
+#define FOLLOW_MAX_MS	   1500 /* until the next signal of a series */
+#define PHASE_MAX_MS	   1500 /* of a worker that leaves */
+#define SILENCE_MIN_MS	   300
+#define SILENCE_MAX_MS	   2000
+#define SILENT_WORKERS_MAX 3
+#define CONFIGURE_GAP_MS   400 /* longest, within a series */
+#define WORKERS_MIN	   5   /* three of llm, one of each plain service */
+#define EXIT_STATUS_MAX	   100
+/* Fewer attempts to go on with a stream than this are no basis to judge the
+ * share that went on. */
+#define RESUMES_MIN 12
+
+static int64_t after_ms(soak_t *soak, uint32_t max_ms)
 {
-	g_autofree char *body = g_strescape(
-		caller->reply.body != NULL ? caller->reply.body : "", NULL);
+	return bsh_loop_clock_us() + 1000LL * bsh_rng_below(&soak->rng, max_ms);
+}
 
-	soak->broken++;
-	printf("BROKEN %s id=%s path=%s instance=%s status=%d runs=%u "
-	       "took_ms=%d body=%s\n",
-	       violation, caller->id, caller->path, caller->entry->name,
-	       caller->reply.status, platform_rig_runs(&soak->rig, caller->id),
-	       (int)(caller->reply.took_us / 1000), body);
+/* Configurations. */
+
+static void configure(soak_t *soak)
+{
+	GString *extra = g_string_new(NULL);
+
+	soak->moved_to = bsh_rng_below(&soak->rng, 2) == 0 ? "desk" : "shop";
+	soak->has_added = bsh_rng_below(&soak->rng, 2) == 0;
+	g_string_printf(extra,
+			"{\"name\":\"move\",\"host\":\"" RIG_HOST
+			"\",\"pathPrefix\":\"/move/\",\"kind\":\"idempotent\","
+			"\"service\":\"%s\"}",
+			soak->moved_to);
+	if (soak->has_added)
+		g_string_append(extra,
+				",{\"name\":\"added\",\"host\":\"" RIG_HOST
+				"\",\"pathPrefix\":\"/added/\",\"kind\":"
+				"\"idempotent\",\"service\":\"desk\"}");
+	platform_rig_configure(&soak->rig, extra->str);
+	g_string_free(extra, TRUE);
 }
 
-/* Returns true if the instance is down or has had a fault recently. */
-static bool had_recent_fault(const soak_t *soak, const rig_entry_t *entry)
+static void begin_configurations(soak_t *soak)
 {
-	int64_t at_us = soak->last_fault_us[entry - soak->rig.entries];
+	soak->configurations_left = 1 + bsh_rng_below(&soak->rng, 3);
+	soak->configure_us = after_ms(soak, CONFIGURE_GAP_MS);
+}
 
-	return !entry->alive || entry->stopped ||
-	       bsh_loop_clock_us() - at_us < FAULT_GRACE_US;
+static void step_configurations(soak_t *soak)
+{
+	if (soak->configurations_left == 0 ||
+	    bsh_loop_clock_us() < soak->configure_us)
+		return;
+	soak->configurations_left--;
+	soak->configure_us = after_ms(soak, CONFIGURE_GAP_MS);
+	configure(soak);
 }
 
-/* Checks the invariants of a request that has ended. */
-static void check_reply(soak_t *soak, caller_t *caller)
+/* Instances. */
+
+static void resume_entry(soak_t *soak, uint32_t i)
 {
-	const rig_reply_t *reply = &caller->reply;
-	uint32_t runs = platform_rig_runs(&soak->rig, caller->id);
-
-	if (caller->once && runs > 1)
-		report_violation(soak, caller, "ran-twice");
-	if (reply->status == 200 && reply->complete) {
-		soak->answered++;
-		if (strcmp(reply->body,
-			   caller->stream ? whole_stream : "done") != 0)
-			report_violation(soak, caller, "wrong-answer");
-		if (runs == 0)
-			report_violation(soak, caller, "answer-without-run");
-	} else if (reply->status == 503 || reply->status == 429) {
-		soak->refused++;
-		if (caller->once && runs > 0)
-			report_violation(soak, caller, "refused-after-run");
-		if (reply->retry_after == NULL)
-			report_violation(soak, caller, "refused-without-time");
-	} else if (reply->status != 0) {
-		soak->unknown++;
-		if (reply->status == 404)
-			report_violation(soak, caller, "denied");
-	} else {
-		soak->closed++;
-		if (!had_recent_fault(soak, caller->entry))
-			report_violation(soak, caller, "no-answer");
-	}
-	if (reply->took_us >
-		    (DEADLINE_MS + LATE_TOLERANCE_MS) * INT64_C(1000) &&
-	    !had_recent_fault(soak, caller->entry))
-		report_violation(soak, caller, "late");
-	platform_rig_reply_clear(&caller->reply);
-	caller->busy = false;
+	rig_entry_t *entry = &soak->rig.entries[i];
+
+	soak->entries[i].resume_us = 0;
+	if (!entry->stopped)
+		return;
+	soak->entries[i].fault_us = bsh_loop_clock_us();
+	soak->entries[i].crash_us = bsh_loop_clock_us();
+	kill(entry->pid, SIGCONT);
+	entry->stopped = false;
 }
 
-static void send_one(soak_t *soak, caller_t *caller)
+/* Sends a random signal, which may begin a series of them. */
+static void signal_entry(soak_t *soak, uint32_t i)
 {
-	static const char *const paths[] = { "/book/1", "/look/1", "/once/1",
-					     "/stream/1" };
-	uint32_t kind = bsh_rng_below(&soak->rng, G_N_ELEMENTS(paths));
-	char model[8];
+	static const int signals[] = { SIGKILL, SIGTERM, SIGTERM, SIGSTOP,
+				       SIGHUP };
+	int number = signals[bsh_rng_below(&soak->rng, G_N_ELEMENTS(signals))];
+	rig_entry_t *entry = &soak->rig.entries[i];
+	soak_entry_t *state = &soak->entries[i];
+	int64_t now_us = bsh_loop_clock_us();
 
-	caller->entry = &soak->rig.entries[bsh_rng_below(&soak->rng,
-							 soak->rig.n_entries)];
-	if (!caller->entry->alive)
+	state->follow_us = 0;
+	if (!entry->alive)
 		return;
-	caller->path = paths[kind];
-	caller->once = kind == 0 || kind == 2;
-	caller->stream = kind >= 2;
-	caller->busy = true;
-	g_snprintf(caller->id, sizeof(caller->id), "s%" G_GUINT64_FORMAT,
-		   ++soak->sequence);
-	/* Skew the demand to a few models. */
-	g_snprintf(model, sizeof(model), "m%u",
-		   bsh_rng_below(&soak->rng, bsh_rng_below(&soak->rng, 6) + 1));
-	soak->sent++;
-	platform_rig_send(&soak->rig, caller->entry->front, caller->path,
-			  caller->id, caller->stream ? model : NULL,
-			  DEADLINE_MS, &caller->reply);
+	if (number != SIGHUP)
+		state->fault_us = now_us;
+	if (number == SIGKILL || number == SIGSTOP)
+		state->crash_us = now_us;
+	/* The grace time begins with the first one. */
+	if (number == SIGTERM && state->term_us < state->spawn_us)
+		state->term_us = now_us;
+	if (number == SIGSTOP) {
+		entry->stopped = true;
+		state->resume_us = after_ms(soak, STOP_MAX_MS);
+	}
+	if (bsh_rng_below(&soak->rng, 3) == 0)
+		state->follow_us = after_ms(soak, FOLLOW_MAX_MS);
+	kill(entry->pid, number);
 }
 
-static void run_callers(soak_t *soak, bool send)
+static void spawn_entry(soak_t *soak, uint32_t i)
 {
-	for (int i = 0; i < CALLERS; i++) {
-		caller_t *caller = &soak->callers[i];
+	soak->entries[i].fault_us = bsh_loop_clock_us();
+	soak->entries[i].spawn_us = bsh_loop_clock_us();
+	soak->entries[i].resume_us = 0;
+	soak->entries[i].follow_us = 0;
+	platform_rig_spawn(&soak->rig, &soak->rig.entries[i]);
+}
+
+static void step_entries(soak_t *soak)
+{
+	int64_t now_us = bsh_loop_clock_us();
 
-		if (caller->busy && caller->reply.done)
-			check_reply(soak, caller);
-		if (!caller->busy && send && bsh_rng_below(&soak->rng, 8) == 0)
-			send_one(soak, caller);
+	for (uint32_t i = 0; i < soak->rig.n_entries; i++) {
+		const rig_entry_t *entry = &soak->rig.entries[i];
+		const soak_entry_t *state = &soak->entries[i];
+
+		if (!entry->alive && entry->pid == 0)
+			spawn_entry(soak, i);
+		if (state->resume_us > 0 && now_us >= state->resume_us)
+			resume_entry(soak, i);
+		if (state->follow_us > 0 && now_us >= state->follow_us)
+			signal_entry(soak, i);
 	}
 }
 
-/* Faults. */
+/* Workers. */
 
-static void inject_entry_fault(soak_t *soak, rig_entry_t *entry)
+static void begin_phase(soak_t *soak, uint32_t i, soak_phase_t phase)
 {
-	static const int signals[] = { SIGKILL, SIGTERM, SIGSTOP, SIGHUP };
-	int number = signals[bsh_rng_below(&soak->rng, G_N_ELEMENTS(signals))];
+	soak->workers[i].phase = phase;
+	soak->workers[i].phase_us = after_ms(soak, PHASE_MAX_MS);
+}
 
-	if (!entry->alive || entry->stopped)
-		return;
-	if (number != SIGHUP)
-		soak->last_fault_us[entry - soak->rig.entries] =
-			bsh_loop_clock_us();
-	entry->stopped = number == SIGSTOP;
-	kill(entry->pid, number);
+/* Starts a new incarnation, under a new id and empty, of any software version
+ * or of the same one. */
+static void restart_worker(soak_t *soak, uint32_t i, bool any_version)
+{
+	worker_t *worker = &soak->rig.workers[i];
+
+	soak->workers[i].phase = PHASE_SERVES;
+	soak->workers[i].harm_us = bsh_loop_clock_us();
+	g_snprintf(worker->id, sizeof(worker->id), "i-%u-%u", i + 1,
+		   ++soak->workers[i].incarnation);
+	if (any_version)
+		g_snprintf(worker->version, sizeof(worker->version), "v%u",
+			   1 + bsh_rng_below(&soak->rng, 2));
+	platform_rig_restart_worker(worker);
+	/* A worker that joins is given the model of most demand. */
+	if (any_version && strcmp(worker->service, "llm") == 0) {
+		json_object_set_new(worker->models, "m0", json_array());
+		platform_rig_publish_worker(worker, "ready");
+	}
 }
 
-static void inject_worker_fault(soak_t *soak)
+static void end_phase(soak_t *soak, uint32_t i)
 {
-	worker_t *worker = &soak->rig.workers[bsh_rng_below(
-		&soak->rng, soak->rig.n_workers)];
+	worker_t *worker = &soak->rig.workers[i];
 
-	switch (bsh_rng_below(&soak->rng, 6)) {
-	case 0:
-		platform_rig_restart_worker(worker);
+	switch (soak->workers[i].phase) {
+	case PHASE_SERVES:
 		break;
-	case 1:
+	case PHASE_LAPSED:
+		soak->workers[i].phase = PHASE_SERVES;
+		platform_rig_publish_worker(worker, "ready");
+		break;
+	case PHASE_DRAINS:
 		platform_rig_remove_worker(worker);
+		begin_phase(soak, i, PHASE_GONE);
+		break;
+	case PHASE_GONE:
+		restart_worker(soak, i, true);
+		break;
+	}
+}
+
+static void step_workers(soak_t *soak)
+{
+	int64_t now_us = bsh_loop_clock_us();
+
+	for (uint32_t i = 0; i < soak->rig.n_workers; i++) {
+		if (soak_worker_breaks(&soak->rig.workers[i]))
+			soak->workers[i].harm_us = now_us;
+		if (soak->workers[i].phase != PHASE_SERVES &&
+		    now_us >= soak->workers[i].phase_us)
+			end_phase(soak, i);
+	}
+}
+
+static worker_t *any_worker(soak_t *soak)
+{
+	return &soak->rig.workers[bsh_rng_below(&soak->rng,
+						soak->rig.n_workers)];
+}
+
+static void inject_worker_fault(soak_t *soak)
+{
+	worker_t *worker = any_worker(soak);
+	uint32_t i = (uint32_t)(worker - soak->rig.workers);
+	uint32_t kind = bsh_rng_below(&soak->rng, 8);
+
+	if (kind < 4)
+		worker->mode = (worker_mode_t)bsh_rng_below(&soak->rng,
+							    WORKER_STALLS + 1);
+	if (kind < 4 || soak->workers[i].phase != PHASE_SERVES)
+		return;
+	switch (kind) {
+	case 4:
+		platform_rig_remove_worker(worker);
+		restart_worker(soak, i, false);
+		break;
+	case 5:
+		platform_rig_remove_worker(worker);
+		begin_phase(soak, i, PHASE_LAPSED);
 		break;
 	default:
-		worker->mode = (worker_mode_t)bsh_rng_below(
-			&soak->rng, WORKER_NEVER_ANSWERS + 1);
+		platform_rig_publish_worker(worker, "draining");
+		begin_phase(soak, i, PHASE_DRAINS);
 		break;
 	}
 }
 
+/* Workers fall silent and go on, beside a series of configurations; some of the
+ * others are full meanwhile. */
+static void inject_silence(soak_t *soak)
+{
+	uint32_t silent = 1 + bsh_rng_below(&soak->rng, SILENT_WORKERS_MAX);
+	uint32_t full = bsh_rng_below(&soak->rng, SILENT_WORKERS_MAX);
+
+	while (silent-- > 0)
+		platform_rig_silence_worker(
+			any_worker(soak),
+			SILENCE_MIN_MS +
+				bsh_rng_below(&soak->rng,
+					      SILENCE_MAX_MS - SILENCE_MIN_MS));
+	while (full-- > 0)
+		any_worker(soak)->mode = WORKER_IS_FULL;
+	begin_configurations(soak);
+}
+
+/* The store and its connections. */
+
+/* Harms the connections of one instance to the store, or of all. */
+static void inject_connection_fault(soak_t *soak)
+{
+	uint32_t first = bsh_rng_below(&soak->rng, soak->rig.n_entries);
+	uint32_t n =
+		bsh_rng_below(&soak->rng, 2) == 0 ? 1 : soak->rig.n_entries;
+	uint32_t mode = bsh_rng_below(&soak->rng, RELAY_MODES);
+
+	for (uint32_t i = 0; i < n; i++) {
+		relay_t *relay =
+			&soak->entries[(first + i) % soak->rig.n_entries].store;
+
+		if (mode == RELAY_PASSES)
+			relay_reset_all(relay);
+		else
+			relay_set_mode(relay, (relay_mode_t)mode);
+	}
+}
+
 static void inject_store_fault(soak_t *soak)
 {
-	switch (bsh_rng_below(&soak->rng, 5)) {
+	switch (bsh_rng_below(&soak->rng, 6)) {
 	case 0:
 		soak->rig.store_down = true;
 		break;
@@ -208,101 +295,101 @@
 	case 2:
 		platform_rig_compact(&soak->rig, "config");
 		break;
-	case 3:
-		relay_reset_all(&soak->store_relay);
-		break;
 	default:
-		relay_set_mode(
-			&soak->store_relay,
-			(relay_mode_t)bsh_rng_below(&soak->rng, RELAY_MODES));
+		inject_connection_fault(soak);
 		break;
 	}
 }
 
-/* Clears all faults but exited processes, which restart_entries() restarts. */
+/* All faults. */
+
+/* Clears the faults of the store and the workers' modes; the others end by
+ * themselves. */
 static void clear_faults(soak_t *soak)
 {
 	soak->rig.store_down = false;
 	soak->rig.store_watches_stalled = false;
-	relay_set_mode(&soak->store_relay, RELAY_PASSES);
-	for (uint32_t i = 0; i < soak->rig.n_workers; i++) {
+	for (uint32_t i = 0; i < soak->rig.n_entries; i++)
+		relay_set_mode(&soak->entries[i].store, RELAY_PASSES);
+	for (uint32_t i = 0; i < soak->rig.n_workers; i++)
 		soak->rig.workers[i].mode = WORKER_ANSWERS;
-		platform_rig_publish_worker(&soak->rig.workers[i], "ready");
-	}
-	for (uint32_t i = 0; i < soak->rig.n_entries; i++) {
-		rig_entry_t *entry = &soak->rig.entries[i];
-
-		if (entry->stopped) {
-			soak->last_fault_us[i] = bsh_loop_clock_us();
-			kill(entry->pid, SIGCONT);
-			entry->stopped = false;
-		}
-	}
 }
 
-static void restart_entries(soak_t *soak)
+/* Ends all faults but silences, which are short. */
+static void end_faults(soak_t *soak)
 {
+	clear_faults(soak);
+	for (uint32_t i = 0; i < soak->rig.n_workers; i++)
+		while (soak->workers[i].phase != PHASE_SERVES)
+			end_phase(soak, i);
 	for (uint32_t i = 0; i < soak->rig.n_entries; i++) {
-		rig_entry_t *entry = &soak->rig.entries[i];
-
-		if (entry->alive || entry->pid != 0)
-			continue;
-		soak->last_fault_us[i] = bsh_loop_clock_us();
-		platform_rig_spawn(&soak->rig, entry);
+		resume_entry(soak, i);
+		soak->entries[i].follow_us = 0;
 	}
+	soak->configurations_left = 0;
 }
 
 /* Injects a random fault, or a change of the configuration. */
 static void inject_fault(soak_t *soak)
 {
 	soak->faults++;
-	switch (bsh_rng_below(&soak->rng, 4)) {
+	switch (bsh_rng_below(&soak->rng, 6)) {
 	case 0:
 		inject_store_fault(soak);
 		break;
 	case 1:
+	case 2:
 		inject_worker_fault(soak);
 		break;
-	case 2:
-		platform_rig_configure(&soak->rig, NULL);
+	case 3:
+		inject_silence(soak);
+		break;
+	case 4:
+		begin_configurations(soak);
 		break;
 	default:
-		inject_entry_fault(soak,
-				   &soak->rig.entries[bsh_rng_below(
-					   &soak->rng, soak->rig.n_entries)]);
+		signal_entry(soak,
+			     bsh_rng_below(&soak->rng, soak->rig.n_entries));
 		break;
 	}
 }
 
+static void step_faults(soak_t *soak, int64_t *next_us)
+{
+	if (bsh_loop_clock_us() >= *next_us) {
+		uint32_t n = 1 + bsh_rng_below(&soak->rng, BURST_MAX);
+
+		while (n-- > 0)
+			inject_fault(soak);
+		*next_us = after_ms(soak, 2 * BURST_MAX * FAULT_GAP_MS / 2);
+	}
+	if (bsh_loop_clock_us() >= soak->clear_us) {
+		clear_faults(soak);
+		soak->clear_us = after_ms(soak, CLEAR_MAX_MS);
+	}
+}
+
 static void run(soak_t *soak, int64_t ms, bool send, bool inject)
 {
 	int64_t until_us = bsh_loop_clock_us() + ms * 1000;
-	int64_t next_fault_us = bsh_loop_clock_us();
+	int64_t next_us = bsh_loop_clock_us();
 
-	soak->clear_us = next_fault_us + CLEAR_MAX_MS * INT64_C(1000);
+	soak->clear_us = next_us + CLEAR_MAX_MS * INT64_C(1000);
 	while (bsh_loop_clock_us() < until_us) {
 		platform_rig_run(&soak->rig, STEP_MS);
-		run_callers(soak, send);
-		restart_entries(soak);
-		if (!inject)
-			continue;
-		if (bsh_loop_clock_us() >= next_fault_us) {
-			inject_fault(soak);
-			next_fault_us =
-				bsh_loop_clock_us() +
-				1000LL * bsh_rng_below(&soak->rng,
-						       2 * FAULT_GAP_MS);
-		}
-		if (bsh_loop_clock_us() >= soak->clear_us) {
-			clear_faults(soak);
-			soak->clear_us = bsh_loop_clock_us() +
-					 1000LL * bsh_rng_below(&soak->rng,
-								CLEAR_MAX_MS);
-		}
+		soak_callers_step(soak, send);
+		step_entries(soak);
+		step_workers(soak);
+		step_configurations(soak);
+		if (inject)
+			step_faults(soak, &next_us);
 	}
 }
 
-/* Checks the invariants that the workers observe: memory and order lease. */
+/* Checks at the end. */
+
+/* Checks the invariants that the workers observe: memory, order lease and
+ * software versions. */
 static void check_workers(soak_t *soak)
 {
 	for (uint32_t i = 0; i < soak->rig.n_workers; i++) {
@@ -319,59 +406,130 @@
 			       worker->id, worker->lease_overlaps);
 		}
 	}
+	if (soak->rig.mixed_streams > 0) {
+		soak->broken++;
+		printf("BROKEN mixed-streams streams=%u\n",
+		       soak->rig.mixed_streams);
+	}
+}
+
+/* Checks that streams go on at least half as often as new ones begin. */
+static void check_resumes(soak_t *soak)
+{
+	if (soak->resumes < RESUMES_MIN ||
+	    2.0 * soak->resumed * soak->begins >=
+		    1.0 * soak->begun * soak->resumes)
+		return;
+	soak->broken++;
+	printf("BROKEN resumed-too-rarely resumed=%u/%u begun=%u/%u\n",
+	       soak->resumed, soak->resumes, soak->begun, soak->begins);
 }
 
 /* Checks that three quarters of the requests are answered after all faults have
  * been cleared. */
 static void check_recovery(soak_t *soak)
 {
-	uint32_t answered_before = soak->answered;
-	uint32_t sent_before = soak->sent;
+	uint32_t answered = soak->answered + soak->dropped;
+	uint32_t sent = soak->sent - soak->left;
 
+	soak->settled = true;
 	run(soak, 2000, true, false);
-	run(soak, DEADLINE_MS + LATE_TOLERANCE_MS, false, false);
-	if ((soak->answered - answered_before) * 4 <
-	    (soak->sent - sent_before) * 3) {
+	run(soak, SOAK_DEADLINE_MS + SOAK_LATE_MS, false, false);
+	answered = soak->answered + soak->dropped - answered;
+	sent = soak->sent - soak->left - sent;
+	if (answered * 4 < sent * 3) {
 		soak->broken++;
-		printf("BROKEN recovery answered=%u of %u\n",
-		       soak->answered - answered_before,
-		       soak->sent - sent_before);
+		printf("BROKEN recovery answered=%u of %u\n", answered, sent);
+	}
+}
+
+/* Checks that no instance holds a request when all callers have ended. */
+static void check_open_requests(soak_t *soak)
+{
+	static const char name[] = "\nbsh_requests_open ";
+
+	for (uint32_t i = 0; i < soak->rig.n_entries; i++) {
+		const rig_entry_t *entry = &soak->rig.entries[i];
+		rig_reply_t reply;
+		const char *line = NULL;
+
+		if (!entry->alive)
+			continue;
+		platform_rig_send(&soak->rig, entry->metrics, "/metrics", "m",
+				  NULL, 1000, &reply);
+		platform_rig_wait(&soak->rig, &reply.done);
+		if (reply.status == 200)
+			line = strstr(reply.body, name);
+		if (line == NULL ||
+		    g_ascii_strtoll(line + strlen(name), NULL, 10) != 0) {
+			soak->broken++;
+			printf("BROKEN open-requests instance=%s status=%d "
+			       "value=%.8s\n",
+			       entry->name, reply.status,
+			       line != NULL ? line + strlen(name) : "");
+		}
+		platform_rig_reply_clear(&reply);
 	}
 }
 
+/* Start and end. */
+
+static void add_worker(soak_t *soak, uint32_t i)
+{
+	static const char *const services[] = { "llm", "llm", "llm", "desk" };
+	const char *service = i == 4	  ? "shop"
+			      : i % 5 < 4 ? services[i % 5]
+					  : "desk";
+	bool has_models = strcmp(service, "llm") == 0;
+	char model[8];
+	worker_t *worker;
+
+	/* Each has the model of most demand and another one. */
+	g_snprintf(model, sizeof(model), "m%u", 1 + i % (SOAK_MODELS - 1));
+	worker = platform_rig_add_worker(&soak->rig, service,
+					 has_models ? model : NULL);
+	if (has_models)
+		json_object_set_new(worker->models, "m0", json_array());
+	g_snprintf(worker->version, sizeof(worker->version), "v%u", 1 + i % 2);
+	platform_rig_publish_worker(worker, "ready");
+}
+
+/* The settings of each instance name its relay as the store. */
+static void add_entry(soak_t *soak, uint16_t store_port)
+{
+	uint32_t i = soak->rig.n_entries;
+	relay_t *relay = &soak->entries[i].store;
+
+	relay_init(relay, &soak->rig.loop, store_port);
+	g_strlcpy(soak->rig.store_address, relay->address,
+		  sizeof(soak->rig.store_address));
+	platform_rig_add_entry(&soak->rig);
+	soak->entries[i].spawn_us = bsh_loop_clock_us();
+}
+
 static void start(soak_t *soak, int entries, int workers)
 {
 	const char *port;
+	uint16_t store_port;
 
 	platform_rig_init(&soak->rig);
 	port = strchr(soak->rig.store_address, ':') + 1;
-	relay_init(&soak->store_relay, &soak->rig.loop,
-		   (uint16_t)g_ascii_strtoull(port, NULL, 10));
-	/* The settings of the instances name the relay as the store. */
-	g_strlcpy(soak->rig.store_address, soak->store_relay.address,
-		  sizeof(soak->rig.store_address));
-	platform_rig_configure(&soak->rig, NULL);
-	for (int i = 0; i < workers; i++) {
-		char model[8];
-
-		g_snprintf(model, sizeof(model), "m%d", i % 6);
-		if (i % 3 == 2)
-			platform_rig_add_worker(&soak->rig, "desk", NULL);
-		else
-			platform_rig_add_worker(&soak->rig, "llm", model);
-	}
+	store_port = (uint16_t)g_ascii_strtoull(port, NULL, 10);
+	configure(soak);
+	for (int i = 0; i < workers; i++)
+		add_worker(soak, (uint32_t)i);
 	for (int i = 0; i < entries; i++)
-		platform_rig_add_entry(&soak->rig);
+		add_entry(soak, store_port);
 	for (int i = 0; i < entries; i++)
 		platform_rig_wait_ready(&soak->rig, &soak->rig.entries[i]);
+	soak_callers_init(soak);
 }
 
 static void finish(soak_t *soak)
 {
-	for (int i = 0; i < CALLERS; i++)
-		if (soak->callers[i].busy)
-			platform_rig_reply_clear(&soak->callers[i].reply);
-	relay_finish(&soak->store_relay);
+	soak_callers_finish(soak);
+	for (uint32_t i = 0; i < soak->rig.n_entries; i++)
+		relay_finish(&soak->entries[i].store);
 	platform_rig_finish(&soak->rig);
 }
 
@@ -381,7 +539,7 @@
 	gint seed = 1;
 	gint seconds = 10;
 	gint entries = 4;
-	gint workers = 6;
+	gint workers = 10;
 	const GOptionEntry options[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
@@ -398,7 +556,7 @@
 	parsed = g_option_context_parse(context, &argc, &argv, NULL);
 	g_option_context_free(context);
 	if (!parsed || entries < 1 || entries > RIG_ENTRIES_MAX ||
-	    workers < 3 || workers > RIG_WORKERS_MAX) {
+	    workers < WORKERS_MIN || workers > RIG_WORKERS_MAX) {
 		fprintf(stderr, "usage: soak_entry [--seed N] [--seconds N] "
 				"[--entries N] [--workers N]\n");
 		return 101;
@@ -406,14 +564,19 @@
 	bsh_rng_init(&soak.rng, (uint32_t)seed);
 	start(&soak, entries, workers);
 	run(&soak, seconds * 1000LL, true, true);
-	clear_faults(&soak);
+	end_faults(&soak);
 	run(&soak, SETTLE_MS, true, false);
 	check_recovery(&soak);
+	check_open_requests(&soak);
 	check_workers(&soak);
+	check_resumes(&soak);
 	printf("soak seed=%d sent=%u answered=%u refused=%u unknown=%u "
-	       "closed=%u faults=%u broken=%u\n",
+	       "closed=%u left=%u dropped=%u resumed=%u/%u begun=%u/%u "
+	       "mixed=%u faults=%u broken=%u\n",
 	       seed, soak.sent, soak.answered, soak.refused, soak.unknown,
-	       soak.closed, soak.faults, soak.broken);
+	       soak.closed, soak.left, soak.dropped, soak.resumed, soak.resumes,
+	       soak.begun, soak.begins, soak.rig.mixed_streams, soak.faults,
+	       soak.broken);
 	finish(&soak);
 	return (int)MIN(soak.broken, EXIT_STATUS_MAX);
 }
