Move streams to another service in the soak

A configuration may also move the route of a stream to another engine service while the stream is pending or interrupted; only plain calls did.

--- a/regress/soak/callers.c
+++ b/regress/soak/callers.c
@@ -36,10 +36,15 @@
 	  .service = "llm",
 	  .stream = true,
 	  .resumable = true },
+	{ .path = "/shift/1",
+	  .service = "llm",
+	  .moves_to = "llm2",
+	  .stream = true,
+	  .resumable = true },
 	{ .path = "/once/1", .service = "llm", .once = true, .stream = true },
 	{ .path = "/book/1", .service = "desk", .once = true },
 	{ .path = "/look/1", .service = "desk" },
-	{ .path = "/move/1" },
+	{ .path = "/move/1", .service = "desk", .moves_to = "shop" },
 	{ .path = "/added/1", .service = "desk", .added = true },
 };
 
@@ -136,6 +141,7 @@
 		const worker_t *worker = &soak->rig.workers[i];
 
 		if (soak->workers[i].phase == PHASE_SERVES &&
+		    strcmp(worker->service, "llm") == 0 &&
 		    worker->mode == WORKER_ANSWERS &&
 		    strcmp(worker->version, version) == 0 &&
 		    json_object_get(worker->models, model) != NULL)
@@ -151,7 +157,7 @@
 	const char *version = g_hash_table_lookup(soak->rig.stream_versions,
 						  caller->began_by);
 
-	if (!caller->route->resumable)
+	if (!caller->route->resumable || caller->route->moves_to != NULL)
 		return false;
 	if (caller->events > 0)
 		return version != NULL &&
@@ -269,30 +275,30 @@
 		report_violation(soak, caller, "lost-in-drain");
 }
 
-/* Checks the services that ran the request and, when no configuration is
- * recent, that the last one was followed. */
+/* Returns true if a request of the route may run at the service: at that of
+ * the last configuration, or of any if one is recent. */
+static bool may_run_at(const soak_t *soak, const soak_route_t *route,
+		       const char *service)
+{
+	if (route->moves_to == NULL)
+		return strcmp(service, route->service) == 0;
+	if (soak->settled)
+		return strcmp(service, soak->has_moved ? route->moves_to
+						       : route->service) == 0;
+	return strcmp(service, route->service) == 0 ||
+	       strcmp(service, route->moves_to) == 0;
+}
+
 static void check_route(soak_t *soak, const soak_caller_t *caller)
 {
-	const soak_route_t *route = caller->route;
-	const char *service = route->service;
 	uint32_t ran = platform_rig_run_workers(&soak->rig, caller->id);
-	bool allowed = true;
 
-	if (service == NULL && soak->settled)
-		service = soak->moved_to;
-	for (uint32_t i = 0; i < soak->rig.n_workers; i++) {
-		const worker_t *worker = &soak->rig.workers[i];
-
-		if ((ran & 1U << i) == 0)
-			continue;
-		if (service != NULL)
-			allowed &= strcmp(worker->service, service) == 0;
-		else
-			allowed &= strcmp(worker->service, "llm") != 0;
-	}
-	if (!allowed)
-		report_violation(soak, caller, "wrong-service");
-	if (route->added && soak->settled &&
+	for (uint32_t i = 0; i < soak->rig.n_workers; i++)
+		if ((ran & 1U << i) != 0 &&
+		    !may_run_at(soak, caller->route,
+				soak->rig.workers[i].service))
+			report_violation(soak, caller, "wrong-service");
+	if (caller->route->added && soak->settled &&
 	    (caller->reply.status == 404) == soak->has_added)
 		report_violation(soak, caller, "old-configuration");
 }
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -25,13 +25,13 @@
 #define SOAK_LATE_MS	  600 /* tolerated after the deadline */
 #define SOAK_MODELS	  6
 
-/* What a route promises; none of it changes with the configuration but the
- * service of the route that moves and the presence of the added route. */
+/* A route; only its service and its presence change with the configuration. */
 typedef struct {
 	const char *path;
-	const char *service; /* NULL: one of the two plain services */
-	bool once;	     /* runs at most once */
-	bool stream;	     /* the answer is a stream of events */
+	const char *service;
+	const char *moves_to; /* by some configurations; NULL: never */
+	bool once;	      /* runs at most once */
+	bool stream;	      /* the answer is a stream of events */
 	bool resumable;
 	bool added; /* some configurations do not have it */
 } soak_route_t;
@@ -93,9 +93,10 @@
 	int64_t clear_us;     /* next time to clear the faults */
 	int64_t configure_us; /* next configuration of a series */
 	uint32_t configurations_left;
-	const char *moved_to; /* service of the moved route in force */
-	bool has_added;	      /* the added route is in force */
-	bool settled;	      /* no fault or configuration is recent */
+	/* Of the configuration in force: */
+	bool has_moved; /* routes that move are at their second service */
+	bool has_added; /* the added route is there */
+	bool settled;	/* no fault or configuration is recent */
 	uint32_t sent;
 	uint32_t answered; /* whole answers 200 */
 	uint32_t refused;  /* answers 429 and 503 */
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -44,20 +44,24 @@
 
 static void configure(soak_t *soak)
 {
+	static const char route[] =
+		"{\"name\":\"%s\",\"host\":\"" RIG_HOST
+		"\",\"pathPrefix\":\"/%s/\",\"kind\":\"%s\","
+		"\"resumable\":%s,\"maxAttempts\":2,\"service\":\"%s\"}";
 	GString *extra = g_string_new(NULL);
 
-	soak->moved_to = bsh_rng_below(&soak->rng, 2) == 0 ? "desk" : "shop";
+	soak->has_moved = bsh_rng_below(&soak->rng, 2) == 0;
 	soak->has_added = bsh_rng_below(&soak->rng, 2) == 0;
-	g_string_printf(extra,
-			"{\"name\":\"move\",\"host\":\"" RIG_HOST
-			"\",\"pathPrefix\":\"/move/\",\"kind\":\"idempotent\","
-			"\"service\":\"%s\"}",
-			soak->moved_to);
-	if (soak->has_added)
-		g_string_append(extra,
-				",{\"name\":\"added\",\"host\":\"" RIG_HOST
-				"\",\"pathPrefix\":\"/added/\",\"kind\":"
-				"\"idempotent\",\"service\":\"desk\"}");
+	g_string_append_printf(extra, route, "move", "move", "idempotent",
+			       "false", soak->has_moved ? "shop" : "desk");
+	g_string_append_c(extra, ',');
+	g_string_append_printf(extra, route, "shift", "shift", "stream", "true",
+			       soak->has_moved ? "llm2" : "llm");
+	if (soak->has_added) {
+		g_string_append_c(extra, ',');
+		g_string_append_printf(extra, route, "added", "added",
+				       "idempotent", "false", "desk");
+	}
 	platform_rig_configure(&soak->rig, extra->str);
 	g_string_free(extra, TRUE);
 }
@@ -171,7 +175,7 @@
 			   1 + bsh_rng_below(&soak->rng, 2));
 	platform_rig_restart_worker(worker);
 	/* A worker that joins is given the model of most demand. */
-	if (any_version && strcmp(worker->service, "llm") == 0) {
+	if (any_version && g_str_has_prefix(worker->service, "llm")) {
 		json_object_set_new(worker->models, "m0", json_array());
 		platform_rig_publish_worker(worker, "ready");
 	}
@@ -476,11 +480,11 @@
 
 static void add_worker(soak_t *soak, uint32_t i)
 {
-	static const char *const services[] = { "llm", "llm", "llm", "desk" };
-	const char *service = i == 4	  ? "shop"
-			      : i % 5 < 4 ? services[i % 5]
-					  : "desk";
-	bool has_models = strcmp(service, "llm") == 0;
+	static const char *const services[] = { "llm",	"llm", "llm2", "desk",
+						"shop", "llm", "llm",  "llm2",
+						"desk", "llm", "llm",  "desk" };
+	const char *service = services[i];
+	bool has_models = g_str_has_prefix(service, "llm");
 	char model[8];
 	worker_t *worker;
 
@@ -515,6 +519,7 @@
 	platform_rig_init(&soak->rig);
 	port = strchr(soak->rig.store_address, ':') + 1;
 	store_port = (uint16_t)g_ascii_strtoull(port, NULL, 10);
+	soak->rig.has_second_engine = true;
 	configure(soak);
 	for (int i = 0; i < workers; i++)
 		add_worker(soak, (uint32_t)i);
@@ -539,7 +544,7 @@
 	gint seed = 1;
 	gint seconds = 10;
 	gint entries = 4;
-	gint workers = 10;
+	gint workers = RIG_WORKERS_MAX;
 	const GOptionEntry options[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
