--- a/regress/soak/callers.c
+++ b/regress/soak/callers.c
@@ -452,13 +452,14 @@
 
 void soak_callers_step(soak_t *soak, bool send)
 {
-	for (uint32_t i = 0; i < SOAK_CALLERS; i++)
+	for (uint32_t i = 0; i < soak->n_callers; i++)
 		step_caller(soak, &soak->callers[i], send);
 }
 
 void soak_callers_init(soak_t *soak)
 {
-	for (uint32_t i = 0; i < SOAK_KEPT_CALLERS; i++) {
+	soak->n_callers = MAX(SOAK_CALLERS_MIN, 2 * soak->rig.n_entries);
+	for (uint32_t i = 0; i < soak->n_callers; i += SOAK_KEPT_INTERVAL) {
 		soak->callers[i].client =
 			bsh_http_client_new(&soak->rig.loop, 1);
 		g_assert_nonnull(soak->callers[i].client);
@@ -467,7 +468,7 @@
 
 void soak_callers_finish(soak_t *soak)
 {
-	for (uint32_t i = 0; i < SOAK_CALLERS; i++) {
+	for (uint32_t i = 0; i < soak->n_callers; i++) {
 		soak_caller_t *caller = &soak->callers[i];
 
 		if (caller->busy)
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -18,12 +18,13 @@
 #include "support/platform_rig.h"
 #include "support/relay.h"
 
-#define SOAK_CALLERS 24
-/* Callers that keep one connection, the first of all. */
-#define SOAK_KEPT_CALLERS 8
-#define SOAK_DEADLINE_MS  3000
-#define SOAK_LATE_MS	  600 /* tolerated after the deadline */
-#define SOAK_MODELS	  6
+#define SOAK_CALLERS_MIN 24
+#define SOAK_CALLERS_MAX (2 * RIG_ENTRIES_MAX)
+/* Each third caller keeps one connection. */
+#define SOAK_KEPT_INTERVAL 3
+#define SOAK_DEADLINE_MS   3000
+#define SOAK_LATE_MS	   600 /* tolerated after the deadline */
+#define SOAK_MODELS	   6
 
 /* A route; only its service and its presence change with the configuration. */
 typedef struct {
@@ -87,7 +88,8 @@
 	platform_rig_t rig;
 	soak_entry_t entries[RIG_ENTRIES_MAX];
 	soak_worker_t workers[RIG_WORKERS_MAX];
-	soak_caller_t callers[SOAK_CALLERS];
+	soak_caller_t callers[SOAK_CALLERS_MAX];
+	uint32_t n_callers;
 	bsh_rng_t rng;
 	uint64_t sequence;
 	int64_t clear_us;     /* next time to clear the faults */
@@ -115,7 +117,8 @@
 	uint32_t broken; /* violated invariants */
 } soak_t;
 
-/* soak_callers_init, soak_callers_finish - start and free the callers. */
+/* soak_callers_init, soak_callers_finish - set up the callers, two for each
+ * instance or SOAK_CALLERS_MIN, and free them. */
 void soak_callers_init(soak_t *soak);
 void soak_callers_finish(soak_t *soak);
 /* soak_callers_step - check the answers that are complete; send: start further
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -29,6 +29,7 @@
 #define SILENCE_MAX_MS	   2000
 #define SILENT_WORKERS_MAX 3
 #define CONFIGURE_GAP_MS   400 /* longest, within a series */
+#define WORK_MAX_MS	   80  /* until an answer or a first event */
 #define WORKERS_MIN	   5   /* three of llm, one of each plain service */
 #define EXIT_STATUS_MAX	   100
 /* Fewer attempts to go on with a stream than this are no basis to judge the
@@ -492,6 +493,7 @@
 	g_snprintf(model, sizeof(model), "m%u", 1 + i % (SOAK_MODELS - 1));
 	worker = platform_rig_add_worker(&soak->rig, service,
 					 has_models ? model : NULL);
+	worker->work_ms = 1 + bsh_rng_below(&soak->rng, WORK_MAX_MS);
 	if (has_models)
 		json_object_set_new(worker->models, "m0", json_array());
 	g_snprintf(worker->version, sizeof(worker->version), "v%u", 1 + i % 2);
