--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -14,9 +14,6 @@
  * lists each time. */
 #define SEND_BUFFER_BYTES      16384L
 #define DEFAULT_BODY_MAX_BYTES (1U << 20)
-/* Connections that have been idle for longer are not reused: the peer may have
- * dropped them undetected. */
-#define REUSE_MAX_IDLE_S 20L
 /* TCP keepalive detects a connection whose peer is gone, or whose state a
  * middlebox has dropped, after 1 s + 2 * 1 s without a reply of the peer's
  * kernel.  TCP_USER_TIMEOUT bounds the time that sent data may stay
@@ -569,7 +566,10 @@
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER_BYTES);
 	curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, SEND_BUFFER_BYTES);
-	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, REUSE_MAX_IDLE_S);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+			 (long)(spec->reuse_max_idle_s != 0
+					? spec->reuse_max_idle_s
+					: BSH_HTTP_REUSE_MAX_IDLE_S));
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)(spec->connect_timeout_ms != 0
 					? spec->connect_timeout_ms
--- a/lib/transport/http_client.h
+++ b/lib/transport/http_client.h
@@ -34,6 +34,9 @@
 
 #define BSH_HTTP_CONNECT_TIMEOUT_MS 1000
 #define BSH_HTTP_IDLE_TIMEOUT_MS    30000
+/* The peer may have dropped a connection that has been idle for longer
+ * undetected. */
+#define BSH_HTTP_REUSE_MAX_IDLE_S 20
 
 typedef struct bsh_http_client bsh_http_client_t;
 typedef struct bsh_http_call bsh_http_call_t;
@@ -97,6 +100,9 @@
 	uint32_t idle_timeout_ms;    /* 0: BSH_HTTP_IDLE_TIMEOUT_MS */
 	int64_t deadline_us;	     /* on the loop's clock; 0: none */
 	size_t body_max_bytes;	     /* bound of a collected body; 0: 1 MiB */
+	/* Connections that have been idle for longer are not reused; 0:
+	 * BSH_HTTP_REUSE_MAX_IDLE_S. */
+	uint32_t reuse_max_idle_s;
 	bool fresh_connection; /* neither reuse a connection nor keep it */
 	bool body_is_static;   /* body outlives the call: not copied */
 	/* Accept a close-delimited response (neither Content-Length nor
--- /dev/null
+++ b/regress/test_store_connections.c
@@ -0,0 +1,88 @@
+/* Connections to the platform's store that stall, while new ones are served. */
+#include <glib.h>
+#include <string.h>
+
+#include "platform/store.h"
+#include "support/platform_rig.h"
+#include "support/relay.h"
+
+#define PARALLEL_CALLS 4
+
+typedef struct {
+	platform_rig_t rig;
+	relay_t relay;
+	bsh_http_client_t *client;
+	platform_store_t store;
+	uint32_t ended;
+	platform_result_t result; /* of the last call */
+} fixture_t;
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_init(&f->rig);
+	platform_rig_configure(&f->rig, NULL);
+	relay_init(&f->relay, &f->rig.loop,
+		   (uint16_t)g_ascii_strtoull(
+			   strrchr(f->rig.store_address, ':') + 1, NULL, 10));
+	f->client = bsh_http_client_new(&f->rig.loop, PARALLEL_CALLS);
+	g_assert_nonnull(f->client);
+	platform_store_init(&f->store, f->client, &f->rig.loop,
+			    f->relay.address);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	bsh_http_client_free(f->client);
+	relay_finish(&f->relay);
+	platform_rig_finish(&f->rig);
+}
+
+static void on_answer(void *ctx, const platform_answer_t *answer)
+{
+	fixture_t *f = ctx;
+
+	f->ended++;
+	f->result = answer->result;
+}
+
+/* Lists n times at once, and returns the result of the last call. */
+static platform_result_t list(fixture_t *f, uint32_t n)
+{
+	int64_t until_us = bsh_loop_clock_us() + 5000000;
+
+	f->ended = 0;
+	for (uint32_t i = 0; i < n; i++)
+		platform_store_list(&f->store, PLATFORM_KIND_CONFIG, NULL,
+				    on_answer, f);
+	while (f->ended < n) {
+		g_assert_cmpint(bsh_loop_clock_us(), <, until_us);
+		platform_rig_run(&f->rig, 1);
+	}
+	return f->result;
+}
+
+/* Guards against calls that use one stalled connection after the other, each
+ * until it times out, so that an instance stays at an old configuration. */
+static void test_stalled_idle(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	g_assert_cmpint(list(f, PARALLEL_CALLS), ==, PLATFORM_DONE);
+	relay_set_mode(&f->relay, RELAY_STALLS_OPEN);
+	g_assert_cmpint(list(f, 1), ==, PLATFORM_UNKNOWN);
+	for (int i = 0; i < 3; i++)
+		g_assert_cmpint(list(f, 1), ==, PLATFORM_DONE);
+	/* Also later, when a new connection has served. */
+	platform_rig_run(&f->rig, 2500);
+	for (int i = 0; i < 3; i++)
+		g_assert_cmpint(list(f, 2), ==, PLATFORM_DONE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add("/store-connections/stalled-idle", fixture_t, NULL, set_up,
+		   test_stalled_idle, tear_down);
+	return g_test_run();
+}
