--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -3,6 +3,7 @@
 #include <apr_general.h>
 #include <arpa/inet.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -451,6 +452,11 @@
 	} else if (strcmp(version, run->worker->version) != 0 &&
 		   strcmp(version, mixed) != 0) {
 		rig->mixed_streams++;
+		/* A comment in the output of a test. */
+		printf("# mixed-stream began_by=%s attempt=%s target=%s "
+		       "software=%s before=%s event=%u\n",
+		       run->began_by, run->attempt, run->worker->id,
+		       run->worker->version, version, run->next_event + 1);
 		version = mixed;
 	} else {
 		return;
