--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -17,8 +17,9 @@
  *	A target that sends nothing may be down, or may pause and go on.  A
  *	repeatable request is then handed over: it is sent to a second target
  *	while the first attempt goes on, and the attempt that sends something
- *	first continues the response.  The first attempt is given up only when
- *	the second target has accepted the request.
+ *	first continues the response.  The first attempt is given up earlier
+ *	only if it stays silent for much longer than a target may pause, and
+ *	the second target has the request and has not refused it.
  *
  * UNITS
  *	Times named *_us are microseconds on the clock of the traffic loop.
@@ -153,6 +154,7 @@
 	int64_t wait_began_us; /* of the current wait */
 	int64_t waited_us;     /* sum of the earlier waits */
 	bool wait_logged;
+	bool wait_counted;     /* as demand for its model */
 	int64_t late_since_us; /* estimate over the deadline since; 0: is not */
 	/* Stream: key, and version to which it is bound; 0: no event yet. */
 	uint64_t stream;
@@ -301,6 +303,9 @@
 /* stream_origin_serves - false if the request is bound to a version of which no
  * target of its service serves. */
 bool stream_origin_serves(const request_t *r);
+/* stream_origin_is_constrained - the request is bound to a version, and other
+ * versions serve beside it. */
+bool stream_origin_is_constrained(const request_t *r);
 void stream_origin_view_changed(traffic_t *t);
 /* stream_origin_send - task: send new records to other instances. */
 void stream_origin_send(void *traffic);
