Ask other instances for the version of every resumed stream

One that has just started does not know of a version that has left, and one that was cut off meanwhile does not know of a new one.

Unless it forwarded the stream itself, an instance asks the three that keep its record. They answer also whether they have seen several versions of the service within 30 s. Without a record the stream goes on only if somebody has answered and nobody has seen several. The history of versions moves to the control thread, which answers the queries; the view names the only version.

/stream-version/version-left-before-start failed before.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -66,6 +66,7 @@
 	message->view->instances = peers_instance_count(control->peers);
 	message->view->listed = targets_listed(control->targets);
 	targets_fill(control->targets, message->view);
+	streams_fill(control->streams, message->view);
 	orders_fill(control->orders, message->view);
 	bsh_loop_post(&control->entry->traffic_loop, traffic_set_view, message);
 }
@@ -137,9 +138,10 @@
 					&message->stream_records);
 	} else if (message->type == BSH_MSG_STREAM_QUERY) {
 		streams_receive_query(control->streams, message->sender,
-				      &message->stream);
+				      &message->stream_query);
 	} else if (message->type == BSH_MSG_STREAM_ANSWER) {
-		streams_receive_answer(control->streams, &message->stream);
+		streams_receive_answer(control->streams,
+				       &message->stream_answer);
 	} else if (message->type == BSH_MSG_INVENTORY) {
 		if (strcmp(message->sender, orders_holder(control->orders)) ==
 		    0)
@@ -178,7 +180,8 @@
 {
 	control_stream_query_msg_t *message = data;
 
-	streams_query(message->control->streams, message->stream);
+	streams_query(message->control->streams, message->stream,
+		      message->service);
 	g_free(message);
 }
 
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -274,13 +274,17 @@
 /* Sends records of this instance, bsh_stream_record_t, to their keepers. */
 void streams_record(streams_t *streams, const GArray *records);
 /* Asks for the version of a stream; traffic_set_stream_version() gets it. */
-void streams_query(streams_t *streams, uint64_t stream);
+void streams_query(streams_t *streams, uint64_t stream, uint64_t service);
+/* Notes the versions of the targets in a view, and adds to it which service has
+ * had one version only. */
+void streams_fill(streams_t *streams, view_t *view);
 /* Handle STREAM_RECORDS, STREAM_QUERY and STREAM_ANSWER. */
 void streams_receive_records(streams_t *streams,
 			     const bsh_msg_stream_records_t *message);
 void streams_receive_query(streams_t *streams, const char *sender,
-			   const bsh_msg_stream_t *query);
-void streams_receive_answer(streams_t *streams, const bsh_msg_stream_t *answer);
+			   const bsh_msg_stream_query_t *query);
+void streams_receive_answer(streams_t *streams,
+			    const bsh_msg_stream_answer_t *answer);
 
 /* directory.c: HTTP endpoints for readiness probes, callers that look up
  * instances, and metrics. */
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -102,6 +102,7 @@
 typedef struct {
 	control_t *control;
 	uint64_t stream;
+	uint64_t service; /* key of its name */
 } control_stream_query_msg_t;
 /* control_stream_query - called by bsh_loop_post(): ask for the software version
  * that began a stream. */
@@ -132,7 +133,10 @@
 typedef struct {
 	traffic_t *traffic;
 	uint64_t stream;
-	uint64_t software; /* 0: unknown */
+	uint64_t software; /* 0: no instance knows it */
+	/* No instance has seen several versions of the service recently, and
+	 * some have answered. */
+	bool one_version;
 } traffic_stream_msg_t;
 /* traffic_set_stream_version - called by bsh_loop_post(): answer to
  * control_stream_query(). */
--- a/bshentryd/stream_origin.c
+++ b/bshentryd/stream_origin.c
@@ -20,15 +20,12 @@
 {
 	bsh_counter_register(&unknown_refused);
 	bsh_stream_table_init(&t->streams, RECORDS_MAX);
-	t->software =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->new_streams = g_array_new(FALSE, FALSE, sizeof(bsh_stream_record_t));
 }
 
 void stream_origin_finish(traffic_t *t)
 {
 	bsh_stream_table_finish(&t->streams);
-	g_hash_table_destroy(t->software);
 	g_array_free(t->new_streams, TRUE);
 }
 
@@ -55,17 +52,14 @@
  * there may be several. */
 static uint64_t only_version(const request_t *r)
 {
-	traffic_t *t = r->traffic;
-	const bsh_software_history_t *history =
-		g_hash_table_lookup(t->software, r->service->name);
+	const traffic_t *t = r->traffic;
 	int64_t confirmed_us = __atomic_load_n(&t->entry->freshness.targets_us,
 					       __ATOMIC_RELAXED);
-	int64_t now_us = traffic_now_us(t);
 
-	if (history == NULL || confirmed_us == 0 ||
-	    now_us - confirmed_us > LIST_AGE_MAX_US)
+	if (confirmed_us == 0 ||
+	    traffic_now_us(t) - confirmed_us > LIST_AGE_MAX_US)
 		return 0;
-	return bsh_software_history_only(history, now_us);
+	return view_only_software(t->view, r->service->name);
 }
 
 bool stream_origin_is_constrained(const request_t *r)
@@ -117,16 +111,17 @@
 	r->stream = bsh_stream_key(r->info.began_by);
 	r->software = bsh_stream_table_find(&t->streams, r->stream,
 					    traffic_now_us(t));
-	if (r->software == 0)
-		r->software = only_version(r);
 	if (r->software == 0 && r->stream == 0)
 		r->software = BSH_SOFTWARE_UNCERTAIN;
 	if (r->software != 0)
 		return true;
+	/* Asked also if one version alone is listed here: an instance that is
+	 * cut off, or has just started, may not know of another one. */
 	r->awaits_software = true;
 	message = g_new0(control_stream_query_msg_t, 1);
 	message->control = t->entry->control;
 	message->stream = r->stream;
+	message->service = bsh_service_key(r->service->name);
 	bsh_loop_post(&t->entry->control_loop, control_stream_query, message);
 	return false;
 }
@@ -136,8 +131,11 @@
 	if (!r->awaits_software || r->stream != answer->stream)
 		return false;
 	r->awaits_software = false;
-	r->software = answer->software != 0 ? answer->software
-					    : BSH_SOFTWARE_UNCERTAIN;
+	r->software = answer->software;
+	if (r->software == 0 && answer->one_version)
+		r->software = only_version(r);
+	if (r->software == 0)
+		r->software = BSH_SOFTWARE_UNCERTAIN;
 	return true;
 }
 
@@ -183,42 +181,30 @@
 	}
 }
 
-static bsh_software_history_t *history_of(traffic_t *t, const char *service)
-{
-	bsh_software_history_t *history =
-		g_hash_table_lookup(t->software, service);
-
-	if (history == NULL) {
-		history = g_new0(bsh_software_history_t, 1);
-		g_hash_table_insert(t->software, g_strdup(service), history);
-	}
-	return history;
-}
-
-void stream_origin_view_changed(traffic_t *t)
+void stream_origin_view_changed(traffic_t *t, const view_t *before)
 {
-	const GArray *targets = t->view->targets;
-	int64_t now_us = traffic_now_us(t);
+	const view_t *view = t->view;
 	bool comes = false;
 
-	for (guint i = 0; i < targets->len; i++) {
+	for (guint i = 0; i < view->targets->len; i++) {
 		const view_target_t *target =
-			&g_array_index(targets, view_target_t, i);
-		bsh_software_history_t *history =
-			history_of(t, target->service);
-		uint64_t only = bsh_software_history_only(history, now_us);
-
-		bsh_software_history_note(history, target->software_key,
-					  now_us);
-		comes = comes ||
-			(only != 0 &&
-			 bsh_software_history_only(history, now_us) != only);
+			&g_array_index(view->targets, view_target_t, i);
+
 		check_restart(t, target_pick_state(t, target->id), target);
 	}
+	for (guint i = 0; before != NULL && i < before->software->len; i++) {
+		const view_software_t *service =
+			&g_array_index(before->software, view_software_t, i);
+
+		comes = comes || (service->only != 0 &&
+				  view_only_software(view, service->service) !=
+					  service->only);
+	}
 	/* Streams that began while one version alone served are recorded only
 	 * here so far. */
 	if (comes) {
-		bsh_stream_table_collect(&t->streams, t->new_streams, now_us);
+		bsh_stream_table_collect(&t->streams, t->new_streams,
+					 traffic_now_us(t));
 		bsh_loop_task_schedule(&t->streams_task);
 	}
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -629,13 +629,15 @@
 {
 	traffic_view_msg_t *message = data;
 	traffic_t *t = message->traffic;
+	view_t *before;
 
-	view_unref(t->view);
+	before = t->view;
 	t->view = message->view;
 	t->view_number++;
 	g_free(message);
 	target_pick_view_changed(t);
-	stream_origin_view_changed(t);
+	stream_origin_view_changed(t, before);
+	view_unref(before);
 	if (t->view->listed)
 		__atomic_store_n(&t->entry->serving, true, __ATOMIC_RELEASE);
 	retry_waiting(t);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -75,7 +75,6 @@
 	GHashTable *demand;	    /* model and adapter to model_demand_t */
 	GHashTable *budgets;	    /* service to bsh_retry_budget_t */
 	bsh_stream_table_t streams; /* that this instance forwards */
-	GHashTable *software;	    /* service to bsh_software_history_t */
 	GArray *new_streams; /* bsh_stream_record_t, not yet sent to others */
 	bsh_loop_task_t streams_task;
 	/* bsh_target_candidate_t, scratch of choose_target(). */
@@ -312,7 +311,8 @@
 /* stream_origin_is_constrained - the request is bound to a version, and other
  * versions serve beside it. */
 bool stream_origin_is_constrained(const request_t *r);
-void stream_origin_view_changed(traffic_t *t);
+/* stream_origin_view_changed - before: the view that was replaced, or NULL. */
+void stream_origin_view_changed(traffic_t *t, const view_t *before);
 /* stream_origin_send - task: send new records to other instances. */
 void stream_origin_send(void *traffic);
 
--- a/bshentryd/view.c
+++ b/bshentryd/view.c
@@ -1,5 +1,7 @@
 #include "view.h"
 
+#include <string.h>
+
 view_t *view_new(bsh_catalog_t *catalog)
 {
 	view_t *view = g_new0(view_t, 1);
@@ -7,6 +9,7 @@
 	view->refs = 1;
 	view->catalog = bsh_catalog_ref(catalog);
 	view->targets = g_array_new(FALSE, TRUE, sizeof(view_target_t));
+	view->software = g_array_new(FALSE, TRUE, sizeof(view_software_t));
 	view->ready = g_array_new(FALSE, TRUE, sizeof(view_ready_t));
 	return view;
 }
@@ -22,6 +25,7 @@
 	if (view == NULL || !g_atomic_int_dec_and_test(&view->refs))
 		return;
 	g_array_free(view->targets, TRUE);
+	g_array_free(view->software, TRUE);
 	g_array_free(view->ready, TRUE);
 	bsh_catalog_unref(view->catalog);
 	g_free(view);
@@ -39,3 +43,15 @@
 	}
 	return NULL;
 }
+
+uint64_t view_only_software(const view_t *view, const char *service)
+{
+	for (guint i = 0; i < view->software->len; i++) {
+		const view_software_t *software =
+			&g_array_index(view->software, view_software_t, i);
+
+		if (strcmp(software->service, service) == 0)
+			return software->only;
+	}
+	return 0;
+}
--- a/bshentryd/view.h
+++ b/bshentryd/view.h
@@ -36,10 +36,17 @@
 	int64_t estimated_us; /* time of the estimate */
 } view_ready_t;
 
+/* Software versions of the targets of a service. */
+typedef struct {
+	char service[BSH_NAME_SIZE];
+	uint64_t only; /* key of the one that has served recently; 0: several */
+} view_software_t;
+
 typedef struct {
 	gint refs;
 	bsh_catalog_t *catalog;
 	GArray *targets;    /* view_target_t, without those leaving */
+	GArray *software;   /* view_software_t, by service */
 	GArray *ready;	    /* view_ready_t, of models with waiting requests */
 	bool listed;	    /* the list of targets has been read */
 	bool has_holder;    /* a lease holder was active recently */
@@ -54,4 +61,8 @@
 const view_ready_t *view_find_ready(const view_t *view, uint32_t model,
 				    uint32_t adapter);
 
+/* view_only_software - key of the only software version that has served a service
+ * recently; 0: there were several, or none. */
+uint64_t view_only_software(const view_t *view, const char *service);
+
 #endif
--- a/lib/coordination/stream_table.c
+++ b/lib/coordination/stream_table.c
@@ -104,6 +104,11 @@
 	return MAX(XXH64(attempt_id, strlen(attempt_id), 0), 1);
 }
 
+uint64_t bsh_service_key(const char *name)
+{
+	return XXH64(name, strlen(name), 0);
+}
+
 static void drop_unseen(bsh_software_history_t *history, int64_t now_us)
 {
 	uint32_t kept = 0;
--- a/lib/coordination/stream_table.h
+++ b/lib/coordination/stream_table.h
@@ -59,6 +59,9 @@
  * for "". */
 uint64_t bsh_stream_key(const char *attempt_id);
 
+/* bsh_service_key - hash that stands for a service in messages. */
+uint64_t bsh_service_key(const char *name);
+
 /*
  * Software versions of the targets of one service, by the lists of targets.
  */
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -285,6 +285,17 @@
 	END
 };
 
+static const field_t stream_query_fields[] = {
+	U64(bsh_msg_stream_query_t, stream),
+	U64(bsh_msg_stream_query_t, service), END
+};
+
+static const field_t stream_answer_fields[] = {
+	U64(bsh_msg_stream_answer_t, stream),
+	U64(bsh_msg_stream_answer_t, software),
+	BOOL(bsh_msg_stream_answer_t, several), END
+};
+
 static const field_t inventory_fields[] = {
 	U64(bsh_msg_inventory_t, term),
 	U64(bsh_msg_inventory_t, number),
@@ -323,8 +334,8 @@
 	[BSH_MSG_INVENTORY] = { "INVENTORY", inventory_fields },
 	[BSH_MSG_UNREACHABLE] = { "UNREACHABLE", unreachable_fields },
 	[BSH_MSG_STREAM_RECORDS] = { "STREAM_RECORDS", stream_records_fields },
-	[BSH_MSG_STREAM_QUERY] = { "STREAM_QUERY", stream_fields },
-	[BSH_MSG_STREAM_ANSWER] = { "STREAM_ANSWER", stream_fields },
+	[BSH_MSG_STREAM_QUERY] = { "STREAM_QUERY", stream_query_fields },
+	[BSH_MSG_STREAM_ANSWER] = { "STREAM_ANSWER", stream_answer_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -390,9 +390,18 @@
 	uint32_t record_count;
 } bsh_msg_stream_records_t;
 
-/* STREAM_QUERY: asks for the version of a stream that a caller resumes.
- * STREAM_ANSWER: the reply; software is 0 if it is not known. */
-typedef bsh_stream_record_t bsh_msg_stream_t;
+/* STREAM_QUERY: asks for the version of a stream that a caller resumes. */
+typedef struct {
+	uint64_t stream;
+	uint64_t service; /* hash of the name of its service */
+} bsh_msg_stream_query_t;
+
+/* STREAM_ANSWER: the reply to STREAM_QUERY. */
+typedef struct {
+	uint64_t stream;
+	uint64_t software; /* 0: not known */
+	bool several;	   /* the service has had several versions recently */
+} bsh_msg_stream_answer_t;
 
 /* Most entries of a LOAD that fit a datagram if no value exceeds the bound. */
 #define BSH_LOAD_ENTRIES_MAX 72
@@ -443,7 +452,8 @@
 		bsh_msg_inventory_t inventory;
 		bsh_msg_unreachable_t unreachable;
 		bsh_msg_stream_records_t stream_records;
-		bsh_msg_stream_t stream; /* STREAM_QUERY, STREAM_ANSWER */
+		bsh_msg_stream_query_t stream_query;
+		bsh_msg_stream_answer_t stream_answer;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -128,8 +128,10 @@
 		m.stream_records = (bsh_msg_stream_records_t){ streams, 2 };
 		break;
 	case BSH_MSG_STREAM_QUERY:
+		m.stream_query = (bsh_msg_stream_query_t){ 5, 6 };
+		break;
 	case BSH_MSG_STREAM_ANSWER:
-		m.stream = streams[1];
+		m.stream_answer = (bsh_msg_stream_answer_t){ 5, 6, true };
 		break;
 	case BSH_MSG_INVENTORY:
 		m.inventory =
--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -282,6 +282,32 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "j2"), ==, 0);
 }
 
+/* Guards against a stream that goes on at another version at an instance that was
+ * started after the version had left: it has seen one version only. */
+static void test_version_left_before_start(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->old->mode = WORKER_IS_FULL;
+	f->new->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "l1",
+			  "m0", 4000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->old->mode = WORKER_ANSWERS;
+	platform_rig_publish_worker(f->new, "draining");
+	platform_rig_remove_worker(f->new);
+	kill(f->entries[1]->pid, SIGKILL);
+	while (f->entries[1]->alive)
+		platform_rig_run(&f->rig, 5);
+	platform_rig_spawn(&f->rig, f->entries[1]);
+	platform_rig_wait_ready(&f->rig, f->entries[1]);
+	/* Until the instances know each other. */
+	platform_rig_run(&f->rig, 1000);
+	resume(f, f->entries[1], "l2", "l1");
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "l2"), ==, 0);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
 /* Guards against a resumed stream that is held until its deadline, and against
  * loads for it at targets that cannot continue it: no target of its version has
  * the model. */
@@ -325,5 +351,6 @@
 	ADD("second-version-comes", "v1", test_second_version_comes);
 	ADD("version-has-left", "v2", test_version_has_left);
 	ADD("model-not-held", "v2", test_model_not_held);
+	ADD("version-left-before-start", "v2", test_version_left_before_start);
 	return g_test_run();
 }
