--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -70,7 +70,8 @@
 	if (r->state == REQUEST_WAITING) {
 		r->waited_us += traffic_now_us(t) - r->wait_began_us;
 		g_queue_unlink(&t->waiting, &r->wait_link);
-		if (r->wait_counted && counters->waiting > 0)
+		if (counters != NULL && r->wait_counted &&
+		    counters->waiting > 0)
 			counters->waiting--;
 		r->wait_counted = false;
 	} else if (r->state == REQUEST_RUNNING && counters != NULL &&
