Let the stand-in store come back from an older copy

platform_rig_set_back() returns the store to its state at an earlier revision: later changes are lost, their revisions are given out again, and a watch from a revision that the store does not have receives 410. Each of its answers contains the number of such restores. Lists can be answered in pages, a hook runs before each call, and a worker counts orders whose fencing token is lower than an earlier one or that of another holder.

--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -101,6 +101,22 @@
 
 /* Object store. */
 
+/* Each answer of the store contains its era. */
+static void add_store_headers(const platform_rig_t *rig,
+			      bsh_http_request_t *request)
+{
+	g_autofree char *era = g_strdup_printf("%u", rig->era);
+
+	bsh_http_response_add_header(request, "Store-Era", era);
+}
+
+static void answer_object(const platform_rig_t *rig,
+			  bsh_http_request_t *request, int status, json_t *body)
+{
+	add_store_headers(rig, request);
+	answer_json(request, status, body);
+}
+
 static void free_event(void *data)
 {
 	event_t *event = data;
@@ -128,9 +144,9 @@
 
 static void answer_watch(watch_t *watch, json_t *events)
 {
-	answer_json(watch->request, 200,
-		    json_pack("{s:o, s:I}", "events", events, "currentRev",
-			      (json_int_t)watch->rig->revision));
+	answer_object(watch->rig, watch->request, 200,
+		      json_pack("{s:o, s:I}", "events", events, "currentRev",
+				(json_int_t)watch->rig->revision));
 	g_ptr_array_remove_fast(watch->rig->watches, watch);
 }
 
@@ -184,22 +200,86 @@
 	serve_watches(rig);
 }
 
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* Answers with a page of the objects of a kind, in order of their names. */
 static void list_kind(platform_rig_t *rig, bsh_http_request_t *request,
 		      const char *kind)
 {
+	const char *after = bsh_http_request_argument(request, "after");
 	g_autofree char *prefix = g_strdup_printf("%s/", kind);
+	g_autofree char *first =
+		g_strconcat(prefix, after != NULL ? after : "", NULL);
+	g_autoptr(GPtrArray) keys = g_ptr_array_new();
 	json_t *items = json_array();
 	GHashTableIter iter;
 	void *key;
-	void *object;
+	guint page;
 
 	g_hash_table_iter_init(&iter, rig->objects);
-	while (g_hash_table_iter_next(&iter, &key, &object))
-		if (g_str_has_prefix(key, prefix))
-			json_array_append(items, object);
-	answer_json(request, 200,
-		    json_pack("{s:o, s:b, s:I}", "items", items, "truncated", 0,
-			      "currentRev", (json_int_t)rig->revision));
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (g_str_has_prefix(key, prefix) && strcmp(key, first) > 0)
+			g_ptr_array_add(keys, key);
+	g_ptr_array_sort(keys, compare_keys);
+	page = rig->store_page_items > 0 ? MIN(keys->len, rig->store_page_items)
+					 : keys->len;
+	for (guint i = 0; i < page; i++)
+		json_array_append(
+			items, g_hash_table_lookup(rig->objects,
+						   g_ptr_array_index(keys, i)));
+	answer_object(rig, request, 200,
+		      json_pack("{s:o, s:b, s:I}", "items", items, "truncated",
+				page < keys->len, "currentRev",
+				(json_int_t)rig->revision));
+}
+
+/* Sets the objects to the result of all recorded changes. */
+static void rebuild_objects(platform_rig_t *rig)
+{
+	g_hash_table_remove_all(rig->objects);
+	for (guint i = 0; i < rig->events->len; i++) {
+		const event_t *event = &g_array_index(rig->events, event_t, i);
+		const char *name = json_string_value(json_object_get(
+			json_object_get(event->object, "metadata"), "name"));
+		char *key = g_strdup_printf("%s/%s", event->kind, name);
+
+		g_hash_table_remove(rig->objects, key);
+		if (event->deleted)
+			g_free(key);
+		else
+			g_hash_table_insert(rig->objects, key,
+					    json_incref(event->object));
+	}
+}
+
+void platform_rig_set_back(platform_rig_t *rig, int64_t revision)
+{
+	guint kept = 0;
+
+	while (kept < rig->events->len &&
+	       g_array_index(rig->events, event_t, kept).revision <= revision)
+		kept++;
+	g_array_set_size(rig->events, kept);
+	rebuild_objects(rig);
+	rig->revision = revision;
+	rig->era++;
+	for (guint i = rig->watches->len; i > 0 && !rig->store_keeps_watches;
+	     i--) {
+		const watch_t *watch = g_ptr_array_index(rig->watches, i - 1);
+
+		bsh_http_response_abort(watch->request);
+	}
+}
+
+const json_t *platform_rig_object(const platform_rig_t *rig, const char *kind,
+				  const char *name)
+{
+	g_autofree char *key = g_strdup_printf("%s/%s", kind, name);
+
+	return g_hash_table_lookup(rig->objects, key);
 }
 
 void platform_rig_compact(platform_rig_t *rig, const char *spared_kind)
@@ -257,21 +337,21 @@
 	bool is_create = strcmp(method, "POST") == 0;
 
 	if (old == NULL && !is_create) {
-		answer_json(request, 404, json_object());
+		answer_object(rig, request, 404, json_object());
 	} else if (old != NULL &&
 		   (is_create ||
 		    (revision > 0 &&
 		     revision != json_integer_value(json_object_get(
 					 json_object_get(old, "metadata"),
 					 "revision"))))) {
-		answer_json(request, 409, json_incref(old));
+		answer_object(rig, request, 409, json_incref(old));
 	} else if (strcmp(method, "DELETE") == 0) {
 		record_change(rig, kind, name, NULL);
-		answer_json(request, 200, json_object());
+		answer_object(rig, request, 200, json_object());
 	} else {
 		record_change(rig, kind, name, json_object_get(body, "spec"));
-		answer_json(
-			request, 200,
+		answer_object(
+			rig, request, 200,
 			json_incref(g_hash_table_lookup(rig->objects, key)));
 	}
 	json_decref(body);
@@ -288,15 +368,19 @@
 
 	if (rig->store_unresponsive)
 		return;
+	if (rig->before_call != NULL)
+		rig->before_call(rig, request);
 	if (rig->store_down) {
+		add_store_headers(rig, request);
 		bsh_http_response_send(request, 503, "", 0);
 		return;
 	}
 	/* The parts of a path are "", "api", "objects", KIND and NAME. */
 	if (g_strv_length(parts) == 4 && watch != NULL &&
 	    !rig->store_watches_stalled &&
-	    g_ascii_strtoll(watch, NULL, 10) < rig->compacted_revision) {
-		answer_json(request, 410, json_object());
+	    (g_ascii_strtoll(watch, NULL, 10) < rig->compacted_revision ||
+	     g_ascii_strtoll(watch, NULL, 10) > rig->revision)) {
+		answer_object(rig, request, 410, json_object());
 	} else if (g_strv_length(parts) == 4 && watch != NULL) {
 		watch_kind(rig, request, parts[3], watch);
 	} else if (g_strv_length(parts) == 4) {
@@ -305,9 +389,9 @@
 		key = g_strdup_printf("%s/%s", parts[3], parts[4]);
 		object = g_hash_table_lookup(rig->objects, key);
 		if (object != NULL)
-			answer_json(request, 200, json_incref(object));
+			answer_object(rig, request, 200, json_incref(object));
 		else
-			answer_json(request, 404, json_object());
+			answer_object(rig, request, 404, json_object());
 	} else {
 		write_object(rig, request, parts[3], parts[4]);
 	}
@@ -568,6 +652,15 @@
 	worker->order_us = now_us;
 }
 
+/* Counts orders whose fencing token does not show that they are newer. */
+static void record_fence(worker_t *worker, const char *holder, uint64_t fence)
+{
+	if (fence < worker->fence ||
+	    (fence == worker->fence && strcmp(worker->holder, holder) != 0))
+		worker->fence_reuses++;
+	worker->fence = MAX(worker->fence, fence);
+}
+
 static void execute_order(worker_t *worker, bsh_http_request_t *request)
 {
 	size_t size;
@@ -576,9 +669,12 @@
 	const char *model = json_string_value(json_object_get(order, "model"));
 	const char *op = json_string_value(json_object_get(order, "op"));
 	bool load = g_strcmp0(op, "load") == 0;
+	const char *holder =
+		json_string_value(json_object_get(order, "holder"));
+	json_int_t fence = json_integer_value(json_object_get(order, "fence"));
 
-	record_holder(worker,
-		      json_string_value(json_object_get(order, "holder")));
+	record_fence(worker, holder, (uint64_t)fence);
+	record_holder(worker, holder);
 	if (json_integer_value(json_object_get(order, "expected")) !=
 	    (json_int_t)worker->orders) {
 		bsh_http_response_send(request, 409, "", 0);
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -56,11 +56,15 @@
 	worker_mode_t mode;
 	char version[16];	 /* of its software */
 	int64_t silent_until_us; /* sends nothing before; loop clock */
-	uint32_t work_ms;   /* from the request to its answer or first event */
-	uint32_t events;    /* of streams, sent */
-	uint32_t runs;	    /* requests executed */
-	uint32_t aborted;   /* runs whose caller closed before the end */
-	uint32_t loads;	    /* load orders executed */
+	uint32_t work_ms; /* from the request to its answer or first event */
+	uint32_t events;  /* of streams, sent */
+	uint32_t runs;	  /* requests executed */
+	uint32_t aborted; /* runs whose caller closed before the end */
+	uint32_t loads;	  /* load orders executed */
+	uint64_t fence;	  /* highest fencing token of an order */
+	/* Orders with a lower fencing token than an earlier one, or with that
+	 * of another holder. */
+	uint32_t fence_reuses;
 	uint32_t overloads; /* orders that led to more than weights_mb */
 	char holder[64];    /* lease holder that sent the last order */
 	int64_t order_us;   /* time of the last order */
@@ -101,9 +105,15 @@
 	GArray *events;	     /* change history in order of revision */
 	GPtrArray *watches;  /* pending watch requests */
 	int64_t revision;    /* of the last change */
+	uint32_t era;	     /* times that the store was set back */
 	bool store_down;     /* answers 503 to each request */
 	bool store_unresponsive;    /* answers no request */
 	bool store_watches_stalled; /* answers no watch request */
+	/* The watches that wait for a change outlive platform_rig_set_back(). */
+	bool store_keeps_watches;
+	uint32_t store_page_items; /* of a list in one answer; 0: all */
+	/* Called before the store executes a call; NULL: not called. */
+	void (*before_call)(platform_rig_t *rig, bsh_http_request_t *request);
 	int64_t compacted_revision; /* history up to it was removed */
 	uint32_t lease_ms;	    /* duration of the order lease */
 	worker_t workers[RIG_WORKERS_MAX];
@@ -152,6 +162,16 @@
  * except those of spared_kind. */
 void platform_rig_compact(platform_rig_t *rig, const char *spared_kind);
 
+/* platform_rig_set_back - return the store to its state at an earlier revision,
+ * as after a restart from an older copy: the later changes are lost, their
+ * revisions are given out again, and a watch from one of them receives 410
+ * until then. */
+void platform_rig_set_back(platform_rig_t *rig, int64_t revision);
+/* platform_rig_object - the object of this kind and name, or NULL; valid until
+ * its next change. */
+const json_t *platform_rig_object(const platform_rig_t *rig, const char *kind,
+				  const char *name);
+
 /* platform_rig_add_entry - start a further entry daemon. */
 rig_entry_t *platform_rig_add_entry(platform_rig_t *rig);
 /* platform_rig_spawn - start the entry's process, also after its exit. */
