Order revisions of the store across a restore

Callers saw 404 on a new route at every instance, and models that were no longer loaded, after the store had come back from a copy some seconds old.

Cause: the store gives out revisions again. A watch from a revision that existed before waits for changes above it and misses those below; the holder of the lease gets conflicts with a revision that it takes for an old one, and acquires the lease with a term that was used before.

Evidence, on the code before this change: - /store-era/configuration: 404 instead of 200 for a route that was added after the restore - /store-era/lost-lease: an order with a lower fencing token than an earlier one - /store-era/former-holder: no order within 10 s Without the checks of the epoch, /store-era/change-after, change-during, watch-during and answer-after report a change or a watch as done.

An instance also learns of a restore from the revisions that the lease holder announces, lists all kinds again and logs store-restored.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -88,16 +88,21 @@
 	control_schedule_view(control);
 }
 
+static void relist_all(control_t *control)
+{
+	control->relisted_us = control_now_us(control);
+	catalogs_relist(control->catalogs);
+	targets_relist(control->targets);
+	peers_relist(control->peers);
+}
+
 void control_relist(control_t *control)
 {
 	int64_t now_us = control_now_us(control);
 
 	if (now_us - control->relisted_us < RELIST_INTERVAL_MIN_US)
 		return;
-	control->relisted_us = now_us;
-	catalogs_relist(control->catalogs);
-	targets_relist(control->targets);
-	peers_relist(control->peers);
+	relist_all(control);
 }
 
 void control_peer_message(control_t *control, const bsh_message_t *message)
@@ -109,6 +114,10 @@
 				   message->demand.term,
 				   message->demand.received_through);
 	} else if (message->type == BSH_MSG_PLACEMENT) {
+		/* The pending watches of this instance may not show for long
+		 * that the store was restored. */
+		platform_store_note_revision(&control->store,
+					     message->placement.revision);
 		orders_receive_placement(control->orders, message->sender,
 					 &message->placement);
 	} else if (message->type == BSH_MSG_RELEASE) {
@@ -282,12 +291,26 @@
 			     MAX(MIN(ttl_us, grace_us), 0));
 }
 
+/* The store was restored from an older copy.  The lease ends with its next
+ * update: the store knows no revision of it. */
+static void on_store_restored(void *ctx, uint32_t before)
+{
+	control_t *control = ctx;
+
+	bsh_log(BSH_LOG_WARNING, "store-restored epoch=%u before=%u dropped=%s",
+		control->store.epoch, before,
+		orders_is_holder(control->orders) ? "watches,lease"
+						  : "watches");
+	relist_all(control);
+}
+
 static void init_client(control_t *control)
 {
 	control->client =
 		bsh_http_client_new(control->loop, IDLE_CONNECTIONS_MAX);
 	platform_store_init(&control->store, control->client, control->loop,
-			    control->entry->settings.store_address);
+			    control->entry->settings.store_address,
+			    on_store_restored, control);
 }
 
 bsh_error_t control_start(entry_t *entry)
