Do not trust a state of the lease that the store has restored

Targets would get orders of two instances within one lease time after the store has come back from an older copy.

Cause: whoever acquires the lease waits for the holder that the object names. An object of the copy names an earlier holder, or none, and may contain a list of recent orders that lacks those of the last holder; a holder whose update crossed the restore reads its own name and continues its term.

Change: the object names the epoch of the store that its writer knew. A state of an earlier epoch than its revision ends the own term, and whoever replaces it waits as for a holder that renewed when the state was first read. The same holds for a lease that is absent in a store that was restored, counted from the first observation of the epoch.

--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -129,6 +129,15 @@
 	return true;
 }
 
+/* The object names the epoch of the store that its writer knew.  One that was
+ * written in an earlier epoch comes from the copy from which the store was
+ * restored, or from an update that arrived late. */
+static bool is_from_before_restore(const json_t *spec, uint64_t revision)
+{
+	return json_integer_value(json_object_get(spec, "epoch")) !=
+	       (json_int_t)platform_revision_epoch(revision);
+}
+
 static void on_lease_answer(void *ctx, const platform_answer_t *answer)
 {
 	orders_t *orders = ctx;
@@ -152,6 +161,9 @@
 			(int)(answer->took_us / 1000));
 	bsh_lease_done(&orders->lease, lease_result(answer->result), holder,
 		       active, revision, now_us(orders));
+	if (holder != NULL &&
+	    is_from_before_restore(answer->objects[0].spec, revision))
+		bsh_lease_set_restored(&orders->lease, revision);
 	if (holder != NULL && holder[0] == '\0' &&
 	    exclude_listed_targets(orders, answer->objects[0].spec))
 		bsh_lease_set_has_order_list(&orders->lease, revision);
@@ -162,10 +174,11 @@
 	/* The time changes with each renewal, so that the store raises the
 	 * revision. */
 	json_t *spec =
-		json_pack("{s:s, s:b, s:I}", "holder",
+		json_pack("{s:s, s:b, s:I, s:I}", "holder",
 			  orders->lease.releasing ? "" : orders->lease.self,
 			  "active", orders->lease.update_active, "renewed_us",
-			  (json_int_t)g_get_real_time());
+			  (json_int_t)g_get_real_time(), "epoch",
+			  (json_int_t)orders->control->store.epoch);
 
 	if (orders->lease.releasing &&
 	    bsh_lease_is_order_list_complete(&orders->lease, now_us(orders))) {
@@ -181,6 +194,13 @@
 {
 	platform_store_t *store = &orders->control->store;
 
+	/* An update states the epoch of the store. */
+	if (!store->epoch_known)
+		return;
+	if (store->epoch != orders->store_epoch) {
+		orders->store_epoch = store->epoch;
+		bsh_lease_store_restored(&orders->lease, now_us(orders));
+	}
 	switch (bsh_lease_next(&orders->lease, now_us(orders))) {
 	case BSH_LEASE_NOTHING:
 		break;
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -64,6 +64,7 @@
 	lease->active = active;
 	lease->was_read = false;
 	lease->has_order_list = false;
+	lease->restored = false;
 	lease->observed_us = now_us;
 	g_strlcpy(lease->holder, holder, sizeof(lease->holder));
 	if (lease->holding && strcmp(holder, lease->self) != 0)
@@ -99,44 +100,67 @@
 	       now_us >= lease->first_order_us;
 }
 
+/* Records the wait for orders given until then. */
+static void wait_for_orders(bsh_lease_t *lease, int64_t until_us)
+{
+	lease->former_wait_until_us =
+		MAX(lease->former_wait_until_us,
+		    until_us + lease->lease_us + BSH_LEASE_MARGIN_US);
+}
+
+/* Records the wait for the extension of a term that was renewed by then. */
+static void wait_for_extension(bsh_lease_t *lease, int64_t renewed_us)
+{
+	lease->former_extended_wait_until_us =
+		MAX(lease->former_extended_wait_until_us,
+		    renewed_us + BSH_LEASE_EXTENSION_US + lease->lease_us +
+			    BSH_LEASE_MARGIN_US);
+}
+
+/* Records the wait for a holder that renewed by then. */
+static void wait_for_holder(bsh_lease_t *lease, int64_t renewed_us)
+{
+	wait_for_orders(lease, renewed_us + renewal_validity_us(lease));
+	wait_for_extension(lease, renewed_us);
+}
+
 /* Records when the last order of the former holder will be a lease time old.
  * This happens before the update is sent: its answer may be lost, and a later
  * read shows only that this instance holds the lease. */
 static void note_former_holder(bsh_lease_t *lease, int64_t now_us)
 {
-	int64_t wait_us = lease->lease_us + BSH_LEASE_MARGIN_US;
 	bool own = strcmp(lease->holder, lease->self) == 0;
 	bool released = lease->holder[0] == '\0';
-	int64_t ordered_until_us = now_us;
-	/* If the last holder had not finished its wait, the term of the
-	 * holder before it may still be extended. */
-	int64_t extended_until_us =
-		lease->active ? 0 : lease->observed_us + BSH_LEASE_EXTENSION_US;
+	bool uncertain =
+		lease->known ? lease->restored : lease->store_restored_us > 0;
 
-	if (!lease->known)
+	if (!lease->known && !uncertain)
+		return;
+	if ((own || uncertain) && lease->term == 0)
+		lease->previous_process_until_us =
+			now_us + lease->lease_us + BSH_LEASE_MARGIN_US;
+	if (uncertain) {
+		/* Any instance may have held the lease before the restore. */
+		wait_for_holder(lease, lease->known ? lease->observed_us
+						    : lease->store_restored_us);
 		return;
-	if (own && lease->term == 0)
-		lease->previous_process_until_us = now_us + wait_us;
+	}
 	if (!released && !own) {
 		/* The renewal started before this revision was observed. */
-		ordered_until_us =
-			lease->observed_us + renewal_validity_us(lease);
-		extended_until_us = lease->observed_us + BSH_LEASE_EXTENSION_US;
-	} else if (own ? lease->active || lease->former_wait_until_us > 0
-		       : lease->has_order_list && lease->active) {
-		/* Nothing to add: after a term of this instance, if its
-		 * holder had finished its own wait or this process still has
-		 * that wait recorded; after a release, if the holder had
-		 * finished its wait and left an order list. */
-		ordered_until_us -= wait_us;
-		extended_until_us = 0;
+		wait_for_holder(lease, lease->observed_us);
+		return;
 	}
-	lease->former_wait_until_us =
-		MAX(lease->former_wait_until_us, ordered_until_us + wait_us);
-	if (extended_until_us > 0)
-		lease->former_extended_wait_until_us =
-			MAX(lease->former_extended_wait_until_us,
-			    extended_until_us + wait_us);
+	/* After a term of this instance, its holder had finished its own wait
+	 * or this process still has that wait recorded; after a release, the
+	 * holder had finished its wait and left an order list. */
+	if (own ? lease->active || lease->former_wait_until_us > 0
+		: lease->has_order_list && lease->active)
+		return;
+	wait_for_orders(lease, now_us);
+	/* If the last holder had not finished its wait, the term of the
+	 * holder before it may still be extended. */
+	if (!lease->active)
+		wait_for_extension(lease, lease->observed_us);
 }
 
 /* Sets the earliest time of an order.  Once a majority supports the own term,
@@ -158,7 +182,7 @@
 static bsh_lease_call_t begin_call(bsh_lease_t *lease, bsh_lease_call_t call,
 				   int64_t now_us)
 {
-	if (call == BSH_LEASE_REPLACE && !lease->holding)
+	if (call != BSH_LEASE_READ && !lease->holding)
 		note_former_holder(lease, now_us);
 	lease->pending_call = call;
 	lease->call_began_us = now_us;
@@ -233,6 +257,7 @@
 	lease->renewed_us = lease->call_began_us;
 	lease->known = true;
 	lease->active = lease->update_active;
+	lease->restored = false;
 	lease->revision = revision;
 	lease->observed_us = now_us;
 	g_strlcpy(lease->holder, lease->self, sizeof(lease->holder));
@@ -245,6 +270,7 @@
 		lease->holding = false;
 		lease->revision = revision;
 		lease->active = lease->update_active;
+		lease->restored = false;
 		lease->holder[0] = '\0';
 		return;
 	}
@@ -311,6 +337,7 @@
 	lease->active = active;
 	lease->was_read = has_order_list;
 	lease->has_order_list = has_order_list;
+	lease->restored = false;
 	lease->observed_us = now_us;
 }
 
@@ -355,6 +382,19 @@
 				lease->holder[0] == '\0';
 }
 
+void bsh_lease_set_restored(bsh_lease_t *lease, uint64_t revision)
+{
+	if (!lease->known || lease->revision != revision)
+		return;
+	lease->restored = true;
+	lease->holding = false;
+}
+
+void bsh_lease_store_restored(bsh_lease_t *lease, int64_t now_us)
+{
+	lease->store_restored_us = now_us;
+}
+
 void bsh_lease_set_store_reachable(bsh_lease_t *lease, bool reachable,
 				   int64_t now_us)
 {
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -34,6 +34,12 @@
  *	which it gave recent orders (the order list), so that its successor
  *	waits only for those targets.
  *
+ *	The store may be restored from an older copy, which may contain an
+ *	earlier state of the object or none, so a state that was written before
+ *	the restore does not show who held the lease at that moment.  It ends
+ *	the own term, and whoever replaces it waits as for a holder that renewed
+ *	when the state was first read.  Revisions must rise across restores.
+ *
  *	The holder announces its revision by datagrams, so that the other
  *	instances need not read the store.
  *
@@ -85,9 +91,13 @@
 	bool active;		    /* holder has waited for the former one */
 	bool was_read;	      /* this revision was read, not only announced */
 	bool has_order_list;  /* released, with a complete order list */
+	bool restored;	      /* written before the last restore of the store */
 	int64_t observed_us;  /* first observation of revision or release */
 	int64_t announced_us; /* last announcement received from the holder */
 	int64_t store_reachable_since_us; /* 0: the store does not answer */
+	/* First observation of the store after its last restore; 0: it was
+	 * never restored. */
+	int64_t store_restored_us;
 
 	/* Own term. */
 	bool holding;
@@ -183,6 +193,14 @@
  * contains the order list of its former holder. */
 void bsh_lease_set_has_order_list(bsh_lease_t *lease, uint64_t revision);
 
+/* bsh_lease_set_restored - the object that was read at this revision was written
+ * before the last restore of the store. */
+void bsh_lease_set_restored(bsh_lease_t *lease, uint64_t revision);
+
+/* bsh_lease_store_restored - the store is observed for the first time since it
+ * was restored.  An object that does not exist may have been lost. */
+void bsh_lease_store_restored(bsh_lease_t *lease, int64_t now_us);
+
 /* bsh_lease_set_store_reachable - whether the store answers this instance. */
 void bsh_lease_set_store_reachable(bsh_lease_t *lease, bool reachable,
 				   int64_t now_us);
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -333,6 +333,79 @@
 	g_assert_cmpstr(first.holder, ==, "entry-2");
 }
 
+#define RESTORED(revision) ((UINT64_C(1) << 40) + (revision))
+
+/* Guards against a term that continues across a restore of the store: another
+ * instance may have acquired the lease between the restore and an update that
+ * was sent before it. */
+static void test_renewal_during_restore(void)
+{
+	bsh_lease_t lease;
+
+	acquire_lease(&lease);
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND), ==, BSH_LEASE_REPLACE);
+	bsh_lease_done(&lease, BSH_LEASE_UNKNOWN, NULL, false, 0,
+		       SECOND + 1000);
+	g_assert_cmpint(bsh_lease_next(&lease, 2 * SECOND), ==, BSH_LEASE_READ);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-1", true, RESTORED(9),
+		       2 * SECOND + 1000);
+	bsh_lease_set_restored(&lease, RESTORED(9));
+	g_assert_false(bsh_lease_may_order(&lease, 2 * SECOND + 2000));
+	g_assert_cmpint(bsh_lease_next(&lease, 3 * SECOND), ==,
+			BSH_LEASE_REPLACE);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-1", false, RESTORED(10),
+		       3 * SECOND + 1000);
+	g_assert_cmpuint(lease.term, ==, RESTORED(10));
+	bsh_lease_supported(&lease, 60 * SECOND, 4 * SECOND);
+	/* As for another holder that renewed just before the read. */
+	g_assert_cmpint(lease.first_order_us, >,
+			2 * SECOND + LEASE_MS * 10 * BSH_LEASE_VALID_PERCENT +
+				LEASE_MS * 1000);
+	g_assert_cmpint(lease.first_order_us, <, 9 * SECOND);
+}
+
+/* Guards against trust in an older copy of a released lease with its order
+ * list: a later holder may still give orders. */
+static void test_restored_release(void)
+{
+	bsh_lease_t lease;
+
+	bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
+	bsh_lease_store_restored(&lease, 1000);
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND), ==, BSH_LEASE_CREATE);
+	bsh_lease_done(&lease, BSH_LEASE_CONFLICT, "", true, RESTORED(9),
+		       SECOND);
+	bsh_lease_set_restored(&lease, RESTORED(9));
+	bsh_lease_set_has_order_list(&lease, RESTORED(9));
+	g_assert_cmpint(bsh_lease_next(&lease, 2 * SECOND), ==,
+			BSH_LEASE_REPLACE);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-2", false, RESTORED(10),
+		       2 * SECOND + 1000);
+	g_assert_cmpint(lease.first_order_us, >=,
+			SECOND + BSH_LEASE_EXTENSION_US + LEASE_MS * 1000);
+	/* Its own list does not name the targets of that holder either. */
+	g_assert_false(bsh_lease_is_order_list_complete(&lease, 4 * SECOND));
+}
+
+/* Guards against an order of a process that finds no lease in a store which was
+ * restored, as its copy may be older than the lease; and against a wait in a
+ * store that never was. */
+static void test_absent_after_restore(void)
+{
+	bsh_lease_t lease;
+
+	bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
+	bsh_lease_store_restored(&lease, SECOND);
+	g_assert_cmpint(bsh_lease_next(&lease, 2 * SECOND), ==,
+			BSH_LEASE_CREATE);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-2", false, RESTORED(9),
+		       2 * SECOND + 1000);
+	g_assert_cmpint(lease.first_order_us, >=,
+			SECOND + BSH_LEASE_EXTENSION_US + LEASE_MS * 1000);
+	acquire_lease(&lease);
+	g_assert_true(bsh_lease_may_order(&lease, 2000));
+}
+
 /* Guards against a promise that is broken, ignored after a restart, or counted
  * by the holder for longer than it is kept. */
 static void test_promise(void)
@@ -375,6 +448,13 @@
 #define SIM_SEEDS	     500
 #define MESSAGES_MAX	     4096
 #define MESSAGE_DELAY_MAX_MS 60
+/* Age of the copies from which the store is restored. */
+#define COPY_AGE_MAX_US	   (8 * SECOND)
+#define COPIES		   64
+#define COPY_INTERVAL_US   (COPY_AGE_MAX_US / COPIES)
+#define LATE_UPDATES_MAX   16
+#define LATE_UPDATE_MAX_MS 5000
+#define EPOCH_SHIFT	   40
 
 typedef struct {
 	char name[16];
@@ -404,8 +484,28 @@
 	bool call_releases;
 	bool call_has_order_list;
 	uint64_t call_revision;
+	uint64_t call_epoch;
+	uint64_t epoch;	  /* of the store, as this node knows */
+	bool epoch_known; /* from the store or an announcement */
 } node_t;
 
+/* The object of the lease. */
+typedef struct {
+	bool exists;
+	uint64_t revision; /* as the store counts them */
+	uint64_t epoch;	   /* named by its writer */
+	char holder[16];
+	bool active;
+	bool has_order_list;
+	int64_t ordered_us[TARGETS]; /* order list */
+} object_t;
+
+/* An update whose caller has given up, and which the store may carry out. */
+typedef struct {
+	node_t caller; /* its state at the call */
+	int64_t at_us;
+} late_update_t;
+
 typedef struct {
 	int from;
 	int to;
@@ -426,12 +526,13 @@
 	node_t nodes[NODES];
 	message_t messages[MESSAGES_MAX];
 	int n_messages;
-	bool exists;
-	uint64_t revision;
-	char holder[16];
-	bool active;
-	bool has_order_list;
-	int64_t ordered_us[TARGETS]; /* order list in the object */
+	object_t object;
+	uint64_t epoch;		 /* number of restores */
+	bool restores;		 /* the store is restored now and then */
+	object_t copies[COPIES]; /* number n at n % COPIES */
+	uint64_t n_copies;
+	late_update_t late[LATE_UPDATES_MAX];
+	int n_late;
 	int64_t store_down_until_us;
 	bool cut[NODES][NODES]; /* [from][to] */
 	int64_t cut_until_us;
@@ -440,6 +541,7 @@
 	/* Data for the assertions. */
 	int last_node[TARGETS];
 	int64_t last_us[TARGETS];
+	uint64_t last_term[TARGETS];
 	uint64_t orders;
 	uint64_t orders_store_down; /* after 3 s without the store */
 	int64_t store_down_since_us;
@@ -469,10 +571,26 @@
 	node->answered_us = 0;
 	node->releases_left = 0;
 	node->was_holder = false;
+	node->epoch = 0;
+	node->epoch_known = false;
 	memset(node->ordered_us, 0, sizeof(node->ordered_us));
 	memset(node->next_order_us, 0, sizeof(node->next_order_us));
 }
 
+static void learn_epoch(node_t *node, uint64_t epoch, int64_t now_us)
+{
+	if (epoch > node->epoch) {
+		node->epoch = epoch;
+		bsh_lease_store_restored(&node->lease, now_us);
+	}
+	node->epoch_known = true;
+}
+
+static uint64_t object_revision(const sim_t *sim)
+{
+	return sim->epoch << EPOCH_SHIFT | sim->object.revision;
+}
+
 static bool reaches_store(const sim_t *sim, int n, int64_t now_us)
 {
 	return now_us >= sim->store_down_until_us && !sim->store_cut[n];
@@ -565,6 +683,7 @@
 			node->peer_reached_us = now_us;
 		return;
 	}
+	learn_epoch(node, message->revision >> EPOCH_SHIFT, now_us);
 	if (node->lease.known && message->revision < node->lease.revision)
 		return;
 	bsh_lease_announced(&node->lease, sim->nodes[message->from].name,
@@ -597,44 +716,101 @@
 
 static bool apply_call(sim_t *sim, const node_t *node)
 {
-	bool wanted =
-		node->call == BSH_LEASE_CREATE
-			? !sim->exists
-			: sim->exists && sim->revision == node->call_revision;
+	object_t *object = &sim->object;
+	uint64_t mask = (UINT64_C(1) << EPOCH_SHIFT) - 1;
+	bool wanted = node->call == BSH_LEASE_CREATE
+			      ? !object->exists
+			      : object->exists &&
+					object->revision ==
+						(node->call_revision & mask);
 
 	if (node->call == BSH_LEASE_READ || !wanted)
 		return false;
-	sim->exists = true;
-	sim->revision += 1 + random_below(sim, 3);
-	sim->active = node->update_active;
-	sim->has_order_list = node->call_releases && node->call_has_order_list;
+	object->exists = true;
+	object->revision += 1 + random_below(sim, 3);
+	object->epoch = node->call_epoch;
+	object->active = node->update_active;
+	object->has_order_list =
+		node->call_releases && node->call_has_order_list;
 	if (node->call_releases)
-		memcpy(sim->ordered_us, node->ordered_us,
-		       sizeof(sim->ordered_us));
-	g_strlcpy(sim->holder, node->call_releases ? "" : node->name,
-		  sizeof(sim->holder));
+		memcpy(object->ordered_us, node->ordered_us,
+		       sizeof(object->ordered_us));
+	g_strlcpy(object->holder, node->call_releases ? "" : node->name,
+		  sizeof(object->holder));
 	return true;
 }
 
+/* The store may carry out the update later, also after a restore. */
+static void keep_late_update(sim_t *sim, const node_t *node, int64_t now_us)
+{
+	late_update_t *late = &sim->late[sim->n_late];
+
+	if (!sim->restores || sim->n_late == LATE_UPDATES_MAX ||
+	    node->call == BSH_LEASE_READ || random_below(sim, 2) == 0)
+		return;
+	late->caller = *node;
+	late->at_us = now_us + 1000 * random_below(sim, LATE_UPDATE_MAX_MS);
+	sim->n_late++;
+}
+
+static void apply_late_updates(sim_t *sim, int64_t now_us)
+{
+	for (int i = sim->n_late; i > 0; i--) {
+		late_update_t *late = &sim->late[i - 1];
+
+		if (now_us < late->at_us || now_us < sim->store_down_until_us)
+			continue;
+		apply_call(sim, &late->caller);
+		*late = sim->late[--sim->n_late];
+	}
+}
+
+/* Restores the store from a copy. */
+static void restore_store(sim_t *sim, int64_t now_us)
+{
+	uint64_t age = random_below(sim, (uint32_t)MIN(sim->n_copies, COPIES));
+
+	if (sim->n_copies == 0)
+		return;
+	sim->object = sim->copies[(sim->n_copies - 1 - age) % COPIES];
+	sim->epoch++;
+	sim->n_copies = 0;
+	sim->store_down_since_us = now_us;
+	sim->store_down_until_us = now_us + 1000 * random_below(sim, 3000);
+}
+
+/* The store's answer to a call, as its client passes it on. */
+static bsh_lease_result_t answer_call(sim_t *sim, node_t *node, int64_t now_us)
+{
+	bool done = apply_call(sim, node);
+	bsh_lease_result_t result = done || node->call == BSH_LEASE_READ
+					    ? BSH_LEASE_DONE
+					    : BSH_LEASE_CONFLICT;
+
+	if (!sim->object.exists)
+		result = BSH_LEASE_ABSENT;
+	if (random_below(sim, 12) == 0)
+		return BSH_LEASE_UNKNOWN;
+	learn_epoch(node, sim->epoch, now_us);
+	/* The replaced state may have been another one. */
+	if (done && node->call_epoch != sim->epoch)
+		return BSH_LEASE_UNKNOWN;
+	return result;
+}
+
 /* Decides whether the store receives the pending call and answers it. */
 static void finish_call(sim_t *sim, int n, int64_t now_us)
 {
 	node_t *node = &sim->nodes[n];
+	const object_t *object = &sim->object;
 	bsh_lease_result_t result = BSH_LEASE_FAILED;
-	bool done = false;
 
 	node->has_call = false;
 	if (reaches_store(sim, n, now_us)) {
-		done = apply_call(sim, node);
-		result = done || node->call == BSH_LEASE_READ
-				 ? BSH_LEASE_DONE
-				 : BSH_LEASE_CONFLICT;
-		if (!sim->exists)
-			result = BSH_LEASE_ABSENT;
-		if (random_below(sim, 12) == 0)
-			result = BSH_LEASE_UNKNOWN;
+		result = answer_call(sim, node, now_us);
 	} else if (random_below(sim, 2) == 0) {
 		result = BSH_LEASE_UNKNOWN;
+		keep_late_update(sim, node, now_us);
 	}
 	if (result != BSH_LEASE_UNKNOWN && result != BSH_LEASE_FAILED)
 		node->answered_us = now_us;
@@ -642,16 +818,42 @@
 		bsh_lease_done(&node->lease, result, NULL, false, 0, now_us);
 		return;
 	}
-	bsh_lease_done(&node->lease, result, sim->holder, sim->active,
-		       sim->revision, now_us);
-	if (sim->holder[0] == '\0' && sim->has_order_list) {
+	bsh_lease_done(&node->lease, result, object->holder, object->active,
+		       object_revision(sim), now_us);
+	if (object->epoch != sim->epoch)
+		bsh_lease_set_restored(&node->lease, object_revision(sim));
+	if (object->holder[0] == '\0' && object->has_order_list) {
 		int64_t age_us[TARGETS];
 
 		for (int t = 0; t < TARGETS; t++)
-			age_us[t] = now_us - sim->ordered_us[t];
+			age_us[t] = now_us - object->ordered_us[t];
 		defer_orders(node, age_us, now_us);
-		bsh_lease_set_has_order_list(&node->lease, sim->revision);
+		bsh_lease_set_has_order_list(&node->lease,
+					     object_revision(sim));
+	}
+}
+
+static void begin_call(sim_t *sim, node_t *node, int64_t now_us)
+{
+	bsh_lease_t *lease = &node->lease;
+
+	node->call = bsh_lease_next(lease, now_us);
+	/* The client of the store does not send an update of a state from
+	 * before the restore. */
+	if (node->call == BSH_LEASE_REPLACE &&
+	    lease->revision >> EPOCH_SHIFT != node->epoch) {
+		bsh_lease_done(lease, BSH_LEASE_CONFLICT, NULL, false, 0,
+			       now_us);
+		return;
 	}
+	node->has_call = node->call != BSH_LEASE_NOTHING;
+	node->call_at_us = now_us + 1000 * (1 + random_below(sim, 60));
+	node->update_active = lease->update_active;
+	node->call_releases = lease->releasing;
+	node->call_has_order_list =
+		bsh_lease_is_order_list_complete(lease, now_us);
+	node->call_revision = lease->revision;
+	node->call_epoch = node->epoch;
 }
 
 static void order(sim_t *sim, int n, int64_t now_us)
@@ -667,6 +869,11 @@
 		sim->orders_store_down++;
 	if (sim->last_node[t] != n && sim->last_us[t] > 0)
 		g_assert_cmpint(now_us - sim->last_us[t], >=, LEASE_MS * 1000);
+	/* The term is the fencing token of the order. */
+	if (sim->last_node[t] != n)
+		g_assert_cmpuint(node->lease.term, !=, sim->last_term[t]);
+	g_assert_cmpuint(node->lease.term, >=, sim->last_term[t]);
+	sim->last_term[t] = node->lease.term;
 	sim->last_node[t] = n;
 	sim->last_us[t] = now_us;
 	node->ordered_us[t] = now_us;
@@ -728,16 +935,11 @@
 				      now_us);
 	if (node->has_call && now_us >= node->call_at_us)
 		finish_call(sim, n, now_us);
-	if (!node->has_call) {
-		node->call = bsh_lease_next(lease, now_us);
-		node->has_call = node->call != BSH_LEASE_NOTHING;
-		node->call_at_us = now_us + 1000 * (1 + random_below(sim, 60));
-		node->update_active = lease->update_active;
-		node->call_releases = lease->releasing;
-		node->call_has_order_list =
-			bsh_lease_is_order_list_complete(lease, now_us);
-		node->call_revision = lease->revision;
-	}
+	if (!node->epoch_known && reaches_store(sim, n, now_us) &&
+	    random_below(sim, 3) == 0)
+		learn_epoch(node, sim->epoch, now_us);
+	if (!node->has_call && node->epoch_known)
+		begin_call(sim, node, now_us);
 	if (bsh_lease_is_holder(lease, now_us))
 		run_holder(sim, n, now_us);
 	holds = bsh_lease_is_holder(lease, now_us);
@@ -789,7 +991,7 @@
 	int n = random_node(sim, now_us);
 	node_t *node = &sim->nodes[n];
 
-	switch (random_below(sim, 6)) {
+	switch (random_below(sim, sim->restores ? 8 : 6)) {
 	case 0:
 		sim->store_down_since_us = now_us;
 		sim->store_down_until_us =
@@ -818,6 +1020,9 @@
 		if (now_us >= node->paused_until_us)
 			bsh_lease_release(&node->lease);
 		break;
+	default:
+		restore_store(sim, now_us);
+		break;
 	}
 }
 
@@ -836,9 +1041,10 @@
 	}
 }
 
-static void simulate(sim_t *sim, uint32_t seed)
+static void simulate(sim_t *sim, uint32_t seed, bool restores)
 {
 	memset(sim, 0, sizeof(*sim));
+	sim->restores = restores;
 	bsh_rng_init(&sim->rng, seed);
 	for (int n = 0; n < NODES; n++)
 		start_node(&sim->nodes[n], n, 0);
@@ -849,6 +1055,9 @@
 			memset(sim->cut, 0, sizeof(sim->cut));
 		if (now_us >= sim->store_cut_until_us)
 			memset(sim->store_cut, 0, sizeof(sim->store_cut));
+		if (restores && now_us % COPY_INTERVAL_US < STEP_US)
+			sim->copies[sim->n_copies++ % COPIES] = sim->object;
+		apply_late_updates(sim, now_us);
 		deliver(sim, now_us);
 		for (int n = 0; n < NODES; n++)
 			if (now_us >= sim->nodes[n].paused_until_us &&
@@ -873,7 +1082,7 @@
 
 	for (uint32_t seed = 1; seed <= SIM_SEEDS; seed++) {
 		g_test_message("seed %u", seed);
-		simulate(&sim, seed);
+		simulate(&sim, seed, false);
 		orders += sim.orders;
 		orders_store_down += sim.orders_store_down;
 		handovers += sim.handovers;
@@ -887,6 +1096,28 @@
 	g_assert_cmpuint(orders, >, SIM_SEEDS * (SIM_US / STEP_US) / 4);
 }
 
+/* Guards against two holders that give orders to a target within one lease time,
+ * and against a fencing token that is used again, when the store is also
+ * restored from older copies and carries out updates late. */
+static void test_random_restores(void)
+{
+	static sim_t sim;
+	uint64_t orders = 0;
+	uint64_t restores = 0;
+
+	for (uint32_t seed = 1; seed <= SIM_SEEDS; seed++) {
+		g_test_message("seed %u", seed);
+		simulate(&sim, seed, true);
+		orders += sim.orders;
+		restores += sim.epoch;
+	}
+	g_test_message("%" G_GUINT64_FORMAT " orders, %" G_GUINT64_FORMAT
+		       " restores",
+		       orders, restores);
+	g_assert_cmpuint(restores, >, SIM_SEEDS * 5);
+	g_assert_cmpuint(orders, >, SIM_SEEDS * (SIM_US / STEP_US) / 8);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -905,7 +1136,13 @@
 	g_test_add_func("/lease/living-holder", test_live_holder_keeps_lease);
 	g_test_add_func("/lease/clean-release", test_release_with_order_list);
 	g_test_add_func("/lease/handover", test_handover);
+	g_test_add_func("/lease/renewal-during-restore",
+			test_renewal_during_restore);
+	g_test_add_func("/lease/restored-release", test_restored_release);
+	g_test_add_func("/lease/absent-after-restore",
+			test_absent_after_restore);
 	g_test_add_func("/quorum/promise", test_promise);
 	g_test_add_func("/lease/random-faults", test_random_faults);
+	g_test_add_func("/lease/random-restores", test_random_restores);
 	return g_test_run();
 }
--- a/regress/test_store_era.c
+++ b/regress/test_store_era.c
@@ -184,6 +184,44 @@
 	assert_orders_exclusive(f);
 }
 
+static const char *lease_object_holder(const fixture_t *f)
+{
+	const json_t *object =
+		platform_rig_object(&f->rig, "berylshunt-leases", "orders");
+
+	return json_string_value(
+		json_object_get(json_object_get(object, "spec"), "holder"));
+}
+
+/* Guards against a process that starts after the store was set back and trusts
+ * the released lease and its list of recent orders in the older copy. */
+static void test_older_release(fixture_t *f, gconstpointer data)
+{
+	rig_entry_t *former;
+	int64_t copied = 0;
+
+	(void)data;
+	wait_for_load(f, f->entries[0], "m1");
+	former = holder(f);
+	/* The released lease then lists no recent order. */
+	platform_rig_run(&f->rig, 2 * LEASE_MS);
+	kill(former->pid, SIGTERM);
+	while (former->alive) {
+		platform_rig_run(&f->rig, 1);
+		if (copied == 0 && g_strcmp0(lease_object_holder(f), "") == 0)
+			copied = f->rig.revision;
+	}
+	g_assert_cmpint(copied, >, 0);
+	wait_for_load(f, entry_beside(f, former), "m2");
+	g_assert_true(holder(f) != former);
+	platform_rig_set_back(&f->rig, copied);
+	publish_workers(f);
+	platform_rig_spawn(&f->rig, former);
+	platform_rig_wait_ready(&f->rig, former);
+	wait_for_load(f, former, "m3");
+	assert_orders_exclusive(f);
+}
+
 /* Calls the desk through each instance for some time. */
 static void call_desk(fixture_t *f, int64_t ms, int status)
 {
@@ -369,6 +407,7 @@
 	ADD("/store-era/configuration", test_configuration);
 	ADD("/store-era/lost-lease", test_lost_lease);
 	ADD("/store-era/former-holder", test_former_holder);
+	ADD("/store-era/older-release", test_older_release);
 	ADD("/store-era/leaving-target", test_leaving_target);
 	ADD_CLIENT("/store-era/change-after", test_change_after_restore);
 	ADD_CLIENT("/store-era/change-during", test_change_during_restore);
