Wait for the holder before one that released early

A successor of an instance that released the lease before its first order could order targets within one lease time of the holder before it.

Cause: it waited a lease time from now, although the validity of the earlier holder's last renewal may not have ended. Without a restore of the store the takeover itself takes about that long; after one the lease is acquired at once.

Evidence: /lease/release-during-wait got a first order 4.40 s after the start of the clock instead of 6.25 s or more.

Change: the successor waits as for a holder that renewed when the state was first observed.

--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -157,10 +157,10 @@
 		: lease->has_order_list && lease->active)
 		return;
 	wait_for_orders(lease, now_us);
-	/* If the last holder had not finished its wait, the term of the
-	 * holder before it may still be extended. */
+	/* If the last holder had not finished its wait, the holder before it
+	 * may still give orders. */
 	if (!lease->active)
-		wait_for_extension(lease, lease->observed_us);
+		wait_for_holder(lease, lease->observed_us);
 }
 
 /* Sets the earliest time of an order.  Once a majority supports the own term,
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -406,6 +406,26 @@
 	g_assert_true(bsh_lease_may_order(&lease, 2000));
 }
 
+/* Guards against a successor that waits only for a holder which released the
+ * lease before its first order, and not for the one before that. */
+static void test_release_during_wait(void)
+{
+	bsh_lease_t lease;
+
+	bsh_lease_init(&lease, "entry-3", LEASE_MS, 0, 0);
+	bsh_lease_announced(&lease, "entry-2", false, 11, SECOND);
+	bsh_lease_released(&lease, "entry-2", false, true, 12, SECOND + 1000);
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND + 2000), ==,
+			BSH_LEASE_REPLACE);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-3", false, 13,
+		       SECOND + 3000);
+	bsh_lease_supported(&lease, 60 * SECOND, SECOND + 4000);
+	/* The former holder may have renewed just before entry-2 acquired. */
+	g_assert_cmpint(lease.first_order_us, >=,
+			SECOND + LEASE_MS * 10 * BSH_LEASE_VALID_PERCENT +
+				LEASE_MS * 1000);
+}
+
 /* Guards against a promise that is broken, ignored after a restart, or counted
  * by the holder for longer than it is kept. */
 static void test_promise(void)
@@ -1141,6 +1161,7 @@
 	g_test_add_func("/lease/restored-release", test_restored_release);
 	g_test_add_func("/lease/absent-after-restore",
 			test_absent_after_restore);
+	g_test_add_func("/lease/release-during-wait", test_release_during_wait);
 	g_test_add_func("/quorum/promise", test_promise);
 	g_test_add_func("/lease/random-faults", test_random_faults);
 	g_test_add_func("/lease/random-restores", test_random_restores);
