Register again after the store was restored

Instances would not find each other, and a majority would be counted of too few after a restart, once the store has come back from an older copy.

Cause: an instance registers once, at its start. Its object is lost with the copy; likewise an instance that drains has deleted its object, which is then there again and is never deleted.

Evidence, on the code before this change: /store-era/registration finds no object of an instance 2 s after the restore, and /store-era/lost-deletion finds that of an instance that has stopped.

Change: on a restore an instance writes its object again within a second, or deletes it again while it drains.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -299,8 +299,9 @@
 
 	bsh_log(BSH_LOG_WARNING, "store-restored epoch=%u before=%u dropped=%s",
 		control->store.epoch, before,
-		orders_is_holder(control->orders) ? "watches,lease"
-						  : "watches");
+		orders_is_holder(control->orders) ? "watches,registration,lease"
+						  : "watches,registration");
+	peers_store_restored(control->peers);
 	relist_all(control);
 }
 
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -151,6 +151,9 @@
 void peers_free(peers_t *peers);
 /* Gossips that this instance is leaving and deletes its object in the store. */
 void peers_leave(peers_t *peers);
+/* Writes or deletes the object of this instance again: the store was restored
+ * from an older copy. */
+void peers_store_restored(peers_t *peers);
 /* Gossips the version of the configuration in force here. */
 void peers_set_version(peers_t *peers, uint64_t version);
 /* Number of instances that may be running: the larger of those alive by gossip
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -30,6 +30,10 @@
 #define INSTANCES_MIN 3U
 /* Delay before a failed registration is retried. */
 #define REGISTER_RETRY_US INT64_C(500000)
+/* Longest delay before the registration is repeated after a restore of the
+ * store: all instances learn of it at the same time, and share one limit of
+ * calls with the updates of the lease. */
+#define REGISTER_AGAIN_MAX_US 1000000
 
 static bsh_counter_t clock_rejected = BSH_COUNTER(
 	"bsh_clock_stamps_rejected_total",
@@ -184,6 +188,20 @@
 			 (json_int_t)entry->incarnation);
 }
 
+static void on_unregistered(void *ctx, const platform_answer_t *answer)
+{
+	(void)ctx;
+	bsh_log(BSH_LOG_INFO, "unregistered result=%s",
+		platform_result_name(answer->result));
+}
+
+static void unregister_self(peers_t *peers)
+{
+	platform_store_delete(&peers->control->store, PLATFORM_KIND_INSTANCES,
+			      peers->control->entry->settings.instance, 0,
+			      on_unregistered, peers);
+}
+
 static void on_registered(void *ctx, const platform_answer_t *answer)
 {
 	peers_t *peers = ctx;
@@ -194,6 +212,8 @@
 		peers->object_revision = answer->revision;
 		bsh_log(BSH_LOG_INFO, "registered revision=%" G_GUINT64_FORMAT,
 			answer->revision);
+		if (peers->leaving)
+			unregister_self(peers);
 		return;
 	}
 	/* An earlier process of this instance has left its object: replace
@@ -228,13 +248,6 @@
 				      own_spec(peers), on_registered, peers);
 }
 
-static void on_unregistered(void *ctx, const platform_answer_t *answer)
-{
-	(void)ctx;
-	bsh_log(BSH_LOG_INFO, "unregistered result=%s",
-		platform_result_name(answer->result));
-}
-
 static bool decode_place(const json_t *spec, bsh_member_place_t *place,
 			 uint64_t *incarnation)
 {
@@ -363,6 +376,20 @@
 	g_free(peers);
 }
 
+void peers_store_restored(peers_t *peers)
+{
+	if (!peers->registered)
+		return;
+	/* The copy may contain the object that was deleted. */
+	if (peers->leaving) {
+		unregister_self(peers);
+		return;
+	}
+	peers->object_revision = 0;
+	bsh_loop_timer_after(&peers->register_timer,
+			     g_random_int_range(0, REGISTER_AGAIN_MAX_US));
+}
+
 void peers_leave(peers_t *peers)
 {
 	if (peers->leaving)
@@ -371,10 +398,7 @@
 	bsh_members_leave(peers->members, now_us(peers));
 	run_members(peers);
 	if (peers->registered)
-		platform_store_delete(&peers->control->store,
-				      PLATFORM_KIND_INSTANCES,
-				      peers->control->entry->settings.instance,
-				      0, on_unregistered, peers);
+		unregister_self(peers);
 }
 
 void peers_set_version(peers_t *peers, uint64_t version)
--- a/regress/test_store_era.c
+++ b/regress/test_store_era.c
@@ -222,6 +222,38 @@
 	assert_orders_exclusive(f);
 }
 
+/* Guards against an instance that the others cannot find, as its registration
+ * was lost. */
+static void test_registration(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_set_back(&f->rig, f->copied);
+	platform_rig_run(&f->rig, 2000);
+	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++)
+		g_assert_nonnull(platform_rig_object(
+			&f->rig, "berylshunt-instances", f->entries[i]->name));
+}
+
+/* Guards against an instance that is found again after it has stopped: the
+ * store forgets that it has deleted its registration while it drains. */
+static void test_lost_deletion(fixture_t *f, gconstpointer data)
+{
+	rig_entry_t *stopping = f->entries[0];
+	int64_t copied = f->rig.revision;
+
+	(void)data;
+	kill(stopping->pid, SIGTERM);
+	platform_rig_run(&f->rig, 300);
+	g_assert_null(platform_rig_object(&f->rig, "berylshunt-instances",
+					  stopping->name));
+	g_assert_true(stopping->alive);
+	platform_rig_set_back(&f->rig, copied);
+	while (stopping->alive)
+		platform_rig_run(&f->rig, 10);
+	g_assert_null(platform_rig_object(&f->rig, "berylshunt-instances",
+					  stopping->name));
+}
+
 /* Calls the desk through each instance for some time. */
 static void call_desk(fixture_t *f, int64_t ms, int status)
 {
@@ -408,6 +440,8 @@
 	ADD("/store-era/lost-lease", test_lost_lease);
 	ADD("/store-era/former-holder", test_former_holder);
 	ADD("/store-era/older-release", test_older_release);
+	ADD("/store-era/registration", test_registration);
+	ADD("/store-era/lost-deletion", test_lost_deletion);
 	ADD("/store-era/leaving-target", test_leaving_target);
 	ADD_CLIENT("/store-era/change-after", test_change_after_restore);
 	ADD_CLIENT("/store-era/change-during", test_change_during_restore);
