Keep targets that the store has lost until they write again

Callers saw 503 for up to a second after the store had come back from an older copy that lacked the only target of their service.

Cause: a target whose entry is missing is kept for 60 % of the drain time, unless a call to the store has failed before. A restore that no call was waiting for shows no failure, and targets write their entries again within about 2 s.

Evidence, on the code before this change: /store-era/lost-target gets 503 instead of 200 within 1.9 s of the restore.

Change: entries that are missing after a restore have the same grace time as those that expired in an outage, 2.5 s from the first answer that shows it.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -301,6 +301,7 @@
 		control->store.epoch, before,
 		orders_is_holder(control->orders) ? "watches,registration,lease"
 						  : "watches,registration");
+	targets_store_restored(control->targets);
 	peers_store_restored(control->peers);
 	relist_all(control);
 }
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -99,6 +99,9 @@
 void targets_start(targets_t *targets);
 void targets_relist(targets_t *targets);
 void targets_free(targets_t *targets);
+/* Notes that the store was restored from an older copy, in which the objects of
+ * targets may be missing until they are written again. */
+void targets_store_restored(targets_t *targets);
 /* True once the list has been read from the store. */
 bool targets_listed(const targets_t *targets);
 /* Applies one entry of an announcement that the lease holder sent in `term`. */
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -11,8 +11,9 @@
 #include "coordination/target_inventory.h"
 #include "platform/decode.h"
 
-/* Target objects that expired during an outage of the store are back within
- * about 2 s of its return; a target still without one is removed then. */
+/* Target objects that expired during an outage of the store, or were lost with
+ * a restore, are back within about 2 s; a target still without one is removed
+ * then. */
 #define OUTAGE_GRACE_US INT64_C(2500000)
 /* An announced placement is used instead of the holdings of the target's object
  * for this long; by then the target has updated its object. */
@@ -57,6 +58,7 @@
 	/* Lower bound of the last time at which the list that the lease holder
 	 * announces was complete. */
 	int64_t announced_complete_us;
+	int64_t store_restored_us; /* last restore of the store; 0: none */
 };
 
 static bsh_counter_t malformed_objects =
@@ -81,11 +83,15 @@
 	int64_t now_us = control_now_us(targets->control);
 	int64_t outage_until_us = 0;
 
-	/* If the store has not failed since the start, no object can have
-	 * expired in an outage. */
+	/* If the store has neither failed since the start nor been restored,
+	 * no object can have expired in an outage or been lost. */
 	if (targets->feed.failed_us > 0)
 		outage_until_us = now_us + targets->feed.recovered_us +
 				  OUTAGE_GRACE_US - bsh_loop_clock_us();
+	if (targets->store_restored_us > 0)
+		outage_until_us =
+			MAX(outage_until_us,
+			    targets->store_restored_us + OUTAGE_GRACE_US);
 	return bsh_missing_target_until_us(now_us, complete_us(targets),
 					   settings->entry_drain_ms *
 						   INT64_C(1000),
@@ -256,6 +262,11 @@
 	feed_relist(&targets->feed);
 }
 
+void targets_store_restored(targets_t *targets)
+{
+	targets->store_restored_us = control_now_us(targets->control);
+}
+
 void targets_free(targets_t *targets)
 {
 	feed_stop(&targets->feed);
--- a/regress/test_store_era.c
+++ b/regress/test_store_era.c
@@ -267,6 +267,35 @@
 	}
 }
 
+/* Removes the desk and adds another one, which the copy does not contain. */
+static worker_t *replace_desk(fixture_t *f)
+{
+	worker_t *desk;
+
+	platform_rig_remove_worker(f->desk);
+	f->copied = f->rig.revision;
+	desk = platform_rig_add_worker(&f->rig, "desk", NULL);
+	platform_rig_run(&f->rig, 2500);
+	return desk;
+}
+
+/* Guards against a target that is dropped before it can have written its lost
+ * entry again, and against one that is kept although it does not. */
+static void test_lost_target(fixture_t *f, gconstpointer data)
+{
+	worker_t *desk = replace_desk(f);
+
+	(void)data;
+	f->rig.store_keeps_watches = true;
+	platform_rig_set_back(&f->rig, f->copied);
+	call_desk(f, 1900, 200);
+	platform_rig_publish_worker(desk, "ready");
+	call_desk(f, 2000, 200);
+	platform_rig_set_back(&f->rig, f->copied);
+	platform_rig_run(&f->rig, 3500);
+	call_desk(f, 500, 503);
+}
+
 /* Guards against requests to a target that has reported that it leaves: the
  * older copy has it as ready. */
 static void test_leaving_target(fixture_t *f, gconstpointer data)
@@ -442,6 +471,7 @@
 	ADD("/store-era/older-release", test_older_release);
 	ADD("/store-era/registration", test_registration);
 	ADD("/store-era/lost-deletion", test_lost_deletion);
+	ADD("/store-era/lost-target", test_lost_target);
 	ADD("/store-era/leaving-target", test_leaving_target);
 	ADD_CLIENT("/store-era/change-after", test_change_after_restore);
 	ADD_CLIENT("/store-era/change-during", test_change_during_restore);
