Do not use a target again that an older copy still lists

Requests reached targets long after their leaving had been acknowledged: once the store has come back from an older copy, it lists them again until their entries expire.

Cause: an entry that is listed counts as a live target, whatever was known before.

Evidence, on the code before this change: /store-era/departed-target and /store-era/returned-entry get 200 from a target whose entry had been removed, 2.5 s and 0.3 s before the restore.

Change: the instance remembers for a minute whose entries were removed and in which epoch of the store. An entry of such a process that is found in a list of a later epoch is used once its revision rises, or if it is still there after 5 s, when an entry that nobody writes has expired. New log event target-entry-outdated.

/store-era/leaving-target passes without the change, as a target that was leaving stays so.

--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -7,6 +7,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/departed_target.h"
 #include "coordination/missing_target.h"
 #include "coordination/target_inventory.h"
 #include "platform/decode.h"
@@ -54,6 +55,7 @@
 	feed_t feed;
 	GHashTable *table;	/* id to listed_t */
 	GHashTable *tombstones; /* id to tombstone_t */
+	bsh_departed_t departed;
 	bool listed;
 	/* Lower bound of the last time at which the list that the lease holder
 	 * announces was complete. */
@@ -99,6 +101,14 @@
 	       now_us;
 }
 
+static void note_departure(targets_t *targets, const listed_t *listed)
+{
+	bsh_departed_add(&targets->departed, listed->target.id,
+			 listed->target.started_ms,
+			 targets->control->store.epoch,
+			 control_now_us(targets->control));
+}
+
 static void remove_target(targets_t *targets, listed_t *listed,
 			  const char *reason)
 {
@@ -106,6 +116,7 @@
 
 	bsh_log(BSH_LOG_INFO, "target-gone target=%s address=%s reason=%s", id,
 		listed->target.address, reason);
+	note_departure(targets, listed);
 	g_hash_table_remove(targets->table, id);
 	bsh_counter_set(&target_count, g_hash_table_size(targets->table));
 	control_target_gone(targets->control, id);
@@ -120,6 +131,7 @@
 		remove_target(targets, listed, "left");
 		return;
 	}
+	note_departure(targets, listed);
 	listed->removal_us = control_now_us(targets->control) + grace_us;
 	bsh_log(BSH_LOG_INFO, "target-missing target=%s grace_ms=%d",
 		listed->target.id, (int)(grace_us / 1000));
@@ -171,6 +183,28 @@
 	control_target_changed(targets->control, &listed->target);
 }
 
+/* False if the target has left and its entry may be from the copy from which the
+ * store was restored since. */
+static bool has_returned(targets_t *targets, const bsh_target_t *target,
+			 uint64_t revision, uint64_t list)
+{
+	bsh_departed_entry_t entry = {
+		.id = target->id,
+		.started_ms = target->started_ms,
+		.epoch = platform_revision_epoch(revision),
+		.revision = revision,
+		.from_list = list != 0,
+	};
+
+	if (bsh_departed_accept(&targets->departed, &entry,
+				control_now_us(targets->control)))
+		return true;
+	bsh_log(BSH_LOG_INFO,
+		"target-entry-outdated target=%s revision=%" G_GUINT64_FORMAT,
+		target->id, revision);
+	return false;
+}
+
 static void on_object(void *ctx, const platform_object_t *object, uint64_t list)
 {
 	targets_t *targets = ctx;
@@ -185,7 +219,8 @@
 	}
 	if (platform_decode_target(object->name, object->spec, &target) ==
 	    BSH_OK) {
-		update_target(targets, &target, list);
+		if (has_returned(targets, &target, object->revision, list))
+			update_target(targets, &target, list);
 		return;
 	}
 	bsh_counter_add(&malformed_objects, 1);
@@ -247,6 +282,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	targets->tombstones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	bsh_departed_init(&targets->departed);
 	feed_init(&targets->feed, &control->store, control->loop,
 		  PLATFORM_KIND_TARGETS, &ops);
 	return targets;
@@ -272,6 +308,7 @@
 	feed_stop(&targets->feed);
 	g_hash_table_destroy(targets->table);
 	g_hash_table_destroy(targets->tombstones);
+	bsh_departed_finish(&targets->departed);
 	g_free(targets);
 }
 
@@ -568,6 +605,8 @@
 		control_schedule_view(targets->control);
 	for (guint i = 0; i < gone->len; i++)
 		remove_target(targets, g_ptr_array_index(gone, i), "missing");
+	if (bsh_departed_expire(&targets->departed, now_us))
+		feed_relist(&targets->feed);
 	g_ptr_array_free(gone, TRUE);
 }
 
--- a/regress/test_store_era.c
+++ b/regress/test_store_era.c
@@ -296,6 +296,45 @@
 	call_desk(f, 500, 503);
 }
 
+/* Guards against requests to a target that has left: its entry is in the older
+ * copy again, until it expires, as nobody deletes it. */
+static void test_departed_target(fixture_t *f, gconstpointer data)
+{
+	int64_t copied = f->rig.revision;
+
+	(void)data;
+	platform_rig_remove_worker(f->desk);
+	platform_rig_run(&f->rig, 2500);
+	call_desk(f, 100, 503);
+	f->desk->runs = 0;
+	platform_rig_set_back(&f->rig, copied);
+	call_desk(f, 2000, 503);
+	g_assert_cmpuint(f->desk->runs, ==, 0);
+	/* A target that writes its entry again has not left. */
+	platform_rig_publish_worker(f->desk, "ready");
+	platform_rig_run(&f->rig, 1000);
+	call_desk(f, 500, 200);
+}
+
+/* Guards against requests to a target whose entry was removed a moment before
+ * the restore, and against a live one that is never used again: its entry stays
+ * although its revision does not rise. */
+static void test_returned_entry(fixture_t *f, gconstpointer data)
+{
+	int64_t copied = f->rig.revision;
+
+	(void)data;
+	platform_rig_remove_worker(f->desk);
+	platform_rig_run(&f->rig, 300);
+	platform_rig_set_back(&f->rig, copied);
+	platform_rig_run(&f->rig, 2000);
+	f->desk->runs = 0;
+	call_desk(f, 1000, 503);
+	g_assert_cmpuint(f->desk->runs, ==, 0);
+	platform_rig_run(&f->rig, 3500);
+	call_desk(f, 500, 200);
+}
+
 /* Guards against requests to a target that has reported that it leaves: the
  * older copy has it as ready. */
 static void test_leaving_target(fixture_t *f, gconstpointer data)
@@ -472,6 +511,8 @@
 	ADD("/store-era/registration", test_registration);
 	ADD("/store-era/lost-deletion", test_lost_deletion);
 	ADD("/store-era/lost-target", test_lost_target);
+	ADD("/store-era/departed-target", test_departed_target);
+	ADD("/store-era/returned-entry", test_returned_entry);
 	ADD("/store-era/leaving-target", test_leaving_target);
 	ADD_CLIENT("/store-era/change-after", test_change_after_restore);
 	ADD_CLIENT("/store-era/change-during", test_change_during_restore);
--- a/regress/test_targets.c
+++ b/regress/test_targets.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "coordination/departed_target.h"
 #include "coordination/missing_target.h"
 #include "coordination/target_inventory.h"
 
@@ -63,6 +64,73 @@
 	g_assert_false(bsh_target_inventory_covered(changes, 7, marks, 2));
 }
 
+/* Guards against requests to a target that has left, as the store was restored
+ * from a copy with its entry, and against a live one that is never used again. */
+static void test_departed_target(void)
+{
+	bsh_departed_t departed;
+	bsh_departed_entry_t entry = { .id = "i-1",
+				       .started_ms = 7,
+				       .epoch = 1,
+				       .revision = 100,
+				       .from_list = true };
+
+	bsh_departed_init(&departed);
+	g_assert_true(bsh_departed_accept(&departed, &entry, MS));
+	bsh_departed_add(&departed, "i-1", 7, 0, MS);
+	g_assert_false(bsh_departed_accept(&departed, &entry, 2 * MS));
+	g_assert_false(bsh_departed_accept(&departed, &entry, 3 * MS));
+	entry.revision = 101;
+	g_assert_true(bsh_departed_accept(&departed, &entry, 4 * MS));
+	/* The revisions of a later restore say nothing about those before. */
+	bsh_departed_add(&departed, "i-1", 7, 0, MS);
+	g_assert_false(bsh_departed_accept(&departed, &entry, 5 * MS));
+	entry.epoch = 2;
+	entry.revision = 200;
+	g_assert_false(bsh_departed_accept(&departed, &entry, 6 * MS));
+	/* A watch returns what has just been written. */
+	entry.from_list = false;
+	g_assert_true(bsh_departed_accept(&departed, &entry, 7 * MS));
+	/* Entries of a new process, and those that were written without a
+	 * restore since, are not of the copy. */
+	entry.from_list = true;
+	bsh_departed_add(&departed, "i-1", 7, 0, MS);
+	entry.started_ms = 8;
+	g_assert_true(bsh_departed_accept(&departed, &entry, 8 * MS));
+	bsh_departed_add(&departed, "i-1", 8, 2, MS);
+	g_assert_true(bsh_departed_accept(&departed, &entry, 9 * MS));
+	bsh_departed_finish(&departed);
+}
+
+/* Guards against a live target that is never used again, as only a counter of its
+ * entry changes, and against departures that are kept for good. */
+static void test_departure_expires(void)
+{
+	bsh_departed_t departed;
+	bsh_departed_entry_t entry = {
+		.id = "i-1", .epoch = 1, .revision = 100, .from_list = true
+	};
+	int64_t found_us = 10 * MS;
+
+	bsh_departed_init(&departed);
+	bsh_departed_add(&departed, "i-1", 0, 0, MS);
+	g_assert_false(bsh_departed_accept(&departed, &entry, found_us));
+	g_assert_false(bsh_departed_expire(
+		&departed, found_us + BSH_DEPARTED_CONFIRM_US - MS));
+	g_assert_false(bsh_departed_accept(
+		&departed, &entry, found_us + BSH_DEPARTED_CONFIRM_US - MS));
+	g_assert_true(bsh_departed_expire(&departed,
+					  found_us + BSH_DEPARTED_CONFIRM_US));
+	g_assert_true(bsh_departed_accept(&departed, &entry,
+					  found_us + BSH_DEPARTED_CONFIRM_US));
+	bsh_departed_add(&departed, "i-1", 0, 0, MS);
+	g_assert_false(
+		bsh_departed_expire(&departed, MS + BSH_DEPARTED_KEEP_US));
+	g_assert_true(bsh_departed_accept(&departed, &entry,
+					  MS + BSH_DEPARTED_KEEP_US));
+	bsh_departed_finish(&departed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -72,5 +140,7 @@
 	g_test_add_func("/missing-target/old-list", test_grace_with_old_list);
 	g_test_add_func("/target-inventory/lost-state",
 			test_inventory_with_lost_state);
+	g_test_add_func("/departed-target/restore", test_departed_target);
+	g_test_add_func("/departed-target/expires", test_departure_expires);
 	return g_test_run();
 }
