Test a restore of the store after an outage

The store answers 503, or nothing, for 2.5 s and then comes back from an older copy: a majority has extended the lease, and calls have failed.

--- a/regress/test_store_era.c
+++ b/regress/test_store_era.c
@@ -350,6 +350,35 @@
 	g_assert_cmpuint(f->desk->runs, ==, 0);
 }
 
+/* Guards against any of the above when the store was away before it came back
+ * from the older copy, so that calls have failed and a majority has extended
+ * the lease. */
+static void test_restore_after_outage(fixture_t *f, gconstpointer unresponsive)
+{
+	worker_t *desk = replace_desk(f);
+
+	wait_for_load(f, f->entries[0], "m1");
+	if (GPOINTER_TO_INT(unresponsive))
+		f->rig.store_unresponsive = true;
+	else
+		f->rig.store_down = true;
+	call_desk(f, 2500, 200);
+	wait_for_load(f, f->entries[0], "m2");
+	platform_rig_set_back(&f->rig, f->copied);
+	f->rig.store_unresponsive = false;
+	f->rig.store_down = false;
+	call_desk(f, 1500, 200);
+	platform_rig_publish_worker(f->engine, "ready");
+	platform_rig_publish_worker(desk, "ready");
+	call_desk(f, 500, 200);
+	wait_for_load(f, f->entries[0], "m3");
+	assert_orders_exclusive(f);
+	call_desk(f, 1000, 200);
+	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++)
+		g_assert_nonnull(platform_rig_object(
+			&f->rig, "berylshunt-instances", f->entries[i]->name));
+}
+
 /* The client of the store by itself. */
 
 typedef struct {
@@ -514,6 +543,9 @@
 	ADD("/store-era/departed-target", test_departed_target);
 	ADD("/store-era/returned-entry", test_returned_entry);
 	ADD("/store-era/leaving-target", test_leaving_target);
+	ADD("/store-era/after-outage", test_restore_after_outage);
+	g_test_add("/store-era/after-silence", fixture_t, GINT_TO_POINTER(1),
+		   set_up, test_restore_after_outage, tear_down);
 	ADD_CLIENT("/store-era/change-after", test_change_after_restore);
 	ADD_CLIENT("/store-era/change-during", test_change_during_restore);
 	ADD_CLIENT("/store-era/watch-during", test_watch_during_restore);
