--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -7,8 +7,8 @@
  *
  * DESCRIPTION
  *	Lists the objects of a kind and then watches for changes.  Lists again
- *	when the store has compacted the history since the last known
- *	revision.  A failed call is retried with exponential backoff between
+ *	when the store has compacted the history since the last known revision,
+ *	or was restored from an older copy.  A failed call is retried with exponential backoff between
  *	FEED_BACKOFF_MIN_US and FEED_BACKOFF_MAX_US.
  *
  *	Each object that a list or a watch returns is passed to on_object.
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -31,7 +31,7 @@
 struct orders {
 	control_t *control;
 	bsh_lease_t lease;
-	uint32_t store_epoch;	 /* last one that the lease was told of */
+	uint32_t store_epoch;	 /* that the lease was last told of */
 	bool was_holder;	 /* at the last tick */
 	GPtrArray *services;	 /* service_t */
 	GArray *ready;		 /* view_ready_t, computed here or announced */
