--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -101,6 +101,9 @@
 void targets_start(targets_t *targets);
 void targets_relist(targets_t *targets);
 void targets_free(targets_t *targets);
+/* Notes that the store was restored from an older copy, in which the objects of
+ * targets may be missing until they are written again. */
+void targets_store_restored(targets_t *targets);
 /* True once the list has been read from the store. */
 bool targets_listed(const targets_t *targets);
 /* Applies one entry of an announcement that the lease holder sent in `term`. */
@@ -153,6 +156,9 @@
 void peers_free(peers_t *peers);
 /* Gossips that this instance is leaving and deletes its object in the store. */
 void peers_leave(peers_t *peers);
+/* Writes or deletes the object of this instance again: the store was restored
+ * from an older copy. */
+void peers_store_restored(peers_t *peers);
 /* Gossips the version of the configuration in force here. */
 void peers_set_version(peers_t *peers, uint64_t version);
 /* Number of instances that may be running: the larger of those alive by gossip
