Record the version of a resumed stream where it goes on

A stream that was taken up as the only version's was recorded nowhere: if its instance then ended while a second version came, its next attempt found no record. dispatch() is split where it chooses how to wait.

--- a/bshentryd/stream_origin.c
+++ b/bshentryd/stream_origin.c
@@ -136,6 +136,8 @@
 		r->software = only_version(r);
 	if (r->software == 0)
 		r->software = BSH_SOFTWARE_UNCERTAIN;
+	else
+		record(r);
 	return true;
 }
 
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -303,6 +303,28 @@
 	bsh_loop_timer_after(&r->inactivity_timer, RESUME_INTERVAL_US);
 }
 
+/* True until the version that began the stream is known, and during the pause
+ * before a stream looks for a target again. */
+static bool is_held_back(const request_t *r)
+{
+	return r->awaits_software ||
+	       (r->state == REQUEST_WAITING &&
+		traffic_now_us(r->traffic) < r->resume_us);
+}
+
+/* No usable target can take the request now. */
+static void wait_or_fail(request_t *r)
+{
+	if (traffic_is_begun_stream(r))
+		wait_for_target(r);
+	else if (stream_origin_is_constrained(r))
+		wait_for_version(r);
+	else if (r->n_tried > 0 && !demand_is_counted(r))
+		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
+	else
+		wait_or_refuse(r);
+}
+
 static void dispatch(request_t *r)
 {
 	bsh_target_candidate_t candidate;
@@ -312,8 +334,7 @@
 		end_abandoned(r);
 		return;
 	}
-	if (r->awaits_software || (r->state == REQUEST_WAITING &&
-				   traffic_now_us(r->traffic) < r->resume_us))
+	if (is_held_back(r))
 		return;
 	r->resume_us = 0;
 	if (!stream_origin_serves(r)) {
@@ -335,18 +356,12 @@
 		return;
 	}
 	target = target_pick(r, &candidate);
-	if (target != NULL) {
-		set_state(r, REQUEST_RUNNING);
-		attempts_send(r, target, &candidate);
-	} else if (traffic_is_begun_stream(r)) {
-		wait_for_target(r);
-	} else if (stream_origin_is_constrained(r)) {
-		wait_for_version(r);
-	} else if (r->n_tried > 0 && !demand_is_counted(r)) {
-		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
-	} else {
-		wait_or_refuse(r);
+	if (target == NULL) {
+		wait_or_fail(r);
+		return;
 	}
+	set_state(r, REQUEST_RUNNING);
+	attempts_send(r, target, &candidate);
 }
 
 void traffic_resume_is_due(request_t *r)
