Reproduce a call lost at a router beside a silent target

Callers of bshrouterd got an error although their target had only paused. At the first-byte timeout the attempt is cancelled, and then admission or the second target refuses the request.

/router/silent-kept fails on this commit: the connection to the silent target is closed when the other target has refused. /router/silent-replaced and /router/silent-caller-gone pass; they guard what a fix must keep.

--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -50,7 +50,8 @@
 	target_behavior_t behavior;
 	int request_count;
 	int aborted;		  /* responses not delivered */
-	bsh_http_request_t *held; /* request of the open stream */
+	bsh_http_request_t *held; /* request of the open stream, or the one
+				   * without a response */
 	char *key;		  /* Idempotency-Key of the last request */
 	char *path;
 } target_t;
@@ -168,6 +169,7 @@
 		break;
 	}
 	case TARGET_NO_RESPONSE:
+		target->held = request;
 		break;
 	}
 }
@@ -559,6 +561,78 @@
 	fixture_finish(&f);
 }
 
+/* Sends a request to the target a, which is silent, beside b with this
+ * behavior. */
+static void call_silent_target(fixture_t *f, response_t *response,
+			       target_behavior_t behavior)
+{
+	fixture_init(f, NULL);
+	set_model_target(f);
+	/* These earn the retry budget. */
+	for (int i = 0; i < 20; i++)
+		expect(f, CHAT_PATH, CHAT, NULL, 200, "ok");
+	f->a.request_count = 0;
+	f->a.behavior = TARGET_NO_RESPONSE;
+	f->b.behavior = behavior;
+	call(f, response, CHAT_PATH, CHAT, NULL);
+	rig_wait(&f->rig, &f->a.request_count, 1);
+	rig_set_targets(&f->rig, "m", false,
+			(const char *const[]){ "a", f->a.address, "b",
+					       f->b.address, NULL });
+}
+
+/* Guards against a call that is lost because its target pauses longer than the
+ * first-byte timeout while the other one refuses it. */
+static void test_silent_target_beside_refusal(void)
+{
+	response_t response;
+	fixture_t f;
+
+	call_silent_target(&f, &response, TARGET_RESPOND_503);
+	rig_wait(&f.rig, &f.b.request_count, 1);
+	g_assert_cmpint(f.a.aborted, ==, 0);
+	respond(&f.a, f.a.held);
+	rig_wait(&f.rig, &response.done, 1);
+	g_assert_cmpint(response.status, ==, 200);
+	g_assert_cmpstr(response.body->str, ==, "{\"ok\":true}");
+	g_assert_cmpint(f.a.request_count, ==, 1);
+	response_free(&response);
+	fixture_finish(&f);
+}
+
+/* Guards against a request that waits for a silent target until its deadline
+ * although another one serves it, and against a run that is left at the silent
+ * one. */
+static void test_silent_target_is_replaced(void)
+{
+	response_t response;
+	fixture_t f;
+
+	call_silent_target(&f, &response, TARGET_RESPOND);
+	rig_wait(&f.rig, &response.done, 1);
+	g_assert_cmpint(response.status, ==, 200);
+	rig_wait(&f.rig, &f.a.aborted, 1);
+	g_assert_cmpint(f.b.request_count, ==, 1);
+	response_free(&response);
+	fixture_finish(&f);
+}
+
+/* Guards against a run that is left at either target after the caller has
+ * disconnected from a request with two attempts. */
+static void test_disconnect_beside_silent_target(void)
+{
+	response_t response;
+	fixture_t f;
+
+	call_silent_target(&f, &response, TARGET_NO_RESPONSE);
+	rig_wait(&f.rig, &f.b.request_count, 1);
+	bsh_http_call_cancel(response.call);
+	rig_wait(&f.rig, &f.a.aborted, 1);
+	rig_wait(&f.rig, &f.b.aborted, 1);
+	response_free(&response);
+	fixture_finish(&f);
+}
+
 /* Guards against lost bytes or a wrong length when a response is larger than
  * all buffers, so that reading from the target has to be paused. */
 static void test_large_response(void)
@@ -790,6 +864,12 @@
 	g_test_add_func("/router/outcomes", test_outcomes);
 	g_test_add_func("/router/cold", test_cold_model);
 	g_test_add_func("/router/retry", test_retry);
+	g_test_add_func("/router/silent-kept",
+			test_silent_target_beside_refusal);
+	g_test_add_func("/router/silent-replaced",
+			test_silent_target_is_replaced);
+	g_test_add_func("/router/silent-caller-gone",
+			test_disconnect_beside_silent_target);
 	g_test_add_func("/router/big-answer", test_large_response);
 	g_test_add_func("/router/caller-gone", test_caller_disconnect);
 	g_test_add_func("/router/stale", test_stale_configuration);
