--- a/bshrouterd/accept.c
+++ b/bshrouterd/accept.c
@@ -86,23 +86,16 @@
 	r->traffic = t;
 	r->http = http;
 	r->waiting.user = r;
-	r->length = -1;
 	g_strlcpy(r->method, bsh_http_request_method(http), sizeof(r->method));
 	r->headers = g_ptr_array_new_with_free_func(g_free);
-	r->response_headers = g_ptr_array_new_with_free_func(g_free);
-	r->held_body = g_string_new(NULL);
-	bsh_sse_init(&r->sse, NULL, NULL);
+	traffic_calls_init(r);
 	return r;
 }
 
 void traffic_free_request(traffic_request_t *r)
 {
-	bsh_sse_finish(&r->sse);
-	g_string_free(r->held_body, TRUE);
-	if (r->journal_body != NULL)
-		g_string_free(r->journal_body, TRUE);
+	traffic_calls_finish(r);
 	g_ptr_array_free(r->headers, TRUE);
-	g_ptr_array_free(r->response_headers, TRUE);
 	g_free(r->idempotency_key);
 	g_free(r->path);
 	g_free(r->body);
--- a/bshrouterd/forward.c
+++ b/bshrouterd/forward.c
@@ -3,58 +3,71 @@
 #include "coordination/journal.h"
 #include "traffic.h"
 
-static int64_t now_us(const traffic_request_t *r)
+static int64_t now_us(const traffic_call_t *c)
 {
-	return bsh_loop_now_us(r->traffic->loop);
+	return bsh_loop_now_us(c->request->traffic->loop);
+}
+
+traffic_call_t *traffic_call(traffic_request_t *r)
+{
+	return &r->calls[0];
 }
 
 /* The response to the caller. */
 
-static void add_response_headers(traffic_request_t *r, bool complete)
+static void add_response_headers(const traffic_call_t *c, bool complete)
 {
-	for (guint i = 0; i + 1 < r->response_headers->len; i += 2)
+	bsh_http_request_t *http = c->request->http;
+
+	for (guint i = 0; i + 1 < c->response_headers->len; i += 2)
 		bsh_http_response_add_header(
-			r->http, g_ptr_array_index(r->response_headers, i),
-			g_ptr_array_index(r->response_headers, i + 1));
-	if (r->content_type[0] != '\0')
-		bsh_http_response_add_header(r->http, "Content-Type",
-					     r->content_type);
-	bsh_http_response_add_header(r->http, "X-Request-Id", r->id_text);
+			http, g_ptr_array_index(c->response_headers, i),
+			g_ptr_array_index(c->response_headers, i + 1));
+	if (c->content_type[0] != '\0')
+		bsh_http_response_add_header(http, "Content-Type",
+					     c->content_type);
+	bsh_http_response_add_header(http, "X-Request-Id", c->id_text);
 	/* While the response is still arriving, its outcome is unknown. */
 	if (complete)
 		bsh_http_response_add_header(
-			r->http, "Berylshunt-Outcome",
+			http, "Berylshunt-Outcome",
 			bsh_outcome_name(BSH_OUTCOME_ANSWERED));
 }
 
-static void begin_response(traffic_request_t *r)
+static void begin_response(const traffic_call_t *c)
 {
+	traffic_request_t *r = c->request;
+
 	if (r->head_sent)
 		return;
 	r->head_sent = true;
-	add_response_headers(r, false);
-	bsh_http_response_begin(r->http, r->status, r->length);
+	add_response_headers(c, false);
+	bsh_http_response_begin(r->http, c->status, c->length);
 }
 
-static void write_response(traffic_request_t *r, const char *data, size_t size)
+static void write_response(traffic_call_t *c, const char *data, size_t size)
 {
-	if (size == 0 || r->http == NULL)
+	bsh_http_request_t *http = c->request->http;
+
+	if (size == 0 || http == NULL)
 		return;
-	if (bsh_http_response_write(r->http, data, size) >
+	if (bsh_http_response_write(http, data, size) >
 		    BSH_HTTP_HIGH_WATERMARK_BYTES &&
-	    r->call != NULL) {
-		r->paused = true;
-		bsh_http_call_pause(r->call);
+	    c->call != NULL) {
+		c->paused = true;
+		bsh_http_call_pause(c->call);
 	}
 }
 
 void traffic_resume_call(traffic_request_t *r)
 {
-	if (!r->paused)
+	traffic_call_t *c = traffic_call(r);
+
+	if (!c->paused)
 		return;
-	r->paused = false;
-	if (r->call != NULL)
-		bsh_http_call_resume(r->call);
+	c->paused = false;
+	if (c->call != NULL)
+		bsh_http_call_resume(c->call);
 }
 
 /*
@@ -62,63 +75,72 @@
  * 0, and holds the rest.  In a stream, complete ends at an event boundary, so
  * that an error event can follow if the stream breaks.
  */
-static void forward_body(traffic_request_t *r, const char *data, size_t size,
+static void forward_body(traffic_call_t *c, const char *data, size_t size,
 			 size_t complete)
 {
+	const traffic_request_t *r = c->request;
+
 	if (r->http == NULL || r->detached) {
-		g_string_truncate(r->held_body, 0);
+		g_string_truncate(c->held_body, 0);
 		return;
 	}
-	begin_response(r);
+	begin_response(c);
 	if (complete > 0) {
-		write_response(r, r->held_body->str, r->held_body->len);
-		g_string_truncate(r->held_body, 0);
-		write_response(r, data, complete);
+		write_response(c, c->held_body->str, c->held_body->len);
+		g_string_truncate(c->held_body, 0);
+		write_response(c, data, complete);
 	}
 	if (complete < size)
-		g_string_append_len(r->held_body, data + complete,
+		g_string_append_len(c->held_body, data + complete,
 				    (gssize)(size - complete));
 }
 
 void traffic_flush_body(traffic_request_t *r)
 {
-	if (r->event_stream)
+	traffic_call_t *c = traffic_call(r);
+
+	if (c->event_stream)
 		return;
-	forward_body(r, "", 0, 0);
-	write_response(r, r->held_body->str, r->held_body->len);
-	g_string_truncate(r->held_body, 0);
+	forward_body(c, "", 0, 0);
+	write_response(c, c->held_body->str, c->held_body->len);
+	g_string_truncate(c->held_body, 0);
 }
 
 void traffic_set_response(traffic_request_t *r, const router_result_t *result)
 {
-	r->status = (int)result->status;
-	g_strlcpy(r->content_type, result->content_type,
-		  sizeof(r->content_type));
-	g_string_truncate(r->held_body, 0);
-	g_string_append_len(r->held_body, (const char *)result->body,
+	traffic_call_t *c = traffic_call(r);
+
+	c->status = (int)result->status;
+	g_strlcpy(c->content_type, result->content_type,
+		  sizeof(c->content_type));
+	g_string_truncate(c->held_body, 0);
+	g_string_append_len(c->held_body, (const char *)result->body,
 			    (gssize)result->body_bytes);
 }
 
 void traffic_finish_response(traffic_request_t *r)
 {
+	traffic_call_t *c = traffic_call(r);
+
 	if (r->http == NULL || r->detached)
 		return;
 	if (r->head_sent) {
 		/* What is held of a stream is a partial event; drop it. */
-		if (!r->event_stream)
-			write_response(r, r->held_body->str, r->held_body->len);
+		if (!c->event_stream)
+			write_response(c, c->held_body->str, c->held_body->len);
 		bsh_http_response_end(r->http);
 		return;
 	}
 	r->head_sent = true;
-	add_response_headers(r, true);
-	bsh_http_response_send(r->http, r->status, r->held_body->str,
-			       r->held_body->len);
+	add_response_headers(c, true);
+	bsh_http_response_send(r->http, c->status, c->held_body->str,
+			       c->held_body->len);
 }
 
 void traffic_finish_error(traffic_request_t *r, bsh_error_t err,
 			  bsh_outcome_t outcome, int64_t retry_after_ms)
 {
+	traffic_call_t *c = traffic_call(r);
 	g_autoptr(GString) event = NULL;
 	bsh_problem_t problem;
 
@@ -126,20 +148,20 @@
 		return;
 	bsh_problem_init(&problem, err);
 	problem.outcome = outcome;
-	problem.request_id = r->id_text[0] != '\0' ? r->id_text : NULL;
+	problem.request_id = c->id_text[0] != '\0' ? c->id_text : NULL;
 	if (bsh_error_info(err)->retry_after)
 		problem.retry_after_ms = retry_after_ms;
 	if (!r->head_sent) {
 		traffic_send_problem(r->http, &problem);
 		return;
 	}
-	if (!r->event_stream) {
+	if (!c->event_stream) {
 		bsh_http_response_abort(r->http);
 		return;
 	}
 	event = g_string_new(NULL);
 	bsh_problem_event(&problem, event);
-	write_response(r, event->str, event->len);
+	write_response(c, event->str, event->len);
 	bsh_http_response_end(r->http);
 }
 
@@ -147,11 +169,11 @@
 
 static void on_sent(void *ctx)
 {
-	traffic_request_t *r = ctx;
+	traffic_call_t *c = ctx;
 
-	bsh_attempt_sent(&r->traffic->attempts, &r->id, now_us(r));
-	traffic_note_sent(r);
-	traffic_schedule_task(r->traffic);
+	bsh_attempt_sent(&c->request->traffic->attempts, &c->id, now_us(c));
+	traffic_note_sent(c);
+	traffic_schedule_task(c->request->traffic);
 }
 
 static bool is_header_name(const char *name, size_t size, const char *expected)
@@ -167,30 +189,30 @@
 }
 
 /* Evaluates a response header; true if it must not be forwarded. */
-static bool parse_header(traffic_request_t *r, const char *name, size_t size,
+static bool parse_header(traffic_call_t *c, const char *name, size_t size,
 			 const char *value, size_t value_size)
 {
 	char number[24] = "";
 
 	if (is_header_name(name, size, "Content-Length")) {
 		copy_header_value(number, sizeof(number), value, value_size);
-		r->length = g_ascii_strtoll(number, NULL, 10);
+		c->length = g_ascii_strtoll(number, NULL, 10);
 	} else if (is_header_name(name, size, "Transfer-Encoding")) {
-		r->chunked = true;
+		c->chunked = true;
 	} else if (is_header_name(name, size, "Content-Type")) {
-		copy_header_value(r->content_type, sizeof(r->content_type),
+		copy_header_value(c->content_type, sizeof(c->content_type),
 				  value, value_size);
-		r->event_stream =
-			g_ascii_strncasecmp(r->content_type,
+		c->event_stream =
+			g_ascii_strncasecmp(c->content_type,
 					    "text/event-stream", 17) == 0;
 	} else if (is_header_name(name, size, "X-Request-Id")) {
 		/* A truncated value matches no id, so the response is
 		 * rejected. */
-		copy_header_value(r->response_request_id,
-				  sizeof(r->response_request_id), value,
+		copy_header_value(c->response_request_id,
+				  sizeof(c->response_request_id), value,
 				  value_size);
 	} else if (is_header_name(name, size, "Berylshunt-Outcome")) {
-		r->not_run =
+		c->not_run =
 			value_size == 7 && strncmp(value, "not-run", 7) == 0;
 	} else {
 		return is_header_name(name, size, "Connection") ||
@@ -206,124 +228,127 @@
 static void on_header(void *ctx, const char *name, size_t name_size,
 		      const char *value, size_t value_size)
 {
-	traffic_request_t *r = ctx;
+	traffic_call_t *c = ctx;
 
-	if (parse_header(r, name, name_size, value, value_size))
+	if (parse_header(c, name, name_size, value, value_size))
 		return;
-	g_ptr_array_add(r->response_headers, g_strndup(name, name_size));
-	g_ptr_array_add(r->response_headers, g_strndup(value, value_size));
+	g_ptr_array_add(c->response_headers, g_strndup(name, name_size));
+	g_ptr_array_add(c->response_headers, g_strndup(value, value_size));
 }
 
 static void on_head(void *ctx, int status)
 {
-	traffic_request_t *r = ctx;
+	traffic_call_t *c = ctx;
 	bsh_answer_head_t head = {
 		.status = (uint16_t)status,
-		.request_id = r->response_request_id[0] != '\0'
-				      ? r->response_request_id
+		.request_id = c->response_request_id[0] != '\0'
+				      ? c->response_request_id
 				      : NULL,
-		.length = r->length,
-		.chunked = r->chunked,
-		.event_stream = r->event_stream,
-		.not_run = r->not_run,
+		.length = c->length,
+		.chunked = c->chunked,
+		.event_stream = c->event_stream,
+		.not_run = c->not_run,
 	};
 
-	r->status = status;
+	c->status = status;
 	/* These have no body, whatever Content-Length says. */
-	if (status == 204 || status == 304 || strcmp(r->method, "HEAD") == 0)
+	if (status == 204 || status == 304 ||
+	    strcmp(c->request->method, "HEAD") == 0)
 		head.length = 0;
-	bsh_attempt_head(&r->traffic->attempts, &r->id, &head, now_us(r));
-	traffic_schedule_task(r->traffic);
+	bsh_attempt_head(&c->request->traffic->attempts, &c->id, &head,
+			 now_us(c));
+	traffic_schedule_task(c->request->traffic);
 }
 
-static void record_first_byte(traffic_request_t *r)
+static void record_first_byte(traffic_call_t *c)
 {
+	traffic_request_t *r = c->request;
 	router_traffic_t *t = r->traffic;
 
-	if (r->first_byte_seen)
+	if (c->first_byte_seen)
 		return;
-	r->first_byte_seen = true;
-	bsh_admission_first_byte(&t->admission, r->key, now_us(r) - r->sent_us,
-				 now_us(r));
-	bsh_route_first_byte(&t->route, &r->attempt.target, now_us(r));
+	c->first_byte_seen = true;
+	bsh_admission_first_byte(&t->admission, r->key, now_us(c) - c->sent_us,
+				 now_us(c));
+	bsh_route_first_byte(&t->route, &r->attempt.target, now_us(c));
 }
 
 /*
  * Number of bytes up to the end of the last whole event, or -1 if an event is
  * too large or follows [DONE].  *done is set on the [DONE] event.
  */
-static ssize_t scan_events(traffic_request_t *r, const char *data, size_t size,
+static ssize_t scan_events(traffic_call_t *c, const char *data, size_t size,
 			   bool *done)
 {
 	bsh_sse_result_t result;
 
-	if (!r->event_stream)
+	if (!c->event_stream)
 		return (ssize_t)size;
-	if (bsh_sse_feed(&r->sse, data, size, &result) != BSH_OK)
+	if (bsh_sse_feed(&c->sse, data, size, &result) != BSH_OK)
 		return -1;
 	bsh_counter_add(&router_counters.events, result.events);
 	*done = result.done;
 	return (ssize_t)result.complete_bytes;
 }
 
-static void append_journal_body(traffic_request_t *r, const char *data,
+static void append_journal_body(traffic_call_t *c, const char *data,
 				size_t size)
 {
-	if (r->idempotency_key == NULL)
+	if (c->request->idempotency_key == NULL)
 		return;
-	if (r->journal_body == NULL)
-		r->journal_body = g_string_new(NULL);
-	if (r->journal_body->len <= BSH_JOURNAL_BODY_MAX_BYTES)
-		g_string_append_len(r->journal_body, data, (gssize)size);
+	if (c->journal_body == NULL)
+		c->journal_body = g_string_new(NULL);
+	if (c->journal_body->len <= BSH_JOURNAL_BODY_MAX_BYTES)
+		g_string_append_len(c->journal_body, data, (gssize)size);
 }
 
 static void on_data(void *ctx, const char *data, size_t size)
 {
-	traffic_request_t *r = ctx;
-	bsh_attempts_t *attempts = &r->traffic->attempts;
+	traffic_call_t *c = ctx;
+	bsh_attempts_t *attempts = &c->request->traffic->attempts;
 	bool done = false;
 	ssize_t complete;
 
-	record_first_byte(r);
+	record_first_byte(c);
 	bsh_counter_add(&router_counters.body_bytes, (int64_t)size);
-	complete = scan_events(r, data, size, &done);
+	complete = scan_events(c, data, size, &done);
 	if (complete < 0) {
-		bsh_request_id_t id = r->id;
+		bsh_request_id_t id = c->id;
 
-		traffic_cancel_call(r);
-		bsh_attempt_failed(attempts, &id, now_us(r));
-		traffic_schedule_task(r->traffic);
+		traffic_cancel_call(c);
+		bsh_attempt_failed(attempts, &id, now_us(c));
+		traffic_schedule_task(c->request->traffic);
 		return;
 	}
-	switch (bsh_attempt_body(attempts, &r->id, size, done, now_us(r))) {
+	switch (bsh_attempt_body(attempts, &c->id, size, done, now_us(c))) {
 	case BSH_ANSWER_DROP:
-		traffic_schedule_task(r->traffic);
+		traffic_schedule_task(c->request->traffic);
 		return;
 	case BSH_ANSWER_HOLD:
 		/* Without a caller only journal_body is needed. */
-		if (r->http != NULL && !r->detached)
-			g_string_append_len(r->held_body, data, (gssize)size);
+		if (c->request->http != NULL && !c->request->detached)
+			g_string_append_len(c->held_body, data, (gssize)size);
 		break;
 	case BSH_ANSWER_FORWARD:
-		forward_body(r, data, size, (size_t)complete);
+		forward_body(c, data, size, (size_t)complete);
 		break;
 	}
-	append_journal_body(r, data, size);
+	append_journal_body(c, data, size);
 }
 
 static void on_end(void *ctx, const bsh_http_result_t *result)
 {
-	traffic_request_t *r = ctx;
-	bsh_attempts_t *attempts = &r->traffic->attempts;
-	bsh_request_id_t id = r->id;
+	traffic_call_t *c = ctx;
+	bsh_attempts_t *attempts = &c->request->traffic->attempts;
+	bsh_request_id_t id = c->id;
 
-	r->call = NULL;
-	r->paused = false;
+	c->call = NULL;
+	c->paused = false;
 	if (result->err == BSH_OK)
-		bsh_attempt_end(attempts, &id, now_us(r));
+		bsh_attempt_end(attempts, &id, now_us(c));
 	else
-		bsh_attempt_failed(attempts, &id, now_us(r));
-	traffic_schedule_task(r->traffic);
+		bsh_attempt_failed(attempts, &id, now_us(c));
+	traffic_schedule_task(c->request->traffic);
 }
 
 static const bsh_http_handler_t call_handler = {
@@ -334,36 +359,73 @@
 	.on_end = on_end,
 };
 
-static void reset_response(traffic_request_t *r)
+static void reset_response(traffic_call_t *c)
 {
-	r->first_byte_seen = false;
-	r->paused = false;
-	r->status = 0;
-	r->length = -1;
-	r->chunked = false;
-	r->event_stream = false;
-	r->not_run = false;
-	r->response_request_id[0] = '\0';
-	r->content_type[0] = '\0';
-	g_ptr_array_set_size(r->response_headers, 0);
-	g_string_truncate(r->held_body, 0);
-	if (r->journal_body != NULL)
-		g_string_truncate(r->journal_body, 0);
-	bsh_sse_finish(&r->sse);
-	bsh_sse_init(&r->sse, NULL, NULL);
+	c->first_byte_seen = false;
+	c->paused = false;
+	c->status = 0;
+	c->length = -1;
+	c->chunked = false;
+	c->event_stream = false;
+	c->not_run = false;
+	c->response_request_id[0] = '\0';
+	c->content_type[0] = '\0';
+	g_ptr_array_set_size(c->response_headers, 0);
+	g_string_truncate(c->held_body, 0);
+	if (c->journal_body != NULL)
+		g_string_truncate(c->journal_body, 0);
+	bsh_sse_finish(&c->sse);
+	bsh_sse_init(&c->sse, NULL, NULL);
 }
 
-void traffic_cancel_call(traffic_request_t *r)
+void traffic_cancel_call(traffic_call_t *c)
 {
-	if (r->call != NULL)
-		bsh_http_call_cancel(r->call);
-	r->call = NULL;
-	r->paused = false;
-	g_string_truncate(r->held_body, 0);
+	if (c->call != NULL)
+		bsh_http_call_cancel(c->call);
+	c->call = NULL;
+	c->paused = false;
+	g_string_truncate(c->held_body, 0);
+}
+
+traffic_call_t *traffic_prepare_call(traffic_request_t *r)
+{
+	traffic_call_t *c = &r->calls[0];
+
+	reset_response(c);
+	c->id = r->attempt.id;
+	bsh_request_id_print(&c->id, c->id_text);
+	return c;
+}
+
+void traffic_calls_init(traffic_request_t *r)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(r->calls); i++) {
+		traffic_call_t *c = &r->calls[i];
+
+		c->request = r;
+		c->length = -1;
+		c->response_headers = g_ptr_array_new_with_free_func(g_free);
+		c->held_body = g_string_new(NULL);
+		bsh_sse_init(&c->sse, NULL, NULL);
+	}
+}
+
+void traffic_calls_finish(traffic_request_t *r)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(r->calls); i++) {
+		traffic_call_t *c = &r->calls[i];
+
+		bsh_sse_finish(&c->sse);
+		g_string_free(c->held_body, TRUE);
+		if (c->journal_body != NULL)
+			g_string_free(c->journal_body, TRUE);
+		g_ptr_array_free(c->response_headers, TRUE);
+	}
 }
 
-bsh_error_t traffic_start_call(traffic_request_t *r, const char *address)
+bsh_error_t traffic_start_call(traffic_call_t *c, const char *address)
 {
+	traffic_request_t *r = c->request;
 	const bsh_attempts_config_t *config = &r->traffic->attempts.config;
 	g_autofree char *url = g_strconcat("http://", address, r->path, NULL);
 	guint count = r->headers->len;
@@ -381,16 +443,13 @@
 	};
 	bsh_error_t err;
 
-	reset_response(r);
-	r->id = r->attempt.id;
-	bsh_request_id_print(&r->id, r->id_text);
-	r->sent_us = now_us(r);
+	c->sent_us = now_us(c);
 	g_ptr_array_add(r->headers,
-			g_strdup_printf("X-Request-Id: %s", r->id_text));
+			g_strdup_printf("X-Request-Id: %s", c->id_text));
 	g_ptr_array_add(r->headers, NULL);
 	spec.headers = (const char *const *)r->headers->pdata;
-	err = bsh_http_client_start(r->traffic->client, &spec, &call_handler, r,
-				    &r->call);
+	err = bsh_http_client_start(r->traffic->client, &spec, &call_handler, c,
+				    &c->call);
 	/* X-Request-Id is for this attempt only. */
 	g_ptr_array_set_size(r->headers, (gint)count);
 	return err;
--- a/bshrouterd/glue.c
+++ b/bshrouterd/glue.c
@@ -89,19 +89,20 @@
 	traffic_request_t *r = request_of(a);
 	router_traffic_t *t = ctx;
 	router_result_t result = { .outcome = outcome };
+	traffic_call_t *call = traffic_call(r);
 	router_intent_t intent;
 
 	make_intent(r, &intent);
 	if (outcome == BSH_OUTCOME_ANSWERED) {
-		result.status = (uint32_t)r->status;
-		result.content_type = r->content_type;
-		if (r->journal_body != NULL &&
-		    r->journal_body->len >
+		result.status = (uint32_t)call->status;
+		result.content_type = call->content_type;
+		if (call->journal_body != NULL &&
+		    call->journal_body->len >
 			    BSH_ATTEMPT_RECORDED_BODY_MAX_BYTES) {
 			result.body_too_large = true;
-		} else if (r->journal_body != NULL) {
-			result.body = (const uint8_t *)r->journal_body->str;
-			result.body_bytes = (uint32_t)r->journal_body->len;
+		} else if (call->journal_body != NULL) {
+			result.body = (const uint8_t *)call->journal_body->str;
+			result.body_bytes = (uint32_t)call->journal_body->len;
 		}
 	}
 	g_hash_table_remove(t->intents, &a->id.sequence);
@@ -133,7 +134,7 @@
 static void on_cancel(void *ctx, bsh_attempt_t *a)
 {
 	(void)ctx;
-	traffic_cancel_call(request_of(a));
+	traffic_cancel_call(traffic_call(request_of(a)));
 }
 
 static void on_release(void *ctx, bsh_attempt_t *a)
@@ -146,16 +147,17 @@
 			     bsh_route_result_t result)
 {
 	traffic_request_t *r = request_of(a);
+	traffic_call_t *call = traffic_call(r);
 	router_traffic_t *t = ctx;
 	traffic_job_t *job = g_new0(traffic_job_t, 1);
 
 	bsh_route_end(&t->route, &a->target, result, now_us(t));
-	if (r->load != NULL)
-		r->load->running--;
-	r->load = NULL;
+	if (call->load != NULL)
+		call->load->running--;
+	call->load = NULL;
 	job->kind = TRAFFIC_JOB_ATTEMPT_ENDED;
 	job->elapsed_us =
-		result == BSH_ROUTE_SUCCESS ? now_us(t) - r->sent_us : -1;
+		result == BSH_ROUTE_SUCCESS ? now_us(t) - call->sent_us : -1;
 	g_strlcpy(job->key, r->key, sizeof(job->key));
 	g_queue_push_tail(&t->jobs, job);
 	bsh_loop_task_schedule(&t->task);
@@ -183,9 +185,10 @@
 		bsh_counter_add(&c->errors[err], 1);
 }
 
-static void record_finish(const traffic_request_t *r, bsh_error_t err,
+static void record_finish(traffic_request_t *r, bsh_error_t err,
 			  bsh_outcome_t outcome, uint32_t retry_after_ms)
 {
+	const traffic_call_t *call = traffic_call(r);
 	const char *event = "failed";
 
 	if (err == BSH_OK)
@@ -195,9 +198,9 @@
 	bsh_timeline_add(&r->traffic->router->timeline, event,
 			 "{s:I, s:s, s:s, s:s, s:s, s:i, s:i, s:b}", "request",
 			 (json_int_t)r->attempt.id.sequence, "attempt",
-			 r->id_text, "name", r->name, "reason",
+			 call->id_text, "name", r->name, "reason",
 			 bsh_error_name(err), "outcome",
-			 bsh_outcome_name(outcome), "status", r->status,
+			 bsh_outcome_name(outcome), "status", call->status,
 			 "retry_after_ms", (int)retry_after_ms, "caller_gone",
 			 r->attempt.caller_gone);
 }
@@ -281,22 +284,22 @@
 			  const bsh_route_request_t *request,
 			  const bsh_route_choice_t *choice)
 {
+	traffic_call_t *call = traffic_prepare_call(r);
 	router_traffic_t *t = r->traffic;
 
 	bsh_route_start(&t->route, request, choice, now_us(t));
 	bsh_counter_add(&router_counters.attempts, 1);
 	if (r->attempt.id.attempt > 1)
 		bsh_counter_add(&router_counters.retries, 1);
-	r->load = get_load(t, r->name, choice->target);
-	r->load->running++;
-	r->load->started++;
-	if (traffic_start_call(
-		    r, bsh_route_target(&t->route, choice->target)->address) !=
-	    BSH_OK) {
+	call->load = get_load(t, r->name, choice->target);
+	call->load->running++;
+	call->load->started++;
+	if (traffic_start_call(call, bsh_route_target(&t->route, choice->target)
+					     ->address) != BSH_OK) {
 		traffic_job_t *job = g_new0(traffic_job_t, 1);
 
 		job->kind = TRAFFIC_JOB_CALL_FAILED;
-		job->id = r->id;
+		job->id = call->id;
 		g_queue_push_tail(&t->jobs, job);
 		bsh_loop_task_schedule(&t->task);
 	}
@@ -632,18 +635,19 @@
 	return BSH_OK;
 }
 
-void traffic_note_sent(traffic_request_t *r)
+void traffic_note_sent(const traffic_call_t *call)
 {
+	const traffic_request_t *r = call->request;
 	router_traffic_t *t = r->traffic;
 	const bsh_route_target_t *target =
 		bsh_route_target(&t->route, r->attempt.target.target);
 
 	bsh_timeline_add(
 		&t->router->timeline, "sent", "{s:I, s:s, s:s, s:s, s:I, s:I}",
-		"request", (json_int_t)r->id.sequence, "attempt", r->id_text,
-		"name", r->name, "target", target != NULL ? target->name : "",
-		"target_incarnation", (json_int_t)r->attempt.target.incarnation,
-		"generation",
+		"request", (json_int_t)call->id.sequence, "attempt",
+		call->id_text, "name", r->name, "target",
+		target != NULL ? target->name : "", "target_incarnation",
+		(json_int_t)r->attempt.target.incarnation, "generation",
 		(json_int_t)(t->config != NULL ? t->config->generation : 0));
 }
 
--- a/bshrouterd/traffic.h
+++ b/bshrouterd/traffic.h
@@ -87,6 +87,29 @@
 	bool ended;			    /* the drain has ended */
 };
 
+/* The call of one attempt and its response. */
+typedef struct {
+	struct traffic_request *request;
+	bsh_http_call_t *call; /* NULL: it has ended */
+	bsh_request_id_t id;   /* of the attempt */
+	char id_text[BSH_ATTEMPT_ID_SIZE];
+	traffic_load_t *load;
+	int64_t sent_us; /* start of the call */
+	bool first_byte_seen;
+	bool paused; /* the caller reads too slowly */
+	int status;
+	int64_t length; /* Content-Length, -1: absent */
+	bool chunked;
+	bool event_stream;
+	bool not_run; /* Berylshunt-Outcome: not-run */
+	char response_request_id[BSH_ATTEMPT_ID_SIZE];
+	char content_type[256];
+	GPtrArray *response_headers; /* name, value, ... for the caller */
+	bsh_sse_t sse;
+	GString *held_body;    /* not sent to the caller yet */
+	GString *journal_body; /* to be recorded; NULL: none */
+} traffic_call_t;
+
 typedef struct traffic_request {
 	router_traffic_t *traffic;
 	bsh_http_request_t *http; /* NULL once it has ended */
@@ -108,26 +131,7 @@
 	uint8_t digest[ROUTER_DIGEST_BYTES];   /* if idempotency_key is set */
 	uint64_t prefix[BSH_ROUTE_MAX_PREFIX]; /* hashed prompt blocks */
 	uint32_t prefix_count;
-	traffic_load_t *load; /* of the running attempt */
-
-	/* The running call and its response. */
-	bsh_http_call_t *call; /* NULL: none */
-	bsh_request_id_t id;   /* of the attempt */
-	char id_text[BSH_ATTEMPT_ID_SIZE];
-	int64_t sent_us; /* start of the call */
-	bool first_byte_seen;
-	bool paused; /* the caller reads too slowly */
-	int status;
-	int64_t length; /* Content-Length, -1: absent */
-	bool chunked;
-	bool event_stream;
-	bool not_run; /* Berylshunt-Outcome: not-run */
-	char response_request_id[BSH_ATTEMPT_ID_SIZE];
-	char content_type[256];
-	GPtrArray *response_headers; /* name, value, ... for the caller */
-	bsh_sse_t sse;
-	GString *held_body;    /* not sent to the caller yet */
-	GString *journal_body; /* to be recorded; NULL: none */
+	traffic_call_t calls[1];
 
 	/* The response to the caller. */
 	bool head_sent;
@@ -156,16 +160,23 @@
 				  bool stream);
 /* traffic_note_sent - record in the timeline that the running attempt is being
  * sent. */
-void traffic_note_sent(traffic_request_t *request);
+void traffic_note_sent(const traffic_call_t *call);
 /* traffic_http_done - the HTTP request has ended; delivered: the caller got the
  * whole response. */
 void traffic_http_done(traffic_request_t *request, bool delivered);
 
 /* forward.c */
+void traffic_calls_init(traffic_request_t *request);
+void traffic_calls_finish(traffic_request_t *request);
+/* traffic_call - the call of the attempt request->attempt.id, whose response is
+ * for the caller; before the first attempt, an unused one. */
+traffic_call_t *traffic_call(traffic_request_t *request);
+/* traffic_prepare_call - reset the call for the attempt that begins. */
+traffic_call_t *traffic_prepare_call(traffic_request_t *request);
 /* traffic_start_call - send the request to the target at address. */
-bsh_error_t traffic_start_call(traffic_request_t *request, const char *address);
-/* traffic_cancel_call - close the running call and discard the held body. */
-void traffic_cancel_call(traffic_request_t *request);
+bsh_error_t traffic_start_call(traffic_call_t *call, const char *address);
+/* traffic_cancel_call - close the call and discard the held body. */
+void traffic_cancel_call(traffic_call_t *call);
 /* traffic_flush_body - send the held body to the caller; no effect on an event
  * stream, of which only whole events are sent. */
 void traffic_flush_body(traffic_request_t *request);
