Keep a silent attempt of a router until another target accepts

Callers of bshrouterd lost a call or stream whose target paused for longer than the first-byte timeout, if no other target took it: they got an error although the first target went on and answered.

handle_sent_timer() cancelled the attempt and only then enqueued the request.

The first attempt is now kept while the request is queued and tried at a second target. It is given up when that target sends an answer that is no refusal, or has not refused within a first-byte timeout of its own. It continues if admission refuses or the second attempt fails; if it is answered first, the second attempt is cancelled or dequeued. The deadline, the caller's disconnection and any other end of the request end both. Only repeatable requests are retried after bytes were sent, so an intent still stands for one attempt. A retry that admission refused is returned to the budget. The second attempt never goes to the target that has the request: start returns BSH_START_NONE, and admission refuses it instead of letting it block the queue.

/attempt/silent asserted that the first attempt is cancelled at the timeout, which is the fault. It now asserts that it is not cancelled before the second target has answered, and then at once, as a failure of the target. The end at the timeout of a second silent target is asserted by /attempt/second-silent.

--- a/bshrouterd/forward.c
+++ b/bshrouterd/forward.c
@@ -10,6 +10,10 @@
 
 traffic_call_t *traffic_call(traffic_request_t *r)
 {
+	uint32_t attempt = r->attempt.id.attempt;
+
+	if (attempt != 0 && r->calls[1].id.attempt == attempt)
+		return &r->calls[1];
 	return &r->calls[0];
 }
 
@@ -389,8 +393,12 @@
 
 traffic_call_t *traffic_prepare_call(traffic_request_t *r)
 {
+	uint32_t kept = r->attempt.other.attempt;
 	traffic_call_t *c = &r->calls[0];
 
+	if (bsh_attempt_kept_target(&r->attempt) != BSH_ROUTE_NONE &&
+	    c->id.attempt == kept)
+		c = &r->calls[1];
 	reset_response(c);
 	c->id = r->attempt.id;
 	bsh_request_id_print(&c->id, c->id_text);
--- a/bshrouterd/glue.c
+++ b/bshrouterd/glue.c
@@ -119,8 +119,17 @@
 
 static void on_enqueue(void *ctx, bsh_attempt_t *a, bool retry)
 {
+	uint32_t kept = bsh_attempt_kept_target(a);
+	router_traffic_t *t = ctx;
+
+	if (kept != BSH_ROUTE_NONE)
+		bsh_timeline_add(&t->router->timeline, "target-silent",
+				 "{s:I, s:s, s:s}", "request",
+				 (json_int_t)a->id.sequence, "name",
+				 request_of(a)->name, "target",
+				 bsh_route_target(&t->route, kept)->name);
 	/* Deferred, because admission may be on the stack. */
-	push_job(ctx, retry ? TRAFFIC_JOB_REQUEUE : TRAFFIC_JOB_SUBMIT,
+	push_job(t, retry ? TRAFFIC_JOB_REQUEUE : TRAFFIC_JOB_SUBMIT,
 		 request_of(a));
 }
 
@@ -243,6 +252,7 @@
 				 bsh_route_request_t *request,
 				 bsh_route_choice_t *choice)
 {
+	uint32_t kept = bsh_attempt_kept_target(&r->attempt);
 	router_traffic_t *t = r->traffic;
 	bsh_error_t err;
 
@@ -260,8 +270,9 @@
 	if (err != BSH_ERR_CONNECT || request->excluded_count == 0)
 		return err;
 	/* Without another target, one that failed may be tried again if its
-	 * breaker permits. */
-	request->excluded_count = 0;
+	 * breaker permits, but not the one that has the request still. */
+	request->excluded_count = kept != BSH_ROUTE_NONE ? 1 : 0;
+	request->excluded[0] = kept;
 	return bsh_route_choose(&t->route, request, choice, now_us(t));
 }
 
@@ -315,6 +326,9 @@
 
 	if (err == BSH_ERR_NOT_FOUND)
 		return BSH_START_COLD;
+	if (err == BSH_ERR_CONNECT &&
+	    bsh_attempt_kept_target(&r->attempt) != BSH_ROUTE_NONE)
+		return BSH_START_NONE;
 	if (err == BSH_ERR_CONNECT)
 		waiting->not_before_us = choice.retry_us;
 	if (err != BSH_OK || !bsh_route_may_send(&t->route, &choice))
@@ -454,6 +468,14 @@
 
 /* Jobs, timer and load reports. */
 
+/* Two jobs of a request may be queued if its kept attempt was answered and then
+ * failed; only the first one submits it. */
+static bool is_to_be_submitted(const traffic_request_t *r)
+{
+	return r->attempt.state == BSH_ATTEMPT_QUEUED &&
+	       r->waiting.model == NULL;
+}
+
 static void run_job(router_traffic_t *t, traffic_job_t *job)
 {
 	traffic_request_t *r = job->request;
@@ -468,12 +490,12 @@
 		break;
 	case TRAFFIC_JOB_SUBMIT:
 		/* It may have ended since the job was queued. */
-		if (r->attempt.state == BSH_ATTEMPT_QUEUED)
+		if (is_to_be_submitted(r))
 			bsh_admission_submit(&t->admission, r->key, &r->waiting,
 					     now_us(t));
 		break;
 	case TRAFFIC_JOB_REQUEUE:
-		if (r->attempt.state == BSH_ATTEMPT_QUEUED)
+		if (is_to_be_submitted(r))
 			bsh_admission_requeue(&t->admission, r->key,
 					      &r->waiting, now_us(t));
 		break;
--- a/bshrouterd/traffic.h
+++ b/bshrouterd/traffic.h
@@ -131,7 +131,7 @@
 	uint8_t digest[ROUTER_DIGEST_BYTES];   /* if idempotency_key is set */
 	uint64_t prefix[BSH_ROUTE_MAX_PREFIX]; /* hashed prompt blocks */
 	uint32_t prefix_count;
-	traffic_call_t calls[1];
+	traffic_call_t calls[2]; /* two while an attempt is kept */
 
 	/* The response to the caller. */
 	bool head_sent;
@@ -171,7 +171,8 @@
 /* traffic_call - the call of the attempt request->attempt.id, whose response is
  * for the caller; before the first attempt, an unused one. */
 traffic_call_t *traffic_call(traffic_request_t *request);
-/* traffic_prepare_call - reset the call for the attempt that begins. */
+/* traffic_prepare_call - reset a call for the attempt that begins.  The call of
+ * a kept attempt is left alone. */
 traffic_call_t *traffic_prepare_call(traffic_request_t *request);
 /* traffic_start_call - send the request to the target at address. */
 bsh_error_t traffic_start_call(traffic_call_t *call, const char *address);
--- a/lib/coordination/admission.c
+++ b/lib/coordination/admission.c
@@ -427,6 +427,11 @@
 		record_start(adm, m, m->in_backlog, now_us);
 		return true;
 	}
+	if (result == BSH_START_NONE) {
+		dequeue(adm, request);
+		adm->ops.refuse(adm->ctx, request, BSH_ERR_CAPACITY, 0);
+		return true;
+	}
 	if (result == BSH_START_COLD)
 		mark_cold(adm, m, now_us);
 	return false;
@@ -580,6 +585,10 @@
 		record_start(adm, m, false, now_us);
 		return BSH_OK;
 	}
+	if (result == BSH_START_NONE) {
+		adm->ops.refuse(adm->ctx, request, BSH_ERR_CAPACITY, 0);
+		return BSH_ERR_CAPACITY;
+	}
 	if (result == BSH_START_COLD)
 		m->slots = 0;
 	else if (m->slots == 0)
--- a/lib/coordination/admission.h
+++ b/lib/coordination/admission.h
@@ -106,13 +106,16 @@
 typedef enum {
 	BSH_START_OK,	/* the request was sent */
 	BSH_START_FULL, /* ready targets exist, none accepts it now */
-	BSH_START_COLD	/* no usable target */
+	BSH_START_COLD, /* no usable target */
+	/* no target for this request, which need not wait for one */
+	BSH_START_NONE
 } bsh_start_t;
 
 typedef struct {
 	/*
 	 * start - choose a target and send the request.  BSH_START_OK
-	 * removes the request from the queue.
+	 * removes the request from the queue; so does BSH_START_NONE, after
+	 * which it is refused with BSH_ERR_CAPACITY.
 	 */
 	bsh_start_t (*start)(void *ctx, bsh_admission_request_t *request);
 	/* refuse - send the refusal; the request has left the queue. */
@@ -205,7 +208,7 @@
 
 /*
  * bsh_admission_requeue - submit a started request again after its target
- * refused it.  It keeps its arrival number.
+ * refused it, or while its target is silent.  It keeps its arrival number.
  */
 bsh_error_t bsh_admission_requeue(bsh_admission_t *adm, const char *key,
 				  bsh_admission_request_t *request,
@@ -236,7 +239,8 @@
 
 /* bsh_admission_ended - report the end of a started request, which frees its
  * slot.  elapsed_us is the time since the send, or negative if the request was
- * not served.  To be called before bsh_admission_requeue(). */
+ * not served.  To be called before bsh_admission_requeue(), except while the
+ * target is silent; the request then occupies a slot until this call. */
 void bsh_admission_ended(bsh_admission_t *adm, const char *key,
 			 int64_t elapsed_us, int64_t now_us);
 
--- a/lib/coordination/attempt.c
+++ b/lib/coordination/attempt.c
@@ -71,6 +71,17 @@
 	       a->state == BSH_ATTEMPT_ANSWERING;
 }
 
+static bool has_other(const bsh_attempt_t *a)
+{
+	return a->other.state != BSH_ATTEMPT_NEW;
+}
+
+uint32_t bsh_attempt_kept_target(const bsh_attempt_t *a)
+{
+	return a->other.state == BSH_ATTEMPT_SENT ? a->other.target.target
+						  : BSH_ROUTE_NONE;
+}
+
 static int64_t first_byte_timeout_us(const bsh_attempts_t *set,
 				     const bsh_attempt_t *a)
 {
@@ -92,8 +103,8 @@
 	case BSH_ATTEMPT_SENT:
 		if (a->caller_gone)
 			return a->last_byte_us + set->config.idle_us;
-		if (a->spec.repeatable &&
-		    a->id.attempt <= BSH_ATTEMPT_RETRIES_MAX)
+		if (has_other(a) || (a->spec.repeatable &&
+				     a->attempts <= BSH_ATTEMPT_RETRIES_MAX))
 			return MIN(deadline_us,
 				   a->last_byte_us +
 					   first_byte_timeout_us(set, a));
@@ -147,6 +158,87 @@
 		set_timer(set, a, at_us);
 }
 
+/* End of an attempt. */
+
+static void add_tried_target(bsh_attempt_t *a)
+{
+	for (uint32_t i = 0; i < a->tried_count; i++) {
+		if (a->tried[i] == a->target.target)
+			return;
+	}
+	if (a->tried_count < BSH_ROUTE_MAX_EXCLUDED)
+		a->tried[a->tried_count++] = a->target.target;
+}
+
+static void end_attempt(bsh_attempts_t *set, bsh_attempt_t *a, bool ran,
+			bsh_error_t err, bsh_route_result_t result)
+{
+	set->ops.cancel(set->ctx, a);
+	set->ops.target_result(set->ctx, a, result);
+	a->may_have_run |= ran;
+	/*
+	 * Keep the error of an attempt that may have run over that of a later
+	 * one that has not.
+	 */
+	if (ran || !a->may_have_run)
+		a->last_err = err;
+	a->holding = false;
+	add_tried_target(a);
+}
+
+static void return_retry(bsh_attempts_t *set)
+{
+	set->budget.tokens =
+		MIN(set->budget.tokens + 1.0, BSH_ATTEMPT_BUDGET_MAX);
+	set->budget.retries--;
+}
+
+/* Makes the other attempt the running one, so that events and callbacks apply
+ * to it.  Neither of the two has received an answer. */
+static void switch_attempt(bsh_attempt_t *a)
+{
+	bsh_attempt_other_t running = { .attempt = a->id.attempt,
+					.state = a->state,
+					.target = a->target,
+					.started_us = a->started_us,
+					.last_byte_us = a->last_byte_us };
+
+	a->id.attempt = a->other.attempt;
+	a->state = a->other.state;
+	a->target = a->other.target;
+	a->started_us = a->other.started_us;
+	a->last_byte_us = a->other.last_byte_us;
+	a->other = running;
+}
+
+/* Ends the other attempt; the request ends or continues with err. */
+static void end_other(bsh_attempts_t *set, bsh_attempt_t *a, bsh_error_t err)
+{
+	bool sent = a->other.state == BSH_ATTEMPT_SENT;
+	/* The first attempt was silent for the whole first-byte timeout. */
+	bool silent = sent && a->other.attempt <= a->id.attempt &&
+		      err != BSH_ERR_CANCELLED;
+
+	if (a->other.state == BSH_ATTEMPT_QUEUED) {
+		set->ops.dequeue(set->ctx, a);
+		return_retry(set);
+	} else {
+		switch_attempt(a);
+		end_attempt(set, a, sent, silent ? BSH_ERR_TIMEOUT : err,
+			    silent ? BSH_ROUTE_FAILURE : BSH_ROUTE_NEUTRAL);
+		switch_attempt(a);
+	}
+	a->other.state = BSH_ATTEMPT_NEW;
+}
+
+/* Continues with the other attempt after the running one has ended. */
+static void resume_other(bsh_attempts_t *set, bsh_attempt_t *a)
+{
+	switch_attempt(a);
+	a->other.state = BSH_ATTEMPT_NEW;
+	set_timer(set, a, due_us(set, a));
+}
+
 /* End of a request. */
 
 static void finish_with_outcome(bsh_attempts_t *set, bsh_attempt_t *a,
@@ -172,6 +264,8 @@
 {
 	bsh_outcome_t outcome = BSH_OUTCOME_ANSWERED;
 
+	if (has_other(a))
+		end_other(set, a, err);
 	if (err != BSH_OK)
 		outcome = a->may_have_run ? BSH_OUTCOME_UNKNOWN
 					  : BSH_OUTCOME_NOT_RUN;
@@ -192,7 +286,7 @@
 		       int64_t now_us)
 {
 	if (a->caller_gone || a->forwarded ||
-	    a->id.attempt > BSH_ATTEMPT_RETRIES_MAX ||
+	    a->attempts > BSH_ATTEMPT_RETRIES_MAX ||
 	    now_us >= a->spec.deadline_us)
 		return false;
 	if (ran && !a->spec.repeatable)
@@ -204,12 +298,6 @@
 	return true;
 }
 
-static void add_tried_target(bsh_attempt_t *a)
-{
-	if (a->tried_count < BSH_ROUTE_MAX_EXCLUDED)
-		a->tried[a->tried_count++] = a->target.target;
-}
-
 static void enqueue(bsh_attempts_t *set, bsh_attempt_t *a, bool retry)
 {
 	a->state = BSH_ATTEMPT_QUEUED;
@@ -218,29 +306,16 @@
 	set->ops.enqueue(set->ctx, a, retry);
 }
 
-static void end_attempt(bsh_attempts_t *set, bsh_attempt_t *a, bool ran,
-			bsh_error_t err, bsh_route_result_t result)
-{
-	set->ops.cancel(set->ctx, a);
-	set->ops.target_result(set->ctx, a, result);
-	a->may_have_run |= ran;
-	/*
-	 * Keep the error of an attempt that may have run over that of a later
-	 * one that has not.
-	 */
-	if (ran || !a->may_have_run)
-		a->last_err = err;
-	a->holding = false;
-	add_tried_target(a);
-}
-
-/* Ends the running attempt as failed; retries or finishes the request. */
+/* Ends the running attempt as failed; continues with the other one, retries or
+ * finishes the request. */
 static void fail_attempt(bsh_attempts_t *set, bsh_attempt_t *a, bool ran,
 			 bsh_error_t err, bsh_route_result_t result,
 			 int64_t now_us)
 {
 	end_attempt(set, a, ran, err, result);
-	if (take_retry(set, a, ran, now_us))
+	if (has_other(a))
+		resume_other(set, a);
+	else if (take_retry(set, a, ran, now_us))
 		enqueue(set, a, true);
 	else
 		finish(set, a, err, 0);
@@ -332,8 +407,8 @@
 {
 	if (a->state != BSH_ATTEMPT_QUEUED || now_us >= a->spec.deadline_us)
 		return false;
-	a->id.attempt++;
-	if (a->id.attempt == 1) {
+	a->id.attempt = ++a->attempts;
+	if (a->attempts == 1) {
 		set->budget.requests++;
 		set->budget.tokens =
 			MIN(set->budget.tokens + BSH_ATTEMPT_BUDGET_RATIO,
@@ -354,12 +429,27 @@
 	return true;
 }
 
+/* Waits for the running attempt for another first-byte timeout. */
+static void wait_for_silent_target(bsh_attempts_t *set, bsh_attempt_t *a,
+				   int64_t now_us)
+{
+	set_timer(set, a,
+		  MIN(a->spec.deadline_us,
+		      now_us + first_byte_timeout_us(set, a)));
+}
+
 void bsh_attempt_refused(bsh_attempts_t *set, bsh_attempt_t *a, bsh_error_t err,
 			 uint32_t retry_after_ms, int64_t now_us)
 {
-	(void)now_us;
-	if (a->state == BSH_ATTEMPT_QUEUED)
+	if (a->state != BSH_ATTEMPT_QUEUED)
+		return;
+	if (!has_other(a)) {
 		finish(set, a, err, retry_after_ms);
+		return;
+	}
+	return_retry(set);
+	resume_other(set, a);
+	wait_for_silent_target(set, a, now_us);
 }
 
 /* Transport events. */
@@ -376,6 +466,22 @@
 	return a;
 }
 
+/*
+ * Like find_running(), but id may also name the other attempt, which then
+ * becomes the running one.  The caller must end one of the two.
+ */
+static bsh_attempt_t *find_receiving(bsh_attempts_t *set,
+				     const bsh_request_id_t *id)
+{
+	bsh_attempt_t *a = find_open(set, id);
+
+	if (a == NULL || a->other.state != BSH_ATTEMPT_SENT ||
+	    a->other.attempt != id->attempt)
+		return find_running(set, id);
+	switch_attempt(a);
+	return a;
+}
+
 void bsh_attempt_sent(bsh_attempts_t *set, const bsh_request_id_t *id,
 		      int64_t now_us)
 {
@@ -396,11 +502,13 @@
 	if (a == NULL || a->state != BSH_ATTEMPT_OPEN)
 		return;
 	end_attempt(set, a, false, BSH_ERR_CONNECT, BSH_ROUTE_NEUTRAL);
-	if (a->caller_gone || now_us >= a->spec.deadline_us ||
-	    a->id.attempt > BSH_ATTEMPT_RETRIES_MAX)
-		finish(set, a, BSH_ERR_CONNECT, 0);
-	else
+	if (!a->caller_gone && now_us < a->spec.deadline_us &&
+	    a->attempts <= BSH_ATTEMPT_RETRIES_MAX)
 		enqueue(set, a, true);
+	else if (has_other(a))
+		resume_other(set, a);
+	else
+		finish(set, a, BSH_ERR_CONNECT, 0);
 }
 
 static bool is_same_id(const bsh_request_id_t *a, const bsh_request_id_t *b)
@@ -450,7 +558,7 @@
 				      const bsh_answer_head_t *head,
 				      int64_t now_us)
 {
-	bsh_attempt_t *a = find_running(set, id);
+	bsh_attempt_t *a = find_receiving(set, id);
 
 	if (a == NULL || expire_at_deadline(set, a, now_us))
 		return BSH_ANSWER_DROP;
@@ -466,6 +574,8 @@
 			     now_us);
 		return BSH_ANSWER_DROP;
 	}
+	if (has_other(a))
+		end_other(set, a, BSH_ERR_TIMEOUT);
 	a->state = BSH_ATTEMPT_ANSWERING;
 	a->last_byte_us = now_us;
 	a->status = head->status;
@@ -486,7 +596,7 @@
 				      const bsh_request_id_t *id, size_t size,
 				      bool done_event, int64_t now_us)
 {
-	bsh_attempt_t *a = find_running(set, id);
+	bsh_attempt_t *a = find_receiving(set, id);
 
 	if (a == NULL)
 		return BSH_ANSWER_DROP;
@@ -540,7 +650,7 @@
 void bsh_attempt_end(bsh_attempts_t *set, const bsh_request_id_t *id,
 		     int64_t now_us)
 {
-	bsh_attempt_t *a = find_running(set, id);
+	bsh_attempt_t *a = find_receiving(set, id);
 
 	if (a == NULL)
 		return;
@@ -555,7 +665,7 @@
 void bsh_attempt_failed(bsh_attempts_t *set, const bsh_request_id_t *id,
 			int64_t now_us)
 {
-	bsh_attempt_t *a = find_running(set, id);
+	bsh_attempt_t *a = find_receiving(set, id);
 
 	if (a == NULL)
 		return;
@@ -638,6 +748,21 @@
 	fail_attempt(set, a, false, BSH_ERR_CONNECT, BSH_ROUTE_FAILURE, now_us);
 }
 
+/*
+ * A silent target may only be pausing.  Its attempt is kept until another
+ * target has accepted the request: if it were cancelled first and the other
+ * target refused, no target would be left with the request.
+ */
+static void keep_attempt(bsh_attempt_t *a)
+{
+	add_tried_target(a);
+	a->other = (bsh_attempt_other_t){ .attempt = a->id.attempt,
+					  .state = a->state,
+					  .target = a->target,
+					  .started_us = a->started_us,
+					  .last_byte_us = a->last_byte_us };
+}
+
 static void handle_sent_timer(bsh_attempts_t *set, bsh_attempt_t *a,
 			      int64_t now_us)
 {
@@ -650,15 +775,18 @@
 		handle_deadline_sent(set, a, now_us);
 		return;
 	}
+	if (has_other(a)) {
+		/* It has not refused the request, so it has accepted it. */
+		end_other(set, a, BSH_ERR_TIMEOUT);
+		set_timer(set, a, due_us(set, a));
+		return;
+	}
 	if (take_retry(set, a, true, now_us)) {
-		end_attempt(set, a, true, BSH_ERR_TIMEOUT, BSH_ROUTE_FAILURE);
+		keep_attempt(a);
 		enqueue(set, a, true);
 		return;
 	}
-	/* No retry is allowed: keep waiting for this attempt. */
-	set_timer(set, a,
-		  MIN(a->spec.deadline_us,
-		      now_us + first_byte_timeout_us(set, a)));
+	wait_for_silent_target(set, a, now_us);
 }
 
 static void handle_answering_timer(bsh_attempts_t *set, bsh_attempt_t *a,
--- a/lib/coordination/attempt.h
+++ b/lib/coordination/attempt.h
@@ -27,10 +27,19 @@
  *	Retries: only after a not-run attempt or, for repeatable requests,
  *	before a byte was sent to the caller; at most
  *	BSH_ATTEMPT_RETRIES_MAX; only within the retry budget; never after
- *	the deadline or after the caller has disconnected.  An attempt of a
- *	repeatable request that has received nothing within the first-byte
- *	timeout is replaced if a retry is allowed; otherwise it continues
- *	until the deadline.
+ *	the deadline or after the caller has disconnected.
+ *
+ *	Silent targets: an attempt of a repeatable request that has received
+ *	nothing within the first-byte timeout is kept, and the request is
+ *	enqueued for an attempt at another target if a retry is allowed.  The
+ *	kept attempt is given up when the second target has accepted the
+ *	request: it has sent an answer that is no refusal, or it has not
+ *	refused within the first-byte timeout either.  If admission refuses
+ *	the request or the second attempt fails, the kept one continues, and
+ *	another retry may follow.  If the kept one is answered first, the
+ *	second is cancelled or dequeued.  The end of the request ends both.
+ *	Only a repeatable request has two attempts at a time, so an intent
+ *	always stands for one.
  *
  *	Deadline: either the first byte is sent to the caller by the
  *	deadline, or the request is then answered with an error.  After the
@@ -140,11 +149,22 @@
 	bool engine; /* the target returns X-Request-Id and sends [DONE] */
 } bsh_attempt_spec_t;
 
+/* The part of the state of an attempt that differs while two overlap. */
+typedef struct {
+	uint32_t attempt;	   /* its number */
+	bsh_attempt_state_t state; /* BSH_ATTEMPT_NEW: there is no attempt */
+	bsh_route_choice_t target;
+	int64_t started_us;
+	int64_t last_byte_us;
+} bsh_attempt_other_t;
+
 typedef struct {
 	bsh_attempt_spec_t spec;
 	bsh_request_id_t id;
 	bsh_attempt_state_t state;
 	bsh_route_choice_t target;		/* of the running attempt */
+	bsh_attempt_other_t other;		/* kept beside it */
+	uint32_t attempts;			/* started so far */
 	uint32_t tried[BSH_ROUTE_MAX_EXCLUDED]; /* targets that failed */
 	uint32_t tried_count;
 	bool may_have_run; /* at least one attempt may have run */
@@ -187,14 +207,15 @@
 typedef struct {
 	/* intent - request the commit of the intent from the controller. */
 	void (*intent)(void *ctx, bsh_attempt_t *a);
-	/* enqueue - submit to admission; resubmit if retry is set. */
+	/* enqueue - submit to admission; resubmit if retry is set.  The first
+	 * attempt may be running still, see bsh_attempt_kept_target(). */
 	void (*enqueue)(void *ctx, bsh_attempt_t *a, bool retry);
 	/* dequeue - remove from admission. */
 	void (*dequeue)(void *ctx, bsh_attempt_t *a);
 	/*
-	 * cancel - close the running attempt at the target (it may have failed
-	 * already) and discard the held bytes.  Later events with its id have
-	 * no effect.
+	 * cancel - close the attempt a->id at a->target (it may have failed
+	 * already) and discard its held bytes.  Later events with its id have
+	 * no effect.  Another attempt of the request may continue.
 	 */
 	void (*cancel)(void *ctx, bsh_attempt_t *a);
 	/* release - send the held bytes to the caller now. */
@@ -205,8 +226,8 @@
 	 */
 	void (*first_byte)(void *ctx, bsh_attempt_t *a);
 	/*
-	 * target_result - result for bsh_route_end(); called once per started
-	 * attempt.
+	 * target_result - result of the attempt a->id for bsh_route_end();
+	 * called once per started attempt.
 	 */
 	void (*target_result)(void *ctx, bsh_attempt_t *a,
 			      bsh_route_result_t result);
@@ -303,7 +324,17 @@
 bool bsh_attempt_start(bsh_attempts_t *set, bsh_attempt_t *a,
 		       const bsh_route_choice_t *target, int64_t now_us);
 
-/* bsh_attempt_refused - admission refused the request with this error. */
+/*
+ * bsh_attempt_kept_target - index of the target of the attempt that is kept
+ * while a second one is started, or BSH_ROUTE_NONE.  It must not be chosen for
+ * the second attempt.
+ */
+uint32_t bsh_attempt_kept_target(const bsh_attempt_t *a);
+
+/*
+ * bsh_attempt_refused - admission refused the request with this error.  The
+ * request finishes unless an attempt is kept.
+ */
 void bsh_attempt_refused(bsh_attempts_t *set, bsh_attempt_t *a, bsh_error_t err,
 			 uint32_t retry_after_ms, int64_t now_us);
 
--- a/regress/support/shunt.c
+++ b/regress/support/shunt.c
@@ -25,9 +25,10 @@
 	int call;
 	bsh_admission_request_t waiting;
 	bsh_attempt_t attempt;
-	conn_t *conn;
-	int64_t started_us; /* of the current attempt */
-	GArray *held;	    /* chunk_t, not yet sent to the caller */
+	/* Of each attempt, by its number less 1. */
+	conn_t *conns[BSH_ATTEMPT_RETRIES_MAX + 1];
+	int64_t started_us[BSH_ATTEMPT_RETRIES_MAX + 1];
+	GArray *held; /* chunk_t, not yet sent to the caller */
 } request_t;
 
 /* INTENT_ANSWER in flight from the controller. */
@@ -90,28 +91,34 @@
 	bsh_route_request_t request = route_request(r);
 	bsh_route_choice_t choice;
 	char id[BSH_ATTEMPT_ID_SIZE];
+	uint32_t kept = bsh_attempt_kept_target(&r->attempt);
+	conn_t *conn;
 	bsh_error_t err =
 		bsh_route_choose(&s->route, &request, &choice, now_us(s));
 
 	if (err == BSH_ERR_CONNECT) {
-		request.excluded_count = 0;
+		request.excluded_count = kept != BSH_ROUTE_NONE ? 1 : 0;
+		request.excluded[0] = kept;
 		err = bsh_route_choose(&s->route, &request, &choice, now_us(s));
 		waiting->not_before_us = choice.retry_us;
 	}
 	if (err == BSH_ERR_NOT_FOUND)
 		return BSH_START_COLD;
+	if (err == BSH_ERR_CONNECT && kept != BSH_ROUTE_NONE)
+		return BSH_START_NONE;
 	if (err != BSH_OK ||
 	    !bsh_attempt_start(&s->attempts, &r->attempt, &choice, now_us(s)))
 		return BSH_START_FULL;
 	bsh_route_start(&s->route, &request, &choice, now_us(s));
 	bsh_request_id_print(&r->attempt.id, id);
-	r->started_us = now_us(s);
-	r->conn = world_open(
+	conn = world_open(
 		s->w, s->router,
 		bsh_route_target(&s->route, choice.target)->address[0] - '0',
 		r->sub, id);
-	r->conn->id = r->attempt.id;
-	r->conn->request = r;
+	conn->id = r->attempt.id;
+	conn->request = r;
+	r->conns[conn->id.attempt - 1] = conn;
+	r->started_us[conn->id.attempt - 1] = now_us(s);
 	return BSH_START_OK;
 }
 
@@ -265,7 +272,7 @@
 	request_t *r = a->spec.user;
 
 	(void)ctx;
-	world_close(r->conn);
+	world_close(r->conns[a->id.attempt - 1]);
 	g_array_set_size(r->held, 0);
 }
 
@@ -286,10 +293,12 @@
 	request_t *r = a->spec.user;
 
 	bsh_route_end(&s->route, &a->target, result, now_us(s));
-	bsh_admission_ended(
-		&s->admission, model_key(r),
-		result == BSH_ROUTE_SUCCESS ? now_us(s) - r->started_us : -1,
-		now_us(s));
+	bsh_admission_ended(&s->admission, model_key(r),
+			    result == BSH_ROUTE_SUCCESS
+				    ? now_us(s) -
+					      r->started_us[a->id.attempt - 1]
+				    : -1,
+			    now_us(s));
 }
 
 static void on_first_byte(void *ctx, bsh_attempt_t *a)
@@ -518,8 +527,10 @@
 
 	if (bsh_attempt_head(&s->attempts, &conn->id, head, now_us(s)) !=
 	    BSH_ANSWER_DROP)
-		bsh_admission_first_byte(&s->admission, model_key(r),
-					 now_us(s) - r->started_us, now_us(s));
+		bsh_admission_first_byte(
+			&s->admission, model_key(r),
+			now_us(s) - r->started_us[conn->id.attempt - 1],
+			now_us(s));
 	arm_timer(s);
 }
 
--- a/regress/test_admission.c
+++ b/regress/test_admission.c
@@ -8,6 +8,7 @@
 	bsh_admission_t adm;
 	int room; /* requests that the targets accept */
 	bool cold;
+	bool none; /* no target for the request */
 	int needs;
 	int started[8]; /* by request->user */
 	int last_started;
@@ -19,6 +20,8 @@
 static bsh_start_t on_start(void *ctx, bsh_admission_request_t *request)
 {
 	(void)ctx;
+	if (t.none)
+		return BSH_START_NONE;
 	if (t.cold)
 		return BSH_START_COLD;
 	if (t.room == 0)
@@ -267,6 +270,29 @@
 	teardown();
 }
 
+/* Guards against a request without a target that blocks its queue, and against
+ * counting it as started. */
+static void test_no_target(void)
+{
+	bsh_admission_request_t w[2];
+
+	setup();
+	t.none = true;
+	submit(&w[0], "m", 0, 3, 9 * SIM_S);
+	g_assert_cmpint(t.refused, ==, 1);
+	g_assert_cmpint(t.err, ==, BSH_ERR_CAPACITY);
+	t.none = false;
+	submit(&w[0], "m", 0, 3, 9 * SIM_S);
+	submit(&w[1], "m", 1, 3, 9 * SIM_S);
+	g_assert_cmpuint(t.adm.waiting, ==, 2);
+	t.none = true;
+	bsh_admission_tick(&t.adm, BSH_ADMISSION_TICK_US);
+	g_assert_cmpint(t.refused, ==, 3);
+	g_assert_cmpuint(t.adm.waiting, ==, 0);
+	g_assert_cmpint(t.started[0] + t.started[1], ==, 0);
+	teardown();
+}
+
 /* Guards against an estimate above all deadlines that is never corrected: it
  * refuses every request, so no request measures a new value. */
 static void test_estimate_recovers(void)
@@ -343,6 +369,7 @@
 	g_test_add_func("/admission/fair-shares", test_fair_shares);
 	g_test_add_func("/admission/retry-after", test_retry_after_spreads);
 	g_test_add_func("/admission/estimate", test_estimate_recovers);
+	g_test_add_func("/admission/no-target", test_no_target);
 	g_test_add_func("/drain/end", test_drain);
 	return g_test_run();
 }
--- a/regress/test_attempt.c
+++ b/regress/test_attempt.c
@@ -9,11 +9,14 @@
 	bsh_attempt_t a;
 	int enqueued;
 	int retries;
+	int dequeued;
 	int cancelled;
+	uint32_t last_cancelled; /* number of the attempt */
 	int released;
 	int detached;
 	int finished;
 	int results[3];
+	bsh_route_result_t result_of[4]; /* by the number of the attempt */
 	bsh_error_t err;
 	bsh_outcome_t outcome;
 	int records;
@@ -39,13 +42,14 @@
 {
 	(void)ctx;
 	(void)a;
+	t.dequeued++;
 }
 
 static void on_cancel(void *ctx, bsh_attempt_t *a)
 {
 	(void)ctx;
-	(void)a;
 	t.cancelled++;
+	t.last_cancelled = a->id.attempt;
 }
 
 static void on_release(void *ctx, bsh_attempt_t *a)
@@ -58,8 +62,8 @@
 static void on_result(void *ctx, bsh_attempt_t *a, bsh_route_result_t result)
 {
 	(void)ctx;
-	(void)a;
 	t.results[result]++;
+	t.result_of[a->id.attempt] = result;
 }
 
 static void on_detach(void *ctx, bsh_attempt_t *a, bsh_error_t err,
@@ -247,7 +251,8 @@
 }
 
 /* Guards against a connection without an answer that delays a request until its
- * deadline, and against use of a late answer of the replaced attempt. */
+ * deadline, against giving up the first target before the second one has
+ * accepted, and against use of a late answer of the replaced attempt. */
 static void test_silent_attempt_is_replaced(void)
 {
 	bsh_request_id_t old;
@@ -257,12 +262,17 @@
 	old = t.a.id;
 	bsh_attempts_tick(&t.set, 2 * SIM_S);
 	g_assert_cmpint(t.retries, ==, 1);
-	g_assert_cmpint(t.cancelled, ==, 1);
+	g_assert_cmpuint(bsh_attempt_kept_target(&t.a), ==, 1);
 	start(true, 2 * SIM_S);
+	bsh_attempts_tick(&t.set, 3 * SIM_S);
+	g_assert_cmpint(t.cancelled, ==, 0);
+	g_assert_cmpint(head(200, 5, false, 3 * SIM_S), ==, BSH_ANSWER_HOLD);
+	g_assert_cmpint(t.cancelled, ==, 1);
+	g_assert_cmpuint(t.last_cancelled, ==, 1);
+	g_assert_cmpint(t.result_of[1], ==, BSH_ROUTE_FAILURE);
 	g_assert_cmpint(bsh_attempt_body(&t.set, &old, 1, false, 3 * SIM_S), ==,
 			BSH_ANSWER_DROP);
 	g_assert_cmpuint(t.set.late, ==, 1);
-	g_assert_cmpint(head(200, 5, false, 3 * SIM_S), ==, BSH_ANSWER_HOLD);
 	/* At the deadline the held bytes are sent to the caller. */
 	bsh_attempt_body(&t.set, &t.a.id, 3, false, 4 * SIM_S);
 	bsh_attempts_tick(&t.set, 10 * SIM_S);
@@ -293,6 +303,203 @@
 	g_assert_cmpint(t.err, ==, BSH_OK);
 }
 
+/* Starts a request whose target is silent until it is submitted again. */
+static bsh_request_id_t start_silent(void)
+{
+	bsh_request_id_t first;
+
+	setup(true, false, false);
+	start(true, 0);
+	first = t.a.id;
+	bsh_attempts_tick(&t.set, 2 * SIM_S);
+	g_assert_cmpint(t.retries, ==, 1);
+	return first;
+}
+
+/* Receives the complete answer to the attempt id. */
+static void answer(const bsh_request_id_t *id, int64_t now_us)
+{
+	bsh_answer_head_t h = { .status = 200,
+				.request_id = t.text,
+				.length = 5 };
+
+	bsh_request_id_print(id, t.text);
+	g_assert_cmpint(bsh_attempt_head(&t.set, id, &h, now_us), ==,
+			BSH_ANSWER_HOLD);
+	g_assert_cmpint(bsh_attempt_body(&t.set, id, 5, false, now_us), ==,
+			BSH_ANSWER_HOLD);
+	bsh_attempt_end(&t.set, id, now_us);
+	g_assert_cmpint(t.finished, ==, 1);
+	g_assert_cmpint(t.err, ==, BSH_OK);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_ANSWERED);
+}
+
+/* Guards against a call that is lost because the second target refuses it or
+ * fails, and against more attempts than are allowed beside the first one. */
+static void test_second_target_fails(void)
+{
+	bsh_request_id_t first = start_silent();
+
+	start(true, 2 * SIM_S);
+	g_assert_cmpint(head(503, 0, false, 2 * SIM_S + 1), ==,
+			BSH_ANSWER_DROP);
+	g_assert_cmpint(t.finished, ==, 0);
+	g_assert_cmpuint(t.last_cancelled, ==, 2);
+	g_assert_cmpint(t.result_of[2], ==, BSH_ROUTE_NEUTRAL);
+	/* A third target is tried at once. */
+	bsh_attempts_tick(&t.set, 2 * SIM_S + 2);
+	g_assert_cmpint(t.retries, ==, 2);
+	start(false, 2 * SIM_S + 2);
+	g_assert_cmpuint(t.a.id.attempt, ==, 3);
+	bsh_attempt_failed(&t.set, &t.a.id, 2 * SIM_S + 3);
+	g_assert_cmpint(t.result_of[3], ==, BSH_ROUTE_FAILURE);
+	for (int64_t now_us = 3 * SIM_S; now_us < 10 * SIM_S; now_us += SIM_S)
+		bsh_attempts_tick(&t.set, now_us);
+	g_assert_cmpint(t.retries, ==, 2);
+	g_assert_cmpuint(t.set.budget.retries, ==, 2);
+	answer(&first, 10 * SIM_S - 1);
+	g_assert_cmpint(t.result_of[1], ==, BSH_ROUTE_SUCCESS);
+	g_assert_cmpint(t.cancelled, ==, 2);
+}
+
+/* Guards against more than two attempts at a time, and against a call that is
+ * lost because the second target is silent as well and a third one refuses. */
+static void test_second_target_is_silent(void)
+{
+	bsh_request_id_t second;
+
+	start_silent();
+	start(true, 2 * SIM_S + 1);
+	second = t.a.id;
+	bsh_attempts_tick(&t.set, 4 * SIM_S);
+	g_assert_cmpint(t.cancelled, ==, 0);
+	bsh_attempts_tick(&t.set, 4 * SIM_S + 1);
+	g_assert_cmpint(t.cancelled, ==, 1);
+	g_assert_cmpuint(t.last_cancelled, ==, 1);
+	g_assert_cmpint(t.result_of[1], ==, BSH_ROUTE_FAILURE);
+	g_assert_cmpint(t.retries, ==, 2);
+	start(true, 5 * SIM_S);
+	g_assert_cmpint(head(503, 0, false, 5 * SIM_S), ==, BSH_ANSWER_DROP);
+	g_assert_cmpuint(t.last_cancelled, ==, 3);
+	g_assert_cmpint(t.cancelled, ==, 2);
+	answer(&second, 6 * SIM_S);
+	g_assert_cmpint(t.result_of[2], ==, BSH_ROUTE_SUCCESS);
+}
+
+/* Guards against a call that runs on at a second target, or waits for one,
+ * after the first one has answered, and against a lost token of the budget when
+ * no second attempt was started. */
+static void test_silent_target_answers(void)
+{
+	bsh_request_id_t first = start_silent();
+	bsh_request_id_t second;
+
+	answer(&first, 3 * SIM_S);
+	g_assert_cmpint(t.dequeued, ==, 1);
+	g_assert_cmpint(t.cancelled, ==, 0);
+	g_assert_cmpfloat(t.set.budget.tokens, >, 5.0);
+	g_assert_cmpuint(t.set.budget.retries, ==, 0);
+
+	first = start_silent();
+	start(true, 2 * SIM_S);
+	second = t.a.id;
+	answer(&first, 2 * SIM_S + 1);
+	g_assert_cmpint(t.cancelled, ==, 1);
+	g_assert_cmpuint(t.last_cancelled, ==, 2);
+	g_assert_cmpint(t.result_of[1], ==, BSH_ROUTE_SUCCESS);
+	g_assert_cmpint(t.result_of[2], ==, BSH_ROUTE_NEUTRAL);
+	bsh_attempt_failed(&t.set, &second, 2 * SIM_S + 2);
+	g_assert_cmpuint(t.set.late, ==, 1);
+	g_assert_cmpint(t.finished, ==, 1);
+}
+
+/* Guards against a request that ends, or is run once more, because its silent
+ * target fails while a second one is sought or has it. */
+static void test_silent_target_fails(void)
+{
+	bsh_request_id_t first = start_silent();
+
+	bsh_attempt_failed(&t.set, &first, 2 * SIM_S + 1);
+	g_assert_cmpint(t.finished, ==, 0);
+	g_assert_cmpint(t.enqueued, ==, 2);
+	g_assert_cmpuint(bsh_attempt_kept_target(&t.a), ==, BSH_ROUTE_NONE);
+	bsh_attempt_refused(&t.set, &t.a, BSH_ERR_CAPACITY, 100, 3 * SIM_S);
+	g_assert_cmpint(t.err, ==, BSH_ERR_CONNECTION_LOST);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+
+	first = start_silent();
+	start(true, 2 * SIM_S);
+	bsh_attempt_failed(&t.set, &first, 2 * SIM_S + 1);
+	g_assert_cmpint(t.result_of[1], ==, BSH_ROUTE_FAILURE);
+	g_assert_cmpint(t.enqueued, ==, 2);
+	answer(&t.a.id, 3 * SIM_S);
+	g_assert_cmpint(t.result_of[2], ==, BSH_ROUTE_SUCCESS);
+}
+
+/* Guards against an attempt that runs on after its request has ended, and
+ * against an outcome not-run although the silent target has the request. */
+static void test_both_attempts_end(void)
+{
+	start_silent();
+	start(false, 2 * SIM_S);
+	bsh_attempt_caller_gone(&t.set, &t.a, 2 * SIM_S + 1);
+	g_assert_cmpint(t.cancelled, ==, 2);
+	g_assert_cmpint(t.results[BSH_ROUTE_NEUTRAL], ==, 2);
+	g_assert_cmpint(t.err, ==, BSH_ERR_CANCELLED);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+	g_assert_cmpint(t.finished, ==, 1);
+	/* The deadline passes while the second target is connected to. */
+	start_silent();
+	start(false, 10 * SIM_S - 1);
+	bsh_attempts_tick(&t.set, 10 * SIM_S);
+	g_assert_cmpint(t.cancelled, ==, 2);
+	g_assert_cmpint(t.result_of[1], ==, BSH_ROUTE_FAILURE);
+	g_assert_cmpint(t.result_of[2], ==, BSH_ROUTE_NEUTRAL);
+	g_assert_cmpint(t.err, ==, BSH_ERR_TIMEOUT);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+	/* The deadline passes while the request waits for a second target. */
+	start_silent();
+	bsh_attempts_tick(&t.set, 10 * SIM_S);
+	g_assert_cmpint(t.dequeued, ==, 1);
+	g_assert_cmpint(t.cancelled, ==, 1);
+	g_assert_cmpint(t.err, ==, BSH_ERR_TIMEOUT);
+	g_assert_cmpint(t.outcome, ==, BSH_OUTCOME_UNKNOWN);
+}
+
+/* Guards against a request that is not tried again at another target after
+ * admission refused it once, and against a second attempt that is not charged,
+ * or one that was refused and is charged, to the budget. */
+static void test_refused_retry_is_repeated(void)
+{
+	start_silent();
+	bsh_attempt_refused(&t.set, &t.a, BSH_ERR_CAPACITY, 0, 2 * SIM_S);
+	g_assert_cmpuint(t.set.budget.retries, ==, 0);
+	bsh_attempts_tick(&t.set, 4 * SIM_S - 1);
+	g_assert_cmpint(t.retries, ==, 1);
+	bsh_attempts_tick(&t.set, 4 * SIM_S);
+	g_assert_cmpint(t.retries, ==, 2);
+	start(true, 4 * SIM_S);
+	g_assert_cmpuint(t.a.id.attempt, ==, 2);
+	g_assert_cmpuint(t.set.budget.retries, ==, 1);
+	answer(&t.a.id, 5 * SIM_S);
+	g_assert_cmpint(t.result_of[1], ==, BSH_ROUTE_FAILURE);
+}
+
+/* Guards against the end of a request because its second target was leaving
+ * before anything was sent. */
+static void test_second_target_leaving(void)
+{
+	bsh_request_id_t first = start_silent();
+
+	start(false, 2 * SIM_S);
+	bsh_attempt_target_leaving(&t.set, &t.a.id, 2 * SIM_S + 1);
+	g_assert_cmpint(t.retries, ==, 2);
+	g_assert_cmpuint(t.set.budget.retries, ==, 1);
+	g_assert_cmpuint(bsh_attempt_kept_target(&t.a), ==, 1);
+	answer(&first, 3 * SIM_S);
+	g_assert_cmpint(t.dequeued, ==, 1);
+}
+
 /* Guards against a retry when the retry budget is empty. */
 static void test_no_retry_without_budget(void)
 {
@@ -447,6 +654,14 @@
 	g_test_add_func("/attempt/completeness", test_incomplete_answer);
 	g_test_add_func("/attempt/silent", test_silent_attempt_is_replaced);
 	g_test_add_func("/attempt/silent-is-kept", test_silent_attempt_is_kept);
+	g_test_add_func("/attempt/second-fails", test_second_target_fails);
+	g_test_add_func("/attempt/second-silent", test_second_target_is_silent);
+	g_test_add_func("/attempt/first-answers", test_silent_target_answers);
+	g_test_add_func("/attempt/first-fails", test_silent_target_fails);
+	g_test_add_func("/attempt/both-end", test_both_attempts_end);
+	g_test_add_func("/attempt/refused-retry",
+			test_refused_retry_is_repeated);
+	g_test_add_func("/attempt/second-leaving", test_second_target_leaving);
 	g_test_add_func("/attempt/budget", test_no_retry_without_budget);
 	g_test_add_func("/attempt/keyed", test_keyed_call_runs_to_end);
 	g_test_add_func("/attempt/withdrawn", test_intent_is_withdrawn);
