Test overlapping attempts of a router with random events

It fails if a refused retry ends the request, if the first attempt is cancelled at the timeout, or if the end of the request leaves an attempt running.

--- a/regress/test_attempt.c
+++ b/regress/test_attempt.c
@@ -500,6 +500,229 @@
 	g_assert_cmpint(t.dequeued, ==, 1);
 }
 
+/* A request with random events, and what it may have at any time. */
+typedef struct {
+	GRand *random;
+	int64_t now_us;
+	uint32_t event;	  /* attempt that the present event is for */
+	bool live[4];	  /* started and not ended, by attempt */
+	bool ran[4];	  /* sent and not refused */
+	bool refusing;	  /* the present event is a refusal */
+	int waiting;	  /* 1 in admission */
+	int given_up;	  /* sent attempts ended by no event of their own */
+	bool gone;	  /* the caller has disconnected */
+	bool answered[4]; /* its answer has begun */
+	uint32_t started; /* attempts */
+} random_request_t;
+
+static random_request_t *random_request;
+
+static void on_random_enqueue(void *ctx, bsh_attempt_t *a, bool retry)
+{
+	on_enqueue(ctx, a, retry);
+	g_assert_cmpint(random_request->waiting++, ==, 0);
+}
+
+static void on_random_dequeue(void *ctx, bsh_attempt_t *a)
+{
+	on_dequeue(ctx, a);
+	g_assert_cmpint(random_request->waiting--, ==, 1);
+}
+
+static void on_random_result(void *ctx, bsh_attempt_t *a,
+			     bsh_route_result_t result)
+{
+	random_request_t *x = random_request;
+	uint32_t attempt = a->id.attempt;
+
+	on_result(ctx, a, result);
+	g_assert_true(x->live[attempt]);
+	x->live[attempt] = false;
+	x->given_up += attempt != x->event && x->ran[attempt];
+	if (attempt == x->event && x->refusing)
+		x->ran[attempt] = false;
+}
+
+static void on_random_finish(void *ctx, bsh_attempt_t *a, bsh_error_t err,
+			     bsh_outcome_t outcome, uint32_t retry_ms)
+{
+	random_request_t *x = random_request;
+	bool ran = false;
+
+	on_finish(ctx, a, err, outcome, retry_ms);
+	g_assert_cmpint(x->waiting, ==, 0);
+	for (uint32_t i = 1; i <= x->started; i++) {
+		g_assert_false(x->live[i]);
+		ran |= x->ran[i];
+	}
+	if (err == BSH_OK)
+		return;
+	g_assert_true(outcome ==
+		      (ran ? BSH_OUTCOME_UNKNOWN : BSH_OUTCOME_NOT_RUN));
+	/* Before the deadline no target that may answer is given up. */
+	if (x->now_us < a->spec.deadline_us && !x->gone)
+		g_assert_cmpint(x->given_up, ==, 0);
+}
+
+/* The id of a random attempt of the request, often of one that has ended. */
+static bsh_request_id_t random_id(random_request_t *x)
+{
+	bsh_request_id_t id = t.a.id;
+
+	id.attempt =
+		(uint32_t)g_rand_int_range(x->random, 1, (int)x->started + 2);
+	x->event = id.attempt;
+	return id;
+}
+
+static void random_head(random_request_t *x)
+{
+	bsh_request_id_t id = random_id(x);
+	bsh_answer_head_t h = { .status = 200,
+				.request_id = t.text,
+				.length = 5 };
+
+	/* An answer is received only after the request has been sent. */
+	if (x->event > x->started || !x->ran[x->event])
+		return;
+	/* A second head on a connection is a mismatch. */
+	x->refusing = !x->answered[x->event] && g_rand_boolean(x->random);
+	if (x->refusing)
+		h.status = 503;
+	bsh_request_id_print(&id, t.text);
+	if (bsh_attempt_head(&t.set, &id, &h, x->now_us) == BSH_ANSWER_HOLD)
+		x->answered[x->event] = true;
+}
+
+static void random_start(random_request_t *x)
+{
+	bsh_route_choice_t target = { .target = x->started + 1,
+				      .incarnation = 1 };
+
+	if (x->waiting == 0 || t.finished > 0)
+		return;
+	g_assert_cmpuint(bsh_attempt_kept_target(&t.a), !=, target.target);
+	if (!bsh_attempt_start(&t.set, &t.a, &target, x->now_us))
+		return;
+	x->waiting = 0;
+	x->started++;
+	g_assert_cmpuint(t.a.id.attempt, ==, x->started);
+	g_assert_cmpuint(x->started, <=, BSH_ATTEMPT_RETRIES_MAX + 1);
+	x->live[x->started] = true;
+}
+
+/* A sent attempt is given up only for another one. */
+static void check_given_up(random_request_t *x)
+{
+	if (t.finished == 0 && x->given_up > 0)
+		g_assert_true(x->live[1] || x->live[2] || x->live[3]);
+	x->given_up = 0;
+}
+
+static void random_step(random_request_t *x)
+{
+	bsh_request_id_t id;
+
+	x->event = 0;
+	x->refusing = false;
+	x->given_up = 0;
+	x->now_us += g_rand_int_range(x->random, 0, 700) * SIM_MS;
+	bsh_attempts_tick(&t.set, x->now_us);
+	if (t.finished > 0)
+		return;
+	check_given_up(x);
+	switch (g_rand_int_range(x->random, 0, 40)) {
+	case 0:
+		x->gone = true;
+		bsh_attempt_caller_gone(&t.set, &t.a, x->now_us);
+		break;
+	case 1 ... 4:
+		if (x->waiting == 0)
+			break;
+		x->waiting = 0;
+		bsh_attempt_refused(&t.set, &t.a, BSH_ERR_CAPACITY, 0,
+				    x->now_us);
+		break;
+	case 5 ... 14:
+		random_start(x);
+		break;
+	case 15 ... 29:
+		id = t.a.id;
+		if (t.a.state == BSH_ATTEMPT_OPEN)
+			x->ran[id.attempt] = true;
+		bsh_attempt_sent(&t.set, &id, x->now_us);
+		break;
+	case 30 ... 31:
+		random_head(x);
+		break;
+	case 32 ... 33:
+		id = random_id(x);
+		if (x->event <= x->started && x->ran[x->event])
+			bsh_attempt_body(&t.set, &id, 5, false, x->now_us);
+		break;
+	case 34:
+		id = random_id(x);
+		bsh_attempt_end(&t.set, &id, x->now_us);
+		break;
+	case 35:
+		id = random_id(x);
+		bsh_attempt_failed(&t.set, &id, x->now_us);
+		break;
+	case 36:
+		id = random_id(x);
+		bsh_attempt_target_leaving(&t.set, &id, x->now_us);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool run_random(uint32_t seed)
+{
+	random_request_t x = { .random = g_rand_new_with_seed(seed) };
+	bool overlapped = false;
+
+	random_request = &x;
+	setup(true, false, false);
+	x.waiting = 1;
+	t.set.ops.enqueue = on_random_enqueue;
+	t.set.ops.dequeue = on_random_dequeue;
+	t.set.ops.target_result = on_random_result;
+	t.set.ops.finish = on_random_finish;
+	for (int step = 0; step < 2000 && t.finished == 0; step++) {
+		int live;
+
+		random_step(&x);
+		check_given_up(&x);
+		live = x.live[1] + x.live[2] + x.live[3];
+		g_assert_cmpint(live, <=, 2);
+		overlapped |= live == 2;
+		if (t.finished == 0)
+			g_assert_cmpint(live + x.waiting, >=, 1);
+	}
+	g_assert_cmpint(t.finished, ==, 1);
+	g_assert_cmpfloat(t.set.budget.tokens, <=, 5.0 + 0.11);
+	g_assert_cmpuint(t.set.budget.retries, <=, BSH_ATTEMPT_RETRIES_MAX);
+	g_assert_cmpuint(g_hash_table_size(t.set.open), ==, 0);
+	g_assert_cmpint(g_sequence_get_length(t.set.timers), ==, 0);
+	bsh_attempts_finish(&t.set);
+	g_rand_free(x.random);
+	return overlapped;
+}
+
+/* Guards against orders of events that leave an attempt running, end it twice,
+ * leave the request in admission or nowhere, or end it while a silent target
+ * may still answer. */
+static void test_random_overlaps(void)
+{
+	int overlapped = 0;
+
+	for (uint32_t seed = 1; seed <= 20000; seed++)
+		overlapped += run_random(seed);
+	g_test_message("%d of 20000 requests had two attempts", overlapped);
+	g_assert_cmpint(overlapped, >, 1000);
+}
+
 /* Guards against a retry when the retry budget is empty. */
 static void test_no_retry_without_budget(void)
 {
@@ -662,6 +885,7 @@
 	g_test_add_func("/attempt/refused-retry",
 			test_refused_retry_is_repeated);
 	g_test_add_func("/attempt/second-leaving", test_second_target_leaving);
+	g_test_add_func("/attempt/random-overlaps", test_random_overlaps);
 	g_test_add_func("/attempt/budget", test_no_retry_without_budget);
 	g_test_add_func("/attempt/keyed", test_keyed_call_runs_to_end);
 	g_test_add_func("/attempt/withdrawn", test_intent_is_withdrawn);
