--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -306,6 +306,69 @@
 	g_assert_cmpuint(f->new->loads, ==, loads);
 }
 
+/* Guards against an instance that was started after a version had left, and takes
+ * the version that it sees alone for that of an earlier stream. */
+static void test_started_since_version_left(fixture_t *f, gconstpointer data)
+{
+	rig_entry_t *entry = f->entries[1];
+
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	f->old->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "l1",
+			  "m0", 4000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->new->mode = WORKER_ANSWERS;
+	platform_rig_publish_worker(f->old, "draining");
+	platform_rig_remove_worker(f->old);
+	kill(entry->pid, SIGKILL);
+	while (entry->alive)
+		platform_rig_run(&f->rig, 5);
+	platform_rig_spawn(&f->rig, entry);
+	platform_rig_wait_ready(&f->rig, entry);
+	platform_rig_run(&f->rig, 500);
+	resume(f, entry, "l2", "l1");
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "l2"), ==, 0);
+}
+
+static void configure_shift(fixture_t *f, const char *service)
+{
+	g_autofree char *route = g_strdup_printf(
+		"{\"name\":\"shift\",\"host\":\"" RIG_HOST
+		"\",\"pathPrefix\":\"/shift/\",\"kind\":\"stream\","
+		"\"resumable\":true,\"service\":\"%s\"}",
+		service);
+
+	f->rig.has_second_engine = true;
+	platform_rig_configure(&f->rig, route);
+	platform_rig_run(&f->rig, 300);
+}
+
+/* Guards against a stream that goes on at the service to which its route has
+ * moved, because one version alone serves there. */
+static void test_moved_to_other_service(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_add_worker(&f->rig, "llm2", "m0"); /* version v1 */
+	configure_shift(f, "llm");
+	f->old->mode = WORKER_IS_FULL;
+	f->new->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/shift/1", "m1", "m0",
+			  4000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_false(f->reply.complete);
+	configure_shift(f, "llm2");
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_resume(&f->rig, f->entries[1]->front, "/shift/1", "m2",
+			    "m0", 4000, 2, "m1", &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "m2"), ==, 0);
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -313,6 +376,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	/* A failed test does not end the ones after it. */
+	g_test_set_nonfatal_assertions();
 	ADD("within-attempt", "v2", test_within_attempt);
 	ADD("same-version-continues", "v2", test_same_version_continues);
 	ADD("restarted-with-other-version", "v2",
@@ -325,5 +390,8 @@
 	ADD("second-version-comes", "v1", test_second_version_comes);
 	ADD("version-has-left", "v2", test_version_has_left);
 	ADD("model-not-held", "v2", test_model_not_held);
+	ADD("started-since-version-left", "v2",
+	    test_started_since_version_left);
+	ADD("moved-to-other-service", "v2", test_moved_to_other_service);
 	return g_test_run();
 }
