--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -65,6 +65,8 @@
 	 * not that it has failed. */
 	if (end == ATTEMPT_NOT_REACHED)
 		record_unreachable(a);
+	else if (end == ATTEMPT_CANCELLED)
+		bsh_target_cancelled(&a->target->record);
 	else
 		bsh_target_ended(&a->target->record, failed,
 				 traffic_now_us(r->traffic));
@@ -83,7 +85,7 @@
 static void cancel_attempt(attempt_t *a, bool failed)
 {
 	a->request->may_have_run = a->request->may_have_run || a->sent;
-	close_attempt(a, failed ? ATTEMPT_BROKEN : ATTEMPT_ANSWERED);
+	close_attempt(a, failed ? ATTEMPT_BROKEN : ATTEMPT_CANCELLED);
 }
 
 static void cancel_handover(request_t *r)
@@ -168,7 +170,7 @@
 	g_strlcpy(a->target_id, target->id, sizeof(a->target_id));
 	a->target_started_ms = target->started_ms;
 	g_strlcpy(a->software, target->software, sizeof(a->software));
-	if (r->n_tried < TRIED_MAX)
+	if (r->n_tried < G_N_ELEMENTS(r->tried))
 		r->tried[r->n_tried++] = target->hash;
 	engine_load_started(a, candidate);
 	if (forward_start(a, target) == BSH_OK)
