--- a/regress/test_soak.sh
+++ b/regress/test_soak.sh
@@ -18,7 +18,7 @@
 	fi
 }
 
-echo '1..3'
+echo '1..6'
 # A stream was taken up at a target of another software version.
 run_seed 3
 # Requests ended with 502, and streams were cut, because their targets fell
@@ -26,3 +26,11 @@
 run_seed 7
 # The same for a stream that had brought all its events but not its end.
 run_seed 8
+# An instance tried one stalled connection to the store after the other, and
+# stayed at an old configuration.
+run_seed 415
+# An instance that had started after a version had left took up its stream at
+# the other version.
+run_seed 502
+# The same after the stream's route had moved to another service.
+run_seed 511
