Judge the turns of order holders per worker incarnation in the soak

The holders that hand over name the targets by id and did spare i-8; the stand-in kept the last holder over the change of the id. Turns at one id are judged as before.

--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -171,6 +171,8 @@
 	soak->workers[i].harm_us = bsh_loop_clock_us();
 	g_snprintf(worker->id, sizeof(worker->id), "i-%u-%u", i + 1,
 		   ++soak->workers[i].incarnation);
+	/* Another worker for its holders. */
+	worker->holder[0] = '\0';
 	if (any_version)
 		g_snprintf(worker->version, sizeof(worker->version), "v%u",
 			   1 + bsh_rng_below(&soak->rng, 2));
