--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -101,6 +101,9 @@
 void targets_start(targets_t *targets);
 void targets_relist(targets_t *targets);
 void targets_free(targets_t *targets);
+/* Notes that the store was restored from an older copy, in which the objects of
+ * targets may be missing until they are written again. */
+void targets_store_restored(targets_t *targets);
 /* True once the list has been read from the store. */
 bool targets_listed(const targets_t *targets);
 /* Applies one entry of an announcement that the lease holder sent in `term`. */
@@ -153,6 +156,9 @@
 void peers_free(peers_t *peers);
 /* Gossips that this instance is leaving and deletes its object in the store. */
 void peers_leave(peers_t *peers);
+/* Writes or deletes the object of this instance again: the store was restored
+ * from an older copy. */
+void peers_store_restored(peers_t *peers);
 /* Gossips the version of the configuration in force here. */
 void peers_set_version(peers_t *peers, uint64_t version);
 /* Number of instances that may be running: the larger of those alive by gossip
@@ -274,13 +280,17 @@
 /* Sends records of this instance, bsh_stream_record_t, to their keepers. */
 void streams_record(streams_t *streams, const GArray *records);
 /* Asks for the version of a stream; traffic_set_stream_version() gets it. */
-void streams_query(streams_t *streams, uint64_t stream);
+void streams_query(streams_t *streams, uint64_t stream, uint64_t service);
+/* Notes the versions of the targets in a view, and adds to it which service has
+ * had one version only. */
+void streams_fill(streams_t *streams, view_t *view);
 /* Handle STREAM_RECORDS, STREAM_QUERY and STREAM_ANSWER. */
 void streams_receive_records(streams_t *streams,
 			     const bsh_msg_stream_records_t *message);
 void streams_receive_query(streams_t *streams, const char *sender,
-			   const bsh_msg_stream_t *query);
-void streams_receive_answer(streams_t *streams, const bsh_msg_stream_t *answer);
+			   const bsh_msg_stream_query_t *query);
+void streams_receive_answer(streams_t *streams,
+			    const bsh_msg_stream_answer_t *answer);
 
 /* directory.c: HTTP endpoints for readiness probes, callers that look up
  * instances, and metrics. */
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -70,7 +70,8 @@
 	if (r->state == REQUEST_WAITING) {
 		r->waited_us += traffic_now_us(t) - r->wait_began_us;
 		g_queue_unlink(&t->waiting, &r->wait_link);
-		if (r->wait_counted && counters->waiting > 0)
+		if (counters != NULL && r->wait_counted &&
+		    counters->waiting > 0)
 			counters->waiting--;
 		r->wait_counted = false;
 	} else if (r->state == REQUEST_RUNNING && counters != NULL &&
@@ -629,13 +630,15 @@
 {
 	traffic_view_msg_t *message = data;
 	traffic_t *t = message->traffic;
+	view_t *before;
 
-	view_unref(t->view);
+	before = t->view;
 	t->view = message->view;
 	t->view_number++;
 	g_free(message);
 	target_pick_view_changed(t);
-	stream_origin_view_changed(t);
+	stream_origin_view_changed(t, before);
+	view_unref(before);
 	if (t->view->listed)
 		__atomic_store_n(&t->entry->serving, true, __ATOMIC_RELEASE);
 	retry_waiting(t);
--- a/regress/test_store_connections.c
+++ b/regress/test_store_connections.c
@@ -17,6 +17,12 @@
 	platform_result_t result; /* of the last call */
 } fixture_t;
 
+static void ignore_restore(void *ctx, uint32_t before)
+{
+	(void)ctx;
+	(void)before;
+}
+
 static void set_up(fixture_t *f, gconstpointer data)
 {
 	(void)data;
@@ -28,7 +34,7 @@
 	f->client = bsh_http_client_new(&f->rig.loop, PARALLEL_CALLS);
 	g_assert_nonnull(f->client);
 	platform_store_init(&f->store, f->client, &f->rig.loop,
-			    f->relay.address);
+			    f->relay.address, ignore_restore, f);
 }
 
 static void tear_down(fixture_t *f, gconstpointer data)
