--- a/regress/test_soak.sh
+++ b/regress/test_soak.sh
@@ -18,7 +18,7 @@
 	fi
 }
 
-echo '1..6'
+echo '1..7'
 # A stream was taken up at a target of another software version.
 run_seed 3
 # Requests ended with 502, and streams were cut, because their targets fell
@@ -34,3 +34,6 @@
 run_seed 502
 # The same after the stream's route had moved to another service.
 run_seed 511
+# Two targets of different versions wrote an event of one attempt, of which the
+# caller got one; the check took the other for a part of the stream.
+run_seed 945
