--- a/regress/test_store_connections.c
+++ b/regress/test_store_connections.c
@@ -54,7 +54,7 @@
 }
 
 /* Lists n times at once, and checks the result of the last call. */
-static void list(fixture_t *f, uint32_t n, platform_result_t expected)
+static void check_lists(fixture_t *f, uint32_t n, platform_result_t expected)
 {
 	int64_t until_us = bsh_loop_clock_us() + 5000000;
 
@@ -74,15 +74,15 @@
 static void test_stalled_idle(fixture_t *f, gconstpointer data)
 {
 	(void)data;
-	list(f, PARALLEL_CALLS, PLATFORM_DONE);
+	check_lists(f, PARALLEL_CALLS, PLATFORM_DONE);
 	relay_set_mode(&f->relay, RELAY_STALLS_OPEN);
-	list(f, 1, PLATFORM_UNKNOWN);
+	check_lists(f, 1, PLATFORM_UNKNOWN);
 	for (int i = 0; i < 3; i++)
-		list(f, 1, PLATFORM_DONE);
+		check_lists(f, 1, PLATFORM_DONE);
 	/* Also later, when a new connection has served. */
 	platform_rig_run(&f->rig, 2500);
 	for (int i = 0; i < 3; i++)
-		list(f, 2, PLATFORM_DONE);
+		check_lists(f, 2, PLATFORM_DONE);
 }
 
 int main(int argc, char **argv)
--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -332,6 +332,42 @@
 	g_assert_cmpuint(f->new->loads, ==, loads);
 }
 
+static void configure_shift(fixture_t *f, const char *service)
+{
+	g_autofree char *route = g_strdup_printf(
+		"{\"name\":\"shift\",\"host\":\"" RIG_HOST
+		"\",\"pathPrefix\":\"/shift/\",\"kind\":\"stream\","
+		"\"resumable\":true,\"service\":\"%s\"}",
+		service);
+
+	f->rig.has_second_engine = true;
+	platform_rig_configure(&f->rig, route);
+	platform_rig_run(&f->rig, 300);
+}
+
+/* Guards against a stream that goes on at the service to which its route has
+ * moved, because one version alone serves there. */
+static void test_moved_to_other_service(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_add_worker(&f->rig, "llm2", "m0"); /* version v1 */
+	configure_shift(f, "llm");
+	f->old->mode = WORKER_IS_FULL;
+	f->new->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/shift/1", "m1", "m0",
+			  4000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_false(f->reply.complete);
+	configure_shift(f, "llm2");
+	platform_rig_reply_clear(&f->reply);
+	platform_rig_resume(&f->rig, f->entries[1]->front, "/shift/1", "m2",
+			    "m0", 4000, 2, "m1", &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "m2"), ==, 0);
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -339,6 +375,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	/* A failed test does not end the ones after it. */
+	g_test_set_nonfatal_assertions();
 	ADD("within-attempt", "v2", test_within_attempt);
 	ADD("same-version-continues", "v2", test_same_version_continues);
 	ADD("restarted-with-other-version", "v2",
@@ -352,5 +390,6 @@
 	ADD("version-has-left", "v2", test_version_has_left);
 	ADD("model-not-held", "v2", test_model_not_held);
 	ADD("version-left-before-start", "v2", test_version_left_before_start);
+	ADD("moved-to-other-service", "v2", test_moved_to_other_service);
 	return g_test_run();
 }
