Accept a returned target that the lease holder announces

An instance that had seen a target leave dropped it once more, some time after it had returned: the callers of that instance got 503.

Cause: after a restore the holder accepts the target's new entry and announces it, but the other instances keep their own record of its departure. When one of them reads the list itself, it takes the entry for one of the older copy.

Change: a target that the holder announces as listed has no departure.

--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -411,6 +411,8 @@
 	target.leaving = entry->state == BSH_TARGET_LEAVING;
 	target.started_ms = entry->started_ms;
 	target.holdings = *holdings;
+	/* The holder has accepted the target's entry. */
+	bsh_departed_forget(&targets->departed, target.id);
 	update_target(targets, &target, 0);
 }
 
--- a/lib/coordination/departed_target.c
+++ b/lib/coordination/departed_target.c
@@ -55,10 +55,15 @@
 		if (entry->revision <= departure->found_revision)
 			return false;
 	}
-	g_hash_table_remove(departed->records, entry->id);
+	bsh_departed_forget(departed, entry->id);
 	return true;
 }
 
+void bsh_departed_forget(bsh_departed_t *departed, const char *id)
+{
+	g_hash_table_remove(departed->records, id);
+}
+
 bool bsh_departed_expire(bsh_departed_t *departed, int64_t now_us)
 {
 	bool confirmed = false;
--- a/lib/coordination/departed_target.h
+++ b/lib/coordination/departed_target.h
@@ -65,6 +65,10 @@
 bool bsh_departed_accept(bsh_departed_t *departed,
 			 const bsh_departed_entry_t *entry, int64_t now_us);
 
+/* bsh_departed_forget - the target has returned, by a source other than the
+ * store. */
+void bsh_departed_forget(bsh_departed_t *departed, const char *id);
+
 /*
  * bsh_departed_expire - forget departures that need not be kept.
  *
--- a/regress/test_store_era.c
+++ b/regress/test_store_era.c
@@ -335,6 +335,34 @@
 	call_desk(f, 500, 200);
 }
 
+/* Guards against a target that is dropped by an instance which saw it leave and
+ * was told by the lease holder only that it has returned. */
+static void test_returned_target_after_handover(fixture_t *f,
+						gconstpointer data)
+{
+	int64_t copied = f->rig.revision;
+	int64_t until_us;
+	rig_entry_t *former;
+
+	(void)data;
+	platform_rig_remove_worker(f->desk);
+	platform_rig_run(&f->rig, 2500);
+	platform_rig_set_back(&f->rig, copied);
+	platform_rig_run(&f->rig, 300);
+	platform_rig_publish_worker(f->desk, "ready");
+	wait_for_load(f, f->entries[0], "m1");
+	call_desk(f, 300, 200);
+	former = holder(f);
+	kill(former->pid, SIGKILL);
+	until_us = bsh_loop_clock_us() + 5000000;
+	while (bsh_loop_clock_us() < until_us) {
+		g_assert_cmpint(
+			call(f, entry_beside(f, former), "/look/1", NULL), ==,
+			200);
+		platform_rig_run(&f->rig, 50);
+	}
+}
+
 /* Guards against requests to a target that has reported that it leaves: the
  * older copy has it as ready. */
 static void test_leaving_target(fixture_t *f, gconstpointer data)
@@ -542,6 +570,8 @@
 	ADD("/store-era/lost-target", test_lost_target);
 	ADD("/store-era/departed-target", test_departed_target);
 	ADD("/store-era/returned-entry", test_returned_entry);
+	ADD("/store-era/returned-target-after-handover",
+	    test_returned_target_after_handover);
 	ADD("/store-era/leaving-target", test_leaving_target);
 	ADD("/store-era/after-outage", test_restore_after_outage);
 	g_test_add("/store-era/after-silence", fixture_t, GINT_TO_POINTER(1),
