--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -70,6 +70,16 @@
 	return us >= 0 ? (int)(us / 1000) : -1;
 }
 
+static const char *text_or_dash(const char *text)
+{
+	return text[0] != '\0' ? text : "-";
+}
+
+static const char *last_target(const request_t *r)
+{
+	return text_or_dash(r->attempt->target_id);
+}
+
 static void log_end(const request_t *r, const char *end, int status,
 		    const char *reason)
 {
@@ -78,14 +88,18 @@
 
 	bsh_log(BSH_LOG_INFO,
 		"request id=%s route=%s kind=%s model=%s end=%s status=%d "
-		"reason=%s target=%s sends=%u tried=%u repeat=%s waited_ms=%d "
+		"reason=%s target=%s software=%s began_by=%s after_event=%s "
+		"sends=%u tried=%u repeat=%s waited_ms=%d "
 		"first_ms=%d total_ms=%d left_ms=%d config=%" G_GUINT64_FORMAT
 		" config_age_ms=%d targets_age_ms=%d view=%" G_GUINT64_FORMAT,
 		r->info.attempt_id, r->route != NULL ? r->route->name : "-",
 		r->route != NULL ? kind_names[r->route->kind] : "-",
 		r->info.model_name != NULL ? r->info.model_name : "-", end,
-		status, reason, r->target != NULL ? r->target->id : "-",
-		r->sends, r->n_tried, r->retry_denial, to_ms(r->waited_us),
+		status, reason, last_target(r),
+		text_or_dash(r->attempt->software),
+		text_or_dash(r->info.began_by),
+		text_or_dash(r->info.last_event_id), r->sends, r->n_tried,
+		r->retry_denial, to_ms(r->waited_us),
 		r->first_byte_us > 0 ? to_ms(r->first_byte_us - r->arrived_us)
 				     : -1,
 		to_ms(now_us - r->arrived_us), (int)forward_time_left_ms(r),
@@ -150,27 +164,30 @@
 	bsh_log(BSH_LOG_INFO,
 		"request-waiting id=%s model=%s tried=%u ready_in_ms=%d "
 		"left_ms=%d holder=%d view=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->info.model_name, r->n_tried, ready_in_ms,
-		to_ms(traffic_time_left_us(r)), r->traffic->view->has_holder,
-		r->traffic->view_number);
+		r->info.attempt_id,
+		r->info.model_name != NULL ? r->info.model_name : "-",
+		r->n_tried, ready_in_ms, to_ms(traffic_time_left_us(r)),
+		r->traffic->view->has_holder, r->traffic->view_number);
 }
 
-void request_log_attempt(const request_t *r, attempt_end_t end, bsh_error_t err,
+void request_log_attempt(const attempt_t *a, attempt_end_t end, bsh_error_t err,
 			 bool again)
 {
+	const request_t *r = a->request;
 	static const char *const names[] = {
-		"answered", "not-reached", "withheld",
-		"refused",  "failed",	   "broken",
+		"answered", "not-reached", "withheld",	"refused",
+		"failed",   "broken",	   "cancelled",
 	};
 
 	bsh_log(BSH_LOG_INFO,
-		"attempt-ended id=%s target=%s end=%s error=%s status=%d "
+		"attempt-ended id=%s target=%s software=%s end=%s error=%s "
+		"status=%d "
 		"sends=%u again=%d repeat=%s candidates=%u took_ms=%d "
 		"passed_events=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->target->id, names[end],
+		r->info.attempt_id, a->target_id, a->software, names[end],
 		end == ATTEMPT_FAILED ? "target-failed" : bsh_error_name(err),
-		r->status, r->sends, again, r->retry_denial, r->candidates,
-		to_ms(traffic_now_us(r->traffic) - r->call_began_us),
+		a->status, r->sends, again, r->retry_denial, r->candidates,
+		to_ms(traffic_now_us(r->traffic) - a->began_us),
 		r->relay.passed);
 }
 
@@ -181,8 +198,8 @@
 		"response-cut id=%s target=%s error=%s sends=%u repeat=%s "
 		"passed_events=%" G_GUINT64_FORMAT
 		" left_ms=%d config=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->target != NULL ? r->target->id : "-",
-		bsh_error_name(err), r->sends, r->retry_denial, r->relay.passed,
+		r->info.attempt_id, last_target(r), bsh_error_name(err),
+		r->sends, r->retry_denial, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), r->catalog->version);
 }
 
@@ -193,7 +210,7 @@
 		"repeat=%s candidates=%u passed_events=%" G_GUINT64_FORMAT
 		" left_ms=%d config=%" G_GUINT64_FORMAT
 		" view=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->target->id,
+		r->info.attempt_id, last_target(r),
 		to_ms(traffic_now_us(r->traffic) - r->last_active_us), action,
 		r->retry_denial, r->candidates, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), r->catalog->version,
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -18,17 +18,23 @@
 #define IDLE_CONNECTIONS_MAX 256U
 /* Least time that a request needs at a target, apart from the wait. */
 #define RUN_MIN_US INT64_C(60000)
-/* Lower bound of the inactivity timeout.  The timeout is the latency objective
- * of the route, or the longest pause between events once a stream has begun.
- * When it expires and the target has answered no other request meanwhile, a
- * repeatable request is retried on another target. */
-#define INACTIVITY_MIN_US INT64_C(300000)
+/* Interval at which a stream that no target can continue at present looks for
+ * one. */
+#define RESUME_INTERVAL_US INT64_C(250000)
+/* Pause of a stream of which the caller has a part after a target has refused to
+ * continue it; doubles with each further refusal.  Each attempt takes a token of
+ * the retry budget, which belongs to all requests of the service. */
+#define REFUSED_PAUSE_US     INT64_C(50000)
+#define REFUSED_PAUSE_MAX_US INT64_C(800000)
 /* Estimates vary as loads begin and end: a waiting request is refused only when
  * the estimate has exceeded its deadline for this time. */
 #define LATE_CONFIRM_US INT64_C(250000)
 /* Longest time after its arrival that a request waits without a lease holder:
  * no instance orders targets to load models then. */
 #define NO_HOLDER_WAIT_US INT64_C(3000000)
+/* Longest wait of a stream that its caller resumes for a target of its version
+ * with its model. */
+#define VERSION_WAIT_MAX_US INT64_C(1000000)
 /* Retry-After without an estimate. */
 #define RETRY_DEFAULT_MS 300
 /* Retry-After while draining: another instance can serve the caller at once. */
@@ -64,8 +70,10 @@
 	if (r->state == REQUEST_WAITING) {
 		r->waited_us += traffic_now_us(t) - r->wait_began_us;
 		g_queue_unlink(&t->waiting, &r->wait_link);
-		if (counters != NULL && counters->waiting > 0)
+		if (counters != NULL && r->wait_counted &&
+		    counters->waiting > 0)
 			counters->waiting--;
+		r->wait_counted = false;
 	} else if (r->state == REQUEST_RUNNING && counters != NULL &&
 		   counters->running > 0) {
 		counters->running--;
@@ -74,9 +82,14 @@
 	if (state == REQUEST_WAITING) {
 		r->wait_began_us = traffic_now_us(t);
 		g_queue_push_tail_link(&t->waiting, &r->wait_link);
-		if (counters != NULL)
+		/* The planner does not know versions: for a request that only
+		 * one of several can serve it would load the model anywhere. */
+		r->wait_counted = counters != NULL && !r->awaits_software &&
+				  !stream_origin_is_constrained(r);
+		if (r->wait_counted) {
 			counters->waiting++;
-		demand_send_soon(t);
+			demand_send_soon(t);
+		}
 	} else if (state == REQUEST_RUNNING && counters != NULL) {
 		counters->running++;
 	}
@@ -89,6 +102,7 @@
 {
 	bsh_loop_timer_stop(&r->timer);
 	bsh_loop_timer_stop(&r->inactivity_timer);
+	bsh_loop_timer_stop(&r->handover_timer);
 	set_state(r, REQUEST_ENDED);
 	request_log_end(r, end, status, reason);
 }
@@ -123,7 +137,7 @@
 {
 	const bsh_error_info_t *answer;
 
-	forward_cancel(r);
+	attempts_cancel_all(r, false);
 	/* After an attempt with an unknown outcome the response must not claim
 	 * that the request has not run. */
 	if (r->may_have_run &&
@@ -221,37 +235,41 @@
 	set_state(r, REQUEST_WAITING);
 }
 
-static void on_inactivity(void *ctx);
-
-/* Time after which a target that sends nothing counts as inactive. */
-static int64_t inactivity_timeout_us(const request_t *r)
+bool traffic_is_begun_stream(const request_t *r)
 {
-	const bsh_route_rule_t *route = r->route;
-	bool has_begun = r->is_stream && r->relay.passed > 0;
-	uint32_t ms = has_begun && route->event_gap_ms > 0
-			      ? route->event_gap_ms
-			      : route->latency_objective_ms;
+	return r->answer_begun && r->is_stream && r->route->resumable &&
+	       r->relay.passed > 0;
+}
 
-	return MAX(ms * INT64_C(1000), INACTIVITY_MIN_US);
+/* A stream of which the caller has a part can only be continued or cut off: it
+ * waits for a target as long as its caller waits for an event. */
+static void wait_to_resume(request_t *r, int64_t pause_us)
+{
+	if (traffic_time_left_us(r) < RUN_MIN_US) {
+		fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
+		return;
+	}
+	request_log_wait(r, NULL);
+	set_state(r, REQUEST_WAITING);
+	r->resume_us = traffic_now_us(r->traffic) + pause_us;
+	bsh_loop_timer_start(&r->inactivity_timer, r->resume_us);
 }
 
-static void send_to(request_t *r, const view_target_t *target,
-		    const bsh_target_candidate_t *candidate)
+/* A target has refused to continue the stream: others are asked one at a time,
+ * and those that have refused again after the others. */
+static void pause_resume(request_t *r)
 {
-	int64_t now_us = traffic_now_us(r->traffic);
+	int64_t pause_us = REFUSED_PAUSE_US << MIN(r->refusals, 4U);
 
-	r->target = target_pick_state(r->traffic, target->id);
-	r->target_started_ms = target->started_ms;
-	if (r->n_tried < TRIED_MAX)
-		r->tried[r->n_tried++] = target->hash;
-	set_state(r, REQUEST_RUNNING);
-	engine_load_started(r, candidate);
-	r->last_active_us = now_us;
-	if (r->repeatable)
-		bsh_loop_timer_after(&r->inactivity_timer,
-				     inactivity_timeout_us(r));
-	if (forward_start(r, target) != BSH_OK)
-		traffic_attempt_ended(r, ATTEMPT_NOT_REACHED, BSH_ERR_SYSTEM);
+	r->refusals++;
+	wait_to_resume(r, MIN(pause_us, REFUSED_PAUSE_MAX_US));
+}
+
+/* No target is left to ask: those that were tried are asked again later. */
+static void wait_for_target(request_t *r)
+{
+	r->n_tried = 0;
+	wait_to_resume(r, RESUME_INTERVAL_US);
 }
 
 /* Ends a request whose caller no longer waits for it.  After a pause of the
@@ -263,74 +281,96 @@
 		fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 		return;
 	}
-	forward_cancel(r);
+	attempts_cancel_all(r, false);
 	bsh_http_response_abort(r->http);
 	finish(r, END_GONE, 0, "caller-left");
 }
 
-static void dispatch(request_t *r)
+/* No target of the version that began the stream holds its model.  One that was
+ * started again soon loads it from its disk; a load from the weight store takes
+ * longer than a caller waits for an event. */
+static void wait_for_version(request_t *r)
 {
-	bsh_target_candidate_t candidate;
-	const view_target_t *target;
+	int64_t waited_us = traffic_now_us(r->traffic) - r->arrived_us;
 
-	if (forward_is_abandoned(r)) {
-		end_abandoned(r);
+	if (waited_us >= VERSION_WAIT_MAX_US) {
+		fail_request(r, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
 		return;
 	}
-	if (r->n_tried >= TRIED_MAX) {
-		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
-		return;
-	}
-	target = target_pick(r, &candidate);
-	if (target != NULL)
-		send_to(r, target, &candidate);
+	request_log_wait(r, NULL);
+	r->n_tried = 0;
+	set_state(r, REQUEST_WAITING);
+	bsh_loop_timer_after(&r->inactivity_timer, RESUME_INTERVAL_US);
+}
+
+/* True until the version that began the stream is known, and during the pause
+ * before a stream looks for a target again. */
+static bool is_held_back(const request_t *r)
+{
+	return r->awaits_software ||
+	       (r->state == REQUEST_WAITING &&
+		traffic_now_us(r->traffic) < r->resume_us);
+}
+
+/* No usable target can take the request now. */
+static void wait_or_fail(request_t *r)
+{
+	if (traffic_is_begun_stream(r))
+		wait_for_target(r);
+	else if (stream_origin_is_constrained(r))
+		wait_for_version(r);
 	else if (r->n_tried > 0 && !demand_is_counted(r))
 		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
 	else
 		wait_or_refuse(r);
 }
 
-/* The end of an attempt. */
-
-static void record_target_outcome(request_t *r, attempt_end_t end)
+static void dispatch(request_t *r)
 {
-	bsh_target_record_t *record = &r->target->record;
-	int64_t now_us = traffic_now_us(r->traffic);
+	bsh_target_candidate_t candidate;
+	const view_target_t *target;
 
-	engine_load_ended(r);
-	switch (end) {
-	case ATTEMPT_ANSWERED:
-	case ATTEMPT_REFUSED:
-	case ATTEMPT_WITHHELD:
-		/* A refusal means that the target is full or does not hold the
-		 * model, not that it has failed. */
-		bsh_target_ended(record, false, now_us);
-		break;
-	case ATTEMPT_NOT_REACHED:
-		bsh_target_unreachable(record, now_us);
-		if (r->refused && demand_is_counted(r)) {
-			r->target->refused_started_ms = r->target_started_ms;
-			r->target->refused_us = now_us;
-			demand_send_soon(r->traffic);
+	if (forward_is_abandoned(r)) {
+		end_abandoned(r);
+		return;
+	}
+	if (is_held_back(r))
+		return;
+	r->resume_us = 0;
+	if (!stream_origin_serves(r)) {
+		fail_request(r, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
+		return;
+	}
+	if (r->awaits_budget) {
+		if (!retry_is_allowed(r, r->sends)) {
+			wait_to_resume(r, RESUME_INTERVAL_US);
+			return;
 		}
-		break;
-	case ATTEMPT_FAILED:
-	case ATTEMPT_BROKEN:
-		bsh_target_ended(record, true, now_us);
-		break;
+		r->awaits_budget = false;
+	}
+	if (traffic_is_begun_stream(r)) {
+		if (r->n_tried >= TRIED_BEGUN_MAX)
+			r->n_tried = 0;
+	} else if (r->n_tried >= TRIED_MAX) {
+		fail_request(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
+		return;
+	}
+	target = target_pick(r, &candidate);
+	if (target == NULL) {
+		wait_or_fail(r);
+		return;
 	}
+	set_state(r, REQUEST_RUNNING);
+	attempts_send(r, target, &candidate);
 }
 
-static void record_attempt_end(request_t *r, attempt_end_t end)
+void traffic_resume_is_due(request_t *r)
 {
-	bsh_loop_timer_stop(&r->inactivity_timer);
-	record_target_outcome(r, end);
-	if (end != ATTEMPT_NOT_REACHED && end != ATTEMPT_WITHHELD)
-		r->sends++;
-	if (end == ATTEMPT_FAILED || end == ATTEMPT_BROKEN)
-		r->may_have_run = true;
+	dispatch(r);
 }
 
+/* The end of an attempt. */
+
 static void send_again(request_t *r)
 {
 	retry_count();
@@ -341,82 +381,42 @@
 {
 	bool again;
 
-	record_attempt_end(r, end);
 	if (end == ATTEMPT_ANSWERED) {
 		finish(r, r->status < 400 ? END_ANSWERED : END_FAILED,
 		       r->status, "-");
 		return;
 	}
 	if (end == ATTEMPT_WITHHELD) {
-		request_log_attempt(r, end, err, false);
+		request_log_attempt(r->attempt, end, err, false);
 		end_abandoned(r);
 		return;
 	}
 	again = end == ATTEMPT_NOT_REACHED || retry_is_allowed(r, r->sends);
-	request_log_attempt(r, end, err, again);
+	r->awaits_budget = !again && traffic_is_begun_stream(r) &&
+			   strcmp(r->retry_denial, "budget-empty") == 0;
+	request_log_attempt(r->attempt, end, err, again);
 	if (end == ATTEMPT_NOT_REACHED) {
 		dispatch(r);
+	} else if (again && end == ATTEMPT_REFUSED &&
+		   traffic_is_begun_stream(r)) {
+		pause_resume(r);
 	} else if (again) {
 		send_again(r);
-	} else if (end == ATTEMPT_FAILED) {
-		forward_answer_failure(r);
+	} else if (r->awaits_budget) {
+		wait_to_resume(r, RESUME_INTERVAL_US);
+	} else if (end == ATTEMPT_FAILED && !r->answer_begun) {
+		forward_answer_failure(r->attempt);
 		finish(r, END_FAILED, r->status, "target-failed");
 	} else {
 		fail_request(r, err, RETRY_DEFAULT_MS);
 	}
 }
 
-static void on_inactivity(void *ctx)
-{
-	request_t *r = ctx;
-	int64_t left_us = r->last_active_us + inactivity_timeout_us(r) -
-			  traffic_now_us(r->traffic);
-
-	if (r->state != REQUEST_RUNNING ||
-	    (r->head_received && !r->head.event_stream))
-		return;
-	/* A paused call is idle because the caller reads slowly. */
-	if (left_us > 0 || r->paused) {
-		bsh_loop_timer_after(&r->inactivity_timer,
-				     left_us > 0 ? left_us : INACTIVITY_MIN_US);
-		return;
-	}
-	/* Keep waiting while the target answers other requests, as this one
-	 * then only takes longer, and when there is no other target. */
-	if (r->target->record.last_first_byte_at_us > r->last_active_us ||
-	    target_pick(r, NULL) == NULL ||
-	    !retry_is_allowed(r, r->sends + 1)) {
-		request_log_silence(r, "wait");
-		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
-		return;
-	}
-	request_log_silence(r, "send-again");
-	forward_cancel(r);
-	record_attempt_end(r, ATTEMPT_BROKEN);
-	request_log_attempt(r, ATTEMPT_BROKEN, BSH_ERR_TIMEOUT, true);
-	send_again(r);
-}
-
-/* True if the target has answered neither this request within the inactivity
- * timeout nor any other request since it was sent. */
-static bool is_unresponsive(const request_t *r)
-{
-	return r->first_byte_us == 0 &&
-	       r->target->record.last_first_byte_at_us <= r->call_began_us &&
-	       traffic_now_us(r->traffic) - r->call_began_us >=
-		       inactivity_timeout_us(r);
-}
-
 static void on_deadline(void *ctx)
 {
 	request_t *r = ctx;
 
-	if (r->state == REQUEST_RUNNING) {
-		record_target_outcome(r, r->head_received && !is_unresponsive(r)
-						 ? ATTEMPT_ANSWERED
-						 : ATTEMPT_BROKEN);
-		r->may_have_run = r->may_have_run || r->call_sent;
-	}
+	attempts_cancel_all(r, true);
 	fail_request(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 }
 
@@ -425,12 +425,10 @@
 static void free_request(request_t *r)
 {
 	bsh_loop_timer_stop(&r->timer);
-	bsh_loop_timer_stop(&r->inactivity_timer);
+	attempts_finish(r);
 	platform_request_info_finish(&r->info);
-	platform_head_finish(&r->head);
 	bsh_event_relay_finish(&r->relay);
 	bsh_catalog_unref(r->catalog);
-	g_string_free(r->held_body, TRUE);
 	g_string_free(r->events, TRUE);
 	g_free(r->method);
 	g_free(r->path);
@@ -445,12 +443,7 @@
 
 	r->detached = true;
 	if (r->state != REQUEST_ENDED) {
-		forward_cancel(r);
-		if (r->state == REQUEST_RUNNING) {
-			engine_load_ended(r);
-			bsh_target_ended(&r->target->record, is_unresponsive(r),
-					 traffic_now_us(t));
-		}
+		attempts_cancel_all(r, false);
 		finish(r, END_GONE, 0, "caller-left");
 	} else if (!delivered) {
 		bsh_log(BSH_LOG_INFO, "answer-not-delivered id=%s",
@@ -498,12 +491,14 @@
 			(r->is_stream && route->resumable);
 	r->timeout_us = r->arrived_us + route->timeout_ms * INT64_C(1000);
 	r->stream_deadline_us = INT64_MAX;
-	if (r->is_stream)
-		r->stream_deadline_us =
-			r->arrived_us +
+	if (r->is_stream) {
+		r->patience_us =
 			INT64_C(1000) * platform_caller_event_timeout_ms(
 						route->latency_objective_ms,
 						route->event_gap_ms);
+		r->stream_deadline_us = r->arrived_us + r->patience_us;
+	}
+	bsh_event_relay_finish(&r->relay);
 	bsh_event_relay_init(&r->relay,
 			     g_ascii_strtoull(r->info.last_event_id, NULL, 10));
 }
@@ -518,9 +513,8 @@
 	r->wait_link.data = r;
 	r->retry_denial = "-";
 	r->arrived_us = traffic_now_us(t);
-	r->held_body = g_string_new(NULL);
 	r->events = g_string_new(NULL);
-	platform_head_init(&r->head);
+	attempts_init(r);
 	platform_request_info_init(&r->info, http);
 	r->client_deadline_us = INT64_MAX;
 	if (r->info.deadline_ms != BSH_CALL_DEADLINE_NONE)
@@ -530,7 +524,6 @@
 	r->path = g_strdup(bsh_http_request_target(http));
 	r->body = bsh_http_request_take_body(http, &r->body_bytes);
 	bsh_loop_timer_init(&r->timer, t->loop, on_deadline, r);
-	bsh_loop_timer_init(&r->inactivity_timer, t->loop, on_inactivity, r);
 	bsh_http_request_set_handler(http, &request_handler, r);
 	r->link.data = r;
 	g_queue_push_tail_link(&t->requests, &r->link);
@@ -544,6 +537,19 @@
 	finish(r, end, bsh_error_info(err)->http_status, bsh_error_name(err));
 }
 
+static void match_route(request_t *r)
+{
+	r->route = bsh_catalog_match(r->catalog,
+				     bsh_http_request_header(r->http, "Host"),
+				     bsh_http_request_path(r->http));
+}
+
+static void start_timer(request_t *r)
+{
+	bsh_loop_timer_start(&r->timer,
+			     MIN(r->client_deadline_us, r->timeout_us));
+}
+
 static void on_request(void *ctx, bsh_http_request_t *http)
 {
 	traffic_t *t = ctx;
@@ -558,9 +564,7 @@
 		refuse_early(r, BSH_ERR_TOO_LARGE, END_REFUSED);
 		return;
 	}
-	r->route = bsh_catalog_match(r->catalog,
-				     bsh_http_request_header(http, "Host"),
-				     bsh_http_request_path(http));
+	match_route(r);
 	if (r->route == NULL) {
 		refuse_early(r, BSH_ERR_NOT_FOUND, END_NO_ROUTE);
 		return;
@@ -569,8 +573,9 @@
 	if (demand_is_counted(r))
 		demand_counters(t, r)->arrived++;
 	retry_count_request(r);
-	bsh_loop_timer_start(&r->timer,
-			     MIN(r->client_deadline_us, r->timeout_us));
+	start_timer(r);
+	if (!stream_origin_find(r))
+		set_state(r, REQUEST_WAITING);
 	dispatch(r);
 }
 
@@ -592,6 +597,34 @@
 					     : x->arrived_us > y->arrived_us;
 }
 
+/* Routes a waiting request by the configuration in force.  No target gets its
+ * model any more if its route was moved to another service or dropped, and it
+ * would wait in vain.  A response that has begun stays with its service. */
+static void follow_configuration(request_t *r)
+{
+	bsh_catalog_t *catalog = r->traffic->view->catalog;
+
+	if (r->catalog == catalog || r->answer_begun || r->awaits_software)
+		return;
+	set_state(r, REQUEST_ENDED);
+	r->service = NULL; /* a part of the old catalog */
+	bsh_catalog_unref(r->catalog);
+	r->catalog = bsh_catalog_ref(catalog);
+	match_route(r);
+	if (r->route == NULL && !r->may_have_run) {
+		refuse_early(r, BSH_ERR_NOT_FOUND, END_NO_ROUTE);
+		return;
+	}
+	if (r->route != NULL)
+		set_route(r);
+	if (r->route == NULL || (r->may_have_run && !r->repeatable)) {
+		fail_request(r, BSH_ERR_CONNECTION_LOST, -1);
+		return;
+	}
+	start_timer(r);
+	set_state(r, REQUEST_WAITING);
+}
+
 static void retry_waiting(traffic_t *t)
 {
 	g_autoptr(GPtrArray) waiting = g_ptr_array_new();
@@ -602,6 +635,7 @@
 	for (guint i = 0; i < waiting->len; i++) {
 		request_t *r = g_ptr_array_index(waiting, i);
 
+		follow_configuration(r);
 		if (r->state == REQUEST_WAITING)
 			dispatch(r);
 	}
@@ -611,17 +645,36 @@
 {
 	traffic_view_msg_t *message = data;
 	traffic_t *t = message->traffic;
+	view_t *before;
 
-	view_unref(t->view);
+	before = t->view;
 	t->view = message->view;
 	t->view_number++;
 	g_free(message);
 	target_pick_view_changed(t);
+	stream_origin_view_changed(t, before);
+	view_unref(before);
 	if (t->view->listed)
 		__atomic_store_n(&t->entry->serving, true, __ATOMIC_RELEASE);
 	retry_waiting(t);
 }
 
+void traffic_set_stream_version(void *data)
+{
+	traffic_stream_msg_t *answer = data;
+	traffic_t *t = answer->traffic;
+	GList *next;
+
+	for (GList *l = t->waiting.head; l != NULL; l = next) {
+		request_t *r = l->data;
+
+		next = l->next;
+		if (stream_origin_answer(r, answer))
+			dispatch(r);
+	}
+	g_free(answer);
+}
+
 void traffic_drain(void *data)
 {
 	traffic_t *t = data;
@@ -648,7 +701,7 @@
 		next = l->next;
 		if (r->state == REQUEST_ENDED)
 			continue;
-		r->may_have_run = r->may_have_run || r->call_sent;
+		attempts_cancel_all(r, false);
 		fail_request(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
 	}
 }
@@ -703,6 +756,8 @@
 		g_array_new(FALSE, FALSE, sizeof(bsh_target_candidate_t));
 	t->candidate_targets = g_ptr_array_new();
 	bsh_prefill_init(&t->prefill);
+	stream_origin_init(t);
+	bsh_loop_task_init(&t->streams_task, t->loop, stream_origin_send, t);
 	g_queue_init(&t->waiting);
 	g_queue_init(&t->requests);
 	bsh_loop_timer_init(&t->demand_timer, t->loop, demand_send, t);
@@ -724,6 +779,8 @@
 	bsh_loop_timer_stop(&t->demand_timer);
 	bsh_loop_timer_stop(&t->quit_timer);
 	bsh_loop_timer_stop(&t->abort_timer);
+	bsh_loop_task_cancel(&t->streams_task);
+	stream_origin_finish(t);
 	view_unref(t->view);
 	g_hash_table_destroy(t->targets);
 	g_hash_table_destroy(t->demand);
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -217,6 +217,7 @@
 	U32(bsh_placement_entry_t, grace_ms),
 	U64(bsh_placement_entry_t, number),
 	U64(bsh_placement_entry_t, started_ms),
+	STRING(bsh_placement_entry_t, software),
 	U64(bsh_placement_entry_t, version),
 	BLOB(bsh_placement_entry_t, holdings, holdings_bytes,
 	     BSH_FRAME_MAX_BYTES),
@@ -274,6 +275,27 @@
 	END
 };
 
+static const field_t stream_fields[] = { U64(bsh_stream_record_t, stream),
+					 U64(bsh_stream_record_t, software),
+					 END };
+
+static const field_t stream_records_fields[] = {
+	LIST(bsh_msg_stream_records_t, records, record_count, stream_fields,
+	     bsh_stream_record_t),
+	END
+};
+
+static const field_t stream_query_fields[] = {
+	U64(bsh_msg_stream_query_t, stream),
+	U64(bsh_msg_stream_query_t, service), END
+};
+
+static const field_t stream_answer_fields[] = {
+	U64(bsh_msg_stream_answer_t, stream),
+	U64(bsh_msg_stream_answer_t, software),
+	BOOL(bsh_msg_stream_answer_t, several), END
+};
+
 static const field_t inventory_fields[] = {
 	U64(bsh_msg_inventory_t, term),
 	U64(bsh_msg_inventory_t, number),
@@ -311,6 +333,9 @@
 	[BSH_MSG_LOAD] = { "LOAD", load_fields },
 	[BSH_MSG_INVENTORY] = { "INVENTORY", inventory_fields },
 	[BSH_MSG_UNREACHABLE] = { "UNREACHABLE", unreachable_fields },
+	[BSH_MSG_STREAM_RECORDS] = { "STREAM_RECORDS", stream_records_fields },
+	[BSH_MSG_STREAM_QUERY] = { "STREAM_QUERY", stream_query_fields },
+	[BSH_MSG_STREAM_ANSWER] = { "STREAM_ANSWER", stream_answer_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -57,6 +57,9 @@
 	BSH_MSG_LOAD,
 	BSH_MSG_INVENTORY,
 	BSH_MSG_UNREACHABLE,
+	BSH_MSG_STREAM_RECORDS,
+	BSH_MSG_STREAM_QUERY,
+	BSH_MSG_STREAM_ANSWER,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -279,12 +282,13 @@
 	const char *service;
 	const char *address;
 	const char *zone;
-	uint32_t slots;	     /* concurrent requests */
-	uint32_t state;	     /* bsh_target_state_t */
-	uint32_t grace_ms;   /* MISSING: time left */
-	uint64_t number;     /* last announcement at the time of this state */
-	uint64_t started_ms; /* start of its process, wall clock, 0: unknown */
-	uint64_t version;    /* of the holdings, increases within a term; 0: as
+	uint32_t slots;	      /* concurrent requests */
+	uint32_t state;	      /* bsh_target_state_t */
+	uint32_t grace_ms;    /* MISSING: time left */
+	uint64_t number;      /* last announcement at the time of this state */
+	uint64_t started_ms;  /* start of its process, wall clock, 0: unknown */
+	const char *software; /* version of its software, "": unknown */
+	uint64_t version;     /* of the holdings, increases within a term; 0: as
 			      * in the platform's list */
 	const uint8_t *holdings; /* loaded models: pairs of model and adapter
 				  * hashes, big-endian, 4 bytes each */
@@ -368,6 +372,37 @@
 	uint32_t keys_bytes;
 } bsh_msg_unreachable_t;
 
+/* Software version that began a stream; see coordination/stream_table.h. */
+typedef struct {
+	uint64_t stream; /* hash of the attempt that brought its first event */
+	uint64_t software; /* hash of the version */
+} bsh_stream_record_t;
+
+/* Most entries of a STREAM_RECORDS that fit a datagram. */
+#define BSH_STREAM_RECORDS_MAX 50
+
+/*
+ * STREAM_RECORDS: the software versions that began streams, from the instance
+ * that forwards them to those that keep the records for the others.
+ */
+typedef struct {
+	const bsh_stream_record_t *records;
+	uint32_t record_count;
+} bsh_msg_stream_records_t;
+
+/* STREAM_QUERY: asks for the version of a stream that a caller resumes. */
+typedef struct {
+	uint64_t stream;
+	uint64_t service; /* hash of the name of its service */
+} bsh_msg_stream_query_t;
+
+/* STREAM_ANSWER: the reply to STREAM_QUERY. */
+typedef struct {
+	uint64_t stream;
+	uint64_t software; /* 0: not known */
+	bool several;	   /* the service has had several versions recently */
+} bsh_msg_stream_answer_t;
+
 /* Most entries of a LOAD that fit a datagram if no value exceeds the bound. */
 #define BSH_LOAD_ENTRIES_MAX 72
 #define BSH_LOAD_VALUE_MAX   65535U
@@ -416,6 +451,9 @@
 		bsh_msg_load_t load;
 		bsh_msg_inventory_t inventory;
 		bsh_msg_unreachable_t unreachable;
+		bsh_msg_stream_records_t stream_records;
+		bsh_msg_stream_query_t stream_query;
+		bsh_msg_stream_answer_t stream_answer;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
