--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -413,6 +413,8 @@
 	target.started_ms = entry->started_ms;
 	g_strlcpy(target.software, entry->software, sizeof(target.software));
 	target.holdings = *holdings;
+	/* The holder has accepted the target's entry. */
+	bsh_departed_forget(&targets->departed, target.id);
 	update_target(targets, &target, 0);
 }
 
