Test streams that still get events of two software versions

A route that is split between services, a target that was started again and that the list shows late, a paused instance, a version that leaves after a time without changes, and a target whose version cannot be read.

--- a/regress/test_stream_table.c
+++ b/regress/test_stream_table.c
@@ -98,6 +98,17 @@
 		==, 0);
 }
 
+/* Guards against a version being taken for the only one beside targets whose
+ * version cannot be read. */
+static void test_unreadable_version(void)
+{
+	bsh_software_history_t history = { .n = 0 };
+
+	bsh_software_history_note(&history, 0, 0);
+	bsh_software_history_note(&history, V1, 0);
+	g_assert_cmpuint(bsh_software_history_only(&history, 1), ==, 0);
+}
+
 #define INSTANCES 7
 #define KEEPERS	  3
 #define TARGETS	  6
@@ -273,6 +284,8 @@
 	g_test_add_func("/stream-table/records", test_records);
 	g_test_add_func("/stream-table/collect", test_collect);
 	g_test_add_func("/stream-table/only-version", test_only_version);
+	g_test_add_func("/stream-table/unreadable-version",
+			test_unreadable_version);
 	g_test_add_func("/stream-table/model", test_model);
 	return g_test_run();
 }
--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -332,6 +332,197 @@
 	g_assert_cmpuint(f->new->loads, ==, loads);
 }
 
+/* Guards against a stream that goes on at another version because its route is
+ * split, and the caller's new attempt is sent to the other service. */
+static void test_split_route(fixture_t *f, gconstpointer data)
+{
+	static const char route[] =
+		"{\"name\":\"split\",\"host\":\"" RIG_HOST "\","
+		"\"pathPrefix\":\"/split/\",\"kind\":\"stream\","
+		"\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1},"
+		"{\"service\":\"llm2\",\"weight\":1}],\"maxAttempts\":2,"
+		"\"resumable\":true,\"timeoutMs\":10000,"
+		"\"targetLatencyMs\":500,\"priority\":0}";
+	worker_t *other;
+
+	(void)data;
+	f->rig.has_second_engine = true;
+	platform_rig_configure(&f->rig, route);
+	other = platform_rig_add_worker(&f->rig, "llm2", "m0");
+	g_strlcpy(other->version, "v2", sizeof(other->version));
+	platform_rig_publish_worker(other, "ready");
+	platform_rig_run(&f->rig, 500);
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("m%d", i);
+		g_autofree char *again = g_strdup_printf("m%d-2", i);
+
+		set_mode(f, WORKER_BREAKS_STREAM);
+		other->mode = WORKER_BREAKS_STREAM;
+		platform_rig_reply_clear(&f->reply);
+		platform_rig_send(&f->rig, f->entries[0]->front, "/split/1", id,
+				  "m0", 4000, &f->reply);
+		platform_rig_wait(&f->rig, &f->reply.done);
+		set_mode(f, WORKER_ANSWERS);
+		other->mode = WORKER_ANSWERS;
+		platform_rig_reply_clear(&f->reply);
+		platform_rig_resume(&f->rig, f->entries[1]->front, "/split/1",
+				    again, "m0", 4000, 2, id, &f->reply);
+		platform_rig_wait(&f->rig, &f->reply.done);
+		g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+	}
+}
+
+/* Guards against a resumed stream whose model nobody loads: its wait for the
+ * answer of other instances must not hide its wait for the model. */
+static void test_model_is_loaded_for_resumed(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin_broken(f, f->entries[0], "n1");
+	platform_rig_restart_worker(f->old);
+	platform_rig_restart_worker(f->new);
+	platform_rig_run(&f->rig, 300);
+	resume(f, f->entries[1], "n2", "n1");
+	g_assert_cmpint(f->reply.status, ==, 200);
+	g_assert_true(f->reply.complete);
+	g_assert_cmpstr(f->reply.body, ==, rest_of_stream);
+}
+
+/* Guards against events of a target that goes on with a stream although the list
+ * has shown since that it was started again with another version. */
+static void test_restart_listed_after_send(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	f->old->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "o1",
+			  "m0", 4000, &f->reply);
+	while (f->old->events < 2 || f->rig.pending_runs->len > 0)
+		platform_rig_run(&f->rig, 1);
+	g_strlcpy(f->old->version, "v3", sizeof(f->old->version));
+	f->old->mode = WORKER_ANSWERS;
+	f->old->work_ms = 1200;
+	while (f->old->runs < 2 && !f->reply.done)
+		platform_rig_run(&f->rig, 1);
+	g_assert_false(f->reply.done);
+	f->old->started_ms++;
+	platform_rig_publish_worker(f->old, "ready");
+	platform_rig_wait(&f->rig, &f->reply.done);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against a stream that is bound to the version that its target had before
+ * it was started again: the list has shown so before the first event. */
+static void test_restart_listed_before_event(fixture_t *f, gconstpointer data)
+{
+	worker_t *third;
+
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	g_strlcpy(f->old->version, "v3", sizeof(f->old->version));
+	f->old->mode = WORKER_BREAKS_STREAM;
+	f->old->work_ms = 1000;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "p1",
+			  "m0", 4000, &f->reply);
+	while (f->old->runs < 1)
+		platform_rig_run(&f->rig, 1);
+	f->old->started_ms++;
+	platform_rig_publish_worker(f->old, "ready");
+	platform_rig_wait(&f->rig, &f->reply.done);
+	third = add_engine(f, "v1");
+	platform_rig_run(&f->rig, 300);
+	resume(f, f->entries[0], "p2", "p1");
+	g_assert_cmpuint(third->runs, ==, 0);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against a version that is forgotten as soon as it leaves, because no
+ * change of the list has shown it for longer than versions are remembered. */
+static void test_leaves_after_quiet_time(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_run(&f->rig, 33000);
+	f->old->mode = WORKER_IS_FULL;
+	f->new->mode = WORKER_BREAKS_STREAM;
+	f->new->work_ms = 800;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "q1",
+			  "m0", 4000, &f->reply);
+	while (f->new->runs < 1)
+		platform_rig_run(&f->rig, 1);
+	platform_rig_publish_worker(f->new, "draining");
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->old->mode = WORKER_ANSWERS;
+	resume(f, f->entries[1], "q2", "q1");
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Starts the old target again with another version and the same model; the store
+ * does not learn of it. */
+static void restart_unlisted(fixture_t *f)
+{
+	g_strlcpy(f->old->version, "v3", sizeof(f->old->version));
+	f->old->started_ms++;
+	f->old->orders = 0;
+}
+
+/* Guards against a stream that goes on at a target that was started again with
+ * another version while the store was down: its entry still shows the old one. */
+static void test_restart_while_store_is_down(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	f->old->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "r1",
+			  "m0", 1000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->old->mode = WORKER_ANSWERS;
+	f->rig.store_down = true;
+	platform_rig_run(&f->rig, 200);
+	restart_unlisted(f);
+	platform_rig_run(&f->rig, 4000);
+	resume(f, f->entries[0], "r2", "r1");
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against a stream that goes on by the list that an instance had before it
+ * was paused: its target was started again with another version meanwhile. */
+static void test_after_pause(fixture_t *f, gconstpointer data)
+{
+	rig_reply_t replies[STREAMS] = { 0 };
+
+	(void)data;
+	f->new->mode = WORKER_IS_FULL;
+	f->old->mode = WORKER_BREAKS_STREAM;
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("s%d", i);
+
+		platform_rig_reply_clear(&f->reply);
+		platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1",
+				  id, "m0", 1000, &f->reply);
+		platform_rig_wait(&f->rig, &f->reply.done);
+	}
+	platform_rig_run(&f->rig, 300);
+	f->old->mode = WORKER_ANSWERS;
+	kill(f->entries[0]->pid, SIGSTOP);
+	platform_rig_run(&f->rig, 100);
+	restart_unlisted(f);
+	platform_rig_publish_worker(f->old, "ready");
+	platform_rig_run(&f->rig, 300);
+	for (int i = 0; i < STREAMS; i++) {
+		g_autofree char *id = g_strdup_printf("s%d", i);
+		g_autofree char *again = g_strdup_printf("s%d-2", i);
+
+		platform_rig_resume(&f->rig, f->entries[0]->front, "/stream/1",
+				    again, "m0", 4000, 2, id, &replies[i]);
+	}
+	platform_rig_run(&f->rig, 300);
+	kill(f->entries[0]->pid, SIGCONT);
+	for (int i = 0; i < STREAMS; i++) {
+		platform_rig_wait(&f->rig, &replies[i].done);
+		platform_rig_reply_clear(&replies[i]);
+	}
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -352,5 +543,15 @@
 	ADD("version-has-left", "v2", test_version_has_left);
 	ADD("model-not-held", "v2", test_model_not_held);
 	ADD("version-left-before-start", "v2", test_version_left_before_start);
+	ADD("split-route", "v1", test_split_route);
+	ADD("model-is-loaded-for-resumed", "v1",
+	    test_model_is_loaded_for_resumed);
+	ADD("restart-listed-after-send", "v2", test_restart_listed_after_send);
+	ADD("restart-listed-before-event", "v2",
+	    test_restart_listed_before_event);
+	ADD("leaves-after-quiet-time", "v2", test_leaves_after_quiet_time);
+	ADD("restart-while-store-is-down", "v2",
+	    test_restart_while_store_is_down);
+	ADD("after-pause", "v2", test_after_pause);
 	return g_test_run();
 }
