--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -523,6 +523,35 @@
 	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
 }
 
+static void restart_entry(fixture_t *f, rig_entry_t *entry)
+{
+	kill(entry->pid, SIGKILL);
+	while (entry->alive)
+		platform_rig_run(&f->rig, 5);
+	platform_rig_spawn(&f->rig, entry);
+	platform_rig_wait_ready(&f->rig, entry);
+	platform_rig_run(&f->rig, 500);
+}
+
+/* Guards against a version that is forgotten while the instances are restarted one
+ * after the other: each of them has been told of it by the others. */
+static void test_left_during_restarts(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->old->mode = WORKER_IS_FULL;
+	f->new->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "t1",
+			  "m0", 1000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->old->mode = WORKER_ANSWERS;
+	platform_rig_publish_worker(f->new, "draining");
+	platform_rig_remove_worker(f->new);
+	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++)
+		restart_entry(f, f->entries[i]);
+	resume(f, f->entries[1], "t2", "t1");
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -553,5 +582,6 @@
 	ADD("restart-while-store-is-down", "v2",
 	    test_restart_while_store_is_down);
 	ADD("after-pause", "v2", test_after_pause);
+	ADD("left-during-restarts", "v2", test_left_during_restarts);
 	return g_test_run();
 }
