--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -552,6 +552,21 @@
 	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
 }
 
+/* Guards against a stream of which nobody has a record going on at the only version
+ * that its instance has seen: the others have seen another one that has left. */
+static void test_unknown_at_new_instance(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_publish_worker(f->new, "draining");
+	platform_rig_remove_worker(f->new);
+	restart_entry(f, f->entries[1]);
+	platform_rig_run(&f->rig, 1000);
+	resume(f, f->entries[1], "w2", "w1");
+	g_assert_cmpint(f->reply.status, ==, 503);
+	g_assert_nonnull(f->reply.retry_after);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "w2"), ==, 0);
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -583,5 +598,6 @@
 	    test_restart_while_store_is_down);
 	ADD("after-pause", "v2", test_after_pause);
 	ADD("left-during-restarts", "v2", test_left_during_restarts);
+	ADD("unknown-at-new-instance", "v2", test_unknown_at_new_instance);
 	return g_test_run();
 }
