--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -567,6 +567,35 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "w2"), ==, 0);
 }
 
+/* Guards against a stream that goes on at another version at an instance that is
+ * ready before it has met the others. */
+static void test_resumed_right_after_start(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->old->mode = WORKER_IS_FULL;
+	f->new->mode = WORKER_BREAKS_STREAM;
+	platform_rig_send(&f->rig, f->entries[0]->front, "/stream/1", "x1",
+			  "m0", 1000, &f->reply);
+	platform_rig_wait(&f->rig, &f->reply.done);
+	f->old->mode = WORKER_ANSWERS;
+	platform_rig_publish_worker(f->new, "draining");
+	platform_rig_remove_worker(f->new);
+	kill(f->entries[1]->pid, SIGKILL);
+	while (f->entries[1]->alive)
+		platform_rig_run(&f->rig, 5);
+	platform_rig_spawn(&f->rig, f->entries[1]);
+	for (int i = 0; i < 200; i++) {
+		g_autofree char *again = g_strdup_printf("x%d", i + 2);
+
+		platform_rig_reply_clear(&f->reply);
+		platform_rig_resume(&f->rig, f->entries[1]->front, "/stream/1",
+				    again, "m0", 1000, 2, "x1", &f->reply);
+		platform_rig_wait(&f->rig, &f->reply.done);
+		g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+		platform_rig_run(&f->rig, 5);
+	}
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -599,5 +628,6 @@
 	ADD("after-pause", "v2", test_after_pause);
 	ADD("left-during-restarts", "v2", test_left_during_restarts);
 	ADD("unknown-at-new-instance", "v2", test_unknown_at_new_instance);
+	ADD("resumed-right-after-start", "v2", test_resumed_right_after_start);
 	return g_test_run();
 }
