--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -584,6 +584,7 @@
 	while (f->entries[1]->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, f->entries[1]);
+	platform_rig_wait_ready(&f->rig, f->entries[1]);
 	for (int i = 0; i < 200; i++) {
 		g_autofree char *again = g_strdup_printf("x%d", i + 2);
 
