--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -597,6 +597,19 @@
 	}
 }
 
+/* Guards against a refusal where one version alone serves: the other instances were
+ * killed, and the one that is left does not know it yet. */
+static void test_others_killed(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin_broken(f, f->entries[0], "y1");
+	kill(f->entries[0]->pid, SIGKILL);
+	kill(f->entries[2]->pid, SIGKILL);
+	platform_rig_run(&f->rig, 50);
+	resume(f, f->entries[1], "y2", "y1");
+	check_went_on(f);
+}
+
 #define ADD(name, version, test)                                               \
 	g_test_add("/stream-version/" name, fixture_t, version, set_up, test,  \
 		   tear_down)
@@ -630,5 +643,6 @@
 	ADD("left-during-restarts", "v2", test_left_during_restarts);
 	ADD("unknown-at-new-instance", "v2", test_unknown_at_new_instance);
 	ADD("resumed-right-after-start", "v2", test_resumed_right_after_start);
+	ADD("others-killed", "v1", test_others_killed);
 	return g_test_run();
 }
