--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -332,22 +332,24 @@
 	g_assert_cmpuint(f->new->loads, ==, loads);
 }
 
-/* Guards against a stream that goes on at another version because its route is
- * split, and the caller's new attempt is sent to the other service. */
-static void test_split_route(fixture_t *f, gconstpointer data)
-{
-	static const char route[] =
-		"{\"name\":\"split\",\"host\":\"" RIG_HOST "\","
-		"\"pathPrefix\":\"/split/\",\"kind\":\"stream\","
-		"\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1},"
-		"{\"service\":\"llm2\",\"weight\":1}],\"maxAttempts\":2,"
-		"\"resumable\":true,\"timeoutMs\":10000,"
-		"\"targetLatencyMs\":500,\"priority\":0}";
+static const char split_route[] =
+	"{\"name\":\"split\",\"host\":\"" RIG_HOST "\","
+	"\"pathPrefix\":\"/split/\",\"kind\":\"stream\","
+	"\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1},"
+	"{\"service\":\"llm2\",\"weight\":1}],\"maxAttempts\":2,"
+	"\"resumable\":true,\"timeoutMs\":10000,"
+	"\"targetLatencyMs\":500,\"priority\":0}";
+
+/* Splits a route between the targets of v1 and a service with one of v2, begins
+ * streams at the first instance, and resumes them at another or the same one.
+ * Returns the number of those that went on. */
+static uint32_t resume_split(fixture_t *f, const rig_entry_t *entry)
+{
+	uint32_t went_on = 0;
 	worker_t *other;
 
-	(void)data;
 	f->rig.has_second_engine = true;
-	platform_rig_configure(&f->rig, route);
+	platform_rig_configure(&f->rig, split_route);
 	other = platform_rig_add_worker(&f->rig, "llm2", "m0");
 	g_strlcpy(other->version, "v2", sizeof(other->version));
 	platform_rig_publish_worker(other, "ready");
@@ -365,11 +367,29 @@
 		set_mode(f, WORKER_ANSWERS);
 		other->mode = WORKER_ANSWERS;
 		platform_rig_reply_clear(&f->reply);
-		platform_rig_resume(&f->rig, f->entries[1]->front, "/split/1",
-				    again, "m0", 4000, 2, id, &f->reply);
+		platform_rig_resume(&f->rig, entry->front, "/split/1", again,
+				    "m0", 4000, 2, id, &f->reply);
 		platform_rig_wait(&f->rig, &f->reply.done);
-		g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+		went_on += f->reply.status == 200 && f->reply.complete;
 	}
+	return went_on;
+}
+
+/* Guards against a stream that goes on at another version because its route is
+ * split, and the caller's new attempt is sent to the other service. */
+static void test_split_route(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	resume_split(f, f->entries[1]);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against a refusal of a stream because its route is split, and the new
+ * attempt is sent to a service without its version. */
+static void test_split_route_goes_on(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	g_assert_cmpuint(resume_split(f, f->entries[0]), ==, STREAMS);
 }
 
 /* Guards against a resumed stream whose model nobody loads: its wait for the
@@ -631,6 +651,7 @@
 	ADD("model-not-held", "v2", test_model_not_held);
 	ADD("version-left-before-start", "v2", test_version_left_before_start);
 	ADD("split-route", "v1", test_split_route);
+	ADD("split-route-goes-on", "v1", test_split_route_goes_on);
 	ADD("model-is-loaded-for-resumed", "v1",
 	    test_model_is_loaded_for_resumed);
 	ADD("restart-listed-after-send", "v2", test_restart_listed_after_send);
