--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -170,6 +170,7 @@
 	g_strlcpy(a->target_id, target->id, sizeof(a->target_id));
 	a->target_started_ms = target->started_ms;
 	g_strlcpy(a->software, target->software, sizeof(a->software));
+	a->software_key = target->software_key;
 	if (r->n_tried < G_N_ELEMENTS(r->tried))
 		r->tried[r->n_tried++] = target->hash;
 	engine_load_started(a, candidate);
@@ -278,6 +279,12 @@
 	traffic_attempt_ended(r, end, err);
 }
 
+void attempts_abort(attempt_t *a, bsh_error_t err)
+{
+	forward_cancel(a);
+	attempts_ended(a, ATTEMPT_BROKEN, err);
+}
+
 void attempts_cancel_all(request_t *r, bool timed_out)
 {
 	attempt_t *a = r->attempt;
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -186,10 +186,13 @@
 	attempts_spoke(a);
 	g_string_truncate(r->events, 0);
 	err = bsh_event_relay_feed(&r->relay, data, size, r->events);
+	if (r->events->len > 0 && !stream_origin_bind(r, a)) {
+		end_attempt(a, ATTEMPT_BROKEN, BSH_ERR_NOT_RESUMABLE);
+		return;
+	}
 	if (r->events->len > 0) {
 		r->last_active_us = traffic_now_us(r->traffic);
 		r->stream_deadline_us = r->last_active_us + r->patience_us;
-		stream_origin_bind(r, a);
 		record_first_byte(a);
 		begin_answer(a, -1);
 		write_answer(r, r->events->str, r->events->len);
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -472,8 +472,7 @@
 	uint32_t at;
 
 	if (strcmp(member->name, keepers->self) == 0 || !member->has_place ||
-	    (member->state != BSH_MEMBER_ALIVE &&
-	     member->state != BSH_MEMBER_SUSPECT))
+	    member->state != BSH_MEMBER_ALIVE)
 		return;
 	score = bsh_rendezvous_score(
 		keepers->stream, XXH64(member->name, strlen(member->name), 0));
--- a/bshentryd/stream_origin.c
+++ b/bshentryd/stream_origin.c
@@ -7,9 +7,6 @@
 
 /* Records of the streams that this instance forwards. */
 #define RECORDS_MAX 4096U
-/* An instance that is cut off notices it within this time; its list of targets
- * may then lack a new version. */
-#define LIST_AGE_MAX_US INT64_C(3000000)
 
 static bsh_counter_t unknown_refused =
 	BSH_COUNTER("bsh_streams_not_resumed_total",
@@ -48,27 +45,35 @@
 	post_records(t, records);
 }
 
-/* The only version that has served recently, by a list that is up to date; 0:
- * there may be several. */
-static uint64_t only_version(const request_t *r)
+static bool is_list_fresh(const traffic_t *t)
 {
-	const traffic_t *t = r->traffic;
 	int64_t confirmed_us = __atomic_load_n(&t->entry->freshness.targets_us,
 					       __ATOMIC_RELAXED);
 
-	if (confirmed_us == 0 ||
-	    traffic_now_us(t) - confirmed_us > LIST_AGE_MAX_US)
-		return 0;
-	return view_only_software(t->view, r->service->name);
+	return confirmed_us != 0 &&
+	       traffic_now_us(t) - confirmed_us <= VIEW_LIST_AGE_MAX_US;
 }
 
 bool stream_origin_is_constrained(const request_t *r)
 {
-	return r->software != 0 && only_version(r) != r->software;
+	const view_software_t *software =
+		view_find_software(r->traffic->view, r->service->name);
+
+	return r->software != 0 && software != NULL && software->several;
+}
+
+/* True if one version alone has served all streams of the route. */
+static bool has_only_version(const request_t *r)
+{
+	const view_software_t *software =
+		view_find_software(r->traffic->view, r->service->name);
+
+	return software != NULL && software->only != 0 &&
+	       is_list_fresh(r->traffic) && r->route->splits->len == 1;
 }
 
-/* Records the version of a stream here and, if others serve beside it, at other
- * instances. */
+/* Records the version of a stream here and, unless all streams have the same
+ * one, at other instances. */
 static void record(request_t *r)
 {
 	traffic_t *t = r->traffic;
@@ -76,23 +81,28 @@
 
 	bsh_stream_table_set(&t->streams, r->stream, r->software,
 			     traffic_now_us(t));
-	if (only_version(r) != 0)
+	if (has_only_version(r))
 		return;
 	g_array_append_val(t->new_streams, item);
 	bsh_loop_task_schedule(&t->streams_task);
 }
 
-void stream_origin_bind(request_t *r, const attempt_t *a)
+bool stream_origin_bind(request_t *r, const attempt_t *a)
 {
-	if (r->software != 0 || !r->route->resumable)
-		return;
-	r->software = bsh_software_key(a->software);
-	/* A version that is not known matches no other target. */
-	if (r->software == 0)
-		r->software = BSH_SOFTWARE_UNCERTAIN;
+	/* Started again with another version since the request was sent, or
+	 * before that and listed only now. */
+	bool is_certain = a->software_key != 0 &&
+			  a->software_key == a->target->software_key;
+
+	if (!r->route->resumable)
+		return true;
+	if (r->software != 0)
+		return is_certain || a->has_spoken;
+	r->software = is_certain ? a->software_key : BSH_SOFTWARE_UNCERTAIN;
 	if (r->stream == 0)
 		r->stream = bsh_stream_key(r->info.attempt_id);
 	record(r);
+	return true;
 }
 
 static bool is_resumed_by_caller(const request_t *r)
@@ -121,7 +131,9 @@
 	message = g_new0(control_stream_query_msg_t, 1);
 	message->control = t->entry->control;
 	message->stream = r->stream;
-	message->service = bsh_service_key(r->service->name);
+	/* The stream may have begun at another service of a split route. */
+	if (r->route->splits->len == 1)
+		message->service = bsh_service_key(r->service->name);
 	bsh_loop_post(&t->entry->control_loop, control_stream_query, message);
 	return false;
 }
@@ -132,8 +144,6 @@
 		return false;
 	r->awaits_software = false;
 	r->software = answer->software;
-	if (r->software == 0 && answer->one_version)
-		r->software = only_version(r);
 	if (r->software == 0)
 		r->software = BSH_SOFTWARE_UNCERTAIN;
 	else
@@ -141,27 +151,67 @@
 	return true;
 }
 
-bool stream_origin_serves(const request_t *r)
+/* The service of the route's splits that has the target, or NULL. */
+static const bsh_service_rule_t *service_of(const request_t *r,
+					    const view_target_t *target)
+{
+	const GArray *splits = r->route->splits;
+
+	for (guint i = 0; i < splits->len; i++) {
+		const bsh_service_rule_t *service = bsh_catalog_service_at(
+			r->catalog,
+			g_array_index(splits, bsh_route_split_t, i).service);
+
+		if (strcmp(target->service, service->name) == 0)
+			return service;
+	}
+	return NULL;
+}
+
+bool stream_origin_serves(request_t *r)
 {
 	const GArray *targets = r->traffic->view->targets;
+	const bsh_service_rule_t *service;
 
 	if (r->software == 0)
 		return true;
+	/* A target may be another one under its id since the list was read. */
+	if (stream_origin_is_constrained(r) && !is_list_fresh(r->traffic))
+		goto refuse;
 	for (guint i = 0; i < targets->len; i++) {
 		const view_target_t *target =
 			&g_array_index(targets, view_target_t, i);
 
-		if (target->software_key == r->software &&
-		    strcmp(target->service, r->service->name) == 0)
-			return true;
+		if (target->software_key != r->software)
+			continue;
+		service = service_of(r, target);
+		if (service == NULL)
+			continue;
+		r->service = service;
+		return true;
 	}
+refuse:
 	bsh_counter_add(&unknown_refused, 1);
 	return false;
 }
 
-/* A target that was started again with another version may have been so before
- * the list showed it, so the versions of the streams that it has begun are not
- * certain. */
+/* A target was started again with another version, maybe before the list showed
+ * it: the versions of the streams that it has begun are not certain, and it must
+ * not go on with others. */
+static void check_attempt(attempt_t *a, uint64_t software_key)
+{
+	request_t *r = a->request;
+
+	if (r->software == 0 || a->software_key == software_key)
+		return;
+	if (!a->has_spoken) {
+		attempts_abort(a, BSH_ERR_NOT_RESUMABLE);
+	} else if (a == r->attempt) {
+		r->software = BSH_SOFTWARE_UNCERTAIN;
+		record(r);
+	}
+}
+
 static void check_restart(traffic_t *t, target_state_t *state,
 			  const view_target_t *target)
 {
@@ -176,16 +226,17 @@
 	for (GList *l = t->requests.head; l != NULL; l = l->next) {
 		request_t *r = l->data;
 
-		if (r->software == 0 || r->attempt->target != state)
-			continue;
-		r->software = BSH_SOFTWARE_UNCERTAIN;
-		record(r);
+		for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++)
+			if (r->attempts[i].target == state)
+				check_attempt(&r->attempts[i],
+					      target->software_key);
 	}
 }
 
 void stream_origin_view_changed(traffic_t *t, const view_t *before)
 {
 	const view_t *view = t->view;
+	const view_software_t *now;
 	bool comes = false;
 
 	for (guint i = 0; i < view->targets->len; i++) {
@@ -198,9 +249,9 @@
 		const view_software_t *service =
 			&g_array_index(before->software, view_software_t, i);
 
-		comes = comes || (service->only != 0 &&
-				  view_only_software(view, service->service) !=
-					  service->only);
+		now = view_find_software(view, service->service);
+		comes = comes ||
+			(!service->several && now != NULL && now->several);
 	}
 	/* Streams that began while one version alone served are recorded only
 	 * here so far. */
--- a/bshentryd/streams.c
+++ b/bshentryd/streams.c
@@ -16,13 +16,18 @@
  * zones.  An instance that has just ended is still asked. */
 #define QUERY_TIMEOUT_US INT64_C(50000)
 
+/* An instance has heard of the others by this time after its start. */
+#define PEERS_KNOWN_US INT64_C(3000000)
+#define PEERS_RETRY_US INT64_C(100000)
+
 /* A query of this instance. */
 typedef struct {
 	streams_t *streams;
 	uint64_t stream;
-	uint32_t asked; /* instances that may still answer */
-	bool answered;	/* some have */
+	uint64_t service;
+	uint32_t asked; /* instances that may still answer; 0: none asked yet */
 	bool several;	/* one has seen several versions of the service */
+	uint64_t only; /* the only version, by one that can tell; 0: none can */
 	bsh_loop_timer_t timer;
 } query_t;
 
@@ -31,8 +36,15 @@
 	bsh_stream_table_t table;
 	GHashTable *queries;  /* stream to query_t */
 	GHashTable *software; /* key of a service to bsh_software_history_t */
+	GArray *listed;	      /* listed_version_t, of the last view */
+	int64_t since_us;     /* first list of targets; 0: none yet */
 };
 
+typedef struct {
+	uint64_t service;
+	uint64_t software;
+} listed_version_t;
+
 static bsh_counter_t records_gauge =
 	BSH_GAUGE("bsh_stream_records",
 		  "Streams whose software version is kept for all instances.");
@@ -62,6 +74,7 @@
 	bsh_stream_table_init(&streams->table, RECORDS_MAX);
 	streams->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, free_query);
+	streams->listed = g_array_new(FALSE, FALSE, sizeof(listed_version_t));
 	streams->software = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  g_free, g_free);
 	return streams;
@@ -71,6 +84,7 @@
 {
 	g_hash_table_destroy(streams->queries);
 	g_hash_table_destroy(streams->software);
+	g_array_free(streams->listed, TRUE);
 	bsh_stream_table_finish(&streams->table);
 	g_free(streams);
 }
@@ -110,6 +124,9 @@
 		uint32_t n =
 			peers_choose_keepers(peers, record->stream, keepers);
 
+		bsh_stream_table_set(&streams->table, record->stream,
+				     record->software,
+				     control_now_us(streams->control));
 		for (uint32_t k = 0; k < n; k++) {
 			batch = g_hash_table_lookup(batches, keepers[k]);
 			if (batch == NULL) {
@@ -166,121 +183,176 @@
 	g_array_append_val(view->software, item);
 }
 
+/* Notes a version that the list of targets names. */
+static void note_version(streams_t *streams, uint64_t service,
+			 uint64_t software, int64_t now_us)
+{
+	bsh_software_history_note(history_of(streams, service), software,
+				  now_us);
+}
+
+/* The only version that has served recently; 0 also if this instance has not
+ * seen the list for long enough, or the list is not up to date. */
+static uint64_t only_version(streams_t *streams, uint64_t service,
+			     int64_t now_us)
+{
+	int64_t age_us = bsh_loop_clock_us() -
+			 targets_confirmed_us(streams->control->targets);
+
+	if (streams->since_us == 0 || age_us > VIEW_LIST_AGE_MAX_US ||
+	    now_us - streams->since_us < BSH_STREAM_MEMORY_US)
+		return 0;
+	return bsh_software_history_only(history_of(streams, service), now_us);
+}
+
 void streams_fill(streams_t *streams, view_t *view)
 {
 	int64_t now_us = control_now_us(streams->control);
 
+	if (streams->since_us == 0 && view->listed)
+		streams->since_us = now_us;
+	/* The versions of the last view have served until now. */
+	for (guint i = 0; i < streams->listed->len; i++) {
+		const listed_version_t *last =
+			&g_array_index(streams->listed, listed_version_t, i);
+
+		note_version(streams, last->service, last->software, now_us);
+	}
+	g_array_set_size(streams->listed, 0);
 	for (guint i = 0; i < view->targets->len; i++) {
 		const view_target_t *target =
 			&g_array_index(view->targets, view_target_t, i);
+		listed_version_t item = { bsh_service_key(target->service),
+					  target->software_key };
 
-		bsh_software_history_note(
-			history_of(streams, bsh_service_key(target->service)),
-			target->software_key, now_us);
+		note_version(streams, item.service, item.software, now_us);
+		g_array_append_val(streams->listed, item);
 		add_service(view, target->service);
 	}
 	for (guint i = 0; i < view->software->len; i++) {
 		view_software_t *item =
 			&g_array_index(view->software, view_software_t, i);
+		uint64_t service = bsh_service_key(item->service);
 
-		item->only = bsh_software_history_only(
-			history_of(streams, bsh_service_key(item->service)),
-			now_us);
+		item->only = only_version(streams, service, now_us);
+		item->several = bsh_software_history_several(
+			history_of(streams, service), now_us);
 	}
 }
 
-/* True if this instance has seen several versions of the service recently. */
-static bool has_several(streams_t *streams, uint64_t service)
-{
-	const bsh_software_history_t *history = history_of(streams, service);
-
-	return history->n > 0 &&
-	       bsh_software_history_only(history,
-					 control_now_us(streams->control)) == 0;
-}
-
 static void resolve(const streams_t *streams, uint64_t stream,
-		    uint64_t software, bool one_version, const char *source)
+		    uint64_t software, const char *source)
 {
 	entry_t *entry = streams->control->entry;
 	traffic_stream_msg_t *message = g_new0(traffic_stream_msg_t, 1);
 
 	bsh_log(BSH_LOG_INFO,
 		"stream-version stream=%016" G_GINT64_MODIFIER "x known=%d "
-		"one_version=%d source=%s",
-		stream, software != 0, one_version, source);
+		"source=%s",
+		stream, software != 0, source);
 	if (software == 0)
 		bsh_counter_add(&queries_unknown, 1);
 	message->traffic = entry->traffic;
 	message->stream = stream;
 	message->software = software;
-	message->one_version = one_version;
 	bsh_loop_post(&entry->traffic_loop, traffic_set_stream_version,
 		      message);
 }
 
-static void end_query(query_t *query, const char *source)
+/* Notes what one instance knows of the versions of the service. */
+static void add_answer(query_t *query, uint64_t only, bool several)
+{
+	query->several = query->several || several ||
+			 (only != 0 && query->only != 0 && only != query->only);
+	if (only != 0)
+		query->only = only;
+}
+
+/* Nobody has a record of the stream: it is of the only version, if there is
+ * one by an instance that can tell. */
+static void end_query(query_t *query)
 {
 	streams_t *streams = query->streams;
+	bool is_known = query->only != 0 && !query->several;
 
-	resolve(streams, query->stream, 0, query->answered && !query->several,
-		source);
+	resolve(streams, query->stream, is_known ? query->only : 0,
+		is_known ? "only-version" : "none");
 	g_hash_table_remove(streams->queries, &query->stream);
 }
 
-static void on_query_timeout(void *ctx)
+/* Asks the keepers of the stream's record.  Returns false if none is known. */
+static bool send_query(query_t *query)
+{
+	peers_t *peers = query->streams->control->peers;
+	char keepers[PEERS_KEEPERS][BSH_NAME_SIZE];
+	bsh_message_t message = { .type = BSH_MSG_STREAM_QUERY };
+
+	message.stream_query.stream = query->stream;
+	message.stream_query.service = query->service;
+	query->asked = peers_choose_keepers(peers, query->stream, keepers);
+	for (uint32_t i = 0; i < query->asked; i++)
+		peers_send(peers, keepers[i], &message);
+	return query->asked > 0;
+}
+
+static void on_query_timer(void *ctx)
 {
-	end_query(ctx, "timeout");
+	query_t *query = ctx;
+	streams_t *streams = query->streams;
+	int64_t age_us = control_now_us(streams->control) - streams->since_us;
+
+	if (query->asked > 0) {
+		end_query(query);
+	} else if (send_query(query)) {
+		bsh_loop_timer_after(&query->timer, QUERY_TIMEOUT_US);
+	} else if (age_us < PEERS_KNOWN_US) {
+		bsh_loop_timer_after(&query->timer, PEERS_RETRY_US);
+	} else {
+		end_query(query);
+	}
 }
 
 void streams_query(streams_t *streams, uint64_t stream, uint64_t service)
 {
-	char keepers[PEERS_KEEPERS][BSH_NAME_SIZE];
-	bsh_message_t message = { .type = BSH_MSG_STREAM_QUERY };
-	uint64_t software = bsh_stream_table_find(
-		&streams->table, stream, control_now_us(streams->control));
+	int64_t now_us = control_now_us(streams->control);
+	uint64_t software =
+		bsh_stream_table_find(&streams->table, stream, now_us);
 	query_t *query;
-	uint32_t n;
 
 	bsh_counter_add(&queries_sent, 1);
 	if (software != 0) {
-		resolve(streams, stream, software, false, "own");
+		resolve(streams, stream, software, "own");
 		return;
 	}
 	/* Two attempts of one caller wait for the same answer. */
 	if (g_hash_table_contains(streams->queries, &stream))
 		return;
-	n = peers_choose_keepers(streams->control->peers, stream, keepers);
-	if (n == 0) {
-		resolve(streams, stream, 0, !has_several(streams, service),
-			"alone");
-		return;
-	}
 	query = g_new0(query_t, 1);
 	query->streams = streams;
 	query->stream = stream;
-	query->asked = n;
-	query->several = has_several(streams, service);
+	query->service = service;
 	bsh_loop_timer_init(&query->timer, streams->control->loop,
-			    on_query_timeout, query);
-	bsh_loop_timer_after(&query->timer, QUERY_TIMEOUT_US);
+			    on_query_timer, query);
 	g_hash_table_insert(streams->queries, &query->stream, query);
-	message.stream_query.stream = stream;
-	message.stream_query.service = service;
-	for (uint32_t i = 0; i < n; i++)
-		peers_send(streams->control->peers, keepers[i], &message);
+	add_answer(query, only_version(streams, service, now_us),
+		   bsh_software_history_several(history_of(streams, service),
+						now_us));
+	on_query_timer(query);
 }
 
 void streams_receive_query(streams_t *streams, const char *sender,
 			   const bsh_msg_stream_query_t *query)
 {
 	bsh_message_t message = { .type = BSH_MSG_STREAM_ANSWER };
+	bsh_msg_stream_answer_t *answer = &message.stream_answer;
+	int64_t now_us = control_now_us(streams->control);
 
-	message.stream_answer.stream = query->stream;
-	message.stream_answer.software =
-		bsh_stream_table_find(&streams->table, query->stream,
-				      control_now_us(streams->control));
-	message.stream_answer.several = has_several(streams, query->service);
+	answer->stream = query->stream;
+	answer->software =
+		bsh_stream_table_find(&streams->table, query->stream, now_us);
+	answer->only = only_version(streams, query->service, now_us);
+	answer->several = bsh_software_history_several(
+		history_of(streams, query->service), now_us);
 	peers_send(streams->control->peers, sender, &message);
 }
 
@@ -289,16 +361,14 @@
 {
 	query_t *query = g_hash_table_lookup(streams->queries, &answer->stream);
 
-	if (query == NULL)
+	if (query == NULL || query->asked == 0)
 		return;
 	if (answer->software != 0) {
-		resolve(streams, answer->stream, answer->software, false,
-			"peer");
+		resolve(streams, answer->stream, answer->software, "peer");
 		g_hash_table_remove(streams->queries, &answer->stream);
 		return;
 	}
-	query->answered = true;
-	query->several = query->several || answer->several;
+	add_answer(query, answer->only, answer->several);
 	if (--query->asked == 0)
-		end_query(query, "peer");
+		end_query(query);
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -115,7 +115,9 @@
 	target_state_t *target;	       /* NULL unless active */
 	char target_id[BSH_NAME_SIZE]; /* "": never started */
 	uint64_t target_started_ms;
-	char software[BSH_SOFTWARE_SIZE]; /* version of the target's */
+	/* Version of the target when it was sent. */
+	char software[BSH_SOFTWARE_SIZE];
+	uint64_t software_key;
 	double work_us;	    /* estimated prefill, until the answer begins */
 	double expected_us; /* estimated time to the first byte; 0: none */
 	uint32_t uncached_tokens; /* of the prompt, by the estimate */
@@ -297,8 +299,9 @@
 void stream_origin_init(traffic_t *t);
 void stream_origin_finish(traffic_t *t);
 /* stream_origin_bind - an event of the attempt is about to be passed on: the
- * stream is bound to the version of its target unless it is bound already. */
-void stream_origin_bind(request_t *r, const attempt_t *a);
+ * stream is bound to the version of its target unless it is bound already.
+ * False: the target may have another version than the stream. */
+bool stream_origin_bind(request_t *r, const attempt_t *a);
 /* stream_origin_find - bind a stream that a caller resumes to the version that
  * began it.  False: other instances are asked for it, and the request waits for
  * stream_origin_answer(). */
@@ -306,8 +309,9 @@
 /* stream_origin_answer - true if the request has waited for this answer. */
 bool stream_origin_answer(request_t *r, const traffic_stream_msg_t *answer);
 /* stream_origin_serves - false if the request is bound to a version of which no
- * target of its service serves. */
-bool stream_origin_serves(const request_t *r);
+ * target serves, or it is not certain that the listed ones do.  A request whose
+ * route has several services gets the one with the version. */
+bool stream_origin_serves(request_t *r);
 /* stream_origin_is_constrained - the request is bound to a version, and other
  * versions serve beside it. */
 bool stream_origin_is_constrained(const request_t *r);
@@ -324,6 +328,8 @@
 		   const bsh_target_candidate_t *candidate);
 /* attempts_ended - an attempt has ended by itself; its call has, too. */
 void attempts_ended(attempt_t *a, attempt_end_t end, bsh_error_t err);
+/* attempts_abort - cancel an attempt whose response cannot be used. */
+void attempts_abort(attempt_t *a, bsh_error_t err);
 /* attempts_spoke - the attempt has sent a part of its response: it becomes the
  * one that continues the response, and a second one is cancelled. */
 void attempts_spoke(attempt_t *a);
--- a/bshentryd/view.c
+++ b/bshentryd/view.c
@@ -44,14 +44,15 @@
 	return NULL;
 }
 
-uint64_t view_only_software(const view_t *view, const char *service)
+const view_software_t *view_find_software(const view_t *view,
+					  const char *service)
 {
 	for (guint i = 0; i < view->software->len; i++) {
 		const view_software_t *software =
 			&g_array_index(view->software, view_software_t, i);
 
 		if (strcmp(software->service, service) == 0)
-			return software->only;
+			return software;
 	}
-	return 0;
+	return NULL;
 }
--- a/bshentryd/view.h
+++ b/bshentryd/view.h
@@ -36,10 +36,17 @@
 	int64_t estimated_us; /* time of the estimate */
 } view_ready_t;
 
+/* An instance that is cut off notices it within this time; its list of targets
+ * may then lack a new version. */
+#define VIEW_LIST_AGE_MAX_US INT64_C(3000000)
+
 /* Software versions of the targets of a service. */
 typedef struct {
 	char service[BSH_NAME_SIZE];
-	uint64_t only; /* key of the one that has served recently; 0: several */
+	/* Key of the only one that has served recently; 0: there were several,
+	 * or this instance has not run for long enough to know. */
+	uint64_t only;
+	bool several; /* have served recently */
 } view_software_t;
 
 typedef struct {
@@ -61,8 +68,8 @@
 const view_ready_t *view_find_ready(const view_t *view, uint32_t model,
 				    uint32_t adapter);
 
-/* view_only_software - key of the only software version that has served a service
- * recently; 0: there were several, or none. */
-uint64_t view_only_software(const view_t *view, const char *service);
+/* view_find_software - the versions of a service, or NULL. */
+const view_software_t *view_find_software(const view_t *view,
+					  const char *service);
 
 #endif
--- a/lib/coordination/stream_table.c
+++ b/lib/coordination/stream_table.c
@@ -122,6 +122,8 @@
 void bsh_software_history_note(bsh_software_history_t *history,
 			       uint64_t software, int64_t now_us)
 {
+	if (software == 0)
+		software = BSH_SOFTWARE_UNCERTAIN;
 	for (uint32_t i = 0; i < history->n; i++)
 		if (history->seen[i].software == software) {
 			history->seen[i].seen_us = now_us;
@@ -129,24 +131,46 @@
 		}
 	drop_unseen(history, now_us);
 	if (history->n == BSH_SOFTWARE_VERSIONS_MAX) {
-		history->overflow = true;
+		history->overflow_us = now_us;
 		return;
 	}
 	history->seen[history->n].software = software;
 	history->seen[history->n++].seen_us = now_us;
 }
 
-uint64_t bsh_software_history_only(const bsh_software_history_t *history,
-				   int64_t now_us)
+/* Number of versions that have served recently; *software is one of them. */
+static uint32_t count_recent(const bsh_software_history_t *history,
+			     int64_t now_us, uint64_t *software)
 {
-	uint64_t only = 0;
+	uint32_t n = 0;
 
+	if (history->overflow_us > 0 &&
+	    now_us - history->overflow_us < BSH_STREAM_MEMORY_US)
+		return BSH_SOFTWARE_VERSIONS_MAX + 1;
 	for (uint32_t i = 0; i < history->n; i++) {
 		if (now_us - history->seen[i].seen_us >= BSH_STREAM_MEMORY_US)
 			continue;
-		if (only != 0)
-			return 0;
-		only = history->seen[i].software;
+		*software = history->seen[i].software;
+		n++;
 	}
-	return history->overflow ? 0 : only;
+	return n;
+}
+
+uint64_t bsh_software_history_only(const bsh_software_history_t *history,
+				   int64_t now_us)
+{
+	uint64_t software = 0;
+
+	if (count_recent(history, now_us, &software) != 1 ||
+	    software == BSH_SOFTWARE_UNCERTAIN)
+		return 0;
+	return software;
+}
+
+bool bsh_software_history_several(const bsh_software_history_t *history,
+				  int64_t now_us)
+{
+	uint64_t software = 0;
+
+	return count_recent(history, now_us, &software) > 1;
 }
--- a/lib/coordination/stream_table.h
+++ b/lib/coordination/stream_table.h
@@ -75,15 +75,20 @@
 typedef struct {
 	bsh_software_seen_t seen[BSH_SOFTWARE_VERSIONS_MAX];
 	uint32_t n;
-	bool overflow; /* more versions than fit, since the start */
+	int64_t overflow_us; /* last time of more versions than fit; 0: none */
 } bsh_software_history_t;
 
-/* bsh_software_history_note - a list names a target with this version. */
+/* bsh_software_history_note - a list names a target with this version; 0: one
+ * that cannot be read, which is never the only one. */
 void bsh_software_history_note(bsh_software_history_t *history,
 			       uint64_t software, int64_t now_us);
 /* bsh_software_history_only - the one version that has served within
  * BSH_STREAM_MEMORY_US; 0: there were several, or none. */
 uint64_t bsh_software_history_only(const bsh_software_history_t *history,
 				   int64_t now_us);
+/* bsh_software_history_several - true if several versions have served within
+ * BSH_STREAM_MEMORY_US. */
+bool bsh_software_history_several(const bsh_software_history_t *history,
+				  int64_t now_us);
 
 #endif
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -293,6 +293,7 @@
 static const field_t stream_answer_fields[] = {
 	U64(bsh_msg_stream_answer_t, stream),
 	U64(bsh_msg_stream_answer_t, software),
+	U64(bsh_msg_stream_answer_t, only),
 	BOOL(bsh_msg_stream_answer_t, several), END
 };
 
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -393,13 +393,16 @@
 /* STREAM_QUERY: asks for the version of a stream that a caller resumes. */
 typedef struct {
 	uint64_t stream;
-	uint64_t service; /* hash of the name of its service */
+	uint64_t service; /* hash of the name of its service; 0: may be one of
+			   * several */
 } bsh_msg_stream_query_t;
 
 /* STREAM_ANSWER: the reply to STREAM_QUERY. */
 typedef struct {
 	uint64_t stream;
 	uint64_t software; /* 0: not known */
+	uint64_t only;	   /* the only version of the service recently; 0: the
+			    * sender cannot tell */
 	bool several;	   /* the service has had several versions recently */
 } bsh_msg_stream_answer_t;
 
--- a/lib/state/target.c
+++ b/lib/state/target.c
@@ -3,11 +3,13 @@
 #include <string.h>
 #include <xxhash.h>
 
-uint64_t bsh_software_key(const char *software)
+uint64_t bsh_software_key(const char *service, const char *software)
 {
+	uint64_t seed = XXH64(service, strlen(service), 0);
+
 	if (software[0] == '\0')
 		return 0;
-	return MAX(XXH64(software, strlen(software), 0), 1);
+	return MAX(XXH64(software, strlen(software), seed), 1);
 }
 
 uint32_t bsh_target_key(const char *id)
--- a/lib/state/target.h
+++ b/lib/state/target.h
@@ -71,9 +71,9 @@
 	bsh_copies_t copies;
 } bsh_target_report_t;
 
-/* bsh_software_key - hash of a software version that stands for it in messages
- * and comparisons; 0 for "". */
-uint64_t bsh_software_key(const char *software);
+/* bsh_software_key - hash of a software version of a service that stands for it
+ * in messages and comparisons; 0 if the version is "". */
+uint64_t bsh_software_key(const char *service, const char *software);
 
 /* bsh_target_key - low 32 bits of the hash of a target's id, which stand for it
  * in messages that name many targets. */
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -131,7 +131,7 @@
 		m.stream_query = (bsh_msg_stream_query_t){ 5, 6 };
 		break;
 	case BSH_MSG_STREAM_ANSWER:
-		m.stream_answer = (bsh_msg_stream_answer_t){ 5, 6, true };
+		m.stream_answer = (bsh_msg_stream_answer_t){ 5, 6, 7, true };
 		break;
 	case BSH_MSG_INVENTORY:
 		m.inventory =
