Give the routers of tests addresses of their own

The rig of the entry daemons uses one loopback address for each process for that reason; the rig of the routers now does the same, with the same code.

--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -10,6 +10,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "support/loopback.h"
+
 #define WAIT_TIMEOUT_MS	     15000
 #define MODEL_MB	     100
 #define LOAD_MS		     120
@@ -50,45 +52,6 @@
 	bool header_sent;
 } run_t;
 
-/* Returns the loopback address of this process.  Test processes that run at the
- * same time use different addresses, so that none binds a port that another has
- * just found free. */
-static const char *rig_ip(void)
-{
-	static char ip[20];
-	unsigned int pid = (unsigned int)getpid();
-
-	if (ip[0] == '\0')
-		g_snprintf(ip, sizeof(ip), "127.%u.%u.%u",
-			   1 + pid / 62500 % 250, 1 + pid / 250 % 250,
-			   1 + pid % 250);
-	return ip;
-}
-
-/* Returns a free port that this process has not returned before. */
-static uint16_t free_port(void)
-{
-	static GHashTable *used;
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t size = sizeof(address);
-	int fd;
-
-	if (used == NULL)
-		used = g_hash_table_new(NULL, NULL);
-	do {
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		address.sin_port = 0;
-		inet_pton(AF_INET, rig_ip(), &address.sin_addr);
-		g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==,
-				0);
-		g_assert_cmpint(
-			getsockname(fd, (struct sockaddr *)&address, &size), ==,
-			0);
-		close(fd);
-	} while (!g_hash_table_add(used, GUINT_TO_POINTER(address.sin_port)));
-	return ntohs(address.sin_port);
-}
-
 static void answer_json(bsh_http_request_t *request, int status, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
@@ -856,8 +819,9 @@
 		"order_start_ms=0\nseed_loads=0\n"
 		"[timing]\nprobe_period_ms=200\n",
 		entry->name, 7, rig->store_address, entry->front,
-		entry->metrics, entry->directory, entry->directory, rig_ip(),
-		free_port(), entry->ready, rig->lease_ms);
+		entry->metrics, entry->directory, entry->directory,
+		loopback_ip(), loopback_free_port(), entry->ready,
+		rig->lease_ms);
 	int fd = g_file_open_tmp("bsh-entry-XXXXXX", &entry->settings_path,
 				 NULL);
 
@@ -878,7 +842,7 @@
 		   rig->n_entries);
 	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
 		g_snprintf(addresses[i], sizeof(entry->front), "%s:%u",
-			   rig_ip(), free_port());
+			   loopback_ip(), loopback_free_port());
 	write_settings(rig, entry);
 	platform_rig_spawn(rig, entry);
 	return entry;
--- a/regress/support/rig.c
+++ b/regress/support/rig.c
@@ -14,30 +14,14 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "support/loopback.h"
+
 #define KEY		"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 #define STEP_US		INT64_C(20000)
 #define WAIT_TIMEOUT_US INT64_C(30000000)
 #define FRESH_PERIOD_US INT64_C(500000)
 #define FRESH_MS	8000 /* validity sent in FRESH */
 
-static uint16_t free_port(void)
-{
-	struct sockaddr_in address = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	};
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	if (fd < 0 ||
-	    bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &size) != 0)
-		g_error("cannot find a free loopback port: %s",
-			g_strerror(errno));
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 void rig_send(rig_t *rig, bsh_message_t *message)
 {
 	if (rig->channel != NULL)
@@ -151,9 +135,10 @@
 		.timeline = &rig->timeline,
 	};
 	rig->fresh_ms = FRESH_MS;
-	g_snprintf(rig->listen, sizeof(rig->listen), "127.0.0.1:%u",
-		   free_port());
-	g_snprintf(rig->admin, sizeof(rig->admin), "127.0.0.1:%u", free_port());
+	g_snprintf(rig->listen, sizeof(rig->listen), "%s:%u", loopback_ip(),
+		   loopback_free_port());
+	g_snprintf(rig->admin, sizeof(rig->admin), "%s:%u", loopback_ip(),
+		   loopback_free_port());
 	rig->client = bsh_http_client_new(&rig->loop, 64);
 	rig->listener = bsh_channel_listen(&rig->loop, &rig->identity,
 					   "127.0.0.1:0", &channel_ops, rig);
