Log what targets bear of rejections, and what was open at them

Operators could not tell from the logs why targets rejected requests: whether one instance asked for too much, or all together, and whether a target was in danger of ending. The platform's field is decoded and logged when it changes, and each attempt that did not answer has the number of this instance's requests at the target.

No decision changes.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -179,6 +179,7 @@
 	if (r->n_tried < G_N_ELEMENTS(r->tried))
 		r->tried[r->n_tried++] = target->hash;
 	engine_load_started(a, candidate);
+	a->open = a->target->record.running;
 	limits_take(a);
 	if (forward_start(a, target->address) == BSH_OK)
 		return true;
@@ -215,6 +216,7 @@
 	if (r->n_tried < G_N_ELEMENTS(r->tried))
 		r->tried[r->n_tried++] = peer->hash;
 	bsh_target_started(&a->target->record, 0.0, r->last_active_us);
+	a->open = a->target->record.running;
 	relays_sent(a);
 	if (forward_start(a, peer->address) == BSH_OK)
 		return;
--- a/bshentryd/notices.c
+++ b/bshentryd/notices.c
@@ -12,11 +12,26 @@
  * at once would only be refused again. */
 #define RETURN_SPREAD_PERCENT 25
 
+static void note_rejections_max(const attempt_t *a)
+{
+	target_state_t *state = a->target;
+
+	if (a->head.rejections_max == state->rejections_max)
+		return;
+	state->rejections_max = a->head.rejections_max;
+	bsh_log(BSH_LOG_INFO,
+		"target-brittle target=%s id=%s "
+		"rejections_max=%" G_GINT64_FORMAT,
+		state->id, a->request->info.attempt_id, state->rejections_max);
+}
+
 void notices_note_answer(const attempt_t *a)
 {
 	uint64_t process = process_of(a->target, a->target_started_ms);
 	const traffic_t *t = a->request->traffic;
 
+	note_rejections_max(a);
+
 	if (a->head.leaving &&
 	    bsh_target_notice_leaving(&a->target->notice, process,
 				      traffic_now_us(t)))
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -182,12 +182,12 @@
 	bsh_log(BSH_LOG_INFO,
 		"attempt-ended id=%s target=%s software=%s end=%s error=%s "
 		"status=%d "
-		"sends=%u again=%d repeat=%s candidates=%u took_ms=%d "
-		"passed_events=%" G_GUINT64_FORMAT,
+		"sends=%u again=%d repeat=%s candidates=%u open=%u "
+		"took_ms=%d passed_events=%" G_GUINT64_FORMAT,
 		r->info.attempt_id, a->target_id, a->software, names[end],
 		end == ATTEMPT_FAILED ? "target-failed" : bsh_error_name(err),
 		a->status, r->sends, again, r->retry_denial, r->candidates,
-		to_ms(traffic_now_us(r->traffic) - a->began_us),
+		a->open, to_ms(traffic_now_us(r->traffic) - a->began_us),
 		r->relay.passed);
 }
 
--- a/bshentryd/target_pick.c
+++ b/bshentryd/target_pick.c
@@ -14,6 +14,7 @@
 	state->key = bsh_target_key(id);
 	bsh_target_limit_init(&state->limit);
 	bsh_target_notice_init(&state->notice);
+	state->rejections_max = -1;
 	g_hash_table_insert(t->targets, state->id, state);
 	return state;
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -67,6 +67,7 @@
 	bsh_target_limit_t limit;
 	int64_t limit_reported_us; /* to the control thread */
 	bsh_target_notice_t notice;
+	int64_t rejections_max; /* a second, named in its last answer; or -1 */
 	/* The process with this start time refused a connection at refused_us:
 	 * it has ended, and with it what it held.  0: none. */
 	uint64_t refused_started_ms;
@@ -148,7 +149,8 @@
 	/* Version of the target when it was sent. */
 	char software[BSH_SOFTWARE_SIZE];
 	uint64_t software_key;
-	double work_us;	    /* estimated prefill, until the answer begins */
+	uint32_t open;	/* of this instance at the target, itself included */
+	double work_us; /* estimated prefill, until the answer begins */
 	double expected_us; /* estimated time to the first byte; 0: none */
 	uint32_t uncached_tokens; /* of the prompt, by the estimate */
 	bsh_http_call_t *call;	  /* NULL: no call is running */
