--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -498,6 +498,14 @@
 	free_run(run);
 }
 
+static void add_brittle(const worker_t *worker, bsh_http_request_t *request)
+{
+	g_autofree char *text = g_strdup_printf("%u", worker->brittle);
+
+	if (worker->brittle > 0)
+		bsh_http_response_add_header(request, "Server-Brittle", text);
+}
+
 static void add_server_headers(const run_t *run)
 {
 	bsh_http_response_add_header(run->request, "Berylshunt-Server-Seal",
@@ -510,6 +518,7 @@
 	if (run->worker->leaving)
 		bsh_http_response_add_header(run->request, "Server-Leaving",
 					     "1");
+	add_brittle(run->worker, run->request);
 }
 
 static void send_stream_header(run_t *run)
@@ -690,6 +699,35 @@
 	bsh_http_response_send(request, status, "", 0);
 }
 
+static uint32_t open_runs(const worker_t *worker)
+{
+	const GPtrArray *runs = worker->rig->pending_runs;
+	uint32_t n = 0;
+
+	for (guint i = 0; i < runs->len; i++)
+		n += ((const run_t *)g_ptr_array_index(runs, i))->worker ==
+		     worker;
+	return n;
+}
+
+/* Rejects a request for want of room; a brittle process ends under too many of
+ * these in a second. */
+static void reject(worker_t *worker, bsh_http_request_t *request)
+{
+	const GArray *at = worker->rejected_us;
+	int64_t now_us = bsh_loop_clock_us();
+
+	g_array_append_val(worker->rejected_us, now_us);
+	add_brittle(worker, request);
+	refuse(request, 503);
+	if (worker->brittle == 0 || at->len <= worker->brittle ||
+	    now_us - g_array_index(at, int64_t, at->len - 1 - worker->brittle) >
+		    1000000)
+		return;
+	worker->falls += !worker->has_ended;
+	crash_worker(worker);
+}
+
 /* Counts an execution of the attempt at the worker. */
 static void record_run(const run_t *run)
 {
@@ -739,6 +777,10 @@
 		bsh_http_response_send(request, 421, "", 0);
 		return;
 	}
+	if (worker->places > 0 && open_runs(worker) >= worker->places) {
+		reject(worker, request);
+		return;
+	}
 	run = g_new0(run_t, 1);
 	run->worker = worker;
 	run->request = request;
@@ -846,6 +888,7 @@
 	bsh_loop_timer_init(&worker->process_timer, &rig->loop, start_process,
 			    worker);
 	worker->arrivals_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	worker->rejected_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	worker->work_ms = 10;
 	worker->started_ms = 1700000000000ULL + rig->n_workers;
 	worker->models = json_object();
@@ -1256,6 +1299,7 @@
 		if (rig->workers[i].server != NULL)
 			bsh_http_server_free(rig->workers[i].server);
 		g_array_free(rig->workers[i].arrivals_us, TRUE);
+		g_array_free(rig->workers[i].rejected_us, TRUE);
 		json_decref(rig->workers[i].models);
 	}
 	bsh_http_client_free(rig->client);
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -65,8 +65,16 @@
 	bsh_loop_timer_t process_timer; /* end or start, see crash_part */
 	bool has_ended;			/* its process, not yet started again */
 	uint32_t loads;			/* load orders executed */
-	const char *limit;   /* requests a second, named in answers; or NULL */
-	bool leaving;	     /* named in answers */
+	const char *limit; /* requests a second, named in answers; or NULL */
+	bool leaving;	   /* named in answers */
+	/* Requests that may be open at the worker, whose others are rejected; 0:
+	 * any number. */
+	uint32_t places;
+	/* Named in answers: the process ends if it has to reject more requests
+	 * than this in a second; 0: not named. */
+	uint32_t brittle;
+	GArray *rejected_us; /* int64_t, of requests beyond its places */
+	uint32_t falls;	     /* ends of its process by rejections */
 	const char *pause;   /* Retry-After of its refusals; or NULL */
 	GArray *arrivals_us; /* int64_t, of all requests that reached it */
 	uint64_t fence;	     /* highest fencing token of an order */
--- /dev/null
+++ b/regress/test_brittle.c
@@ -0,0 +1,195 @@
+/* Targets that end when they have to reject too many requests for want of
+ * room. */
+#include <glib.h>
+#include <string.h>
+
+#include "support/platform_rig.h"
+
+#define ENTRIES 10
+#define WORKERS 3
+#define PLACES	8
+#define TICK_MS 10
+/* Requests of a tick: three times what the places can serve. */
+#define TICK_REQUESTS 4
+#define WORK_MS	      200
+/* Instances must act on what an answer names this long after its first one: the
+ * platform's rule.  From then on the targets of a service may fall twice, and
+ * once more for each ten of them. */
+#define CONTACT_MS 3000
+#define MEASURE_MS 5000
+#define FALLS_MAX  (2 + WORKERS / 10)
+/* Of what the places could have served. */
+#define SERVED_MIN 0.9
+
+typedef struct {
+	platform_rig_t rig;
+	GPtrArray *calls; /* rig_reply_t, open */
+	uint32_t n;
+	uint32_t answered;
+	uint32_t refused;
+	uint32_t refused_blank; /* without Retry-After */
+	uint32_t unknown;	/* 502, 504 or no answer */
+} fixture_t;
+
+static void set_up(fixture_t *f, gconstpointer path)
+{
+	bool is_engine = strcmp(path, "/stream/") == 0;
+
+	memset(f, 0, sizeof(*f));
+	platform_rig_init(&f->rig);
+	platform_rig_configure(&f->rig, NULL);
+	f->rig.restart_ms = 1000;
+	for (int i = 0; i < WORKERS; i++) {
+		worker_t *worker = platform_rig_add_worker(
+			&f->rig, is_engine ? "llm" : "desk",
+			is_engine ? "m0" : NULL);
+
+		worker->places = PLACES;
+		worker->work_ms = WORK_MS;
+	}
+	for (int i = 0; i < ENTRIES; i++)
+		platform_rig_add_entry(&f->rig);
+	for (int i = 0; i < ENTRIES; i++)
+		platform_rig_wait_ready(&f->rig, &f->rig.entries[i]);
+	platform_rig_run(&f->rig, 500);
+	f->calls = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void tear_down(fixture_t *f, gconstpointer path)
+{
+	(void)path;
+	for (guint i = 0; i < f->calls->len; i++)
+		platform_rig_reply_clear(g_ptr_array_index(f->calls, i));
+	g_ptr_array_free(f->calls, TRUE);
+	platform_rig_finish(&f->rig);
+}
+
+static void collect(fixture_t *f)
+{
+	for (guint i = f->calls->len; i > 0; i--) {
+		rig_reply_t *reply = g_ptr_array_index(f->calls, i - 1);
+
+		if (!reply->done)
+			continue;
+		if (reply->status == 200) {
+			f->answered++;
+		} else if (reply->status == 429 || reply->status == 503) {
+			f->refused++;
+			f->refused_blank += reply->retry_after == NULL;
+		} else {
+			f->unknown++;
+		}
+		platform_rig_reply_clear(reply);
+		g_ptr_array_remove_index_fast(f->calls, i - 1);
+	}
+}
+
+/* Sends requests at all instances in turn. */
+static void run_callers(fixture_t *f, const char *path, uint32_t ms)
+{
+	bool is_engine = strcmp(path, "/stream/") == 0;
+	int64_t until_us = bsh_loop_clock_us() + ms * INT64_C(1000);
+
+	while (bsh_loop_clock_us() < until_us) {
+		for (int i = 0; i < TICK_REQUESTS; i++) {
+			rig_reply_t *reply = g_new0(rig_reply_t, 1);
+			g_autofree char *id = g_strdup_printf("b%u", f->n);
+			/* Repeats of one request could be blamed for the end of
+			 * a process. */
+			g_autofree char *target =
+				g_strdup_printf("%s%u", path, f->n);
+			const rig_entry_t *entry =
+				&f->rig.entries[f->n++ % ENTRIES];
+
+			platform_rig_send(&f->rig, entry->front, target, id,
+					  is_engine ? "m0" : NULL, 2000, reply);
+			g_ptr_array_add(f->calls, reply);
+		}
+		platform_rig_run(&f->rig, TICK_MS);
+		collect(f);
+	}
+}
+
+static uint32_t falls(const fixture_t *f)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < WORKERS; i++)
+		n += f->rig.workers[i].falls;
+	return n;
+}
+
+/* Most rejections of one target in any second from this time on. */
+static uint32_t most_rejections(const fixture_t *f, int64_t from_us)
+{
+	uint32_t most = 0;
+
+	for (int w = 0; w < WORKERS; w++) {
+		const GArray *at = f->rig.workers[w].rejected_us;
+		guint first = 0;
+
+		for (guint i = 0; i < at->len; i++) {
+			int64_t now_us = g_array_index(at, int64_t, i);
+
+			while (now_us - g_array_index(at, int64_t, first) >
+				       1000000 ||
+			       g_array_index(at, int64_t, first) < from_us) {
+				if (first == i)
+					break;
+				first++;
+			}
+			if (now_us >= from_us)
+				most = MAX(most, i - first + 1);
+		}
+	}
+	return most;
+}
+
+static double served_share(const fixture_t *f, const char *path, uint32_t ms)
+{
+	/* A stream has six events, 10 ms apart. */
+	double run_ms = WORK_MS + (strcmp(path, "/stream/") == 0 ? 60 : 0);
+
+	return f->answered / (WORKERS * PLACES * ms / run_ms);
+}
+
+/* Guards against targets that fall over under the requests that they have to
+ * reject, as each instance finds out by asking that no place is free. */
+static void test_targets_stay_up(fixture_t *f, gconstpointer data)
+{
+	const char *path = data;
+	uint32_t falls_before;
+	int64_t from_us;
+
+	for (int i = 0; i < WORKERS; i++)
+		f->rig.workers[i].brittle = 2;
+	run_callers(f, path, CONTACT_MS);
+	falls_before = falls(f);
+	from_us = bsh_loop_clock_us();
+	f->answered = 0;
+	f->refused = 0;
+	f->unknown = 0;
+	run_callers(f, path, MEASURE_MS);
+	g_test_message("falls=%u most rejections in 1 s=%u answered=%u "
+		       "refused=%u blank=%u unknown=%u served=%.2f",
+		       falls(f) - falls_before, most_rejections(f, from_us),
+		       f->answered, f->refused, f->refused_blank, f->unknown,
+		       served_share(f, path, MEASURE_MS));
+	g_assert_cmpuint(falls(f) - falls_before, <=, FALLS_MAX);
+	g_assert_cmpfloat(served_share(f, path, MEASURE_MS), >=, SERVED_MIN);
+	g_assert_cmpuint(f->refused_blank, ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	/* One case that fails does not keep the others from running. */
+	g_test_set_nonfatal_assertions();
+	g_test_add("/brittle/calls", fixture_t, "/book/", set_up,
+		   test_targets_stay_up, tear_down);
+	g_test_add("/brittle/lookups", fixture_t, "/look/", set_up,
+		   test_targets_stay_up, tear_down);
+	g_test_add("/brittle/streams", fixture_t, "/stream/", set_up,
+		   test_targets_stay_up, tear_down);
+	return g_test_run();
+}
