Move what waiting requests do into a file of its own

Code is moved, nothing changes: the decisions for requests that no target takes now are in waiting.c.

--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -8,7 +8,7 @@
  * DESCRIPTION
  *	A request is matched to a route, and is sent to a target or queued
  *	until a target holds its model.  traffic.c owns the requests and
- *	drives them; target_pick.c chooses targets and retry.c decides on
+ *	drives them; waiting.c decides what those do that no target takes; target_pick.c chooses targets and retry.c decides on
  *	retries; attempts.c has the one or two attempts of a request that run
  *	at a time, forward.c runs one of them and reports its outcome through
  *	attempts_ended(); demand.c counts the demand for models, engine_load.c
@@ -51,6 +51,9 @@
 /* Retry-After while draining: another instance can serve the caller at once. */
 #define RETRY_ELSEWHERE_MS 20
 
+/* Retry-After without an estimate. */
+#define RETRY_DEFAULT_MS 300
+
 /* The parts of its prompt that other requests share, all but the last one, and
  * the request as a whole. */
 #define SUSPECT_KEYS_MAX BSH_PROMPT_PARTS_MAX
@@ -290,6 +293,22 @@
 /* traffic_retry_waiting - look for targets for all waiting requests. */
 void traffic_retry_waiting(traffic_t *t);
 
+/* traffic_set_state - change the state of a request, and the counts of its
+ * model. */
+void traffic_set_state(request_t *r, request_state_t state);
+
+/* waiting.c */
+/* waiting_or_fail - no usable target can take the request now: it waits, or is
+ * refused at once if it cannot be served in time. */
+void waiting_or_fail(request_t *r);
+/* waiting_resume_later - a stream of which the caller has a part looks for a
+ * target again after a while. */
+void waiting_resume_later(request_t *r);
+/* waiting_pause_resume - the same after a target has refused to continue it. */
+void waiting_pause_resume(request_t *r);
+/* waiting_hold - look at a waiting request again only after this time. */
+void waiting_hold(request_t *r, int64_t wait_us);
+
 /* answer.c */
 /* answer_problem - answer with the problem document of the error; retry_ms:
  * Retry-After, -1: none. */
--- /dev/null
+++ b/bshentryd/waiting.c
@@ -0,0 +1,185 @@
+/* Requests that no target takes now: whether they wait, and for what, or are
+ * refused at once. */
+#include "traffic.h"
+
+/* Least time that a request needs at a target, apart from the wait. */
+#define RUN_MIN_US INT64_C(60000)
+/* Interval at which a stream that no target can continue at present looks for
+ * one. */
+#define RESUME_INTERVAL_US INT64_C(250000)
+/* Pause of a stream of which the caller has a part after a target has refused to
+ * continue it; doubles with each further refusal.  Each attempt takes a token of
+ * the retry budget, which belongs to all requests of the service. */
+#define REFUSED_PAUSE_US     INT64_C(50000)
+#define REFUSED_PAUSE_MAX_US INT64_C(800000)
+/* Estimates vary as loads begin and end: a waiting request is refused only when
+ * the estimate has exceeded its deadline for this time. */
+#define LATE_CONFIRM_US INT64_C(250000)
+/* Longest time after its arrival that a request waits without a lease holder:
+ * no instance orders targets to load models then. */
+#define NO_HOLDER_WAIT_US INT64_C(3000000)
+/* Longest wait of a stream that its caller resumes for a target of its version
+ * with its model. */
+#define VERSION_WAIT_MAX_US INT64_C(1000000)
+/* Time reserved during the drain for a waiting request to run. */
+#define DRAIN_RUN_US INT64_C(2500000)
+
+/* True if the model is expected early enough for the request to end before the
+ * drain aborts it. */
+static bool is_ready_before_abort(const request_t *r, const view_ready_t *ready)
+{
+	int64_t left_us = r->traffic->abort_at_us - traffic_now_us(r->traffic);
+
+	return ready != NULL && ready->ready_us != INT64_MAX &&
+	       ready->ready_us - ready->estimated_us + DRAIN_RUN_US < left_us;
+}
+
+/* True if the model is expected after the deadline of the request.  If it waits
+ * already, the estimate must have been too late for LATE_CONFIRM_US. */
+static bool is_too_late(request_t *r, int64_t wait_us)
+{
+	int64_t now_us = traffic_now_us(r->traffic);
+
+	if (wait_us + RUN_MIN_US <= traffic_time_left_us(r)) {
+		r->late_since_us = 0;
+		return false;
+	}
+	if (r->late_since_us == 0)
+		r->late_since_us = now_us;
+	return r->state != REQUEST_WAITING ||
+	       now_us - r->late_since_us >= LATE_CONFIRM_US;
+}
+
+/* Queues the request until the next view, or refuses it at once if it cannot be
+ * served in time. */
+static void wait_or_refuse(request_t *r)
+{
+	const view_t *view = r->traffic->view;
+	const view_ready_t *ready;
+	int64_t now_us = traffic_now_us(r->traffic);
+	int64_t wait_us;
+
+	if (!demand_is_counted(r)) {
+		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
+		return;
+	}
+	if (bsh_service_model(r->service, r->info.model) == NULL) {
+		traffic_fail(r, BSH_ERR_NOT_FOUND, -1);
+		return;
+	}
+	ready = view_find_ready(view, r->info.model, r->info.adapter);
+	if (ready != NULL && ready->ready_us != INT64_MAX) {
+		/* The clock is that of the control thread: only the
+		 * difference is valid here. */
+		wait_us = ready->ready_us - ready->estimated_us;
+		if (is_too_late(r, wait_us)) {
+			traffic_fail(r, BSH_ERR_DEADLINE, wait_us / 1000);
+			return;
+		}
+	}
+	if (r->traffic->draining && !is_ready_before_abort(r, ready)) {
+		traffic_fail(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
+		return;
+	}
+	if (!view->has_holder && now_us - r->arrived_us > NO_HOLDER_WAIT_US) {
+		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
+		return;
+	}
+	request_log_wait(r, ready);
+	/* At the next dispatch a target that was tried may be the only one, and
+	 * may have recovered. */
+	r->n_tried = 0;
+	traffic_set_state(r, REQUEST_WAITING);
+}
+
+/* A stream of which the caller has a part can only be continued or cut off: it
+ * waits for a target as long as its caller waits for an event. */
+static void wait_to_resume(request_t *r, int64_t pause_us)
+{
+	if (traffic_time_left_us(r) < RUN_MIN_US) {
+		traffic_fail(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
+		return;
+	}
+	request_log_wait(r, NULL);
+	traffic_set_state(r, REQUEST_WAITING);
+	r->resume_us = traffic_now_us(r->traffic) + pause_us;
+	bsh_loop_timer_start(&r->inactivity_timer, r->resume_us);
+}
+
+void waiting_resume_later(request_t *r)
+{
+	wait_to_resume(r, RESUME_INTERVAL_US);
+}
+
+/* A target has refused to continue the stream: others are asked one at a time,
+ * and those that have refused again after the others. */
+void waiting_pause_resume(request_t *r)
+{
+	int64_t pause_us = REFUSED_PAUSE_US << MIN(r->refusals, 4U);
+
+	r->refusals++;
+	wait_to_resume(r, MIN(pause_us, REFUSED_PAUSE_MAX_US));
+}
+
+/* No target is left to ask: those that were tried are asked again later. */
+static void wait_for_target(request_t *r)
+{
+	r->n_tried = 0;
+	wait_to_resume(r, RESUME_INTERVAL_US);
+}
+
+/* No target of the version that began the stream holds its model.  One that was
+ * started again soon loads it from its disk; a load from the weight store takes
+ * longer than a caller waits for an event. */
+static void wait_for_version(request_t *r)
+{
+	int64_t waited_us = traffic_now_us(r->traffic) - r->arrived_us;
+
+	if (waited_us >= VERSION_WAIT_MAX_US) {
+		traffic_fail(r, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
+		return;
+	}
+	request_log_wait(r, NULL);
+	r->n_tried = 0;
+	traffic_set_state(r, REQUEST_WAITING);
+	bsh_loop_timer_after(&r->inactivity_timer, RESUME_INTERVAL_US);
+}
+
+/* Looks at a waiting request again only after this time. */
+void waiting_hold(request_t *r, int64_t wait_us)
+{
+	r->resume_us = traffic_now_us(r->traffic) + wait_us;
+	bsh_loop_timer_start(&r->inactivity_timer, r->resume_us);
+}
+
+/* Only the limits of targets, or their pauses, keep the request away. */
+static void wait_for_leave(request_t *r)
+{
+	bool limited = r->limited_by != NULL;
+
+	if (limited ? !limits_may_wait(r) : !notices_may_wait(r)) {
+		traffic_fail(r, BSH_ERR_CAPACITY,
+			     limited ? limits_retry_ms(r)
+				     : notices_retry_ms(r));
+		return;
+	}
+	traffic_set_state(r, REQUEST_WAITING);
+	waiting_hold(r, limited ? r->limit_wait_us : r->pause_wait_us);
+}
+
+/* No usable target can take the request now. */
+void waiting_or_fail(request_t *r)
+{
+	if (traffic_is_begun_stream(r))
+		wait_for_target(r);
+	else if (reach_is_cut(r->traffic))
+		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_ELSEWHERE_MS);
+	else if (r->limited_by != NULL || r->pause_wait_us > 0)
+		wait_for_leave(r);
+	else if (stream_origin_is_constrained(r))
+		wait_for_version(r);
+	else if (r->n_tried > 0 && !demand_is_counted(r))
+		traffic_fail(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
+	else
+		wait_or_refuse(r);
+}
