Send to targets that may be full only where a place is free

What callers saw: beyond the places of a plain service 26,851 arrivals at its targets were rejected 13,846 times in 10 s, up to 354 times a second at one target; 5,093 callers got 502 for calls that must not run twice. Targets that bear few rejections a second end under that, and nothing is served (GONE, LIMIT).

Cause: what all instances together have open at a target was not part of the state by which each of them decides. "Full" was learnt by asking, so the rate of rejections grew with the number of instances. The class: a shared resource without an owner.

Change: one instance for each target gives out its places; an instance needs one for each request to a target that may be full (docs/platform.md, section 11). The end of a wait is told with each grant, so a request that would not get a place in time is refused at once.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -74,6 +74,7 @@
 	else
 		bsh_target_ended(&a->target->record, at_fault,
 				 traffic_now_us(r->traffic));
+	places_released(a, end == ATTEMPT_CANCELLED || end == ATTEMPT_BROKEN);
 	a->active = false;
 	a->target = NULL;
 	if (!a->sent)
@@ -272,6 +273,8 @@
 	 * then only takes longer, and when there is no other target. */
 	if (a->target->record.last_first_byte_at_us > r->last_active_us ||
 	    (target = target_pick(r, &candidate)) == NULL ||
+	    !places_are_free(r->traffic,
+			     target_pick_state(r->traffic, target->id)) ||
 	    !retry_is_allowed(r, r->sends + 1)) {
 		request_log_silence(r, "wait");
 		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -164,6 +164,14 @@
 	} else if (message->type == BSH_MSG_TARGET_LIMITS) {
 		limit_shares_receive(control->limit_shares, message->sender,
 				     &message->target_limits);
+	} else if (message->type == BSH_MSG_PLACE_NEEDS) {
+		place_keeper_receive_needs(
+			control->place_keeper, message->sender,
+			message->incarnation, &message->place_needs);
+	} else if (message->type == BSH_MSG_PLACE_GRANTS) {
+		place_keeper_receive_grants(control->place_keeper,
+					    message->sender,
+					    &message->place_grants);
 	} else if (message->type == BSH_MSG_INVENTORY) {
 		if (strcmp(message->sender, orders_holder(control->orders)) ==
 		    0)
@@ -234,6 +242,15 @@
 	g_free(message);
 }
 
+void control_ask_places(void *data)
+{
+	control_places_msg_t *message = data;
+
+	place_keeper_ask(message->control->place_keeper, message->asks);
+	g_array_free(message->asks, TRUE);
+	g_free(message);
+}
+
 static int64_t read_settings_mtime_ns(const control_t *control)
 {
 	struct stat info;
@@ -307,6 +324,7 @@
 	loads_tick(control->loads);
 	quarantine_tick(control->quarantine);
 	limit_shares_tick(control->limit_shares);
+	place_keeper_tick(control->place_keeper);
 	cut_peers_tick(control->cut_peers);
 	publish_freshness(control);
 	if (++ticks % (SETTINGS_CHECK_INTERVAL_US / TICK_INTERVAL_US) == 0)
@@ -420,6 +438,7 @@
 	control->quarantine = quarantine_new(control);
 	control->limit_shares = limit_shares_new(control);
 	control->cut_peers = cut_peers_new(control);
+	control->place_keeper = place_keeper_new(control);
 	control->directory = directory_new(control);
 	err = directory_start(control->directory);
 	if (err == BSH_OK)
@@ -439,6 +458,7 @@
 	bsh_loop_timer_stop(&control->stop_timer);
 	bsh_loop_task_cancel(&control->view_task);
 	directory_free(control->directory);
+	place_keeper_free(control->place_keeper);
 	cut_peers_free(control->cut_peers);
 	limit_shares_free(control->limit_shares);
 	quarantine_free(control->quarantine);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -39,6 +39,7 @@
 typedef struct quarantine quarantine_t;
 typedef struct limit_shares limit_shares_t;
 typedef struct cut_peers cut_peers_t;
+typedef struct place_keeper place_keeper_t;
 
 struct control {
 	entry_t *entry;
@@ -57,6 +58,7 @@
 	quarantine_t *quarantine;
 	limit_shares_t *limit_shares;
 	cut_peers_t *cut_peers;
+	place_keeper_t *place_keeper;
 	bsh_loop_timer_t tick_timer;
 	bsh_loop_timer_t drain_timer;
 	bsh_loop_timer_t stop_timer;
@@ -188,6 +190,11 @@
 /* Rank of this instance among those alive by rendezvous hashing of a key, 0: the
  * first; *n is their number. */
 uint32_t peers_rank(const peers_t *peers, uint64_t key, uint32_t *n);
+/* The instance that rendezvous hashing of a key ranks first, of those that are
+ * alive and not leaving, this one included; names in left_out are left out.
+ * NULL: none is left. */
+const char *peers_first(const peers_t *peers, uint64_t key,
+			GHashTable *left_out);
 /* peers_choose_relays - append instances that reach targets, the nearest first,
  * to an array of bsh_relay_peer_t. */
 void peers_choose_relays(const peers_t *peers, GArray *relays);
@@ -340,6 +347,20 @@
 			  const bsh_msg_target_limits_t *message);
 void limit_shares_tick(limit_shares_t *shares);
 
+/* place_keeper.c: places of targets, given out to all instances. */
+place_keeper_t *place_keeper_new(control_t *control);
+void place_keeper_free(place_keeper_t *keeper);
+/* Tells the needs of this instance, place_ask_t, to the instances that keep the
+ * ledgers. */
+void place_keeper_ask(place_keeper_t *keeper, const GArray *asks);
+/* Handle PLACE_NEEDS and PLACE_GRANTS. */
+void place_keeper_receive_needs(place_keeper_t *keeper, const char *sender,
+				uint64_t incarnation,
+				const bsh_msg_place_needs_t *message);
+void place_keeper_receive_grants(place_keeper_t *keeper, const char *sender,
+				 const bsh_msg_place_grants_t *message);
+void place_keeper_tick(place_keeper_t *keeper);
+
 /* directory.c: HTTP endpoints for readiness probes, callers that look up
  * instances, and metrics. */
 directory_t *directory_new(control_t *control);
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -33,6 +33,7 @@
  *	suspects.c	whether a request may be sent, by such ends
  *	notices.c	what targets say of themselves in answers
  *	limits.c	limits of requests that targets name
+ *	places.c	places of requests at targets that may be full
  *	reach.c		whether this instance reaches any target
  *	demand.c	demand for models, by the requests of this instance
  *	engine_load.c	open work of the requests of this instance at engines
@@ -50,6 +51,7 @@
 #include <signal.h>
 
 #include "base/settings.h"
+#include "protocol/message.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/loop.h"
@@ -141,6 +143,18 @@
 } control_limits_msg_t;
 /* control_limits - called by bsh_loop_post(): limits that targets named. */
 void control_limits(void *limits);
+/* A need of this instance, and whether earlier ones were not answered. */
+typedef struct {
+	bsh_place_need_t need;
+	bool unanswered;
+} place_ask_t;
+/* Message from the traffic thread to control_ask_places(), which frees it. */
+typedef struct {
+	control_t *control;
+	GArray *asks; /* place_ask_t */
+} control_places_msg_t;
+/* control_ask_places - called by bsh_loop_post(). */
+void control_ask_places(void *places);
 /* control_demand - called by bsh_loop_post() with a control_demand_msg_t. */
 void control_demand(void *demand);
 
@@ -202,6 +216,13 @@
 } traffic_limits_msg_t;
 /* traffic_set_limits - called by bsh_loop_post(). */
 void traffic_set_limits(void *limits);
+/* Message from the control thread to traffic_set_places(), which frees it. */
+typedef struct {
+	traffic_t *traffic;
+	GArray *grants; /* bsh_place_grant_t */
+} traffic_places_msg_t;
+/* traffic_set_places - called by bsh_loop_post(). */
+void traffic_set_places(void *places);
 /* traffic_drain - from now on each response closes its connection, and requests
  * wait only for models that are expected within the grace time. */
 void traffic_drain(void *traffic);
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -175,6 +175,7 @@
 	if (status != 421 && !a->at_peer) {
 		limits_note_answer(a);
 		notices_note_answer(a);
+		places_note_answer(a);
 	}
 	if (platform_head_is_refusal(&a->head, status)) {
 		end_attempt(a, ATTEMPT_REFUSED, BSH_ERR_REFUSED);
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -543,6 +543,42 @@
 	return rank.before;
 }
 
+typedef struct {
+	uint64_t key;
+	GHashTable *left_out; /* names */
+	uint64_t score;
+	const char *name;
+} first_t;
+
+static void rank_first(first_t *first, const char *name)
+{
+	uint64_t score = name_score(first->key, name);
+
+	if (g_hash_table_contains(first->left_out, name) ||
+	    (first->name != NULL && score <= first->score))
+		return;
+	first->score = score;
+	first->name = name;
+}
+
+static void rank_first_member(void *ctx, const bsh_member_t *member)
+{
+	if (member->state == BSH_MEMBER_ALIVE && !member->leaving &&
+	    member->has_place)
+		rank_first(ctx, member->name);
+}
+
+const char *peers_first(const peers_t *peers, uint64_t key,
+			GHashTable *left_out)
+{
+	first_t first = { .key = key, .left_out = left_out };
+
+	bsh_members_foreach(peers->members, rank_first_member, &first);
+	if (!peers->leaving)
+		rank_first(&first, peers->control->entry->settings.instance);
+	return first.name;
+}
+
 typedef struct {
 	const peers_t *peers;
 	bsh_entry_choice_t *choice;
--- a/bshentryd/target_pick.c
+++ b/bshentryd/target_pick.c
@@ -108,6 +108,7 @@
 	int64_t now_us = traffic_now_us(t);
 	target_state_t *state;
 	bsh_target_work_t work;
+	uint64_t affinity = affinity_of(r);
 	int32_t best;
 
 	if (r->attempt->active && suspects_risk_second(r))
@@ -139,6 +140,11 @@
 		    is_limited(r, state, target->started_ms))
 			continue;
 		candidate.record = &state->record;
+		candidate.needs_place = places_are_counted(t, state);
+		candidate.wait_us = places_delay_us(t, state);
+		/* Requests for places are spread over the targets. */
+		if (candidate.wait_us > 0 && !demand_is_counted(r))
+			affinity = bsh_target_key(r->info.attempt_id);
 		candidate.leaving =
 			target->entry_removed ||
 			notices_is_leaving(state, target->started_ms);
@@ -149,7 +155,7 @@
 	engine_load_work(r, &work);
 	best = bsh_target_choose(
 		(bsh_target_candidate_t *)(void *)t->candidates->data,
-		t->candidates->len, &work, affinity_of(r), now_us);
+		t->candidates->len, &work, affinity, now_us);
 	if (r->n_isolated > 0)
 		best = choose_isolated(r);
 	if (best < 0)
@@ -166,7 +172,8 @@
 	const traffic_t *t = ctx;
 
 	(void)key;
-	return state->last_view != t->view_number && state->record.running == 0;
+	return state->last_view != t->view_number &&
+	       state->record.running == 0 && state->hold.wanted == 0;
 }
 
 void target_pick_view_changed(traffic_t *t)
@@ -180,6 +187,7 @@
 		if (state->started_ms != target->started_ms)
 			bsh_target_restarted(&state->record);
 		state->started_ms = target->started_ms;
+		places_set_target(t, state, target);
 	}
 	g_hash_table_foreach_remove(t->targets, is_stale_target, t);
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -35,6 +35,8 @@
 	model_demand_t *counters =
 		demand_is_counted(r) ? demand_counters(t, r) : NULL;
 
+	if (state != REQUEST_WAITING)
+		places_unwant(r);
 	if (r->state == state)
 		return;
 	suspects_release(r);
@@ -201,6 +203,7 @@
 {
 	bsh_target_candidate_t candidate;
 	const view_target_t *target;
+	place_t place;
 
 	if (forward_is_abandoned(r)) {
 		end_abandoned(r);
@@ -242,6 +245,15 @@
 		waiting_hold(r, HELD_INTERVAL_US);
 		return;
 	}
+	place = places_claim(r, target);
+	if (place != PLACE_FREE) {
+		if (place == PLACE_WAIT)
+			waiting_for_place(r);
+		else
+			traffic_fail(r, BSH_ERR_CAPACITY,
+				     places_retry_ms(r, target));
+		return;
+	}
 	traffic_set_state(r, REQUEST_RUNNING);
 	suspects_sent(r);
 	attempts_send(r, target, &candidate);
@@ -494,13 +506,20 @@
 	traffic_set_state(r, REQUEST_WAITING);
 }
 
-void traffic_retry_waiting(traffic_t *t)
+GPtrArray *traffic_waiting(const traffic_t *t)
 {
-	g_autoptr(GPtrArray) waiting = g_ptr_array_new();
+	GPtrArray *waiting = g_ptr_array_new();
 
 	for (GList *l = t->waiting.head; l != NULL; l = l->next)
 		g_ptr_array_add(waiting, l->data);
 	g_ptr_array_sort(waiting, compare_urgency);
+	return waiting;
+}
+
+void traffic_retry_waiting(traffic_t *t)
+{
+	g_autoptr(GPtrArray) waiting = traffic_waiting(t);
+
 	for (guint i = 0; i < waiting->len; i++) {
 		request_t *r = g_ptr_array_index(waiting, i);
 
@@ -582,6 +601,7 @@
 	suspects_init(t);
 	reach_init(t);
 	relays_init(t);
+	places_init(t);
 	bsh_loop_task_init(&t->streams_task, t->loop, stream_origin_send, t);
 	g_queue_init(&t->waiting);
 	g_queue_init(&t->requests);
@@ -609,6 +629,7 @@
 	bsh_loop_timer_stop(&t->abort_timer);
 	bsh_loop_task_cancel(&t->streams_task);
 	stream_origin_finish(t);
+	places_finish(t);
 	view_unref(t->view);
 	relays_finish(t);
 	g_hash_table_destroy(t->targets);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -28,10 +28,12 @@
  */
 
 #include "coordination/load_table.h"
+#include "coordination/place_hold.h"
 #include "coordination/prefill.h"
 #include "coordination/quarantine.h"
 #include "coordination/reach.h"
 #include "coordination/retry_budget.h"
+#include "coordination/service_pressure.h"
 #include "coordination/stream_table.h"
 #include "coordination/target_choice.h"
 #include "coordination/target_limit.h"
@@ -59,6 +61,7 @@
 #define SUSPECT_KEYS_MAX BSH_PROMPT_PARTS_MAX
 
 typedef struct request request_t;
+typedef struct service_state service_state_t; /* of places.c */
 
 typedef struct {
 	bsh_target_record_t record;
@@ -71,6 +74,10 @@
 	int64_t limit_reported_us; /* to the control thread */
 	bsh_target_notice_t notice;
 	int64_t rejections_max; /* a second, named in its last answer; or -1 */
+	service_state_t *service; /* NULL: it is an instance */
+	uint32_t slots;		  /* requests that it runs at a time */
+	bsh_place_hold_t hold;
+	int64_t rejected_us; /* last rejection for want of room; 0: none */
 	/* The process with this start time refused a connection at refused_us:
 	 * it has ended, and with it what it held.  0: none. */
 	uint64_t refused_started_ms;
@@ -96,7 +103,10 @@
 	uint64_t view_number;
 	GHashTable *targets; /* id to target_state_t */
 	bsh_prefill_t prefill;
-	GHashTable *demand;	    /* model and adapter to model_demand_t */
+	GHashTable *demand;   /* model and adapter to model_demand_t */
+	GHashTable *services; /* name to service_state_t */
+	bsh_loop_timer_t places_timer;
+	bsh_loop_task_t places_task;
 	GHashTable *budgets;	    /* service to bsh_retry_budget_t */
 	bsh_stream_table_t streams; /* that this instance forwards */
 	GArray *new_streams; /* bsh_stream_record_t, not yet sent to others */
@@ -210,6 +220,10 @@
 	/* Least time until the end of the pause of a target that was left out at
 	 * the last choice; 0: none was. */
 	int64_t pause_wait_us;
+	/* Target at which the request waits for a place; NULL: none. */
+	target_state_t *wants;
+	bool asks_place;	  /* for it, and has no answer yet */
+	uint32_t place_turns;	  /* targets that were asked for one */
 	const char *retry_denial; /* logged reason for no retry; "-": none */
 	GList wait_link;	  /* in traffic.waiting */
 
@@ -297,6 +311,9 @@
  * model. */
 void traffic_set_state(request_t *r, request_state_t state);
 
+/* traffic_waiting - the waiting requests, the most urgent first; to be freed. */
+GPtrArray *traffic_waiting(const traffic_t *t);
+
 /* waiting.c */
 /* waiting_or_fail - no usable target can take the request now: it waits, or is
  * refused at once if it cannot be served in time. */
@@ -306,6 +323,8 @@
 void waiting_resume_later(request_t *r);
 /* waiting_pause_resume - the same after a target has refused to continue it. */
 void waiting_pause_resume(request_t *r);
+/* waiting_for_place - the request waits for a place at a target. */
+void waiting_for_place(request_t *r);
 /* waiting_hold - look at a waiting request again only after this time. */
 void waiting_hold(request_t *r, int64_t wait_us);
 
@@ -526,6 +545,42 @@
  * one is given a later time. */
 int64_t limits_retry_ms(request_t *r);
 
+/* places.c: traffic_set_places() of entry.h. */
+void places_init(traffic_t *t);
+void places_finish(traffic_t *t);
+/* places_set_target - the state of a target in a new view. */
+void places_set_target(traffic_t *t, target_state_t *state,
+		       const view_target_t *target);
+/* places_note_answer - the head of a response of the attempt's target was
+ * received. */
+void places_note_answer(attempt_t *a);
+/* places_are_brittle - the targets of the service may end under rejections. */
+bool places_are_brittle(const traffic_t *t, const target_state_t *state);
+/* places_are_counted - a request to the target needs a place. */
+bool places_are_counted(const traffic_t *t, const target_state_t *state);
+/* places_are_free - a request may be sent to the target now. */
+bool places_are_free(const traffic_t *t, target_state_t *state);
+/* places_delay_us - expected wait for a place at the target. */
+int64_t places_delay_us(const traffic_t *t, target_state_t *state);
+typedef enum {
+	PLACE_FREE, /* the request may be sent */
+	PLACE_WAIT, /* it waits for a place */
+	PLACE_NONE  /* none is expected within its latency objective */
+} place_t;
+
+/* places_claim - whether the request may be sent to the target now. */
+place_t places_claim(request_t *r, const view_target_t *target);
+/* places_unwant - the request waits for no place any more. */
+void places_unwant(request_t *r);
+/* places_retry_ms - Retry-After of a request for which the target, the one with
+ * the shortest wait, has no place. */
+int64_t places_retry_ms(const request_t *r, const view_target_t *target);
+/* places_recheck_us - time after which a waiting request looks for another
+ * target. */
+int64_t places_recheck_us(void);
+/* places_released - an attempt has ended, and its target's record knows it. */
+void places_released(attempt_t *a, bool cancelled);
+
 /* notices.c */
 /* notices_note_answer - the head of a response of the attempt's target was
  * received. */
--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -152,6 +152,17 @@
 	bsh_loop_timer_start(&r->inactivity_timer, r->resume_us);
 }
 
+void waiting_for_place(request_t *r)
+{
+	if (traffic_is_begun_stream(r) &&
+	    traffic_time_left_us(r) < RUN_MIN_US) {
+		traffic_fail(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
+		return;
+	}
+	traffic_set_state(r, REQUEST_WAITING);
+	waiting_hold(r, places_recheck_us());
+}
+
 /* Only the limits of targets, or their pauses, keep the request away. */
 static void wait_for_leave(request_t *r)
 {
--- a/lib/coordination/target_choice.c
+++ b/lib/coordination/target_choice.c
@@ -60,6 +60,7 @@
 				   FIRST_BYTE_HALF_LIFE_US);
 	expected_us *= 1.0 + 4.0 * load + (load >= 1.0 ? 8.0 * load : 0.0);
 	expected_us *= 1.0 + FAILURE_PENALTY * r->failure_share;
+	expected_us += (double)c->wait_us;
 	return expected_us + (c->same_zone ? 0.0 : OTHER_ZONE_PENALTY_US);
 }
 
@@ -91,8 +92,9 @@
 				 SLOWNESS_HALF_LIFE_US);
 	delay_us *= 1.0 + FAILURE_PENALTY * r->failure_share;
 	delay_us += RUNNING_DELAY_US * running;
-	if (running >= c->slots)
+	if (running >= c->slots && !c->needs_place)
 		delay_us += FULL_DELAY_US;
+	delay_us += (double)c->wait_us;
 	return delay_us + (c->same_zone ? 0.0 : OTHER_ZONE_PENALTY_US);
 }
 
--- a/lib/coordination/target_choice.h
+++ b/lib/coordination/target_choice.h
@@ -70,6 +70,10 @@
 	uint32_t slots;
 	uint64_t target_hash; /* of the target's id */
 	bool same_zone;	      /* as this instance */
+	/* Requests need a place there (coordination/place_hold.h), and the wait
+	 * for one; 0: it is free. */
+	bool needs_place;
+	int64_t wait_us;
 	/* Its entry was removed from the platform's list and the grace time
 	 * still runs, or it has said that it leaves: chosen only if no other
 	 * target is usable. */
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -323,6 +323,32 @@
 	END
 };
 
+static const field_t place_need_fields[] = {
+	U64(bsh_place_need_t, target),	       U32(bsh_place_need_t, sequence),
+	U32(bsh_place_need_t, open),	       U32(bsh_place_need_t, wanted),
+	U32(bsh_place_need_t, urgency),	       U32(bsh_place_need_t, slots),
+	U32(bsh_place_need_t, run_ms),	       U32(bsh_place_need_t, rejected),
+	U32(bsh_place_need_t, rejections_max), END
+};
+
+static const field_t place_needs_fields[] = {
+	LIST(bsh_msg_place_needs_t, needs, need_count, place_need_fields,
+	     bsh_place_need_t),
+	END
+};
+
+static const field_t place_grant_fields[] = {
+	U64(bsh_place_grant_t, target),	    U32(bsh_place_grant_t, sequence),
+	U32(bsh_place_grant_t, places),	    U32(bsh_place_grant_t, wait_ms),
+	BOOL(bsh_place_grant_t, contended), END
+};
+
+static const field_t place_grants_fields[] = {
+	LIST(bsh_msg_place_grants_t, grants, grant_count, place_grant_fields,
+	     bsh_place_grant_t),
+	END
+};
+
 static const field_t inventory_fields[] = {
 	U64(bsh_msg_inventory_t, term),
 	U64(bsh_msg_inventory_t, number),
@@ -366,6 +392,8 @@
 	[BSH_MSG_SUSPECT_FACTS] = { "SUSPECT_FACTS", suspect_facts_fields },
 	[BSH_MSG_TARGET_LIMITS] = { "TARGET_LIMITS", target_limits_fields },
 	[BSH_MSG_REACH] = { "REACH", reach_fields },
+	[BSH_MSG_PLACE_NEEDS] = { "PLACE_NEEDS", place_needs_fields },
+	[BSH_MSG_PLACE_GRANTS] = { "PLACE_GRANTS", place_grants_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -63,6 +63,8 @@
 	BSH_MSG_SUSPECT_FACTS,
 	BSH_MSG_TARGET_LIMITS,
 	BSH_MSG_REACH,
+	BSH_MSG_PLACE_NEEDS,
+	BSH_MSG_PLACE_GRANTS,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -460,6 +462,46 @@
 	uint32_t entry_count;
 } bsh_msg_target_limits_t;
 
+/* The target has not named how many rejections it bears. */
+#define BSH_REJECTIONS_ANY UINT32_MAX
+/* Most entries of a PLACE_NEEDS or PLACE_GRANTS that fit a datagram. */
+#define BSH_PLACE_ENTRIES_MAX 20
+
+/* What an instance needs of a target (coordination/place_ledger.h). */
+typedef struct {
+	uint64_t target;   /* bsh_process_key() of its id alone */
+	uint32_t sequence; /* rises with each need of the instance for it */
+	uint32_t open;	   /* requests of the instance at the target */
+	uint32_t wanted;   /* requests that wait for a place */
+	uint32_t urgency;  /* of the most urgent of these, 0 first */
+	uint32_t slots;	   /* requests that the target runs at a time */
+	uint32_t run_ms; /* usual time of a request at the target; 0: unknown */
+	uint32_t rejected; /* requests that it rejected, in all */
+	/* That it bears in a second, or BSH_REJECTIONS_ANY. */
+	uint32_t rejections_max;
+} bsh_place_need_t;
+
+typedef struct {
+	uint64_t target;
+	uint32_t sequence; /* of the need that it answers */
+	uint32_t places;   /* requests that the instance may have open */
+	uint32_t
+		wait_ms; /* until a further place is expected; 0: none wanted */
+	bool contended;	 /* requests wait for a place, here or elsewhere */
+} bsh_place_grant_t;
+
+/* PLACE_NEEDS: from an instance to the one that keeps the ledger of targets. */
+typedef struct {
+	const bsh_place_need_t *needs;
+	uint32_t need_count;
+} bsh_msg_place_needs_t;
+
+/* PLACE_GRANTS: the answer, and again whenever a place becomes free. */
+typedef struct {
+	const bsh_place_grant_t *grants;
+	uint32_t grant_count;
+} bsh_msg_place_grants_t;
+
 /* Most entries of a LOAD that fit a datagram if no value exceeds the bound. */
 #define BSH_LOAD_ENTRIES_MAX 72
 #define BSH_LOAD_VALUE_MAX   65535U
@@ -514,6 +556,8 @@
 		bsh_msg_suspect_facts_t suspect_facts;
 		bsh_msg_reach_t reach;
 		bsh_msg_target_limits_t target_limits;
+		bsh_msg_place_needs_t place_needs;
+		bsh_msg_place_grants_t place_grants;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -51,6 +51,8 @@
 	bool crashes; /* its prompt has the part under which processes end */
 	uint32_t next_event;
 	bool header_sent;
+	bool ended; /* its answer is complete, perhaps not yet delivered */
+	int64_t began_us;
 } run_t;
 
 static void answer_json(bsh_http_request_t *request, int status, json_t *body)
@@ -493,8 +495,13 @@
 {
 	run_t *run = ctx;
 
-	if (!delivered)
+	if (delivered) {
+		run->worker->delivered++;
+		run->worker->delivered_us +=
+			bsh_loop_clock_us() - run->began_us;
+	} else {
 		run->worker->aborted++;
+	}
 	free_run(run);
 }
 
@@ -671,6 +678,7 @@
 		return;
 	}
 	if (!run->stream) {
+		run->ended = true;
 		add_server_headers(run);
 		bsh_http_response_send(run->request, 200, "done", 4);
 		return;
@@ -686,6 +694,7 @@
 		return;
 	}
 	if (run->next_event >= STREAM_EVENTS) {
+		run->ended = true;
 		bsh_http_response_end(run->request);
 		return;
 	}
@@ -704,9 +713,11 @@
 	const GPtrArray *runs = worker->rig->pending_runs;
 	uint32_t n = 0;
 
-	for (guint i = 0; i < runs->len; i++)
-		n += ((const run_t *)g_ptr_array_index(runs, i))->worker ==
-		     worker;
+	for (guint i = 0; i < runs->len; i++) {
+		const run_t *run = g_ptr_array_index(runs, i);
+
+		n += run->worker == worker && !run->ended;
+	}
 	return n;
 }
 
@@ -786,6 +797,7 @@
 	run->request = request;
 	run->stream = model != NULL;
 	run->crashes = crashes;
+	run->began_us = now_us;
 	run->next_event =
 		after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) : 0;
 	g_strlcpy(run->attempt, id != NULL ? id : "", sizeof(run->attempt));
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -37,6 +37,12 @@
 };
 static const bsh_limit_entry_t limits[] = { { 5, 1200, 7 },
 					    { 6, BSH_LIMIT_MILLI_NONE, 0 } };
+static const bsh_place_need_t place_needs[] = {
+	{ UINT64_MAX, 2, 3, 4, 5, 6, 7, 8, BSH_REJECTIONS_ANY }
+};
+static const bsh_place_grant_t place_grants[] = {
+	{ 1, 2, 3, 4, true }, { UINT64_MAX, UINT32_MAX, 0, 0, false }
+};
 static const bsh_ready_entry_t ready[] = { { 7, 8, 900 } };
 
 /* Returns a message of the type with every field set. */
@@ -141,6 +147,12 @@
 	case BSH_MSG_TARGET_LIMITS:
 		m.target_limits = (bsh_msg_target_limits_t){ 9, limits, 2 };
 		break;
+	case BSH_MSG_PLACE_NEEDS:
+		m.place_needs = (bsh_msg_place_needs_t){ place_needs, 1 };
+		break;
+	case BSH_MSG_PLACE_GRANTS:
+		m.place_grants = (bsh_msg_place_grants_t){ place_grants, 2 };
+		break;
 	case BSH_MSG_REACH:
 		m.reach = (bsh_msg_reach_t){ true };
 		break;
