--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -37,9 +37,8 @@
 };
 static const bsh_limit_entry_t limits[] = { { 5, 1200, 7 },
 					    { 6, BSH_LIMIT_MILLI_NONE, 0 } };
-static const bsh_place_need_t place_needs[] = {
-	{ UINT64_MAX, 2, 3, 4, 5, 6, 7, 8, BSH_REJECTIONS_ANY }
-};
+static const bsh_place_need_t place_needs[] = { { UINT64_MAX, 2, 3, 4, 5, 6, 7,
+						  8, BSH_REJECTIONS_ANY } };
 static const bsh_place_grant_t place_grants[] = {
 	{ 1, 2, 3, 4, true }, { UINT64_MAX, UINT32_MAX, 0, 0, false }
 };
--- a/regress/test_load.c
+++ b/regress/test_load.c
@@ -304,6 +304,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	/* A pattern that fails is reported by its name, and the others run. */
+	g_test_set_nonfatal_assertions();
 	g_test_add_func("/load/hot-model-with-shared-prompts",
 			test_hot_model_with_shared_prompts);
 	g_test_add_func("/load/engines-of-unequal-speed",
