Accuse no request of the falls of brittle targets

What callers saw: a booking under which brittle targets fell three times was refused with 503, without a time to come back, for 24 h.

Cause: a process that ends accuses the requests that were beginning there. A brittle target ends under the requests that it rejects, whatever it runs: the one that comes with it most often is blamed.

--- a/bshentryd/target_end.c
+++ b/bshentryd/target_end.c
@@ -92,13 +92,24 @@
 		cut->id, end->target, end->process, cut->beginning, keys->str);
 }
 
+/* A brittle target ends under what it has to reject, whatever it runs. */
+static bool is_brittle(const end_t *end)
+{
+	const target_state_t *state =
+		g_hash_table_lookup(end->traffic->targets, end->target);
+
+	return state != NULL && places_are_brittle(end->traffic, state);
+}
+
 static void report_cuts(end_t *end)
 {
+	bool accuse = !is_brittle(end);
+
 	for (guint i = 0; i < end->cuts->len; i++) {
 		const cut_t *cut = &g_array_index(end->cuts, cut_t, i);
 
 		log_cut(end, cut);
-		if (cut->beginning)
+		if (cut->beginning && accuse)
 			suspects_accuse(end->traffic, &cut->suspects,
 					end->process, cut->cut_us);
 	}
--- a/regress/test_brittle.c
+++ b/regress/test_brittle.c
@@ -188,6 +188,67 @@
 	g_assert_cmpuint(f->refused_blank, ==, 0);
 }
 
+/* Lets the target that runs the request fall under requests of others. */
+static void fall_under(fixture_t *f, const char *id)
+{
+	rig_reply_t reply = { 0 };
+	rig_reply_t others[PLACES + 4] = { { 0 } };
+	worker_t *used = NULL;
+	uint32_t before = falls(f);
+
+	platform_rig_send(&f->rig, f->rig.entries[0].front, "/book/same", id,
+			  NULL, 2000, &reply);
+	for (int ms = 0; ms < 1000 && used == NULL; ms += TICK_MS) {
+		platform_rig_run(&f->rig, TICK_MS);
+		for (int i = 0; i < WORKERS; i++)
+			if ((platform_rig_run_workers(&f->rig, id) >> i & 1) !=
+			    0)
+				used = &f->rig.workers[i];
+	}
+	g_assert_nonnull(used);
+	if (used == NULL)
+		return;
+	for (guint i = 0; i < G_N_ELEMENTS(others); i++) {
+		g_autofree char *other = g_strdup_printf("%s-%u", id, i);
+
+		platform_rig_send(&f->rig, used->address, "/other", other, NULL,
+				  2000, &others[i]);
+	}
+	platform_rig_wait(&f->rig, &reply.done);
+	g_assert_cmpuint(falls(f), ==, before + 1);
+	platform_rig_run(&f->rig, f->rig.restart_ms + WORK_MS);
+	platform_rig_reply_clear(&reply);
+	for (guint i = 0; i < G_N_ELEMENTS(others); i++)
+		platform_rig_reply_clear(&others[i]);
+}
+
+/* Guards against a request that is refused for good, as processes of brittle
+ * targets have ended while it ran there. */
+static void test_falls_accuse_no_request(fixture_t *f, gconstpointer data)
+{
+	rig_reply_t reply = { 0 };
+
+	(void)data;
+	for (int i = 0; i < WORKERS; i++)
+		f->rig.workers[i].brittle = 2;
+	f->rig.restart_ms = 300;
+	/* An answer that says so comes before the first fall. */
+	platform_rig_send(&f->rig, f->rig.entries[0].front, "/look/first",
+			  "first", NULL, 2000, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	platform_rig_reply_clear(&reply);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf("same%d", i);
+
+		fall_under(f, id);
+	}
+	platform_rig_send(&f->rig, f->rig.entries[0].front, "/book/same",
+			  "last", NULL, 2000, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	g_assert_cmpint(reply.status, ==, 200);
+	platform_rig_reply_clear(&reply);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -199,5 +260,7 @@
 		   test_targets_stay_up, tear_down);
 	g_test_add("/brittle/streams", fixture_t, "/stream/", set_up,
 		   test_targets_stay_up, tear_down);
+	g_test_add("/brittle/falls-accuse-no-request", fixture_t, "/look/",
+		   set_up, test_falls_accuse_no_request, tear_down);
 	return g_test_run();
 }
