Do not believe a refusal that an earlier request may have got

What callers would see: 503, not run and never will be, for a lookup or a resumable stream that a target was running, after a faulty target had written an earlier refusal once more on a kept connection.

Cause: an answer is known by the id that it echoes. A refusal without an id was believed also on a connection that had carried others; and a repeat of an attempt at the same target has the id of the refused try. Calls that must not run twice, orders and their repeats have connections of their own, and a connection that carried a refusal is closed: nothing was found there.

Evidence: regress/test_repeated_refusal, a stand-in that writes its first refusal before each later answer of a connection: lookup-without-id told two callers 503 for requests that ran; now all eight cases hold (lookups, calls, streams of both kinds, with and without the id).

Change: such a refusal on a reused connection leaves the outcome unknown; a repeat takes a new connection. The rig's workers echo the id, as the platform's do.

--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -147,6 +147,15 @@
 	return a->head.event_stream && a->status == 200;
 }
 
+/* True if the response is the refusal of an earlier request, or may be one: it
+ * names no attempt, and the connection has carried others. */
+static bool is_doubtful_refusal(const attempt_t *a)
+{
+	return platform_head_is_refusal(&a->head, a->status) &&
+	       a->head.attempt_id[0] == '\0' &&
+	       bsh_http_call_is_reused(a->call);
+}
+
 /* True if the response must not reach the caller: it belongs to another attempt
  * or is a success that lacks the target's seal or was re-encoded on its way. */
 static bool is_mismatched(const attempt_t *a)
@@ -167,7 +176,7 @@
 
 	a->status = status;
 	a->head_received = true;
-	if (is_mismatched(a)) {
+	if (is_mismatched(a) || is_doubtful_refusal(a)) {
 		end_attempt(a, ATTEMPT_BROKEN, BSH_ERR_MISMATCH);
 		return;
 	}
@@ -395,7 +404,9 @@
 			MIN(CONNECT_TIMEOUT_MS, forward.deadline_ms),
 		/* The timers of the request bound the time without data. */
 		.idle_timeout_ms = 10 * 60 * 1000,
-		.fresh_connection = !r->repeatable,
+		/* An earlier refusal of the same attempt could be taken for
+		 * the answer on a connection that was kept. */
+		.fresh_connection = !r->repeatable || r->sends > 0,
 		.body_is_static = true,
 		.allow_close_delimited = true,
 	};
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -647,6 +647,15 @@
 	return BSH_OK;
 }
 
+bool bsh_http_call_is_reused(const bsh_http_call_t *call)
+{
+	long connects = 0;
+
+	return curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS,
+				 &connects) == CURLE_OK &&
+	       connects == 0;
+}
+
 void bsh_http_call_cancel(bsh_http_call_t *call)
 {
 	bsh_http_client_t *client = call->client;
--- a/lib/transport/http_client.h
+++ b/lib/transport/http_client.h
@@ -139,6 +139,10 @@
 				  const bsh_http_handler_t *handler, void *ctx,
 				  bsh_http_call_t **call);
 
+/* bsh_http_call_is_reused - the call's connection has carried an earlier one.
+ * For use in on_head and later. */
+bool bsh_http_call_is_reused(const bsh_http_call_t *call);
+
 /* bsh_http_call_cancel - abort a call and close its connection; no callback
  * follows. */
 void bsh_http_call_cancel(bsh_http_call_t *call);
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -724,6 +724,12 @@
 
 static void refuse(bsh_http_request_t *request, int status)
 {
+	const char *id =
+		bsh_http_request_header(request, "Berylshunt-Request-Try-Id");
+
+	if (id != NULL)
+		bsh_http_response_add_header(request,
+					     "Berylshunt-Request-Try-Id", id);
 	bsh_http_response_add_header(request, "Berylshunt-Not-Executed", "1");
 	bsh_http_response_send(request, status, "", 0);
 }
