--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -973,7 +973,11 @@
 
 void platform_rig_spawn(platform_rig_t *rig, rig_entry_t *entry)
 {
-	const char *build = g_getenv("BSH_BUILD");
+	/* Entries of an earlier build beside those of this one, every second
+	 * one, if this names its folder. */
+	const char *other = g_getenv("BSH_OTHER_BUILD");
+	bool is_other = other != NULL && (entry - rig->entries) % 2 == 1;
+	const char *build = is_other ? other : g_getenv("BSH_BUILD");
 	const char *show_output = g_getenv("BSH_RIG_LOG");
 	g_autofree char *program = g_build_filename(
 		build != NULL ? build : "build", "bshentryd", NULL);
@@ -981,7 +985,6 @@
 	GSpawnFlags flags = G_SPAWN_DO_NOT_REAP_CHILD;
 	GError *error = NULL;
 
-	(void)rig;
 	if (show_output == NULL)
 		flags |= G_SPAWN_STDOUT_TO_DEV_NULL;
 	g_spawn_async(NULL, argv, NULL, flags, die_with_parent, NULL,
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -12,6 +12,9 @@
  *	record what was executed and where, so that tests need not rely on what
  *	the daemons report.
  *
+ *	BSH_BUILD names the folder of the daemons.  BSH_OTHER_BUILD, if it is
+ *	set, that of an earlier build, of which every second one is.
+ *
  * ERRORS
  *	A failed start, too many workers or entries and a wait of more than
  *	15 s fail the test.
