Do not take a service for crowded as a place was asked for

What callers saw: each request to a plain service with little traffic was delayed by asking for a place, for good: the first one after 3 s without an answer asks, that counted as a sign of a crowd for 5 s, and so did each of the following ones.

Evidence: regress/test_brittle, calm-service-is-not-asked: eight lookups 100 ms apart asked eight times before, once now.

Change: only a grant that says that all places are taken while requests wait is such a sign.

--- a/bshentryd/places.c
+++ b/bshentryd/places.c
@@ -273,9 +273,6 @@
 	if (state->hold.wanted == 0 || r->route->priority < state->hold.urgency)
 		state->hold.urgency = r->route->priority;
 	state->hold.wanted++;
-	bsh_service_pressure_waits(&state->service->pressure,
-				   traffic_now_us(t));
-	log_pressure(t, state->service);
 	tell_if_due(t, state);
 }
 
@@ -431,6 +428,11 @@
 	for (guint i = 0; i < granted->len; i++) {
 		target_state_t *state = g_ptr_array_index(granted, i);
 
+		if (state->hold.contended && state->service != NULL) {
+			bsh_service_pressure_waits(&state->service->pressure,
+						   traffic_now_us(t));
+			log_pressure(t, state->service);
+		}
 		wake(t, state);
 		tell_if_due(t, state);
 	}
--- a/lib/coordination/service_pressure.h
+++ b/lib/coordination/service_pressure.h
@@ -11,8 +11,9 @@
  *	request (coordination/place_hold.h):
  *
  *	unknown  no answer of the service for BSH_PRESSURE_AGE_US
- *	crowded  a target has rejected a request for want of room, or a request
- *	         has waited for a place, within BSH_PRESSURE_CROWDED_US
+ *	crowded  a target has rejected a request for want of room, or all of its
+ *	         places were taken and requests waited, within
+ *	         BSH_PRESSURE_CROWDED_US
  *	brittle  an answer has named the rejections that its target bears in a
  *	         second, and no other one that came BSH_PRESSURE_AGE_US after
  *	         the last of these has named none
@@ -50,7 +51,8 @@
 void bsh_service_pressure_answer(bsh_service_pressure_t *pressure,
 				 bool rejected, uint32_t rejections_max,
 				 int64_t now_us);
-/* bsh_service_pressure_waits - a request waits for a place. */
+/* bsh_service_pressure_waits - requests wait for a place of a target, here or at
+ * other instances. */
 void bsh_service_pressure_waits(bsh_service_pressure_t *pressure,
 				int64_t now_us);
 
--- a/regress/test_brittle.c
+++ b/regress/test_brittle.c
@@ -249,6 +249,47 @@
 	platform_rig_reply_clear(&reply);
 }
 
+static uint64_t counter_of(fixture_t *f, const char *name)
+{
+	rig_reply_t reply = { 0 };
+	const char *at;
+	uint64_t value = 0;
+
+	platform_rig_send(&f->rig, f->rig.entries[0].metrics, "/metrics", "m",
+			  NULL, 2000, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	at = strstr(reply.body, name);
+	/* The lines before it name it, too. */
+	for (; at != NULL; at = strstr(at + 1, name))
+		if (at[strlen(name)] == ' ')
+			value = g_ascii_strtoull(at + strlen(name), NULL, 10);
+	platform_rig_reply_clear(&reply);
+	return value;
+}
+
+/* Guards against requests that are delayed by asking for places at targets that
+ * are hardly used. */
+static void test_calm_service_is_not_asked(fixture_t *f, gconstpointer data)
+{
+	uint64_t before = 0;
+
+	(void)data;
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("calm%d", i);
+		rig_reply_t reply = { 0 };
+
+		platform_rig_send(&f->rig, f->rig.entries[0].front, "/look/1",
+				  id, NULL, 2000, &reply);
+		platform_rig_wait(&f->rig, &reply.done);
+		g_assert_cmpint(reply.status, ==, 200);
+		platform_rig_reply_clear(&reply);
+		platform_rig_run(&f->rig, 100);
+		if (i == 0)
+			before = counter_of(f, "bsh_place_waits_total");
+	}
+	g_assert_cmpuint(counter_of(f, "bsh_place_waits_total"), ==, before);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -260,6 +301,8 @@
 		   test_targets_stay_up, tear_down);
 	g_test_add("/brittle/streams", fixture_t, "/stream/", set_up,
 		   test_targets_stay_up, tear_down);
+	g_test_add("/brittle/calm-service-is-not-asked", fixture_t, "/look/",
+		   set_up, test_calm_service_is_not_asked, tear_down);
 	g_test_add("/brittle/falls-accuse-no-request", fixture_t, "/look/",
 		   set_up, test_falls_accuse_no_request, tear_down);
 	return g_test_run();
--- a/regress/test_places.c
+++ b/regress/test_places.c
@@ -559,7 +559,6 @@
 		w->wants = t;
 		w->asks = true;
 		in->holds[t].wanted++;
-		bsh_service_pressure_waits(&in->pressure, now_us(sim));
 		if (bsh_place_hold_is_due(&in->holds[t],
 					  open_at(sim, in, (uint32_t)t),
 					  now_us(sim)))
@@ -742,6 +741,8 @@
 		if (!bsh_place_hold_grant(&in->holds[t], &e->grant,
 					  now_us(sim)))
 			continue;
+		if (in->holds[t].contended)
+			bsh_service_pressure_waits(&in->pressure, now_us(sim));
 		look_again(sim, e->to, (int32_t)t);
 		if (bsh_place_hold_is_due(&in->holds[t], open_at(sim, in, t),
 					  now_us(sim)))
