Keep a target brittle in the ledger beside instances that do not know

What callers would see: an instance that has just started tells its need without the rejections that the target bears, and the ledger gives out places beyond the slots until the next need of another instance; a brittle target rejects those. And an instance that begins to count its rejections anew made the ledger count four billion of them, which stops all places for a second.

Found by reading the change.

Change: the ledger keeps what was named for 3 s; a count below the former one begins at 0.

--- a/lib/coordination/place_ledger.c
+++ b/lib/coordination/place_ledger.c
@@ -12,6 +12,8 @@
 #define GROW_PER_S	   1.0
 #define WINDOW_US	   INT64_C(1000000)
 #define RUN_DEFAULT_MS	   50U
+/* Time for which a target counts as brittle after the last need that said so. */
+#define BRITTLE_MEMORY_US INT64_C(3000000)
 /* A target without holders is forgotten after this time. */
 #define MEMORY_US INT64_C(10000000)
 
@@ -44,6 +46,7 @@
 	int64_t created_us;
 	int64_t used_us;
 	uint32_t rejections_max; /* a second; BSH_REJECTIONS_ANY */
+	int64_t named_us;	 /* last need that named it */
 	GArray *rejections;	 /* rejections_t of the last second */
 	GPtrArray *holders;	 /* holder_t */
 } target_places_t;
@@ -230,6 +233,13 @@
 	}
 }
 
+static uint32_t to_wait_ms(const target_places_t *target, uint64_t ahead,
+			   uint32_t most)
+{
+	return (uint32_t)MIN(ahead * target->run_ms / MAX(most, 1U) + 1,
+			     UINT32_MAX);
+}
+
 /* Time until the last request of the instance that waits gets a place, or a new
  * one would, if others wait. */
 static uint32_t wait_ms(const target_places_t *target, const holder_t *holder,
@@ -240,17 +250,14 @@
 	if (all_unmet == 0)
 		return 0;
 	if (ahead == 0)
-		ahead = all_unmet + 1;
-	else
-		for (guint i = 0; i < target->holders->len; i++) {
-			const holder_t *other =
-				g_ptr_array_index(target->holders, i);
-
-			if (other != holder && is_before(other, holder))
-				ahead += unmet(other);
-		}
-	return (uint32_t)MIN(ahead * target->run_ms / MAX(most, 1U) + 1,
-			     UINT32_MAX);
+		return to_wait_ms(target, all_unmet + UINT64_C(1), most);
+	for (guint i = 0; i < target->holders->len; i++) {
+		const holder_t *other = g_ptr_array_index(target->holders, i);
+
+		if (other != holder && is_before(other, holder))
+			ahead += unmet(other);
+	}
+	return to_wait_ms(target, ahead, most);
 }
 
 static void send_grants(target_places_t *target, int64_t now_us,
@@ -283,13 +290,28 @@
 	}
 }
 
+/* An instance that has just started does not know yet what the others do. */
+static void note_rejections_max(target_places_t *target,
+				uint32_t rejections_max, int64_t now_us)
+{
+	if (rejections_max == BSH_REJECTIONS_ANY &&
+	    now_us - target->named_us < BRITTLE_MEMORY_US)
+		return;
+	target->rejections_max = rejections_max;
+	if (rejections_max != BSH_REJECTIONS_ANY)
+		target->named_us = now_us;
+}
+
 static void take_need(target_places_t *target, holder_t *holder,
 		      const bsh_place_need_t *need, int64_t now_us)
 {
-	uint32_t rejected = need->rejected - holder->rejected;
+	/* An instance that was not heard of counts from 0 again. */
+	uint32_t rejected = need->rejected >= holder->rejected
+				    ? need->rejected - holder->rejected
+				    : need->rejected;
 
 	target->slots = need->slots;
-	target->rejections_max = need->rejections_max;
+	note_rejections_max(target, need->rejections_max, now_us);
 	if (rejected > 0)
 		note_rejections(target, rejected, now_us);
 	if (unmet(holder) == 0 || need->urgency < holder->urgency)
--- a/regress/test_places.c
+++ b/regress/test_places.c
@@ -137,6 +137,33 @@
 	bsh_place_ledger_finish(&ledger);
 }
 
+/* Guards against places beyond the slots of a brittle target, given out as an
+ * instance that has just started does not know of it; and against rejections that
+ * are counted for an instance that begins to count anew. */
+static void test_ledger_newcomers(void)
+{
+	bsh_place_ledger_t ledger;
+	bsh_place_need_t a = need(2, 0, 9);
+	bsh_place_need_t b = need(1, 0, 9);
+
+	begin(&ledger);
+	b.rejections_max = BSH_REJECTIONS_ANY;
+	g_assert_cmpuint(tell(&ledger, "a", &a, 2 * S), ==, 4);
+	g_assert_cmpuint(tell(&ledger, "b", &b, 2 * S + MS), ==, 0);
+	a = need(3, 0, 0);
+	a.rejected = 1;
+	tell(&ledger, "a", &a, 2 * S + 2 * MS);
+	/* One rejection of two in a second was told of, and no other. */
+	a = need(4, 0, 0);
+	tell(&ledger, "a", &a, 3 * S);
+	b.sequence = 2;
+	g_assert_cmpuint(tell(&ledger, "b", &b, 3 * S + 100 * MS), >=, 3);
+	/* After a while without such a need the target is not brittle. */
+	b.sequence = 3;
+	g_assert_cmpuint(tell(&ledger, "b", &b, 9 * S), ==, 5);
+	bsh_place_ledger_finish(&ledger);
+}
+
 /* Guards against urgent requests that wait behind others, and against a caller
  * that is told nothing of the time that it has to wait. */
 static void test_ledger_urgency(void)
@@ -963,6 +990,7 @@
 	g_test_add_func("/places/ledger-counts", test_ledger_counts);
 	g_test_add_func("/places/ledger-forgets", test_ledger_forgets);
 	g_test_add_func("/places/ledger-rejections", test_ledger_rejections);
+	g_test_add_func("/places/ledger-newcomers", test_ledger_newcomers);
 	g_test_add_func("/places/ledger-urgency", test_ledger_urgency);
 	g_test_add_func("/places/hold", test_hold);
 	g_test_add_func("/places/pressure", test_pressure);
