Let the rig's workers name the attempt in each refusal

The platform's workers echo the id in all their answers, and say in each refusal that the request has not run; the rig's do now, too.

--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -811,7 +811,7 @@
 		return;
 	}
 	if (model != NULL && json_object_get(worker->models, model) == NULL) {
-		bsh_http_response_send(request, 421, "", 0);
+		refuse(request, 421);
 		return;
 	}
 	if (worker->places > 0 && open_runs(worker) >= worker->places) {
@@ -903,7 +903,7 @@
 		bsh_http_request_header(request, "Berylshunt-Expect-Instance");
 
 	if (expect != NULL && strcmp(expect, worker->id) != 0)
-		bsh_http_response_send(request, 421, "", 0);
+		refuse(request, 421);
 	else if (strcmp(path, "/api/order") == 0)
 		execute_order(worker, request);
 	else if (strcmp(path, "/api/report") == 0)
