Read each number of the settings with a fraction

An instance did not start on a deployment of 18 instances: the platform computes the slack of the retry budget from the size, 35.83 there, and `retry.slack` was read as a whole number only.

Cause: whole settings refused every value with a fraction or an exponent, whether or not a bound can be rounded safely. Ruled out: the template; it passes the platform's value as it is, and other bounds may be fractions as well.

One table now says type, range, unit, rounding and default of each key. All numbers are read in one place; what may be used at most is rounded down, what must have passed is rounded up, and the value has to be in the range before and after. Forms that only the C library takes (0x10, inf) are refused, and an empty value has a message of its own. Ranges of real numbers were not checked and are now.

The test of every problem expects the new text of the two messages, which now name the unit, too. Two tests go through all keys of the table with generated and unusable values; /base/settings/fractions fails before.

--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -1,6 +1,7 @@
 #include "base/settings.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <sodium.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -8,86 +9,88 @@
 
 #include "base/log.h"
 
-typedef enum {
-	TYPE_STRING,
-	TYPE_ADDRESS, /* "IP:port"; may be empty only if the default is */
-	TYPE_UINT,
-	TYPE_REAL, /* zero or positive */
-	TYPE_KEY,  /* hexadecimal digits */
-	TYPE_LEVEL /* log level */
-} setting_type_t;
-
-typedef struct {
-	const char *group;
-	const char *key;
-	setting_type_t type;
-	size_t offset; /* of the field in bsh_settings_t */
-	size_t size_bytes;
-	int64_t min; /* smallest TYPE_UINT value or TYPE_STRING length */
-	int64_t max; /* largest TYPE_UINT value */
-	const char *default_value; /* NULL: required */
-} setting_t;
-
 #define FIELD(f) offsetof(bsh_settings_t, f), sizeof(((bsh_settings_t *)0)->f)
 
-static const setting_t settings_table[] = {
-	{ "instance", "name", TYPE_STRING, FIELD(instance), 1, 0, NULL },
-	{ "instance", "zone", TYPE_STRING, FIELD(zone), 1, 0, NULL },
-	{ "security", "key", TYPE_KEY, FIELD(key), 0, 0, NULL },
-	{ "store", "address", TYPE_ADDRESS, FIELD(store_address), 0, 0, NULL },
-	{ "router", "listen", TYPE_ADDRESS, FIELD(router_listen), 0, 0, NULL },
-	{ "router", "admin", TYPE_ADDRESS, FIELD(router_admin), 0, 0, NULL },
-	{ "router", "max_requests", TYPE_UINT, FIELD(router_max_requests), 1,
-	  1000000, "4096" },
-	{ "router", "body_max_bytes", TYPE_UINT, FIELD(router_body_max_bytes),
-	  1024, 1 << 30, "4194304" },
-	{ "control", "listen", TYPE_ADDRESS, FIELD(control_listen), 0, 0,
-	  NULL },
-	{ "control", "link", TYPE_ADDRESS, FIELD(control_link), 0, 0, NULL },
-	{ "control", "gossip", TYPE_ADDRESS, FIELD(control_gossip), 0, 0,
-	  NULL },
-	{ "control", "seeds", TYPE_STRING, FIELD(control_seeds), 0, 0, "" },
-	{ "console", "listen", TYPE_ADDRESS, FIELD(console_listen), 0, 0, "" },
-	{ "timing", "probe_period_ms", TYPE_UINT, FIELD(probe_period_ms), 50,
-	  60000, "1000" },
-	{ "timing", "fresh_ms", TYPE_UINT, FIELD(fresh_ms), 500, 11000,
-	  "8000" },
-	{ "timing", "lease_ms", TYPE_UINT, FIELD(lease_ms), 500, 600000,
-	  "6000" },
-	{ "timing", "settle_ms", TYPE_UINT, FIELD(settle_ms), 0, 3600000,
-	  "30000" },
-	{ "timing", "drain_ms", TYPE_UINT, FIELD(drain_ms), 0, 3600000,
-	  "60000" },
-	{ "timing", "entry_keep_s", TYPE_UINT, FIELD(entry_keep_s), 1, 86400,
-	  "30" },
-	{ "timing", "journal_keep_s", TYPE_UINT, FIELD(journal_keep_s), 60,
-	  31536000, "86400" },
-	{ "timeline", "events", TYPE_UINT, FIELD(timeline_events), 16, 10000000,
+/* A bound is rounded to the side on which it holds for the exact value, too:
+ * what may be used at most is rounded down, what must have passed up. */
+static const bsh_setting_t settings_table[] = {
+	{ "instance", "name", BSH_SETTING_STRING, FIELD(instance), 1, 0, NULL,
+	  BSH_ROUND_NONE, NULL },
+	{ "instance", "zone", BSH_SETTING_STRING, FIELD(zone), 1, 0, NULL,
+	  BSH_ROUND_NONE, NULL },
+	{ "security", "key", BSH_SETTING_KEY, FIELD(key), 0, 0, NULL,
+	  BSH_ROUND_NONE, NULL },
+	{ "store", "address", BSH_SETTING_ADDRESS, FIELD(store_address), 0, 0,
+	  NULL, BSH_ROUND_NONE, NULL },
+	{ "router", "listen", BSH_SETTING_ADDRESS, FIELD(router_listen), 0, 0,
+	  NULL, BSH_ROUND_NONE, NULL },
+	{ "router", "admin", BSH_SETTING_ADDRESS, FIELD(router_admin), 0, 0,
+	  NULL, BSH_ROUND_NONE, NULL },
+	{ "router", "max_requests", BSH_SETTING_UINT,
+	  FIELD(router_max_requests), 1, 1000000, "requests", BSH_ROUND_DOWN,
 	  "4096" },
-	{ "timeline", "flush_ms", TYPE_UINT, FIELD(timeline_flush_ms), 100,
-	  600000, "10000" },
-	{ "entry", "ready", TYPE_ADDRESS, FIELD(entry_ready), 0, 0, "" },
-	{ "entry", "region", TYPE_STRING, FIELD(entry_region), 0, 0, "" },
-	{ "entry", "resolve_keep_s", TYPE_UINT, FIELD(entry_resolve_keep_s), 1,
-	  3600, "1" },
-	{ "entry", "grace_s", TYPE_REAL, FIELD(entry_grace_s), 0, 0, "8" },
-	{ "entry", "order_lease_ms", TYPE_UINT, FIELD(entry_order_lease_ms),
-	  500, 600000, "3000" },
-	{ "entry", "cpu_share", TYPE_REAL, FIELD(entry_cpu_share), 0, 0, "1" },
-	{ "entry", "order_start_ms", TYPE_UINT, FIELD(entry_order_start_ms), 0,
-	  600000, "300" },
-	{ "entry", "store_loads", TYPE_UINT, FIELD(entry_store_loads), 1, 1000,
-	  "4" },
-	{ "entry", "seed_loads", TYPE_UINT, FIELD(entry_seed_loads), 0, 1000,
-	  "3" },
-	{ "entry", "drain_ms", TYPE_UINT, FIELD(entry_drain_ms), 0, 60000,
-	  "2000" },
-	{ "retry", "ratio", TYPE_REAL, FIELD(retry_ratio), 0, 0, "0.2" },
-	{ "retry", "slack", TYPE_UINT, FIELD(retry_slack), 0, 1000000, "50" },
-	{ "retry", "window_s", TYPE_REAL, FIELD(retry_window_s), 0, 0, "10" },
-	{ "log", "level", TYPE_LEVEL, FIELD(log_level), 1, 0, "info" },
-	{ "log", "lines_per_s", TYPE_UINT, FIELD(log_lines_per_s), 0, 1000000,
-	  "500" },
+	{ "router", "body_max_bytes", BSH_SETTING_UINT,
+	  FIELD(router_body_max_bytes), 1024, 1073741824, "bytes",
+	  BSH_ROUND_DOWN, "4194304" },
+	{ "control", "listen", BSH_SETTING_ADDRESS, FIELD(control_listen), 0, 0,
+	  NULL, BSH_ROUND_NONE, NULL },
+	{ "control", "link", BSH_SETTING_ADDRESS, FIELD(control_link), 0, 0,
+	  NULL, BSH_ROUND_NONE, NULL },
+	{ "control", "gossip", BSH_SETTING_ADDRESS, FIELD(control_gossip), 0, 0,
+	  NULL, BSH_ROUND_NONE, NULL },
+	{ "control", "seeds", BSH_SETTING_STRING, FIELD(control_seeds), 0, 0,
+	  NULL, BSH_ROUND_NONE, "" },
+	{ "console", "listen", BSH_SETTING_ADDRESS, FIELD(console_listen), 0, 0,
+	  NULL, BSH_ROUND_NONE, "" },
+	{ "timing", "probe_period_ms", BSH_SETTING_UINT, FIELD(probe_period_ms),
+	  50, 60000, "ms", BSH_ROUND_DOWN, "1000" },
+	{ "timing", "fresh_ms", BSH_SETTING_UINT, FIELD(fresh_ms), 500, 11000,
+	  "ms", BSH_ROUND_DOWN, "8000" },
+	{ "timing", "lease_ms", BSH_SETTING_UINT, FIELD(lease_ms), 500, 600000,
+	  "ms", BSH_ROUND_UP, "6000" },
+	{ "timing", "settle_ms", BSH_SETTING_UINT, FIELD(settle_ms), 0, 3600000,
+	  "ms", BSH_ROUND_UP, "30000" },
+	{ "timing", "drain_ms", BSH_SETTING_UINT, FIELD(drain_ms), 0, 3600000,
+	  "ms", BSH_ROUND_DOWN, "60000" },
+	{ "timing", "entry_keep_s", BSH_SETTING_UINT, FIELD(entry_keep_s), 1,
+	  86400, "s", BSH_ROUND_DOWN, "30" },
+	{ "timing", "journal_keep_s", BSH_SETTING_UINT, FIELD(journal_keep_s),
+	  60, 31536000, "s", BSH_ROUND_UP, "86400" },
+	{ "timeline", "events", BSH_SETTING_UINT, FIELD(timeline_events), 16,
+	  10000000, "events", BSH_ROUND_DOWN, "4096" },
+	{ "timeline", "flush_ms", BSH_SETTING_UINT, FIELD(timeline_flush_ms),
+	  100, 600000, "ms", BSH_ROUND_DOWN, "10000" },
+	{ "entry", "ready", BSH_SETTING_ADDRESS, FIELD(entry_ready), 0, 0, NULL,
+	  BSH_ROUND_NONE, "" },
+	{ "entry", "region", BSH_SETTING_STRING, FIELD(entry_region), 0, 0,
+	  NULL, BSH_ROUND_NONE, "" },
+	{ "entry", "resolve_keep_s", BSH_SETTING_UINT,
+	  FIELD(entry_resolve_keep_s), 1, 3600, "s", BSH_ROUND_DOWN, "1" },
+	{ "entry", "grace_s", BSH_SETTING_REAL, FIELD(entry_grace_s), 0, 86400,
+	  "s", BSH_ROUND_NONE, "8" },
+	{ "entry", "order_lease_ms", BSH_SETTING_UINT,
+	  FIELD(entry_order_lease_ms), 500, 600000, "ms", BSH_ROUND_UP,
+	  "3000" },
+	{ "entry", "cpu_share", BSH_SETTING_REAL, FIELD(entry_cpu_share), 0,
+	  1024, "cores", BSH_ROUND_NONE, "1" },
+	{ "entry", "order_start_ms", BSH_SETTING_UINT,
+	  FIELD(entry_order_start_ms), 0, 600000, "ms", BSH_ROUND_UP, "300" },
+	{ "entry", "store_loads", BSH_SETTING_UINT, FIELD(entry_store_loads), 1,
+	  1000, "loads", BSH_ROUND_DOWN, "4" },
+	{ "entry", "seed_loads", BSH_SETTING_UINT, FIELD(entry_seed_loads), 0,
+	  1000, "loads", BSH_ROUND_DOWN, "3" },
+	{ "entry", "drain_ms", BSH_SETTING_UINT, FIELD(entry_drain_ms), 0,
+	  3600000, "ms", BSH_ROUND_DOWN, "2000" },
+	{ "retry", "ratio", BSH_SETTING_REAL, FIELD(retry_ratio), 0, 1000,
+	  "retries per request", BSH_ROUND_NONE, "0.2" },
+	{ "retry", "slack", BSH_SETTING_UINT, FIELD(retry_slack), 0, 1000000000,
+	  "retries", BSH_ROUND_DOWN, "50" },
+	{ "retry", "window_s", BSH_SETTING_REAL, FIELD(retry_window_s), 0.001,
+	  86400, "s", BSH_ROUND_NONE, "10" },
+	{ "log", "level", BSH_SETTING_LEVEL, FIELD(log_level), 1, 0, NULL,
+	  BSH_ROUND_NONE, "info" },
+	{ "log", "lines_per_s", BSH_SETTING_UINT, FIELD(log_lines_per_s), 0,
+	  1000000, "lines", BSH_ROUND_UP, "500" },
 };
 
 typedef struct {
@@ -173,44 +176,58 @@
 	return BSH_OK;
 }
 
-static void set_uint(const report_t *report, const setting_t *s, uint32_t *out,
-		     const char *value)
+/* Reads a decimal number, with a fraction or an exponent or without.  The forms
+ * that only the C library takes (hexadecimal, infinities) are no numbers. */
+static bool read_number(const char *value, double *number)
 {
 	char *end;
-	gint64 number = g_ascii_strtoll(value, &end, 10);
 
-	if (value[0] == '\0' || *end != '\0') {
-		report_problem(report, s->group, s->key,
-			       "'%s' is not a whole number", value);
-		return;
-	}
-	if (number < s->min || number > s->max) {
-		report_problem(report, s->group, s->key,
-			       "%" G_GINT64_FORMAT " is out of range, allowed: "
-			       "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
-			       number, (gint64)s->min, (gint64)s->max);
-		return;
+	if (value[0] == '\0' || value[strspn(value, "0123456789+-.eE")] != '\0')
+		return false;
+	*number = g_ascii_strtod(value, &end);
+	return *end == '\0' && isfinite(*number);
+}
+
+static double round_setting(const bsh_setting_t *s, double number)
+{
+	switch (s->rounding) {
+	case BSH_ROUND_DOWN:
+		return floor(number);
+	case BSH_ROUND_UP:
+		return ceil(number);
+	case BSH_ROUND_NONE:
+		break;
 	}
-	*out = (uint32_t)number;
+	return number;
 }
 
-static void set_real(const report_t *report, const setting_t *s, double *out,
-		     const char *value)
+static bool set_number(const report_t *report, const bsh_setting_t *s,
+		       double *out, const char *value)
 {
-	char *end;
-	double number = g_ascii_strtod(value, &end);
+	double number;
 
-	if (value[0] == '\0' || *end != '\0' || !(number >= 0) ||
-	    number > G_MAXUINT32) {
+	if (value[0] == '\0') {
 		report_problem(report, s->group, s->key,
-			       "'%s' is not a number of 0 or more", value);
-		return;
+			       "is empty, a number is required");
+		return false;
+	}
+	if (!read_number(value, &number)) {
+		report_problem(report, s->group, s->key, "'%s' is not a number",
+			       value);
+		return false;
+	}
+	*out = round_setting(s, number);
+	if (number < s->min || *out < s->min || *out > s->max) {
+		report_problem(report, s->group, s->key,
+			       "%s is out of range, allowed: %.10g to %.10g %s",
+			       value, s->min, s->max, s->unit);
+		return false;
 	}
-	*out = number;
+	return true;
 }
 
-static void set_key(const report_t *report, const setting_t *s, uint8_t *out,
-		    const char *value)
+static void set_key(const report_t *report, const bsh_setting_t *s,
+		    uint8_t *out, const char *value)
 {
 	size_t length;
 	const char *end;
@@ -223,23 +240,27 @@
 			       2 * BSH_KEY_SIZE_BYTES);
 }
 
-static void set_value(const report_t *report, const setting_t *s, char *field,
-		      const char *value)
+static void set_value(const report_t *report, const bsh_setting_t *s,
+		      char *field, const char *value)
 {
 	char host[BSH_ADDRESS_SIZE];
 	uint16_t port;
 
+	double number;
+
 	switch (s->type) {
-	case TYPE_UINT:
-		set_uint(report, s, (uint32_t *)(void *)field, value);
+	case BSH_SETTING_UINT:
+		if (set_number(report, s, &number, value))
+			*(uint32_t *)(void *)field = (uint32_t)number;
 		return;
-	case TYPE_REAL:
-		set_real(report, s, (double *)(void *)field, value);
+	case BSH_SETTING_REAL:
+		if (set_number(report, s, &number, value))
+			*(double *)(void *)field = number;
 		return;
-	case TYPE_KEY:
+	case BSH_SETTING_KEY:
 		set_key(report, s, (uint8_t *)field, value);
 		return;
-	case TYPE_ADDRESS:
+	case BSH_SETTING_ADDRESS:
 		if (value[0] == '\0' && s->default_value != NULL)
 			break;
 		if (bsh_address_split(value, host, sizeof(host), &port) !=
@@ -249,7 +270,7 @@
 			return;
 		}
 		break;
-	case TYPE_LEVEL:
+	case BSH_SETTING_LEVEL:
 		if (bsh_log_level_parse(value) < 0) {
 			report_problem(
 				report, s->group, s->key,
@@ -258,8 +279,8 @@
 			return;
 		}
 		break;
-	case TYPE_STRING:
-		if ((int64_t)strlen(value) < s->min) {
+	case BSH_SETTING_STRING:
+		if (strlen(value) < (size_t)s->min) {
 			report_problem(report, s->group, s->key,
 				       "must not be empty");
 			return;
@@ -308,7 +329,7 @@
 			bsh_settings_t *settings)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(settings_table); i++) {
-		const setting_t *s = &settings_table[i];
+		const bsh_setting_t *s = &settings_table[i];
 		char *field = (char *)settings + s->offset;
 		char *value =
 			g_key_file_get_string(file, s->group, s->key, NULL);
@@ -324,6 +345,12 @@
 	}
 }
 
+const bsh_setting_t *bsh_settings_table(size_t *n)
+{
+	*n = G_N_ELEMENTS(settings_table);
+	return settings_table;
+}
+
 bsh_error_t bsh_settings_load(bsh_settings_t *settings, const char *path,
 			      GString *problems)
 {
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -11,7 +11,11 @@
  *	are errors.  All errors of a file are reported at once, each with file
  *	and line.
  *
- *	Ranges and defaults are in settings.c.
+ *	One table in settings.c has the type, range, unit, rounding and default
+ *	of each key; bsh_settings_table() returns it.  A number may have a
+ *	fraction or an exponent for each key: a platform may fill in bounds that
+ *	are not whole.  The value of a whole setting is rounded, and has to be in
+ *	the range before and after.
  *
  * UNITS
  *	The suffix of a field gives its unit: _ms milliseconds, _s seconds,
@@ -94,6 +98,37 @@
 	uint32_t log_lines_per_s; /* of level info and debug; 0: no bound */
 } bsh_settings_t;
 
+typedef enum {
+	BSH_SETTING_STRING,
+	BSH_SETTING_ADDRESS, /* "IP:port"; may be empty only if the default is */
+	BSH_SETTING_UINT,    /* uint32_t */
+	BSH_SETTING_REAL,    /* double */
+	BSH_SETTING_KEY,     /* hexadecimal digits */
+	BSH_SETTING_LEVEL    /* log level */
+} bsh_setting_type_t;
+
+typedef enum {
+	BSH_ROUND_NONE,
+	BSH_ROUND_DOWN,
+	BSH_ROUND_UP
+} bsh_rounding_t;
+
+typedef struct {
+	const char *group;
+	const char *key;
+	bsh_setting_type_t type;
+	size_t offset; /* of the field in bsh_settings_t */
+	size_t size_bytes;
+	double min;	  /* smallest number, or length of a string */
+	double max;	  /* largest number */
+	const char *unit; /* of a number */
+	bsh_rounding_t rounding;
+	const char *default_value; /* NULL: required */
+} bsh_setting_t;
+
+/* bsh_settings_table - the keys of the settings file; *n is their number. */
+const bsh_setting_t *bsh_settings_table(size_t *n);
+
 /*
  * bsh_settings_load - read and check the settings file at path.  Each problem
  * is appended to problems as one line "file:line: text", or "file: text" if
