Count the calls to the store by kind, operation and reason

Each call is priced and counts toward a rate, and nothing told what the calls of an instance were for.

While each instance watches for itself, each change of any target is answered to each instance, which asks again at once.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -15,6 +15,8 @@
 #define RELIST_INTERVAL_MIN_US INT64_C(500000)
 /* Interval of checks of the settings file for changes made without a SIGHUP. */
 #define SETTINGS_CHECK_INTERVAL_US INT64_C(1000000)
+/* Interval of the log lines that count the calls to the store. */
+#define STORE_CALLS_LOG_INTERVAL_US INT64_C(1000000)
 /* Idle connections that this thread keeps to the store and the targets. */
 #define IDLE_CONNECTIONS_MAX 32U
 /* Callers cache an address for up to three times the TTL that they get. */
@@ -327,6 +329,8 @@
 	place_keeper_tick(control->place_keeper);
 	cut_peers_tick(control->cut_peers);
 	publish_freshness(control);
+	if (ticks % (STORE_CALLS_LOG_INTERVAL_US / TICK_INTERVAL_US) == 0)
+		platform_store_log_calls(&control->store);
 	if (++ticks % (SETTINGS_CHECK_INTERVAL_US / TICK_INTERVAL_US) == 0)
 		reload_changed_settings(control);
 	bsh_loop_timer_after(&control->tick_timer, TICK_INTERVAL_US);
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -2,8 +2,22 @@
 
 #include <string.h>
 
+#include "base/counter.h"
 #include "base/log.h"
 
+static bsh_counter_t lists[] = {
+#define LISTS(reason)                                                          \
+	BSH_COUNTER_LABELS("bsh_feed_lists_total",                             \
+			   "Lists of a kind of object by their reason.",       \
+			   "reason=\"" reason "\"")
+	[FEED_START] = LISTS("start"),
+	[FEED_RESUMED] = LISTS("resumed"),
+	[FEED_FAILED] = LISTS("failed"),
+	[FEED_HISTORY_GONE] = LISTS("history-gone"),
+	[FEED_PERIOD] = LISTS("period"),
+	[FEED_RELIST] = LISTS("relist"),
+};
+
 /* Context of one call.  The response is dropped when the serial is no longer
  * the one of the feed: a newer call has replaced this one. */
 typedef struct {
@@ -47,6 +61,8 @@
 	feed->list = 1;
 	feed->backoff_us = FEED_BACKOFF_MIN_US;
 	bsh_loop_timer_init(&feed->timer, loop, start_call, feed);
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		bsh_counter_register(&lists[i]);
 }
 
 static void schedule_call(feed_t *feed, int64_t delay_us)
@@ -86,8 +102,9 @@
 	feed->backoff_us = MIN(feed->backoff_us * 2, FEED_BACKOFF_MAX_US);
 }
 
-static void begin_list(feed_t *feed)
+static void begin_list(feed_t *feed, feed_reason_t reason)
 {
+	feed->reason = reason;
 	feed->listing = true;
 	feed->list++;
 	g_clear_pointer(&feed->next_after, g_free);
@@ -107,7 +124,7 @@
 	if (feed == NULL)
 		return;
 	if (answer->result != PLATFORM_DONE) {
-		begin_list(feed);
+		begin_list(feed, FEED_FAILED);
 		retry_later(feed, answer);
 		return;
 	}
@@ -133,7 +150,7 @@
 		schedule_call(feed, 0);
 		return;
 	}
-	begin_list(feed);
+	begin_list(feed, FEED_PERIOD);
 	schedule_call(feed, feed->ops.relist_us);
 }
 
@@ -148,7 +165,7 @@
 			"store-history-gone kind=%s "
 			"revision=%" G_GUINT64_FORMAT,
 			platform_kind_name(feed->kind), feed->revision);
-		begin_list(feed);
+		begin_list(feed, FEED_HISTORY_GONE);
 		schedule_call(feed, 0);
 		feed->ops.on_resync_needed(feed->ops.ctx);
 		return;
@@ -157,7 +174,7 @@
 		/* The lost response may have contained a change, and the
 		 * history may have been compacted: only a list returns the
 		 * current state. */
-		begin_list(feed);
+		begin_list(feed, FEED_FAILED);
 		retry_later(feed, answer);
 		return;
 	}
@@ -176,8 +193,10 @@
 	if (feed->call_pending || feed->stopped || feed->paused)
 		return;
 	feed->call_pending = true;
-	if (feed->listing && feed->next_after == NULL)
+	if (feed->listing && feed->next_after == NULL) {
 		feed->list_began_us = bsh_loop_clock_us();
+		bsh_counter_add(&lists[feed->reason], 1);
+	}
 	if (feed->listing)
 		platform_store_list(feed->store, feed->kind, feed->next_after,
 				    on_list, new_call(feed));
@@ -219,7 +238,7 @@
 		return;
 	feed->paused = false;
 	feed->resumed_us = bsh_loop_clock_us();
-	begin_list(feed);
+	begin_list(feed, FEED_RESUMED);
 	schedule_call(feed, 0);
 }
 
@@ -228,7 +247,7 @@
 	if ((feed->listing && feed->call_pending) || feed->stopped ||
 	    feed->paused)
 		return;
-	begin_list(feed);
+	begin_list(feed, FEED_RELIST);
 	/* The pending watch is not cancelled; its response is dropped. */
 	feed->call_pending = false;
 	schedule_call(feed, 0);
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -42,6 +42,16 @@
 	int64_t relist_us;
 } feed_ops_t;
 
+/* Why the objects are listed. */
+typedef enum {
+	FEED_START,
+	FEED_RESUMED,	   /* feed_resume() */
+	FEED_FAILED,	   /* a call failed: the next change is not known */
+	FEED_HISTORY_GONE, /* of the store */
+	FEED_PERIOD,	   /* of a kind that is not watched */
+	FEED_RELIST	   /* feed_relist() */
+} feed_reason_t;
+
 typedef struct {
 	platform_store_t *store;
 	bsh_loop_t *loop;
@@ -53,6 +63,7 @@
 	uint64_t list;	   /* number of the current list, from 1 */
 	char *next_after;  /* last name of the previous page; NULL: none */
 	uint64_t first_page_revision; /* of the current list */
+	feed_reason_t reason;	      /* of the current list */
 	bool listing;		      /* the next or pending call is a list */
 	bool call_pending;	      /* a call awaits its response */
 	bool stopped;
