Ask for changes of targets at a pace

A watch returns with the first change of any target, and the next one was sent at once: in a deployment of 68 targets the holder of the lease asked 45 times a second, and all 195 instances did while the holder was cut off from the store or not yet there: 56 calls from each in 2 s.

The next watch now begins a twentieth of the drain time, 0.2 s at most, after the begin of the last one, and returns all changes since.

Ruled out: the length of the watches (2 s here), and lists, of which there were 2,100 of 24,630 calls.

--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -183,7 +183,9 @@
 	deliver_objects(feed, answer, 0);
 	feed->complete_us = feed->answered_us;
 	feed->revision = MAX(feed->revision, answer->revision);
-	schedule_call(feed, 0);
+	schedule_call(feed, MAX(feed->watch_began_us + feed->ops.pace_us -
+					bsh_loop_clock_us(),
+				0));
 }
 
 static void start_call(void *ctx)
@@ -197,6 +199,8 @@
 		feed->list_began_us = bsh_loop_clock_us();
 		bsh_counter_add(&lists[feed->reason], 1);
 	}
+	if (!feed->listing)
+		feed->watch_began_us = bsh_loop_clock_us();
 	if (feed->listing)
 		platform_store_list(feed->store, feed->kind, feed->next_after,
 				    on_list, new_call(feed));
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -40,6 +40,10 @@
 	 * watch.  0: no watch, the kind is listed every relist_us. */
 	uint32_t wait_ms;
 	int64_t relist_us;
+	/* Shortest time between the begins of two watches.  A watch returns
+	 * with the first change; the next one returns all that were made since
+	 * in one answer. */
+	int64_t pace_us;
 } feed_ops_t;
 
 /* Why the objects are listed. */
@@ -74,10 +78,11 @@
 	/* The delivered objects include all changes made before this time; 0:
 	 * no list was completed. */
 	int64_t complete_us;
-	int64_t list_began_us; /* first call of the current list */
-	int64_t resumed_us;    /* last feed_resume(); 0: none */
-	int64_t failed_us;     /* time of the last failed call; 0: none */
-	int64_t recovered_us;  /* first success after the last failure */
+	int64_t watch_began_us; /* last watch; 0: none */
+	int64_t list_began_us;	/* first call of the current list */
+	int64_t resumed_us;	/* last feed_resume(); 0: none */
+	int64_t failed_us;	/* time of the last failed call; 0: none */
+	int64_t recovered_us;	/* first success after the last failure */
 } feed_t;
 
 void feed_init(feed_t *feed, platform_store_t *store, bsh_loop_t *loop,
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -25,6 +25,11 @@
 #define WATCH_TIMEOUT_MAX_MS  5000U
 #define WATCH_TIMEOUT_MIN_MS  500U
 #define WATCH_TIMEOUT_PERCENT 50
+/* Shortest time between two watches, as a share of the drain time and at most
+ * this: the targets of a large deployment change some ten times a second, and
+ * each change would cost a call. */
+#define WATCH_PACE_MAX_US  INT64_C(200000)
+#define WATCH_PACE_DIVISOR 20
 
 typedef struct {
 	bsh_target_t target; /* last known state */
@@ -260,6 +265,13 @@
 	control_relist(targets->control);
 }
 
+static int64_t watch_pace_us(const bsh_settings_t *settings)
+{
+	return MIN(settings->entry_drain_ms * INT64_C(1000) /
+			   WATCH_PACE_DIVISOR,
+		   WATCH_PACE_MAX_US);
+}
+
 static uint32_t watch_timeout_ms(const bsh_settings_t *settings)
 {
 	return CLAMP(settings->entry_drain_ms * WATCH_TIMEOUT_PERCENT / 100,
@@ -273,8 +285,10 @@
 			   .on_listed = on_listed,
 			   .on_resync_needed = on_resync_needed,
 			   .ctx = targets,
-			   .wait_ms = watch_timeout_ms(
-				   &control->entry->settings) };
+			   .wait_ms =
+				   watch_timeout_ms(&control->entry->settings),
+			   .pace_us =
+				   watch_pace_us(&control->entry->settings) };
 
 	bsh_counter_register(&malformed_objects);
 	bsh_counter_register(&target_count);
