--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -196,6 +196,23 @@
 	batch->bytes = 0;
 }
 
+void announcer_tell_targets(const announcer_t *announcer, const GPtrArray *ids)
+{
+	batch_t batch = { .n = 0 };
+	bsh_message_t message = { .type = BSH_MSG_READER_TARGETS };
+
+	for (guint i = 0; i < ids->len;) {
+		while (i < ids->len &&
+		       add_target(announcer, &batch, g_ptr_array_index(ids, i)))
+			i++;
+		message.reader_targets.entries = batch.entries;
+		message.reader_targets.entry_count = batch.n;
+		peers_broadcast(announcer->control->peers, &message);
+		batch.n = 0;
+		batch.bytes = 0;
+	}
+}
+
 void announcer_queue_target(announcer_t *announcer, const char *target)
 {
 	if (!orders_is_holder(announcer->control->orders))
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -1,24 +1,28 @@
-/* Watches the configuration in the store and adopts each newer version; never
- * goes back to an older one. */
+/* Follows the configuration, in the store or as other instances have it, and
+ * adopts each newer version; never goes back to an older one. */
 #include "control.h"
 
+#include <stdlib.h>
+#include <string.h>
+#include <zlib.h>
+
 #include "base/counter.h"
 #include "base/log.h"
 #include "platform/decode.h"
 
-/* Longest wait of one watch.  It may be long: a change that the watch misses is
- * detected by the version that peers gossip. */
-#define WATCH_TIMEOUT_MS 20000U
-/* After a peer has reported a newer version, the watch has this time to deliver
- * it before the store is listed again. */
-#define PEER_VERSION_GRACE_US INT64_C(250000)
+/* Longest wait of one watch.  Those that read the store do so for all, and a
+ * watch that the store has lost returns no change until it is renewed. */
+#define WATCH_TIMEOUT_MS 1500U
+/* Largest configuration as text, and the size of the number of its bytes in
+ * front of the packed one. */
+#define TEXT_MAX_BYTES	  (8U << 20)
+#define PACK_HEADER_BYTES 4U
 
 struct catalogs {
 	control_t *control;
 	feed_t feed;
 	bsh_catalog_t *current;
-	uint64_t peer_version; /* highest version reported by a peer */
-	bsh_loop_timer_t behind_timer;
+	GBytes *packed; /* of the current one, for other instances */
 };
 
 static bsh_counter_t adopted = BSH_COUNTER("bsh_configurations_adopted_total",
@@ -29,84 +33,152 @@
 static bsh_counter_t version_gauge = BSH_GAUGE(
 	"bsh_configuration_version", "Version of the configuration in force.");
 
-static void adopt(catalogs_t *catalogs, bsh_catalog_t *catalog)
+/* Text of the configuration, compressed, behind the number of its bytes. */
+static GBytes *pack(const json_t *spec)
+{
+	char *text = json_dumps(spec, JSON_COMPACT);
+	uLong size = text != NULL ? strlen(text) : 0;
+	uLongf packed_size = compressBound(size);
+	guint32 header = GUINT32_TO_BE((guint32)size);
+	guint8 *buffer = NULL;
+	GBytes *packed = NULL;
+
+	if (text == NULL || size > TEXT_MAX_BYTES)
+		goto out;
+	buffer = g_malloc(PACK_HEADER_BYTES + packed_size);
+	memcpy(buffer, &header, sizeof(header));
+	if (compress2(buffer + PACK_HEADER_BYTES, &packed_size,
+		      (const Bytef *)text, size, Z_BEST_SPEED) == Z_OK)
+		packed = g_bytes_new(buffer, PACK_HEADER_BYTES + packed_size);
+out:
+	g_free(buffer);
+	free(text);
+	return packed;
+}
+
+/* NULL if the bytes are no packed configuration. */
+static json_t *unpack(GBytes *packed)
+{
+	gsize size;
+	const guint8 *data = g_bytes_get_data(packed, &size);
+	json_t *spec = NULL;
+	guint32 header;
+	uLongf text_size;
+	Bytef *text;
+
+	if (size <= PACK_HEADER_BYTES)
+		return NULL;
+	memcpy(&header, data, sizeof(header));
+	text_size = GUINT32_FROM_BE(header);
+	if (text_size == 0 || text_size > TEXT_MAX_BYTES)
+		return NULL;
+	text = malloc(text_size);
+	if (text != NULL &&
+	    uncompress(text, &text_size, data + PACK_HEADER_BYTES,
+		       size - PACK_HEADER_BYTES) == Z_OK &&
+	    text_size == GUINT32_FROM_BE(header))
+		spec = json_loadb((const char *)text, text_size, 0, NULL);
+	free(text);
+	return spec;
+}
+
+static void set_packed(catalogs_t *catalogs, GBytes *packed)
+{
+	if (catalogs->packed != NULL)
+		g_bytes_unref(catalogs->packed);
+	catalogs->packed = packed;
+}
+
+static void adopt(catalogs_t *catalogs, bsh_catalog_t *catalog, GBytes *packed,
+		  const char *source)
 {
 	uint64_t old =
 		catalogs->current != NULL ? catalogs->current->version : 0;
 
 	bsh_log(BSH_LOG_INFO,
 		"configuration-adopted version=%" G_GUINT64_FORMAT
-		" before=%" G_GUINT64_FORMAT " routes=%u services=%u",
+		" before=%" G_GUINT64_FORMAT " routes=%u services=%u source=%s",
 		catalog->version, old, catalog->routes->len,
-		catalog->services->len);
+		catalog->services->len, source);
 	bsh_counter_add(&adopted, 1);
 	bsh_counter_set(&version_gauge, (int64_t)catalog->version);
 	bsh_catalog_unref(catalogs->current);
 	catalogs->current = catalog;
+	set_packed(catalogs, packed);
 	control_catalog_changed(catalogs->control, catalog);
 }
 
-static void on_object(void *ctx, const platform_object_t *object, uint64_t list)
+/* Returns the configuration if it is newer than the one in force; logs one that
+ * cannot be read, of this revision or from an instance. */
+static bsh_catalog_t *decode_newer(const catalogs_t *catalogs,
+				   const json_t *spec, uint64_t revision)
 {
-	catalogs_t *catalogs = ctx;
 	g_autoptr(GString) problem = g_string_new(NULL);
-	bsh_catalog_t *catalog;
+	bsh_catalog_t *catalog = platform_decode_catalog(spec, problem);
 
-	(void)list;
-	if (object->deleted || g_strcmp0(object->name, "main") != 0)
-		return;
-	catalog = platform_decode_catalog(object->spec, problem);
 	if (catalog == NULL) {
 		bsh_counter_add(&rejected, 1);
 		bsh_log(BSH_LOG_ERROR,
 			"configuration-unusable revision=%" G_GUINT64_FORMAT
 			" problem=\"%s\"",
-			object->revision, problem->str);
-		return;
+			revision, problem->str);
+		return NULL;
 	}
 	if (catalogs->current != NULL &&
-	    catalog->version <= catalogs->current->version)
+	    catalog->version <= catalogs->current->version) {
 		bsh_catalog_unref(catalog);
-	else
-		adopt(catalogs, catalog);
+		return NULL;
+	}
+	return catalog;
 }
 
-static void on_listed(void *ctx, uint64_t list)
+static void on_object(void *ctx, const platform_object_t *object, uint64_t list)
 {
-	(void)ctx;
+	catalogs_t *catalogs = ctx;
+	bsh_catalog_t *catalog;
+
 	(void)list;
+	if (object->deleted || g_strcmp0(object->name, "main") != 0)
+		return;
+	catalog = decode_newer(catalogs, object->spec, object->revision);
+	if (catalog == NULL)
+		return;
+	adopt(catalogs, catalog, pack(object->spec), "store");
+	catalog_exchange_tell(catalogs->control->catalog_exchange);
 }
 
-static void on_resync_needed(void *ctx)
+bool catalogs_adopt_packed(catalogs_t *catalogs, GBytes *packed)
 {
-	const catalogs_t *catalogs = ctx;
+	json_t *spec = unpack(packed);
+	bsh_catalog_t *catalog;
+	bool readable = spec != NULL;
 
-	control_relist(catalogs->control);
+	if (readable) {
+		catalog = decode_newer(catalogs, spec, 0);
+		if (catalog != NULL)
+			adopt(catalogs, catalog, g_bytes_ref(packed),
+			      "instance");
+	}
+	json_decref(spec);
+	return readable;
 }
 
-static bool is_behind(const catalogs_t *catalogs)
+GBytes *catalogs_packed(const catalogs_t *catalogs)
 {
-	return catalogs->current == NULL ||
-	       catalogs->current->version < catalogs->peer_version;
+	return catalogs->packed;
 }
 
-static void on_behind_timer(void *ctx)
+static void on_listed(void *ctx, uint64_t list)
 {
-	catalogs_t *catalogs = ctx;
-
-	if (is_behind(catalogs))
-		feed_relist(&catalogs->feed);
+	(void)ctx;
+	(void)list;
 }
 
-void catalogs_note_peer_version(catalogs_t *catalogs, uint64_t version)
+static void on_resync_needed(void *ctx)
 {
-	if (version <= catalogs->peer_version)
-		return;
-	catalogs->peer_version = version;
-	if (is_behind(catalogs) &&
-	    !bsh_loop_timer_is_running(&catalogs->behind_timer))
-		bsh_loop_timer_after(&catalogs->behind_timer,
-				     PEER_VERSION_GRACE_US);
+	const catalogs_t *catalogs = ctx;
+
+	control_relist(catalogs->control);
 }
 
 catalogs_t *catalogs_new(control_t *control)
@@ -122,8 +194,6 @@
 	bsh_counter_register(&rejected);
 	bsh_counter_register(&version_gauge);
 	catalogs->control = control;
-	bsh_loop_timer_init(&catalogs->behind_timer, control->loop,
-			    on_behind_timer, catalogs);
 	feed_init(&catalogs->feed, &control->store, control->loop,
 		  PLATFORM_KIND_CONFIG, &ops);
 	return catalogs;
@@ -131,7 +201,7 @@
 
 void catalogs_start(catalogs_t *catalogs)
 {
-	feed_start(&catalogs->feed);
+	feed_start_once(&catalogs->feed);
 }
 
 void catalogs_relist(catalogs_t *catalogs)
@@ -142,11 +212,34 @@
 void catalogs_free(catalogs_t *catalogs)
 {
 	feed_stop(&catalogs->feed);
-	bsh_loop_timer_stop(&catalogs->behind_timer);
+	set_packed(catalogs, NULL);
 	bsh_catalog_unref(catalogs->current);
 	g_free(catalogs);
 }
 
+void catalogs_read_once(catalogs_t *catalogs)
+{
+	feed_read_once(&catalogs->feed);
+}
+
+void catalogs_set_source(catalogs_t *catalogs, bool from_store)
+{
+	if (from_store)
+		feed_resume(&catalogs->feed);
+	else if (!catalogs->feed.once)
+		feed_pause(&catalogs->feed);
+}
+
+void catalogs_set_backoff_max(catalogs_t *catalogs, int64_t backoff_max_us)
+{
+	feed_set_backoff_max(&catalogs->feed, backoff_max_us);
+}
+
+bool catalogs_listed(const catalogs_t *catalogs)
+{
+	return catalogs->feed.complete_us != 0;
+}
+
 int64_t catalogs_confirmed_us(const catalogs_t *catalogs)
 {
 	return catalogs->feed.answered_us;
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -86,6 +86,7 @@
 {
 	orders_set_catalog(control->orders, catalog);
 	peers_set_version(control->peers, catalog->version);
+	catalog_exchange_adopted(control->catalog_exchange, catalog->version);
 	control_schedule_view(control);
 }
 
@@ -96,8 +97,14 @@
 	control_schedule_view(control);
 }
 
+void control_target_state_changed(control_t *control, const char *id)
+{
+	store_reading_target_changed(control->store_reading, id);
+}
+
 void control_target_missing(control_t *control, const char *id)
 {
+	store_reading_target_changed(control->store_reading, id);
 	announcer_queue_target(control->announcer, id);
 	control_schedule_view(control);
 }
@@ -174,6 +181,19 @@
 		place_keeper_receive_grants(control->place_keeper,
 					    message->sender,
 					    &message->place_grants);
+	} else if (message->type == BSH_MSG_READER) {
+		store_reading_receive(control->store_reading, message->sender,
+				      &message->reader);
+	} else if (message->type == BSH_MSG_READER_TARGETS) {
+		store_reading_receive_targets(control->store_reading,
+					      &message->reader_targets);
+	} else if (message->type == BSH_MSG_DOCUMENT_QUERY) {
+		catalog_exchange_receive_query(control->catalog_exchange,
+					       message->sender,
+					       &message->document_query);
+	} else if (message->type == BSH_MSG_DOCUMENT_PART) {
+		catalog_exchange_receive_part(control->catalog_exchange,
+					      &message->document_part);
 	} else if (message->type == BSH_MSG_INVENTORY) {
 		if (strcmp(message->sender, orders_holder(control->orders)) ==
 		    0)
@@ -322,6 +342,7 @@
 	static uint32_t ticks;
 
 	targets_tick(control->targets);
+	store_reading_tick(control->store_reading);
 	orders_tick(control->orders);
 	loads_tick(control->loads);
 	quarantine_tick(control->quarantine);
@@ -443,6 +464,8 @@
 	control->limit_shares = limit_shares_new(control);
 	control->cut_peers = cut_peers_new(control);
 	control->place_keeper = place_keeper_new(control);
+	control->catalog_exchange = catalog_exchange_new(control);
+	control->store_reading = store_reading_new(control);
 	control->directory = directory_new(control);
 	err = directory_start(control->directory);
 	if (err == BSH_OK)
@@ -462,6 +485,8 @@
 	bsh_loop_timer_stop(&control->stop_timer);
 	bsh_loop_task_cancel(&control->view_task);
 	directory_free(control->directory);
+	store_reading_free(control->store_reading);
+	catalog_exchange_free(control->catalog_exchange);
 	place_keeper_free(control->place_keeper);
 	cut_peers_free(control->cut_peers);
 	limit_shares_free(control->limit_shares);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -40,6 +40,8 @@
 typedef struct limit_shares limit_shares_t;
 typedef struct cut_peers cut_peers_t;
 typedef struct place_keeper place_keeper_t;
+typedef struct catalog_exchange catalog_exchange_t;
+typedef struct store_reading store_reading_t;
 
 struct control {
 	entry_t *entry;
@@ -59,6 +61,8 @@
 	limit_shares_t *limit_shares;
 	cut_peers_t *cut_peers;
 	place_keeper_t *place_keeper;
+	catalog_exchange_t *catalog_exchange;
+	store_reading_t *store_reading;
 	bsh_loop_timer_t tick_timer;
 	bsh_loop_timer_t drain_timer;
 	bsh_loop_timer_t stop_timer;
@@ -79,6 +83,9 @@
 void control_catalog_changed(control_t *control, bsh_catalog_t *catalog);
 /* control_target_changed - a target is new, or its object has changed. */
 void control_target_changed(control_t *control, const bsh_target_t *target);
+/* control_target_state_changed - besides, a target is new, has started again or
+ * is leaving. */
+void control_target_state_changed(control_t *control, const char *id);
 /* control_target_missing - a target's object has vanished from the store; the
  * target is kept for a grace period. */
 void control_target_missing(control_t *control, const char *id);
@@ -100,9 +107,56 @@
 bsh_catalog_t *catalogs_current(const catalogs_t *catalogs);
 /* Last answer of the store about the configuration, loop clock; 0: none. */
 int64_t catalogs_confirmed_us(const catalogs_t *catalogs);
-/* Notes the version that a peer reports to have in force.  If it is newer, the
- * store is listed again unless the watch delivers it soon. */
-void catalogs_note_peer_version(catalogs_t *catalogs, uint64_t version);
+/* Reads the configuration from the store once, also while other instances are
+ * the source. */
+void catalogs_read_once(catalogs_t *catalogs);
+/* Selects whether this instance follows the configuration in the store. */
+void catalogs_set_source(catalogs_t *catalogs, bool from_store);
+void catalogs_set_backoff_max(catalogs_t *catalogs, int64_t backoff_max_us);
+/* True once the store has been read, whether or not it had a configuration. */
+bool catalogs_listed(const catalogs_t *catalogs);
+/* The configuration in force, as catalogs_adopt_packed() takes it; NULL: there
+ * is none, or it is too large. */
+GBytes *catalogs_packed(const catalogs_t *catalogs);
+/* Adopts the configuration of another instance if it is newer.  False if it
+ * cannot be read. */
+bool catalogs_adopt_packed(catalogs_t *catalogs, GBytes *packed);
+
+/* catalog_exchange.c: configurations from and to other instances. */
+catalog_exchange_t *catalog_exchange_new(control_t *control);
+void catalog_exchange_free(catalog_exchange_t *exchange);
+/* Tells all instances of a version that this one has read from the store. */
+void catalog_exchange_tell(catalog_exchange_t *exchange);
+/* Notes that the configuration in force has changed. */
+void catalog_exchange_adopted(catalog_exchange_t *exchange, uint64_t version);
+/* Notes the version that an instance reports to have in force. */
+void catalog_exchange_note_version(catalog_exchange_t *exchange,
+				   const char *instance, uint64_t version);
+/* Handle DOCUMENT_QUERY and DOCUMENT_PART. */
+void catalog_exchange_receive_query(catalog_exchange_t *exchange,
+				    const char *sender,
+				    const bsh_msg_document_query_t *query);
+void catalog_exchange_receive_part(catalog_exchange_t *exchange,
+				   const bsh_msg_document_part_t *part);
+
+/* store_reading.c: whether this instance reads the store, for all. */
+store_reading_t *store_reading_new(control_t *control);
+void store_reading_free(store_reading_t *reading);
+void store_reading_tick(store_reading_t *reading);
+/* True if the list of targets and the configuration are read from the store. */
+bool store_reading_active(const store_reading_t *reading);
+/* Notes that the lease holder's list was complete this long ago. */
+void store_reading_note_holder_list(store_reading_t *reading, int64_t age_us);
+/* Tells the other instances soon of a target that is new, has started again or
+ * must get no new work. */
+void store_reading_target_changed(store_reading_t *reading, const char *target);
+/* Sends READER now. */
+void store_reading_tell(store_reading_t *reading);
+/* Handle READER and READER_TARGETS. */
+void store_reading_receive(store_reading_t *reading, const char *sender,
+			   const bsh_msg_reader_t *message);
+void store_reading_receive_targets(store_reading_t *reading,
+				   const bsh_msg_reader_targets_t *message);
 
 /* targets.c: the list of targets and their holdings. */
 targets_t *targets_new(control_t *control);
@@ -114,10 +168,12 @@
 void targets_store_restored(targets_t *targets);
 /* True once the list has been read from the store. */
 bool targets_listed(const targets_t *targets);
-/* Applies one entry of an announcement that the lease holder sent in `term`. */
+/* Applies one entry of an announcement that the lease holder sent in `term`.
+ * contact_age_us: since the store answered the holder; a target that was found
+ * to have ended later than that stays so. */
 void targets_apply_announcement(targets_t *targets,
 				const bsh_placement_entry_t *entry,
-				uint64_t term);
+				uint64_t term, int64_t contact_age_us);
 /* True if the announcements of the lease holder are the source of the list: the
  * own watch is paused, or the store does not answer it. */
 bool targets_follow_holder(const targets_t *targets);
@@ -126,6 +182,26 @@
  * the state of a named target since its last change was not received. */
 bool targets_apply_inventory(targets_t *targets, GHashTable *changes,
 			     uint64_t term);
+/* Applies the keys of targets that another instance, which reads the store, has
+ * found leaving or missing; true if any was not known. */
+bool targets_apply_reader(targets_t *targets, const bsh_msg_reader_t *message);
+/* Adds the targets that another instance has found new, or started again, in the
+ * store; true if any was not known. */
+bool targets_apply_reader_targets(targets_t *targets,
+				  const bsh_msg_reader_targets_t *message);
+/* Appends the keys of the targets that are leaving, and of those whose entry is
+ * missing, big-endian, as long as each list has fewer than max. */
+void targets_collect_ended(const targets_t *targets, GArray *leaving,
+			   GArray *missing, guint max);
+/* Time of the last answer of the store to this instance's reading of the list,
+ * loop clock; 0: none. */
+int64_t targets_answered_us(const targets_t *targets);
+/* Time for which the own list from the store was complete, loop clock; 0: never. */
+int64_t targets_complete_us(const targets_t *targets);
+void targets_set_backoff_max(targets_t *targets, int64_t backoff_max_us);
+/* Lets the watches of this instance be answered at least this often; 0: as
+ * usual. */
+void targets_set_wait(targets_t *targets, uint32_t wait_ms);
 /* True if the list has been read from the store since it became the source, and
  * the store answers. */
 bool targets_are_current(const targets_t *targets);
@@ -187,6 +263,11 @@
  * instances as far as they know the same ones; returns their number. */
 uint32_t peers_choose_keepers(const peers_t *peers, uint64_t stream,
 			      char names[PEERS_KEEPERS][BSH_NAME_SIZE]);
+/* Name of the instance at a rank by rendezvous hashing of a key, among those
+ * alive, as peers_rank() counts; NULL: there is none. */
+const char *peers_at_rank(const peers_t *peers, uint64_t key, uint32_t at);
+/* Name of another instance that is alive, drawn at random; NULL: there is none. */
+const char *peers_any(const peers_t *peers);
 /* Rank of this instance among those alive by rendezvous hashing of a key, 0: the
  * first; *n is their number. */
 uint32_t peers_rank(const peers_t *peers, uint64_t key, uint32_t *n);
@@ -221,6 +302,9 @@
 /* Handles RELEASE: the lease holder gives no more orders. */
 void orders_receive_release(orders_t *orders, const char *sender,
 			    const bsh_msg_release_t *release);
+/* Lets the lease holder send the whole list: it may differ from what this
+ * instance has learned elsewhere. */
+void orders_request_list(orders_t *orders);
 /* orders_check_target - ask a target for a report, as an instance could not
  * connect to it. */
 void orders_check_target(orders_t *orders, uint32_t key);
@@ -287,6 +371,8 @@
 /* Queues a target for the next announcement; does nothing unless this instance
  * holds the lease. */
 void announcer_queue_target(announcer_t *announcer, const char *target);
+/* Sends the state of targets to all instances, outside the announcements. */
+void announcer_tell_targets(const announcer_t *announcer, const GPtrArray *ids);
 /* Retransmits the announcements after number received_through to an instance
  * that has received all earlier ones of the term. */
 void announcer_catch_up(announcer_t *announcer, const char *instance,
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -15,6 +15,7 @@
 	[FEED_FAILED] = LISTS("failed"),
 	[FEED_HISTORY_GONE] = LISTS("history-gone"),
 	[FEED_PERIOD] = LISTS("period"),
+	[FEED_BEHIND] = LISTS("behind"),
 	[FEED_RELIST] = LISTS("relist"),
 };
 
@@ -60,6 +61,7 @@
 	feed->listing = true;
 	feed->list = 1;
 	feed->backoff_us = FEED_BACKOFF_MIN_US;
+	feed->backoff_max_us = FEED_BACKOFF_MAX_US;
 	bsh_loop_timer_init(&feed->timer, loop, start_call, feed);
 	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
 		bsh_counter_register(&lists[i]);
@@ -98,8 +100,10 @@
 static void retry_later(feed_t *feed, const platform_answer_t *answer)
 {
 	set_store_reached(feed, false, answer);
-	schedule_call(feed, feed->backoff_us);
-	feed->backoff_us = MIN(feed->backoff_us * 2, FEED_BACKOFF_MAX_US);
+	/* Not all instances that fail together try again together. */
+	schedule_call(feed, g_random_int_range((gint32)(feed->backoff_us / 2),
+					       (gint32)feed->backoff_us + 1));
+	feed->backoff_us = MIN(feed->backoff_us * 2, feed->backoff_max_us);
 }
 
 static void begin_list(feed_t *feed, feed_reason_t reason)
@@ -146,6 +150,10 @@
 	feed->listing = false;
 	feed->ops.on_listed(feed->ops.ctx, feed->list);
 	feed->complete_us = feed->list_began_us;
+	if (feed->once) {
+		feed_pause(feed);
+		return;
+	}
 	if (feed->ops.wait_ms > 0) {
 		schedule_call(feed, 0);
 		return;
@@ -203,7 +211,8 @@
 		feed->watch_began_us = bsh_loop_clock_us();
 	if (feed->listing)
 		platform_store_list(feed->store, feed->kind, feed->next_after,
-				    on_list, new_call(feed));
+				    feed->reason == FEED_PERIOD, on_list,
+				    new_call(feed));
 	else
 		platform_store_watch(feed->store, feed->kind, feed->revision,
 				     feed->ops.wait_ms, on_watch,
@@ -215,6 +224,12 @@
 	schedule_call(feed, 0);
 }
 
+void feed_start_once(feed_t *feed)
+{
+	feed->once = true;
+	schedule_call(feed, 0);
+}
+
 void feed_stop(feed_t *feed)
 {
 	feed->stopped = true;
@@ -227,6 +242,7 @@
 	if (feed->paused)
 		return;
 	feed->paused = true;
+	feed->once = false;
 	/* The changes are received from elsewhere from now on, so an earlier
 	 * failure of the store hides none of them. */
 	feed->failed_us = 0;
@@ -236,16 +252,41 @@
 	bsh_loop_timer_stop(&feed->timer);
 }
 
-void feed_resume(feed_t *feed)
+static void resume(feed_t *feed, feed_reason_t reason)
 {
-	if (!feed->paused)
-		return;
 	feed->paused = false;
 	feed->resumed_us = bsh_loop_clock_us();
-	begin_list(feed, FEED_RESUMED);
+	begin_list(feed, reason);
 	schedule_call(feed, 0);
 }
 
+void feed_resume(feed_t *feed)
+{
+	if (feed->paused)
+		resume(feed, FEED_RESUMED);
+}
+
+void feed_read_once(feed_t *feed)
+{
+	if (!feed->paused) {
+		if (!feed->once)
+			feed_relist(feed);
+		return;
+	}
+	resume(feed, FEED_BEHIND);
+	feed->once = true;
+}
+
+void feed_set_backoff_max(feed_t *feed, int64_t backoff_max_us)
+{
+	feed->backoff_max_us = MAX(backoff_max_us, FEED_BACKOFF_MIN_US);
+}
+
+void feed_set_wait(feed_t *feed, uint32_t wait_ms)
+{
+	feed->ops.wait_ms = wait_ms;
+}
+
 void feed_relist(feed_t *feed)
 {
 	if ((feed->listing && feed->call_pending) || feed->stopped ||
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -11,6 +11,9 @@
  *	or was restored from an older copy.  A failed call is retried with exponential backoff between
  *	FEED_BACKOFF_MIN_US and FEED_BACKOFF_MAX_US.
  *
+ *	A kind that is not watched is listed each relist_us, from a copy that
+ *	may be some seconds old and costs less.
+ *
  *	Each object that a list or a watch returns is passed to on_object.
  *	on_listed then ends a list: the consumer drops the objects that did
  *	not appear in the list of that number.
@@ -53,6 +56,7 @@
 	FEED_FAILED,	   /* a call failed: the next change is not known */
 	FEED_HISTORY_GONE, /* of the store */
 	FEED_PERIOD,	   /* of a kind that is not watched */
+	FEED_BEHIND,	   /* feed_read_once() */
 	FEED_RELIST	   /* feed_relist() */
 } feed_reason_t;
 
@@ -72,6 +76,8 @@
 	bool call_pending;	      /* a call awaits its response */
 	bool stopped;
 	bool paused;
+	bool once; /* pauses again when the current list is complete */
+	int64_t backoff_max_us;
 	bool reached;	     /* the last call succeeded */
 	int64_t backoff_us;  /* delay of the next retry */
 	int64_t answered_us; /* time of the last successful call */
@@ -88,6 +94,8 @@
 void feed_init(feed_t *feed, platform_store_t *store, bsh_loop_t *loop,
 	       platform_kind_t kind, const feed_ops_t *ops);
 void feed_start(feed_t *feed);
+/* feed_start_once - list once, then pause as if by feed_pause(). */
+void feed_start_once(feed_t *feed);
 void feed_stop(feed_t *feed);
 
 /* feed_pause - stop following changes, until feed_resume(). */
@@ -95,6 +103,16 @@
 /* feed_resume - list again and follow changes. */
 void feed_resume(feed_t *feed);
 
+/* feed_read_once - list once while paused; does nothing more while such a list is
+ * under way, and lists again if the feed is not paused. */
+void feed_read_once(feed_t *feed);
+
+/* feed_set_backoff_max - longest delay of a retry. */
+void feed_set_backoff_max(feed_t *feed, int64_t backoff_max_us);
+
+/* feed_set_wait - longest duration of the next watches without a change. */
+void feed_set_wait(feed_t *feed, uint32_t wait_ms);
+
 /* feed_relist - list again without waiting for the current watch to end. */
 void feed_relist(feed_t *feed);
 
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -17,14 +17,14 @@
 /* After this long without a message of the holder, views show that no instance
  * gives orders. */
 #define HOLDER_TIMEOUT_US INT64_C(4000000)
-/* If the holder has sent no message, or the store has not answered the holder,
- * for longer than this, the instance watches the target list in the store
- * itself: that a target leaves must be detected within its drain time. */
+/* After this long without a message of the holder, what is missing of its
+ * announcements is no longer expected from it. */
 #define HOLDER_MESSAGE_MAX_AGE_US INT64_C(1000000)
-#define HOLDER_CONTACT_MAX_AGE_US INT64_C(1200000)
 /* If a lost announcement has not been retransmitted within this time, the
  * instance watches the target list in the store itself. */
 #define GAP_TIMEOUT_US INT64_C(900000)
+/* After this long the holder's list is tried again. */
+#define GAP_READ_US INT64_C(2000000)
 
 /* Demand entries in one datagram.  Those with most waiting requests come first;
  * an entry that is left out is reported once requests wait for it too. */
@@ -385,10 +385,12 @@
 	}
 	orders->holder_seen_us = now;
 	orders->holder_contact_us = now - placement->contact_age_ms * 1000LL;
+	store_reading_note_holder_list(orders->control->store_reading,
+				       placement->contact_age_ms * 1000LL);
 	for (uint32_t i = 0; i < placement->entry_count; i++)
-		targets_apply_announcement(orders->control->targets,
-					   &placement->entries[i],
-					   placement->term);
+		targets_apply_announcement(
+			orders->control->targets, &placement->entries[i],
+			placement->term, placement->contact_age_ms * 1000LL);
 	record_announcements(orders, placement);
 	if (targets_follow_holder(orders->control->targets) &&
 	    orders->received_through >= orders->last_announced)
@@ -405,31 +407,43 @@
 			MAX(orders->received_through, number);
 }
 
-/* The target list is watched in the store by the holder, and by each instance
- * that receives no recent messages of a holder that reaches the store. */
-static void choose_targets_source(orders_t *orders)
+/* True while announcements of the holder have been missing for too long: one
+ * that a retransmission brings in time has no effect. */
+static bool has_gap(orders_t *orders)
 {
 	int64_t now = now_us(orders);
-	bool has_fresh_holder =
-		!orders_is_holder(orders) && orders->announced_term > 0 &&
-		now - orders->holder_seen_us <= HOLDER_MESSAGE_MAX_AGE_US &&
-		now - orders->holder_contact_us <= HOLDER_CONTACT_MAX_AGE_US;
-	bool from_store = !has_fresh_holder;
 
-	if (!has_fresh_holder ||
+	if (orders_is_holder(orders) || orders->announced_term == 0 ||
+	    now - orders->holder_seen_us > HOLDER_MESSAGE_MAX_AGE_US ||
 	    orders->received_through >= orders->last_announced) {
 		orders->gap_since_us = 0;
-	} else {
-		/* A gap that is closed by a retransmission in time has no
-		 * effect. */
-		if (orders->gap_since_us == 0)
-			orders->gap_since_us = now;
-		from_store = now - orders->gap_since_us > GAP_TIMEOUT_US;
+		return false;
+	}
+	if (orders->gap_since_us == 0)
+		orders->gap_since_us = now;
+	if (now - orders->gap_since_us > GAP_TIMEOUT_US + GAP_READ_US) {
+		/* While the store is the source, a whole list of the holder is
+		 * not applied, and the gap would last for its term. */
+		orders->gap_since_us = now;
+		orders_request_list(orders);
 	}
-	if (from_store)
-		targets_set_source(orders->control->targets, true);
-	else if (targets_listed(orders->control->targets))
-		targets_set_source(orders->control->targets, false);
+	return now - orders->gap_since_us > GAP_TIMEOUT_US;
+}
+
+static void choose_targets_source(orders_t *orders)
+{
+	control_t *control = orders->control;
+	bool gap = has_gap(orders);
+
+	targets_set_source(
+		control->targets,
+		gap || !targets_listed(control->targets) ||
+			store_reading_active(control->store_reading));
+}
+
+void orders_request_list(orders_t *orders)
+{
+	orders->received_through = 0;
 }
 
 void orders_send_demand(orders_t *orders, const GArray *entries)
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -120,9 +120,9 @@
 {
 	peers_t *peers = ctx;
 
-	(void)from;
 	(void)hash;
-	catalogs_note_peer_version(peers->control->catalogs, version);
+	catalog_exchange_note_version(peers->control->catalog_exchange, from,
+				      version);
 }
 
 static const bsh_members_ops_t members_ops = {
@@ -543,6 +543,57 @@
 	return rank.before;
 }
 
+typedef struct {
+	uint64_t score;
+	const char *name;
+} scored_t;
+
+typedef struct {
+	uint64_t key;
+	GArray *scored;
+} scoring_t;
+
+static void add_scored(void *ctx, const bsh_member_t *member)
+{
+	const scoring_t *scoring = ctx;
+	scored_t entry = { name_score(scoring->key, member->name),
+			   member->name };
+
+	if (member->state == BSH_MEMBER_ALIVE)
+		g_array_append_val(scoring->scored, entry);
+}
+
+static gint compare_scores(gconstpointer a, gconstpointer b)
+{
+	uint64_t left = ((const scored_t *)a)->score;
+	uint64_t right = ((const scored_t *)b)->score;
+
+	return left > right ? -1 : left < right;
+}
+
+const char *peers_at_rank(const peers_t *peers, uint64_t key, uint32_t at)
+{
+	g_autoptr(GArray) scored = g_array_new(FALSE, FALSE, sizeof(scored_t));
+	scoring_t scoring = { key, scored };
+
+	bsh_members_foreach(peers->members, add_scored, &scoring);
+	g_array_sort(scored, compare_scores);
+	return at < scored->len ? g_array_index(scored, scored_t, at).name
+				: NULL;
+}
+
+const char *peers_any(const peers_t *peers)
+{
+	uint32_t n;
+	uint32_t own = peers_rank(peers, 0, &n);
+	uint32_t at;
+
+	if (n < 2)
+		return NULL;
+	at = (uint32_t)g_random_int_range(0, (gint32)n - 1);
+	return peers_at_rank(peers, 0, at < own ? at : at + 1);
+}
+
 typedef struct {
 	uint64_t key;
 	GHashTable *left_out; /* names */
--- a/bshentryd/quarantine_store.c
+++ b/bshentryd/quarantine_store.c
@@ -270,7 +270,7 @@
 		qs->calling = true;
 		qs->called_key = 0;
 		platform_store_list(qs->store, PLATFORM_KIND_SUSPECTS, NULL,
-				    on_list, qs);
+				    false, on_list, qs);
 		return;
 	}
 	g_hash_table_iter_init(&iter, qs->known);
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -16,6 +16,8 @@
  * a restore, are back within about 2 s; a target still without one is removed
  * then. */
 #define OUTAGE_GRACE_US INT64_C(2500000)
+/* A shorter outage lets no object expire: targets write theirs more often. */
+#define OUTAGE_MIN_US INT64_C(2000000)
 /* An announced placement is used instead of the holdings of the target's object
  * for this long; by then the target has updated its object. */
 #define PLACEMENT_TTL_US INT64_C(2500000)
@@ -90,11 +92,15 @@
 	int64_t now_us = control_now_us(targets->control);
 	int64_t outage_until_us = 0;
 
+	int64_t recovered_us =
+		now_us + targets->feed.recovered_us - bsh_loop_clock_us();
+
 	/* If the store has neither failed since the start nor been restored,
-	 * no object can have expired in an outage or been lost. */
-	if (targets->feed.failed_us > 0)
-		outage_until_us = now_us + targets->feed.recovered_us +
-				  OUTAGE_GRACE_US - bsh_loop_clock_us();
+	 * no object can have expired in an outage or been lost.  It has not
+	 * failed either if it answered the lease holder all the while. */
+	if (targets->feed.failed_us > 0 &&
+	    targets->announced_complete_us < recovered_us - OUTAGE_MIN_US)
+		outage_until_us = recovered_us + OUTAGE_GRACE_US;
 	if (targets->store_restored_us > 0)
 		outage_until_us =
 			MAX(outage_until_us,
@@ -159,6 +165,7 @@
 	listed_t *listed = g_hash_table_lookup(targets->table, target->id);
 	bool was_there = listed != NULL && listed->removal_us == 0;
 	bool was_leaving;
+	bool state_changed;
 	bool same;
 
 	if (listed == NULL) {
@@ -174,6 +181,8 @@
 	/* A target that is leaving stays so until it is started again. */
 	was_leaving = was_there && listed->target.leaving &&
 		      listed->target.started_ms == target->started_ms;
+	state_changed = !was_there || target->leaving != was_leaving ||
+			listed->target.started_ms != target->started_ms;
 	listed->target = *target;
 	listed->target.leaving = target->leaving || was_leaving;
 	listed->removal_us = 0;
@@ -187,6 +196,8 @@
 		target->id, target->service, target->address, target->zone,
 		target->software, target->leaving, target->holdings.n);
 	control_target_changed(targets->control, &listed->target);
+	if (state_changed)
+		control_target_state_changed(targets->control, target->id);
 }
 
 /* False if the target has left and its entry may be from the copy from which the
@@ -305,7 +316,7 @@
 
 void targets_start(targets_t *targets)
 {
-	feed_start(&targets->feed);
+	feed_start_once(&targets->feed);
 }
 
 void targets_relist(targets_t *targets)
@@ -420,7 +431,11 @@
 		target = listed->target;
 	g_strlcpy(target.id, entry->target, sizeof(target.id));
 	g_strlcpy(target.service, entry->service, sizeof(target.service));
-	g_strlcpy(target.address, entry->address, sizeof(target.address));
+	/* A process keeps its address; the own list may name another way to
+	 * it. */
+	if (listed == NULL || listed->target.started_ms != entry->started_ms)
+		g_strlcpy(target.address, entry->address,
+			  sizeof(target.address));
 	g_strlcpy(target.zone, entry->zone, sizeof(target.zone));
 	target.slots = entry->slots;
 	target.leaving = entry->state == BSH_TARGET_LEAVING;
@@ -434,15 +449,23 @@
 
 void targets_apply_announcement(targets_t *targets,
 				const bsh_placement_entry_t *entry,
-				uint64_t term)
+				uint64_t term, int64_t contact_age_us)
 {
 	bsh_holdings_t holdings;
+	int64_t departed_us;
 	listed_t *listed;
 
 	if (!accept_announcement(targets, entry, term))
 		return;
 	decode_pairs(entry, &holdings);
-	if (targets_follow_holder(targets)) {
+	/* A holder that has lost the store still names targets that have
+	 * departed since. */
+	departed_us = bsh_departed_at_us(&targets->departed, entry->target,
+					 entry->started_ms);
+	if (targets_follow_holder(targets) &&
+	    (departed_us == 0 ||
+	     control_now_us(targets->control) - contact_age_us >=
+		     departed_us)) {
 		apply_announced_state(targets, entry, &holdings);
 		listed = g_hash_table_lookup(targets->table, entry->target);
 		if (listed != NULL) {
@@ -491,6 +514,121 @@
 	return true;
 }
 
+static void add_keys(GHashTable *table, const uint8_t *keys, uint32_t bytes)
+{
+	uint32_t key;
+
+	for (uint32_t at = 0; at + sizeof(key) <= bytes; at += sizeof(key)) {
+		memcpy(&key, keys + at, sizeof(key));
+		g_hash_table_add(table, GUINT_TO_POINTER(GUINT32_FROM_BE(key)));
+	}
+}
+
+bool targets_apply_reader(targets_t *targets, const bsh_msg_reader_t *message)
+{
+	g_autoptr(GHashTable) leaving =
+		g_hash_table_new(g_direct_hash, g_direct_equal);
+	g_autoptr(GHashTable) missing =
+		g_hash_table_new(g_direct_hash, g_direct_equal);
+	g_autoptr(GPtrArray) listed_targets = g_ptr_array_new();
+	GHashTableIter iter;
+	void *data;
+	bool news = false;
+
+	if (!targets_follow_holder(targets))
+		return false;
+	add_keys(leaving, message->leaving, message->leaving_bytes);
+	add_keys(missing, message->missing, message->missing_bytes);
+	g_hash_table_iter_init(&iter, targets->table);
+	while (g_hash_table_iter_next(&iter, NULL, &data))
+		g_ptr_array_add(listed_targets, data);
+	for (guint i = 0; i < listed_targets->len; i++) {
+		listed_t *listed = g_ptr_array_index(listed_targets, i);
+		void *key = GUINT_TO_POINTER(bsh_target_key(listed->target.id));
+
+		if (g_hash_table_contains(leaving, key) &&
+		    !listed->target.leaving) {
+			listed->target.leaving = true;
+			control_target_changed(targets->control,
+					       &listed->target);
+			news = true;
+		} else if (g_hash_table_contains(missing, key) &&
+			   listed->removal_us == 0) {
+			mark_missing(targets, listed,
+				     removal_grace_us(targets));
+			news = true;
+		}
+	}
+	return news;
+}
+
+bool targets_apply_reader_targets(targets_t *targets,
+				  const bsh_msg_reader_targets_t *message)
+{
+	bool news = false;
+
+	if (!targets_follow_holder(targets))
+		return false;
+	for (uint32_t i = 0; i < message->entry_count; i++) {
+		const bsh_placement_entry_t *entry = &message->entries[i];
+		const listed_t *listed =
+			g_hash_table_lookup(targets->table, entry->target);
+		bsh_holdings_t holdings;
+
+		if (entry->state != BSH_TARGET_LIVE ||
+		    (listed != NULL &&
+		     entry->started_ms <= listed->target.started_ms))
+			continue;
+		decode_pairs(entry, &holdings);
+		apply_announced_state(targets, entry, &holdings);
+		news = true;
+	}
+	return news;
+}
+
+void targets_collect_ended(const targets_t *targets, GArray *leaving,
+			   GArray *missing, guint max)
+{
+	GHashTableIter iter;
+	void *data;
+
+	g_hash_table_iter_init(&iter, targets->table);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const listed_t *listed = data;
+		GArray *keys = listed->target.leaving	 ? leaving
+			       : listed->removal_us != 0 ? missing
+							 : NULL;
+		uint32_t key = GUINT32_TO_BE(bsh_target_key(listed->target.id));
+
+		if (keys != NULL && keys->len < max)
+			g_array_append_val(keys, key);
+	}
+}
+
+int64_t targets_answered_us(const targets_t *targets)
+{
+	return targets->feed.answered_us;
+}
+
+int64_t targets_complete_us(const targets_t *targets)
+{
+	return targets->feed.complete_us;
+}
+
+void targets_set_backoff_max(targets_t *targets, int64_t backoff_max_us)
+{
+	feed_set_backoff_max(&targets->feed, backoff_max_us);
+}
+
+void targets_set_wait(targets_t *targets, uint32_t wait_ms)
+{
+	uint32_t usual_ms =
+		watch_timeout_ms(&targets->control->entry->settings);
+
+	feed_set_wait(&targets->feed,
+		      wait_ms > 0 ? MIN(wait_ms, usual_ms) : usual_ms);
+}
+
 bool targets_are_current(const targets_t *targets)
 {
 	return targets_is_synced(targets) &&
--- a/lib/coordination/departed_target.c
+++ b/lib/coordination/departed_target.c
@@ -59,6 +59,17 @@
 	return true;
 }
 
+int64_t bsh_departed_at_us(const bsh_departed_t *departed, const char *id,
+			   uint64_t started_ms)
+{
+	const departure_t *departure =
+		g_hash_table_lookup(departed->records, id);
+
+	return departure != NULL && departure->started_ms == started_ms
+		       ? departure->at_us
+		       : 0;
+}
+
 void bsh_departed_forget(bsh_departed_t *departed, const char *id)
 {
 	g_hash_table_remove(departed->records, id);
--- a/lib/coordination/departed_target.h
+++ b/lib/coordination/departed_target.h
@@ -65,6 +65,11 @@
 bool bsh_departed_accept(bsh_departed_t *departed,
 			 const bsh_departed_entry_t *entry, int64_t now_us);
 
+/* bsh_departed_at_us - when this process was found to have departed; 0: it was
+ * not. */
+int64_t bsh_departed_at_us(const bsh_departed_t *departed, const char *id,
+			   uint64_t started_ms);
+
 /* bsh_departed_forget - the target has returned, by a source other than the
  * store. */
 void bsh_departed_forget(bsh_departed_t *departed, const char *id);
--- /dev/null
+++ b/lib/coordination/document_fetch.c
@@ -0,0 +1,159 @@
+#include "coordination/document_fetch.h"
+
+#include <string.h>
+
+/* Time for one level of the tree to have received the document. */
+#define LEVEL_DELAY_US INT64_C(40000)
+/* After this long without a part the query is repeated. */
+#define REPEAT_US INT64_C(80000)
+/* Queries without progress until the next source is tried. */
+#define TELLER_AFTER_TRIES 3U
+#define ANY_AFTER_TRIES	   5U
+#define STORE_AFTER_TRIES  9U
+/* After the store was asked, which has its own repetitions. */
+#define STORE_WAIT_US INT64_C(2000000)
+
+void bsh_document_fetch_init(bsh_document_fetch_t *fetch)
+{
+	memset(fetch, 0, sizeof(*fetch));
+}
+
+static void drop_parts(bsh_document_fetch_t *fetch)
+{
+	if (fetch->received != NULL)
+		g_ptr_array_unref(fetch->received);
+	fetch->received = NULL;
+	fetch->version = 0;
+	fetch->parts = 0;
+}
+
+void bsh_document_fetch_finish(bsh_document_fetch_t *fetch)
+{
+	drop_parts(fetch);
+}
+
+uint32_t bsh_document_parent(uint32_t rank)
+{
+	return rank < BSH_DOCUMENT_FANOUT ? UINT32_MAX
+					  : rank / BSH_DOCUMENT_FANOUT - 1;
+}
+
+void bsh_document_fetch_want(bsh_document_fetch_t *fetch, uint64_t version,
+			     uint32_t rank, int64_t now_us)
+{
+	int64_t delay_us = 0;
+
+	if (version <= fetch->known || version <= fetch->wanted)
+		return;
+	/* A fetch of an earlier version goes on with the next query. */
+	if (fetch->wanted == 0) {
+		for (rank = bsh_document_parent(rank); rank != UINT32_MAX;
+		     rank = bsh_document_parent(rank))
+			delay_us += LEVEL_DELAY_US;
+		fetch->next_us = now_us + delay_us;
+		fetch->tries = 0;
+	}
+	fetch->wanted = version;
+}
+
+void bsh_document_fetch_set_known(bsh_document_fetch_t *fetch, uint64_t version)
+{
+	fetch->known = MAX(fetch->known, version);
+	if (fetch->wanted <= fetch->known)
+		fetch->wanted = 0;
+	if (fetch->version <= fetch->known)
+		drop_parts(fetch);
+}
+
+static uint32_t first_missing(const bsh_document_fetch_t *fetch)
+{
+	uint32_t i = 0;
+
+	while (i < fetch->parts &&
+	       g_ptr_array_index(fetch->received, i) != NULL)
+		i++;
+	return i;
+}
+
+bsh_document_source_t bsh_document_fetch_next(bsh_document_fetch_t *fetch,
+					      int64_t now_us, uint32_t *from)
+{
+	uint32_t tries = fetch->tries;
+
+	*from = first_missing(fetch);
+	if (fetch->wanted == 0 || now_us < fetch->next_us)
+		return BSH_DOCUMENT_NOTHING;
+	fetch->tries++;
+	fetch->next_us = now_us + REPEAT_US;
+	if (tries < TELLER_AFTER_TRIES)
+		return BSH_DOCUMENT_PARENT;
+	if (tries < ANY_AFTER_TRIES)
+		return BSH_DOCUMENT_TELLER;
+	if (tries < STORE_AFTER_TRIES)
+		return BSH_DOCUMENT_ANY;
+	fetch->tries = TELLER_AFTER_TRIES;
+	fetch->next_us = now_us + STORE_WAIT_US;
+	return BSH_DOCUMENT_STORE;
+}
+
+int64_t bsh_document_fetch_due_us(const bsh_document_fetch_t *fetch)
+{
+	return fetch->wanted > 0 ? fetch->next_us : INT64_MAX;
+}
+
+static GBytes *join_parts(const bsh_document_fetch_t *fetch)
+{
+	GByteArray *whole = g_byte_array_new();
+
+	for (uint32_t i = 0; i < fetch->parts; i++) {
+		gsize size;
+		const void *data = g_bytes_get_data(
+			g_ptr_array_index(fetch->received, i), &size);
+
+		g_byte_array_append(whole, data, (guint)size);
+	}
+	return g_byte_array_free_to_bytes(whole);
+}
+
+static void free_part(void *part)
+{
+	if (part != NULL)
+		g_bytes_unref(part);
+}
+
+GBytes *bsh_document_fetch_part(bsh_document_fetch_t *fetch, uint64_t version,
+				uint32_t part, uint32_t parts, const void *data,
+				size_t size_bytes, int64_t now_us)
+{
+	if (fetch->wanted == 0 || version <= fetch->known || part >= parts ||
+	    version < fetch->version ||
+	    (version == fetch->version && parts != fetch->parts))
+		return NULL;
+	if (version > fetch->version) {
+		drop_parts(fetch);
+		fetch->version = version;
+		fetch->parts = parts;
+		fetch->received = g_ptr_array_new_full(parts, free_part);
+		g_ptr_array_set_size(fetch->received, (gint)parts);
+	}
+	if (g_ptr_array_index(fetch->received, part) != NULL)
+		return NULL;
+	g_ptr_array_index(fetch->received, part) =
+		g_bytes_new(data, size_bytes);
+	fetch->tries = 0;
+	fetch->next_us = now_us + REPEAT_US;
+	if (first_missing(fetch) < fetch->parts) {
+		/* The whole window has come: the next one is asked for. */
+		if (first_missing(fetch) % BSH_DOCUMENT_WINDOW == 0)
+			fetch->next_us = now_us;
+		return NULL;
+	}
+	return join_parts(fetch);
+}
+
+void bsh_document_fetch_refused(bsh_document_fetch_t *fetch, int64_t now_us)
+{
+	drop_parts(fetch);
+	fetch->tries = MAX(fetch->tries, ANY_AFTER_TRIES);
+	fetch->next_us = now_us + REPEAT_US;
+}
--- /dev/null
+++ b/lib/coordination/document_fetch.h
@@ -0,0 +1,94 @@
+#ifndef BSH_COORDINATION_DOCUMENT_FETCH_H
+#define BSH_COORDINATION_DOCUMENT_FETCH_H
+
+/*
+ * NAME
+ *	document_fetch - getting the configuration from another instance
+ *
+ * DESCRIPTION
+ *	An instance that does not read the store gets a newer configuration in
+ *	parts, by datagrams, from one that has it.  So that the instance that
+ *	read it does not send it to all, the instances form a tree by their rank
+ *	for that version: the first BSH_DOCUMENT_FANOUT ask the one that told of
+ *	the version, the others ask one of a lower rank, a moment later.
+ *
+ *	A part that does not come is asked for again, after some tries from
+ *	another instance, and at last the store is asked.
+ *
+ *	Pure: no I/O and no clock.
+ *
+ * UNITS
+ *	Names ending in _us are microseconds of any one clock.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/error.h"
+
+/* Instances that ask one. */
+#define BSH_DOCUMENT_FANOUT 8U
+/* Parts that one query is answered with at most. */
+#define BSH_DOCUMENT_WINDOW 24U
+
+typedef enum {
+	BSH_DOCUMENT_NOTHING, /* no query is due */
+	BSH_DOCUMENT_PARENT,  /* ask the one above in the tree */
+	BSH_DOCUMENT_TELLER,  /* ask the one that told of the version */
+	BSH_DOCUMENT_ANY,     /* ask any other instance */
+	BSH_DOCUMENT_STORE    /* read the store */
+} bsh_document_source_t;
+
+typedef struct {
+	uint64_t known;	 /* version in force here; 0: none */
+	uint64_t wanted; /* 0: nothing is fetched */
+	uint32_t tries;	 /* queries without progress */
+	int64_t next_us; /* of the next query */
+	/* Parts received of one version. */
+	uint64_t version; /* 0: none */
+	uint32_t parts;
+	GPtrArray *received; /* GBytes by part; NULL: missing */
+} bsh_document_fetch_t;
+
+void bsh_document_fetch_init(bsh_document_fetch_t *fetch);
+void bsh_document_fetch_finish(bsh_document_fetch_t *fetch);
+
+/* bsh_document_fetch_want - an instance has this version.  rank: of this one for
+ * the version. */
+void bsh_document_fetch_want(bsh_document_fetch_t *fetch, uint64_t version,
+			     uint32_t rank, int64_t now_us);
+
+/* bsh_document_fetch_set_known - a configuration is in force; ends a fetch of
+ * that version or an older one. */
+void bsh_document_fetch_set_known(bsh_document_fetch_t *fetch,
+				  uint64_t version);
+
+/* bsh_document_fetch_next - where to ask now; *from is the first part to ask
+ * for. */
+bsh_document_source_t bsh_document_fetch_next(bsh_document_fetch_t *fetch,
+					      int64_t now_us, uint32_t *from);
+
+/* bsh_document_fetch_due_us - when bsh_document_fetch_next() has to be called
+ * again; INT64_MAX: not before the next event. */
+int64_t bsh_document_fetch_due_us(const bsh_document_fetch_t *fetch);
+
+/*
+ * bsh_document_fetch_part - a part was received.
+ *
+ * RETURN VALUE
+ *	The whole document, which the caller releases, or NULL.
+ */
+GBytes *bsh_document_fetch_part(bsh_document_fetch_t *fetch, uint64_t version,
+				uint32_t part, uint32_t parts, const void *data,
+				size_t size_bytes, int64_t now_us);
+
+/* bsh_document_fetch_refused - the received document cannot be read: it is
+ * fetched again, from elsewhere. */
+void bsh_document_fetch_refused(bsh_document_fetch_t *fetch, int64_t now_us);
+
+/* bsh_document_parent - rank of the instance above one of this rank; UINT32_MAX:
+ * the one that told. */
+uint32_t bsh_document_parent(uint32_t rank);
+
+#endif
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -361,6 +361,38 @@
 	END
 };
 
+static const field_t reader_fields[] = {
+	U64(bsh_msg_reader_t, revision),
+	U32(bsh_msg_reader_t, contact_age_ms),
+	U64(bsh_msg_reader_t, config_version),
+	BLOB(bsh_msg_reader_t, leaving, leaving_bytes,
+	     4 * BSH_READER_TARGETS_MAX),
+	BLOB(bsh_msg_reader_t, missing, missing_bytes,
+	     4 * BSH_READER_TARGETS_MAX),
+	END
+};
+
+static const field_t reader_targets_fields[] = {
+	LIST(bsh_msg_reader_targets_t, entries, entry_count,
+	     placement_entry_fields, bsh_placement_entry_t),
+	END
+};
+
+static const field_t document_query_fields[] = {
+	U64(bsh_msg_document_query_t, known),
+	U64(bsh_msg_document_query_t, version),
+	ENUM(bsh_msg_document_query_t, from, 0, BSH_DOCUMENT_PARTS_MAX), END
+};
+
+static const field_t document_part_fields[] = {
+	U64(bsh_msg_document_part_t, version),
+	ENUM(bsh_msg_document_part_t, part, 0, BSH_DOCUMENT_PARTS_MAX),
+	ENUM(bsh_msg_document_part_t, parts, 0, BSH_DOCUMENT_PARTS_MAX),
+	BLOB(bsh_msg_document_part_t, data, data_bytes,
+	     BSH_DOCUMENT_PART_BYTES),
+	END
+};
+
 static const struct {
 	const char *name;
 	const field_t *fields;
@@ -394,6 +426,10 @@
 	[BSH_MSG_REACH] = { "REACH", reach_fields },
 	[BSH_MSG_PLACE_NEEDS] = { "PLACE_NEEDS", place_needs_fields },
 	[BSH_MSG_PLACE_GRANTS] = { "PLACE_GRANTS", place_grants_fields },
+	[BSH_MSG_READER] = { "READER", reader_fields },
+	[BSH_MSG_READER_TARGETS] = { "READER_TARGETS", reader_targets_fields },
+	[BSH_MSG_DOCUMENT_QUERY] = { "DOCUMENT_QUERY", document_query_fields },
+	[BSH_MSG_DOCUMENT_PART] = { "DOCUMENT_PART", document_part_fields },
 };
 
 const char *bsh_message_name(bsh_message_type_t type)
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -65,6 +65,10 @@
 	BSH_MSG_REACH,
 	BSH_MSG_PLACE_NEEDS,
 	BSH_MSG_PLACE_GRANTS,
+	BSH_MSG_READER,
+	BSH_MSG_READER_TARGETS,
+	BSH_MSG_DOCUMENT_QUERY,
+	BSH_MSG_DOCUMENT_PART,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -502,6 +506,57 @@
 	uint32_t grant_count;
 } bsh_msg_place_grants_t;
 
+/* Targets in each list of a READER, so that it fits a datagram. */
+#define BSH_READER_TARGETS_MAX 110
+
+/*
+ * READER: from an instance that reads the store to all others: how recent its
+ * list of targets is, which targets must get no new work, and the version of the
+ * configuration that it has in force.
+ */
+typedef struct {
+	uint64_t revision;	 /* newest one received from the store */
+	uint32_t contact_age_ms; /* since the store answered about the list */
+	uint64_t config_version; /* 0: none */
+	/* Targets that are leaving, and those whose entry is missing, by the
+	 * low 32 bits of the hashes of their ids, big-endian, 4 bytes each. */
+	const uint8_t *leaving;
+	uint32_t leaving_bytes;
+	const uint8_t *missing;
+	uint32_t missing_bytes;
+} bsh_msg_reader_t;
+
+/* READER_TARGETS: likewise, targets that are new in the store or have started
+ * again. */
+typedef struct {
+	const bsh_placement_entry_t *entries;
+	uint32_t entry_count;
+} bsh_msg_reader_targets_t;
+
+/* DOCUMENT_QUERY: to an instance that may have a newer configuration. */
+typedef struct {
+	uint64_t known;	  /* version in force at the sender; 0: none */
+	uint64_t version; /* of the parts received so far; 0: none */
+	uint32_t from;	  /* first part that is missing */
+} bsh_msg_document_query_t;
+
+/* Bytes of a document in one DOCUMENT_PART, so that it fits a datagram, and
+ * parts of one document at most. */
+#define BSH_DOCUMENT_PART_BYTES 1024
+#define BSH_DOCUMENT_PARTS_MAX	4096
+
+/*
+ * DOCUMENT_PART: the answer, one of several; without parts if the sender has no
+ * configuration above the known version.
+ */
+typedef struct {
+	uint64_t version;
+	uint32_t part;	/* from 0 */
+	uint32_t parts; /* 0: nothing newer */
+	const uint8_t *data;
+	uint32_t data_bytes;
+} bsh_msg_document_part_t;
+
 /* Most entries of a LOAD that fit a datagram if no value exceeds the bound. */
 #define BSH_LOAD_ENTRIES_MAX 72
 #define BSH_LOAD_VALUE_MAX   65535U
@@ -558,6 +613,10 @@
 		bsh_msg_target_limits_t target_limits;
 		bsh_msg_place_needs_t place_needs;
 		bsh_msg_place_grants_t place_grants;
+		bsh_msg_reader_t reader;
+		bsh_msg_reader_targets_t reader_targets;
+		bsh_msg_document_query_t document_query;
+		bsh_msg_document_part_t document_part;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -1,6 +1,6 @@
 # Shared compiler settings.  TOP is the repository root.
 PKGS = apr-1 apr-util-1 glib-2.0 jansson libcurl libmicrohttpd libsodium \
-       libxxhash msgpack
+       libxxhash msgpack zlib
 BUILD ?= $(TOP)/build
 CC = gcc
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -152,6 +152,24 @@
 	case BSH_MSG_PLACE_GRANTS:
 		m.place_grants = (bsh_msg_place_grants_t){ place_grants, 2 };
 		break;
+	case BSH_MSG_READER:
+		m.reader =
+			(bsh_msg_reader_t){ 7, 8,
+					    9, (const uint8_t *)"abcd",
+					    4, (const uint8_t *)"\0\1\2\3efgh",
+					    8 };
+		break;
+	case BSH_MSG_READER_TARGETS:
+		m.reader_targets = (bsh_msg_reader_targets_t){ placements, 1 };
+		break;
+	case BSH_MSG_DOCUMENT_QUERY:
+		m.document_query = (bsh_msg_document_query_t){ 1, 2, 3 };
+		break;
+	case BSH_MSG_DOCUMENT_PART:
+		m.document_part =
+			(bsh_msg_document_part_t){ 4, 1, 2,
+						   (const uint8_t *)"a\0b", 3 };
+		break;
 	case BSH_MSG_REACH:
 		m.reach = (bsh_msg_reach_t){ true };
 		break;
@@ -665,13 +683,15 @@
 }
 
 /* Guards against DEMAND, PLACEMENT, STREAM_RECORDS, SUSPECT_FACTS, TARGET_LIMITS, RELEASE,
- * LOAD and INVENTORY messages that exceed a datagram and so are never delivered, as in deployments with hundreds of models. */
+ * LOAD, READER, DOCUMENT_PART and INVENTORY messages that exceed a datagram and so are never delivered, as in deployments with
+ * hundreds of models. */
 static void test_message_fits_datagram(void)
 {
 	bsh_demand_entry_t entries[40];
 	bsh_placement_entry_t targets[2];
 	uint8_t pairs[320];
 	uint8_t keys[4 * BSH_INVENTORY_TARGETS_MAX];
+	uint8_t document[BSH_DOCUMENT_PART_BYTES] = { 0 };
 	bsh_recent_order_t recent_orders[40];
 	bsh_load_entry_t load_entries[BSH_LOAD_ENTRIES_MAX];
 	bsh_stream_record_t records[BSH_STREAM_RECORDS_MAX];
@@ -759,6 +779,25 @@
 	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
 	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
 	free(data);
+	m.type = BSH_MSG_READER;
+	m.reader = (bsh_msg_reader_t){ UINT64_MAX,
+				       UINT32_MAX,
+				       UINT64_MAX,
+				       keys,
+				       4 * BSH_READER_TARGETS_MAX,
+				       keys,
+				       4 * BSH_READER_TARGETS_MAX };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
+	m.type = BSH_MSG_DOCUMENT_PART;
+	m.document_part =
+		(bsh_msg_document_part_t){ UINT64_MAX, BSH_DOCUMENT_PARTS_MAX,
+					   BSH_DOCUMENT_PARTS_MAX, document,
+					   sizeof(document) };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
 	m.type = BSH_MSG_INVENTORY;
 	m.inventory = (bsh_msg_inventory_t){ UINT64_MAX, UINT64_MAX,
 					     UINT32_MAX, BSH_MESSAGE_LIST_MAX,
--- a/regress/test_store_connections.c
+++ b/regress/test_store_connections.c
@@ -61,7 +61,7 @@
 	f->ended = 0;
 	for (uint32_t i = 0; i < n; i++)
 		platform_store_list(&f->store, PLATFORM_KIND_CONFIG, NULL,
-				    on_answer, f);
+				    false, on_answer, f);
 	while (f->ended < n) {
 		g_assert_cmpint(bsh_loop_clock_us(), <, until_us);
 		platform_rig_run(&f->rig, 1);
--- /dev/null
+++ b/regress/test_store_reader.c
@@ -0,0 +1,539 @@
+/* Random days of a fleet that shares the reading of the platform's store, on a
+ * virtual clock, beside one in which each instance reads for itself.  The load
+ * pattern is a store that some instances cannot reach, or nobody. */
+#include <glib.h>
+#include <string.h>
+
+#include "coordination/document_fetch.h"
+#include "coordination/store_reader.h"
+
+#define MS	     INT64_C(1000)
+#define SECOND	     (1000 * MS)
+#define TICK_US	     (10 * MS)
+#define DECIDE_US    (50 * MS)
+#define PACE_US	     (200 * MS)
+#define DAY_US	     (40 * SECOND)
+#define WARM_UP_US   (4 * SECOND)
+#define CONTACT_US   (3 * SECOND)
+#define NODES_MAX    60 /* bits of fault_t.struck */
+#define FAULTS_MAX   6
+#define CHANGES_MAX  24
+#define MESSAGES_MAX 60000
+
+typedef enum {
+	FAULT_HOLDER_CUT,   /* the holder does not reach the store */
+	FAULT_SOME_REFUSED, /* a share of the instances is refused */
+	FAULT_STORE_DOWN,
+	FAULT_FROZEN,  /* the holder stands still */
+	FAULT_KILLED,  /* the holder ends and starts again */
+	FAULT_APART,   /* two groups do not hear each other */
+	FAULT_ONE_WAY, /* some hear nobody, but are heard */
+	FAULT_KINDS
+} fault_kind_t;
+
+typedef struct {
+	fault_kind_t kind;
+	int64_t from_us;
+	int64_t to_us;
+	uint64_t struck; /* bit N: instance N */
+} fault_t;
+
+typedef struct {
+	bsh_store_reader_t reader;
+	bsh_document_fetch_t fetch;
+	int64_t began_us;
+	int64_t own_us;	 /* moment of the own reading; 0: none */
+	int64_t call_us; /* of the next call */
+	int64_t backoff_us;
+	int64_t told_us;
+	uint32_t left; /* targets known to have left */
+	uint64_t config;
+	uint32_t teller;      /* told of the wanted version */
+	int64_t disturbed_us; /* last moment not in touch */
+} node_t;
+
+typedef enum {
+	MESSAGE_READER,
+	MESSAGE_QUERY,
+	MESSAGE_PART
+} message_kind_t;
+
+typedef struct {
+	message_kind_t kind;
+	int64_t at_us;
+	uint32_t from;
+	uint32_t to;
+	int64_t list_us;
+	uint32_t left;
+	uint64_t config;
+	uint64_t known;
+} message_t;
+
+typedef struct {
+	GRand *rand;
+	int64_t now_us;
+	int64_t drain_us;
+	uint32_t n;
+	uint32_t holder;
+	int64_t holder_until_us; /* a new one is found then; 0: not sought */
+	node_t nodes[NODES_MAX];
+	fault_t faults[FAULTS_MAX];
+	uint32_t n_faults;
+	int64_t leaving_us[CHANGES_MAX]; /* targets leave, in order */
+	int64_t config_us[CHANGES_MAX];	 /* versions 1.. are accepted */
+	uint32_t n_changes;
+	bool naive; /* each instance reads for itself */
+	GArray *messages;
+	uint64_t calls;
+	uint32_t late_targets;
+	uint32_t late_configs;
+	uint32_t went_back;
+} day_t;
+
+static bool is_struck(const day_t *d, fault_kind_t kind, uint32_t node)
+{
+	for (uint32_t i = 0; i < d->n_faults; i++)
+		if (d->faults[i].kind == kind &&
+		    d->now_us >= d->faults[i].from_us &&
+		    d->now_us < d->faults[i].to_us &&
+		    (d->faults[i].struck >> node & 1) != 0)
+			return true;
+	return false;
+}
+
+static bool stands_still(const day_t *d, uint32_t node)
+{
+	return is_struck(d, FAULT_FROZEN, node) ||
+	       is_struck(d, FAULT_KILLED, node);
+}
+
+static bool reaches_store(const day_t *d, uint32_t node)
+{
+	return !is_struck(d, FAULT_HOLDER_CUT, node) &&
+	       !is_struck(d, FAULT_SOME_REFUSED, node) &&
+	       !is_struck(d, FAULT_STORE_DOWN, node);
+}
+
+static bool hears(const day_t *d, uint32_t from, uint32_t to)
+{
+	return is_struck(d, FAULT_APART, from) ==
+		       is_struck(d, FAULT_APART, to) &&
+	       !is_struck(d, FAULT_ONE_WAY, to);
+}
+
+static void send(day_t *d, message_t message)
+{
+	if (!hears(d, message.from, message.to) ||
+	    g_rand_int_range(d->rand, 0, 100) < 2)
+		return;
+	message.at_us = d->now_us + g_rand_int_range(d->rand, 1000, 12000);
+	g_array_append_val(d->messages, message);
+}
+
+static uint32_t count_until(const int64_t *times, uint32_t n, int64_t now_us)
+{
+	uint32_t i = 0;
+
+	while (i < n && times[i] <= now_us)
+		i++;
+	return i;
+}
+
+static void adopt(day_t *d, node_t *node, uint64_t config)
+{
+	d->went_back += config < node->config;
+	node->config = MAX(node->config, config);
+	bsh_document_fetch_set_known(&node->fetch, node->config);
+}
+
+static void tell(day_t *d, uint32_t from)
+{
+	node_t *node = &d->nodes[from];
+
+	node->told_us = d->now_us;
+	for (uint32_t to = 0; to < d->n; to++)
+		if (to != from)
+			send(d, (message_t){ .kind = MESSAGE_READER,
+					     .from = from,
+					     .to = to,
+					     .list_us = node->own_us,
+					     .left = node->left,
+					     .config = node->config });
+}
+
+/* Reads the store; an instance that reads for others tells them what is new. */
+static void read_store(day_t *d, uint32_t i)
+{
+	node_t *node = &d->nodes[i];
+	uint32_t left = node->left;
+	uint64_t config = node->config;
+
+	d->calls++;
+	if (!reaches_store(d, i)) {
+		node->backoff_us = CLAMP(node->backoff_us * 2, 100 * MS,
+					 bsh_store_reader_backoff_max_us(
+						 d->naive ? 0 : i, d->n));
+		node->call_us = d->now_us + node->backoff_us;
+		return;
+	}
+	node->backoff_us = 50 * MS;
+	node->call_us = d->now_us + PACE_US;
+	node->own_us = d->now_us;
+	node->left =
+		MAX(left, count_until(d->leaving_us, d->n_changes, d->now_us));
+	adopt(d, node, count_until(d->config_us, d->n_changes, d->now_us));
+	if (!d->naive && node->reader.started &&
+	    (node->left > left || node->config > config))
+		tell(d, i);
+}
+
+/* Rank is the number: the fleet is numbered in its order. */
+static void run_fetch(day_t *d, uint32_t i)
+{
+	node_t *node = &d->nodes[i];
+	uint32_t parent = bsh_document_parent(i);
+	uint32_t from;
+	uint32_t to = node->teller;
+
+	switch (bsh_document_fetch_next(&node->fetch, d->now_us, &from)) {
+	case BSH_DOCUMENT_NOTHING:
+		return;
+	case BSH_DOCUMENT_STORE:
+		read_store(d, i);
+		return;
+	case BSH_DOCUMENT_PARENT:
+		if (parent != UINT32_MAX)
+			to = parent;
+		break;
+	case BSH_DOCUMENT_ANY:
+		to = (uint32_t)g_rand_int_range(d->rand, 0, (gint32)d->n);
+		break;
+	case BSH_DOCUMENT_TELLER:
+		break;
+	}
+	send(d, (message_t){ .kind = MESSAGE_QUERY,
+			     .from = i,
+			     .to = to,
+			     .known = node->config });
+}
+
+static void receive(day_t *d, const message_t *message)
+{
+	node_t *node = &d->nodes[message->to];
+	g_autoptr(GBytes) whole = NULL;
+
+	if (stands_still(d, message->to))
+		return;
+	switch (message->kind) {
+	case MESSAGE_READER:
+		bsh_store_reader_note_list(&node->reader,
+					   message->from == d->holder,
+					   message->list_us);
+		bsh_store_reader_note_config(&node->reader,
+					     message->from == d->holder,
+					     message->list_us);
+		node->left = MAX(node->left, message->left);
+		if (message->config > MAX(node->fetch.wanted, node->config))
+			node->teller = message->from;
+		bsh_document_fetch_want(&node->fetch, message->config,
+					message->to, d->now_us);
+		return;
+	case MESSAGE_QUERY:
+		if (node->config > message->known)
+			send(d, (message_t){ .kind = MESSAGE_PART,
+					     .from = message->to,
+					     .to = message->from,
+					     .config = node->config });
+		return;
+	case MESSAGE_PART:
+		whole = bsh_document_fetch_part(&node->fetch, message->config,
+						0, 1, "x", 1, d->now_us);
+		if (whole != NULL)
+			adopt(d, node, message->config);
+		return;
+	}
+}
+
+static void deliver(day_t *d)
+{
+	for (guint i = 0; i < d->messages->len;) {
+		message_t message = g_array_index(d->messages, message_t, i);
+
+		if (message.at_us > d->now_us) {
+			i++;
+			continue;
+		}
+		g_array_remove_index_fast(d->messages, i);
+		receive(d, &message);
+	}
+}
+
+/* The lease passes on as in coordination/lease: 1.2 s after the store has
+ * stopped answering its holder, and some seconds after the holder's end. */
+static void run_lease(day_t *d)
+{
+	bool lost = stands_still(d, d->holder) || !reaches_store(d, d->holder);
+
+	if (!lost) {
+		d->holder_until_us = 0;
+		return;
+	}
+	if (d->holder_until_us == 0)
+		d->holder_until_us =
+			d->now_us +
+			(stands_still(d, d->holder) ? 3 * SECOND : 1700 * MS);
+	if (d->now_us < d->holder_until_us)
+		return;
+	for (uint32_t i = 0; i < d->n; i++)
+		if (!stands_still(d, i) && reaches_store(d, i) &&
+		    d->nodes[i].reader.reading) {
+			d->holder = i;
+			d->holder_until_us = 0;
+			return;
+		}
+}
+
+static void run_node(day_t *d, uint32_t i)
+{
+	node_t *node = &d->nodes[i];
+	bsh_store_reader_input_t input = {
+		.holder = i == d->holder,
+		.rank = i,
+		.own_us = node->own_us,
+	};
+
+	if (is_struck(d, FAULT_KILLED, i)) {
+		bsh_document_fetch_finish(&node->fetch);
+		memset(node, 0, sizeof(*node));
+		bsh_store_reader_init(&node->reader, d->drain_us);
+		bsh_document_fetch_init(&node->fetch);
+		node->began_us = d->now_us;
+		return;
+	}
+	if (is_struck(d, FAULT_FROZEN, i))
+		return;
+	if (d->now_us % DECIDE_US == 0 && !d->naive)
+		bsh_store_reader_decide(&node->reader, &input, d->now_us);
+	if ((node->reader.reading || d->naive) && d->now_us >= node->call_us)
+		read_store(d, i);
+	if (!d->naive && node->reader.reading && node->reader.started &&
+	    d->now_us - node->own_us < 1200 * MS &&
+	    d->now_us - node->told_us >= 300 * MS)
+		tell(d, i);
+	run_fetch(d, i);
+}
+
+/* An instance is in touch if neither it nor the store was disturbed lately. */
+static void note_disturbance(day_t *d, uint32_t i)
+{
+	bool store_disturbed = false;
+
+	for (uint32_t j = 0; j < d->n; j++)
+		store_disturbed = store_disturbed ||
+				  is_struck(d, FAULT_SOME_REFUSED, j) ||
+				  is_struck(d, FAULT_STORE_DOWN, j);
+	if (store_disturbed || stands_still(d, i) || !reaches_store(d, i) ||
+	    is_struck(d, FAULT_ONE_WAY, i))
+		d->nodes[i].disturbed_us = d->now_us;
+}
+
+static void check_node(day_t *d, uint32_t i)
+{
+	node_t *node = &d->nodes[i];
+
+	note_disturbance(d, i);
+	if (d->now_us - MAX(node->disturbed_us, node->began_us) < CONTACT_US ||
+	    d->now_us < WARM_UP_US)
+		return;
+	d->late_targets += node->left < count_until(d->leaving_us, d->n_changes,
+						    d->now_us - d->drain_us);
+	d->late_configs +=
+		node->config < count_until(d->config_us, d->n_changes,
+					   d->now_us - d->drain_us);
+}
+
+static int compare_times(const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *)a;
+	int64_t right = *(const int64_t *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+static void draw_fault(day_t *d, fault_t *fault, fault_kind_t kind)
+{
+	uint64_t all = (UINT64_C(1) << d->n) - 1;
+
+	fault->kind = kind;
+	fault->from_us = g_rand_int_range(d->rand, 5, 28) * SECOND +
+			 g_rand_int_range(d->rand, 0, 100) * TICK_US;
+	fault->to_us =
+		fault->from_us + g_rand_int_range(d->rand, 10, 80) * 100 * MS;
+	fault->struck = UINT64_C(1) << d->holder;
+	if (kind == FAULT_STORE_DOWN)
+		fault->struck = all;
+	else if (kind == FAULT_SOME_REFUSED || kind == FAULT_APART)
+		fault->struck = ((uint64_t)g_rand_int(d->rand) << 32 |
+				 g_rand_int(d->rand)) &
+				all;
+	else if (kind == FAULT_ONE_WAY)
+		fault->struck = UINT64_C(1)
+				<< g_rand_int_range(d->rand, 0, (gint32)d->n);
+}
+
+static void init_day(day_t *d, uint32_t seed, bool naive, bool calm)
+{
+	memset(d, 0, sizeof(*d));
+	d->rand = g_rand_new_with_seed(seed);
+	d->naive = naive;
+	d->n = (uint32_t)g_rand_int_range(d->rand, 3, NODES_MAX + 1);
+	d->drain_us = g_rand_boolean(d->rand) ? 2 * SECOND : 4 * SECOND;
+	d->holder = (uint32_t)g_rand_int_range(d->rand, 0, (gint32)d->n);
+	d->messages = g_array_sized_new(FALSE, FALSE, sizeof(message_t),
+					MESSAGES_MAX / 10);
+	d->n_changes = CHANGES_MAX;
+	for (uint32_t i = 0; i < CHANGES_MAX; i++) {
+		d->leaving_us[i] = g_rand_int_range(d->rand, 0, 3600) * TICK_US;
+		d->config_us[i] = g_rand_int_range(d->rand, 0, 3600) * TICK_US;
+	}
+	qsort(d->leaving_us, CHANGES_MAX, sizeof(int64_t), compare_times);
+	qsort(d->config_us, CHANGES_MAX, sizeof(int64_t), compare_times);
+	d->n_faults =
+		calm ? 0 : (uint32_t)g_rand_int_range(d->rand, 1, FAULTS_MAX);
+	for (uint32_t i = 0; i < d->n_faults; i++)
+		draw_fault(d, &d->faults[i],
+			   (fault_kind_t)g_rand_int_range(d->rand, 0,
+							  FAULT_KINDS));
+	for (uint32_t i = 0; i < d->n; i++) {
+		bsh_store_reader_init(&d->nodes[i].reader, d->drain_us);
+		bsh_document_fetch_init(&d->nodes[i].fetch);
+		d->nodes[i].disturbed_us = -DAY_US;
+	}
+}
+
+static void play(day_t *d, uint32_t seed, bool naive, bool calm)
+{
+	init_day(d, seed, naive, calm);
+	for (d->now_us = TICK_US; d->now_us < DAY_US; d->now_us += TICK_US) {
+		run_lease(d);
+		deliver(d);
+		for (uint32_t i = 0; i < d->n; i++)
+			run_node(d, i);
+		for (uint32_t i = 0; i < d->n; i++)
+			check_node(d, i);
+	}
+	for (uint32_t i = 0; i < d->n; i++)
+		bsh_document_fetch_finish(&d->nodes[i].fetch);
+	g_array_free(d->messages, TRUE);
+	g_rand_free(d->rand);
+}
+
+static uint32_t days(void)
+{
+	return g_test_thorough() ? 3000 : 150;
+}
+
+/* Guards against an instance in touch that goes on using a target past its drain
+ * time, or an old configuration past the same bound, as the instance on which it
+ * relies for the list was cut off, refused, frozen or killed, and against one
+ * that goes back to an earlier configuration. */
+static void test_bounds(void)
+{
+	for (uint32_t seed = 1; seed <= days(); seed++) {
+		day_t d;
+
+		play(&d, seed, false, false);
+		g_test_message("seed=%u n=%u late targets=%u configs=%u", seed,
+			       d.n, d.late_targets, d.late_configs);
+		g_assert_cmpuint(d.late_targets, ==, 0);
+		g_assert_cmpuint(d.late_configs, ==, 0);
+		g_assert_cmpuint(d.went_back, ==, 0);
+	}
+}
+
+/* Guards against calls that grow with the number of instances: beside two
+ * readers and the start of each, none on a day without faults. */
+static void test_calls_without_faults(void)
+{
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		uint64_t one_reader = DAY_US / PACE_US;
+		day_t d;
+		day_t naive;
+
+		play(&d, seed, false, true);
+		play(&naive, seed, true, true);
+		g_test_message("seed=%u n=%u calls=%" G_GUINT64_FORMAT
+			       " naive=%" G_GUINT64_FORMAT,
+			       seed, d.n, d.calls, naive.calls);
+		g_assert_cmpuint(d.calls, <=, 2 * one_reader + 2 * d.n);
+		g_assert_cmpuint(naive.calls, >=, d.n * one_reader);
+	}
+}
+
+/* The same while the store does not answer the holder, some of the instances, or
+ * any: the first ranks ask for all, and the others seldom. */
+static void test_calls_in_faults(void)
+{
+	uint64_t shared = 0;
+	uint64_t alone = 0;
+
+	for (uint32_t seed = 1; seed <= 40; seed++) {
+		day_t d;
+		day_t naive;
+
+		play(&d, seed, false, false);
+		play(&naive, seed, true, false);
+		if (d.n < 30)
+			continue;
+		shared += d.calls;
+		alone += naive.calls;
+		g_assert_cmpuint(d.calls, <, naive.calls / 3);
+	}
+	g_test_message("calls=%" G_GUINT64_FORMAT " naive=%" G_GUINT64_FORMAT,
+		       shared, alone);
+	g_assert_cmpuint(shared, <, alone / 6);
+}
+
+/* Guards against a part of a document that is lost, repeated, of another version
+ * or out of range and leaves the fetch without an end or with a wrong document. */
+static void test_document_parts(void)
+{
+	bsh_document_fetch_t fetch;
+	uint32_t from;
+	GBytes *whole;
+
+	bsh_document_fetch_init(&fetch);
+	bsh_document_fetch_want(&fetch, 5, 0, 0);
+	g_assert_cmpint(bsh_document_fetch_next(&fetch, 0, &from), ==,
+			BSH_DOCUMENT_PARENT);
+	g_assert_null(bsh_document_fetch_part(&fetch, 5, 3, 3, "x", 1, 0));
+	g_assert_null(bsh_document_fetch_part(&fetch, 5, 2, 3, "c", 1, 0));
+	g_assert_null(bsh_document_fetch_part(&fetch, 5, 2, 3, "x", 1, 0));
+	g_assert_null(bsh_document_fetch_part(&fetch, 5, 0, 4, "x", 1, 0));
+	g_assert_null(bsh_document_fetch_part(&fetch, 4, 0, 3, "x", 1, 0));
+	g_assert_null(bsh_document_fetch_part(&fetch, 5, 0, 3, "a", 1, 0));
+	g_assert_cmpint(bsh_document_fetch_next(&fetch, SECOND, &from), ==,
+			BSH_DOCUMENT_PARENT);
+	g_assert_cmpuint(from, ==, 1);
+	whole = bsh_document_fetch_part(&fetch, 5, 1, 3, "b", 1, SECOND);
+	g_assert_nonnull(whole);
+	g_assert_cmpmem(g_bytes_get_data(whole, NULL), g_bytes_get_size(whole),
+			"abc", 3);
+	g_bytes_unref(whole);
+	bsh_document_fetch_set_known(&fetch, 5);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
+	bsh_document_fetch_want(&fetch, 4, 0, 0);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
+	bsh_document_fetch_finish(&fetch);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/store-reader/bounds", test_bounds);
+	g_test_add_func("/store-reader/calls-without-faults",
+			test_calls_without_faults);
+	g_test_add_func("/store-reader/calls-in-faults", test_calls_in_faults);
+	g_test_add_func("/store-reader/document-parts", test_document_parts);
+	return g_test_run();
+}
