Do not fetch a version that the store does not have again and again

An instance that is told of a version which does not exist, by a peer that is wrong or ahead of a store that was restored from an older copy, asked its peers and then the store every two seconds, at each instance.

Cause: only a newer configuration ended a fetch. A read of the store that brings nothing newer now ends it, too, and that version is not fetched again for 10 s; other versions are.

--- a/bshentryd/catalog_exchange.c
+++ b/bshentryd/catalog_exchange.c
@@ -118,6 +118,20 @@
 	schedule(exchange);
 }
 
+void catalog_exchange_store_read(catalog_exchange_t *exchange)
+{
+	uint64_t wanted = exchange->fetch.wanted;
+
+	bsh_document_fetch_store_read(&exchange->fetch,
+				      control_now_us(exchange->control));
+	if (wanted > 0)
+		bsh_log(BSH_LOG_WARNING,
+			"configuration-absent version=%" G_GUINT64_FORMAT
+			" told_by=%s",
+			wanted, exchange->teller);
+	schedule(exchange);
+}
+
 void catalog_exchange_note_version(catalog_exchange_t *exchange,
 				   const char *instance, uint64_t version)
 {
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -170,8 +170,10 @@
 
 static void on_listed(void *ctx, uint64_t list)
 {
-	(void)ctx;
+	const catalogs_t *catalogs = ctx;
+
 	(void)list;
+	catalog_exchange_store_read(catalogs->control->catalog_exchange);
 }
 
 static void on_resync_needed(void *ctx)
--- a/lib/coordination/document_fetch.c
+++ b/lib/coordination/document_fetch.c
@@ -12,6 +12,8 @@
 #define STORE_AFTER_TRIES  9U
 /* After the store was asked, which has its own repetitions. */
 #define STORE_WAIT_US INT64_C(2000000)
+/* A version that the store does not have is not fetched for this long. */
+#define ABSENT_US INT64_C(10000000)
 
 void bsh_document_fetch_init(bsh_document_fetch_t *fetch)
 {
@@ -43,7 +45,8 @@
 {
 	int64_t delay_us = 0;
 
-	if (version <= fetch->known || version <= fetch->wanted)
+	if (version <= fetch->known || version <= fetch->wanted ||
+	    (version == fetch->absent && now_us - fetch->absent_us < ABSENT_US))
 		return;
 	/* A fetch of an earlier version goes on with the next query. */
 	if (fetch->wanted == 0) {
@@ -65,6 +68,16 @@
 		drop_parts(fetch);
 }
 
+void bsh_document_fetch_store_read(bsh_document_fetch_t *fetch, int64_t now_us)
+{
+	if (fetch->wanted == 0)
+		return;
+	fetch->absent = fetch->wanted;
+	fetch->absent_us = now_us;
+	fetch->wanted = 0;
+	drop_parts(fetch);
+}
+
 static uint32_t first_missing(const bsh_document_fetch_t *fetch)
 {
 	uint32_t i = 0;
--- a/regress/test_store_calls.c
+++ b/regress/test_store_calls.c
@@ -2,8 +2,11 @@
  * that it gets, and that each instance still learns what has changed. */
 #include <glib.h>
 #include <signal.h>
+#include <sodium.h>
 #include <string.h>
 
+#include "protocol/datagram.h"
+#include "support/loopback.h"
 #include "support/platform_rig.h"
 
 #define ENTRIES	   6
@@ -33,13 +36,26 @@
 typedef struct {
 	platform_rig_t rig;
 	worker_t *engine;
+	char liar[32]; /* gossip address of an instance that the test plays */
 } fixture_t;
 
+/* Registers the instance that the test plays before the others list them. */
+static void register_liar(fixture_t *f)
+{
+	g_snprintf(f->liar, sizeof(f->liar), "%s:%u", loopback_ip(),
+		   loopback_free_port());
+	platform_rig_write(&f->rig, "berylshunt-instances", "liar",
+			   json_pack("{s:s, s:s, s:s, s:i}", "gossip", f->liar,
+				     "entry", f->liar, "zone", "z1",
+				     "incarnation", 1));
+}
+
 static void set_up(fixture_t *f, gconstpointer data)
 {
-	(void)data;
 	platform_rig_init(&f->rig);
 	platform_rig_configure(&f->rig, NULL);
+	if (data != NULL)
+		register_liar(f);
 	f->engine = platform_rig_add_worker(&f->rig, "llm", "m0");
 	platform_rig_add_worker(&f->rig, "desk", NULL);
 	for (int i = 0; i < ENTRIES; i++)
@@ -163,15 +179,111 @@
 	g_assert_cmpint(served_by_all_us(f, "/more/1", -1), <, 3000000);
 }
 
+/* An instance that is registered and gossips nothing, but tells of versions and
+ * targets at will. */
+typedef struct {
+	bsh_datagram_socket_t sock;
+	uint32_t queries; /* DOCUMENT_QUERY received */
+	bool answers;	  /* with parts that are no configuration */
+	char address[32]; /* of the instance that asks */
+} liar_t;
+
+static void send_to(liar_t *liar, const bsh_message_t *message)
+{
+	bsh_datagram_t datagram;
+
+	g_assert_cmpint(
+		bsh_datagram_socket_seal(&liar->sock, message, &datagram), ==,
+		BSH_OK);
+	bsh_datagram_socket_send(&liar->sock, liar->address, &datagram);
+}
+
+static void on_liar_message(void *ctx, const bsh_message_t *message)
+{
+	liar_t *liar = ctx;
+	bsh_message_t part = {
+		.type = BSH_MSG_DOCUMENT_PART,
+		.document_part = { .version = UINT64_MAX,
+				   .parts = 1,
+				   .data = (const uint8_t *)"\xff\xff\xff\xff{",
+				   .data_bytes = 5 },
+	};
+
+	if (message->type != BSH_MSG_DOCUMENT_QUERY)
+		return;
+	liar->queries++;
+	if (!liar->answers)
+		return;
+	send_to(liar, &part);
+	part.document_part.data = (const uint8_t *)"\0\0\0\5abcde";
+	part.document_part.data_bytes = 9;
+	send_to(liar, &part);
+	part.document_part.parts = 0;
+	send_to(liar, &part);
+	part.document_part.part = BSH_DOCUMENT_PARTS_MAX;
+	part.document_part.parts = 1;
+	send_to(liar, &part);
+}
+
+/* Guards against a process that ends, refuses requests or asks the store without
+ * end, as another instance tells of a version that does not exist, sends bytes
+ * that are no configuration, or names absurd ages and targets. */
+static void test_bad_peer(fixture_t *f, gconstpointer data)
+{
+	/* As in the settings that the rig writes. */
+	static const uint8_t key[BSH_KEY_SIZE_BYTES] = { [BSH_KEY_SIZE_BYTES -
+							  1] = 7 };
+	const json_t *object = platform_rig_object(
+		&f->rig, "berylshunt-instances", f->rig.entries[0].name);
+	uint8_t keys[4 * BSH_READER_TARGETS_MAX];
+	bsh_message_t reader = { .type = BSH_MSG_READER };
+	liar_t liar = { .answers = true };
+
+	(void)data;
+	g_strlcpy(liar.address,
+		  json_string_value(json_object_get(
+			  json_object_get(object, "spec"), "gossip")),
+		  sizeof(liar.address));
+	g_assert_cmpint(bsh_datagram_socket_init(&liar.sock, &f->rig.loop,
+						 f->liar, key, "liar", 1,
+						 on_liar_message, &liar),
+			==, BSH_OK);
+	memset(keys, 0xff, sizeof(keys));
+	for (int i = 0; i < 30; i++) {
+		reader.reader = (bsh_msg_reader_t){
+			.contact_age_ms = i % 2 == 0 ? 0 : UINT32_MAX,
+			.config_version = i % 3 == 0 ? UINT64_MAX : 1000,
+			.leaving = keys,
+			.leaving_bytes = i % 5 == 0 ? 3 : sizeof(keys),
+			.missing = keys,
+			.missing_bytes = i % 5 == 0 ? 0 : sizeof(keys),
+		};
+		send_to(&liar, &reader);
+		platform_rig_run(&f->rig, 200);
+		g_assert_cmpint(status_of(f, 0, "/look/1"), ==, 200);
+	}
+	g_test_message("queries=%u calls=%u", liar.queries, calls);
+	g_assert_cmpuint(liar.queries, >, 0);
+	/* A version that the store does not have is asked for once in 10 s. */
+	g_assert_cmpuint(calls, <, 120);
+	platform_rig_configure(&f->rig, MORE_ROUTE);
+	g_assert_cmpint(served_by_all_us(f, "/more/1", -1), <, 2000000);
+	bsh_datagram_socket_finish(&liar.sock);
+}
+
 #define ADD(path, fn)                                                          \
 	g_test_add("/store-calls/" path, fixture_t, NULL, set_up, fn, tear_down)
 
 int main(int argc, char **argv)
 {
+	if (sodium_init() < 0)
+		return 1;
 	g_test_init(&argc, &argv, NULL);
 	ADD("changing-targets", test_changing_targets);
 	ADD("new-configuration", test_new_configuration);
 	ADD("frozen-reader", test_frozen_reader);
 	ADD("outage", test_outage);
+	g_test_add("/store-calls/bad-peer", fixture_t, "liar", set_up,
+		   test_bad_peer, tear_down);
 	return g_test_run();
 }
--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -524,6 +524,14 @@
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
 	bsh_document_fetch_want(&fetch, 4, 0, 0);
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
+	/* A version that the store does not have is not fetched again at once,
+	 * another one is. */
+	bsh_document_fetch_want(&fetch, 9, 0, 0);
+	bsh_document_fetch_store_read(&fetch, SECOND);
+	bsh_document_fetch_want(&fetch, 9, 0, 2 * SECOND);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
+	bsh_document_fetch_want(&fetch, 7, 0, 2 * SECOND);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, 2 * SECOND);
 	bsh_document_fetch_finish(&fetch);
 }
 
