--- a/bshentryd/catalog_exchange.c
+++ b/bshentryd/catalog_exchange.c
@@ -148,6 +148,11 @@
 	schedule(exchange);
 }
 
+bool catalog_exchange_is_behind(const catalog_exchange_t *exchange)
+{
+	return exchange->fetch.wanted > 0;
+}
+
 void catalog_exchange_receive_query(catalog_exchange_t *exchange,
 				    const char *sender,
 				    const bsh_msg_document_query_t *query)
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -45,7 +45,7 @@
 	freshness_t *freshness = &control->entry->freshness;
 
 	__atomic_store_n(&freshness->config_us,
-			 catalogs_confirmed_us(control->catalogs),
+			 store_reading_config_us(control->store_reading),
 			 __ATOMIC_RELAXED);
 	__atomic_store_n(&freshness->targets_us,
 			 targets_confirmed_us(control->targets),
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -134,6 +134,8 @@
 /* Notes the version that an instance reports to have in force. */
 void catalog_exchange_note_version(catalog_exchange_t *exchange,
 				   const char *instance, uint64_t version);
+/* True while an instance is known to have a newer version. */
+bool catalog_exchange_is_behind(const catalog_exchange_t *exchange);
 /* Handle DOCUMENT_QUERY and DOCUMENT_PART. */
 void catalog_exchange_receive_query(catalog_exchange_t *exchange,
 				    const char *sender,
@@ -152,6 +154,9 @@
 /* Tells the other instances soon of a target that is new, has started again or
  * must get no new work. */
 void store_reading_target_changed(store_reading_t *reading, const char *target);
+/* Last time at which the store, or an instance that reads it, confirmed that the
+ * configuration in force here is the newest, loop clock; 0: never. */
+int64_t store_reading_config_us(const store_reading_t *reading);
 /* Sends READER now. */
 void store_reading_tell(store_reading_t *reading);
 /* Handle READER and READER_TARGETS. */
--- a/bshentryd/store_reading.c
+++ b/bshentryd/store_reading.c
@@ -28,8 +28,9 @@
 	bsh_loop_timer_t change_timer;
 	GPtrArray *changed; /* ids of targets whose state has changed */
 	int64_t told_us;    /* last READER sent */
-	bool has_applied;   /* what a READER told, since the last full list */
-	bool was_reading;   /* at the last tick */
+	int64_t config_us; /* the own configuration was the newest, loop clock */
+	bool has_applied;  /* what a READER told, since the last full list */
+	bool was_reading;  /* at the last tick */
 };
 
 static bsh_counter_t reading_gauge = BSH_GAUGE(
@@ -73,6 +74,12 @@
 	return reading->reader.reading;
 }
 
+int64_t store_reading_config_us(const store_reading_t *reading)
+{
+	return MAX(reading->config_us,
+		   catalogs_confirmed_us(reading->control->catalogs));
+}
+
 /* True if this instance may vouch for what it reads. */
 static bool reads_for_others(const store_reading_t *reading)
 {
@@ -146,6 +153,11 @@
 	catalog_exchange_note_version(control->catalog_exchange, sender,
 				      message->config_version);
 	bsh_store_reader_note_config(&reading->reader, from_holder, at_us);
+	if (!catalog_exchange_is_behind(control->catalog_exchange))
+		reading->config_us =
+			MAX(reading->config_us,
+			    bsh_loop_clock_us() -
+				    message->contact_age_ms * INT64_C(1000));
 	bsh_store_reader_note_list(&reading->reader, from_holder, at_us);
 	if (targets_apply_reader(control->targets, message))
 		reading->has_applied = true;
--- a/regress/test_pages.sh
+++ b/regress/test_pages.sh
@@ -136,7 +136,7 @@
 }
 
 settings=$top/lib/base/settings.c
-sed -n 's/^	{ *"\([a-z]*\)", "\([a-z_]*\)", TYPE_.*/\1 \2/p' "$settings" >"$work/settings"
+sed -n 's/^	{ *"\([a-z]*\)", "\([a-z_]*\)", BSH_SETTING_.*/\1 \2/p' "$settings" >"$work/settings"
 cut -d ' ' -f 2 "$work/settings" | sort -u >"$work/settings-keys"
 has_all "$top/docs/man/berylshunt.conf.5" "$work/settings-keys"
 report $? /pages/keys/settings
@@ -220,10 +220,10 @@
 	[ $missing -eq 0 ] && [ $total -ge "$3" ]
 }
 
-# The log and the metrics of bshentryd are listed in its page, and nothing else
+# The log and the metrics of bshentryd, its calls to the platform included, are listed in its page, and nothing else
 # is.
 entryd=$top/bshentryd/bshentryd.8
-cat "$top"/bshentryd/*.c "$top/lib/base/log.c" | tr '\n\t' '  ' |
+cat "$top"/bshentryd/*.c "$top"/platform/*.c "$top/lib/base/log.c" | tr '\n\t' '  ' |
 	grep -o 'bsh_log(BSH[^;]*;\|bsh_log(reached[^;]*;\|"log-dropped[^;]*;\|"op=[^;]*;' >"$work/calls"
 grep -o '^[^"]*"[a-z-]*' "$work/calls" | sed 's/.*"//' | grep -v '^op$' | sort -u >"$work/events"
 all_in "$entryd" Events 25 "$work/events"
