--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -727,6 +727,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	/* Each case is reported by its name. */
+	g_test_set_nonfatal_assertions();
 	ADD("/entry/serves", test_ordinary_requests);
 	ADD("/entry/directory", test_directory);
 	ADD("/entry/lost-answer", test_lost_answer);
