Take a version for absent only by a read that began after it was told

Since a read of the store that brings nothing newer ends the fetch of a version, and the version is not fetched again for 10 s.

Cause: any complete list counted, also one that had begun before the instance was told of the version, and so before the operator wrote it. Such an instance would have gone on with the old configuration for 10 s.

The read now has to begin after the instance was told. document-parts of test_store_reader has the case and fails before.

--- a/bshentryd/catalog_exchange.c
+++ b/bshentryd/catalog_exchange.c
@@ -118,13 +118,14 @@
 	schedule(exchange);
 }
 
-void catalog_exchange_store_read(catalog_exchange_t *exchange)
+void catalog_exchange_store_read(catalog_exchange_t *exchange, int64_t age_us)
 {
 	uint64_t wanted = exchange->fetch.wanted;
+	int64_t now_us = control_now_us(exchange->control);
 
-	bsh_document_fetch_store_read(&exchange->fetch,
-				      control_now_us(exchange->control));
-	if (wanted > 0)
+	bsh_document_fetch_store_read(&exchange->fetch, now_us - age_us,
+				      now_us);
+	if (wanted > 0 && exchange->fetch.wanted == 0)
 		bsh_log(BSH_LOG_WARNING,
 			"configuration-absent version=%" G_GUINT64_FORMAT
 			" told_by=%s",
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -173,7 +173,9 @@
 	const catalogs_t *catalogs = ctx;
 
 	(void)list;
-	catalog_exchange_store_read(catalogs->control->catalog_exchange);
+	catalog_exchange_store_read(catalogs->control->catalog_exchange,
+				    bsh_loop_clock_us() -
+					    catalogs->feed.list_began_us);
 }
 
 static void on_resync_needed(void *ctx)
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -129,8 +129,9 @@
 void catalog_exchange_tell(catalog_exchange_t *exchange);
 /* Notes that the configuration in force has changed. */
 void catalog_exchange_adopted(catalog_exchange_t *exchange, uint64_t version);
-/* Notes that the store has been read: it has nothing above what is in force. */
-void catalog_exchange_store_read(catalog_exchange_t *exchange);
+/* Notes that the store has nothing above what is in force, by a read that began
+ * this long ago. */
+void catalog_exchange_store_read(catalog_exchange_t *exchange, int64_t age_us);
 /* Notes the version that an instance reports to have in force. */
 void catalog_exchange_note_version(catalog_exchange_t *exchange,
 				   const char *instance, uint64_t version);
--- a/lib/coordination/document_fetch.c
+++ b/lib/coordination/document_fetch.c
@@ -57,6 +57,7 @@
 		fetch->tries = 0;
 	}
 	fetch->wanted = version;
+	fetch->told_us = now_us;
 }
 
 void bsh_document_fetch_set_known(bsh_document_fetch_t *fetch, uint64_t version)
@@ -68,9 +69,11 @@
 		drop_parts(fetch);
 }
 
-void bsh_document_fetch_store_read(bsh_document_fetch_t *fetch, int64_t now_us)
+void bsh_document_fetch_store_read(bsh_document_fetch_t *fetch,
+				   int64_t began_us, int64_t now_us)
 {
-	if (fetch->wanted == 0)
+	/* A read that began earlier may have missed the version. */
+	if (fetch->wanted == 0 || began_us <= fetch->told_us)
 		return;
 	fetch->absent = fetch->wanted;
 	fetch->absent_us = now_us;
--- a/lib/coordination/document_fetch.h
+++ b/lib/coordination/document_fetch.h
@@ -43,6 +43,7 @@
 typedef struct {
 	uint64_t known;	 /* version in force here; 0: none */
 	uint64_t wanted; /* 0: nothing is fetched */
+	int64_t told_us; /* when it was wanted first */
 	uint32_t tries;	 /* queries without progress */
 	int64_t next_us; /* of the next query */
 	/* Version that the store did not have, and when it was read; 0: none */
@@ -67,10 +68,12 @@
 void bsh_document_fetch_set_known(bsh_document_fetch_t *fetch,
 				  uint64_t version);
 
-/* bsh_document_fetch_store_read - the store has been read since the query, and
- * what it has is in force: a version above that is not fetched for a while, as
- * the one that told of it is wrong or ahead of a store that was restored. */
-void bsh_document_fetch_store_read(bsh_document_fetch_t *fetch, int64_t now_us);
+/* bsh_document_fetch_store_read - the store was read from began_us on, and what
+ * it has is in force: a version above that, of which this instance was told
+ * before, is not fetched for a while, as the one that told is wrong or ahead of a
+ * store that was restored. */
+void bsh_document_fetch_store_read(bsh_document_fetch_t *fetch,
+				   int64_t began_us, int64_t now_us);
 
 /* bsh_document_fetch_next - where to ask now; *from is the first part to ask
  * for. */
--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -526,8 +526,11 @@
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
 	/* A version that the store does not have is not fetched again at once,
 	 * another one is. */
-	bsh_document_fetch_want(&fetch, 9, 0, 0);
-	bsh_document_fetch_store_read(&fetch, SECOND);
+	bsh_document_fetch_want(&fetch, 9, 0, SECOND / 2);
+	/* A read that began before the instance was told shows nothing. */
+	bsh_document_fetch_store_read(&fetch, SECOND / 4, SECOND);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, SECOND / 2);
+	bsh_document_fetch_store_read(&fetch, SECOND, SECOND);
 	bsh_document_fetch_want(&fetch, 9, 0, 2 * SECOND);
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
 	bsh_document_fetch_want(&fetch, 7, 0, 2 * SECOND);
