--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -420,6 +420,7 @@
 	targets_store_restored(control->targets);
 	peers_store_restored(control->peers);
 	quarantine_store_was_restored(control->quarantine);
+	streams_store_was_restored(control->streams);
 	relist_all(control);
 }
 
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -406,6 +406,8 @@
 			   const bsh_msg_stream_query_t *query);
 void streams_receive_answer(streams_t *streams,
 			    const bsh_msg_stream_answer_t *answer);
+/* Notes that the store was restored from an older copy. */
+void streams_store_was_restored(streams_t *streams);
 
 /* cut_peers.c: instances that reach no target. */
 cut_peers_t *cut_peers_new(control_t *control);
--- a/bshentryd/streams.c
+++ b/bshentryd/streams.c
@@ -9,6 +9,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "coordination/stream_table.h"
+#include "stream_store.h"
 
 /* Records kept for the others. */
 #define RECORDS_MAX 16384U
@@ -18,6 +19,11 @@
 /* An instance has heard of the others by this time after its start. */
 #define PEERS_KNOWN_US INT64_C(3000000)
 #define PEERS_RETRY_US INT64_C(100000)
+/* While several versions serve, this many instances write the records to the
+ * store: one may be cut off from it.  They are the first ones by rendezvous
+ * hashing of WRITERS_KEY. */
+#define WRITERS	    2U
+#define WRITERS_KEY UINT64_C(0x53747265616d7772)
 
 /* A query of this instance. */
 typedef struct {
@@ -25,7 +31,8 @@
 	uint64_t stream;
 	uint64_t service;
 	uint32_t asked; /* instances that may still answer; 0: none asked yet */
-	bool several;	/* one has seen several versions of the service */
+	bool reads_store; /* no instance knows it; the store is read */
+	bool several;	  /* one has seen several versions of the service */
 	uint64_t only; /* the only version, by one that can tell; 0: none can */
 	bsh_loop_timer_t timer;
 } query_t;
@@ -35,8 +42,9 @@
 	bsh_stream_table_t table;
 	GHashTable *queries;  /* stream to query_t */
 	GHashTable *software; /* key of a service to bsh_software_history_t */
-	GArray *listed;	      /* listed_version_t, of the last view */
-	int64_t since_us;     /* first list of targets; 0: none yet */
+	stream_store_t store;
+	GArray *listed;	  /* listed_version_t, of the last view */
+	int64_t since_us; /* first list of targets; 0: none yet */
 };
 
 typedef struct {
@@ -62,6 +70,8 @@
 	g_free(query);
 }
 
+static void on_store_read(void *ctx, const GArray *records);
+
 streams_t *streams_new(control_t *control)
 {
 	streams_t *streams = g_new0(streams_t, 1);
@@ -71,6 +81,9 @@
 	bsh_counter_register(&queries_unknown);
 	streams->control = control;
 	bsh_stream_table_init(&streams->table, RECORDS_MAX);
+	stream_store_init(&streams->store, &control->store, control->loop,
+			  control->entry->settings.instance, on_store_read,
+			  streams);
 	streams->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, free_query);
 	streams->listed = g_array_new(FALSE, FALSE, sizeof(listed_version_t));
@@ -84,6 +97,7 @@
 	g_hash_table_destroy(streams->queries);
 	g_hash_table_destroy(streams->software);
 	g_array_free(streams->listed, TRUE);
+	stream_store_finish(&streams->store);
 	bsh_stream_table_finish(&streams->table);
 	g_free(streams);
 }
@@ -107,6 +121,56 @@
 	g_array_free(array, TRUE);
 }
 
+/* True if several versions of some service have served recently.  Only then may
+ * a stream be of a version that its service's list does not tell. */
+static bool have_several(const streams_t *streams)
+{
+	int64_t now_us = control_now_us(streams->control);
+	GHashTableIter iter;
+	void *history;
+
+	g_hash_table_iter_init(&iter, streams->software);
+	while (g_hash_table_iter_next(&iter, NULL, &history))
+		if (bsh_software_history_several(history, now_us))
+			return true;
+	return false;
+}
+
+static void add_to_batch(GHashTable *batches, const char *instance,
+			 const bsh_stream_record_t *records, guint n)
+{
+	GArray *batch = g_hash_table_lookup(batches, instance);
+
+	if (batch == NULL) {
+		batch = g_array_new(FALSE, FALSE, sizeof(*records));
+		g_hash_table_insert(batches, g_strdup(instance), batch);
+	}
+	g_array_append_vals(batch, records, n);
+}
+
+/* Has the instances that write to the store write the records. */
+static void add_to_writers(streams_t *streams, GHashTable *batches,
+			   const GArray *records)
+{
+	const peers_t *peers = streams->control->peers;
+	const char *self = streams->control->entry->settings.instance;
+
+	if (records->len == 0 || !have_several(streams))
+		return;
+	for (uint32_t rank = 0; rank < WRITERS; rank++) {
+		const char *name = peers_at_rank(peers, WRITERS_KEY, rank);
+		const bsh_stream_record_t *first =
+			&g_array_index(records, bsh_stream_record_t, 0);
+
+		if (name == NULL)
+			return;
+		if (strcmp(name, self) == 0)
+			stream_store_add(&streams->store, first, records->len);
+		else
+			add_to_batch(batches, name, first, records->len);
+	}
+}
+
 void streams_record(streams_t *streams, const GArray *records)
 {
 	const peers_t *peers = streams->control->peers;
@@ -126,17 +190,10 @@
 		bsh_stream_table_set(&streams->table, record->stream,
 				     record->software,
 				     control_now_us(streams->control));
-		for (uint32_t k = 0; k < n; k++) {
-			batch = g_hash_table_lookup(batches, keepers[k]);
-			if (batch == NULL) {
-				batch = g_array_new(FALSE, FALSE,
-						    sizeof(*record));
-				g_hash_table_insert(
-					batches, g_strdup(keepers[k]), batch);
-			}
-			g_array_append_vals(batch, record, 1);
-		}
+		for (uint32_t k = 0; k < n; k++)
+			add_to_batch(batches, keepers[k], record, 1);
 	}
+	add_to_writers(streams, batches, records);
 	g_hash_table_iter_init(&iter, batches);
 	while (g_hash_table_iter_next(&iter, &instance, &batch))
 		send_records(streams, instance, batch);
@@ -146,12 +203,17 @@
 			     const bsh_msg_stream_records_t *message)
 {
 	int64_t now_us = control_now_us(streams->control);
+	uint32_t n;
 
 	for (uint32_t i = 0; i < message->record_count; i++)
 		bsh_stream_table_set(&streams->table,
 				     message->records[i].stream,
 				     message->records[i].software, now_us);
 	bsh_counter_set(&records_gauge, bsh_stream_table_size(&streams->table));
+	if (have_several(streams) &&
+	    peers_rank(streams->control->peers, WRITERS_KEY, &n) < WRITERS)
+		stream_store_add(&streams->store, message->records,
+				 message->record_count);
 }
 
 static bsh_software_history_t *history_of(streams_t *streams, uint64_t service)
@@ -267,18 +329,63 @@
 		query->only = only;
 }
 
-/* Nobody has a record of the stream: it is of the only version, if there is
- * one by an instance that can tell. */
-static void end_query(query_t *query)
+static void finish_query(query_t *query, uint64_t software, const char *source)
 {
 	streams_t *streams = query->streams;
-	bool is_known = query->only != 0 && !query->several;
 
-	resolve(streams, query->stream, is_known ? query->only : 0,
-		is_known ? "only-version" : "none");
+	resolve(streams, query->stream, software, source);
 	g_hash_table_remove(streams->queries, &query->stream);
 }
 
+/* No instance has a record of the stream: it is of the only version, if there is
+ * one by an instance that can tell; else the store may have a record. */
+static void end_query(query_t *query)
+{
+	streams_t *streams = query->streams;
+	uint64_t software;
+
+	if (query->only != 0 && !query->several) {
+		finish_query(query, query->only, "only-version");
+		return;
+	}
+	query->asked = 0;
+	query->reads_store = true;
+	if (stream_store_read(&streams->store))
+		return;
+	software = bsh_stream_table_find(&streams->table, query->stream,
+					 control_now_us(streams->control));
+	finish_query(query, software, software != 0 ? "store" : "none");
+}
+
+static void on_store_read(void *ctx, const GArray *records)
+{
+	streams_t *streams = ctx;
+	int64_t now_us = control_now_us(streams->control);
+	g_autoptr(GList) queries = g_hash_table_get_values(streams->queries);
+
+	for (guint i = 0; i < records->len; i++) {
+		const bsh_stream_record_t *record =
+			&g_array_index(records, bsh_stream_record_t, i);
+
+		bsh_stream_table_set(&streams->table, record->stream,
+				     record->software, now_us);
+	}
+	for (GList *l = queries; l != NULL; l = l->next) {
+		query_t *query = l->data;
+		uint64_t software = bsh_stream_table_find(
+			&streams->table, query->stream, now_us);
+
+		if (query->reads_store)
+			finish_query(query, software,
+				     software != 0 ? "store" : "none");
+	}
+}
+
+void streams_store_was_restored(streams_t *streams)
+{
+	stream_store_restored(&streams->store);
+}
+
 /* Asks the keepers of the stream's record.  Returns false if none is known. */
 static bool send_query(query_t *query)
 {
@@ -300,6 +407,8 @@
 	streams_t *streams = query->streams;
 	int64_t age_us = control_now_us(streams->control) - streams->since_us;
 
+	if (query->reads_store)
+		return;
 	if (query->asked == 0 && send_query(query)) {
 		bsh_loop_timer_after(&query->timer, QUERY_TIMEOUT_US);
 		return;
@@ -363,8 +472,7 @@
 	if (query == NULL || query->asked == 0)
 		return;
 	if (answer->software != 0) {
-		resolve(streams, answer->stream, answer->software, "peer");
-		g_hash_table_remove(streams->queries, &answer->stream);
+		finish_query(query, answer->software, "peer");
 		return;
 	}
 	add_answer(query, answer->only, answer->several);
