--- a/bshrouterd/bshrouterd.c
+++ b/bshrouterd/bshrouterd.c
@@ -77,9 +77,11 @@
 	bsh_timeline_add(&router->timeline, "start", "{s:s, s:s}", "listen",
 			 router->settings.router_listen, "zone",
 			 router->settings.zone);
-	bsh_log(BSH_LOG_INFO, "start instance=%s listen=%s admin=%s",
+	bsh_log(BSH_LOG_INFO,
+		"start instance=%s listen=%s admin=%s "
+		"incarnation=%" G_GUINT64_FORMAT,
 		router->settings.instance, router->settings.router_listen,
-		router->settings.router_admin);
+		router->settings.router_admin, router->incarnation);
 	bsh_loop_run(&router->control_loop);
 	pthread_join(thread, NULL);
 	router_link_stop(router);
--- a/lib/coordination/journal.c
+++ b/lib/coordination/journal.c
@@ -550,6 +550,15 @@
 	NEED_WRITE
 } op_need_t;
 
+/* True if both are of the same attempt.  Routers of several instances that have
+ * started in the same microsecond give out the same attempt ids. */
+static bool is_same_attempt(const record_t *a, const record_t *b)
+{
+	return memcmp(a->attempt, b->attempt, HASH_BYTES) == 0 &&
+	       a->incarnation == b->incarnation &&
+	       strcmp(a->instance, b->instance) == 0;
+}
+
 static op_need_t decide_intent(bsh_journal_t *j, bucket_t *b, op_t *op,
 			       int64_t now_us)
 {
@@ -557,8 +566,7 @@
 
 	if (r == NULL)
 		return NEED_WRITE;
-	if (memcmp(r->attempt, op->record->attempt, HASH_BYTES) == 0 &&
-	    r->state == RECORD_OPEN) {
+	if (is_same_attempt(r, op->record) && r->state == RECORD_OPEN) {
 		j->committed++;
 		answer(j, b, op, BSH_INTENT_RUN, NULL, 0);
 		return NEED_NOTHING;
@@ -593,7 +601,7 @@
 	 */
 	if (r == NULL)
 		return NEED_WRITE;
-	if (memcmp(r->attempt, op->record->attempt, HASH_BYTES) != 0) {
+	if (!is_same_attempt(r, op->record)) {
 		report_recorded(j, b, op, op->record->removed);
 		return NEED_NOTHING;
 	}
--- a/lib/coordination/journal.h
+++ b/lib/coordination/journal.h
@@ -19,8 +19,8 @@
  *
  *	An intent is answered BSH_INTENT_RUN only after the store confirmed
  *	an update that contains it, or after a read returned it with this
- *	attempt id.  If the reply to an update is lost, the object is read
- *	back.  While its version is unchanged, the lost update may still take
+ *	attempt id, instance and incarnation.  If the reply to an update is
+ *	lost, the object is read back.  While its version is unchanged, the lost update may still take
  *	effect.  The object is then written again conditionally on that
  *	version, so that one of the two updates conflicts; only after that is
  *	anything concluded from the absence of the intent.
@@ -90,7 +90,8 @@
 	const char *service;
 	const char *key;			 /* Idempotency-Key */
 	uint8_t digest[BSH_JOURNAL_HASH_BYTES];	 /* bsh_journal_digest() */
-	uint8_t attempt[BSH_JOURNAL_HASH_BYTES]; /* id, unique per intent */
+	uint8_t attempt[BSH_JOURNAL_HASH_BYTES]; /* id, unique per intent of an
+						  * incarnation of an instance */
 	const char *instance;
 	uint64_t incarnation; /* of the router that sends the call */
 	int64_t deadline_us;
--- a/regress/test_journal.c
+++ b/regress/test_journal.c
@@ -244,6 +244,35 @@
 	teardown();
 }
 
+/* Guards against a second execution, and against a result of another attempt,
+ * where the routers of two instances have started in the same microsecond and
+ * give out the same attempt ids. */
+static void test_same_id_of_two_instances(void)
+{
+	bsh_intent_t first = intent("k", 'a');
+	bsh_intent_t second = first;
+	bsh_journal_result_t result = { .outcome = BSH_OUTCOME_NOT_RUN };
+
+	second.instance = "i2";
+	setup();
+	bsh_journal_intent(&a.j, &first, now_us);
+	run_until_idle(&a);
+	g_assert_cmpint(a.verdict, ==, BSH_INTENT_RUN);
+	bsh_journal_intent(&b.j, &second, now_us);
+	run_until_idle(&b);
+	g_assert_cmpint(b.verdict, ==, BSH_INTENT_IN_PROGRESS);
+	bsh_journal_record_result(&b.j, &second, &result, now_us);
+	run_until_idle(&b);
+	bsh_journal_intent(&b.j, &second, now_us);
+	run_until_idle(&b);
+	g_assert_cmpint(b.verdict, ==, BSH_INTENT_IN_PROGRESS);
+	b.gone = true;
+	bsh_journal_intent(&b.j, &second, now_us);
+	run_until_idle(&b);
+	g_assert_cmpint(b.verdict, ==, BSH_INTENT_UNKNOWN);
+	teardown();
+}
+
 /* Guards against a recorded answer that is truncated at the size limit, and
  * against the loss of an empty one. */
 static void test_bodies(void)
@@ -522,6 +551,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/journal/states", test_states);
+	g_test_add_func("/journal/same-id-of-two-instances",
+			test_same_id_of_two_instances);
 	g_test_add_func("/journal/bodies", test_bodies);
 	g_test_add_func("/journal/group-commit", test_group_commit);
 	g_test_add_func("/journal/rates", test_rates);
