--- a/regress/run_tests.sh
+++ b/regress/run_tests.sh
@@ -8,6 +8,15 @@
 known=0
 here=$(dirname "$0")
 export BSH_BUILD="$build" BSH_REGRESS="$here"
+
+# said CASE: the last comments that the program printed before it reported CASE.
+said() {
+	printf '%s\n' "$out" | awk -v name="$1" '
+		/^(not )?ok / { if ($0 ~ "^not ok [0-9]+ " name) exit; n = 0; next }
+		/^#/ { line[++n] = $0 }
+		END { for (i = n > 20 ? n - 19 : 1; i <= n; i++) print line[i] }'
+}
+
 for t in "$build"/regress/test_* "$here"/test_*.sh; do
 	[ -x "$t" ] || continue
 	name=$(basename "$t")
@@ -26,6 +35,7 @@
 				red=$((red + 1))
 			else
 				echo "FAILED: $name:$n"
+				said "$n"
 			fi
 		done
 		known=$((known + red))
