Hand the order lease over also where many targets were ordered lately

Cause: the store turned the holder away and answered the others. A holder in that state hands over with a list of the targets that it ordered within 3.4 s, which is one datagram of 40 at most; with 63 engines and moving demand it had ordered more, did not hand over, and kept its term for 10 s with the support of a majority. Its successor, without a list, waited for 9.5 s and lost the lease before that was over, twice.

Change: such a holder gives no orders until the list fits, 3.4 s at most, and hands over then. The decision is bsh_lease_handover_step().

Evidence: /lease/cut-off-holder-of-many-targets (200 fleets of 1 to 400 targets: never handed over before where the list did not get short by itself); the random faults of test_lease now withhold, too.

--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -7,10 +7,6 @@
 #include "base/counter.h"
 #include "base/log.h"
 
-/* A holder that the store has not answered for this long hands its lease over
- * to an instance that the store answers.  The holder renews six times per lease
- * time, every 500 ms by default. */
-#define HANDOVER_AFTER_US INT64_C(1200000)
 /* RELEASE messages sent for one release, as datagrams may be lost. */
 #define RELEASE_SENDS 3U
 /* Targets in a RELEASE message: as many as fit into a datagram. */
@@ -257,29 +253,40 @@
 	orders->release_sends--;
 }
 
+static void set_withholds(orders_t *orders, bool withholds, uint32_t listed)
+{
+	if (withholds == orders->withholds)
+		return;
+	orders->withholds = withholds;
+	bsh_log(BSH_LOG_INFO,
+		"orders-withheld held=%d term=%" G_GUINT64_FORMAT " ordered=%u",
+		withholds, orders->lease.term, listed);
+}
+
 /* Hands the lease over if the store answers other instances but not this one:
- * one of them can continue at once.  While the store answers no instance, this
- * one continues with the support of a majority. */
+ * one of them can continue at once.  A release names a limited number of
+ * targets, so a holder that has ordered more of them lately waits until fewer
+ * are left. */
 static void hand_over_if_cut_off(orders_t *orders)
 {
-	int64_t contact_age_us =
+	int64_t store_age_us =
 		bsh_loop_clock_us() - orders->control->store.answered_us;
-	g_autoptr(GArray) list = NULL;
+	g_autoptr(GArray) list = collect_ordered(orders);
+	bsh_handover_t step = bsh_lease_handover_step(
+		&orders->lease, store_age_us,
+		now_us(orders) - orders->peer_reached_us, list->len,
+		RELEASE_TARGETS_MAX, now_us(orders));
 
-	if (contact_age_us < HANDOVER_AFTER_US ||
-	    now_us(orders) - orders->peer_reached_us >
-		    STORE_REACHED_MAX_AGE_US ||
-	    !orders_is_holder(orders))
-		return;
-	list = collect_ordered(orders);
-	if (list->len > RELEASE_TARGETS_MAX ||
+	set_withholds(orders, step != BSH_HANDOVER_NONE, list->len);
+	if (step != BSH_HANDOVER_NOW ||
 	    !bsh_lease_hand_over(&orders->lease, now_us(orders)))
 		return;
+	set_withholds(orders, false, list->len);
 	bsh_log(BSH_LOG_WARNING,
 		"lease-handed-over term=%" G_GUINT64_FORMAT
 		" revision=%" G_GUINT64_FORMAT " store_age_ms=%d",
 		orders->lease.term, orders->lease.revision,
-		(int)(contact_age_us / 1000));
+		(int)(store_age_us / 1000));
 }
 
 static void log_term(orders_t *orders, bool holder)
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -465,7 +465,7 @@
 		targets_is_synced(orders->control->targets) &&
 		bsh_loop_clock_us() -
 				targets_confirmed_us(orders->control->targets) <
-			STORE_REACHED_MAX_AGE_US;
+			BSH_LEASE_STORE_REACHED_MAX_AGE_US;
 	if (strcmp(orders->holder, self) == 0)
 		orders_receive_demand(orders, self, demand);
 	else if (orders->holder[0] != '\0')
@@ -536,7 +536,7 @@
 	if (!bsh_lease_is_holder(&orders->lease, now))
 		return;
 	orders->holder_seen_us = now;
-	if (bsh_lease_may_order(&orders->lease, now)) {
+	if (bsh_lease_may_order(&orders->lease, now) && !orders->withholds) {
 		for (guint i = 0; i < orders->services->len; i++) {
 			const service_t *service =
 				g_ptr_array_index(orders->services, i);
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -17,10 +17,6 @@
 #include "control.h"
 #include "coordination/quorum.h"
 
-/* An instance counts as reaching the store for this long after the store last
- * answered it, and for this long after it has reported that. */
-#define STORE_REACHED_MAX_AGE_US INT64_C(1000000)
-
 /* Planner of one service with an engine. */
 typedef struct {
 	orders_t *orders;
@@ -55,13 +51,14 @@
 				       * last logged */
 	uint64_t released_revision; /* of the lease at its release */
 	uint32_t release_sends;	    /* RELEASE messages still to send */
-	GHashTable *ordered;	    /* target to time of its last order */
-	uint64_t announced_term;    /* term of the next two numbers */
-	uint64_t received_through;  /* all announcements up to this number
+	bool withholds;		   /* gives no orders, to hand the lease over */
+	GHashTable *ordered;	   /* target to time of its last order */
+	uint64_t announced_term;   /* term of the next two numbers */
+	uint64_t received_through; /* all announcements up to this number
 				       * have been received */
-	uint64_t last_announced;    /* newest announcement, by the holder's
+	uint64_t last_announced;   /* newest announcement, by the holder's
 				       * last message */
-	int64_t gap_since_us;	    /* since when announcements are missing;
+	int64_t gap_since_us;	   /* since when announcements are missing;
 				       * 0: none are */
 };
 
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -375,6 +375,19 @@
 	return true;
 }
 
+bsh_handover_t bsh_lease_handover_step(const bsh_lease_t *lease,
+				       int64_t store_age_us,
+				       int64_t peer_age_us, uint32_t listed,
+				       uint32_t listed_max, int64_t now_us)
+{
+	if (store_age_us < BSH_LEASE_HANDOVER_AFTER_US ||
+	    peer_age_us > BSH_LEASE_STORE_REACHED_MAX_AGE_US ||
+	    !bsh_lease_may_order(lease, now_us) ||
+	    !bsh_lease_is_order_list_complete(lease, now_us))
+		return BSH_HANDOVER_NONE;
+	return listed > listed_max ? BSH_HANDOVER_WITHHOLD : BSH_HANDOVER_NOW;
+}
+
 void bsh_lease_set_has_order_list(bsh_lease_t *lease, uint64_t revision)
 {
 	lease->has_order_list = lease->was_read &&
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -62,6 +62,12 @@
  * outages of the store are shorter; a successor without a majority has to wait
  * for all of it. */
 #define BSH_LEASE_EXTENSION_US INT64_C(10000000)
+/* A holder that the store has not answered for this long hands its lease over
+ * to an instance that the store answers.  The holder renews six times per lease
+ * time, every 500 ms by default. */
+#define BSH_LEASE_HANDOVER_AFTER_US INT64_C(1200000)
+/* A report that the store answers an instance holds for this time. */
+#define BSH_LEASE_STORE_REACHED_MAX_AGE_US INT64_C(1000000)
 /* Covers the delivery delay of an order and the error of timers. */
 #define BSH_LEASE_MARGIN_US INT64_C(400000)
 
@@ -185,6 +191,29 @@
  */
 bool bsh_lease_hand_over(bsh_lease_t *lease, int64_t now_us);
 
+/* What a holder that the store does not answer does next. */
+typedef enum {
+	BSH_HANDOVER_NONE,     /* gives orders as before */
+	BSH_HANDOVER_WITHHOLD, /* gives none, so that its order list gets
+				* shorter */
+	BSH_HANDOVER_NOW       /* hands the lease over */
+} bsh_handover_t;
+
+/*
+ * bsh_lease_handover_step - decide on a handover: the store has answered another
+ * instance lately, but not this one.  While it answers nobody, the holder goes
+ * on with the support of a majority.
+ *
+ * store_age_us: time since the last answer of the store to this instance.
+ * peer_age_us: time since another instance has reported that the store answers
+ * it.  listed: targets that got an order within the exclusion time; listed_max: as
+ * many as a release can name.
+ */
+bsh_handover_t bsh_lease_handover_step(const bsh_lease_t *lease,
+				       int64_t store_age_us,
+				       int64_t peer_age_us, uint32_t listed,
+				       uint32_t listed_max, int64_t now_us);
+
 /* bsh_lease_is_order_list_complete - true if the order list of this process
  * includes all recent orders, so that a release may contain it. */
 bool bsh_lease_is_order_list_complete(const bsh_lease_t *lease, int64_t now_us);
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -333,6 +333,70 @@
 	g_assert_cmpstr(first.holder, ==, "entry-2");
 }
 
+#define FLEET_TARGETS_MAX 400U
+#define FLEET_RELEASE_MAX 40U
+#define FLEET_DAYS	  200U
+#define FLEET_TICK_US	  (SECOND / 20)
+
+/* Time from the last answer of the store to the handover, of a holder that gives
+ * orders to targets in turn; INT64_MAX: none by the end of its term. */
+static int64_t time_to_handover(uint32_t targets, int64_t order_interval_us)
+{
+	int64_t last_us[FLEET_TARGETS_MAX] = { 0 };
+	int64_t next_order_us = 0;
+	bool withholds = false;
+	bsh_lease_t lease;
+	uint32_t at = 0;
+
+	acquire_lease(&lease);
+	for (int64_t now_us = FLEET_TICK_US; now_us < 20 * SECOND;
+	     now_us += FLEET_TICK_US) {
+		bsh_handover_t step;
+		uint32_t listed = 0;
+
+		/* A majority supports the term all the while. */
+		bsh_lease_supported(&lease, now_us + SECOND, now_us);
+		if (!bsh_lease_may_order(&lease, now_us))
+			return INT64_MAX;
+		for (; !withholds && next_order_us <= now_us;
+		     next_order_us += order_interval_us)
+			last_us[at++ % targets] = now_us;
+		for (uint32_t i = 0; i < targets; i++)
+			listed += last_us[i] > 0 &&
+				  now_us - last_us[i] <
+					  LEASE_MS * 1000 + BSH_LEASE_MARGIN_US;
+		step = bsh_lease_handover_step(&lease, now_us, 0, listed,
+					       FLEET_RELEASE_MAX, now_us);
+		withholds = step != BSH_HANDOVER_NONE;
+		if (step == BSH_HANDOVER_NOW)
+			return bsh_lease_hand_over(&lease, now_us) ? now_us
+								   : INT64_MAX;
+	}
+	return INT64_MAX;
+}
+
+/* Guards against a holder that the store turns away and that keeps the lease to
+ * its end because it has ordered more targets lately than a release can name, as
+ * in a fleet whose demand moves: nobody gives orders for 11 s then. */
+static void test_cut_off_holder_of_many_targets(void)
+{
+	bsh_rng_t rng;
+
+	bsh_rng_init(&rng, 1);
+	for (uint32_t day = 0; day < FLEET_DAYS; day++) {
+		uint32_t targets = 1 + bsh_rng_below(&rng, FLEET_TARGETS_MAX);
+		int64_t interval_us = 5000 + bsh_rng_below(&rng, 200000);
+
+		g_test_message("%u targets, an order in %d ms", targets,
+			       (int)(interval_us / 1000));
+		g_assert_cmpint(time_to_handover(targets, interval_us), <=,
+				BSH_LEASE_HANDOVER_AFTER_US + LEASE_MS * 1000 +
+					BSH_LEASE_MARGIN_US +
+					2 * FLEET_TICK_US);
+	}
+	bsh_rng_finish(&rng);
+}
+
 #define RESTORED(revision) ((UINT64_C(1) << 40) + (revision))
 
 /* Guards against a term that continues across a restore of the store: another
@@ -459,8 +523,10 @@
 
 /* Simulation of instances with a store and a network that fail at random. */
 
-#define NODES		     5
-#define TARGETS		     6
+#define NODES	5
+#define TARGETS 6
+/* A release names as many in this model. */
+#define RELEASE_TARGETS	     3
 #define STEP_US		     INT64_C(20000)
 #define ANNOUNCE_INTERVAL_US INT64_C(300000)
 #define REPORT_INTERVAL_US   INT64_C(250000)
@@ -493,6 +559,7 @@
 	int64_t peer_reached_us;
 	int64_t answered_us;	/* last answer of the store */
 	uint32_t releases_left; /* release messages still to send */
+	bool withholds;		/* gives no orders before a handover */
 	uint64_t released_revision;
 	bool was_holder;
 	int64_t paused_until_us;
@@ -590,6 +657,7 @@
 	node->peer_reached_us = 0;
 	node->answered_us = 0;
 	node->releases_left = 0;
+	node->withholds = false;
 	node->was_holder = false;
 	node->epoch = 0;
 	node->epoch_known = false;
@@ -899,10 +967,21 @@
 	node->ordered_us[t] = now_us;
 }
 
+static uint32_t count_listed(const node_t *node, int64_t now_us)
+{
+	int64_t since_us = now_us - LEASE_MS * 1000 - BSH_LEASE_MARGIN_US;
+	uint32_t listed = 0;
+
+	for (int t = 0; t < TARGETS; t++)
+		listed += node->ordered_us[t] > MAX(since_us, 0);
+	return listed;
+}
+
 static void run_holder(sim_t *sim, int n, int64_t now_us)
 {
 	node_t *node = &sim->nodes[n];
 	bsh_lease_t *lease = &node->lease;
+	bsh_handover_t step;
 
 	if (node->quorum_term != lease->term) {
 		node->quorum_term = lease->term;
@@ -913,9 +992,12 @@
 	bsh_lease_supported(lease, bsh_quorum_support_until(&node->quorum),
 			    now_us);
 	node->holder = n;
-	if (now_us - node->answered_us > 6 * SECOND / 5 &&
-	    now_us - node->peer_reached_us < SECOND &&
-	    bsh_lease_hand_over(lease, now_us)) {
+	step = bsh_lease_handover_step(lease, now_us - node->answered_us,
+				       now_us - node->peer_reached_us,
+				       count_listed(node, now_us),
+				       RELEASE_TARGETS, now_us);
+	node->withholds = step != BSH_HANDOVER_NONE;
+	if (step == BSH_HANDOVER_NOW && bsh_lease_hand_over(lease, now_us)) {
 		sim->handovers++;
 		return;
 	}
@@ -977,7 +1059,7 @@
 	if (node->releases_left > 0)
 		announce_release(sim, n, now_us);
 	report(sim, n, now_us);
-	if (bsh_lease_may_order(lease, now_us))
+	if (bsh_lease_may_order(lease, now_us) && !node->withholds)
 		order(sim, n, now_us);
 }
 
@@ -1156,6 +1238,8 @@
 	g_test_add_func("/lease/living-holder", test_live_holder_keeps_lease);
 	g_test_add_func("/lease/clean-release", test_release_with_order_list);
 	g_test_add_func("/lease/handover", test_handover);
+	g_test_add_func("/lease/cut-off-holder-of-many-targets",
+			test_cut_off_holder_of_many_targets);
 	g_test_add_func("/lease/renewal-during-restore",
 			test_renewal_during_restore);
 	g_test_add_func("/lease/restored-release", test_restored_release);
