Count loads from the weight store that follow an eviction

Cause: the limit of loads from the weight store counted load orders only. A load that has to evict a model first begins with an unload order, so that one run of the planner with many waiting models could plan any number of them.

Change: a planned load counts from its eviction on.

Evidence: /planner/rare-models-after-evictions: 12 loads at once -> 2, the limit in that test.

--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -171,6 +171,12 @@
 	return used;
 }
 
+bool planner_needs_store(const planner_target_t *t, uint32_t model)
+{
+	return !bsh_copies_in_memory(&t->target.copies, model) &&
+	       !bsh_copies_on_disk(&t->target.copies, model);
+}
+
 uint32_t planner_store_loads(const bsh_planner_t *planner)
 {
 	uint32_t n = 0;
@@ -179,7 +185,10 @@
 		const planner_target_t *t =
 			g_ptr_array_index(planner->targets, i);
 
-		n += t->has_order && t->order.load && t->from_store;
+		if (t->has_order && t->order.load && t->order.adapter == 0)
+			n += t->from_store;
+		else if (t->planned_load != 0)
+			n += t->planned_from_store;
 	}
 	return n;
 }
@@ -469,9 +478,7 @@
 	t->order.model = model;
 	t->order.adapter = adapter;
 	t->order.expected = t->orders;
-	t->from_store = load && adapter == 0 &&
-			!bsh_copies_in_memory(&t->target.copies, model) &&
-			!bsh_copies_on_disk(&t->target.copies, model);
+	t->from_store = load && adapter == 0 && planner_needs_store(t, model);
 	t->has_order = true;
 	t->order_ms = expected_order_ms(planner, t, &t->order);
 	count_order(planner, t);
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -375,18 +375,13 @@
 	return rule->load_ms;
 }
 
-static bool has_copy(const planner_target_t *t, uint32_t model)
-{
-	return bsh_copies_in_memory(&t->target.copies, model) ||
-	       bsh_copies_on_disk(&t->target.copies, model);
-}
-
 /* Evicts the first victim, or loads the model if there is none. */
 static void evict_or_load(const round_t *round, planner_target_t *t,
 			  const bsh_model_rule_t *rule,
 			  const victims_t *victims)
 {
 	t->planned_load = rule->hash;
+	t->planned_from_store = planner_needs_store(t, rule->hash);
 	if (victims->n > 0)
 		planner_issue_order(round->planner, t, false,
 				    victims->models[0], 0, round->now_us);
@@ -413,7 +408,7 @@
 
 		if (!is_free(t, round->now_us) ||
 		    bsh_holdings_has(&t->held, rule->hash, 0) ||
-		    (!store_allowed && !has_copy(t, rule->hash)) ||
+		    (!store_allowed && planner_needs_store(t, rule->hash)) ||
 		    !choose_victims(round, i, rule, &victims) ||
 		    victims.loss > max_loss)
 			continue;
@@ -728,7 +723,7 @@
 			continue;
 		if (planner_serves(t, model, 0))
 			return ESTIMATE_MARGIN_MS;
-		if (has_copy(t, model))
+		if (!planner_needs_store(t, model))
 			shortest = MIN(
 				shortest,
 				expected_load_ms(t, rule) +
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -34,16 +34,17 @@
 	int64_t state_us; /* start of the state */
 	bool has_order;	  /* order is set: sent, or to be sent */
 	bsh_order_t order;
-	uint32_t order_ms;	/* expected duration of the order */
-	bool from_store;	/* the order loads from the weight store */
-	bool report_pending;	/* a report was requested */
-	int64_t next_report_us; /* earliest time of the next report request */
-	int64_t next_order_us;	/* earliest time of the next order */
-	uint32_t planned_load;	/* model to load after evictions; 0: none */
-	int64_t loaded_us;	/* end of the last load */
-	uint32_t load_key;	/* names the target in a bsh_load_entry_t */
-	uint32_t running;	/* requests, by the last loads */
-	uint32_t unloading;	/* model of the last accepted unload order */
+	uint32_t order_ms;	 /* expected duration of the order */
+	bool from_store;	 /* the order loads from the weight store */
+	bool report_pending;	 /* a report was requested */
+	int64_t next_report_us;	 /* earliest time of the next report request */
+	int64_t next_order_us;	 /* earliest time of the next order */
+	uint32_t planned_load;	 /* model to load after evictions; 0: none */
+	bool planned_from_store; /* it comes from the weight store */
+	int64_t loaded_us;	 /* end of the last load */
+	uint32_t load_key;	 /* names the target in a bsh_load_entry_t */
+	uint32_t running;	 /* requests, by the last loads */
+	uint32_t unloading;	 /* model of the last accepted unload order */
 	uint64_t unloading_orders; /* value of orders after that one */
 	/* Memory and adapters of unanswered load orders of which copies may
 	 * still arrive.  The target refuses them by their number until a
@@ -98,7 +99,9 @@
 			 const planner_target_t *t, int64_t now_us);
 /* Adapter slots in use or reserved. */
 uint32_t planner_used_slots(const planner_target_t *t, int64_t now_us);
-/* Loads from the weight store that run now. */
+/* True if the target has no copy of the model from which it could load it. */
+bool planner_needs_store(const planner_target_t *t, uint32_t model);
+/* Loads from the weight store that run now, or follow an eviction. */
 uint32_t planner_store_loads(const bsh_planner_t *planner);
 /* True if requests may be sent to this target for the model or adapter. */
 bool planner_serves(const planner_target_t *t, uint32_t model,
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -441,6 +441,49 @@
 	rig_finish(&rig);
 }
 
+#define CROWDED_TARGETS 12
+
+/* Guards against more loads from the weight store at once than allowed when
+ * requests for many models wait and each load has to evict a model first, as
+ * after some seconds without a lease holder: each load then takes as long as all
+ * of them, and its target can do nothing else. */
+static void test_store_limits_loads_after_evictions(void)
+{
+	const char *models[2 * CROWDED_TARGETS + 3] = { "a", "b" };
+	static const char *const holds[] = { "a", "b", NULL };
+	bsh_demand_entry_t entries[2 * CROWDED_TARGETS];
+	uint32_t loads = 0;
+	rig_t rig;
+
+	for (uint32_t m = 0; m < 2 * CROWDED_TARGETS; m++)
+		models[m + 2] = g_strdup_printf("rare-%u", m);
+	rig_init(&rig, models, 0);
+	for (uint32_t i = 0; i < CROWDED_TARGETS; i++) {
+		g_autofree char *id = g_strdup_printf("t%u", i);
+		bsh_target_t target = make_target(id, holds);
+
+		add_target(&rig, &target, 0);
+	}
+	for (uint32_t m = 0; m < 2 * CROWDED_TARGETS; m++)
+		entries[m] = (bsh_demand_entry_t){ .model = hash(models[m + 2]),
+						   .waiting = 3 };
+	bsh_planner_update_demand(rig.planner, "entry-1", entries,
+				  2 * CROWDED_TARGETS, rig.now_us);
+	for (uint32_t answered = 0, i = 0; i < 10; i++) {
+		tick(&rig, 50000);
+		for (; answered < rig.n_orders; answered++) {
+			loads += rig.orders[answered].load;
+			bsh_planner_order_result(
+				rig.planner, rig.order_target[answered],
+				BSH_ORDER_ACCEPTED, rig.now_us);
+		}
+	}
+	g_assert_cmpuint(loads, ==, 2);
+	rig_finish(&rig);
+	for (uint32_t m = 0; m < 2 * CROWDED_TARGETS; m++)
+		g_free((char *)models[m + 2]);
+}
+
 /* Guards against a load limit that stays too high for a slow weight store: the
  * estimates would make clients wait for models that load too late. */
 static void test_slow_store_lowers_concurrency(void)
@@ -815,6 +858,8 @@
 			test_copy_on_disk_is_preferred);
 	g_test_add_func("/planner/rare-models-at-once",
 			test_store_limits_concurrent_loads);
+	g_test_add_func("/planner/rare-models-after-evictions",
+			test_store_limits_loads_after_evictions);
 	g_test_add_func("/planner/late-report", test_stale_report_is_ignored);
 	g_test_add_func("/planner/slow-store",
 			test_slow_store_lowers_concurrency);
