Do not take bytes of an incomplete event for progress

Cause: after a silence a second target is asked, and whichever speaks first goes on. Any byte of the first target counted as speaking, so each one cancelled the second attempt before its first event.

Change: the first target speaks with a complete event. The second one still takes over with its first byte.

--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -224,9 +224,14 @@
 	request_t *r = a->request;
 	bsh_error_t err;
 
-	attempts_spoke(a);
+	/* Bytes of an event that is not complete show no progress of the first
+	 * target: a stalled one may send some now and then. */
+	if (a == r->handover)
+		attempts_spoke(a);
 	g_string_truncate(r->events, 0);
 	err = bsh_event_relay_feed(&r->relay, data, size, r->events);
+	if (r->events->len > 0)
+		attempts_spoke(a);
 	if (r->events->len > 0 && !stream_origin_bind(r, a)) {
 		end_attempt(a, ATTEMPT_BROKEN, BSH_ERR_NOT_RESUMABLE);
 		return;
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -12,11 +12,13 @@
 
 #include "support/loopback.h"
 
-#define WAIT_TIMEOUT_MS	     15000
-#define MODEL_MB	     100
-#define LOAD_MS		     120
-#define STREAM_EVENTS	     6
-#define EVENT_GAP_US	     10000
+#define WAIT_TIMEOUT_MS 15000
+#define MODEL_MB	100
+#define LOAD_MS		120
+#define STREAM_EVENTS	6
+#define EVENT_GAP_US	10000
+/* Interval of the bytes of a stream that never gets on. */
+#define DRIP_INTERVAL_US     20000
 #define ENGINE_SLOTS	     8
 #define IDLE_CONNECTIONS_MAX 64
 #define STEP_US		     INT64_C(5000)
@@ -709,6 +711,11 @@
 	}
 	if (worker->mode == WORKER_STALLS && run->next_event >= 2)
 		return;
+	if (worker->mode == WORKER_DRIPS && run->next_event >= 2) {
+		bsh_http_response_write(run->request, "x", 1);
+		bsh_loop_timer_after(&run->timer, DRIP_INTERVAL_US);
+		return;
+	}
 	if (worker->mode == WORKER_BREAKS_STREAM && run->next_event >= 2) {
 		bsh_http_response_abort(run->request);
 		return;
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -42,7 +42,8 @@
 	WORKER_BREAKS_STREAM,	 /* closes a stream after two events */
 	WORKER_NEVER_ANSWERS,	 /* runs and never answers */
 	WORKER_SENDS_HEAD_ONLY,	 /* runs, sends the header of a stream only */
-	WORKER_STALLS /* stops a stream after two events, keeps it open */
+	WORKER_STALLS, /* stops a stream after two events, keeps it open */
+	WORKER_DRIPS   /* the same, and sends a byte now and then */
 } worker_mode_t;
 
 typedef struct platform_rig platform_rig_t;
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -302,6 +302,30 @@
 	check_retried_stream(f, WORKER_STALLS);
 }
 
+/* Guards against the same where the worker sends a byte of the next event now
+ * and then, which shows no progress, more often than the other one needs for its
+ * first event. */
+static void test_dripping_stream(fixture_t *f, gconstpointer data)
+{
+	worker_t *other = platform_rig_add_worker(&f->rig, "llm", "m0");
+	uint32_t handed_over = 0;
+
+	(void)data;
+	f->engine->mode = WORKER_DRIPS;
+	other->work_ms = 150;
+	platform_rig_run(&f->rig, 200);
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("s%d", i);
+
+		call(f, "/stream/1", id, "m0");
+		g_assert_cmpint(f->reply.status, ==, 200);
+		g_assert_true(f->reply.complete);
+		g_assert_cmpint(f->reply.took_us, <, 1500000);
+		handed_over += platform_rig_runs(&f->rig, id) == 2;
+	}
+	g_assert_cmpuint(handed_over, >, 0);
+}
+
 /* Guards against a requested model that no instance loads, and against loads
  * beyond the memory of a worker. */
 static void test_loads_on_demand(fixture_t *f, gconstpointer data)
@@ -742,6 +766,7 @@
 	ADD("/entry/failed-resume", test_failed_resume);
 	ADD("/entry/mute-worker", test_mute_worker);
 	ADD("/entry/stalled-stream", test_stalled_stream);
+	ADD("/entry/dripping-stream", test_dripping_stream);
 	ADD("/entry/loads-on-demand", test_loads_on_demand);
 	ADD("/entry/stop", test_graceful_stop);
 	ADD("/entry/stopping-holder", test_stopping_holder_gives_orders);
