Load models that nobody has asked for only when the demand is known

Cause: a load for which no request waits takes the model without a copy that is asked for most, and one that was never asked for if none is known. Just after the begin of the traffic and after a change of the lease holder hardly any demand is known, and each such load takes the store 13 s.

Change: once there is any demand, models without any are loaded after 5 s of it; before, as soon as the instances have been heard for 0.5 s, as before the traffic begins.

Evidence: /planner/unasked-models-wait-for-demand fails before.

The encoder of stream records frees its buffer without the cleanup attribute, which the analyzer took for a leak.

--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -82,6 +82,8 @@
 
 void bsh_planner_begin_term(bsh_planner_t *planner)
 {
+	planner->term_us = 0;
+	planner->demand_us = 0;
 	for (guint i = 0; i < planner->targets->len; i++) {
 		planner_target_t *t = g_ptr_array_index(planner->targets, i);
 
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -24,6 +24,12 @@
 #define RUN_WAIT_MS 1000.0
 /* Greatest loss for which a load without waiting requests evicts models. */
 #define SEED_MAX_LOSS 0.3
+/* The instances report their demand several times a second. */
+#define DEMAND_KNOWN_US INT64_C(500000)
+/* Once there is demand, models without any are loaded only after this time: each
+ * load takes the weight store from a model whose first request is about to
+ * come, or came before a change of the lease holder. */
+#define DEMAND_COMPLETE_US INT64_C(5000000)
 /* Models tried for a load without waiting requests in one run, which bounds its
  * processor time. */
 #define SEED_TRIES_MAX 8U
@@ -480,9 +486,26 @@
 	}
 }
 
+/* Notes the demand of this round.  Returns true if models that nobody has asked
+ * for may be loaded. */
+static bool may_seed_unasked(const round_t *round)
+{
+	bsh_planner_t *planner = round->planner;
+
+	if (planner->term_us == 0)
+		planner->term_us = round->now_us;
+	for (uint32_t i = 0; planner->demand_us == 0 && i < round->n_models;
+	     i++)
+		if (round->models[i].rate > 0)
+			planner->demand_us = round->now_us;
+	if (planner->demand_us == 0)
+		return round->now_us - planner->term_us >= DEMAND_KNOWN_US;
+	return round->now_us - planner->demand_us >= DEMAND_COMPLETE_US;
+}
+
 /* The model without a copy that was asked for most, lately if at all; marks it
  * as tried. */
-static model_need_t *next_to_seed(const round_t *round)
+static model_need_t *next_to_seed(const round_t *round, bool unasked)
 {
 	model_need_t *best = NULL;
 
@@ -490,7 +513,7 @@
 		model_need_t *need = &round->models[i];
 
 		if (need->copies == 0 && need->coming == 0 &&
-		    !need->seed_tried &&
+		    !need->seed_tried && (unasked || need->rate > 0) &&
 		    (best == NULL || need->rate > best->rate))
 			best = need;
 	}
@@ -506,12 +529,13 @@
 static void seed_copies(const round_t *round)
 {
 	bsh_planner_t *planner = round->planner;
+	bool unasked = may_seed_unasked(round);
 	uint32_t limit =
 		MIN(planner->config.seed_loads, planner_store_limit(planner));
 
 	for (uint32_t i = 0;
 	     i < SEED_TRIES_MAX && planner_store_loads(planner) < limit; i++) {
-		const model_need_t *need = next_to_seed(round);
+		const model_need_t *need = next_to_seed(round, unasked);
 		planner_target_t *t;
 		victims_t victims;
 
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -82,6 +82,8 @@
 	GHashTable *deferred;  /* target id to its earliest order time */
 	GHashTable *demand;    /* key to planner_demand_t */
 	GHashTable *instances; /* name to planner_instance_t */
+	int64_t term_us;       /* first run of the term; 0: none yet */
+	int64_t demand_us; /* first demand that was known in a run; 0: none */
 	/* Number of concurrent loads that the weight store serves at full
 	 * speed, estimated from the duration of loads; from 1 to
 	 * config.concurrent_loads. */
--- a/lib/coordination/stream_journal.c
+++ b/lib/coordination/stream_journal.c
@@ -167,7 +167,8 @@
 
 char *bsh_stream_records_encode(const GArray *records)
 {
-	g_autofree uint8_t *bytes = g_malloc0_n(records->len + 1, RECORD_BYTES);
+	uint8_t *bytes = g_malloc0_n(records->len + 1, RECORD_BYTES);
+	char *text;
 
 	for (guint i = 0; i < records->len; i++) {
 		const bsh_stream_record_t *record =
@@ -176,7 +177,9 @@
 		put_be64(bytes + i * RECORD_BYTES, record->stream);
 		put_be64(bytes + i * RECORD_BYTES + 8, record->software);
 	}
-	return g_base64_encode(bytes, (gsize)records->len * RECORD_BYTES);
+	text = g_base64_encode(bytes, (gsize)records->len * RECORD_BYTES);
+	g_free(bytes);
+	return text;
 }
 
 bool bsh_stream_records_decode(const char *text, GArray *records)
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -618,6 +618,36 @@
 	rig_finish(&rig);
 }
 
+/* Guards against models that nobody asks for, which take the store's time just
+ * after a change of the lease holder or the begin of the traffic, when few
+ * requests are known yet, from those that are asked for a moment later. */
+static void test_unasked_models_wait_for_demand(void)
+{
+	static const char *const models[] = { "m0", "m1", "m2", "m3", NULL };
+	static const char *const holds[] = { "m0", NULL };
+	bsh_target_t a = make_target("a", holds);
+	rig_t rig;
+
+	rig_init_seeding(&rig, models, 0, 1);
+	bsh_planner_begin_term(rig.planner);
+	add_target(&rig, &a, 0);
+	tick(&rig, 50000);
+	tick(&rig, 200000);
+	g_assert_cmpuint(rig.n_orders, ==, 0);
+	demand(&rig, "m0", NULL, 40, 0);
+	for (int i = 0; i < 40; i++) {
+		demand(&rig, "m0", NULL, 5, 0);
+		tick(&rig, 100000);
+		g_assert_cmpuint(rig.n_orders, ==, 0);
+	}
+	demand(&rig, "m3", NULL, 1, 0);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_true(rig.orders[0].load);
+	g_assert_cmpuint(rig.orders[0].model, ==, hash("m3"));
+	rig_finish(&rig);
+}
+
 /* Guards against models that are never loaded although they are asked for: the
  * store's time goes to models that nobody asks for, which come earlier in the
  * list, while requests are refused because a load would take too long. */
@@ -868,6 +898,8 @@
 			test_unloading_model_stays_withdrawn);
 	g_test_add_func("/planner/asked-models-are-seeded-first",
 			test_asked_models_are_seeded_first);
+	g_test_add_func("/planner/unasked-models-wait-for-demand",
+			test_unasked_models_wait_for_demand);
 	g_test_add_func("/planner/idle-models-are-evicted-first",
 			test_idle_models_are_evicted_first);
 	g_test_add_func("/planner/busy-target-does-not-hold-a-load",
