--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -18,7 +18,9 @@
  *	more; see loss() and set_wanted() in planner_choose.c.
  *
  *	A model without waiting requests and without a copy on any target is
- *	loaded once, so that its first request finds a copy on a disk.
+ *	loaded once, so that its first request finds a copy on a disk; one that
+ *	nobody has asked for only once the demand has been known for some time,
+ *	or before there is any.
  *
  *	Orders.  An order carries the number of orders that the target must
  *	have accepted before it; the target refuses an order with another
