Go on withholding orders while reports of the store pause

Cause: a holder that the store turns away withholds orders until its list fits a release, as long as others report that the store answers them. With few readers these reports come up to 1.4 s apart and are believed for 1 s, so that the holder ordered again in between, filled its list and began anew; it never handed over.

Change: once it withholds, the last report is believed for the time that an order stays on the list.

--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -274,8 +274,8 @@
 	g_autoptr(GArray) list = collect_ordered(orders);
 	bsh_handover_t step = bsh_lease_handover_step(
 		&orders->lease, store_age_us,
-		now_us(orders) - orders->peer_reached_us, list->len,
-		RELEASE_TARGETS_MAX, now_us(orders));
+		now_us(orders) - orders->peer_reached_us, orders->withholds,
+		list->len, RELEASE_TARGETS_MAX, now_us(orders));
 
 	set_withholds(orders, step != BSH_HANDOVER_NONE, list->len);
 	if (step != BSH_HANDOVER_NOW ||
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -377,11 +377,16 @@
 
 bsh_handover_t bsh_lease_handover_step(const bsh_lease_t *lease,
 				       int64_t store_age_us,
-				       int64_t peer_age_us, uint32_t listed,
-				       uint32_t listed_max, int64_t now_us)
+				       int64_t peer_age_us, bool withholds,
+				       uint32_t listed, uint32_t listed_max,
+				       int64_t now_us)
 {
+	int64_t peer_age_max_us =
+		withholds ? lease->lease_us + BSH_LEASE_MARGIN_US
+			  : BSH_LEASE_STORE_REACHED_MAX_AGE_US;
+
 	if (store_age_us < BSH_LEASE_HANDOVER_AFTER_US ||
-	    peer_age_us > BSH_LEASE_STORE_REACHED_MAX_AGE_US ||
+	    peer_age_us > peer_age_max_us ||
 	    !bsh_lease_may_order(lease, now_us) ||
 	    !bsh_lease_is_order_list_complete(lease, now_us))
 		return BSH_HANDOVER_NONE;
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -206,13 +206,16 @@
  *
  * store_age_us: time since the last answer of the store to this instance.
  * peer_age_us: time since another instance has reported that the store answers
- * it.  listed: targets that got an order within the exclusion time; listed_max: as
- * many as a release can name.
+ * it.  withholds: the last step was BSH_HANDOVER_WITHHOLD; the report is then
+ * believed until a list without new orders is empty, as reports may pause for
+ * longer than they are believed otherwise.  listed: targets that got an order
+ * within the exclusion time; listed_max: as many as a release can name.
  */
 bsh_handover_t bsh_lease_handover_step(const bsh_lease_t *lease,
 				       int64_t store_age_us,
-				       int64_t peer_age_us, uint32_t listed,
-				       uint32_t listed_max, int64_t now_us);
+				       int64_t peer_age_us, bool withholds,
+				       uint32_t listed, uint32_t listed_max,
+				       int64_t now_us);
 
 /* bsh_lease_is_order_list_complete - true if the order list of this process
  * includes all recent orders, so that a release may contain it. */
