review: a stream holds events of two software versions at an instance cut off

An instance is cut off from the others and from the store for 5.5 s, by a proxy that replaces addresses. Meanwhile a worker drains, leaves and starts again under its id with another software version. The instance still takes it for the former version: streams that begin there go on at a worker of the former version when the new one is silent for 1.2 s.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,170 +1,160 @@
-/* The instance that holds the order lease is stopped by SIGTERM.  One worker
- * leaves an order unanswered, and falls silent for a second afterwards. */
+/* An instance is cut off from the others and from the store for 5.5 s.  Meanwhile
+ * a worker is replaced in place by one with another software version, and falls
+ * silent for a second. */
 #include <signal.h>
 #include <string.h>
 
-#include "stand.h"
+#include "link.h"
 
-#define INSTANCES 3
-/* The holder releases the lease some seconds after SIGTERM, as callers keep its
- * address for three times the time to live of 1 s. */
-#define RELEASE_AFTER_MS 4000
-/* From SIGTERM to the request that makes the holder order a load. */
-#define DEMAND_AFTER_MS 2300
-#define SILENT_AFTER_MS 3450
-#define SILENT_MS	950
-#define LATE_MS		6000
-#define CALLERS_MAX	40
+#define STREAMS	       16
+#define DEADLINE_MS    6000
+#define CUT_MS	       5500
+#define DRAIN_MS       (STAND_DRAIN_MS + 100)
+#define DOWN_MS	       200
+#define SILENT_MS      1200
+#define BACKGROUND_MAX 900
+/* The rule allows this many. */
+#define MIXED_MAX 2
 
 typedef struct {
 	stand_t stand;
-	rig_reply_t stream;
-	rig_reply_t replies[CALLERS_MAX];
-	char ids[CALLERS_MAX][24];
-	uint32_t n;
+	link_t link;
+	rig_entry_t *apart; /* the instance behind the link */
+	rig_reply_t streams[STREAMS];
+	rig_reply_t background[BACKGROUND_MAX];
+	uint32_t n_background;
+	int64_t next_ms;
 } case_t;
 
 static void configure(case_t *c)
 {
-	g_autofree char *route =
-		stand_route("reply", "stream", "llm", 2, true, 17000, 2500);
-	g_autofree char *service = stand_service(&c->stand, "llm", 0, 5);
+	g_autofree char *route = stand_route("reply", "stream", "llm", 2, true,
+					     DEADLINE_MS, 300);
+	g_autofree char *service = stand_service(&c->stand, "llm", 0, 1);
 
 	stand_configure(&c->stand, route, service);
 }
 
-static void ask(case_t *c, const rig_entry_t *entry, const char *model)
+/* Callers of the other two instances go on all the while. */
+static void run(case_t *c, int64_t ms)
 {
-	uint32_t i = c->n++;
-
-	g_snprintf(c->ids[i], sizeof(c->ids[i]), "ask-%u", i);
-	stand_log(&c->stand, "caller sends %s for %s to %s", c->ids[i], model,
-		  entry->name);
-	platform_rig_send(&c->stand.rig, entry->front, "/reply/1", c->ids[i],
-			  model, 12000, &c->replies[i]);
-}
-
-static bool has_begun(const rig_reply_t *reply)
-{
-	return reply->received != NULL && reply->received->len > 0;
+	int64_t until_ms = stand_now_ms(&c->stand) + ms;
+
+	while (stand_now_ms(&c->stand) < until_ms) {
+		char id[32];
+		uint32_t n = c->n_background;
+
+		platform_rig_run(&c->stand.rig, 5);
+		if (stand_now_ms(&c->stand) < c->next_ms || n == BACKGROUND_MAX)
+			continue;
+		c->next_ms = stand_now_ms(&c->stand) + 100;
+		g_snprintf(id, sizeof(id), "other-%u", n);
+		platform_rig_send(&c->stand.rig,
+				  c->stand.rig.entries[n % 2].front, "/reply/1",
+				  id, "m0", DEADLINE_MS,
+				  &c->background[c->n_background++]);
+	}
 }
 
-static void run_until(case_t *c, int64_t at_ms)
+/* Versions that wrote the events which the caller has got: 1, 2 or both. */
+static int versions_of(const rig_reply_t *reply)
 {
-	int64_t left_ms = at_ms - stand_now_ms(&c->stand);
+	const char *text =
+		reply->received != NULL ? reply->received->str : reply->body;
 
-	if (left_ms > 0)
-		platform_rig_run(&c->stand.rig, left_ms);
+	if (text == NULL)
+		return 0;
+	return (strstr(text, " v1\n") != NULL) +
+	       2 * (strstr(text, " v2\n") != NULL);
 }
 
-/* Orders of different holders to one worker less than the lease time apart, and
- * orders with a lower fencing token after a higher one. */
-static int count_turns(case_t *c)
+static bool has_loaded(const stand_engine_t *engine)
 {
-	const GArray *orders = c->stand.orders;
-	int broken = 0;
-
-	for (guint i = 1; i < orders->len; i++) {
-		const stand_order_t *b =
-			&g_array_index(orders, stand_order_t, i);
-
-		for (guint j = 0; j < i; j++) {
-			const stand_order_t *a =
-				&g_array_index(orders, stand_order_t, j);
-
-			if (strcmp(a->engine, b->engine) != 0 ||
-			    strcmp(a->holder, b->holder) == 0)
-				continue;
-			if (b->at_ms - a->at_ms >= STAND_LEASE_MS &&
-			    b->fence > a->fence)
-				continue;
-			broken++;
-			stand_log(&c->stand,
-				  "BROKEN: orders of %s (fence %u) at %.3f s "
-				  "and of %s (fence %u) at %.3f s at %s, %d ms "
-				  "apart",
-				  a->holder, (unsigned)a->fence,
-				  (double)a->at_ms / 1000.0, b->holder,
-				  (unsigned)b->fence, (double)b->at_ms / 1000.0,
-				  b->engine, (int)(b->at_ms - a->at_ms));
-		}
-	}
-	return broken;
+	return strcmp(engine->version, "v2") == 0 &&
+	       json_object_size(engine->models) > 0;
 }
 
-static void check_released(case_t *c, const char *holder, bool *released)
+static int judge(case_t *c)
 {
-	if (*released || strcmp(stand_holder(&c->stand), holder) == 0)
-		return;
-	*released = true;
-	stand_log(&c->stand, "the lease of %s is released or taken: holder=%s",
-		  holder, stand_holder(&c->stand));
+	uint32_t counts[4] = { 0 };
+
+	for (uint32_t i = 0; i < STREAMS; i++) {
+		const rig_reply_t *reply = &c->streams[i];
+		int versions = versions_of(reply);
+
+		counts[versions]++;
+		stand_log(&c->stand, "stream-%u: status %d%s, events of%s%s", i,
+			  reply->status, reply->complete ? ", whole" : "",
+			  versions & 1 ? " v1" : "", versions & 2 ? " v2" : "");
+	}
+	stand_log(&c->stand,
+		  "%sstreams with events of v1=%u of v2=%u of both=%u of "
+		  "none=%u datagrams passed=%u dropped=%u",
+		  counts[3] > MIXED_MAX ? "BROKEN: " : "", counts[1], counts[2],
+		  counts[3], counts[0], c->link.passed, c->link.dropped);
+	printf("v1=%u v2=%u both=%u none=%u\n", counts[1], counts[2], counts[3],
+	       counts[0]);
+	return counts[3] > MIXED_MAX;
 }
 
 int main(int argc, char **argv)
 {
-	static const char *const first[] = { "m0", NULL };
+	static const char *const models[] = { "m0", NULL };
 	static case_t c;
-	rig_entry_t *holder;
-	rig_entry_t *other;
 	stand_engine_t *worker;
-	char name[32];
-	int64_t term_ms;
-	bool released = false;
+	int64_t cut_ms;
 	int broken;
 
 	stand_init(&c.stand, argc > 1 ? argv[1] : "record.txt");
 	configure(&c);
-	worker = stand_add_engine(&c.stand, "llm", first);
-	for (int i = 0; i < INSTANCES; i++)
-		stand_add_instance(&c.stand, NULL);
-	stand_wait_ready(&c.stand, INSTANCES);
-	/* The holder loads other models first, as there is room. */
-	platform_rig_run(&c.stand.rig, 9000);
-	g_strlcpy(name, stand_holder(&c.stand), sizeof(name));
-	holder = stand_instance(&c.stand, name);
-	if (holder == NULL)
-		return 2;
-	other = &c.stand.rig.entries[holder == &c.stand.rig.entries[0]];
-	/* A stream that is still in progress when the lease is released. */
-	worker->n_events = 60;
-	worker->gap_ms = 100;
-	platform_rig_send(&c.stand.rig, holder->front, "/reply/1", "long-1",
-			  "m0", 17000, &c.stream);
-	for (int i = 0; i < 300 && !has_begun(&c.stream); i++)
-		platform_rig_run(&c.stand.rig, 10);
-	if (!has_begun(&c.stream))
-		return 2;
-	worker->n_events = 10;
-	worker->gap_ms = 20;
-	term_ms = stand_now_ms(&c.stand);
-	stand_log(&c.stand, "SIGTERM to the holder %s", name);
-	kill(holder->pid, SIGTERM);
-	run_until(&c, term_ms + DEMAND_AFTER_MS);
+	stand_add_engine(&c.stand, "llm", models);
+	worker = stand_add_engine(&c.stand, "llm", models);
+	stand_add_instance(&c.stand, NULL);
+	stand_add_instance(&c.stand, NULL);
+	stand_wait_ready(&c.stand, 2);
+	run(&c, 3000);
+	c.apart = link_add_instance(&c.link, &c.stand);
+	stand_wait_ready(&c.stand, 3);
+	run(&c, 34000);
+	for (uint32_t i = 0; i < c.stand.n_engines; i++) {
+		c.stand.engines[i].n_events = 30;
+		c.stand.engines[i].gap_ms = 40;
+	}
+	cut_ms = stand_now_ms(&c.stand);
 	if (c.stand.trouble) {
-		worker->late_ms = LATE_MS;
-		stand_log(&c.stand, "worker leaves orders unanswered");
+		stand_log(&c.stand,
+			  "%s is cut off from the others and the "
+			  "store; datagrams so far: %u",
+			  c.apart->name, c.link.passed);
+		link_set_cut(&c.link, true);
 	}
-	ask(&c, other, "m3");
-	ask(&c, other, "m4");
-	run_until(&c, term_ms + SILENT_AFTER_MS);
-	worker->silent_until_us = bsh_loop_clock_us() + SILENT_MS * 1000;
-	while (stand_now_ms(&c.stand) < term_ms + 12000) {
-		platform_rig_run(&c.stand.rig, 20);
-		check_released(&c, name, &released);
-		if (worker->late_ms > 0 &&
-		    stand_now_ms(&c.stand) > term_ms + 5000)
-			worker->late_ms = 0;
-		if (c.n < CALLERS_MAX &&
-		    stand_now_ms(&c.stand) > term_ms + 2500 + c.n * 200)
-			ask(&c, other, c.n % 2 ? "m3" : "m4");
+	run(&c, 100);
+	stand_replace_engine(worker, "v2", DRAIN_MS, DOWN_MS);
+	for (int i = 0; i < 400 && !has_loaded(worker); i++)
+		run(&c, 10);
+	run(&c, 100);
+	for (uint32_t i = 0; i < STREAMS; i++) {
+		char id[32];
+
+		g_snprintf(id, sizeof(id), "stream-%u", i);
+		platform_rig_send(&c.stand.rig, c.apart->front, "/reply/1", id,
+				  "m0", DEADLINE_MS, &c.streams[i]);
+		run(&c, 10);
 	}
-	broken = count_turns(&c);
-	stand_log(&c.stand, "orders=%u broken=%d", c.stand.orders->len, broken);
-	printf("orders=%u broken=%d\n", c.stand.orders->len, broken);
-	for (uint32_t i = 0; i < c.n; i++)
-		platform_rig_reply_clear(&c.replies[i]);
-	platform_rig_reply_clear(&c.stream);
+	run(&c, 150);
+	stand_log(&c.stand, "engine %s is silent", worker->id);
+	worker->silent_until_us = bsh_loop_clock_us() + SILENT_MS * 1000;
+	run(&c, MAX(cut_ms + CUT_MS - stand_now_ms(&c.stand), 0));
+	if (c.stand.trouble)
+		stand_log(&c.stand, "the cut ends");
+	link_set_cut(&c.link, false);
+	run(&c, 4000);
+	broken = judge(&c);
+	for (uint32_t i = 0; i < STREAMS; i++)
+		platform_rig_reply_clear(&c.streams[i]);
+	for (uint32_t i = 0; i < c.n_background; i++)
+		platform_rig_reply_clear(&c.background[i]);
+	link_finish(&c.link);
 	stand_finish(&c.stand);
-	return broken > 0;
+	return broken;
 }
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -102,7 +102,8 @@
 	json_t *spec = json_pack(
 		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:o, s:o, s:I, s:I}",
 		"service", engine->service, "address", engine->address, "zone",
-		engine->zone, "version", "v1", "slots", SLOTS, "state", "ready",
+		engine->zone, "version", engine->version, "slots", SLOTS,
+		"state", engine->leaving ? "draining" : "ready",
 		"coldRemainingMs", 0, "models", models_of(engine), "atHand",
 		at_hand(engine), "born", (json_int_t)engine->started_ms, "seq",
 		(json_int_t)++engine->beats);
@@ -329,8 +330,9 @@
 		return;
 	}
 	answer->next_event++;
-	size = g_snprintf(event, sizeof(event), "id: %u\ndata: e%u\n\n",
-			  answer->next_event, answer->next_event);
+	size = g_snprintf(event, sizeof(event), "id: %u\ndata: e%u %s\n\n",
+			  answer->next_event, answer->next_event,
+			  answer->engine->version);
 	bsh_http_response_write(answer->request, event, (size_t)size);
 	bsh_loop_timer_after(&answer->timer, answer->gap_ms * INT64_C(1000));
 }
@@ -435,14 +437,13 @@
 
 	engine->started_ms = (uint64_t)(g_get_real_time() / 1000);
 	listen_engine(engine, engine->address);
-	stand_log(engine->stand, "engine %s has started again, empty",
-		  engine->id);
+	stand_log(engine->stand, "engine %s has started again, empty, as %s",
+		  engine->id, engine->version);
 	on_beat(engine);
 }
 
-void stand_crash_engine(stand_engine_t *engine, uint32_t down_ms)
+static void end_process(stand_engine_t *engine, uint32_t down_ms)
 {
-	stand_log(engine->stand, "engine %s crashes", engine->id);
 	bsh_http_server_free(engine->server);
 	engine->server = NULL;
 	bsh_loop_timer_stop(&engine->beat_timer);
@@ -457,6 +458,40 @@
 	bsh_loop_timer_after(&engine->start_timer, down_ms * INT64_C(1000));
 }
 
+void stand_crash_engine(stand_engine_t *engine, uint32_t down_ms)
+{
+	stand_log(engine->stand, "engine %s crashes", engine->id);
+	end_process(engine, down_ms);
+}
+
+static void on_drained(void *ctx)
+{
+	stand_engine_t *engine = ctx;
+	worker_t entry = { .rig = &engine->stand->rig };
+
+	stand_log(engine->stand, "engine %s has left", engine->id);
+	engine->leaving = false;
+	g_strlcpy(engine->version, engine->next_version,
+		  sizeof(engine->version));
+	end_process(engine, engine->down_ms);
+	g_strlcpy(entry.id, engine->id, sizeof(entry.id));
+	platform_rig_remove_worker(&entry);
+}
+
+void stand_replace_engine(stand_engine_t *engine, const char *version,
+			  uint32_t drain_ms, uint32_t down_ms)
+{
+	stand_log(engine->stand, "engine %s drains, to be replaced by %s",
+		  engine->id, version);
+	engine->leaving = true;
+	engine->down_ms = down_ms;
+	g_strlcpy(engine->next_version, version, sizeof(engine->next_version));
+	publish(engine);
+	bsh_loop_timer_init(&engine->start_timer, &engine->stand->rig.loop,
+			    on_drained, engine);
+	bsh_loop_timer_after(&engine->start_timer, drain_ms * INT64_C(1000));
+}
+
 stand_engine_t *stand_add_engine(stand_t *stand, const char *service,
 				 const char *const *models)
 {
@@ -480,6 +515,7 @@
 	g_snprintf(engine->id, sizeof(engine->id), "i-%08x",
 		   stand->n_engines * 0x1f3a91c2U);
 	g_strlcpy(engine->service, service, sizeof(engine->service));
+	g_strlcpy(engine->version, "v1", sizeof(engine->version));
 	g_snprintf(engine->zone, sizeof(engine->zone), "zone-%c",
 		   'a' + (char)((stand->n_engines - 1) % 3));
 	bsh_loop_timer_init(&engine->start_timer, &stand->rig.loop,
@@ -574,7 +610,7 @@
 	return g_strjoinv(value, pieces);
 }
 
-static char *settings_of(const stand_t *stand, const rig_entry_t *entry,
+static char *settings_of(stand_t *stand, const rig_entry_t *entry,
 			 const char *ip, const char *store)
 {
 	g_autofree char *gossip = g_strdup_printf("%u", free_port(ip));
@@ -600,6 +636,7 @@
 		{ "bounds.retrySlack", "54" },
 		{ "bounds.budgetWindowS", "10" },
 	};
+	const char *key;
 	char *text;
 
 	if (!g_file_get_contents(TEMPLATE, &text, NULL, NULL))
@@ -608,18 +645,31 @@
 		text = fill(text, fields[i][0], fields[i][1]);
 	if (strstr(text, "{{") != NULL)
 		fail("a field of the template is not known");
+	g_snprintf(stand->gossip[stand->rig.n_entries - 1],
+		   sizeof(stand->gossip[0]), "%s:%s", ip, gossip);
+	key = strstr(text, "\nkey=");
+	if (key == NULL)
+		fail("the template has no key");
+	g_strlcpy(stand->key, key + strlen("\nkey="), sizeof(stand->key));
 	return text;
 }
 
+void stand_ip(uint32_t host, char *ip, size_t size)
+{
+	unsigned pid = (unsigned)getpid();
+
+	g_snprintf(ip, size, "127.%u.%u.%u", 100 + pid / 100 % 100,
+		   100 + pid % 100, host);
+}
+
 rig_entry_t *stand_add_instance(stand_t *stand, const char *store)
 {
 	rig_entry_t *entry = &stand->rig.entries[stand->rig.n_entries++];
-	g_autofree char *ip = g_strdup_printf(
-		"127.%u.%u.%u", 20U + (unsigned)getpid() / 250U % 200U,
-		1U + (unsigned)getpid() % 250U, 10U + stand->rig.n_entries);
+	char ip[32];
 	g_autofree char *text = NULL;
 	int fd;
 
+	stand_ip(10 + stand->rig.n_entries, ip, sizeof(ip));
 	g_snprintf(entry->name, sizeof(entry->name), "front-%u",
 		   stand->rig.n_entries);
 	g_snprintf(entry->front, sizeof(entry->front), "%s:%u", ip,
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -55,6 +55,7 @@
 	char service[32];
 	char address[32];
 	char zone[16];
+	char version[16]; /* of its software */
 	bsh_http_server_t *server;
 	json_t *models;	 /* loaded models: name to list of adapters */
 	json_t *copies;	 /* names of the models of which it keeps weights */
@@ -70,7 +71,10 @@
 	GHashTable *runs; /* model to number of its runs */
 	bsh_loop_timer_t load_timer;
 	bsh_loop_timer_t start_timer;
-	uint32_t overloads; /* orders to hold more than it has room for */
+	bool leaving;
+	char next_version[16]; /* with which it starts again */
+	uint32_t down_ms;      /* between its end and its start */
+	uint32_t overloads;    /* orders to hold more than it has room for */
 	/* Orders get no answer, and are carried out this long after if their
 	 * condition still holds; 0: they are answered at once. */
 	uint32_t late_ms;
@@ -92,6 +96,8 @@
 	int64_t began_us;
 	bool trouble; /* TROUBLE is not 0 */
 	uint32_t load_ms;
+	char gossip[RIG_ENTRIES_MAX][32]; /* addresses for datagrams */
+	char key[65];			  /* of the deployment, in hex */
 };
 
 /* stand_init - open the record and start the store. */
@@ -119,6 +125,12 @@
 /* stand_crash_engine - end the engine's process; it starts again under its id and
  * address after this time, empty, with its copies on disk. */
 void stand_crash_engine(stand_engine_t *engine, uint32_t down_ms);
+/* stand_replace_engine - the engine drains, leaves, and starts again under its id
+ * and address with another software version. */
+void stand_replace_engine(stand_engine_t *engine, const char *version,
+			  uint32_t drain_ms, uint32_t down_ms);
+/* stand_ip - loopback address of a host of this deployment; host: 10 to 99. */
+void stand_ip(uint32_t host, char *ip, size_t size);
 /* stand_add_instance - start an instance.  store: address at which it calls the
  * store; NULL: that of the store itself. */
 rig_entry_t *stand_add_instance(stand_t *stand, const char *store);
