--- a/review/1/case.c
+++ b/review/1/case.c
@@ -56,6 +56,22 @@
 	}
 }
 
+/* What the instance that is cut off answers to callers that ask it for addresses. */
+static void resolve(case_t *c)
+{
+	rig_reply_t reply;
+
+	platform_rig_send(&c->stand.rig, c->apart->directory,
+			  "/api/resolve?name=" RIG_HOST
+			  "&region=region-a&zone=zone-c",
+			  "resolve", NULL, 1000, &reply);
+	platform_rig_wait(&c->stand.rig, &reply.done);
+	stand_log(&c->stand, "%s, at %s, answers a caller's resolve: %d %s",
+		  c->apart->name, c->apart->front, reply.status,
+		  reply.body != NULL ? reply.body : "");
+	platform_rig_reply_clear(&reply);
+}
+
 /* Versions that wrote the events which the caller has got: 1, 2 or both. */
 static int versions_of(const rig_reply_t *reply)
 {
@@ -133,6 +149,7 @@
 	for (int i = 0; i < 400 && !has_loaded(worker); i++)
 		run(&c, 10);
 	run(&c, 100);
+	resolve(&c);
 	for (uint32_t i = 0; i < STREAMS; i++) {
 		char id[32];
 
