review: case 1 with seven instances, and a proxy that keeps the hosts

One machine of seven stays inside the share that the site file names for a cut. The proxy now takes other ports of the same hosts: a record of an instance names its host once, so that the instance behind the proxy knew wrong addresses for callers before.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -6,6 +6,8 @@
 
 #include "link.h"
 
+/* Instances beside the one that is cut off. */
+#define OTHERS	       6
 #define STREAMS	       16
 #define DEADLINE_MS    6000
 #define CUT_MS	       5500
@@ -35,7 +37,7 @@
 	stand_configure(&c->stand, route, service);
 }
 
-/* Callers of the other two instances go on all the while. */
+/* Callers of the other instances go on all the while. */
 static void run(case_t *c, int64_t ms)
 {
 	int64_t until_ms = stand_now_ms(&c->stand) + ms;
@@ -50,8 +52,8 @@
 		c->next_ms = stand_now_ms(&c->stand) + 100;
 		g_snprintf(id, sizeof(id), "other-%u", n);
 		platform_rig_send(&c->stand.rig,
-				  c->stand.rig.entries[n % 2].front, "/reply/1",
-				  id, "m0", DEADLINE_MS,
+				  c->stand.rig.entries[n % OTHERS].front,
+				  "/reply/1", id, "m0", DEADLINE_MS,
 				  &c->background[c->n_background++]);
 	}
 }
@@ -125,12 +127,12 @@
 	configure(&c);
 	stand_add_engine(&c.stand, "llm", models);
 	worker = stand_add_engine(&c.stand, "llm", models);
-	stand_add_instance(&c.stand, NULL);
-	stand_add_instance(&c.stand, NULL);
-	stand_wait_ready(&c.stand, 2);
+	for (int i = 0; i < OTHERS; i++)
+		stand_add_instance(&c.stand, NULL);
+	stand_wait_ready(&c.stand, OTHERS);
 	run(&c, 3000);
 	c.apart = link_add_instance(&c.link, &c.stand);
-	stand_wait_ready(&c.stand, 3);
+	stand_wait_ready(&c.stand, OTHERS + 1);
 	run(&c, 34000);
 	for (uint32_t i = 0; i < c.stand.n_engines; i++) {
 		c.stand.engines[i].n_events = 30;
--- a/review/stand/link.c
+++ b/review/link.c
@@ -74,19 +74,20 @@
 	bsh_udp_send(end->udp, end->real, copy, size);
 }
 
-static void open_end(link_t *link, link_end_t *end, const char *real,
-		     const char *ip)
+/* The address in place of the real one is of the same host: a record of an
+ * instance names its host once. */
+static void open_end(link_t *link, link_end_t *end, const char *real)
 {
-	char address[LINK_ADDRESS_SIZE];
+	g_auto(GStrv) parts = g_strsplit(real, ":", 2);
+	g_autofree char *address = g_strdup_printf("%s:0", parts[0]);
 
 	end->link = link;
 	g_strlcpy(end->real, real, sizeof(end->real));
-	g_snprintf(address, sizeof(address), "%s:0", ip);
 	end->udp =
 		bsh_udp_open(&link->stand->rig.loop, address, on_datagram, end);
 	if (end->udp == NULL)
 		fail("no socket for datagrams");
-	g_snprintf(end->proxy, sizeof(end->proxy), "%s:%u", ip,
+	g_snprintf(end->proxy, sizeof(end->proxy), "%s:%u", parts[0],
 		   bsh_udp_port(end->udp));
 }
 
@@ -198,10 +199,10 @@
 	listen_store(link, ip, store, sizeof(store));
 	entry = stand_add_instance(stand, store);
 	read_key(link);
-	open_end(link, &link->self, stand->gossip[n], ip);
+	open_end(link, &link->self, stand->gossip[n]);
 	for (uint32_t i = 0; i < n; i++)
 		open_end(link, &link->others[link->n_others++],
-			 stand->gossip[i], ip);
+			 stand->gossip[i]);
 	return entry;
 }
 
--- a/review/stand/stand.c
+++ b/review/stand.c
@@ -587,7 +587,7 @@
 
 /* Instances. */
 
-static uint16_t free_port(const char *ip)
+static uint16_t any_port(const char *ip)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t size = sizeof(address);
@@ -601,6 +601,18 @@
 	return ntohs(address.sin_port);
 }
 
+/* A free port that was not returned before. */
+static uint16_t free_port(const char *ip)
+{
+	static bool returned[65536];
+	uint16_t port = any_port(ip);
+
+	for (int i = 0; i < 1000 && returned[port]; i++)
+		port = any_port(ip);
+	returned[port] = true;
+	return port;
+}
+
 static char *fill(char *text, const char *field, const char *value)
 {
 	g_autofree char *old = text;
