review: the pause that a worker asked for is forgotten when its entry lapses

A worker has answered 503 with Retry-After: 30 and is then partitioned from the store for 5 s, so that its entry lapses and comes back.

The state of a target that is in no view is freed, and the notice with it.

--- a/review/work.c
+++ b/review/work.c
@@ -5,6 +5,8 @@
 
 /* Heartbeats of silence after which the store removes an entry. */
 #define LAPSE_BEATS 3
+/* Time from a request to its rejection by a worker that wants a pause. */
+#define REJECT_MS 5
 
 /* A request that runs. */
 typedef struct {
@@ -45,8 +47,12 @@
 {
 	work_t *work = ctx;
 
-	if (!work->store_cut)
+	if (!work->store_cut) {
 		publish(work);
+		bsh_loop_timer_after(&work->lapse_timer,
+				     LAPSE_BEATS * STAND_HEARTBEAT_MS *
+					     INT64_C(1000));
+	}
 	bsh_loop_timer_after(&work->beat_timer,
 			     STAND_HEARTBEAT_MS * INT64_C(1000));
 }
@@ -68,14 +74,6 @@
 		  cut ? "is partitioned from the store"
 		      : "reaches the store again");
 	work->store_cut = cut;
-	if (cut) {
-		bsh_loop_timer_after(&work->lapse_timer,
-				     LAPSE_BEATS * STAND_HEARTBEAT_MS *
-					     INT64_C(1000));
-	} else {
-		bsh_loop_timer_stop(&work->lapse_timer);
-		publish(work);
-	}
 }
 
 static void add_headers(bsh_http_request_t *request, const char *id)
@@ -95,6 +93,39 @@
 	bsh_http_response_send(request, status, "", 0);
 }
 
+/* A rejection that is sent a little later. */
+static void on_reject_timer(void *ctx)
+{
+	const run_t *run = ctx;
+
+	reject(run->request, run->id, 503, run->work->pause);
+}
+
+static void free_rejection(void *ctx, bool delivered)
+{
+	run_t *run = ctx;
+
+	(void)delivered;
+	bsh_loop_timer_stop(&run->timer);
+	g_free(run);
+}
+
+static void reject_later(work_t *work, bsh_http_request_t *request,
+			 const char *id)
+{
+	static const bsh_http_request_handler_t handler = { free_rejection,
+							    NULL };
+	run_t *run = g_new0(run_t, 1);
+
+	run->work = work;
+	run->request = request;
+	g_strlcpy(run->id, id, sizeof(run->id));
+	bsh_http_request_set_handler(request, &handler, run);
+	bsh_loop_timer_init(&run->timer, &work->stand->rig.loop,
+			    on_reject_timer, run);
+	bsh_loop_timer_after(&run->timer, REJECT_MS * INT64_C(1000));
+}
+
 static void free_run(void *ctx, bool delivered)
 {
 	run_t *run = ctx;
@@ -180,7 +211,7 @@
 
 	g_strlcpy(arrival.id, id != NULL ? id : "", sizeof(arrival.id));
 	if (work->pause != NULL)
-		reject(request, arrival.id, 503, work->pause);
+		reject_later(work, request, arrival.id);
 	else if (work->running >= work->slots)
 		reject(request, arrival.id, 503, NULL);
 	else
--- a/review/work.h
+++ b/review/work.h
@@ -58,7 +58,8 @@
 work_t *work_add(stand_t *stand, const char *service, const char *model,
 		 uint32_t slots);
 /* work_cut_store - the worker does not reach the store any more; its entry lapses
- * after three heartbeats.  False: it reaches it again, and writes its entry. */
+ * three heartbeats after its last one.  False: it reaches it again, and writes its
+ * entry with its next heartbeat. */
 void work_cut_store(work_t *work, bool cut);
 void work_free(work_t *work);
 
