review: two holders of the lease after a machine is added during a cut

Two of three machines are cut off from the third one and the store for 12 s, and one machine is added.

Both holders count a majority of the instances that they know, and these sets differ when a machine has been added on one side of a cut.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,207 +1,191 @@
-/* All machines are killed at the same moment, and started again, while the
- * workers of a service are full and reject a part of the requests. */
+/* Two of three machines are cut off from the third one and from the store for
+ * 12 s.  Meanwhile one machine is added. */
 #include <signal.h>
 #include <string.h>
-#include <sys/wait.h>
-
-#include "work.h"
-
-#define INSTANCES   6
-#define WORKERS	    3
-#define SLOTS	    6
-#define WORK_MS	    1000
-#define RATE_PER_S  40
-#define DEADLINE_MS 6000
-#define BEFORE_MS   3000 /* from the first request to the kill */
-#define DOWN_MS	    500
-#define AFTER_MS    7000 /* from the start to the last request */
-#define REQUESTS_MAX 1000
-/* The rule. */
-#define WINDOW_MS 10000
-#define RATIO	  0.2
-#define SLACK	  54
+
+#include "link.h"
+
+#define MODELS	     10
+#define DEADLINE_MS  8000
+#define CUT_MS	     12000
+#define ADD_AFTER_MS 3500
+#define TAIL_MS	     3000
+#define ENGINES	     2
+#define REQUESTS_MAX 600
+#define ASK_MS	     250
 
 typedef struct {
 	stand_t stand;
-	work_t *workers[WORKERS];
+	link_t links[2];
 	rig_reply_t replies[REQUESTS_MAX];
-	int64_t sent_ms[REQUESTS_MAX];
 	uint32_t n;
-	int64_t next_us;
+	int64_t next_ms;
 } case_t;
 
-/* Callers that are refused do not come back. */
+static void configure(case_t *c)
+{
+	g_autofree char *route = stand_route("reply", "stream", "llm", 2, true,
+					     DEADLINE_MS, 300);
+	g_autofree char *service = stand_service(&c->stand, "llm", 0, MODELS);
+
+	stand_configure(&c->stand, route, service);
+}
+
+/* Callers ask for one model after the other, at all machines. */
 static void run(case_t *c, int64_t ms)
 {
 	int64_t until_ms = stand_now_ms(&c->stand) + ms;
+	platform_rig_t *rig = &c->stand.rig;
 
 	while (stand_now_ms(&c->stand) < until_ms) {
-		char id[32];
+		uint32_t ask;
 
-		platform_rig_run(&c->stand.rig, 2);
-		if (bsh_loop_clock_us() < c->next_us || c->n == REQUESTS_MAX)
+		platform_rig_run(rig, 5);
+		if (stand_now_ms(&c->stand) < c->next_ms)
 			continue;
-		c->next_us += 1000000 / RATE_PER_S;
-		g_snprintf(id, sizeof(id), "try-%05u", c->n);
-		c->sent_ms[c->n] = stand_now_ms(&c->stand);
-		platform_rig_send(&c->stand.rig,
-				  c->stand.rig.entries[c->n % INSTANCES].front,
-				  "/reply/1", id, "m0", DEADLINE_MS,
-				  &c->replies[c->n]);
-		c->n++;
+		c->next_ms = stand_now_ms(&c->stand) + ASK_MS;
+		ask = (uint32_t)(stand_now_ms(&c->stand) / 1000);
+		for (uint32_t i = 0; i < rig->n_entries; i++) {
+			char id[32];
+			char model[16];
+
+			if (c->n == REQUESTS_MAX || rig->entries[i].pid == 0)
+				continue;
+			g_snprintf(id, sizeof(id), "try-%05u", c->n);
+			g_snprintf(model, sizeof(model), "m%u", ask % MODELS);
+			platform_rig_send(rig, rig->entries[i].front,
+					  "/reply/1", id, model, DEADLINE_MS,
+					  &c->replies[c->n++]);
+		}
 	}
 }
 
-static void kill_all(case_t *c)
+static void run_quietly(case_t *c, int64_t ms)
 {
-	stand_log(&c->stand, "all %d machines are killed", INSTANCES);
-	for (int i = 0; i < INSTANCES; i++) {
-		rig_entry_t *entry = &c->stand.rig.entries[i];
-
-		kill(entry->pid, SIGKILL);
-	}
-	run(c, DOWN_MS);
-	for (int i = 0; i < INSTANCES; i++) {
-		rig_entry_t *entry = &c->stand.rig.entries[i];
-
-		while (stand_is_running(&c->stand, entry))
-			run(c, 5);
-		platform_rig_spawn(&c->stand.rig, entry);
-	}
-	stand_log(&c->stand, "all machines are started again");
+	platform_rig_run(&c->stand.rig, ms);
 }
 
-static uint32_t requests_in(const case_t *c, int64_t from_ms, int64_t to_ms)
+/* The lease is held by one of the two. */
+static void move_lease(case_t *c)
 {
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < c->n; i++)
-		n += c->sent_ms[i] >= from_ms && c->sent_ms[i] < to_ms;
-	return n;
+	rig_entry_t *first = &c->stand.rig.entries[0];
+
+	if (strcmp(stand_holder(&c->stand), first->name) != 0)
+		return;
+	kill(first->pid, SIGKILL);
+	while (strcmp(stand_holder(&c->stand), first->name) == 0)
+		run_quietly(c, 50);
+	while (stand_is_running(&c->stand, first))
+		run_quietly(c, 5);
+	platform_rig_spawn(&c->stand.rig, first);
+	stand_wait_ready(&c->stand, 3);
 }
 
-static gint compare_times(gconstpointer a, gconstpointer b)
+/* What breaks the rule, at each worker. */
+static int judge(case_t *c)
 {
-	int64_t x = *(const int64_t *)a;
-	int64_t y = *(const int64_t *)b;
+	const GArray *orders = c->stand.orders;
+	uint32_t turns = 0;
+	uint32_t lower = 0;
 
-	return x < y ? -1 : x > y;
-}
+	for (guint i = 0; i < orders->len; i++) {
+		const stand_order_t *b =
+			&g_array_index(orders, stand_order_t, i);
 
-/* Times of all arrivals beyond the first of each request. */
-static GArray *repeats_of(case_t *c)
-{
-	GArray *repeats = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	GHashTable *first = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (int i = 0; i < WORKERS; i++) {
-		for (guint j = 0; j < c->workers[i]->arrivals->len; j++) {
-			work_arrival_t *a = &g_array_index(
-				c->workers[i]->arrivals, work_arrival_t, j);
-			int64_t *at = g_hash_table_lookup(first, a->id);
-			int64_t later = a->at_ms;
-
-			if (at == NULL) {
-				g_hash_table_insert(first, a->id, &a->at_ms);
+		for (guint j = i; j > 0; j--) {
+			const stand_order_t *a =
+				&g_array_index(orders, stand_order_t, j - 1);
+
+			if (strcmp(a->engine, b->engine) != 0)
 				continue;
+			if (strcmp(a->holder, b->holder) == 0)
+				break;
+			if (b->fence < a->fence) {
+				lower++;
+				stand_log(&c->stand,
+					  "at %s %.3f s: %s with fence "
+					  "%" G_GUINT64_FORMAT
+					  " after %s with %" G_GUINT64_FORMAT,
+					  b->engine, (double)b->at_ms / 1000,
+					  b->holder, b->fence, a->holder,
+					  a->fence);
 			}
-			if (*at > a->at_ms) {
-				later = *at;
-				g_hash_table_replace(first, a->id, &a->at_ms);
+			if (b->at_ms - a->at_ms < STAND_LEASE_MS) {
+				turns++;
+				stand_log(&c->stand,
+					  "at %s %.3f s: %s, %.3f s after %s",
+					  b->engine, (double)b->at_ms / 1000,
+					  b->holder,
+					  (double)(b->at_ms - a->at_ms) / 1000,
+					  a->holder);
 			}
-			g_array_append_val(repeats, later);
-		}
-	}
-	g_array_sort(repeats, compare_times);
-	g_hash_table_destroy(first);
-	return repeats;
-}
-
-static int judge(case_t *c)
-{
-	g_autoptr(GArray) repeats = repeats_of(c);
-	double worst = -1e9;
-	uint32_t worst_n = 0;
-	double worst_max = 0;
-	int64_t worst_ms = 0;
-
-	for (guint i = 0; i < repeats->len; i++) {
-		int64_t from = g_array_index(repeats, int64_t, i);
-		int64_t to = from + WINDOW_MS;
-		uint32_t requests = MAX(
-			MAX(requests_in(c, from, to),
-			    requests_in(c, from - WINDOW_MS, from)),
-			requests_in(c, from - WINDOW_MS / 2,
-				    to - WINDOW_MS / 2));
-		double most = RATIO * requests + SLACK;
-		uint32_t n = 0;
-
-		for (guint j = i; j < repeats->len; j++)
-			n += g_array_index(repeats, int64_t, j) < to;
-		if (n - most > worst) {
-			worst = n - most;
-			worst_n = n;
-			worst_max = most;
-			worst_ms = from;
+			break;
 		}
 	}
 	stand_log(&c->stand,
-		  "%srequests=%u repeats=%u; most in %d ms, from %.3f s on: "
-		  "%u, allowed %.1f",
-		  worst > 0 ? "BROKEN: " : "", c->n, repeats->len, WINDOW_MS,
-		  (double)worst_ms / 1000, worst_n, worst_max);
-	printf("requests=%u repeats=%u worst window: %u, allowed %.1f\n", c->n,
-	       repeats->len, worst_n, worst_max);
-	return worst > 0;
+		  "%sorders=%u turns within %d ms=%u lower fences=%u",
+		  turns + lower > 0 ? "BROKEN: " : "", orders->len,
+		  STAND_LEASE_MS, turns, lower);
+	printf("orders=%u turns=%u lower fences=%u\n", orders->len, turns,
+	       lower);
+	return turns + lower > 0;
 }
 
-static void configure(case_t *c)
+static void set_cut(case_t *c, bool cut)
 {
-	g_autofree char *route = stand_route("reply", "stream", "llm", 2, true,
-					     DEADLINE_MS, 300);
-	g_autofree char *all = stand_service(&c->stand, "llm", 0, 1);
-	g_auto(GStrv) parts = g_strsplit(all, "\"slots\":64", 2);
-	g_autofree char *service =
-		g_strjoinv("\"slots\":" G_STRINGIFY(SLOTS), parts);
-
-	stand_configure(&c->stand, route, service);
+	for (int i = 0; i < 2; i++) {
+		c->links[i].resets = true;
+		link_set_cut(&c->links[i], cut);
+	}
 }
 
 int main(int argc, char **argv)
 {
+	static const char *const models[] = { "m0", NULL };
 	static case_t c;
-	uint32_t answers[6] = { 0 };
 	int broken;
 
 	stand_init(&c.stand, argc > 1 ? argv[1] : "record.txt");
 	configure(&c);
-	for (int i = 0; i < WORKERS; i++) {
-		c.workers[i] = work_add(&c.stand, "llm", "m0", SLOTS);
-		c.workers[i]->work_ms = WORK_MS;
+	for (int i = 0; i < ENGINES; i++)
+		stand_add_engine(&c.stand, "llm", models);
+	stand_add_instance(&c.stand, NULL);
+	stand_wait_ready(&c.stand, 1);
+	for (int i = 0; i < 2; i++) {
+		link_add_instance(&c.links[i], &c.stand);
+		stand_wait_ready(&c.stand, 2 + (uint32_t)i);
+	}
+	link_keep(&c.links[0], c.stand.rig.entries[2].name);
+	link_keep(&c.links[1], c.stand.rig.entries[1].name);
+	run_quietly(&c, 5000);
+	move_lease(&c);
+	run(&c, 8000);
+	stand_log(&c.stand, "holder of the lease: %s", stand_holder(&c.stand));
+	if (strcmp(stand_holder(&c.stand), c.stand.rig.entries[0].name) == 0) {
+		stand_finish(&c.stand);
+		return 2;
 	}
-	for (int i = 0; i < INSTANCES; i++)
-		stand_add_instance(&c.stand, NULL);
-	stand_wait_ready(&c.stand, INSTANCES);
-	platform_rig_run(&c.stand.rig, 6000);
-	c.next_us = bsh_loop_clock_us();
-	run(&c, BEFORE_MS);
+	if (c.stand.trouble) {
+		stand_log(&c.stand,
+			  "%s and %s are cut off from %s and the store",
+			  c.stand.rig.entries[1].name,
+			  c.stand.rig.entries[2].name,
+			  c.stand.rig.entries[0].name);
+		set_cut(&c, true);
+	}
+	run(&c, ADD_AFTER_MS);
+	stand_add_instance(&c.stand, NULL);
+	stand_log(&c.stand, "%s is added", c.stand.rig.entries[3].name);
+	run(&c, CUT_MS - ADD_AFTER_MS);
 	if (c.stand.trouble)
-		kill_all(&c);
-	else
-		run(&c, DOWN_MS);
-	run(&c, AFTER_MS);
-	platform_rig_run(&c.stand.rig, 3000);
+		stand_log(&c.stand, "the cut ends");
 	broken = judge(&c);
-	for (uint32_t i = 0; i < c.n; i++) {
-		answers[c.replies[i].status / 100 % 6]++;
-		stand_log(&c.stand, "try-%05u, sent at %.3f s: %d", i,
-			  (double)c.sent_ms[i] / 1000, c.replies[i].status);
+	set_cut(&c, false);
+	run(&c, TAIL_MS);
+	for (uint32_t i = 0; i < c.n; i++)
 		platform_rig_reply_clear(&c.replies[i]);
-	}
-	stand_log(&c.stand, "answers 2xx=%u 4xx=%u 5xx=%u none=%u", answers[2],
-		  answers[4], answers[5], answers[0]);
-	for (int i = 0; i < WORKERS; i++)
-		work_free(c.workers[i]);
+	for (int i = 0; i < 2; i++)
+		link_finish(&c.links[i]);
 	stand_finish(&c.stand);
 	return broken;
 }
--- a/review/link.c
+++ b/review/link.c
@@ -11,6 +11,8 @@
 #include "protocol/auth.h"
 
 #define READ_BYTES 65536
+/* Where the sender of a datagram is named. */
+#define SENDER_WITHIN_BYTES (BSH_SEAL_SIZE_BYTES + 64)
 
 /* One connection of the instance to the store. */
 typedef struct {
@@ -53,6 +55,28 @@
 	}
 }
 
+/* The sender is the first name in a datagram. */
+static bool is_from(const uint8_t *data, size_t size, const char *name)
+{
+	const uint8_t *first = memmem(data, MIN(size, SENDER_WITHIN_BYTES),
+				      "front-", strlen("front-"));
+	size_t length = strlen(name);
+
+	return length > 0 && first != NULL &&
+	       (size_t)(data + size - first) > length &&
+	       memcmp(first, name, length) == 0;
+}
+
+static bool is_lost(const link_end_t *end, const uint8_t *data, size_t size)
+{
+	const link_t *link = end->link;
+
+	if (!link->cut)
+		return false;
+	return end == &link->self ? !is_from(data, size, link->kept)
+				  : !end->kept;
+}
+
 static void on_datagram(void *ctx, const uint8_t *data, size_t size)
 {
 	link_end_t *end = ctx;
@@ -60,7 +84,7 @@
 	uint8_t copy[BSH_UDP_MAX_BYTES];
 	uint64_t sequence;
 
-	if (link->cut ||
+	if (is_lost(end, data, size) ||
 	    bsh_datagram_check(link->key, data, size, &sequence) != BSH_OK) {
 		link->dropped++;
 		return;
@@ -138,12 +162,25 @@
 		bsh_loop_watch_set(pipe->watches[i], cut ? 0 : BSH_LOOP_READ);
 }
 
+static void reset(int fd)
+{
+	struct linger linger = { .l_onoff = 1 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+}
+
 static void on_connection(void *ctx, int fd, unsigned int events)
 {
 	link_t *link = ctx;
 	pipe_t *pipe = g_new0(pipe_t, 1);
 
 	(void)events;
+	if (link->cut && link->resets) {
+		reset(accept(fd, NULL, NULL));
+		g_free(pipe);
+		return;
+	}
 	pipe->link = link;
 	pipe->fds[0] = accept(fd, NULL, NULL);
 	pipe->fds[1] = socket(AF_INET, SOCK_STREAM, 0);
@@ -209,10 +246,22 @@
 void link_set_cut(link_t *link, bool cut)
 {
 	link->cut = cut;
+	while (cut && link->resets && link->pipes->len > 0)
+		close_pipe(g_ptr_array_index(link->pipes, 0));
 	for (guint i = 0; i < link->pipes->len; i++)
 		watch_pipe(g_ptr_array_index(link->pipes, i), cut);
 }
 
+void link_keep(link_t *link, const char *name)
+{
+	const stand_t *stand = link->stand;
+
+	g_strlcpy(link->kept, name, sizeof(link->kept));
+	for (uint32_t i = 0; i < link->n_others; i++)
+		if (strcmp(stand->rig.entries[i].name, name) == 0)
+			link->others[i].kept = true;
+}
+
 void link_finish(link_t *link)
 {
 	while (link->pipes->len > 0)
--- a/review/link.h
+++ b/review/link.h
@@ -11,8 +11,8 @@
  *	through the proxy, which replaces the addresses in what passes and
  *	renews the seal of datagrams with the key of the deployment.  Nothing
  *	else is changed.  While the link is cut, datagrams are lost, and
- *	connections to the store hang.  Callers and workers reach the instance
- *	as before.
+ *	connections to the store hang or are reset.  Callers and workers reach the instance
+ *	as before, and so does an instance on the same side of the cut.
  */
 
 #include "stand.h"
@@ -29,6 +29,7 @@
 	char real[LINK_ADDRESS_SIZE];
 	char proxy[LINK_ADDRESS_SIZE];
 	bsh_udp_t *udp; /* at the proxy's address */
+	bool kept;	/* on the same side of the cut */
 } link_end_t;
 
 struct link {
@@ -42,6 +43,8 @@
 	char store[LINK_ADDRESS_SIZE]; /* its address */
 	GPtrArray *pipes;	       /* open connections to the store */
 	bool cut;
+	bool resets; /* a cut resets connections to the store */
+	char kept[32];	 /* instance on the same side of the cut, or "" */
 	uint32_t passed; /* datagrams */
 	uint32_t dropped;
 };
@@ -50,6 +53,8 @@
  * been started before. */
 rig_entry_t *link_add_instance(link_t *link, stand_t *stand);
 void link_set_cut(link_t *link, bool cut);
+/* link_keep - this other instance is on the same side of the cut. */
+void link_keep(link_t *link, const char *name);
 void link_finish(link_t *link);
 
 #endif
