review: case 1 adds two machines, and its cut is complete

Some datagrams passed the cut: each of the two machines told the others the address of the other one behind its proxy.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,5 +1,5 @@
 /* Two of three machines are cut off from the third one and from the store for
- * 12 s.  Meanwhile one machine is added. */
+ * 12 s.  Meanwhile two machines are added. */
 #include <signal.h>
 #include <string.h>
 
@@ -9,6 +9,7 @@
 #define DEADLINE_MS  8000
 #define CUT_MS	     12000
 #define ADD_AFTER_MS 3500
+#define ADDED	     2
 #define TAIL_MS	     3000
 #define ENGINES	     2
 #define REQUESTS_MAX 600
@@ -153,10 +154,14 @@
 	stand_wait_ready(&c.stand, 1);
 	for (int i = 0; i < 2; i++) {
 		link_add_instance(&c.links[i], &c.stand);
+		if (i == 1) {
+			link_keep(&c.links[0], c.stand.rig.entries[2].name,
+				  &c.links[1]);
+			link_keep(&c.links[1], c.stand.rig.entries[1].name,
+				  &c.links[0]);
+		}
 		stand_wait_ready(&c.stand, 2 + (uint32_t)i);
 	}
-	link_keep(&c.links[0], c.stand.rig.entries[2].name);
-	link_keep(&c.links[1], c.stand.rig.entries[1].name);
 	run_quietly(&c, 5000);
 	move_lease(&c);
 	run(&c, 8000);
@@ -174,8 +179,11 @@
 		set_cut(&c, true);
 	}
 	run(&c, ADD_AFTER_MS);
-	stand_add_instance(&c.stand, NULL);
-	stand_log(&c.stand, "%s is added", c.stand.rig.entries[3].name);
+	for (int i = 0; i < ADDED; i++) {
+		stand_add_instance(&c.stand, NULL);
+		stand_log(&c.stand, "%s is added",
+			  c.stand.rig.entries[3 + i].name);
+	}
 	run(&c, CUT_MS - ADD_AFTER_MS);
 	if (c.stand.trouble)
 		stand_log(&c.stand, "the cut ends");
--- a/review/link.c
+++ b/review/link.c
@@ -45,6 +45,9 @@
 {
 	const link_end_t *self = &link->self;
 
+	if (link->kept_link != NULL && !towards_self)
+		replace(data, size, link->kept_link->self.real,
+			link->kept_link->self.proxy);
 	replace(data, size, towards_self ? self->proxy : self->real,
 		towards_self ? self->real : self->proxy);
 	for (uint32_t i = 0; i < link->n_others; i++) {
@@ -252,10 +255,11 @@
 		watch_pipe(g_ptr_array_index(link->pipes, i), cut);
 }
 
-void link_keep(link_t *link, const char *name)
+void link_keep(link_t *link, const char *name, const link_t *its_link)
 {
 	const stand_t *stand = link->stand;
 
+	link->kept_link = its_link;
 	g_strlcpy(link->kept, name, sizeof(link->kept));
 	for (uint32_t i = 0; i < link->n_others; i++)
 		if (strcmp(stand->rig.entries[i].name, name) == 0)
--- a/review/link.h
+++ b/review/link.h
@@ -44,7 +44,8 @@
 	GPtrArray *pipes;	       /* open connections to the store */
 	bool cut;
 	bool resets; /* a cut resets connections to the store */
-	char kept[32];	 /* instance on the same side of the cut, or "" */
+	char kept[32]; /* instance on the same side of the cut, or "" */
+	const link_t *kept_link; /* its link */
 	uint32_t passed; /* datagrams */
 	uint32_t dropped;
 };
@@ -53,8 +54,9 @@
  * been started before. */
 rig_entry_t *link_add_instance(link_t *link, stand_t *stand);
 void link_set_cut(link_t *link, bool cut);
-/* link_keep - this other instance is on the same side of the cut. */
-void link_keep(link_t *link, const char *name);
+/* link_keep - this instance, which is behind a link as well, is on the same side
+ * of the cut.  The others know it by the address of its proxy alone. */
+void link_keep(link_t *link, const char *name, const link_t *its_link);
 void link_finish(link_t *link);
 
 #endif
