review: case 3 is the entry on a service that leaves the configuration

The holder of the order lease ends with SIGSEGV as an engine service leaves the configuration, and cuts 7 to 10 requests.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,124 +1,169 @@
-/* A worker has asked for a pause of 30 s.  It is partitioned from the store for
- * 5 s, so that its entry lapses and comes back. */
+/* The operator moves a route from one engine service to another one with the
+ * same models, and then takes the first service out of the configuration. */
+#include <signal.h>
 #include <string.h>
+#include <sys/wait.h>
 
-#include "work.h"
-
-#define INSTANCES   2
-#define WORKERS	    5
-#define SLOTS	    8
-#define WORK_MS	    30
-#define DEADLINE_MS 1500
-#define GROUP	    12 /* requests that callers send at once */
-#define GROUP_MS    120
-#define CUT_MS	    5000
-#define PAUSE_S	    30
-#define REQUESTS_MAX 3000
-/* The rule: no more than these, from half a second after the answer on. */
-#define MOST	   2
-#define AFTER_MS   500
+#include "stand.h"
+
+#define INSTANCES   3
+#define MODELS	    5
+#define CALLS_MAX   900
+#define CALL_GAP_MS 40
+/* The configuration that drops the first service, and the time for which cut
+ * requests count beside it: configApplyMs and 1 s after its acknowledgement. */
+#define DROP_AT_MS 14000
+#define WINDOW_MS  3000
+#define END_MS	   40000
+#define STEP_MS	   20
 
 typedef struct {
 	stand_t stand;
-	work_t *workers[WORKERS];
-	rig_reply_t replies[REQUESTS_MAX];
+	rig_reply_t replies[CALLS_MAX];
+	int64_t ended_ms[CALLS_MAX];
 	uint32_t n;
-	int64_t next_ms;
+	uint32_t ends; /* processes that ended by themselves */
+	int64_t next_call_ms;
+	int64_t restart_ms[INSTANCES]; /* 0: runs */
 } case_t;
 
-/* All callers use the first machine. */
-static void run(case_t *c, int64_t ms)
+static void configure(case_t *c, const char *service, bool with_first)
+{
+	g_autofree char *route =
+		stand_route("reply", "stream", service, 2, true, 6000, 2500);
+	g_autofree char *first = stand_service(&c->stand, "llm-1", 0, MODELS);
+	g_autofree char *second = stand_service(&c->stand, "llm-2", 0, MODELS);
+	g_autofree char *both = g_strdup_printf("%s,%s", first, second);
+
+	stand_configure(&c->stand, route, with_first ? both : second);
+}
+
+/* Starts ended processes again after a short pause, as the platform does. */
+static void check_processes(case_t *c)
 {
-	int64_t until_ms = stand_now_ms(&c->stand) + ms;
+	int64_t now_ms = stand_now_ms(&c->stand);
+
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		rig_entry_t *entry = &c->stand.rig.entries[i];
 
-	while (stand_now_ms(&c->stand) < until_ms) {
-		platform_rig_run(&c->stand.rig, 5);
-		if (stand_now_ms(&c->stand) < c->next_ms)
+		if (stand_is_running(&c->stand, entry))
 			continue;
-		c->next_ms = stand_now_ms(&c->stand) + GROUP_MS;
-		for (int i = 0; i < GROUP && c->n < REQUESTS_MAX; i++) {
-			char id[32];
-
-			g_snprintf(id, sizeof(id), "try-%05u", c->n);
-			platform_rig_send(&c->stand.rig,
-					  c->stand.rig.entries[0].front,
-					  "/look/1", id, NULL, DEADLINE_MS,
-					  &c->replies[c->n++]);
+		if (c->restart_ms[i] == 0) {
+			c->ends++;
+			c->restart_ms[i] = now_ms + 1000;
+			stand_log(&c->stand,
+				  "BROKEN: %s has ended by itself: %s %d",
+				  entry->name,
+				  WIFSIGNALED(entry->status) ? "signal"
+							     : "status",
+				  WIFSIGNALED(entry->status)
+					  ? WTERMSIG(entry->status)
+					  : WEXITSTATUS(entry->status));
+		} else if (now_ms >= c->restart_ms[i]) {
+			c->restart_ms[i] = 0;
+			platform_rig_spawn(&c->stand.rig, entry);
 		}
 	}
 }
 
-static void configure(case_t *c)
+static void call(case_t *c)
 {
-	g_autofree char *route = stand_route("look", "idempotent", "desk", 2,
-					     false, DEADLINE_MS, 300);
+	rig_entry_t *entry = &c->stand.rig.entries[c->n % INSTANCES];
+	char id[32];
+	char model[8];
 
-	stand_configure(&c->stand, route,
-			"{\"name\":\"desk\",\"maxConnections\":100}");
+	if (c->n == CALLS_MAX || !entry->alive)
+		return;
+	g_snprintf(id, sizeof(id), "call-%u", c->n);
+	g_snprintf(model, sizeof(model), "m%u", c->n % MODELS);
+	platform_rig_send(&c->stand.rig, entry->front, "/reply/1", id, model,
+			  6000, &c->replies[c->n++]);
 }
 
-static int judge(case_t *c, const work_t *work)
+static void note_ends(case_t *c)
 {
-	int64_t named_ms = -1;
-	uint32_t n = 0;
-
-	for (guint i = 0; i < work->arrivals->len; i++) {
-		const work_arrival_t *a =
-			&g_array_index(work->arrivals, work_arrival_t, i);
+	for (uint32_t i = 0; i < c->n; i++)
+		if (c->replies[i].done && c->ended_ms[i] == 0)
+			c->ended_ms[i] = stand_now_ms(&c->stand);
+}
 
-		if (named_ms < 0 && a->status == 503)
-			named_ms = a->at_ms;
-		if (named_ms < 0 || a->at_ms < named_ms + AFTER_MS ||
-		    a->at_ms > named_ms + PAUSE_S * 1000)
+static void run_until(case_t *c, int64_t at_ms)
+{
+	while (stand_now_ms(&c->stand) < at_ms) {
+		platform_rig_run(&c->stand.rig, STEP_MS);
+		check_processes(c);
+		note_ends(c);
+		if (stand_now_ms(&c->stand) < c->next_call_ms)
 			continue;
-		n++;
-		stand_log(&c->stand,
-			  "%s reaches worker %s %.3f s after the worker has "
-			  "answered 503 with Retry-After: %d",
-			  a->id, work->id,
-			  (double)(a->at_ms - named_ms) / 1000, PAUSE_S);
+		c->next_call_ms = stand_now_ms(&c->stand) + CALL_GAP_MS;
+		call(c);
+	}
+}
+
+/* A process has ended by itself, or, as the rule has it, requests were cut beside
+ * the configuration over three times as often as at other times. */
+static int judge(case_t *c)
+{
+	uint32_t answered = 0;
+	uint32_t beside = 0;
+	uint32_t other = 0;
+	bool lost;
+
+	for (uint32_t i = 0; i < c->n; i++) {
+		const rig_reply_t *reply = &c->replies[i];
+		bool cut = reply->done && !reply->complete && reply->sent;
+		bool in_window = c->ended_ms[i] >= DROP_AT_MS &&
+				 c->ended_ms[i] < DROP_AT_MS + WINDOW_MS;
+
+		answered += reply->status == 200 && reply->complete;
+		beside += cut && in_window;
+		other += cut && !in_window;
+		stand_log(&c->stand, "call-%u: status %d%s", i, reply->status,
+			  !reply->done ? " (not ended)"
+			  : cut	       ? " (cut)"
+				       : "");
 	}
-	stand_log(&c->stand, "%s%u requests in the pause, allowed %d",
-		  n > MOST ? "BROKEN: " : "", n, MOST);
-	printf("requests=%u in the pause=%u\n", c->n, n);
-	return named_ms < 0 ? 2 : n > MOST;
+	lost = beside > 0 &&
+	       beside * (END_MS - WINDOW_MS) > 3 * other * WINDOW_MS;
+	stand_log(&c->stand,
+		  "%scalls=%u answered=%u cut beside the configuration=%u "
+		  "cut at other times=%u processes ended by themselves=%u",
+		  lost || c->ends > 0 ? "BROKEN: " : "", c->n, answered, beside,
+		  other, c->ends);
+	printf("calls=%u answered=%u cut_beside=%u cut_else=%u ends=%u\n", c->n,
+	       answered, beside, other, c->ends);
+	return lost || c->ends > 0;
 }
 
 int main(int argc, char **argv)
 {
+	static const char *const first[] = { "m0", NULL };
+	static const char *const second[] = { "m1", "m2", NULL };
+	static const char *const third[] = { "m3", "m4", NULL };
 	static case_t c;
-	uint32_t served = 0;
 	int broken;
 
 	stand_init(&c.stand, argc > 1 ? argv[1] : "record.txt");
-	configure(&c);
-	for (int i = 0; i < WORKERS; i++) {
-		c.workers[i] = work_add(&c.stand, "desk", NULL, SLOTS);
-		c.workers[i]->work_ms = WORK_MS;
+	configure(&c, "llm-1", true);
+	stand_add_engine(&c.stand, "llm-1", first);
+	stand_add_engine(&c.stand, "llm-1", second);
+	stand_add_engine(&c.stand, "llm-2", second);
+	stand_add_engine(&c.stand, "llm-2", third);
+	for (uint32_t i = 0; i < c.stand.n_engines; i++) {
+		c.stand.engines[i].n_events = 14;
+		c.stand.engines[i].gap_ms = 40;
 	}
 	for (int i = 0; i < INSTANCES; i++)
 		stand_add_instance(&c.stand, NULL);
 	stand_wait_ready(&c.stand, INSTANCES);
-	platform_rig_run(&c.stand.rig, 5000);
-	run(&c, 2000);
-	c.workers[0]->pause = G_STRINGIFY(PAUSE_S);
-	run(&c, 2000);
-	if (c.stand.trouble)
-		work_cut_store(c.workers[0], true);
-	run(&c, CUT_MS);
-	if (c.stand.trouble)
-		work_cut_store(c.workers[0], false);
-	run(&c, 6000);
-	platform_rig_run(&c.stand.rig, 2000);
-	for (uint32_t i = 0; i < c.n; i++) {
-		served += c.replies[i].status == 200;
-		stand_log(&c.stand, "try-%05u: %d", i, c.replies[i].status);
+	run_until(&c, 8000);
+	configure(&c, "llm-2", true);
+	run_until(&c, DROP_AT_MS);
+	configure(&c, "llm-2", !c.stand.trouble);
+	run_until(&c, END_MS);
+	broken = judge(&c);
+	for (uint32_t i = 0; i < c.n; i++)
 		platform_rig_reply_clear(&c.replies[i]);
-	}
-	stand_log(&c.stand, "served %u of %u", served, c.n);
-	broken = judge(&c, c.workers[0]);
-	for (int i = 0; i < WORKERS; i++)
-		work_free(c.workers[i]);
 	stand_finish(&c.stand);
 	return broken;
 }
