--- a/review/link.h
+++ b/review/link.h
@@ -43,10 +43,10 @@
 	char store[LINK_ADDRESS_SIZE]; /* its address */
 	GPtrArray *pipes;	       /* open connections to the store */
 	bool cut;
-	bool resets; /* a cut resets connections to the store */
+	bool resets;   /* a cut resets connections to the store */
 	char kept[32]; /* instance on the same side of the cut, or "" */
 	const link_t *kept_link; /* its link */
-	uint32_t passed; /* datagrams */
+	uint32_t passed;	 /* datagrams */
 	uint32_t dropped;
 };
 
