--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -108,6 +108,29 @@
 	g_array_append_val((GArray *)ctx, entry);
 }
 
+typedef struct {
+	const orders_t *orders;
+	const service_t *service;
+} deferral_t;
+
+static void defer_orders(void *ctx, const char *target, uint32_t age_ms)
+{
+	const deferral_t *deferral = ctx;
+	int64_t now = now_us(deferral->orders);
+
+	bsh_planner_defer_orders(deferral->service->planner, target,
+				 now - 1000 * (int64_t)age_ms +
+					 order_exclusion_us(deferral->orders),
+				 now);
+}
+
+void order_lease_defer_recent(const orders_t *orders, const service_t *service)
+{
+	deferral_t deferral = { orders, service };
+
+	foreach_ordered(orders, defer_orders, &deferral);
+}
+
 /* Excludes the targets that the former holder listed in the released lease.
  * Returns false if the lease contains no list. */
 static bool exclude_listed_targets(orders_t *orders, const json_t *spec)
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -171,34 +171,6 @@
 	orders_tick(orders);
 }
 
-/* Writes the name of the adapter with this hash; empty for the base model and
- * for an adapter that the model does not have. */
-static void find_adapter(const bsh_model_rule_t *model, uint32_t hash,
-			 char *name, gulong size)
-{
-	name[0] = '\0';
-	for (uint32_t n = 1; hash != 0 && n <= model->adapters; n++) {
-		int length = g_snprintf(name, size, "a%u", n);
-
-		if (bsh_catalog_hash(name, (size_t)length) == hash)
-			return;
-	}
-	name[0] = '\0';
-}
-
-static const bsh_model_rule_t *find_model(const service_t *service,
-					  uint32_t hash)
-{
-	const bsh_catalog_t *catalog =
-		catalogs_current(service->orders->control->catalogs);
-	int32_t index = bsh_catalog_service(catalog, service->name);
-
-	if (index < 0)
-		return NULL;
-	return bsh_service_model(
-		bsh_catalog_service_at(catalog, (uint32_t)index), hash);
-}
-
 /* Operation and model or adapter of an order, as keys of a log line. */
 static char *describe_order(const bsh_order_t *order,
 			    const bsh_model_rule_t *model, const char *adapter)
@@ -209,45 +181,62 @@
 			       adapter[0] != '\0' ? "/" : "", adapter);
 }
 
-static void send_order(void *ctx, const bsh_target_t *target,
+static bool send_order(void *ctx, const bsh_target_t *target,
 		       const bsh_order_t *order)
 {
 	service_t *service = ctx;
 	orders_t *orders = service->orders;
-	const bsh_model_rule_t *model = find_model(service, order->model);
+	const bsh_model_rule_t *model =
+		bsh_planner_model(service->planner, order->model);
 	platform_order_t request = {
 		.address = target->address,
 		.target = target->id,
 		.load = order->load,
-		.model = model->name,
 		.expected = order->expected,
 		.holder = orders->control->entry->settings.instance,
 		.fence = orders->lease.term,
 	};
-	char adapter[16];
-	order_call_t *call = new_call(service, target);
-
-	find_adapter(model, order->adapter, adapter, sizeof(adapter));
-	if (adapter[0] != '\0')
+	char adapter[BSH_ADAPTER_NAME_SIZE] = "";
+	order_call_t *call;
+
+	/* Without its adapter the order would be one for the model. */
+	if (model == NULL ||
+	    (order->adapter != 0 &&
+	     !bsh_planner_adapter_name(service->planner, order->model,
+				       order->adapter, adapter))) {
+		bsh_log(BSH_LOG_WARNING,
+			"order-not-named target=%s service=%s model=%08x "
+			"adapter=%08x",
+			target->id, service->name, order->model,
+			order->adapter);
+		return false;
+	}
+	request.model = model->name;
+	if (order->adapter != 0)
 		request.adapter = adapter;
+	call = new_call(service, target);
 	call->expected = order->expected;
 	call->description = describe_order(order, model, adapter);
 	order_lease_record_order(orders, target->id);
 	platform_target_order(orders->control->client, &request,
 			      on_order_result, call);
+	return true;
 }
 
 static void on_order_done(void *ctx, const bsh_target_t *target,
 			  const bsh_order_t *order, int64_t took_us)
 {
 	const service_t *service = ctx;
-	const bsh_model_rule_t *model = find_model(service, order->model);
 	g_autofree char *description = NULL;
-	char adapter[16] = "";
-
-	if (model != NULL)
-		find_adapter(model, order->adapter, adapter, sizeof(adapter));
-	description = describe_order(order, model, adapter);
+	char adapter[BSH_ADAPTER_NAME_SIZE] = "";
+
+	if (order->adapter != 0 &&
+	    !bsh_planner_adapter_name(service->planner, order->model,
+				      order->adapter, adapter))
+		g_strlcpy(adapter, "-", sizeof(adapter));
+	description = describe_order(
+		order, bsh_planner_model(service->planner, order->model),
+		adapter);
 	if (order->load)
 		bsh_histogram_observe(&load_times, took_us);
 	bsh_log(BSH_LOG_INFO,
@@ -619,13 +608,32 @@
 	service->name = g_strdup(name);
 	service->planner = bsh_planner_new(&config, &planner_ops, service);
 	g_ptr_array_add(orders->services, service);
+	order_lease_defer_recent(orders, service);
 	return service;
 }
 
+/* Ends the planners of services that have left the configuration, or have no
+ * engine any more. */
+static void end_unlisted_services(orders_t *orders,
+				  const bsh_catalog_t *catalog)
+{
+	for (guint i = 0; i < orders->services->len; i++) {
+		service_t *service = g_ptr_array_index(orders->services, i);
+		int32_t index = bsh_catalog_service(catalog, service->name);
+
+		if (index >= 0 &&
+		    bsh_catalog_service_at(catalog, (uint32_t)index)
+			    ->has_engine)
+			continue;
+		bsh_planner_end_service(service->planner);
+	}
+}
+
 void orders_set_catalog(orders_t *orders, bsh_catalog_t *catalog)
 {
 	bool added = false;
 
+	end_unlisted_services(orders, catalog);
 	for (guint i = 0; i < catalog->services->len; i++) {
 		const bsh_service_rule_t *rule =
 			bsh_catalog_service_at(catalog, i);
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -75,6 +75,9 @@
 /* Calls the store when due, counts the quorum, hands over or releases the
  * lease, and logs changes of it. */
 void order_lease_tick(orders_t *orders);
+/* Gives targets of a new planner no order until the exclusion time of their last
+ * order is over. */
+void order_lease_defer_recent(const orders_t *orders, const service_t *service);
 /* Notes that an order is sent to the target now. */
 void order_lease_record_order(const orders_t *orders, const char *target);
 
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -34,6 +34,14 @@
 	t->state_us = now_us;
 }
 
+static void free_rule(void *data)
+{
+	bsh_model_rule_t *rule = data;
+
+	g_free(rule->name);
+	g_free(rule);
+}
+
 bsh_planner_t *bsh_planner_new(const bsh_planner_config_t *config,
 			       const bsh_planner_ops_t *ops, void *ctx)
 {
@@ -45,6 +53,8 @@
 	planner->targets = g_ptr_array_new_with_free_func(g_free);
 	planner->deferred =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	planner->former = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+						NULL, free_rule);
 	planner->store_concurrency = config->concurrent_loads;
 	planner_demand_init(planner);
 	return planner;
@@ -54,19 +64,121 @@
 {
 	planner_demand_finish(planner);
 	g_hash_table_destroy(planner->deferred);
+	g_hash_table_destroy(planner->former);
 	g_ptr_array_free(planner->targets, TRUE);
 	bsh_catalog_unref(planner->catalog);
 	g_free(planner);
 }
 
+const bsh_model_rule_t *bsh_planner_model(const bsh_planner_t *planner,
+					  uint32_t hash)
+{
+	const bsh_model_rule_t *rule = NULL;
+
+	if (planner->service != NULL)
+		rule = bsh_service_model(planner->service, hash);
+	if (rule == NULL)
+		rule = g_hash_table_lookup(planner->former,
+					   GUINT_TO_POINTER(hash));
+	return rule;
+}
+
+bool bsh_planner_adapter_name(const bsh_planner_t *planner, uint32_t model,
+			      uint32_t hash, char name[BSH_ADAPTER_NAME_SIZE])
+{
+	const bsh_model_rule_t *rule = bsh_planner_model(planner, model);
+	const bsh_model_rule_t *former =
+		g_hash_table_lookup(planner->former, GUINT_TO_POINTER(model));
+	uint32_t number = 0;
+
+	if (rule != NULL)
+		number = bsh_adapter_number(hash, rule->adapters);
+	if (number == 0 && former != NULL)
+		number = bsh_adapter_number(hash, former->adapters);
+	bsh_adapter_name(number, name);
+	return number != 0;
+}
+
+bool planner_is_listed(const bsh_planner_t *planner, uint32_t model,
+		       uint32_t adapter)
+{
+	const bsh_model_rule_t *rule;
+
+	if (!planner->listed)
+		return false;
+	rule = bsh_service_model(planner->service, model);
+	return rule != NULL &&
+	       (adapter == 0 ||
+		bsh_adapter_number(adapter, rule->adapters) != 0);
+}
+
+static bool is_in_use(const bsh_planner_t *planner, uint32_t model)
+{
+	for (guint i = 0; i < planner->targets->len; i++) {
+		const planner_target_t *t =
+			g_ptr_array_index(planner->targets, i);
+
+		if (bsh_holdings_has(&t->held, model, 0) ||
+		    (t->has_order && t->order.model == model))
+			return true;
+	}
+	return false;
+}
+
+/* Keeps the rules of models that the new service lacks, or has with fewer
+ * adapters, while a target holds them. */
+static void keep_former_models(bsh_planner_t *planner,
+			       const bsh_service_rule_t *service)
+{
+	GHashTableIter iter;
+	void *hash;
+
+	if (planner->service == NULL)
+		return;
+	for (guint i = 0; i < planner->service->models->len; i++) {
+		const bsh_model_rule_t *rule = &g_array_index(
+			planner->service->models, bsh_model_rule_t, i);
+		const bsh_model_rule_t *next =
+			bsh_service_model(service, rule->hash);
+		const bsh_model_rule_t *before = g_hash_table_lookup(
+			planner->former, GUINT_TO_POINTER(rule->hash));
+		bsh_model_rule_t *copy;
+
+		if (next != NULL && next->adapters >= rule->adapters)
+			continue;
+		copy = g_memdup2(rule, sizeof(*rule));
+		copy->name = g_strdup(rule->name);
+		if (before != NULL)
+			copy->adapters = MAX(copy->adapters, before->adapters);
+		g_hash_table_replace(planner->former,
+				     GUINT_TO_POINTER(rule->hash), copy);
+	}
+	g_hash_table_iter_init(&iter, planner->former);
+	while (g_hash_table_iter_next(&iter, &hash, NULL))
+		if (!is_in_use(planner, GPOINTER_TO_UINT(hash)))
+			g_hash_table_iter_remove(&iter);
+}
+
 void bsh_planner_set_service(bsh_planner_t *planner, bsh_catalog_t *catalog,
 			     const bsh_service_rule_t *service)
 {
 	bsh_catalog_t *old = planner->catalog;
 
+	keep_former_models(planner, service);
 	planner->catalog = bsh_catalog_ref(catalog);
 	planner->service = service;
 	bsh_catalog_unref(old);
+	if (planner->listed)
+		return;
+	planner->listed = true;
+	/* Nobody has followed the targets meanwhile. */
+	for (guint i = 0; i < planner->targets->len; i++) {
+		planner_target_t *t = g_ptr_array_index(planner->targets, i);
+
+		if (t->state == PLANNER_IDLE)
+			set_state(t, PLANNER_UNCERTAIN, t->state_us);
+		t->next_report_us = 0;
+	}
 }
 
 static planner_target_t *find(const bsh_planner_t *planner, const char *id)
@@ -124,10 +236,28 @@
 	planner->ops.placed(planner->ctx, &t->target, &t->usable, t->version);
 }
 
+void bsh_planner_end_service(bsh_planner_t *planner)
+{
+	if (!planner->listed)
+		return;
+	planner->listed = false;
+	for (guint i = 0; i < planner->targets->len; i++) {
+		planner_target_t *t = g_ptr_array_index(planner->targets, i);
+
+		t->planned_load = 0;
+		if (t->state != PLANNER_WITHDRAWN)
+			continue;
+		/* The order to unload has not been sent. */
+		t->has_order = false;
+		set_state(t, PLANNER_IDLE, t->state_us);
+		publish(planner, t);
+	}
+}
+
 static uint32_t order_mb(const bsh_planner_t *planner, const bsh_order_t *order)
 {
 	const bsh_model_rule_t *model =
-		bsh_service_model(planner->service, order->model);
+		bsh_planner_model(planner, order->model);
 
 	if (!order->load || model == NULL)
 		return 0;
@@ -142,10 +272,10 @@
 	for (uint32_t i = 0; i < t->held.n; i++) {
 		const bsh_holding_t *item = &t->held.items[i];
 		const bsh_model_rule_t *model =
-			bsh_service_model(planner->service, item->model);
+			bsh_planner_model(planner, item->model);
 
-		/* The size of a model that is no longer in the configuration
-		 * document is unknown. */
+		/* The model had left the configuration before this process
+		 * knew it. */
 		if (model == NULL)
 			return UINT32_MAX;
 		used += item->adapter != 0 ? model->adapter_mb
@@ -219,7 +349,7 @@
 
 	if (t->from_store) {
 		const bsh_model_rule_t *model =
-			bsh_service_model(planner->service, t->order.model);
+			bsh_planner_model(planner, t->order.model);
 
 		if (model != NULL)
 			total_ms = planner_store_load_ms(
@@ -238,7 +368,7 @@
 				    const planner_target_t *t, int64_t now_us)
 {
 	const bsh_model_rule_t *model =
-		bsh_service_model(planner->service, t->order.model);
+		bsh_planner_model(planner, t->order.model);
 	uint32_t n = planner_store_loads(planner);
 	uint32_t spent_ms = elapsed_ms(t, now_us);
 
@@ -255,7 +385,7 @@
 				    const planner_target_t *t, int64_t now_us)
 {
 	const bsh_model_rule_t *model =
-		bsh_service_model(planner->service, t->order.model);
+		bsh_planner_model(planner, t->order.model);
 
 	if (model != NULL &&
 	    elapsed_ms(t, now_us) < SLOW_LOAD_FACTOR * model->load_ms)
@@ -439,7 +569,7 @@
 				  const bsh_order_t *order)
 {
 	const bsh_model_rule_t *model =
-		bsh_service_model(planner->service, order->model);
+		bsh_planner_model(planner, order->model);
 	uint32_t store_loads = planner_store_loads(planner);
 
 	if (!order->load)
@@ -453,12 +583,26 @@
 	return planner_store_load_ms(planner, model->load_ms, store_loads);
 }
 
-static void send_order(bsh_planner_t *planner, planner_target_t *t,
+/* Makes the target uncertain after an order that did not reach it. */
+static void drop_unsent_order(bsh_planner_t *planner, planner_target_t *t,
+			      int64_t now_us)
+{
+	t->has_order = false;
+	t->planned_load = 0;
+	t->next_order_us = now_us + UNREACHABLE_BACKOFF_US;
+	t->next_report_us = now_us + UNREACHABLE_BACKOFF_US;
+	set_state(t, PLANNER_UNCERTAIN, now_us);
+	publish(planner, t);
+}
+
+static bool send_order(bsh_planner_t *planner, planner_target_t *t,
 		       int64_t now_us)
 {
+	if (!planner->ops.order(planner->ctx, &t->target, &t->order))
+		return false;
 	set_state(t, PLANNER_SENT, now_us);
 	planner->stats.orders++;
-	planner->ops.order(planner->ctx, &t->target, &t->order);
+	return true;
 }
 
 static void count_order(bsh_planner_t *planner, const planner_target_t *t)
@@ -485,7 +629,8 @@
 	t->order_ms = expected_order_ms(planner, t, &t->order);
 	count_order(planner, t);
 	if (load) {
-		send_order(planner, t, now_us);
+		if (!send_order(planner, t, now_us))
+			drop_unsent_order(planner, t, now_us);
 		return;
 	}
 	set_state(t, PLANNER_WITHDRAWN, now_us);
@@ -554,12 +699,7 @@
 		break;
 	case BSH_ORDER_NOT_SENT:
 	case BSH_ORDER_WRONG_TARGET:
-		t->has_order = false;
-		t->planned_load = 0;
-		t->next_order_us = now_us + UNREACHABLE_BACKOFF_US;
-		t->next_report_us = now_us + UNREACHABLE_BACKOFF_US;
-		set_state(t, PLANNER_UNCERTAIN, now_us);
-		publish(planner, t);
+		drop_unsent_order(planner, t, now_us);
 		break;
 	}
 }
@@ -576,8 +716,18 @@
 		}
 		return;
 	}
-	planner->stats.repeated++;
-	send_order(planner, t, now_us);
+	/* The number of accepted orders refuses a late copy of the order once
+	 * the target has accepted another one. */
+	if (t->order.load &&
+	    !planner_is_listed(planner, t->order.model, t->order.adapter)) {
+		t->has_order = false;
+		t->planned_load = 0;
+		if (!report->busy)
+			set_state(t, PLANNER_IDLE, now_us);
+		return;
+	}
+	if (planner->listed && send_order(planner, t, now_us))
+		planner->stats.repeated++;
 }
 
 /* True if the process that the list shows has ended. */
@@ -642,7 +792,8 @@
 {
 	if (t->state == PLANNER_WITHDRAWN &&
 	    now_us >= t->state_us + WITHDRAWAL_DELAY_US) {
-		send_order(planner, t, now_us);
+		if (!send_order(planner, t, now_us))
+			drop_unsent_order(planner, t, now_us);
 		return;
 	}
 	/* Short orders are considered done after their expected duration
@@ -671,7 +822,7 @@
 
 void bsh_planner_tick(bsh_planner_t *planner, int64_t now_us)
 {
-	if (planner->service == NULL)
+	if (!planner->listed)
 		return;
 	planner_demand_expire(planner, now_us);
 	for (guint i = 0; i < planner->targets->len; i++)
@@ -688,7 +839,7 @@
 	GHashTableIter iter;
 	void *data;
 
-	if (planner->service == NULL)
+	if (!planner->listed)
 		return;
 	g_hash_table_iter_init(&iter, planner->demand);
 	while (g_hash_table_iter_next(&iter, &data, NULL)) {
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -31,10 +31,17 @@
  *	unanswered orders to the earlier incarnation may still take stays
  *	reserved for BSH_PLANNER_ORDER_DELAY_MAX_US.
  *
+ *	Configuration.  A planner outlives its service: an unanswered order of
+ *	a service that has left the configuration may still be carried out,
+ *	and the service may come back.  Meanwhile it gives no orders.  A model
+ *	that has left the configuration is not loaded, and an unanswered order
+ *	to load it is not repeated; while a target holds it, its name and size
+ *	remain known, so that it can be evicted.
+ *
  *	Before an order to unload a model is sent, the model is withdrawn from
  *	what the instances may use, so that requests in transit still find it.
  *
- *	Pure: no I/O and no clock.  Callbacks must not call into the planner.
+ *	Pure: no I/O and no clock.  Callbacks must not change the planner.
  *
  * UNITS
  *	Microseconds of a monotonic clock; sizes in megabytes.
@@ -69,8 +76,9 @@
 } bsh_order_t;
 
 typedef struct {
-	/* Send an order; bsh_planner_order_result() receives the result. */
-	void (*order)(void *ctx, const bsh_target_t *target,
+	/* Send an order; bsh_planner_order_result() receives the result.
+	 * Returns false if it is not sent; no result follows. */
+	bool (*order)(void *ctx, const bsh_target_t *target,
 		      const bsh_order_t *order);
 	/* Request a report; bsh_planner_report_result() receives it. */
 	void (*report)(void *ctx, const bsh_target_t *target);
@@ -111,6 +119,24 @@
 void bsh_planner_set_service(bsh_planner_t *planner, bsh_catalog_t *catalog,
 			     const bsh_service_rule_t *service);
 
+/* bsh_planner_end_service - the service is no longer in the configuration, or has
+ * no engine any more: give no orders until bsh_planner_set_service(). */
+void bsh_planner_end_service(bsh_planner_t *planner);
+
+/* bsh_planner_model - a model of the service, or one that has left it and is
+ * still held by a target; NULL: the model is not known. */
+const bsh_model_rule_t *bsh_planner_model(const bsh_planner_t *planner,
+					  uint32_t hash);
+
+/* bsh_planner_adapter_name - write the name of an adapter of the model, also of
+ * one that has left the configuration.
+ *
+ * RETURN VALUE
+ *	False if the model has had no adapter with this hash.
+ */
+bool bsh_planner_adapter_name(const bsh_planner_t *planner, uint32_t model,
+			      uint32_t hash, char name[BSH_ADAPTER_NAME_SIZE]);
+
 /* bsh_planner_begin_term - begin a term.  Each target has to report before its
  * first order; until then its list entry is used for its holdings. */
 void bsh_planner_begin_term(bsh_planner_t *planner);
--- a/lib/coordination/planner_choose.c
+++ b/lib/coordination/planner_choose.c
@@ -332,9 +332,8 @@
 		if (item->adapter != 0)
 			continue;
 		resident->model = item->model;
-		resident->mb =
-			bsh_service_model(round->planner->service, item->model)
-				->weights_mb;
+		resident->mb = bsh_planner_model(round->planner, item->model)
+				       ->weights_mb;
 		resident->loss = loss(round, t, item->model);
 		resident->wait_ms = run_wait_ms(round, t, item->model);
 		contents->n++;
@@ -548,14 +547,6 @@
 	}
 }
 
-static uint32_t adapter_hash(uint32_t number)
-{
-	char name[16];
-	int size = g_snprintf(name, sizeof(name), "a%u", number);
-
-	return bsh_catalog_hash(name, (size_t)size);
-}
-
 static bool adapter_is_placed(const round_t *round, uint32_t model,
 			      uint32_t adapter)
 {
@@ -588,9 +579,12 @@
 		const planner_demand_t *demand = planner_demand_of(
 			round->planner, item->model, item->adapter);
 		double rate = planner_demand_rate(demand, round->now_us);
+		char name[BSH_ADAPTER_NAME_SIZE];
 
 		if (item->adapter == 0 || rate >= lowest ||
-		    (demand != NULL && demand->running > 0))
+		    (demand != NULL && demand->running > 0) ||
+		    !bsh_planner_adapter_name(round->planner, item->model,
+					      item->adapter, name))
 			continue;
 		lowest = rate;
 		best = item;
@@ -643,7 +637,9 @@
 
 		if (need == NULL || demand->adapter == 0 ||
 		    demand->waiting == 0 ||
-		    adapter_is_placed(round, demand->model, demand->adapter))
+		    adapter_is_placed(round, demand->model, demand->adapter) ||
+		    !planner_is_listed(round->planner, demand->model,
+				       demand->adapter))
 			continue;
 		place_adapter(round, need->rule, demand->adapter, true);
 	}
@@ -658,7 +654,7 @@
 		if (!need->has_room)
 			continue;
 		for (uint32_t n = 1; n <= need->rule->adapters; n++) {
-			uint32_t adapter = adapter_hash(n);
+			uint32_t adapter = bsh_adapter_hash(n);
 
 			if (!adapter_is_placed(round, need->rule->hash,
 					       adapter))
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -77,7 +77,10 @@
 	bsh_planner_ops_t ops;
 	void *ctx;
 	bsh_catalog_t *catalog;
-	const bsh_service_rule_t *service;
+	const bsh_service_rule_t *service; /* the last one; NULL: none yet */
+	bool listed;			   /* service is in the configuration */
+	GHashTable *former;    /* hash to the last bsh_model_rule_t of a model
+				* that has left, or had more adapters */
 	GPtrArray *targets;    /* planner_target_t */
 	GHashTable *deferred;  /* target id to its earliest order time */
 	GHashTable *demand;    /* key to planner_demand_t */
@@ -96,6 +99,9 @@
 /* Start an order on an idle target; an unload is sent after a short delay. */
 void planner_issue_order(bsh_planner_t *planner, planner_target_t *t, bool load,
 			 uint32_t model, uint32_t adapter, int64_t now_us);
+/* True if the configuration has the model and, unless 0, its adapter. */
+bool planner_is_listed(const bsh_planner_t *planner, uint32_t model,
+		       uint32_t adapter);
 /* Accelerator memory in use or reserved; UINT32_MAX if it is not known. */
 uint32_t planner_used_mb(const bsh_planner_t *planner,
 			 const planner_target_t *t, int64_t now_us);
--- a/lib/state/catalog.c
+++ b/lib/state/catalog.c
@@ -193,6 +193,27 @@
 	return hash != 0 ? hash : 1;
 }
 
+void bsh_adapter_name(uint32_t number, char name[BSH_ADAPTER_NAME_SIZE])
+{
+	g_snprintf(name, BSH_ADAPTER_NAME_SIZE, "a%u", number);
+}
+
+uint32_t bsh_adapter_hash(uint32_t number)
+{
+	char name[BSH_ADAPTER_NAME_SIZE];
+
+	bsh_adapter_name(number, name);
+	return bsh_catalog_hash(name, strlen(name));
+}
+
+uint32_t bsh_adapter_number(uint32_t hash, uint32_t n)
+{
+	for (uint32_t number = 1; number <= n; number++)
+		if (bsh_adapter_hash(number) == hash)
+			return number;
+	return 0;
+}
+
 uint32_t bsh_route_pick_split(const bsh_route_rule_t *route, uint32_t random)
 {
 	uint32_t total = 0;
--- a/lib/state/catalog.h
+++ b/lib/state/catalog.h
@@ -133,6 +133,14 @@
 /* bsh_catalog_hash - hash of a model's or adapter's name; never 0. */
 uint32_t bsh_catalog_hash(const char *name, size_t size);
 
+/* Adapters of a model are named a1, a2, and so on. */
+#define BSH_ADAPTER_NAME_SIZE 16
+void bsh_adapter_name(uint32_t number, char name[BSH_ADAPTER_NAME_SIZE]);
+uint32_t bsh_adapter_hash(uint32_t number);
+/* bsh_adapter_number - number of the adapter with this hash among the first n;
+ * 0: it is none of them. */
+uint32_t bsh_adapter_number(uint32_t hash, uint32_t n);
+
 /* bsh_route_pick_split - service of the route, by weight. */
 uint32_t bsh_route_pick_split(const bsh_route_rule_t *route, uint32_t random);
 
--- /dev/null
+++ b/regress/test_configurations.c
@@ -0,0 +1,224 @@
+/* Random valid configurations in series, while the lease holder gives orders:
+ * services, engines, models and adapters leave and return, routes move. */
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "base/rng.h"
+#include "support/platform_rig.h"
+
+#define INSTANCES    3
+#define MODELS	     5
+#define ADAPTERS_MAX 3
+#define LEASE_MS     1000U
+#define STREAMS	     400
+#define CALLS	     200
+#define STEP_MS	     30
+#define WALK_STEPS   300
+#define DEADLINE_MS  3000
+
+typedef struct {
+	platform_rig_t rig;
+	bsh_rng_t rng;
+	rig_reply_t streams[STREAMS];
+	rig_reply_t calls[CALLS];
+	uint32_t n_streams;
+	uint32_t n_calls;
+} fixture_t;
+
+static uint32_t below(fixture_t *f, uint32_t n)
+{
+	return bsh_rng_below(&f->rng, n);
+}
+
+static json_t *random_models(fixture_t *f)
+{
+	json_t *models = json_array();
+
+	for (int i = 0; i < MODELS; i++) {
+		g_autofree char *name = g_strdup_printf("m%d", i);
+
+		if (below(f, 3) == 0)
+			continue;
+		json_array_append_new(
+			models,
+			json_pack("{s:s, s:i, s:f, s:f, s:f, s:i, s:i}", "name",
+				  name, "weightsMb", 100, "loadS", 0.1, "diskS",
+				  0.1, "warmS", 0.1, "adapters",
+				  (int)below(f, ADAPTERS_MAX + 1), "adapterMb",
+				  5));
+	}
+	return models;
+}
+
+/* A service, which may have lost its engine, or NULL: it has left. */
+static json_t *random_service(fixture_t *f, const char *name)
+{
+	switch (below(f, 5)) {
+	case 0:
+		return NULL;
+	case 1:
+		return json_pack("{s:s}", "name", name);
+	default:
+		return json_pack("{s:s, s:{s:i, s:i, s:i, s:i, s:f, s:o}}",
+				 "name", name, "engine", "slots", 8,
+				 "kvCapacity", 100000, "weightsMb",
+				 (int)f->rig.weights_mb, "adapterSlots", 2,
+				 "loadsPerS", 10.0, "models", random_models(f));
+	}
+}
+
+static json_t *route(const char *name, const char *kind, const char *service)
+{
+	g_autofree char *prefix = g_strdup_printf("/%s/", name);
+
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:b, s:i, s:i, s:i}",
+			 "name", name, "host", RIG_HOST, "pathPrefix", prefix,
+			 "kind", kind, "service", service, "maxAttempts", 2,
+			 "resumable", 1, "timeoutMs", 6000, "targetLatencyMs",
+			 500, "priority", 0);
+}
+
+static void configure(fixture_t *f)
+{
+	static const char *const names[] = { "llm", "llm2" };
+	json_t *services = json_array();
+	json_t *routes = json_array();
+
+	json_array_append_new(routes, route("look", "idempotent", "desk"));
+	json_array_append_new(services, json_pack("{s:s}", "name", "desk"));
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		json_t *service = random_service(f, names[i]);
+
+		if (service == NULL)
+			continue;
+		json_array_append_new(services, service);
+		if (json_array_size(routes) == 1 && below(f, 2) == 0)
+			json_array_append_new(
+				routes, route("stream", "stream", names[i]));
+	}
+	platform_rig_write(&f->rig, "config", "main",
+			   json_pack("{s:i, s:o, s:o, s:{}}", "version",
+				     (int)++f->rig.version, "routes", routes,
+				     "services", services, "limits"));
+}
+
+static void send_stream(fixture_t *f)
+{
+	const rig_entry_t *entry = &f->rig.entries[below(f, INSTANCES)];
+	g_autofree char *id = g_strdup_printf("walk-%u", f->n_streams);
+	g_autofree char *model = g_strdup_printf("m%u", below(f, MODELS));
+	uint32_t adapter = below(f, ADAPTERS_MAX + 2);
+
+	if (f->n_streams == STREAMS)
+		return;
+	if (adapter > 0) {
+		g_autofree char *base = g_steal_pointer(&model);
+
+		model = g_strdup_printf("%s/a%u", base, adapter);
+	}
+	platform_rig_send(&f->rig, entry->front, "/stream/1", id, model,
+			  DEADLINE_MS, &f->streams[f->n_streams++]);
+}
+
+/* A call to a service that each configuration has. */
+static void send_call(fixture_t *f)
+{
+	const rig_entry_t *entry = &f->rig.entries[below(f, INSTANCES)];
+	g_autofree char *id = g_strdup_printf("call-%u", f->n_calls);
+
+	if (f->n_calls < CALLS)
+		platform_rig_send(&f->rig, entry->front, "/look/1", id, NULL,
+				  DEADLINE_MS, &f->calls[f->n_calls++]);
+}
+
+static void check_processes(fixture_t *f)
+{
+	platform_rig_reap(&f->rig);
+	for (int i = 0; i < INSTANCES; i++) {
+		const rig_entry_t *entry = &f->rig.entries[i];
+
+		if (!entry->alive)
+			g_test_message("%s has ended: signal %d", entry->name,
+				       WTERMSIG(entry->status));
+		g_assert_true(entry->alive);
+	}
+}
+
+static bool all_done(const fixture_t *f)
+{
+	for (uint32_t i = 0; i < f->n_streams; i++)
+		if (!f->streams[i].done)
+			return false;
+	for (uint32_t i = 0; i < f->n_calls; i++)
+		if (!f->calls[i].done)
+			return false;
+	return true;
+}
+
+/* Guards against an instance that ends as a service, model or adapter leaves the
+ * configuration with orders and requests under way, against orders that overload
+ * a target then, and against requests of other services that suffer. */
+static void test_walk(void)
+{
+	static fixture_t fixture;
+	fixture_t *f = &fixture;
+	const char *seed = getenv("BSH_SEED");
+	uint32_t number = seed != NULL ? (uint32_t)atoi(seed) : 1;
+
+	g_test_message("BSH_SEED=%u", number);
+	memset(f, 0, sizeof(*f));
+	bsh_rng_init(&f->rng, number);
+	platform_rig_init(&f->rig);
+	f->rig.lease_ms = LEASE_MS;
+	f->rig.weights_mb = 250;
+	configure(f);
+	platform_rig_add_worker(&f->rig, "llm", "m0");
+	platform_rig_add_worker(&f->rig, "llm", "m1");
+	platform_rig_add_worker(&f->rig, "llm2", "m2");
+	platform_rig_add_worker(&f->rig, "desk", NULL);
+	for (int i = 0; i < INSTANCES; i++)
+		platform_rig_add_entry(&f->rig);
+	for (int i = 0; i < INSTANCES; i++)
+		platform_rig_wait_ready(&f->rig, &f->rig.entries[i]);
+	platform_rig_run(&f->rig, 1500);
+	for (int step = 0; step < WALK_STEPS; step++) {
+		if (below(f, 10) == 0)
+			configure(f);
+		if (below(f, 2) == 0)
+			send_stream(f);
+		if (below(f, 2) == 0)
+			send_call(f);
+		if (below(f, 60) == 0)
+			platform_rig_restart_worker(
+				&f->rig.workers[below(f, 3)]);
+		if (below(f, 30) == 0)
+			platform_rig_silence_worker(
+				&f->rig.workers[below(f, 3)], 400);
+		platform_rig_run(&f->rig, STEP_MS);
+		check_processes(f);
+	}
+	for (int i = 0; i < 200 && !all_done(f); i++)
+		platform_rig_run(&f->rig, 50);
+	check_processes(f);
+	g_assert_true(all_done(f));
+	for (uint32_t i = 0; i < f->n_calls; i++)
+		g_assert_cmpint(f->calls[i].status, ==, 200);
+	for (uint32_t i = 0; i < f->rig.n_workers; i++)
+		g_assert_cmpuint(f->rig.workers[i].overloads, ==, 0);
+	for (uint32_t i = 0; i < f->n_streams; i++)
+		platform_rig_reply_clear(&f->streams[i]);
+	for (uint32_t i = 0; i < f->n_calls; i++)
+		platform_rig_reply_clear(&f->calls[i]);
+	platform_rig_finish(&f->rig);
+	bsh_rng_finish(&f->rng);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/configurations/walk", test_walk);
+	return g_test_run();
+}
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/rng.h"
 #include "coordination/planner.h"
 
 /* A planner and the orders and report requests that it has issued; the tests
@@ -11,6 +12,7 @@
 	bsh_catalog_t *catalog;
 	int64_t now_us;
 	bool drops_orders; /* orders are not recorded */
+	bool cannot_send;
 	uint32_t n_orders;
 	char order_target[64][BSH_NAME_SIZE];
 	bsh_order_t orders[64];
@@ -21,16 +23,19 @@
 #define MB_MODEL   70000U
 #define MB_ADAPTER 60U
 
-static void on_order(void *ctx, const bsh_target_t *target,
+static bool on_order(void *ctx, const bsh_target_t *target,
 		     const bsh_order_t *order)
 {
 	rig_t *rig = ctx;
 
+	if (rig->cannot_send)
+		return false;
 	if (rig->drops_orders)
-		return;
+		return true;
 	g_assert_cmpuint(rig->n_orders, <, 64);
 	g_strlcpy(rig->order_target[rig->n_orders], target->id, BSH_NAME_SIZE);
 	rig->orders[rig->n_orders++] = *order;
+	return true;
 }
 
 static void on_report(void *ctx, const bsh_target_t *target)
@@ -57,6 +62,31 @@
 }
 
 /* A service whose targets have room for two models and two adapters each. */
+static bsh_service_rule_t *add_service(bsh_catalog_t *catalog)
+{
+	bsh_service_rule_t *service =
+		bsh_catalog_add_service(catalog, "engine");
+
+	service->has_engine = true;
+	service->slots = 10;
+	service->weights_mb = 2 * MB_MODEL + 4 * MB_ADAPTER;
+	service->adapter_slots = 2;
+	return service;
+}
+
+static void add_model(bsh_service_rule_t *service, const char *name,
+		      uint32_t adapters)
+{
+	bsh_model_rule_t model = { .weights_mb = MB_MODEL,
+				   .adapters = adapters,
+				   .adapter_mb = MB_ADAPTER,
+				   .load_ms = 6000,
+				   .disk_load_ms = 800,
+				   .memory_load_ms = 600 };
+
+	bsh_service_add_model(service, name, &model);
+}
+
 static void rig_init_seeding(rig_t *rig, const char *const *models,
 			     uint32_t adapters, uint32_t seed_loads)
 {
@@ -69,21 +99,9 @@
 	memset(rig, 0, sizeof(*rig));
 	rig->now_us = 1000000;
 	rig->catalog = bsh_catalog_new();
-	service = bsh_catalog_add_service(rig->catalog, "engine");
-	service->has_engine = true;
-	service->slots = 10;
-	service->weights_mb = 2 * MB_MODEL + 4 * MB_ADAPTER;
-	service->adapter_slots = 2;
-	for (uint32_t i = 0; models[i] != NULL; i++) {
-		bsh_model_rule_t model = { .weights_mb = MB_MODEL,
-					   .adapters = adapters,
-					   .adapter_mb = MB_ADAPTER,
-					   .load_ms = 6000,
-					   .disk_load_ms = 800,
-					   .memory_load_ms = 600 };
-
-		bsh_service_add_model(service, models[i], &model);
-	}
+	service = add_service(rig->catalog);
+	for (uint32_t i = 0; models[i] != NULL; i++)
+		add_model(service, models[i], adapters);
 	bsh_catalog_build_index(rig->catalog);
 	rig->planner = bsh_planner_new(&config, &ops, rig);
 	bsh_planner_set_service(rig->planner, rig->catalog, service);
@@ -94,6 +112,20 @@
 	rig_init_seeding(rig, models, adapters, 0);
 }
 
+/* Puts a configuration with these models in force. */
+static void configure(rig_t *rig, const char *const *models, uint32_t adapters)
+{
+	bsh_catalog_t *catalog = bsh_catalog_new();
+	bsh_service_rule_t *service = add_service(catalog);
+
+	for (uint32_t i = 0; models[i] != NULL; i++)
+		add_model(service, models[i], adapters);
+	bsh_catalog_build_index(catalog);
+	bsh_planner_set_service(rig->planner, catalog, service);
+	bsh_catalog_unref(rig->catalog);
+	rig->catalog = catalog;
+}
+
 static void rig_finish(rig_t *rig)
 {
 	bsh_planner_free(rig->planner);
@@ -870,12 +902,459 @@
 		g_free((char *)models[i]);
 }
 
+/* Guards against orders of a service that has left the configuration, and
+ * against a planner that forgets an unanswered order while it is away. */
+static void test_service_leaves(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 3);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	bsh_planner_end_service(rig.planner);
+	bsh_planner_order_result(rig.planner, "t1", BSH_ORDER_UNKNOWN,
+				 rig.now_us);
+	demand(&rig, "c", NULL, 9, 9);
+	tick(&rig, 500000);
+	report(&rig, "t1", 3, false, &target.holdings);
+	tick(&rig, 500000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	/* The model that the order loaded before it was known to have failed
+	 * is not wanted by the new configuration either. */
+	configure(&rig, models + 1, 0);
+	demand(&rig, "c", NULL, 9, 9);
+	tick(&rig, 500000);
+	report(&rig, "t1", 3, false, &target.holdings);
+	tick(&rig, 500000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_true(rig.orders[1].load);
+	g_assert_cmpuint(rig.orders[1].model, ==, hash("c"));
+	g_assert_cmpuint(rig.orders[1].expected, ==, 3);
+	rig_finish(&rig);
+}
+
+/* Guards against a load of a model that has left the configuration, repeated as
+ * its answer was lost, and against a target that gets no orders any more because
+ * it holds such a model. */
+static void test_model_leaves(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const rest[] = { "c", NULL };
+	static const char *const holds[] = { "a", "b", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	bsh_target_t other = make_target("t2", holds + 1);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &other, 5);
+	demand(&rig, "a", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	g_assert_cmpuint(rig.orders[0].model, ==, hash("a"));
+	bsh_planner_order_result(rig.planner, "t2", BSH_ORDER_UNKNOWN,
+				 rig.now_us);
+	add_target(&rig, &target, 3);
+	configure(&rig, rest, 0);
+	g_assert_nonnull(bsh_planner_model(rig.planner, hash("a")));
+	report(&rig, "t2", 5, false, &other.holdings);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	bsh_planner_remove_target(rig.planner, "t2");
+	demand(&rig, "c", NULL, 1, 1);
+	tick(&rig, 1000);
+	tick(&rig, 50000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_false(rig.orders[1].load);
+	g_assert_cmpuint(rig.orders[1].model, !=, hash("c"));
+	rig_finish(&rig);
+}
+
+/* Guards against an order for a whole model in place of an adapter that has left
+ * the configuration, and against a load of such an adapter. */
+static void test_adapter_leaves(void)
+{
+	static const char *const models[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", models);
+	char name[BSH_ADAPTER_NAME_SIZE];
+	rig_t rig;
+
+	bsh_holdings_add(&target.holdings, hash("a"), hash("a3"));
+	rig_init(&rig, models, 3);
+	add_target(&rig, &target, 3);
+	configure(&rig, models, 1);
+	g_assert_true(bsh_planner_adapter_name(rig.planner, hash("a"),
+					       hash("a3"), name));
+	g_assert_cmpstr(name, ==, "a3");
+	g_assert_false(bsh_planner_adapter_name(rig.planner, hash("a"),
+						hash("a9"), name));
+	demand(&rig, "a", "a2", 1, 1);
+	tick(&rig, 1000);
+	for (uint32_t i = 0; i < rig.n_orders; i++)
+		g_assert_cmpuint(rig.orders[i].adapter, !=, hash("a2"));
+	rig_finish(&rig);
+}
+
+/* Guards against a target that waits for the result of an order that could not
+ * be sent. */
+static void test_order_not_sent(void)
+{
+	static const char *const models[] = { "a", "b", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 3);
+	rig.cannot_send = true;
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	rig.cannot_send = false;
+	tick(&rig, 1000000);
+	report(&rig, "t1", 3, false, &target.holdings);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	rig_finish(&rig);
+}
+
+/* Random configurations beside orders that are lost, late or unanswered. */
+
+#define WALK_TARGETS	  3
+#define WALK_MODELS	  6
+#define WALK_ADAPTERS_MAX 3
+#define WALK_STEP_US	  INT64_C(50000)
+#define WALK_US		  INT64_C(60000000)
+#define WALK_SEEDS	  200
+#define WALK_EVENTS_MAX	  4096
+#define WALK_LATE_MAX_MS  4000
+
+typedef struct {
+	bsh_target_t entry;
+	uint64_t orders;
+	bsh_holdings_t held;
+	int64_t busy_until_us;
+} walk_target_t;
+
+typedef enum {
+	WALK_ORDER,
+	WALK_RESULT,
+	WALK_REPORT
+} walk_event_kind_t;
+
+typedef struct {
+	int64_t at_us;
+	walk_event_kind_t kind;
+	int target;
+	uint64_t started_ms; /* process that the order was sent to */
+	bsh_order_t order;
+	bsh_order_result_t result;
+	bool answers;
+} walk_event_t;
+
+typedef struct {
+	bsh_rng_t rng;
+	bsh_planner_t *planner;
+	bsh_catalog_t *catalog;
+	int64_t now_us;
+	bool listed;
+	bool has_model[WALK_MODELS];
+	uint32_t adapters[WALK_MODELS];
+	walk_target_t targets[WALK_TARGETS];
+	walk_event_t events[WALK_EVENTS_MAX];
+	int n_events;
+	uint64_t orders;
+	uint64_t former_unloads; /* of models that had left */
+} walk_t;
+
+static walk_target_t *walk_find(walk_t *walk, const char *id)
+{
+	return &walk->targets[id[1] - '0'];
+}
+
+static int walk_model(uint32_t model)
+{
+	for (int i = 0; i < WALK_MODELS; i++)
+		if (model == hash((char[]){ 'm', (char)('0' + i), 0 }))
+			return i;
+	g_assert_not_reached();
+}
+
+static void walk_add_event(walk_t *walk, walk_event_t event, int64_t delay_us)
+{
+	g_assert_cmpint(walk->n_events, <, WALK_EVENTS_MAX);
+	event.at_us = walk->now_us + delay_us;
+	walk->events[walk->n_events++] = event;
+}
+
+static bool walk_on_order(void *ctx, const bsh_target_t *target,
+			  const bsh_order_t *order)
+{
+	walk_t *walk = ctx;
+	walk_event_t event = { .kind = WALK_ORDER,
+			       .target = target->id[1] - '0',
+			       .started_ms = target->started_ms,
+			       .order = *order,
+			       .answers = bsh_rng_below(&walk->rng, 4) > 0 };
+	int model = walk_model(order->model);
+	char name[BSH_ADAPTER_NAME_SIZE];
+
+	g_assert_true(walk->listed);
+	g_assert_nonnull(bsh_planner_model(walk->planner, order->model));
+	if (order->adapter != 0)
+		g_assert_true(bsh_planner_adapter_name(
+			walk->planner, order->model, order->adapter, name));
+	if (order->load) {
+		g_assert_true(walk->has_model[model]);
+		if (order->adapter != 0)
+			g_assert_cmpuint(
+				bsh_adapter_number(order->adapter,
+						   walk->adapters[model]),
+				!=, 0);
+	}
+	if (bsh_rng_below(&walk->rng, 12) == 0)
+		return false;
+	walk->orders++;
+	walk->former_unloads += !order->load && !walk->has_model[model];
+	if (bsh_rng_below(&walk->rng, 10) > 0)
+		walk_add_event(
+			walk, event,
+			1000 * bsh_rng_below(&walk->rng,
+					     event.answers ? 20
+							   : WALK_LATE_MAX_MS));
+	if (!event.answers || bsh_rng_below(&walk->rng, 10) == 0) {
+		event.kind = WALK_RESULT;
+		event.result = BSH_ORDER_UNKNOWN;
+		walk_add_event(walk, event, 300000);
+	}
+	return true;
+}
+
+static void walk_on_report(void *ctx, const bsh_target_t *target)
+{
+	walk_t *walk = ctx;
+
+	walk_add_event(walk,
+		       (walk_event_t){ .kind = WALK_REPORT,
+				       .target = target->id[1] - '0' },
+		       1000 * bsh_rng_below(&walk->rng, 100));
+}
+
+/* The target carries out the order, or refuses it by its number. */
+static bsh_order_result_t walk_carry_out(walk_t *walk, walk_target_t *t,
+					 const bsh_order_t *order)
+{
+	uint32_t used = 0;
+
+	if (order->expected != t->orders || walk->now_us < t->busy_until_us)
+		return BSH_ORDER_BUSY;
+	t->orders++;
+	if (!order->load && order->adapter != 0) {
+		bsh_holdings_remove(&t->held, order->model, order->adapter);
+		return BSH_ORDER_ACCEPTED;
+	}
+	if (!order->load) {
+		for (uint32_t n = 1; n <= WALK_ADAPTERS_MAX; n++)
+			bsh_holdings_remove(&t->held, order->model,
+					    bsh_adapter_hash(n));
+		bsh_holdings_remove(&t->held, order->model, 0);
+		return BSH_ORDER_ACCEPTED;
+	}
+	if (order->adapter != 0 && !bsh_holdings_has(&t->held, order->model, 0))
+		return BSH_ORDER_ACCEPTED;
+	bsh_holdings_add(&t->held, order->model, order->adapter);
+	for (uint32_t i = 0; i < t->held.n; i++)
+		used += t->held.items[i].adapter != 0 ? MB_ADAPTER : MB_MODEL;
+	g_assert_cmpuint(used, <=, 2 * MB_MODEL + 4 * MB_ADAPTER);
+	t->busy_until_us =
+		walk->now_us + (order->adapter != 0 ? 10000 : 600000);
+	return BSH_ORDER_ACCEPTED;
+}
+
+static void walk_handle(walk_t *walk, const walk_event_t *event)
+{
+	walk_target_t *t = &walk->targets[event->target];
+	bsh_target_report_t r = { .busy = walk->now_us < t->busy_until_us,
+				  .orders = t->orders,
+				  .started_ms = t->entry.started_ms,
+				  .holdings = t->held };
+	bsh_order_result_t result = event->result;
+
+	if (event->kind == WALK_REPORT) {
+		bsh_planner_report_result(
+			walk->planner, t->entry.id,
+			bsh_rng_below(&walk->rng, 6) > 0 ? &r : NULL,
+			walk->now_us);
+		return;
+	}
+	if (event->kind == WALK_ORDER) {
+		/* An order to an earlier process does not reach this one. */
+		if (event->started_ms != t->entry.started_ms)
+			return;
+		result = walk_carry_out(walk, t, &event->order);
+		if (!event->answers)
+			return;
+	}
+	bsh_planner_order_result(walk->planner, t->entry.id, result,
+				 walk->now_us);
+}
+
+static void walk_deliver(walk_t *walk)
+{
+	for (int i = 0; i < walk->n_events; i++) {
+		walk_event_t event = walk->events[i];
+
+		if (event.at_us > walk->now_us)
+			continue;
+		walk->events[i--] = walk->events[--walk->n_events];
+		walk_handle(walk, &event);
+	}
+}
+
+static void walk_configure(walk_t *walk)
+{
+	bsh_catalog_t *catalog;
+	bsh_service_rule_t *service;
+
+	if (bsh_rng_below(&walk->rng, 5) == 0) {
+		bsh_planner_end_service(walk->planner);
+		walk->listed = false;
+		return;
+	}
+	catalog = bsh_catalog_new();
+	service = add_service(catalog);
+	for (int i = 0; i < WALK_MODELS; i++) {
+		walk->has_model[i] = bsh_rng_below(&walk->rng, 3) > 0;
+		walk->adapters[i] =
+			bsh_rng_below(&walk->rng, WALK_ADAPTERS_MAX + 1);
+		if (walk->has_model[i])
+			add_model(service, (char[]){ 'm', (char)('0' + i), 0 },
+				  walk->adapters[i]);
+	}
+	bsh_catalog_build_index(catalog);
+	walk->listed = true;
+	bsh_planner_set_service(walk->planner, catalog, service);
+	bsh_catalog_unref(walk->catalog);
+	walk->catalog = catalog;
+}
+
+/* The target's entry shows what it holds; it may have been started again. */
+static void walk_update_target(walk_t *walk, bool restarts)
+{
+	walk_target_t *t =
+		&walk->targets[bsh_rng_below(&walk->rng, WALK_TARGETS)];
+
+	if (restarts) {
+		t->entry.started_ms++;
+		t->orders = 0;
+		t->held.n = 0;
+		t->busy_until_us = 0;
+	}
+	t->entry.holdings = t->held;
+	if (bsh_rng_below(&walk->rng, 10) == 0)
+		bsh_planner_remove_target(walk->planner, t->entry.id);
+	else
+		bsh_planner_update_target(walk->planner, &t->entry,
+					  walk->now_us);
+}
+
+static void walk_demand(walk_t *walk)
+{
+	bsh_demand_entry_t entries[2] = { 0 };
+
+	for (int i = 0; i < 2; i++) {
+		uint32_t number = bsh_rng_below(&walk->rng, 5);
+
+		entries[i].model = hash((char[]){
+			'm',
+			(char)('0' + bsh_rng_below(&walk->rng, WALK_MODELS)),
+			0 });
+		if (number > 0)
+			entries[i].adapter = bsh_adapter_hash(number);
+		entries[i].arrived = 2;
+		entries[i].waiting = 1;
+		entries[i].max_wait_left_ms = 9000;
+	}
+	bsh_planner_update_demand(walk->planner, "entry-1", entries, 2,
+				  walk->now_us);
+}
+
+static void walk_run(walk_t *walk, uint32_t seed)
+{
+	static const bsh_planner_ops_t ops = { walk_on_order, walk_on_report,
+					       on_placed, NULL };
+	const bsh_planner_config_t config = { .concurrent_loads = 2,
+					      .seed_loads = 1 };
+
+	memset(walk, 0, sizeof(*walk));
+	bsh_rng_init(&walk->rng, seed);
+	walk->planner = bsh_planner_new(&config, &ops, walk);
+	walk->now_us = 1000000;
+	for (int i = 0; i < WALK_TARGETS; i++) {
+		walk->targets[i].entry =
+			make_target((char[]){ 't', (char)('0' + i), 0 },
+				    (const char *const[]){ NULL });
+		bsh_planner_update_target(
+			walk->planner,
+			&walk_find(walk, (char[]){ 't', (char)('0' + i), 0 })
+				 ->entry,
+			walk->now_us);
+	}
+	for (; walk->now_us < WALK_US; walk->now_us += WALK_STEP_US) {
+		if (bsh_rng_below(&walk->rng, 20) == 0)
+			walk_configure(walk);
+		if (bsh_rng_below(&walk->rng, 3) == 0)
+			walk_update_target(walk,
+					   bsh_rng_below(&walk->rng, 40) == 0);
+		if (bsh_rng_below(&walk->rng, 200) == 0)
+			bsh_planner_begin_term(walk->planner);
+		if (bsh_rng_below(&walk->rng, 4) == 0)
+			walk_demand(walk);
+		walk_deliver(walk);
+		bsh_planner_tick(walk->planner, walk->now_us);
+	}
+	bsh_planner_free(walk->planner);
+	bsh_catalog_unref(walk->catalog);
+	bsh_rng_finish(&walk->rng);
+}
+
+/* Guards against orders that name what the configuration no longer has, or that
+ * cannot be named, and against an overloaded target, while services, models and
+ * adapters leave and return with orders under way. */
+static void test_random_configurations(void)
+{
+	static walk_t walk;
+	uint64_t orders = 0;
+	uint64_t former_unloads = 0;
+
+	for (uint32_t seed = 1; seed <= WALK_SEEDS; seed++) {
+		g_test_message("seed %u", seed);
+		walk_run(&walk, seed);
+		orders += walk.orders;
+		former_unloads += walk.former_unloads;
+	}
+	g_test_message("%" G_GUINT64_FORMAT " orders, %" G_GUINT64_FORMAT
+		       " to unload models that had left",
+		       orders, former_unloads);
+	g_assert_cmpuint(orders, >, WALK_SEEDS * 10);
+	g_assert_cmpuint(former_unloads, >, WALK_SEEDS);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/planner/asks-before-first-order",
 			test_report_before_first_order);
 	g_test_add_func("/planner/evicts-before-load", test_evicts_before_load);
+	g_test_add_func("/planner/service-leaves", test_service_leaves);
+	g_test_add_func("/planner/model-leaves", test_model_leaves);
+	g_test_add_func("/planner/adapter-leaves", test_adapter_leaves);
+	g_test_add_func("/planner/order-not-sent", test_order_not_sent);
+	g_test_add_func("/planner/random-configurations",
+			test_random_configurations);
 	g_test_add_func("/planner/unknown-order-is-repeated",
 			test_unknown_order_is_repeated);
 	g_test_add_func("/planner/adapter-place-kept",
