--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -50,6 +50,18 @@
 	       now_us - r->late_since_us >= LATE_CONFIRM_US;
 }
 
+/* True if the configuration has the model and, if it names one, the adapter:
+ * others are never loaded. */
+static bool is_declared(const request_t *r)
+{
+	const bsh_model_rule_t *model =
+		bsh_service_model(r->service, r->info.model);
+
+	return model != NULL &&
+	       (r->info.adapter == 0 ||
+		bsh_adapter_number(r->info.adapter, model->adapters) != 0);
+}
+
 /* Queues the request until the next view, or refuses it at once if it cannot be
  * served in time. */
 static void wait_or_refuse(request_t *r)
@@ -63,7 +75,7 @@
 		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
 		return;
 	}
-	if (bsh_service_model(r->service, r->info.model) == NULL) {
+	if (!is_declared(r)) {
 		traffic_fail(r, BSH_ERR_NOT_FOUND, -1);
 		return;
 	}
--- a/regress/test_configurations.c
+++ b/regress/test_configurations.c
@@ -216,9 +216,33 @@
 	bsh_rng_finish(&f->rng);
 }
 
+/* Guards against a request that waits to its deadline for an adapter that the
+ * configuration does not have and that is never loaded. */
+static void test_unknown_adapter(void)
+{
+	rig_reply_t reply = { 0 };
+	platform_rig_t rig;
+
+	platform_rig_init(&rig);
+	rig.lease_ms = LEASE_MS;
+	platform_rig_configure(&rig, NULL);
+	platform_rig_add_worker(&rig, "llm", "m0");
+	platform_rig_add_entry(&rig);
+	platform_rig_wait_ready(&rig, &rig.entries[0]);
+	platform_rig_send(&rig, rig.entries[0].front, "/stream/1", "unknown-1",
+			  "m0/a1", DEADLINE_MS, &reply);
+	platform_rig_wait(&rig, &reply.done);
+	g_assert_cmpint(reply.status, ==, 404);
+	g_assert_cmpint(reply.took_us, <, 500000);
+	platform_rig_reply_clear(&reply);
+	platform_rig_finish(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/configurations/walk", test_walk);
+	g_test_add_func("/configurations/unknown-adapter",
+			test_unknown_adapter);
 	return g_test_run();
 }
