--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -181,6 +181,12 @@
 			       adapter[0] != '\0' ? "/" : "", adapter);
 }
 
+static bool may_order(const orders_t *orders)
+{
+	return bsh_lease_may_order(&orders->lease, now_us(orders)) &&
+	       !orders->withholds;
+}
+
 static bool send_order(void *ctx, const bsh_target_t *target,
 		       const bsh_order_t *order)
 {
@@ -199,6 +205,10 @@
 	char adapter[BSH_ADAPTER_NAME_SIZE] = "";
 	order_call_t *call;
 
+	/* A report that arrives after a release would repeat an unanswered
+	 * order. */
+	if (!may_order(orders))
+		return false;
 	/* Without its adapter the order would be one for the model. */
 	if (model == NULL ||
 	    (order->adapter != 0 &&
@@ -525,7 +535,7 @@
 	if (!bsh_lease_is_holder(&orders->lease, now))
 		return;
 	orders->holder_seen_us = now;
-	if (bsh_lease_may_order(&orders->lease, now) && !orders->withholds) {
+	if (may_order(orders)) {
 		for (guint i = 0; i < orders->services->len; i++) {
 			const service_t *service =
 				g_ptr_array_index(orders->services, i);
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -1021,6 +1021,34 @@
 	rig_finish(&rig);
 }
 
+/* Guards against a holder that repeats an unanswered order after it has released
+ * the lease, and against one that forgets the order while it may not send. */
+static void test_repeated_order_not_sent(void)
+{
+	static const char *const models[] = { "a", "b", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 3);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	bsh_planner_order_result(rig.planner, "t1", BSH_ORDER_UNKNOWN,
+				 rig.now_us);
+	rig.cannot_send = true;
+	tick(&rig, 200000);
+	report(&rig, "t1", 3, false, &target.holdings);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	rig.cannot_send = false;
+	tick(&rig, 400000);
+	report(&rig, "t1", 3, false, &target.holdings);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_cmpmem(&rig.orders[0], sizeof(rig.orders[0]), &rig.orders[1],
+			sizeof(rig.orders[1]));
+	rig_finish(&rig);
+}
+
 /* Random configurations beside orders that are lost, late or unanswered. */
 
 #define WALK_TARGETS	  3
@@ -1353,6 +1381,8 @@
 	g_test_add_func("/planner/model-leaves", test_model_leaves);
 	g_test_add_func("/planner/adapter-leaves", test_adapter_leaves);
 	g_test_add_func("/planner/order-not-sent", test_order_not_sent);
+	g_test_add_func("/planner/repeated-order-not-sent",
+			test_repeated_order_not_sent);
 	g_test_add_func("/planner/random-configurations",
 			test_random_configurations);
 	g_test_add_func("/planner/unknown-order-is-repeated",
