--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -1,5 +1,6 @@
 /* The end of the traffic thread: requests in progress are completed, refused or,
- * at the end of the grace time, aborted. */
+ * at the end of the grace time, aborted.  New ones are taken only if they end
+ * before that. */
 #include "traffic.h"
 
 /* Remaining requests are aborted this long before the end of the grace time, so
@@ -8,6 +9,52 @@
 /* Interval at which a stopping process closes connections that became idle. */
 #define QUIT_POLL_INTERVAL_US INT64_C(50000)
 
+/* Routes of which the run time is known; above, those without a request in the
+ * last two windows are dropped. */
+#define RUN_TIMES_MAX 1024U
+
+static gboolean is_outdated(gpointer name, gpointer time, gpointer now_us)
+{
+	(void)name;
+	return *(const int64_t *)now_us -
+		       ((const bsh_run_time_t *)time)->window_began_us >=
+	       2 * BSH_RUN_TIME_WINDOW_US;
+}
+
+void drain_note_run(const request_t *r)
+{
+	traffic_t *t = r->traffic;
+	int64_t now_us = traffic_now_us(t);
+	bsh_run_time_t *time;
+
+	if (r->route == NULL || r->attempt->began_us == 0)
+		return;
+	time = g_hash_table_lookup(t->run_times, r->route->name);
+	if (time == NULL) {
+		if (g_hash_table_size(t->run_times) >= RUN_TIMES_MAX)
+			g_hash_table_foreach_remove(t->run_times, is_outdated,
+						    &now_us);
+		time = g_new0(bsh_run_time_t, 1);
+		g_hash_table_insert(t->run_times, g_strdup(r->route->name),
+				    time);
+	}
+	bsh_run_time_add(time, now_us - r->arrived_us - r->waited_us, now_us);
+}
+
+bool drain_takes(const request_t *r, int64_t wait_us)
+{
+	const traffic_t *t = r->traffic;
+	int64_t now_us = traffic_now_us(t);
+
+	/* A request that may have run cannot be refused any more. */
+	if (!t->draining || r->may_have_run || r->answer_begun)
+		return true;
+	return bsh_run_time_fits(
+		g_hash_table_lookup(t->run_times, r->route->name), wait_us,
+		MIN(r->client_deadline_us, r->timeout_us) - now_us,
+		t->abort_at_us - now_us);
+}
+
 void traffic_drain(void *data)
 {
 	traffic_t *t = data;
@@ -43,7 +90,10 @@
 {
 	traffic_t *t = data;
 
-	if (t->requests.length == 0) {
+	/* A connection without a request that is being sent is closed below. */
+	if (t->requests.length == 0 &&
+	    (bsh_http_server_connections(t->server) == 0 ||
+	     traffic_now_us(t) >= t->abort_at_us)) {
 		bsh_loop_stop(t->loop);
 		return;
 	}
@@ -61,6 +111,15 @@
 
 void drain_init(traffic_t *t)
 {
+	t->run_times =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	bsh_loop_timer_init(&t->quit_timer, t->loop, check_quit, t);
 	bsh_loop_timer_init(&t->abort_timer, t->loop, abort_requests, t);
 }
+
+void drain_finish(traffic_t *t)
+{
+	bsh_loop_timer_stop(&t->quit_timer);
+	bsh_loop_timer_stop(&t->abort_timer);
+	g_hash_table_destroy(t->run_times);
+}
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -191,16 +191,39 @@
 		r->relay.passed);
 }
 
+/* What this instance knows of the target of the last attempt. */
+static const char *target_state_name(const request_t *r)
+{
+	const GArray *targets = r->traffic->view->targets;
+	const attempt_t *a = r->attempt;
+
+	if (a->at_peer)
+		return "instance";
+	for (guint i = 0; i < targets->len; i++) {
+		const view_target_t *target =
+			&g_array_index(targets, view_target_t, i);
+
+		if (strcmp(target->id, a->target_id) != 0)
+			continue;
+		if (target->started_ms != a->target_started_ms)
+			return "restarted";
+		return target->entry_removed ? "removed" : "listed";
+	}
+	return "left";
+}
+
 void request_log_cut(const request_t *r, bsh_error_t err)
 {
 	bsh_counter_add(&unanswered, 1);
 	bsh_log(BSH_LOG_WARNING,
 		"response-cut id=%s target=%s error=%s sends=%u repeat=%s "
 		"passed_events=%" G_GUINT64_FORMAT
-		" left_ms=%d config=%" G_GUINT64_FORMAT,
+		" left_ms=%d target_state=%s draining=%d "
+		"config=%" G_GUINT64_FORMAT,
 		r->info.attempt_id, last_target(r), bsh_error_name(err),
 		r->sends, r->retry_denial, r->relay.passed,
-		to_ms(traffic_time_left_us(r)), r->catalog->version);
+		to_ms(traffic_time_left_us(r)), target_state_name(r),
+		r->traffic->draining, r->catalog->version);
 }
 
 void request_log_silence(const request_t *r, const char *action)
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -77,6 +77,7 @@
 	bsh_loop_timer_stop(&r->inactivity_timer);
 	bsh_loop_timer_stop(&r->handover_timer);
 	traffic_set_state(r, REQUEST_ENDED);
+	drain_note_run(r);
 	request_log_end(r, end, status, reason);
 }
 
@@ -209,6 +210,10 @@
 		end_abandoned(r);
 		return;
 	}
+	if (!drain_takes(r, 0)) {
+		traffic_fail(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
+		return;
+	}
 	if (is_held_back(r))
 		return;
 	r->resume_us = 0;
@@ -625,8 +630,7 @@
 	bsh_http_client_free(t->client);
 	suspects_finish(t);
 	bsh_loop_timer_stop(&t->demand_timer);
-	bsh_loop_timer_stop(&t->quit_timer);
-	bsh_loop_timer_stop(&t->abort_timer);
+	drain_finish(t);
 	bsh_loop_task_cancel(&t->streams_task);
 	stream_origin_finish(t);
 	places_finish(t);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -34,6 +34,7 @@
 #include "coordination/reach.h"
 #include "coordination/retry_budget.h"
 #include "coordination/service_pressure.h"
+#include "coordination/run_time.h"
 #include "coordination/stream_table.h"
 #include "coordination/target_choice.h"
 #include "coordination/target_limit.h"
@@ -131,7 +132,8 @@
 	bsh_loop_timer_t abort_timer; /* at abort_at_us */
 	bool draining;
 	int64_t abort_at_us; /* when the drain aborts the remaining requests */
-	GQueue requests;     /* request_t, all */
+	GHashTable *run_times; /* route to bsh_run_time_t */
+	GQueue requests;       /* request_t, all */
 };
 
 typedef enum {
@@ -335,6 +337,12 @@
 
 /* drain.c: traffic_drain() and traffic_quit() of entry.h. */
 void drain_init(traffic_t *t);
+void drain_finish(traffic_t *t);
+/* drain_note_run - a request has ended. */
+void drain_note_run(const request_t *r);
+/* drain_takes - false if this instance is being stopped and the request, sent
+ * after wait_us, may last longer than the instance. */
+bool drain_takes(const request_t *r, int64_t wait_us);
 
 /* request_log.c */
 void request_log_register(void);
--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -21,17 +21,12 @@
 /* Longest wait of a stream that its caller resumes for a target of its version
  * with its model. */
 #define VERSION_WAIT_MAX_US INT64_C(1000000)
-/* Time reserved during the drain for a waiting request to run. */
-#define DRAIN_RUN_US INT64_C(2500000)
-
 /* True if the model is expected early enough for the request to end before the
  * drain aborts it. */
 static bool is_ready_before_abort(const request_t *r, const view_ready_t *ready)
 {
-	int64_t left_us = r->traffic->abort_at_us - traffic_now_us(r->traffic);
-
 	return ready != NULL && ready->ready_us != INT64_MAX &&
-	       ready->ready_us - ready->estimated_us + DRAIN_RUN_US < left_us;
+	       drain_takes(r, ready->ready_us - ready->estimated_us);
 }
 
 /* True if the model is expected after the deadline of the request.  If it waits
--- /dev/null
+++ b/lib/coordination/run_time.c
@@ -0,0 +1,36 @@
+#include "coordination/run_time.h"
+
+#include <glib.h>
+
+void bsh_run_time_add(bsh_run_time_t *time, int64_t run_us, int64_t now_us)
+{
+	if (now_us - time->window_began_us >= BSH_RUN_TIME_WINDOW_US) {
+		time->former_longest_us = time->longest_us;
+		time->longest_us = 0;
+		time->window_began_us = now_us;
+	}
+	time->longest_us = MAX(time->longest_us, MAX(run_us, 1));
+}
+
+int64_t bsh_run_time_bound_us(const bsh_run_time_t *time)
+{
+	int64_t longest_us = MAX(time->longest_us, time->former_longest_us);
+
+	if (longest_us == 0)
+		return INT64_MAX;
+	return longest_us + longest_us / 100 * BSH_RUN_TIME_MARGIN_PERCENT +
+	       BSH_RUN_TIME_MARGIN_US;
+}
+
+bool bsh_run_time_fits(const bsh_run_time_t *time, int64_t wait_us,
+		       int64_t limit_us, int64_t left_us)
+{
+	int64_t bound_us;
+
+	if (limit_us <= left_us)
+		return true;
+	if (time == NULL)
+		return false;
+	bound_us = bsh_run_time_bound_us(time);
+	return bound_us != INT64_MAX && wait_us + bound_us <= left_us;
+}
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -720,7 +720,9 @@
 		bsh_http_response_abort(run->request);
 		return;
 	}
-	if (run->next_event >= STREAM_EVENTS) {
+	if (run->next_event >= (worker->stream_events > 0
+					? worker->stream_events
+					: STREAM_EVENTS)) {
 		run->ended = true;
 		bsh_http_response_end(run->request);
 		return;
@@ -1002,18 +1004,18 @@
 }
 
 static void write_settings(rig_entry_t *entry, const char *store_address,
-			   uint32_t lease_ms)
+			   uint32_t lease_ms, uint32_t grace_s)
 {
 	g_autofree char *text = g_strdup_printf(
 		"[instance]\nname=%s\nzone=z1\n[security]\nkey=%064d\n"
 		"[store]\naddress=%s\n[router]\nlisten=%s\nadmin=%s\n"
 		"[control]\nlisten=%s\nlink=%s\ngossip=%s:%u\n"
-		"[entry]\nready=%s\ngrace_s=3\norder_lease_ms=%u\n"
+		"[entry]\nready=%s\ngrace_s=%u\norder_lease_ms=%u\n"
 		"order_start_ms=0\nseed_loads=0\n"
 		"[timing]\nprobe_period_ms=200\n",
 		entry->name, 7, store_address, entry->front, entry->metrics,
 		entry->directory, entry->directory, loopback_ip(),
-		loopback_free_port(), entry->ready, lease_ms);
+		loopback_free_port(), entry->ready, grace_s, lease_ms);
 	int fd = g_file_open_tmp("bsh-entry-XXXXXX", &entry->settings_path,
 				 NULL);
 
@@ -1048,7 +1050,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
 		g_snprintf(addresses[i], sizeof(entry->front), "%s:%u",
 			   loopback_ip(), loopback_free_port());
-	write_settings(entry, store_address, rig->lease_ms);
+	write_settings(entry, store_address, rig->lease_ms,
+		       rig->grace_s > 0 ? rig->grace_s : 3);
 	platform_rig_spawn(rig, entry);
 	return entry;
 }
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -63,9 +63,10 @@
 	int64_t silent_until_us; /* sends nothing before; loop clock */
 	uint32_t work_ms; /* from the request to its answer or first event */
 	uint32_t events;  /* of streams, sent */
-	uint32_t runs;	  /* requests executed */
-	uint32_t aborted; /* runs whose caller closed before the end */
-	uint32_t refused; /* requests refused because it was full */
+	uint32_t stream_events; /* of each stream; 0: 6 */
+	uint32_t runs;		/* requests executed */
+	uint32_t aborted;	/* runs whose caller closed before the end */
+	uint32_t refused;	/* requests refused because it was full */
 	bsh_loop_timer_t process_timer; /* end or start, see crash_part */
 	bool has_ended;			/* its process, not yet started again */
 	uint32_t loads;			/* load orders executed */
@@ -155,6 +156,7 @@
 	void (*before_call)(platform_rig_t *rig, bsh_http_request_t *request);
 	int64_t compacted_revision; /* history up to it was removed */
 	uint32_t lease_ms;	    /* duration of the order lease */
+	uint32_t grace_s;	    /* from SIGTERM to the end; 0: 3 */
 	worker_t workers[RIG_WORKERS_MAX];
 	uint32_t n_workers;
 	rig_entry_t entries[RIG_ENTRIES_MAX];
