--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -137,6 +137,10 @@
 {
 	if (call->err != BSH_OK)
 		return call->err;
+	/* libcurl takes a close within the head for the end of an answer
+	 * without a body. */
+	if (code == CURLE_OK && !call->head_complete)
+		return BSH_ERR_CONNECTION_LOST;
 	if (code == CURLE_OK)
 		/* The end of a close-delimited response cannot be told from a
 		 * lost connection. */
--- a/regress/test_endless_answer.c
+++ b/regress/test_endless_answer.c
@@ -82,6 +82,7 @@
 typedef struct {
 	int fd; /* listening */
 	const answer_t *answer;
+	atomic_int cut; /* bytes of the answer that are written; -1: all */
 	atomic_llong most_bytes; /* written on one connection */
 	atomic_int open;
 	atomic_int served;
@@ -110,11 +111,13 @@
 {
 	const answer_t *answer = target->answer;
 	GString *block = g_string_new(NULL);
-	long long written = (long long)strlen(answer->first);
+	int cut = atomic_load(&target->cut);
+	size_t size = cut < 0 ? strlen(answer->first) : (size_t)cut;
+	long long written = (long long)size;
 
 	while (answer->repeat != NULL && block->len < 65536)
 		g_string_append(block, answer->repeat);
-	if (write_all(fd, answer->first, strlen(answer->first)))
+	if (write_all(fd, answer->first, size))
 		while (answer->repeat != NULL &&
 		       written < 4 * WRITTEN_MAX_BYTES &&
 		       write_all(fd, block->str, block->len))
@@ -178,6 +181,7 @@
 
 	memset(target, 0, sizeof(*target));
 	target->answer = answer;
+	atomic_store(&target->cut, -1);
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	target->fd = socket(AF_INET, SOCK_STREAM, 0);
 	g_assert_cmpint(bind(target->fd, (struct sockaddr *)&at, sizeof(at)),
@@ -231,6 +235,7 @@
 	platform_rig_t rig;
 	rig_entry_t *entry;
 	target_t target;
+	uint32_t asked;
 } fixture_t;
 
 static void set_up(fixture_t *f, gconstpointer data)
@@ -308,6 +313,73 @@
 	g_assert_cmpint(most_kib, <, MEMORY_MAX_KIB);
 }
 
+/* Whole answers, each byte of which is tried as the place of the close. */
+static const answer_t whole_answers[] = {
+	{ "length", OK_HEAD "Content-Length: 5\r\nX-A: b\r\n\r\nwhole", NULL,
+	  false, false, 200, "whole" },
+	{ "chunks",
+	  OK_HEAD "Transfer-Encoding: chunked\r\nX-A: b\r\n\r\n"
+		  "2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
+	  NULL, false, false, 200, "whole" },
+	{ "close", OK_HEAD "X-A: b\r\n\r\nwhole", NULL, false, false, 200,
+	  "whole" },
+	{ "empty-body", OK_HEAD "Content-Length: 0\r\nX-A: b\r\n\r\n", NULL,
+	  false, false, 200, "" },
+	{ "stream-chunks",
+	  OK_HEAD EVENTS "Transfer-Encoding: chunked\r\n\r\n"
+			 "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+	  NULL, false, true, 200, "id: 1\ndata: a\n\n" },
+	{ "stream-close", OK_HEAD EVENTS "X-A: b\r\n\r\nid: 1\ndata: a\n\n",
+	  NULL, false, true, 200, "id: 1\ndata: a\n\n" },
+};
+
+/* Sends a request whose answer is closed after this many bytes; -1: none. */
+static void ask(fixture_t *f, const answer_t *answer, int cut,
+		rig_reply_t *reply)
+{
+	g_autofree char *id = g_strdup_printf("cut-%u", f->asked++);
+
+	atomic_store(&f->target.cut, cut);
+	send_request(f, answer, id, 2500, reply);
+	platform_rig_wait(&f->rig, &reply->done);
+}
+
+/* Guards against a whole answer, with an empty or a short body, for a target
+ * that has closed within its head or before the end of its body. */
+static void test_cut(fixture_t *f, gconstpointer data)
+{
+	const answer_t *answer = data;
+	int size = (int)strlen(answer->first);
+	int head = (int)(strstr(answer->first, "\r\n\r\n") + 4 - answer->first);
+	bool framed = strstr(answer->first, "Content-Length") != NULL ||
+		      strstr(answer->first, "chunked") != NULL;
+
+	for (int cut = 1; cut < size; cut++) {
+		rig_reply_t reply;
+		bool whole;
+
+		ask(f, answer, cut, &reply);
+		whole = reply.status == 200 && reply.complete;
+		g_test_message("cut after %d of %d bytes, head %d: status %d "
+			       "complete %d body \"%s\"",
+			       cut, size, head, reply.status, reply.complete,
+			       reply.body);
+		if (cut < head)
+			g_assert_cmpint(reply.status, ==, 502);
+		/* The end of a body without a length cannot be told from a
+		 * close within it; a stream ends after an event. */
+		else if (whole && (framed || answer->stream))
+			g_assert_cmpstr(reply.body, ==, answer->body);
+		platform_rig_reply_clear(&reply);
+		/* A target that fails several times in a row gets a pause. */
+		ask(f, answer, -1, &reply);
+		g_assert_cmpint(reply.status, ==, 200);
+		g_assert_cmpstr(reply.body, ==, answer->body);
+		platform_rig_reply_clear(&reply);
+	}
+	g_assert_cmpint(atomic_load(&f->target.served), ==, 2 * (size - 1));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -328,5 +400,12 @@
 				   test_memory, tear_down);
 		}
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(whole_answers); i++) {
+		g_autofree char *path = g_strdup_printf("/cut-answer/%s",
+							whole_answers[i].name);
+
+		g_test_add(path, fixture_t, &whole_answers[i], set_up, test_cut,
+			   tear_down);
+	}
 	return g_test_run();
 }
