--- a/regress/run_tests.sh
+++ b/regress/run_tests.sh
@@ -20,6 +20,7 @@
 for t in "$build"/regress/test_* "$here"/test_*.sh; do
 	[ -x "$t" ] || continue
 	name=$(basename "$t")
+	began=$(date +%s)
 	out=$(timeout 600 "$t" --tap 2>"$build/regress/$name.err")
 	status=$?
 	ok=$(printf '%s\n' "$out" | grep -c '^ok ')
@@ -51,6 +52,7 @@
 		tail -n 20 "$build/regress/$name.err"
 	fi
 	red=0
+	echo "$name: $ok ok, $(($(date +%s) - began)) s"
 	passed=$((passed + ok))
 	failed=$((failed + bad))
 done
