--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -266,6 +266,17 @@
 	return store_reachable && age_us >= lease->lease_us;
 }
 
+/* True if the object was lost in a restore and its holder is alive: that one
+ * knows the voters of the object, and creates it as soon as it learns of the
+ * restore. */
+static bool awaits_former_holder(const bsh_lease_t *lease, int64_t now_us)
+{
+	return lease->store_restored_us > 0 && lease->announced_us > 0 &&
+	       now_us - lease->announced_us < HOLDER_TIMEOUT_US &&
+	       now_us - lease->store_restored_us < lease->lease_us &&
+	       strcmp(lease->holder, lease->self) != 0;
+}
+
 bsh_lease_call_t bsh_lease_next(bsh_lease_t *lease, int64_t now_us)
 {
 	if (lease->pending_call != BSH_LEASE_NOTHING ||
@@ -284,6 +295,8 @@
 	}
 	if (lease->releasing)
 		return BSH_LEASE_NOTHING;
+	if (!lease->known && awaits_former_holder(lease, now_us))
+		return BSH_LEASE_NOTHING;
 	if (!lease->known)
 		return begin_call(lease, BSH_LEASE_CREATE, now_us);
 	if (!may_take_over(lease, now_us))
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -492,6 +492,42 @@
 	g_assert_true(bsh_lease_may_order(&lease, 2000));
 }
 
+/* Guards against targets without orders for the longest extension after a restore
+ * that has lost the lease: its holder knows the voters, and creates it first. */
+static void test_absent_with_live_holder(void)
+{
+	bsh_voters_t voters = { .n = 0 };
+	bsh_lease_t holder;
+	bsh_lease_t other;
+
+	bsh_voters_add(&voters, "entry-1");
+	bsh_lease_init(&holder, "entry-1", LEASE_MS, 0, 0);
+	bsh_lease_set_candidates(&holder, &voters);
+	bsh_lease_next(&holder, 0);
+	bsh_lease_done(&holder, BSH_LEASE_DONE, "entry-1", true, 10, 1000);
+	bsh_lease_init(&other, "entry-2", LEASE_MS, 0, 0);
+	bsh_lease_announced(&other, "entry-1", true, 10, SECOND);
+	bsh_lease_store_restored(&other, SECOND + 1000);
+	bsh_lease_store_restored(&holder, SECOND + 1000);
+	/* The object is read by an instance that would replace it. */
+	other.must_read = true;
+	g_assert_cmpint(bsh_lease_next(&other, SECOND + 2000), ==,
+			BSH_LEASE_READ);
+	bsh_lease_done(&other, BSH_LEASE_ABSENT, NULL, false, 0, SECOND + 3000);
+	g_assert_cmpint(bsh_lease_next(&other, 2 * SECOND), ==,
+			BSH_LEASE_NOTHING);
+	g_assert_cmpint(bsh_lease_next(&holder, 2 * SECOND), ==,
+			BSH_LEASE_REPLACE);
+	bsh_lease_done(&holder, BSH_LEASE_ABSENT, NULL, false, 0, 2 * SECOND);
+	g_assert_cmpint(bsh_lease_next(&holder, 3 * SECOND), ==,
+			BSH_LEASE_CREATE);
+	g_assert_true(bsh_voters_equal(&holder.voters, &voters));
+	/* The holder is silent. */
+	g_assert_cmpint(bsh_lease_next(&other, 3 * SECOND), ==,
+			BSH_LEASE_CREATE);
+	g_assert_cmpuint(other.voters.n, ==, 0);
+}
+
 /* Guards against a successor that waits only for a holder which released the
  * lease before its first order, and not for the one before that. */
 static void test_release_during_wait(void)
@@ -1575,6 +1611,8 @@
 	g_test_add_func("/lease/restored-release", test_restored_release);
 	g_test_add_func("/lease/absent-after-restore",
 			test_absent_after_restore);
+	g_test_add_func("/lease/absent-with-live-holder",
+			test_absent_with_live_holder);
 	g_test_add_func("/lease/release-during-wait", test_release_during_wait);
 	g_test_add_func("/quorum/promise", test_promise);
 	g_test_add_func("/voters/candidates", test_candidates);
