--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -676,7 +676,7 @@
 		const service_t *service =
 			g_ptr_array_index(orders->services, i);
 
-		bsh_planner_remove_target(service->planner, id);
+		bsh_planner_remove_target(service->planner, id, now_us(orders));
 	}
 	g_hash_table_remove(orders->ordered, id);
 }
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -53,6 +53,8 @@
 	planner->targets = g_ptr_array_new_with_free_func(g_free);
 	planner->deferred =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	planner->departed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	planner->former = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 						NULL, free_rule);
 	planner->store_concurrency = config->concurrent_loads;
@@ -64,6 +66,7 @@
 {
 	planner_demand_finish(planner);
 	g_hash_table_destroy(planner->deferred);
+	g_hash_table_destroy(planner->departed);
 	g_hash_table_destroy(planner->former);
 	g_ptr_array_free(planner->targets, TRUE);
 	bsh_catalog_unref(planner->catalog);
@@ -192,26 +195,6 @@
 	return NULL;
 }
 
-void bsh_planner_begin_term(bsh_planner_t *planner)
-{
-	planner->term_us = 0;
-	planner->demand_us = 0;
-	for (guint i = 0; i < planner->targets->len; i++) {
-		planner_target_t *t = g_ptr_array_index(planner->targets, i);
-
-		t->has_order = false;
-		t->planned_load = 0;
-		t->report_pending = false;
-		t->next_report_us = 0;
-		t->reported = false;
-		t->suspected = false;
-		t->down = false;
-		t->held = t->target.holdings;
-		t->usable = t->held;
-		set_state(t, PLANNER_UNCERTAIN, 0);
-	}
-}
-
 bool planner_serves(const planner_target_t *t, uint32_t model, uint32_t adapter)
 {
 	return !t->target.leaving && bsh_holdings_has(&t->usable, model, 0) &&
@@ -434,9 +417,36 @@
 		note_unacked_order(planner, t, now_us);
 	if (now_us >= t->unacked_until_us)
 		return;
-	t->reserved_mb = t->unacked_mb;
-	t->reserved_adapters = t->unacked_adapters;
-	t->reserved_until_us = t->unacked_until_us;
+	if (now_us >= t->reserved_until_us) {
+		t->reserved_mb = 0;
+		t->reserved_adapters = 0;
+	}
+	t->reserved_mb += t->unacked_mb;
+	t->reserved_adapters += t->unacked_adapters;
+	t->reserved_until_us = MAX(t->reserved_until_us, t->unacked_until_us);
+	t->unacked_until_us = 0;
+}
+
+void bsh_planner_begin_term(bsh_planner_t *planner)
+{
+	planner->term_us = 0;
+	planner->demand_us = 0;
+	for (guint i = 0; i < planner->targets->len; i++) {
+		planner_target_t *t = g_ptr_array_index(planner->targets, i);
+
+		if (t->state == PLANNER_SENT && planner->service != NULL)
+			note_unacked_order(planner, t, t->state_us);
+		t->has_order = false;
+		t->planned_load = 0;
+		t->report_pending = false;
+		t->next_report_us = 0;
+		t->reported = false;
+		t->suspected = false;
+		t->down = false;
+		t->held = t->target.holdings;
+		t->usable = t->held;
+		set_state(t, PLANNER_UNCERTAIN, 0);
+	}
 }
 
 static void target_restarted(bsh_planner_t *planner, planner_target_t *t,
@@ -477,6 +487,45 @@
 		t->next_order_us = MAX(t->next_order_us, until_us);
 }
 
+static gboolean reservation_has_ended(gpointer id, gpointer reservation,
+				      gpointer now_us)
+{
+	(void)id;
+	return ((const planner_reservation_t *)reservation)->until_us <=
+	       *(const int64_t *)now_us;
+}
+
+/* Keeps what unanswered orders to a target that leaves the list may take. */
+static void keep_reservation(bsh_planner_t *planner, planner_target_t *t,
+			     int64_t now_us)
+{
+	planner_reservation_t *kept;
+
+	g_hash_table_foreach_remove(planner->departed, reservation_has_ended,
+				    &now_us);
+	reserve_unacked(planner, t, now_us);
+	if (now_us >= t->reserved_until_us)
+		return;
+	kept = g_new0(planner_reservation_t, 1);
+	kept->mb = t->reserved_mb;
+	kept->adapters = t->reserved_adapters;
+	kept->until_us = t->reserved_until_us;
+	g_hash_table_replace(planner->departed, g_strdup(t->target.id), kept);
+}
+
+static void take_reservation(bsh_planner_t *planner, planner_target_t *t)
+{
+	const planner_reservation_t *kept =
+		g_hash_table_lookup(planner->departed, t->target.id);
+
+	if (kept == NULL)
+		return;
+	t->reserved_mb = kept->mb;
+	t->reserved_adapters = kept->adapters;
+	t->reserved_until_us = kept->until_us;
+	g_hash_table_remove(planner->departed, t->target.id);
+}
+
 void bsh_planner_update_target(bsh_planner_t *planner,
 			       const bsh_target_t *target, int64_t now_us)
 {
@@ -493,6 +542,7 @@
 			t->next_order_us = *deferred_until_us;
 		t->held = target->holdings;
 		t->usable = target->holdings;
+		take_reservation(planner, t);
 		set_state(t, PLANNER_UNCERTAIN, now_us);
 		g_ptr_array_add(planner->targets, t);
 		return;
@@ -523,12 +573,15 @@
 	publish(planner, t);
 }
 
-void bsh_planner_remove_target(bsh_planner_t *planner, const char *id)
+void bsh_planner_remove_target(bsh_planner_t *planner, const char *id,
+			       int64_t now_us)
 {
 	planner_target_t *t = find(planner, id);
 
-	if (t != NULL)
-		g_ptr_array_remove_fast(planner->targets, t);
+	if (t == NULL)
+		return;
+	keep_reservation(planner, t, now_us);
+	g_ptr_array_remove_fast(planner->targets, t);
 }
 
 void bsh_planner_check_target(bsh_planner_t *planner, uint32_t key,
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -29,7 +29,8 @@
  *	out, so a delayed copy of an order cannot take effect after a later
  *	order.  A restart of the target resets its count.  The memory that
  *	unanswered orders to the earlier incarnation may still take stays
- *	reserved for BSH_PLANNER_ORDER_DELAY_MAX_US.
+ *	reserved for BSH_PLANNER_ORDER_DELAY_MAX_US, also if the target leaves
+ *	the list and returns.
  *
  *	Configuration.  A planner outlives its service: an unanswered order of
  *	a service that has left the configuration may still be carried out,
@@ -145,7 +146,10 @@
  * platform's list. */
 void bsh_planner_update_target(bsh_planner_t *planner,
 			       const bsh_target_t *target, int64_t now_us);
-void bsh_planner_remove_target(bsh_planner_t *planner, const char *id);
+/* bsh_planner_remove_target - the target has left the list.  Memory that
+ * unanswered orders may still take stays reserved: it may come back. */
+void bsh_planner_remove_target(bsh_planner_t *planner, const char *id,
+			       int64_t now_us);
 
 /* bsh_planner_defer_orders - give this target no order before until_us; the
  * target need not have been added yet. */
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -59,6 +59,13 @@
 	int64_t reserved_until_us;
 } planner_target_t;
 
+/* Reservation of a target that has left the list. */
+typedef struct {
+	uint32_t mb;
+	uint32_t adapters;
+	int64_t until_us;
+} planner_reservation_t;
+
 /* Demand for one model or adapter, summed over the instances. */
 typedef struct {
 	uint32_t model;
@@ -83,6 +90,7 @@
 				* that has left, or had more adapters */
 	GPtrArray *targets;    /* planner_target_t */
 	GHashTable *deferred;  /* target id to its earliest order time */
+	GHashTable *departed;  /* target id to planner_reservation_t */
 	GHashTable *demand;    /* key to planner_demand_t */
 	GHashTable *instances; /* name to planner_instance_t */
 	int64_t term_us;       /* first run of the term; 0: none yet */
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -963,7 +963,7 @@
 	g_assert_nonnull(bsh_planner_model(rig.planner, hash("a")));
 	report(&rig, "t2", 5, false, &other.holdings);
 	g_assert_cmpuint(rig.n_orders, ==, 1);
-	bsh_planner_remove_target(rig.planner, "t2");
+	bsh_planner_remove_target(rig.planner, "t2", rig.now_us);
 	demand(&rig, "c", NULL, 1, 1);
 	tick(&rig, 1000);
 	tick(&rig, 50000);
@@ -1021,6 +1021,45 @@
 	rig_finish(&rig);
 }
 
+/* Guards against a target that is overloaded by a late order of before its crash,
+ * as its reservation was forgotten while it was not in the list. */
+static void test_reservation_outlives_entry(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const none[] = { NULL };
+	bsh_target_t target = make_target("t1", none);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 0);
+	demand(&rig, "a", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 1);
+	bsh_planner_remove_target(rig.planner, "t1", rig.now_us);
+	bsh_planner_order_result(rig.planner, "t1", BSH_ORDER_UNKNOWN,
+				 rig.now_us);
+	tick(&rig, 4 * 1000000);
+	target.started_ms = 6;
+	bsh_planner_update_target(rig.planner, &target, rig.now_us);
+	for (uint64_t orders = 0; orders < 2; orders++) {
+		bsh_target_report_t r = { .orders = orders, .started_ms = 6 };
+
+		if (orders == 1)
+			bsh_holdings_add(&r.holdings, hash("b"), 0);
+		demand(&rig, orders == 0 ? "b" : "c", NULL, 1, 1);
+		bsh_planner_report_result(rig.planner, "t1", &r, rig.now_us);
+		tick(&rig, 1000);
+		if (orders == 0)
+			bsh_planner_order_result(rig.planner, "t1",
+						 BSH_ORDER_ACCEPTED,
+						 rig.now_us);
+	}
+	g_assert_cmpuint(rig.n_orders, >=, 2);
+	for (uint32_t i = 2; i < rig.n_orders; i++)
+		g_assert_false(rig.orders[i].load);
+	rig_finish(&rig);
+}
+
 /* Guards against a holder that repeats an unanswered order after it has released
  * the lease, and against one that forgets the order while it may not send. */
 static void test_repeated_order_not_sent(void)
@@ -1077,7 +1116,6 @@
 	int64_t at_us;
 	walk_event_kind_t kind;
 	int target;
-	uint64_t started_ms; /* process that the order was sent to */
 	bsh_order_t order;
 	bsh_order_result_t result;
 	bool answers;
@@ -1124,7 +1162,6 @@
 	walk_t *walk = ctx;
 	walk_event_t event = { .kind = WALK_ORDER,
 			       .target = target->id[1] - '0',
-			       .started_ms = target->started_ms,
 			       .order = *order,
 			       .answers = bsh_rng_below(&walk->rng, 4) > 0 };
 	int model = walk_model(order->model);
@@ -1219,9 +1256,6 @@
 		return;
 	}
 	if (event->kind == WALK_ORDER) {
-		/* An order to an earlier process does not reach this one. */
-		if (event->started_ms != t->entry.started_ms)
-			return;
 		result = walk_carry_out(walk, t, &event->order);
 		if (!event->answers)
 			return;
@@ -1283,7 +1317,8 @@
 	}
 	t->entry.holdings = t->held;
 	if (bsh_rng_below(&walk->rng, 10) == 0)
-		bsh_planner_remove_target(walk->planner, t->entry.id);
+		bsh_planner_remove_target(walk->planner, t->entry.id,
+					  walk->now_us);
 	else
 		bsh_planner_update_target(walk->planner, &t->entry,
 					  walk->now_us);
@@ -1383,6 +1418,8 @@
 	g_test_add_func("/planner/order-not-sent", test_order_not_sent);
 	g_test_add_func("/planner/repeated-order-not-sent",
 			test_repeated_order_not_sent);
+	g_test_add_func("/planner/reservation-outlives-entry",
+			test_reservation_outlives_entry);
 	g_test_add_func("/planner/random-configurations",
 			test_random_configurations);
 	g_test_add_func("/planner/unknown-order-is-repeated",
