--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -16,6 +16,10 @@
 
 /* Interval at which the voters that this instance would name are chosen. */
 #define VOTERS_INTERVAL_US INT64_C(500000)
+/* Time for which the choice must not change before it is named: instances are
+ * discovered one after the other, and each change needs the voters of the one
+ * before for some time. */
+#define VOTERS_SETTLE_US INT64_C(2000000)
 
 static bsh_counter_t lease_held =
 	BSH_GAUGE("bsh_order_lease_held", "1 while this instance may order.");
@@ -286,7 +290,14 @@
 	orders->voters_term = orders->lease.term;
 	peers_foreach_known(orders->control->peers, add_candidate, orders);
 	bsh_candidates_choose(&orders->candidates, now, &voters);
-	bsh_lease_set_candidates(&orders->lease, &voters);
+	if (!bsh_voters_equal(&voters, &orders->next_voters)) {
+		orders->next_voters = voters;
+		orders->next_voters_us = now;
+	}
+	/* The first object names voters, too. */
+	if (!orders->lease.known ||
+	    now - orders->next_voters_us >= VOTERS_SETTLE_US)
+		bsh_lease_set_candidates(&orders->lease, &voters);
 }
 
 static void call_lease(orders_t *orders)
@@ -455,6 +466,7 @@
  * lease accordingly. */
 static void update_quorum(orders_t *orders)
 {
+	static const bsh_voters_t no_voters;
 	bsh_lease_t *lease = &orders->lease;
 	int64_t now = now_us(orders);
 
@@ -466,6 +478,11 @@
 	}
 	if (bsh_promise_give(&orders->promise, lease->term, now, now))
 		bsh_quorum_add(&orders->quorum, lease->self, now);
+	bsh_lease_voters_supported(lease,
+				   bsh_quorum_support_until(&orders->quorum,
+							    &lease->voters,
+							    &no_voters),
+				   now);
 	bsh_lease_supported(lease,
 			    bsh_quorum_support_until(&orders->quorum,
 						     &lease->voters,
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -44,6 +44,8 @@
 	uint64_t quorum_term;	     /* term that `quorum` counts */
 	bsh_candidates_t candidates; /* that the voters are chosen from */
 	uint64_t voters_term;	     /* term whose first voters are in it */
+	bsh_voters_t next_voters;    /* the last choice */
+	int64_t next_voters_us;	     /* since when it has not changed */
 	int64_t voters_us;	     /* last choice of the voters; 0: none */
 	uint64_t echo_term;	     /* of the holder's newest message */
 	uint64_t echo_us;	     /* sent_us of it, the holder's clock */
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -146,6 +146,7 @@
 	bool uncertain =
 		lease->known ? lease->restored : lease->store_restored_us > 0;
 
+	lease->former_uncertain = uncertain;
 	if (!lease->known && !uncertain)
 		return;
 	if ((own || uncertain) && lease->term == 0)
@@ -521,17 +522,29 @@
 		lease->store_reachable_since_us = now_us;
 }
 
-void bsh_lease_supported(bsh_lease_t *lease, int64_t until_us, int64_t now_us)
+static void begin_majority(bsh_lease_t *lease, int64_t now_us)
 {
-	if (!lease->holding || now_us >= until_us)
-		return;
-	lease->supported_until_us = until_us;
 	if (lease->majority_since_us > 0)
 		return;
 	lease->majority_since_us = now_us;
 	set_first_order(lease);
 }
 
+void bsh_lease_supported(bsh_lease_t *lease, int64_t until_us, int64_t now_us)
+{
+	if (!lease->holding || now_us >= until_us)
+		return;
+	lease->supported_until_us = until_us;
+	begin_majority(lease, now_us);
+}
+
+void bsh_lease_voters_supported(bsh_lease_t *lease, int64_t until_us,
+				int64_t now_us)
+{
+	if (lease->holding && now_us < until_us && !lease->former_uncertain)
+		begin_majority(lease, now_us);
+}
+
 void bsh_lease_release(bsh_lease_t *lease)
 {
 	lease->releasing = true;
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -35,8 +35,10 @@
  *	  the instances that it knows itself.
  *	- The object also names the former voters, from the update that
  *	  changes them until BSH_LEASE_FORMER_VOTERS_US after its success.
- *	  Meanwhile support is a majority of both sets: the update may be
- *	  lost, carried out late, or undone by a restore of the store.
+ *	  Meanwhile an extension needs a majority of both sets: the update
+ *	  may be lost, carried out late, or undone by a restore of the store.
+ *	  Whoever replaces the object needs only the voters to begin early,
+ *	  unless the object may be from before a restore.
  *	An object without voters (of an earlier software version) allows no
  *	extension and no shorter wait.
  *
@@ -141,6 +143,8 @@
 	 * time old, for a term without and with an extension. */
 	int64_t former_wait_until_us;
 	int64_t former_extended_wait_until_us;
+	bool former_uncertain; /* the object that was replaced may have been
+				* written before a restore */
 	int64_t supported_until_us; /* end of the support by a majority */
 	int64_t voters_changed_us;  /* first success of an update with both
 				    * sets; 0: none */
@@ -275,6 +279,11 @@
  * lease->former_voters if there are any, for the own term lasts to until_us. */
 void bsh_lease_supported(bsh_lease_t *lease, int64_t until_us, int64_t now_us);
 
+/* bsh_lease_voters_supported - the same of lease->voters alone: no former holder
+ * is extended any more. */
+void bsh_lease_voters_supported(bsh_lease_t *lease, int64_t until_us,
+				int64_t now_us);
+
 /* bsh_lease_may_order - true while orders may be given. */
 bool bsh_lease_may_order(const bsh_lease_t *lease, int64_t now_us);
 
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -668,6 +668,38 @@
 	g_assert_cmpuint(lease.former_voters.n, ==, 0);
 }
 
+/* Guards against a successor that waits for the longest extension as the former
+ * voters are gone, although a majority of the voters supports it; and against a
+ * shorter wait if the object may be from before a restore. */
+static void test_former_voters_are_gone(void)
+{
+	bsh_voters_t voters = { .n = 0 };
+	bsh_voters_t former = { .n = 0 };
+
+	bsh_voters_add(&voters, "entry-2");
+	bsh_voters_add(&former, "entry-1");
+	for (int restored = 0; restored < 2; restored++) {
+		bsh_lease_t lease;
+
+		bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
+		bsh_lease_announced(&lease, "entry-1", true, 10, SECOND);
+		read_object(&lease, "entry-1", 10, 4 * SECOND);
+		if (restored)
+			bsh_lease_set_restored(&lease, 10);
+		bsh_lease_set_voters(&lease, 10, &voters, &former);
+		g_assert_cmpint(bsh_lease_next(&lease, 4 * SECOND), ==,
+				BSH_LEASE_REPLACE);
+		bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-2", false, 11,
+			       4 * SECOND + 1000);
+		bsh_lease_voters_supported(&lease, 6 * SECOND, 5 * SECOND);
+		if (restored)
+			g_assert_cmpint(lease.first_order_us, >,
+					BSH_LEASE_EXTENSION_US);
+		else
+			g_assert_cmpint(lease.first_order_us, <, 9 * SECOND);
+	}
+}
+
 /* Guards against a successor that names its own voters while a former holder may
  * still count on those of the object. */
 static void test_successor_keeps_voters(void)
@@ -1230,6 +1262,12 @@
 	}
 	if (bsh_promise_give(&node->promise, lease->term, now_us, now_us))
 		bsh_quorum_add(&node->quorum, node->name, now_us);
+	if (!sim->naive)
+		bsh_lease_voters_supported(
+			lease,
+			bsh_quorum_support_until(&node->quorum, &lease->voters,
+						 &(bsh_voters_t){ .n = 0 }),
+			now_us);
 	bsh_lease_supported(lease, count_support(sim, n, now_us), now_us);
 	node->holder = n;
 	step = bsh_lease_handover_step(
@@ -1617,6 +1655,8 @@
 	g_test_add_func("/quorum/promise", test_promise);
 	g_test_add_func("/voters/candidates", test_candidates);
 	g_test_add_func("/lease/change-of-voters", test_change_of_voters);
+	g_test_add_func("/lease/former-voters-are-gone",
+			test_former_voters_are_gone);
 	g_test_add_func("/lease/successor-keeps-voters",
 			test_successor_keeps_voters);
 	g_test_add_func("/lease/random-faults", test_random_faults);
