--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -223,7 +223,11 @@
 	if (lease->candidates.n == 0 ||
 	    bsh_voters_equal(&lease->candidates, &lease->voters))
 		return;
-	lease->former_voters = lease->voters;
+	/* Where the holder is the only voter, its own promise keeps others from
+	 * an early start.  It must not stay needed when the holder is lost. */
+	lease->former_voters.n = 0;
+	if (lease->voters.n > 1)
+		lease->former_voters = lease->voters;
 	lease->voters = lease->candidates;
 	lease->voters_known = false;
 	lease->supported_until_us = 0;
@@ -323,6 +327,8 @@
 		lease->term = revision;
 	}
 	lease->holding = true;
+	lease->own_voters = lease->voters;
+	lease->own_former_voters = lease->former_voters;
 	lease->voters_known = true;
 	if (lease->former_voters.n > 0 && lease->voters_changed_us == 0)
 		lease->voters_changed_us = now_us;
@@ -487,6 +493,16 @@
 		return;
 	lease->voters = *voters;
 	lease->former_voters = *former_voters;
+	if (!lease->restored || voters->n > 1)
+		return;
+	/* A later state may have named others, and not this one as former.
+	 * Those of a recent own term are known. */
+	lease->voters.n = 0;
+	if (lease->term == 0 ||
+	    lease->observed_us - lease->renewed_us >= OWN_VOTERS_MAX_AGE_US)
+		return;
+	lease->voters = lease->own_voters;
+	lease->former_voters = lease->own_former_voters;
 }
 
 void bsh_lease_set_candidates(bsh_lease_t *lease,
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -39,6 +39,9 @@
  *	  may be lost, carried out late, or undone by a restore of the store.
  *	  Whoever replaces the object needs only the voters to begin early,
  *	  unless the object may be from before a restore.
+ *	The first object names its holder alone, which is not kept as a former
+ *	set: its successor would need a holder that is lost.  After a restore
+ *	such an object names nobody.
  *	An object without voters (of an earlier software version) allows no
  *	extension and no shorter wait.
  *
@@ -143,6 +146,8 @@
 	 * time old, for a term without and with an extension. */
 	int64_t former_wait_until_us;
 	int64_t former_extended_wait_until_us;
+	bsh_voters_t own_voters; /* of the last own object */
+	bsh_voters_t own_former_voters;
 	bool former_uncertain; /* the object that was replaced may have been
 				* written before a restore */
 	int64_t supported_until_us; /* end of the support by a majority */
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -639,6 +639,7 @@
 	uint64_t revision = 11;
 
 	bsh_voters_add(&first, "entry-1");
+	bsh_voters_add(&first, "entry-3");
 	bsh_voters_add(&second, "entry-1");
 	bsh_voters_add(&second, "entry-2");
 	bsh_lease_init(&lease, "entry-1", LEASE_MS, 0, 0);
@@ -663,11 +664,40 @@
 			       revision++, now_us);
 		g_assert_true(bsh_voters_equal(&lease.voters, &second));
 		if (now_us < BSH_LEASE_FORMER_VOTERS_US + SECOND)
-			g_assert_cmpuint(lease.former_voters.n, ==, 1);
+			g_assert_cmpuint(lease.former_voters.n, ==, 2);
 	}
 	g_assert_cmpuint(lease.former_voters.n, ==, 0);
 }
 
+/* Guards against a successor that cannot be extended for half a minute, as the
+ * first object named its lost holder alone; and against trust in such an object
+ * after a restore. */
+static void test_first_voter(void)
+{
+	bsh_voters_t first = { .n = 0 };
+	bsh_voters_t all = { .n = 0 };
+	bsh_voters_t none = { .n = 0 };
+	bsh_lease_t lease;
+
+	bsh_voters_add(&first, "entry-1");
+	bsh_voters_add(&all, "entry-1");
+	bsh_voters_add(&all, "entry-2");
+	bsh_lease_init(&lease, "entry-1", LEASE_MS, 0, 0);
+	bsh_lease_set_candidates(&lease, &first);
+	bsh_lease_next(&lease, 0);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-1", true, 10, 1000);
+	bsh_lease_set_candidates(&lease, &all);
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND), ==, BSH_LEASE_REPLACE);
+	g_assert_true(bsh_voters_equal(&lease.voters, &all));
+	g_assert_cmpuint(lease.former_voters.n, ==, 0);
+	bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
+	bsh_lease_announced(&lease, "entry-1", true, 10, SECOND);
+	read_object(&lease, "entry-1", 10, 4 * SECOND);
+	bsh_lease_set_restored(&lease, 10);
+	bsh_lease_set_voters(&lease, 10, &first, &none);
+	g_assert_cmpuint(lease.voters.n, ==, 0);
+}
+
 /* Guards against a successor that waits for the longest extension as the former
  * voters are gone, although a majority of the voters supports it; and against a
  * shorter wait if the object may be from before a restore. */
@@ -1655,6 +1685,7 @@
 	g_test_add_func("/quorum/promise", test_promise);
 	g_test_add_func("/voters/candidates", test_candidates);
 	g_test_add_func("/lease/change-of-voters", test_change_of_voters);
+	g_test_add_func("/lease/first-voter", test_first_voter);
 	g_test_add_func("/lease/former-voters-are-gone",
 			test_former_voters_are_gone);
 	g_test_add_func("/lease/successor-keeps-voters",
