--- a/regress/test_configurations.c
+++ b/regress/test_configurations.c
@@ -241,6 +241,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
 	g_test_add_func("/configurations/walk", test_walk);
 	g_test_add_func("/configurations/unknown-adapter",
 			test_unknown_adapter);
--- a/regress/test_planned_stop.c
+++ b/regress/test_planned_stop.c
@@ -307,6 +307,7 @@
 					.holder = true };
 
 	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
 	g_test_add_func("/run-time/fits", test_fits);
 	g_test_add_func("/run-time/windows", test_windows);
 	g_test_add_data_func("/planned-stop/calm", &calm, test_stop);
