logs: when a configuration was heard of, adopted and taken; late requests

The four ways in which a configuration can be out of force could not be told apart: an adoption did not say when the version was first heard of, nothing said when the traffic thread took it, and a request's line did not name the time of its route by the version that decided.

--- a/bshentryd/catalog_exchange.c
+++ b/bshentryd/catalog_exchange.c
@@ -146,9 +146,20 @@
 	if (exchange->fetch.wanted == wanted)
 		return;
 	g_strlcpy(exchange->teller, instance, sizeof(exchange->teller));
+	bsh_log(BSH_LOG_INFO,
+		"configuration-told version=%" G_GUINT64_FORMAT
+		" before=%" G_GUINT64_FORMAT " told_by=%s",
+		version, exchange->fetch.known, instance);
 	schedule(exchange);
 }
 
+int64_t catalog_exchange_told_us(const catalog_exchange_t *exchange)
+{
+	return exchange->fetch.wanted > 0 ? control_now_us(exchange->control) -
+						    exchange->fetch.told_us
+					  : -1;
+}
+
 bool catalog_exchange_is_behind(const catalog_exchange_t *exchange)
 {
 	return exchange->fetch.wanted > 0;
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -94,12 +94,16 @@
 {
 	uint64_t old =
 		catalogs->current != NULL ? catalogs->current->version : 0;
+	int64_t told_us =
+		catalog_exchange_told_us(catalogs->control->catalog_exchange);
 
 	bsh_log(BSH_LOG_INFO,
 		"configuration-adopted version=%" G_GUINT64_FORMAT
-		" before=%" G_GUINT64_FORMAT " routes=%u services=%u source=%s",
+		" before=%" G_GUINT64_FORMAT
+		" routes=%u services=%u source=%s told_ms=%d",
 		catalog->version, old, catalog->routes->len,
-		catalog->services->len, source);
+		catalog->services->len, source,
+		told_us >= 0 ? (int)(told_us / 1000) : -1);
 	bsh_counter_add(&adopted, 1);
 	bsh_counter_set(&version_gauge, (int64_t)catalog->version);
 	bsh_catalog_unref(catalogs->current);
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -65,6 +65,7 @@
 	message = g_new0(traffic_view_msg_t, 1);
 	message->traffic = control->entry->traffic;
 	message->view = view_new(catalog);
+	message->built_us = bsh_loop_clock_us();
 	message->view->instances = peers_instance_count(control->peers);
 	message->view->listed = targets_listed(control->targets);
 	message->view->cut = cut_peers_is_cut(
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -135,6 +135,9 @@
 /* Notes the version that an instance reports to have in force. */
 void catalog_exchange_note_version(catalog_exchange_t *exchange,
 				   const char *instance, uint64_t version);
+/* Time since an instance told of the newer version that is being fetched; -1:
+ * none is. */
+int64_t catalog_exchange_told_us(const catalog_exchange_t *exchange);
 /* True while an instance is known to have a newer version. */
 bool catalog_exchange_is_behind(const catalog_exchange_t *exchange);
 /* Handle DOCUMENT_QUERY and DOCUMENT_PART. */
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -166,6 +166,7 @@
 typedef struct {
 	traffic_t *traffic;
 	view_t *view;
+	int64_t built_us; /* loop clock */
 } traffic_view_msg_t;
 /* traffic_set_view - called by bsh_loop_post() with a traffic_view_msg_t. */
 void traffic_set_view(void *view);
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -30,6 +30,10 @@
 	BSH_COUNTER("bsh_requests_unanswered_total",
 		    "Requests whose response was cut off by this instance.");
 
+static bsh_counter_t overdue = BSH_COUNTER(
+	"bsh_requests_overdue_total",
+	"Requests that ended later than 0.5 s after their route's time.");
+
 static const char *const kind_names[] = {
 	[BSH_KIND_REPEATABLE] = "repeatable",
 	[BSH_KIND_AT_MOST_ONCE] = "once",
@@ -65,6 +69,9 @@
 	return at_us > 0 ? MAX(traffic_now_us(r->traffic) - at_us, 0) : -1;
 }
 
+/* An operator's bound on answers counts from the time of the route. */
+#define OVERDUE_US INT64_C(500000)
+
 static int to_ms(int64_t us)
 {
 	return us >= 0 ? (int)(us / 1000) : -1;
@@ -90,7 +97,8 @@
 		"request id=%s route=%s kind=%s model=%s end=%s status=%d "
 		"reason=%s target=%s software=%s began_by=%s after_event=%s "
 		"sends=%u tried=%u repeat=%s waited_ms=%d "
-		"first_ms=%d total_ms=%d left_ms=%d config=%" G_GUINT64_FORMAT
+		"first_ms=%d total_ms=%d left_ms=%d timeout_ms=%u "
+		"config=%" G_GUINT64_FORMAT
 		" config_age_ms=%d targets_age_ms=%d view=%" G_GUINT64_FORMAT,
 		r->info.attempt_id, r->route != NULL ? r->route->name : "-",
 		r->route != NULL ? kind_names[r->route->kind] : "-",
@@ -103,6 +111,7 @@
 		r->first_byte_us > 0 ? to_ms(r->first_byte_us - r->arrived_us)
 				     : -1,
 		to_ms(now_us - r->arrived_us), (int)forward_time_left_ms(r),
+		r->route != NULL ? r->route->timeout_ms : 0,
 		r->catalog != NULL ? r->catalog->version : 0,
 		to_ms(age_us(r, &freshness->config_us)),
 		to_ms(age_us(r, &freshness->targets_us)),
@@ -114,8 +123,10 @@
 	const freshness_t *freshness = &r->traffic->entry->freshness;
 	bsh_route_kind_t kind = r->route->kind;
 
-	bsh_histogram_observe(&total_time[kind],
-			      traffic_now_us(r->traffic) - r->arrived_us);
+	int64_t now_us = traffic_now_us(r->traffic);
+
+	bsh_counter_add(&overdue, now_us - r->timeout_us > OVERDUE_US);
+	bsh_histogram_observe(&total_time[kind], now_us - r->arrived_us);
 	bsh_histogram_observe(&wait_time[kind], r->waited_us);
 	if (r->first_byte_us > 0)
 		bsh_histogram_observe(&first_time[kind],
@@ -259,5 +270,6 @@
 	bsh_counter_register(&begun);
 	bsh_counter_register(&open_gauge);
 	bsh_counter_register(&unanswered);
+	bsh_counter_register(&overdue);
 	register_histograms();
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -19,6 +19,9 @@
 #define HELD_INTERVAL_US INT64_C(25000)
 static bsh_counter_t waiting_gauge = BSH_GAUGE(
 	"bsh_requests_waiting", "Requests that wait for a model or a target.");
+static bsh_counter_t version_gauge =
+	BSH_GAUGE("bsh_configuration_in_use_version",
+		  "Version of the configuration that requests are routed by.");
 
 static void dispatch(request_t *r);
 
@@ -534,6 +537,22 @@
 	}
 }
 
+static void log_configuration(const traffic_t *t, const view_t *before,
+			      int64_t built_us)
+{
+	uint64_t version = t->view->catalog->version;
+	uint64_t old = before != NULL ? before->catalog->version : 0;
+
+	bsh_counter_set(&version_gauge, (int64_t)version);
+	if (version == old)
+		return;
+	bsh_log(BSH_LOG_INFO,
+		"configuration-in-use version=%" G_GUINT64_FORMAT
+		" before=%" G_GUINT64_FORMAT " taken_ms=%d waiting=%u",
+		version, old, (int)((traffic_now_us(t) - built_us) / 1000),
+		t->waiting.length);
+}
+
 void traffic_set_view(void *data)
 {
 	traffic_view_msg_t *message = data;
@@ -543,6 +562,7 @@
 	before = t->view;
 	t->view = message->view;
 	t->view_number++;
+	log_configuration(t, before, message->built_us);
 	g_free(message);
 	target_pick_view_changed(t);
 	target_end_view_changed(t);
@@ -588,6 +608,7 @@
 	retry_register();
 	limits_register();
 	bsh_counter_register(&waiting_gauge);
+	bsh_counter_register(&version_gauge);
 	entry->traffic = t;
 	t->entry = entry;
 	t->loop = &entry->traffic_loop;
