store_reader: decide and vouch for targets and the configuration apart

Callers of all instances were served by a configuration that was older than the bound, without end, while the store answered the lease holder about the targets and not about the configuration: a connection that hangs, a lost answer, a list that is slow on a narrow link.

Cause: READER names one age, that of the answers about targets, and receivers took it as that of the configuration. All heard that it was fresh, so nobody else read it.

The two kinds are decided by two store_reader now, each with its own ages. READER_CONFIG, sent after each answer about the configuration, vouches for it; builds that do not know it drop it, and are not vouched for by READER any more. A watch of the configuration takes 0.5 s at most, so that one lost message starts no other reader and the last instance reads within 1.5 s. The configuration is also read while the own list of targets is not complete, unless the last call about it failed. A document that cannot be read is not vouched for.

The age of the configuration stood still while a newer one was on its way, and rose to seconds in a series of changes that each spread in a third of a second. lib/coordination/confirmation keeps the moment for which the coming version was vouched and counts it from its adoption on.

--- a/bshentryd/catalog_exchange.c
+++ b/bshentryd/catalog_exchange.c
@@ -160,11 +160,6 @@
 					  : -1;
 }
 
-bool catalog_exchange_is_behind(const catalog_exchange_t *exchange)
-{
-	return exchange->fetch.wanted > 0;
-}
-
 void catalog_exchange_receive_query(catalog_exchange_t *exchange,
 				    const char *sender,
 				    const bsh_msg_document_query_t *query)
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -10,9 +10,10 @@
 #include "base/log.h"
 #include "platform/decode.h"
 
-/* Longest wait of one watch.  Those that read the store do so for all, and a
- * watch that the store has lost returns no change until it is renewed. */
-#define WATCH_TIMEOUT_MS 1500U
+/* Longest wait of one watch.  A watch that the store has lost returns no change
+ * until it is renewed, and the other instances read for themselves once no answer
+ * has come for twice this time. */
+#define WATCH_TIMEOUT_MS 500U
 /* Largest configuration as text, and the size of the number of its bytes in
  * front of the packed one. */
 #define TEXT_MAX_BYTES	  (8U << 20)
@@ -23,6 +24,7 @@
 	feed_t feed;
 	bsh_catalog_t *current;
 	GBytes *packed; /* of the current one, for other instances */
+	bool unusable;	/* what the store has cannot be read */
 };
 
 static bsh_counter_t adopted = BSH_COUNTER("bsh_configurations_adopted_total",
@@ -113,14 +115,16 @@
 }
 
 /* Returns the configuration if it is newer than the one in force; logs one that
- * cannot be read, of this revision or from an instance. */
+ * cannot be read, of this revision or from an instance, and sets *unusable. */
 static bsh_catalog_t *decode_newer(const catalogs_t *catalogs,
-				   const json_t *spec, uint64_t revision)
+				   const json_t *spec, uint64_t revision,
+				   bool *unusable)
 {
 	g_autoptr(GString) problem = g_string_new(NULL);
 	bsh_catalog_t *catalog = platform_decode_catalog(spec, problem);
 
-	if (catalog == NULL) {
+	*unusable = catalog == NULL;
+	if (*unusable) {
 		bsh_counter_add(&rejected, 1);
 		bsh_log(BSH_LOG_ERROR,
 			"configuration-unusable revision=%" G_GUINT64_FORMAT
@@ -144,7 +148,8 @@
 	(void)list;
 	if (object->deleted || g_strcmp0(object->name, "main") != 0)
 		return;
-	catalog = decode_newer(catalogs, object->spec, object->revision);
+	catalog = decode_newer(catalogs, object->spec, object->revision,
+			       &catalogs->unusable);
 	if (catalog == NULL)
 		return;
 	adopt(catalogs, catalog, pack(object->spec), "store");
@@ -156,9 +161,10 @@
 	json_t *spec = unpack(packed);
 	bsh_catalog_t *catalog;
 	bool readable = spec != NULL;
+	bool unusable;
 
 	if (readable) {
-		catalog = decode_newer(catalogs, spec, 0);
+		catalog = decode_newer(catalogs, spec, 0, &unusable);
 		if (catalog != NULL)
 			adopt(catalogs, catalog, g_bytes_ref(packed),
 			      "instance");
@@ -182,6 +188,13 @@
 					    catalogs->feed.list_began_us);
 }
 
+static void on_complete(void *ctx)
+{
+	const catalogs_t *catalogs = ctx;
+
+	store_reading_tell_config(catalogs->control->store_reading);
+}
+
 static void on_resync_needed(void *ctx)
 {
 	const catalogs_t *catalogs = ctx;
@@ -195,6 +208,7 @@
 	feed_ops_t ops = { .on_object = on_object,
 			   .on_listed = on_listed,
 			   .on_resync_needed = on_resync_needed,
+			   .on_complete = on_complete,
 			   .ctx = catalogs,
 			   .wait_ms = WATCH_TIMEOUT_MS };
 
@@ -243,14 +257,9 @@
 	feed_set_backoff_max(&catalogs->feed, backoff_max_us);
 }
 
-bool catalogs_listed(const catalogs_t *catalogs)
-{
-	return catalogs->feed.complete_us != 0;
-}
-
-int64_t catalogs_confirmed_us(const catalogs_t *catalogs)
+int64_t catalogs_complete_us(const catalogs_t *catalogs)
 {
-	return catalogs->feed.answered_us;
+	return catalogs->unusable ? 0 : catalogs->feed.complete_us;
 }
 
 bsh_catalog_t *catalogs_current(const catalogs_t *catalogs)
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -88,6 +88,7 @@
 	orders_set_catalog(control->orders, catalog);
 	peers_set_version(control->peers, catalog->version);
 	catalog_exchange_adopted(control->catalog_exchange, catalog->version);
+	store_reading_adopted(control->store_reading, catalog->version);
 	control_schedule_view(control);
 }
 
@@ -185,6 +186,10 @@
 	} else if (message->type == BSH_MSG_READER) {
 		store_reading_receive(control->store_reading, message->sender,
 				      &message->reader);
+	} else if (message->type == BSH_MSG_READER_CONFIG) {
+		store_reading_receive_config(control->store_reading,
+					     message->sender,
+					     &message->reader_config);
 	} else if (message->type == BSH_MSG_READER_TARGETS) {
 		store_reading_receive_targets(control->store_reading,
 					      &message->reader_targets);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -105,16 +105,15 @@
 void catalogs_free(catalogs_t *catalogs);
 /* NULL before the first configuration has been read. */
 bsh_catalog_t *catalogs_current(const catalogs_t *catalogs);
-/* Last answer of the store about the configuration, loop clock; 0: none. */
-int64_t catalogs_confirmed_us(const catalogs_t *catalogs);
+/* Time for which the store has shown no newer configuration than the one in force,
+ * loop clock; 0: never, or what it has cannot be read. */
+int64_t catalogs_complete_us(const catalogs_t *catalogs);
 /* Reads the configuration from the store once, also while other instances are
  * the source. */
 void catalogs_read_once(catalogs_t *catalogs);
 /* Selects whether this instance follows the configuration in the store. */
 void catalogs_set_source(catalogs_t *catalogs, bool from_store);
 void catalogs_set_backoff_max(catalogs_t *catalogs, int64_t backoff_max_us);
-/* True once the store has been read, whether or not it had a configuration. */
-bool catalogs_listed(const catalogs_t *catalogs);
 /* The configuration in force, as catalogs_adopt_packed() takes it; NULL: there
  * is none, or it is too large. */
 GBytes *catalogs_packed(const catalogs_t *catalogs);
@@ -138,8 +137,6 @@
 /* Time since an instance told of the newer version that is being fetched; -1:
  * none is. */
 int64_t catalog_exchange_told_us(const catalog_exchange_t *exchange);
-/* True while an instance is known to have a newer version. */
-bool catalog_exchange_is_behind(const catalog_exchange_t *exchange);
 /* Handle DOCUMENT_QUERY and DOCUMENT_PART. */
 void catalog_exchange_receive_query(catalog_exchange_t *exchange,
 				    const char *sender,
@@ -151,7 +148,7 @@
 store_reading_t *store_reading_new(control_t *control);
 void store_reading_free(store_reading_t *reading);
 void store_reading_tick(store_reading_t *reading);
-/* True if the list of targets and the configuration are read from the store. */
+/* True if the list of targets is read from the store. */
 bool store_reading_active(const store_reading_t *reading);
 /* Notes that the lease holder's list was complete this long ago. */
 void store_reading_note_holder_list(store_reading_t *reading, int64_t age_us);
@@ -161,8 +158,14 @@
 /* Last time at which the store, or an instance that reads it, confirmed that the
  * configuration in force here is the newest, loop clock; 0: never. */
 int64_t store_reading_config_us(const store_reading_t *reading);
+/* Sends READER_CONFIG now, if this instance reads the configuration. */
+void store_reading_tell_config(store_reading_t *reading);
+/* A configuration is in force. */
+void store_reading_adopted(store_reading_t *reading, uint64_t version);
 /* Sends READER now. */
 void store_reading_tell(store_reading_t *reading);
+void store_reading_receive_config(store_reading_t *reading, const char *sender,
+				  const bsh_msg_reader_config_t *message);
 /* Handle READER and READER_TARGETS. */
 void store_reading_receive(store_reading_t *reading, const char *sender,
 			   const bsh_msg_reader_t *message);
@@ -222,6 +225,9 @@
 /* Notes that all announcements of a lease holder have been applied, and the age
  * of the holder's contact with the store by its message. */
 void targets_note_announced(targets_t *targets, int64_t contact_age_us);
+/* True while the list is read from the store directly, and the last call to it
+ * has failed. */
+bool targets_store_fails(const targets_t *targets);
 /* True while the list is read from the store directly and the store answers. */
 bool targets_is_synced(const targets_t *targets);
 /* Time by which the store should have answered the current watch on the list,
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -121,6 +121,13 @@
 		feed->ops.on_object(feed->ops.ctx, &answer->objects[i], list);
 }
 
+static void note_complete(feed_t *feed, int64_t at_us)
+{
+	feed->complete_us = at_us;
+	if (feed->ops.on_complete != NULL)
+		feed->ops.on_complete(feed->ops.ctx);
+}
+
 static void on_list(void *ctx, const platform_answer_t *answer)
 {
 	feed_t *feed = end_call(ctx);
@@ -149,7 +156,7 @@
 	feed->revision = feed->first_page_revision;
 	feed->listing = false;
 	feed->ops.on_listed(feed->ops.ctx, feed->list);
-	feed->complete_us = feed->list_began_us;
+	note_complete(feed, feed->list_began_us);
 	if (feed->once) {
 		feed_pause(feed);
 		return;
@@ -189,7 +196,7 @@
 	set_store_reached(feed, true, answer);
 	feed->backoff_us = FEED_BACKOFF_MIN_US;
 	deliver_objects(feed, answer, 0);
-	feed->complete_us = feed->answered_us;
+	note_complete(feed, feed->answered_us);
 	feed->revision = MAX(feed->revision, answer->revision);
 	schedule_call(feed, MAX(feed->watch_began_us + feed->ops.pace_us -
 					bsh_loop_clock_us(),
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -37,6 +37,9 @@
 	/* The store answers again after a failure, or has compacted its
 	 * history: the watches of other kinds may have missed changes too. */
 	void (*on_resync_needed)(void *ctx);
+	/* complete_us has advanced: all changes up to then were passed on; or
+	 * NULL. */
+	void (*on_complete)(void *ctx);
 	void *ctx;
 	/* Longest duration of a watch without a change.  It also bounds the
 	 * time for which a change goes unnoticed when the store has lost the
--- a/bshentryd/store_reading.c
+++ b/bshentryd/store_reading.c
@@ -6,6 +6,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/confirmation.h"
 #include "coordination/store_reader.h"
 
 /* Interval of READER while this instance reads without holding the order lease,
@@ -24,24 +25,33 @@
 
 struct store_reading {
 	control_t *control;
-	bsh_store_reader_t reader;
+	bsh_store_reader_t targets;
+	bsh_store_reader_t config;
+	bsh_confirmation_t confirmation; /* loop clock */
 	bsh_loop_timer_t change_timer;
 	GPtrArray *changed; /* ids of targets whose state has changed */
 	int64_t told_us;    /* last READER sent */
-	int64_t config_us; /* the own configuration was the newest, loop clock */
-	bool has_applied;  /* what a READER told, since the last full list */
-	bool was_reading;  /* at the last tick */
+	bool has_applied;   /* what a READER told, since the last full list */
+	/* At the last tick. */
+	bool read_targets;
+	bool read_config;
 };
 
-static bsh_counter_t reading_gauge = BSH_GAUGE(
-	"bsh_store_reading", "1 while this instance follows the store itself.");
+static bsh_counter_t reading_gauge =
+	BSH_GAUGE("bsh_store_reading",
+		  "1 while this instance follows the list of targets in the "
+		  "store itself.");
+static bsh_counter_t reading_config_gauge =
+	BSH_GAUGE("bsh_store_reading_configuration",
+		  "1 while this instance follows the configuration in the "
+		  "store itself.");
 
 static void on_change(void *ctx)
 {
 	store_reading_t *reading = ctx;
 
 	store_reading_tell(reading);
-	if (reading->reader.reading)
+	if (reading->targets.reading)
 		announcer_tell_targets(reading->control->announcer,
 				       reading->changed);
 	g_ptr_array_set_size(reading->changed, 0);
@@ -50,12 +60,16 @@
 store_reading_t *store_reading_new(control_t *control)
 {
 	store_reading_t *reading = g_new0(store_reading_t, 1);
+	int64_t drain_us =
+		control->entry->settings.entry_drain_ms * INT64_C(1000);
 
 	bsh_counter_register(&reading_gauge);
+	bsh_counter_register(&reading_config_gauge);
 	reading->control = control;
-	bsh_store_reader_init(&reading->reader,
-			      control->entry->settings.entry_drain_ms *
-				      INT64_C(1000));
+	bsh_store_reader_init(&reading->targets, BSH_STORE_TARGETS, drain_us);
+	bsh_store_reader_init(&reading->config, BSH_STORE_CONFIGURATION,
+			      drain_us);
+	bsh_confirmation_init(&reading->confirmation);
 	reading->changed = g_ptr_array_new_with_free_func(g_free);
 	bsh_loop_timer_init(&reading->change_timer, control->loop, on_change,
 			    reading);
@@ -71,21 +85,43 @@
 
 bool store_reading_active(const store_reading_t *reading)
 {
-	return reading->reader.reading;
+	return reading->targets.reading;
 }
 
 int64_t store_reading_config_us(const store_reading_t *reading)
 {
-	return MAX(reading->config_us,
-		   catalogs_confirmed_us(reading->control->catalogs));
+	return MAX(reading->confirmation.confirmed_us,
+		   catalogs_complete_us(reading->control->catalogs));
 }
 
-/* True if this instance may vouch for what it reads. */
+void store_reading_adopted(store_reading_t *reading, uint64_t version)
+{
+	bsh_confirmation_adopted(&reading->confirmation, version);
+}
+
+void store_reading_tell_config(store_reading_t *reading)
+{
+	const control_t *control = reading->control;
+	const bsh_catalog_t *catalog = catalogs_current(control->catalogs);
+	int64_t complete_us = catalogs_complete_us(control->catalogs);
+	int64_t age_us = bsh_loop_clock_us() - complete_us;
+	bsh_message_t message = { .type = BSH_MSG_READER_CONFIG };
+
+	if (!reading->config.reading || !reading->config.started ||
+	    catalog == NULL || complete_us == 0)
+		return;
+	message.reader_config.version = catalog->version;
+	message.reader_config.age_ms =
+		(uint32_t)CLAMP(age_us / 1000, 0, UINT32_MAX);
+	peers_broadcast(control->peers, &message);
+}
+
+/* True if this instance may vouch for the list of targets that it reads. */
 static bool reads_for_others(const store_reading_t *reading)
 {
 	const control_t *control = reading->control;
 
-	return reading->reader.reading && reading->reader.started &&
+	return reading->targets.reading && reading->targets.started &&
 	       targets_is_synced(control->targets) &&
 	       bsh_loop_clock_us() - targets_answered_us(control->targets) <
 		       CONTACT_MAX_AGE_US;
@@ -137,8 +173,8 @@
 
 void store_reading_note_holder_list(store_reading_t *reading, int64_t age_us)
 {
-	bsh_store_reader_note_list(&reading->reader, true,
-				   control_now_us(reading->control) - age_us);
+	bsh_store_reader_note(&reading->targets, true,
+			      control_now_us(reading->control) - age_us);
 }
 
 void store_reading_receive(store_reading_t *reading, const char *sender,
@@ -152,17 +188,26 @@
 	platform_store_note_revision(&control->store, message->revision);
 	catalog_exchange_note_version(control->catalog_exchange, sender,
 				      message->config_version);
-	bsh_store_reader_note_config(&reading->reader, from_holder, at_us);
-	if (!catalog_exchange_is_behind(control->catalog_exchange))
-		reading->config_us =
-			MAX(reading->config_us,
-			    bsh_loop_clock_us() -
-				    message->contact_age_ms * INT64_C(1000));
-	bsh_store_reader_note_list(&reading->reader, from_holder, at_us);
+	bsh_store_reader_note(&reading->targets, from_holder, at_us);
 	if (targets_apply_reader(control->targets, message))
 		reading->has_applied = true;
 }
 
+void store_reading_receive_config(store_reading_t *reading, const char *sender,
+				  const bsh_msg_reader_config_t *message)
+{
+	control_t *control = reading->control;
+	int64_t age_us = message->age_ms * INT64_C(1000);
+	bool from_holder = strcmp(sender, orders_holder(control->orders)) == 0;
+
+	catalog_exchange_note_version(control->catalog_exchange, sender,
+				      message->version);
+	bsh_confirmation_note(&reading->confirmation, message->version,
+			      bsh_loop_clock_us() - age_us);
+	bsh_store_reader_note(&reading->config, from_holder,
+			      control_now_us(control) - age_us);
+}
+
 void store_reading_receive_targets(store_reading_t *reading,
 				   const bsh_msg_reader_targets_t *message)
 {
@@ -175,28 +220,27 @@
 static void request_list_if_applied(store_reading_t *reading)
 {
 	if (!reading->has_applied ||
-	    !bsh_store_reader_holder_serves(&reading->reader,
+	    !bsh_store_reader_holder_serves(&reading->targets,
 					    control_now_us(reading->control)))
 		return;
 	reading->has_applied = false;
 	orders_request_list(reading->control->orders);
 }
 
-static int64_t own_reading_us(const store_reading_t *reading)
+/* A time of the loop clock on that of control_now_us(); 0: never. */
+static int64_t to_control_us(const control_t *control, int64_t loop_us)
 {
-	const control_t *control = reading->control;
-	int64_t complete_us = targets_complete_us(control->targets);
-
-	if (complete_us == 0 || !catalogs_listed(control->catalogs))
-		return 0;
-	return control_now_us(control) - (bsh_loop_clock_us() - complete_us);
+	return loop_us > 0 ? control_now_us(control) -
+				     (bsh_loop_clock_us() - loop_us)
+			   : 0;
 }
 
 static void set_sources(store_reading_t *reading, uint32_t rank,
 			uint32_t instances)
 {
 	control_t *control = reading->control;
-	bool active = reading->reader.reading;
+	bool targets = reading->targets.reading;
+	bool config = reading->config.reading;
 	bool holder = orders_is_holder(control->orders);
 	int64_t backoff_max_us =
 		bsh_store_reader_backoff_max_us(rank, instances);
@@ -204,19 +248,22 @@
 	targets_set_backoff_max(control->targets, backoff_max_us);
 	catalogs_set_backoff_max(control->catalogs, backoff_max_us);
 	targets_set_wait(control->targets,
-			 active && !holder ? WATCH_WAIT_MS : 0);
+			 targets && !holder ? WATCH_WAIT_MS : 0);
 	/* While the store does not answer, one kind of call shows when it does
 	 * again. */
 	catalogs_set_source(
 		control->catalogs,
-		!reading->reader.started ||
-			(active && targets_is_synced(control->targets)));
-	if (active == reading->was_reading)
+		!reading->config.started ||
+			(config && !targets_store_fails(control->targets)));
+	if (targets == reading->read_targets && config == reading->read_config)
 		return;
-	reading->was_reading = active;
-	bsh_counter_set(&reading_gauge, active);
-	bsh_log(BSH_LOG_INFO, "store-reading active=%d rank=%u instances=%u",
-		active, rank, instances);
+	reading->read_targets = targets;
+	reading->read_config = config;
+	bsh_counter_set(&reading_gauge, targets);
+	bsh_counter_set(&reading_config_gauge, config);
+	bsh_log(BSH_LOG_INFO,
+		"store-reading active=%d config=%d rank=%u instances=%u",
+		targets, config, rank, instances);
 }
 
 void store_reading_tick(store_reading_t *reading)
@@ -227,14 +274,18 @@
 	bsh_store_reader_input_t input = {
 		.holder = orders_is_holder(control->orders),
 		.rank = peers_rank(control->peers, RANK_KEY, &instances),
-		.own_us = own_reading_us(reading),
 	};
 
-	bsh_store_reader_decide(&reading->reader, &input, now_us);
+	input.own_us =
+		to_control_us(control, targets_complete_us(control->targets));
+	bsh_store_reader_decide(&reading->targets, &input, now_us);
+	input.own_us =
+		to_control_us(control, catalogs_complete_us(control->catalogs));
+	bsh_store_reader_decide(&reading->config, &input, now_us);
 	set_sources(reading, input.rank, instances);
 	if (now_us - reading->told_us >=
 	    (input.holder ? HOLDER_TELL_INTERVAL_US : TELL_INTERVAL_US))
 		store_reading_tell(reading);
-	if (!reading->reader.reading)
+	if (!reading->targets.reading)
 		request_list_if_applied(reading);
 }
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -653,6 +653,12 @@
 	       !targets->feed.paused;
 }
 
+bool targets_store_fails(const targets_t *targets)
+{
+	return !targets->feed.paused &&
+	       targets->feed.failed_us > targets->feed.answered_us;
+}
+
 void targets_note_announced(targets_t *targets, int64_t contact_age_us)
 {
 	/* The holder's age counts from the time at which its watch should have
--- a/lib/coordination/store_reader.h
+++ b/lib/coordination/store_reader.h
@@ -3,7 +3,8 @@
 
 /*
  * NAME
- *	store_reader - whether an instance follows the platform's store itself
+ *	store_reader - whether an instance follows a kind of object in the
+ *	platform's store itself
  *
  * DESCRIPTION
  *	Each call to the store is charged and counts toward a rate, and each
@@ -16,8 +17,12 @@
  *	order of a rank that all instances compute alike: the first two, then
  *	the first eight, the first thirty-two, and only then all that have still
  *	heard nothing, so that the work is done by two instances unless those
- *	fail, too.  The last stage is within the drain time of a target, so that
- *	an instance that hears no other one reads in time.
+ *	fail, too.  The last stage is within the time by which a change has to
+ *	be known, so that an instance that hears no other one reads in time.
+ *
+ *	Each kind is decided on its own: the store may answer a reader about one
+ *	kind and not about the other, and who vouches for both by the answers
+ *	about one vouches for what it has not read.
  *
  *	An instance that reads and hears of another reader that does as well
  *	stops after a while.  The first two stop only for the holder: each would
@@ -35,20 +40,21 @@
 /* Instances that read first when the holder does not. */
 #define BSH_STORE_READERS 2U
 
-typedef struct {
-	int64_t list_us;   /* the list of targets was complete then */
-	int64_t config_us; /* the configuration was the newest one then */
-} bsh_store_reader_news_t;
+typedef enum {
+	BSH_STORE_TARGETS,	/* the list of targets */
+	BSH_STORE_CONFIGURATION /* the configuration */
+} bsh_store_kind_t;
 
 typedef struct {
+	bsh_store_kind_t kind;
 	int64_t drain_us;	/* drain time of a target */
 	bool reading;		/* as last decided */
 	bool started;		/* the first own list is complete */
 	int64_t fresh_since_us; /* since when another reader serves; 0: none */
 	/* Newest moments for which the lease holder has vouched, and any other
-	 * instance, the holder included. */
-	bsh_store_reader_news_t holder_news;
-	bsh_store_reader_news_t news;
+	 * instance, the holder included; 0: none. */
+	int64_t holder_us;
+	int64_t news_us;
 } bsh_store_reader_t;
 
 typedef struct {
@@ -60,18 +66,15 @@
 
 /* bsh_store_reader_init - begins as one that reads, until its first list is
  * complete: it has nothing to follow. */
-void bsh_store_reader_init(bsh_store_reader_t *reader, int64_t drain_us);
-
-/* bsh_store_reader_note_list - another instance's list was complete then. */
-void bsh_store_reader_note_list(bsh_store_reader_t *reader, bool from_holder,
-				int64_t complete_us);
+void bsh_store_reader_init(bsh_store_reader_t *reader, bsh_store_kind_t kind,
+			   int64_t drain_us);
 
-/* bsh_store_reader_note_config - another instance tells each newer configuration
- * that it reads, and its reading was recent then. */
-void bsh_store_reader_note_config(bsh_store_reader_t *reader, bool from_holder,
-				  int64_t at_us);
+/* bsh_store_reader_note - another instance vouches for what it had of this kind
+ * at that moment. */
+void bsh_store_reader_note(bsh_store_reader_t *reader, bool from_holder,
+			   int64_t at_us);
 
-/* bsh_store_reader_holder_serves - true while the holder's list is recent. */
+/* bsh_store_reader_holder_serves - true while what the holder has is recent. */
 bool bsh_store_reader_holder_serves(const bsh_store_reader_t *reader,
 				    int64_t now_us);
 
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -378,6 +378,11 @@
 	END
 };
 
+static const field_t reader_config_fields[] = {
+	U64(bsh_msg_reader_config_t, version),
+	U32(bsh_msg_reader_config_t, age_ms), END
+};
+
 static const field_t document_query_fields[] = {
 	U64(bsh_msg_document_query_t, known),
 	U64(bsh_msg_document_query_t, version),
@@ -428,6 +433,7 @@
 	[BSH_MSG_PLACE_GRANTS] = { "PLACE_GRANTS", place_grants_fields },
 	[BSH_MSG_READER] = { "READER", reader_fields },
 	[BSH_MSG_READER_TARGETS] = { "READER_TARGETS", reader_targets_fields },
+	[BSH_MSG_READER_CONFIG] = { "READER_CONFIG", reader_config_fields },
 	[BSH_MSG_DOCUMENT_QUERY] = { "DOCUMENT_QUERY", document_query_fields },
 	[BSH_MSG_DOCUMENT_PART] = { "DOCUMENT_PART", document_part_fields },
 };
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -69,6 +69,7 @@
 	BSH_MSG_READER_TARGETS,
 	BSH_MSG_DOCUMENT_QUERY,
 	BSH_MSG_DOCUMENT_PART,
+	BSH_MSG_READER_CONFIG,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -517,7 +518,9 @@
 typedef struct {
 	uint64_t revision;	 /* newest one received from the store */
 	uint32_t contact_age_ms; /* since the store answered about the list */
-	uint64_t config_version; /* 0: none */
+	/* 0: none.  It does not vouch for being the newest one: READER_CONFIG
+	 * does. */
+	uint64_t config_version;
 	/* Targets that are leaving, and those whose entry is missing, by the
 	 * low 32 bits of the hashes of their ids, big-endian, 4 bytes each. */
 	const uint8_t *leaving;
@@ -533,6 +536,14 @@
 	uint32_t entry_count;
 } bsh_msg_reader_targets_t;
 
+/* READER_CONFIG: from an instance that reads the configuration to all others,
+ * after each answer of the store about it. */
+typedef struct {
+	uint64_t
+		version; /* in force at the sender; the store has no newer one */
+	uint32_t age_ms; /* since the store showed that */
+} bsh_msg_reader_config_t;
+
 /* DOCUMENT_QUERY: to an instance that may have a newer configuration. */
 typedef struct {
 	uint64_t known;	  /* version in force at the sender; 0: none */
@@ -615,6 +626,7 @@
 		bsh_msg_place_grants_t place_grants;
 		bsh_msg_reader_t reader;
 		bsh_msg_reader_targets_t reader_targets;
+		bsh_msg_reader_config_t reader_config;
 		bsh_msg_document_query_t document_query;
 		bsh_msg_document_part_t document_part;
 	};
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -162,6 +162,9 @@
 	case BSH_MSG_READER_TARGETS:
 		m.reader_targets = (bsh_msg_reader_targets_t){ placements, 1 };
 		break;
+	case BSH_MSG_READER_CONFIG:
+		m.reader_config = (bsh_msg_reader_config_t){ 5, 6 };
+		break;
 	case BSH_MSG_DOCUMENT_QUERY:
 		m.document_query = (bsh_msg_document_query_t){ 1, 2, 3 };
 		break;
--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -4,21 +4,26 @@
 #include <glib.h>
 #include <string.h>
 
+#include "coordination/confirmation.h"
 #include "coordination/document_fetch.h"
 #include "coordination/store_reader.h"
 
-#define MS	     INT64_C(1000)
-#define SECOND	     (1000 * MS)
-#define TICK_US	     (10 * MS)
-#define DECIDE_US    (50 * MS)
-#define PACE_US	     (200 * MS)
-#define DAY_US	     (40 * SECOND)
-#define WARM_UP_US   (4 * SECOND)
-#define CONTACT_US   (3 * SECOND)
-#define NODES_MAX    60 /* bits of fault_t.struck */
-#define FAULTS_MAX   6
-#define CHANGES_MAX  24
-#define MESSAGES_MAX 60000
+#define MS	  INT64_C(1000)
+#define SECOND	  (1000 * MS)
+#define TICK_US	  (10 * MS)
+#define DECIDE_US (50 * MS)
+#define PACE_US	  (200 * MS)
+/* A watch of the configuration without a change is answered after this time. */
+#define CONFIG_WAIT_US (500 * MS)
+/* Smallest bound of a deployment on the spread of a configuration. */
+#define CONFIG_BOUND_US (2 * SECOND)
+#define DAY_US		(40 * SECOND)
+#define WARM_UP_US	(4 * SECOND)
+#define CONTACT_US	(3 * SECOND)
+#define NODES_MAX	60 /* bits of fault_t.struck */
+#define FAULTS_MAX	6
+#define CHANGES_MAX	24
+#define MESSAGES_MAX	60000
 
 typedef enum {
 	FAULT_HOLDER_CUT,   /* the holder does not reach the store */
@@ -28,6 +33,9 @@
 	FAULT_KILLED,  /* the holder ends and starts again */
 	FAULT_APART,   /* two groups do not hear each other */
 	FAULT_ONE_WAY, /* some hear nobody, but are heard */
+	/* Calls of some about one kind get no answer. */
+	FAULT_TARGETS_SILENT,
+	FAULT_CONFIG_SILENT,
 	FAULT_KINDS
 } fault_kind_t;
 
@@ -38,13 +46,20 @@
 	uint64_t struck; /* bit N: instance N */
 } fault_t;
 
+/* Reading of one kind. */
 typedef struct {
 	bsh_store_reader_t reader;
-	bsh_document_fetch_t fetch;
-	int64_t began_us;
 	int64_t own_us;	 /* moment of the own reading; 0: none */
 	int64_t call_us; /* of the next call */
 	int64_t backoff_us;
+} reading_t;
+
+typedef struct {
+	reading_t targets;
+	reading_t configs;
+	bsh_document_fetch_t fetch;
+	bsh_confirmation_t confirmation;
+	int64_t began_us;
 	int64_t told_us;
 	uint32_t left; /* targets known to have left */
 	uint64_t config;
@@ -54,6 +69,7 @@
 
 typedef enum {
 	MESSAGE_READER,
+	MESSAGE_READER_CONFIG,
 	MESSAGE_QUERY,
 	MESSAGE_PART
 } message_kind_t;
@@ -69,6 +85,13 @@
 	uint64_t known;
 } message_t;
 
+/* How the instances read the store. */
+typedef enum {
+	FORM_SHARED, /* few for all */
+	FORM_ALONE,  /* each for itself */
+	FORM_ONE_AGE /* few for all, with one age for both kinds */
+} form_t;
+
 typedef struct {
 	GRand *rand;
 	int64_t now_us;
@@ -83,11 +106,14 @@
 	int64_t config_us[CHANGES_MAX];	 /* versions 1.. are accepted */
 	uint32_t n_changes;
 	bool naive; /* each instance reads for itself */
+	/* An instance vouches for both kinds by the answers about targets. */
+	bool one_age;
 	GArray *messages;
 	uint64_t calls;
 	uint32_t late_targets;
 	uint32_t late_configs;
 	uint32_t went_back;
+	uint32_t wrong_ages; /* confirmed while the store had a newer version */
 } day_t;
 
 static bool is_struck(const day_t *d, fault_kind_t kind, uint32_t node)
@@ -143,6 +169,7 @@
 {
 	d->went_back += config < node->config;
 	node->config = MAX(node->config, config);
+	bsh_confirmation_adopted(&node->confirmation, node->config);
 	bsh_document_fetch_set_known(&node->fetch, node->config);
 }
 
@@ -156,37 +183,82 @@
 			send(d, (message_t){ .kind = MESSAGE_READER,
 					     .from = from,
 					     .to = to,
-					     .list_us = node->own_us,
+					     .list_us = node->targets.own_us,
 					     .left = node->left,
 					     .config = node->config });
 }
 
-/* Reads the store; an instance that reads for others tells them what is new. */
-static void read_store(day_t *d, uint32_t i)
+static void tell_config(day_t *d, uint32_t from)
+{
+	const node_t *node = &d->nodes[from];
+
+	for (uint32_t to = 0; to < d->n; to++)
+		if (to != from)
+			send(d, (message_t){ .kind = MESSAGE_READER_CONFIG,
+					     .from = from,
+					     .to = to,
+					     .list_us = node->configs.own_us,
+					     .config = node->config });
+}
+
+/* True if the call is answered; a failed one is made again later. */
+static bool call_store(day_t *d, uint32_t i, reading_t *reading,
+		       fault_kind_t silent, int64_t pace_us)
+{
+	d->calls++;
+	if (!reaches_store(d, i) || is_struck(d, silent, i)) {
+		reading->backoff_us = CLAMP(reading->backoff_us * 2, 100 * MS,
+					    bsh_store_reader_backoff_max_us(
+						    d->naive ? 0 : i, d->n));
+		reading->call_us = d->now_us + reading->backoff_us;
+		return false;
+	}
+	reading->backoff_us = 50 * MS;
+	reading->call_us = d->now_us + pace_us;
+	reading->own_us = d->now_us;
+	return true;
+}
+
+static void read_targets(day_t *d, uint32_t i)
 {
 	node_t *node = &d->nodes[i];
 	uint32_t left = node->left;
-	uint64_t config = node->config;
 
-	d->calls++;
-	if (!reaches_store(d, i)) {
-		node->backoff_us = CLAMP(node->backoff_us * 2, 100 * MS,
-					 bsh_store_reader_backoff_max_us(
-						 d->naive ? 0 : i, d->n));
-		node->call_us = d->now_us + node->backoff_us;
+	if (!call_store(d, i, &node->targets, FAULT_TARGETS_SILENT, PACE_US))
 		return;
-	}
-	node->backoff_us = 50 * MS;
-	node->call_us = d->now_us + PACE_US;
-	node->own_us = d->now_us;
 	node->left =
 		MAX(left, count_until(d->leaving_us, d->n_changes, d->now_us));
-	adopt(d, node, count_until(d->config_us, d->n_changes, d->now_us));
-	if (!d->naive && node->reader.started &&
-	    (node->left > left || node->config > config))
+	if (!d->naive && node->targets.reader.started && node->left > left)
 		tell(d, i);
 }
 
+/* An instance that reads the configuration for others tells of each answer. */
+static void read_config(day_t *d, uint32_t i)
+{
+	node_t *node = &d->nodes[i];
+
+	if (!call_store(d, i, &node->configs, FAULT_CONFIG_SILENT,
+			CONFIG_WAIT_US))
+		return;
+	adopt(d, node, count_until(d->config_us, d->n_changes, d->now_us));
+	if (!d->naive && node->configs.reader.reading &&
+	    node->configs.reader.started)
+		tell_config(d, i);
+}
+
+/* The watch of the configuration is answered at once by a new version. */
+static bool is_watch_due(const day_t *d, uint32_t i)
+{
+	const node_t *node = &d->nodes[i];
+
+	return d->now_us >= node->configs.call_us ||
+	       (node->configs.own_us > 0 &&
+		node->configs.backoff_us == 50 * MS && reaches_store(d, i) &&
+		!is_struck(d, FAULT_CONFIG_SILENT, i) &&
+		count_until(d->config_us, d->n_changes, d->now_us) >
+			node->config);
+}
+
 /* Rank is the number: the fleet is numbered in its order. */
 static void run_fetch(day_t *d, uint32_t i)
 {
@@ -199,7 +271,7 @@
 	case BSH_DOCUMENT_NOTHING:
 		return;
 	case BSH_DOCUMENT_STORE:
-		read_store(d, i);
+		read_config(d, i);
 		return;
 	case BSH_DOCUMENT_PARENT:
 		if (parent != UINT32_MAX)
@@ -217,6 +289,14 @@
 			     .known = node->config });
 }
 
+static void note_version(const day_t *d, node_t *node, const message_t *message)
+{
+	if (message->config > MAX(node->fetch.wanted, node->config))
+		node->teller = message->from;
+	bsh_document_fetch_want(&node->fetch, message->config, message->to,
+				d->now_us);
+}
+
 static void receive(day_t *d, const message_t *message)
 {
 	node_t *node = &d->nodes[message->to];
@@ -226,17 +306,24 @@
 		return;
 	switch (message->kind) {
 	case MESSAGE_READER:
-		bsh_store_reader_note_list(&node->reader,
-					   message->from == d->holder,
-					   message->list_us);
-		bsh_store_reader_note_config(&node->reader,
-					     message->from == d->holder,
-					     message->list_us);
+		bsh_store_reader_note(&node->targets.reader,
+				      message->from == d->holder,
+				      message->list_us);
+		if (d->one_age)
+			bsh_store_reader_note(&node->configs.reader,
+					      message->from == d->holder,
+					      message->list_us);
 		node->left = MAX(node->left, message->left);
-		if (message->config > MAX(node->fetch.wanted, node->config))
-			node->teller = message->from;
-		bsh_document_fetch_want(&node->fetch, message->config,
-					message->to, d->now_us);
+		note_version(d, node, message);
+		return;
+	case MESSAGE_READER_CONFIG:
+		if (!d->one_age)
+			bsh_store_reader_note(&node->configs.reader,
+					      message->from == d->holder,
+					      message->list_us);
+		bsh_confirmation_note(&node->confirmation, message->config,
+				      message->list_us);
+		note_version(d, node, message);
 		return;
 	case MESSAGE_QUERY:
 		if (node->config > message->known)
@@ -286,38 +373,58 @@
 		return;
 	for (uint32_t i = 0; i < d->n; i++)
 		if (!stands_still(d, i) && reaches_store(d, i) &&
-		    d->nodes[i].reader.reading) {
+		    d->nodes[i].targets.reader.reading) {
 			d->holder = i;
 			d->holder_until_us = 0;
 			return;
 		}
 }
 
+static void init_node(const day_t *d, node_t *node)
+{
+	bsh_store_reader_init(&node->targets.reader, BSH_STORE_TARGETS,
+			      d->drain_us);
+	bsh_store_reader_init(&node->configs.reader, BSH_STORE_CONFIGURATION,
+			      d->drain_us);
+	bsh_document_fetch_init(&node->fetch);
+	bsh_confirmation_init(&node->confirmation);
+}
+
+static void decide(day_t *d, uint32_t i)
+{
+	node_t *node = &d->nodes[i];
+	bsh_store_reader_input_t input = { .holder = i == d->holder,
+					   .rank = i };
+
+	input.own_us = node->targets.own_us;
+	bsh_store_reader_decide(&node->targets.reader, &input, d->now_us);
+	input.own_us = node->configs.own_us;
+	bsh_store_reader_decide(&node->configs.reader, &input, d->now_us);
+}
+
 static void run_node(day_t *d, uint32_t i)
 {
 	node_t *node = &d->nodes[i];
-	bsh_store_reader_input_t input = {
-		.holder = i == d->holder,
-		.rank = i,
-		.own_us = node->own_us,
-	};
 
 	if (is_struck(d, FAULT_KILLED, i)) {
 		bsh_document_fetch_finish(&node->fetch);
 		memset(node, 0, sizeof(*node));
-		bsh_store_reader_init(&node->reader, d->drain_us);
-		bsh_document_fetch_init(&node->fetch);
+		init_node(d, node);
 		node->began_us = d->now_us;
 		return;
 	}
 	if (is_struck(d, FAULT_FROZEN, i))
 		return;
 	if (d->now_us % DECIDE_US == 0 && !d->naive)
-		bsh_store_reader_decide(&node->reader, &input, d->now_us);
-	if ((node->reader.reading || d->naive) && d->now_us >= node->call_us)
-		read_store(d, i);
-	if (!d->naive && node->reader.reading && node->reader.started &&
-	    d->now_us - node->own_us < 1200 * MS &&
+		decide(d, i);
+	if ((node->targets.reader.reading || d->naive) &&
+	    d->now_us >= node->targets.call_us)
+		read_targets(d, i);
+	if ((node->configs.reader.reading || d->naive) && is_watch_due(d, i))
+		read_config(d, i);
+	if (!d->naive && node->targets.reader.reading &&
+	    node->targets.reader.started &&
+	    d->now_us - node->targets.own_us < 1200 * MS &&
 	    d->now_us - node->told_us >= 300 * MS)
 		tell(d, i);
 	run_fetch(d, i);
@@ -349,7 +456,10 @@
 						    d->now_us - d->drain_us);
 	d->late_configs +=
 		node->config < count_until(d->config_us, d->n_changes,
-					   d->now_us - d->drain_us);
+					   d->now_us - CONFIG_BOUND_US);
+	d->wrong_ages +=
+		node->config < count_until(d->config_us, d->n_changes,
+					   node->confirmation.confirmed_us);
 }
 
 static int compare_times(const void *a, const void *b)
@@ -363,6 +473,9 @@
 static void draw_fault(day_t *d, fault_t *fault, fault_kind_t kind)
 {
 	uint64_t all = (UINT64_C(1) << d->n) - 1;
+	uint32_t served = (d->holder + (uint32_t)g_rand_int_range(
+					       d->rand, 1, (gint32)d->n)) %
+			  d->n;
 
 	fault->kind = kind;
 	fault->from_us = g_rand_int_range(d->rand, 5, 28) * SECOND +
@@ -376,16 +489,23 @@
 		fault->struck = ((uint64_t)g_rand_int(d->rand) << 32 |
 				 g_rand_int(d->rand)) &
 				all;
+	else if (kind == FAULT_TARGETS_SILENT || kind == FAULT_CONFIG_SILENT)
+		/* The store answers one at least. */
+		fault->struck =
+			(fault->struck | ((uint64_t)g_rand_int(d->rand) << 32 |
+					  g_rand_int(d->rand))) &
+			all & ~(UINT64_C(1) << served);
 	else if (kind == FAULT_ONE_WAY)
 		fault->struck = UINT64_C(1)
 				<< g_rand_int_range(d->rand, 0, (gint32)d->n);
 }
 
-static void init_day(day_t *d, uint32_t seed, bool naive, bool calm)
+static void init_day(day_t *d, uint32_t seed, form_t form, bool calm)
 {
 	memset(d, 0, sizeof(*d));
 	d->rand = g_rand_new_with_seed(seed);
-	d->naive = naive;
+	d->naive = form == FORM_ALONE;
+	d->one_age = form == FORM_ONE_AGE;
 	d->n = (uint32_t)g_rand_int_range(d->rand, 3, NODES_MAX + 1);
 	d->drain_us = g_rand_boolean(d->rand) ? 2 * SECOND : 4 * SECOND;
 	d->holder = (uint32_t)g_rand_int_range(d->rand, 0, (gint32)d->n);
@@ -405,15 +525,14 @@
 			   (fault_kind_t)g_rand_int_range(d->rand, 0,
 							  FAULT_KINDS));
 	for (uint32_t i = 0; i < d->n; i++) {
-		bsh_store_reader_init(&d->nodes[i].reader, d->drain_us);
-		bsh_document_fetch_init(&d->nodes[i].fetch);
+		init_node(d, &d->nodes[i]);
 		d->nodes[i].disturbed_us = -DAY_US;
 	}
 }
 
-static void play(day_t *d, uint32_t seed, bool naive, bool calm)
+static void play(day_t *d, uint32_t seed, form_t form, bool calm)
 {
-	init_day(d, seed, naive, calm);
+	init_day(d, seed, form, calm);
 	for (d->now_us = TICK_US; d->now_us < DAY_US; d->now_us += TICK_US) {
 		run_lease(d);
 		deliver(d);
@@ -434,21 +553,40 @@
 }
 
 /* Guards against an instance in touch that goes on using a target past its drain
- * time, or an old configuration past the same bound, as the instance on which it
- * relies for the list was cut off, refused, frozen or killed, and against one
- * that goes back to an earlier configuration. */
+ * time, or an old configuration past its bound, as the instance on which it
+ * relies was cut off, refused, frozen or killed, or got no answers about one of
+ * the kinds; against one that goes back to an earlier configuration, and against
+ * an age of the configuration that hides a newer one. */
 static void test_bounds(void)
 {
 	for (uint32_t seed = 1; seed <= days(); seed++) {
 		day_t d;
 
-		play(&d, seed, false, false);
+		play(&d, seed, FORM_SHARED, false);
 		g_test_message("seed=%u n=%u late targets=%u configs=%u", seed,
 			       d.n, d.late_targets, d.late_configs);
 		g_assert_cmpuint(d.late_targets, ==, 0);
 		g_assert_cmpuint(d.late_configs, ==, 0);
 		g_assert_cmpuint(d.went_back, ==, 0);
+		g_assert_cmpuint(d.wrong_ages, ==, 0);
+	}
+}
+
+/* Guards against a test that would not show an instance that vouches for a
+ * configuration by the answers of the store about targets. */
+static void test_one_age(void)
+{
+	uint32_t late = 0;
+
+	for (uint32_t seed = 1; seed <= days() / 3; seed++) {
+		day_t d;
+
+		play(&d, seed, FORM_ONE_AGE, false);
+		late += d.late_configs > 0;
 	}
+	g_test_message("days with late configurations=%u of %u", late,
+		       days() / 3);
+	g_assert_cmpuint(late, >, 0);
 }
 
 /* Guards against calls that grow with the number of instances: beside two
@@ -460,8 +598,8 @@
 		day_t d;
 		day_t naive;
 
-		play(&d, seed, false, true);
-		play(&naive, seed, true, true);
+		play(&d, seed, FORM_SHARED, true);
+		play(&naive, seed, FORM_ALONE, true);
 		g_test_message("seed=%u n=%u calls=%" G_GUINT64_FORMAT
 			       " naive=%" G_GUINT64_FORMAT,
 			       seed, d.n, d.calls, naive.calls);
@@ -481,8 +619,8 @@
 		day_t d;
 		day_t naive;
 
-		play(&d, seed, false, false);
-		play(&naive, seed, true, false);
+		play(&d, seed, FORM_SHARED, false);
+		play(&naive, seed, FORM_ALONE, false);
 		if (d.n < 30)
 			continue;
 		shared += d.calls;
@@ -542,6 +680,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/store-reader/bounds", test_bounds);
+	g_test_add_func("/store-reader/one-age", test_one_age);
 	g_test_add_func("/store-reader/calls-without-faults",
 			test_calls_without_faults);
 	g_test_add_func("/store-reader/calls-in-faults", test_calls_in_faults);
