relays: name the version by which a request was accepted

A caller whose instance reaches no target could have its request handled by an older configuration than that of the instance that it asked: the request is passed on to another instance, which matched it by its own configuration. For the caller the instance had gone back to an earlier version.

The mark of such a request said nothing of the configuration. A second header names the version now; an instance with an older one refuses the request as not run, and the first one may pass it on elsewhere. The header counts only beside an authentic mark, so a caller cannot have its requests refused by it, and is never passed to a target. Builds that do not know it ignore it.

Evidence: /configurations/relayed failed before (200 and one run for a request accepted by a newer version).

--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -424,6 +424,7 @@
 	if (a->at_peer) {
 		relays_mark(r, mark, sizeof(mark));
 		forward.relay_mark = mark;
+		forward.relay_version = r->catalog->version;
 	}
 	headers = platform_forward_headers(&r->info, &forward);
 	spec.headers = (const char *const *)headers->pdata;
--- a/bshentryd/relays.c
+++ b/bshentryd/relays.c
@@ -137,6 +137,8 @@
 void relays_receive(request_t *r)
 {
 	const char *text = bsh_http_request_header(r->http, BSH_RELAY_HEADER);
+	const char *version =
+		bsh_http_request_header(r->http, BSH_RELAY_VERSION_HEADER);
 	bsh_relay_mark_t mark = mark_of(r);
 
 	if (text == NULL)
@@ -149,7 +151,11 @@
 	}
 	r->from_peer = true;
 	r->sends = mark.sends;
+	/* An earlier build names no version. */
+	if (version != NULL)
+		r->peer_version = g_ascii_strtoull(version, NULL, 10);
 	bsh_counter_add(&from_peers, 1);
-	bsh_log(BSH_LOG_INFO, "request-from-peer id=%s sends=%u",
-		r->info.attempt_id, r->sends);
+	bsh_log(BSH_LOG_INFO,
+		"request-from-peer id=%s sends=%u config=%" G_GUINT64_FORMAT,
+		r->info.attempt_id, r->sends, r->peer_version);
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -446,6 +446,10 @@
 		return;
 	}
 	r->catalog = bsh_catalog_ref(t->view->catalog);
+	if (r->peer_version > r->catalog->version) {
+		refuse_early(r, BSH_ERR_STALE_CONFIG, END_REFUSED);
+		return;
+	}
 	if (r->body_bytes > r->catalog->limits.body_max_bytes) {
 		refuse_early(r, BSH_ERR_TOO_LARGE, END_REFUSED);
 		return;
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -237,6 +237,7 @@
 	bool may_have_run; /* some attempt has no proof that it did not run */
 	/* From an instance that reaches no target; sends includes its own. */
 	bool from_peer;
+	uint64_t peer_version; /* of that one's configuration; 0: not named */
 	attempt_t attempts[2];
 	attempt_t *attempt;  /* whose response is passed on; the last one */
 	attempt_t *handover; /* at a second target; NULL: none */
--- a/lib/protocol/relay_mark.h
+++ b/lib/protocol/relay_mark.h
@@ -12,12 +12,17 @@
  *	request, so a caller cannot set it.
  *
  *	SENDS MAC	decimal number, space, 32 hexadecimal digits
+ *
+ *	A second header names the version of the configuration by which the
+ *	request was accepted, in decimal digits.  It counts only beside a mark
+ *	that is authentic.
  */
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#define BSH_RELAY_HEADER "Berylshunt-Relay"
+#define BSH_RELAY_HEADER	 "Berylshunt-Relay"
+#define BSH_RELAY_VERSION_HEADER "Berylshunt-Relay-Configuration"
 
 #define BSH_RELAY_SECRET_BYTES 32
 #define BSH_RELAY_MARK_SIZE    64 /* of the text */
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -1,3 +1,4 @@
+#include "protocol/relay_mark.h"
 #include "support/platform_rig.h"
 
 #include <apr_general.h>
@@ -1020,6 +1021,8 @@
 	entry->stopped = false;
 }
 
+const uint8_t platform_rig_key[32] = { [31] = 7 };
+
 static void write_settings(rig_entry_t *entry, const char *store_address,
 			   uint32_t lease_ms, uint32_t grace_s)
 {
@@ -1030,9 +1033,10 @@
 		"[entry]\nready=%s\ngrace_s=%u\norder_lease_ms=%u\n"
 		"order_start_ms=0\nseed_loads=0\n"
 		"[timing]\nprobe_period_ms=200\n",
-		entry->name, 7, store_address, entry->front, entry->metrics,
-		entry->directory, entry->directory, loopback_ip(),
-		loopback_free_port(), entry->ready, grace_s, lease_ms);
+		entry->name, platform_rig_key[sizeof(platform_rig_key) - 1],
+		store_address, entry->front, entry->metrics, entry->directory,
+		entry->directory, loopback_ip(), loopback_free_port(),
+		entry->ready, grace_s, lease_ms);
 	int fd = g_file_open_tmp("bsh-entry-XXXXXX", &entry->settings_path,
 				 NULL);
 
@@ -1201,6 +1205,8 @@
 	add_header(headers, "Last-Event-Id", after);
 	add_header(headers, "Resumes", request->began_by);
 	add_header(headers, "Berylshunt-Prompt-Prefix", request->prompt);
+	add_header(headers, BSH_RELAY_HEADER, request->relay_mark);
+	add_header(headers, BSH_RELAY_VERSION_HEADER, request->relay_version);
 	g_ptr_array_add(headers, NULL);
 	spec.headers = (const char *const *)headers->pdata;
 	memset(reply, 0, sizeof(*reply));
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -134,8 +134,15 @@
 	/* Client that keeps its connections open; NULL: a new connection. */
 	bsh_http_client_t *client;
 	const char *prompt; /* parts of its prompt as ID:TOKENS,..., or NULL */
+	/* As another instance passes it on: its mark, and the version of its
+	 * configuration; or NULL. */
+	const char *relay_mark;
+	const char *relay_version;
 } rig_request_t;
 
+/* Key of the deployment in the settings of the daemons. */
+extern const uint8_t platform_rig_key[32];
+
 struct platform_rig {
 	bsh_loop_t loop;
 	bsh_http_client_t *client;
--- a/regress/test_configurations.c
+++ b/regress/test_configurations.c
@@ -2,11 +2,13 @@
  * services, engines, models and adapters leave and return, routes move. */
 #include <glib.h>
 #include <signal.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 
 #include "base/rng.h"
+#include "protocol/relay_mark.h"
 #include "support/platform_rig.h"
 
 #define INSTANCES    3
@@ -238,12 +240,70 @@
 	platform_rig_finish(&rig);
 }
 
+/* Status of a call that another instance has accepted by this version. */
+static int relayed_status(platform_rig_t *rig, const char *id, uint64_t version)
+{
+	g_autofree char *text = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+	bsh_relay_mark_t mark = { id, "POST", "/book/1", 0 };
+	char mark_text[BSH_RELAY_MARK_SIZE];
+	rig_request_t request = { .address = rig->entries[0].front,
+				  .path = mark.path,
+				  .id = id,
+				  .deadline_ms = DEADLINE_MS,
+				  .relay_mark = mark_text,
+				  .relay_version = text };
+	rig_reply_t reply;
+	int status;
+
+	bsh_relay_mark_encode(platform_rig_key, &mark, mark_text,
+			      sizeof(mark_text));
+	platform_rig_start(rig, &request, &reply);
+	platform_rig_wait(rig, &reply.done);
+	status = reply.status;
+	platform_rig_reply_clear(&reply);
+	return status;
+}
+
+/* Guards against a request that one instance accepts by a version and another
+ * one, to which it is passed on, runs by an older version. */
+static void test_relayed(void)
+{
+	rig_reply_t reply = { 0 };
+	platform_rig_t rig;
+	rig_request_t forged;
+
+	platform_rig_init(&rig);
+	platform_rig_configure(&rig, NULL);
+	platform_rig_add_worker(&rig, "desk", NULL);
+	platform_rig_add_entry(&rig);
+	platform_rig_wait_ready(&rig, &rig.entries[0]);
+	g_assert_cmpint(relayed_status(&rig, "relay-1", rig.version), ==, 200);
+	g_assert_cmpint(relayed_status(&rig, "relay-2", rig.version + 1), ==,
+			503);
+	g_assert_cmpuint(platform_rig_runs(&rig, "relay-2"), ==, 0);
+	/* A caller cannot have its requests refused by the header alone. */
+	forged = (rig_request_t){ .address = rig.entries[0].front,
+				  .path = "/book/1",
+				  .id = "relay-3",
+				  .deadline_ms = DEADLINE_MS,
+				  .relay_mark = "0 00",
+				  .relay_version = "1000000" };
+	platform_rig_start(&rig, &forged, &reply);
+	platform_rig_wait(&rig, &reply.done);
+	g_assert_cmpint(reply.status, ==, 200);
+	platform_rig_reply_clear(&reply);
+	platform_rig_finish(&rig);
+}
+
 int main(int argc, char **argv)
 {
+	if (sodium_init() < 0)
+		return 1;
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/configurations/walk", test_walk);
 	g_test_add_func("/configurations/unknown-adapter",
 			test_unknown_adapter);
+	g_test_add_func("/configurations/relayed", test_relayed);
 	return g_test_run();
 }
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -5,6 +5,7 @@
 
 #include "base/rng.h"
 #include "coordination/relay_choice.h"
+#include "platform/target_client.h"
 #include "protocol/relay_mark.h"
 
 #define CUT_INSTANCES 60
@@ -187,6 +188,33 @@
 	g_assert_false(bsh_relay_mark_decode(secret, text, &read));
 }
 
+static bool has_header(const GPtrArray *headers, const char *text)
+{
+	for (guint i = 0; i + 1 < headers->len; i++)
+		if (strcmp(g_ptr_array_index(headers, i), text) == 0)
+			return true;
+	return false;
+}
+
+/* Guards against a request that is passed on without the version by which it was
+ * accepted, and against one to a target that shows it. */
+static void test_version(void)
+{
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	bsh_request_info_t info = { .headers = none };
+	platform_forward_t forward = { .relay_mark = "0 ab",
+				       .relay_version = 18 };
+	GPtrArray *headers = platform_forward_headers(&info, &forward);
+
+	g_assert_true(has_header(headers, BSH_RELAY_HEADER ": 0 ab"));
+	g_assert_true(has_header(headers, BSH_RELAY_VERSION_HEADER ": 18"));
+	g_ptr_array_free(headers, TRUE);
+	forward.relay_mark = NULL;
+	headers = platform_forward_headers(&info, &forward);
+	g_assert_false(has_header(headers, BSH_RELAY_VERSION_HEADER ": 18"));
+	g_ptr_array_free(headers, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -195,5 +223,6 @@
 	g_test_add_func("/relay/choice", test_choice);
 	g_test_add_func("/relay/spread", test_spread);
 	g_test_add_func("/relay/mark", test_mark);
+	g_test_add_func("/relay/version", test_version);
 	return g_test_run();
 }
--- a/regress/test_store_calls.c
+++ b/regress/test_store_calls.c
@@ -275,9 +275,6 @@
  * that are no configuration, or names absurd ages and targets. */
 static void test_bad_peer(fixture_t *f, gconstpointer data)
 {
-	/* As in the settings that the rig writes. */
-	static const uint8_t key[BSH_KEY_SIZE_BYTES] = { [BSH_KEY_SIZE_BYTES -
-							  1] = 7 };
 	const json_t *object = platform_rig_object(
 		&f->rig, "berylshunt-instances", f->rig.entries[0].name);
 	uint8_t keys[4 * BSH_READER_TARGETS_MAX];
@@ -290,8 +287,9 @@
 			  json_object_get(object, "spec"), "gossip")),
 		  sizeof(liar.address));
 	g_assert_cmpint(bsh_datagram_socket_init(&liar.sock, &f->rig.loop,
-						 f->liar, key, "liar", 1,
-						 on_liar_message, &liar),
+						 f->liar, platform_rig_key,
+						 "liar", 1, on_liar_message,
+						 &liar),
 			==, BSH_OK);
 	memset(keys, 0xff, sizeof(keys));
 	for (int i = 0; i < 30; i++) {
