traffic: no 404 while the configuration is not confirmed

An instance told callers with 404, which is final for them, that a route, model or adapter does not exist, though it only knew that its own version lacks it: cut off from the store and from the instances that read it, or after a pause, a newer one may have it.

Such a request is refused as not run, with 503 and Retry-After, once the configuration was last confirmed more than 2 s ago, the time in which an accepted configuration is in force.

Evidence: /store-calls/unknown-route answered 404 on all six instances 3.5 s after the store had stopped answering, now 503, and 404 again after its return. Known routes are served all the while.

--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -17,6 +17,9 @@
 #define IDLE_CONNECTIONS_MAX 256U
 /* Interval at which a request with an isolated key is looked at again. */
 #define HELD_INTERVAL_US INT64_C(25000)
+/* An accepted configuration is in force within this time at each instance that
+ * hears of it: one without a confirmation for longer may lack routes. */
+#define CONFIG_AGE_MAX_US INT64_C(2000000)
 static bsh_counter_t waiting_gauge = BSH_GAUGE(
 	"bsh_requests_waiting", "Requests that wait for a model or a target.");
 static bsh_counter_t version_gauge =
@@ -423,6 +426,25 @@
 	finish(r, end, bsh_error_info(err)->http_status, bsh_error_name(err));
 }
 
+bsh_error_t traffic_unknown_error(const traffic_t *t)
+{
+	int64_t confirmed_us = __atomic_load_n(&t->entry->freshness.config_us,
+					       __ATOMIC_RELAXED);
+
+	return traffic_now_us(t) - confirmed_us > CONFIG_AGE_MAX_US
+		       ? BSH_ERR_STALE_CONFIG
+		       : BSH_ERR_NOT_FOUND;
+}
+
+/* Refuses a request without a route. */
+static void refuse_unknown(request_t *r)
+{
+	bsh_error_t err = traffic_unknown_error(r->traffic);
+
+	refuse_early(r, err,
+		     err == BSH_ERR_NOT_FOUND ? END_NO_ROUTE : END_REFUSED);
+}
+
 static void match_route(request_t *r)
 {
 	r->route = bsh_catalog_match(r->catalog,
@@ -456,7 +478,7 @@
 	}
 	match_route(r);
 	if (r->route == NULL) {
-		refuse_early(r, BSH_ERR_NOT_FOUND, END_NO_ROUTE);
+		refuse_unknown(r);
 		return;
 	}
 	set_route(r);
@@ -505,7 +527,7 @@
 	r->catalog = bsh_catalog_ref(catalog);
 	match_route(r);
 	if (r->route == NULL && !r->may_have_run) {
-		refuse_early(r, BSH_ERR_NOT_FOUND, END_NO_ROUTE);
+		refuse_unknown(r);
 		return;
 	}
 	if (r->route != NULL)
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -297,6 +297,10 @@
 void traffic_attempt_ended(request_t *r, attempt_end_t end, bsh_error_t err);
 /* traffic_resume_is_due - timer: try again to continue a stream that waits. */
 void traffic_resume_is_due(request_t *r);
+/* traffic_unknown_error - why a route, model or adapter that the configuration in
+ * force lacks is refused: BSH_ERR_NOT_FOUND, which is final for the caller, or
+ * BSH_ERR_STALE_CONFIG while a newer configuration may have it. */
+bsh_error_t traffic_unknown_error(const traffic_t *t);
 /* traffic_is_begun_stream - the caller has a part of a stream that another
  * target can continue. */
 bool traffic_is_begun_stream(const request_t *r);
--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -71,7 +71,8 @@
 		return;
 	}
 	if (!is_declared(r)) {
-		traffic_fail(r, BSH_ERR_NOT_FOUND, -1);
+		traffic_fail(r, traffic_unknown_error(r->traffic),
+			     RETRY_DEFAULT_MS);
 		return;
 	}
 	ready = view_find_ready(view, r->info.model, r->info.adapter);
--- a/regress/test_store_calls.c
+++ b/regress/test_store_calls.c
@@ -224,6 +224,24 @@
 	g_assert_cmpint(served_by_all_us(f, "/more/1", -1), <, 3000000);
 }
 
+/* Guards against an instance that tells callers that a route does not exist while
+ * nobody can have told it of a newer configuration. */
+static void test_unknown_route(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	g_assert_cmpint(status_of(f, 0, "/more/1"), ==, 404);
+	f->rig.store_unresponsive = true;
+	platform_rig_run(&f->rig, 3500);
+	for (int i = 0; i < ENTRIES; i++) {
+		g_assert_cmpint(status_of(f, i, "/more/1"), ==, 503);
+		g_assert_cmpint(status_of(f, i, "/look/1"), ==, 200);
+	}
+	f->rig.store_unresponsive = false;
+	platform_rig_run(&f->rig, 3000);
+	for (int i = 0; i < ENTRIES; i++)
+		g_assert_cmpint(status_of(f, i, "/more/1"), ==, 404);
+}
+
 /* An instance that is registered and gossips nothing, but tells of versions and
  * targets at will. */
 typedef struct {
@@ -327,6 +345,7 @@
 	ADD("new-configuration", test_new_configuration);
 	ADD("frozen-reader", test_frozen_reader);
 	ADD("outage", test_outage);
+	ADD("unknown-route", test_unknown_route);
 	g_test_add("/store-calls/silent-configuration", fixture_t, NULL,
 		   set_up_far_holder, test_silent_configuration, tear_down);
 	g_test_add("/store-calls/bad-peer", fixture_t, "liar", set_up,
