document_fetch: complete a version of which parts have come

An instance could stay on an old configuration for as long as changes went on: a sender answers each query with its newest version, and a part of a newer one drops those that have come. Where a large configuration takes longer to be sent over narrow links than the time between two changes, the fetch began anew with each and never ended. After one lost part each further window of 24 parts also cost the 80 ms of a repetition, as only multiples of 24 counted as whole.

A sender keeps its last four versions and completes the one that the query names, if it is newer than what the asking instance has (bsh_document_choose(), without I/O); a version that was told meanwhile is fetched right after it. A window is whole when the parts that were asked for have come. A configuration that is too large to be passed on is logged.

--- a/bshentryd/catalog_exchange.c
+++ b/bshentryd/catalog_exchange.c
@@ -138,7 +138,6 @@
 {
 	uint64_t wanted = exchange->fetch.wanted;
 	uint32_t n;
-
 	bsh_document_fetch_want(
 		&exchange->fetch, version,
 		peers_rank(exchange->control->peers, version, &n),
@@ -165,25 +164,23 @@
 				    const bsh_msg_document_query_t *query)
 {
 	control_t *control = exchange->control;
-	const bsh_catalog_t *catalog = catalogs_current(control->catalogs);
-	GBytes *packed = catalogs_packed(control->catalogs);
 	bsh_message_t message = { .type = BSH_MSG_DOCUMENT_PART };
 	bsh_msg_document_part_t *part = &message.document_part;
+	uint64_t version = 0;
+	GBytes *packed = catalogs_packed(control->catalogs, query->known,
+					 query->version, &version);
 	const uint8_t *data;
 	gsize size;
 
-	if (catalog == NULL || packed == NULL ||
-	    catalog->version <= query->known) {
+	if (packed == NULL) {
 		peers_send(control->peers, sender, &message);
 		return;
 	}
 	data = g_bytes_get_data(packed, &size);
-	part->version = catalog->version;
+	part->version = version;
 	part->parts = (uint32_t)((size + BSH_DOCUMENT_PART_BYTES - 1) /
 				 BSH_DOCUMENT_PART_BYTES);
-	if (part->parts > BSH_DOCUMENT_PARTS_MAX)
-		return;
-	part->part = query->version == catalog->version ? query->from : 0;
+	part->part = query->version == version ? query->from : 0;
 	for (uint32_t i = 0;
 	     i < BSH_DOCUMENT_WINDOW && part->part < part->parts;
 	     i++, part->part++) {
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -8,6 +8,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/document_fetch.h"
 #include "platform/decode.h"
 
 /* Longest wait of one watch.  A watch that the store has lost returns no change
@@ -23,8 +24,11 @@
 	control_t *control;
 	feed_t feed;
 	bsh_catalog_t *current;
-	GBytes *packed; /* of the current one, for other instances */
-	bool unusable;	/* what the store has cannot be read */
+	/* For other instances, the current one first. */
+	GBytes *packed[BSH_DOCUMENT_KEPT]; /* NULL: none, or too large */
+	uint64_t packed_versions[BSH_DOCUMENT_KEPT];
+	uint32_t n_packed;
+	bool unusable; /* what the store has cannot be read */
 };
 
 static bsh_counter_t adopted = BSH_COUNTER("bsh_configurations_adopted_total",
@@ -84,11 +88,38 @@
 	return spec;
 }
 
-static void set_packed(catalogs_t *catalogs, GBytes *packed)
+static void drop_last_packed(catalogs_t *catalogs)
 {
-	if (catalogs->packed != NULL)
-		g_bytes_unref(catalogs->packed);
-	catalogs->packed = packed;
+	GBytes *packed = catalogs->packed[--catalogs->n_packed];
+
+	if (packed != NULL)
+		g_bytes_unref(packed);
+}
+
+static bool is_too_large(GBytes *packed)
+{
+	return g_bytes_get_size(packed) >
+	       (gsize)BSH_DOCUMENT_PARTS_MAX * BSH_DOCUMENT_PART_BYTES;
+}
+
+static void add_packed(catalogs_t *catalogs, uint64_t version, GBytes *packed)
+{
+	if (catalogs->n_packed == BSH_DOCUMENT_KEPT)
+		drop_last_packed(catalogs);
+	for (uint32_t i = catalogs->n_packed; i > 0; i--) {
+		catalogs->packed[i] = catalogs->packed[i - 1];
+		catalogs->packed_versions[i] = catalogs->packed_versions[i - 1];
+	}
+	if (packed != NULL && is_too_large(packed)) {
+		bsh_log(BSH_LOG_WARNING,
+			"configuration-too-large version=%" G_GUINT64_FORMAT
+			" bytes=%" G_GSIZE_FORMAT,
+			version, g_bytes_get_size(packed));
+		g_clear_pointer(&packed, g_bytes_unref);
+	}
+	catalogs->packed[0] = packed;
+	catalogs->packed_versions[0] = version;
+	catalogs->n_packed++;
 }
 
 static void adopt(catalogs_t *catalogs, bsh_catalog_t *catalog, GBytes *packed,
@@ -110,7 +141,7 @@
 	bsh_counter_set(&version_gauge, (int64_t)catalog->version);
 	bsh_catalog_unref(catalogs->current);
 	catalogs->current = catalog;
-	set_packed(catalogs, packed);
+	add_packed(catalogs, catalog->version, packed);
 	control_catalog_changed(catalogs->control, catalog);
 }
 
@@ -173,9 +204,16 @@
 	return readable;
 }
 
-GBytes *catalogs_packed(const catalogs_t *catalogs)
+GBytes *catalogs_packed(const catalogs_t *catalogs, uint64_t known,
+			uint64_t partial, uint64_t *version)
 {
-	return catalogs->packed;
+	uint32_t i = bsh_document_choose(catalogs->packed_versions,
+					 catalogs->n_packed, known, partial);
+
+	if (i == catalogs->n_packed)
+		return NULL;
+	*version = catalogs->packed_versions[i];
+	return catalogs->packed[i];
 }
 
 static void on_listed(void *ctx, uint64_t list)
@@ -234,7 +272,8 @@
 void catalogs_free(catalogs_t *catalogs)
 {
 	feed_stop(&catalogs->feed);
-	set_packed(catalogs, NULL);
+	while (catalogs->n_packed > 0)
+		drop_last_packed(catalogs);
 	bsh_catalog_unref(catalogs->current);
 	g_free(catalogs);
 }
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -114,9 +114,11 @@
 /* Selects whether this instance follows the configuration in the store. */
 void catalogs_set_source(catalogs_t *catalogs, bool from_store);
 void catalogs_set_backoff_max(catalogs_t *catalogs, int64_t backoff_max_us);
-/* The configuration in force, as catalogs_adopt_packed() takes it; NULL: there
- * is none, or it is too large. */
-GBytes *catalogs_packed(const catalogs_t *catalogs);
+/* The configuration to send to an instance that has known in force and parts of
+ * partial, as catalogs_adopt_packed() takes it, and its version; NULL: none is
+ * newer, or it is too large. */
+GBytes *catalogs_packed(const catalogs_t *catalogs, uint64_t known,
+			uint64_t partial, uint64_t *version);
 /* Adopts the configuration of another instance if it is newer.  False if it
  * cannot be read. */
 bool catalogs_adopt_packed(catalogs_t *catalogs, GBytes *packed);
--- a/lib/coordination/document_fetch.c
+++ b/lib/coordination/document_fetch.c
@@ -81,6 +81,15 @@
 	drop_parts(fetch);
 }
 
+uint32_t bsh_document_choose(const uint64_t *versions, uint32_t n,
+			     uint64_t known, uint64_t partial)
+{
+	for (uint32_t i = 0; i < n; i++)
+		if (versions[i] == partial && partial > known)
+			return i;
+	return n > 0 && versions[0] > known ? 0 : n;
+}
+
 static uint32_t first_missing(const bsh_document_fetch_t *fetch)
 {
 	uint32_t i = 0;
@@ -100,6 +109,7 @@
 	if (fetch->wanted == 0 || now_us < fetch->next_us)
 		return BSH_DOCUMENT_NOTHING;
 	fetch->tries++;
+	fetch->asked_until = *from + BSH_DOCUMENT_WINDOW;
 	fetch->next_us = now_us + REPEAT_US;
 	if (tries < TELLER_AFTER_TRIES)
 		return BSH_DOCUMENT_PARENT;
@@ -149,6 +159,8 @@
 		drop_parts(fetch);
 		fetch->version = version;
 		fetch->parts = parts;
+		/* Its source answers from the first part on. */
+		fetch->asked_until = BSH_DOCUMENT_WINDOW;
 		fetch->received = g_ptr_array_new_full(parts, free_part);
 		g_ptr_array_set_size(fetch->received, (gint)parts);
 	}
@@ -160,10 +172,12 @@
 	fetch->next_us = now_us + REPEAT_US;
 	if (first_missing(fetch) < fetch->parts) {
 		/* The whole window has come: the next one is asked for. */
-		if (first_missing(fetch) % BSH_DOCUMENT_WINDOW == 0)
+		if (first_missing(fetch) >= fetch->asked_until)
 			fetch->next_us = now_us;
 		return NULL;
 	}
+	/* A version that was told meanwhile is fetched at once. */
+	fetch->next_us = now_us;
 	return join_parts(fetch);
 }
 
--- a/lib/coordination/document_fetch.h
+++ b/lib/coordination/document_fetch.h
@@ -29,6 +29,8 @@
 
 /* Instances that ask one. */
 #define BSH_DOCUMENT_FANOUT 8U
+/* Versions that an instance keeps to send, the one in force included. */
+#define BSH_DOCUMENT_KEPT 4U
 /* Parts that one query is answered with at most. */
 #define BSH_DOCUMENT_WINDOW 24U
 
@@ -52,7 +54,8 @@
 	/* Parts received of one version. */
 	uint64_t version; /* 0: none */
 	uint32_t parts;
-	GPtrArray *received; /* GBytes by part; NULL: missing */
+	uint32_t asked_until; /* first part behind those of the last query */
+	GPtrArray *received;  /* GBytes by part; NULL: missing */
 } bsh_document_fetch_t;
 
 void bsh_document_fetch_init(bsh_document_fetch_t *fetch);
@@ -98,6 +101,18 @@
  * fetched again, from elsewhere. */
 void bsh_document_fetch_refused(bsh_document_fetch_t *fetch, int64_t now_us);
 
+/*
+ * bsh_document_choose - which of the versions that an instance keeps, the newest
+ * one first, it sends to one that has known in force and parts of partial (0:
+ * none).  That one is completed if it is kept: where versions follow each other
+ * faster than a document is sent, it would begin anew with each.
+ *
+ * RETURN VALUE
+ *	Index of the version; n: none is newer.
+ */
+uint32_t bsh_document_choose(const uint64_t *versions, uint32_t n,
+			     uint64_t known, uint64_t partial);
+
 /* bsh_document_parent - rank of the instance above one of this rank; UINT32_MAX:
  * the one that told. */
 uint32_t bsh_document_parent(uint32_t rank);
--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -676,6 +676,115 @@
 	bsh_document_fetch_finish(&fetch);
 }
 
+/* One instance sends documents to another: each answer takes answer_us, and its
+ * version is accepted every change_us; 0: once. */
+typedef struct {
+	int64_t answer_us;
+	int64_t change_us;
+	uint32_t parts;
+	uint32_t kept; /* versions that the sender keeps */
+	uint32_t lost; /* part that is lost once; UINT32_MAX: none */
+	int64_t end_us;
+	/* Longest time for which an accepted version was not in force. */
+	int64_t lag_us;
+} transfer_t;
+
+static uint64_t version_at(const transfer_t *transfer, int64_t now_us)
+{
+	return transfer->change_us > 0
+		       ? 1 + (uint64_t)(now_us / transfer->change_us)
+		       : 1;
+}
+
+/* Delivers the answer to a query. */
+static void deliver_parts(transfer_t *transfer, bsh_document_fetch_t *fetch,
+			  uint64_t version, uint32_t from, int64_t now_us)
+{
+	for (uint32_t i = 0;
+	     i < BSH_DOCUMENT_WINDOW && from + i < transfer->parts; i++) {
+		g_autoptr(GBytes) whole = NULL;
+
+		if (from + i == transfer->lost) {
+			transfer->lost = UINT32_MAX;
+			continue;
+		}
+		whole = bsh_document_fetch_part(fetch, version, from + i,
+						transfer->parts, "x", 1,
+						now_us);
+		if (whole != NULL)
+			bsh_document_fetch_set_known(fetch, version);
+	}
+}
+
+static void run_transfer(transfer_t *transfer)
+{
+	bsh_document_fetch_t fetch;
+	uint64_t version = 0;
+	int64_t answered_us = INT64_MAX;
+	uint32_t begin = 0;
+
+	bsh_document_fetch_init(&fetch);
+	for (int64_t now_us = 0; now_us < transfer->end_us; now_us += MS) {
+		uint64_t newest = version_at(transfer, now_us);
+		uint64_t kept[BSH_DOCUMENT_KEPT];
+		uint32_t from;
+
+		bsh_document_fetch_want(&fetch, newest, 0, now_us);
+		if (now_us >= answered_us) {
+			answered_us = INT64_MAX;
+			deliver_parts(transfer, &fetch, version, begin, now_us);
+		}
+		if (bsh_document_fetch_next(&fetch, now_us, &from) !=
+		    BSH_DOCUMENT_NOTHING) {
+			for (uint32_t i = 0; i < transfer->kept; i++)
+				kept[i] = newest > i ? newest - i : 0;
+			version = kept[bsh_document_choose(kept, transfer->kept,
+							   fetch.known,
+							   fetch.version)];
+			begin = version == fetch.version ? from : 0;
+			answered_us = now_us + transfer->answer_us;
+		}
+		if (fetch.known < newest)
+			transfer->lag_us =
+				MAX(transfer->lag_us,
+				    now_us - (int64_t)fetch.known *
+						     transfer->change_us);
+	}
+	bsh_document_fetch_finish(&fetch);
+}
+
+/* Guards against a document that is fetched from its beginning with each change
+ * and so never arrives, as the changes follow each other faster than it is sent;
+ * and against each window that costs a timeout after one lost part. */
+static void test_document_transfer(void)
+{
+	transfer_t series = { .answer_us = 80 * MS,
+			      .change_us = 250 * MS,
+			      .parts = 120,
+			      .kept = BSH_DOCUMENT_KEPT,
+			      .lost = UINT32_MAX,
+			      .end_us = 20 * SECOND };
+	transfer_t newest_only = series;
+	transfer_t lossy = { .answer_us = 5 * MS,
+			     .parts = 240,
+			     .kept = 1,
+			     .lost = 5,
+			     .end_us = SECOND };
+
+	newest_only.kept = 1;
+	run_transfer(&series);
+	run_transfer(&newest_only);
+	run_transfer(&lossy);
+	g_test_message("lag_us=%" G_GINT64_FORMAT
+		       " with the newest version only=%" G_GINT64_FORMAT
+		       " with a lost part=%" G_GINT64_FORMAT,
+		       series.lag_us, newest_only.lag_us, lossy.lag_us);
+	g_assert_cmpint(series.lag_us, <, CONFIG_BOUND_US);
+	g_assert_cmpint(newest_only.lag_us, >, CONFIG_BOUND_US);
+	/* One repetition, and an answer for each window. */
+	g_assert_cmpint(lossy.lag_us, <, 200 * MS);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -685,5 +794,7 @@
 			test_calls_without_faults);
 	g_test_add_func("/store-reader/calls-in-faults", test_calls_in_faults);
 	g_test_add_func("/store-reader/document-parts", test_document_parts);
+	g_test_add_func("/store-reader/document-transfer",
+			test_document_transfer);
 	return g_test_run();
 }
