document_fetch: give up a version only after the instances were asked

An instance that was told of a version by one that has it could leave it alone for 10 s, longer than any bound, as a list of the store did not show it: any list that ended after the instance had been told counted, also one of an older copy after a restore or one that could not be read.

A version is given up only if the instances were asked for it first, nobody sent it, and the store was then asked on purpose. An instance that reads the store and vouches for the version later lifts that at once. A version that nobody has, of which an instance tells all the same, is asked for as before (/store-calls/bad-peer).

The part of /store-reader/document-parts about such versions is /store-reader/document-absent now: it called what is fixed here right, that a list ends a fetch before any instance was asked. All its other checks are kept.

Evidence: /store-reader/document-absent fails with the former rule at its first check.

--- a/bshentryd/catalog_exchange.c
+++ b/bshentryd/catalog_exchange.c
@@ -134,10 +134,13 @@
 }
 
 void catalog_exchange_note_version(catalog_exchange_t *exchange,
-				   const char *instance, uint64_t version)
+				   const char *instance, uint64_t version,
+				   int64_t confirmed_us)
 {
 	uint64_t wanted = exchange->fetch.wanted;
 	uint32_t n;
+
+	bsh_document_fetch_confirmed(&exchange->fetch, version, confirmed_us);
 	bsh_document_fetch_want(
 		&exchange->fetch, version,
 		peers_rank(exchange->control->peers, version, &n),
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -133,9 +133,11 @@
 /* Notes that the store has nothing above what is in force, by a read that began
  * this long ago. */
 void catalog_exchange_store_read(catalog_exchange_t *exchange, int64_t age_us);
-/* Notes the version that an instance reports to have in force. */
+/* Notes the version that an instance reports to have in force, and for which
+ * moment it vouches for it, on the clock of control_now_us(); 0: for none. */
 void catalog_exchange_note_version(catalog_exchange_t *exchange,
-				   const char *instance, uint64_t version);
+				   const char *instance, uint64_t version,
+				   int64_t confirmed_us);
 /* Time since an instance told of the newer version that is being fetched; -1:
  * none is. */
 int64_t catalog_exchange_told_us(const catalog_exchange_t *exchange);
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -122,7 +122,7 @@
 
 	(void)hash;
 	catalog_exchange_note_version(peers->control->catalog_exchange, from,
-				      version);
+				      version, 0);
 }
 
 static const bsh_members_ops_t members_ops = {
--- a/bshentryd/store_reading.c
+++ b/bshentryd/store_reading.c
@@ -187,7 +187,7 @@
 
 	platform_store_note_revision(&control->store, message->revision);
 	catalog_exchange_note_version(control->catalog_exchange, sender,
-				      message->config_version);
+				      message->config_version, 0);
 	bsh_store_reader_note(&reading->targets, from_holder, at_us);
 	if (targets_apply_reader(control->targets, message))
 		reading->has_applied = true;
@@ -201,7 +201,8 @@
 	bool from_holder = strcmp(sender, orders_holder(control->orders)) == 0;
 
 	catalog_exchange_note_version(control->catalog_exchange, sender,
-				      message->version);
+				      message->version,
+				      control_now_us(control) - age_us);
 	bsh_confirmation_note(&reading->confirmation, message->version,
 			      bsh_loop_clock_us() - age_us);
 	bsh_store_reader_note(&reading->config, from_holder,
--- a/lib/coordination/document_fetch.c
+++ b/lib/coordination/document_fetch.c
@@ -58,6 +58,14 @@
 	}
 	fetch->wanted = version;
 	fetch->told_us = now_us;
+	fetch->asked_store = false;
+}
+
+void bsh_document_fetch_confirmed(bsh_document_fetch_t *fetch, uint64_t version,
+				  int64_t at_us)
+{
+	if (version == fetch->absent && at_us > fetch->absent_us)
+		fetch->absent = 0;
 }
 
 void bsh_document_fetch_set_known(bsh_document_fetch_t *fetch, uint64_t version)
@@ -73,7 +81,8 @@
 				   int64_t began_us, int64_t now_us)
 {
 	/* A read that began earlier may have missed the version. */
-	if (fetch->wanted == 0 || began_us <= fetch->told_us)
+	if (fetch->wanted == 0 || began_us <= fetch->told_us ||
+	    !fetch->asked_store)
 		return;
 	fetch->absent = fetch->wanted;
 	fetch->absent_us = now_us;
@@ -118,6 +127,7 @@
 	if (tries < STORE_AFTER_TRIES)
 		return BSH_DOCUMENT_ANY;
 	fetch->tries = TELLER_AFTER_TRIES;
+	fetch->asked_store = true;
 	fetch->next_us = now_us + STORE_WAIT_US;
 	return BSH_DOCUMENT_STORE;
 }
--- a/lib/coordination/document_fetch.h
+++ b/lib/coordination/document_fetch.h
@@ -51,6 +51,7 @@
 	/* Version that the store did not have, and when it was read; 0: none */
 	uint64_t absent;
 	int64_t absent_us;
+	bool asked_store; /* for the wanted version, as no instance sent it */
 	/* Parts received of one version. */
 	uint64_t version; /* 0: none */
 	uint32_t parts;
@@ -71,10 +72,16 @@
 void bsh_document_fetch_set_known(bsh_document_fetch_t *fetch,
 				  uint64_t version);
 
+/* bsh_document_fetch_confirmed - an instance that reads the store vouches for the
+ * version as of at_us: if the store lacked it before, it is fetched again. */
+void bsh_document_fetch_confirmed(bsh_document_fetch_t *fetch, uint64_t version,
+				  int64_t at_us);
+
 /* bsh_document_fetch_store_read - the store was read from began_us on, and what
  * it has is in force: a version above that, of which this instance was told
- * before, is not fetched for a while, as the one that told is wrong or ahead of a
- * store that was restored. */
+ * before and which no instance sends, is not fetched for a while, as the one that
+ * told is wrong or ahead of a store that was restored.  One that was only read
+ * elsewhere, as of an older copy, is still asked for. */
 void bsh_document_fetch_store_read(bsh_document_fetch_t *fetch,
 				   int64_t began_us, int64_t now_us);
 
--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -662,17 +662,55 @@
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
 	bsh_document_fetch_want(&fetch, 4, 0, 0);
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
-	/* A version that the store does not have is not fetched again at once,
-	 * another one is. */
+	bsh_document_fetch_finish(&fetch);
+}
+
+/* Asks until the store is asked; returns when. */
+static int64_t ask_all(bsh_document_fetch_t *fetch)
+{
+	uint32_t from;
+	int64_t now_us;
+
+	do {
+		now_us = bsh_document_fetch_due_us(fetch);
+		g_assert_cmpint(now_us, <, INT64_MAX);
+	} while (bsh_document_fetch_next(fetch, now_us, &from) !=
+		 BSH_DOCUMENT_STORE);
+	return now_us;
+}
+
+/* Guards against a version that nobody has and that is asked for without end, and
+ * against one that instances have and that is left alone, as a list of the store
+ * from an older copy did not show it. */
+static void test_document_absent(void)
+{
+	bsh_document_fetch_t fetch;
+	int64_t asked_us;
+
+	bsh_document_fetch_init(&fetch);
 	bsh_document_fetch_want(&fetch, 9, 0, SECOND / 2);
-	/* A read that began before the instance was told shows nothing. */
-	bsh_document_fetch_store_read(&fetch, SECOND / 4, SECOND);
-	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, SECOND / 2);
+	/* The instances were not asked yet. */
 	bsh_document_fetch_store_read(&fetch, SECOND, SECOND);
-	bsh_document_fetch_want(&fetch, 9, 0, 2 * SECOND);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, SECOND / 2);
+	asked_us = ask_all(&fetch);
+	/* A read that began before the instance was told shows nothing. */
+	bsh_document_fetch_store_read(&fetch, SECOND / 4, asked_us);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), <, INT64_MAX);
+	bsh_document_fetch_store_read(&fetch, asked_us, asked_us);
+	bsh_document_fetch_want(&fetch, 9, 0, asked_us + SECOND);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
+	bsh_document_fetch_want(&fetch, 7, 0, asked_us + SECOND);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==,
+			asked_us + SECOND);
+	bsh_document_fetch_set_known(&fetch, 7);
+	/* It was vouched for before the store was read, and again later. */
+	bsh_document_fetch_confirmed(&fetch, 9, asked_us);
+	bsh_document_fetch_want(&fetch, 9, 0, asked_us + SECOND);
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
-	bsh_document_fetch_want(&fetch, 7, 0, 2 * SECOND);
-	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, 2 * SECOND);
+	bsh_document_fetch_confirmed(&fetch, 9, asked_us + SECOND);
+	bsh_document_fetch_want(&fetch, 9, 0, asked_us + SECOND);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==,
+			asked_us + SECOND);
 	bsh_document_fetch_finish(&fetch);
 }
 
@@ -794,6 +832,7 @@
 			test_calls_without_faults);
 	g_test_add_func("/store-reader/calls-in-faults", test_calls_in_faults);
 	g_test_add_func("/store-reader/document-parts", test_document_parts);
+	g_test_add_func("/store-reader/document-absent", test_document_absent);
 	g_test_add_func("/store-reader/document-transfer",
 			test_document_transfer);
 	return g_test_run();
