test_configurations: answers at the route's time, and routes added later

Two of the four ways in which a configuration can be out of force had no test with real processes. /configurations/route-time: requests whose target does not answer, stops midway or lacks the model have their final answer within 0.5 s of the time of their route, by the version in force, as it toggles between 400 and 1,100 ms. /configurations/added-routes: routes that were added to a service and with a new one are served like the first ones, also by a process that has just started and while another one stops. Both pass on the code before, so they show no fault; they guard what was looked for.

--- a/regress/test_configurations.c
+++ b/regress/test_configurations.c
@@ -11,15 +11,24 @@
 #include "protocol/relay_mark.h"
 #include "support/platform_rig.h"
 
-#define INSTANCES    3
-#define MODELS	     5
-#define ADAPTERS_MAX 3
-#define LEASE_MS     1000U
-#define STREAMS	     400
-#define CALLS	     200
-#define STEP_MS	     30
-#define WALK_STEPS   300
-#define DEADLINE_MS  3000
+#define INSTANCES      3
+#define MODELS	       5
+#define ADAPTERS_MAX   3
+#define LEASE_MS       1000U
+#define STREAMS	       400
+#define CALLS	       200
+#define STEP_MS	       30
+#define WALK_STEPS     300
+#define DEADLINE_MS    3000
+#define ADDED_REQUESTS 20
+
+/* A route whose time is filled in by printf(). */
+#define TIMED_ROUTE(name, kind, service)                                       \
+	"{\"name\":\"" name "\",\"host\":\"" RIG_HOST                          \
+	"\",\"pathPrefix\":\"/" name "/\",\"kind\":\"" kind                    \
+	"\",\"service\":\"" service                                            \
+	"\",\"maxAttempts\":2,\"resumable\":false,\"timeoutMs\":%u,"           \
+	"\"targetLatencyMs\":200,\"priority\":0}"
 
 typedef struct {
 	platform_rig_t rig;
@@ -295,6 +304,152 @@
 	platform_rig_finish(&rig);
 }
 
+/* A route of its own for each kind, with this time. */
+static void configure_times(platform_rig_t *rig, uint32_t timeout_ms)
+{
+	g_autofree char *extra = g_strdup_printf(
+		TIMED_ROUTE("call", "idempotent", "desk") "," TIMED_ROUTE(
+			"turn", "non_idempotent",
+			"desk") "," TIMED_ROUTE("talk", "stream", "llm"),
+		timeout_ms, timeout_ms, timeout_ms);
+
+	platform_rig_configure(rig, extra);
+}
+
+/* Sends a request of each kind to each instance and checks when it has ended. */
+static void check_route_times(platform_rig_t *rig, uint32_t timeout_ms)
+{
+	static const char *const paths[] = { "/call/1", "/turn/1", "/talk/1",
+					     "/talk/2" };
+	static uint32_t n;
+	rig_reply_t replies[INSTANCES][G_N_ELEMENTS(paths)];
+
+	for (int i = 0; i < INSTANCES; i++) {
+		for (size_t j = 0; j < G_N_ELEMENTS(paths); j++) {
+			g_autofree char *id = g_strdup_printf("time-%u", n++);
+
+			platform_rig_send(rig, rig->entries[i].front, paths[j],
+					  id,
+					  j < 2	   ? NULL
+					  : j == 2 ? "m0"
+						   : "m1",
+					  8000, &replies[i][j]);
+		}
+	}
+	for (int i = 0; i < INSTANCES; i++) {
+		for (size_t j = 0; j < G_N_ELEMENTS(paths); j++) {
+			rig_reply_t *reply = &replies[i][j];
+
+			platform_rig_wait(rig, &reply->done);
+			g_test_message(
+				"%s %s status=%d took_us=%" G_GINT64_FORMAT,
+				rig->entries[i].name, paths[j], reply->status,
+				reply->took_us);
+			g_assert_cmpint(reply->took_us, <,
+					(timeout_ms + 500) * INT64_C(1000));
+			/* Not by the shorter time of another version.  Of the
+			 * others some are refused earlier, as their target is
+			 * silent. */
+			if (j == 0)
+				g_assert_cmpint(reply->took_us, >=,
+						timeout_ms * INT64_C(1000));
+			platform_rig_reply_clear(reply);
+		}
+	}
+}
+
+/* Guards against a request that has no final answer soon after the time of its
+ * route, whatever its kind, while its target does not answer, stops in the middle
+ * or lacks the model, and against the time of an earlier version. */
+static void test_route_time(void)
+{
+	platform_rig_t rig;
+	worker_t *worker;
+
+	platform_rig_init(&rig);
+	rig.lease_ms = LEASE_MS;
+	configure_times(&rig, 400);
+	worker = platform_rig_add_worker(&rig, "desk", NULL);
+	worker->mode = WORKER_NEVER_ANSWERS;
+	worker = platform_rig_add_worker(&rig, "llm", "m0");
+	worker->mode = WORKER_STALLS;
+	for (int i = 0; i < INSTANCES; i++)
+		platform_rig_add_entry(&rig);
+	for (int i = 0; i < INSTANCES; i++)
+		platform_rig_wait_ready(&rig, &rig.entries[i]);
+	for (int i = 0; i < 4; i++) {
+		uint32_t timeout_ms = i % 2 == 0 ? 400 : 1100;
+
+		configure_times(&rig, timeout_ms);
+		platform_rig_run(&rig, 1000);
+		check_route_times(&rig, timeout_ms);
+	}
+	platform_rig_finish(&rig);
+}
+
+static uint32_t served_of(platform_rig_t *rig, const char *prefix, int entry)
+{
+	static uint32_t n;
+	rig_reply_t replies[ADDED_REQUESTS];
+	uint32_t served = 0;
+
+	for (int i = 0; i < ADDED_REQUESTS; i++) {
+		g_autofree char *id = g_strdup_printf("added-%u", n++);
+		g_autofree char *path = g_strdup_printf("/%s/%u", prefix, n);
+
+		platform_rig_send(rig, rig->entries[entry].front, path, id,
+				  NULL, DEADLINE_MS, &replies[i]);
+		platform_rig_run(rig, 10);
+	}
+	for (int i = 0; i < ADDED_REQUESTS; i++) {
+		platform_rig_wait(rig, &replies[i].done);
+		served += replies[i].status == 200;
+		platform_rig_reply_clear(&replies[i]);
+	}
+	return served;
+}
+
+/* Guards against routes that were added later, to a service that was there or to
+ * a new one, and whose requests are refused as nothing is known of them yet, also
+ * by a process that has just started and while another one stops. */
+static void test_added_routes(void)
+{
+	platform_rig_t rig;
+	json_t *config;
+
+	platform_rig_init(&rig);
+	rig.lease_ms = LEASE_MS;
+	platform_rig_configure(&rig, NULL);
+	for (int i = 0; i < 2; i++)
+		platform_rig_add_worker(&rig, "desk", NULL);
+	for (int i = 0; i < INSTANCES; i++)
+		platform_rig_add_entry(&rig);
+	for (int i = 0; i < INSTANCES; i++)
+		platform_rig_wait_ready(&rig, &rig.entries[i]);
+	platform_rig_run(&rig, 1500);
+	for (int i = 0; i < 2; i++)
+		platform_rig_add_worker(&rig, "shop", NULL);
+	config = json_pack("{s:i, s:[o,o,o], s:[{s:s},{s:s}], s:{}}", "version",
+			   (int)++rig.version, "routes",
+			   route("look", "idempotent", "desk"),
+			   route("desk", "idempotent", "desk"),
+			   route("shop", "non_idempotent", "shop"), "services",
+			   "name", "desk", "name", "shop", "limits");
+	platform_rig_write(&rig, "config", "main", config);
+	platform_rig_run(&rig, 2000);
+	kill(rig.entries[0].pid, SIGTERM);
+	platform_rig_add_entry(&rig);
+	platform_rig_wait_ready(&rig, &rig.entries[INSTANCES]);
+	for (int i = 1; i <= INSTANCES; i++) {
+		uint32_t first = served_of(&rig, "look", i);
+
+		g_assert_cmpuint(first, ==, ADDED_REQUESTS);
+		g_assert_cmpuint(served_of(&rig, "desk", i), ==, first);
+		g_assert_cmpuint(served_of(&rig, "shop", i), ==, first);
+	}
+	platform_rig_finish(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	if (sodium_init() < 0)
@@ -305,5 +460,7 @@
 	g_test_add_func("/configurations/unknown-adapter",
 			test_unknown_adapter);
 	g_test_add_func("/configurations/relayed", test_relayed);
+	g_test_add_func("/configurations/route-time", test_route_time);
+	g_test_add_func("/configurations/added-routes", test_added_routes);
 	return g_test_run();
 }
