traffic: refuse a waiting request before its caller leaves

Callers whose request waited for a model or a place got no answer at all: it was held to their deadline, at which they leave, and a stream to the time of its route, though its caller leaves after its pause without a first event.

A request that still waits when it can no longer be run in time is refused as not run, with Retry-After, 60 ms before its caller leaves. That is the least time that a run takes, so no request is refused that could have been served. One that is at a target keeps its whole time, as before.

--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -318,10 +318,26 @@
 	}
 }
 
+/* A request that still waits can no longer be run in time, and its caller leaves
+ * at its deadline, or after its pause for a stream: it is refused while the
+ * caller still hears that it has not run. */
+static int64_t wait_end_us(const request_t *r)
+{
+	return MIN(MIN(r->client_deadline_us, r->timeout_us),
+		   r->stream_deadline_us) -
+	       RUN_MIN_US;
+}
+
 static void on_deadline(void *ctx)
 {
 	request_t *r = ctx;
+	int64_t end_us = MIN(r->client_deadline_us, r->timeout_us);
 
+	if (traffic_now_us(r->traffic) < end_us &&
+	    (r->state != REQUEST_WAITING || r->answer_begun)) {
+		bsh_loop_timer_start(&r->timer, end_us);
+		return;
+	}
 	attempts_cancel_all(r, true);
 	traffic_fail(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 }
@@ -454,8 +470,7 @@
 
 static void start_timer(request_t *r)
 {
-	bsh_loop_timer_start(&r->timer,
-			     MIN(r->client_deadline_us, r->timeout_us));
+	bsh_loop_timer_start(&r->timer, wait_end_us(r));
 }
 
 static void on_request(void *ctx, bsh_http_request_t *http)
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -56,6 +56,8 @@
 
 /* Retry-After without an estimate. */
 #define RETRY_DEFAULT_MS 300
+/* Least time that a request needs at a target, apart from the wait. */
+#define RUN_MIN_US INT64_C(60000)
 
 /* The parts of its prompt that other requests share, all but the last one, and
  * the request as a whole. */
--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -2,8 +2,6 @@
  * refused at once. */
 #include "traffic.h"
 
-/* Least time that a request needs at a target, apart from the wait. */
-#define RUN_MIN_US INT64_C(60000)
 /* Interval at which a stream that no target can continue at present looks for
  * one. */
 #define RESUME_INTERVAL_US INT64_C(250000)
@@ -162,8 +160,7 @@
 
 void waiting_for_place(request_t *r)
 {
-	if (traffic_is_begun_stream(r) &&
-	    traffic_time_left_us(r) < RUN_MIN_US) {
+	if (traffic_time_left_us(r) < RUN_MIN_US) {
 		traffic_fail(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 		return;
 	}
@@ -191,6 +188,8 @@
 {
 	if (traffic_is_begun_stream(r))
 		wait_for_target(r);
+	else if (traffic_time_left_us(r) < RUN_MIN_US)
+		traffic_fail(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 	else if (reach_is_cut(r->traffic))
 		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_ELSEWHERE_MS);
 	else if (r->limited_by != NULL || r->pause_wait_us > 0)
--- a/regress/test_waiting_request.c
+++ b/regress/test_waiting_request.c
@@ -66,12 +66,41 @@
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "a1"), ==, 0);
 }
 
+/* Guards against a request that waits for a model until its caller has left: it
+ * is refused while the caller still hears that it has not run. */
+static void test_caller_leaves(fixture_t *f, gconstpointer data)
+{
+	rig_reply_t patient;
+	rig_reply_t brief;
+
+	(void)data;
+	/* Callers leave a stream after 2 s without its first event. */
+	platform_rig_send(&f->rig, f->entry->front, "/late/2", "a2", "m0", 8000,
+			  &patient);
+	platform_rig_send(&f->rig, f->entry->front, "/late/3", "a3", "m0", 900,
+			  &brief);
+	platform_rig_wait(&f->rig, &brief.done);
+	g_assert_cmpint(brief.status, ==, 503);
+	g_assert_nonnull(brief.retry_after);
+	g_assert_cmpint(brief.took_us, <, 900000);
+	platform_rig_wait(&f->rig, &patient.done);
+	g_assert_cmpint(patient.status, ==, 503);
+	g_assert_cmpint(patient.took_us, <, 2000000);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "a2"), ==, 0);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "a3"), ==, 0);
+	platform_rig_reply_clear(&patient);
+	platform_rig_reply_clear(&brief);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
 	g_test_add("/waiting-request/route-moves", fixture_t, NULL, set_up,
 		   test_route_moves, tear_down);
 	g_test_add("/waiting-request/route-is-dropped", fixture_t, NULL, set_up,
 		   test_route_is_dropped, tear_down);
+	g_test_add("/waiting-request/caller-leaves", fixture_t, NULL, set_up,
+		   test_caller_leaves, tear_down);
 	return g_test_run();
 }
