drain: end in time although a caller reads nothing

Cause, as shown by the test: the traffic thread waits until all answers are delivered. One whose caller reads nothing, with the buffers between them full, never is, and cannot be ended by the abort either, which needs a writable connection.

The thread ends 150 ms after the abort; what is undelivered is cut as the listener is freed, and is logged (drain-expired).

Evidence: /planned-stop/caller-reads-nothing: the process was still there 3 s after the end of a grace time of 4 s; it ends after 3.66 s now.

--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -3,9 +3,15 @@
  * before that. */
 #include "traffic.h"
 
+#include "base/log.h"
+
 /* Remaining requests are aborted this long before the end of the grace time, so
  * that their responses are sent before the process is killed. */
 #define ABORT_MARGIN_US INT64_C(500000)
+/* Time after the abort in which callers may still read their answers.  One that
+ * reads nothing would keep the process until it is killed, before it has withdrawn
+ * its registration. */
+#define DELIVERY_US INT64_C(150000)
 /* Interval at which a stopping process closes connections that became idle. */
 #define QUIT_POLL_INTERVAL_US INT64_C(50000)
 
@@ -89,11 +95,16 @@
 static void check_quit(void *data)
 {
 	traffic_t *t = data;
+	int64_t now_us = traffic_now_us(t);
+	bool expired = now_us >= t->abort_at_us + DELIVERY_US;
 
 	/* A connection without a request that is being sent is closed below. */
-	if (t->requests.length == 0 &&
-	    (bsh_http_server_connections(t->server) == 0 ||
-	     traffic_now_us(t) >= t->abort_at_us)) {
+	if (expired || (t->requests.length == 0 &&
+			(bsh_http_server_connections(t->server) == 0 ||
+			 now_us >= t->abort_at_us))) {
+		if (expired && t->requests.length > 0)
+			bsh_log(BSH_LOG_WARNING, "drain-expired undelivered=%u",
+				t->requests.length);
 		bsh_loop_stop(t->loop);
 		return;
 	}
--- a/regress/test_planned_stop.c
+++ b/regress/test_planned_stop.c
@@ -296,6 +296,50 @@
 	tear_down(f);
 }
 
+/* Guards against a stop that does not end before it is killed, as a caller does
+ * not read what it is sent: it keeps its connection and sends more requests. */
+static void test_caller_reads_nothing(void)
+{
+	static const char text[] =
+		"GET /nowhere/ HTTP/1.1\r\nHost: " RIG_HOST "\r\n\r\n";
+	static const stop_t stop = { .stream_events = 20 };
+	static fixture_t fixture;
+	fixture_t *f = &fixture;
+	int small = 1;
+	int64_t ended_us;
+	int fd;
+
+	set_up(f, &stop);
+	fd = connect_to(f->stopping->front);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	/* Until the buffers in both directions are full. */
+	for (int blocked = 0; blocked < 50;) {
+		ssize_t n = send(fd, text, sizeof(text) - 1,
+				 MSG_DONTWAIT | MSG_NOSIGNAL);
+
+		if (n == (ssize_t)sizeof(text) - 1)
+			continue;
+		blocked++;
+		platform_rig_run(&f->rig, STEP_MS);
+		if (n > 0)
+			break;
+	}
+	platform_rig_run(&f->rig, 500);
+	f->term_us = bsh_loop_clock_us();
+	kill(f->stopping->pid, SIGTERM);
+	while (f->stopping->alive &&
+	       bsh_loop_clock_us() - f->term_us < (GRACE_S + 3) * SECOND) {
+		platform_rig_run(&f->rig, STEP_MS);
+		platform_rig_reap(&f->rig);
+	}
+	ended_us = bsh_loop_clock_us() - f->term_us;
+	g_test_message("ended_us=%" G_GINT64_FORMAT, ended_us);
+	g_assert_false(f->stopping->alive);
+	g_assert_cmpint(ended_us, <, GRACE_S * SECOND);
+	close(fd);
+	tear_down(f);
+}
+
 int main(int argc, char **argv)
 {
 	static const stop_t calm = { .stream_events = 130 };
@@ -317,5 +361,7 @@
 			     test_stop);
 	g_test_add_data_func("/planned-stop/more-signals", &signals, test_stop);
 	g_test_add_func("/planned-stop/upload", test_upload);
+	g_test_add_func("/planned-stop/caller-reads-nothing",
+			test_caller_reads_nothing);
 	return g_test_run();
 }
