--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -115,7 +115,8 @@
 			"configuration-too-large version=%" G_GUINT64_FORMAT
 			" bytes=%" G_GSIZE_FORMAT,
 			version, g_bytes_get_size(packed));
-		g_clear_pointer(&packed, g_bytes_unref);
+		g_bytes_unref(packed);
+		packed = NULL;
 	}
 	catalogs->packed[0] = packed;
 	catalogs->packed_versions[0] = version;
