document_fetch: go on asking instances while the store is asked

An instance that the store refuses, or whose calls get no answer, could have a new configuration 2.7 s and more after it was told of it, beyond the bound of 2 s, although the others had it after 0.8 s.

Cause: if the instance that told does not answer (it was killed right after it had told, or its links work one way), all ask each other in vain for 0.7 s and then the store, and after that nobody for 2 s. Those that the store answers have the version a moment later; one that it does not answer waits out the 2 s.

The store is asked every 2 s as before, and the instances every 80 ms meanwhile.

--- a/lib/coordination/document_fetch.c
+++ b/lib/coordination/document_fetch.c
@@ -10,7 +10,9 @@
 #define TELLER_AFTER_TRIES 3U
 #define ANY_AFTER_TRIES	   5U
 #define STORE_AFTER_TRIES  9U
-/* After the store was asked, which has its own repetitions. */
+/* Until the store is asked again, which has its own repetitions.  Meanwhile the
+ * instances are asked: others may have read the version, and the store may not
+ * answer this one. */
 #define STORE_WAIT_US INT64_C(2000000)
 /* A version that the store does not have is not fetched for this long. */
 #define ABSENT_US INT64_C(10000000)
@@ -124,11 +126,11 @@
 		return BSH_DOCUMENT_PARENT;
 	if (tries < ANY_AFTER_TRIES)
 		return BSH_DOCUMENT_TELLER;
-	if (tries < STORE_AFTER_TRIES)
+	if (tries < STORE_AFTER_TRIES ||
+	    (fetch->asked_store && now_us < fetch->store_again_us))
 		return BSH_DOCUMENT_ANY;
-	fetch->tries = TELLER_AFTER_TRIES;
 	fetch->asked_store = true;
-	fetch->next_us = now_us + STORE_WAIT_US;
+	fetch->store_again_us = now_us + STORE_WAIT_US;
 	return BSH_DOCUMENT_STORE;
 }
 
--- a/lib/coordination/document_fetch.h
+++ b/lib/coordination/document_fetch.h
@@ -52,6 +52,7 @@
 	uint64_t absent;
 	int64_t absent_us;
 	bool asked_store; /* for the wanted version, as no instance sent it */
+	int64_t store_again_us; /* besides, not again before */
 	/* Parts received of one version. */
 	uint64_t version; /* 0: none */
 	uint32_t parts;
--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -549,7 +549,7 @@
 
 static uint32_t days(void)
 {
-	return g_test_thorough() ? 3000 : 150;
+	return g_test_thorough() ? 3000 : 250;
 }
 
 /* Guards against an instance in touch that goes on using a target past its drain
@@ -679,6 +679,29 @@
 	return now_us;
 }
 
+/* Guards against an instance that the store does not answer, and that asks no
+ * other one while it waits for the store: the others have read it by then. */
+static void test_document_store_silent(void)
+{
+	bsh_document_fetch_t fetch;
+	uint32_t from;
+	int64_t asked_us;
+	int64_t due_us;
+
+	bsh_document_fetch_init(&fetch);
+	bsh_document_fetch_want(&fetch, 9, 0, 0);
+	asked_us = ask_all(&fetch);
+	for (int i = 0; i < 10; i++) {
+		due_us = bsh_document_fetch_due_us(&fetch);
+		g_assert_cmpint(due_us, <=, asked_us + (i + 1) * 100 * MS);
+		g_assert_cmpint(bsh_document_fetch_next(&fetch, due_us, &from),
+				==, BSH_DOCUMENT_ANY);
+	}
+	/* The store is asked again, and not much more often. */
+	g_assert_cmpint(ask_all(&fetch), >=, asked_us + 2 * SECOND);
+	bsh_document_fetch_finish(&fetch);
+}
+
 /* Guards against a version that nobody has and that is asked for without end, and
  * against one that instances have and that is left alone, as a list of the store
  * from an older copy did not show it. */
@@ -833,6 +856,8 @@
 	g_test_add_func("/store-reader/calls-in-faults", test_calls_in_faults);
 	g_test_add_func("/store-reader/document-parts", test_document_parts);
 	g_test_add_func("/store-reader/document-absent", test_document_absent);
+	g_test_add_func("/store-reader/document-store-silent",
+			test_document_store_silent);
 	g_test_add_func("/store-reader/document-transfer",
 			test_document_transfer);
 	return g_test_run();
