--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -787,7 +787,7 @@
 	bsh_document_fetch_init(&fetch);
 	for (int64_t now_us = 0; now_us < transfer->end_us; now_us += MS) {
 		uint64_t newest = version_at(transfer, now_us);
-		uint64_t kept[BSH_DOCUMENT_KEPT];
+		uint64_t kept[BSH_DOCUMENT_KEPT] = { 0 };
 		uint32_t from;
 
 		bsh_document_fetch_want(&fetch, newest, 0, now_us);
