store_reading: read the configuration also while calls about targets fail

No instance had a new configuration, without end, while the store answered nobody about the list of targets, and all about the configuration: a list that is too long for the time of a call, for instance.

Cause: an instance whose calls about targets fail made none about the configuration, so that an outage of the store costs one kind of call. Where they fail for all, nobody read it: the same class as vouching for one kind by the other.

The instance of rank 0 makes both now, those about the configuration half as often while the others fail, and tells the rest.

--- a/bshentryd/store_reading.c
+++ b/bshentryd/store_reading.c
@@ -20,6 +20,9 @@
 #define WATCH_WAIT_MS 500U
 /* An instance that the store has not answered for longer vouches for nothing. */
 #define CONTACT_MAX_AGE_US INT64_C(1200000)
+/* While calls about targets fail, those about the configuration are this much
+ * rarer. */
+#define CONFIG_BACKOFF_FACTOR 2
 /* Key of the rank by which instances read. */
 #define RANK_KEY UINT64_C(0x53746f7265526561)
 
@@ -243,19 +246,22 @@
 	bool targets = reading->targets.reading;
 	bool config = reading->config.reading;
 	bool holder = orders_is_holder(control->orders);
+	bool fails = targets_store_fails(control->targets);
 	int64_t backoff_max_us =
 		bsh_store_reader_backoff_max_us(rank, instances);
 
 	targets_set_backoff_max(control->targets, backoff_max_us);
-	catalogs_set_backoff_max(control->catalogs, backoff_max_us);
+	catalogs_set_backoff_max(control->catalogs,
+				 fails ? CONFIG_BACKOFF_FACTOR * backoff_max_us
+				       : backoff_max_us);
 	targets_set_wait(control->targets,
 			 targets && !holder ? WATCH_WAIT_MS : 0);
 	/* While the store does not answer, one kind of call shows when it does
-	 * again. */
-	catalogs_set_source(
-		control->catalogs,
-		!reading->config.started ||
-			(config && !targets_store_fails(control->targets)));
+	 * again.  The first reader makes both, the second one less often, as the
+	 * store may fail to answer about targets alone. */
+	catalogs_set_source(control->catalogs,
+			    !reading->config.started ||
+				    (config && (rank == 0 || !fails)));
 	if (targets == reading->read_targets && config == reading->read_config)
 		return;
 	reading->read_targets = targets;
--- a/regress/test_store_calls.c
+++ b/regress/test_store_calls.c
@@ -170,10 +170,10 @@
 	g_assert_cmpint(served_by_all_us(f, "/more/1", -1), <, 2000000);
 }
 
-/* The lease holder is a far entry, about whose calls the test decides. */
+/* The lease holder is a far entry, about whose calls the test decides; data: all
+ * are. */
 static void set_up_far_holder(fixture_t *f, gconstpointer data)
 {
-	(void)data;
 	platform_rig_init(&f->rig);
 	platform_rig_configure(&f->rig, NULL);
 	f->engine = platform_rig_add_worker(&f->rig, "llm", "m0");
@@ -184,8 +184,12 @@
 	     i++)
 		platform_rig_run(&f->rig, 50);
 	g_assert_cmpstr(lease_holder(f), ==, "entry-1");
-	for (int i = 1; i < ENTRIES; i++)
-		platform_rig_add_entry(&f->rig);
+	for (int i = 1; i < ENTRIES; i++) {
+		if (data != NULL)
+			platform_rig_add_far_entry(&f->rig);
+		else
+			platform_rig_add_entry(&f->rig);
+	}
 	for (int i = 1; i < ENTRIES; i++)
 		platform_rig_wait_ready(&f->rig, &f->rig.entries[i]);
 	platform_rig_run(&f->rig, 4000);
@@ -209,6 +213,21 @@
 	g_assert_cmpint(took_us, <, 2000000);
 }
 
+/* Guards against a configuration that nobody reads as long as the store does not
+ * answer about the targets: all entries are far ones here. */
+static void test_silent_targets(fixture_t *f, gconstpointer data)
+{
+	int64_t took_us;
+
+	(void)data;
+	f->rig.far_silent_kind = "servers";
+	platform_rig_run(&f->rig, 4000);
+	platform_rig_configure(&f->rig, MORE_ROUTE);
+	took_us = served_by_all_us(f, "/more/1", -1);
+	g_test_message("took_us=%" G_GINT64_FORMAT " calls=%u", took_us, calls);
+	g_assert_cmpint(took_us, <, 2000000);
+}
+
 /* Guards against an outage of the store that costs calls of each instance. */
 static void test_outage(fixture_t *f, gconstpointer data)
 {
@@ -348,6 +367,8 @@
 	ADD("unknown-route", test_unknown_route);
 	g_test_add("/store-calls/silent-configuration", fixture_t, NULL,
 		   set_up_far_holder, test_silent_configuration, tear_down);
+	g_test_add("/store-calls/silent-targets", fixture_t, "all",
+		   set_up_far_holder, test_silent_targets, tear_down);
 	g_test_add("/store-calls/bad-peer", fixture_t, "liar", set_up,
 		   test_bad_peer, tear_down);
 	return g_test_run();
