test_store_reader: a read that began too early changes nothing at all

As it moved to /store-reader/document-absent, this check had only asked that the fetch goes on; before, that its next query is due at the same time. It asks for the same time again.

--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -723,6 +723,7 @@
 {
 	bsh_document_fetch_t fetch;
 	int64_t asked_us;
+	int64_t due_us;
 
 	bsh_document_fetch_init(&fetch);
 	bsh_document_fetch_want(&fetch, 9, 0, SECOND / 2);
@@ -731,8 +732,9 @@
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, SECOND / 2);
 	asked_us = ask_all(&fetch);
 	/* A read that began before the instance was told shows nothing. */
+	due_us = bsh_document_fetch_due_us(&fetch);
 	bsh_document_fetch_store_read(&fetch, SECOND / 4, asked_us);
-	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), <, INT64_MAX);
+	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, due_us);
 	bsh_document_fetch_store_read(&fetch, asked_us, asked_us);
 	bsh_document_fetch_want(&fetch, 9, 0, asked_us + SECOND);
 	g_assert_cmpint(bsh_document_fetch_due_us(&fetch), ==, INT64_MAX);
