entry: log which side cut a response, and what a stopping instance expected

The record of the streams that were cut around planned stops cannot tell an abort at the end of the grace from the end of the target's process: response-cut has error=connection-lost for both. It now names the cause and the side that closed first. drain-cut adds when the request was received and sent since SIGTERM, how long it was expected to last and by how many requests. A connection that ends before its request is whole leaves request-not-received.

bshctl explain puts these together, and counts the cuts of the same target on all instances: cuts by the target on several instances at once show the end of its process, a cut by an instance does not. /logs/cut-response has a log of each kind. No decision is changed.

--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -47,18 +47,41 @@
 	bsh_run_time_add(time, now_us - r->arrived_us - r->waited_us, now_us);
 }
 
-bool drain_takes(const request_t *r, int64_t wait_us)
+bool drain_takes(request_t *r, int64_t wait_us)
 {
 	const traffic_t *t = r->traffic;
+	const bsh_run_time_t *time;
 	int64_t now_us = traffic_now_us(t);
+	int64_t bound_us;
 
 	/* A request that may have run cannot be refused any more. */
 	if (!t->draining || r->may_have_run || r->answer_begun)
 		return true;
-	return bsh_run_time_fits(
-		g_hash_table_lookup(t->run_times, r->route->name), wait_us,
-		MIN(r->client_deadline_us, r->timeout_us) - now_us,
-		t->abort_at_us - now_us);
+	time = g_hash_table_lookup(t->run_times, r->route->name);
+	bound_us = time != NULL ? bsh_run_time_bound_us(time) : INT64_MAX;
+	r->expected_us = bound_us != INT64_MAX ? bound_us : -1;
+	r->expected_from = time != NULL ? bsh_run_time_requests(time) : 0;
+	return bsh_run_time_fits(time, wait_us,
+				 MIN(r->client_deadline_us, r->timeout_us) -
+					 now_us,
+				 t->abort_at_us - now_us);
+}
+
+void drain_log_cut(const request_t *r)
+{
+	const traffic_t *t = r->traffic;
+	int64_t now_us = traffic_now_us(t);
+
+	if (!t->draining)
+		return;
+	bsh_log(BSH_LOG_WARNING,
+		"drain-cut id=%s drain_ms=%d received_ms=%d sent_ms=%d "
+		"expected_ms=%d expected_from=%u",
+		r->info.attempt_id, (int)((now_us - t->drain_began_us) / 1000),
+		(int)((r->arrived_us - t->drain_began_us) / 1000),
+		(int)((r->attempt->began_us - t->drain_began_us) / 1000),
+		r->expected_us >= 0 ? (int)(r->expected_us / 1000) : -1,
+		r->expected_from);
 }
 
 void traffic_drain(void *data)
@@ -66,7 +89,8 @@
 	traffic_t *t = data;
 
 	t->draining = true;
-	t->abort_at_us = traffic_now_us(t) +
+	t->drain_began_us = traffic_now_us(t);
+	t->abort_at_us = t->drain_began_us +
 			 (int64_t)(t->entry->settings.entry_grace_s * 1e6) -
 			 ABORT_MARGIN_US;
 	bsh_http_server_close_after_responses(t->server);
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -223,18 +223,27 @@
 	return "left";
 }
 
-void request_log_cut(const request_t *r, bsh_error_t err)
+/* Which side closed the connection first. */
+static const char *closing_side(bsh_error_t cause)
+{
+	return cause == BSH_ERR_CONNECTION_LOST ? "target" : "instance";
+}
+
+void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause)
 {
 	bsh_counter_add(&unanswered, 1);
 	bsh_log(BSH_LOG_WARNING,
-		"response-cut id=%s target=%s error=%s sends=%u repeat=%s "
+		"response-cut id=%s target=%s error=%s cause=%s closed_by=%s "
+		"sends=%u repeat=%s "
 		"passed_events=%" G_GUINT64_FORMAT
 		" left_ms=%d target_state=%s draining=%d "
 		"config=%" G_GUINT64_FORMAT,
 		r->info.attempt_id, last_target(r), bsh_error_name(err),
-		r->sends, r->retry_denial, r->relay.passed,
+		bsh_error_name(cause), closing_side(cause), r->sends,
+		r->retry_denial, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), target_state_name(r),
 		r->traffic->draining, r->catalog->version);
+	drain_log_cut(r);
 }
 
 void request_log_silence(const request_t *r, const char *action)
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -90,6 +90,7 @@
 void traffic_fail(request_t *r, bsh_error_t err, int64_t retry_ms)
 {
 	const bsh_error_info_t *answer;
+	bsh_error_t cause = err;
 
 	attempts_cancel_all(r, false);
 	/* After an attempt with an unknown outcome the response must not claim
@@ -100,7 +101,7 @@
 					      : BSH_ERR_CONNECTION_LOST;
 	answer = bsh_error_info(err);
 	if (r->answer_begun) {
-		request_log_cut(r, err);
+		request_log_cut(r, err, cause);
 		bsh_http_response_abort(r->http);
 		finish(r, END_UNKNOWN, r->status, bsh_error_name(err));
 		return;
@@ -416,6 +417,7 @@
 	r->state = REQUEST_ENDED;
 	r->wait_link.data = r;
 	r->retry_denial = "-";
+	r->expected_us = -1;
 	r->arrived_us = traffic_now_us(t);
 	r->events = g_string_new(NULL);
 	attempts_init(r);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -133,6 +133,7 @@
 	int64_t load_reported_us;     /* last report of the load */
 	bsh_loop_timer_t abort_timer; /* at abort_at_us */
 	bool draining;
+	int64_t drain_began_us;
 	int64_t abort_at_us; /* when the drain aborts the remaining requests */
 	GHashTable *run_times; /* route to bsh_run_time_t */
 	GQueue requests;       /* request_t, all */
@@ -206,7 +207,12 @@
 	int64_t patience_us; /* longest time without an event for its caller */
 	bsh_loop_timer_t timer; /* client deadline or timeout_us, the earlier */
 	request_state_t state;
-	GList link;	       /* in traffic.requests */
+	GList link; /* in traffic.requests */
+	/* When it was last taken by an instance that is being stopped: how long
+	 * requests of its route last, -1: not known, and how many that rests
+	 * on. */
+	int64_t expected_us;
+	uint32_t expected_from;
 	int64_t wait_began_us; /* of the current wait */
 	int64_t waited_us;     /* sum of the earlier waits */
 	bool wait_logged;
@@ -349,7 +355,10 @@
 void drain_note_run(const request_t *r);
 /* drain_takes - false if this instance is being stopped and the request, sent
  * after wait_us, may last longer than the instance. */
-bool drain_takes(const request_t *r, int64_t wait_us);
+bool drain_takes(request_t *r, int64_t wait_us);
+/* drain_log_cut - log what was known of a request, whose response was cut, when
+ * it was taken. */
+void drain_log_cut(const request_t *r);
 
 /* request_log.c */
 void request_log_register(void);
@@ -362,8 +371,9 @@
  * NULL without an estimate. */
 void request_log_wait(request_t *r, const view_ready_t *ready);
 /* request_log_cut - log that a response that has begun is cut off: the caller
- * gets neither a complete answer nor a refusal. */
-void request_log_cut(const request_t *r, bsh_error_t err);
+ * gets neither a complete answer nor a refusal.  cause: why, before err was
+ * chosen by what may have run. */
+void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause);
 /* request_log_silence - log what is done about a target that sends nothing. */
 void request_log_silence(const request_t *r, const char *action);
 /* request_log_attempt - log an attempt that did not answer the request. */
--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -21,7 +21,7 @@
 #define VERSION_WAIT_MAX_US INT64_C(1000000)
 /* True if the model is expected early enough for the request to end before the
  * drain aborts it. */
-static bool is_ready_before_abort(const request_t *r, const view_ready_t *ready)
+static bool is_ready_before_abort(request_t *r, const view_ready_t *ready)
 {
 	return ready != NULL && ready->ready_us != INT64_MAX &&
 	       drain_takes(r, ready->ready_us - ready->estimated_us);
--- a/lib/coordination/run_time.c
+++ b/lib/coordination/run_time.c
@@ -6,10 +6,13 @@
 {
 	if (now_us - time->window_began_us >= BSH_RUN_TIME_WINDOW_US) {
 		time->former_longest_us = time->longest_us;
+		time->former_requests = time->requests;
 		time->longest_us = 0;
+		time->requests = 0;
 		time->window_began_us = now_us;
 	}
 	time->longest_us = MAX(time->longest_us, MAX(run_us, 1));
+	time->requests++;
 }
 
 int64_t bsh_run_time_bound_us(const bsh_run_time_t *time)
@@ -22,6 +25,11 @@
 	       BSH_RUN_TIME_MARGIN_US;
 }
 
+uint32_t bsh_run_time_requests(const bsh_run_time_t *time)
+{
+	return time->requests + time->former_requests;
+}
+
 bool bsh_run_time_fits(const bsh_run_time_t *time, int64_t wait_us,
 		       int64_t limit_us, int64_t left_us)
 {
--- a/lib/coordination/run_time.h
+++ b/lib/coordination/run_time.h
@@ -36,6 +36,8 @@
 	int64_t window_began_us;
 	int64_t longest_us;	   /* in the current window; 0: none */
 	int64_t former_longest_us; /* in the one before */
+	uint32_t requests;	   /* in the current window */
+	uint32_t former_requests;
 } bsh_run_time_t;
 
 /* bsh_run_time_add - a request that was sent to a target has ended after
@@ -46,6 +48,9 @@
  * known. */
 int64_t bsh_run_time_bound_us(const bsh_run_time_t *time);
 
+/* bsh_run_time_requests - number of requests that the time rests on. */
+uint32_t bsh_run_time_requests(const bsh_run_time_t *time);
+
 /*
  * bsh_run_time_fits - true if a request ends before the abort.
  *
--- a/lib/operator/log_diagnosis.c
+++ b/lib/operator/log_diagnosis.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "operator/log_cut.h"
 #include "operator/log_reason.h"
 
 /* Interval around a request in which orders can explain a missing model: a load
@@ -600,6 +601,21 @@
 				    1e6);
 }
 
+static void report_cut(const analysis_t *a)
+{
+	for (guint i = 0; i < a->diag->lines->len; i++) {
+		const bsh_log_line_t *line =
+			g_ptr_array_index(a->diag->lines, i);
+		g_autofree char *text = NULL;
+
+		if (!is_event(line, "response-cut") ||
+		    !bsh_log_value_is(line, "id", a->diag->id))
+			continue;
+		text = bsh_log_cut_text(a->log, line);
+		add_finding(a->diag, "cut", "%s", text);
+	}
+}
+
 /* Reports the ends of processes for which the request was refused. */
 static void report_quarantine(const analysis_t *a)
 {
@@ -663,6 +679,7 @@
 	report_quarantine(a);
 	report_wait(a);
 	report_attempts(a);
+	report_cut(a);
 	if (a->model != NULL && !answered &&
 	    bsh_log_number(end, "sends", 0) == 0) {
 		report_loads(a);
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -237,6 +237,12 @@
 	if (request->head_too_large &&
 	    code == MHD_REQUEST_TERMINATED_WITH_ERROR)
 		send_head_too_large(request);
+	if (!request->dispatched && request->head_received)
+		bsh_log(BSH_LOG_INFO,
+			"request-not-received path=%s bytes=%" G_GUINT64_FORMAT
+			" closed_by=%s",
+			request->path, request->received_bytes,
+			request->server->freeing ? "instance" : "caller");
 	if (request->dispatched) {
 		request->server->request_count--;
 		if (request->handler.on_done != NULL)
--- a/regress/test_logs.c
+++ b/regress/test_logs.c
@@ -123,6 +123,38 @@
 	"config=3 config_age_ms=200 targets_age_ms=700 view=9 "
 	"hlc=1781489946001000.0\n";
 
+/* A stream that instance a cuts at the end of its drain, and, 2.5 s later, two
+ * streams of target t2 that it closes on two instances. */
+static const char cut_log[] = T
+	"01.000Z info bshentryd/a: start instance=a hlc=1781489941000000.0\n" T
+	"02.000Z info bshentryd/a: drain-begin signal=15 "
+	"hlc=1781489942000000.0\n" T
+	"09.500Z warning bshentryd/a: response-cut id=fa01 target=t1 "
+	"error=connection-lost cause=draining closed_by=instance sends=1 "
+	"repeat=- passed_events=9 left_ms=800 target_state=listed draining=1 "
+	"config=3 hlc=1781489949500000.0\n" T
+	"09.500Z warning bshentryd/a: drain-cut id=fa01 drain_ms=7500 "
+	"received_ms=3200 sent_ms=3201 expected_ms=1350 expected_from=2 "
+	"hlc=1781489949500001.0\n" T
+	"09.501Z info bshentryd/a: request id=fa01 route=r1 kind=stream "
+	"model=m1 end=unknown status=200 reason=connection-lost target=t1 "
+	"sends=1 tried=1 repeat=- waited_ms=0 first_ms=30 total_ms=4300 "
+	"left_ms=800 config=3 config_age_ms=200 targets_age_ms=700 view=9 "
+	"hlc=1781489949501000.0\n" T
+	"12.000Z warning bshentryd/a: response-cut id=fa02 target=t2 "
+	"error=connection-lost cause=connection-lost closed_by=target sends=1 "
+	"repeat=- passed_events=9 left_ms=800 target_state=listed draining=0 "
+	"config=3 hlc=1781489952000000.0\n" T
+	"12.001Z info bshentryd/a: request id=fa02 route=r1 kind=stream "
+	"model=m1 end=unknown status=200 reason=connection-lost target=t2 "
+	"sends=1 tried=1 repeat=- waited_ms=0 first_ms=30 total_ms=900 "
+	"left_ms=800 config=3 config_age_ms=200 targets_age_ms=700 view=9 "
+	"hlc=1781489952001000.0\n" T
+	"12.010Z warning bshentryd/b: response-cut id=fb01 target=t2 "
+	"error=connection-lost cause=connection-lost closed_by=target sends=1 "
+	"repeat=- passed_events=4 left_ms=800 target_state=listed draining=0 "
+	"config=3 hlc=1781489952010000.0\n";
+
 static void parse_logs(bsh_log_t *log, const char *const *texts, int n)
 {
 	bsh_log_read_init(log);
@@ -257,6 +289,32 @@
 	bsh_log_read_finish(&log);
 }
 
+/* Guards against a cut at the end of a drain that cannot be told from the end of
+ * its target's process. */
+static void test_cut_response(void)
+{
+	const char *texts[] = { cut_log };
+	bsh_diagnosis_t diag;
+	bsh_log_t log;
+
+	parse_logs(&log, texts, 1);
+	bsh_diagnosis_init(&diag, &log, "fa01");
+	ASSERT_FINDING(&diag, "cut", "t1 was cut by the instance (draining)");
+	ASSERT_FINDING(&diag, "cut", "7500 ms after its drain began");
+	ASSERT_FINDING(&diag, "cut", "received at 3200 ms");
+	ASSERT_FINDING(&diag, "cut", "expected to last 1350 ms by 2 requests");
+	ASSERT_FINDING(&diag, "cut", "0 other responses of that target");
+	bsh_diagnosis_finish(&diag);
+	bsh_diagnosis_init(&diag, &log, "fa02");
+	ASSERT_FINDING(&diag, "cut", "by the target (connection-lost)");
+	ASSERT_FINDING(&diag, "cut",
+		       "1 other responses of that target were cut by the target"
+		       " and 0 by instances, on 1 instances");
+	g_assert_null(strstr(finding_text(&diag, "cut"), "drain"));
+	bsh_diagnosis_finish(&diag);
+	bsh_log_read_finish(&log);
+}
+
 /* Guards against a refused id that does not lead to the ends of processes for
  * which its prompt is refused, or leads to those of another part. */
 static void check_quarantined(const char *text, const char *id,
@@ -485,6 +543,7 @@
 	g_test_add_func("/logs/missing", test_gaps);
 	g_test_add_func("/logs/refused", test_waiting_for_model);
 	g_test_add_func("/logs/lost-answer", test_lost_answer);
+	g_test_add_func("/logs/cut-response", test_cut_response);
 	g_test_add_func("/logs/paused-instance", test_suspended_instance);
 	g_test_add_func("/logs/no-lines", test_unlogged_request);
 	g_test_add_func("/logs/commands", test_commands);
