--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -688,6 +688,16 @@
 	bsh_loop_timer_after(&worker->process_timer, 0);
 }
 
+static uint32_t stream_events(const run_t *run)
+{
+	const worker_t *worker = run->worker;
+
+	if (worker->rig->stream_length != NULL)
+		return worker->rig->stream_length(run->began_by);
+	return worker->stream_events > 0 ? worker->stream_events
+					 : STREAM_EVENTS;
+}
+
 static void on_run_timer(void *ctx)
 {
 	run_t *run = ctx;
@@ -738,9 +748,7 @@
 		bsh_http_response_abort(run->request);
 		return;
 	}
-	if (run->next_event >= (worker->stream_events > 0
-					? worker->stream_events
-					: STREAM_EVENTS)) {
+	if (run->next_event >= stream_events(run)) {
 		run->ended = true;
 		bsh_http_response_end(run->request);
 		return;
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -168,6 +168,8 @@
 	uint32_t n_workers;
 	rig_entry_t entries[RIG_ENTRIES_MAX];
 	uint32_t n_entries;
+	/* Number of events of an attempt's stream; NULL: as the worker's. */
+	uint32_t (*stream_length)(const char *attempt);
 	GHashTable *runs; /* attempt id to number of executions */
 	/* Attempt id to the workers that executed it: bit N for workers[N]. */
 	GHashTable *run_workers;
