drain: take a stream only if its deadline is before the abort

Callers of streams that came after SIGTERM saw a 200 that was closed at the end of the grace.

Cause: an instance that is being stopped took a stream if the longest one of its route so far and a quarter more fits. That is an estimate from a sample: after n streams the next one is the longest of all with a chance of 1 in n + 1, and where lengths are spread it exceeds the margin often. A fresh process or a rare route has seen few.

A stream is now taken only if its deadline or the route's timeout is before the abort, which holds whatever it lasts. A request that may have run, or of which the caller has a part, is sent once more only if it is expected to end in time; it was sent in any case. Requests that were refused by targets no longer count as samples.

/planned-stop/* asserted that some stream sent after SIGTERM is served; all had a deadline after the abort. A part of them now has one before it, and the assertion stands.

--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -33,7 +33,7 @@
 	int64_t now_us = traffic_now_us(t);
 	bsh_run_time_t *time;
 
-	if (r->route == NULL || r->attempt->began_us == 0)
+	if (r->route == NULL || r->runs == 0)
 		return;
 	time = g_hash_table_lookup(t->run_times, r->route->name);
 	if (time == NULL) {
@@ -50,21 +50,25 @@
 bool drain_takes(request_t *r, int64_t wait_us)
 {
 	const traffic_t *t = r->traffic;
-	const bsh_run_time_t *time;
 	int64_t now_us = traffic_now_us(t);
+	bsh_late_request_t request = {
+		.is_stream = r->is_stream,
+		.repeatable = r->repeatable,
+		.has_begun = r->may_have_run || r->answer_begun,
+		.wait_us = wait_us,
+		.limit_us = MIN(r->client_deadline_us, r->timeout_us) - now_us,
+		.left_us = t->abort_at_us - now_us,
+	};
+	const bsh_run_time_t *time;
 	int64_t bound_us;
 
-	/* A request that may have run cannot be refused any more. */
-	if (!t->draining || r->may_have_run || r->answer_begun)
+	if (!t->draining)
 		return true;
 	time = g_hash_table_lookup(t->run_times, r->route->name);
 	bound_us = time != NULL ? bsh_run_time_bound_us(time) : INT64_MAX;
 	r->expected_us = bound_us != INT64_MAX ? bound_us : -1;
 	r->expected_from = time != NULL ? bsh_run_time_requests(time) : 0;
-	return bsh_run_time_fits(time, wait_us,
-				 MIN(r->client_deadline_us, r->timeout_us) -
-					 now_us,
-				 t->abort_at_us - now_us);
+	return bsh_run_time_takes(time, &request);
 }
 
 void drain_log_cut(const request_t *r)
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -353,8 +353,8 @@
 void drain_finish(traffic_t *t);
 /* drain_note_run - a request has ended. */
 void drain_note_run(const request_t *r);
-/* drain_takes - false if this instance is being stopped and the request, sent
- * after wait_us, may last longer than the instance. */
+/* drain_takes - false if this instance is being stopped and is not to send the
+ * request after wait_us: it is refused, or ended if it may have run. */
 bool drain_takes(request_t *r, int64_t wait_us);
 /* drain_log_cut - log what was known of a request, whose response was cut, when
  * it was taken. */
--- a/lib/coordination/run_time.c
+++ b/lib/coordination/run_time.c
@@ -15,13 +15,18 @@
 	time->requests++;
 }
 
+static int64_t longest_us(const bsh_run_time_t *time)
+{
+	return MAX(time->longest_us, time->former_longest_us);
+}
+
 int64_t bsh_run_time_bound_us(const bsh_run_time_t *time)
 {
-	int64_t longest_us = MAX(time->longest_us, time->former_longest_us);
+	int64_t run_us = longest_us(time);
 
-	if (longest_us == 0)
+	if (run_us == 0)
 		return INT64_MAX;
-	return longest_us + longest_us / 100 * BSH_RUN_TIME_MARGIN_PERCENT +
+	return run_us + run_us / 100 * BSH_RUN_TIME_MARGIN_PERCENT +
 	       BSH_RUN_TIME_MARGIN_US;
 }
 
@@ -42,3 +47,19 @@
 	bound_us = bsh_run_time_bound_us(time);
 	return bound_us != INT64_MAX && wait_us + bound_us <= left_us;
 }
+
+bool bsh_run_time_takes(const bsh_run_time_t *time,
+			const bsh_late_request_t *request)
+{
+	if (request->limit_us <= request->left_us)
+		return true;
+	if (request->is_stream && !request->has_begun)
+		return false;
+	if (!bsh_run_time_fits(time, request->wait_us, request->limit_us,
+			       request->left_us))
+		return false;
+	return request->repeatable || request->has_begun ||
+	       request->wait_us + BSH_RUN_TIME_ONCE_FACTOR * longest_us(time) +
+			       BSH_RUN_TIME_MARGIN_US <=
+		       request->left_us;
+}
--- a/lib/coordination/run_time.h
+++ b/lib/coordination/run_time.h
@@ -3,18 +3,25 @@
 
 /*
  * NAME
- *	run_time - how long requests of a route last, and whether an instance
- *	that is being stopped takes one more
+ *	run_time - how long requests last, and whether an instance that is
+ *	being stopped takes one more
  *
  * DESCRIPTION
  *	An instance that is being stopped aborts the requests that are left at
- *	the end of its grace time.  A request that may last longer is refused
- *	as not run, so that its caller turns to another instance at once; one
- *	that surely ends earlier is served.
+ *	the end of its grace time.  One that it does not take is refused as not
+ *	run, so that its caller turns to another instance at once.
  *
- *	A request ends at its deadline at the latest.  If that is after the
- *	abort, the longest of the recent requests of its route decides: a mean
- *	would let every second one be cut.  Without any it is refused.
+ *	The caller of a stream that is cut loses all of it, so a stream is
+ *	taken only if something ends it before the abort: its deadline.  The
+ *	longest stream so far is no bound: after n streams the next one is the
+ *	longest of all with a chance of 1 in n + 1.
+ *
+ *	The caller of a call that is still running at the abort is told that
+ *	its outcome is unknown.  There the longest of the recent requests
+ *	decides, and a larger margin for one that must not be repeated.  The
+ *	same holds for a request that may have run, or of which the caller has
+ *	a part, when it is sent once more: it cannot be refused any more, and
+ *	its caller may only end it earlier and take it up at another instance.
  *
  *	Pure: no I/O and no clock.
  *
@@ -30,6 +37,8 @@
 /* A request may last longer than the longest one seen. */
 #define BSH_RUN_TIME_MARGIN_PERCENT 25
 #define BSH_RUN_TIME_MARGIN_US	    INT64_C(100000)
+/* The same for one that must not be repeated, in place of the percentage. */
+#define BSH_RUN_TIME_ONCE_FACTOR 4
 
 /* All zero: no request was seen. */
 typedef struct {
@@ -40,24 +49,40 @@
 	uint32_t former_requests;
 } bsh_run_time_t;
 
+/* A request at an instance that is being stopped. */
+typedef struct {
+	bool is_stream;
+	bool repeatable;
+	/* It may have run, or its caller has a part of its response. */
+	bool has_begun;
+	int64_t wait_us;  /* time before it is sent */
+	int64_t limit_us; /* time until its deadline */
+	int64_t left_us;  /* time until the abort */
+} bsh_late_request_t;
+
 /* bsh_run_time_add - a request that was sent to a target has ended after
  * run_us, without the time for which it waited before. */
 void bsh_run_time_add(bsh_run_time_t *time, int64_t run_us, int64_t now_us);
 
-/* bsh_run_time_bound_us - time for which a request may last; INT64_MAX: not
- * known. */
+/* bsh_run_time_bound_us - time for which a request is expected to last at most;
+ * INT64_MAX: not known. */
 int64_t bsh_run_time_bound_us(const bsh_run_time_t *time);
 
 /* bsh_run_time_requests - number of requests that the time rests on. */
 uint32_t bsh_run_time_requests(const bsh_run_time_t *time);
 
 /*
- * bsh_run_time_fits - true if a request ends before the abort.
+ * bsh_run_time_fits - true if a request is expected to end before the abort.
  *
- * time: of its route; NULL: no request was seen.  wait_us: time before it is
+ * time: of requests like it; NULL: none was seen.  wait_us: time before it is
  * sent.  limit_us: time until its deadline.  left_us: time until the abort.
  */
 bool bsh_run_time_fits(const bsh_run_time_t *time, int64_t wait_us,
 		       int64_t limit_us, int64_t left_us);
 
+/* bsh_run_time_takes - true if an instance that is being stopped sends the
+ * request; time: of requests like it; NULL: none was seen. */
+bool bsh_run_time_takes(const bsh_run_time_t *time,
+			const bsh_late_request_t *request);
+
 #endif
--- a/regress/test_planned_stop.c
+++ b/regress/test_planned_stop.c
@@ -16,7 +16,9 @@
 #define CALLERS	     8
 #define REQUESTS_MAX 2000
 #define DEADLINE_MS  10000U
-#define STEP_MS	     20
+/* Of streams that end before the grace time, by it if not by themselves. */
+#define SOON_DEADLINE_MS 2500U
+#define STEP_MS		 20
 
 /* Guards against a call of some milliseconds that is refused as its deadline is
  * long, and against a stream that is taken and cut. */
@@ -84,14 +86,15 @@
 	bool holder; /* the one that stops has the order lease */
 } stop_t;
 
-static void send_request(fixture_t *f, bsh_http_client_t *client, bool call)
+static void send_request(fixture_t *f, bsh_http_client_t *client, bool call,
+			 uint32_t deadline_ms)
 {
 	sent_t *sent = &f->sent[f->n];
 	rig_request_t request = { .address = f->stopping->front,
 				  .path = call ? "/book/1" : "/once/1",
 				  .id = sent->id,
 				  .model = call ? NULL : "m0",
-				  .deadline_ms = DEADLINE_MS,
+				  .deadline_ms = deadline_ms,
 				  .client = client };
 
 	if (f->n == REQUESTS_MAX)
@@ -112,7 +115,7 @@
 		if (f->n == REQUESTS_MAX)
 			return;
 		f->at[i] = f->n;
-		send_request(f, f->kept[i], false);
+		send_request(f, f->kept[i], false, DEADLINE_MS);
 	}
 }
 
@@ -160,7 +163,7 @@
 		if (i % 3 == 0)
 			run_callers(f);
 		if (i % 10 == 0)
-			send_request(f, NULL, true);
+			send_request(f, NULL, true, DEADLINE_MS);
 		platform_rig_run(&f->rig, STEP_MS);
 	}
 	f->rig.store_down = stop->store_down;
@@ -169,8 +172,10 @@
 	while (f->stopping->alive) {
 		run_callers(f);
 		if (steps % 5 == 0) {
-			send_request(f, NULL, false);
-			send_request(f, NULL, true);
+			send_request(f, NULL, false,
+				     steps % 10 == 0 ? SOON_DEADLINE_MS
+						     : DEADLINE_MS);
+			send_request(f, NULL, true, DEADLINE_MS);
 		}
 		if (stop->more_signals && steps % 40 == 20)
 			kill(f->stopping->pid,
@@ -223,7 +228,8 @@
 
 /* Guards against requests that come late in a planned stop, on new or on kept
  * connections, and are taken and cut at the end of the grace time; and against
- * an instance that refuses all requests from SIGTERM on. */
+ * an instance that refuses all requests from SIGTERM on, also streams that their
+ * deadline ends in time. */
 static void test_stop(gconstpointer data)
 {
 	static fixture_t fixture;
@@ -269,7 +275,7 @@
 
 	set_up(f, &stop);
 	for (int i = 0; i < 3; i++) {
-		send_request(f, NULL, true);
+		send_request(f, NULL, true, DEADLINE_MS);
 		platform_rig_run(&f->rig, 100);
 	}
 	fd = connect_to(f->stopping->front);
