http_server, drain: answer callers that still send when an instance stops

Callers that were still sending their requests at the end of a planned stop saw their connections closed without a byte: one with a request that must not be repeated did not know that it had not run. Others sent for seconds before they were refused.

Cause: a request exists for the traffic thread when its body is whole, so nothing decides on one that is being sent. The loop stops with no request in progress, and the server, as it is freed, drops what it still reads.

A refusal is written past libmicrohttpd, which would close the connection with unread bytes and so reset it; the sending side is shut down, and the rest of the body is read and dropped.

--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -4,6 +4,7 @@
 #include "traffic.h"
 
 #include "base/log.h"
+#include "platform/ingress.h"
 
 /* Remaining requests are aborted this long before the end of the grace time, so
  * that their responses are sent before the process is killed. */
@@ -71,6 +72,45 @@
 	return bsh_run_time_takes(time, &request);
 }
 
+bool drain_takes_upload(const traffic_t *t, const bsh_http_request_t *http)
+{
+	const bsh_route_rule_t *route = NULL;
+	bsh_late_request_t request = { .limit_us = INT64_MAX };
+	bsh_request_info_t info;
+
+	if (!t->draining)
+		return true;
+	request.left_us = t->abort_at_us - traffic_now_us(t);
+	if (request.left_us <= 0)
+		return false;
+	if (t->view != NULL)
+		route = bsh_catalog_match(t->view->catalog,
+					  bsh_http_request_header(http, "Host"),
+					  bsh_http_request_path(http));
+	/* It is answered when it is whole. */
+	if (route == NULL)
+		return true;
+	platform_request_info_init(&info, http);
+	request.is_stream = route->kind == BSH_KIND_STREAM;
+	request.repeatable = route->kind == BSH_KIND_REPEATABLE;
+	if (info.deadline_ms != BSH_CALL_DEADLINE_NONE)
+		request.limit_us = info.deadline_ms * INT64_C(1000);
+	request.limit_us =
+		MIN(request.limit_us, route->timeout_ms * INT64_C(1000));
+	platform_request_info_finish(&info);
+	return bsh_run_time_takes(
+		g_hash_table_lookup(t->run_times, route->name), &request);
+}
+
+/* Tells callers that still send requests which would not end in time any more. */
+static void review_uploads(void *data)
+{
+	traffic_t *t = data;
+
+	bsh_http_server_review(t->server);
+	bsh_loop_timer_after(&t->upload_timer, QUIT_POLL_INTERVAL_US);
+}
+
 void drain_log_cut(const request_t *r)
 {
 	const traffic_t *t = r->traffic;
@@ -98,6 +138,7 @@
 			 (int64_t)(t->entry->settings.entry_grace_s * 1e6) -
 			 ABORT_MARGIN_US;
 	bsh_http_server_close_after_responses(t->server);
+	bsh_loop_timer_after(&t->upload_timer, 0);
 	bsh_loop_timer_start(&t->abort_timer, t->abort_at_us);
 	traffic_retry_waiting(t);
 }
@@ -118,6 +159,7 @@
 		attempts_cancel_all(r, false);
 		traffic_fail(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
 	}
+	bsh_http_server_review(t->server);
 }
 
 static void check_quit(void *data)
@@ -154,11 +196,13 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	bsh_loop_timer_init(&t->quit_timer, t->loop, check_quit, t);
 	bsh_loop_timer_init(&t->abort_timer, t->loop, abort_requests, t);
+	bsh_loop_timer_init(&t->upload_timer, t->loop, review_uploads, t);
 }
 
 void drain_finish(traffic_t *t)
 {
 	bsh_loop_timer_stop(&t->quit_timer);
 	bsh_loop_timer_stop(&t->abort_timer);
+	bsh_loop_timer_stop(&t->upload_timer);
 	g_hash_table_destroy(t->run_times);
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -438,9 +438,10 @@
 	return r;
 }
 
-static void refuse_early(request_t *r, bsh_error_t err, request_end_t end)
+static void refuse_early(request_t *r, bsh_error_t err, request_end_t end,
+			 int64_t retry_ms)
 {
-	answer_problem(r, err, RETRY_DEFAULT_MS);
+	answer_problem(r, err, retry_ms);
 	finish(r, end, bsh_error_info(err)->http_status, bsh_error_name(err));
 }
 
@@ -460,7 +461,8 @@
 	bsh_error_t err = traffic_unknown_error(r->traffic);
 
 	refuse_early(r, err,
-		     err == BSH_ERR_NOT_FOUND ? END_NO_ROUTE : END_REFUSED);
+		     err == BSH_ERR_NOT_FOUND ? END_NO_ROUTE : END_REFUSED,
+		     RETRY_DEFAULT_MS);
 }
 
 static void match_route(request_t *r)
@@ -481,16 +483,19 @@
 	request_t *r = new_request(t, http);
 
 	if (t->view == NULL) {
-		refuse_early(r, BSH_ERR_STALE_CONFIG, END_REFUSED);
+		refuse_early(r, BSH_ERR_STALE_CONFIG, END_REFUSED,
+			     RETRY_DEFAULT_MS);
 		return;
 	}
 	r->catalog = bsh_catalog_ref(t->view->catalog);
 	if (r->peer_version > r->catalog->version) {
-		refuse_early(r, BSH_ERR_STALE_CONFIG, END_REFUSED);
+		refuse_early(r, BSH_ERR_STALE_CONFIG, END_REFUSED,
+			     RETRY_DEFAULT_MS);
 		return;
 	}
 	if (r->body_bytes > r->catalog->limits.body_max_bytes) {
-		refuse_early(r, BSH_ERR_TOO_LARGE, END_REFUSED);
+		refuse_early(r, BSH_ERR_TOO_LARGE, END_REFUSED,
+			     RETRY_DEFAULT_MS);
 		return;
 	}
 	match_route(r);
@@ -511,9 +516,30 @@
 	dispatch(r);
 }
 
+/* A request of which the body is still being sent: its caller is told as soon as
+ * it is known that this instance will not run it. */
+static bool on_review(void *ctx, bsh_http_request_t *http)
+{
+	traffic_t *t = ctx;
+	request_t *r;
+
+	if (drain_takes_upload(t, http))
+		return true;
+	r = new_request(t, http);
+	if (t->view != NULL) {
+		r->catalog = bsh_catalog_ref(t->view->catalog);
+		match_route(r);
+	}
+	if (r->route != NULL)
+		set_route(r);
+	refuse_early(r, BSH_ERR_DRAINING, END_REFUSED, RETRY_ELSEWHERE_MS);
+	return false;
+}
+
 static void on_too_large(void *ctx, bsh_http_request_t *http)
 {
-	refuse_early(new_request(ctx, http), BSH_ERR_TOO_LARGE, END_REFUSED);
+	refuse_early(new_request(ctx, http), BSH_ERR_TOO_LARGE, END_REFUSED,
+		     RETRY_DEFAULT_MS);
 }
 
 /* Messages from the control thread. */
@@ -643,6 +669,7 @@
 		.body_max_bytes = BODY_MAX_BYTES,
 		.on_request = on_request,
 		.on_too_large = on_too_large,
+		.on_review = on_review,
 		.ctx = t,
 	};
 	bsh_error_t err;
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -129,9 +129,10 @@
 	GQueue waiting;		      /* request_t, in order of queueing */
 	bsh_loop_timer_t demand_timer;
 	bsh_loop_timer_t quit_timer;
-	bool demand_urgent;	      /* a report is due without delay */
-	int64_t load_reported_us;     /* last report of the load */
-	bsh_loop_timer_t abort_timer; /* at abort_at_us */
+	bsh_loop_timer_t upload_timer; /* while draining */
+	bool demand_urgent;	       /* a report is due without delay */
+	int64_t load_reported_us;      /* last report of the load */
+	bsh_loop_timer_t abort_timer;  /* at abort_at_us */
 	bool draining;
 	int64_t drain_began_us;
 	int64_t abort_at_us; /* when the drain aborts the remaining requests */
@@ -356,6 +357,9 @@
 /* drain_takes - false if this instance is being stopped and is not to send the
  * request after wait_us: it is refused, or ended if it may have run. */
 bool drain_takes(request_t *r, int64_t wait_us);
+/* drain_takes_upload - the same for a request of which only the head was
+ * received. */
+bool drain_takes_upload(const traffic_t *t, const bsh_http_request_t *http);
 /* drain_log_cut - log what was known of a request, whose response was cut, when
  * it was taken. */
 void drain_log_cut(const request_t *r);
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -41,6 +41,7 @@
 	bsh_loop_watch_t *watch;
 	bsh_loop_timer_t timer;
 	bsh_loop_task_t run_task;
+	bsh_loop_task_t review_task;
 	connection_t *connections;
 	uint32_t connection_count;
 	uint32_t request_count;
@@ -74,7 +75,10 @@
 	bool head_too_large;
 	bool too_large;
 	bool reject_early; /* respond before the body is read */
-	bool dispatched;   /* on_request or on_too_large was called */
+	bool dispatched; /* on_request, on_too_large or on_review was called */
+	bool reviewing;	 /* on_review is being called */
+	bool refused;	 /* by on_review: the body is dropped */
+	bool refusal_sent; /* its whole response was passed to the kernel */
 	bool suspended; /* connection suspended until there is data to send */
 	bool queued;	/* response passed to libmicrohttpd */
 	bool ended;	/* response complete */
@@ -248,8 +252,10 @@
 		if (request->handler.on_done != NULL)
 			request->handler.on_done(
 				request->handler_ctx,
-				code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
-					!request->aborted);
+				request->refused
+					? request->refusal_sent
+					: code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+						  !request->aborted);
 	}
 	free_request(request);
 }
@@ -329,6 +335,8 @@
 	request->received_bytes += size;
 	if (request->received_bytes > DISCARD_MAX_BYTES)
 		return MHD_NO;
+	if (request->refused)
+		return MHD_YES;
 	if (request->received_bytes > request->server->config.body_max_bytes) {
 		request->too_large = true;
 		g_string_truncate(request->body, 0);
@@ -352,6 +360,77 @@
 		bsh_http_response_send(request, 413, "", 0);
 }
 
+static bool has_control_character(const char *text)
+{
+	for (; *text != '\0'; text++)
+		if (g_ascii_iscntrl(*text) && *text != '\t')
+			return true;
+	return false;
+}
+
+/* Sends the response past libmicrohttpd, which would close the connection after
+ * it although the client still sends. */
+static void send_refusal(bsh_http_request_t *request, int status,
+			 const char *body, size_t size)
+{
+	const GPtrArray *headers = request->headers;
+	g_autoptr(GString) text = g_string_new(NULL);
+	int fd = request->connection != NULL ? request->connection->fd : -1;
+
+	request->status = status;
+	g_string_printf(text, "HTTP/1.1 %d %s\r\n", status,
+			MHD_get_reason_phrase_for((unsigned int)status));
+	for (guint i = 0; i + 1 < headers->len; i += 2) {
+		const char *value = g_ptr_array_index(headers, i + 1);
+
+		if (!has_control_character(value))
+			g_string_append_printf(
+				text, "%s: %s\r\n",
+				(const char *)g_ptr_array_index(headers, i),
+				value);
+	}
+	g_string_append_printf(text,
+			       "Content-Length: %" G_GSIZE_FORMAT "\r\n"
+			       "Connection: close\r\n\r\n",
+			       size);
+	g_string_append_len(text, body, (gssize)size);
+	if (fd < 0)
+		return;
+	request->refusal_sent =
+		send(fd, text->str, text->len, MSG_DONTWAIT | MSG_NOSIGNAL) ==
+		(ssize_t)text->len;
+	shutdown(fd, SHUT_WR);
+}
+
+static void review_request(bsh_http_request_t *request)
+{
+	bsh_http_server_t *server = request->server;
+
+	if (server->config.on_review == NULL || !request->head_received ||
+	    request->dispatched || request->reject_early)
+		return;
+	request->reviewing = true;
+	request->refused =
+		!server->config.on_review(server->config.ctx, request);
+	request->reviewing = false;
+	if (!request->refused)
+		return;
+	request->dispatched = true;
+	server->request_count++;
+}
+
+void bsh_http_server_review(bsh_http_server_t *server)
+{
+	for (connection_t *c = server->connections; c != NULL; c = c->next)
+		if (c->request != NULL)
+			review_request(c->request);
+}
+
+static void review_new(void *ctx)
+{
+	bsh_http_server_review(ctx);
+}
+
 static enum MHD_Result on_access(void *ctx, struct MHD_Connection *mhd,
 				 const char *url, const char *method,
 				 const char *version, const char *data,
@@ -363,12 +442,13 @@
 	(void)ctx;
 	(void)url;
 	(void)version;
-	/* What is read while the server is freed has nobody to answer it. */
-	if (request == NULL ||
-	    (request->server->freeing && !request->dispatched))
+	if (request == NULL)
 		return MHD_NO;
 	if (!request->head_received) {
 		receive_head(request, method);
+		/* A body that was received with the head needs no review. */
+		if (request->server->closing)
+			bsh_loop_task_schedule(&request->server->review_task);
 		if (!request->reject_early)
 			return MHD_YES;
 	} else if (*size > 0) {
@@ -376,6 +456,12 @@
 		*size = 0;
 		return result;
 	}
+	/* What becomes whole while the server is freed is never dispatched. */
+	if (request->server->freeing)
+		review_request(request);
+	if (request->refused ||
+	    (request->server->freeing && !request->dispatched))
+		return MHD_NO;
 	if (request->head_too_large && request->response == NULL)
 		bsh_http_response_send(request, 431, "", 0);
 	else if (!request->dispatched && !request->head_too_large)
@@ -447,6 +533,7 @@
 	server->config = *config;
 	bsh_loop_timer_init(&server->timer, loop, run_daemon, server);
 	bsh_loop_task_init(&server->run_task, loop, run_daemon, server);
+	bsh_loop_task_init(&server->review_task, loop, review_new, server);
 	server->daemon =
 		start_daemon(server, (const struct sockaddr *)&address);
 	if (server->daemon == NULL)
@@ -476,9 +563,11 @@
 		if (c->request != NULL)
 			bsh_http_response_abort(c->request);
 	MHD_run(server->daemon);
+	bsh_http_server_review(server);
 	MHD_stop_daemon(server->daemon);
 	bsh_loop_timer_stop(&server->timer);
 	bsh_loop_task_cancel(&server->run_task);
+	bsh_loop_task_cancel(&server->review_task);
 	g_free(server);
 }
 
@@ -655,6 +744,10 @@
 void bsh_http_response_send(bsh_http_request_t *request, int status,
 			    const char *body, size_t size)
 {
+	if (request->reviewing) {
+		send_refusal(request, status, body, size);
+		return;
+	}
 	/* Queueing a second response would end the first as if complete. */
 	if (request->response != NULL) {
 		bsh_log(BSH_LOG_ERROR,
--- a/lib/transport/http_server.h
+++ b/lib/transport/http_server.h
@@ -17,6 +17,12 @@
  *	disconnects first, on_done is called with delivered == false.  A
  *	client that shuts down its sending side counts as disconnected.
  *
+ *	A request of which the body is still being sent can be refused by
+ *	bsh_http_server_review().  Its response is sent at once, and the rest
+ *	of the body is read and dropped until the client closes: a close with
+ *	unread bytes would reset the connection, and the client might lose the
+ *	response.
+ *
  *	Malformed requests never reach on_request: libmicrohttpd answers them
  *	or closes the connection.  A body over the limit is read and answered
  *	with 413.
@@ -48,6 +54,10 @@
 	/* A body over the limit was received; must call
 	 * bsh_http_response_send().  NULL: respond 413 without a body. */
 	void (*on_too_large)(void *ctx, bsh_http_request_t *request);
+	/* Called by bsh_http_server_review(); its body must not be used.  False:
+	 * the request is refused, and bsh_http_response_send() was called.
+	 * NULL: none is refused. */
+	bool (*on_review)(void *ctx, bsh_http_request_t *request);
 	void *ctx;
 } bsh_http_server_config_t;
 
@@ -92,6 +102,13 @@
  * bsh_http_server_close_idle(). */
 void bsh_http_server_stop(bsh_http_server_t *server);
 
+/*
+ * bsh_http_server_review - call on_review for each request of which the head was
+ * received and the body was not.  After bsh_http_server_close_after_responses()
+ * it is called for each new one by itself, and by bsh_http_server_free().
+ */
+void bsh_http_server_review(bsh_http_server_t *server);
+
 /* bsh_http_server_connections - number of open connections. */
 uint32_t bsh_http_server_connections(const bsh_http_server_t *server);
 
