soak: streams of unequal lengths, and none cut that came after SIGTERM

All streams of the soak had six events 10 ms apart, and a request was excused if its instance had been told to stop at any time in the 4 s before it. So the soak could not see a stream that was taken after SIGTERM on the length of those before it, and cut.

A stream is excused now only if it came before SIGTERM; calls as before, since one whose target falls silent late in the grace ends with 502.

--- a/regress/soak/callers.c
+++ b/regress/soak/callers.c
@@ -21,6 +21,8 @@
 #define CROSSING_US INT64_C(300000)
 /* The instances abort what is left in the last sixth of their grace time. */
 #define DRAIN_ABORT_US INT64_C(2500000)
+/* A process that is short of processor time handles SIGTERM within this time. */
+#define SIGNAL_US INT64_C(200000)
 /* Before the deadline, instances give a failure of their own. */
 #define DEADLINE_MARGIN_US INT64_C(250000)
 /* A process that has just been started may not handle SIGTERM yet. */
@@ -98,12 +100,14 @@
 }
 
 /* Returns true if the instance has been told to stop so long ago that it may
- * abort what is left. */
+ * abort what is left.  A stream that came after that it must not take, unless it
+ * answers it. */
 static bool drain_is_over(const soak_t *soak, const soak_caller_t *caller)
 {
 	int64_t term_us = entry_state(soak, caller)->term_us;
+	int64_t before_us = caller->route->stream ? SIGNAL_US : FAULT_GRACE_US;
 
-	return term_us > caller->started_us - FAULT_GRACE_US &&
+	return term_us > caller->started_us - before_us &&
 	       bsh_loop_clock_us() >= term_us + DRAIN_ABORT_US;
 }
 
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -100,6 +100,9 @@
 	 * seed stay the same. */
 	bool prompts;
 	bsh_rng_t prompt_rng;
+	/* Streams are of unequal lengths, most short and a few about as long as
+	 * their deadline. */
+	bool lengths;
 	/* The last instance is cut off from all workers at times. */
 	bool cuts;
 	bsh_rng_t cut_rng;
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -11,6 +11,7 @@
  * The exit status is the number of violations, at most 100; 101: usage error.
  */
 #include <glib.h>
+#include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -36,8 +37,14 @@
 #define SILENT_WORKERS_MAX 3
 #define CONFIGURE_GAP_MS   400 /* longest, within a series */
 #define WORK_MAX_MS	   80  /* until an answer or a first event */
-#define WORKERS_MIN	   5   /* three of llm, one of each plain service */
-#define EXIT_STATUS_MAX	   100
+/* Between the six events of a stream; the longest is under the time without events
+ * after which another worker is asked. */
+#define GAP_MEDIAN_US	20000.0
+#define GAP_SIGMA	1.4
+#define GAP_MIN_US	1000.0
+#define GAP_MAX_US	420000.0
+#define WORKERS_MIN	5 /* three of llm, one of each plain service */
+#define EXIT_STATUS_MAX 100
 /* Fewer attempts to go on with a stream than this are no basis to judge the
  * share that went on. */
 #define RESUMES_MIN 12
@@ -580,6 +587,20 @@
 		  sizeof(soak->rig.far_host));
 }
 
+/* Time between two events, always the same for an attempt: log-normal, so that
+ * the longest stream so far is no bound of the next one. */
+static int64_t stream_gap_us(const char *attempt)
+{
+	GRand *rand = g_rand_new_with_seed(g_str_hash(attempt));
+	double u = 1.0 - g_rand_double(rand);
+	double v = g_rand_double(rand);
+	double normal = sqrt(-2.0 * log(u)) * cos(2.0 * G_PI * v);
+
+	g_rand_free(rand);
+	return (int64_t)CLAMP(GAP_MEDIAN_US * exp(GAP_SIGMA * normal),
+			      GAP_MIN_US, GAP_MAX_US);
+}
+
 static void start(soak_t *soak, int entries, int workers)
 {
 	const char *port;
@@ -589,6 +610,8 @@
 	port = strchr(soak->rig.store_address, ':') + 1;
 	store_port = (uint16_t)g_ascii_strtoull(port, NULL, 10);
 	soak->rig.has_second_engine = true;
+	if (soak->lengths)
+		soak->rig.stream_gap_us = stream_gap_us;
 	configure(soak);
 	for (int i = 0; i < workers; i++)
 		add_worker(soak, (uint32_t)i);
@@ -618,6 +641,7 @@
 	gint workers = RIG_WORKERS_MAX;
 	gboolean prompts = FALSE;
 	gboolean cuts = FALSE;
+	gboolean lengths = FALSE;
 	const GOptionEntry options[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
@@ -629,6 +653,8 @@
 		  "Prompts that end workers, and limits", NULL },
 		{ "cuts", 0, 0, G_OPTION_ARG_NONE, &cuts,
 		  "An instance loses all workers at times", NULL },
+		{ "lengths", 0, 0, G_OPTION_ARG_NONE, &lengths,
+		  "Streams of unequal lengths", NULL },
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -641,7 +667,7 @@
 	    workers < WORKERS_MIN || workers > RIG_WORKERS_MAX) {
 		fprintf(stderr, "usage: soak_entry [--seed N] [--seconds N] "
 				"[--entries N] [--workers N] "
-				"[--prompts] [--cuts]\n");
+				"[--prompts] [--cuts] [--lengths]\n");
 		return 101;
 	}
 	bsh_rng_init(&soak.rng, (uint32_t)seed);
@@ -649,6 +675,7 @@
 	soak.prompts = prompts;
 	bsh_rng_init(&soak.cut_rng, (uint32_t)seed);
 	soak.cuts = cuts;
+	soak.lengths = lengths;
 	start(&soak, entries, workers);
 	if (prompts) {
 		soak.rig.crash_part = SOAK_BAD_PART;
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -698,6 +698,14 @@
 					 : STREAM_EVENTS;
 }
 
+static int64_t event_gap_us(const run_t *run)
+{
+	const platform_rig_t *rig = run->worker->rig;
+
+	return rig->stream_gap_us != NULL ? rig->stream_gap_us(run->began_by)
+					  : EVENT_GAP_US;
+}
+
 static void on_run_timer(void *ctx)
 {
 	run_t *run = ctx;
@@ -754,7 +762,7 @@
 		return;
 	}
 	write_event(run);
-	bsh_loop_timer_after(&run->timer, EVENT_GAP_US);
+	bsh_loop_timer_after(&run->timer, event_gap_us(run));
 }
 
 static void refuse(bsh_http_request_t *request, int status)
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -170,6 +170,8 @@
 	uint32_t n_entries;
 	/* Number of events of an attempt's stream; NULL: as the worker's. */
 	uint32_t (*stream_length)(const char *attempt);
+	/* Time between two events of an attempt's stream; NULL: 10 ms. */
+	int64_t (*stream_gap_us)(const char *attempt);
 	GHashTable *runs; /* attempt id to number of executions */
 	/* Attempt id to the workers that executed it: bit N for workers[N]. */
 	GHashTable *run_workers;
--- a/regress/test_soak.sh
+++ b/regress/test_soak.sh
@@ -18,7 +18,7 @@
 	fi
 }
 
-echo '1..10'
+echo '1..12'
 # A stream was taken up at a target of another software version.
 run_seed 3
 # Requests ended with 502, and streams were cut, because their targets fell
@@ -44,3 +44,7 @@
 run_seed 5112 --prompts
 # An instance loses all workers at times, and passes requests on.
 run_seed 4 --cuts
+# Streams of unequal lengths that came after SIGTERM were cut at the end of the
+# grace time.
+run_seed 49012 --lengths
+run_seed 49025 --lengths
