stream_origin: vouch for no version while cut off from store and instances

Callers of an instance that was cut off got streams with events of two software versions, in one answer that ended as complete.

Cause: the version of a stream is that which the list shows for its first target, however old the list is, and a handover to another target asked nothing. A target that was replaced in place meanwhile counts as its predecessor, at which the stream then goes on.

An instance that has heard neither the store nor another instance for the drain time of targets binds new streams to no version and moves none to another target. A target that leaves in order serves at least that long after the store has its report, so none can be replaced unheard before. While only the store is away, other instances are heard and streams go on as they did.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -272,6 +272,7 @@
 	/* Keep waiting while the target answers other requests, as this one
 	 * then only takes longer, and when there is no other target. */
 	if (a->target->record.last_first_byte_at_us > r->last_active_us ||
+	    !stream_origin_may_move(r) ||
 	    (target = target_pick(r, &candidate)) == NULL ||
 	    !places_are_free(r->traffic,
 			     target_pick_state(r->traffic, target->id)) ||
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -61,13 +61,15 @@
 typedef struct traffic traffic_t;
 
 /*
- * Times when the store last confirmed the state that requests are routed by, in
- * microseconds on the clock of the loops; 0: never.  Written by the control
- * thread and read by both, by atomic loads and stores.
+ * Times when the store last confirmed the state that requests are routed by, and
+ * when another instance was last heard, in microseconds on the clock of the
+ * loops; 0: never.  Written by the control thread and read by both, by atomic
+ * loads and stores.
  */
 typedef struct {
 	int64_t config_us;
 	int64_t targets_us;
+	int64_t peers_us;
 } freshness_t;
 
 typedef struct {
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -165,6 +165,8 @@
 	bsh_member_message_t msg;
 
 	adopt_clock(message);
+	__atomic_store_n(&peers->control->entry->freshness.peers_us,
+			 bsh_loop_clock_us(), __ATOMIC_RELAXED);
 	if (message->type != BSH_MSG_MEMBER) {
 		control_peer_message(peers->control, message);
 		return;
--- a/bshentryd/stream_origin.c
+++ b/bshentryd/stream_origin.c
@@ -54,6 +54,28 @@
 	       traffic_now_us(t) - confirmed_us <= VIEW_LIST_AGE_MAX_US;
 }
 
+/* True if this instance is cut off from the store and from all others for as long
+ * as a target takes to leave: another one, of another version, may serve under
+ * its id and address by now.  While only the store is away, the others would
+ * have said so. */
+static bool may_be_replaced(const traffic_t *t)
+{
+	const freshness_t *freshness = &t->entry->freshness;
+	int64_t targets_us =
+		__atomic_load_n(&freshness->targets_us, __ATOMIC_RELAXED);
+	int64_t peers_us =
+		__atomic_load_n(&freshness->peers_us, __ATOMIC_RELAXED);
+
+	return peers_us != 0 &&
+	       traffic_now_us(t) - MAX(targets_us, peers_us) >=
+		       t->entry->settings.entry_drain_ms * INT64_C(1000);
+}
+
+bool stream_origin_may_move(const request_t *r)
+{
+	return r->software == 0 || !may_be_replaced(r->traffic);
+}
+
 bool stream_origin_is_constrained(const request_t *r)
 {
 	const view_software_t *software =
@@ -92,7 +114,8 @@
 	/* Started again with another version since the request was sent, or
 	 * before that and listed only now. */
 	bool is_certain = a->software_key != 0 &&
-			  a->software_key == a->target->software_key;
+			  a->software_key == a->target->software_key &&
+			  !may_be_replaced(r->traffic);
 
 	if (!r->route->resumable)
 		return true;
@@ -183,7 +206,8 @@
 	if (r->software == 0)
 		return true;
 	/* A target may be another one under its id since the list was read. */
-	if (stream_origin_is_constrained(r) && !is_list_fresh(r->traffic))
+	if ((stream_origin_is_constrained(r) && !is_list_fresh(r->traffic)) ||
+	    !stream_origin_may_move(r))
 		goto refuse;
 	for (guint i = 0; i < targets->len; i++) {
 		const view_target_t *target =
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -482,6 +482,9 @@
  * target serves, or it is not certain that the listed ones do.  A request whose
  * route has several services gets the one with the version. */
 bool stream_origin_serves(request_t *r);
+/* stream_origin_may_move - false if the versions that this instance knows of
+ * targets may be out of date, and the request is bound to one. */
+bool stream_origin_may_move(const request_t *r);
 /* stream_origin_is_constrained - the request is bound to a version, and other
  * versions serve beside it. */
 bool stream_origin_is_constrained(const request_t *r);
