drain: send a stream that its target broke off once more, as before

A stream from before SIGTERM was cut as soon as its target broke it off, with seconds of the grace left, if nothing was known of its route or the longest stream of the route would not have fitted into them.

Cause: since the estimate also decided on requests that may have run. It is a bound of a whole run, while only the rest is left; and such a request cannot be refused: ending it early saves its caller nothing.

--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -162,19 +162,30 @@
 	bsh_http_server_review(t->server);
 }
 
+static uint32_t count_undelivered(const traffic_t *t)
+{
+	uint32_t n = 0;
+
+	for (GList *l = t->requests.head; l != NULL; l = l->next)
+		n += !((const request_t *)l->data)->refused_early;
+	return n;
+}
+
 static void check_quit(void *data)
 {
 	traffic_t *t = data;
 	int64_t now_us = traffic_now_us(t);
 	bool expired = now_us >= t->abort_at_us + DELIVERY_US;
+	uint32_t undelivered;
 
 	/* A connection without a request that is being sent is closed below. */
 	if (expired || (t->requests.length == 0 &&
 			(bsh_http_server_connections(t->server) == 0 ||
 			 now_us >= t->abort_at_us))) {
-		if (expired && t->requests.length > 0)
+		undelivered = count_undelivered(t);
+		if (undelivered > 0)
 			bsh_log(BSH_LOG_WARNING, "drain-expired undelivered=%u",
-				t->requests.length);
+				undelivered);
 		bsh_loop_stop(t->loop);
 		return;
 	}
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -280,7 +280,8 @@
 	GString *events;   /* complete events, scratch of one read */
 	bsh_event_relay_t relay;
 	int64_t first_byte_us;
-	bool detached; /* on_done was called: http must not be used */
+	bool detached;	    /* on_done was called: http must not be used */
+	bool refused_early; /* its caller was told, and may still be sending */
 };
 
 /* What may be to blame if a process ends under an attempt. */
@@ -376,8 +377,9 @@
 void request_log_wait(request_t *r, const view_ready_t *ready);
 /* request_log_cut - log that a response that has begun is cut off: the caller
  * gets neither a complete answer nor a refusal.  cause: why, before err was
- * chosen by what may have run. */
-void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause);
+ * chosen by what may have run; was_running: an attempt was running until then. */
+void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause,
+		     bool was_running);
 /* request_log_silence - log what is done about a target that sends nothing. */
 void request_log_silence(const request_t *r, const char *action);
 /* request_log_attempt - log an attempt that did not answer the request. */
--- a/lib/coordination/run_time.c
+++ b/lib/coordination/run_time.c
@@ -51,14 +51,14 @@
 bool bsh_run_time_takes(const bsh_run_time_t *time,
 			const bsh_late_request_t *request)
 {
-	if (request->limit_us <= request->left_us)
+	if (request->has_begun || request->limit_us <= request->left_us)
 		return true;
-	if (request->is_stream && !request->has_begun)
+	if (request->is_stream)
 		return false;
 	if (!bsh_run_time_fits(time, request->wait_us, request->limit_us,
 			       request->left_us))
 		return false;
-	return request->repeatable || request->has_begun ||
+	return request->repeatable ||
 	       request->wait_us + BSH_RUN_TIME_ONCE_FACTOR * longest_us(time) +
 			       BSH_RUN_TIME_MARGIN_US <=
 		       request->left_us;
--- a/lib/coordination/run_time.h
+++ b/lib/coordination/run_time.h
@@ -18,10 +18,11 @@
  *
  *	The caller of a call that is still running at the abort is told that
  *	its outcome is unknown.  There the longest of the recent requests
- *	decides, and a larger margin for one that must not be repeated.  The
- *	same holds for a request that may have run, or of which the caller has
- *	a part, when it is sent once more: it cannot be refused any more, and
- *	its caller may only end it earlier and take it up at another instance.
+ *	decides, and a larger margin for one that must not be repeated.
+ *
+ *	A request that may have run, or of which the caller has a part, cannot
+ *	be refused any more.  It is sent once more in any case: at worst its
+ *	caller is cut at the abort instead of at once.
  *
  *	Pure: no I/O and no clock.
  *
--- a/lib/operator/log_cut.c
+++ b/lib/operator/log_cut.c
@@ -28,12 +28,16 @@
 			"; that was %" G_GINT64_FORMAT
 			" ms after its drain began, and the request was "
 			"received at %" G_GINT64_FORMAT " ms and sent at "
-			"%" G_GINT64_FORMAT " ms of it (expected to last "
-			"%" G_GINT64_FORMAT " ms by %" G_GINT64_FORMAT
-			" requests)",
+			"%" G_GINT64_FORMAT " ms of it",
 			(gint64)bsh_log_number(line, "drain_ms", -1),
 			(gint64)bsh_log_number(line, "received_ms", -1),
-			(gint64)bsh_log_number(line, "sent_ms", -1),
+			(gint64)bsh_log_number(line, "sent_ms", -1));
+		if (bsh_log_number(line, "expected_ms", -1) < 0)
+			return;
+		g_string_append_printf(
+			text,
+			" (expected to last %" G_GINT64_FORMAT
+			" ms by %" G_GINT64_FORMAT " requests)",
 			(gint64)bsh_log_number(line, "expected_ms", -1),
 			(gint64)bsh_log_number(line, "expected_from", 0));
 		return;
@@ -50,6 +54,7 @@
 	uint32_t by_target = 0;
 	uint32_t by_instance = 0;
 
+	g_hash_table_add(instances, (gpointer)cut->instance);
 	for (guint i = 0; i < log->lines->len; i++) {
 		const bsh_log_line_t *line = g_ptr_array_index(log->lines, i);
 
@@ -67,7 +72,7 @@
 		text,
 		"; within %d s %u other responses of that target "
 		"were cut by the target and %u by instances, on "
-		"%u instances",
+		"%u instances with this one",
 		(int)(SAME_TARGET_WINDOW_US / G_USEC_PER_SEC), by_target,
 		by_instance, g_hash_table_size(instances));
 }
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -226,6 +226,19 @@
 			errno);
 }
 
+static const char *end_name(enum MHD_RequestTerminationCode code)
+{
+	switch (code) {
+	case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+		return "timeout";
+	case MHD_REQUEST_TERMINATED_READ_ERROR:
+	case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+		return "caller";
+	default:
+		return "rejected";
+	}
+}
+
 static void on_completed(void *ctx, struct MHD_Connection *mhd, void **state,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -241,12 +254,13 @@
 	if (request->head_too_large &&
 	    code == MHD_REQUEST_TERMINATED_WITH_ERROR)
 		send_head_too_large(request);
-	if (!request->dispatched && request->head_received)
+	if (!request->dispatched && request->head_received &&
+	    !request->head_too_large)
 		bsh_log(BSH_LOG_INFO,
-			"request-not-received path=%s bytes=%" G_GUINT64_FORMAT
-			" closed_by=%s",
-			request->path, request->received_bytes,
-			request->server->freeing ? "instance" : "caller");
+			"request-not-received bytes=%" G_GUINT64_FORMAT
+			" end=%s",
+			request->received_bytes,
+			request->server->freeing ? "stop" : end_name(code));
 	if (request->dispatched) {
 		request->server->request_count--;
 		if (request->handler.on_done != NULL)
