document_fetch: ask any instance every 20 ms instead of every 80 ms

An instance could have a new configuration more than 2 s after it was accepted, the bound, although instances with which it exchanged messages had it or had read it from the store.

Cause: an instance that neither its parent nor the one that told of the version answers asks instances at random, one every 80 ms as if each query were a repetition to the same one. If two groups are parted and the store does not answer half of the instances about the configuration, most that are asked cannot answer or lack the version.

Queries to any instance go out every 20 ms now. The store is still asked 0.72 s after the first query, as 16 instances are asked before it instead of 4, and then every 2 s at most for a version, as before. A query is one small datagram; an instance that gets parts waits 80 ms before it asks again, as before.

Not changed: a document of several windows is asked for from parent and teller again after each window, which costs 0.4 s each if these two do not answer (see docs/incidents/config-vouched-by-another-kind.md).

--- a/lib/coordination/document_fetch.c
+++ b/lib/coordination/document_fetch.c
@@ -9,7 +9,11 @@
 /* Queries without progress until the next source is tried. */
 #define TELLER_AFTER_TRIES 3U
 #define ANY_AFTER_TRIES	   5U
-#define STORE_AFTER_TRIES  9U
+#define STORE_AFTER_TRIES  21U
+/* Between two queries to any instance.  Each goes to one at random, so it need not
+ * wait for the last answer: while instances are parted, most that are asked cannot
+ * answer or lack the version. */
+#define ANY_INTERVAL_US INT64_C(20000)
 /* Until the store is asked again, which has its own repetitions.  Meanwhile the
  * instances are asked: others may have read the version, and the store may not
  * answer this one. */
@@ -126,6 +130,7 @@
 		return BSH_DOCUMENT_PARENT;
 	if (tries < ANY_AFTER_TRIES)
 		return BSH_DOCUMENT_TELLER;
+	fetch->next_us = now_us + ANY_INTERVAL_US;
 	if (tries < STORE_AFTER_TRIES ||
 	    (fetch->asked_store && now_us < fetch->store_again_us))
 		return BSH_DOCUMENT_ANY;
--- a/regress/test_store_reader.c
+++ b/regress/test_store_reader.c
@@ -571,19 +571,31 @@
  * relies was cut off, refused, frozen or killed, or got no answers about one of
  * the kinds; against one that goes back to an earlier configuration, and against
  * an age of the configuration that hides a newer one. */
+static void check_bounds(uint32_t seed)
+{
+	day_t d;
+
+	play(&d, seed, FORM_SHARED, false);
+	g_test_message("seed=%u n=%u late targets=%u configs=%u", seed, d.n,
+		       d.late_targets, d.late_configs);
+	g_assert_cmpuint(d.late_targets, ==, 0);
+	g_assert_cmpuint(d.late_configs, ==, 0);
+	g_assert_cmpuint(d.went_back, ==, 0);
+	g_assert_cmpuint(d.wrong_ages, ==, 0);
+}
+
 static void test_bounds(void)
 {
-	for (uint32_t seed = 1; seed <= days(); seed++) {
-		day_t d;
+	for (uint32_t seed = 1; seed <= days(); seed++)
+		check_bounds(seed);
+}
 
-		play(&d, seed, FORM_SHARED, false);
-		g_test_message("seed=%u n=%u late targets=%u configs=%u", seed,
-			       d.n, d.late_targets, d.late_configs);
-		g_assert_cmpuint(d.late_targets, ==, 0);
-		g_assert_cmpuint(d.late_configs, ==, 0);
-		g_assert_cmpuint(d.went_back, ==, 0);
-		g_assert_cmpuint(d.wrong_ages, ==, 0);
-	}
+/* Guards against an instance that finds a version late, as it is parted from its
+ * parent and the one that told, the store does not answer it, and most instances
+ * that it asks at random are parted from it, too. */
+static void test_bounds_parted(void)
+{
+	check_bounds(1596);
 }
 
 /* Guards against a test that would not show an instance that vouches for a
@@ -693,6 +705,35 @@
 	return now_us;
 }
 
+/* Guards against an instance that asks too few others when most of them cannot
+ * answer: one in four can, and the store is asked no earlier for that. */
+static void test_document_few_answer(void)
+{
+	bsh_document_fetch_t fetch;
+	uint32_t asked = 0;
+	int64_t now_us = 0;
+	bsh_document_source_t source;
+	double none = 1;
+
+	bsh_document_fetch_init(&fetch);
+	bsh_document_fetch_want(&fetch, 9, 0, 0);
+	do {
+		uint32_t from;
+
+		now_us = bsh_document_fetch_due_us(&fetch);
+		source = bsh_document_fetch_next(&fetch, now_us, &from);
+		asked += source == BSH_DOCUMENT_ANY;
+	} while (source != BSH_DOCUMENT_STORE);
+	for (uint32_t i = 0; i < asked; i++)
+		none *= 0.75;
+	g_test_message("asked=%u store_us=%" G_GINT64_FORMAT " none=%.3f",
+		       asked, now_us, none);
+	g_assert_cmpint(now_us, >=, 700 * MS);
+	g_assert_cmpint(now_us, <=, 750 * MS);
+	g_assert_cmpfloat(none, <, 0.02);
+	bsh_document_fetch_finish(&fetch);
+}
+
 /* Guards against an instance that the store does not answer, and that asks no
  * other one while it waits for the store: the others have read it by then. */
 static void test_document_store_silent(void)
@@ -866,12 +907,15 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/store-reader/bounds", test_bounds);
+	g_test_add_func("/store-reader/bounds-parted", test_bounds_parted);
 	g_test_add_func("/store-reader/one-age", test_one_age);
 	g_test_add_func("/store-reader/calls-without-faults",
 			test_calls_without_faults);
 	g_test_add_func("/store-reader/calls-in-faults", test_calls_in_faults);
 	g_test_add_func("/store-reader/document-parts", test_document_parts);
 	g_test_add_func("/store-reader/document-absent", test_document_absent);
+	g_test_add_func("/store-reader/document-few-answer",
+			test_document_few_answer);
 	g_test_add_func("/store-reader/document-store-silent",
 			test_document_store_silent);
 	g_test_add_func("/store-reader/document-transfer",
