request_log: closed_by of a response that its instance aborts

response-cut named the target as the side that closed first for each stream that the instance aborted at the end of its grace, or at its deadline: asked whether an attempt was running after both had cancelled it. The request now keeps that its last attempt was cancelled. No test reads the daemon's own lines of this kind.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -170,6 +170,7 @@
 {
 	request_t *r = a->request;
 
+	r->cancelled = false;
 	a->active = true;
 	a->at_peer = false;
 	a->target = target_pick_state(r->traffic, target->id);
@@ -207,6 +208,7 @@
 
 	r->last_active_us = traffic_now_us(r->traffic);
 	bsh_event_relay_restart(&r->relay);
+	r->cancelled = false;
 	a->active = true;
 	a->at_peer = true;
 	a->target = relays_peer_state(r->traffic, peer->name);
@@ -331,6 +333,7 @@
 
 	bsh_loop_timer_stop(&r->inactivity_timer);
 	cancel_handover(r);
+	r->cancelled = r->cancelled || a->active;
 	if (a->active)
 		cancel_attempt(a, !a->at_peer &&
 					  (is_unresponsive(a) ||
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -224,16 +224,15 @@
 }
 
 /* Which side closed the connection to the target first. */
-static const char *closing_side(bsh_error_t cause, bool was_running)
+static const char *closing_side(const request_t *r, bsh_error_t cause)
 {
 	bool is_own = cause == BSH_ERR_MISMATCH || cause == BSH_ERR_TOO_LARGE ||
 		      cause == BSH_ERR_NOT_RESUMABLE;
 
-	return was_running || is_own ? "instance" : "target";
+	return r->cancelled || is_own ? "instance" : "target";
 }
 
-void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause,
-		     bool was_running)
+void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause)
 {
 	bsh_counter_add(&unanswered, 1);
 	bsh_log(BSH_LOG_WARNING,
@@ -243,8 +242,8 @@
 		" left_ms=%d target_state=%s draining=%d "
 		"config=%" G_GUINT64_FORMAT,
 		r->info.attempt_id, last_target(r), bsh_error_name(err),
-		bsh_error_name(cause), closing_side(cause, was_running),
-		r->sends, r->retry_denial, r->relay.passed,
+		bsh_error_name(cause), closing_side(r, cause), r->sends,
+		r->retry_denial, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), target_state_name(r),
 		r->traffic->draining, r->catalog->version);
 	drain_log_cut(r);
--- a/bshentryd/stream_origin.c
+++ b/bshentryd/stream_origin.c
@@ -56,8 +56,8 @@
 
 /* True if this instance is cut off from the store and from all others for as long
  * as a target takes to leave: another one, of another version, may serve under
- * its id and address by now.  While only the store is away, the others would
- * have said so. */
+ * its id and address by now.  While only the store is away, others are
+ * heard. */
 static bool may_be_replaced(const traffic_t *t)
 {
 	const freshness_t *freshness = &t->entry->freshness;
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -91,7 +91,6 @@
 {
 	const bsh_error_info_t *answer;
 	bsh_error_t cause = err;
-	bool was_running = r->attempt->active;
 
 	attempts_cancel_all(r, false);
 	/* After an attempt with an unknown outcome the response must not claim
@@ -102,7 +101,7 @@
 					      : BSH_ERR_CONNECTION_LOST;
 	answer = bsh_error_info(err);
 	if (r->answer_begun) {
-		request_log_cut(r, err, cause, was_running);
+		request_log_cut(r, err, cause);
 		bsh_http_response_abort(r->http);
 		finish(r, END_UNKNOWN, r->status, bsh_error_name(err));
 		return;
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -250,6 +250,7 @@
 	attempt_t attempts[2];
 	attempt_t *attempt;  /* whose response is passed on; the last one */
 	attempt_t *handover; /* at a second target; NULL: none */
+	bool cancelled; /* this instance ended the last attempt as it ran */
 	bsh_loop_timer_t handover_timer;
 	bsh_loop_timer_t inactivity_timer;
 	int64_t last_active_us; /* last send, or last events from the target */
@@ -377,9 +378,8 @@
 void request_log_wait(request_t *r, const view_ready_t *ready);
 /* request_log_cut - log that a response that has begun is cut off: the caller
  * gets neither a complete answer nor a refusal.  cause: why, before err was
- * chosen by what may have run; was_running: an attempt was running until then. */
-void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause,
-		     bool was_running);
+ * chosen by what may have run. */
+void request_log_cut(const request_t *r, bsh_error_t err, bsh_error_t cause);
 /* request_log_silence - log what is done about a target that sends nothing. */
 void request_log_silence(const request_t *r, const char *action);
 /* request_log_attempt - log an attempt that did not answer the request. */
