platform_rig: the store answers requests that are not for it

By the core of a second such end, the request was one of another run on the same machine, for an instance that had the store's port before. /store-connections/foreign-request ended the program before; the store answers 404 now.

--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -395,8 +395,12 @@
 	json_t *object;
 	g_autofree char *key = NULL;
 
-	if (rig->store_unresponsive ||
-	    (g_strv_length(parts) >= 4 && is_silent(rig, request, parts[3])))
+	/* From a caller of another run, whose instance had this port before. */
+	if (g_strv_length(parts) < 4) {
+		bsh_http_response_send(request, 404, "", 0);
+		return;
+	}
+	if (rig->store_unresponsive || is_silent(rig, request, parts[3]))
 		return;
 	if (rig->before_call != NULL)
 		rig->before_call(rig, request);
--- a/regress/test_store_connections.c
+++ b/regress/test_store_connections.c
@@ -85,10 +85,26 @@
 		check_lists(f, 2, PLATFORM_DONE);
 }
 
+/* Guards against a test that ends as the store gets a request of another run, for
+ * an instance that had its port before. */
+static void test_foreign_request(fixture_t *f, gconstpointer data)
+{
+	rig_reply_t reply;
+
+	(void)data;
+	platform_rig_send(&f->rig, f->rig.store_address, "/stream/1", "foreign",
+			  NULL, 1000, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	g_assert_cmpint(reply.status, ==, 404);
+	platform_rig_reply_clear(&reply);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add("/store-connections/stalled-idle", fixture_t, NULL, set_up,
 		   test_stalled_idle, tear_down);
+	g_test_add("/store-connections/foreign-request", fixture_t, NULL,
+		   set_up, test_foreign_request, tear_down);
 	return g_test_run();
 }
