regress: share the target that answers with given bytes

test_endless_answer had its own target that writes bytes which need not be an answer. The checks of test_endless_answer are unchanged.

--- a/regress/test_endless_answer.c
+++ b/regress/test_endless_answer.c
@@ -1,14 +1,11 @@
 /* Answers of targets that end with their connection, and bytes without end. */
-#include <arpa/inet.h>
 #include <glib.h>
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "support/platform_rig.h"
+#include "support/raw_target.h"
 
 /* A caller gets an answer, or a cut, within this time. */
 #define ANSWER_MAX_US INT64_C(3000000)
@@ -26,9 +23,9 @@
 
 typedef struct {
 	const char *name;
-	const char *first;  /* written once */
+	const char *text;   /* written once */
 	const char *repeat; /* written until the connection is closed; NULL */
-	bool reset;	    /* the connection is reset after first */
+	bool reset;	    /* the connection is reset after text */
 	bool stream;
 	/* Expected at the caller. */
 	int status;
@@ -87,126 +84,24 @@
 	  -1, NULL },
 };
 
-typedef struct {
-	int fd; /* listening */
-	const answer_t *answer;
-	atomic_int cut; /* bytes of the answer that are written; -1: all */
-	atomic_llong most_bytes; /* written on one connection */
-	atomic_int open;
-	atomic_int served;
-	pthread_t thread;
-} target_t;
-
-typedef struct {
-	target_t *target;
-	int fd;
-} connection_t;
-
-static bool write_all(int fd, const char *data, size_t size)
-{
-	while (size > 0) {
-		ssize_t n = send(fd, data, size, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return false;
-		data += n;
-		size -= (size_t)n;
-	}
-	return true;
-}
-
-static void write_answer(target_t *target, int fd)
-{
-	const answer_t *answer = target->answer;
-	GString *block = g_string_new(NULL);
-	int cut = atomic_load(&target->cut);
-	size_t size = cut < 0 ? strlen(answer->first) : (size_t)cut;
-	long long written = (long long)size;
-
-	while (answer->repeat != NULL && block->len < 65536)
-		g_string_append(block, answer->repeat);
-	if (write_all(fd, answer->first, size))
-		while (answer->repeat != NULL &&
-		       written < 4 * WRITTEN_MAX_BYTES &&
-		       write_all(fd, block->str, block->len))
-			written += (long long)block->len;
-	if (written > atomic_load(&target->most_bytes))
-		atomic_store(&target->most_bytes, written);
-	g_string_free(block, TRUE);
-}
-
-static void *serve_connection(void *ctx)
-{
-	connection_t *connection = ctx;
-	target_t *target = connection->target;
-	struct linger reset = { 1, 0 };
-	char head[4096];
-	ssize_t n = recv(connection->fd, head, sizeof(head), 0);
-
-	/* Reports and orders are refused; a tried connection sends nothing. */
-	if (n > 0 && memmem(head, (size_t)n, " /api/", 6) != NULL) {
-		write_all(connection->fd,
-			  "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", 42);
-	} else if (n > 0) {
-		atomic_fetch_add(&target->served, 1);
-		write_answer(target, connection->fd);
-		if (target->answer->reset) {
-			/* The answer is read before the reset comes. */
-			g_usleep(100000);
-			setsockopt(connection->fd, SOL_SOCKET, SO_LINGER,
-				   &reset, sizeof(reset));
-		}
-	}
-	close(connection->fd);
-	atomic_fetch_sub(&target->open, 1);
-	g_free(connection);
-	return NULL;
-}
-
-static void *accept_connections(void *ctx)
-{
-	target_t *target = ctx;
-	int fd;
-
-	while ((fd = accept(target->fd, NULL, NULL)) >= 0) {
-		connection_t *connection = g_new0(connection_t, 1);
-		pthread_t thread;
-
-		connection->target = target;
-		connection->fd = fd;
-		atomic_fetch_add(&target->open, 1);
-		pthread_create(&thread, NULL, serve_connection, connection);
-		pthread_detach(thread);
-	}
-	return NULL;
-}
-
-static void start_target(target_t *target, const answer_t *answer,
-			 char *address, size_t size)
+/* The first bytes of an answer; size -1: all. */
+static void set_answer(raw_target_t *target, const answer_t *answer, int size)
 {
-	struct sockaddr_in at = { .sin_family = AF_INET };
-	socklen_t at_size = sizeof(at);
-
-	memset(target, 0, sizeof(*target));
-	target->answer = answer;
-	atomic_store(&target->cut, -1);
-	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	target->fd = socket(AF_INET, SOCK_STREAM, 0);
-	g_assert_cmpint(bind(target->fd, (struct sockaddr *)&at, sizeof(at)),
-			==, 0);
-	g_assert_cmpint(listen(target->fd, 512), ==, 0);
-	getsockname(target->fd, (struct sockaddr *)&at, &at_size);
-	g_snprintf(address, (gulong)size, "127.0.0.1:%u", ntohs(at.sin_port));
-	pthread_create(&target->thread, NULL, accept_connections, target);
+	raw_answer_t raw = {
+		.text = answer->text,
+		.size = size < 0 ? strlen(answer->text) : (size_t)size,
+		.repeat = answer->repeat,
+		.end = answer->reset ? RAW_RESET : RAW_CLOSE,
+	};
+
+	raw_target_set(target, &raw);
 }
 
-static void stop_target(platform_rig_t *rig, target_t *target)
+static void stop_target(platform_rig_t *rig, raw_target_t *target)
 {
 	int64_t until_us = bsh_loop_clock_us() + 5000000;
 
-	shutdown(target->fd, SHUT_RDWR);
-	pthread_join(target->thread, NULL);
-	close(target->fd);
+	raw_target_stop(target);
 	/* The connections were closed by the instance. */
 	while (atomic_load(&target->open) > 0) {
 		g_assert_cmpint(bsh_loop_clock_us(), <, until_us);
@@ -242,7 +137,7 @@
 typedef struct {
 	platform_rig_t rig;
 	rig_entry_t *entry;
-	target_t target;
+	raw_target_t target;
 	uint32_t asked;
 } fixture_t;
 
@@ -256,8 +151,8 @@
 	worker = platform_rig_add_worker(&f->rig,
 					 answer->stream ? "llm" : "desk",
 					 answer->stream ? "m0" : NULL);
-	start_target(&f->target, answer, worker->address,
-		     sizeof(worker->address));
+	raw_target_start(&f->target, worker->address, sizeof(worker->address));
+	set_answer(&f->target, answer, -1);
 	platform_rig_publish_worker(worker, "ready");
 	f->entry = platform_rig_add_entry(&f->rig);
 	platform_rig_wait_ready(&f->rig, f->entry);
@@ -292,8 +187,7 @@
 	g_assert_cmpint(reply.took_us, <, ANSWER_MAX_US);
 	platform_rig_reply_clear(&reply);
 	platform_rig_run(&f->rig, 100);
-	g_assert_cmpint(atomic_load(&f->target.most_bytes), <,
-			WRITTEN_MAX_BYTES);
+	g_assert_cmpint(atomic_load(&f->target.written), <, WRITTEN_MAX_BYTES);
 	g_assert_cmpint(atomic_load(&f->target.served), ==, 1);
 }
 
@@ -347,7 +241,7 @@
 {
 	g_autofree char *id = g_strdup_printf("cut-%u", f->asked++);
 
-	atomic_store(&f->target.cut, cut);
+	set_answer(&f->target, answer, cut);
 	send_request(f, answer, id, 2500, reply);
 	platform_rig_wait(&f->rig, &reply->done);
 }
@@ -357,10 +251,10 @@
 static void test_cut(fixture_t *f, gconstpointer data)
 {
 	const answer_t *answer = data;
-	int size = (int)strlen(answer->first);
-	int head = (int)(strstr(answer->first, "\r\n\r\n") + 4 - answer->first);
-	bool framed = strstr(answer->first, "Content-Length") != NULL ||
-		      strstr(answer->first, "chunked") != NULL;
+	int size = (int)strlen(answer->text);
+	int head = (int)(strstr(answer->text, "\r\n\r\n") + 4 - answer->text);
+	bool framed = strstr(answer->text, "Content-Length") != NULL ||
+		      strstr(answer->text, "chunked") != NULL;
 
 	for (int cut = 1; cut < size; cut++) {
 		rig_reply_t reply;
