http_client: use a new libcurl handle for each call

Callers saw their connections closed without an answer, and new ones refused: the daemon ended. A target that answers with a head whose first line behind the status line begins with a blank was enough, if another answer had come before.

Cause: libcurl 7.88 takes such a line for the continuation of the header line before it, to which the handle keeps a pointer. The pointer outlives the transfer and curl_easy_reset(), but not the memory: the first line of a head that begins with a blank reallocates memory that is free. The client kept its handles for the next call. The core shows realloc() below curl_multi_socket_action() in http_client.c; a program of 20 lines that uses one handle for a sound answer and such a head ends in the same way, with a new handle for each transfer it gets an error instead.

--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -25,8 +25,6 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
 #define UNACKED_TIMEOUT_MS   3000
-/* Bound of the libcurl handles kept for reuse. */
-#define IDLE_HANDLES_MAX 256
 
 struct bsh_http_client {
 	bsh_loop_t *loop;
@@ -35,9 +33,8 @@
 	bsh_loop_task_t start_task;
 	bsh_loop_task_t cancel_task;
 	GQueue start_queue; /* calls started from within libcurl's callbacks */
-	GPtrArray *idle_handles; /* libcurl handles for reuse */
-	bsh_http_call_t *calls;	 /* all running calls */
-	int curl_depth;		 /* > 0 while libcurl is on the stack */
+	bsh_http_call_t *calls; /* all running calls */
+	int curl_depth;		/* > 0 while libcurl is on the stack */
 };
 
 struct bsh_http_call {
@@ -83,12 +80,7 @@
 		client->calls = call->next;
 	if (call->next != NULL)
 		call->next->previous = call->previous;
-	if (client->idle_handles->len < IDLE_HANDLES_MAX) {
-		curl_easy_reset(call->easy);
-		g_ptr_array_add(client->idle_handles, call->easy);
-	} else {
-		curl_easy_cleanup(call->easy);
-	}
+	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
 	if (call->body != NULL)
 		g_string_free(call->body, TRUE);
@@ -437,7 +429,6 @@
 	client = g_new0(bsh_http_client_t, 1);
 	client->loop = loop;
 	client->multi = multi;
-	client->idle_handles = g_ptr_array_new();
 	g_queue_init(&client->start_queue);
 	bsh_loop_timer_init(&client->timer, loop, on_multi_timer, client);
 	bsh_loop_task_init(&client->start_task, loop, start_queued_calls,
@@ -457,9 +448,6 @@
 {
 	while (client->calls != NULL)
 		free_call(client->calls);
-	for (guint i = 0; i < client->idle_handles->len; i++)
-		curl_easy_cleanup(g_ptr_array_index(client->idle_handles, i));
-	g_ptr_array_free(client->idle_handles, TRUE);
 	client->curl_depth++;
 	curl_multi_cleanup(client->multi);
 	bsh_loop_timer_stop(&client->timer);
@@ -469,14 +457,6 @@
 	g_free(client);
 }
 
-static CURL *get_handle(bsh_http_client_t *client)
-{
-	if (client->idle_handles->len == 0)
-		return curl_easy_init();
-	return g_ptr_array_steal_index_fast(client->idle_handles,
-					    client->idle_handles->len - 1);
-}
-
 static bool set_headers(bsh_http_call_t *call, const bsh_http_call_spec_t *spec)
 {
 	bool has_type = false;
@@ -613,7 +593,9 @@
 	if (!g_str_has_prefix(spec->url, "http://") ||
 	    strpbrk(spec->method, " \r\n") != NULL)
 		return BSH_ERR_INVALID;
-	easy = get_handle(client);
+	/* libcurl 7.88 keeps a pointer to the last header line of an earlier
+	 * transfer of the handle, and a folded first line reallocates it. */
+	easy = curl_easy_init();
 	if (easy == NULL)
 		return BSH_ERR_SYSTEM;
 	call = g_new0(bsh_http_call_t, 1);
