http_client: refuse responses whose head is none

Callers got answers as complete whose head was spoilt: where it gives the length of the body (they got a part of it, or raw bytes up to the close), where a line is no field (left out or passed on), where the name of a field holds a blank or a control byte (passed on), and where the status line is none (status 600 and 999, HTTP/1.9; 000 was refused before). Fields of an interim head were passed on as those of the answer, a length among them.

Cause: libcurl skips lines that it does not understand and reads on by what is left. Without a length it takes the close of the connection for the end, which the targets are allowed to use. The client passed on any line with a colon, and took any line that begins with the name of a length for one.

http_check reads the same lines strictly and by itself (RFC 9112): what it does not know is refused, a length must be given once and in one way, and interim heads are kept apart. Such a response ends the call with BSH_ERR_MALFORMED: a request that may be repeated is sent elsewhere, others get 502 (answer-malformed). All calls use this client, so answers of the store, to orders and of other instances are checked, too. The log says what was wrong (response-malformed); test_pages compares its keys with bshentryd(8).

--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -227,6 +227,7 @@
 static const char *closing_side(const request_t *r, bsh_error_t cause)
 {
 	bool is_own = cause == BSH_ERR_MISMATCH || cause == BSH_ERR_TOO_LARGE ||
+		      cause == BSH_ERR_MALFORMED ||
 		      cause == BSH_ERR_NOT_RESUMABLE;
 
 	return r->cancelled || is_own ? "instance" : "target";
--- a/lib/base/error.c
+++ b/lib/base/error.c
@@ -83,6 +83,9 @@
 				  "on a part of its prompt; this time it has "
 				  "not run.",
 				  503, NOT_RUN, false },
+	[BSH_ERR_MALFORMED] = { "answer-malformed",
+				"The answer of the target is malformed.", 502,
+				UNKNOWN, false },
 };
 
 const bsh_error_info_t *bsh_error_info(bsh_error_t err)
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/log.h"
+#include "transport/http_check.h"
+
 /* Receive buffer per call.  It holds a few events of a stream; more would be
  * costly with many open streams. */
 #define RECEIVE_BUFFER_BYTES 8192L
@@ -25,6 +28,9 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
 #define UNACKED_TIMEOUT_MS   3000
+/* Statuses of responses without a body. */
+#define STATUS_NO_CONTENT   204
+#define STATUS_NOT_MODIFIED 304
 
 struct bsh_http_client {
 	bsh_loop_t *loop;
@@ -51,13 +57,13 @@
 	size_t body_max_bytes;
 	int64_t body_bytes;
 	size_t head_bytes;
+	bsh_http_check_t check;
 	int status;
 	bsh_error_t err; /* set by a callback that aborts the transfer */
 	bool sent;
-	bool is_self_delimited; /* the response delimits its own body */
+	bool has_no_body; /* the method is HEAD */
 	bool allow_close_delimited;
-	bool head_complete; /* headers of the final response received */
-	bool submitted;	    /* passed to libcurl */
+	bool submitted; /* passed to libcurl */
 	bool cancelled;
 	bool paused;
 	char detail[CURL_ERROR_SIZE];
@@ -97,6 +103,19 @@
 	       os_error == ECONNREFUSED;
 }
 
+/* detail is a text of this program or of libcurl. */
+static void log_malformed(const bsh_http_call_t *call)
+{
+	const char *ip = NULL;
+	long port = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_PRIMARY_IP, &ip);
+	curl_easy_getinfo(call->easy, CURLINFO_PRIMARY_PORT, &port);
+	bsh_log(BSH_LOG_WARNING,
+		"response-malformed address=%s:%ld status=%d detail=\"%s\"",
+		ip != NULL ? ip : "", port, call->check.status, call->detail);
+}
+
 /* End a call with err.  Must not be called from within a libcurl callback. */
 static void complete_call(bsh_http_call_t *call, bsh_error_t err)
 {
@@ -114,6 +133,8 @@
 	void *ctx = call->ctx;
 	GString *body = call->body;
 
+	if (err == BSH_ERR_MALFORMED)
+		log_malformed(call);
 	call->body = NULL;
 	g_autofree char *detail = g_strdup(call->detail);
 	result.detail = detail;
@@ -125,26 +146,43 @@
 		g_string_free(body, TRUE);
 }
 
+/* The response says where its body ends. */
+static bool is_self_delimited(const bsh_http_call_t *call)
+{
+	return call->check.has_length || call->check.chunked ||
+	       call->has_no_body || call->status == STATUS_NO_CONTENT ||
+	       call->status == STATUS_NOT_MODIFIED;
+}
+
 static bsh_error_t call_error(const bsh_http_call_t *call, CURLcode code)
 {
 	if (call->err != BSH_OK)
 		return call->err;
 	/* libcurl takes a close within the head for the end of an answer
 	 * without a body. */
-	if (code == CURLE_OK && !call->head_complete)
+	if (code == CURLE_OK && !call->check.head_complete)
 		return BSH_ERR_CONNECTION_LOST;
 	if (code == CURLE_OK)
 		/* The end of a close-delimited response cannot be told from a
 		 * lost connection. */
-		return call->is_self_delimited || call->allow_close_delimited
+		return is_self_delimited(call) || call->allow_close_delimited
 			       ? BSH_OK
 			       : BSH_ERR_CONNECTION_LOST;
 	if (!call->sent)
 		return code == CURLE_OUT_OF_MEMORY ? BSH_ERR_SYSTEM
 						   : BSH_ERR_CONNECT;
-	if (code == CURLE_OPERATION_TIMEDOUT)
+	switch (code) {
+	case CURLE_OPERATION_TIMEDOUT:
 		return BSH_ERR_TIMEOUT;
-	return BSH_ERR_CONNECTION_LOST;
+	/* Lines that libcurl refuses itself. */
+	case CURLE_UNSUPPORTED_PROTOCOL:
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_BAD_FUNCTION_ARGUMENT:
+	case CURLE_BAD_CONTENT_ENCODING:
+		return BSH_ERR_MALFORMED;
+	default:
+		return BSH_ERR_CONNECTION_LOST;
+	}
 }
 
 static void complete_finished_calls(bsh_http_client_t *client)
@@ -265,29 +303,29 @@
 	return call->cancelled ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-static void parse_header(bsh_http_call_t *call, const char *line, size_t size)
+/* The response is no answer of the protocol; fault says why. */
+static void refuse_response(bsh_http_call_t *call, const char *fault)
+{
+	if (call->err != BSH_OK)
+		return;
+	call->err = BSH_ERR_MALFORMED;
+	g_strlcpy(call->detail, fault, sizeof(call->detail));
+}
+
+/* A line that bsh_http_check_line() has accepted. */
+static void pass_header(bsh_http_call_t *call, const char *line, size_t size)
 {
 	const char *colon = memchr(line, ':', size);
-	const char *value;
-	size_t name_size;
-	size_t value_size;
+	const char *value = colon + 1;
+	size_t name_size = (size_t)(colon - line);
+	size_t value_size = size - name_size - 1;
 
-	if (colon == NULL)
-		return;
-	name_size = (size_t)(colon - line);
-	value = colon + 1;
-	value_size = size - name_size - 1;
 	while (value_size > 0 && (*value == ' ' || *value == '\t')) {
 		value++;
 		value_size--;
 	}
 	while (value_size > 0 && g_ascii_isspace(value[value_size - 1]))
 		value_size--;
-	if ((name_size == 14 &&
-	     g_ascii_strncasecmp(line, "content-length", 14) == 0) ||
-	    (name_size == 17 &&
-	     g_ascii_strncasecmp(line, "transfer-encoding", 17) == 0))
-		call->is_self_delimited = true;
 	if (call->handler.on_header != NULL)
 		call->handler.on_header(call->ctx, line, name_size, value,
 					value_size);
@@ -295,19 +333,26 @@
 
 static void on_head_complete(bsh_http_call_t *call)
 {
-	long status = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (status >= 100 && status < 200)
-		return;
-	call->head_complete = true;
-	call->status = (int)status;
-	if (status == 204 || status == 304)
-		call->is_self_delimited = true;
+	call->status = call->check.status;
 	if (call->handler.on_head != NULL)
 		call->handler.on_head(call->ctx, call->status);
 }
 
+static void check_head_line(bsh_http_call_t *call, const char *line,
+			    size_t size)
+{
+	bool is_status_line = call->check.status == 0;
+	const char *fault = bsh_http_check_line(&call->check, line, size);
+
+	if (fault != NULL)
+		refuse_response(call, fault);
+	else if (call->check.head_complete)
+		on_head_complete(call);
+	/* The fields of an interim response are not those of the final one. */
+	else if (!is_status_line && call->check.status >= 200)
+		pass_header(call, line, size);
+}
+
 static size_t on_curl_header(char *data, size_t unit, size_t count, void *ctx)
 {
 	bsh_http_call_t *call = ctx;
@@ -322,13 +367,10 @@
 		return 0;
 	}
 	/* Trailers are ignored. */
-	if (call->head_complete)
+	if (call->check.head_complete)
 		return size;
-	if (size <= 2)
-		on_head_complete(call);
-	else
-		parse_header(call, data, size);
-	return call->cancelled ? 0 : size;
+	check_head_line(call, data, size);
+	return call->cancelled || call->err != BSH_OK ? 0 : size;
 }
 
 static size_t on_curl_data(char *data, size_t unit, size_t count, void *ctx)
@@ -494,7 +536,7 @@
 	const char *body = spec->body;
 
 	if (strcmp(spec->method, "HEAD") == 0) {
-		call->is_self_delimited = true;
+		call->has_no_body = true;
 		curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
 		return true;
 	}
--- a/lib/transport/http_client.h
+++ b/lib/transport/http_client.h
@@ -63,13 +63,16 @@
  *			told from a lost connection
  *	BSH_ERR_TIMEOUT	nothing received for idle_timeout_ms, or deadline_us
  *			passed, after the request was sent
+ *	BSH_ERR_MALFORMED
+ *			the response is no answer of the protocol (see
+ *			http_check); detail says why
  *	BSH_ERR_TOO_LARGE
  *			collected body over body_max_bytes, or header lines of
  *			more than 64 KiB
  *	BSH_ERR_SYSTEM	libcurl could not start the call; sent is false
  */
 
-/* One header of the response; name and value are not NUL terminated. */
+/* One header of the final response; name and value are not NUL terminated. */
 typedef void (*bsh_http_header_fn_t)(void *ctx, const char *name,
 				     size_t name_size, const char *value,
 				     size_t value_size);
--- a/regress/test_pages.sh
+++ b/regress/test_pages.sh
@@ -223,7 +223,8 @@
 # The log and the metrics of bshentryd, its calls to the platform included, are listed in its page, and nothing else
 # is.
 entryd=$top/bshentryd/bshentryd.8
-cat "$top"/bshentryd/*.c "$top"/platform/*.c "$top/lib/base/log.c" | tr '\n\t' '  ' |
+cat "$top"/bshentryd/*.c "$top"/platform/*.c "$top/lib/base/log.c" \
+	"$top/lib/transport/http_client.c" | tr '\n\t' '  ' |
 	grep -o 'bsh_log(BSH[^;]*;\|bsh_log(reached[^;]*;\|"log-dropped[^;]*;\|"op=[^;]*;' >"$work/calls"
 grep -o '^[^"]*"[a-z-]*' "$work/calls" | sed 's/.*"//' | grep -v '^op$' | sort -u >"$work/events"
 all_in "$entryd" Events 25 "$work/events"
