http_client: refuse spoilt chunks and bytes behind the end of a response

Callers got 200 for a body in chunks whose sizes or trailers were spoilt, and a cut body for a length that is a number, but too small. A chunk extension without end was read to the deadline of the request (335 MB).

Cause: libcurl reads the size of a chunk up to the first byte that is no digit, skips the rest of its line without a bound and without a callback, and reads no further than the length.

From the end of the head on, libcurl passes the bytes before it decodes them (its debug callback), and http_check follows the framing strictly: digits, a line of 4 KiB at most, line ends, trailers that are fields, nothing behind the end. What is still in the socket when a response ends is looked at without reading it. libcurl does not name the socket of a connection that it uses again, so the client keeps a table of them. Bytes that arrive later than the end cannot be seen: the answer is whole by what it says.

--- a/lib/transport/http_check.c
+++ b/lib/transport/http_check.c
@@ -3,8 +3,11 @@
 #include <glib.h>
 #include <string.h>
 
-#define STATUS_DIGITS	 3
-#define STATUS_SWITCHING 101
+#define STATUS_DIGITS	       3
+#define STATUS_SWITCHING       101
+#define STATUS_NO_CONTENT      204
+#define STATUS_NOT_MODIFIED    304
+#define HEXADECIMAL_DIGIT_BITS 4
 
 static bool is_blank(char c)
 {
@@ -47,6 +50,18 @@
 	return check->status >= 100 && check->status < 200;
 }
 
+bool bsh_http_check_is_complete(const bsh_http_check_t *check)
+{
+	if (!check->head_complete)
+		return false;
+	if (check->status == STATUS_NO_CONTENT ||
+	    check->status == STATUS_NOT_MODIFIED)
+		return true;
+	if (check->chunked)
+		return check->chunk_state == BSH_HTTP_CHUNK_DONE;
+	return check->has_length && check->body_bytes >= check->length_bytes;
+}
+
 /* The blank behind the status may be missing if there is no reason. */
 static const char *check_status_line(bsh_http_check_t *check, const char *line,
 				     size_t size)
@@ -169,3 +184,159 @@
 		check->head_complete = true;
 	return NULL;
 }
+
+static const char *begin_extension(bsh_http_check_t *check, char c)
+{
+	if (is_blank(c))
+		check->chunk_state = BSH_HTTP_CHUNK_BLANK;
+	else if (c == ';')
+		check->chunk_state = BSH_HTTP_CHUNK_EXTENSION;
+	else if (c == '\r')
+		check->chunk_state = BSH_HTTP_CHUNK_LINE_END;
+	else
+		return "malformed size of a chunk";
+	return NULL;
+}
+
+static const char *check_chunk_size(bsh_http_check_t *check, char c)
+{
+	if (!g_ascii_isxdigit(c))
+		return check->chunk_has_digits ? begin_extension(check, c)
+					       : "malformed size of a chunk";
+	if (check->chunk_bytes > INT64_MAX >> HEXADECIMAL_DIGIT_BITS)
+		return "size of a chunk out of range";
+	check->chunk_has_digits = true;
+	check->chunk_bytes = check->chunk_bytes << HEXADECIMAL_DIGIT_BITS |
+			     (uint64_t)g_ascii_xdigit_value(c);
+	return NULL;
+}
+
+static const char *check_extension(bsh_http_check_t *check, char c)
+{
+	if (c == '\r')
+		check->chunk_state = BSH_HTTP_CHUNK_LINE_END;
+	else if (!is_text_char(c))
+		return "control byte in the extension of a chunk";
+	return NULL;
+}
+
+static const char *check_chunk_line(bsh_http_check_t *check, char c)
+{
+	if (++check->chunk_line_bytes > BSH_HTTP_CHUNK_LINE_MAX_BYTES)
+		return "line of a chunk too long";
+	switch (check->chunk_state) {
+	case BSH_HTTP_CHUNK_SIZE:
+		return check_chunk_size(check, c);
+	case BSH_HTTP_CHUNK_BLANK:
+		return begin_extension(check, c);
+	default:
+		return check_extension(check, c);
+	}
+}
+
+static void begin_chunk(bsh_http_check_t *check)
+{
+	check->chunk_state = BSH_HTTP_CHUNK_SIZE;
+	check->chunk_has_digits = false;
+	check->chunk_bytes = 0;
+	check->chunk_line_bytes = 0;
+}
+
+/* Beginning and name of a trailer field.  Its value is text. */
+static const char *check_trailer(bsh_http_check_t *check, char c)
+{
+	bool has_name = check->chunk_state == BSH_HTTP_CHUNK_TRAILER_NAME;
+
+	if (c == '\r' && !has_name)
+		check->chunk_state = BSH_HTTP_CHUNK_LAST_LINE_END;
+	else if (c == ':' && has_name)
+		check->chunk_state = BSH_HTTP_CHUNK_TRAILER_VALUE;
+	else if (is_token_char(c))
+		check->chunk_state = BSH_HTTP_CHUNK_TRAILER_NAME;
+	else
+		return "trailer that is no field";
+	return NULL;
+}
+
+static const char *check_trailer_value(bsh_http_check_t *check, char c)
+{
+	if (c == '\r')
+		check->chunk_state = BSH_HTTP_CHUNK_TRAILER_LINE_END;
+	else if (!is_text_char(c))
+		return "control byte in the value of a trailer";
+	return NULL;
+}
+
+/* Goes on to the next state if c is the byte expected here. */
+static const char *expect(bsh_http_check_t *check, char c, char expected,
+			  bsh_http_chunk_state_t next)
+{
+	if (c != expected)
+		return "malformed line end in a chunked body";
+	check->chunk_state = next;
+	return NULL;
+}
+
+static const char *check_chunk_byte(bsh_http_check_t *check, char c)
+{
+	const char *fault;
+
+	switch (check->chunk_state) {
+	case BSH_HTTP_CHUNK_LINE_END:
+		return expect(check, c, '\n',
+			      check->chunk_bytes > 0 ? BSH_HTTP_CHUNK_DATA
+						     : BSH_HTTP_CHUNK_TRAILER);
+	case BSH_HTTP_CHUNK_DATA_RETURN:
+		return expect(check, c, '\r', BSH_HTTP_CHUNK_DATA_END);
+	case BSH_HTTP_CHUNK_DATA_END:
+		fault = expect(check, c, '\n', BSH_HTTP_CHUNK_SIZE);
+		begin_chunk(check);
+		return fault;
+	case BSH_HTTP_CHUNK_TRAILER:
+	case BSH_HTTP_CHUNK_TRAILER_NAME:
+		return check_trailer(check, c);
+	case BSH_HTTP_CHUNK_TRAILER_VALUE:
+		return check_trailer_value(check, c);
+	case BSH_HTTP_CHUNK_TRAILER_LINE_END:
+		return expect(check, c, '\n', BSH_HTTP_CHUNK_TRAILER);
+	case BSH_HTTP_CHUNK_LAST_LINE_END:
+		return expect(check, c, '\n', BSH_HTTP_CHUNK_DONE);
+	case BSH_HTTP_CHUNK_DONE:
+		return "bytes behind the last chunk";
+	default:
+		return check_chunk_line(check, c);
+	}
+}
+
+static const char *check_chunks(bsh_http_check_t *check, const char *data,
+				size_t size)
+{
+	const char *fault = NULL;
+
+	while (size > 0 && fault == NULL) {
+		size_t step = 1;
+
+		if (check->chunk_state == BSH_HTTP_CHUNK_DATA) {
+			step = (size_t)MIN(check->chunk_bytes, size);
+			check->chunk_bytes -= step;
+			if (check->chunk_bytes == 0)
+				check->chunk_state = BSH_HTTP_CHUNK_DATA_RETURN;
+		} else {
+			fault = check_chunk_byte(check, *data);
+		}
+		data += step;
+		size -= step;
+	}
+	return fault;
+}
+
+const char *bsh_http_check_body(bsh_http_check_t *check, const char *data,
+				size_t size_bytes)
+{
+	if (check->chunked)
+		return check_chunks(check, data, size_bytes);
+	check->body_bytes += size_bytes;
+	if (check->has_length && check->body_bytes > check->length_bytes)
+		return "bytes behind the end of the body";
+	return NULL;
+}
--- a/lib/transport/http_check.h
+++ b/lib/transport/http_check.h
@@ -8,11 +8,12 @@
  * DESCRIPTION
  *	libcurl ignores lines of a head that it does not understand, a length
  *	among them, and then takes the end of the connection for the end of the
- *	body.  This check is run beside it, on the lines of all heads.
+ *	body.  This check is run beside it, on the same bytes: the lines of all
+ *	heads, and what follows the head before chunks are decoded.
  *
- *	A response is refused if a line is no status line or no field, or if
- *	its length is given in a way that two readers could understand
- *	differently.
+ *	A response is refused if a line is no status line or no field, if its
+ *	length is given in a way that two readers could understand differently,
+ *	or if bytes follow its end.
  *
  *	The module has no I/O and allocates nothing.
  *
@@ -23,7 +24,7 @@
  *
  * SOURCE
  *	RFC 9112 sections 2.2 (line ends), 4 (status line), 5 (fields), 6.3
- *	(length of the body); RFC 9110 sections 5.5 (values),
+ *	(length of the body) and 7.1 (chunks); RFC 9110 sections 5.5 (values),
  *	5.6.2 (tokens), 15 (status codes).
  */
 
@@ -31,6 +32,25 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Bound of the line that begins a chunk, without its line end. */
+#define BSH_HTTP_CHUNK_LINE_MAX_BYTES 4096
+
+typedef enum {
+	BSH_HTTP_CHUNK_SIZE = 0, /* digits */
+	BSH_HTTP_CHUNK_BLANK,	 /* blanks behind the digits */
+	BSH_HTTP_CHUNK_EXTENSION,
+	BSH_HTTP_CHUNK_LINE_END, /* the line feed of the line */
+	BSH_HTTP_CHUNK_DATA,
+	BSH_HTTP_CHUNK_DATA_RETURN, /* the line end behind the data */
+	BSH_HTTP_CHUNK_DATA_END,
+	BSH_HTTP_CHUNK_TRAILER, /* beginning of a line behind the last chunk */
+	BSH_HTTP_CHUNK_TRAILER_NAME,
+	BSH_HTTP_CHUNK_TRAILER_VALUE,
+	BSH_HTTP_CHUNK_TRAILER_LINE_END,
+	BSH_HTTP_CHUNK_LAST_LINE_END, /* of the empty line */
+	BSH_HTTP_CHUNK_DONE
+} bsh_http_chunk_state_t;
+
 typedef struct {
 	int status; /* of the latest head; 0: its status line is to come */
 	bool head_complete; /* of the final response */
@@ -38,6 +58,11 @@
 	bool chunked;
 	bool version_1_0;
 	uint64_t length_bytes;
+	uint64_t body_bytes; /* so far, without chunks */
+	bsh_http_chunk_state_t chunk_state;
+	bool chunk_has_digits;
+	uint64_t chunk_bytes;	   /* size, then what is left of the chunk */
+	uint32_t chunk_line_bytes; /* of the line that begins it */
 } bsh_http_check_t;
 
 void bsh_http_check_init(bsh_http_check_t *check);
@@ -47,6 +72,16 @@
 const char *bsh_http_check_line(bsh_http_check_t *check, const char *line,
 				size_t size_bytes);
 
+/* bsh_http_check_body - the next bytes behind the head of the final response,
+ * chunks not decoded. */
+const char *bsh_http_check_body(bsh_http_check_t *check, const char *data,
+				size_t size_bytes);
+
+/* bsh_http_check_is_complete - the response has ended, by what it says of its
+ * body; false if it ends with the connection.  To be called for a method other
+ * than HEAD. */
+bool bsh_http_check_is_complete(const bsh_http_check_t *check);
+
 /* bsh_http_check_is_interim - the current head is that of an interim response. */
 bool bsh_http_check_is_interim(const bsh_http_check_t *check);
 
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <unistd.h>
 
 #include "base/log.h"
 #include "transport/http_check.h"
@@ -37,12 +38,22 @@
 	CURLM *multi;
 	bsh_loop_timer_t timer;
 	bsh_loop_task_t start_task;
-	bsh_loop_task_t cancel_task;
+	bsh_loop_task_t abort_task; /* ends cancelled and failed calls */
 	GQueue start_queue; /* calls started from within libcurl's callbacks */
 	bsh_http_call_t *calls; /* all running calls */
-	int curl_depth;		/* > 0 while libcurl is on the stack */
+	/* Established connections by name and by socket: libcurl does not name
+	 * the socket of a kept connection that it uses again. */
+	GHashTable *by_name;
+	GHashTable *by_fd;
+	int curl_depth; /* > 0 while libcurl is on the stack */
 };
 
+typedef struct {
+	char *name; /* addresses of both ends */
+	int fd;
+	bsh_http_call_t *call; /* that it carries, or NULL */
+} connection_t;
+
 struct bsh_http_call {
 	bsh_http_client_t *client;
 	CURL *easy;
@@ -62,6 +73,8 @@
 	bsh_error_t err; /* set by a callback that aborts the transfer */
 	bool sent;
 	bool has_no_body; /* the method is HEAD */
+	int fd;		  /* of a new connection; -1: the connection is kept */
+	connection_t *connection; /* NULL: not established */
 	bool allow_close_delimited;
 	bool submitted; /* passed to libcurl */
 	bool cancelled;
@@ -79,6 +92,8 @@
 		curl_multi_remove_handle(client->multi, call->easy);
 	else
 		g_queue_remove(&client->start_queue, call);
+	if (call->connection != NULL)
+		call->connection->call = NULL;
 	bsh_loop_timer_stop(&call->timer);
 	if (call->previous != NULL)
 		call->previous->next = call->next;
@@ -273,6 +288,74 @@
 	socket_action(ctx, CURL_SOCKET_TIMEOUT, 0);
 }
 
+/* Bytes have arrived that libcurl has not read. */
+static bool has_input(const bsh_http_call_t *call)
+{
+	char next;
+
+	return call->connection != NULL && recv(call->connection->fd, &next, 1,
+						MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static void free_connection(void *data)
+{
+	connection_t *connection = data;
+
+	if (connection->call != NULL)
+		connection->call->connection = NULL;
+	g_free(connection->name);
+	g_free(connection);
+}
+
+static void forget_connection(bsh_http_client_t *client,
+			      connection_t *connection)
+{
+	if (connection == NULL)
+		return;
+	g_hash_table_remove(client->by_fd, GINT_TO_POINTER(connection->fd));
+	g_hash_table_remove(client->by_name, connection->name);
+}
+
+static connection_t *add_connection(bsh_http_client_t *client, int fd,
+				    const char *name)
+{
+	connection_t *connection = g_new0(connection_t, 1);
+
+	connection->name = g_strdup(name);
+	connection->fd = fd;
+	g_hash_table_insert(client->by_name, connection->name, connection);
+	g_hash_table_insert(client->by_fd, GINT_TO_POINTER(fd), connection);
+	return connection;
+}
+
+/* Finds the kept connection that the call uses, or enters a new one. */
+static void set_connection(bsh_http_call_t *call, const char *peer_ip,
+			   int peer_port, const char *local_ip, int local_port)
+{
+	bsh_http_client_t *client = call->client;
+	g_autofree char *name = g_strdup_printf(
+		"%s:%d %s:%d", peer_ip, peer_port, local_ip, local_port);
+	connection_t *connection = g_hash_table_lookup(client->by_name, name);
+
+	if (call->fd >= 0) {
+		forget_connection(client, connection);
+		connection = add_connection(client, call->fd, name);
+	}
+	call->connection = connection;
+	if (connection != NULL)
+		connection->call = call;
+}
+
+static int on_socket_closed(void *ctx, curl_socket_t fd)
+{
+	bsh_http_client_t *client = ctx;
+	connection_t *connection =
+		g_hash_table_lookup(client->by_fd, GINT_TO_POINTER(fd));
+
+	forget_connection(client, connection);
+	return close(fd);
+}
+
 /* Called when the connection is established, before the request is sent. */
 /* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's prototype */
 static int on_before_request(void *ctx, char *primary_ip, char *local_ip,
@@ -280,12 +363,9 @@
 {
 	bsh_http_call_t *call = ctx;
 
-	(void)primary_ip;
-	(void)local_ip;
-	(void)primary_port;
-	(void)local_port;
 	if (call->cancelled)
 		return CURL_PREREQFUNC_ABORT;
+	set_connection(call, primary_ip, primary_port, local_ip, local_port);
 	/* libcurl repeats a request whose reused connection turns out to be
 	 * closed; retries are decided and counted above this layer. */
 	if (call->sent) {
@@ -303,6 +383,8 @@
 	return call->cancelled ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+static const char excess_fault[] = "bytes behind the end of the body";
+
 /* The response is no answer of the protocol; fault says why. */
 static void refuse_response(bsh_http_call_t *call, const char *fault)
 {
@@ -331,9 +413,25 @@
 					value_size);
 }
 
+/* libcurl reads no further than the end of the body.  Bytes that follow it show
+ * that its length is not what the server sent; those that arrive later cannot be
+ * told from nothing. */
+static void check_end(bsh_http_call_t *call)
+{
+	if (!call->has_no_body && bsh_http_check_is_complete(&call->check) &&
+	    has_input(call))
+		refuse_response(call, excess_fault);
+}
+
 static void on_head_complete(bsh_http_call_t *call)
 {
+	check_end(call);
+	if (call->err != BSH_OK)
+		return;
 	call->status = call->check.status;
+	/* From here on libcurl passes the bytes of the body before it decodes
+	 * them, see on_curl_debug(). */
+	curl_easy_setopt(call->easy, CURLOPT_VERBOSE, 1L);
 	if (call->handler.on_head != NULL)
 		call->handler.on_head(call->ctx, call->status);
 }
@@ -366,19 +464,48 @@
 		call->err = BSH_ERR_TOO_LARGE;
 		return 0;
 	}
-	/* Trailers are ignored. */
+	/* Trailers are ignored; on_curl_debug() has checked them. */
 	if (call->check.head_complete)
-		return size;
+		return call->err == BSH_OK ? size : 0;
 	check_head_line(call, data, size);
 	return call->cancelled || call->err != BSH_OK ? 0 : size;
 }
 
+/* Called with the bytes behind the head as they were received.  Of bytes behind
+ * a response without a body libcurl tells only in a message.  The call ends in
+ * the next callback, or in the task if there is none: libcurl does not report the
+ * extensions of chunks. */
+static int on_curl_debug(CURL *easy, curl_infotype type, char *data,
+			 size_t size, void *ctx)
+{
+	static const char excess[] = "Excess found";
+	bsh_http_call_t *call = ctx;
+	const char *fault = NULL;
+
+	(void)easy;
+	if (call->cancelled)
+		return 0;
+	if (type == CURLINFO_DATA_IN)
+		fault = bsh_http_check_body(&call->check, data, size);
+	else if (type == CURLINFO_TEXT && !call->has_no_body &&
+		 size >= sizeof(excess) - 1 &&
+		 memcmp(data, excess, sizeof(excess) - 1) == 0)
+		fault = excess_fault;
+	if (fault != NULL)
+		refuse_response(call, fault);
+	else if (type == CURLINFO_DATA_IN)
+		check_end(call);
+	if (call->err != BSH_OK)
+		bsh_loop_task_schedule(&call->client->abort_task);
+	return 0;
+}
+
 static size_t on_curl_data(char *data, size_t unit, size_t count, void *ctx)
 {
 	bsh_http_call_t *call = ctx;
 	size_t size = unit * count;
 
-	if (call->cancelled)
+	if (call->cancelled || call->err != BSH_OK)
 		return 0;
 	/* libcurl passes the same data again when the transfer resumes. */
 	if (call->paused)
@@ -444,17 +571,26 @@
 		submit_call(call);
 }
 
-static void free_cancelled_calls(void *ctx)
+static bsh_http_call_t *find_aborted_call(const bsh_http_client_t *client)
 {
-	bsh_http_client_t *client = ctx;
 	bsh_http_call_t *call = client->calls;
 
-	while (call != NULL) {
-		bsh_http_call_t *next = call->next;
+	while (call != NULL && !call->cancelled && call->err == BSH_OK)
+		call = call->next;
+	return call;
+}
 
+/* on_end may start or cancel other calls. */
+static void end_aborted_calls(void *ctx)
+{
+	bsh_http_client_t *client = ctx;
+	bsh_http_call_t *call;
+
+	while ((call = find_aborted_call(client)) != NULL) {
 		if (call->cancelled)
 			free_call(call);
-		call = next;
+		else
+			complete_call(call, call->err);
 	}
 }
 
@@ -471,11 +607,14 @@
 	client = g_new0(bsh_http_client_t, 1);
 	client->loop = loop;
 	client->multi = multi;
+	client->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						free_connection);
+	client->by_fd = g_hash_table_new(NULL, NULL);
 	g_queue_init(&client->start_queue);
 	bsh_loop_timer_init(&client->timer, loop, on_multi_timer, client);
 	bsh_loop_task_init(&client->start_task, loop, start_queued_calls,
 			   client);
-	bsh_loop_task_init(&client->cancel_task, loop, free_cancelled_calls,
+	bsh_loop_task_init(&client->abort_task, loop, end_aborted_calls,
 			   client);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, client);
@@ -494,8 +633,10 @@
 	curl_multi_cleanup(client->multi);
 	bsh_loop_timer_stop(&client->timer);
 	bsh_loop_task_cancel(&client->start_task);
-	bsh_loop_task_cancel(&client->cancel_task);
+	bsh_loop_task_cancel(&client->abort_task);
 	g_queue_clear(&client->start_queue);
+	g_hash_table_destroy(client->by_fd);
+	g_hash_table_destroy(client->by_name);
 	g_free(client);
 }
 
@@ -560,6 +701,8 @@
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_curl_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_curl_debug);
+	curl_easy_setopt(easy, CURLOPT_DEBUGDATA, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 }
@@ -568,6 +711,7 @@
  * later, by the timeouts of the calls. */
 static int on_socket_created(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
+	bsh_http_call_t *call = ctx;
 	static const struct {
 		int level;
 		int name;
@@ -580,8 +724,8 @@
 		{ IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS },
 	};
 
-	(void)ctx;
 	(void)purpose;
+	call->fd = fd;
 	for (size_t i = 0; i < G_N_ELEMENTS(options); i++)
 		setsockopt(fd, options[i].level, options[i].name,
 			   &options[i].value, sizeof(options[i].value));
@@ -595,6 +739,9 @@
 	set_callbacks(call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_socket_closed);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, call->client);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
 			 (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -643,6 +790,7 @@
 	call = g_new0(bsh_http_call_t, 1);
 	call->client = client;
 	call->easy = easy;
+	call->fd = -1;
 	call->handler = *handler;
 	call->ctx = ctx;
 	call->deadline_us = spec->deadline_us;
@@ -694,7 +842,7 @@
 	if (client->curl_depth == 0 || !call->submitted)
 		free_call(call);
 	else
-		bsh_loop_task_schedule(&client->cancel_task);
+		bsh_loop_task_schedule(&client->abort_task);
 }
 
 void bsh_http_call_pause(bsh_http_call_t *call)
