http_client: send no request where bytes wait that belong to none

A target that sends a second answer some milliseconds after the first had it taken for the answer to the next request on that connection: callers got another's answer, unless it named its request.

Cause: before libcurl uses a kept connection again it looks for its end, not for bytes that have arrived, and reads them as the response.

The client looks into the socket before it sends. A call on a kept connection with such bytes starts anew on a connection of its own, as nothing was sent; on a new connection it ends with BSH_ERR_CONNECT. Bytes that arrive between this look and the answer cannot be told from it; answers that name their request are compared as before.

--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -73,6 +73,7 @@
 	bsh_error_t err; /* set by a callback that aborts the transfer */
 	bool sent;
 	bool has_no_body; /* the method is HEAD */
+	bool needs_fresh; /* the kept connection is not usable */
 	int fd;		  /* of a new connection; -1: the connection is kept */
 	connection_t *connection; /* NULL: not established */
 	bool allow_close_delimited;
@@ -200,6 +201,24 @@
 	}
 }
 
+/* Starts a call anew of which nothing was sent, on a connection of its own. */
+static void repeat_call(bsh_http_call_t *call)
+{
+	bsh_http_client_t *client = call->client;
+
+	call->needs_fresh = false;
+	call->err = BSH_OK;
+	call->fd = -1;
+	if (call->connection != NULL)
+		call->connection->call = NULL;
+	call->connection = NULL;
+	client->curl_depth++;
+	curl_multi_remove_handle(client->multi, call->easy);
+	curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_multi_add_handle(client->multi, call->easy);
+	client->curl_depth--;
+}
+
 static void complete_finished_calls(bsh_http_client_t *client)
 {
 	CURLMsg *msg;
@@ -215,6 +234,8 @@
 				  (char **)&call);
 		if (call->cancelled)
 			free_call(call);
+		else if (call->needs_fresh)
+			repeat_call(call);
 		else
 			complete_call(call, call_error(call, code));
 	}
@@ -356,7 +377,9 @@
 	return close(fd);
 }
 
-/* Called when the connection is established, before the request is sent. */
+/* Called when the connection is established, before the request is sent.  What
+ * arrives before that belongs to no request, and would be taken for the response;
+ * libcurl looks only for the end of a kept connection. */
 /* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's prototype */
 static int on_before_request(void *ctx, char *primary_ip, char *local_ip,
 			     int primary_port, int local_port)
@@ -372,6 +395,11 @@
 		call->err = BSH_ERR_CONNECTION_LOST;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	if (has_input(call)) {
+		call->needs_fresh = bsh_http_call_is_reused(call);
+		call->err = BSH_ERR_CONNECT;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	if (call->handler.may_send != NULL &&
 	    !call->handler.may_send(call->ctx)) {
 		call->err = BSH_ERR_CONNECT;
