http_client: a close within an upload ends no answer without a length

A target answered a long request at once with 200 and no length, sent a part of its body and closed: callers got that part as a complete answer.

Cause: such an answer ends with its connection. A reset is an error, but a target that closes while more of the request is on its way closes first and resets afterwards; libcurl stops sending at the close and reports success.

The close now ends a success only if the whole request was handed to the kernel, the peer's kernel has received it, and the connection was not reset since (TCP_INFO, SIOCOUTQ); otherwise the connection is lost, so that the caller gets 502. This also refuses an answer that is whole if its target shuts down its side before it has read the request: the two cannot be told apart. Answers with a length or chunks, and failures, pass as before.

--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -1,10 +1,12 @@
 #include "transport/http_client.h"
 
 #include <curl/curl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include "base/log.h"
@@ -32,6 +34,7 @@
 /* Statuses of responses without a body. */
 #define STATUS_NO_CONTENT   204
 #define STATUS_NOT_MODIFIED 304
+#define STATUS_REDIRECT	    300 /* and above: no success */
 
 struct bsh_http_client {
 	bsh_loop_t *loop;
@@ -66,6 +69,7 @@
 	int64_t last_active_us; /* last received data, start or resume */
 	GString *body;
 	size_t body_max_bytes;
+	size_t request_body_bytes;
 	int64_t body_bytes;
 	size_t head_bytes;
 	bsh_http_check_t check;
@@ -76,6 +80,7 @@
 	bool needs_fresh; /* the kept connection is not usable */
 	int fd;		  /* of a new connection; -1: the connection is kept */
 	connection_t *connection; /* NULL: not established */
+	bool is_end_orderly;	  /* the server has read all and closed */
 	bool allow_close_delimited;
 	bool submitted; /* passed to libcurl */
 	bool cancelled;
@@ -170,6 +175,21 @@
 	       call->status == STATUS_NOT_MODIFIED;
 }
 
+/* The close of the connection ends the response.  libcurl does not report a reset
+ * that comes while it sends, if it reads the end of the connection first.  A
+ * failure stands with a part of its body, too: servers close early on requests
+ * that are too long. */
+static bool is_close_the_end(const bsh_http_call_t *call)
+{
+	curl_off_t sent_bytes = 0;
+
+	if (call->status >= STATUS_REDIRECT)
+		return true;
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
+	return call->is_end_orderly &&
+	       sent_bytes >= (curl_off_t)call->request_body_bytes;
+}
+
 static bsh_error_t call_error(const bsh_http_call_t *call, CURLcode code)
 {
 	if (call->err != BSH_OK)
@@ -181,7 +201,9 @@
 	if (code == CURLE_OK)
 		/* The end of a close-delimited response cannot be told from a
 		 * lost connection. */
-		return is_self_delimited(call) || call->allow_close_delimited
+		return is_self_delimited(call) ||
+				       (call->allow_close_delimited &&
+					is_close_the_end(call))
 			       ? BSH_OK
 			       : BSH_ERR_CONNECTION_LOST;
 	if (!call->sent)
@@ -318,6 +340,21 @@
 						MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* The server has closed without a reset, and its kernel has received the whole
+ * request.  A server that closes with a part of it unread resets the connection,
+ * but one of which more is on its way first closes it and then resets it. */
+static bool is_end_orderly(int fd)
+{
+	struct tcp_info info = { .tcpi_state = TCP_CLOSE_WAIT };
+	socklen_t size = sizeof(info);
+	int unacked_bytes = 0;
+
+	/* Without these calls, the end of the connection stands. */
+	getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+	ioctl(fd, SIOCOUTQ, &unacked_bytes);
+	return info.tcpi_state == TCP_CLOSE_WAIT && unacked_bytes == 0;
+}
+
 static void free_connection(void *data)
 {
 	connection_t *connection = data;
@@ -373,6 +410,8 @@
 	connection_t *connection =
 		g_hash_table_lookup(client->by_fd, GINT_TO_POINTER(fd));
 
+	if (connection != NULL && connection->call != NULL)
+		connection->call->is_end_orderly = is_end_orderly(fd);
 	forget_connection(client, connection);
 	return close(fd);
 }
@@ -823,6 +862,8 @@
 	call->ctx = ctx;
 	call->deadline_us = spec->deadline_us;
 	call->allow_close_delimited = spec->allow_close_delimited;
+	if (spec->body != NULL)
+		call->request_body_bytes = spec->body_size;
 	call->idle_us = INT64_C(1000) * (spec->idle_timeout_ms != 0
 						 ? spec->idle_timeout_ms
 						 : BSH_HTTP_IDLE_TIMEOUT_MS);
