control_client: refuse responses that are none of the protocol

bshctl and bshconsoled took a response with a spoilt head or spoilt chunks for that of a controller, with what came up to the close as its body, and kept one libcurl handle for all requests, which a folded header line makes libcurl fail on (see http_client).

The client uses a new handle for each request and http_check beside it, as http_client does, and the end of a response must be told by its length or chunks: controllers send one of them always.

/bshctl/broken-answer failed before (exit status 1, the answer was taken) and holds now.

--- a/bshconsoled/bshconsoled.c
+++ b/bshconsoled/bshconsoled.c
@@ -1,6 +1,7 @@
 /* bshconsoled: form-based console for operators.  Reads the settings, runs the
  * HTTP server on an event loop, and drains it on a termination signal. */
 #include <apr_general.h>
+#include <curl/curl.h>
 #include <err.h>
 #include <sodium.h>
 #include <stdio.h>
--- a/bshctl/bshctl.c
+++ b/bshctl/bshctl.c
@@ -1,6 +1,7 @@
 #include "base/daemon.h"
 #include "bshctl.h"
 
+#include <curl/curl.h>
 #include <err.h>
 #include <limits.h>
 #include <stdio.h>
--- a/lib/operator/control_client.c
+++ b/lib/operator/control_client.c
@@ -1,10 +1,12 @@
 #include "operator/control_client.h"
 
+#include <curl/curl.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "state/document.h"
+#include "transport/http_check.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
 #define HTTP_OK		   200
@@ -51,19 +53,11 @@
 		g_ptr_array_free(client->addresses, TRUE);
 		return BSH_ERR_INVALID;
 	}
-	client->curl = curl_easy_init();
-	if (client->curl == NULL) {
-		g_ptr_array_free(client->addresses, TRUE);
-		g_strlcpy(client->failure, "curl_easy_init failed",
-			  sizeof(client->failure));
-		return BSH_ERR_SYSTEM;
-	}
 	return BSH_OK;
 }
 
 void bsh_control_client_finish(bsh_control_client_t *client)
 {
-	curl_easy_cleanup(client->curl);
 	g_ptr_array_free(client->addresses, TRUE);
 	memset(client, 0, sizeof(*client));
 }
@@ -76,22 +70,64 @@
 	memset(answer, 0, sizeof(*answer));
 }
 
+typedef struct {
+	CURL *curl;
+	GString *body;
+	bsh_http_check_t check;
+	const char *fault; /* why it is no answer of the protocol; or NULL */
+} response_t;
+
 static size_t append_body(char *data, size_t size, size_t count, void *ctx)
 {
-	GString *body = ctx;
+	response_t *response = ctx;
+	GString *body = response->body;
 	size_t size_bytes = size * count;
 
-	if (body->len + size_bytes > BSH_CONTROL_ANSWER_MAX_BYTES)
+	if (response->fault != NULL ||
+	    body->len + size_bytes > BSH_CONTROL_ANSWER_MAX_BYTES)
 		return 0;
 	g_string_append_len(body, data, (gssize)size_bytes);
 	return size_bytes;
 }
 
-static bsh_error_t error_of_curl(CURLcode code)
+/* Trailers come behind the head; check_body() has seen them. */
+static size_t check_header(char *data, size_t size, size_t count, void *ctx)
+{
+	response_t *response = ctx;
+	size_t size_bytes = size * count;
+
+	if (response->fault == NULL && !response->check.head_complete)
+		response->fault =
+			bsh_http_check_line(&response->check, data, size_bytes);
+	/* libcurl then passes the body before it decodes chunks. */
+	if (response->check.head_complete)
+		curl_easy_setopt(response->curl, CURLOPT_VERBOSE, 1L);
+	return response->fault == NULL ? size_bytes : 0;
+}
+
+static int check_body(CURL *curl, curl_infotype type, char *data, size_t size,
+		      void *ctx)
 {
+	response_t *response = ctx;
+
+	(void)curl;
+	if (type == CURLINFO_DATA_IN && response->fault == NULL)
+		response->fault =
+			bsh_http_check_body(&response->check, data, size);
+	return 0;
+}
+
+static bsh_error_t error_of(const response_t *response, CURLcode code)
+{
+	if (response->fault != NULL)
+		return BSH_ERR_MALFORMED;
 	switch (code) {
 	case CURLE_OK:
-		return BSH_OK;
+		/* libcurl takes a lost connection for the end of a response
+		 * that does not tell its length; controllers tell it. */
+		return bsh_http_check_is_complete(&response->check)
+			       ? BSH_OK
+			       : BSH_ERR_TIMEOUT;
 	case CURLE_COULDNT_CONNECT:
 		return BSH_ERR_CONNECT;
 	case CURLE_WRITE_ERROR:
@@ -118,13 +154,12 @@
 	return headers;
 }
 
-static CURLcode perform(bsh_control_client_t *client, const char *method,
+static CURLcode perform(const bsh_control_client_t *client, const char *method,
 			const char *url, const char *body,
-			struct curl_slist *headers, GString *out)
+			struct curl_slist *headers, response_t *response)
 {
-	CURL *curl = client->curl;
+	CURL *curl = response->curl;
 
-	curl_easy_reset(curl);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
 	/* The addresses are internal to the cluster: an HTTP proxy configured
@@ -139,8 +174,12 @@
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, client->timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, check_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, response);
+	curl_easy_setopt(curl, CURLOPT_DEBUGFUNCTION, check_body);
+	curl_easy_setopt(curl, CURLOPT_DEBUGDATA, response);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, out);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, response);
 	if (body != NULL) {
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -150,6 +189,14 @@
 	return curl_easy_perform(curl);
 }
 
+static const char *failure_text(const response_t *response, CURLcode code)
+{
+	if (response->fault != NULL)
+		return response->fault;
+	return code == CURLE_OK ? "the response is not complete"
+				: curl_easy_strerror(code);
+}
+
 static bsh_error_t request_address(bsh_control_client_t *client,
 				   const char *address, const char *method,
 				   const char *path, const char *body,
@@ -158,21 +205,29 @@
 {
 	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
 	struct curl_slist *headers = make_headers(body, generation);
-	CURLcode code;
+	/* A new handle, see bsh_http_client_start(). */
+	response_t response = { .curl = curl_easy_init() };
+	CURLcode code = CURLE_FAILED_INIT;
+	bsh_error_t err = BSH_ERR_SYSTEM;
 
 	memset(answer, 0, sizeof(*answer));
 	g_strlcpy(answer->address, address, sizeof(answer->address));
 	answer->body = g_string_new(NULL);
-	code = perform(client, method, url, body, headers, answer->body);
+	response.body = answer->body;
+	bsh_http_check_init(&response.check);
+	if (response.curl != NULL) {
+		code = perform(client, method, url, body, headers, &response);
+		err = error_of(&response, code);
+	}
+	curl_easy_cleanup(response.curl);
 	curl_slist_free_all(headers);
-	if (code != CURLE_OK) {
+	if (err != BSH_OK) {
 		snprintf(client->failure, sizeof(client->failure), "%s: %s",
-			 address, curl_easy_strerror(code));
+			 address, failure_text(&response, code));
 		bsh_control_answer_finish(answer);
-		return error_of_curl(code);
+		return err;
 	}
-	curl_easy_getinfo(client->curl, CURLINFO_RESPONSE_CODE,
-			  &answer->status);
+	answer->status = response.check.status;
 	answer->json = json_loadb(answer->body->str, answer->body->len,
 				  JSON_REJECT_DUPLICATES, NULL);
 	return BSH_OK;
--- a/lib/operator/control_client.h
+++ b/lib/operator/control_client.h
@@ -19,7 +19,6 @@
  *	docs/design.md, section 5.4.
  */
 
-#include <curl/curl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdint.h>
@@ -39,7 +38,6 @@
 } bsh_control_answer_t;
 
 typedef struct {
-	CURL *curl;
 	GPtrArray *addresses; /* char *, each IP:port */
 	long timeout_ms;      /* of a request to one address */
 	char failure[512];    /* error text of the last failed attempt */
@@ -51,8 +49,8 @@
  *
  * RETURN VALUE
  *	BSH_OK; BSH_ERR_INVALID when an address is malformed or the list is
- *	empty; BSH_ERR_SYSTEM when libcurl fails.  On error the text is in
- *	client->failure and no finish is needed.
+ *	empty.  On error the text is in client->failure and no finish is
+ *	needed.
  */
 bsh_error_t bsh_control_client_init(bsh_control_client_t *client,
 				    const char *addresses, long timeout_ms);
@@ -68,8 +66,10 @@
  *	BSH_ERR_CONNECT when no connection to any controller could be opened,
  *	so that none received the request; BSH_ERR_TIMEOUT when the request
  *	may have been received but no complete response arrived;
+ *	BSH_ERR_MALFORMED when a response is no answer of the protocol;
  *	BSH_ERR_TOO_LARGE when a response exceeds
- *	BSH_CONTROL_ANSWER_MAX_BYTES.  On success the answer needs a
+ *	BSH_CONTROL_ANSWER_MAX_BYTES; BSH_ERR_SYSTEM when libcurl fails.  On
+ *	success the answer needs a
  *	bsh_control_answer_finish().
  */
 bsh_error_t bsh_control_request(bsh_control_client_t *client,
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "support/fake_control.h"
+#include "support/raw_target.h"
 
 #define DOC_HEAD                                                               \
 	"{\"deployment\":\"fahrstart\",\"weight\":0.8,"                        \
@@ -24,6 +25,9 @@
 static const char doc_bad[] = "{\"deployment\":\"x\",\"weight\":7,"
 			      "\"weight_store\":{\"loads_per_s\":6}}";
 
+/* Answer to /v1/config, 16 bytes. */
+#define NO_DOCUMENT "{\"generation\":0}"
+
 typedef struct {
 	fake_control_t fake;
 	char *directory;
@@ -285,6 +289,42 @@
 	RUN(f, 7, "counters", "-s", server);
 }
 
+/* Guards against an answer whose head or framing is none, and that is read to
+ * the end of its connection. */
+static void test_broken_answer(fixture_t *f, gconstpointer data)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 16x\r\n\r\n" NO_DOCUMENT,
+		"HTTP/1.1 200 OK\r\nContent-Length 16\r\n\r\n" NO_DOCUMENT,
+		"HTTP/1.1 200 OK\r\nX A: b\r\n\r\n" NO_DOCUMENT,
+		"HTTP/1.1 200 OK\r\n\r\n" NO_DOCUMENT,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"10 x\r\n" NO_DOCUMENT "\r\n0\r\n\r\n",
+	};
+	g_autofree char *one = save(f, "1", doc_1);
+	raw_answer_t answer = { .text = "HTTP/1.1 200 OK\r\nContent-Length: "
+					"16\r\n\r\n" NO_DOCUMENT };
+	raw_target_t controller;
+	char address[32];
+
+	(void)data;
+	raw_target_start(&controller, address, sizeof(address));
+	answer.size = strlen(answer.text);
+	raw_target_set(&controller, &answer);
+	RUN(f, 1, "diff", "-s", address, one);
+	CONTAINS(f->out, "# no document is accepted yet\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		answer.text = answers[i];
+		answer.size = strlen(answer.text);
+		raw_target_set(&controller, &answer);
+		RUN(f, 5, "diff", "-s", address, one);
+		CONTAINS(f->err, "no controller answered");
+	}
+	raw_target_stop(&controller);
+	while (atomic_load(&controller.open) > 0)
+		g_usleep(1000);
+}
+
 /* Guards against a command that fails when the first of several controllers is
  * down. */
 static void test_next_controller(fixture_t *f, gconstpointer data)
@@ -496,6 +536,7 @@
 	ADD("/bshctl/in-force", test_in_force);
 	ADD("/bshctl/rejection", test_rejection);
 	ADD("/bshctl/malformed", test_malformed);
+	ADD("/bshctl/broken-answer", test_broken_answer);
 	ADD("/bshctl/next-controller", test_next_controller);
 	ADD("/bshctl/instances", test_instances);
 	ADD("/bshctl/timeline", test_timeline);
