http_connection: split the table of connections from http_client

http_client.c had grown by the table of sockets and what is asked of them. They are a module of their own now, and http_check has one function for the text of a chunk's line and of a trailer.

--- a/lib/transport/http_check.c
+++ b/lib/transport/http_check.c
@@ -211,12 +211,14 @@
 	return NULL;
 }
 
-static const char *check_extension(bsh_http_check_t *check, char c)
+/* Text up to the line end, behind which next follows. */
+static const char *check_text(bsh_http_check_t *check, char c,
+			      bsh_http_chunk_state_t next)
 {
 	if (c == '\r')
-		check->chunk_state = BSH_HTTP_CHUNK_LINE_END;
+		check->chunk_state = next;
 	else if (!is_text_char(c))
-		return "control byte in the extension of a chunk";
+		return "control byte in a line of a chunked body";
 	return NULL;
 }
 
@@ -230,7 +232,7 @@
 	case BSH_HTTP_CHUNK_BLANK:
 		return begin_extension(check, c);
 	default:
-		return check_extension(check, c);
+		return check_text(check, c, BSH_HTTP_CHUNK_LINE_END);
 	}
 }
 
@@ -258,15 +260,6 @@
 	return NULL;
 }
 
-static const char *check_trailer_value(bsh_http_check_t *check, char c)
-{
-	if (c == '\r')
-		check->chunk_state = BSH_HTTP_CHUNK_TRAILER_LINE_END;
-	else if (!is_text_char(c))
-		return "control byte in the value of a trailer";
-	return NULL;
-}
-
 /* Goes on to the next state if c is the byte expected here. */
 static const char *expect(bsh_http_check_t *check, char c, char expected,
 			  bsh_http_chunk_state_t next)
@@ -296,7 +289,7 @@
 	case BSH_HTTP_CHUNK_TRAILER_NAME:
 		return check_trailer(check, c);
 	case BSH_HTTP_CHUNK_TRAILER_VALUE:
-		return check_trailer_value(check, c);
+		return check_text(check, c, BSH_HTTP_CHUNK_TRAILER_LINE_END);
 	case BSH_HTTP_CHUNK_TRAILER_LINE_END:
 		return expect(check, c, '\n', BSH_HTTP_CHUNK_TRAILER);
 	case BSH_HTTP_CHUNK_LAST_LINE_END:
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -1,16 +1,15 @@
 #include "transport/http_client.h"
 
 #include <curl/curl.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include "base/log.h"
 #include "transport/http_check.h"
+#include "transport/http_connection.h"
 
 /* Receive buffer per call.  It holds a few events of a stream; more would be
  * costly with many open streams. */
@@ -44,19 +43,10 @@
 	bsh_loop_task_t abort_task; /* ends cancelled and failed calls */
 	GQueue start_queue; /* calls started from within libcurl's callbacks */
 	bsh_http_call_t *calls; /* all running calls */
-	/* Established connections by name and by socket: libcurl does not name
-	 * the socket of a kept connection that it uses again. */
-	GHashTable *by_name;
-	GHashTable *by_fd;
+	bsh_http_connections_t connections;
 	int curl_depth; /* > 0 while libcurl is on the stack */
 };
 
-typedef struct {
-	char *name; /* addresses of both ends */
-	int fd;
-	bsh_http_call_t *call; /* that it carries, or NULL */
-} connection_t;
-
 struct bsh_http_call {
 	bsh_http_client_t *client;
 	CURL *easy;
@@ -79,8 +69,8 @@
 	bool has_no_body; /* the method is HEAD */
 	bool needs_fresh; /* the kept connection is not usable */
 	int fd;		  /* of a new connection; -1: the connection is kept */
-	connection_t *connection; /* NULL: not established */
-	bool is_end_orderly;	  /* the server has read all and closed */
+	bsh_http_connection_t *connection; /* NULL: not established */
+	bool is_end_orderly; /* the server has read all and closed */
 	bool allow_close_delimited;
 	bool submitted; /* passed to libcurl */
 	bool cancelled;
@@ -90,6 +80,13 @@
 	bsh_http_call_t *previous;
 };
 
+static void leave_connection(bsh_http_call_t *call)
+{
+	if (call->connection != NULL)
+		call->connection->user = NULL;
+	call->connection = NULL;
+}
+
 static void free_call(bsh_http_call_t *call)
 {
 	bsh_http_client_t *client = call->client;
@@ -98,8 +95,7 @@
 		curl_multi_remove_handle(client->multi, call->easy);
 	else
 		g_queue_remove(&client->start_queue, call);
-	if (call->connection != NULL)
-		call->connection->call = NULL;
+	leave_connection(call);
 	bsh_loop_timer_stop(&call->timer);
 	if (call->previous != NULL)
 		call->previous->next = call->next;
@@ -231,9 +227,7 @@
 	call->needs_fresh = false;
 	call->err = BSH_OK;
 	call->fd = -1;
-	if (call->connection != NULL)
-		call->connection->call = NULL;
-	call->connection = NULL;
+	leave_connection(call);
 	client->curl_depth++;
 	curl_multi_remove_handle(client->multi, call->easy);
 	curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -331,87 +325,43 @@
 	socket_action(ctx, CURL_SOCKET_TIMEOUT, 0);
 }
 
-/* Bytes have arrived that libcurl has not read. */
-static bool has_input(const bsh_http_call_t *call)
-{
-	char next;
-
-	return call->connection != NULL && recv(call->connection->fd, &next, 1,
-						MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-/* The server has closed without a reset, and its kernel has received the whole
- * request.  A server that closes with a part of it unread resets the connection,
- * but one of which more is on its way first closes it and then resets it. */
-static bool is_end_orderly(int fd)
-{
-	struct tcp_info info = { .tcpi_state = TCP_CLOSE_WAIT };
-	socklen_t size = sizeof(info);
-	int unacked_bytes = 0;
-
-	/* Without these calls, the end of the connection stands. */
-	getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size);
-	ioctl(fd, SIOCOUTQ, &unacked_bytes);
-	return info.tcpi_state == TCP_CLOSE_WAIT && unacked_bytes == 0;
-}
-
-static void free_connection(void *data)
-{
-	connection_t *connection = data;
-
-	if (connection->call != NULL)
-		connection->call->connection = NULL;
-	g_free(connection->name);
-	g_free(connection);
-}
-
 static void forget_connection(bsh_http_client_t *client,
-			      connection_t *connection)
+			      bsh_http_connection_t *connection)
 {
 	if (connection == NULL)
 		return;
-	g_hash_table_remove(client->by_fd, GINT_TO_POINTER(connection->fd));
-	g_hash_table_remove(client->by_name, connection->name);
-}
-
-static connection_t *add_connection(bsh_http_client_t *client, int fd,
-				    const char *name)
-{
-	connection_t *connection = g_new0(connection_t, 1);
-
-	connection->name = g_strdup(name);
-	connection->fd = fd;
-	g_hash_table_insert(client->by_name, connection->name, connection);
-	g_hash_table_insert(client->by_fd, GINT_TO_POINTER(fd), connection);
-	return connection;
+	if (connection->user != NULL)
+		leave_connection(connection->user);
+	bsh_http_connection_remove(&client->connections, connection);
 }
 
 /* Finds the kept connection that the call uses, or enters a new one. */
 static void set_connection(bsh_http_call_t *call, const char *peer_ip,
 			   int peer_port, const char *local_ip, int local_port)
 {
-	bsh_http_client_t *client = call->client;
+	bsh_http_connections_t *table = &call->client->connections;
 	g_autofree char *name = g_strdup_printf(
 		"%s:%d %s:%d", peer_ip, peer_port, local_ip, local_port);
-	connection_t *connection = g_hash_table_lookup(client->by_name, name);
 
+	call->connection = bsh_http_connection_find(table, name);
 	if (call->fd >= 0) {
-		forget_connection(client, connection);
-		connection = add_connection(client, call->fd, name);
+		forget_connection(call->client, call->connection);
+		call->connection =
+			bsh_http_connection_add(table, call->fd, name);
 	}
-	call->connection = connection;
-	if (connection != NULL)
-		connection->call = call;
+	if (call->connection != NULL)
+		call->connection->user = call;
 }
 
 static int on_socket_closed(void *ctx, curl_socket_t fd)
 {
 	bsh_http_client_t *client = ctx;
-	connection_t *connection =
-		g_hash_table_lookup(client->by_fd, GINT_TO_POINTER(fd));
+	bsh_http_connection_t *connection =
+		bsh_http_connection_of(&client->connections, fd);
+	bsh_http_call_t *call = connection != NULL ? connection->user : NULL;
 
-	if (connection != NULL && connection->call != NULL)
-		connection->call->is_end_orderly = is_end_orderly(fd);
+	if (call != NULL)
+		call->is_end_orderly = bsh_http_connection_ended(connection);
 	forget_connection(client, connection);
 	return close(fd);
 }
@@ -434,7 +384,7 @@
 		call->err = BSH_ERR_CONNECTION_LOST;
 		return CURL_PREREQFUNC_ABORT;
 	}
-	if (has_input(call)) {
+	if (bsh_http_connection_has_input(call->connection)) {
 		call->needs_fresh = bsh_http_call_is_reused(call);
 		call->err = BSH_ERR_CONNECT;
 		return CURL_PREREQFUNC_ABORT;
@@ -486,7 +436,7 @@
 static void check_end(bsh_http_call_t *call)
 {
 	if (!call->has_no_body && bsh_http_check_is_complete(&call->check) &&
-	    has_input(call))
+	    bsh_http_connection_has_input(call->connection))
 		refuse_response(call, excess_fault);
 }
 
@@ -674,9 +624,7 @@
 	client = g_new0(bsh_http_client_t, 1);
 	client->loop = loop;
 	client->multi = multi;
-	client->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-						free_connection);
-	client->by_fd = g_hash_table_new(NULL, NULL);
+	bsh_http_connections_init(&client->connections);
 	g_queue_init(&client->start_queue);
 	bsh_loop_timer_init(&client->timer, loop, on_multi_timer, client);
 	bsh_loop_task_init(&client->start_task, loop, start_queued_calls,
@@ -702,8 +650,7 @@
 	bsh_loop_task_cancel(&client->start_task);
 	bsh_loop_task_cancel(&client->abort_task);
 	g_queue_clear(&client->start_queue);
-	g_hash_table_destroy(client->by_fd);
-	g_hash_table_destroy(client->by_name);
+	bsh_http_connections_finish(&client->connections);
 	g_free(client);
 }
 
