http_client: keep the calls that have failed in a queue

Failed calls have a queue and a task of their own; cancelled ones are freed as they were before. free_call() gets the client.

Lint passes; test_broken_answer, test_endless_answer, test_http and test_clients pass.

--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -40,8 +40,10 @@
 	CURLM *multi;
 	bsh_loop_timer_t timer;
 	bsh_loop_task_t start_task;
-	bsh_loop_task_t abort_task; /* ends cancelled and failed calls */
+	bsh_loop_task_t cancel_task;
+	bsh_loop_task_t fail_task;
 	GQueue start_queue; /* calls started from within libcurl's callbacks */
+	GQueue failed;	    /* calls whose end libcurl may not report soon */
 	bsh_http_call_t *calls; /* all running calls */
 	bsh_http_connections_t connections;
 	int curl_depth; /* > 0 while libcurl is on the stack */
@@ -74,6 +76,7 @@
 	bool allow_close_delimited;
 	bool submitted; /* passed to libcurl */
 	bool cancelled;
+	bool is_queued; /* in the client's queue of failed calls */
 	bool paused;
 	char detail[CURL_ERROR_SIZE];
 	bsh_http_call_t *next;
@@ -87,14 +90,14 @@
 	call->connection = NULL;
 }
 
-static void free_call(bsh_http_call_t *call)
+static void free_call(bsh_http_client_t *client, bsh_http_call_t *call)
 {
-	bsh_http_client_t *client = call->client;
-
 	if (call->submitted)
 		curl_multi_remove_handle(client->multi, call->easy);
 	else
 		g_queue_remove(&client->start_queue, call);
+	if (call->is_queued)
+		g_queue_remove(&client->failed, call);
 	leave_connection(call);
 	bsh_loop_timer_stop(&call->timer);
 	if (call->previous != NULL)
@@ -157,7 +160,7 @@
 	result.detail = detail;
 	/* Freed before on_end, so that on_end can start a call that reuses the
 	 * connection. */
-	free_call(call);
+	free_call(call->client, call);
 	handler.on_end(ctx, &result);
 	if (body != NULL)
 		g_string_free(body, TRUE);
@@ -249,7 +252,7 @@
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
 				  (char **)&call);
 		if (call->cancelled)
-			free_call(call);
+			free_call(client, call);
 		else if (call->needs_fresh)
 			repeat_call(call);
 		else
@@ -488,6 +491,17 @@
 	return call->cancelled || call->err != BSH_OK ? 0 : size;
 }
 
+static void fail_later(bsh_http_call_t *call)
+{
+	bsh_http_client_t *client = call->client;
+
+	if (call->is_queued)
+		return;
+	call->is_queued = true;
+	g_queue_push_tail(&client->failed, call);
+	bsh_loop_task_schedule(&client->fail_task);
+}
+
 /* Called with the bytes behind the head as they were received.  Of bytes behind
  * a response without a body libcurl tells only in a message.  The call ends in
  * the next callback, or in the task if there is none: libcurl does not report the
@@ -512,8 +526,8 @@
 		refuse_response(call, fault);
 	else if (type == CURLINFO_DATA_IN)
 		check_end(call);
-	if (call->err != BSH_OK)
-		bsh_loop_task_schedule(&call->client->abort_task);
+	if (call->err != BSH_OK && !call->cancelled)
+		fail_later(call);
 	return 0;
 }
 
@@ -588,24 +602,29 @@
 		submit_call(call);
 }
 
-static bsh_http_call_t *find_aborted_call(const bsh_http_client_t *client)
+static void free_cancelled_calls(void *ctx)
 {
+	bsh_http_client_t *client = ctx;
 	bsh_http_call_t *call = client->calls;
 
-	while (call != NULL && !call->cancelled && call->err == BSH_OK)
-		call = call->next;
-	return call;
+	while (call != NULL) {
+		bsh_http_call_t *next = call->next;
+
+		if (call->cancelled)
+			free_call(client, call);
+		call = next;
+	}
 }
 
 /* on_end may start or cancel other calls. */
-static void end_aborted_calls(void *ctx)
+static void end_failed_calls(void *ctx)
 {
 	bsh_http_client_t *client = ctx;
 	bsh_http_call_t *call;
 
-	while ((call = find_aborted_call(client)) != NULL) {
+	while ((call = g_queue_peek_head(&client->failed)) != NULL) {
 		if (call->cancelled)
-			free_call(call);
+			free_call(client, call);
 		else
 			complete_call(call, call->err);
 	}
@@ -626,11 +645,13 @@
 	client->multi = multi;
 	bsh_http_connections_init(&client->connections);
 	g_queue_init(&client->start_queue);
+	g_queue_init(&client->failed);
 	bsh_loop_timer_init(&client->timer, loop, on_multi_timer, client);
 	bsh_loop_task_init(&client->start_task, loop, start_queued_calls,
 			   client);
-	bsh_loop_task_init(&client->abort_task, loop, end_aborted_calls,
+	bsh_loop_task_init(&client->cancel_task, loop, free_cancelled_calls,
 			   client);
+	bsh_loop_task_init(&client->fail_task, loop, end_failed_calls, client);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
@@ -643,12 +664,13 @@
 void bsh_http_client_free(bsh_http_client_t *client)
 {
 	while (client->calls != NULL)
-		free_call(client->calls);
+		free_call(client, client->calls);
 	client->curl_depth++;
 	curl_multi_cleanup(client->multi);
 	bsh_loop_timer_stop(&client->timer);
 	bsh_loop_task_cancel(&client->start_task);
-	bsh_loop_task_cancel(&client->abort_task);
+	bsh_loop_task_cancel(&client->cancel_task);
+	bsh_loop_task_cancel(&client->fail_task);
 	g_queue_clear(&client->start_queue);
 	bsh_http_connections_finish(&client->connections);
 	g_free(client);
@@ -825,7 +847,7 @@
 		client->calls->previous = call;
 	client->calls = call;
 	if (!set_options(call, spec)) {
-		free_call(call);
+		free_call(client, call);
 		return BSH_ERR_INVALID;
 	}
 	*out = call;
@@ -856,9 +878,9 @@
 	bsh_loop_timer_stop(&call->timer);
 	/* libcurl must not be entered from its own callbacks. */
 	if (client->curl_depth == 0 || !call->submitted)
-		free_call(call);
+		free_call(client, call);
 	else
-		bsh_loop_task_schedule(&client->abort_task);
+		bsh_loop_task_schedule(&client->cancel_task);
 }
 
 void bsh_http_call_pause(bsh_http_call_t *call)
