http_check: tell where a response is delimited; test closes after uploads

http_client kept its own list of what delimits a response, with the statuses that have no body; http_check tells it now.

--- a/lib/transport/http_check.c
+++ b/lib/transport/http_check.c
@@ -50,16 +50,27 @@
 	return check->status >= 100 && check->status < 200;
 }
 
+static bool has_no_body(const bsh_http_check_t *check)
+{
+	return check->status == STATUS_NO_CONTENT ||
+	       check->status == STATUS_NOT_MODIFIED;
+}
+
+bool bsh_http_check_is_delimited(const bsh_http_check_t *check)
+{
+	return check->head_complete &&
+	       (has_no_body(check) || check->chunked || check->has_length);
+}
+
 bool bsh_http_check_is_complete(const bsh_http_check_t *check)
 {
-	if (!check->head_complete)
+	if (!bsh_http_check_is_delimited(check))
 		return false;
-	if (check->status == STATUS_NO_CONTENT ||
-	    check->status == STATUS_NOT_MODIFIED)
+	if (has_no_body(check))
 		return true;
 	if (check->chunked)
 		return check->chunk_state == BSH_HTTP_CHUNK_DONE;
-	return check->has_length && check->body_bytes >= check->length_bytes;
+	return check->body_bytes >= check->length_bytes;
 }
 
 /* The blank behind the status may be missing if there is no reason. */
--- a/lib/transport/http_check.h
+++ b/lib/transport/http_check.h
@@ -77,9 +77,11 @@
 const char *bsh_http_check_body(bsh_http_check_t *check, const char *data,
 				size_t size_bytes);
 
-/* bsh_http_check_is_complete - the response has ended, by what it says of its
- * body; false if it ends with the connection.  To be called for a method other
- * than HEAD. */
+/* For a method other than HEAD, whose responses have no body:
+ * bsh_http_check_is_delimited - the final response says where its body ends;
+ * otherwise it ends with the connection.
+ * bsh_http_check_is_complete - it says so, and has come to this end. */
+bool bsh_http_check_is_delimited(const bsh_http_check_t *check);
 bool bsh_http_check_is_complete(const bsh_http_check_t *check);
 
 /* bsh_http_check_is_interim - the current head is that of an interim response. */
--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -30,10 +30,8 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
 #define UNACKED_TIMEOUT_MS   3000
-/* Statuses of responses without a body. */
-#define STATUS_NO_CONTENT   204
-#define STATUS_NOT_MODIFIED 304
-#define STATUS_REDIRECT	    300 /* and above: no success */
+/* Lowest status that is no success. */
+#define STATUS_REDIRECT 300
 
 struct bsh_http_client {
 	bsh_loop_t *loop;
@@ -166,14 +164,6 @@
 		g_string_free(body, TRUE);
 }
 
-/* The response says where its body ends. */
-static bool is_self_delimited(const bsh_http_call_t *call)
-{
-	return call->check.has_length || call->check.chunked ||
-	       call->has_no_body || call->status == STATUS_NO_CONTENT ||
-	       call->status == STATUS_NOT_MODIFIED;
-}
-
 /* The close of the connection ends the response.  libcurl does not report a reset
  * that comes while it sends, if it reads the end of the connection first.  A
  * failure stands with a part of its body, too: servers close early on requests
@@ -200,7 +190,9 @@
 	if (code == CURLE_OK)
 		/* The end of a close-delimited response cannot be told from a
 		 * lost connection. */
-		return is_self_delimited(call) ||
+		return call->has_no_body ||
+				       bsh_http_check_is_delimited(
+					       &call->check) ||
 				       (call->allow_close_delimited &&
 					is_close_the_end(call))
 			       ? BSH_OK
--- a/lib/transport/http_client.h
+++ b/lib/transport/http_client.h
@@ -110,8 +110,9 @@
 	bool fresh_connection; /* neither reuse a connection nor keep it */
 	bool body_is_static;   /* body outlives the call: not copied */
 	/* Accept a close-delimited response (neither Content-Length nor
-	 * Transfer-Encoding) as complete after an orderly close; otherwise it
-	 * ends with BSH_ERR_CONNECTION_LOST. */
+	 * Transfer-Encoding) as complete after an orderly close, a success
+	 * (2xx) only if the server has received the whole request by then;
+	 * otherwise it ends with BSH_ERR_CONNECTION_LOST. */
 	bool allow_close_delimited;
 } bsh_http_call_spec_t;
 
--- a/regress/support/raw_target.c
+++ b/regress/support/raw_target.c
@@ -121,6 +121,17 @@
 	return n;
 }
 
+/* Reads the rest of a body of which the first bytes came with the head. */
+static void read_request(int fd, size_t body_bytes, const char *head,
+			 size_t size)
+{
+	const char *end = memmem(head, size, "\r\n\r\n", 4);
+	size_t had = end != NULL ? size - (size_t)(end + 4 - head) : 0;
+
+	if (body_bytes > had)
+		read_some(fd, body_bytes - had);
+}
+
 /* Reads the head of a request and answers it.  A connection that is only tried
  * sends nothing. */
 static raw_end_t serve_request(raw_target_t *target, int fd)
@@ -139,6 +150,7 @@
 	answer = target->answer;
 	g_mutex_unlock(&target->mutex);
 	atomic_fetch_add(&target->served, 1);
+	read_request(fd, answer.request_bytes, head, (size_t)n);
 	write_answer(target, fd, &answer);
 	write_later(fd, &answer);
 	read_some(fd, answer.read_bytes);
--- a/regress/support/raw_target.h
+++ b/regress/support/raw_target.h
@@ -39,7 +39,9 @@
 	raw_end_t end;
 	/* Bytes that are sent at a time, one packet each; 0: all. */
 	size_t piece_bytes;
-	/* Bytes of the request that are read before the end. */
+	/* Length of the request's body, if it is read before the answer. */
+	size_t request_bytes;
+	/* Bytes of the request that are read between the answer and the end. */
 	size_t read_bytes;
 	const char *later; /* written later_us after the text, or NULL */
 	uint32_t later_us;
--- a/regress/test_broken_answer.c
+++ b/regress/test_broken_answer.c
@@ -34,7 +34,8 @@
 	raw_end_t end;
 	size_t upload_bytes; /* body of the request; 0: one byte */
 	bool stream;
-	bool may_repeat; /* sent on a kept connection */
+	bool reads_first; /* the whole request, before it answers */
+	bool may_repeat;  /* sent on a kept connection */
 } answer_t;
 
 typedef struct {
@@ -276,6 +277,12 @@
 	  BYTES("HTTP/1.1 102 Processing\r\n\r\n"
 		"HTTP/1.1 103 Early\r\nX-Early: a\r\n\r\n" OK_HEAD LENGTH
 		"\r\nwhole") },
+	{ "close-after-2-kB", BYTES(OK_HEAD "\r\nwhole"), RAW_CLOSE, 2000,
+	  .reads_first = true },
+	{ "close-after-70-kB", BYTES(OK_HEAD "\r\nwhole"), RAW_CLOSE, 70000,
+	  .reads_first = true },
+	{ "close-after-upload", BYTES(OK_HEAD "\r\nwhole"), RAW_CLOSE,
+	  UPLOAD_BYTES, .reads_first = true },
 	{ "early-length", BYTES(OK_HEAD LENGTH "\r\nwhole"), RAW_FINISH,
 	  UPLOAD_BYTES },
 };
@@ -352,6 +359,9 @@
 	raw_answer_t raw = { .text = answer->text,
 			     .size = answer->size,
 			     .end = answer->end,
+			     .request_bytes = answer->reads_first
+						      ? answer->upload_bytes
+						      : 0,
 			     .piece_bytes = piece_bytes };
 
 	return raw;
