--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -164,10 +164,10 @@
 		g_string_free(body, TRUE);
 }
 
-/* The close of the connection ends the response.  libcurl does not report a reset
- * that comes while it sends, if it reads the end of the connection first.  A
- * failure stands with a part of its body, too: servers close early on requests
- * that are too long. */
+/* True if the close of the connection is the end of a close-delimited response.
+ * libcurl does not report a reset that comes while it sends, if it reads the end
+ * of the connection first.  An error status is passed on even if its body may be
+ * cut: servers close early on requests that are too long. */
 static bool is_close_the_end(const bsh_http_call_t *call)
 {
 	curl_off_t sent_bytes = 0;
@@ -397,7 +397,7 @@
 
 static const char excess_fault[] = "bytes behind the end of the body";
 
-/* The response is no answer of the protocol; fault says why. */
+/* Ends the call with BSH_ERR_MALFORMED; fault says what is wrong. */
 static void refuse_response(bsh_http_call_t *call, const char *fault)
 {
 	if (call->err != BSH_OK)
@@ -425,9 +425,9 @@
 					value_size);
 }
 
-/* libcurl reads no further than the end of the body.  Bytes that follow it show
- * that its length is not what the server sent; those that arrive later cannot be
- * told from nothing. */
+/* libcurl reads no further than the end of the body.  Bytes in the socket behind
+ * it show that the server sent more than the length says.  Bytes that arrive
+ * later are not detected. */
 static void check_end(bsh_http_call_t *call)
 {
 	if (!call->has_no_body && bsh_http_check_is_complete(&call->check) &&
