loop: do not look at the list of posted calls without its lock

Callers saw all their connections to an instance end at once: the daemon aborted with "realloc(): invalid pointer".

Cause: run_posted() took the pointer to the list under the lock, left the list in place if it was empty, and read its length again without the lock. A call that another thread posted in between made the loop run that call and free the list, to which loop->posted still pointed. The next post reallocated freed memory; or calls were lost or run twice. Each daemon has two threads that post to each other for every order, probe and change, so that any instance could end at any time.

The list is taken out under the lock or not touched at all.

That both ends seen had this cause is likely, as message and moment agree, but neither left a core.

--- a/lib/transport/loop.c
+++ b/lib/transport/loop.c
@@ -317,16 +317,26 @@
 	}
 }
 
-static void run_posted(bsh_loop_t *loop)
+/* Returns the calls posted so far, or NULL if there are none.  Without the lock,
+ * the list must not even be looked at. */
+static GArray *take_posted(bsh_loop_t *loop)
 {
-	GArray *batch;
+	GArray *batch = NULL;
 
 	pthread_mutex_lock(&loop->posted_lock);
-	batch = loop->posted;
-	if (batch->len > 0)
+	if (loop->posted->len > 0) {
+		batch = loop->posted;
 		loop->posted = g_array_new(FALSE, FALSE, sizeof(posted_call_t));
+	}
 	pthread_mutex_unlock(&loop->posted_lock);
-	if (batch->len == 0)
+	return batch;
+}
+
+static void run_posted(bsh_loop_t *loop)
+{
+	GArray *batch = take_posted(loop);
+
+	if (batch == NULL)
 		return;
 	for (guint i = 0; i < batch->len; i++) {
 		posted_call_t *p = &g_array_index(batch, posted_call_t, i);
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -539,12 +539,50 @@
 	bsh_loop_finish(&loop);
 }
 
+#define POSTS_BESIDE_STEPS 200000
+#define PAUSE_LOOPS_MAX	   4096
+
+static void *post_with_pauses(void *ctx)
+{
+	bsh_loop_t *loop = ((void **)ctx)[0];
+
+	for (int i = 0; i < POSTS_BESIDE_STEPS; i++) {
+		bsh_loop_post(loop, increment, ((void **)ctx)[1]);
+		/* Lets the loop find its list empty in between. */
+		for (volatile int n = i % PAUSE_LOOPS_MAX; n > 0; n--)
+			;
+	}
+	return NULL;
+}
+
+/* Guards against memory that is freed while another thread uses it, and calls
+ * that are lost or run twice, when a call is posted in the moment in which the
+ * loop has found none. */
+static void test_post_beside_steps(void)
+{
+	bsh_loop_t loop;
+	int runs = 0;
+	void *args[] = { &loop, &runs };
+	int64_t end_us = bsh_loop_clock_us() + TIMEOUT_US;
+	pthread_t thread;
+
+	g_assert_cmpint(bsh_loop_init(&loop), ==, BSH_OK);
+	pthread_create(&thread, NULL, post_with_pauses, args);
+	while (runs < POSTS_BESIDE_STEPS && bsh_loop_clock_us() < end_us)
+		bsh_loop_step(&loop, 0);
+	pthread_join(thread, NULL);
+	bsh_loop_step(&loop, 0);
+	g_assert_cmpint(runs, ==, POSTS_BESIDE_STEPS);
+	bsh_loop_finish(&loop);
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/loop/timers", test_timers);
 	g_test_add_func("/loop/post", test_post);
+	g_test_add_func("/loop/post-beside-steps", test_post_beside_steps);
 	g_test_add_func("/http/echo", test_echo);
 	g_test_add_func("/http/backpressure", test_backpressure);
 	g_test_add_func("/http/broken-answer", test_truncated_response);
