regress: keep the port of a relay that refuses connections

Cause: a relay that refuses connections closed its only socket, so that any other process could get the port in the meantime, as several test runs on one machine do. Now a second socket, which never listens, stays bound.

/fault-relay/keeps-port failed before (bind of the port succeeded) and holds.

--- a/regress/support/relay.c
+++ b/regress/support/relay.c
@@ -166,24 +166,38 @@
 	g_ptr_array_add(relay->links, link);
 }
 
-static void listen_at(relay_t *relay, uint16_t port)
+static int bound_socket(uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(port) };
-	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	int on = 1;
 
-	relay->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	setsockopt(relay->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	g_assert_cmpint(
-		bind(relay->listener, (struct sockaddr *)&address, size), ==,
-		0);
-	g_assert_cmpint(listen(relay->listener, 128), ==, 0);
-	g_assert_cmpint(getsockname(relay->listener,
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, sizeof(address)),
+			==, 0);
+	return fd;
+}
+
+/* Takes a free port with a socket that never listens and stays bound, so that no
+ * other process gets the port while the relay does not listen. */
+static void take_port(relay_t *relay)
+{
+	struct sockaddr_in address;
+	socklen_t size = sizeof(address);
+
+	relay->port_owner = bound_socket(0);
+	g_assert_cmpint(getsockname(relay->port_owner,
 				    (struct sockaddr *)&address, &size),
 			==, 0);
 	relay->port = ntohs(address.sin_port);
+}
+
+static void start_listening(relay_t *relay)
+{
+	relay->listener = bound_socket(relay->port);
+	g_assert_cmpint(listen(relay->listener, 128), ==, 0);
 	relay->watch = bsh_loop_watch(relay->loop, relay->listener,
 				      BSH_LOOP_READ, on_connection, relay);
 }
@@ -205,7 +219,8 @@
 	relay->loop = loop;
 	relay->to_port = to_port;
 	relay->links = g_ptr_array_new();
-	listen_at(relay, 0);
+	take_port(relay);
+	start_listening(relay);
 	g_snprintf(relay->address, sizeof(relay->address), "127.0.0.1:%u",
 		   relay->port);
 }
@@ -216,7 +231,7 @@
 		stop_listening(relay);
 		relay_reset_all(relay);
 	} else if (relay->watch == NULL && !relay->hanging) {
-		listen_at(relay, relay->port);
+		start_listening(relay);
 	}
 }
 
@@ -282,5 +297,6 @@
 {
 	relay_reset_all(relay);
 	stop_listening(relay);
+	close(relay->port_owner);
 	g_ptr_array_free(relay->links, TRUE);
 }
--- a/regress/support/relay.h
+++ b/regress/support/relay.h
@@ -34,6 +34,7 @@
 
 typedef struct {
 	bsh_loop_t *loop;
+	int port_owner; /* bound, does not listen */
 	int listener;
 	bsh_loop_watch_t *watch;
 	uint16_t to_port; /* of the server, on 127.0.0.1 */
