--- a/regress/support/relay.c
+++ b/regress/support/relay.c
@@ -184,7 +184,7 @@
  * other process gets the port while the relay does not listen. */
 static void take_port(relay_t *relay)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = { 0 };
 	socklen_t size = sizeof(address);
 
 	relay->port_owner = bound_socket(0);
