place_keeper: ask a silent keeper again while another one is asked

Cause: an instance whose needs got no answer for 250 ms asks the next instance by rank for 10 s. The keeper of the target does not answer one that it does not know yet, and learns of it some 0.1 s to 1 s later, while all others go on to ask it: two ledgers give out the places of one target. In both runs that were traced only the target whose keeper was left out fell, for as long as it was left out. A pause of the keeper does the same.

The instance that ranks first now gets the needs as well while it is left out, every 100 ms, and its answer ends that. An instance of an earlier version, which does not answer, costs one datagram more each 100 ms for a target that is asked for places.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -297,8 +297,8 @@
  * first; *n is their number. */
 uint32_t peers_rank(const peers_t *peers, uint64_t key, uint32_t *n);
 /* The instance that rendezvous hashing of a key ranks first, of those that are
- * alive and not leaving, this one included; names in left_out are left out.
- * NULL: none is left. */
+ * alive and not leaving, this one included; names in left_out, if it is not NULL,
+ * are left out.  NULL: none is left. */
 const char *peers_first(const peers_t *peers, uint64_t key,
 			GHashTable *left_out);
 /* peers_choose_relays - append instances that reach targets, the nearest first,
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -634,7 +634,8 @@
 {
 	uint64_t score = name_score(first->key, name);
 
-	if (g_hash_table_contains(first->left_out, name) ||
+	if ((first->left_out != NULL &&
+	     g_hash_table_contains(first->left_out, name)) ||
 	    (first->name != NULL && score <= first->score))
 		return;
 	first->score = score;
--- a/bshentryd/place_keeper.c
+++ b/bshentryd/place_keeper.c
@@ -12,6 +12,9 @@
  * may run an earlier version of the software, or be cut off from this one. */
 #define SILENT_US	 INT64_C(250000)
 #define SILENT_MEMORY_US INT64_C(10000000)
+/* It is asked again at this interval: it may have been paused, or not have known
+ * this instance yet, and give out places to others meanwhile. */
+#define PROBE_US INT64_C(100000)
 
 /* The instance that was asked for the places of a target. */
 typedef struct {
@@ -19,6 +22,7 @@
 	char keeper[BSH_NAME_SIZE];
 	int64_t asked_us; /* first need that was not answered; 0: answered */
 	int64_t used_us;
+	int64_t probed_us; /* last need sent to a silent instance as well */
 } asked_t;
 
 struct place_keeper {
@@ -138,22 +142,46 @@
 	return asked->keeper;
 }
 
+static void send_need(place_keeper_t *keeper, const char *name,
+		      const bsh_place_need_t *need)
+{
+	bsh_message_t message = { .type = BSH_MSG_PLACE_NEEDS };
+
+	message.place_needs.needs = need;
+	message.place_needs.need_count = 1;
+	if (strcmp(name, self(keeper)) == 0)
+		place_keeper_receive_needs(keeper, name,
+					   keeper->control->entry->incarnation,
+					   &message.place_needs);
+	else
+		peers_send(keeper->control->peers, name, &message);
+}
+
+/* Sends the need to the instance that ranks first, too, if it was left out as it
+ * was silent.  Its answer ends that. */
+static void probe_silent(place_keeper_t *keeper, const bsh_place_need_t *need)
+{
+	asked_t *asked = find_asked(keeper, need->target);
+	int64_t now_us = control_now_us(keeper->control);
+	const char *first;
+
+	if (g_hash_table_size(keeper->silent) == 0 ||
+	    now_us - asked->probed_us < PROBE_US)
+		return;
+	first = peers_first(keeper->control->peers, need->target, NULL);
+	if (first == NULL || !g_hash_table_contains(keeper->silent, first))
+		return;
+	asked->probed_us = now_us;
+	send_need(keeper, first, need);
+}
+
 void place_keeper_ask(place_keeper_t *keeper, const GArray *asks)
 {
 	for (guint i = 0; i < asks->len; i++) {
 		const place_ask_t *ask = &g_array_index(asks, place_ask_t, i);
-		const char *name = choose_keeper(keeper, ask);
-		bsh_message_t message = { .type = BSH_MSG_PLACE_NEEDS };
-
-		message.place_needs.needs = &ask->need;
-		message.place_needs.need_count = 1;
-		if (strcmp(name, self(keeper)) == 0)
-			place_keeper_receive_needs(
-				keeper, name,
-				keeper->control->entry->incarnation,
-				&message.place_needs);
-		else
-			peers_send(keeper->control->peers, name, &message);
+
+		send_need(keeper, choose_keeper(keeper, ask), &ask->need);
+		probe_silent(keeper, &ask->need);
 	}
 }
 
--- a/regress/test_brittle.c
+++ b/regress/test_brittle.c
@@ -5,10 +5,11 @@
 
 #include "support/platform_rig.h"
 
-#define ENTRIES 10
-#define WORKERS 3
-#define PLACES	8
-#define TICK_MS 10
+#define ENTRIES	  10
+#define NEWCOMERS 10
+#define WORKERS	  3
+#define PLACES	  8
+#define TICK_MS	  10
 /* Requests of a tick: three times what the places can serve. */
 #define TICK_REQUESTS 4
 #define WORK_MS	      200
@@ -99,7 +100,7 @@
 			g_autofree char *target =
 				g_strdup_printf("%s%u", path, f->n);
 			const rig_entry_t *entry =
-				&f->rig.entries[f->n++ % ENTRIES];
+				&f->rig.entries[f->n++ % f->rig.n_entries];
 
 			platform_rig_send(&f->rig, entry->front, target, id,
 					  is_engine ? "m0" : NULL, 2000, reply);
@@ -188,6 +189,28 @@
 	g_assert_cmpuint(f->refused_blank, ==, 0);
 }
 
+/* Guards against two instances that both give out the places of a target: some
+ * of those that have just started are not known yet to the one that gives them
+ * out, and ask another one in its place. */
+static void test_newcomers(fixture_t *f, gconstpointer data)
+{
+	const char *path = data;
+	uint32_t falls_before;
+
+	for (int i = 0; i < WORKERS; i++)
+		f->rig.workers[i].brittle = 2;
+	for (int i = 0; i < NEWCOMERS; i++)
+		platform_rig_add_entry(&f->rig);
+	for (int i = 0; i < NEWCOMERS; i++)
+		platform_rig_wait_ready(&f->rig, &f->rig.entries[ENTRIES + i]);
+	run_callers(f, path, CONTACT_MS);
+	falls_before = falls(f);
+	run_callers(f, path, MEASURE_MS);
+	g_test_message("falls=%u, before %u", falls(f) - falls_before,
+		       falls_before);
+	g_assert_cmpuint(falls(f) - falls_before, <=, FALLS_MAX);
+}
+
 /* Lets the target that runs the request fall under requests of others. */
 static void fall_under(fixture_t *f, const char *id)
 {
@@ -301,6 +324,8 @@
 		   test_targets_stay_up, tear_down);
 	g_test_add("/brittle/streams", fixture_t, "/stream/", set_up,
 		   test_targets_stay_up, tear_down);
+	g_test_add("/brittle/newcomers", fixture_t, "/stream/", set_up,
+		   test_newcomers, tear_down);
 	g_test_add("/brittle/calm-service-is-not-asked", fixture_t, "/look/",
 		   set_up, test_calm_service_is_not_asked, tear_down);
 	g_test_add("/brittle/falls-accuse-no-request", fixture_t, "/look/",
