http_client: split what is done with a received response from it

http_client.c had grown to over 900 lines with the checks of responses. The callbacks of libcurl for heads and bodies are http_response.c now, and the state of a call is in a header that only the two use. No change of behaviour: test_http, test_clients, test_broken_answer and test_endless_answer hold.

--- a/lib/transport/http_client.c
+++ b/lib/transport/http_client.c
@@ -1,6 +1,5 @@
 #include "transport/http_client.h"
 
-#include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -8,8 +7,7 @@
 #include <unistd.h>
 
 #include "base/log.h"
-#include "transport/http_check.h"
-#include "transport/http_connection.h"
+#include "transport/http_call.h"
 
 /* Receive buffer per call.  It holds a few events of a stream; more would be
  * costly with many open streams. */
@@ -19,9 +17,6 @@
  * lists each time. */
 #define SEND_BUFFER_BYTES      16384L
 #define DEFAULT_BODY_MAX_BYTES (1U << 20)
-/* Bound of all header lines of a response: interim ones, final ones and
- * trailers. */
-#define HEAD_MAX_BYTES (64U << 10)
 /* TCP keepalive detects a connection whose peer is gone, or whose state a
  * middlebox has dropped, after 1 s + 2 * 1 s without a reply of the peer's
  * kernel.  TCP_USER_TIMEOUT bounds the time that sent data may stay
@@ -30,56 +25,6 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
 #define UNACKED_TIMEOUT_MS   3000
-/* Lowest status that is no success. */
-#define STATUS_REDIRECT 300
-
-struct bsh_http_client {
-	bsh_loop_t *loop;
-	CURLM *multi;
-	bsh_loop_timer_t timer;
-	bsh_loop_task_t start_task;
-	bsh_loop_task_t cancel_task;
-	bsh_loop_task_t fail_task;
-	GQueue start_queue; /* calls started from within libcurl's callbacks */
-	GQueue failed;	    /* calls whose end libcurl may not report soon */
-	bsh_http_call_t *calls; /* all running calls */
-	bsh_http_connections_t connections;
-	int curl_depth; /* > 0 while libcurl is on the stack */
-};
-
-struct bsh_http_call {
-	bsh_http_client_t *client;
-	CURL *easy;
-	struct curl_slist *headers;
-	bsh_http_handler_t handler;
-	void *ctx;
-	bsh_loop_timer_t timer; /* idle timeout and deadline */
-	int64_t deadline_us;
-	int64_t idle_us;
-	int64_t last_active_us; /* last received data, start or resume */
-	GString *body;
-	size_t body_max_bytes;
-	size_t request_body_bytes;
-	int64_t body_bytes;
-	size_t head_bytes;
-	bsh_http_check_t check;
-	int status;
-	bsh_error_t err; /* set by a callback that aborts the transfer */
-	bool sent;
-	bool has_no_body; /* the method is HEAD */
-	bool needs_fresh; /* the kept connection is not usable */
-	int fd;		  /* of a new connection; -1: the connection is kept */
-	bsh_http_connection_t *connection; /* NULL: not established */
-	bool is_end_orderly; /* the server has read all and closed */
-	bool allow_close_delimited;
-	bool submitted; /* passed to libcurl */
-	bool cancelled;
-	bool is_queued; /* in the client's queue of failed calls */
-	bool paused;
-	char detail[CURL_ERROR_SIZE];
-	bsh_http_call_t *next;
-	bsh_http_call_t *previous;
-};
 
 static void leave_connection(bsh_http_call_t *call)
 {
@@ -164,21 +109,6 @@
 		g_string_free(body, TRUE);
 }
 
-/* True if the close of the connection is the end of a close-delimited response.
- * libcurl does not report a reset that comes while it sends, if it reads the end
- * of the connection first.  An error status is passed on even if its body may be
- * cut: servers close early on requests that are too long. */
-static bool is_close_the_end(const bsh_http_call_t *call)
-{
-	curl_off_t sent_bytes = 0;
-
-	if (call->status >= STATUS_REDIRECT)
-		return true;
-	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
-	return call->is_end_orderly &&
-	       sent_bytes >= (curl_off_t)call->request_body_bytes;
-}
-
 static bsh_error_t call_error(const bsh_http_call_t *call, CURLcode code)
 {
 	if (call->err != BSH_OK)
@@ -194,7 +124,7 @@
 				       bsh_http_check_is_delimited(
 					       &call->check) ||
 				       (call->allow_close_delimited &&
-					is_close_the_end(call))
+					bsh_http_response_ends_by_close(call))
 			       ? BSH_OK
 			       : BSH_ERR_CONNECTION_LOST;
 	if (!call->sent)
@@ -395,95 +325,7 @@
 	return call->cancelled ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-static const char excess_fault[] = "bytes behind the end of the body";
-
-/* Ends the call with BSH_ERR_MALFORMED; fault says what is wrong. */
-static void refuse_response(bsh_http_call_t *call, const char *fault)
-{
-	if (call->err != BSH_OK)
-		return;
-	call->err = BSH_ERR_MALFORMED;
-	g_strlcpy(call->detail, fault, sizeof(call->detail));
-}
-
-/* A line that bsh_http_check_line() has accepted. */
-static void pass_header(bsh_http_call_t *call, const char *line, size_t size)
-{
-	const char *colon = memchr(line, ':', size);
-	const char *value = colon + 1;
-	size_t name_size = (size_t)(colon - line);
-	size_t value_size = size - name_size - 1;
-
-	while (value_size > 0 && (*value == ' ' || *value == '\t')) {
-		value++;
-		value_size--;
-	}
-	while (value_size > 0 && g_ascii_isspace(value[value_size - 1]))
-		value_size--;
-	if (call->handler.on_header != NULL)
-		call->handler.on_header(call->ctx, line, name_size, value,
-					value_size);
-}
-
-/* libcurl reads no further than the end of the body.  Bytes in the socket behind
- * it show that the server sent more than the length says.  Bytes that arrive
- * later are not detected. */
-static void check_end(bsh_http_call_t *call)
-{
-	if (!call->has_no_body && bsh_http_check_is_complete(&call->check) &&
-	    bsh_http_connection_has_input(call->connection))
-		refuse_response(call, excess_fault);
-}
-
-static void on_head_complete(bsh_http_call_t *call)
-{
-	check_end(call);
-	if (call->err != BSH_OK)
-		return;
-	call->status = call->check.status;
-	/* From here on libcurl passes the bytes of the body before it decodes
-	 * them, see on_curl_debug(). */
-	curl_easy_setopt(call->easy, CURLOPT_VERBOSE, 1L);
-	if (call->handler.on_head != NULL)
-		call->handler.on_head(call->ctx, call->status);
-}
-
-static void check_head_line(bsh_http_call_t *call, const char *line,
-			    size_t size)
-{
-	bool is_status_line = call->check.status == 0;
-	const char *fault = bsh_http_check_line(&call->check, line, size);
-
-	if (fault != NULL)
-		refuse_response(call, fault);
-	else if (call->check.head_complete)
-		on_head_complete(call);
-	/* The fields of an interim response are not those of the final one. */
-	else if (!is_status_line && call->check.status >= 200)
-		pass_header(call, line, size);
-}
-
-static size_t on_curl_header(char *data, size_t unit, size_t count, void *ctx)
-{
-	bsh_http_call_t *call = ctx;
-	size_t size = unit * count;
-
-	call->last_active_us = call->client->loop->now_us;
-	if (call->cancelled)
-		return 0;
-	call->head_bytes += size;
-	if (call->head_bytes > HEAD_MAX_BYTES) {
-		call->err = BSH_ERR_TOO_LARGE;
-		return 0;
-	}
-	/* Trailers are ignored; on_curl_debug() has checked them. */
-	if (call->check.head_complete)
-		return call->err == BSH_OK ? size : 0;
-	check_head_line(call, data, size);
-	return call->cancelled || call->err != BSH_OK ? 0 : size;
-}
-
-static void fail_later(bsh_http_call_t *call)
+void bsh_http_call_fail_later(bsh_http_call_t *call)
 {
 	bsh_http_client_t *client = call->client;
 
@@ -494,59 +336,6 @@
 	bsh_loop_task_schedule(&client->fail_task);
 }
 
-/* Called with the bytes behind the head as they were received.  Of bytes behind
- * a response without a body libcurl tells only in a message.  The call ends in
- * the next callback, or in the task if there is none: libcurl does not report the
- * extensions of chunks. */
-static int on_curl_debug(CURL *easy, curl_infotype type, char *data,
-			 size_t size, void *ctx)
-{
-	static const char excess[] = "Excess found";
-	bsh_http_call_t *call = ctx;
-	const char *fault = NULL;
-
-	(void)easy;
-	if (call->cancelled)
-		return 0;
-	if (type == CURLINFO_DATA_IN)
-		fault = bsh_http_check_body(&call->check, data, size);
-	else if (type == CURLINFO_TEXT && !call->has_no_body &&
-		 size >= sizeof(excess) - 1 &&
-		 memcmp(data, excess, sizeof(excess) - 1) == 0)
-		fault = excess_fault;
-	if (fault != NULL)
-		refuse_response(call, fault);
-	else if (type == CURLINFO_DATA_IN)
-		check_end(call);
-	if (call->err != BSH_OK && !call->cancelled)
-		fail_later(call);
-	return 0;
-}
-
-static size_t on_curl_data(char *data, size_t unit, size_t count, void *ctx)
-{
-	bsh_http_call_t *call = ctx;
-	size_t size = unit * count;
-
-	if (call->cancelled || call->err != BSH_OK)
-		return 0;
-	/* libcurl passes the same data again when the transfer resumes. */
-	if (call->paused)
-		return CURL_WRITEFUNC_PAUSE;
-	call->last_active_us = call->client->loop->now_us;
-	call->body_bytes += (int64_t)size;
-	if (call->handler.on_data != NULL) {
-		call->handler.on_data(call->ctx, data, size);
-		return call->cancelled ? 0 : size;
-	}
-	if (call->body->len + size > call->body_max_bytes) {
-		call->err = BSH_ERR_TOO_LARGE;
-		return 0;
-	}
-	g_string_append_len(call->body, data, (gssize)size);
-	return size;
-}
-
 static void on_call_timer(void *ctx)
 {
 	bsh_http_call_t *call = ctx;
@@ -727,12 +516,7 @@
 	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, call->detail);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_curl_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
-	curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_curl_debug);
-	curl_easy_setopt(easy, CURLOPT_DEBUGDATA, call);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_curl_data);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	bsh_http_response_set_callbacks(call);
 }
 
 /* Errors are ignored: without these options, a dead connection is detected
