regress: fail where an instance ends by itself

What callers saw: a daemon that ended by SIGABRT, once. Tests and soaks would not have told of it: the rig collected the status of each process and nobody looked at it, the soak started such an instance again, and run_tests.sh passes over a listed test whatever its failure was.

Signals are sent by platform_rig_signal(), and an end that none of them explains ends the test program, or the soak, with the last lines of the instance's log, which is kept. The soak's cases report it under a name of their own, so that KNOWN-RED.txt hides it nowhere. The output of each instance goes to a file instead of /dev/null.

--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -107,7 +107,7 @@
 		return;
 	soak->entries[i].fault_us = bsh_loop_clock_us();
 	soak->entries[i].crash_us = bsh_loop_clock_us();
-	kill(entry->pid, SIGCONT);
+	platform_rig_signal(entry, SIGCONT);
 	entry->stopped = false;
 }
 
@@ -137,7 +137,7 @@
 	}
 	if (bsh_rng_below(&soak->rng, 3) == 0)
 		state->follow_us = after_ms(soak, FOLLOW_MAX_MS);
-	kill(entry->pid, number);
+	platform_rig_signal(entry, number);
 }
 
 static void spawn_entry(soak_t *soak, uint32_t i)
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -3,6 +3,7 @@
 
 #include <apr_general.h>
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -14,10 +15,12 @@
 #include "support/loopback.h"
 
 #define WAIT_TIMEOUT_MS 15000
-#define MODEL_MB	100
-#define LOAD_MS		120
-#define STREAM_EVENTS	6
-#define EVENT_GAP_US	10000
+/* Of a log, printed after an end that is not expected. */
+#define LAST_LINES    12
+#define MODEL_MB      100
+#define LOAD_MS	      120
+#define STREAM_EVENTS 6
+#define EVENT_GAP_US  10000
 /* Interval of the bytes of a stream that never gets on. */
 #define DRIP_INTERVAL_US     20000
 #define ENGINE_SLOTS	     8
@@ -1029,15 +1032,22 @@
 	g_autofree char *program = g_build_filename(
 		build != NULL ? build : "build", "bshentryd", NULL);
 	char *argv[] = { program, (char *)"-c", entry->settings_path, NULL };
-	GSpawnFlags flags = G_SPAWN_DO_NOT_REAP_CHILD;
 	GError *error = NULL;
+	int out = -1;
 
-	if (show_output == NULL)
-		flags |= G_SPAWN_STDOUT_TO_DEV_NULL;
-	g_spawn_async(NULL, argv, NULL, flags, die_with_parent, NULL,
-		      &entry->pid, &error);
+	if (show_output == NULL) {
+		out = open(entry->log_path,
+			   O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+		g_assert_cmpint(out, >=, 0);
+	}
+	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+			       die_with_parent, NULL, &entry->pid, -1, out, -1,
+			       &error);
 	g_assert_no_error(error);
+	if (out >= 0)
+		close(out);
 	entry->alive = true;
+	entry->sent_signals = 0;
 	entry->stopped = false;
 }
 
@@ -1062,6 +1072,7 @@
 
 	g_assert_cmpint(fd, >=, 0);
 	close(fd);
+	entry->log_path = g_strconcat(entry->settings_path, ".log", NULL);
 	g_assert_true(
 		g_file_set_contents(entry->settings_path, text, -1, NULL));
 }
@@ -1137,6 +1148,47 @@
 	}
 }
 
+void platform_rig_signal(rig_entry_t *entry, int number)
+{
+	entry->sent_signals |= UINT64_C(1) << number;
+	kill(entry->pid, number);
+}
+
+static void print_last_lines(const rig_entry_t *entry)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	guint n;
+
+	if (!g_file_get_contents(entry->log_path, &text, NULL, NULL))
+		return;
+	lines = g_strsplit(text, "\n", -1);
+	n = g_strv_length(lines);
+	for (guint i = n > LAST_LINES ? n - LAST_LINES : 0; i < n; i++)
+		g_printerr("%s\n", lines[i]);
+	g_printerr("log of %s: %s\n", entry->name, entry->log_path);
+}
+
+static bool was_sent(const rig_entry_t *entry, int number)
+{
+	return (entry->sent_signals >> number & 1) != 0;
+}
+
+static void check_end(platform_rig_t *rig, rig_entry_t *entry)
+{
+	int number = WIFSIGNALED(entry->status) ? WTERMSIG(entry->status) : 0;
+	int code = WIFEXITED(entry->status) ? WEXITSTATUS(entry->status) : 0;
+
+	if (number != 0 ? was_sent(entry, number)
+			: code == 0 && was_sent(entry, SIGTERM))
+		return;
+	rig->unexpected_ends++;
+	entry->keep_log = true;
+	g_printerr("process-ended instance=%s signal=%d status=%d\n",
+		   entry->name, number, code);
+	print_last_lines(entry);
+}
+
 void platform_rig_reap(platform_rig_t *rig)
 {
 	for (uint32_t i = 0; i < rig->n_entries; i++) {
@@ -1146,6 +1198,7 @@
 					       WNOHANG) == entry->pid) {
 			entry->pid = 0;
 			entry->alive = false;
+			check_end(rig, entry);
 		}
 	}
 }
@@ -1380,15 +1433,19 @@
 
 void platform_rig_finish(platform_rig_t *rig)
 {
+	platform_rig_reap(rig);
 	for (uint32_t i = 0; i < rig->n_entries; i++) {
 		rig_entry_t *entry = &rig->entries[i];
 
 		if (entry->pid != 0) {
-			kill(entry->pid, SIGKILL);
+			platform_rig_signal(entry, SIGKILL);
 			waitpid(entry->pid, &entry->status, 0);
 		}
 		unlink(entry->settings_path);
+		if (!entry->keep_log)
+			unlink(entry->log_path);
 		g_free(entry->settings_path);
+		g_free(entry->log_path);
 	}
 	for (uint32_t i = 0; i < rig->n_far_relays; i++)
 		relay_finish(&rig->far_relays[i]);
@@ -1414,4 +1471,8 @@
 	g_hash_table_destroy(rig->event_versions);
 	g_ptr_array_free(rig->versions, TRUE);
 	bsh_loop_finish(&rig->loop);
+	/* Ends the program, so that no list of known failures hides it. */
+	if (rig->unexpected_ends > 0)
+		g_error("%u instances ended by themselves",
+			rig->unexpected_ends);
 }
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -17,7 +17,8 @@
  *
  * ERRORS
  *	A failed start, too many workers or entries and a wait of more than
- *	15 s fail the test.
+ *	15 s fail the test.  An instance that ends by itself ends the test
+ *	program in platform_rig_finish(); its log is kept.
  */
 
 #include <glib.h>
@@ -106,7 +107,13 @@
 	char directory[32]; /* lookups of instance addresses */
 	char metrics[32];   /* /metrics */
 	char *settings_path;
+	/* Output of its processes, unless BSH_RIG_LOG is set; kept after an end
+	 * that is not expected. */
+	char *log_path;
+	bool keep_log;
 	bool stopped; /* by SIGSTOP */
+	/* Bit n: signal n was sent to its process by platform_rig_signal(). */
+	uint64_t sent_signals;
 } rig_entry_t;
 
 typedef struct {
@@ -168,6 +175,8 @@
 	uint32_t n_workers;
 	rig_entry_t entries[RIG_ENTRIES_MAX];
 	uint32_t n_entries;
+	/* Processes that ended otherwise than by platform_rig_signal(). */
+	uint32_t unexpected_ends;
 	/* Number of events of an attempt's stream; NULL: as the worker's. */
 	uint32_t (*stream_length)(const char *attempt);
 	/* Time between two events of an attempt's stream; NULL: 10 ms. */
@@ -281,6 +290,9 @@
 void platform_rig_cut(platform_rig_t *rig, rig_cut_t cut);
 /* platform_rig_spawn - start the entry's process, also after its exit. */
 void platform_rig_spawn(platform_rig_t *rig, rig_entry_t *entry);
+/* platform_rig_signal - send a signal to the entry's process.  An end that none
+ * of these signals explains is counted in unexpected_ends. */
+void platform_rig_signal(rig_entry_t *entry, int number);
 /* platform_rig_reap - collect the status of processes that have exited. */
 void platform_rig_reap(platform_rig_t *rig);
 
--- a/regress/test_configurations.c
+++ b/regress/test_configurations.c
@@ -437,7 +437,7 @@
 			   "name", "desk", "name", "shop", "limits");
 	platform_rig_write(&rig, "config", "main", config);
 	platform_rig_run(&rig, 2000);
-	kill(rig.entries[0].pid, SIGTERM);
+	platform_rig_signal(&rig.entries[0], SIGTERM);
 	platform_rig_add_entry(&rig);
 	platform_rig_wait_ready(&rig, &rig.entries[INSTANCES]);
 	for (int i = 1; i <= INSTANCES; i++) {
--- a/regress/test_crashing_prompt.c
+++ b/regress/test_crashing_prompt.c
@@ -140,7 +140,7 @@
 				  .deadline_ms = 4000,
 				  .prompt = "5a:90,bad1:60,ffff:200" };
 
-	kill(entry->pid, SIGKILL);
+	platform_rig_signal(entry, SIGKILL);
 	while (entry->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, entry);
--- a/regress/test_crashing_request.c
+++ b/regress/test_crashing_request.c
@@ -181,7 +181,7 @@
 	uint32_t sends = f->rig.crash_part_runs;
 	rig_reply_t reply;
 
-	kill(entry->pid, SIGKILL);
+	platform_rig_signal(entry, SIGKILL);
 	while (entry->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, entry);
@@ -243,7 +243,7 @@
 	run_callers(f, CONTACT_MS, kind->bad_ms, UINT32_MAX);
 	sends = f->rig.crash_part_runs;
 	for (int i = 0; i < ENTRIES; i++)
-		kill(f->rig.entries[i].pid, SIGKILL);
+		platform_rig_signal(&f->rig.entries[i], SIGKILL);
 	for (int i = 0; i < ENTRIES; i++) {
 		while (f->rig.entries[i].alive)
 			platform_rig_run(&f->rig, 5);
--- a/regress/test_cut_instance.c
+++ b/regress/test_cut_instance.c
@@ -247,7 +247,7 @@
 	run_callers(f, 1000);
 	platform_rig_cut(&f->rig, layout->cut);
 	run_callers(f, CONTACT_MS);
-	kill(f->rig.entries[0].pid, SIGKILL);
+	platform_rig_signal(&f->rig.entries[0], SIGKILL);
 	run_callers(f, 2000);
 	run_callers(f, MEASURE_MS);
 	g_test_message("far=%u/%u", f->served[1], f->sent[1]);
--- a/regress/test_entry.c
+++ b/regress/test_entry.c
@@ -85,7 +85,7 @@
 		       strstr(reply->body, second->front) != NULL &&
 		       strstr(reply->body, f->entry->front) != NULL;
 	}
-	kill(second->pid, SIGTERM);
+	platform_rig_signal(second, SIGTERM);
 	platform_rig_run(&f->rig, 700);
 	platform_rig_reply_clear(reply);
 	platform_rig_send(&f->rig, f->entry->directory, path, "d", NULL, 1000,
@@ -168,7 +168,7 @@
 	rig_reply_t reply;
 
 	(void)data;
-	kill(entry->pid, SIGKILL);
+	platform_rig_signal(entry, SIGKILL);
 	while (entry->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, entry);
@@ -213,7 +213,7 @@
 		platform_rig_wait(&rig, &reply.done);
 		g_assert_cmpint(reply.status, ==, 200);
 		platform_rig_reply_clear(&reply);
-		kill(entry->pid, SIGKILL);
+		platform_rig_signal(entry, SIGKILL);
 	}
 	platform_rig_finish(&rig);
 	g_atomic_int_set(&stop, 1);
@@ -360,7 +360,7 @@
 	platform_rig_send(&f->rig, f->entry->front, "/once/1", "f2", "m5", 8000,
 			  &waiting);
 	platform_rig_run(&f->rig, 50);
-	kill(f->entry->pid, SIGTERM);
+	platform_rig_signal(f->entry, SIGTERM);
 	platform_rig_wait(&f->rig, &waiting.done);
 	g_assert_cmpint(waiting.status, ==, 503);
 	g_assert_nonnull(waiting.retry_after);
@@ -385,7 +385,7 @@
 	(void)data;
 	platform_rig_wait_ready(&f->rig, second);
 	platform_rig_run(&f->rig, 500);
-	kill(first->pid, SIGTERM);
+	platform_rig_signal(first, SIGTERM);
 	platform_rig_run(&f->rig, 50);
 	f->entry = second;
 	call(f, "/once/1", "k1", "m3");
@@ -540,9 +540,9 @@
 	if (after_failure) {
 		/* The others miss the holder and do not reach the store; they
 		 * follow the holder again before the store answers them. */
-		kill(f.rig.entries[0].pid, SIGSTOP);
+		platform_rig_signal(&f.rig.entries[0], SIGSTOP);
 		reset_connections(&f, &relay, 1500);
-		kill(f.rig.entries[0].pid, SIGCONT);
+		platform_rig_signal(&f.rig.entries[0], SIGCONT);
 		reset_connections(&f, &relay, 1000);
 		relay_set_mode(&relay, RELAY_PASSES);
 	}
@@ -595,8 +595,9 @@
 	holder = f.engine->holder[0] != '\0' ? f.engine->holder
 					     : vanished->holder;
 	relay_set_mode(&relay, RELAY_HOLDS_ALL);
-	kill(f.rig.entries[strcmp(holder, f.rig.entries[0].name) != 0].pid,
-	     SIGKILL);
+	platform_rig_signal(
+		&f.rig.entries[strcmp(holder, f.rig.entries[0].name) != 0],
+		SIGKILL);
 	platform_rig_run(&f.rig, 100);
 	platform_rig_remove_worker(vanished);
 	/* The second instance takes the lease over and drops the target. */
@@ -674,7 +675,7 @@
 {
 	(void)data;
 	call(f, "/look/1", "q1", NULL);
-	kill(f->entry->pid, SIGSTOP);
+	platform_rig_signal(f->entry, SIGSTOP);
 	/* A thread that runs at the time of the signal stops a little later. */
 	waitpid(f->entry->pid, NULL, WUNTRACED);
 	platform_rig_reply_clear(&f->reply);
@@ -682,7 +683,7 @@
 			  &f->reply);
 	platform_rig_run(&f->rig, 400);
 	platform_rig_reply_clear(&f->reply);
-	kill(f->entry->pid, SIGCONT);
+	platform_rig_signal(f->entry, SIGCONT);
 	platform_rig_run(&f->rig, 400);
 	g_assert_cmpuint(platform_rig_runs(&f->rig, "q2"), ==, 0);
 	call(f, "/look/1", "q3", NULL);
--- a/regress/test_handover.c
+++ b/regress/test_handover.c
@@ -409,7 +409,7 @@
 
 	(void)service;
 	begin_handover(f, "c1", &silent, &second);
-	kill(f->entry->pid, SIGTERM);
+	platform_rig_signal(f->entry, SIGTERM);
 	check_whole(f);
 }
 
@@ -422,7 +422,7 @@
 
 	(void)service;
 	begin_handover(f, "c2", &silent, &second);
-	kill(f->entry->pid, SIGHUP);
+	platform_rig_signal(f->entry, SIGHUP);
 	check_whole(f);
 }
 
--- a/regress/test_late_streams.c
+++ b/regress/test_late_streams.c
@@ -172,7 +172,7 @@
 
 		if (begun < f->stop->stopped && step % 10 == 0) {
 			f->term_us[begun] = bsh_loop_clock_us();
-			kill(f->rig.entries[begun++].pid, SIGTERM);
+			platform_rig_signal(&f->rig.entries[begun++], SIGTERM);
 		}
 		if (step % 2 == 0 && f->rig.entries[instance].alive)
 			send_stream(instance);
@@ -287,7 +287,7 @@
 		f->rig.workers[i].stream_events = events;
 	send_request(0, "begun", "/stream/1", "m0", DEADLINE_MS);
 	platform_rig_run(&f->rig, before_ms);
-	kill(f->rig.entries[0].pid, SIGTERM);
+	platform_rig_signal(&f->rig.entries[0], SIGTERM);
 	platform_rig_run(&f->rig, 200);
 	ran = platform_rig_run_workers(&f->rig, "begun-0");
 	for (int i = 0; i < 4; i++)
--- a/regress/test_late_uploads.c
+++ b/regress/test_late_uploads.c
@@ -194,7 +194,7 @@
 	while (bsh_loop_clock_us() < began_us + SECOND)
 		step();
 	f->term_us = bsh_loop_clock_us();
-	kill(f->stopping->pid, SIGTERM);
+	platform_rig_signal(f->stopping, SIGTERM);
 	while (f->stopping->alive)
 		step();
 	for (int i = 0; i < 3 * PIECES; i++)
--- a/regress/test_planned_stop.c
+++ b/regress/test_planned_stop.c
@@ -168,7 +168,7 @@
 	}
 	f->rig.store_down = stop->store_down;
 	f->term_us = bsh_loop_clock_us();
-	kill(f->stopping->pid, SIGTERM);
+	platform_rig_signal(f->stopping, SIGTERM);
 	while (f->stopping->alive) {
 		run_callers(f);
 		if (steps % 5 == 0) {
@@ -178,8 +178,9 @@
 			send_request(f, NULL, true, DEADLINE_MS);
 		}
 		if (stop->more_signals && steps % 40 == 20)
-			kill(f->stopping->pid,
-			     steps % 80 == 20 ? SIGHUP : SIGTERM);
+			platform_rig_signal(f->stopping, steps % 80 == 20
+								 ? SIGHUP
+								 : SIGTERM);
 		platform_rig_run(&f->rig, STEP_MS);
 		platform_rig_reap(&f->rig);
 		steps++;
@@ -284,7 +285,7 @@
 		      "Content-Length: 8\r\n\r\nhalf");
 	platform_rig_run(&f->rig, 100);
 	f->term_us = bsh_loop_clock_us();
-	kill(f->stopping->pid, SIGTERM);
+	platform_rig_signal(f->stopping, SIGTERM);
 	platform_rig_run(&f->rig, 1000 * (GRACE_S - 1) + 150);
 	send_text(fd, "half");
 	for (int i = 0; i < 15 && n <= 0; i++) {
@@ -332,7 +333,7 @@
 	}
 	platform_rig_run(&f->rig, 500);
 	f->term_us = bsh_loop_clock_us();
-	kill(f->stopping->pid, SIGTERM);
+	platform_rig_signal(f->stopping, SIGTERM);
 	while (f->stopping->alive &&
 	       bsh_loop_clock_us() - f->term_us < (GRACE_S + 3) * SECOND) {
 		platform_rig_run(&f->rig, STEP_MS);
--- a/regress/test_replaced_target.c
+++ b/regress/test_replaced_target.c
@@ -50,7 +50,7 @@
 static void cut_off(fixture_t *f)
 {
 	f->rig.store_unresponsive = true;
-	kill(f->other->pid, SIGSTOP);
+	platform_rig_signal(f->other, SIGSTOP);
 	f->other->stopped = true;
 }
 
@@ -83,7 +83,7 @@
 	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
 	/* A silence is no reason to give a stream up. */
 	g_assert_cmpuint(whole, ==, STREAMS);
-	kill(f->other->pid, SIGCONT);
+	platform_rig_signal(f->other, SIGCONT);
 	f->other->stopped = false;
 	platform_rig_finish(&f->rig);
 }
--- a/regress/test_soak.sh
+++ b/regress/test_soak.sh
@@ -7,12 +7,18 @@
 number=0
 
 # run_seed SEED [OPTION]: one case.  A failure leaves the violations in the output.
+# An instance that ended by itself has a name of its own, so that the list of known
+# failures does not hide it.
 run_seed()
 {
 	number=$((number + 1))
-	if timeout 120 "$build/regress/soak/soak_entry" --seed "$1" \
-	    --seconds 6 $2 >&2; then
+	timeout 120 "$build/regress/soak/soak_entry" --seed "$1" \
+	    --seconds 6 $2 >&2
+	status=$?
+	if [ $status -eq 0 ]; then
 		echo "ok $number /soak/seed-$1$2"
+	elif [ $status -gt 128 ]; then
+		echo "not ok $number /soak/seed-$1$2/process-ended"
 	else
 		echo "not ok $number /soak/seed-$1$2"
 	fi
--- a/regress/test_store_calls.c
+++ b/regress/test_store_calls.c
@@ -161,10 +161,10 @@
 	for (int i = 0; i < ENTRIES; i++)
 		if (strcmp(f->rig.entries[i].name, holder) == 0)
 			frozen = i;
-	kill(f->rig.entries[frozen].pid, SIGSTOP);
+	platform_rig_signal(&f->rig.entries[frozen], SIGSTOP);
 	platform_rig_configure(&f->rig, MORE_ROUTE);
 	took_us = served_by_all_us(f, "/more/1", frozen);
-	kill(f->rig.entries[frozen].pid, SIGCONT);
+	platform_rig_signal(&f->rig.entries[frozen], SIGCONT);
 	g_test_message("took_us=%" G_GINT64_FORMAT " calls=%u", took_us, calls);
 	g_assert_cmpint(took_us, <, 2000000);
 	g_assert_cmpint(served_by_all_us(f, "/more/1", -1), <, 2000000);
--- a/regress/test_store_era.c
+++ b/regress/test_store_era.c
@@ -169,7 +169,7 @@
 	wait_for_load(f, f->entries[0], "m1");
 	former = holder(f);
 	copied = f->rig.revision;
-	kill(former->pid, SIGTERM);
+	platform_rig_signal(former, SIGTERM);
 	while (former->alive)
 		platform_rig_run(&f->rig, 50);
 	wait_for_load(f, entry_beside(f, former), "m2");
@@ -205,7 +205,7 @@
 	former = holder(f);
 	/* The released lease then lists no recent order. */
 	platform_rig_run(&f->rig, 2 * LEASE_MS);
-	kill(former->pid, SIGTERM);
+	platform_rig_signal(former, SIGTERM);
 	while (former->alive) {
 		platform_rig_run(&f->rig, 1);
 		if (copied == 0 && g_strcmp0(lease_object_holder(f), "") == 0)
@@ -242,7 +242,7 @@
 	int64_t copied = f->rig.revision;
 
 	(void)data;
-	kill(stopping->pid, SIGTERM);
+	platform_rig_signal(stopping, SIGTERM);
 	platform_rig_run(&f->rig, 300);
 	g_assert_null(platform_rig_object(&f->rig, "berylshunt-instances",
 					  stopping->name));
@@ -353,7 +353,7 @@
 	wait_for_load(f, f->entries[0], "m1");
 	call_desk(f, 300, 200);
 	former = holder(f);
-	kill(former->pid, SIGKILL);
+	platform_rig_signal(former, SIGKILL);
 	until_us = bsh_loop_clock_us() + 5000000;
 	while (bsh_loop_clock_us() < until_us) {
 		g_assert_cmpint(
--- a/regress/test_stream_version.c
+++ b/regress/test_stream_version.c
@@ -200,7 +200,7 @@
 
 		begin_broken(f, f->entries[0], id);
 	}
-	kill(f->entries[0]->pid, SIGKILL);
+	platform_rig_signal(f->entries[0], SIGKILL);
 	for (int i = 0; i < FEW_STREAMS; i++) {
 		g_autofree char *id = g_strdup_printf("f%d", i);
 		g_autofree char *again = g_strdup_printf("f%d-2", i);
@@ -213,7 +213,7 @@
 static void restart_all(fixture_t *f)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++)
-		kill(f->entries[i]->pid, SIGKILL);
+		platform_rig_signal(f->entries[i], SIGKILL);
 	for (size_t i = 0; i < G_N_ELEMENTS(f->entries); i++) {
 		while (f->entries[i]->alive)
 			platform_rig_run(&f->rig, 5);
@@ -275,7 +275,7 @@
 		g_autofree char *id = g_strdup_printf("B%zu", n);
 		g_autofree char *again = g_strdup_printf("B%zu-2", n);
 
-		kill(f->entries[n]->pid, SIGSTOP);
+		platform_rig_signal(f->entries[n], SIGSTOP);
 		begin_broken(f, f->entries[(n + 1) % 3], id);
 		platform_rig_run(&f->rig, RECORDED_MS);
 		restart_all(f);
@@ -333,8 +333,8 @@
 {
 	(void)data;
 	begin_broken(f, f->entries[0], "h1");
-	kill(f->entries[0]->pid, SIGKILL);
-	kill(f->entries[1]->pid, SIGKILL);
+	platform_rig_signal(f->entries[0], SIGKILL);
+	platform_rig_signal(f->entries[1], SIGKILL);
 	while (f->entries[1]->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, f->entries[1]);
@@ -353,7 +353,7 @@
 	begin_broken(f, f->entries[0], "i1");
 	third = add_engine(f, "v2");
 	platform_rig_run(&f->rig, 500);
-	kill(f->entries[0]->pid, SIGKILL);
+	platform_rig_signal(f->entries[0], SIGKILL);
 	resume(f, f->entries[1], "i2", "i1");
 	check_went_on(f);
 	g_assert_cmpuint(third->runs, ==, 0);
@@ -390,7 +390,7 @@
 	f->old->mode = WORKER_ANSWERS;
 	platform_rig_publish_worker(f->new, "draining");
 	platform_rig_remove_worker(f->new);
-	kill(f->entries[1]->pid, SIGKILL);
+	platform_rig_signal(f->entries[1], SIGKILL);
 	while (f->entries[1]->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, f->entries[1]);
@@ -656,7 +656,7 @@
 	}
 	platform_rig_run(&f->rig, 300);
 	f->old->mode = WORKER_ANSWERS;
-	kill(f->entries[0]->pid, SIGSTOP);
+	platform_rig_signal(f->entries[0], SIGSTOP);
 	platform_rig_run(&f->rig, 100);
 	restart_unlisted(f);
 	platform_rig_publish_worker(f->old, "ready");
@@ -669,7 +669,7 @@
 				    again, "m0", 4000, 2, id, &replies[i]);
 	}
 	platform_rig_run(&f->rig, 300);
-	kill(f->entries[0]->pid, SIGCONT);
+	platform_rig_signal(f->entries[0], SIGCONT);
 	for (int i = 0; i < STREAMS; i++) {
 		platform_rig_wait(&f->rig, &replies[i].done);
 		/* The target may write events before it is cancelled; none of
@@ -681,7 +681,7 @@
 
 static void restart_entry(fixture_t *f, rig_entry_t *entry)
 {
-	kill(entry->pid, SIGKILL);
+	platform_rig_signal(entry, SIGKILL);
 	while (entry->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, entry);
@@ -736,7 +736,7 @@
 	f->old->mode = WORKER_ANSWERS;
 	platform_rig_publish_worker(f->new, "draining");
 	platform_rig_remove_worker(f->new);
-	kill(f->entries[1]->pid, SIGKILL);
+	platform_rig_signal(f->entries[1], SIGKILL);
 	while (f->entries[1]->alive)
 		platform_rig_run(&f->rig, 5);
 	platform_rig_spawn(&f->rig, f->entries[1]);
@@ -759,8 +759,8 @@
 {
 	(void)data;
 	begin_broken(f, f->entries[0], "y1");
-	kill(f->entries[0]->pid, SIGKILL);
-	kill(f->entries[2]->pid, SIGKILL);
+	platform_rig_signal(f->entries[0], SIGKILL);
+	platform_rig_signal(f->entries[2], SIGKILL);
 	platform_rig_run(&f->rig, 50);
 	resume(f, f->entries[1], "y2", "y1");
 	check_went_on(f);
