crash: one line in the log of a process that a fatal signal ends

What callers saw: a daemon ended by SIGABRT; the last line of its log was about something else.

A process that SIGABRT, SIGSEGV, SIGBUS, SIGILL, SIGFPE or SIGTRAP ends now writes process-ended first: the signal, the thread, what the C library, libmicrohttpd, libsodium, GLib or APR reported, the last event of the thread and a backtrace. The handler takes no lock and allocates nothing, threads have stacks of their own for it, and the default action follows, so that the status still names the signal. bshctl explain reports it for a request that was open there. Control characters in a line, of which a line break forged lines, are escaped.

--- a/bshentryd/bshentryd.c
+++ b/bshentryd/bshentryd.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/crash.h"
 #include "base/daemon.h"
 #include "base/log.h"
 #include "entry.h"
@@ -30,6 +31,7 @@
 {
 	entry_t *entry = ctx;
 
+	bsh_crash_init_thread("traffic");
 	bsh_loop_run(&entry->traffic_loop);
 	bsh_loop_post(&entry->control_loop, control_traffic_ended,
 		      entry->control);
--- a/lib/base/daemon.c
+++ b/lib/base/daemon.c
@@ -8,6 +8,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include "base/crash.h"
 #include "base/log.h"
 
 typedef struct {
@@ -70,6 +71,7 @@
 		exit(0);
 	bsh_log_init(name,
 		     (bsh_log_level_t)bsh_log_level_parse(settings->log_level));
+	bsh_crash_init();
 	g_strlcpy(settings_path, options.settings_path, sizeof(settings_path));
 	g_string_free(problems, TRUE);
 	g_free(options.settings_path);
--- a/lib/base/daemon.h
+++ b/lib/base/daemon.h
@@ -12,7 +12,7 @@
 
 /*
  * bsh_daemon_start - parse the command line, load the settings and initialise
- * the log.  Exits with status 0 after --help, --version or a successful
+ * the log and the report of fatal signals.  Exits with status 0 after --help, --version or a successful
  * --check-config, and with status 1 for an invalid command line or invalid
  * settings.
  */
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -14,6 +14,9 @@
 #define LINE_MAX_BYTES 1024
 /* Fits " hlc=", 16 digits, a point and 10 digits. */
 #define STAMP_MAX_BYTES 40
+#define LAST_EVENT_MAX	160
+#define ESCAPE_BYTES	4 /* of "\\x0a" */
+#define SECONDS_PER_DAY 86400
 
 static const char *const level_names[] = { "error", "warning", "info",
 					   "debug" };
@@ -28,6 +31,7 @@
 static uint64_t dropped_reported;
 static pthread_mutex_t clock_lock = PTHREAD_MUTEX_INITIALIZER;
 static bsh_hlc_t clock_hlc;
+static _Thread_local char last_event[LAST_EVENT_MAX];
 
 void bsh_log_init(const char *program, bsh_log_level_t level)
 {
@@ -147,6 +151,37 @@
 			    stamp.logical);
 }
 
+/* Escapes control characters, of which a line break in a text of another program
+ * would begin a line of its own.  Returns the length; what does not fit is cut
+ * off. */
+static int escape_controls(char *line, int from, int length, int size)
+{
+	char escaped[LINE_MAX_BYTES];
+	int n = from;
+
+	for (int i = from; i < length && n < size; i++) {
+		unsigned char c = (unsigned char)line[i];
+
+		if (c >= ' ' && c != 0x7f)
+			escaped[n++] = line[i];
+		else if (n + ESCAPE_BYTES <= size)
+			n += snprintf(escaped + n, ESCAPE_BYTES + 1, "\\x%02x",
+				      c);
+		else
+			break;
+	}
+	memcpy(line + from, escaped + from, (size_t)(n - from));
+	return n;
+}
+
+static bool has_control(const char *text, int length)
+{
+	for (int i = 0; i < length; i++)
+		if ((unsigned char)text[i] < ' ' || text[i] == 0x7f)
+			return true;
+	return false;
+}
+
 static void report_dropped(const struct timeval *now)
 {
 	char line[LINE_MAX_BYTES + STAMP_MAX_BYTES];
@@ -172,6 +207,7 @@
 	va_list ap;
 	int n;
 	int text_size;
+	int length;
 
 	if (level > max_level)
 		return;
@@ -186,8 +222,74 @@
 	text_size =
 		vsnprintf(line + n, LINE_MAX_BYTES - (size_t)n - 1, fmt, ap);
 	va_end(ap);
-	if (text_size < 0 ||
-	    !write_line(line, append_stamp(line, MIN(n + text_size,
-						     LINE_MAX_BYTES - 2))))
+	if (text_size < 0) {
 		count_dropped();
+		return;
+	}
+	length = MIN(n + text_size, LINE_MAX_BYTES - 2);
+	if (has_control(line + n, length - n))
+		length = escape_controls(line, n, length, LINE_MAX_BYTES - 2);
+	line[length] = '\0';
+	g_strlcpy(last_event, line + n, sizeof(last_event));
+	if (!write_line(line, append_stamp(line, length)))
+		count_dropped();
+}
+
+const char *bsh_log_last_event(void)
+{
+	return last_event;
+}
+
+/* Date of a day since 1970-01-01; gmtime_r(3) takes a lock.  Years begin in March
+ * here, so that a leap day is the last of its year. */
+static void date_of(int64_t day, int *year, int *month, int *mday)
+{
+	int64_t shifted = day + 719468; /* since 0000-03-01 */
+	int64_t era = shifted / 146097; /* of 400 years */
+	int64_t of_era = shifted % 146097;
+	int64_t y =
+		(of_era - of_era / 1460 + of_era / 36524 - of_era / 146096) /
+		365;
+	int64_t of_year = of_era - (365 * y + y / 4 - y / 100);
+	int64_t m = (5 * of_year + 2) / 153;
+
+	*mday = (int)(of_year - (153 * m + 2) / 5 + 1);
+	*month = (int)(m < 10 ? m + 3 : m - 9);
+	*year = (int)(y + era * 400 + (*month <= 2));
+}
+
+void bsh_log_from_handler(const char *text)
+{
+	char line[LINE_MAX_BYTES + STAMP_MAX_BYTES];
+	bsh_hlc_stamp_t stamp = clock_hlc.last;
+	struct timespec now;
+	int64_t now_us;
+	int second;
+	int year;
+	int month;
+	int mday;
+	int n;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	now_us = now.tv_sec * INT64_C(1000000) + now.tv_nsec / 1000;
+	second = (int)(now.tv_sec % SECONDS_PER_DAY);
+	date_of(now.tv_sec / SECONDS_PER_DAY, &year, &month, &mday);
+	n = snprintf(line, LINE_MAX_BYTES,
+		     "%04d-%02d-%02dT%02d:%02d:%02d.%03dZ error %s%s: %s", year,
+		     month, mday, second / 3600, second / 60 % 60, second % 60,
+		     (int)(now.tv_nsec / 1000000), program_name, instance_name,
+		     text);
+	if (n < 0)
+		return;
+	n = MIN(n, LINE_MAX_BYTES - 2);
+	/* The clock is read without its lock, which this thread may hold. */
+	if (stamp.physical_us < now_us)
+		stamp = (bsh_hlc_stamp_t){ .physical_us = now_us };
+	else
+		stamp.logical++;
+	if (instance_name[0] != '\0')
+		n += snprintf(line + n, STAMP_MAX_BYTES,
+			      " hlc=%" G_GINT64_FORMAT ".%u", stamp.physical_us,
+			      stamp.logical);
+	write_line(line, n);
 }
--- a/lib/base/log.h
+++ b/lib/base/log.h
@@ -63,8 +63,17 @@
  * for any other name. */
 int bsh_log_level_parse(const char *name);
 
-/* bsh_log - write one line, truncated to 1 KiB plus the timestamp. */
+/* bsh_log - write one line, truncated to 1 KiB plus the timestamp.  Control
+ * characters are written as \xNN. */
 void bsh_log(bsh_log_level_t level, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/* bsh_log_last_event - beginning of the last message of the calling thread; ""
+ * if it has written none. */
+const char *bsh_log_last_event(void);
+
+/* bsh_log_from_handler - write one line of level error from a signal handler:
+ * takes no lock and allocates nothing. */
+void bsh_log_from_handler(const char *text);
+
 #endif
--- a/lib/operator/log_diagnosis.c
+++ b/lib/operator/log_diagnosis.c
@@ -706,12 +706,49 @@
 	return found;
 }
 
+static void report_process_end(const analysis_t *a, const bsh_log_line_t *line)
+{
+	g_autofree char *number = bsh_log_value(line, "signal");
+	g_autofree char *thread = bsh_log_value(line, "thread");
+	g_autofree char *said = bsh_log_value(line, "said");
+
+	add_finding(a->diag, "process-ended",
+		    "the process of %s ended by %s in its %s thread at "
+		    "%+.3f s, and the last that a library said is \"%s\"; the "
+		    "outcome of what it had sent is not known",
+		    a->diag->instance, number != NULL ? number : "?",
+		    thread != NULL ? thread : "?", offset_s(a->diag, line),
+		    said != NULL ? said : "");
+}
+
+/* Returns the line of the first end of a process of the instance by a signal that
+ * it could report, from this time on. */
+static const bsh_log_line_t *process_end_after(const analysis_t *a,
+					       int64_t from_us)
+{
+	for (guint i = 0; i < a->log->lines->len; i++) {
+		const bsh_log_line_t *line = line_at(a->log, i);
+
+		if (line_time_us(line) >= from_us &&
+		    is_from(line, a->diag->instance) &&
+		    is_event(line, "process-ended"))
+			return line;
+	}
+	return NULL;
+}
+
 /* Reports a request that an instance accepted without logging its end. */
 static void report_missing_end(const analysis_t *a)
 {
 	bsh_diagnosis_t *diag = a->diag;
 	const bsh_log_line_t *last = last_line_from(a, INT64_MAX);
+	const bsh_log_line_t *ended = process_end_after(a, diag->begin_us);
 
+	if (ended != NULL) {
+		report_process_end(a, ended);
+		report_attempts(a);
+		return;
+	}
 	add_finding(diag, "no-end",
 		    "the log has no line for the end of the request; the last "
 		    "line of %s is %s at %+.3f s: a process that is killed "
@@ -782,7 +819,10 @@
 			    diag->instance);
 		return;
 	}
-	if (before == NULL || is_event(before, "stop"))
+	if (before != NULL && is_event(before, "process-ended"))
+		report_process_end(a, before);
+	if (before == NULL || is_event(before, "stop") ||
+	    is_event(before, "process-ended"))
 		add_finding(diag, "not-running", "%s was not running",
 			    diag->instance);
 	if (before != NULL)
@@ -793,7 +833,8 @@
 		add_finding(diag, "line-after",
 			    "its next line is %s at %+.3f s", after->event,
 			    offset_s(diag, after));
-	if (before != NULL && !is_event(before, "stop") && after != NULL &&
+	if (before != NULL && !is_event(before, "stop") &&
+	    !is_event(before, "process-ended") && after != NULL &&
 	    is_event(after, "start"))
 		add_finding(diag, "killed",
 			    "it ended without a stop line: it was killed "
--- a/lib/operator/log_reason.c
+++ b/lib/operator/log_reason.c
@@ -49,6 +49,7 @@
 		"drain-begin",
 		"start",
 		"stop",
+		"process-ended",
 		"reload",
 		"log-dropped",
 	};
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/crash.h"
 #include "base/log.h"
 #include "base/settings.h"
 
@@ -494,6 +495,14 @@
 				  request->response);
 }
 
+static void on_panic(void *ctx, const char *file, unsigned int line,
+		     const char *reason)
+{
+	(void)ctx;
+	bsh_crash_abort("libmicrohttpd: %s at %s:%u",
+			reason != NULL ? reason : "failed check", file, line);
+}
+
 static struct MHD_Daemon *start_daemon(bsh_http_server_t *server,
 				       const struct sockaddr *address)
 {
@@ -542,6 +551,7 @@
 
 	if (!parse_address(&address, config->address))
 		return BSH_ERR_INVALID;
+	MHD_set_panic_func(on_panic, NULL);
 	server = g_new0(bsh_http_server_t, 1);
 	server->loop = loop;
 	server->config = *config;
--- a/lib/transport/loop.c
+++ b/lib/transport/loop.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/crash.h"
+
 /* Bound of the events that one poll returns. */
 #define POLL_EVENTS_MAX 512
 /* Longest poll timeout; the bound keeps the conversion to APR's interval type
@@ -38,11 +40,17 @@
 	return loop->now_us;
 }
 
+static int on_out_of_memory(int status)
+{
+	bsh_crash_abort("APR: a pool cannot be extended, status %d", status);
+}
+
 bsh_error_t bsh_loop_init(bsh_loop_t *loop)
 {
 	memset(loop, 0, sizeof(*loop));
 	if (apr_pool_create(&loop->pool, NULL) != APR_SUCCESS)
 		return BSH_ERR_SYSTEM;
+	apr_pool_abort_set(on_out_of_memory, loop->pool);
 	if (apr_pollset_create_ex(
 		    &loop->pollset, POLL_EVENTS_MAX, loop->pool,
 		    /* NOCOPY avoids a linear search on removal. */
--- a/regress/test_logs.c
+++ b/regress/test_logs.c
@@ -123,6 +123,18 @@
 	"config=3 config_age_ms=200 targets_age_ms=700 view=9 "
 	"hlc=1781489946001000.0\n";
 
+/* A request whose instance ends by itself, and starts again. */
+static const char ended_log[] = T
+	"01.000Z info bshentryd/a: start instance=a hlc=1781489941000000.0\n" T
+	"05.000Z info bshentryd/a: request-waiting id=ab01 model=m1 "
+	"tried=0 ready_in_ms=-1 left_ms=4000 holder=0 view=7 "
+	"hlc=1781489945000000.0\n" T
+	"05.500Z error bshentryd/a: process-ended signal=SIGABRT "
+	"thread=traffic said=\"realloc(): invalid pointer\" "
+	"last=\"request-waiting id=ab02\" backtrace=\"bshentryd+0x10\" "
+	"hlc=1781489945500000.0\n" T
+	"07.000Z info bshentryd/a: start instance=a hlc=1781489947000000.0\n";
+
 /* A stream that instance a cuts at the end of its drain, and, 2.5 s later, two
  * streams of target t2 that it closes on two instances. */
 static const char cut_log[] = T
@@ -289,6 +301,31 @@
 	bsh_log_read_finish(&log);
 }
 
+/* Guards against a process that ended by itself and is taken for one that was
+ * killed. */
+static void test_process_ended(void)
+{
+	const char *texts[] = { ended_log };
+	bsh_diagnosis_t diag;
+	bsh_log_t log;
+
+	parse_logs(&log, texts, 1);
+	bsh_diagnosis_init(&diag, &log, "ab01");
+	ASSERT_FINDING(&diag, "process-ended",
+		       "a ended by SIGABRT in its traffic thread at +0.500 s");
+	ASSERT_FINDING(&diag, "process-ended", "realloc(): invalid pointer");
+	bsh_diagnosis_finish(&diag);
+	bsh_diagnosis_init_at(&diag, &log, "ab03", "a", 1781489946000000);
+	ASSERT_FINDING(&diag, "process-ended", "ended by SIGABRT");
+	ASSERT_FINDING(&diag, "not-running", "a was not running");
+	bsh_diagnosis_finish(&diag);
+	/* What another program wrote is no field of the line. */
+	bsh_diagnosis_init(&diag, &log, "ab02");
+	ASSERT_FINDING(&diag, "not-found", "no line names the request");
+	bsh_diagnosis_finish(&diag);
+	bsh_log_read_finish(&log);
+}
+
 /* Guards against a cut at the end of a drain that cannot be told from the end of
  * its target's process. */
 static void test_cut_response(void)
@@ -543,6 +580,7 @@
 	g_test_add_func("/logs/missing", test_gaps);
 	g_test_add_func("/logs/refused", test_waiting_for_model);
 	g_test_add_func("/logs/lost-answer", test_lost_answer);
+	g_test_add_func("/logs/process-ended", test_process_ended);
 	g_test_add_func("/logs/cut-response", test_cut_response);
 	g_test_add_func("/logs/paused-instance", test_suspended_instance);
 	g_test_add_func("/logs/no-lines", test_unlogged_request);
--- a/regress/test_pages.sh
+++ b/regress/test_pages.sh
@@ -224,9 +224,9 @@
 # is.
 entryd=$top/bshentryd/bshentryd.8
 cat "$top"/bshentryd/*.c "$top"/platform/*.c "$top/lib/base/log.c" \
-	"$top/lib/transport/http_client.c" | tr '\n\t' '  ' |
-	grep -o 'bsh_log(BSH[^;]*;\|bsh_log(reached[^;]*;\|"log-dropped[^;]*;\|"op=[^;]*;' >"$work/calls"
-grep -o '^[^"]*"[a-z-]*' "$work/calls" | sed 's/.*"//' | grep -v '^op$' | sort -u >"$work/events"
+	"$top/lib/base/crash.c" "$top/lib/transport/http_client.c" | tr '\n\t' '  ' |
+	grep -o 'bsh_log(BSH[^;]*;\|bsh_log(reached[^;]*;\|"log-dropped[^;]*;\|"op=[^;]*;\|append(line, &at,[^;]*;' >"$work/calls"
+grep -o '^[^"]*"[a-z-]*' "$work/calls" | sed 's/.*"//' | grep -v '^op$' | grep . | sort -u >"$work/events"
 all_in "$entryd" Events 25 "$work/events"
 report $? /pages/log/events
 grep -o '[a-z_]*=\(%\|\\"\|" G\)' "$work/calls" | sed 's/=.*//' | sort -u >"$work/log-keys"
