member: ignore a listed instance whose name does not fit a record

What callers saw: nothing so far; a daemon would end by SIGABRT, with all its requests. An object of the kind of instances whose name has 64 bytes or more was added again by each list of the store, as it was looked up by its whole name and entered under the first 63 bytes. All records shared one key of the table, in the memory of the first one; an hour later that one was freed, and then used and freed again. Class: a record that is entered under another key than it is looked up by.

Evidence: /members/long-name ended with "free(): double free detected in tcache 2" (SIGABRT) before.

Such a name is none of an instance: settings do not take it either. It is ignored where the list enters the membership, for both daemons that use it.

--- a/lib/coordination/member.c
+++ b/lib/coordination/member.c
@@ -1014,6 +1014,10 @@
 
 	if (r == NULL && state == BSH_LIST_GONE)
 		return;
+	/* A record would be found under its first bytes only: it would be added
+	 * again by each list, and its memory used after its end. */
+	if (strlen(name) >= BSH_NAME_SIZE)
+		return;
 	if (r == NULL || r != m->view.self)
 		r = bsh_view_add_hint(&m->view, now_us, name, incarnation,
 				      place);
--- a/regress/test_members.c
+++ b/regress/test_members.c
@@ -323,6 +323,26 @@
 	fleet_finish(&f);
 }
 
+/* Guards against memory that is used after its end: a name that does not fit a
+ * record was added again by each list, under one key. */
+static void test_long_name(void)
+{
+	g_autofree char *name = g_strnfill(BSH_NAME_SIZE + 4, 'n');
+	bsh_member_place_t place = { .zone = "z1" };
+	fleet_t f;
+
+	start_fleet(&f, 2);
+	for (int i = 0; i < 3; i++) {
+		bsh_members_list_item(members(&f, 0), f.sim.now_us, name, 1,
+				      &place, BSH_LIST_LIVE);
+		run_for(&f, SIM_S);
+	}
+	/* Longer than a name from a list is kept. */
+	run_for(&f, 3700 * SIM_S);
+	assert_no_violations(&f);
+	fleet_finish(&f);
+}
+
 /* Guards against a cell owner of an old epoch that replaces a newer one. */
 static void test_cell_owner(void)
 {
@@ -483,6 +503,7 @@
 	g_test_add_func("/members/frozen", test_frozen_process_suspects_nobody);
 	g_test_add_func("/members/partition", test_partition_heals);
 	g_test_add_func("/members/leaving", test_leaving_stays);
+	g_test_add_func("/members/long-name", test_long_name);
 	g_test_add_func("/members/cell-owner", test_cell_owner);
 	g_test_add_func("/members/gone", test_gone_is_final);
 	g_test_add_func("/adoption/racing-operators", test_concurrent_applies);
