settings: take an IPv6 address only in brackets

What callers saw: requests that were sent to a target with the address ::1:8080 or [127.0.0.1]:8080 ended as not reached. bsh_address_split() took the text behind the last colon for the port although the rest, too, has colons, and brackets around an IPv4 address; libcurl takes neither, so that each send to such a target failed and used up an attempt. Class: two readers of one text.

What the function takes is now what the page says and what URLs have.

--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -154,6 +154,7 @@
 	char *end;
 	guint64 number;
 	size_t length;
+	int family = AF_INET;
 
 	if (colon == NULL || colon[1] < '0' || colon[1] > '9')
 		return BSH_ERR_INVALID;
@@ -161,7 +162,10 @@
 	if (*end != '\0' || number > UINT16_MAX)
 		return BSH_ERR_INVALID;
 	length = (size_t)(colon - address);
+	/* Without brackets, the port would be read as a part of the address by
+	 * others. */
 	if (length >= 2 && address[0] == '[' && address[length - 1] == ']') {
+		family = AF_INET6;
 		address++;
 		length -= 2;
 	}
@@ -169,8 +173,7 @@
 		return BSH_ERR_INVALID;
 	memcpy(host, address, length);
 	host[length] = '\0';
-	if (inet_pton(AF_INET, host, &parsed) != 1 &&
-	    inet_pton(AF_INET6, host, &parsed) != 1)
+	if (inet_pton(family, host, &parsed) != 1)
 		return BSH_ERR_INVALID;
 	*port = (uint16_t)number;
 	return BSH_OK;
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -141,8 +141,8 @@
 			      GString *problems);
 
 /*
- * bsh_address_split - split "IP:port" into its parts.  IPv6 addresses are in
- * brackets.  Host names are rejected: processes communicate by IP address.
+ * bsh_address_split - split "IP:port" into its parts.  IPv6 addresses, and no
+ * others, are in brackets.  Host names are rejected: processes communicate by IP address.
  *
  * RETURN VALUE
  *	BSH_OK or BSH_ERR_INVALID.
--- a/regress/test_base.c
+++ b/regress/test_base.c
@@ -276,8 +276,34 @@
 	}
 }
 
+/* Guards against addresses that are read in another way by what connects to them,
+ * and against texts that are none. */
 static void test_address(void)
 {
+	static const char *const unusable[] = {
+		"localhost:80",
+		"127.0.0.1:70000",
+		"127.0.0.1",
+		"::1:80",
+		"[127.0.0.1]:80",
+		"[::1:80",
+		"::1]:80",
+		"[]:80",
+		":80",
+		"",
+		"127.0.0.1 :80",
+		"127.0.0.1:80 ",
+		"127.0.0.1:+80",
+		"127.0.0.1:0x50",
+		"127..1:80",
+		"127.1:80",
+		"0x7f.0.0.1:80",
+		"http://127.0.0.1:80/",
+		"127.0.0.1:80:80",
+		"fe80::1%lo:80",
+		"[fe80::1%lo]:80",
+		"127.0.0.1:80\n",
+	};
 	char host[BSH_ADDRESS_SIZE];
 	uint16_t port;
 
@@ -287,14 +313,18 @@
 	g_assert_cmpstr(host, ==, "::1");
 	g_assert_cmpuint(port, ==, 80);
 	g_assert_cmpint(
-		bsh_address_split("localhost:80", host, sizeof(host), &port),
-		==, BSH_ERR_INVALID);
-	g_assert_cmpint(
-		bsh_address_split("127.0.0.1:70000", host, sizeof(host), &port),
-		==, BSH_ERR_INVALID);
-	g_assert_cmpint(
-		bsh_address_split("127.0.0.1", host, sizeof(host), &port), ==,
-		BSH_ERR_INVALID);
+		bsh_address_split("10.1.0.38:8149", host, sizeof(host), &port),
+		==, BSH_OK);
+	g_assert_cmpstr(host, ==, "10.1.0.38");
+	g_assert_cmpuint(port, ==, 8149);
+	for (size_t i = 0; i < G_N_ELEMENTS(unusable); i++) {
+		if (bsh_address_split(unusable[i], host, sizeof(host), &port) ==
+		    BSH_OK)
+			g_test_message("%s", unusable[i]);
+		g_assert_cmpint(bsh_address_split(unusable[i], host,
+						  sizeof(host), &port),
+				==, BSH_ERR_INVALID);
+	}
 }
 
 /* Guards against a receive that is ordered before its send, and against a
