name: check what other programs write where it enters

What callers saw: nothing; the on-call team reads logs that others can write. A line break in the version of an entry, or an attempt id with blanks, made lines and fields that the daemon never wrote, and bshctl explain read them. The line target-entry-unusable did not tell which field was at fault, so that the hypotheses of docs/incidents/fault-aborted-entry.md could not be told apart.

Names of targets, instances, services, zones and versions are checked once, where they enter: visible characters, none of '"', '=' and '\', and no more than the record holds. An entry with another one names no target; a version that is none counts as not reported, as before. target-entry-unusable and instance-entry-unusable tell the field. Ids and models of callers are passed on unchanged, and logged with such characters replaced.

--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -121,7 +121,7 @@
 	bsh_log(BSH_LOG_WARNING,
 		"drain-cut id=%s drain_ms=%d received_ms=%d sent_ms=%d "
 		"expected_ms=%d expected_from=%u",
-		r->info.attempt_id, (int)((now_us - t->drain_began_us) / 1000),
+		r->info.log_id, (int)((now_us - t->drain_began_us) / 1000),
 		(int)((r->arrived_us - t->drain_began_us) / 1000),
 		(int)((r->attempt->began_us - t->drain_began_us) / 1000),
 		r->expected_us >= 0 ? (int)(r->expected_us / 1000) : -1,
--- a/bshentryd/limits.c
+++ b/bshentryd/limits.c
@@ -79,7 +79,7 @@
 	if (head->limit_invalid) {
 		bsh_counter_add(&invalid_counter, 1);
 		bsh_log(BSH_LOG_INFO, "target-limit-invalid target=%s id=%s",
-			a->target_id, a->request->info.attempt_id);
+			a->target_id, a->request->info.log_id);
 		return;
 	}
 	changed =
@@ -159,7 +159,7 @@
 
 	bsh_log(BSH_LOG_INFO,
 		"request-limited id=%s target=%s per_s=%.3f ready_in_ms=%d",
-		r->info.attempt_id, r->limited_by->id,
-		r->limited_by->limit.per_s, (int)retry_ms);
+		r->info.log_id, r->limited_by->id, r->limited_by->limit.per_s,
+		(int)retry_ms);
 	return retry_ms;
 }
--- a/bshentryd/notices.c
+++ b/bshentryd/notices.c
@@ -22,7 +22,7 @@
 	bsh_log(BSH_LOG_INFO,
 		"target-brittle target=%s id=%s "
 		"rejections_max=%" G_GINT64_FORMAT,
-		state->id, a->request->info.attempt_id, state->rejections_max);
+		state->id, a->request->info.log_id, state->rejections_max);
 }
 
 void notices_note_answer(const attempt_t *a)
@@ -36,7 +36,7 @@
 	    bsh_target_notice_leaving(&a->target->notice, process,
 				      traffic_now_us(t)))
 		bsh_log(BSH_LOG_INFO, "target-leaving target=%s id=%s",
-			a->target_id, a->request->info.attempt_id);
+			a->target_id, a->request->info.log_id);
 	if (a->status == 503 && a->head.pause_ms > 0 &&
 	    bsh_target_notice_pause(&a->target->notice, process,
 				    a->head.pause_ms * INT64_C(1000),
@@ -44,7 +44,7 @@
 		bsh_log(BSH_LOG_INFO,
 			"target-pause target=%s id=%s "
 			"pause_ms=%" G_GINT64_FORMAT,
-			a->target_id, a->request->info.attempt_id,
+			a->target_id, a->request->info.log_id,
 			a->head.pause_ms);
 }
 
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "coordination/rendezvous.h"
+#include "base/name.h"
 
 struct peers {
 	control_t *control;
@@ -252,30 +253,49 @@
 				      own_spec(peers), on_registered, peers);
 }
 
-static bool decode_place(const json_t *spec, bsh_member_place_t *place,
-			 uint64_t *incarnation)
+static bool copy_address(const json_t *spec, const char *key, char *out)
+{
+	const char *text = json_string_value(json_object_get(spec, key));
+	char host[BSH_ADDRESS_SIZE];
+	uint16_t port;
+
+	if (!bsh_is_name(text, BSH_ADDRESS_SIZE) ||
+	    bsh_address_split(text, host, sizeof(host), &port) != BSH_OK)
+		return false;
+	g_strlcpy(out, text, BSH_ADDRESS_SIZE);
+	return true;
+}
+
+/* Returns the first field that is unusable; NULL if there is none. */
+static const char *decode_place(const char *name, const json_t *spec,
+				bsh_member_place_t *place,
+				uint64_t *incarnation)
 {
-	const char *gossip = json_string_value(json_object_get(spec, "gossip"));
-	const char *entry = json_string_value(json_object_get(spec, "entry"));
 	const char *zone = json_string_value(json_object_get(spec, "zone"));
 
 	memset(place, 0, sizeof(*place));
-	if (gossip == NULL || entry == NULL || zone == NULL)
-		return false;
-	g_strlcpy(place->gossip, gossip, sizeof(place->gossip));
-	g_strlcpy(place->link, gossip, sizeof(place->link));
-	g_strlcpy(place->entry, entry, sizeof(place->entry));
+	if (!bsh_is_name(name, BSH_NAME_SIZE))
+		return "name";
+	if (!copy_address(spec, "gossip", place->gossip))
+		return "gossip";
+	if (!copy_address(spec, "entry", place->entry))
+		return "entry";
+	if (!bsh_is_name(zone, sizeof(place->zone)))
+		return "zone";
+	g_strlcpy(place->link, place->gossip, sizeof(place->link));
 	g_strlcpy(place->zone, zone, sizeof(place->zone));
 	*incarnation = (uint64_t)json_integer_value(
 		json_object_get(spec, "incarnation"));
-	return true;
+	return NULL;
 }
 
 static void on_object(void *ctx, const platform_object_t *object, uint64_t list)
 {
 	peers_t *peers = ctx;
+	char name[BSH_LOG_TEXT_SIZE];
 	bsh_member_place_t place;
 	uint64_t incarnation;
+	const char *field;
 
 	(void)list;
 	if (object->deleted)
@@ -287,9 +307,15 @@
 		return;
 	/* An instance deletes its object when it stops; whether it is alive is
 	 * decided by gossip alone. */
-	if (object->deleted ||
-	    !decode_place(object->spec, &place, &incarnation))
+	if (object->deleted)
 		return;
+	field = decode_place(object->name, object->spec, &place, &incarnation);
+	if (field != NULL) {
+		bsh_log(BSH_LOG_WARNING,
+			"instance-entry-unusable instance=%s field=%s",
+			bsh_log_text(object->name, name), field);
+		return;
+	}
 	bsh_members_list_item(peers->members, now_us(peers), object->name,
 			      incarnation, &place, BSH_LIST_LIVE);
 	run_members(peers);
--- a/bshentryd/places.c
+++ b/bshentryd/places.c
@@ -334,7 +334,7 @@
 	bsh_log(BSH_LOG_INFO,
 		"request-without-place id=%s target=%s open=%u wanted=%u "
 		"wait_ms=%d waited_ms=%d",
-		r->info.attempt_id, state->id, state->record.running,
+		r->info.log_id, state->id, state->record.running,
 		state->hold.wanted, (int)wait_ms,
 		(int)((traffic_now_us(t) - r->arrived_us) / 1000));
 	return retry_ms + g_random_int_range(0, (gint32)spread_ms + 1);
--- a/bshentryd/relays.c
+++ b/bshentryd/relays.c
@@ -130,7 +130,7 @@
 	bsh_counter_add(&passed_on, 1);
 	bsh_log(BSH_LOG_INFO,
 		"request-passed-on id=%s instance=%s sends=%u left_ms=%u",
-		r->info.attempt_id, a->target_id, r->sends,
+		r->info.log_id, a->target_id, r->sends,
 		forward_time_left_ms(r));
 }
 
@@ -146,7 +146,7 @@
 	if (!bsh_relay_mark_decode(r->traffic->entry->settings.key, text,
 				   &mark)) {
 		bsh_log(BSH_LOG_INFO, "relay-mark-invalid id=%s",
-			r->info.attempt_id);
+			r->info.log_id);
 		return;
 	}
 	r->from_peer = true;
@@ -157,5 +157,5 @@
 	bsh_counter_add(&from_peers, 1);
 	bsh_log(BSH_LOG_INFO,
 		"request-from-peer id=%s sends=%u config=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->sends, r->peer_version);
+		r->info.log_id, r->sends, r->peer_version);
 }
--- a/bshentryd/request_log.c
+++ b/bshentryd/request_log.c
@@ -100,10 +100,9 @@
 		"first_ms=%d total_ms=%d left_ms=%d timeout_ms=%u "
 		"config=%" G_GUINT64_FORMAT
 		" config_age_ms=%d targets_age_ms=%d view=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, r->route != NULL ? r->route->name : "-",
+		r->info.log_id, r->route != NULL ? r->route->name : "-",
 		r->route != NULL ? kind_names[r->route->kind] : "-",
-		r->info.model_name != NULL ? r->info.model_name : "-", end,
-		status, reason, last_target(r),
+		r->info.log_model, end, status, reason, last_target(r),
 		text_or_dash(r->attempt->software),
 		text_or_dash(r->info.began_by),
 		text_or_dash(r->info.last_event_id), r->sends, r->n_tried,
@@ -175,10 +174,9 @@
 	bsh_log(BSH_LOG_INFO,
 		"request-waiting id=%s model=%s tried=%u ready_in_ms=%d "
 		"left_ms=%d holder=%d view=%" G_GUINT64_FORMAT,
-		r->info.attempt_id,
-		r->info.model_name != NULL ? r->info.model_name : "-",
-		r->n_tried, ready_in_ms, to_ms(traffic_time_left_us(r)),
-		r->traffic->view->has_holder, r->traffic->view_number);
+		r->info.log_id, r->info.log_model, r->n_tried, ready_in_ms,
+		to_ms(traffic_time_left_us(r)), r->traffic->view->has_holder,
+		r->traffic->view_number);
 }
 
 void request_log_attempt(const attempt_t *a, attempt_end_t end, bsh_error_t err,
@@ -195,7 +193,7 @@
 		"status=%d "
 		"sends=%u again=%d repeat=%s candidates=%u open=%u "
 		"took_ms=%d passed_events=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, a->target_id, a->software, names[end],
+		r->info.log_id, a->target_id, a->software, names[end],
 		end == ATTEMPT_FAILED ? "target-failed" : bsh_error_name(err),
 		a->status, r->sends, again, r->retry_denial, r->candidates,
 		a->open, to_ms(traffic_now_us(r->traffic) - a->began_us),
@@ -242,7 +240,7 @@
 		"passed_events=%" G_GUINT64_FORMAT
 		" left_ms=%d target_state=%s draining=%d "
 		"config=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, last_target(r), bsh_error_name(err),
+		r->info.log_id, last_target(r), bsh_error_name(err),
 		bsh_error_name(cause), closing_side(r, cause), r->sends,
 		r->retry_denial, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), target_state_name(r),
@@ -257,7 +255,7 @@
 		"repeat=%s candidates=%u passed_events=%" G_GUINT64_FORMAT
 		" left_ms=%d config=%" G_GUINT64_FORMAT
 		" view=%" G_GUINT64_FORMAT,
-		r->info.attempt_id, last_target(r),
+		r->info.log_id, last_target(r),
 		to_ms(traffic_now_us(r->traffic) - r->last_active_us), action,
 		r->retry_denial, r->candidates, r->relay.passed,
 		to_ms(traffic_time_left_us(r)), r->catalog->version,
--- a/bshentryd/suspects.c
+++ b/bshentryd/suspects.c
@@ -288,7 +288,7 @@
 		"request-quarantined id=%s kind=%s part=%s "
 		"key=%016" G_GINT64_MODIFIER
 		"x ends=%u process=%016" G_GINT64_MODIFIER "x end_age_ms=%d",
-		r->info.attempt_id, bsh_suspect_kind_name(key), part, key,
+		r->info.log_id, bsh_suspect_kind_name(key), part, key,
 		info.ends, info.process, (int)((now_us - info.end_us) / 1000));
 }
 
@@ -298,7 +298,7 @@
 	bsh_log(BSH_LOG_INFO,
 		"request-isolated id=%s key=%016" G_GINT64_MODIFIER
 		"x isolated_keys=%u reason=%s",
-		r->info.attempt_id, r->isolated[0], r->n_isolated, reason);
+		r->info.log_id, r->isolated[0], r->n_isolated, reason);
 }
 
 /* True if a request that runs has one of the isolated keys. */
--- a/bshentryd/target_end.c
+++ b/bshentryd/target_end.c
@@ -281,7 +281,7 @@
 
 	g_hash_table_foreach_remove(t->ends, is_forgotten, t);
 	end = find_end(t, a);
-	g_strlcpy(cut.id, r->info.attempt_id, sizeof(cut.id));
+	g_strlcpy(cut.id, r->info.log_id, sizeof(cut.id));
 	suspects_of(a, &cut.suspects);
 	cut.beginning = a->spoke_us == 0 ||
 			cut.cut_us - a->spoke_us < BSH_ANSWER_BEGINNING_US;
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -11,6 +11,7 @@
 #include "coordination/missing_target.h"
 #include "coordination/target_inventory.h"
 #include "platform/decode.h"
+#include "base/name.h"
 
 /* Target objects that expired during an outage of the store, or were lost with
  * a restore, are back within about 2 s; a target still without one is removed
@@ -226,7 +227,9 @@
 {
 	targets_t *targets = ctx;
 	listed_t *listed = g_hash_table_lookup(targets->table, object->name);
+	char name[BSH_LOG_TEXT_SIZE];
 	bsh_target_t target;
+	const char *field;
 
 	if (object->deleted) {
 		if (listed != NULL)
@@ -234,15 +237,15 @@
 				     removal_grace_us(targets));
 		return;
 	}
-	if (platform_decode_target(object->name, object->spec, &target) ==
-	    BSH_OK) {
+	if (platform_decode_target(object->name, object->spec, &target,
+				   &field) == BSH_OK) {
 		if (has_returned(targets, &target, object->revision, list))
 			update_target(targets, &target, list);
 		return;
 	}
 	bsh_counter_add(&malformed_objects, 1);
-	bsh_log(BSH_LOG_WARNING, "target-entry-unusable target=%s",
-		object->name);
+	bsh_log(BSH_LOG_WARNING, "target-entry-unusable target=%s field=%s",
+		bsh_log_text(object->name, name), field);
 	if (listed != NULL)
 		mark_missing(targets, listed, removal_grace_us(targets));
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -370,7 +370,7 @@
 		finish(r, END_GONE, 0, "caller-left");
 	} else if (!delivered) {
 		bsh_log(BSH_LOG_INFO, "answer-not-delivered id=%s",
-			r->info.attempt_id);
+			r->info.log_id);
 	}
 	g_queue_unlink(&t->requests, &r->link);
 	free_request(r);
--- a/lib/protocol/request_info.h
+++ b/lib/protocol/request_info.h
@@ -16,6 +16,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/name.h"
+
 #define BSH_ATTEMPT_ID_SIZE    80
 #define BSH_EVENT_ID_SIZE      24
 #define BSH_PROMPT_PARTS_MAX   8
@@ -42,6 +44,9 @@
 	/* Attempt that brought the first event of the stream that is resumed,
 	 * or "". */
 	char began_by[BSH_ATTEMPT_ID_SIZE];
+	/* attempt_id and model_name as log lines have them. */
+	char log_id[BSH_LOG_TEXT_SIZE];
+	char log_model[BSH_LOG_TEXT_SIZE];
 	GPtrArray *headers; /* "Name: value" strings to forward */
 } bsh_request_info_t;
 
--- a/regress/test_odd_entry.c
+++ b/regress/test_odd_entry.c
@@ -171,6 +171,144 @@
 	bsh_rng_finish(&rng);
 }
 
+static void start_pair(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_init(&f->rig);
+	platform_rig_configure(&f->rig, NULL);
+	platform_rig_add_worker(&f->rig, "desk", NULL);
+	for (int i = 0; i < 2; i++)
+		platform_rig_add_entry(&f->rig);
+	for (int i = 0; i < 2; i++)
+		platform_rig_wait_ready(&f->rig, &f->rig.entries[i]);
+}
+
+static void stop_pair(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_finish(&f->rig);
+}
+
+static json_t *usable_entry(const fixture_t *f)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "service",
+			 "desk", "zone", "z1", "version", "v1", "state",
+			 "ready", "address", f->rig.workers[0].address, "slots",
+			 4, "seq", 1);
+}
+
+static gint64 metric(fixture_t *f, const rig_entry_t *entry, const char *name)
+{
+	g_autofree char *begin = g_strdup_printf("\n%s ", name);
+	rig_reply_t reply = { 0 };
+	const char *line;
+	gint64 value = -1;
+
+	platform_rig_send(&f->rig, entry->metrics, "/metrics", "metrics", NULL,
+			  2000, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	line = reply.body != NULL ? strstr(reply.body, begin) : NULL;
+	if (line != NULL)
+		value = g_ascii_strtoll(line + strlen(begin), NULL, 10);
+	platform_rig_reply_clear(&reply);
+	return value;
+}
+
+/* Guards against an entry whose address is none and that is used as a target: each
+ * request that is sent there fails. */
+static void test_addresses(fixture_t *f, gconstpointer data)
+{
+	static const char *const hosts[] = {
+		"%1$s:0",
+		"",
+		"%1$s :%2$s",
+		":%2$s",
+		"http://%1$s:%2$s/",
+		"%1$s:%2$s:%2$s",
+		"::1:%2$s",
+		"7c1e13172c1e",
+		"127..1:%2$s",
+		"\303\274\304\260\364\217\277\277:%2$s",
+		"%1$s:%2$s%2$s%2$s",
+		"%1$s:-1",
+		"[%1$s]:%2$s",
+		"%1$s:%2$s\n"
+	};
+	g_auto(GStrv) parts = g_strsplit(f->rig.workers[0].address, ":", 2);
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+		g_autofree char *name = g_strdup_printf("h%zu-d67c48", i);
+		g_autoptr(GString) address = g_string_new(hosts[i]);
+		json_t *spec = usable_entry(f);
+
+		g_string_replace(address, "%1$s", parts[0], 0);
+		g_string_replace(address, "%2$s", parts[1], 0);
+		json_object_set_new(spec, "address", json_string(address->str));
+		platform_rig_write(&f->rig, "servers", name, spec);
+	}
+	platform_rig_run(&f->rig, 700);
+	for (int i = 0; i < 2; i++) {
+		g_autofree char *id = g_strdup_printf("address%d", i);
+
+		g_assert_cmpint(metric(f, &f->rig.entries[i], "bsh_targets"),
+				==, 1);
+		g_assert_cmpint(status_of(f, &f->rig.entries[i], id), ==, 200);
+	}
+}
+
+/* Guards against log lines, and fields of lines, that another writer of the store
+ * or a caller has made up. */
+static void test_forged_lines(fixture_t *f, gconstpointer data)
+{
+	static const char *const names[] = {
+		"h1\n2026-01-01T00:00:00.000Z error bshentryd/entry-1: forged",
+		"h2=a target=forged",
+		"h3\tx",
+		"h4 end=forged",
+		"h5\"forged",
+		"h6\302\233forged",
+	};
+	static const char *const fields[] = { "service", "zone", "version" };
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		json_t *spec = usable_entry(f);
+
+		platform_rig_write(&f->rig, "servers", names[i], spec);
+		for (size_t j = 0; j < G_N_ELEMENTS(fields); j++) {
+			g_autofree char *name =
+				g_strdup_printf("f%zu-%zu", i, j);
+
+			spec = usable_entry(f);
+			json_object_set_new(spec, fields[j],
+					    json_string(names[i]));
+			platform_rig_write(&f->rig, "servers", name, spec);
+		}
+		platform_rig_write(&f->rig, "berylshunt-instances", names[i],
+				   json_pack("{s:s, s:s, s:s}", "gossip",
+					     "127.0.0.1:9", "entry",
+					     "127.0.0.1:9", "zone", "z1"));
+	}
+	platform_rig_run(&f->rig, 700);
+	status_of(f, f->rig.entries, "id1 end=forged status=forged");
+	/* An instance that starts reads all of it at once. */
+	platform_rig_add_entry(&f->rig);
+	platform_rig_wait_ready(&f->rig, &f->rig.entries[2]);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *text = NULL;
+
+		g_assert_true(g_file_get_contents(f->rig.entries[i].log_path,
+						  &text, NULL, NULL));
+		g_assert_null(strstr(text, "\nforged"));
+		g_assert_null(strstr(text, " forged"));
+		g_assert_null(strstr(text, "=forged"));
+		g_assert_null(strstr(text, "\"forged"));
+		g_assert_null(strstr(text, "\302\233"));
+		g_assert_null(strchr(text, '\t'));
+	}
+}
+
 int main(int argc, char **argv)
 {
 	static const char *const odd[][2] = {
@@ -185,6 +323,12 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/odd-entry/values", test_values);
 	g_test_add_func("/odd-entry/mutations", test_mutations);
+	g_test_add("/odd-entry/addresses", fixture_t, NULL, start_pair,
+		   test_addresses, stop_pair);
+	/* The log must go to a file. */
+	g_unsetenv("BSH_RIG_LOG");
+	g_test_add("/odd-entry/forged-lines", fixture_t, NULL, start_pair,
+		   test_forged_lines, stop_pair);
 	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
 		g_autofree char *path =
 			g_strconcat("/odd-entry/list/", odd[i][0], NULL);
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -115,8 +115,9 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
 		spec = json_loads(bad[i], JSON_DECODE_ANY, NULL);
-		g_assert_cmpint(platform_decode_target("i-1", spec, &target),
-				==, BSH_ERR_INVALID);
+		g_assert_cmpint(
+			platform_decode_target("i-1", spec, &target, NULL), ==,
+			BSH_ERR_INVALID);
 		json_decref(spec);
 	}
 	spec = parse("{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
@@ -126,7 +127,7 @@
 		     "\"m1\",\"version\":1,\"adapters\":[\"a2\"]}],"
 		     "\"atHand\":{\"inMemory\":[\"m1\"],\"onDisk\":[\"m1\","
 		     "\"m2\"]}}");
-	g_assert_cmpint(platform_decode_target("i-1", spec, &target), ==,
+	g_assert_cmpint(platform_decode_target("i-1", spec, &target, NULL), ==,
 			BSH_OK);
 	g_assert_true(target.leaving);
 	g_assert_cmpuint(target.started_ms, ==, 1700000000000);
