--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -108,6 +108,12 @@
 	bsh_rng_t cut_rng;
 	rig_cut_t cut;	     /* in force */
 	int64_t cut_next_us; /* its begin or end */
+	/* Another writer of the store writes what is no entry, and all instances
+	 * are killed at a time. */
+	bool writers;
+	bsh_rng_t writer_rng;
+	int64_t write_us; /* next object */
+	int64_t kill_us;  /* next kill of all instances */
 	uint64_t sequence;
 	int64_t clear_us;     /* next time to clear the faults */
 	int64_t configure_us; /* next configuration of a series */
@@ -147,4 +153,7 @@
  * longer than a silence. */
 bool soak_worker_breaks(const worker_t *worker);
 
+/* soak_writers_step - objects of another writer and kills that are due. */
+void soak_writers_step(soak_t *soak);
+
 #endif
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -445,8 +445,10 @@
 		step_workers(soak);
 		step_configurations(soak);
 		step_cuts(soak);
-		if (inject)
+		if (inject) {
 			step_faults(soak, &next_us);
+			soak_writers_step(soak);
+		}
 	}
 }
 
@@ -642,6 +644,7 @@
 	gboolean prompts = FALSE;
 	gboolean cuts = FALSE;
 	gboolean lengths = FALSE;
+	gboolean writers = FALSE;
 	const GOptionEntry options[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
@@ -655,6 +658,9 @@
 		  "An instance loses all workers at times", NULL },
 		{ "lengths", 0, 0, G_OPTION_ARG_NONE, &lengths,
 		  "Streams of unequal lengths", NULL },
+		{ "writers", 0, 0, G_OPTION_ARG_NONE, &writers,
+		  "Another writer of the store, and kills of all instances",
+		  NULL },
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -667,7 +673,8 @@
 	    workers < WORKERS_MIN || workers > RIG_WORKERS_MAX) {
 		fprintf(stderr, "usage: soak_entry [--seed N] [--seconds N] "
 				"[--entries N] [--workers N] "
-				"[--prompts] [--cuts] [--lengths]\n");
+				"[--prompts] [--cuts] [--lengths] "
+				"[--writers]\n");
 		return 101;
 	}
 	bsh_rng_init(&soak.rng, (uint32_t)seed);
@@ -676,6 +683,8 @@
 	bsh_rng_init(&soak.cut_rng, (uint32_t)seed);
 	soak.cuts = cuts;
 	soak.lengths = lengths;
+	soak.writers = writers;
+	bsh_rng_init(&soak.writer_rng, (uint32_t)seed);
 	start(&soak, entries, workers);
 	if (prompts) {
 		soak.rig.crash_part = SOAK_BAD_PART;
