crash: keep the signal stack that a sanitizer has set

With the address sanitizer a daemon ended by SIGABRT as its traffic thread ended: the sanitizer frees the thread's signal stack, and found that of bsh_crash_init_thread() there.

--- a/lib/base/crash.c
+++ b/lib/base/crash.c
@@ -228,8 +228,13 @@
 {
 	static _Thread_local char stack[STACK_BYTES];
 	stack_t alternate = { .ss_sp = stack, .ss_size = sizeof(stack) };
+	stack_t present;
 
 	thread_name = name;
+	/* A sanitizer frees the stack that it has set at the thread's end. */
+	if (sigaltstack(NULL, &present) == 0 &&
+	    (present.ss_flags & SS_DISABLE) == 0)
+		return;
 	if (sigaltstack(&alternate, NULL) != 0)
 		bsh_log(BSH_LOG_WARNING, "handler-stack-not-set thread=%s",
 			name);
