--- a/regress/soak/callers.c
+++ b/regress/soak/callers.c
@@ -19,6 +19,9 @@
 /* A request that was read later than the close of its connection is answered
  * or closed within this time. */
 #define CROSSING_US INT64_C(300000)
+/* A stream may be lost if all instances end within this time after its request:
+ * 0.3 s after its first event, which the worker delays. */
+#define UNRECORDED_US INT64_C(400000)
 /* The instances abort what is left in the last sixth of their grace time. */
 #define DRAIN_ABORT_US INT64_C(2500000)
 /* A process that is short of processor time handles SIGTERM within this time. */
@@ -158,6 +161,14 @@
 	return n;
 }
 
+/* Returns true if all instances were killed before the version of the stream was
+ * in the store: docs/platform.md, section 2. */
+static bool is_lost_with_all(const soak_t *soak, const soak_caller_t *caller)
+{
+	return caller->events > 0 && soak->killed_us > caller->begun_us &&
+	       soak->killed_us - caller->begun_us < UNRECORDED_US;
+}
+
 /* Returns true if two workers of the stream's software version serve with its
  * model; for a stream that has not begun, of some version. */
 static bool is_comparable(const soak_t *soak, const soak_caller_t *caller)
@@ -165,7 +176,8 @@
 	const char *version = g_hash_table_lookup(soak->rig.stream_versions,
 						  caller->began_by);
 
-	if (!caller->route->resumable || caller->route->moves_to != NULL)
+	if (!caller->route->resumable || caller->route->moves_to != NULL ||
+	    is_lost_with_all(soak, caller))
 		return false;
 	if (caller->events > 0)
 		return version != NULL &&
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -112,8 +112,9 @@
 	 * are killed at a time. */
 	bool writers;
 	bsh_rng_t writer_rng;
-	int64_t write_us; /* next object */
-	int64_t kill_us;  /* next kill of all instances */
+	int64_t write_us;  /* next object */
+	int64_t kill_us;   /* next kill of all instances */
+	int64_t killed_us; /* last one */
 	uint64_t sequence;
 	int64_t clear_us;     /* next time to clear the faults */
 	int64_t configure_us; /* next configuration of a series */
