--- a/lib/base/name.c
+++ b/lib/base/name.c
@@ -19,8 +19,7 @@
 	return true;
 }
 
-const char *bsh_log_text(const char *text,
-			      char out[BSH_LOG_TEXT_SIZE])
+const char *bsh_log_text(const char *text, char out[BSH_LOG_TEXT_SIZE])
 {
 	size_t n = 0;
 
--- a/lib/base/name.h
+++ b/lib/base/name.h
@@ -28,7 +28,6 @@
  * RETURN VALUE
  *	out; "-" for an empty text or NULL.
  */
-const char *bsh_log_text(const char *text,
-			      char out[BSH_LOG_TEXT_SIZE]);
+const char *bsh_log_text(const char *text, char out[BSH_LOG_TEXT_SIZE]);
 
 #endif
