--- a/regress/test_soak.sh
+++ b/regress/test_soak.sh
@@ -24,7 +24,7 @@
 	fi
 }
 
-echo '1..12'
+echo '1..13'
 # A stream was taken up at a target of another software version.
 run_seed 3
 # Requests ended with 502, and streams were cut, because their targets fell
@@ -54,3 +54,6 @@
 # grace time.
 run_seed 49012 --lengths
 run_seed 49025 --lengths
+# An instance ended by itself beside entries that are none, as all instances were
+# killed at a time.
+run_seed 54001 --writers
