platform_rig: entries that the caller has set up have no log

review/ sets up entries of its own and sends them signals by kill(2). With a start of one failed, as it has no file for its log. Their output is dropped and their ends are left to the caller, as before.

--- a/lib/base/crash.c
+++ b/lib/base/crash.c
@@ -187,9 +187,13 @@
 static void on_glib_message(const gchar *domain, GLogLevelFlags level,
 			    const gchar *text, gpointer ctx)
 {
+	g_autofree char *quoted = g_strdelimit(g_strdup(text), "\"", '\'');
+
 	(void)ctx;
+	if ((level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)) != 0)
+		return;
 	bsh_log(BSH_LOG_WARNING, "library-message library=%s text=\"%s\"",
-		domain != NULL ? domain : "GLib", text);
+		domain != NULL ? domain : "GLib", quoted);
 	/* GLib ends the process after this handler. */
 	if ((level & (G_LOG_FLAG_FATAL | G_LOG_LEVEL_ERROR)) != 0)
 		g_strlcpy(message, text, sizeof(message));
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -1032,17 +1032,19 @@
 	g_autofree char *program = g_build_filename(
 		build != NULL ? build : "build", "bshentryd", NULL);
 	char *argv[] = { program, (char *)"-c", entry->settings_path, NULL };
+	GSpawnFlags flags = G_SPAWN_DO_NOT_REAP_CHILD;
 	GError *error = NULL;
 	int out = -1;
 
-	if (show_output == NULL) {
+	if (show_output == NULL && entry->log_path == NULL) {
+		flags |= G_SPAWN_STDOUT_TO_DEV_NULL;
+	} else if (show_output == NULL) {
 		out = open(entry->log_path,
 			   O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 		g_assert_cmpint(out, >=, 0);
 	}
-	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-			       die_with_parent, NULL, &entry->pid, -1, out, -1,
-			       &error);
+	g_spawn_async_with_fds(NULL, argv, NULL, flags, die_with_parent, NULL,
+			       &entry->pid, -1, out, -1, &error);
 	g_assert_no_error(error);
 	if (out >= 0)
 		close(out);
@@ -1179,8 +1181,10 @@
 	int number = WIFSIGNALED(entry->status) ? WTERMSIG(entry->status) : 0;
 	int code = WIFEXITED(entry->status) ? WEXITSTATUS(entry->status) : 0;
 
-	if (number != 0 ? was_sent(entry, number)
-			: code == 0 && was_sent(entry, SIGTERM))
+	/* Without a log, the entry is the caller's own, and so are its signals. */
+	if (entry->log_path == NULL ||
+	    (number != 0 ? was_sent(entry, number)
+			 : code == 0 && was_sent(entry, SIGTERM)))
 		return;
 	rig->unexpected_ends++;
 	entry->keep_log = true;
@@ -1442,7 +1446,7 @@
 			waitpid(entry->pid, &entry->status, 0);
 		}
 		unlink(entry->settings_path);
-		if (!entry->keep_log)
+		if (entry->log_path != NULL && !entry->keep_log)
 			unlink(entry->log_path);
 		g_free(entry->settings_path);
 		g_free(entry->log_path);
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -108,7 +108,8 @@
 	char metrics[32];   /* /metrics */
 	char *settings_path;
 	/* Output of its processes, unless BSH_RIG_LOG is set; kept after an end
-	 * that is not expected. */
+	 * that is not expected.  NULL: an entry of the caller's own, whose output
+	 * is dropped and whose ends are not checked. */
 	char *log_path;
 	bool keep_log;
 	bool stopped; /* by SIGSTOP */
