waiting: refuse at once what a limit or a pause keeps until its deadline

Cause: whether a request may wait for a limit, or for a pause, was decided by its latency objective alone; the deadline may be earlier.

Evidence: /target-notice/pause-after-deadline failed before in 3 of 3 runs (16 of 16 requests were held), and holds in 3 of 3.

Such a request is refused with the time of the next token, or of the end of the pause, so that its caller can go elsewhere.

--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -168,12 +168,23 @@
 	waiting_hold(r, places_recheck_us());
 }
 
+/* True if the limit, or the pause, ends within the latency objective of the request
+ * and early enough before its deadline. */
+static bool may_wait_for_leave(const request_t *r)
+{
+	bool limited = r->limited_by != NULL;
+	int64_t wait_us = limited ? r->limit_wait_us : r->pause_wait_us;
+
+	return (limited ? limits_may_wait(r) : notices_may_wait(r)) &&
+	       wait_us + RUN_MIN_US <= traffic_time_left_us(r);
+}
+
 /* Only the limits of targets, or their pauses, keep the request away. */
 static void wait_for_leave(request_t *r)
 {
 	bool limited = r->limited_by != NULL;
 
-	if (limited ? !limits_may_wait(r) : !notices_may_wait(r)) {
+	if (!may_wait_for_leave(r)) {
 		traffic_fail(r, BSH_ERR_CAPACITY,
 			     limited ? limits_retry_ms(r)
 				     : notices_retry_ms(r));
--- a/regress/test_target_notice.c
+++ b/regress/test_target_notice.c
@@ -8,6 +8,8 @@
 
 #define DRAIN_MS 1000
 #define TICK_MS	 20
+/* Shorter than the latency objective. */
+#define SHORT_DEADLINE_MS 300
 
 typedef struct {
 	platform_rig_t rig;
@@ -214,6 +216,32 @@
 	g_assert_cmpfloat(f->retry_after_s, <=, 4.0);
 }
 
+/* Guards against requests that are held until their deadline although the pause of
+ * all targets ends after it. */
+static void test_pause_after_deadline(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	for (int i = 0; i < 2; i++) {
+		desk(f, i)->mode = WORKER_IS_FULL;
+		desk(f, i)->pause = "0.45";
+	}
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *id = g_strdup_printf("d%d", i);
+		rig_reply_t reply = { 0 };
+
+		platform_rig_send(&f->rig, f->rig.entries[0].front, "/look/1",
+				  id, NULL, SHORT_DEADLINE_MS, &reply);
+		platform_rig_wait(&f->rig, &reply.done);
+		g_assert_cmpint(reply.status, ==, 503);
+		/* The first ones are sent to targets. */
+		if (i >= 4)
+			f->refused_slowly +=
+				reply.took_us > SHORT_DEADLINE_MS * 1000 / 2;
+		platform_rig_reply_clear(&reply);
+	}
+	g_assert_cmpuint(f->refused_slowly, ==, 0);
+}
+
 /* Guards against values of Retry-After that make no sense: they must neither stop
  * the instance nor keep a target away for ever. */
 static void test_odd_pauses(fixture_t *f, gconstpointer data)
@@ -253,6 +281,9 @@
 	g_test_add("/target-notice/paused-and-lapsed", fixture_t,
 		   GINT_TO_POINTER(2), set_up, test_paused_and_lapsed,
 		   tear_down);
+	g_test_add("/target-notice/pause-after-deadline", fixture_t,
+		   GINT_TO_POINTER(2), set_up, test_pause_after_deadline,
+		   tear_down);
 	g_test_add("/target-notice/all-paused", fixture_t, GINT_TO_POINTER(2),
 		   set_up, test_all_paused, tear_down);
 	g_test_add("/target-notice/odd-pauses", fixture_t, GINT_TO_POINTER(1),
