targets: readers name the targets that they have removed

Cause: READER names the targets that are leaving or missing in the sender's list. A reader removes a target at once if it was leaving, and at its next tick (50 ms) if its list was old, and sends READER 15 ms after the change: then neither that message nor a later one names the target, and a lost one is not made up for. The others go on using the target until the holder, or the next one, reads the store.

An instance that reads without holding the lease names what it has removed for the drain time. One that hears no reader for three quarters of it reads the list itself, so each instance in touch hears of the target in time. As a key stands for all processes of a target, one whose process was listed after the sender's last answer ignores it: without that check /store-calls/replaced-process fails (1 of 1 run; 503 instead of 200).

--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -37,6 +37,7 @@
 typedef struct {
 	bsh_target_t target; /* last known state */
 	uint64_t list;	     /* number of the last list that contained it */
+	int64_t since_us;    /* when its process was first listed here */
 	int64_t removal_us;  /* when it is removed, as its object is missing;
 			      * 0: not missing */
 	/* Placement announced by the lease holder. */
@@ -184,6 +185,9 @@
 		      listed->target.started_ms == target->started_ms;
 	state_changed = !was_there || target->leaving != was_leaving ||
 			listed->target.started_ms != target->started_ms;
+	if (target->started_ms != listed->target.started_ms ||
+	    listed->since_us == 0)
+		listed->since_us = control_now_us(targets->control);
 	listed->target = *target;
 	listed->target.leaving = target->leaving || was_leaving;
 	listed->removal_us = 0;
@@ -534,6 +538,8 @@
 	g_autoptr(GHashTable) missing =
 		g_hash_table_new(g_direct_hash, g_direct_equal);
 	g_autoptr(GPtrArray) listed_targets = g_ptr_array_new();
+	int64_t answered_us = control_now_us(targets->control) -
+			      message->contact_age_ms * INT64_C(1000);
 	GHashTableIter iter;
 	void *data;
 	bool news = false;
@@ -556,7 +562,10 @@
 					       &listed->target);
 			news = true;
 		} else if (g_hash_table_contains(missing, key) &&
-			   listed->removal_us == 0) {
+			   listed->removal_us == 0 &&
+			   listed->since_us <= answered_us) {
+			/* A process that was listed after the reader's last
+			 * answer may have replaced the one that it misses. */
 			mark_missing(targets, listed,
 				     removal_grace_us(targets));
 			news = true;
@@ -589,9 +598,27 @@
 	return news;
 }
 
+typedef struct {
+	const targets_t *targets;
+	GArray *missing;
+	guint max;
+} collect_t;
+
+static void collect_departed(void *ctx, const char *id)
+{
+	collect_t *collect = ctx;
+	uint32_t key = GUINT32_TO_BE(bsh_target_key(id));
+
+	if (!g_hash_table_contains(collect->targets->table, id) &&
+	    collect->missing->len < collect->max)
+		g_array_append_val(collect->missing, key);
+}
+
 void targets_collect_ended(const targets_t *targets, GArray *leaving,
 			   GArray *missing, guint max)
 {
+	const control_t *control = targets->control;
+	collect_t collect = { targets, missing, max };
 	GHashTableIter iter;
 	void *data;
 
@@ -606,6 +633,16 @@
 		if (keys != NULL && keys->len < max)
 			g_array_append_val(keys, key);
 	}
+	/* The holder's announcements name the targets that it has removed. */
+	if (orders_is_holder(control->orders))
+		return;
+	/* An instance that hears no reader for the drain time reads the list
+	 * itself before its end. */
+	bsh_departed_foreach_since(
+		&targets->departed,
+		control_now_us(control) -
+			control->entry->settings.entry_drain_ms * INT64_C(1000),
+		collect_departed, &collect);
 }
 
 int64_t targets_answered_us(const targets_t *targets)
--- a/lib/coordination/departed_target.c
+++ b/lib/coordination/departed_target.c
@@ -70,6 +70,24 @@
 		       : 0;
 }
 
+void bsh_departed_foreach_since(const bsh_departed_t *departed,
+				int64_t since_us,
+				void (*fn)(void *ctx, const char *id),
+				void *ctx)
+{
+	GHashTableIter iter;
+	void *id;
+	void *value;
+
+	g_hash_table_iter_init(&iter, departed->records);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const departure_t *departure = value;
+
+		if (departure->at_us >= since_us)
+			fn(ctx, id);
+	}
+}
+
 void bsh_departed_forget(bsh_departed_t *departed, const char *id)
 {
 	g_hash_table_remove(departed->records, id);
--- a/lib/coordination/departed_target.h
+++ b/lib/coordination/departed_target.h
@@ -70,6 +70,13 @@
 int64_t bsh_departed_at_us(const bsh_departed_t *departed, const char *id,
 			   uint64_t started_ms);
 
+/* bsh_departed_foreach_since - pass the id of each target that was found to have
+ * departed at since_us or later. */
+void bsh_departed_foreach_since(const bsh_departed_t *departed,
+				int64_t since_us,
+				void (*fn)(void *ctx, const char *id),
+				void *ctx);
+
 /* bsh_departed_forget - the target has returned, by a source other than the
  * store. */
 void bsh_departed_forget(bsh_departed_t *departed, const char *id);
--- a/regress/test_store_calls.c
+++ b/regress/test_store_calls.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "protocol/datagram.h"
+#include "state/target.h"
 #include "support/loopback.h"
 #include "support/platform_rig.h"
 
@@ -228,6 +229,45 @@
 	g_assert_cmpint(took_us, <, 2000000);
 }
 
+/* Guards against a target that most instances use beyond its drain time, as it
+ * leaves and its entry is removed between two answers to the instances that read
+ * for all: they drop it at once and have to name it nevertheless. */
+static void test_removed_at_once(fixture_t *f, gconstpointer data)
+{
+	worker_t *desk = &f->rig.workers[1];
+	rig_reply_t replies[ENTRIES];
+
+	(void)data;
+	f->rig.far_silent_kind = "servers";
+	platform_rig_run(&f->rig, 4000);
+	for (int i = 0; i < ENTRIES; i++)
+		g_assert_cmpint(status_of(f, i, "/look/1"), ==, 200);
+	/* The second change answers a watch that has just begun, so that the
+	 * next one begins a twentieth of the drain time after that one, and
+	 * returns both of the following changes. */
+	for (int i = 0; i < 2; i++) {
+		platform_rig_publish_worker(f->engine, "ready");
+		platform_rig_run(&f->rig, 20);
+	}
+	platform_rig_publish_worker(desk, "draining");
+	platform_rig_remove_worker(desk);
+	platform_rig_run(&f->rig, 2000);
+	for (int i = 0; i < ENTRIES; i++) {
+		g_autofree char *id = g_strdup_printf("removed-%d", i);
+
+		platform_rig_send(&f->rig, f->rig.entries[i].front, "/look/1",
+				  id, NULL, 1000, &replies[i]);
+	}
+	for (int i = 0; i < ENTRIES; i++) {
+		g_autofree char *id = g_strdup_printf("removed-%d", i);
+
+		platform_rig_wait(&f->rig, &replies[i].done);
+		g_test_message("entry=%d status=%d", i, replies[i].status);
+		g_assert_cmpuint(platform_rig_runs(&f->rig, id), ==, 0);
+		platform_rig_reply_clear(&replies[i]);
+	}
+}
+
 /* Guards against an outage of the store that costs calls of each instance. */
 static void test_outage(fixture_t *f, gconstpointer data)
 {
@@ -351,6 +391,48 @@
 	bsh_datagram_socket_finish(&liar.sock);
 }
 
+/* Guards against a target that an instance drops although its process has just been
+ * replaced by another one: a reader whose last answer is older misses it still. */
+static void test_replaced_process(fixture_t *f, gconstpointer data)
+{
+	worker_t *desk = &f->rig.workers[1];
+	uint32_t key = GUINT32_TO_BE(bsh_target_key(desk->id));
+	bsh_message_t reader = { .type = BSH_MSG_READER };
+	liar_t liar = { 0 };
+	int told = 0;
+
+	(void)data;
+	while (g_strcmp0(f->rig.entries[told].name, lease_holder(f)) == 0)
+		told++;
+	g_strlcpy(
+		liar.address,
+		json_string_value(json_object_get(
+			json_object_get(platform_rig_object(
+						&f->rig, "berylshunt-instances",
+						f->rig.entries[told].name),
+					"spec"),
+			"gossip")),
+		sizeof(liar.address));
+	g_assert_cmpint(bsh_datagram_socket_init(&liar.sock, &f->rig.loop,
+						 f->liar, platform_rig_key,
+						 "liar", 1, on_liar_message,
+						 &liar),
+			==, BSH_OK);
+	platform_rig_restart_worker(desk);
+	platform_rig_run(&f->rig, 300);
+	g_assert_cmpint(status_of(f, told, "/look/1"), ==, 200);
+	reader.reader = (bsh_msg_reader_t){
+		.contact_age_ms = 1000,
+		.missing = (const uint8_t *)&key,
+		.missing_bytes = sizeof(key),
+	};
+	send_to(&liar, &reader);
+	/* A target that is taken for missing is dropped within this time. */
+	platform_rig_run(&f->rig, 2000);
+	g_assert_cmpint(status_of(f, told, "/look/1"), ==, 200);
+	bsh_datagram_socket_finish(&liar.sock);
+}
+
 #define ADD(path, fn)                                                          \
 	g_test_add("/store-calls/" path, fixture_t, NULL, set_up, fn, tear_down)
 
@@ -369,6 +451,10 @@
 		   set_up_far_holder, test_silent_configuration, tear_down);
 	g_test_add("/store-calls/silent-targets", fixture_t, "all",
 		   set_up_far_holder, test_silent_targets, tear_down);
+	g_test_add("/store-calls/removed-at-once", fixture_t, NULL,
+		   set_up_far_holder, test_removed_at_once, tear_down);
+	g_test_add("/store-calls/replaced-process", fixture_t, "liar", set_up,
+		   test_replaced_process, tear_down);
 	g_test_add("/store-calls/bad-peer", fixture_t, "liar", set_up,
 		   test_bad_peer, tear_down);
 	return g_test_run();
