targets: log what a reader tells about leaving targets

A leaving target that an instance learns of from READER was not logged, so that a play did not show when each instance learnt of it. target-leaving names it. No test: a log line.

--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -558,6 +558,8 @@
 		if (g_hash_table_contains(leaving, key) &&
 		    !listed->target.leaving) {
 			listed->target.leaving = true;
+			bsh_log(BSH_LOG_INFO, "target-leaving target=%s",
+				listed->target.id);
 			control_target_changed(targets->control,
 					       &listed->target);
 			news = true;
