loader, document: refuse pools whose names do not fit their cells

A document took names of pools of up to 95 bytes; the loader entered them under the first 63 and added such a pool again with each document.

A document with such a pool was accepted before; /document/long-pool-name.

The bound leaves room for the number of a cell behind the name.

--- a/lib/coordination/loader.c
+++ b/lib/coordination/loader.c
@@ -250,6 +250,13 @@
 	demands_answer(l);
 }
 
+/* Names of pools and of their cells are keys of tables: one that is cut off would
+ * be entered under another key than it is looked up by. */
+static bool is_pool_name(const bsh_loader_pool_t *pool)
+{
+	return strlen(pool->name) <= BSH_CELL_POOL_NAME_MAX;
+}
+
 static pool_t *add_pool(bsh_loader_t *l, const bsh_loader_pool_t *from,
 			uint64_t generation)
 {
@@ -337,8 +344,12 @@
 	l->placement.limits.weight = document->weight;
 	l->loads_per_s = document->loads_per_s;
 	l->concurrent = document->concurrent;
-	for (size_t i = 0; i < document->pool_count; i++)
-		add_pool(l, &document->pools[i], document->generation);
+	for (size_t i = 0; i < document->pool_count; i++) {
+		if (is_pool_name(&document->pools[i]))
+			add_pool(l, &document->pools[i], document->generation);
+		else
+			reject_input(l, "pool with a name that is too long");
+	}
 	for (size_t i = 0; i < document->model_count; i++) {
 		if (!add_model(l, &document->models[i], document->generation))
 			reject_input(l, "model without a known pool");
--- a/lib/state/cell.h
+++ b/lib/state/cell.h
@@ -51,7 +51,9 @@
 
 #include "base/error.h"
 
-#define BSH_CELL_NAME_SIZE	 64	   /* bytes, with the terminating NUL */
+#define BSH_CELL_NAME_SIZE 64 /* bytes, with the terminating NUL */
+/* A cell's name is that of its pool, a point and a number of up to 10 digits. */
+#define BSH_CELL_POOL_NAME_MAX	 (BSH_CELL_NAME_SIZE - 12)
 #define BSH_CELL_VALUE_MAX_BYTES 1000000   /* the store's limit is 1 MB */
 #define BSH_CELL_HOLDERS_MAX	 16	   /* per slot */
 #define BSH_CELL_TARGETS_MAX	 1024	   /* per cell; about 64 are usual */
--- a/lib/state/document.c
+++ b/lib/state/document.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "state/cell.h"
+
 #define VALUE_SHOWN_MAX_BYTES 80
 #define DEADLINE_DEFAULT_MS   30000
 #define DEADLINE_MAX_MS	      3600000
@@ -362,6 +364,9 @@
 
 	read_fields(entry, path, pool_fields, G_N_ELEMENTS(pool_fields), NULL,
 		    (char *)&pool, problems);
+	if (strlen(pool.name) > BSH_CELL_POOL_NAME_MAX)
+		add_problem(problems, json_object_get(entry, "name"),
+			    "a name of 52 characters at most", "%s.name", path);
 	/* fencing has no default: what is safe depends on whether the targets
 	 * check fences. */
 	if (pool.kind == BSH_DOC_ENGINE &&
--- a/regress/test_document.c
+++ b/regress/test_document.c
@@ -102,6 +102,26 @@
 	g_array_free(problems, TRUE);
 }
 
+/* Guards against pools whose names are cut off where they are keys: placements used
+ * memory after its end as a second document named such a pool. */
+static void test_long_pool_name(void)
+{
+	for (size_t length = 52; length <= 95; length++) {
+		g_autofree char *name = g_strnfill(length, 'p');
+		g_autofree char *quoted = g_strdup_printf("\"%s\"", name);
+		g_autoptr(GString) text = g_string_new(valid);
+		GArray *problems = bsh_doc_problems_new();
+		bsh_document_t doc;
+
+		g_string_replace(text, "\"assistant\"", quoted, 0);
+		if (bsh_document_init(&doc, text->str, text->len, problems) ==
+		    BSH_OK)
+			bsh_document_finish(&doc);
+		g_assert_cmpuint(problems->len, ==, length > 52 ? 1 : 0);
+		g_array_free(problems, TRUE);
+	}
+}
+
 /* Guards against a truncated document that is accepted in part: every proper
  * prefix of a valid document must be rejected. */
 static void test_truncated(void)
@@ -254,6 +274,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/document/valid", test_valid);
 	g_test_add_func("/document/every-reason", test_every_reason);
+	g_test_add_func("/document/long-pool-name", test_long_pool_name);
 	g_test_add_func("/document/truncated", test_truncated);
 	g_test_add_func("/document/too-large", test_too_large);
 	g_test_add_func("/document/hash-ignores-layout",
