crash: write what is known before the backtrace

On a stack that was overwritten the unwinder failed before the line was written: the process ended without one, by SIGSEGV instead of SIGABRT (found in review, by a program that overwrites the frame pointer and calls abort(3), a trial). That is the case for which the line is there.

process-ended comes first, process-backtrace is a line of its own, and a failure within the report ends the process by the signal that was reported.

--- a/lib/base/crash.c
+++ b/lib/base/crash.c
@@ -132,8 +132,6 @@
 static void report(int number)
 {
 	char line[LINE_MAX_BYTES];
-	void *frames[FRAMES_MAX];
-	int n_frames = backtrace(frames, FRAMES_MAX);
 	size_t at = 0;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
@@ -144,6 +142,18 @@
 	append_quoted(line, &at, said());
 	append(line, &at, " last=\"");
 	append_quoted(line, &at, bsh_log_last_event());
+	bsh_log_from_handler(line);
+}
+
+/* A line of its own, as the unwinder may fail on a stack that was overwritten. */
+static void report_backtrace(void)
+{
+	char line[LINE_MAX_BYTES];
+	void *frames[FRAMES_MAX];
+	int n_frames = backtrace(frames, FRAMES_MAX);
+	size_t at = 0;
+
+	append(line, &at, "process-backtrace thread=%s", thread_name);
 	append(line, &at, " backtrace=\"");
 	for (int i = 0; i < n_frames; i++) {
 		append(line, &at, "%s", i == 0 ? "" : ",");
@@ -156,13 +166,20 @@
 static void on_fatal_signal(int number)
 {
 	static const struct timespec wait = { .tv_nsec = OTHER_THREAD_WAIT_NS };
-
-	/* Of two threads that fail at a time, the first one reports; a failure
-	 * within a report ends it. */
-	if (__atomic_exchange_n(&reporting, 1, __ATOMIC_SEQ_CST) == 0)
+	static _Thread_local volatile sig_atomic_t reported;
+
+	if (reported != 0) {
+		/* The backtrace has failed: the process ends by the signal
+		 * that was reported. */
+		number = reported;
+	} else if (__atomic_exchange_n(&reporting, 1, __ATOMIC_SEQ_CST) == 0) {
+		reported = number;
 		report(number);
-	else
+		report_backtrace();
+	} else {
+		/* Of two threads that fail at a time, the first one reports. */
 		nanosleep(&wait, NULL);
+	}
 	signal(number, SIG_DFL);
 	raise(number);
 }
--- a/lib/base/crash.h
+++ b/lib/base/crash.h
@@ -3,14 +3,14 @@
 
 /*
  * NAME
- *	crash - last log line of a process that a fatal signal ends
+ *	crash - last log lines of a process that a fatal signal ends
  *
  * DESCRIPTION
  *	After bsh_crash_init(), a process that SIGABRT, SIGSEGV, SIGBUS,
- *	SIGILL, SIGFPE or SIGTRAP ends writes one line first, of level error:
+ *	SIGILL, SIGFPE or SIGTRAP ends writes two lines first, of level error:
  *
  *	process-ended signal=SIGABRT thread=control said="..." last="..."
- *	backtrace="MODULE+OFFSET,..."
+ *	process-backtrace thread=control backtrace="MODULE+OFFSET,..."
  *
  *	said is what a library reported before: the C library's message of a
  *	failed check or assertion, or the text of bsh_crash_abort().  last is
--- a/regress/test_crash.c
+++ b/regress/test_crash.c
@@ -20,7 +20,7 @@
 	const char *path;
 	void (*fn)(void);
 	int signal;
-	const char *expected[5]; /* parts of the line */
+	const char *expected[4]; /* parts of the line */
 } crash_case_t;
 
 static void fail_heap_check(void)
@@ -149,11 +149,13 @@
 
 	g_assert_true(WIFSIGNALED(status));
 	g_assert_cmpint(WTERMSIG(status), ==, c->signal);
-	g_assert_cmpuint(g_strv_length(lines), >=, 3);
+	g_assert_cmpuint(g_strv_length(lines), >=, 4);
 	/* Written whole: the last one, with its end. */
 	g_assert_cmpstr(lines[g_strv_length(lines) - 1], ==, "");
+	g_assert_nonnull(strstr(lines[g_strv_length(lines) - 2],
+				" backtrace=\"test_crash+0x"));
 	for (size_t i = 0; i < G_N_ELEMENTS(c->expected); i++) {
-		const char *last = lines[g_strv_length(lines) - 2];
+		const char *last = lines[g_strv_length(lines) - 3];
 
 		if (c->expected[i] == NULL)
 			break;
@@ -161,7 +163,6 @@
 			g_test_message("%s", text);
 		g_assert_nonnull(strstr(last, c->expected[i]));
 		g_assert_nonnull(strstr(last, " error test/entry-1: "));
-		g_assert_nonnull(strstr(last, " backtrace="));
 		g_assert_nonnull(strstr(last, " hlc="));
 	}
 }
@@ -175,7 +176,7 @@
 	g_autoptr(GDateTime) before = NULL;
 	g_autoptr(GDateTime) end = NULL;
 
-	g_assert_cmpuint(g_strv_length(lines), ==, 3);
+	g_assert_cmpuint(g_strv_length(lines), ==, 4);
 	*strchr(lines[0], ' ') = '\0';
 	*strchr(lines[1], ' ') = '\0';
 	before = g_date_time_new_from_iso8601(lines[0], NULL);
@@ -242,8 +243,8 @@
 		  fail_heap_check,
 		  SIGABRT,
 		  { "signal=SIGABRT thread=control said=\"",
-		    "last=\"target-entry-unusable target=h5\"", "double free",
-		    "test_crash+0x" } },
+		    "last=\"target-entry-unusable target=h5\"",
+		    "double free" } },
 		{ "/crash/access",
 		  fail_access,
 		  SIGSEGV,
