logs: check the texts of callers and of other writers that were left out

What the on-call team saw: fields that a caller had made up. The review of found texts that still went into lines as they were: Resumes and Last-Event-Id of a request, so that bshctl explain read sends=0 from the caller's text, names of objects of suspects and of records of streams, and the holder of the lease. Line and paragraph separators were taken for visible characters.

Evidence: /odd-entry/forged-lines, extended by such a stream and objects; the review's run of the same header had the made-up fields in the line.

--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -6,6 +6,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/name.h"
 
 /* RELEASE messages sent for one release, as datagrams may be lost. */
 #define RELEASE_SENDS 3U
@@ -213,6 +214,7 @@
 	orders_t *orders = ctx;
 	const char *holder = NULL;
 	uint64_t revision = answer->revision;
+	char name[BSH_LOG_TEXT_SIZE];
 	bool active = false;
 
 	if (answer->n > 0) {
@@ -227,7 +229,7 @@
 			"lease-call result=%s status=%d holder=%s "
 			"revision=%" G_GUINT64_FORMAT " took_ms=%d",
 			platform_result_name(answer->result), answer->status,
-			holder != NULL ? holder : "-", revision,
+			bsh_log_text(holder, name), revision,
 			(int)(answer->took_us / 1000));
 	bsh_lease_done(&orders->lease, lease_result(answer->result), holder,
 		       active, revision, now_us(orders));
--- a/bshentryd/quarantine_store.c
+++ b/bshentryd/quarantine_store.c
@@ -1,6 +1,7 @@
 #include "quarantine_store.h"
 
 #include "base/log.h"
+#include "base/name.h"
 
 /* What the store has of a key. */
 typedef struct {
@@ -97,6 +98,7 @@
 	bsh_suspect_fact_t fact = { .key = g_ascii_strtoull(object->name, NULL,
 							    16) };
 	known_t *known = find_or_add(qs, fact.key);
+	char name[BSH_LOG_TEXT_SIZE];
 	const json_t *end;
 	size_t i;
 
@@ -107,7 +109,7 @@
 			   end) if (decode_end(end, now_ms, &fact))
 		g_array_append_val(facts, fact);
 	else bsh_log(BSH_LOG_WARNING, "suspect-not-decoded object=%s",
-		     object->name);
+		     bsh_log_text(object->name, name));
 }
 
 static void on_list(void *ctx, const platform_answer_t *answer)
--- a/bshentryd/stream_store.c
+++ b/bshentryd/stream_store.c
@@ -2,6 +2,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/name.h"
 
 static bsh_counter_t segments_written =
 	BSH_COUNTER("bsh_stream_segments_written_total",
@@ -127,12 +128,13 @@
 		const platform_object_t *object = &answer->objects[i];
 		const char *text = json_string_value(
 			json_object_get(object->spec, "records"));
+		char name[BSH_LOG_TEXT_SIZE];
 
 		if (text == NULL ||
 		    !bsh_stream_records_decode(text, ss->records))
 			bsh_log(BSH_LOG_WARNING,
 				"stream-segment-not-decoded object=%s",
-				object->name);
+				bsh_log_text(object->name, name));
 	}
 	if (answer->truncated && answer->n > 0) {
 		ss->after = g_strdup(answer->objects[answer->n - 1].name);
--- a/lib/base/name.c
+++ b/lib/base/name.c
@@ -5,7 +5,8 @@
 
 static bool is_name_character(gunichar c)
 {
-	return g_unichar_isgraph(c) && c != '"' && c != '=' && c != '\\';
+	return g_unichar_isgraph(c) && !g_unichar_isspace(c) && c != '"' &&
+	       c != '=' && c != '\\';
 }
 
 bool bsh_is_name(const char *text, size_t size)
--- a/lib/protocol/request_info.h
+++ b/lib/protocol/request_info.h
@@ -44,8 +44,10 @@
 	/* Attempt that brought the first event of the stream that is resumed,
 	 * or "". */
 	char began_by[BSH_ATTEMPT_ID_SIZE];
-	/* attempt_id and model_name as log lines have them. */
+	/* Texts of the caller as log lines have them. */
 	char log_id[BSH_LOG_TEXT_SIZE];
+	char log_began_by[BSH_LOG_TEXT_SIZE];
+	char log_event_id[BSH_LOG_TEXT_SIZE];
 	char log_model[BSH_LOG_TEXT_SIZE];
 	GPtrArray *headers; /* "Name: value" strings to forward */
 } bsh_request_info_t;
--- a/regress/test_odd_entry.c
+++ b/regress/test_odd_entry.c
@@ -257,6 +257,22 @@
 	}
 }
 
+/* A stream that is taken up with texts that are no id. */
+static void resume_forged(fixture_t *f)
+{
+	rig_request_t request = { .address = f->rig.entries[0].front,
+				  .path = "/stream/1",
+				  .id = "id2",
+				  .deadline_ms = 1000,
+				  .last_event_id = 1,
+				  .began_by = "a end=forged" };
+	rig_reply_t reply = { 0 };
+
+	platform_rig_start(&f->rig, &request, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	platform_rig_reply_clear(&reply);
+}
+
 /* Guards against log lines, and fields of lines, that another writer of the store
  * or a caller has made up. */
 static void test_forged_lines(fixture_t *f, gconstpointer data)
@@ -285,6 +301,8 @@
 					    json_string(names[i]));
 			platform_rig_write(&f->rig, "servers", name, spec);
 		}
+		platform_rig_write(&f->rig, "berylshunt-suspects", names[i],
+				   json_pack("{s:[s]}", "ends", "x"));
 		platform_rig_write(&f->rig, "berylshunt-instances", names[i],
 				   json_pack("{s:s, s:s, s:s}", "gossip",
 					     "127.0.0.1:9", "entry",
@@ -292,6 +310,7 @@
 	}
 	platform_rig_run(&f->rig, 700);
 	status_of(f, f->rig.entries, "id1 end=forged status=forged");
+	resume_forged(f);
 	/* An instance that starts reads all of it at once. */
 	platform_rig_add_entry(&f->rig);
 	platform_rig_wait_ready(&f->rig, &f->rig.entries[2]);
