platform_rig: check how instances end that are running when a test ends

An instance that ended by itself just before its test did was not seen: the last status was collected and not looked at. Found in review, by reading.

--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -1444,6 +1444,7 @@
 		if (entry->pid != 0) {
 			platform_rig_signal(entry, SIGKILL);
 			waitpid(entry->pid, &entry->status, 0);
+			check_end(rig, entry);
 		}
 		unlink(entry->settings_path);
 		if (entry->log_path != NULL && !entry->keep_log)
