bshctl: find process-ended before process-backtrace

What the on-call team saw: for a request that no line names, explain took a process that had ended by itself for one that was killed, as the last line of such a process is process-backtrace since it is a line of its own.

Evidence: /logs/process-ended, with the lines as the daemon writes them, failed before.

--- a/lib/operator/log_diagnosis.c
+++ b/lib/operator/log_diagnosis.c
@@ -700,7 +700,9 @@
 
 		if (line_time_us(line) > until_us)
 			break;
-		if (is_from(line, a->diag->instance))
+		/* It follows process-ended, which tells more. */
+		if (is_from(line, a->diag->instance) &&
+		    !is_event(line, "process-backtrace"))
 			found = line;
 	}
 	return found;
--- a/regress/test_logs.c
+++ b/regress/test_logs.c
@@ -131,8 +131,9 @@
 	"hlc=1781489945000000.0\n" T
 	"05.500Z error bshentryd/a: process-ended signal=SIGABRT "
 	"thread=traffic said=\"realloc(): invalid pointer\" "
-	"last=\"request-waiting id=ab02\" backtrace=\"bshentryd+0x10\" "
-	"hlc=1781489945500000.0\n" T
+	"last=\"request-waiting id=ab02\" hlc=1781489945500000.0\n" T
+	"05.500Z error bshentryd/a: process-backtrace thread=traffic "
+	"backtrace=\"bshentryd+0x10\" hlc=1781489945500001.0\n" T
 	"07.000Z info bshentryd/a: start instance=a hlc=1781489947000000.0\n";
 
 /* A stream that instance a cuts at the end of its drain, and, 2.5 s later, two
