accounts: check the keys of client accounts

Requests of deployments with client accounts ran whatever key they had, and targets got the key instead of the account's name.

The configuration's accounts and keys are decoded; keys are kept as digests under the secret of the deployment, also in the configuration that instances send each other. Each send checks the key by the configuration in force, and a target gets the name of the account alone. Where a removed key must not be used after a bound, an instance proves by queries with its own boot-time clock that its configuration is the newest, and refuses requests with a key when it cannot.

Deployments without accounts forward the same headers as before.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -275,6 +275,7 @@
 	 * then only takes longer, and when there is no other target. */
 	if (a->target->record.last_first_byte_at_us > r->last_active_us ||
 	    !stream_origin_may_move(r) ||
+	    accounts_check(r) != BSH_ACCESS_GRANTED ||
 	    (target = target_pick(r, &candidate)) == NULL ||
 	    !places_are_free(r->traffic,
 			     target_pick_state(r->traffic, target->id)) ||
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -39,10 +39,12 @@
 static bsh_counter_t version_gauge = BSH_GAUGE(
 	"bsh_configuration_version", "Version of the configuration in force.");
 
-/* Text of the configuration, compressed, behind the number of its bytes. */
-static GBytes *pack(const json_t *spec)
+/* Text of the configuration without the keys of client accounts, compressed,
+ * behind the number of its bytes. */
+static GBytes *pack(const json_t *spec, const uint8_t *secret)
 {
-	char *text = json_dumps(spec, JSON_COMPACT);
+	json_t *shared = platform_hide_keys(spec, secret);
+	char *text = json_dumps(shared, JSON_COMPACT);
 	uLong size = text != NULL ? strlen(text) : 0;
 	uLongf packed_size = compressBound(size);
 	guint32 header = GUINT32_TO_BE((guint32)size);
@@ -59,6 +61,7 @@
 out:
 	g_free(buffer);
 	free(text);
+	json_decref(shared);
 	return packed;
 }
 
@@ -153,7 +156,8 @@
 				   bool *unusable)
 {
 	g_autoptr(GString) problem = g_string_new(NULL);
-	bsh_catalog_t *catalog = platform_decode_catalog(spec, problem);
+	bsh_catalog_t *catalog = platform_decode_catalog(
+		spec, catalogs->control->entry->settings.key, problem);
 
 	*unusable = catalog == NULL;
 	if (*unusable) {
@@ -184,7 +188,9 @@
 			       &catalogs->unusable);
 	if (catalog == NULL)
 		return;
-	adopt(catalogs, catalog, pack(object->spec), "store");
+	adopt(catalogs, catalog,
+	      pack(object->spec, catalogs->control->entry->settings.key),
+	      "store");
 	catalog_exchange_tell(catalogs->control->catalog_exchange);
 }
 
@@ -231,6 +237,9 @@
 {
 	const catalogs_t *catalogs = ctx;
 
+	if (!catalogs->unusable)
+		config_proof_read(&catalogs->control->config_proof,
+				  catalogs->feed.began_boot_us);
 	store_reading_tell_config(catalogs->control->store_reading);
 }
 
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -50,6 +50,9 @@
 	__atomic_store_n(&freshness->targets_us,
 			 targets_confirmed_us(control->targets),
 			 __ATOMIC_RELAXED);
+	__atomic_store_n(&freshness->config_proof_us,
+			 bsh_config_proof_us(&control->config_proof.proof),
+			 __ATOMIC_RELAXED);
 }
 
 static void publish_view(void *ctx)
@@ -89,6 +92,7 @@
 	peers_set_version(control->peers, catalog->version);
 	catalog_exchange_adopted(control->catalog_exchange, catalog->version);
 	store_reading_adopted(control->store_reading, catalog->version);
+	config_proof_adopted(&control->config_proof, catalog->version);
 	control_schedule_view(control);
 }
 
@@ -190,6 +194,16 @@
 		store_reading_receive_config(control->store_reading,
 					     message->sender,
 					     &message->reader_config);
+		config_proof_note_reader(&control->config_proof,
+					 message->sender);
+	} else if (message->type == BSH_MSG_CONFIG_QUERY) {
+		config_proof_receive_query(
+			&control->config_proof, message->sender,
+			&message->config_query, control_now_us(control));
+	} else if (message->type == BSH_MSG_CONFIG_ANSWER) {
+		config_proof_receive_answer(
+			&control->config_proof, message->sender,
+			&message->config_answer, control_now_us(control));
 	} else if (message->type == BSH_MSG_READER_TARGETS) {
 		store_reading_receive_targets(control->store_reading,
 					      &message->reader_targets);
@@ -342,6 +356,54 @@
 		control_reload(control, "file-changed");
 }
 
+static void send_to_instance(void *ctx, const char *instance,
+			     const bsh_message_t *message)
+{
+	const control_t *control = ctx;
+
+	peers_send(control->peers, instance, message);
+}
+
+static const char *choose_any_instance(void *ctx)
+{
+	const control_t *control = ctx;
+
+	return peers_any(control->peers);
+}
+
+static void note_version(void *ctx, const char *instance, uint64_t version)
+{
+	const control_t *control = ctx;
+
+	catalog_exchange_note_version(control->catalog_exchange, instance,
+				      version, 0);
+}
+
+/* Only where keys of client accounts can be removed at short notice does an
+ * instance have to know that its configuration is the newest. */
+static void prove_configuration(control_t *control)
+{
+	const bsh_catalog_t *catalog = catalogs_current(control->catalogs);
+
+	if (control->entry->settings.accounts_revoke_ms > 0 &&
+	    catalog != NULL && catalog->accounts != NULL)
+		config_proof_tick(&control->config_proof,
+				  peers_instance_count(control->peers),
+				  control_now_us(control));
+}
+
+static void init_config_proof(control_t *control)
+{
+	const config_proof_ops_t ops = {
+		.send = send_to_instance,
+		.any_instance = choose_any_instance,
+		.note_version = note_version,
+		.ctx = control,
+	};
+
+	config_proof_init(&control->config_proof, &ops);
+}
+
 static void on_tick(void *ctx)
 {
 	control_t *control = ctx;
@@ -355,6 +417,7 @@
 	limit_shares_tick(control->limit_shares);
 	place_keeper_tick(control->place_keeper);
 	cut_peers_tick(control->cut_peers);
+	prove_configuration(control);
 	publish_freshness(control);
 	if (ticks % (STORE_CALLS_LOG_INTERVAL_US / TICK_INTERVAL_US) == 0)
 		platform_store_log_calls(&control->store);
@@ -459,6 +522,7 @@
 	init_client(control);
 	if (control->client == NULL)
 		return BSH_ERR_SYSTEM;
+	init_config_proof(control);
 	control->catalogs = catalogs_new(control);
 	control->targets = targets_new(control);
 	control->peers = peers_new(control);
--- a/bshentryd/drain.c
+++ b/bshentryd/drain.c
@@ -90,7 +90,7 @@
 	/* It is answered when it is whole. */
 	if (route == NULL)
 		return true;
-	platform_request_info_init(&info, http);
+	platform_request_info_init(&info, http, t->entry->settings.key);
 	request.is_stream = route->kind == BSH_KIND_STREAM;
 	request.repeatable = route->kind == BSH_KIND_REPEATABLE;
 	if (info.deadline_ms != BSH_CALL_DEADLINE_NONE)
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -19,6 +19,7 @@
  *	quarantine.c	exchange of suspects, requests that end processes
  *	quarantine_store.c	the same in the platform's store
  *	cut_peers.c	instances that reach no target
+ *	config_proof.c	whether the configuration in force is the newest
  *	directory.c	readiness, addresses for callers, metrics
  *	control.c	owns the parts above, builds views, reloads, drains
  *
@@ -33,6 +34,7 @@
  *	suspects.c	whether a request may be sent, by such ends
  *	notices.c	what targets say of themselves in answers
  *	limits.c	limits of requests that targets name
+ *	accounts.c	client accounts of requests
  *	places.c	places of requests at targets that may be full
  *	reach.c		whether this instance reaches any target
  *	demand.c	demand for models, by the requests of this instance
@@ -70,6 +72,9 @@
 	int64_t config_us;
 	int64_t targets_us;
 	int64_t peers_us;
+	/* The configuration in force was certainly the newest one then, on
+	 * CLOCK_BOOTTIME. */
+	int64_t config_proof_us;
 } freshness_t;
 
 typedef struct {
--- a/bshentryd/feed.c
+++ b/bshentryd/feed.c
@@ -1,6 +1,7 @@
 #include "feed.h"
 
 #include <string.h>
+#include <time.h>
 
 #include "base/counter.h"
 #include "base/log.h"
@@ -203,6 +204,14 @@
 				0));
 }
 
+static int64_t boot_clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return now.tv_sec * INT64_C(1000000) + now.tv_nsec / 1000;
+}
+
 static void start_call(void *ctx)
 {
 	feed_t *feed = ctx;
@@ -210,6 +219,8 @@
 	if (feed->call_pending || feed->stopped || feed->paused)
 		return;
 	feed->call_pending = true;
+	if (feed->next_after == NULL)
+		feed->began_boot_us = boot_clock_us();
 	if (feed->listing && feed->next_after == NULL) {
 		feed->list_began_us = bsh_loop_clock_us();
 		bsh_counter_add(&lists[feed->reason], 1);
--- a/bshentryd/feed.h
+++ b/bshentryd/feed.h
@@ -89,9 +89,11 @@
 	int64_t complete_us;
 	int64_t watch_began_us; /* last watch; 0: none */
 	int64_t list_began_us;	/* first call of the current list */
-	int64_t resumed_us;	/* last feed_resume(); 0: none */
-	int64_t failed_us;	/* time of the last failed call; 0: none */
-	int64_t recovered_us;	/* first success after the last failure */
+	/* Begin of the last watch or list, on CLOCK_BOOTTIME. */
+	int64_t began_boot_us;
+	int64_t resumed_us;   /* last feed_resume(); 0: none */
+	int64_t failed_us;    /* time of the last failed call; 0: none */
+	int64_t recovered_us; /* first success after the last failure */
 } feed_t;
 
 void feed_init(feed_t *feed, platform_store_t *store, bsh_loop_t *loop,
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -391,11 +391,13 @@
 	request_t *r = a->request;
 	char event_id[BSH_EVENT_ID_SIZE];
 	char mark[BSH_RELAY_MARK_SIZE];
+	char key[BSH_ACCOUNT_KEY_HEX_SIZE];
 	platform_forward_t forward = {
 		.target = a->at_peer ? NULL : a->target_id,
 		.deadline_ms = forward_time_left_ms(r),
-		.priority = r->route->priority,
+		.priority = r->priority,
 		.has_priority = r->service->has_engine,
+		.has_accounts = r->has_accounts,
 		.last_event_id = resume_event_id(r, event_id, sizeof(event_id)),
 	};
 	GPtrArray *headers;
@@ -422,10 +424,16 @@
 		spec.connect_timeout_ms =
 			MIN(spec.connect_timeout_ms, CONNECT_TIMEOUT_CUT_MS);
 	if (a->at_peer) {
-		relays_mark(r, mark, sizeof(mark));
+		if (r->has_accounts && r->info.has_key) {
+			bsh_account_key_encode(&r->info.key, key);
+			forward.relay_key = key;
+		}
+		relays_mark(r, forward.relay_key, mark, sizeof(mark));
 		forward.relay_mark = mark;
 		forward.relay_version = r->catalog->version;
 	}
+	if (!a->at_peer && r->account[0] != '\0')
+		forward.account = r->account;
 	headers = platform_forward_headers(&r->info, &forward);
 	spec.headers = (const char *const *)headers->pdata;
 	reset_attempt(a);
--- a/bshentryd/places.c
+++ b/bshentryd/places.c
@@ -270,8 +270,8 @@
 	r->asks_place = true;
 	if (r->place_turns++ == 0)
 		bsh_counter_add(&waits, 1);
-	if (state->hold.wanted == 0 || r->route->priority < state->hold.urgency)
-		state->hold.urgency = r->route->priority;
+	if (state->hold.wanted == 0 || r->priority < state->hold.urgency)
+		state->hold.urgency = r->priority;
 	state->hold.wanted++;
 	tell_if_due(t, state);
 }
--- a/bshentryd/relays.c
+++ b/bshentryd/relays.c
@@ -105,9 +105,10 @@
 	return *peer != NULL ? RELAY_PEER : RELAY_NONE;
 }
 
-static bsh_relay_mark_t mark_of(const request_t *r)
+static bsh_relay_mark_t mark_of(const request_t *r, const char *key)
 {
 	return (bsh_relay_mark_t){
+		.key = key,
 		.id = r->info.attempt_id,
 		.method = r->method,
 		.path = r->path,
@@ -115,9 +116,10 @@
 	};
 }
 
-void relays_mark(const request_t *r, char *text, uint32_t text_size)
+void relays_mark(const request_t *r, const char *key, char *text,
+		 uint32_t text_size)
 {
-	bsh_relay_mark_t mark = mark_of(r);
+	bsh_relay_mark_t mark = mark_of(r, key);
 
 	bsh_relay_mark_encode(r->traffic->entry->settings.key, &mark, text,
 			      text_size);
@@ -139,7 +141,9 @@
 	const char *text = bsh_http_request_header(r->http, BSH_RELAY_HEADER);
 	const char *version =
 		bsh_http_request_header(r->http, BSH_RELAY_VERSION_HEADER);
-	bsh_relay_mark_t mark = mark_of(r);
+	const char *key =
+		bsh_http_request_header(r->http, BSH_RELAY_KEY_HEADER);
+	bsh_relay_mark_t mark = mark_of(r, key);
 
 	if (text == NULL)
 		return;
@@ -150,6 +154,8 @@
 		return;
 	}
 	r->from_peer = true;
+	r->info.has_key =
+		key != NULL && bsh_account_key_decode(key, &r->info.key);
 	r->sends = mark.sends;
 	/* An earlier build names no version. */
 	if (version != NULL)
--- a/bshentryd/suspects.c
+++ b/bshentryd/suspects.c
@@ -60,12 +60,12 @@
 }
 
 /* Value of a header that the caller sent; NULL: none. */
-static const char *find_header(const bsh_request_info_t *info, const char *name)
+static const char *find_header(const GPtrArray *headers, const char *name)
 {
 	size_t size = strlen(name);
 
-	for (guint i = 0; i < info->headers->len; i++) {
-		const char *line = g_ptr_array_index(info->headers, i);
+	for (guint i = 0; i < headers->len; i++) {
+		const char *line = g_ptr_array_index(headers, i);
 
 		if (g_ascii_strncasecmp(line, name, size) == 0 &&
 		    line[size] == ':')
@@ -79,11 +79,12 @@
 static uint64_t request_key(const request_t *r)
 {
 	uint64_t parts[BSH_PROMPT_PARTS_MAX];
+	char digest[BSH_ACCOUNT_KEY_HEX_SIZE];
 	bsh_suspect_request_t request = {
 		.method = r->method,
-		.host = find_header(&r->info, "Host"),
+		.host = find_header(r->info.headers, "Host"),
 		.path = r->path,
-		.credential = find_header(&r->info, "Authorization"),
+		.credential = find_header(r->info.credentials, "Authorization"),
 		.model = r->info.model_name,
 		.parts = parts,
 		.n_parts = MAX(r->info.n_parts, 1) - 1,
@@ -91,6 +92,12 @@
 		.body_bytes = r->body_bytes,
 	};
 
+	/* An instance to which the request was passed on knows the digest
+	 * alone. */
+	if (r->catalog->accounts != NULL && r->info.has_key) {
+		bsh_account_key_encode(&r->info.key, digest);
+		request.credential = digest;
+	}
 	for (uint32_t i = 0; i < request.n_parts; i++)
 		parts[i] = r->info.parts[i].id;
 	return bsh_suspect_request_key(r->traffic->entry->settings.key,
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -207,6 +207,20 @@
 	       traffic_is_begun_stream(r);
 }
 
+/* Refuses a request whose key the configuration in force does not have. */
+static bool is_denied(request_t *r)
+{
+	bsh_access_t access = accounts_check(r);
+
+	if (access == BSH_ACCESS_GRANTED)
+		return false;
+	if (access == BSH_ACCESS_KEY_UNKNOWN)
+		traffic_fail(r, BSH_ERR_KEY_UNKNOWN, -1);
+	else
+		traffic_fail(r, BSH_ERR_STALE_CONFIG, RETRY_DEFAULT_MS);
+	return true;
+}
+
 static void dispatch(request_t *r)
 {
 	bsh_target_candidate_t candidate;
@@ -221,7 +235,7 @@
 		traffic_fail(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
 		return;
 	}
-	if (is_held_back(r))
+	if (is_denied(r) || is_held_back(r))
 		return;
 	r->resume_us = 0;
 	if (!stream_origin_serves(r)) {
@@ -391,6 +405,7 @@
 	r->service = bsh_catalog_service_at(
 		r->catalog, bsh_route_pick_split(route, g_random_int()));
 	r->suspect_service = NULL;
+	r->priority = route->priority;
 	r->is_stream = route->kind == BSH_KIND_STREAM;
 	r->repeatable = route->kind == BSH_KIND_REPEATABLE ||
 			(r->is_stream && route->resumable);
@@ -421,7 +436,8 @@
 	r->arrived_us = traffic_now_us(t);
 	r->events = g_string_new(NULL);
 	attempts_init(r);
-	platform_request_info_init(&r->info, http);
+	r->arrived_boot_us = accounts_now_us();
+	platform_request_info_init(&r->info, http, t->entry->settings.key);
 	r->client_deadline_us = INT64_MAX;
 	if (r->info.deadline_ms != BSH_CALL_DEADLINE_NONE)
 		r->client_deadline_us =
@@ -550,8 +566,8 @@
 	const request_t *x = *(const request_t *const *)a;
 	const request_t *y = *(const request_t *const *)b;
 
-	if (x->route->priority != y->route->priority)
-		return x->route->priority < y->route->priority ? -1 : 1;
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
 	return x->arrived_us < y->arrived_us ? -1
 					     : x->arrived_us > y->arrived_us;
 }
@@ -678,6 +694,7 @@
 	request_log_register();
 	retry_register();
 	limits_register();
+	accounts_register();
 	bsh_counter_register(&waiting_gauge);
 	bsh_counter_register(&version_gauge);
 	entry->traffic = t;
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -27,6 +27,7 @@
  *	Times named *_us are microseconds on the clock of the traffic loop.
  */
 
+#include "coordination/account_access.h"
 #include "coordination/load_table.h"
 #include "coordination/place_hold.h"
 #include "coordination/prefill.h"
@@ -195,6 +196,11 @@
 	bsh_catalog_t *catalog; /* reference; owns route and service */
 	const bsh_route_rule_t *route;
 	const bsh_service_rule_t *service;
+	/* By the configuration in force at the last check of its key. */
+	bool has_accounts;	     /* of the configuration */
+	char account[BSH_NAME_SIZE]; /* "": none */
+	uint32_t priority;	     /* of the account, or of the route */
+	int64_t arrived_boot_us;     /* CLOCK_BOOTTIME */
 	char *method;
 	char *path; /* with the query */
 	char *body;
@@ -368,6 +374,14 @@
  * it was taken. */
 void drain_log_cut(const request_t *r);
 
+/* accounts.c */
+void accounts_register(void);
+/* accounts_now_us - CLOCK_BOOTTIME now. */
+int64_t accounts_now_us(void);
+/* accounts_check - whether the request may be sent now, by the configuration in
+ * force; sets its account and priority. */
+bsh_access_t accounts_check(request_t *r);
+
 /* request_log.c */
 void request_log_register(void);
 /* request_log_begin - count a request that was read. */
@@ -413,8 +427,10 @@
 /* relays_choose - whether the request is passed on to another instance, and to
  * which one. */
 relay_t relays_choose(const request_t *r, const bsh_relay_peer_t **peer);
-/* relays_mark - the header of a request that is passed on. */
-void relays_mark(const request_t *r, char *text, uint32_t text_size);
+/* relays_mark - the header of a request that is passed on.  key: digest of the
+ * key that goes along; NULL: none. */
+void relays_mark(const request_t *r, const char *key, char *text,
+		 uint32_t text_size);
 /* relays_sent - log and count a request that is passed on. */
 void relays_sent(const attempt_t *a);
 /* relays_receive - notice that a request comes from another instance. */
--- a/lib/base/error.c
+++ b/lib/base/error.c
@@ -86,6 +86,9 @@
 	[BSH_ERR_MALFORMED] = { "answer-malformed",
 				"The answer of the target is malformed.", 502,
 				UNKNOWN, false },
+	[BSH_ERR_KEY_UNKNOWN] = { "key-unknown",
+				  "No client account has the key.", 401,
+				  NOT_RUN, false },
 };
 
 const bsh_error_info_t *bsh_error_info(bsh_error_t err)
--- a/lib/base/error.h
+++ b/lib/base/error.h
@@ -51,6 +51,7 @@
 	BSH_ERR_NOT_RESUMABLE, /* no target can continue the stream, not run */
 	BSH_ERR_QUARANTINED,   /* prompt ends processes of targets, not run */
 	BSH_ERR_MALFORMED,     /* response is no answer of the protocol */
+	BSH_ERR_KEY_UNKNOWN,   /* no client account has the key, not run */
 	BSH_ERR_COUNT
 } bsh_error_t;
 
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -94,6 +94,21 @@
 	uint32_t retry_slack;  /* retries beyond the ratio, whole fleet */
 	double retry_window_s; /* window of retry_ratio and retry_slack */
 
+	/* Bound on the use of a key of a client account after the store has
+	 * accepted its removal, at any instance; 0: there is none. */
+	uint32_t accounts_revoke_ms;
+	/* Over all instances: window of the limits of client accounts, what may
+	 * pass beyond them in it as a part, and as tokens or requests. */
+	double accounts_limit_window_s;
+	double accounts_limit_overage;
+	uint32_t accounts_limit_slack;
+	/* Of the machine; 0: not bounded. */
+	uint32_t instance_memory_mb;
+	uint32_t instance_max_descriptors;
+	/* 1: targets that have just started get requests at a pace found from
+	 * their answers. */
+	uint32_t routing_pace;
+
 	char log_level[16];
 	uint32_t log_lines_per_s; /* of level info and debug; 0: no bound */
 } bsh_settings_t;
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -383,6 +383,16 @@
 	U32(bsh_msg_reader_config_t, age_ms), END
 };
 
+static const field_t config_query_fields[] = {
+	U64(bsh_msg_config_query_t, asked_us), END
+};
+
+static const field_t config_answer_fields[] = {
+	U64(bsh_msg_config_answer_t, asked_us),
+	U64(bsh_msg_config_answer_t, version),
+	U32(bsh_msg_config_answer_t, age_ms), END
+};
+
 static const field_t document_query_fields[] = {
 	U64(bsh_msg_document_query_t, known),
 	U64(bsh_msg_document_query_t, version),
@@ -434,6 +444,8 @@
 	[BSH_MSG_READER] = { "READER", reader_fields },
 	[BSH_MSG_READER_TARGETS] = { "READER_TARGETS", reader_targets_fields },
 	[BSH_MSG_READER_CONFIG] = { "READER_CONFIG", reader_config_fields },
+	[BSH_MSG_CONFIG_QUERY] = { "CONFIG_QUERY", config_query_fields },
+	[BSH_MSG_CONFIG_ANSWER] = { "CONFIG_ANSWER", config_answer_fields },
 	[BSH_MSG_DOCUMENT_QUERY] = { "DOCUMENT_QUERY", document_query_fields },
 	[BSH_MSG_DOCUMENT_PART] = { "DOCUMENT_PART", document_part_fields },
 };
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -70,6 +70,8 @@
 	BSH_MSG_DOCUMENT_QUERY,
 	BSH_MSG_DOCUMENT_PART,
 	BSH_MSG_READER_CONFIG,
+	BSH_MSG_CONFIG_QUERY,
+	BSH_MSG_CONFIG_ANSWER,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -590,6 +592,19 @@
 	uint32_t entry_count;
 } bsh_msg_load_t;
 
+/* CONFIG_QUERY: asks an instance for how long its configuration is known to be
+ * the newest. */
+typedef struct {
+	uint64_t asked_us; /* clock of the sender, repeated by CONFIG_ANSWER */
+} bsh_msg_config_query_t;
+
+/* CONFIG_ANSWER: reply to CONFIG_QUERY. */
+typedef struct {
+	uint64_t asked_us;
+	uint64_t version; /* in force at the sender */
+	uint32_t age_ms;  /* it was the newest this long ago */
+} bsh_msg_config_answer_t;
+
 typedef struct {
 	bsh_message_type_t type;
 	bsh_hlc_stamp_t stamp;
@@ -627,6 +642,8 @@
 		bsh_msg_reader_t reader;
 		bsh_msg_reader_targets_t reader_targets;
 		bsh_msg_reader_config_t reader_config;
+		bsh_msg_config_query_t config_query;
+		bsh_msg_config_answer_t config_answer;
 		bsh_msg_document_query_t document_query;
 		bsh_msg_document_part_t document_part;
 	};
--- a/lib/protocol/relay_mark.c
+++ b/lib/protocol/relay_mark.c
@@ -35,6 +35,9 @@
 	add_field(&state, mark->method);
 	add_field(&state, mark->path);
 	add_field(&state, sends);
+	/* Without a key the mark is that of builds without client accounts. */
+	if (mark->key != NULL)
+		add_field(&state, mark->key);
 	crypto_generichash_final(&state, mac, sizeof(mac));
 	sodium_bin2hex(text, text_size, mac, sizeof(mac));
 }
--- a/lib/protocol/relay_mark.h
+++ b/lib/protocol/relay_mark.h
@@ -16,6 +16,9 @@
  *	A second header names the version of the configuration by which the
  *	request was accepted, in decimal digits.  It counts only beside a mark
  *	that is authentic.
+ *
+ *	A third header has the digest of the key of the caller's client account,
+ *	in hexadecimal digits.  The mark covers it.
  */
 
 #include <stdbool.h>
@@ -23,6 +26,7 @@
 
 #define BSH_RELAY_HEADER	 "Berylshunt-Relay"
 #define BSH_RELAY_VERSION_HEADER "Berylshunt-Relay-Configuration"
+#define BSH_RELAY_KEY_HEADER	 "Berylshunt-Relay-Key"
 
 #define BSH_RELAY_SECRET_BYTES 32
 #define BSH_RELAY_MARK_SIZE    64 /* of the text */
@@ -32,6 +36,7 @@
 	const char *method;
 	const char *path; /* with the query */
 	uint32_t sends;
+	const char *key; /* value of the third header; NULL: there is none */
 } bsh_relay_mark_t;
 
 /* bsh_relay_mark_encode - write the value of the header.  The secret has
--- a/lib/protocol/request_info.h
+++ b/lib/protocol/request_info.h
@@ -17,6 +17,7 @@
 #include <stdint.h>
 
 #include "base/name.h"
+#include "state/account.h"
 
 #define BSH_ATTEMPT_ID_SIZE    80
 #define BSH_EVENT_ID_SIZE      24
@@ -50,6 +51,11 @@
 	char log_event_id[BSH_LOG_TEXT_SIZE];
 	char log_model[BSH_LOG_TEXT_SIZE];
 	GPtrArray *headers; /* "Name: value" strings to forward */
+	/* Headers that are forwarded only where the configuration has no client
+	 * accounts. */
+	GPtrArray *credentials;
+	bool has_key; /* of a client account */
+	bsh_account_key_t key;
 } bsh_request_info_t;
 
 #endif
--- a/lib/state/catalog.c
+++ b/lib/state/catalog.c
@@ -61,6 +61,7 @@
 	g_hash_table_destroy(catalog->hosts);
 	g_ptr_array_free(catalog->routes, TRUE);
 	g_ptr_array_free(catalog->services, TRUE);
+	bsh_accounts_free(catalog->accounts);
 	g_free(catalog);
 }
 
--- a/lib/state/catalog.h
+++ b/lib/state/catalog.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 
 #include "base/settings.h"
+#include "state/account.h"
 
 typedef enum {
 	BSH_KIND_REPEATABLE = 0, /* may be executed more than once */
@@ -46,6 +47,7 @@
 	uint32_t max_attempts; /* at least 1 */
 	bool sticky;	       /* requests carry a model and prompt parts */
 	bool resumable;	       /* a stream may continue on another target */
+	bool anonymous;	       /* requests need no key of a client account */
 	GArray *splits;	       /* bsh_route_split_t, at least one */
 } bsh_route_rule_t;
 
@@ -87,6 +89,7 @@
 	GPtrArray *services; /* bsh_service_rule_t */
 	GHashTable *hosts;   /* host to GPtrArray, longest prefix first */
 	bsh_limits_t limits;
+	bsh_accounts_t *accounts; /* NULL: requests need no key */
 } bsh_catalog_t;
 
 bsh_catalog_t *bsh_catalog_new(void);
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -480,8 +480,10 @@
 	if (rig->has_second_engine)
 		append_engine(text, "llm2", rig->weights_mb);
 	g_string_append(
-		text,
-		"{\"name\":\"desk\"},{\"name\":\"shop\"}],\"limits\":{}}");
+		text, "{\"name\":\"desk\"},{\"name\":\"shop\"}],\"limits\":{}");
+	if (rig->accounts != NULL)
+		g_string_append_printf(text, ",\"tenants\":%s", rig->accounts);
+	g_string_append_c(text, '}');
 	spec = json_loads(text->str, 0, NULL);
 	g_assert_nonnull(spec);
 	record_change(rig, "config", "main", spec);
@@ -830,6 +832,18 @@
 			     GUINT_TO_POINTER(workers));
 }
 
+static void note_credentials(worker_t *worker,
+			     const bsh_http_request_t *request)
+{
+	const char *account =
+		bsh_http_request_header(request, "Berylshunt-Tenant");
+
+	g_strlcpy(worker->account, account != NULL ? account : "",
+		  sizeof(worker->account));
+	worker->keys_seen +=
+		bsh_http_request_header(request, "Authorization") != NULL;
+}
+
 static void start_run(worker_t *worker, bsh_http_request_t *request)
 {
 	static const bsh_http_request_handler_t handler = { on_run_done, NULL };
@@ -850,6 +864,7 @@
 	run_t *run;
 
 	rig->crash_part_runs += crashes;
+	note_credentials(worker, request);
 	g_array_append_val(worker->arrivals_us, now_us);
 
 	if (worker->mode == WORKER_IS_FULL) {
@@ -1056,7 +1071,8 @@
 const uint8_t platform_rig_key[32] = { [31] = 7 };
 
 static void write_settings(rig_entry_t *entry, const char *store_address,
-			   uint32_t lease_ms, uint32_t grace_s)
+			   uint32_t lease_ms, uint32_t grace_s,
+			   const char *further)
 {
 	g_autofree char *text = g_strdup_printf(
 		"[instance]\nname=%s\nzone=z1\n[security]\nkey=%064d\n"
@@ -1064,11 +1080,12 @@
 		"[control]\nlisten=%s\nlink=%s\ngossip=%s:%u\n"
 		"[entry]\nready=%s\ngrace_s=%u\norder_lease_ms=%u\n"
 		"order_start_ms=0\nseed_loads=0\n"
-		"[timing]\nprobe_period_ms=200\n",
+		"[timing]\nprobe_period_ms=200\n%s",
 		entry->name, platform_rig_key[sizeof(platform_rig_key) - 1],
 		store_address, entry->front, entry->metrics, entry->directory,
 		entry->directory, loopback_ip(), loopback_free_port(),
-		entry->ready, grace_s, lease_ms);
+		entry->ready, grace_s, lease_ms,
+		further != NULL ? further : "");
 	int fd = g_file_open_tmp("bsh-entry-XXXXXX", &entry->settings_path,
 				 NULL);
 
@@ -1105,7 +1122,7 @@
 		g_snprintf(addresses[i], sizeof(entry->front), "%s:%u",
 			   loopback_ip(), loopback_free_port());
 	write_settings(entry, store_address, rig->lease_ms,
-		       rig->grace_s > 0 ? rig->grace_s : 3);
+		       rig->grace_s > 0 ? rig->grace_s : 3, rig->settings);
 	platform_rig_spawn(rig, entry);
 	return entry;
 }
@@ -1284,6 +1301,9 @@
 	add_header(headers, "Berylshunt-Prompt-Prefix", request->prompt);
 	add_header(headers, BSH_RELAY_HEADER, request->relay_mark);
 	add_header(headers, BSH_RELAY_VERSION_HEADER, request->relay_version);
+	add_header(headers, "Authorization", request->authorization);
+	add_header(headers, "Berylshunt-Tenant", request->claimed_account);
+	add_header(headers, "Berylshunt-Token-Usage", request->tokens);
 	g_ptr_array_add(headers, NULL);
 	spec.headers = (const char *const *)headers->pdata;
 	memset(reply, 0, sizeof(*reply));
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -85,6 +85,8 @@
 	int64_t delivered_us; /* sum of the times of their runs */
 	const char *pause;    /* Retry-After of its refusals; or NULL */
 	GArray *arrivals_us;  /* int64_t, of all requests that reached it */
+	char account[64];     /* named by the last request; "": none */
+	uint32_t keys_seen;   /* requests that had an Authorization */
 	uint64_t fence;	      /* highest fencing token of an order */
 	/* Orders with a lower fencing token than an earlier one, or with that
 	 * of another holder. */
@@ -146,6 +148,9 @@
 	 * configuration; or NULL. */
 	const char *relay_mark;
 	const char *relay_version;
+	const char *authorization;   /* or NULL */
+	const char *claimed_account; /* in the header of targets; or NULL */
+	const char *tokens;	     /* "PROMPT,ANSWER", or NULL */
 } rig_request_t;
 
 /* Key of the deployment in the settings of the daemons. */
@@ -172,6 +177,8 @@
 	int64_t compacted_revision; /* history up to it was removed */
 	uint32_t lease_ms;	    /* duration of the order lease */
 	uint32_t grace_s;	    /* from SIGTERM to the end; 0: 3 */
+	const char *settings; /* further groups of later entries; or NULL */
+	const char *accounts; /* client accounts as a JSON array; or NULL */
 	worker_t workers[RIG_WORKERS_MAX];
 	uint32_t n_workers;
 	rig_entry_t entries[RIG_ENTRIES_MAX];
--- /dev/null
+++ b/regress/test_accounts.c
@@ -0,0 +1,394 @@
+/* Client accounts: keys in the configuration, at targets, between instances, and
+ * after their removal. */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "coordination/account_access.h"
+#include "coordination/config_proof.h"
+#include "platform/decode.h"
+#include "platform/target_client.h"
+#include "protocol/relay_mark.h"
+#include "support/platform_rig.h"
+
+#define SECOND_US   INT64_C(1000000)
+#define REVOKE_MS   "1500"
+#define DEADLINE_MS 3000
+
+/* Guards against a key that is used although it may have been removed, and
+ * against 401 for one that a newer configuration may have. */
+static void test_access(void)
+{
+	static const struct {
+		bsh_access_input_t input;
+		bsh_access_t expected;
+	} cases[] = {
+		{ { .needs_key = false }, BSH_ACCESS_GRANTED },
+		{ { .needs_key = true }, BSH_ACCESS_KEY_UNKNOWN },
+		{ { .needs_key = true, .confirmed_age_us = 3 * SECOND_US },
+		  BSH_ACCESS_UNCONFIRMED },
+		{ { .needs_key = true,
+		    .key_known = true,
+		    .confirmed_age_us = 60 * SECOND_US },
+		  BSH_ACCESS_GRANTED },
+		/* Never proven; just within the bound; beyond it. */
+		{ { .needs_key = true,
+		    .key_known = true,
+		    .arrived_us = 10 * SECOND_US,
+		    .bound_us = 5 * SECOND_US },
+		  BSH_ACCESS_UNCONFIRMED },
+		{ { .needs_key = true,
+		    .key_known = true,
+		    .arrived_us = 14 * SECOND_US,
+		    .proven_us = 10 * SECOND_US,
+		    .bound_us = 5 * SECOND_US },
+		  BSH_ACCESS_GRANTED },
+		{ { .needs_key = true,
+		    .key_known = true,
+		    .arrived_us = 15 * SECOND_US,
+		    .proven_us = 10 * SECOND_US,
+		    .bound_us = 5 * SECOND_US },
+		  BSH_ACCESS_UNCONFIRMED },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpint(bsh_access_decide(&cases[i].input), ==,
+				cases[i].expected);
+}
+
+/* Guards against an answer that is taken for newer than its query, as after a
+ * freeze between the two, and against one about an older version. */
+static void test_proof(void)
+{
+	bsh_config_proof_t proof;
+	int64_t now_us = 100 * SECOND_US;
+
+	bsh_config_proof_init(&proof);
+	bsh_config_proof_adopted(&proof, 5);
+	g_assert_true(bsh_config_proof_due(&proof, 3, now_us));
+	g_assert_false(bsh_config_proof_due(&proof, 3, now_us + 1000));
+	/* The answer is read 7 s after the query. */
+	bsh_config_proof_answered(&proof, 5, now_us, SECOND_US / 2,
+				  now_us + 7 * SECOND_US);
+	g_assert_cmpint(bsh_config_proof_us(&proof), ==,
+			now_us - SECOND_US / 2);
+	/* A version below the one in force, and a query from the future. */
+	bsh_config_proof_answered(&proof, 4, now_us + SECOND_US, 0,
+				  now_us + 2 * SECOND_US);
+	bsh_config_proof_answered(&proof, 5, now_us + 9 * SECOND_US, 0,
+				  now_us + 8 * SECOND_US);
+	g_assert_cmpint(bsh_config_proof_us(&proof), ==,
+			now_us - SECOND_US / 2);
+	/* A newer version counts once it is in force here. */
+	bsh_config_proof_answered(&proof, 6, now_us + 2 * SECOND_US, 0,
+				  now_us + 3 * SECOND_US);
+	g_assert_cmpint(bsh_config_proof_us(&proof), ==,
+			now_us - SECOND_US / 2);
+	bsh_config_proof_adopted(&proof, 6);
+	g_assert_cmpint(bsh_config_proof_us(&proof), ==,
+			now_us + 2 * SECOND_US);
+}
+
+#define CONFIGURATION(accounts)                                                \
+	"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":" accounts "}"
+
+/* Guards against two accounts with one key, against limits that are no limits,
+ * and against a message that shows a key. */
+static void test_refused_accounts(void)
+{
+	static const char *const texts[] = {
+		CONFIGURATION("[{\"apiKeys\":[\"k\"]}]"),
+		CONFIGURATION("[{\"name\":\"a\"},{\"name\":\"a\"}]"),
+		CONFIGURATION("[{\"name\":\"a\",\"apiKeys\":[\"secret\"]},"
+			      "{\"name\":\"b\",\"apiKeys\":[\"secret\"]}]"),
+		CONFIGURATION("[{\"name\":\"a\",\"ratePerS\":-1}]"),
+		CONFIGURATION("[{\"name\":\"a\",\"burst\":\"much\"}]"),
+		CONFIGURATION("[{\"name\":\"a\",\"apiKeys\":[7]}]"),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_autoptr(GString) problem = g_string_new(NULL);
+		json_t *spec = json_loads(texts[i], 0, NULL);
+
+		g_assert_null(platform_decode_catalog(spec, platform_rig_key,
+						      problem));
+		g_assert_nonnull(strstr(problem->str, "tenant"));
+		g_assert_null(strstr(problem->str, "secret"));
+		json_decref(spec);
+	}
+}
+
+/* Guards against a configuration that shows keys to other instances, or is of no
+ * use to them without. */
+static void test_shared_configuration(void)
+{
+	g_autoptr(GString) problem = g_string_new(NULL);
+	json_t *spec = json_loads(
+		CONFIGURATION("[{\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"],"
+			      "\"priority\":3,\"ratePerS\":10.5,"
+			      "\"burst\":20,\"unit\":\"tokens\","
+			      "\"plainTokens\":200},{\"name\":\"b\"}]"),
+		0, NULL);
+	json_t *shared = platform_hide_keys(spec, platform_rig_key);
+	char *text = json_dumps(shared, JSON_COMPACT);
+	bsh_catalog_t *catalog =
+		platform_decode_catalog(shared, platform_rig_key, problem);
+	const bsh_account_rule_t *account;
+	bsh_account_key_t key;
+
+	g_assert_null(strstr(text, "k1"));
+	g_assert_nonnull(catalog);
+	g_assert_cmpuint(bsh_accounts_size(catalog->accounts), ==, 2);
+	bsh_account_key_digest(platform_rig_key, "k2", 2, &key);
+	account = bsh_accounts_find_key(catalog->accounts, &key);
+	g_assert_nonnull(account);
+	g_assert_cmpstr(account->name, ==, "a");
+	g_assert_true(account->has_priority && account->counts_tokens);
+	g_assert_cmpuint(account->priority, ==, 3);
+	g_assert_cmpfloat(account->rate_per_s, ==, 10.5);
+	g_assert_cmpuint(account->plain_tokens, ==, 200);
+	bsh_account_key_digest(platform_rig_key, "k3", 2, &key);
+	g_assert_null(bsh_accounts_find_key(catalog->accounts, &key));
+	bsh_catalog_unref(catalog);
+	json_decref(shared);
+	json_decref(spec);
+	free(text);
+}
+
+static bool has_name(const GPtrArray *headers, const char *name)
+{
+	for (guint i = 0; i + 1 < headers->len; i++)
+		if (g_str_has_prefix(g_ptr_array_index(headers, i), name))
+			return true;
+	return false;
+}
+
+/* Guards against credentials that reach a target of a deployment with accounts,
+ * or no longer reach those of one without. */
+static void test_headers(void)
+{
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	g_autoptr(GPtrArray) credentials = g_ptr_array_new();
+	bsh_request_info_t info = { .headers = none,
+				    .credentials = credentials };
+	platform_forward_t forward = { .target = "t" };
+	GPtrArray *headers;
+
+	g_ptr_array_add(credentials, "Authorization: Bearer k");
+	g_ptr_array_add(credentials, "Berylshunt-Tenant: other");
+	headers = platform_forward_headers(&info, &forward);
+	g_assert_true(has_name(headers, "Authorization: Bearer k"));
+	g_assert_true(has_name(headers, "Berylshunt-Tenant: other"));
+	g_ptr_array_free(headers, TRUE);
+	forward.has_accounts = true;
+	forward.account = "own";
+	headers = platform_forward_headers(&info, &forward);
+	g_assert_false(has_name(headers, "Authorization"));
+	g_assert_false(has_name(headers, "Berylshunt-Tenant: other"));
+	g_assert_true(has_name(headers, "Berylshunt-Tenant: own"));
+	g_ptr_array_free(headers, TRUE);
+}
+
+/* Guards against a caller that sends the digest of another account's key as if it
+ * were passed on by an instance. */
+static void test_mark(void)
+{
+	bsh_relay_mark_t mark = { "id", "GET", "/look/1", 0, "00ff" };
+	char text[BSH_RELAY_MARK_SIZE];
+
+	bsh_relay_mark_encode(platform_rig_key, &mark, text, sizeof(text));
+	g_assert_true(bsh_relay_mark_decode(platform_rig_key, text, &mark));
+	mark.key = "00fe";
+	g_assert_false(bsh_relay_mark_decode(platform_rig_key, text, &mark));
+	mark.key = NULL;
+	g_assert_false(bsh_relay_mark_decode(platform_rig_key, text, &mark));
+}
+
+/* With processes. */
+
+#define OPEN_ROUTE                                                             \
+	"{\"name\":\"open\",\"host\":\"" RIG_HOST "\",\"pathPrefix\":\"/open/" \
+	"\",\"kind\":\"idempotent\",\"service\":\"desk\",\"maxAttempts\":2,"   \
+	"\"anonymous\":true,\"timeoutMs\":3000,\"targetLatencyMs\":500,"       \
+	"\"priority\":0}"
+
+typedef struct {
+	platform_rig_t rig;
+	worker_t *worker;
+	uint32_t sent;
+} fixture_t;
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+	platform_rig_init(&f->rig);
+	f->rig.settings = data;
+	f->rig.accounts = "[{\"name\":\"acme\",\"apiKeys\":[\"k1\"]},"
+			  "{\"name\":\"zinc\",\"apiKeys\":[\"k2\",\"k3\"]}]";
+	platform_rig_configure(&f->rig, OPEN_ROUTE);
+	f->worker = platform_rig_add_worker(&f->rig, "desk", NULL);
+	for (int i = 0; i < 2; i++)
+		platform_rig_wait_ready(&f->rig,
+					platform_rig_add_entry(&f->rig));
+	/* Until the instances know each other. */
+	platform_rig_run(&f->rig, 1000);
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_finish(&f->rig);
+}
+
+/* Status of a call with this key at an instance; the caller claims to be of
+ * another account. */
+static int call_status(fixture_t *f, uint32_t entry, const char *path,
+		       const char *authorization)
+{
+	g_autofree char *id = g_strdup_printf("a%u", f->sent++);
+	rig_request_t request = { .address = f->rig.entries[entry].front,
+				  .path = path,
+				  .id = id,
+				  .deadline_ms = DEADLINE_MS,
+				  .authorization = authorization,
+				  .claimed_account = "other" };
+	rig_reply_t reply;
+	int status;
+
+	f->worker->account[0] = '\0';
+	platform_rig_start(&f->rig, &request, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	status = reply.status;
+	g_assert_cmpuint(platform_rig_runs(&f->rig, id), ==, status == 200);
+	platform_rig_reply_clear(&reply);
+	return status;
+}
+
+static void expect_account(fixture_t *f, const char *authorization,
+			   const char *account)
+{
+	g_assert_cmpint(call_status(f, 0, "/book/1", authorization), ==, 200);
+	g_assert_cmpstr(f->worker->account, ==, account);
+}
+
+/* Guards against requests of unknown callers that run, names of accounts that
+ * callers choose, and keys that targets see. */
+static void test_keys(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	expect_account(f, "Bearer k1", "acme");
+	expect_account(f, "bearer k3", "zinc");
+	g_assert_cmpint(call_status(f, 0, "/book/1", NULL), ==, 401);
+	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k9"), ==, 401);
+	g_assert_cmpint(call_status(f, 0, "/book/1", "Basic k1"), ==, 401);
+	g_assert_cmpint(call_status(f, 0, "/open/1", NULL), ==, 200);
+	g_assert_cmpint(call_status(f, 0, "/open/1", "Bearer k9"), ==, 200);
+	g_assert_cmpstr(f->worker->account, ==, "");
+	g_assert_cmpuint(f->worker->keys_seen, ==, 0);
+}
+
+/* Guards against keys that keep their account, or none, after a newer
+ * configuration. */
+static void test_changed_keys(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->rig.accounts = "[{\"name\":\"acme\",\"apiKeys\":[\"k2\",\"k4\"]},"
+			  "{\"name\":\"zinc\",\"apiKeys\":[\"k3\"]}]";
+	platform_rig_configure(&f->rig, OPEN_ROUTE);
+	platform_rig_run(&f->rig, 1000);
+	expect_account(f, "Bearer k2", "acme");
+	expect_account(f, "Bearer k4", "acme");
+	for (uint32_t i = 0; i < 2; i++)
+		g_assert_cmpint(call_status(f, i, "/book/1", "Bearer k1"), ==,
+				401);
+}
+
+/* Guards against a request that waits for a model and runs after its key was
+ * removed. */
+static void test_removed_while_waiting(fixture_t *f, gconstpointer data)
+{
+	rig_request_t request = { .address = f->rig.entries[0].front,
+				  .path = "/stream/1",
+				  .id = "late",
+				  .model = "m0",
+				  .deadline_ms = DEADLINE_MS,
+				  .authorization = "Bearer k1" };
+	rig_reply_t reply;
+
+	(void)data;
+	platform_rig_start(&f->rig, &request, &reply);
+	platform_rig_run(&f->rig, 300);
+	g_assert_false(reply.done);
+	f->rig.accounts = "[{\"name\":\"zinc\",\"apiKeys\":[\"k2\"]}]";
+	platform_rig_configure(&f->rig, OPEN_ROUTE);
+	platform_rig_wait(&f->rig, &reply.done);
+	g_assert_cmpint(reply.status, ==, 401);
+	platform_rig_reply_clear(&reply);
+}
+
+/* Guards against an instance that hears neither the store nor others, and uses a
+ * key that was removed. */
+static void test_out_of_touch(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	expect_account(f, "Bearer k1", "acme");
+	f->rig.store_unresponsive = true;
+	platform_rig_run(&f->rig, 2000);
+	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k1"), ==, 503);
+	g_assert_cmpint(call_status(f, 1, "/book/1", "Bearer k1"), ==, 503);
+	g_assert_cmpint(call_status(f, 0, "/open/1", NULL), ==, 200);
+}
+
+/* Guards against an instance that wakes from a freeze and takes the messages that
+ * came before for new ones. */
+static void test_frozen(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_signal(&f->rig.entries[0], SIGSTOP);
+	platform_rig_run(&f->rig, 1000);
+	platform_rig_signal(&f->rig.entries[1], SIGSTOP);
+	f->rig.store_unresponsive = true;
+	f->rig.accounts = "[{\"name\":\"zinc\",\"apiKeys\":[\"k2\"]}]";
+	platform_rig_configure(&f->rig, OPEN_ROUTE);
+	platform_rig_run(&f->rig, 2000);
+	platform_rig_signal(&f->rig.entries[0], SIGCONT);
+	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k1"), ==, 503);
+	platform_rig_signal(&f->rig.entries[1], SIGCONT);
+}
+
+/* Guards against an instance that the store does not answer, and that does not
+ * learn from the others that its configuration is the newest. */
+static void test_told_by_others(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	for (int i = 0; i < 20; i++) {
+		platform_rig_run(&f->rig, 200);
+		expect_account(f, "Bearer k1", "acme");
+		g_assert_cmpint(call_status(f, 1, "/book/1", "Bearer k1"), ==,
+				200);
+	}
+}
+
+#define STRICT "[accounts]\nrevoke_ms=" REVOKE_MS "\n"
+#define ADD(path, settings, fn)                                                \
+	g_test_add("/accounts/" path, fixture_t, settings, set_up, fn,         \
+		   tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	g_test_add_func("/accounts/access", test_access);
+	g_test_add_func("/accounts/proof", test_proof);
+	g_test_add_func("/accounts/refused", test_refused_accounts);
+	g_test_add_func("/accounts/shared-configuration",
+			test_shared_configuration);
+	g_test_add_func("/accounts/headers", test_headers);
+	g_test_add_func("/accounts/mark", test_mark);
+	ADD("keys", NULL, test_keys);
+	ADD("changed-keys", NULL, test_changed_keys);
+	ADD("removed-while-waiting", NULL, test_removed_while_waiting);
+	ADD("out-of-touch", STRICT, test_out_of_touch);
+	ADD("frozen", STRICT, test_frozen);
+	ADD("told-by-others", STRICT, test_told_by_others);
+	return g_test_run();
+}
--- a/regress/test_configurations.c
+++ b/regress/test_configurations.c
@@ -253,7 +253,7 @@
 static int relayed_status(platform_rig_t *rig, const char *id, uint64_t version)
 {
 	g_autofree char *text = g_strdup_printf("%" G_GUINT64_FORMAT, version);
-	bsh_relay_mark_t mark = { id, "POST", "/book/1", 0 };
+	bsh_relay_mark_t mark = { id, "POST", "/book/1", 0, NULL };
 	char mark_text[BSH_RELAY_MARK_SIZE];
 	rig_request_t request = { .address = rig->entries[0].front,
 				  .path = mark.path,
--- a/regress/test_decoders.c
+++ b/regress/test_decoders.c
@@ -65,7 +65,7 @@
 	g_autoptr(GString) problem = g_string_new(NULL);
 	uint32_t skipped;
 	json_t *spec = platform_read_json(data, size, &skipped);
-	bsh_catalog_t *catalog = platform_decode_catalog(spec, problem);
+	bsh_catalog_t *catalog = platform_decode_catalog(spec, NULL, problem);
 
 	(void)text;
 	g_assert_true((catalog == NULL) == (problem->len > 0));
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -165,6 +165,12 @@
 	case BSH_MSG_READER_CONFIG:
 		m.reader_config = (bsh_msg_reader_config_t){ 5, 6 };
 		break;
+	case BSH_MSG_CONFIG_QUERY:
+		m.config_query = (bsh_msg_config_query_t){ 5 };
+		break;
+	case BSH_MSG_CONFIG_ANSWER:
+		m.config_answer = (bsh_msg_config_answer_t){ 5, 6, 7 };
+		break;
 	case BSH_MSG_DOCUMENT_QUERY:
 		m.document_query = (bsh_msg_document_query_t){ 1, 2, 3 };
 		break;
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -37,7 +37,7 @@
 {
 	g_autoptr(GString) problem = g_string_new(NULL);
 	json_t *spec = parse(config_text);
-	bsh_catalog_t *catalog = platform_decode_catalog(spec, problem);
+	bsh_catalog_t *catalog = platform_decode_catalog(spec, NULL, problem);
 	const bsh_route_rule_t *route;
 	const bsh_service_rule_t *service;
 	const bsh_model_rule_t *model;
@@ -83,7 +83,7 @@
 		g_autoptr(GString) problem = g_string_new(NULL);
 		json_t *spec = parse(texts[i]);
 
-		g_assert_null(platform_decode_catalog(spec, problem));
+		g_assert_null(platform_decode_catalog(spec, NULL, problem));
 		g_assert_cmpuint(problem->len, >, 0);
 		json_decref(spec);
 	}
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -162,8 +162,8 @@
 	static const char *const bad[] = {
 		"", "0", "2 ", "x y", "-1", "2 00", " ", "99999999999 a"
 	};
-	bsh_relay_mark_t mark = { "a1", "POST", "/book/1?x=1", 2 };
-	bsh_relay_mark_t read = { "a1", "POST", "/book/1?x=1", 0 };
+	bsh_relay_mark_t mark = { "a1", "POST", "/book/1?x=1", 2, NULL };
+	bsh_relay_mark_t read = { "a1", "POST", "/book/1?x=1", 0, NULL };
 	char text[BSH_RELAY_MARK_SIZE];
 	char *digit;
 
@@ -201,7 +201,7 @@
 static void test_version(void)
 {
 	g_autoptr(GPtrArray) none = g_ptr_array_new();
-	bsh_request_info_t info = { .headers = none };
+	bsh_request_info_t info = { .headers = none, .credentials = none };
 	platform_forward_t forward = { .relay_mark = "0 ab",
 				       .relay_version = 18 };
 	GPtrArray *headers = platform_forward_headers(&info, &forward);
