accounts: limits in tokens over all instances

Nobody counted what an account uses: one account beyond its limit took engines from the others, and got no refusal of its own.

The holder of the order lease keeps a ledger; each instance reports what it has admitted and is told which fraction to admit of an account that is short (lib/coordination/account_limit). Without an answer an instance uses half of its equal part. What has not run is given back.

Counters may be registered at any time, for those of an account.

--- /dev/null
+++ b/bshentryd/account_keeper.c
@@ -0,0 +1,215 @@
+#include "account_keeper.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+
+/* A successor that has heard of an earlier keeper begins with half of each burst:
+ * what was used since is not known.  A process that has just started may follow
+ * one that used all. */
+#define FILLED_KNOWN 0.5
+#define FILLED_NEW   0.0
+
+static bsh_counter_t keeper_gauge =
+	BSH_GAUGE("bsh_account_keeper",
+		  "1 while this instance has the ledger of client accounts.");
+static bsh_counter_t short_gauge = BSH_GAUGE(
+	"bsh_accounts_short",
+	"Client accounts at their limit, at the instance with the ledger.");
+
+void account_keeper_register(void)
+{
+	bsh_counter_register(&keeper_gauge);
+	bsh_counter_register(&short_gauge);
+}
+
+void account_keeper_init(account_keeper_t *keeper,
+			 const account_keeper_ops_t *ops)
+{
+	memset(keeper, 0, sizeof(*keeper));
+	keeper->ops = *ops;
+	keeper->accounts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+}
+
+void account_keeper_finish(account_keeper_t *keeper)
+{
+	if (keeper->ledger != NULL)
+		bsh_account_ledger_free(keeper->ledger);
+	g_array_free(keeper->accounts, TRUE);
+}
+
+static bool has_limit(void *ctx, uint32_t account)
+{
+	const account_keeper_t *keeper = ctx;
+
+	for (guint i = 0; i < keeper->accounts->len; i++)
+		if (g_array_index(keeper->accounts, uint32_t, i) == account)
+			return true;
+	return false;
+}
+
+static void set_accounts(account_keeper_t *keeper,
+			 const bsh_accounts_t *accounts, double slack,
+			 double filled, int64_t now_us)
+{
+	g_array_set_size(keeper->accounts, 0);
+	for (uint32_t i = 0; i < bsh_accounts_size(accounts); i++) {
+		const bsh_account_rule_t *account =
+			bsh_accounts_at(accounts, i);
+		bsh_account_bounds_t bounds = { account->rate_per_s,
+						account->burst, slack };
+
+		if (account->rate_per_s <= 0)
+			continue;
+		g_array_append_val(keeper->accounts, account->hash);
+		bsh_account_ledger_set(keeper->ledger, account->hash, &bounds,
+				       filled, now_us);
+	}
+	bsh_account_ledger_keep(keeper->ledger, has_limit, keeper);
+}
+
+void account_keeper_update(account_keeper_t *keeper,
+			   const bsh_accounts_t *accounts, double slack,
+			   bool is_keeper, int64_t now_us)
+{
+	bool keeps = is_keeper && accounts != NULL;
+	double filled = keeper->heard_us > 0 ? FILLED_KNOWN : FILLED_NEW;
+
+	if (keeps != (keeper->ledger != NULL)) {
+		bsh_log(BSH_LOG_INFO, "account-keeper active=%d", keeps);
+		bsh_counter_set(&keeper_gauge, keeps);
+		bsh_counter_set(&short_gauge, 0);
+	}
+	if (!keeps) {
+		g_clear_pointer(&keeper->ledger, bsh_account_ledger_free);
+		return;
+	}
+	if (keeper->ledger == NULL)
+		keeper->ledger = bsh_account_ledger_new();
+	set_accounts(keeper, accounts, slack, filled, now_us);
+}
+
+static void note_uses(const account_keeper_t *keeper, const char *instance,
+		      uint64_t incarnation, bool first,
+		      const bsh_account_use_t *uses, uint32_t n, int64_t now_us)
+{
+	uint64_t key = XXH64(instance, strlen(instance), 0);
+
+	bsh_account_ledger_hear(keeper->ledger, key, incarnation, first,
+				now_us);
+	for (uint32_t i = 0; i < n; i++) {
+		bsh_account_totals_t totals = {
+			.offered = uses[i].offered,
+			.admitted = uses[i].admitted,
+			.given_back = uses[i].given_back,
+		};
+
+		bsh_account_ledger_note(keeper->ledger, key, uses[i].account,
+					&totals, now_us);
+	}
+}
+
+/* The accounts of which not all is admitted. */
+static GArray *find_short(account_keeper_t *keeper, uint32_t instances,
+			  int64_t now_us)
+{
+	GArray *found =
+		g_array_new(FALSE, FALSE, sizeof(bsh_account_fraction_t));
+
+	for (guint i = 0; i < keeper->accounts->len; i++) {
+		bsh_account_fraction_t entry = {
+			.account = g_array_index(keeper->accounts, uint32_t, i),
+		};
+		double fraction = bsh_account_ledger_fraction(
+			keeper->ledger, entry.account, instances, now_us);
+
+		entry.millionths = (uint32_t)(fraction * 1e6);
+		entry.retry_ms = bsh_account_ledger_retry_ms(keeper->ledger,
+							     entry.account);
+		if (fraction < 1.0 && found->len < BSH_ACCOUNT_SHARES_MAX)
+			g_array_append_val(found, entry);
+	}
+	if (found->len != keeper->short_accounts) {
+		keeper->short_accounts = found->len;
+		bsh_counter_set(&short_gauge, found->len);
+		bsh_log(BSH_LOG_INFO, "accounts-short n=%u instances=%u",
+			found->len, instances);
+	}
+	return found;
+}
+
+static const bsh_account_fraction_t *fractions_of(const GArray *found)
+{
+	return &g_array_index(found, const bsh_account_fraction_t, 0);
+}
+
+static void send_uses(account_keeper_t *keeper,
+		      const account_parties_t *parties,
+		      const bsh_account_use_t *uses, uint32_t n, int64_t now_us)
+{
+	bsh_message_t message = { .type = BSH_MSG_ACCOUNT_USE };
+	uint32_t sent = 0;
+
+	do {
+		message.account_use.asked_us = (uint64_t)now_us;
+		message.account_use.first = !keeper->reported;
+		message.account_use.uses = uses + sent;
+		message.account_use.use_count =
+			MIN(n - sent, BSH_ACCOUNT_USES_MAX);
+		sent += message.account_use.use_count;
+		keeper->ops.send(keeper->ops.ctx, parties->holder, &message);
+	} while (sent < n);
+}
+
+void account_keeper_report(account_keeper_t *keeper,
+			   const account_parties_t *parties,
+			   const bsh_account_use_t *uses, uint32_t n,
+			   int64_t now_us)
+{
+	g_autoptr(GArray) found = NULL;
+
+	if (keeper->ledger != NULL) {
+		note_uses(keeper, parties->self, parties->incarnation,
+			  !keeper->reported, uses, n, now_us);
+		found = find_short(keeper, parties->instances, now_us);
+		keeper->ops.told(keeper->ops.ctx, fractions_of(found),
+				 found->len, now_us);
+	} else if (parties->holder[0] != '\0') {
+		send_uses(keeper, parties, uses, n, now_us);
+	}
+	keeper->reported = true;
+}
+
+void account_keeper_receive_use(account_keeper_t *keeper, const char *sender,
+				uint64_t incarnation,
+				const bsh_msg_account_use_t *message,
+				uint32_t instances, int64_t now_us)
+{
+	bsh_message_t answer = { .type = BSH_MSG_ACCOUNT_SHARES };
+	g_autoptr(GArray) found = NULL;
+
+	if (keeper->ledger == NULL)
+		return;
+	note_uses(keeper, sender, incarnation, message->first, message->uses,
+		  message->use_count, now_us);
+	found = find_short(keeper, instances, now_us);
+	answer.account_shares.asked_us = message->asked_us;
+	answer.account_shares.fractions = fractions_of(found);
+	answer.account_shares.fraction_count = found->len;
+	keeper->ops.send(keeper->ops.ctx, sender, &answer);
+}
+
+void account_keeper_receive_shares(account_keeper_t *keeper,
+				   const bsh_msg_account_shares_t *message,
+				   int64_t now_us)
+{
+	/* An earlier process of this machine may have asked, on a clock that
+	 * began anew. */
+	if ((int64_t)message->asked_us > now_us)
+		return;
+	keeper->heard_us = now_us;
+	keeper->ops.told(keeper->ops.ctx, message->fractions,
+			 message->fraction_count, (int64_t)message->asked_us);
+}
--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -14,10 +14,48 @@
 		    "Requests with a key refused as it was not certain that "
 		    "the configuration is the newest.");
 
-void accounts_register(void)
+static void report(void *ctx)
+{
+	traffic_t *t = ctx;
+	control_account_use_msg_t *message;
+	uint32_t instances = t->view != NULL ? t->view->instances : 1;
+
+	bsh_loop_timer_after(&t->accounts_timer,
+			     bsh_account_report_us(instances));
+	if (t->view == NULL || t->view->catalog->accounts == NULL)
+		return;
+	message = g_new0(control_account_use_msg_t, 1);
+	message->control = t->entry->control;
+	message->uses = account_limits_collect(&t->account_limits);
+	bsh_loop_post(&t->entry->control_loop, control_account_use, message);
+}
+
+void accounts_init(traffic_t *t)
 {
 	bsh_counter_register(&unknown);
 	bsh_counter_register(&unconfirmed);
+	account_limits_init(&t->account_limits,
+			    t->entry->settings.accounts_limit_slack);
+	bsh_loop_timer_init(&t->accounts_timer, t->loop, report, t);
+	bsh_loop_timer_after(&t->accounts_timer, 0);
+}
+
+void accounts_finish(traffic_t *t)
+{
+	bsh_loop_timer_stop(&t->accounts_timer);
+	account_limits_finish(&t->account_limits);
+}
+
+void traffic_set_account_shares(void *data)
+{
+	traffic_account_shares_msg_t *message = data;
+
+	account_limits_told(&message->traffic->account_limits,
+			    &g_array_index(message->fractions,
+					   const bsh_account_fraction_t, 0),
+			    message->fractions->len, message->asked_us);
+	g_array_free(message->fractions, TRUE);
+	g_free(message);
 }
 
 int64_t accounts_now_us(void)
@@ -85,3 +123,52 @@
 		note_refusal(r, access, input.proven_us);
 	return access;
 }
+
+/* The account whose limit counts a request that arrives; NULL: none. */
+static const bsh_account_rule_t *limited_account(const request_t *r)
+{
+	const bsh_accounts_t *accounts = r->catalog->accounts;
+	const bsh_account_rule_t *account;
+
+	/* The instance that read the request first has counted it. */
+	if (accounts == NULL || r->from_peer || r->route->anonymous ||
+	    !r->info.has_key)
+		return NULL;
+	account = bsh_accounts_find_key(accounts, &r->info.key);
+	return account != NULL && account->rate_per_s > 0 ? account : NULL;
+}
+
+bool accounts_admit(request_t *r, int64_t *retry_ms)
+{
+	traffic_t *t = r->traffic;
+	const bsh_account_rule_t *account = limited_account(r);
+	uint32_t instances = t->view->instances;
+	int64_t now_us = accounts_now_us();
+	uint32_t cost;
+
+	*retry_ms = 0;
+	if (account == NULL)
+		return true;
+	cost = account_limits_cost(account, (uint64_t)r->info.prompt_tokens +
+						    r->info.answer_tokens);
+	if (account_limits_admit(&t->account_limits, account, cost, instances,
+				 now_us)) {
+		r->charged = cost;
+		r->charged_account = account->hash;
+		return true;
+	}
+	*retry_ms = account_limits_retry_ms(&t->account_limits, account, cost,
+					    instances, now_us);
+	bsh_log(BSH_LOG_INFO,
+		"account-limited id=%s account=%s cost=%u retry_ms=%d",
+		r->info.log_id, account->name, cost, (int)*retry_ms);
+	return false;
+}
+
+void accounts_settle(request_t *r)
+{
+	if (r->charged > 0 && r->runs == 0 && !r->may_have_run)
+		account_limits_give_back(&r->traffic->account_limits,
+					 r->charged_account, r->charged);
+	r->charged = 0;
+}
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -86,6 +86,17 @@
 	bsh_loop_task_schedule(&control->view_task);
 }
 
+static void update_account_keeper(control_t *control)
+{
+	const bsh_catalog_t *catalog = catalogs_current(control->catalogs);
+
+	account_keeper_update(&control->account_keeper,
+			      catalog != NULL ? catalog->accounts : NULL,
+			      control->entry->settings.accounts_limit_slack,
+			      orders_is_holder(control->orders),
+			      control_now_us(control));
+}
+
 void control_catalog_changed(control_t *control, bsh_catalog_t *catalog)
 {
 	orders_set_catalog(control->orders, catalog);
@@ -93,6 +104,7 @@
 	catalog_exchange_adopted(control->catalog_exchange, catalog->version);
 	store_reading_adopted(control->store_reading, catalog->version);
 	config_proof_adopted(&control->config_proof, catalog->version);
+	update_account_keeper(control);
 	control_schedule_view(control);
 }
 
@@ -196,6 +208,16 @@
 					     &message->reader_config);
 		config_proof_note_reader(&control->config_proof,
 					 message->sender);
+	} else if (message->type == BSH_MSG_ACCOUNT_USE) {
+		account_keeper_receive_use(
+			&control->account_keeper, message->sender,
+			message->incarnation, &message->account_use,
+			peers_instance_count(control->peers),
+			control_now_us(control));
+	} else if (message->type == BSH_MSG_ACCOUNT_SHARES) {
+		account_keeper_receive_shares(&control->account_keeper,
+					      &message->account_shares,
+					      control_now_us(control));
 	} else if (message->type == BSH_MSG_CONFIG_QUERY) {
 		config_proof_receive_query(
 			&control->config_proof, message->sender,
@@ -284,6 +306,29 @@
 	g_free(message);
 }
 
+void control_account_use(void *data)
+{
+	control_account_use_msg_t *message = data;
+	control_t *control = message->control;
+	account_parties_t parties = {
+		.self = control->entry->settings.instance,
+		.incarnation = control->entry->incarnation,
+		.holder = orders_holder(control->orders),
+		.instances = peers_instance_count(control->peers),
+	};
+
+	/* The order lease may have been taken or lost. */
+	if (orders_is_holder(control->orders) !=
+	    (control->account_keeper.ledger != NULL))
+		update_account_keeper(control);
+	account_keeper_report(
+		&control->account_keeper, &parties,
+		&g_array_index(message->uses, const bsh_account_use_t, 0),
+		message->uses->len, control_now_us(control));
+	g_array_free(message->uses, TRUE);
+	g_free(message);
+}
+
 void control_ask_places(void *data)
 {
 	control_places_msg_t *message = data;
@@ -392,6 +437,35 @@
 				  control_now_us(control));
 }
 
+static void tell_account_shares(void *ctx,
+				const bsh_account_fraction_t *fractions,
+				uint32_t n, int64_t asked_us)
+{
+	const control_t *control = ctx;
+	traffic_account_shares_msg_t *message =
+		g_new0(traffic_account_shares_msg_t, 1);
+
+	message->traffic = control->entry->traffic;
+	message->asked_us = asked_us;
+	message->fractions =
+		g_array_new(FALSE, FALSE, sizeof(bsh_account_fraction_t));
+	g_array_append_vals(message->fractions, fractions, n);
+	bsh_loop_post(&control->entry->traffic_loop, traffic_set_account_shares,
+		      message);
+}
+
+static void init_account_keeper(control_t *control)
+{
+	const account_keeper_ops_t ops = {
+		.send = send_to_instance,
+		.told = tell_account_shares,
+		.ctx = control,
+	};
+
+	account_keeper_register();
+	account_keeper_init(&control->account_keeper, &ops);
+}
+
 static void init_config_proof(control_t *control)
 {
 	const config_proof_ops_t ops = {
@@ -523,6 +597,7 @@
 	if (control->client == NULL)
 		return BSH_ERR_SYSTEM;
 	init_config_proof(control);
+	init_account_keeper(control);
 	control->catalogs = catalogs_new(control);
 	control->targets = targets_new(control);
 	control->peers = peers_new(control);
@@ -565,6 +640,7 @@
 	streams_free(control->streams);
 	inventory_free(control->inventory);
 	loads_free(control->loads);
+	account_keeper_finish(&control->account_keeper);
 	orders_free(control->orders);
 	announcer_free(control->announcer);
 	targets_free(control->targets);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -21,6 +21,7 @@
 #include "coordination/entry_choice.h"
 #include "coordination/lease.h"
 #include "coordination/member.h"
+#include "account_keeper.h"
 #include "config_proof.h"
 #include "coordination/planner.h"
 #include "entry.h"
@@ -65,6 +66,7 @@
 	catalog_exchange_t *catalog_exchange;
 	store_reading_t *store_reading;
 	config_proof_t config_proof;
+	account_keeper_t account_keeper;
 	bsh_loop_timer_t tick_timer;
 	bsh_loop_timer_t drain_timer;
 	bsh_loop_timer_t stop_timer;
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -20,6 +20,7 @@
  *	quarantine_store.c	the same in the platform's store
  *	cut_peers.c	instances that reach no target
  *	config_proof.c	whether the configuration in force is the newest
+ *	account_keeper.c	what client accounts use, over all instances
  *	directory.c	readiness, addresses for callers, metrics
  *	control.c	owns the parts above, builds views, reloads, drains
  *
@@ -35,6 +36,7 @@
  *	notices.c	what targets say of themselves in answers
  *	limits.c	limits of requests that targets name
  *	accounts.c	client accounts of requests
+ *	account_limits.c	limits of client accounts
  *	places.c	places of requests at targets that may be full
  *	reach.c		whether this instance reaches any target
  *	demand.c	demand for models, by the requests of this instance
@@ -150,6 +152,14 @@
 } control_limits_msg_t;
 /* control_limits - called by bsh_loop_post(): limits that targets named. */
 void control_limits(void *limits);
+/* Message from the traffic thread to control_account_use(), which frees it. */
+typedef struct {
+	control_t *control;
+	GArray *uses; /* bsh_account_use_t */
+} control_account_use_msg_t;
+/* control_account_use - called by bsh_loop_post(): what client accounts have used
+ * at this instance, in total. */
+void control_account_use(void *use);
 /* A need of this instance, and whether earlier ones were not answered. */
 typedef struct {
 	bsh_place_need_t need;
@@ -224,6 +234,15 @@
 } traffic_limits_msg_t;
 /* traffic_set_limits - called by bsh_loop_post(). */
 void traffic_set_limits(void *limits);
+/* Message from the control thread to traffic_set_account_shares(), which frees
+ * it. */
+typedef struct {
+	traffic_t *traffic;
+	GArray *fractions; /* bsh_account_fraction_t */
+	int64_t asked_us;  /* CLOCK_BOOTTIME */
+} traffic_account_shares_msg_t;
+/* traffic_set_account_shares - called by bsh_loop_post(). */
+void traffic_set_account_shares(void *shares);
 /* Message from the control thread to traffic_set_places(), which frees it. */
 typedef struct {
 	traffic_t *traffic;
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -83,6 +83,7 @@
 	bsh_loop_timer_stop(&r->inactivity_timer);
 	bsh_loop_timer_stop(&r->handover_timer);
 	traffic_set_state(r, REQUEST_ENDED);
+	accounts_settle(r);
 	drain_note_run(r);
 	request_log_end(r, end, status, reason);
 }
@@ -497,6 +498,7 @@
 {
 	traffic_t *t = ctx;
 	request_t *r = new_request(t, http);
+	int64_t retry_ms;
 
 	if (t->view == NULL) {
 		refuse_early(r, BSH_ERR_STALE_CONFIG, END_REFUSED,
@@ -520,6 +522,10 @@
 		return;
 	}
 	set_route(r);
+	if (!accounts_admit(r, &retry_ms)) {
+		refuse_early(r, BSH_ERR_RATE_LIMITED, END_REFUSED, retry_ms);
+		return;
+	}
 	/* The instance that read it first has counted it. */
 	if (!r->from_peer) {
 		if (demand_is_counted(r))
@@ -694,7 +700,6 @@
 	request_log_register();
 	retry_register();
 	limits_register();
-	accounts_register();
 	bsh_counter_register(&waiting_gauge);
 	bsh_counter_register(&version_gauge);
 	entry->traffic = t;
@@ -717,6 +722,7 @@
 	suspects_init(t);
 	reach_init(t);
 	relays_init(t);
+	accounts_init(t);
 	places_init(t);
 	bsh_loop_task_init(&t->streams_task, t->loop, stream_origin_send, t);
 	g_queue_init(&t->waiting);
@@ -747,6 +753,7 @@
 	places_finish(t);
 	view_unref(t->view);
 	relays_finish(t);
+	accounts_finish(t);
 	g_hash_table_destroy(t->targets);
 	g_hash_table_destroy(t->notices);
 	g_hash_table_destroy(t->demand);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -40,6 +40,7 @@
 #include "coordination/target_choice.h"
 #include "coordination/target_limit.h"
 #include "coordination/target_notice.h"
+#include "account_limits.h"
 #include "entry.h"
 #include "platform/target_client.h"
 #include "protocol/event_relay.h"
@@ -125,6 +126,8 @@
 	GPtrArray *reach_checks; /* check_t, of reach.c */
 	GHashTable *peers;	 /* instance to target_state_t, of relays.c */
 	bsh_loop_timer_t reach_timer;
+	account_limits_t account_limits;
+	bsh_loop_timer_t accounts_timer; /* reports */
 	bsh_loop_task_t streams_task;
 	/* bsh_target_candidate_t, scratch of choose_target(). */
 	GArray *candidates;
@@ -200,7 +203,11 @@
 	bool has_accounts;	     /* of the configuration */
 	char account[BSH_NAME_SIZE]; /* "": none */
 	uint32_t priority;	     /* of the account, or of the route */
-	int64_t arrived_boot_us;     /* CLOCK_BOOTTIME */
+	/* What it counts of the limit of an account, until it is known whether it
+	 * has run; 0: nothing. */
+	uint32_t charged;
+	uint32_t charged_account; /* hash of the name */
+	int64_t arrived_boot_us;  /* CLOCK_BOOTTIME */
 	char *method;
 	char *path; /* with the query */
 	char *body;
@@ -375,12 +382,18 @@
 void drain_log_cut(const request_t *r);
 
 /* accounts.c */
-void accounts_register(void);
+void accounts_init(traffic_t *t);
+void accounts_finish(traffic_t *t);
 /* accounts_now_us - CLOCK_BOOTTIME now. */
 int64_t accounts_now_us(void);
 /* accounts_check - whether the request may be sent now, by the configuration in
  * force; sets its account and priority. */
 bsh_access_t accounts_check(request_t *r);
+/* accounts_admit - false if the request exceeds the limit of its account; its
+ * caller may come back after *retry_ms. */
+bool accounts_admit(request_t *r, int64_t *retry_ms);
+/* accounts_settle - the request has ended: what has not run is given back. */
+void accounts_settle(request_t *r);
 
 /* request_log.c */
 void request_log_register(void);
--- a/lib/base/counter.c
+++ b/lib/base/counter.c
@@ -7,16 +7,55 @@
 static bsh_counter_t *first;
 static bsh_counter_t *last;
 
+/* The last counter of this name, or else the last one of all. */
+static bsh_counter_t *find_predecessor(const char *name)
+{
+	bsh_counter_t *found = NULL;
+
+	for (bsh_counter_t *c = first; c != NULL; c = c->next)
+		if (strcmp(c->name, name) == 0)
+			found = c;
+	return found != NULL ? found : last;
+}
+
 void bsh_counter_register(bsh_counter_t *counter)
 {
+	bsh_counter_t *previous;
+
 	pthread_mutex_lock(&list_lock);
-	if (counter->next == NULL && counter != last) {
-		if (last == NULL)
-			first = counter;
-		else
-			last->next = counter;
+	if (counter->next != NULL || counter == last)
+		goto out;
+	/* HELP and TYPE are printed once for each run of equal names. */
+	previous = find_predecessor(counter->name);
+	counter->next = previous != NULL ? previous->next : NULL;
+	if (previous != NULL)
+		previous->next = counter;
+	else
+		first = counter;
+	if (counter->next == NULL)
 		last = counter;
-	}
+out:
+	pthread_mutex_unlock(&list_lock);
+}
+
+void bsh_counter_unregister(bsh_counter_t *counter)
+{
+	bsh_counter_t *previous = NULL;
+	bsh_counter_t *c;
+
+	pthread_mutex_lock(&list_lock);
+	for (c = first; c != NULL && c != counter; c = c->next)
+		previous = c;
+	if (c == NULL)
+		goto out;
+	if (previous != NULL)
+		previous->next = counter->next;
+	else
+		first = counter->next;
+	if (last == counter)
+		last = previous;
+	counter->next = NULL;
+out:
 	pthread_mutex_unlock(&list_lock);
 }
 
--- a/lib/base/counter.h
+++ b/lib/base/counter.h
@@ -39,12 +39,12 @@
 	}
 
 /*
- * bsh_counter_register - add a counter to the metrics output.  Registering a
- * counter again has no effect.  Counters that share a name and differ in their
- * labels must be registered consecutively, because HELP and TYPE are printed
- * once for each run of equal names.
+ * bsh_counter_register - add a counter to the metrics output, after those of the
+ * same name.  Registering a counter again has no effect.
  */
 void bsh_counter_register(bsh_counter_t *counter);
+/* bsh_counter_unregister - remove a counter, which may be freed then. */
+void bsh_counter_unregister(bsh_counter_t *counter);
 
 static inline void bsh_counter_add(bsh_counter_t *counter, int64_t n)
 {
--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -393,6 +393,33 @@
 	U32(bsh_msg_config_answer_t, age_ms), END
 };
 
+static const field_t account_use_entry_fields[] = {
+	U32(bsh_account_use_t, account), U64(bsh_account_use_t, offered),
+	U64(bsh_account_use_t, admitted), U64(bsh_account_use_t, given_back),
+	END
+};
+
+static const field_t account_use_fields[] = {
+	U64(bsh_msg_account_use_t, asked_us),
+	BOOL(bsh_msg_account_use_t, first),
+	LIST(bsh_msg_account_use_t, uses, use_count, account_use_entry_fields,
+	     bsh_account_use_t),
+	END
+};
+
+static const field_t account_fraction_fields[] = {
+	U32(bsh_account_fraction_t, account),
+	U32(bsh_account_fraction_t, millionths),
+	U32(bsh_account_fraction_t, retry_ms), END
+};
+
+static const field_t account_shares_fields[] = {
+	U64(bsh_msg_account_shares_t, asked_us),
+	LIST(bsh_msg_account_shares_t, fractions, fraction_count,
+	     account_fraction_fields, bsh_account_fraction_t),
+	END
+};
+
 static const field_t document_query_fields[] = {
 	U64(bsh_msg_document_query_t, known),
 	U64(bsh_msg_document_query_t, version),
@@ -446,6 +473,8 @@
 	[BSH_MSG_READER_CONFIG] = { "READER_CONFIG", reader_config_fields },
 	[BSH_MSG_CONFIG_QUERY] = { "CONFIG_QUERY", config_query_fields },
 	[BSH_MSG_CONFIG_ANSWER] = { "CONFIG_ANSWER", config_answer_fields },
+	[BSH_MSG_ACCOUNT_USE] = { "ACCOUNT_USE", account_use_fields },
+	[BSH_MSG_ACCOUNT_SHARES] = { "ACCOUNT_SHARES", account_shares_fields },
 	[BSH_MSG_DOCUMENT_QUERY] = { "DOCUMENT_QUERY", document_query_fields },
 	[BSH_MSG_DOCUMENT_PART] = { "DOCUMENT_PART", document_part_fields },
 };
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -72,6 +72,8 @@
 	BSH_MSG_READER_CONFIG,
 	BSH_MSG_CONFIG_QUERY,
 	BSH_MSG_CONFIG_ANSWER,
+	BSH_MSG_ACCOUNT_USE,
+	BSH_MSG_ACCOUNT_SHARES,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -605,6 +607,41 @@
 	uint32_t age_ms;  /* it was the newest this long ago */
 } bsh_msg_config_answer_t;
 
+/* Most entries of an ACCOUNT_USE and of an ACCOUNT_SHARES that fit a datagram. */
+#define BSH_ACCOUNT_USES_MAX   30
+#define BSH_ACCOUNT_SHARES_MAX 60
+
+/* What one account has used at an instance since the start of its process
+ * (coordination/account_limit.h). */
+typedef struct {
+	uint32_t account; /* hash of the name */
+	uint64_t offered;
+	uint64_t admitted;
+	uint64_t given_back;
+} bsh_account_use_t;
+
+/* ACCOUNT_USE: from an instance to the one with the ledger of client accounts;
+ * accounts that were not used lately are left out. */
+typedef struct {
+	uint64_t asked_us; /* clock of the sender, repeated by ACCOUNT_SHARES */
+	bool first;	   /* of its process */
+	const bsh_account_use_t *uses;
+	uint32_t use_count;
+} bsh_msg_account_use_t;
+
+typedef struct {
+	uint32_t account;
+	uint32_t millionths; /* of what is offered, to admit */
+	uint32_t retry_ms;   /* for callers that are not admitted */
+} bsh_account_fraction_t;
+
+/* ACCOUNT_SHARES: reply to ACCOUNT_USE; all is admitted of other accounts. */
+typedef struct {
+	uint64_t asked_us;
+	const bsh_account_fraction_t *fractions;
+	uint32_t fraction_count;
+} bsh_msg_account_shares_t;
+
 typedef struct {
 	bsh_message_type_t type;
 	bsh_hlc_stamp_t stamp;
@@ -644,6 +681,8 @@
 		bsh_msg_reader_config_t reader_config;
 		bsh_msg_config_query_t config_query;
 		bsh_msg_config_answer_t config_answer;
+		bsh_msg_account_use_t account_use;
+		bsh_msg_account_shares_t account_shares;
 		bsh_msg_document_query_t document_query;
 		bsh_msg_document_part_t document_part;
 	};
--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -368,7 +368,106 @@
 	}
 }
 
+#define LIMIT_CALLS 400
+#define LIMIT_COST  10
+#define LIMITED                                                                \
+	"[{\"name\":\"acme\",\"apiKeys\":[\"k1\"],\"unit\":\"tokens\","        \
+	"\"plainTokens\":200,\"ratePerS\":100,\"burst\":300}]"
+/* (100 tokens a second in 8 s, and the burst) and a tenth, and the slack. */
+#define LIMIT_BOUND ((100 * 8 + 300) * 1.1 + 200)
+
+typedef struct {
+	uint32_t ran;
+	uint32_t limited;
+	uint32_t other;
+} outcome_t;
+
+/* Calls of one account at both instances, one after the other. */
+static void call_often(fixture_t *f, outcome_t *outcome)
+{
+	memset(outcome, 0, sizeof(*outcome));
+	for (uint32_t i = 0; i < LIMIT_CALLS; i++) {
+		g_autofree char *id = g_strdup_printf("limit-%u", f->sent++);
+		rig_request_t request = {
+			.address = f->rig.entries[i % 2].front,
+			.path = "/book/1",
+			.id = id,
+			.deadline_ms = DEADLINE_MS,
+			.authorization = "Bearer k1",
+			.tokens = "8,2",
+		};
+		rig_reply_t reply;
+
+		platform_rig_start(&f->rig, &request, &reply);
+		platform_rig_wait(&f->rig, &reply.done);
+		if (reply.status == 429) {
+			g_assert_nonnull(reply.retry_after);
+			g_assert_cmpuint(platform_rig_runs(&f->rig, id), ==, 0);
+		}
+		outcome->ran += platform_rig_runs(&f->rig, id);
+		outcome->limited += reply.status == 429;
+		outcome->other += reply.status != 429 && reply.status != 200;
+		platform_rig_reply_clear(&reply);
+	}
+}
+
+static void limit_account(fixture_t *f)
+{
+	f->rig.accounts = LIMITED;
+	platform_rig_configure(&f->rig, OPEN_ROUTE);
+	platform_rig_run(&f->rig, 1000);
+}
+
+/* Guards against instances that let more of an account pass together than its
+ * limit, and against refusals of another kind. */
+static void test_limit(fixture_t *f, gconstpointer data)
+{
+	outcome_t outcome;
+
+	(void)data;
+	limit_account(f);
+	call_often(f, &outcome);
+	g_assert_cmpuint(outcome.ran * LIMIT_COST, <=, LIMIT_BOUND);
+	g_assert_cmpuint(outcome.ran, >, 0);
+	g_assert_cmpuint(outcome.limited, >, 0);
+	g_assert_cmpuint(outcome.other, ==, 0);
+}
+
+/* Guards against more than the limit at an instance that hears no keeper. */
+static void test_limit_alone(fixture_t *f, gconstpointer data)
+{
+	outcome_t outcome;
+
+	(void)data;
+	limit_account(f);
+	f->rig.store_unresponsive = true;
+	platform_rig_signal(&f->rig.entries[1], SIGSTOP);
+	platform_rig_run(&f->rig, 2000);
+	g_strlcpy(f->rig.entries[1].front, f->rig.entries[0].front,
+		  sizeof(f->rig.entries[1].front));
+	call_often(f, &outcome);
+	g_assert_cmpuint(outcome.ran * LIMIT_COST, <=, LIMIT_BOUND);
+	platform_rig_signal(&f->rig.entries[1], SIGCONT);
+}
+
+/* Guards against requests that never ran and use up the limit of their account:
+ * the target rejects them all. */
+static void test_given_back(fixture_t *f, gconstpointer data)
+{
+	outcome_t outcome;
+
+	(void)data;
+	limit_account(f);
+	f->worker->mode = WORKER_IS_FULL;
+	call_often(f, &outcome);
+	g_assert_cmpuint(outcome.ran, ==, 0);
+	f->worker->mode = WORKER_ANSWERS;
+	platform_rig_run(&f->rig, 1500);
+	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k1"), ==, 200);
+}
+
 #define STRICT "[accounts]\nrevoke_ms=" REVOKE_MS "\n"
+#define SLACK  "[accounts]\nlimit_slack=200\n"
 #define ADD(path, settings, fn)                                                \
 	g_test_add("/accounts/" path, fixture_t, settings, set_up, fn,         \
 		   tear_down)
@@ -390,5 +489,8 @@
 	ADD("out-of-touch", STRICT, test_out_of_touch);
 	ADD("frozen", STRICT, test_frozen);
 	ADD("told-by-others", STRICT, test_told_by_others);
+	ADD("limit", SLACK, test_limit);
+	ADD("limit-alone", SLACK, test_limit_alone);
+	ADD("given-back", SLACK, test_given_back);
 	return g_test_run();
 }
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -42,6 +42,11 @@
 static const bsh_place_grant_t place_grants[] = {
 	{ 1, 2, 3, 4, true }, { UINT64_MAX, UINT32_MAX, 0, 0, false }
 };
+static const bsh_account_use_t account_uses[] = {
+	{ 1, 2, 3, 4 }, { UINT32_MAX, UINT64_MAX, 0, 5 }
+};
+static const bsh_account_fraction_t account_fractions[] = { { 1, 2, 3 },
+							    { 3, 1000000, 0 } };
 static const bsh_ready_entry_t ready[] = { { 7, 8, 900 } };
 
 /* Returns a message of the type with every field set. */
@@ -171,6 +176,14 @@
 	case BSH_MSG_CONFIG_ANSWER:
 		m.config_answer = (bsh_msg_config_answer_t){ 5, 6, 7 };
 		break;
+	case BSH_MSG_ACCOUNT_USE:
+		m.account_use =
+			(bsh_msg_account_use_t){ 5, true, account_uses, 2 };
+		break;
+	case BSH_MSG_ACCOUNT_SHARES:
+		m.account_shares =
+			(bsh_msg_account_shares_t){ 5, account_fractions, 2 };
+		break;
 	case BSH_MSG_DOCUMENT_QUERY:
 		m.document_query = (bsh_msg_document_query_t){ 1, 2, 3 };
 		break;
@@ -706,6 +719,8 @@
 	bsh_stream_record_t records[BSH_STREAM_RECORDS_MAX];
 	bsh_suspect_fact_t facts[BSH_SUSPECT_FACTS_MAX];
 	bsh_limit_entry_t limited[BSH_LIMIT_ENTRIES_MAX];
+	bsh_account_use_t uses[BSH_ACCOUNT_USES_MAX];
+	bsh_account_fraction_t fractions[BSH_ACCOUNT_SHARES_MAX];
 	bsh_message_t m = { .type = BSH_MSG_DEMAND,
 			    .stamp = { INT64_MAX, UINT32_MAX },
 			    .sender = "front-chitose-a-10",
@@ -770,6 +785,21 @@
 	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
 	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
 	free(data);
+	memset(uses, 0xff, sizeof(uses));
+	m.type = BSH_MSG_ACCOUNT_USE;
+	m.account_use = (bsh_msg_account_use_t){ UINT64_MAX, true, uses,
+						 G_N_ELEMENTS(uses) };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
+	memset(fractions, 0xff, sizeof(fractions));
+	m.type = BSH_MSG_ACCOUNT_SHARES;
+	m.account_shares =
+		(bsh_msg_account_shares_t){ UINT64_MAX, fractions,
+					    G_N_ELEMENTS(fractions) };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
 	m.type = BSH_MSG_RELEASE;
 	m.release = (bsh_msg_release_t){
 		UINT64_MAX, UINT64_MAX,	   true,
