--- a/bshentryd/account_keeper.c
+++ b/bshentryd/account_keeper.c
@@ -12,6 +12,9 @@
 #define FILLED_KNOWN 0.5
 #define FILLED_NEW   0.0
 
+/* Interval of log lines about accounts that are short. */
+#define LOG_INTERVAL_US INT64_C(1000000)
+
 static bsh_counter_t keeper_gauge =
 	BSH_GAUGE("bsh_account_keeper",
 		  "1 while this instance has the ledger of client accounts.");
@@ -51,15 +54,18 @@
 }
 
 static void set_accounts(account_keeper_t *keeper,
-			 const bsh_accounts_t *accounts, double slack,
-			 double filled, int64_t now_us)
+			 const bsh_accounts_t *accounts,
+			 const account_tolerance_t *tolerance, double filled,
+			 int64_t now_us)
 {
 	g_array_set_size(keeper->accounts, 0);
 	for (uint32_t i = 0; i < bsh_accounts_size(accounts); i++) {
 		const bsh_account_rule_t *account =
 			bsh_accounts_at(accounts, i);
 		bsh_account_bounds_t bounds = { account->rate_per_s,
-						account->burst, slack };
+						account->burst,
+						tolerance->overage,
+						tolerance->slack };
 
 		if (account->rate_per_s <= 0)
 			continue;
@@ -71,8 +77,9 @@
 }
 
 void account_keeper_update(account_keeper_t *keeper,
-			   const bsh_accounts_t *accounts, double slack,
-			   bool is_keeper, int64_t now_us)
+			   const bsh_accounts_t *accounts,
+			   const account_tolerance_t *tolerance, bool is_keeper,
+			   int64_t now_us)
 {
 	bool keeps = is_keeper && accounts != NULL;
 	double filled = keeper->heard_us > 0 ? FILLED_KNOWN : FILLED_NEW;
@@ -88,7 +95,7 @@
 	}
 	if (keeper->ledger == NULL)
 		keeper->ledger = bsh_account_ledger_new();
-	set_accounts(keeper, accounts, slack, filled, now_us);
+	set_accounts(keeper, accounts, tolerance, filled, now_us);
 }
 
 static void note_uses(const account_keeper_t *keeper, const char *instance,
@@ -111,6 +118,25 @@
 	}
 }
 
+static void log_short(const account_keeper_t *keeper, const GArray *found,
+		      uint32_t instances)
+{
+	for (guint i = 0; i < found->len; i++) {
+		const bsh_account_fraction_t *entry =
+			&g_array_index(found, bsh_account_fraction_t, i);
+
+		bsh_log(BSH_LOG_INFO,
+			"account-short account=%08x fraction=%.3f level=%.0f "
+			"offered_per_s=%.0f instances=%u",
+			entry->account, entry->millionths / 1e6,
+			bsh_account_ledger_level(keeper->ledger,
+						 entry->account),
+			bsh_account_ledger_offered(keeper->ledger,
+						   entry->account),
+			instances);
+	}
+}
+
 /* The accounts of which not all is admitted. */
 static GArray *find_short(account_keeper_t *keeper, uint32_t instances,
 			  int64_t now_us)
@@ -131,11 +157,11 @@
 		if (fraction < 1.0 && found->len < BSH_ACCOUNT_SHARES_MAX)
 			g_array_append_val(found, entry);
 	}
-	if (found->len != keeper->short_accounts) {
-		keeper->short_accounts = found->len;
-		bsh_counter_set(&short_gauge, found->len);
-		bsh_log(BSH_LOG_INFO, "accounts-short n=%u instances=%u",
-			found->len, instances);
+	keeper->short_accounts = found->len;
+	bsh_counter_set(&short_gauge, found->len);
+	if (found->len > 0 && now_us - keeper->logged_us >= LOG_INTERVAL_US) {
+		keeper->logged_us = now_us;
+		log_short(keeper, found, instances);
 	}
 	return found;
 }
--- a/bshentryd/account_keeper.h
+++ b/bshentryd/account_keeper.h
@@ -32,19 +32,27 @@
 	GArray *accounts;	      /* hashes of those with a limit */
 	int64_t heard_us; /* last answer of another keeper; 0: none */
 	uint32_t short_accounts;
+	int64_t logged_us; /* last log of the accounts that are short */
 	bool reported;
 } account_keeper_t;
 
+/* What may pass beyond the limit of an account in a window. */
+typedef struct {
+	double overage; /* part of the limit */
+	double slack;
+} account_tolerance_t;
+
 void account_keeper_register(void);
 void account_keeper_init(account_keeper_t *keeper,
 			 const account_keeper_ops_t *ops);
 void account_keeper_finish(account_keeper_t *keeper);
 
-/* account_keeper_update - the accounts in force (NULL: none), their slack, and
+/* account_keeper_update - the accounts in force (NULL: none), their tolerance, and
  * whether this instance is the keeper. */
 void account_keeper_update(account_keeper_t *keeper,
-			   const bsh_accounts_t *accounts, double slack,
-			   bool is_keeper, int64_t now_us);
+			   const bsh_accounts_t *accounts,
+			   const account_tolerance_t *tolerance, bool is_keeper,
+			   int64_t now_us);
 
 /* Who takes part in a report. */
 typedef struct {
--- a/bshentryd/account_limits.c
+++ b/bshentryd/account_limits.c
@@ -90,7 +90,8 @@
 static bsh_account_bounds_t bounds_of(const account_limits_t *limits,
 				      const bsh_account_rule_t *account)
 {
-	return (bsh_account_bounds_t){ account->rate_per_s, account->burst,
+	/* The overage is given out by the keeper alone. */
+	return (bsh_account_bounds_t){ account->rate_per_s, account->burst, 0,
 				       limits->slack };
 }
 
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -89,11 +89,13 @@
 static void update_account_keeper(control_t *control)
 {
 	const bsh_catalog_t *catalog = catalogs_current(control->catalogs);
+	const bsh_settings_t *settings = &control->entry->settings;
+	account_tolerance_t tolerance = { settings->accounts_limit_overage,
+					  settings->accounts_limit_slack };
 
 	account_keeper_update(&control->account_keeper,
 			      catalog != NULL ? catalog->accounts : NULL,
-			      control->entry->settings.accounts_limit_slack,
-			      orders_is_holder(control->orders),
+			      &tolerance, orders_is_holder(control->orders),
 			      control_now_us(control));
 }
 
--- a/lib/coordination/account_limit.c
+++ b/lib/coordination/account_limit.c
@@ -13,9 +13,13 @@
 #define SETTLED_PART 0.1
 /* A bucket is not overdrawn further than its burst times this. */
 #define OVERDRAWN_MAX 1.0
+/* Part of the overage and of the slack that is given out, with this number of
+ * instances or fewer. */
+#define TOLERANCE_PART	    0.6
+#define TOLERANCE_INSTANCES 100.0
 /* Parts of the rate and of the slack that instances use which hear no keeper. */
 #define ALONE_RATE_PART	 0.5
-#define ALONE_SLACK_PART 0.5
+#define ALONE_SLACK_PART 0.25
 /* The own bucket holds what its rate gives in this time, besides. */
 #define ALONE_FILL_S 2.0
 /* Mean wait for a returning caller that would be admitted for certain; a keeper
@@ -153,6 +157,8 @@
 
 typedef struct {
 	bsh_account_bounds_t bounds;
+	double rate; /* given out, with what is used of the tolerance */
+	double burst;
 	double level;
 	int64_t level_us;
 	double offered_per_s;
@@ -202,6 +208,17 @@
 	return g_hash_table_lookup(ledger->accounts, GUINT_TO_POINTER(account));
 }
 
+static void set_tolerance(account_t *entry, uint32_t instances)
+{
+	const bsh_account_bounds_t *bounds = &entry->bounds;
+	double part = TOLERANCE_PART *
+		      MIN(1.0, TOLERANCE_INSTANCES / MAX(instances, 1));
+
+	entry->rate = bounds->rate_per_s * (1 + part * bounds->overage);
+	entry->burst = bounds->burst * (1 + part * bounds->overage) +
+		       part * bounds->slack;
+}
+
 void bsh_account_ledger_set(bsh_account_ledger_t *ledger, uint32_t account,
 			    const bsh_account_bounds_t *bounds, double filled,
 			    int64_t now_us)
@@ -217,7 +234,8 @@
 				    entry);
 	}
 	entry->bounds = *bounds;
-	entry->level = MIN(entry->level, bounds->burst);
+	set_tolerance(entry, 1);
+	entry->level = MIN(entry->level, entry->burst);
 }
 
 typedef struct {
@@ -299,9 +317,9 @@
 	if (entry != NULL) {
 		used = (double)(totals->admitted - last->admitted) -
 		       (double)(totals->given_back - last->given_back);
-		entry->level = CLAMP(entry->level - used,
-				     -entry->bounds.burst * OVERDRAWN_MAX,
-				     entry->bounds.burst);
+		entry->level =
+			CLAMP(entry->level - used,
+			      -entry->burst * OVERDRAWN_MAX, entry->burst);
 		note_offered(entry, (double)(totals->offered - last->offered),
 			     now_us);
 	}
@@ -336,12 +354,12 @@
 	if (entry == NULL || entry->bounds.rate_per_s <= 0)
 		return 1.0;
 	reporting = MIN(count_reporting(ledger, instances, now_us), instances);
-	rate = entry->bounds.rate_per_s *
-	       (1.0 -
-		ALONE_RATE_PART * (instances - reporting) / MAX(instances, 1));
+	set_tolerance(entry, instances);
+	rate = entry->rate * (1.0 - ALONE_RATE_PART * (instances - reporting) /
+					    MAX(instances, 1));
 	entry->level = MIN(entry->level + (double)(now_us - entry->level_us) /
 						  US_PER_S * rate,
-			   entry->bounds.burst);
+			   entry->burst);
 	entry->level_us = now_us;
 	note_offered(entry, 0, now_us);
 	offered = entry->offered_per_s;
@@ -374,3 +392,11 @@
 
 	return entry != NULL ? entry->level : 0;
 }
+
+double bsh_account_ledger_offered(const bsh_account_ledger_t *ledger,
+				  uint32_t account)
+{
+	const account_t *entry = find_account(ledger, account);
+
+	return entry != NULL ? entry->offered_per_s : 0;
+}
--- a/lib/coordination/account_limit.h
+++ b/lib/coordination/account_limit.h
@@ -20,6 +20,11 @@
  *	own, whose rate is half of its equal part; the keeper reserves as much for
  *	each instance that does not report.
  *
+ *	A part of what may pass beyond the limit in a window is given out, too,
+ *	as a request that is refused within that bound is a loss to its caller;
+ *	the rest is for what passes until all instances know of a change, which
+ *	is more with more instances.
+ *
  *	Totals are cumulative, so that a lost report only delays the next one.
  *
  *	Pure: no I/O and no clock.
@@ -47,7 +52,9 @@
 typedef struct {
 	double rate_per_s; /* 0: no limit */
 	double burst;
-	double slack; /* what may pass beyond it in a window */
+	/* What may pass beyond the limit in a window: a part of it, and this. */
+	double overage;
+	double slack;
 } bsh_account_bounds_t;
 
 /* Totals of one account at one instance since the start of its process. */
@@ -130,5 +137,8 @@
 /* bsh_account_ledger_level - what is left in the bucket; below 0: overdrawn. */
 double bsh_account_ledger_level(const bsh_account_ledger_t *ledger,
 				uint32_t account);
+/* bsh_account_ledger_offered - what is offered a second. */
+double bsh_account_ledger_offered(const bsh_account_ledger_t *ledger,
+				  uint32_t account);
 
 #endif
--- a/regress/test_account_limits.c
+++ b/regress/test_account_limits.c
@@ -10,6 +10,7 @@
 #define US_PER_S      INT64_C(1000000)
 #define ACCOUNT	      7U
 #define RATE	      60000.0
+#define OVERAGE	      0.1
 #define SLACK	      110000.0
 #define WINDOW_S      8
 #define STEP_US	      INT64_C(10000)
@@ -32,6 +33,7 @@
 
 typedef struct {
 	uint32_t n;
+	double rate;	   /* of the limit, and burst */
 	double demand;	   /* tokens a second, all together */
 	double exponent;   /* of the weights of instances; 0: even */
 	double large_part; /* of requests, with large_cost each */
@@ -88,7 +90,8 @@
 
 	bsh_rng_init(&f->rng, (uint32_t)seed);
 	f->load = *load;
-	f->bounds = (bsh_account_bounds_t){ RATE, RATE, SLACK };
+	f->bounds = (bsh_account_bounds_t){ load->rate, load->rate, OVERAGE,
+					    SLACK };
 	f->now_us = US_PER_S;
 	for (uint32_t i = 0; i < load->n; i++) {
 		start(f, i);
@@ -206,7 +209,8 @@
 
 static double bound(const fleet_t *f)
 {
-	return (f->bounds.rate_per_s * WINDOW_S + f->bounds.burst) * 1.1 +
+	return (f->bounds.rate_per_s * WINDOW_S + f->bounds.burst) *
+		       (1 + OVERAGE) +
 	       f->bounds.slack;
 }
 
@@ -232,6 +236,7 @@
 				for (uint64_t seed = 0; seed < SEEDS; seed++) {
 					load_t load = {
 						.n = sizes[i],
+						.rate = RATE,
 						.demand = demands[j] * RATE,
 						.exponent = exponents[k],
 						.large_part = 0.02,
@@ -266,30 +271,38 @@
 	fleet_t *f = fleet;
 
 	f->load.demand = now_us >= 8 * US_PER_S && now_us < 15 * US_PER_S
-				 ? 7.5 * RATE / 1.8
-				 : RATE / 1.8;
+				 ? 7.5 * f->load.rate / 1.8
+				 : f->load.rate / 1.8;
 }
 
 /* Guards against what passes until all instances know of a sudden load. */
 static void test_hot(void)
 {
-	for (uint64_t seed = 0; seed < SEEDS; seed++) {
-		load_t load = { .n = 68,
-				.large_part = 0.02,
-				.large_cost = 9000,
-				.until_us = 26 * US_PER_S,
-				.event = hot };
-		fleet_t *f = new_fleet(&load, seed);
-		double most = most_in_window(f, play(f));
-
-		/* 18 s of the usual, 7 s of the limit and the burst. */
-		g_test_message("admitted=%.3f most=%.3f of the bound",
-			       f->admitted / (RATE * (18 / 1.8 + 7 + 1)),
-			       most / bound(f));
-		g_assert_cmpfloat(most, <=, bound(f));
-		g_assert_cmpfloat(f->admitted, >=, 0.9 * RATE * (18 / 1.8 + 7));
-		free_fleet(f);
-	}
+	static const double rates[] = { 29000, 60000, 333000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++)
+		for (uint64_t seed = 0; seed < SEEDS; seed++) {
+			load_t load = { .n = 68,
+					.rate = rates[i],
+					.large_part = 0.02,
+					.large_cost = 9000,
+					.until_us = 26 * US_PER_S,
+					.event = hot };
+			fleet_t *f = new_fleet(&load, seed);
+			double most = most_in_window(f, play(f));
+
+			g_test_message("rate=%.0f admitted=%.3f most=%.3f of "
+				       "the bound",
+				       load.rate,
+				       f->admitted /
+					       (load.rate * (18 / 1.8 + 7 + 1)),
+				       most / bound(f));
+			g_assert_cmpfloat(most, <=, bound(f));
+			/* 18 s of the usual and 7 s of the limit. */
+			g_assert_cmpfloat(f->admitted, >=,
+					  0.9 * load.rate * (18 / 1.8 + 7));
+			free_fleet(f);
+		}
 }
 
 /* The keeper ends; another one is known 2.5 s later. */
@@ -364,6 +377,7 @@
 		for (uint64_t seed = 0; seed < 2 * SEEDS; seed++) {
 			bool usual = seed < SEEDS;
 			load_t load = { .n = 68,
+					.rate = RATE,
 					.demand = usual ? RATE / 1.8 : 3 * RATE,
 					.until_us = 31 * US_PER_S,
 					.event = failures[i].event };
@@ -388,6 +402,7 @@
 {
 	for (uint64_t seed = 0; seed < SEEDS; seed++) {
 		load_t load = { .n = 68,
+				.rate = RATE,
 				.demand = 3 * RATE,
 				.until_us = 31 * US_PER_S,
 				.event = lower };
@@ -406,7 +421,7 @@
  * reports that overtake one another, and against totals of a former process. */
 static void test_totals(void)
 {
-	bsh_account_bounds_t bounds = { 100, 1000, 0 };
+	bsh_account_bounds_t bounds = { 100, 1000, 0, 0 };
 	bsh_account_ledger_t *ledger = bsh_account_ledger_new();
 	bsh_account_totals_t totals = { 500, 500, 0 };
 
