accounts: fair order of waiting requests

While engines are full, requests of an account that sends many go before the few of the others, as they wait in the order of arrival.

Requests of equal priority are sent by start-time fair queueing, with the limits as weights. /account-limits/fair-order: an account that sends one request to ten of another one is served whole, and to a half in the order of arrival. Without accounts the order is as before.

--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -36,6 +36,7 @@
 	bsh_counter_register(&unconfirmed);
 	account_limits_init(&t->account_limits,
 			    t->entry->settings.accounts_limit_slack);
+	bsh_fair_order_init(&t->fair_order);
 	bsh_loop_timer_init(&t->accounts_timer, t->loop, report, t);
 	bsh_loop_timer_after(&t->accounts_timer, 0);
 }
@@ -43,6 +44,7 @@
 void accounts_finish(traffic_t *t)
 {
 	bsh_loop_timer_stop(&t->accounts_timer);
+	bsh_fair_order_finish(&t->fair_order);
 	account_limits_finish(&t->account_limits);
 }
 
@@ -147,6 +149,8 @@
 	uint32_t cost;
 
 	*retry_ms = 0;
+	/* Requests without a limit go in the order of their arrival. */
+	r->fair_tag = t->fair_order.virtual_time;
 	if (account == NULL)
 		return true;
 	cost = account_limits_cost(account, (uint64_t)r->info.prompt_tokens +
@@ -155,6 +159,8 @@
 				 now_us)) {
 		r->charged = cost;
 		r->charged_account = account->hash;
+		r->fair_tag = bsh_fair_order_tag(&t->fair_order, account->hash,
+						 cost, account->rate_per_s);
 		return true;
 	}
 	*retry_ms = account_limits_retry_ms(&t->account_limits, account, cost,
@@ -165,6 +171,11 @@
 	return false;
 }
 
+void accounts_sent(const request_t *r)
+{
+	bsh_fair_order_sent(&r->traffic->fair_order, r->fair_tag);
+}
+
 void accounts_settle(request_t *r)
 {
 	if (r->charged > 0 && r->runs == 0 && !r->may_have_run)
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -283,6 +283,7 @@
 	}
 	traffic_set_state(r, REQUEST_RUNNING);
 	suspects_sent(r);
+	accounts_sent(r);
 	attempts_send(r, target, &candidate);
 }
 
@@ -574,6 +575,8 @@
 
 	if (x->priority != y->priority)
 		return x->priority < y->priority ? -1 : 1;
+	if (x->fair_tag != y->fair_tag)
+		return x->fair_tag < y->fair_tag ? -1 : 1;
 	return x->arrived_us < y->arrived_us ? -1
 					     : x->arrived_us > y->arrived_us;
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -28,6 +28,7 @@
  */
 
 #include "coordination/account_access.h"
+#include "coordination/fair_order.h"
 #include "coordination/load_table.h"
 #include "coordination/place_hold.h"
 #include "coordination/prefill.h"
@@ -127,6 +128,7 @@
 	GHashTable *peers;	 /* instance to target_state_t, of relays.c */
 	bsh_loop_timer_t reach_timer;
 	account_limits_t account_limits;
+	bsh_fair_order_t fair_order;
 	bsh_loop_timer_t accounts_timer; /* reports */
 	bsh_loop_task_t streams_task;
 	/* bsh_target_candidate_t, scratch of choose_target(). */
@@ -207,7 +209,8 @@
 	 * has run; 0: nothing. */
 	uint32_t charged;
 	uint32_t charged_account; /* hash of the name */
-	int64_t arrived_boot_us;  /* CLOCK_BOOTTIME */
+	double fair_tag; /* among waiting requests of accounts; 0: none */
+	int64_t arrived_boot_us; /* CLOCK_BOOTTIME */
 	char *method;
 	char *path; /* with the query */
 	char *body;
@@ -392,6 +395,8 @@
 /* accounts_admit - false if the request exceeds the limit of its account; its
  * caller may come back after *retry_ms. */
 bool accounts_admit(request_t *r, int64_t *retry_ms);
+/* accounts_sent - the request is sent to a target. */
+void accounts_sent(const request_t *r);
 /* accounts_settle - the request has ended: what has not run is given back. */
 void accounts_settle(request_t *r);
 
--- a/regress/test_account_limits.c
+++ b/regress/test_account_limits.c
@@ -6,6 +6,7 @@
 
 #include "base/rng.h"
 #include "coordination/account_limit.h"
+#include "coordination/fair_order.h"
 
 #define US_PER_S      INT64_C(1000000)
 #define ACCOUNT	      7U
@@ -446,6 +447,74 @@
 	bsh_account_ledger_free(ledger);
 }
 
+/* A place that takes one request at a time, from those that wait. */
+typedef struct {
+	uint32_t account;
+	double tag;
+	uint32_t arrived;
+} waiting_t;
+
+static gint compare_waiting(gconstpointer a, gconstpointer b)
+{
+	const waiting_t *x = a;
+	const waiting_t *y = b;
+
+	if (x->tag != y->tag)
+		return x->tag < y->tag ? -1 : 1;
+	return x->arrived < y->arrived ? -1 : x->arrived > y->arrived;
+}
+
+#define PATIENCE 40 /* requests that are served while one waits */
+
+/* Share of the requests of the small account that are served when the other one
+ * sends ten times as many, and half of all can be served. */
+static double served_small(bool fair)
+{
+	g_autoptr(GArray) waiting =
+		g_array_new(FALSE, FALSE, sizeof(waiting_t));
+	bsh_fair_order_t order;
+	uint32_t small = 0;
+	uint32_t small_served = 0;
+
+	bsh_fair_order_init(&order);
+	for (uint32_t i = 0; i < 22000; i++) {
+		uint32_t account = i % 11 == 0 ? 1 : 2;
+		waiting_t new = { account,
+				  fair ? bsh_fair_order_tag(&order, account,
+							    700, 29000)
+				       : 0,
+				  i };
+
+		small += account == 1;
+		g_array_append_val(waiting, new);
+		while (waiting->len > 0 &&
+		       g_array_index(waiting, waiting_t, 0).arrived +
+				       2 * PATIENCE <
+			       i)
+			g_array_remove_index(waiting, 0);
+		if (i % 2 == 0)
+			continue;
+		g_array_sort(waiting, compare_waiting);
+		new = g_array_index(waiting, waiting_t, 0);
+		small_served += new.account == 1;
+		bsh_fair_order_sent(&order, new.tag);
+		g_array_remove_index(waiting, 0);
+	}
+	bsh_fair_order_finish(&order);
+	return (double)small_served / small;
+}
+
+/* Guards against an account that sends ten times as much as another one and has it
+ * wait behind its own requests: in order of arrival half of both are served. */
+static void test_fair_order(void)
+{
+	g_test_message("served of the small account: %.3f, in order of arrival "
+		       "%.3f",
+		       served_small(true), served_small(false));
+	g_assert_cmpfloat(served_small(false), <, 0.7);
+	g_assert_cmpfloat(served_small(true), >=, 0.95);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -455,5 +524,6 @@
 	g_test_add_func("/account-limits/hot", test_hot);
 	g_test_add_func("/account-limits/failures", test_failures);
 	g_test_add_func("/account-limits/lowered", test_lowered);
+	g_test_add_func("/account-limits/fair-order", test_fair_order);
 	return g_test_run();
 }
