accounts: instances without a keeper go on at their own rate

Between two holders of the order lease, up to 2 s each time, requests far below the limit were refused: half of an equal part is less than what some instances have of an account.

--- a/lib/coordination/account_limit.c
+++ b/lib/coordination/account_limit.c
@@ -17,9 +17,15 @@
  * instances or fewer. */
 #define TOLERANCE_PART	    0.6
 #define TOLERANCE_INSTANCES 100.0
-/* Parts of the rate and of the slack that instances use which hear no keeper. */
-#define ALONE_RATE_PART	 0.5
+/* What instances use which hear no keeper, as parts of their equal part of the
+ * rate and of the slack, and what the keeper reserves for them. */
+#define ALONE_RATE_LEAST 0.5
+#define ALONE_RATE_MOST	 1.0
+#define ALONE_RESERVED	 0.5
 #define ALONE_SLACK_PART 0.25
+/* Time constant of what an instance admits a second: long enough for a few
+ * requests of each account. */
+#define ADMITTED_TAU_US 5e6
 /* The own bucket holds what its rate gives in this time, besides. */
 #define ALONE_FILL_S 2.0
 /* Mean wait for a returning caller that would be admitted for certain; a keeper
@@ -37,9 +43,24 @@
 	share->fraction = 1.0;
 }
 
-static double own_rate(const bsh_account_bounds_t *bounds, uint32_t instances)
+static void note_admitted(bsh_account_share_t *share, double cost,
+			  int64_t now_us)
 {
-	return bounds->rate_per_s * ALONE_RATE_PART / MAX(instances, 1);
+	double elapsed_us = (double)(now_us - share->admitted_us);
+
+	share->admitted_per_s =
+		share->admitted_per_s * exp(-elapsed_us / ADMITTED_TAU_US) +
+		cost * US_PER_S / ADMITTED_TAU_US;
+	share->admitted_us = now_us;
+}
+
+static double own_rate(const bsh_account_share_t *share,
+		       const bsh_account_bounds_t *bounds, uint32_t instances)
+{
+	double part = bounds->rate_per_s / MAX(instances, 1);
+
+	return CLAMP(share->admitted_per_s, ALONE_RATE_LEAST * part,
+		     ALONE_RATE_MOST * part);
 }
 
 static double own_slack(const bsh_account_bounds_t *bounds, uint32_t instances)
@@ -51,7 +72,7 @@
 		     const bsh_account_bounds_t *bounds, uint32_t instances,
 		     int64_t now_us)
 {
-	double rate = own_rate(bounds, instances);
+	double rate = own_rate(share, bounds, instances);
 	double most = own_slack(bounds, instances) + rate * ALONE_FILL_S;
 
 	if (share->own_us == 0)
@@ -122,6 +143,7 @@
 		if (share->own_us != 0)
 			fill_own(share, bounds, instances, now_us);
 	}
+	note_admitted(share, admitted ? cost : 0, now_us);
 	if (admitted)
 		share->totals.admitted += cost;
 	return admitted;
@@ -137,7 +159,7 @@
 				   uint32_t cost, int64_t heard_us,
 				   uint32_t instances, int64_t now_us)
 {
-	double rate = own_rate(bounds, instances);
+	double rate = own_rate(share, bounds, instances);
 	double ms = RETRY_ALONE_MAX_MS;
 
 	if (!is_alone(heard_us, instances, now_us))
@@ -355,7 +377,7 @@
 		return 1.0;
 	reporting = MIN(count_reporting(ledger, instances, now_us), instances);
 	set_tolerance(entry, instances);
-	rate = entry->rate * (1.0 - ALONE_RATE_PART * (instances - reporting) /
+	rate = entry->rate * (1.0 - ALONE_RESERVED * (instances - reporting) /
 					    MAX(instances, 1));
 	entry->level = MIN(entry->level + (double)(now_us - entry->level_us) /
 						  US_PER_S * rate,
--- a/lib/coordination/account_limit.h
+++ b/lib/coordination/account_limit.h
@@ -17,8 +17,9 @@
  *	instance admits by error diffusion, so that what it admits is even.
  *
  *	An instance that the keeper does not answer admits from a bucket of its
- *	own, whose rate is half of its equal part; the keeper reserves as much for
- *	each instance that does not report.
+ *	own, at the rate at which it has admitted before, but half of its equal
+ *	part at least and all of it at most; the keeper reserves half of that
+ *	part for each instance that does not report.
  *
  *	A part of what may pass beyond the limit in a window is given out, too,
  *	as a request that is refused within that bound is a loss to its caller;
@@ -70,8 +71,10 @@
 	double fraction;   /* of what is offered, to admit */
 	uint32_t retry_ms; /* told besides, for callers that are not admitted */
 	double credit;	   /* not yet admitted of the fraction */
-	double own_level;  /* of the own bucket */
-	int64_t own_us;	   /* when it was filled; 0: not in use */
+	double admitted_per_s; /* smoothed */
+	int64_t admitted_us;
+	double own_level; /* of the own bucket */
+	int64_t own_us;	  /* when it was filled; 0: not in use */
 } bsh_account_share_t;
 
 void bsh_account_share_init(bsh_account_share_t *share);
