--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -27,7 +27,7 @@
 #define IDLE_CONNECTIONS_MAX 64
 #define STEP_US		     INT64_C(5000)
 #define SERVER_LIMITS                                                          \
-	.max_connections = 2000, .idle_timeout_s = 60, .body_max_bytes = 1 << 20
+	.max_connections = 2000, .idle_timeout_s = 60, .body_max_bytes = 8 << 20
 
 /* A change of an object in the store. */
 typedef struct {
@@ -747,6 +747,13 @@
 	if (!run->stream) {
 		run->ended = true;
 		add_server_headers(run);
+		if (worker->answer_bytes > 0) {
+			g_autofree char *body = g_malloc0(worker->answer_bytes);
+
+			bsh_http_response_send(run->request, 200, body,
+					       worker->answer_bytes);
+			return;
+		}
 		bsh_http_response_send(run->request, 200, "done", 4);
 		return;
 	}
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -79,15 +79,16 @@
 	/* Named in answers: the process ends if it has to reject more requests
 	 * than this in a second; 0: not named. */
 	uint32_t brittle;
-	GArray *rejected_us;  /* int64_t, of requests beyond its places */
-	uint32_t falls;	      /* ends of its process by rejections */
-	uint32_t delivered;   /* answers */
-	int64_t delivered_us; /* sum of the times of their runs */
-	const char *pause;    /* Retry-After of its refusals; or NULL */
-	GArray *arrivals_us;  /* int64_t, of all requests that reached it */
-	char account[64];     /* named by the last request; "": none */
-	uint32_t keys_seen;   /* requests that had an Authorization */
-	uint64_t fence;	      /* highest fencing token of an order */
+	GArray *rejected_us;   /* int64_t, of requests beyond its places */
+	uint32_t falls;	       /* ends of its process by rejections */
+	uint32_t answer_bytes; /* of calls; 0: 4 */
+	uint32_t delivered;    /* answers */
+	int64_t delivered_us;  /* sum of the times of their runs */
+	const char *pause;     /* Retry-After of its refusals; or NULL */
+	GArray *arrivals_us;   /* int64_t, of all requests that reached it */
+	char account[64];      /* named by the last request; "": none */
+	uint32_t keys_seen;    /* requests that had an Authorization */
+	uint64_t fence;	       /* highest fencing token of an order */
 	/* Orders with a lower fencing token than an earlier one, or with that
 	 * of another holder. */
 	uint32_t fence_reuses;
