--- /dev/null
+++ b/lib/transport/http_server_private.h
@@ -0,0 +1,86 @@
+#ifndef BSH_TRANSPORT_HTTP_SERVER_PRIVATE_H
+#define BSH_TRANSPORT_HTTP_SERVER_PRIVATE_H
+
+/*
+ * NAME
+ *	http_server_private - types and functions shared by the server's files
+ *
+ * DESCRIPTION
+ *	http_server.c		connections, and requests until they are received
+ *	http_server_message.c	access to requests, responses
+ */
+
+#include <glib.h>
+#include <microhttpd.h>
+
+#include "transport/http_server.h"
+
+typedef struct connection {
+	int fd;
+	bsh_http_request_t *request; /* being received or in progress */
+	struct connection *next;
+	struct connection *previous;
+} connection_t;
+
+struct bsh_http_server {
+	bsh_loop_t *loop;
+	bsh_http_server_config_t config;
+	struct MHD_Daemon *daemon;
+	bsh_loop_watch_t *watch;
+	bsh_loop_timer_t timer;
+	bsh_loop_task_t run_task;
+	bsh_loop_task_t review_task;
+	connection_t *connections;
+	uint32_t connection_count;
+	uint32_t request_count;
+	bool closing; /* each response closes its connection */
+	bool stopped; /* no longer listening */
+	bool freeing; /* bsh_http_server_free() was called */
+};
+
+struct bsh_http_request {
+	bsh_http_server_t *server;
+	struct MHD_Connection *mhd;
+	connection_t *connection;
+	char *target;
+	char *path;
+	char method[16];
+	GString *body;
+	uint64_t received_bytes;
+	GPtrArray *headers; /* of the response: name, value, name, ... */
+	struct MHD_Response *response;
+	int status;
+	GString *out; /* response data not yet read by libmicrohttpd */
+	size_t out_start;
+	/* Detects a disconnect of the client while suspended. */
+	bsh_loop_watch_t *disconnect_watch;
+	/* The client has sent a further request; disconnect_watch is off. */
+	bool pipelined;
+	bsh_loop_task_t drained_task;
+	bsh_http_request_handler_t handler;
+	void *handler_ctx;
+	bool head_received;
+	bool head_too_large;
+	bool too_large;
+	bool reject_early; /* respond before the body is read */
+	bool dispatched; /* on_request, on_too_large or on_review was called */
+	bool reviewing;	 /* on_review is being called */
+	bool refused;	 /* by on_review: the body is dropped */
+	bool refusal_sent; /* its whole response was passed to the kernel */
+	bool suspended; /* connection suspended until there is data to send */
+	bool queued;	/* response passed to libmicrohttpd */
+	bool ended;	/* response complete */
+	bool aborted;	/* client disconnected or response aborted */
+	bool want_drained; /* call on_drained when out is empty */
+};
+
+/* http_server_resume - go on with a suspended connection. */
+void http_server_resume(bsh_http_request_t *request);
+/* http_server_suspend - suspend a connection until there is data to send. */
+void http_server_suspend(bsh_http_request_t *request);
+/* http_server_send_refusal - send the response past libmicrohttpd, which would
+ * close the connection after it although the client still sends. */
+void http_server_send_refusal(bsh_http_request_t *request, int status,
+			      const char *body, size_t size);
+
+#endif
