memory: one account of what is held for callers

A process kept each body of legal size until its last byte came: 16 callers took it from 13 to 78 MB, and the smallest machines have 120 MB.

Uploads reserve before they are received (lib/coordination/memory_budget), with a bound that follows the memory of the machine; without room the slowest upload older than a second is refused, or else the new one, as not run. A declared length above the limit is refused at the head. Responses are not held back while memory is short. Connections follow descriptors and memory; beyond the limit the one of least use is closed. Freed memory is handed back. Only instances whose settings name their memory are bounded, but for the metrics.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -363,6 +363,7 @@
 	bsh_loop_timer_stop(&r->handover_timer);
 	for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
 		platform_head_finish(&r->attempts[i].head);
+		forward_drop_held(&r->attempts[i]);
 		g_string_free(r->attempts[i].held_body, TRUE);
 	}
 }
--- a/bshentryd/demand.c
+++ b/bshentryd/demand.c
@@ -80,6 +80,7 @@
 		g_array_append_val(demand->entries, entry);
 	}
 	retry_update_gauge(t);
+	memory_refresh(t);
 	t->demand_urgent = false;
 	g_array_sort(demand->entries, compare_demand);
 	if (traffic_now_us(t) - t->load_reported_us >= LOAD_INTERVAL_US) {
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -35,6 +35,7 @@
  *	suspects.c	whether a request may be sent, by such ends
  *	notices.c	what targets say of themselves in answers
  *	limits.c	limits of requests that targets name
+ *	memory.c	what is held for callers
  *	accounts.c	client accounts of requests
  *	account_limits.c	limits of client accounts
  *	places.c	places of requests at targets that may be full
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -34,6 +34,25 @@
 	       !bsh_http_request_is_connected(r->http);
 }
 
+/* While memory is short nothing is held back: a response that breaks off then ends
+ * with its connection. */
+static size_t held_max_bytes(const traffic_t *t)
+{
+	return bsh_memory_budget_is_short(&t->memory) ? 0 : HELD_BODY_MAX_BYTES;
+}
+
+static void hold(attempt_t *a, const char *data, size_t size)
+{
+	g_string_append_len(a->held_body, data, (gssize)size);
+	memory_held_changed(a->request->traffic, (int64_t)size);
+}
+
+void forward_drop_held(attempt_t *a)
+{
+	memory_held_changed(a->request->traffic, -(int64_t)a->held_body->len);
+	g_string_truncate(a->held_body, 0);
+}
+
 static void add_headers(const attempt_t *a)
 {
 	const GPtrArray *headers = a->head.headers;
@@ -267,13 +286,13 @@
 		return;
 	}
 	if (!r->answer_begun) {
-		g_string_append_len(a->held_body, data, (gssize)size);
-		if (a->held_body->len <= HELD_BODY_MAX_BYTES)
+		hold(a, data, size);
+		if (a->held_body->len <= held_max_bytes(r->traffic))
 			return;
 		attempts_spoke(a);
 		begin_answer(a, a->head.length);
 		write_answer(r, a->held_body->str, a->held_body->len);
-		g_string_truncate(a->held_body, 0);
+		forward_drop_held(a);
 		return;
 	}
 	write_answer(r, data, size);
@@ -373,7 +392,7 @@
 	a->sent = false;
 	a->withheld = false;
 	a->refused = false;
-	g_string_truncate(a->held_body, 0);
+	forward_drop_held(a);
 }
 
 /* Value of Last-Event-Id that resumes the stream after the last event that was
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -368,6 +368,7 @@
 	platform_request_info_finish(&r->info);
 	bsh_event_relay_finish(&r->relay);
 	bsh_catalog_unref(r->catalog);
+	memory_request_freed(r);
 	g_string_free(r->events, TRUE);
 	g_free(r->method);
 	g_free(r->path);
@@ -501,6 +502,7 @@
 	request_t *r = new_request(t, http);
 	int64_t retry_ms;
 
+	memory_request_taken(r);
 	if (t->view == NULL) {
 		refuse_early(r, BSH_ERR_STALE_CONFIG, END_REFUSED,
 			     RETRY_DEFAULT_MS);
@@ -560,6 +562,17 @@
 	return false;
 }
 
+void traffic_refuse_upload(traffic_t *t, bsh_http_request_t *http,
+			   bsh_error_t err)
+{
+	request_t *r = new_request(t, http);
+
+	g_clear_pointer(&r->body, g_free);
+	r->body_bytes = 0;
+	r->refused_early = true;
+	refuse_early(r, err, END_REFUSED, RETRY_DEFAULT_MS);
+}
+
 static void on_too_large(void *ctx, bsh_http_request_t *http)
 {
 	refuse_early(new_request(ctx, http), BSH_ERR_TOO_LARGE, END_REFUSED,
@@ -726,6 +739,7 @@
 	reach_init(t);
 	relays_init(t);
 	accounts_init(t);
+	memory_init(t, &config);
 	places_init(t);
 	bsh_loop_task_init(&t->streams_task, t->loop, stream_origin_send, t);
 	g_queue_init(&t->waiting);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -30,6 +30,7 @@
 #include "coordination/account_access.h"
 #include "coordination/fair_order.h"
 #include "coordination/load_table.h"
+#include "coordination/memory_budget.h"
 #include "coordination/place_hold.h"
 #include "coordination/prefill.h"
 #include "coordination/quarantine.h"
@@ -129,6 +130,7 @@
 	bsh_loop_timer_t reach_timer;
 	account_limits_t account_limits;
 	bsh_fair_order_t fair_order;
+	bsh_memory_budget_t memory;
 	bsh_loop_timer_t accounts_timer; /* reports */
 	bsh_loop_task_t streams_task;
 	/* bsh_target_candidate_t, scratch of choose_target(). */
@@ -215,7 +217,8 @@
 	char *path; /* with the query */
 	char *body;
 	size_t body_bytes;
-	bool repeatable; /* may run more than once */
+	size_t held_bytes; /* accounted for it */
+	bool repeatable;   /* may run more than once */
 	bool is_stream;
 	int64_t arrived_us;
 	int64_t client_deadline_us; /* INT64_MAX: none */
@@ -384,6 +387,22 @@
  * it was taken. */
 void drain_log_cut(const request_t *r);
 
+/* memory.c */
+/* memory_init - the budget of what is held for callers; sets the part of the
+ * server's configuration that is bounded by it. */
+void memory_init(traffic_t *t, bsh_http_server_config_t *config);
+/* memory_refresh - set the metrics, and hand freed memory back. */
+void memory_refresh(traffic_t *t);
+/* memory_request_taken, memory_request_freed - a request has its body. */
+void memory_request_taken(request_t *r);
+void memory_request_freed(const request_t *r);
+/* memory_held_changed - the bytes of a response that are held back have grown, or
+ * shrunk. */
+void memory_held_changed(traffic_t *t, int64_t bytes);
+/* traffic_refuse_upload - answer a request of which the body is not whole. */
+void traffic_refuse_upload(traffic_t *t, bsh_http_request_t *http,
+			   bsh_error_t err);
+
 /* accounts.c */
 void accounts_init(traffic_t *t);
 void accounts_finish(traffic_t *t);
@@ -696,6 +715,8 @@
 bsh_error_t forward_start(attempt_t *a, const char *address);
 /* forward_cancel - close the connection to the target. */
 void forward_cancel(attempt_t *a);
+/* forward_drop_held - drop what is held back of its response. */
+void forward_drop_held(attempt_t *a);
 /* forward_answer_failure - pass on the 5xx response of the target. */
 void forward_answer_failure(attempt_t *a);
 /* forward_resume - read from the target again after the caller caught up. */
--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -20,6 +20,23 @@
  * of the response and one of its parts. */
 #define HEAD_MAX_BYTES 32768U
 #define LISTEN_BACKLOG 1024U
+/* Connections that are accepted beyond the limit while none can be closed, as a part
+ * of it, so that a crowd in front of an ordinary caller is gone through soon. */
+#define CONNECTIONS_SPARE_PART 2U
+/* A body that has not moved for this time is stalled, and one that is older may be
+ * dropped for another: a caller that sends goes on within it, also over a link
+ * that loses packets. */
+#define STALLED_US INT64_C(1000000)
+/* A new connection whose head is not whole within this time is silent: a caller
+ * sends it at once, and must not be closed for the crowd that came before. */
+#define SILENT_US INT64_C(150000)
+/* A response of which nothing was read for this time may be cut for another
+ * connection. */
+#define UNREAD_US INT64_C(5000000)
+/* Interval at which connections beyond the limit are looked at again. */
+#define SURPLUS_INTERVAL_US INT64_C(50000)
+/* Least that is reserved for a body without a declared length. */
+#define RESERVE_MIN_BYTES ((size_t)16384)
 /* A request whose body exceeds this size is rejected without reading the rest
  * of the body. */
 #define DISCARD_MAX_BYTES (UINT64_C(64) << 20)
@@ -109,6 +126,23 @@
 		request->handler.on_drained(request->handler_ctx);
 }
 
+void http_server_buffered(const bsh_http_request_t *request, ssize_t bytes)
+{
+	const bsh_http_server_config_t *config = &request->server->config;
+
+	if (config->buffered != NULL && bytes != 0)
+		config->buffered(config->ctx, bytes);
+}
+
+static void end_body(bsh_http_request_t *request)
+{
+	const bsh_http_server_config_t *config = &request->server->config;
+
+	if (config->end_body != NULL && request->reserved_bytes > 0)
+		config->end_body(config->ctx, request->reserved_bytes);
+	request->reserved_bytes = 0;
+}
+
 static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *mhd)
 {
 	const union MHD_ConnectionInfo *info;
@@ -116,6 +150,7 @@
 
 	request->server = ctx;
 	request->mhd = mhd;
+	request->began_us = bsh_loop_now_us(request->server->loop);
 	request->target = g_strdup(uri);
 	request->path = g_strndup(uri, strcspn(uri, "?"));
 	request->body = g_string_new(NULL);
@@ -133,9 +168,18 @@
 static void free_request(bsh_http_request_t *request)
 {
 	remove_disconnect_watch(request);
+	end_body(request);
+	http_server_buffered(request, -(ssize_t)request->copied_bytes);
+	if (request->out != NULL)
+		http_server_buffered(request, -(ssize_t)(request->out->len -
+							 request->out_start));
 	bsh_loop_task_cancel(&request->drained_task);
-	if (request->connection != NULL)
+	if (request->connection != NULL) {
 		request->connection->request = NULL;
+		request->connection->served = true;
+		request->connection->moved_us =
+			bsh_loop_now_us(request->server->loop);
+	}
 	if (request->response != NULL)
 		MHD_destroy_response(request->response);
 	g_ptr_array_free(request->headers, TRUE);
@@ -212,6 +256,85 @@
 	free_request(request);
 }
 
+/* The order in which connections are closed for others. */
+typedef enum {
+	CONNECTION_SILENT,  /* has sent no whole head yet */
+	CONNECTION_STALLED, /* its body does not move, or is dropped */
+	CONNECTION_IDLE,    /* has had a response and sends nothing */
+	CONNECTION_UNREAD,  /* its response is not read */
+	CONNECTION_BUSY	    /* not to be closed */
+} connection_use_t;
+
+static connection_use_t use_of(const connection_t *connection, int64_t now_us)
+{
+	const bsh_http_request_t *request = connection->request;
+
+	if (connection->closing)
+		return CONNECTION_BUSY;
+	if (request == NULL && connection->served)
+		return CONNECTION_IDLE;
+	if (request == NULL || !request->head_received)
+		return now_us - connection->moved_us >= SILENT_US
+			       ? CONNECTION_SILENT
+			       : CONNECTION_BUSY;
+	if (request->refused)
+		return CONNECTION_STALLED;
+	if (!request->dispatched && now_us - connection->moved_us >= STALLED_US)
+		return CONNECTION_STALLED;
+	if (http_server_has_unread(request) &&
+	    now_us - connection->moved_us >= UNREAD_US)
+		return CONNECTION_UNREAD;
+	return CONNECTION_BUSY;
+}
+
+/* Closes the connection that is of least use; false if all are in use. */
+static bool close_least_useful(bsh_http_server_t *server)
+{
+	int64_t now_us = bsh_loop_now_us(server->loop);
+	connection_use_t least = CONNECTION_BUSY;
+	connection_t *found = NULL;
+
+	for (connection_t *c = server->connections; c != NULL; c = c->next) {
+		connection_use_t use = use_of(c, now_us);
+
+		if (use == CONNECTION_BUSY ||
+		    (found != NULL &&
+		     (use > least ||
+		      (use == least && c->moved_us >= found->moved_us))))
+			continue;
+		least = use;
+		found = c;
+	}
+	if (found == NULL)
+		return false;
+	found->closing = true;
+	server->closing_count++;
+	/* A suspended connection is not polled. */
+	if (found->request != NULL)
+		bsh_http_response_abort(found->request);
+	/* libmicrohttpd detects the shutdown and closes the socket. */
+	shutdown(found->fd, SHUT_RDWR);
+	bsh_loop_task_schedule(&server->run_task);
+	if (server->config.on_closed != NULL)
+		server->config.on_closed(server->config.ctx);
+	return true;
+}
+
+/* Beyond the limit as many connections are closed, now or once they are of no
+ * use. */
+static void close_surplus(void *ctx)
+{
+	bsh_http_server_t *server = ctx;
+
+	while (server->connection_count - server->closing_count >
+	       server->config.max_connections)
+		if (!close_least_useful(server)) {
+			bsh_loop_timer_after(&server->surplus_timer,
+					     SURPLUS_INTERVAL_US);
+			return;
+		}
+}
+
 static void on_connection(void *ctx, struct MHD_Connection *mhd, void **state,
 			  enum MHD_ConnectionNotificationCode code)
 {
@@ -229,7 +352,9 @@
 			server->connections->previous = connection;
 		server->connections = connection;
 		server->connection_count++;
+		connection->moved_us = bsh_loop_now_us(server->loop);
 		*state = connection;
+		close_surplus(server);
 		return;
 	}
 	if (connection == NULL)
@@ -241,6 +366,7 @@
 	if (connection->next != NULL)
 		connection->next->previous = connection->previous;
 	server->connection_count--;
+	server->closing_count -= connection->closing;
 	g_free(connection);
 	*state = NULL;
 }
@@ -265,6 +391,84 @@
 	return bytes > HEAD_MAX_BYTES;
 }
 
+/* Refuses a request of which the body is not whole, and drops the body. */
+static void refuse_body(bsh_http_request_t *request, bool too_large)
+{
+	bsh_http_server_t *server = request->server;
+
+	request->reviewing = true;
+	server->config.on_no_room(server->config.ctx, request, too_large);
+	request->reviewing = false;
+	request->refused = true;
+	request->dispatched = true;
+	server->request_count++;
+	if (request->body != NULL)
+		g_string_free(request->body, TRUE);
+	request->body = g_string_new(NULL);
+	end_body(request);
+}
+
+/* The slowest of the bodies that are being received, other than this one. */
+static bsh_http_request_t *slowest_body(const bsh_http_request_t *other)
+{
+	int64_t now_us = bsh_loop_now_us(other->server->loop);
+	bsh_http_request_t *found = NULL;
+	double slowest = 0;
+
+	for (connection_t *c = other->server->connections; c != NULL;
+	     c = c->next) {
+		bsh_http_request_t *request = c->request;
+		double rate;
+
+		if (request == NULL || request == other ||
+		    request->reserved_bytes == 0 || request->dispatched ||
+		    now_us - request->began_us < STALLED_US)
+			continue;
+		rate = (double)request->received_bytes /
+		       (double)(now_us - request->began_us);
+		if (found != NULL && rate >= slowest)
+			continue;
+		slowest = rate;
+		found = request;
+	}
+	return found;
+}
+
+/* Makes room for the body to have this size; false if there is none. */
+static bool reserve_body(bsh_http_request_t *request, size_t size)
+{
+	const bsh_http_server_config_t *config = &request->server->config;
+
+	if (config->grow_body == NULL || size <= request->reserved_bytes)
+		return true;
+	while (!config->grow_body(config->ctx, request->reserved_bytes, size)) {
+		bsh_http_request_t *slowest = slowest_body(request);
+
+		if (slowest == NULL)
+			return false;
+		refuse_body(slowest, false);
+	}
+	request->reserved_bytes = size;
+	return true;
+}
+
+/* Refuses at the head what is too large or has no room. */
+static void review_declared(bsh_http_request_t *request, uint64_t declared)
+{
+	const bsh_http_server_config_t *config = &request->server->config;
+
+	if (config->on_no_room == NULL || declared == 0 ||
+	    request->head_too_large)
+		return;
+	if (config->body_limit != NULL &&
+	    declared > config->body_limit(config->ctx))
+		refuse_body(request, true);
+	else if (!reserve_body(request, declared))
+		refuse_body(request, false);
+	if (request->refused)
+		request->reject_early = false;
+}
+
 static void receive_head(bsh_http_request_t *request, const char *method)
 {
 	const char *length = MHD_lookup_connection_value(
@@ -279,16 +483,38 @@
 	request->head_too_large = is_head_too_large(request);
 	request->reject_early =
 		declared > DISCARD_MAX_BYTES || request->head_too_large;
+	review_declared(request, declared);
+}
+
+/* Of a body without a declared length the size is reserved in steps that double,
+ * as the memory grows. */
+static size_t reserve_size(const bsh_http_request_t *request, size_t size)
+{
+	size_t needed = request->body->len + size;
+
+	if (needed <= request->reserved_bytes)
+		return needed;
+	return MIN(MAX(2 * request->reserved_bytes,
+		       MAX(needed, RESERVE_MIN_BYTES)),
+		   MAX(request->server->config.body_max_bytes, needed));
 }
 
 static enum MHD_Result receive_body(bsh_http_request_t *request,
 				    const char *data, size_t size)
 {
 	request->received_bytes += size;
+	if (request->connection != NULL)
+		request->connection->moved_us =
+			bsh_loop_now_us(request->server->loop);
 	if (request->received_bytes > DISCARD_MAX_BYTES)
 		return MHD_NO;
 	if (request->refused)
 		return MHD_YES;
+	if (!request->too_large &&
+	    !reserve_body(request, reserve_size(request, size))) {
+		refuse_body(request, false);
+		return MHD_YES;
+	}
 	if (request->received_bytes > request->server->config.body_max_bytes) {
 		request->too_large = true;
 		g_string_truncate(request->body, 0);
@@ -304,6 +530,7 @@
 
 	request->dispatched = true;
 	server->request_count++;
+	end_body(request);
 	if (!request->too_large)
 		server->config.on_request(server->config.ctx, request);
 	else if (server->config.on_too_large != NULL)
@@ -449,9 +676,11 @@
 		flags, 0, NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR,
 		address, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_LIMIT,
-		server->config.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-		server->config.idle_timeout_s, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-		LISTEN_BACKLOG, MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
+		server->config.max_connections +
+			server->config.max_connections / CONNECTIONS_SPARE_PART,
+		MHD_OPTION_CONNECTION_TIMEOUT, server->config.idle_timeout_s,
+		MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
 		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
 		MHD_OPTION_END);
@@ -491,6 +720,8 @@
 	server->loop = loop;
 	server->config = *config;
 	bsh_loop_timer_init(&server->timer, loop, run_daemon, server);
+	bsh_loop_timer_init(&server->surplus_timer, loop, close_surplus,
+			    server);
 	bsh_loop_task_init(&server->run_task, loop, run_daemon, server);
 	bsh_loop_task_init(&server->review_task, loop, review_new, server);
 	server->daemon =
@@ -525,6 +756,7 @@
 	bsh_http_server_review(server);
 	MHD_stop_daemon(server->daemon);
 	bsh_loop_timer_stop(&server->timer);
+	bsh_loop_timer_stop(&server->surplus_timer);
 	bsh_loop_task_cancel(&server->run_task);
 	bsh_loop_task_cancel(&server->review_task);
 	g_free(server);
--- a/lib/transport/http_server.h
+++ b/lib/transport/http_server.h
@@ -23,6 +23,11 @@
  *	unread bytes would reset the connection, and the client might lose the
  *	response.
  *
+ *	While there is no room for a body, the slowest one that is being received
+ *	is refused for it in the same way.  Beyond max_connections the connection
+ *	that is of least use is closed: one that has sent no whole head, one whose
+ *	body does not move, or one that is idle.
+ *
  *	Malformed requests never reach on_request: libmicrohttpd answers them
  *	or closes the connection.  A body over the limit is read and answered
  *	with 413.
@@ -33,6 +38,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 #include "base/error.h"
 #include "transport/loop.h"
@@ -54,6 +60,23 @@
 	/* A body over the limit was received; must call
 	 * bsh_http_response_send().  NULL: respond 413 without a body. */
 	void (*on_too_large)(void *ctx, bsh_http_request_t *request);
+	/* Accounts of memory; NULL: there is no bound.  grow_body: a body that is
+	 * received grows from one number of bytes to another; false: there is no
+	 * room.  end_body: it is whole or was dropped.  buffered: bytes of
+	 * responses were added or, below 0, passed to the kernel. */
+	bool (*grow_body)(void *ctx, size_t from, size_t to);
+	void (*end_body)(void *ctx, size_t size);
+	void (*buffered)(void *ctx, ssize_t bytes);
+	/* Largest body that is legal now; a declared length above it is refused
+	 * at the head.  NULL: body_max_bytes. */
+	size_t (*body_limit)(void *ctx);
+	/* There is no room for a body, or it is too large by its declared length:
+	 * must call bsh_http_response_send().  Its body must not be used, and the
+	 * rest of it is dropped. */
+	void (*on_no_room)(void *ctx, bsh_http_request_t *request,
+			   bool too_large);
+	/* A connection was closed for another one. */
+	void (*on_closed)(void *ctx);
 	/* Called by bsh_http_server_review(); its body must not be used.  False:
 	 * the request is refused, and bsh_http_response_send() was called.
 	 * NULL: none is refused. */
--- a/lib/transport/http_server_message.c
+++ b/lib/transport/http_server_message.c
@@ -109,6 +109,13 @@
 	g_ptr_array_add(request->headers, g_strdup(value));
 }
 
+static void note_progress(const bsh_http_request_t *request)
+{
+	if (request->connection != NULL)
+		request->connection->moved_us =
+			bsh_loop_now_us(request->server->loop);
+}
+
 static void begin_response(bsh_http_request_t *request, int status,
 			   struct MHD_Response *response)
 {
@@ -116,6 +123,7 @@
 
 	request->status = status;
 	request->response = response;
+	note_progress(request);
 	/* libmicrohttpd rejects a header with a control character in its
 	 * value; the response is sent without it. */
 	for (guint i = 0; i + 1 < headers->len; i += 2)
@@ -143,6 +151,8 @@
 		return;
 	}
 	request->ended = true;
+	request->copied_bytes = size;
+	http_server_buffered(request, (ssize_t)size);
 	begin_response(request, status,
 		       MHD_create_response_from_buffer(size,
 						       (void *)(uintptr_t)body,
@@ -154,6 +164,13 @@
 	return request->out->len - request->out_start;
 }
 
+bool http_server_has_unread(const bsh_http_request_t *request)
+{
+	if (request->response == NULL)
+		return false;
+	return request->out == NULL || buffered_bytes(request) > 0;
+}
+
 static void reset_write_buffer(bsh_http_request_t *request)
 {
 	request->out_start = 0;
@@ -179,6 +196,8 @@
 	if (n > 0) {
 		memcpy(buffer, request->out->str + request->out_start, n);
 		request->out_start += n;
+		note_progress(request);
+		http_server_buffered(request, -(ssize_t)n);
 		if (buffered_bytes(request) == 0)
 			reset_write_buffer(request);
 		return (ssize_t)n;
@@ -212,6 +231,7 @@
 		request->out_start = 0;
 	}
 	g_string_append_len(request->out, data, (gssize)size);
+	http_server_buffered(request, (ssize_t)size);
 	if (buffered_bytes(request) > BSH_HTTP_HIGH_WATERMARK_BYTES)
 		request->want_drained = true;
 	http_server_resume(request);
--- a/lib/transport/http_server_private.h
+++ b/lib/transport/http_server_private.h
@@ -18,6 +18,9 @@
 typedef struct connection {
 	int fd;
 	bsh_http_request_t *request; /* being received or in progress */
+	int64_t moved_us;	     /* last progress */
+	bool served;		     /* has had a response */
+	bool closing;		     /* for another one */
 	struct connection *next;
 	struct connection *previous;
 } connection_t;
@@ -28,10 +31,12 @@
 	struct MHD_Daemon *daemon;
 	bsh_loop_watch_t *watch;
 	bsh_loop_timer_t timer;
+	bsh_loop_timer_t surplus_timer;
 	bsh_loop_task_t run_task;
 	bsh_loop_task_t review_task;
 	connection_t *connections;
 	uint32_t connection_count;
+	uint32_t closing_count; /* of these, closed for others */
 	uint32_t request_count;
 	bool closing; /* each response closes its connection */
 	bool stopped; /* no longer listening */
@@ -47,7 +52,10 @@
 	char method[16];
 	GString *body;
 	uint64_t received_bytes;
-	GPtrArray *headers; /* of the response: name, value, name, ... */
+	size_t reserved_bytes; /* by grow_body */
+	int64_t began_us;
+	size_t copied_bytes; /* of a response that was sent at once */
+	GPtrArray *headers;  /* of the response: name, value, name, ... */
 	struct MHD_Response *response;
 	int status;
 	GString *out; /* response data not yet read by libmicrohttpd */
@@ -74,6 +82,10 @@
 	bool want_drained; /* call on_drained when out is empty */
 };
 
+/* http_server_buffered - tell of bytes of responses. */
+void http_server_buffered(const bsh_http_request_t *request, ssize_t bytes);
+/* http_server_has_unread - bytes of its response wait for the client. */
+bool http_server_has_unread(const bsh_http_request_t *request);
 /* http_server_resume - go on with a suspended connection. */
 void http_server_resume(bsh_http_request_t *request);
 /* http_server_suspend - suspend a connection until there is data to send. */
