--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -365,6 +365,9 @@
 		server->connections = connection->next;
 	if (connection->next != NULL)
 		connection->next->previous = connection->previous;
+	/* At its limit libmicrohttpd accepts again only in its next run. */
+	if (server->connection_count >= server->config.max_connections)
+		bsh_loop_task_schedule(&server->run_task);
 	server->connection_count--;
 	server->closing_count -= connection->closing;
 	g_free(connection);
