accounts: check the key by the route in force

A request without a key that ran on an anonymous route was sent to a second target after a newer configuration had made the route one that needs a key.

A request that runs, or whose answer has begun, keeps the route of the configuration it came under (follow_configuration() is for those that wait), and accounts_check() took "anonymous" from that route but the keys from the view.

/accounts/closed-while-running: both targets close after they ran the request; 2 runs before, 1 now.

--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -98,6 +98,20 @@
 			      : -1);
 }
 
+/* Whether the route is anonymous in the configuration in force: a request that
+ * runs, or whose answer has begun, keeps the route of an earlier one. */
+static bool is_anonymous(const request_t *r)
+{
+	const bsh_catalog_t *catalog = r->traffic->view->catalog;
+	const bsh_route_rule_t *route = NULL;
+
+	if (r->catalog != catalog)
+		route = bsh_catalog_match(
+			catalog, bsh_http_request_header(r->http, "Host"),
+			bsh_http_request_path(r->http));
+	return route != NULL ? route->anonymous : r->route->anonymous;
+}
+
 bsh_access_t accounts_check(request_t *r)
 {
 	const traffic_t *t = r->traffic;
@@ -105,7 +119,7 @@
 	const bsh_accounts_t *accounts = t->view->catalog->accounts;
 	const bsh_account_rule_t *account = NULL;
 	bsh_access_input_t input = {
-		.needs_key = accounts != NULL && !r->route->anonymous,
+		.needs_key = accounts != NULL && !is_anonymous(r),
 		.confirmed_age_us =
 			traffic_now_us(t) - load_us(&freshness->config_us),
 		.arrived_us = r->arrived_boot_us,
--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -325,6 +325,40 @@
 	platform_rig_reply_clear(&reply);
 }
 
+#define CLOSED_ROUTE                                                           \
+	"{\"name\":\"open\",\"host\":\"" RIG_HOST "\",\"pathPrefix\":\"/open/" \
+	"\",\"kind\":\"idempotent\",\"service\":\"desk\",\"maxAttempts\":2,"   \
+	"\"timeoutMs\":3000,\"targetLatencyMs\":500,\"priority\":0}"
+
+/* Guards against a request that is sent a second time without a key after its
+ * route has ceased to be anonymous: it was running then. */
+static void test_closed_while_running(fixture_t *f, gconstpointer data)
+{
+	rig_request_t request = { .address = f->rig.entries[0].front,
+				  .path = "/open/1",
+				  .id = "closed",
+				  .deadline_ms = DEADLINE_MS };
+	worker_t *workers[] = { f->worker, platform_rig_add_worker(
+						   &f->rig, "desk", NULL) };
+	rig_reply_t reply;
+
+	(void)data;
+	platform_rig_run(&f->rig, 1000);
+	for (size_t i = 0; i < G_N_ELEMENTS(workers); i++) {
+		workers[i]->mode = WORKER_CLOSES_AFTER_RUN;
+		workers[i]->silent_until_us =
+			bsh_loop_clock_us() + SECOND_US * 2 / 5;
+	}
+	platform_rig_start(&f->rig, &request, &reply);
+	platform_rig_run(&f->rig, 100);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "closed"), ==, 1);
+	platform_rig_configure(&f->rig, CLOSED_ROUTE);
+	platform_rig_wait(&f->rig, &reply.done);
+	g_assert_cmpint(reply.status, !=, 200);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "closed"), ==, 1);
+	platform_rig_reply_clear(&reply);
+}
+
 /* Guards against an instance that hears neither the store nor others, and uses a
  * key that was removed. */
 static void test_out_of_touch(fixture_t *f, gconstpointer data)
@@ -486,6 +520,7 @@
 	ADD("keys", NULL, test_keys);
 	ADD("changed-keys", NULL, test_changed_keys);
 	ADD("removed-while-waiting", NULL, test_removed_while_waiting);
+	ADD("closed-while-running", NULL, test_closed_while_running);
 	ADD("out-of-touch", STRICT, test_out_of_touch);
 	ADD("frozen", STRICT, test_frozen);
 	ADD("told-by-others", STRICT, test_told_by_others);
