accounts: prove the configuration of the view, not a newer one

For a moment after an instance had adopted a version without a key, it could still serve the key long after the bound: an instance that was cut off for longer than accounts.revoke_ms hears of the new version, and a request with the removed key comes before the traffic thread has the new view.

The control thread published the moment at which its configuration was the newest before it posted the view with it (publish_view()), or at a tick between. The traffic thread took that moment as one of the view it still had. The version is published beside the moment now, and a moment of a version above that of the view does not replace the last one of the view.

Found by reading; the gap is some microseconds with idle processors, so there is no test that fails before.

--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -98,6 +98,21 @@
 			      : -1);
 }
 
+/* The moment at which the configuration of the view was the newest.  The control
+ * thread may have adopted a newer one: its moment says nothing about this one. */
+static int64_t update_proof(traffic_t *t)
+{
+	const freshness_t *freshness = &t->entry->freshness;
+	int64_t proven_us =
+		__atomic_load_n(&freshness->config_proof_us, __ATOMIC_ACQUIRE);
+	uint64_t version = __atomic_load_n(&freshness->config_proof_version,
+					   __ATOMIC_RELAXED);
+
+	if (version <= t->view->catalog->version)
+		t->config_proof_us = proven_us;
+	return t->config_proof_us;
+}
+
 /* Whether the route is anonymous in the configuration in force: a request that
  * runs, or whose answer has begun, keeps the route of an earlier one. */
 static bool is_anonymous(const request_t *r)
@@ -114,7 +129,7 @@
 
 bsh_access_t accounts_check(request_t *r)
 {
-	const traffic_t *t = r->traffic;
+	traffic_t *t = r->traffic;
 	const freshness_t *freshness = &t->entry->freshness;
 	const bsh_accounts_t *accounts = t->view->catalog->accounts;
 	const bsh_account_rule_t *account = NULL;
@@ -123,7 +138,7 @@
 		.confirmed_age_us =
 			traffic_now_us(t) - load_us(&freshness->config_us),
 		.arrived_us = r->arrived_boot_us,
-		.proven_us = load_us(&freshness->config_proof_us),
+		.proven_us = update_proof(t),
 		.bound_us =
 			t->entry->settings.accounts_revoke_ms * INT64_C(1000),
 	};
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -50,9 +50,11 @@
 	__atomic_store_n(&freshness->targets_us,
 			 targets_confirmed_us(control->targets),
 			 __ATOMIC_RELAXED);
+	__atomic_store_n(&freshness->config_proof_version,
+			 control->config_proof.version, __ATOMIC_RELAXED);
 	__atomic_store_n(&freshness->config_proof_us,
 			 bsh_config_proof_us(&control->config_proof.proof),
-			 __ATOMIC_RELAXED);
+			 __ATOMIC_RELEASE);
 }
 
 static void publish_view(void *ctx)
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -75,8 +75,10 @@
 	int64_t config_us;
 	int64_t targets_us;
 	int64_t peers_us;
-	/* The configuration in force was certainly the newest one then, on
-	 * CLOCK_BOOTTIME. */
+	/* This version of the configuration was certainly the newest one then,
+	 * on CLOCK_BOOTTIME.  It is stored before the moment, and may be newer
+	 * than the one of the view. */
+	uint64_t config_proof_version;
 	int64_t config_proof_us;
 } freshness_t;
 
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -128,6 +128,9 @@
 	GPtrArray *reach_checks; /* check_t, of reach.c */
 	GHashTable *peers;	 /* instance to target_state_t, of relays.c */
 	bsh_loop_timer_t reach_timer;
+	/* The configuration of the view was certainly the newest one then, on
+	 * CLOCK_BOOTTIME; 0: never. */
+	int64_t config_proof_us;
 	account_limits_t account_limits;
 	bsh_fair_order_t fair_order;
 	bsh_memory_budget_t memory;
