accounts: check the key again once the connection is made

A request whose key was removed, or moved to another account, while the connection to its target was being made was sent all the same, with the name of the former account.

The key was checked before the connection, which may take until the connect timeout, or as long as a freeze of the process. may_send() now checks it, too: a request for which the check would end otherwise is withheld and dispatched anew, which refuses it or sends it with the other name.

--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -1,6 +1,7 @@
 /* Client accounts of requests: whether a key may be used, and the priority. */
 #include "traffic.h"
 
+#include <string.h>
 #include <time.h>
 
 #include "base/counter.h"
@@ -127,7 +128,7 @@
 	return route != NULL ? route->anonymous : r->route->anonymous;
 }
 
-bsh_access_t accounts_check(request_t *r)
+static bsh_access_t check(request_t *r, int64_t *proven_us)
 {
 	traffic_t *t = r->traffic;
 	const freshness_t *freshness = &t->entry->freshness;
@@ -142,19 +143,38 @@
 		.bound_us =
 			t->entry->settings.accounts_revoke_ms * INT64_C(1000),
 	};
-	bsh_access_t access;
 
 	r->has_accounts = accounts != NULL;
 	if (input.needs_key && r->info.has_key)
 		account = bsh_accounts_find_key(accounts, &r->info.key);
 	input.key_known = account != NULL;
 	set_account(r, account);
-	access = bsh_access_decide(&input);
+	*proven_us = input.proven_us;
+	return bsh_access_decide(&input);
+}
+
+bsh_access_t accounts_check(request_t *r)
+{
+	int64_t proven_us;
+	bsh_access_t access = check(r, &proven_us);
+
 	if (access != BSH_ACCESS_GRANTED)
-		note_refusal(r, access, input.proven_us);
+		note_refusal(r, access, proven_us);
 	return access;
 }
 
+bool accounts_are_unchanged(request_t *r)
+{
+	bool has_accounts = r->has_accounts;
+	char account[BSH_NAME_SIZE];
+	int64_t proven_us;
+
+	g_strlcpy(account, r->account, sizeof(account));
+	return check(r, &proven_us) == BSH_ACCESS_GRANTED &&
+	       r->has_accounts == has_accounts &&
+	       strcmp(r->account, account) == 0;
+}
+
 /* The account whose limit counts a request that arrives; NULL: none. */
 static const bsh_account_rule_t *limited_account(const request_t *r)
 {
--- a/bshentryd/forward.c
+++ b/bshentryd/forward.c
@@ -123,12 +123,14 @@
 }
 
 /* The last check before the request leaves: it may have taken long to connect,
- * or the process may have been paused meanwhile. */
+ * or the process may have been paused meanwhile, and its key may have been removed
+ * or be one of another account than its header names. */
 static bool may_send(void *ctx)
 {
 	attempt_t *a = ctx;
 
-	a->withheld = forward_is_abandoned(a->request);
+	a->withheld = forward_is_abandoned(a->request) ||
+		      !accounts_are_unchanged(a->request);
 	return !a->withheld;
 }
 
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -311,7 +311,8 @@
 	}
 	if (end == ATTEMPT_WITHHELD) {
 		request_log_attempt(r->attempt, end, err, false);
-		end_abandoned(r);
+		/* Its caller has left, or its key is checked again. */
+		dispatch(r);
 		return;
 	}
 	again = end == ATTEMPT_NOT_REACHED || retry_is_allowed(r, r->sends);
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -414,6 +414,8 @@
 /* accounts_check - whether the request may be sent now, by the configuration in
  * force; sets its account and priority. */
 bsh_access_t accounts_check(request_t *r);
+/* accounts_are_unchanged - the last accounts_check() would end as it did. */
+bool accounts_are_unchanged(request_t *r);
 /* accounts_admit - false if the request exceeds the limit of its account; its
  * caller may come back after *retry_ms. */
 bool accounts_admit(request_t *r, int64_t *retry_ms);
