--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -93,7 +93,8 @@
 	"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":" accounts "}"
 
 /* Guards against two accounts with one key, against limits that are no limits,
- * and against a message that shows a key. */
+ * against accounts or keys of another form, without which all would be served or
+ * none, and against a message that shows a key. */
 static void test_refused_accounts(void)
 {
 	static const char *const texts[] = {
@@ -104,6 +105,8 @@
 		CONFIGURATION("[{\"name\":\"a\",\"ratePerS\":-1}]"),
 		CONFIGURATION("[{\"name\":\"a\",\"burst\":\"much\"}]"),
 		CONFIGURATION("[{\"name\":\"a\",\"apiKeys\":[7]}]"),
+		CONFIGURATION("[{\"name\":\"a\",\"apiKeys\":\"secret\"}]"),
+		CONFIGURATION("{\"a\":{\"apiKeys\":[\"secret\"]}}"),
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
