planner: no second try before a target is free of another holder

A load that was refused as busy was sent again after 60 ms although the target had been deferred in between, as the former holder of the lease had named an order to it: two orders of two holders within a lease time.

tries_planned_load_again() set the earliest time of the next order instead of raising it.

/planner/second-try-is-deferred fails before (3 orders instead of 2) and passes now, with the other cases of test_planner.

--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -738,7 +738,7 @@
 		return false;
 	t->busy_retries++;
 	t->has_order = false;
-	t->next_order_us = now_us + BUSY_RETRY_US;
+	t->next_order_us = MAX(t->next_order_us, now_us + BUSY_RETRY_US);
 	set_state(t, PLANNER_IDLE, now_us);
 	return true;
 }
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -282,6 +282,36 @@
 	rig_finish(&rig);
 }
 
+/* Guards against a second try of a load while another holder of the lease may have
+ * given the target an order: it was named as such after the first try was sent. */
+static void test_second_try_is_deferred(void)
+{
+	static const char *const models[] = { "a", "b", "c", NULL };
+	static const char *const holds[] = { "a", "b", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	rig_t rig;
+
+	rig_init(&rig, models, 0);
+	add_target(&rig, &target, 0);
+	demand(&rig, "a", NULL, 5, 0);
+	tick(&rig, 1000);
+	demand(&rig, "c", NULL, 1, 1);
+	tick(&rig, 1000);
+	tick(&rig, 50000);
+	bsh_planner_order_result(rig.planner, "t1", BSH_ORDER_ACCEPTED,
+				 rig.now_us);
+	tick(&rig, 100000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	bsh_planner_defer_orders(rig.planner, "t1", rig.now_us + 1000000,
+				 rig.now_us);
+	bsh_planner_order_result(rig.planner, "t1", BSH_ORDER_BUSY, rig.now_us);
+	tick(&rig, 900000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	tick(&rig, 200000);
+	g_assert_cmpuint(rig.n_orders, ==, 3);
+	rig_finish(&rig);
+}
+
 /* Guards against a load that goes elsewhere, or waits for a report, when the unload
  * before it waits for the last request of its model: each model of the fleet is
  * replaced once a second, and half a second of a target is lost each time. */
@@ -1521,6 +1551,8 @@
 			test_unloading_model_stays_withdrawn);
 	g_test_add_func("/planner/planned-load-waits-for-unload",
 			test_planned_load_waits_for_unload);
+	g_test_add_func("/planner/second-try-is-deferred",
+			test_second_try_is_deferred);
 	g_test_add_func("/planner/load-from-copy-ends-without-report",
 			test_load_from_copy_ends_without_report);
 	g_test_add_func("/planner/asked-models-are-seeded-first",
