http_server: a stream is unread only since it has something to read

A stream that sent nothing for 5 s was cut just as its next event came, if a new connection came beyond the limit in the same round of the loop.

Whether a response is left unread was judged by its last progress, although nothing was there to be read since. A write into an empty buffer counts as progress now.

/http/slow-stream-at-limit fails before (the call ends early) and passes now, with the other cases of test_http.

--- a/lib/transport/http_server_message.c
+++ b/lib/transport/http_server_message.c
@@ -230,6 +230,9 @@
 		g_string_erase(request->out, 0, (gssize)request->out_start);
 		request->out_start = 0;
 	}
+	/* Until now there was nothing to read. */
+	if (buffered_bytes(request) == 0)
+		note_progress(request);
 	g_string_append_len(request->out, data, (gssize)size);
 	http_server_buffered(request, (ssize_t)size);
 	if (buffered_bytes(request) > BSH_HTTP_HIGH_WATERMARK_BYTES)
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -91,11 +91,11 @@
 	}
 }
 
-static void fixture_init(fixture_t *f)
+static void fixture_init_limited(fixture_t *f, uint32_t max_connections)
 {
 	bsh_http_server_config_t config = {
 		.address = "127.0.0.1:0",
-		.max_connections = 100,
+		.max_connections = max_connections,
 		.idle_timeout_s = 1,
 		.body_max_bytes = BODY_MAX_BYTES,
 		.on_request = on_request,
@@ -112,6 +112,11 @@
 		   bsh_http_server_port(f->server));
 }
 
+static void fixture_init(fixture_t *f)
+{
+	fixture_init_limited(f, 100);
+}
+
 static void fixture_finish(fixture_t *f)
 {
 	bsh_http_client_free(f->client);
@@ -394,6 +399,58 @@
 	return raw.received;
 }
 
+static int raw_connect(const fixture_t *f)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(bsh_http_server_port(f->server)),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), ==,
+		0);
+	return fd;
+}
+
+static void step_for(fixture_t *f, int64_t time_us)
+{
+	int64_t end_us = bsh_loop_clock_us() + time_us;
+
+	while (bsh_loop_clock_us() < end_us)
+		bsh_loop_step(&f->loop, STEP_US);
+}
+
+/* Guards against a stream that is cut for another connection as unread, although
+ * its target was silent for seconds and its caller reads at once. */
+static void test_slow_stream_at_limit(void)
+{
+	fixture_t f;
+	int fds[2];
+
+	fixture_init_limited(&f, 2);
+	start_call(&f, "/hold", NULL, (bsh_http_call_spec_t){ 0 }, BSH_OK);
+	step_until(&f, &f.requests, 1);
+	bsh_http_response_begin(f.held, 200, -1);
+	bsh_http_response_write(f.held, "one,", 4);
+	/* Longer than a response may stay unread. */
+	step_for(&f, 5200000);
+	g_assert_cmpstr(f.body->str, ==, "one,");
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = raw_connect(&f);
+	bsh_http_response_write(f.held, "two", 3);
+	step_for(&f, 100000);
+	g_assert_cmpint(f.ends, ==, 0);
+	bsh_http_response_end(f.held);
+	step_until(&f, &f.ends, 1);
+	g_assert_cmpint(f.result.err, ==, BSH_OK);
+	g_assert_cmpstr(f.body->str, ==, "one,two");
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	fixture_finish(&f);
+}
+
 /* Guards against a process that aborts as it ends its server, or passes a request
  * to a part that is about to be freed: a request that comes just then is closed
  * unread. */
@@ -404,18 +461,8 @@
 	int fds[8];
 
 	fixture_init(&f);
-	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-		struct sockaddr_in address = {
-			.sin_family = AF_INET,
-			.sin_port = htons(bsh_http_server_port(f.server)),
-			.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-		};
-
-		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
-		g_assert_cmpint(connect(fds[i], (struct sockaddr *)&address,
-					sizeof(address)),
-				==, 0);
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = raw_connect(&f);
 	while (bsh_http_server_connections(f.server) < G_N_ELEMENTS(fds))
 		bsh_loop_step(&f.loop, STEP_US);
 	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
@@ -594,5 +641,7 @@
 	g_test_add_func("/http/stop", test_stop);
 	g_test_add_func("/http/bad-requests", test_bad_requests);
 	g_test_add_func("/http/request-at-free", test_request_at_free);
+	g_test_add_func("/http/slow-stream-at-limit",
+			test_slow_stream_at_limit);
 	return g_test_run();
 }
