http_server: close no connection for another that is sending

A caller lost the request that it sent next over a kept connection: with the server at its limit, a new connection closed it as idle. The request ran then, if it was whole in the socket, and its answer could not be sent. After a freeze of the process all heads and uploads looked stalled, too.

close_least_useful() judged by what had been read. It now looks whether the socket of the one it found has unread input, and only then at the sockets of all. What is being refused is closed as before.

/http/next-request-at-limit fails before (closed without an answer) and passes now, with the other cases of test_http.

--- a/lib/transport/http_server.c
+++ b/lib/transport/http_server.c
@@ -287,8 +287,28 @@
 	return CONNECTION_BUSY;
 }
 
-/* Closes the connection that is of least use; false if all are in use. */
-static bool close_least_useful(bsh_http_server_t *server)
+static bool has_unread_input(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* What was sent and is not read yet is progress: the process may have been paused. */
+static bool is_sending(const connection_t *connection, int64_t now_us)
+{
+	const bsh_http_request_t *request = connection->request;
+
+	if (use_of(connection, now_us) == CONNECTION_UNREAD ||
+	    (request != NULL && request->refused))
+		return false;
+	return has_unread_input(connection->fd);
+}
+
+/* The connection that is of least use, other than busy ones and, if looks is set,
+ * those that are sending; NULL: there is none. */
+static connection_t *find_least_useful(const bsh_http_server_t *server,
+				       bool looks)
 {
 	int64_t now_us = bsh_loop_now_us(server->loop);
 	connection_use_t least = CONNECTION_BUSY;
@@ -300,11 +320,23 @@
 		if (use == CONNECTION_BUSY ||
 		    (found != NULL &&
 		     (use > least ||
-		      (use == least && c->moved_us >= found->moved_us))))
+		      (use == least && c->moved_us >= found->moved_us))) ||
+		    (looks && is_sending(c, now_us)))
 			continue;
 		least = use;
 		found = c;
 	}
+	return found;
+}
+
+/* Closes the connection that is of least use; false if all are in use. */
+static bool close_least_useful(bsh_http_server_t *server)
+{
+	connection_t *found = find_least_useful(server, false);
+
+	/* To look at all sockets takes a call for each. */
+	if (found != NULL && is_sending(found, bsh_loop_now_us(server->loop)))
+		found = find_least_useful(server, true);
 	if (found == NULL)
 		return false;
 	found->closing = true;
@@ -770,13 +802,6 @@
 	return info != NULL ? info->port : 0;
 }
 
-static bool has_unread_input(int fd)
-{
-	char byte;
-
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 void bsh_http_server_close_after_responses(bsh_http_server_t *server)
 {
 	server->closing = true;
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -451,6 +451,37 @@
 	fixture_finish(&f);
 }
 
+/* Guards against a connection that is closed for another one as idle while its next
+ * request is in the socket: its caller does not learn whether that ran. */
+static void test_next_request_at_limit(void)
+{
+	static const char text[] = "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n";
+	char answer[1000];
+	fixture_t f;
+	int fds[3] = { -1, -1, -1 };
+
+	fixture_init_limited(&f, 2);
+	fds[0] = raw_connect(&f);
+	for (int i = 1; i <= 2; i++) {
+		ssize_t n;
+
+		g_assert_cmpint(
+			send(fds[0], text, sizeof(text) - 1, MSG_NOSIGNAL), ==,
+			sizeof(text) - 1);
+		for (int j = 1; i == 2 && j < 3; j++)
+			fds[j] = raw_connect(&f);
+		step_for(&f, 100000);
+		n = recv(fds[0], answer, sizeof(answer) - 1, MSG_DONTWAIT);
+		g_assert_cmpint(n, >, 0);
+		answer[n] = '\0';
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+		g_assert_cmpint(f.requests, ==, i);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	fixture_finish(&f);
+}
+
 /* Guards against a process that aborts as it ends its server, or passes a request
  * to a part that is about to be freed: a request that comes just then is closed
  * unread. */
@@ -643,5 +674,7 @@
 	g_test_add_func("/http/request-at-free", test_request_at_free);
 	g_test_add_func("/http/slow-stream-at-limit",
 			test_slow_stream_at_limit);
+	g_test_add_func("/http/next-request-at-limit",
+			test_next_request_at_limit);
 	return g_test_run();
 }
