--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -1,6 +1,7 @@
 /* Client accounts of requests: whether a key may be used, and the priority. */
 #include "traffic.h"
 
+#include <string.h>
 #include <time.h>
 
 #include "base/counter.h"
@@ -98,34 +99,82 @@
 			      : -1);
 }
 
-bsh_access_t accounts_check(request_t *r)
+/* The moment at which the configuration of the view was the newest.  The control
+ * thread may have adopted a newer one: its moment says nothing about this one. */
+static int64_t update_proof(traffic_t *t)
+{
+	const freshness_t *freshness = &t->entry->freshness;
+	int64_t proven_us =
+		__atomic_load_n(&freshness->config_proof_us, __ATOMIC_ACQUIRE);
+	uint64_t version = __atomic_load_n(&freshness->config_proof_version,
+					   __ATOMIC_RELAXED);
+
+	if (version <= t->view->catalog->version)
+		t->config_proof_us = proven_us;
+	return t->config_proof_us;
+}
+
+/* Whether the route is anonymous in the configuration in force: a request that
+ * runs, or whose answer has begun, keeps the route of an earlier one. */
+static bool is_anonymous(const request_t *r)
 {
-	const traffic_t *t = r->traffic;
+	const bsh_catalog_t *catalog = r->traffic->view->catalog;
+	const bsh_route_rule_t *route = NULL;
+
+	if (r->catalog != catalog)
+		route = bsh_catalog_match(
+			catalog, bsh_http_request_header(r->http, "Host"),
+			bsh_http_request_path(r->http));
+	return route != NULL ? route->anonymous : r->route->anonymous;
+}
+
+static bsh_access_t check(request_t *r, int64_t *proven_us)
+{
+	traffic_t *t = r->traffic;
 	const freshness_t *freshness = &t->entry->freshness;
 	const bsh_accounts_t *accounts = t->view->catalog->accounts;
 	const bsh_account_rule_t *account = NULL;
 	bsh_access_input_t input = {
-		.needs_key = accounts != NULL && !r->route->anonymous,
+		.needs_key = accounts != NULL && !is_anonymous(r),
 		.confirmed_age_us =
 			traffic_now_us(t) - load_us(&freshness->config_us),
 		.arrived_us = r->arrived_boot_us,
-		.proven_us = load_us(&freshness->config_proof_us),
+		.proven_us = update_proof(t),
 		.bound_us =
 			t->entry->settings.accounts_revoke_ms * INT64_C(1000),
 	};
-	bsh_access_t access;
 
 	r->has_accounts = accounts != NULL;
 	if (input.needs_key && r->info.has_key)
 		account = bsh_accounts_find_key(accounts, &r->info.key);
 	input.key_known = account != NULL;
 	set_account(r, account);
-	access = bsh_access_decide(&input);
+	*proven_us = input.proven_us;
+	return bsh_access_decide(&input);
+}
+
+bsh_access_t accounts_check(request_t *r)
+{
+	int64_t proven_us;
+	bsh_access_t access = check(r, &proven_us);
+
 	if (access != BSH_ACCESS_GRANTED)
-		note_refusal(r, access, input.proven_us);
+		note_refusal(r, access, proven_us);
 	return access;
 }
 
+bool accounts_are_unchanged(request_t *r)
+{
+	bool has_accounts = r->has_accounts;
+	char account[BSH_NAME_SIZE];
+	int64_t proven_us;
+
+	g_strlcpy(account, r->account, sizeof(account));
+	return check(r, &proven_us) == BSH_ACCESS_GRANTED &&
+	       r->has_accounts == has_accounts &&
+	       strcmp(r->account, account) == 0;
+}
+
 /* The account whose limit counts a request that arrives; NULL: none. */
 static const bsh_account_rule_t *limited_account(const request_t *r)
 {
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -128,6 +128,9 @@
 	GPtrArray *reach_checks; /* check_t, of reach.c */
 	GHashTable *peers;	 /* instance to target_state_t, of relays.c */
 	bsh_loop_timer_t reach_timer;
+	/* The configuration of the view was certainly the newest one then, on
+	 * CLOCK_BOOTTIME; 0: never. */
+	int64_t config_proof_us;
 	account_limits_t account_limits;
 	bsh_fair_order_t fair_order;
 	bsh_memory_budget_t memory;
@@ -411,6 +414,8 @@
 /* accounts_check - whether the request may be sent now, by the configuration in
  * force; sets its account and priority. */
 bsh_access_t accounts_check(request_t *r);
+/* accounts_are_unchanged - the last accounts_check() would end as it did. */
+bool accounts_are_unchanged(request_t *r);
 /* accounts_admit - false if the request exceeds the limit of its account; its
  * caller may come back after *retry_ms. */
 bool accounts_admit(request_t *r, int64_t *retry_ms);
