lease: a repeated release keeps its order list

A RELEASE that is received again without a list made the successor forget the list that it had, and each repetition began its takeover delay anew. The object in the store, which the successor reads before its takeover, replaced the state of a handover by an older one: after a chain of handovers the successor waited for the longest extension (13.4 s).

The first release of a revision now stays, a list that comes later is added, and a read of the same revision changes neither.

--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -83,7 +83,10 @@
 	observe_revision(lease, holder, active, revision, now_us);
 	if (lease->revision != revision)
 		return;
-	lease->active = active;
+	/* The holder of this revision may have handed it over since, by a
+	 * message that says more than the object. */
+	if (lease->holder[0] != '\0' || !lease->has_order_list)
+		lease->active = active;
 	lease->was_read = true;
 	/* The own update may have been carried out or not: the sets that it
 	 * names include those of the object before it. */
@@ -424,6 +427,13 @@
 	lease->observed_us = now_us;
 }
 
+/* True if this release of the lease is known already. */
+static bool is_released(const bsh_lease_t *lease, uint64_t revision)
+{
+	return lease->known && lease->revision == revision &&
+	       lease->holder[0] == '\0';
+}
+
 static bool is_stale(const bsh_lease_t *lease, const char *holder,
 		     uint64_t revision)
 {
@@ -436,8 +446,16 @@
 bool bsh_lease_released(bsh_lease_t *lease, const char *holder, bool active,
 			bool has_order_list, uint64_t revision, int64_t now_us)
 {
+	int64_t observed_us = lease->observed_us;
+
 	if (lease->holding || is_stale(lease, holder, revision))
 		return false;
+	/* A release is sent several times, some of them without the list. */
+	if (is_released(lease, revision)) {
+		if (has_order_list && !lease->has_order_list)
+			set_released(lease, active, true, observed_us);
+		return true;
+	}
 	if (lease->revision != revision)
 		lease->voters_known = false;
 	lease->known = true;
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -348,6 +348,52 @@
 	g_assert_cmpstr(first.holder, ==, "entry-2");
 }
 
+/* Guards against a successor that waits for all targets because the release that
+ * it has got with a list is repeated without one, or because the object in the
+ * store is older than the release. */
+static void test_repeated_release(void)
+{
+	bsh_lease_t lease;
+
+	bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
+	bsh_lease_announced(&lease, "entry-1", false, 10, 2000);
+	g_assert_true(
+		bsh_lease_released(&lease, "entry-1", true, true, 10, SECOND));
+	g_assert_true(bsh_lease_released(&lease, "entry-1", true, false, 10,
+					 SECOND + 1000));
+	/* Its former holder had a list that a restart would have lost. */
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND + 2000), ==,
+			BSH_LEASE_READ);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-1", false, 10,
+		       SECOND + 3000);
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND + 4000), ==,
+			BSH_LEASE_REPLACE);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-2", false, 11,
+		       SECOND + 5000);
+	g_assert_true(bsh_lease_may_order(&lease, SECOND + 6000));
+}
+
+/* Guards against a successor that does not use a list which comes after the
+ * release, or waits again before its takeover. */
+static void test_list_after_release(void)
+{
+	bsh_lease_t lease;
+
+	bsh_lease_init(&lease, "entry-2", LEASE_MS, 40000, 0);
+	bsh_lease_announced(&lease, "entry-1", true, 10, 2000);
+	bsh_lease_released(&lease, "entry-1", true, false, 10, SECOND);
+	bsh_lease_released(&lease, "entry-1", true, true, 10, SECOND + 9000);
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND + 10000), ==,
+			BSH_LEASE_READ);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-1", true, 10,
+		       SECOND + 11000);
+	g_assert_cmpint(bsh_lease_next(&lease, SECOND + 12000), ==,
+			BSH_LEASE_REPLACE);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "entry-2", true, 11,
+		       SECOND + 13000);
+	g_assert_true(bsh_lease_may_order(&lease, SECOND + 14000));
+}
+
 #define FLEET_TARGETS_MAX 400U
 #define FLEET_RELEASE_MAX 40U
 #define FLEET_DAYS	  200U
@@ -385,7 +431,8 @@
 		step = bsh_lease_handover_step(
 			&lease, now_us, now_us % report_interval_us, withholds,
 			listed, FLEET_RELEASE_MAX, now_us);
-		withholds = step != BSH_HANDOVER_NONE;
+		withholds = step == BSH_HANDOVER_WITHHOLD ||
+			    (step == BSH_HANDOVER_NOW && withholds);
 		if (step == BSH_HANDOVER_NOW)
 			return bsh_lease_hand_over(&lease, now_us) ? now_us
 								   : INT64_MAX;
@@ -994,6 +1041,9 @@
 	for (int t = 0; t < TARGETS; t++)
 		message.age_us[t] = now_us - node->ordered_us[t];
 	broadcast(sim, message, now_us);
+	/* A RELEASE that cannot name all targets, beside RELEASE_KEYS. */
+	message.has_order_list = false;
+	broadcast(sim, message, now_us);
 	node->releases_left--;
 }
 
@@ -1304,7 +1354,8 @@
 		lease, now_us - node->answered_us,
 		now_us - node->peer_reached_us, node->withholds,
 		count_listed(node, now_us), RELEASE_TARGETS, now_us);
-	node->withholds = step != BSH_HANDOVER_NONE;
+	node->withholds = step == BSH_HANDOVER_WITHHOLD ||
+			  (step == BSH_HANDOVER_NOW && node->withholds);
 	if (step == BSH_HANDOVER_NOW && bsh_lease_hand_over(lease, now_us)) {
 		sim->handovers++;
 		return;
@@ -1672,6 +1723,8 @@
 	g_test_add_func("/lease/living-holder", test_live_holder_keeps_lease);
 	g_test_add_func("/lease/clean-release", test_release_with_order_list);
 	g_test_add_func("/lease/handover", test_handover);
+	g_test_add_func("/lease/repeated-release", test_repeated_release);
+	g_test_add_func("/lease/list-after-release", test_list_after_release);
 	g_test_add_func("/lease/cut-off-holder-of-many-targets",
 			test_cut_off_holder_of_many_targets);
 	g_test_add_func("/lease/renewal-during-restore",
