order_list: list of recent orders in several datagrams

A RELEASE names 40 targets at most. A holder that is cut off from the store and has ordered more lately gives no orders until fewer are left.

--- a/lib/protocol/message.c
+++ b/lib/protocol/message.c
@@ -5,10 +5,8 @@
 
 #include "transport/frame_link.h"
 
-/*
- * Tables that describe the fields of each message in wire order; encoder and
- * decoder are both driven by them.
- */
+/* Tables that describe the fields of each message in wire order; encoder and
+ * decoder are both driven by them. */
 typedef enum {
 	FIELD_END = 0,
 	FIELD_U32,
@@ -30,28 +28,19 @@
 	uint16_t element_size;	     /* FIELD_LIST: bytes of its struct */
 } field_t;
 
-#define U32(t, f)                                                              \
-	{                                                                      \
-		.kind = FIELD_U32, .offset = offsetof(t, f),                   \
-		.limit = UINT32_MAX                                            \
-	}
 #define ENUM(t, f, lo, hi)                                                     \
 	{                                                                      \
 		.kind = FIELD_U32, .offset = offsetof(t, f), .low = (lo),      \
 		.limit = (hi)                                                  \
 	}
-#define U64(t, f)                                                              \
+#define U32(t, f) ENUM(t, f, 0, UINT32_MAX)
+#define FIELD(k, t, f)                                                         \
 	{                                                                      \
-		.kind = FIELD_U64, .offset = offsetof(t, f)                    \
-	}
-#define BOOL(t, f)                                                             \
-	{                                                                      \
-		.kind = FIELD_BOOL, .offset = offsetof(t, f)                   \
-	}
-#define STRING(t, f)                                                           \
-	{                                                                      \
-		.kind = FIELD_STRING, .offset = offsetof(t, f)                 \
+		.kind = (k), .offset = offsetof(t, f)                          \
 	}
+#define U64(t, f)    FIELD(FIELD_U64, t, f)
+#define BOOL(t, f)   FIELD(FIELD_BOOL, t, f)
+#define STRING(t, f) FIELD(FIELD_STRING, t, f)
 #define BYTES(t, f)                                                            \
 	{                                                                      \
 		.kind = FIELD_BYTES, .offset = offsetof(t, f),                 \
@@ -361,6 +350,19 @@
 	END
 };
 
+static const field_t release_keys_fields[] = {
+	U64(bsh_msg_release_keys_t, term),
+	U64(bsh_msg_release_keys_t, revision),
+	BOOL(bsh_msg_release_keys_t, active),
+	ENUM(bsh_msg_release_keys_t, part, 0, BSH_RELEASE_PARTS_MAX - 1),
+	ENUM(bsh_msg_release_keys_t, parts, 1, BSH_RELEASE_PARTS_MAX),
+	BLOB(bsh_msg_release_keys_t, keys, keys_bytes,
+	     4 * BSH_RELEASE_KEYS_MAX),
+	BLOB(bsh_msg_release_keys_t, ages, ages_bytes,
+	     2 * BSH_RELEASE_KEYS_MAX),
+	END
+};
+
 static const field_t reader_fields[] = {
 	U64(bsh_msg_reader_t, revision),
 	U32(bsh_msg_reader_t, contact_age_ms),
@@ -457,6 +459,7 @@
 	[BSH_MSG_DEMAND] = { "DEMAND", demand_fields },
 	[BSH_MSG_PLACEMENT] = { "PLACEMENT", placement_fields },
 	[BSH_MSG_RELEASE] = { "RELEASE", release_fields },
+	[BSH_MSG_RELEASE_KEYS] = { "RELEASE_KEYS", release_keys_fields },
 	[BSH_MSG_LOAD] = { "LOAD", load_fields },
 	[BSH_MSG_INVENTORY] = { "INVENTORY", inventory_fields },
 	[BSH_MSG_UNREACHABLE] = { "UNREACHABLE", unreachable_fields },
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -74,6 +74,7 @@
 	BSH_MSG_CONFIG_ANSWER,
 	BSH_MSG_ACCOUNT_USE,
 	BSH_MSG_ACCOUNT_SHARES,
+	BSH_MSG_RELEASE_KEYS,
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -355,6 +356,31 @@
 	uint32_t ordered_count;
 } bsh_msg_release_t;
 
+/* Targets in one RELEASE_KEYS, so that it fits a datagram, and parts of one
+ * list at most. */
+#define BSH_RELEASE_KEYS_MAX  150
+#define BSH_RELEASE_PARTS_MAX 8
+
+/*
+ * RELEASE_KEYS: one part of the list of recent orders, if a RELEASE cannot name
+ * all targets.  All parts are sent again with each RELEASE, which has no list
+ * then: a receiver that lacks a part, or does not know this message, waits for
+ * all targets.
+ */
+typedef struct {
+	uint64_t term;
+	uint64_t revision; /* as in RELEASE */
+	bool active;	   /* as in RELEASE */
+	uint32_t part;	   /* from 0 */
+	uint32_t parts;
+	const uint8_t *keys; /* bsh_target_key(), big-endian, 4 bytes each */
+	uint32_t keys_bytes;
+	/* In the same order the milliseconds since each target's last order, or
+	 * fewer, big-endian, 2 bytes each. */
+	const uint8_t *ages;
+	uint32_t ages_bytes;
+} bsh_msg_release_keys_t;
+
 /* Targets in one INVENTORY, so that it fits a datagram. */
 #define BSH_INVENTORY_TARGETS_MAX 125
 
@@ -665,6 +691,7 @@
 		bsh_msg_demand_t demand;
 		bsh_msg_placement_t placement;
 		bsh_msg_release_t release;
+		bsh_msg_release_keys_t release_keys;
 		bsh_msg_load_t load;
 		bsh_msg_inventory_t inventory;
 		bsh_msg_unreachable_t unreachable;
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -132,6 +132,15 @@
 		m.release =
 			(bsh_msg_release_t){ 9, 12, true, true, ordered, 1 };
 		break;
+	case BSH_MSG_RELEASE_KEYS:
+		m.release_keys = (bsh_msg_release_keys_t){
+			9,    12,
+			true, 1,
+			2,    (const uint8_t *)"a\0bcdefg",
+			8,    (const uint8_t *)"\0\1\2\3",
+			4
+		};
+		break;
 	case BSH_MSG_LOAD:
 		m.load = (bsh_msg_load_t){ 9, loads, 2 };
 		break;
@@ -705,7 +714,7 @@
 }
 
 /* Guards against DEMAND, PLACEMENT, STREAM_RECORDS, SUSPECT_FACTS, TARGET_LIMITS, RELEASE,
- * LOAD, READER, DOCUMENT_PART and INVENTORY messages that exceed a datagram and so are never delivered, as in deployments with
+ * RELEASE_KEYS, LOAD, READER, DOCUMENT_PART and INVENTORY messages that exceed a datagram and so are never delivered, as in deployments with
  * hundreds of models. */
 static void test_message_fits_datagram(void)
 {
@@ -808,6 +817,19 @@
 	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
 	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
 	free(data);
+	m.type = BSH_MSG_RELEASE_KEYS;
+	m.release_keys = (bsh_msg_release_keys_t){ UINT64_MAX,
+						   UINT64_MAX,
+						   true,
+						   BSH_RELEASE_PARTS_MAX - 1,
+						   BSH_RELEASE_PARTS_MAX,
+						   document,
+						   4 * BSH_RELEASE_KEYS_MAX,
+						   document,
+						   2 * BSH_RELEASE_KEYS_MAX };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
 	for (size_t i = 0; i < G_N_ELEMENTS(load_entries); i++)
 		load_entries[i] =
 			(bsh_load_entry_t){ UINT32_MAX, BSH_LOAD_VALUE_MAX,
