--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -331,6 +331,9 @@
 /* Handles RELEASE: the lease holder gives no more orders. */
 void orders_receive_release(orders_t *orders, const char *sender,
 			    const bsh_msg_release_t *release);
+/* Handles RELEASE_KEYS: its list of recent orders, by keys. */
+void orders_receive_release_keys(orders_t *orders, const char *sender,
+				 const bsh_msg_release_keys_t *release);
 /* Lets the lease holder send the whole list: it may differ from what this
  * instance has learned elsewhere. */
 void orders_request_list(orders_t *orders);
--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -10,7 +10,8 @@
 
 /* RELEASE messages sent for one release, as datagrams may be lost. */
 #define RELEASE_SENDS 3U
-/* Targets in a RELEASE message: as many as fit into a datagram. */
+/* Targets in a RELEASE message: as many as fit into a datagram.  More are listed
+ * by their keys, in RELEASE_KEYS messages. */
 #define RELEASE_TARGETS_MAX 40U
 
 #define LEASE_OBJECT "orders"
@@ -25,18 +26,50 @@
 static bsh_counter_t lease_held =
 	BSH_GAUGE("bsh_order_lease_held", "1 while this instance may order.");
 
+/* Last order to the targets with one key. */
+typedef struct {
+	char *target; /* NULL: not known by its name */
+	bool shared;  /* several targets have the key */
+	int64_t last_us;
+} ordered_t;
+
+static void free_ordered(void *data)
+{
+	ordered_t *ordered = data;
+
+	g_free(ordered->target);
+	g_free(ordered);
+}
+
+GHashTable *order_lease_new_times(void)
+{
+	return g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+				     free_ordered);
+}
+
+static void note_name(ordered_t *ordered, const char *target)
+{
+	if (ordered->target == NULL)
+		ordered->target = g_strdup(target);
+	else if (strcmp(ordered->target, target) != 0)
+		ordered->shared = true;
+}
+
 /* Records the time of an order for the list that is part of a released lease.
  */
-static void record_order_time(const orders_t *orders, const char *target,
-			      int64_t ordered_us)
+static ordered_t *record_order_time(const orders_t *orders, uint32_t key,
+				    int64_t ordered_us)
 {
-	int64_t *last_us = g_hash_table_lookup(orders->ordered, target);
+	ordered_t *ordered =
+		g_hash_table_lookup(orders->ordered, GUINT_TO_POINTER(key));
 
-	if (last_us == NULL) {
-		last_us = g_new0(int64_t, 1);
-		g_hash_table_insert(orders->ordered, g_strdup(target), last_us);
+	if (ordered == NULL) {
+		ordered = g_new0(ordered_t, 1);
+		g_hash_table_insert(orders->ordered, GUINT_TO_POINTER(key),
+				    ordered);
 	}
-	*last_us = MAX(*last_us, ordered_us);
+	ordered->last_us = MAX(ordered->last_us, ordered_us);
+	return ordered;
 }
 
 static bsh_lease_result_t lease_result(platform_result_t result)
@@ -66,67 +99,114 @@
 /* Gives the target no order until the exclusion time of the former holder's
  * order is over.  The order is also listed when this instance releases the
  * lease. */
-static void exclude_target(const orders_t *orders, const char *target,
-			   int64_t age_us)
+static void exclude_target(const orders_t *orders, uint32_t key,
+			   int64_t ordered_us)
 {
-	int64_t ordered_us = now_us(orders) - age_us;
-
-	record_order_time(orders, target, ordered_us);
+	record_order_time(orders, key, ordered_us);
 	for (guint i = 0; i < orders->services->len; i++) {
 		const service_t *service =
 			g_ptr_array_index(orders->services, i);
 
-		bsh_planner_defer_orders(service->planner, target,
+		bsh_planner_defer_orders(service->planner, key,
 					 ordered_us +
 						 order_exclusion_us(orders),
 					 now_us(orders));
 	}
 }
 
-typedef void (*ordered_fn_t)(void *ctx, const char *target, uint32_t age_ms);
+typedef void (*ordered_fn_t)(void *ctx, uint32_t key, const ordered_t *ordered);
 
-/* Calls fn for each target whose last order is within the exclusion time. */
+/* Calls fn for each target whose last order is within the exclusion time, and
+ * forgets the others. */
 static void foreach_ordered(const orders_t *orders, ordered_fn_t fn, void *ctx)
 {
 	GHashTableIter iter;
-	void *target;
-	void *at_us;
+	void *key;
+	void *ordered;
 
 	g_hash_table_iter_init(&iter, orders->ordered);
-	while (g_hash_table_iter_next(&iter, &target, &at_us)) {
-		int64_t age_us = now_us(orders) - *(const int64_t *)at_us;
-
-		if (age_us < order_exclusion_us(orders))
-			fn(ctx, target, (uint32_t)(age_us / 1000));
+	while (g_hash_table_iter_next(&iter, &key, &ordered)) {
+		if (now_us(orders) - ((const ordered_t *)ordered)->last_us <
+		    order_exclusion_us(orders))
+			fn(ctx, GPOINTER_TO_UINT(key), ordered);
+		else
+			g_hash_table_iter_remove(&iter);
 	}
 }
 
-static void add_to_object(void *ctx, const char *target, uint32_t age_ms)
+static uint32_t order_age_ms(const orders_t *orders, const ordered_t *ordered)
+{
+	return (uint32_t)((now_us(orders) - ordered->last_us) / 1000);
+}
+
+static void count_ordered(void *ctx, uint32_t key, const ordered_t *ordered)
 {
-	json_object_set_new(ctx, target, json_integer(age_ms));
+	(void)key;
+	(void)ordered;
+	++*(uint32_t *)ctx;
 }
 
-static void add_to_array(void *ctx, const char *target, uint32_t age_ms)
+static void add_key(void *ctx, uint32_t key, const ordered_t *ordered)
 {
-	bsh_recent_order_t entry = { target, age_ms };
+	bsh_order_time_t entry = { key, ordered->last_us };
 
 	g_array_append_val((GArray *)ctx, entry);
 }
 
+/* A list that names targets. */
+typedef struct {
+	const orders_t *orders;
+	GArray *names;	/* bsh_recent_order_t; strings of orders->ordered */
+	bool all_named; /* each target has a name that no other shares */
+} named_list_t;
+
+static void add_name(void *ctx, uint32_t key, const ordered_t *ordered)
+{
+	named_list_t *list = ctx;
+	bsh_recent_order_t entry = { ordered->target,
+				     order_age_ms(list->orders, ordered) };
+
+	(void)key;
+	if (ordered->target == NULL || ordered->shared)
+		list->all_named = false;
+	else
+		g_array_append_val(list->names, entry);
+}
+
+static void resolve_name(void *ctx, const bsh_target_t *target)
+{
+	const orders_t *orders = ctx;
+	ordered_t *ordered = g_hash_table_lookup(
+		orders->ordered, GUINT_TO_POINTER(bsh_target_key(target->id)));
+
+	if (ordered != NULL)
+		note_name(ordered, target->id);
+}
+
+/* Lists the recent orders by the names of their targets; false if one of them
+ * is known by its key only. */
+static bool list_names(orders_t *orders, GArray *names)
+{
+	named_list_t list = { orders, names, true };
+
+	targets_foreach(orders->control->targets, resolve_name, orders);
+	foreach_ordered(orders, add_name, &list);
+	return list.all_named;
+}
+
 typedef struct {
 	const orders_t *orders;
 	const service_t *service;
 } deferral_t;
 
-static void defer_orders(void *ctx, const char *target, uint32_t age_ms)
+static void defer_orders(void *ctx, uint32_t key, const ordered_t *ordered)
 {
 	const deferral_t *deferral = ctx;
-	int64_t now = now_us(deferral->orders);
 
-	bsh_planner_defer_orders(deferral->service->planner, target,
-				 now - 1000 * (int64_t)age_ms +
+	bsh_planner_defer_orders(deferral->service->planner, key,
+				 ordered->last_us +
 					 order_exclusion_us(deferral->orders),
-				 now);
+				 now_us(deferral->orders));
 }
 
 void order_lease_defer_recent(const orders_t *orders, const service_t *service)
@@ -136,22 +216,38 @@
 	foreach_ordered(orders, defer_orders, &deferral);
 }
 
+static bool decode_key(const char *text, uint32_t *key)
+{
+	guint64 value;
+
+	if (!g_ascii_string_to_unsigned(text, 16, 0, UINT32_MAX, &value, NULL))
+		return false;
+	*key = (uint32_t)value;
+	return true;
+}
+
 /* Excludes the targets that the former holder listed in the released lease.
- * Returns false if the lease contains no list. */
+ * Returns false if the lease contains no list, or one that cannot be read. */
 static bool exclude_listed_targets(orders_t *orders, const json_t *spec)
 {
-	const json_t *list = json_object_get(spec, "ordered_ms");
+	json_t *names = json_object_get(spec, "ordered_ms");
+	json_t *keys = json_object_get(spec, "ordered_keys_ms");
+	bool has_names = json_is_object(names);
+	json_t *list = has_names ? names : keys;
 	const char *target;
-	const json_t *age;
-	void *iter;
+	json_t *age;
+	uint32_t key;
 
 	if (!json_is_object(list))
 		return false;
-	for (iter = json_object_iter((json_t *)list); iter != NULL;
-	     iter = json_object_iter_next((json_t *)list, iter)) {
-		target = json_object_iter_key(iter);
-		age = json_object_iter_value(iter);
-		exclude_target(orders, target, 1000 * json_integer_value(age));
+	json_object_foreach(list, target, age)
+	{
+		if (has_names)
+			key = bsh_target_key(target);
+		else if (!decode_key(target, &key))
+			return false;
+		exclude_target(orders, key,
+			       now_us(orders) - 1000 * json_integer_value(age));
 	}
 	return true;
 }
@@ -243,7 +339,46 @@
 		bsh_lease_set_has_order_list(&orders->lease, revision);
 }
 
-static json_t *lease_spec(const orders_t *orders)
+/* A list of a lease object. */
+typedef struct {
+	const orders_t *orders;
+	json_t *list;
+} order_object_t;
+
+static void add_key_to_object(void *ctx, uint32_t key, const ordered_t *ordered)
+{
+	const order_object_t *object = ctx;
+	char text[16];
+
+	g_snprintf(text, sizeof(text), "%08x", key);
+	json_object_set_new(
+		object->list, text,
+		json_integer(order_age_ms(object->orders, ordered)));
+}
+
+/* Adds the list of recent orders to a lease object, by names, which earlier
+ * versions read too, or by keys if a name is not known. */
+static void add_order_list(orders_t *orders, json_t *spec)
+{
+	g_autoptr(GArray) names =
+		g_array_new(FALSE, FALSE, sizeof(bsh_recent_order_t));
+	bool by_name = list_names(orders, names);
+	order_object_t object = { orders, json_object() };
+
+	for (guint i = 0; by_name && i < names->len; i++) {
+		const bsh_recent_order_t *order =
+			&g_array_index(names, bsh_recent_order_t, i);
+
+		json_object_set_new(object.list, order->target,
+				    json_integer(order->age_ms));
+	}
+	if (!by_name)
+		foreach_ordered(orders, add_key_to_object, &object);
+	json_object_set_new(spec, by_name ? "ordered_ms" : "ordered_keys_ms",
+			    object.list);
+}
+
+static json_t *lease_spec(orders_t *orders)
 {
 	/* The time changes with each renewal, so that the store raises the
 	 * revision. */
@@ -257,12 +392,8 @@
 			  encode_voters(&orders->lease.former_voters));
 
 	if (orders->lease.releasing &&
-	    bsh_lease_is_order_list_complete(&orders->lease, now_us(orders))) {
-		json_t *list = json_object();
-
-		foreach_ordered(orders, add_to_object, list);
-		json_object_set_new(spec, "ordered_ms", list);
-	}
+	    bsh_lease_is_order_list_complete(&orders->lease, now_us(orders)))
+		add_order_list(orders, spec);
 	return spec;
 }
 
@@ -334,17 +465,43 @@
 	}
 }
 
-static GArray *collect_ordered(const orders_t *orders)
+/* Keeps the list of recent orders as it is at a release: the messages that are
+ * sent for it must have the same targets in each part. */
+static void begin_release(orders_t *orders)
 {
-	GArray *list = g_array_new(FALSE, FALSE, sizeof(bsh_recent_order_t));
+	orders->released_revision = orders->lease.revision;
+	orders->release_sends = RELEASE_SENDS;
+	orders->released_complete = bsh_lease_is_order_list_complete(
+		&orders->lease, now_us(orders));
+	g_array_set_size(orders->released, 0);
+	foreach_ordered(orders, add_key, orders->released);
+}
 
-	foreach_ordered(orders, add_to_array, list);
-	return list;
+/* Sends the list by keys, so that the RELEASE without a list that follows finds
+ * it complete. */
+static void send_release_keys(const orders_t *orders)
+{
+	const bsh_order_time_t *released =
+		(const bsh_order_time_t *)(void *)orders->released->data;
+	bsh_message_t message = { .type = BSH_MSG_RELEASE_KEYS };
+	bsh_msg_release_keys_t *keys = &message.release_keys;
+	uint32_t n = orders->released->len;
+	bsh_order_list_part_t memory;
+
+	keys->term = orders->lease.term;
+	keys->revision = orders->released_revision;
+	keys->active = orders->lease.active;
+	for (uint32_t part = 0; part < bsh_order_list_parts(n); part++) {
+		bsh_order_list_encode(released, n, part, now_us(orders),
+				      &memory, keys);
+		peers_broadcast(orders->control->peers, &message);
+	}
 }
 
 static void send_release(orders_t *orders)
 {
-	g_autoptr(GArray) list = collect_ordered(orders);
+	g_autoptr(GArray) names =
+		g_array_new(FALSE, FALSE, sizeof(bsh_recent_order_t));
 	bsh_message_t message = { .type = BSH_MSG_RELEASE };
 	bsh_msg_release_t *release = &message.release;
 
@@ -357,13 +514,16 @@
 	release->term = orders->lease.term;
 	release->revision = orders->released_revision;
 	release->active = orders->lease.active;
-	release->has_order_list = list->len <= RELEASE_TARGETS_MAX &&
-				  bsh_lease_is_order_list_complete(
-					  &orders->lease, now_us(orders));
+	release->has_order_list = orders->released_complete &&
+				  list_names(orders, names) &&
+				  names->len <= RELEASE_TARGETS_MAX;
 	if (release->has_order_list) {
 		release->ordered =
-			(const bsh_recent_order_t *)(void *)list->data;
-		release->ordered_count = list->len;
+			(const bsh_recent_order_t *)(void *)names->data;
+		release->ordered_count = names->len;
+	} else if (orders->released_complete &&
+		   orders->released->len <= BSH_ORDER_LIST_MAX) {
+		send_release_keys(orders);
 	}
 	peers_broadcast(orders->control->peers, &message);
 	orders->release_sends--;
@@ -380,29 +540,40 @@
 }
 
 /* Hands the lease over if the store answers other instances but not this one:
- * one of them can continue at once.  A release names a limited number of
+ * one of them can continue at once.  A release lists a limited number of
  * targets, so a holder that has ordered more of them lately waits until fewer
  * are left. */
 static void hand_over_if_cut_off(orders_t *orders)
 {
 	int64_t store_age_us =
 		bsh_loop_clock_us() - orders->control->store.answered_us;
-	g_autoptr(GArray) list = collect_ordered(orders);
-	bsh_handover_t step = bsh_lease_handover_step(
-		&orders->lease, store_age_us,
-		now_us(orders) - orders->peer_reached_us, orders->withholds,
-		list->len, RELEASE_TARGETS_MAX, now_us(orders));
+	uint32_t listed = 0;
+	bsh_handover_t step;
 
-	set_withholds(orders, step != BSH_HANDOVER_NONE, list->len);
+	if (!bsh_lease_is_holder(&orders->lease, now_us(orders))) {
+		set_withholds(orders, false, 0);
+		return;
+	}
+	foreach_ordered(orders, count_ordered, &listed);
+	step = bsh_lease_handover_step(&orders->lease, store_age_us,
+				       now_us(orders) - orders->peer_reached_us,
+				       orders->withholds, listed,
+				       BSH_ORDER_LIST_MAX, now_us(orders));
+	/* A call to the store that is not answered yet may delay the handover;
+	 * orders go on until then if the list is short enough. */
+	set_withholds(orders,
+		      step == BSH_HANDOVER_WITHHOLD ||
+			      (step == BSH_HANDOVER_NOW && orders->withholds),
+		      listed);
 	if (step != BSH_HANDOVER_NOW ||
 	    !bsh_lease_hand_over(&orders->lease, now_us(orders)))
 		return;
-	set_withholds(orders, false, list->len);
+	set_withholds(orders, false, listed);
 	bsh_log(BSH_LOG_WARNING,
 		"lease-handed-over term=%" G_GUINT64_FORMAT
-		" revision=%" G_GUINT64_FORMAT " store_age_ms=%d",
+		" revision=%" G_GUINT64_FORMAT " store_age_ms=%d ordered=%u",
 		orders->lease.term, orders->lease.revision,
-		(int)(store_age_us / 1000));
+		(int)(store_age_us / 1000), listed);
 }
 
 static void log_term(orders_t *orders, bool holder)
@@ -433,10 +604,8 @@
 	bsh_counter_set(&lease_held, holder);
 	log_term(orders, holder);
 	if (!holder) {
-		if (orders->lease.holder[0] == '\0') {
-			orders->released_revision = orders->lease.revision;
-			orders->release_sends = RELEASE_SENDS;
-		}
+		if (orders->lease.holder[0] == '\0')
+			begin_release(orders);
 		return;
 	}
 	orders->release_sends = 0;
@@ -458,8 +627,30 @@
 				now_us(orders)))
 		return;
 	for (uint32_t i = 0; i < release->ordered_count; i++)
-		exclude_target(orders, release->ordered[i].target,
-			       1000 * (int64_t)release->ordered[i].age_ms);
+		exclude_target(
+			orders, bsh_target_key(release->ordered[i].target),
+			now_us(orders) -
+				1000 * (int64_t)release->ordered[i].age_ms);
+	bsh_promise_end(&orders->promise, release->term, now_us(orders));
+	orders->holder_contact_us = 0;
+}
+
+void orders_receive_release_keys(orders_t *orders, const char *sender,
+				 const bsh_msg_release_keys_t *release)
+{
+	const GArray *list = orders->received.orders;
+
+	if (!bsh_order_list_receive(&orders->received, sender, release,
+				    now_us(orders)) ||
+	    !bsh_lease_released(&orders->lease, sender, release->active, true,
+				release->revision, now_us(orders)))
+		return;
+	for (guint i = 0; i < list->len; i++) {
+		const bsh_order_time_t *order =
+			&g_array_index(list, bsh_order_time_t, i);
+
+		exclude_target(orders, order->key, order->ordered_us);
+	}
 	bsh_promise_end(&orders->promise, release->term, now_us(orders));
 	orders->holder_contact_us = 0;
 }
@@ -499,7 +690,9 @@
 
 void order_lease_record_order(const orders_t *orders, const char *target)
 {
-	record_order_time(orders, target, now_us(orders));
+	note_name(record_order_time(orders, bsh_target_key(target),
+				    now_us(orders)),
+		  target);
 }
 
 void order_lease_tick(orders_t *orders)
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -575,8 +575,9 @@
 	orders->control = control;
 	orders->services = g_ptr_array_new_with_free_func(free_service);
 	orders->ready = g_array_new(FALSE, TRUE, sizeof(view_ready_t));
-	orders->ordered =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	orders->ordered = order_lease_new_times();
+	orders->released = g_array_new(FALSE, FALSE, sizeof(bsh_order_time_t));
+	bsh_order_list_init(&orders->received);
 	bsh_candidates_init(&orders->candidates);
 	bsh_quorum_init(&orders->quorum);
 	bsh_promise_init(&orders->promise, now_us(orders));
@@ -595,6 +596,8 @@
 	g_ptr_array_free(orders->services, TRUE);
 	g_array_free(orders->ready, TRUE);
 	g_hash_table_destroy(orders->ordered);
+	g_array_free(orders->released, TRUE);
+	bsh_order_list_finish(&orders->received);
 	bsh_candidates_finish(&orders->candidates);
 	bsh_quorum_finish(&orders->quorum);
 	g_free(orders);
@@ -678,7 +681,6 @@
 
 		bsh_planner_remove_target(service->planner, id, now_us(orders));
 	}
-	g_hash_table_remove(orders->ordered, id);
 }
 
 void orders_receive_demand(orders_t *orders, const char *instance,
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -15,6 +15,7 @@
  */
 
 #include "control.h"
+#include "coordination/order_list.h"
 #include "coordination/quorum.h"
 
 /* Planner of one service with an engine. */
@@ -56,8 +57,11 @@
 				       * last logged */
 	uint64_t released_revision;  /* of the lease at its release */
 	uint32_t release_sends;	     /* RELEASE messages still to send */
+	bool released_complete;	     /* its list has all recent orders */
+	GArray *released;	     /* that list, bsh_order_time_t */
+	bsh_order_list_t received;   /* list of a former holder, by keys */
 	bool withholds;		   /* gives no orders, to hand the lease over */
-	GHashTable *ordered;	   /* target to time of its last order */
+	GHashTable *ordered;	   /* target key to its last order */
 	uint64_t announced_term;   /* term of the next two numbers */
 	uint64_t received_through; /* all announcements up to this number
 				       * have been received */
@@ -74,6 +78,8 @@
 
 /* order_lease.c */
 void order_lease_register(void);
+/* Returns an empty table for orders->ordered. */
+GHashTable *order_lease_new_times(void);
 /* Calls the store when due, counts the quorum, hands over or releases the
  * lease, and logs changes of it. */
 void order_lease_tick(orders_t *orders);
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -59,8 +59,8 @@
 	planner->ops = *ops;
 	planner->ctx = ctx;
 	planner->targets = g_ptr_array_new_with_free_func(g_free);
-	planner->deferred =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	planner->deferred = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+						  NULL, g_free);
 	planner->departed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	planner->former = g_hash_table_new_full(g_direct_hash, g_direct_equal,
@@ -475,24 +475,32 @@
 	set_state(t, PLANNER_UNCERTAIN, now_us);
 }
 
-static gboolean has_expired(gpointer id, gpointer until_us, gpointer now_us)
+static gboolean has_expired(gpointer key, gpointer until_us, gpointer now_us)
 {
-	(void)id;
+	(void)key;
 	return *(const int64_t *)until_us <= *(const int64_t *)now_us;
 }
 
-void bsh_planner_defer_orders(bsh_planner_t *planner, const char *id,
+void bsh_planner_defer_orders(bsh_planner_t *planner, uint32_t key,
 			      int64_t until_us, int64_t now_us)
 {
-	planner_target_t *t = find(planner, id);
-	int64_t *deferred_until_us = g_new0(int64_t, 1);
+	int64_t *deferred_until_us;
 
-	*deferred_until_us = until_us;
 	g_hash_table_foreach_remove(planner->deferred, has_expired, &now_us);
-	g_hash_table_replace(planner->deferred, g_strdup(id),
-			     deferred_until_us);
-	if (t != NULL)
-		t->next_order_us = MAX(t->next_order_us, until_us);
+	deferred_until_us =
+		g_hash_table_lookup(planner->deferred, GUINT_TO_POINTER(key));
+	if (deferred_until_us == NULL) {
+		deferred_until_us = g_new0(int64_t, 1);
+		g_hash_table_insert(planner->deferred, GUINT_TO_POINTER(key),
+				    deferred_until_us);
+	}
+	*deferred_until_us = MAX(*deferred_until_us, until_us);
+	for (guint i = 0; i < planner->targets->len; i++) {
+		planner_target_t *t = g_ptr_array_index(planner->targets, i);
+
+		if (t->load_key == key)
+			t->next_order_us = MAX(t->next_order_us, until_us);
+	}
 }
 
 static gboolean reservation_has_ended(gpointer id, gpointer reservation,
@@ -544,8 +552,8 @@
 		t = g_new0(planner_target_t, 1);
 		t->target = *target;
 		t->load_key = bsh_target_key(target->id);
-		deferred_until_us =
-			g_hash_table_lookup(planner->deferred, target->id);
+		deferred_until_us = g_hash_table_lookup(
+			planner->deferred, GUINT_TO_POINTER(t->load_key));
 		if (deferred_until_us != NULL)
 			t->next_order_us = *deferred_until_us;
 		t->held = target->holdings;
@@ -650,7 +658,8 @@
 {
 	t->has_order = false;
 	t->planned_load = 0;
-	t->next_order_us = now_us + UNREACHABLE_BACKOFF_US;
+	t->next_order_us =
+		MAX(t->next_order_us, now_us + UNREACHABLE_BACKOFF_US);
 	t->next_report_us = now_us + UNREACHABLE_BACKOFF_US;
 	set_state(t, PLANNER_UNCERTAIN, now_us);
 	publish(planner, t);
@@ -738,7 +747,7 @@
 		return false;
 	t->busy_retries++;
 	t->has_order = false;
-	t->next_order_us = now_us + BUSY_RETRY_US;
+	t->next_order_us = MAX(t->next_order_us, now_us + BUSY_RETRY_US);
 	set_state(t, PLANNER_IDLE, now_us);
 	return true;
 }
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -151,9 +151,9 @@
 void bsh_planner_remove_target(bsh_planner_t *planner, const char *id,
 			       int64_t now_us);
 
-/* bsh_planner_defer_orders - give this target no order before until_us; the
- * target need not have been added yet. */
-void bsh_planner_defer_orders(bsh_planner_t *planner, const char *id,
+/* bsh_planner_defer_orders - give the target with this key (bsh_target_key()) no
+ * order before until_us; it need not have been added yet. */
+void bsh_planner_defer_orders(bsh_planner_t *planner, uint32_t key,
 			      int64_t until_us, int64_t now_us);
 
 /* bsh_planner_update_demand - replace the last demand report of an instance. */
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -90,7 +90,7 @@
 	GHashTable *former;    /* hash to the last bsh_model_rule_t of a model
 				* that has left, or had more adapters */
 	GPtrArray *targets;    /* planner_target_t */
-	GHashTable *deferred;  /* target id to its earliest order time */
+	GHashTable *deferred;  /* load_key to its earliest order time */
 	GHashTable *departed;  /* target id to planner_reservation_t */
 	GHashTable *demand;    /* key to planner_demand_t */
 	GHashTable *instances; /* name to planner_instance_t */
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -908,6 +908,52 @@
 	rig_finish(&rig);
 }
 
+/* Guards against an order to a target within a lease time of the order of another
+ * holder that was known by the target's key only: to a target that is learned of
+ * later, and after an order of this instance that was not sent. */
+static void test_deferred_by_key(void)
+{
+	static const char *const models[] = { "a", "b", NULL };
+	static const char *const holds[] = { "a", NULL };
+	bsh_target_t target = make_target("t1", holds);
+	const int64_t gap_us = 3400000;
+	rig_t rig;
+
+	for (int late = 0; late < 2; late++) {
+		rig_init(&rig, models, 0);
+		if (!late) {
+			add_target(&rig, &target, 0);
+			demand(&rig, "b", NULL, 1, 1);
+			tick(&rig, 1000);
+			g_assert_cmpuint(rig.n_orders, ==, 1);
+		}
+		bsh_planner_defer_orders(rig.planner, bsh_target_key("t1"),
+					 rig.now_us + gap_us, rig.now_us);
+		/* A repeated list may be a little older. */
+		bsh_planner_defer_orders(rig.planner, bsh_target_key("t1"),
+					 rig.now_us + gap_us / 2, rig.now_us);
+		if (late)
+			add_target(&rig, &target, 0);
+		else
+			bsh_planner_order_result(rig.planner, "t1",
+						 BSH_ORDER_NOT_SENT,
+						 rig.now_us);
+		rig.n_orders = 0;
+		for (int64_t us = 0; us < gap_us - 100000; us += 100000) {
+			demand(&rig, "b", NULL, 1, 1);
+			report(&rig, "t1", 0, false, &target.holdings);
+			tick(&rig, 100000);
+			rig.n_reports = 0;
+			g_assert_cmpuint(rig.n_orders, ==, 0);
+		}
+		demand(&rig, "b", NULL, 1, 1);
+		report(&rig, "t1", 0, false, &target.holdings);
+		tick(&rig, 200000);
+		g_assert_cmpuint(rig.n_orders, ==, 1);
+		rig_finish(&rig);
+	}
+}
+
 #define MANY_MODELS  600U
 #define MANY_TARGETS 120U
 #define MANY_COPIES  100U /* on the disk of each target */
@@ -1489,6 +1535,7 @@
 	g_test_add_func("/planner/asks-before-first-order",
 			test_report_before_first_order);
 	g_test_add_func("/planner/evicts-before-load", test_evicts_before_load);
+	g_test_add_func("/planner/deferred-by-key", test_deferred_by_key);
 	g_test_add_func("/planner/service-leaves", test_service_leaves);
 	g_test_add_func("/planner/model-leaves", test_model_leaves);
 	g_test_add_func("/planner/adapter-leaves", test_adapter_leaves);
