--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -205,8 +205,9 @@
 
 /*
  * bsh_lease_released - the holder of this revision has announced that it gives
- * no more orders.  has_order_list: its message lists all targets to which it
- * gave recent orders.
+ * no more orders.  has_order_list: its messages list all targets to which it
+ * gave recent orders.  A call without the list does not undo an earlier one with
+ * it.
  *
  * RETURN VALUE
  *	False if the sender is not, or no longer, the holder.
@@ -242,7 +243,7 @@
  * it.  withholds: the last step was BSH_HANDOVER_WITHHOLD; the report is then
  * believed until a list without new orders is empty, as reports may pause for
  * longer than they are believed otherwise.  listed: targets that got an order
- * within the exclusion time; listed_max: as many as a release can name.
+ * within the exclusion time; listed_max: as many as a release can list.
  */
 bsh_handover_t bsh_lease_handover_step(const bsh_lease_t *lease,
 				       int64_t store_age_us,
