orders: repeat a list by keys before a release without one

A successor with a whole core begins its takeover 15 to 30 ms after a RELEASE without a list. If one datagram of the list was lost before it, the repetition 50 ms later came too late, and the successor waited 3.5 s for all targets.

The messages of a release are now sent four times, and after a handover only the last two include the RELEASE without a list. A graceful stop sends it each time, as the object in the store has the list.

--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -8,8 +8,11 @@
 #include "base/log.h"
 #include "base/name.h"
 
-/* RELEASE messages sent for one release, as datagrams may be lost. */
-#define RELEASE_SENDS 3U
+/* Times that the messages of a release are sent, as datagrams may be lost. */
+#define RELEASE_SENDS 4U
+/* Of these, the last ones that include a RELEASE without a list: a successor that
+ * lacks a part takes over within 20 ms of it, and waits for all targets then. */
+#define RELEASE_SENDS_UNLISTED 2U
 /* Targets in a RELEASE message: as many as fit into a datagram.  More are listed
  * by their keys, in RELEASE_KEYS messages. */
 #define RELEASE_TARGETS_MAX 40U
@@ -477,8 +480,6 @@
 	foreach_ordered(orders, add_key, orders->released);
 }
 
-/* Sends the list by keys, so that the RELEASE without a list that follows finds
- * it complete. */
 static void send_release_keys(const orders_t *orders)
 {
 	const bsh_order_time_t *released =
@@ -498,12 +499,21 @@
 	}
 }
 
+/* Whether a RELEASE without a list is due: at once if the object in the store has
+ * the list, and after the list by keys has been repeated otherwise. */
+static bool sends_unlisted(const orders_t *orders, bool by_keys)
+{
+	return !by_keys || orders->lease.releasing ||
+	       orders->release_sends <= RELEASE_SENDS_UNLISTED;
+}
+
 static void send_release(orders_t *orders)
 {
 	g_autoptr(GArray) names =
 		g_array_new(FALSE, FALSE, sizeof(bsh_recent_order_t));
 	bsh_message_t message = { .type = BSH_MSG_RELEASE };
 	bsh_msg_release_t *release = &message.release;
+	bool by_keys;
 
 	/* Another instance has taken the lease, and the state sent below would
 	 * be that of its term. */
@@ -517,15 +527,17 @@
 	release->has_order_list = orders->released_complete &&
 				  list_names(orders, names) &&
 				  names->len <= RELEASE_TARGETS_MAX;
+	by_keys = !release->has_order_list && orders->released_complete &&
+		  orders->released->len <= BSH_ORDER_LIST_MAX;
 	if (release->has_order_list) {
 		release->ordered =
 			(const bsh_recent_order_t *)(void *)names->data;
 		release->ordered_count = names->len;
-	} else if (orders->released_complete &&
-		   orders->released->len <= BSH_ORDER_LIST_MAX) {
-		send_release_keys(orders);
 	}
-	peers_broadcast(orders->control->peers, &message);
+	if (by_keys)
+		send_release_keys(orders);
+	if (sends_unlisted(orders, by_keys))
+		peers_broadcast(orders->control->peers, &message);
 	orders->release_sends--;
 }
 
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -363,9 +363,9 @@
 
 /*
  * RELEASE_KEYS: one part of the list of recent orders, if a RELEASE cannot name
- * all targets.  All parts are sent again with each RELEASE, which has no list
- * then: a receiver that lacks a part, or does not know this message, waits for
- * all targets.
+ * all targets.  All parts are sent several times, the last times with a RELEASE
+ * without a list: a receiver that lacks a part, or does not know this message,
+ * waits for all targets then.
  */
 typedef struct {
 	uint64_t term;
