--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -302,8 +302,8 @@
 				 rig.now_us);
 	tick(&rig, 100000);
 	g_assert_cmpuint(rig.n_orders, ==, 2);
-	bsh_planner_defer_orders(rig.planner, "t1", rig.now_us + 1000000,
-				 rig.now_us);
+	bsh_planner_defer_orders(rig.planner, bsh_target_key("t1"),
+				 rig.now_us + 1000000, rig.now_us);
 	bsh_planner_order_result(rig.planner, "t1", BSH_ORDER_BUSY, rig.now_us);
 	tick(&rig, 900000);
 	g_assert_cmpuint(rig.n_orders, ==, 2);
