--- a/lib/coordination/target_choice.c
+++ b/lib/coordination/target_choice.c
@@ -29,6 +29,10 @@
 #define OTHER_RANK_DELAY_US 150000.0
 /* Roughly the round-trip time between availability zones. */
 #define OTHER_ZONE_PENALTY_US 2000.0
+/* A target at its pace is left out unless the other one takes this much longer.
+ * Less than 50 ms leaves a new plain target its flood, as its expected delay is
+ * the default; more delays requests when the other engines are nearly full. */
+#define PACE_DELAY_US 50000.0
 /* Delays within this factor of the lowest one count as equal. */
 #define SAME_DELAY_FACTOR 1.3
 #define FAILURE_WEIGHT	  0.2
@@ -40,6 +44,13 @@
  * caused by the request itself. */
 #define FAILURES_TO_PAUSE 3
 
+/* Which candidates are compared. */
+typedef enum {
+	AMONG_UNPACED, /* neither leaving nor at their pace */
+	AMONG_STAYING, /* not leaving */
+	AMONG_LEAVING
+} among_t;
+
 static double aged(double value, double neutral, int64_t age_us,
 		   double half_life_us)
 {
@@ -105,14 +116,21 @@
 	return now_us >= record->paused_until_us && !record->probing;
 }
 
-static bool is_eligible(const bsh_target_candidate_t *c, bool leaving,
+bool bsh_target_is_left_out(const bsh_target_record_t *record)
+{
+	return record->failures >= FAILURES_TO_PAUSE;
+}
+
+static bool is_eligible(const bsh_target_candidate_t *c, among_t among,
 			int64_t now_us)
 {
-	return c->leaving == leaving && bsh_target_usable(c->record, now_us);
+	return c->leaving == (among == AMONG_LEAVING) &&
+	       !(among == AMONG_UNPACED && c->at_pace) &&
+	       bsh_target_usable(c->record, now_us);
 }
 
 static int32_t choose_service(const bsh_target_candidate_t *candidates,
-			      uint32_t n, uint64_t affinity, bool leaving,
+			      uint32_t n, uint64_t affinity, among_t among,
 			      int64_t now_us)
 {
 	double lowest = INFINITY;
@@ -120,13 +138,13 @@
 	int32_t best = -1;
 
 	for (uint32_t i = 0; i < n; i++)
-		if (is_eligible(&candidates[i], leaving, now_us))
+		if (is_eligible(&candidates[i], among, now_us))
 			lowest = MIN(lowest,
 				     service_delay_us(&candidates[i], now_us));
 	for (uint32_t i = 0; i < n; i++) {
 		uint64_t value;
 
-		if (!is_eligible(&candidates[i], leaving, now_us) ||
+		if (!is_eligible(&candidates[i], among, now_us) ||
 		    service_delay_us(&candidates[i], now_us) >
 			    lowest * SAME_DELAY_FACTOR)
 			continue;
@@ -141,7 +159,7 @@
 }
 
 static void set_ranks(bsh_target_candidate_t *candidates, uint32_t n,
-		      uint64_t affinity, bool leaving, int64_t now_us)
+		      uint64_t affinity, among_t among, int64_t now_us)
 {
 	for (uint32_t i = 0; i < n; i++) {
 		uint64_t score = bsh_rendezvous_score(
@@ -151,7 +169,7 @@
 		for (uint32_t j = 0; j < n; j++)
 			candidates[i].rank +=
 				j != i &&
-				is_eligible(&candidates[j], leaving, now_us) &&
+				is_eligible(&candidates[j], among, now_us) &&
 				bsh_rendezvous_score(
 					affinity, candidates[j].target_hash) >
 					score;
@@ -160,17 +178,17 @@
 
 static int32_t choose_engine(bsh_target_candidate_t *candidates, uint32_t n,
 			     const bsh_target_work_t *work, uint64_t affinity,
-			     bool leaving, int64_t now_us)
+			     among_t among, int64_t now_us)
 {
 	double lowest = INFINITY;
 	int32_t best = -1;
 
-	set_ranks(candidates, n, affinity, leaving, now_us);
+	set_ranks(candidates, n, affinity, among, now_us);
 	for (uint32_t i = 0; i < n; i++) {
 		const bsh_target_candidate_t *c = &candidates[i];
 		double delay_us;
 
-		if (!is_eligible(c, leaving, now_us))
+		if (!is_eligible(c, among, now_us))
 			continue;
 		delay_us = engine_delay_us(c, work, now_us);
 		if (c->rank >= COMPARED_RANKS)
@@ -183,19 +201,91 @@
 	return best;
 }
 
+static bool is_engine_work(const bsh_target_work_t *work)
+{
+	return work != NULL && work->prefill_us > 0.0;
+}
+
+static int32_t choose_among(bsh_target_candidate_t *candidates, uint32_t n,
+			    const bsh_target_work_t *work, uint64_t affinity,
+			    among_t among, int64_t now_us)
+{
+	return is_engine_work(work)
+		       ? choose_engine(candidates, n, work, affinity, among,
+				       now_us)
+		       : choose_service(candidates, n, affinity, among, now_us);
+}
+
+static double delay_of(const bsh_target_candidate_t *c,
+		       const bsh_target_work_t *work, int64_t now_us)
+{
+	return is_engine_work(work) ? engine_delay_us(c, work, now_us)
+				    : service_delay_us(c, now_us);
+}
+
+/* With half of the targets at their pace the others are too few to take their
+ * requests as well. */
+static bool are_most_unpaced(const bsh_target_candidate_t *candidates,
+			     uint32_t n, int64_t now_us)
+{
+	uint32_t staying = 0;
+	uint32_t unpaced = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		staying += is_eligible(&candidates[i], AMONG_STAYING, now_us);
+		unpaced += is_eligible(&candidates[i], AMONG_UNPACED, now_us);
+	}
+	return 2 * unpaced > staying;
+}
+
+/* True if the candidate takes the request now, as far as is known here, and not
+ * much later than the one that is at its pace. */
+static bool can_replace(const bsh_target_candidate_t *c, double paced_delay_us,
+			const bsh_target_work_t *work, int64_t now_us)
+{
+	const bsh_target_record_t *r = c->record;
+
+	return c->wait_us == 0 && r->running + r->others_running < c->slots &&
+	       delay_of(c, work, now_us) <= paced_delay_us + PACE_DELAY_US;
+}
+
+/* The candidate instead of the one that is at its pace, or -1. */
+static int32_t choose_substitute(bsh_target_candidate_t *candidates, uint32_t n,
+				 const bsh_target_work_t *work,
+				 uint64_t affinity, int32_t paced,
+				 int64_t now_us)
+{
+	double paced_delay_us = delay_of(&candidates[paced], work, now_us);
+	int32_t best = choose_among(candidates, n, work, affinity,
+				    AMONG_UNPACED, now_us);
+
+	if (best < 0 ||
+	    !can_replace(&candidates[best], paced_delay_us, work, now_us))
+		return -1;
+	candidates[best].is_substitute = true;
+	return best;
+}
+
 int32_t bsh_target_choose(bsh_target_candidate_t *candidates, uint32_t n,
 			  const bsh_target_work_t *work, uint64_t affinity,
 			  int64_t now_us)
 {
-	bool is_engine = work != NULL && work->prefill_us > 0.0;
-	int32_t best = -1;
-
-	for (int leaving = 0; leaving < 2 && best < 0; leaving++)
-		best = is_engine ? choose_engine(candidates, n, work, affinity,
-						 leaving, now_us)
-				 : choose_service(candidates, n, affinity,
-						  leaving, now_us);
-	return best;
+	int32_t best = choose_among(candidates, n, work, affinity,
+				    AMONG_STAYING, now_us);
+	int32_t other;
+
+	if (best < 0)
+		return choose_among(candidates, n, work, affinity,
+				    AMONG_LEAVING, now_us);
+	if (!candidates[best].at_pace ||
+	    !are_most_unpaced(candidates, n, now_us))
+		return best;
+	other = choose_substitute(candidates, n, work, affinity, best, now_us);
+	if (other >= 0)
+		return other;
+	/* Sets the ranks among all again. */
+	return choose_among(candidates, n, work, affinity, AMONG_STAYING,
+			    now_us);
 }
 
 void bsh_target_set_others(bsh_target_record_t *record, double sum_us,
--- a/lib/coordination/target_choice.h
+++ b/lib/coordination/target_choice.h
@@ -27,6 +27,11 @@
  *	they know better, so only the first two ranks are compared, unless
  *	both are much worse than another target.
  *
+ *	A target that has just started or recovered and has as many requests
+ *	as its pace allows (coordination/target_pace.h) is left out if another
+ *	one takes the request at once and is not much slower.  Otherwise it is
+ *	chosen like any other, so that no request is refused for it.
+ *
  *	After several failures in a row, or if no connection can be made, a
  *	target is paused for a time that doubles with each further failure.
  *	After the pause one request at a time probes it.
@@ -78,8 +83,10 @@
 	 * still runs, or it has said that it leaves: chosen only if no other
 	 * target is usable. */
 	bool leaving;
+	bool at_pace; /* has as many requests of this instance as its pace */
 	/* Set by bsh_target_choose(). */
 	uint32_t rank; /* usable candidates preferred by rendezvous hashing */
+	bool is_substitute; /* chosen instead of one that is at its pace */
 } bsh_target_candidate_t;
 
 /*
@@ -108,6 +115,10 @@
 /* bsh_target_usable - false while a target is paused or being probed. */
 bool bsh_target_usable(const bsh_target_record_t *record, int64_t now_us);
 
+/* bsh_target_is_left_out - the target was paused after failures, and no request
+ * to it has ended without one since. */
+bool bsh_target_is_left_out(const bsh_target_record_t *record);
+
 /* bsh_target_started - a request with this prefill work was sent to the target;
  * 0 for a plain service. */
 void bsh_target_started(bsh_target_record_t *record, double work_us,
