bshentryd: pace of targets with routing.pace = 1

pace.c keeps the windows of the targets of the view, and is told of new processes, answers, failures and pauses; target_pick() marks the candidates that are at their pace. A request that was sent before is not subject to it. With routing.pace = 0, the default, nothing is kept or marked.

--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -54,6 +54,31 @@
 		reach_failed(r->traffic);
 }
 
+/* Tells the pace of a target, whose record has the end, that it has failed or
+ * rejected the attempt. */
+static void note_pace(attempt_t *a, attempt_end_t end)
+{
+	const request_t *r = a->request;
+	traffic_t *t = r->traffic;
+	const bsh_target_record_t *record = &a->target->record;
+	pace_process_t process = { .id = a->target_id,
+				   .service = r->service->name,
+				   .started_ms = a->target_started_ms,
+				   .slots = a->target->slots };
+
+	/* 421 says that the model is not there, or comes from another target at
+	 * the same address. */
+	if (a->at_peer || end == ATTEMPT_ANSWERED || end == ATTEMPT_CANCELLED ||
+	    end == ATTEMPT_WITHHELD ||
+	    (end == ATTEMPT_REFUSED && a->status == 421))
+		return;
+	pace_failed(&t->pace, &a->target->pace, a->target_id,
+		    traffic_now_us(t));
+	if (bsh_target_is_left_out(record))
+		pace_left_out(&t->pace, &a->target->pace, &process,
+			      record->paused_until_us);
+}
+
 /* Ends the attempt in the accounts of its target and of the request. */
 static void close_attempt(attempt_t *a, attempt_end_t end)
 {
@@ -74,6 +99,7 @@
 	else
 		bsh_target_ended(&a->target->record, at_fault,
 				 traffic_now_us(r->traffic));
+	note_pace(a, end);
 	places_released(a, end == ATTEMPT_CANCELLED || end == ATTEMPT_BROKEN);
 	a->active = false;
 	a->target = NULL;
--- a/bshentryd/engine_load.c
+++ b/bshentryd/engine_load.c
@@ -54,6 +54,8 @@
 {
 	const request_t *r = a->request;
 	traffic_t *t = r->traffic;
+	bsh_pace_answer_t answer = { .took_us = took_us,
+				     .expected_us = a->expected_us };
 
 	bsh_target_first_byte(&a->target->record, took_us, a->expected_us,
 			      traffic_now_us(t));
@@ -61,6 +63,8 @@
 		bsh_prefill_observe(
 			&t->prefill, r->info.model, a->uncached_tokens, took_us,
 			a->expected_us - FIRST_BYTE_FIXED_US - a->work_us);
+	pace_answered(&t->pace, &a->target->pace, a->target_id, &answer,
+		      traffic_now_us(t));
 	engine_load_ended(a);
 }
 
--- a/bshentryd/target_pick.c
+++ b/bshentryd/target_pick.c
@@ -128,6 +128,31 @@
 	return true;
 }
 
+/* True if the request should rather go elsewhere.  One that was sent before has
+ * few attempts left, and goes where it is served first. */
+static bool is_at_pace(const request_t *r, const target_state_t *state)
+{
+	const traffic_t *t = r->traffic;
+
+	return r->n_tried == 0 &&
+	       pace_is_reached(&t->pace, &state->pace, state->record.running,
+			       traffic_now_us(t));
+}
+
+static void set_pace(traffic_t *t, target_state_t *state,
+		     const view_target_t *target)
+{
+	pace_process_t process = { .id = target->id,
+				   .service = target->service,
+				   .started_ms = target->started_ms,
+				   .slots = target->slots };
+	bool is_new = state->last_view == 0 ||
+		      state->started_ms != target->started_ms;
+
+	pace_set_target(&t->pace, &state->pace, &process, is_new,
+			traffic_now_us(t));
+}
+
 const view_target_t *target_pick(request_t *r, bsh_target_candidate_t *chosen)
 {
 	traffic_t *t = r->traffic;
@@ -175,6 +200,7 @@
 		candidate.leaving =
 			target->entry_removed ||
 			notices_is_leaving(state, target->started_ms);
+		candidate.at_pace = is_at_pace(r, state);
 		g_array_append_val(t->candidates, candidate);
 		g_ptr_array_add(t->candidate_targets, target);
 	}
@@ -187,6 +213,9 @@
 		best = choose_isolated(r);
 	if (best < 0)
 		return NULL;
+	if (g_array_index(t->candidates, bsh_target_candidate_t, best)
+		    .is_substitute)
+		pace_substituted();
 	if (chosen != NULL)
 		*chosen = g_array_index(t->candidates, bsh_target_candidate_t,
 					best);
@@ -213,12 +242,14 @@
 			&g_array_index(t->view->targets, view_target_t, i);
 		target_state_t *state = target_pick_state(t, target->id);
 
+		set_pace(t, state, target);
 		state->last_view = t->view_number;
 		if (state->started_ms != target->started_ms)
 			bsh_target_restarted(&state->record);
 		state->started_ms = target->started_ms;
 		places_set_target(t, state, target);
 	}
+	pace_view_changed(&t->pace, t->view->listed, t->view->instances);
 	g_hash_table_foreach_remove(t->targets, is_stale_target, t);
 	g_hash_table_foreach_remove(t->notices, is_past_notice, t);
 }
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -733,6 +733,8 @@
 		g_array_new(FALSE, FALSE, sizeof(bsh_target_candidate_t));
 	t->candidate_targets = g_ptr_array_new();
 	bsh_prefill_init(&t->prefill);
+	pace_init(&t->pace, entry->settings.routing_pace > 0,
+		  bsh_process_key(entry->settings.instance, 0));
 	stream_origin_init(t);
 	target_end_init(t);
 	suspects_init(t);
@@ -778,5 +780,6 @@
 	g_array_free(t->candidates, TRUE);
 	g_ptr_array_free(t->candidate_targets, TRUE);
 	bsh_prefill_finish(&t->prefill);
+	pace_finish(&t->pace);
 	g_free(t);
 }
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -44,6 +44,7 @@
 #include "coordination/target_notice.h"
 #include "account_limits.h"
 #include "entry.h"
+#include "pace.h"
 #include "platform/target_client.h"
 #include "protocol/event_relay.h"
 #include "protocol/message.h"
@@ -92,6 +93,7 @@
 	/* The same, until it is known whether this instance is cut off. */
 	bool refusal_pending;
 	uint64_t refusal_started_ms;
+	pace_target_t pace;
 } target_state_t;
 
 /* Demand for one model or adapter, in requests. */
@@ -112,6 +114,7 @@
 	/* Targets that have left the view: id to bsh_target_notice_t. */
 	GHashTable *notices;
 	bsh_prefill_t prefill;
+	pace_t pace;
 	GHashTable *demand;   /* model and adapter to model_demand_t */
 	GHashTable *services; /* name to service_state_t */
 	bsh_loop_timer_t places_timer;
