entry: make the decisions on a request callable without acting on it

target_pick() and waiting_or_fail() decide and act in one; a command that tells where a request would go needs the decision alone.

target_pick.c: the checks of a target, its candidate and the choice are functions of their own; target_pick_survey() runs them on copies of the states of the targets and says what excludes each. waiting.c: waiting_outlook() decides, waiting_or_fail() acts on it. accounts.c, account_limits.c: accounts_access() decides on a key that is known or not; account_limits_standing() asks a copy of the share. target_choice: bsh_target_delay_us() gives the estimate that the choice goes by.

No change of behaviour is intended.

--- a/bshentryd/account_limits.c
+++ b/bshentryd/account_limits.c
@@ -140,6 +140,27 @@
 					  instances, now_us);
 }
 
+void account_limits_standing(const account_limits_t *limits,
+			     const bsh_account_rule_t *account, uint32_t cost,
+			     uint32_t instances, int64_t now_us,
+			     account_standing_t *standing)
+{
+	bsh_account_bounds_t bounds = bounds_of(limits, account);
+	const use_t *use = g_hash_table_lookup(limits->accounts,
+					       GUINT_TO_POINTER(account->hash));
+	bsh_account_share_t share;
+
+	if (use != NULL)
+		share = use->share;
+	else
+		bsh_account_share_init(&share);
+	standing->fraction = share.fraction;
+	standing->admits = bsh_account_share_admit(
+		&share, &bounds, cost, limits->heard_us, instances, now_us);
+	standing->retry_ms = bsh_account_share_retry_ms(
+		&share, &bounds, cost, limits->heard_us, instances, now_us);
+}
+
 GArray *account_limits_collect(account_limits_t *limits)
 {
 	GArray *uses = g_array_new(FALSE, FALSE, sizeof(bsh_account_use_t));
--- a/bshentryd/account_limits.h
+++ b/bshentryd/account_limits.h
@@ -53,4 +53,18 @@
 			 const bsh_account_fraction_t *fractions, uint32_t n,
 			 int64_t asked_us);
 
+/* What an account may use at present, as far as this instance knows. */
+typedef struct {
+	double fraction; /* of what is offered, that is admitted; 1: all */
+	bool admits;	 /* the request would be admitted now */
+	int64_t retry_ms;
+} account_standing_t;
+
+/* account_limits_standing - whether a request would be admitted; counts
+ * nothing. */
+void account_limits_standing(const account_limits_t *limits,
+			     const bsh_account_rule_t *account, uint32_t cost,
+			     uint32_t instances, int64_t now_us,
+			     account_standing_t *standing);
+
 #endif
--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -98,14 +98,19 @@
 			      : -1);
 }
 
-bsh_access_t accounts_check(request_t *r)
+static bool needs_key(const request_t *r)
+{
+	return r->traffic->view->catalog->accounts != NULL &&
+	       !r->route->anonymous;
+}
+
+bsh_access_t accounts_access(const request_t *r, bool key_known)
 {
 	const traffic_t *t = r->traffic;
 	const freshness_t *freshness = &t->entry->freshness;
-	const bsh_accounts_t *accounts = t->view->catalog->accounts;
-	const bsh_account_rule_t *account = NULL;
 	bsh_access_input_t input = {
-		.needs_key = accounts != NULL && !r->route->anonymous,
+		.needs_key = needs_key(r),
+		.key_known = key_known,
 		.confirmed_age_us =
 			traffic_now_us(t) - load_us(&freshness->config_us),
 		.arrived_us = r->arrived_boot_us,
@@ -113,16 +118,26 @@
 		.bound_us =
 			t->entry->settings.accounts_revoke_ms * INT64_C(1000),
 	};
+
+	return bsh_access_decide(&input);
+}
+
+bsh_access_t accounts_check(request_t *r)
+{
+	const entry_t *entry = r->traffic->entry;
+	const bsh_accounts_t *accounts = r->traffic->view->catalog->accounts;
+	const bsh_account_rule_t *account = NULL;
+	/* As it was at the decision: a later proof does not explain a refusal. */
+	int64_t proven_us = load_us(&entry->freshness.config_proof_us);
 	bsh_access_t access;
 
 	r->has_accounts = accounts != NULL;
-	if (input.needs_key && r->info.has_key)
+	if (needs_key(r) && r->info.has_key)
 		account = bsh_accounts_find_key(accounts, &r->info.key);
-	input.key_known = account != NULL;
 	set_account(r, account);
-	access = bsh_access_decide(&input);
+	access = accounts_access(r, account != NULL);
 	if (access != BSH_ACCESS_GRANTED)
-		note_refusal(r, access, input.proven_us);
+		note_refusal(r, access, proven_us);
 	return access;
 }
 
--- a/bshentryd/target_pick.c
+++ b/bshentryd/target_pick.c
@@ -63,17 +63,22 @@
 	return false;
 }
 
-static bool can_serve(const request_t *r, const view_target_t *target)
+static bool holds_model(const request_t *r, const view_target_t *target)
+{
+	return !demand_is_counted(r) ||
+	       (bsh_holdings_has(&target->holdings, r->info.model, 0) &&
+		bsh_holdings_has(&target->holdings, r->info.model,
+				 r->info.adapter));
+}
+
+/* By what the view shows of the target. */
+static pick_t check_listed(const request_t *r, const view_target_t *target)
 {
 	if (strcmp(target->service, r->service->name) != 0)
-		return false;
+		return PICK_OTHER_SERVICE;
 	if (r->software != 0 && target->software_key != r->software)
-		return false;
-	if (!demand_is_counted(r))
-		return true;
-	return bsh_holdings_has(&target->holdings, r->info.model, 0) &&
-	       bsh_holdings_has(&target->holdings, r->info.model,
-				r->info.adapter);
+		return PICK_OTHER_SOFTWARE;
+	return holds_model(r, target) ? PICK_CANDIDATE : PICK_NO_MODEL;
 }
 
 /* Hash by which requests with a common prompt prefix prefer the same target and
@@ -128,12 +133,63 @@
 	return true;
 }
 
+/* By what answers, and the ends of attempts, have shown of its process. */
+static pick_t check_process(request_t *r, const view_target_t *target,
+			    target_state_t *state)
+{
+	const traffic_t *t = r->traffic;
+
+	if (demand_is_counted(r) &&
+	    engine_load_has_ended(state, target->started_ms, traffic_now_us(t)))
+		return PICK_ENDED;
+	if (notices_forbid(t, state, target->started_ms))
+		return PICK_LEFT;
+	if (notices_are_paused(r, state, target->started_ms))
+		return PICK_PAUSED;
+	if (is_limited(r, state, target->started_ms))
+		return PICK_LIMITED;
+	return PICK_CANDIDATE;
+}
+
+static bsh_target_candidate_t candidate_of(const traffic_t *t,
+					   const view_target_t *target,
+					   target_state_t *state)
+{
+	return (bsh_target_candidate_t){
+		.record = &state->record,
+		.slots = target->slots,
+		.target_hash = target->hash,
+		.same_zone = target->same_zone,
+		.needs_place = places_are_counted(t, state),
+		.wait_us = places_delay_us(t, state),
+		.leaving = target->entry_removed ||
+			   notices_is_leaving(state, target->started_ms),
+	};
+}
+
+/* Affinity of the request after this candidate: requests for places are spread
+ * over the targets. */
+static uint64_t affinity_with(const request_t *r, uint64_t affinity,
+			      const bsh_target_candidate_t *candidate)
+{
+	return candidate->wait_us > 0 && !demand_is_counted(r)
+		       ? bsh_target_key(r->info.attempt_id)
+		       : affinity;
+}
+
+static int32_t choose(const request_t *r, GArray *candidates, uint64_t affinity,
+		      bsh_target_work_t *work)
+{
+	engine_load_work(r, work);
+	return bsh_target_choose(
+		(bsh_target_candidate_t *)(void *)candidates->data,
+		candidates->len, work, affinity, traffic_now_us(r->traffic));
+}
+
 const view_target_t *target_pick(request_t *r, bsh_target_candidate_t *chosen)
 {
 	traffic_t *t = r->traffic;
 	const GArray *targets = t->view->targets;
-	int64_t now_us = traffic_now_us(t);
-	target_state_t *state;
 	bsh_target_work_t work;
 	uint64_t affinity = affinity_of(r);
 	int32_t best;
@@ -147,42 +203,23 @@
 	for (guint i = 0; i < targets->len; i++) {
 		view_target_t *target =
 			&g_array_index(targets, view_target_t, i);
-		bsh_target_candidate_t candidate = {
-			.slots = target->slots,
-			.target_hash = target->hash,
-			.same_zone = target->same_zone,
-		};
+		bsh_target_candidate_t candidate;
+		target_state_t *state;
 
-		if (!can_serve(r, target) ||
+		if (check_listed(r, target) != PICK_CANDIDATE ||
 		    target_pick_was_tried(r, target->hash))
 			continue;
 		state = target_pick_state(t, target->id);
-		if (is_in_use(r, state))
-			continue;
-		if (demand_is_counted(r) &&
-		    engine_load_has_ended(state, target->started_ms, now_us))
-			continue;
-		if (notices_forbid(t, state, target->started_ms) ||
-		    notices_are_paused(r, state, target->started_ms) ||
-		    is_limited(r, state, target->started_ms))
+		if (is_in_use(r, state) ||
+		    check_process(r, target, state) != PICK_CANDIDATE)
 			continue;
-		candidate.record = &state->record;
-		candidate.needs_place = places_are_counted(t, state);
-		candidate.wait_us = places_delay_us(t, state);
-		/* Requests for places are spread over the targets. */
-		if (candidate.wait_us > 0 && !demand_is_counted(r))
-			affinity = bsh_target_key(r->info.attempt_id);
-		candidate.leaving =
-			target->entry_removed ||
-			notices_is_leaving(state, target->started_ms);
+		candidate = candidate_of(t, target, state);
+		affinity = affinity_with(r, affinity, &candidate);
 		g_array_append_val(t->candidates, candidate);
 		g_ptr_array_add(t->candidate_targets, target);
 	}
 	r->candidates = t->candidates->len;
-	engine_load_work(r, &work);
-	best = bsh_target_choose(
-		(bsh_target_candidate_t *)(void *)t->candidates->data,
-		t->candidates->len, &work, affinity, now_us);
+	best = choose(r, t->candidates, affinity, &work);
 	if (r->n_isolated > 0)
 		best = choose_isolated(r);
 	if (best < 0)
@@ -193,6 +230,80 @@
 	return g_ptr_array_index(t->candidate_targets, best);
 }
 
+/* The state is a copy: to ask for the time until a limit lets a request pass
+ * fills its bucket. */
+static pick_finding_t *new_finding(request_t *r, const view_target_t *target)
+{
+	const target_state_t *state =
+		g_hash_table_lookup(r->traffic->targets, target->id);
+	pick_finding_t *finding;
+
+	if (state == NULL)
+		return NULL;
+	finding = g_new0(pick_finding_t, 1);
+	finding->target = target;
+	finding->state = *state;
+	finding->holds_model = holds_model(r, target);
+	finding->pick = check_listed(r, target);
+	if (finding->pick == PICK_CANDIDATE)
+		finding->pick = check_process(r, target, &finding->state);
+	finding->candidate = candidate_of(r->traffic, target, &finding->state);
+	finding->expected_us = -1.0;
+	return finding;
+}
+
+/* Notes what the choice has found out of the candidates. */
+static void note_choice(const GPtrArray *findings, const GArray *candidates,
+			const bsh_target_work_t *work, int64_t now_us)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < findings->len; i++) {
+		pick_finding_t *finding = g_ptr_array_index(findings, i);
+
+		if (finding->pick != PICK_CANDIDATE)
+			continue;
+		finding->candidate =
+			g_array_index(candidates, bsh_target_candidate_t, n++);
+		finding->expected_us =
+			bsh_target_delay_us(&finding->candidate, work, now_us);
+	}
+}
+
+GPtrArray *target_pick_survey(request_t *r, pick_finding_t **chosen)
+{
+	const GArray *targets = r->traffic->view->targets;
+	GPtrArray *findings = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GArray) candidates =
+		g_array_new(FALSE, FALSE, sizeof(bsh_target_candidate_t));
+	g_autoptr(GPtrArray) owners = g_ptr_array_new();
+	uint64_t affinity = affinity_of(r);
+	bsh_target_work_t work;
+	int32_t best;
+
+	for (guint i = 0; i < targets->len; i++) {
+		const view_target_t *target =
+			&g_array_index(targets, view_target_t, i);
+		pick_finding_t *finding;
+
+		if (check_listed(r, target) == PICK_OTHER_SERVICE)
+			continue;
+		finding = new_finding(r, target);
+		if (finding == NULL)
+			continue;
+		g_ptr_array_add(findings, finding);
+		if (finding->pick != PICK_CANDIDATE)
+			continue;
+		affinity = affinity_with(r, affinity, &finding->candidate);
+		g_array_append_val(candidates, finding->candidate);
+		g_ptr_array_add(owners, finding);
+	}
+	best = choose(r, candidates, affinity, &work);
+	note_choice(findings, candidates, &work, traffic_now_us(r->traffic));
+	*chosen = best >= 0 ? g_ptr_array_index(owners, best) : NULL;
+	return findings;
+}
+
 static gboolean is_stale_target(void *key, void *value, void *ctx)
 {
 	const target_state_t *state = value;
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -357,6 +357,23 @@
 /* waiting_or_fail - no usable target can take the request now: it waits, or is
  * refused at once if it cannot be served in time. */
 void waiting_or_fail(request_t *r);
+typedef enum {
+	WAITS_FOR_NOTHING,
+	WAITS_FOR_MODEL,
+	WAITS_FOR_VERSION, /* of software, that began its stream */
+	WAITS_FOR_LIMIT,
+	WAITS_FOR_PAUSE
+} waits_for_t;
+/* What becomes of a request that no usable target can take now. */
+typedef struct {
+	bsh_error_t err;	   /* it is refused; BSH_OK: it waits */
+	int64_t retry_ms;	   /* unless a limit or a pause keeps it away */
+	waits_for_t waits_for;	   /* also if that is too late for it */
+	const view_ready_t *ready; /* of its model; NULL: no estimate */
+} outlook_t;
+/* waiting_outlook - what waiting_or_fail() would do with a request of which the
+ * caller has nothing yet; changes nothing but times of the request. */
+void waiting_outlook(request_t *r, outlook_t *outlook);
 /* waiting_resume_later - a stream of which the caller has a part looks for a
  * target again after a while. */
 void waiting_resume_later(request_t *r);
@@ -411,6 +428,9 @@
 /* accounts_check - whether the request may be sent now, by the configuration in
  * force; sets its account and priority. */
 bsh_access_t accounts_check(request_t *r);
+/* accounts_access - the same decision for a key that is known or not; counts and
+ * logs nothing. */
+bsh_access_t accounts_access(const request_t *r, bool key_known);
 /* accounts_admit - false if the request exceeds the limit of its account; its
  * caller may come back after *retry_ms. */
 bool accounts_admit(request_t *r, int64_t *retry_ms);
@@ -443,6 +463,30 @@
 /* target_pick - the best target that can serve the request and was not tried,
  * or NULL; *chosen, unless NULL, is what was known of it. */
 const view_target_t *target_pick(request_t *r, bsh_target_candidate_t *chosen);
+/* Why a target is no candidate. */
+typedef enum {
+	PICK_CANDIDATE,
+	PICK_OTHER_SERVICE,
+	PICK_OTHER_SOFTWARE, /* than began the stream */
+	PICK_NO_MODEL,
+	PICK_ENDED, /* its process has refused a connection */
+	PICK_LEFT,  /* it said that it leaves, and its drain time is over */
+	PICK_PAUSED,
+	PICK_LIMITED
+} pick_t;
+/* What is known of a target for a request. */
+typedef struct {
+	const view_target_t *target;
+	target_state_t state; /* a copy */
+	pick_t pick;
+	bool holds_model;
+	bsh_target_candidate_t candidate; /* its record is that of the copy */
+	double expected_us; /* time to the first byte; -1: no candidate */
+} pick_finding_t;
+/* target_pick_survey - what target_pick() would choose for a new request, and what
+ * it goes by: an array of pick_finding_t, which is to be freed.  Changes nothing
+ * but the request, which may then refer to a copied state. */
+GPtrArray *target_pick_survey(request_t *r, pick_finding_t **chosen);
 /* target_pick_was_tried - true if the request was sent to the target or instance
  * with this hash. */
 bool target_pick_was_tried(const request_t *r, uint64_t hash);
--- a/bshentryd/waiting.c
+++ b/bshentryd/waiting.c
@@ -55,9 +55,15 @@
 		bsh_adapter_number(r->info.adapter, model->adapters) != 0);
 }
 
-/* Queues the request until the next view, or refuses it at once if it cannot be
+static void set_refusal(outlook_t *outlook, bsh_error_t err, int64_t retry_ms)
+{
+	outlook->err = err;
+	outlook->retry_ms = retry_ms;
+}
+
+/* The request waits until the next view, or is refused at once if it cannot be
  * served in time. */
-static void wait_or_refuse(request_t *r)
+static void judge_model(request_t *r, outlook_t *outlook)
 {
 	const view_t *view = r->traffic->view;
 	const view_ready_t *ready;
@@ -65,32 +71,35 @@
 	int64_t wait_us;
 
 	if (!demand_is_counted(r)) {
-		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
+		set_refusal(outlook, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
 		return;
 	}
 	if (!is_declared(r)) {
-		traffic_fail(r, traffic_unknown_error(r->traffic),
-			     RETRY_DEFAULT_MS);
+		set_refusal(outlook, traffic_unknown_error(r->traffic),
+			    RETRY_DEFAULT_MS);
 		return;
 	}
+	outlook->waits_for = WAITS_FOR_MODEL;
 	ready = view_find_ready(view, r->info.model, r->info.adapter);
+	outlook->ready = ready;
 	if (ready != NULL && ready->ready_us != INT64_MAX) {
 		/* The clock is that of the control thread: only the
 		 * difference is valid here. */
 		wait_us = ready->ready_us - ready->estimated_us;
 		if (is_too_late(r, wait_us)) {
-			traffic_fail(r, BSH_ERR_DEADLINE, wait_us / 1000);
+			set_refusal(outlook, BSH_ERR_DEADLINE, wait_us / 1000);
 			return;
 		}
 	}
-	if (r->traffic->draining && !is_ready_before_abort(r, ready)) {
-		traffic_fail(r, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
-		return;
-	}
-	if (!view->has_holder && now_us - r->arrived_us > NO_HOLDER_WAIT_US) {
-		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
-		return;
-	}
+	if (r->traffic->draining && !is_ready_before_abort(r, ready))
+		set_refusal(outlook, BSH_ERR_DRAINING, RETRY_ELSEWHERE_MS);
+	else if (!view->has_holder &&
+		 now_us - r->arrived_us > NO_HOLDER_WAIT_US)
+		set_refusal(outlook, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
+}
+
+static void wait_for_model(request_t *r, const view_ready_t *ready)
+{
 	request_log_wait(r, ready);
 	/* At the next dispatch a target that was tried may be the only one, and
 	 * may have recovered. */
@@ -137,14 +146,17 @@
 /* No target of the version that began the stream holds its model.  One that was
  * started again soon loads it from its disk; a load from the weight store takes
  * longer than a caller waits for an event. */
-static void wait_for_version(request_t *r)
+static void judge_version(const request_t *r, outlook_t *outlook)
 {
 	int64_t waited_us = traffic_now_us(r->traffic) - r->arrived_us;
 
-	if (waited_us >= VERSION_WAIT_MAX_US) {
-		traffic_fail(r, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
-		return;
-	}
+	outlook->waits_for = WAITS_FOR_VERSION;
+	if (waited_us >= VERSION_WAIT_MAX_US)
+		set_refusal(outlook, BSH_ERR_NOT_RESUMABLE, RETRY_DEFAULT_MS);
+}
+
+static void wait_for_version(request_t *r)
+{
 	request_log_wait(r, NULL);
 	r->n_tried = 0;
 	traffic_set_state(r, REQUEST_WAITING);
@@ -180,35 +192,65 @@
 }
 
 /* Only the limits of targets, or their pauses, keep the request away. */
-static void wait_for_leave(request_t *r)
+static void judge_leave(const request_t *r, outlook_t *outlook)
 {
-	bool limited = r->limited_by != NULL;
+	outlook->waits_for =
+		r->limited_by != NULL ? WAITS_FOR_LIMIT : WAITS_FOR_PAUSE;
+	if (!may_wait_for_leave(r))
+		set_refusal(outlook, BSH_ERR_CAPACITY, RETRY_DEFAULT_MS);
+}
 
-	if (!may_wait_for_leave(r)) {
-		traffic_fail(r, BSH_ERR_CAPACITY,
-			     limited ? limits_retry_ms(r)
-				     : notices_retry_ms(r));
-		return;
-	}
+static void wait_for_leave(request_t *r)
+{
 	traffic_set_state(r, REQUEST_WAITING);
-	waiting_hold(r, limited ? r->limit_wait_us : r->pause_wait_us);
+	waiting_hold(r, r->limited_by != NULL ? r->limit_wait_us
+					      : r->pause_wait_us);
 }
 
-/* No usable target can take the request now. */
-void waiting_or_fail(request_t *r)
+void waiting_outlook(request_t *r, outlook_t *outlook)
 {
-	if (traffic_is_begun_stream(r))
-		wait_for_target(r);
-	else if (traffic_time_left_us(r) < RUN_MIN_US)
-		traffic_fail(r, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
+	*outlook = (outlook_t){ .err = BSH_OK };
+	if (traffic_time_left_us(r) < RUN_MIN_US)
+		set_refusal(outlook, BSH_ERR_DEADLINE, RETRY_DEFAULT_MS);
 	else if (reach_is_cut(r->traffic))
-		traffic_fail(r, BSH_ERR_CAPACITY, RETRY_ELSEWHERE_MS);
+		set_refusal(outlook, BSH_ERR_CAPACITY, RETRY_ELSEWHERE_MS);
 	else if (r->limited_by != NULL || r->pause_wait_us > 0)
-		wait_for_leave(r);
+		judge_leave(r, outlook);
 	else if (stream_origin_is_constrained(r))
-		wait_for_version(r);
+		judge_version(r, outlook);
 	else if (r->n_tried > 0 && !demand_is_counted(r))
-		traffic_fail(r, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
+		set_refusal(outlook, BSH_ERR_CONNECT, RETRY_DEFAULT_MS);
+	else
+		judge_model(r, outlook);
+}
+
+/* Retry-After; callers that a limit or a pause keeps away are given different
+ * times. */
+static int64_t retry_ms(request_t *r, const outlook_t *outlook)
+{
+	if (outlook->waits_for == WAITS_FOR_LIMIT)
+		return limits_retry_ms(r);
+	if (outlook->waits_for == WAITS_FOR_PAUSE)
+		return notices_retry_ms(r);
+	return outlook->retry_ms;
+}
+
+/* No usable target can take the request now. */
+void waiting_or_fail(request_t *r)
+{
+	outlook_t outlook;
+
+	if (traffic_is_begun_stream(r)) {
+		wait_for_target(r);
+		return;
+	}
+	waiting_outlook(r, &outlook);
+	if (outlook.err != BSH_OK)
+		traffic_fail(r, outlook.err, retry_ms(r, &outlook));
+	else if (outlook.waits_for == WAITS_FOR_MODEL)
+		wait_for_model(r, outlook.ready);
+	else if (outlook.waits_for == WAITS_FOR_VERSION)
+		wait_for_version(r);
 	else
-		wait_or_refuse(r);
+		wait_for_leave(r);
 }
--- a/lib/coordination/target_choice.c
+++ b/lib/coordination/target_choice.c
@@ -98,6 +98,14 @@
 	return delay_us + (c->same_zone ? 0.0 : OTHER_ZONE_PENALTY_US);
 }
 
+double bsh_target_delay_us(const bsh_target_candidate_t *candidate,
+			   const bsh_target_work_t *work, int64_t now_us)
+{
+	return work != NULL && work->prefill_us > 0.0
+		       ? engine_delay_us(candidate, work, now_us)
+		       : service_delay_us(candidate, now_us);
+}
+
 bool bsh_target_usable(const bsh_target_record_t *record, int64_t now_us)
 {
 	if (record->failures < FAILURES_TO_PAUSE)
--- a/lib/coordination/target_choice.h
+++ b/lib/coordination/target_choice.h
@@ -93,6 +93,10 @@
 			  const bsh_target_work_t *work, uint64_t affinity,
 			  int64_t now_us);
 
+/* bsh_target_delay_us - expected delay of the request at a candidate of the last
+ * choice: the time to the first byte or, of an engine, to the first token. */
+double bsh_target_delay_us(const bsh_target_candidate_t *candidate,
+			   const bsh_target_work_t *work, int64_t now_us);
 /* bsh_target_own_us - estimated prefill time of the request at a candidate of
  * the last choice, without the parts that are expected to be cached there. */
 double bsh_target_own_us(const bsh_target_candidate_t *candidate,
