entry: GET /where tells where a request would be sent now

The admin address takes a description of a request and answers with the configuration, the route, the service, the state of the account, the targets with what excludes each, and the decision: the target, what the request would wait for, or the error and Retry-After.

The control thread reads the arguments and posts the question to the traffic thread; the answer is posted back. where.c calls the parts of the traffic thread by a table of functions that traffic.c hands over, so that it does not join the files that call one another. Nothing is counted or changed; bad arguments are refused with 400 and logged.

--- a/bshentryd/directory.c
+++ b/bshentryd/directory.c
@@ -1,5 +1,5 @@
-/* HTTP endpoints: readiness probe, addresses of instances for callers, and
- * metrics. */
+/* HTTP endpoints: readiness probe, addresses of instances for callers,
+ * metrics, and where a request would be sent. */
 #include "control.h"
 
 #include <string.h>
@@ -8,6 +8,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "platform/ingress.h"
+#include "where_query.h"
 
 #define CONNECTIONS_MAX 512U
 /* Callers look up addresses every few seconds, and probes are sent every
@@ -83,11 +84,16 @@
 				settings->entry_resolve_keep_s);
 }
 
-static void on_metrics_request(void *ctx, bsh_http_request_t *request)
+static void on_admin_request(void *ctx, bsh_http_request_t *request)
 {
+	const directory_t *directory = ctx;
 	g_autoptr(GString) out = g_string_new(NULL);
 
-	(void)ctx;
+	if (where_is_query(request)) {
+		where_receive(directory->control->entry, request,
+			      traffic_where);
+		return;
+	}
 	if (strcmp(bsh_http_request_path(request), "/metrics") != 0) {
 		bsh_http_response_send(request, 404, "", 0);
 		return;
@@ -147,8 +153,7 @@
 				  &directory->resolve_server);
 	if (err == BSH_OK)
 		err = open_server(directory, settings->router_admin,
-				  on_metrics_request,
-				  &directory->metrics_server);
+				  on_admin_request, &directory->metrics_server);
 	return err;
 }
 
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -22,6 +22,7 @@
  *	config_proof.c	whether the configuration in force is the newest
  *	account_keeper.c	what client accounts use, over all instances
  *	directory.c	readiness, addresses for callers, metrics
+ *	where_query.c	questions where a request would be sent
  *	control.c	owns the parts above, builds views, reloads, drains
  *
  *	Traffic thread:
@@ -43,6 +44,7 @@
  *	demand.c	demand for models, by the requests of this instance
  *	engine_load.c	open work of the requests of this instance at engines
  *	request_log.c	log lines, counters and times of requests
+ *	where.c		where a request would be sent, for operators
  *
  *	The parts of the control thread report changes to control.c through
  *	the functions named control_*; control.c calls the parts.
@@ -251,6 +253,9 @@
 } traffic_places_msg_t;
 /* traffic_set_places - called by bsh_loop_post(). */
 void traffic_set_places(void *places);
+/* traffic_where - called by bsh_loop_post() with a where_ask_t of where.h: a
+ * question where a request would be sent. */
+void traffic_where(void *ask);
 /* traffic_drain - from now on each response closes its connection, and requests
  * wait only for models that are expected within the grace time. */
 void traffic_drain(void *traffic);
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "platform/ingress.h"
+#include "where.h"
 
 /* Connections of callers; a request occupies one, and many are idle. */
 #define CONNECTIONS_MAX 2000U
@@ -401,12 +402,11 @@
 static const bsh_http_request_handler_t request_handler = { on_done,
 							    on_drained };
 
-static void set_route(request_t *r)
+static void follow_route(request_t *r, uint32_t service)
 {
 	const bsh_route_rule_t *route = r->route;
 
-	r->service = bsh_catalog_service_at(
-		r->catalog, bsh_route_pick_split(route, g_random_int()));
+	r->service = bsh_catalog_service_at(r->catalog, service);
 	r->suspect_service = NULL;
 	r->priority = route->priority;
 	r->is_stream = route->kind == BSH_KIND_STREAM;
@@ -426,6 +426,11 @@
 			     g_ascii_strtoull(r->info.last_event_id, NULL, 10));
 }
 
+static void set_route(request_t *r)
+{
+	follow_route(r, bsh_route_pick_split(r->route, g_random_int()));
+}
+
 static request_t *new_request(traffic_t *t, bsh_http_request_t *http)
 {
 	request_t *r = g_new0(request_t, 1);
@@ -698,6 +703,17 @@
 	g_free(answer);
 }
 
+void traffic_where(void *ask)
+{
+	static const where_ops_t ops = {
+		traffic_unknown_error, follow_route,	accounts_now_us,
+		accounts_access,       drain_takes,	reach_is_cut,
+		target_pick_survey,    waiting_outlook,
+	};
+
+	where_answer(ask, &ops);
+}
+
 bsh_error_t traffic_start(entry_t *entry)
 {
 	traffic_t *t = g_new0(traffic_t, 1);
