bshctl: where shows the target that a request would be sent to

bshctl where ADDRESS asks one instance at its admin address and prints the decision and a table of the targets, or JSON.

--- a/bshctl/bshctl.c
+++ b/bshctl/bshctl.c
@@ -43,6 +43,8 @@
 	{ "summary", "[FILE...]",
 	  "how requests ended, from the logs of bshentryd", 0, INT_MAX, "Ha",
 	  ctl_summary },
+	{ "where", "ADDRESS", "where an instance would send a request now", 1,
+	  1, "HW", ctl_where },
 };
 
 static void print_commands(FILE *out)
@@ -255,6 +257,35 @@
 		  { "all", 'a', 0, G_OPTION_ARG_NONE, &o->all,
 		    "Query all live instances; also count answered requests",
 		    NULL } },
+		{ 'W',
+		  { "host", 0, 0, G_OPTION_ARG_STRING, &o->host,
+		    "Host of the request", "NAME" } },
+		{ 'W',
+		  { "path", 0, 0, G_OPTION_ARG_STRING, &o->path,
+		    "Path of the request", "PATH" } },
+		{ 'W',
+		  { "model", 'm', 0, G_OPTION_ARG_STRING, &o->model,
+		    "Model that it names", "MODEL[/ADAPTER]" } },
+		{ 'W',
+		  { "account", 0, 0, G_OPTION_ARG_STRING, &o->account,
+		    "Client account whose key it has", "NAME" } },
+		{ 'W',
+		  { "tokens", 0, 0, G_OPTION_ARG_STRING, &o->tokens,
+		    "Tokens of its prompt and of its answer", "P,A" } },
+		{ 'W',
+		  { "prompt", 0, 0, G_OPTION_ARG_STRING, &o->prompt,
+		    "Parts of its prompt, ids in hexadecimal",
+		    "ID:TOKENS,..." } },
+		{ 'W',
+		  { "service", 0, 0, G_OPTION_ARG_STRING, &o->service,
+		    "Service, if the route has several", "NAME" } },
+		{ 'W',
+		  { "software", 0, 0, G_OPTION_ARG_STRING, &o->software,
+		    "Version that began the stream that it resumes",
+		    "VERSION" } },
+		{ 'W',
+		  { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &o->timeout_ms,
+		    "Timeout of the question (5000)", "MS" } },
 		{ 'x',
 		  { "instance", 'i', 0, G_OPTION_ARG_STRING, &o->instance,
 		    "Report on this instance if no line names the request",
@@ -355,6 +386,13 @@
 	g_free(o->zone);
 	g_free(o->instance);
 	g_free(o->at);
+	g_free(o->host);
+	g_free(o->path);
+	g_free(o->account);
+	g_free(o->tokens);
+	g_free(o->prompt);
+	g_free(o->service);
+	g_free(o->software);
 }
 
 int main(int argc, char **argv)
--- a/bshctl/bshctl.h
+++ b/bshctl/bshctl.h
@@ -55,6 +55,14 @@
 	/* explain */
 	char *instance;
 	char *at; /* time in the format of the logs */
+	/* where, besides model */
+	char *host;
+	char *path;
+	char *account;
+	char *tokens; /* "PROMPT,ANSWER" */
+	char *prompt; /* "ID:TOKENS,..." */
+	char *service;
+	char *software;
 } ctl_options_t;
 
 typedef struct {
@@ -117,5 +125,6 @@
 int ctl_timeline(ctl_t *ctl);
 int ctl_explain(ctl_t *ctl);
 int ctl_summary(ctl_t *ctl);
+int ctl_where(ctl_t *ctl);
 
 #endif
