--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -128,29 +128,46 @@
 	return route != NULL ? route->anonymous : r->route->anonymous;
 }
 
-static bsh_access_t check(request_t *r, int64_t *proven_us)
+static bool needs_key(const request_t *r)
 {
-	traffic_t *t = r->traffic;
-	const freshness_t *freshness = &t->entry->freshness;
-	const bsh_accounts_t *accounts = t->view->catalog->accounts;
-	const bsh_account_rule_t *account = NULL;
+	return r->traffic->view->catalog->accounts != NULL && !is_anonymous(r);
+}
+
+static bsh_access_t decide(const request_t *r, bool key_needed, bool key_known,
+			   int64_t proven_us)
+{
+	const traffic_t *t = r->traffic;
 	bsh_access_input_t input = {
-		.needs_key = accounts != NULL && !is_anonymous(r),
-		.confirmed_age_us =
-			traffic_now_us(t) - load_us(&freshness->config_us),
+		.needs_key = key_needed,
+		.key_known = key_known,
+		.confirmed_age_us = traffic_now_us(t) -
+				    load_us(&t->entry->freshness.config_us),
 		.arrived_us = r->arrived_boot_us,
-		.proven_us = update_proof(t),
+		.proven_us = proven_us,
 		.bound_us =
 			t->entry->settings.accounts_revoke_ms * INT64_C(1000),
 	};
 
+	return bsh_access_decide(&input);
+}
+
+bsh_access_t accounts_access(const request_t *r, bool key_known)
+{
+	return decide(r, needs_key(r), key_known, update_proof(r->traffic));
+}
+
+static bsh_access_t check(request_t *r, int64_t *proven_us)
+{
+	const bsh_accounts_t *accounts = r->traffic->view->catalog->accounts;
+	const bsh_account_rule_t *account = NULL;
+	bool key_needed = needs_key(r);
+
+	*proven_us = update_proof(r->traffic);
 	r->has_accounts = accounts != NULL;
-	if (input.needs_key && r->info.has_key)
+	if (key_needed && r->info.has_key)
 		account = bsh_accounts_find_key(accounts, &r->info.key);
-	input.key_known = account != NULL;
 	set_account(r, account);
-	*proven_us = input.proven_us;
-	return bsh_access_decide(&input);
+	return decide(r, key_needed, account != NULL, *proven_us);
 }
 
 bsh_access_t accounts_check(request_t *r)
