--- a/lib/transport/http_server_private.h
+++ b/lib/transport/http_server_private.h
@@ -8,6 +8,7 @@
  * DESCRIPTION
  *	http_server.c		connections, and requests until they are received
  *	http_server_message.c	access to requests, responses
+ *	http_server_surplus.c	connections that are closed for others
  */
 
 #include <glib.h>
@@ -15,6 +16,11 @@
 
 #include "transport/http_server.h"
 
+/* A body that has not moved for this time is stalled, and one that is older may be
+ * dropped for another: a caller that sends goes on within it, also over a link
+ * that loses packets. */
+#define STALLED_US INT64_C(1000000)
+
 typedef struct connection {
 	int fd;
 	bsh_http_request_t *request; /* being received or in progress */
@@ -86,6 +92,11 @@
 void http_server_buffered(const bsh_http_request_t *request, ssize_t bytes);
 /* http_server_has_unread - bytes of its response wait for the client. */
 bool http_server_has_unread(const bsh_http_request_t *request);
+/* http_server_has_unread_input - the socket has input that was not read. */
+bool http_server_has_unread_input(int fd);
+/* http_server_close_surplus - close connections beyond the limit, now or once they
+ * are of no use; a handler of timers. */
+void http_server_close_surplus(void *server);
 /* http_server_resume - go on with a suspended connection. */
 void http_server_resume(bsh_http_request_t *request);
 /* http_server_suspend - suspend a connection until there is data to send. */
