account_keeper: add to bursts once in a window, name all short accounts

An answer that cannot name all short accounts names others each time, and does not end the limits of those that it does not name.

--- a/bshentryd/account_keeper.c
+++ b/bshentryd/account_keeper.c
@@ -8,9 +8,10 @@
 
 /* A successor that has heard of an earlier keeper begins with half of each burst:
  * what was used since is not known.  A process that has just started may follow
- * one that used all. */
-#define FILLED_KNOWN 0.5
-#define FILLED_NEW   0.0
+ * one that used all, and of several changes within the window of a limit only one
+ * may add to the bursts: three within 5 s let 2,975 + 160 tokens pass in 8 s. */
+#define FILLED_KNOWN   0.5
+#define FILLED_UNKNOWN 0.0
 
 /* Interval of log lines about accounts that are short. */
 #define LOG_INTERVAL_US INT64_C(1000000)
@@ -76,19 +77,42 @@
 	bsh_account_ledger_keep(keeper->ledger, has_limit, keeper);
 }
 
+/* Whether the keeper has been another, and the same, for a whole window. */
+static bool is_settled(const account_keeper_t *keeper, int64_t window_us,
+		       int64_t now_us)
+{
+	return keeper->heard_us > 0 && keeper->holder[0] != '\0' &&
+	       now_us - keeper->holder_us >= window_us;
+}
+
+static void note_holder(account_keeper_t *keeper, const char *holder,
+			int64_t now_us)
+{
+	if (holder[0] == '\0' || strcmp(holder, keeper->holder) == 0)
+		return;
+	g_strlcpy(keeper->holder, holder, sizeof(keeper->holder));
+	keeper->holder_us = now_us;
+}
+
 void account_keeper_update(account_keeper_t *keeper,
 			   const bsh_accounts_t *accounts,
 			   const account_tolerance_t *tolerance, bool is_keeper,
 			   int64_t now_us)
 {
 	bool keeps = is_keeper && accounts != NULL;
-	double filled = keeper->heard_us > 0 ? FILLED_KNOWN : FILLED_NEW;
+	double filled = is_settled(keeper, tolerance->window_us, now_us)
+				? FILLED_KNOWN
+				: FILLED_UNKNOWN;
 
 	if (keeps != (keeper->ledger != NULL)) {
 		bsh_log(BSH_LOG_INFO, "account-keeper active=%d", keeps);
 		bsh_counter_set(&keeper_gauge, keeps);
 		bsh_counter_set(&short_gauge, 0);
 	}
+	if (keeper->ledger != NULL && !keeps) {
+		keeper->holder[0] = '\0';
+		keeper->holder_us = now_us;
+	}
 	if (!keeps) {
 		g_clear_pointer(&keeper->ledger, bsh_account_ledger_free);
 		return;
@@ -137,6 +161,38 @@
 	}
 }
 
+static bsh_account_fraction_t fraction_at(account_keeper_t *keeper, guint at,
+					  uint32_t instances, int64_t now_us)
+{
+	bsh_account_fraction_t entry = {
+		.account = g_array_index(keeper->accounts, uint32_t, at),
+	};
+	double fraction = bsh_account_ledger_fraction(
+		keeper->ledger, entry.account, instances, now_us);
+
+	entry.millionths = (uint32_t)(fraction * 1e6);
+	entry.retry_ms =
+		bsh_account_ledger_retry_ms(keeper->ledger, entry.account);
+	return entry;
+}
+
+/* Accounts in turn, from a place that differs from answer to answer: more than an
+ * answer can name are short. */
+static void name_some(account_keeper_t *keeper, GArray *found,
+		      uint32_t instances, int64_t now_us)
+{
+	guint n = keeper->accounts->len;
+	guint start = (guint)(XXH64(&now_us, sizeof(now_us), 0) % n);
+
+	g_array_set_size(found, 0);
+	for (guint i = 0; i < BSH_ACCOUNT_SHARES_MAX; i++) {
+		bsh_account_fraction_t entry =
+			fraction_at(keeper, (start + i) % n, instances, now_us);
+
+		g_array_append_val(found, entry);
+	}
+}
+
 /* The accounts of which not all is admitted. */
 static GArray *find_short(account_keeper_t *keeper, uint32_t instances,
 			  int64_t now_us)
@@ -145,16 +201,10 @@
 		g_array_new(FALSE, FALSE, sizeof(bsh_account_fraction_t));
 
 	for (guint i = 0; i < keeper->accounts->len; i++) {
-		bsh_account_fraction_t entry = {
-			.account = g_array_index(keeper->accounts, uint32_t, i),
-		};
-		double fraction = bsh_account_ledger_fraction(
-			keeper->ledger, entry.account, instances, now_us);
+		bsh_account_fraction_t entry =
+			fraction_at(keeper, i, instances, now_us);
 
-		entry.millionths = (uint32_t)(fraction * 1e6);
-		entry.retry_ms = bsh_account_ledger_retry_ms(keeper->ledger,
-							     entry.account);
-		if (fraction < 1.0 && found->len < BSH_ACCOUNT_SHARES_MAX)
+		if (entry.millionths < 1000000)
 			g_array_append_val(found, entry);
 	}
 	keeper->short_accounts = found->len;
@@ -163,6 +213,8 @@
 		keeper->logged_us = now_us;
 		log_short(keeper, found, instances);
 	}
+	if (found->len >= BSH_ACCOUNT_SHARES_MAX)
+		name_some(keeper, found, instances, now_us);
 	return found;
 }
 
@@ -203,6 +255,7 @@
 		keeper->ops.told(keeper->ops.ctx, fractions_of(found),
 				 found->len, now_us);
 	} else if (parties->holder[0] != '\0') {
+		note_holder(keeper, parties->holder, now_us);
 		send_uses(keeper, parties, uses, n, now_us);
 	}
 	keeper->reported = true;
--- a/bshentryd/account_keeper.h
+++ b/bshentryd/account_keeper.h
@@ -31,6 +31,9 @@
 	bsh_account_ledger_t *ledger; /* NULL: this is not the keeper */
 	GArray *accounts;	      /* hashes of those with a limit */
 	int64_t heard_us; /* last answer of another keeper; 0: none */
+	/* Keeper before this one, and since when; "": this instance was it. */
+	char holder[BSH_NAME_SIZE];
+	int64_t holder_us;
 	uint32_t short_accounts;
 	int64_t logged_us; /* last log of the accounts that are short */
 	bool reported;
@@ -40,6 +43,7 @@
 typedef struct {
 	double overage; /* part of the limit */
 	double slack;
+	int64_t window_us;
 } account_tolerance_t;
 
 void account_keeper_register(void);
--- a/bshentryd/account_limits.c
+++ b/bshentryd/account_limits.c
@@ -199,7 +199,9 @@
 		return;
 	limits->heard_us = asked_us;
 	g_hash_table_iter_init(&iter, limits->accounts);
-	while (g_hash_table_iter_next(&iter, NULL, &use))
+	/* A full list does not name all accounts that are short. */
+	while (n < BSH_ACCOUNT_SHARES_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &use))
 		((use_t *)use)->share.fraction = 1.0;
 	for (uint32_t i = 0; i < n; i++) {
 		bsh_account_share_t *share =
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -92,8 +92,11 @@
 {
 	const bsh_catalog_t *catalog = catalogs_current(control->catalogs);
 	const bsh_settings_t *settings = &control->entry->settings;
-	account_tolerance_t tolerance = { settings->accounts_limit_overage,
-					  settings->accounts_limit_slack };
+	account_tolerance_t tolerance = {
+		.overage = settings->accounts_limit_overage,
+		.slack = settings->accounts_limit_slack,
+		.window_us = (int64_t)(settings->accounts_limit_window_s * 1e6),
+	};
 
 	account_keeper_update(&control->account_keeper,
 			      catalog != NULL ? catalog->accounts : NULL,
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -661,7 +661,8 @@
 	uint32_t retry_ms;   /* for callers that are not admitted */
 } bsh_account_fraction_t;
 
-/* ACCOUNT_SHARES: reply to ACCOUNT_USE; all is admitted of other accounts. */
+/* ACCOUNT_SHARES: reply to ACCOUNT_USE; all is admitted of other accounts, unless
+ * the list is full: then theirs is as before. */
 typedef struct {
 	uint64_t asked_us;
 	const bsh_account_fraction_t *fractions;
