bshctl: accounts, from the metrics of instances

An operator who was asked why callers got 429 had to read /metrics of each instance and add up what it names of the account; which instance has the ledger, whose log tells the rest, was found in the same way.

bshctl accounts METRICS-ADDRESS... prints the allowance, what was admitted, refused and given back, summed over the instances that are named, and the instance with bsh_account_keeper 1. Allowances that differ are printed as a range.

--- a/bshctl/bshctl.h
+++ b/bshctl/bshctl.h
@@ -117,5 +117,6 @@
 int ctl_timeline(ctl_t *ctl);
 int ctl_explain(ctl_t *ctl);
 int ctl_summary(ctl_t *ctl);
+int ctl_accounts(ctl_t *ctl);
 
 #endif
--- a/regress/test_bshctl.c
+++ b/regress/test_bshctl.c
@@ -377,6 +377,52 @@
 	g_assert_cmpstr(f->fake.drain_body, ==, "{\"instance\":\"entry-1\"}");
 }
 
+#define ACCOUNT_METRICS(keeper, allowance, admitted)                           \
+	"# TYPE bsh_account_keeper gauge\nbsh_account_keeper " keeper "\n"     \
+	"bsh_account_allowance_per_s{account=\"a b\"} " allowance "\n"         \
+	"bsh_account_admitted_total{account=\"a b\"} " admitted "\n"           \
+	"bsh_account_refused_total{account=\"a b\"} 7\n"                       \
+	"bsh_account_given_back_total{account=\"a b\"} 2\n"                    \
+	"bsh_accounts_short 1\n"
+
+/* Guards against sums that lack an instance without a word, against limits of which
+ * one instance's is taken for that of all, and against an answer of another
+ * program that counts as an instance without accounts. */
+static void test_accounts(fixture_t *f, gconstpointer data)
+{
+	fake_control_t other;
+	g_autofree char *ledger = NULL;
+
+	(void)data;
+	fake_control_init(&other);
+	f->fake.metrics = ACCOUNT_METRICS(
+		"0", "100",
+		"5000000000") "bsh_account_admitted_total{account=\"0\"} 1\n";
+	other.metrics = ACCOUNT_METRICS("1", "100", "30");
+	RUN(f, 0, "accounts", f->fake.address, other.address);
+	ledger = g_strdup_printf(
+		"ACCOUNT\tALLOWANCE\tADMITTED\tREFUSED\tGIVEN-BACK\n"
+		"0\t0\t1\t0\t0\na b\t100\t5000000030\t14\t4\nledger\t%s\n",
+		other.address);
+	g_assert_cmpstr(f->out, ==, ledger);
+	RUN(f, 0, "accounts", "-H", f->fake.address);
+	CONTAINS(f->out, "a b\t100\t5000000000\t7\t2\nledger\t-\n");
+	other.metrics = ACCOUNT_METRICS("1", "40", "30");
+	RUN(f, 0, "accounts", "-H", f->fake.address, other.address);
+	CONTAINS(f->out, "a b\t40-100\t");
+	RUN(f, 0, "accounts", "--json", f->fake.address, other.address);
+	CONTAINS(f->out, "\"allowance_low\": 40");
+	CONTAINS(f->out, "\"admitted\": 5000000030");
+	/* One instance does not answer; what the other one says is printed. */
+	RUN(f, 5, "accounts", "127.0.0.1:1", other.address);
+	CONTAINS(f->out, "a b\t40\t30\t7\t2\n");
+	CONTAINS(f->err, "127.0.0.1:1");
+	other.metrics = "bsh_x 1\n";
+	RUN(f, 7, "accounts", other.address);
+	RUN(f, 2, "accounts");
+	fake_control_finish(&other);
+}
+
 #define EVENT(us, logical, process, sequence, kind, details)                   \
 	"{\"hlc_us\":" us ",\"hlc_logical\":" logical                          \
 	",\"process\":\"" process                                              \
@@ -539,6 +585,7 @@
 	ADD("/bshctl/broken-answer", test_broken_answer);
 	ADD("/bshctl/next-controller", test_next_controller);
 	ADD("/bshctl/instances", test_instances);
+	ADD("/bshctl/accounts", test_accounts);
 	ADD("/bshctl/timeline", test_timeline);
 	ADD("/bshctl/verdict", test_verdict);
 	return g_test_run();
