soak: client accounts

The soak had no client accounts, so that no fault but those of test_accounts met keys and limits.

Workers tell the soak of each run (platform_rig_t.on_run). Checked are: no run with a key that no configuration had later than revoke_ms before the request was sent, at any instance; the name of an account that had the key since then, never the claimed one; no Authorization at a worker; what runs of the limited account in any 8 s; 401 only without an account in the last 4 s. For all kinds, the sum of bsh_memory_held_bytes has to be 0 at rest.

--- a/regress/soak/callers.c
+++ b/regress/soak/callers.c
@@ -54,6 +54,8 @@
 	{ .path = "/look/1", .service = "desk" },
 	{ .path = "/move/1", .service = "desk", .moves_to = "shop" },
 	{ .path = "/added/1", .service = "desk", .added = true },
+	/* Only with client accounts. */
+	{ .path = "/open/1", .service = "desk", .anonymous = true },
 };
 
 static void report_violation(soak_t *soak, const soak_caller_t *caller,
@@ -138,6 +140,7 @@
 static bool owes_answer(const soak_t *soak, const soak_caller_t *caller)
 {
 	return !instance_crashed(soak, caller) &&
+	       soak_accounts_owes(soak, caller) &&
 	       !drain_is_over(soak, caller) && !worker_harmed(soak, caller) &&
 	       caller->reply.took_us <
 		       SOAK_DEADLINE_MS * INT64_C(1000) - DEADLINE_MARGIN_US;
@@ -177,7 +180,9 @@
 						  caller->began_by);
 
 	if (!caller->route->resumable || caller->route->moves_to != NULL ||
-	    is_lost_with_all(soak, caller))
+	    is_lost_with_all(soak, caller) ||
+	    !soak_accounts_owes(soak, caller) ||
+	    soak_accounts_is_limited(soak, caller))
 		return false;
 	if (caller->events > 0)
 		return version != NULL &&
@@ -280,8 +285,23 @@
 	}
 }
 
+/* A request without a known key does not run, and no other one is denied. */
+static void check_denied(soak_t *soak, const soak_caller_t *caller)
+{
+	soak->accounts.denied++;
+	if (caller->route->once &&
+	    platform_rig_runs(&soak->rig, caller->id) > 0)
+		report_violation(soak, caller, "denied-after-run");
+	if (soak_accounts_owes(soak, caller))
+		report_violation(soak, caller, "key-denied");
+}
+
 static void check_failure(soak_t *soak, const soak_caller_t *caller)
 {
+	if (caller->reply.status == 401) {
+		check_denied(soak, caller);
+		return;
+	}
 	if (caller->reply.status == 404 && caller->route->added) {
 		soak->dropped++;
 		return;
@@ -407,6 +427,7 @@
 		   ++soak->sequence);
 	if (caller->route->stream)
 		request.model = caller->model;
+	soak_accounts_sign(soak, caller, &request);
 	if (caller->route->stream && soak->prompts)
 		request.prompt = prompt = make_prompt(soak);
 	caller->bad = prompt != NULL && strstr(prompt, SOAK_BAD_PART) != NULL;
@@ -461,14 +482,22 @@
 
 static void send_request(soak_t *soak, soak_caller_t *caller)
 {
-	if (caller->client == NULL || !caller->keeps)
+	rig_entry_t *stopped = NULL;
+	uint32_t n_routes;
+
+	soak_accounts_choose_key(soak, caller);
+	if (caller->client == NULL || !caller->keeps) {
 		caller->entry = any_entry(soak);
+		stopped = soak_accounts_choose_entry(soak, caller);
+	}
+	if (stopped != NULL)
+		caller->entry = stopped;
 	if (!caller->entry->alive) {
 		caller->keeps = false;
 		return;
 	}
-	caller->route =
-		&routes[bsh_rng_below(&soak->rng, G_N_ELEMENTS(routes))];
+	n_routes = G_N_ELEMENTS(routes) - (soak->accounts.used ? 0 : 1);
+	caller->route = &routes[bsh_rng_below(&soak->rng, n_routes)];
 	/* Skew the demand to a few models. */
 	g_snprintf(caller->model, sizeof(caller->model), "m%u",
 		   bsh_rng_below(&soak->rng,
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -28,6 +28,18 @@
 #define SOAK_LATE_MS	   600 /* tolerated after the deadline */
 #define SOAK_MODELS	   6
 
+/* Client accounts.  The limit is a third of what the callers of the limited
+ * account send; the slack has room for a few requests at each instance. */
+#define SOAK_KEYS	    8 /* that configurations may have */
+#define SOAK_REVOKE_MS	    1500
+#define SOAK_LIMIT_RATE	    250
+#define SOAK_LIMIT_BURST    250
+#define SOAK_LIMIT_WINDOW_S 8
+#define SOAK_LIMIT_OVERAGE  0.1
+#define SOAK_LIMIT_SLACK    500
+#define SOAK_COST_MIN	    10 /* tokens of a request */
+#define SOAK_COST_MAX	    90
+
 /* A route; only its service and its presence change with the configuration. */
 typedef struct {
 	const char *path;
@@ -36,7 +48,8 @@
 	bool once;	      /* runs at most once */
 	bool stream;	      /* the answer is a stream of events */
 	bool resumable;
-	bool added; /* some configurations do not have it */
+	bool added;	/* some configurations do not have it */
+	bool anonymous; /* served without a key */
 } soak_route_t;
 
 /* A caller sends one request after the other.  A resumable stream that ends
@@ -52,6 +65,10 @@
 	bool keeps;	 /* the next request goes to the same instance */
 	bool comparable; /* counts for the shares of streams */
 	bool bad;	 /* its prompt has the part under which workers end */
+	/* Of a client account, if there are some. */
+	uint32_t key;
+	char authorization[32];
+	char tokens[16];
 	int64_t started_us;   /* of the attempt */
 	uint32_t leave_after; /* leaves after so many events; 0: stays */
 	/* The stream, over all its attempts. */
@@ -88,6 +105,18 @@
 	uint32_t incarnation; /* number of its starts */
 } soak_worker_t;
 
+/* Client accounts, whose keys are added, moved and removed by configurations. */
+typedef struct {
+	bool used;
+	bsh_rng_t rng;
+	char *text;		   /* of the configuration in force */
+	GArray *owners[SOAK_KEYS]; /* all that each key has had */
+	GHashTable *attempts;	   /* by their ids */
+	GArray *runs;		   /* of the limited account */
+	uint32_t denied;	   /* answers 401 */
+	int64_t freeze_us;	   /* next instance to stand still */
+} soak_accounts_t;
+
 typedef struct {
 	platform_rig_t rig;
 	soak_entry_t entries[RIG_ENTRIES_MAX];
@@ -115,6 +144,7 @@
 	int64_t write_us;  /* next object */
 	int64_t kill_us;   /* next kill of all instances */
 	int64_t killed_us; /* last one */
+	soak_accounts_t accounts;
 	uint64_t sequence;
 	int64_t clear_us;     /* next time to clear the faults */
 	int64_t configure_us; /* next configuration of a series */
@@ -154,6 +184,33 @@
  * longer than a silence. */
 bool soak_worker_breaks(const worker_t *worker);
 
+/* soak_accounts_init, soak_accounts_finish - client accounts are used; without the
+ * former, the functions below do nothing. */
+void soak_accounts_init(soak_t *soak, uint32_t seed);
+void soak_accounts_finish(soak_t *soak);
+/* soak_accounts_start - settings of the instances, and checks at the workers. */
+void soak_accounts_start(soak_t *soak);
+/* soak_accounts_configure - change some keys, for the next configuration. */
+void soak_accounts_configure(soak_t *soak);
+/* soak_accounts_remove_key - remove a key with the next configuration. */
+void soak_accounts_remove_key(soak_t *soak);
+/* soak_accounts_choose_key - key of the caller's next request or stream. */
+void soak_accounts_choose_key(soak_t *soak, soak_caller_t *caller);
+/* soak_accounts_choose_entry - instance that stands still, for a request with a key
+ * whose removal is binding; NULL: any. */
+rig_entry_t *soak_accounts_choose_entry(soak_t *soak,
+					const soak_caller_t *caller);
+/* soak_accounts_sign - add the caller's key to a request, and note it. */
+void soak_accounts_sign(soak_t *soak, soak_caller_t *caller,
+			rig_request_t *request);
+/* soak_accounts_owes - false if an instance may know no account with the key of
+ * the caller's request. */
+bool soak_accounts_owes(const soak_t *soak, const soak_caller_t *caller);
+/* soak_accounts_is_limited - true if the request may exceed a limit. */
+bool soak_accounts_is_limited(const soak_t *soak, const soak_caller_t *caller);
+/* soak_accounts_check - check the limit, and that no worker has seen a key. */
+void soak_accounts_check(soak_t *soak);
+
 /* soak_writers_step - objects of another writer and kills that are due. */
 void soak_writers_step(soak_t *soak);
 
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -3,7 +3,7 @@
  * with faults of the processes, the workers, the store and its connections.
  * Faults come in series and overlap.  Invariants are checked against what
  * callers and workers observe, not against what the daemons report about
- * themselves, except for the number of open requests at rest.
+ * themselves, except for the open requests and the bytes held for callers at rest.
  *
  *	soak_entry [--seed N] [--seconds N] [--entries N] [--workers N]
  *
@@ -11,6 +11,7 @@
  * The exit status is the number of violations, at most 100; 101: usage error.
  */
 #include <glib.h>
+#include <inttypes.h>
 #include <math.h>
 #include <signal.h>
 #include <stdio.h>
@@ -32,6 +33,7 @@
 #define CUT_MAX_MS	   2500 /* of a cut, and between two */
 #define FOLLOW_MAX_MS	   1500 /* until the next signal of a series */
 #define PHASE_MAX_MS	   1500 /* of a worker that leaves */
+#define FREEZE_GAP_MS	   1500 /* at least, while keys change */
 #define SILENCE_MIN_MS	   300
 #define SILENCE_MAX_MS	   2000
 #define SILENT_WORKERS_MAX 3
@@ -76,6 +78,13 @@
 		g_string_append_printf(extra, route, "added", "added",
 				       "idempotent", "false", "desk");
 	}
+	if (soak->accounts.used)
+		g_string_append(extra,
+				",{\"name\":\"open\",\"host\":\"" RIG_HOST
+				"\",\"pathPrefix\":\"/open/\",\"kind\":"
+				"\"idempotent\",\"maxAttempts\":2,"
+				"\"anonymous\":true,\"service\":\"desk\"}");
+	soak_accounts_configure(soak);
 	platform_rig_configure(&soak->rig, extra->str);
 	g_string_free(extra, TRUE);
 }
@@ -166,6 +175,33 @@
 	}
 }
 
+/* An instance stands still while a key is removed, for longer than the bound of
+ * removals: on waking it finds requests with that key. */
+static void step_accounts(soak_t *soak)
+{
+	bsh_rng_t *rng = &soak->accounts.rng;
+	int64_t now_us = bsh_loop_clock_us();
+	uint32_t i;
+
+	if (!soak->accounts.used || now_us < soak->accounts.freeze_us)
+		return;
+	soak->accounts.freeze_us =
+		now_us +
+		1000LL * (FREEZE_GAP_MS + bsh_rng_below(rng, FREEZE_GAP_MS));
+	i = bsh_rng_below(rng, soak->rig.n_entries);
+	if (!soak->rig.entries[i].alive || soak->rig.entries[i].stopped)
+		return;
+	soak->entries[i].fault_us = now_us;
+	soak->entries[i].crash_us = now_us;
+	soak->entries[i].resume_us =
+		now_us +
+		1000LL * (SOAK_REVOKE_MS + bsh_rng_below(rng, SOAK_REVOKE_MS));
+	platform_rig_signal(&soak->rig.entries[i], SIGSTOP);
+	soak->rig.entries[i].stopped = true;
+	soak_accounts_remove_key(soak);
+	configure(soak);
+}
+
 /* Workers. */
 
 static void begin_phase(soak_t *soak, uint32_t i, soak_phase_t phase)
@@ -448,6 +484,7 @@
 		if (inject) {
 			step_faults(soak, &next_us);
 			soak_writers_step(soak);
+			step_accounts(soak);
 		}
 	}
 }
@@ -516,30 +553,49 @@
 	check_quarantine(soak, soak->rig.crash_part_runs - bad_runs);
 }
 
-/* Checks that no instance holds a request when all callers have ended. */
-static void check_open_requests(soak_t *soak)
+/* Sum of a metric over its labels; -1 if there is none. */
+static int64_t sum_metric(const rig_reply_t *reply, const char *name)
 {
-	static const char name[] = "\nbsh_requests_open ";
+	g_auto(GStrv) lines =
+		g_strsplit(reply->body != NULL ? reply->body : "", "\n", -1);
+	int64_t sum = -1;
+
+	for (uint32_t i = 0; lines[i] != NULL; i++) {
+		size_t length = strlen(name);
+		const char *value = strrchr(lines[i], ' ');
+
+		if (!g_str_has_prefix(lines[i], name) || value == NULL ||
+		    (lines[i][length] != ' ' && lines[i][length] != '{'))
+			continue;
+		sum = MAX(sum, 0) + g_ascii_strtoll(value, NULL, 10);
+	}
+	return sum;
+}
+
+/* Checks that no instance holds anything when all callers have ended. */
+static void check_rest(soak_t *soak)
+{
+	static const char *const metrics[] = { "bsh_requests_open",
+					       "bsh_memory_held_bytes" };
 
 	for (uint32_t i = 0; i < soak->rig.n_entries; i++) {
 		const rig_entry_t *entry = &soak->rig.entries[i];
 		rig_reply_t reply;
-		const char *line = NULL;
 
 		if (!entry->alive)
 			continue;
 		platform_rig_send(&soak->rig, entry->metrics, "/metrics", "m",
 				  NULL, 1000, &reply);
 		platform_rig_wait(&soak->rig, &reply.done);
-		if (reply.status == 200)
-			line = strstr(reply.body, name);
-		if (line == NULL ||
-		    g_ascii_strtoll(line + strlen(name), NULL, 10) != 0) {
+		for (size_t j = 0; j < G_N_ELEMENTS(metrics); j++) {
+			int64_t sum = sum_metric(&reply, metrics[j]);
+
+			if (sum == 0)
+				continue;
 			soak->broken++;
-			printf("BROKEN open-requests instance=%s status=%d "
-			       "value=%.8s\n",
-			       entry->name, reply.status,
-			       line != NULL ? line + strlen(name) : "");
+			printf("BROKEN rest instance=%s status=%d %s=%" PRId64
+			       "\n",
+			       entry->name, reply.status, metrics[j], sum);
 		}
 		platform_rig_reply_clear(&reply);
 	}
@@ -614,6 +670,7 @@
 	soak->rig.has_second_engine = true;
 	if (soak->lengths)
 		soak->rig.stream_gap_us = stream_gap_us;
+	soak_accounts_start(soak);
 	configure(soak);
 	for (int i = 0; i < workers; i++)
 		add_worker(soak, (uint32_t)i);
@@ -632,6 +689,7 @@
 	for (uint32_t i = 0; i < soak->rig.n_entries; i++)
 		relay_finish(&soak->entries[i].store);
 	platform_rig_finish(&soak->rig);
+	soak_accounts_finish(soak);
 }
 
 int main(int argc, char **argv)
@@ -645,6 +703,7 @@
 	gboolean cuts = FALSE;
 	gboolean lengths = FALSE;
 	gboolean writers = FALSE;
+	gboolean accounts = FALSE;
 	const GOptionEntry options[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
@@ -661,6 +720,8 @@
 		{ "writers", 0, 0, G_OPTION_ARG_NONE, &writers,
 		  "Another writer of the store, and kills of all instances",
 		  NULL },
+		{ "accounts", 0, 0, G_OPTION_ARG_NONE, &accounts,
+		  "Client accounts, whose keys change", NULL },
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -674,7 +735,7 @@
 		fprintf(stderr, "usage: soak_entry [--seed N] [--seconds N] "
 				"[--entries N] [--workers N] "
 				"[--prompts] [--cuts] [--lengths] "
-				"[--writers]\n");
+				"[--writers] [--accounts]\n");
 		return 101;
 	}
 	bsh_rng_init(&soak.rng, (uint32_t)seed);
@@ -685,6 +746,8 @@
 	soak.lengths = lengths;
 	soak.writers = writers;
 	bsh_rng_init(&soak.writer_rng, (uint32_t)seed);
+	if (accounts)
+		soak_accounts_init(&soak, (uint32_t)seed);
 	start(&soak, entries, workers);
 	if (prompts) {
 		soak.rig.crash_part = SOAK_BAD_PART;
@@ -694,9 +757,10 @@
 	end_faults(&soak);
 	run(&soak, SETTLE_MS, true, false);
 	check_recovery(&soak);
-	check_open_requests(&soak);
+	check_rest(&soak);
 	check_workers(&soak);
 	check_resumes(&soak);
+	soak_accounts_check(&soak);
 	printf("soak seed=%d sent=%u answered=%u refused=%u unknown=%u "
 	       "closed=%u left=%u dropped=%u resumed=%u/%u begun=%u/%u "
 	       "mixed=%u faults=%u crashes=%u bad=%u broken=%u\n",
--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -903,6 +903,8 @@
 		  sizeof(run->began_by));
 	worker->runs++;
 	record_run(run);
+	if (rig->on_run != NULL)
+		rig->on_run(rig->on_run_ctx, worker, run->attempt);
 	bsh_loop_timer_init(&run->timer, &rig->loop, on_run_timer, run);
 	g_ptr_array_add(rig->pending_runs, run);
 	bsh_http_request_set_handler(request, &handler, run);
--- a/regress/support/platform_rig.h
+++ b/regress/support/platform_rig.h
@@ -184,6 +184,9 @@
 	uint32_t n_workers;
 	rig_entry_t entries[RIG_ENTRIES_MAX];
 	uint32_t n_entries;
+	/* Called at the begin of each execution of an attempt; NULL: not called. */
+	void (*on_run)(void *ctx, const worker_t *worker, const char *attempt);
+	void *on_run_ctx;
 	/* Processes that ended otherwise than by platform_rig_signal(). */
 	uint32_t unexpected_ends;
 	/* Number of events of an attempt's stream; NULL: as the worker's. */
