--- a/regress/test_soak.sh
+++ b/regress/test_soak.sh
@@ -24,7 +24,7 @@
 	fi
 }
 
-echo '1..13'
+echo '1..15'
 # A stream was taken up at a target of another software version.
 run_seed 3
 # Requests ended with 502, and streams were cut, because their targets fell
@@ -57,3 +57,8 @@
 # An instance ended by itself beside entries that are none, as all instances were
 # killed at a time.
 run_seed 54001 --writers
+# A request ran whose key had been removed, as its instance woke from a freeze.
+run_seed 1006 --accounts
+# Keys that change while the instances cannot tell that they have the newest
+# configuration, and an account that sends three times its limit.
+run_seed 1001 --accounts
