--- a/bshctl/bshctl.h
+++ b/bshctl/bshctl.h
@@ -126,5 +126,6 @@
 int ctl_explain(ctl_t *ctl);
 int ctl_summary(ctl_t *ctl);
 int ctl_where(ctl_t *ctl);
+int ctl_accounts(ctl_t *ctl);
 
 #endif
