--- a/bshentryd/account_keeper.c
+++ b/bshentryd/account_keeper.c
@@ -94,6 +94,14 @@
 	keeper->holder_us = now_us;
 }
 
+static void end_ledger(account_keeper_t *keeper, int64_t now_us)
+{
+	bsh_account_ledger_free(keeper->ledger);
+	keeper->ledger = NULL;
+	keeper->holder[0] = '\0';
+	keeper->holder_us = now_us;
+}
+
 void account_keeper_update(account_keeper_t *keeper,
 			   const bsh_accounts_t *accounts,
 			   const account_tolerance_t *tolerance, bool is_keeper,
@@ -109,12 +117,9 @@
 		bsh_counter_set(&keeper_gauge, keeps);
 		bsh_counter_set(&short_gauge, 0);
 	}
-	if (keeper->ledger != NULL && !keeps) {
-		keeper->holder[0] = '\0';
-		keeper->holder_us = now_us;
-	}
 	if (!keeps) {
-		g_clear_pointer(&keeper->ledger, bsh_account_ledger_free);
+		if (keeper->ledger != NULL)
+			end_ledger(keeper, now_us);
 		return;
 	}
 	if (keeper->ledger == NULL)
@@ -181,7 +186,7 @@
 static void name_some(account_keeper_t *keeper, GArray *found,
 		      uint32_t instances, int64_t now_us)
 {
-	guint n = keeper->accounts->len;
+	guint n = MAX(keeper->accounts->len, 1);
 	guint start = (guint)(XXH64(&now_us, sizeof(now_us), 0) % n);
 
 	g_array_set_size(found, 0);
--- a/lib/coordination/account_limit.c
+++ b/lib/coordination/account_limit.c
@@ -395,11 +395,12 @@
 				     uint32_t account)
 {
 	const account_t *entry = find_account(ledger, account);
-	double rate = entry != NULL ? entry->bounds.rate_per_s : 0;
+	double rate;
 	double ms;
 
-	if (rate <= 0)
+	if (entry == NULL || entry->bounds.rate_per_s <= 0)
 		return 0;
+	rate = entry->bounds.rate_per_s;
 	/* Until the bucket is at its settled level, and from then on one of so
 	 * many callers is admitted. */
 	ms = MAX(SETTLED_PART - entry->level / rate, 0) * 1e3 +
