--- a/regress/support/platform_rig.c
+++ b/regress/support/platform_rig.c
@@ -748,10 +748,11 @@
 		run->ended = true;
 		add_server_headers(run);
 		if (worker->answer_bytes > 0) {
-			g_autofree char *body = g_malloc0(worker->answer_bytes);
+			char *body = g_malloc0(worker->answer_bytes);
 
 			bsh_http_response_send(run->request, 200, body,
 					       worker->answer_bytes);
+			g_free(body);
 			return;
 		}
 		bsh_http_response_send(run->request, 200, "done", 4);
--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -266,10 +266,18 @@
 	return status;
 }
 
+static void expect_status(fixture_t *f, uint32_t entry, const char *path,
+			  const char *authorization, int expected)
+{
+	int status = call_status(f, entry, path, authorization);
+
+	g_assert_cmpint(status, ==, expected);
+}
+
 static void expect_account(fixture_t *f, const char *authorization,
 			   const char *account)
 {
-	g_assert_cmpint(call_status(f, 0, "/book/1", authorization), ==, 200);
+	expect_status(f, 0, "/book/1", authorization, 200);
 	g_assert_cmpstr(f->worker->account, ==, account);
 }
 
@@ -280,11 +288,11 @@
 	(void)data;
 	expect_account(f, "Bearer k1", "acme");
 	expect_account(f, "bearer k3", "zinc");
-	g_assert_cmpint(call_status(f, 0, "/book/1", NULL), ==, 401);
-	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k9"), ==, 401);
-	g_assert_cmpint(call_status(f, 0, "/book/1", "Basic k1"), ==, 401);
-	g_assert_cmpint(call_status(f, 0, "/open/1", NULL), ==, 200);
-	g_assert_cmpint(call_status(f, 0, "/open/1", "Bearer k9"), ==, 200);
+	expect_status(f, 0, "/book/1", NULL, 401);
+	expect_status(f, 0, "/book/1", "Bearer k9", 401);
+	expect_status(f, 0, "/book/1", "Basic k1", 401);
+	expect_status(f, 0, "/open/1", NULL, 200);
+	expect_status(f, 0, "/open/1", "Bearer k9", 200);
 	g_assert_cmpstr(f->worker->account, ==, "");
 	g_assert_cmpuint(f->worker->keys_seen, ==, 0);
 }
@@ -301,8 +309,7 @@
 	expect_account(f, "Bearer k2", "acme");
 	expect_account(f, "Bearer k4", "acme");
 	for (uint32_t i = 0; i < 2; i++)
-		g_assert_cmpint(call_status(f, i, "/book/1", "Bearer k1"), ==,
-				401);
+		expect_status(f, i, "/book/1", "Bearer k1", 401);
 }
 
 /* Guards against a request that waits for a model and runs after its key was
@@ -370,9 +377,9 @@
 	expect_account(f, "Bearer k1", "acme");
 	f->rig.store_unresponsive = true;
 	platform_rig_run(&f->rig, 2000);
-	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k1"), ==, 503);
-	g_assert_cmpint(call_status(f, 1, "/book/1", "Bearer k1"), ==, 503);
-	g_assert_cmpint(call_status(f, 0, "/open/1", NULL), ==, 200);
+	expect_status(f, 0, "/book/1", "Bearer k1", 503);
+	expect_status(f, 1, "/book/1", "Bearer k1", 503);
+	expect_status(f, 0, "/open/1", NULL, 200);
 }
 
 /* Guards against an instance that wakes from a freeze and takes the messages that
@@ -388,7 +395,7 @@
 	platform_rig_configure(&f->rig, OPEN_ROUTE);
 	platform_rig_run(&f->rig, 2000);
 	platform_rig_signal(&f->rig.entries[0], SIGCONT);
-	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k1"), ==, 503);
+	expect_status(f, 0, "/book/1", "Bearer k1", 503);
 	platform_rig_signal(&f->rig.entries[1], SIGCONT);
 }
 
@@ -400,8 +407,7 @@
 	for (int i = 0; i < 20; i++) {
 		platform_rig_run(&f->rig, 200);
 		expect_account(f, "Bearer k1", "acme");
-		g_assert_cmpint(call_status(f, 1, "/book/1", "Bearer k1"), ==,
-				200);
+		expect_status(f, 1, "/book/1", "Bearer k1", 200);
 	}
 }
 
@@ -500,7 +506,7 @@
 	g_assert_cmpuint(outcome.ran, ==, 0);
 	f->worker->mode = WORKER_ANSWERS;
 	platform_rig_run(&f->rig, 1500);
-	g_assert_cmpint(call_status(f, 0, "/book/1", "Bearer k1"), ==, 200);
+	expect_status(f, 0, "/book/1", "Bearer k1", 200);
 }
 
 #define STRICT "[accounts]\nrevoke_ms=" REVOKE_MS "\n"
