--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -441,8 +441,6 @@
 /* Handles REACH. */
 void cut_peers_receive(cut_peers_t *cut, const char *sender,
 		       const bsh_msg_reach_t *message);
-/* cut_peers_self_is_cut - this instance reaches no target. */
-bool cut_peers_self_is_cut(const cut_peers_t *cut);
 bool cut_peers_is_cut(const cut_peers_t *cut, const char *instance);
 void cut_peers_tick(cut_peers_t *cut);
 
--- a/bshentryd/cut_peers.c
+++ b/bshentryd/cut_peers.c
@@ -65,11 +65,6 @@
 		control_schedule_view(cut->control);
 }
 
-bool cut_peers_self_is_cut(const cut_peers_t *cut)
-{
-	return cut->cut;
-}
-
 bool cut_peers_is_cut(const cut_peers_t *cut, const char *instance)
 {
 	const int64_t *heard_us;
--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -573,11 +573,6 @@
 				       BSH_ORDER_LIST_MAX, now_us(orders));
 	/* A call to the store that is not answered yet may delay the handover;
 	 * orders go on until then if the list is short enough. */
-	/* Its orders would not be sent: with a successor that reaches no target
-	 * no model was loaded for 12 s. */
-	if (cut_peers_self_is_cut(orders->control->cut_peers) &&
-	    orders->peer_reached_us > 0 && listed <= BSH_ORDER_LIST_MAX)
-		step = BSH_HANDOVER_NOW;
 	set_withholds(orders,
 		      step == BSH_HANDOVER_WITHHOLD ||
 			      (step == BSH_HANDOVER_NOW && orders->withholds),
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -527,11 +527,8 @@
 {
 	int64_t now = now_us(orders);
 
-	/* An instance that reaches no target cannot order. */
 	bsh_lease_set_store_reachable(
-		&orders->lease,
-		targets_is_synced(orders->control->targets) &&
-			!cut_peers_self_is_cut(orders->control->cut_peers),
+		&orders->lease, targets_is_synced(orders->control->targets),
 		now);
 	order_lease_tick(orders);
 	choose_targets_source(orders);
