--- a/regress/soak/accounts.c
+++ b/regress/soak/accounts.c
@@ -235,12 +235,12 @@
 void soak_accounts_sign(soak_t *soak, soak_caller_t *caller,
 			rig_request_t *request)
 {
-	uint32_t answer =
-		SOAK_COST_MIN + below(soak, SOAK_COST_MAX - SOAK_COST_MIN);
 	attempt_t *attempt;
+	uint32_t answer;
 
 	if (!soak->accounts.used)
 		return;
+	answer = SOAK_COST_MIN + below(soak, SOAK_COST_MAX - SOAK_COST_MIN);
 	g_snprintf(caller->tokens, sizeof(caller->tokens), "2,%u", answer - 2);
 	request->tokens = caller->tokens;
 	request->claimed_account = names[below(soak, G_N_ELEMENTS(names))];
