soak: streams whose versions could not reach the store may be refused

Cause: the check itself. By the log the store refused all writes from 06:03:57.7 to 59.4, and all instances were killed at 58.4, 00.1 and 02.2. Their memory was gone and the store had never been given the versions of the streams begun meanwhile, which docs/platform.md lists as lost. The check allowed that only for the last kill, so each further one made the streams lost with an earlier one count again, and not for a store that takes no writes; it also counted from the request, not from the first event.

Now a kill of all instances marks the streams that had less than 0.4 s after their first event in which the store took writes, with the longest time between two tries of a writer after a fault. All other streams are judged as before, and the bound is the same.

--- a/regress/soak/callers.c
+++ b/regress/soak/callers.c
@@ -19,8 +19,8 @@
 /* A request that was read later than the close of its connection is answered
  * or closed within this time. */
 #define CROSSING_US INT64_C(300000)
-/* A stream may be lost if all instances end within this time after its request:
- * 0.3 s after its first event, which the worker delays. */
+/* A stream may be lost if all instances end within this time after its first
+ * event: 0.3 s until the store has its version, and a step of the callers. */
 #define UNRECORDED_US INT64_C(400000)
 /* The instances abort what is left in the last sixth of their grace time. */
 #define DRAIN_ABORT_US INT64_C(2500000)
@@ -164,14 +164,6 @@
 	return n;
 }
 
-/* Returns true if all instances were killed before the version of the stream was
- * in the store: docs/platform.md, section 2. */
-static bool is_lost_with_all(const soak_t *soak, const soak_caller_t *caller)
-{
-	return caller->events > 0 && soak->killed_us > caller->begun_us &&
-	       soak->killed_us - caller->begun_us < UNRECORDED_US;
-}
-
 /* Returns true if two workers of the stream's software version serve with its
  * model; for a stream that has not begun, of some version. */
 static bool is_comparable(const soak_t *soak, const soak_caller_t *caller)
@@ -180,7 +172,7 @@
 						  caller->began_by);
 
 	if (!caller->route->resumable || caller->route->moves_to != NULL ||
-	    is_lost_with_all(soak, caller) ||
+	    (caller->lost && caller->events > 0) ||
 	    !soak_accounts_owes(soak, caller) ||
 	    soak_accounts_is_limited(soak, caller))
 		return false;
@@ -507,13 +499,37 @@
 	caller->versions = UINT32_MAX;
 	caller->attempts = 0;
 	caller->begun_us = bsh_loop_clock_us();
+	caller->event_us = 0;
+	caller->recorded = false;
+	caller->lost = false;
 	send_attempt(soak, caller);
 }
 
+static bool has_event(const soak_caller_t *caller)
+{
+	return caller->events > 0 ||
+	       (caller->busy && caller->reply.received != NULL &&
+		caller->reply.received->len >= EVENT_BYTES);
+}
+
+/* Notes when the stream began, and when the store has its software version. */
+static void step_record(const soak_t *soak, soak_caller_t *caller)
+{
+	int64_t now_us = bsh_loop_clock_us();
+
+	if (caller->event_us == 0 && has_event(caller))
+		caller->event_us = now_us;
+	if (caller->event_us > 0 &&
+	    now_us - UNRECORDED_US >=
+		    MAX(caller->event_us, soak->store_writes_us))
+		caller->recorded = true;
+}
+
 static void step_caller(soak_t *soak, soak_caller_t *caller, bool send)
 {
 	const rig_reply_t *reply = &caller->reply;
 
+	step_record(soak, caller);
 	if (caller->busy && reply->done)
 		check_reply(soak, caller);
 	else if (caller->busy && caller->leave_after > 0 &&
@@ -536,6 +552,12 @@
 		step_caller(soak, &soak->callers[i], send);
 }
 
+void soak_callers_killed_all(soak_t *soak)
+{
+	for (uint32_t i = 0; i < soak->n_callers; i++)
+		soak->callers[i].lost |= !soak->callers[i].recorded;
+}
+
 void soak_callers_init(soak_t *soak)
 {
 	soak->n_callers = MAX(SOAK_CALLERS_MIN, 2 * soak->rig.n_entries);
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -78,6 +78,9 @@
 	uint32_t attempts; /* to go on */
 	int64_t resume_us; /* time of the next one; 0: none */
 	int64_t begun_us;  /* first attempt */
+	int64_t event_us;  /* first event; 0: none yet */
+	bool recorded;	   /* its version has had the time to reach the store */
+	bool lost;	   /* all instances were killed before that */
 } soak_caller_t;
 
 /* Times are of the loop clock; 0: never. */
@@ -141,9 +144,11 @@
 	 * are killed at a time. */
 	bool writers;
 	bsh_rng_t writer_rng;
-	int64_t write_us;  /* next object */
-	int64_t kill_us;   /* next kill of all instances */
-	int64_t killed_us; /* last one */
+	int64_t write_us; /* next object */
+	int64_t kill_us;  /* next kill of all instances */
+	/* From then on the instances write to the store; INT64_MAX while it or
+	 * their connections to it have a fault. */
+	int64_t store_writes_us;
 	soak_accounts_t accounts;
 	uint64_t sequence;
 	int64_t clear_us;     /* next time to clear the faults */
@@ -179,6 +184,9 @@
 /* soak_callers_step - check the answers that are complete; send: start further
  * requests. */
 void soak_callers_step(soak_t *soak, bool send);
+/* soak_callers_killed_all - all instances are killed now: streams whose versions
+ * the store cannot have yet may be refused from now on. */
+void soak_callers_killed_all(soak_t *soak);
 
 /* soak_worker_breaks - true if the worker breaks off or holds what it runs, for
  * longer than a silence. */
--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -17,6 +17,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "coordination/stream_journal.h"
 #include "soak/soak.h"
 
 #define STEP_MS	     10
@@ -393,6 +394,26 @@
 	}
 }
 
+static bool store_takes_writes(const soak_t *soak)
+{
+	if (soak->rig.store_down)
+		return false;
+	for (uint32_t i = 0; i < soak->rig.n_entries; i++)
+		if (soak->entries[i].store.mode == RELAY_PASSES)
+			return true;
+	return false;
+}
+
+/* After a fault, instances write the versions of streams at their next try. */
+static void step_store(soak_t *soak)
+{
+	if (!store_takes_writes(soak))
+		soak->store_writes_us = INT64_MAX;
+	else if (soak->store_writes_us == INT64_MAX)
+		soak->store_writes_us =
+			bsh_loop_clock_us() + BSH_STREAM_WRITE_BACKOFF_MAX_US;
+}
+
 /* All faults. */
 
 /* Clears the faults of the store and the workers' modes; the others end by
@@ -476,6 +497,7 @@
 	soak->clear_us = next_us + CLEAR_MAX_MS * INT64_C(1000);
 	while (bsh_loop_clock_us() < until_us) {
 		platform_rig_run(&soak->rig, STEP_MS);
+		step_store(soak);
 		soak_callers_step(soak, send);
 		step_entries(soak);
 		step_workers(soak);
--- a/regress/soak/writers.c
+++ b/regress/soak/writers.c
@@ -131,7 +131,7 @@
 {
 	int64_t now_us = bsh_loop_clock_us();
 
-	soak->killed_us = now_us;
+	soak_callers_killed_all(soak);
 	for (uint32_t i = 0; i < soak->rig.n_entries; i++) {
 		if (!soak->rig.entries[i].alive)
 			continue;
