lease: a larger instance takes a released lease first

Seen: in some plays of a deployment of 71 targets and instances of 0.5, 0.3 and 0.09 cores, the successor after a handover reported that it reached no target, and no model was loaded for 12 s.

Cause: not a cut. In the traced play an instance of 0.3 cores and a link of 25 Mbit/s took the lease, and its orders took 0.9 s at once (9 ms at the former holder of 0.5 cores and 200 Mbit/s); then connections to targets and to other instances failed alike. Its link could not carry what the holder sends to 73 instances. After a release the delays of the two sizes were 30 to 45 and 50 to 65 ms, but instances try every 50 ms: 22 of them tried within 36 ms, and the order was left to chance.

Now the part of the name is 8 ms and that of the size whole, 0.25 s at most, so that sizes are apart by more than an interval. The test failed with the former formula.

--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -588,6 +588,10 @@
 			bsh_lease_takeover_delay_us(settings->instance,
 						    settings->entry_cpu_share),
 		now_us(orders));
+	bsh_lease_set_released_delay(
+		&orders->lease,
+		bsh_lease_released_delay_us(settings->instance,
+					    settings->entry_cpu_share));
 	return orders;
 }
 
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -18,15 +18,18 @@
 #define STORE_REACHABLE_MIN_US INT64_C(1000000)
 /* Delay after a handover, so that other instances try first. */
 #define HANDOVER_BACKOFF_US INT64_C(1500000)
-/* Divides the takeover delay for a released lease: its former holder has
- * informed all instances at the same time. */
-#define RELEASED_DELAY_DIVISOR 4
 /* Takeover delay of an instance with a whole core, and upper bound of the part
  * derived from its name.  Half of any CPU share adds at least the former, so a
  * name never puts an instance before one with twice its CPU share. */
 #define FULL_CORE_DELAY_US 60000.0
 #define CPU_SHARE_MIN	   0.05
 #define NAME_DELAY_MAX_US  60000U
+/* The same for a released lease, of which all instances are informed at the same
+ * time.  Sizes that differ are apart by more than the interval of 50 ms at which
+ * instances try: with less, one of 0.3 cores took the lease before all of 0.5,
+ * and its link could not carry what the holder sends. */
+#define RELEASED_NAME_DELAY_MAX_US 8000U
+#define RELEASED_SIZE_DELAY_MAX_US 250000U
 /* Time after the last renewal of an own term for which its voters were those of
  * all later terms, until their extensions are over too. */
 #define OWN_VOTERS_MAX_AGE_US                                                  \
@@ -34,12 +37,28 @@
 /* Delay after a failed call. */
 #define CALL_RETRY_US INT64_C(250000)
 
-uint32_t bsh_lease_takeover_delay_us(const char *instance, double cpu_share)
+static uint32_t size_delay_us(double cpu_share)
 {
 	double share = CLAMP(cpu_share, CPU_SHARE_MIN, 1.0);
 
-	return XXH32(instance, strlen(instance), 0) % NAME_DELAY_MAX_US +
-	       (uint32_t)(FULL_CORE_DELAY_US / share);
+	return (uint32_t)(FULL_CORE_DELAY_US / share);
+}
+
+static uint32_t name_delay_us(const char *instance, uint32_t max_us)
+{
+	return XXH32(instance, strlen(instance), 0) % max_us;
+}
+
+uint32_t bsh_lease_takeover_delay_us(const char *instance, double cpu_share)
+{
+	return name_delay_us(instance, NAME_DELAY_MAX_US) +
+	       size_delay_us(cpu_share);
+}
+
+uint32_t bsh_lease_released_delay_us(const char *instance, double cpu_share)
+{
+	return name_delay_us(instance, RELEASED_NAME_DELAY_MAX_US) +
+	       MIN(size_delay_us(cpu_share), RELEASED_SIZE_DELAY_MAX_US);
 }
 
 void bsh_lease_init(bsh_lease_t *lease, const char *self, uint32_t lease_ms,
@@ -53,6 +72,11 @@
 	lease->next_call_us = now_us + jitter_us;
 }
 
+void bsh_lease_set_released_delay(bsh_lease_t *lease, uint32_t delay_us)
+{
+	lease->released_delay_us = delay_us;
+}
+
 static int64_t renewal_validity_us(const bsh_lease_t *lease)
 {
 	return lease->lease_us * BSH_LEASE_VALID_PERCENT / 100;
@@ -265,8 +289,7 @@
 				       STORE_REACHABLE_MIN_US;
 
 	if (lease->holder[0] == '\0')
-		return now_us - lease->observed_us >=
-		       lease->jitter_us / RELEASED_DELAY_DIVISOR;
+		return now_us - lease->observed_us >= lease->released_delay_us;
 	if (strcmp(lease->holder, lease->self) == 0)
 		return age_us >= 0;
 	if (holder_timed_out)
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -163,7 +163,8 @@
 	bool must_read;	      /* read before the next update: the result of
 				 the last one or the object is unknown */
 	bool releasing;
-	uint32_t jitter_us; /* takeover delay of this instance */
+	uint32_t jitter_us;	    /* takeover delay of this instance */
+	uint32_t released_delay_us; /* the same after a release */
 } bsh_lease_t;
 
 /*
@@ -176,10 +177,14 @@
  * announce its lease before the others try.
  */
 uint32_t bsh_lease_takeover_delay_us(const char *instance, double cpu_share);
+/* bsh_lease_released_delay_us - the same for a lease that was released. */
+uint32_t bsh_lease_released_delay_us(const char *instance, double cpu_share);
 
 /* bsh_lease_init - jitter_us: takeover delay of this instance. */
 void bsh_lease_init(bsh_lease_t *lease, const char *self, uint32_t lease_ms,
 		    uint32_t jitter_us, int64_t now_us);
+/* bsh_lease_set_released_delay - 0 until it is set. */
+void bsh_lease_set_released_delay(bsh_lease_t *lease, uint32_t delay_us);
 
 /*
  * bsh_lease_next - the store call to make now.
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -8,6 +8,8 @@
 
 #define LEASE_MS 3000U
 #define SECOND	 INT64_C(1000000)
+/* Interval at which instances try to take the lease. */
+#define FLEET_TICK_US (SECOND / 20)
 
 /* Passes the object to an instance that is about to replace it: it is read
  * first, for the voters that it names. */
@@ -214,6 +216,29 @@
 	}
 }
 
+/* Guards against a small instance that takes a released lease because its try,
+ * one each FLEET_TICK_US, comes before those of larger ones: 0.3 cores and a slow
+ * link beside 0.5, which were 5 ms apart. */
+static void test_larger_instances_first_after_release(void)
+{
+	static const double shares[] = { 0.3, 0.5, 1.0 };
+
+	for (size_t s = 1; s < G_N_ELEMENTS(shares); s++)
+		for (int i = 0; i < 200; i++) {
+			g_autofree char *name = g_strdup_printf("front-%d", i);
+
+			g_assert_cmpuint(
+				bsh_lease_released_delay_us(name, shares[s]) +
+					FLEET_TICK_US,
+				<,
+				bsh_lease_released_delay_us("front-1",
+							    shares[s - 1]));
+			g_assert_cmpuint(
+				bsh_lease_released_delay_us(name, 0.05), <,
+				270000);
+		}
+}
+
 /* Makes lease a holder that renewed at 1 ms and has no former holder. */
 static void acquire_lease(bsh_lease_t *lease)
 {
@@ -356,7 +381,8 @@
 	for (int second = 0; second < 2; second++) {
 		bsh_lease_t lease;
 
-		bsh_lease_init(&lease, "entry-2", LEASE_MS, 40000, 0);
+		bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
+		bsh_lease_set_released_delay(&lease, 10000);
 		bsh_lease_announced(&lease, "entry-1", false, 10, 2000);
 		bsh_lease_released(&lease, "entry-1", true, !second, 10,
 				   SECOND);
@@ -377,7 +403,6 @@
 #define FLEET_TARGETS_MAX 400U
 #define FLEET_RELEASE_MAX 40U
 #define FLEET_DAYS	  200U
-#define FLEET_TICK_US	  (SECOND / 20)
 
 /* Time from the last answer of the store to the handover, of a holder that gives
  * orders to targets in turn and hears from time to time that the store answers
@@ -1697,6 +1722,8 @@
 	g_test_add_func("/lease/restart-during-wait", test_restart_during_wait);
 	g_test_add_func("/lease/release", test_released_lease_is_acquired);
 	g_test_add_func("/lease/larger-first", test_larger_instances_first);
+	g_test_add_func("/lease/larger-first-after-release",
+			test_larger_instances_first_after_release);
 	g_test_add_func("/lease/majority-extends", test_majority_extends);
 	g_test_add_func("/lease/successor-of-extended",
 			test_successor_of_extended_term);
