--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -11,16 +11,11 @@
 /* Times that the messages of a release are sent, as datagrams may be lost. */
 #define RELEASE_SENDS 4U
 /* Of these, the last ones that include a RELEASE without a list: a successor that
- * lacks a part takes over within 20 ms of it, and waits for all targets then. */
+ * lacks a part takes over 60 ms after it, and waits for all targets then. */
 #define RELEASE_SENDS_UNLISTED 2U
 /* Targets in a RELEASE message: as many as fit into a datagram.  More are listed
  * by their keys, in RELEASE_KEYS messages. */
 #define RELEASE_TARGETS_MAX 40U
-/* Targets with recent orders up to which a holder hands over at once.  With 60 to
- * 68 of them the successor on a deployment of 71 targets reached no target after
- * 0.3 to 0.8 s in some of the plays, and ordered nothing for 12 s; why is not
- * known. */
-#define HANDOVER_TARGETS_MAX 40U
 
 #define LEASE_OBJECT "orders"
 
@@ -557,9 +552,8 @@
 }
 
 /* Hands the lease over if the store answers other instances but not this one:
- * one of them can continue at once.  A release lists a limited number of
- * targets, so a holder that has ordered more of them lately waits until fewer
- * are left. */
+ * one of them can continue at once.  A release lists BSH_ORDER_LIST_MAX targets,
+ * so a holder that has ordered more of them lately waits until fewer are left. */
 static void hand_over_if_cut_off(orders_t *orders)
 {
 	int64_t store_age_us =
@@ -575,7 +569,7 @@
 	step = bsh_lease_handover_step(&orders->lease, store_age_us,
 				       now_us(orders) - orders->peer_reached_us,
 				       orders->withholds, listed,
-				       HANDOVER_TARGETS_MAX, now_us(orders));
+				       BSH_ORDER_LIST_MAX, now_us(orders));
 	/* A call to the store that is not answered yet may delay the handover;
 	 * orders go on until then if the list is short enough. */
 	set_withholds(orders,
