--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -17,14 +17,6 @@
 /* After this long without a message of the holder, views show that no instance
  * gives orders. */
 #define HOLDER_TIMEOUT_US INT64_C(4000000)
-/* After this long without a message of the holder, what is missing of its
- * announcements is no longer expected from it. */
-#define HOLDER_MESSAGE_MAX_AGE_US INT64_C(1000000)
-/* If a lost announcement has not been retransmitted within this time, the
- * instance watches the target list in the store itself. */
-#define GAP_TIMEOUT_US INT64_C(900000)
-/* After this long the holder's list is tried again. */
-#define GAP_READ_US INT64_C(2000000)
 
 /* Demand entries in one datagram.  Those with most waiting requests come first;
  * an entry that is left out is reported once requests wait for it too. */
@@ -301,150 +293,6 @@
 	.done = on_order_done,
 };
 
-/* Messages of the lease holder. */
-
-static void set_announced_ready(orders_t *orders,
-				const bsh_msg_placement_t *placement)
-{
-	int64_t now = now_us(orders);
-
-	if (placement->ready_count == 0)
-		return;
-	g_array_set_size(orders->ready, 0);
-	for (uint32_t i = 0; i < placement->ready_count; i++) {
-		const bsh_ready_entry_t *entry = &placement->ready[i];
-		view_ready_t ready = { .model = entry->model,
-				       .adapter = entry->adapter,
-				       .ready_us = INT64_MAX,
-				       .estimated_us = now };
-
-		if (entry->ready_in_ms != UINT32_MAX)
-			ready.ready_us = now + entry->ready_in_ms * 1000LL;
-		g_array_append_val(orders->ready, ready);
-	}
-	control_schedule_view(orders->control);
-}
-
-/* Records the number up to which all announcements of the term have been
- * received. */
-static void record_announcements(orders_t *orders,
-				 const bsh_msg_placement_t *placement)
-{
-	/* Part of a retransmission in several datagrams, of which only the last
-	 * one carries the numbers. */
-	if (placement->from == UINT64_MAX)
-		return;
-	if (orders->announced_term != placement->term) {
-		orders->announced_term = placement->term;
-		/* A list that was read from the store just now includes the
-		 * earlier announcements. */
-		orders->received_through =
-			targets_are_current(orders->control->targets)
-				? placement->from
-				: 0;
-	}
-	orders->last_announced = MAX(placement->to, orders->received_through);
-	/* While the own watch is the source, announced states are not applied:
-	 * they count as received only if that list includes them. */
-	if (!targets_follow_holder(orders->control->targets) &&
-	    !targets_are_current(orders->control->targets))
-		return;
-	if (placement->from <= orders->received_through)
-		orders->received_through =
-			MAX(orders->received_through, placement->to);
-}
-
-/* Records the newest message of the holder: the next demand echoes its time as
- * this instance's support of the term. */
-static void record_echo(orders_t *orders, const bsh_msg_placement_t *placement)
-{
-	if (placement->term == orders->echo_term &&
-	    placement->sent_us <= orders->echo_us)
-		return;
-	orders->echo_term = placement->term;
-	orders->echo_us = placement->sent_us;
-	orders->echo_received_us = now_us(orders);
-}
-
-void orders_receive_placement(orders_t *orders, const char *sender,
-			      const bsh_msg_placement_t *placement)
-{
-	int64_t now = now_us(orders);
-
-	if (orders->lease.known && placement->revision < orders->lease.revision)
-		return;
-	bsh_lease_announced(&orders->lease, sender, placement->active,
-			    placement->revision, now);
-	record_echo(orders, placement);
-	if (strcmp(orders->holder, sender) != 0) {
-		bsh_log(BSH_LOG_INFO,
-			"order-holder name=%s term=%" G_GUINT64_FORMAT, sender,
-			placement->term);
-		g_strlcpy(orders->holder, sender, sizeof(orders->holder));
-	}
-	orders->holder_seen_us = now;
-	orders->holder_contact_us = now - placement->contact_age_ms * 1000LL;
-	store_reading_note_holder_list(orders->control->store_reading,
-				       placement->contact_age_ms * 1000LL);
-	for (uint32_t i = 0; i < placement->entry_count; i++)
-		targets_apply_announcement(
-			orders->control->targets, &placement->entries[i],
-			placement->term, placement->contact_age_ms * 1000LL);
-	record_announcements(orders, placement);
-	if (targets_follow_holder(orders->control->targets) &&
-	    orders->received_through >= orders->last_announced)
-		targets_note_announced(orders->control->targets,
-				       placement->contact_age_ms * 1000LL);
-	set_announced_ready(orders, placement);
-}
-
-void orders_note_inventory(orders_t *orders, uint64_t term, uint64_t number)
-{
-	if (term == orders->announced_term &&
-	    targets_follow_holder(orders->control->targets))
-		orders->received_through =
-			MAX(orders->received_through, number);
-}
-
-/* True while announcements of the holder have been missing for too long: one
- * that a retransmission brings in time has no effect. */
-static bool has_gap(orders_t *orders)
-{
-	int64_t now = now_us(orders);
-
-	if (orders_is_holder(orders) || orders->announced_term == 0 ||
-	    now - orders->holder_seen_us > HOLDER_MESSAGE_MAX_AGE_US ||
-	    orders->received_through >= orders->last_announced) {
-		orders->gap_since_us = 0;
-		return false;
-	}
-	if (orders->gap_since_us == 0)
-		orders->gap_since_us = now;
-	if (now - orders->gap_since_us > GAP_TIMEOUT_US + GAP_READ_US) {
-		/* While the store is the source, a whole list of the holder is
-		 * not applied, and the gap would last for its term. */
-		orders->gap_since_us = now;
-		orders_request_list(orders);
-	}
-	return now - orders->gap_since_us > GAP_TIMEOUT_US;
-}
-
-static void choose_targets_source(orders_t *orders)
-{
-	control_t *control = orders->control;
-	bool gap = has_gap(orders);
-
-	targets_set_source(
-		control->targets,
-		gap || !targets_listed(control->targets) ||
-			store_reading_active(control->store_reading));
-}
-
-void orders_request_list(orders_t *orders)
-{
-	orders->received_through = 0;
-}
-
 void orders_send_demand(orders_t *orders, const GArray *entries)
 {
 	const char *self = orders->control->entry->settings.instance;
@@ -531,7 +379,7 @@
 		&orders->lease, targets_is_synced(orders->control->targets),
 		now);
 	order_lease_tick(orders);
-	choose_targets_source(orders);
+	holder_list_choose_source(orders);
 	if (!bsh_lease_is_holder(&orders->lease, now))
 		return;
 	orders->holder_seen_us = now;
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -76,6 +76,11 @@
 	return control_now_us(orders->control);
 }
 
+/* holder_list.c */
+/* Follows the store while announcements are missing or this instance reads it
+ * for others, the holder otherwise. */
+void holder_list_choose_source(orders_t *orders);
+
 /* order_lease.c */
 void order_lease_register(void);
 /* Returns an empty table for orders->ordered. */
