targets: a change of copies alone is not announced

Cause: an instance that follows the holder does not know which copies of models targets have, as announcements leave them out; a list of the store has them, so each target differed. Announcements repeat nothing of it.

The planner is still told of such a change.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -122,6 +122,13 @@
 	control_schedule_view(control);
 }
 
+void control_target_copies_changed(control_t *control,
+				   const bsh_target_t *target)
+{
+	orders_update_target(control->orders, target);
+	control_schedule_view(control);
+}
+
 void control_target_state_changed(control_t *control, const char *id)
 {
 	store_reading_target_changed(control->store_reading, id);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -87,6 +87,10 @@
 void control_catalog_changed(control_t *control, bsh_catalog_t *catalog);
 /* control_target_changed - a target is new, or its object has changed. */
 void control_target_changed(control_t *control, const bsh_target_t *target);
+/* control_target_copies_changed - only its copies of models have changed, which
+ * are not announced: only the instance that orders loads needs them. */
+void control_target_copies_changed(control_t *control,
+				   const bsh_target_t *target);
 /* control_target_state_changed - besides, a target is new, has started again or
  * is leaving. */
 void control_target_state_changed(control_t *control, const char *id);
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -151,16 +151,6 @@
 	control_target_missing(targets->control, listed->target.id);
 }
 
-static bool is_equal(const bsh_target_t *a, const bsh_target_t *b)
-{
-	return a->leaving == b->leaving && a->started_ms == b->started_ms &&
-	       a->slots == b->slots && strcmp(a->address, b->address) == 0 &&
-	       strcmp(a->service, b->service) == 0 &&
-	       strcmp(a->software, b->software) == 0 &&
-	       bsh_holdings_equal(&a->holdings, &b->holdings) &&
-	       memcmp(&a->copies, &b->copies, sizeof(a->copies)) == 0;
-}
-
 static void update_target(targets_t *targets, const bsh_target_t *target,
 			  uint64_t list)
 {
@@ -168,6 +158,7 @@
 	bool was_there = listed != NULL && listed->removal_us == 0;
 	bool was_leaving;
 	bool state_changed;
+	bool copies_changed;
 	bool same;
 
 	if (listed == NULL) {
@@ -177,7 +168,9 @@
 		bsh_counter_set(&target_count,
 				g_hash_table_size(targets->table));
 	}
-	same = was_there && is_equal(&listed->target, target);
+	same = was_there && bsh_target_equal(&listed->target, target);
+	copies_changed = memcmp(&listed->target.copies, &target->copies,
+				sizeof(target->copies)) != 0;
 	if (target->started_ms != listed->placement_started_ms)
 		listed->has_placement = false;
 	/* A target that is leaving stays so until it is started again. */
@@ -193,6 +186,9 @@
 	listed->removal_us = 0;
 	if (list != 0)
 		listed->list = list;
+	if (same && copies_changed)
+		control_target_copies_changed(targets->control,
+					      &listed->target);
 	if (same)
 		return;
 	bsh_log(BSH_LOG_INFO,
--- a/lib/state/target.c
+++ b/lib/state/target.c
@@ -67,6 +67,15 @@
 	return true;
 }
 
+bool bsh_target_equal(const bsh_target_t *a, const bsh_target_t *b)
+{
+	return a->leaving == b->leaving && a->started_ms == b->started_ms &&
+	       a->slots == b->slots && strcmp(a->address, b->address) == 0 &&
+	       strcmp(a->service, b->service) == 0 &&
+	       strcmp(a->software, b->software) == 0 &&
+	       bsh_holdings_equal(&a->holdings, &b->holdings);
+}
+
 static bool contains(const uint32_t *list, uint32_t n, uint32_t model)
 {
 	for (uint32_t i = 0; i < n; i++)
--- a/lib/state/target.h
+++ b/lib/state/target.h
@@ -95,6 +95,8 @@
 			 uint32_t adapter);
 /* bsh_holdings_equal - comparison as sets, without regard to order. */
 bool bsh_holdings_equal(const bsh_holdings_t *a, const bsh_holdings_t *b);
+/* bsh_target_equal - equal but for their ids and their copies of models. */
+bool bsh_target_equal(const bsh_target_t *a, const bsh_target_t *b);
 
 bool bsh_copies_in_memory(const bsh_copies_t *copies, uint32_t model);
 bool bsh_copies_on_disk(const bsh_copies_t *copies, uint32_t model);
