orders: no whole lists of targets at the begin of a term

The keeper of the accounts is the holder of the order lease; three holders in turn lost the lease within 10 s, their calls to the store unanswered.

Cause: at the begin of a term no instance has its announcements, so each asked the new holder for the whole list: 175 datagrams to each of 100 instances, again every 200 ms. What was not sent in 0.9 s was read from the store by all instances at once.

- A new holder says on which announcements of the former term its list is based (TERM_BASE, once it has read the store), and announces what it has learned besides.
An instance that has all of those needs no list (lib/coordination/announced).
- An instance that has just started follows the store until it hears a holder, so that its list includes the earlier announcements.
- Whole lists are limited to 1,000 datagrams a second, announcements to 500 in 50 ms.

--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -2,6 +2,7 @@
  * what they hold, so that not every instance has to watch them in the store. */
 #include "control.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Announcements kept for retransmission.  An instance that lacks this many or
@@ -17,10 +18,26 @@
 /* Changes within this time share one announcement: each announcement costs the
  * holder a datagram to every instance. */
 #define COALESCE_DELAY_US INT64_C(15000)
+/* Datagrams of announcements that are sent at once, and the time until the next
+ * ones: 10,000 a second, a third of a core and half of a link of 200 Mbit/s. */
+#define BURST_DATAGRAMS 500U
+#define BURST_DELAY_US	INT64_C(50000)
 /* An announcement is not taken for lost within this time after it was sent. */
 #define DELIVERY_TIMEOUT_US INT64_C(80000)
 /* Shortest time between two retransmissions to one instance. */
 #define RETRANSMIT_INTERVAL_US INT64_C(200000)
+/* Datagrams of whole lists in a second, and at once: what a link of 10 Mbit/s
+ * carries.  Without a bound, those for 100 instances with 1,000 targets kept the
+ * store's answers from the holder, which lost the lease. */
+#define LIST_DATAGRAMS_PER_S 1000.0
+/* Time in the term for which whole lists wait until the base of this one can be
+ * announced, and for which it is; and time for the reports that follow. */
+#define BASE_WAIT_US	INT64_C(600000)
+#define BASE_TIME_US	INT64_C(3000000)
+#define BASE_REPORTS_US INT64_C(400000)
+/* The holder has announced a change that is older than this, or its term is over
+ * in less. */
+#define UNANNOUNCED_US INT64_C(10000000)
 
 /* One announcement, as kept for retransmission. */
 typedef struct {
@@ -39,6 +56,15 @@
 	GHashTable *retransmitted_us;
 	/* Id of a target to the last announcement of it in this term. */
 	GHashTable *changes;
+	double list_datagrams; /* that may be sent now */
+	int64_t list_us;       /* when they were counted */
+	/* Id of a target to the time of its last change here that the holder of
+	 * the lease has not announced. */
+	GHashTable *unannounced;
+	int64_t term_us; /* begin of the own term */
+	int64_t base_us; /* first TERM_BASE of it; 0: none yet */
+	bsh_announced_base_t base;
+	bsh_announced_base_t own; /* end of the last own term */
 };
 
 /* Targets of a message that is being built; the entries point into ids and
@@ -65,6 +91,9 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	announcer->changes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	announcer->unannounced =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	announcer->list_datagrams = LIST_DATAGRAMS_PER_S;
 	return announcer;
 }
 
@@ -74,16 +103,72 @@
 	g_ptr_array_free(announcer->pending, TRUE);
 	g_hash_table_destroy(announcer->retransmitted_us);
 	g_hash_table_destroy(announcer->changes);
+	g_hash_table_destroy(announcer->unannounced);
 	g_free(announcer);
 }
 
+static gboolean is_announced(void *key, void *changed_us, void *now_us)
+{
+	(void)key;
+	return *(const int64_t *)now_us - *(const int64_t *)changed_us >
+	       UNANNOUNCED_US;
+}
+
+static void forget_announced(announcer_t *announcer)
+{
+	int64_t now_us = bsh_loop_clock_us();
+
+	g_hash_table_foreach_remove(announcer->unannounced, is_announced,
+				    &now_us);
+}
+
+static void note_unannounced(announcer_t *announcer, const char *target)
+{
+	int64_t *changed_us = g_new0(int64_t, 1);
+
+	*changed_us = bsh_loop_clock_us();
+	g_hash_table_replace(announcer->unannounced, g_strdup(target),
+			     changed_us);
+	forget_announced(announcer);
+}
+
+void announcer_note_announced(announcer_t *announcer, const char *target)
+{
+	if (targets_follow_holder(announcer->control->targets))
+		g_hash_table_remove(announcer->unannounced, target);
+}
+
+/* Announces what the list here has and the announcements of the former term may
+ * not have. */
+static void queue_unannounced(announcer_t *announcer)
+{
+	GHashTableIter iter;
+	void *target;
+
+	forget_announced(announcer);
+	g_hash_table_iter_init(&iter, announcer->unannounced);
+	while (g_hash_table_iter_next(&iter, &target, NULL))
+		announcer_queue_target(announcer, target);
+	g_hash_table_remove_all(announcer->unannounced);
+}
+
 void announcer_begin_term(announcer_t *announcer)
 {
-	announcer->last = ANNOUNCEMENTS_BEGIN;
-	announcer->log[ANNOUNCEMENTS_BEGIN].n = 0;
-	announcer->log[ANNOUNCEMENTS_BEGIN].sent_us = bsh_loop_clock_us();
+	bsh_announced_base_t base =
+		orders_announced_base(announcer->control->orders);
+
+	announcer->base =
+		announcer->own.term > base.term ? announcer->own : base;
+	announcer->own.term = orders_lease(announcer->control->orders)->term;
+	announcer->term_us = bsh_loop_clock_us();
+	announcer->base_us = 0;
+	announcer->last = BSH_ANNOUNCED_BEGIN;
+	announcer->own.number = announcer->last;
+	announcer->log[BSH_ANNOUNCED_BEGIN].n = 0;
+	announcer->log[BSH_ANNOUNCED_BEGIN].sent_us = bsh_loop_clock_us();
 	g_hash_table_remove_all(announcer->retransmitted_us);
 	g_hash_table_remove_all(announcer->changes);
+	queue_unannounced(announcer);
 }
 
 /* Notes the last announcement as that of the target's last change. */
@@ -215,8 +300,10 @@
 
 void announcer_queue_target(announcer_t *announcer, const char *target)
 {
-	if (!orders_is_holder(announcer->control->orders))
+	if (!orders_is_holder(announcer->control->orders)) {
+		note_unannounced(announcer, target);
 		return;
+	}
 	for (guint i = 0; i < announcer->pending->len; i++)
 		if (strcmp(g_ptr_array_index(announcer->pending, i), target) ==
 		    0)
@@ -234,6 +321,7 @@
 		&announcer->log[++announcer->last % LOG_ENTRIES];
 	batch_t batch = { .n = 0 };
 
+	announcer->own.number = announcer->last;
 	announcement->n = 0;
 	announcement->sent_us = bsh_loop_clock_us();
 	while (announcer->pending->len > 0 &&
@@ -254,10 +342,20 @@
 {
 	announcer_t *announcer = ctx;
 
+	uint32_t instances =
+		MAX(peers_instance_count(announcer->control->peers), 1);
+	uint32_t sent = 0;
+
 	if (!orders_is_holder(announcer->control->orders))
 		g_ptr_array_set_size(announcer->pending, 0);
-	while (announcer->pending->len > 0)
+	do {
+		if (announcer->pending->len == 0)
+			return;
 		send_announcement(announcer);
+		sent += instances;
+	} while (sent < BURST_DATAGRAMS);
+	if (announcer->pending->len > 0)
+		bsh_loop_timer_after(&announcer->timer, BURST_DELAY_US);
 }
 
 typedef struct {
@@ -359,6 +457,62 @@
 	return true;
 }
 
+static void count_target(void *ctx, const bsh_target_t *target)
+{
+	(void)target;
+	++*(uint32_t *)ctx;
+}
+
+/* Whether the whole list is sent: not while TERM_BASE may make it unnecessary, and
+ * not more of them than a slow link carries. */
+static bool may_send_list(announcer_t *announcer)
+{
+	int64_t now_us = bsh_loop_clock_us();
+	uint32_t targets = 0;
+	double datagrams;
+
+	if (announcer->base.term != 0 &&
+	    (announcer->base_us == 0
+		     ? now_us - announcer->term_us < BASE_WAIT_US
+		     : now_us - announcer->base_us < BASE_REPORTS_US))
+		return false;
+	targets_foreach(announcer->control->targets, count_target, &targets);
+	datagrams =
+		MIN(ceil((double)targets / BATCH_TARGETS_MAX) +
+			    ceil((double)targets / BSH_INVENTORY_TARGETS_MAX),
+		    LIST_DATAGRAMS_PER_S);
+	announcer->list_datagrams =
+		MIN(announcer->list_datagrams +
+			    (double)(now_us - announcer->list_us) / 1e6 *
+				    LIST_DATAGRAMS_PER_S,
+		    LIST_DATAGRAMS_PER_S);
+	announcer->list_us = now_us;
+	if (announcer->list_datagrams < datagrams)
+		return false;
+	announcer->list_datagrams -= datagrams;
+	return true;
+}
+
+/* Says on which announcements of the former term the list here is based, once it
+ * has been read from the store in this term: what was found is announced. */
+static void send_base(announcer_t *announcer)
+{
+	bsh_message_t message = { .type = BSH_MSG_TERM_BASE };
+	int64_t now_us = bsh_loop_clock_us();
+
+	if (announcer->base.term == 0 ||
+	    !targets_are_current(announcer->control->targets) ||
+	    (announcer->base_us != 0 &&
+	     now_us - announcer->base_us > BASE_TIME_US))
+		return;
+	if (announcer->base_us == 0)
+		announcer->base_us = now_us;
+	message.term_base.term = announcer->own.term;
+	message.term_base.former_term = announcer->base.term;
+	message.term_base.number = announcer->base.number;
+	peers_broadcast(announcer->control->peers, &message);
+}
+
 void announcer_catch_up(announcer_t *announcer, const char *instance,
 			uint64_t term, uint64_t received_through)
 {
@@ -385,8 +539,10 @@
 	if (now_us - *retransmitted_us < RETRANSMIT_INTERVAL_US)
 		return;
 	*retransmitted_us = now_us;
-	if (received_through == 0 || exceeds_log ||
-	    !retransmit_since(announcer, instance, received_through))
+	if (received_through != 0 && !exceeds_log &&
+	    retransmit_since(announcer, instance, received_through))
+		return;
+	if (may_send_list(announcer))
 		send_all_targets(announcer, instance);
 }
 
@@ -412,4 +568,5 @@
 	}
 	send_batch(announcer, NULL, &batch, announcer->last, announcer->last,
 		   ready, n);
+	send_base(announcer);
 }
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -258,6 +258,9 @@
 		    0)
 			inventory_receive(control->inventory,
 					  &message->inventory);
+	} else if (message->type == BSH_MSG_TERM_BASE) {
+		orders_receive_term_base(control->orders, message->sender,
+					 &message->term_base);
 	}
 }
 
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -18,6 +18,7 @@
  *	CLOCK_MONOTONIC (bsh_loop_clock_us()).
  */
 
+#include "coordination/announced.h"
 #include "coordination/entry_choice.h"
 #include "coordination/lease.h"
 #include "coordination/member.h"
@@ -183,6 +184,9 @@
 			   const bsh_msg_reader_t *message);
 void store_reading_receive_targets(store_reading_t *reading,
 				   const bsh_msg_reader_targets_t *message);
+/* The holder of the lease announces what its list has beyond its base, so what
+ * a READER told is no reason to request the whole list. */
+void store_reading_note_base(store_reading_t *reading);
 
 /* targets.c: the list of targets and their holdings. */
 targets_t *targets_new(control_t *control);
@@ -371,6 +375,11 @@
 /* Notes that the list of targets includes all announcements of the term up to
  * this number. */
 void orders_note_inventory(orders_t *orders, uint64_t term, uint64_t number);
+/* Handles TERM_BASE. */
+void orders_receive_term_base(orders_t *orders, const char *sender,
+			      const bsh_msg_term_base_t *message);
+/* On which announcements the list here is based. */
+bsh_announced_base_t orders_announced_base(const orders_t *orders);
 
 /* inventory.c: complete lists of targets from the lease holder. */
 inventory_t *inventory_new(control_t *control);
@@ -395,18 +404,17 @@
 void loads_receive_refused(loads_t *loads,
 			   const bsh_msg_unreachable_t *message);
 
-/* Number of the list at the begin of a term, which no announcement repeats: an
- * instance that has neither received it nor read the store is behind. */
-#define ANNOUNCEMENTS_BEGIN 1U
-
 /* announce.c: announcements of the lease holder to the other instances. */
 announcer_t *announcer_new(control_t *control);
 void announcer_free(announcer_t *announcer);
 /* Restarts the numbering of announcements for a new term of this instance. */
 void announcer_begin_term(announcer_t *announcer);
-/* Queues a target for the next announcement; does nothing unless this instance
- * holds the lease. */
+/* Queues a target for the next announcement.  If another instance holds the
+ * lease, the target is announced at the begin of a term here, unless the holder
+ * announces it. */
 void announcer_queue_target(announcer_t *announcer, const char *target);
+/* Notes that the state of the target here is the one that the holder announced. */
+void announcer_note_announced(announcer_t *announcer, const char *target);
 /* Sends the state of targets to all instances, outside the announcements. */
 void announcer_tell_targets(const announcer_t *announcer, const GPtrArray *ids);
 /* Retransmits the announcements after number received_through to an instance
--- a/bshentryd/holder_list.c
+++ b/bshentryd/holder_list.c
@@ -14,6 +14,8 @@
 #define GAP_TIMEOUT_US INT64_C(900000)
 /* After this long the holder's list is tried again. */
 #define GAP_READ_US INT64_C(2000000)
+/* Time after the start in which a holder is heard, if there is one. */
+#define HOLDER_WAIT_US INT64_C(1500000)
 
 static void set_announced_ready(orders_t *orders,
 				const bsh_msg_placement_t *placement)
@@ -37,33 +39,21 @@
 	control_schedule_view(orders->control);
 }
 
-/* Records the number up to which all announcements of the term have been
- * received. */
 static void record_announcements(orders_t *orders,
 				 const bsh_msg_placement_t *placement)
 {
+	const targets_t *targets = orders->control->targets;
+
+	for (uint32_t i = 0; i < placement->entry_count; i++)
+		bsh_announced_note_state(&orders->announced, placement->term,
+					 placement->entries[i].number);
 	/* Part of a retransmission in several datagrams, of which only the last
 	 * one carries the numbers. */
 	if (placement->from == UINT64_MAX)
 		return;
-	if (orders->announced_term != placement->term) {
-		orders->announced_term = placement->term;
-		/* A list that was read from the store just now includes the
-		 * earlier announcements. */
-		orders->received_through =
-			targets_are_current(orders->control->targets)
-				? placement->from
-				: 0;
-	}
-	orders->last_announced = MAX(placement->to, orders->received_through);
-	/* While the own watch is the source, announced states are not applied:
-	 * they count as received only if that list includes them. */
-	if (!targets_follow_holder(orders->control->targets) &&
-	    !targets_are_current(orders->control->targets))
-		return;
-	if (placement->from <= orders->received_through)
-		orders->received_through =
-			MAX(orders->received_through, placement->to);
+	bsh_announced_note(&orders->announced, placement->term, placement->from,
+			   placement->to, targets_follow_holder(targets),
+			   targets_are_current(targets));
 }
 
 /* Records the newest message of the holder: the next demand echoes its time as
@@ -98,13 +88,16 @@
 	orders->holder_contact_us = now - placement->contact_age_ms * 1000LL;
 	store_reading_note_holder_list(orders->control->store_reading,
 				       placement->contact_age_ms * 1000LL);
-	for (uint32_t i = 0; i < placement->entry_count; i++)
+	for (uint32_t i = 0; i < placement->entry_count; i++) {
 		targets_apply_announcement(
 			orders->control->targets, &placement->entries[i],
 			placement->term, placement->contact_age_ms * 1000LL);
+		announcer_note_announced(orders->control->announcer,
+					 placement->entries[i].target);
+	}
 	record_announcements(orders, placement);
 	if (targets_follow_holder(orders->control->targets) &&
-	    orders->received_through >= orders->last_announced)
+	    bsh_announced_is_complete(&orders->announced))
 		targets_note_announced(orders->control->targets,
 				       placement->contact_age_ms * 1000LL);
 	set_announced_ready(orders, placement);
@@ -112,10 +105,24 @@
 
 void orders_note_inventory(orders_t *orders, uint64_t term, uint64_t number)
 {
-	if (term == orders->announced_term &&
-	    targets_follow_holder(orders->control->targets))
-		orders->received_through =
-			MAX(orders->received_through, number);
+	if (targets_follow_holder(orders->control->targets))
+		bsh_announced_note_list(&orders->announced, term, number);
+}
+
+void orders_receive_term_base(orders_t *orders, const char *sender,
+			      const bsh_msg_term_base_t *message)
+{
+	bsh_announced_base_t base = { message->former_term, message->number };
+
+	if (strcmp(orders->holder, sender) == 0 &&
+	    targets_follow_holder(orders->control->targets) &&
+	    bsh_announced_note_base(&orders->announced, message->term, &base))
+		store_reading_note_base(orders->control->store_reading);
+}
+
+bsh_announced_base_t orders_announced_base(const orders_t *orders)
+{
+	return bsh_announced_base(&orders->announced);
 }
 
 /* True while announcements of the holder have been missing for too long: one
@@ -124,9 +131,9 @@
 {
 	int64_t now = now_us(orders);
 
-	if (orders_is_holder(orders) || orders->announced_term == 0 ||
+	if (orders_is_holder(orders) || orders->announced.term == 0 ||
 	    now - orders->holder_seen_us > HOLDER_MESSAGE_MAX_AGE_US ||
-	    orders->received_through >= orders->last_announced) {
+	    bsh_announced_is_complete(&orders->announced)) {
 		orders->gap_since_us = 0;
 		return false;
 	}
@@ -141,18 +148,32 @@
 	return now - orders->gap_since_us > GAP_TIMEOUT_US;
 }
 
+/* A list that is followed in the store until the first message of a holder needs
+ * none of its announcements before that. */
+static bool awaits_holder(const orders_t *orders)
+{
+	return orders->announced.term == 0 && !orders_is_holder(orders) &&
+	       now_us(orders) - orders->started_us < HOLDER_WAIT_US;
+}
+
 void holder_list_choose_source(orders_t *orders)
 {
 	control_t *control = orders->control;
-	bool gap = has_gap(orders);
+	bool gap;
+
+	if (!targets_follow_holder(control->targets) &&
+	    targets_are_current(control->targets))
+		bsh_announced_note_read(&orders->announced);
+	gap = has_gap(orders);
 
 	targets_set_source(
 		control->targets,
-		gap || !targets_listed(control->targets) ||
+		gap || awaits_holder(orders) ||
+			!targets_listed(control->targets) ||
 			store_reading_active(control->store_reading));
 }
 
 void orders_request_list(orders_t *orders)
 {
-	orders->received_through = 0;
+	bsh_announced_forget(&orders->announced);
 }
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -299,8 +299,8 @@
 	bsh_message_t message = { .type = BSH_MSG_DEMAND };
 	bsh_msg_demand_t *demand = &message.demand;
 
-	demand->term = orders->announced_term;
-	demand->received_through = orders->received_through;
+	demand->term = orders->announced.term;
+	demand->received_through = orders->announced.through;
 	demand->entries = (const bsh_demand_entry_t *)(void *)entries->data;
 	demand->entry_count = MIN(entries->len, DEMAND_ENTRIES_MAX);
 	if (bsh_promise_give(&orders->promise, orders->echo_term,
@@ -421,6 +421,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(orders_given); i++)
 		bsh_counter_register(&orders_given[i]);
 	orders->control = control;
+	orders->started_us = now_us(orders);
 	orders->services = g_ptr_array_new_with_free_func(free_service);
 	orders->ready = g_array_new(FALSE, TRUE, sizeof(view_ready_t));
 	orders->ordered = order_lease_new_times();
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -60,13 +60,10 @@
 	bool released_complete;	     /* its list has all recent orders */
 	GArray *released;	     /* that list, bsh_order_time_t */
 	bsh_order_list_t received;   /* list of a former holder, by keys */
-	bool withholds;		   /* gives no orders, to hand the lease over */
-	GHashTable *ordered;	   /* target key to its last order */
-	uint64_t announced_term;   /* term of the next two numbers */
-	uint64_t received_through; /* all announcements up to this number
-				       * have been received */
-	uint64_t last_announced;   /* newest announcement, by the holder's
-				       * last message */
+	bool withholds;	     /* gives no orders, to hand the lease over */
+	GHashTable *ordered; /* target key to its last order */
+	int64_t started_us;
+	bsh_announced_t announced; /* announcements of the holder */
 	int64_t gap_since_us;	   /* since when announcements are missing;
 				       * 0: none are */
 };
@@ -77,8 +74,8 @@
 }
 
 /* holder_list.c */
-/* Follows the store while announcements are missing or this instance reads it
- * for others, the holder otherwise. */
+/* Follows the store while announcements are missing, this instance reads it for
+ * others, or no holder has been heard yet; the holder otherwise. */
 void holder_list_choose_source(orders_t *orders);
 
 /* order_lease.c */
--- a/bshentryd/store_reading.c
+++ b/bshentryd/store_reading.c
@@ -231,6 +231,11 @@
 	orders_request_list(reading->control->orders);
 }
 
+void store_reading_note_base(store_reading_t *reading)
+{
+	reading->has_applied = false;
+}
+
 /* A time of the loop clock on that of control_now_us(); 0: never. */
 static int64_t to_control_us(const control_t *control, int64_t loop_us)
 {
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -69,6 +69,7 @@
 	BSH_MSG_READER_TARGETS,
 	BSH_MSG_DOCUMENT_QUERY,
 	BSH_MSG_DOCUMENT_PART,
+	BSH_MSG_TERM_BASE,
 	BSH_MSG_READER_CONFIG,
 	BSH_MSG_CONFIG_QUERY,
 	BSH_MSG_CONFIG_ANSWER,
@@ -403,6 +404,15 @@
 	uint32_t changes_bytes;
 } bsh_msg_inventory_t;
 
+/* TERM_BASE: the list of a new holder has no announcement of the former term
+ * after this one; what it has changed since is announced.  Earlier versions drop
+ * it, and get the whole list. */
+typedef struct {
+	uint64_t term;
+	uint64_t former_term;
+	uint64_t number;
+} bsh_msg_term_base_t;
+
 /*
  * UNREACHABLE: from an instance to the holder of the order lease: targets that
  * have refused a connection, so that the holder asks them for a report.
@@ -713,6 +723,7 @@
 		bsh_msg_account_shares_t account_shares;
 		bsh_msg_document_query_t document_query;
 		bsh_msg_document_part_t document_part;
+		bsh_msg_term_base_t term_base;
 	};
 	void *memory; /* owner of decoded strings and arrays */
 } bsh_message_t;
--- a/lib/protocol/message_fields.c
+++ b/lib/protocol/message_fields.c
@@ -324,6 +324,11 @@
 	END
 };
 
+static const field_t term_base_fields[] = {
+	U64(bsh_msg_term_base_t, term), U64(bsh_msg_term_base_t, former_term),
+	U64(bsh_msg_term_base_t, number), END
+};
+
 static const field_t release_keys_fields[] = {
 	U64(bsh_msg_release_keys_t, term),
 	U64(bsh_msg_release_keys_t, revision),
@@ -451,4 +456,5 @@
 	[BSH_MSG_ACCOUNT_SHARES] = { "ACCOUNT_SHARES", account_shares_fields },
 	[BSH_MSG_DOCUMENT_QUERY] = { "DOCUMENT_QUERY", document_query_fields },
 	[BSH_MSG_DOCUMENT_PART] = { "DOCUMENT_PART", document_part_fields },
+	[BSH_MSG_TERM_BASE] = { "TERM_BASE", term_base_fields },
 };
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -208,6 +208,9 @@
 		m.suspect_facts =
 			(bsh_msg_suspect_facts_t){ true, suspect_facts, 2 };
 		break;
+	case BSH_MSG_TERM_BASE:
+		m.term_base = (bsh_msg_term_base_t){ UINT64_MAX, 7, 8 };
+		break;
 	case BSH_MSG_INVENTORY:
 		m.inventory =
 			(bsh_msg_inventory_t){ 9,
