accounts: the charge follows a key that moves to another account

Callers of an account saw its limit used up by requests that ran for another one, and an account that got a key exceeded its limit by the requests that were waiting with that key.

Cause: a request was charged once, when it was read. Before each send only its key was checked again, and the account that the target was told was the new one.

accounts_check() now also moves the charge: it is given back to the former account, unless the request may have run for it, and admitted under the new one. Beyond that limit the request is refused with 429 and the Retry-After of that account. The check before a second attempt of a running request comes after the choice of the target, so that nothing is charged for an attempt that is not begun for lack of one.

Not covered: a request that is passed on is charged by the instance that read it, by the configuration of that one.

--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -170,16 +170,6 @@
 	return decide(r, key_needed, account != NULL, *proven_us);
 }
 
-bsh_access_t accounts_check(request_t *r)
-{
-	int64_t proven_us;
-	bsh_access_t access = check(r, &proven_us);
-
-	if (access != BSH_ACCESS_GRANTED)
-		note_refusal(r, access, proven_us);
-	return access;
-}
-
 bool accounts_are_unchanged(request_t *r)
 {
 	bool has_accounts = r->has_accounts;
@@ -192,35 +182,43 @@
 	       strcmp(r->account, account) == 0;
 }
 
-/* The account whose limit counts a request that arrives; NULL: none. */
+/* The account whose limit counts the request, by the configuration in force;
+ * NULL: none. */
 static const bsh_account_rule_t *limited_account(const request_t *r)
 {
-	const bsh_accounts_t *accounts = r->catalog->accounts;
+	const bsh_accounts_t *accounts = r->traffic->view->catalog->accounts;
 	const bsh_account_rule_t *account;
 
 	/* The instance that read the request first has counted it. */
-	if (accounts == NULL || r->from_peer || r->route->anonymous ||
-	    !r->info.has_key)
+	if (accounts == NULL || r->from_peer || !r->info.has_key ||
+	    is_anonymous(r))
 		return NULL;
 	account = bsh_accounts_find_key(accounts, &r->info.key);
 	return account != NULL && account->rate_per_s > 0 ? account : NULL;
 }
 
-bool accounts_admit(request_t *r, int64_t *retry_ms)
+/* Ends the charge of a request whose key is no longer of the account that it was
+ * charged to.  What may have run stays charged. */
+static void end_charge(request_t *r)
+{
+	if (r->charged > 0 && r->runs == 0 && !r->may_have_run &&
+	    !r->attempt->active)
+		account_limits_give_back(&r->traffic->account_limits,
+					 r->charged_account, r->charged);
+	r->charged = 0;
+	r->charged_account = 0;
+}
+
+static bool charge(request_t *r, const bsh_account_rule_t *account,
+		   int64_t *retry_ms)
 {
 	traffic_t *t = r->traffic;
-	const bsh_account_rule_t *account = limited_account(r);
 	uint32_t instances = t->view->instances;
 	int64_t now_us = accounts_now_us();
-	uint32_t cost;
+	uint32_t cost =
+		account_limits_cost(account, (uint64_t)r->info.prompt_tokens +
+						     r->info.answer_tokens);
 
-	*retry_ms = 0;
-	/* Requests without a limit go in the order of their arrival. */
-	r->fair_tag = t->fair_order.virtual_time;
-	if (account == NULL)
-		return true;
-	cost = account_limits_cost(account, (uint64_t)r->info.prompt_tokens +
-						    r->info.answer_tokens);
 	if (account_limits_admit(&t->account_limits, account, cost, instances,
 				 now_us)) {
 		r->charged = cost;
@@ -237,6 +235,40 @@
 	return false;
 }
 
+/* Charges the request to the account that its key is of now.  False if it exceeds
+ * the limit of that one. */
+static bool follow_key(request_t *r, int64_t *retry_ms)
+{
+	const bsh_account_rule_t *account = limited_account(r);
+
+	*retry_ms = 0;
+	if (r->charged_account == (account != NULL ? account->hash : 0))
+		return true;
+	end_charge(r);
+	/* Requests without a limit go in the order of their arrival. */
+	r->fair_tag = r->traffic->fair_order.virtual_time;
+	return account == NULL || charge(r, account, retry_ms);
+}
+
+bool accounts_admit(request_t *r, int64_t *retry_ms)
+{
+	r->fair_tag = r->traffic->fair_order.virtual_time;
+	return follow_key(r, retry_ms);
+}
+
+bsh_error_t accounts_check(request_t *r, int64_t *retry_ms)
+{
+	int64_t proven_us;
+	bsh_access_t access = check(r, &proven_us);
+
+	if (access == BSH_ACCESS_GRANTED)
+		return follow_key(r, retry_ms) ? BSH_OK : BSH_ERR_RATE_LIMITED;
+	note_refusal(r, access, proven_us);
+	*retry_ms = access == BSH_ACCESS_KEY_UNKNOWN ? -1 : RETRY_DEFAULT_MS;
+	return access == BSH_ACCESS_KEY_UNKNOWN ? BSH_ERR_KEY_UNKNOWN
+						: BSH_ERR_STALE_CONFIG;
+}
+
 void accounts_sent(const request_t *r)
 {
 	bsh_fair_order_sent(&r->traffic->fair_order, r->fair_tag);
--- a/bshentryd/attempts.c
+++ b/bshentryd/attempts.c
@@ -282,6 +282,7 @@
 			  traffic_now_us(r->traffic);
 	bsh_target_candidate_t candidate;
 	const view_target_t *target;
+	int64_t retry_ms;
 
 	if (r->state == REQUEST_WAITING) {
 		traffic_resume_is_due(r);
@@ -301,10 +302,12 @@
 	 * then only takes longer, and when there is no other target. */
 	if (a->target->record.last_first_byte_at_us > r->last_active_us ||
 	    !stream_origin_may_move(r) ||
-	    accounts_check(r) != BSH_ACCESS_GRANTED ||
 	    (target = target_pick(r, &candidate)) == NULL ||
 	    !places_are_free(r->traffic,
 			     target_pick_state(r->traffic, target->id)) ||
+	    /* It may charge another account, so it is done last but for the
+	     * retry budget. */
+	    accounts_check(r, &retry_ms) != BSH_OK ||
 	    !retry_is_allowed(r, r->sends + 1)) {
 		request_log_silence(r, "wait");
 		bsh_loop_timer_after(&r->inactivity_timer, INACTIVITY_MIN_US);
--- a/bshentryd/traffic.c
+++ b/bshentryd/traffic.c
@@ -209,18 +209,16 @@
 	       traffic_is_begun_stream(r);
 }
 
-/* Refuses a request whose key the configuration in force does not have. */
+/* Refuses a request whose key the configuration in force does not have, or has for
+ * an account that is beyond its limit. */
 static bool is_denied(request_t *r)
 {
-	bsh_access_t access = accounts_check(r);
+	int64_t retry_ms;
+	bsh_error_t err = accounts_check(r, &retry_ms);
 
-	if (access == BSH_ACCESS_GRANTED)
-		return false;
-	if (access == BSH_ACCESS_KEY_UNKNOWN)
-		traffic_fail(r, BSH_ERR_KEY_UNKNOWN, -1);
-	else
-		traffic_fail(r, BSH_ERR_STALE_CONFIG, RETRY_DEFAULT_MS);
-	return true;
+	if (err != BSH_OK)
+		traffic_fail(r, err, retry_ms);
+	return err != BSH_OK;
 }
 
 static void dispatch(request_t *r)
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -216,7 +216,7 @@
 	/* What it counts of the limit of an account, until it is known whether it
 	 * has run; 0: nothing. */
 	uint32_t charged;
-	uint32_t charged_account; /* hash of the name */
+	uint32_t charged_account; /* hash of the name; 0: none */
 	double fair_tag; /* among waiting requests of accounts; 0: none */
 	int64_t arrived_boot_us; /* CLOCK_BOOTTIME */
 	char *method;
@@ -432,8 +432,10 @@
 /* accounts_now_us - CLOCK_BOOTTIME now. */
 int64_t accounts_now_us(void);
 /* accounts_check - whether the request may be sent now, by the configuration in
- * force; sets its account and priority. */
-bsh_access_t accounts_check(request_t *r);
+ * force: BSH_OK or why not, and when its caller may come back (-1: it is not
+ * told).  Sets its account and priority; a request whose key has moved to another
+ * account is charged to that one instead. */
+bsh_error_t accounts_check(request_t *r, int64_t *retry_ms);
 /* accounts_are_unchanged - the last accounts_check() would end as it did. */
 bool accounts_are_unchanged(request_t *r);
 /* accounts_access - the same decision for a key that is known or not; counts and
--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -509,6 +509,101 @@
 	expect_status(f, 0, "/book/1", "Bearer k1", 200);
 }
 
+/* Value of a metric of an instance, with its labels. */
+static int64_t metric(fixture_t *f, uint32_t entry, const char *name)
+{
+	g_autofree char *start = g_strdup_printf("\n%s ", name);
+	rig_reply_t reply;
+	const char *line;
+	int64_t value = -1;
+
+	platform_rig_send(&f->rig, f->rig.entries[entry].metrics, "/metrics",
+			  "m", NULL, 1000, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	line = strstr(reply.body, start);
+	if (line != NULL)
+		value = g_ascii_strtoll(line + strlen(start), NULL, 10);
+	platform_rig_reply_clear(&reply);
+	return value;
+}
+
+#define MOVING_LIMITS(acme_keys, zinc_keys, zinc_cost)                         \
+	"[{\"name\":\"acme\",\"apiKeys\":[" acme_keys "],"                     \
+	"\"unit\":\"tokens\",\"plainTokens\":10,\"ratePerS\":1000,"            \
+	"\"burst\":1000},{\"name\":\"zinc\",\"apiKeys\":[" zinc_keys "],"      \
+	"\"unit\":\"tokens\",\"plainTokens\":" zinc_cost ","                   \
+	"\"ratePerS\":1,\"burst\":1}]"
+
+static void set_accounts(fixture_t *f, const char *accounts)
+{
+	f->rig.accounts = accounts;
+	platform_rig_configure(&f->rig, OPEN_ROUTE);
+}
+
+/* Sends a request with the key k1 that waits for a model, and puts these accounts
+ * in force meanwhile. */
+static void send_and_set_accounts(fixture_t *f, const char *accounts,
+				  rig_reply_t *reply)
+{
+	rig_request_t request = { .address = f->rig.entries[0].front,
+				  .path = "/stream/1",
+				  .id = "moved",
+				  .model = "m0",
+				  .deadline_ms = DEADLINE_MS,
+				  .authorization = "Bearer k1" };
+
+	platform_rig_start(&f->rig, &request, reply);
+	platform_rig_run(&f->rig, 300);
+	g_assert_false(reply->done);
+	set_accounts(f, accounts);
+	platform_rig_wait(&f->rig, &reply->done);
+}
+
+/* Guards against a request that counts for the account that had its key when it
+ * came, and is sent for another one. */
+static void test_moved_while_waiting(fixture_t *f, gconstpointer data)
+{
+	static const char *const names[] = { "admitted", "given_back" };
+	static const char *const accounts[] = { "acme", "zinc" };
+	rig_reply_t reply;
+
+	(void)data;
+	set_accounts(f, MOVING_LIMITS("\"k1\"", "\"k2\"", "10"));
+	platform_rig_run(&f->rig, 1000);
+	send_and_set_accounts(f, MOVING_LIMITS("\"k3\"", "\"k1\",\"k2\"", "10"),
+			      &reply);
+	g_assert_cmpint(reply.status, ==, 503);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(accounts); j++) {
+			g_autofree char *name = g_strdup_printf(
+				"bsh_account_%s_total{account=\"%s\"}",
+				names[i], accounts[j]);
+
+			g_assert_cmpint(metric(f, 0, name), ==, 10);
+		}
+	platform_rig_reply_clear(&reply);
+}
+
+/* Guards against a request of an account beyond its limit that is sent as it was
+ * admitted for another one.  A request counts more than an instance that hears no
+ * keeper would admit. */
+static void test_moved_beyond_limit(fixture_t *f, gconstpointer data)
+{
+	rig_reply_t reply;
+
+	(void)data;
+	set_accounts(f, MOVING_LIMITS("\"k1\"", "\"k2\"", "200"));
+	platform_rig_run(&f->rig, 1000);
+	while (call_status(f, 0, "/book/1", "Bearer k2") == 200)
+		platform_rig_run(&f->rig, 10);
+	send_and_set_accounts(
+		f, MOVING_LIMITS("\"k3\"", "\"k1\",\"k2\"", "200"), &reply);
+	g_assert_cmpint(reply.status, ==, 429);
+	g_assert_nonnull(reply.retry_after);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "moved"), ==, 0);
+	platform_rig_reply_clear(&reply);
+}
+
 #define STRICT "[accounts]\nrevoke_ms=" REVOKE_MS "\n"
 #define SLACK  "[accounts]\nlimit_slack=200\n"
 #define ADD(path, settings, fn)                                                \
@@ -536,5 +631,7 @@
 	ADD("limit", SLACK, test_limit);
 	ADD("limit-alone", SLACK, test_limit_alone);
 	ADD("given-back", SLACK, test_given_back);
+	ADD("moved-while-waiting", SLACK, test_moved_while_waiting);
+	ADD("moved-beyond-limit", SLACK, test_moved_beyond_limit);
 	return g_test_run();
 }
