accounts: 503 for a request passed on by a configuration without accounts

An instance whose configuration had no client accounts yet passed a request on without a digest of its key, and the instance that got it answered 401, which is final, and counted and logged an unknown key. The instance that had passed it on takes the answer for a refusal, as it is marked as not run, and answered 503 target-refused after its attempts.

Cause: a digest is sent only by a configuration with accounts, as the mark of a request without a key has to be that of builds without accounts; and the decision took the missing digest for a caller without a key.

The version of the sender's configuration is sent with the request. By the same version, the caller has sent no key: 401. What the caller sent as Authorization is not used.

Evidence: /accounts/access (decision) and /accounts/passed-on-without-key (processes) failed before (401 instead of 503) and pass now.

--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -133,6 +133,16 @@
 	return r->traffic->view->catalog->accounts != NULL && !is_anonymous(r);
 }
 
+/* Whether the request was passed on without a digest of a key as the
+ * configuration of that instance, an earlier one, may have no accounts.  Its caller
+ * may have sent a key: what it sent is not used, as a key is not to travel between
+ * instances. */
+static bool is_key_omitted(const request_t *r)
+{
+	return r->from_peer && !r->info.has_key &&
+	       r->peer_version < r->traffic->view->catalog->version;
+}
+
 static bsh_access_t decide(const request_t *r, bool key_needed, bool key_known,
 			   int64_t proven_us)
 {
@@ -140,6 +150,7 @@
 	bsh_access_input_t input = {
 		.needs_key = key_needed,
 		.key_known = key_known,
+		.key_omitted = is_key_omitted(r),
 		.confirmed_age_us = traffic_now_us(t) -
 				    load_us(&t->entry->freshness.config_us),
 		.arrived_us = r->arrived_boot_us,
--- a/lib/coordination/account_access.c
+++ b/lib/coordination/account_access.c
@@ -7,7 +7,8 @@
 	if (!input->needs_key)
 		return BSH_ACCESS_GRANTED;
 	if (!input->key_known)
-		return input->confirmed_age_us > BSH_ACCESS_CONFIRMED_MAX_US
+		return input->key_omitted || input->confirmed_age_us >
+						     BSH_ACCESS_CONFIRMED_MAX_US
 			       ? BSH_ACCESS_UNCONFIRMED
 			       : BSH_ACCESS_KEY_UNKNOWN;
 	if (input->bound_us > 0 &&
--- a/lib/coordination/account_access.h
+++ b/lib/coordination/account_access.h
@@ -39,6 +39,9 @@
 typedef struct {
 	bool needs_key;
 	bool key_known;
+	/* An instance passed the request on without a key, by a configuration
+	 * that may have no accounts. */
+	bool key_omitted;
 	int64_t confirmed_age_us; /* of the configuration, as heard of */
 	int64_t arrived_us;	  /* the request */
 	int64_t proven_us; /* the configuration was the newest; 0: never known */
--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -27,6 +27,9 @@
 		{ { .needs_key = true }, BSH_ACCESS_KEY_UNKNOWN },
 		{ { .needs_key = true, .confirmed_age_us = 3 * SECOND_US },
 		  BSH_ACCESS_UNCONFIRMED },
+		/* Passed on by a configuration that may have had no accounts. */
+		{ { .needs_key = true, .key_omitted = true },
+		  BSH_ACCESS_UNCONFIRMED },
 		{ { .needs_key = true,
 		    .key_known = true,
 		    .confirmed_age_us = 60 * SECOND_US },
@@ -509,6 +512,44 @@
 	expect_status(f, 0, "/book/1", "Bearer k1", 200);
 }
 
+/* Status of a call that an instance has accepted by this version and passed on,
+ * with what its caller sent but without a digest of the key. */
+static int passed_on_status(fixture_t *f, uint64_t version)
+{
+	g_autofree char *text = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+	g_autofree char *id = g_strdup_printf("passed-%u", f->sent++);
+	bsh_relay_mark_t mark = { id, "POST", "/book/1", 0, NULL };
+	char mark_text[BSH_RELAY_MARK_SIZE];
+	rig_request_t request = { .address = f->rig.entries[0].front,
+				  .path = mark.path,
+				  .id = id,
+				  .deadline_ms = DEADLINE_MS,
+				  .authorization = "Bearer k1",
+				  .relay_mark = mark_text,
+				  .relay_version = text };
+	rig_reply_t reply;
+	int status;
+
+	bsh_relay_mark_encode(platform_rig_key, &mark, mark_text,
+			      sizeof(mark_text));
+	platform_rig_start(&f->rig, &request, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	status = reply.status;
+	g_assert_cmpuint(platform_rig_runs(&f->rig, id), ==, 0);
+	platform_rig_reply_clear(&reply);
+	return status;
+}
+
+/* Guards against a final refusal of a key that the instance that passes a request
+ * on does not send, as its configuration has no accounts yet.  By the same
+ * version as here, the caller has sent none. */
+static void test_passed_on_without_key(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	g_assert_cmpint(passed_on_status(f, f->rig.version - 1), ==, 503);
+	g_assert_cmpint(passed_on_status(f, f->rig.version), ==, 401);
+}
+
 /* Value of a metric of an instance, with its labels. */
 static int64_t metric(fixture_t *f, uint32_t entry, const char *name)
 {
@@ -631,6 +672,7 @@
 	ADD("limit", SLACK, test_limit);
 	ADD("limit-alone", SLACK, test_limit_alone);
 	ADD("given-back", SLACK, test_given_back);
+	ADD("passed-on-without-key", NULL, test_passed_on_without_key);
 	ADD("moved-while-waiting", SLACK, test_moved_while_waiting);
 	ADD("moved-beyond-limit", SLACK, test_moved_beyond_limit);
 	return g_test_run();
