accounts: the ledger tells processes apart, and knows from where it counts

Callers of an account were refused below its limit after an instance had been started again, and more than the limit passed after the first report of a process was lost or the keeper had changed.

Cause, of the first: a report of the former process that arrived after one of the new process was taken for that of a third one, and all totals of both were charged again. Of the second: the mark "first of its process" was sent once, whether or not a keeper was known or got the report; and as a report leaves out accounts that were not used lately, a new keeper took the first use of each account at each instance as its base and did not count it (about one request for each account and instance).

A report with a lower start of the process than one before is ignored and not answered. Until the keeper has answered, reports name all accounts with a limit, and those of a process that no keeper has answered are marked as first, for 3 s at most. A ledger younger than that takes the totals of such a process as its base, as its first levels allow for what was used before. The message is as before; an earlier build as keeper or reporter does no harm. With more than 30 accounts a report is several datagrams, and an answer to one of them counts for all.

--- a/bshentryd/account_keeper.c
+++ b/bshentryd/account_keeper.c
@@ -35,12 +35,15 @@
 	memset(keeper, 0, sizeof(*keeper));
 	keeper->ops = *ops;
 	keeper->accounts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	keeper->totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	bsh_account_reporter_init(&keeper->reporter);
 }
 
 void account_keeper_finish(account_keeper_t *keeper)
 {
 	if (keeper->ledger != NULL)
 		bsh_account_ledger_free(keeper->ledger);
+	g_hash_table_destroy(keeper->totals);
 	g_array_free(keeper->accounts, TRUE);
 }
 
@@ -54,25 +57,37 @@
 	return false;
 }
 
+static void list_accounts(account_keeper_t *keeper,
+			  const bsh_accounts_t *accounts)
+{
+	uint32_t n = accounts != NULL ? bsh_accounts_size(accounts) : 0;
+
+	g_array_set_size(keeper->accounts, 0);
+	for (uint32_t i = 0; i < n; i++) {
+		const bsh_account_rule_t *account =
+			bsh_accounts_at(accounts, i);
+
+		if (account->rate_per_s > 0)
+			g_array_append_val(keeper->accounts, account->hash);
+	}
+}
+
 static void set_accounts(account_keeper_t *keeper,
 			 const bsh_accounts_t *accounts,
 			 const account_tolerance_t *tolerance, double filled,
 			 int64_t now_us)
 {
-	g_array_set_size(keeper->accounts, 0);
-	for (uint32_t i = 0; i < bsh_accounts_size(accounts); i++) {
+	for (guint i = 0; i < keeper->accounts->len; i++) {
+		uint32_t hash = g_array_index(keeper->accounts, uint32_t, i);
 		const bsh_account_rule_t *account =
-			bsh_accounts_at(accounts, i);
+			bsh_accounts_find(accounts, hash);
 		bsh_account_bounds_t bounds = { account->rate_per_s,
 						account->burst,
 						tolerance->overage,
 						tolerance->slack };
 
-		if (account->rate_per_s <= 0)
-			continue;
-		g_array_append_val(keeper->accounts, account->hash);
-		bsh_account_ledger_set(keeper->ledger, account->hash, &bounds,
-				       filled, now_us);
+		bsh_account_ledger_set(keeper->ledger, hash, &bounds, filled,
+				       now_us);
 	}
 	bsh_account_ledger_keep(keeper->ledger, has_limit, keeper);
 }
@@ -92,6 +107,7 @@
 		return;
 	g_strlcpy(keeper->holder, holder, sizeof(keeper->holder));
 	keeper->holder_us = now_us;
+	bsh_account_reporter_changed(&keeper->reporter, now_us);
 }
 
 static void end_ledger(account_keeper_t *keeper, int64_t now_us)
@@ -117,6 +133,8 @@
 		bsh_counter_set(&keeper_gauge, keeps);
 		bsh_counter_set(&short_gauge, 0);
 	}
+	list_accounts(keeper, accounts);
+	bsh_account_reporter_changed(&keeper->reporter, now_us);
 	if (!keeps) {
 		if (keeper->ledger != NULL)
 			end_ledger(keeper, now_us);
@@ -127,14 +145,16 @@
 	set_accounts(keeper, accounts, tolerance, filled, now_us);
 }
 
-static void note_uses(const account_keeper_t *keeper, const char *instance,
+/* False if the report is one of a former process. */
+static bool note_uses(const account_keeper_t *keeper, const char *instance,
 		      uint64_t incarnation, bool first,
 		      const bsh_account_use_t *uses, uint32_t n, int64_t now_us)
 {
 	uint64_t key = XXH64(instance, strlen(instance), 0);
 
-	bsh_account_ledger_hear(keeper->ledger, key, incarnation, first,
-				now_us);
+	if (!bsh_account_ledger_hear(keeper->ledger, key, incarnation, first,
+				     now_us))
+		return false;
 	for (uint32_t i = 0; i < n; i++) {
 		bsh_account_totals_t totals = {
 			.offered = uses[i].offered,
@@ -145,6 +165,7 @@
 		bsh_account_ledger_note(keeper->ledger, key, uses[i].account,
 					&totals, now_us);
 	}
+	return true;
 }
 
 static void log_short(const account_keeper_t *keeper, const GArray *found,
@@ -229,21 +250,74 @@
 }
 
 static void send_uses(account_keeper_t *keeper,
-		      const account_parties_t *parties,
-		      const bsh_account_use_t *uses, uint32_t n, int64_t now_us)
+		      const account_parties_t *parties, const GArray *uses,
+		      int64_t now_us)
 {
 	bsh_message_t message = { .type = BSH_MSG_ACCOUNT_USE };
 	uint32_t sent = 0;
 
 	do {
 		message.account_use.asked_us = (uint64_t)now_us;
-		message.account_use.first = !keeper->reported;
-		message.account_use.uses = uses + sent;
+		message.account_use.first = bsh_account_reporter_is_first(
+			&keeper->reporter, now_us);
+		message.account_use.uses =
+			&g_array_index(uses, bsh_account_use_t, 0) + sent;
 		message.account_use.use_count =
-			MIN(n - sent, BSH_ACCOUNT_USES_MAX);
+			MIN(uses->len - sent, BSH_ACCOUNT_USES_MAX);
 		sent += message.account_use.use_count;
 		keeper->ops.send(keeper->ops.ctx, parties->holder, &message);
-	} while (sent < n);
+	} while (sent < uses->len);
+}
+
+static bsh_account_use_t totals_of(const account_keeper_t *keeper,
+				   uint32_t account)
+{
+	const bsh_account_use_t *use =
+		g_hash_table_lookup(keeper->totals, GUINT_TO_POINTER(account));
+
+	return use != NULL ? *use : (bsh_account_use_t){ .account = account };
+}
+
+/* What the report names: the accounts that were used lately, or all. */
+static GArray *uses_to_report(account_keeper_t *keeper,
+			      const bsh_account_use_t *uses, uint32_t n,
+			      uint32_t instances, int64_t now_us)
+{
+	GArray *named = g_array_new(FALSE, FALSE, sizeof(bsh_account_use_t));
+
+	for (uint32_t i = 0; i < n; i++)
+		g_hash_table_replace(keeper->totals,
+				     GUINT_TO_POINTER(uses[i].account),
+				     g_memdup2(&uses[i], sizeof(uses[i])));
+	if (!bsh_account_reporter_names_all(&keeper->reporter, instances,
+					    now_us)) {
+		g_array_append_vals(named, uses, n);
+		return named;
+	}
+	for (guint i = 0; i < keeper->accounts->len; i++) {
+		bsh_account_use_t use = totals_of(
+			keeper, g_array_index(keeper->accounts, uint32_t, i));
+
+		g_array_append_val(named, use);
+	}
+	return named;
+}
+
+/* Enters what this instance has used into its own ledger. */
+static void report_to_self(account_keeper_t *keeper,
+			   const account_parties_t *parties, const GArray *uses,
+			   int64_t now_us)
+{
+	bool first = bsh_account_reporter_is_first(&keeper->reporter, now_us);
+	g_autoptr(GArray) found = NULL;
+
+	note_uses(keeper, parties->self, parties->incarnation, first,
+		  &g_array_index(uses, const bsh_account_use_t, 0), uses->len,
+		  now_us);
+	found = find_short(keeper, parties->instances, now_us);
+	keeper->ops.told(keeper->ops.ctx, fractions_of(found), found->len,
+			 now_us);
+	bsh_account_reporter_answered(&keeper->reporter, now_us);
 }
 
 void account_keeper_report(account_keeper_t *keeper,
@@ -251,19 +325,15 @@
 			   const bsh_account_use_t *uses, uint32_t n,
 			   int64_t now_us)
 {
-	g_autoptr(GArray) found = NULL;
+	g_autoptr(GArray) named = NULL;
 
-	if (keeper->ledger != NULL) {
-		note_uses(keeper, parties->self, parties->incarnation,
-			  !keeper->reported, uses, n, now_us);
-		found = find_short(keeper, parties->instances, now_us);
-		keeper->ops.told(keeper->ops.ctx, fractions_of(found),
-				 found->len, now_us);
-	} else if (parties->holder[0] != '\0') {
+	if (keeper->ledger == NULL)
 		note_holder(keeper, parties->holder, now_us);
-		send_uses(keeper, parties, uses, n, now_us);
-	}
-	keeper->reported = true;
+	named = uses_to_report(keeper, uses, n, parties->instances, now_us);
+	if (keeper->ledger != NULL)
+		report_to_self(keeper, parties, named, now_us);
+	else if (parties->holder[0] != '\0')
+		send_uses(keeper, parties, named, now_us);
 }
 
 void account_keeper_receive_use(account_keeper_t *keeper, const char *sender,
@@ -274,10 +344,10 @@
 	bsh_message_t answer = { .type = BSH_MSG_ACCOUNT_SHARES };
 	g_autoptr(GArray) found = NULL;
 
-	if (keeper->ledger == NULL)
+	if (keeper->ledger == NULL ||
+	    !note_uses(keeper, sender, incarnation, message->first,
+		       message->uses, message->use_count, now_us))
 		return;
-	note_uses(keeper, sender, incarnation, message->first, message->uses,
-		  message->use_count, now_us);
 	found = find_short(keeper, instances, now_us);
 	answer.account_shares.asked_us = message->asked_us;
 	answer.account_shares.fractions = fractions_of(found);
@@ -294,6 +364,8 @@
 	if ((int64_t)message->asked_us > now_us)
 		return;
 	keeper->heard_us = now_us;
+	bsh_account_reporter_answered(&keeper->reporter,
+				      (int64_t)message->asked_us);
 	keeper->ops.told(keeper->ops.ctx, message->fractions,
 			 message->fraction_count, (int64_t)message->asked_us);
 }
--- a/bshentryd/account_keeper.h
+++ b/bshentryd/account_keeper.h
@@ -30,13 +30,14 @@
 	account_keeper_ops_t ops;
 	bsh_account_ledger_t *ledger; /* NULL: this is not the keeper */
 	GArray *accounts;	      /* hashes of those with a limit */
-	int64_t heard_us; /* last answer of another keeper; 0: none */
+	bsh_account_reporter_t reporter;
+	GHashTable *totals; /* own ones: account to bsh_account_use_t */
+	int64_t heard_us;   /* last answer of another keeper; 0: none */
 	/* Keeper before this one, and since when; "": this instance was it. */
 	char holder[BSH_NAME_SIZE];
 	int64_t holder_us;
 	uint32_t short_accounts;
 	int64_t logged_us; /* last log of the accounts that are short */
-	bool reported;
 } account_keeper_t;
 
 /* What may pass beyond the limit of an account in a window. */
--- a/lib/coordination/account_limit.c
+++ b/lib/coordination/account_limit.c
@@ -175,6 +175,44 @@
 		   instances * BSH_ACCOUNT_REPORT_PER_INSTANCE_US);
 }
 
+/* The reports of an instance. */
+
+void bsh_account_reporter_init(bsh_account_reporter_t *reporter)
+{
+	memset(reporter, 0, sizeof(*reporter));
+}
+
+void bsh_account_reporter_changed(bsh_account_reporter_t *reporter,
+				  int64_t now_us)
+{
+	reporter->changed_us = now_us;
+	reporter->answered_us = 0;
+}
+
+bool bsh_account_reporter_names_all(bsh_account_reporter_t *reporter,
+				    uint32_t instances, int64_t now_us)
+{
+	if (reporter->begun_us == 0)
+		reporter->begun_us = now_us;
+	/* A keeper that does not answer for long may have begun anew. */
+	return is_alone(reporter->answered_us, instances, now_us);
+}
+
+bool bsh_account_reporter_is_first(const bsh_account_reporter_t *reporter,
+				   int64_t now_us)
+{
+	return !reporter->known &&
+	       now_us - reporter->begun_us < BSH_ACCOUNT_NEW_US;
+}
+
+void bsh_account_reporter_answered(bsh_account_reporter_t *reporter,
+				   int64_t asked_us)
+{
+	reporter->known = true;
+	if (asked_us >= reporter->changed_us)
+		reporter->answered_us = MAX(reporter->answered_us, asked_us);
+}
+
 /* The ledger. */
 
 typedef struct {
@@ -197,6 +235,7 @@
 struct bsh_account_ledger {
 	GHashTable *accounts;  /* hash of the name to account_t */
 	GHashTable *instances; /* key to instance_t */
+	int64_t begun_us;      /* first account; 0: none yet */
 };
 
 static void free_instance(void *data)
@@ -247,6 +286,8 @@
 {
 	account_t *entry = find_account(ledger, account);
 
+	if (ledger->begun_us == 0)
+		ledger->begun_us = now_us;
 	if (entry == NULL) {
 		entry = g_new0(account_t, 1);
 		entry->level = bounds->burst * filled;
@@ -282,15 +323,19 @@
 	g_hash_table_foreach_remove(ledger->accounts, is_dropped, &keeping);
 }
 
-void bsh_account_ledger_hear(bsh_account_ledger_t *ledger, uint64_t instance,
+bool bsh_account_ledger_hear(bsh_account_ledger_t *ledger, uint64_t instance,
 			     uint64_t incarnation, bool first, int64_t now_us)
 {
 	instance_t *entry = g_hash_table_lookup(ledger->instances, &instance);
 
+	if (entry != NULL && incarnation < entry->incarnation)
+		return false;
 	if (entry == NULL) {
 		entry = g_new0(instance_t, 1);
 		entry->totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-		entry->counts_all = first;
+		/* What was used before the ledger is in its first levels. */
+		entry->counts_all = first && now_us - ledger->begun_us >=
+						     BSH_ACCOUNT_NEW_US;
 		g_hash_table_insert(ledger->instances,
 				    g_memdup2(&instance, sizeof(instance)),
 				    entry);
@@ -300,6 +345,7 @@
 	}
 	entry->incarnation = incarnation;
 	entry->heard_us = now_us;
+	return true;
 }
 
 static void note_offered(account_t *account, double offered, int64_t now_us)
--- a/lib/coordination/account_limit.h
+++ b/lib/coordination/account_limit.h
@@ -47,7 +47,10 @@
 #define BSH_ACCOUNT_SHARE_MAX_AGE_US INT64_C(1000000)
 /* An instance that has not reported for longer is silent. */
 #define BSH_ACCOUNT_SILENT_US INT64_C(1500000)
-/* Both are at least this number of reports, as one may be lost. */
+/* A process whose use no keeper knows says so for this time after its begin.  It
+ * learns the keeper within about a second, and a report may be lost. */
+#define BSH_ACCOUNT_NEW_US INT64_C(3000000)
+/* The first two are at least this number of reports, as one may be lost. */
 #define BSH_ACCOUNT_REPORTS_MISSED 2.5
 
 typedef struct {
@@ -99,6 +102,35 @@
 /* bsh_account_report_us - interval of reports. */
 int64_t bsh_account_report_us(uint32_t instances);
 
+/*
+ * Whether the keeper knows from where it counts what an instance uses.  A report
+ * leaves out accounts that were not used lately, and the keeper counts an account
+ * from the first report that names it: until the keeper has answered, reports name
+ * all accounts, as any of them may be lost.
+ */
+typedef struct {
+	int64_t begun_us;    /* first report of the process; 0: none yet */
+	int64_t changed_us;  /* another keeper, or other accounts, since */
+	int64_t answered_us; /* last report answered since then; 0: none */
+	bool known;	     /* a keeper has answered this process */
+} bsh_account_reporter_t;
+
+void bsh_account_reporter_init(bsh_account_reporter_t *reporter);
+/* bsh_account_reporter_changed - there is another keeper, or other accounts. */
+void bsh_account_reporter_changed(bsh_account_reporter_t *reporter,
+				  int64_t now_us);
+/* bsh_account_reporter_names_all - whether the report that is due names all
+ * accounts. */
+bool bsh_account_reporter_names_all(bsh_account_reporter_t *reporter,
+				    uint32_t instances, int64_t now_us);
+/* bsh_account_reporter_is_first - whether it is marked as one of a process whose
+ * use no keeper knows. */
+bool bsh_account_reporter_is_first(const bsh_account_reporter_t *reporter,
+				   int64_t now_us);
+/* bsh_account_reporter_answered - a keeper has answered the report of asked_us. */
+void bsh_account_reporter_answered(bsh_account_reporter_t *reporter,
+				   int64_t asked_us);
+
 /* Ledger of the keeper. */
 typedef struct bsh_account_ledger bsh_account_ledger_t;
 
@@ -116,12 +148,16 @@
 			     void *ctx);
 
 /*
- * bsh_account_ledger_hear - an instance has reported; first: it is the first
- * report of its process.  bsh_account_ledger_note() follows for each account in
- * the report.  What an instance has used before its first report to this ledger
- * is not known, unless it is the first of its process.
+ * bsh_account_ledger_hear - an instance has reported; first: no keeper has answered
+ * its process, which has just begun.  incarnation rises with each process.
+ * bsh_account_ledger_note() follows for each account in the report.  What an
+ * instance has used before its first report to this ledger is not known, unless
+ * its process is younger than the ledger.
+ *
+ * RETURN VALUE
+ *	False if the report is one of a former process and is to be ignored.
  */
-void bsh_account_ledger_hear(bsh_account_ledger_t *ledger, uint64_t instance,
+bool bsh_account_ledger_hear(bsh_account_ledger_t *ledger, uint64_t instance,
 			     uint64_t incarnation, bool first, int64_t now_us);
 void bsh_account_ledger_note(bsh_account_ledger_t *ledger, uint64_t instance,
 			     uint32_t account,
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -647,10 +647,11 @@
 } bsh_account_use_t;
 
 /* ACCOUNT_USE: from an instance to the one with the ledger of client accounts;
- * accounts that were not used lately are left out. */
+ * accounts that were not used lately are left out, unless that one may not know
+ * them. */
 typedef struct {
 	uint64_t asked_us; /* clock of the sender, repeated by ACCOUNT_SHARES */
-	bool first;	   /* of its process */
+	bool first;	   /* no keeper has answered the process yet */
 	const bsh_account_use_t *uses;
 	uint32_t use_count;
 } bsh_msg_account_use_t;
--- a/regress/test_account_limits.c
+++ b/regress/test_account_limits.c
@@ -26,7 +26,7 @@
 	int64_t heard_us;
 	int64_t report_us; /* next report */
 	uint64_t incarnation;
-	bool first; /* no report was sent yet */
+	bsh_account_reporter_t reporter;
 	bool lives;
 	bool frozen; /* neither sends nor admits */
 	bool cut;    /* from the other instances */
@@ -66,6 +66,9 @@
 		bsh_account_ledger_free(f->ledger);
 	f->ledger = bsh_account_ledger_new();
 	f->keeper = keeper;
+	for (uint32_t i = 0; i < f->load.n; i++)
+		bsh_account_reporter_changed(&f->instances[i].reporter,
+					     f->now_us);
 	bsh_account_ledger_set(f->ledger, ACCOUNT, &f->bounds, filled,
 			       f->now_us);
 }
@@ -77,7 +80,7 @@
 	memset(instance, 0, sizeof(*instance));
 	bsh_account_share_init(&instance->share);
 	instance->lives = true;
-	instance->first = true;
+	bsh_account_reporter_init(&instance->reporter);
 	instance->incarnation = (uint64_t)f->now_us + 1;
 	instance->report_us =
 		f->now_us +
@@ -93,13 +96,15 @@
 	f->load = *load;
 	f->bounds = (bsh_account_bounds_t){ load->rate, load->rate, OVERAGE,
 					    SLACK };
+	/* The ledger is older than the processes. */
+	f->now_us = US_PER_S - BSH_ACCOUNT_NEW_US;
+	keep(f, 0, 1.0);
 	f->now_us = US_PER_S;
 	for (uint32_t i = 0; i < load->n; i++) {
 		start(f, i);
 		f->weights[i] = pow(i + 1, -load->exponent);
 		f->total_weight += f->weights[i];
 	}
-	keep(f, 0, 1.0);
 	return f;
 }
 
@@ -115,14 +120,16 @@
 	instance_t *instance = &f->instances[i];
 	int64_t sent_us = f->now_us;
 
+	bsh_account_reporter_names_all(&instance->reporter, f->load.n, sent_us);
 	instance->report_us += bsh_account_report_us(f->load.n);
 	if (f->keeper == INSTANCES_MAX || instance->cut ||
 	    f->instances[f->keeper].cut || !f->instances[f->keeper].lives ||
 	    f->instances[f->keeper].frozen || bsh_rng_below(&f->rng, 50) == 0)
 		return;
-	bsh_account_ledger_hear(f->ledger, i + 1, instance->incarnation,
-				instance->first, f->now_us);
-	instance->first = false;
+	bsh_account_ledger_hear(
+		f->ledger, i + 1, instance->incarnation,
+		bsh_account_reporter_is_first(&instance->reporter, f->now_us),
+		f->now_us);
 	bsh_account_ledger_note(f->ledger, i + 1, ACCOUNT,
 				&instance->share.totals, f->now_us);
 	/* The answer may be lost, too. */
@@ -131,6 +138,7 @@
 	instance->share.fraction = bsh_account_ledger_fraction(
 		f->ledger, ACCOUNT, f->load.n, f->now_us);
 	instance->heard_us = sent_us;
+	bsh_account_reporter_answered(&instance->reporter, sent_us);
 }
 
 static uint32_t draw_instance(fleet_t *f)
@@ -444,6 +452,86 @@
 	totals = (bsh_account_totals_t){ 50, 50, 0 };
 	bsh_account_ledger_note(ledger, 1, ACCOUNT, &totals, US_PER_S);
 	g_assert_cmpfloat(bsh_account_ledger_level(ledger, ACCOUNT), ==, 750);
+	/* The former process again, and the new one. */
+	g_assert_false(bsh_account_ledger_hear(ledger, 1, 1, false, US_PER_S));
+	g_assert_true(bsh_account_ledger_hear(ledger, 1, 2, false, US_PER_S));
+	bsh_account_ledger_note(ledger, 1, ACCOUNT, &totals, US_PER_S);
+	g_assert_cmpfloat(bsh_account_ledger_level(ledger, ACCOUNT), ==, 750);
+	bsh_account_ledger_free(ledger);
+}
+
+/* An instance sends a report about an account, or none that names it; a lost one
+ * does not arrive. */
+static void send_report(bsh_account_ledger_t *ledger,
+			bsh_account_reporter_t *reporter, uint32_t account,
+			uint32_t used, bool lost, int64_t now_us)
+{
+	bsh_account_totals_t totals = { used, used, 0 };
+	bool all = bsh_account_reporter_names_all(reporter, 3, now_us);
+	bool first = bsh_account_reporter_is_first(reporter, now_us);
+
+	if (lost)
+		return;
+	bsh_account_ledger_hear(ledger, 1, 1, first, now_us);
+	if (all || used > 0)
+		bsh_account_ledger_note(ledger, 1, account, &totals, now_us);
+	bsh_account_reporter_answered(reporter, now_us);
+}
+
+/* Guards against use that counts for nothing as the first report of a process, or
+ * the first one to a keeper, was lost, or as that keeper first hears of an account
+ * when it is used. */
+static void test_lost_first_report(void)
+{
+	bsh_account_bounds_t bounds = { 100, 1000, 0, 0 };
+	bsh_account_reporter_t reporter;
+
+	bsh_account_reporter_init(&reporter);
+	for (uint32_t i = 0; i < 2; i++) {
+		bsh_account_ledger_t *ledger = bsh_account_ledger_new();
+		int64_t now_us = (i + 1) * 10 * US_PER_S;
+
+		/* The process begins before the second ledger. */
+		bsh_account_ledger_set(ledger, ACCOUNT + i, &bounds, 1,
+				       i == 0 ? US_PER_S : now_us);
+		bsh_account_reporter_changed(&reporter, now_us);
+		send_report(ledger, &reporter, ACCOUNT + i, 0, true, now_us);
+		if (i == 1)
+			send_report(ledger, &reporter, ACCOUNT + i, 0, false,
+				    now_us + US_PER_S / 5);
+		send_report(ledger, &reporter, ACCOUNT + i, 300, false,
+			    now_us + 2 * US_PER_S / 5);
+		g_assert_cmpfloat(bsh_account_ledger_level(ledger, ACCOUNT + i),
+				  ==, 700);
+		g_assert_false(bsh_account_reporter_names_all(
+			&reporter, 3, now_us + 3 * US_PER_S / 5));
+		bsh_account_ledger_free(ledger);
+	}
+	/* An answer of the keeper before says nothing about this one. */
+	bsh_account_reporter_changed(&reporter, 30 * US_PER_S);
+	bsh_account_reporter_answered(&reporter, 30 * US_PER_S - 1);
+	g_assert_true(
+		bsh_account_reporter_names_all(&reporter, 3, 30 * US_PER_S));
+}
+
+/* Guards against a keeper that counts what an instance has used for long while
+ * there was none. */
+static void test_long_alone(void)
+{
+	bsh_account_bounds_t bounds = { 100, 1000, 0, 0 };
+	bsh_account_ledger_t *ledger = bsh_account_ledger_new();
+	bsh_account_reporter_t reporter;
+
+	bsh_account_reporter_init(&reporter);
+	bsh_account_reporter_names_all(&reporter, 3, 10 * US_PER_S);
+	/* Younger than the process, which is new or not. */
+	bsh_account_ledger_set(ledger, ACCOUNT, &bounds, 1, 11 * US_PER_S);
+	send_report(ledger, &reporter, ACCOUNT, 900, false, 12 * US_PER_S);
+	g_assert_cmpfloat(bsh_account_ledger_level(ledger, ACCOUNT), ==, 1000);
+	bsh_account_reporter_init(&reporter);
+	bsh_account_reporter_names_all(&reporter, 3, 10 * US_PER_S);
+	g_assert_false(bsh_account_reporter_is_first(
+		&reporter, 10 * US_PER_S + BSH_ACCOUNT_NEW_US));
 	bsh_account_ledger_free(ledger);
 }
 
@@ -520,6 +608,9 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/account-limits/totals", test_totals);
+	g_test_add_func("/account-limits/lost-first-report",
+			test_lost_first_report);
+	g_test_add_func("/account-limits/long-alone", test_long_alone);
 	g_test_add_func("/account-limits/used", test_used);
 	g_test_add_func("/account-limits/hot", test_hot);
 	g_test_add_func("/account-limits/failures", test_failures);
