planner: what is in use, in a file of its own

The functions that compute the memory, adapter slots and store loads in use move to planner_capacity.c unchanged, except that order_mb() is planner_order_mb().

--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -7,8 +7,9 @@
  *
  * DESCRIPTION
  *	planner.c		targets, orders and their results
+ *	planner_capacity.c	memory, adapter slots and the weight store in use
  *	planner_demand.c	demand of the instances
- *	planner_choose.c	what to load where; calls the other two
+ *	planner_choose.c	what to load where; calls the others
  */
 
 #include "coordination/planner.h"
@@ -111,6 +112,17 @@
 /* True if the configuration has the model and, unless 0, its adapter. */
 bool planner_is_listed(const bsh_planner_t *planner, uint32_t model,
 		       uint32_t adapter);
+/* True if requests may be sent to this target for the model or adapter. */
+bool planner_serves(const planner_target_t *t, uint32_t model,
+		    uint32_t adapter);
+/* Estimated time until the target's order ends. */
+uint32_t planner_order_left_ms(const bsh_planner_t *planner,
+			       const planner_target_t *t, int64_t now_us);
+
+/* planner_capacity.c */
+/* Memory that the order takes when it is carried out. */
+uint32_t planner_order_mb(const bsh_planner_t *planner,
+			  const bsh_order_t *order);
 /* Accelerator memory in use or reserved; UINT32_MAX if it is not known. */
 uint32_t planner_used_mb(const bsh_planner_t *planner,
 			 const planner_target_t *t, int64_t now_us);
@@ -120,12 +132,6 @@
 bool planner_needs_store(const planner_target_t *t, uint32_t model);
 /* Loads from the weight store that run now, or follow an eviction. */
 uint32_t planner_store_loads(const bsh_planner_t *planner);
-/* True if requests may be sent to this target for the model or adapter. */
-bool planner_serves(const planner_target_t *t, uint32_t model,
-		    uint32_t adapter);
-/* Estimated time until the target's order ends. */
-uint32_t planner_order_left_ms(const bsh_planner_t *planner,
-			       const planner_target_t *t, int64_t now_us);
 /* Duration of a load from the weight store while n loads run in total. */
 uint32_t planner_store_load_ms(const bsh_planner_t *planner, uint32_t load_ms,
 			       uint32_t n);
