planner: a load from a copy that fails ends as failed

Requests for a rare model waited to their deadline at instances that knew a target with the model, which refused them: the load had been accepted and had then failed.

Cause: a load from a copy in the target's memory or on its disk ends without a report, and its model counts as held from then on. Only the entry in the list showed otherwise, and it was looked at only once the target had had no order for 3 s, which is rare where models change all the time.

If requests wait for such a model 0.4 s after its load, a report of the target is requested. If that does not show the model, it is withdrawn, the load is counted (bsh_loads_failed_total) and logged, and the planner chooses anew; if the target is still busy, the model is withdrawn until it is not. Nothing is requested while no request waits for the model, nor twice.

This is not bound to client accounts, of which the planner knows nothing.

--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -83,6 +83,9 @@
 			   "Orders by what they ask for; repeated ones count " \
 			   "once more.",                                       \
 			   "what=\"" what "\"")
+static bsh_counter_t loads_failed = BSH_COUNTER(
+	"bsh_loads_failed_total",
+	"Loads that a target has accepted and whose model it does not hold.");
 static bsh_counter_t orders_given[] = {
 	[ORDERS_GIVEN_STORE] = ORDERS_GIVEN_COUNTER("load-from-store"),
 	[ORDERS_GIVEN_COPY] = ORDERS_GIVEN_COUNTER("load-from-copy"),
@@ -506,6 +509,7 @@
 static void update_orders_given(const orders_t *orders)
 {
 	int64_t totals[G_N_ELEMENTS(orders_given)] = { 0 };
+	int64_t failed = 0;
 
 	for (guint i = 0; i < orders->services->len; i++) {
 		const service_t *service =
@@ -518,7 +522,12 @@
 		totals[ORDERS_GIVEN_ADAPTER] += (int64_t)stats->adapter_loads;
 		totals[ORDERS_GIVEN_UNLOAD] += (int64_t)stats->unloads;
 		totals[ORDERS_GIVEN_REPEATED] += (int64_t)stats->repeated;
+		failed += (int64_t)stats->failed_loads;
 	}
+	if (failed > bsh_counter_get(&loads_failed))
+		bsh_log(BSH_LOG_WARNING, "loads-failed total=%" G_GINT64_FORMAT,
+			failed);
+	bsh_counter_set(&loads_failed, failed);
 	for (size_t i = 0; i < G_N_ELEMENTS(orders_given); i++)
 		bsh_counter_set(&orders_given[i], totals[i]);
 }
@@ -570,6 +579,7 @@
 		bsh_histogram_register(&order_times[i]);
 	}
 	bsh_histogram_register(&load_times);
+	bsh_counter_register(&loads_failed);
 	for (size_t i = 0; i < G_N_ELEMENTS(orders_given); i++)
 		bsh_counter_register(&orders_given[i]);
 	orders->control = control;
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -371,6 +371,7 @@
 		t->down = false;
 		t->held = t->target.holdings;
 		t->usable = t->held;
+		t->unverified.n = 0;
 		set_state(t, PLANNER_UNCERTAIN, 0);
 	}
 }
@@ -381,6 +382,7 @@
 	reserve_unacked(planner, t, now_us);
 	t->target = *target;
 	t->held = target->holdings;
+	t->unverified.n = 0;
 	t->unloading = 0;
 	t->orders = 0;
 	t->suspected = false;
@@ -748,6 +750,7 @@
 			       int64_t now_us)
 {
 	planner_target_t *t = find(planner, id);
+	uint32_t absent;
 
 	if (t == NULL)
 		return;
@@ -759,6 +762,14 @@
 		t->planned_load = 0;
 		publish(planner, t);
 	}
+	absent = report != NULL && !is_other_process(t, report)
+			 ? planner_verify_absent(t, report)
+			 : 0;
+	/* A load that failed has ended; a busy target may still load. */
+	if (absent > 0) {
+		planner->stats.failed_loads += report->busy ? 0 : absent;
+		set_state(t, PLANNER_UNCERTAIN, now_us);
+	}
 	/* In the other states the planner's own data is newer than a report. */
 	if (report == NULL ||
 	    (t->state != PLANNER_UNCERTAIN && t->state != PLANNER_WORKING))
@@ -773,6 +784,7 @@
 	t->reported = true;
 	t->orders = report->orders;
 	t->held = report->holdings;
+	t->unverified.n = 0;
 	/* A target reports a model that it unloads until the requests that
 	 * use it have ended. */
 	if (report->busy && report->orders == t->unloading_orders)
@@ -811,6 +823,8 @@
 
 static void advance(bsh_planner_t *planner, planner_target_t *t, int64_t now_us)
 {
+	bool verify;
+
 	if (t->state == PLANNER_WITHDRAWN &&
 	    now_us >= t->state_us + WITHDRAWAL_DELAY_US) {
 		if (!send_order(planner, t, now_us))
@@ -821,15 +835,20 @@
 		if (t->order.load)
 			bsh_holdings_add(&t->held, t->order.model,
 					 t->order.adapter);
+		if (t->order.load && t->order.adapter == 0)
+			planner_verify_add(t, t->order.model, now_us);
 		finish_order(planner, t, now_us);
 		publish(planner, t);
 		return;
 	}
 	if (t->state == PLANNER_WORKING && t->order.load && t->from_store)
 		lower_store_concurrency(planner, t, now_us);
-	if ((t->state == PLANNER_UNCERTAIN || t->state == PLANNER_WORKING) &&
+	verify = planner_verify_is_due(planner, t, now_us);
+	if ((verify || t->state == PLANNER_UNCERTAIN ||
+	     t->state == PLANNER_WORKING) &&
 	    !t->report_pending && now_us >= t->next_report_us) {
 		t->report_pending = true;
+		t->verifying = verify;
 		planner->ops.report(planner->ctx, &t->target);
 	}
 }
--- a/lib/coordination/planner.h
+++ b/lib/coordination/planner.h
@@ -106,7 +106,8 @@
 	uint64_t copy_loads; /* from the target's host memory or disk */
 	uint64_t unloads;
 	uint64_t adapter_loads;
-	uint64_t repeated; /* unanswered orders that were sent again */
+	uint64_t repeated;     /* unanswered orders that were sent again */
+	uint64_t failed_loads; /* accepted loads whose model is not held */
 } bsh_planner_stats_t;
 
 typedef struct bsh_planner bsh_planner_t;
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -9,6 +9,7 @@
  *	planner.c		targets, orders and their results
  *	planner_capacity.c	memory, adapter slots and the weight store in use
  *	planner_demand.c	demand of the instances
+ *	planner_verify.c	loads that were taken for ended without a report
  *	planner_choose.c	what to load where; calls the others
  */
 
@@ -44,9 +45,13 @@
 	uint32_t busy_retries;	 /* of the planned load, since the unload */
 	bool planned_from_store; /* it comes from the weight store */
 	int64_t loaded_us;	 /* end of the last load */
-	uint32_t load_key;	 /* names the target in a bsh_load_entry_t */
-	uint32_t running;	 /* requests, by the last loads */
-	uint32_t unloading;	 /* model of the last accepted unload order */
+	/* Models whose loads were taken for ended, and no report since. */
+	bsh_holdings_t unverified;
+	int64_t verify_us;	   /* earliest time of a report about them */
+	bool verifying;		   /* that report was requested */
+	uint32_t load_key;	   /* names the target in a bsh_load_entry_t */
+	uint32_t running;	   /* requests, by the last loads */
+	uint32_t unloading;	   /* model of the last accepted unload order */
 	uint64_t unloading_orders; /* value of orders after that one */
 	/* Memory and adapters of unanswered load orders of which copies may
 	 * still arrive.  The target refuses them by their number until a
@@ -148,6 +153,17 @@
 /* Request rate, decayed to now_us; 0 for NULL. */
 double planner_demand_rate(const planner_demand_t *demand, int64_t now_us);
 
+/* planner_verify.c */
+/* The load of the model was taken for ended without a report. */
+void planner_verify_add(planner_target_t *t, uint32_t model, int64_t now_us);
+/* True if requests wait for such a model although the target should serve it, so
+ * that a report is needed. */
+bool planner_verify_is_due(const bsh_planner_t *planner,
+			   const planner_target_t *t, int64_t now_us);
+/* Number of such models that the target does not hold, by that report. */
+uint32_t planner_verify_absent(planner_target_t *t,
+			       const bsh_target_report_t *report);
+
 /* planner_choose.c */
 /* Give orders to idle targets. */
 void planner_choose(bsh_planner_t *planner, int64_t now_us);
--- a/regress/test_planner.c
+++ b/regress/test_planner.c
@@ -374,6 +374,78 @@
 	rig_finish(&rig);
 }
 
+/* Loads b from a copy at t1; the known time of the load passes. */
+static void load_b_from_copy(rig_t *rig, bsh_target_t *target)
+{
+	static const char *const models[] = { "a", "b", NULL };
+	static const char *const holds[] = { "a", NULL };
+
+	*target = make_target("t1", holds);
+	target->copies.n_memory = 1;
+	target->copies.memory[0] = hash("b");
+	rig_init(rig, models, 0);
+	add_target(rig, target, 0);
+	demand(rig, "b", NULL, 1, 1);
+	tick(rig, 1000);
+	g_assert_cmpuint(rig->n_orders, ==, 1);
+	bsh_planner_order_result(rig->planner, "t1", BSH_ORDER_ACCEPTED,
+				 rig->now_us);
+	tick(rig, 630000);
+	g_assert_true(bsh_holdings_has(
+		bsh_planner_usable(rig->planner, "t1", NULL), hash("b"), 0));
+}
+
+/* Guards against a load from a copy that the target accepted and that then failed,
+ * and whose model counts as held, so that requests for it wait in vain. */
+static void test_failed_load_from_copy(void)
+{
+	bsh_target_t target;
+	uint32_t reports;
+	rig_t rig;
+
+	load_b_from_copy(&rig, &target);
+	reports = rig.n_reports;
+	demand(&rig, "b", NULL, 0, 1);
+	tick(&rig, 200000);
+	/* Requests may still be on their way. */
+	g_assert_cmpuint(rig.n_reports, ==, reports);
+	tick(&rig, 300000);
+	g_assert_cmpuint(rig.n_reports, ==, reports + 1);
+	report(&rig, "t1", 1, false, &target.holdings);
+	g_assert_false(bsh_holdings_has(
+		bsh_planner_usable(rig.planner, "t1", NULL), hash("b"), 0));
+	g_assert_cmpuint(bsh_planner_stats(rig.planner)->failed_loads, ==, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_orders, ==, 2);
+	g_assert_cmpuint(rig.orders[1].model, ==, hash("b"));
+	rig_finish(&rig);
+}
+
+/* Guards against a report for each load, also if no request waits for its model,
+ * or after a report has shown that it is held. */
+static void test_load_from_copy_is_verified_once(void)
+{
+	bsh_target_t target;
+	uint32_t reports;
+	rig_t rig;
+
+	load_b_from_copy(&rig, &target);
+	reports = rig.n_reports;
+	demand(&rig, "b", NULL, 0, 0);
+	tick(&rig, 600000);
+	g_assert_cmpuint(rig.n_reports, ==, reports);
+	demand(&rig, "b", NULL, 1, 1);
+	tick(&rig, 1000);
+	g_assert_cmpuint(rig.n_reports, ==, reports + 1);
+	bsh_holdings_add(&target.holdings, hash("b"), 0);
+	report(&rig, "t1", 1, false, &target.holdings);
+	tick(&rig, 600000);
+	g_assert_cmpuint(rig.n_reports, ==, reports + 1);
+	g_assert_true(bsh_holdings_has(
+		bsh_planner_usable(rig.planner, "t1", NULL), hash("b"), 0));
+	rig_finish(&rig);
+}
+
 /* Guards against a different order after a lost answer: the same order must be
  * repeated with the same count until the target's count changes. */
 static void test_unknown_order_is_repeated(void)
@@ -1599,6 +1671,10 @@
 			test_second_try_is_deferred);
 	g_test_add_func("/planner/load-from-copy-ends-without-report",
 			test_load_from_copy_ends_without_report);
+	g_test_add_func("/planner/failed-load-from-copy",
+			test_failed_load_from_copy);
+	g_test_add_func("/planner/load-from-copy-is-verified-once",
+			test_load_from_copy_is_verified_once);
 	g_test_add_func("/planner/asked-models-are-seeded-first",
 			test_asked_models_are_seeded_first);
 	g_test_add_func("/planner/unasked-models-wait-for-demand",
