--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -161,6 +161,35 @@
 	free(text);
 }
 
+/* Guards against requests without a number of tokens that a limit in tokens does
+ * not count, as the account names no number for them, or none above 0. */
+static void test_plain_tokens(void)
+{
+	static const char *const names[] = { "absent", "zero", "named" };
+	static const uint32_t expected[] = { 1, 1, 200 };
+	g_autoptr(GString) problem = g_string_new(NULL);
+	json_t *spec = json_loads(
+		CONFIGURATION("[{\"name\":\"absent\",\"unit\":\"tokens\"},"
+			      "{\"name\":\"zero\",\"unit\":\"tokens\","
+			      "\"plainTokens\":0},"
+			      "{\"name\":\"named\",\"unit\":\"tokens\","
+			      "\"plainTokens\":200}]"),
+		0, NULL);
+	bsh_catalog_t *catalog =
+		platform_decode_catalog(spec, platform_rig_key, problem);
+
+	g_assert_nonnull(catalog);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		const bsh_account_rule_t *account =
+			bsh_accounts_at(catalog->accounts, i);
+
+		g_assert_cmpstr(account->name, ==, names[i]);
+		g_assert_cmpuint(account->plain_tokens, ==, expected[i]);
+	}
+	bsh_catalog_unref(catalog);
+	json_decref(spec);
+}
+
 static bool has_name(const GPtrArray *headers, const char *name)
 {
 	for (guint i = 0; i + 1 < headers->len; i++)
@@ -660,6 +689,7 @@
 	g_test_add_func("/accounts/refused", test_refused_accounts);
 	g_test_add_func("/accounts/shared-configuration",
 			test_shared_configuration);
+	g_test_add_func("/accounts/plain-tokens", test_plain_tokens);
 	g_test_add_func("/accounts/headers", test_headers);
 	g_test_add_func("/accounts/mark", test_mark);
 	ADD("keys", NULL, test_keys);
