--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -674,6 +674,22 @@
 	platform_rig_reply_clear(&reply);
 }
 
+/* Guards against a document that cannot be used and that takes the certainty that
+ * keys were not removed for granted, and against a loss of anonymous routes. */
+static void test_unusable_configuration(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	expect_account(f, "Bearer k1", "acme");
+	set_accounts(f, "{}");
+	platform_rig_run(&f->rig, 2000);
+	for (uint32_t i = 0; i < 2; i++)
+		expect_status(f, i, "/book/1", "Bearer k1", 503);
+	expect_status(f, 0, "/open/1", NULL, 200);
+	set_accounts(f, "[{\"name\":\"acme\",\"apiKeys\":[\"k1\"]}]");
+	platform_rig_run(&f->rig, 1000);
+	expect_account(f, "Bearer k1", "acme");
+}
+
 #define STRICT "[accounts]\nrevoke_ms=" REVOKE_MS "\n"
 #define SLACK  "[accounts]\nlimit_slack=200\n"
 #define ADD(path, settings, fn)                                                \
@@ -698,6 +714,7 @@
 	ADD("closed-while-running", NULL, test_closed_while_running);
 	ADD("out-of-touch", STRICT, test_out_of_touch);
 	ADD("frozen", STRICT, test_frozen);
+	ADD("unusable-configuration", STRICT, test_unusable_configuration);
 	ADD("told-by-others", STRICT, test_told_by_others);
 	ADD("limit", SLACK, test_limit);
 	ADD("limit-alone", SLACK, test_limit_alone);
