accounts: a confirmation counts for the configuration that it is of

Callers with a key that had just been added got 401, which is final, for some milliseconds at an instance that had not heard of the configuration for longer than 2 s; before and after they got 503 and an answer.

Cause: the control thread publishes when the configuration was confirmed at once, and the view with the newer configuration reaches the traffic thread later. So the confirmation of the newer configuration made the older one look confirmed.

The version is now published before the moment, as for the proof that the configuration is the newest (one field serves both), and the traffic thread keeps a moment that belongs to a newer version until that one is in its view.

The 404 for a route that was just added is decided by the same time and may be given for as long; it is not changed here, as it also concerns deployments without client accounts.

--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -38,6 +38,7 @@
 	account_limits_init(&t->account_limits,
 			    t->entry->settings.accounts_limit_slack);
 	bsh_fair_order_init(&t->fair_order);
+	bsh_confirmation_init(&t->config_confirmation);
 	bsh_loop_timer_init(&t->accounts_timer, t->loop, report, t);
 	bsh_loop_timer_after(&t->accounts_timer, 0);
 }
@@ -69,11 +70,6 @@
 	return now.tv_sec * INT64_C(1000000) + now.tv_nsec / 1000;
 }
 
-static int64_t load_us(const int64_t *value)
-{
-	return __atomic_load_n(value, __ATOMIC_RELAXED);
-}
-
 static void set_account(request_t *r, const bsh_account_rule_t *account)
 {
 	r->account[0] = '\0';
@@ -106,14 +102,30 @@
 	const freshness_t *freshness = &t->entry->freshness;
 	int64_t proven_us =
 		__atomic_load_n(&freshness->config_proof_us, __ATOMIC_ACQUIRE);
-	uint64_t version = __atomic_load_n(&freshness->config_proof_version,
-					   __ATOMIC_RELAXED);
+	uint64_t version =
+		__atomic_load_n(&freshness->config_version, __ATOMIC_RELAXED);
 
 	if (version <= t->view->catalog->version)
 		t->config_proof_us = proven_us;
 	return t->config_proof_us;
 }
 
+/* When the configuration of the view was last confirmed.  The moment of a newer one
+ * is published before its view: it does not make a key unknown that only the newer
+ * one has. */
+static int64_t confirmed_us(traffic_t *t)
+{
+	const freshness_t *freshness = &t->entry->freshness;
+	int64_t at_us =
+		__atomic_load_n(&freshness->config_us, __ATOMIC_ACQUIRE);
+	uint64_t version =
+		__atomic_load_n(&freshness->config_version, __ATOMIC_RELAXED);
+
+	bsh_confirmation_follow(&t->config_confirmation,
+				t->view->catalog->version, version, at_us);
+	return t->config_confirmation.confirmed_us;
+}
+
 /* Whether the route is anonymous in the configuration in force: a request that
  * runs, or whose answer has begun, keeps the route of an earlier one. */
 static bool is_anonymous(const request_t *r)
@@ -146,13 +158,12 @@
 static bsh_access_t decide(const request_t *r, bool key_needed, bool key_known,
 			   int64_t proven_us)
 {
-	const traffic_t *t = r->traffic;
+	traffic_t *t = r->traffic;
 	bsh_access_input_t input = {
 		.needs_key = key_needed,
 		.key_known = key_known,
 		.key_omitted = is_key_omitted(r),
-		.confirmed_age_us = traffic_now_us(t) -
-				    load_us(&t->entry->freshness.config_us),
+		.confirmed_age_us = traffic_now_us(t) - confirmed_us(t),
 		.arrived_us = r->arrived_boot_us,
 		.proven_us = proven_us,
 		.bound_us =
--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -44,14 +44,15 @@
 {
 	freshness_t *freshness = &control->entry->freshness;
 
+	/* Before the moments: the view with this version follows later. */
+	__atomic_store_n(&freshness->config_version,
+			 control->config_proof.version, __ATOMIC_RELAXED);
 	__atomic_store_n(&freshness->config_us,
 			 store_reading_config_us(control->store_reading),
-			 __ATOMIC_RELAXED);
+			 __ATOMIC_RELEASE);
 	__atomic_store_n(&freshness->targets_us,
 			 targets_confirmed_us(control->targets),
 			 __ATOMIC_RELAXED);
-	__atomic_store_n(&freshness->config_proof_version,
-			 control->config_proof.version, __ATOMIC_RELAXED);
 	__atomic_store_n(&freshness->config_proof_us,
 			 bsh_config_proof_us(&control->config_proof.proof),
 			 __ATOMIC_RELEASE);
--- a/bshentryd/entry.h
+++ b/bshentryd/entry.h
@@ -74,13 +74,14 @@
  * loads and stores.
  */
 typedef struct {
+	/* To which config_us and config_proof_us belong.  It is stored before
+	 * both, and may be newer than the one of the view. */
+	uint64_t config_version;
 	int64_t config_us;
 	int64_t targets_us;
 	int64_t peers_us;
 	/* This version of the configuration was certainly the newest one then,
-	 * on CLOCK_BOOTTIME.  It is stored before the moment, and may be newer
-	 * than the one of the view. */
-	uint64_t config_proof_version;
+	 * on CLOCK_BOOTTIME. */
 	int64_t config_proof_us;
 } freshness_t;
 
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -28,6 +28,7 @@
  */
 
 #include "coordination/account_access.h"
+#include "coordination/confirmation.h"
 #include "coordination/fair_order.h"
 #include "coordination/load_table.h"
 #include "coordination/memory_budget.h"
@@ -134,6 +135,8 @@
 	/* The configuration of the view was certainly the newest one then, on
 	 * CLOCK_BOOTTIME; 0: never. */
 	int64_t config_proof_us;
+	/* The same as heard of, on the clock of the loops. */
+	bsh_confirmation_t config_confirmation;
 	account_limits_t account_limits;
 	bsh_fair_order_t fair_order;
 	bsh_memory_budget_t memory;
--- a/lib/coordination/confirmation.c
+++ b/lib/coordination/confirmation.c
@@ -32,3 +32,10 @@
 		MAX(confirmation->confirmed_us, confirmation->told_us);
 	confirmation->told = 0;
 }
+
+void bsh_confirmation_follow(bsh_confirmation_t *confirmation,
+			     uint64_t in_force, uint64_t version, int64_t at_us)
+{
+	bsh_confirmation_adopted(confirmation, in_force);
+	bsh_confirmation_note(confirmation, version, at_us);
+}
--- a/lib/coordination/confirmation.h
+++ b/lib/coordination/confirmation.h
@@ -37,4 +37,10 @@
 void bsh_confirmation_adopted(bsh_confirmation_t *confirmation,
 			      uint64_t version);
 
+/* bsh_confirmation_follow - both: what another thread has published, while
+ * in_force is in force here. */
+void bsh_confirmation_follow(bsh_confirmation_t *confirmation,
+			     uint64_t in_force, uint64_t version,
+			     int64_t at_us);
+
 #endif
--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -6,6 +6,7 @@
 
 #include "coordination/account_access.h"
 #include "coordination/config_proof.h"
+#include "coordination/confirmation.h"
 #include "platform/decode.h"
 #include "platform/target_client.h"
 #include "protocol/relay_mark.h"
@@ -92,6 +93,20 @@
 			now_us + 2 * SECOND_US);
 }
 
+/* Guards against a confirmation of a newer configuration that counts for the one in
+ * force before it. */
+static void test_confirmation_of_newer(void)
+{
+	bsh_confirmation_t confirmation;
+
+	bsh_confirmation_init(&confirmation);
+	bsh_confirmation_follow(&confirmation, 5, 5, 10 * SECOND_US);
+	bsh_confirmation_follow(&confirmation, 5, 6, 20 * SECOND_US);
+	g_assert_cmpint(confirmation.confirmed_us, ==, 10 * SECOND_US);
+	bsh_confirmation_follow(&confirmation, 6, 6, 20 * SECOND_US);
+	g_assert_cmpint(confirmation.confirmed_us, ==, 20 * SECOND_US);
+}
+
 #define CONFIGURATION(accounts)                                                \
 	"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":" accounts "}"
 
@@ -690,6 +705,51 @@
 	expect_account(f, "Bearer k1", "acme");
 }
 
+#define ADDED_CALLERS 16
+
+/* Guards against 401 for a key that was just added, at an instance that has the
+ * confirmation of the newer configuration but does not route by it yet. */
+static void test_added_key(fixture_t *f, gconstpointer data)
+{
+	char ids[ADDED_CALLERS][32];
+	rig_reply_t replies[ADDED_CALLERS] = { 0 };
+	uint32_t unknown = 0;
+	uint32_t served = 0;
+	int64_t until_us;
+
+	(void)data;
+	f->rig.store_unresponsive = true;
+	platform_rig_run(&f->rig, 2500);
+	expect_status(f, 0, "/book/1", "Bearer k9", 503);
+	set_accounts(f, "[{\"name\":\"acme\",\"apiKeys\":[\"k1\",\"k9\"]}]");
+	f->rig.store_unresponsive = false;
+	until_us = bsh_loop_clock_us() + 15 * SECOND_US;
+	for (uint32_t i = 0; served < ADDED_CALLERS; i++) {
+		uint32_t at = i % ADDED_CALLERS;
+		rig_reply_t *reply = &replies[at];
+		rig_request_t request = { .address =
+						  f->rig.entries[i % 2].front,
+					  .path = "/look/1",
+					  .id = ids[at],
+					  .deadline_ms = DEADLINE_MS,
+					  .authorization = "Bearer k9" };
+
+		if (i >= ADDED_CALLERS) {
+			platform_rig_wait(&f->rig, &reply->done);
+			unknown += reply->status == 401;
+			served += reply->status == 200;
+			platform_rig_reply_clear(reply);
+			g_assert_true(bsh_loop_clock_us() < until_us);
+		}
+		g_snprintf(ids[at], sizeof(ids[at]), "added-%u", f->sent++);
+		platform_rig_start(&f->rig, &request, reply);
+	}
+	for (uint32_t i = 0; i < ADDED_CALLERS; i++)
+		platform_rig_reply_clear(&replies[i]);
+	g_test_message("requests=%u unknown=%u", f->sent, unknown);
+	g_assert_cmpuint(unknown, ==, 0);
+}
+
 #define STRICT "[accounts]\nrevoke_ms=" REVOKE_MS "\n"
 #define SLACK  "[accounts]\nlimit_slack=200\n"
 #define ADD(path, settings, fn)                                                \
@@ -702,6 +762,8 @@
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/accounts/access", test_access);
 	g_test_add_func("/accounts/proof", test_proof);
+	g_test_add_func("/accounts/confirmation-of-newer",
+			test_confirmation_of_newer);
 	g_test_add_func("/accounts/refused", test_refused_accounts);
 	g_test_add_func("/accounts/shared-configuration",
 			test_shared_configuration);
@@ -718,6 +780,7 @@
 	ADD("told-by-others", STRICT, test_told_by_others);
 	ADD("limit", SLACK, test_limit);
 	ADD("limit-alone", SLACK, test_limit_alone);
+	ADD("added-key", NULL, test_added_key);
 	ADD("given-back", SLACK, test_given_back);
 	ADD("passed-on-without-key", NULL, test_passed_on_without_key);
 	ADD("moved-while-waiting", SLACK, test_moved_while_waiting);
