--- a/bshentryd/accounts.c
+++ b/bshentryd/accounts.c
@@ -38,6 +38,7 @@
 	account_limits_init(&t->account_limits,
 			    t->entry->settings.accounts_limit_slack);
 	bsh_fair_order_init(&t->fair_order);
+	bsh_confirmation_init(&t->config_confirmation);
 	bsh_loop_timer_init(&t->accounts_timer, t->loop, report, t);
 	bsh_loop_timer_after(&t->accounts_timer, 0);
 }
@@ -69,11 +70,6 @@
 	return now.tv_sec * INT64_C(1000000) + now.tv_nsec / 1000;
 }
 
-static int64_t load_us(const int64_t *value)
-{
-	return __atomic_load_n(value, __ATOMIC_RELAXED);
-}
-
 static void set_account(request_t *r, const bsh_account_rule_t *account)
 {
 	r->account[0] = '\0';
@@ -106,14 +102,30 @@
 	const freshness_t *freshness = &t->entry->freshness;
 	int64_t proven_us =
 		__atomic_load_n(&freshness->config_proof_us, __ATOMIC_ACQUIRE);
-	uint64_t version = __atomic_load_n(&freshness->config_proof_version,
-					   __ATOMIC_RELAXED);
+	uint64_t version =
+		__atomic_load_n(&freshness->config_version, __ATOMIC_RELAXED);
 
 	if (version <= t->view->catalog->version)
 		t->config_proof_us = proven_us;
 	return t->config_proof_us;
 }
 
+/* When the configuration of the view was last confirmed.  The moment of a newer one
+ * is published before its view: it does not make a key unknown that only the newer
+ * one has. */
+static int64_t confirmed_us(traffic_t *t)
+{
+	const freshness_t *freshness = &t->entry->freshness;
+	int64_t at_us =
+		__atomic_load_n(&freshness->config_us, __ATOMIC_ACQUIRE);
+	uint64_t version =
+		__atomic_load_n(&freshness->config_version, __ATOMIC_RELAXED);
+
+	bsh_confirmation_follow(&t->config_confirmation,
+				t->view->catalog->version, version, at_us);
+	return t->config_confirmation.confirmed_us;
+}
+
 /* Whether the route is anonymous in the configuration in force: a request that
  * runs, or whose answer has begun, keeps the route of an earlier one. */
 static bool is_anonymous(const request_t *r)
@@ -133,15 +145,25 @@
 	return r->traffic->view->catalog->accounts != NULL && !is_anonymous(r);
 }
 
+/* Whether the request was passed on without a digest of a key as the
+ * configuration of that instance, an earlier one, may have no accounts.  Its caller
+ * may have sent a key: what it sent is not used, as a key is not to travel between
+ * instances. */
+static bool is_key_omitted(const request_t *r)
+{
+	return r->from_peer && !r->info.has_key &&
+	       r->peer_version < r->traffic->view->catalog->version;
+}
+
 static bsh_access_t decide(const request_t *r, bool key_needed, bool key_known,
 			   int64_t proven_us)
 {
-	const traffic_t *t = r->traffic;
+	traffic_t *t = r->traffic;
 	bsh_access_input_t input = {
 		.needs_key = key_needed,
 		.key_known = key_known,
-		.confirmed_age_us = traffic_now_us(t) -
-				    load_us(&t->entry->freshness.config_us),
+		.key_omitted = is_key_omitted(r),
+		.confirmed_age_us = traffic_now_us(t) - confirmed_us(t),
 		.arrived_us = r->arrived_boot_us,
 		.proven_us = proven_us,
 		.bound_us =
@@ -170,16 +192,6 @@
 	return decide(r, key_needed, account != NULL, *proven_us);
 }
 
-bsh_access_t accounts_check(request_t *r)
-{
-	int64_t proven_us;
-	bsh_access_t access = check(r, &proven_us);
-
-	if (access != BSH_ACCESS_GRANTED)
-		note_refusal(r, access, proven_us);
-	return access;
-}
-
 bool accounts_are_unchanged(request_t *r)
 {
 	bool has_accounts = r->has_accounts;
@@ -192,35 +204,43 @@
 	       strcmp(r->account, account) == 0;
 }
 
-/* The account whose limit counts a request that arrives; NULL: none. */
+/* The account whose limit counts the request, by the configuration in force;
+ * NULL: none. */
 static const bsh_account_rule_t *limited_account(const request_t *r)
 {
-	const bsh_accounts_t *accounts = r->catalog->accounts;
+	const bsh_accounts_t *accounts = r->traffic->view->catalog->accounts;
 	const bsh_account_rule_t *account;
 
 	/* The instance that read the request first has counted it. */
-	if (accounts == NULL || r->from_peer || r->route->anonymous ||
-	    !r->info.has_key)
+	if (accounts == NULL || r->from_peer || !r->info.has_key ||
+	    is_anonymous(r))
 		return NULL;
 	account = bsh_accounts_find_key(accounts, &r->info.key);
 	return account != NULL && account->rate_per_s > 0 ? account : NULL;
 }
 
-bool accounts_admit(request_t *r, int64_t *retry_ms)
+/* Ends the charge of a request whose key is no longer of the account that it was
+ * charged to.  What may have run stays charged. */
+static void end_charge(request_t *r)
+{
+	if (r->charged > 0 && r->runs == 0 && !r->may_have_run &&
+	    !r->attempt->active)
+		account_limits_give_back(&r->traffic->account_limits,
+					 r->charged_account, r->charged);
+	r->charged = 0;
+	r->charged_account = 0;
+}
+
+static bool charge(request_t *r, const bsh_account_rule_t *account,
+		   int64_t *retry_ms)
 {
 	traffic_t *t = r->traffic;
-	const bsh_account_rule_t *account = limited_account(r);
 	uint32_t instances = t->view->instances;
 	int64_t now_us = accounts_now_us();
-	uint32_t cost;
+	uint32_t cost =
+		account_limits_cost(account, (uint64_t)r->info.prompt_tokens +
+						     r->info.answer_tokens);
 
-	*retry_ms = 0;
-	/* Requests without a limit go in the order of their arrival. */
-	r->fair_tag = t->fair_order.virtual_time;
-	if (account == NULL)
-		return true;
-	cost = account_limits_cost(account, (uint64_t)r->info.prompt_tokens +
-						    r->info.answer_tokens);
 	if (account_limits_admit(&t->account_limits, account, cost, instances,
 				 now_us)) {
 		r->charged = cost;
@@ -237,6 +257,40 @@
 	return false;
 }
 
+/* Charges the request to the account that its key is of now.  False if it exceeds
+ * the limit of that one. */
+static bool follow_key(request_t *r, int64_t *retry_ms)
+{
+	const bsh_account_rule_t *account = limited_account(r);
+
+	*retry_ms = 0;
+	if (r->charged_account == (account != NULL ? account->hash : 0))
+		return true;
+	end_charge(r);
+	/* Requests without a limit go in the order of their arrival. */
+	r->fair_tag = r->traffic->fair_order.virtual_time;
+	return account == NULL || charge(r, account, retry_ms);
+}
+
+bool accounts_admit(request_t *r, int64_t *retry_ms)
+{
+	r->fair_tag = r->traffic->fair_order.virtual_time;
+	return follow_key(r, retry_ms);
+}
+
+bsh_error_t accounts_check(request_t *r, int64_t *retry_ms)
+{
+	int64_t proven_us;
+	bsh_access_t access = check(r, &proven_us);
+
+	if (access == BSH_ACCESS_GRANTED)
+		return follow_key(r, retry_ms) ? BSH_OK : BSH_ERR_RATE_LIMITED;
+	note_refusal(r, access, proven_us);
+	*retry_ms = access == BSH_ACCESS_KEY_UNKNOWN ? -1 : RETRY_DEFAULT_MS;
+	return access == BSH_ACCESS_KEY_UNKNOWN ? BSH_ERR_KEY_UNKNOWN
+						: BSH_ERR_STALE_CONFIG;
+}
+
 void accounts_sent(const request_t *r)
 {
 	bsh_fair_order_sent(&r->traffic->fair_order, r->fair_tag);
--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -245,88 +245,6 @@
 	}
 }
 
-static uint32_t order_mb(const bsh_planner_t *planner, const bsh_order_t *order)
-{
-	const bsh_model_rule_t *model =
-		bsh_planner_model(planner, order->model);
-
-	if (!order->load || model == NULL)
-		return 0;
-	return order->adapter != 0 ? model->adapter_mb : model->weights_mb;
-}
-
-uint32_t planner_used_mb(const bsh_planner_t *planner,
-			 const planner_target_t *t, int64_t now_us)
-{
-	uint64_t used = 0;
-
-	for (uint32_t i = 0; i < t->held.n; i++) {
-		const bsh_holding_t *item = &t->held.items[i];
-		const bsh_model_rule_t *model =
-			bsh_planner_model(planner, item->model);
-
-		/* The model had left the configuration before this process
-		 * knew it. */
-		if (model == NULL)
-			return UINT32_MAX;
-		used += item->adapter != 0 ? model->adapter_mb
-					   : model->weights_mb;
-	}
-	if (t->has_order &&
-	    !bsh_holdings_has(&t->held, t->order.model, t->order.adapter))
-		used += order_mb(planner, &t->order);
-	if (now_us < t->reserved_until_us)
-		used += t->reserved_mb;
-	return (uint32_t)MIN(used, UINT32_MAX);
-}
-
-uint32_t planner_used_slots(const planner_target_t *t, int64_t now_us)
-{
-	uint32_t used = 0;
-
-	for (uint32_t i = 0; i < t->held.n; i++)
-		used += t->held.items[i].adapter != 0;
-	if (t->has_order && t->order.load && t->order.adapter != 0 &&
-	    !bsh_holdings_has(&t->held, t->order.model, t->order.adapter))
-		used++;
-	if (now_us < t->reserved_until_us)
-		used += t->reserved_adapters;
-	return used;
-}
-
-bool planner_needs_store(const planner_target_t *t, uint32_t model)
-{
-	return !bsh_copies_in_memory(&t->target.copies, model) &&
-	       !bsh_copies_on_disk(&t->target.copies, model);
-}
-
-uint32_t planner_store_loads(const bsh_planner_t *planner)
-{
-	uint32_t n = 0;
-
-	for (guint i = 0; i < planner->targets->len; i++) {
-		const planner_target_t *t =
-			g_ptr_array_index(planner->targets, i);
-
-		if (t->has_order && t->order.load && t->order.adapter == 0)
-			n += t->from_store;
-		else if (t->planned_load != 0)
-			n += t->planned_from_store;
-	}
-	return n;
-}
-
-uint32_t planner_store_load_ms(const bsh_planner_t *planner, uint32_t load_ms,
-			       uint32_t n)
-{
-	return (uint32_t)(load_ms * MAX(n / planner->store_concurrency, 1.0));
-}
-
-uint32_t planner_store_limit(const bsh_planner_t *planner)
-{
-	return (uint32_t)MAX(planner->store_concurrency, 1.0);
-}
-
 static uint32_t elapsed_ms(const planner_target_t *t, int64_t now_us)
 {
 	return (uint32_t)(MAX(now_us - t->state_us, 0) / 1000);
@@ -411,7 +329,7 @@
 		t->unacked_mb = 0;
 		t->unacked_adapters = 0;
 	}
-	t->unacked_mb += order_mb(planner, &t->order);
+	t->unacked_mb += planner_order_mb(planner, &t->order);
 	t->unacked_adapters += t->order.load && t->order.adapter != 0;
 	t->unacked_until_us = now_us + BSH_PLANNER_ORDER_DELAY_MAX_US;
 }
@@ -453,6 +371,7 @@
 		t->down = false;
 		t->held = t->target.holdings;
 		t->usable = t->held;
+		t->unverified.n = 0;
 		set_state(t, PLANNER_UNCERTAIN, 0);
 	}
 }
@@ -463,6 +382,7 @@
 	reserve_unacked(planner, t, now_us);
 	t->target = *target;
 	t->held = target->holdings;
+	t->unverified.n = 0;
 	t->unloading = 0;
 	t->orders = 0;
 	t->suspected = false;
@@ -830,6 +750,7 @@
 			       int64_t now_us)
 {
 	planner_target_t *t = find(planner, id);
+	uint32_t absent;
 
 	if (t == NULL)
 		return;
@@ -841,6 +762,14 @@
 		t->planned_load = 0;
 		publish(planner, t);
 	}
+	absent = report != NULL && !is_other_process(t, report)
+			 ? planner_verify_absent(t, report)
+			 : 0;
+	/* A load that failed has ended; a busy target may still load. */
+	if (absent > 0) {
+		planner->stats.failed_loads += report->busy ? 0 : absent;
+		set_state(t, PLANNER_UNCERTAIN, now_us);
+	}
 	/* In the other states the planner's own data is newer than a report. */
 	if (report == NULL ||
 	    (t->state != PLANNER_UNCERTAIN && t->state != PLANNER_WORKING))
@@ -855,6 +784,7 @@
 	t->reported = true;
 	t->orders = report->orders;
 	t->held = report->holdings;
+	t->unverified.n = 0;
 	/* A target reports a model that it unloads until the requests that
 	 * use it have ended. */
 	if (report->busy && report->orders == t->unloading_orders)
@@ -893,6 +823,8 @@
 
 static void advance(bsh_planner_t *planner, planner_target_t *t, int64_t now_us)
 {
+	bool verify;
+
 	if (t->state == PLANNER_WITHDRAWN &&
 	    now_us >= t->state_us + WITHDRAWAL_DELAY_US) {
 		if (!send_order(planner, t, now_us))
@@ -903,15 +835,20 @@
 		if (t->order.load)
 			bsh_holdings_add(&t->held, t->order.model,
 					 t->order.adapter);
+		if (t->order.load && t->order.adapter == 0)
+			planner_verify_add(t, t->order.model, now_us);
 		finish_order(planner, t, now_us);
 		publish(planner, t);
 		return;
 	}
 	if (t->state == PLANNER_WORKING && t->order.load && t->from_store)
 		lower_store_concurrency(planner, t, now_us);
-	if ((t->state == PLANNER_UNCERTAIN || t->state == PLANNER_WORKING) &&
+	verify = planner_verify_is_due(planner, t, now_us);
+	if ((verify || t->state == PLANNER_UNCERTAIN ||
+	     t->state == PLANNER_WORKING) &&
 	    !t->report_pending && now_us >= t->next_report_us) {
 		t->report_pending = true;
+		t->verifying = verify;
 		planner->ops.report(planner->ctx, &t->target);
 	}
 }
--- a/regress/test_accounts.c
+++ b/regress/test_accounts.c
@@ -6,6 +6,7 @@
 
 #include "coordination/account_access.h"
 #include "coordination/config_proof.h"
+#include "coordination/confirmation.h"
 #include "platform/decode.h"
 #include "platform/target_client.h"
 #include "protocol/relay_mark.h"
@@ -27,6 +28,9 @@
 		{ { .needs_key = true }, BSH_ACCESS_KEY_UNKNOWN },
 		{ { .needs_key = true, .confirmed_age_us = 3 * SECOND_US },
 		  BSH_ACCESS_UNCONFIRMED },
+		/* Passed on by a configuration that may have had no accounts. */
+		{ { .needs_key = true, .key_omitted = true },
+		  BSH_ACCESS_UNCONFIRMED },
 		{ { .needs_key = true,
 		    .key_known = true,
 		    .confirmed_age_us = 60 * SECOND_US },
@@ -89,6 +93,20 @@
 			now_us + 2 * SECOND_US);
 }
 
+/* Guards against a confirmation of a newer configuration that counts for the one in
+ * force before it. */
+static void test_confirmation_of_newer(void)
+{
+	bsh_confirmation_t confirmation;
+
+	bsh_confirmation_init(&confirmation);
+	bsh_confirmation_follow(&confirmation, 5, 5, 10 * SECOND_US);
+	bsh_confirmation_follow(&confirmation, 5, 6, 20 * SECOND_US);
+	g_assert_cmpint(confirmation.confirmed_us, ==, 10 * SECOND_US);
+	bsh_confirmation_follow(&confirmation, 6, 6, 20 * SECOND_US);
+	g_assert_cmpint(confirmation.confirmed_us, ==, 20 * SECOND_US);
+}
+
 #define CONFIGURATION(accounts)                                                \
 	"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":" accounts "}"
 
@@ -158,6 +176,35 @@
 	free(text);
 }
 
+/* Guards against requests without a number of tokens that a limit in tokens does
+ * not count, as the account names no number for them, or none above 0. */
+static void test_plain_tokens(void)
+{
+	static const char *const names[] = { "absent", "zero", "named" };
+	static const uint32_t expected[] = { 1, 1, 200 };
+	g_autoptr(GString) problem = g_string_new(NULL);
+	json_t *spec = json_loads(
+		CONFIGURATION("[{\"name\":\"absent\",\"unit\":\"tokens\"},"
+			      "{\"name\":\"zero\",\"unit\":\"tokens\","
+			      "\"plainTokens\":0},"
+			      "{\"name\":\"named\",\"unit\":\"tokens\","
+			      "\"plainTokens\":200}]"),
+		0, NULL);
+	bsh_catalog_t *catalog =
+		platform_decode_catalog(spec, platform_rig_key, problem);
+
+	g_assert_nonnull(catalog);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		const bsh_account_rule_t *account =
+			bsh_accounts_at(catalog->accounts, i);
+
+		g_assert_cmpstr(account->name, ==, names[i]);
+		g_assert_cmpuint(account->plain_tokens, ==, expected[i]);
+	}
+	bsh_catalog_unref(catalog);
+	json_decref(spec);
+}
+
 static bool has_name(const GPtrArray *headers, const char *name)
 {
 	for (guint i = 0; i + 1 < headers->len; i++)
@@ -509,6 +556,200 @@
 	expect_status(f, 0, "/book/1", "Bearer k1", 200);
 }
 
+/* Status of a call that an instance has accepted by this version and passed on,
+ * with what its caller sent but without a digest of the key. */
+static int passed_on_status(fixture_t *f, uint64_t version)
+{
+	g_autofree char *text = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+	g_autofree char *id = g_strdup_printf("passed-%u", f->sent++);
+	bsh_relay_mark_t mark = { id, "POST", "/book/1", 0, NULL };
+	char mark_text[BSH_RELAY_MARK_SIZE];
+	rig_request_t request = { .address = f->rig.entries[0].front,
+				  .path = mark.path,
+				  .id = id,
+				  .deadline_ms = DEADLINE_MS,
+				  .authorization = "Bearer k1",
+				  .relay_mark = mark_text,
+				  .relay_version = text };
+	rig_reply_t reply;
+	int status;
+
+	bsh_relay_mark_encode(platform_rig_key, &mark, mark_text,
+			      sizeof(mark_text));
+	platform_rig_start(&f->rig, &request, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	status = reply.status;
+	g_assert_cmpuint(platform_rig_runs(&f->rig, id), ==, 0);
+	platform_rig_reply_clear(&reply);
+	return status;
+}
+
+/* Guards against a final refusal of a key that the instance that passes a request
+ * on does not send, as its configuration has no accounts yet.  By the same
+ * version as here, the caller has sent none. */
+static void test_passed_on_without_key(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	g_assert_cmpint(passed_on_status(f, f->rig.version - 1), ==, 503);
+	g_assert_cmpint(passed_on_status(f, f->rig.version), ==, 401);
+}
+
+/* Value of a metric of an instance, with its labels. */
+static int64_t metric(fixture_t *f, uint32_t entry, const char *name)
+{
+	g_autofree char *start = g_strdup_printf("\n%s ", name);
+	rig_reply_t reply;
+	const char *line;
+	int64_t value = -1;
+
+	platform_rig_send(&f->rig, f->rig.entries[entry].metrics, "/metrics",
+			  "m", NULL, 1000, &reply);
+	platform_rig_wait(&f->rig, &reply.done);
+	line = strstr(reply.body, start);
+	if (line != NULL)
+		value = g_ascii_strtoll(line + strlen(start), NULL, 10);
+	platform_rig_reply_clear(&reply);
+	return value;
+}
+
+#define MOVING_LIMITS(acme_keys, zinc_keys, zinc_cost)                         \
+	"[{\"name\":\"acme\",\"apiKeys\":[" acme_keys "],"                     \
+	"\"unit\":\"tokens\",\"plainTokens\":10,\"ratePerS\":1000,"            \
+	"\"burst\":1000},{\"name\":\"zinc\",\"apiKeys\":[" zinc_keys "],"      \
+	"\"unit\":\"tokens\",\"plainTokens\":" zinc_cost ","                   \
+	"\"ratePerS\":1,\"burst\":1}]"
+
+static void set_accounts(fixture_t *f, const char *accounts)
+{
+	f->rig.accounts = accounts;
+	platform_rig_configure(&f->rig, OPEN_ROUTE);
+}
+
+/* Sends a request with the key k1 that waits for a model, and puts these accounts
+ * in force meanwhile. */
+static void send_and_set_accounts(fixture_t *f, const char *accounts,
+				  rig_reply_t *reply)
+{
+	rig_request_t request = { .address = f->rig.entries[0].front,
+				  .path = "/stream/1",
+				  .id = "moved",
+				  .model = "m0",
+				  .deadline_ms = DEADLINE_MS,
+				  .authorization = "Bearer k1" };
+
+	platform_rig_start(&f->rig, &request, reply);
+	platform_rig_run(&f->rig, 300);
+	g_assert_false(reply->done);
+	set_accounts(f, accounts);
+	platform_rig_wait(&f->rig, &reply->done);
+}
+
+/* Guards against a request that counts for the account that had its key when it
+ * came, and is sent for another one. */
+static void test_moved_while_waiting(fixture_t *f, gconstpointer data)
+{
+	static const char *const names[] = { "admitted", "given_back" };
+	static const char *const accounts[] = { "acme", "zinc" };
+	rig_reply_t reply;
+
+	(void)data;
+	set_accounts(f, MOVING_LIMITS("\"k1\"", "\"k2\"", "10"));
+	platform_rig_run(&f->rig, 1000);
+	send_and_set_accounts(f, MOVING_LIMITS("\"k3\"", "\"k1\",\"k2\"", "10"),
+			      &reply);
+	g_assert_cmpint(reply.status, ==, 503);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(accounts); j++) {
+			g_autofree char *name = g_strdup_printf(
+				"bsh_account_%s_total{account=\"%s\"}",
+				names[i], accounts[j]);
+
+			g_assert_cmpint(metric(f, 0, name), ==, 10);
+		}
+	platform_rig_reply_clear(&reply);
+}
+
+/* Guards against a request of an account beyond its limit that is sent as it was
+ * admitted for another one.  A request counts more than an instance that hears no
+ * keeper would admit. */
+static void test_moved_beyond_limit(fixture_t *f, gconstpointer data)
+{
+	rig_reply_t reply;
+
+	(void)data;
+	set_accounts(f, MOVING_LIMITS("\"k1\"", "\"k2\"", "200"));
+	platform_rig_run(&f->rig, 1000);
+	while (call_status(f, 0, "/book/1", "Bearer k2") == 200)
+		platform_rig_run(&f->rig, 10);
+	send_and_set_accounts(
+		f, MOVING_LIMITS("\"k3\"", "\"k1\",\"k2\"", "200"), &reply);
+	g_assert_cmpint(reply.status, ==, 429);
+	g_assert_nonnull(reply.retry_after);
+	g_assert_cmpuint(platform_rig_runs(&f->rig, "moved"), ==, 0);
+	platform_rig_reply_clear(&reply);
+}
+
+/* Guards against a document that cannot be used and that takes the certainty that
+ * keys were not removed for granted, and against a loss of anonymous routes. */
+static void test_unusable_configuration(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	expect_account(f, "Bearer k1", "acme");
+	set_accounts(f, "{}");
+	platform_rig_run(&f->rig, 2000);
+	for (uint32_t i = 0; i < 2; i++)
+		expect_status(f, i, "/book/1", "Bearer k1", 503);
+	expect_status(f, 0, "/open/1", NULL, 200);
+	set_accounts(f, "[{\"name\":\"acme\",\"apiKeys\":[\"k1\"]}]");
+	platform_rig_run(&f->rig, 1000);
+	expect_account(f, "Bearer k1", "acme");
+}
+
+#define ADDED_CALLERS 16
+
+/* Guards against 401 for a key that was just added, at an instance that has the
+ * confirmation of the newer configuration but does not route by it yet. */
+static void test_added_key(fixture_t *f, gconstpointer data)
+{
+	char ids[ADDED_CALLERS][32];
+	rig_reply_t replies[ADDED_CALLERS] = { 0 };
+	uint32_t unknown = 0;
+	uint32_t served = 0;
+	int64_t until_us;
+
+	(void)data;
+	f->rig.store_unresponsive = true;
+	platform_rig_run(&f->rig, 2500);
+	expect_status(f, 0, "/book/1", "Bearer k9", 503);
+	set_accounts(f, "[{\"name\":\"acme\",\"apiKeys\":[\"k1\",\"k9\"]}]");
+	f->rig.store_unresponsive = false;
+	until_us = bsh_loop_clock_us() + 15 * SECOND_US;
+	for (uint32_t i = 0; served < ADDED_CALLERS; i++) {
+		uint32_t at = i % ADDED_CALLERS;
+		rig_reply_t *reply = &replies[at];
+		rig_request_t request = { .address =
+						  f->rig.entries[i % 2].front,
+					  .path = "/look/1",
+					  .id = ids[at],
+					  .deadline_ms = DEADLINE_MS,
+					  .authorization = "Bearer k9" };
+
+		if (i >= ADDED_CALLERS) {
+			platform_rig_wait(&f->rig, &reply->done);
+			unknown += reply->status == 401;
+			served += reply->status == 200;
+			platform_rig_reply_clear(reply);
+			g_assert_true(bsh_loop_clock_us() < until_us);
+		}
+		g_snprintf(ids[at], sizeof(ids[at]), "added-%u", f->sent++);
+		platform_rig_start(&f->rig, &request, reply);
+	}
+	for (uint32_t i = 0; i < ADDED_CALLERS; i++)
+		platform_rig_reply_clear(&replies[i]);
+	g_test_message("requests=%u unknown=%u", f->sent, unknown);
+	g_assert_cmpuint(unknown, ==, 0);
+}
+
 #define STRICT "[accounts]\nrevoke_ms=" REVOKE_MS "\n"
 #define SLACK  "[accounts]\nlimit_slack=200\n"
 #define ADD(path, settings, fn)                                                \
@@ -521,9 +762,12 @@
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/accounts/access", test_access);
 	g_test_add_func("/accounts/proof", test_proof);
+	g_test_add_func("/accounts/confirmation-of-newer",
+			test_confirmation_of_newer);
 	g_test_add_func("/accounts/refused", test_refused_accounts);
 	g_test_add_func("/accounts/shared-configuration",
 			test_shared_configuration);
+	g_test_add_func("/accounts/plain-tokens", test_plain_tokens);
 	g_test_add_func("/accounts/headers", test_headers);
 	g_test_add_func("/accounts/mark", test_mark);
 	ADD("keys", NULL, test_keys);
@@ -532,9 +776,14 @@
 	ADD("closed-while-running", NULL, test_closed_while_running);
 	ADD("out-of-touch", STRICT, test_out_of_touch);
 	ADD("frozen", STRICT, test_frozen);
+	ADD("unusable-configuration", STRICT, test_unusable_configuration);
 	ADD("told-by-others", STRICT, test_told_by_others);
 	ADD("limit", SLACK, test_limit);
 	ADD("limit-alone", SLACK, test_limit_alone);
+	ADD("added-key", NULL, test_added_key);
 	ADD("given-back", SLACK, test_given_back);
+	ADD("passed-on-without-key", NULL, test_passed_on_without_key);
+	ADD("moved-while-waiting", SLACK, test_moved_while_waiting);
+	ADD("moved-beyond-limit", SLACK, test_moved_beyond_limit);
 	return g_test_run();
 }
