lease: a lease is left to larger instances for a second

No orders, and no keeper of account limits, for 9 s: 726 requests of all accounts got 429.

Cause: the larger instances, which have shorter delays, learned of the last renewal only as they tried to take the lease, and waited for its term anew. The small one had just started and had read the object 0.8 s earlier, more than the difference of the delays.

An instance's object in the store states its CPU share now. While a larger instance is alive, another waits 1 s longer, also after a release. test_lease fails without it.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -286,6 +286,8 @@
 /* Calls fn for each instance that may be running: this one, those alive or
  * suspected, and those registered in the store; some are named twice. */
 void peers_foreach_known(const peers_t *peers, peers_name_fn_t fn, void *ctx);
+/* True if an instance with a larger CPU share, by the store, is alive. */
+bool peers_has_larger(const peers_t *peers);
 /* Sends one datagram, without acknowledgement; drops it if the instance's
  * address is not known. */
 void peers_send(peers_t *peers, const char *instance,
--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -21,6 +21,8 @@
 
 /* Interval at which the voters that this instance would name are chosen. */
 #define VOTERS_INTERVAL_US INT64_C(500000)
+/* Interval at which larger instances are looked for. */
+#define YIELDS_INTERVAL_US INT64_C(250000)
 /* Time for which the choice must not change before it is named: instances are
  * discovered one after the other, and each change needs the voters of the one
  * before for some time. */
@@ -436,6 +438,18 @@
 		bsh_lease_set_candidates(&orders->lease, &voters);
 }
 
+/* Leaves the lease to larger instances, which can carry the holder's messages. */
+static void update_yields(orders_t *orders)
+{
+	int64_t now = now_us(orders);
+
+	if (now - orders->yields_us < YIELDS_INTERVAL_US)
+		return;
+	orders->yields_us = now;
+	bsh_lease_set_yields(&orders->lease,
+			     peers_has_larger(orders->control->peers));
+}
+
 static void call_lease(orders_t *orders)
 {
 	platform_store_t *store = &orders->control->store;
@@ -709,6 +723,7 @@
 void order_lease_tick(orders_t *orders)
 {
 	choose_candidates(orders);
+	update_yields(orders);
 	call_lease(orders);
 	update_quorum(orders);
 	hand_over_if_cut_off(orders);
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -48,6 +48,7 @@
 	bsh_voters_t next_voters;    /* the last choice */
 	int64_t next_voters_us;	     /* since when it has not changed */
 	int64_t voters_us;	     /* last choice of the voters; 0: none */
+	int64_t yields_us;	     /* last look for larger instances */
 	uint64_t echo_term;	     /* of the holder's newest message */
 	uint64_t echo_us;	     /* sent_us of it, the holder's clock */
 	int64_t echo_received_us;    /* when it was received */
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -18,8 +18,10 @@
 	bsh_loop_timer_t timer;
 	bsh_loop_timer_t register_timer;
 	uint64_t object_revision; /* of the object of this instance; 0: none */
-	GHashTable *registered_names; /* instances that the store lists */
-	bool registering;	      /* a call to the store is pending */
+	/* Instances that the store lists, to their CPU shares in thousandths; 0:
+	 * not known, of an earlier version. */
+	GHashTable *registered_names;
+	bool registering; /* a call to the store is pending */
 	bool registered;
 	bool leaving;
 };
@@ -182,15 +184,22 @@
 
 /* Registration and discovery through objects in the store. */
 
+static uint32_t own_cpu_milli(const peers_t *peers)
+{
+	return (uint32_t)(1000 *
+			  peers->control->entry->settings.entry_cpu_share);
+}
+
 static json_t *own_spec(const peers_t *peers)
 {
 	const entry_t *entry = peers->control->entry;
 
-	return json_pack("{s:s, s:s, s:s, s:I}", "gossip",
+	return json_pack("{s:s, s:s, s:s, s:I, s:I}", "gossip",
 			 entry->settings.control_gossip, "entry",
 			 entry->settings.router_listen, "zone",
 			 entry->settings.zone, "incarnation",
-			 (json_int_t)entry->incarnation);
+			 (json_int_t)entry->incarnation, "cpu_milli",
+			 (json_int_t)own_cpu_milli(peers));
 }
 
 static void on_unregistered(void *ctx, const platform_answer_t *answer)
@@ -301,8 +310,10 @@
 	if (object->deleted)
 		g_hash_table_remove(peers->registered_names, object->name);
 	else
-		g_hash_table_add(peers->registered_names,
-				 g_strdup(object->name));
+		g_hash_table_replace(
+			peers->registered_names, g_strdup(object->name),
+			GUINT_TO_POINTER((guint)json_integer_value(
+				json_object_get(object->spec, "cpu_milli"))));
 	if (strcmp(object->name, peers->control->entry->settings.instance) == 0)
 		return;
 	/* An instance deletes its object when it stops; whether it is alive is
@@ -472,6 +483,27 @@
 		fn(ctx, name);
 }
 
+bool peers_has_larger(const peers_t *peers)
+{
+	uint32_t own_milli = own_cpu_milli(peers);
+	GHashTableIter iter;
+	void *name;
+	void *milli;
+
+	g_hash_table_iter_init(&iter, peers->registered_names);
+	while (g_hash_table_iter_next(&iter, &name, &milli)) {
+		const bsh_member_t *member =
+			GPOINTER_TO_UINT(milli) > own_milli
+				? bsh_members_find(peers->members, name)
+				: NULL;
+
+		if (member != NULL && member->state == BSH_MEMBER_ALIVE &&
+		    !member->leaving)
+			return true;
+	}
+	return false;
+}
+
 /* A lost datagram is made up for by the protocol of its message type. */
 void peers_send(peers_t *peers, const char *instance,
 		const bsh_message_t *message)
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -77,6 +77,11 @@
 	lease->released_delay_us = delay_us;
 }
 
+void bsh_lease_set_yields(bsh_lease_t *lease, bool yields)
+{
+	lease->yields = yields;
+}
+
 static int64_t renewal_validity_us(const bsh_lease_t *lease)
 {
 	return lease->lease_us * BSH_LEASE_VALID_PERCENT / 100;
@@ -281,7 +286,9 @@
 
 static bool may_take_over(const bsh_lease_t *lease, int64_t now_us)
 {
-	int64_t age_us = now_us - lease->observed_us - lease->jitter_us;
+	int64_t yield_us = lease->yields ? BSH_LEASE_YIELD_US : 0;
+	int64_t age_us =
+		now_us - lease->observed_us - lease->jitter_us - yield_us;
 	bool holder_timed_out =
 		now_us - lease->announced_us >= HOLDER_TIMEOUT_US;
 	bool store_reachable = lease->store_reachable_since_us > 0 &&
@@ -289,9 +296,10 @@
 				       STORE_REACHABLE_MIN_US;
 
 	if (lease->holder[0] == '\0')
-		return now_us - lease->observed_us >= lease->released_delay_us;
+		return now_us - lease->observed_us >=
+		       lease->released_delay_us + yield_us;
 	if (strcmp(lease->holder, lease->self) == 0)
-		return age_us >= 0;
+		return age_us + yield_us >= 0;
 	if (holder_timed_out)
 		return age_us >= lease->lease_us * TAKEOVER_PERCENT / 100;
 	return store_reachable && age_us >= lease->lease_us;
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -91,6 +91,8 @@
 /* Time after a change of the voters for which the former ones are needed too:
  * longer than the age of a copy from which the store is restored. */
 #define BSH_LEASE_FORMER_VOTERS_US INT64_C(30000000)
+/* Time for which the lease is left to larger instances. */
+#define BSH_LEASE_YIELD_US INT64_C(1000000)
 /* Covers the delivery delay of an order and the error of timers. */
 #define BSH_LEASE_MARGIN_US INT64_C(400000)
 
@@ -165,6 +167,7 @@
 	bool releasing;
 	uint32_t jitter_us;	    /* takeover delay of this instance */
 	uint32_t released_delay_us; /* the same after a release */
+	bool yields;		    /* a larger instance is alive */
 } bsh_lease_t;
 
 /*
@@ -185,6 +188,11 @@
 		    uint32_t jitter_us, int64_t now_us);
 /* bsh_lease_set_released_delay - 0 until it is set. */
 void bsh_lease_set_released_delay(bsh_lease_t *lease, uint32_t delay_us);
+/* bsh_lease_set_yields - whether a larger instance is alive: the lease of another
+ * instance is taken BSH_LEASE_YIELD_US later then.  A small one that had read the
+ * object earlier than the larger ones took the lease of a frozen holder, and its
+ * link could not carry the holder's messages. */
+void bsh_lease_set_yields(bsh_lease_t *lease, bool yields);
 
 /*
  * bsh_lease_next - the store call to make now.
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -239,6 +239,33 @@
 		}
 }
 
+/* Guards against a small instance that takes the lease of a holder that is silent,
+ * or a released one, while a larger one is alive. */
+static void test_yields_to_larger(void)
+{
+	for (int released = 0; released < 2; released++) {
+		int64_t due_us[2] = { 0 };
+
+		for (int yields = 0; yields < 2; yields++) {
+			bsh_lease_t lease;
+			int64_t now_us = SECOND;
+
+			bsh_lease_init(&lease, "entry-2", LEASE_MS, 0, 0);
+			bsh_lease_announced(&lease, "entry-1", true, 10, 1000);
+			if (released)
+				bsh_lease_released(&lease, "entry-1", true,
+						   true, 10, SECOND);
+			bsh_lease_set_yields(&lease, yields);
+			while (bsh_lease_next(&lease, now_us) ==
+				       BSH_LEASE_NOTHING &&
+			       now_us < 9 * SECOND)
+				now_us += FLEET_TICK_US;
+			due_us[yields] = now_us;
+		}
+		g_assert_cmpint(due_us[1] - due_us[0], ==, BSH_LEASE_YIELD_US);
+	}
+}
+
 /* Makes lease a holder that renewed at 1 ms and has no former holder. */
 static void acquire_lease(bsh_lease_t *lease)
 {
@@ -1722,6 +1749,7 @@
 	g_test_add_func("/lease/restart-during-wait", test_restart_during_wait);
 	g_test_add_func("/lease/release", test_released_lease_is_acquired);
 	g_test_add_func("/lease/larger-first", test_larger_instances_first);
+	g_test_add_func("/lease/yields-to-larger", test_yields_to_larger);
 	g_test_add_func("/lease/larger-first-after-release",
 			test_larger_instances_first_after_release);
 	g_test_add_func("/lease/majority-extends", test_majority_extends);
