planner: find targets by a table

Cause: a target was found by comparing its id with all others, for each target each time that the holder publishes its view, and at each list of the store: 4.5 million comparisons at 3,000 targets.

--- a/lib/coordination/planner.c
+++ b/lib/coordination/planner.c
@@ -59,6 +59,7 @@
 	planner->ops = *ops;
 	planner->ctx = ctx;
 	planner->targets = g_ptr_array_new_with_free_func(g_free);
+	planner->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	planner->deferred = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 						  NULL, g_free);
 	planner->departed =
@@ -76,6 +77,7 @@
 	g_hash_table_destroy(planner->deferred);
 	g_hash_table_destroy(planner->departed);
 	g_hash_table_destroy(planner->former);
+	g_hash_table_destroy(planner->by_id);
 	g_ptr_array_free(planner->targets, TRUE);
 	bsh_catalog_unref(planner->catalog);
 	g_free(planner);
@@ -194,13 +196,7 @@
 
 static planner_target_t *find(const bsh_planner_t *planner, const char *id)
 {
-	for (guint i = 0; i < planner->targets->len; i++) {
-		planner_target_t *t = g_ptr_array_index(planner->targets, i);
-
-		if (strcmp(t->target.id, id) == 0)
-			return t;
-	}
-	return NULL;
+	return g_hash_table_lookup(planner->by_id, id);
 }
 
 bool planner_serves(const planner_target_t *t, uint32_t model, uint32_t adapter)
@@ -481,6 +477,7 @@
 		take_reservation(planner, t);
 		set_state(t, PLANNER_UNCERTAIN, now_us);
 		g_ptr_array_add(planner->targets, t);
+		g_hash_table_insert(planner->by_id, t->target.id, t);
 		return;
 	}
 	if (target->started_ms != t->target.started_ms ||
@@ -517,6 +514,7 @@
 	if (t == NULL)
 		return;
 	keep_reservation(planner, t, now_us);
+	g_hash_table_remove(planner->by_id, id);
 	g_ptr_array_remove_fast(planner->targets, t);
 }
 
--- a/lib/coordination/planner_private.h
+++ b/lib/coordination/planner_private.h
@@ -96,6 +96,7 @@
 	GHashTable *former;    /* hash to the last bsh_model_rule_t of a model
 				* that has left, or had more adapters */
 	GPtrArray *targets;    /* planner_target_t */
+	GHashTable *by_id;     /* the same; keys are their ids */
 	GHashTable *deferred;  /* load_key to its earliest order time */
 	GHashTable *departed;  /* target id to planner_reservation_t */
 	GHashTable *demand;    /* key to planner_demand_t */
