lease: the last renewal of a silent holder is read at once

Cause: the others have not heard of that revision. They learn it as they try to take the lease, two thirds of the lease time after the last announcement, and wait for as long again.

Instances that no larger one precedes read the object 0.8 s after the last announcement, once. They take the lease two thirds of its time after that announcement, if the revision is still the one that was read a second earlier: a holder that is only not heard renews twice a second, and the update of the successor conflicts. When the successor may order does not change.

/lease/unannounced-renewal fails without it (4.2 s). A successor's second look in /lease/successor-of-extended-term is the read now, and the check that it does not take the lease follows it.

--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -9,6 +9,11 @@
 /* A holder sends announcements several times a second; one that has sent none
  * for this time is down, partitioned or slow. */
 #define HOLDER_TIMEOUT_US INT64_C(1200000)
+/* After this long without an announcement the object is read, once: a holder that
+ * ended as its renewal was carried out has announced an earlier revision, and its
+ * successors waited for its term twice.  It has not renewed the lease again within
+ * two intervals of renewals after that. */
+#define SILENT_READ_US INT64_C(800000)
 /* Share of the lease time after which the lease of a timed-out holder is taken
  * over: short pauses end earlier, and the new holder waits for the last order
  * of the former one in any case. */
@@ -284,11 +289,35 @@
 	return call;
 }
 
+/* Whether the revision that the silent holder may have written last is to be read:
+ * by the instances that try first. */
+static bool may_read_silent(const bsh_lease_t *lease, int64_t now_us)
+{
+	return !lease->yields && lease->holder[0] != '\0' &&
+	       strcmp(lease->holder, lease->self) != 0 &&
+	       lease->announced_us > 0 &&
+	       lease->silent_read_us < lease->announced_us &&
+	       now_us - lease->announced_us >=
+		       SILENT_READ_US + lease->jitter_us;
+}
+
+/* When the holder was last known to be active. */
+static int64_t active_us(const bsh_lease_t *lease)
+{
+	int64_t wait_us = lease->lease_us * TAKEOVER_PERCENT / 100;
+	int64_t renewals_us = 2 * lease->lease_us / RENEWALS_PER_LEASE;
+
+	if (lease->revision != lease->silent_revision)
+		return lease->observed_us;
+	return MAX(lease->announced_us,
+		   lease->observed_us - (wait_us - renewals_us));
+}
+
 static bool may_take_over(const bsh_lease_t *lease, int64_t now_us)
 {
 	int64_t yield_us = lease->yields ? BSH_LEASE_YIELD_US : 0;
 	int64_t age_us =
-		now_us - lease->observed_us - lease->jitter_us - yield_us;
+		now_us - active_us(lease) - lease->jitter_us - yield_us;
 	bool holder_timed_out =
 		now_us - lease->announced_us >= HOLDER_TIMEOUT_US;
 	bool store_reachable = lease->store_reachable_since_us > 0 &&
@@ -338,6 +367,10 @@
 		return BSH_LEASE_NOTHING;
 	if (!lease->known)
 		return begin_call(lease, BSH_LEASE_CREATE, now_us);
+	if (may_read_silent(lease, now_us)) {
+		lease->silent_read_us = now_us;
+		return begin_call(lease, BSH_LEASE_READ, now_us);
+	}
 	if (!may_take_over(lease, now_us))
 		return BSH_LEASE_NOTHING;
 	/* The voters of the object are kept.  A release message may have had no
@@ -390,6 +423,14 @@
 	acquire(lease, revision, now_us);
 }
 
+static void read_succeeded(bsh_lease_t *lease, const char *holder, bool active,
+			   uint64_t revision, int64_t now_us)
+{
+	observe_read_revision(lease, holder, active, revision, now_us);
+	if (lease->silent_read_us == lease->call_began_us)
+		lease->silent_revision = revision;
+}
+
 void bsh_lease_done(bsh_lease_t *lease, bsh_lease_result_t result,
 		    const char *holder, bool active, uint64_t revision,
 		    int64_t now_us)
@@ -403,8 +444,7 @@
 		if (call != BSH_LEASE_READ)
 			update_succeeded(lease, revision, now_us);
 		else if (holder != NULL)
-			observe_read_revision(lease, holder, active, revision,
-					      now_us);
+			read_succeeded(lease, holder, active, revision, now_us);
 		/* The object that was read is older than the known revision. */
 		if (call == BSH_LEASE_READ && !lease->holding &&
 		    !lease->voters_known)
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -168,6 +168,8 @@
 	uint32_t jitter_us;	    /* takeover delay of this instance */
 	uint32_t released_delay_us; /* the same after a release */
 	bool yields;		    /* a larger instance is alive */
+	int64_t silent_read_us;	    /* last read as the holder was silent */
+	uint64_t silent_revision;   /* that it showed; 0: none */
 } bsh_lease_t;
 
 /*
