announce: keep what a term that ends has not announced

Found by reading: targets that waited for the next announcement as the term ended were dropped, and a later term of this instance counted them as announced (TERM_BASE), so that the others kept their former state. They are announced at the begin of that term now.

Old entries are dropped once a second instead of at each change: with 3,000 targets a start looked at each of them for each other one. The table is taken before it is walked, as queueing a target may note it again.

--- a/bshentryd/announce.c
+++ b/bshentryd/announce.c
@@ -37,7 +37,8 @@
 #define BASE_REPORTS_US INT64_C(400000)
 /* The holder has announced a change that is older than this, or its term is over
  * in less. */
-#define UNANNOUNCED_US INT64_C(10000000)
+#define UNANNOUNCED_US	   INT64_C(10000000)
+#define FORGET_INTERVAL_US INT64_C(1000000)
 
 /* One announcement, as kept for retransmission. */
 typedef struct {
@@ -61,8 +62,9 @@
 	/* Id of a target to the time of its last change here that the holder of
 	 * the lease has not announced. */
 	GHashTable *unannounced;
-	int64_t term_us; /* begin of the own term */
-	int64_t base_us; /* first TERM_BASE of it; 0: none yet */
+	int64_t forgot_us; /* when older ones were last dropped from it */
+	int64_t term_us;   /* begin of the own term */
+	int64_t base_us;   /* first TERM_BASE of it; 0: none yet */
 	bsh_announced_base_t base;
 	bsh_announced_base_t own; /* end of the last own term */
 };
@@ -79,6 +81,12 @@
 
 static void send_pending(void *ctx);
 
+/* A table from names to times. */
+static GHashTable *new_times(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
 announcer_t *announcer_new(control_t *control)
 {
 	announcer_t *announcer = g_new0(announcer_t, 1);
@@ -87,12 +95,10 @@
 	announcer->pending = g_ptr_array_new_with_free_func(g_free);
 	bsh_loop_timer_init(&announcer->timer, control->loop, send_pending,
 			    announcer);
-	announcer->retransmitted_us =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	announcer->retransmitted_us = new_times();
 	announcer->changes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	announcer->unannounced =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	announcer->unannounced = new_times();
 	announcer->list_datagrams = LIST_DATAGRAMS_PER_S;
 	return announcer;
 }
@@ -118,6 +124,7 @@
 {
 	int64_t now_us = bsh_loop_clock_us();
 
+	announcer->forgot_us = now_us;
 	g_hash_table_foreach_remove(announcer->unannounced, is_announced,
 				    &now_us);
 }
@@ -129,7 +136,9 @@
 	*changed_us = bsh_loop_clock_us();
 	g_hash_table_replace(announcer->unannounced, g_strdup(target),
 			     changed_us);
-	forget_announced(announcer);
+	/* At a start all targets are noted at a time. */
+	if (*changed_us - announcer->forgot_us > FORGET_INTERVAL_US)
+		forget_announced(announcer);
 }
 
 void announcer_note_announced(announcer_t *announcer, const char *target)
@@ -142,14 +151,16 @@
  * not have. */
 static void queue_unannounced(announcer_t *announcer)
 {
+	GHashTable *targets = announcer->unannounced;
 	GHashTableIter iter;
 	void *target;
 
 	forget_announced(announcer);
-	g_hash_table_iter_init(&iter, announcer->unannounced);
+	announcer->unannounced = new_times();
+	g_hash_table_iter_init(&iter, targets);
 	while (g_hash_table_iter_next(&iter, &target, NULL))
 		announcer_queue_target(announcer, target);
-	g_hash_table_remove_all(announcer->unannounced);
+	g_hash_table_destroy(targets);
 }
 
 void announcer_begin_term(announcer_t *announcer)
@@ -338,6 +349,15 @@
 		   announcer->last, NULL, 0);
 }
 
+/* The term has ended before these were announced. */
+static void drop_pending(announcer_t *announcer)
+{
+	for (guint i = 0; i < announcer->pending->len; i++)
+		note_unannounced(announcer,
+				 g_ptr_array_index(announcer->pending, i));
+	g_ptr_array_set_size(announcer->pending, 0);
+}
+
 static void send_pending(void *ctx)
 {
 	announcer_t *announcer = ctx;
@@ -347,7 +367,7 @@
 	uint32_t sent = 0;
 
 	if (!orders_is_holder(announcer->control->orders))
-		g_ptr_array_set_size(announcer->pending, 0);
+		drop_pending(announcer);
 	do {
 		if (announcer->pending->len == 0)
 			return;
