--- a/lib/coordination/account_limit.h
+++ b/lib/coordination/account_limit.h
@@ -47,11 +47,11 @@
 #define BSH_ACCOUNT_SHARE_MAX_AGE_US INT64_C(1000000)
 /* An instance that has not reported for longer is silent. */
 #define BSH_ACCOUNT_SILENT_US INT64_C(1500000)
+/* Both are at least this number of reports, as one may be lost. */
+#define BSH_ACCOUNT_REPORTS_MISSED 2.5
 /* A process whose use no keeper knows says so for this time after its begin.  It
  * learns the keeper within about a second, and a report may be lost. */
 #define BSH_ACCOUNT_NEW_US INT64_C(3000000)
-/* The first two are at least this number of reports, as one may be lost. */
-#define BSH_ACCOUNT_REPORTS_MISSED 2.5
 
 typedef struct {
 	double rate_per_s; /* 0: no limit */
