announced: announcements before the base of a term count

Cause: an instance counts the announcements of a new term only from the message on that names the base of the holder's list (TERM_BASE), which comes after the holder has read the store. Those that came before it were taken as lost.

They are kept as received now if none is missing among them, and count once the base is known. /announced/announcements-before-base fails without this.

Until now the first orders of a term came seconds after the base, except after a handover.

--- a/lib/coordination/announced.c
+++ b/lib/coordination/announced.c
@@ -14,6 +14,7 @@
 	announced->first = current ? 0 : from;
 	announced->last = 0;
 	announced->highest = 0;
+	announced->early_through = 0;
 }
 
 void bsh_announced_note(bsh_announced_t *announced, uint64_t term,
@@ -29,6 +30,9 @@
 	announced->highest = MAX(announced->highest, to);
 	if (from <= announced->through)
 		announced->through = MAX(announced->through, to);
+	else if (announced->through == 0 &&
+		 from <= MAX(announced->early_through, BSH_ANNOUNCED_BEGIN))
+		announced->early_through = MAX(announced->early_through, to);
 }
 
 void bsh_announced_note_state(bsh_announced_t *announced, uint64_t term,
@@ -58,7 +62,8 @@
 	    base->term == 0 || announced->former_term != base->term ||
 	    announced->former_through < base->number)
 		return false;
-	announced->through = BSH_ANNOUNCED_BEGIN;
+	announced->through =
+		MAX(announced->early_through, BSH_ANNOUNCED_BEGIN);
 	return true;
 }
 
@@ -67,6 +72,7 @@
 	if (announced->through == 0)
 		return;
 	announced->through = 0;
+	announced->early_through = 0;
 	announced->former_term = 0;
 }
 
--- a/lib/coordination/announced.h
+++ b/lib/coordination/announced.h
@@ -36,6 +36,9 @@
 	uint64_t first;	  /* sent before the first message of the term that was
 			   * received; 0: a list of the store that is read after
 			   * that has been taken for it already */
+	/* All from BSH_ANNOUNCED_BEGIN up to this number have been received, while
+	 * what the list is based on is not known; 0: none. */
+	uint64_t early_through;
 	/* Of the term before: 0: all of them were not received. */
 	uint64_t former_term;
 	uint64_t former_through;
--- a/regress/test_announced.c
+++ b/regress/test_announced.c
@@ -39,6 +39,28 @@
 	g_assert_true(bsh_announced_is_complete(&announced));
 }
 
+/* Guards against announcements of the new term that count as lost, as they came
+ * before the base of its list: all instances read the store after a holder that
+ * gave orders at once. */
+static void test_announcements_before_base(void)
+{
+	bsh_announced_t announced = received_through(5);
+
+	bsh_announced_note(&announced, 2, 1, 2, true, false);
+	bsh_announced_note(&announced, 2, 2, 5, true, false);
+	g_assert_false(bsh_announced_is_complete(&announced));
+	g_assert_true(bsh_announced_note_base(&announced, 2, &first_term));
+	g_assert_true(bsh_announced_is_complete(&announced));
+	g_assert_cmpuint(announced.through, ==, 5);
+
+	announced = received_through(5);
+	bsh_announced_note(&announced, 2, 2, 4, true, false);
+	bsh_announced_note(&announced, 2, 4, 5, true, false);
+	g_assert_true(bsh_announced_note_base(&announced, 2, &first_term));
+	g_assert_false(bsh_announced_is_complete(&announced));
+	g_assert_cmpuint(announced.through, ==, BSH_ANNOUNCED_BEGIN);
+}
+
 /* Guards against an old list that counts as that of the new holder. */
 static void test_list_is_needed(void)
 {
@@ -182,6 +204,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/announced/no-list-after-handover",
 			test_no_list_after_handover);
+	g_test_add_func("/announced/announcements-before-base",
+			test_announcements_before_base);
 	g_test_add_func("/announced/list-is-needed", test_list_is_needed);
 	g_test_add_func("/announced/base-has-later-states",
 			test_base_has_later_states);
