targets: a removal that is told again is applied

Cause: since a new holder sends no whole lists, but the targets that its own list has and the announcements of the former term may lack. The first message that names a removed target came while the store was the instance's source, so that it had no effect, but it was remembered as the newest state of that target; the same message, retransmitted, was dropped as old.

It is applied now, as it changes nothing where the target is gone already.

--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -395,7 +395,13 @@
 
 	if (tombstone != NULL &&
 	    (term < tombstone->term ||
-	     (term == tombstone->term && entry->number <= tombstone->number)))
+	     (term == tombstone->term && entry->number < tombstone->number)))
+		return false;
+	/* That it is gone may be told again: the first message has no effect
+	 * while the store is the source. */
+	if (tombstone != NULL && term == tombstone->term &&
+	    entry->number == tombstone->number &&
+	    entry->state != BSH_TARGET_GONE)
 		return false;
 	if (entry->state == BSH_TARGET_GONE) {
 		tombstone = g_new0(tombstone_t, 1);
