orders: a write-ahead log of orders at the voters

After the holder of the order lease was killed or froze, no target was ordered for 5.7 to 6.7 s: its successor did not know its last orders, and waited until the last possible one was a lease time old.

A holder sends the targets of its next orders to the voters of the lease first, and each order once a majority has acknowledged its entry, for 0.2 s. The lease object says so. A successor asks the voters, which accept no more entries of earlier terms after that: the answers of a majority name each target that the former holder may have ordered. It waits for those alone. Where the voters do not answer, orders are given as before once the object no longer says so.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -187,6 +187,10 @@
 	} else if (message->type == BSH_MSG_RELEASE_KEYS) {
 		orders_receive_release_keys(control->orders, message->sender,
 					    &message->release_keys);
+	} else if (message->type >= BSH_MSG_ORDER_LOG &&
+		   message->type <= BSH_MSG_ORDER_LOG_LIST) {
+		logged_orders_receive(control->orders, message->sender,
+				      message);
 	} else if (message->type == BSH_MSG_LOAD) {
 		loads_receive(control->loads, message->sender, &message->load);
 	} else if (message->type == BSH_MSG_UNREACHABLE) {
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -344,6 +344,10 @@
 /* Handles RELEASE_KEYS: its list of recent orders, by keys. */
 void orders_receive_release_keys(orders_t *orders, const char *sender,
 				 const bsh_msg_release_keys_t *release);
+/* logged_orders.c: handle ORDER_LOG, ORDER_LOG_ACK, ORDER_LOG_QUERY and
+ * ORDER_LOG_LIST. */
+void logged_orders_receive(orders_t *orders, const char *sender,
+			   const bsh_message_t *message);
 /* Lets the lease holder send the whole list: it may differ from what this
  * instance has learned elsewhere. */
 void orders_request_list(orders_t *orders);
--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -95,27 +95,23 @@
 	return BSH_LEASE_UNKNOWN;
 }
 
-/* Time after an order during which no other holder may order its target. */
-static int64_t order_exclusion_us(const orders_t *orders)
+int64_t order_lease_exclusion_us(const orders_t *orders)
 {
 	return orders->lease.lease_us + BSH_LEASE_MARGIN_US;
 }
 
-/* Gives the target no order until the exclusion time of the former holder's
- * order is over.  The order is also listed when this instance releases the
- * lease. */
-static void exclude_target(const orders_t *orders, uint32_t key,
-			   int64_t ordered_us)
+void order_lease_exclude_target(const orders_t *orders, uint32_t key,
+				int64_t ordered_us)
 {
 	record_order_time(orders, key, ordered_us);
 	for (guint i = 0; i < orders->services->len; i++) {
 		const service_t *service =
 			g_ptr_array_index(orders->services, i);
 
-		bsh_planner_defer_orders(service->planner, key,
-					 ordered_us +
-						 order_exclusion_us(orders),
-					 now_us(orders));
+		bsh_planner_defer_orders(
+			service->planner, key,
+			ordered_us + order_lease_exclusion_us(orders),
+			now_us(orders));
 	}
 }
 
@@ -132,7 +128,7 @@
 	g_hash_table_iter_init(&iter, orders->ordered);
 	while (g_hash_table_iter_next(&iter, &key, &ordered)) {
 		if (now_us(orders) - ((const ordered_t *)ordered)->last_us <
-		    order_exclusion_us(orders))
+		    order_lease_exclusion_us(orders))
 			fn(ctx, GPOINTER_TO_UINT(key), ordered);
 		else
 			g_hash_table_iter_remove(&iter);
@@ -151,6 +147,14 @@
 	++*(uint32_t *)ctx;
 }
 
+uint32_t order_lease_count_recent(const orders_t *orders)
+{
+	uint32_t n = 0;
+
+	foreach_ordered(orders, count_ordered, &n);
+	return n;
+}
+
 static void add_key(void *ctx, uint32_t key, const ordered_t *ordered)
 {
 	bsh_order_time_t entry = { key, ordered->last_us };
@@ -208,10 +212,10 @@
 {
 	const deferral_t *deferral = ctx;
 
-	bsh_planner_defer_orders(deferral->service->planner, key,
-				 ordered->last_us +
-					 order_exclusion_us(deferral->orders),
-				 now_us(deferral->orders));
+	bsh_planner_defer_orders(
+		deferral->service->planner, key,
+		ordered->last_us + order_lease_exclusion_us(deferral->orders),
+		now_us(deferral->orders));
 }
 
 void order_lease_defer_recent(const orders_t *orders, const service_t *service)
@@ -251,8 +255,9 @@
 			key = bsh_target_key(target);
 		else if (!decode_key(target, &key))
 			return false;
-		exclude_target(orders, key,
-			       now_us(orders) - 1000 * json_integer_value(age));
+		order_lease_exclude_target(
+			orders, key,
+			now_us(orders) - 1000 * json_integer_value(age));
 	}
 	return true;
 }
@@ -337,8 +342,13 @@
 	if (holder != NULL &&
 	    is_from_before_restore(answer->objects[0].spec, revision))
 		bsh_lease_set_restored(&orders->lease, revision);
-	if (holder != NULL)
+	if (holder != NULL) {
 		read_voters(orders, answer->objects[0].spec, revision);
+		bsh_lease_set_logged(
+			&orders->lease, revision,
+			json_is_true(json_object_get(answer->objects[0].spec,
+						     "logged")));
+	}
 	if (holder != NULL && holder[0] == '\0' &&
 	    exclude_listed_targets(orders, answer->objects[0].spec))
 		bsh_lease_set_has_order_list(&orders->lease, revision);
@@ -396,6 +406,8 @@
 			  encode_voters(&orders->lease.voters), "former_voters",
 			  encode_voters(&orders->lease.former_voters));
 
+	if (orders->lease.update_logged)
+		json_object_set_new(spec, "logged", json_true());
 	if (orders->lease.releasing &&
 	    bsh_lease_is_order_list_complete(&orders->lease, now_us(orders)))
 		add_order_list(orders, spec);
@@ -572,14 +584,14 @@
 {
 	int64_t store_age_us =
 		bsh_loop_clock_us() - orders->control->store.answered_us;
-	uint32_t listed = 0;
+	uint32_t listed;
 	bsh_handover_t step;
 
 	if (!bsh_lease_is_holder(&orders->lease, now_us(orders))) {
 		set_withholds(orders, false, 0);
 		return;
 	}
-	foreach_ordered(orders, count_ordered, &listed);
+	listed = order_lease_count_recent(orders);
 	step = bsh_lease_handover_step(&orders->lease, store_age_us,
 				       now_us(orders) - orders->peer_reached_us,
 				       orders->withholds, listed,
@@ -635,6 +647,7 @@
 	}
 	orders->release_sends = 0;
 	g_strlcpy(orders->holder, orders->lease.self, sizeof(orders->holder));
+	logged_orders_begin_term(orders);
 	announcer_begin_term(orders->control->announcer);
 	for (guint i = 0; i < orders->services->len; i++) {
 		const service_t *service =
@@ -652,7 +665,7 @@
 				now_us(orders)))
 		return;
 	for (uint32_t i = 0; i < release->ordered_count; i++)
-		exclude_target(
+		order_lease_exclude_target(
 			orders, bsh_target_key(release->ordered[i].target),
 			now_us(orders) -
 				1000 * (int64_t)release->ordered[i].age_ms);
@@ -674,7 +687,8 @@
 		const bsh_order_time_t *order =
 			&g_array_index(list, bsh_order_time_t, i);
 
-		exclude_target(orders, order->key, order->ordered_us);
+		order_lease_exclude_target(orders, order->key,
+					   order->ordered_us);
 	}
 	bsh_promise_end(&orders->promise, release->term, now_us(orders));
 	orders->holder_contact_us = 0;
@@ -728,6 +742,7 @@
 	update_quorum(orders);
 	hand_over_if_cut_off(orders);
 	update_term(orders);
+	logged_orders_read_former(orders);
 	if (orders->release_sends > 0)
 		send_release(orders);
 }
--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -22,16 +22,6 @@
  * an entry that is left out is reported once requests wait for it too. */
 #define DEMAND_ENTRIES_MAX 40U
 
-/* A pending order to a target, or a pending request for its report. */
-typedef struct {
-	orders_t *orders;
-	char *service;
-	char *target;
-	char *description; /* of the order, for the log; NULL: a report */
-	uint64_t expected; /* orders that the target has accepted before */
-	int64_t started_us;
-} order_call_t;
-
 static bsh_counter_t order_results[] = {
 	BSH_COUNTER_LABELS("bsh_orders_total", "Orders to targets by result.",
 			   "result=\"accepted\""),
@@ -119,6 +109,9 @@
 	g_free(call->service);
 	g_free(call->target);
 	g_free(call->description);
+	g_free(call->address);
+	g_free(call->model);
+	g_free(call->adapter);
 	g_free(call);
 }
 
@@ -176,12 +169,42 @@
 			       adapter[0] != '\0' ? "/" : "", adapter);
 }
 
-static bool may_order(const orders_t *orders)
+bool orders_may_order(const orders_t *orders)
 {
 	return bsh_lease_may_order(&orders->lease, now_us(orders)) &&
 	       !orders->withholds;
 }
 
+void orders_send_call(order_call_t *call)
+{
+	orders_t *orders = call->orders;
+	platform_order_t request = {
+		.address = call->address,
+		.target = call->target,
+		.load = call->load,
+		.model = call->model,
+		.adapter = call->adapter,
+		.expected = call->expected,
+		.holder = orders->control->entry->settings.instance,
+		.fence = orders->lease.term,
+	};
+
+	order_lease_record_order(orders, call->target);
+	platform_target_order(orders->control->client, &request,
+			      on_order_result, call);
+}
+
+void orders_drop_call(order_call_t *call)
+{
+	orders_t *orders = call->orders;
+	service_t *service = find_service(orders, call->service);
+
+	if (service != NULL)
+		bsh_planner_order_result(service->planner, call->target,
+					 BSH_ORDER_NOT_SENT, now_us(orders));
+	free_call(call);
+}
+
 static bool send_order(void *ctx, const bsh_target_t *target,
 		       const bsh_order_t *order)
 {
@@ -189,20 +212,12 @@
 	orders_t *orders = service->orders;
 	const bsh_model_rule_t *model =
 		bsh_planner_model(service->planner, order->model);
-	platform_order_t request = {
-		.address = target->address,
-		.target = target->id,
-		.load = order->load,
-		.expected = order->expected,
-		.holder = orders->control->entry->settings.instance,
-		.fence = orders->lease.term,
-	};
 	char adapter[BSH_ADAPTER_NAME_SIZE] = "";
 	order_call_t *call;
 
 	/* A report that arrives after a release would repeat an unanswered
 	 * order. */
-	if (!may_order(orders))
+	if (!orders_may_order(orders))
 		return false;
 	/* Without its adapter the order would be one for the model. */
 	if (model == NULL ||
@@ -216,16 +231,24 @@
 			order->adapter);
 		return false;
 	}
-	request.model = model->name;
-	if (order->adapter != 0)
-		request.adapter = adapter;
 	call = new_call(service, target);
+	call->address = g_strdup(target->address);
+	call->load = order->load;
+	call->model = g_strdup(model->name);
+	call->adapter = order->adapter != 0 ? g_strdup(adapter) : NULL;
 	call->expected = order->expected;
 	call->description = describe_order(order, model, adapter);
-	order_lease_record_order(orders, target->id);
-	platform_target_order(orders->control->client, &request,
-			      on_order_result, call);
-	return true;
+	switch (logged_orders_add(orders, call)) {
+	case LOGGED_ORDERS_SEND:
+		orders_send_call(call);
+		return true;
+	case LOGGED_ORDERS_QUEUED:
+		return true;
+	case LOGGED_ORDERS_FULL:
+		break;
+	}
+	free_call(call);
+	return false;
 }
 
 static void on_order_done(void *ctx, const bsh_target_t *target,
@@ -263,6 +286,7 @@
 		bsh_planner_report_result(service->planner, call->target,
 					  report, now_us(orders));
 	free_call(call);
+	logged_orders_flush(orders);
 }
 
 static void request_report(void *ctx, const bsh_target_t *target)
@@ -387,12 +411,15 @@
 	bsh_lease_set_store_reachable(
 		&orders->lease, targets_is_synced(orders->control->targets),
 		now);
+	logged_orders_update_lease(orders);
 	order_lease_tick(orders);
 	holder_list_choose_source(orders);
-	if (!bsh_lease_is_holder(&orders->lease, now))
+	if (!bsh_lease_is_holder(&orders->lease, now)) {
+		logged_orders_flush(orders);
 		return;
+	}
 	orders->holder_seen_us = now;
-	if (may_order(orders)) {
+	if (orders_may_order(orders)) {
 		for (guint i = 0; i < orders->services->len; i++) {
 			const service_t *service =
 				g_ptr_array_index(orders->services, i);
@@ -401,6 +428,7 @@
 		}
 		update_ready_estimates(orders);
 	}
+	logged_orders_flush(orders);
 	if (now - orders->heartbeat_us >= HEARTBEAT_INTERVAL_US) {
 		update_orders_given(orders);
 		orders->heartbeat_us = now;
@@ -437,6 +465,7 @@
 	orders->ordered = order_lease_new_times();
 	orders->released = g_array_new(FALSE, FALSE, sizeof(bsh_order_time_t));
 	bsh_order_list_init(&orders->received);
+	logged_orders_init(orders);
 	bsh_candidates_init(&orders->candidates);
 	bsh_quorum_init(&orders->quorum);
 	bsh_promise_init(&orders->promise, now_us(orders));
@@ -461,6 +490,7 @@
 	g_hash_table_destroy(orders->ordered);
 	g_array_free(orders->released, TRUE);
 	bsh_order_list_finish(&orders->received);
+	logged_orders_finish(orders);
 	bsh_candidates_finish(&orders->candidates);
 	bsh_quorum_finish(&orders->quorum);
 	g_free(orders);
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -9,6 +9,8 @@
  *	orders.c	planners, their orders, demand and placements
  *	order_lease.c	the lease that permits orders: its store object, the
  *			quorum that extends it, release and handover
+ *	logged_orders.c	orders that wait for their entry in the log of the
+ *			voters, and the log of the former holder
  *
  * UNITS
  *	Names ending in _us are microseconds of CLOCK_BOOTTIME.
@@ -16,6 +18,7 @@
 
 #include "control.h"
 #include "coordination/order_list.h"
+#include "coordination/order_log.h"
 #include "coordination/quorum.h"
 
 /* Planner of one service with an engine. */
@@ -25,6 +28,21 @@
 	bsh_planner_t *planner;
 } service_t;
 
+/* A pending order to a target, or a pending request for its report. */
+typedef struct {
+	orders_t *orders;
+	char *service;
+	char *target;
+	char *description; /* of the order, for the log; NULL: a report */
+	char *address;
+	char *model;
+	char *adapter; /* NULL: the order is for the model */
+	bool load;
+	uint64_t expected;  /* orders that the target has accepted before */
+	int64_t written_us; /* time of its log entry */
+	int64_t started_us;
+} order_call_t;
+
 struct orders {
 	control_t *control;
 	bsh_lease_t lease;
@@ -67,6 +85,17 @@
 	bsh_announced_t announced; /* announcements of the holder */
 	int64_t gap_since_us;	   /* since when announcements are missing;
 				       * 0: none are */
+	bsh_order_log_t log;	   /* of this instance as a voter */
+	bsh_order_log_writer_t log_writer;
+	bsh_order_log_reader_t log_reader;
+	GPtrArray *logged;	/* order_call_t that wait for the voters */
+	bool log_due;		/* an entry was made since the last message */
+	bool must_log;		/* value that was last logged */
+	int64_t log_sent_us;	/* last message to the voters */
+	int64_t unlogged_us;	/* last order without an acknowledged entry */
+	int64_t log_query_us;	/* last question to the voters */
+	int64_t log_counted_us; /* when the targets were last counted */
+	bool log_wanted;	/* there have been enough targets */
 };
 
 static inline int64_t now_us(const orders_t *orders)
@@ -74,6 +103,30 @@
 	return control_now_us(orders->control);
 }
 
+/* orders.c */
+bool orders_may_order(const orders_t *orders);
+/* Sends an order, or tells its planner that it is not sent, and frees the call. */
+void orders_send_call(order_call_t *call);
+void orders_drop_call(order_call_t *call);
+
+/* logged_orders.c */
+void logged_orders_init(orders_t *orders);
+void logged_orders_finish(orders_t *orders);
+void logged_orders_begin_term(orders_t *orders);
+typedef enum {
+	LOGGED_ORDERS_SEND,   /* to be sent at once, without an entry */
+	LOGGED_ORDERS_QUEUED, /* sent once its entry is acknowledged */
+	LOGGED_ORDERS_FULL    /* cannot be sent now */
+} logged_orders_result_t;
+logged_orders_result_t logged_orders_add(orders_t *orders, order_call_t *call);
+/* Sends entries to the voters, and orders whose entries they have acknowledged. */
+void logged_orders_flush(orders_t *orders);
+/* Tells the lease whether its object may say that orders are logged. */
+void logged_orders_update_lease(orders_t *orders);
+/* Asks the voters for the entries of a former holder, while the first order waits
+ * for them. */
+void logged_orders_read_former(orders_t *orders);
+
 /* holder_list.c */
 /* Follows the store while announcements are missing, this instance reads it for
  * others, or no holder has been heard yet; the holder otherwise. */
@@ -89,6 +142,15 @@
 /* Gives targets of a new planner no order until the exclusion time of their last
  * order is over. */
 void order_lease_defer_recent(const orders_t *orders, const service_t *service);
+/* Time after an order during which no other holder may order its target. */
+int64_t order_lease_exclusion_us(const orders_t *orders);
+/* Number of targets that got an order, or may have, within that time. */
+uint32_t order_lease_count_recent(const orders_t *orders);
+/* Gives the target no order until the exclusion time of the former holder's
+ * order is over.  The order is also listed when this instance releases the
+ * lease. */
+void order_lease_exclude_target(const orders_t *orders, uint32_t key,
+				int64_t ordered_us);
 /* Notes that an order is sent to the target now. */
 void order_lease_record_order(const orders_t *orders, const char *target);
 
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -75,6 +75,8 @@
 	  1024, "cores", BSH_ROUND_NONE, "1" },
 	{ "entry", "order_start_ms", BSH_SETTING_UINT,
 	  FIELD(entry_order_start_ms), 0, 600000, "ms", BSH_ROUND_UP, "300" },
+	{ "entry", "order_log_targets", BSH_SETTING_UINT,
+	  FIELD(entry_order_log_targets), 0, 1000000, "", BSH_ROUND_DOWN, "0" },
 	{ "entry", "store_loads", BSH_SETTING_UINT, FIELD(entry_store_loads), 1,
 	  1000, "loads", BSH_ROUND_DOWN, "4" },
 	{ "entry", "seed_loads", BSH_SETTING_UINT, FIELD(entry_seed_loads), 0,
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -83,6 +83,9 @@
 	double entry_cpu_share;
 	/* Delay of the first attempt to take the order lease. */
 	uint32_t entry_order_start_ms;
+	/* Orders are logged at the voters of the order lease first, once there
+	 * are this many targets; 0: they are not. */
+	uint32_t entry_order_log_targets;
 	/* Bound of concurrent loads from the weight store. */
 	uint32_t entry_store_loads;
 	/* Bound of those loads that no request is waiting for. */
--- a/lib/coordination/announced.c
+++ b/lib/coordination/announced.c
@@ -62,8 +62,7 @@
 	    base->term == 0 || announced->former_term != base->term ||
 	    announced->former_through < base->number)
 		return false;
-	announced->through =
-		MAX(announced->early_through, BSH_ANNOUNCED_BEGIN);
+	announced->through = MAX(announced->early_through, BSH_ANNOUNCED_BEGIN);
 	return true;
 }
 
--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -127,6 +127,7 @@
 	if (lease->holding)
 		return;
 	lease->voters_known = true;
+	lease->logged = false;
 	lease->voters.n = 0;
 	lease->former_voters.n = 0;
 }
@@ -173,6 +174,25 @@
 	wait_for_extension(lease, renewed_us);
 }
 
+/* Records the wait for a holder whose orders may be logged, so that it ends once
+ * the log is read.  A holder that had not finished its own wait does not count:
+ * the orders of the one before it need not be logged. */
+static void wait_for_logged_holder(bsh_lease_t *lease)
+{
+	bool logged = lease->voters_known && lease->logged && lease->active;
+
+	/* A further try to replace one object adds nothing. */
+	if (!lease->former_logged || !logged ||
+	    lease->former_logged_revision != lease->revision) {
+		lease->unlogged_wait_until_us = lease->former_wait_until_us;
+		lease->unlogged_extended_wait_until_us =
+			lease->former_extended_wait_until_us;
+	}
+	lease->former_logged = logged;
+	lease->former_logged_revision = lease->revision;
+	wait_for_holder(lease, lease->observed_us);
+}
+
 /* Records when the last order of the former holder will be a lease time old.
  * This happens before the update is sent: its answer may be lost, and a later
  * read shows only that this instance holds the lease. */
@@ -189,17 +209,20 @@
 	if ((own || uncertain) && lease->term == 0)
 		lease->previous_process_until_us =
 			now_us + lease->lease_us + BSH_LEASE_MARGIN_US;
+	if (!released && !own && !uncertain) {
+		/* The renewal started before this revision was observed. */
+		wait_for_logged_holder(lease);
+		return;
+	}
+	/* An own update without an answer leaves the wait as recorded. */
+	if (!own || uncertain)
+		lease->former_logged = false;
 	if (uncertain) {
 		/* Any instance may have held the lease before the restore. */
 		wait_for_holder(lease, lease->known ? lease->observed_us
 						    : lease->store_restored_us);
 		return;
 	}
-	if (!released && !own) {
-		/* The renewal started before this revision was observed. */
-		wait_for_holder(lease, lease->observed_us);
-		return;
-	}
 	/* After a term of this instance, its holder had finished its own wait
 	 * or this process still has that wait recorded; after a release, the
 	 * holder had finished its wait and left an order list. */
@@ -286,6 +309,13 @@
 	lease->update_active =
 		lease->holding && now_us >= lease->first_order_us &&
 		(lease->releasing || now_us >= lease->inherited_list_until_us);
+	if (call != BSH_LEASE_READ) {
+		lease->update_logged =
+			lease->holding && !lease->releasing && lease->may_log &&
+			lease->voters.n >= BSH_LEASE_LOG_VOTERS_MIN;
+		/* The update may be carried out without an answer. */
+		lease->must_log = lease->must_log || lease->update_logged;
+	}
 	return call;
 }
 
@@ -355,7 +385,7 @@
 	if (lease->holding && now_us >= term_end_us(lease))
 		lease->holding = false;
 	if (lease->holding) {
-		if (lease->releasing ||
+		if (lease->releasing || (lease->must_log && !lease->may_log) ||
 		    now_us >= lease->renewed_us +
 				      lease->lease_us / RENEWALS_PER_LEASE)
 			return begin_call(lease, BSH_LEASE_REPLACE, now_us);
@@ -393,6 +423,7 @@
 		set_first_order(lease);
 		lease->term = revision;
 	}
+	lease->must_log = lease->update_logged;
 	lease->holding = true;
 	lease->own_voters = lease->voters;
 	lease->own_former_voters = lease->former_voters;
@@ -594,6 +625,41 @@
 	lease->former_voters = lease->own_former_voters;
 }
 
+void bsh_lease_set_logged(bsh_lease_t *lease, uint64_t revision, bool logged)
+{
+	if (lease->voters_known && lease->revision == revision &&
+	    !lease->holding)
+		lease->logged = logged;
+}
+
+void bsh_lease_set_may_log(bsh_lease_t *lease, bool may_log)
+{
+	lease->may_log = may_log;
+}
+
+bool bsh_lease_must_log(const bsh_lease_t *lease)
+{
+	return lease->must_log;
+}
+
+bool bsh_lease_awaits_log(const bsh_lease_t *lease, int64_t now_us)
+{
+	return lease->former_logged && bsh_lease_is_holder(lease, now_us) &&
+	       now_us < lease->first_order_us;
+}
+
+void bsh_lease_log_read(bsh_lease_t *lease, int64_t now_us)
+{
+	if (!bsh_lease_awaits_log(lease, now_us))
+		return;
+	lease->former_logged = false;
+	lease->former_wait_until_us =
+		MAX(lease->unlogged_wait_until_us, now_us);
+	lease->former_extended_wait_until_us =
+		lease->unlogged_extended_wait_until_us;
+	set_first_order(lease);
+}
+
 void bsh_lease_set_candidates(bsh_lease_t *lease,
 			      const bsh_voters_t *candidates)
 {
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -91,6 +91,9 @@
 /* Time after a change of the voters for which the former ones are needed too:
  * longer than the age of a copy from which the store is restored. */
 #define BSH_LEASE_FORMER_VOTERS_US INT64_C(30000000)
+/* Voters with which orders are logged: fewer have no majority without the
+ * holder. */
+#define BSH_LEASE_LOG_VOTERS_MIN 3U
 /* Time for which the lease is left to larger instances. */
 #define BSH_LEASE_YIELD_US INT64_C(1000000)
 /* Covers the delivery delay of an order and the error of timers. */
@@ -126,6 +129,7 @@
 	bool voters_known;   /* the next two are those of this revision */
 	bsh_voters_t voters;
 	bsh_voters_t former_voters; /* n == 0: no recent change */
+	bool logged;	      /* its holder logs all orders; if voters_known */
 	int64_t observed_us;  /* first observation of revision or release */
 	int64_t announced_us; /* last announcement received from the holder */
 	int64_t store_reachable_since_us; /* 0: the store does not answer */
@@ -148,6 +152,12 @@
 	 * time old, for a term without and with an extension. */
 	int64_t former_wait_until_us;
 	int64_t former_extended_wait_until_us;
+	/* The replaced object says that its holder logs all orders; the two
+	 * waits without that holder, and the revision replaced. */
+	bool former_logged;
+	int64_t unlogged_wait_until_us;
+	int64_t unlogged_extended_wait_until_us;
+	uint64_t former_logged_revision;
 	bsh_voters_t own_voters; /* of the last own object */
 	bsh_voters_t own_former_voters;
 	bool former_uncertain; /* the object that was replaced may have been
@@ -162,6 +172,10 @@
 	int64_t call_began_us;
 	int64_t next_call_us; /* earliest time of the next call */
 	bool update_active;   /* value of `active` in the pending update */
+	bool update_logged;   /* value of `logged` in the pending update */
+	bool may_log;	      /* all recent orders are logged, and a majority
+				 acknowledges entries */
+	bool must_log;	      /* an object of the own term may say so */
 	bool must_read;	      /* read before the next update: the result of
 				 the last one or the object is unknown */
 	bool releasing;
@@ -200,7 +214,8 @@
  * bsh_lease_next - the store call to make now.
  *
  * CREATE and REPLACE write lease->self as the holder, or an empty name while
- * lease->releasing, lease->update_active as `active`, and both sets of voters.
+ * lease->releasing, lease->update_active as `active`, lease->update_logged as
+ * `logged`, and both sets of voters.
  */
 bsh_lease_call_t bsh_lease_next(bsh_lease_t *lease, int64_t now_us);
 
@@ -284,6 +299,29 @@
 void bsh_lease_set_candidates(bsh_lease_t *lease,
 			      const bsh_voters_t *candidates);
 
+/* bsh_lease_set_logged - whether the object that was read at this revision says
+ * that its holder logs all orders (coordination/order_log.h). */
+void bsh_lease_set_logged(bsh_lease_t *lease, uint64_t revision, bool logged);
+
+/* bsh_lease_set_may_log - whether all orders that this instance has given within
+ * the exclusion time are logged and a majority acknowledges entries.  The lease
+ * object says so from the next update on; once it does, an update that revokes it
+ * is due at once. */
+void bsh_lease_set_may_log(bsh_lease_t *lease, bool may_log);
+
+/* bsh_lease_must_log - true if only logged orders may be given: the successor may
+ * rely on the log. */
+bool bsh_lease_must_log(const bsh_lease_t *lease);
+
+/* bsh_lease_awaits_log - true if the log of the former holder would shorten the
+ * wait before the first order. */
+bool bsh_lease_awaits_log(const bsh_lease_t *lease, int64_t now_us);
+
+/* bsh_lease_log_read - a majority of lease->voters, and of lease->former_voters
+ * if there are any, has told its entries and accepts no more of former terms: the
+ * orders of the former holder are known. */
+void bsh_lease_log_read(bsh_lease_t *lease, int64_t now_us);
+
 /* bsh_lease_set_restored - the object that was read at this revision was written
  * before the last restore of the store. */
 void bsh_lease_set_restored(bsh_lease_t *lease, uint64_t revision);
--- a/lib/protocol/message.h
+++ b/lib/protocol/message.h
@@ -76,6 +76,10 @@
 	BSH_MSG_ACCOUNT_USE,
 	BSH_MSG_ACCOUNT_SHARES,
 	BSH_MSG_RELEASE_KEYS,
+	BSH_MSG_ORDER_LOG,
+	BSH_MSG_ORDER_LOG_ACK,
+	BSH_MSG_ORDER_LOG_QUERY,
+	BSH_MSG_ORDER_LOG_LIST, /* body: release_keys */
 	BSH_MSG_TYPE_END
 } bsh_message_type_t;
 
@@ -382,6 +386,30 @@
 	uint32_t ages_bytes;
 } bsh_msg_release_keys_t;
 
+/*
+ * ORDER_LOG: the targets that the holder is about to order
+ * (coordination/order_log.h).  From the holder to each voter, which acknowledges
+ * it.
+ */
+typedef struct {
+	uint64_t term;
+	uint64_t sent_us;    /* the holder's clock */
+	const uint8_t *keys; /* bsh_target_key(), big-endian, 4 bytes each */
+	uint32_t keys_bytes;
+} bsh_msg_order_log_t;
+
+/*
+ * ORDER_LOG_ACK: from a voter to the holder, with the values of the ORDER_LOG.
+ * ORDER_LOG_QUERY: from a new holder to each voter, with its own clock.  The
+ * voter answers with ORDER_LOG_LIST, of the structure of RELEASE_KEYS: term is
+ * that of the query, revision its sent_us, and ages count from the receipt of
+ * the entries.
+ */
+typedef struct {
+	uint64_t term;
+	uint64_t sent_us;
+} bsh_msg_order_log_time_t;
+
 /* Targets in one INVENTORY, so that it fits a datagram. */
 #define BSH_INVENTORY_TARGETS_MAX 125
 
@@ -703,7 +731,9 @@
 		bsh_msg_demand_t demand;
 		bsh_msg_placement_t placement;
 		bsh_msg_release_t release;
-		bsh_msg_release_keys_t release_keys;
+		bsh_msg_release_keys_t release_keys; /* and ORDER_LOG_LIST */
+		bsh_msg_order_log_t order_log;
+		bsh_msg_order_log_time_t order_log_time; /* _ACK, _QUERY */
 		bsh_msg_load_t load;
 		bsh_msg_inventory_t inventory;
 		bsh_msg_unreachable_t unreachable;
--- a/lib/protocol/message_fields.c
+++ b/lib/protocol/message_fields.c
@@ -342,6 +342,17 @@
 	END
 };
 
+static const field_t order_log_fields[] = {
+	U64(bsh_msg_order_log_t, term), U64(bsh_msg_order_log_t, sent_us),
+	BLOB(bsh_msg_order_log_t, keys, keys_bytes, 4 * BSH_RELEASE_KEYS_MAX),
+	END
+};
+
+static const field_t order_log_time_fields[] = {
+	U64(bsh_msg_order_log_time_t, term),
+	U64(bsh_msg_order_log_time_t, sent_us), END
+};
+
 static const field_t reader_fields[] = {
 	U64(bsh_msg_reader_t, revision),
 	U32(bsh_msg_reader_t, contact_age_ms),
@@ -436,6 +447,11 @@
 	[BSH_MSG_PLACEMENT] = { "PLACEMENT", placement_fields },
 	[BSH_MSG_RELEASE] = { "RELEASE", release_fields },
 	[BSH_MSG_RELEASE_KEYS] = { "RELEASE_KEYS", release_keys_fields },
+	[BSH_MSG_ORDER_LOG] = { "ORDER_LOG", order_log_fields },
+	[BSH_MSG_ORDER_LOG_ACK] = { "ORDER_LOG_ACK", order_log_time_fields },
+	[BSH_MSG_ORDER_LOG_QUERY] = { "ORDER_LOG_QUERY",
+				      order_log_time_fields },
+	[BSH_MSG_ORDER_LOG_LIST] = { "ORDER_LOG_LIST", release_keys_fields },
 	[BSH_MSG_LOAD] = { "LOAD", load_fields },
 	[BSH_MSG_INVENTORY] = { "INVENTORY", inventory_fields },
 	[BSH_MSG_UNREACHABLE] = { "UNREACHABLE", unreachable_fields },
--- a/regress/test_frame.c
+++ b/regress/test_frame.c
@@ -141,6 +141,24 @@
 			4
 		};
 		break;
+	case BSH_MSG_ORDER_LOG:
+		m.order_log = (bsh_msg_order_log_t){
+			9, 12, (const uint8_t *)"a\0bcdefg", 8
+		};
+		break;
+	case BSH_MSG_ORDER_LOG_ACK:
+	case BSH_MSG_ORDER_LOG_QUERY:
+		m.order_log_time = (bsh_msg_order_log_time_t){ 9, 12 };
+		break;
+	case BSH_MSG_ORDER_LOG_LIST:
+		m.release_keys = (bsh_msg_release_keys_t){
+			9,     12,
+			false, 0,
+			1,     (const uint8_t *)"a\0bc",
+			4,     (const uint8_t *)"\0\1",
+			2
+		};
+		break;
 	case BSH_MSG_LOAD:
 		m.load = (bsh_msg_load_t){ 9, loads, 2 };
 		break;
@@ -717,7 +735,7 @@
 }
 
 /* Guards against DEMAND, PLACEMENT, STREAM_RECORDS, SUSPECT_FACTS, TARGET_LIMITS, RELEASE,
- * RELEASE_KEYS, LOAD, READER, DOCUMENT_PART and INVENTORY messages that exceed a datagram and so are never delivered, as in deployments with
+ * RELEASE_KEYS, ORDER_LOG, ORDER_LOG_LIST, LOAD, READER, DOCUMENT_PART and INVENTORY messages that exceed a datagram and so are never delivered, as in deployments with
  * hundreds of models. */
 static void test_message_fits_datagram(void)
 {
@@ -833,6 +851,16 @@
 	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
 	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
 	free(data);
+	m.type = BSH_MSG_ORDER_LOG_LIST;
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
+	m.type = BSH_MSG_ORDER_LOG;
+	m.order_log = (bsh_msg_order_log_t){ UINT64_MAX, UINT64_MAX, document,
+					     4 * BSH_RELEASE_KEYS_MAX };
+	g_assert_cmpint(bsh_message_encode(&m, &data, &size), ==, BSH_OK);
+	g_assert_cmpuint(size, <=, BSH_DATAGRAM_MESSAGE_MAX_BYTES);
+	free(data);
 	for (size_t i = 0; i < G_N_ELEMENTS(load_entries); i++)
 		load_entries[i] =
 			(bsh_load_entry_t){ UINT32_MAX, BSH_LOAD_VALUE_MAX,
