--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -1,15 +1,12 @@
-/* The targets and what they hold, from their objects in the platform's store or
- * from the announcements of the lease holder. */
-#include "control.h"
+/* The targets and what they hold, from their objects in the platform's store. */
+#include "targets_private.h"
 
 #include <string.h>
 #include <xxhash.h>
 
 #include "base/counter.h"
 #include "base/log.h"
-#include "coordination/departed_target.h"
 #include "coordination/missing_target.h"
-#include "coordination/target_inventory.h"
 #include "platform/decode.h"
 #include "base/name.h"
 
@@ -34,44 +31,6 @@
 #define WATCH_PACE_MAX_US  INT64_C(200000)
 #define WATCH_PACE_DIVISOR 20
 
-typedef struct {
-	bsh_target_t target; /* last known state */
-	uint64_t list;	     /* number of the last list that contained it */
-	int64_t since_us;    /* when its process was first listed here */
-	int64_t removal_us;  /* when it is removed, as its object is missing;
-			      * 0: not missing */
-	/* Placement announced by the lease holder. */
-	bool has_placement;
-	uint64_t placement_started_ms;
-	uint64_t placement_term;
-	uint64_t placement_version;
-	int64_t placement_us; /* last announcement of it */
-	bsh_holdings_t placement;
-	/* Last announcement of the target that was applied. */
-	uint64_t announcement_term;
-	uint64_t announcement_number;
-} listed_t;
-
-/* Announcement that removed a target; an older one that arrives later must not
- * add the target again. */
-typedef struct {
-	uint64_t term;
-	uint64_t number;
-} tombstone_t;
-
-struct targets {
-	control_t *control;
-	feed_t feed;
-	GHashTable *table;	/* id to listed_t */
-	GHashTable *tombstones; /* id to tombstone_t */
-	bsh_departed_t departed;
-	bool listed;
-	/* Lower bound of the last time at which the list that the lease holder
-	 * announces was complete. */
-	int64_t announced_complete_us;
-	int64_t store_restored_us; /* last restore of the store; 0: none */
-};
-
 static bsh_counter_t malformed_objects =
 	BSH_COUNTER("bsh_target_entries_unusable_total",
 		    "Entries of the list of targets that name no target.");
@@ -87,8 +46,7 @@
 	return MAX(targets->announced_complete_us, now_us - own_age_us);
 }
 
-/* Time for which a target is kept after its object was found missing. */
-static int64_t removal_grace_us(const targets_t *targets)
+int64_t targets_removal_grace_us(const targets_t *targets)
 {
 	const bsh_settings_t *settings = &targets->control->entry->settings;
 	int64_t now_us = control_now_us(targets->control);
@@ -122,8 +80,7 @@
 			 control_now_us(targets->control));
 }
 
-static void remove_target(targets_t *targets, listed_t *listed,
-			  const char *reason)
+void targets_remove(targets_t *targets, listed_t *listed, const char *reason)
 {
 	g_autofree char *id = g_strdup(listed->target.id);
 
@@ -135,13 +92,14 @@
 	control_target_gone(targets->control, id);
 }
 
-static void mark_missing(targets_t *targets, listed_t *listed, int64_t grace_us)
+void targets_mark_missing(targets_t *targets, listed_t *listed,
+			  int64_t grace_us)
 {
 	if (listed->removal_us != 0)
 		return;
 	/* A target that was leaving has stopped. */
 	if (listed->target.leaving) {
-		remove_target(targets, listed, "left");
+		targets_remove(targets, listed, "left");
 		return;
 	}
 	note_departure(targets, listed);
@@ -151,8 +109,8 @@
 	control_target_missing(targets->control, listed->target.id);
 }
 
-static void update_target(targets_t *targets, const bsh_target_t *target,
-			  uint64_t list)
+void targets_update(targets_t *targets, const bsh_target_t *target,
+		    uint64_t list)
 {
 	listed_t *listed = g_hash_table_lookup(targets->table, target->id);
 	bool was_there = listed != NULL && listed->removal_us == 0;
@@ -233,21 +191,22 @@
 
 	if (object->deleted) {
 		if (listed != NULL)
-			mark_missing(targets, listed,
-				     removal_grace_us(targets));
+			targets_mark_missing(targets, listed,
+					     targets_removal_grace_us(targets));
 		return;
 	}
 	if (platform_decode_target(object->name, object->spec, &target,
 				   &field) == BSH_OK) {
 		if (has_returned(targets, &target, object->revision, list))
-			update_target(targets, &target, list);
+			targets_update(targets, &target, list);
 		return;
 	}
 	bsh_counter_add(&malformed_objects, 1);
 	bsh_log(BSH_LOG_WARNING, "target-entry-unusable target=%s field=%s",
 		bsh_log_text(object->name, name), field);
 	if (listed != NULL)
-		mark_missing(targets, listed, removal_grace_us(targets));
+		targets_mark_missing(targets, listed,
+				     targets_removal_grace_us(targets));
 }
 
 static void on_listed(void *ctx, uint64_t list)
@@ -265,8 +224,8 @@
 			g_ptr_array_add(absent, listed);
 	}
 	for (guint i = 0; i < absent->len; i++)
-		mark_missing(targets, g_ptr_array_index(absent, i),
-			     removal_grace_us(targets));
+		targets_mark_missing(targets, g_ptr_array_index(absent, i),
+				     targets_removal_grace_us(targets));
 	g_ptr_array_free(absent, TRUE);
 	targets->listed = true;
 	control_schedule_view(targets->control);
@@ -346,262 +305,11 @@
 	return targets->listed;
 }
 
-static void decode_pairs(const bsh_placement_entry_t *entry,
-			 bsh_holdings_t *holdings)
-{
-	uint32_t pair[2];
-
-	memset(holdings, 0, sizeof(*holdings));
-	for (uint32_t at = 0; at + sizeof(pair) <= entry->holdings_bytes;
-	     at += sizeof(pair)) {
-		memcpy(pair, entry->holdings + at, sizeof(pair));
-		bsh_holdings_add(holdings, GUINT32_FROM_BE(pair[0]),
-				 GUINT32_FROM_BE(pair[1]));
-	}
-}
-
-static void set_placement(targets_t *targets,
-			  const bsh_placement_entry_t *entry,
-			  const bsh_holdings_t *holdings, uint64_t term)
-{
-	listed_t *listed = g_hash_table_lookup(targets->table, entry->target);
-	bool same;
-
-	if (listed == NULL || entry->started_ms != listed->target.started_ms ||
-	    (listed->has_placement && term < listed->placement_term) ||
-	    (listed->has_placement && term == listed->placement_term &&
-	     entry->version < listed->placement_version))
-		return;
-	same = listed->has_placement &&
-	       bsh_holdings_equal(holdings, &listed->placement);
-	listed->has_placement = true;
-	listed->placement_us = control_now_us(targets->control);
-	listed->placement_started_ms = entry->started_ms;
-	listed->placement_term = term;
-	listed->placement_version = entry->version;
-	listed->placement = *holdings;
-	if (!same)
-		control_schedule_view(targets->control);
-}
-
-/* Returns false if a later announcement has been applied to the target. */
-static bool accept_announcement(targets_t *targets,
-				const bsh_placement_entry_t *entry,
-				uint64_t term)
-{
-	listed_t *listed = g_hash_table_lookup(targets->table, entry->target);
-	tombstone_t *tombstone =
-		g_hash_table_lookup(targets->tombstones, entry->target);
-
-	if (tombstone != NULL &&
-	    (term < tombstone->term ||
-	     (term == tombstone->term && entry->number < tombstone->number)))
-		return false;
-	/* That it is gone may be told again: the first message has no effect
-	 * while the store is the source. */
-	if (tombstone != NULL && term == tombstone->term &&
-	    entry->number == tombstone->number &&
-	    entry->state != BSH_TARGET_GONE)
-		return false;
-	if (entry->state == BSH_TARGET_GONE) {
-		tombstone = g_new0(tombstone_t, 1);
-		tombstone->term = term;
-		tombstone->number = entry->number;
-		g_hash_table_replace(targets->tombstones,
-				     g_strdup(entry->target), tombstone);
-	}
-	return listed == NULL || term > listed->announcement_term ||
-	       (term == listed->announcement_term &&
-		entry->number >= listed->announcement_number);
-}
-
-/* Applies the announced state of a target. */
-static void apply_announced_state(targets_t *targets,
-				  const bsh_placement_entry_t *entry,
-				  const bsh_holdings_t *holdings)
-{
-	listed_t *listed = g_hash_table_lookup(targets->table, entry->target);
-	bsh_target_t target;
-
-	if (entry->state == BSH_TARGET_GONE) {
-		if (listed != NULL)
-			remove_target(targets, listed, "told");
-		return;
-	}
-	if (entry->state == BSH_TARGET_MISSING) {
-		if (listed != NULL)
-			mark_missing(targets, listed,
-				     entry->grace_ms * INT64_C(1000));
-		return;
-	}
-	memset(&target, 0, sizeof(target));
-	/* Fields that are not announced stay as listed. */
-	if (listed != NULL)
-		target = listed->target;
-	g_strlcpy(target.id, entry->target, sizeof(target.id));
-	g_strlcpy(target.service, entry->service, sizeof(target.service));
-	/* A process keeps its address; the own list may name another way to
-	 * it. */
-	if (listed == NULL || listed->target.started_ms != entry->started_ms)
-		g_strlcpy(target.address, entry->address,
-			  sizeof(target.address));
-	g_strlcpy(target.zone, entry->zone, sizeof(target.zone));
-	target.slots = entry->slots;
-	target.leaving = entry->state == BSH_TARGET_LEAVING;
-	target.started_ms = entry->started_ms;
-	g_strlcpy(target.software, entry->software, sizeof(target.software));
-	target.holdings = *holdings;
-	/* The holder has accepted the target's entry. */
-	bsh_departed_forget(&targets->departed, target.id);
-	update_target(targets, &target, 0);
-}
-
-void targets_apply_announcement(targets_t *targets,
-				const bsh_placement_entry_t *entry,
-				uint64_t term, int64_t contact_age_us)
-{
-	bsh_holdings_t holdings;
-	int64_t departed_us;
-	listed_t *listed;
-
-	if (!accept_announcement(targets, entry, term))
-		return;
-	decode_pairs(entry, &holdings);
-	/* A holder that has lost the store still names targets that have
-	 * departed since. */
-	departed_us = bsh_departed_at_us(&targets->departed, entry->target,
-					 entry->started_ms);
-	if (targets_follow_holder(targets) &&
-	    (departed_us == 0 ||
-	     control_now_us(targets->control) - contact_age_us >=
-		     departed_us)) {
-		apply_announced_state(targets, entry, &holdings);
-		listed = g_hash_table_lookup(targets->table, entry->target);
-		if (listed != NULL) {
-			listed->announcement_term = term;
-			listed->announcement_number = entry->number;
-		}
-	}
-	if (entry->state != BSH_TARGET_GONE && entry->version > 0)
-		set_placement(targets, entry, &holdings, term);
-}
-
 bool targets_follow_holder(const targets_t *targets)
 {
 	return targets->feed.paused || !targets->feed.reached;
 }
 
-bool targets_apply_inventory(targets_t *targets, GHashTable *changes,
-			     uint64_t term)
-{
-	g_autoptr(GPtrArray) gone = g_ptr_array_new();
-	g_autoptr(GArray) marks =
-		g_array_new(FALSE, FALSE, sizeof(bsh_target_mark_t));
-	GHashTableIter iter;
-	void *data;
-
-	g_hash_table_iter_init(&iter, targets->table);
-	while (g_hash_table_iter_next(&iter, NULL, &data)) {
-		listed_t *listed = data;
-		bsh_target_mark_t mark = { bsh_target_key(listed->target.id),
-					   listed->announcement_term,
-					   listed->announcement_number };
-
-		g_array_append_val(marks, mark);
-		if (!g_hash_table_contains(changes, GUINT_TO_POINTER(mark.key)))
-			g_ptr_array_add(gone, listed);
-	}
-	if (!bsh_target_inventory_covered(
-		    changes, term,
-		    (const bsh_target_mark_t *)(void *)marks->data, marks->len))
-		return false;
-	/* A target on the own list may be newer than the holder's. */
-	if (!targets_follow_holder(targets))
-		return true;
-	for (guint i = 0; i < gone->len; i++)
-		remove_target(targets, g_ptr_array_index(gone, i), "told");
-	return true;
-}
-
-static void add_keys(GHashTable *table, const uint8_t *keys, uint32_t bytes)
-{
-	uint32_t key;
-
-	for (uint32_t at = 0; at + sizeof(key) <= bytes; at += sizeof(key)) {
-		memcpy(&key, keys + at, sizeof(key));
-		g_hash_table_add(table, GUINT_TO_POINTER(GUINT32_FROM_BE(key)));
-	}
-}
-
-bool targets_apply_reader(targets_t *targets, const bsh_msg_reader_t *message)
-{
-	g_autoptr(GHashTable) leaving =
-		g_hash_table_new(g_direct_hash, g_direct_equal);
-	g_autoptr(GHashTable) missing =
-		g_hash_table_new(g_direct_hash, g_direct_equal);
-	g_autoptr(GPtrArray) listed_targets = g_ptr_array_new();
-	int64_t answered_us = control_now_us(targets->control) -
-			      message->contact_age_ms * INT64_C(1000);
-	GHashTableIter iter;
-	void *data;
-	bool news = false;
-
-	if (!targets_follow_holder(targets))
-		return false;
-	add_keys(leaving, message->leaving, message->leaving_bytes);
-	add_keys(missing, message->missing, message->missing_bytes);
-	g_hash_table_iter_init(&iter, targets->table);
-	while (g_hash_table_iter_next(&iter, NULL, &data))
-		g_ptr_array_add(listed_targets, data);
-	for (guint i = 0; i < listed_targets->len; i++) {
-		listed_t *listed = g_ptr_array_index(listed_targets, i);
-		void *key = GUINT_TO_POINTER(bsh_target_key(listed->target.id));
-
-		if (g_hash_table_contains(leaving, key) &&
-		    !listed->target.leaving) {
-			listed->target.leaving = true;
-			bsh_log(BSH_LOG_INFO, "target-leaving target=%s",
-				listed->target.id);
-			control_target_changed(targets->control,
-					       &listed->target);
-			news = true;
-		} else if (g_hash_table_contains(missing, key) &&
-			   listed->removal_us == 0 &&
-			   listed->since_us <= answered_us) {
-			/* A process that was listed after the reader's last
-			 * answer may have replaced the one that it misses. */
-			mark_missing(targets, listed,
-				     removal_grace_us(targets));
-			news = true;
-		}
-	}
-	return news;
-}
-
-bool targets_apply_reader_targets(targets_t *targets,
-				  const bsh_msg_reader_targets_t *message)
-{
-	bool news = false;
-
-	if (!targets_follow_holder(targets))
-		return false;
-	for (uint32_t i = 0; i < message->entry_count; i++) {
-		const bsh_placement_entry_t *entry = &message->entries[i];
-		const listed_t *listed =
-			g_hash_table_lookup(targets->table, entry->target);
-		bsh_holdings_t holdings;
-
-		if (entry->state != BSH_TARGET_LIVE ||
-		    (listed != NULL &&
-		     entry->started_ms <= listed->target.started_ms))
-			continue;
-		decode_pairs(entry, &holdings);
-		apply_announced_state(targets, entry, &holdings);
-		news = true;
-	}
-	return news;
-}
-
 typedef struct {
 	const targets_t *targets;
 	GArray *missing;
@@ -814,7 +522,7 @@
 	if (expired)
 		control_schedule_view(targets->control);
 	for (guint i = 0; i < gone->len; i++)
-		remove_target(targets, g_ptr_array_index(gone, i), "missing");
+		targets_remove(targets, g_ptr_array_index(gone, i), "missing");
 	if (bsh_departed_expire(&targets->departed, now_us))
 		feed_relist(&targets->feed);
 	g_ptr_array_free(gone, TRUE);
