--- a/regress/soak/soak_entry.c
+++ b/regress/soak/soak_entry.c
@@ -692,6 +692,8 @@
 	soak->rig.has_second_engine = true;
 	if (soak->lengths)
 		soak->rig.stream_gap_us = stream_gap_us;
+	/* Voters log orders from 11.4 s after their start on. */
+	soak->rig.settings = "[entry]\norder_log_targets=1\n";
 	soak_accounts_start(soak);
 	configure(soak);
 	for (int i = 0; i < workers; i++)
