retries: a process that replaces another one uses no slack for a window

Cause: a process begins with its whole share of the slack, and the one before it had used it in the same window. A process whose name is that of another one's object in the store replaces one that was killed; it uses the ratio of its own requests alone for a window and a step. A first start, or one after an orderly stop, is as before.

/retries/restart: 35 retries are allowed and more were sent before.

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -73,6 +73,7 @@
 	message->view = view_new(catalog);
 	message->built_us = bsh_loop_clock_us();
 	message->view->instances = peers_instance_count(control->peers);
+	message->view->replaced_us = peers_replaced_us(control->peers);
 	message->view->listed = targets_listed(control->targets);
 	message->view->cut = cut_peers_is_cut(
 		control->cut_peers, control->entry->settings.instance);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -282,6 +282,9 @@
  * and those registered in the store, but at least three.  A failed instance
  * still counts while it is registered. */
 uint32_t peers_instance_count(const peers_t *peers);
+/* Start of this process if the store lists an earlier process of this instance,
+ * by the clock of bsh_loop_clock_us(); 0: it does not. */
+int64_t peers_replaced_us(const peers_t *peers);
 typedef void (*peers_name_fn_t)(void *ctx, const char *name);
 /* Calls fn for each instance that may be running: this one, those alive or
  * suspected, and those registered in the store; some are named twice. */
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -24,6 +24,8 @@
 	bool registering; /* a call to the store is pending */
 	bool registered;
 	bool leaving;
+	int64_t started_us;
+	bool replaces; /* an earlier process has not deleted its object */
 };
 
 /* Interval of lists of the instances in the store.  Membership is spread by
@@ -216,6 +218,20 @@
 			      on_unregistered, peers);
 }
 
+/* An object of this instance's name that this process has not written is that of
+ * an earlier one, which was killed. */
+static void note_own_object(peers_t *peers, const platform_object_t *object)
+{
+	uint64_t incarnation = (uint64_t)json_integer_value(
+		json_object_get(object->spec, "incarnation"));
+
+	if (object->deleted || peers->replaces ||
+	    incarnation == peers->control->entry->incarnation)
+		return;
+	peers->replaces = true;
+	control_schedule_view(peers->control);
+}
+
 static void on_registered(void *ctx, const platform_answer_t *answer)
 {
 	peers_t *peers = ctx;
@@ -233,6 +249,7 @@
 	/* An earlier process of this instance has left its object: replace
 	 * it. */
 	if (answer->result == PLATFORM_CONFLICT && answer->n > 0) {
+		note_own_object(peers, &answer->objects[0]);
 		peers->object_revision = answer->objects[0].revision;
 		bsh_loop_timer_after(&peers->register_timer, 0);
 		return;
@@ -314,8 +331,11 @@
 			peers->registered_names, g_strdup(object->name),
 			GUINT_TO_POINTER((guint)json_integer_value(
 				json_object_get(object->spec, "cpu_milli"))));
-	if (strcmp(object->name, peers->control->entry->settings.instance) == 0)
+	if (strcmp(object->name, peers->control->entry->settings.instance) ==
+	    0) {
+		note_own_object(peers, object);
 		return;
+	}
 	/* An instance deletes its object when it stops; whether it is alive is
 	 * decided by gossip alone. */
 	if (object->deleted)
@@ -370,6 +390,7 @@
 	g_strlcpy(config.place.entry, s->router_listen,
 		  sizeof(config.place.entry));
 	peers->control = control;
+	peers->started_us = bsh_loop_clock_us();
 	peers->members =
 		bsh_members_new(&config, &members_ops, peers, now_us(peers));
 	peers->registered_names =
@@ -449,6 +470,11 @@
 	run_members(peers);
 }
 
+int64_t peers_replaced_us(const peers_t *peers)
+{
+	return peers->replaces ? peers->started_us : 0;
+}
+
 uint32_t peers_instance_count(const peers_t *peers)
 {
 	return MAX(MAX(bsh_members_live(peers->members),
--- a/bshentryd/retry.c
+++ b/bshentryd/retry.c
@@ -47,7 +47,8 @@
 			      (uint32_t)(s->retry_window_s * 1000));
 	g_hash_table_insert(t->budgets, g_strdup(r->service->name), budget);
 share:
-	bsh_retry_budget_set_slack(budget, s->retry_slack, t->view->instances);
+	bsh_retry_budget_set_slack(budget, s->retry_slack, t->view->instances,
+				   t->view->replaced_us);
 	return budget;
 }
 
--- a/bshentryd/view.h
+++ b/bshentryd/view.h
@@ -61,6 +61,9 @@
 	bool listed;	    /* the list of targets has been read */
 	bool has_holder;    /* a lease holder was active recently */
 	uint32_t instances; /* that may be running, including this one */
+	/* Start of this process, if it replaces one that did not stop in an
+	 * orderly way; 0: it does not. */
+	int64_t replaced_us;
 } view_t;
 
 view_t *view_new(bsh_catalog_t *catalog);
--- a/lib/coordination/retry_budget.c
+++ b/lib/coordination/retry_budget.c
@@ -18,9 +18,13 @@
 }
 
 void bsh_retry_budget_set_slack(bsh_retry_budget_t *budget, double slack,
-				uint32_t instances)
+				uint32_t instances, int64_t replaced_us)
 {
+	/* A retry counts where it arrives, up to one step after the window. */
+	int64_t window_us = (BSH_RETRY_STEPS + 1) * budget->step_us;
+
 	budget->slack = slack / MAX(instances, 1);
+	budget->slack_from_us = replaced_us > 0 ? replaced_us + window_us : 0;
 }
 
 /* Clears the steps that have begun since the last call and returns the index of
@@ -50,14 +54,14 @@
 	uint32_t oldest = (at + 1) % (BSH_RETRY_STEPS + 1);
 	uint32_t requests = 0;
 	uint32_t retries = 0;
+	double slack = now_us >= budget->slack_from_us ? budget->slack : 0;
 
 	for (uint32_t i = 0; i <= BSH_RETRY_STEPS; i++) {
 		retries += budget->retries[i];
 		if (i != oldest)
 			requests += budget->requests[i];
 	}
-	return USABLE_SHARE * (budget->ratio * requests + budget->slack) -
-	       retries;
+	return USABLE_SHARE * (budget->ratio * requests + slack) - retries;
 }
 
 bool bsh_retry_budget_take(bsh_retry_budget_t *budget, int64_t now_us)
--- a/regress/test_requests.c
+++ b/regress/test_requests.c
@@ -64,7 +64,7 @@
 
 	for (int i = 0; i < INSTANCES; i++) {
 		bsh_retry_budget_init(&budgets[i], 0.2, WINDOW_S * 1000);
-		bsh_retry_budget_set_slack(&budgets[i], 54, INSTANCES);
+		bsh_retry_budget_set_slack(&budgets[i], 54, INSTANCES, 0);
 	}
 	for (int s = 0; s < 60; s++) {
 		for (int r = 0; r < INSTANCES * REQUESTS_PER_S; r++) {
@@ -96,7 +96,7 @@
 	uint32_t repeats = 0;
 
 	bsh_retry_budget_init(&budget, 0.2, 10000);
-	bsh_retry_budget_set_slack(&budget, 54, 7);
+	bsh_retry_budget_set_slack(&budget, 54, 7, 0);
 	for (int s = 0; s < 10; s++)
 		for (int r = 0; r < 14; r++)
 			bsh_retry_budget_add_request(&budget, s * SECOND);
@@ -111,6 +111,38 @@
 	g_assert_true(bsh_retry_budget_take(&budget, 21 * SECOND));
 }
 
+/* Guards against a slack that is used twice in a window, as all processes are
+ * killed and those that replace them know nothing of what was sent. */
+static void test_retry_budget_of_a_restart(void)
+{
+	uint32_t retries = 0;
+	int64_t killed_us = 30 * SECOND;
+	int64_t started_us = killed_us + SECOND / 2;
+	bsh_retry_budget_t budget;
+
+	/* The instance gets 14 requests a second, and retries all it may. */
+	bsh_retry_budget_init(&budget, 0.2, 10000);
+	bsh_retry_budget_set_slack(&budget, 54, 7, 0);
+	for (int64_t t = 0; t < killed_us; t += SECOND / 14) {
+		bsh_retry_budget_add_request(&budget, t);
+		while (t > killed_us - 9 * SECOND &&
+		       bsh_retry_budget_take(&budget, t))
+			retries++;
+	}
+	bsh_retry_budget_init(&budget, 0.2, 10000);
+	bsh_retry_budget_set_slack(&budget, 54, 7, started_us);
+	for (int64_t t = started_us; t < killed_us + SECOND; t += SECOND / 14) {
+		bsh_retry_budget_add_request(&budget, t);
+		while (bsh_retry_budget_take(&budget, t))
+			retries++;
+	}
+	/* Allowed in 10 s: 0.2 * 140 + 54 / 7 = 35.7. */
+	g_assert_cmpuint(retries, <=, 35);
+	bsh_retry_budget_set_slack(&budget, 54, 7, started_us);
+	g_assert_true(bsh_retry_budget_left(&budget, started_us + 11 * SECOND) >
+		      6);
+}
+
 static bsh_target_candidate_t candidate(const bsh_target_record_t *record,
 					uint64_t hash)
 {
@@ -263,6 +295,7 @@
 	g_test_add_func("/retries/fleet-budget", test_fleet_retry_budget);
 	g_test_add_func("/retries/burst-of-failures",
 			test_retry_budget_covers_a_burst);
+	g_test_add_func("/retries/restart", test_retry_budget_of_a_restart);
 	g_test_add_func("/targets/unreachable",
 			test_unreachable_target_is_excluded);
 	g_test_add_func("/targets/slow", test_slow_target_gets_less);
