--- a/regress/test_logged_orders.c
+++ b/regress/test_logged_orders.c
@@ -64,7 +64,8 @@
 				  NULL, 2000, &f->reply);
 		platform_rig_wait(&f->rig, &f->reply.done);
 		if (f->reply.body != NULL &&
-		    strstr(f->reply.body, "\nbsh_orders_logged_only 1\n") != NULL)
+		    strstr(f->reply.body, "\nbsh_orders_logged_only 1\n") !=
+			    NULL)
 			return entry;
 	}
 	return NULL;
