orders: the term is checked again once a target is connected

Likely cause: the term was checked as the call began, and the order written once the connection was accepted. A holder that was frozen between the two wrote it on waking.

--- a/bshentryd/orders.c
+++ b/bshentryd/orders.c
@@ -18,6 +18,10 @@
  * gives orders. */
 #define HOLDER_TIMEOUT_US INT64_C(4000000)
 
+/* An order is not sent if its connection takes longer: the margin of the lease
+ * covers this and the way to the target. */
+#define CONNECT_TIME_MAX_US (BSH_LEASE_MARGIN_US * 3 / 4)
+
 /* Demand entries in one datagram.  Those with most waiting requests come first;
  * an entry that is left out is reported once requests wait for it too. */
 #define DEMAND_ENTRIES_MAX 40U
@@ -175,6 +179,17 @@
 	       !orders->withholds;
 }
 
+/* Checked again once there is a connection: a process that was frozen meanwhile
+ * sent its order on waking, seconds after its term. */
+static bool may_send_call(void *ctx)
+{
+	const order_call_t *call = ctx;
+	const orders_t *orders = call->orders;
+
+	return orders_may_order(orders) &&
+	       now_us(orders) - call->sent_us < CONNECT_TIME_MAX_US;
+}
+
 void orders_send_call(order_call_t *call)
 {
 	orders_t *orders = call->orders;
@@ -189,8 +204,9 @@
 		.fence = orders->lease.term,
 	};
 
+	call->sent_us = now_us(orders);
 	order_lease_record_order(orders, call->target);
-	platform_target_order(orders->control->client, &request,
+	platform_target_order(orders->control->client, &request, may_send_call,
 			      on_order_result, call);
 }
 
--- a/bshentryd/orders_private.h
+++ b/bshentryd/orders_private.h
@@ -40,6 +40,7 @@
 	bool load;
 	uint64_t expected;  /* orders that the target has accepted before */
 	int64_t written_us; /* time of its log entry */
+	int64_t sent_us;    /* when its connection was begun */
 	int64_t started_us;
 } order_call_t;
 
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -1,7 +1,10 @@
+#include <apr_general.h>
 #include <glib.h>
 #include <string.h>
 
 #include "platform/decode.h"
+#include "platform/target_client.h"
+#include "transport/http_server.h"
 
 static json_t *parse(const char *text)
 {
@@ -166,13 +169,93 @@
 			BSH_ERR_INVALID);
 }
 
+/* A target and the client of the instance that orders it. */
+typedef struct {
+	int requests;
+	bool may_send;
+	int ends;
+	platform_order_result_t result;
+} order_t;
+
+static void on_order_request(void *ctx, bsh_http_request_t *request)
+{
+	order_t *o = ctx;
+
+	o->requests++;
+	bsh_http_response_send(request, 202, "{}", 2);
+}
+
+static bool may_send(void *ctx)
+{
+	const order_t *o = ctx;
+
+	return o->may_send;
+}
+
+static void on_result(void *ctx, platform_order_result_t result)
+{
+	order_t *o = ctx;
+
+	o->ends++;
+	o->result = result;
+}
+
+/* Guards against an order that is sent after the term of its holder: the process
+ * was frozen while it connected to the target. */
+static void test_order_is_checked_once_connected(void)
+{
+	const struct {
+		bool may_send;
+		platform_order_result_t result;
+	} cases[] = { { true, PLATFORM_ORDER_ACCEPTED },
+		      { false, PLATFORM_ORDER_NOT_SENT } };
+	platform_order_t order = { .target = "i-1",
+				   .load = true,
+				   .model = "m1",
+				   .holder = "entry-1",
+				   .fence = 1 };
+	bsh_http_server_config_t config = { .address = "127.0.0.1:0",
+					    .max_connections = 10,
+					    .idle_timeout_s = 1,
+					    .body_max_bytes = 1000,
+					    .on_request = on_order_request };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		order_t o = { .may_send = cases[i].may_send };
+		bsh_http_server_t *server;
+		bsh_http_client_t *client;
+		bsh_loop_t loop;
+		char address[32];
+
+		config.ctx = &o;
+		g_assert_cmpint(bsh_loop_init(&loop), ==, BSH_OK);
+		g_assert_cmpint(bsh_http_server_new(&server, &loop, &config),
+				==, BSH_OK);
+		client = bsh_http_client_new(&loop, 1);
+		g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+			   bsh_http_server_port(server));
+		order.address = address;
+		platform_target_order(client, &order, may_send, on_result, &o);
+		while (o.ends == 0)
+			bsh_loop_step(&loop, 100000);
+		g_assert_cmpint(o.result, ==, cases[i].result);
+		g_assert_cmpint(o.requests, ==, cases[i].may_send);
+		bsh_http_client_free(client);
+		bsh_http_server_free(server);
+		bsh_loop_finish(&loop);
+	}
+}
+
 int main(int argc, char **argv)
 {
+	apr_initialize();
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/catalog", test_catalog);
 	g_test_add_func("/platform/catalog-whole",
 			test_catalog_is_whole_or_nothing);
 	g_test_add_func("/platform/target-entries", test_target_entries);
 	g_test_add_func("/platform/report", test_report);
+	g_test_add_func("/platform/order-is-checked-once-connected",
+			test_order_is_checked_once_connected);
 	return g_test_run();
 }
