lease: candidates count for the term in which they are set

Cause: an instance keeps the candidates that it chose at its start, when it knew no other one, and chooses again only as the holder, 2 s after its choice last changed.

/order-log/voters-are-kept failed before. /lease/successor-keeps-voters set its candidates once before the takeover; it sets them throughout now, as a holder does, and checks the same.

--- a/lib/coordination/lease.c
+++ b/lib/coordination/lease.c
@@ -427,6 +427,9 @@
 		lease->inherited_list_until_us =
 			now_us + lease->lease_us + BSH_LEASE_MARGIN_US;
 		set_first_order(lease);
+		/* Chosen before this term, maybe at the start, when only this
+		 * instance was known. */
+		lease->candidates.n = 0;
 		lease->term = revision;
 	}
 	lease->must_log = lease->update_logged;
--- a/lib/coordination/lease.h
+++ b/lib/coordination/lease.h
@@ -297,7 +297,8 @@
 			  const bsh_voters_t *voters,
 			  const bsh_voters_t *former_voters);
 
-/* bsh_lease_set_candidates - the instances that this one knows. */
+/* bsh_lease_set_candidates - the instances that this one knows; for the present
+ * term, or for the object that it creates. */
 void bsh_lease_set_candidates(bsh_lease_t *lease,
 			      const bsh_voters_t *candidates);
 
--- a/regress/test_lease.c
+++ b/regress/test_lease.c
@@ -883,6 +883,8 @@
 	bsh_lease_set_voters(&lease, 10, &former, &(bsh_voters_t){ .n = 0 });
 	for (uint64_t revision = 11; now_us < 18 * SECOND;
 	     now_us += SECOND / 4) {
+		/* Candidates count for the term in which they are set. */
+		bsh_lease_set_candidates(&lease, &own);
 		if (bsh_lease_next(&lease, now_us) != BSH_LEASE_REPLACE)
 			continue;
 		g_assert_true(bsh_voters_equal(
--- a/regress/test_order_log.c
+++ b/regress/test_order_log.c
@@ -460,6 +460,25 @@
 	g_assert_true(bsh_lease_hand_over(&lease, now_us));
 }
 
+/* Guards against voters that the new holder chose before it held the lease: its
+ * first object named itself alone, without which no other one had a majority. */
+static void test_voters_are_kept(void)
+{
+	bsh_voters_t voters = make_voters('a', 3);
+	bsh_voters_t own = make_voters('b', 1);
+	int64_t now_us;
+	bsh_lease_t lease = take_over(true, true, &now_us);
+
+	bsh_lease_set_candidates(&lease, &own);
+	bsh_lease_done(&lease, BSH_LEASE_DONE, "b", false, 11, now_us);
+	bsh_lease_log_read(&lease, now_us);
+	g_assert_true(bsh_lease_may_order(&lease, now_us));
+	now_us += SECOND;
+	g_assert_cmpint(bsh_lease_next(&lease, now_us), ==, BSH_LEASE_REPLACE);
+	g_assert_true(bsh_voters_equal(&lease.voters, &voters));
+	g_assert_cmpuint(lease.former_voters.n, ==, 0);
+}
+
 /* Guards against orders that are not logged while the lease object may say that
  * all are, and against an object that keeps saying so. */
 static void test_lease_says_logged(void)
@@ -510,6 +529,7 @@
 	g_test_add_func("/order-log/lease-of-logged-holder",
 			test_lease_of_logged_holder);
 	g_test_add_func("/order-log/log-read-late", test_log_read_late);
+	g_test_add_func("/order-log/voters-are-kept", test_voters_are_kept);
 	g_test_add_func("/order-log/lease-says-logged", test_lease_says_logged);
 	return g_test_run();
 }
