--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -16,8 +16,14 @@
 	cat "$out/lib.log" >&2
 	exit 1
 }
+# The stand-in of the earlier review fills in the template of the deploy file, but
+# for sections, whose fields a small deployment does not have.
+sed -z 's/{{#\([A-Za-z.]*\)}}.*{{\/\1}}//g' deploy/berylshunt.conf.in \
+	>"$out/berylshunt.conf.in"
+sed 's#deploy/berylshunt.conf.in#build/review-2/berylshunt.conf.in#' \
+	review/stand.c >"$out/stand.c"
 # prove.c needs the programs of the proofs.
-for source in regress/support/*.c review/case2.c; do
+for source in regress/support/*.c review/case2.c review/link.c "$out/stand.c"; do
 	case $source in
 	*/prove.c) continue ;;
 	esac
