streams: records are sent once the only version is not certain any more

What callers saw: streams that began while one software version alone served were refused wherever their callers took them up, or went on at another service, after the instance that forwarded them was killed:

- after their route moved to another service, which had had one version only as well: 4 of 4 went on there, that is with events of two versions (/stream-restarts/route-moves);
- in an outage of the store of more than 3 s, in which no instance can vouch for a version (3 of 4, /stream-restarts/killed-in-outage).

The forwarding instance asks itself, at the begin of a stream, whether one version alone has served, and then sends no record, as the others are taken to know it. It never asked again while the stream ran, though all three events end what the others can tell. The only event that was looked at, a second version of the same service, is one of four.

Now an instance keeps the services of which it has streams without a record elsewhere, and checks with each view and each report of demand (every 0.25 s) that it can still tell the only version of each of them. If not, or if a configuration gives other services to a resumable route, it sends all its records to their keepers. A gap of the history has a new view made, so that the check sees it.

--- a/bshentryd/demand.c
+++ b/bshentryd/demand.c
@@ -81,6 +81,7 @@
 	}
 	retry_update_gauge(t);
 	memory_refresh(t);
+	stream_origin_check(t);
 	t->demand_urgent = false;
 	g_array_sort(demand->entries, compare_demand);
 	if (traffic_now_us(t) - t->load_reported_us >= LOAD_INTERVAL_US) {
--- a/bshentryd/stream_origin.c
+++ b/bshentryd/stream_origin.c
@@ -2,6 +2,8 @@
  * its first event, in this attempt of its caller or in an earlier one. */
 #include "traffic.h"
 
+#include <string.h>
+
 #include "base/counter.h"
 #include "base/log.h"
 #include "coordination/version_history.h"
@@ -19,12 +21,15 @@
 	bsh_counter_register(&unknown_refused);
 	bsh_stream_table_init(&t->streams, RECORDS_MAX);
 	t->new_streams = g_array_new(FALSE, FALSE, sizeof(bsh_stream_record_t));
+	t->unrecorded = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, NULL);
 }
 
 void stream_origin_finish(traffic_t *t)
 {
 	bsh_stream_table_finish(&t->streams);
 	g_array_free(t->new_streams, TRUE);
+	g_hash_table_destroy(t->unrecorded);
 }
 
 static void post_records(traffic_t *t, GArray *records)
@@ -95,6 +100,48 @@
 	       is_list_fresh(r->traffic) && r->route->splits->len == 1;
 }
 
+/* Sends all records of this instance to others. */
+static void send_unrecorded(traffic_t *t)
+{
+	g_hash_table_remove_all(t->unrecorded);
+	bsh_stream_table_collect(&t->streams, t->new_streams,
+				 traffic_now_us(t));
+	bsh_loop_task_schedule(&t->streams_task);
+}
+
+/* True if the service has had one version only since its streams without a record
+ * began, as far as this instance knows. */
+static bool still_has_only_version(const traffic_t *t, uint64_t service)
+{
+	for (guint i = 0; i < t->view->software->len; i++) {
+		const view_software_t *software =
+			&g_array_index(t->view->software, view_software_t, i);
+
+		if (bsh_service_key(software->service) == service)
+			return software->only != 0;
+	}
+	return false;
+}
+
+void stream_origin_check(traffic_t *t)
+{
+	GHashTableIter iter;
+	void *key;
+
+	if (g_hash_table_size(t->unrecorded) == 0)
+		return;
+	if (!is_list_fresh(t)) {
+		send_unrecorded(t);
+		return;
+	}
+	g_hash_table_iter_init(&iter, t->unrecorded);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (!still_has_only_version(t, *(const uint64_t *)key)) {
+			send_unrecorded(t);
+			return;
+		}
+}
+
 /* Records the version of a stream here and, unless all streams have the same
  * one, at other instances. */
 static void record(request_t *r)
@@ -104,8 +151,13 @@
 
 	bsh_stream_table_set(&t->streams, r->stream, r->software,
 			     traffic_now_us(t));
-	if (has_only_version(r))
+	if (has_only_version(r)) {
+		uint64_t service = bsh_service_key(r->service->name);
+
+		g_hash_table_add(t->unrecorded,
+				 g_memdup2(&service, sizeof(service)));
 		return;
+	}
 	g_array_append_val(t->new_streams, item);
 	bsh_loop_task_schedule(&t->streams_task);
 }
@@ -265,11 +317,67 @@
 	}
 }
 
+static bool has_same_services(const bsh_catalog_t *catalog,
+			      const bsh_route_rule_t *route,
+			      const bsh_catalog_t *other_catalog,
+			      const bsh_route_rule_t *other)
+{
+	if (route->splits->len != other->splits->len)
+		return false;
+	for (guint i = 0; i < route->splits->len; i++) {
+		uint32_t service =
+			g_array_index(route->splits, bsh_route_split_t, i)
+				.service;
+		uint32_t other_service =
+			g_array_index(other->splits, bsh_route_split_t, i)
+				.service;
+
+		if (strcmp(bsh_catalog_service_at(catalog, service)->name,
+			   bsh_catalog_service_at(other_catalog, other_service)
+				   ->name) != 0)
+			return false;
+	}
+	return true;
+}
+
+static const bsh_route_rule_t *find_route(const bsh_catalog_t *catalog,
+					  const char *name)
+{
+	for (guint i = 0; i < catalog->routes->len; i++) {
+		const bsh_route_rule_t *route =
+			g_ptr_array_index(catalog->routes, i);
+
+		if (strcmp(route->name, name) == 0)
+			return route;
+	}
+	return NULL;
+}
+
+/* True if streams of a route may be taken up at other services than those at which
+ * they began. */
+static bool is_some_route_moved(const bsh_catalog_t *before,
+				const bsh_catalog_t *now)
+{
+	if (before->version == now->version)
+		return false;
+	for (guint i = 0; i < before->routes->len; i++) {
+		const bsh_route_rule_t *route =
+			g_ptr_array_index(before->routes, i);
+		const bsh_route_rule_t *moved;
+
+		if (!route->resumable)
+			continue;
+		moved = find_route(now, route->name);
+		if (moved != NULL &&
+		    !has_same_services(before, route, now, moved))
+			return true;
+	}
+	return false;
+}
+
 void stream_origin_view_changed(traffic_t *t, const view_t *before)
 {
 	const view_t *view = t->view;
-	const view_software_t *now;
-	bool comes = false;
 
 	for (guint i = 0; i < view->targets->len; i++) {
 		const view_target_t *target =
@@ -277,19 +385,11 @@
 
 		check_restart(t, target_pick_state(t, target->id), target);
 	}
-	for (guint i = 0; before != NULL && i < before->software->len; i++) {
-		const view_software_t *service =
-			&g_array_index(before->software, view_software_t, i);
-
-		now = view_find_software(view, service->service);
-		comes = comes ||
-			(!service->several && now != NULL && now->several);
-	}
-	/* Streams that began while one version alone served are recorded only
-	 * here so far. */
-	if (comes) {
-		bsh_stream_table_collect(&t->streams, t->new_streams,
-					 traffic_now_us(t));
-		bsh_loop_task_schedule(&t->streams_task);
-	}
+	/* The only version of another service says nothing about streams that
+	 * began before the route was moved or split. */
+	if (before != NULL && g_hash_table_size(t->unrecorded) > 0 &&
+	    is_some_route_moved(before->catalog, view->catalog))
+		send_unrecorded(t);
+	else
+		stream_origin_check(t);
 }
--- a/bshentryd/streams.c
+++ b/bshentryd/streams.c
@@ -282,6 +282,7 @@
 		(int)(gap_us / 1000));
 	streams->history_us = 0;
 	streams->history_interval_us = HISTORY_INTERVAL_US;
+	control_schedule_view(streams->control);
 }
 
 static uint64_t only_version(streams_t *streams, uint64_t service,
--- a/bshentryd/traffic.h
+++ b/bshentryd/traffic.h
@@ -123,7 +123,9 @@
 	GHashTable *budgets;	    /* service to bsh_retry_budget_t */
 	bsh_stream_table_t streams; /* that this instance forwards */
 	GArray *new_streams; /* bsh_stream_record_t, not yet sent to others */
-	GHashTable *ends;    /* key of a process to end_t, of target_end.c */
+	/* Keys of the services of which streams have no record elsewhere. */
+	GHashTable *unrecorded;
+	GHashTable *ends; /* key of a process to end_t, of target_end.c */
 	bsh_quarantine_t quarantine; /* of all instances */
 	GHashTable *isolated;	     /* key to the request_t that is sent */
 	GHashTable *probes; /* quarantined keys for which one is sent */
@@ -604,6 +606,9 @@
 bool stream_origin_is_constrained(const request_t *r);
 /* stream_origin_view_changed - before: the view that was replaced, or NULL. */
 void stream_origin_view_changed(traffic_t *t, const view_t *before);
+/* stream_origin_check - send the records that only this instance has, if others
+ * may no longer know the versions of these streams without them. */
+void stream_origin_check(traffic_t *t);
 /* stream_origin_send - task: send new records to other instances. */
 void stream_origin_send(void *traffic);
 
--- a/regress/test_stream_restarts.c
+++ b/regress/test_stream_restarts.c
@@ -32,11 +32,24 @@
 	return engine;
 }
 
+/* Gives the route /moves/ these services. */
+static void configure_moves(fixture_t *f, const char *services)
+{
+	g_autofree char *route = g_strdup_printf(
+		"{\"name\":\"moves\",\"host\":\"" RIG_HOST
+		"\",\"pathPrefix\":\"/moves/\",\"kind\":\"stream\","
+		"\"resumable\":true,%s}",
+		services);
+
+	f->rig.has_second_engine = true;
+	platform_rig_configure(&f->rig, route);
+}
+
 static void set_up(fixture_t *f, gconstpointer data)
 {
 	(void)data;
 	platform_rig_init(&f->rig);
-	platform_rig_configure(&f->rig, NULL);
+	configure_moves(f, "\"service\":\"llm\"");
 	for (size_t i = 0; i < G_N_ELEMENTS(f->workers); i++)
 		f->workers[i] = add_engine(f, "v1");
 	for (size_t i = 0; i < INSTANCES; i++)
@@ -198,6 +211,59 @@
 	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
 }
 
+/* Guards against the loss of streams that began before their route was split, as
+ * no instance can tell their version from those of its services. */
+static void test_route_is_split(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	platform_rig_add_worker(&f->rig, "llm2", "m0");
+	begin(f, f->entries[0], "/moves/1", "e");
+	configure_moves(f, "\"trafficSplit\":[{\"service\":\"llm\","
+			   "\"weight\":1},{\"service\":\"llm2\","
+			   "\"weight\":1}]");
+	platform_rig_run(&f->rig, 500);
+	stop(f, f->entries[0], SIGKILL);
+	g_assert_cmpuint(take_up(f, f->entries[1], "/moves/1", "e"), ==,
+			 STREAMS);
+	g_assert_cmpuint(take_up(f, f->entries[2], "/moves/1", "e"), ==,
+			 STREAMS);
+}
+
+/* Guards against a stream that goes on at the service to which its route has moved,
+ * as that one has had one version only, too. */
+static void test_route_moves(fixture_t *f, gconstpointer data)
+{
+	worker_t *other = platform_rig_add_worker(&f->rig, "llm2", "m0");
+
+	(void)data;
+	g_strlcpy(other->version, "v2", sizeof(other->version));
+	platform_rig_publish_worker(other, "ready");
+	platform_rig_run(&f->rig, COVERAGE_MS);
+	begin(f, f->entries[0], "/moves/1", "f");
+	configure_moves(f, "\"service\":\"llm2\"");
+	platform_rig_run(&f->rig, 500);
+	stop(f, f->entries[0], SIGKILL);
+	g_assert_cmpuint(take_up(f, f->entries[1], "/moves/1", "f"), ==, 0);
+	g_assert_cmpuint(take_up(f, f->entries[2], "/moves/1", "f"), ==, 0);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against the loss of streams that began before an outage of the store, in
+ * which no instance can vouch for a version. */
+static void test_killed_in_outage(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin(f, f->entries[0], "/stream/1", "g");
+	f->rig.store_down = true;
+	platform_rig_run(&f->rig, 5000);
+	stop(f, f->entries[0], SIGKILL);
+	g_assert_cmpuint(take_up(f, f->entries[1], "/stream/1", "g"), ==,
+			 STREAMS);
+	g_assert_cmpuint(take_up(f, f->entries[2], "/stream/1", "g"), ==,
+			 STREAMS);
+	f->rig.store_down = false;
+}
+
 #define ADD(name, test)                                                        \
 	g_test_add("/stream-restarts/" name, fixture_t, NULL, set_up, test,    \
 		   tear_down)
@@ -211,5 +277,8 @@
 	ADD("killed-in-series", test_killed_in_series);
 	ADD("other-instances", test_other_instances);
 	ADD("replaced-meanwhile", test_replaced_meanwhile);
+	ADD("route-is-split", test_route_is_split);
+	ADD("route-moves", test_route_moves);
+	ADD("killed-in-outage", test_killed_in_outage);
 	return g_test_run();
 }
