peers: the choice of instances has a file of its own

It reads the members through peers_members(), peers_self() and peers_is_leaving(). No change of behaviour.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -299,8 +299,21 @@
 		const bsh_message_t *message);
 /* True once the instances have been read from the store. */
 bool peers_listed(const peers_t *peers);
+const bsh_members_t *peers_members(const peers_t *peers);
+/* Name of this instance. */
+const char *peers_self(const peers_t *peers);
+/* True once this instance drains. */
+bool peers_is_leaving(const peers_t *peers);
 /* Sends to all other instances that are alive or suspected. */
 void peers_broadcast(peers_t *peers, const bsh_message_t *message);
+/* peers_choose_relays - append instances that reach targets, the nearest first,
+ * to an array of bsh_relay_peer_t. */
+void peers_choose_relays(const peers_t *peers, GArray *relays);
+/* Collects the addresses of instances that accept requests, for callers. */
+void peers_choose_entries(const peers_t *peers, bsh_entry_choice_t *choice);
+
+/* peers_rank.c: choice of instances by rendezvous hashing.  All instances choose the
+ * same ones for a key, as far as they know the same ones. */
 /* Instances that keep the record of a stream, beside the one that forwards it. */
 #define PEERS_KEEPERS 3U
 /* Chooses the other instances that keep the record of a stream, the same at all
@@ -320,11 +333,6 @@
  * are left out.  NULL: none is left. */
 const char *peers_first(const peers_t *peers, uint64_t key,
 			GHashTable *left_out);
-/* peers_choose_relays - append instances that reach targets, the nearest first,
- * to an array of bsh_relay_peer_t. */
-void peers_choose_relays(const peers_t *peers, GArray *relays);
-/* Collects the addresses of instances that accept requests, for callers. */
-void peers_choose_entries(const peers_t *peers, bsh_entry_choice_t *choice);
 
 /* orders.c: load and unload orders of the lease holder, demand, placements. */
 orders_t *orders_new(control_t *control);
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -3,11 +3,9 @@
 #include "control.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/counter.h"
 #include "base/log.h"
-#include "coordination/rendezvous.h"
 #include "base/name.h"
 
 struct peers {
@@ -570,178 +568,24 @@
 		bsh_members_foreach(peers->members, send_to_member, &broadcast);
 }
 
-static uint64_t name_score(uint64_t key, const char *name)
-{
-	return bsh_rendezvous_score(key, XXH64(name, strlen(name), 0));
-}
-
-typedef struct {
-	const char *self;
-	uint64_t stream;
-	uint32_t n;
-	uint64_t scores[PEERS_KEEPERS]; /* the highest first */
-	const char *names[PEERS_KEEPERS];
-} keepers_t;
-
-static void rank_keeper(void *ctx, const bsh_member_t *member)
-{
-	keepers_t *keepers = ctx;
-	uint64_t score;
-	uint32_t at;
-
-	if (strcmp(member->name, keepers->self) == 0 || !member->has_place ||
-	    member->state != BSH_MEMBER_ALIVE)
-		return;
-	score = name_score(keepers->stream, member->name);
-	for (at = keepers->n; at > 0 && keepers->scores[at - 1] < score; at--)
-		if (at < PEERS_KEEPERS) {
-			keepers->scores[at] = keepers->scores[at - 1];
-			keepers->names[at] = keepers->names[at - 1];
-		}
-	if (at == PEERS_KEEPERS)
-		return;
-	keepers->scores[at] = score;
-	keepers->names[at] = member->name;
-	keepers->n = MIN(keepers->n + 1, PEERS_KEEPERS);
-}
-
 bool peers_listed(const peers_t *peers)
 {
 	return peers->feed.complete_us != 0;
 }
 
-uint32_t peers_choose_keepers(const peers_t *peers, uint64_t stream,
-			      char names[PEERS_KEEPERS][BSH_NAME_SIZE])
-{
-	keepers_t keepers = {
-		.self = peers->control->entry->settings.instance,
-		.stream = stream,
-	};
-
-	bsh_members_foreach(peers->members, rank_keeper, &keepers);
-	for (uint32_t i = 0; i < keepers.n; i++)
-		g_strlcpy(names[i], keepers.names[i], BSH_NAME_SIZE);
-	return keepers.n;
-}
-
-typedef struct {
-	const char *self;
-	uint64_t key;
-	uint64_t own_score;
-	uint32_t before; /* others with a higher score */
-	uint32_t n;
-} rank_t;
-
-static void rank_member(void *ctx, const bsh_member_t *member)
-{
-	rank_t *rank = ctx;
-
-	if (strcmp(member->name, rank->self) == 0 ||
-	    member->state != BSH_MEMBER_ALIVE)
-		return;
-	rank->n++;
-	rank->before += name_score(rank->key, member->name) > rank->own_score;
-}
-
-uint32_t peers_rank(const peers_t *peers, uint64_t key, uint32_t *n)
-{
-	const char *self = peers->control->entry->settings.instance;
-	rank_t rank = { .self = self,
-			.key = key,
-			.own_score = name_score(key, self),
-			.n = 1 };
-
-	bsh_members_foreach(peers->members, rank_member, &rank);
-	*n = rank.n;
-	return rank.before;
-}
-
-typedef struct {
-	uint64_t score;
-	const char *name;
-} scored_t;
-
-typedef struct {
-	uint64_t key;
-	GArray *scored;
-} scoring_t;
-
-static void add_scored(void *ctx, const bsh_member_t *member)
-{
-	const scoring_t *scoring = ctx;
-	scored_t entry = { name_score(scoring->key, member->name),
-			   member->name };
-
-	if (member->state == BSH_MEMBER_ALIVE)
-		g_array_append_val(scoring->scored, entry);
-}
-
-static gint compare_scores(gconstpointer a, gconstpointer b)
-{
-	uint64_t left = ((const scored_t *)a)->score;
-	uint64_t right = ((const scored_t *)b)->score;
-
-	return left > right ? -1 : left < right;
-}
-
-const char *peers_at_rank(const peers_t *peers, uint64_t key, uint32_t at)
-{
-	g_autoptr(GArray) scored = g_array_new(FALSE, FALSE, sizeof(scored_t));
-	scoring_t scoring = { key, scored };
-
-	bsh_members_foreach(peers->members, add_scored, &scoring);
-	g_array_sort(scored, compare_scores);
-	return at < scored->len ? g_array_index(scored, scored_t, at).name
-				: NULL;
-}
-
-const char *peers_any(const peers_t *peers)
+const bsh_members_t *peers_members(const peers_t *peers)
 {
-	uint32_t n;
-	uint32_t own = peers_rank(peers, 0, &n);
-	uint32_t at;
-
-	if (n < 2)
-		return NULL;
-	at = (uint32_t)g_random_int_range(0, (gint32)n - 1);
-	return peers_at_rank(peers, 0, at < own ? at : at + 1);
+	return peers->members;
 }
 
-typedef struct {
-	uint64_t key;
-	GHashTable *left_out; /* names */
-	uint64_t score;
-	const char *name;
-} first_t;
-
-static void rank_first(first_t *first, const char *name)
+const char *peers_self(const peers_t *peers)
 {
-	uint64_t score = name_score(first->key, name);
-
-	if ((first->left_out != NULL &&
-	     g_hash_table_contains(first->left_out, name)) ||
-	    (first->name != NULL && score <= first->score))
-		return;
-	first->score = score;
-	first->name = name;
-}
-
-static void rank_first_member(void *ctx, const bsh_member_t *member)
-{
-	if (member->state == BSH_MEMBER_ALIVE && !member->leaving &&
-	    member->has_place)
-		rank_first(ctx, member->name);
+	return peers->control->entry->settings.instance;
 }
 
-const char *peers_first(const peers_t *peers, uint64_t key,
-			GHashTable *left_out)
+bool peers_is_leaving(const peers_t *peers)
 {
-	first_t first = { .key = key, .left_out = left_out };
-
-	bsh_members_foreach(peers->members, rank_first_member, &first);
-	if (!peers->leaving)
-		rank_first(&first, peers->control->entry->settings.instance);
-	return first.name;
+	return peers->leaving;
 }
 
 typedef struct {
