streams: records follow their keepers

What callers saw: streams of a split route, which have a record at three keepers, were refused wherever they were taken up (0 of 4 go on) after their keepers had been restarted one after the other and the instance that forwarded them was killed; so were those whose keepers were restarted after its end, and those whose keepers were replaced by instances of other names.

A record was sent to its keepers once. A keeper that is started again has none, and one that takes the place of another one never got any, while the forwarding instance and the other keepers had it all the time.

Now the table of records notes which processes (name and incarnation) have each record. When an instance appears, is started again or ends, each one looks through its records, 256 in 50 ms, and sends each to the keepers that were not sent it. A receiver notes the sender and the keepers of that time, so that one change does not have all of them send the record to each other.

control_init() makes streams before peers, as the first instances may appear in peers_new().

--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -197,8 +197,7 @@
 	} else if (message->type == BSH_MSG_UNREACHABLE) {
 		loads_receive_refused(control->loads, &message->unreachable);
 	} else if (message->type == BSH_MSG_STREAM_RECORDS) {
-		streams_receive_records(control->streams,
-					&message->stream_records);
+		streams_receive_records(control->streams, message);
 	} else if (message->type == BSH_MSG_STREAM_QUERY) {
 		streams_receive_query(control->streams, message->sender,
 				      &message->stream_query);
@@ -634,12 +633,13 @@
 	init_account_keeper(control);
 	control->catalogs = catalogs_new(control);
 	control->targets = targets_new(control);
+	/* The first instances may appear in peers_new(). */
+	control->streams = streams_new(control);
 	control->peers = peers_new(control);
 	control->announcer = announcer_new(control);
 	control->orders = orders_new(control);
 	control->loads = loads_new(control);
 	control->inventory = inventory_new(control);
-	control->streams = streams_new(control);
 	control->quarantine = quarantine_new(control);
 	control->limit_shares = limit_shares_new(control);
 	control->cut_peers = cut_peers_new(control);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -316,10 +316,16 @@
  * same ones for a key, as far as they know the same ones. */
 /* Instances that keep the record of a stream, beside the one that forwards it. */
 #define PEERS_KEEPERS 3U
-/* Chooses the other instances that keep the record of a stream, the same at all
- * instances as far as they know the same ones; returns their number. */
+typedef struct {
+	char name[BSH_NAME_SIZE];
+	uint64_t process; /* by peers_process_key() */
+} peers_keeper_t;
+/* Chooses the other instances that keep the record of a stream; returns their
+ * number. */
 uint32_t peers_choose_keepers(const peers_t *peers, uint64_t stream,
-			      char names[PEERS_KEEPERS][BSH_NAME_SIZE]);
+			      peers_keeper_t keepers[PEERS_KEEPERS]);
+/* Hash of a process of an instance; each start is another one. */
+uint64_t peers_process_key(const char *name, uint64_t incarnation);
 /* Name of the instance at a rank by rendezvous hashing of a key, among those
  * alive, as peers_rank() counts; NULL: there is none. */
 const char *peers_at_rank(const peers_t *peers, uint64_t key, uint32_t at);
@@ -457,10 +463,12 @@
 /* Notes how long the list of targets has been known, and asks other instances for
  * the versions before that. */
 void streams_tick(streams_t *streams);
+/* Another instance has appeared or gone, or was started again: records get other
+ * keepers. */
+void streams_instances_changed(streams_t *streams);
 /* Handle STREAM_RECORDS, STREAM_QUERY, STREAM_ANSWER, VERSIONS_QUERY and
  * VERSIONS_ANSWER. */
-void streams_receive_records(streams_t *streams,
-			     const bsh_msg_stream_records_t *message);
+void streams_receive_records(streams_t *streams, const bsh_message_t *received);
 void streams_receive_query(streams_t *streams, const char *sender,
 			   const bsh_msg_stream_query_t *query);
 void streams_receive_answer(streams_t *streams,
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -96,6 +96,7 @@
 		member->leaving ? "leaving" : names[member->state]);
 	bsh_counter_set(&live_instances, bsh_members_live(peers->members));
 	control_schedule_view(peers->control);
+	streams_instances_changed(peers->control->streams);
 }
 
 static void ignore_target_leaving(void *ctx, const char *target,
--- a/bshentryd/peers_rank.c
+++ b/bshentryd/peers_rank.c
@@ -17,7 +17,7 @@
 	uint64_t stream;
 	uint32_t n;
 	uint64_t scores[PEERS_KEEPERS]; /* the highest first */
-	const char *names[PEERS_KEEPERS];
+	const bsh_member_t *members[PEERS_KEEPERS];
 } keepers_t;
 
 static void rank_keeper(void *ctx, const bsh_member_t *member)
@@ -33,27 +33,37 @@
 	for (at = keepers->n; at > 0 && keepers->scores[at - 1] < score; at--)
 		if (at < PEERS_KEEPERS) {
 			keepers->scores[at] = keepers->scores[at - 1];
-			keepers->names[at] = keepers->names[at - 1];
+			keepers->members[at] = keepers->members[at - 1];
 		}
 	if (at == PEERS_KEEPERS)
 		return;
 	keepers->scores[at] = score;
-	keepers->names[at] = member->name;
+	keepers->members[at] = member;
 	keepers->n = MIN(keepers->n + 1, PEERS_KEEPERS);
 }
 
+uint64_t peers_process_key(const char *name, uint64_t incarnation)
+{
+	return XXH64(name, strlen(name), incarnation);
+}
+
 uint32_t peers_choose_keepers(const peers_t *peers, uint64_t stream,
-			      char names[PEERS_KEEPERS][BSH_NAME_SIZE])
+			      peers_keeper_t keepers[PEERS_KEEPERS])
 {
-	keepers_t keepers = {
+	keepers_t chosen = {
 		.self = peers_self(peers),
 		.stream = stream,
 	};
 
-	bsh_members_foreach(peers_members(peers), rank_keeper, &keepers);
-	for (uint32_t i = 0; i < keepers.n; i++)
-		g_strlcpy(names[i], keepers.names[i], BSH_NAME_SIZE);
-	return keepers.n;
+	bsh_members_foreach(peers_members(peers), rank_keeper, &chosen);
+	for (uint32_t i = 0; i < chosen.n; i++) {
+		const bsh_member_t *member = chosen.members[i];
+
+		g_strlcpy(keepers[i].name, member->name, BSH_NAME_SIZE);
+		keepers[i].process =
+			peers_process_key(member->name, member->incarnation);
+	}
+	return chosen.n;
 }
 
 typedef struct {
--- a/bshentryd/quarantine.c
+++ b/bshentryd/quarantine.c
@@ -154,15 +154,15 @@
 /* Passes new facts on to some other instances, which do the same. */
 static void pass_on(quarantine_t *quarantine)
 {
-	char names[PEERS_KEEPERS][BSH_NAME_SIZE];
+	peers_keeper_t others[PEERS_KEEPERS];
 	uint64_t random = (uint64_t)g_random_int() << 32 | g_random_int();
 	uint32_t n;
 
 	if (quarantine->news->len == 0)
 		return;
-	n = peers_choose_keepers(quarantine->control->peers, random, names);
+	n = peers_choose_keepers(quarantine->control->peers, random, others);
 	for (uint32_t i = 0; i < n; i++)
-		send_all(quarantine, names[i], quarantine->news,
+		send_all(quarantine, others[i].name, quarantine->news,
 			 ANSWER_DATAGRAMS_MAX);
 	g_array_set_size(quarantine->news, 0);
 }
@@ -241,13 +241,13 @@
 
 static void ask_others(quarantine_t *quarantine, int64_t now_us)
 {
-	char names[PEERS_KEEPERS][BSH_NAME_SIZE];
+	peers_keeper_t others[PEERS_KEEPERS];
 	uint32_t n;
 
 	if (quarantine->asks_since_us == 0)
 		return;
 	n = peers_choose_keepers(quarantine->control->peers, g_random_int(),
-				 names);
+				 others);
 	if (n == 0 && peers_listed(quarantine->control->peers)) {
 		stop_asking(quarantine, "alone");
 		return;
@@ -260,7 +260,7 @@
 	}
 	quarantine->asked_us = now_us;
 	for (uint32_t i = 0; i < n; i++)
-		send_facts(quarantine, names[i], NULL, 0, 0, true);
+		send_facts(quarantine, others[i].name, NULL, 0, 0, true);
 }
 
 /* Lets this instance send one request with a quarantined key, if it is the one
@@ -286,7 +286,7 @@
 
 static void repair_one(quarantine_t *quarantine, int64_t now_us)
 {
-	char names[PEERS_KEEPERS][BSH_NAME_SIZE];
+	peers_keeper_t others[PEERS_KEEPERS];
 
 	if (now_us - quarantine->repaired_us < REPAIR_INTERVAL_US)
 		return;
@@ -300,10 +300,11 @@
 	bsh_quarantine_foreach_probe(&quarantine->table, now_us, allow_probe,
 				     quarantine);
 	if (peers_choose_keepers(quarantine->control->peers, g_random_int(),
-				 names) > 0) {
+				 others) > 0) {
 		g_autoptr(GArray) facts = all_facts(quarantine);
 
-		send_all(quarantine, names[0], facts, REPAIR_DATAGRAMS_MAX);
+		send_all(quarantine, others[0].name, facts,
+			 REPAIR_DATAGRAMS_MAX);
 	}
 }
 
--- a/bshentryd/streams.c
+++ b/bshentryd/streams.c
@@ -31,6 +31,9 @@
 /* An instance has heard of the others by this time after its start. */
 #define PEERS_KNOWN_US INT64_C(3000000)
 #define PEERS_RETRY_US INT64_C(100000)
+/* Records that are looked at in each call of streams_tick() after instances have
+ * changed: at 1,100 instances each takes some 20 us. */
+#define COPIES_PER_TICK 256U
 /* While several versions serve, this many instances write the records to the
  * store: one may be cut off from it.  They are the first ones by rendezvous
  * hashing of WRITERS_KEY. */
@@ -55,8 +58,10 @@
 	GHashTable *queries; /* stream to query_t */
 	bsh_version_history_t versions;
 	stream_store_t store;
-	GArray *listed;		     /* listed_version_t, of the last view */
-	int64_t history_us;	     /* next question to others */
+	GArray *listed;		  /* listed_version_t, of the last view */
+	bool are_keepers_changed; /* since the last begin of a look */
+	GArray *to_copy;    /* bsh_stream_record_t, not yet looked at since */
+	int64_t history_us; /* next question to others */
 	int64_t history_interval_us; /* and the one after it */
 	int64_t clock_lead_us; /* of CLOCK_BOOTTIME over CLOCK_MONOTONIC */
 	int64_t resumed_us;    /* end of a suspension was noticed; loop clock */
@@ -70,6 +75,10 @@
 static bsh_counter_t records_gauge =
 	BSH_GAUGE("bsh_stream_records",
 		  "Streams whose software version is kept for all instances.");
+static bsh_counter_t records_copied =
+	BSH_COUNTER("bsh_stream_records_copied_total",
+		    "Records sent to an instance because it was started again "
+		    "or took the place of another one.");
 static bsh_counter_t queries_sent =
 	BSH_COUNTER("bsh_stream_queries_total",
 		    "Resumed streams whose version was asked for.");
@@ -106,6 +115,7 @@
 	streams_t *streams = g_new0(streams_t, 1);
 
 	bsh_counter_register(&records_gauge);
+	bsh_counter_register(&records_copied);
 	bsh_counter_register(&queries_sent);
 	bsh_counter_register(&queries_unknown);
 	bsh_counter_register(&history_gaps);
@@ -118,6 +128,8 @@
 	streams->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, free_query);
 	streams->listed = g_array_new(FALSE, FALSE, sizeof(listed_version_t));
+	streams->to_copy =
+		g_array_new(FALSE, FALSE, sizeof(bsh_stream_record_t));
 	streams->history_interval_us = HISTORY_INTERVAL_US;
 	streams->clock_lead_us = clock_lead_us(control);
 	bsh_version_history_init(
@@ -133,6 +145,7 @@
 	g_hash_table_destroy(streams->queries);
 	bsh_version_history_finish(&streams->versions);
 	g_array_free(streams->listed, TRUE);
+	g_array_free(streams->to_copy, TRUE);
 	stream_store_finish(&streams->store);
 	bsh_stream_table_finish(&streams->table);
 	g_free(streams);
@@ -200,15 +213,23 @@
 	}
 }
 
+static void send_batches(const streams_t *streams, GHashTable *batches)
+{
+	GHashTableIter iter;
+	void *instance;
+	void *batch;
+
+	g_hash_table_iter_init(&iter, batches);
+	while (g_hash_table_iter_next(&iter, &instance, &batch))
+		send_records(streams, instance, batch);
+}
+
 void streams_record(streams_t *streams, const GArray *records)
 {
 	const peers_t *peers = streams->control->peers;
 	g_autoptr(GHashTable) batches = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, free_array);
-	char keepers[PEERS_KEEPERS][BSH_NAME_SIZE];
-	GHashTableIter iter;
-	void *instance;
-	void *batch;
+	peers_keeper_t keepers[PEERS_KEEPERS];
 
 	for (guint i = 0; i < records->len; i++) {
 		const bsh_stream_record_t *record =
@@ -219,25 +240,44 @@
 		bsh_stream_table_set(&streams->table, record->stream,
 				     record->software,
 				     control_now_us(streams->control));
-		for (uint32_t k = 0; k < n; k++)
-			add_to_batch(batches, keepers[k], record, 1);
+		for (uint32_t k = 0; k < n; k++) {
+			bsh_stream_table_note_holder(&streams->table,
+						     record->stream,
+						     keepers[k].process);
+			add_to_batch(batches, keepers[k].name, record, 1);
+		}
 	}
 	add_to_writers(streams, batches, records);
-	g_hash_table_iter_init(&iter, batches);
-	while (g_hash_table_iter_next(&iter, &instance, &batch))
-		send_records(streams, instance, batch);
+	send_batches(streams, batches);
 }
 
-void streams_receive_records(streams_t *streams,
-			     const bsh_msg_stream_records_t *message)
+/* The sender has the record, and sends it to all keepers. */
+static void note_holders(streams_t *streams, uint64_t stream, uint64_t sender)
 {
+	peers_keeper_t keepers[PEERS_KEEPERS];
+	uint32_t n =
+		peers_choose_keepers(streams->control->peers, stream, keepers);
+
+	bsh_stream_table_note_holder(&streams->table, stream, sender);
+	for (uint32_t i = 0; i < n; i++)
+		bsh_stream_table_note_holder(&streams->table, stream,
+					     keepers[i].process);
+}
+
+void streams_receive_records(streams_t *streams, const bsh_message_t *received)
+{
+	const bsh_msg_stream_records_t *message = &received->stream_records;
+	uint64_t sender =
+		peers_process_key(received->sender, received->incarnation);
 	int64_t now_us = control_now_us(streams->control);
 	uint32_t n;
 
-	for (uint32_t i = 0; i < message->record_count; i++)
+	for (uint32_t i = 0; i < message->record_count; i++) {
 		bsh_stream_table_set(&streams->table,
 				     message->records[i].stream,
 				     message->records[i].software, now_us);
+		note_holders(streams, message->records[i].stream, sender);
+	}
 	bsh_counter_set(&records_gauge, bsh_stream_table_size(&streams->table));
 	if (have_several(streams) &&
 	    peers_rank(streams->control->peers, WRITERS_KEY, &n) < WRITERS)
@@ -245,6 +285,52 @@
 				 message->record_count);
 }
 
+void streams_instances_changed(streams_t *streams)
+{
+	streams->are_keepers_changed = true;
+}
+
+/* Sends records to keepers that were started again, and to those that took the
+ * place of others. */
+static void copy_records(streams_t *streams)
+{
+	const peers_t *peers = streams->control->peers;
+	g_autoptr(GHashTable) batches = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, free_array);
+
+	for (uint32_t i = 0; i < COPIES_PER_TICK && streams->to_copy->len > 0;
+	     i++) {
+		guint last = streams->to_copy->len - 1;
+		bsh_stream_record_t record = g_array_index(
+			streams->to_copy, bsh_stream_record_t, last);
+		peers_keeper_t keepers[PEERS_KEEPERS];
+		uint32_t n =
+			peers_choose_keepers(peers, record.stream, keepers);
+
+		g_array_set_size(streams->to_copy, last);
+		for (uint32_t k = 0; k < n; k++) {
+			if (!bsh_stream_table_note_holder(&streams->table,
+							  record.stream,
+							  keepers[k].process))
+				continue;
+			add_to_batch(batches, keepers[k].name, &record, 1);
+			bsh_counter_add(&records_copied, 1);
+		}
+	}
+	send_batches(streams, batches);
+}
+
+static void follow_keepers(streams_t *streams, int64_t now_us)
+{
+	if (streams->to_copy->len == 0 && streams->are_keepers_changed) {
+		streams->are_keepers_changed = false;
+		bsh_stream_table_collect(&streams->table, streams->to_copy,
+					 now_us);
+	}
+	if (streams->to_copy->len > 0)
+		copy_records(streams);
+}
+
 static void add_service(view_t *view, const char *service)
 {
 	view_software_t item = { .only = 0 };
@@ -382,6 +468,7 @@
 	int64_t now_us = control_now_us(streams->control);
 	bool asked = false;
 
+	follow_keepers(streams, now_us);
 	confirm_list(streams);
 	note_listed(streams, now_us);
 	if (streams->versions.since_us == 0 || now_us < streams->history_us)
@@ -520,14 +607,14 @@
 static bool send_query(query_t *query)
 {
 	peers_t *peers = query->streams->control->peers;
-	char keepers[PEERS_KEEPERS][BSH_NAME_SIZE];
+	peers_keeper_t keepers[PEERS_KEEPERS];
 	bsh_message_t message = { .type = BSH_MSG_STREAM_QUERY };
 
 	message.stream_query.stream = query->stream;
 	message.stream_query.service = query->service;
 	query->asked = peers_choose_keepers(peers, query->stream, keepers);
 	for (uint32_t i = 0; i < query->asked; i++)
-		peers_send(peers, keepers[i], &message);
+		peers_send(peers, keepers[i].name, &message);
 	return query->asked > 0;
 }
 
--- a/lib/coordination/stream_table.c
+++ b/lib/coordination/stream_table.c
@@ -7,7 +7,9 @@
 	uint64_t stream;
 	uint64_t software;
 	int64_t set_us;
-	GList link; /* in table.order */
+	uint64_t holders[BSH_STREAM_HOLDERS];
+	uint32_t holder_count; /* of all that were noted */
+	GList link;	       /* in table.order */
 } entry_t;
 
 void bsh_stream_table_init(bsh_stream_table_t *table, uint32_t limit)
@@ -92,6 +94,22 @@
 	}
 }
 
+bool bsh_stream_table_note_holder(bsh_stream_table_t *table, uint64_t stream,
+				  uint64_t holder)
+{
+	entry_t *entry = g_hash_table_lookup(table->entries, &stream);
+	uint32_t noted;
+
+	if (entry == NULL)
+		return false;
+	noted = MIN(entry->holder_count, BSH_STREAM_HOLDERS);
+	for (uint32_t i = 0; i < noted; i++)
+		if (entry->holders[i] == holder)
+			return false;
+	entry->holders[entry->holder_count++ % BSH_STREAM_HOLDERS] = holder;
+	return true;
+}
+
 uint32_t bsh_stream_table_size(const bsh_stream_table_t *table)
 {
 	return table->order.length;
--- a/lib/coordination/stream_table.h
+++ b/lib/coordination/stream_table.h
@@ -28,6 +28,10 @@
 
 #include "protocol/message.h"
 
+/* Holders of a record that are noted; the one noted first is dropped for another
+ * one. The instance that forwards a stream, three keepers, and those that take the
+ * place of keepers. */
+#define BSH_STREAM_HOLDERS 6
 /* A caller resumes a stream within its deadline; no declared one is longer. */
 #define BSH_STREAM_MEMORY_US INT64_C(30000000)
 /* Version of a stream that cannot be told; it matches no target. */
@@ -53,6 +57,16 @@
  * bsh_stream_record_t. */
 void bsh_stream_table_collect(bsh_stream_table_t *table, GArray *records,
 			      int64_t now_us);
+/*
+ * bsh_stream_table_note_holder - another process, given by a hash, is sent the
+ * record of a stream, or has it.
+ *
+ * RETURN VALUE
+ *	True if it is to be sent the record: it was not noted before, and the
+ *	stream has one.
+ */
+bool bsh_stream_table_note_holder(bsh_stream_table_t *table, uint64_t stream,
+				  uint64_t holder);
 uint32_t bsh_stream_table_size(const bsh_stream_table_t *table);
 
 /* bsh_stream_key - key of the stream whose first event this attempt brought; 0
--- a/regress/test_stream_restarts.c
+++ b/regress/test_stream_restarts.c
@@ -45,7 +45,7 @@
 	platform_rig_configure(&f->rig, route);
 }
 
-static void set_up(fixture_t *f, gconstpointer data)
+static void start(fixture_t *f, gconstpointer data)
 {
 	(void)data;
 	platform_rig_init(&f->rig);
@@ -56,6 +56,11 @@
 		f->entries[i] = platform_rig_add_entry(&f->rig);
 	for (size_t i = 0; i < INSTANCES; i++)
 		platform_rig_wait_ready(&f->rig, f->entries[i]);
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+	start(f, data);
 	platform_rig_run(&f->rig, COVERAGE_MS);
 }
 
@@ -264,9 +269,77 @@
 	f->rig.store_down = false;
 }
 
+/* Streams of a split route are not of the only version of one service, so they
+ * have records. */
+static void split_route(fixture_t *f)
+{
+	platform_rig_add_worker(&f->rig, "llm2", "m0");
+	configure_moves(f, "\"trafficSplit\":[{\"service\":\"llm\","
+			   "\"weight\":1},{\"service\":\"llm2\","
+			   "\"weight\":1}]");
+	platform_rig_run(&f->rig, CONTACT_MS);
+}
+
+/* Guards against the loss of records whose keepers were restarted one after the
+ * other while the instance that forwards the streams stayed. */
+static void test_keepers_restart(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	split_route(f);
+	begin(f, f->entries[0], "/moves/1", "h");
+	restart(f, f->entries[1], SIGKILL);
+	restart(f, f->entries[2], SIGTERM);
+	stop(f, f->entries[0], SIGKILL);
+	g_assert_cmpuint(take_up(f, f->entries[1], "/moves/1", "h"), ==,
+			 STREAMS);
+	g_assert_cmpuint(take_up(f, f->entries[2], "/moves/1", "h"), ==,
+			 STREAMS);
+}
+
+/* Guards against the same after the end of that instance: a keeper has to pass the
+ * records on. */
+static void test_keepers_restart_later(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	split_route(f);
+	begin(f, f->entries[0], "/moves/1", "i");
+	stop(f, f->entries[0], SIGKILL);
+	restart(f, f->entries[1], SIGKILL);
+	restart(f, f->entries[2], SIGKILL);
+	g_assert_cmpuint(take_up(f, f->entries[1], "/moves/1", "i"), ==,
+			 STREAMS);
+	g_assert_cmpuint(take_up(f, f->entries[2], "/moves/1", "i"), ==,
+			 STREAMS);
+}
+
+/* Guards against the same where instances of other names take the place of the
+ * keepers. */
+static void test_keepers_replaced(fixture_t *f, gconstpointer data)
+{
+	rig_entry_t *later[2];
+
+	(void)data;
+	split_route(f);
+	begin(f, f->entries[0], "/moves/1", "j");
+	for (size_t i = 0; i < G_N_ELEMENTS(later); i++) {
+		later[i] = platform_rig_add_entry(&f->rig);
+		platform_rig_wait_ready(&f->rig, later[i]);
+	}
+	platform_rig_run(&f->rig, CONTACT_MS);
+	for (size_t i = 0; i < INSTANCES; i++)
+		stop(f, f->entries[i], SIGKILL);
+	for (size_t i = 0; i < G_N_ELEMENTS(later); i++)
+		g_assert_cmpuint(take_up(f, later[i], "/moves/1", "j"), ==,
+				 STREAMS);
+}
+
 #define ADD(name, test)                                                        \
 	g_test_add("/stream-restarts/" name, fixture_t, NULL, set_up, test,    \
 		   tear_down)
+/* Without the wait until the versions are known. */
+#define ADD_EARLY(name, test)                                                  \
+	g_test_add("/stream-restarts/" name, fixture_t, NULL, start, test,     \
+		   tear_down)
 
 int main(int argc, char **argv)
 {
@@ -280,5 +353,8 @@
 	ADD("route-is-split", test_route_is_split);
 	ADD("route-moves", test_route_moves);
 	ADD("killed-in-outage", test_killed_in_outage);
+	ADD_EARLY("keepers-restart", test_keepers_restart);
+	ADD_EARLY("keepers-restart-later", test_keepers_restart_later);
+	ADD_EARLY("keepers-replaced", test_keepers_replaced);
 	return g_test_run();
 }
--- a/regress/test_stream_table.c
+++ b/regress/test_stream_table.c
@@ -48,6 +48,32 @@
 	g_assert_cmpuint(bsh_stream_key("a"), !=, bsh_stream_key("b"));
 }
 
+/* Guards against a record that a new process is not sent, as one before it had it,
+ * and against one that is sent to the same process again and again. */
+static void test_holders(void)
+{
+	bsh_stream_table_t table;
+
+	bsh_stream_table_init(&table, 10);
+	g_assert_false(bsh_stream_table_note_holder(&table, 1, 100));
+	bsh_stream_table_set(&table, 1, V1, 0);
+	bsh_stream_table_set(&table, 2, V1, 0);
+	for (uint64_t holder = 100; holder < 100 + BSH_STREAM_HOLDERS;
+	     holder++) {
+		g_assert_true(bsh_stream_table_note_holder(&table, 1, holder));
+		g_assert_false(bsh_stream_table_note_holder(&table, 1, holder));
+	}
+	g_assert_true(bsh_stream_table_note_holder(&table, 2, 100));
+	/* A record that is set again is held by the same ones. */
+	bsh_stream_table_set(&table, 1, V1, 10);
+	g_assert_false(bsh_stream_table_note_holder(&table, 1, 100));
+	/* The one noted first makes room. */
+	g_assert_true(bsh_stream_table_note_holder(&table, 1, 200));
+	g_assert_false(bsh_stream_table_note_holder(&table, 1, 101));
+	g_assert_true(bsh_stream_table_note_holder(&table, 1, 100));
+	bsh_stream_table_finish(&table);
+}
+
 /* Guards against records that are not sent to the other instances when a second
  * version comes. */
 static void test_collect(void)
@@ -282,6 +308,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stream-table/records", test_records);
+	g_test_add_func("/stream-table/holders", test_holders);
 	g_test_add_func("/stream-table/collect", test_collect);
 	g_test_add_func("/stream-table/only-version", test_only_version);
 	g_test_add_func("/stream-table/unreadable-version",
