--- a/regress/test_stream_restarts.c
+++ b/regress/test_stream_restarts.c
@@ -333,6 +333,33 @@
 				 STREAMS);
 }
 
+/* Guards against the loss of all streams when all instances are killed at a time:
+ * none is left that knows the versions. */
+static void test_all_killed(fixture_t *f, gconstpointer data)
+{
+	uint32_t went_on = 0;
+
+	(void)data;
+	begin(f, f->entries[0], "/stream/1", "k");
+	for (size_t i = 0; i < INSTANCES; i++)
+		platform_rig_signal(f->entries[i], SIGKILL);
+	for (size_t i = 0; i < INSTANCES; i++) {
+		while (f->entries[i]->alive)
+			platform_rig_run(&f->rig, 5);
+		platform_rig_spawn(&f->rig, f->entries[i]);
+	}
+	for (size_t i = 0; i < INSTANCES; i++)
+		platform_rig_wait_ready(&f->rig, f->entries[i]);
+	platform_rig_run(&f->rig, CONTACT_MS);
+	for (size_t i = 0; i < INSTANCES; i++)
+		went_on += take_up(f, f->entries[i], "/stream/1", "k");
+	/* The cases after this one are run if it fails. */
+	if (went_on != INSTANCES * STREAMS) {
+		g_test_message("%u of %d go on", went_on, INSTANCES * STREAMS);
+		g_test_fail();
+	}
+}
+
 #define ADD(name, test)                                                        \
 	g_test_add("/stream-restarts/" name, fixture_t, NULL, set_up, test,    \
 		   tear_down)
@@ -353,6 +380,7 @@
 	ADD("route-is-split", test_route_is_split);
 	ADD("route-moves", test_route_moves);
 	ADD("killed-in-outage", test_killed_in_outage);
+	ADD("all-killed", test_all_killed);
 	ADD_EARLY("keepers-restart", test_keepers_restart);
 	ADD_EARLY("keepers-restart-later", test_keepers_restart_later);
 	ADD_EARLY("keepers-replaced", test_keepers_replaced);
