--- a/bshentryd/control.c
+++ b/bshentryd/control.c
@@ -80,7 +80,7 @@
 	if (message->view->cut)
 		peers_choose_relays(control->peers, message->view->peers);
 	targets_fill(control->targets, message->view);
-	streams_fill(control->streams, message->view);
+	versions_fill(control->versions, message->view);
 	orders_fill(control->orders, message->view);
 	bsh_loop_post(&control->entry->traffic_loop, traffic_set_view, message);
 }
@@ -205,12 +205,11 @@
 		streams_receive_answer(control->streams,
 				       &message->stream_answer);
 	} else if (message->type == BSH_MSG_VERSIONS_QUERY) {
-		streams_receive_versions_query(control->streams,
-					       message->sender,
-					       &message->versions_query);
+		versions_receive_query(control->versions, message->sender,
+				       &message->versions_query);
 	} else if (message->type == BSH_MSG_VERSIONS_ANSWER) {
-		streams_receive_versions(control->streams, message->sender,
-					 &message->versions_answer);
+		versions_receive_answer(control->versions, message->sender,
+					&message->versions_answer);
 	} else if (message->type == BSH_MSG_SUSPECT_FACTS) {
 		quarantine_receive(control->quarantine, message->sender,
 				   &message->suspect_facts);
@@ -519,6 +518,7 @@
 	store_reading_tick(control->store_reading);
 	orders_tick(control->orders);
 	loads_tick(control->loads);
+	versions_tick(control->versions);
 	streams_tick(control->streams);
 	quarantine_tick(control->quarantine);
 	limit_shares_tick(control->limit_shares);
@@ -634,6 +634,7 @@
 	control->catalogs = catalogs_new(control);
 	control->targets = targets_new(control);
 	/* The first instances may appear in peers_new(). */
+	control->versions = versions_new(control);
 	control->streams = streams_new(control);
 	control->peers = peers_new(control);
 	control->announcer = announcer_new(control);
@@ -672,6 +673,7 @@
 	limit_shares_free(control->limit_shares);
 	quarantine_free(control->quarantine);
 	streams_free(control->streams);
+	versions_free(control->versions);
 	inventory_free(control->inventory);
 	loads_free(control->loads);
 	account_keeper_finish(&control->account_keeper);
--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -39,6 +39,7 @@
 typedef struct announcer announcer_t;
 typedef struct directory directory_t;
 typedef struct streams streams_t;
+typedef struct versions versions_t;
 typedef struct quarantine quarantine_t;
 typedef struct limit_shares limit_shares_t;
 typedef struct cut_peers cut_peers_t;
@@ -60,6 +61,7 @@
 	announcer_t *announcer;
 	directory_t *directory;
 	streams_t *streams;
+	versions_t *versions;
 	quarantine_t *quarantine;
 	limit_shares_t *limit_shares;
 	cut_peers_t *cut_peers;
@@ -457,29 +459,45 @@
 void streams_record(streams_t *streams, const GArray *records);
 /* Asks for the version of a stream; traffic_set_stream_version() gets it. */
 void streams_query(streams_t *streams, uint64_t stream, uint64_t service);
-/* Notes the versions of the targets in a view, and adds to it which service has
- * had one version only. */
-void streams_fill(streams_t *streams, view_t *view);
-/* Notes how long the list of targets has been known, and asks other instances for
- * the versions before that. */
+/* Sends records to instances that keep them since a change of instances. */
 void streams_tick(streams_t *streams);
 /* Another instance has appeared or gone, or was started again: records get other
  * keepers. */
 void streams_instances_changed(streams_t *streams);
-/* Handle STREAM_RECORDS, STREAM_QUERY, STREAM_ANSWER, VERSIONS_QUERY and
- * VERSIONS_ANSWER. */
+/* Handle STREAM_RECORDS, STREAM_QUERY and STREAM_ANSWER. */
 void streams_receive_records(streams_t *streams, const bsh_message_t *received);
 void streams_receive_query(streams_t *streams, const char *sender,
 			   const bsh_msg_stream_query_t *query);
 void streams_receive_answer(streams_t *streams,
 			    const bsh_msg_stream_answer_t *answer);
-void streams_receive_versions_query(streams_t *streams, const char *sender,
-				    const bsh_msg_versions_query_t *query);
-void streams_receive_versions(streams_t *streams, const char *sender,
-			      const bsh_msg_versions_answer_t *answer);
 /* Notes that the store was restored from an older copy. */
 void streams_store_was_restored(streams_t *streams);
 
+/* versions.c: software versions that have served. */
+versions_t *versions_new(control_t *control);
+void versions_free(versions_t *versions);
+/* Notes the versions of the targets in a view, and adds to it which service has
+ * had one version only. */
+void versions_fill(versions_t *versions, view_t *view);
+/* Notes how long the list of targets has been known, and asks other instances for
+ * the versions before that. */
+void versions_tick(versions_t *versions);
+/* The only version of the service for BSH_STREAM_MEMORY_US; 0: there were others,
+ * or this instance does not know. */
+uint64_t versions_only(versions_t *versions, uint64_t service);
+/* True if several versions of the service are known to have served recently. */
+bool versions_several(const versions_t *versions, uint64_t service);
+/* The same for any service.  Only then may a stream be of a version that its
+ * service's list does not tell. */
+bool versions_have_several(const versions_t *versions);
+/* Time since this process has had a list of targets. */
+int64_t versions_age_us(const versions_t *versions);
+/* Handle VERSIONS_QUERY and VERSIONS_ANSWER. */
+void versions_receive_query(versions_t *versions, const char *sender,
+			    const bsh_msg_versions_query_t *query);
+void versions_receive_answer(versions_t *versions, const char *sender,
+			     const bsh_msg_versions_answer_t *answer);
+
 /* cut_peers.c: instances that reach no target. */
 cut_peers_t *cut_peers_new(control_t *control);
 void cut_peers_free(cut_peers_t *cut);
