versions: the history of versions outlives all instances

Cause: the history of versions is handed on from instance to instance, so it is lost with the last one that has it. New processes know the versions after 30 s of their own.

The holder of the order lease now writes what it knows to the store each 5 s: for each service since when the versions are known and which were seen, as of a revision of the list of targets that it follows (berylshunt-versions/targets). A process that has had a list for 0.4 s and has been told nothing by others reads that object and then the changes of the list since its revision, which the store keeps for some time. At most two instances do; the others ask these.

Why it works: what the writer had seen up to the revision, the changes since then, and the own list of the new process leave no gap. Ages in the object are taken as they were when it was written, and versions in the changes count as seen now, both of which prove less. An object or a change that cannot be read, a history that the store has discarded, and a store that was restored (its revisions are of another epoch) prove nothing.

Cost: one write in 5 s at any number of instances; two reads and two watches at a start of all.

--- a/bshentryd/control.h
+++ b/bshentryd/control.h
@@ -254,6 +254,9 @@
 /* Last time at which the store confirmed the list, to this instance or to the
  * lease holder that announces it; loop clock. */
 int64_t targets_confirmed_us(const targets_t *targets);
+/* Revision of the store up to which the table includes all changes; 0: the list is
+ * not followed in the store. */
+uint64_t targets_revision(const targets_t *targets);
 /* Longest time between two such times while the list is followed. */
 int64_t targets_confirm_interval_us(const targets_t *targets);
 /* True while the target's object is missing from the store and the target is
@@ -479,8 +482,8 @@
 /* Notes the versions of the targets in a view, and adds to it which service has
  * had one version only. */
 void versions_fill(versions_t *versions, view_t *view);
-/* Notes how long the list of targets has been known, and asks other instances for
- * the versions before that. */
+/* Notes how long the list of targets has been known, and asks other instances and
+ * the store for the versions before that. */
 void versions_tick(versions_t *versions);
 /* The only version of the service for BSH_STREAM_MEMORY_US; 0: there were others,
  * or this instance does not know. */
--- a/bshentryd/targets.c
+++ b/bshentryd/targets.c
@@ -438,6 +438,13 @@
 	return MAX(own_us, bsh_loop_clock_us() - holder_age_us);
 }
 
+uint64_t targets_revision(const targets_t *targets)
+{
+	return targets_is_synced(targets) && !targets->feed.listing
+		       ? targets->feed.revision
+		       : 0;
+}
+
 int64_t targets_confirm_interval_us(const targets_t *targets)
 {
 	return targets->feed.ops.wait_ms * INT64_C(1000);
--- a/bshentryd/versions.c
+++ b/bshentryd/versions.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "coordination/stream_table.h"
 #include "coordination/version_history.h"
+#include "version_store.h"
 
 /* An instance whose coverage is short asks this many others at a time, as some of
  * them may have started with it, in intervals that double from the first to the
@@ -14,6 +15,12 @@
 #define ASKED		    2
 #define ASK_INTERVAL_US	    INT64_C(100000)
 #define ASK_INTERVAL_MAX_US INT64_C(2000000)
+/* An instance to which the others have told nothing by then reads the history from
+ * the store.  At most this many do, the first ones by rendezvous hashing of
+ * READERS_KEY; they tell the others. */
+#define HISTORY_STORE_US INT64_C(400000)
+#define READERS		 2U
+#define READERS_KEY	 UINT64_C(0x56657273696f6e73)
 /* Beyond the interval of confirmations: a round trip to a slow store. */
 #define GAP_MARGIN_US INT64_C(1000000)
 /* CLOCK_BOOTTIME gains less than this on CLOCK_MONOTONIC unless the machine is
@@ -28,6 +35,7 @@
 struct versions {
 	control_t *control;
 	bsh_version_history_t history;
+	version_store_t store;
 	GArray *listed;		 /* listed_version_t, of the last view */
 	int64_t ask_us;		 /* next question to others */
 	int64_t ask_interval_us; /* and the one after it */
@@ -49,6 +57,16 @@
 	return control_now_us(control) - bsh_loop_clock_us();
 }
 
+static void on_snapshot_read(void *ctx, const bsh_version_snapshot_t *snapshot,
+			     int64_t asked_us);
+
+static int64_t versions_now_us(void *ctx)
+{
+	const versions_t *versions = ctx;
+
+	return control_now_us(versions->control);
+}
+
 versions_t *versions_new(control_t *control)
 {
 	versions_t *versions = g_new0(versions_t, 1);
@@ -56,6 +74,8 @@
 	bsh_counter_register(&history_gaps);
 	bsh_counter_register(&history_queries);
 	versions->control = control;
+	version_store_init(&versions->store, &control->store, on_snapshot_read,
+			   versions_now_us, versions);
 	versions->listed = g_array_new(FALSE, FALSE, sizeof(listed_version_t));
 	versions->ask_interval_us = ASK_INTERVAL_US;
 	versions->clock_lead_us = clock_lead_us(control);
@@ -69,6 +89,7 @@
 
 void versions_free(versions_t *versions)
 {
+	version_store_finish(&versions->store);
 	bsh_version_history_finish(&versions->history);
 	g_array_free(versions->listed, TRUE);
 	g_free(versions);
@@ -111,6 +132,7 @@
 		(int)(gap_us / 1000));
 	versions->ask_us = 0;
 	versions->ask_interval_us = ASK_INTERVAL_US;
+	version_store_reset(&versions->store);
 	control_schedule_view(versions->control);
 }
 
@@ -222,6 +244,84 @@
 	return true;
 }
 
+static bool is_covered(const versions_t *versions, int64_t now_us)
+{
+	for (guint i = 0; i < versions->listed->len; i++) {
+		uint64_t service =
+			g_array_index(versions->listed, listed_version_t, i)
+				.service;
+
+		if (!bsh_version_history_is_covered(&versions->history, service,
+						    now_us))
+			return false;
+	}
+	return true;
+}
+
+static void read_snapshot(versions_t *versions, int64_t now_us)
+{
+	int64_t since_us = versions->history.since_us;
+	uint32_t n;
+
+	if (since_us != 0 && now_us - since_us >= HISTORY_STORE_US &&
+	    now_us - since_us < BSH_STREAM_MEMORY_US &&
+	    !is_covered(versions, now_us) &&
+	    peers_rank(versions->control->peers, READERS_KEY, &n) < READERS)
+		version_store_read(&versions->store, now_us);
+}
+
+static void note_target(void *ctx, const bsh_target_t *target)
+{
+	versions_t *versions = ctx;
+
+	if (!target->leaving)
+		bsh_version_history_note(
+			&versions->history, bsh_service_key(target->service),
+			bsh_software_key(target->service, target->software),
+			control_now_us(versions->control));
+}
+
+static void write_snapshot(versions_t *versions, int64_t now_us)
+{
+	const control_t *control = versions->control;
+	uint64_t revision = targets_revision(control->targets);
+	g_autoptr(GArray) services =
+		g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	json_t *spec;
+
+	if (revision == 0 || !orders_is_holder(control->orders) ||
+	    !version_store_is_due(&versions->store, now_us))
+		return;
+	/* The last view may be older than the revision. */
+	targets_foreach(control->targets, note_target, versions);
+	for (guint i = 0; i < versions->listed->len; i++)
+		if (is_first_of_service(versions, i))
+			g_array_append_val(services,
+					   g_array_index(versions->listed,
+							 listed_version_t, i)
+						   .service);
+	spec = bsh_version_snapshot_encode(
+		&versions->history,
+		(const uint64_t *)(const void *)services->data, services->len,
+		revision, now_us);
+	if (spec != NULL)
+		version_store_write(&versions->store, spec, now_us);
+}
+
+static void on_snapshot_read(void *ctx, const bsh_version_snapshot_t *snapshot,
+			     int64_t asked_us)
+{
+	versions_t *versions = ctx;
+	uint32_t n;
+
+	confirm_list(versions);
+	n = bsh_version_snapshot_merge(snapshot, &versions->history, asked_us,
+				       control_now_us(versions->control));
+	bsh_log(BSH_LOG_INFO,
+		"version-history-continued source=store services=%u", n);
+	control_schedule_view(versions->control);
+}
+
 void versions_tick(versions_t *versions)
 {
 	int64_t now_us = control_now_us(versions->control);
@@ -229,6 +329,8 @@
 
 	confirm_list(versions);
 	note_listed(versions, now_us);
+	read_snapshot(versions, now_us);
+	write_snapshot(versions, now_us);
 	if (versions->history.since_us == 0 || now_us < versions->ask_us)
 		return;
 	for (guint i = 0; i < versions->listed->len; i++) {
--- a/regress/test_stream_restarts.c
+++ b/regress/test_stream_restarts.c
@@ -333,31 +333,78 @@
 				 STREAMS);
 }
 
-/* Guards against the loss of all streams when all instances are killed at a time:
- * none is left that knows the versions. */
-static void test_all_killed(fixture_t *f, gconstpointer data)
+static void kill_all(fixture_t *f)
 {
-	uint32_t went_on = 0;
-
-	(void)data;
-	begin(f, f->entries[0], "/stream/1", "k");
 	for (size_t i = 0; i < INSTANCES; i++)
 		platform_rig_signal(f->entries[i], SIGKILL);
-	for (size_t i = 0; i < INSTANCES; i++) {
+	for (size_t i = 0; i < INSTANCES; i++)
 		while (f->entries[i]->alive)
 			platform_rig_run(&f->rig, 5);
+}
+
+static void start_all(fixture_t *f)
+{
+	for (size_t i = 0; i < INSTANCES; i++)
 		platform_rig_spawn(&f->rig, f->entries[i]);
-	}
 	for (size_t i = 0; i < INSTANCES; i++)
 		platform_rig_wait_ready(&f->rig, f->entries[i]);
 	platform_rig_run(&f->rig, CONTACT_MS);
+}
+
+/* Guards against the loss of all streams when all instances are killed at a time:
+ * none is left that knows the versions. */
+static void test_all_killed(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin(f, f->entries[0], "/stream/1", "k");
+	kill_all(f);
+	start_all(f);
+	for (size_t i = 0; i < INSTANCES; i++)
+		g_assert_cmpuint(take_up(f, f->entries[i], "/stream/1", "k"),
+				 ==, STREAMS);
+	/* Before they have seen 30 s of their own. */
+	kill_all(f);
+	start_all(f);
 	for (size_t i = 0; i < INSTANCES; i++)
-		went_on += take_up(f, f->entries[i], "/stream/1", "k");
-	/* The cases after this one are run if it fails. */
-	if (went_on != INSTANCES * STREAMS) {
-		g_test_message("%u of %d go on", went_on, INSTANCES * STREAMS);
-		g_test_fail();
+		g_assert_cmpuint(take_up(f, f->entries[i], "/stream/1", "k"),
+				 ==, STREAMS);
+}
+
+/* Guards against events of two versions in one stream: the targets were replaced by
+ * others of another version while no instance ran. */
+static void test_all_replaced(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin(f, f->entries[0], "/stream/1", "l");
+	kill_all(f);
+	for (size_t i = 0; i < G_N_ELEMENTS(f->workers); i++) {
+		add_engine(f, "v2");
+		platform_rig_remove_worker(f->workers[i]);
+	}
+	start_all(f);
+	for (size_t i = 0; i < INSTANCES; i++)
+		g_assert_cmpuint(take_up(f, f->entries[i], "/stream/1", "l"),
+				 ==, 0);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
+}
+
+/* Guards against the same if the store has discarded the changes: what they were is
+ * not known then. */
+static void test_all_replaced_unseen(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	begin(f, f->entries[0], "/stream/1", "m");
+	kill_all(f);
+	for (size_t i = 0; i < G_N_ELEMENTS(f->workers); i++) {
+		add_engine(f, "v2");
+		platform_rig_remove_worker(f->workers[i]);
 	}
+	platform_rig_compact(&f->rig, "config");
+	start_all(f);
+	for (size_t i = 0; i < INSTANCES; i++)
+		g_assert_cmpuint(take_up(f, f->entries[i], "/stream/1", "m"),
+				 ==, 0);
+	g_assert_cmpuint(f->rig.mixed_streams, ==, 0);
 }
 
 #define ADD(name, test)                                                        \
@@ -381,6 +428,8 @@
 	ADD("route-moves", test_route_moves);
 	ADD("killed-in-outage", test_killed_in_outage);
 	ADD("all-killed", test_all_killed);
+	ADD("all-replaced", test_all_replaced);
+	ADD("all-replaced-unseen", test_all_replaced_unseen);
 	ADD_EARLY("keepers-restart", test_keepers_restart);
 	ADD_EARLY("keepers-restart-later", test_keepers_restart_later);
 	ADD_EARLY("keepers-replaced", test_keepers_replaced);
