--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,7 @@
 format:
 	clang-format -i $(C_FILES)
 
-lint: lint-format lint-tidy lint-cppcheck lint-man
+lint: lint-format lint-tidy lint-cppcheck lint-json lint-man
 
 lint-format:
 	@clang-format --dry-run -Werror $(C_FILES)
@@ -95,6 +95,13 @@
 		--enable=warning,performance,portability \
 		--suppress=normalCheckLevelMaxBranches -Ilib $(TIDY_FILES)
 
+# Functions of jansson that fail on text that is not UTF-8; base/json_text.h has those
+# to use.
+lint-json:
+	@! grep -nwE 'json_(dumps|dumpb|dumpf|dumpfd|dump_file|dump_callback|v?pack|v?pack_ex|v?sprintf|stringn?(_nocheck)?|string_setn?(_nocheck)?|object_set(_new)?_nocheck)' \
+		$(filter-out lib/base/json_text.c,$(wildcard lib/*/*.c platform/*.c \
+		bsh*/*.c))
+
 lint-man:
 	@for m in $(MAN_PAGES); do mandoc -Tlint -Wwarning $$m || exit 1; done
 
@@ -102,4 +109,4 @@
 	rm -rf $(BUILD)
 
 .PHONY: all help lib entry progs regress check prove demo bench-capacity deps deps-check format bench-path \
-	lint lint-format lint-tidy lint-cppcheck lint-man clean bench-route bench-requests bench-policy
+	lint lint-format lint-tidy lint-cppcheck lint-json lint-man clean bench-route bench-requests bench-policy
--- a/bshconsoled/console.c
+++ b/bshconsoled/console.c
@@ -8,6 +8,7 @@
 
 #include "assets.h"
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "draft.h"
 #include "page.h"
@@ -437,7 +438,7 @@
 static bsh_error_t parse_drafted(bsh_document_t *doc, const json_t *drafted,
 				 GArray *problems)
 {
-	char *text = json_dumps(drafted, JSON_COMPACT | JSON_SORT_KEYS);
+	char *text = bsh_json_text(drafted, JSON_COMPACT | JSON_SORT_KEYS);
 	bsh_error_t err = BSH_ERR_INVALID;
 
 	if (text != NULL)
--- a/bshconsoled/draft.c
+++ b/bshconsoled/draft.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 #define NUMBER_TEXT_MAX_BYTES 64
 
 static const draft_field_t settings_fields[] = {
@@ -137,7 +139,7 @@
 
 char *draft_text(const draft_t *draft)
 {
-	return json_dumps(draft->changes, JSON_COMPACT);
+	return bsh_json_text(draft->changes, JSON_COMPACT);
 }
 
 static json_t *new_settings_entry(const json_t *document)
@@ -230,8 +232,9 @@
 				    value != NULL ? json_incref(value)
 						  : json_null());
 	} else {
-		change = json_pack("{s:s, s:s, s:O?, s:O?}", "section", section,
-				   "id", id, "base", base, "value", value);
+		change = bsh_json_pack("{s:s, s:s, s:O?, s:O?}", "section",
+				       section, "id", id, "base", base, "value",
+				       value);
 		if (change != NULL)
 			json_array_append_new(draft->changes, change);
 	}
@@ -264,7 +267,7 @@
 		json_decref(value);
 		value = NULL;
 	}
-	return value != NULL ? value : json_string(text);
+	return value != NULL ? value : bsh_json_string(text);
 }
 
 void draft_parse_field(json_t *entry, const draft_field_t *field,
@@ -298,8 +301,8 @@
 		return g_strdup("");
 	if (json_is_string(value))
 		return g_strdup(json_string_value(value));
-	text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT |
-					 JSON_REAL_PRECISION(15));
+	text = bsh_json_text(value, JSON_ENCODE_ANY | JSON_COMPACT |
+					    JSON_REAL_PRECISION(15));
 	copy = g_strdup(text != NULL ? text : "");
 	free(text);
 	return copy;
--- a/bshconsoled/page.c
+++ b/bshconsoled/page.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 static void put_escaped(GString *out, const char *text)
 {
 	g_autofree char *escaped = g_markup_escape_text(text, -1);
@@ -197,7 +199,7 @@
 
 void page_document(GString *out, const json_t *document, int64_t generation)
 {
-	char *text = json_dumps(document, JSON_INDENT(2) | JSON_SORT_KEYS);
+	char *text = bsh_json_text(document, JSON_INDENT(2) | JSON_SORT_KEYS);
 
 	begin_page(out, "Document");
 	put_number(out, "<p>Generation %s</p>\n", generation);
@@ -441,8 +443,8 @@
 {
 	if (page->notice_kind == PAGE_NOTICE_CONFLICT &&
 	    page->document != NULL) {
-		char *text = json_dumps(page->document,
-					JSON_INDENT(2) | JSON_SORT_KEYS);
+		char *text = bsh_json_text(page->document,
+					   JSON_INDENT(2) | JSON_SORT_KEYS);
 
 		put_number(out,
 			   "<details><summary>The newer document, generation "
--- a/bshcontrold/api.c
+++ b/bshcontrold/api.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/rng.h"
 #include "coordination/member.h"
 #include "protocol/problem.h"
@@ -35,7 +36,7 @@
 
 static void answer_json(bsh_http_request_t *request, int status, json_t *json)
 {
-	char *text = json_dumps(json, JSON_COMPACT);
+	char *text = bsh_json_text(json, JSON_COMPACT);
 
 	bsh_http_response_add_header(request, "Content-Type",
 				     "application/json");
@@ -122,18 +123,18 @@
 		return;
 	}
 	answer_json(request, 200,
-		    json_pack("{s:s, s:s, s:i}", "address", entry.address,
-			      "zone", entry.zone, "keep_s",
-			      (int)control->settings.entry_keep_s));
+		    bsh_json_pack("{s:s, s:s, s:i}", "address", entry.address,
+				  "zone", entry.zone, "keep_s",
+				  (int)control->settings.entry_keep_s));
 }
 
 static json_t *config_json(const control_t *control)
 {
 	const bsh_document_t *doc = config_document(control);
 
-	return json_pack("{s:I, s:O?}", "generation",
-			 (json_int_t)config_generation(control), "document",
-			 doc != NULL ? doc->json : NULL);
+	return bsh_json_pack("{s:I, s:O?}", "generation",
+			     (json_int_t)config_generation(control), "document",
+			     doc != NULL ? doc->json : NULL);
 }
 
 static void get_config(control_t *control, bsh_http_request_t *request)
@@ -205,9 +206,9 @@
 		free_proposal(proposal);
 	} else if (result == BSH_OK) {
 		answer_json(request, 200,
-			    json_pack("{s:I, s:s}", "generation",
-				      (json_int_t)generation, "state",
-				      "accepted"));
+			    bsh_json_pack("{s:I, s:s}", "generation",
+					  (json_int_t)generation, "state",
+					  "accepted"));
 	} else if (result == BSH_ERR_CONFLICT) {
 		proposal->conflict_generation = generation;
 		proposal->conflict_deadline_us =
@@ -264,8 +265,8 @@
 			       "If-Match: \"GENERATION\" is required");
 	} else if (bsh_document_init(&doc, text, size, problems) != BSH_OK) {
 		answer_json(request, 422,
-			    json_pack("{s:o}", "problems",
-				      bsh_doc_problems_json(problems)));
+			    bsh_json_pack("{s:o}", "problems",
+					  bsh_doc_problems_json(problems)));
 	} else {
 		start_proposal(control, request, base, &doc);
 		bsh_document_finish(&doc);
@@ -304,13 +305,13 @@
 		out->lowest = MIN(out->lowest, generation);
 	json_array_append_new(
 		out->list,
-		json_pack("{s:s, s:s, s:s, s:I, s:I, s:s, s:s}", "name",
-			  member->name, "zone", member->place.zone, "state",
-			  member_state(member), "generation",
-			  (json_int_t)generation, "incarnation",
-			  (json_int_t)member->incarnation, "control",
-			  address != NULL ? address : "", "entry",
-			  member->place.entry));
+		bsh_json_pack("{s:s, s:s, s:s, s:I, s:I, s:s, s:s}", "name",
+			      member->name, "zone", member->place.zone, "state",
+			      member_state(member), "generation",
+			      (json_int_t)generation, "incarnation",
+			      (json_int_t)member->incarnation, "control",
+			      address != NULL ? address : "", "entry",
+			      member->place.entry));
 }
 
 static void get_status(control_t *control, bsh_http_request_t *request)
@@ -325,19 +326,19 @@
 	in_force = MAX(in_force, members.lowest);
 	answer_json(
 		request, 200,
-		json_pack("{s:s, s:I, s:s, s:s, s:s, s:s, s:I, s:I, s:b, s:b, "
-			  "s:b, s:o, s:o, s:o}",
-			  "instance", s->instance, "incarnation",
-			  (json_int_t)control->incarnation, "zone", s->zone,
-			  "gossip", s->control_gossip, "link", s->control_link,
-			  "entry", s->router_listen, "generation",
-			  (json_int_t)config_generation(control), "in_force",
-			  (json_int_t)in_force, "fresh",
-			  config_is_fresh(control), "witness",
-			  config_is_witness(control), "draining",
-			  shutdown_is_draining(control), "members",
-			  members.list, "cells", cells_status(control),
-			  "targets", targets_status(control)));
+		bsh_json_pack(
+			"{s:s, s:I, s:s, s:s, s:s, s:s, s:I, s:I, s:b, s:b, "
+			"s:b, s:o, s:o, s:o}",
+			"instance", s->instance, "incarnation",
+			(json_int_t)control->incarnation, "zone", s->zone,
+			"gossip", s->control_gossip, "link", s->control_link,
+			"entry", s->router_listen, "generation",
+			(json_int_t)config_generation(control), "in_force",
+			(json_int_t)in_force, "fresh", config_is_fresh(control),
+			"witness", config_is_witness(control), "draining",
+			shutdown_is_draining(control), "members", members.list,
+			"cells", cells_status(control), "targets",
+			targets_status(control)));
 }
 
 static void post_drain(control_t *control, bsh_http_request_t *request)
@@ -352,7 +353,7 @@
 			       "the order names another instance");
 	} else {
 		answer_json(request, 202,
-			    json_pack("{s:s}", "state", "draining"));
+			    bsh_json_pack("{s:s}", "state", "draining"));
 		shutdown_begin(control);
 	}
 	json_decref(json);
--- a/bshcontrold/cells.c
+++ b/bshcontrold/cells.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "coordination/member.h"
 #include "coordination/model_usage.h"
@@ -121,8 +122,8 @@
 	if (result == BSH_STORE_LOST)
 		result = BSH_STORE_UNAVAILABLE;
 	text = result == BSH_STORE_OK
-		       ? json_dumps(answer->value,
-				    JSON_COMPACT | JSON_ENCODE_ANY)
+		       ? bsh_json_text(answer->value,
+				       JSON_COMPACT | JSON_ENCODE_ANY)
 		       : NULL;
 
 	bsh_loader_read_result(
@@ -680,7 +681,7 @@
 			bsh_cell_name(pool->name, n, pool->cells, name);
 			json_array_append_new(
 				list,
-				json_pack(
+				bsh_json_pack(
 					"{s:s, s:b}", "name", name, "owned",
 					bsh_loader_owns(&control->cells->loader,
 							name)));
--- a/bshcontrold/config.c
+++ b/bshcontrold/config.c
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "coordination/adoption.h"
 #include "protocol/adoption_message.h"
@@ -213,12 +214,12 @@
 
 	for (uint32_t i = 0; i < object->n_witnesses; i++)
 		json_array_append_new(witnesses,
-				      json_string(object->witnesses[i]));
-	value = json_pack("{s:I, s:o, s:o}", "generation",
-			  (json_int_t)object->generation, "witnesses",
-			  witnesses, DOCUMENT_NAME,
-			  json_loadb(document, size, 0, NULL));
-	text = json_dumps(value, JSON_COMPACT);
+				      bsh_json_string(object->witnesses[i]));
+	value = bsh_json_pack("{s:I, s:o, s:o}", "generation",
+			      (json_int_t)object->generation, "witnesses",
+			      witnesses, DOCUMENT_NAME,
+			      json_loadb(document, size, 0, NULL));
+	text = bsh_json_text(value, JSON_COMPACT);
 	bsh_store_put(&control->store, OBJECT_KIND, DOCUMENT_NAME,
 		      object->version, text, strlen(text), on_update,
 		      make_call(control, tag));
@@ -347,7 +348,7 @@
 		delta = bsh_document_delta(&a, &b);
 		if (delta != NULL)
 			result = bytes_take_text(
-				json_dumps(delta, JSON_COMPACT));
+				bsh_json_text(delta, JSON_COMPACT));
 		json_decref(delta);
 		bsh_document_finish(&b);
 	}
--- a/bshcontrold/events.c
+++ b/bshcontrold/events.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 
 typedef struct {
 	json_t *json;
@@ -117,7 +118,7 @@
 	for (const GList *l = control->events->queue.head; l != NULL;
 	     l = l->next) {
 		const event_t *event = l->data;
-		char *line = json_dumps(event->json, JSON_COMPACT);
+		char *line = bsh_json_text(event->json, JSON_COMPACT);
 
 		g_string_append(out, line);
 		g_string_append_c(out, '\n');
--- a/bshcontrold/flush.c
+++ b/bshcontrold/flush.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 
 #define OBJECT_KIND "timeline"
 /* A batch ends when it exceeds this size; the store takes objects of up to
@@ -109,8 +110,8 @@
 	name = g_strdup_printf("%s-%" G_GUINT64_FORMAT,
 			       control->settings.instance,
 			       control->incarnation + flush->next_batch);
-	value = json_pack("{s:o}", "events", list);
-	body = json_dumps(value, JSON_COMPACT);
+	value = bsh_json_pack("{s:o}", "events", list);
+	body = bsh_json_text(value, JSON_COMPACT);
 	bsh_store_put(&control->store, OBJECT_KIND, name, 0, body, strlen(body),
 		      on_written, control);
 	free(body);
--- a/bshcontrold/intents.c
+++ b/bshcontrold/intents.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "coordination/journal.h"
 
 #define OBJECT_KIND "intent"
@@ -67,8 +68,8 @@
 	control_t *control = call->control;
 	bsh_store_status_t status = store_status(answer);
 	char *text = status == BSH_STORE_OK
-			     ? json_dumps(answer->value,
-					  JSON_COMPACT | JSON_ENCODE_ANY)
+			     ? bsh_json_text(answer->value,
+					     JSON_COMPACT | JSON_ENCODE_ANY)
 			     : NULL;
 
 	bsh_journal_read_done(&control->intents->journal, call->call, status,
--- a/bshcontrold/targets.c
+++ b/bshcontrold/targets.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "coordination/member.h"
 #include "protocol/engine_client.h"
@@ -664,12 +665,12 @@
 		const target_t *t = value;
 
 		json_array_append_new(
-			list,
-			json_pack("{s:s, s:I, s:s, s:s, s:s, s:s}", "name",
-				  t->name, "incarnation",
-				  (json_int_t)t->incarnation, "pool", t->pool,
-				  "zone", t->zone, "address", t->address,
-				  "state", t->leaving ? "leaving" : "live"));
+			list, bsh_json_pack("{s:s, s:I, s:s, s:s, s:s, s:s}",
+					    "name", t->name, "incarnation",
+					    (json_int_t)t->incarnation, "pool",
+					    t->pool, "zone", t->zone, "address",
+					    t->address, "state",
+					    t->leaving ? "leaving" : "live"));
 	}
 	return list;
 }
--- a/bshctl/accounts.c
+++ b/bshctl/accounts.c
@@ -6,6 +6,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 #define HTTP_OK 200
 
 /* Metrics with the label account, as bshentryd names them. */
@@ -179,12 +181,13 @@
 
 	json_array_append_new(
 		ctx,
-		json_pack("{s:s, s:I, s:I, s:I, s:I, s:I}", "account", key,
-			  "allowance_low", (json_int_t)account->allowance_low,
-			  "allowance_high", (json_int_t)account->allowance_high,
-			  "admitted", (json_int_t)account->sums[ADMITTED],
-			  "refused", (json_int_t)account->sums[REFUSED],
-			  "given_back", (json_int_t)account->sums[GIVEN_BACK]));
+		bsh_json_pack(
+			"{s:s, s:I, s:I, s:I, s:I, s:I}", "account", key,
+			"allowance_low", (json_int_t)account->allowance_low,
+			"allowance_high", (json_int_t)account->allowance_high,
+			"admitted", (json_int_t)account->sums[ADMITTED],
+			"refused", (json_int_t)account->sums[REFUSED],
+			"given_back", (json_int_t)account->sums[GIVEN_BACK]));
 	return FALSE;
 }
 
@@ -195,10 +198,11 @@
 
 	g_tree_foreach(accounts->accounts, append_account, list);
 	for (guint i = 0; i < accounts->ledgers->len; i++)
-		json_array_append_new(ledgers, json_string(g_ptr_array_index(
-						       accounts->ledgers, i)));
-	ctl_print_json(
-		json_pack("{s:o, s:o}", "accounts", list, "ledger", ledgers));
+		json_array_append_new(ledgers,
+				      bsh_json_string(g_ptr_array_index(
+					      accounts->ledgers, i)));
+	ctl_print_json(bsh_json_pack("{s:o, s:o}", "accounts", list, "ledger",
+				     ledgers));
 }
 
 static void print_table(const ctl_t *ctl, const accounts_t *accounts)
--- a/bshctl/bshctl.c
+++ b/bshctl/bshctl.c
@@ -1,4 +1,5 @@
 #include "base/daemon.h"
+#include "base/json_text.h"
 #include "bshctl.h"
 
 #include <curl/curl.h>
@@ -75,7 +76,7 @@
 
 void ctl_print_json(json_t *value)
 {
-	char *text = json_dumps(value, JSON_INDENT(2));
+	char *text = bsh_json_text(value, JSON_INDENT(2));
 
 	if (text != NULL)
 		puts(text);
--- a/bshctl/document.c
+++ b/bshctl/document.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 #define POLL_INTERVAL_US (200 * 1000)
 #define HTTP_OK		 200
 #define HTTP_NOT_FOUND	 404
@@ -60,9 +62,9 @@
 				     json_t *problems)
 {
 	if (ctl->options.json) {
-		ctl_print_json(json_pack("{s:s, s:s, s:o}", "result",
-					 "rejected", "source", source,
-					 "problems", problems));
+		ctl_print_json(bsh_json_pack("{s:s, s:s, s:o}", "result",
+					     "rejected", "source", source,
+					     "problems", problems));
 		return CTL_REJECTED;
 	}
 	print_problems(source, problems);
@@ -100,11 +102,11 @@
 	if (status != CTL_OK)
 		return status;
 	if (ctl->options.json)
-		ctl_print_json(json_pack("{s:s, s:s, s:i, s:i, s:i}", "result",
-					 "valid", "hash", doc.hash, "pools",
-					 (int)doc.pools->len, "models",
-					 (int)doc.models->len, "services",
-					 (int)doc.services->len));
+		ctl_print_json(bsh_json_pack(
+			"{s:s, s:s, s:i, s:i, s:i}", "result", "valid", "hash",
+			doc.hash, "pools", (int)doc.pools->len, "models",
+			(int)doc.models->len, "services",
+			(int)doc.services->len));
 	else
 		printf("valid\t%s\t%u pools\t%u models\t%u services\n",
 		       doc.hash, doc.pools->len, doc.models->len,
@@ -160,7 +162,7 @@
 
 	for (int i = 0; parts[i] != NULL; i++) {
 		if (parts[i][0] != '\0')
-			json_array_append_new(list, json_string(parts[i]));
+			json_array_append_new(list, bsh_json_string(parts[i]));
 	}
 	g_strfreev(parts);
 	return list;
@@ -186,7 +188,7 @@
 		goto finish_to;
 	count = bsh_document_diff(&from, &to, lines);
 	if (ctl->options.json)
-		ctl_print_json(json_pack(
+		ctl_print_json(bsh_json_pack(
 			"{s:I, s:i, s:o}", "generation", (json_int_t)generation,
 			"count", (int)count, "differences", lines_json(lines)));
 	else if (generation == 0)
@@ -206,8 +208,9 @@
 			 int64_t generation)
 {
 	if (ctl->options.json)
-		ctl_print_json(json_pack("{s:s, s:I}", "result", result,
-					 "generation", (json_int_t)generation));
+		ctl_print_json(bsh_json_pack("{s:s, s:I}", "result", result,
+					     "generation",
+					     (json_int_t)generation));
 	else
 		printf("%s\tgeneration %" G_GINT64_FORMAT "\n", result,
 		       (gint64)generation);
@@ -282,11 +285,11 @@
 	      "nothing was changed",
 	      (gint64)generation);
 	if (ctl->options.json) {
-		ctl_print_json(json_pack("{s:s, s:I, s:o, s:o}", "result",
-					 "conflict", "generation",
-					 (json_int_t)generation, "theirs",
-					 lines_json(their_changes), "yours",
-					 lines_json(our_changes)));
+		ctl_print_json(bsh_json_pack("{s:s, s:I, s:o, s:o}", "result",
+					     "conflict", "generation",
+					     (json_int_t)generation, "theirs",
+					     lines_json(their_changes), "yours",
+					     lines_json(our_changes)));
 	} else {
 		if (base != NULL)
 			puts("# changed by the other operator");
--- a/bshctl/instance.c
+++ b/bshctl/instance.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 #define POLL_INTERVAL_US (200 * 1000)
 #define HTTP_OK		 200
 #define HTTP_ACCEPTED	 202
@@ -152,8 +154,8 @@
 static ctl_status_t request_drain(ctl_t *ctl, const char *name,
 				  const char *address)
 {
-	json_t *json = json_pack("{s:s}", "instance", name);
-	char *body = json_dumps(json, JSON_COMPACT);
+	json_t *json = bsh_json_pack("{s:s}", "instance", name);
+	char *body = bsh_json_text(json, JSON_COMPACT);
 	bsh_control_client_t client;
 	bsh_control_answer_t answer;
 	ctl_status_t status = CTL_OK;
@@ -207,8 +209,8 @@
 	if (status != CTL_OK)
 		return status;
 	if (ctl->options.json)
-		ctl_print_json(json_pack("{s:s, s:s}", "result", "draining",
-					 "instance", name));
+		ctl_print_json(bsh_json_pack("{s:s, s:s}", "result", "draining",
+					     "instance", name));
 	else
 		printf("draining\t%s\n", name);
 	return CTL_OK;
@@ -223,10 +225,10 @@
 			const char *name, const char *value)
 {
 	if (out->json) {
-		json_array_append_new(out->list,
-				      json_pack("{s:s, s:s, s:s}", "instance",
-						instance, "counter", name,
-						"value", value));
+		json_array_append_new(
+			out->list,
+			bsh_json_pack("{s:s, s:s, s:s}", "instance", instance,
+				      "counter", name, "value", value));
 		return;
 	}
 	ctl_print_field(instance, false);
--- a/bshctl/logs.c
+++ b/bshctl/logs.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
 #include "operator/log_diagnosis.h"
 
 /* Parses the log files from argument first on, or the standard input if there
@@ -51,8 +52,8 @@
 	json_t *array = json_array();
 
 	for (guint i = 0; i < notes->len; i++)
-		json_array_append_new(array,
-				      json_string(g_ptr_array_index(notes, i)));
+		json_array_append_new(
+			array, bsh_json_string(g_ptr_array_index(notes, i)));
 	return array;
 }
 
@@ -71,7 +72,7 @@
 	char time[40];
 
 	format_time(line->stamp.physical_us, time, sizeof(time));
-	return json_pack(
+	return bsh_json_pack(
 		"{s:s, s:f, s:s, s:s, s:s, s:s, s:b}", "time", time, "offset_s",
 		(double)(line->stamp.physical_us - diag->begin_us) / 1e6,
 		"instance", line->instance, "level", line->level, "event",
@@ -88,18 +89,19 @@
 		const bsh_finding_t *finding =
 			g_ptr_array_index(diag->findings, i);
 
-		json_array_append_new(findings, json_pack("{s:s, s:s}", "code",
-							  finding->code, "text",
-							  finding->text));
+		json_array_append_new(findings,
+				      bsh_json_pack("{s:s, s:s}", "code",
+						    finding->code, "text",
+						    finding->text));
 	}
 	for (guint i = 0; i < diag->lines->len; i++)
 		json_array_append_new(
 			lines,
 			log_line_json(diag, g_ptr_array_index(diag->lines, i)));
-	ctl_print_json(json_pack("{s:s, s:s?, s:o, s:o, s:o}", "id", diag->id,
-				 "instance", diag->instance, "findings",
-				 findings, "lines", lines, "notes",
-				 notes_json(notes)));
+	ctl_print_json(bsh_json_pack("{s:s, s:s?, s:o, s:o, s:o}", "id",
+				     diag->id, "instance", diag->instance,
+				     "findings", findings, "lines", lines,
+				     "notes", notes_json(notes)));
 }
 
 static void print_diagnosis(const ctl_options_t *o, const bsh_diagnosis_t *diag)
@@ -256,15 +258,15 @@
 		char **cells = g_strsplit(group->key, "\t", 5);
 
 		json_array_append_new(
-			array,
-			json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "minute",
-				  cells[0], "kind", cells[1], "route", cells[2],
-				  "end", cells[3], "reason", cells[4], "count",
-				  (int)group->count));
+			array, bsh_json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}",
+					     "minute", cells[0], "kind",
+					     cells[1], "route", cells[2], "end",
+					     cells[3], "reason", cells[4],
+					     "count", (int)group->count));
 		g_strfreev(cells);
 	}
-	ctl_print_json(json_pack("{s:o, s:o}", "requests", array, "notes",
-				 notes_json(notes)));
+	ctl_print_json(bsh_json_pack("{s:o, s:o}", "requests", array, "notes",
+				     notes_json(notes)));
 }
 
 static void print_summary(const ctl_options_t *o, const GPtrArray *groups)
--- a/bshctl/timeline.c
+++ b/bshctl/timeline.c
@@ -10,6 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 #define HTTP_OK 200
 
 typedef struct {
@@ -455,7 +457,7 @@
 		char *text;
 
 		if (o->json) {
-			text = json_dumps(event->json, JSON_COMPACT);
+			text = bsh_json_text(event->json, JSON_COMPACT);
 			puts(text != NULL ? text : "{}");
 			free(text);
 			continue;
@@ -465,7 +467,7 @@
 		ctl_print_field(event->process, false);
 		ctl_print_field(ctl_json_string(event->json, "event", "-"),
 				false);
-		text = json_dumps(details, JSON_COMPACT | JSON_ENCODE_ANY);
+		text = bsh_json_text(details, JSON_COMPACT | JSON_ENCODE_ANY);
 		ctl_print_field(text != NULL ? text : "{}", true);
 		free(text);
 	}
@@ -624,7 +626,7 @@
 	g_autofree char *processes = join_set(v->processes);
 	g_autofree char *generations = join_set(v->generations);
 	const char *subject = o->request != NULL ? o->request : o->key;
-	json_t *json = json_pack(
+	json_t *json = bsh_json_pack(
 		"{s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:s, s:s, s:s, s:b}",
 		"subject", subject, "verdict",
 		verdict_name(v, unknown, complete), "answered",
--- a/bshentryd/catalogs.c
+++ b/bshentryd/catalogs.c
@@ -7,6 +7,7 @@
 #include <zlib.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "coordination/document_fetch.h"
 #include "platform/decode.h"
@@ -44,7 +45,7 @@
 static GBytes *pack(const json_t *spec, const uint8_t *secret)
 {
 	json_t *shared = platform_hide_keys(spec, secret);
-	char *text = json_dumps(shared, JSON_COMPACT);
+	char *text = bsh_json_text(shared, JSON_COMPACT);
 	uLong size = text != NULL ? strlen(text) : 0;
 	uLongf packed_size = compressBound(size);
 	guint32 header = GUINT32_TO_BE((guint32)size);
--- a/bshentryd/order_lease.c
+++ b/bshentryd/order_lease.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/name.h"
 
@@ -312,7 +313,7 @@
 	json_t *list = json_array();
 
 	for (uint32_t i = 0; i < voters->n; i++)
-		json_array_append_new(list, json_string(voters->names[i]));
+		json_array_append_new(list, bsh_json_string(voters->names[i]));
 	return list;
 }
 
@@ -398,14 +399,14 @@
 {
 	/* The time changes with each renewal, so that the store raises the
 	 * revision. */
-	json_t *spec =
-		json_pack("{s:s, s:b, s:I, s:I, s:o, s:o}", "holder",
-			  orders->lease.releasing ? "" : orders->lease.self,
-			  "active", orders->lease.update_active, "renewed_us",
-			  (json_int_t)g_get_real_time(), "epoch",
-			  (json_int_t)orders->control->store.epoch, "voters",
-			  encode_voters(&orders->lease.voters), "former_voters",
-			  encode_voters(&orders->lease.former_voters));
+	json_t *spec = bsh_json_pack(
+		"{s:s, s:b, s:I, s:I, s:o, s:o}", "holder",
+		orders->lease.releasing ? "" : orders->lease.self, "active",
+		orders->lease.update_active, "renewed_us",
+		(json_int_t)g_get_real_time(), "epoch",
+		(json_int_t)orders->control->store.epoch, "voters",
+		encode_voters(&orders->lease.voters), "former_voters",
+		encode_voters(&orders->lease.former_voters));
 
 	if (orders->lease.update_logged)
 		json_object_set_new(spec, "logged", json_true());
--- a/bshentryd/peers.c
+++ b/bshentryd/peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/name.h"
 
@@ -195,12 +196,12 @@
 {
 	const entry_t *entry = peers->control->entry;
 
-	return json_pack("{s:s, s:s, s:s, s:I, s:I}", "gossip",
-			 entry->settings.control_gossip, "entry",
-			 entry->settings.router_listen, "zone",
-			 entry->settings.zone, "incarnation",
-			 (json_int_t)entry->incarnation, "cpu_milli",
-			 (json_int_t)own_cpu_milli(peers));
+	return bsh_json_pack("{s:s, s:s, s:s, s:I, s:I}", "gossip",
+			     entry->settings.control_gossip, "entry",
+			     entry->settings.router_listen, "zone",
+			     entry->settings.zone, "incarnation",
+			     (json_int_t)entry->incarnation, "cpu_milli",
+			     (json_int_t)own_cpu_milli(peers));
 }
 
 static void on_unregistered(void *ctx, const platform_answer_t *answer)
--- a/bshentryd/quarantine_store.c
+++ b/bshentryd/quarantine_store.c
@@ -1,5 +1,6 @@
 #include "quarantine_store.h"
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/name.h"
 
@@ -63,11 +64,12 @@
 		object_name(fact->process, process, sizeof(process));
 		json_array_append_new(
 			ends,
-			json_pack("{s:s, s:I, s:I}", "process", process,
-				  "at_ms", (json_int_t)(now_ms - fact->age_ms),
-				  "ran_ms", (json_int_t)fact->ran_ms));
+			bsh_json_pack("{s:s, s:I, s:I}", "process", process,
+				      "at_ms",
+				      (json_int_t)(now_ms - fact->age_ms),
+				      "ran_ms", (json_int_t)fact->ran_ms));
 	}
-	return json_pack("{s:o}", "ends", ends);
+	return bsh_json_pack("{s:o}", "ends", ends);
 }
 
 /* False: it was not written by this system. */
--- a/bshentryd/stream_store.c
+++ b/bshentryd/stream_store.c
@@ -1,6 +1,7 @@
 #include "stream_store.h"
 
 #include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/name.h"
 
@@ -85,7 +86,7 @@
 	}
 	text = bsh_stream_records_encode(records);
 	name = g_strdup_printf("%s-%u", ss->instance, ss->writing);
-	spec = json_pack("{s:s}", "records", text);
+	spec = bsh_json_pack("{s:s}", "records", text);
 	if (ss->exists[ss->writing])
 		platform_store_replace(ss->store, PLATFORM_KIND_STREAMS, name,
 				       0, spec, on_written, ss);
--- a/bshentryd/where.c
+++ b/bshentryd/where.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include "base/json_text.h"
+
 /* Targets that an answer lists; the chosen one is among them. */
 #define TARGETS_MAX 500U
 
@@ -45,21 +47,22 @@
 	const bsh_error_info_t *info = bsh_error_info(err);
 
 	json_object_set_new(q->answer, "decision",
-			    json_pack("{s:s, s:s, s:i, s:o}", "action",
-				      "refuse", "error", info->name, "status",
-				      (int)info->http_status, "retry_after_ms",
-				      info->retry_after && retry_ms >= 0
-					      ? json_integer(retry_ms)
-					      : json_null()));
+			    bsh_json_pack("{s:s, s:s, s:i, s:o}", "action",
+					  "refuse", "error", info->name,
+					  "status", (int)info->http_status,
+					  "retry_after_ms",
+					  info->retry_after && retry_ms >= 0
+						  ? json_integer(retry_ms)
+						  : json_null()));
 }
 
 /* wait_us: INT64_MAX: not known. */
 static void wait_for(const question_t *q, const char *what, int64_t wait_us)
 {
 	json_object_set_new(q->answer, "decision",
-			    json_pack("{s:s, s:s, s:o}", "action", "wait",
-				      "for", what, "expected_ms",
-				      milliseconds(wait_us)));
+			    bsh_json_pack("{s:s, s:s, s:o}", "action", "wait",
+					  "for", what, "expected_ms",
+					  milliseconds(wait_us)));
 }
 
 static void decide_send(const question_t *q, const pick_finding_t *chosen)
@@ -75,13 +78,15 @@
 	} else if (wait_us > 0) {
 		wait_for(q, "place", wait_us);
 		json_object_set_new(json_object_get(q->answer, "decision"),
-				    "target", json_string(chosen->target->id));
+				    "target",
+				    bsh_json_string(chosen->target->id));
 	} else {
 		json_object_set_new(
 			q->answer, "decision",
-			json_pack("{s:s, s:s, s:o}", "action", "send", "target",
-				  chosen->target->id, "expected_ms",
-				  milliseconds((int64_t)chosen->expected_us)));
+			bsh_json_pack(
+				"{s:s, s:s, s:o}", "action", "send", "target",
+				chosen->target->id, "expected_ms",
+				milliseconds((int64_t)chosen->expected_us)));
 	}
 }
 
@@ -181,8 +186,8 @@
 
 	if (q->ask->account == NULL)
 		return true;
-	out = json_pack("{s:s, s:b}", "name", q->ask->account, "known",
-			account != NULL);
+	out = bsh_json_pack("{s:s, s:b}", "name", q->ask->account, "known",
+			    account != NULL);
 	json_object_set_new(q->answer, "account", out);
 	if (account == NULL || r->route->anonymous || account->rate_per_s <= 0)
 		return true;
@@ -222,11 +227,12 @@
 			&g_array_index(r->route->splits, bsh_route_split_t, i);
 
 		json_array_append_new(
-			services, json_pack("{s:s, s:i}", "name",
-					    bsh_catalog_service_at(
-						    r->catalog, split->service)
-						    ->name,
-					    "weight", (int)split->weight));
+			services,
+			bsh_json_pack("{s:s, s:i}", "name",
+				      bsh_catalog_service_at(r->catalog,
+							     split->service)
+					      ->name,
+				      "weight", (int)split->weight));
 	}
 	return services;
 }
@@ -265,9 +271,10 @@
 		return false;
 	}
 	json_object_set_new(q->answer, "route",
-			    json_pack("{s:s, s:b, s:o}", "name", r->route->name,
-				      "anonymous", r->route->anonymous,
-				      "services", services_of(r)));
+			    bsh_json_pack("{s:s, s:b, s:o}", "name",
+					  r->route->name, "anonymous",
+					  r->route->anonymous, "services",
+					  services_of(r)));
 	service = find_service(q);
 	if (service < 0) {
 		q->ask->error = "the route has no such service";
@@ -278,7 +285,7 @@
 		r->software =
 			bsh_software_key(r->service->name, q->ask->software);
 	json_object_set_new(q->answer, "service",
-			    json_string(r->service->name));
+			    bsh_json_string(r->service->name));
 	return true;
 }
 
@@ -335,7 +342,7 @@
 
 	if (finding->pick != PICK_CANDIDATE)
 		wait = finding_wait_us(q, finding);
-	return json_pack(
+	return bsh_json_pack(
 		"{s:s, s:s, s:b, s:b, s:b, s:i, s:i, s:i, s:o, s:s?, s:o}",
 		"target", target->id, "software", target->software, "same_zone",
 		target->same_zone, "has_model", finding->holds_model, "leaving",
@@ -380,8 +387,9 @@
 	if (!t->view->cut)
 		wait_for(q, "instances", INT64_MAX);
 	else if (t->view->peers->len > 0)
-		json_object_set_new(q->answer, "decision",
-				    json_pack("{s:s}", "action", "pass-on"));
+		json_object_set_new(
+			q->answer, "decision",
+			bsh_json_pack("{s:s}", "action", "pass-on"));
 	return !t->view->cut || t->view->peers->len > 0;
 }
 
@@ -438,7 +446,7 @@
 
 	q->ask = ask;
 	q->ops = ops;
-	q->answer = json_pack(
+	q->answer = bsh_json_pack(
 		"{s:s, s:I, s:n, s:n, s:n, s:[]}", "instance",
 		ask->traffic->entry->settings.instance, "configuration",
 		(json_int_t)(view != NULL ? view->catalog->version : 0),
--- a/bshentryd/where_query.c
+++ b/bshentryd/where_query.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "platform/ingress.h"
 
@@ -47,7 +48,7 @@
 static void send_json(bsh_http_request_t *request, int status,
 		      const json_t *value)
 {
-	char *text = json_dumps(value, JSON_COMPACT);
+	char *text = bsh_json_text(value, JSON_COMPACT);
 
 	bsh_http_response_add_header(request, "Content-Type",
 				     "application/json");
@@ -62,7 +63,7 @@
 		       const char *title, const char *detail)
 {
 	json_t *value =
-		json_pack("{s:s, s:s}", "title", title, "detail", detail);
+		bsh_json_pack("{s:s, s:s}", "title", title, "detail", detail);
 
 	bsh_log(BSH_LOG_INFO, "where-refused status=%d reason=\"%s %s\"",
 		status, title, detail);
--- a/bshrouterd/routes.c
+++ b/bshrouterd/routes.c
@@ -1,6 +1,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "traffic.h"
 
@@ -312,14 +313,14 @@
 			&g_array_index(doc->models, bsh_doc_model_t, i);
 
 		json_array_append_new(list,
-				      json_pack("{s:s, s:s, s:i, s:s, s:s}",
-						"id", model->name, "object",
-						"model", "created", 0,
-						"owned_by", doc->deployment,
-						"version", model->version));
+				      bsh_json_pack("{s:s, s:s, s:i, s:s, s:s}",
+						    "id", model->name, "object",
+						    "model", "created", 0,
+						    "owned_by", doc->deployment,
+						    "version", model->version));
 	}
-	json = json_pack("{s:s, s:o}", "object", "list", "data", list);
-	text = json_dumps(json, JSON_COMPACT);
+	json = bsh_json_pack("{s:s, s:o}", "object", "list", "data", list);
+	text = bsh_json_text(json, JSON_COMPACT);
 	g_string_assign(t->models_body, text);
 	free(text);
 	json_decref(json);
--- a/lib/base/timeline.c
+++ b/lib/base/timeline.c
@@ -1,3 +1,4 @@
+#include "base/json_text.h"
 #include "base/timeline.h"
 
 #include <jansson.h>
@@ -51,17 +52,17 @@
 	bsh_hlc_stamp_t stamp = bsh_hlc_tick(tl->clock, g_get_real_time());
 	json_t *event;
 
-	event = json_pack("{s:I, s:i, s:s, s:I, s:I, s:s, s:o}", "hlc_us",
-			  (json_int_t)stamp.physical_us, "hlc_logical",
-			  (int)stamp.logical, "process", tl->process,
-			  "incarnation", (json_int_t)tl->incarnation,
-			  "sequence", (json_int_t)tl->next_sequence, "event",
-			  kind, "details", details);
+	event = bsh_json_pack("{s:I, s:i, s:s, s:I, s:I, s:s, s:o}", "hlc_us",
+			      (json_int_t)stamp.physical_us, "hlc_logical",
+			      (int)stamp.logical, "process", tl->process,
+			      "incarnation", (json_int_t)tl->incarnation,
+			      "sequence", (json_int_t)tl->next_sequence,
+			      "event", kind, "details", details);
 	if (event == NULL)
 		return;
 	slot = &tl->ring[tl->next_sequence % tl->capacity];
 	free(slot->json);
-	slot->json = json_dumps(event, JSON_COMPACT);
+	slot->json = bsh_json_text(event, JSON_COMPACT);
 	slot->stamp = stamp;
 	slot->sequence = tl->next_sequence++;
 	json_decref(event);
@@ -75,7 +76,7 @@
 
 	if (format != NULL) {
 		va_start(ap, format);
-		details = json_vpack_ex(NULL, 0, format, ap);
+		details = bsh_json_vpack(format, ap);
 		va_end(ap);
 	}
 	/* If the details cannot be packed, record the event without them. */
--- a/lib/base/timeline.h
+++ b/lib/base/timeline.h
@@ -59,7 +59,7 @@
 
 /*
  * bsh_timeline_add - record an event.  format and the arguments after it are
- * those of jansson's json_pack() for one object, for example
+ * those of bsh_json_pack() for one object, for example
  *	bsh_timeline_add(tl, "load-order", "{s:s, s:I}", "model", name,
  *			 "fence", (json_int_t)fence);
  * A NULL format records an event without details.
--- a/lib/coordination/journal.c
+++ b/lib/coordination/journal.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 #define HASH_BYTES BSH_JOURNAL_HASH_BYTES
 
 /* Interval of probes while the store is down; doubled per failure. */
@@ -224,7 +226,7 @@
 	char hex[2 * HASH_BYTES + 1];
 
 	sodium_bin2hex(hex, sizeof(hex), hash, HASH_BYTES);
-	json_object_set_new(object, key, json_string(hex));
+	json_object_set_new(object, key, bsh_json_string(hex));
 }
 
 static bool get_hex(const json_t *object, const char *key,
@@ -246,7 +248,7 @@
 	put_hex(object, "key", r->hash);
 	put_hex(object, "digest", r->digest);
 	put_hex(object, "attempt", r->attempt);
-	json_object_set_new(object, "instance", json_string(r->instance));
+	json_object_set_new(object, "instance", bsh_json_string(r->instance));
 	json_object_set_new(object, "incarnation",
 			    json_integer((json_int_t)r->incarnation));
 	json_object_set_new(object, "state", json_integer(r->state));
@@ -256,7 +258,7 @@
 	json_object_set_new(object, "status", json_integer(r->status));
 	if (r->content_type != NULL)
 		json_object_set_new(object, "type",
-				    json_string(r->content_type));
+				    bsh_json_string(r->content_type));
 	if (r->body != NULL) {
 		size_t size = sodium_base64_encoded_len(
 			r->body_size, sodium_base64_VARIANT_ORIGINAL);
@@ -264,7 +266,7 @@
 
 		sodium_bin2base64(text, size, r->body, r->body_size,
 				  sodium_base64_VARIANT_ORIGINAL);
-		json_object_set_new(object, "body", json_string(text));
+		json_object_set_new(object, "body", bsh_json_string(text));
 		g_free(text);
 	}
 	return object;
@@ -744,7 +746,7 @@
 		if (r->text == NULL) {
 			json_t *object = print_record(r);
 
-			r->text = json_dumps(object, JSON_COMPACT);
+			r->text = bsh_json_text(object, JSON_COMPACT);
 			json_decref(object);
 		}
 		if (i > 0)
--- a/lib/coordination/version_snapshot.c
+++ b/lib/coordination/version_snapshot.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/json_text.h"
+
 #define KEY_DIGITS 16
 
 typedef struct {
@@ -30,7 +32,7 @@
 	char text[KEY_DIGITS + 1];
 
 	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", key);
-	return json_string(text);
+	return bsh_json_string(text);
 }
 
 static bool decode_key(const json_t *value, uint64_t *key)
@@ -60,12 +62,13 @@
 
 	for (uint32_t i = 0; i < answer->seen_count; i++)
 		json_array_append_new(
-			seen, json_pack("[o, I]",
-					encode_key(answer->seen[i].software),
-					(json_int_t)answer->seen[i].age_ms));
-	return json_pack("{s:o, s:I, s:o}", "service",
-			 encode_key(answer->service), "since_ms",
-			 (json_int_t)answer->since_age_ms, "seen", seen);
+			seen,
+			bsh_json_pack("[o, I]",
+				      encode_key(answer->seen[i].software),
+				      (json_int_t)answer->seen[i].age_ms));
+	return bsh_json_pack("{s:o, s:I, s:o}", "service",
+			     encode_key(answer->service), "since_ms",
+			     (json_int_t)answer->since_age_ms, "seen", seen);
 }
 
 json_t *bsh_version_snapshot_encode(const bsh_version_history_t *history,
@@ -89,8 +92,8 @@
 		json_decref(list);
 		return NULL;
 	}
-	return json_pack("{s:I, s:o}", "revision", (json_int_t)revision,
-			 "services", list);
+	return bsh_json_pack("{s:I, s:o}", "revision", (json_int_t)revision,
+			     "services", list);
 }
 
 static bool decode_service(const json_t *value, service_t *service)
--- a/lib/protocol/engine_client.c
+++ b/lib/protocol/engine_client.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 typedef struct {
 	bsh_engine_fn_t fn;
 	bsh_engine_status_fn_t status_fn;
@@ -41,7 +43,7 @@
 static void send_order(bsh_json_client_t *client, const char *address,
 		       const char *path, const json_t *body, pending_t *pending)
 {
-	char *text = json_dumps(body, JSON_COMPACT);
+	char *text = bsh_json_text(body, JSON_COMPACT);
 	bsh_call_spec_t spec = { .method = "POST",
 				 .address = address,
 				 .path = path,
@@ -57,11 +59,11 @@
 		     const bsh_engine_order_t *order, bsh_engine_fn_t fn,
 		     void *ctx)
 {
-	json_t *body = json_pack("{s:s, s:s, s:s, s:s, s:I, s:I}", "model",
-				 order->model, "version", order->version,
-				 "base", order->base, "attempt", order->attempt,
-				 "fence", (json_int_t)order->fence,
-				 "memory_mib", (json_int_t)order->memory_mib);
+	json_t *body = bsh_json_pack(
+		"{s:s, s:s, s:s, s:s, s:I, s:I}", "model", order->model,
+		"version", order->version, "base", order->base, "attempt",
+		order->attempt, "fence", (json_int_t)order->fence, "memory_mib",
+		(json_int_t)order->memory_mib);
 
 	send_order(client, address, "/v1/models/load", body,
 		   make_pending(fn, ctx));
@@ -72,9 +74,9 @@
 		       const bsh_engine_order_t *order, bsh_engine_fn_t fn,
 		       void *ctx)
 {
-	json_t *body =
-		json_pack("{s:s, s:s, s:I}", "model", order->model, "attempt",
-			  order->attempt, "fence", (json_int_t)order->fence);
+	json_t *body = bsh_json_pack("{s:s, s:s, s:I}", "model", order->model,
+				     "attempt", order->attempt, "fence",
+				     (json_int_t)order->fence);
 
 	send_order(client, address, "/v1/models/unload", body,
 		   make_pending(fn, ctx));
--- a/lib/protocol/problem.c
+++ b/lib/protocol/problem.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 void bsh_problem_init(bsh_problem_t *problem, bsh_error_t err)
 {
 	memset(problem, 0, sizeof(*problem));
@@ -15,8 +17,7 @@
 static void set_text(json_t *json, const char *key, const char *value)
 {
 	if (value != NULL && value[0] != '\0')
-		json_object_set_new(json, key,
-				    json_stringn_nocheck(value, strlen(value)));
+		json_object_set_new(json, key, bsh_json_string(value));
 }
 
 char *bsh_problem_body(const bsh_problem_t *problem)
@@ -24,23 +25,19 @@
 	const bsh_error_info_t *answer = bsh_error_info(problem->err);
 	g_autofree char *type =
 		g_strconcat(BSH_PROBLEM_TYPE_PREFIX, answer->name, NULL);
-	/* A detail may quote bytes of the request that are not valid UTF-8. */
-	g_autofree char *detail =
-		problem->detail != NULL ? g_utf8_make_valid(problem->detail, -1)
-					: NULL;
 	json_t *json =
-		json_pack("{s:s, s:s, s:i, s:s}", "type", type, "title",
-			  answer->title, "status", (int)answer->http_status,
-			  "outcome", bsh_outcome_name(problem->outcome));
+		bsh_json_pack("{s:s, s:s, s:i, s:s}", "type", type, "title",
+			      answer->title, "status", (int)answer->http_status,
+			      "outcome", bsh_outcome_name(problem->outcome));
 	char *text;
 
-	set_text(json, "detail", detail);
+	set_text(json, "detail", problem->detail);
 	set_text(json, "request_id", problem->request_id);
 	set_text(json, "entry", problem->entry);
 	if (problem->retry_after_ms >= 0)
 		json_object_set_new(json, "retry_after_ms",
 				    json_integer(problem->retry_after_ms));
-	text = json_dumps(json, JSON_COMPACT);
+	text = bsh_json_text(json, JSON_COMPACT);
 	json_decref(json);
 	return text;
 }
--- a/lib/state/cell.c
+++ b/lib/state/cell.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/json_text.h"
+
 #define CELL_FORMAT_VERSION 1
 #define POOL_CELLS_MAX	    4096
 #define SENDERS_MAX	    UINT16_MAX
@@ -506,15 +508,16 @@
 		if (bsh_sender_equal(sender, &cell->owner))
 			*owner = positions[i];
 		json_array_append_new(
-			senders, json_pack("[s, I]", sender->instance,
-					   (json_int_t)sender->incarnation));
+			senders,
+			bsh_json_pack("[s, I]", sender->instance,
+				      (json_int_t)sender->incarnation));
 	}
 	if (*owner == OWNER_NONE && cell->owner.instance[0] != '\0') {
 		*owner = next;
 		json_array_append_new(
 			senders,
-			json_pack("[s, I]", cell->owner.instance,
-				  (json_int_t)cell->owner.incarnation));
+			bsh_json_pack("[s, I]", cell->owner.instance,
+				      (json_int_t)cell->owner.incarnation));
 	}
 	return senders;
 }
@@ -535,12 +538,12 @@
 	for (uint16_t h = 0; h < slot->holder_count; h++)
 		json_array_append_new(
 			holders, json_integer(positions[slot->holders[h]]));
-	return json_pack("[i, i, i, I, i, s, I, i, i, o]", model,
-			 (int)slot->index, (int)(entry - target_at(cell, 0)),
-			 (json_int_t)slot->target_incarnation, (int)slot->state,
-			 attempt, (json_int_t)slot->fence,
-			 positions[slot->sender], (int)slot->memory_mib,
-			 holders);
+	return bsh_json_pack(
+		"[i, i, i, I, i, s, I, i, i, o]", model, (int)slot->index,
+		(int)(entry - target_at(cell, 0)),
+		(json_int_t)slot->target_incarnation, (int)slot->state, attempt,
+		(json_int_t)slot->fence, positions[slot->sender],
+		(int)slot->memory_mib, holders);
 }
 
 /* Encodes the slots; appends the name of each model that has one to models. */
@@ -554,7 +557,8 @@
 
 		if (i == 0 ||
 		    strcmp(slot_at(cell, i - 1)->model, slot->model) != 0)
-			json_array_append_new(models, json_string(slot->model));
+			json_array_append_new(models,
+					      bsh_json_string(slot->model));
 		json_array_append_new(
 			slots,
 			pack_slot(cell, slot, (int)json_array_size(models) - 1,
@@ -583,13 +587,13 @@
 		const bsh_cell_target_t *t = target_at(cell, i);
 
 		json_array_append_new(targets,
-				      json_pack("[s, I, i, i]", t->name,
-						(json_int_t)t->incarnation,
-						(int)t->memory_mib,
-						(int)t->reserved_mib));
+				      bsh_json_pack("[s, I, i, i]", t->name,
+						    (json_int_t)t->incarnation,
+						    (int)t->memory_mib,
+						    (int)t->reserved_mib));
 	}
 	bsh_attempt_text(&cell->update_attempt, update_attempt);
-	root = json_pack(
+	root = bsh_json_pack(
 		"{s:i, s:s, s:i, s:I, s:[i, I, I], s:I, s:s, s:o, s:o, s:o, "
 		"s:o}",
 		"v", CELL_FORMAT_VERSION, "n", cell->name, "c",
@@ -599,7 +603,7 @@
 		targets, "m", models, "s", slots);
 	if (root == NULL)
 		return BSH_ERR_INVALID;
-	dump = json_dumps(root, JSON_COMPACT);
+	dump = bsh_json_text(root, JSON_COMPACT);
 	json_decref(root);
 	if (dump == NULL)
 		return BSH_ERR_INVALID;
--- a/lib/state/document.c
+++ b/lib/state/document.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/json_text.h"
 #include "state/cell.h"
 
 #define VALUE_SHOWN_MAX_BYTES 80
@@ -116,9 +117,9 @@
 			&g_array_index(problems, bsh_doc_problem_t, i);
 
 		json_array_append_new(list,
-				      json_pack("{s:s, s:s, s:s}", "path",
-						p->path, "value", p->value,
-						"allowed", p->allowed));
+				      bsh_json_pack("{s:s, s:s, s:s}", "path",
+						    p->path, "value", p->value,
+						    "allowed", p->allowed));
 	}
 	return list;
 }
@@ -132,8 +133,8 @@
 
 	if (value == NULL)
 		return g_strdup("");
-	text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT |
-					 JSON_REAL_PRECISION(15));
+	text = bsh_json_text(value, JSON_ENCODE_ANY | JSON_COMPACT |
+					    JSON_REAL_PRECISION(15));
 	if (text == NULL)
 		return g_strdup("");
 	if (strlen(text) <= VALUE_SHOWN_MAX_BYTES) {
@@ -571,7 +572,7 @@
 
 char *bsh_document_text(const bsh_document_t *doc)
 {
-	return json_dumps(doc->json, JSON_SORT_KEYS | JSON_COMPACT);
+	return bsh_json_text(doc->json, JSON_SORT_KEYS | JSON_COMPACT);
 }
 
 static void set_hash(bsh_document_t *doc)
@@ -776,8 +777,8 @@
 			 const json_t *from, const json_t *to)
 {
 	json_t *delta = ctx;
-	json_t *change = json_pack("{s:s, s:s?, s:O?}", "section", section,
-				   "name", name, "value", (json_t *)to);
+	json_t *change = bsh_json_pack("{s:s, s:s?, s:O?}", "section", section,
+				       "name", name, "value", (json_t *)to);
 
 	(void)from;
 	json_array_append_new(json_object_get(delta, "changes"), change);
@@ -785,8 +786,8 @@
 
 json_t *bsh_document_delta(const bsh_document_t *from, const bsh_document_t *to)
 {
-	json_t *delta = json_pack("{s:s, s:s, s:[]}", "from", from->hash, "to",
-				  to->hash, "changes");
+	json_t *delta = bsh_json_pack("{s:s, s:s, s:[]}", "from", from->hash,
+				      "to", to->hash, "changes");
 
 	compare_documents(from, to, add_to_delta, delta);
 	return delta;
